--- /dev/null
+++ b/internal/findings/findings.go
@@ -0,0 +1,95 @@
+// Package findings collects the problems found in a settings file or a record,
+// each with its place, so that they are reported together.
+package findings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Code names the kind of a finding. Codes are stable and meant for scripts.
+type Code string
+
+// Codes that several packages share.
+const (
+	CodeSyntax       Code = "syntax"
+	CodeUnknownField Code = "unknown_field"
+	CodeMissing      Code = "missing"
+	CodeRange        Code = "out_of_range"
+	CodeInvalid      Code = "invalid"
+	CodeConflict     Code = "conflict"
+	CodeUnreadable   Code = "unreadable_schema"
+)
+
+// Finding is one problem.
+type Finding struct {
+	// File is the file or stream in which the problem was found.
+	File string `json:"file,omitempty"`
+	// Path is the JSON path of the value, such as "$.limits.queue".
+	Path    string `json:"path"`
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+}
+
+// String formats the finding on one line.
+func (f Finding) String() string {
+	place := f.Path
+	if f.File != "" {
+		place = f.File + ": " + f.Path
+	}
+	return fmt.Sprintf("%s: %s (%s)", place, f.Message, f.Code)
+}
+
+// List collects findings. The zero value is ready to use. It is not safe for
+// concurrent use.
+type List struct {
+	file  string
+	items []Finding
+}
+
+// NewList returns an empty list whose findings name file.
+func NewList(file string) *List {
+	return &List{file: file}
+}
+
+// Add appends a finding at a JSON path.
+func (l *List) Add(path string, code Code, format string, args ...any) {
+	l.items = append(l.items, Finding{File: l.file, Path: path, Code: code, Message: fmt.Sprintf(format, args...)})
+}
+
+// Append copies the findings of another list.
+func (l *List) Append(items []Finding) {
+	l.items = append(l.items, items...)
+}
+
+// Items returns the findings in the order in which they were added.
+func (l *List) Items() []Finding {
+	return l.items
+}
+
+// Empty reports whether there is no finding.
+func (l *List) Empty() bool {
+	return len(l.items) == 0
+}
+
+// Err returns nil for an empty list, and an *Error otherwise.
+func (l *List) Err() error {
+	if l.Empty() {
+		return nil
+	}
+	return &Error{Findings: l.items}
+}
+
+// Error is the error that carries a list of findings.
+type Error struct {
+	Findings []Finding
+}
+
+// Error formats all findings, one on each line.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Findings))
+	for i, f := range e.Findings {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/findings/findings_test.go
@@ -0,0 +1,24 @@
+package findings
+
+import (
+	"errors"
+	"testing"
+)
+
+// Guards against an error that drops all but the first finding.
+func TestErrReportsEveryFinding(t *testing.T) {
+	l := NewList("router.json")
+	if l.Err() != nil {
+		t.Fatal("an empty list is an error")
+	}
+	l.Add("$.a", CodeMissing, "value is required")
+	l.Add("$.b", CodeRange, "must be at most %d", 3)
+	var e *Error
+	if !errors.As(l.Err(), &e) || len(e.Findings) != 2 {
+		t.Fatalf("got %v, want two findings", l.Err())
+	}
+	want := "router.json: $.a: value is required (missing)\nrouter.json: $.b: must be at most 3 (out_of_range)"
+	if got := l.Err().Error(); got != want {
+		t.Fatalf("got %q, want %q", got, want)
+	}
+}
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,92 @@
+// Package meter counts the bytes that a router spends on control traffic, by
+// category, with the estimated framing of the layers below.
+package meter
+
+import "sync/atomic"
+
+// Category is a kind of control traffic.
+type Category int
+
+// Categories of control traffic, most important first.
+const (
+	Claim Category = iota
+	Intent
+	Config
+	Heartbeat
+	LogAppend
+	LogRead
+	VMList
+	Order
+	Probe
+	CacheEvents
+	numCategories
+)
+
+var categoryNames = [numCategories]string{
+	"claim", "intent", "config", "heartbeat", "log_append", "log_read", "vm_list", "order", "probe", "cache_events",
+}
+
+// String returns the name used in reports.
+func (c Category) String() string {
+	return categoryNames[c]
+}
+
+// Categories lists all categories, most important first.
+func Categories() []Category {
+	all := make([]Category, numCategories)
+	for i := range all {
+		all[i] = Category(i)
+	}
+	return all
+}
+
+// Estimated framing in bytes.
+const (
+	// TCPFrameBytes is an IPv4 and TCP header with timestamps.
+	TCPFrameBytes = 52
+	// YamuxFrameBytes is a yamux frame header.
+	YamuxFrameBytes = 12
+	// LengthPrefixBytes is the prefix of a peer message.
+	LengthPrefixBytes = 4
+)
+
+// PeerMessageBytes returns the estimated bytes on the wire of a peer message
+// with the given payload, including the acknowledgement.
+func PeerMessageBytes(payload int) int {
+	return payload + LengthPrefixBytes + YamuxFrameBytes + 2*TCPFrameBytes
+}
+
+// HTTPExchangeBytes returns the estimated bytes on the wire of one HTTP
+// exchange with the given header and body bytes of both directions.
+func HTTPExchangeBytes(payload int) int {
+	return payload + 4*TCPFrameBytes
+}
+
+// Meter counts bytes. The zero value is ready to use. It is safe for
+// concurrent use.
+type Meter struct {
+	bytes [numCategories]atomic.Int64
+}
+
+// Add counts n bytes, sent or received, in a category.
+func (m *Meter) Add(c Category, n int) {
+	m.bytes[c].Add(int64(n))
+}
+
+// Totals returns the bytes counted since the start, by category name.
+func (m *Meter) Totals() map[string]int64 {
+	totals := make(map[string]int64, numCategories)
+	for i := range m.bytes {
+		totals[Category(i).String()] = m.bytes[i].Load()
+	}
+	return totals
+}
+
+// Total returns the bytes counted since the start.
+func (m *Meter) Total() int64 {
+	var sum int64
+	for i := range m.bytes {
+		sum += m.bytes[i].Load()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/record/config.go
@@ -0,0 +1,124 @@
+// Package record defines the operators' configuration records: their schema
+// versions, their validation and the typed configuration that they produce.
+package record
+
+import "time"
+
+// Kind names the kind of object that a change creates or replaces.
+type Kind string
+
+// Kinds of objects.
+const (
+	KindPool      Kind = "pool"
+	KindWorkspace Kind = "workspace"
+	KindRoute     Kind = "route"
+)
+
+// PoolType tells model engines from plain services.
+type PoolType string
+
+// Types of pools.
+const (
+	PoolEngines PoolType = "engines"
+	PoolPlain   PoolType = "plain"
+)
+
+// Priority is the class of a request.
+type Priority string
+
+// Priority classes, most urgent first.
+const (
+	PriorityLookup   Priority = "lookup"
+	PriorityStandard Priority = "standard"
+	PriorityReview   Priority = "review"
+)
+
+// Priorities lists the classes, most urgent first.
+var Priorities = []Priority{PriorityLookup, PriorityStandard, PriorityReview}
+
+// Pool is a set of engines or plain backend servers that serve the same requests.
+type Pool struct {
+	Name string
+	// Version is the id of the record that put this pool in force.
+	Version string
+	Type    PoolType
+	// Models are the model names that callers may ask of this pool.
+	Models []string
+	// LoadMultiple bounds an engine's slots in flight as a multiple of the pool's mean.
+	LoadMultiple float64
+	// MaxInFlight is the absolute limit of requests in flight for each engine.
+	MaxInFlight int
+	// QueueLimit is the maximum number of waiting requests of the pool.
+	QueueLimit int
+	// HomeWait is the longest wait for the engine that holds the prefix.
+	HomeWait time.Duration
+	// ClassShares is the reserved share (0 to 1) of slots for each class.
+	ClassShares map[Priority]float64
+	// ChecksFencing tells whether the engines refuse an old fencing number.
+	ChecksFencing bool
+	// RetryBudget is the share of requests that may be retried.
+	RetryBudget float64
+	// KVMovesPerMinute limits KV cache moves away from leaving engines.
+	KVMovesPerMinute int
+}
+
+// Workspace is a customer unit with its own limits.
+type Workspace struct {
+	Name    string
+	Version string
+	// Weight is the share in the fair queue.
+	Weight float64
+	// MaxQueued is the maximum number of waiting requests of the workspace in a pool.
+	MaxQueued int
+	// MaxInFlight limits the workspace's requests in flight in a pool; 0 means no limit.
+	MaxInFlight int
+	// APIKeySHA256 holds hex digests of accepted API keys; empty means that none is needed.
+	APIKeySHA256 []string
+	// SystemPromptKey groups chats that share a system prompt.
+	SystemPromptKey string
+}
+
+// Route sets rules for a path of a plain service.
+type Route struct {
+	Name    string
+	Version string
+	Pool    string
+	// Method and PathPrefix select the requests.
+	Method     string
+	PathPrefix string
+	// Repeatable tells whether a request may be sent again after a failure.
+	Repeatable bool
+	Priority   Priority
+	Timeout    time.Duration
+}
+
+// Config is the typed configuration in force. It is immutable once published.
+type Config struct {
+	Pools      map[string]*Pool
+	Workspaces map[string]*Workspace
+	Routes     map[string]*Route
+}
+
+// NewConfig returns an empty configuration.
+func NewConfig() *Config {
+	return &Config{
+		Pools:      map[string]*Pool{},
+		Workspaces: map[string]*Workspace{},
+		Routes:     map[string]*Route{},
+	}
+}
+
+// PoolForModel returns the engine pool that serves a model, or nil.
+func (c *Config) PoolForModel(model string) *Pool {
+	for _, p := range c.Pools {
+		if p.Type != PoolEngines {
+			continue
+		}
+		for _, m := range p.Models {
+			if m == model {
+				return p
+			}
+		}
+	}
+	return nil
+}
