Report duplicate names in charts; cover base URLs and the metrics page under load

encoding/json keeps the last of several equal names, so a chart with the same event twice in a state would lose a transition without notice. The chart loader now reports it.

Further tests guard against base URLs that a router would have to resolve, against the fleet key in JSON output and against lost counts while the metrics page is read.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -148,12 +149,41 @@
 	}
 }
 
+// Guards against base URLs that a router would have to resolve, that carry a
+// password, or to which a path cannot be appended.
+func TestBaseURLs(t *testing.T) {
+	good := []string{"http://127.0.0.1", "https://[::1]:8443/base/"}
+	bad := []string{
+		"127.0.0.1:80", "http://localhost:80", "http://u:p@127.0.0.1", "http://127.0.0.1?x", "http://127.0.0.1/?",
+		"http://127.0.0.1#f", "http://127.0.0.1:0", "http://127.0.0.1:99999", "http://127.0.0.1:", "http://0.0.0.0:1",
+		"http://[fe80::1%25eth0]:1", "ftp://127.0.0.1", "http://",
+	}
+	check := func(text string) error {
+		extra, _ := json.Marshal(map[string]string{"otlp_endpoint": text})
+		_, err := Parse("f", settingsText(`,"fleet_key":"`+testKey+`","tracing":`+string(extra)))
+		return err
+	}
+	for _, text := range good {
+		if err := check(text); err != nil {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	for _, text := range bad {
+		if check(text) == nil {
+			t.Errorf("%s was accepted", text)
+		}
+	}
+}
+
 // Guards against a key that reaches a log through formatting.
 func TestKeyIsNotPrinted(t *testing.T) {
 	key, ok := ParseKey(testKey)
 	if !ok {
 		t.Fatal("key was refused")
 	}
+	if text, err := json.Marshal(Settings{FleetKey: key}); err != nil || !strings.Contains(string(text), redactedKey) {
+		t.Errorf("JSON prints the key: %s, %v", text, err)
+	}
 	for _, verb := range []string{"%v", "%+v", "%#v", "%s", "%d", "%x"} {
 		text := fmt.Sprintf(verb, Settings{FleetKey: key})
 		if strings.Contains(text, "0x1f") || strings.Contains(text, "1e1f") || strings.Contains(text, "30 31") {
--- a/internal/statechart/chart.go
+++ b/internal/statechart/chart.go
@@ -81,6 +81,9 @@
 		list.Add("$", findings.CodeSyntax, "text follows the chart")
 		return spec, false
 	}
+	// The decoder keeps the last of several equal names, which would drop a state
+	// or an event without notice.
+	checkNames(list, "$", json.NewDecoder(bytes.NewReader(data)))
 	for _, name := range sortedKeys(spec.States) {
 		if spec.States[name] == nil {
 			list.Add(statePath(name), findings.CodeInvalid, "must be an object")
@@ -89,6 +92,31 @@
 	return spec, list.Empty()
 }
 
+// checkNames reads one value of valid JSON text and reports names that appear
+// more than once in an object.
+func checkNames(list *findings.List, path string, dec *json.Decoder) {
+	token, _ := dec.Token()
+	delim, nested := token.(json.Delim)
+	if !nested {
+		return
+	}
+	seen := map[string]bool{}
+	for dec.More() {
+		place := path
+		if delim == '{' {
+			token, _ := dec.Token()
+			name, _ := token.(string)
+			place += "." + name
+			if seen[name] {
+				list.Add(place, findings.CodeConflict, "appears more than once")
+			}
+			seen[name] = true
+		}
+		checkNames(list, place, dec)
+	}
+	_, _ = dec.Token()
+}
+
 // eventsOf returns the sorted events that any state handles or ignores.
 func eventsOf(states map[State]*stateSpec) []Event {
 	all := map[Event]bool{}
--- a/internal/statechart/names.go
+++ b/internal/statechart/names.go
@@ -31,7 +31,7 @@
 	RouterStopNowEvent Event = "stop_now"
 )
 
-// States of a engine, as a pool owner sees it.
+// States of an engine, as a pool owner sees it.
 const (
 	EngineUp      State = "up"
 	EngineSuspect State = "suspect"
@@ -41,7 +41,7 @@
 	EngineGone    State = "gone"
 )
 
-// Events of a engine.
+// Events of an engine.
 const (
 	// EngineAnsweredEvent: a request or a probe was answered.
 	EngineAnsweredEvent Event = "answered"
@@ -59,7 +59,7 @@
 	EngineUnlistedEvent Event = "unlisted"
 )
 
-// States of a order to an engine.
+// States of an order to an engine.
 const (
 	OrderProposed   State = "proposed"
 	OrderSent       State = "sent"
@@ -70,7 +70,7 @@
 	OrderSuperseded State = "superseded"
 )
 
-// Events of a order.
+// Events of an order.
 const (
 	// OrderSendEvent: the order is written to the engine.
 	OrderSendEvent Event = "send"
--- a/internal/statechart/statechart_test.go
+++ b/internal/statechart/statechart_test.go
@@ -114,6 +114,8 @@
 		`{"name":"x","initial":"a","states":{"a":{"on":{"go":"b","up":"zz"},"ignore":["go"]},"b":{"on":{"go":"b"}},"c":{"final":true,"ignore":["go"]}}}`: {
 			"$.states.a.ignore conflict", "$.states.a.on.up invalid", "$.states.b missing",
 			"$.states.c conflict", "$.states.c invalid", "$.states.a invalid", "$.states.b invalid"},
+		`{"name":"x","initial":"a","states":{"a":{"on":{"go":"a","go":"b"}},"b":{"final":true},"a":{"on":{"go":"b"}}}}`: {
+			"$.states.a.on.go conflict", "$.states.a conflict"},
 		`{"initial":"q","states":{}}`:             {"$.name missing", "$.initial invalid"},
 		`{"name":"x","initial":"a","more":1}`:     {"$ syntax"},
 		`{"name":"x","states":{"a":null}}`:        {"$.states.a invalid"},
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -182,6 +183,30 @@
 	}
 }
 
+// Guards against a page that is read while values change, and loses some; run
+// with the race detector.
+func TestPageUnderConcurrentUse(t *testing.T) {
+	const workers, rounds = 4, 200
+	p := newPage()
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for range rounds {
+				p.AllocateCounter("n", nil).ReportCount(1)
+				p.AllocateTimer("t", nil).ReportTimer(time.Second)
+				p.AllocateHistogram("h", nil, tally.ValueBuckets{1}).ValueBucket(0, 1).ReportSamples(1)
+				p.render()
+			}
+		})
+	}
+	wg.Wait()
+	for _, want := range []string{"n_total 800\n", "t_seconds_sum 800\n", "h_count 800\n"} {
+		if page := p.render(); !bytes.Contains(page, []byte(want)) {
+			t.Errorf("page has no %q:\n%s", want, page)
+		}
+	}
+}
+
 // Guards against a name that two kinds share, which would hide one of them.
 func TestNameOfTwoKinds(t *testing.T) {
 	p := newPage()
