--- a/internal/logstream/log.go
+++ b/internal/logstream/log.go
@@ -32,6 +32,9 @@
 	ErrUnavailable = errors.New("log service unavailable")
 	// ErrRateLimited means that the append was refused and has no effect.
 	ErrRateLimited = errors.New("log service rate limit reached")
+	// ErrRefused means that the log does not accept the request as it is. It has
+	// no effect.
+	ErrRefused = errors.New("log service refused the request")
 	// ErrBelowFloor means that the requested offset has been forgotten.
 	ErrBelowFloor = errors.New("log offset is below the retention floor")
 )
@@ -42,6 +45,7 @@
 	// call counts as one append towards the log's rate limit.
 	Append(ctx context.Context, stream string, data [][]byte) (first uint64, err error)
 	// Read returns up to max records from offset on. With wait above zero it
-	// waits that long for a first record.
+	// waits that long for a first record. With ErrBelowFloor the page holds the
+	// floor and the head. An offset above the head gives an empty page.
 	Read(ctx context.Context, stream string, offset uint64, max int, wait time.Duration) (Page, error)
 }
--- /dev/null
+++ b/internal/logstream/wire.go
@@ -0,0 +1,47 @@
+package logstream
+
+import "time"
+
+// Bodies of the HTTP protocol. Record data is base64 in JSON.
+type (
+	// WireData is one record of an append.
+	WireData struct {
+		Data []byte `json:"data"`
+	}
+	// WireAppend is the body of an append.
+	WireAppend struct {
+		Records []WireData `json:"records"`
+	}
+	// WireAppended answers an append.
+	WireAppended struct {
+		FirstOffset uint64 `json:"first_offset"`
+	}
+	// WireRecord is one record of a page.
+	WireRecord struct {
+		Offset uint64    `json:"offset"`
+		Time   time.Time `json:"time"`
+		Data   []byte    `json:"data"`
+	}
+	// WirePage answers a read. An answer with status 410 has no records.
+	WirePage struct {
+		Floor   uint64       `json:"floor"`
+		Head    uint64       `json:"head"`
+		Records []WireRecord `json:"records,omitempty"`
+	}
+)
+
+// Limits of the protocol.
+const (
+	// MaxRecordBytes is the largest record, which leaves room for a checkpoint.
+	MaxRecordBytes = 8 << 20
+	// MaxAppendRecords is the largest number of records in one append.
+	MaxAppendRecords = 1000
+	// MaxPageRecords is the largest number of records in one page.
+	MaxPageRecords = 1000
+	// MaxBodyBytes limits the body of a request or an answer. A record of the
+	// largest size fits in base64.
+	MaxBodyBytes = 12 << 20
+	// PageDataBytes is the data size after which a page ends; a page holds at
+	// least one record.
+	PageDataBytes = 512 << 10
+)
