--- a/internal/record/config.go
+++ b/internal/record/config.go
@@ -2,7 +2,10 @@
 // versions, their validation and the typed configuration that they produce.
 package record
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Kind names the kind of object that a change creates or replaces.
 type Kind string
@@ -122,3 +125,52 @@
 	}
 	return nil
 }
+
+// Get returns the version of an object in force; ok is false if there is none.
+func (c *Config) Get(kind Kind, name string) (version string, ok bool) {
+	switch kind {
+	case KindPool:
+		if p := c.Pools[name]; p != nil {
+			return p.Version, true
+		}
+	case KindWorkspace:
+		if w := c.Workspaces[name]; w != nil {
+			return w.Version, true
+		}
+	case KindRoute:
+		if r := c.Routes[name]; r != nil {
+			return r.Version, true
+		}
+	}
+	return "", false
+}
+
+// Apply puts a change in force without further checks. The caller owns c; a
+// published configuration must not be changed.
+func (c *Config) Apply(change Change) {
+	switch change.Kind {
+	case KindPool:
+		setOrDelete(c.Pools, change.Name, change.Pool)
+	case KindWorkspace:
+		setOrDelete(c.Workspaces, change.Name, change.Workspace)
+	case KindRoute:
+		setOrDelete(c.Routes, change.Name, change.Route)
+	}
+}
+
+func setOrDelete[T any](objects map[string]*T, name string, object *T) {
+	if object == nil {
+		delete(objects, name)
+		return
+	}
+	objects[name] = object
+}
+
+// Clone returns a copy that shares the objects, which are immutable.
+func (c *Config) Clone() *Config {
+	return &Config{
+		Pools:      maps.Clone(c.Pools),
+		Workspaces: maps.Clone(c.Workspaces),
+		Routes:     maps.Clone(c.Routes),
+	}
+}
