enginesim: add an in-process engine emulator

Tests, demo and bench need engines with prefix cache, queue, resume, orders and faults on one machine.

--- /dev/null
+++ b/internal/standin/enginesim/text.go
@@ -0,0 +1,85 @@
+package enginesim
+
+import (
+	"strings"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellwell/bluebellwell/internal/answer"
+)
+
+// words includes text of several bytes for each character, so that an offset
+// counted in bytes shows.
+var words = []string{
+	"renewal ", "domain ", "shears ", "booking ", "đàn ", "cừu ", "മല്ലി ", "ഡൊമെയ്ൻ ",
+	"hall ", "status ", "lịch ", "transfer ", "paddock ", "🐑 ", "registrant ", "fleece ",
+}
+
+// charactersPerToken is the estimate behind EstimateTokens.
+const charactersPerToken = 4
+
+// Answer returns the text that an engine generates for a prompt in n tokens.
+// Every engine gives the same text.
+func Answer(prompt string, n int) string {
+	var b strings.Builder
+	seed := xxhash.Sum64String(prompt)
+	for i := range n {
+		b.WriteString(token(seed, i))
+	}
+	return b.String()
+}
+
+// Prompt returns the prompt of a request: the texts of all messages, each
+// followed by a line end.
+func Prompt(messages []answer.Message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Text())
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// EstimateTokens returns the prompt tokens of a text without the field
+// x_prompt_tokens.
+func EstimateTokens(text string) int {
+	return (utf8.RuneCountInString(text) + charactersPerToken - 1) / charactersPerToken
+}
+
+// token mixes the seed and the index with the finalizer of splitmix64.
+func token(seed uint64, i int) string {
+	z := seed + uint64(i+1)*0x9e3779b97f4a7c15
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	z ^= z >> 31
+	return words[z%uint64(len(words))]
+}
+
+// generated is a whole answer with the ends of its tokens.
+type generated struct {
+	text []byte
+	// byteEnds[i] is the byte index after token i.
+	byteEnds []int
+	chars    int
+}
+
+func generate(prompt string, n int) generated {
+	g := generated{byteEnds: make([]int, n)}
+	seed := xxhash.Sum64String(prompt)
+	for i := range n {
+		t := token(seed, i)
+		g.text = append(g.text, t...)
+		g.byteEnds[i] = len(g.text)
+		g.chars += utf8.RuneCountInString(t)
+	}
+	return g
+}
+
+// bytesAfter returns the byte length of the first n tokens.
+func (g *generated) bytesAfter(n int) int {
+	if n == 0 {
+		return 0
+	}
+	return g.byteEnds[n-1]
+}
