engineclient: add the HTTP client of one engine

A router may say not_run only when it is certain. net/http retries some requests by itself and may write to a connection after the caller has its error, so httpsend hides the body's rewind and seals an unwritten connection when it judges the request as not sent. An answer counts as not run only when the engine states the outcome not_run.

Stream checks the offset that the engine sends as event id: it drops repeated frames and fails on gaps, overlaps, text after the finish reason and a [DONE] without one.

Each of these changes made a test fail: claim not_run for every failed round trip, for none, for every refusal or for no refusal; accept gaps, repeated frames, text after the end or an unfinished answer; count offsets in bytes; ignore the silence limit; leave probe bytes uncounted.

--- /dev/null
+++ b/internal/engineclient/client_test.go
@@ -0,0 +1,484 @@
+package engineclient
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/standin/enginesim"
+)
+
+const (
+	prompt   = "how many shears?"
+	tokens   = 40
+	perToken = 10 * time.Millisecond
+)
+
+var wholeAnswer = enginesim.Answer(prompt+"\n", tokens)
+
+type bed struct {
+	t      *testing.T
+	engine *enginesim.Engine
+	clock  *clockwork.FakeClock
+	client *Client
+	meter  *meter.Meter
+}
+
+// newBed starts an engine on a fake clock that stands still until drive or Advance.
+func newBed(t *testing.T, cfg enginesim.Config, o Options) *bed {
+	b := &bed{t: t, clock: clockwork.NewFakeClock(), meter: &meter.Meter{}}
+	cfg.Name, cfg.Clock, cfg.PerToken = "e1", b.clock, perToken
+	b.engine = enginesim.New(cfg)
+	t.Cleanup(b.engine.Close)
+	addr, err := b.engine.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.BaseURL, o.Meter = "http://"+addr, b.meter
+	b.client = New(o)
+	t.Cleanup(b.client.Close)
+	return b
+}
+
+// drive advances the engine's clock whenever its scheduler waits for a time.
+func (b *bed) drive() {
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for b.clock.BlockUntilContext(ctx, 1) == nil {
+			b.clock.Advance(perToken)
+		}
+	}()
+	b.t.Cleanup(func() { cancel(); <-stopped })
+}
+
+func request(attempt string) Request {
+	body := fmt.Sprintf(`{"stream":true,"max_tokens":%d,"x_prompt_tokens":50,"messages":[{"role":"user","content":%q}]}`, tokens, prompt)
+	return Request{AttemptID: attempt, RequestID: "r-" + attempt, Workspace: "w", PrefixKey: "c", Body: []byte(body)}
+}
+
+// read collects the text until the end or an error, checking the offsets.
+func read(t *testing.T, s *Stream) (string, Event, error) {
+	t.Helper()
+	var text strings.Builder
+	var usage Event
+	start := s.Offset()
+	for {
+		e, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return text.String(), usage, nil
+		}
+		if err != nil {
+			return text.String(), usage, err
+		}
+		if got := start + len([]rune(text.String())); e.Offset != got {
+			t.Fatalf("event at offset %d after %d characters", e.Offset, got)
+		}
+		text.Write(e.Text)
+		if e.HasUsage {
+			usage = e
+		}
+	}
+}
+
+func (b *bed) stream(attempt string) *Stream {
+	b.t.Helper()
+	s, err := b.client.Stream(context.Background(), request(attempt))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(s.Close)
+	return s
+}
+
+// Guards against an answer that is cut, altered or without its usage.
+func TestWholeAnswer(t *testing.T) {
+	b := newBed(t, enginesim.Config{}, Options{})
+	b.drive()
+	for i, cached := range []int{0, 50} {
+		text, usage, err := read(t, b.stream(fmt.Sprint(i)))
+		if err != nil || text != wholeAnswer {
+			t.Fatalf("got %q, %v", text, err)
+		}
+		u := usage.Usage
+		if u.CompletionTokens != tokens || u.PromptTokens != 50 || u.PromptTokensDetails.CachedTokens != cached {
+			t.Errorf("usage %+v, want %d cached", u, cached)
+		}
+	}
+	if b.meter.Total() != 0 {
+		t.Errorf("%d bytes of answers count as control traffic", b.meter.Total())
+	}
+}
+
+// Guards against a wrong claim about whether a request ran, in each fault
+// before the first event.
+func TestStartFaults(t *testing.T) {
+	deadClock := clockwork.NewFakeClock()
+	cases := []struct {
+		name   string
+		opts   Options
+		break_ func(b *bed)
+		req    func(r *Request)
+		notRun bool
+		// ran is whether the ledger shows an accepted attempt.
+		ran   bool
+		cause error
+	}{
+		{name: "connection refused", break_: func(b *bed) { _ = b.engine.SetRefuse(true) }, notRun: true},
+		{name: "engine dead", break_: func(b *bed) { b.engine.Die() }, notRun: true},
+		{name: "engine refuses", break_: func(b *bed) { b.engine.SetFaults(enginesim.Faults{RefuseNew: true}) }, notRun: true, cause: ErrEngine},
+		{name: "request too large", opts: Options{MaxRequest: 10}, notRun: true, cause: ErrTooLarge},
+		{name: "header injection", req: func(r *Request) { r.Workspace = "a\r\nX-Priority: lookup" }, notRun: true},
+		{name: "no attempt id", req: func(r *Request) { r.AttemptID = "" }, notRun: true, cause: ErrEngine},
+		{
+			name: "hang before headers", opts: Options{Clock: deadClock}, ran: true, cause: ErrTimeout,
+			break_: func(b *bed) {
+				b.engine.SetFaults(enginesim.Faults{HangBeforeHeaders: true})
+				go func() {
+					_ = b.clock.BlockUntilContext(context.Background(), 1)
+					deadClock.Advance(time.Hour)
+				}()
+			},
+		},
+		{
+			name: "death before headers", ran: true,
+			break_: func(b *bed) {
+				b.engine.SetFaults(enginesim.Faults{HangBeforeHeaders: true})
+				go func() {
+					_ = b.clock.BlockUntilContext(context.Background(), 1)
+					b.engine.Die()
+				}()
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t, enginesim.Config{}, c.opts)
+			if c.break_ != nil {
+				c.break_(b)
+			}
+			r := request("a")
+			if c.req != nil {
+				c.req(&r)
+			}
+			_, err := b.client.Stream(context.Background(), r)
+			if errors.Is(err, ErrNotRun) != c.notRun || errors.Is(err, ErrMaybeRun) == c.notRun {
+				t.Errorf("got %v, want not run: %v", err, c.notRun)
+			}
+			if c.cause != nil && !errors.Is(err, c.cause) {
+				t.Errorf("got %v, want %v", err, c.cause)
+			}
+			if ran := len(b.engine.Ledger().Records()) > 0; ran != c.ran {
+				t.Errorf("the engine accepted the attempt: %v", ran)
+			}
+		})
+	}
+}
+
+// Guards against a lost or doubled part when an answer is resumed after its
+// stream was cut, at every cut position of the first tokens.
+func TestResumeAfterCut(t *testing.T) {
+	for frames := 1; frames <= tokens; frames += 13 {
+		b := newBed(t, enginesim.Config{}, Options{})
+		b.engine.SetFaults(enginesim.Faults{CutAfterFrames: frames, CutTimes: 1})
+		b.drive()
+		s := b.stream("a")
+		first, _, err := read(t, s)
+		if !errors.Is(err, ErrMaybeRun) || errors.Is(err, ErrProtocol) {
+			t.Fatalf("cut stream: %v", err)
+		}
+		s, err = b.client.Resume(context.Background(), "a", s.Offset())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		rest, _, err := read(t, s)
+		if err != nil || first+rest != wholeAnswer {
+			t.Errorf("cut after %d frames: got %q + %q, %v", frames, first, rest, err)
+		}
+	}
+}
+
+// Guards against a resume inside a token, a resume past the answer and a resume
+// at an engine that lost the attempt.
+func TestResumeOffsets(t *testing.T) {
+	b := newBed(t, enginesim.Config{}, Options{})
+	b.drive()
+	if _, _, err := read(t, b.stream("a")); err != nil {
+		t.Fatal(err)
+	}
+	runes := []rune(wholeAnswer)
+	for _, offset := range []int{0, 3, 17, len(runes) - 1, len(runes)} {
+		s, err := b.client.Resume(context.Background(), "a", offset)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _, err := read(t, s)
+		if err != nil || text != string(runes[offset:]) {
+			t.Errorf("offset %d: got %q, %v", offset, text, err)
+		}
+		s.Close()
+	}
+	if _, err := b.client.Resume(context.Background(), "a", len(runes)+1); !errors.Is(err, ErrOffset) {
+		t.Errorf("offset beyond the answer: %v", err)
+	}
+	found, err := b.client.FindAttempt(context.Background(), "r-a")
+	if err != nil || len(found) != 1 || found[0].AttemptID != "a" || found[0].Characters != len(runes) {
+		t.Errorf("find: %+v, %v", found, err)
+	}
+	b.engine.Die()
+	if err := b.engine.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.client.Resume(context.Background(), "a", 3); !errors.Is(err, ErrNotFound) {
+		t.Errorf("resume after a restart: %v", err)
+	}
+}
+
+// Guards against doubled text and against corrupt frames passed on.
+func TestFrameFaults(t *testing.T) {
+	b := newBed(t, enginesim.Config{}, Options{})
+	b.drive()
+	b.engine.SetFaults(enginesim.Faults{DuplicateFrames: true})
+	s := b.stream("a")
+	text, _, err := read(t, s)
+	if err != nil || text != wholeAnswer || s.Dropped() != tokens+2 {
+		t.Errorf("duplicate frames: %q, %v, %d dropped", text, err, s.Dropped())
+	}
+	b.engine.SetFaults(enginesim.Faults{CorruptEvery: 5})
+	text, _, err = read(t, b.stream("b"))
+	if !errors.Is(err, ErrProtocol) || text != enginesim.Answer(prompt+"\n", 4) {
+		t.Errorf("corrupt frame: %q, %v", text, err)
+	}
+}
+
+// Guards against broken streams that pass as whole answers.
+func TestBrokenStreams(t *testing.T) {
+	const text = `data: {"choices":[{"delta":{"content":"ab"}}]}` + "\n\n"
+	const end = `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n"
+	cases := []struct {
+		name, body, kind string
+		want             error
+		status           int
+	}{
+		{"done without finish", text + "data: [DONE]\n\n", "", ErrProtocol, 200},
+		{"no done", text + end, "", ErrMaybeRun, 200},
+		{"gap", "id: 3\n" + text, "", ErrProtocol, 200},
+		{"overlap", text + "id: 1\n" + text, "", ErrProtocol, 200},
+		{"text after finish", text + end + text, "", ErrProtocol, 200},
+		{"not JSON", "data: {\n\n", "", ErrProtocol, 200},
+		{"deep JSON", "data: " + strings.Repeat("[", 100) + strings.Repeat("]", 100) + "\n\n", "", ErrProtocol, 200},
+		{"long line", "data: " + strings.Repeat("x", 1<<17), "", ErrProtocol, 200},
+		{"error event", text + `data: {"error":{"code":"x"}}` + "\n\n", "", ErrEngine, 200},
+		{"refusal without outcome", "{}", "application/json", ErrEngine, 503},
+		{"refusal too large", strings.Repeat("x", 1<<17), "application/json", ErrEngine, 500},
+		{"not a stream", "{}", "application/json", ErrProtocol, 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", cmp.Or(c.kind, "text/event-stream"))
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, c.body)
+			}))
+			defer srv.Close()
+			s, err := New(Options{BaseURL: srv.URL}).Stream(context.Background(), request("a"))
+			if err == nil {
+				defer s.Close()
+				_, _, err = read(t, s)
+			}
+			if !errors.Is(err, c.want) || !errors.Is(err, ErrMaybeRun) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an unlimited wait for a silent engine, and against reviews
+// that overtake lookups or run after their deadline in the engine's queue.
+func TestSilenceAndQueue(t *testing.T) {
+	clientClock := clockwork.NewFakeClock()
+	b := newBed(t, enginesim.Config{Slots: 1}, Options{Clock: clientClock})
+	s := b.stream("a")
+	go func() {
+		_ = clientClock.BlockUntilContext(context.Background(), 1)
+		clientClock.Advance(defaultFrameTimeout)
+	}()
+	if _, err := s.Next(); !errors.Is(err, ErrTimeout) {
+		t.Fatalf("silent engine: %v", err)
+	}
+	done := make(chan error, 3)
+	enqueue := func(id, priority string, deadline time.Duration) {
+		before := len(b.engine.Ledger().Records())
+		r := request(id)
+		r.Priority, r.Deadline = priority, deadline
+		go func() {
+			s, err := b.client.Stream(context.Background(), r)
+			if err == nil {
+				_, _, err = read(t, s)
+				s.Close()
+			}
+			done <- err
+		}()
+		_ = b.engine.Ledger().Await(context.Background(), before+1)
+	}
+	enqueue("review", "review", 0)
+	enqueue("expires", "standard", perToken)
+	enqueue("lookup", "lookup", 0)
+	b.drive()
+	if err := <-done; !errors.Is(err, ErrNotRun) {
+		t.Errorf("attempt with a passed deadline: %v", err)
+	}
+	for range 2 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	records := b.engine.Ledger().Records()
+	if records[2].Executed() || !records[3].Started.Before(records[1].Started) {
+		t.Errorf("the queue ran %+v", records[1:])
+	}
+}
+
+// Guards against an attempt that keeps its slot after a cancel, load reports
+// without the lag, and uncounted probe bytes.
+func TestCancelAndLoad(t *testing.T) {
+	const lag = time.Second
+	b := newBed(t, enginesim.Config{LoadLag: lag}, Options{})
+	ctx := context.Background()
+	s := b.stream("a")
+	loads := func(want int) {
+		t.Helper()
+		rep, err := b.client.Load(ctx)
+		if err != nil || rep.Running != want || len(rep.Attempts) != want || rep.BootID != b.engine.BootID() {
+			t.Errorf("load %+v, %v, want %d running", rep, err, want)
+		}
+	}
+	loads(0)
+	if a, err := b.client.Cancel(ctx, "a"); err != nil || a.State != "cancelled" {
+		t.Fatalf("cancel: %+v, %v", a, err)
+	}
+	if _, _, err := read(t, s); !errors.Is(err, ErrEngine) {
+		t.Errorf("cancelled stream: %v", err)
+	}
+	if total, _ := b.engine.Ledger().InFlight(); total != 0 {
+		t.Errorf("%d in flight after the cancel", total)
+	}
+	if _, err := b.client.Cancel(ctx, "b"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("cancel of an unknown attempt: %v", err)
+	}
+	b.stream("c")
+	b.clock.Advance(lag)
+	loads(1)
+	before := b.meter.Totals()["probe"]
+	if _, err := b.client.LoadBrief(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := b.meter.Totals()["probe"] - before; got < 300 || got > 700 {
+		t.Errorf("a brief probe counts as %d bytes", got)
+	}
+}
+
+// Guards against cache events seen too early, out of order or without their gap,
+// and against a KV move that leaves nothing in the cache.
+func TestCacheEventsAndKV(t *testing.T) {
+	const lag = 10 * time.Second
+	b := newBed(t, enginesim.Config{CacheEventLag: lag, CacheEventGap: 2}, Options{})
+	ctx := context.Background()
+	for i, key := range []string{"c1", "c2", "c3"} {
+		blob := fmt.Sprintf(`{"prefix_key":%q,"tokens":%d}`, key, 10+i)
+		if n, err := b.client.ImportKV(ctx, []byte(blob)); err != nil || n != 10+i {
+			t.Fatalf("import: %d, %v", n, err)
+		}
+	}
+	if v, err := b.client.CacheEvents(ctx, 0, 10); err != nil || len(v.Events) != 0 {
+		t.Errorf("events before the lag: %+v, %v", v, err)
+	}
+	b.clock.Advance(lag)
+	v, err := b.client.CacheEvents(ctx, 0, 10)
+	if err != nil || len(v.Events) != 2 || v.Events[0].PrefixKey != "c1" || v.Events[1].Seq != 3 {
+		t.Errorf("events: %+v, %v", v, err)
+	}
+	other := newBed(t, enginesim.Config{}, Options{MaxKV: 100})
+	blob, err := b.client.ExportKV(ctx, "c2", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := other.client.ImportKV(ctx, blob); err != nil || n != 11 || other.engine.CachedTokens("c2", "", 99) != 11 {
+		t.Errorf("moved prefix has %d tokens, %v", n, err)
+	}
+	if _, err := other.client.ExportKV(ctx, "c3", ""); !errors.Is(err, ErrNotFound) {
+		t.Errorf("export of an unknown prefix: %v", err)
+	}
+	if _, err := other.client.ImportKV(ctx, make([]byte, 101)); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("import above the limit: %v", err)
+	}
+}
+
+// Guards against an old order that takes effect at an engine that checks the
+// number, and against a claim about an order whose answer was lost.
+func TestOrders(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		b := newBed(t, enginesim.Config{CheckFencing: checks}, Options{})
+		ctx := context.Background()
+		order := func(fencing uint64, version string) error {
+			_, err := b.client.Order(ctx, Order{OrderID: "o" + version, Fencing: fencing, Kind: "load", Model: "m", Version: version})
+			return err
+		}
+		version := func() string {
+			s, err := b.client.OrdersState(ctx)
+			if err != nil || len(s.Models) != 1 || s.Fencing != 7 {
+				t.Fatalf("state %+v, %v", s, err)
+			}
+			return s.Models[0].Version
+		}
+		if err := order(7, "v2"); err != nil {
+			t.Fatal(err)
+		}
+		err := order(6, "v1")
+		if checks && (!errors.Is(err, ErrOldFencing) || !errors.Is(err, ErrNotRun) || version() != "v2") {
+			t.Errorf("old order at a checking engine: %v, %s in force", err, version())
+		}
+		if !checks && (err != nil || version() != "v1") {
+			t.Errorf("old order at an ignoring engine: %v, %s in force", err, version())
+		}
+		b.engine.SetFaults(enginesim.Faults{DropOrderAnswer: true})
+		if err := order(7, "v3"); !errors.Is(err, ErrMaybeRun) || version() != "v3" {
+			t.Errorf("order with a lost answer: %v", err)
+		}
+		if n := len(b.engine.Orders()); n != 3 {
+			t.Errorf("the engine saw %d orders, want 3", n)
+		}
+	}
+}
+
+// Guards against tokens generated during a pause and against a stream that
+// does not go on after it.
+func TestPause(t *testing.T) {
+	b := newBed(t, enginesim.Config{}, Options{})
+	s := b.stream("a")
+	b.engine.Pause()
+	b.clock.Advance(time.Hour)
+	if r := b.engine.Ledger().Records()[0]; !r.FirstToken.IsZero() {
+		t.Errorf("paused engine generated a token")
+	}
+	b.engine.Resume()
+	b.drive()
+	if text, _, err := read(t, s); err != nil || text != wholeAnswer {
+		t.Errorf("after the pause: %q, %v", text, err)
+	}
+	if r := b.engine.Ledger().Records()[0]; r.Ended.Sub(r.Started) < time.Hour+tokens*perToken {
+		t.Errorf("the pause counted as generation time: %v", r.Ended.Sub(r.Started))
+	}
+}
--- /dev/null
+++ b/internal/engineclient/stream.go
@@ -0,0 +1,308 @@
+package engineclient
+
+import (
+	"context"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebellwell/bluebellwell/internal/answer"
+	"github.com/bluebellwell/bluebellwell/internal/httpsend"
+)
+
+// Request is one attempt at a chat-completions request. Empty fields are not sent.
+type Request struct {
+	AttemptID string
+	RequestID string
+	Workspace string
+	// PrefixKey names the chat. It must include the workspace when chat ids of
+	// different workspaces can be equal.
+	PrefixKey string
+	// SystemKey names the workspace's shared system prompt.
+	SystemKey      string
+	Priority       string
+	IdempotencyKey string
+	Traceparent    string
+	// Deadline is the remaining time; 0 means none.
+	Deadline time.Duration
+	// Body is chat-completions JSON with stream set.
+	Body []byte
+}
+
+func (r *Request) setHeaders(h http.Header) {
+	values := [...]struct{ name, value string }{
+		{"X-Attempt-Id", r.AttemptID},
+		{"X-Request-Id", r.RequestID},
+		{"X-Workspace", r.Workspace},
+		{"X-Prefix-Key", r.PrefixKey},
+		{"X-System-Key", r.SystemKey},
+		{"X-Priority", r.Priority},
+		{"Idempotency-Key", r.IdempotencyKey},
+		{"Traceparent", r.Traceparent},
+	}
+	for _, v := range values {
+		if v.value != "" {
+			h.Set(v.name, v.value)
+		}
+	}
+	if r.Deadline > 0 {
+		// An engine reads 0 as no deadline, so a remainder below 1 ms is sent as 1.
+		h.Set("X-Deadline-Ms", strconv.FormatInt(max(1, r.Deadline.Milliseconds()), 10))
+	}
+	h.Set("Accept", "text/event-stream")
+}
+
+// Event is one part of an answer. Its slices are valid until the next call of Next.
+type Event struct {
+	// Offset is the number of characters of the answer before Text.
+	Offset int
+	Text   []byte
+	// Characters is the length of Text in code points.
+	Characters int
+	// Data is the chunk's JSON as the engine sent it; nil when Done.
+	Data         []byte
+	FinishReason string
+	HasUsage     bool
+	Usage        answer.Usage
+	// Done is set on the last event of a whole answer.
+	Done bool
+}
+
+// Stream is a running answer. It is not safe for concurrent use, except for Close.
+type Stream struct {
+	op       string
+	cancel   context.CancelCauseFunc
+	ctx      context.Context
+	body     io.ReadCloser
+	sse      *answer.SSEReader
+	chunk    answer.Chunk
+	timer    clockwork.Timer
+	timeout  time.Duration
+	offset   int
+	finished string
+	usage    bool
+	dropped  int
+	bootID   string
+	err      error
+}
+
+// Stream starts an attempt. After ErrNotRun the same request may be given to
+// another engine; after ErrMaybeRun the attempt may be running.
+func (c *Client) Stream(ctx context.Context, r Request) (*Stream, error) {
+	const op = "stream"
+	if len(r.Body) > c.opts.MaxRequest {
+		return nil, &Error{Op: op, NotRun: true, NotSent: true, Err: ErrTooLarge}
+	}
+	return c.open(ctx, op, 0, func(ctx context.Context) (*http.Request, error) {
+		req, err := c.newRequest(ctx, http.MethodPost, "/v1/chat/completions", r.Body)
+		if err == nil {
+			r.setHeaders(req.Header)
+		}
+		return req, err
+	})
+}
+
+// Resume reads an attempt's answer from a character offset on. ErrNotFound
+// means that the engine does not have the attempt, for instance after a restart.
+func (c *Client) Resume(ctx context.Context, attemptID string, offset int) (*Stream, error) {
+	path := "/v1/attempts/" + url.PathEscape(attemptID) + "?offset=" + strconv.Itoa(offset)
+	return c.open(ctx, "resume", offset, func(ctx context.Context) (*http.Request, error) {
+		return c.newRequest(ctx, http.MethodGet, path, nil)
+	})
+}
+
+func (c *Client) open(ctx context.Context, op string, offset int, build func(context.Context) (*http.Request, error)) (*Stream, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := &Stream{op: op, ctx: ctx, cancel: cancel, offset: offset, timeout: c.opts.FrameTimeout}
+	req, err := build(ctx)
+	if err != nil {
+		cancel(nil)
+		return nil, &Error{Op: op, NotRun: true, NotSent: true, Err: err}
+	}
+	s.timer = c.opts.Clock.AfterFunc(c.opts.HeaderTimeout, func() { cancel(ErrTimeout) })
+	resp, x, err := httpsend.Send(c.transport, req)
+	if err != nil {
+		err = &Error{Op: op, NotRun: x.NotSent, NotSent: x.NotSent, Err: eris.Wrap(s.cause(err), "round trip")}
+		s.Close()
+		return nil, err
+	}
+	s.timer.Stop()
+	s.body = resp.Body
+	if err := checkStart(op, resp); err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.bootID = resp.Header.Get("X-Boot-Id")
+	s.sse = answer.NewSSEReader(resp.Body, answer.SSELimits{})
+	return s, nil
+}
+
+func checkStart(op string, resp *http.Response) error {
+	if resp.StatusCode != http.StatusOK {
+		return answerError(op, resp)
+	}
+	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	if err != nil || kind != "text/event-stream" {
+		return &Error{Op: op, Status: resp.StatusCode, Err: eris.Wrap(ErrProtocol, "answer is not an event stream")}
+	}
+	return nil
+}
+
+// cause prefers the reason of a cancellation to the error that it produced.
+func (s *Stream) cause(err error) error {
+	if c := context.Cause(s.ctx); c != nil {
+		return c
+	}
+	return err
+}
+
+// BootID returns the engine's boot id at the start of the stream, if it gave one.
+func (s *Stream) BootID() string {
+	return s.bootID
+}
+
+// Offset returns the number of characters of the answer read so far. It is the
+// offset for Resume.
+func (s *Stream) Offset() int {
+	return s.offset
+}
+
+// Dropped returns how many repeated frames were dropped.
+func (s *Stream) Dropped() int {
+	return s.dropped
+}
+
+// Close ends the reading. The engine goes on with the attempt; use Cancel to end it.
+func (s *Stream) Close() {
+	s.timer.Stop()
+	s.cancel(context.Canceled)
+	if s.body != nil {
+		_ = s.body.Close()
+	}
+}
+
+// Next returns the next event. After the event with Done it returns io.EOF. Any
+// other error means that the answer is not whole; it can be resumed at Offset
+// while the engine keeps the attempt. The error repeats on every later call.
+func (s *Stream) Next() (Event, error) {
+	// The timer runs only while this call waits, so that a slow caller of Next
+	// does not count as a silent engine.
+	defer s.timer.Stop()
+	for s.err == nil {
+		s.timer.Reset(s.timeout)
+		sse, err := s.sse.Next()
+		if err != nil {
+			s.fail(s.cause(err))
+			break
+		}
+		e, fresh, err := s.accept(sse)
+		if err != nil {
+			s.fail(err)
+			break
+		}
+		if fresh {
+			return e, nil
+		}
+		s.dropped++
+	}
+	return Event{}, s.err
+}
+
+func (s *Stream) fail(err error) {
+	if isProtocol(err) {
+		err = eris.Wrap(ErrProtocol, err.Error())
+	}
+	s.err = &Error{Op: s.op, Status: http.StatusOK, Err: err}
+}
+
+// isProtocol reports whether the engine sent what it must not send. A stream
+// that only broke off is not a breach.
+func isProtocol(err error) bool {
+	return errors.Is(err, answer.ErrBadJSON) || errors.Is(err, answer.ErrTooDeep) ||
+		errors.Is(err, answer.ErrInvalidUTF8) || errors.Is(err, answer.ErrLineTooLong) ||
+		errors.Is(err, answer.ErrEventTooLarge)
+}
+
+// accept checks an event against the offset. It reports false for a repeated frame.
+func (s *Stream) accept(sse answer.Event) (Event, bool, error) {
+	if sse.Done {
+		return s.done()
+	}
+	if err := s.chunk.Parse(sse.Data); err != nil {
+		return Event{}, false, err
+	}
+	if s.chunk.HasError {
+		return Event{}, false, ErrEngine
+	}
+	at, err := s.frameOffset(sse.ID)
+	if err != nil {
+		return Event{}, false, err
+	}
+	switch {
+	case at < s.offset && at+s.chunk.Characters <= s.offset:
+		return Event{}, false, nil
+	case at != s.offset:
+		return Event{}, false, eris.Wrapf(ErrProtocol, "frame at offset %d, expected %d", at, s.offset)
+	case s.finished != "" && s.chunk.Characters > 0:
+		return Event{}, false, eris.Wrap(ErrProtocol, "text after the finish reason")
+	case s.repeatsEnd():
+		return Event{}, false, nil
+	}
+	return s.take(sse.Data), true, nil
+}
+
+// frameOffset reads the offset that the engine gives as the event's id. An
+// engine that sends no id is trusted to send each frame once.
+func (s *Stream) frameOffset(id []byte) (int, error) {
+	if len(id) == 0 {
+		return s.offset, nil
+	}
+	at, err := strconv.Atoi(string(id))
+	if err != nil || at < 0 {
+		return 0, eris.Wrap(ErrProtocol, "event id is no offset")
+	}
+	return at, nil
+}
+
+// repeatsEnd reports whether the chunk only repeats the finish reason or the usage.
+func (s *Stream) repeatsEnd() bool {
+	c := &s.chunk
+	if c.FinishReason != "" {
+		return s.finished != ""
+	}
+	return c.HasUsage && s.usage && c.Characters == 0
+}
+
+func (s *Stream) take(data []byte) Event {
+	c := &s.chunk
+	e := Event{
+		Offset:       s.offset,
+		Text:         c.Text,
+		Characters:   c.Characters,
+		Data:         data,
+		FinishReason: c.FinishReason,
+		HasUsage:     c.HasUsage,
+		Usage:        c.Usage,
+	}
+	s.offset += c.Characters
+	s.usage = s.usage || c.HasUsage
+	if c.FinishReason != "" {
+		s.finished = c.FinishReason
+	}
+	return e
+}
+
+func (s *Stream) done() (Event, bool, error) {
+	if s.finished == "" {
+		return Event{}, false, eris.Wrap(ErrProtocol, "[DONE] without a finish reason")
+	}
+	s.err = io.EOF
+	return Event{Offset: s.offset, Done: true}, true, nil
+}
--- /dev/null
+++ b/internal/httpsend/httpsend.go
@@ -0,0 +1,158 @@
+// Package httpsend tells for certain whether any byte of an HTTP request can
+// have reached the server, and counts the bytes of an exchange.
+package httpsend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// errSealed is returned for writes after the sender has judged the request as not sent.
+var errSealed = errors.New("connection is sealed")
+
+// conn counts bytes and can be sealed against further writes.
+type conn struct {
+	net.Conn
+	mu       sync.Mutex
+	sealed   bool
+	written  int64
+	received int64
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	// Counted before the write, because a failed write may have sent a part.
+	c.written += int64(len(b))
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	c.received += int64(n)
+	c.mu.Unlock()
+	return n, err
+}
+
+func (c *conn) counts() (written, received int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written, c.received
+}
+
+// sealUnwritten seals the connection if nothing was written since base, and
+// reports whether it did.
+func (c *conn) sealUnwritten(base int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.written != base {
+		return false
+	}
+	c.sealed = true
+	return true
+}
+
+// Options sets up a transport.
+type Options struct {
+	DialTimeout time.Duration
+	// HeaderTimeout bounds the wait for the answer's headers; 0 means no bound
+	// other than the context.
+	HeaderTimeout  time.Duration
+	MaxHeaderBytes int64
+	IdlePerHost    int
+	IdleTimeout    time.Duration
+	// Fresh opens a connection for every request, so that net/http never sends
+	// a request again by itself: it does so only on a reused connection.
+	Fresh bool
+}
+
+// NewTransport returns a transport for use with Send. It uses no proxy.
+func NewTransport(o Options) *http.Transport {
+	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		DisableKeepAlives:      o.Fresh,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    o.IdlePerHost,
+		IdleConnTimeout:        o.IdleTimeout,
+		ResponseHeaderTimeout:  o.HeaderTimeout,
+		MaxResponseHeaderBytes: o.MaxHeaderBytes,
+	}
+}
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	// NotSent is set when the request failed and no byte of it was or will be written.
+	NotSent bool
+
+	// earlier is set when net/http wrote the request to one connection and then took another.
+	earlier      bool
+	conn         *conn
+	baseWritten  int64
+	baseReceived int64
+}
+
+// Bytes returns the bytes sent and received by the exchange so far. It is
+// exact once the answer's body has been read to its end.
+func (x *Exchange) Bytes() int {
+	if x.conn == nil {
+		return 0
+	}
+	written, received := x.conn.counts()
+	return int(written - x.baseWritten + received - x.baseReceived)
+}
+
+// Send performs one round trip and follows no redirect. After an error,
+// Exchange.NotSent tells whether the request certainly did not leave this host;
+// the connection is then sealed, so that a delayed write cannot make it untrue.
+func Send(t http.RoundTripper, req *http.Request) (*http.Response, *Exchange, error) {
+	x := &Exchange{}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c, ok := info.Conn.(*conn)
+		if !ok {
+			return
+		}
+		if x.conn != nil && !x.conn.sealUnwritten(x.baseWritten) {
+			x.earlier = true
+		}
+		x.conn = c
+		x.baseWritten, x.baseReceived = c.counts()
+	}}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		x.NotSent = x.notSent()
+		return nil, x, err
+	}
+	return resp, x, nil
+}
+
+func (x *Exchange) notSent() bool {
+	if x.conn == nil {
+		return true
+	}
+	return x.conn.sealUnwritten(x.baseWritten) && !x.earlier
+}
+
+// Body hides the concrete type of r, so that http.NewRequest sets no GetBody
+// and net/http cannot rewind the body to send it again.
+func Body(r io.Reader) io.Reader {
+	return struct{ io.Reader }{r}
+}
