--- /dev/null
+++ b/internal/placement/prefix.go
@@ -0,0 +1,271 @@
+package placement
+
+// DefaultPrefixChats is the number of chats that a prefix index holds.
+const DefaultPrefixChats = 262144
+
+// holdersPerChat is the number of engines remembered for a chat.
+const holdersPerChat = 2
+
+// stampTokens is the resolution of the cache clock. It keeps the clock in 32
+// bits, which wraps after 68 thousand million tokens.
+const stampTokens = 16
+
+const noEntry = ^uint32(0)
+
+// Prefix is an engine that is believed to hold the prefix of a chat.
+type Prefix struct {
+	// Engine is the engine's position in the pool's table.
+	Engine int
+	// Tokens is the length of the prefix in tokens.
+	Tokens int
+}
+
+// holder is one engine of an entry; tokens 0 marks it as unused.
+type holder struct {
+	tokens uint32
+	stamp  uint32
+	engine uint16
+	gen    uint16
+}
+
+type entry struct {
+	key        uint64
+	prev, next uint32
+	holders    [holdersPerChat]holder
+}
+
+// engineCache models the prefix cache of one engine.
+type engineCache struct {
+	// gen changes when the cache is lost, which drops the engine's holders.
+	gen uint16
+	// inserted is the number of tokens ever added to the cache.
+	inserted uint64
+	// capacity is the cache size in tokens; 0 means unknown.
+	capacity uint64
+}
+
+func (c *engineCache) stamp() uint32 {
+	return uint32(c.inserted / stampTokens)
+}
+
+// PrefixIndex remembers, for the chats used last, the engines that hold their
+// prefixes. Its size is bounded by the number of chats. It is not safe for
+// concurrent use.
+type PrefixIndex struct {
+	limit   int
+	byKey   map[uint64]uint32
+	entries []entry
+	// newest and oldest are the ends of the list in order of use.
+	newest, oldest uint32
+	free           []uint32
+	engines        []engineCache
+}
+
+// NewPrefixIndex returns an index for at most limit chats; 0 means
+// DefaultPrefixChats.
+func NewPrefixIndex(limit int) *PrefixIndex {
+	if limit <= 0 {
+		limit = DefaultPrefixChats
+	}
+	return &PrefixIndex{
+		limit:  limit,
+		byKey:  make(map[uint64]uint32),
+		newest: noEntry,
+		oldest: noEntry,
+	}
+}
+
+// Len returns the number of chats in the index.
+func (x *PrefixIndex) Len() int {
+	return len(x.byKey)
+}
+
+func (x *PrefixIndex) cache(engine int) *engineCache {
+	for len(x.engines) <= engine {
+		x.engines = append(x.engines, engineCache{})
+	}
+	return &x.engines[engine]
+}
+
+// SetCapacity sets the cache size of an engine in tokens; 0 means unknown, and
+// then entries of the engine do not age.
+func (x *PrefixIndex) SetCapacity(engine, tokens int) {
+	x.cache(engine).capacity = uint64(max(tokens, 0))
+}
+
+// DropEngine forgets everything about an engine's cache. Call it when the
+// engine restarted or when its position in the table goes to another engine.
+func (x *PrefixIndex) DropEngine(engine int) {
+	c := x.cache(engine)
+	c.gen++
+	c.inserted = 0
+}
+
+// Lookup appends the trusted holders of a chat's prefix to buf, longest
+// prefix first. It does not count as a use.
+func (x *PrefixIndex) Lookup(key uint64, buf []Prefix) []Prefix {
+	at, ok := x.byKey[key]
+	if !ok {
+		return buf
+	}
+	start := len(buf)
+	for _, h := range x.entries[at].holders {
+		if x.trusted(h) {
+			buf = append(buf, Prefix{Engine: int(h.engine), Tokens: int(h.tokens)})
+		}
+	}
+	found := buf[start:]
+	if len(found) == 2 && found[1].Tokens > found[0].Tokens {
+		found[0], found[1] = found[1], found[0]
+	}
+	return buf
+}
+
+// trusted reports whether the engine may still hold the prefix. The cache
+// evicts the least recently used tokens, so a prefix is certainly gone once
+// more new tokens than the capacity were added after its last use.
+func (x *PrefixIndex) trusted(h holder) bool {
+	if h.tokens == 0 {
+		return false
+	}
+	c := &x.engines[h.engine]
+	if c.gen != h.gen {
+		return false
+	}
+	age := uint64(c.stamp()-h.stamp) * stampTokens
+	return c.capacity == 0 || age <= c.capacity
+}
+
+// Used records that an engine now holds a prefix of the given length for a
+// chat, of which inserted tokens are new in its cache.
+func (x *PrefixIndex) Used(key uint64, engine, tokens, inserted int) {
+	c := x.cache(engine)
+	c.inserted += uint64(max(inserted, 0))
+	if key == 0 || tokens <= 0 {
+		return
+	}
+	at := x.touch(key)
+	h := holder{tokens: uint32(tokens), stamp: c.stamp(), engine: uint16(engine), gen: c.gen}
+	x.store(&x.entries[at], h)
+}
+
+// store puts a holder into its engine's place, else into an untrusted place,
+// else over the shorter prefix.
+func (x *PrefixIndex) store(e *entry, h holder) {
+	victim := 0
+	for i := range e.holders {
+		if e.holders[i].tokens != 0 && e.holders[i].engine == h.engine {
+			e.holders[i] = h
+			return
+		}
+		if !x.trusted(e.holders[i]) {
+			e.holders[i].tokens = 0
+		}
+		if e.holders[i].tokens < e.holders[victim].tokens {
+			victim = i
+		}
+	}
+	e.holders[victim] = h
+}
+
+// Evicted applies a cache event: the engine dropped a chat's prefix and kept
+// its first kept tokens. Events may be late, so a use after the event wins.
+func (x *PrefixIndex) Evicted(key uint64, engine, kept int) {
+	at, ok := x.byKey[key]
+	if !ok {
+		return
+	}
+	for i := range x.entries[at].holders {
+		h := &x.entries[at].holders[i]
+		if int(h.engine) == engine && int(h.tokens) > kept {
+			h.tokens = uint32(max(kept, 0))
+		}
+	}
+}
+
+// Stored applies a cache event: the engine holds a prefix that this index did
+// not see being made, for example after an import.
+func (x *PrefixIndex) Stored(key uint64, engine, tokens int) {
+	x.Used(key, engine, tokens, 0)
+}
+
+// touch returns the entry of a key as the newest one, and makes it if needed.
+func (x *PrefixIndex) touch(key uint64) uint32 {
+	at, ok := x.byKey[key]
+	if ok {
+		x.unlink(at)
+	} else {
+		at = x.alloc()
+		x.entries[at] = entry{key: key}
+		x.byKey[key] = at
+	}
+	x.link(at)
+	return at
+}
+
+func (x *PrefixIndex) alloc() uint32 {
+	if n := len(x.free); n > 0 {
+		at := x.free[n-1]
+		x.free = x.free[:n-1]
+		return at
+	}
+	if len(x.entries) < x.limit {
+		x.entries = append(x.entries, entry{})
+		return uint32(len(x.entries) - 1)
+	}
+	at := x.oldest
+	x.unlink(at)
+	delete(x.byKey, x.entries[at].key)
+	return at
+}
+
+// Forget removes a chat.
+func (x *PrefixIndex) Forget(key uint64) {
+	at, ok := x.byKey[key]
+	if !ok {
+		return
+	}
+	x.unlink(at)
+	delete(x.byKey, key)
+	x.free = append(x.free, at)
+}
+
+func (x *PrefixIndex) link(at uint32) {
+	e := &x.entries[at]
+	e.prev, e.next = noEntry, x.newest
+	if x.newest != noEntry {
+		x.entries[x.newest].prev = at
+	}
+	x.newest = at
+	if x.oldest == noEntry {
+		x.oldest = at
+	}
+}
+
+func (x *PrefixIndex) unlink(at uint32) {
+	e := &x.entries[at]
+	if e.prev == noEntry {
+		x.newest = e.next
+	} else {
+		x.entries[e.prev].next = e.next
+	}
+	if e.next == noEntry {
+		x.oldest = e.prev
+	} else {
+		x.entries[e.next].prev = e.prev
+	}
+}
+
+// CacheEstimate is the modelled state of one engine's cache.
+type CacheEstimate struct {
+	// Inserted is the number of tokens added since the engine started.
+	Inserted int64
+	// Capacity is the cache size in tokens; 0 means unknown.
+	Capacity int64
+}
+
+// Estimate returns the modelled state of an engine's cache.
+func (x *PrefixIndex) Estimate(engine int) CacheEstimate {
+	c := x.cache(engine)
+	return CacheEstimate{Inserted: int64(c.inserted), Capacity: int64(c.capacity)}
+}
--- /dev/null
+++ b/internal/placement/token.go
@@ -0,0 +1,126 @@
+package placement
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Token layout in bytes: version, issue time, hash of the boot id, engine name, MAC.
+const (
+	tokenVersion   = 1
+	tokenHeadBytes = 1 + 4 + 8
+	tokenMACBytes  = 16
+	// maxTokenName keeps the encoded token under 120 characters.
+	maxTokenName = 60
+	// maxClockAhead is the accepted difference between the clocks of two routers.
+	maxClockAhead = 1 * time.Minute
+)
+
+// MaxTokenLength is the length of the longest token in characters.
+const MaxTokenLength = (tokenHeadBytes+maxTokenName+tokenMACBytes)*4/3 + 1
+
+// Errors of Sealer.Open. A caller's request continues without a hint.
+var (
+	ErrTokenForm   = eris.New("placement token is malformed")
+	ErrTokenForged = eris.New("placement token has a wrong authentication code")
+	ErrTokenOld    = eris.New("placement token is out of date")
+)
+
+// Hint is the content of a token.
+type Hint struct {
+	Engine string
+	// Boot is the hash of the boot id that the engine had.
+	Boot   uint64
+	Issued time.Time
+}
+
+// Sealer writes and reads placement tokens. It is immutable and safe for
+// concurrent use.
+type Sealer struct {
+	keys   [][]byte
+	maxAge time.Duration
+}
+
+// NewSealer returns a sealer that writes with the first key and reads with
+// all keys, so that a fleet key can be replaced. Older tokens than maxAge are
+// refused.
+func NewSealer(maxAge time.Duration, keys ...[]byte) (*Sealer, error) {
+	if len(keys) == 0 {
+		return nil, eris.New("a placement token needs a key")
+	}
+	for _, k := range keys {
+		if len(k) < 16 {
+			return nil, eris.New("a placement token key needs at least 16 bytes")
+		}
+	}
+	return &Sealer{keys: keys, maxAge: maxAge}, nil
+}
+
+// Seal returns the token that names an engine to a chat of a workspace, or an
+// empty string if the engine's name is longer than 60 bytes.
+func (s *Sealer) Seal(now time.Time, workspace, chat, engine, bootID string) string {
+	if engine == "" || len(engine) > maxTokenName {
+		return ""
+	}
+	raw := make([]byte, tokenHeadBytes, tokenHeadBytes+len(engine)+tokenMACBytes)
+	raw[0] = tokenVersion
+	binary.BigEndian.PutUint32(raw[1:], uint32(now.Unix()))
+	binary.BigEndian.PutUint64(raw[5:], Hash(bootID))
+	raw = append(raw, engine...)
+	raw = append(raw, tokenMAC(s.keys[0], raw, workspace, chat)...)
+	return base64.RawURLEncoding.EncodeToString(raw)
+}
+
+// Open checks a token that a caller returned for a chat of a workspace. The
+// errors are ErrTokenForm, ErrTokenForged and ErrTokenOld.
+func (s *Sealer) Open(now time.Time, workspace, chat, token string) (Hint, error) {
+	if len(token) > MaxTokenLength {
+		return Hint{}, ErrTokenForm
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(token)
+	if err != nil || len(raw) <= tokenHeadBytes+tokenMACBytes || raw[0] != tokenVersion {
+		return Hint{}, ErrTokenForm
+	}
+	body, mac := raw[:len(raw)-tokenMACBytes], raw[len(raw)-tokenMACBytes:]
+	if !s.authentic(body, mac, workspace, chat) {
+		return Hint{}, ErrTokenForged
+	}
+	issued := time.Unix(int64(binary.BigEndian.Uint32(body[1:])), 0)
+	if now.Sub(issued) > s.maxAge || issued.Sub(now) > maxClockAhead {
+		return Hint{}, ErrTokenOld
+	}
+	hint := Hint{
+		Engine: string(body[tokenHeadBytes:]),
+		Boot:   binary.BigEndian.Uint64(body[5:]),
+		Issued: issued,
+	}
+	return hint, nil
+}
+
+func (s *Sealer) authentic(body, mac []byte, workspace, chat string) bool {
+	for _, k := range s.keys {
+		if hmac.Equal(mac, tokenMAC(k, body, workspace, chat)) {
+			return true
+		}
+	}
+	return false
+}
+
+// tokenMAC covers the body, the workspace and the chat. The length prefix of
+// the workspace keeps two pairs with the same concatenation apart.
+func tokenMAC(key, body []byte, workspace, chat string) []byte {
+	h := hmac.New(sha256.New, key)
+	var n [8]byte
+	binary.BigEndian.PutUint32(n[:4], uint32(len(body)))
+	binary.BigEndian.PutUint32(n[4:], uint32(len(workspace)))
+	h.Write(n[:])
+	h.Write(body)
+	h.Write([]byte(workspace))
+	h.Write([]byte(chat))
+	return h.Sum(nil)[:tokenMACBytes]
+}
