--- /dev/null
+++ b/internal/admission/engines.go
@@ -0,0 +1,273 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+)
+
+// SetEngines replaces the list of engines. Engines that are no longer listed
+// count as down and are forgotten when their last slot is released. A changed
+// boot id drops what is known of the engine's cache. If no engine takes
+// requests, the waiting requests are refused with CodeNoEngine.
+func (p *Pool) SetEngines(now time.Time, list []Engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		listed[e.Name] = true
+		p.setEngine(e)
+	}
+	for name, i := range p.byName {
+		if !listed[name] {
+			p.view.Engines[i].State = placement.Down
+		}
+	}
+	p.saturated = false
+	p.countLive()
+	for i := range p.engines {
+		p.releaseParked(i)
+		p.recount(i)
+		p.collect(i)
+	}
+	if p.view.Weight <= 0 && p.closed == "" {
+		p.refuseAll(now, CodeNoEngine)
+		return
+	}
+	p.dispatch(now)
+}
+
+// countLive updates the totals that depend on the engines' states.
+func (p *Pool) countLive() {
+	p.view.Recount()
+	p.live = 0
+	for i := range p.view.Engines {
+		if p.view.Engines[i].State.Live() {
+			p.live++
+		}
+	}
+}
+
+func (p *Pool) setEngine(e Engine) {
+	i := p.position(e.Name)
+	row, st := &p.view.Engines[i], &p.engines[i]
+	if st.boot != e.BootID && st.boot != "" {
+		p.index.DropEngine(i)
+		st.gen++
+	}
+	st.boot = e.BootID
+	p.index.SetCapacity(i, e.CacheTokens)
+	row.State = e.State
+	row.Weight = e.Weight
+	if row.Weight <= 0 {
+		row.Weight = 1
+	}
+}
+
+// position returns the row of an engine and makes a row that is down for an
+// unknown name.
+func (p *Pool) position(name string) int {
+	if i, ok := p.byName[name]; ok {
+		return i
+	}
+	i := p.freeRow()
+	p.engines[i] = engineState{gen: p.engines[i].gen + 1, used: true}
+	p.view.Engines[i] = placement.Engine{Name: name, Hash: placement.Hash(name), Weight: 1}
+	p.index.DropEngine(i)
+	p.byName[name] = i
+	p.deal(i)
+	return i
+}
+
+func (p *Pool) freeRow() int {
+	for i := range p.engines {
+		if !p.engines[i].used {
+			return i
+		}
+	}
+	p.engines = append(p.engines, engineState{})
+	p.view.Engines = append(p.view.Engines, placement.Engine{})
+	return len(p.engines) - 1
+}
+
+// collect frees the row of an engine that is down and holds no slot.
+func (p *Pool) collect(i int) {
+	e := &p.engines[i]
+	if !e.used || p.view.Engines[i].State != placement.Down {
+		return
+	}
+	if e.own+e.adopted+e.reserved > 0 || len(e.parked) > 0 {
+		return
+	}
+	delete(p.byName, p.view.Engines[i].Name)
+	e.used = false
+	p.view.Engines[i] = placement.Engine{}
+}
+
+// releaseParked ends the waits for an engine that takes no requests.
+func (p *Pool) releaseParked(i int) {
+	if p.view.Engines[i].State.Live() {
+		return
+	}
+	for len(p.engines[i].parked) > 0 {
+		p.endWait(p.engines[i].parked[0])
+	}
+}
+
+// SetShare sets the part of each bound that this owner may use, 0 to 1, and
+// opens the pool unless it is stopping. A share under 1 is rounded down for
+// each engine, so a small pool load may admit nothing; SetVotes divides the
+// bounds without that loss.
+func (p *Pool) SetShare(now time.Time, share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.votes = nil
+	p.view.Share = min(max(share, 0), 1)
+	p.open(now)
+}
+
+// SetVotes sets the listed routers and those whose vote this owner holds, and
+// opens the pool unless it is stopping. The slots of each engine's bound are
+// dealt to the listed routers in the engine's rendezvous order, and the owner
+// may use the slots of the routers whose vote it holds. Owners with disjoint
+// votes of the same list never exceed a bound together.
+func (p *Pool) SetVotes(now time.Time, held, listed []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.votes = placement.NewVotes(held, listed)
+	p.view.Share = 0
+	p.open(now)
+}
+
+func (p *Pool) open(now time.Time) {
+	for i := range p.engines {
+		p.deal(i)
+	}
+	if p.closed != CodeStopping {
+		p.closed = ""
+	}
+	p.saturated = false
+	p.dispatch(now)
+}
+
+// deal sets the vote table of an engine.
+func (p *Pool) deal(i int) {
+	row := &p.view.Engines[i]
+	row.HeldVotes = nil
+	if p.votes != nil {
+		row.HeldVotes = p.votes.Table(row.Hash)
+	}
+}
+
+// Adopt counts attempts of a previous owner as load until ReleaseAdopted. An
+// attempt that is already known is ignored.
+func (p *Pool) Adopt(now time.Time, attempts []AdoptedAttempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range attempts {
+		if _, dup := p.adopted[a.ID]; dup {
+			continue
+		}
+		i := p.position(a.Engine)
+		w := p.workspace(a.Workspace)
+		c := classOf(a.Class)
+		p.adopted[a.ID] = adopted{engine: i, class: c, ws: w}
+		p.engines[i].adopted++
+		p.classes[c].inFlight++
+		w.running++
+		p.reactivate(w)
+		p.recount(i)
+	}
+	p.saturated = false
+	p.dispatch(now)
+}
+
+// ReleaseAdopted ends an adopted attempt. It reports false for an unknown id.
+func (p *Pool) ReleaseAdopted(now time.Time, id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.adopted[id]
+	if !ok {
+		return false
+	}
+	delete(p.adopted, id)
+	p.engines[a.engine].adopted--
+	p.freed(a.engine, a.class, a.ws)
+	p.serveParked(now, a.engine)
+	p.collect(a.engine)
+	p.dispatch(now)
+	return true
+}
+
+// Reserve counts slots of an engine as load until a time, for attempts that a
+// previous owner may have started without telling. It replaces an earlier
+// reserve of the engine. Reserved slots do not raise the pool's mean.
+func (p *Pool) Reserve(now time.Time, engine string, slots int, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := p.position(engine)
+	p.engines[i].reserved = max(slots, 0)
+	p.engines[i].reservedTo = until
+	p.recount(i)
+	p.saturated = false
+	p.dispatch(now)
+}
+
+// expireReserves drops the reserves that ended and returns the end of the
+// next one.
+func (p *Pool) expireReserves(now time.Time) time.Time {
+	var next time.Time
+	for i := range p.engines {
+		e := &p.engines[i]
+		if e.reserved == 0 {
+			continue
+		}
+		if !now.Before(e.reservedTo) {
+			e.reserved = 0
+			p.recount(i)
+			p.saturated = false
+			p.collect(i)
+			continue
+		}
+		if next.IsZero() || e.reservedTo.Before(next) {
+			next = e.reservedTo
+		}
+	}
+	return next
+}
+
+// Report stores the load that an engine reported, for the baseline pickers.
+func (p *Pool) Report(engine string, load int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i, ok := p.byName[engine]; ok {
+		p.view.Engines[i].Reported = load
+	}
+}
+
+// CacheEvent is a hint from an engine about a chat's prefix.
+type CacheEvent struct {
+	Engine string
+	BootID string
+	// Key is placement.ChatKey of the chat.
+	Key uint64
+	// Tokens is the length of the prefix that the engine holds now.
+	Tokens int
+	// Evicted tells an eviction from an addition.
+	Evicted bool
+}
+
+// CacheHint corrects the prefix index. Events of an earlier boot are ignored.
+func (p *Pool) CacheHint(ev CacheEvent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i, ok := p.byName[ev.Engine]
+	if !ok || p.engines[i].boot != ev.BootID {
+		return
+	}
+	if ev.Evicted {
+		p.index.Evicted(ev.Key, i, ev.Tokens)
+		return
+	}
+	p.index.Stored(ev.Key, i, ev.Tokens)
+}
--- /dev/null
+++ b/internal/admission/pool_test.go
@@ -0,0 +1,123 @@
+package admission
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+var start = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+
+func testConfig(multiple float64, maxInFlight int) Config {
+	return Config{Pool: &record.Pool{Name: "p", LoadMultiple: multiple, MaxInFlight: maxInFlight, QueueLimit: 100}}
+}
+
+func testEngines(n int) []Engine {
+	list := make([]Engine, n)
+	for i := range list {
+		list[i] = Engine{Name: fmt.Sprintf("engine-%d", i), Weight: 1, State: placement.Up, BootID: "b1"}
+	}
+	return list
+}
+
+func testPool(cfg Config, n int) *Pool {
+	p := NewPool(cfg, Deps{Rand: func() float64 { return 0.5 }, Prefixes: placement.NewPrefixIndex(64)})
+	p.SetEngines(start, testEngines(n))
+	p.SetShare(start, 1)
+	return p
+}
+
+// outcome returns the delivered outcome, or nil while the ticket waits.
+func outcome(t *Ticket) *Outcome {
+	select {
+	case o := <-t.Done():
+		return &o
+	default:
+		return nil
+	}
+}
+
+func mustRun(t *testing.T, tk *Ticket) *Grant {
+	t.Helper()
+	o := outcome(tk)
+	if o == nil || o.Grant == nil {
+		t.Fatalf("request %s has outcome %+v, want a grant", tk.req.ID, o)
+	}
+	return o.Grant
+}
+
+func wantCode(t *testing.T, tk *Ticket, code Code) *Refusal {
+	t.Helper()
+	o := outcome(tk)
+	if o == nil || o.Refusal == nil || o.Refusal.Code != code {
+		t.Fatalf("got %+v, want refusal %s", o, code)
+	}
+	return o.Refusal
+}
+
+// Guards against a pool that admits before it owns the pool, or after it lost it.
+func TestOwnershipGatesAdmission(t *testing.T) {
+	p := NewPool(testConfig(1.25, 1), Deps{Rand: func() float64 { return 0 }})
+	p.SetEngines(start, testEngines(1))
+	wantCode(t, p.Submit(start, &Request{Workspace: "a"}), CodeNotOwner)
+	p.SetShare(start, 1)
+	running := p.Submit(start, &Request{Workspace: "a"})
+	mustRun(t, running)
+	first := p.Submit(start, &Request{ID: "1", Workspace: "a"})
+	second := p.Submit(start.Add(1), &Request{ID: "2", Workspace: "b"})
+	back := p.HandBack(start, CodeNotOwner)
+	if len(back) != 2 || back[0].ID != "1" || back[1].ID != "2" {
+		t.Fatalf("handed back %v", back)
+	}
+	wantCode(t, first, CodeNotOwner)
+	wantCode(t, second, CodeNotOwner)
+	if !p.Release(start, running, Result{}) || p.Release(start, running, Result{}) {
+		t.Fatal("a running ticket must be released exactly once after the hand-back")
+	}
+	p.HandBack(start, CodeStopping)
+	p.SetShare(start, 1)
+	wantCode(t, p.Submit(start, &Request{Workspace: "a"}), CodeStopping)
+}
+
+// Guards against missing queue limits, late deadline refusals and retries
+// beyond the budget.
+func TestRefusals(t *testing.T) {
+	cfg := testConfig(1.25, 1)
+	cfg.Pool.QueueLimit = 2
+	cfg.Workspaces = map[string]*record.Workspace{"a": {Weight: 1, MaxQueued: 1}}
+	p := testPool(cfg, 1)
+	running := p.Submit(start, &Request{Workspace: "a"})
+	mustRun(t, running)
+	waiting := p.Submit(start, &Request{Workspace: "a", Deadline: start.Add(time.Second)})
+	r := wantCode(t, p.Submit(start, &Request{Workspace: "a"}), CodeWorkspaceQueueFull)
+	var err error = r
+	var typed *Refusal
+	if !errors.As(err, &typed) || typed.RetryAfter < minRetryAfter {
+		t.Fatalf("refusal %v has no retry-after", err)
+	}
+	other := p.Submit(start, &Request{Workspace: "b"})
+	wantCode(t, p.Submit(start, &Request{Workspace: "c"}), CodeQueueFull)
+	if p.Cancel(start, other) {
+		t.Fatal("a waiting request was reported as running")
+	}
+	wantCode(t, other, CodeCancelled)
+	if !p.Cancel(start, running) {
+		t.Fatal("a running request was not reported as running")
+	}
+	if next := p.Tick(start); !next.Equal(start.Add(time.Second)) {
+		t.Fatalf("next tick at %v", next)
+	}
+	p.Tick(start.Add(time.Second))
+	wantCode(t, waiting, CodeDeadline)
+	wantCode(t, p.Submit(start, &Request{Workspace: "b", Exclude: []string{"engine-0"}}), CodeNoEngine)
+	for range retryBurst {
+		p.Cancel(start, p.Submit(start, &Request{Workspace: "b", Retry: true}))
+	}
+	wantCode(t, p.Submit(start, &Request{Workspace: "b", Retry: true}), CodeRetryBudget)
+	p.SetEngines(start, nil)
+	wantCode(t, p.Submit(start, &Request{Workspace: "b"}), CodeNoEngine)
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,163 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+// flow is the queue of one workspace in one class.
+type flow struct {
+	ws    *workspace
+	class class
+	// head and tail are the ends of the list of tickets in order of arrival.
+	head, tail *Ticket
+	// finish is the virtual time at which the last grant ends.
+	finish float64
+	// seq breaks ties between flows in order of activation.
+	seq uint64
+	// at is the position in the class heap, or -1.
+	at int
+}
+
+func (f *flow) push(t *Ticket) {
+	t.prev = f.tail
+	if f.tail == nil {
+		f.head = t
+	} else {
+		f.tail.next = t
+	}
+	f.tail = t
+}
+
+func (f *flow) remove(t *Ticket) {
+	if t.prev == nil {
+		f.head = t.next
+	} else {
+		t.prev.next = t.next
+	}
+	if t.next == nil {
+		f.tail = t.prev
+	} else {
+		t.next.prev = t.prev
+	}
+	t.prev, t.next = nil, nil
+}
+
+// flowHeap orders the active flows of a class by virtual start time.
+type flowHeap []*flow
+
+func (h flowHeap) Len() int { return len(h) }
+
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].finish != h[j].finish {
+		return h[i].finish < h[j].finish
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].at, h[j].at = i, j
+}
+
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.at = len(*h)
+	*h = append(*h, f)
+}
+
+func (h *flowHeap) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	f.at = -1
+	return f
+}
+
+// classQueue is the fair queue of one class.
+type classQueue struct {
+	active flowHeap
+	// clock is the virtual start time of the last grant.
+	clock float64
+	// seq numbers the activations of flows.
+	seq uint64
+	// share is the reserved share of slots and of grants.
+	share float64
+	// credit is the number of grants that the class is owed by its share.
+	credit float64
+	// waiting counts the tickets in flows, parked ones excluded.
+	waiting int
+	// inFlight counts the slots held, adopted ones included.
+	inFlight int
+	// lastSeen is the time of the last request of the class.
+	lastSeen time.Time
+}
+
+// activate puts a flow with waiting tickets into the heap. A flow that was
+// idle starts at the clock, so that it saves up no credit.
+func (q *classQueue) activate(f *flow) {
+	if f.at >= 0 || f.head == nil || f.ws.blocked() {
+		return
+	}
+	f.finish = max(f.finish, q.clock)
+	q.seq++
+	f.seq = q.seq
+	heap.Push(&q.active, f)
+}
+
+func (q *classQueue) deactivate(f *flow) {
+	if f.at >= 0 {
+		heap.Remove(&q.active, f.at)
+	}
+}
+
+// charge accounts one grant to a flow.
+func (q *classQueue) charge(f *flow) {
+	q.clock = max(q.clock, f.finish)
+	f.finish = max(f.finish, q.clock) + 1/f.ws.weight
+	if f.at >= 0 {
+		heap.Fix(&q.active, f.at)
+	}
+}
+
+// dueHeap orders waiting tickets by the time of their next event.
+type dueHeap []*Ticket
+
+func (h dueHeap) Len() int { return len(h) }
+
+func (h dueHeap) Less(i, j int) bool { return h[i].due.Before(h[j].due) }
+
+func (h dueHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].dueAt, h[j].dueAt = i, j
+}
+
+func (h *dueHeap) Push(x any) {
+	t := x.(*Ticket)
+	t.dueAt = len(*h)
+	*h = append(*h, t)
+}
+
+func (h *dueHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.dueAt = -1
+	return t
+}
+
+// schedule sets the time of a ticket's next event; the zero time means none.
+func (h *dueHeap) schedule(t *Ticket, due time.Time) {
+	t.due = due
+	switch {
+	case due.IsZero() && t.dueAt >= 0:
+		heap.Remove(h, t.dueAt)
+	case due.IsZero():
+	case t.dueAt >= 0:
+		heap.Fix(h, t.dueAt)
+	default:
+		heap.Push(h, t)
+	}
+}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
@@ -135,16 +136,47 @@
 	return min(max(soft, 1), v.Limit(i))
 }
 
-// HeldVotes returns the table of an engine for View.Engine.HeldVotes. The
-// order of routers is the engine's rendezvous order over all listed routers.
-func HeldVotes(engine string, listed []string, held map[string]bool) []uint16 {
-	order := Rank(Hash(engine), listed, nil, len(listed))
-	counts := make([]uint16, len(listed)+1)
-	for k, at := range order {
-		counts[k+1] = counts[k]
-		if held[listed[at]] {
-			counts[k+1]++
+// Votes tells which of the listed routers gave this owner their vote.
+type Votes struct {
+	hashes []uint64
+	held   []bool
+}
+
+// NewVotes returns the votes held among the listed routers.
+func NewVotes(held, listed []string) *Votes {
+	mine := make(map[string]bool, len(held))
+	for _, name := range held {
+		mine[name] = true
+	}
+	v := &Votes{hashes: make([]uint64, len(listed)), held: make([]bool, len(listed))}
+	for i, name := range listed {
+		v.hashes[i] = Hash(name)
+		v.held[i] = mine[name]
+	}
+	return v
+}
+
+// Table returns Engine.HeldVotes for an engine with the given hash, or nil
+// without listed routers.
+func (v *Votes) Table(engine uint64) []uint16 {
+	if len(v.hashes) == 0 {
+		return nil
+	}
+	type ranked struct {
+		rank uint64
+		held bool
+	}
+	order := make([]ranked, len(v.hashes))
+	for i, h := range v.hashes {
+		order[i] = ranked{rank: mix(engine, h), held: v.held[i]}
+	}
+	sort.Slice(order, func(i, j int) bool { return order[i].rank > order[j].rank })
+	table := make([]uint16, len(order)+1)
+	for k, r := range order {
+		table[k+1] = table[k]
+		if r.held {
+			table[k+1]++
 		}
 	}
-	return counts
+	return table
 }
