--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// guardTimeout bounds the time in which an intent or an outcome is recorded.
+const guardTimeout = 5 * time.Second
+
+// maxStoredBody is the size in bytes of an answer that is kept with the
+// outcome of a non-repeatable request.
+const maxStoredBody = 2 << 10
+
+// call is one request that may run on a backend server.
+type call struct {
+	api    *API
+	caller *caller
+	relay  *peerpb.Relay
+	// body is the caller's body, as it was received.
+	body       []byte
+	repeatable bool
+}
+
+// serve runs the request and writes its answer.
+func (c *call) serve(w http.ResponseWriter, req *http.Request, sink responseSink) error {
+	ctx, cancel := c.api.withDeadline(req.Context(), c.caller.deadline)
+	defer cancel()
+	if c.repeatable {
+		res := c.api.deps.Runner.Run(ctx, c.relay, sink)
+		return c.api.finish(w, ctx, sink, res, c.relay.RequestId)
+	}
+	return c.serveOnce(w, ctx, sink)
+}
+
+// serveOnce runs a non-repeatable request after its intent was recorded.
+func (c *call) serveOnce(w http.ResponseWriter, ctx context.Context, sink responseSink) error {
+	if c.caller.key == "" || c.caller.issued.IsZero() {
+		return c.api.problem(w, ctx, invalid("key_missing",
+			"a non-repeatable request needs the headers "+HeaderKey+" and "+HeaderKeyIssued))
+	}
+	begun, err := c.begin(ctx)
+	if err != nil {
+		return c.api.problem(w, ctx, refusal("intent_unavailable",
+			"the intent could not be recorded; the request was not run", notReadyRetry))
+	}
+	if begun.State != peerpb.IntentState_INTENT_STATE_WON {
+		return c.duplicate(w, ctx, begun)
+	}
+	c.relay.Repeatable = false
+	c.relay.Fencing = begun.Fencing
+	recorded := &recordingSink{responseSink: sink}
+	res := c.api.deps.Runner.Run(ctx, c.relay, recorded)
+	c.conclude(ctx, begun, res, recorded)
+	return c.api.finish(w, ctx, sink, res, c.relay.RequestId)
+}
+
+func (c *call) begin(ctx context.Context) (*peerpb.IntentReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, guardTimeout)
+	defer cancel()
+	return c.api.deps.Guard.Call(ctx, c.intent(peerpb.IntentOp_INTENT_OP_BEGIN))
+}
+
+func (c *call) intent(op peerpb.IntentOp) *peerpb.IntentCall {
+	digest := sha256.Sum256(append([]byte(c.relay.Method+" "+c.relay.Path+"\n"), c.body...))
+	return &peerpb.IntentCall{
+		Op:           op,
+		Uid:          c.relay.RequestId,
+		Workspace:    c.caller.workspace.Name,
+		Key:          c.caller.key,
+		Digest:       digest[:],
+		IssuedUnixMs: c.caller.issued.UnixMilli(),
+	}
+}
+
+// conclude records what became of the request. A failure to record leaves the
+// key in the state unknown, which is safe: nobody runs it again. The caller may
+// have gone, so the recording does not depend on its context.
+func (c *call) conclude(ctx context.Context, begun *peerpb.IntentReply, res dispatch.Result, sink *recordingSink) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), guardTimeout)
+	defer cancel()
+	var end *peerpb.IntentCall
+	switch res.Outcome {
+	case peerpb.Outcome_OUTCOME_DONE:
+		end = c.intent(peerpb.IntentOp_INTENT_OP_OUTCOME)
+		sink.describe(end)
+	case peerpb.Outcome_OUTCOME_NOT_RUN:
+		end = c.intent(peerpb.IntentOp_INTENT_OP_ABANDON)
+	default:
+		return
+	}
+	end.Generation = begun.Generation
+	_, _ = c.api.deps.Guard.Call(ctx, end)
+}
+
+// duplicate answers a request whose key is held or finished.
+func (c *call) duplicate(w http.ResponseWriter, ctx context.Context, r *peerpb.IntentReply) error {
+	switch r.State {
+	case peerpb.IntentState_INTENT_STATE_DONE:
+		return c.replay(w, r)
+	case peerpb.IntentState_INTENT_STATE_IN_PROGRESS:
+		p := refusal("key_in_progress", "a request with this key is running", busyRetry)
+		p.Outcome = OutcomeUnknown
+		return c.api.problem(w, ctx, p)
+	case peerpb.IntentState_INTENT_STATE_EXPIRED:
+		p := invalid("key_expired", "the key is older than the key window; an earlier request may have run")
+		p.Outcome = OutcomeUnknown
+		return c.api.problem(w, ctx, p)
+	case peerpb.IntentState_INTENT_STATE_DIGEST_MISMATCH:
+		return c.api.problem(w, ctx, invalid("key_reused", "the key was used with another request body"))
+	case peerpb.IntentState_INTENT_STATE_NOT_RUN:
+		return c.api.problem(w, ctx, refusal("intent_lost", "the intent was not recorded; "+r.Detail, busyRetry))
+	default:
+		p := invalid("outcome_unknown", "a request with this key may have run; its outcome is not known")
+		p.Outcome = OutcomeUnknown
+		return c.api.problem(w, ctx, p)
+	}
+}
+
+// replay sends the stored answer of an earlier request with the same key.
+func (c *call) replay(w http.ResponseWriter, r *peerpb.IntentReply) error {
+	h := w.Header()
+	for _, header := range r.Headers {
+		h.Set(header.Name, header.Value)
+	}
+	h.Set(HeaderOutcome, OutcomeDone)
+	h.Set("X-Replayed", "true")
+	if r.Detail != "" {
+		h.Set("X-Replay-Detail", r.Detail)
+	}
+	w.WriteHeader(int(r.Status))
+	_, err := w.Write(r.Body)
+	return err
+}
+
+func (a *API) withDeadline(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	if d <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, a.deps.Clock.Now().Add(d))
+}
+
+func offsetParam(req *http.Request) (uint64, *Problem) {
+	v := req.URL.Query().Get("offset")
+	if v == "" {
+		return 0, nil
+	}
+	offset, err := strconv.ParseUint(v, 10, 32)
+	if err != nil {
+		p := invalid("invalid_request", "offset must be a number of characters")
+		return 0, &p
+	}
+	return offset, nil
+}
--- /dev/null
+++ b/internal/entry/chat.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/bluebellwell/bluebellwell/internal/answer"
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+// bytesPerToken is a rough average used for token estimates before an engine
+// has counted them.
+const bytesPerToken = 4
+
+// defaultOutputTokens is the estimate for a request without max_tokens.
+const defaultOutputTokens = 256
+
+// chat serves POST /v1/chat/completions.
+func (a *API) chat(w http.ResponseWriter, req bunrouter.Request) error {
+	cfg := a.deps.Fleet.State().Config
+	c, p := a.parseCaller(req.Request, cfg)
+	if p != nil {
+		return a.problem(w, req.Context(), *p)
+	}
+	body, p := a.readBody(w, req.Request)
+	if p != nil {
+		return a.problem(w, req.Context(), *p)
+	}
+	chat, err := answer.ParseChatRequest(body)
+	if err != nil {
+		return a.problem(w, req.Context(), invalid("invalid_request", err.Error()))
+	}
+	pool := cfg.PoolForModel(chat.Model)
+	if pool == nil {
+		return a.problem(w, req.Context(), invalid("unknown_model", "no pool serves the model"))
+	}
+	relay, err := a.chatRelay(req.Context(), c, chat, pool)
+	if err != nil {
+		return a.problem(w, req.Context(), invalid("invalid_request", err.Error()))
+	}
+	call := &call{api: a, caller: c, relay: relay, body: body, repeatable: !c.unrepeatable}
+	if chat.Stream {
+		return call.serve(w, req.Request, newStreamSink(w, relay.RequestId))
+	}
+	return call.serve(w, req.Request, newJSONSink(w, relay.RequestId, chat.Model))
+}
+
+// chatRelay builds the message to the pool's owner. The engine always streams;
+// the entry router assembles the answer for a caller that wants it whole.
+func (a *API) chatRelay(
+	ctx context.Context, c *caller, chat *answer.ChatRequest, pool *record.Pool,
+) (*peerpb.Relay, error) {
+	wanted := chat.Stream
+	chat.Stream = true
+	body, err := chat.Encode()
+	chat.Stream = wanted
+	if err != nil {
+		return nil, err
+	}
+	prompt := 0
+	for _, m := range chat.Messages {
+		prompt += len(m.Content)
+	}
+	output := chat.MaxTokens
+	if output <= 0 {
+		output = defaultOutputTokens
+	}
+	return &peerpb.Relay{
+		RequestId:      answer.NewRequestID(a.deps.Key, c.workspace.Name, pool.Name),
+		Pool:           pool.Name,
+		Workspace:      c.workspace.Name,
+		ChatId:         c.chat,
+		Priority:       string(c.priority),
+		Repeatable:     !c.unrepeatable,
+		Placement:      c.placement,
+		Body:           body,
+		Stream:         chat.Stream,
+		Traceparent:    traceparent(ctx),
+		PromptTokens:   uint32(prompt / bytesPerToken),
+		TokenEstimate:  uint32(prompt/bytesPerToken + output),
+		IdempotencyKey: c.key,
+	}, nil
+}
+
+// answer serves GET /v1/answers/:id: the rest of an answer after a lost
+// connection.
+func (a *API) answer(w http.ResponseWriter, req bunrouter.Request) error {
+	cfg := a.deps.Fleet.State().Config
+	c, p := a.parseCaller(req.Request, cfg)
+	if p != nil {
+		return a.problem(w, req.Context(), *p)
+	}
+	id := req.Param("id")
+	pool, err := answer.CheckRequestID(a.deps.Key, c.workspace.Name, id)
+	if err != nil || cfg.Pools[pool] == nil {
+		return a.problem(w, req.Context(), invalid("not_found", "no such answer in this workspace"))
+	}
+	offset, p := offsetParam(req.Request)
+	if p != nil {
+		return a.problem(w, req.Context(), *p)
+	}
+	relay := &peerpb.Relay{
+		RequestId:    id,
+		Pool:         pool,
+		Workspace:    c.workspace.Name,
+		Priority:     string(c.priority),
+		ResumeOffset: offset,
+		Stream:       true,
+		Traceparent:  traceparent(req.Context()),
+	}
+	ctx, cancel := a.withDeadline(req.Context(), c.deadline)
+	defer cancel()
+	sink := newStreamSink(w, id)
+	res := a.deps.Runner.Resume(ctx, relay, sink)
+	return a.finish(w, ctx, sink, res, id)
+}
+
+// finish writes the end of an answer, or the problem that ended it.
+func (a *API) finish(w http.ResponseWriter, ctx context.Context, sink responseSink, res dispatch.Result, id string) error {
+	if res.Outcome == peerpb.Outcome_OUTCOME_DONE {
+		return sink.done()
+	}
+	p := fromResult(res, id)
+	if !sink.started() {
+		return a.problem(w, ctx, p)
+	}
+	p.complete(ctx)
+	return sink.fail(p)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,152 @@
+// Package entry serves callers over HTTP: chat completions, look-up of
+// answers, plain services and the pages for operators.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uptrace/bunrouter"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+// Request and response headers of the callers' interface.
+const (
+	HeaderWorkspace   = "X-Workspace"
+	HeaderChat        = "X-Chat-Id"
+	HeaderPriority    = "X-Priority"
+	HeaderDeadline    = "X-Deadline-Ms"
+	HeaderKey         = "Idempotency-Key"
+	HeaderKeyIssued   = "X-Key-Issued"
+	HeaderRepeatable  = "X-Repeatable"
+	HeaderPlacement   = "X-Placement"
+	HeaderRequestID   = "X-Request-Id"
+	HeaderOutcome     = "X-Outcome"
+	CookiePlacement   = "bbw_placement"
+	maxHeaderValue    = 512
+	maxDeadline       = time.Hour
+	placementLifetime = 24 * time.Hour
+)
+
+// State is what the router's control goroutine tells the entry handlers. It is
+// immutable.
+type State struct {
+	Config *record.Config
+	Ready  bool
+	// Reason says why the router is not ready.
+	Reason string
+}
+
+// Fleet gives access to the current state. It is safe for concurrent use.
+type Fleet interface {
+	State() *State
+}
+
+// Runner runs requests against their pools; *dispatch.Dispatcher implements it.
+type Runner interface {
+	Run(ctx context.Context, req *peerpb.Relay, sink dispatch.Sink) dispatch.Result
+	Resume(ctx context.Context, req *peerpb.Relay, sink dispatch.Sink) dispatch.Result
+}
+
+// Guard admits non-repeatable requests at most once. It is safe for concurrent use.
+type Guard interface {
+	// Call records or looks up an idempotency key.
+	Call(ctx context.Context, call *peerpb.IntentCall) (*peerpb.IntentReply, error)
+}
+
+// Limits bounds what one caller may send.
+type Limits struct {
+	// MaxBody is the size of a request body in bytes.
+	MaxBody int64
+	// MaxConcurrent is the number of requests served at the same time.
+	MaxConcurrent int
+	// DefaultDeadline applies to requests without a deadline header.
+	DefaultDeadline time.Duration
+}
+
+// Deps are the parts that the API is built from.
+type Deps struct {
+	Fleet  Fleet
+	Runner Runner
+	Guard  Guard
+	Key    []byte
+	Limits Limits
+	Clock  clockwork.Clock
+	Tracer trace.Tracer
+	// Status writes the router's status document.
+	Status http.Handler
+	// Metrics writes the metrics page.
+	Metrics http.Handler
+}
+
+// API is the HTTP interface. It is safe for concurrent use.
+type API struct {
+	deps  Deps
+	slots chan struct{}
+}
+
+// New returns the API.
+func New(deps Deps) *API {
+	return &API{deps: deps, slots: make(chan struct{}, deps.Limits.MaxConcurrent)}
+}
+
+// Handler returns the HTTP handler with all routes.
+func (a *API) Handler() http.Handler {
+	r := bunrouter.New()
+	r.POST("/v1/chat/completions", a.admitted(a.chat))
+	r.GET("/v1/answers/:id", a.admitted(a.answer))
+	r.WithGroup("/services/:pool", func(g *bunrouter.Group) {
+		for _, method := range []string{
+			http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+		} {
+			g.Handle(method, "/*path", a.admitted(a.service))
+		}
+	})
+	r.GET("/healthz", a.health)
+	r.GET("/readyz", a.readiness)
+	r.GET("/metrics", bunrouter.HTTPHandler(a.deps.Metrics))
+	r.GET("/admin/status", bunrouter.HTTPHandler(a.deps.Status))
+	return r
+}
+
+// admitted refuses requests while the router is not ready or has too many
+// callers, and gives every request a span.
+func (a *API) admitted(h bunrouter.HandlerFunc) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, req bunrouter.Request) error {
+		ctx, span := a.startSpan(req)
+		defer span.End()
+		req = req.WithContext(ctx)
+		state := a.deps.Fleet.State()
+		if !state.Ready {
+			return a.problem(w, req.Context(), notReady(state.Reason))
+		}
+		select {
+		case a.slots <- struct{}{}:
+		default:
+			return a.problem(w, req.Context(), tooManyCallers())
+		}
+		defer func() { <-a.slots }()
+		return h(w, req)
+	}
+}
+
+func (a *API) health(w http.ResponseWriter, _ bunrouter.Request) error {
+	w.WriteHeader(http.StatusOK)
+	return nil
+}
+
+func (a *API) readiness(w http.ResponseWriter, _ bunrouter.Request) error {
+	state := a.deps.Fleet.State()
+	if !state.Ready {
+		http.Error(w, state.Reason, http.StatusServiceUnavailable)
+		return nil
+	}
+	w.WriteHeader(http.StatusOK)
+	return nil
+}
--- /dev/null
+++ b/internal/entry/problem.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// Outcomes as callers see them.
+const (
+	OutcomeDone       = "done"
+	OutcomeNotRun     = "not_run"
+	OutcomeUnknown    = "unknown"
+	OutcomeIncomplete = "incomplete"
+)
+
+// Problem is the body of an error answer (application/problem+json).
+type Problem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail,omitempty"`
+	Outcome string `json:"outcome"`
+	Code    string `json:"code"`
+	// RetryAfterMs tells when to come back, in milliseconds.
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	RequestID    string `json:"request_id,omitempty"`
+	// Delivered is the number of characters of the answer already sent.
+	Delivered uint64 `json:"delivered,omitempty"`
+	TraceID   string `json:"trace_id,omitempty"`
+}
+
+const (
+	notReadyRetry = 2 * time.Second
+	busyRetry     = 500 * time.Millisecond
+	retryJitter   = 0.5
+)
+
+// statusByCode maps refusal codes to HTTP statuses; others get the status of
+// the outcome.
+var statusByCode = map[string]int{
+	"queue_full":              http.StatusTooManyRequests,
+	"workspace_queue_full":    http.StatusTooManyRequests,
+	"too_many_callers":        http.StatusTooManyRequests,
+	"retry_budget_exhausted":  http.StatusServiceUnavailable,
+	dispatch.CodeDeadline:     http.StatusGatewayTimeout,
+	"invalid_request":         http.StatusBadRequest,
+	"unknown_model":           http.StatusNotFound,
+	"unknown_pool":            http.StatusNotFound,
+	"unknown_workspace":       http.StatusForbidden,
+	"unauthorized":            http.StatusUnauthorized,
+	"not_found":               http.StatusNotFound,
+	"body_too_large":          http.StatusRequestEntityTooLarge,
+	"key_expired":             http.StatusConflict,
+	"key_in_progress":         http.StatusConflict,
+	"key_reused":              http.StatusUnprocessableEntity,
+	"key_missing":             http.StatusBadRequest,
+	"answer_no_longer_stored": http.StatusOK,
+}
+
+func notReady(reason string) Problem {
+	return refusal("not_ready", "this router takes no new requests: "+reason, notReadyRetry)
+}
+
+func tooManyCallers() Problem {
+	return refusal("too_many_callers", "this router serves its maximum number of requests", busyRetry)
+}
+
+func invalid(code, detail string) Problem {
+	return Problem{Code: code, Detail: detail, Outcome: OutcomeNotRun}
+}
+
+func refusal(code, detail string, after time.Duration) Problem {
+	return Problem{Code: code, Detail: detail, Outcome: OutcomeNotRun, RetryAfterMs: withJitter(after).Milliseconds()}
+}
+
+// withJitter lengthens a retry hint by up to half, so that refused callers do
+// not return together.
+func withJitter(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Float64()*retryJitter*float64(d))
+}
+
+func outcomeName(o peerpb.Outcome) string {
+	switch o {
+	case peerpb.Outcome_OUTCOME_DONE:
+		return OutcomeDone
+	case peerpb.Outcome_OUTCOME_NOT_RUN:
+		return OutcomeNotRun
+	case peerpb.Outcome_OUTCOME_INCOMPLETE:
+		return OutcomeIncomplete
+	default:
+		return OutcomeUnknown
+	}
+}
+
+// fromResult turns a failed result into a problem.
+func fromResult(res dispatch.Result, requestID string) Problem {
+	return Problem{
+		Code:         res.Code,
+		Detail:       res.Detail,
+		Outcome:      outcomeName(res.Outcome),
+		RetryAfterMs: res.RetryAfter.Milliseconds(),
+		RequestID:    requestID,
+		Delivered:    res.Delivered,
+	}
+}
+
+func (p *Problem) complete(ctx context.Context) {
+	p.Type = "about:blank"
+	p.Status = statusByCode[p.Code]
+	if p.Status == 0 {
+		p.Status = statusOfOutcome(p.Outcome)
+	}
+	p.Title = http.StatusText(p.Status)
+	if sc := trace.SpanContextFromContext(ctx); sc.HasTraceID() {
+		p.TraceID = sc.TraceID().String()
+	}
+}
+
+func statusOfOutcome(outcome string) int {
+	if outcome == OutcomeNotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// problem writes an error answer.
+func (a *API) problem(w http.ResponseWriter, ctx context.Context, p Problem) error {
+	p.complete(ctx)
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(HeaderOutcome, p.Outcome)
+	if p.RequestID != "" {
+		h.Set(HeaderRequestID, p.RequestID)
+	}
+	if p.RetryAfterMs > 0 {
+		h.Set("Retry-After", retryAfterSeconds(p.RetryAfterMs))
+	}
+	w.WriteHeader(p.Status)
+	return json.NewEncoder(w).Encode(p)
+}
+
+// retryAfterSeconds rounds up, because the header has whole seconds.
+func retryAfterSeconds(ms int64) string {
+	return strconv.FormatInt((ms+999)/1000, 10)
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/bluebellwell/bluebellwell/internal/answer"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+// service serves /services/:pool/*path: calls of plain services.
+func (a *API) service(w http.ResponseWriter, req bunrouter.Request) error {
+	cfg := a.deps.Fleet.State().Config
+	c, p := a.parseCaller(req.Request, cfg)
+	if p != nil {
+		return a.problem(w, req.Context(), *p)
+	}
+	pool := cfg.Pools[req.Param("pool")]
+	if pool == nil || pool.Type != record.PoolPlain {
+		return a.problem(w, req.Context(), invalid("unknown_pool", "no such plain service"))
+	}
+	body, p := a.readBody(w, req.Request)
+	if p != nil {
+		return a.problem(w, req.Context(), *p)
+	}
+	path := "/" + req.Param("path")
+	route := matchRoute(cfg, pool.Name, req.Method, path)
+	guarded := applyRoute(c, route)
+	relay := &peerpb.Relay{
+		RequestId:      answer.NewRequestID(a.deps.Key, c.workspace.Name, pool.Name),
+		Pool:           pool.Name,
+		Workspace:      c.workspace.Name,
+		Priority:       string(c.priority),
+		Repeatable:     !guarded && repeatable(route, req.Method),
+		Method:         req.Method,
+		Path:           pathWithQuery(path, req.URL.RawQuery),
+		Headers:        forwardedHeaders(req.Header),
+		Body:           body,
+		Traceparent:    traceparent(req.Context()),
+		IdempotencyKey: c.key,
+	}
+	call := &call{api: a, caller: c, relay: relay, body: body, repeatable: !guarded}
+	return call.serve(w, req.Request, &rawSink{w: w, requestID: relay.RequestId})
+}
+
+// applyRoute overrides defaults of the caller by the route's rules. It reports
+// whether the request is marked as non-repeatable.
+func applyRoute(c *caller, route *record.Route) bool {
+	if route == nil {
+		return c.unrepeatable
+	}
+	if route.Priority != "" {
+		c.priority = route.Priority
+	}
+	if route.Timeout > 0 && (c.deadline <= 0 || route.Timeout < c.deadline) {
+		c.deadline = route.Timeout
+	}
+	return c.unrepeatable || !route.Repeatable
+}
+
+// repeatable reports whether an unmarked request may be sent again after a
+// failure: only methods that HTTP defines as idempotent reads, unless a route
+// says so.
+func repeatable(route *record.Route, method string) bool {
+	if route != nil {
+		return route.Repeatable
+	}
+	return method == http.MethodGet || method == http.MethodHead
+}
+
+// matchRoute returns the route with the longest matching path prefix, or nil.
+func matchRoute(cfg *record.Config, pool, method, path string) *record.Route {
+	var best *record.Route
+	for _, r := range cfg.Routes {
+		if r.Pool != pool || !strings.HasPrefix(path, r.PathPrefix) {
+			continue
+		}
+		if r.Method != "" && r.Method != method {
+			continue
+		}
+		if best == nil || moreSpecific(r, best) {
+			best = r
+		}
+	}
+	return best
+}
+
+// moreSpecific prefers the longer prefix, then a named method, then the lower
+// name, so that every router picks the same route.
+func moreSpecific(a, b *record.Route) bool {
+	if len(a.PathPrefix) != len(b.PathPrefix) {
+		return len(a.PathPrefix) > len(b.PathPrefix)
+	}
+	if (a.Method != "") != (b.Method != "") {
+		return a.Method != ""
+	}
+	return a.Name < b.Name
+}
+
+func pathWithQuery(path, query string) string {
+	if query == "" {
+		return path
+	}
+	return path + "?" + query
+}
+
+// ownHeaders are consumed here and never passed on.
+var ownHeaders = map[string]bool{
+	HeaderWorkspace: true, HeaderChat: true, HeaderPriority: true, HeaderDeadline: true, HeaderKey: true,
+	HeaderKeyIssued: true, HeaderRepeatable: true, HeaderPlacement: true, HeaderRequestID: true, HeaderOutcome: true,
+	"Authorization": true, "Cookie": true, "Traceparent": true, "X-Fencing": true, "X-Attempt-Id": true,
+	"Connection": true, "Keep-Alive": true, "Proxy-Authorization": true, "Proxy-Authenticate": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Host": true, "Content-Length": true,
+}
+
+// maxForwardedHeaders bounds the headers passed on to a plain service.
+const maxForwardedHeaders = 64
+
+// forwardedHeaders returns the caller's headers for a plain service. Headers
+// that carry meaning between routers and backend servers are left out, so that
+// a caller cannot set them.
+func forwardedHeaders(h http.Header) []*peerpb.Header {
+	var list []*peerpb.Header
+	for name, values := range h {
+		if ownHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			if len(list) == maxForwardedHeaders {
+				return list
+			}
+			list = append(list, &peerpb.Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/entry/sink.go
@@ -0,0 +1,269 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/bluebellwell/bluebellwell/internal/answer"
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// responseSink writes an answer to the caller.
+type responseSink interface {
+	dispatch.Sink
+	// started reports whether the status line has been sent.
+	started() bool
+	// done ends a whole answer.
+	done() error
+	// fail ends an answer that was cut, after the status line was sent.
+	fail(p Problem) error
+}
+
+// setCommonHeaders sets what every answer carries.
+func setCommonHeaders(h http.Header, requestID, placement string) {
+	h.Set(HeaderRequestID, requestID)
+	if placement == "" {
+		return
+	}
+	h.Set(HeaderPlacement, placement)
+	cookie := http.Cookie{
+		Name:     CookiePlacement,
+		Value:    placement,
+		Path:     "/v1/",
+		MaxAge:   int(placementLifetime.Seconds()),
+		HttpOnly: true,
+		SameSite: http.SameSiteLaxMode,
+	}
+	h.Add("Set-Cookie", cookie.String())
+}
+
+// streamSink writes a chat answer as server-sent events.
+type streamSink struct {
+	w         http.ResponseWriter
+	flush     http.Flusher
+	events    *answer.SSEWriter
+	requestID string
+	placement string
+	begun     bool
+}
+
+func newStreamSink(w http.ResponseWriter, requestID string) *streamSink {
+	flush, _ := w.(http.Flusher)
+	return &streamSink{w: w, flush: flush, events: answer.NewSSEWriter(w), requestID: requestID}
+}
+
+func (s *streamSink) Frame(f *peerpb.Frame) error {
+	if f.Placement != "" {
+		s.placement = f.Placement
+	}
+	if len(f.Payload) == 0 {
+		return nil
+	}
+	s.begin()
+	if err := s.events.Event(nil, f.Payload); err != nil {
+		return err
+	}
+	if s.flush != nil {
+		s.flush.Flush()
+	}
+	return nil
+}
+
+func (s *streamSink) begin() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	h := s.w.Header()
+	setCommonHeaders(h, s.requestID, s.placement)
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *streamSink) started() bool {
+	return s.begun
+}
+
+func (s *streamSink) done() error {
+	s.begin()
+	return s.events.Done()
+}
+
+// fail sends the problem as an error event. There is no [DONE], so that a cut
+// is never taken for the end.
+func (s *streamSink) fail(p Problem) error {
+	data, err := json.Marshal(map[string]Problem{"error": p})
+	if err != nil {
+		return err
+	}
+	return s.events.Event(nil, data)
+}
+
+// jsonSink assembles a chat answer and writes it whole.
+type jsonSink struct {
+	w         http.ResponseWriter
+	requestID string
+	model     string
+	placement string
+	chunk     answer.Chunk
+	text      []byte
+	finish    string
+	usage     *answer.Usage
+}
+
+func newJSONSink(w http.ResponseWriter, requestID, model string) *jsonSink {
+	return &jsonSink{w: w, requestID: requestID, model: model}
+}
+
+func (s *jsonSink) Frame(f *peerpb.Frame) error {
+	if f.Placement != "" {
+		s.placement = f.Placement
+	}
+	if len(f.Payload) == 0 {
+		return nil
+	}
+	if err := s.chunk.Parse(f.Payload); err != nil {
+		return err
+	}
+	s.text = append(s.text, s.chunk.Text...)
+	if s.chunk.FinishReason != "" {
+		s.finish = s.chunk.FinishReason
+	}
+	if s.chunk.HasUsage {
+		usage := s.chunk.Usage
+		s.usage = &usage
+	}
+	return nil
+}
+
+func (s *jsonSink) started() bool {
+	return false
+}
+
+// completion is the body of a whole chat answer.
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   *answer.Usage      `json:"usage,omitempty"`
+}
+
+type completionChoice struct {
+	Index        int               `json:"index"`
+	Message      completionMessage `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+type completionMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (s *jsonSink) done() error {
+	h := s.w.Header()
+	setCommonHeaders(h, s.requestID, s.placement)
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, OutcomeDone)
+	return json.NewEncoder(s.w).Encode(completion{
+		ID:     s.requestID,
+		Object: "chat.completion",
+		Model:  s.model,
+		Choices: []completionChoice{{
+			Message:      completionMessage{Role: "assistant", Content: string(s.text)},
+			FinishReason: s.finish,
+		}},
+		Usage: s.usage,
+	})
+}
+
+func (s *jsonSink) fail(Problem) error {
+	return nil
+}
+
+// rawSink copies the answer of a plain service.
+type rawSink struct {
+	w         http.ResponseWriter
+	requestID string
+	begun     bool
+}
+
+func (s *rawSink) Frame(f *peerpb.Frame) error {
+	if f.Status != 0 && !s.begun {
+		s.begin(f)
+	}
+	if len(f.Payload) == 0 {
+		return nil
+	}
+	_, err := s.w.Write(f.Payload)
+	return err
+}
+
+func (s *rawSink) begin(f *peerpb.Frame) {
+	s.begun = true
+	h := s.w.Header()
+	for _, header := range f.Headers {
+		h.Add(header.Name, header.Value)
+	}
+	setCommonHeaders(h, s.requestID, "")
+	s.w.WriteHeader(int(f.Status))
+}
+
+func (s *rawSink) started() bool {
+	return s.begun
+}
+
+func (s *rawSink) done() error {
+	return nil
+}
+
+// fail aborts the connection: a plain answer has no place for an error after
+// its status line, and a cut must not look like the end.
+func (s *rawSink) fail(Problem) error {
+	panic(http.ErrAbortHandler)
+}
+
+// recordingSink keeps a copy of a small answer for later duplicates.
+type recordingSink struct {
+	responseSink
+	status    uint32
+	headers   []*peerpb.Header
+	body      []byte
+	truncated bool
+}
+
+func (s *recordingSink) Frame(f *peerpb.Frame) error {
+	if f.Status != 0 {
+		s.status = f.Status
+		s.headers = f.Headers
+	}
+	s.keep(f.Payload)
+	return s.responseSink.Frame(f)
+}
+
+func (s *recordingSink) keep(payload []byte) {
+	if len(s.body)+len(payload) > maxStoredBody {
+		s.truncated = true
+		return
+	}
+	s.body = append(s.body, payload...)
+}
+
+// storedHeaders are the response headers kept with an outcome.
+var storedHeaders = map[string]bool{"Content-Type": true, "Location": true}
+
+// describe fills the outcome record.
+func (s *recordingSink) describe(end *peerpb.IntentCall) {
+	end.Status = max(s.status, http.StatusOK)
+	if s.truncated {
+		return
+	}
+	end.Body = s.body
+	for _, h := range s.headers {
+		if storedHeaders[http.CanonicalHeaderKey(h.Name)] {
+			end.Headers = append(end.Headers, h)
+		}
+	}
+}
--- /dev/null
+++ b/internal/poolowner/exchange.go
@@ -0,0 +1,349 @@
+package poolowner
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/answer"
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+const (
+	// maxDetached bounds how long an attempt without an entry router is
+	// followed, so that its slot stays counted.
+	maxDetached = 10 * time.Minute
+	// cancelTimeout bounds the call that cancels an attempt at its engine.
+	cancelTimeout = 2 * time.Second
+	// resumeTries and resumePause bound the tries to resume a broken engine
+	// connection.
+	resumeTries = 4
+	resumePause = 250 * time.Millisecond
+)
+
+// exchange is one relayed request.
+type exchange struct {
+	pool    *ownedPool
+	req     *peerpb.Relay
+	out     Sender
+	started time.Time
+	seq     uint64
+	// offset counts the characters of text, or the bytes of a plain answer,
+	// that were sent or dropped after the entry router was lost.
+	offset   uint64
+	detached bool
+	engine   string
+	ticket   *admission.Ticket
+	usage    answer.Usage
+	output   int
+}
+
+func (e *exchange) now() time.Time {
+	return e.pool.deps.Clock.Now()
+}
+
+// send passes a frame on, unless the entry router is lost.
+func (e *exchange) send(f *peerpb.Frame) {
+	f.AttemptId = e.req.AttemptId
+	f.Seq = e.seq
+	f.Offset = e.offset
+	e.seq++
+	if e.detached {
+		return
+	}
+	if err := e.out.Send(f); err != nil {
+		e.detached = true
+	}
+}
+
+// end sends a terminal frame other than that of a whole answer.
+func (e *exchange) end(outcome peerpb.Outcome, code, detail string) {
+	e.send(&peerpb.Frame{Terminal: true, Outcome: outcome, Code: code, Detail: detail, Engine: e.engine})
+}
+
+// run admits and executes a new attempt.
+func (e *exchange) run(ctx context.Context) {
+	ctx, span := e.startSpan(ctx, "owner "+e.req.Pool)
+	defer span.End()
+	grant := e.admit(ctx)
+	if grant == nil {
+		return
+	}
+	e.engine = grant.Engine
+	e.pool.runs.add(e.req.RequestId, e.req.AttemptId, e.engine)
+	defer e.pool.runs.remove(e.req.RequestId, e.req.AttemptId)
+	e.send(&peerpb.Frame{Engine: e.engine, Placement: e.token(grant)})
+	if e.pool.plain() {
+		e.callBackend(ctx)
+		return
+	}
+	e.runEngine(ctx)
+}
+
+func (e *exchange) startSpan(ctx context.Context, name string) (context.Context, trace.Span) {
+	carrier := propagation.MapCarrier{"traceparent": e.req.Traceparent}
+	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
+	return e.pool.deps.Tracer.Start(ctx, name)
+}
+
+func (e *exchange) token(grant *admission.Grant) string {
+	if e.req.ChatId == "" || e.pool.plain() {
+		return ""
+	}
+	return e.pool.deps.Sealer.Seal(e.now(), e.req.Workspace, e.req.ChatId, grant.Engine, grant.BootID)
+}
+
+// admit waits for a slot. It returns nil after it has sent a refusal.
+func (e *exchange) admit(ctx context.Context) *admission.Grant {
+	_, span := e.pool.deps.Tracer.Start(ctx, "admission")
+	defer span.End()
+	e.ticket = e.pool.admission.Submit(e.now(), e.admissionRequest())
+	select {
+	case o := <-e.ticket.Done():
+		return e.admitted(o)
+	case <-ctx.Done():
+		if !e.pool.admission.Cancel(e.now(), e.ticket) {
+			e.end(peerpb.Outcome_OUTCOME_NOT_RUN, dispatch.CodeCallerGone, "the caller has gone")
+			return nil
+		}
+		// The grant was made just before; no request was sent for it.
+		e.release(admission.Result{EngineFailed: true})
+		e.end(peerpb.Outcome_OUTCOME_NOT_RUN, dispatch.CodeCallerGone, "the caller has gone")
+		return nil
+	}
+}
+
+func (e *exchange) admitted(o admission.Outcome) *admission.Grant {
+	if o.Grant != nil {
+		return o.Grant
+	}
+	e.refuse(o.Refusal)
+	return nil
+}
+
+func (e *exchange) refuse(r *admission.Refusal) {
+	code := string(r.Code)
+	if r.Code == admission.CodeNotOwner || r.Code == admission.CodeStopping {
+		code = dispatch.CodeHandedBack
+	}
+	e.send(&peerpb.Frame{
+		Terminal:     true,
+		Outcome:      peerpb.Outcome_OUTCOME_NOT_RUN,
+		Code:         code,
+		Detail:       "the pool did not admit the request",
+		RetryAfterMs: uint32(r.RetryAfter.Milliseconds()),
+	})
+}
+
+func (e *exchange) admissionRequest() *admission.Request {
+	r := &admission.Request{
+		ID:           e.req.AttemptId,
+		Workspace:    e.req.Workspace,
+		Class:        record.Priority(e.req.Priority),
+		Chat:         e.req.ChatId,
+		PromptTokens: int(e.req.PromptTokens),
+		OutputTokens: int(e.req.TokenEstimate) - int(e.req.PromptTokens),
+		Exclude:      e.req.Excluded,
+		Retry:        e.req.Retry,
+	}
+	if e.req.DeadlineMs > 0 {
+		r.Deadline = e.started.Add(time.Duration(e.req.DeadlineMs) * time.Millisecond)
+	}
+	r.Hint = e.hint()
+	return r
+}
+
+func (e *exchange) hint() placement.Hint {
+	if e.req.Placement == "" || e.req.ChatId == "" {
+		return placement.Hint{}
+	}
+	hint, err := e.pool.deps.Sealer.Open(e.now(), e.req.Workspace, e.req.ChatId, e.req.Placement)
+	if err != nil {
+		return placement.Hint{}
+	}
+	return hint
+}
+
+func (e *exchange) release(res admission.Result) {
+	e.pool.admission.Release(e.now(), e.ticket, res)
+}
+
+// remaining returns the time left of the caller's deadline; 0 means none.
+func (e *exchange) remaining() time.Duration {
+	if e.req.DeadlineMs == 0 {
+		return 0
+	}
+	left := time.Duration(e.req.DeadlineMs)*time.Millisecond - e.now().Sub(e.started)
+	return max(left, time.Millisecond)
+}
+
+// runEngine executes the attempt on the granted engine.
+func (e *exchange) runEngine(ctx context.Context) {
+	client := e.pool.engine(e.engine)
+	if client == nil {
+		e.release(admission.Result{EngineFailed: true})
+		e.end(peerpb.Outcome_OUTCOME_NOT_RUN, dispatch.CodeEngineFailed, "the engine has left the pool")
+		return
+	}
+	engineCtx, span := e.pool.deps.Tracer.Start(context.WithoutCancel(ctx), "engine "+e.engine)
+	defer span.End()
+	engineCtx, stop := context.WithTimeout(engineCtx, maxDetached)
+	defer stop()
+	detach := context.AfterFunc(ctx, stop)
+	defer detach()
+	stream, err := client.Stream(engineCtx, e.engineRequest(engineCtx))
+	if err != nil {
+		e.startFailed(ctx, client, err)
+		return
+	}
+	e.follow(ctx, engineCtx, client, stream)
+}
+
+func (e *exchange) engineRequest(ctx context.Context) engineclient.Request {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	prefix := ""
+	if e.req.ChatId != "" {
+		prefix = e.req.Workspace + "/" + e.req.ChatId
+	}
+	return engineclient.Request{
+		AttemptID:      e.req.AttemptId,
+		RequestID:      e.req.RequestId,
+		Workspace:      e.req.Workspace,
+		PrefixKey:      prefix,
+		SystemKey:      e.pool.systemKey(e.req.Workspace),
+		Priority:       e.req.Priority,
+		IdempotencyKey: e.req.IdempotencyKey,
+		Traceparent:    carrier.Get("traceparent"),
+		Deadline:       e.remaining(),
+		Body:           e.req.Body,
+	}
+}
+
+// startFailed ends an attempt whose engine gave no stream.
+func (e *exchange) startFailed(ctx context.Context, client *engineclient.Client, err error) {
+	if ctx.Err() != nil {
+		e.callerGone(client)
+		return
+	}
+	e.release(admission.Result{EngineFailed: true})
+	e.pool.deps.Report(e.engine, false)
+	if errors.Is(err, engineclient.ErrNotRun) {
+		e.end(peerpb.Outcome_OUTCOME_NOT_RUN, dispatch.CodeEngineFailed, "the engine did not take the request")
+		return
+	}
+	e.cancelAtEngine(client)
+	e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeEngineFailed, "the engine failed before the answer began")
+}
+
+// follow copies the engine's stream until the answer is whole or lost.
+func (e *exchange) follow(ctx, engineCtx context.Context, client *engineclient.Client, s *engineclient.Stream) {
+	for {
+		err := e.copyEvents(s)
+		s.Close()
+		if errors.Is(err, io.EOF) {
+			e.whole()
+			return
+		}
+		if ctx.Err() != nil {
+			e.callerGone(client)
+			return
+		}
+		s, err = e.reopen(engineCtx, client)
+		if err != nil {
+			e.engineLost()
+			return
+		}
+	}
+}
+
+// copyEvents sends the events of one connection as frames. It returns io.EOF
+// after the end of a whole answer.
+func (e *exchange) copyEvents(s *engineclient.Stream) error {
+	for {
+		ev, err := s.Next()
+		if err != nil {
+			return err
+		}
+		if ev.HasUsage {
+			e.usage = ev.Usage
+		}
+		if ev.Done {
+			return io.EOF
+		}
+		e.output += ev.Characters
+		e.send(&peerpb.Frame{Payload: ev.Data, Characters: uint32(ev.Characters)})
+		e.offset += uint64(ev.Characters)
+	}
+}
+
+// reopen resumes the same attempt on the same engine after its connection was
+// lost. Another engine would generate another text.
+func (e *exchange) reopen(ctx context.Context, client *engineclient.Client) (*engineclient.Stream, error) {
+	var err error
+	for range resumeTries {
+		var s *engineclient.Stream
+		s, err = client.Resume(ctx, e.req.AttemptId, int(e.offset))
+		if err == nil {
+			return s, nil
+		}
+		if errors.Is(err, engineclient.ErrNotFound) || ctx.Err() != nil {
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-e.pool.deps.Clock.After(resumePause):
+		}
+	}
+	return nil, err
+}
+
+func (e *exchange) whole() {
+	e.pool.deps.Report(e.engine, true)
+	if e.ticket != nil {
+		e.release(admission.Result{
+			CachedTokens: e.usage.PromptTokensDetails.CachedTokens,
+			PromptTokens: e.usage.PromptTokens,
+			OutputTokens: e.usage.CompletionTokens,
+		})
+	}
+	e.send(&peerpb.Frame{Terminal: true, Outcome: peerpb.Outcome_OUTCOME_DONE})
+}
+
+func (e *exchange) engineLost() {
+	e.pool.deps.Report(e.engine, false)
+	if e.ticket != nil {
+		e.release(admission.Result{EngineFailed: true})
+	}
+	if e.offset == 0 {
+		e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeEngineFailed, "the engine failed before the answer began")
+		return
+	}
+	e.end(peerpb.Outcome_OUTCOME_INCOMPLETE, dispatch.CodeAnswerCut, "the engine failed in the middle of the answer")
+}
+
+// callerGone cancels the attempt at the engine. The slot is free only after
+// the engine was told.
+func (e *exchange) callerGone(client *engineclient.Client) {
+	e.cancelAtEngine(client)
+	if e.ticket != nil {
+		e.release(admission.Result{EngineFailed: true})
+	}
+	e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeCallerGone, "the caller has gone")
+}
+
+func (e *exchange) cancelAtEngine(client *engineclient.Client) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_, _ = client.Cancel(ctx, e.req.AttemptId)
+}
--- /dev/null
+++ b/internal/poolowner/pool.go
@@ -0,0 +1,268 @@
+package poolowner
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/backend"
+	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+// ownedPool is one pool that this router owns or owned.
+type ownedPool struct {
+	deps      Deps
+	admission *admission.Pool
+	runs      *runs
+	isOwned   atomic.Bool
+
+	mu         sync.RWMutex
+	config     *record.Pool
+	workspaces map[string]*record.Workspace
+	servers    map[string]Server
+	engines    map[string]*engineclient.Client
+	backends   map[string]*backend.Client
+}
+
+func newOwnedPool(deps Deps, a Assignment) *ownedPool {
+	p := &ownedPool{
+		deps:     deps,
+		runs:     newRuns(),
+		engines:  map[string]*engineclient.Client{},
+		backends: map[string]*backend.Client{},
+	}
+	var picker placement.Picker
+	if deps.NewPicker != nil {
+		picker = deps.NewPicker()
+	}
+	p.admission = admission.NewPool(
+		admission.Config{Pool: a.Pool, Workspaces: a.Workspaces},
+		admission.Deps{Rand: deps.Rand, Picker: picker},
+	)
+	return p
+}
+
+func (p *ownedPool) owned() bool {
+	return p.isOwned.Load()
+}
+
+// apply puts an assignment in force.
+func (p *ownedPool) apply(now time.Time, a Assignment) {
+	changed := p.store(a)
+	if changed {
+		p.admission.Update(now, admission.Config{Pool: a.Pool, Workspaces: a.Workspaces})
+	}
+	p.admission.SetEngines(now, admissionEngines(a.Servers))
+	switch {
+	case a.Stopping:
+		p.release(now, admission.CodeStopping)
+	case a.Owned:
+		p.isOwned.Store(true)
+		p.admission.SetVotes(now, a.Held, a.Listed)
+	default:
+		p.release(now, admission.CodeNotOwner)
+	}
+}
+
+// release hands the queue back. Running attempts keep their slots.
+func (p *ownedPool) release(now time.Time, code admission.Code) {
+	if !p.isOwned.Swap(false) {
+		return
+	}
+	p.admission.HandBack(now, code)
+}
+
+// store keeps the configuration and servers; it reports whether the
+// configuration changed.
+func (p *ownedPool) store(a Assignment) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := p.config != a.Pool || !sameMap(p.workspaces, a.Workspaces)
+	p.config = a.Pool
+	p.workspaces = a.Workspaces
+	p.servers = make(map[string]Server, len(a.Servers))
+	for _, s := range a.Servers {
+		p.servers[s.Name] = s
+	}
+	p.dropClients()
+	return changed
+}
+
+// sameMap compares maps that are never changed after they were published.
+func sameMap(a, b map[string]*record.Workspace) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, ws := range a {
+		if b[name] != ws {
+			return false
+		}
+	}
+	return true
+}
+
+// dropClients closes clients of addresses that no server has any more.
+func (p *ownedPool) dropClients() {
+	used := map[string]bool{}
+	for _, s := range p.servers {
+		used[s.Addr] = true
+	}
+	for addr, c := range p.engines {
+		if !used[addr] {
+			c.Close()
+			delete(p.engines, addr)
+		}
+	}
+	for addr, c := range p.backends {
+		if !used[addr] {
+			c.Close()
+			delete(p.backends, addr)
+		}
+	}
+}
+
+func admissionEngines(servers []Server) []admission.Engine {
+	list := make([]admission.Engine, len(servers))
+	for i, s := range servers {
+		list[i] = admission.Engine{
+			Name: s.Name, Weight: s.Weight, State: s.State, BootID: s.BootID, CacheTokens: s.CacheTokens,
+		}
+	}
+	return list
+}
+
+func (p *ownedPool) adopt(now time.Time, attempts []*peerpb.Attempt) {
+	var list []admission.AdoptedAttempt
+	for _, a := range attempts {
+		if p.runs.has(a.AttemptId) {
+			continue
+		}
+		list = append(list, admission.AdoptedAttempt{ID: a.AttemptId, Engine: a.Engine})
+	}
+	p.admission.Adopt(now, list)
+}
+
+// engine returns the client of an engine, or nil.
+func (p *ownedPool) engine(name string) *engineclient.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.servers[name]
+	if !ok {
+		return nil
+	}
+	c := p.engines[s.Addr]
+	if c == nil {
+		c = engineclient.New(engineclient.Options{
+			BaseURL: "http://" + s.Addr,
+			Meter:   p.deps.Meter,
+			Clock:   p.deps.Clock,
+		})
+		p.engines[s.Addr] = c
+	}
+	return c
+}
+
+// backend returns the client of a plain backend server, or nil.
+func (p *ownedPool) backend(name string) *backend.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.servers[name]
+	if !ok {
+		return nil
+	}
+	c := p.backends[s.Addr]
+	if c == nil {
+		c = backend.New(backend.Options{BaseURL: "http://" + s.Addr, Clock: p.deps.Clock})
+		p.backends[s.Addr] = c
+	}
+	return c
+}
+
+func (p *ownedPool) engineNames() []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	names := make([]string, 0, len(p.servers))
+	for name := range p.servers {
+		names = append(names, name)
+	}
+	return names
+}
+
+func (p *ownedPool) bootID(name string) string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.servers[name].BootID
+}
+
+func (p *ownedPool) systemKey(workspace string) string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	ws := p.workspaces[workspace]
+	if ws == nil || ws.SystemPromptKey == "" {
+		return workspace
+	}
+	return ws.SystemPromptKey
+}
+
+func (p *ownedPool) plain() bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.config.Type == record.PoolPlain
+}
+
+// runs lists the attempts that this router runs, by attempt and by request.
+type runs struct {
+	mu        sync.Mutex
+	byAttempt map[string]string
+	byRequest map[string]run
+}
+
+// run is where a request's attempt runs.
+type run struct {
+	attemptID string
+	engine    string
+}
+
+func newRuns() *runs {
+	return &runs{byAttempt: map[string]string{}, byRequest: map[string]run{}}
+}
+
+func (r *runs) add(requestID, attemptID, engine string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byAttempt[attemptID] = engine
+	r.byRequest[requestID] = run{attemptID: attemptID, engine: engine}
+}
+
+func (r *runs) remove(requestID, attemptID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.byAttempt, attemptID)
+	if r.byRequest[requestID].attemptID == attemptID {
+		delete(r.byRequest, requestID)
+	}
+}
+
+func (r *runs) has(attemptID string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.byAttempt[attemptID]
+	return ok
+}
+
+func (r *runs) find(requestID string) (run, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found, ok := r.byRequest[requestID]
+	return found, ok
+}
+
+func (r *runs) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.byAttempt)
+}
--- /dev/null
+++ b/internal/poolowner/resume.go
@@ -0,0 +1,75 @@
+package poolowner
+
+import (
+	"context"
+	"errors"
+
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// resume reads the rest of an earlier answer. It starts nothing at an engine.
+func (e *exchange) resume(ctx context.Context) {
+	ctx, span := e.startSpan(ctx, "owner resume "+e.req.Pool)
+	defer span.End()
+	e.offset = e.req.ResumeOffset
+	client, stream := e.locate(ctx)
+	if stream == nil {
+		e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeAttemptNotFound, "no engine of the pool has the answer")
+		return
+	}
+	if e.req.RequestId != "" && !e.pool.runs.has(e.req.AttemptId) {
+		e.pool.adopt(e.now(), []*peerpb.Attempt{{AttemptId: e.req.AttemptId, Engine: e.engine}})
+		defer func() { e.pool.admission.ReleaseAdopted(e.now(), e.req.AttemptId) }()
+	}
+	e.send(&peerpb.Frame{Engine: e.engine})
+	e.follow(ctx, ctx, client, stream)
+}
+
+// locate finds the engine that has the attempt: the one that the entry router
+// names, the one where this router runs the request, then any of the pool.
+func (e *exchange) locate(ctx context.Context) (*engineclient.Client, *engineclient.Stream) {
+	names := e.candidates()
+	for _, name := range names {
+		client := e.pool.engine(name)
+		if client == nil {
+			continue
+		}
+		if e.req.AttemptId == "" && !e.findAttempt(ctx, client) {
+			continue
+		}
+		e.engine = name
+		stream, err := e.reopen(ctx, client)
+		if err == nil {
+			return client, stream
+		}
+		if !errors.Is(err, engineclient.ErrNotFound) && e.req.Engine == name {
+			return nil, nil
+		}
+	}
+	return nil, nil
+}
+
+func (e *exchange) candidates() []string {
+	if e.req.Engine != "" {
+		return []string{e.req.Engine}
+	}
+	if r, ok := e.pool.runs.find(e.req.RequestId); ok {
+		if e.req.AttemptId == "" {
+			e.req.AttemptId = r.attemptID
+		}
+		return []string{r.engine}
+	}
+	return e.pool.engineNames()
+}
+
+// findAttempt asks an engine for the last attempt of the request that ran.
+func (e *exchange) findAttempt(ctx context.Context, client *engineclient.Client) bool {
+	attempts, err := client.FindAttempt(ctx, e.req.RequestId)
+	if err != nil || len(attempts) == 0 {
+		return false
+	}
+	e.req.AttemptId = attempts[len(attempts)-1].AttemptID
+	return true
+}
--- /dev/null
+++ b/internal/poolowner/service.go
@@ -0,0 +1,193 @@
+// Package poolowner is the owner's side of a pool: it admits relayed requests,
+// runs each attempt on the engine or backend server that admission grants, and
+// sends the answer back as frames.
+package poolowner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+// Sender takes the frames of one answer. An error means that the entry router
+// is lost; the attempt then runs to its end, so that the caller can resume it
+// through another router.
+type Sender interface {
+	Send(f *peerpb.Frame) error
+}
+
+// Deps are the service's collaborators.
+type Deps struct {
+	Clock  clockwork.Clock
+	Sealer *placement.Sealer
+	Meter  *meter.Meter
+	Tracer trace.Tracer
+	// Report is told whether an engine or backend server worked. It may be
+	// called from any goroutine and must not block.
+	Report func(server string, ok bool)
+	// Rand returns uniform numbers from 0 up to but not including 1 and is safe
+	// for concurrent use.
+	Rand func() float64
+	// NewPicker returns the placement policy; nil means the default.
+	NewPicker func() placement.Picker
+}
+
+// Server is one engine or backend server of a pool.
+type Server struct {
+	Name string
+	// Addr is host and port.
+	Addr   string
+	State  placement.State
+	Weight float64
+	BootID string
+	// CacheTokens is the size of the prefix cache; 0 means unknown.
+	CacheTokens int
+}
+
+// Assignment is what the control goroutine decides about one pool.
+type Assignment struct {
+	Pool       *record.Pool
+	Workspaces map[string]*record.Workspace
+	Servers    []Server
+	// Owned tells whether this router holds any vote for the pool.
+	Owned bool
+	// Held and Listed are the routers whose vote is held, and all of the VM list.
+	Held, Listed []string
+	// Stopping refuses new requests; running ones go on.
+	Stopping bool
+}
+
+// Service serves the pools that this router owns. It is safe for concurrent use.
+type Service struct {
+	deps Deps
+	mu   sync.RWMutex
+	pool map[string]*ownedPool
+}
+
+// New returns a service without pools.
+func New(deps Deps) *Service {
+	return &Service{deps: deps, pool: map[string]*ownedPool{}}
+}
+
+// Assign applies decisions of the control goroutine. Pools that are not named
+// are handed back.
+func (s *Service) Assign(now time.Time, list []Assignment) {
+	named := map[string]bool{}
+	for _, a := range list {
+		named[a.Pool.Name] = true
+		s.assign(now, a)
+	}
+	for name, p := range s.snapshot() {
+		if !named[name] {
+			p.release(now, admission.CodeNotOwner)
+		}
+	}
+}
+
+func (s *Service) assign(now time.Time, a Assignment) {
+	p := s.lookup(a.Pool.Name)
+	if p == nil {
+		if !a.Owned {
+			return
+		}
+		p = newOwnedPool(s.deps, a)
+		s.mu.Lock()
+		s.pool[a.Pool.Name] = p
+		s.mu.Unlock()
+	}
+	p.apply(now, a)
+}
+
+func (s *Service) lookup(name string) *ownedPool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.pool[name]
+}
+
+func (s *Service) snapshot() map[string]*ownedPool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	pools := make(map[string]*ownedPool, len(s.pool))
+	for name, p := range s.pool {
+		pools[name] = p
+	}
+	return pools
+}
+
+// Adopt counts attempts that a previous owner of the pool started.
+func (s *Service) Adopt(now time.Time, pool string, attempts []*peerpb.Attempt) {
+	p := s.lookup(pool)
+	if p == nil {
+		return
+	}
+	p.adopt(now, attempts)
+}
+
+// Tick drives waits and deadlines of all pools; it is called a few times a
+// second and returns the time of the next event, or the zero time.
+func (s *Service) Tick(now time.Time) time.Time {
+	var next time.Time
+	for _, p := range s.snapshot() {
+		t := p.admission.Tick(now)
+		if !t.IsZero() && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	return next
+}
+
+// Stats returns the state of the owned pools.
+func (s *Service) Stats() []admission.Stats {
+	var stats []admission.Stats
+	for _, p := range s.snapshot() {
+		if p.owned() {
+			stats = append(stats, p.admission.Stats())
+		}
+	}
+	return stats
+}
+
+// Running returns the number of attempts that this router runs.
+func (s *Service) Running() int {
+	n := 0
+	for _, p := range s.snapshot() {
+		n += p.runs.count()
+	}
+	return n
+}
+
+// Serve runs one relayed request to its terminal frame. The end of ctx means
+// that the caller has gone and cancels the attempt.
+func (s *Service) Serve(ctx context.Context, req *peerpb.Relay, out Sender) {
+	p := s.lookup(req.Pool)
+	if p == nil || !p.owned() && !req.Resume {
+		_ = out.Send(notOwner(req))
+		return
+	}
+	e := &exchange{pool: p, req: req, out: out, started: s.deps.Clock.Now()}
+	if req.Resume {
+		e.resume(ctx)
+		return
+	}
+	e.run(ctx)
+}
+
+func notOwner(req *peerpb.Relay) *peerpb.Frame {
+	return &peerpb.Frame{
+		AttemptId: req.AttemptId,
+		Terminal:  true,
+		Outcome:   peerpb.Outcome_OUTCOME_NOT_RUN,
+		Code:      dispatch.CodeNotOwner,
+		Detail:    "this router does not own the pool",
+	}
+}
