--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,6 +18,12 @@
 	open     Opener
 	clock    clockwork.Clock
 	inflight *InFlight
+	dropped  atomic.Uint64
+}
+
+// Dropped returns the number of frames that were late, repeated or crossed.
+func (d *Dispatcher) Dropped() uint64 {
+	return d.dropped.Load()
 }
 
 // New returns a dispatcher.
@@ -35,6 +42,8 @@
 	req  *peerpb.Relay
 	sink Sink
 	seq  *answer.Sequencer
+	// delivered is set once a part of an answer has reached the sink.
+	delivered bool
 	// mayHaveRun is set once any attempt can have reached a backend server.
 	mayHaveRun bool
 	retries    int
@@ -58,7 +67,7 @@
 	req.Repeatable = false
 	req.Resume = true
 	s := &session{d: d, req: req, sink: sink, mayHaveRun: true}
-	s.seq = answer.NewSequencer(req.AttemptId, req.ResumeOffset)
+	s.seq = answer.NewSequencerAt(req.AttemptId, 0, req.ResumeOffset)
 	s.giveUp = d.clock.Now().Add(d.cfg.ResumeWait)
 	return s.run(ctx)
 }
@@ -123,7 +132,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if !s.seq.Accept(f) {
+		if !s.accept(f) {
 			continue
 		}
 		if f.Engine != "" {
@@ -132,6 +141,7 @@
 		if f.Terminal && f.Outcome != peerpb.Outcome_OUTCOME_DONE {
 			return f, nil
 		}
+		s.delivered = s.delivered || len(f.Payload) > 0 || f.Status != 0
 		if err := s.sink.Frame(f); err != nil {
 			return nil, errSink
 		}
@@ -141,6 +151,20 @@
 	}
 }
 
+// accept checks that a frame is the next one of the current attempt. The owner
+// names the attempt of a resumed answer that was looked up by request id.
+func (s *session) accept(f *peerpb.Frame) bool {
+	if s.req.AttemptId == "" && f.AttemptId != "" {
+		s.req.AttemptId = f.AttemptId
+		s.seq = answer.NewSequencerAt(f.AttemptId, 0, s.req.ResumeOffset)
+	}
+	v := s.seq.Next(f.AttemptId, f.Seq, f.Offset, int(f.Characters), f.Terminal)
+	if v != answer.Accepted {
+		s.d.dropped.Add(1)
+	}
+	return v == answer.Accepted
+}
+
 // granted records that the owner has placed the attempt on an engine.
 func (s *session) granted(f *peerpb.Frame) {
 	s.mayHaveRun = true
@@ -179,7 +203,12 @@
 	}
 	s.req.Resume = true
 	s.req.ResumeOffset = s.seq.Offset()
-	s.seq.Restart()
+	s.restartSequence()
+}
+
+// restartSequence expects the frames of a new stream, which count from 0 again.
+func (s *session) restartSequence() {
+	s.seq = answer.NewSequencerAt(s.req.AttemptId, 0, s.seq.Offset())
 }
 
 // ended decides after a terminal frame.
@@ -189,7 +218,7 @@
 	}
 	switch f.Code {
 	case CodeNotOwner, CodeHandedBack:
-		s.seq.Restart()
+		s.restartSequence()
 		return Result{}, true
 	case CodeAttemptNotFound, CodeEngineFailed:
 		if f.Outcome != peerpb.Outcome_OUTCOME_NOT_RUN {
@@ -206,7 +235,7 @@
 // canRetry reports whether a new attempt may be started: the request is
 // repeatable and the caller has received nothing yet.
 func (s *session) canRetry() bool {
-	return s.req.Repeatable && s.seq.Offset() == 0 && !s.seq.Started() && s.retries < s.d.cfg.MaxRetries
+	return s.req.Repeatable && !s.delivered && s.retries < s.d.cfg.MaxRetries
 }
 
 func (s *session) retry(failed string) {
@@ -228,7 +257,7 @@
 
 func (s *session) newAttempt() {
 	s.req.AttemptId = answer.NewAttemptID()
-	s.seq = answer.NewSequencer(s.req.AttemptId, 0)
+	s.seq = answer.NewSequencer(s.req.AttemptId)
 }
 
 // refused turns a terminal frame into the result for the caller.
@@ -248,7 +277,7 @@
 // truthful corrects an outcome of the last attempt by what earlier attempts
 // may have done.
 func (s *session) truthful(o peerpb.Outcome) peerpb.Outcome {
-	if s.seq.Started() {
+	if s.delivered {
 		return peerpb.Outcome_OUTCOME_INCOMPLETE
 	}
 	if o == peerpb.Outcome_OUTCOME_NOT_RUN && s.mayHaveRun {
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -235,13 +235,14 @@
 		e.callerGone(client)
 		return
 	}
-	e.release(admission.Result{EngineFailed: true})
 	e.pool.deps.Report(e.engine, false)
 	if errors.Is(err, engineclient.ErrNotRun) {
+		e.release(admission.Result{EngineFailed: true})
 		e.end(peerpb.Outcome_OUTCOME_NOT_RUN, dispatch.CodeEngineFailed, "the engine did not take the request")
 		return
 	}
 	e.cancelAtEngine(client)
+	e.release(admission.Result{EngineFailed: true})
 	e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeEngineFailed, "the engine failed before the answer began")
 }
 
--- /dev/null
+++ b/internal/poolowner/plain.go
@@ -0,0 +1,100 @@
+package poolowner
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/backend"
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// maxPlainFrame is the size in bytes of the parts in which a plain answer is
+// sent; it is below the frame limit of the peer protocol.
+const maxPlainFrame = 48 << 10
+
+// callBackend executes one attempt at a plain service.
+func (e *exchange) callBackend(ctx context.Context) {
+	client := e.pool.backend(e.engine)
+	if client == nil {
+		e.release(admission.Result{EngineFailed: true})
+		e.end(peerpb.Outcome_OUTCOME_NOT_RUN, dispatch.CodeEngineFailed, "the backend server has left the pool")
+		return
+	}
+	callCtx, span := e.pool.deps.Tracer.Start(ctx, "backend "+e.engine, trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	if left := e.remaining(); left > 0 {
+		var cancel context.CancelFunc
+		callCtx, cancel = context.WithDeadline(callCtx, e.now().Add(left))
+		defer cancel()
+	}
+	answer, err := client.Do(callCtx, e.backendRequest())
+	if err != nil {
+		e.backendFailed(ctx, err)
+		return
+	}
+	e.pool.deps.Report(e.engine, true)
+	e.release(admission.Result{})
+	e.sendAnswer(answer)
+}
+
+func (e *exchange) backendRequest() backend.Request {
+	header := make(http.Header, len(e.req.Headers))
+	for _, h := range e.req.Headers {
+		header.Add(h.Name, h.Value)
+	}
+	return backend.Request{
+		Method:         e.req.Method,
+		Path:           e.req.Path,
+		Header:         header,
+		Body:           e.req.Body,
+		Repeatable:     e.req.Repeatable,
+		AttemptID:      e.req.AttemptId,
+		IdempotencyKey: e.req.IdempotencyKey,
+		Fencing:        e.req.Fencing,
+	}
+}
+
+// backendFailed ends an attempt without an answer. A caller that went away
+// says nothing about the server.
+func (e *exchange) backendFailed(ctx context.Context, err error) {
+	e.release(admission.Result{EngineFailed: true})
+	if ctx.Err() == nil && !errors.Is(err, context.DeadlineExceeded) {
+		e.pool.deps.Report(e.engine, false)
+	}
+	if errors.Is(err, backend.ErrNotSent) {
+		e.end(peerpb.Outcome_OUTCOME_NOT_RUN, dispatch.CodeEngineFailed, "no backend server took the request")
+		return
+	}
+	e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeEngineFailed, "the backend server did not answer")
+}
+
+// sendAnswer sends a whole plain answer in parts.
+func (e *exchange) sendAnswer(a *backend.Answer) {
+	first := &peerpb.Frame{Status: uint32(a.Status)}
+	for name, values := range a.Header {
+		for _, v := range values {
+			first.Headers = append(first.Headers, &peerpb.Header{Name: name, Value: v})
+		}
+	}
+	body := a.Body
+	for {
+		n := min(len(body), maxPlainFrame)
+		first.Payload = body[:n]
+		first.Characters = uint32(n)
+		e.send(first)
+		e.offset += uint64(n)
+		body = body[n:]
+		if len(body) == 0 {
+			break
+		}
+		first = &peerpb.Frame{}
+	}
+	e.send(&peerpb.Frame{Terminal: true, Outcome: peerpb.Outcome_OUTCOME_DONE, Status: uint32(a.Status)})
+}
+
--- /dev/null
+++ b/internal/router/serve.go
@@ -0,0 +1,110 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/peer"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// frameSendTimeout bounds the wait for an entry router that does not read. The
+// attempt then goes on without it.
+const frameSendTimeout = 30 * time.Second
+
+// HandleStream implements peer.Handler.
+func (r *Router) HandleStream(ctx context.Context, first *peerpb.Envelope, s *peer.Stream) {
+	switch body := first.Body.(type) {
+	case *peerpb.Envelope_Relay:
+		r.serveRelay(ctx, body.Relay, s)
+	case *peerpb.Envelope_Claim:
+		r.serveClaim(ctx, body.Claim, s)
+	case *peerpb.Envelope_ConfigFetch:
+		_ = s.Send(r.configReply(body.ConfigFetch))
+	case *peerpb.Envelope_IntentCall:
+		r.serveIntent(ctx, body.IntentCall, s)
+	case *peerpb.Envelope_StatusQuery:
+		_ = s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_StatusReply{
+			StatusReply: &peerpb.StatusReply{Json: r.statusJSON()},
+		}})
+	}
+}
+
+// HandleMessage implements peer.Handler.
+func (r *Router) HandleMessage(from peer.Peer, env *peerpb.Envelope) {
+	switch body := env.Body.(type) {
+	case *peerpb.Envelope_Heartbeat:
+		r.post(heartbeatReceived{from: from, heartbeat: body.Heartbeat})
+	case *peerpb.Envelope_VoteLost:
+		r.post(voteLostReceived{from: from, lost: body.VoteLost})
+	}
+}
+
+// frameSender sends frames to an entry router.
+type frameSender struct {
+	stream *peer.Stream
+	env    peerpb.Envelope
+	body   peerpb.Envelope_Frame
+}
+
+// Send implements poolowner.Sender.
+func (s *frameSender) Send(f *peerpb.Frame) error {
+	s.body.Frame = f
+	s.env.Body = &s.body
+	_ = s.stream.SetDeadline(time.Now().Add(frameSendTimeout))
+	return s.stream.Send(&s.env)
+}
+
+// serveRelay runs a relayed request. A Cancel message ends it; the loss of the
+// entry router does not.
+func (r *Router) serveRelay(ctx context.Context, req *peerpb.Relay, s *peer.Stream) {
+	r.serving.Add(1)
+	defer r.serving.Done()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go func() {
+		env, err := s.Recv()
+		if err == nil && env.GetCancel() != nil {
+			cancel()
+		}
+	}()
+	r.owner.Serve(ctx, req, &frameSender{stream: s})
+}
+
+func (r *Router) serveIntent(ctx context.Context, call *peerpb.IntentCall, s *peer.Stream) {
+	reply, err := r.guard.Handle(ctx, call)
+	if err != nil {
+		return
+	}
+	_ = s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_IntentReply{IntentReply: reply}})
+}
+
+// configReply answers a peer that cannot reach the log, or that starts.
+func (r *Router) configReply(fetch *peerpb.ConfigFetch) *peerpb.Envelope {
+	snap := r.config.Snapshot()
+	reply := &peerpb.ConfigReply{
+		InService: snap.Log.HasState,
+		Offset:    snap.Log.Applied,
+		Head:      snap.Log.Head,
+		LogAgeMs:  logAge(r.clock.Now(), snap.Log.HeardAt),
+	}
+	if snap.Log.HasState && snap.Log.Applied > fetch.KnownOffset {
+		if data, next, ok := r.config.Checkpoint(); ok {
+			reply.Checkpoint = data
+			reply.Offset = next
+		}
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigReply{ConfigReply: reply}}
+}
+
+// neverHeard is the log age of a router that has never heard the log.
+const neverHeard = ^uint32(0)
+
+// logAge returns the milliseconds since the log was heard.
+func logAge(now, heard time.Time) uint32 {
+	if heard.IsZero() {
+		return neverHeard
+	}
+	age := now.Sub(heard).Milliseconds()
+	return uint32(min(max(age, 0), int64(neverHeard-1)))
+}
