simserver: share the stand-ins' loopback server

The emulators of engines and of plain servers need the same refusal, death and return on one address, so the server moves out of enginesim.

Leaving idle connections open on a refusal, and not keeping the address, each made the test fail.

--- a/internal/standin/enginesim/engine.go
+++ b/internal/standin/enginesim/engine.go
@@ -10,6 +10,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"gopkg.in/tomb.v2"
+
+	"github.com/bluebellwell/bluebellwell/internal/standin/simserver"
 )
 
 // States of an attempt.
@@ -77,7 +79,7 @@
 	tomb   tomb.Tomb
 	poke   chan struct{}
 	mux    *http.ServeMux
-	server server
+	server simserver.Server
 
 	mu       sync.Mutex
 	life     *life
@@ -202,14 +204,14 @@
 	e.kill()
 	e.mu.Unlock()
 	e.ledger.Leave(e.cfg.Name)
-	e.server.close()
+	e.server.Close()
 }
 
 // Restart brings a dead engine back with empty state and a new boot id, on the
 // address that Start returned.
 func (e *Engine) Restart() error {
 	e.ledger.Join(e.cfg.Name, e.cfg.Weight)
-	return e.server.reopen()
+	return e.server.Reopen()
 }
 
 // kill replaces the life. The caller holds mu.
--- /dev/null
+++ b/internal/standin/simserver/simserver.go
@@ -0,0 +1,97 @@
+// Package simserver is the loopback HTTP server of the stand-ins, which can
+// refuse connections, die and come back on the same address.
+package simserver
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Server serves one handler. The zero value is ready to use; it is safe for
+// concurrent use.
+type Server struct {
+	mu      sync.Mutex
+	handler http.Handler
+	addr    string
+	ln      net.Listener
+	running []*http.Server
+}
+
+// Start serves h on a loopback address such as 127.0.0.1:0 and returns the
+// address in use.
+func (s *Server) Start(addr string, h http.Handler) (string, error) {
+	s.mu.Lock()
+	s.handler = h
+	s.addr = addr
+	s.mu.Unlock()
+	if err := s.Reopen(); err != nil {
+		return "", err
+	}
+	return s.Addr(), nil
+}
+
+// Addr returns the address in use, or an empty string.
+func (s *Server) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
+// Reopen listens on the address unless the server does so already. A server
+// that was never started stays closed.
+func (s *Server) Reopen() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.handler == nil || s.ln != nil {
+		return nil
+	}
+	ln, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return err
+	}
+	s.ln = ln
+	s.addr = ln.Addr().String()
+	srv := &http.Server{Handler: s.handler}
+	s.running = append(s.running, srv)
+	go serve(srv, ln)
+	return nil
+}
+
+// serve ends when the listener is closed.
+func serve(srv *http.Server, ln net.Listener) {
+	err := srv.Serve(ln)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		panic(err)
+	}
+}
+
+// Refuse makes the operating system refuse new connections until Reopen. Idle
+// connections are closed; requests in progress go on.
+func (s *Server) Refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeListener()
+	for _, srv := range s.running {
+		srv.SetKeepAlivesEnabled(false)
+	}
+}
+
+func (s *Server) closeListener() {
+	if s.ln != nil {
+		_ = s.ln.Close()
+		s.ln = nil
+	}
+}
+
+// Close refuses new connections and cuts the open ones.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeListener()
+	for _, srv := range s.running {
+		_ = srv.Close()
+	}
+	s.running = nil
+}
