--- a/internal/answer/chat.go
+++ b/internal/answer/chat.go
@@ -74,6 +74,9 @@
 
 // ParseChatRequest decodes a request body.
 func ParseChatRequest(body []byte) (*ChatRequest, error) {
+	if !utf8.Valid(body) {
+		return nil, eris.Wrap(ErrBadJSON, "chat request is not UTF-8")
+	}
 	if err := checkJSON(body); err != nil {
 		return nil, err
 	}
@@ -143,32 +146,6 @@
 	return options, nil
 }
 
-// checkJSON validates data and bounds its depth without allocating.
-func checkJSON(data []byte) error {
-	depth := 0
-	inString := false
-	for i := 0; i < len(data); i++ {
-		switch c := data[i]; {
-		case inString && c == '\\':
-			i++
-		case c == '"':
-			inString = !inString
-		case inString:
-		case c == '{' || c == '[':
-			depth++
-			if depth > maxDepth {
-				return ErrTooDeep
-			}
-		case c == '}' || c == ']':
-			depth--
-		}
-	}
-	if !json.Valid(data) {
-		return ErrBadJSON
-	}
-	return nil
-}
-
 // Characters counts the UTF-8 code points of text.
 func Characters(text []byte) int {
 	return utf8.RuneCount(text)
--- /dev/null
+++ b/internal/answer/sequencer.go
@@ -0,0 +1,132 @@
+package answer
+
+import (
+	"errors"
+	"slices"
+)
+
+// Verdict is the sequence check's decision on a frame.
+type Verdict int
+
+// Verdicts. All but Accepted mean that the frame must be dropped.
+const (
+	Accepted Verdict = iota
+	// Late is a frame of a former attempt, or one after the terminal frame.
+	Late
+	// Duplicate is a frame that was accepted before.
+	Duplicate
+	// Crossed is a frame of an attempt that never belonged to this answer.
+	Crossed
+	// Gap is a frame after a missing one, or one whose offset does not continue the text.
+	Gap
+)
+
+// Drops counts dropped frames by reason.
+type Drops struct {
+	Late, Duplicate, Crossed, Gap uint64
+}
+
+// ErrDelivered means that an answer has begun and must not be generated again.
+var ErrDelivered = errors.New("part of the answer was already delivered")
+
+// Sequencer accepts only the next frame of the current attempt. Sequence
+// numbers start at 0 for each attempt id. It is not safe for concurrent use.
+type Sequencer struct {
+	attempt  string
+	former   []string
+	seq      uint64
+	offset   uint64
+	began    bool
+	complete bool
+	drops    Drops
+}
+
+// NewSequencer returns a sequencer for the first attempt.
+func NewSequencer(attempt string) *Sequencer {
+	return &Sequencer{attempt: attempt}
+}
+
+// Attempt returns the current attempt.
+func (s *Sequencer) Attempt() string {
+	return s.attempt
+}
+
+// Offset returns the characters delivered so far.
+func (s *Sequencer) Offset() uint64 {
+	return s.offset
+}
+
+// Began reports whether a frame was accepted.
+func (s *Sequencer) Began() bool {
+	return s.began
+}
+
+// Complete reports whether the terminal frame was accepted.
+func (s *Sequencer) Complete() bool {
+	return s.complete
+}
+
+// Drops returns the counts of dropped frames.
+func (s *Sequencer) Drops() Drops {
+	return s.drops
+}
+
+// Retry makes another attempt current that generates the answer anew. It fails
+// once a frame was accepted, because two generations must not be spliced.
+func (s *Sequencer) Retry(attempt string) error {
+	if s.began {
+		return ErrDelivered
+	}
+	s.switchTo(attempt)
+	return nil
+}
+
+// Resume makes another attempt id current that continues the same generation
+// at Offset. Frames of the former id are dropped from now on.
+func (s *Sequencer) Resume(attempt string) {
+	s.switchTo(attempt)
+}
+
+func (s *Sequencer) switchTo(attempt string) {
+	s.former = append(s.former, s.attempt)
+	s.attempt = attempt
+	s.seq = 0
+}
+
+// Next judges a frame with the given text length in characters, and moves on
+// when it is accepted.
+func (s *Sequencer) Next(attempt string, seq, offset uint64, characters int, terminal bool) Verdict {
+	v := s.judge(attempt, seq, offset)
+	switch v {
+	case Accepted:
+		s.seq++
+		s.offset += uint64(characters)
+		s.began = true
+		s.complete = terminal
+	case Late:
+		s.drops.Late++
+	case Duplicate:
+		s.drops.Duplicate++
+	case Crossed:
+		s.drops.Crossed++
+	case Gap:
+		s.drops.Gap++
+	}
+	return v
+}
+
+func (s *Sequencer) judge(attempt string, seq, offset uint64) Verdict {
+	switch {
+	case attempt != s.attempt && slices.Contains(s.former, attempt):
+		return Late
+	case attempt != s.attempt:
+		return Crossed
+	case seq < s.seq:
+		return Duplicate
+	case s.complete:
+		return Late
+	case seq > s.seq || offset != s.offset:
+		return Gap
+	}
+	return Accepted
+}
