backend: add the HTTP client of plain services

net/http repeats a request by itself when a reused connection closes without an answer, and takes any request with an Idempotency-Key header for repeatable. A booking could so run twice, so non-repeatable requests get a fresh connection.

--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,278 @@
+// Package backend is the HTTP client of one plain backend server. It never
+// sends a non-repeatable request twice, and its errors tell whether any byte
+// of a request can have left this host.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebellwell/bluebellwell/internal/httpsend"
+)
+
+// Defaults of Options.
+const (
+	defaultDialTimeout = 500 * time.Millisecond
+	defaultTimeout     = 60 * time.Second
+	defaultMaxRequest  = 4 << 20
+	defaultMaxAnswer   = 4 << 20
+	maxHeaderBytes     = 64 << 10
+	idleConnections    = 64
+	// idleTimeout is short, so that the client closes an idle connection before
+	// the server does.
+	idleTimeout = 20 * time.Second
+)
+
+// Sentinels for errors.Is. Every error of Do is an *Error, which matches
+// exactly one of ErrNotSent and ErrMaybeRun.
+var (
+	// ErrNotSent means that no byte of the request was or will be written.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrMaybeRun means that the server may have run the request.
+	ErrMaybeRun = errors.New("request may have run")
+	// ErrTooLarge means that the request or the answer exceeds its limit.
+	ErrTooLarge = errors.New("size limit exceeded")
+	// ErrInvalid means that the request cannot be expressed in HTTP.
+	ErrInvalid = errors.New("request is not valid")
+	// ErrProtocol means that the server gave an answer that cannot be passed on.
+	ErrProtocol = errors.New("server broke the protocol")
+)
+
+// Error is a failed request.
+type Error struct {
+	NotSent bool
+	Err     error
+}
+
+// Error describes the failure and whether the request was sent.
+func (e *Error) Error() string {
+	certainty := ErrMaybeRun
+	if e.NotSent {
+		certainty = ErrNotSent
+	}
+	return fmt.Sprintf("backend server: %v (%v)", e.Err, certainty)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Is matches ErrNotSent or ErrMaybeRun.
+func (e *Error) Is(target error) bool {
+	return target == ErrNotSent && e.NotSent || target == ErrMaybeRun && !e.NotSent
+}
+
+// Options sets up a client. A zero field takes its default.
+type Options struct {
+	// BaseURL is the server's address, such as http://127.0.0.1:8000, without a path.
+	BaseURL     string
+	DialTimeout time.Duration
+	// Timeout bounds a request; the context may be shorter.
+	Timeout time.Duration
+	// MaxRequest and MaxAnswer are body sizes in bytes.
+	MaxRequest int
+	MaxAnswer  int
+}
+
+// Request is one attempt at a request to a plain service.
+type Request struct {
+	Method string
+	// Path is the path with its query, starting with a slash.
+	Path string
+	// Header holds the caller's headers. Hop-by-hop headers and those that the
+	// router sets itself are left out.
+	Header http.Header
+	Body   []byte
+	// Repeatable allows net/http to use an open connection, on which it may
+	// repeat a request that has no body and an idempotent method.
+	Repeatable     bool
+	AttemptID      string
+	IdempotencyKey string
+	// Fencing is the intent offset of a non-repeatable request; 0 means none.
+	Fencing uint64
+}
+
+// Answer is the server's answer, of any status.
+type Answer struct {
+	Status int
+	// Header has no hop-by-hop headers.
+	Header http.Header
+	Body   []byte
+}
+
+// Client calls one server. It is safe for concurrent use.
+type Client struct {
+	opts  Options
+	kept  *http.Transport
+	fresh *http.Transport
+}
+
+// New returns a client. It opens no connection.
+func New(o Options) *Client {
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
+	}
+	if o.MaxRequest <= 0 {
+		o.MaxRequest = defaultMaxRequest
+	}
+	if o.MaxAnswer <= 0 {
+		o.MaxAnswer = defaultMaxAnswer
+	}
+	t := httpsend.Options{
+		DialTimeout:    o.DialTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		IdlePerHost:    idleConnections,
+		IdleTimeout:    idleTimeout,
+	}
+	c := &Client{opts: o, kept: httpsend.NewTransport(t)}
+	t.Fresh = true
+	c.fresh = httpsend.NewTransport(t)
+	return c
+}
+
+// Close closes idle connections. Requests in progress go on.
+func (c *Client) Close() {
+	c.kept.CloseIdleConnections()
+}
+
+// Do sends a request once and returns the answer. It follows no redirect.
+func (c *Client) Do(ctx context.Context, r Request) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+	defer cancel()
+	req, err := c.build(ctx, r)
+	if err != nil {
+		return nil, &Error{NotSent: true, Err: err}
+	}
+	transport := c.fresh
+	if r.Repeatable {
+		transport = c.kept
+	}
+	resp, x, err := httpsend.Send(transport, req)
+	if err != nil {
+		return nil, &Error{NotSent: x.NotSent, Err: eris.Wrap(err, "round trip")}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a, err := c.read(resp)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	return a, nil
+}
+
+func (c *Client) read(resp *http.Response) (*Answer, error) {
+	if resp.StatusCode < http.StatusOK {
+		return nil, eris.Wrapf(ErrProtocol, "status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.opts.MaxAnswer)+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "read the answer")
+	}
+	if len(body) > c.opts.MaxAnswer {
+		return nil, eris.Wrapf(ErrTooLarge, "answer above %d bytes", c.opts.MaxAnswer)
+	}
+	return &Answer{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
+}
+
+func (c *Client) build(ctx context.Context, r Request) (*http.Request, error) {
+	if len(r.Body) > c.opts.MaxRequest {
+		return nil, eris.Wrapf(ErrTooLarge, "request above %d bytes", c.opts.MaxRequest)
+	}
+	target, err := c.target(r.Path)
+	if err != nil {
+		return nil, err
+	}
+	if r.Method == "" || r.Method == http.MethodConnect {
+		return nil, eris.Wrap(ErrInvalid, "method")
+	}
+	var body io.Reader
+	if len(r.Body) > 0 {
+		body = httpsend.Body(bytes.NewReader(r.Body))
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, target, body)
+	if err != nil {
+		return nil, eris.Wrapf(ErrInvalid, "build: %v", err)
+	}
+	req.ContentLength = int64(len(r.Body))
+	req.Header = c.header(r)
+	return req, nil
+}
+
+// target puts the caller's path behind the server's address, whatever it holds.
+func (c *Client) target(path string) (string, error) {
+	if !strings.HasPrefix(path, "/") {
+		return "", eris.Wrap(ErrInvalid, "path does not start with a slash")
+	}
+	base, err := url.Parse(c.opts.BaseURL)
+	if err != nil {
+		return "", eris.Wrap(ErrInvalid, "base URL")
+	}
+	p, err := url.ParseRequestURI(path)
+	if err != nil {
+		return "", eris.Wrap(ErrInvalid, "path")
+	}
+	u := url.URL{Scheme: base.Scheme, Host: base.Host, Path: p.Path, RawPath: p.RawPath, RawQuery: p.RawQuery}
+	return u.String(), nil
+}
+
+// routerHeaders are set by the router or by net/http and never taken from a caller.
+var routerHeaders = []string{"X-Attempt-Id", "X-Fencing", "Idempotency-Key", "Content-Length", "Expect", "Host"}
+
+func (c *Client) header(r Request) http.Header {
+	h := endToEnd(r.Header)
+	for _, name := range routerHeaders {
+		h.Del(name)
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h.Set("User-Agent", "")
+	}
+	if r.AttemptID != "" {
+		h.Set("X-Attempt-Id", r.AttemptID)
+	}
+	if r.IdempotencyKey != "" {
+		h.Set("Idempotency-Key", r.IdempotencyKey)
+	}
+	if r.Fencing > 0 {
+		h.Set("X-Fencing", strconv.FormatUint(r.Fencing, 10))
+	}
+	return h
+}
+
+// hopByHop are the headers of one connection (RFC 9110, section 7.6.1), with
+// the older ones that are still in use.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd returns a copy without hop-by-hop headers, including those that the
+// Connection header names.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, line := range h.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/httpsend/httpsend_test.go
@@ -0,0 +1,71 @@
+package httpsend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+)
+
+// Guards against a request that is judged as not sent and written later.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	client, server := net.Pipe()
+	c := &conn{Conn: client}
+	if !c.sealUnwritten(0) {
+		t.Fatal("unwritten connection was not sealed")
+	}
+	if _, err := c.Write([]byte("x")); !errors.Is(err, errSealed) {
+		t.Errorf("write on a sealed connection: %v", err)
+	}
+	_ = client.Close()
+	if got, _ := io.ReadAll(server); len(got) != 0 {
+		t.Errorf("the server read %q", got)
+	}
+}
+
+// Guards against a failed write that counts as nothing written.
+func TestFailedWriteCounts(t *testing.T) {
+	client, server := net.Pipe()
+	_ = server.Close()
+	c := &conn{Conn: client}
+	if _, err := c.Write([]byte("x")); err == nil {
+		t.Fatal("write to a closed connection succeeded")
+	}
+	if c.sealUnwritten(0) {
+		t.Error("a connection with a failed write counts as unwritten")
+	}
+}
+
+// twoConns is a transport that writes a request to one connection, takes a
+// second one and fails, as net/http does when it repeats a request.
+type twoConns struct{ first, second *conn }
+
+func (c twoConns) RoundTrip(req *http.Request) (*http.Response, error) {
+	trace := httptrace.ContextClientTrace(req.Context())
+	trace.GotConn(httptrace.GotConnInfo{Conn: c.first})
+	_, _ = c.first.Write([]byte("x"))
+	trace.GotConn(httptrace.GotConnInfo{Conn: c.second})
+	return nil, io.ErrUnexpectedEOF
+}
+
+// Guards against a request that counts as not sent because its last connection
+// was not written, although an earlier one was.
+func TestEarlierConnectionCounts(t *testing.T) {
+	a, far := net.Pipe()
+	_ = far.Close()
+	b, _ := net.Pipe()
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://127.0.0.1/", Body(strings.NewReader("x")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if req.GetBody != nil {
+		t.Error("net/http can rewind the body")
+	}
+	if _, x, err := Send(twoConns{&conn{Conn: a}, &conn{Conn: b}}, req); err == nil || x.NotSent {
+		t.Errorf("not sent: %v, %v", x.NotSent, err)
+	}
+}
