Fold the config stream and decide whether a router is current

State is a pure fold: the verdict of a record depends on the prefix of the stream alone. A repeated id never has an effect, because a late copy of a record could otherwise be accepted after its first copy was rejected, or bring back an object that was deleted since. Checkpoints hold all that later verdicts depend on, remembered ids included. A checkpoint with objects of a later schema is refused, since a program that cannot read them would drop settings.

--- /dev/null
+++ b/internal/fleetconfig/checkpoint.go
@@ -0,0 +1,155 @@
+package fleetconfig
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+const (
+	checkpointFormat = 1
+	// maxStateBytes limits an unpacked checkpoint.
+	maxStateBytes = 64 << 20
+)
+
+// checkpointPrefix starts every checkpoint. No valid record starts with it.
+var checkpointPrefix = []byte(`{"checkpoint":`)
+
+// ErrCheckpoint means that a checkpoint is damaged or comes from a program with
+// a later format or schema version.
+var ErrCheckpoint = errors.New("checkpoint is not usable")
+
+type checkpointEnvelope struct {
+	Checkpoint checkpoint `json:"checkpoint"`
+}
+
+type checkpoint struct {
+	Format int `json:"format"`
+	// AsOf is the next offset of the state.
+	AsOf uint64 `json:"as_of"`
+	// MaxSchema is the highest schema version accepted into the state. A program
+	// that cannot read it would drop settings that it does not know.
+	MaxSchema int    `json:"max_schema"`
+	Digest    string `json:"digest"`
+	// State is gzipped JSON.
+	State []byte `json:"state"`
+}
+
+// checkpointState holds all that later verdicts depend on, and the history.
+type checkpointState struct {
+	Config  *record.Config `json:"config"`
+	IDs     []Known        `json:"ids"`
+	History []Verdict      `json:"history"`
+}
+
+// IsCheckpoint reports whether data of the stream is a checkpoint, usable or not.
+func IsCheckpoint(data []byte) bool {
+	return bytes.HasPrefix(data, checkpointPrefix)
+}
+
+// Checkpoint encodes the state. Equal states give checkpoints with equal
+// digests.
+func (s *State) Checkpoint() ([]byte, error) {
+	plain, err := json.Marshal(checkpointState{
+		Config: s.Config(),
+		// Empty lists must encode in one way, or equal states would differ.
+		IDs:     append([]Known{}, s.idOrder...),
+		History: append([]Verdict{}, s.history...),
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode the state")
+	}
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	_, writeErr := w.Write(plain)
+	if err := errors.Join(writeErr, w.Close()); err != nil {
+		return nil, eris.Wrap(err, "compress the state")
+	}
+	c := checkpoint{Format: checkpointFormat, AsOf: s.next, MaxSchema: s.maxSchema, State: packed.Bytes()}
+	c.Digest = c.digest(plain)
+	data, err := json.Marshal(checkpointEnvelope{Checkpoint: c})
+	return data, eris.Wrap(err, "encode the checkpoint")
+}
+
+// FromCheckpoint decodes a state. The error wraps ErrCheckpoint.
+func FromCheckpoint(data []byte) (*State, error) {
+	var envelope checkpointEnvelope
+	if !IsCheckpoint(data) || json.Unmarshal(data, &envelope) != nil {
+		return nil, eris.Wrap(ErrCheckpoint, "it is not valid JSON")
+	}
+	c := envelope.Checkpoint
+	if c.Format != checkpointFormat {
+		return nil, eris.Wrapf(ErrCheckpoint, "format %d is not known", c.Format)
+	}
+	if c.MaxSchema > slices.Max(record.ReadableVersions()) {
+		return nil, eris.Wrapf(ErrCheckpoint, "it holds objects of schema version %d", c.MaxSchema)
+	}
+	plain, err := unpack(c.State)
+	if err != nil {
+		return nil, err
+	}
+	if c.Digest != c.digest(plain) {
+		return nil, eris.Wrap(ErrCheckpoint, "the digest does not match")
+	}
+	var decoded checkpointState
+	dec := json.NewDecoder(bytes.NewReader(plain))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&decoded); err != nil {
+		return nil, eris.Wrapf(ErrCheckpoint, "decode the state: %v", err)
+	}
+	if !complete(decoded.Config) {
+		return nil, eris.Wrap(ErrCheckpoint, "the configuration is incomplete")
+	}
+	s := &State{next: c.AsOf, config: decoded.Config, ids: map[string]Known{}, history: decoded.History, maxSchema: c.MaxSchema}
+	for _, k := range decoded.IDs {
+		s.remember(k)
+	}
+	return s, nil
+}
+
+// digest covers the fields that stand outside of the packed state as well.
+func (c checkpoint) digest(plain []byte) string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%d %d %d\n", c.Format, c.AsOf, c.MaxSchema)
+	h.Write(plain)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, eris.Wrapf(ErrCheckpoint, "unpack the state: %v", err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, maxStateBytes+1))
+	if err != nil {
+		return nil, eris.Wrapf(ErrCheckpoint, "unpack the state: %v", err)
+	}
+	if len(plain) > maxStateBytes {
+		return nil, eris.Wrapf(ErrCheckpoint, "the state is larger than %d bytes", maxStateBytes)
+	}
+	return plain, nil
+}
+
+// complete guards later code against nil maps and objects.
+func complete(c *record.Config) bool {
+	return c != nil && allSet(c.Pools) && allSet(c.Workspaces) && allSet(c.Routes)
+}
+
+func allSet[T any](objects map[string]*T) bool {
+	for _, o := range objects {
+		if o == nil {
+			return false
+		}
+	}
+	return objects != nil
+}
--- /dev/null
+++ b/internal/fleetconfig/readiness.go
@@ -0,0 +1,118 @@
+package fleetconfig
+
+import "time"
+
+const (
+	// LogHeardLimit is the longest time since the log's head was heard for which
+	// a router counts as hearing the log.
+	LogHeardLimit = 2 * time.Second
+	// PeerAnswerLimit is the longest time for which the answer of a peer counts.
+	PeerAnswerLimit = 2 * time.Second
+)
+
+// LogStatus is what a router knows about the stream itself.
+type LogStatus struct {
+	// HasState is false until a state came from the log or from a peer.
+	HasState bool
+	// Unreadable is true while the fold stands at a record of an unknown schema.
+	Unreadable bool
+	// HeardAt is a time at which Head was the log's head, as a lower bound. It is
+	// zero if the log was never heard.
+	HeardAt time.Time
+	Head    uint64
+	// Applied is the next offset of the state in force.
+	Applied uint64
+	// SelfListed tells whether the VM list holds this router.
+	SelfListed bool
+}
+
+// PeerStatus is the last answer of another router that the VM list holds.
+type PeerStatus struct {
+	VM string
+	// AnsweredAt is the time at which the question was sent.
+	AnsweredAt time.Time
+	HasState   bool
+	// Applied is the next offset of the peer's state in force.
+	Applied uint64
+	// Heard is false if the peer has never heard the log. LogAge is the time
+	// since it heard it, as of the answer, and Head is the head that it heard.
+	Heard  bool
+	LogAge time.Duration
+	Head   uint64
+}
+
+// Reason tells why a router is current or not. The values are for reports.
+type Reason string
+
+// Reasons.
+const (
+	ReasonLogHeard     Reason = "log_heard"
+	ReasonPeerHeard    Reason = "peer_heard_log"
+	ReasonLogDown      Reason = "log_down_for_majority"
+	ReasonNoState      Reason = "no_state"
+	ReasonUnreadable   Reason = "unreadable_record"
+	ReasonBehindLog    Reason = "behind_log"
+	ReasonBehindPeer   Reason = "behind_peer"
+	ReasonTooFewAnswer Reason = "too_few_routers_answer"
+)
+
+// Current decides whether a router may take new requests. listed is the number
+// of routers in the VM list, this one included; peers holds other listed
+// routers only.
+//
+// A router that does not hear the log is current in two cases. Either a peer
+// hears the log and this router has applied all below the peer's head, or more
+// than half of the listed routers (this one included) answer and none of them
+// hears the log. In both cases it must have applied what every answering peer
+// has applied. Routers without a state know nothing about accepted records and
+// do not count as answering.
+func Current(now time.Time, self LogStatus, peers []PeerStatus, listed int) (bool, Reason) {
+	if !self.HasState {
+		return false, ReasonNoState
+	}
+	if self.Unreadable {
+		return false, ReasonUnreadable
+	}
+	if heard(now, self.HeardAt) {
+		if self.Applied < self.Head {
+			return false, ReasonBehindLog
+		}
+		return true, ReasonLogHeard
+	}
+	return currentByPeers(now, self, peers, listed)
+}
+
+func currentByPeers(now time.Time, self LogStatus, peers []PeerStatus, listed int) (bool, Reason) {
+	answering := 0
+	if self.SelfListed {
+		answering++
+	}
+	peerHeard := false
+	for _, p := range peers {
+		if !p.HasState || now.Sub(p.AnsweredAt) > PeerAnswerLimit {
+			continue
+		}
+		answering++
+		if p.Applied > self.Applied {
+			return false, ReasonBehindPeer
+		}
+		if !p.Heard || !heard(now, p.AnsweredAt.Add(-p.LogAge)) {
+			continue
+		}
+		peerHeard = true
+		if p.Head > self.Applied {
+			return false, ReasonBehindPeer
+		}
+	}
+	if peerHeard {
+		return true, ReasonPeerHeard
+	}
+	if 2*answering > listed {
+		return true, ReasonLogDown
+	}
+	return false, ReasonTooFewAnswer
+}
+
+func heard(now, at time.Time) bool {
+	return !at.IsZero() && now.Sub(at) <= LogHeardLimit
+}
--- /dev/null
+++ b/internal/fleetconfig/state.go
@@ -0,0 +1,285 @@
+// Package fleetconfig turns the config stream of the log into the configuration
+// in force, decides whether a router is current, and publishes records.
+package fleetconfig
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"strings"
+
+	"github.com/bluebellwell/bluebellwell/internal/findings"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+// StreamName is the stream that holds records and checkpoints.
+const StreamName = "config"
+
+const (
+	// idWindow is the number of offsets for which a record id is remembered. It
+	// is about five days of the target rate, longer than an append can be
+	// delayed.
+	idWindow = 20_000
+	// historyLimit is the number of records kept for reports.
+	historyLimit = 100
+	// historyFindings and historyTextBytes limit what the history keeps of a
+	// rejected record, whose findings may quote up to 1 MiB of it.
+	historyFindings  = 20
+	historyTextBytes = 300
+	// contentDigestBytes is the part of a record's SHA-256 that tells a repeated
+	// record from another one with the same id.
+	contentDigestBytes = 16
+)
+
+// Outcome is the effect of one record of the stream.
+type Outcome string
+
+// Outcomes. Only OutcomeAccepted changes the configuration.
+const (
+	OutcomeAccepted Outcome = "accepted"
+	// OutcomeRejected: the record is invalid or conflicts with an earlier one.
+	OutcomeRejected Outcome = "rejected"
+	// OutcomeUnreadable: the schema version is not known here. The fold stays at
+	// this offset.
+	OutcomeUnreadable Outcome = "unreadable"
+	// OutcomeDuplicate: the same record was judged at an earlier offset.
+	OutcomeDuplicate  Outcome = "duplicate"
+	OutcomeCheckpoint Outcome = "checkpoint"
+	// OutcomeOld: the offset is below the state's next offset; nothing changed.
+	OutcomeOld Outcome = "old"
+	// OutcomeGap: the offset is above the state's next offset; nothing changed.
+	OutcomeGap Outcome = "gap"
+)
+
+// Verdict is the result of applying one record.
+type Verdict struct {
+	Offset  uint64  `json:"offset"`
+	Outcome Outcome `json:"outcome"`
+	// ID, Author and SchemaVersion are set as far as they could be read.
+	ID            string             `json:"id,omitempty"`
+	Author        string             `json:"author,omitempty"`
+	SchemaVersion int                `json:"schema_version,omitempty"`
+	Findings      []findings.Finding `json:"findings,omitempty"`
+}
+
+// Known is what the state remembers about a record id.
+type Known struct {
+	ID     string `json:"id"`
+	Offset uint64 `json:"offset"`
+	// Accepted tells an accepted record from a rejected one.
+	Accepted bool `json:"accepted"`
+	// Content is a digest of the record's bytes.
+	Content string `json:"content"`
+}
+
+// State is the fold of the config stream up to an offset. Two states that
+// applied the same prefix are equal. State is not safe for concurrent use.
+type State struct {
+	next       uint64
+	config     *record.Config
+	published  *record.Config
+	ids        map[string]Known
+	idOrder    []Known
+	history    []Verdict
+	maxSchema  int
+	unreadable *Verdict
+}
+
+// NewState returns the state before the first record of the stream.
+func NewState() *State {
+	return &State{config: record.NewConfig(), ids: map[string]Known{}}
+}
+
+// Next returns the offset of the next record to apply.
+func (s *State) Next() uint64 {
+	return s.next
+}
+
+// Config returns the configuration in force. It does not change later.
+func (s *State) Config() *record.Config {
+	if s.published == nil {
+		s.published = s.config.Clone()
+	}
+	return s.published
+}
+
+// Unreadable returns the verdict of the record at which the fold has stopped.
+func (s *State) Unreadable() (Verdict, bool) {
+	if s.unreadable == nil {
+		return Verdict{}, false
+	}
+	return *s.unreadable, true
+}
+
+// Lookup returns what is known about a record id.
+func (s *State) Lookup(id string) (Known, bool) {
+	k, ok := s.ids[id]
+	return k, ok
+}
+
+// History returns the verdicts of the last records, oldest first, without
+// checkpoints.
+func (s *State) History() []Verdict {
+	return append([]Verdict(nil), s.history...)
+}
+
+// Apply folds the record at offset into the state.
+func (s *State) Apply(offset uint64, data []byte) Verdict {
+	if offset < s.next {
+		return Verdict{Offset: offset, Outcome: OutcomeOld}
+	}
+	if offset > s.next {
+		return Verdict{Offset: offset, Outcome: OutcomeGap}
+	}
+	v := s.judge(offset, data)
+	if v.Outcome == OutcomeUnreadable {
+		s.unreadable = &v
+		return v
+	}
+	s.next = offset + 1
+	s.forgetIDs()
+	if v.Outcome != OutcomeCheckpoint {
+		s.addHistory(v)
+	}
+	return v
+}
+
+func (s *State) judge(offset uint64, data []byte) Verdict {
+	v := Verdict{Offset: offset}
+	if IsCheckpoint(data) {
+		v.Outcome = OutcomeCheckpoint
+		return v
+	}
+	rec, err := record.Parse(StreamName, data)
+	if err != nil {
+		v.SchemaVersion, _ = record.SchemaVersion(data)
+		v.Findings = findingsOf(err)
+		v.Outcome = OutcomeRejected
+		if record.IsUnreadable(err) {
+			v.Outcome = OutcomeUnreadable
+		}
+		return v
+	}
+	v.ID, v.Author, v.SchemaVersion = rec.ID, rec.Author, rec.SchemaVersion
+	content := ContentDigest(data)
+	if known, ok := s.ids[rec.ID]; ok {
+		return repeated(v, known, content)
+	}
+	list := findings.NewList(StreamName)
+	s.applyChanges(rec, list)
+	v.Outcome, v.Findings = OutcomeAccepted, list.Items()
+	if !list.Empty() {
+		v.Outcome = OutcomeRejected
+	}
+	s.remember(Known{ID: rec.ID, Offset: offset, Accepted: list.Empty(), Content: content})
+	return v
+}
+
+// repeated judges a record whose id is known. It never has an effect: a copy
+// that arrives late must not be accepted after its first copy was rejected.
+func repeated(v Verdict, known Known, content string) Verdict {
+	if known.Content == content {
+		v.Outcome = OutcomeDuplicate
+		return v
+	}
+	list := findings.NewList(StreamName)
+	list.Add("$.id", findings.CodeConflict, "id %s belongs to another record at offset %d", v.ID, known.Offset)
+	v.Outcome, v.Findings = OutcomeRejected, list.Items()
+	return v
+}
+
+// applyChanges puts all changes in force, or none and adds findings.
+func (s *State) applyChanges(rec *record.Record, list *findings.List) {
+	paths := map[string]string{}
+	references := false
+	for i, c := range rec.Changes {
+		path := fmt.Sprintf("$.changes[%d]", i)
+		paths[string(c.Kind)+"/"+c.Name] = path
+		references = references || c.Kind != record.KindWorkspace
+		version, _ := s.config.Get(c.Kind, c.Name)
+		if c.Replaces != version {
+			list.Add(path+".replaces", findings.CodeConflict, "%s %s was put in force by record %q, not by %q", c.Kind, c.Name, version, c.Replaces)
+		}
+	}
+	if !list.Empty() {
+		return
+	}
+	if references && !s.checkReferences(rec, list, paths) {
+		return
+	}
+	for _, c := range rec.Changes {
+		s.config.Apply(c)
+	}
+	s.published = nil
+	s.maxSchema = max(s.maxSchema, rec.SchemaVersion)
+}
+
+func (s *State) checkReferences(rec *record.Record, list *findings.List, paths map[string]string) bool {
+	candidate := &record.Config{
+		Pools:      maps.Clone(s.config.Pools),
+		Workspaces: map[string]*record.Workspace{},
+		Routes:     maps.Clone(s.config.Routes),
+	}
+	for _, c := range rec.Changes {
+		candidate.Apply(c)
+	}
+	record.CheckReferences(candidate, list, func(kind record.Kind, name string) string {
+		if path, ok := paths[string(kind)+"/"+name]; ok {
+			return path
+		}
+		return "$.changes"
+	})
+	return list.Empty()
+}
+
+func (s *State) remember(k Known) {
+	s.ids[k.ID] = k
+	s.idOrder = append(s.idOrder, k)
+}
+
+// forgetIDs drops the ids that have left the window. The window counts offsets
+// and not time, so that every router forgets at the same record.
+func (s *State) forgetIDs() {
+	n := 0
+	for n < len(s.idOrder) && s.idOrder[n].Offset+idWindow < s.next {
+		delete(s.ids, s.idOrder[n].ID)
+		n++
+	}
+	s.idOrder = s.idOrder[n:]
+}
+
+func (s *State) addHistory(v Verdict) {
+	short := make([]findings.Finding, 0, min(len(v.Findings), historyFindings))
+	for _, f := range v.Findings[:cap(short)] {
+		f.Path, f.Message = shorten(f.Path), shorten(f.Message)
+		short = append(short, f)
+	}
+	v.Findings = short
+	s.history = append(s.history, v)
+	if len(s.history) > historyLimit {
+		s.history = append([]Verdict(nil), s.history[len(s.history)-historyLimit:]...)
+	}
+}
+
+// shorten cuts at a character, because the text must survive JSON unchanged.
+func shorten(text string) string {
+	if len(text) <= historyTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:historyTextBytes], "")
+}
+
+// ContentDigest identifies the bytes of a record.
+func ContentDigest(data []byte) string {
+	sum := sha256.Sum256(bytes.TrimSpace(data))
+	return hex.EncodeToString(sum[:contentDigestBytes])
+}
+
+func findingsOf(err error) []findings.Finding {
+	if e, ok := err.(*findings.Error); ok {
+		return e.Findings
+	}
+	return []findings.Finding{{File: StreamName, Path: "$", Code: findings.CodeInvalid, Message: err.Error()}}
+}
