Follow the config stream and write checkpoints

Reader starts from the log's floor: it takes the first checkpoint from which all later records are still kept, and has no state without one. An answer that arrives after a pause counts from the time the read was sent plus its wait, since a paused process would otherwise take an old head for a fresh one. A reader at an unreadable record only asks for the head, so that it stays within the control budget. A router whose state came from a peer reads the earlier records once, because it would otherwise not know that a checkpoint is due.

--- /dev/null
+++ b/internal/fleetconfig/reader.go
@@ -0,0 +1,337 @@
+package fleetconfig
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/logstream"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+const (
+	// DefaultPollWait is the wait of a read at the head. It is below
+	// LogHeardLimit, so that an idle router keeps hearing the log.
+	DefaultPollWait = 1500 * time.Millisecond
+	// retryInterval is the pause after a failed step.
+	retryInterval = 500 * time.Millisecond
+	pageRecords   = 500
+)
+
+var (
+	// ErrUnreadable means that the fold stands at a record with a schema version
+	// that this program cannot read.
+	ErrUnreadable = errors.New("configuration record has an unreadable schema version")
+	// ErrLogWentBack means that the log's head is below the state in force.
+	ErrLogWentBack = errors.New("log head is below the configuration in force")
+)
+
+// ReaderOptions set up a Reader.
+type ReaderOptions struct {
+	Log   logstream.Log
+	Clock clockwork.Clock
+	// Events may be nil.
+	Events *event.Logger
+	// PollWait is the wait of a read at the head; zero reads without waiting.
+	PollWait time.Duration
+	// Retention is the retention time of the log. Zero turns off the writing of
+	// checkpoints.
+	Retention time.Duration
+	// Rank is the position of this router among the writers of checkpoints. A
+	// higher rank waits longer, so that one router writes. Nil means 0.
+	Rank func() int
+}
+
+// Snapshot is the state of a reader at one moment. It is immutable.
+type Snapshot struct {
+	Config *record.Config
+	// Log holds all but SelfListed.
+	Log LogStatus
+	// Unreadable is the verdict at which the fold has stopped, or nil.
+	Unreadable *Verdict
+}
+
+// Reader follows the config stream. Step and Run must be called by one
+// goroutine; the other methods are safe for concurrent use.
+type Reader struct {
+	log      logstream.Log
+	clock    clockwork.Clock
+	events   *event.Logger
+	pollWait time.Duration
+	writer   checkpointWriter
+
+	mu    sync.Mutex
+	state *State
+	// scan is the position of the search for a checkpoint, if scanning.
+	scan     uint64
+	scanning bool
+	// behind is true if the last page may not have reached the head.
+	behind  bool
+	heardAt time.Time
+	head    uint64
+}
+
+// NewReader returns a reader without a state.
+func NewReader(o ReaderOptions) *Reader {
+	r := &Reader{
+		log:      o.Log,
+		clock:    o.Clock,
+		events:   o.Events,
+		pollWait: o.PollWait,
+		writer:   checkpointWriter{retention: o.Retention, rank: o.Rank},
+		behind:   true,
+	}
+	if r.events == nil {
+		r.events = event.Nop()
+	}
+	return r
+}
+
+// Run steps until the tomb is dying. Failed steps are repeated after a pause.
+func (r *Reader) Run(t *tomb.Tomb) error {
+	ctx := t.Context(context.Background())
+	for t.Alive() {
+		err := r.Step(ctx)
+		if err == nil && r.pollWait > 0 {
+			continue
+		}
+		select {
+		case <-t.Dying():
+		case <-r.clock.After(retryInterval):
+		}
+	}
+	return nil
+}
+
+// Step reads one page and applies it, and writes a checkpoint when one is due.
+// With PollWait set, a step at the head lasts up to PollWait. The error wraps
+// one of the errors of logstream, ErrUnreadable or ErrLogWentBack; the caller
+// pauses before the next step.
+func (r *Reader) Step(ctx context.Context) error {
+	offset, wait := r.plan()
+	sent := r.clock.Now()
+	page, err := r.log.Read(ctx, StreamName, offset, pageRecords, wait)
+	if errors.Is(err, logstream.ErrBelowFloor) {
+		r.startScan(page)
+		return nil
+	}
+	if err != nil {
+		r.events.Emit(event.ConfigReadFailed, "error", err.Error())
+		return eris.Wrap(err, "read the config stream")
+	}
+	if len(page.Records) == 0 {
+		// An empty answer was given after the whole wait. A paused process may
+		// handle it much later, so its arrival is no proof of the time.
+		sent = earlier(sent.Add(wait), r.clock.Now())
+	}
+	if err := r.absorb(page, offset, sent); err != nil {
+		return err
+	}
+	if err := r.audit(ctx); err != nil {
+		return err
+	}
+	return r.writeCheckpoint(ctx)
+}
+
+// plan chooses the next read.
+func (r *Reader) plan() (offset uint64, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != nil {
+		offset = r.state.Next()
+		if _, stopped := r.state.Unreadable(); stopped {
+			// Reading the records that cannot be applied again and again would
+			// exceed the control budget; the head is enough.
+			offset = max(offset, r.head)
+		}
+	}
+	if r.scanning {
+		offset = r.scan
+	}
+	if r.behind {
+		return offset, 0
+	}
+	return offset, r.pollWait
+}
+
+func (r *Reader) startScan(page logstream.Page) {
+	r.events.Emit(event.ConfigBelowFloor, "floor", page.Floor, "head", page.Head)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.scanning = true
+	r.scan = page.Floor
+	r.behind = true
+}
+
+func (r *Reader) absorb(page logstream.Page, offset uint64, heardAt time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if page.Head < offset {
+		r.events.Emit(event.ConfigLogWentBack, "head", page.Head, "next", offset)
+		return eris.Wrapf(ErrLogWentBack, "head %d, next %d", page.Head, offset)
+	}
+	r.head = max(r.head, page.Head)
+	r.heardAt = heardAt
+	r.behind = len(page.Records) > 0
+	if r.scanning {
+		r.scanPage(page)
+		return nil
+	}
+	if r.state == nil && offset == 0 {
+		r.state = NewState()
+	}
+	return r.follow(page)
+}
+
+// scanPage looks for a checkpoint from which all later records are still kept.
+func (r *Reader) scanPage(page logstream.Page) {
+	for _, rec := range page.Records {
+		r.scan = rec.Offset + 1
+		if !IsCheckpoint(rec.Data) {
+			continue
+		}
+		state := r.decode(rec)
+		if state == nil || state.Next() < page.Floor {
+			continue
+		}
+		if r.state != nil && state.Next() <= r.state.Next() {
+			continue
+		}
+		r.install(state)
+		r.writer.reset()
+		return
+	}
+}
+
+// decode returns the state of a checkpoint in the stream, or nil. A checkpoint
+// cannot cover records that were appended after it.
+func (r *Reader) decode(rec logstream.Record) *State {
+	state, err := FromCheckpoint(rec.Data)
+	if err == nil && state.Next() > rec.Offset {
+		err = eris.Wrap(ErrCheckpoint, "it covers records that come after it")
+	}
+	if err != nil {
+		r.events.Emit(event.ConfigCheckpointBad, "offset", rec.Offset, "error", err.Error())
+		return nil
+	}
+	return state
+}
+
+func (r *Reader) install(state *State) {
+	r.state = state
+	r.scanning = false
+	r.behind = true
+	r.events.Emit(event.ConfigStateLoaded, "next", state.Next())
+}
+
+// follow applies the records of a page. Records that an offered checkpoint has
+// covered in the meantime are old.
+func (r *Reader) follow(page logstream.Page) error {
+	if v, stopped := r.state.Unreadable(); stopped {
+		return eris.Wrapf(ErrUnreadable, "offset %d, schema version %d", v.Offset, v.SchemaVersion)
+	}
+	for _, rec := range page.Records {
+		v := r.state.Apply(rec.Offset, rec.Data)
+		r.report(v)
+		switch v.Outcome {
+		case OutcomeUnreadable:
+			return eris.Wrapf(ErrUnreadable, "offset %d, schema version %d", v.Offset, v.SchemaVersion)
+		case OutcomeOld, OutcomeGap:
+			continue
+		}
+		r.track(rec)
+	}
+	return nil
+}
+
+func (r *Reader) report(v Verdict) {
+	switch v.Outcome {
+	case OutcomeAccepted:
+		r.events.Emit(event.ConfigAccepted, "offset", v.Offset, "id", v.ID)
+	case OutcomeRejected:
+		r.events.Emit(event.ConfigRejected, "offset", v.Offset, "id", v.ID, "findings", len(v.Findings))
+	case OutcomeDuplicate:
+		r.events.Emit(event.ConfigDuplicate, "offset", v.Offset, "id", v.ID)
+	case OutcomeUnreadable:
+		r.events.Emit(event.ConfigUnreadable, "offset", v.Offset, "schema_version", v.SchemaVersion)
+	}
+}
+
+// OfferCheckpoint takes the state of an in-service peer if it is ahead of this
+// router's own, and reports whether it did. The error wraps ErrCheckpoint.
+func (r *Reader) OfferCheckpoint(data []byte) (bool, error) {
+	state, err := FromCheckpoint(data)
+	if err != nil {
+		return false, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != nil && state.Next() <= r.state.Next() {
+		return false, nil
+	}
+	r.install(state)
+	r.writer.startAudit(state.Next())
+	return true, nil
+}
+
+// Checkpoint encodes the state in force for a peer. ok is false without a state.
+func (r *Reader) Checkpoint() (data []byte, next uint64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == nil {
+		return nil, 0, false
+	}
+	data, err := r.state.Checkpoint()
+	return data, r.state.Next(), err == nil
+}
+
+// Snapshot returns the configuration in force and the log status.
+func (r *Reader) Snapshot() Snapshot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := Snapshot{Log: LogStatus{HeardAt: r.heardAt, Head: r.head}}
+	if r.state == nil {
+		return s
+	}
+	s.Config = r.state.Config()
+	s.Log.HasState = true
+	s.Log.Applied = r.state.Next()
+	if v, stopped := r.state.Unreadable(); stopped {
+		s.Unreadable = &v
+		s.Log.Unreadable = true
+	}
+	return s
+}
+
+// History returns the verdicts of the last records, oldest first.
+func (r *Reader) History() []Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == nil {
+		return nil
+	}
+	return r.state.History()
+}
+
+// Lookup returns what is known about a record id.
+func (r *Reader) Lookup(id string) (Known, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == nil {
+		return Known{}, false
+	}
+	return r.state.Lookup(id)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/fleetconfig/state.go
+++ b/internal/fleetconfig/state.go
@@ -259,7 +259,7 @@
 	v.Findings = short
 	s.history = append(s.history, v)
 	if len(s.history) > historyLimit {
-		s.history = append([]Verdict(nil), s.history[len(s.history)-historyLimit:]...)
+		s.history = s.history[len(s.history)-historyLimit:]
 	}
 }
 
--- a/internal/fleetconfig/state_test.go
+++ b/internal/fleetconfig/state_test.go
@@ -96,6 +96,8 @@
 	// The finding about the field is cut within a character of two bytes.
 	longField := `{"schema_version":1,"x` + strings.Repeat("é", historyTextBytes) + `":1}`
 	empty := NewState()
+	// The list is empty but not nil after the last id has left the window.
+	empty.idOrder = []Known{}
 	if a, b := encode(t, empty), encode(t, roundTrip(t, empty)); string(a) != string(b) {
 		t.Fatal("equal empty states give different checkpoints")
 	}
@@ -104,9 +106,10 @@
 	full.Apply(1, deleteRecord("second", "w", "first"))
 	full.Apply(2, []byte(poolAndRoute))
 	// The id at offset 0 is remembered for the idWindow records after it.
-	for full.Next() < idWindow-1 {
-		full.Apply(full.Next(), []byte(longField))
+	for full.Next() < idWindow-2 {
+		full.Apply(full.Next(), []byte("no JSON"))
 	}
+	full.Apply(full.Next(), []byte(longField))
 	resumed := roundTrip(t, full)
 	for _, want := range []Outcome{OutcomeDuplicate, OutcomeDuplicate, OutcomeAccepted} {
 		data := workspaceRecord("first", "w", "")
