--- a/internal/answer/sequencer.go
+++ b/internal/answer/sequencer.go
@@ -130,3 +130,9 @@
 	}
 	return Accepted
 }
+
+// NewSequencerAt returns a sequencer that expects sequence number seq at a
+// character offset, for a stream that resumes an answer.
+func NewSequencerAt(attempt string, seq, offset uint64) *Sequencer {
+	return &Sequencer{attempt: attempt, seq: seq, offset: offset}
+}
--- a/internal/poolowner/plain.go
+++ b/internal/poolowner/plain.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"go.opentelemetry.io/otel/trace"
 
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -176,7 +176,7 @@
 	}
 	c := p.backends[s.Addr]
 	if c == nil {
-		c = backend.New(backend.Options{BaseURL: "http://" + s.Addr, Clock: p.deps.Clock})
+		c = backend.New(backend.Options{BaseURL: "http://" + s.Addr})
 		p.backends[s.Addr] = c
 	}
 	return c
