--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,7 +38,11 @@
 // immutable.
 type State struct {
 	Config *record.Config
-	Ready  bool
+	// Ready is what the readiness page tells the balancer.
+	Ready bool
+	// Accepting tells whether new requests are served. A stopping router is not
+	// ready, but accepts requests until the balancer has noticed.
+	Accepting bool
 	// Reason says why the router is not ready.
 	Reason string
 }
@@ -123,7 +127,7 @@
 		defer span.End()
 		req = req.WithContext(ctx)
 		state := a.deps.Fleet.State()
-		if !state.Ready {
+		if !state.Accepting {
 			return a.problem(w, req.Context(), notReady(state.Reason))
 		}
 		select {
--- a/internal/poolowner/plain.go
+++ b/internal/poolowner/plain.go
@@ -96,4 +96,3 @@
 	}
 	e.send(&peerpb.Frame{Terminal: true, Outcome: peerpb.Outcome_OUTCOME_DONE, Status: uint32(a.Status)})
 }
-
--- /dev/null
+++ b/internal/router/callers.go
@@ -0,0 +1,46 @@
+package router
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/bluebellwell/bluebellwell/internal/entry"
+)
+
+// callerCounts counts callers' answers by outcome.
+type callerCounts struct {
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+func (c *callerCounts) add(outcome string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = map[string]int64{}
+	}
+	c.counts[outcome]++
+}
+
+func (c *callerCounts) snapshot() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := make(map[string]int64, len(c.counts))
+	for outcome, n := range c.counts {
+		counts[outcome] = n
+	}
+	return counts
+}
+
+// counted counts requests in progress, so that a stop can wait for them, and
+// answers by outcome.
+func (r *Router) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.active.Add(1)
+		defer r.active.Add(-1)
+		h.ServeHTTP(w, req)
+		if outcome := w.Header().Get(entry.HeaderOutcome); outcome != "" {
+			r.callers.add(outcome)
+		}
+	})
+}
--- /dev/null
+++ b/internal/router/control.go
@@ -0,0 +1,187 @@
+package router
+
+import (
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/entry"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/fleetconfig"
+	"github.com/bluebellwell/bluebellwell/internal/peer"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+	"github.com/bluebellwell/bluebellwell/internal/statechart"
+	"github.com/bluebellwell/bluebellwell/internal/vmlist"
+)
+
+// controlTick is the interval of the control goroutine.
+const controlTick = 100 * time.Millisecond
+
+// message is an input of the control goroutine.
+type message interface {
+	apply(c *control, now time.Time)
+}
+
+type (
+	listFetched       struct{ list *vmlist.List }
+	heartbeatReceived struct {
+		from      peer.Peer
+		heartbeat *peerpb.Heartbeat
+	}
+	voteLostReceived struct {
+		from peer.Peer
+		lost *peerpb.VoteLost
+	}
+	dialFailed     struct{ addr string }
+	serverReported struct {
+		name string
+		ok   bool
+	}
+	peerAnswered  struct{ status fleetconfig.PeerStatus }
+	stopRequested struct{}
+)
+
+// post hands a message to the control goroutine. It waits while the inbox is
+// full, unless the router ends.
+func (r *Router) post(m message) {
+	select {
+	case r.inbox <- m:
+	case <-r.tomb.Dying():
+	}
+}
+
+// control is the state of the control goroutine.
+type control struct {
+	r        *Router
+	life     *statechart.Machine
+	list     *vmlist.List
+	listAt   time.Time
+	answers  map[string]fleetconfig.PeerStatus
+	stopping bool
+	stopAt   time.Time
+}
+
+// control owns the control state.
+func (r *Router) control() error {
+	c := &control{
+		r:       r,
+		life:    statechart.NewMachine(statechart.Router()),
+		answers: map[string]fleetconfig.PeerStatus{},
+	}
+	ticker := r.clock.NewTicker(controlTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.tomb.Dying():
+			return nil
+		case m := <-r.inbox:
+			m.apply(c, r.clock.Now())
+		case <-ticker.Chan():
+			c.tick(r.clock.Now())
+		}
+	}
+}
+
+func (m listFetched) apply(c *control, now time.Time) {
+	c.listAt = now
+	if c.list != nil && m.list.Version <= c.list.Version {
+		return
+	}
+	c.list = m.list
+	c.fire(statechart.RouterVMListReadEvent)
+	c.publish(now)
+}
+
+func (m heartbeatReceived) apply(*control, time.Time) {}
+
+func (m voteLostReceived) apply(*control, time.Time) {}
+
+func (m dialFailed) apply(*control, time.Time) {}
+
+func (m serverReported) apply(*control, time.Time) {}
+
+func (m peerAnswered) apply(c *control, now time.Time) {
+	c.answers[m.status.VM] = m.status
+	c.publish(now)
+}
+
+func (m stopRequested) apply(c *control, now time.Time) {
+	c.stopping = true
+	c.stopAt = now
+	c.fire(statechart.RouterStopEvent)
+	c.publish(now)
+}
+
+func (c *control) tick(now time.Time) {
+	c.publish(now)
+}
+
+// fire moves the router's state chart. The chart names every event that a
+// state ignores, so an error is a fault of the program.
+func (c *control) fire(e statechart.Event) {
+	if _, err := c.life.Fire(e); err != nil {
+		c.r.events.Emit(event.RouterChartError, "error", err.Error())
+	}
+}
+
+// publish computes a new snapshot and the assignments of pools.
+func (c *control) publish(now time.Time) {
+	if c.list == nil {
+		return
+	}
+	snap := c.r.config.Snapshot()
+	reason := c.readiness(now, snap)
+	s := &state{
+		life:       c.life.State(),
+		listed:     c.listedRouters(),
+		selfListed: c.selfListed(),
+	}
+	s.entry = entry.State{Config: snap.Config, Ready: s.life == statechart.RouterReady, Reason: reason}
+	s.entry.Accepting = s.entry.Ready || c.inLameDuck(now)
+	if s.entry.Config == nil {
+		s.entry.Config = record.NewConfig()
+	}
+	c.place(now, s)
+	c.r.current.Store(s)
+}
+
+// readiness fires the events of the readiness rule and returns its reason.
+func (c *control) readiness(now time.Time, snap fleetconfig.Snapshot) string {
+	self := snap.Log
+	self.SelfListed = c.selfListed()
+	var peers []fleetconfig.PeerStatus
+	for _, vm := range c.list.VMs {
+		if a, ok := c.answers[vm.Name]; ok && vm.Role == vmlist.RoleRouter {
+			peers = append(peers, a)
+		}
+	}
+	current, reason := fleetconfig.Current(now, self, peers, c.listedRouters())
+	before := c.life.State()
+	if current {
+		c.fire(statechart.RouterCurrentEvent)
+	} else {
+		c.fire(statechart.RouterNotCurrentEvent)
+	}
+	c.logReadiness(before, reason)
+	return string(reason)
+}
+
+func (c *control) logReadiness(before statechart.State, reason fleetconfig.Reason) {
+	after := c.life.State()
+	if before == after {
+		return
+	}
+	switch after {
+	case statechart.RouterReady:
+		c.r.events.Emit(event.RouterReady, "reason", string(reason))
+	case statechart.RouterNotReady:
+		c.r.events.Emit(event.RouterNotReady, "reason", string(reason))
+	}
+}
+
+// lameDuck is the time in which a stopping router still takes requests, so
+// that the balancer can notice that it is not ready any more.
+const lameDuck = 2 * time.Second
+
+func (c *control) inLameDuck(now time.Time) bool {
+	return c.stopping && now.Sub(c.stopAt) < lameDuck
+}
--- /dev/null
+++ b/internal/router/poll.go
@@ -0,0 +1,121 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/fleetconfig"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+const (
+	// poolTick is the interval at which waits and deadlines of owned pools are
+	// checked.
+	poolTick = 10 * time.Millisecond
+	// askInterval is the time between questions to peers while the log is not
+	// heard; askTimeout bounds one round.
+	askInterval = 500 * time.Millisecond
+	askTimeout  = 400 * time.Millisecond
+	// logQuiet is the log age at which a router begins to ask its peers.
+	logQuiet = fleetconfig.LogHeardLimit - askInterval
+)
+
+// pollVMs reads the VM list at its interval, and at once when a peer has seen
+// a newer version.
+func (r *Router) pollVMs() error {
+	ctx := r.tomb.Context(context.Background())
+	for r.tomb.Alive() {
+		if list, err := r.vms.Fetch(ctx); err == nil {
+			r.post(listFetched{list: list})
+		}
+		select {
+		case <-r.tomb.Dying():
+		case <-r.fetchVMs:
+		case <-r.clock.After(r.settings.Timings.VMListPoll):
+		}
+	}
+	return nil
+}
+
+// tickPools drives the waits and deadlines of the owned pools.
+func (r *Router) tickPools() error {
+	ticker := r.clock.NewTicker(poolTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.tomb.Dying():
+			return nil
+		case now := <-ticker.Chan():
+			r.owner.Tick(now)
+		}
+	}
+}
+
+// askPeers asks other routers for their configuration and log status while
+// this router does not hear the log itself.
+func (r *Router) askPeers() error {
+	ctx := r.tomb.Context(context.Background())
+	for r.tomb.Alive() {
+		snap := r.config.Snapshot()
+		if !snap.Log.HasState || r.clock.Now().Sub(snap.Log.HeardAt) > logQuiet {
+			r.askRound(ctx, snap.Log.Applied)
+		}
+		select {
+		case <-r.tomb.Dying():
+		case <-r.clock.After(askInterval):
+		}
+	}
+	return nil
+}
+
+func (r *Router) askRound(ctx context.Context, known uint64) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, p := range r.state().peers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r.ask(ctx, p, known)
+		}()
+	}
+	wg.Wait()
+}
+
+func (r *Router) ask(ctx context.Context, p dispatch.Target, known uint64) {
+	asked := r.clock.Now()
+	env, err := r.peers.Call(ctx, p.Addr, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigFetch{
+		ConfigFetch: &peerpb.ConfigFetch{KnownOffset: known},
+	}})
+	reply := env.GetConfigReply()
+	if err != nil || reply == nil {
+		return
+	}
+	if len(reply.Checkpoint) > 0 {
+		_, _ = r.config.OfferCheckpoint(reply.Checkpoint)
+	}
+	r.post(peerAnswered{status: fleetconfig.PeerStatus{
+		VM:         p.VM,
+		AnsweredAt: asked,
+		HasState:   reply.InService,
+		Applied:    reply.Offset,
+		Heard:      reply.LogAgeMs != neverHeard,
+		LogAge:     time.Duration(reply.LogAgeMs) * time.Millisecond,
+		Head:       reply.Head,
+	}})
+}
+
+// pollLoads reads the engines' load reports for a baseline policy.
+func (r *Router) pollLoads() error {
+	ctx := r.tomb.Context(context.Background())
+	for r.tomb.Alive() {
+		r.owner.PollLoads(ctx)
+		select {
+		case <-r.tomb.Dying():
+		case <-r.clock.After(r.options.Policy.ReportInterval):
+		}
+	}
+	return nil
+}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -49,7 +49,7 @@
 	}
 	r.serving.Add(1)
 	go func() {
-		defer r.serving.Done()
+		defer r.serving.Add(-1)
 		defer cancel()
 		r.owner.Serve(serveCtx, req, s)
 		close(s.frames)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,16 +6,11 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"crypto/rand"
-
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"gopkg.in/tomb.v2"
@@ -24,12 +19,371 @@
 	"github.com/bluebellwell/bluebellwell/internal/entry"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/fleetconfig"
+	"github.com/bluebellwell/bluebellwell/internal/intent"
 	"github.com/bluebellwell/bluebellwell/internal/logstream"
 	"github.com/bluebellwell/bluebellwell/internal/meter"
 	"github.com/bluebellwell/bluebellwell/internal/peer"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/poolowner"
+	"github.com/bluebellwell/bluebellwell/internal/record"
 	"github.com/bluebellwell/bluebellwell/internal/settings"
 	"github.com/bluebellwell/bluebellwell/internal/telemetry"
 	"github.com/bluebellwell/bluebellwell/internal/vmlist"
 )
+
+const (
+	// inboxSize is the number of messages waiting for the control goroutine.
+	inboxSize = 1024
+	// tokenMaxAge is the age after which a placement token is useless: engines
+	// have evicted the prefix long before.
+	tokenMaxAge = 24 * time.Hour
+	// defaultDeadline applies to callers that send none.
+	defaultDeadline = 10 * time.Minute
+	// shutdownGrace bounds the wait for the HTTP server's last writes.
+	shutdownGrace = 5 * time.Second
+	// drainCheck is the interval at which a stop looks for running requests.
+	drainCheck = 50 * time.Millisecond
+)
+
+// Options are what tests and the bench inject. The zero value is for
+// production.
+type Options struct {
+	Clock clockwork.Clock
+	// Listener replaces listening on the settings' address for callers.
+	Listener net.Listener
+	// Policy replaces the placement policy by a baseline of the bench.
+	Policy *Policy
+	// Retention is the retention time of the log's config stream; 0 turns off
+	// the writing of checkpoints.
+	Retention time.Duration
+}
+
+// Policy makes every router act alone on lagging load reports, as a baseline.
+type Policy struct {
+	NewPicker func() placement.Picker
+	// ReportInterval is the time between two reads of an engine's load.
+	ReportInterval time.Duration
+}
+
+// Router is one daemon.
+type Router struct {
+	settings *settings.Settings
+	options  Options
+	clock    clockwork.Clock
+	events   *event.Logger
+	meter    *meter.Meter
+	bootID   uint64
+	started  time.Time
+
+	tracing  *telemetry.Tracing
+	metrics  *telemetry.Metrics
+	log      logstream.Log
+	config   *fleetconfig.Reader
+	vms      *vmlist.Client
+	peers    *peer.Transport
+	owner    *poolowner.Service
+	dispatch *dispatch.Dispatcher
+	guard    *intent.Guard
+	callers  callerCounts
+
+	listener net.Listener
+	server   *http.Server
+	inbox    chan message
+	fetchVMs chan struct{}
+	current  atomic.Pointer[state]
+	// serving counts relayed requests, active callers' requests in progress.
+	serving atomic.Int64
+	active  atomic.Int64
+	tomb    tomb.Tomb
+}
+
+// New builds a router from checked settings and opens its listeners. Start
+// begins the work.
+func New(s *settings.Settings, events *event.Logger, o Options) (*Router, error) {
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	r := &Router{
+		settings: s,
+		options:  o,
+		clock:    o.Clock,
+		events:   events,
+		meter:    &meter.Meter{},
+		bootID:   newBootID(),
+		inbox:    make(chan message, inboxSize),
+		fetchVMs: make(chan struct{}, 1),
+		listener: o.Listener,
+	}
+	r.started = r.clock.Now()
+	r.current.Store(&state{entry: entry.State{Config: record.NewConfig(), Reason: "starting"}})
+	if err := r.provision(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// provision builds the parts in the order of their dependencies.
+func (r *Router) provision() error {
+	for _, step := range []func() error{
+		r.provisionTelemetry, r.provisionPlatform, r.provisionPeers, r.provisionOwner, r.provisionAPI,
+	} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Router) provisionTelemetry() error {
+	tracing, err := telemetry.NewTracing(context.Background(), telemetry.TracingOptions{
+		VM:           r.settings.VM,
+		DataCentre:   r.settings.DataCentre,
+		Region:       r.settings.Region,
+		OTLPEndpoint: r.settings.Tracing.OTLPEndpoint,
+		SampleRatio:  r.settings.Tracing.SampleRatio,
+	})
+	if err != nil {
+		return eris.Wrap(err, "set up tracing")
+	}
+	r.tracing = tracing
+	r.metrics = telemetry.NewMetrics(map[string]string{"vm": r.settings.VM}, r.settings.Metrics.ReportInterval)
+	return nil
+}
+
+func (r *Router) provisionPlatform() error {
+	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	r.log = logstream.NewClient(r.settings.LogEndpoint, hc, r.meter, meter.LogAppend, meter.LogRead)
+	r.vms = vmlist.NewClient(r.settings.VMListEndpoint, hc, r.meter)
+	r.config = fleetconfig.NewReader(fleetconfig.ReaderOptions{
+		Log:       r.log,
+		Clock:     r.clock,
+		Events:    r.events,
+		PollWait:  r.settings.Timings.ConfigPollWait,
+		Retention: r.options.Retention,
+		Rank:      func() int { return r.state().rank },
+	})
+	r.guard = intent.New(intent.Options{
+		Log:     logstream.NewClient(r.settings.LogEndpoint, hc, r.meter, meter.Intent, meter.Intent),
+		Clock:   r.clock,
+		Events:  r.events,
+		Streams: r.settings.Intents.Streams,
+		Limits:  intent.Limits{Window: r.settings.Intents.KeyWindow},
+		Owns:    func(stream int) bool { return r.state().ownsStream(stream, r.settings.VM) },
+		OwnerOf: func(stream int) (string, bool) { return r.state().streamOwner(stream) },
+		Remote:  r.remoteIntent,
+	})
+	return nil
+}
+
+func (r *Router) provisionPeers() error {
+	transport, err := peer.New(peer.Config{
+		Listen:         r.settings.ListenPeers.String(),
+		Advertise:      advertised(r.settings),
+		Key:            r.settings.FleetKey[:],
+		VM:             r.settings.VM,
+		DataCentre:     r.settings.DataCentre,
+		SchemaVersions: readableVersions(),
+		Meter:          r.meter,
+		Log:            r.events,
+		Clock:          r.clock,
+		OnDialFailure:  func(addr string, _ error) { r.post(dialFailed{addr: addr}) },
+	})
+	if err != nil {
+		return eris.Wrap(err, "start peer transport")
+	}
+	r.peers = transport
+	return nil
+}
+
+// advertised returns the address for peers, or nothing to use that of the
+// listener.
+func advertised(s *settings.Settings) string {
+	if !s.PeerAddress.IsValid() {
+		return ""
+	}
+	return s.PeerAddress.String()
+}
+
+func readableVersions() []uint32 {
+	var versions []uint32
+	for _, v := range record.ReadableVersions() {
+		versions = append(versions, uint32(v))
+	}
+	return versions
+}
+
+func (r *Router) provisionOwner() error {
+	sealer, err := placement.NewSealer(tokenMaxAge, r.settings.FleetKey[:])
+	if err != nil {
+		return eris.Wrap(err, "set up placement tokens")
+	}
+	deps := poolowner.Deps{
+		Clock:  r.clock,
+		Sealer: sealer,
+		Meter:  r.meter,
+		Tracer: r.tracing.Tracer(),
+		Report: func(server string, ok bool) { r.post(serverReported{name: server, ok: ok}) },
+		Rand:   randomFloat,
+	}
+	if r.options.Policy != nil {
+		deps.NewPicker = r.options.Policy.NewPicker
+	}
+	r.owner = poolowner.New(deps)
+	r.dispatch = dispatch.New(dispatch.DefaultConfig(), opener{r}, r.clock)
+	return nil
+}
+
+func (r *Router) provisionAPI() error {
+	api := entry.New(entry.Deps{
+		Fleet:  fleet{r},
+		Runner: r.dispatch,
+		Guard:  r.guard,
+		Key:    r.settings.FleetKey[:],
+		Limits: entry.Limits{
+			MaxBody:         int64(r.settings.Limits.MaxBodyBytes),
+			MaxConcurrent:   r.settings.Limits.MaxCallers,
+			DefaultDeadline: defaultDeadline,
+		},
+		Clock:   r.clock,
+		Tracer:  r.tracing.Tracer(),
+		Status:  http.HandlerFunc(r.serveStatus),
+		Metrics: r.metrics.Handler(),
+	})
+	if r.listener == nil {
+		l, err := net.Listen("tcp", r.settings.ListenCallers.String())
+		if err != nil {
+			_ = r.peers.Close()
+			return eris.Wrap(err, "listen for callers")
+		}
+		r.listener = l
+	}
+	r.server = &http.Server{
+		Handler:           r.counted(api.Handler()),
+		ReadHeaderTimeout: r.settings.Limits.HeaderTime,
+		ReadTimeout:       r.settings.Limits.ReadTime,
+	}
+	return nil
+}
+
+// fleet implements entry.Fleet.
+type fleet struct {
+	r *Router
+}
+
+func (f fleet) State() *entry.State {
+	return &f.r.state().entry
+}
+
+func (r *Router) state() *state {
+	return r.current.Load()
+}
+
+// Addr returns the address that callers use.
+func (r *Router) Addr() string {
+	return r.listener.Addr().String()
+}
+
+// PeerAddr returns the address that other routers use.
+func (r *Router) PeerAddr() string {
+	return r.peers.Addr()
+}
+
+// VM returns the router's name.
+func (r *Router) VM() string {
+	return r.settings.VM
+}
+
+// Start begins to serve. It returns at once; the router becomes ready when its
+// configuration is current.
+func (r *Router) Start() {
+	r.peers.Start(r)
+	r.tomb.Go(r.control)
+	r.tomb.Go(r.pollVMs)
+	r.tomb.Go(r.tickPools)
+	r.tomb.Go(r.askPeers)
+	r.tomb.Go(func() error { return r.config.Run(&r.tomb) })
+	if r.options.Policy != nil {
+		r.tomb.Go(r.pollLoads)
+	}
+	go r.serveCallers()
+	r.events.Emit(event.RouterStarted, "vm", r.settings.VM, "callers", r.Addr(), "peers", r.PeerAddr())
+}
+
+func (r *Router) serveCallers() {
+	var err error
+	if t := r.settings.TLS; t != nil {
+		err = r.server.ServeTLS(r.listener, t.CertificateFile, t.KeyFile)
+	} else {
+		err = r.server.Serve(r.listener)
+	}
+	if err != nil && !eris.Is(err, http.ErrServerClosed) {
+		r.tomb.Kill(eris.Wrap(err, "serve callers"))
+	}
+}
+
+// Stop ends the router gracefully: it takes no new requests, hands its pools
+// over, waits for running requests and then exits. The end of ctx cuts the
+// wait.
+func (r *Router) Stop(ctx context.Context) error {
+	r.events.Emit(event.RouterStopping, "vm", r.settings.VM)
+	r.post(stopRequested{})
+	r.drain(ctx)
+	return r.close()
+}
+
+// drain waits until the balancer has had time to notice the stop and no
+// request is in progress.
+func (r *Router) drain(ctx context.Context) {
+	from := r.clock.Now()
+	for ctx.Err() == nil {
+		if r.clock.Now().Sub(from) > lameDuck && r.active.Load() == 0 && r.serving.Load() == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-r.clock.After(drainCheck):
+		}
+	}
+}
+
+// Kill ends the router at once, as a crash of the process would: running
+// requests are cut.
+func (r *Router) Kill() {
+	_ = r.server.Close()
+	_ = r.close()
+}
+
+func (r *Router) close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	_ = r.server.Shutdown(ctx)
+	r.tomb.Kill(nil)
+	err := r.tomb.Wait()
+	_ = r.guard.Close()
+	_ = r.peers.Close()
+	_ = r.metrics.Close()
+	_ = r.tracing.Shutdown(ctx)
+	r.events.Emit(event.RouterStopped, "vm", r.settings.VM)
+	return err
+}
+
+// Dead is closed when the router has ended by itself or was stopped.
+func (r *Router) Dead() <-chan struct{} {
+	return r.tomb.Dead()
+}
+
+// remoteIntent asks another router that owns an intent stream.
+func (r *Router) remoteIntent(ctx context.Context, addr string, call *peerpb.IntentCall) (*peerpb.IntentReply, error) {
+	reply, err := r.peers.Call(ctx, addr, &peerpb.Envelope{Body: &peerpb.Envelope_IntentCall{IntentCall: call}})
+	if err != nil {
+		if eris.Is(err, peer.ErrNotSent) {
+			return nil, eris.Wrap(intent.ErrNotSent, err.Error())
+		}
+		return nil, err
+	}
+	if reply.GetIntentReply() == nil {
+		return nil, errUnexpectedMessage
+	}
+	return reply.GetIntentReply(), nil
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -59,7 +59,7 @@
 // entry router does not.
 func (r *Router) serveRelay(ctx context.Context, req *peerpb.Relay, s *peer.Stream) {
 	r.serving.Add(1)
-	defer r.serving.Done()
+	defer r.serving.Add(-1)
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go func() {
@@ -72,8 +72,8 @@
 }
 
 func (r *Router) serveIntent(ctx context.Context, call *peerpb.IntentCall, s *peer.Stream) {
-	reply, err := r.guard.Handle(ctx, call)
-	if err != nil {
+	reply := r.guard.Handle(ctx, call)
+	if reply == nil {
 		return
 	}
 	_ = s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_IntentReply{IntentReply: reply}})
--- /dev/null
+++ b/internal/router/state.go
@@ -0,0 +1,41 @@
+package router
+
+import (
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/entry"
+	"github.com/bluebellwell/bluebellwell/internal/statechart"
+	"github.com/bluebellwell/bluebellwell/internal/status"
+)
+
+// state is one snapshot of the control state. It is immutable.
+type state struct {
+	entry entry.State
+	life  statechart.State
+	// owners holds the owner of each pool as this router sees it.
+	owners map[string]dispatch.Target
+	// streams holds the owner of each intent stream.
+	streams []dispatch.Target
+	// rank is this router's position among the writers of checkpoints.
+	rank int
+	// view describes the VM list for operators.
+	view status.VMList
+	// peers are the addresses of the other usable routers.
+	peers []dispatch.Target
+	// listed is the number of routers in the VM list; selfListed tells whether
+	// this one is among them.
+	listed     int
+	selfListed bool
+	// servers are the addresses of engines by name, for load polls of baselines.
+	servers map[string]string
+}
+
+func (s *state) ownsStream(stream int, vm string) bool {
+	return stream < len(s.streams) && s.streams[stream].VM == vm
+}
+
+func (s *state) streamOwner(stream int) (addr string, ok bool) {
+	if stream >= len(s.streams) || s.streams[stream].Addr == "" {
+		return "", false
+	}
+	return s.streams[stream].Addr, true
+}
--- /dev/null
+++ b/internal/router/status.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/bluebellwell/bluebellwell/internal/record"
+	"github.com/bluebellwell/bluebellwell/internal/status"
+)
+
+// Status returns the document that the router shows to operators.
+func (r *Router) Status() status.Router {
+	s := r.state()
+	now := r.clock.Now()
+	doc := status.Router{
+		VM:            r.settings.VM,
+		DataCentre:    r.settings.DataCentre,
+		Region:        r.settings.Region,
+		Life:          string(s.life),
+		Ready:         s.entry.Ready,
+		Reason:        s.entry.Reason,
+		BootID:        strconv.FormatUint(r.bootID, 16),
+		Started:       r.started,
+		Config:        r.configStatus(),
+		VMList:        s.view,
+		Owners:        map[string]string{},
+		Pools:         r.owner.Stats(),
+		Callers:       r.callers.snapshot(),
+		Relayed:       r.dispatch.InFlight().Count(),
+		Running:       r.owner.Running(),
+		DroppedFrames: r.dispatch.Dropped(),
+		Control: status.Control{
+			Bytes:      r.meter.Total(),
+			ByCategory: r.meter.Totals(),
+		},
+	}
+	if up := now.Sub(r.started).Seconds(); up > 0 {
+		doc.Control.BytesPerSecond = float64(doc.Control.Bytes) / up
+	}
+	for pool, owner := range s.owners {
+		doc.Owners[pool] = owner.VM
+	}
+	return doc
+}
+
+func (r *Router) configStatus() status.Configuration {
+	snap := r.config.Snapshot()
+	c := status.Configuration{
+		NextOffset:     snap.Log.Applied,
+		Head:           snap.Log.Head,
+		LogAgeMs:       -1,
+		SchemaVersions: record.ReadableVersions(),
+	}
+	if age := logAge(r.clock.Now(), snap.Log.HeardAt); age != neverHeard {
+		c.LogAgeMs = int64(age)
+	}
+	if snap.Unreadable != nil {
+		offset := snap.Unreadable.Offset
+		c.UnreadableOffset = &offset
+	}
+	if snap.Config != nil {
+		c.Pools = len(snap.Config.Pools)
+		c.Workspaces = len(snap.Config.Workspaces)
+		c.Routes = len(snap.Config.Routes)
+	}
+	return c
+}
+
+func (r *Router) statusJSON() []byte {
+	data, err := json.Marshal(r.Status())
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func (r *Router) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(r.statusJSON())
+}
--- /dev/null
+++ b/internal/testbed/path_test.go
@@ -0,0 +1,95 @@
+package testbed
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/entry"
+	"github.com/bluebellwell/bluebellwell/internal/fleetconfig"
+	"github.com/bluebellwell/bluebellwell/internal/standin/enginesim"
+)
+
+// fast makes answers short without changing their order.
+var fast = enginesim.Config{PrefillPerToken: time.Microsecond, PerToken: time.Millisecond}
+
+func startBed(t *testing.T, o Options) (*Bed, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	b, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	records, err := o.Profile.Records()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.Log.Append(ctx, fleetconfig.StreamName, records); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.StartRouters(); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return b, ctx
+}
+
+func addrs(b *Bed) []string {
+	var list []string
+	for _, r := range b.Routers() {
+		list = append(list, r.Addr())
+	}
+	return list
+}
+
+// Guards the whole path: whole answers through any router, cache reuse of a
+// returning chat, and one execution of a booking that the caller sends twice.
+func TestWholePath(t *testing.T) {
+	p := Profiles()["thekkady"]
+	b, ctx := startBed(t, Options{Profile: p, Routers: 3, Engines: 4, Backends: 2, Engine: fast})
+	c := NewCaller()
+	defer c.Close()
+	addr := addrs(b)
+	chat := Chat{Workspace: p.Workspaces[0], ChatID: "chat-1", Model: p.Model, Prompt: "renew shop-1 and tell me more", MaxTokens: 40}
+	first, err := c.Send(ctx, addr[0], chat)
+	if err != nil || !first.Whole {
+		t.Fatalf("first answer: %+v, %v", first, err)
+	}
+	if want := chat.Answer(); first.Text != want {
+		t.Fatalf("got %q, want %q", first.Text, want)
+	}
+	chat.Placement = first.Placement
+	second, err := c.Send(ctx, addr[1], chat)
+	if err != nil || !second.Whole || second.Usage.PromptTokensDetails.CachedTokens == 0 {
+		t.Fatalf("returning chat: %+v, %v", second, err)
+	}
+	rest, err := c.Resume(ctx, addr[2], chat.Workspace, first.RequestID, 10)
+	if err != nil || string([]rune(first.Text)[:10])+rest.Text != first.Text {
+		t.Fatalf("resumed %+v, %v", rest, err)
+	}
+	foreign, err := c.Resume(ctx, addr[2], p.Workspaces[1], first.RequestID, 0)
+	if err != nil || foreign.Status != http.StatusNotFound {
+		t.Fatalf("foreign look-up: %+v, %v", foreign, err)
+	}
+	call := Call{
+		Workspace: p.Workspaces[0], Pool: p.PlainPool, Method: http.MethodPost, Path: p.Booking,
+		Body: `{"domain":"shop-1.example"}`, Key: "renewal-1", Issued: time.Now(),
+	}
+	for i := range 2 {
+		r, err := c.Do(ctx, addr[i], call)
+		if err != nil || r.Outcome != entry.OutcomeDone {
+			t.Fatalf("booking %d: %+v, %v", i, r, err)
+		}
+		if r.Replayed != (i == 1) {
+			t.Fatalf("booking %d: replayed is %v", i, r.Replayed)
+		}
+	}
+	if n := len(b.Calls.ExecutedKey("renewal-1")); n != 1 {
+		t.Fatalf("the booking ran %d times", n)
+	}
+}
