engineclient: bound answers and reuse connections of whole streams

An engine could keep a stream open without end through empty frames or text, because each frame restarts the silence limit. A stream that ended with [DONE] closed its connection when the engine ended the body later, so that the next stream paid for a new one. A request without body could be repeated by net/http. The emulator's 409 for a known attempt id claimed not_run although that attempt may run; it now makes no claim, and its test asks for that.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -29,6 +29,7 @@
 	defaultMaxRequest    = 4 << 20
 	defaultMaxReport     = 1 << 20
 	defaultMaxKV         = 64 << 20
+	defaultMaxAnswer     = 4 << 20
 	maxHeaderBytes       = 64 << 10
 	maxErrorBody         = 64 << 10
 	idleConnections      = 64
@@ -59,6 +60,8 @@
 	MaxRequest int
 	MaxReport  int
 	MaxKV      int
+	// MaxAnswer is the longest answer in characters.
+	MaxAnswer int
 }
 
 func (o Options) withDefaults() Options {
@@ -84,6 +87,7 @@
 		{&o.MaxRequest, defaultMaxRequest},
 		{&o.MaxReport, defaultMaxReport},
 		{&o.MaxKV, defaultMaxKV},
+		{&o.MaxAnswer, defaultMaxAnswer},
 	}
 	for _, s := range sizes {
 		if *s.v <= 0 {
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,6 +18,16 @@
 	"github.com/bluebellwell/bluebellwell/internal/httpsend"
 )
 
+const (
+	// maxEmptyFrames bounds frames without text and repeated frames together;
+	// MaxAnswer does not bound them.
+	maxEmptyFrames = 64 << 10
+	// drainTimeout and maxDrain bound the wait for the end of the body after
+	// [DONE], which lets the connection serve another stream.
+	drainTimeout = 50 * time.Millisecond
+	maxDrain     = 4 << 10
+)
+
 // Request is one attempt at a chat-completions request. Empty fields are not sent.
 type Request struct {
 	AttemptID string
@@ -88,7 +99,10 @@
 	offset   int
 	finished string
 	usage    bool
+	limit    int
 	dropped  int
+	empty    int
+	whole    atomic.Bool
 	bootID   string
 	err      error
 }
@@ -100,6 +114,10 @@
 	if len(r.Body) > c.opts.MaxRequest {
 		return nil, &Error{Op: op, NotRun: true, NotSent: true, Err: ErrTooLarge}
 	}
+	// Without a body net/http could send the request twice.
+	if len(r.Body) == 0 {
+		return nil, &Error{Op: op, NotRun: true, NotSent: true, Err: ErrEmpty}
+	}
 	return c.open(ctx, op, 0, func(ctx context.Context) (*http.Request, error) {
 		req, err := c.newRequest(ctx, http.MethodPost, "/v1/chat/completions", r.Body)
 		if err == nil {
@@ -120,7 +138,7 @@
 
 func (c *Client) open(ctx context.Context, op string, offset int, build func(context.Context) (*http.Request, error)) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &Stream{op: op, ctx: ctx, cancel: cancel, offset: offset, timeout: c.opts.FrameTimeout}
+	s := &Stream{op: op, ctx: ctx, cancel: cancel, offset: offset, timeout: c.opts.FrameTimeout, limit: c.opts.MaxAnswer}
 	req, err := build(ctx)
 	if err != nil {
 		cancel(nil)
@@ -182,6 +200,11 @@
 // Close ends the reading. The engine goes on with the attempt; use Cancel to end it.
 func (s *Stream) Close() {
 	s.timer.Stop()
+	if s.whole.Load() {
+		s.timer.Reset(drainTimeout)
+		_, _ = io.CopyN(io.Discard, s.body, maxDrain)
+		s.timer.Stop()
+	}
 	s.cancel(context.Canceled)
 	if s.body != nil {
 		_ = s.body.Close()
@@ -241,6 +264,9 @@
 	if s.chunk.HasError {
 		return Event{}, false, ErrEngine
 	}
+	if err := s.count(); err != nil {
+		return Event{}, false, err
+	}
 	at, err := s.frameOffset(sse.ID)
 	if err != nil {
 		return Event{}, false, err
@@ -258,6 +284,18 @@
 	return s.take(sse.Data), true, nil
 }
 
+// count bounds the text and the frames without text, so that an engine cannot
+// keep a stream open without end.
+func (s *Stream) count() error {
+	if s.chunk.Characters == 0 {
+		s.empty++
+	}
+	if s.empty+s.dropped > maxEmptyFrames || s.offset+s.chunk.Characters > s.limit {
+		return eris.Wrap(ErrProtocol, "answer exceeds the limit")
+	}
+	return nil
+}
+
 // frameOffset reads the offset that the engine gives as the event's id. An
 // engine that sends no id is trusted to send each frame once.
 func (s *Stream) frameOffset(id []byte) (int, error) {
@@ -304,5 +342,6 @@
 		return Event{}, false, eris.Wrap(ErrProtocol, "[DONE] without a finish reason")
 	}
 	s.err = io.EOF
+	s.whole.Store(true)
 	return Event{Offset: s.offset, Done: true}, true, nil
 }
--- a/internal/standin/enginesim/http.go
+++ b/internal/standin/enginesim/http.go
@@ -140,6 +140,11 @@
 		return
 	}
 	a, status, code := e.accept(l, r.Header, req)
+	if status == http.StatusConflict {
+		// The attempt with this id may be running, so not_run would be untrue.
+		writeError(w, status, code)
+		return
+	}
 	if a == nil {
 		refuse(w, status, code)
 		return
