stand-ins: run nothing between death and restart

A request that the server had read before Die could be accepted into the next life and run while the emulator counted as dead, which would show routers as wrong that are right.

Leaving out the mark at death or its removal at restart made a test fail in each emulator.

--- a/internal/standin/backendsim/backendsim.go
+++ b/internal/standin/backendsim/backendsim.go
@@ -27,7 +27,7 @@
 // Config sets up a server.
 type Config struct {
 	Name string
-	// Delay is the time to execute a request.
+	// Delay is the time from the effect of a request to its answer.
 	Delay time.Duration
 	// CheckFencing refuses a request whose fencing number is below one that was
 	// executed for the same idempotency key.
@@ -64,6 +64,8 @@
 	faults  Faults
 	changed chan struct{}
 	dead    chan struct{}
+	// down is set from death to restart.
+	down bool
 }
 
 // New returns a server that listens on no address yet.
@@ -116,9 +118,10 @@
 }
 
 // Die cuts all connections and refuses new ones until Restart. Requests that
-// did not take effect yet never will.
+// have not started never will.
 func (s *Server) Die() {
 	s.mu.Lock()
+	s.down = true
 	close(s.dead)
 	s.dead = make(chan struct{})
 	s.mu.Unlock()
@@ -127,6 +130,9 @@
 
 // Restart brings a dead server back on its address.
 func (s *Server) Restart() error {
+	s.mu.Lock()
+	s.down = false
+	s.mu.Unlock()
 	return s.server.Reopen()
 }
 
@@ -158,6 +164,13 @@
 	}
 }
 
+// died reports whether the server has died since a request was read.
+func (s *Server) died(dead chan struct{}) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down || s.dead != dead
+}
+
 // pause waits for the execution time. A request that began runs to its end even
 // when the caller goes away.
 func (s *Server) pause(dead chan struct{}, d time.Duration) {
@@ -188,6 +201,9 @@
 		writeJSON(w, http.StatusServiceUnavailable, map[string]any{"error": "refused"})
 		return
 	}
+	if s.died(dead) {
+		panic(http.ErrAbortHandler)
+	}
 	n, ok := s.execute(r, body, dead, f)
 	if !ok {
 		writeJSON(w, http.StatusConflict, map[string]any{"error": "old fencing number"})
@@ -204,7 +220,7 @@
 	writeJSON(w, status, answer)
 }
 
-// execute records the request, spends the delay and returns its number.
+// execute records the request, which is its effect, spends the delay and returns its number.
 func (s *Server) execute(r *http.Request, body []byte, dead chan struct{}, f Faults) (int, bool) {
 	fencing, _ := strconv.ParseUint(r.Header.Get(HeaderFencing), 10, 64)
 	n, ok := s.ledger.begin(Execution{
--- /dev/null
+++ b/internal/standin/backendsim/backendsim_test.go
@@ -0,0 +1,24 @@
+package backendsim
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// Guards against a dead server that still executes a request it had read.
+func TestDeadServerRunsNothing(t *testing.T) {
+	s := New(Config{})
+	book := func() (cut bool) {
+		defer func() { cut = recover() != nil }()
+		s.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/bookings", nil))
+		return false
+	}
+	s.Die()
+	if !book() || len(s.Ledger().Executions()) != 0 {
+		t.Error("the dead server ran a request")
+	}
+	if err := s.Restart(); err != nil || book() || len(s.Ledger().Executions()) != 1 {
+		t.Errorf("the restarted server did not run a request: %v", err)
+	}
+}
--- a/internal/standin/backendsim/ledger.go
+++ b/internal/standin/backendsim/ledger.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Execution is one request that took effect, or is about to after its delay.
+// Execution is one request that took effect, at Started; the delay follows.
 type Execution struct {
 	Server         string
 	AttemptID      string
--- a/internal/standin/enginesim/engine.go
+++ b/internal/standin/enginesim/engine.go
@@ -88,7 +88,10 @@
 	changed  chan struct{}
 	pausedAt time.Time
 	gate     chan struct{}
-	orders   []OrderRecord
+	// down is set from death to restart, so that a request that was already
+	// read does not run in the next life.
+	down   bool
+	orders []OrderRecord
 }
 
 // New returns a running engine that serves no address yet.
@@ -211,6 +214,9 @@
 // address that Start returned.
 func (e *Engine) Restart() error {
 	e.ledger.Join(e.cfg.Name, e.cfg.Weight)
+	e.mu.Lock()
+	e.down = false
+	e.mu.Unlock()
 	return e.server.Reopen()
 }
 
@@ -224,6 +230,7 @@
 			e.ledger.end(a.record, now, a.made, EndLost)
 		}
 	}
+	e.down = true
 	close(old.dead)
 	e.life = e.newLife()
 	if e.gate != nil {
--- a/internal/standin/enginesim/enginesim_test.go
+++ b/internal/standin/enginesim/enginesim_test.go
@@ -197,3 +197,15 @@
 		t.Error("the hanging engine answered")
 	}
 }
+
+// Guards against a dead engine that still runs a request it had read.
+func TestDeadEngineRunsNothing(t *testing.T) {
+	e := newEngine(t, Config{})
+	e.Die()
+	if !abort(e, chatRequest(context.Background())) || len(e.Ledger().Records()) != 0 {
+		t.Error("the dead engine ran a request")
+	}
+	if err := e.Restart(); err != nil || abort(e, chatRequest(context.Background())) {
+		t.Errorf("the restarted engine did not answer: %v", err)
+	}
+}
--- a/internal/standin/enginesim/http.go
+++ b/internal/standin/enginesim/http.go
@@ -49,6 +49,7 @@
 // ServeHTTP serves the engine protocol.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.passGate(r)
+	e.abortIfDown()
 	e.mux.ServeHTTP(w, r)
 }
 
@@ -67,6 +68,14 @@
 	return mux
 }
 
+func (e *Engine) abortIfDown() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // passGate waits while the engine is paused. A caller that goes away meanwhile
 // ends the request.
 func (e *Engine) passGate(r *http.Request) {
@@ -171,7 +180,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
-	case e.life != l:
+	case e.life != l || e.down:
 		panic(http.ErrAbortHandler)
 	case e.faults.RefuseNew:
 		return nil, http.StatusServiceUnavailable, "refused"
