--- a/internal/engineclient/client_test.go
+++ b/internal/engineclient/client_test.go
@@ -400,8 +400,8 @@
 	if _, err := s.Next(); !errors.Is(err, ErrTimeout) {
 		t.Fatalf("silent engine: %v", err)
 	}
-	done := make(chan error, 3)
-	enqueue := func(id, priority string, deadline time.Duration) {
+	enqueue := func(id, priority string, deadline time.Duration) <-chan error {
+		done := make(chan error, 1)
 		before := len(b.engine.Ledger().Records())
 		r := request(id)
 		r.Priority, r.Deadline = priority, deadline
@@ -414,18 +414,20 @@
 			done <- err
 		}()
 		_ = b.engine.Ledger().Await(context.Background(), before+1)
+		return done
 	}
-	enqueue("review", "review", 0)
-	enqueue("expires", "standard", perToken)
-	enqueue("lookup", "lookup", 0)
+	review := enqueue("review", "review", 0)
+	expires := enqueue("expires", "standard", perToken)
+	lookup := enqueue("lookup", "lookup", 0)
 	b.drive()
-	if err := <-done; !errors.Is(err, ErrNotRun) {
+	if err := <-expires; !errors.Is(err, ErrNotRun) {
 		t.Errorf("attempt with a passed deadline: %v", err)
 	}
-	for range 2 {
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
+	if err := <-lookup; err != nil {
+		t.Error(err)
+	}
+	if err := <-review; err != nil {
+		t.Error(err)
 	}
 	records := b.engine.Ledger().Records()
 	if records[2].Executed() || !records[3].Started.Before(records[1].Started) {
