engineclient: test the limits of reports

No test failed when the size limit of reports was left out. Leaving out that limit, the UTF-8 check or the order check of cache events now does.

--- a/internal/engineclient/client_test.go
+++ b/internal/engineclient/client_test.go
@@ -566,3 +566,37 @@
 		t.Errorf("the pause counted as generation time: %v", r.Ended.Sub(r.Started))
 	}
 }
+
+// Guards against reports of an engine that are taken although they break a
+// limit or the protocol.
+func TestBrokenReports(t *testing.T) {
+	ctx := context.Background()
+	load := func(c *Client) error { _, err := c.Load(ctx); return err }
+	events := func(c *Client) error { _, err := c.CacheEvents(ctx, 4, 10); return err }
+	cases := []struct {
+		name, body string
+		call       func(*Client) error
+		ok         bool
+	}{
+		{"at the limit", `{"running":1}` + strings.Repeat(" ", 87), load, true},
+		{"above the limit", `{"running":1}` + strings.Repeat(" ", 88), load, false},
+		{"not JSON", `{`, load, false},
+		{"not UTF-8", "{\"boot_id\":\"\xff\"}", load, false},
+		{"events in order", `{"events":[{"seq":5},{"seq":7}]}`, events, true},
+		{"event repeated", `{"events":[{"seq":5},{"seq":5}]}`, events, false},
+		{"event before the asked one", `{"events":[{"seq":4}]}`, events, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, c.body)
+			}))
+			defer srv.Close()
+			client := New(Options{BaseURL: srv.URL, MaxReport: 100})
+			defer client.Close()
+			if err := c.call(client); errors.Is(err, ErrProtocol) == c.ok || (err == nil) != c.ok {
+				t.Errorf("got %v, want accepted: %v", err, c.ok)
+			}
+		})
+	}
+}
