peer: add the transport between routers

One yamux connection for each pair carries exchanges, streams and one-way messages after a mutual handshake under the fleet key. yamux writes a frame's header and body separately; joining them saves a TCP segment for each message.

Trials that broke the code made the tests fail: either proof check removed, message or frame limit removed, reused frame or its unknown fields not reset, backoff ignored, stream limit ignored, context ignored, second connection kept.

--- /dev/null
+++ b/internal/peer/serve.go
@@ -0,0 +1,144 @@
+package peer
+
+import (
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// acceptPause keeps a failing accept, for example without file descriptors,
+// from spinning.
+const acceptPause = 50 * time.Millisecond
+
+func (t *Transport) acceptLoop() error {
+	for {
+		raw, err := t.listener.Accept()
+		if err == nil {
+			t.admit(raw)
+			continue
+		}
+		if !t.tomb.Alive() || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		t.cfg.Log.Emit(event.PeerAcceptFailed, "error", err)
+		select {
+		case <-t.cfg.Clock.After(acceptPause):
+		case <-t.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// admit starts the handshake, or closes the connection when too many run.
+func (t *Transport) admit(raw net.Conn) {
+	select {
+	case t.handshakes <- struct{}{}:
+	default:
+		_ = raw.Close()
+		return
+	}
+	t.tomb.Go(func() error {
+		defer func() { <-t.handshakes }()
+		if err := t.welcome(raw); err != nil {
+			t.cfg.Log.Emit(event.PeerHelloRejected, "remote", raw.RemoteAddr().String(), "error", err)
+		}
+		return nil
+	})
+}
+
+func (t *Transport) welcome(raw net.Conn) error {
+	mux, err := yamux.Server(&joinedConn{Conn: raw}, muxConfig(t.cfg.Log))
+	if err != nil {
+		_ = raw.Close()
+		return err
+	}
+	peer, err := t.acceptHello(mux)
+	if err != nil {
+		_ = mux.Close()
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.register(&conn{t: t, peer: peer, addr: peer.Addr, mux: mux})
+}
+
+func (t *Transport) acceptHello(mux *yamux.Session) (Peer, error) {
+	timeout := time.AfterFunc(t.cfg.HelloTimeout, func() { _ = mux.Close() })
+	defer timeout.Stop()
+	s, err := mux.AcceptStreamWithContext(t.ctx)
+	if err != nil {
+		return Peer{}, err
+	}
+	defer s.Close()
+	return t.handshaker().accept(s)
+}
+
+// serve accepts the streams of a connection until it ends.
+func (t *Transport) serve(c *conn) {
+	defer t.unregister(c)
+	for {
+		raw, err := c.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		if c.incoming.Add(1) > int64(t.cfg.MaxStreams) {
+			c.incoming.Add(-1)
+			t.cfg.Log.Emit(event.PeerStreamLimit, "vm", c.peer.VM)
+			_ = raw.Close()
+			continue
+		}
+		t.tomb.Go(func() error {
+			t.serveStream(&Stream{c: c, raw: raw, counted: &c.incoming})
+			return nil
+		})
+	}
+}
+
+func (t *Transport) serveStream(s *Stream) {
+	defer s.Close()
+	_ = s.SetDeadline(time.Now().Add(firstMessageTimeout))
+	first, err := s.Recv()
+	if err != nil {
+		t.rejected(s, err)
+		return
+	}
+	_ = s.SetDeadline(time.Time{})
+	switch first.Body.(type) {
+	case *peerpb.Envelope_OneWay:
+		t.serveOneWay(s)
+	case *peerpb.Envelope_Hello:
+		t.rejected(s, ErrHello)
+	default:
+		t.handler.HandleStream(t.ctx, first, s)
+	}
+}
+
+// serveOneWay passes messages on until the peer closes the stream. The stream
+// does not count as in use, so that the connection can become idle.
+func (t *Transport) serveOneWay(s *Stream) {
+	s.counted.Add(-1)
+	defer s.counted.Add(1)
+	for {
+		env, err := s.Recv()
+		if err != nil {
+			t.rejected(s, err)
+			return
+		}
+		t.handler.HandleMessage(s.Peer(), env)
+	}
+}
+
+// rejected logs a message that breaks the protocol; the end of a stream is
+// not worth an event.
+func (t *Transport) rejected(s *Stream, err error) {
+	if errors.Is(err, io.EOF) || errors.Is(err, yamux.ErrConnectionReset) || s.c.mux.IsClosed() {
+		return
+	}
+	t.cfg.Log.Emit(event.PeerMessageRejected, "vm", s.Peer().VM, "error", err)
+}
--- /dev/null
+++ b/internal/peer/stream.go
@@ -0,0 +1,131 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// streamControlBytes is the estimated cost of opening and closing a stream:
+// a window update and a FIN in each direction.
+const streamControlBytes = 4 * (meter.YamuxFrameBytes + meter.TCPFrameBytes)
+
+// Stream carries messages in both directions. One goroutine may send while
+// another receives; Close may be called from any goroutine.
+type Stream struct {
+	c       *conn
+	raw     *yamux.Stream
+	counted *atomic.Int64
+	control atomic.Bool
+	closed  sync.Once
+	send    sync.Mutex
+	// stopAbort detaches the stream from the context of Open.
+	stopAbort func() bool
+}
+
+// Peer returns the router at the other end.
+func (s *Stream) Peer() Peer {
+	return s.c.peer
+}
+
+// Send writes one message; it is on its way when Send returns. It waits while
+// the peer does not read. ErrTooLarge leaves the stream usable.
+func (s *Stream) Send(env *peerpb.Envelope) error {
+	s.send.Lock()
+	defer s.send.Unlock()
+	n, err := writeMessage(s.raw, env)
+	if err != nil {
+		return err
+	}
+	s.count(env, n)
+	return nil
+}
+
+// Recv reads the next message. It returns io.EOF when the peer closed the
+// stream after a whole message and io.ErrUnexpectedEOF within one.
+func (s *Stream) Recv() (*peerpb.Envelope, error) {
+	env := &peerpb.Envelope{}
+	if err := s.RecvInto(env); err != nil {
+		return nil, err
+	}
+	return env, nil
+}
+
+// RecvInto is Recv into env, whose memory is reused when it holds a Frame.
+func (s *Stream) RecvInto(env *peerpb.Envelope) error {
+	n, err := readMessage(s.raw, env, MaxMessageBytes)
+	if err != nil {
+		return err
+	}
+	s.count(env, n)
+	return nil
+}
+
+// SetDeadline ends sends and receives that still wait at t, on the wall clock.
+// The zero time removes the deadline.
+func (s *Stream) SetDeadline(t time.Time) error {
+	return s.raw.SetDeadline(t)
+}
+
+// Close ends the stream in both directions. The peer's receives end with
+// io.EOF; its sends fail after a few seconds at the latest.
+func (s *Stream) Close() error {
+	err := s.raw.Close()
+	s.closed.Do(func() {
+		if s.stopAbort != nil {
+			s.stopAbort()
+		}
+		s.c.touch()
+		if s.counted != nil {
+			s.counted.Add(-1)
+		}
+	})
+	return err
+}
+
+// count adds a control message to the meter; the first one also pays for the
+// stream.
+func (s *Stream) count(env *peerpb.Envelope, n int) {
+	s.c.touch()
+	category, ok := categoryOf(env)
+	if !ok {
+		return
+	}
+	cost := meter.PeerMessageBytes(n)
+	if s.control.CompareAndSwap(false, true) {
+		cost += streamControlBytes
+	}
+	s.c.t.cfg.Meter.Add(category, cost)
+}
+
+// abortOn ends waiting operations of the stream when ctx ends.
+func (s *Stream) abortOn(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		_ = s.raw.SetDeadline(time.Unix(1, 0))
+	})
+}
+
+// categoryOf returns the category of a control message; data messages have
+// none.
+func categoryOf(env *peerpb.Envelope) (meter.Category, bool) {
+	switch env.Body.(type) {
+	case *peerpb.Envelope_Heartbeat, *peerpb.Envelope_Hello, *peerpb.Envelope_OneWay:
+		return meter.Heartbeat, true
+	case *peerpb.Envelope_Claim, *peerpb.Envelope_ClaimReply, *peerpb.Envelope_VoteLost:
+		return meter.Claim, true
+	case *peerpb.Envelope_ConfigFetch, *peerpb.Envelope_ConfigReply:
+		return meter.Config, true
+	case *peerpb.Envelope_IntentCall, *peerpb.Envelope_IntentReply:
+		return meter.Intent, true
+	case *peerpb.Envelope_StatusQuery, *peerpb.Envelope_StatusReply:
+		return meter.Probe, true
+	default:
+		return 0, false
+	}
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,503 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+const (
+	defaultDialTimeout  = 1 * time.Second
+	defaultHelloTimeout = 2 * time.Second
+	defaultIdleTimeout  = 60 * time.Second
+	defaultMaxStreams   = 8192
+
+	// firstMessageTimeout bounds the wait for the first message of a stream.
+	firstMessageTimeout = 10 * time.Second
+	sweepInterval       = 5 * time.Second
+	minBackoff          = 100 * time.Millisecond
+	maxBackoff          = 2 * time.Second
+	// maxHandshakes bounds the work that unauthenticated peers can cause.
+	maxHandshakes = 128
+	sendQueue     = 128
+)
+
+// Errors of the transport.
+var (
+	ErrClosed         = errors.New("peer transport is closed")
+	ErrTooManyStreams = errors.New("too many streams on the peer connection")
+	ErrQueueFull      = errors.New("queue of one-way messages to the peer is full")
+	// ErrNotSent marks an error after which no byte of the message can have
+	// reached the peer.
+	ErrNotSent = errors.New("message not sent")
+)
+
+// DialError is a failed or recently failed dial. It matches ErrNotSent.
+type DialError struct {
+	Addr string
+	// Remembered is set when the failure comes from an earlier dial.
+	Remembered bool
+	Err        error
+}
+
+func (e *DialError) Error() string { return fmt.Sprintf("dial peer %s: %v", e.Addr, e.Err) }
+
+// Unwrap returns the cause and ErrNotSent.
+func (e *DialError) Unwrap() []error { return []error{e.Err, ErrNotSent} }
+
+// Handler receives what peers send. Methods run concurrently.
+type Handler interface {
+	// HandleStream serves a stream that a peer opened with first. The stream
+	// is closed when it returns. ctx ends when the transport closes.
+	HandleStream(ctx context.Context, first *peerpb.Envelope, s *Stream)
+	// HandleMessage takes a one-way message. It must not block: the next
+	// message of the same peer waits for it.
+	HandleMessage(from Peer, env *peerpb.Envelope)
+}
+
+// Config holds the settings of a Transport.
+type Config struct {
+	// Listen is the TCP address to accept connections on.
+	Listen string
+	// Advertise is this router's peer_addr in the VM list; the listener's
+	// address when empty.
+	Advertise  string
+	Key        []byte
+	VM         string
+	DataCentre string
+	// SchemaVersions are the record schema versions that this router reads.
+	SchemaVersions []uint32
+	Meter          *meter.Meter
+	Log            *event.Logger
+	// Clock drives idle closing and backoff. Network timeouts use real time.
+	Clock clockwork.Clock
+	// OnDialFailure is called, when set, after each failed dial.
+	OnDialFailure func(addr string, err error)
+
+	// Zero values take the defaults.
+	DialTimeout  time.Duration
+	HelloTimeout time.Duration
+	IdleTimeout  time.Duration
+	// MaxStreams bounds the open streams of a connection in each direction.
+	MaxStreams int
+	// Versions are the protocol versions offered.
+	Versions []uint32
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.DialTimeout, defaultDialTimeout)
+	setDefault(&c.HelloTimeout, defaultHelloTimeout)
+	setDefault(&c.IdleTimeout, defaultIdleTimeout)
+	setDefault(&c.MaxStreams, defaultMaxStreams)
+	if c.Versions == nil {
+		c.Versions = []uint32{ProtocolVersion}
+	}
+	if c.Meter == nil {
+		c.Meter = &meter.Meter{}
+	}
+	if c.Log == nil {
+		c.Log = event.Nop()
+	}
+	if c.Clock == nil {
+		c.Clock = clockwork.NewRealClock()
+	}
+}
+
+func setDefault[T comparable](v *T, value T) {
+	var zero T
+	if *v == zero {
+		*v = value
+	}
+}
+
+// Transport keeps the connections to the other routers. All methods are safe
+// for concurrent use.
+type Transport struct {
+	cfg        Config
+	listener   net.Listener
+	handler    Handler
+	handshakes chan struct{}
+	tomb       tomb.Tomb
+	ctx        context.Context
+
+	mu      sync.Mutex
+	closed  bool
+	entries map[string]*entry
+	conns   map[*conn]struct{}
+}
+
+// entry is what the transport knows of one address.
+type entry struct {
+	conn    *conn
+	dialing *dialing
+	// A dial before retryAt fails with err at once.
+	retryAt  time.Time
+	err      error
+	failures int
+	sender   *sender
+}
+
+// dialing is a running dial. err is set before done is closed.
+type dialing struct {
+	done chan struct{}
+	err  error
+}
+
+// New opens the listener. Start begins to accept connections.
+func New(cfg Config) (*Transport, error) {
+	cfg.setDefaults()
+	if len(cfg.Key) == 0 || cfg.VM == "" {
+		return nil, eris.New("peer transport needs a fleet key and a VM name")
+	}
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for peers")
+	}
+	setDefault(&cfg.Advertise, l.Addr().String())
+	return &Transport{
+		cfg:        cfg,
+		listener:   l,
+		handshakes: make(chan struct{}, maxHandshakes),
+		entries:    map[string]*entry{},
+		conns:      map[*conn]struct{}{},
+	}, nil
+}
+
+// Start serves incoming connections with h. It is called once, before any
+// other method but Addr.
+func (t *Transport) Start(h Handler) {
+	t.handler = h
+	t.ctx = t.tomb.Context(context.Background())
+	t.tomb.Go(t.acceptLoop)
+	t.tomb.Go(t.sweepLoop)
+}
+
+// Addr returns the address that peers dial.
+func (t *Transport) Addr() string {
+	return t.cfg.Advertise
+}
+
+// Close ends all connections and waits for handlers to return.
+func (t *Transport) Close() error {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return t.tomb.Wait()
+	}
+	t.closed = true
+	t.tomb.Kill(nil)
+	conns := make([]*conn, 0, len(t.conns))
+	for c := range t.conns {
+		conns = append(conns, c)
+	}
+	t.mu.Unlock()
+	_ = t.listener.Close()
+	for _, c := range conns {
+		_ = c.mux.Close()
+	}
+	return t.tomb.Wait()
+}
+
+// Connect makes sure that a connection to addr exists.
+func (t *Transport) Connect(ctx context.Context, addr string) error {
+	_, err := t.get(ctx, addr)
+	return err
+}
+
+// CloseConn closes the connection to addr, whose peer is thought dead. A later
+// use dials again.
+func (t *Transport) CloseConn(addr string) {
+	t.mu.Lock()
+	var c *conn
+	if e := t.entries[addr]; e != nil {
+		c = e.conn
+		e.conn = nil
+	}
+	t.mu.Unlock()
+	if c != nil {
+		_ = c.mux.Close()
+	}
+}
+
+// Open starts a stream to the router at addr. The end of ctx also ends waiting
+// operations of the stream. Every error matches ErrNotSent.
+func (t *Transport) Open(ctx context.Context, addr string) (*Stream, error) {
+	c, err := t.get(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	s, err := c.open()
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	s.stopAbort = s.abortOn(ctx)
+	return s, nil
+}
+
+// Call sends one message and waits for one reply. An error that matches
+// ErrNotSent means that the peer has not seen the message.
+func (t *Transport) Call(ctx context.Context, addr string, env *peerpb.Envelope) (*peerpb.Envelope, error) {
+	s, err := t.Open(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	if err := s.Send(env); err != nil {
+		return nil, withContext(ctx, unsent(err))
+	}
+	reply, err := s.Recv()
+	if err != nil {
+		return nil, withContext(ctx, err)
+	}
+	return reply, nil
+}
+
+// unsent marks an error of Send that leaves nothing written.
+func unsent(err error) error {
+	if errors.Is(err, ErrTooLarge) || errors.Is(err, ErrEmpty) {
+		return errors.Join(ErrNotSent, err)
+	}
+	return err
+}
+
+// withContext adds the reason when ctx caused the error.
+func withContext(ctx context.Context, err error) error {
+	if cause := ctx.Err(); cause != nil {
+		return errors.Join(cause, err)
+	}
+	return err
+}
+
+// get returns the connection to addr, and dials when there is none.
+func (t *Transport) get(ctx context.Context, addr string) (*conn, error) {
+	for {
+		c, wait, err := t.lookup(addr)
+		if c != nil || err != nil {
+			return c, err
+		}
+		select {
+		case <-wait.done:
+			if wait.err != nil {
+				return nil, &DialError{Addr: addr, Err: wait.err}
+			}
+		case <-ctx.Done():
+			return nil, &DialError{Addr: addr, Err: ctx.Err()}
+		case <-t.tomb.Dying():
+			return nil, &DialError{Addr: addr, Err: ErrClosed}
+		}
+	}
+}
+
+// lookup returns the connection, the remembered failure, or the running dial.
+func (t *Transport) lookup(addr string) (*conn, *dialing, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, nil, &DialError{Addr: addr, Err: ErrClosed}
+	}
+	e := t.entry(addr)
+	if e.conn != nil && !e.conn.mux.IsClosed() {
+		return e.conn, nil, nil
+	}
+	if e.dialing != nil {
+		return nil, e.dialing, nil
+	}
+	if t.cfg.Clock.Now().Before(e.retryAt) {
+		return nil, nil, &DialError{Addr: addr, Remembered: true, Err: e.err}
+	}
+	e.dialing = &dialing{done: make(chan struct{})}
+	t.tomb.Go(func() error {
+		t.dial(addr, e)
+		return nil
+	})
+	return nil, e.dialing, nil
+}
+
+// entry returns the entry of addr. The caller holds t.mu.
+func (t *Transport) entry(addr string) *entry {
+	e := t.entries[addr]
+	if e == nil {
+		e = &entry{}
+		t.entries[addr] = e
+	}
+	return e
+}
+
+// dial connects to addr and settles the entry.
+func (t *Transport) dial(addr string, e *entry) {
+	c, err := t.connect(addr)
+	t.mu.Lock()
+	if err == nil {
+		err = t.register(c)
+	}
+	if err != nil {
+		e.failures++
+		e.err = err
+		e.retryAt = t.cfg.Clock.Now().Add(backoff(e.failures))
+	}
+	e.dialing.err = err
+	close(e.dialing.done)
+	e.dialing = nil
+	t.mu.Unlock()
+	if err != nil {
+		t.cfg.Log.Emit(event.PeerDialFailed, "addr", addr, "error", err)
+		if t.cfg.OnDialFailure != nil {
+			t.cfg.OnDialFailure(addr, err)
+		}
+	}
+}
+
+// backoff doubles from minBackoff up to maxBackoff, with a jitter of half.
+func backoff(failures int) time.Duration {
+	d := minBackoff << min(failures-1, 10)
+	d = min(d, maxBackoff)
+	return d/2 + rand.N(d/2)
+}
+
+func (t *Transport) connect(addr string) (*conn, error) {
+	d := net.Dialer{Timeout: t.cfg.DialTimeout}
+	raw, err := d.DialContext(t.ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	mux, err := yamux.Client(&joinedConn{Conn: raw}, muxConfig(t.cfg.Log))
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	peer, err := t.greet(mux)
+	if err != nil {
+		_ = mux.Close()
+		return nil, err
+	}
+	return &conn{t: t, peer: peer, addr: addr, mux: mux, dialled: true}, nil
+}
+
+func (t *Transport) greet(mux *yamux.Session) (Peer, error) {
+	stop := context.AfterFunc(t.ctx, func() { _ = mux.Close() })
+	defer stop()
+	s, err := mux.OpenStream()
+	if err != nil {
+		return Peer{}, err
+	}
+	defer s.Close()
+	_ = s.SetDeadline(time.Now().Add(t.cfg.HelloTimeout))
+	return t.handshaker().dial(s)
+}
+
+func (t *Transport) handshaker() *handshaker {
+	return &handshaker{key: t.cfg.Key, meter: t.cfg.Meter, hello: &peerpb.Hello{
+		Versions:       t.cfg.Versions,
+		Vm:             t.cfg.VM,
+		DataCentre:     t.cfg.DataCentre,
+		SchemaVersions: t.cfg.SchemaVersions,
+		PeerAddr:       t.cfg.Advertise,
+	}}
+}
+
+// register puts an authenticated connection into service. The caller holds
+// t.mu.
+func (t *Transport) register(c *conn) error {
+	if t.closed {
+		go c.mux.Close()
+		return ErrClosed
+	}
+	c.touch()
+	e := t.entry(c.addr)
+	e.failures = 0
+	e.retryAt = time.Time{}
+	if c.replaces(e.conn) {
+		e.conn = c
+	}
+	t.conns[c] = struct{}{}
+	t.tomb.Go(func() error {
+		t.serve(c)
+		return nil
+	})
+	t.cfg.Log.Emit(event.PeerConnected, "vm", c.peer.VM, "addr", c.addr, "dialled", c.dialled)
+	return nil
+}
+
+func (t *Transport) unregister(c *conn) {
+	_ = c.mux.Close()
+	t.mu.Lock()
+	delete(t.conns, c)
+	if e := t.entries[c.addr]; e != nil && e.conn == c {
+		e.conn = nil
+	}
+	t.mu.Unlock()
+	t.cfg.Log.Emit(event.PeerClosed, "vm", c.peer.VM, "addr", c.addr)
+}
+
+// sweepLoop closes idle connections and forgets unused addresses.
+func (t *Transport) sweepLoop() error {
+	ticker := t.cfg.Clock.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			t.sweep()
+		case <-t.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (t *Transport) sweep() {
+	now := t.cfg.Clock.Now()
+	for _, c := range t.idle(now) {
+		_ = c.mux.Close()
+	}
+}
+
+func (t *Transport) idle(now time.Time) []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var idle []*conn
+	for c := range t.conns {
+		if c.exchanges.Load() == 0 && c.incoming.Load() == 0 && c.idleFor(now) >= t.idleLimit(c) {
+			idle = append(idle, c)
+		}
+	}
+	for addr, e := range t.entries {
+		t.trim(addr, e, now)
+	}
+	return idle
+}
+
+// idleLimit lets the dialling side close first, so that the two sides do not
+// close while the other begins to send. A connection that lost against a
+// parallel one goes sooner.
+func (t *Transport) idleLimit(c *conn) time.Duration {
+	if e := t.entries[c.addr]; e == nil || e.conn != c {
+		return sweepInterval
+	}
+	if c.dialled {
+		return t.cfg.IdleTimeout
+	}
+	return 2 * t.cfg.IdleTimeout
+}
+
+// trim stops an unused sender and drops an unused entry.
+func (t *Transport) trim(addr string, e *entry, now time.Time) {
+	if e.sender != nil && now.Sub(e.sender.lastUse) >= t.cfg.IdleTimeout {
+		close(e.sender.stop)
+		e.sender = nil
+	}
+	if e.conn == nil && e.dialing == nil && e.sender == nil && now.Sub(e.retryAt) >= t.cfg.IdleTimeout {
+		delete(t.entries, addr)
+	}
+}
--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,376 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// testHandler answers Cancel with a Frame and runs other streams through serve.
+type testHandler struct {
+	messages chan *peerpb.Envelope
+	streams  chan *peerpb.Envelope
+	serve    func(ctx context.Context, s *Stream)
+}
+
+func (h *testHandler) HandleStream(ctx context.Context, first *peerpb.Envelope, s *Stream) {
+	h.streams <- first
+	if h.serve != nil {
+		h.serve(ctx, s)
+		return
+	}
+	_ = s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_Frame{Frame: &peerpb.Frame{AttemptId: first.GetCancel().GetAttemptId()}}})
+}
+
+func (h *testHandler) HandleMessage(_ Peer, env *peerpb.Envelope) { h.messages <- env }
+
+func cancel(id string) *peerpb.Envelope {
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Cancel{Cancel: &peerpb.Cancel{AttemptId: id}}}
+}
+
+var fleetKey = []byte("fleet key of the test")
+
+func startTransport(t testing.TB, cfg Config) (*Transport, *testHandler) {
+	t.Helper()
+	cfg.Listen = "127.0.0.1:0"
+	setDefault(&cfg.VM, "vm-b")
+	if cfg.Key == nil {
+		cfg.Key = fleetKey
+	}
+	tr, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &testHandler{messages: make(chan *peerpb.Envelope, 1000), streams: make(chan *peerpb.Envelope, 1000)}
+	tr.Start(h)
+	t.Cleanup(func() { _ = tr.Close() })
+	return tr, h
+}
+
+// rawPeer is an authenticated peer below the transport, for broken messages.
+func rawPeer(t *testing.T, addr string) *yamux.Session {
+	t.Helper()
+	raw, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux, err := yamux.Client(raw, muxConfig(event.Nop()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = mux.Close() })
+	s, err := mux.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &handshaker{key: fleetKey, meter: &meter.Meter{}, hello: &peerpb.Hello{Versions: []uint32{1}, Vm: "raw", PeerAddr: "raw"}}
+	if _, err := h.dial(s); err != nil {
+		t.Fatal(err)
+	}
+	return mux
+}
+
+// Guards against broken messages that reach a handler, hang the stream or take
+// the connection down.
+func TestBrokenStreams(t *testing.T) {
+	whole := encoded(t, cancel("x"))
+	cases := map[string]struct {
+		bytes []byte
+		close bool
+	}{
+		"oversized message":   {bytes: []byte{0x00, 0x40, 0x00, 0x01, 0x32}},
+		"oversized frame":     {bytes: oversizedFrame(t)},
+		"undecodable message": {bytes: []byte{0, 0, 0, 2, 0x32, 0x7f}},
+		"empty message":       {bytes: []byte{0, 0, 0, 0}},
+		"second hello":        {bytes: encoded(t, &peerpb.Envelope{Body: &peerpb.Envelope_Hello{Hello: &peerpb.Hello{}}})},
+		"truncated message":   {bytes: whole[:len(whole)-1], close: true},
+		"truncated prefix":    {bytes: whole[:2], close: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tr, h := startTransport(t, Config{})
+			mux := rawPeer(t, tr.Addr())
+			s, err := mux.OpenStream()
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = s.Write(c.bytes)
+			if c.close {
+				_ = s.Close()
+			}
+			_ = s.SetReadDeadline(time.Now().Add(5 * time.Second))
+			if n, err := s.Read(make([]byte, 1)); n != 0 || err == nil || errors.Is(err, yamux.ErrTimeout) {
+				t.Fatalf("stream not closed: %d, %v", n, err)
+			}
+			next, err := mux.OpenStream()
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = next.Write(whole)
+			if _, err := readMessage(next, &peerpb.Envelope{}, MaxMessageBytes); err != nil {
+				t.Fatalf("connection unusable afterwards: %v", err)
+			}
+			if got := <-h.streams; got.GetCancel() == nil || len(h.streams) != 0 {
+				t.Fatalf("handler got the broken message %v", got)
+			}
+		})
+	}
+}
+
+// oversizedFrame encodes a Frame one byte over the payload limit.
+func oversizedFrame(t *testing.T) []byte {
+	data, err := proto.Marshal(frame(MaxFramePayloadBytes + 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...)
+}
+
+// Guards against a peer with a wrong key or no common version, and against one
+// that never answers.
+func TestRefusedHandshake(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	good, _ := startTransport(t, Config{})
+	cases := map[string]struct {
+		cfg  Config
+		addr string
+		want error
+	}{
+		"wrong key":       {cfg: Config{Key: []byte("other")}, addr: good.Addr(), want: ErrAuth},
+		"unknown version": {cfg: Config{Versions: []uint32{99}}, addr: good.Addr(), want: ErrVersion},
+		"silent peer":     {cfg: Config{HelloTimeout: 20 * time.Millisecond}, addr: silent.Addr().String(), want: yamux.ErrTimeout},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			c.cfg.VM = "vm-a"
+			tr, _ := startTransport(t, c.cfg)
+			if err := tr.Connect(t.Context(), c.addr); !errors.Is(err, c.want) || !errors.Is(err, ErrNotSent) {
+				t.Fatalf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an acceptor that takes a dialler without the key: the dialler
+// here skips its own check.
+func TestAcceptorChecksProof(t *testing.T) {
+	for _, changed := range []string{"proof", "vm"} {
+		left, right := net.Pipe()
+		h := &handshaker{key: fleetKey, meter: &meter.Meter{}, hello: &peerpb.Hello{Versions: []uint32{1}, Vm: "b"}}
+		result := make(chan error, 1)
+		go func() {
+			_, err := h.accept(right)
+			result <- err
+		}()
+		a := &handshaker{key: fleetKey, meter: &meter.Meter{}, hello: &peerpb.Hello{Versions: []uint32{1}, Vm: "a"}}
+		mine, _ := a.start()
+		_ = a.send(left, mine)
+		theirs, err := a.receive(left)
+		if err != nil {
+			t.Fatal(err)
+		}
+		mine.Proof = proof(fleetKey, "dialler", theirs.GetNonce(), mine)
+		if changed == "proof" {
+			mine.Proof = theirs.GetProof()
+		} else {
+			mine.Vm = "c"
+		}
+		_ = a.send(left, mine)
+		if err := <-result; !errors.Is(err, ErrAuth) {
+			t.Fatalf("changed %s accepted: %v", changed, err)
+		}
+	}
+}
+
+// Guards against hammering a dead address, and against remembering it forever.
+func TestFailedDialIsRemembered(t *testing.T) {
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	addr := l.Addr().String()
+	_ = l.Close()
+	clock := clockwork.NewFakeClock()
+	dials := 0
+	tr, _ := startTransport(t, Config{Clock: clock, OnDialFailure: func(string, error) { dials++ }})
+	remembered := func() bool {
+		var d *DialError
+		if err := tr.Connect(t.Context(), addr); !errors.As(err, &d) {
+			t.Fatalf("got %v", err)
+		}
+		return d.Remembered
+	}
+	if remembered() {
+		t.Fatal("first failure reported as remembered")
+	}
+	if !remembered() {
+		t.Fatal("dialled again at once")
+	}
+	clock.Advance(maxBackoff)
+	remembered()
+	if err := tr.Close(); err != nil || dials != 2 {
+		t.Fatalf("%d dials, %v", dials, err)
+	}
+}
+
+// Guards against a call that outlives its context when the peer hangs.
+func TestHangingPeer(t *testing.T) {
+	b, h := startTransport(t, Config{})
+	h.serve = func(ctx context.Context, _ *Stream) { <-ctx.Done() }
+	a, _ := startTransport(t, Config{VM: "vm-a"})
+	ctx, stop := context.WithCancel(t.Context())
+	go func() {
+		<-h.streams
+		stop()
+	}()
+	if _, err := a.Call(ctx, b.Addr(), cancel("x")); !errors.Is(err, context.Canceled) || errors.Is(err, ErrNotSent) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against an answer that looks whole although the peer went away.
+func TestPeerClosesInMidStream(t *testing.T) {
+	b, h := startTransport(t, Config{})
+	h.serve = func(_ context.Context, s *Stream) {
+		_ = s.Send(frame(10))
+		_, _ = s.Recv()
+		b.CloseConn(s.Peer().Addr)
+	}
+	a, _ := startTransport(t, Config{VM: "vm-a"})
+	s, err := a.Open(t.Context(), b.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	_ = s.Send(cancel("x"))
+	if env, err := s.Recv(); err != nil || env.GetFrame() == nil {
+		t.Fatalf("got %v, %v", env, err)
+	}
+	_ = s.Send(cancel("y"))
+	if env, err := s.Recv(); err == nil {
+		t.Fatalf("got %v after the loss", env)
+	}
+	if err := a.Connect(t.Context(), b.Addr()); err != nil {
+		t.Fatalf("no new connection: %v", err)
+	}
+}
+
+func (t *Transport) connections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
+// Guards against a second connection for a pair, lost or reordered one-way
+// messages, and control bytes that only one side counts.
+func TestOneConnectionCarriesAll(t *testing.T) {
+	ma, mb := &meter.Meter{}, &meter.Meter{}
+	clock := clockwork.NewFakeClock()
+	b, hb := startTransport(t, Config{Meter: mb, Clock: clock})
+	a, ha := startTransport(t, Config{VM: "vm-a", Meter: ma, Clock: clock})
+	const count = 100
+	for i := range count {
+		if err := a.Send(b.Addr(), &peerpb.Envelope{Body: &peerpb.Envelope_Claim{Claim: &peerpb.Claim{Epoch: uint64(i)}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range count {
+		if got := (<-hb.messages).GetClaim().GetEpoch(); got != uint64(i) {
+			t.Fatalf("message %d arrived as %d", got, i)
+		}
+	}
+	for i := range count {
+		id := fmt.Sprint(i)
+		if r, err := b.Call(t.Context(), a.Addr(), cancel(id)); err != nil || r.GetFrame().GetAttemptId() != id {
+			t.Fatalf("got %v, %v", r, err)
+		}
+	}
+	_ = b.Send(a.Addr(), &peerpb.Envelope{Body: &peerpb.Envelope_VoteLost{VoteLost: &peerpb.VoteLost{}}})
+	<-ha.messages
+	if na, nb := a.connections(), b.connections(); na != 1 || nb != 1 {
+		t.Fatalf("%d and %d connections", na, nb)
+	}
+	later := clock.Now().Add(defaultIdleTimeout)
+	if early := a.idle(later.Add(-1)); len(early) != 0 {
+		t.Fatal("connection in use counted as idle")
+	}
+	if got := a.idle(later); len(got) != 1 {
+		t.Fatalf("%d idle connections", len(got))
+	}
+	_, _ = a.Close(), b.Close()
+	if ma.Total() != mb.Total() || ma.Totals()["claim"] < count*120 {
+		t.Fatalf("a counts %v, b counts %v", ma.Totals(), mb.Totals())
+	}
+}
+
+// Guards against a peer that exhausts the memory with streams.
+func TestStreamLimit(t *testing.T) {
+	b, h := startTransport(t, Config{MaxStreams: 2})
+	h.serve = func(ctx context.Context, _ *Stream) { <-ctx.Done() }
+	a, _ := startTransport(t, Config{VM: "vm-a"})
+	for range 2 {
+		s, _ := a.Open(t.Context(), b.Addr())
+		_ = s.Send(cancel("x"))
+		<-h.streams
+	}
+	if r, err := a.Call(t.Context(), b.Addr(), cancel("x")); err == nil {
+		t.Fatalf("third stream got %v", r)
+	}
+}
+
+func benchmarkFrames(b *testing.B, payload int) {
+	server, h := startTransport(b, Config{})
+	h.serve = func(_ context.Context, s *Stream) {
+		env := &peerpb.Envelope{}
+		for s.RecvInto(env) == nil && s.Send(env) == nil {
+		}
+	}
+	client, _ := startTransport(b, Config{VM: "vm-a"})
+	s, err := client.Open(b.Context(), server.Addr())
+	if err != nil {
+		b.Fatal(err)
+	}
+	_ = s.Send(cancel("x"))
+	out, in := frame(payload), &peerpb.Envelope{}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := s.Send(out); err != nil {
+			b.Fatal(err)
+		}
+		if err := s.RecvInto(in); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// One operation is a frame to the peer and back: two sends, two receives.
+func BenchmarkFrameEcho64(b *testing.B) { benchmarkFrames(b, 64) }
+func BenchmarkFrameEcho4K(b *testing.B) { benchmarkFrames(b, 4<<10) }
+
+func BenchmarkCall(b *testing.B) {
+	server, h := startTransport(b, Config{})
+	go func() {
+		for range h.streams {
+		}
+	}()
+	client, _ := startTransport(b, Config{VM: "vm-a"})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := client.Call(b.Context(), server.Addr(), cancel("x")); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
