--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -37,6 +37,7 @@
 	f.Add(encoded(f, &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{Vm: "a", Suspected: []string{"b"}}}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		fresh, reused := &peerpb.Envelope{}, frame(3)
+		reused.ProtoReflect().SetUnknown([]byte{0x98, 0x06, 0x01})
 		_, err := readMessage(bytes.NewReader(data), fresh, 1<<20)
 		_, err2 := readMessage(bytes.NewReader(data), reused, 1<<20)
 		if (err == nil) != (err2 == nil) {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -142,7 +142,7 @@
 // entry is what the transport knows of one address.
 type entry struct {
 	conn    *conn
-	dialing chan struct{}
+	dialing *dialing
 	// A dial before retryAt fails with err at once.
 	retryAt  time.Time
 	err      error
@@ -150,6 +150,12 @@
 	sender   *sender
 }
 
+// dialing is a running dial. err is set before done is closed.
+type dialing struct {
+	done chan struct{}
+	err  error
+}
+
 // New opens the listener. Start begins to accept connections.
 func New(cfg Config) (*Transport, error) {
 	cfg.setDefaults()
@@ -283,7 +289,10 @@
 			return c, err
 		}
 		select {
-		case <-wait:
+		case <-wait.done:
+			if wait.err != nil {
+				return nil, &DialError{Addr: addr, Err: wait.err}
+			}
 		case <-ctx.Done():
 			return nil, &DialError{Addr: addr, Err: ctx.Err()}
 		case <-t.tomb.Dying():
@@ -292,9 +301,8 @@
 	}
 }
 
-// lookup returns the connection, the remembered failure, or a channel that is
-// closed when the running dial has ended.
-func (t *Transport) lookup(addr string) (*conn, <-chan struct{}, error) {
+// lookup returns the connection, the remembered failure, or the running dial.
+func (t *Transport) lookup(addr string) (*conn, *dialing, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
@@ -310,7 +318,7 @@
 	if t.cfg.Clock.Now().Before(e.retryAt) {
 		return nil, nil, &DialError{Addr: addr, Remembered: true, Err: e.err}
 	}
-	e.dialing = make(chan struct{})
+	e.dialing = &dialing{done: make(chan struct{})}
 	t.tomb.Go(func() error {
 		t.dial(addr, e)
 		return nil
@@ -340,7 +348,8 @@
 		e.err = err
 		e.retryAt = t.cfg.Clock.Now().Add(backoff(e.failures))
 	}
-	close(e.dialing)
+	e.dialing.err = err
+	close(e.dialing.done)
 	e.dialing = nil
 	t.mu.Unlock()
 	if err != nil {
@@ -411,7 +420,8 @@
 	e.failures = 0
 	e.retryAt = time.Time{}
 	if c.replaces(e.conn) {
-		}
+		e.conn = c
+	}
 	t.conns[c] = struct{}{}
 	t.tomb.Go(func() error {
 		t.serve(c)
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -213,7 +213,9 @@
 		}
 		return d.Remembered
 	}
-	remembered()
+	if remembered() {
+		t.Fatal("first failure reported as remembered")
+	}
 	if !remembered() {
 		t.Fatal("dialled again at once")
 	}
@@ -266,6 +268,12 @@
 	}
 }
 
+func (t *Transport) connections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
 // Guards against a second connection for a pair, lost or reordered one-way
 // messages, and control bytes that only one side counts.
 func TestOneConnectionCarriesAll(t *testing.T) {
@@ -292,8 +300,8 @@
 	}
 	_ = b.Send(a.Addr(), &peerpb.Envelope{Body: &peerpb.Envelope_VoteLost{VoteLost: &peerpb.VoteLost{}}})
 	<-ha.messages
-	if len(a.conns) != 1 || len(b.conns) != 1 {
-		t.Fatalf("%d and %d connections", len(a.conns), len(b.conns))
+	if na, nb := a.connections(), b.connections(); na != 1 || nb != 1 {
+		t.Fatalf("%d and %d connections", na, nb)
 	}
 	later := clock.Now().Add(defaultIdleTimeout)
 	if early := a.idle(later.Add(-1)); len(early) != 0 {
