--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -53,6 +53,12 @@
 	for pool := range s.entry.Config.Pools {
 		s.owners[pool] = winner("pool/"+pool, addr)
 	}
+	if c.r.solo() {
+		names = []string{c.r.settings.VM}
+		for pool := range s.owners {
+			s.owners[pool] = dispatch.Target{VM: c.r.settings.VM}
+		}
+	}
 	for i := range c.r.settings.Intents.Streams {
 		s.streams = append(s.streams, winner("intent/"+strconv.Itoa(i), addr))
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -59,13 +59,21 @@
 	Retention time.Duration
 }
 
-// Policy makes every router act alone on lagging load reports, as a baseline.
+// Policy replaces the placement policy for experiments.
 type Policy struct {
 	NewPicker func() placement.Picker
+	// Solo makes every router admit alone, without a common owner, as the
+	// baselines do. It then reads the engines' load reports.
+	Solo bool
 	// ReportInterval is the time between two reads of an engine's load.
 	ReportInterval time.Duration
 }
 
+// solo reports whether this router admits without a common owner.
+func (r *Router) solo() bool {
+	return r.options.Policy != nil && r.options.Policy.Solo
+}
+
 // Router is one daemon.
 type Router struct {
 	settings *settings.Settings
@@ -303,7 +311,7 @@
 	r.tomb.Go(r.tickPools)
 	r.tomb.Go(r.askPeers)
 	r.tomb.Go(func() error { return r.config.Run(&r.tomb) })
-	if r.options.Policy != nil {
+	if r.solo() {
 		r.tomb.Go(r.pollLoads)
 	}
 	go r.serveCallers()
