--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -17,6 +17,7 @@
 func commands() []*Command {
 	return []*Command{
 		routerCommand(nil),
+		demoCommand(),
 		versionCommand(),
 	}
 }
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,136 @@
+// Package demo runs a small fleet with stand-ins in one process and shows its
+// main abilities. It reports a promise that was broken.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/router"
+	"github.com/bluebellwell/bluebellwell/internal/standin/enginesim"
+	"github.com/bluebellwell/bluebellwell/internal/testbed"
+)
+
+const (
+	demoRouters  = 3
+	demoEngines  = 6
+	demoBackends = 2
+	// startTimeout bounds the start of the fleet, stepTimeout each step.
+	startTimeout = 20 * time.Second
+	stepTimeout  = 60 * time.Second
+	// newChats is the number of chats that the demo opens; each returns twice.
+	newChats    = 24
+	chatTokens  = 60
+	longTokens  = 600
+	longStreams = 6
+	// skewWindow is the time over which the skew is sampled.
+	skewInterval = 50 * time.Millisecond
+)
+
+// Summary is the result of a run.
+type Summary struct {
+	Requests     int `json:"requests"`
+	WholeAnswers int `json:"whole_answers"`
+	// Lost are requests without a whole answer and without a truthful refusal.
+	Lost int `json:"lost"`
+	// Duplicates are non-repeatable requests that ran more than once.
+	Duplicates int `json:"duplicates"`
+	NotRun     int `json:"not_run"`
+	Unknown    int `json:"unknown"`
+	// CacheHitRatio is the share of prompt tokens of returning chats that the
+	// engines had in their cache.
+	CacheHitRatio float64 `json:"cache_hit_ratio"`
+	// Skew is the highest sampled load of an engine over the mean.
+	Skew float64 `json:"skew"`
+	// ControlBytesPerSecond is the highest rate of a router.
+	ControlBytesPerSecond float64 `json:"control_bytes_per_second"`
+	// Broken lists promises that did not hold.
+	Broken []string `json:"broken,omitempty"`
+}
+
+// Demo is a running demonstration.
+type Demo struct {
+	bed    *testbed.Bed
+	caller *testbed.Caller
+	out    io.Writer
+
+	mu      sync.Mutex
+	summary Summary
+	// first and returning count prompt tokens for the cache hit ratio.
+	cached, prompt int
+}
+
+// Start starts stand-ins and routers and publishes the example records of a
+// deployment. Progress goes to out.
+func Start(ctx context.Context, profile string, events *event.Logger, out io.Writer) (*Demo, error) {
+	p, ok := testbed.Profiles()[profile]
+	if !ok {
+		return nil, eris.Errorf("unknown profile %q", profile)
+	}
+	bed, err := testbed.New(testbed.Options{
+		Profile:  p,
+		Routers:  demoRouters,
+		Engines:  demoEngines,
+		Backends: demoBackends,
+		Engine:   enginesim.Config{PrefillPerToken: 20 * time.Microsecond, PerToken: 5 * time.Millisecond},
+		Events:   events,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d := &Demo{bed: bed, caller: testbed.NewCaller(), out: out}
+	if err := d.start(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Demo) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	d.say("starting %d routers, %d engines and %d plain backend servers on loopback", demoRouters, demoEngines, demoBackends)
+	if err := d.bed.StartRouters(); err != nil {
+		return err
+	}
+	if err := d.publishExamples(ctx); err != nil {
+		return err
+	}
+	if err := d.bed.WaitReady(ctx); err != nil {
+		return err
+	}
+	d.say("configuration is in force on every router")
+	return nil
+}
+
+// Close ends the demo.
+func (d *Demo) Close() {
+	d.caller.Close()
+	d.bed.Close()
+}
+
+// Bed returns the running stand-ins and routers.
+func (d *Demo) Bed() *testbed.Bed {
+	return d.bed
+}
+
+func (d *Demo) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, format+"\n", args...)
+}
+
+// routers returns the addresses of the routers in the order of their names.
+func (d *Demo) routers() []*router.Router {
+	return testbed.Sorted(d.bed.Routers())
+}
+
+func (d *Demo) broke(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.summary.Broken = append(d.summary.Broken, fmt.Sprintf(format, args...))
+}
