peer: make a failed handshake and an interrupted write deterministic

The acceptor closed the session at once when no version was in common, so the dialler sometimes saw a shutdown instead of ErrVersion. The acceptor now waits for the dialler within the handshake timeout. A write that a close interrupts may have reached the wire and now counts in the meter; a run showed 122 bytes that only the receiver had counted.

The backoff test dialled a port that it had closed; once the port was given to the transport's own listener and the dial succeeded.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -62,7 +62,8 @@
 }
 
 // writeMessage encodes env with its prefix and passes it to w in one Write. It
-// returns the encoded size without the prefix.
+// returns the encoded size without the prefix, also when the Write failed; it
+// returns 0 when nothing was written.
 func writeMessage(w io.Writer, env *peerpb.Envelope) (int, error) {
 	if err := checkLimits(env); err != nil {
 		return 0, err
@@ -79,10 +80,8 @@
 		return 0, eris.Wrap(err, "encode peer message")
 	}
 	*buf = out
-	if _, err := w.Write(out); err != nil {
-		return 0, err
-	}
-	return size, nil
+	_, err = w.Write(out)
+	return size, err
 }
 
 // readMessage reads one message of at most limit bytes into env, which it
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -87,11 +87,13 @@
 	if err := h.send(c, mine); err != nil {
 		return Peer{}, err
 	}
-	version, err := commonVersion(mine, theirs)
-	if err != nil {
-		return Peer{}, err
-	}
+	// The dialler closes first when there is no common version: a close from
+	// this side could overtake the hello that tells it the reason.
+	version, versionErr := commonVersion(mine, theirs)
 	final, err := h.receive(c)
+	if versionErr != nil {
+		return Peer{}, versionErr
+	}
 	if err != nil {
 		return Peer{}, err
 	}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -40,11 +40,11 @@
 	s.send.Lock()
 	defer s.send.Unlock()
 	n, err := writeMessage(s.raw, env)
-	if err != nil {
-		return err
+	if n > 0 {
+		// A write that fails may still have reached the wire.
+		s.count(env, n)
 	}
-	s.count(env, n)
-	return nil
+	return err
 }
 
 // Recv reads the next message. It returns io.EOF when the peer closed the
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -200,9 +200,22 @@
 
 // Guards against hammering a dead address, and against remembering it forever.
 func TestFailedDialIsRemembered(t *testing.T) {
-	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	// Keeps the port: a closed one could be given to the transport's listener.
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
 	addr := l.Addr().String()
-	_ = l.Close()
 	clock := clockwork.NewFakeClock()
 	dials := 0
 	tr, _ := startTransport(t, Config{Clock: clock, OnDialFailure: func(string, error) { dials++ }})
