--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -40,6 +40,8 @@
 	Version uint32
 	// SchemaVersions are the record schema versions that the peer reads.
 	SchemaVersions []uint32
+
+	probe bool
 }
 
 // handshaker runs the handshake of one side.
@@ -117,6 +119,7 @@
 		DataCentre:     h.hello.GetDataCentre(),
 		SchemaVersions: h.hello.GetSchemaVersions(),
 		PeerAddr:       h.hello.GetPeerAddr(),
+		Probe:          h.hello.GetProbe(),
 		Nonce:          nonce,
 	}, nil
 }
@@ -159,6 +162,7 @@
 	part([]byte(hello.GetVm()))
 	part([]byte(hello.GetDataCentre()))
 	part([]byte(hello.GetPeerAddr()))
+	_ = binary.Write(mac, binary.BigEndian, hello.GetProbe())
 	numbers(hello.GetVersions())
 	numbers(hello.GetSchemaVersions())
 	return mac.Sum(nil)
@@ -185,5 +189,6 @@
 		Addr:           h.GetPeerAddr(),
 		Version:        version,
 		SchemaVersions: h.GetSchemaVersions(),
+		probe:          h.GetProbe(),
 	}
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -63,6 +63,9 @@
 		_ = mux.Close()
 		return err
 	}
+	if peer.probe {
+		return mux.Close()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.register(&conn{t: t, peer: peer, addr: peer.Addr, mux: mux})
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -21,7 +21,7 @@
 
 const (
 	defaultDialTimeout  = 1 * time.Second
-	defaultHelloTimeout = 2 * time.Second
+	defaultHelloTimeout = 1 * time.Second
 	defaultIdleTimeout  = 60 * time.Second
 	defaultMaxStreams   = 8192
 
@@ -338,7 +338,7 @@
 
 // dial connects to addr and settles the entry.
 func (t *Transport) dial(addr string, e *entry) {
-	c, err := t.connect(addr)
+	c, err := t.connect(addr, false)
 	t.mu.Lock()
 	if err == nil {
 		err = t.register(c)
@@ -367,7 +367,18 @@
 	return d/2 + rand.N(d/2)
 }
 
-func (t *Transport) connect(addr string) (*conn, error) {
+// Probe tests with a connection of its own whether the router at addr answers
+// the handshake. It neither uses nor disturbs the connection in use, and it
+// ignores the backoff.
+func (t *Transport) Probe(addr string) error {
+	c, err := t.connect(addr, true)
+	if err != nil {
+		return &DialError{Addr: addr, Err: err}
+	}
+	return c.mux.Close()
+}
+
+func (t *Transport) connect(addr string, probe bool) (*conn, error) {
 	d := net.Dialer{Timeout: t.cfg.DialTimeout}
 	raw, err := d.DialContext(t.ctx, "tcp", addr)
 	if err != nil {
@@ -378,7 +389,7 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	peer, err := t.greet(mux)
+	peer, err := t.greet(mux, probe)
 	if err != nil {
 		_ = mux.Close()
 		return nil, err
@@ -386,7 +397,7 @@
 	return &conn{t: t, peer: peer, addr: addr, mux: mux, dialled: true}, nil
 }
 
-func (t *Transport) greet(mux *yamux.Session) (Peer, error) {
+func (t *Transport) greet(mux *yamux.Session, probe bool) (Peer, error) {
 	stop := context.AfterFunc(t.ctx, func() { _ = mux.Close() })
 	defer stop()
 	s, err := mux.OpenStream()
@@ -395,7 +406,9 @@
 	}
 	defer s.Close()
 	_ = s.SetDeadline(time.Now().Add(t.cfg.HelloTimeout))
-	return t.handshaker().dial(s)
+	h := t.handshaker()
+	h.hello.Probe = probe
+	return h.dial(s)
 }
 
 func (t *Transport) handshaker() *handshaker {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -313,6 +313,9 @@
 	}
 	_ = b.Send(a.Addr(), &peerpb.Envelope{Body: &peerpb.Envelope_VoteLost{VoteLost: &peerpb.VoteLost{}}})
 	<-ha.messages
+	if err := a.Probe(b.Addr()); err != nil {
+		t.Fatal(err)
+	}
 	if na, nb := a.connections(), b.connections(); na != 1 || nb != 1 {
 		t.Fatalf("%d and %d connections", na, nb)
 	}
