membership: add the routers' view, suspicion and engine liveness

Heartbeats go to two ring successors a second, which would need n/2 seconds to carry news around. A router that learns something new sends at once, so news takes one message delay for every two routers. A router whose watchers may have died with it is probed as soon as they are suspected.

--- /dev/null
+++ b/internal/membership/engine.go
@@ -0,0 +1,131 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/vmlist"
+)
+
+const (
+	// downAfter is the number of failures in a row that take an engine down;
+	// one alone may be the request's fault.
+	downAfter = 2
+	// An engine that comes back is damped for minHold; each fall within
+	// holdMemory of the last one doubles the hold up to maxHold.
+	minHold    = 2 * time.Second
+	maxHold    = 60 * time.Second
+	holdMemory = 5 * time.Minute
+)
+
+// EngineState is the state of an engine or a backend.
+type EngineState int
+
+// States of an engine.
+const (
+	// EngineUp takes new work.
+	EngineUp EngineState = iota
+	// EngineDamped takes new work but no rendezvous homes, because it came
+	// back a short time ago.
+	EngineDamped
+	// EngineDown answers no requests.
+	EngineDown
+	// EngineLeaving finishes its work and takes no new work.
+	EngineLeaving
+)
+
+// String returns the name used in reports.
+func (s EngineState) String() string {
+	return [...]string{"up", "damped", "down", "leaving"}[s]
+}
+
+// Engine is an engine or a backend in a View.
+type Engine struct {
+	VM    vmlist.VM
+	State EngineState
+	// Since is when the engine entered its state.
+	Since time.Time
+}
+
+type engineState struct {
+	vm       vmlist.VM
+	down     bool
+	damped   bool
+	failures int
+	since    time.Time
+	fellAt   time.Time
+	hold     time.Duration
+}
+
+func (e *engineState) state() EngineState {
+	switch {
+	case e.vm.State == vmlist.StateLeaving:
+		return EngineLeaving
+	case e.down:
+		return EngineDown
+	case e.damped:
+		return EngineDamped
+	default:
+		return EngineUp
+	}
+}
+
+func (m *Membership) listEngine(now time.Time, vm vmlist.VM) {
+	e := m.engines[vm.Name]
+	if e == nil || e.vm.Addr != vm.Addr || e.vm.Pool != vm.Pool {
+		m.engines[vm.Name] = &engineState{vm: vm, since: now}
+		return
+	}
+	if e.vm.State != vm.State {
+		e.since = now
+	}
+	e.vm = vm
+}
+
+// ReportEngine takes the result of a request or a probe to an engine and
+// reports whether the engine's state changed.
+func (m *Membership) ReportEngine(now time.Time, name string, ok bool) bool {
+	e := m.engines[name]
+	if e == nil {
+		return false
+	}
+	before := e.state()
+	if ok {
+		e.succeed(now)
+	} else {
+		e.fail(now)
+	}
+	return e.state() != before
+}
+
+func (e *engineState) fail(now time.Time) {
+	e.failures++
+	if e.down || e.failures < downAfter {
+		return
+	}
+	if !e.fellAt.IsZero() && now.Sub(e.fellAt) < holdMemory {
+		e.hold = min(2*e.hold, maxHold)
+	} else {
+		e.hold = minHold
+	}
+	e.down, e.damped = true, false
+	e.fellAt, e.since = now, now
+}
+
+func (e *engineState) succeed(now time.Time) {
+	e.failures = 0
+	if !e.down {
+		return
+	}
+	e.down, e.damped = false, true
+	e.since = now
+}
+
+// tickEngines ends holds.
+func (m *Membership) tickEngines(now time.Time) {
+	for _, e := range m.engines {
+		if e.damped && now.Sub(e.since) >= e.hold {
+			e.damped = false
+			e.since = now
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,243 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/vmlist"
+)
+
+const simStep = 5 * time.Millisecond
+
+// fleet simulates routers whose messages take one step.
+type fleet struct {
+	now     time.Time
+	names   []string
+	members map[string]*Membership
+	dead    map[string]bool
+	// cut drops messages and probes between two routers.
+	cut func(from, to string) bool
+	// mute sends no heartbeats but answers probes.
+	mute  string
+	mail  []func()
+	bytes int
+	sent  int
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: time.UnixMilli(1e12), members: map[string]*Membership{}, dead: map[string]bool{}, cut: func(a, b string) bool { return false }}
+	list := &vmlist.List{Version: 1}
+	for i := range n {
+		name := fmt.Sprintf("vm-%02d", i)
+		f.names = append(f.names, name)
+		list.VMs = append(list.VMs, vmlist.VM{Name: name, Role: "router", PeerAddr: name, State: "live"})
+	}
+	for i, name := range f.names {
+		f.members[name] = New(name, uint64(i+1))
+		f.members[name].SetList(f.now, list)
+	}
+	return f
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(simStep)
+		mail := f.mail
+		f.mail = nil
+		for _, deliver := range mail {
+			deliver()
+		}
+		for _, name := range f.names {
+			if !f.dead[name] {
+				f.step(name, f.members[name])
+			}
+		}
+	}
+}
+
+func (f *fleet) step(name string, m *Membership) {
+	if f.now.UnixMilli()%TickInterval.Milliseconds() == 0 {
+		for _, p := range m.Tick(f.now) {
+			m.ProbeResult(f.now, p.Name, !f.dead[p.Name] && !f.cut(name, p.Name))
+		}
+	}
+	if !m.Due(f.now) {
+		return
+	}
+	hb := m.Build(f.now)
+	for _, to := range m.Targets() {
+		f.sent++
+		f.bytes += proto.Size(&peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: hb}})
+		if !f.cut(name, to.Name) && name != f.mute {
+			f.mail = append(f.mail, func() {
+				if !f.dead[to.Name] {
+					f.members[to.Name].Heartbeat(f.now, hb)
+				}
+			})
+		}
+	}
+}
+
+// all reports whether every live router sees name in the wanted state.
+func (f *fleet) all(name string, want func(Router) bool) bool {
+	for _, other := range f.names {
+		if r, ok := f.members[other].View().Router(name); !f.dead[other] && (!ok || !want(r)) {
+			return false
+		}
+	}
+	return true
+}
+
+func suspected(r Router) bool { return r.Suspected }
+func usable(r Router) bool    { return r.Usable() }
+
+// Guards against routers that learn of a death late, above all when all
+// routers that watch the dead one die with it.
+func TestDeathIsKnownWithin4Seconds(t *testing.T) {
+	for _, n := range []int{3, 7, 9, 57} {
+		for deaths := 1; deaths <= min(3, n-2); deaths++ {
+			for phase := range 4 {
+				f := newFleet(n)
+				f.run(5*time.Second + time.Duration(phase)*330*time.Millisecond)
+				ring := f.members[f.names[0]].ring("")
+				for _, name := range ring[1 : 1+deaths] {
+					f.dead[name] = true
+				}
+				f.run(4 * time.Second)
+				for _, name := range ring[1 : 1+deaths] {
+					if !f.all(name, suspected) {
+						t.Errorf("%d routers, %d neighbours dead: %s is not suspected by all", n, deaths, name)
+					}
+				}
+				for _, name := range f.names {
+					if !f.dead[name] && !f.all(name, usable) {
+						t.Errorf("%d routers: live %s suspected", n, name)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against a paused or restarted router that stays suspected, and
+// against one broken path that takes a live router out of service for good.
+func TestSuspicionIsRefuted(t *testing.T) {
+	f := newFleet(9)
+	f.run(3 * time.Second)
+	victim := f.members[f.names[0]].ring("")[4]
+	f.dead[victim] = true
+	f.run(5 * time.Second)
+	f.dead[victim] = false
+	f.run(2 * time.Second)
+	if !f.all(victim, usable) {
+		t.Error("resumed router is still suspected")
+	}
+	watcher := f.members[victim].Targets()[0].Name
+	f.cut = func(from, to string) bool { return from == victim && to == watcher || from == watcher && to == victim }
+	bad := 0
+	for range 60 {
+		f.run(time.Second)
+		if r, _ := f.members[f.names[0]].View().Router(victim); r.Suspected {
+			bad++
+		}
+	}
+	if bad > 6 {
+		t.Errorf("one broken path made the router suspected in %d of 60 s", bad)
+	}
+}
+
+// Guards against a suspicion without a failed probe: a router may have another
+// view of the ring and send its heartbeats elsewhere.
+func TestSilenceAloneIsNoSuspicion(t *testing.T) {
+	f := newFleet(5)
+	f.mute = f.names[2]
+	for range 20 {
+		f.run(500 * time.Millisecond)
+		if !f.all(f.mute, usable) {
+			t.Fatal("silent router that answers probes is suspected")
+		}
+	}
+}
+
+// Guards against a stop that others do not learn of, and against a restarted
+// VM that inherits the stop of its earlier boot.
+func TestStopSpreadsAndEndsWithTheBoot(t *testing.T) {
+	f := newFleet(9)
+	f.run(2 * time.Second)
+	name := f.names[3]
+	f.members[name].SetStopping(f.now)
+	f.run(200 * time.Millisecond)
+	if !f.all(name, func(r Router) bool { return r.Stopping }) {
+		t.Fatal("stop is not known by all after 200 ms")
+	}
+	next := New(name, 100)
+	next.SetList(f.now, f.members[name].list)
+	f.members[name] = next
+	f.run(10 * time.Second)
+	for _, watcher := range next.Targets() {
+		if r, _ := f.members[watcher.Name].View().Router(name); !r.Usable() {
+			t.Errorf("%s sees the restarted router as %+v", watcher.Name, r)
+		}
+	}
+	if !f.all(name, usable) {
+		t.Error("restarted router is not usable for all")
+	}
+}
+
+// Guards against news that heartbeats repeat for as long as a fault lasts.
+func TestHeartbeatCost(t *testing.T) {
+	f := newFleet(9)
+	f.run(5 * time.Second)
+	f.dead[f.names[1]], f.dead[f.names[5]] = true, true
+	f.run(20 * time.Second)
+	f.sent, f.bytes = 0, 0
+	f.run(16 * time.Second)
+	if f.sent > 7*2*17 || f.bytes/f.sent > 60 {
+		t.Errorf("%d heartbeats of %d bytes in 16 s", f.sent, f.bytes/f.sent)
+	}
+}
+
+// Guards against homes that move to a flapping engine at each return, and
+// against a hold without bound.
+func TestFlappingEngineIsDamped(t *testing.T) {
+	now := time.UnixMilli(1e12)
+	m := New("r", 1)
+	vm := vmlist.VM{Name: "e", Role: "engine", Pool: "p", Addr: "a", State: "live"}
+	m.SetList(now, &vmlist.List{Version: 1, VMs: []vmlist.VM{vm}})
+	state := func() EngineState { return m.View().Engines["p"][0].State }
+	var holds []time.Duration
+	for range 8 {
+		m.ReportEngine(now, "e", false)
+		if state() == EngineDown {
+			t.Fatal("one failure takes the engine down")
+		}
+		m.ReportEngine(now, "e", false)
+		if state() != EngineDown {
+			t.Fatalf("engine is %v after two failures", state())
+		}
+		m.ReportEngine(now, "e", true)
+		back := now
+		for state() == EngineDamped && now.Sub(back) < time.Hour {
+			now = now.Add(time.Second)
+			m.Tick(now)
+		}
+		holds = append(holds, now.Sub(back))
+	}
+	if holds[0] != minHold || holds[1] != 2*minHold || holds[7] != maxHold {
+		t.Errorf("holds %v", holds)
+	}
+	vm.State = "leaving"
+	m.SetList(now, &vmlist.List{Version: 2, VMs: []vmlist.VM{vm}})
+	m.ReportEngine(now, "e", true)
+	if state() != EngineLeaving {
+		t.Errorf("leaving engine is %v", state())
+	}
+	vm.State = "live"
+	if m.SetList(now, &vmlist.List{Version: 1, VMs: []vmlist.VM{vm}}) || state() != EngineLeaving {
+		t.Error("older list is in force")
+	}
+}
