--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -40,11 +40,11 @@
 	s.send.Lock()
 	defer s.send.Unlock()
 	n, err := writeMessage(s.raw, env)
-	if err != nil {
-		return err
+	if n > 0 {
+		// A write that fails may still have reached the wire.
+		s.count(env, n)
 	}
-	s.count(env, n)
-	return nil
+	return err
 }
 
 // Recv reads the next message. It returns io.EOF when the peer closed the
@@ -117,7 +117,8 @@
 	switch env.Body.(type) {
 	case *peerpb.Envelope_Heartbeat, *peerpb.Envelope_Hello, *peerpb.Envelope_OneWay:
 		return meter.Heartbeat, true
-	case *peerpb.Envelope_Claim, *peerpb.Envelope_ClaimReply, *peerpb.Envelope_VoteLost:
+	case *peerpb.Envelope_Claim, *peerpb.Envelope_ClaimReply, *peerpb.Envelope_VoteLost,
+		*peerpb.Envelope_Join, *peerpb.Envelope_JoinReply, *peerpb.Envelope_Renewal, *peerpb.Envelope_RenewalReply:
 		return meter.Claim, true
 	case *peerpb.Envelope_ConfigFetch, *peerpb.Envelope_ConfigReply:
 		return meter.Config, true
