--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -6,6 +6,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/entry"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/fleetconfig"
+	"github.com/bluebellwell/bluebellwell/internal/membership"
 	"github.com/bluebellwell/bluebellwell/internal/peer"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/record"
@@ -37,6 +38,10 @@
 		ok   bool
 	}
 	peerAnswered  struct{ status fleetconfig.PeerStatus }
+	probeFinished struct {
+		name string
+		ok   bool
+	}
 	stopRequested struct{}
 )
 
@@ -51,13 +56,16 @@
 
 // control is the state of the control goroutine.
 type control struct {
-	r        *Router
-	life     *statechart.Machine
-	list     *vmlist.List
-	listAt   time.Time
-	answers  map[string]fleetconfig.PeerStatus
-	stopping bool
-	stopAt   time.Time
+	r       *Router
+	life    *statechart.Machine
+	members *membership.Membership
+	view    *membership.View
+	listAt  time.Time
+	answers map[string]fleetconfig.PeerStatus
+	// checkedAt is the time of the last probe of servers that are down.
+	checkedAt time.Time
+	stopping  bool
+	stopAt    time.Time
 }
 
 // control owns the control state.
@@ -65,6 +73,7 @@
 	c := &control{
 		r:       r,
 		life:    statechart.NewMachine(statechart.Router()),
+		members: membership.New(r.settings.VM, r.bootID),
 		answers: map[string]fleetconfig.PeerStatus{},
 	}
 	ticker := r.clock.NewTicker(controlTick)
@@ -83,21 +92,36 @@
 
 func (m listFetched) apply(c *control, now time.Time) {
 	c.listAt = now
-	if c.list != nil && m.list.Version <= c.list.Version {
+	if !c.members.SetList(now, m.list) {
 		return
 	}
-	c.list = m.list
 	c.fire(statechart.RouterVMListReadEvent)
 	c.publish(now)
 }
 
-func (m heartbeatReceived) apply(*control, time.Time) {}
+func (m heartbeatReceived) apply(c *control, now time.Time) {
+	if m.from.VM != m.heartbeat.GetVm() {
+		return
+	}
+	c.members.Heartbeat(now, m.heartbeat)
+	c.fetchNewerList()
+	c.publish(now)
+}
 
 func (m voteLostReceived) apply(*control, time.Time) {}
 
 func (m dialFailed) apply(*control, time.Time) {}
 
-func (m serverReported) apply(*control, time.Time) {}
+func (m serverReported) apply(c *control, now time.Time) {
+	if c.members.ReportEngine(now, m.name, m.ok) {
+		c.publish(now)
+	}
+}
+
+func (m probeFinished) apply(c *control, now time.Time) {
+	c.members.ProbeResult(now, m.name, m.ok)
+	c.publish(now)
+}
 
 func (m peerAnswered) apply(c *control, now time.Time) {
 	c.answers[m.status.VM] = m.status
@@ -107,12 +131,23 @@
 func (m stopRequested) apply(c *control, now time.Time) {
 	c.stopping = true
 	c.stopAt = now
+	c.members.SetStopping(now)
 	c.fire(statechart.RouterStopEvent)
 	c.publish(now)
 }
 
 func (c *control) tick(now time.Time) {
+	if c.view == nil {
+		return
+	}
+	for _, p := range c.members.Tick(now) {
+		c.r.probePeer(p)
+	}
+	c.probeServers(now)
 	c.publish(now)
+	if c.members.Due(now) {
+		c.sendHeartbeats(now)
+	}
 }
 
 // fire moves the router's state chart. The chart names every event that a
@@ -125,15 +160,16 @@
 
 // publish computes a new snapshot and the assignments of pools.
 func (c *control) publish(now time.Time) {
-	if c.list == nil {
+	c.view = c.members.View()
+	if c.view.ListVersion == 0 {
 		return
 	}
 	snap := c.r.config.Snapshot()
 	reason := c.readiness(now, snap)
 	s := &state{
 		life:       c.life.State(),
-		listed:     c.listedRouters(),
-		selfListed: c.selfListed(),
+		listed:     c.view.Listed,
+		selfListed: c.view.SelfListed,
 	}
 	s.entry = entry.State{Config: snap.Config, Ready: s.life == statechart.RouterReady, Reason: reason}
 	s.entry.Accepting = s.entry.Ready || c.inLameDuck(now)
@@ -147,14 +183,14 @@
 // readiness fires the events of the readiness rule and returns its reason.
 func (c *control) readiness(now time.Time, snap fleetconfig.Snapshot) string {
 	self := snap.Log
-	self.SelfListed = c.selfListed()
+	self.SelfListed = c.view.SelfListed
 	var peers []fleetconfig.PeerStatus
-	for _, vm := range c.list.VMs {
-		if a, ok := c.answers[vm.Name]; ok && vm.Role == vmlist.RoleRouter {
+	for _, r := range c.view.Routers {
+		if a, ok := c.answers[r.VM.Name]; ok {
 			peers = append(peers, a)
 		}
 	}
-	current, reason := fleetconfig.Current(now, self, peers, c.listedRouters())
+	current, reason := fleetconfig.Current(now, self, peers, c.view.Listed)
 	before := c.life.State()
 	if current {
 		c.fire(statechart.RouterCurrentEvent)
--- /dev/null
+++ b/internal/router/members.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/membership"
+	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/statechart"
+)
+
+const (
+	// serverCheck is the interval of probes of engines and backend servers that
+	// are down; serverCheckTimeout bounds one.
+	serverCheck        = 1 * time.Second
+	serverCheckTimeout = 500 * time.Millisecond
+	// dialBytes estimates a TCP connection that is opened and closed.
+	dialBytes = 6 * meter.TCPFrameBytes
+)
+
+// probePeer tests whether a silent router still accepts connections.
+func (r *Router) probePeer(p membership.Probe) {
+	go func() {
+		err := r.peers.Probe(p.PeerAddr)
+		if err != nil {
+			r.peers.CloseConn(p.PeerAddr)
+		}
+		r.post(probeFinished{name: p.Name, ok: err == nil})
+	}()
+}
+
+// fetchNewerList reads the VM list at once when a peer has a newer version, so
+// that a leaving server is known everywhere before the next poll.
+func (c *control) fetchNewerList() {
+	wanted, have := c.members.WantedList()
+	if wanted <= have {
+		return
+	}
+	select {
+	case c.r.fetchVMs <- struct{}{}:
+	default:
+	}
+}
+
+// sendHeartbeats sends this router's heartbeat to its successors.
+func (c *control) sendHeartbeats(now time.Time) {
+	hb := c.members.Build(now)
+	snap := c.r.config.Snapshot()
+	hb.ConfigOffset = snap.Log.Applied
+	hb.LogAgeMs = logAge(now, snap.Log.HeardAt)
+	hb.Ready = c.life.State() == statechart.RouterReady
+	env := &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: hb}}
+	for _, t := range c.members.Targets() {
+		_ = c.r.peers.Send(t.PeerAddr, env)
+	}
+}
+
+// probeServers tests the servers that are down in the pools that this router
+// owns; traffic does not reach them, so nothing else would show that they are
+// back.
+func (c *control) probeServers(now time.Time) {
+	if now.Sub(c.checkedAt) < serverCheck {
+		return
+	}
+	c.checkedAt = now
+	owners := c.r.state().owners
+	for pool, servers := range c.view.Engines {
+		if owners[pool].VM != c.r.settings.VM {
+			continue
+		}
+		for _, s := range servers {
+			if s.State == membership.EngineDown {
+				c.r.probeServer(s.VM.Name, s.VM.Addr)
+			}
+		}
+	}
+}
+
+func (r *Router) probeServer(name, addr string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), serverCheckTimeout)
+		defer cancel()
+		r.meter.Add(meter.Probe, dialBytes)
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+		r.post(serverReported{name: name, ok: true})
+	}()
+}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -1,82 +1,105 @@
 package router
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/membership"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/poolowner"
-	"github.com/bluebellwell/bluebellwell/internal/vmlist"
+	"github.com/bluebellwell/bluebellwell/internal/status"
 )
 
-func (c *control) listedRouters() int {
-	return len(c.routers())
-}
-
-func (c *control) selfListed() bool {
-	for _, vm := range c.routers() {
-		if vm.Name == c.r.settings.VM {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *control) routers() []vmlist.VM {
-	var list []vmlist.VM
-	for _, vm := range c.list.VMs {
-		if vm.Role == vmlist.RoleRouter {
-			list = append(list, vm)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	return list
-}
-
 // place fills in the owners of pools and streams and assigns the pools.
 func (c *control) place(now time.Time, s *state) {
-	routers := c.routers()
-	var names []string
-	addr := map[string]string{}
-	for _, vm := range routers {
-		names = append(names, vm.Name)
-		if vm.State == vmlist.StateLive {
-			addr[vm.Name] = vm.PeerAddr
-		}
-		if vm.Name != c.r.settings.VM {
-			s.peers = append(s.peers, dispatch.Target{VM: vm.Name, Addr: vm.PeerAddr})
-		}
-	}
+	addr := c.usableAddresses(s)
 	s.owners = map[string]dispatch.Target{}
 	for pool := range s.entry.Config.Pools {
 		s.owners[pool] = winner("pool/"+pool, addr)
-	}
-	if c.r.solo() {
-		names = []string{c.r.settings.VM}
-		for pool := range s.owners {
+		if c.r.solo() {
 			s.owners[pool] = dispatch.Target{VM: c.r.settings.VM}
 		}
 	}
 	for i := range c.r.settings.Intents.Streams {
 		s.streams = append(s.streams, winner("intent/"+strconv.Itoa(i), addr))
 	}
-	var list []poolowner.Assignment
+	s.rank = slices.Index(c.view.Usable, c.r.settings.VM)
+	s.view = c.listStatus(now)
+	c.assign(now, s)
+}
+
+// usableAddresses returns the addresses of the routers that may own pools.
+func (c *control) usableAddresses(s *state) map[string]string {
+	addr := map[string]string{}
+	for _, r := range c.view.Routers {
+		if r.VM.Name != c.r.settings.VM && !r.Suspected {
+			s.peers = append(s.peers, dispatch.Target{VM: r.VM.Name, Addr: r.VM.PeerAddr})
+		}
+		if r.Usable() {
+			addr[r.VM.Name] = r.VM.PeerAddr
+		}
+	}
+	return addr
+}
+
+// assign tells the owner's side about all pools.
+func (c *control) assign(now time.Time, s *state) {
+	listed := c.votes()
+	list := make([]poolowner.Assignment, 0, len(s.entry.Config.Pools))
 	for name, pool := range s.entry.Config.Pools {
 		list = append(list, poolowner.Assignment{
 			Pool:       pool,
 			Workspaces: s.entry.Config.Workspaces,
 			Servers:    c.servers(name),
 			Owned:      s.owners[name].VM == c.r.settings.VM,
-			Held:       names,
-			Listed:     names,
-			Stopping:   c.stopping && !s.entry.Accepting,
+			Held:       listed,
+			Listed:     listed,
 		})
 	}
 	c.r.owner.Assign(now, list)
 }
 
+// votes returns the routers whose votes count for a pool.
+func (c *control) votes() []string {
+	if c.r.solo() {
+		return []string{c.r.settings.VM}
+	}
+	names := make([]string, len(c.view.Routers))
+	for i, r := range c.view.Routers {
+		names[i] = r.VM.Name
+	}
+	return names
+}
+
+// listStatus describes the view for operators.
+func (c *control) listStatus(now time.Time) status.VMList {
+	v := status.VMList{Version: c.view.ListVersion, AgeMs: now.Sub(c.listAt).Milliseconds(), Routers: c.view.Listed}
+	for _, r := range c.view.Routers {
+		if r.Suspected {
+			v.Suspected = append(v.Suspected, r.VM.Name)
+		}
+		if r.Leaving || r.Stopping {
+			v.Leaving = append(v.Leaving, r.VM.Name)
+		}
+	}
+	for _, servers := range c.view.Engines {
+		for _, e := range servers {
+			switch e.State {
+			case membership.EngineDown:
+				v.Down = append(v.Down, e.VM.Name)
+			case membership.EngineLeaving:
+				v.Leaving = append(v.Leaving, e.VM.Name)
+			}
+		}
+	}
+	sort.Strings(v.Leaving)
+	sort.Strings(v.Down)
+	return v
+}
+
 // winner returns the router with the highest rendezvous weight for a key.
 func winner(key string, addr map[string]string) dispatch.Target {
 	var best dispatch.Target
@@ -90,17 +113,24 @@
 	return best
 }
 
+// placementStates maps the membership's view of a server to placement.
+var placementStates = map[membership.EngineState]placement.State{
+	membership.EngineUp:      placement.Up,
+	membership.EngineDamped:  placement.Damped,
+	membership.EngineDown:    placement.Down,
+	membership.EngineLeaving: placement.Leaving,
+}
+
 func (c *control) servers(pool string) []poolowner.Server {
-	var list []poolowner.Server
-	for _, vm := range c.list.VMs {
-		if vm.Pool != pool || vm.Role == vmlist.RoleRouter {
-			continue
-		}
-		st := placement.Up
-		if vm.State == vmlist.StateLeaving {
-			st = placement.Leaving
+	engines := c.view.Engines[pool]
+	list := make([]poolowner.Server, len(engines))
+	for i, e := range engines {
+		list[i] = poolowner.Server{
+			Name:   e.VM.Name,
+			Addr:   e.VM.Addr,
+			State:  placementStates[e.State],
+			Weight: 1,
 		}
-		list = append(list, poolowner.Server{Name: vm.Name, Addr: vm.Addr, State: st, Weight: 1})
 	}
 	return list
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,12 +118,13 @@
 		clock:    o.Clock,
 		events:   events,
 		meter:    &meter.Meter{},
-		bootID:   newBootID(),
 		inbox:    make(chan message, inboxSize),
 		fetchVMs: make(chan struct{}, 1),
 		listener: o.Listener,
 	}
 	r.started = r.clock.Now()
+	// Boot ids grow from one start of a VM to the next.
+	r.bootID = uint64(r.started.UnixNano())
 	r.current.Store(&state{entry: entry.State{Config: record.NewConfig(), Reason: "starting"}})
 	if err := r.provision(); err != nil {
 		return nil, err
