--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -205,6 +205,7 @@
 		e.startFailed(ctx, client, err)
 		return
 	}
+	e.pool.noteBoot(e.now(), e.engine, stream.BootID())
 	e.follow(ctx, engineCtx, client, stream)
 }
 
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -24,14 +24,17 @@
 	config     *record.Pool
 	workspaces map[string]*record.Workspace
 	servers    map[string]Server
-	engines    map[string]*engineclient.Client
-	backends   map[string]*backend.Client
+	// boots holds the boot id that each engine gave with its last answer.
+	boots    map[string]string
+	engines  map[string]*engineclient.Client
+	backends map[string]*backend.Client
 }
 
 func newOwnedPool(deps Deps, a Assignment) *ownedPool {
 	p := &ownedPool{
 		deps:     deps,
 		runs:     newRuns(),
+		boots:    map[string]string{},
 		engines:  map[string]*engineclient.Client{},
 		backends: map[string]*backend.Client{},
 	}
@@ -56,7 +59,7 @@
 	if changed {
 		p.admission.Update(now, admission.Config{Pool: a.Pool, Workspaces: a.Workspaces})
 	}
-	p.admission.SetEngines(now, admissionEngines(a.Servers))
+	p.admission.SetEngines(now, p.admissionEngines())
 	switch {
 	case a.Stopping:
 		p.release(now, admission.CodeStopping)
@@ -125,16 +128,34 @@
 	}
 }
 
-func admissionEngines(servers []Server) []admission.Engine {
-	list := make([]admission.Engine, len(servers))
-	for i, s := range servers {
-		list[i] = admission.Engine{
-			Name: s.Name, Weight: s.Weight, State: s.State, BootID: s.BootID, CacheTokens: s.CacheTokens,
-		}
+// admissionEngines returns the servers as admission needs them.
+func (p *ownedPool) admissionEngines() []admission.Engine {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	list := make([]admission.Engine, 0, len(p.servers))
+	for _, s := range p.servers {
+		list = append(list, admission.Engine{
+			Name: s.Name, Weight: s.Weight, State: s.State, BootID: p.boots[s.Name], CacheTokens: s.CacheTokens,
+		})
 	}
 	return list
 }
 
+// noteBoot learns the boot id of an engine. A new one means that the engine
+// restarted and lost its cache.
+func (p *ownedPool) noteBoot(now time.Time, engine, bootID string) {
+	if bootID == "" {
+		return
+	}
+	p.mu.Lock()
+	known := p.boots[engine]
+	p.boots[engine] = bootID
+	p.mu.Unlock()
+	if known != bootID {
+		p.admission.SetEngines(now, p.admissionEngines())
+	}
+}
+
 func (p *ownedPool) adopt(now time.Time, attempts []*peerpb.Attempt) {
 	var list []admission.AdoptedAttempt
 	for _, a := range attempts {
@@ -192,12 +213,6 @@
 	return names
 }
 
-func (p *ownedPool) bootID(name string) string {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	return p.servers[name].BootID
-}
-
 func (p *ownedPool) systemKey(workspace string) string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -49,7 +49,6 @@
 	Addr   string
 	State  placement.State
 	Weight float64
-	BootID string
 	// CacheTokens is the size of the prefix cache; 0 means unknown.
 	CacheTokens int
 }
