Publish records and test the promise on accepted configurations

Publisher asks the routers for their readable versions, appends, and takes the verdict only from reading the stream. After a lost answer it appends the same bytes again only if a later page does not hold them; the fold ignores a second copy. A record counts as accepted once every listed router reports it in force.

A head that was ever heard, by the router or by an answering peer, now counts for good.

--- /dev/null
+++ b/internal/fleetconfig/publish.go
@@ -0,0 +1,359 @@
+package fleetconfig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebellwell/bluebellwell/internal/findings"
+	"github.com/bluebellwell/bluebellwell/internal/logstream"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+// publishInterval is the pause between the steps of Publish.
+const publishInterval = 200 * time.Millisecond
+
+var (
+	// ErrOutcomeUnknown means that the record may be in the log or may still
+	// reach it. Publishing the same bytes again is safe.
+	ErrOutcomeUnknown = errors.New("it is not known whether the record reached the log")
+	// ErrNotPublished means that the record did not reach the log and will not.
+	ErrNotPublished = errors.New("the record was not published")
+	// ErrNotInForce means that the record is valid and in the log, but not every
+	// router has reported it in force.
+	ErrNotInForce = errors.New("not every router has reported the record in force")
+)
+
+// RouterStatus is one router as the publisher sees it.
+type RouterStatus struct {
+	VM string `json:"vm"`
+	// Gone is true once the router has left the VM list; it no longer counts.
+	Gone bool `json:"gone"`
+	// Answered is false if the router did not answer; the other fields are then
+	// not set.
+	Answered bool `json:"answered"`
+	// InForce is the next offset of the router's state in force.
+	InForce uint64 `json:"in_force"`
+	// Versions are the schema versions that the router reads.
+	Versions []int `json:"versions"`
+}
+
+// FleetStatus tells the publisher about the routers of the VM list.
+type FleetStatus interface {
+	// Routers returns every listed router, whether it answers or not. An error
+	// means that the VM list is not known.
+	Routers(ctx context.Context) ([]RouterStatus, error)
+}
+
+// Phase is a step of publishing.
+type Phase string
+
+// Phases in their order. A failed append leads back to PhaseVersions.
+const (
+	PhaseSync     Phase = "reading_log"
+	PhaseVersions Phase = "asking_versions"
+	PhaseAppend   Phase = "appending"
+	PhaseReadBack Phase = "reading_back"
+	PhaseInForce  Phase = "waiting_for_routers"
+	PhaseDone     Phase = "in_force"
+)
+
+// Progress reports a publication after each step.
+type Progress struct {
+	Phase Phase
+	// Offset is the record's offset from PhaseInForce on.
+	Offset uint64
+	// Routers is the last answer of the fleet.
+	Routers []RouterStatus
+	// Err is the failure that will be retried, or nil.
+	Err error
+}
+
+// Result is an accepted record that is in force on every listed router.
+type Result struct {
+	ID      string
+	Offset  uint64
+	Routers []RouterStatus
+}
+
+// PublishOptions set up a publication.
+type PublishOptions struct {
+	Log   logstream.Log
+	Fleet FleetStatus
+	Clock clockwork.Clock
+	// File names the record in findings.
+	File string
+	// Progress is called after each step; it may be nil.
+	Progress func(Progress)
+}
+
+// Publisher publishes one record step by step. It is not safe for concurrent
+// use.
+type Publisher struct {
+	o       PublishOptions
+	data    []byte
+	record  *record.Record
+	content string
+	reader  *Reader
+
+	phase Phase
+	// uncertain is true after an append without a definite answer.
+	uncertain bool
+	// accepted is true once the record was read back as valid in order.
+	accepted bool
+	offset   uint64
+	routers  []RouterStatus
+}
+
+// Publish publishes one record and waits until it is in force on every listed
+// router. The error is a *findings.Error for an invalid or conflicting record
+// and for routers that cannot read it; otherwise it wraps ErrOutcomeUnknown,
+// ErrNotPublished or ErrNotInForce, and says why ctx ended the wait.
+func Publish(ctx context.Context, o PublishOptions, data []byte) (*Result, error) {
+	p, err := NewPublisher(o, data)
+	if err != nil {
+		return nil, err
+	}
+	var last error
+	for {
+		result, err := p.Step(ctx)
+		if result != nil || !retryable(err) {
+			return result, err
+		}
+		if err != nil {
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, p.abandoned(errors.Join(ctx.Err(), last))
+		case <-o.Clock.After(publishInterval):
+		}
+	}
+}
+
+// NewPublisher validates a record. The error is a *findings.Error.
+func NewPublisher(o PublishOptions, data []byte) (*Publisher, error) {
+	rec, err := record.Parse(o.File, data)
+	if err != nil {
+		return nil, err
+	}
+	return &Publisher{
+		o:       o,
+		data:    data,
+		record:  rec,
+		content: ContentDigest(data),
+		reader:  NewReader(ReaderOptions{Log: o.Log, Clock: o.Clock}),
+		phase:   PhaseSync,
+	}, nil
+}
+
+// retryError is a failure after which the next step may succeed.
+type retryError struct{ error }
+
+func (e retryError) Unwrap() error { return e.error }
+
+func retryable(err error) bool {
+	var r retryError
+	return err == nil || errors.As(err, &r)
+}
+
+// Step makes one call to the log or to the fleet. It returns the result when the
+// record is in force, and nil before. After an error, Retryable tells whether
+// further steps make sense.
+func (p *Publisher) Step(ctx context.Context) (*Result, error) {
+	err := p.step(ctx)
+	if p.o.Progress != nil {
+		p.o.Progress(Progress{Phase: p.phase, Offset: p.offset, Routers: p.routers, Err: err})
+	}
+	if err != nil {
+		return nil, err
+	}
+	if p.phase != PhaseDone {
+		return nil, nil
+	}
+	return &Result{ID: p.record.ID, Offset: p.offset, Routers: p.routers}, nil
+}
+
+// Retryable reports whether a Publisher may step on after err.
+func Retryable(err error) bool {
+	return retryable(err)
+}
+
+func (p *Publisher) step(ctx context.Context) error {
+	switch p.phase {
+	case PhaseSync, PhaseReadBack:
+		return p.readLog(ctx)
+	case PhaseVersions:
+		return p.askVersions(ctx)
+	case PhaseAppend:
+		return p.append(ctx)
+	case PhaseInForce:
+		return p.awaitRouters(ctx)
+	}
+	return nil
+}
+
+// readLog reads one page. At the head it either finds the record or knows that
+// the log does not hold it.
+func (p *Publisher) readLog(ctx context.Context) error {
+	if err := p.reader.Step(ctx); err != nil {
+		if errors.Is(err, ErrUnreadable) {
+			return p.abandoned(err)
+		}
+		return retryError{err}
+	}
+	if known, ok := p.reader.Lookup(p.record.ID); ok {
+		return p.judge(known)
+	}
+	atHead, hasState := p.reader.atHead()
+	if atHead && !hasState {
+		return retryError{eris.Wrap(ErrCheckpoint, "the log holds no checkpoint to start from")}
+	}
+	if atHead {
+		p.phase = PhaseVersions
+	}
+	return nil
+}
+
+// judge takes over the verdict that the fold gave the record.
+func (p *Publisher) judge(known Known) error {
+	if known.Content != p.content {
+		list := findings.NewList(p.o.File)
+		list.Add("$.id", findings.CodeConflict, "id %s belongs to another record at offset %d", known.ID, known.Offset)
+		return list.Err()
+	}
+	p.uncertain = false
+	p.offset = known.Offset
+	if known.Accepted {
+		p.accepted = true
+		p.phase = PhaseInForce
+		return nil
+	}
+	for _, v := range p.reader.History() {
+		if v.Offset == known.Offset {
+			return &findings.Error{Findings: named(p.o.File, v.Findings)}
+		}
+	}
+	list := findings.NewList(p.o.File)
+	list.Add("$", findings.CodeConflict, "record was rejected at offset %d", known.Offset)
+	return list.Err()
+}
+
+// askVersions waits until every listed router has said what it can read.
+func (p *Publisher) askVersions(ctx context.Context) error {
+	if err := p.askRouters(ctx); err != nil {
+		return err
+	}
+	var unable []string
+	for _, r := range p.listed() {
+		if !r.Answered {
+			return retryError{eris.Errorf("router %s did not say which schema versions it reads", r.VM)}
+		}
+		if !slices.Contains(r.Versions, p.record.SchemaVersion) {
+			unable = append(unable, r.VM)
+		}
+	}
+	if len(unable) > 0 {
+		return p.refuse(unable)
+	}
+	p.phase = PhaseAppend
+	return nil
+}
+
+func (p *Publisher) refuse(unable []string) error {
+	list := findings.NewList(p.o.File)
+	list.Add("$.schema_version", findings.CodeUnreadable, "schema version %d cannot be read by the routers %v", p.record.SchemaVersion, unable)
+	if p.uncertain {
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, list.Err())
+	}
+	return list.Err()
+}
+
+// append sends the record. Whatever the answer, the verdict comes from reading
+// the stream; after a lost answer the record is sent again only if it is absent
+// from a page read after the failure.
+func (p *Publisher) append(ctx context.Context) error {
+	_, err := p.o.Log.Append(ctx, StreamName, [][]byte{p.data})
+	if errors.Is(err, logstream.ErrRateLimited) {
+		return retryError{err}
+	}
+	if errors.Is(err, logstream.ErrRefused) {
+		return p.abandoned(err)
+	}
+	p.uncertain = true
+	p.phase = PhaseReadBack
+	if err != nil {
+		return retryError{err}
+	}
+	return nil
+}
+
+func (p *Publisher) awaitRouters(ctx context.Context) error {
+	if err := p.askRouters(ctx); err != nil {
+		return err
+	}
+	for _, r := range p.listed() {
+		if !r.Answered || r.InForce <= p.offset {
+			return nil
+		}
+	}
+	p.phase = PhaseDone
+	return nil
+}
+
+// askRouters refreshes the fleet's answer. An empty list proves nothing about
+// the fleet, so it is retried.
+func (p *Publisher) askRouters(ctx context.Context) error {
+	routers, err := p.o.Fleet.Routers(ctx)
+	if err != nil {
+		return retryError{eris.Wrap(err, "ask the routers")}
+	}
+	p.routers = routers
+	if len(p.listed()) == 0 {
+		return retryError{eris.New("the VM list holds no router")}
+	}
+	return nil
+}
+
+func (p *Publisher) listed() []RouterStatus {
+	var out []RouterStatus
+	for _, r := range p.routers {
+		if !r.Gone {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// abandoned returns the error for a publication that stops here.
+func (p *Publisher) abandoned(cause error) error {
+	outcome := ErrNotPublished
+	if p.accepted {
+		outcome = ErrNotInForce
+	} else if p.uncertain {
+		outcome = ErrOutcomeUnknown
+	}
+	return fmt.Errorf("%w: %w", outcome, cause)
+}
+
+// named returns findings of the stream under the name of the published file.
+func named(file string, items []findings.Finding) []findings.Finding {
+	out := slices.Clone(items)
+	for i := range out {
+		out[i].File = file
+	}
+	return out
+}
+
+// atHead reports whether the last step reached the head, and whether the state
+// is complete up to there.
+func (r *Reader) atHead() (atHead, hasState bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.behind, r.state != nil && !r.scanning
+}
--- /dev/null
+++ b/internal/fleetconfig/publish_test.go
@@ -0,0 +1,247 @@
+package fleetconfig
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bluebellwell/bluebellwell/internal/findings"
+	"github.com/bluebellwell/bluebellwell/internal/logstream"
+	"github.com/bluebellwell/bluebellwell/internal/standin/logsim"
+)
+
+// fakeFleet answers with the routers that the test sets.
+type fakeFleet struct {
+	routers []RouterStatus
+	err     error
+}
+
+func (f *fakeFleet) Routers(context.Context) ([]RouterStatus, error) {
+	return slices.Clone(f.routers), f.err
+}
+
+type publication struct {
+	t     *testing.T
+	clock *clockwork.FakeClock
+	sim   *logsim.Log
+	fleet *fakeFleet
+	*Publisher
+}
+
+func newPublication(t *testing.T, data []byte) *publication {
+	clock := clockwork.NewFakeClock()
+	p := &publication{
+		t:     t,
+		clock: clock,
+		sim:   logsim.New(logsim.Options{Clock: clock}),
+		fleet: &fakeFleet{routers: []RouterStatus{{VM: "a", Answered: true, InForce: 99, Versions: []int{1, 2}}}},
+	}
+	var err error
+	p.Publisher, err = NewPublisher(PublishOptions{Log: p.sim, Fleet: p.fleet, Clock: clock, File: "f.json"}, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// run steps n times or up to a final answer.
+func (p *publication) run(n int) (*Result, error) {
+	for i := 0; i < n; i++ {
+		result, err := p.Step(context.Background())
+		if result != nil || !Retryable(err) {
+			return result, err
+		}
+	}
+	return nil, nil
+}
+
+func (p *publication) add(data []byte) {
+	if _, err := p.sim.Append(context.Background(), StreamName, [][]byte{data}); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *publication) copies() int {
+	return len(p.sim.Records(StreamName))
+}
+
+func findingCode(err error) findings.Code {
+	var e *findings.Error
+	if errors.As(err, &e) {
+		return e.Findings[0].Code
+	}
+	return ""
+}
+
+// Guards against a record that is reported accepted before every listed router
+// has it in force, and against waiting for routers that have left.
+func TestAcceptedOnlyWhenInForceEverywhere(t *testing.T) {
+	p := newPublication(t, workspaceRecord("a", "w", ""))
+	waiting := [][]RouterStatus{
+		{},
+		{{VM: "a", Gone: true, Answered: true, InForce: 1}},
+		{{VM: "a", Answered: true, InForce: 1}, {VM: "b", Answered: true, InForce: 0}},
+		{{VM: "a", Answered: true, InForce: 1}, {VM: "b", InForce: 1}},
+	}
+	if _, err := p.run(6); err != nil || p.phase != PhaseDone && p.phase != PhaseInForce {
+		t.Fatalf("got phase %s and error %v", p.phase, err)
+	}
+	p.phase = PhaseInForce
+	for i, routers := range waiting {
+		p.fleet.routers = routers
+		if result, err := p.run(3); result != nil || err != nil {
+			t.Fatalf("case %d: got %+v, %v", i, result, err)
+		}
+	}
+	p.fleet.err = errors.New("VM list unknown")
+	if result, err := p.run(3); result != nil || err != nil {
+		t.Fatalf("unknown VM list: got %+v, %v", result, err)
+	}
+	p.fleet.err = nil
+	p.fleet.routers = []RouterStatus{{VM: "a", Answered: true, InForce: 1}, {VM: "b", Gone: true}}
+	if result, err := p.run(3); err != nil || result == nil || result.Offset != 0 {
+		t.Fatalf("got %+v, %v", result, err)
+	}
+}
+
+// Guards against a record in the log that a router cannot read.
+func TestVersionsAreAskedFirst(t *testing.T) {
+	p := newPublication(t, workspaceRecord("a", "w", ""))
+	p.fleet.routers = append(p.fleet.routers,
+		RouterStatus{VM: "old-1", Answered: true, Versions: []int{1}}, RouterStatus{VM: "silent"})
+	p.fleet.routers[0], p.fleet.routers[2] = p.fleet.routers[2], p.fleet.routers[0]
+	if result, err := p.run(9); result != nil || err != nil || p.copies() != 0 {
+		t.Fatalf("with a silent router: got %+v, %v and %d copies", result, err, p.copies())
+	}
+	p.fleet.routers[0].Gone = true
+	_, err := p.run(9)
+	if findingCode(err) != findings.CodeUnreadable || !strings.Contains(err.Error(), "[old-1]") || p.copies() != 0 {
+		t.Fatalf("got error %v and %d copies", err, p.copies())
+	}
+}
+
+// Guards against a record that is lost, or takes effect twice, when the answer
+// to its append is lost or the append is delayed.
+func TestLostAppendAnswers(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  func(*logsim.Log)
+		heal   func(*logsim.Log)
+		copies int
+	}{
+		{"answer lost", func(l *logsim.Log) { l.SetLoseAnswers(true) }, func(*logsim.Log) {}, 1},
+		{"never applied", func(l *logsim.Log) { l.SetDown(true) }, func(l *logsim.Log) { l.SetDown(false) }, 1},
+		{"applied before the second try", func(l *logsim.Log) { l.SetDelay(true) }, func(l *logsim.Log) { l.SetDelay(false); l.Release(-1) }, 1},
+		{"applied after the second try", func(l *logsim.Log) { l.SetDelay(true) }, func(l *logsim.Log) { l.SetDelay(false) }, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPublication(t, workspaceRecord("a", "w", ""))
+			for p.phase != PhaseAppend {
+				if _, err := p.Step(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			c.fault(p.sim)
+			if _, err := p.Step(context.Background()); !errors.Is(err, logstream.ErrUnavailable) || !Retryable(err) {
+				t.Fatalf("got error %v", err)
+			}
+			c.heal(p.sim)
+			result, err := p.run(9)
+			p.sim.Release(-1)
+			if err != nil || result == nil || p.copies() != c.copies {
+				t.Fatalf("got %+v, %v and %d copies, want %d", result, err, p.copies(), c.copies)
+			}
+			s := NewState()
+			for _, rec := range p.sim.Records(StreamName) {
+				s.Apply(rec.Offset, rec.Data)
+			}
+			if h := s.History(); h[0].Outcome != OutcomeAccepted || len(h) > 1 && h[1].Outcome != OutcomeDuplicate {
+				t.Fatalf("got history %+v", h)
+			}
+		})
+	}
+}
+
+// Guards against a rejected record that is reported in another way than with
+// its findings.
+func TestRejectedRecords(t *testing.T) {
+	p := newPublication(t, workspaceRecord("b", "w", ""))
+	p.add(workspaceRecord("a", "w", ""))
+	if _, err := p.run(9); findingCode(err) != findings.CodeConflict || !strings.Contains(err.Error(), "f.json: $.changes[0].replaces") {
+		t.Fatalf("conflict: got %v", err)
+	}
+	p = newPublication(t, workspaceRecord("a", "w", ""))
+	p.add(workspaceRecord("a", "other", ""))
+	if _, err := p.run(9); findingCode(err) != findings.CodeConflict || p.copies() != 1 {
+		t.Fatalf("foreign id: got %v", err)
+	}
+	if _, err := NewPublisher(PublishOptions{}, []byte(`{}`)); findingCode(err) != findings.CodeMissing {
+		t.Fatalf("invalid: got %v", err)
+	}
+}
+
+// Guards against an unknown outcome that is reported as a definite one.
+func TestInterruptedPublications(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(*publication)
+		want  error
+	}{
+		{"log down from the start", func(p *publication) { p.sim.SetDown(true) }, ErrNotPublished},
+		{"append without an answer", func(p *publication) { p.sim.SetDelay(true) }, ErrOutcomeUnknown},
+		{"router without the record", func(p *publication) { p.fleet.routers[0].InForce = 0 }, ErrNotInForce},
+		{"unreadable record in the log", func(p *publication) { p.add([]byte(laterSchema)) }, ErrNotPublished},
+		{"no checkpoint above the floor", func(p *publication) {
+			p.add(workspaceRecord("x", "x", ""))
+			p.sim.SetFloor(StreamName, 1)
+		}, ErrCheckpoint},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPublication(t, workspaceRecord("a", "w", ""))
+			c.fault(p)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			steps := 0
+			p.o.Progress = func(Progress) {
+				if steps++; steps == 12 {
+					cancel()
+				}
+				go func() {
+					if p.clock.BlockUntilContext(ctx, 1) == nil {
+						p.clock.Advance(publishInterval)
+					}
+				}()
+			}
+			_, err := Publish(ctx, p.o, p.data)
+			if !errors.Is(err, c.want) {
+				t.Fatalf("got error %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a publication that gives up on the rate limit of the log, or
+// that takes a refused append for one that may still take effect.
+func TestRateLimitedAppendIsRepeated(t *testing.T) {
+	p := newPublication(t, workspaceRecord("b", "w2", ""))
+	limited := logsim.New(logsim.Options{Clock: p.clock, AppendsPerSecond: 1, AppendBurst: 1})
+	p.sim, p.o.Log, p.reader.log = limited, limited, limited
+	p.add(workspaceRecord("a", "w1", ""))
+	if result, err := p.run(9); result != nil || err != nil || p.copies() != 1 {
+		t.Fatalf("got %+v, %v and %d copies", result, err, p.copies())
+	}
+	if err := p.abandoned(context.Canceled); !errors.Is(err, ErrNotPublished) {
+		t.Fatalf("got error %v, want ErrNotPublished", err)
+	}
+	p.clock.Advance(time.Second)
+	if result, err := p.run(9); result == nil || err != nil || p.copies() != 2 {
+		t.Fatalf("got %+v, %v and %d copies", result, err, p.copies())
+	}
+}
--- a/internal/fleetconfig/reader.go
+++ b/internal/fleetconfig/reader.go
@@ -183,7 +183,7 @@
 		r.scanPage(page)
 		return nil
 	}
-	if r.state == nil && offset == 0 {
+	if r.state == nil {
 		r.state = NewState()
 	}
 	return r.follow(page)
--- a/internal/fleetconfig/readiness.go
+++ b/internal/fleetconfig/readiness.go
@@ -63,8 +63,9 @@
 // A router that does not hear the log is current in two cases. Either a peer
 // hears the log and this router has applied all below the peer's head, or more
 // than half of the listed routers (this one included) answer and none of them
-// hears the log. In both cases it must have applied what every answering peer
-// has applied. Routers without a state know nothing about accepted records and
+// hears the log. In all cases it must have applied what every answering peer
+// has applied, and every record below the highest head that it or an answering
+// peer has ever heard. Routers without a state know nothing about accepted records and
 // do not count as answering.
 func Current(now time.Time, self LogStatus, peers []PeerStatus, listed int) (bool, Reason) {
 	if !self.HasState {
@@ -73,10 +74,11 @@
 	if self.Unreadable {
 		return false, ReasonUnreadable
 	}
+	// The head never goes back, so one that was heard long ago still counts.
+	if self.Applied < self.Head {
+		return false, ReasonBehindLog
+	}
 	if heard(now, self.HeardAt) {
-		if self.Applied < self.Head {
-			return false, ReasonBehindLog
-		}
 		return true, ReasonLogHeard
 	}
 	return currentByPeers(now, self, peers, listed)
@@ -93,15 +95,11 @@
 			continue
 		}
 		answering++
-		if p.Applied > self.Applied {
+		if p.Applied > self.Applied || p.Head > self.Applied {
 			return false, ReasonBehindPeer
 		}
-		if !p.Heard || !heard(now, p.AnsweredAt.Add(-p.LogAge)) {
-			continue
-		}
-		peerHeard = true
-		if p.Head > self.Applied {
-			return false, ReasonBehindPeer
+		if p.Heard && heard(now, p.AnsweredAt.Add(-p.LogAge)) {
+			peerHeard = true
 		}
 	}
 	if peerHeard {
--- a/internal/fleetconfig/readiness_test.go
+++ b/internal/fleetconfig/readiness_test.go
@@ -37,6 +37,8 @@
 		{"unreadable", with(hears, func(s *LogStatus) { s.Unreadable = true }), nil, 1, ReasonUnreadable, false},
 		{"log heard", hears, nil, 9, ReasonLogHeard, true},
 		{"behind the log", with(hears, func(s *LogStatus) { s.Head = 8 }), nil, 9, ReasonBehindLog, false},
+		{"log down, behind the head heard before", with(deaf, func(s *LogStatus) { s.Head = 8 }), nil, 1, ReasonBehindLog, false},
+		{"log down, behind the head that a peer heard before", deaf, []PeerStatus{quiet, peer(func(p *PeerStatus) { p.Head = 8 })}, 3, ReasonBehindPeer, false},
 		{"log down, more than half answer", deaf, []PeerStatus{quiet, quiet}, 5, ReasonLogDown, true},
 		{"log never heard", never, []PeerStatus{quiet, quiet}, 5, ReasonLogDown, true},
 		{"log down, single router", deaf, nil, 1, ReasonLogDown, true},
