--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -130,7 +130,9 @@
 // opens the pool unless it is stopping. The slots of each engine's bound are
 // dealt to the listed routers in the engine's rendezvous order, and the owner
 // may use the slots of the routers whose vote it holds. Owners with disjoint
-// votes of the same list never exceed a bound together.
+// votes of the same list never exceed a bound together. An owner only knows its
+// own load, so it can fill the pool only while its part of the votes times the
+// load multiple is above 1; below that the pool's load falls to a few slots.
 func (p *Pool) SetVotes(now time.Time, held, listed []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -206,8 +208,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i := p.position(engine)
+	if p.engines[i].reserved > 0 {
+		p.reserves--
+	}
 	p.engines[i].reserved = max(slots, 0)
 	p.engines[i].reservedTo = until
+	if slots > 0 {
+		p.reserves++
+	}
 	p.recount(i)
 	p.saturated = false
 	p.dispatch(now)
@@ -217,13 +225,14 @@
 // next one.
 func (p *Pool) expireReserves(now time.Time) time.Time {
 	var next time.Time
-	for i := range p.engines {
+	for i := 0; i < len(p.engines) && p.reserves > 0; i++ {
 		e := &p.engines[i]
 		if e.reserved == 0 {
 			continue
 		}
 		if !now.Before(e.reservedTo) {
 			e.reserved = 0
+			p.reserves--
 			p.recount(i)
 			p.saturated = false
 			p.collect(i)
--- a/internal/admission/fair_test.go
+++ b/internal/admission/fair_test.go
@@ -327,3 +327,20 @@
 		p.Release(start, tk, Result{})
 	}
 }
+
+// Guards against a table of workspaces that grows with every name ever seen.
+func TestIdleWorkspacesAreForgotten(t *testing.T) {
+	p := testPool(testConfig(1.25, 0), 2)
+	for i := range 1000 {
+		tk := p.Submit(start, &Request{Workspace: fmt.Sprint(i)})
+		mustRun(t, tk)
+		p.Release(start, tk, Result{})
+	}
+	for i := range 40 {
+		mustRun(t, p.Submit(start, &Request{Workspace: "busy"}))
+		p.Tick(start.Add(time.Duration(i) * sweepEvery))
+	}
+	if n := len(p.workspaces); n > 10 {
+		t.Fatalf("%d workspaces are kept, 1 is in use", n)
+	}
+}
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -117,6 +117,10 @@
 	queued     int
 	adopted    map[string]adopted
 	votes      *placement.Votes
+	// reserves is the number of engines with reserved slots.
+	reserves int
+	// swept is the time of the last search for idle workspaces.
+	swept time.Time
 	// closed is the code of refusals while the pool admits nothing.
 	closed Code
 	// saturated tells that no engine had room at the last pick. It saves picks
@@ -698,8 +702,10 @@
 	p.due.schedule(t, t.req.Deadline)
 }
 
-// Tick handles ended waits and passed deadlines. It returns the time at which
-// it must be called next; the zero time means that nothing waits.
+// Tick handles ended waits, passed deadlines and ended reserves. It returns the
+// time at which it must be called next; the zero time means that nothing
+// waits. Call it also after Submit if the request was not decided at once,
+// because the new request may be due before the last returned time.
 func (p *Pool) Tick(now time.Time) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -708,19 +714,27 @@
 	}
 	next := p.expireReserves(now)
 	p.dispatch(now)
-	p.sweep()
+	p.sweep(now)
 	if len(p.due) > 0 && (next.IsZero() || p.due[0].due.Before(next)) {
 		next = p.due[0].due
 	}
 	return next
 }
 
-// sweepSize is the number of workspaces that one Tick checks.
-const sweepSize = 64
+// Limits of the search for idle workspaces.
+const (
+	sweepEvery = 1 * time.Second
+	// sweepSize is the number of workspaces that one sweep checks.
+	sweepSize = 256
+)
 
 // sweep forgets some idle workspaces, so that the table is bounded by the
 // workspaces in use.
-func (p *Pool) sweep() {
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.swept) < sweepEvery {
+		return
+	}
+	p.swept = now
 	n := 0
 	for _, w := range p.workspaces {
 		p.forget(w)
