--- a/internal/intent/begin.go
+++ b/internal/intent/begin.go
@@ -35,6 +35,9 @@
 	reply   *peerpb.IntentReply
 	code    string
 	unsent  int
+	// gaveUp is set when the uid may come to hold the key although it will not
+	// be dispatched.
+	gaveUp bool
 }
 
 func newBegin(call *peerpb.IntentCall) *begin {
@@ -67,6 +70,12 @@
 
 // lost notes that the last call may have reached an owner.
 func (b *begin) lost() {
+	b.pending()
+	b.gaveUp = true
+}
+
+// pending notes that an intent may have been recorded.
+func (b *begin) pending() {
 	b.fire(statechart.NonRepeatableAppendIntentEvent)
 }
 
@@ -90,7 +99,7 @@
 func (b *begin) repliedToBegin(r *peerpb.IntentReply) {
 	switch r.State {
 	case peerpb.IntentState_INTENT_STATE_WON:
-		b.lost()
+		b.pending()
 		b.end(statechart.NonRepeatableIntentWonEvent, r)
 	case peerpb.IntentState_INTENT_STATE_NOT_RUN:
 		b.repliedNotRun(r)
@@ -113,7 +122,7 @@
 func (b *begin) repliedNotRun(r *peerpb.IntentReply) {
 	switch r.Detail {
 	case DetailVoided, DetailSuperseded:
-		b.lost()
+		b.pending()
 		b.end(statechart.NonRepeatableVoidedEvent, r)
 	case DetailNotOwner:
 		b.notSent(r.Detail)
@@ -161,12 +170,17 @@
 	return err == nil && changed
 }
 
-// result returns the reply or the error, and whether the uid may still hold the
-// key or come to hold it and has to be withdrawn.
+// result returns the reply or the error, and whether the uid has to be
+// withdrawn because it may hold the key or come to hold it.
 func (b *begin) result() (r *peerpb.IntentReply, withdraw bool, err error) {
 	if b.reply == nil {
 		return nil, false, &RefusedError{Code: b.code}
 	}
-	state := b.machine.State()
-	return b.reply, state == statechart.NonRepeatableUnknown && b.reply.Detail == DetailUndecided, nil
+	switch b.reply.State {
+	case peerpb.IntentState_INTENT_STATE_IN_PROGRESS,
+		peerpb.IntentState_INTENT_STATE_UNKNOWN,
+		peerpb.IntentState_INTENT_STATE_DIGEST_MISMATCH:
+		return b.reply, b.gaveUp, nil
+	}
+	return b.reply, false, nil
 }
--- a/internal/intent/evaluate.go
+++ b/internal/intent/evaluate.go
@@ -130,6 +130,9 @@
 // judgeQuery tells the state of a key to a router that has given up its own
 // uid, and withdraws that uid unless another one holds the key.
 func (v view) judgeQuery(id ID, e Entry, c *peerpb.IntentCall, appended bool) verdict {
+	if r := v.outOfWindow(c.IssuedUnixMs); r != nil {
+		return verdict{reply: r, final: true}
+	}
 	if e.Holder != "" && e.Holder != c.Uid {
 		return verdict{reply: v.duplicate(e, c), final: e.Outcome != nil}
 	}
@@ -137,11 +140,16 @@
 }
 
 func (v view) judgeAbandon(id ID, e Entry, c *peerpb.IntentCall, appended bool) verdict {
+	// The fold may lack records of a key that is out of the window.
+	if r := v.outOfWindow(c.IssuedUnixMs); r != nil {
+		return verdict{reply: r, final: true}
+	}
 	if slices.Contains(e.Withdrawn, c.Uid) {
 		return verdict{reply: notRun(DetailVoided), final: true}
 	}
-	if r := v.outOfWindow(c.IssuedUnixMs); r != nil {
-		return verdict{reply: r, final: true}
+	if e.Outcome != nil {
+		// Another uid ran the key, so this one can never hold it.
+		return verdict{reply: notRun(DetailSuperseded), final: true}
 	}
 	if appended {
 		// The void landed outside the window by the log's clock.
@@ -202,7 +210,7 @@
 		return expired(DetailIssuedInFuture)
 	}
 	end := issued.Add(v.limits.Window)
-	if v.now.After(end.Add(99*time.Hour)) {
+	if v.now.After(end) || v.fold.Newest().After(end) || issued.Before(v.complete) {
 		return expired(DetailKeyExpired)
 	}
 	return nil
--- a/internal/intent/guard.go
+++ b/internal/intent/guard.go
@@ -58,6 +58,7 @@
 	Streams int
 	Limits  Limits
 	// BatchInterval is the time for which calls are collected into one append.
+	// A negative value sends each append at once.
 	BatchInterval time.Duration
 	// PollInterval is the time between reads of an idle stream.
 	PollInterval time.Duration
@@ -94,7 +95,7 @@
 		{&o.AskTimeout, defaultAskTimeout},
 	}
 	for _, d := range durations {
-		if *d.v <= 0 {
+		if *d.v == 0 {
 			*d.v = d.def
 		}
 	}
@@ -214,7 +215,7 @@
 	}
 	r, withdraw, err := b.result()
 	if withdraw {
-		g.opts.Events.Emit(event.IntentUndecided, "uid", call.Uid)
+		g.opts.Events.Emit(event.IntentGivenUp, "uid", call.Uid, "state", r.State.String())
 		g.withdraw(call)
 	}
 	return r, err
@@ -271,9 +272,9 @@
 	return r.State != peerpb.IntentState_INTENT_STATE_UNSPECIFIED && r.Detail != DetailUndecided
 }
 
-// withdraw closes the generation of a BEGIN that ended undecided, so that the
-// key is not blocked by an intent that nobody dispatches. The uid was given up,
-// so this router may do it as the holder.
+// withdraw records that the uid of a lost BEGIN was given up, so that the key is
+// not blocked by an intent that nobody dispatches. Only the router that will
+// not dispatch the uid may do so.
 func (g *Guard) withdraw(call *peerpb.IntentCall) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -296,7 +297,7 @@
 func (g *Guard) withdrawAll(abandon *peerpb.IntentCall) {
 	ctx := g.tomb.Context(context.Background())
 	end := time.UnixMilli(abandon.IssuedUnixMs).Add(g.opts.Limits.Window)
-	for ctx.Err() == nil && g.opts.Clock.Now().Before(end) {
+	for !ended(ctx) && g.opts.Clock.Now().Before(end) {
 		if _, err := g.Call(ctx, abandon); err == nil {
 			g.opts.Events.Emit(event.IntentAbandoned, "uid", abandon.Uid)
 			return
@@ -322,7 +323,7 @@
 	p.d = min(2*p.d, maxBackoff)
 	select {
 	case <-timer.Chan():
-		return ctx.Err() == nil
+		return !ended(ctx)
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/intent/stream.go
+++ b/internal/intent/stream.go
@@ -48,7 +48,7 @@
 	answer := make(chan *peerpb.IntentReply, 1)
 	it := &item{
 		call:  call,
-		gone:  func() bool { return ctx.Err() != nil },
+		gone:  func() bool { return ended(ctx) },
 		reply: func(r *peerpb.IntentReply) { answer <- r },
 	}
 	it.deadline = s.clock.Now().Add(maxCallTime)
@@ -144,3 +144,14 @@
 		s.events.Emit(event.IntentLogLost, "stream", s.name)
 	}
 }
+
+// ended reports whether a context is over. Err of a context on a fake clock
+// waits for the end, so it cannot be used for that.
+func ended(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	default:
+		return false
+	}
+}
