Record bookings by short ids and replay their answers; apply only changed assignments

A request id is longer than an intent may be, so every booking was refused. The intent carries its random part, from which the id can be rebuilt.

--- a/internal/answer/id.go
+++ b/internal/answer/id.go
@@ -42,7 +42,11 @@
 // bound to the workspace by an HMAC under key. The workspace cannot be read
 // from it. All characters may stand in a URL path.
 func NewRequestID(key []byte, workspace, pool string) string {
-	random := NewAttemptID()
+	return RequestIDOf(key, NewAttemptID(), workspace, pool)
+}
+
+// RequestIDOf returns the request id with a given random part.
+func RequestIDOf(key []byte, random, workspace, pool string) string {
 	return strings.Join([]string{
 		random,
 		base64.RawURLEncoding.EncodeToString([]byte(pool)),
@@ -50,6 +54,12 @@
 	}, idSeparator)
 }
 
+// RandomPart returns the random part of a request id, which is unique by itself.
+func RandomPart(requestID string) string {
+	random, _, _ := strings.Cut(requestID, idSeparator)
+	return random
+}
+
 // CheckRequestID returns the pool of an id that NewRequestID made with the same
 // key for the workspace. Otherwise it returns ErrBadID or ErrForeignID.
 func CheckRequestID(key []byte, workspace, id string) (pool string, err error) {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/answer"
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
@@ -18,6 +19,9 @@
 // outcome of a non-repeatable request.
 const maxStoredBody = 2 << 10
 
+// headerReplayed marks the answer of an earlier request with the same key.
+const headerReplayed = "X-Replayed"
+
 // call is one request that may run on a backend server.
 type call struct {
 	api    *API
@@ -48,7 +52,7 @@
 	begun, err := c.begin(ctx)
 	if err != nil {
 		return c.api.problem(w, ctx, refusal("intent_unavailable",
-			"the intent could not be recorded; the request was not run", notReadyRetry))
+			"the intent could not be recorded; the request was not run: "+err.Error(), notReadyRetry))
 	}
 	if begun.State != peerpb.IntentState_INTENT_STATE_WON {
 		return c.duplicate(w, ctx, begun)
@@ -71,7 +75,7 @@
 	digest := sha256.Sum256(append([]byte(c.relay.Method+" "+c.relay.Path+"\n"), c.body...))
 	return &peerpb.IntentCall{
 		Op:           op,
-		Uid:          c.relay.RequestId,
+		Uid:          answer.RandomPart(c.relay.RequestId),
 		Workspace:    c.caller.workspace.Name,
 		Key:          c.caller.key,
 		Digest:       digest[:],
@@ -103,7 +107,7 @@
 func (c *call) duplicate(w http.ResponseWriter, ctx context.Context, r *peerpb.IntentReply) error {
 	switch r.State {
 	case peerpb.IntentState_INTENT_STATE_DONE:
-		return c.replay(w, r)
+		return c.replay(w, ctx, r)
 	case peerpb.IntentState_INTENT_STATE_IN_PROGRESS:
 		p := refusal("key_in_progress", "a request with this key is running", busyRetry)
 		p.Outcome = OutcomeUnknown
@@ -123,14 +127,47 @@
 	}
 }
 
-// replay sends the stored answer of an earlier request with the same key.
-func (c *call) replay(w http.ResponseWriter, r *peerpb.IntentReply) error {
+// replay sends the answer of an earlier request with the same key.
+func (c *call) replay(w http.ResponseWriter, ctx context.Context, r *peerpb.IntentReply) error {
+	if c.relay.Path == "" {
+		return c.replayChat(w, ctx, r)
+	}
+	return c.replayStored(w, r)
+}
+
+// replayChat reads the earlier answer from the engine, which keeps it for a
+// limited time.
+func (c *call) replayChat(w http.ResponseWriter, ctx context.Context, r *peerpb.IntentReply) error {
+	id := answer.RequestIDOf(c.api.deps.Key, r.Uid, c.caller.workspace.Name, c.relay.Pool)
+	ctx, cancel := c.api.withDeadline(ctx, c.caller.deadline)
+	defer cancel()
+	w.Header().Set(headerReplayed, "true")
+	sink := newStreamSink(w, id)
+	relay := &peerpb.Relay{
+		RequestId:   id,
+		Pool:        c.relay.Pool,
+		Workspace:   c.relay.Workspace,
+		Priority:    c.relay.Priority,
+		Stream:      true,
+		Traceparent: c.relay.Traceparent,
+	}
+	res := c.api.deps.Runner.Resume(ctx, relay, sink)
+	if res.Outcome != peerpb.Outcome_OUTCOME_DONE && !sink.started() {
+		p := invalid("answer_no_longer_stored", "the request was run; its answer is no longer stored")
+		p.Outcome = OutcomeDone
+		return c.api.problem(w, ctx, p)
+	}
+	return c.api.finish(w, ctx, sink, res, id)
+}
+
+// replayStored sends the answer that was recorded with the outcome.
+func (c *call) replayStored(w http.ResponseWriter, r *peerpb.IntentReply) error {
 	h := w.Header()
 	for _, header := range r.Headers {
 		h.Set(header.Name, header.Value)
 	}
 	h.Set(HeaderOutcome, OutcomeDone)
-	h.Set("X-Replayed", "true")
+	h.Set(headerReplayed, "true")
 	if r.Detail != "" {
 		h.Set("X-Replay-Detail", r.Detail)
 	}
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -63,7 +63,7 @@
 	"key_in_progress":         http.StatusConflict,
 	"key_reused":              http.StatusUnprocessableEntity,
 	"key_missing":             http.StatusBadRequest,
-	"answer_no_longer_stored": http.StatusOK,
+	"answer_no_longer_stored": http.StatusGone,
 }
 
 func notReady(reason string) Problem {
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -254,10 +254,11 @@
 // storedHeaders are the response headers kept with an outcome.
 var storedHeaders = map[string]bool{"Content-Type": true, "Location": true}
 
-// describe fills the outcome record.
+// describe fills the outcome record. Chat answers are not stored: the engine
+// keeps them.
 func (s *recordingSink) describe(end *peerpb.IntentCall) {
 	end.Status = max(s.status, http.StatusOK)
-	if s.truncated {
+	if s.truncated || s.status == 0 {
 		return
 	}
 	end.Body = s.body
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -1,6 +1,7 @@
 package poolowner
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,10 +21,10 @@
 	runs      *runs
 	isOwned   atomic.Bool
 
-	mu         sync.RWMutex
-	config     *record.Pool
-	workspaces map[string]*record.Workspace
-	servers    map[string]Server
+	mu sync.RWMutex
+	// last is the assignment in force.
+	last    Assignment
+	servers map[string]Server
 	// boots holds the boot id that each engine gave with its last answer.
 	boots    map[string]string
 	engines  map[string]*engineclient.Client
@@ -55,19 +56,20 @@
 
 // apply puts an assignment in force.
 func (p *ownedPool) apply(now time.Time, a Assignment) {
-	changed := p.store(a)
-	if changed {
+	last := p.store(a)
+	if last.Pool != a.Pool || !sameMap(last.Workspaces, a.Workspaces) {
 		p.admission.Update(now, admission.Config{Pool: a.Pool, Workspaces: a.Workspaces})
 	}
-	p.admission.SetEngines(now, p.admissionEngines())
+	if !slices.Equal(last.Servers, a.Servers) {
+		p.admission.SetEngines(now, p.admissionEngines())
+	}
 	switch {
 	case a.Stopping:
 		p.release(now, admission.CodeStopping)
-	case a.Owned:
-		p.isOwned.Store(true)
-		p.admission.SetVotes(now, a.Held, a.Listed)
-	default:
+	case !a.Owned:
 		p.release(now, admission.CodeNotOwner)
+	case !p.isOwned.Swap(true) || !slices.Equal(last.Held, a.Held) || !slices.Equal(last.Listed, a.Listed):
+		p.admission.SetVotes(now, a.Held, a.Listed)
 	}
 }
 
@@ -79,20 +81,22 @@
 	p.admission.HandBack(now, code)
 }
 
-// store keeps the configuration and servers; it reports whether the
-// configuration changed.
-func (p *ownedPool) store(a Assignment) bool {
+// store keeps an assignment and returns the one before. Most assignments repeat
+// the last one, and applying votes is costly for large pools.
+func (p *ownedPool) store(a Assignment) Assignment {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := p.config != a.Pool || !sameMap(p.workspaces, a.Workspaces)
-	p.config = a.Pool
-	p.workspaces = a.Workspaces
+	last := p.last
+	p.last = a
+	if slices.Equal(last.Servers, a.Servers) {
+		return last
+	}
 	p.servers = make(map[string]Server, len(a.Servers))
 	for _, s := range a.Servers {
 		p.servers[s.Name] = s
 	}
 	p.dropClients()
-	return changed
+	return last
 }
 
 // sameMap compares maps that are never changed after they were published.
@@ -216,7 +220,7 @@
 func (p *ownedPool) systemKey(workspace string) string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	ws := p.workspaces[workspace]
+	ws := p.last.Workspaces[workspace]
 	if ws == nil || ws.SystemPromptKey == "" {
 		return workspace
 	}
@@ -226,7 +230,7 @@
 func (p *ownedPool) plain() bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	return p.config.Type == record.PoolPlain
+	return p.last.Pool.Type == record.PoolPlain
 }
 
 // runs lists the attempts that this router runs, by attempt and by request.
--- a/internal/testbed/client.go
+++ b/internal/testbed/client.go
@@ -44,6 +44,7 @@
 	Status    int
 	Outcome   string
 	Code      string
+	Detail    string
 	RequestID string
 	Placement string
 	Text      string
@@ -163,6 +164,7 @@
 	}
 	r.Outcome = p.Outcome
 	r.Code = p.Code
+	r.Detail = p.Detail
 	r.RetryAfter = time.Duration(p.RetryAfterMs) * time.Millisecond
 	return nil
 }
