Test the fleet under faults in process; bound resumes without progress

Cause: a router that is killed cancelled its attempts at the engines, and the owner then resumed a cancelled attempt for ever, because each connection ended without the end of the answer. Change: a kill is silent towards engines and peers, and connections that bring no text are bounded.

Before: TestEntryDeathIsResumedElsewhere hung until its 60 s limit. After: the package passes three times in a row.

--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -57,7 +57,7 @@
 	f.Seq = e.seq
 	f.Offset = e.offset
 	e.seq++
-	if e.detached {
+	if e.detached || e.pool.killed.Load() {
 		return
 	}
 	if err := e.out.Send(f); err != nil {
@@ -247,9 +247,12 @@
 	e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeEngineFailed, "the engine failed before the answer began")
 }
 
-// follow copies the engine's stream until the answer is whole or lost.
+// follow copies the engine's stream until the answer is whole or lost. An
+// engine that was told to cancel the attempt ends every connection without the
+// end of the answer, so connections that bring nothing are bounded.
 func (e *exchange) follow(ctx, engineCtx context.Context, client *engineclient.Client, s *engineclient.Stream) {
-	for {
+	for idle := 0; idle < resumeTries; idle++ {
+		before := e.offset
 		err := e.copyEvents(s)
 		s.Close()
 		if errors.Is(err, io.EOF) {
@@ -260,12 +263,15 @@
 			e.callerGone(client)
 			return
 		}
+		if e.offset > before {
+			idle = 0
+		}
 		s, err = e.reopen(engineCtx, client)
 		if err != nil {
-			e.engineLost()
-			return
+			break
 		}
 	}
+	e.engineLost()
 }
 
 // copyEvents sends the events of one connection as frames. It returns io.EOF
@@ -345,6 +351,9 @@
 }
 
 func (e *exchange) cancelAtEngine(client *engineclient.Client) {
+	if e.pool.killed.Load() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	_, _ = client.Cancel(ctx, e.req.AttemptId)
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -20,6 +20,8 @@
 	admission *admission.Pool
 	runs      *runs
 	isOwned   atomic.Bool
+	// killed makes the end of a request look like a crash to the engines.
+	killed *atomic.Bool
 
 	mu sync.RWMutex
 	// last is the assignment in force.
@@ -31,9 +33,10 @@
 	backends map[string]*backend.Client
 }
 
-func newOwnedPool(deps Deps, a Assignment) *ownedPool {
+func newOwnedPool(deps Deps, a Assignment, killed *atomic.Bool) *ownedPool {
 	p := &ownedPool{
 		deps:     deps,
+		killed:   killed,
 		runs:     newRuns(),
 		boots:    map[string]string{},
 		engines:  map[string]*engineclient.Client{},
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -69,13 +70,26 @@
 // Service serves the pools that this router owns. It is safe for concurrent use.
 type Service struct {
 	deps Deps
-	mu   sync.RWMutex
-	pool map[string]*ownedPool
+	// ctx ends with Kill.
+	ctx    context.Context
+	cancel context.CancelFunc
+	killed atomic.Bool
+	mu     sync.RWMutex
+	pool   map[string]*ownedPool
 }
 
 // New returns a service without pools.
 func New(deps Deps) *Service {
-	return &Service{deps: deps, pool: map[string]*ownedPool{}}
+	s := &Service{deps: deps, pool: map[string]*ownedPool{}}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// Kill ends all requests at once without a word to the engines, as a crash of
+// the process would.
+func (s *Service) Kill() {
+	s.killed.Store(true)
+	s.cancel()
 }
 
 // Assign applies decisions of the control goroutine. Pools that are not named
@@ -99,7 +113,7 @@
 		if !a.Owned {
 			return
 		}
-		p = newOwnedPool(s.deps, a)
+		p = newOwnedPool(s.deps, a, &s.killed)
 		s.mu.Lock()
 		s.pool[a.Pool.Name] = p
 		s.mu.Unlock()
@@ -168,6 +182,9 @@
 // Serve runs one relayed request to its terminal frame. The end of ctx means
 // that the caller has gone and cancels the attempt.
 func (s *Service) Serve(ctx context.Context, req *peerpb.Relay, out Sender) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.ctx, cancel)()
 	p := s.lookup(req.Pool)
 	if p == nil || !p.owned() && !req.Resume {
 		_ = out.Send(notOwner(req))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -359,6 +359,8 @@
 // Kill ends the router at once, as a crash of the process would: running
 // requests are cut.
 func (r *Router) Kill() {
+	r.owner.Kill()
+	_ = r.peers.Close()
 	_ = r.server.Close()
 	_ = r.close()
 }
