--- a/internal/fleetconfig/readiness.go
+++ b/internal/fleetconfig/readiness.go
@@ -63,10 +63,10 @@
 // A router that does not hear the log is current in two cases. Either a peer
 // hears the log and this router has applied all below the peer's head, or more
 // than half of the listed routers (this one included) answer and none of them
-// hears the log. In all cases it must have applied what every answering peer
+// hears the log. In both cases it must have applied what every answering peer
 // has applied, and every record below the highest head that it or an answering
-// peer has ever heard. Routers without a state know nothing about accepted records and
-// do not count as answering.
+// peer has ever heard. Routers without a state know nothing about accepted
+// records and do not count as answering.
 func Current(now time.Time, self LogStatus, peers []PeerStatus, listed int) (bool, Reason) {
 	if !self.HasState {
 		return false, ReasonNoState
--- a/internal/fleetconfig/state.go
+++ b/internal/fleetconfig/state.go
@@ -1,5 +1,3 @@
-// Package fleetconfig turns the config stream of the log into the configuration
-// in force, decides whether a router is current, and publishes records.
 package fleetconfig
 
 import (
--- a/internal/standin/logsim/logsim.go
+++ b/internal/standin/logsim/logsim.go
@@ -189,6 +189,13 @@
 	l.setFault(func(f *faults) { f.slow = d })
 }
 
+// Heal ends all faults and applies the delayed appends. It does not restore
+// links that were cut.
+func (l *Log) Heal() {
+	l.setFault(func(f *faults) { *f = faults{} })
+	l.Release(-1)
+}
+
 // SetFloor forgets the records of a stream below an offset. The floor never
 // moves back and never passes the head.
 func (l *Log) SetFloor(name string, floor uint64) {
