cli: run the router daemon

The command router had only the check of settings. It now runs the daemon with a log in the level and format of the settings. The first signal starts a graceful stop within the drain limit; a second one ends the process at once with exit code 1, because requests are cut. A log or VM list that is down at the start does not end the daemon: the router is not ready until it has a configuration.

The case of a build without a daemon is gone. Its line in TestMainExitCodes now checks that invalid settings start no daemon.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -29,7 +29,7 @@
 		stdout, stderr string
 	}{
 		{"", ExitUsage, "", "usage: bluebellwell <command>"},
-		{"help", ExitOK, "check the settings of a router daemon", ""},
+		{"help", ExitOK, "run a router daemon or check its settings", ""},
 		{"-h", ExitOK, "version    print the version", ""},
 		{"help router", ExitOK, "-settings FILE", ""},
 		{"help nothing", ExitUsage, "", `unknown command "nothing"`},
@@ -38,7 +38,7 @@
 		{"version extra", ExitUsage, "", `unexpected argument "extra"`},
 		{"router -h", ExitOK, "3  a file or a record is invalid", ""},
 		{"router -nothing", ExitUsage, "", "flag provided but not defined: -nothing"},
-		{"router -settings " + example, ExitUsage, "", "this build has no router daemon"},
+		{"router -settings " + bad, ExitInvalid, "", "$.extra: is not a known field (unknown_field)"},
 		{"router -check", ExitUsage, "", "flag -settings is required"},
 		{"router -check -settings " + example, ExitOK, "valid settings of router-kochi-a-1 in kochi-hall-a", ""},
 		{"router -check -settings " + bad, ExitInvalid, "", "$.extra: is not a known field (unknown_field)"},
@@ -58,8 +58,7 @@
 
 // Guards against a command without help, examples or exit codes.
 func TestCommandTableIsComplete(t *testing.T) {
-	daemon := func(context.Context, *settings.Settings, Env) error { return nil }
-	for _, c := range append(commands(), routerCommand(daemon)) {
+	for _, c := range commands() {
 		if c.Summary == "" || strings.Contains(c.Summary, "\n") || c.Description == "" || len(c.Examples) == 0 || len(c.ExitCodes) == 0 {
 			t.Errorf("command %s is not described", c.Name)
 		}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -16,7 +16,7 @@
 // command is added together with its implementation.
 func commands() []*Command {
 	return []*Command{
-		routerCommand(nil),
+		routerCommand(runDaemon),
 		demoCommand(),
 		versionCommand(),
 	}
@@ -34,25 +34,20 @@
 const routerCheckDescription = `With -check the settings file and the key and certificate files that it names
 are checked, all problems are reported, and no daemon is started.`
 
-// routerCommand returns the router command. Without a daemon it only checks
-// settings, requires the flag -check and says so in its help.
+// routerCommand returns the router command, which runs daemon.
 func routerCommand(daemon routerFunc) *Command {
-	c := &Command{
+	return &Command{
 		Name:        "router",
-		Summary:     "check the settings of a router daemon",
-		Synopsis:    "-settings FILE -check",
-		Description: routerCheckDescription,
-		Examples:    []string{"router -settings examples/lam-dong/router-dalat-1.json -check"},
-		ExitCodes:   []int{ExitOK, ExitFailure, ExitUsage, ExitInvalid},
-		Setup:       func(fs *flag.FlagSet) RunFunc { return setupRouter(fs, daemon) },
-	}
-	if daemon != nil {
-		c.Summary = "run a router daemon or check its settings"
-		c.Synopsis = "-settings FILE [-check]"
-		c.Description = routerDescription + routerCheckDescription
-		c.Examples = append([]string{"router -settings examples/thekkady/router-kochi-a-1.json"}, c.Examples...)
+		Summary:     "run a router daemon or check its settings",
+		Synopsis:    "-settings FILE [-check]",
+		Description: routerDescription + routerCheckDescription,
+		Examples: []string{
+			"router -settings examples/thekkady/router-kochi-a-1.json",
+			"router -settings examples/lam-dong/router-dalat-1.json -check",
+		},
+		ExitCodes: []int{ExitOK, ExitFailure, ExitUsage, ExitInvalid},
+		Setup:     func(fs *flag.FlagSet) RunFunc { return setupRouter(fs, daemon) },
 	}
-	return c
 }
 
 func setupRouter(fs *flag.FlagSet, daemon routerFunc) RunFunc {
@@ -67,9 +62,6 @@
 	if file == "" {
 		return UsageErrorf("flag -settings is required")
 	}
-	if daemon == nil && !check {
-		return UsageErrorf("this build has no router daemon; flag -check is required")
-	}
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/cli/router_test.go
@@ -0,0 +1,133 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/router"
+	"github.com/bluebellwell/bluebellwell/internal/settings"
+)
+
+// closedAddr returns a loopback address at which nobody listens.
+func closedAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// lonelySettings are those of a router whose log and VM list are down.
+func lonelySettings(t *testing.T) *settings.Settings {
+	t.Helper()
+	s, err := settings.Load(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.ListenCallers = netip.MustParseAddrPort("127.0.0.1:0")
+	s.ListenPeers = netip.MustParseAddrPort("127.0.0.1:0")
+	s.PeerAddress = netip.AddrPort{}
+	s.LogEndpoint = "http://" + closedAddr(t)
+	s.VMListEndpoint = "http://" + closedAddr(t)
+	return s
+}
+
+// startSupervised runs a router under supervision and returns its end.
+func startSupervised(t *testing.T, s *settings.Settings) (*router.Router, chan os.Signal, chan error) {
+	t.Helper()
+	r, err := router.New(s, event.Nop(), router.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	signals := make(chan os.Signal)
+	end := make(chan error, 1)
+	go func() { end <- supervise(context.Background(), r, s, signals) }()
+	return r, signals, end
+}
+
+// Guards against a daemon that ends because the log and the VM list are down at
+// its start, and against a first signal that does not stop it cleanly.
+func TestFirstSignalStopsGracefully(t *testing.T) {
+	r, signals, end := startSupervised(t, lonelySettings(t))
+	signals <- syscall.SIGTERM
+	if err := <-end; err != nil {
+		t.Fatal(err)
+	}
+	<-r.Dead()
+}
+
+// Guards against a stop that a second signal or the drain limit cannot end,
+// and against an exit code that hides the cut requests.
+func TestStopIsCutShort(t *testing.T) {
+	cases := map[string]struct {
+		limit  time.Duration
+		second bool
+		want   error
+	}{
+		"second signal": {time.Hour, true, errStoppedAtOnce},
+		"drain limit":   {time.Millisecond, false, errDrainLimit},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := lonelySettings(t)
+			s.Timings.DrainLimit = c.limit
+			_, signals, end := startSupervised(t, s)
+			signals <- syscall.SIGTERM
+			if c.second {
+				signals <- syscall.SIGINT
+			}
+			err := <-end
+			if !errors.Is(err, c.want) || ExitCode(err) != ExitFailure {
+				t.Fatalf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a daemon that keeps the process alive after its listener has
+// failed, or hides why it ended.
+func TestRouterThatEndsByItself(t *testing.T) {
+	s := lonelySettings(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := router.New(s, event.Nop(), router.Options{Listener: l})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	if err := supervise(t.Context(), r, s, nil); err == nil || !strings.Contains(err.Error(), errRouterEnded.Error()) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against log lines in another format or below the level of the settings.
+func TestLogFollowsSettings(t *testing.T) {
+	for format, want := range map[settings.LogFormat]string{
+		settings.LogJSON: `"event":100`,
+		settings.LogText: "event=100",
+	} {
+		var out bytes.Buffer
+		log := event.NewLogger(newLog(settings.Logging{Level: hclog.Warn, Format: format}, "vm-1", &out))
+		log.Emit(event.Event{ID: 99, Level: hclog.Info, Text: "hidden"})
+		log.Emit(event.Event{ID: 100, Level: hclog.Warn, Text: "shown"})
+		got := out.String()
+		if !strings.Contains(got, want) || !strings.Contains(got, "vm-1") || strings.Contains(got, "hidden") {
+			t.Errorf("%s: got %q", format, got)
+		}
+	}
+}
