cli: add validate, publish, get, status and history

Operators had no way to change the configuration or to look at the fleet. publish reads the VM list and every router's /admin/status over HTTP, so it needs no fleet key. A router that answers under another VM name counts as silent: its address was given to a new VM while the list lagged.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -17,6 +17,11 @@
 func commands() []*Command {
 	return []*Command{
 		routerCommand(runDaemon),
+		validateCommand(),
+		publishCommand(),
+		getCommand(),
+		statusCommand(),
+		historyCommand(),
 		demoCommand(),
 		versionCommand(),
 	}
--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,146 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebellwell/bluebellwell/internal/fleetconfig"
+	"github.com/bluebellwell/bluebellwell/internal/status"
+	"github.com/bluebellwell/bluebellwell/internal/vmlist"
+)
+
+const (
+	// statusTimeout bounds the question to one router.
+	statusTimeout = 2 * time.Second
+	// maxStatusBytes bounds the answer of one router.
+	maxStatusBytes = 4 << 20
+	// statusParallel bounds the routers that are asked at the same time.
+	statusParallel = 32
+)
+
+var errOtherVM = errors.New("another VM answers at this address")
+
+// routerView is one listed router with its answer.
+type routerView struct {
+	VM vmlist.VM `json:"vm"`
+	// Error says why there is no status; it is empty for a router that answered.
+	Error  string         `json:"error,omitempty"`
+	Status *status.Router `json:"status,omitempty"`
+}
+
+// fleetClient asks the VM list and the routers over HTTP. It implements
+// fleetconfig.FleetStatus and is used by one goroutine.
+type fleetClient struct {
+	vms  *vmlist.Client
+	http *http.Client
+	// seen holds the routers of earlier lists.
+	seen map[string]bool
+}
+
+// view returns the VM list and every listed router in the order of names.
+func (f *fleetClient) view(ctx context.Context) (*vmlist.List, []routerView, error) {
+	list, err := f.vms.Fetch(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	var routers []routerView
+	for _, vm := range list.VMs {
+		if vm.Role == vmlist.RoleRouter {
+			routers = append(routers, routerView{VM: vm})
+		}
+	}
+	slices.SortFunc(routers, func(a, b routerView) int { return strings.Compare(a.VM.Name, b.VM.Name) })
+	f.askAll(ctx, routers)
+	return list, routers, nil
+}
+
+func (f *fleetClient) askAll(ctx context.Context, routers []routerView) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, statusParallel)
+	for i := range routers {
+		slots <- struct{}{}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.ask(ctx, &routers[i])
+			<-slots
+		}()
+	}
+	wg.Wait()
+}
+
+func (f *fleetClient) ask(ctx context.Context, r *routerView) {
+	doc, err := f.fetchStatus(ctx, r.VM.Addr)
+	if err == nil && doc.VM != r.VM.Name {
+		err = eris.Wrapf(errOtherVM, "%s", doc.VM)
+	}
+	if err != nil {
+		r.Error = err.Error()
+		return
+	}
+	r.Status = doc
+}
+
+func (f *fleetClient) fetchStatus(ctx context.Context, addr string) (*status.Router, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/admin/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("GET /admin/status: status %d", resp.StatusCode)
+	}
+	var doc status.Router
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&doc); err != nil {
+		return nil, eris.Wrap(err, "decode the status")
+	}
+	return &doc, nil
+}
+
+// Routers implements fleetconfig.FleetStatus. Routers that have left the list
+// since an earlier call are reported as gone.
+func (f *fleetClient) Routers(ctx context.Context) ([]fleetconfig.RouterStatus, error) {
+	_, views, err := f.view(ctx)
+	if err != nil {
+		return nil, err
+	}
+	listed := map[string]bool{}
+	var out []fleetconfig.RouterStatus
+	for _, v := range views {
+		listed[v.VM.Name] = true
+		f.seen[v.VM.Name] = true
+		out = append(out, v.publisherView())
+	}
+	for name := range f.seen {
+		if !listed[name] {
+			out = append(out, fleetconfig.RouterStatus{VM: name, Gone: true})
+		}
+	}
+	slices.SortFunc(out, func(a, b fleetconfig.RouterStatus) int { return strings.Compare(a.VM, b.VM) })
+	return out, nil
+}
+
+func (v *routerView) publisherView() fleetconfig.RouterStatus {
+	s := fleetconfig.RouterStatus{VM: v.VM.Name}
+	if v.Status != nil {
+		s.Answered = true
+		s.InForce = v.Status.Config.NextOffset
+		s.Versions = v.Status.Config.SchemaVersions
+	}
+	return s
+}
--- /dev/null
+++ b/internal/cli/statustext.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/vmlist"
+)
+
+// write prints the report as text.
+func (f *fleetReport) write(w io.Writer) error {
+	fmt.Fprintf(w, "VM list version %d: %s, %s, %s\n", f.VMListVersion,
+		counted(f.Listed[vmlist.RoleRouter], "router"),
+		counted(f.Listed[vmlist.RoleEngine], "engine"),
+		counted(f.Listed[vmlist.RoleBackend], "backend server"))
+	fmt.Fprintf(w, "leaving: %s\ndown: %s\n", names(f.Leaving), names(f.Down))
+	fmt.Fprintf(w, "answers to callers: %s\n\n", counts(f.Callers))
+	if err := f.writeRouters(w); err != nil {
+		return err
+	}
+	for i := range f.Pools {
+		if err := f.Pools[i].write(w); err != nil {
+			return err
+		}
+	}
+	return f.writeControl(w)
+}
+
+func names(list []string) string {
+	if len(list) == 0 {
+		return "none"
+	}
+	return strings.Join(list, ", ")
+}
+
+// counts formats the counters that are not 0, sorted by name.
+func counts[K ~string](m map[K]int64) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		if m[name] != 0 {
+			parts = append(parts, fmt.Sprintf("%s %d", name, m[name]))
+		}
+	}
+	return names(parts)
+}
+
+func (f *fleetReport) writeRouters(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "ROUTER\tDATA CENTRE\tLISTED\tREADY\tLIFE\tREASON\tNEXT OFFSET\tRELAYED\tRUNNING\tSUSPECTS")
+	for _, r := range f.Routers {
+		if r.Status == nil {
+			fmt.Fprintf(t, "%s\t%s\t%s\t-\tdoes not answer\t%s\t-\t-\t-\t-\n", r.VM.Name, r.VM.DataCentre, r.VM.State, r.Error)
+			continue
+		}
+		s := r.Status
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", r.VM.Name, r.VM.DataCentre, r.VM.State,
+			yesNo(s.Ready), s.Life, dash(s.Reason), f.version(&r), s.Relayed, s.Running, names(s.VMList.Suspected))
+	}
+	return t.Flush()
+}
+
+// version shows the next offset of a router and what is wrong with it.
+func (f *fleetReport) version(r *routerView) string {
+	c := r.Status.Config
+	text := strconv.FormatUint(c.NextOffset, 10)
+	switch {
+	case c.UnreadableOffset != nil:
+		return fmt.Sprintf("%s (cannot read %d)", text, *c.UnreadableOffset)
+	case c.NextOffset < f.NextOffset:
+		return text + " (behind)"
+	}
+	return text
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func (p *poolReport) write(w io.Writer) error {
+	fmt.Fprintf(w, "\npool %s, owner %s, reported by %s\n", p.Pool, names(p.Owners), p.ReportedBy)
+	reuse := "-"
+	if p.CacheReuse != nil {
+		reuse = fmt.Sprintf("%.1f%%", *p.CacheReuse*100)
+	}
+	fmt.Fprintf(w, "  in flight %d, mean %.2f, skew %.2f, queued %d, cache reuse %s, refused: %s\n",
+		p.Slots, p.Mean, p.Skew, p.Queued, reuse, counts(p.Refused))
+	if p.Closed != "" {
+		fmt.Fprintf(w, "  closed: %s\n", p.Closed)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "  SERVER\tSTATE\tLOAD\tLIMIT\tWAITING")
+	for _, e := range p.Engines {
+		fmt.Fprintf(t, "  %s\t%s\t%d\t%d\t%d\n", e.Name, e.State, e.Load, e.Limit, e.Waiting)
+	}
+	return t.Flush()
+}
+
+// writeControl prints the control bytes per second, as means since the start,
+// in the categories that any router has used.
+func (f *fleetReport) writeControl(w io.Writer) error {
+	used := map[string]bool{}
+	for _, r := range f.Routers {
+		if r.Status == nil {
+			continue
+		}
+		for category, n := range r.Status.Control.ByCategory {
+			used[category] = used[category] || n > 0
+		}
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprint(t, "\nCONTROL B/S\tTOTAL")
+	for _, c := range meter.Categories() {
+		if used[c.String()] {
+			fmt.Fprintf(t, "\t%s", strings.ToUpper(c.String()))
+		}
+	}
+	fmt.Fprintln(t)
+	for i := range f.Routers {
+		if r := &f.Routers[i]; r.Status != nil {
+			writeControlRow(t, r, used)
+		}
+	}
+	return t.Flush()
+}
+
+func writeControlRow(w io.Writer, r *routerView, used map[string]bool) {
+	fmt.Fprintf(w, "%s\t%.0f", r.VM.Name, r.Status.Control.BytesPerSecond)
+	rates := controlRates(r)
+	for _, c := range meter.Categories() {
+		if used[c.String()] {
+			fmt.Fprintf(w, "\t%.0f", rates[c.String()])
+		}
+	}
+	fmt.Fprintln(w)
+}
