cli: report silent routers and joined errors on one line

An address in the REASON column widened the table beyond a terminal, and a publication that ran out of time printed its causes on several lines without a mark of the command. The status text also said that it counts answers to callers; it counts those with an X-Outcome header.

--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -8,6 +8,7 @@
 	"io"
 	"os/signal"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -138,17 +139,28 @@
 	codes := codesIn(err)
 	switch {
 	case errors.Is(err, fleetconfig.ErrOutcomeUnknown), errors.Is(err, fleetconfig.ErrNotInForce):
-		return WithCode(ExitUnconfirmed, fmt.Errorf("%w; %s", err, repeatAdvice))
+		return unconfirmed(err)
 	case slices.Contains(codes, findings.CodeUnreadable):
 		return WithCode(ExitUnreadable, err)
 	case slices.Contains(codes, findings.CodeConflict):
 		return WithCode(ExitConflict, err)
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
-		return WithCode(ExitUnconfirmed, fmt.Errorf("%w; %s", err, repeatAdvice))
+		return unconfirmed(err)
 	}
 	return err
 }
 
+func unconfirmed(err error) error {
+	return WithCode(ExitUnconfirmed, fmt.Errorf("%w; %s", oneLine{err}, repeatAdvice))
+}
+
+// oneLine formats joined errors on one line.
+type oneLine struct{ error }
+
+func (o oneLine) Error() string { return strings.ReplaceAll(o.error.Error(), "\n", ": ") }
+
+func (o oneLine) Unwrap() error { return o.error }
+
 func findingsIn(err error) []findings.Finding {
 	var invalid *findings.Error
 	if errors.As(err, &invalid) {
--- a/internal/cli/statustext.go
+++ b/internal/cli/statustext.go
@@ -20,7 +20,7 @@
 		counted(f.Listed[vmlist.RoleEngine], "engine"),
 		counted(f.Listed[vmlist.RoleBackend], "backend server"))
 	fmt.Fprintf(w, "leaving: %s\ndown: %s\n", names(f.Leaving), names(f.Down))
-	fmt.Fprintf(w, "answers to callers: %s\n\n", counts(f.Callers))
+	fmt.Fprintf(w, "answers to callers with an outcome: %s\n\n", counts(f.Callers))
 	if err := f.writeRouters(w); err != nil {
 		return err
 	}
@@ -55,14 +55,22 @@
 	fmt.Fprintln(t, "ROUTER\tDATA CENTRE\tLISTED\tREADY\tLIFE\tREASON\tNEXT OFFSET\tRELAYED\tRUNNING\tSUSPECTS")
 	for _, r := range f.Routers {
 		if r.Status == nil {
-			fmt.Fprintf(t, "%s\t%s\t%s\t-\tdoes not answer\t%s\t-\t-\t-\t-\n", r.VM.Name, r.VM.DataCentre, r.VM.State, r.Error)
+			fmt.Fprintf(t, "%s\t%s\t%s\t-\t-\tdoes not answer\t-\t-\t-\t-\n", r.VM.Name, r.VM.DataCentre, r.VM.State)
 			continue
 		}
 		s := r.Status
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", r.VM.Name, r.VM.DataCentre, r.VM.State,
 			yesNo(s.Ready), s.Life, dash(s.Reason), f.version(&r), s.Relayed, s.Running, names(s.VMList.Suspected))
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range f.Routers {
+		if r.Error != "" {
+			fmt.Fprintf(w, "%s: %s\n", r.VM.Name, r.Error)
+		}
+	}
+	return nil
 }
 
 // version shows the next offset of a router and what is wrong with it.
