--- a/internal/router/poll.go
+++ b/internal/router/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/fleetconfig"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
@@ -93,18 +94,11 @@
 	if err != nil || reply == nil {
 		return
 	}
-	if len(reply.Checkpoint) > 0 {
-		_, _ = r.config.OfferCheckpoint(reply.Checkpoint)
+	peer, err := r.config.TakeReply(p.VM, asked, reply)
+	if err != nil {
+		r.events.Emit(event.PeerStateUnusable, "vm", p.VM, "error", err.Error())
 	}
-	r.post(peerAnswered{status: fleetconfig.PeerStatus{
-		VM:         p.VM,
-		AnsweredAt: asked,
-		HasState:   reply.InService,
-		Applied:    reply.Offset,
-		Heard:      reply.LogAgeMs != neverHeard,
-		LogAge:     time.Duration(reply.LogAgeMs) * time.Millisecond,
-		Head:       reply.Head,
-	}})
+	r.post(peerAnswered{status: peer})
 }
 
 // pollLoads reads the engines' load reports for a baseline policy.
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -81,18 +81,9 @@
 
 // configReply answers a peer that cannot reach the log, or that starts.
 func (r *Router) configReply(fetch *peerpb.ConfigFetch) *peerpb.Envelope {
-	snap := r.config.Snapshot()
-	reply := &peerpb.ConfigReply{
-		InService: snap.Log.HasState,
-		Offset:    snap.Log.Applied,
-		Head:      snap.Log.Head,
-		LogAgeMs:  logAge(r.clock.Now(), snap.Log.HeardAt),
-	}
-	if snap.Log.HasState && snap.Log.Applied > fetch.KnownOffset {
-		if data, next, ok := r.config.Checkpoint(); ok {
-			reply.Checkpoint = data
-			reply.Offset = next
-		}
+	reply, err := r.config.ConfigReply(fetch.KnownOffset, r.state().entry.Accepting)
+	if err != nil {
+		reply = &peerpb.ConfigReply{LogAgeMs: neverHeard}
 	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigReply{ConfigReply: reply}}
 }
