--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -90,7 +90,7 @@
 			p.SetEngines(start, testEngines(engines))
 			b.ReportAllocs()
 			for range b.N {
-				p.SetVotes(start, routers[:200], routers)
+				p.SetVotes(start, routers[:200], routers, time.Time{})
 			}
 		})
 	}
--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -133,14 +133,25 @@
 // votes of the same list never exceed a bound together. An owner only knows its
 // own load, so it can fill the pool only while its part of the votes times the
 // load multiple is above 1; below that the pool's load falls to a few slots.
-func (p *Pool) SetVotes(now time.Time, held, listed []string) {
+// Nothing is granted from leaseEnd on until the next call; the zero time means
+// no end.
+func (p *Pool) SetVotes(now time.Time, held, listed []string, leaseEnd time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.leaseEnd = leaseEnd
 	p.votes = placement.NewVotes(held, listed)
 	p.view.Share = 0
 	p.open(now)
 }
 
+// SetLeaseEnd prolongs the votes that are in use.
+func (p *Pool) SetLeaseEnd(now, leaseEnd time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaseEnd = leaseEnd
+	p.dispatch(now)
+}
+
 func (p *Pool) open(now time.Time) {
 	for i := range p.engines {
 		p.deal(i)
--- a/internal/admission/fair_test.go
+++ b/internal/admission/fair_test.go
@@ -251,7 +251,7 @@
 			pools[o] = NewPool(testConfig(float64(quarters)/4, 0), Deps{Rand: func() float64 { return 0.3 }, Picker: spy, Prefixes: placement.NewPrefixIndex(4)})
 			pools[o].SetEngines(start, testEngines(4))
 			if byVotes {
-				pools[o].SetVotes(start, held[o], listed)
+				pools[o].SetVotes(start, held[o], listed, time.Time{})
 			} else {
 				pools[o].SetShare(start, float64([2]int{share, 8 - share}[o])/8)
 			}
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -123,6 +123,8 @@
 	swept time.Time
 	// closed is the code of refusals while the pool admits nothing.
 	closed Code
+	// leaseEnd is when the votes end without an event; zero means never.
+	leaseEnd time.Time
 	// saturated tells that no engine had room at the last pick. It saves picks
 	// until a slot is freed or a limit changes.
 	saturated bool
@@ -576,7 +578,7 @@
 
 // dispatch grants slots to waiting requests in the order of the fair queue.
 func (p *Pool) dispatch(now time.Time) {
-	if p.closed != "" {
+	if p.closed != "" || p.lapsed(now) {
 		return
 	}
 	p.setAside = p.setAside[:0]
@@ -592,6 +594,12 @@
 	}
 }
 
+// lapsed reports whether the votes have ended. A process that was paused finds
+// out here before it admits anything.
+func (p *Pool) lapsed(now time.Time) bool {
+	return !p.leaseEnd.IsZero() && !now.Before(p.leaseEnd)
+}
+
 // serveHead decides on the first request of a class.
 func (p *Pool) serveHead(now time.Time, c class) {
 	q := &p.classes[c]
@@ -663,7 +671,7 @@
 // serveParked tries to place the tickets that wait for an engine, in order of
 // arrival. Tickets of a workspace at its limit are passed over.
 func (p *Pool) serveParked(now time.Time, engine int) {
-	for at := 0; at < len(p.engines[engine].parked) && p.closed == ""; {
+	for at := 0; at < len(p.engines[engine].parked) && p.closed == "" && !p.lapsed(now); {
 		t := p.engines[engine].parked[at]
 		if t.flow.ws.blocked() || !p.permitted(now, t.flow.class) {
 			at++
--- a/internal/admission/pool_test.go
+++ b/internal/admission/pool_test.go
@@ -149,3 +149,19 @@
 		t.Fatalf("%d slots and %d requests are left", s.Slots, s.Queued)
 	}
 }
+
+// Guards against a paused owner that admits with votes that ended meanwhile.
+func TestNothingIsGrantedAfterTheLeaseEnd(t *testing.T) {
+	p := NewPool(testConfig(1.25, 4), Deps{Rand: func() float64 { return 0 }})
+	p.SetEngines(start, testEngines(2))
+	routers := []string{"r1", "r2"}
+	end := start.Add(5 * time.Second)
+	p.SetVotes(start, routers, routers, end)
+	mustRun(t, p.Submit(end.Add(-1), &Request{ID: "a", Workspace: "w"}))
+	late := p.Submit(end, &Request{ID: "b", Workspace: "w"})
+	if o := outcome(late); o != nil {
+		t.Fatalf("a request got %+v without a valid vote", o)
+	}
+	p.SetLeaseEnd(end, end.Add(5*time.Second))
+	mustRun(t, late)
+}
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -72,7 +72,9 @@
 	case !a.Owned:
 		p.release(now, admission.CodeNotOwner)
 	case !p.isOwned.Swap(true) || !slices.Equal(last.Held, a.Held) || !slices.Equal(last.Listed, a.Listed):
-		p.admission.SetVotes(now, a.Held, a.Listed)
+		p.admission.SetVotes(now, a.Held, a.Listed, a.LeaseEnd)
+	default:
+		p.admission.SetLeaseEnd(now, a.LeaseEnd)
 	}
 }
 
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -63,6 +63,8 @@
 	Owned bool
 	// Held and Listed are the routers whose vote is held, and all of the VM list.
 	Held, Listed []string
+	// LeaseEnd is when the first of the held votes ends; zero means never.
+	LeaseEnd time.Time
 	// Stopping refuses new requests; running ones go on.
 	Stopping bool
 }
