ownership: add owners, votes as leases and shares

Shares computed from the owner's own count of routers add up to more than one when lists differ, so the voter fixes the weight and a new voter first waits until all listed routers count it. Votes are leases, because a paused owner must find out before it admits. The argument is in docs/decisions/0003.

--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,366 @@
+// Package ownership decides which router admits the requests of a pool and
+// with which share of the pool's bound. It is pure: time comes in as an
+// argument and messages go out as actions. docs/decisions/0003-ownership.md
+// gives the argument why the shares in use for a pool never add up to more
+// than one.
+package ownership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellwell/bluebellwell/internal/membership"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+const (
+	// LeaseTime is how long a vote counts for the owner, from the moment
+	// before it asked, on its own monotonic clock.
+	LeaseTime = 5 * time.Second
+	// HoldTime is how long the voter gives the vote to nobody else, from the
+	// moment it answered. The difference allows clocks whose rates differ by a
+	// tenth.
+	HoldTime = 5500 * time.Millisecond
+	// TickInterval is the longest time between calls of Tick.
+	TickInterval = 250 * time.Millisecond
+
+	renewInterval = 2 * time.Second
+	retryInterval = 1 * time.Second
+	// pendingAge is how long a claim that could not be granted is remembered.
+	pendingAge = 2 * time.Second
+)
+
+// lease is a vote that an owner holds.
+type lease struct {
+	until time.Time
+	stamp uint64
+	// listed is the number of routers that the voter counts.
+	listed uint32
+}
+
+// Share is the part of a pool's bound that this router may use. It is
+// immutable. The zero value is no share.
+type Share struct {
+	// Epoch identifies the ownership; it grows with each takeover.
+	Epoch  uint64
+	leases []lease
+}
+
+// At returns the share at a time, between 0 and 1. It must be evaluated with
+// the current time for each admission: votes end without an event, for example
+// while the process is paused.
+func (s Share) At(now time.Time) float64 {
+	sum := 0.0
+	for _, l := range s.leases {
+		if now.Before(l.until) {
+			sum += 1 / float64(l.listed)
+		}
+	}
+	return min(sum, 1)
+}
+
+// Votes returns the number of valid votes at a time.
+func (s Share) Votes(now time.Time) int {
+	n := 0
+	for _, l := range s.leases {
+		if now.Before(l.until) {
+			n++
+		}
+	}
+	return n
+}
+
+// Action is what the caller has to do. Actions are to be carried out in order:
+// a changed share is in use before the messages after it are sent.
+type Action interface{ action() }
+
+// ShareChanged replaces the share of a pool.
+type ShareChanged struct {
+	Pool  string
+	Share Share
+}
+
+// HandBack asks to stop admitting for a pool and to return its queue to the
+// entry routers. Owner is the new owner in this router's view; it may be
+// empty.
+type HandBack struct {
+	Pool  string
+	Owner string
+}
+
+// Adopt reports attempts that another router knows to be in flight. It comes
+// at most once for each router and epoch.
+type Adopt struct {
+	Pool     string
+	Epoch    uint64
+	From     string
+	Attempts []*peerpb.Attempt
+}
+
+// Send is a one-way message to a router.
+type Send struct {
+	To  string
+	Env *peerpb.Envelope
+	// AttachAttempts asks the caller to fill in ClaimReply.Attempts.
+	AttachAttempts bool
+	// Piggyback allows the caller to attach the message to a data message to
+	// the same router within 500 ms, which saves its framing.
+	Piggyback bool
+}
+
+func (ShareChanged) action() {}
+func (HandBack) action()     {}
+func (Adopt) action()        {}
+func (Send) action()         {}
+
+// counted is a router that this one counts as listed.
+type counted struct {
+	since time.Time
+	// goneAt is set when the router left the list; it still counts for
+	// HoldTime, because votes that it gave may still be in use.
+	goneAt time.Time
+}
+
+// Ownership is the state of one router. It is not safe for concurrent use.
+type Ownership struct {
+	self    string
+	boot    uint64
+	start   time.Time
+	stamp   uint64
+	view    *membership.View
+	counted map[string]counted
+	// boots holds the highest boot that sent a message, by router.
+	boots    map[string]uint64
+	joined   bool
+	acks     map[string]bool
+	nextJoin time.Time
+	pools    map[string]*pool
+	out      []Action
+}
+
+// New returns the state of a router that starts now. boot must grow from one
+// start of the VM to the next.
+func New(now time.Time, self string, boot uint64) *Ownership {
+	return &Ownership{
+		self:    self,
+		boot:    boot,
+		start:   now,
+		view:    &membership.View{Self: self},
+		counted: map[string]counted{},
+		boots:   map[string]uint64{},
+		acks:    map[string]bool{},
+		pools:   map[string]*pool{},
+	}
+}
+
+// Owner returns the owner of a pool in this router's view; it is empty when no
+// router is usable.
+func (o *Ownership) Owner(pool string) string {
+	best, bestHash := "", uint64(0)
+	for _, name := range o.view.Usable {
+		if name == o.self && !o.view.SelfListed {
+			continue
+		}
+		h := xxhash.Sum64String(pool + "\x00" + name)
+		if best == "" || h > bestHash {
+			best, bestHash = name, h
+		}
+	}
+	return best
+}
+
+// SetPools sets the pools that exist.
+func (o *Ownership) SetPools(now time.Time, names []string) []Action {
+	for _, name := range slices.Sorted(maps.Keys(o.pools)) {
+		if !slices.Contains(names, name) {
+			o.pools[name].giveUp(now, "")
+			// The vote stays until it ends, in case the pool comes back.
+			o.pools[name].removed = true
+		}
+	}
+	for _, name := range names {
+		if o.pools[name] == nil {
+			o.pools[name] = newPool(o, name)
+		}
+		o.pools[name].removed = false
+	}
+	return o.update(now)
+}
+
+// SetView takes a new membership view.
+func (o *Ownership) SetView(now time.Time, v *membership.View) []Action {
+	o.view = v
+	listed := map[string]bool{}
+	for _, r := range v.Routers {
+		listed[r.VM.Name] = true
+		c, known := o.counted[r.VM.Name]
+		if !known {
+			c.since = now
+		}
+		c.goneAt = time.Time{}
+		o.counted[r.VM.Name] = c
+	}
+	for name, c := range o.counted {
+		if !listed[name] && c.goneAt.IsZero() {
+			c.goneAt = now
+			o.counted[name] = c
+		}
+	}
+	return o.update(now)
+}
+
+// Tick ends leases, renews votes and repeats claims.
+func (o *Ownership) Tick(now time.Time) []Action {
+	return o.update(now)
+}
+
+// Receive takes a message of another router.
+func (o *Ownership) Receive(now time.Time, from string, env *peerpb.Envelope) []Action {
+	switch b := env.Body.(type) {
+	case *peerpb.Envelope_Claim:
+		if p := o.pools[b.Claim.GetPool()]; p != nil && !p.removed {
+			p.claim(now, from, b.Claim)
+		}
+	case *peerpb.Envelope_ClaimReply:
+		if p := o.pools[b.ClaimReply.GetPool()]; p != nil {
+			p.reply(now, from, b.ClaimReply)
+		}
+	case *peerpb.Envelope_VoteLost:
+		if p := o.pools[b.VoteLost.GetPool()]; p != nil {
+			p.voteLost(now, from)
+		}
+	case *peerpb.Envelope_Renewal:
+		o.renewal(now, from, b.Renewal)
+	case *peerpb.Envelope_RenewalReply:
+		o.renewalReply(now, from, b.RenewalReply)
+	case *peerpb.Envelope_Join:
+		o.join(now, from, b.Join)
+	case *peerpb.Envelope_JoinReply:
+		if b.JoinReply.GetBootId() == o.boot {
+			o.acks[from] = true
+		}
+	}
+	return o.update(now)
+}
+
+// update brings the state in line with the view and the time, and returns the
+// collected actions.
+func (o *Ownership) update(now time.Time) []Action {
+	maps.DeleteFunc(o.counted, func(_ string, c counted) bool {
+		return !c.goneAt.IsZero() && now.Sub(c.goneAt) >= HoldTime
+	})
+	o.updateJoin(now)
+	renewals := map[string][]*peerpb.Vote{}
+	for _, name := range slices.Sorted(maps.Keys(o.pools)) {
+		o.pools[name].update(now, renewals)
+	}
+	o.sendRenewals(now, renewals)
+	out := o.out
+	o.out = nil
+	return out
+}
+
+// nextStamp returns a stamp that is higher than all earlier ones and not later
+// than now.
+func (o *Ownership) nextStamp(now time.Time) uint64 {
+	o.stamp = max(o.stamp+1, uint64(now.Sub(o.start)))
+	return o.stamp
+}
+
+// weight returns the number of routers that a vote given now is divided by.
+func (o *Ownership) weight() uint32 {
+	return uint32(len(o.counted))
+}
+
+// mayVote reports whether this router's vote counts. A new boot waits until
+// the votes of the boot before have ended and all others count it.
+func (o *Ownership) mayVote(now time.Time) bool {
+	self, listed := o.view.Router(o.self)
+	return listed && self.Usable() && o.joined && now.Sub(o.start) >= HoldTime
+}
+
+// updateJoin asks the listed routers whether they count this one.
+func (o *Ownership) updateJoin(now time.Time) {
+	if o.joined || !o.view.SelfListed {
+		return
+	}
+	missing := o.missingAcks()
+	o.joined = len(missing) == 0
+	if o.joined || now.Before(o.nextJoin) {
+		return
+	}
+	o.nextJoin = now.Add(retryInterval)
+	for _, name := range missing {
+		o.send(name, &peerpb.Envelope{Body: &peerpb.Envelope_Join{Join: &peerpb.Join{BootId: o.boot}}})
+	}
+}
+
+func (o *Ownership) missingAcks() []string {
+	var missing []string
+	for _, r := range o.view.Routers {
+		if r.VM.Name != o.self && !o.acks[r.VM.Name] {
+			missing = append(missing, r.VM.Name)
+		}
+	}
+	return missing
+}
+
+// join confirms that this router counts the sender, once the votes that it
+// gave before it did so have ended.
+func (o *Ownership) join(now time.Time, from string, j *peerpb.Join) {
+	c, known := o.counted[from]
+	if !known || !c.goneAt.IsZero() || now.Sub(c.since) < HoldTime {
+		return
+	}
+	o.send(from, &peerpb.Envelope{Body: &peerpb.Envelope_JoinReply{JoinReply: &peerpb.JoinReply{BootId: j.GetBootId()}}})
+}
+
+// renewal prolongs the votes that the sender holds.
+func (o *Ownership) renewal(now time.Time, from string, r *peerpb.Renewal) {
+	if !o.currentBoot(from, r.GetBootId()) || !o.mayVote(now) {
+		return
+	}
+	reply := &peerpb.RenewalReply{BootId: r.GetBootId(), Stamp: r.GetStamp(), Listed: o.weight()}
+	for _, v := range r.GetVotes() {
+		p := o.pools[v.GetPool()]
+		if p != nil && !p.removed && p.prolong(now, from, r, v.GetEpoch()) {
+			reply.Votes = append(reply.Votes, v)
+		}
+	}
+	o.out = append(o.out, Send{To: from, Piggyback: true, Env: &peerpb.Envelope{Body: &peerpb.Envelope_RenewalReply{RenewalReply: reply}}})
+}
+
+func (o *Ownership) renewalReply(now time.Time, from string, r *peerpb.RenewalReply) {
+	if r.GetBootId() != o.boot {
+		return
+	}
+	for _, v := range r.GetVotes() {
+		if p := o.pools[v.GetPool()]; p != nil && p.epoch == v.GetEpoch() {
+			p.gain(now, from, r.GetStamp(), r.GetListed())
+		}
+	}
+}
+
+func (o *Ownership) sendRenewals(now time.Time, renewals map[string][]*peerpb.Vote) {
+	for _, to := range slices.Sorted(maps.Keys(renewals)) {
+		r := &peerpb.Renewal{BootId: o.boot, Stamp: o.nextStamp(now), Votes: renewals[to]}
+		o.out = append(o.out, Send{To: to, Piggyback: true, Env: &peerpb.Envelope{Body: &peerpb.Envelope_Renewal{Renewal: r}}})
+	}
+}
+
+// currentBoot reports whether a message is not from an earlier boot than one
+// that was heard before.
+func (o *Ownership) currentBoot(from string, boot uint64) bool {
+	if boot < o.boots[from] {
+		return false
+	}
+	o.boots[from] = boot
+	return true
+}
+
+func (o *Ownership) send(to string, env *peerpb.Envelope) {
+	o.out = append(o.out, Send{To: to, Env: env})
+}
--- /dev/null
+++ b/internal/ownership/pool.go
@@ -0,0 +1,349 @@
+package ownership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// vote is the vote that this router gives for a pool.
+type vote struct {
+	owner string
+	boot  uint64
+	epoch uint64
+	// stamp is the highest stamp that was granted.
+	stamp uint64
+	// until is when the vote is free again without a release.
+	until time.Time
+}
+
+// pending is a claim that waits for the vote to become free.
+type pending struct {
+	from  string
+	claim *peerpb.Claim
+	at    time.Time
+}
+
+// pool is the state of one pool, both as a voter and as an owner.
+type pool struct {
+	o       *Ownership
+	name    string
+	removed bool
+
+	vote     vote
+	pending  pending
+	nextLost time.Time
+	// reported holds the epoch up to which a claimant got the attempts.
+	reported map[string]uint64
+
+	// owning is set while this router is the owner in its own view.
+	owning bool
+	epoch  uint64
+	// maxEpoch is the highest epoch seen.
+	maxEpoch uint64
+	leases   map[string]lease
+	// voided holds the stamp up to which votes are given back, by voter.
+	voided    map[string]uint64
+	adopted   map[string]bool
+	nextClaim map[string]time.Time
+	nextRenew map[string]time.Time
+	changed   bool
+}
+
+func newPool(o *Ownership, name string) *pool {
+	return &pool{
+		o:         o,
+		name:      name,
+		reported:  map[string]uint64{},
+		leases:    map[string]lease{},
+		voided:    map[string]uint64{},
+		adopted:   map[string]bool{},
+		nextClaim: map[string]time.Time{},
+		nextRenew: map[string]time.Time{},
+	}
+}
+
+// update applies the view and the time, and publishes a changed share.
+func (p *pool) update(now time.Time, renewals map[string][]*peerpb.Vote) {
+	if p.removed {
+		return
+	}
+	owner := p.o.Owner(p.name)
+	if p.owning && owner != p.o.self {
+		p.giveUp(now, owner)
+	}
+	if !p.owning && owner == p.o.self {
+		p.takeOver()
+	}
+	if p.vote.owner == p.o.self && owner != p.o.self {
+		p.vote = vote{}
+	}
+	p.prune(now)
+	if p.owning {
+		p.voteForSelf(now)
+	}
+	p.publish()
+	p.recall(now, owner)
+	p.grantPending(now, owner)
+	if p.owning {
+		p.ask(now, renewals)
+	}
+}
+
+func (p *pool) takeOver() {
+	p.owning = true
+	p.epoch = max(p.maxEpoch, p.o.boot) + 1
+	p.maxEpoch = p.epoch
+	clear(p.adopted)
+	clear(p.nextClaim)
+	clear(p.nextRenew)
+}
+
+// giveUp ends the ownership. The share is gone before any vote is released.
+func (p *pool) giveUp(now time.Time, owner string) {
+	if !p.owning {
+		return
+	}
+	p.owning = false
+	voters := slices.Sorted(maps.Keys(p.leases))
+	clear(p.leases)
+	p.changed = true
+	p.publish()
+	p.o.out = append(p.o.out, HandBack{Pool: p.name, Owner: owner})
+	for _, name := range voters {
+		if name != p.o.self {
+			p.release(now, name)
+		}
+	}
+	if p.vote.owner == p.o.self {
+		p.vote = vote{}
+	}
+}
+
+// prune drops votes that ended and votes of routers that left the list.
+func (p *pool) prune(now time.Time) {
+	for name, l := range p.leases {
+		if _, listed := p.o.view.Router(name); !listed || !now.Before(l.until) {
+			delete(p.leases, name)
+			p.changed = true
+		}
+	}
+}
+
+// publish passes the share on when it changed.
+func (p *pool) publish() {
+	if !p.changed {
+		return
+	}
+	p.changed = false
+	s := Share{Epoch: p.epoch}
+	for _, name := range slices.Sorted(maps.Keys(p.leases)) {
+		s.leases = append(s.leases, p.leases[name])
+	}
+	p.o.out = append(p.o.out, ShareChanged{Pool: p.name, Share: s})
+}
+
+// free reports whether the vote may be given to a new owner.
+func (p *pool) free(now time.Time) bool {
+	return p.vote.owner == "" || !now.Before(p.vote.until)
+}
+
+// voteForSelf gives or prolongs this router's own vote. The lease has an end
+// like any other, so that a paused process resumes without it.
+func (p *pool) voteForSelf(now time.Time) {
+	if !p.o.mayVote(now) {
+		return
+	}
+	if p.vote.owner != p.o.self && !p.free(now) {
+		return
+	}
+	own := p.leases[p.o.self]
+	if own.until.Sub(now) > LeaseTime-TickInterval && own.listed == p.o.weight() {
+		return
+	}
+	stamp := p.o.nextStamp(now)
+	p.vote = vote{owner: p.o.self, boot: p.o.boot, epoch: p.epoch, stamp: stamp, until: now.Add(HoldTime)}
+	p.leases[p.o.self] = lease{until: now.Add(LeaseTime), stamp: stamp, listed: p.o.weight()}
+	p.changed = true
+}
+
+// recall tells the holder of the vote that another router is the owner in this
+// router's view.
+func (p *pool) recall(now time.Time, owner string) {
+	holder := p.vote.owner
+	if holder == owner || holder == p.o.self || p.free(now) || now.Before(p.nextLost) {
+		return
+	}
+	p.nextLost = now.Add(retryInterval)
+	p.o.send(holder, &peerpb.Envelope{Body: &peerpb.Envelope_VoteLost{VoteLost: &peerpb.VoteLost{
+		Pool: p.name, Epoch: p.vote.epoch, Owner: owner,
+	}}})
+}
+
+// voteLost gives the sender its vote back, also when it is not held any more:
+// the sender may have missed an earlier release.
+func (p *pool) voteLost(now time.Time, from string) {
+	if _, held := p.leases[from]; held {
+		delete(p.leases, from)
+		p.changed = true
+		p.publish()
+	}
+	p.release(now, from)
+}
+
+// release declares all votes of a router up to now void.
+func (p *pool) release(now time.Time, to string) {
+	stamp := p.o.nextStamp(now)
+	p.voided[to] = stamp
+	p.o.send(to, p.claimMessage(stamp, true))
+}
+
+func (p *pool) claimMessage(stamp uint64, release bool) *peerpb.Envelope {
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Claim{Claim: &peerpb.Claim{
+		Pool: p.name, Owner: p.o.self, Epoch: p.epoch, BootId: p.o.boot, Stamp: stamp, Release: release,
+	}}}
+}
+
+// ask claims missing votes and collects the renewals that are due.
+func (p *pool) ask(now time.Time, renewals map[string][]*peerpb.Vote) {
+	for _, r := range p.o.view.Routers {
+		name := r.VM.Name
+		if name == p.o.self {
+			continue
+		}
+		if _, held := p.leases[name]; held {
+			if !now.Before(p.nextRenew[name]) {
+				p.nextRenew[name] = now.Add(renewInterval)
+				renewals[name] = append(renewals[name], &peerpb.Vote{Pool: p.name, Epoch: p.epoch})
+			}
+			continue
+		}
+		if r.Suspected || now.Before(p.nextClaim[name]) {
+			continue
+		}
+		p.nextClaim[name] = now.Add(retryInterval)
+		p.o.send(name, p.claimMessage(p.o.nextStamp(now), false))
+	}
+}
+
+// claim handles a claim or a release of another router.
+func (p *pool) claim(now time.Time, from string, c *peerpb.Claim) {
+	if !p.o.currentBoot(from, c.GetBootId()) {
+		return
+	}
+	p.maxEpoch = max(p.maxEpoch, c.GetEpoch())
+	if c.GetRelease() {
+		p.released(from, c)
+		return
+	}
+	p.pending = pending{from: from, claim: c, at: now}
+	if from == p.o.Owner(p.name) && p.mayGrant(now, from, c) {
+		p.grant(now)
+		return
+	}
+	p.answer(from, c, false)
+}
+
+// released frees the vote unless it was renewed after the release.
+func (p *pool) released(from string, c *peerpb.Claim) {
+	v := p.vote
+	if v.owner == from && v.boot == c.GetBootId() && c.GetStamp() >= v.stamp {
+		p.vote = vote{}
+	}
+}
+
+// mayGrant reports whether the vote is free for a claim. The death of an
+// earlier boot of the claimant ended its votes.
+func (p *pool) mayGrant(now time.Time, from string, c *peerpb.Claim) bool {
+	if !p.o.mayVote(now) {
+		return false
+	}
+	return p.free(now) || p.vote.owner == from && p.vote.boot <= c.GetBootId()
+}
+
+// grantPending grants a remembered claim once the vote or the view allows it.
+func (p *pool) grantPending(now time.Time, owner string) {
+	if p.pending.from == "" {
+		return
+	}
+	if now.Sub(p.pending.at) >= pendingAge {
+		p.pending = pending{}
+		return
+	}
+	if p.pending.from == owner && p.mayGrant(now, owner, p.pending.claim) {
+		p.grant(now)
+	}
+}
+
+// grant gives the vote to the pending claim.
+func (p *pool) grant(now time.Time) {
+	from, c := p.pending.from, p.pending.claim
+	p.pending = pending{}
+	stamp := c.GetStamp()
+	if p.vote.owner == from && p.vote.boot == c.GetBootId() {
+		stamp = max(stamp, p.vote.stamp)
+	}
+	p.vote = vote{owner: from, boot: c.GetBootId(), epoch: c.GetEpoch(), stamp: stamp, until: now.Add(HoldTime)}
+	p.answer(from, c, true)
+}
+
+// answer replies to a claim; the first reply of an epoch carries the attempts.
+func (p *pool) answer(to string, c *peerpb.Claim, granted bool) {
+	first := c.GetEpoch() > p.reported[to]
+	p.reported[to] = max(p.reported[to], c.GetEpoch())
+	p.o.out = append(p.o.out, Send{To: to, AttachAttempts: first, Env: &peerpb.Envelope{
+		Body: &peerpb.Envelope_ClaimReply{ClaimReply: &peerpb.ClaimReply{
+			Pool: p.name, Granted: granted, Epoch: c.GetEpoch(), Owner: p.vote.owner,
+			BootId: c.GetBootId(), Stamp: c.GetStamp(), Listed: p.o.weight(),
+		}},
+	}})
+}
+
+// prolong renews the vote of its holder. The vote may have ended as long as
+// nobody else got it.
+func (p *pool) prolong(now time.Time, from string, r *peerpb.Renewal, epoch uint64) bool {
+	v := &p.vote
+	if v.owner != from || v.boot != r.GetBootId() || v.epoch != epoch || p.o.Owner(p.name) != from {
+		return false
+	}
+	v.stamp = max(v.stamp, r.GetStamp())
+	v.until = now.Add(HoldTime)
+	return true
+}
+
+// reply takes the answer to a claim.
+func (p *pool) reply(now time.Time, from string, r *peerpb.ClaimReply) {
+	if r.GetBootId() != p.o.boot {
+		return
+	}
+	if r.GetEpoch() == p.epoch && p.owning && !p.adopted[from] {
+		p.adopted[from] = true
+		p.o.out = append(p.o.out, Adopt{Pool: p.name, Epoch: p.epoch, From: from, Attempts: r.GetAttempts()})
+	}
+	if r.GetGranted() {
+		p.gain(now, from, r.GetStamp(), r.GetListed())
+	}
+}
+
+// gain counts a vote, or gives it back when this router is not the owner.
+func (p *pool) gain(now time.Time, from string, stamp uint64, listed uint32) {
+	if !p.owning || p.removed {
+		p.release(now, from)
+		return
+	}
+	_, known := p.o.view.Router(from)
+	if !known || listed == 0 || stamp <= p.voided[from] || stamp <= p.leases[from].stamp || stamp > p.o.stamp {
+		return
+	}
+	until := p.o.start.Add(time.Duration(stamp)).Add(LeaseTime)
+	if !now.Before(until) {
+		return
+	}
+	p.leases[from] = lease{until: until, stamp: stamp, listed: listed}
+	if p.nextRenew[from].Before(now) {
+		p.nextRenew[from] = now.Add(renewInterval)
+	}
+	p.changed = true
+}
