router: own pools by majority of votes

Ownership follows votes given as leases. A router admits for a pool while it holds more than one half of the votes; shares of all routers add up to at most one, so at most one router has a majority. Using a fraction of the bound instead let the load of a pool collapse when its share times the multiple fell below one (6 of 8 votes at 1.25).

A refused connection proves that a process has ended and frees its votes at once.

--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -117,10 +117,12 @@
 // SetShare sets the part of each bound that this owner may use, 0 to 1, and
 // opens the pool unless it is stopping. A share under 1 is rounded down for
 // each engine, so a small pool load may admit nothing; SetVotes divides the
-// bounds without that loss.
-func (p *Pool) SetShare(now time.Time, share float64) {
+// bounds without that loss. Nothing is granted from leaseEnd on until the next
+// call; the zero time means no end.
+func (p *Pool) SetShare(now time.Time, share float64, leaseEnd time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.leaseEnd = leaseEnd
 	p.votes = nil
 	p.view.Share = min(max(share, 0), 1)
 	p.open(now)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,7 +71,8 @@
 
 // Config holds the limits of a dispatcher.
 type Config struct {
-	// OwnerWait is the longest wait for a usable owner of the pool.
+	// OwnerWait is the longest wait for a usable owner of the pool. It covers
+	// the takeover after the death of an owner's VM.
 	OwnerWait time.Duration
 	// ResumeWait is the longest time spent on resuming a broken answer.
 	ResumeWait time.Duration
@@ -84,7 +85,7 @@
 // DefaultConfig returns the limits used in production.
 func DefaultConfig() Config {
 	return Config{
-		OwnerWait:  4 * time.Second,
+		OwnerWait:  10 * time.Second,
 		ResumeWait: 15 * time.Second,
 		MaxRetries: 2,
 		Backoff:    50 * time.Millisecond,
--- a/internal/event/router.go
+++ b/internal/event/router.go
@@ -11,4 +11,6 @@
 	RouterStopped     = register(104, hclog.Info, "router stopped")
 	RouterChartError  = register(105, hclog.Error, "state chart refused an event")
 	PeerStateUnusable = register(106, hclog.Warn, "configuration state of a peer cannot be used")
+	PeerProcessEnded  = register(107, hclog.Warn, "process of another router has ended")
+	PoolHandedOver    = register(108, hclog.Info, "pool handed over")
 )
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -270,6 +270,14 @@
 	m.watch(now, now.Add(-suspectAfter))
 }
 
+// Refused takes the news that the address of a router refuses connections: its
+// process has ended. The router is suspected at once.
+func (m *Membership) Refused(now time.Time, name string) {
+	if p := m.peers[name]; p != nil {
+		m.suspect(now, p, p.known)
+	}
+}
+
 // revive clears a suspicion that newer evidence disproves.
 func (m *Membership) revive(now time.Time, p *peerState) {
 	if !p.suspected {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -62,6 +62,29 @@
 	return min(sum, 1)
 }
 
+// majorityMargin absorbs the rounding of the added weights.
+const majorityMargin = 1e-9
+
+// MajorityUntil returns the time until which the votes add up to more than one
+// half. ok is false when they do not at now. No two routers have a majority at
+// the same moment, because the shares of all never add up to more than one.
+func (s Share) MajorityUntil(now time.Time) (until time.Time, ok bool) {
+	sum := 0.0
+	for _, l := range s.leases {
+		if !now.Before(l.until) {
+			continue
+		}
+		sum += 1 / float64(l.listed)
+		if until.IsZero() || l.until.Before(until) {
+			until = l.until
+		}
+		if sum > 0.5+majorityMargin {
+			return until, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Votes returns the number of valid votes at a time.
 func (s Share) Votes(now time.Time) int {
 	n := 0
@@ -190,6 +213,17 @@
 	return o.update(now)
 }
 
+// Died takes the news that the process of a router has ended, as of a boot. Its
+// votes as an owner are void at once, since a dead process admits nothing.
+func (o *Ownership) Died(now time.Time, name string, boot uint64) []Action {
+	for _, p := range o.pools {
+		if p.vote.owner == name && p.vote.boot <= boot {
+			p.vote = vote{}
+		}
+	}
+	return o.update(now)
+}
+
 // SetView takes a new membership view.
 func (o *Ownership) SetView(now time.Time, v *membership.View) []Action {
 	o.view = v
--- a/internal/ownership/pool.go
+++ b/internal/ownership/pool.go
@@ -139,9 +139,11 @@
 	}
 	p.changed = false
 	s := Share{Epoch: p.epoch}
-	for _, name := range slices.Sorted(maps.Keys(p.leases)) {
-		s.leases = append(s.leases, p.leases[name])
+	for _, l := range p.leases {
+		s.leases = append(s.leases, l)
 	}
+	// The longest leases come first, so that a majority of them lasts longest.
+	slices.SortFunc(s.leases, func(a, b lease) int { return b.until.Compare(a.until) })
 	p.o.out = append(p.o.out, ShareChanged{Pool: p.name, Share: s})
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -86,6 +86,9 @@
 	Clock clockwork.Clock
 	// OnDialFailure is called, when set, after each failed dial.
 	OnDialFailure func(addr string, err error)
+	// OnConnLost is called, when set, after a connection has ended, unless the
+	// transport is closing. It must not block.
+	OnConnLost func(p Peer)
 
 	// Zero values take the defaults.
 	DialTimeout  time.Duration
@@ -446,6 +449,9 @@
 
 func (t *Transport) unregister(c *conn) {
 	_ = c.mux.Close()
+	if t.cfg.OnConnLost != nil && !c.peer.probe && t.tomb.Alive() {
+		t.cfg.OnConnLost(c.peer)
+	}
 	t.mu.Lock()
 	delete(t.conns, c)
 	if e := t.entries[c.addr]; e != nil && e.conn == c {
--- a/internal/placement/model/model.go
+++ b/internal/placement/model/model.go
@@ -192,7 +192,7 @@
 	s.pool = admission.NewPool(admission.Config{Pool: &record.Pool{
 		Name: "model", LoadMultiple: opt.Multiple, MaxInFlight: maxInFlight, HomeWait: opt.HomeWait,
 	}}, admission.Deps{Rand: noise.Float64, Picker: picker, Prefixes: placement.NewPrefixIndex(65536)})
-	s.pool.SetShare(s.clock(), 1)
+	s.pool.SetShare(s.clock(), 1, time.Time{})
 	for range opt.Engines {
 		s.addEngine()
 	}
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -78,10 +78,8 @@
 		p.release(now, admission.CodeNotOwner)
 	case !p.isOwned.Swap(true):
 		p.takeOver(now)
-		p.admission.SetVotes(now, a.Held, a.Listed, a.LeaseEnd)
-	case !slices.Equal(last.Held, a.Held) || !slices.Equal(last.Listed, a.Listed):
-		p.admission.SetVotes(now, a.Held, a.Listed, a.LeaseEnd)
-	default:
+		p.admission.SetShare(now, 1, a.LeaseEnd)
+	case !last.LeaseEnd.Equal(a.LeaseEnd):
 		p.admission.SetLeaseEnd(now, a.LeaseEnd)
 	}
 }
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -59,11 +59,9 @@
 	Pool       *record.Pool
 	Workspaces map[string]*record.Workspace
 	Servers    []Server
-	// Owned tells whether this router holds any vote for the pool.
+	// Owned tells whether this router holds a majority of the votes for the pool.
 	Owned bool
-	// Held and Listed are the routers whose vote is held, and all of the VM list.
-	Held, Listed []string
-	// LeaseEnd is when the first of the held votes ends; zero means never.
+	// LeaseEnd is when the majority ends; zero means never.
 	LeaseEnd time.Time
 	// Stopping refuses new requests; running ones go on.
 	Stopping bool
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -7,6 +7,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/fleetconfig"
 	"github.com/bluebellwell/bluebellwell/internal/membership"
+	"github.com/bluebellwell/bluebellwell/internal/ownership"
 	"github.com/bluebellwell/bluebellwell/internal/peer"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/record"
@@ -28,11 +29,6 @@
 		from      peer.Peer
 		heartbeat *peerpb.Heartbeat
 	}
-	voteLostReceived struct {
-		from peer.Peer
-		lost *peerpb.VoteLost
-	}
-	dialFailed     struct{ addr string }
 	serverReported struct {
 		name string
 		ok   bool
@@ -59,9 +55,16 @@
 	r       *Router
 	life    *statechart.Machine
 	members *membership.Membership
-	view    *membership.View
-	listAt  time.Time
-	answers map[string]fleetconfig.PeerStatus
+	owners  *ownership.Ownership
+	// shares holds the votes of the pools that this router owns.
+	shares map[string]ownership.Share
+	pools  []string
+	// suspects are the routers that the last view suspected.
+	suspects map[string]bool
+	config   *record.Config
+	view     *membership.View
+	listAt   time.Time
+	answers  map[string]fleetconfig.PeerStatus
 	// checkedAt is the time of the last probe of servers that are down.
 	checkedAt time.Time
 	stopping  bool
@@ -74,6 +77,10 @@
 		r:       r,
 		life:    statechart.NewMachine(statechart.Router()),
 		members: membership.New(r.settings.VM, r.bootID),
+		view:    &membership.View{},
+		owners:  ownership.New(r.clock.Now(), r.settings.VM, r.bootID),
+		shares:  map[string]ownership.Share{},
+		config:  record.NewConfig(),
 		answers: map[string]fleetconfig.PeerStatus{},
 	}
 	ticker := r.clock.NewTicker(controlTick)
@@ -108,10 +115,6 @@
 	c.publish(now)
 }
 
-func (m voteLostReceived) apply(*control, time.Time) {}
-
-func (m dialFailed) apply(*control, time.Time) {}
-
 func (m serverReported) apply(c *control, now time.Time) {
 	if c.members.ReportEngine(now, m.name, m.ok) {
 		c.publish(now)
@@ -137,7 +140,7 @@
 }
 
 func (c *control) tick(now time.Time) {
-	if c.view == nil {
+	if c.view.ListVersion == 0 {
 		return
 	}
 	for _, p := range c.members.Tick(now) {
@@ -164,18 +167,20 @@
 	if c.view.ListVersion == 0 {
 		return
 	}
+	c.testSuspects()
 	snap := c.r.config.Snapshot()
+	if snap.Config != nil {
+		c.config = snap.Config
+	}
+	c.updateOwners(now, poolNames(c.config.Pools))
 	reason := c.readiness(now, snap)
 	s := &state{
 		life:       c.life.State(),
 		listed:     c.view.Listed,
 		selfListed: c.view.SelfListed,
 	}
-	s.entry = entry.State{Config: snap.Config, Ready: s.life == statechart.RouterReady, Reason: reason}
+	s.entry = entry.State{Config: c.config, Ready: s.life == statechart.RouterReady, Reason: reason}
 	s.entry.Accepting = s.entry.Ready || c.inLameDuck(now)
-	if s.entry.Config == nil {
-		s.entry.Config = record.NewConfig()
-	}
 	c.place(now, s)
 	c.r.current.Store(s)
 }
--- /dev/null
+++ b/internal/router/owners.go
@@ -0,0 +1,139 @@
+package router
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/ownership"
+	"github.com/bluebellwell/bluebellwell/internal/peer"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+type (
+	// ownershipReceived is a message about votes from another router.
+	ownershipReceived struct {
+		from string
+		env  *peerpb.Envelope
+	}
+	// connLost says that a connection to another router has ended.
+	connLost struct{ peer peer.Peer }
+	// processDied says that the address of a router refuses connections.
+	processDied struct{ name string }
+)
+
+func (m ownershipReceived) apply(c *control, now time.Time) {
+	c.perform(now, c.owners.Receive(now, m.from, m.env))
+	c.publish(now)
+}
+
+// apply tests at once whether the process at the other end has ended, so that
+// its pools are taken over without waiting for its leases.
+func (m connLost) apply(c *control, _ time.Time) {
+	if r, ok := c.view.Router(m.peer.VM); ok && !r.Suspected {
+		c.r.testProcess(m.peer.VM, r.VM.PeerAddr)
+	}
+}
+
+func (m processDied) apply(c *control, now time.Time) {
+	r, ok := c.view.Router(m.name)
+	if !ok {
+		return
+	}
+	c.r.events.Emit(event.PeerProcessEnded, "vm", m.name)
+	c.members.Refused(now, m.name)
+	c.perform(now, c.owners.Died(now, m.name, r.BootID))
+	c.publish(now)
+}
+
+// testProcess dials a router and reports a refused connection, which only an
+// ended process gives: a paused one still has its listener.
+func (r *Router) testProcess(name, addr string) {
+	go func() {
+		err := r.peers.Probe(addr)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.post(processDied{name: name})
+		}
+	}()
+}
+
+// testSuspects tests the routers that became suspected since the last view,
+// because a vote for an ended process is free at once.
+func (c *control) testSuspects() {
+	suspects := map[string]bool{}
+	for _, r := range c.view.Routers {
+		if !r.Suspected {
+			continue
+		}
+		suspects[r.VM.Name] = true
+		if !c.suspects[r.VM.Name] {
+			c.r.testProcess(r.VM.Name, r.VM.PeerAddr)
+		}
+	}
+	c.suspects = suspects
+}
+
+// updateOwners passes the view and the pools to the ownership.
+func (c *control) updateOwners(now time.Time, pools []string) {
+	slices.Sort(pools)
+	if !slices.Equal(pools, c.pools) {
+		c.pools = pools
+		c.perform(now, c.owners.SetPools(now, pools))
+	}
+	c.perform(now, c.owners.SetView(now, c.view))
+}
+
+// perform carries out the actions of the ownership in their order.
+func (c *control) perform(now time.Time, actions []ownership.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case ownership.ShareChanged:
+			c.shares[a.Pool] = a.Share
+			c.assignPools(now)
+		case ownership.HandBack:
+			delete(c.shares, a.Pool)
+			c.assignPools(now)
+			c.r.events.Emit(event.PoolHandedOver, "pool", a.Pool, "owner", a.Owner)
+		case ownership.Adopt:
+			c.r.owner.Adopt(now, a.Pool, a.Attempts)
+		case ownership.Send:
+			c.sendOwnership(a)
+		}
+	}
+}
+
+func (c *control) sendOwnership(a ownership.Send) {
+	r, ok := c.view.Router(a.To)
+	if !ok {
+		return
+	}
+	if reply := a.Env.GetClaimReply(); a.AttachAttempts && reply != nil {
+		reply.Attempts = c.r.dispatch.InFlight().Attempts(reply.Pool)
+	}
+	if a.Piggyback {
+		c.r.riders.offer(a.To, r.VM.PeerAddr, a.Env)
+		return
+	}
+	_ = c.r.peers.Send(r.VM.PeerAddr, a.Env)
+}
+
+// ownerTarget returns the address of the owner of a pool in this router's view.
+func (c *control) ownerTarget(pool string) dispatch.Target {
+	if c.r.solo() {
+		return dispatch.Target{VM: c.r.settings.VM}
+	}
+	name := c.owners.Owner(pool)
+	r, ok := c.view.Router(name)
+	if !ok {
+		return dispatch.Target{}
+	}
+	return dispatch.Target{VM: name, Addr: r.VM.PeerAddr}
+}
+
+func poolNames[T any](pools map[string]T) []string {
+	return slices.Collect(maps.Keys(pools))
+}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -17,10 +17,9 @@
 func (c *control) place(now time.Time, s *state) {
 	addr := c.usableAddresses(s)
 	s.owners = map[string]dispatch.Target{}
-	for pool := range s.entry.Config.Pools {
-		s.owners[pool] = winner("pool/"+pool, addr)
-		if c.r.solo() {
-			s.owners[pool] = dispatch.Target{VM: c.r.settings.VM}
+	for pool := range c.config.Pools {
+		if t := c.ownerTarget(pool); t.VM != "" {
+			s.owners[pool] = t
 		}
 	}
 	for i := range c.r.settings.Intents.Streams {
@@ -28,7 +27,7 @@
 	}
 	s.rank = slices.Index(c.view.Usable, c.r.settings.VM)
 	s.view = c.listStatus(now)
-	c.assign(now, s)
+	c.assignPools(now)
 }
 
 // usableAddresses returns the addresses of the routers that may own pools.
@@ -45,33 +44,24 @@
 	return addr
 }
 
-// assign tells the owner's side about all pools.
-func (c *control) assign(now time.Time, s *state) {
-	listed := c.votes()
-	list := make([]poolowner.Assignment, 0, len(s.entry.Config.Pools))
-	for name, pool := range s.entry.Config.Pools {
-		list = append(list, poolowner.Assignment{
-			Pool:       pool,
-			Workspaces: s.entry.Config.Workspaces,
-			Servers:    c.servers(name),
-			Owned:      s.owners[name].VM == c.r.settings.VM,
-			Held:       listed,
-			Listed:     listed,
-		})
-	}
-	c.r.owner.Assign(now, list)
-}
+// leaseMargin is how long before their end votes are no longer relied on, so
+// that an assignment never ends before the next one is made.
+const leaseMargin = 2 * controlTick
 
-// votes returns the routers whose votes count for a pool.
-func (c *control) votes() []string {
-	if c.r.solo() {
-		return []string{c.r.settings.VM}
-	}
-	names := make([]string, len(c.view.Routers))
-	for i, r := range c.view.Routers {
-		names[i] = r.VM.Name
+// assignPools tells the owner's side about all pools. A pool is owned while more
+// than one half of the votes is held.
+func (c *control) assignPools(now time.Time) {
+	list := make([]poolowner.Assignment, 0, len(c.config.Pools))
+	for name, pool := range c.config.Pools {
+		a := poolowner.Assignment{Pool: pool, Workspaces: c.config.Workspaces, Servers: c.servers(name)}
+		if c.r.solo() {
+			a.Owned = true
+		} else {
+			a.LeaseEnd, a.Owned = c.shares[name].MajorityUntil(now.Add(leaseMargin))
+		}
+		list = append(list, a)
 	}
-	return names
+	c.r.owner.Assign(now, list)
 }
 
 // listStatus describes the view for operators.
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -92,6 +92,7 @@
 
 // remoteStream carries frames from a peer.
 type remoteStream struct {
+	r      *Router
 	stream *peer.Stream
 	env    peerpb.Envelope
 	id     string
@@ -103,11 +104,14 @@
 	if err != nil {
 		return nil, notSent(err)
 	}
-	if err := s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_Relay{Relay: req}}); err != nil {
+	req.Control = r.riders.take(to.VM)
+	err = s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_Relay{Relay: req}})
+	req.Control = nil
+	if err != nil {
 		_ = s.Close()
 		return nil, notSent(err)
 	}
-	return &remoteStream{stream: s, id: req.AttemptId}, nil
+	return &remoteStream{r: r, stream: s, id: req.AttemptId}, nil
 }
 
 func notSent(err error) error {
@@ -127,6 +131,10 @@
 	if f == nil {
 		return nil, errUnexpectedMessage
 	}
+	if f.Control != nil {
+		s.r.received(s.stream.Peer().VM, f.Control)
+		f.Control = nil
+	}
 	return f, nil
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -90,6 +90,7 @@
 	config   *fleetconfig.Reader
 	vms      *vmlist.Client
 	peers    *peer.Transport
+	riders   *riders
 	owner    *poolowner.Service
 	dispatch *dispatch.Dispatcher
 	guard    *intent.Guard
@@ -196,12 +197,13 @@
 		Meter:          r.meter,
 		Log:            r.events,
 		Clock:          r.clock,
-		OnDialFailure:  func(addr string, _ error) { r.post(dialFailed{addr: addr}) },
+		OnConnLost:     func(p peer.Peer) { r.post(connLost{peer: p}) },
 	})
 	if err != nil {
 		return eris.Wrap(err, "start peer transport")
 	}
 	r.peers = transport
+	r.riders = newRiders(r.clock, r.meter, func(addr string, env *peerpb.Envelope) { _ = transport.Send(addr, env) })
 	return nil
 }
 
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -17,8 +17,6 @@
 	switch body := first.Body.(type) {
 	case *peerpb.Envelope_Relay:
 		r.serveRelay(ctx, body.Relay, s)
-	case *peerpb.Envelope_Claim:
-		r.serveClaim(ctx, body.Claim, s)
 	case *peerpb.Envelope_ConfigFetch:
 		_ = s.Send(r.configReply(body.ConfigFetch))
 	case *peerpb.Envelope_IntentCall:
@@ -35,20 +33,23 @@
 	switch body := env.Body.(type) {
 	case *peerpb.Envelope_Heartbeat:
 		r.post(heartbeatReceived{from: from, heartbeat: body.Heartbeat})
-	case *peerpb.Envelope_VoteLost:
-		r.post(voteLostReceived{from: from, lost: body.VoteLost})
+	case *peerpb.Envelope_Claim, *peerpb.Envelope_ClaimReply, *peerpb.Envelope_VoteLost,
+		*peerpb.Envelope_Renewal, *peerpb.Envelope_RenewalReply, *peerpb.Envelope_Join, *peerpb.Envelope_JoinReply:
+		r.post(ownershipReceived{from: from.VM, env: env})
 	}
 }
 
 // frameSender sends frames to an entry router.
 type frameSender struct {
 	stream *peer.Stream
+	riders *riders
 	env    peerpb.Envelope
 	body   peerpb.Envelope_Frame
 }
 
 // Send implements poolowner.Sender.
 func (s *frameSender) Send(f *peerpb.Frame) error {
+	f.Control = s.riders.take(s.stream.Peer().VM)
 	s.body.Frame = f
 	s.env.Body = &s.body
 	_ = s.stream.SetDeadline(time.Now().Add(frameSendTimeout))
@@ -68,7 +69,10 @@
 			cancel()
 		}
 	}()
-	r.owner.Serve(ctx, req, &frameSender{stream: s})
+	if req.Control != nil {
+		r.received(s.Peer().VM, req.Control)
+	}
+	r.owner.Serve(ctx, req, &frameSender{stream: s, riders: r.riders})
 }
 
 func (r *Router) serveIntent(ctx context.Context, call *peerpb.IntentCall, s *peer.Stream) {
