--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellwell/bluebellwell/internal/meter"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/vmlist"
 )
@@ -241,3 +242,30 @@
 		t.Error("older list is in force")
 	}
 }
+
+// Cost of heartbeats without news: B/s for a router, sent and received, and
+// the time of one control tick with its two heartbeats in and one built.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, n := range []int{8, 64, 340} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newFleet(n)
+			f.run(2 * time.Second)
+			f.sent, f.bytes = 0, 0
+			f.run(4 * time.Second)
+			framing := f.sent * meter.PeerMessageBytes(0)
+			m := f.members[f.names[0]]
+			sources := m.neighbours(-1)
+			b.ReportAllocs()
+			for b.Loop() {
+				f.now = f.now.Add(TickInterval)
+				m.Tick(f.now)
+				for _, name := range sources {
+					m.Heartbeat(f.now, f.members[name].Build(f.now))
+				}
+				m.Build(f.now)
+				m.Targets()
+			}
+			b.ReportMetric(float64(2*(f.bytes+framing))/4/float64(n), "B/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/meter/meter_test.go
@@ -0,0 +1,96 @@
+package meter
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a limiter that serves a less important category while it
+// refuses a more important one, passes more than the budget, or starves claims.
+func TestLimiterShedsByImportance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.UnixMilli(1e12)
+		now := start
+		l := NewLimiter(start, DefaultRate, DefaultBurst)
+		passed := 0
+		for range rapid.IntRange(1, 200).Draw(t, "messages") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			n := rapid.IntRange(1, 1000).Draw(t, "bytes")
+			refused := false
+			for _, c := range Categories() {
+				trial := &Limiter{rate: l.rate, burst: l.burst, tokens: l.tokens, at: l.at}
+				ok := trial.Allow(now, c, n)
+				if ok && refused {
+					t.Fatalf("%v passes although a more important category is refused", c)
+				}
+				refused = refused || !ok
+			}
+			c := Category(rapid.IntRange(0, int(numCategories)-1).Draw(t, "category"))
+			if l.Allow(now, c, n) {
+				passed += n
+			}
+		}
+		budget := DefaultBurst*(1+maxDebtBursts) + int(now.Sub(start).Seconds()*DefaultRate) + 1
+		if passed > budget {
+			t.Fatalf("%d bytes passed, budget %d", passed, budget)
+		}
+	})
+}
+
+// Guards against claims refused in a flood of other traffic, a large message
+// that never passes, and debt without a bound.
+func TestLimiterEdges(t *testing.T) {
+	now := time.UnixMilli(1e12)
+	l := NewLimiter(now, DefaultRate, DefaultBurst)
+	for l.Allow(now, Config, 100) {
+	}
+	claims := func() (n int) {
+		for n < 1000 && l.Allow(now, Claim, 150) {
+			n++
+		}
+		return n
+	}
+	if l.Allow(now, Probe, 1) {
+		t.Error("probe passes an empty bucket")
+	}
+	if n := claims(); n < 2*DefaultBurst/150 || n == 1000 {
+		t.Errorf("%d claims passed an empty bucket", n)
+	}
+	if l.Refused()["probe"] != 1 {
+		t.Errorf("refusals %v", l.Refused())
+	}
+	now = now.Add(time.Minute)
+	if !l.Allow(now, LogRead, 10*DefaultBurst) || l.Allow(now, Heartbeat, 1) {
+		t.Error("a large message must pass a full bucket and be paid off")
+	}
+	l.Charge(now, 1<<30)
+	if n := claims(); n != DefaultBurst/150 {
+		t.Errorf("%d claims passed after a large message", n)
+	}
+}
+
+// Guards against rates over the wrong window.
+func TestRates(t *testing.T) {
+	m := &Meter{}
+	s := NewSampler(m)
+	now := time.UnixMilli(1e12)
+	for i := range 2 * maxSamples {
+		s.Sample(now)
+		now = now.Add(time.Second)
+		m.Add(Claim, 100)
+		if i >= 2*maxSamples-11 {
+			m.Add(Claim, 200)
+		}
+	}
+	if got := s.Rates(10 * time.Second)["claim"]; got != 300 {
+		t.Errorf("last 10 s: %v B/s", got)
+	}
+	if got := s.Rates(100 * time.Second)["claim"]; got != 120 {
+		t.Errorf("last 100 s: %v B/s", got)
+	}
+	if len(s.samples) != maxSamples || len(NewSampler(m).Rates(time.Second)) != 0 {
+		t.Error("history is not bounded, or rates without samples")
+	}
+}
--- /dev/null
+++ b/internal/meter/rates.go
@@ -0,0 +1,65 @@
+package meter
+
+import (
+	"sync"
+	"time"
+)
+
+// maxSamples bounds the history of a Sampler.
+const maxSamples = 600
+
+type sample struct {
+	at     time.Time
+	totals map[string]int64
+}
+
+// Sampler turns the totals of a meter into rates. It is safe for concurrent
+// use.
+type Sampler struct {
+	meter *Meter
+
+	mu      sync.Mutex
+	samples []sample
+}
+
+// NewSampler returns a sampler without samples.
+func NewSampler(m *Meter) *Sampler {
+	return &Sampler{meter: m}
+}
+
+// Sample records the present totals. It is called about once a second.
+func (s *Sampler) Sample(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.samples = append(s.samples, sample{now, s.meter.Totals()})
+	if len(s.samples) > maxSamples {
+		s.samples = s.samples[1:]
+	}
+}
+
+// Rates returns bytes a second by category name over the window before the
+// last sample, or over the whole history when that is shorter. It is empty
+// with fewer than two samples.
+func (s *Sampler) Rates(window time.Duration) map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rates := map[string]float64{}
+	if len(s.samples) < 2 {
+		return rates
+	}
+	last := s.samples[len(s.samples)-1]
+	first := s.samples[0]
+	for _, candidate := range s.samples[1 : len(s.samples)-1] {
+		if last.at.Sub(candidate.at) >= window {
+			first = candidate
+		}
+	}
+	seconds := last.at.Sub(first.at).Seconds()
+	if seconds <= 0 {
+		return rates
+	}
+	for name, n := range last.totals {
+		rates[name] = float64(n-first.totals[name]) / seconds
+	}
+	return rates
+}
