--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -370,6 +370,52 @@
 	}
 }
 
+// Guards against messages of an earlier time: a delayed release that frees a
+// vote given since, a claim of an earlier boot, a grant to an earlier boot, and
+// attempts that count twice.
+func TestOldMessagesHaveNoEffect(t *testing.T) {
+	w := started(t, 3)
+	owner := w.owner()
+	voter := w.names()[0]
+	if voter == owner {
+		voter = w.names()[1]
+	}
+	o, v := w.nodes[owner].o, w.nodes[voter].o
+	voteOf := func() vote { return v.pools[testPool].vote }
+	claim := func(boot, stamp uint64, release bool) *peerpb.Envelope {
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Claim{Claim: &peerpb.Claim{
+			Pool: testPool, Owner: owner, Epoch: voteOf().epoch, BootId: boot, Stamp: stamp, Release: release,
+		}}}
+	}
+	before := voteOf()
+	v.Receive(w.now, owner, claim(o.boot, before.stamp-1, true))
+	v.Receive(w.now, owner, claim(o.boot-1, before.stamp+1, true))
+	v.Receive(w.now, owner, claim(o.boot-1, before.stamp+1, false))
+	if voteOf() != before {
+		t.Errorf("vote %+v became %+v", before, voteOf())
+	}
+	v.pools[testPool].vote = vote{}
+	v.Receive(w.now, owner, claim(o.boot-1, before.stamp+1, false))
+	if voteOf() != (vote{}) {
+		t.Error("earlier boot got a free vote")
+	}
+	held := o.pools[testPool].leases[voter]
+	grant := func(boot uint64) []Action {
+		return o.Receive(w.now, voter, &peerpb.Envelope{Body: &peerpb.Envelope_ClaimReply{ClaimReply: &peerpb.ClaimReply{
+			Pool: testPool, Granted: true, Epoch: o.pools[testPool].epoch, BootId: boot, Stamp: o.stamp, Listed: 1,
+		}}})
+	}
+	grant(o.boot - 1)
+	if got := o.pools[testPool].leases[voter]; got != held {
+		t.Errorf("grant to an earlier boot changed %+v to %+v", held, got)
+	}
+	for _, a := range grant(o.boot) {
+		if _, again := a.(Adopt); again {
+			t.Error("attempts adopted twice")
+		}
+	}
+}
+
 // split starts four routers of which two see the owner as dead, so that the
 // pool has two owners. It returns the first owner and the router that still
 // votes for it.
