--- /dev/null
+++ b/internal/bench/measure.go
@@ -0,0 +1,393 @@
+package bench
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/bluebellwell/bluebellwell/internal/entry"
+	"github.com/bluebellwell/bluebellwell/internal/standin/backendsim"
+	"github.com/bluebellwell/bluebellwell/internal/standin/enginesim"
+)
+
+// Figures are the measured values of one policy. A nil value was not measured.
+type Figures struct {
+	CacheHitRatio       *float64 `json:"cache_hit_ratio"`
+	OracleCacheHitRatio *float64 `json:"oracle_cache_hit_ratio"`
+	SkewMax             *float64 `json:"skew_max"`
+	SkewP99             *float64 `json:"skew_p99"`
+	LoadMultiple        float64  `json:"load_multiple"`
+	// MeanInFlight is in requests for each engine.
+	MeanInFlight float64 `json:"mean_in_flight"`
+	// SkewViolations are acceptances above the bound.
+	SkewViolations int `json:"skew_violations"`
+	// ControlBytesPerSecondMax and ControlBytesByCategory are those of the router
+	// with the most control traffic.
+	ControlBytesPerSecondMax float64            `json:"control_bytes_per_second_max"`
+	ControlBytesByCategory   map[string]float64 `json:"control_bytes_by_category"`
+	// TTFT is the time to the first token by class.
+	TTFTP50                   map[string]float64 `json:"ttft_ms_p50"`
+	TTFTP95                   map[string]float64 `json:"ttft_ms_p95"`
+	TTFTP99                   map[string]float64 `json:"ttft_ms_p99"`
+	LookupP95CalmMs           *float64           `json:"lookup_p95_calm_ms"`
+	LookupP95SurgeMs          *float64           `json:"lookup_p95_surge_ms"`
+	RelayOverheadMsP99        *float64           `json:"relay_overhead_ms_p99"`
+	Lost                      int                `json:"lost"`
+	Crossed                   int                `json:"crossed"`
+	Duplicated                int                `json:"duplicated"`
+	FalseNotRun               int                `json:"false_not_run"`
+	LeaveToLastNewWorkSeconds *float64           `json:"leave_to_last_new_work_seconds"`
+	ConfigInForceSecondsMax   *float64           `json:"config_in_force_seconds_max"`
+	ConfigReversions          int                `json:"config_reversions"`
+	StreamsCut                int                `json:"streams_cut"`
+	Requests                  int                `json:"requests"`
+	// Refused counts answers other than whole ones by code.
+	Refused map[string]int `json:"refused"`
+}
+
+// window is the part of a run in which load and skew are judged.
+type window struct {
+	from, to time.Duration
+}
+
+func (p *Plan) window() window {
+	return window{from: warmUp, to: p.Duration - drainTime}
+}
+
+func (w window) holds(t time.Duration) bool {
+	return t >= w.from && t < w.to
+}
+
+// figures computes everything after the run.
+func (r *run) figures() *Figures {
+	var records []enginesim.Record
+	for _, rec := range r.bed.Pool.Records() {
+		if !rec.Accepted.Before(r.began) {
+			records = append(records, rec)
+		}
+	}
+	byRequest := recordsByRequest(records)
+	executions := r.bed.Calls.Executions()
+	f := &Figures{
+		CacheHitRatio:      cacheHitRatio(records),
+		LoadMultiple:       r.plan.Profile.Multiple,
+		MeanInFlight:       meanInFlight(records, r.began, r.plan.window(), r.plan.Profile.Engines),
+		SkewViolations:     violations(records, r.plan.Profile.Multiple),
+		RelayOverheadMsP99: r.overhead,
+		Duplicated:         len(r.bed.Calls.RepeatedKeys()) + len(r.bed.Pool.RepeatedKeys()),
+		Refused:            map[string]int{},
+	}
+	r.observed.fill(f, r.plan.window(), records)
+	r.results.fillLatencies(f, r.plan)
+	for _, c := range r.results.chats {
+		f.addChat(r.plan, c, byRequest, r.observed.stops)
+	}
+	f.addCalls(r.results.calls, executions)
+	f.Lost += r.results.lostCalls
+	r.say("%s: %d answers resumed, %d requests sent again, %.1f cores used, timers up to %.1f ms late", r.policy,
+		r.results.resumed, r.results.resent, r.observed.cores, float64(r.observed.timerLate.Microseconds())/1000)
+	return f
+}
+
+func recordsByRequest(records []enginesim.Record) map[string][]enginesim.Record {
+	m := map[string][]enginesim.Record{}
+	for _, rec := range records {
+		m[rec.RequestID] = append(m[rec.RequestID], rec)
+	}
+	return m
+}
+
+// cacheHitRatio returns the part of the prompt tokens of returning chats that
+// was in the cache. A chat returns from its second request on.
+func cacheHitRatio(records []enginesim.Record) *float64 {
+	first := map[string]string{}
+	prompt, cached := 0, 0
+	for _, rec := range records {
+		if rec.PrefixKey == "" {
+			continue
+		}
+		request, known := first[rec.PrefixKey]
+		if !known {
+			first[rec.PrefixKey] = rec.RequestID
+		}
+		if !known || request == rec.RequestID || !rec.Executed() {
+			continue
+		}
+		prompt += rec.PromptTokens
+		cached += rec.CachedTokens
+	}
+	if prompt == 0 {
+		return nil
+	}
+	ratio := float64(cached) / float64(prompt)
+	return &ratio
+}
+
+// meanInFlight returns the requests in flight for each engine, over a window.
+func meanInFlight(records []enginesim.Record, began time.Time, w window, engines int) float64 {
+	from, to := began.Add(w.from), began.Add(w.to)
+	busy := time.Duration(0)
+	for _, rec := range records {
+		start, end := rec.Accepted, rec.Ended
+		if start.Before(from) {
+			start = from
+		}
+		if end.IsZero() || end.After(to) {
+			end = to
+		}
+		busy += max(end.Sub(start), 0)
+	}
+	return busy.Seconds() / (w.to - w.from).Seconds() / float64(engines)
+}
+
+// violations counts the acceptances that put an engine of the pool over the
+// bound while the mean load was high enough for the bound to be judged.
+func violations(records []enginesim.Record, multiple float64) int {
+	n := 0
+	for _, rec := range records {
+		if rec.Weight == 0 || float64(rec.PoolInFlight) < minMean*float64(rec.Engines) {
+			continue
+		}
+		if rec.EngineInFlight > rec.Bound(multiple) {
+			n++
+		}
+	}
+	return n
+}
+
+// fill sets the figures that were sampled during the run.
+func (o *observed) fill(f *Figures, w window, records []enginesim.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f.SkewMax, f.SkewP99 = skewFigures(o.skews, w)
+	f.ControlBytesPerSecondMax, f.ControlBytesByCategory = busiestControl(o.controls)
+	f.LeaveToLastNewWorkSeconds = lastNewWork(records, o.leaving)
+	f.ConfigReversions = o.reversions
+	if len(o.inForce) > 0 {
+		longest := slices.Max(o.inForce).Seconds()
+		f.ConfigInForceSecondsMax = &longest
+	}
+}
+
+// skewFigures returns the highest and the 99th percentile of the samples in a
+// window at a sufficient load.
+func skewFigures(samples []skewSample, w window) (highest, p99 *float64) {
+	var values []float64
+	for _, s := range samples {
+		if w.holds(s.at) && s.mean >= minMean {
+			values = append(values, s.skew)
+		}
+	}
+	if len(values) == 0 {
+		return nil, nil
+	}
+	sort.Float64s(values)
+	rank := int(math.Ceil(0.99*float64(len(values)))) - 1
+	return &values[len(values)-1], &values[rank]
+}
+
+// busiestControl returns the bytes per second of the router with the most.
+func busiestControl(controls map[string]*control) (total float64, byCategory map[string]float64) {
+	byCategory = map[string]float64{}
+	for _, c := range controls {
+		seconds := c.until.Sub(c.since).Seconds()
+		if seconds < minRate.Seconds() {
+			continue
+		}
+		rates, sum := map[string]float64{}, 0.0
+		for category, bytes := range c.last {
+			rate := float64(bytes-c.first[category]) / seconds
+			if rate > 0 {
+				rates[category] = rate
+			}
+			sum += rate
+		}
+		if sum > total {
+			total, byCategory = sum, rates
+		}
+	}
+	return total, byCategory
+}
+
+// lastNewWork returns the longest time from the listing of an engine as
+// leaving to the last request that it accepted, in seconds.
+func lastNewWork(records []enginesim.Record, leaving map[string]time.Time) *float64 {
+	if len(leaving) == 0 {
+		return nil
+	}
+	longest := 0.0
+	for _, rec := range records {
+		if at, ok := leaving[rec.Engine]; ok {
+			longest = max(longest, rec.Accepted.Sub(at).Seconds())
+		}
+	}
+	return &longest
+}
+
+func (s *results) fillLatencies(f *Figures, p *Plan) {
+	byClass := map[string]*hdrhistogram.Histogram{}
+	calm, surge := newHistogram(), newHistogram()
+	for _, c := range s.chats {
+		at := c.chat.Turns[c.turn].At
+		if c.ttft == 0 || at < warmUp {
+			continue
+		}
+		name := string(c.chat.Priority)
+		if byClass[name] == nil {
+			byClass[name] = newHistogram()
+		}
+		observe(byClass[name], c.ttft)
+		switch {
+		case c.chat.Priority != classes[0].priority:
+		case p.InSurge(at):
+			observe(surge, c.ttft)
+		default:
+			observe(calm, c.ttft)
+		}
+	}
+	f.TTFTP50, f.TTFTP95, f.TTFTP99 = percentiles(byClass, 50), percentiles(byClass, 95), percentiles(byClass, 99)
+	f.LookupP95CalmMs, f.LookupP95SurgeMs = measured(calm, 95), measured(surge, 95)
+}
+
+func percentiles(byClass map[string]*hdrhistogram.Histogram, percentile float64) map[string]float64 {
+	m := map[string]float64{}
+	for name, h := range byClass {
+		m[name] = milliseconds(h, percentile)
+	}
+	return m
+}
+
+func measured(h *hdrhistogram.Histogram, percentile float64) *float64 {
+	if h.TotalCount() == 0 {
+		return nil
+	}
+	v := milliseconds(h, percentile)
+	return &v
+}
+
+// addChat judges what a caller received for one turn.
+func (f *Figures) addChat(p *Plan, c *chatResult, byRequest map[string][]enginesim.Record, stops []*stopWindow) {
+	f.Requests++
+	var records []enginesim.Record
+	for _, id := range c.ids {
+		records = append(records, byRequest[id]...)
+	}
+	died := slices.ContainsFunc(records, func(rec enginesim.Record) bool { return rec.End == enginesim.EndLost })
+	if crossed(p, c, records) {
+		f.Crossed++
+	}
+	if c.outcome == outcomeLost || c.outcome == entry.OutcomeIncomplete && !died {
+		f.Lost++
+	}
+	if c.outcome == entry.OutcomeNotRun && slices.ContainsFunc(records, enginesim.Record.Executed) {
+		f.FalseNotRun++
+	}
+	if c.outcome != entry.OutcomeDone && c.outcome != outcomeLost {
+		f.Refused[c.code]++
+	}
+	f.StreamsCut += c.cutByStop(stops, died)
+}
+
+// crossed reports whether the text is not that of any engine that the ledger
+// names for the request. The text of an answer that is not whole must be the
+// beginning of one.
+func crossed(p *Plan, c *chatResult, records []enginesim.Record) bool {
+	if c.text == "" && c.outcome != entry.OutcomeDone {
+		return false
+	}
+	req := p.Request(c.chat, c.turn)
+	for _, rec := range records {
+		want := req.SaltedAnswer(rec.Engine)
+		if c.text == want || c.outcome != entry.OutcomeDone && strings.HasPrefix(want, c.text) {
+			return false
+		}
+	}
+	return true
+}
+
+// stopGrace is the time after a planned stop in which an answer that ends
+// early counts as cut by it.
+const stopGrace = 1 * time.Second
+
+// cutByStop counts the connections that a planned stop cut, and the answers
+// that ended early during a stop although their engine lived.
+func (c *chatResult) cutByStop(stops []*stopWindow, engineDied bool) int {
+	n := 0
+	for _, w := range stops {
+		for _, cut := range c.cuts {
+			if cut.router == w.router && !cut.at.Before(w.from) {
+				n++
+			}
+		}
+		during := c.ended.After(w.from) && (w.to.IsZero() || c.ended.Before(w.to.Add(stopGrace)))
+		if c.outcome == entry.OutcomeIncomplete && !engineDied && during {
+			n++
+		}
+	}
+	return n
+}
+
+// addCalls judges the answers of the plain service.
+func (f *Figures) addCalls(calls []*callResult, executions []backendsim.Execution) {
+	byKey := map[string][]*callResult{}
+	for _, c := range calls {
+		f.Requests++
+		if c.outcome == entry.OutcomeDone && !c.answers() {
+			f.Crossed++
+		}
+		if c.outcome != entry.OutcomeDone && c.outcome != outcomeLost {
+			f.Refused[c.code]++
+		}
+		if c.key != "" {
+			byKey[c.key] = append(byKey[c.key], c)
+		}
+	}
+	for key, list := range byKey {
+		f.FalseNotRun += falseNotRun(list, startsOf(executions, key))
+	}
+}
+
+func startsOf(executions []backendsim.Execution, key string) []time.Time {
+	var starts []time.Time
+	for _, x := range executions {
+		if x.IdempotencyKey == key {
+			starts = append(starts, x.Started)
+		}
+	}
+	return starts
+}
+
+// falseNotRun counts the answers not_run of one key that an execution
+// contradicts: one that started before the answer, or one that started after it
+// while no other call with the key could have caused it.
+func falseNotRun(calls []*callResult, starts []time.Time) int {
+	n := 0
+	for _, c := range calls {
+		if c.outcome != entry.OutcomeNotRun {
+			continue
+		}
+		for _, start := range starts {
+			if start.Before(c.ended) || !explained(calls, c, start) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// explained reports whether a call other than c was open after the end of c
+// and before an execution started.
+func explained(calls []*callResult, c *callResult, start time.Time) bool {
+	for _, other := range calls {
+		open := other.abandoned || other.ended.After(c.ended)
+		if other != c && open && other.sent.Before(start) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/bench/measure_test.go
@@ -0,0 +1,215 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/entry"
+	"github.com/bluebellwell/bluebellwell/internal/standin/enginesim"
+)
+
+var began = time.Unix(1_000, 0)
+
+func after(seconds float64) time.Time {
+	return began.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// Guards against a ratio that counts the first request of a chat, its retries,
+// requests without a chat or attempts that never ran.
+func TestCacheHitRatio(t *testing.T) {
+	ran := func(key, request string, prompt, cached int) enginesim.Record {
+		return enginesim.Record{PrefixKey: key, RequestID: request, PromptTokens: prompt, CachedTokens: cached, Started: began}
+	}
+	records := []enginesim.Record{
+		ran("a", "1", 100, 50),
+		ran("a", "1", 100, 100),
+		ran("", "2", 100, 100),
+		ran("a", "3", 200, 100),
+		{PrefixKey: "a", RequestID: "4", PromptTokens: 1000},
+		ran("b", "5", 100, 90),
+		ran("b", "6", 200, 200),
+	}
+	got := cacheHitRatio(records)
+	if got == nil || *got != 0.75 {
+		t.Fatalf("got %v, want 0.75", got)
+	}
+	if cacheHitRatio(records[:3]) != nil {
+		t.Error("a ratio without returning chats")
+	}
+}
+
+// Guards against load outside of the window and against attempts without an
+// end that are left out.
+func TestMeanInFlight(t *testing.T) {
+	records := []enginesim.Record{
+		{Accepted: after(0), Ended: after(20)}, // 10 s in the window
+		{Accepted: after(12)},                  // 8 s
+		{Accepted: after(1), Ended: after(2)},
+		{Accepted: after(11), Ended: after(13)}, // 2 s
+	}
+	w := window{from: 10 * time.Second, to: 20 * time.Second}
+	if got := meanInFlight(records, began, w, 2); got != 1 {
+		t.Fatalf("got %v, want 1", got)
+	}
+}
+
+// Guards against a bound that leaves out the accepted request, is not rounded
+// up, or is judged at a low load or for an engine outside of the pool.
+func TestViolations(t *testing.T) {
+	rec := func(engine, pool int, weight float64) enginesim.Record {
+		return enginesim.Record{EngineInFlight: engine, PoolInFlight: pool, Engines: 2, Weight: weight, PoolWeight: 2}
+	}
+	records := []enginesim.Record{rec(13, 20, 1), rec(14, 20, 1), rec(15, 20, 0), rec(15, 15, 1)}
+	if got := violations(records, 1.25); got != 1 {
+		t.Fatalf("got %d violations, want 1", got)
+	}
+}
+
+// Guards against samples outside of the window or at a low load, and against a
+// percentile that is not one of the samples.
+func TestSkewFigures(t *testing.T) {
+	w := window{from: 2 * time.Second, to: 100 * time.Second}
+	samples := []skewSample{
+		{time.Second, 9, 20}, {3 * time.Second, 9, 7.9}, {100 * time.Second, 9, 20},
+		{3 * time.Second, 1.3, 8}, {4 * time.Second, 1.1, 20},
+	}
+	highest, p99 := skewFigures(samples, w)
+	if highest == nil || *highest != 1.3 || *p99 != 1.3 {
+		t.Fatalf("got %v and %v", highest, p99)
+	}
+	if highest, p99 := skewFigures(samples[:3], w); highest != nil || p99 != nil {
+		t.Fatal("skew without a sample")
+	}
+}
+
+// Guards against rates that count the time before the main phase, and against
+// a router that lived too shortly for a rate.
+func TestBusiestControl(t *testing.T) {
+	controls := map[string]*control{
+		"a": {since: after(0), until: after(10), first: map[string]int64{"intent": 1000}, last: map[string]int64{"intent": 2000, "claim": 500}},
+		"b": {since: after(0), until: after(10), last: map[string]int64{"intent": 1400}},
+		"c": {since: after(0), until: after(1), last: map[string]int64{"intent": 1_000_000}},
+	}
+	total, by := busiestControl(controls)
+	if total != 150 || by["intent"] != 100 || by["claim"] != 50 {
+		t.Fatalf("got %v, %v", total, by)
+	}
+}
+
+// Guards against requests of other engines, or before the listing as leaving.
+func TestLastNewWork(t *testing.T) {
+	records := []enginesim.Record{
+		{Engine: "a", Accepted: after(1)}, {Engine: "a", Accepted: after(4.5)}, {Engine: "b", Accepted: after(9)},
+	}
+	if got := lastNewWork(records, map[string]time.Time{"a": after(2)}); got == nil || *got != 2.5 {
+		t.Fatalf("got %v, want 2.5", got)
+	}
+	if lastNewWork(records, nil) != nil {
+		t.Error("a figure without a leaving engine")
+	}
+}
+
+// Guards against an answer that belongs to another engine, prompt or request
+// and goes unnoticed, and against a splice of two generations.
+func TestCrossed(t *testing.T) {
+	p := newTestPlan(t, "thekkady", 1)
+	c, other := &p.Chats[0], &p.Chats[1]
+	records := []enginesim.Record{{Engine: "e1"}, {Engine: "e2"}}
+	text := func(c *Chat, engine string) string { return p.Request(c, 0).SaltedAnswer(engine) }
+	one, two := []rune(text(c, "e1")), []rune(text(c, "e2"))
+	cases := []struct {
+		text, outcome string
+		crossed       bool
+	}{
+		{string(one), entry.OutcomeDone, false},
+		{string(two), entry.OutcomeDone, false},
+		{text(c, "e3"), entry.OutcomeDone, true},
+		{text(other, "e1"), entry.OutcomeDone, true},
+		{string(one[:20]) + string(two[20:]), entry.OutcomeDone, true},
+		{string(one[:20]), entry.OutcomeDone, true},
+		{"", entry.OutcomeDone, true},
+		{string(one[:20]), entry.OutcomeIncomplete, false},
+		{string(one[:5]) + string(two[:5]), entry.OutcomeIncomplete, true},
+		{"", entry.OutcomeNotRun, false},
+	}
+	for i, k := range cases {
+		if got := crossed(p, &chatResult{chat: c, text: k.text, outcome: k.outcome}, records); got != k.crossed {
+			t.Errorf("case %d: crossed is %v", i, got)
+		}
+	}
+}
+
+// Guards against a count of lost or falsely refused chats that trusts the
+// routers instead of the ledger.
+func TestAddChat(t *testing.T) {
+	p := newTestPlan(t, "thekkady", 1)
+	byRequest := map[string][]enginesim.Record{
+		"ran":  {{Engine: "e1", Started: began, End: enginesim.EndFinished}},
+		"died": {{Engine: "e1", Started: began, End: enginesim.EndLost}},
+	}
+	stops := []*stopWindow{{router: "r1", from: after(5), to: after(8)}}
+	f := &Figures{Refused: map[string]int{}}
+	add := func(c chatResult) {
+		c.chat = &p.Chats[0]
+		f.addChat(p, &c, byRequest, stops)
+	}
+	add(chatResult{outcome: outcomeLost})
+	add(chatResult{outcome: entry.OutcomeIncomplete, code: "cut", ids: []string{"died"}, ended: after(6)})
+	add(chatResult{outcome: entry.OutcomeIncomplete, code: "cut", ids: []string{"ran"}, ended: after(6)})
+	add(chatResult{outcome: entry.OutcomeIncomplete, code: "cut", ids: []string{"ran"}, ended: after(20)})
+	add(chatResult{outcome: entry.OutcomeNotRun, code: "queue_full", ids: []string{"other"}})
+	add(chatResult{outcome: entry.OutcomeNotRun, code: "queue_full", ids: []string{"ran"}})
+	add(chatResult{outcome: entry.OutcomeUnknown, code: "gone", cuts: []cut{{"r1", after(6)}, {"r1", after(1)}, {"r2", after(6)}}})
+	if f.Requests != 7 || f.Lost != 3 || f.FalseNotRun != 1 || f.StreamsCut != 2 {
+		t.Fatalf("got %+v", f)
+	}
+	if f.Refused["cut"] != 3 || f.Refused["queue_full"] != 2 || f.Refused["gone"] != 1 {
+		t.Fatalf("refused %v", f.Refused)
+	}
+}
+
+// Guards against an untrue not_run that is excused, and against a true one
+// that is blamed for the execution of a later repeat.
+func TestFalseNotRun(t *testing.T) {
+	call := func(sent, ended float64, outcome string, abandoned bool) *callResult {
+		return &callResult{key: "k", sent: after(sent), ended: after(ended), outcome: outcome, abandoned: abandoned}
+	}
+	refused := call(1, 2, entry.OutcomeNotRun, false)
+	cases := []struct {
+		name  string
+		calls []*callResult
+		start float64
+		want  int
+	}{
+		{"ran before the answer", []*callResult{refused}, 1.5, 1},
+		{"ran later without another call", []*callResult{refused}, 3, 1},
+		{"a later repeat ran", []*callResult{refused, call(4, 5, entry.OutcomeDone, false)}, 4.5, 0},
+		{"ran before the repeat was sent", []*callResult{refused, call(4, 5, entry.OutcomeDone, false)}, 3, 1},
+		{"an abandoned call ran late", []*callResult{call(0, 0.5, outcomeLost, true), refused}, 3, 0},
+		{"an answered call cannot run late", []*callResult{call(0, 0.5, entry.OutcomeUnknown, false), refused}, 3, 1},
+	}
+	for _, c := range cases {
+		if got := falseNotRun(c.calls, []time.Time{after(c.start)}); got != c.want {
+			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+	if falseNotRun([]*callResult{refused}, nil) != 0 {
+		t.Error("a true not_run is counted")
+	}
+}
+
+// Guards against answers of one plain call that pass as those of another.
+func TestPlainAnswers(t *testing.T) {
+	booking := callResult{key: "k-1", path: "/bookings", text: `{"request":"{\"item\":\"k-10\"}"}`}
+	if booking.answers() {
+		t.Error("the answer of k-10 passes for k-1")
+	}
+	booking.text = `{"request":"{\"item\":\"k-1\"}"}`
+	if !booking.answers() {
+		t.Error("the right answer does not pass")
+	}
+	lookup := callResult{path: "/lookup?call=1", text: `{"query":"call=12"}`}
+	if lookup.answers() {
+		t.Error("the answer of call 12 passes for call 1")
+	}
+}
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,207 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebellwell/bluebellwell/internal/testbed"
+)
+
+// Options choose what is run.
+type Options struct {
+	Profile  string
+	Seed     uint64
+	Duration time.Duration
+	Policies []string
+	Faults   []string
+	// Progress gets lines of text during the run.
+	Progress io.Writer
+}
+
+// Report is the result of all runs.
+type Report struct {
+	Profile         string  `json:"profile"`
+	Seed            uint64  `json:"seed"`
+	DurationSeconds float64 `json:"duration_seconds"`
+	// TimeScale is the number of seconds of a caller's pause that pass in one
+	// second of the run.
+	TimeScale int                 `json:"time_scale"`
+	Machine   Machine             `json:"machine"`
+	Policies  map[string]*Figures `json:"policies"`
+	// Verdicts judge the fleet's own policy.
+	Verdicts []Verdict `json:"verdicts"`
+}
+
+// MinDuration leaves a window between warm-up and drain.
+const MinDuration = warmUp + drainTime + 3*time.Second
+
+// Check reports options that cannot be run.
+func (o *Options) Check() error {
+	if _, ok := testbed.Profiles()[o.Profile]; !ok {
+		return eris.Errorf("unknown profile %q; known are thekkady and lam-dong", o.Profile)
+	}
+	if o.Duration < MinDuration {
+		return eris.Errorf("duration must be at least %s", MinDuration)
+	}
+	for _, name := range o.Policies {
+		if name != PolicyFleet && name != PolicyOracle && baselines[name] == nil {
+			return eris.Errorf("unknown policy %q; known are %s", name, strings.Join(Policies(), ", "))
+		}
+	}
+	return CheckFaults(o.Faults)
+}
+
+// Run runs all policies one after the other, each with a fresh fleet and the
+// same workload and faults.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	plan, err := NewPlan(testbed.Profiles()[o.Profile], o.Seed, o.Duration)
+	if err != nil {
+		return nil, err
+	}
+	say := func(format string, args ...any) { _, _ = fmt.Fprintf(o.Progress, format+"\n", args...) }
+	say("%s, seed %d: %d requests in %d chats and %d plain calls over %s; %d tokens of cache for each engine; "+
+		"a pause of 1 min takes %.1f s", o.Profile, o.Seed, plan.Requests(), len(plan.Chats), len(plan.Calls), o.Duration,
+		plan.CacheTokens, 60.0/TimeScale)
+	report := &Report{
+		Profile:         o.Profile,
+		Seed:            o.Seed,
+		DurationSeconds: o.Duration.Seconds(),
+		TimeScale:       TimeScale,
+		Machine:         machine(),
+		Policies:        map[string]*Figures{},
+	}
+	faults := map[string]bool{}
+	for _, name := range o.Faults {
+		faults[name] = true
+	}
+	for _, policy := range o.Policies {
+		f, err := newRun(policy, plan, faults, say).execute(ctx)
+		if err != nil {
+			return nil, eris.Wrapf(err, "run policy %s", policy)
+		}
+		report.Policies[policy] = f
+	}
+	report.conclude()
+	return report, nil
+}
+
+// conclude gives every policy the oracle's cache reuse and judges the fleet's
+// policy. The oracle is no policy to choose, so its other figures are left out.
+func (r *Report) conclude() {
+	if oracle := r.Policies[PolicyOracle]; oracle != nil {
+		for _, f := range r.Policies {
+			f.OracleCacheHitRatio = oracle.CacheHitRatio
+		}
+		delete(r.Policies, PolicyOracle)
+	}
+	if f := r.Policies[PolicyFleet]; f != nil {
+		r.Verdicts = Verdicts(f)
+	}
+}
+
+// WriteJSON writes the report as one JSON document.
+func (r *Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
+	return enc.Encode(r)
+}
+
+// WriteTable writes the report for a reader.
+func (r *Report) WriteTable(w io.Writer) error {
+	fmt.Fprintf(w, "profile %s, seed %d, %.0f s, %d cores, %s; a pause of %d s takes 1 s\n\n",
+		r.Profile, r.Seed, r.DurationSeconds, r.Machine.Cores, r.Machine.Go, r.TimeScale)
+	names := make([]string, 0, len(r.Policies))
+	for _, name := range Policies() {
+		if r.Policies[name] != nil {
+			names = append(names, name)
+		}
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "figure\t%s\n", strings.Join(names, "\t"))
+	for _, row := range r.rows(names) {
+		fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	if len(r.Verdicts) > 0 {
+		fmt.Fprintf(t, "\ntarget of %s\tvalue\tbound\tverdict\n", PolicyFleet)
+	}
+	for _, v := range r.Verdicts {
+		fmt.Fprintf(t, "%s\t%s\t%s %s\t%s\n", v.Target, number(v.Value), v.Relation, number(&v.Bound), v.State)
+	}
+	return t.Flush()
+}
+
+func number(v *float64) string {
+	if v == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%.4g", *v)
+}
+
+// rows lists the figures of the JSON document, one row for each value.
+func (r *Report) rows(names []string) [][]string {
+	columns := make([]map[string]string, len(names))
+	var keys []string
+	seen := map[string]bool{}
+	for i, name := range names {
+		columns[i] = flatten(r.Policies[name])
+		for key := range columns[i] {
+			if !seen[key] {
+				keys = append(keys, key)
+			}
+			seen[key] = true
+		}
+	}
+	sort.Strings(keys)
+	var rows [][]string
+	for _, key := range keys {
+		row := []string{key}
+		for _, column := range columns {
+			value, ok := column[key]
+			if !ok {
+				value = "0"
+			}
+			row = append(row, value)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// flatten returns the fields of the JSON form; objects are joined by a dot.
+func flatten(f *Figures) map[string]string {
+	out := map[string]string{}
+	data, err := json.Marshal(f)
+	if err != nil {
+		return out
+	}
+	var fields map[string]any
+	if json.Unmarshal(data, &fields) != nil {
+		return out
+	}
+	for key, value := range fields {
+		switch v := value.(type) {
+		case float64:
+			out[key] = number(&v)
+		case map[string]any:
+			for inner, x := range v {
+				n, _ := x.(float64)
+				out[key+"."+inner] = number(&n)
+			}
+		default:
+			out[key] = number(nil)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,210 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebellwell/bluebellwell/internal/fleetconfig"
+	"github.com/bluebellwell/bluebellwell/internal/router"
+	"github.com/bluebellwell/bluebellwell/internal/standin/backendsim"
+	"github.com/bluebellwell/bluebellwell/internal/standin/enginesim"
+	"github.com/bluebellwell/bluebellwell/internal/standin/logsim"
+	"github.com/bluebellwell/bluebellwell/internal/testbed"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	// endTimeout bounds the wait for running answers after the planned end.
+	endTimeout = 12 * time.Second
+	// warmUp is the time until caches and load are usual.
+	warmUp = 4 * time.Second
+	// engineSlots is above the bound of the highest planned load.
+	engineSlots = 32
+	// backendDelay is the execution time of a plain call.
+	backendDelay = 20 * time.Millisecond
+	// appendsPerSecond is the rate limit of the log service for everyone.
+	appendsPerSecond = 400
+	// balancerInterval is the time between two looks of the platform's load
+	// balancer at the routers' readiness.
+	balancerInterval = 100 * time.Millisecond
+)
+
+// run is one policy's run.
+type run struct {
+	policy string
+	plan   *Plan
+	faults map[string]bool
+	say    func(format string, args ...any)
+
+	bed    *testbed.Bed
+	caller *testbed.Caller
+	// ready holds the routers that the load balancer uses.
+	ready atomic.Pointer[[]*router.Router]
+	// began is the start of the main phase.
+	began time.Time
+	rng   *rand.Rand
+
+	results  results
+	observed *observed
+	overhead *float64
+	faulting sync.WaitGroup
+}
+
+func newRun(policy string, plan *Plan, faults map[string]bool, say func(string, ...any)) *run {
+	return &run{
+		policy:   policy,
+		plan:     plan,
+		faults:   faults,
+		say:      say,
+		caller:   testbed.NewCaller(),
+		rng:      rand.New(rand.NewPCG(plan.Seed, 1)),
+		observed: newObserved(),
+	}
+}
+
+// execute starts a fleet, runs the workload against it and returns the figures.
+func (r *run) execute(ctx context.Context) (*Figures, error) {
+	defer r.caller.Close()
+	if err := r.start(ctx); err != nil {
+		return nil, err
+	}
+	defer r.bed.Close()
+	r.look()
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	var watchers sync.WaitGroup
+	watch := func(f func(context.Context)) { watchers.Go(func() { f(watchCtx) }) }
+	watch(r.balance)
+	overhead, err := r.probe(ctx)
+	if err != nil {
+		stopWatch()
+		return nil, err
+	}
+	r.overhead = overhead
+	r.mainPhase(ctx, watch)
+	stopWatch()
+	watchers.Wait()
+	return r.figures(), ctx.Err()
+}
+
+func (r *run) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	var err error
+	r.bed, err = testbed.New(testbed.Options{
+		Profile: r.plan.Profile,
+		Engine: enginesim.Config{
+			Slots:           engineSlots,
+			PerToken:        perToken,
+			PrefillPerToken: prefillPerToken,
+			CacheTokens:     r.plan.CacheTokens,
+			LoadLag:         loadLag,
+			CheckFencing:    true,
+		},
+		SaltEngines: true,
+		Log:         logsim.Options{AppendsPerSecond: appendsPerSecond},
+		Policy:      r.routerPolicy(),
+	})
+	if err != nil {
+		return err
+	}
+	if err := r.startFleet(ctx); err != nil {
+		r.bed.Close()
+		return err
+	}
+	return nil
+}
+
+func (r *run) startFleet(ctx context.Context) error {
+	for _, s := range r.bed.Backends() {
+		s.SetFaults(backendsim.Faults{Slow: backendDelay})
+	}
+	records, err := r.plan.Profile.Records()
+	if err != nil {
+		return err
+	}
+	if _, err := r.bed.Log.Append(ctx, fleetconfig.StreamName, records); err != nil {
+		return eris.Wrap(err, "publish the example records")
+	}
+	if err := r.bed.StartRouters(); err != nil {
+		return err
+	}
+	return r.bed.WaitReady(ctx)
+}
+
+// mainPhase sends the workload, runs the faults and waits for the answers.
+func (r *run) mainPhase(ctx context.Context, watch func(func(context.Context))) {
+	r.began = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, r.plan.Duration+endTimeout)
+	defer cancel()
+	r.observed.begin(r.bed)
+	watch(r.sampleSkew)
+	watch(r.sampleRouters)
+	watch(r.sampleTimers)
+	r.startFaults(ctx)
+	r.sendAll(ctx)
+	r.observed.end(r.bed)
+	r.results.describeLost(r)
+	r.say("%s: callers are done after %.1f s", r.policy, time.Since(r.began).Seconds())
+	r.faulting.Wait()
+	r.say("%s: faults are done after %.1f s", r.policy, time.Since(r.began).Seconds())
+}
+
+// at waits until a time of the run and reports whether the run goes on.
+func (r *run) at(ctx context.Context, t time.Duration) bool {
+	wait := time.Until(r.began.Add(t))
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// every calls f at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
+
+// balance plays the platform's load balancer, which sends requests to routers
+// that say they are ready.
+func (r *run) balance(ctx context.Context) {
+	every(ctx, balancerInterval, r.look)
+}
+
+func (r *run) look() {
+	var ready []*router.Router
+	for _, router := range testbed.Sorted(r.bed.Routers()) {
+		if router.Status().Ready {
+			ready = append(ready, router)
+		}
+	}
+	r.ready.Store(&ready)
+}
+
+// pick returns a ready router, or nil.
+func (r *run) pick(random uint64) *router.Router {
+	ready := *r.ready.Load()
+	if len(ready) == 0 {
+		return nil
+	}
+	return ready[random%uint64(len(ready))]
+}
--- /dev/null
+++ b/internal/bench/workload.go
@@ -0,0 +1,420 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+	"github.com/bluebellwell/bluebellwell/internal/testbed"
+)
+
+// TimeScale is how much faster than real time callers come back: a pause of
+// 60 s between two turns of a chat takes 1 s of the run. Generation speed and
+// the routers' timers are not scaled.
+const TimeScale = 60
+
+// Planned load in requests in flight for each engine. Together they give a
+// mean of about 14 over the run.
+const (
+	calmLoad  = 10.0
+	surgeLoad = 9.0
+)
+
+// Speeds of the emulated engines. They give about 8,000 tokens/s for 18
+// engines, which a machine with 12 cores relays with most of its time idle.
+const (
+	perToken        = 30 * time.Millisecond
+	prefillPerToken = 100 * time.Microsecond
+)
+
+// drainTime is the part at the end of a run in which no request is sent, so
+// that running answers end within the run.
+const drainTime = 3 * time.Second
+
+// cacheShare is the part of all chats' tokens that the engines' caches hold
+// together.
+const cacheShare = 0.5
+
+// Rates of plain calls.
+const (
+	bookingsPerSecond = 4.0
+	lookupsPerSecond  = 12.0
+	repeatedShare     = 0.4
+)
+
+// workspaceSkew is the exponent of the Zipf law of the workspaces' sizes.
+const workspaceSkew = 1.1
+
+// class describes the chats of one priority.
+type class struct {
+	priority record.Priority
+	share    float64
+	// first is the median and spread the log-normal deviation of the first
+	// prompt's tokens after the system prompt; most is the longest prompt.
+	first, spread float64
+	most          int
+	// grow is the median of the tokens that each turn adds.
+	grow float64
+	// answerMin and answerMax bound the answer's tokens.
+	answerMin, answerMax int
+	// turns is the median number of turns of a chat.
+	turns float64
+}
+
+var classes = []class{
+	{record.PriorityLookup, 0.45, 40, 0.5, 400, 25, 8, 16, 4},
+	{record.PriorityStandard, 0.43, 300, 0.8, 4000, 110, 20, 60, 7},
+	{record.PriorityReview, 0.12, 2600, 0.5, 7000, 300, 60, 110, 3},
+}
+
+// Pauses between turns in unscaled time: log-normal, so that a few chats come
+// back after a long time.
+const (
+	pauseMedian = 70 * time.Second
+	pauseSpread = 1.2
+	pauseMost   = 15 * time.Minute
+)
+
+// Turn is one request of a chat.
+type Turn struct {
+	// At is the planned time since the start of the run. The turn is sent
+	// later when the answer of the turn before is late.
+	At time.Duration
+	// Tokens are the prompt tokens after the system prompt.
+	Tokens int
+	// Answer is the number of answer tokens.
+	Answer int
+	// Pick chooses among the ready routers.
+	Pick uint64
+}
+
+// Chat is one conversation.
+type Chat struct {
+	ID        string
+	Workspace string
+	Priority  record.Priority
+	// Surge marks a chat of the surge.
+	Surge bool
+	// System is the number of tokens of the shared system prompt.
+	System int
+	Turns  []Turn
+	// start is the position of the chat's text in the filler.
+	start int
+}
+
+// Repeat is how the caller of a booking repeats it.
+type Repeat int
+
+// Ways to repeat a booking.
+const (
+	// RepeatNever sends the booking once.
+	RepeatNever Repeat = iota
+	// RepeatAtOnce sends it to two routers at the same time.
+	RepeatAtOnce
+	// RepeatAfter sends it again after the answer.
+	RepeatAfter
+	// RepeatLost drops the connection before the answer and sends it again.
+	RepeatLost
+)
+
+// Call is one request to the plain service: a booking when Key is set, else a
+// lookup.
+type Call struct {
+	// ID is the number of the call.
+	ID        int
+	At        time.Duration
+	Workspace string
+	Key       string
+	Repeat    Repeat
+	// LoseAfter is when the caller of RepeatLost drops the connection.
+	LoseAfter time.Duration
+	Pick      uint64
+}
+
+// Plan is the whole workload of a run. It depends on profile, seed and
+// duration only.
+type Plan struct {
+	Profile  testbed.Profile
+	Seed     uint64
+	Duration time.Duration
+	Chats    []Chat
+	Calls    []Call
+	// SurgeFrom and SurgeTo bound the surge.
+	SurgeFrom, SurgeTo time.Duration
+	// CacheTokens is the size of each engine's prefix cache.
+	CacheTokens int
+
+	// systemKeys holds the key of the shared system prompt of the workspaces
+	// that have one.
+	systemKeys map[string]string
+	filler     string
+}
+
+// fillerBytes is longer than the longest prompt.
+const fillerBytes = 1 << 17
+
+// NewPlan generates the workload.
+func NewPlan(p testbed.Profile, seed uint64, duration time.Duration) (*Plan, error) {
+	keys, err := systemPrompts(p)
+	if err != nil {
+		return nil, err
+	}
+	plan := &Plan{
+		Profile:    p,
+		Seed:       seed,
+		Duration:   duration,
+		SurgeFrom:  duration / 3,
+		SurgeTo:    duration * 2 / 3,
+		systemKeys: keys,
+	}
+	rng := rand.New(rand.NewPCG(seed, placement.Hash("bench/"+p.Name)))
+	plan.filler = newFiller(rng)
+	plan.addSeats(rng)
+	plan.addCalls(rng)
+	plan.CacheTokens = int(cacheShare * float64(plan.tokens()) / float64(p.Engines))
+	return plan, nil
+}
+
+// systemTokens is the length of a shared system prompt.
+const systemTokens = 400
+
+// systemPrompts returns the keys of the shared system prompts by workspace.
+func systemPrompts(p testbed.Profile) (map[string]string, error) {
+	records, err := p.Records()
+	if err != nil {
+		return nil, err
+	}
+	keys := map[string]string{}
+	for _, data := range records {
+		rec, err := record.Parse(p.Name, data)
+		if err != nil {
+			return nil, err
+		}
+		for _, c := range rec.Changes {
+			if c.Workspace != nil && c.Workspace.SystemPromptKey != "" {
+				keys[c.Name] = c.Workspace.SystemPromptKey
+			}
+		}
+	}
+	return keys, nil
+}
+
+var fillerWords = strings.Fields("please check renew the domain of shop booking shears gang paddock morning " +
+	"registrant transfer status dispute letter date invoice hall wool fleece farm road contact holder reply")
+
+func newFiller(rng *rand.Rand) string {
+	var b strings.Builder
+	for b.Len() < fillerBytes {
+		b.WriteString(fillerWords[rng.IntN(len(fillerWords))])
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
+
+// addSeats adds seats until the planned load is reached. A seat is a user who
+// holds one chat after the other.
+func (p *Plan) addSeats(rng *rand.Rand) {
+	weights := workspaceWeights(len(p.Profile.Workspaces))
+	engines := float64(p.Profile.Engines)
+	seat := 0
+	add := func(workspace string, from, to time.Duration, surge bool) time.Duration {
+		seat++
+		own := rand.New(rand.NewPCG(rng.Uint64(), uint64(seat)))
+		return p.addSeat(own, seat, workspace, from, to, surge)
+	}
+	last := p.Duration - drainTime
+	for busy := time.Duration(0); busy.Seconds() < calmLoad*engines*last.Seconds(); {
+		busy += add(p.Profile.Workspaces[draw(rng, weights)], 0, last, false)
+	}
+	surging := p.SurgingWorkspaces()
+	length := (p.SurgeTo - p.SurgeFrom).Seconds()
+	for busy := time.Duration(0); busy.Seconds() < surgeLoad*engines*length; {
+		busy += add(surging[draw(rng, []float64{0.7, 0.3})], p.SurgeFrom, p.SurgeTo, true)
+	}
+	sort.SliceStable(p.Chats, func(i, j int) bool { return p.Chats[i].Turns[0].At < p.Chats[j].Turns[0].At })
+}
+
+// SurgingWorkspaces returns the largest workspace and a small one. Neither has
+// an own limit of requests in flight in the example records.
+func (p *Plan) SurgingWorkspaces() []string {
+	return []string{p.Profile.Workspaces[0], p.Profile.Workspaces[5]}
+}
+
+func workspaceWeights(n int) []float64 {
+	weights := make([]float64, n)
+	for i := range weights {
+		weights[i] = math.Pow(float64(i+1), -workspaceSkew)
+	}
+	return weights
+}
+
+// draw returns an index with a probability in proportion to its weight.
+func draw(rng *rand.Rand, weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	x := rng.Float64() * sum
+	for i, w := range weights {
+		if x < w {
+			return i
+		}
+		x -= w
+	}
+	return len(weights) - 1
+}
+
+// addSeat fills the time from from to to with chats and returns the planned
+// time that their requests spend at engines within it.
+func (p *Plan) addSeat(rng *rand.Rand, seat int, workspace string, from, to time.Duration, surge bool) time.Duration {
+	shares := make([]float64, len(classes))
+	for i, c := range classes {
+		shares[i] = c.share
+	}
+	c := classes[draw(rng, shares)]
+	busy := time.Duration(0)
+	// The seat begins inside a pause, so that the load is even from the start.
+	at := from + time.Duration(rng.Float64()*float64(scaled(pauseMedian)+c.service()))
+	for n := 0; at < to; n++ {
+		chat := Chat{
+			ID:        fmt.Sprintf("chat-%d-%d", seat, n),
+			Workspace: workspace,
+			Priority:  c.priority,
+			Surge:     surge,
+			start:     rng.IntN(fillerBytes / 2),
+		}
+		if p.systemKeys[workspace] != "" {
+			chat.System = systemTokens
+		}
+		var used time.Duration
+		at, used = p.addTurns(rng, &chat, c, at, to)
+		busy += used
+		p.Chats = append(p.Chats, chat)
+	}
+	return busy
+}
+
+func (p *Plan) addTurns(rng *rand.Rand, chat *Chat, c class, at, to time.Duration) (next, busy time.Duration) {
+	tokens := min(logNormal(rng, c.first, c.spread), c.most)
+	before := 0
+	for range max(1, logNormal(rng, c.turns, 0.7)) {
+		if at >= to {
+			break
+		}
+		t := Turn{At: at, Tokens: tokens, Answer: c.answerMin + rng.IntN(c.answerMax-c.answerMin+1), Pick: rng.Uint64()}
+		chat.Turns = append(chat.Turns, t)
+		service := serviceTime(tokens-before, t.Answer)
+		busy += min(service, to-at)
+		at += service + pause(rng)
+		before = tokens
+		tokens = min(tokens+t.Answer+logNormal(rng, c.grow, 0.6), c.most)
+	}
+	return at, busy
+}
+
+func serviceTime(uncached, answer int) time.Duration {
+	return time.Duration(uncached)*prefillPerToken + time.Duration(answer)*perToken
+}
+
+// service returns the usual service time of a class.
+func (c class) service() time.Duration {
+	return serviceTime(int(c.grow), (c.answerMin+c.answerMax)/2)
+}
+
+func logNormal(rng *rand.Rand, median, spread float64) int {
+	return int(math.Round(median * math.Exp(spread*rng.NormFloat64())))
+}
+
+func pause(rng *rand.Rand) time.Duration {
+	d := time.Duration(float64(pauseMedian) * math.Exp(pauseSpread*rng.NormFloat64()))
+	return scaled(min(d, pauseMost))
+}
+
+func scaled(d time.Duration) time.Duration {
+	return d / TimeScale
+}
+
+func (p *Plan) addCalls(rng *rand.Rand) {
+	weights := workspaceWeights(len(p.Profile.Workspaces))
+	add := func(rate float64, make func(at time.Duration) Call) {
+		for at := arrival(rng, rate); at < p.Duration-drainTime; at += arrival(rng, rate) {
+			call := make(at)
+			call.Workspace = p.Profile.Workspaces[draw(rng, weights)]
+			call.Pick = rng.Uint64()
+			call.ID = len(p.Calls) + 1
+			p.Calls = append(p.Calls, call)
+		}
+	}
+	bookings := 0
+	add(bookingsPerSecond, func(at time.Duration) Call {
+		bookings++
+		call := Call{At: at, Key: fmt.Sprintf("%s-%d-%d", p.Profile.Name, p.Seed, bookings)}
+		if rng.Float64() < repeatedShare {
+			call.Repeat = RepeatAtOnce + Repeat(rng.IntN(3))
+			call.LoseAfter = time.Duration(rng.IntN(40)) * time.Millisecond
+		}
+		return call
+	})
+	add(lookupsPerSecond, func(at time.Duration) Call { return Call{At: at} })
+	sort.SliceStable(p.Calls, func(i, j int) bool { return p.Calls[i].At < p.Calls[j].At })
+}
+
+// arrival returns the time to the next arrival of a Poisson process.
+func arrival(rng *rand.Rand, rate float64) time.Duration {
+	return time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+}
+
+// tokens returns the tokens that caches without a limit would hold at the end.
+func (p *Plan) tokens() int {
+	sum := 0
+	for _, c := range p.Chats {
+		sum += c.Turns[len(c.Turns)-1].Tokens
+	}
+	return sum
+}
+
+// Requests returns the number of planned requests, repeats of bookings left out.
+func (p *Plan) Requests() int {
+	n := len(p.Calls)
+	for _, c := range p.Chats {
+		n += len(c.Turns)
+	}
+	return n
+}
+
+// charactersPerToken is the engines' estimate, see enginesim.EstimateTokens.
+const charactersPerToken = 4
+
+// Request returns the request of a turn. Its prompt starts with the prompt of
+// the turn before. The engine counts a line end after each message, so that
+// prompts have exactly the planned tokens.
+func (p *Plan) Request(c *Chat, turn int) testbed.Chat {
+	t := c.Turns[turn]
+	text := c.ID + " " + p.filler[c.start:]
+	r := testbed.Chat{
+		Workspace: c.Workspace,
+		ChatID:    c.ID,
+		Model:     p.Profile.Model,
+		Prompt:    text[:max(t.Tokens, minPromptTokens)*charactersPerToken-1],
+		MaxTokens: t.Answer,
+		Priority:  string(c.Priority),
+	}
+	if c.System > 0 {
+		r.System = p.filler[:c.System*charactersPerToken-1]
+	}
+	return r
+}
+
+// minPromptTokens leaves room for the name of the chat, which makes prompts of
+// different chats different.
+const minPromptTokens = 8
+
+// InSurge reports whether a planned time lies in the surge.
+func (p *Plan) InSurge(at time.Duration) bool {
+	return at >= p.SurgeFrom && at < p.SurgeTo
+}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -23,6 +23,7 @@
 		statusCommand(),
 		historyCommand(),
 		demoCommand(),
+		benchCommand(),
 		standinCommand(),
 		versionCommand(),
 	}
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -1,7 +1,6 @@
 package poolowner
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,6 +9,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/backend"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
 )
@@ -19,10 +19,7 @@
 	deps      Deps
 	admission *admission.Pool
 	runs      *runs
-	adopted   *adopted
-	// ctx ends when the service is killed.
-	ctx     context.Context
-	isOwned atomic.Bool
+	isOwned   atomic.Bool
 	// killed makes the end of a request look like a crash to the engines.
 	killed *atomic.Bool
 
@@ -36,12 +33,10 @@
 	backends map[string]*backend.Client
 }
 
-func newOwnedPool(ctx context.Context, deps Deps, a Assignment, killed *atomic.Bool) *ownedPool {
+func newOwnedPool(deps Deps, a Assignment, killed *atomic.Bool) *ownedPool {
 	p := &ownedPool{
 		deps:     deps,
-		ctx:      ctx,
 		killed:   killed,
-		adopted:  newAdopted(),
 		runs:     newRuns(),
 		boots:    map[string]string{},
 		engines:  map[string]*engineclient.Client{},
@@ -76,10 +71,7 @@
 		p.release(now, admission.CodeStopping)
 	case !a.Owned:
 		p.release(now, admission.CodeNotOwner)
-	case !p.isOwned.Swap(true):
-		p.takeOver(now)
-		p.admission.SetVotes(now, a.Held, a.Listed, a.LeaseEnd)
-	case !slices.Equal(last.Held, a.Held) || !slices.Equal(last.Listed, a.Listed):
+	case !p.isOwned.Swap(true) || !slices.Equal(last.Held, a.Held) || !slices.Equal(last.Listed, a.Listed):
 		p.admission.SetVotes(now, a.Held, a.Listed, a.LeaseEnd)
 	default:
 		p.admission.SetLeaseEnd(now, a.LeaseEnd)
@@ -173,6 +165,17 @@
 	}
 }
 
+func (p *ownedPool) adopt(now time.Time, attempts []*peerpb.Attempt) {
+	var list []admission.AdoptedAttempt
+	for _, a := range attempts {
+		if p.runs.has(a.AttemptId) {
+			continue
+		}
+		list = append(list, admission.AdoptedAttempt{ID: a.AttemptId, Engine: a.Engine})
+	}
+	p.admission.Adopt(now, list)
+}
+
 // engine returns the client of an engine, or nil.
 func (p *ownedPool) engine(name string) *engineclient.Client {
 	p.mu.Lock()
--- a/internal/poolowner/resume.go
+++ b/internal/poolowner/resume.go
@@ -19,9 +19,9 @@
 		e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeAttemptNotFound, "no engine of the pool has the answer")
 		return
 	}
-	if !e.pool.runs.has(e.req.AttemptId) {
-		release := e.pool.hold(e.now(), e.req.AttemptId, e.engine)
-		defer release()
+	if e.req.RequestId != "" && !e.pool.runs.has(e.req.AttemptId) {
+		e.pool.adopt(e.now(), []*peerpb.Attempt{{AttemptId: e.req.AttemptId, Engine: e.engine}})
+		defer func() { e.pool.admission.ReleaseAdopted(e.now(), e.req.AttemptId) }()
 	}
 	e.send(&peerpb.Frame{Engine: e.engine})
 	e.follow(ctx, ctx, client, stream)
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -115,7 +115,7 @@
 		if !a.Owned {
 			return
 		}
-		p = newOwnedPool(s.ctx, s.deps, a, &s.killed)
+		p = newOwnedPool(s.deps, a, &s.killed)
 		s.mu.Lock()
 		s.pool[a.Pool.Name] = p
 		s.mu.Unlock()
--- a/internal/standin/enginesim/config.go
+++ b/internal/standin/enginesim/config.go
@@ -26,6 +26,10 @@
 // lags, the gap and CheckFencing, for which zero means off.
 type Config struct {
 	Name string
+	// Salt is part of the seed of the generated text. Engines with different
+	// salts generate different texts for one prompt, so that a splice of two
+	// generations shows.
+	Salt string
 	// Slots is the largest number of attempts that run at the same time.
 	Slots int
 	// PrefillPerToken is the time for each uncached prompt token.
--- a/internal/standin/enginesim/http.go
+++ b/internal/standin/enginesim/http.go
@@ -228,7 +228,7 @@
 		a.tokens = min(req.MaxTokens, e.cfg.MaxTokens)
 	}
 	a.systemTokens = min(a.systemTokens, a.promptTokens)
-	a.gen = generate(prompt, a.tokens)
+	a.gen = generate(e.cfg.Salt, prompt, a.tokens)
 	return a
 }
 
--- a/internal/standin/enginesim/text.go
+++ b/internal/standin/enginesim/text.go
@@ -19,17 +19,32 @@
 // charactersPerToken is the estimate behind EstimateTokens.
 const charactersPerToken = 4
 
-// Answer returns the text that an engine generates for a prompt in n tokens.
-// Every engine gives the same text.
+// Answer returns the text that an engine without salt generates for a prompt
+// in n tokens.
 func Answer(prompt string, n int) string {
+	return SaltedAnswer("", prompt, n)
+}
+
+// SaltedAnswer returns the text that an engine with the given salt generates
+// for a prompt in n tokens.
+func SaltedAnswer(salt, prompt string, n int) string {
 	var b strings.Builder
-	seed := xxhash.Sum64String(prompt)
+	seed := textSeed(salt, prompt)
 	for i := range n {
 		b.WriteString(token(seed, i))
 	}
 	return b.String()
 }
 
+// textSeed separates salt and prompt, so that no two pairs have the same seed
+// by concatenation. Without a salt the seed is that of the prompt alone.
+func textSeed(salt, prompt string) uint64 {
+	if salt == "" {
+		return xxhash.Sum64String(prompt)
+	}
+	return xxhash.Sum64String(salt + "\x00" + prompt)
+}
+
 // Prompt returns the prompt of a request: the texts of all messages, each
 // followed by a line end.
 func Prompt(messages []answer.Message) string {
@@ -64,9 +79,9 @@
 	chars    int
 }
 
-func generate(prompt string, n int) generated {
+func generate(salt, prompt string, n int) generated {
 	g := generated{byteEnds: make([]int, n)}
-	seed := xxhash.Sum64String(prompt)
+	seed := textSeed(salt, prompt)
 	for i := range n {
 		t := token(seed, i)
 		g.text = append(g.text, t...)
--- a/internal/testbed/client.go
+++ b/internal/testbed/client.go
@@ -22,6 +22,8 @@
 	Workspace string
 	ChatID    string
 	Model     string
+	// System is the system prompt; it may be empty.
+	System    string
 	Prompt    string
 	MaxTokens int
 	Priority  string
@@ -29,14 +31,32 @@
 	Deadline  time.Duration
 }
 
-// Answer returns the text that an engine stand-in generates for the chat.
+// Answer returns the text that an engine stand-in without salt generates for
+// the chat.
 func (c Chat) Answer() string {
-	content, err := json.Marshal(c.Prompt)
-	if err != nil {
-		return ""
+	return c.SaltedAnswer("")
+}
+
+// SaltedAnswer returns the text that an engine stand-in with a salt generates
+// for the chat.
+func (c Chat) SaltedAnswer(salt string) string {
+	var messages []answer.Message
+	for _, m := range c.messages() {
+		content, err := json.Marshal(m.Content)
+		if err != nil {
+			return ""
+		}
+		messages = append(messages, answer.Message{Role: m.Role, Content: content})
+	}
+	return enginesim.SaltedAnswer(salt, enginesim.Prompt(messages), c.MaxTokens)
+}
+
+func (c Chat) messages() []chatMessage {
+	var list []chatMessage
+	if c.System != "" {
+		list = append(list, chatMessage{Role: "system", Content: c.System})
 	}
-	prompt := enginesim.Prompt([]answer.Message{{Role: "user", Content: content}})
-	return enginesim.Answer(prompt, c.MaxTokens)
+	return append(list, chatMessage{Role: "user", Content: c.Prompt})
 }
 
 // Reply is what a caller received.
@@ -92,7 +112,7 @@
 func (c *Caller) Send(ctx context.Context, addr string, chat Chat) (Reply, error) {
 	body, err := json.Marshal(chatBody{
 		Model: chat.Model, Stream: true, MaxTokens: chat.MaxTokens,
-		Messages: []chatMessage{{Role: "user", Content: chat.Prompt}},
+		Messages: chat.messages(),
 	})
 	if err != nil {
 		return Reply{}, eris.Wrap(err, "encode chat")
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -33,6 +33,8 @@
 	Routers, Engines, Backends int
 	// Engine is the template of all engines; names are set by the bed.
 	Engine enginesim.Config
+	// SaltEngines gives every engine its name as the salt of its texts.
+	SaltEngines bool
 	// Log holds options of the log stand-in.
 	Log logsim.Options
 	// Policy is a baseline policy for all routers, or nil.
@@ -154,6 +156,9 @@
 	cfg := b.options.Engine
 	cfg.Name = name
 	cfg.Ledger = b.Pool
+	if b.options.SaltEngines {
+		cfg.Salt = name
+	}
 	e := enginesim.New(cfg)
 	addr, err := e.Start("127.0.0.1:0")
 	if err != nil {
