--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -268,7 +268,7 @@
 	good := writeFile(t, workspaceRecord("a", "b", ""))
 	bad := writeFile(t, `[]`)
 	later := writeFile(t, `{"schema_version":9}`)
-	code, stdout, stderr := runCLI("validate", bad, later, "none.json", good, "../../examples/lam-dong/records.json")
+	code, stdout, stderr := runCLI("validate", bad, later, "none.json", good, "../../examples/lam-dong/records.json", "../../examples/thekkady/change-billing.json")
 	for _, want := range []string{bad + ": $: the list holds no record", later + ": $.schema_version: schema version 9", "none.json: $: cannot read"} {
 		if !strings.Contains(stderr, want) {
 			t.Errorf("no %q in %q", want, stderr)
