ownership: confirm a join at once when no vote can miss the joiner

Cause: a router confirmed a new one only after it had counted it for the hold time, also when it had given no vote yet. A fleet that starts together waited 11 s. Change: the wait runs from the last vote that did not count the joiner.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -141,7 +141,9 @@
 
 // counted is a router that this one counts as listed.
 type counted struct {
-	since time.Time
+	// votedBefore is when this router last gave a vote that did not count it;
+	// it is zero when there was none.
+	votedBefore time.Time
 	// goneAt is set when the router left the list; it still counts for
 	// HoldTime, because votes that it gave may still be in use.
 	goneAt time.Time
@@ -153,6 +155,8 @@
 	boot    uint64
 	start   time.Time
 	stamp   uint64
+	// votedAt is when this router last gave or prolonged a vote.
+	votedAt time.Time
 	view    *membership.View
 	counted map[string]counted
 	// boots holds the highest boot that sent a message, by router.
@@ -232,7 +236,7 @@
 		listed[r.VM.Name] = true
 		c, known := o.counted[r.VM.Name]
 		if !known {
-			c.since = now
+			c.votedBefore = o.votedAt
 		}
 		c.goneAt = time.Time{}
 		o.counted[r.VM.Name] = c
@@ -346,7 +350,7 @@
 // gave before it did so have ended.
 func (o *Ownership) join(now time.Time, from string, j *peerpb.Join) {
 	c, known := o.counted[from]
-	if !known || !c.goneAt.IsZero() || now.Sub(c.since) < HoldTime {
+	if !known || !c.goneAt.IsZero() || now.Sub(c.votedBefore) < HoldTime {
 		return
 	}
 	o.send(from, &peerpb.Envelope{Body: &peerpb.Envelope_JoinReply{JoinReply: &peerpb.JoinReply{BootId: j.GetBootId()}}})
@@ -362,6 +366,7 @@
 		p := o.pools[v.GetPool()]
 		if p != nil && !p.removed && p.prolong(now, from, r, v.GetEpoch()) {
 			reply.Votes = append(reply.Votes, v)
+			o.votedAt = now
 		}
 	}
 	o.out = append(o.out, Send{To: from, Piggyback: true, Env: &peerpb.Envelope{Body: &peerpb.Envelope_RenewalReply{RenewalReply: reply}}})
--- a/internal/ownership/pool.go
+++ b/internal/ownership/pool.go
@@ -167,6 +167,7 @@
 	}
 	stamp := p.o.nextStamp(now)
 	p.vote = vote{owner: p.o.self, boot: p.o.boot, epoch: p.epoch, stamp: stamp, until: now.Add(HoldTime)}
+	p.o.votedAt = now
 	p.leases[p.o.self] = lease{until: now.Add(LeaseTime), stamp: stamp, listed: p.o.weight()}
 	p.changed = true
 }
@@ -288,6 +289,7 @@
 		stamp = max(stamp, p.vote.stamp)
 	}
 	p.vote = vote{owner: from, boot: c.GetBootId(), epoch: c.GetEpoch(), stamp: stamp, until: now.Add(HoldTime)}
+	p.o.votedAt = now
 	p.answer(from, c, true)
 }
 
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -357,15 +357,20 @@
 	return r
 }
 
-// WaitReady waits until every router is ready.
+// WaitReady waits until every router is ready and both pools have an owner.
 func (b *Bed) WaitReady(ctx context.Context) error {
 	return b.Wait(ctx, func() bool {
+		owned := map[string]bool{}
 		for _, r := range b.Routers() {
-			if !r.Status().Ready {
+			s := r.Status()
+			if !s.Ready {
 				return false
 			}
+			for _, p := range s.Pools {
+				owned[p.Pool] = true
+			}
 		}
-		return true
+		return owned[b.Profile.EnginePool] && owned[b.Profile.PlainPool]
 	})
 }
 
