Hand pools over with their running attempts; free the votes of ended processes

The new owner learned late that adopted attempts had ended, so it took the pool's load for higher than it was. Stalls of several seconds came from heartbeats that waited for the control tick, and from votes for a dead process that were held to their end because its boot was not known to every voter.

Change: the old owner names all its attempts and reports the end of each; news goes out at once; a vote given before a refused dial is free.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -121,6 +121,8 @@
 	Epoch    uint64
 	From     string
 	Attempts []*peerpb.Attempt
+	// Complete is set when From owned the pool and names all its attempts.
+	Complete bool
 }
 
 // Send is a one-way message to a router.
@@ -151,10 +153,10 @@
 
 // Ownership is the state of one router. It is not safe for concurrent use.
 type Ownership struct {
-	self    string
-	boot    uint64
-	start   time.Time
-	stamp   uint64
+	self  string
+	boot  uint64
+	start time.Time
+	stamp uint64
 	// votedAt is when this router last gave or prolonged a vote.
 	votedAt time.Time
 	view    *membership.View
@@ -217,11 +219,12 @@
 	return o.update(now)
 }
 
-// Died takes the news that the process of a router has ended, as of a boot. Its
-// votes as an owner are void at once, since a dead process admits nothing.
-func (o *Ownership) Died(now time.Time, name string, boot uint64) []Action {
+// Died takes the news that the process that a router had before a time has
+// ended. Votes that it got before then are free at once, since a dead process
+// admits nothing.
+func (o *Ownership) Died(now time.Time, name string, before time.Time) []Action {
 	for _, p := range o.pools {
-		if p.vote.owner == name && p.vote.boot <= boot {
+		if p.vote.owner == name && p.vote.until.Add(-HoldTime).Before(before) {
 			p.vote = vote{}
 		}
 	}
--- a/internal/ownership/pool.go
+++ b/internal/ownership/pool.go
@@ -324,7 +324,7 @@
 	}
 	if r.GetEpoch() == p.epoch && p.owning && !p.adopted[from] {
 		p.adopted[from] = true
-		p.o.out = append(p.o.out, Adopt{Pool: p.name, Epoch: p.epoch, From: from, Attempts: r.GetAttempts()})
+		p.o.out = append(p.o.out, Adopt{Pool: p.name, Epoch: p.epoch, From: from, Attempts: r.GetAttempts(), Complete: r.GetComplete()})
 	}
 	if r.GetGranted() {
 		p.gain(now, from, r.GetStamp(), r.GetListed())
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -118,7 +118,7 @@
 	case *peerpb.Envelope_Heartbeat, *peerpb.Envelope_Hello, *peerpb.Envelope_OneWay:
 		return meter.Heartbeat, true
 	case *peerpb.Envelope_Claim, *peerpb.Envelope_ClaimReply, *peerpb.Envelope_VoteLost,
-		*peerpb.Envelope_Join, *peerpb.Envelope_JoinReply, *peerpb.Envelope_Renewal, *peerpb.Envelope_RenewalReply:
+		*peerpb.Envelope_AttemptEnded, *peerpb.Envelope_Join, *peerpb.Envelope_JoinReply, *peerpb.Envelope_Renewal, *peerpb.Envelope_RenewalReply:
 		return meter.Claim, true
 	case *peerpb.Envelope_ConfigFetch, *peerpb.Envelope_ConfigReply:
 		return meter.Config, true
--- a/internal/poolowner/adopt.go
+++ b/internal/poolowner/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,7 +14,7 @@
 const (
 	// reconcileInterval is the time between two looks at the engines while
 	// attempts of an earlier owner may run.
-	reconcileInterval = 1 * time.Second
+	reconcileInterval = 2 * time.Second
 	// takeoverWindow is how long a new owner looks for attempts that nobody
 	// reported. It covers the lag of the engines' load reports.
 	takeoverWindow = 5 * time.Second
@@ -78,6 +79,14 @@
 	return func() { p.releaseAdopted(p.deps.Clock.Now(), attemptID) }
 }
 
+func (p *ownedPool) adoptedAttempts() []*peerpb.Attempt {
+	var list []*peerpb.Attempt
+	for id, a := range p.adoptions() {
+		list = append(list, &peerpb.Attempt{AttemptId: id, Engine: a.engine})
+	}
+	return list
+}
+
 func (p *ownedPool) releaseAdopted(now time.Time, attemptID string) {
 	p.adopted.mu.Lock()
 	delete(p.adopted.since, attemptID)
@@ -100,6 +109,17 @@
 	p.reconcileLater()
 }
 
+// endTakeover ends the window early, because the old owner has named all its
+// attempts.
+func (p *ownedPool) endTakeover(now time.Time) {
+	p.adopted.mu.Lock()
+	p.adopted.until = now
+	p.adopted.mu.Unlock()
+	for _, name := range p.engineNames() {
+		p.admission.Reserve(now, name, 0, now)
+	}
+}
+
 // reconcileLater starts the reconcile loop unless it runs. The loop ends when
 // the takeover window is over and no adopted attempt is left.
 func (p *ownedPool) reconcileLater() {
@@ -114,15 +134,15 @@
 
 func (p *ownedPool) reconcileLoop() {
 	for {
-		p.reconcile(p.ctx)
-		if p.reconciled(p.deps.Clock.Now()) {
-			return
-		}
 		select {
 		case <-p.ctx.Done():
 			return
 		case <-p.deps.Clock.After(reconcileInterval):
 		}
+		if p.reconciled(p.deps.Clock.Now()) {
+			return
+		}
+		p.reconcile(p.ctx)
 	}
 }
 
@@ -144,9 +164,10 @@
 		return
 	}
 	var wg sync.WaitGroup
-	for _, name := range p.engineNames() {
+	for _, name := range p.toReconcile() {
 		client := p.engine(name)
 		if client == nil {
+			p.releaseLost(name)
 			continue
 		}
 		wg.Add(1)
@@ -161,6 +182,31 @@
 	wg.Wait()
 }
 
+// toReconcile returns the engines to ask: those with adopted attempts that
+// nobody follows, and all during the takeover window.
+func (p *ownedPool) toReconcile() []string {
+	if p.inTakeover(p.deps.Clock.Now()) {
+		return p.engineNames()
+	}
+	var names []string
+	for _, a := range p.adoptions() {
+		if !a.held && !slices.Contains(names, a.engine) {
+			names = append(names, a.engine)
+		}
+	}
+	return names
+}
+
+// releaseLost ends the adopted attempts of an engine that left the pool.
+func (p *ownedPool) releaseLost(engine string) {
+	now := p.deps.Clock.Now()
+	for id, a := range p.adoptions() {
+		if a.engine == engine && !a.held {
+			p.releaseAdopted(now, id)
+		}
+	}
+}
+
 // expirePlain ends adopted calls of plain services after the longest time that
 // one may take, because plain servers report no load.
 func (p *ownedPool) expirePlain() {
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -80,7 +80,7 @@
 	}
 	e.engine = grant.Engine
 	e.pool.runs.add(e.req.RequestId, e.req.AttemptId, e.engine)
-	defer e.pool.runs.remove(e.req.RequestId, e.req.AttemptId)
+	defer e.ended()
 	e.send(&peerpb.Frame{Engine: e.engine, Placement: e.token(grant)})
 	if e.pool.plain() {
 		e.callBackend(ctx)
@@ -89,6 +89,15 @@
 	e.runEngine(ctx)
 }
 
+// ended forgets the attempt and tells the present owner, if that is another
+// router, which counts the attempt as load until then.
+func (e *exchange) ended() {
+	e.pool.runs.remove(e.req.RequestId, e.req.AttemptId)
+	if !e.pool.owned() && !e.pool.killed.Load() {
+		e.pool.deps.Ended(e.req.Pool, e.req.AttemptId)
+	}
+}
+
 func (e *exchange) startSpan(ctx context.Context, name string) (context.Context, trace.Span) {
 	carrier := propagation.MapCarrier{"traceparent": e.req.Traceparent}
 	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/backend"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
 )
@@ -23,6 +24,8 @@
 	// ctx ends when the service is killed.
 	ctx     context.Context
 	isOwned atomic.Bool
+	// wasOwned is set until the next owner has been told the running attempts.
+	wasOwned atomic.Bool
 	// killed makes the end of a request look like a crash to the engines.
 	killed *atomic.Bool
 
@@ -77,6 +80,7 @@
 	case !a.Owned:
 		p.release(now, admission.CodeNotOwner)
 	case !p.isOwned.Swap(true):
+		p.wasOwned.Store(true)
 		p.takeOver(now)
 		p.admission.SetShare(now, 1, a.LeaseEnd)
 	case !last.LeaseEnd.Equal(a.LeaseEnd):
@@ -280,6 +284,16 @@
 	return found, ok
 }
 
+func (r *runs) attempts() []*peerpb.Attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]*peerpb.Attempt, 0, len(r.byAttempt))
+	for id, engine := range r.byAttempt {
+		list = append(list, &peerpb.Attempt{AttemptId: id, Engine: engine})
+	}
+	return list
+}
+
 func (r *runs) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -36,6 +36,9 @@
 	// Report is told whether an engine or backend server worked. It may be
 	// called from any goroutine and must not block.
 	Report func(server string, ok bool)
+	// Ended is told that an attempt has ended whose pool this router no longer
+	// owns. It may be called from any goroutine and must not block.
+	Ended func(pool, attemptID string)
 	// Rand returns uniform numbers from 0 up to but not including 1 and is safe
 	// for concurrent use.
 	Rand func() float64
@@ -137,13 +140,35 @@
 	return pools
 }
 
-// Adopt counts attempts that a previous owner of the pool started.
-func (s *Service) Adopt(now time.Time, pool string, attempts []*peerpb.Attempt) {
+// Adopt counts attempts that a previous owner of the pool started. complete
+// tells that the previous owner itself named all of them.
+func (s *Service) Adopt(now time.Time, pool string, attempts []*peerpb.Attempt, complete bool) {
 	p := s.lookup(pool)
 	if p == nil {
 		return
 	}
 	p.adopt(now, attempts)
+	if complete {
+		p.endTakeover(now)
+	}
+}
+
+// AttemptEnded takes the news that an adopted attempt has ended.
+func (s *Service) AttemptEnded(now time.Time, pool, attemptID string) {
+	if p := s.lookup(pool); p != nil {
+		p.releaseAdopted(now, attemptID)
+	}
+}
+
+// Attempts returns the attempts of a pool that this router runs. complete is
+// set when it owned the pool before, so that they are all of that time.
+func (s *Service) Attempts(pool string) (attempts []*peerpb.Attempt, complete bool) {
+	p := s.lookup(pool)
+	if p == nil {
+		return nil, false
+	}
+	complete = !p.owned() && p.wasOwned.Swap(false)
+	return append(p.runs.attempts(), p.adoptedAttempts()...), complete
 }
 
 // Tick drives waits and deadlines of all pools; it is called a few times a
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -113,6 +113,7 @@
 	c.members.Heartbeat(now, m.heartbeat)
 	c.fetchNewerList()
 	c.publish(now)
+	c.sendNews(now)
 }
 
 func (m serverReported) apply(c *control, now time.Time) {
@@ -137,6 +138,7 @@
 	c.members.SetStopping(now)
 	c.fire(statechart.RouterStopEvent)
 	c.publish(now)
+	c.sendNews(now)
 }
 
 func (c *control) tick(now time.Time) {
@@ -148,9 +150,7 @@
 	}
 	c.probeServers(now)
 	c.publish(now)
-	if c.members.Due(now) {
-		c.sendHeartbeats(now)
-	}
+	c.sendNews(now)
 }
 
 // fire moves the router's state chart. The chart names every event that a
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// sendNews sends heartbeats when they are due. News, such as a stop or a
+// suspicion, is passed on at once.
+func (c *control) sendNews(now time.Time) {
+	if c.members.Due(now) {
+		c.sendHeartbeats(now)
+	}
+}
+
 // sendHeartbeats sends this router's heartbeat to its successors.
 func (c *control) sendHeartbeats(now time.Time) {
 	hb := c.members.Build(now)
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -23,7 +23,11 @@
 	// connLost says that a connection to another router has ended.
 	connLost struct{ peer peer.Peer }
 	// processDied says that the address of a router refuses connections.
-	processDied struct{ name string }
+	processDied struct {
+		name string
+		// before is when the test began.
+		before time.Time
+	}
 )
 
 func (m ownershipReceived) apply(c *control, now time.Time) {
@@ -40,23 +44,24 @@
 }
 
 func (m processDied) apply(c *control, now time.Time) {
-	r, ok := c.view.Router(m.name)
-	if !ok {
+	if _, ok := c.view.Router(m.name); !ok {
 		return
 	}
 	c.r.events.Emit(event.PeerProcessEnded, "vm", m.name)
 	c.members.Refused(now, m.name)
-	c.perform(now, c.owners.Died(now, m.name, r.BootID))
+	c.perform(now, c.owners.Died(now, m.name, m.before))
 	c.publish(now)
+	c.sendNews(now)
 }
 
 // testProcess dials a router and reports a refused connection, which only an
 // ended process gives: a paused one still has its listener.
 func (r *Router) testProcess(name, addr string) {
+	before := r.clock.Now()
 	go func() {
 		err := r.peers.Probe(addr)
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			r.post(processDied{name: name})
+			r.post(processDied{name: name, before: before})
 		}
 	}()
 }
@@ -99,20 +104,34 @@
 			c.assignPools(now)
 			c.r.events.Emit(event.PoolHandedOver, "pool", a.Pool, "owner", a.Owner)
 		case ownership.Adopt:
-			c.r.owner.Adopt(now, a.Pool, a.Attempts)
+			c.r.owner.Adopt(now, a.Pool, a.Attempts, a.Complete)
 		case ownership.Send:
 			c.sendOwnership(a)
 		}
 	}
 }
 
+// attemptEnded tells the present owner of a pool that an attempt has ended
+// which this router started when it owned the pool.
+func (r *Router) attemptEnded(pool, attemptID string) {
+	owner, ok := r.state().owners[pool]
+	if !ok || owner.VM == r.settings.VM {
+		return
+	}
+	_ = r.peers.Send(owner.Addr, &peerpb.Envelope{Body: &peerpb.Envelope_AttemptEnded{
+		AttemptEnded: &peerpb.AttemptEnded{Pool: pool, AttemptId: attemptID},
+	}})
+}
+
 func (c *control) sendOwnership(a ownership.Send) {
 	r, ok := c.view.Router(a.To)
 	if !ok {
 		return
 	}
 	if reply := a.Env.GetClaimReply(); a.AttachAttempts && reply != nil {
-		reply.Attempts = c.r.dispatch.InFlight().Attempts(reply.Pool)
+		running, complete := c.r.owner.Attempts(reply.Pool)
+		reply.Attempts = append(running, c.r.dispatch.InFlight().Attempts(reply.Pool)...)
+		reply.Complete = complete
 	}
 	if a.Piggyback {
 		c.r.riders.offer(a.To, r.VM.PeerAddr, a.Env)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -235,6 +235,7 @@
 		Meter:  r.meter,
 		Tracer: r.tracing.Tracer(),
 		Report: func(server string, ok bool) { r.post(serverReported{name: server, ok: ok}) },
+		Ended:  r.attemptEnded,
 		Rand:   randomFloat,
 	}
 	if r.options.Policy != nil {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -33,6 +33,8 @@
 	switch body := env.Body.(type) {
 	case *peerpb.Envelope_Heartbeat:
 		r.post(heartbeatReceived{from: from, heartbeat: body.Heartbeat})
+	case *peerpb.Envelope_AttemptEnded:
+		r.owner.AttemptEnded(r.clock.Now(), body.AttemptEnded.GetPool(), body.AttemptEnded.GetAttemptId())
 	case *peerpb.Envelope_Claim, *peerpb.Envelope_ClaimReply, *peerpb.Envelope_VoteLost,
 		*peerpb.Envelope_Renewal, *peerpb.Envelope_RenewalReply, *peerpb.Envelope_Join, *peerpb.Envelope_JoinReply:
 		r.post(ownershipReceived{from: from.VM, env: env})
