poolowner: open a pool with the attempts that came with the votes

Cause: a first version asked all engines before it opened the pool. Their reports lag, so ended attempts filled the reserve and callers waited for seconds. Change: the majority of the votes already carries the attempts of most routers; a small reserve covers one router that cannot answer, and the engines are asked only for attempts that are still open after 10 s.

--- a/internal/poolowner/adopt.go
+++ b/internal/poolowner/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,17 +14,18 @@
 
 const (
 	// reconcileInterval is the time between two looks at the engines while
-	// attempts of an earlier owner may run.
-	reconcileInterval = 2 * time.Second
-	// takeoverWindow is how long a new owner looks for attempts that nobody
-	// reported. It covers the lag of the engines' load reports.
-	takeoverWindow = 5 * time.Second
-	// takeoverReserve is the number of slots of each engine that a new owner
-	// keeps free for takeoverWindow, for requests that the old owner sent last.
-	takeoverReserve = 1
-	// adoptedGrace is how long an attempt may be missing in load reports before
-	// it counts as ended.
-	adoptedGrace = 2 * time.Second
+	// attempts of an earlier owner may run. A look costs about 100 B for each
+	// attempt, and nearly all ends are reported by the old owner or followed by
+	// this one.
+	reconcileInterval = 10 * time.Second
+	// adoptedGrace is how long an attempt may be missing in load reports, which
+	// lag, before it counts as ended.
+	adoptedGrace = 3 * time.Second
+	// takeoverWindow is how long a new owner keeps slots free for attempts that
+	// nobody can name: those of callers of a router that died.
+	takeoverWindow = 3 * time.Second
+	// maxPlainCall bounds a call of a plain service.
+	maxPlainCall = 2 * time.Minute
 )
 
 // adopted tracks the attempts of earlier owners. Nobody reports their end, so
@@ -32,8 +34,6 @@
 	mu sync.Mutex
 	// since holds the engine and the time of adoption by attempt id.
 	since map[string]adoption
-	// until is the end of the takeover window.
-	until time.Time
 	// polling is set while a reconcile loop runs.
 	polling bool
 }
@@ -94,27 +94,21 @@
 	p.admission.ReleaseAdopted(now, attemptID)
 }
 
-// takeOver begins the takeover window of a new owner.
-func (p *ownedPool) takeOver(now time.Time) {
-	until := now.Add(takeoverWindow)
-	p.adopted.mu.Lock()
-	p.adopted.until = until
-	p.adopted.mu.Unlock()
-	if p.plain() {
-		return
+// takeOver opens the pool for a new owner. The majority of the votes came with
+// the attempts of most routers. Until the old owner has named all attempts, or
+// for takeoverWindow, a part of each engine stays reserved for the attempts of
+// one router that cannot answer.
+func (p *ownedPool) takeOver(now time.Time, a Assignment) {
+	p.admission.SetShare(now, 1, a.LeaseEnd)
+	perEngine := float64(len(p.adoptions())) / float64(max(len(a.Servers), 1))
+	slots := int(math.Ceil(perEngine / float64(max(a.Listed-1, 1))))
+	for _, s := range a.Servers {
+		p.admission.Reserve(now, s.Name, slots, now.Add(takeoverWindow))
 	}
-	for _, name := range p.engineNames() {
-		p.admission.Reserve(now, name, takeoverReserve, until)
-	}
-	p.reconcileLater()
 }
 
-// endTakeover ends the window early, because the old owner has named all its
-// attempts.
+// endTakeover frees the reserve, because the old owner has named all attempts.
 func (p *ownedPool) endTakeover(now time.Time) {
-	p.adopted.mu.Lock()
-	p.adopted.until = now
-	p.adopted.mu.Unlock()
 	for _, name := range p.engineNames() {
 		p.admission.Reserve(now, name, 0, now)
 	}
@@ -139,7 +133,7 @@
 			return
 		case <-p.deps.Clock.After(reconcileInterval):
 		}
-		if p.reconciled(p.deps.Clock.Now()) {
+		if p.reconciled() {
 			return
 		}
 		p.reconcile(p.ctx)
@@ -147,10 +141,10 @@
 }
 
 // reconciled ends the loop when nothing is left to look for.
-func (p *ownedPool) reconciled(now time.Time) bool {
+func (p *ownedPool) reconciled() bool {
 	p.adopted.mu.Lock()
 	defer p.adopted.mu.Unlock()
-	if p.ctx.Err() == nil && (len(p.adopted.since) > 0 || now.Before(p.adopted.until)) {
+	if p.ctx.Err() == nil && len(p.adopted.since) > 0 {
 		return false
 	}
 	p.adopted.polling = false
@@ -182,12 +176,8 @@
 	wg.Wait()
 }
 
-// toReconcile returns the engines to ask: those with adopted attempts that
-// nobody follows, and all during the takeover window.
+// toReconcile returns the engines with adopted attempts that nobody follows.
 func (p *ownedPool) toReconcile() []string {
-	if p.inTakeover(p.deps.Clock.Now()) {
-		return p.engineNames()
-	}
 	var names []string
 	for _, a := range p.adoptions() {
 		if !a.held && !slices.Contains(names, a.engine) {
@@ -228,35 +218,17 @@
 	return all
 }
 
-// compare adopts unknown attempts during the takeover window and releases
-// adopted ones that an engine no longer reports.
+// compare releases adopted attempts that an engine no longer reports.
 func (p *ownedPool) compare(now time.Time, engine string, report engineclient.LoadReport) {
 	active := map[string]bool{}
-	var unknown []*peerpb.Attempt
 	for _, a := range report.Attempts {
-		if a.State != "running" && a.State != "waiting" {
-			continue
-		}
-		active[a.AttemptID] = true
-		if !p.runs.has(a.AttemptID) {
-			unknown = append(unknown, &peerpb.Attempt{AttemptId: a.AttemptID, Engine: engine})
+		if a.State == "running" || a.State == "waiting" {
+			active[a.AttemptID] = true
 		}
 	}
-	if p.inTakeover(now) {
-		p.adopt(now, unknown)
-	}
 	for id, a := range p.adoptions() {
 		if a.engine == engine && !a.held && !active[id] && now.Sub(a.at) > adoptedGrace {
 			p.releaseAdopted(now, id)
 		}
 	}
 }
-
-func (p *ownedPool) inTakeover(now time.Time) bool {
-	p.adopted.mu.Lock()
-	defer p.adopted.mu.Unlock()
-	return now.Before(p.adopted.until)
-}
-
-// maxPlainCall bounds a call of a plain service.
-const maxPlainCall = 2 * time.Minute
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -81,8 +81,7 @@
 		p.release(now, admission.CodeNotOwner)
 	case !p.isOwned.Swap(true):
 		p.wasOwned.Store(true)
-		p.takeOver(now)
-		p.admission.SetShare(now, 1, a.LeaseEnd)
+		p.takeOver(now, a)
 	case !last.LeaseEnd.Equal(a.LeaseEnd):
 		p.admission.SetLeaseEnd(now, a.LeaseEnd)
 	}
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -64,6 +64,8 @@
 	Servers    []Server
 	// Owned tells whether this router holds a majority of the votes for the pool.
 	Owned bool
+	// Listed is the number of routers in the VM list.
+	Listed int
 	// LeaseEnd is when the majority ends; zero means never.
 	LeaseEnd time.Time
 	// Stopping refuses new requests; running ones go on.
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -1,12 +1,16 @@
 package router
 
 import (
+	"encoding/hex"
 	"errors"
 	"maps"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/ownership"
@@ -114,12 +118,51 @@
 // attemptEnded tells the present owner of a pool that an attempt has ended
 // which this router started when it owned the pool.
 func (r *Router) attemptEnded(pool, attemptID string) {
+	owner, ok := r.state().owners[pool]
+	if !ok || owner.VM == r.settings.VM {
+		return
+	}
+	if id, err := hex.DecodeString(attemptID); err == nil {
+		r.ended.add(pool, id)
+	}
+}
+
+// endedBatch is the time for which ended attempts are collected into a message.
+const endedBatch = 100 * time.Millisecond
+
+// endedAttempts collects ended attempts by pool.
+type endedAttempts struct {
+	mu    sync.Mutex
+	ids   map[string][][]byte
+	flush func(pool string, ids [][]byte)
+	clock clockwork.Clock
+}
+
+func (e *endedAttempts) add(pool string, id []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.ids[pool]) == 0 {
+		e.clock.AfterFunc(endedBatch, func() { e.send(pool) })
+	}
+	e.ids[pool] = append(e.ids[pool], id)
+}
+
+func (e *endedAttempts) send(pool string) {
+	e.mu.Lock()
+	ids := e.ids[pool]
+	delete(e.ids, pool)
+	e.mu.Unlock()
+	e.flush(pool, ids)
+}
+
+// sendEnded reports ended attempts to the present owner of their pool.
+func (r *Router) sendEnded(pool string, ids [][]byte) {
 	owner, ok := r.state().owners[pool]
 	if !ok || owner.VM == r.settings.VM {
 		return
 	}
 	_ = r.peers.Send(owner.Addr, &peerpb.Envelope{Body: &peerpb.Envelope_AttemptEnded{
-		AttemptEnded: &peerpb.AttemptEnded{Pool: pool, AttemptId: attemptID},
+		AttemptEnded: &peerpb.AttemptEnded{Pool: pool, Attempts: ids},
 	}})
 }
 
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -53,7 +53,7 @@
 func (c *control) assignPools(now time.Time) {
 	list := make([]poolowner.Assignment, 0, len(c.config.Pools))
 	for name, pool := range c.config.Pools {
-		a := poolowner.Assignment{Pool: pool, Workspaces: c.config.Workspaces, Servers: c.servers(name)}
+		a := poolowner.Assignment{Pool: pool, Workspaces: c.config.Workspaces, Servers: c.servers(name), Listed: c.view.Listed}
 		if c.r.solo() {
 			a.Owned = true
 		} else {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -91,6 +91,7 @@
 	vms      *vmlist.Client
 	peers    *peer.Transport
 	riders   *riders
+	ended    *endedAttempts
 	owner    *poolowner.Service
 	dispatch *dispatch.Dispatcher
 	guard    *intent.Guard
@@ -241,6 +242,7 @@
 	if r.options.Policy != nil {
 		deps.NewPicker = r.options.Policy.NewPicker
 	}
+	r.ended = &endedAttempts{ids: map[string][][]byte{}, clock: r.clock, flush: r.sendEnded}
 	r.owner = poolowner.New(deps)
 	r.dispatch = dispatch.New(dispatch.DefaultConfig(), opener{r}, r.clock)
 	return nil
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/peer"
@@ -34,7 +35,9 @@
 	case *peerpb.Envelope_Heartbeat:
 		r.post(heartbeatReceived{from: from, heartbeat: body.Heartbeat})
 	case *peerpb.Envelope_AttemptEnded:
-		r.owner.AttemptEnded(r.clock.Now(), body.AttemptEnded.GetPool(), body.AttemptEnded.GetAttemptId())
+		for _, id := range body.AttemptEnded.GetAttempts() {
+			r.owner.AttemptEnded(r.clock.Now(), body.AttemptEnded.GetPool(), hex.EncodeToString(id))
+		}
 	case *peerpb.Envelope_Claim, *peerpb.Envelope_ClaimReply, *peerpb.Envelope_VoteLost,
 		*peerpb.Envelope_Renewal, *peerpb.Envelope_RenewalReply, *peerpb.Envelope_Join, *peerpb.Envelope_JoinReply:
 		r.post(ownershipReceived{from: from.VM, env: env})
