order: bring engines into their desired states under a lease

A sender may be paused past its lease and some engines ignore the fencing number. So orders are absolute, the lease and every desired state name their predecessor, weight loads are granted by the fold on the log's clock, and the holder reads each engine's state before and after its orders and regularly from then on. The chart order.json decides the result of each order.

The rapid model drives three controllers over logsim with paused calls, lost and late answers, reboots and outages; a second test runs two managers against enginesim over HTTP.

--- /dev/null
+++ b/internal/order/fold.go
@@ -0,0 +1,248 @@
+package order
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// grantUse is the time after the append of a LoadStart within which the load
+// order has to be sent. A later one needs a new grant.
+const grantUse = 2 * time.Second
+
+// budgetWindow is the time over which grants are counted. It is longer than the
+// minute of the budget because an order follows its grant by up to grantUse.
+const budgetWindow = 1*time.Minute + grantUse
+
+// budgetRetry is the time between two looks at a full budget.
+const budgetRetry = 1 * time.Second
+
+// Budget limits the weight loads of the fleet. All routers must use the same values.
+type Budget struct {
+	// PerMinute is the largest number of loads that start in any minute.
+	PerMinute int
+	// AtOnce is the largest number of loads that run at the same time.
+	AtOnce int
+	// LoadLimit is the time after which a load counts as ended.
+	LoadLimit time.Duration
+}
+
+// Target names one model of one engine.
+type Target struct {
+	Engine string
+	Model  string
+}
+
+// State is what an engine shall have for a model.
+type State struct {
+	// Unload is set when the engine shall not have the model.
+	Unload  bool
+	Version string
+	Role    string
+}
+
+// desired is a state with the offset of its record.
+type desired struct {
+	State
+	offset uint64
+	// at is the log time of the record.
+	at time.Time
+}
+
+// lease is the lease in force. A zero number means that there is none.
+type lease struct {
+	holder   string
+	duration time.Duration
+	// number is the offset of the lease's record plus 1.
+	number uint64
+}
+
+// fencing returns the fencing number of the orders under the lease.
+func (l lease) fencing() uint64 { return l.number - 1 }
+
+// load is a granted weight load.
+type load struct {
+	uid    string
+	engine string
+	at     time.Time
+	ended  bool
+}
+
+// Fold is the state of the stream. The order and the time of its records alone
+// decide who holds the lease, which state is desired and which loads may start.
+// It is not safe for concurrent use.
+type Fold struct {
+	budget  Budget
+	next    uint64
+	lease   lease
+	desired map[Target]desired
+	loads   []load
+}
+
+// NewFold returns an empty fold that starts at an offset: 0, or the floor of
+// the log.
+func NewFold(b Budget, start uint64) *Fold {
+	return &Fold{budget: b, next: start, desired: map[Target]desired{}}
+}
+
+// Next returns the offset after the last applied record.
+func (f *Fold) Next() uint64 { return f.next }
+
+// Desired returns the state that is asked for.
+func (f *Fold) Desired(t Target) (State, bool) {
+	d, ok := f.desired[t]
+	return d.State, ok
+}
+
+// Apply adds the record at an offset with its log time, and reports whether it
+// had an effect. Records below Next are ignored.
+func (f *Fold) Apply(offset uint64, t time.Time, data []byte) bool {
+	if offset < f.next {
+		return false
+	}
+	f.next = offset + 1
+	var rec peerpb.OrderRecord
+	if proto.Unmarshal(data, &rec) != nil {
+		return false
+	}
+	switch kind := rec.Kind.(type) {
+	case *peerpb.OrderRecord_Lease:
+		return f.applyLease(offset, kind.Lease)
+	case *peerpb.OrderRecord_Desired:
+		return f.applyDesired(offset, t, kind.Desired)
+	case *peerpb.OrderRecord_LoadStart:
+		return f.applyLoadStart(t, kind.LoadStart)
+	case *peerpb.OrderRecord_LoadEnd:
+		return f.applyLoadEnd(kind.LoadEnd)
+	}
+	return false
+}
+
+// applyLease accepts a lease that names its predecessor, so that of two
+// routers that take over at the same time only the first one holds it, and a
+// late copy of an append has no effect. A name above the lease in force shows
+// that the fold started after that predecessor.
+func (f *Fold) applyLease(offset uint64, r *peerpb.Lease) bool {
+	if r.Holder == "" || r.DurationMs == 0 || r.After < f.lease.number || r.After > offset {
+		return false
+	}
+	f.lease = lease{
+		holder:   r.Holder,
+		duration: time.Duration(r.DurationMs) * time.Millisecond,
+		number:   offset + 1,
+	}
+	return true
+}
+
+// applyDesired accepts a state that names the one it replaces, so that a late
+// copy of an older record never brings an older state back.
+func (f *Fold) applyDesired(offset uint64, at time.Time, r *peerpb.Desired) bool {
+	t := Target{Engine: r.Engine, Model: r.Model}
+	if t.Engine == "" || t.Model == "" || r.Replaces < f.replaces(t) || r.Replaces > offset {
+		return false
+	}
+	f.desired[t] = desired{
+		State:  State{Unload: r.Unload, Version: r.Version, Role: r.Role},
+		offset: offset,
+		at:     at,
+	}
+	return true
+}
+
+// replaces returns the number by which a new state names the one in force.
+func (f *Fold) replaces(t Target) uint64 {
+	d, ok := f.desired[t]
+	if !ok {
+		return 0
+	}
+	return d.offset + 1
+}
+
+// applyLoadStart grants a load if the lease is in force and the budget has room
+// at the record's time. The log's clock decides, so that no router's clock can
+// break the budget.
+func (f *Fold) applyLoadStart(t time.Time, r *peerpb.LoadStart) bool {
+	f.forget(t)
+	if r.Uid == "" || f.lease.number == 0 || r.Fencing != f.lease.fencing() {
+		return false
+	}
+	running, recent := 0, 0
+	for _, l := range f.loads {
+		if l.uid == r.Uid {
+			return false
+		}
+		if f.runs(l, t) {
+			running++
+		}
+		if t.Sub(l.at) < budgetWindow {
+			recent++
+		}
+	}
+	if running >= f.budget.AtOnce || recent >= f.budget.PerMinute {
+		return false
+	}
+	f.loads = append(f.loads, load{uid: r.Uid, engine: r.Engine, at: t})
+	return true
+}
+
+func (f *Fold) applyLoadEnd(r *peerpb.LoadEnd) bool {
+	for i := range f.loads {
+		if f.loads[i].uid == r.Uid && !f.loads[i].ended {
+			f.loads[i].ended = true
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fold) runs(l load, t time.Time) bool {
+	return !l.ended && t.Sub(l.at) < f.budget.LoadLimit
+}
+
+// forget drops the loads that count for nothing any more.
+func (f *Fold) forget(t time.Time) {
+	kept := f.loads[:0]
+	for _, l := range f.loads {
+		if f.runs(l, t) || t.Sub(l.at) < budgetWindow {
+			kept = append(kept, l)
+		}
+	}
+	f.loads = kept
+}
+
+// granted reports whether a load may run.
+func (f *Fold) granted(uid string) bool {
+	for _, l := range f.loads {
+		if l.uid == uid && !l.ended {
+			return true
+		}
+	}
+	return false
+}
+
+// budgetFree estimates when the next load of an engine may start, by a clock
+// that agrees with the log's. A wrong clock costs a refused record only.
+func (f *Fold) budgetFree(now time.Time, engine string) time.Time {
+	running, recent := 0, 0
+	var first time.Time
+	for _, l := range f.loads {
+		if f.runs(l, now) && l.engine != engine {
+			running++
+		}
+		if now.Sub(l.at) < budgetWindow {
+			if recent == 0 {
+				first = l.at
+			}
+			recent++
+		}
+	}
+	if recent >= f.budget.PerMinute {
+		return first.Add(budgetWindow)
+	}
+	if running >= f.budget.AtOnce {
+		return now.Add(budgetRetry)
+	}
+	return now
+}
--- /dev/null
+++ b/internal/order/manager.go
@@ -0,0 +1,339 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/logstream"
+	"github.com/bluebellwell/bluebellwell/internal/statechart"
+)
+
+// StreamName is the stream of leases, desired states and loads in the log.
+const StreamName = "orders"
+
+// Defaults of Options.
+const (
+	defaultLease       = 30 * time.Second
+	defaultMargin      = 3 * time.Second
+	defaultSendTimeout = 2 * time.Second
+	defaultCheck       = 60 * time.Second
+	defaultPoll        = 10 * time.Second
+	defaultRefresh     = 15 * time.Minute
+	defaultPerMinute   = 4
+	defaultAtOnce      = 2
+	defaultLoadLimit   = 10 * time.Minute
+	// tick is the longest time between two looks at the work that is due.
+	tick = 250 * time.Millisecond
+	// maxTasks is the number of engines that are called at the same time.
+	maxTasks = 8
+	// maxNameBytes limits the texts of a desired state.
+	maxNameBytes = 256
+	maxSetTries  = 5
+)
+
+// Errors that callers test with errors.Is.
+var (
+	// ErrConflict means that other states for the same target were recorded first.
+	ErrConflict = errors.New("another desired state was recorded first")
+	// ErrInvalid means that a target or a state is not valid.
+	ErrInvalid = errors.New("desired state is not valid")
+	// ErrStopped means that the manager was stopped. A state may have been recorded.
+	ErrStopped = errors.New("order manager is stopped")
+)
+
+// Client calls one engine. *engineclient.Client implements it. Order must send
+// at most once.
+type Client interface {
+	Order(ctx context.Context, o engineclient.Order) (engineclient.OrdersState, error)
+	OrdersState(ctx context.Context) (engineclient.OrdersState, error)
+}
+
+// Options sets up a Manager. Zero times and budgets take their defaults.
+type Options struct {
+	// Name is this router's name in leases.
+	Name   string
+	Log    logstream.Log
+	Clock  clockwork.Clock
+	Events *event.Logger
+	Timing Timing
+	Budget Budget
+	// Client returns the client of an engine, or nil when it is not known.
+	Client func(engine string) Client
+}
+
+func (o Options) withDefaults() Options {
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	if o.Events == nil {
+		o.Events = event.Nop()
+	}
+	durations := []struct {
+		v   *time.Duration
+		def time.Duration
+	}{
+		{&o.Timing.Lease, defaultLease},
+		{&o.Timing.Margin, defaultMargin},
+		{&o.Timing.SendTimeout, defaultSendTimeout},
+		{&o.Timing.Check, defaultCheck},
+		{&o.Timing.Poll, defaultPoll},
+		{&o.Timing.Refresh, defaultRefresh},
+		{&o.Budget.LoadLimit, defaultLoadLimit},
+	}
+	for _, d := range durations {
+		if *d.v <= 0 {
+			*d.v = d.def
+		}
+	}
+	if o.Budget.PerMinute <= 0 {
+		o.Budget.PerMinute = defaultPerMinute
+	}
+	if o.Budget.AtOnce <= 0 {
+		o.Budget.AtOnce = defaultAtOnce
+	}
+	return o
+}
+
+// Status is one order under this router's lease.
+type Status struct {
+	Target
+	Want  State
+	State statechart.State
+}
+
+// Manager keeps the engines in their desired states while this router holds
+// the lease. It is safe for concurrent use.
+type Manager struct {
+	opts Options
+	tomb tomb.Tomb
+	// calls carries work for the goroutine that owns the controller.
+	calls chan func(now time.Time)
+	ctrl  *controller
+	// logBusy is set while a call to the log is open; tasks counts those to engines.
+	logBusy bool
+	tasks   int
+	held    bool
+}
+
+// New returns a running manager that does not ask for the lease yet.
+func New(o Options) *Manager {
+	o = o.withDefaults()
+	m := &Manager{
+		opts:  o,
+		calls: make(chan func(time.Time)),
+		ctrl:  newController(o.Name, o.Timing, o.Budget, uuid.NewString),
+	}
+	m.tomb.Go(m.run)
+	return m
+}
+
+// Close stops the manager. The lease runs out by itself.
+func (m *Manager) Close() error {
+	m.tomb.Kill(nil)
+	return m.tomb.Wait()
+}
+
+// SetCandidate tells whether this router asks for the lease and renews it. Few
+// routers should be candidates, because each of them reads the stream.
+func (m *Manager) SetCandidate(on bool) {
+	m.do(func(time.Time) { m.ctrl.candidate = on })
+}
+
+// SetEngines replaces the list of engines that take orders.
+func (m *Manager) SetEngines(names []string) {
+	names = slices.Clone(names)
+	m.do(func(time.Time) { m.ctrl.setEngines(names) })
+}
+
+// Set records the state that an engine shall have for a model, and returns when
+// the log has it. Any router may call it; the holder of the lease follows.
+func (m *Manager) Set(ctx context.Context, t Target, s State) error {
+	if !valid(t.Engine, true) || !valid(t.Model, true) || !valid(s.Version, false) || !valid(s.Role, false) {
+		return eris.Wrapf(ErrInvalid, "engine %q, model %q", t.Engine, t.Model)
+	}
+	for range maxSetTries {
+		effect, err := m.setOnce(ctx, t, s)
+		if effect || err != nil {
+			return err
+		}
+	}
+	return eris.Wrapf(ErrConflict, "engine %s, model %s", t.Engine, t.Model)
+}
+
+func (m *Manager) setOnce(ctx context.Context, t Target, s State) (bool, error) {
+	done := make(chan bool, 1)
+	m.do(func(time.Time) { m.ctrl.setDesired(t, s, func(effect bool) { done <- effect }) })
+	select {
+	case effect := <-done:
+		return effect, nil
+	case <-ctx.Done():
+		return false, eris.Wrap(ctx.Err(), "wait for the record of the desired state")
+	case <-m.tomb.Dead():
+		return false, ErrStopped
+	}
+}
+
+func valid(text string, needed bool) bool {
+	return utf8.ValidString(text) && len(text) <= maxNameBytes && (text != "" || !needed)
+}
+
+// Holds reports whether this router holds the lease, and its fencing number.
+func (m *Manager) Holds() (fencing uint64, ok bool) {
+	m.do(func(now time.Time) {
+		ok = m.ctrl.holds(now)
+		if ok {
+			fencing = m.ctrl.fold().lease.fencing()
+		}
+	})
+	return fencing, ok
+}
+
+// Orders returns the orders under this router's lease, by engine and model. It
+// is empty on other routers.
+func (m *Manager) Orders() []Status {
+	var list []Status
+	m.do(func(now time.Time) {
+		if !m.ctrl.holds(now) {
+			return
+		}
+		for name, e := range m.ctrl.engines {
+			for model, o := range e.orders {
+				list = append(list, Status{Target: Target{Engine: name, Model: model}, Want: o.want.State, State: o.machine.State()})
+			}
+		}
+	})
+	slices.SortFunc(list, func(a, b Status) int {
+		return strings.Compare(a.Engine+"\x00"+a.Model, b.Engine+"\x00"+b.Model)
+	})
+	return list
+}
+
+// do runs f on the goroutine that owns the controller, unless it has stopped.
+func (m *Manager) do(f func(now time.Time)) {
+	done := make(chan struct{})
+	call := func(now time.Time) {
+		defer close(done)
+		f(now)
+	}
+	select {
+	case m.calls <- call:
+		<-done
+	case <-m.tomb.Dead():
+	case <-m.tomb.Dying():
+	}
+}
+
+// run owns the controller. Calls to the log and to engines run in goroutines of
+// their own and come back through calls.
+func (m *Manager) run() error {
+	for m.tomb.Alive() {
+		wait := m.start()
+		timer := m.opts.Clock.NewTimer(wait)
+		select {
+		case call := <-m.calls:
+			call(m.opts.Clock.Now())
+		case <-timer.Chan():
+		case <-m.tomb.Dying():
+		}
+		timer.Stop()
+		m.report()
+	}
+	return nil
+}
+
+// start begins all calls that are due and returns the time until the next look.
+func (m *Manager) start() time.Duration {
+	wait := tick
+	if !m.logBusy {
+		now := m.opts.Clock.Now()
+		o := m.ctrl.nextLog(now)
+		if o.kind == opNone {
+			wait = max(0, min(wait, o.wake.Sub(now)))
+		} else {
+			m.startLog(o)
+		}
+	}
+	for m.tasks < maxTasks {
+		t := m.ctrl.nextTask(m.opts.Clock.Now())
+		if t.kind == taskNone {
+			break
+		}
+		m.startTask(t)
+	}
+	return wait
+}
+
+func (m *Manager) startLog(o op) {
+	m.logBusy = true
+	m.tomb.Go(func() error {
+		ctx := m.tomb.Context(context.Background())
+		var finish func(now time.Time)
+		if o.kind == opRead {
+			page, err := m.opts.Log.Read(ctx, StreamName, o.from, pageRecords, 0)
+			finish = func(now time.Time) {
+				m.ctrl.logRead(now, func() { m.ctrl.journal.readDone(now, page, err) })
+			}
+		} else {
+			_, err := m.opts.Log.Append(ctx, StreamName, o.data)
+			finish = func(now time.Time) { m.ctrl.journal.appendDone(now, err) }
+		}
+		m.do(func(now time.Time) {
+			m.logBusy = false
+			finish(now)
+		})
+		return nil
+	})
+}
+
+func (m *Manager) startTask(t task) {
+	m.tasks++
+	client := m.opts.Client(t.engine)
+	m.tomb.Go(func() error {
+		s, err := m.call(client, t)
+		m.do(func(now time.Time) {
+			m.tasks--
+			m.ctrl.taskDone(now, t, s, err)
+		})
+		return nil
+	})
+}
+
+func (m *Manager) call(client Client, t task) (engineclient.OrdersState, error) {
+	if client == nil {
+		return engineclient.OrdersState{}, &engineclient.Error{Op: "order", NotRun: true, NotSent: true, Err: engineclient.ErrNotFound}
+	}
+	ctx, cancel := clockwork.WithTimeout(m.tomb.Context(context.Background()), m.opts.Clock, m.opts.Timing.SendTimeout)
+	defer cancel()
+	if t.kind == taskState {
+		return client.OrdersState(ctx)
+	}
+	s, err := client.Order(ctx, t.order)
+	m.opts.Events.Emit(event.OrderSent, "engine", t.engine, "kind", t.order.Kind, "model", t.model,
+		"version", t.order.Version, "role", t.order.Role, "fencing", t.order.Fencing, "error", err)
+	return s, err
+}
+
+// report logs changes of the lease.
+func (m *Manager) report() {
+	holds := m.ctrl.holds(m.opts.Clock.Now())
+	if holds == m.held {
+		return
+	}
+	m.held = holds
+	if holds {
+		m.opts.Events.Emit(event.OrderLeaseTaken, "fencing", m.ctrl.fold().lease.fencing())
+	} else {
+		m.opts.Events.Emit(event.OrderLeaseLost)
+	}
+}
