--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -117,10 +117,12 @@
 // SetShare sets the part of each bound that this owner may use, 0 to 1, and
 // opens the pool unless it is stopping. A share under 1 is rounded down for
 // each engine, so a small pool load may admit nothing; SetVotes divides the
-// bounds without that loss.
-func (p *Pool) SetShare(now time.Time, share float64) {
+// bounds without that loss. Nothing is granted from leaseEnd on until the next
+// call; the zero time means no end.
+func (p *Pool) SetShare(now time.Time, share float64, leaseEnd time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.leaseEnd = leaseEnd
 	p.votes = nil
 	p.view.Share = min(max(share, 0), 1)
 	p.open(now)
@@ -133,14 +135,25 @@
 // votes of the same list never exceed a bound together. An owner only knows its
 // own load, so it can fill the pool only while its part of the votes times the
 // load multiple is above 1; below that the pool's load falls to a few slots.
-func (p *Pool) SetVotes(now time.Time, held, listed []string) {
+// Nothing is granted from leaseEnd on until the next call; the zero time means
+// no end.
+func (p *Pool) SetVotes(now time.Time, held, listed []string, leaseEnd time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.leaseEnd = leaseEnd
 	p.votes = placement.NewVotes(held, listed)
 	p.view.Share = 0
 	p.open(now)
 }
 
+// SetLeaseEnd prolongs the votes that are in use.
+func (p *Pool) SetLeaseEnd(now, leaseEnd time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaseEnd = leaseEnd
+	p.dispatch(now)
+}
+
 func (p *Pool) open(now time.Time) {
 	for i := range p.engines {
 		p.deal(i)
--- a/internal/admission/pool_test.go
+++ b/internal/admission/pool_test.go
@@ -28,7 +28,7 @@
 func testPool(cfg Config, n int) *Pool {
 	p := NewPool(cfg, Deps{Rand: func() float64 { return 0.5 }, Prefixes: placement.NewPrefixIndex(64)})
 	p.SetEngines(start, testEngines(n))
-	p.SetShare(start, 1)
+	p.SetShare(start, 1, time.Time{})
 	return p
 }
 
@@ -65,7 +65,7 @@
 	p := NewPool(testConfig(1.25, 1), Deps{Rand: func() float64 { return 0 }})
 	p.SetEngines(start, testEngines(1))
 	wantCode(t, p.Submit(start, &Request{Workspace: "a"}), CodeNotOwner)
-	p.SetShare(start, 1)
+	p.SetShare(start, 1, time.Time{})
 	running := p.Submit(start, &Request{Workspace: "a"})
 	mustRun(t, running)
 	first := p.Submit(start, &Request{ID: "1", Workspace: "a"})
@@ -80,7 +80,7 @@
 		t.Fatal("a running ticket must be released exactly once after the hand-back")
 	}
 	p.HandBack(start, CodeStopping)
-	p.SetShare(start, 1)
+	p.SetShare(start, 1, time.Time{})
 	wantCode(t, p.Submit(start, &Request{Workspace: "a"}), CodeStopping)
 }
 
@@ -149,3 +149,19 @@
 		t.Fatalf("%d slots and %d requests are left", s.Slots, s.Queued)
 	}
 }
+
+// Guards against a paused owner that admits with votes that ended meanwhile.
+func TestNothingIsGrantedAfterTheLeaseEnd(t *testing.T) {
+	p := NewPool(testConfig(1.25, 4), Deps{Rand: func() float64 { return 0 }})
+	p.SetEngines(start, testEngines(2))
+	routers := []string{"r1", "r2"}
+	end := start.Add(5 * time.Second)
+	p.SetVotes(start, routers, routers, end)
+	mustRun(t, p.Submit(end.Add(-1), &Request{ID: "a", Workspace: "w"}))
+	late := p.Submit(end, &Request{ID: "b", Workspace: "w"})
+	if o := outcome(late); o != nil {
+		t.Fatalf("a request got %+v without a valid vote", o)
+	}
+	p.SetLeaseEnd(end, end.Add(5*time.Second))
+	mustRun(t, late)
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -17,8 +17,6 @@
 	switch body := first.Body.(type) {
 	case *peerpb.Envelope_Relay:
 		r.serveRelay(ctx, body.Relay, s)
-	case *peerpb.Envelope_Claim:
-		r.serveClaim(ctx, body.Claim, s)
 	case *peerpb.Envelope_ConfigFetch:
 		_ = s.Send(r.configReply(body.ConfigFetch))
 	case *peerpb.Envelope_IntentCall:
@@ -35,20 +33,23 @@
 	switch body := env.Body.(type) {
 	case *peerpb.Envelope_Heartbeat:
 		r.post(heartbeatReceived{from: from, heartbeat: body.Heartbeat})
-	case *peerpb.Envelope_VoteLost:
-		r.post(voteLostReceived{from: from, lost: body.VoteLost})
+	case *peerpb.Envelope_Claim, *peerpb.Envelope_ClaimReply, *peerpb.Envelope_VoteLost,
+		*peerpb.Envelope_Renewal, *peerpb.Envelope_RenewalReply, *peerpb.Envelope_Join, *peerpb.Envelope_JoinReply:
+		r.post(ownershipReceived{from: from.VM, env: env})
 	}
 }
 
 // frameSender sends frames to an entry router.
 type frameSender struct {
 	stream *peer.Stream
+	riders *riders
 	env    peerpb.Envelope
 	body   peerpb.Envelope_Frame
 }
 
 // Send implements poolowner.Sender.
 func (s *frameSender) Send(f *peerpb.Frame) error {
+	f.Control = s.riders.take(s.stream.Peer().VM)
 	s.body.Frame = f
 	s.env.Body = &s.body
 	_ = s.stream.SetDeadline(time.Now().Add(frameSendTimeout))
@@ -68,7 +69,10 @@
 			cancel()
 		}
 	}()
-	r.owner.Serve(ctx, req, &frameSender{stream: s})
+	if req.Control != nil {
+		r.received(s.Peer().VM, req.Control)
+	}
+	r.owner.Serve(ctx, req, &frameSender{stream: s, riders: r.riders})
 }
 
 func (r *Router) serveIntent(ctx context.Context, call *peerpb.IntentCall, s *peer.Stream) {
@@ -81,18 +85,9 @@
 
 // configReply answers a peer that cannot reach the log, or that starts.
 func (r *Router) configReply(fetch *peerpb.ConfigFetch) *peerpb.Envelope {
-	snap := r.config.Snapshot()
-	reply := &peerpb.ConfigReply{
-		InService: snap.Log.HasState,
-		Offset:    snap.Log.Applied,
-		Head:      snap.Log.Head,
-		LogAgeMs:  logAge(r.clock.Now(), snap.Log.HeardAt),
-	}
-	if snap.Log.HasState && snap.Log.Applied > fetch.KnownOffset {
-		if data, next, ok := r.config.Checkpoint(); ok {
-			reply.Checkpoint = data
-			reply.Offset = next
-		}
+	reply, err := r.config.ConfigReply(fetch.KnownOffset, r.state().entry.Accepting)
+	if err != nil {
+		reply = &peerpb.ConfigReply{LogAgeMs: neverHeard}
 	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigReply{ConfigReply: reply}}
 }
