settings: add log_retention, so that daemons write checkpoints

router.Options.Retention was set by tests only. A daemon never wrote a checkpoint, and once the log had forgotten the first records a new VM would have found no state. Without the setting, checkpoints stay off. The retention must be above the key window, because an intent that the log forgets while its key is valid could run twice.

--- a/internal/cli/router.go
+++ b/internal/cli/router.go
@@ -28,7 +28,7 @@
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	defer signal.Stop(signals)
 	events := event.NewLogger(newLog(s.Logging, s.VM, env.Stderr))
-	r, err := router.New(s, events, router.Options{})
+	r, err := router.New(s, events, router.Options{Retention: s.LogRetention})
 	if err != nil {
 		return err
 	}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -46,6 +46,7 @@
 	s.Limits = parseLimits(root.child("limits"))
 	s.Timings = parseTimings(root.child("timings"))
 	s.Intents = parseIntents(root.child("intents"))
+	parseRetention(root, s)
 	s.PrefixIndexEntries = root.integer("prefix_index_entries", DefaultPrefixIndexEntries, 1, maxPrefixIndexEntries)
 	s.Tracing = parseTracing(root.child("tracing"))
 	s.Metrics = parseMetrics(root.child("metrics"))
@@ -222,6 +223,15 @@
 	return i
 }
 
+// parseRetention checks the retention against the key window: an intent that the
+// log has forgotten while its key is valid could run twice.
+func parseRetention(o *object, s *Settings) {
+	s.LogRetention = o.duration("log_retention", 0, 1*time.Minute, maxLogRetention)
+	if s.LogRetention > 0 && s.LogRetention <= s.Intents.KeyWindow {
+		o.add("log_retention", findings.CodeRange, "must be above $.intents.key_window, which is %s", s.Intents.KeyWindow)
+	}
+}
+
 func parseTracing(o *object) Tracing {
 	t := Tracing{
 		OTLPEndpoint: parseURL(o, "otlp_endpoint", o.optionalText("otlp_endpoint")),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,7 +66,11 @@
 	// LogEndpoint and VMListEndpoint are base URLs without a trailing slash.
 	LogEndpoint    string
 	VMListEndpoint string
-	FleetKey       Key
+	// LogRetention is the time for which the log service keeps records. Routers
+	// write checkpoints of the configuration before half of it has passed; 0 means
+	// that the service keeps records for ever, and turns checkpoints off.
+	LogRetention time.Duration
+	FleetKey     Key
 	// FleetKeyFile is the file of the fleet key, or empty when the key is in the
 	// settings file itself. Load reads it; Parse does not.
 	FleetKeyFile string
@@ -172,6 +176,7 @@
 	// maxIntentStreams follows from the two digits in a stream's name.
 	maxIntentStreams      = 100
 	maxPrefixIndexEntries = 2_000_000
+	maxLogRetention       = 10 * 365 * 24 * time.Hour
 	// maxFileBytes bounds a settings file and a key file.
 	maxFileBytes = 1 << 20
 )
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -86,6 +86,7 @@
 		"\"\xff\"": "$ syntax",
 		string(settingsText(`,"fleet_key":"` + testKey + `","fleet_key_file":"k"`)):                               "$.fleet_key_file conflict",
 		string(settingsText(`,"fleet_key_file":"k","limits":{"read_time":"1s","header_time":"2s"}`)):              "$.limits.read_time out_of_range",
+		string(settingsText(`,"fleet_key_file":"k","log_retention":"10m"`)):                                       "$.log_retention out_of_range",
 		strings.Replace(string(settingsText(`,"fleet_key_file":"k"`)), `s":"127.0.0.1:2"`, `s":"127.0.0.1:1"`, 1): "$.listen.peers conflict",
 	}
 	for data, want := range cases {
