cli: read the state in force of one router with get -router

A router has no HTTP endpoint for its configuration, so get asks for it as a peer does, with the fleet key of the settings.

--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -23,14 +23,16 @@
 	return &Command{
 		Name:     "get",
 		Summary:  "show the configuration in force",
-		Synopsis: "(-log URL | -settings FILE) [-timeout TIME] [-json] [pool|workspace|route [NAME]]",
+		Synopsis: "(-log URL | -settings FILE [-router ADDR]) [-timeout TIME] [-json] [pool|workspace|route [NAME]]",
 		Description: `Shows the objects in force, with the id of the record that put each in force. A
 change of the object has to name this id in its field "replaces". The specs have
 the form of schema version 2, with all defaults filled in. The state is read from
-the log; "status" shows which routers have it in force.`,
+the log, or with -router from one router, which is asked at its peer address with
+the fleet key of the settings. "status" shows which routers have it in force.`,
 		Examples: []string{
 			"get -log http://127.0.0.1:18001 workspace",
 			"get -settings examples/thekkady/router-kochi-a-1.json -json pool malli-llm",
+			"get -settings examples/thekkady/router-kochi-a-1.json -router 127.0.0.1:18181 route",
 		},
 		ExitCodes: []int{ExitOK, ExitFailure, ExitUsage, ExitInvalid, ExitUnreadable},
 		MaxArgs:   2,
@@ -44,17 +46,19 @@
 	p.defineSettings(fs)
 	timeout := fs.Duration("timeout", defaultReadTimeout, "longest `TIME` for reading the log")
 	asJSON := fs.Bool("json", false, "print JSON")
+	router := fs.String("router", "", "peer `ADDR` of a router whose state is shown")
 	return func(ctx context.Context, env Env) error {
 		kind, name, err := selection(env.Args)
 		if err != nil {
 			return err
 		}
-		if err := p.resolve(true, false); err != nil {
-			return err
-		}
 		ctx, cancel := context.WithTimeout(ctx, *timeout)
 		defer cancel()
-		return runGet(ctx, &p, kind, name, *asJSON, env)
+		out, config, err := readForGet(ctx, &p, *router)
+		if err != nil {
+			return err
+		}
+		return showState(out, config, kind, name, *asJSON, env)
 	}
 }
 
@@ -92,27 +96,36 @@
 	Spec    any    `json:"spec"`
 }
 
-func runGet(ctx context.Context, p *platformFlags, kind record.Kind, name string, asJSON bool, env Env) error {
+// readForGet reads the state from the log, or from a router if one is named.
+func readForGet(ctx context.Context, p *platformFlags, router string) (*stateInForce, *record.Config, error) {
+	if router != "" {
+		return routerState(ctx, p.settings, router)
+	}
+	if err := p.resolve(true, false); err != nil {
+		return nil, nil, err
+	}
 	hc := newHTTPClient()
 	defer hc.CloseIdleConnections()
 	reader, err := readState(ctx, p.openLog(hc))
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	snap := reader.Snapshot()
-	out := stateInForce{NextOffset: snap.Log.Applied, Head: snap.Log.Head, Objects: []objectOutput{}}
-	if snap.Config != nil {
-		out.Objects = selectObjects(objectsOf(snap.Config), kind, name)
-	}
+	out := &stateInForce{NextOffset: snap.Log.Applied, Head: snap.Log.Head}
 	if snap.Unreadable != nil {
 		out.UnreadableOffset = &snap.Unreadable.Offset
 	}
+	return out, snap.Config, nil
+}
+
+func showState(out *stateInForce, config *record.Config, kind record.Kind, name string, asJSON bool, env Env) error {
+	out.Objects = selectObjects(objectsOf(config), kind, name)
 	if err := out.write(env.Stdout, asJSON); err != nil {
 		return err
 	}
-	if snap.Unreadable != nil {
-		return WithCode(ExitUnreadable, eris.Errorf("this program cannot read schema version %d of the record at offset %d; the state before it is shown",
-			snap.Unreadable.SchemaVersion, snap.Unreadable.Offset))
+	if out.UnreadableOffset != nil {
+		return WithCode(ExitUnreadable, eris.Errorf("this program cannot read the schema version of the record at offset %d; the state before it is shown",
+			*out.UnreadableOffset))
 	}
 	if name != "" && len(out.Objects) == 0 {
 		return eris.Errorf("no %s %s is in force", kind, name)
