--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -34,17 +34,21 @@
 
 // serve runs the request and writes its answer.
 func (c *call) serve(w http.ResponseWriter, req *http.Request, sink responseSink) error {
+	if !c.repeatable {
+		return c.serveOnce(w, req.Context(), sink)
+	}
 	ctx, cancel := c.api.withDeadline(req.Context(), c.caller.deadline)
 	defer cancel()
-	if c.repeatable {
-		res := c.api.deps.Runner.Run(ctx, c.relay, sink)
-		return c.api.finish(w, ctx, sink, res, c.relay.RequestId)
-	}
-	return c.serveOnce(w, ctx, sink)
+	res := c.api.deps.Runner.Run(ctx, c.relay, sink)
+	return c.api.finish(w, ctx, sink, res, c.relay.RequestId)
 }
 
-// serveOnce runs a non-repeatable request after its intent was recorded.
+// serveOnce runs a non-repeatable request after its intent was recorded. A
+// caller that goes away does not end it: the outcome is recorded, so that the
+// caller's next try with the same key gets the answer.
 func (c *call) serveOnce(w http.ResponseWriter, ctx context.Context, sink responseSink) error {
+	ctx, cancel := c.api.withDeadline(context.WithoutCancel(ctx), c.caller.deadline)
+	defer cancel()
 	if c.caller.key == "" || c.caller.issued.IsZero() {
 		return c.api.problem(w, ctx, invalid("key_missing",
 			"a non-repeatable request needs the headers "+HeaderKey+" and "+HeaderKeyIssued))
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -232,6 +232,8 @@
 	headers   []*peerpb.Header
 	body      []byte
 	truncated bool
+	// gone is set when the caller could not be written to any more.
+	gone bool
 }
 
 func (s *recordingSink) Frame(f *peerpb.Frame) error {
@@ -240,7 +242,10 @@
 		s.headers = f.Headers
 	}
 	s.keep(f.Payload)
-	return s.responseSink.Frame(f)
+	if !s.gone {
+		s.gone = s.responseSink.Frame(f) != nil
+	}
+	return nil
 }
 
 func (s *recordingSink) keep(payload []byte) {
