--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -92,7 +92,7 @@
 // ended forgets the attempt and tells the present owner, if that is another
 // router, which counts the attempt as load until then.
 func (e *exchange) ended() {
-	e.pool.runs.remove(e.req.RequestId, e.req.AttemptId)
+	e.pool.runs.remove(e.req.AttemptId)
 	if !e.pool.owned() && !e.pool.killed.Load() {
 		e.pool.deps.Ended(e.req.Pool, e.req.AttemptId)
 	}
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/backend"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
@@ -236,11 +238,15 @@
 	return p.last.Pool.Type == record.PoolPlain
 }
 
-// runs lists the attempts that this router runs, by attempt and by request.
+// recentRuns is the number of requests whose engine is remembered, so that a
+// look-up of an answer asks one engine and not the whole pool.
+const recentRuns = 16_384
+
+// runs lists the attempts that this router runs, and where recent requests ran.
 type runs struct {
 	mu        sync.Mutex
 	byAttempt map[string]string
-	byRequest map[string]run
+	byRequest *simplelru.LRU[string, run]
 }
 
 // run is where a request's attempt runs.
@@ -250,23 +256,22 @@
 }
 
 func newRuns() *runs {
-	return &runs{byAttempt: map[string]string{}, byRequest: map[string]run{}}
+	// The constructor fails only for a size below 1.
+	recent, _ := simplelru.NewLRU[string, run](recentRuns, nil)
+	return &runs{byAttempt: map[string]string{}, byRequest: recent}
 }
 
 func (r *runs) add(requestID, attemptID, engine string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.byAttempt[attemptID] = engine
-	r.byRequest[requestID] = run{attemptID: attemptID, engine: engine}
+	r.byRequest.Add(requestID, run{attemptID: attemptID, engine: engine})
 }
 
-func (r *runs) remove(requestID, attemptID string) {
+func (r *runs) remove(attemptID string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.byAttempt, attemptID)
-	if r.byRequest[requestID].attemptID == attemptID {
-		delete(r.byRequest, requestID)
-	}
 }
 
 func (r *runs) has(attemptID string) bool {
@@ -279,8 +284,7 @@
 func (r *runs) find(requestID string) (run, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	found, ok := r.byRequest[requestID]
-	return found, ok
+	return r.byRequest.Get(requestID)
 }
 
 func (r *runs) attempts() []*peerpb.Attempt {
--- a/internal/poolowner/resume.go
+++ b/internal/poolowner/resume.go
@@ -28,7 +28,7 @@
 }
 
 // locate finds the engine that has the attempt: the one that the entry router
-// names, the one where this router runs the request, then any of the pool.
+// names, the one where this router ran the request, then any of the pool.
 func (e *exchange) locate(ctx context.Context) (*engineclient.Client, *engineclient.Stream) {
 	names := e.candidates()
 	for _, name := range names {
--- a/internal/testbed/faults_test.go
+++ b/internal/testbed/faults_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/entry"
 	"github.com/bluebellwell/bluebellwell/internal/router"
+	"github.com/bluebellwell/bluebellwell/internal/standin/backendsim"
 	"github.com/bluebellwell/bluebellwell/internal/standin/enginesim"
 )
 
@@ -227,3 +228,41 @@
 		t.Fatalf("booking after the outage: %+v, %v", r, err)
 	}
 }
+
+// Guards a booking whose caller goes away before the answer: it runs to its end
+// once, and the caller's next try gets the stored answer.
+func TestBookingOutlivesItsCaller(t *testing.T) {
+	b, ctx := startBed(t, Options{Profile: Profiles()["lam-dong"], Routers: 3, Engines: 1, Backends: 1, Engine: fast})
+	server := Sorted(b.Backends())[0]
+	server.SetFaults(backendsim.Faults{HangBeforeAnswer: true})
+	c := NewCaller()
+	defer c.Close()
+	call := Call{
+		Workspace: b.Profile.Workspaces[0], Pool: b.Profile.PlainPool, Method: http.MethodPost, Path: b.Profile.Booking,
+		Body: "{}", Key: "gone-1", Issued: time.Now(),
+	}
+	callerCtx, leave := context.WithCancel(ctx)
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		_, _ = c.Do(callerCtx, addrs(b)[0], call)
+	}()
+	if err := b.Calls.Await(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	<-left
+	server.SetFaults(backendsim.Faults{})
+	var r Reply
+	err := b.Wait(ctx, func() bool {
+		var err error
+		r, err = c.Do(ctx, addrs(b)[1], call)
+		return err == nil && r.Code != "key_in_progress"
+	})
+	if err != nil || !r.Replayed || r.Outcome != entry.OutcomeDone {
+		t.Fatalf("second try: %+v, %v", r, err)
+	}
+	if n := len(b.Calls.ExecutedKey(call.Key)); n != 1 {
+		t.Fatalf("the booking ran %d times", n)
+	}
+}
