order: check that a new holder reads each engine before it orders

A trial in which orders and engine states outlived a lost lease stayed green: the model's check interval was shorter than its lease, so every state was due for a read anyway. The second place that forgot orders, at the takeover, had no effect and is gone.

--- a/internal/order/controller.go
+++ b/internal/order/controller.go
@@ -99,7 +99,7 @@
 	number     uint64
 	validUntil time.Time
 	asking     bool
-	// term counts the takeovers of this router.
+	// term counts the leases that this router has lost.
 	term int
 	// seen is the lease in force, and seenAt when this router read it.
 	seen    uint64
@@ -177,17 +177,15 @@
 		return
 	}
 	c.asking = true
-	after := c.fold().lease.number
-	renewal := after == c.number
 	record := &peerpb.OrderRecord{Kind: &peerpb.OrderRecord_Lease{Lease: &peerpb.Lease{
 		Holder:     c.name,
 		DurationMs: uint32(c.timing.Lease.Milliseconds()),
-		After:      after,
+		After:      c.fold().lease.number,
 	}}}
 	c.journal.add(encode(record), func(sent time.Time, effect bool) {
 		c.asking = false
 		if effect {
-			c.leased(sent, renewal)
+			c.leased(sent)
 		}
 	})
 }
@@ -205,16 +203,14 @@
 }
 
 // leased starts a lease, or continues one. The validity counts from before the
-// first append of the record.
-func (c *controller) leased(sent time.Time, renewal bool) {
-	if !renewal {
-		c.forgetOrders()
-	}
+// first append of the record. The orders of an earlier lease were forgotten
+// when that lease was lost.
+func (c *controller) leased(sent time.Time) {
 	c.number = c.fold().lease.number
 	c.validUntil = sent.Add(c.timing.Lease)
 }
 
-// forgetOrders ends all orders of an earlier lease.
+// forgetOrders ends all orders of a lost lease.
 func (c *controller) forgetOrders() {
 	c.term++
 	for _, e := range c.engines {
--- a/internal/order/model_test.go
+++ b/internal/order/model_test.go
@@ -22,7 +22,7 @@
 
 var (
 	modelTiming = Timing{Lease: 30 * time.Second, Margin: 1 * time.Second, SendTimeout: 2 * time.Second,
-		Check: 20 * time.Second, Poll: 10 * time.Second, Refresh: 20 * time.Minute}
+		Check: 60 * time.Second, Poll: 10 * time.Second, Refresh: 20 * time.Minute}
 	modelBudget = Budget{PerMinute: 3, AtOnce: 2, LoadLimit: 5 * time.Minute}
 	errNoAnswer = &engineclient.Error{Op: "order", Err: engineclient.ErrTimeout}
 )
@@ -69,6 +69,8 @@
 	issued  []time.Time
 	// unsettled holds the engines whose last order got no answer.
 	unsettled map[string]bool
+	// read holds the engines whose state was asked for under the present lease.
+	read map[string]bool
 }
 
 type model struct {
@@ -106,7 +108,7 @@
 	})
 	c.candidate = true
 	c.setEngines(m.names)
-	m.routers[i] = &modelRouter{c: c, unsettled: map[string]bool{}}
+	m.routers[i] = &modelRouter{c: c, unsettled: map[string]bool{}, read: map[string]bool{}}
 }
 
 func (m *model) router() *modelRouter {
@@ -155,6 +157,9 @@
 func (m *model) checkHolders() {
 	now := m.clock.Now()
 	for i, holder := range m.routers {
+		if holder.c.number == 0 {
+			clear(holder.read)
+		}
 		if !holder.c.holds(now) {
 			continue
 		}
@@ -190,6 +195,10 @@
 	if t.kind == taskOrder && t.order.Fencing != r.c.fold().lease.fencing() {
 		m.t.Fatalf("order with number %d under lease %+v", t.order.Fencing, r.c.fold().lease)
 	}
+	if t.kind == taskOrder && !r.read[t.engine] {
+		m.t.Fatalf("order to %s before its state was read under this lease", t.engine)
+	}
+	r.read[t.engine] = true
 	delete(r.unsettled, t.engine)
 	r.tasks = append(r.tasks, t)
 	r.issued = append(r.issued, now)
@@ -385,7 +394,7 @@
 		m.settle(modelTiming.Lease + modelTiming.Margin + 3*budgetWindow)
 		m.checkEngines("after the faults")
 		m.settle(budgetWindow)
-		m.settle(time.Duration(rapid.IntRange(0, 20).Draw(t, "s")) * time.Second)
+		m.settle(time.Duration(rapid.IntRange(0, 60).Draw(t, "s")) * time.Second)
 		m.lateOrders()
 		m.settle(modelTiming.RepairTime())
 		m.checkEngines("after late orders")
