cli: show pools that no router reports

Since owners are chosen by votes, a pool may have no owner for seconds. status then left the pool out; it now names the pool and the owners that routers see.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -78,7 +78,8 @@
 	// Owners are all owners that routers name. There is more than one while
 	// routers disagree.
 	Owners []string `json:"owners"`
-	// ReportedBy is the router that the figures come from.
+	// ReportedBy is the router that the figures come from. It is empty, without
+	// figures, while no answering router owns the pool.
 	ReportedBy string `json:"reported_by"`
 	// CacheReuse is the share (0 to 1) of prompt tokens that engines had cached; it
 	// is absent before the first answer.
@@ -109,9 +110,7 @@
 		}
 	}
 	f.Down = append([]string{}, slices.Sorted(maps.Keys(down))...)
-	for i := range f.Pools {
-		f.Pools[i].Owners = slices.Sorted(maps.Keys(owners[f.Pools[i].Pool]))
-	}
+	f.addOwners(owners)
 	slices.SortStableFunc(f.Pools, func(a, b poolReport) int { return strings.Compare(a.Pool, b.Pool) })
 	return f
 }
@@ -136,6 +135,21 @@
 	}
 }
 
+// addOwners names the owners of the reported pools and adds the pools that no
+// router reports.
+func (f *fleetReport) addOwners(owners map[string]map[string]bool) {
+	reported := map[string]bool{}
+	for i := range f.Pools {
+		f.Pools[i].Owners = append([]string{}, slices.Sorted(maps.Keys(owners[f.Pools[i].Pool]))...)
+		reported[f.Pools[i].Pool] = true
+	}
+	for pool, names := range owners {
+		if !reported[pool] {
+			f.Pools = append(f.Pools, poolReport{Owners: slices.Sorted(maps.Keys(names)), Stats: admission.Stats{Pool: pool}})
+		}
+	}
+}
+
 func cacheReuse(counters map[string]int64) *float64 {
 	prompt := counters["prompt_tokens"]
 	if prompt == 0 {
--- a/internal/cli/statustext.go
+++ b/internal/cli/statustext.go
@@ -94,6 +94,10 @@
 }
 
 func (p *poolReport) write(w io.Writer) error {
+	if p.ReportedBy == "" {
+		_, err := fmt.Fprintf(w, "\npool %s, owner %s, not reported\n", p.Pool, names(p.Owners))
+		return err
+	}
 	fmt.Fprintf(w, "\npool %s, owner %s, reported by %s\n", p.Pool, names(p.Owners), p.ReportedBy)
 	reuse := "-"
 	if p.CacheReuse != nil {
