--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -84,6 +84,7 @@
 		Key:          c.caller.key,
 		Digest:       digest[:],
 		IssuedUnixMs: c.caller.issued.UnixMilli(),
+		DeadlineMs:   uint32(c.caller.deadline.Milliseconds()),
 	}
 }
 
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/entry"
@@ -182,7 +183,10 @@
 	s.entry = entry.State{Config: c.config, Ready: s.life == statechart.RouterReady, Reason: reason}
 	s.entry.Accepting = s.entry.Ready || c.inLameDuck(now)
 	c.place(now, s)
-	c.r.current.Store(s)
+	last := c.r.current.Swap(s)
+	if !slices.Equal(last.streams, s.streams) {
+		c.r.guard.Refresh()
+	}
 }
 
 // readiness fires the events of the readiness rule and returns its reason.
