--- a/internal/meter/limiter.go
+++ b/internal/meter/limiter.go
@@ -50,6 +50,19 @@
 	return true
 }
 
+// Permits reports whether a message of a category may be sent now, without
+// taking its bytes. It is for senders whose bytes a Meter charges afterwards.
+func (l *Limiter) Permits(now time.Time, c Category, n int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill(now)
+	if l.tokens-float64(n) < l.floor(c) && l.tokens < l.burst {
+		l.refused[c]++
+		return false
+	}
+	return true
+}
+
 // Charge takes n bytes that cannot be refused, for example received ones.
 func (l *Limiter) Charge(now time.Time, n int) {
 	l.mu.Lock()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -2,7 +2,10 @@
 // category, with the estimated framing of the layers below.
 package meter
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Category is a kind of control traffic.
 type Category int
@@ -66,11 +69,36 @@
 // concurrent use.
 type Meter struct {
 	bytes [numCategories]atomic.Int64
+	// limiter is charged with all bytes; nil means none.
+	limiter *Limiter
+	now     func() time.Time
+}
+
+// Limited returns a meter whose bytes are charged to a limiter.
+func Limited(l *Limiter, now func() time.Time) *Meter {
+	return &Meter{limiter: l, now: now}
+}
+
+// Permits reports whether the budget has room for a message of a category. It
+// is true without a limiter.
+func (m *Meter) Permits(c Category, n int) bool {
+	return m.limiter == nil || m.limiter.Permits(m.now(), c, n)
+}
+
+// Refused returns how many messages the limiter refused, by category name.
+func (m *Meter) Refused() map[string]int64 {
+	if m.limiter == nil {
+		return nil
+	}
+	return m.limiter.Refused()
 }
 
 // Add counts n bytes, sent or received, in a category.
 func (m *Meter) Add(c Category, n int) {
 	m.bytes[c].Add(int64(n))
+	if m.limiter != nil {
+		m.limiter.Charge(m.now(), n)
+	}
 }
 
 // Totals returns the bytes counted since the start, by category name.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -119,7 +119,7 @@
 		options:  o,
 		clock:    o.Clock,
 		events:   events,
-		meter:    &meter.Meter{},
+		meter:    meter.Limited(meter.NewLimiter(o.Clock.Now(), meter.DefaultRate, meter.DefaultBurst), o.Clock.Now),
 		inbox:    make(chan message, inboxSize),
 		fetchVMs: make(chan struct{}, 1),
 		listener: o.Listener,
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -33,6 +33,7 @@
 		Control: status.Control{
 			Bytes:      r.meter.Total(),
 			ByCategory: r.meter.Totals(),
+			Refused:    r.meter.Refused(),
 		},
 	}
 	if up := now.Sub(r.started).Seconds(); up > 0 {
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -70,4 +70,6 @@
 	Bytes          int64            `json:"bytes"`
 	ByCategory     map[string]int64 `json:"by_category"`
 	BytesPerSecond float64          `json:"bytes_per_second"`
+	// Refused counts messages that the budget had no room for.
+	Refused map[string]int64 `json:"refused"`
 }
