kvmove: move KV caches away from engines that leave

A chat whose engine leaves the pool lost its cached prefix, because nothing carried the cache to another engine. The owner of a pool now exports the prefixes of the chats used last from the leaving engine and imports them where placement would send the chats next. The planner is pure; one mover for each owned pool does the calls in goroutines of a tomb. A chat that returns first, a failed or slow export and a refused import cost the chat its prefix and nothing else.

The owner keeps the names of the last 16,384 chats of a pool, because the prefix index has only hashes. A full table took 3.4 MB in a trial with names of 36 bytes.

--- /dev/null
+++ b/internal/kvmove/mover.go
@@ -0,0 +1,292 @@
+package kvmove
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+)
+
+const (
+	// moveTimeout bounds one move, so that an engine that hangs holds a place
+	// among the concurrent moves only for this time.
+	moveTimeout = 10 * time.Second
+	// Concurrent is the number of moves of a pool that run at the same time.
+	Concurrent = 4
+	// holdsBatch is the number of chats looked up under one hold of the pool's
+	// lock, so that requests do not wait for the search.
+	holdsBatch = 256
+)
+
+// Engine is the part of the engine client that a move needs.
+type Engine interface {
+	ExportKV(ctx context.Context, prefixKey, systemKey string) ([]byte, error)
+	ImportKV(ctx context.Context, blob []byte) (int, error)
+}
+
+// Deps are the mover's collaborators. The functions may be called from any
+// goroutine.
+type Deps struct {
+	Clock clockwork.Clock
+	Pool  *admission.Pool
+	Names *Names
+	// Engine returns the client of an engine, or nil if it is not listed.
+	Engine func(name string) Engine
+	// SystemKey returns the key of a workspace's system prompt.
+	SystemKey func(workspace string) string
+	Events    *event.Logger
+}
+
+// Mover carries out the moves of one pool. It is safe for concurrent use; no
+// method waits for an engine, except Close.
+type Mover struct {
+	deps Deps
+	tomb tomb.Tomb
+	wake chan struct{}
+
+	mu      sync.Mutex
+	planner *Planner
+	// leaving holds the engines that leave; true means that their chats are to
+	// be collected.
+	leaving map[string]bool
+	results [numResults]int64
+}
+
+// NewMover returns a running mover that moves nothing until SetLimit.
+func NewMover(deps Deps) *Mover {
+	m := &Mover{
+		deps:    deps,
+		wake:    make(chan struct{}, 1),
+		planner: NewPlanner(Limits{Concurrent: Concurrent}),
+		leaving: map[string]bool{},
+	}
+	m.tomb.Go(m.run)
+	return m
+}
+
+// Close cancels the running moves and waits for their end.
+func (m *Mover) Close() {
+	m.Stop()
+	_ = m.tomb.Wait()
+}
+
+// Stop cancels the running moves and does not wait.
+func (m *Mover) Stop() {
+	m.tomb.Kill(nil)
+}
+
+// SetLimit sets the number of moves that may start in any minute.
+func (m *Mover) SetLimit(perMinute int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.planner.SetLimits(Limits{PerMinute: perMinute, Concurrent: Concurrent})
+	m.poke()
+}
+
+// SetLeaving replaces the list of engines that leave. The chats of a new one
+// are moved; waiting moves of engines that are not listed any more are dropped.
+func (m *Mover) SetLeaving(engines []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listed := make(map[string]bool, len(engines))
+	for _, name := range engines {
+		listed[name] = true
+		if _, known := m.leaving[name]; !known {
+			m.leaving[name] = true
+		}
+	}
+	for name := range m.leaving {
+		if !listed[name] {
+			delete(m.leaving, name)
+			m.planner.Withdraw(name)
+		}
+	}
+	m.poke()
+}
+
+// Finished notes a chat whose request ended on an engine. If the engine
+// leaves, the chat is moved too.
+func (m *Mover) Finished(now time.Time, engine string, c Chat) {
+	m.deps.Names.Note(now, c)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, leaving := m.leaving[engine]; leaving {
+		m.planner.Offer(engine, []Used{{Chat: c, At: now}})
+		m.poke()
+	}
+}
+
+// Returned drops the waiting move of a chat that has a new request.
+func (m *Mover) Returned(c Chat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.planner.Waiting() > 0 {
+		m.planner.Returned(c.Key())
+	}
+}
+
+// Results returns the number of ended moves by result.
+func (m *Mover) Results() map[string]int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make(map[string]int64, numResults)
+	for r, n := range m.results {
+		all[Result(r).String()] = n
+	}
+	return all
+}
+
+// poke wakes the mover's goroutine.
+func (m *Mover) poke() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Mover) run() error {
+	for {
+		m.collect()
+		again := m.startAll()
+		if !m.await(again) {
+			return nil
+		}
+	}
+}
+
+// await waits for news or for a time; the zero time means none. It reports
+// false when the mover ends.
+func (m *Mover) await(again time.Time) bool {
+	var due <-chan time.Time
+	if !again.IsZero() {
+		timer := m.deps.Clock.NewTimer(again.Sub(m.deps.Clock.Now()))
+		defer timer.Stop()
+		due = timer.Chan()
+	}
+	select {
+	case <-m.tomb.Dying():
+		return false
+	case <-m.wake:
+	case <-due:
+	}
+	return true
+}
+
+// collect offers the chats of engines that began to leave.
+func (m *Mover) collect() {
+	for _, source := range m.takeNew() {
+		chats := m.chatsOf(source)
+		m.mu.Lock()
+		if _, leaving := m.leaving[source]; leaving {
+			m.planner.Offer(source, chats)
+		}
+		m.mu.Unlock()
+		m.deps.Events.Emit(event.KVMovesPlanned, "engine", source, "chats", len(chats))
+	}
+}
+
+func (m *Mover) takeNew() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var sources []string
+	for name, isNew := range m.leaving {
+		if isNew {
+			sources = append(sources, name)
+			m.leaving[name] = false
+		}
+	}
+	return sources
+}
+
+// chatsOf returns the chats that an engine holds, last used first.
+func (m *Mover) chatsOf(source string) []Used {
+	var found []Used
+	all := m.deps.Names.Newest()
+	keys := make([]uint64, 0, holdsBatch)
+	var tokens []int
+	for len(all) > 0 && len(found) < maxOffered {
+		batch := all[:min(holdsBatch, len(all))]
+		all = all[len(batch):]
+		keys = keys[:0]
+		for _, u := range batch {
+			keys = append(keys, u.Chat.Key())
+		}
+		tokens = m.deps.Pool.Holds(source, keys, tokens[:0])
+		for i, u := range batch {
+			if tokens[i] > 0 {
+				found = append(found, u)
+			}
+		}
+	}
+	return found
+}
+
+// startAll starts the moves that may start now and returns the time of the
+// next look.
+func (m *Mover) startAll() time.Time {
+	for {
+		m.mu.Lock()
+		move, ok, again := m.planner.Next(m.deps.Clock.Now(), m.deps.Pool.MoveTarget)
+		m.mu.Unlock()
+		if !ok {
+			return again
+		}
+		m.tomb.Go(func() error {
+			m.finish(move, m.carryOut(move))
+			return nil
+		})
+	}
+}
+
+// carryOut exports and imports one chat's prefix.
+func (m *Mover) carryOut(move Move) Result {
+	ctx, cancel := context.WithCancel(m.tomb.Context(context.Background()))
+	defer cancel()
+	timer := m.deps.Clock.AfterFunc(moveTimeout, cancel)
+	defer timer.Stop()
+	source, target := m.deps.Engine(move.Source), m.deps.Engine(move.Target.Engine)
+	if source == nil {
+		return SourceFailed
+	}
+	if target == nil {
+		return DestinationFailed
+	}
+	blob, err := source.ExportKV(ctx, move.Chat.PrefixKey(), m.deps.SystemKey(move.Chat.Workspace))
+	if errors.Is(err, engineclient.ErrNotFound) {
+		return NotCached
+	}
+	if err != nil {
+		return SourceFailed
+	}
+	tokens, err := target.ImportKV(ctx, blob)
+	if err != nil {
+		return DestinationFailed
+	}
+	if !m.deps.Pool.Moved(move.Key, move.Target, tokens) {
+		return Outdated
+	}
+	return Moved
+}
+
+func (m *Mover) finish(move Move, r Result) {
+	m.mu.Lock()
+	m.results[r]++
+	givenUp := m.planner.Done(move, r)
+	m.poke()
+	m.mu.Unlock()
+	e := event.KVMoveFailed
+	if r == Moved {
+		e = event.KVMoveDone
+	}
+	m.deps.Events.Emit(e, "from", move.Source, "to", move.Target.Engine, "result", r.String())
+	if givenUp {
+		m.deps.Events.Emit(event.KVMovesGivenUp, "engine", move.Source)
+	}
+}
--- /dev/null
+++ b/internal/kvmove/names.go
@@ -0,0 +1,81 @@
+package kvmove
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+)
+
+// DefaultNames is the number of chats whose names are kept for a pool. A full
+// table with names of 36 bytes takes 3.4 MB.
+const DefaultNames = 16_384
+
+// Chat names a chat.
+type Chat struct {
+	Workspace string
+	Name      string
+}
+
+// Key returns the chat's key in the prefix index.
+func (c Chat) Key() uint64 {
+	return placement.ChatKey(c.Workspace, c.Name)
+}
+
+// PrefixKey returns the key under which engines cache the chat's prefix.
+func (c Chat) PrefixKey() string {
+	return c.Workspace + "/" + c.Name
+}
+
+// Used is a chat and the time of its last use.
+type Used struct {
+	Chat Chat
+	At   time.Time
+}
+
+// Names keeps the names of the chats used last, because the prefix index knows
+// only their hashes. It is safe for concurrent use.
+type Names struct {
+	mu    sync.Mutex
+	limit int
+	order *list.List
+	byKey map[uint64]*list.Element
+}
+
+// NewNames returns a table of at most limit chats; 0 means DefaultNames.
+func NewNames(limit int) *Names {
+	if limit <= 0 {
+		limit = DefaultNames
+	}
+	return &Names{limit: limit, order: list.New(), byKey: map[uint64]*list.Element{}}
+}
+
+// Note records a use of a chat.
+func (n *Names) Note(now time.Time, c Chat) {
+	key := c.Key()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if el, ok := n.byKey[key]; ok {
+		el.Value.(*Used).At = now
+		n.order.MoveToFront(el)
+		return
+	}
+	n.byKey[key] = n.order.PushFront(&Used{Chat: c, At: now})
+	if n.order.Len() > n.limit {
+		oldest := n.order.Back()
+		n.order.Remove(oldest)
+		delete(n.byKey, oldest.Value.(*Used).Chat.Key())
+	}
+}
+
+// Newest returns the chats, last used first.
+func (n *Names) Newest() []Used {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := make([]Used, 0, n.order.Len())
+	for el := n.order.Front(); el != nil; el = el.Next() {
+		all = append(all, *el.Value.(*Used))
+	}
+	return all
+}
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/answer"
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/kvmove"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
@@ -79,6 +80,7 @@
 		return
 	}
 	e.engine = grant.Engine
+	e.pool.chatReturned(e.chat())
 	e.pool.runs.add(e.req.RequestId, e.req.AttemptId, e.engine)
 	defer e.pool.runs.remove(e.req.RequestId, e.req.AttemptId)
 	e.send(&peerpb.Frame{Engine: e.engine, Placement: e.token(grant)})
@@ -209,12 +211,17 @@
 	e.follow(ctx, engineCtx, client, stream)
 }
 
+// chat names the request's chat; the name is empty without one.
+func (e *exchange) chat() kvmove.Chat {
+	return kvmove.Chat{Workspace: e.req.Workspace, Name: e.req.ChatId}
+}
+
 func (e *exchange) engineRequest(ctx context.Context) engineclient.Request {
 	carrier := propagation.MapCarrier{}
 	propagation.TraceContext{}.Inject(ctx, carrier)
 	prefix := ""
-	if e.req.ChatId != "" {
-		prefix = e.req.Workspace + "/" + e.req.ChatId
+	if c := e.chat(); c.Name != "" {
+		prefix = c.PrefixKey()
 	}
 	return engineclient.Request{
 		AttemptID:      e.req.AttemptId,
@@ -324,6 +331,7 @@
 			PromptTokens: e.usage.PromptTokens,
 			OutputTokens: e.usage.CompletionTokens,
 		})
+		e.pool.chatFinished(e.now(), e.engine, e.chat())
 	}
 	e.send(&peerpb.Frame{Terminal: true, Outcome: peerpb.Outcome_OUTCOME_DONE})
 }
--- /dev/null
+++ b/internal/poolowner/moves.go
@@ -0,0 +1,110 @@
+package poolowner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/kvmove"
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+// moves is the KV cache moves of a pool. The mover runs while the pool is owned.
+type moves struct {
+	names *kvmove.Names
+	mu    sync.Mutex
+	mover *kvmove.Mover
+	// closed is set for good by Close.
+	closed bool
+}
+
+// applyMoves tells the mover which engines leave and how fast it may move.
+func (p *ownedPool) applyMoves(a Assignment) {
+	if !p.owned() || a.Pool.Type != record.PoolEngines {
+		return
+	}
+	p.moves.mu.Lock()
+	defer p.moves.mu.Unlock()
+	if p.moves.closed || p.killed.Load() {
+		return
+	}
+	if p.moves.mover == nil {
+		p.moves.mover = kvmove.NewMover(kvmove.Deps{
+			Clock:     p.deps.Clock,
+			Pool:      p.admission,
+			Names:     p.moves.names,
+			Engine:    p.kvEngine,
+			SystemKey: p.systemKey,
+			Events:    p.deps.Events,
+		})
+	}
+	p.moves.mover.SetLimit(a.Pool.KVMovesPerMinute)
+	p.moves.mover.SetLeaving(leaving(a.Servers))
+}
+
+func leaving(servers []Server) []string {
+	var names []string
+	for _, s := range servers {
+		if s.State == placement.Leaving {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
+// kvEngine returns the client of an engine for a move, or nil.
+func (p *ownedPool) kvEngine(name string) kvmove.Engine {
+	c := p.engine(name)
+	if c == nil {
+		return nil
+	}
+	return c
+}
+
+// stopMoves ends the mover with its moves and does not wait for them.
+func (p *ownedPool) stopMoves() {
+	p.moves.mu.Lock()
+	defer p.moves.mu.Unlock()
+	if p.moves.mover != nil {
+		p.moves.mover.Stop()
+		p.moves.mover = nil
+	}
+}
+
+// closeMoves ends the mover for good and waits for it.
+func (p *ownedPool) closeMoves() {
+	p.moves.mu.Lock()
+	p.moves.closed = true
+	m := p.moves.mover
+	p.moves.mover = nil
+	p.moves.mu.Unlock()
+	if m != nil {
+		m.Close()
+	}
+}
+
+func (p *ownedPool) currentMover() *kvmove.Mover {
+	p.moves.mu.Lock()
+	defer p.moves.mu.Unlock()
+	return p.moves.mover
+}
+
+// chatReturned tells that a chat has a new request on some engine.
+func (p *ownedPool) chatReturned(c kvmove.Chat) {
+	if m := p.currentMover(); m != nil && c.Name != "" {
+		m.Returned(c)
+	}
+}
+
+// chatFinished tells that an engine answered a chat's request. The chat is
+// noted even while the pool is not owned, because it may be owned again.
+func (p *ownedPool) chatFinished(now time.Time, engine string, c kvmove.Chat) {
+	if c.Name == "" || p.plain() {
+		return
+	}
+	if m := p.currentMover(); m != nil {
+		m.Finished(now, engine, c)
+		return
+	}
+	p.moves.names.Note(now, c)
+}
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -9,6 +9,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/backend"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/kvmove"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
@@ -31,6 +32,7 @@
 	boots    map[string]string
 	engines  map[string]*engineclient.Client
 	backends map[string]*backend.Client
+	moves    moves
 }
 
 func newOwnedPool(deps Deps, a Assignment, killed *atomic.Bool) *ownedPool {
@@ -41,6 +43,7 @@
 		boots:    map[string]string{},
 		engines:  map[string]*engineclient.Client{},
 		backends: map[string]*backend.Client{},
+		moves:    moves{names: kvmove.NewNames(0)},
 	}
 	var picker placement.Picker
 	if deps.NewPicker != nil {
@@ -66,6 +69,7 @@
 	if !slices.Equal(last.Servers, a.Servers) {
 		p.admission.SetEngines(now, p.admissionEngines())
 	}
+	defer p.applyMoves(a)
 	switch {
 	case a.Stopping:
 		p.release(now, admission.CodeStopping)
@@ -81,6 +85,7 @@
 	if !p.isOwned.Swap(false) {
 		return
 	}
+	p.stopMoves()
 	p.admission.HandBack(now, code)
 }
 
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -14,6 +14,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/meter"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
@@ -41,6 +42,8 @@
 	Rand func() float64
 	// NewPicker returns the placement policy; nil means the default.
 	NewPicker func() placement.Picker
+	// Events receives log events; nil discards them.
+	Events *event.Logger
 }
 
 // Server is one engine or backend server of a pool.
@@ -80,6 +83,9 @@
 
 // New returns a service without pools.
 func New(deps Deps) *Service {
+	if deps.Events == nil {
+		deps.Events = event.Nop()
+	}
 	s := &Service{deps: deps, pool: map[string]*ownedPool{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
@@ -90,6 +96,15 @@
 func (s *Service) Kill() {
 	s.killed.Store(true)
 	s.cancel()
+	s.Close()
+}
+
+// Close ends the KV cache moves of all pools. Requests go on. It is called
+// when the router has drained.
+func (s *Service) Close() {
+	for _, p := range s.snapshot() {
+		p.closeMoves()
+	}
 }
 
 // Assign applies decisions of the control goroutine. Pools that are not named
--- a/internal/testbed/path_test.go
+++ b/internal/testbed/path_test.go
@@ -15,6 +15,16 @@
 var fast = enginesim.Config{PrefillPerToken: time.Microsecond, PerToken: time.Millisecond}
 
 func startBed(t *testing.T, o Options) (*Bed, context.Context) {
+	t.Helper()
+	records, err := o.Profile.Records()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startBedWith(t, o, records)
+}
+
+// startBedWith starts a bed with the given records in force.
+func startBedWith(t *testing.T, o Options, records [][]byte) (*Bed, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
@@ -23,10 +33,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(b.Close)
-	records, err := o.Profile.Records()
-	if err != nil {
-		t.Fatal(err)
-	}
 	if _, err := b.Log.Append(ctx, fleetconfig.StreamName, records); err != nil {
 		t.Fatal(err)
 	}
