cachehint: turn cache events into hints and measure their worth

Engines publish cache events late and with gaps. A tracker finds the gaps in the sequence, and the prefix index then drops as many of the engine's least recently used holders as events were lost, because caches evict in that order. A hint about an addition no longer replaces a prefix that the index knows, since events do not count the shared system prompt.

--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -278,5 +278,20 @@
 		p.index.Evicted(ev.Key, i, ev.Tokens)
 		return
 	}
-	p.index.Stored(ev.Key, i, ev.Tokens)
+	// A prefix that the index knows is longer than the event says, because the
+	// event does not count the shared system prompt.
+	if p.held(ev.Key, i) == 0 {
+		p.index.Stored(ev.Key, i, ev.Tokens)
+	}
+}
+
+// CacheGap tells that a number of cache events of an engine were lost. The
+// chats that the engine may have evicted are not trusted any more. Gaps of an
+// earlier boot are ignored.
+func (p *Pool) CacheGap(engine, bootID string, lost int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i, ok := p.byName[engine]; ok && p.engines[i].boot == bootID {
+		p.index.DistrustOldest(i, lost)
+	}
 }
--- /dev/null
+++ b/internal/cachehint/cachehint.go
@@ -0,0 +1,80 @@
+// Package cachehint turns the cache events of engines into hints for a pool's
+// prefix index. The package does no I/O.
+package cachehint
+
+import (
+	"strings"
+
+	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+)
+
+// opEvict is the operation of an event about a dropped prefix; all others are
+// additions.
+const opEvict = "evict"
+
+// Update is what one page of events tells.
+type Update struct {
+	Hints []admission.CacheEvent
+	// Lost is the number of events that the engine did not deliver before the
+	// end of the page.
+	Lost int
+}
+
+// Tracker follows the events of one engine. It is not safe for concurrent use.
+type Tracker struct {
+	boot string
+	// last is the sequence number of the last event seen.
+	last uint64
+}
+
+// After returns the sequence number after which the next page starts.
+func (t *Tracker) After() uint64 {
+	return t.last
+}
+
+// Apply takes the page that follows After. The first page and the first page
+// of a new boot start the sequence and lose nothing, because the index knows
+// nothing of that cache from before. A page of a new boot that was asked for
+// with a number of the old one gives no hints; the next page starts at 0.
+func (t *Tracker) Apply(engine string, page engineclient.CacheEvents) Update {
+	if page.BootID != t.boot {
+		first := t.boot == ""
+		*t = Tracker{boot: page.BootID}
+		if !first {
+			return Update{}
+		}
+	}
+	var u Update
+	for _, e := range page.Events {
+		if t.last > 0 {
+			u.Lost += int(e.Seq - t.last - 1)
+		}
+		t.last = e.Seq
+		if key, ok := chatKey(e.PrefixKey); ok {
+			u.Hints = append(u.Hints, admission.CacheEvent{
+				Engine: engine, BootID: page.BootID, Key: key, Tokens: tokens(e), Evicted: e.Op == opEvict,
+			})
+		}
+	}
+	return u
+}
+
+// tokens returns what the engine holds of a chat after an event.
+func tokens(e engineclient.CacheEvent) int {
+	if e.Op == opEvict {
+		return 0
+	}
+	return e.Tokens
+}
+
+// chatKey returns the index key of a prefix key, workspace/chat. Names of
+// workspaces contain no slash.
+func chatKey(prefixKey string) (uint64, bool) {
+	workspace, chat, ok := strings.Cut(prefixKey, "/")
+	if !ok || chat == "" {
+		return 0, false
+	}
+	return placement.ChatKey(workspace, chat), true
+}
--- a/internal/placement/model/cache.go
+++ b/internal/placement/model/cache.go
@@ -15,6 +15,8 @@
 	used     int
 	order    *list.List
 	items    map[uint64]*list.Element
+	// onEvent is told of additions and evictions; nil tells nobody.
+	onEvent func(key uint64, tokens int, evicted bool)
 }
 
 func newCache(capacity int) *cache {
@@ -42,6 +44,7 @@
 	if tokens > item.tokens {
 		c.used += tokens - item.tokens
 		item.tokens = tokens
+		c.notify(key, tokens, false)
 	}
 	for c.used > c.capacity && c.order.Len() > 1 {
 		c.evictOldest()
@@ -54,4 +57,11 @@
 	c.order.Remove(el)
 	delete(c.items, item.key)
 	c.used -= item.tokens
+	c.notify(item.key, item.tokens, true)
+}
+
+func (c *cache) notify(key uint64, tokens int, evicted bool) {
+	if c.onEvent != nil {
+		c.onEvent(key, tokens, evicted)
+	}
 }
--- a/internal/placement/model/model.go
+++ b/internal/placement/model/model.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/cachehint"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
 )
@@ -37,6 +38,8 @@
 	SurgeFactor float64
 	// ReportLag is the age of the load reports that baselines see.
 	ReportLag time.Duration
+	// Hints feeds the engines' cache events to the pool; nil feeds none.
+	Hints *Hints
 	// Picker makes the policy; nil means the greedy oracle.
 	Picker func() placement.Picker
 }
@@ -63,10 +66,12 @@
 	MeanLoad                  float64
 	// Violations counts admissions above the bound.
 	Violations int
-	Granted    int
-	Refused    int
-	Waited     int
-	WaitP99    time.Duration
+	// HintBytes estimates the bytes of the cache events read in the measured time.
+	HintBytes int64
+	Granted   int
+	Refused   int
+	Waited    int
+	WaitP99   time.Duration
 	// FirstToken is the mean of the wait and the prefill time, FirstTokenP95
 	// its 95th percentile.
 	FirstToken    time.Duration
@@ -119,6 +124,10 @@
 	cache *cache
 	load  int
 	live  bool
+	// events are the cache events that were not read yet.
+	events []cacheEvent
+	feed   cachehint.Tracker
+	seq    uint64
 }
 
 type running struct {
@@ -166,6 +175,8 @@
 	made    int
 	chats   int
 	byKey   map[uint64]*chat
+	// names holds the prefix keys of all chats, also of ended ones.
+	names   map[uint64]string
 	weights []float64
 	system  []int
 	waiting []*running
@@ -181,7 +192,7 @@
 
 // Run simulates one policy.
 func Run(opt Options) Report {
-	s := &sim{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), byName: map[string]*engine{}, byKey: map[uint64]*chat{}}
+	s := &sim{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), byName: map[string]*engine{}, byKey: map[uint64]*chat{}, names: map[uint64]string{}}
 	s.makeWorkspaces()
 	picker := placement.Picker(&oracle{sim: s})
 	if opt.Picker != nil {
@@ -210,6 +221,9 @@
 	s.at(0, s.newChat)
 	s.at(s.opt.Warmup, s.sample)
 	s.at(0, s.sendReports)
+	if s.opt.Hints != nil {
+		s.at(0, s.readEvents)
+	}
 	if s.opt.ReplaceEvery > 0 {
 		s.at(s.opt.ReplaceEvery, s.replace)
 	}
@@ -240,6 +254,7 @@
 func (s *sim) addEngine() {
 	s.made++
 	e := &engine{name: fmt.Sprintf("engine-%d", s.made), cache: newCache(s.opt.CacheTokens), live: true}
+	s.record(e)
 	s.engines = append(s.engines, e)
 	s.byName[e.name] = e
 }
@@ -317,6 +332,7 @@
 	// The turns follow a Pareto distribution with shape 1.5 and minimum 2.
 	c.turns = int(math.Min(2/math.Pow(c.rng.Float64(), 1/1.5), 200))
 	s.byKey[c.key] = c
+	s.names[c.key] = workspaceName(w) + "/" + c.name
 	s.send(c)
 }
 
--- a/internal/placement/model/model_test.go
+++ b/internal/placement/model/model_test.go
@@ -56,3 +56,39 @@
 		}
 	}
 }
+
+// BenchmarkHints reports what cache events and the known cache size add to the
+// prefix index, with caches that hold most chats and with small ones.
+func BenchmarkHints(b *testing.B) {
+	slow := Hints{Every: 30 * time.Second, Lag: 5 * time.Second}
+	few := slow
+	few.PerRead = 8
+	gaps := slow
+	gaps.GapEvery = 10
+	for _, tokens := range []int{300_000, 60_000} {
+		for _, v := range []struct {
+			name  string
+			known bool
+			hints *Hints
+		}{
+			{"known", true, nil},
+			{"unknown", false, nil},
+			{"unknown_every_2s", false, &Hints{Every: 2 * time.Second, Lag: time.Second}},
+			{"unknown_every_30s", false, &slow},
+			{"unknown_every_30s_gaps", false, &gaps},
+			{"unknown_every_30s_8_events", false, &few},
+		} {
+			b.Run(fmt.Sprintf("cache=%d/%s", tokens, v.name), func(b *testing.B) {
+				opt := Defaults(1.25)
+				opt.HomeWait = 20 * time.Millisecond
+				opt.CacheTokens, opt.CapacityKnown, opt.Hints = tokens, v.known, v.hints
+				var c Comparison
+				for range b.N {
+					c = Compare(opt, Policies()[0])
+				}
+				b.ReportMetric(c.OracleShare, "oracle-share")
+				b.ReportMetric(float64(c.HintBytes)/opt.Duration.Seconds(), "control-B/s")
+			})
+		}
+	}
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -353,3 +353,21 @@
 		t.Errorf("all excluded: got %+v", c)
 	}
 }
+
+// Guards against a gap in the cache events that costs more than the lost
+// events can concern: other engines and chats used later keep their holders.
+func TestDistrustOldest(t *testing.T) {
+	x := NewPrefixIndex(0)
+	for key := uint64(1); key <= 4; key++ {
+		x.Used(key, 0, 100, 100)
+		x.Used(key, 1, 100, 100)
+	}
+	x.Used(1, 0, 120, 20)
+	x.DistrustOldest(0, 2)
+	for key, want := range map[uint64]int{1: 2, 2: 1, 3: 1, 4: 2} {
+		held := x.Lookup(key, nil)
+		if len(held) != want || held[len(held)-1].Engine == 0 && want == 1 {
+			t.Errorf("chat %d has the holders %+v, want %d", key, held, want)
+		}
+	}
+}
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -183,6 +183,26 @@
 	}
 }
 
+// maxDistrustSteps bounds the entries that one gap looks at.
+const maxDistrustSteps = 1024
+
+// DistrustOldest drops the n holders of an engine that were used least
+// recently. Each lost cache event can be the eviction of one chat, and caches
+// evict in the order of use, so n lost events concern no other chat.
+func (x *PrefixIndex) DistrustOldest(engine, n int) {
+	at := x.oldest
+	for steps := 0; at != noEntry && n > 0 && steps < maxDistrustSteps; steps++ {
+		e := &x.entries[at]
+		for i := range e.holders {
+			if int(e.holders[i].engine) == engine && x.trusted(e.holders[i]) {
+				e.holders[i].tokens = 0
+				n--
+			}
+		}
+		at = e.prev
+	}
+}
+
 // Stored applies a cache event: the engine holds a prefix that this index did
 // not see being made, for example after an import.
 func (x *PrefixIndex) Stored(key uint64, engine, tokens int) {
