cachehint: read cache events within a budget of control bytes

It reads the engines in turn from a token bucket in bytes per second; while the bucket is short it skips reads, and it never asks for fewer than 8 events, because a smaller page is mostly headers.

Empty reads also use up the budget, which is a cost of the polling protocol.

--- /dev/null
+++ b/internal/cachehint/reader.go
@@ -0,0 +1,223 @@
+package cachehint
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/meter"
+)
+
+const (
+	// eventBytes is a usual event in JSON, exchangeBytes are the headers of both
+	// directions of a read. They turn the budget into a number of events.
+	eventBytes    = 200
+	exchangeBytes = 300
+	// minEvents and maxEvents bound the events of one read. A read of fewer
+	// events is mostly headers.
+	minEvents = 8
+	maxEvents = 512
+	// maxSaved is the time for which an unused budget is kept.
+	maxSaved = 1 * time.Minute
+)
+
+// readBytes is the estimated cost of a read.
+func readBytes(events int) float64 {
+	return float64(meter.HTTPExchangeBytes(exchangeBytes + events*eventBytes))
+}
+
+// Budget is a token bucket of control bytes. It takes the time as an argument
+// and is not safe for concurrent use.
+type Budget struct {
+	perSecond float64
+	saved     float64
+	at        time.Time
+}
+
+// SetRate sets the bytes per second; 0 stops all reads.
+func (b *Budget) SetRate(now time.Time, perSecond int) {
+	b.earn(now)
+	b.perSecond = float64(perSecond)
+	b.saved = min(b.saved, b.limit())
+}
+
+// limit lets even a small rate save up for the smallest read.
+func (b *Budget) limit() float64 {
+	if b.perSecond <= 0 {
+		return 0
+	}
+	return max(b.perSecond*maxSaved.Seconds(), readBytes(minEvents))
+}
+
+func (b *Budget) earn(now time.Time) {
+	if !b.at.IsZero() && now.After(b.at) {
+		b.saved = min(b.saved+b.perSecond*now.Sub(b.at).Seconds(), b.limit())
+	}
+	b.at = now
+}
+
+// Take returns the number of events that the next read may ask for. Without
+// enough budget it returns 0 and the time at which there is enough; the zero
+// time means never.
+func (b *Budget) Take(now time.Time) (events int, again time.Time) {
+	b.earn(now)
+	if b.perSecond <= 0 {
+		return 0, time.Time{}
+	}
+	if missing := readBytes(minEvents) - b.saved; missing > 0 {
+		wait := time.Duration(missing / b.perSecond * float64(time.Second))
+		return 0, now.Add(wait + time.Millisecond)
+	}
+	return min(int((b.saved-readBytes(0))/eventBytes), maxEvents), time.Time{}
+}
+
+// Spend pays for a read that brought a number of events.
+func (b *Budget) Spend(events int) {
+	b.saved -= readBytes(events)
+}
+
+// Source is the part of the engine client that the reader needs.
+type Source interface {
+	CacheEvents(ctx context.Context, after uint64, limit int) (engineclient.CacheEvents, error)
+}
+
+// Sink takes the hints; *admission.Pool is one.
+type Sink interface {
+	CacheHint(ev admission.CacheEvent)
+	CacheGap(engine, bootID string, lost int)
+}
+
+// Deps are the reader's collaborators.
+type Deps struct {
+	Clock clockwork.Clock
+	Pool  Sink
+	// Engine returns the client of an engine, or nil if it is not listed.
+	Engine func(name string) Source
+	Events *event.Logger
+}
+
+// Reader reads the events of a pool's engines in turn, as fast as its budget
+// allows. It is safe for concurrent use.
+type Reader struct {
+	deps Deps
+	tomb tomb.Tomb
+	wake chan struct{}
+
+	mu       sync.Mutex
+	budget   Budget
+	engines  []string
+	trackers map[string]*Tracker
+}
+
+// NewReader returns a running reader that reads nothing until Set.
+func NewReader(deps Deps) *Reader {
+	r := &Reader{deps: deps, wake: make(chan struct{}, 1), trackers: map[string]*Tracker{}}
+	r.tomb.Go(r.run)
+	return r
+}
+
+// Stop cancels a read in progress and does not wait.
+func (r *Reader) Stop() {
+	r.tomb.Kill(nil)
+}
+
+// Close cancels a read in progress and waits for its end.
+func (r *Reader) Close() {
+	r.Stop()
+	_ = r.tomb.Wait()
+}
+
+// Set replaces the engines and the budget in bytes per second; 0 stops all reads.
+func (r *Reader) Set(engines []string, perSecond int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.engines = append([]string(nil), engines...)
+	r.budget.SetRate(r.deps.Clock.Now(), perSecond)
+	listed := make(map[string]*Tracker, len(engines))
+	for _, name := range engines {
+		listed[name] = r.trackers[name]
+		if listed[name] == nil {
+			listed[name] = &Tracker{}
+		}
+	}
+	r.trackers = listed
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Reader) run() error {
+	ctx := r.tomb.Context(context.Background())
+	for r.tomb.Alive() {
+		engine, events, again := r.next()
+		if engine != "" {
+			r.read(ctx, engine, events)
+			continue
+		}
+		r.await(again)
+	}
+	return nil
+}
+
+// next returns the engine whose turn it is and puts it at the end.
+func (r *Reader) next() (engine string, events int, again time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	events, again = r.budget.Take(r.deps.Clock.Now())
+	if events == 0 || len(r.engines) == 0 {
+		return "", 0, again
+	}
+	engine = r.engines[0]
+	r.engines = append(r.engines[1:], engine)
+	return engine, events, time.Time{}
+}
+
+// await waits until a time, or for news if it is zero.
+func (r *Reader) await(again time.Time) {
+	var due <-chan time.Time
+	if !again.IsZero() {
+		timer := r.deps.Clock.NewTimer(again.Sub(r.deps.Clock.Now()))
+		defer timer.Stop()
+		due = timer.Chan()
+	}
+	select {
+	case <-r.tomb.Dying():
+	case <-r.wake:
+	case <-due:
+	}
+}
+
+// read reads one page. A failed read costs as much as an empty one.
+func (r *Reader) read(ctx context.Context, engine string, events int) {
+	client := r.deps.Engine(engine)
+	r.mu.Lock()
+	tracker := r.trackers[engine]
+	r.mu.Unlock()
+	var page engineclient.CacheEvents
+	if client != nil && tracker != nil {
+		var err error
+		if page, err = client.CacheEvents(ctx, tracker.After(), events); err == nil {
+			r.apply(engine, tracker.Apply(engine, page), page.BootID)
+		}
+	}
+	r.mu.Lock()
+	r.budget.Spend(len(page.Events))
+	r.mu.Unlock()
+}
+
+func (r *Reader) apply(engine string, u Update, bootID string) {
+	if u.Lost > 0 {
+		r.deps.Pool.CacheGap(engine, bootID, u.Lost)
+		r.deps.Events.Emit(event.CacheEventGap, "engine", engine, "lost", u.Lost)
+	}
+	for _, h := range u.Hints {
+		r.deps.Pool.CacheHint(h)
+	}
+}
--- /dev/null
+++ b/internal/cachehint/reader_test.go
@@ -0,0 +1,128 @@
+package cachehint
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/standin/enginesim"
+)
+
+// sink counts what the reader passes on.
+type sink struct {
+	hints map[uint64]bool
+	lost  int
+}
+
+func (s *sink) CacheHint(ev admission.CacheEvent) { s.hints[ev.Key] = true }
+func (s *sink) CacheGap(_, _ string, lost int)    { s.lost += lost }
+
+const (
+	testChats = 60
+	testRate  = 500
+)
+
+// readAll reads the events of one engine for ten minutes of a fake clock. An
+// engine that is broken refuses its connections.
+func readAll(t *testing.T, gapEvery int, broken bool) (s *sink, bytes int64, elapsed time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	e := enginesim.New(enginesim.Config{Name: "e", CacheEventGap: gapEvery})
+	defer e.Close()
+	addr, err := e.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m meter.Meter
+	client := engineclient.New(engineclient.Options{BaseURL: "http://" + addr, Meter: &m})
+	for i := range testChats {
+		blob := fmt.Sprintf(`{"prefix_key":"registrar-desk/%036d","tokens":100}`, i)
+		if _, err := client.ImportKV(ctx, []byte(blob)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if broken {
+		client.Close()
+		if err := e.SetRefuse(true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	clock := clockwork.NewFakeClock()
+	s = &sink{hints: map[uint64]bool{}}
+	r := NewReader(Deps{Clock: clock, Pool: s, Events: event.Nop(), Engine: func(string) Source { return client }})
+	defer r.Close()
+	begin := clock.Now()
+	r.Set([]string{"e"}, testRate)
+	for clock.Now().Sub(begin) < 10*time.Minute {
+		if err := clock.BlockUntilContext(ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		clock.Advance(time.Second)
+	}
+	r.Close()
+	return s, m.Totals()[meter.CacheEvents.String()], clock.Now().Sub(begin)
+}
+
+// Guards against events that are not passed on, gaps that go unnoticed, and
+// reads that cost more control bytes than the pool allows, also from an engine
+// that refuses its connections.
+func TestReaderKeepsToItsBudget(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		gap    int
+		broken bool
+		hints  int
+		lost   int
+	}{
+		{"all events", 0, false, testChats, 0},
+		{"one of seven lost", 7, false, testChats - testChats/7, testChats / 7},
+		{"engine refuses", 0, true, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, bytes, elapsed := readAll(t, c.gap, c.broken)
+			if len(s.hints) != c.hints || s.lost != c.lost {
+				t.Errorf("%d hints and %d lost events, want %d and %d", len(s.hints), s.lost, c.hints, c.lost)
+			}
+			if limit := int64(testRate * elapsed.Seconds()); bytes > limit {
+				t.Errorf("%d bytes in %s, more than %d", bytes, elapsed, limit)
+			}
+			t.Logf("%d control bytes in %s", bytes, elapsed)
+		})
+	}
+}
+
+// Guards against a rate of 0 that still reads, and against a burst after a
+// long pause that exceeds a minute of the budget.
+func TestBudget(t *testing.T) {
+	var b Budget
+	now := time.Unix(0, 0)
+	b.SetRate(now, 0)
+	if n, again := b.Take(now.Add(time.Hour)); n != 0 || !again.IsZero() {
+		t.Fatalf("rate 0 gives %d events, next look %s", n, again)
+	}
+	b.SetRate(now.Add(time.Hour), testRate)
+	now = now.Add(3 * time.Hour)
+	total := 0.0
+	for n, _ := b.Take(now); n > 0; n, _ = b.Take(now) {
+		b.Spend(n)
+		total += readBytes(n)
+	}
+	if total > testRate*maxSaved.Seconds() {
+		t.Fatalf("%.0f bytes at once", total)
+	}
+	n, again := b.Take(now)
+	if n != 0 || !again.After(now) {
+		t.Fatalf("an empty budget gives %d events, next look %s", n, again)
+	}
+	if n, _ = b.Take(again); n < minEvents {
+		t.Fatalf("%d events at the announced time", n)
+	}
+}
