record, poolowner: settings for the cache size and cache events

The prefix index ages its entries only if it knows the cache size, but engines report only the tokens in use, so no source exists in their protocol. The pool record gets cache_tokens (schema 2, default 0 for unknown), which the owner passes to the index.

cache_event_bytes_per_s (schema 2, default 0) is the budget of the reader of cache events. With 0 the reader does not run.

Records of schema 1 keep their meaning.

--- a/internal/cli/specs.go
+++ b/internal/cli/specs.go
@@ -20,6 +20,8 @@
 	RetryBudget         float64                     `json:"retry_budget"`
 	ClassShares         map[record.Priority]float64 `json:"class_shares"`
 	KVMovesPerMinute    int                         `json:"kv_moves_per_minute"`
+	CacheTokens         int                         `json:"cache_tokens"`
+	CacheEventBytes     int                         `json:"cache_event_bytes_per_s"`
 }
 
 func poolSpecOf(p *record.Pool) poolSpec {
@@ -34,6 +36,8 @@
 		RetryBudget:         p.RetryBudget,
 		ClassShares:         p.ClassShares,
 		KVMovesPerMinute:    p.KVMovesPerMinute,
+		CacheTokens:         p.CacheTokens,
+		CacheEventBytes:     p.CacheEventBytes,
 	}
 }
 
--- a/internal/poolowner/moves.go
+++ b/internal/poolowner/moves.go
@@ -4,16 +4,19 @@
 	"sync"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/cachehint"
 	"github.com/bluebellwell/bluebellwell/internal/kvmove"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
 )
 
-// moves is the KV cache moves of a pool. The mover runs while the pool is owned.
+// moves is the work on the engines' caches of a pool. The mover runs while the
+// pool is owned, the reader of cache events also needs a budget.
 type moves struct {
-	names *kvmove.Names
-	mu    sync.Mutex
-	mover *kvmove.Mover
+	names  *kvmove.Names
+	mu     sync.Mutex
+	mover  *kvmove.Mover
+	reader *cachehint.Reader
 	// closed is set for good by Close.
 	closed bool
 }
@@ -40,6 +43,39 @@
 	}
 	p.moves.mover.SetLimit(a.Pool.KVMovesPerMinute)
 	p.moves.mover.SetLeaving(leaving(a.Servers))
+	p.applyReader(a)
+}
+
+// applyReader tells the reader of cache events its engines and its budget.
+// The caller holds the lock of moves.
+func (p *ownedPool) applyReader(a Assignment) {
+	if p.moves.reader == nil {
+		if a.Pool.CacheEventBytes == 0 {
+			return
+		}
+		p.moves.reader = cachehint.NewReader(cachehint.Deps{
+			Clock:  p.deps.Clock,
+			Pool:   p.admission,
+			Engine: p.eventSource,
+			Events: p.deps.Events,
+		})
+	}
+	var live []string
+	for _, s := range a.Servers {
+		if s.State.Live() {
+			live = append(live, s.Name)
+		}
+	}
+	p.moves.reader.Set(live, a.Pool.CacheEventBytes)
+}
+
+// eventSource returns the client of an engine for its cache events, or nil.
+func (p *ownedPool) eventSource(name string) cachehint.Source {
+	c := p.engine(name)
+	if c == nil {
+		return nil
+	}
+	return c
 }
 
 func leaving(servers []Server) []string {
@@ -61,7 +97,7 @@
 	return c
 }
 
-// stopMoves ends the mover with its moves and does not wait for them.
+// stopMoves ends the mover and the reader and does not wait for them.
 func (p *ownedPool) stopMoves() {
 	p.moves.mu.Lock()
 	defer p.moves.mu.Unlock()
@@ -69,18 +105,25 @@
 		p.moves.mover.Stop()
 		p.moves.mover = nil
 	}
+	if p.moves.reader != nil {
+		p.moves.reader.Stop()
+		p.moves.reader = nil
+	}
 }
 
-// closeMoves ends the mover for good and waits for it.
+// closeMoves ends the mover and the reader for good and waits for them.
 func (p *ownedPool) closeMoves() {
 	p.moves.mu.Lock()
 	p.moves.closed = true
-	m := p.moves.mover
-	p.moves.mover = nil
+	m, r := p.moves.mover, p.moves.reader
+	p.moves.mover, p.moves.reader = nil, nil
 	p.moves.mu.Unlock()
 	if m != nil {
 		m.Close()
 	}
+	if r != nil {
+		r.Close()
+	}
 }
 
 func (p *ownedPool) currentMover() *kvmove.Mover {
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -66,7 +66,7 @@
 	if last.Pool != a.Pool || !sameMap(last.Workspaces, a.Workspaces) {
 		p.admission.Update(now, admission.Config{Pool: a.Pool, Workspaces: a.Workspaces})
 	}
-	if !slices.Equal(last.Servers, a.Servers) {
+	if !slices.Equal(last.Servers, a.Servers) || last.Pool != nil && last.Pool.CacheTokens != a.Pool.CacheTokens {
 		p.admission.SetEngines(now, p.admissionEngines())
 	}
 	defer p.applyMoves(a)
@@ -146,6 +146,9 @@
 	defer p.mu.RUnlock()
 	list := make([]admission.Engine, 0, len(p.servers))
 	for _, s := range p.servers {
+		if s.CacheTokens == 0 {
+			s.CacheTokens = p.last.Pool.CacheTokens
+		}
 		list = append(list, admission.Engine{
 			Name: s.Name, Weight: s.Weight, State: s.State, BootID: p.boots[s.Name], CacheTokens: s.CacheTokens,
 		})
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -53,7 +53,7 @@
 	Addr   string
 	State  placement.State
 	Weight float64
-	// CacheTokens is the size of the prefix cache; 0 means unknown.
+	// CacheTokens is the size of the prefix cache; 0 means that of the pool's record.
 	CacheTokens int
 }
 
--- a/internal/record/config.go
+++ b/internal/record/config.go
@@ -63,6 +63,11 @@
 	RetryBudget float64
 	// KVMovesPerMinute limits KV cache moves away from leaving engines.
 	KVMovesPerMinute int
+	// CacheTokens is the size of each engine's prefix cache; 0 means unknown.
+	CacheTokens int
+	// CacheEventBytes bounds the control bytes per second that the pool's owner
+	// spends on reading cache events; 0 means that it reads none.
+	CacheEventBytes int
 }
 
 // Workspace is a customer unit with its own limits.
--- a/internal/record/parse.go
+++ b/internal/record/parse.go
@@ -34,6 +34,8 @@
 	defaultRetryBudget    = 0.1
 	maxKVMovesPerMinute   = 10_000
 	defaultKVMoves        = 30
+	maxCacheTokens        = 1_000_000_000
+	maxCacheEventBytes    = 1_000_000
 	minWeight             = 0.01
 	maxWeight             = 1000
 	defaultWeight         = 1
@@ -184,6 +186,8 @@
 	if p.version >= schemaVersion2 {
 		pool.ClassShares = p.classShares(f)
 		pool.KVMovesPerMinute = f.integer("kv_moves_per_minute", 0, maxKVMovesPerMinute, defaultKVMoves)
+		pool.CacheTokens = f.integer("cache_tokens", 0, maxCacheTokens, 0)
+		pool.CacheEventBytes = f.integer("cache_event_bytes_per_s", 0, maxCacheEventBytes, 0)
 	}
 	p.poolType(f, pool)
 	pool.LoadMultiple = p.loadMultiple(f, pool.Type)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -107,6 +107,9 @@
 //	class_shares           schema 2: lookup, standard and review, each 0 to 1
 //	                       and together at most 0.9; default 0.2, 0.2 and 0.1
 //	kv_moves_per_minute    schema 2: 0 to 10000, default 30
+//	cache_tokens           schema 2: 0 to 1e9, prefix cache of each engine;
+//	                       default 0 (unknown)
+//	cache_event_bytes_per_s  schema 2: 0 to 1000000, default 0 (no events)
 //
 // Fields of a workspace:
 //
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -39,6 +39,29 @@
 	}
 }
 
+// Guards against cache settings that are lost, unbounded, or taken as known by
+// the older schema.
+func TestCacheSettings(t *testing.T) {
+	rec, err := Parse("f", []byte(spec("pool", `{"type":"plain","cache_tokens":300000,"cache_event_bytes_per_s":150}`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p := rec.Changes[0].Pool; p.CacheTokens != 300_000 || p.CacheEventBytes != 150 {
+		t.Fatalf("got %+v", p)
+	}
+	for _, data := range []string{
+		spec("pool", `{"type":"plain","cache_tokens":-1}`),
+		spec("pool", `{"type":"plain","cache_tokens":1000000001}`),
+		spec("pool", `{"type":"plain","cache_event_bytes_per_s":-1}`),
+		spec("pool", `{"type":"plain","cache_event_bytes_per_s":1000001}`),
+		strings.Replace(v1Pool, `1.25`, `1.25,"cache_tokens":1`, 1),
+	} {
+		if _, err := Parse("f", []byte(data)); err == nil {
+			t.Errorf("accepted %s", data)
+		}
+	}
+}
+
 // spec wraps the spec of one object in a schema 2 record.
 func spec(kind, s string) string {
 	return fmt.Sprintf(`{"schema_version":2,"id":"r","author":"a","changes":[{"kind":%q,"name":"n","spec":%s}]}`, kind, s)
