--- a/internal/placement/model/model.go
+++ b/internal/placement/model/model.go
@@ -13,6 +13,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/cachehint"
+	"github.com/bluebellwell/bluebellwell/internal/kvmove"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
 )
@@ -38,6 +39,9 @@
 	SurgeFactor float64
 	// ReportLag is the age of the load reports that baselines see.
 	ReportLag time.Duration
+	// MovesPerMinute limits the KV cache moves away from leaving engines; 0
+	// means none.
+	MovesPerMinute int
 	// Hints feeds the engines' cache events to the pool; nil feeds none.
 	Hints *Hints
 	// Picker makes the policy; nil means the greedy oracle.
@@ -66,6 +70,8 @@
 	MeanLoad                  float64
 	// Violations counts admissions above the bound.
 	Violations int
+	// Moves is the number of KV cache moves that ended well.
+	Moves int
 	// HintBytes estimates the bytes of the cache events read in the measured time.
 	HintBytes int64
 	Granted   int
@@ -186,6 +192,8 @@
 	waits   []time.Duration
 	first   []time.Duration
 	report  Report
+	planner *kvmove.Planner
+	used    *kvmove.Names
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -193,6 +201,8 @@
 // Run simulates one policy.
 func Run(opt Options) Report {
 	s := &sim{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), byName: map[string]*engine{}, byKey: map[uint64]*chat{}, names: map[uint64]string{}}
+	s.planner = kvmove.NewPlanner(kvmove.Limits{PerMinute: opt.MovesPerMinute, Concurrent: kvmove.Concurrent})
+	s.used = kvmove.NewNames(0)
 	s.makeWorkspaces()
 	picker := placement.Picker(&oracle{sim: s})
 	if opt.Picker != nil {
@@ -284,14 +294,19 @@
 		}
 	}
 	s.engines = kept
+	var left *engine
 	for _, e := range s.engines {
 		if e.live {
 			e.live = false
+			left = e
 			break
 		}
 	}
 	s.addEngine()
 	s.publish()
+	if left != nil {
+		s.moveAway(left)
+	}
 	s.settle()
 }
 
@@ -403,6 +418,7 @@
 	e.load++
 	r.engine = e
 	c := r.chat
+	s.planner.Returned(c.key)
 	sys := min(e.cache.held(systemKey(c.workspace)), s.system[c.workspace])
 	if sys > 0 {
 		r.hit = sys + min(e.cache.held(c.key), c.history)
@@ -460,6 +476,7 @@
 	s.pool.Release(s.clock(), r.ticket, admission.Result{
 		CachedTokens: r.hit, PromptTokens: r.prompt, OutputTokens: c.output,
 	})
+	s.noteEnd(r)
 	if c.turn < c.turns {
 		// The pause has a median of 20 s and a mean of about 41 s.
 		pause := 20 * math.Exp(1.2*c.rng.NormFloat64())
--- a/internal/placement/model/model_test.go
+++ b/internal/placement/model/model_test.go
@@ -92,3 +92,26 @@
 		}
 	}
 }
+
+// BenchmarkMoves reports what KV cache moves away from leaving engines add,
+// with an engine replaced every two minutes and every 30 seconds.
+func BenchmarkMoves(b *testing.B) {
+	for _, every := range []time.Duration{2 * time.Minute, 30 * time.Second} {
+		for _, perMinute := range []int{0, 30, 60, 300} {
+			b.Run(fmt.Sprintf("replace=%s/moves=%d", every, perMinute), func(b *testing.B) {
+				opt := Defaults(1.25)
+				opt.HomeWait = 20 * time.Millisecond
+				opt.ReplaceEvery, opt.MovesPerMinute = every, perMinute
+				opt.Picker = Policies()[0].New
+				var r Report
+				for range b.N {
+					r = Run(opt)
+				}
+				b.ReportMetric(r.HitShare(), "hit-share")
+				b.ReportMetric(float64(r.Moves), "moves")
+				b.ReportMetric(r.SkewP99, "skew-p99")
+				b.ReportMetric(float64(r.Violations), "violations")
+			})
+		}
+	}
+}
