--- a/internal/placement/model/model.go
+++ b/internal/placement/model/model.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/cachehint"
+	"github.com/bluebellwell/bluebellwell/internal/kvmove"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
 )
@@ -37,6 +39,11 @@
 	SurgeFactor float64
 	// ReportLag is the age of the load reports that baselines see.
 	ReportLag time.Duration
+	// MovesPerMinute limits the KV cache moves away from leaving engines; 0
+	// means none.
+	MovesPerMinute int
+	// Hints feeds the engines' cache events to the pool; nil feeds none.
+	Hints *Hints
 	// Picker makes the policy; nil means the greedy oracle.
 	Picker func() placement.Picker
 }
@@ -63,10 +70,14 @@
 	MeanLoad                  float64
 	// Violations counts admissions above the bound.
 	Violations int
-	Granted    int
-	Refused    int
-	Waited     int
-	WaitP99    time.Duration
+	// Moves is the number of KV cache moves that ended well.
+	Moves int
+	// HintBytes estimates the bytes of the cache events read in the measured time.
+	HintBytes int64
+	Granted   int
+	Refused   int
+	Waited    int
+	WaitP99   time.Duration
 	// FirstToken is the mean of the wait and the prefill time, FirstTokenP95
 	// its 95th percentile.
 	FirstToken    time.Duration
@@ -119,6 +130,10 @@
 	cache *cache
 	load  int
 	live  bool
+	// events are the cache events that were not read yet.
+	events []cacheEvent
+	feed   cachehint.Tracker
+	seq    uint64
 }
 
 type running struct {
@@ -166,6 +181,8 @@
 	made    int
 	chats   int
 	byKey   map[uint64]*chat
+	// names holds the prefix keys of all chats, also of ended ones.
+	names   map[uint64]string
 	weights []float64
 	system  []int
 	waiting []*running
@@ -175,13 +192,17 @@
 	waits   []time.Duration
 	first   []time.Duration
 	report  Report
+	planner *kvmove.Planner
+	used    *kvmove.Names
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // Run simulates one policy.
 func Run(opt Options) Report {
-	s := &sim{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), byName: map[string]*engine{}, byKey: map[uint64]*chat{}}
+	s := &sim{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), byName: map[string]*engine{}, byKey: map[uint64]*chat{}, names: map[uint64]string{}}
+	s.planner = kvmove.NewPlanner(kvmove.Limits{PerMinute: opt.MovesPerMinute, Concurrent: kvmove.Concurrent})
+	s.used = kvmove.NewNames(0)
 	s.makeWorkspaces()
 	picker := placement.Picker(&oracle{sim: s})
 	if opt.Picker != nil {
@@ -210,6 +231,9 @@
 	s.at(0, s.newChat)
 	s.at(s.opt.Warmup, s.sample)
 	s.at(0, s.sendReports)
+	if s.opt.Hints != nil {
+		s.at(0, s.readEvents)
+	}
 	if s.opt.ReplaceEvery > 0 {
 		s.at(s.opt.ReplaceEvery, s.replace)
 	}
@@ -240,6 +264,7 @@
 func (s *sim) addEngine() {
 	s.made++
 	e := &engine{name: fmt.Sprintf("engine-%d", s.made), cache: newCache(s.opt.CacheTokens), live: true}
+	s.record(e)
 	s.engines = append(s.engines, e)
 	s.byName[e.name] = e
 }
@@ -269,14 +294,19 @@
 		}
 	}
 	s.engines = kept
+	var left *engine
 	for _, e := range s.engines {
 		if e.live {
 			e.live = false
+			left = e
 			break
 		}
 	}
 	s.addEngine()
 	s.publish()
+	if left != nil {
+		s.moveAway(left)
+	}
 	s.settle()
 }
 
@@ -317,6 +347,7 @@
 	// The turns follow a Pareto distribution with shape 1.5 and minimum 2.
 	c.turns = int(math.Min(2/math.Pow(c.rng.Float64(), 1/1.5), 200))
 	s.byKey[c.key] = c
+	s.names[c.key] = workspaceName(w) + "/" + c.name
 	s.send(c)
 }
 
@@ -387,6 +418,7 @@
 	e.load++
 	r.engine = e
 	c := r.chat
+	s.planner.Returned(c.key)
 	sys := min(e.cache.held(systemKey(c.workspace)), s.system[c.workspace])
 	if sys > 0 {
 		r.hit = sys + min(e.cache.held(c.key), c.history)
@@ -444,6 +476,7 @@
 	s.pool.Release(s.clock(), r.ticket, admission.Result{
 		CachedTokens: r.hit, PromptTokens: r.prompt, OutputTokens: c.output,
 	})
+	s.noteEnd(r)
 	if c.turn < c.turns {
 		// The pause has a median of 20 s and a mean of about 41 s.
 		pause := 20 * math.Exp(1.2*c.rng.NormFloat64())
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/backend"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/kvmove"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
@@ -39,6 +40,7 @@
 	boots    map[string]string
 	engines  map[string]*engineclient.Client
 	backends map[string]*backend.Client
+	moves    moves
 }
 
 func newOwnedPool(ctx context.Context, deps Deps, a Assignment, killed *atomic.Bool) *ownedPool {
@@ -51,6 +53,7 @@
 		boots:    map[string]string{},
 		engines:  map[string]*engineclient.Client{},
 		backends: map[string]*backend.Client{},
+		moves:    moves{names: kvmove.NewNames(0)},
 	}
 	var picker placement.Picker
 	if deps.NewPicker != nil {
@@ -73,9 +76,10 @@
 	if last.Pool != a.Pool || !sameMap(last.Workspaces, a.Workspaces) {
 		p.admission.Update(now, admission.Config{Pool: a.Pool, Workspaces: a.Workspaces})
 	}
-	if !slices.Equal(last.Servers, a.Servers) {
+	if !slices.Equal(last.Servers, a.Servers) || last.Pool != nil && last.Pool.CacheTokens != a.Pool.CacheTokens {
 		p.admission.SetEngines(now, p.admissionEngines())
 	}
+	defer p.applyMoves(a)
 	switch {
 	case a.Stopping:
 		p.release(now, admission.CodeStopping)
@@ -94,6 +98,7 @@
 	if !p.isOwned.Swap(false) {
 		return
 	}
+	p.stopMoves()
 	p.admission.HandBack(now, code)
 }
 
@@ -154,6 +159,9 @@
 	defer p.mu.RUnlock()
 	list := make([]admission.Engine, 0, len(p.servers))
 	for _, s := range p.servers {
+		if s.CacheTokens == 0 {
+			s.CacheTokens = p.last.Pool.CacheTokens
+		}
 		list = append(list, admission.Engine{
 			Name: s.Name, Weight: s.Weight, State: s.State, BootID: p.boots[s.Name], CacheTokens: s.CacheTokens,
 		})
--- a/internal/testbed/path_test.go
+++ b/internal/testbed/path_test.go
@@ -16,8 +16,17 @@
 
 func startBed(t *testing.T, o Options) (*Bed, context.Context) {
 	t.Helper()
-	// A fleet starts with a wait for votes of earlier processes, so the beds run
-	// side by side.
+	records, err := o.Profile.Records()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startBedWith(t, o, records)
+}
+
+// startBedWith starts a bed with the given records in force. A fleet starts with
+// a wait for votes of earlier processes, so the beds run side by side.
+func startBedWith(t *testing.T, o Options, records [][]byte) (*Bed, context.Context) {
+	t.Helper()
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	t.Cleanup(cancel)
@@ -26,10 +35,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(b.Close)
-	records, err := o.Profile.Records()
-	if err != nil {
-		t.Fatal(err)
-	}
 	if _, err := b.Log.Append(ctx, fleetconfig.StreamName, records); err != nil {
 		t.Fatal(err)
 	}
