--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -199,6 +199,7 @@
 	victim := r.owner()
 	r.sayAt("router %s is killed", victim.VM())
 	r.observed.gone(victim)
+	r.observed.killed(time.Since(r.began))
 	r.faulting.Go(func() { r.bed.KillRouter(victim.VM()) })
 	pauseFor(ctx, replaceTime)
 	if _, err := r.bed.StartRouter(); err != nil {
--- a/internal/bench/observe.go
+++ b/internal/bench/observe.go
@@ -52,6 +52,7 @@
 	controls map[string]*control
 	leaving  map[string]time.Time
 	stops    []*stopWindow
+	kills    []time.Duration
 	records  []string
 	inForce  []time.Duration
 	// floor is the offset that is in force on all ready routers.
@@ -180,6 +181,12 @@
 	}
 }
 
+func (o *observed) killed(at time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.kills = append(o.kills, at)
+}
+
 // draw returns a random index; faults run in parallel.
 func (o *observed) draw(rng *rand.Rand, n int) int {
 	o.mu.Lock()
