--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -88,12 +88,15 @@
 	r.results.fillLatencies(f, r.plan, r.observed.kills)
 	var lost []*chatResult
 	for _, c := range r.results.chats {
-		if f.addChat(r.plan, c, byRequest, r.observed.stops) {
+		if f.addChat(r.plan, c, byRequest, r.observed) {
 			lost = append(lost, c)
 		}
 	}
 	r.describeLost(lost, byRequest)
-	f.addCalls(r.results.calls, executions)
+	for _, key := range f.addCalls(r.results.calls, executions) {
+		r.say("%s: false not_run: %s: %s; ran at %.2f s", r.policy, key, r.results.history(r, key),
+			startsOf(executions, key)[0].Sub(r.began).Seconds())
+	}
 	f.Lost += len(r.results.lostCalls)
 	r.say("%s: %d answers resumed, %d requests sent again, %.1f cores used, timers up to %.1f ms late", r.policy,
 		r.results.resumed, r.results.resent, r.observed.cores, float64(r.observed.timerLate.Microseconds())/1000)
@@ -310,13 +313,13 @@
 
 // addChat judges what a caller received for one turn and reports whether it is
 // lost. An answer that ends early is excused if its engine died.
-func (f *Figures) addChat(p *Plan, c *chatResult, byRequest map[string][]enginesim.Record, stops []*stopWindow) (lost bool) {
+func (f *Figures) addChat(p *Plan, c *chatResult, byRequest map[string][]enginesim.Record, o *observed) (lost bool) {
 	f.Requests++
 	var records []enginesim.Record
 	for _, id := range c.ids {
 		records = append(records, byRequest[id]...)
 	}
-	died := slices.ContainsFunc(records, func(rec enginesim.Record) bool { return rec.End == enginesim.EndLost })
+	died := slices.ContainsFunc(records, func(rec enginesim.Record) bool { return o.diedWith(rec, c.ended) })
 	if crossed(p, c, records) {
 		f.Crossed++
 	}
@@ -330,10 +333,21 @@
 	if c.outcome != entry.OutcomeDone && c.outcome != outcomeLost {
 		f.Refused[c.code]++
 	}
-	f.StreamsCut += c.cutByStop(stops, died)
+	f.StreamsCut += c.cutByStop(o.stops, died)
 	return lost
 }
 
+// diedWith reports whether an attempt was lost with its engine, or its answer
+// was before the caller had received it all. Nobody can resume it then.
+func (o *observed) diedWith(rec enginesim.Record, ended time.Time) bool {
+	if rec.End == enginesim.EndLost {
+		return true
+	}
+	return slices.ContainsFunc(o.deaths[rec.Engine], func(death time.Time) bool {
+		return death.After(rec.Accepted) && death.Before(ended)
+	})
+}
+
 // crossed reports whether the text is not that of any engine that the ledger
 // names for the request. The text of an answer that is not whole must be the
 // beginning of one.
@@ -373,8 +387,9 @@
 	return n
 }
 
-// addCalls judges the answers of the plain service.
-func (f *Figures) addCalls(calls []*callResult, executions []backendsim.Execution) {
+// addCalls judges the answers of the plain service and returns the keys with a
+// false not_run.
+func (f *Figures) addCalls(calls []*callResult, executions []backendsim.Execution) (untrue []string) {
 	byKey := map[string][]*callResult{}
 	for _, c := range calls {
 		f.Requests++
@@ -389,8 +404,13 @@
 		}
 	}
 	for key, list := range byKey {
-		f.FalseNotRun += falseNotRun(list, startsOf(executions, key))
+		n := falseNotRun(list, startsOf(executions, key))
+		f.FalseNotRun += n
+		if n > 0 {
+			untrue = append(untrue, key)
+		}
 	}
+	return untrue
 }
 
 func startsOf(executions []backendsim.Execution, key string) []time.Time {
--- a/internal/bench/measure_test.go
+++ b/internal/bench/measure_test.go
@@ -168,12 +168,15 @@
 	byRequest := map[string][]enginesim.Record{
 		"ran":  {{Engine: "e1", Started: began, End: enginesim.EndFinished}},
 		"died": {{Engine: "e1", Started: began, End: enginesim.EndLost}},
+		"e2":   {{Engine: "e2", Accepted: after(29), Started: after(29), End: enginesim.EndFinished}},
 	}
-	stops := []*stopWindow{{router: "r1", from: after(5), to: after(8)}}
+	o := newObserved()
+	o.stops = []*stopWindow{{router: "r1", from: after(5), to: after(8)}}
+	o.deaths["e2"] = []time.Time{after(30)}
 	f := &Figures{Refused: map[string]int{}}
 	add := func(c chatResult) {
 		c.chat = &p.Chats[0]
-		f.addChat(p, &c, byRequest, stops)
+		f.addChat(p, &c, byRequest, o)
 	}
 	add(chatResult{outcome: outcomeLost})
 	add(chatResult{outcome: entry.OutcomeIncomplete, code: "cut", ids: []string{"died"}, ended: after(6)})
@@ -182,10 +185,12 @@
 	add(chatResult{outcome: entry.OutcomeNotRun, code: "queue_full", ids: []string{"other"}})
 	add(chatResult{outcome: entry.OutcomeNotRun, code: "queue_full", ids: []string{"ran"}})
 	add(chatResult{outcome: entry.OutcomeUnknown, code: "gone", cuts: []cut{{"r1", after(6)}, {"r1", after(1)}, {"r2", after(6)}}})
-	if f.Requests != 7 || f.Lost != 3 || f.FalseNotRun != 1 || f.StreamsCut != 2 {
+	add(chatResult{outcome: entry.OutcomeIncomplete, code: "cut", ids: []string{"e2"}, ended: after(31)})
+	add(chatResult{outcome: entry.OutcomeIncomplete, code: "cut", ids: []string{"e2"}, ended: after(29.5)})
+	if f.Requests != 9 || f.Lost != 4 || f.FalseNotRun != 1 || f.StreamsCut != 2 {
 		t.Fatalf("got %+v", f)
 	}
-	if f.Refused["cut"] != 3 || f.Refused["queue_full"] != 2 || f.Refused["gone"] != 1 {
+	if f.Refused["cut"] != 5 || f.Refused["queue_full"] != 2 || f.Refused["gone"] != 1 {
 		t.Fatalf("refused %v", f.Refused)
 	}
 }
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -70,10 +70,12 @@
 // execute starts a fleet, runs the workload against it and returns the figures.
 func (r *run) execute(ctx context.Context) (*Figures, error) {
 	defer r.caller.Close()
+	started := time.Now()
 	if err := r.start(ctx); err != nil {
 		return nil, err
 	}
-	defer r.bed.Close()
+	defer r.close()
+	r.say("%s: the fleet is ready after %.1f s", r.policy, time.Since(started).Seconds())
 	r.look()
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	var watchers sync.WaitGroup
@@ -91,6 +93,12 @@
 	return r.figures(), ctx.Err()
 }
 
+func (r *run) close() {
+	from := time.Now()
+	r.bed.Close()
+	r.say("%s: the fleet is closed after %.1f s", r.policy, time.Since(from).Seconds())
+}
+
 func (r *run) start(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
