--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -91,6 +91,7 @@
 	vms      *vmlist.Client
 	peers    *peer.Transport
 	riders   *riders
+	ended    *endedAttempts
 	owner    *poolowner.Service
 	dispatch *dispatch.Dispatcher
 	guard    *intent.Guard
@@ -235,11 +236,13 @@
 		Meter:  r.meter,
 		Tracer: r.tracing.Tracer(),
 		Report: func(server string, ok bool) { r.post(serverReported{name: server, ok: ok}) },
+		Ended:  r.attemptEnded,
 		Rand:   randomFloat,
 	}
 	if r.options.Policy != nil {
 		deps.NewPicker = r.options.Policy.NewPicker
 	}
+	r.ended = &endedAttempts{ids: map[string][][]byte{}, clock: r.clock, flush: r.sendEnded}
 	r.owner = poolowner.New(deps)
 	r.dispatch = dispatch.New(dispatch.DefaultConfig(), opener{r}, r.clock)
 	return nil
