--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -85,6 +85,7 @@
 		Refused:            map[string]int{},
 	}
 	r.observed.fill(f, r.plan.window(), records)
+	r.describeSkew()
 	r.results.fillLatencies(f, r.plan, r.observed.kills)
 	var lost []*chatResult
 	for _, c := range r.results.chats {
@@ -205,6 +206,17 @@
 	}
 }
 
+// describeSkew shows the samples above the load multiple.
+func (r *run) describeSkew() {
+	w := r.plan.window()
+	for _, s := range r.observed.skews {
+		if w.holds(s.at) && s.mean >= minMean && s.skew > r.plan.Profile.Multiple {
+			r.say("%s: skew %.3f at %.1f s, mean load %.2f, so that the busiest engine has %.0f", r.policy,
+				s.skew, s.at.Seconds(), s.mean, s.skew*s.mean)
+		}
+	}
+}
+
 // skewFigures returns the highest and the 99th percentile of the samples in a
 // window at a sufficient load.
 func skewFigures(samples []skewSample, w window) (highest, p99 *float64) {
