--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -153,6 +153,10 @@
 	if err != nil {
 		return err
 	}
+	records, err = withCacheTokens(records, r.plan.Profile.EnginePool, r.plan.CacheTokens)
+	if err != nil {
+		return err
+	}
 	if _, err := r.bed.Log.Append(ctx, fleetconfig.StreamName, records); err != nil {
 		return eris.Wrap(err, "publish the example records")
 	}
