ownership: renew only the votes that a majority needs

Cause: an idle owner of seven routers paid about 1.1 KB/s for renewals (2 messages each 2 s with every voter, calculated from the message size). Change: every router is claimed once, so that the new owner hears of all attempts; after that only a majority is renewed, every 3 s, and a renewal that is overdue by 1 s makes the owner ask another router.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -27,7 +27,10 @@
 	// TickInterval is the longest time between calls of Tick.
 	TickInterval = 250 * time.Millisecond
 
-	renewInterval = 2 * time.Second
+	renewInterval = 3 * time.Second
+	// overdue is the time after which a renewal without an answer makes the
+	// owner ask another router.
+	overdue = 1 * time.Second
 	retryInterval = 1 * time.Second
 	// pendingAge is how long a claim that could not be granted is remembered.
 	pendingAge = 2 * time.Second
@@ -168,6 +171,15 @@
 	nextJoin time.Time
 	pools    map[string]*pool
 	out      []Action
+	// majority limits renewals to the votes that a majority needs.
+	majority bool
+}
+
+// RenewMajority makes an owner renew only as many votes as a majority needs,
+// after it has claimed the vote of every router once. It is called before the
+// first event.
+func (o *Ownership) RenewMajority() {
+	o.majority = true
 }
 
 // New returns the state of a router that starts now. boot must grow from one
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -508,3 +508,30 @@
 		t.Errorf("votes cost %.0f B/s for each router", perRouter)
 	}
 }
+
+// Guards against an owner that renews more votes than it needs, and against one
+// that loses its majority when a voter of the renewed ones dies.
+func TestMajorityIsRenewedAlone(t *testing.T) {
+	w := newWorld(8, t.Fatalf)
+	for _, n := range w.nodes {
+		n.o.RenewMajority()
+	}
+	w.settle(40 * time.Second)
+	owner := w.owner()
+	votes := w.nodes[owner].share.Votes(w.now)
+	if votes != 5 {
+		t.Fatalf("the owner keeps %d of 8 votes, want 5", votes)
+	}
+	for name := range w.nodes {
+		if name != owner {
+			w.nodes[name].paused = true
+			break
+		}
+	}
+	for range 100 {
+		w.settle(100 * time.Millisecond)
+		if _, ok := w.nodes[owner].share.MajorityUntil(w.now); !ok {
+			t.Fatal("the owner lost its majority with one voter")
+		}
+	}
+}
--- a/internal/ownership/pool.go
+++ b/internal/ownership/pool.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/membership"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
 
@@ -211,11 +212,13 @@
 
 // ask claims missing votes and collects the renewals that are due.
 func (p *pool) ask(now time.Time, renewals map[string][]*peerpb.Vote) {
-	for _, r := range p.o.view.Routers {
+	sum := p.weightOf(now, p.o.self)
+	for _, r := range p.voters() {
 		name := r.VM.Name
-		if name == p.o.self {
+		if p.o.majority && sum > 0.5+majorityMargin && !p.nextClaim[name].IsZero() {
 			continue
 		}
+		sum += p.weightOf(now, name)
 		if _, held := p.leases[name]; held {
 			if !now.Before(p.nextRenew[name]) {
 				p.nextRenew[name] = now.Add(renewInterval)
@@ -231,6 +234,32 @@
 	}
 }
 
+// voters returns the other routers, those whose vote is held first.
+func (p *pool) voters() []membership.Router {
+	var held, others []membership.Router
+	for _, r := range p.o.view.Routers {
+		if r.VM.Name == p.o.self {
+			continue
+		}
+		if _, ok := p.leases[r.VM.Name]; ok {
+			held = append(held, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	return append(held, others...)
+}
+
+// weightOf returns the weight of a vote that is held and whose renewal is not
+// overdue.
+func (p *pool) weightOf(now time.Time, name string) float64 {
+	l, held := p.leases[name]
+	if !held || l.until.Sub(now) < LeaseTime-renewInterval-overdue {
+		return 0
+	}
+	return 1 / float64(l.listed)
+}
+
 // claim handles a claim or a release of another router.
 func (p *pool) claim(now time.Time, from string, c *peerpb.Claim) {
 	if !p.o.currentBoot(from, c.GetBootId()) {
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -84,6 +84,7 @@
 		config:  record.NewConfig(),
 		answers: map[string]fleetconfig.PeerStatus{},
 	}
+	c.owners.RenewMajority()
 	ticker := r.clock.NewTicker(controlTick)
 	defer ticker.Stop()
 	for {
