--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -185,6 +185,18 @@
 	return stats
 }
 
+// MoveResults returns the ended KV cache moves of the owned pools, by pool and
+// result, since the pool was taken over.
+func (s *Service) MoveResults() map[string]map[string]int64 {
+	all := map[string]map[string]int64{}
+	for name, p := range s.snapshot() {
+		if m := p.currentMover(); m != nil {
+			all[name] = m.Results()
+		}
+	}
+	return all
+}
+
 // Running returns the number of attempts that this router runs.
 func (s *Service) Running() int {
 	n := 0
