poolowner: adopt attempts before the majority, and only those still running

Cause: a router that claimed a pool for the first time had no place for the attempts that came with the first votes and dropped them; and an entry router could name an attempt whose end the old owner had already reported, which then counted for up to 10 s. Change: the pool exists from the claim on, and the old owner's own list decides which attempts still run.

--- a/internal/poolowner/adopt.go
+++ b/internal/poolowner/adopt.go
@@ -37,10 +37,19 @@
 	mu sync.Mutex
 	// since holds the engine and the time of adoption by attempt id.
 	since map[string]adoption
+	// named holds all attempts of the old owner, once it has named them. An
+	// attempt that only an entry router reports has ended meanwhile.
+	named map[string]bool
 	// polling is set while a reconcile loop runs.
 	polling bool
 }
 
+// ended reports whether the old owner did not name an attempt. The caller holds
+// the lock.
+func (a *adopted) ended(attemptID string) bool {
+	return a.named != nil && !a.named[attemptID]
+}
+
 type adoption struct {
 	engine string
 	at     time.Time
@@ -57,7 +66,7 @@
 	var list []admission.AdoptedAttempt
 	p.adopted.mu.Lock()
 	for _, a := range attempts {
-		if p.runs.has(a.AttemptId) {
+		if p.runs.has(a.AttemptId) || p.adopted.ended(a.AttemptId) {
 			continue
 		}
 		if _, known := p.adopted.since[a.AttemptId]; known {
@@ -73,6 +82,11 @@
 
 // hold adopts an attempt that this router follows itself, until release.
 func (p *ownedPool) hold(now time.Time, attemptID, engine string) (release func()) {
+	p.adopted.mu.Lock()
+	if p.adopted.named != nil {
+		p.adopted.named[attemptID] = true
+	}
+	p.adopted.mu.Unlock()
 	p.adopt(now, []*peerpb.Attempt{{AttemptId: attemptID, Engine: engine}})
 	p.adopted.mu.Lock()
 	a := p.adopted.since[attemptID]
@@ -110,13 +124,33 @@
 	}
 }
 
-// endTakeover frees the reserve, because the old owner has named all attempts.
-func (p *ownedPool) endTakeover(now time.Time) {
+// nameAll takes the old owner's list of all its attempts. It frees the reserve
+// and the attempts that entry routers reported and that ended meanwhile.
+func (p *ownedPool) nameAll(now time.Time, attempts []*peerpb.Attempt) {
+	named := make(map[string]bool, len(attempts))
+	for _, a := range attempts {
+		named[a.AttemptId] = true
+	}
+	p.adopted.mu.Lock()
+	p.adopted.named = named
+	p.adopted.mu.Unlock()
+	for id, a := range p.adoptions() {
+		if !named[id] && !a.held {
+			p.releaseAdopted(now, id)
+		}
+	}
 	for _, name := range p.engineNames() {
 		p.admission.Reserve(now, name, 0, now)
 	}
 }
 
+// forgetNamed drops the old owner's list when this router loses the pool.
+func (p *ownedPool) forgetNamed() {
+	p.adopted.mu.Lock()
+	p.adopted.named = nil
+	p.adopted.mu.Unlock()
+}
+
 // reconcileLater starts the reconcile loop unless it runs. The loop ends when
 // the takeover window is over and no adopted attempt is left.
 func (p *ownedPool) reconcileLater() {
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -99,6 +99,7 @@
 		return
 	}
 	p.stopMoves()
+	p.forgetNamed()
 	p.admission.HandBack(now, code)
 }
 
--- a/internal/poolowner/resume.go
+++ b/internal/poolowner/resume.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
@@ -61,7 +62,13 @@
 		}
 		return []string{r.engine}
 	}
-	return e.pool.engineNames()
+	names := e.pool.engineNames()
+	// The caller's token names the engine of the chat's last answer, which saves
+	// the question to all engines.
+	if hint := e.hint(); hint.Engine != "" {
+		names = slices.Insert(slices.DeleteFunc(names, func(n string) bool { return n == hint.Engine }), 0, hint.Engine)
+	}
+	return names
 }
 
 // findAttempt asks an engine for the last attempt of the request that ran.
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -67,6 +67,9 @@
 	Servers    []Server
 	// Owned tells whether this router holds a majority of the votes for the pool.
 	Owned bool
+	// Candidate tells whether this router claims the pool. Attempts are adopted
+	// from then on, before the majority is reached.
+	Candidate bool
 	// Listed is the number of routers in the VM list.
 	Listed int
 	// LeaseEnd is when the majority ends; zero means never.
@@ -130,7 +133,7 @@
 func (s *Service) assign(now time.Time, a Assignment) {
 	p := s.lookup(a.Pool.Name)
 	if p == nil {
-		if !a.Owned {
+		if !a.Owned && !a.Candidate {
 			return
 		}
 		p = newOwnedPool(s.ctx, s.deps, a, &s.killed)
@@ -164,10 +167,10 @@
 	if p == nil {
 		return
 	}
-	p.adopt(now, attempts)
 	if complete {
-		p.endTakeover(now)
+		p.nameAll(now, attempts)
 	}
+	p.adopt(now, attempts)
 }
 
 // AttemptEnded takes the news that an adopted attempt has ended.
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -57,6 +57,7 @@
 		if c.r.solo() {
 			a.Owned = true
 		} else {
+			a.Candidate = c.owners.Owner(name) == c.r.settings.VM
 			a.LeaseEnd, a.Owned = c.shares[name].MajorityUntil(now.Add(leaseMargin))
 		}
 		list = append(list, a)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -237,6 +237,7 @@
 		Tracer: r.tracing.Tracer(),
 		Report: func(server string, ok bool) { r.post(serverReported{name: server, ok: ok}) },
 		Ended:  r.attemptEnded,
+		Events: r.events,
 		Rand:   randomFloat,
 	}
 	if r.options.Policy != nil {
@@ -376,6 +377,7 @@
 	_ = r.server.Shutdown(ctx)
 	r.tomb.Kill(nil)
 	err := r.tomb.Wait()
+	r.owner.Close()
 	_ = r.guard.Close()
 	_ = r.peers.Close()
 	_ = r.metrics.Close()
