--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -124,6 +124,7 @@
 // replaceEngine ends an engine without notice and adds a new one.
 func (r *run) replaceEngine(context.Context) error {
 	name := r.victim()
+	r.observed.dies(name)
 	r.bed.RemoveEngine(name)
 	added, err := r.bed.AddEngine()
 	if err != nil {
@@ -141,6 +142,7 @@
 		return eris.Errorf("engine %s is gone", name)
 	}
 	r.sayAt("engine %s refuses connections", name)
+	r.observed.dies(name)
 	e.Die()
 	pauseFor(ctx, flapTime)
 	if r.bed.Engines()[name] != e {
@@ -156,6 +158,7 @@
 	r.observed.left(name)
 	r.bed.LeaveServer(name)
 	pauseFor(ctx, leaveTime)
+	r.observed.dies(name)
 	r.bed.RemoveEngine(name)
 	return nil
 }
@@ -199,6 +202,7 @@
 	victim := r.owner()
 	r.sayAt("router %s is killed", victim.VM())
 	r.observed.gone(victim)
+	r.observed.killed(time.Since(r.began))
 	r.faulting.Go(func() { r.bed.KillRouter(victim.VM()) })
 	pauseFor(ctx, replaceTime)
 	if _, err := r.bed.StartRouter(); err != nil {
--- a/internal/bench/observe.go
+++ b/internal/bench/observe.go
@@ -51,9 +51,12 @@
 	skews    []skewSample
 	controls map[string]*control
 	leaving  map[string]time.Time
-	stops    []*stopWindow
-	records  []string
-	inForce  []time.Duration
+	// deaths holds when each engine lost its state.
+	deaths  map[string][]time.Time
+	stops   []*stopWindow
+	kills   []time.Duration
+	records []string
+	inForce []time.Duration
 	// floor is the offset that is in force on all ready routers.
 	floor      uint64
 	offsets    map[string]uint64
@@ -69,6 +72,7 @@
 	return &observed{
 		controls: map[string]*control{},
 		leaving:  map[string]time.Time{},
+		deaths:   map[string][]time.Time{},
 		offsets:  map[string]uint64{},
 	}
 }
@@ -166,6 +170,13 @@
 	o.leaving[engine] = time.Now()
 }
 
+// dies notes that an engine is about to lose its state.
+func (o *observed) dies(engine string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.deaths[engine] = append(o.deaths[engine], time.Now())
+}
+
 // stopping notes the start of a planned stop; the returned function notes its
 // end.
 func (o *observed) stopping(vm string) func() {
@@ -180,6 +191,12 @@
 	}
 }
 
+func (o *observed) killed(at time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.kills = append(o.kills, at)
+}
+
 // draw returns a random index; faults run in parallel.
 func (o *observed) draw(rng *rand.Rand, n int) int {
 	o.mu.Lock()
