--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -74,7 +74,10 @@
 	byRequest := recordsByRequest(records)
 	executions := r.bed.Calls.Executions()
 	over := violations(records, r.plan.Profile.Multiple)
-	r.describeViolations(over)
+	if r.policy == PolicyFleet {
+		r.describeViolations(over)
+		r.describeSkew()
+	}
 	f := &Figures{
 		CacheHitRatio:      cacheHitRatio(records),
 		LoadMultiple:       r.plan.Profile.Multiple,
@@ -85,7 +88,6 @@
 		Refused:            map[string]int{},
 	}
 	r.observed.fill(f, r.plan.window(), records)
-	r.describeSkew()
 	r.results.fillLatencies(f, r.plan, r.observed.kills)
 	var lost []*chatResult
 	for _, c := range r.results.chats {
--- a/internal/poolowner/adopt.go
+++ b/internal/poolowner/adopt.go
@@ -117,6 +117,9 @@
 // one router that cannot answer.
 func (p *ownedPool) takeOver(now time.Time, a Assignment) {
 	p.admission.SetShare(now, 1, a.LeaseEnd)
+	if p.allNamed() {
+		return
+	}
 	perEngine := float64(len(p.adoptions())) / float64(max(len(a.Servers), 1))
 	slots := int(math.Ceil(perEngine / float64(max(a.Listed-1, 1))))
 	for _, s := range a.Servers {
@@ -144,6 +147,12 @@
 	}
 }
 
+func (p *ownedPool) allNamed() bool {
+	p.adopted.mu.Lock()
+	defer p.adopted.mu.Unlock()
+	return p.adopted.named != nil
+}
+
 // forgetNamed drops the old owner's list when this router loses the pool.
 func (p *ownedPool) forgetNamed() {
 	p.adopted.mu.Lock()
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -323,6 +323,11 @@
 		if errors.Is(err, engineclient.ErrNotFound) || ctx.Err() != nil {
 			return nil, err
 		}
+		// A refused connection is reported at once: until the engine counts as
+		// down, its lost attempts raise the bound of the others.
+		if errors.Is(err, engineclient.ErrNotRun) {
+			e.pool.deps.Report(e.engine, false)
+		}
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
