router: connect the orders to engines

A pool's record may state the model, version and role of its engines. The rendezvous winner among the usable routers takes the lease and records these states while it is ready. LoadStart states the load budget of the configuration in force, so that readers with other configurations fold it in the same way. The status shows the orders of the holder.

--- a/internal/cli/specs.go
+++ b/internal/cli/specs.go
@@ -20,6 +20,15 @@
 	RetryBudget         float64                     `json:"retry_budget"`
 	ClassShares         map[record.Priority]float64 `json:"class_shares"`
 	KVMovesPerMinute    int                         `json:"kv_moves_per_minute"`
+	EngineState         *engineStateSpec            `json:"engine_state,omitempty"`
+}
+
+type engineStateSpec struct {
+	Model          string `json:"model"`
+	Version        string `json:"version"`
+	Role           string `json:"role"`
+	LoadsPerMinute int    `json:"weight_loads_per_minute,omitempty"`
+	LoadsAtOnce    int    `json:"weight_loads_at_once,omitempty"`
 }
 
 func poolSpecOf(p *record.Pool) poolSpec {
@@ -34,6 +43,7 @@
 		RetryBudget:         p.RetryBudget,
 		ClassShares:         p.ClassShares,
 		KVMovesPerMinute:    p.KVMovesPerMinute,
+		EngineState:         (*engineStateSpec)(p.EngineState),
 	}
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/bluebellwell/bluebellwell/internal/admission"
+	"github.com/bluebellwell/bluebellwell/internal/status"
 	"github.com/bluebellwell/bluebellwell/internal/vmlist"
 )
 
@@ -18,7 +19,7 @@
 		Synopsis: "(-vms URL | -settings FILE) [-timeout TIME] [-json]",
 		Description: `Asks every router of the VM list and shows the version in force, readiness with
 its reason, owners of pools, engines with their load, skew, cache reuse, leaving
-and failed VMs, control traffic and refused work. A router that does not answer
+and failed VMs, orders to engines, control traffic and refused work. A router that does not answer
 is shown with the cause.`,
 		Examples:  []string{"status -vms http://127.0.0.1:18002", "status -settings examples/lam-dong/router-dalat-1.json -json"},
 		ExitCodes: []int{ExitOK, ExitFailure, ExitUsage, ExitInvalid},
@@ -71,6 +72,8 @@
 	Pools      []poolReport `json:"pools"`
 	// Callers counts the answers of all routers by outcome.
 	Callers map[string]int64 `json:"callers"`
+	// Orders are the orders to engines. Two holders appear while a lease passes on.
+	Orders []status.Order `json:"orders"`
 }
 
 // poolReport is a pool as its owner sees it.
@@ -95,6 +98,7 @@
 		Routers:       routers,
 		Pools:         []poolReport{},
 		Callers:       map[string]int64{},
+		Orders:        []status.Order{},
 	}
 	for _, vm := range list.VMs {
 		f.Listed[vm.Role]++
@@ -123,6 +127,7 @@
 	for outcome, n := range r.Status.Callers {
 		f.Callers[outcome] += n
 	}
+	f.Orders = append(f.Orders, r.Status.Orders...)
 	for pool, owner := range r.Status.Owners {
 		if owners[pool] == nil {
 			owners[pool] = map[string]bool{}
--- a/internal/cli/status_test.go
+++ b/internal/cli/status_test.go
@@ -30,7 +30,9 @@
 		}),
 		view("b", status.Router{
 			Config: status.Configuration{NextOffset: 7, UnreadableOffset: &offset}, Owners: map[string]string{"p": "b"},
-			Pools: []admission.Stats{pool}, Callers: map[string]int64{"not_run": 1}, VMList: status.VMList{Down: []string{"e"}},
+			Pools: []admission.Stats{pool}, Callers: map[string]int64{"not_run": 1},
+			Orders: []status.Order{{Engine: "e", Model: "m", Version: "v2", Role: "chat", State: "repaired", Fencing: 5, Holder: "b"},
+				{Engine: "e", Model: "old", Unload: true, State: "proposed", Fencing: 5, Holder: "b"}}, VMList: status.VMList{Down: []string{"e"}},
 		}),
 		view("c", status.Router{Config: status.Configuration{NextOffset: 8}}),
 	}
@@ -41,7 +43,8 @@
 	for _, want := range []string{
 		"down: e\n", "with an outcome: not_run 3\n", "7 (cannot read 7)", "8 (behind)",
 		"pool p, owner a, b, reported by a\n", "pool p, owner a, b, reported by b\n", "pool q, owner b, not reported\n",
-		"cache reuse 75.0%, refused: queue_full 3\n", "closed: not_owner", "TOTAL  CLAIM  PROBE", "50     30     20",
+		"cache reuse 75.0%, refused: queue_full 3\n", "closed: not_owner", "e         m      v2       chat  repaired  5        b\n", "e         old    unload   -     proposed",
+		"TOTAL  CLAIM  PROBE", "50     30     20",
 	} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("no %q in:\n%s", want, out.String())
--- a/internal/cli/statustext.go
+++ b/internal/cli/statustext.go
@@ -29,9 +29,28 @@
 			return err
 		}
 	}
+	if err := f.writeOrders(w); err != nil {
+		return err
+	}
 	return f.writeControl(w)
 }
 
+func (f *fleetReport) writeOrders(w io.Writer) error {
+	if len(f.Orders) == 0 {
+		return nil
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "\nORDER TO\tMODEL\tVERSION\tROLE\tSTATE\tFENCING\tHOLDER")
+	for _, o := range f.Orders {
+		version := o.Version
+		if o.Unload {
+			version = "unload"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", o.Engine, o.Model, dash(version), dash(o.Role), o.State, o.Fencing, o.Holder)
+	}
+	return t.Flush()
+}
+
 func names(list []string) string {
 	if len(list) == 0 {
 		return "none"
--- a/internal/order/controller.go
+++ b/internal/order/controller.go
@@ -109,6 +109,11 @@
 	ending map[string]bool
 	// refreshing is set while a desired state is being written again.
 	refreshing bool
+	// plan is what the configuration asks for, and planned its engines;
+	// recording holds the targets whose state is being written.
+	plan      Plan
+	planned   map[string]bool
+	recording map[Target]bool
 }
 
 func newController(name string, t Timing, b Budget, newUID func() string) *controller {
@@ -119,6 +124,8 @@
 		newUID:  newUID,
 		engines: map[string]*engineOrders{},
 		ending:  map[string]bool{},
+
+		recording: map[Target]bool{},
 	}
 }
 
@@ -157,9 +164,13 @@
 
 // nextLog returns the next call to the log.
 func (c *controller) nextLog(now time.Time) op {
+	if !c.candidate && c.number == 0 && c.journal.idle() {
+		return op{wake: now.Add(c.timing.Poll)}
+	}
 	if c.journal.current {
 		c.stepLease(now)
 		if c.holds(now) {
+			c.record()
 			c.reconcile(now)
 			c.refresh(now)
 		}
@@ -190,6 +201,50 @@
 	})
 }
 
+// setCandidate starts or ends the wish for the lease. A router that was not a
+// candidate has not followed the stream.
+func (c *controller) setCandidate(on bool) {
+	if on && !c.candidate {
+		c.journal.current = false
+	}
+	c.candidate = on
+}
+
+func (c *controller) setPlan(p Plan) {
+	c.plan = p
+	c.planned = map[string]bool{}
+	for t := range p.States {
+		c.planned[t.Engine] = true
+	}
+}
+
+// record writes the planned states that differ from the desired ones. A model
+// that was asked for earlier and is not planned any more is unloaded.
+func (c *controller) record() {
+	if !c.candidate {
+		return
+	}
+	for t, s := range c.plan.States {
+		if have, ok := c.fold().Desired(t); !ok || have != s {
+			c.recordState(t, s)
+		}
+	}
+	for t, d := range c.fold().desired {
+		_, wanted := c.plan.States[t]
+		if !wanted && !d.Unload && c.planned[t.Engine] {
+			c.recordState(t, State{Unload: true})
+		}
+	}
+}
+
+func (c *controller) recordState(t Target, s State) {
+	if c.recording[t] {
+		return
+	}
+	c.recording[t] = true
+	c.setDesired(t, s, func(bool) { delete(c.recording, t) })
+}
+
 // leaseAt returns the time from which on this router may ask for the lease.
 func (c *controller) leaseAt() time.Time {
 	l := c.fold().lease
@@ -268,7 +323,7 @@
 		if !o.due() || e.kind(model) != kindLoad || o.grant != "" || o.asking || now.Before(o.askAt) {
 			continue
 		}
-		if free := c.fold().budgetFree(now, e.name); free.After(now) {
+		if free := c.fold().budgetFree(now, e.name, c.budget()); free.After(now) {
 			o.askAt = free
 			continue
 		}
@@ -284,6 +339,7 @@
 	uid := c.newUID()
 	record := &peerpb.OrderRecord{Kind: &peerpb.OrderRecord_LoadStart{LoadStart: &peerpb.LoadStart{
 		Uid: uid, Engine: e.name, Fencing: c.fold().lease.fencing(),
+		PerMinute: uint32(c.plan.Budget.PerMinute), AtOnce: uint32(c.plan.Budget.AtOnce),
 	}}}
 	c.journal.add(encode(record), func(sent time.Time, effect bool) {
 		o.asking = false
@@ -294,6 +350,11 @@
 	})
 }
 
+// budget returns the budget of the plan, with the defaults for what it leaves open.
+func (c *controller) budget() Budget {
+	return c.fold().budget.stated(c.plan.Budget.PerMinute, c.plan.Budget.AtOnce)
+}
+
 func (c *controller) endLoad(uid string) {
 	if c.ending[uid] {
 		return
@@ -309,6 +370,10 @@
 		return
 	}
 	for t, d := range c.fold().desired {
+		if len(c.plan.States) > 0 && c.engines[t.Engine] == nil {
+			// The plan states it again if the engine comes back.
+			continue
+		}
 		if now.Sub(d.at) >= c.timing.Refresh {
 			c.refreshing = true
 			c.setDesired(t, d.State, func(bool) { c.refreshing = false })
--- a/internal/order/fold.go
+++ b/internal/order/fold.go
@@ -19,7 +19,8 @@
 // budgetRetry is the time between two looks at a full budget.
 const budgetRetry = 1 * time.Second
 
-// Budget limits the weight loads of the fleet. All routers must use the same values.
+// Budget limits the weight loads of the fleet. All routers must use the same
+// LoadLimit. PerMinute and AtOnce count where a LoadStart states no budget.
 type Budget struct {
 	// PerMinute is the largest number of loads that start in any minute.
 	PerMinute int
@@ -180,13 +181,25 @@
 			recent++
 		}
 	}
-	if running >= f.budget.AtOnce || recent >= f.budget.PerMinute {
+	b := f.budget.stated(int(r.PerMinute), int(r.AtOnce))
+	if running >= b.AtOnce || recent >= b.PerMinute {
 		return false
 	}
 	f.loads = append(f.loads, load{uid: r.Uid, engine: r.Engine, at: t})
 	return true
 }
 
+// stated returns the budget with the values above 0 replaced.
+func (b Budget) stated(perMinute, atOnce int) Budget {
+	if perMinute > 0 {
+		b.PerMinute = perMinute
+	}
+	if atOnce > 0 {
+		b.AtOnce = atOnce
+	}
+	return b
+}
+
 func (f *Fold) applyLoadEnd(r *peerpb.LoadEnd) bool {
 	for i := range f.loads {
 		if f.loads[i].uid == r.Uid && !f.loads[i].ended {
@@ -224,7 +237,7 @@
 
 // budgetFree estimates when the next load of an engine may start, by a clock
 // that agrees with the log's. A wrong clock costs a refused record only.
-func (f *Fold) budgetFree(now time.Time, engine string) time.Time {
+func (f *Fold) budgetFree(now time.Time, engine string, b Budget) time.Time {
 	running, recent := 0, 0
 	var first time.Time
 	for _, l := range f.loads {
@@ -238,10 +251,10 @@
 			recent++
 		}
 	}
-	if recent >= f.budget.PerMinute {
+	if recent >= b.PerMinute {
 		return first.Add(budgetWindow)
 	}
-	if running >= f.budget.AtOnce {
+	if running >= b.AtOnce {
 		return now.Add(budgetRetry)
 	}
 	return now
--- a/internal/order/journal.go
+++ b/internal/order/journal.go
@@ -66,6 +66,11 @@
 	j.queue = append(j.queue, &entry{data: data, done: done})
 }
 
+// idle reports whether no record is on its way.
+func (j *journal) idle() bool {
+	return len(j.queue) == 0 && len(j.flight) == 0
+}
+
 // next returns the next call. At most one may be open.
 func (j *journal) next(now time.Time) op {
 	if now.Before(j.retryAt) {
--- a/internal/order/manager.go
+++ b/internal/order/manager.go
@@ -147,7 +147,7 @@
 // SetCandidate tells whether this router asks for the lease and renews it. Few
 // routers should be candidates, because each of them reads the stream.
 func (m *Manager) SetCandidate(on bool) {
-	m.do(func(time.Time) { m.ctrl.candidate = on })
+	m.do(func(time.Time) { m.ctrl.setCandidate(on) })
 }
 
 // SetEngines replaces the list of engines that take orders.
@@ -156,6 +156,20 @@
 	m.do(func(time.Time) { m.ctrl.setEngines(names) })
 }
 
+// Plan is what the configuration in force asks of the engines.
+type Plan struct {
+	// States are the planned states. They are not changed after SetPlan.
+	States map[Target]State
+	// Budget is the fleet's; fields of 0 keep the defaults. LoadLimit is not used.
+	Budget Budget
+}
+
+// SetPlan replaces the plan, which this router records while it is a candidate
+// and holds the lease. It touches only engines that have a planned state.
+func (m *Manager) SetPlan(p Plan) {
+	m.do(func(time.Time) { m.ctrl.setPlan(p) })
+}
+
 // Set records the state that an engine shall have for a model, and returns when
 // the log has it. Any router may call it; the holder of the lease follows.
 func (m *Manager) Set(ctx context.Context, t Target, s State) error {
--- a/internal/record/config.go
+++ b/internal/record/config.go
@@ -63,6 +63,19 @@
 	RetryBudget float64
 	// KVMovesPerMinute limits KV cache moves away from leaving engines.
 	KVMovesPerMinute int
+	// EngineState is what the engines shall have; nil leaves them alone.
+	EngineState *EngineState
+}
+
+// EngineState is the state that all engines of a pool shall have.
+type EngineState struct {
+	Model   string
+	Version string
+	Role    string
+	// LoadsPerMinute and LoadsAtOnce limit the weight loads of the whole fleet;
+	// 0 states no limit. WeightLoads combines the pools' values.
+	LoadsPerMinute int
+	LoadsAtOnce    int
 }
 
 // Workspace is a customer unit with its own limits.
@@ -126,6 +139,28 @@
 	return nil
 }
 
+// WeightLoads returns the fleet's budget of weight loads: of each limit the
+// smallest value that a pool states, or 0 when none does. The weight store is
+// one for all pools, so the strictest value protects it.
+func (c *Config) WeightLoads() (perMinute, atOnce int) {
+	for _, p := range c.Pools {
+		if p.EngineState == nil {
+			continue
+		}
+		perMinute = stricter(perMinute, p.EngineState.LoadsPerMinute)
+		atOnce = stricter(atOnce, p.EngineState.LoadsAtOnce)
+	}
+	return perMinute, atOnce
+}
+
+// stricter returns the smaller of two limits, of which 0 is none.
+func stricter(a, b int) int {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // Get returns the version of an object in force; ok is false if there is none.
 func (c *Config) Get(kind Kind, name string) (version string, ok bool) {
 	switch kind {
--- a/internal/record/parse.go
+++ b/internal/record/parse.go
@@ -33,6 +33,8 @@
 	maxRetryBudget        = 0.5
 	defaultRetryBudget    = 0.1
 	maxKVMovesPerMinute   = 10_000
+	maxLoadsPerMinute     = 1000
+	maxLoadsAtOnce        = 1000
 	defaultKVMoves        = 30
 	minWeight             = 0.01
 	maxWeight             = 1000
@@ -186,6 +188,7 @@
 		pool.KVMovesPerMinute = f.integer("kv_moves_per_minute", 0, maxKVMovesPerMinute, defaultKVMoves)
 	}
 	p.poolType(f, pool)
+	pool.EngineState = p.engineState(f, pool)
 	pool.LoadMultiple = p.loadMultiple(f, pool.Type)
 	return pool
 }
@@ -213,6 +216,34 @@
 	}
 }
 
+func (p *parser) engineState(f *fields, pool *Pool) *EngineState {
+	v, ok := f.get("engine_state")
+	if !ok {
+		return nil
+	}
+	s := newFields(p.list, f.at("engine_state"), v)
+	if s == nil {
+		return nil
+	}
+	e := &EngineState{
+		Model:          s.requiredText("model", maxModelBytes),
+		Version:        s.requiredText("version", maxModelBytes),
+		Role:           s.requiredText("role", maxNameBytes),
+		LoadsPerMinute: s.integer("weight_loads_per_minute", 1, maxLoadsPerMinute, 0),
+		LoadsAtOnce:    s.integer("weight_loads_at_once", 1, maxLoadsAtOnce, 0),
+	}
+	s.done()
+	p.match(s.at("version"), e.Version, modelPattern)
+	p.match(s.at("role"), e.Role, namePattern)
+	switch {
+	case pool.Type == PoolPlain:
+		p.list.Add(s.path, findings.CodeInvalid, "a plain pool has no engines")
+	case e.Model != "" && !slices.Contains(pool.Models, e.Model):
+		p.list.Add(s.at("model"), findings.CodeInvalid, "must be one of the pool's models")
+	}
+	return e
+}
+
 func (p *parser) loadMultiple(f *fields, t PoolType) float64 {
 	name := "load_multiple"
 	if p.version >= schemaVersion2 {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -107,6 +107,17 @@
 //	class_shares           schema 2: lookup, standard and review, each 0 to 1
 //	                       and together at most 0.9; default 0.2, 0.2 and 0.1
 //	kv_moves_per_minute    schema 2: 0 to 10000, default 30
+//	engine_state           what all engines of the pool shall have; absent
+//	                       leaves them alone
+//
+// Fields of engine_state:
+//
+//	model                    one of the pool's models, required
+//	version                  up to 128 bytes in the form of a model name, required
+//	role                     1 to 63 of a-z 0-9 . _ -, required
+//	weight_loads_per_minute  1 to 1000; limit for the whole fleet, of which the
+//	                         smallest value of all pools counts; default 4
+//	weight_loads_at_once     1 to 1000, in the same way; default 2
 //
 // Fields of a workspace:
 //
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -54,6 +54,13 @@
 		data string
 		want []string
 	}{
+		{"engine state of a plain pool", spec("pool", `{"type":"plain","engine_state":{"model":"m","version":"1","role":"chat"}}`),
+			[]string{specPath + ".engine_state invalid"}},
+		{"engine state without its parts", spec("pool", `{"type":"engines","models":["m"],"load_multiple_percent":125,"engine_state":{
+			"model":"other","role":"Chat","weight_loads_at_once":0,"weight_loads_per_minute":1001,"versions":1}}`),
+			[]string{specPath + ".engine_state.version missing", specPath + ".engine_state.weight_loads_per_minute out_of_range",
+				specPath + ".engine_state.weight_loads_at_once out_of_range", specPath + ".engine_state.versions unknown_field",
+				specPath + ".engine_state.role invalid", specPath + ".engine_state.model invalid"}},
 		{"empty", ``, []string{"$ syntax"}},
 		{"two values", v1Pool + v1Pool, []string{"$ syntax"}},
 		{"not an object", `[]`, []string{"$ invalid"}},
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -183,6 +183,7 @@
 	s.entry = entry.State{Config: c.config, Ready: s.life == statechart.RouterReady, Reason: reason}
 	s.entry.Accepting = s.entry.Ready || c.inLameDuck(now)
 	c.place(now, s)
+	c.planOrders(s)
 	last := c.r.current.Swap(s)
 	if !slices.Equal(last.streams, s.streams) {
 		c.r.guard.Refresh()
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -25,6 +25,7 @@
 	for i := range c.r.settings.Intents.Streams {
 		s.streams = append(s.streams, winner("intent/"+strconv.Itoa(i), addr))
 	}
+	s.ordersCandidate = winner(ordersKey, addr).VM == c.r.settings.VM
 	s.rank = slices.Index(c.view.Usable, c.r.settings.VM)
 	s.view = c.listStatus(now)
 	c.assignPools(now)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/intent"
 	"github.com/bluebellwell/bluebellwell/internal/logstream"
 	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/order"
 	"github.com/bluebellwell/bluebellwell/internal/peer"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
@@ -57,6 +58,9 @@
 	// Retention is the retention time of the log's config stream; 0 turns off
 	// the writing of checkpoints.
 	Retention time.Duration
+	// Orders replaces times of the lease and of the checks of orders; 0 keeps
+	// the default. All routers must use the same Lease and Margin.
+	Orders order.Timing
 }
 
 // Policy replaces the placement policy for experiments.
@@ -96,6 +100,7 @@
 	dispatch *dispatch.Dispatcher
 	guard    *intent.Guard
 	callers  callerCounts
+	orders   *orders
 
 	listener net.Listener
 	server   *http.Server
@@ -137,7 +142,7 @@
 // provision builds the parts in the order of their dependencies.
 func (r *Router) provision() error {
 	for _, step := range []func() error{
-		r.provisionTelemetry, r.provisionPlatform, r.provisionPeers, r.provisionOwner, r.provisionAPI,
+		r.provisionTelemetry, r.provisionPlatform, r.provisionPeers, r.provisionOwner, r.provisionAPI, r.provisionOrders,
 	} {
 		if err := step(); err != nil {
 			return err
@@ -377,6 +382,7 @@
 	r.tomb.Kill(nil)
 	err := r.tomb.Wait()
 	_ = r.guard.Close()
+	r.orders.close()
 	_ = r.peers.Close()
 	_ = r.metrics.Close()
 	_ = r.tracing.Shutdown(ctx)
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -15,6 +15,8 @@
 	owners map[string]dispatch.Target
 	// streams holds the owner of each intent stream.
 	streams []dispatch.Target
+	// ordersCandidate is set when this router asks for the lease of orders.
+	ordersCandidate bool
 	// rank is this router's position among the writers of checkpoints.
 	rank int
 	// view describes the VM list for operators.
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -35,6 +35,7 @@
 			ByCategory: r.meter.Totals(),
 		},
 	}
+	doc.Orders = r.orders.status(r.settings.VM)
 	if up := now.Sub(r.started).Seconds(); up > 0 {
 		doc.Control.BytesPerSecond = float64(doc.Control.Bytes) / up
 	}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -34,6 +34,23 @@
 	Running int `json:"running"`
 	// DroppedFrames counts late, repeated and crossed frames.
 	DroppedFrames uint64 `json:"dropped_frames"`
+	// Orders are the orders to engines, on the router that holds their lease.
+	Orders []Order `json:"orders,omitempty"`
+}
+
+// Order is the state that an engine shall have for a model.
+type Order struct {
+	Engine string `json:"engine"`
+	Model  string `json:"model"`
+	// Unload is set when the engine shall not have the model.
+	Unload  bool   `json:"unload,omitempty"`
+	Version string `json:"version"`
+	Role    string `json:"role"`
+	// State is a state of the order chart.
+	State string `json:"state"`
+	// Fencing is the number of the lease and Holder the router that holds it.
+	Fencing uint64 `json:"fencing"`
+	Holder  string `json:"holder"`
 }
 
 // Configuration is the state of the configuration in force.
--- /dev/null
+++ b/internal/testbed/orders_test.go
@@ -0,0 +1,175 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/fleetconfig"
+	"github.com/bluebellwell/bluebellwell/internal/order"
+	"github.com/bluebellwell/bluebellwell/internal/router"
+	"github.com/bluebellwell/bluebellwell/internal/standin/enginesim"
+	"github.com/bluebellwell/bluebellwell/internal/statechart"
+	"github.com/bluebellwell/bluebellwell/internal/status"
+)
+
+// orderTimes keep the rules of the defaults in a shorter time.
+var orderTimes = order.Timing{
+	Lease: 3 * time.Second, Margin: 300 * time.Millisecond, SendTimeout: 500 * time.Millisecond,
+	Check: 500 * time.Millisecond, Poll: 200 * time.Millisecond,
+}
+
+// publishState puts an engine state in force in place of the record replaces.
+func publishState(ctx context.Context, t *testing.T, b *Bed, id, replaces string, perMinute int) {
+	t.Helper()
+	rec := fmt.Sprintf(`{"schema_version":2,"id":%q,"author":"test","changes":[{"kind":"pool","name":%q,"replaces":%q,"spec":{
+		"type":"engines","models":[%q],"load_multiple_percent":125,"engine_state":{"model":%q,"version":%q,"role":"chat",
+		"weight_loads_per_minute":%d,"weight_loads_at_once":100}}}]}`,
+		id, b.Profile.EnginePool, replaces, b.Profile.Model, b.Profile.Model, id, perMinute)
+	if _, err := b.Log.Append(ctx, fleetconfig.StreamName, [][]byte{[]byte(rec)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// loaded counts the engines that have a version.
+func loaded(b *Bed, version string) int {
+	n := 0
+	for _, e := range b.Engines() {
+		for _, m := range e.OrdersState().Models {
+			if m.Version == version && m.Role == "chat" {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// loads returns the load orders of a version that reached an engine.
+func loads(e *enginesim.Engine, version string) (n int) {
+	for _, o := range e.Orders() {
+		if o.Kind == enginesim.OrderLoad && o.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
+// holder returns the router that shows orders, with these.
+func holder(b *Bed) (*router.Router, []status.Order) {
+	for _, r := range b.Routers() {
+		if list := r.Status().Orders; len(list) > 0 {
+			return r, list
+		}
+	}
+	return nil, nil
+}
+
+func mustWait(ctx context.Context, t *testing.T, b *Bed, what string, cond func() bool) {
+	t.Helper()
+	if err := b.Wait(ctx, cond); err != nil {
+		_, list := holder(b)
+		t.Fatalf("%s: %v; orders %+v", what, err, list)
+	}
+}
+
+// Guards the engines against a published version that does not reach all of
+// them, or is loaded twice, when an engine joins, the holder dies, an answer is
+// lost or an order of an old holder comes late.
+func TestOrdersReachEveryEngine(t *testing.T) {
+	const v2 = "v2"
+	cases := []struct {
+		name  string
+		fault func(ctx context.Context, t *testing.T, b *Bed)
+	}{
+		{"none", func(context.Context, *testing.T, *Bed) {}},
+		{"engine joins later", func(ctx context.Context, t *testing.T, b *Bed) {
+			mustWait(ctx, t, b, "loads", func() bool { return loaded(b, v2) == len(b.Engines()) })
+			if _, err := b.AddEngine(); err != nil {
+				t.Fatal(err)
+			}
+		}},
+		{"holder dies in between", func(ctx context.Context, t *testing.T, b *Bed) {
+			mustWait(ctx, t, b, "first load", func() bool { return loaded(b, v2) > 0 })
+			old, list := holder(b)
+			if old == nil {
+				t.Fatal("no router shows orders")
+			}
+			b.KillRouter(old.VM())
+			late, err := b.AddEngine()
+			if err != nil {
+				t.Fatal(err)
+			}
+			mustWait(ctx, t, b, "next holder", func() bool { return loads(late, v2) > 0 })
+			if next := late.Orders()[0].Fencing; next <= list[0].Fencing {
+				t.Errorf("fencing number %d after %d", next, list[0].Fencing)
+			}
+		}},
+		{"late order of an old holder", func(ctx context.Context, t *testing.T, b *Bed) {
+			mustWait(ctx, t, b, "loads", func() bool { return loaded(b, v2) == len(b.Engines()) })
+			e := Sorted(b.Engines())[0]
+			client := engineclient.New(engineclient.Options{BaseURL: "http://" + e.Addr()})
+			defer client.Close()
+			late := engineclient.Order{OrderID: "0", Kind: "load", Model: b.Profile.Model, Version: "v0", Role: "chat"}
+			if _, err := client.Order(ctx, late); err != nil {
+				t.Fatal(err)
+			}
+			mustWait(ctx, t, b, "repair", func() bool {
+				_, list := holder(b)
+				for _, o := range list {
+					if o.State == string(statechart.OrderRepaired) {
+						return true
+					}
+				}
+				return false
+			})
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b, ctx := startBed(t, Options{Profile: Profiles()["lam-dong"], Routers: 3, Engines: 3, Backends: 1, Engine: fast, Orders: orderTimes})
+			lossy := Sorted(b.Engines())[1]
+			lossy.SetFaults(enginesim.Faults{DropOrderAnswer: true})
+			publishState(ctx, t, b, v2, "lam-dong-pools-1", 100)
+			tc.fault(ctx, t, b)
+			mustWait(ctx, t, b, "state of all engines", func() bool {
+				_, list := holder(b)
+				return loaded(b, v2) == len(b.Engines()) && len(list) == len(b.Engines())
+			})
+			if n := loads(lossy, v2); n != 1 {
+				t.Errorf("the engine whose answers are lost got %d load orders", n)
+			}
+		})
+	}
+}
+
+// Guards the weight store against more loads than the configuration in force
+// allows, and the fleet against a raised limit that has no effect.
+func TestWeightLoadBudget(t *testing.T) {
+	b, ctx := startBed(t, Options{Profile: Profiles()["thekkady"], Routers: 3, Engines: 8, Backends: 1, Engine: fast,
+		Orders: orderTimes})
+	total := func() (n int) {
+		for _, e := range b.Engines() {
+			for _, o := range e.Orders() {
+				if o.Kind == enginesim.OrderLoad {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	// The example records allow 6 loads a minute.
+	mustWait(ctx, t, b, "loads of the budget", func() bool { return total() >= 6 })
+	_, list := holder(b)
+	renewed := list[0].Fencing
+	mustWait(ctx, t, b, "renewals", func() bool {
+		_, list := holder(b)
+		return len(list) > 0 && list[0].Fencing > renewed+2
+	})
+	if n := total(); n != 6 {
+		t.Errorf("%d loads at a budget of 6", n)
+	}
+	publishState(ctx, t, b, "raised", "thekkady-pools-1", 100)
+	mustWait(ctx, t, b, "loads of the raised budget", func() bool { return loaded(b, "raised") == 8 })
+}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/order"
 	"github.com/bluebellwell/bluebellwell/internal/router"
 	"github.com/bluebellwell/bluebellwell/internal/settings"
 	"github.com/bluebellwell/bluebellwell/internal/standin/backendsim"
@@ -45,6 +46,8 @@
 	Tune func(s *settings.Settings)
 	// Retention is the retention of the config stream as the routers know it.
 	Retention time.Duration
+	// Orders replaces times of the orders to engines.
+	Orders order.Timing
 }
 
 // Bed is a running set of stand-ins and routers. Its methods are safe for
@@ -256,6 +259,7 @@
 	r, err := router.New(b.routerSettings(name, b.Profile.DataCentre(i)), b.options.Events, router.Options{
 		Policy:    b.options.Policy,
 		Retention: b.options.Retention,
+		Orders:    b.options.Orders,
 	})
 	if err != nil {
 		return nil, eris.Wrapf(err, "start router %s", name)
