testbed: check orders to engines under faults

The tests cover a published version, an engine that joins later, the death of the holder, lost answers, a late order of an old holder, the load budget and its change, a leaving engine, another model, and a pool without engine_state.

--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -214,3 +214,14 @@
 	}
 	return fmt.Appendf(nil, `{"schema_version":2,"id":"w-%d","author":"bench","changes":[%s]}`, from, strings.Join(changes, ","))
 }
+
+// Guards against a pool that raises the limits of another one.
+func TestStrictestWeightLoadLimits(t *testing.T) {
+	c := NewConfig()
+	for i, s := range []*EngineState{nil, {LoadsPerMinute: 9, LoadsAtOnce: 2}, {LoadsPerMinute: 4}, {LoadsAtOnce: 5}} {
+		c.Pools[fmt.Sprint(i)] = &Pool{EngineState: s}
+	}
+	if perMinute, atOnce := c.WeightLoads(); perMinute != 4 || atOnce != 2 {
+		t.Errorf("%d a minute, %d at once", perMinute, atOnce)
+	}
+}
--- a/internal/testbed/orders_test.go
+++ b/internal/testbed/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,13 +22,18 @@
 	Check: 500 * time.Millisecond, Poll: 200 * time.Millisecond,
 }
 
-// publishState puts an engine state in force in place of the record replaces.
-func publishState(ctx context.Context, t *testing.T, b *Bed, id, replaces string, perMinute int) {
+// publishState puts an engine state with the version id in force, in place of
+// the record replaces. Without a model the pool states none.
+func publishState(ctx context.Context, t *testing.T, b *Bed, id, replaces, model string) {
 	t.Helper()
+	part := ""
+	if model != "" {
+		part = fmt.Sprintf(`,"engine_state":{"model":%q,"version":%q,"role":"chat",
+			"weight_loads_per_minute":100,"weight_loads_at_once":100}`, model, id)
+	}
 	rec := fmt.Sprintf(`{"schema_version":2,"id":%q,"author":"test","changes":[{"kind":"pool","name":%q,"replaces":%q,"spec":{
-		"type":"engines","models":[%q],"load_multiple_percent":125,"engine_state":{"model":%q,"version":%q,"role":"chat",
-		"weight_loads_per_minute":%d,"weight_loads_at_once":100}}}]}`,
-		id, b.Profile.EnginePool, replaces, b.Profile.Model, b.Profile.Model, id, perMinute)
+		"type":"engines","models":[%q,"other-chat"],"load_multiple_percent":125%s}}]}`,
+		id, b.Profile.EnginePool, replaces, b.Profile.Model, part)
 	if _, err := b.Log.Append(ctx, fleetconfig.StreamName, [][]byte{[]byte(rec)}); err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +84,7 @@
 // them, or is loaded twice, when an engine joins, the holder dies, an answer is
 // lost or an order of an old holder comes late.
 func TestOrdersReachEveryEngine(t *testing.T) {
-	const v2 = "v2"
+	const v2, lateOrder = "v2", "late order of an old holder"
 	cases := []struct {
 		name  string
 		fault func(ctx context.Context, t *testing.T, b *Bed)
@@ -106,7 +112,7 @@
 				t.Errorf("fencing number %d after %d", next, list[0].Fencing)
 			}
 		}},
-		{"late order of an old holder", func(ctx context.Context, t *testing.T, b *Bed) {
+		{lateOrder, func(ctx context.Context, t *testing.T, b *Bed) {
 			mustWait(ctx, t, b, "loads", func() bool { return loaded(b, v2) == len(b.Engines()) })
 			e := Sorted(b.Engines())[0]
 			client := engineclient.New(engineclient.Options{BaseURL: "http://" + e.Addr()})
@@ -117,26 +123,22 @@
 			}
 			mustWait(ctx, t, b, "repair", func() bool {
 				_, list := holder(b)
-				for _, o := range list {
-					if o.State == string(statechart.OrderRepaired) {
-						return true
-					}
-				}
-				return false
+				return slices.ContainsFunc(list, func(o status.Order) bool { return o.State == string(statechart.OrderRepaired) })
 			})
 		}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			b, ctx := startBed(t, Options{Profile: Profiles()["lam-dong"], Routers: 3, Engines: 3, Backends: 1, Engine: fast, Orders: orderTimes})
+			// Only an engine that ignores the number follows the late order.
+			engine := fast
+			engine.CheckFencing = tc.name != lateOrder
+			b, ctx := startBed(t, Options{Profile: Profiles()["lam-dong"], Routers: 3, Engines: 3, Backends: 1, Engine: engine, Orders: orderTimes})
 			lossy := Sorted(b.Engines())[1]
 			lossy.SetFaults(enginesim.Faults{DropOrderAnswer: true})
-			publishState(ctx, t, b, v2, "lam-dong-pools-1", 100)
+			publishState(ctx, t, b, v2, "lam-dong-pools-1", b.Profile.Model)
 			tc.fault(ctx, t, b)
-			mustWait(ctx, t, b, "state of all engines", func() bool {
-				_, list := holder(b)
-				return loaded(b, v2) == len(b.Engines()) && len(list) == len(b.Engines())
-			})
+			n := len(b.Engines())
+			mustWait(ctx, t, b, "all engines", func() bool { _, l := holder(b); return loaded(b, v2) == n && len(l) == n })
 			if n := loads(lossy, v2); n != 1 {
 				t.Errorf("the engine whose answers are lost got %d load orders", n)
 			}
@@ -147,15 +149,10 @@
 // Guards the weight store against more loads than the configuration in force
 // allows, and the fleet against a raised limit that has no effect.
 func TestWeightLoadBudget(t *testing.T) {
-	b, ctx := startBed(t, Options{Profile: Profiles()["thekkady"], Routers: 3, Engines: 8, Backends: 1, Engine: fast,
-		Orders: orderTimes})
+	b, ctx := startBed(t, Options{Profile: Profiles()["thekkady"], Routers: 3, Engines: 8, Backends: 1, Engine: fast, Orders: orderTimes})
 	total := func() (n int) {
 		for _, e := range b.Engines() {
-			for _, o := range e.Orders() {
-				if o.Kind == enginesim.OrderLoad {
-					n++
-				}
-			}
+			n += loads(e, "malli-chat-2026-11")
 		}
 		return n
 	}
@@ -163,13 +160,37 @@
 	mustWait(ctx, t, b, "loads of the budget", func() bool { return total() >= 6 })
 	_, list := holder(b)
 	renewed := list[0].Fencing
-	mustWait(ctx, t, b, "renewals", func() bool {
-		_, list := holder(b)
-		return len(list) > 0 && list[0].Fencing > renewed+2
-	})
+	mustWait(ctx, t, b, "renewals", func() bool { _, l := holder(b); return len(l) > 0 && l[0].Fencing > renewed+2 })
 	if n := total(); n != 6 {
 		t.Errorf("%d loads at a budget of 6", n)
 	}
-	publishState(ctx, t, b, "raised", "thekkady-pools-1", 100)
+	publishState(ctx, t, b, "raised", "thekkady-pools-1", b.Profile.Model)
 	mustWait(ctx, t, b, "loads of the raised budget", func() bool { return loaded(b, "raised") == 8 })
 }
+
+// Guards engines that leave, or whose pool states nothing, against orders, and
+// the others against a model that stays although another one is asked for.
+func TestOrdersTouchOnlyStatedEngines(t *testing.T) {
+	b, ctx := startBed(t, Options{Profile: Profiles()["lam-dong"], Routers: 2, Engines: 2, Backends: 1, Engine: fast, Orders: orderTimes})
+	shown := func(n int) bool { _, list := holder(b); return len(list) == n }
+	mustWait(ctx, t, b, "loads", func() bool { return loaded(b, "assistant-chat-2026-10") == 2 && shown(2) })
+	leaving, stays := Sorted(b.Engines())[0], Sorted(b.Engines())[1]
+	b.LeaveServer(leaving.Name())
+	mustWait(ctx, t, b, "engine off the list", func() bool { return shown(1) })
+	orders := len(leaving.Orders())
+	publishState(ctx, t, b, "v2", "lam-dong-pools-1", "other-chat")
+	mustWait(ctx, t, b, "other model", func() bool { m := stays.OrdersState().Models; return len(m) == 1 && m[0].Model == "other-chat" })
+	publishState(ctx, t, b, "v3", "v2", "")
+	mustWait(ctx, t, b, "no orders", func() bool { return shown(0) })
+	orders += len(stays.Orders())
+	// The state that the engine loses would be ordered again.
+	stays.Die()
+	if err := stays.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	head := len(b.Log.Records(order.StreamName))
+	mustWait(ctx, t, b, "renewals", func() bool { return len(b.Log.Records(order.StreamName)) > head+2 })
+	if n := len(leaving.Orders()) + len(stays.Orders()); n != orders {
+		t.Errorf("%d orders after %d", n, orders)
+	}
+}
