--- a/internal/cli/specs.go
+++ b/internal/cli/specs.go
@@ -22,6 +22,15 @@
 	KVMovesPerMinute    int                         `json:"kv_moves_per_minute"`
 	CacheTokens         int                         `json:"cache_tokens"`
 	CacheEventBytes     int                         `json:"cache_event_bytes_per_s"`
+	EngineState         *engineStateSpec            `json:"engine_state,omitempty"`
+}
+
+type engineStateSpec struct {
+	Model          string `json:"model"`
+	Version        string `json:"version"`
+	Role           string `json:"role"`
+	LoadsPerMinute int    `json:"weight_loads_per_minute,omitempty"`
+	LoadsAtOnce    int    `json:"weight_loads_at_once,omitempty"`
 }
 
 func poolSpecOf(p *record.Pool) poolSpec {
@@ -38,6 +47,7 @@
 		KVMovesPerMinute:    p.KVMovesPerMinute,
 		CacheTokens:         p.CacheTokens,
 		CacheEventBytes:     p.CacheEventBytes,
+		EngineState:         (*engineStateSpec)(p.EngineState),
 	}
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -110,6 +110,17 @@
 //	cache_tokens           schema 2: 0 to 1e9, prefix cache of each engine;
 //	                       default 0 (unknown)
 //	cache_event_bytes_per_s  schema 2: 0 to 1000000, default 0 (no events)
+//	engine_state           what all engines of the pool shall have; absent
+//	                       leaves them alone
+//
+// Fields of engine_state:
+//
+//	model                    one of the pool's models, required
+//	version                  up to 128 bytes in the form of a model name, required
+//	role                     1 to 63 of a-z 0-9 . _ -, required
+//	weight_loads_per_minute  1 to 1000; limit for the whole fleet, of which the
+//	                         smallest value of all pools counts; default 4
+//	weight_loads_at_once     1 to 1000, in the same way; default 2
 //
 // Fields of a workspace:
 //
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -36,6 +36,7 @@
 			Refused:    r.meter.Refused(),
 		},
 	}
+	doc.Orders = r.orders.status(r.settings.VM)
 	if up := now.Sub(r.started).Seconds(); up > 0 {
 		doc.Control.BytesPerSecond = float64(doc.Control.Bytes) / up
 	}
