--- a/internal/ownership/bench_test.go
+++ b/internal/ownership/bench_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/membership"
 	"github.com/bluebellwell/bluebellwell/internal/meter"
-	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/vmlist"
 )
 
@@ -22,7 +21,6 @@
 	mail     []message
 	received int
 	spent    time.Duration
-	last     *peerpb.Envelope
 }
 
 func newRing(n int) *ring {
