entry: keep the headers of a recorded answer

The terminal frame of a plain answer repeats the status without headers and cleared those of the first frame, so a replay lost its Content-Type.

The fencing number is now the offset of the intent plus 1: the offset 0 was taken for no number, and the first request of a stream had no X-Fencing.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -100,7 +100,7 @@
 	Repeatable     bool
 	AttemptID      string
 	IdempotencyKey string
-	// Fencing is the intent offset of a non-repeatable request; 0 means none.
+	// Fencing is the fencing number of a non-repeatable request; 0 means none.
 	Fencing uint64
 }
 
--- /dev/null
+++ b/internal/entry/once_test.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/record"
+)
+
+type fixedFleet struct{ state State }
+
+func (f *fixedFleet) State() *State { return &f.state }
+
+// scriptedRunner sends the same frames for every request.
+type scriptedRunner struct {
+	frames []*peerpb.Frame
+	result dispatch.Result
+}
+
+func (r *scriptedRunner) Run(_ context.Context, _ *peerpb.Relay, sink dispatch.Sink) dispatch.Result {
+	for _, f := range r.frames {
+		_ = sink.Frame(f)
+	}
+	return r.result
+}
+
+func (r *scriptedRunner) Resume(ctx context.Context, req *peerpb.Relay, sink dispatch.Sink) dispatch.Result {
+	return r.Run(ctx, req, sink)
+}
+
+// oneKey is a guard of one key.
+type oneKey struct{ outcome *peerpb.IntentCall }
+
+func (g *oneKey) Call(_ context.Context, c *peerpb.IntentCall) (*peerpb.IntentReply, error) {
+	switch {
+	case c.Op == peerpb.IntentOp_INTENT_OP_OUTCOME:
+		g.outcome = c
+	case g.outcome != nil:
+		return &peerpb.IntentReply{
+			State: peerpb.IntentState_INTENT_STATE_DONE, Status: g.outcome.Status, Headers: g.outcome.Headers, Body: g.outcome.Body,
+		}, nil
+	}
+	return &peerpb.IntentReply{State: peerpb.IntentState_INTENT_STATE_WON}, nil
+}
+
+// testAPI serves the workspace w, the model m and the plain pool p.
+func testAPI(run *scriptedRunner) http.Handler {
+	cfg := record.NewConfig()
+	cfg.Workspaces["w"] = &record.Workspace{Name: "w"}
+	cfg.Pools["p"] = &record.Pool{Name: "p", Type: record.PoolPlain}
+	cfg.Pools["e"] = &record.Pool{Name: "e", Type: record.PoolEngines, Models: []string{"m"}}
+	return New(Deps{
+		Fleet:   &fixedFleet{State{Config: cfg, Ready: true, Accepting: true}},
+		Runner:  run,
+		Guard:   &oneKey{},
+		Key:     make([]byte, 32),
+		Limits:  Limits{MaxBody: 1 << 10, MaxConcurrent: 1, DefaultDeadline: time.Minute},
+		Clock:   clockwork.NewFakeClock(),
+		Tracer:  noop.NewTracerProvider().Tracer(""),
+		Status:  http.NotFoundHandler(),
+		Metrics: http.NotFoundHandler(),
+	}).Handler()
+}
+
+func post(h http.Handler, path, body string, headers map[string]string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	req.Header.Set(HeaderWorkspace, "w")
+	for name, v := range headers {
+		req.Header.Set(name, v)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, req)
+	return w
+}
+
+// Guards against a replayed answer that differs from the first one: the last
+// frame has a status and no headers, and must not clear those of the first.
+func TestReplayKeepsContentType(t *testing.T) {
+	done := dispatch.Result{Outcome: peerpb.Outcome_OUTCOME_DONE, Status: 201}
+	h := testAPI(&scriptedRunner{result: done, frames: []*peerpb.Frame{
+		{Status: 201, Headers: []*peerpb.Header{{Name: "Content-Type", Value: "application/json"}}, Payload: []byte("{}")},
+		{Status: 201, Terminal: true, Outcome: peerpb.Outcome_OUTCOME_DONE},
+	}})
+	once := map[string]string{
+		HeaderKey: "k", HeaderKeyIssued: "2026-12-03T08:00:00Z", HeaderRepeatable: "false",
+	}
+	for i, replayed := range []string{"", "true"} {
+		w := post(h, "/services/p/bookings", "{}", once)
+		if w.Code != 201 || w.Body.String() != "{}" || w.Header().Get("Content-Type") != "application/json" ||
+			w.Header().Get(headerReplayed) != replayed {
+			t.Errorf("answer %d: %d %q %v", i, w.Code, w.Body, w.Header())
+		}
+	}
+}
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -237,7 +237,8 @@
 }
 
 func (s *recordingSink) Frame(f *peerpb.Frame) error {
-	if f.Status != 0 {
+	// The terminal frame repeats the status without headers.
+	if f.Status != 0 && s.status == 0 {
 		s.status = f.Status
 		s.headers = f.Headers
 	}
--- a/internal/intent/fold.go
+++ b/internal/intent/fold.go
@@ -42,7 +42,8 @@
 	Generation uint32
 	// Holder is the uid that won the generation, or empty.
 	Holder string
-	// Fencing is the offset of the holder's intent.
+	// Fencing is the offset of the holder's intent plus 1, because 0 stands for
+	// no number in messages and requests.
 	Fencing uint64
 	Digest  [digestBytes]byte
 	// Issued is the key's issue time in Unix milliseconds.
@@ -134,7 +135,7 @@
 		return false
 	}
 	e.Holder = r.Uid
-	e.Fencing = offset
+	e.Fencing = offset + 1
 	e.Started = at
 	e.Limit = time.Duration(r.LimitMs) * time.Millisecond
 	e.Digest = [digestBytes]byte{}
--- a/internal/intent/fold_test.go
+++ b/internal/intent/fold_test.go
@@ -62,6 +62,9 @@
 		if e.Generation != c.gen || e.Holder != c.holder || (e.Outcome != nil) != c.done {
 			t.Errorf("%s: got %+v", c.name, e)
 		}
+		if e.Holder != "" && e.Fencing == 0 {
+			t.Errorf("%s: the backend server gets no fencing number", c.name)
+		}
 		if c.done && string(e.Outcome.Body) != "x" {
 			t.Errorf("%s: the outcome is %q", c.name, e.Outcome.Body)
 		}
