--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -119,8 +119,11 @@
 	return a.finish(w, ctx, sink, res, id)
 }
 
-// finish writes the end of an answer, or the problem that ended it.
+// finish writes the end of an answer, or the problem that ended it. It sets the
+// outcome header also when the headers have been sent, because the router
+// counts answers by it.
 func (a *API) finish(w http.ResponseWriter, ctx context.Context, sink responseSink, res dispatch.Result, id string) error {
+	w.Header().Set(HeaderOutcome, outcomeName(res.Outcome))
 	if res.Outcome == peerpb.Outcome_OUTCOME_DONE {
 		return sink.done()
 	}
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -82,6 +82,30 @@
 	return w
 }
 
+// Guards against answers that the status page does not count: the router counts
+// by the outcome header, which streams and plain answers do not send.
+func TestEveryEndSetsTheOutcome(t *testing.T) {
+	chunk := &peerpb.Frame{Payload: []byte(`{"choices":[{"index":0,"delta":{"content":"a"}}]}`), Characters: 1}
+	stream := `{"model":"m","stream":true,"messages":[{"role":"user","content":"a"}]}`
+	for _, c := range []struct {
+		path, body string
+		first      *peerpb.Frame
+		outcome    peerpb.Outcome
+		want       string
+	}{
+		{"/v1/chat/completions", stream, chunk, peerpb.Outcome_OUTCOME_DONE, OutcomeDone},
+		{"/v1/chat/completions", stream, chunk, peerpb.Outcome_OUTCOME_INCOMPLETE, OutcomeIncomplete},
+		{"/services/p/x", "", &peerpb.Frame{Status: 200, Headers: []*peerpb.Header{{Name: HeaderOutcome, Value: "x"}}},
+			peerpb.Outcome_OUTCOME_DONE, OutcomeDone},
+		{"/services/p/x", "", &peerpb.Frame{}, peerpb.Outcome_OUTCOME_UNKNOWN, OutcomeUnknown},
+	} {
+		h := testAPI(&scriptedRunner{result: dispatch.Result{Outcome: c.outcome}, frames: []*peerpb.Frame{c.first}})
+		if got := post(h, c.path, c.body, nil).Header().Get(HeaderOutcome); got != c.want {
+			t.Errorf("%s, %v: outcome %q, want %q", c.path, c.outcome, got, c.want)
+		}
+	}
+}
+
 // Guards against a replayed answer that differs from the first one: the last
 // frame has a status and no headers, and must not clear those of the first.
 func TestReplayKeepsContentType(t *testing.T) {
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -166,7 +166,6 @@
 	h := s.w.Header()
 	setCommonHeaders(h, s.requestID, s.placement)
 	h.Set("Content-Type", "application/json")
-	h.Set(HeaderOutcome, OutcomeDone)
 	return json.NewEncoder(s.w).Encode(completion{
 		ID:     s.requestID,
 		Object: "chat.completion",
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -38,9 +38,12 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.active.Add(1)
 		defer r.active.Add(-1)
+		// Deferred, because a cut plain answer ends the handler with a panic.
+		defer func() {
+			if outcome := w.Header().Get(entry.HeaderOutcome); outcome != "" {
+				r.callers.add(outcome)
+			}
+		}()
 		h.ServeHTTP(w, req)
-		if outcome := w.Header().Get(entry.HeaderOutcome); outcome != "" {
-			r.callers.add(outcome)
-		}
 	})
 }
--- a/internal/testbed/path_test.go
+++ b/internal/testbed/path_test.go
@@ -100,4 +100,15 @@
 	if n := len(b.Calls.ExecutedKey("renewal-1")); n != 1 {
 		t.Fatalf("the booking ran %d times", n)
 	}
+	// Three streams and two bookings. A count may follow the end of its answer.
+	err = b.Wait(ctx, func() bool {
+		done := int64(0)
+		for _, r := range b.Routers() {
+			done += r.Status().Callers[entry.OutcomeDone]
+		}
+		return done == 5
+	})
+	if err != nil {
+		t.Fatalf("the routers do not count 5 whole answers: %v", err)
+	}
 }
