--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -166,7 +166,6 @@
 	h := s.w.Header()
 	setCommonHeaders(h, s.requestID, s.placement)
 	h.Set("Content-Type", "application/json")
-	h.Set(HeaderOutcome, OutcomeDone)
 	return json.NewEncoder(s.w).Encode(completion{
 		ID:     s.requestID,
 		Object: "chat.completion",
@@ -237,7 +236,8 @@
 }
 
 func (s *recordingSink) Frame(f *peerpb.Frame) error {
-	if f.Status != 0 {
+	// The terminal frame repeats the status without headers.
+	if f.Status != 0 && s.status == 0 {
 		s.status = f.Status
 		s.headers = f.Headers
 	}
