--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -50,7 +50,7 @@
 	"queue_full":              http.StatusTooManyRequests,
 	"workspace_queue_full":    http.StatusTooManyRequests,
 	"too_many_callers":        http.StatusTooManyRequests,
-	"retry_budget_exhausted":  http.StatusServiceUnavailable,
+	"retry_budget":            http.StatusServiceUnavailable,
 	dispatch.CodeDeadline:     http.StatusGatewayTimeout,
 	"invalid_request":         http.StatusBadRequest,
 	"unknown_model":           http.StatusNotFound,
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -110,7 +110,7 @@
 // ownHeaders are consumed here and never passed on.
 var ownHeaders = map[string]bool{
 	HeaderWorkspace: true, HeaderChat: true, HeaderPriority: true, HeaderDeadline: true, HeaderKey: true,
-	HeaderKeyIssued: true, HeaderRepeatable: true, HeaderPlacement: true, HeaderRequestID: true, HeaderOutcome: true,
+	HeaderKeyIssued: true, HeaderRepeatable: true, headerReplayed: true, HeaderPlacement: true, HeaderRequestID: true, HeaderOutcome: true,
 	"Authorization": true, "Cookie": true, "Traceparent": true, "X-Fencing": true, "X-Attempt-Id": true,
 	"Connection": true, "Keep-Alive": true, "Proxy-Authorization": true, "Proxy-Authenticate": true, "Te": true,
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Host": true, "Content-Length": true,
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -204,7 +204,10 @@
 	s.begun = true
 	h := s.w.Header()
 	for _, header := range f.Headers {
-		h.Add(header.Name, header.Value)
+		// A plain server must not state an outcome in the router's name.
+		if !ownHeaders[http.CanonicalHeaderKey(header.Name)] {
+			h.Add(header.Name, header.Value)
+		}
 	}
 	setCommonHeaders(h, s.requestID, "")
 	s.w.WriteHeader(int(f.Status))
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -193,7 +193,8 @@
 	return t.cfg.Advertise
 }
 
-// Close ends all connections and waits for handlers to return.
+// Close ends all connections and waits for handlers to return. A transport that
+// was not started only closes its listener.
 func (t *Transport) Close() error {
 	t.mu.Lock()
 	if t.closed {
@@ -201,6 +202,10 @@
 		return t.tomb.Wait()
 	}
 	t.closed = true
+	if t.handler == nil {
+		t.mu.Unlock()
+		return t.listener.Close()
+	}
 	t.tomb.Kill(nil)
 	conns := make([]*conn, 0, len(t.conns))
 	for c := range t.conns {
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -55,13 +56,17 @@
 		backends: map[string]*backend.Client{},
 		moves:    moves{names: kvmove.NewNames(0)},
 	}
+	var prefixes *placement.PrefixIndex
+	if deps.Chats > 0 {
+		prefixes = placement.NewPrefixIndex(deps.Chats)
+	}
 	var picker placement.Picker
 	if deps.NewPicker != nil {
 		picker = deps.NewPicker()
 	}
 	p.admission = admission.NewPool(
 		admission.Config{Pool: a.Pool, Workspaces: a.Workspaces},
-		admission.Deps{Rand: deps.Rand, Picker: picker},
+		admission.Deps{Rand: deps.Rand, Picker: picker, Prefixes: prefixes},
 	)
 	return p
 }
@@ -121,17 +126,10 @@
 	return last
 }
 
-// sameMap compares maps that are never changed after they were published.
+// sameMap compares maps that are never changed after they were published: the
+// configuration in force keeps its map until the next change.
 func sameMap(a, b map[string]*record.Workspace) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for name, ws := range a {
-		if b[name] != ws {
-			return false
-		}
-	}
-	return true
+	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
 }
 
 // dropClients closes clients of addresses that no server has any more.
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -43,6 +43,8 @@
 	// Rand returns uniform numbers from 0 up to but not including 1 and is safe
 	// for concurrent use.
 	Rand func() float64
+	// Chats is the size of each pool's prefix index; 0 means the default.
+	Chats int
 	// NewPicker returns the placement policy; nil means the default.
 	NewPicker func() placement.Picker
 	// Events receives log events; nil discards them.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -244,6 +244,7 @@
 		Ended:  r.attemptEnded,
 		Events: r.events,
 		Rand:   randomFloat,
+		Chats:  r.settings.PrefixIndexEntries,
 	}
 	if r.options.Policy != nil {
 		deps.NewPicker = r.options.Policy.NewPicker
@@ -268,7 +269,7 @@
 		Clock:   r.clock,
 		Tracer:  r.tracing.Tracer(),
 		Status:  http.HandlerFunc(r.serveStatus),
-		Metrics: r.metrics.Handler(),
+		Metrics: r.metricsPage(),
 	})
 	if r.listener == nil {
 		l, err := net.Listen("tcp", r.settings.ListenCallers.String())
@@ -286,6 +287,14 @@
 	return nil
 }
 
+// metricsPage returns the metrics page, or one that says that it is off.
+func (r *Router) metricsPage() http.Handler {
+	if !r.settings.Metrics.Enabled {
+		return http.NotFoundHandler()
+	}
+	return r.metrics.Handler()
+}
+
 // fleet implements entry.Fleet.
 type fleet struct {
 	r *Router
@@ -322,6 +331,9 @@
 	r.tomb.Go(r.pollVMs)
 	r.tomb.Go(r.tickPools)
 	r.tomb.Go(r.askPeers)
+	if r.settings.Metrics.Enabled {
+		r.tomb.Go(r.publishMetrics)
+	}
 	r.tomb.Go(func() error { return r.config.Run(&r.tomb) })
 	if r.solo() {
 		r.tomb.Go(r.pollLoads)
