--- a/internal/testbed/moves_test.go
+++ b/internal/testbed/moves_test.go
@@ -16,6 +16,7 @@
 // with moves they find it on another engine. Without moves nothing is cached,
 // which shows that the moves make the difference.
 func TestLeavingEngineHandsItsChatsOver(t *testing.T) {
+	t.Parallel()
 	for _, moves := range []bool{true, false} {
 		cached, prompt, chats := cachedAfterLeave(t, moves)
 		t.Logf("moves %v: %d chats of the leaving engine found %d of %d prompt tokens", moves, chats, cached, prompt)
--- a/internal/testbed/path_test.go
+++ b/internal/testbed/path_test.go
@@ -14,8 +14,11 @@
 // fast makes answers short without changing their order.
 var fast = enginesim.Config{PrefillPerToken: time.Microsecond, PerToken: time.Millisecond}
 
+// startBed starts a bed of its own for a test. A fleet starts with a wait for
+// votes of earlier processes, so such tests run side by side.
 func startBed(t *testing.T, o Options) (*Bed, context.Context) {
 	t.Helper()
+	t.Parallel()
 	records, err := o.Profile.Records()
 	if err != nil {
 		t.Fatal(err)
@@ -23,11 +26,9 @@
 	return startBedWith(t, o, records)
 }
 
-// startBedWith starts a bed with the given records in force. A fleet starts with
-// a wait for votes of earlier processes, so the beds run side by side.
+// startBedWith starts a bed with the given records in force.
 func startBedWith(t *testing.T, o Options, records [][]byte) (*Bed, context.Context) {
 	t.Helper()
-	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	t.Cleanup(cancel)
 	b, err := New(o)
