router: report the last ended attempts before a planned stop ends

Cause: ended attempts are collected for 100 ms, and a router that had drained closed before the last batch was sent. The new owner counted them for 10 s. Broken on purpose (trial): without the flush, TestHandoverLeavesNoLoadBehind goes red.

--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"encoding/hex"
 	"errors"
 	"maps"
@@ -155,15 +156,46 @@
 	e.flush(pool, ids)
 }
 
+// takeAll returns all attempts that wait for their message.
+func (e *endedAttempts) takeAll() map[string][][]byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := e.ids
+	e.ids = map[string][][]byte{}
+	return all
+}
+
 // sendEnded reports ended attempts to the present owner of their pool.
 func (r *Router) sendEnded(pool string, ids [][]byte) {
 	owner, ok := r.state().owners[pool]
-	if !ok || owner.VM == r.settings.VM {
+	if !ok || owner.VM == r.settings.VM || len(ids) == 0 {
 		return
 	}
-	_ = r.peers.Send(owner.Addr, &peerpb.Envelope{Body: &peerpb.Envelope_AttemptEnded{
+	_ = r.peers.Send(owner.Addr, endedMessage(pool, ids))
+}
+
+func endedMessage(pool string, ids [][]byte) *peerpb.Envelope {
+	return &peerpb.Envelope{Body: &peerpb.Envelope_AttemptEnded{
 		AttemptEnded: &peerpb.AttemptEnded{Pool: pool, Attempts: ids},
-	}})
+	}}
+}
+
+// flushEnded reports the last ended attempts before the router closes. It waits
+// until the messages are written, since the queue of one-way messages ends with
+// the transport.
+func (r *Router) flushEnded(ctx context.Context) {
+	for pool, ids := range r.ended.takeAll() {
+		owner, ok := r.state().owners[pool]
+		if !ok || owner.VM == r.settings.VM {
+			continue
+		}
+		s, err := r.peers.Open(ctx, owner.Addr)
+		if err != nil {
+			continue
+		}
+		_ = s.Send(endedMessage(pool, ids))
+		_ = s.Close()
+	}
 }
 
 func (c *control) sendOwnership(a ownership.Send) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -361,6 +361,7 @@
 	r.events.Emit(event.RouterStopping, "vm", r.settings.VM)
 	r.post(stopRequested{})
 	r.drain(ctx)
+	r.flushEnded(ctx)
 	return r.close()
 }
 
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -22,6 +22,8 @@
 		_ = s.Send(r.configReply(body.ConfigFetch))
 	case *peerpb.Envelope_IntentCall:
 		r.serveIntent(ctx, body.IntentCall, s)
+	case *peerpb.Envelope_AttemptEnded:
+		r.attemptsEnded(body.AttemptEnded)
 	case *peerpb.Envelope_StatusQuery:
 		_ = s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_StatusReply{
 			StatusReply: &peerpb.StatusReply{Json: r.statusJSON()},
@@ -35,15 +37,20 @@
 	case *peerpb.Envelope_Heartbeat:
 		r.post(heartbeatReceived{from: from, heartbeat: body.Heartbeat})
 	case *peerpb.Envelope_AttemptEnded:
-		for _, id := range body.AttemptEnded.GetAttempts() {
-			r.owner.AttemptEnded(r.clock.Now(), body.AttemptEnded.GetPool(), hex.EncodeToString(id))
-		}
+		r.attemptsEnded(body.AttemptEnded)
 	case *peerpb.Envelope_Claim, *peerpb.Envelope_ClaimReply, *peerpb.Envelope_VoteLost,
 		*peerpb.Envelope_Renewal, *peerpb.Envelope_RenewalReply, *peerpb.Envelope_Join, *peerpb.Envelope_JoinReply:
 		r.post(ownershipReceived{from: from.VM, env: env})
 	}
 }
 
+// attemptsEnded takes the ends of attempts that an earlier owner started.
+func (r *Router) attemptsEnded(m *peerpb.AttemptEnded) {
+	for _, id := range m.GetAttempts() {
+		r.owner.AttemptEnded(r.clock.Now(), m.GetPool(), hex.EncodeToString(id))
+	}
+}
+
 // frameSender sends frames to an entry router.
 type frameSender struct {
 	stream *peer.Stream
--- a/internal/testbed/faults_test.go
+++ b/internal/testbed/faults_test.go
@@ -266,3 +266,34 @@
 		t.Fatalf("the booking ran %d times", n)
 	}
 }
+
+// Guards against a new owner that counts attempts of the old one after their
+// end: the pool would look loaded, and returning chats would miss their cache.
+func TestHandoverLeavesNoLoadBehind(t *testing.T) {
+	b, ctx := startBed(t, Options{Profile: Profiles()["thekkady"], Routers: 4, Engines: 4, Backends: 1, Engine: slow})
+	own, _ := owner(b)
+	results := runLong(ctx, t, b, 24, Sorted(b.Routers()), func() {
+		if err := b.StopRouter(ctx, own.VM()); err != nil {
+			t.Fatal(err)
+		}
+	})
+	mustBeWhole(t, results)
+	err := b.Wait(ctx, func() bool {
+		for _, r := range b.Routers() {
+			for _, p := range r.Status().Pools {
+				if p.Pool == b.Profile.EnginePool && p.Slots > 0 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range b.Routers() {
+		if n := r.Status().Control.ByCategory["probe"]; n > 0 {
+			t.Errorf("router %s had to ask the engines for the end of attempts (%d bytes)", r.VM(), n)
+		}
+	}
+}
