--- a/internal/router/poll.go
+++ b/internal/router/poll.go
@@ -15,12 +15,14 @@
 	// poolTick is the interval at which waits and deadlines of owned pools are
 	// checked.
 	poolTick = 10 * time.Millisecond
-	// askInterval is the time between questions to peers while the log is not
-	// heard; askTimeout bounds one round.
-	askInterval = 500 * time.Millisecond
+	// askInterval is the time between looks at the log's age, and between
+	// questions to peers while the log is not heard; askTimeout bounds one round.
+	askInterval = 250 * time.Millisecond
 	askTimeout  = 400 * time.Millisecond
-	// logQuiet is the log age at which a router begins to ask its peers.
-	logQuiet = fleetconfig.LogHeardLimit - askInterval
+	// logQuiet is the log age at which a router begins to ask its peers. It is
+	// above the wait of a read at the log's head, so that an idle fleet asks
+	// nobody, and leaves two rounds before the log counts as not heard.
+	logQuiet = fleetconfig.LogHeardLimit - 2*askInterval - 50*time.Millisecond
 )
 
 // pollVMs reads the VM list at its interval, and at once when a peer has seen
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -152,7 +152,7 @@
 	DefaultReadTime          = 60 * time.Second
 	DefaultHeartbeatInterval = 1 * time.Second
 	DefaultVMListPoll        = 2 * time.Second
-	DefaultConfigPollWait    = 1500 * time.Millisecond
+	DefaultConfigPollWait    = 1250 * time.Millisecond
 	DefaultDrainLimit        = 15 * time.Minute
 	DefaultIntentStreams     = 16
 	DefaultKeyWindow         = 15 * time.Minute
