Report the ends of attempts that entry routers named to a new owner

Cause: an attempt that ended at the old owner while its last frame was on its way was named by the entry router, and its end was never reported; the look at the engines that would find it was held back by the control budget. Change: entry routers report the ends of attempts that they named, and the look at the engines no longer waits for the budget.

--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -9,12 +9,27 @@
 // InFlight lists the attempts that this router relays, by pool. A new owner
 // of a pool asks for them. It is safe for concurrent use.
 type InFlight struct {
+	// onEnd is told the end of each attempt that Attempts has named. It must not
+	// block.
+	onEnd func(pool, attemptID string)
+
 	mu    sync.Mutex
 	pools map[string]map[string]*peerpb.Attempt
+	named map[string]bool
+}
+
+// OnEnd sets what is called at the end of an attempt that a new owner was told
+// of. It is called before the first request.
+func (r *InFlight) OnEnd(f func(pool, attemptID string)) {
+	r.onEnd = f
 }
 
 func newInFlight() *InFlight {
-	return &InFlight{pools: map[string]map[string]*peerpb.Attempt{}}
+	return &InFlight{
+		onEnd: func(string, string) {},
+		pools: map[string]map[string]*peerpb.Attempt{},
+		named: map[string]bool{},
+	}
 }
 
 func (r *InFlight) add(pool string, a *peerpb.Attempt) {
@@ -30,17 +45,24 @@
 
 func (r *InFlight) remove(pool, attemptID string) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	delete(r.pools[pool], attemptID)
+	named := r.named[attemptID]
+	delete(r.named, attemptID)
+	r.mu.Unlock()
+	if named {
+		r.onEnd(pool, attemptID)
+	}
 }
 
-// Attempts returns the attempts of a pool in flight.
+// Attempts returns the attempts of a pool in flight, for a new owner. Their ends
+// are reported from then on.
 func (r *InFlight) Attempts(pool string) []*peerpb.Attempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]*peerpb.Attempt, 0, len(r.pools[pool]))
 	for _, a := range r.pools[pool] {
 		list = append(list, a)
+		r.named[a.AttemptId] = true
 	}
 	return list
 }
--- a/internal/poolowner/adopt.go
+++ b/internal/poolowner/adopt.go
@@ -9,7 +9,6 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
-	"github.com/bluebellwell/bluebellwell/internal/meter"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
 
@@ -25,8 +24,6 @@
 	// takeoverWindow is how long a new owner keeps slots free for attempts that
 	// nobody can name: those of callers of a router that died.
 	takeoverWindow = 3 * time.Second
-	// reportBytes estimates a load report with the attempts of one engine.
-	reportBytes = 2000
 	// maxPlainCall bounds a call of a plain service.
 	maxPlainCall = 2 * time.Minute
 )
@@ -205,9 +202,6 @@
 	}
 	var wg sync.WaitGroup
 	for _, name := range p.toReconcile() {
-		if !p.deps.Meter.Permits(meter.Probe, reportBytes) {
-			continue
-		}
 		client := p.engine(name)
 		if client == nil {
 			p.releaseLost(name)
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -117,10 +117,14 @@
 }
 
 // attemptEnded tells the present owner of a pool that an attempt has ended
-// which this router started when it owned the pool.
+// which this router ran when it owned the pool, or relayed to an earlier owner.
 func (r *Router) attemptEnded(pool, attemptID string) {
 	owner, ok := r.state().owners[pool]
-	if !ok || owner.VM == r.settings.VM {
+	if !ok {
+		return
+	}
+	if owner.VM == r.settings.VM {
+		r.owner.AttemptEnded(r.clock.Now(), pool, attemptID)
 		return
 	}
 	if id, err := hex.DecodeString(attemptID); err == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -252,6 +252,7 @@
 	r.ended = &endedAttempts{ids: map[string][][]byte{}, clock: r.clock, flush: r.sendEnded}
 	r.owner = poolowner.New(deps)
 	r.dispatch = dispatch.New(dispatch.DefaultConfig(), opener{r}, r.clock)
+	r.dispatch.InFlight().OnEnd(r.attemptEnded)
 	return nil
 }
 
