--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -88,6 +88,9 @@
 	// EngineFailed tells that the engine did not finish the request, so its
 	// cache says nothing about the chat.
 	EngineFailed bool
+	// Cancelled tells that the caller went away, which is no failure of the
+	// engine and says nothing about its cache.
+	Cancelled bool
 }
 
 // Engine describes one engine to SetEngines.
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -127,7 +127,7 @@
 			return nil
 		}
 		// The grant was made just before; no request was sent for it.
-		e.release(admission.Result{EngineFailed: true})
+		e.release(admission.Result{Cancelled: true})
 		e.end(peerpb.Outcome_OUTCOME_NOT_RUN, dispatch.CodeCallerGone, "the caller has gone")
 		return nil
 	}
@@ -367,7 +367,7 @@
 func (e *exchange) callerGone(client *engineclient.Client) {
 	e.cancelAtEngine(client)
 	if e.ticket != nil {
-		e.release(admission.Result{EngineFailed: true})
+		e.release(admission.Result{Cancelled: true})
 	}
 	e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeCallerGone, "the caller has gone")
 }
