admission: remove the division of bounds by votes

Since a pool is owned by a majority of the votes, an owner uses the whole bound and nothing called SetVotes any more.

--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -75,7 +75,6 @@
 	p.view.Engines[i] = placement.Engine{Name: name, Hash: placement.Hash(name), Weight: 1}
 	p.index.DropEngine(i)
 	p.byName[name] = i
-	p.deal(i)
 	return i
 }
 
@@ -116,36 +115,16 @@
 
 // SetShare sets the part of each bound that this owner may use, 0 to 1, and
 // opens the pool unless it is stopping. A share under 1 is rounded down for
-// each engine, so a small pool load may admit nothing; SetVotes divides the
-// bounds without that loss. Nothing is granted from leaseEnd on until the next
-// call; the zero time means no end.
+// each engine, so a small pool load may admit nothing. Nothing is granted from
+// leaseEnd on until the next call; the zero time means no end.
 func (p *Pool) SetShare(now time.Time, share float64, leaseEnd time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leaseEnd = leaseEnd
-	p.votes = nil
 	p.view.Share = min(max(share, 0), 1)
 	p.open(now)
 }
 
-// SetVotes sets the listed routers and those whose vote this owner holds, and
-// opens the pool unless it is stopping. The slots of each engine's bound are
-// dealt to the listed routers in the engine's rendezvous order, and the owner
-// may use the slots of the routers whose vote it holds. Owners with disjoint
-// votes of the same list never exceed a bound together. An owner only knows its
-// own load, so it can fill the pool only while its part of the votes times the
-// load multiple is above 1; below that the pool's load falls to a few slots.
-// Nothing is granted from leaseEnd on until the next call; the zero time means
-// no end.
-func (p *Pool) SetVotes(now time.Time, held, listed []string, leaseEnd time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.leaseEnd = leaseEnd
-	p.votes = placement.NewVotes(held, listed)
-	p.view.Share = 0
-	p.open(now)
-}
-
 // SetLeaseEnd prolongs the votes that are in use.
 func (p *Pool) SetLeaseEnd(now, leaseEnd time.Time) {
 	p.mu.Lock()
@@ -155,9 +134,6 @@
 }
 
 func (p *Pool) open(now time.Time) {
-	for i := range p.engines {
-		p.deal(i)
-	}
 	if p.closed != CodeStopping {
 		p.closed = ""
 	}
@@ -165,15 +141,6 @@
 	p.dispatch(now)
 }
 
-// deal sets the vote table of an engine.
-func (p *Pool) deal(i int) {
-	row := &p.view.Engines[i]
-	row.HeldVotes = nil
-	if p.votes != nil {
-		row.HeldVotes = p.votes.Table(row.Hash)
-	}
-}
-
 // Adopt counts attempts of a previous owner as load until ReleaseAdopted. An
 // attempt that is already known is ignored.
 func (p *Pool) Adopt(now time.Time, attempts []AdoptedAttempt) {
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -116,7 +116,6 @@
 	due        dueHeap
 	queued     int
 	adopted    map[string]adopted
-	votes      *placement.Votes
 	// reserves is the number of engines with reserved slots.
 	reserves int
 	// swept is the time of the last search for idle workspaces.
@@ -140,7 +139,7 @@
 }
 
 // NewPool returns a pool without engines that refuses requests with
-// CodeNotOwner until SetShare or SetVotes.
+// CodeNotOwner until SetShare.
 func NewPool(cfg Config, deps Deps) *Pool {
 	p := &Pool{
 		deps:       deps,
@@ -644,7 +643,7 @@
 
 // HandBack withdraws every waiting request, refuses it with code and returns
 // the requests in order of arrival. Later requests are
-// refused with the same code until SetShare or SetVotes; CodeStopping is
+// refused with the same code until SetShare; CodeStopping is
 // final. Running requests keep their slots.
 func (p *Pool) HandBack(now time.Time, code Code) []*Request {
 	p.mu.Lock()
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -1,9 +1,7 @@
 package placement
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -50,10 +48,6 @@
 	Reported int
 	// Service is the mean time that a request holds a slot; 0 means unknown.
 	Service time.Duration
-	// HeldVotes[k] is the number of votes that this owner holds among the
-	// first k routers in the engine's rendezvous order. Nil means that the
-	// view's Share applies.
-	HeldVotes []uint16
 }
 
 // View is the state of a pool that a picker reads. It is not safe for
@@ -109,24 +103,13 @@
 // part of the bound that this owner may use, and at most MaxInFlight.
 func (v *View) Limit(i int) int {
 	e := &v.Engines[i]
-	limit := e.allowance(v.Bound(e.Weight), v.Share)
+	limit := int(math.Floor(v.Share*float64(v.Bound(e.Weight)) + boundSlack))
 	if v.MaxInFlight > 0 {
 		limit = min(limit, v.MaxInFlight)
 	}
 	return limit
 }
 
-// allowance returns the part of a bound that this owner may use. With votes,
-// the slots of a bound are dealt to the routers in the engine's rendezvous
-// order, so that the parts of all owners add up to the bound exactly.
-func (e *Engine) allowance(bound int, share float64) int {
-	if e.HeldVotes == nil {
-		return int(math.Floor(share*float64(bound) + boundSlack))
-	}
-	n := len(e.HeldVotes) - 1
-	return bound/n*int(e.HeldVotes[n]) + int(e.HeldVotes[bound%n])
-}
-
 // SoftLimit returns the load that a preferred engine may reach. It lies
 // between the mean and the bound: factor 0 gives the mean and 1 the bound
 // before it is rounded up.
@@ -136,50 +119,3 @@
 	soft := int(multiple * float64(v.Slots+1) * e.Weight / v.Weight)
 	return min(max(soft, 1), v.Limit(i))
 }
-
-// Votes tells which of the listed routers gave this owner their vote.
-type Votes struct {
-	hashes []uint64
-	held   []bool
-}
-
-// NewVotes returns the votes held among the listed routers.
-func NewVotes(held, listed []string) *Votes {
-	mine := make(map[string]bool, len(held))
-	for _, name := range held {
-		mine[name] = true
-	}
-	v := &Votes{hashes: make([]uint64, len(listed)), held: make([]bool, len(listed))}
-	for i, name := range listed {
-		v.hashes[i] = Hash(name)
-		v.held[i] = mine[name]
-	}
-	return v
-}
-
-// ranked is a router at its place in an engine's rendezvous order.
-type ranked struct {
-	rank uint64
-	held bool
-}
-
-// Table returns Engine.HeldVotes for an engine with the given hash, or nil
-// without listed routers.
-func (v *Votes) Table(engine uint64) []uint16 {
-	if len(v.hashes) == 0 {
-		return nil
-	}
-	order := make([]ranked, len(v.hashes))
-	for i, h := range v.hashes {
-		order[i] = ranked{rank: mix(engine, h), held: v.held[i]}
-	}
-	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	table := make([]uint16, len(order)+1)
-	for k, r := range order {
-		table[k+1] = table[k]
-		if r.held {
-			table[k+1]++
-		}
-	}
-	return table
-}
