router: rates of the last minute; the offset in force is the one that traffic uses

Cause: publish could say in force up to a control tick early, because status showed the reader's offset; control rates were means since the start. Cache events now also wait for the shared control budget.

--- a/internal/poolowner/moves.go
+++ b/internal/poolowner/moves.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/cachehint"
 	"github.com/bluebellwell/bluebellwell/internal/kvmove"
+	"github.com/bluebellwell/bluebellwell/internal/meter"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
 )
@@ -71,6 +72,10 @@
 
 // eventSource returns the client of an engine for its cache events, or nil.
 func (p *ownedPool) eventSource(name string) cachehint.Source {
+	// Cache events are hints and the first to go when the control budget is short.
+	if !p.deps.Meter.Permits(meter.CacheEvents, cacheEventBytes) {
+		return nil
+	}
 	c := p.engine(name)
 	if c == nil {
 		return nil
@@ -151,3 +156,6 @@
 	}
 	p.moves.names.Note(now, c)
 }
+
+// cacheEventBytes estimates a read of cache events.
+const cacheEventBytes = 1000
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -19,6 +19,9 @@
 // controlTick is the interval of the control goroutine.
 const controlTick = 100 * time.Millisecond
 
+// sampleInterval is the time between samples of the control traffic.
+const sampleInterval = 1 * time.Second
+
 // message is an input of the control goroutine.
 type message interface {
 	apply(c *control, now time.Time)
@@ -68,6 +71,7 @@
 	answers  map[string]fleetconfig.PeerStatus
 	// checkedAt is the time of the last probe of servers that are down.
 	checkedAt time.Time
+	sampledAt time.Time
 	stopping  bool
 	stopAt    time.Time
 }
@@ -151,6 +155,10 @@
 		c.r.probePeer(p)
 	}
 	c.probeServers(now)
+	if now.Sub(c.sampledAt) >= sampleInterval {
+		c.sampledAt = now
+		c.r.sampler.Sample(now)
+	}
 	c.publish(now)
 	c.sendNews(now)
 }
@@ -178,6 +186,7 @@
 	reason := c.readiness(now, snap)
 	s := &state{
 		life:       c.life.State(),
+		nextOffset: snap.Log.Applied,
 		listed:     c.view.Listed,
 		selfListed: c.view.SelfListed,
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -85,6 +85,7 @@
 	clock    clockwork.Clock
 	events   *event.Logger
 	meter    *meter.Meter
+	sampler  *meter.Sampler
 	bootID   uint64
 	started  time.Time
 
@@ -129,6 +130,7 @@
 		fetchVMs: make(chan struct{}, 1),
 		listener: o.Listener,
 	}
+	r.sampler = meter.NewSampler(r.meter)
 	r.started = r.clock.Now()
 	// Boot ids grow from one start of a VM to the next.
 	r.bootID = uint64(r.started.UnixNano())
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -11,6 +11,8 @@
 type state struct {
 	entry entry.State
 	life  statechart.State
+	// nextOffset is the offset after the last configuration record in force.
+	nextOffset uint64
 	// owners holds the owner of each pool as this router sees it.
 	owners map[string]dispatch.Target
 	// streams holds the owner of each intent stream.
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/record"
 	"github.com/bluebellwell/bluebellwell/internal/status"
@@ -22,7 +23,7 @@
 		Reason:        s.entry.Reason,
 		BootID:        strconv.FormatUint(r.bootID, 16),
 		Started:       r.started,
-		Config:        r.configStatus(),
+		Config:        r.configStatus(s),
 		VMList:        s.view,
 		Owners:        map[string]string{},
 		Pools:         r.owner.Stats(),
@@ -33,10 +34,14 @@
 		Control: status.Control{
 			Bytes:      r.meter.Total(),
 			ByCategory: r.meter.Totals(),
+			LastMinute: r.sampler.Rates(time.Minute),
 			Refused:    r.meter.Refused(),
 		},
 	}
 	doc.Orders = r.orders.status(r.settings.VM)
+	for _, rate := range doc.Control.LastMinute {
+		doc.Control.LastMinuteTotal += rate
+	}
 	if up := now.Sub(r.started).Seconds(); up > 0 {
 		doc.Control.BytesPerSecond = float64(doc.Control.Bytes) / up
 	}
@@ -46,10 +51,10 @@
 	return doc
 }
 
-func (r *Router) configStatus() status.Configuration {
+func (r *Router) configStatus(s *state) status.Configuration {
 	snap := r.config.Snapshot()
 	c := status.Configuration{
-		NextOffset:     snap.Log.Applied,
+		NextOffset:     s.nextOffset,
 		Head:           snap.Log.Head,
 		LogAgeMs:       -1,
 		SchemaVersions: record.ReadableVersions(),
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -87,6 +87,10 @@
 	Bytes          int64            `json:"bytes"`
 	ByCategory     map[string]int64 `json:"by_category"`
 	BytesPerSecond float64          `json:"bytes_per_second"`
+	// LastMinute holds the rates of the last minute, in bytes a second.
+	LastMinute map[string]float64 `json:"last_minute"`
+	// LastMinuteTotal is their sum.
+	LastMinuteTotal float64 `json:"last_minute_bytes_per_second"`
 	// Refused counts messages that the budget had no room for.
 	Refused map[string]int64 `json:"refused"`
 }
