--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -98,6 +98,7 @@
 	peers    map[string]*peerState
 	engines  map[string]*engineState
 	stopping bool
+	interval time.Duration
 	sentMs   int64
 	built    uint64
 	newsAt   time.Time
@@ -115,9 +116,17 @@
 		list:    &vmlist.List{},
 		peers:   map[string]*peerState{},
 		engines: map[string]*engineState{},
+
+		interval: HeartbeatInterval,
 	}
 }
 
+// SetInterval changes the time between heartbeats without news. It must be well
+// below the 3 s of silence after which a router is suspected.
+func (m *Membership) SetInterval(d time.Duration) {
+	m.interval = d
+}
+
 // SetList takes a VM list and reports whether it is newer than the one known.
 // Older lists are ignored: views of the VM list service may go back.
 func (m *Membership) SetList(now time.Time, list *vmlist.List) bool {
@@ -396,7 +405,7 @@
 // there is news.
 func (m *Membership) Due(now time.Time) bool {
 	since := now.Sub(m.sentAt)
-	if since >= HeartbeatInterval {
+	if since >= m.interval {
 		return true
 	}
 	return !m.newsAt.IsZero() && !m.newsAt.Before(m.sentAt) && since >= newsSpacing
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/answer"
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/kvmove"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
@@ -318,6 +319,7 @@
 		var s *engineclient.Stream
 		s, err = client.Resume(ctx, e.req.AttemptId, int(e.offset))
 		if err == nil {
+			e.pool.deps.Events.Emit(event.StreamResumed, "pool", e.req.Pool, "engine", e.engine, "offset", e.offset)
 			return s, nil
 		}
 		if errors.Is(err, engineclient.ErrNotFound) || ctx.Err() != nil {
@@ -355,6 +357,7 @@
 	if e.ticket != nil {
 		e.release(admission.Result{EngineFailed: true})
 	}
+	e.pool.deps.Events.Emit(event.AnswerIncomplete, "pool", e.req.Pool, "engine", e.engine, "characters", e.offset)
 	if e.offset == 0 {
 		e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeEngineFailed, "the engine failed before the answer began")
 		return
--- a/internal/poolowner/plain.go
+++ b/internal/poolowner/plain.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/backend"
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
 
@@ -70,6 +71,7 @@
 		e.end(peerpb.Outcome_OUTCOME_NOT_RUN, dispatch.CodeEngineFailed, "no backend server took the request")
 		return
 	}
+	e.pool.deps.Events.Emit(event.ServiceUncertain, "pool", e.req.Pool, "server", e.engine, "attempt", e.req.AttemptId)
 	e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeEngineFailed, "the backend server did not answer")
 }
 
--- a/internal/poolowner/pool.go
+++ b/internal/poolowner/pool.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/backend"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/kvmove"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
@@ -92,6 +93,7 @@
 		p.release(now, admission.CodeNotOwner)
 	case !p.isOwned.Swap(true):
 		p.wasOwned.Store(true)
+		p.deps.Events.Emit(event.AdmissionOpened, "pool", a.Pool.Name, "adopted", len(p.adoptions()))
 		p.takeOver(now, a)
 	case !last.LeaseEnd.Equal(a.LeaseEnd):
 		p.admission.SetLeaseEnd(now, a.LeaseEnd)
@@ -103,6 +105,7 @@
 	if !p.isOwned.Swap(false) {
 		return
 	}
+	p.deps.Events.Emit(event.AdmissionHandedBack, "pool", p.last.Pool.Name, "code", string(code))
 	p.stopMoves()
 	p.forgetNamed()
 	p.admission.HandBack(now, code)
--- a/internal/poolowner/service.go
+++ b/internal/poolowner/service.go
@@ -169,6 +169,9 @@
 	if p == nil {
 		return
 	}
+	if len(attempts) > 0 {
+		s.deps.Events.Emit(event.AttemptsAdopted, "pool", pool, "attempts", len(attempts), "complete", complete)
+	}
 	if complete {
 		p.nameAll(now, attempts)
 	}
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -88,6 +88,7 @@
 		config:  record.NewConfig(),
 		answers: map[string]fleetconfig.PeerStatus{},
 	}
+	c.members.SetInterval(r.settings.Timings.HeartbeatInterval)
 	c.owners.RenewMajority()
 	ticker := r.clock.NewTicker(controlTick)
 	defer ticker.Stop()
