dispatch: remove the attempt that ended, not the first one

Cause: the deferred removal took the attempt id when it was deferred. A retried attempt and one found by a look-up stayed in the registry for ever, and a new owner was told of them as load. The test was red for both cases before.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -73,7 +73,8 @@
 }
 
 func (s *session) run(ctx context.Context) Result {
-	defer s.d.inflight.remove(s.req.Pool, s.req.AttemptId)
+	// The attempt id changes with a retry and is found during a look-up.
+	defer func() { s.d.inflight.remove(s.req.Pool, s.req.AttemptId) }()
 	for {
 		if err := ctx.Err(); err != nil {
 			return s.interrupted(err)
--- /dev/null
+++ b/internal/dispatch/session_test.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+)
+
+// script is an owner that gives each relayed attempt the next list of frames.
+type script struct {
+	answers [][]*peerpb.Frame
+}
+
+func (s *script) Owner(string) (Target, bool) { return Target{VM: "vm"}, true }
+
+func (s *script) Open(_ context.Context, _ Target, req *peerpb.Relay) (FrameStream, error) {
+	frames := s.answers[0]
+	s.answers = s.answers[1:]
+	for i, f := range frames {
+		if f.AttemptId == "" {
+			f.AttemptId = req.AttemptId
+		}
+		f.Seq = uint64(i)
+	}
+	return &scriptStream{frames: frames}, nil
+}
+
+type scriptStream struct{ frames []*peerpb.Frame }
+
+func (s *scriptStream) Next() (*peerpb.Frame, error) {
+	if len(s.frames) == 0 {
+		return nil, io.EOF
+	}
+	f := s.frames[0]
+	s.frames = s.frames[1:]
+	return f, nil
+}
+
+func (s *scriptStream) Cancel() {}
+func (s *scriptStream) Close()  {}
+
+type nullSink struct{}
+
+func (nullSink) Frame(*peerpb.Frame) error { return nil }
+
+// Guards against attempts that stay in the registry after their end: a new
+// owner would count them as load.
+func TestEndedAttemptsLeaveTheRegistry(t *testing.T) {
+	granted := func(id string) *peerpb.Frame { return &peerpb.Frame{Engine: "e", AttemptId: id} }
+	done := func(id string) *peerpb.Frame {
+		return &peerpb.Frame{Terminal: true, Outcome: peerpb.Outcome_OUTCOME_DONE, AttemptId: id}
+	}
+	failed := &peerpb.Frame{Terminal: true, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Code: CodeEngineFailed, Engine: "e"}
+	for name, c := range map[string]struct {
+		answers [][]*peerpb.Frame
+		resume  bool
+	}{
+		"whole answer":        {answers: [][]*peerpb.Frame{{granted(""), done("")}}},
+		"retried attempt":     {answers: [][]*peerpb.Frame{{granted(""), failed}, {granted(""), done("")}}},
+		"look-up without one": {answers: [][]*peerpb.Frame{{granted("found"), done("found")}}, resume: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := DefaultConfig()
+			cfg.Backoff = 0
+			d := New(cfg, &script{answers: c.answers}, clockwork.NewRealClock())
+			run := d.Run
+			if c.resume {
+				run = d.Resume
+			}
+			res := run(t.Context(), &peerpb.Relay{Pool: "p", Repeatable: true}, nullSink{})
+			if res.Outcome != peerpb.Outcome_OUTCOME_DONE || d.InFlight().Count() != 0 {
+				t.Fatalf("outcome %v with %d attempts left in the registry", res.Outcome, d.InFlight().Count())
+			}
+		})
+	}
+}
