--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/record"
+	"github.com/bluebellwell/bluebellwell/internal/telemetry"
 )
 
 // bytesPerToken is a rough average used for token estimates before an engine
@@ -79,7 +80,7 @@
 		Placement:      c.placement,
 		Body:           body,
 		Stream:         chat.Stream,
-		Traceparent:    traceparent(ctx),
+		Traceparent:    telemetry.Traceparent(ctx),
 		PromptTokens:   uint32(prompt / bytesPerToken),
 		TokenEstimate:  uint32(prompt/bytesPerToken + output),
 		IdempotencyKey: c.key,
@@ -112,7 +113,7 @@
 		Placement:    c.placement,
 		ResumeOffset: offset,
 		Stream:       true,
-		Traceparent:  traceparent(req.Context()),
+		Traceparent:  telemetry.Traceparent(req.Context()),
 	}
 	ctx, cancel := a.withDeadline(req.Context(), c.deadline)
 	defer cancel()
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -8,10 +8,9 @@
 	"strconv"
 	"time"
 
-	"go.opentelemetry.io/otel/trace"
-
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
+	"github.com/bluebellwell/bluebellwell/internal/telemetry"
 )
 
 // Outcomes as callers see them.
@@ -120,9 +119,7 @@
 		p.Status = statusOfOutcome(p.Outcome)
 	}
 	p.Title = http.StatusText(p.Status)
-	if sc := trace.SpanContextFromContext(ctx); sc.HasTraceID() {
-		p.TraceID = sc.TraceID().String()
-	}
+	p.TraceID = telemetry.TraceID(ctx)
 }
 
 func statusOfOutcome(outcome string) int {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -14,10 +14,10 @@
 	"unicode/utf8"
 
 	"github.com/uptrace/bunrouter"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/bluebellwell/bluebellwell/internal/record"
+	"github.com/bluebellwell/bluebellwell/internal/telemetry"
 )
 
 // caller is what the headers say about a request.
@@ -168,15 +168,7 @@
 	return body, nil
 }
 
-var propagator = propagation.TraceContext{}
-
 func (a *API) startSpan(req bunrouter.Request) (context.Context, trace.Span) {
-	ctx := propagator.Extract(req.Context(), propagation.HeaderCarrier(req.Header))
+	ctx := telemetry.ExtractHeader(req.Context(), req.Header)
 	return a.deps.Tracer.Start(ctx, "entry "+req.Method+" "+req.Route(), trace.WithSpanKind(trace.SpanKindServer))
 }
-
-func traceparent(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	propagator.Inject(ctx, carrier)
-	return carrier.Get("traceparent")
-}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -9,6 +9,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/answer"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/record"
+	"github.com/bluebellwell/bluebellwell/internal/telemetry"
 )
 
 // service serves /services/:pool/*path: calls of plain services.
@@ -39,7 +40,7 @@
 		Path:           pathWithQuery(path, req.URL.RawQuery),
 		Headers:        forwardedHeaders(req.Header),
 		Body:           body,
-		Traceparent:    traceparent(req.Context()),
+		Traceparent:    telemetry.Traceparent(req.Context()),
 		IdempotencyKey: c.key,
 	}
 	call := &call{api: a, caller: c, relay: relay, body: body, repeatable: !guarded}
--- a/internal/poolowner/exchange.go
+++ b/internal/poolowner/exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"time"
 
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/bluebellwell/bluebellwell/internal/admission"
@@ -18,6 +17,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/record"
+	"github.com/bluebellwell/bluebellwell/internal/telemetry"
 )
 
 const (
@@ -102,9 +102,7 @@
 }
 
 func (e *exchange) startSpan(ctx context.Context, name string) (context.Context, trace.Span) {
-	carrier := propagation.MapCarrier{"traceparent": e.req.Traceparent}
-	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
-	return e.pool.deps.Tracer.Start(ctx, name)
+	return e.pool.deps.Tracer.Start(telemetry.WithTraceparent(ctx, e.req.Traceparent), name)
 }
 
 func (e *exchange) token(grant *admission.Grant) string {
@@ -227,8 +225,6 @@
 }
 
 func (e *exchange) engineRequest(ctx context.Context) engineclient.Request {
-	carrier := propagation.MapCarrier{}
-	propagation.TraceContext{}.Inject(ctx, carrier)
 	prefix := ""
 	if c := e.chat(); c.Name != "" {
 		prefix = c.PrefixKey()
@@ -241,7 +237,7 @@
 		SystemKey:      e.pool.systemKey(e.req.Workspace),
 		Priority:       e.req.Priority,
 		IdempotencyKey: e.req.IdempotencyKey,
-		Traceparent:    carrier.Get("traceparent"),
+		Traceparent:    telemetry.Traceparent(ctx),
 		Deadline:       e.remaining(),
 		Body:           e.req.Body,
 	}
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -188,8 +188,6 @@
 	s := &state{
 		life:       c.life.State(),
 		nextOffset: snap.Log.Applied,
-		listed:     c.view.Listed,
-		selfListed: c.view.SelfListed,
 	}
 	s.entry = entry.State{Config: c.config, Ready: s.life == statechart.RouterReady, Reason: reason}
 	s.entry.Accepting = s.entry.Ready || c.inLameDuck(now)
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -25,10 +25,6 @@
 	view status.VMList
 	// peers are the addresses of the other usable routers.
 	peers []dispatch.Target
-	// listed is the number of routers in the VM list; selfListed tells whether
-	// this one is among them.
-	listed     int
-	selfListed bool
 }
 
 func (s *state) ownsStream(stream int, vm string) bool {
