--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,342 @@
+// Package balance chooses the server of a request on a router that acts on its
+// own: from its own requests in flight, from the load that answers carry, and
+// from the outcomes that it has seen. It does no I/O and takes the time as an
+// argument. A Pool is not safe for concurrent use.
+//
+// Requests of one subject, the shared parts of a prompt, go to one home, so
+// that its tokens are read once. All routers find the same home by rendezvous
+// hashing and spill to the same second one, without talking to each other.
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+)
+
+const (
+	// lateAfter is the age difference to the oldest server from which a server
+	// takes no homes from others: moving a home means reading its tokens again.
+	lateAfter = 8 * time.Second
+	// subjectMemory bounds the subjects whose last server is remembered.
+	subjectMemory = 4096
+	// reuseSpan is how long a subject is expected to stay in a server's cache.
+	reuseSpan = 30 * time.Second
+)
+
+// Limits are the settings of a pool's balance.
+type Limits struct {
+	// CapFactor bounds a server's load as a multiple of the pool's mean.
+	CapFactor float64
+	// CapExtra is the number of requests allowed beyond the multiple.
+	CapExtra float64
+}
+
+// Job is a request to be placed.
+type Job struct {
+	// Subject is the hash of the shared parts of the prompt; 0 means none.
+	Subject uint64
+	// SharedTokens is the size of the shared parts.
+	SharedTokens int
+	// Exclude names incarnations that this request was already sent to.
+	Exclude []registry.Key
+	// DataCentre is preferred among equal servers.
+	DataCentre string
+	// Random breaks ties.
+	Random uint64
+}
+
+// Reason tells why a server was chosen.
+type Reason string
+
+// Reasons of a choice.
+const (
+	ReasonHeld  Reason = "held"
+	ReasonHome  Reason = "home"
+	ReasonSpill Reason = "spill"
+	ReasonLeast Reason = "least_loaded"
+)
+
+// Choice is the server of a request and what was believed about it.
+type Choice struct {
+	Server *registry.Server
+	// Source is another server that is believed to hold the subject; nil means none.
+	Source *registry.Server
+	Reason Reason
+	// Load and Mean are the requests in flight believed at the server and on average.
+	Load float64
+	Mean float64
+	// ReportAge is the age of the server's last reported load; negative means none.
+	ReportAge time.Duration
+}
+
+// member is a server and the router's belief about it.
+type member struct {
+	server *registry.Server
+	hash   uint64
+	late   bool
+	own    int
+	// others is the load of other routers in the last report.
+	others     int
+	reportedAt time.Time
+	health     health
+}
+
+func (m *member) load() float64 { return float64(m.own + m.others) }
+
+type holding struct {
+	server registry.Key
+	at     time.Time
+}
+
+// Pool is the belief about the servers of one pool.
+type Pool struct {
+	limits  Limits
+	members []*member
+	held    map[uint64]holding
+	ranked  []rankedMember
+}
+
+type rankedMember struct {
+	*member
+	rank uint64
+}
+
+// NewPool returns a pool without servers.
+func NewPool(limits Limits) *Pool {
+	return &Pool{limits: limits, held: make(map[uint64]holding)}
+}
+
+// SetServers replaces the list of servers. The belief about an incarnation
+// that stays is kept.
+func (p *Pool) SetServers(list []*registry.Server) {
+	known := make(map[registry.Key]*member, len(p.members))
+	for _, m := range p.members {
+		known[m.server.Key()] = m
+	}
+	p.members = p.members[:0:0]
+	for _, s := range list {
+		m := known[s.Key()]
+		if m == nil {
+			m = &member{hash: placement.Hash(s.ID)}
+		}
+		m.server = s
+		p.members = append(p.members, m)
+	}
+	p.markLate()
+}
+
+// markLate finds the servers that were started after the others. They keep
+// taking spilled work; homes stay where they are until most servers are new.
+func (p *Pool) markLate() {
+	oldest := int64(0)
+	for _, m := range p.members {
+		if m.server.Born > 0 && (oldest == 0 || m.server.Born < oldest) {
+			oldest = m.server.Born
+		}
+	}
+	late := 0
+	for _, m := range p.members {
+		m.late = m.server.Born > oldest+lateAfter.Milliseconds()
+		if m.late {
+			late++
+		}
+	}
+	if 2*late <= len(p.members) {
+		return
+	}
+	for _, m := range p.members {
+		m.late = false
+	}
+}
+
+// Len returns the number of servers that are not leaving.
+func (p *Pool) Len() int {
+	n := 0
+	for _, m := range p.members {
+		if !m.server.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Pick chooses a server, or returns false when none may take the request.
+func (p *Pool) Pick(now time.Time, job Job) (Choice, bool) {
+	usable, mean := p.usable(now, job.Exclude)
+	if len(usable) == 0 {
+		return Choice{}, false
+	}
+	if job.Subject == 0 {
+		return p.leastLoaded(now, usable, mean, job, ReasonLeast), true
+	}
+	return p.pickHome(now, usable, mean, job), true
+}
+
+// usable returns the members that may take a request, and the mean load of the
+// pool. When all are ejected the ejections are ignored: trying one is better
+// than refusing everything.
+func (p *Pool) usable(now time.Time, exclude []registry.Key) ([]*member, float64) {
+	var total float64
+	live := 0
+	open := make([]*member, 0, len(p.members))
+	ejected := make([]*member, 0, len(p.members))
+	for _, m := range p.members {
+		total += m.load()
+		if m.server.Leaving {
+			continue
+		}
+		live++
+		if slices.Contains(exclude, m.server.Key()) {
+			continue
+		}
+		if m.health.ejected(now, m.own) {
+			ejected = append(ejected, m)
+			continue
+		}
+		open = append(open, m)
+	}
+	mean := total / float64(max(live, 1))
+	if len(open) == 0 {
+		return ejected, mean
+	}
+	return open, mean
+}
+
+// pickHome follows the order: the server that this router knows to hold the
+// subject, the home, the spill servers; the first below its bound wins.
+func (p *Pool) pickHome(now time.Time, usable []*member, mean float64, job Job) Choice {
+	bound := p.bound(mean, job.SharedTokens)
+	order := p.order(usable, job.Subject)
+	source := p.source(now, job.Subject)
+	if source != nil && slices.Contains(usable, source) && source.load() < bound {
+		return p.choose(now, source, nil, mean, ReasonHeld)
+	}
+	for i, m := range order {
+		if m.load() >= bound {
+			continue
+		}
+		reason := ReasonSpill
+		if i == 0 {
+			reason = ReasonHome
+		}
+		return p.choose(now, m.member, p.fetchFrom(now, source, order[0].member, m.member), mean, reason)
+	}
+	c := p.leastLoaded(now, usable, mean, job, ReasonLeast)
+	if source != nil && source.server != c.Server {
+		c.Source = source.server
+	}
+	return c
+}
+
+// bound is the load below which a server takes the request. Small prompts
+// move first, because reading them again costs little: they level the load
+// that the homes of large prompts make uneven.
+func (p *Pool) bound(mean float64, sharedTokens int) float64 {
+	const (
+		// smallFactor bounds prompts without shared tokens.
+		smallFactor = 1.25
+		// largeTokens is the size from which prompts get the whole factor.
+		largeTokens = 4000
+		// factorMargin keeps stale beliefs from exceeding the factor.
+		factorMargin = 0.1
+	)
+	most := max(p.limits.CapFactor-factorMargin, smallFactor)
+	share := min(float64(sharedTokens)/largeTokens, 1)
+	return (smallFactor+(most-smallFactor)*share)*mean + p.limits.CapExtra
+}
+
+// order ranks the members for a subject: the home among servers that are not
+// late, then the late ones, which have room, then the rest.
+func (p *Pool) order(usable []*member, subject uint64) []rankedMember {
+	p.ranked = p.ranked[:0]
+	for _, m := range usable {
+		p.ranked = append(p.ranked, rankedMember{member: m, rank: placement.Mix(subject, m.hash)})
+	}
+	slices.SortFunc(p.ranked, func(a, b rankedMember) int { return cmp.Compare(b.rank, a.rank) })
+	home := slices.IndexFunc(p.ranked, func(m rankedMember) bool { return !m.late })
+	if home > 0 {
+		h := p.ranked[home]
+		copy(p.ranked[1:home+1], p.ranked[:home])
+		p.ranked[0] = h
+	}
+	rest := p.ranked[min(1, len(p.ranked)):]
+	slices.SortStableFunc(rest, func(a, b rankedMember) int {
+		return cmp.Compare(lateRank(a), lateRank(b))
+	})
+	return p.ranked
+}
+
+func lateRank(m rankedMember) int {
+	if m.late {
+		return 0
+	}
+	return 1
+}
+
+// source returns the member that this router knows to hold the subject.
+func (p *Pool) source(now time.Time, subject uint64) *member {
+	h, ok := p.held[subject]
+	if !ok || now.Sub(h.at) > reuseSpan {
+		return nil
+	}
+	return p.find(h.server)
+}
+
+// fetchFrom names the server to copy the subject from when it is not the
+// chosen one: the known holder, else the home that other routers use.
+func (p *Pool) fetchFrom(now time.Time, source, home, chosen *member) *member {
+	from := source
+	if from == nil {
+		from = home
+	}
+	if from == chosen || from.health.silent(now, from.own) {
+		return nil
+	}
+	return from
+}
+
+func (p *Pool) leastLoaded(now time.Time, usable []*member, mean float64, job Job, reason Reason) Choice {
+	start := int(job.Random % uint64(len(usable)))
+	best := usable[start]
+	for i := 1; i < len(usable); i++ {
+		m := usable[(start+i)%len(usable)]
+		if lighter(m, best, job.DataCentre) {
+			best = m
+		}
+	}
+	return p.choose(now, best, nil, mean, reason)
+}
+
+// lighter compares by load per slot, then by data centre.
+func lighter(a, b *member, dataCentre string) bool {
+	x := a.load() / float64(max(a.server.Slots, 1))
+	y := b.load() / float64(max(b.server.Slots, 1))
+	if x != y {
+		return x < y
+	}
+	return a.server.DataCentre == dataCentre && b.server.DataCentre != dataCentre
+}
+
+func (p *Pool) choose(now time.Time, m, source *member, mean float64, reason Reason) Choice {
+	c := Choice{Server: m.server, Reason: reason, Load: m.load(), Mean: mean, ReportAge: -1}
+	if source != nil {
+		c.Source = source.server
+	}
+	if !m.reportedAt.IsZero() {
+		c.ReportAge = now.Sub(m.reportedAt)
+	}
+	return c
+}
+
+func (p *Pool) find(key registry.Key) *member {
+	for _, m := range p.members {
+		if m.server.Key() == key {
+			return m
+		}
+	}
+	return nil
+}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -16,6 +16,7 @@
 // command is added together with its implementation.
 func commands() []*Command {
 	return []*Command{
+		frontCommand(),
 		routerCommand(runDaemon),
 		validateCommand(),
 		publishCommand(),
--- /dev/null
+++ b/internal/cli/front.go
@@ -0,0 +1,131 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/front"
+	"github.com/bluebellwell/bluebellwell/internal/logwriter"
+	"github.com/bluebellwell/bluebellwell/internal/settings"
+	"github.com/bluebellwell/bluebellwell/platform"
+)
+
+const frontDescription = `Runs the router daemon on a VM of the platform. It reads configuration and
+servers from the platform's store and forwards callers' requests on its own.
+SIGTERM or SIGINT starts a graceful stop; SIGHUP reads the settings file again.
+
+With -check the settings file is checked, all problems are reported, and no
+daemon is started.`
+
+// droppedInterval is how often dropped log lines are reported.
+const droppedInterval = 10 * time.Second
+
+func frontCommand() *Command {
+	return &Command{
+		Name:        "front",
+		Summary:     "run a router on the platform or check its settings",
+		Synopsis:    "-settings FILE [-check]",
+		Description: frontDescription,
+		Examples:    []string{"front -settings examples/platform/front.json -check"},
+		ExitCodes:   []int{ExitOK, ExitFailure, ExitUsage, ExitInvalid},
+		Setup:       setupFront,
+	}
+}
+
+func setupFront(fs *flag.FlagSet) RunFunc {
+	file := fs.String("settings", "", "settings `FILE` in JSON (required)")
+	check := fs.Bool("check", false, "check the settings and exit")
+	return func(ctx context.Context, env Env) error {
+		if *file == "" {
+			return UsageErrorf("flag -settings is required")
+		}
+		s, err := settings.LoadFront(*file)
+		if err != nil {
+			return err
+		}
+		if *check {
+			_, err = fmt.Fprintf(env.Stdout, "%s: valid settings of %s in %s\n", *file, s.VM, s.DataCentre)
+			return err
+		}
+		return runFront(ctx, *file, s, env)
+	}
+}
+
+// runFront runs a router until a signal has stopped it.
+func runFront(ctx context.Context, file string, s *settings.Front, env Env) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	front.UseMachine(s)
+	out := logwriter.New(env.Stdout)
+	defer out.Close()
+	logger := newLog(s.Logging, s.VM, out)
+	f, err := front.New(s, connect(s), logger)
+	if err != nil {
+		return err
+	}
+	if err := f.Start(); err != nil {
+		return err
+	}
+	return superviseFront(ctx, f, file, signals, out, logger)
+}
+
+// connect returns the platform of the settings.
+func connect(s *settings.Front) front.Platform {
+	store := platform.NewStore(s.StoreAddress.String())
+	return front.Platform{
+		Codec:        platform.Codec{},
+		Config:       store.Topic(platform.TopicConfig),
+		Servers:      store.Topic(platform.TopicServers),
+		ConfigKey:    platform.ConfigKey,
+		DecodeConfig: platform.DecodeConfig,
+		DecodeServer: platform.DecodeServer,
+		ReadyPath:    platform.ReadyPath,
+	}
+}
+
+// superviseFront waits for the end of a router and handles signals meanwhile.
+func superviseFront(ctx context.Context, f *front.Front, file string, signals <-chan os.Signal,
+	out *logwriter.Writer, logger hclog.Logger) error {
+	events := event.NewLogger(logger)
+	tick := time.NewTicker(droppedInterval)
+	defer tick.Stop()
+	reported := int64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return f.Stop(context.WithoutCancel(ctx))
+		case <-f.Dead():
+			return f.Err()
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return f.Stop(ctx)
+			}
+			reload(file, events)
+		case <-tick.C:
+			if n := out.Dropped(); n > reported {
+				events.Emit(event.LogLinesDropped, "lines", n-reported)
+				reported = n
+			}
+		}
+	}
+}
+
+// reload reads the settings file again. Addresses and limits are those of the
+// start; the line tells whether the file is still valid.
+func reload(file string, events *event.Logger) {
+	s, err := settings.LoadFront(file)
+	if err != nil {
+		events.Emit(event.SettingsReloaded, "valid", false, "error", err.Error())
+		return
+	}
+	events.Emit(event.SettingsReloaded, "valid", true, "vm", s.VM)
+}
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -47,8 +47,8 @@
 	return b
 }
 
-// platform returns the flags for the log and the VM list of a bed.
-func platform(b *testbed.Bed) []string {
+// standinPlatform returns the flags for the log and the VM list of a bed.
+func standinPlatform(b *testbed.Bed) []string {
 	return []string{"-log", b.LogURL(), "-vms", b.VMListURL()}
 }
 
@@ -189,7 +189,7 @@
 		c.prepare(t, b, cancel)
 		defer b.VMs.Remove(fakeRouter)
 	}
-	args := append([]string{"publish", "-timeout", c.timeout}, platform(b)...)
+	args := append([]string{"publish", "-timeout", c.timeout}, standinPlatform(b)...)
 	args = append(append(args, flags...), writeFile(t, c.record))
 	var out bytes.Buffer
 	errOut := &watcher{want: c.interruptOn, found: cancel}
@@ -235,7 +235,7 @@
 	b := startBed(t)
 	b.Log.SetLoseAnswers(true)
 	file := writeFile(t, workspaceRecord("lost-1", "w-lost", ""))
-	code, stdout, stderr := runCLI(append(append([]string{"publish"}, platform(b)...), file)...)
+	code, stdout, stderr := runCLI(append(append([]string{"publish"}, standinPlatform(b)...), file)...)
 	if code != ExitOK || !strings.Contains(stderr, "retrying: ") {
 		t.Fatalf("code %d, stdout %q, stderr %q", code, stdout, stderr)
 	}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,175 @@
+// Package edge accepts callers' connections and hands their requests to a
+// handler. Connections that wait for a request are kept for the idle limit of
+// the configuration in force, which may change while they are open.
+package edge
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// defaultIdle is the idle limit while no configuration is known.
+	defaultIdle = 60 * time.Second
+	// idleMargin keeps a connection a little longer than the limit, so that a
+	// request sent at the limit is still read.
+	idleMargin = time.Second
+	// maxHeaderBytes bounds headers before the configuration's own limit applies.
+	maxHeaderBytes = 256 << 10
+	// sendBuffer is what the kernel may hold of unsent answers for one caller.
+	sendBuffer = 64 << 10
+)
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	idle     atomic.Int64
+
+	mu      sync.Mutex
+	waiting map[*conn]time.Time
+}
+
+// Listen opens the callers' address.
+func Listen(addr string, handler http.Handler, logger hclog.Logger) (*Server, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot listen for callers")
+	}
+	s := &Server{waiting: make(map[*conn]time.Time)}
+	s.idle.Store(int64(defaultIdle))
+	s.listener = &acceptor{Listener: listener, server: s}
+	s.http = &http.Server{
+		Handler:        handler,
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnState:      s.stateChanged,
+		ErrorLog:       standardLog(logger),
+	}
+	return s, nil
+}
+
+// standardLog shows what net/http reports about single connections at debug
+// level only: a caller that sends garbage must not fill the log.
+func standardLog(logger hclog.Logger) *log.Logger {
+	return logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+}
+
+// Addr returns the address that callers connect to.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Serve accepts connections until Close. It returns nil after Close.
+func (s *Server) Serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "server for callers ended")
+}
+
+// SetIdleLimit sets how long a connection may wait for its next request. A
+// longer limit also holds for connections that are waiting now; a shorter one
+// only for those that begin to wait, whose callers can know of it.
+func (s *Server) SetIdleLimit(limit time.Duration) {
+	if limit <= 0 {
+		limit = defaultIdle
+	}
+	old := time.Duration(s.idle.Swap(int64(limit)))
+	if limit <= old {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, since := range s.waiting {
+		// The connection may have ended; its reader then sees that.
+		_ = c.Conn.SetReadDeadline(since.Add(limit + idleMargin))
+	}
+}
+
+// Shutdown stops accepting, closes waiting connections and waits for requests
+// in progress until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return eris.Wrap(s.http.Shutdown(ctx), "cannot shut the server for callers down")
+}
+
+// Close ends all connections.
+func (s *Server) Close() error {
+	return eris.Wrap(s.http.Close(), "cannot close the server for callers")
+}
+
+// stateChanged tracks which connections wait for a request.
+func (s *Server) stateChanged(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateNew, http.StateIdle:
+		s.wait(c)
+	default:
+		s.stopWaiting(c)
+	}
+	if state == http.StateActive {
+		// net/http sets no deadline for the request; the last idle one must not stay.
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+func (s *Server) wait(c *conn) {
+	s.mu.Lock()
+	s.waiting[c] = time.Now()
+	s.mu.Unlock()
+	c.waiting.Store(true)
+	// The connection may have ended; its reader then sees that.
+	_ = c.SetReadDeadline(time.Time{})
+}
+
+func (s *Server) stopWaiting(c *conn) {
+	c.waiting.Store(false)
+	s.mu.Lock()
+	delete(s.waiting, c)
+	s.mu.Unlock()
+}
+
+// conn applies the idle limit where net/http would set no deadline.
+type conn struct {
+	net.Conn
+	server  *Server
+	waiting atomic.Bool
+}
+
+// SetReadDeadline replaces "no deadline" by the idle limit while the connection
+// waits for a request.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() && c.waiting.Load() {
+		t = time.Now().Add(time.Duration(c.server.idle.Load()) + idleMargin)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// acceptor wraps accepted connections.
+type acceptor struct {
+	net.Listener
+	server *Server
+}
+
+// Accept returns the next caller's connection.
+func (a *acceptor) Accept() (net.Conn, error) {
+	nc, err := a.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		// A smaller buffer is a saving, not a need.
+		_ = tcp.SetWriteBuffer(sendBuffer)
+	}
+	return &conn{Conn: nc, server: a.server}, nil
+}
--- /dev/null
+++ b/internal/event/forward.go
@@ -0,0 +1,27 @@
+package event
+
+import "github.com/hashicorp/go-hclog"
+
+// Events 1000 to 1099: requests that a router forwards on its own, and its
+// belief about servers, configuration and the platform's store.
+var (
+	RequestServed      = register(1000, hclog.Info, "request served")
+	RequestFailed      = register(1001, hclog.Warn, "request not served")
+	RequestRetried     = register(1002, hclog.Info, "request goes to another server")
+	ServerEjected      = register(1003, hclog.Warn, "server gets no new requests for a while")
+	ServerChanged      = register(1004, hclog.Info, "belief about a server changed")
+	ConfigInForce      = register(1005, hclog.Info, "configuration in force")
+	ConfigUnusable     = register(1006, hclog.Error, "configuration record cannot be used")
+	EntryUnusable      = register(1007, hclog.Warn, "server entry names no usable server")
+	StoreLost          = register(1008, hclog.Warn, "platform store does not answer")
+	StoreRegained      = register(1009, hclog.Info, "platform store answers again")
+	HistoryLost        = register(1010, hclog.Warn, "history of a topic has expired; reading the newest records")
+	ListBehind         = register(1011, hclog.Warn, "list of newest records is older than the belief; ignored")
+	FrontStarted       = register(1012, hclog.Info, "front started")
+	FrontReady         = register(1013, hclog.Info, "front is ready")
+	FrontStopping      = register(1014, hclog.Info, "front stops taking callers")
+	FrontStopped       = register(1015, hclog.Info, "front stopped")
+	SettingsReloaded   = register(1016, hclog.Info, "settings file read again")
+	LogLinesDropped    = register(1017, hclog.Warn, "log lines were dropped because the output was slow")
+	CallerServerFailed = register(1018, hclog.Error, "server for callers ended")
+)
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,188 @@
+// Package feed follows a keyed topic of the platform's store: the newest record
+// of each key first, then every later record. It keeps what it knows through
+// outages, never goes back to an older state, and reads the full list again
+// when the store has dropped the history that is missing.
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+)
+
+// ErrExpired is returned by Source.Read when the records asked for are no
+// longer kept.
+var ErrExpired = errors.New("records have expired")
+
+const (
+	// Waits between failed calls; they double.
+	failureFirst = 150 * time.Millisecond
+	failureMost  = time.Second
+	// pauseJitter spreads the calls of routers that started together.
+	pauseJitter = 0.2
+)
+
+// Record is one record of a topic.
+type Record struct {
+	Key string
+	// Value is nil when the key is dropped.
+	Value  []byte
+	Offset int64
+}
+
+// Page is what one call to the store returned.
+type Page struct {
+	Records []Record
+	// Next is the offset at which reading goes on.
+	Next int64
+}
+
+// Source reads one topic of the store. Calls return within their context.
+type Source interface {
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context) (Page, error)
+	// Read returns the records from an offset on, and waits up to wait for the first.
+	Read(ctx context.Context, from int64, wait time.Duration) (Page, error)
+}
+
+// Options set the pace of a follower.
+type Options struct {
+	// Wait is how long a read waits at the store for a record.
+	Wait time.Duration
+	// Pause is the time between two reads.
+	Pause time.Duration
+	// CallTimeout bounds a call beyond its wait.
+	CallTimeout time.Duration
+	// Grace is how long after an outage a batch is marked as read in its wake.
+	Grace time.Duration
+}
+
+// Batch is news of a topic.
+type Batch struct {
+	Records []Record
+	// Full batches name every key; keys that they leave out are dropped.
+	Full bool
+	// GraceUntil is the end of the grace after an outage; zero when there was none.
+	GraceUntil time.Time
+}
+
+// Observer is told what a follower learns. Calls come from one goroutine.
+type Observer interface {
+	Batch(b Batch)
+	// Lost is called at the first failure of a series.
+	Lost(err error)
+	// Regained is called at the first answer after a series of failures.
+	Regained(after time.Duration)
+	// Expired is called when the history that is missing is no longer kept.
+	Expired(from int64)
+	// Behind is called when a full list is older than what is known.
+	Behind(next, known int64)
+}
+
+// Follower follows one topic.
+type Follower struct {
+	source   Source
+	options  Options
+	observer Observer
+	now      func() time.Time
+
+	position   position
+	failures   int
+	lostAt     time.Time
+	graceUntil time.Time
+}
+
+// position is how far the topic is known.
+type position struct {
+	// next is the offset after the last record that was read.
+	next int64
+	// whole is set while every record before next has been seen.
+	whole bool
+}
+
+// New returns a follower that has read nothing.
+func New(source Source, options Options, observer Observer) *Follower {
+	return &Follower{source: source, options: options, observer: observer, now: time.Now}
+}
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := f.Step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// Step makes one call to the store and returns the pause until the next.
+func (f *Follower) Step(ctx context.Context) time.Duration {
+	wait := f.options.Wait
+	if !f.position.whole {
+		wait = 0
+	}
+	call, cancel := context.WithTimeout(ctx, wait+f.options.CallTimeout)
+	defer cancel()
+	var page Page
+	var err error
+	if f.position.whole {
+		page, err = f.source.Read(call, f.position.next, wait)
+	} else {
+		page, err = f.source.Newest(call)
+	}
+	switch {
+	case ctx.Err() != nil:
+		return 0
+	case errors.Is(err, ErrExpired):
+		f.observer.Expired(f.position.next)
+		f.position.whole = false
+		f.graceUntil = f.now().Add(f.options.Grace)
+		return 0
+	case err != nil:
+		return f.failed(err)
+	}
+	f.answered()
+	return f.take(page)
+}
+
+// failed counts a failure and returns the wait before the next call.
+func (f *Follower) failed(err error) time.Duration {
+	if f.failures == 0 {
+		f.lostAt = f.now()
+		f.observer.Lost(err)
+	}
+	wait := min(failureFirst<<min(f.failures, 8), failureMost)
+	f.failures++
+	return jitter(wait)
+}
+
+// answered ends a series of failures.
+func (f *Follower) answered() {
+	if f.failures == 0 {
+		return
+	}
+	f.failures = 0
+	f.graceUntil = f.now().Add(f.options.Grace)
+	f.observer.Regained(f.now().Sub(f.lostAt))
+}
+
+// take passes a page on. A full list that ends before what is already known is
+// a stale read and changes nothing.
+func (f *Follower) take(page Page) time.Duration {
+	full := !f.position.whole
+	if full && page.Next < f.position.next {
+		f.observer.Behind(page.Next, f.position.next)
+		return jitter(failureMost)
+	}
+	f.position = position{next: page.Next, whole: true}
+	if full || len(page.Records) > 0 {
+		f.observer.Batch(Batch{Records: page.Records, Full: full, GraceUntil: f.graceUntil})
+	}
+	return jitter(f.options.Pause)
+}
+
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + pauseJitter*(rand.Float64()-0.5)))
+}
--- /dev/null
+++ b/internal/forward/headers.go
@@ -0,0 +1,69 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+)
+
+// connectionHeaders concern one connection only (RFC 9110, section 7.6.1).
+var connectionHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// forwardable returns a copy of h without the headers of the connection.
+func forwardable(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// writeHead sends the headers of an answer. A negative length means that it is unknown.
+func (k *call) writeHead(status int, header http.Header, length int64) {
+	h := k.w.Header()
+	stopping := h.Get("Connection")
+	clean := forwardable(header)
+	k.core.codec.Clean(clean)
+	for name, values := range clean {
+		h[name] = values
+	}
+	if h.Get("Content-Type") == "" {
+		// A nil entry keeps net/http from guessing a type.
+		h["Content-Type"] = nil
+	}
+	h.Del("Content-Length")
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	if stopping != "" {
+		h.Set("Connection", stopping)
+	}
+	k.headerOut = true
+	k.status = status
+	k.w.WriteHeader(status)
+}
+
+// subject returns the hash and the size of the parts of a prompt that other
+// requests share: all but the last, which is the request's own.
+func subject(head Head) (hash uint64, tokens int) {
+	shared := len(head.Prompt) - 1
+	if shared < 1 {
+		return 0, 0
+	}
+	hash = placement.Hash(head.Model)
+	for _, p := range head.Prompt[:shared] {
+		hash = placement.Mix(hash, p.ID)
+		tokens += p.Tokens
+	}
+	return hash, tokens
+}
--- /dev/null
+++ b/internal/forward/watch.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/routing"
+)
+
+const (
+	// silenceFactor is the silence, in objectives, after which a request that
+	// may be repeated is taken to another server.
+	silenceFactor = 3
+	// silenceLeast keeps short objectives from repeating ordinary answers.
+	silenceLeast = 250 * time.Millisecond
+	// streamSilence bounds the wait for the next event; callers abandon a
+	// stream after a gap of two seconds or more.
+	streamSilence = 1200 * time.Millisecond
+)
+
+// watch observes the progress of one attempt. When a request that may be
+// repeated makes none for too long, watch cancels the attempt.
+type watch struct {
+	call   *call
+	key    registry.Key
+	limit  time.Duration
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+	last   atomic.Int64
+}
+
+func (k *call) watch(cancel context.CancelCauseFunc, key registry.Key) *watch {
+	w := &watch{call: k, key: key, cancel: cancel, limit: silenceLimit(k.route)}
+	w.last.Store(int64(time.Since(k.arrived)))
+	if k.route.MayRepeat() && k.attempts.ran+1 < k.route.MaxAttempts {
+		w.timer = time.AfterFunc(w.limit, w.check)
+	}
+	return w
+}
+
+// silenceLimit is how long an attempt on a route may make no progress.
+func silenceLimit(r *routing.Route) time.Duration {
+	if r.Kind == routing.Stream {
+		return streamSilence
+	}
+	return max(silenceFactor*r.Objective, silenceLeast)
+}
+
+// progress notes that the server has sent something.
+func (w *watch) progress() {
+	w.last.Store(int64(time.Since(w.call.arrived)))
+	w.call.pool.progress(time.Now(), w.key)
+}
+
+// check runs on the timer's goroutine.
+func (w *watch) check() {
+	idle := time.Since(w.call.arrived) - time.Duration(w.last.Load())
+	if idle < w.limit {
+		w.timer.Reset(w.limit - idle)
+		return
+	}
+	if w.call.pool.budget.Left(time.Now()) >= 1 {
+		w.cancel(errSilent)
+	}
+}
+
+func (w *watch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/forward/world.go
@@ -0,0 +1,222 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/balance"
+	"github.com/bluebellwell/bluebellwell/internal/httpsend"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/retrybudget"
+	"github.com/bluebellwell/bluebellwell/internal/routing"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection within a region.
+	dialTimeout = 400 * time.Millisecond
+	// sendTimeout ends a connection whose peer does not acknowledge data.
+	sendTimeout = 1500 * time.Millisecond
+	// idlePerServer bounds the idle connections kept to one server.
+	idlePerServer = 24
+	// idleTimeout retires idle connections before servers usually close them.
+	idleTimeout = 3 * time.Second
+	// headerBytes bounds the headers of an answer.
+	headerBytes = 64 << 10
+	// connectionBuffer is the size of a connection's read and write buffers:
+	// an event or a small answer fits.
+	connectionBuffer = 2 << 10
+)
+
+// Limits are the fleet's bounds that the core keeps.
+type Limits struct {
+	Balance balance.Limits
+	Retry   retrybudget.Limits
+	// BodyMemory bounds the bodies of callers that are held at the same time, in bytes.
+	BodyMemory int64
+	DataCentre string
+}
+
+// World is what the core knows about configuration and servers. It is safe for
+// concurrent use.
+type World struct {
+	limits Limits
+	table  atomic.Pointer[routing.Table]
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// pool is the balance of one pool with the connections to its servers.
+type pool struct {
+	name   string
+	budget *retrybudget.Budget
+
+	mu         sync.Mutex
+	balance    *balance.Pool
+	transports map[registry.Key]*http.Transport
+	// known counts the servers that the store names, leaving ones included.
+	known int
+}
+
+// NewWorld returns a world without configuration and servers.
+func NewWorld(limits Limits) *World {
+	return &World{limits: limits, pools: make(map[string]*pool)}
+}
+
+// SetTable puts a configuration in force.
+func (w *World) SetTable(t *routing.Table) { w.table.Store(t) }
+
+// Table returns the configuration in force; nil when none is known.
+func (w *World) Table() *routing.Table { return w.table.Load() }
+
+// SetServers replaces the list of servers of all pools.
+func (w *World) SetServers(list []*registry.Server) {
+	byPool := make(map[string][]*registry.Server)
+	for _, s := range list {
+		byPool[s.Pool] = append(byPool[s.Pool], s)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name := range byPool {
+		if w.pools[name] == nil {
+			w.pools[name] = w.newPool(name)
+		}
+	}
+	for name, p := range w.pools {
+		p.setServers(byPool[name])
+	}
+}
+
+func (w *World) newPool(name string) *pool {
+	return &pool{
+		name:       name,
+		budget:     retrybudget.New(w.limits.Retry),
+		balance:    balance.NewPool(w.limits.Balance),
+		transports: make(map[registry.Key]*http.Transport),
+	}
+}
+
+// pool returns the pool called name, or nil.
+func (w *World) pool(name string) *pool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pools[name]
+}
+
+// PoolStatus is the belief about one pool.
+type PoolStatus struct {
+	Name        string
+	RetriesLeft float64
+	Servers     []balance.Status
+}
+
+// Status returns the belief about all pools.
+func (w *World) Status(now time.Time) []PoolStatus {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []PoolStatus
+	for _, p := range w.pools {
+		p.mu.Lock()
+		list = append(list, PoolStatus{Name: p.name, RetriesLeft: p.budget.Left(now), Servers: p.balance.Status(now)})
+		p.mu.Unlock()
+	}
+	return list
+}
+
+func (p *pool) setServers(list []*registry.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.known = len(list)
+	p.balance.SetServers(list)
+	current := make(map[registry.Key]bool, len(list))
+	for _, s := range list {
+		current[s.Key()] = true
+	}
+	for key, t := range p.transports {
+		if current[key] {
+			continue
+		}
+		t.CloseIdleConnections()
+		delete(p.transports, key)
+	}
+}
+
+func (p *pool) pick(now time.Time, job balance.Job) (balance.Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	job.Random = rand.Uint64()
+	c, ok := p.balance.Pick(now, job)
+	if ok {
+		p.balance.Begin(now, c.Server.Key(), job.Subject)
+	}
+	return c, ok
+}
+
+func (p *pool) report(now time.Time, key registry.Key, load balance.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balance.Report(now, key, load)
+}
+
+func (p *pool) progress(now time.Time, key registry.Key) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balance.Progress(now, key)
+}
+
+func (p *pool) end(now time.Time, key registry.Key, o balance.Outcome) (ejected bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balance.End(now, key, o)
+}
+
+// transport returns the connections to one incarnation of a server, so that no
+// connection outlives the server that it was opened to.
+func (p *pool) transport(key registry.Key) *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.transports[key]
+	if t == nil {
+		t = newTransport()
+		p.transports[key] = t
+	}
+	return t
+}
+
+func newTransport() *http.Transport {
+	t := httpsend.NewTransport(httpsend.Options{
+		DialTimeout:    dialTimeout,
+		MaxHeaderBytes: headerBytes,
+		IdlePerHost:    idlePerServer,
+		IdleTimeout:    idleTimeout,
+		Control:        setSendTimeout,
+		KeepAlive:      keepAlive,
+	})
+	t.ReadBufferSize = connectionBuffer
+	t.WriteBufferSize = connectionBuffer
+	return t
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpUserTimeout = 0x12
+
+// setSendTimeout makes the kernel end a connection whose peer is gone without
+// a reset.
+func setSendTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(sendTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// keepAlive makes a silent connection show within about two seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
--- /dev/null
+++ b/internal/front/belief.go
@@ -0,0 +1,227 @@
+package front
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/edge"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/feed"
+	"github.com/bluebellwell/bluebellwell/internal/forward"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/routing"
+)
+
+const (
+	// configWait is how long a read waits at the store for a new configuration.
+	// It is below the time in which a change must be in force, because a
+	// connection that went silent shows only when the wait is over.
+	configWait = 1800 * time.Millisecond
+	// configPause bounds the reads while one configuration follows another.
+	configPause = 250 * time.Millisecond
+	// serversPause is the time between two reads of the servers' entries. Each
+	// server writes a heartbeat more often than that, so waiting at the store
+	// would return at once.
+	serversPause = 900 * time.Millisecond
+	// callTimeout bounds a call to the store beyond its wait.
+	callTimeout = time.Second
+	// expireInterval is how often the grace of removed servers is checked.
+	expireInterval = 250 * time.Millisecond
+)
+
+// belief is what the router knows of configuration and servers. Its goroutine
+// owns the fields; other goroutines use ready and stop only.
+type belief struct {
+	platform Platform
+	world    *forward.World
+	edge     *edge.Server
+	events   *event.Logger
+
+	servers     *registry.Registry
+	haveServers bool
+	haveConfig  bool
+	unusable    map[string]bool
+	inbox       chan func()
+
+	isReady  atomic.Bool
+	stopping atomic.Bool
+}
+
+func newBelief(p Platform, w *forward.World, e *edge.Server, events *event.Logger) *belief {
+	return &belief{
+		platform: p,
+		world:    w,
+		edge:     e,
+		events:   events,
+		servers:  registry.New(),
+		unusable: make(map[string]bool),
+		inbox:    make(chan func()),
+	}
+}
+
+// ready reports whether the router takes callers.
+func (b *belief) ready() bool { return b.isReady.Load() && !b.stopping.Load() }
+
+// stop makes the router not ready for good.
+func (b *belief) stop() { b.stopping.Store(true) }
+
+// run follows the store until ctx ends.
+func (b *belief) run(ctx context.Context) error {
+	config := feed.New(b.platform.Config, feed.Options{
+		Wait: configWait, Pause: configPause, CallTimeout: callTimeout,
+	}, b.observe(ctx, "configuration", b.takeConfig))
+	servers := feed.New(b.platform.Servers, feed.Options{
+		Pause: serversPause, CallTimeout: callTimeout, Grace: registry.ReturnGrace,
+	}, b.observe(ctx, "servers", b.takeServers))
+	go config.Run(ctx)
+	go servers.Run(ctx)
+	tick := time.NewTicker(expireInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case task := <-b.inbox:
+			task()
+		case now := <-tick.C:
+			b.changed(b.servers.Expire(now))
+		}
+	}
+}
+
+// takeConfig puts a newer configuration in force. An older one, or one that
+// cannot be decoded, changes nothing.
+func (b *belief) takeConfig(batch feed.Batch) {
+	for _, r := range batch.Records {
+		if r.Key != b.platform.ConfigKey || r.Value == nil {
+			continue
+		}
+		config, err := b.platform.DecodeConfig(r.Value)
+		if err != nil {
+			b.events.Emit(event.ConfigUnusable, "offset", r.Offset, "error", err.Error())
+			continue
+		}
+		b.putInForce(config, r.Offset)
+	}
+}
+
+func (b *belief) putInForce(config routing.Config, offset int64) {
+	old := b.world.Table()
+	if old != nil && config.Version <= old.Version() {
+		return
+	}
+	table := routing.Compile(config)
+	b.world.SetTable(table)
+	b.edge.SetIdleLimit(table.Limits().IdleTimeout)
+	b.haveConfig = true
+	b.events.Emit(event.ConfigInForce, "version", config.Version, "offset", offset, "routes", len(config.Routes))
+	b.checkReady()
+}
+
+// takeServers applies entries of servers.
+func (b *belief) takeServers(batch feed.Batch) {
+	entries := make([]registry.Entry, 0, len(batch.Records))
+	for _, r := range batch.Records {
+		entries = append(entries, registry.Entry{ID: r.Key, Server: b.decodeServer(r)})
+	}
+	now := time.Now()
+	if batch.Full {
+		b.changed(b.servers.Replace(now, entries, batch.GraceUntil))
+	} else {
+		b.changed(b.servers.Apply(now, entries, batch.GraceUntil))
+	}
+	b.haveServers = true
+	b.checkReady()
+}
+
+// decodeServer returns nil for an entry that names no usable server. An
+// unusable entry is logged once until its key has a usable one.
+func (b *belief) decodeServer(r feed.Record) *registry.Server {
+	if r.Value == nil {
+		delete(b.unusable, r.Key)
+		return nil
+	}
+	server, err := b.platform.DecodeServer(r.Key, r.Value)
+	if err == nil {
+		delete(b.unusable, r.Key)
+		return server
+	}
+	if !b.unusable[r.Key] {
+		b.unusable[r.Key] = true
+		b.events.Emit(event.EntryUnusable, "server", r.Key, "offset", r.Offset, "error", err.Error())
+	}
+	return nil
+}
+
+// changed publishes and logs changes of the servers.
+func (b *belief) changed(changes []registry.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	b.world.SetServers(b.servers.Servers())
+	for _, c := range changes {
+		b.logChange(c)
+	}
+}
+
+func (b *belief) logChange(c registry.Change) {
+	s, state := c.New, "ready"
+	switch {
+	case s == nil:
+		s, state = c.Old, "gone"
+	case s.Leaving:
+		state = "leaving"
+	}
+	b.events.Emit(event.ServerChanged, "server", s.ID, "pool", s.Pool, "address", s.Addr,
+		"state", state, "born", s.Born, "new", c.Old == nil, "servers", b.servers.Len())
+}
+
+// checkReady makes the router ready once it knows configuration and servers.
+func (b *belief) checkReady() {
+	if !b.haveConfig || !b.haveServers || b.isReady.Load() {
+		return
+	}
+	b.isReady.Store(true)
+	b.events.Emit(event.FrontReady, "version", b.world.Table().Version(), "servers", b.servers.Len())
+}
+
+// observe returns an observer that carries news into the belief's goroutine.
+func (b *belief) observe(ctx context.Context, topic string, take func(feed.Batch)) feed.Observer {
+	return &observer{ctx: ctx, belief: b, topic: topic, take: take}
+}
+
+type observer struct {
+	ctx    context.Context
+	belief *belief
+	topic  string
+	take   func(feed.Batch)
+}
+
+// Batch hands news to the belief's goroutine.
+func (o *observer) Batch(batch feed.Batch) {
+	select {
+	case o.belief.inbox <- func() { o.take(batch) }:
+	case <-o.ctx.Done():
+	}
+}
+
+// Lost logs that the store does not answer.
+func (o *observer) Lost(err error) {
+	o.belief.events.Emit(event.StoreLost, "topic", o.topic, "error", err.Error())
+}
+
+// Regained logs that the store answers again.
+func (o *observer) Regained(after time.Duration) {
+	o.belief.events.Emit(event.StoreRegained, "topic", o.topic, "after_ms", after.Milliseconds())
+}
+
+// Expired logs that history was lost.
+func (o *observer) Expired(from int64) {
+	o.belief.events.Emit(event.HistoryLost, "topic", o.topic, "from", from)
+}
+
+// Behind logs a stale list.
+func (o *observer) Behind(next, known int64) {
+	o.belief.events.Emit(event.ListBehind, "topic", o.topic, "next", next, "known", known)
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,189 @@
+// Package front is the router daemon on the platform's VMs: it follows the
+// configuration and the servers in the platform's store, accepts callers and
+// forwards their requests on its own. One goroutine owns what the router
+// believes; traffic reads immutable snapshots of it.
+package front
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"github.com/uptrace/bunrouter"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bluebellwell/bluebellwell/internal/balance"
+	"github.com/bluebellwell/bluebellwell/internal/edge"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/feed"
+	"github.com/bluebellwell/bluebellwell/internal/forward"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/retrybudget"
+	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/settings"
+	"github.com/bluebellwell/bluebellwell/internal/telemetry"
+)
+
+const (
+	// memoryShare is the part of the VM's memory that the Go runtime may use;
+	// the rest is for kernel buffers, which count as well.
+	memoryShare = 0.6
+	// bodyShare is the part of the VM's memory for callers' bodies.
+	bodyShare = 0.15
+	// collectAt starts a collection when the heap has grown by this percentage.
+	// Memory is dearer than processor time on the users' VMs.
+	collectAt = 40
+	// metricsInterval is how often counters reach the metrics page.
+	metricsInterval = 2 * time.Second
+	megabyte        = 1 << 20
+)
+
+// Platform is what the daemon needs of the platform, as typed values.
+type Platform struct {
+	Codec   forward.Codec
+	Config  feed.Source
+	Servers feed.Source
+	// ConfigKey is the key of the configuration in Config.
+	ConfigKey    string
+	DecodeConfig func(value []byte) (routing.Config, error)
+	DecodeServer func(id string, value []byte) (*registry.Server, error)
+	// ReadyPath is where the platform asks whether the router takes callers.
+	ReadyPath string
+}
+
+// Front is a running router. Its methods are safe for concurrent use.
+type Front struct {
+	settings *settings.Front
+	platform Platform
+	events   *event.Logger
+	metrics  *telemetry.Metrics
+	world    *forward.World
+	core     *forward.Core
+	belief   *belief
+	edge     *edge.Server
+	ready    *http.Server
+	admin    *http.Server
+	tomb     tomb.Tomb
+}
+
+// New opens the addresses of a router. Nothing is served before Start.
+func New(s *settings.Front, p Platform, logger hclog.Logger) (*Front, error) {
+	events := event.NewLogger(logger)
+	metrics := telemetry.NewMetrics(map[string]string{"vm": s.VM}, metricsInterval)
+	world := forward.NewWorld(limits(s))
+	f := &Front{
+		settings: s,
+		platform: p,
+		events:   events,
+		metrics:  metrics,
+		world:    world,
+		core:     forward.New(world, p.Codec, events, forward.NewMetrics(metrics.Scope())),
+	}
+	var err error
+	f.edge, err = edge.Listen(s.ListenCallers.String(), f.core, logger)
+	if err != nil {
+		return nil, err
+	}
+	f.belief = newBelief(p, world, f.edge, events)
+	f.ready = newServer(f.readyRouter())
+	f.admin = newServer(f.adminRouter())
+	return f, nil
+}
+
+func limits(s *settings.Front) forward.Limits {
+	const capExtra = 3
+	return forward.Limits{
+		Balance: balance.Limits{CapFactor: s.Bounds.LoadMultiple, CapExtra: capExtra},
+		Retry: retrybudget.Limits{
+			Ratio:  s.Bounds.RetryRatio,
+			Window: s.Bounds.RetryWindow,
+			Extra:  s.Bounds.RetryExtra,
+		},
+		BodyMemory: int64(bodyShare * float64(s.MemoryMB) * megabyte),
+		DataCentre: s.DataCentre,
+	}
+}
+
+// UseMachine fits the Go runtime to the VM.
+func UseMachine(s *settings.Front) {
+	runtime.GOMAXPROCS(s.Cores)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * megabyte))
+	debug.SetGCPercent(collectAt)
+}
+
+// Start begins to serve.
+func (f *Front) Start() error {
+	ready, err := listen(f.settings.ListenReadiness.String(), "readiness checks")
+	if err != nil {
+		return err
+	}
+	admin, err := listen(f.settings.ListenMetrics.String(), "metrics")
+	if err != nil {
+		return err
+	}
+	ctx := f.tomb.Context(context.Background())
+	f.tomb.Go(func() error {
+		f.tomb.Go(func() error { return f.belief.run(ctx) })
+		f.tomb.Go(f.edge.Serve)
+		f.tomb.Go(func() error { return serve(f.ready, ready) })
+		f.tomb.Go(func() error { return serve(f.admin, admin) })
+		<-f.tomb.Dying()
+		return errors.Join(f.ready.Close(), f.admin.Close(), f.edge.Close(), f.metrics.Close())
+	})
+	f.events.Emit(event.FrontStarted, "vm", f.settings.VM, "data_centre", f.settings.DataCentre,
+		"callers", f.settings.ListenCallers.String(), "store", f.settings.StoreAddress.String())
+	return nil
+}
+
+func listen(addr, use string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	return l, eris.Wrapf(err, "cannot listen for %s", use)
+}
+
+const (
+	// headerTimeout bounds the headers of the platform's own requests.
+	headerTimeout = 5 * time.Second
+	// adminIdle closes unused connections of the platform's own requests.
+	adminIdle = 30 * time.Second
+)
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: adminIdle}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "server ended")
+}
+
+// Dead is closed when the router has ended.
+func (f *Front) Dead() <-chan struct{} { return f.tomb.Dead() }
+
+// Err returns why the router ended.
+func (f *Front) Err() error { return f.tomb.Err() }
+
+func (f *Front) readyRouter() http.Handler {
+	r := bunrouter.New()
+	r.GET(f.platform.ReadyPath, func(w http.ResponseWriter, _ bunrouter.Request) error {
+		if !f.belief.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return nil
+	})
+	return r
+}
+
+func (f *Front) adminRouter() http.Handler {
+	r := bunrouter.New()
+	r.GET("/metrics", bunrouter.HTTPHandler(f.metrics.Handler()))
+	return r
+}
--- /dev/null
+++ b/internal/front/stop.go
@@ -0,0 +1,50 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+)
+
+const (
+	// rotationTime is how long callers' new connections still arrive after the
+	// router says that it is not ready: two questions a second apart, and one more.
+	rotationTime = 2500 * time.Millisecond
+	// stopMargin ends the process before the platform kills it.
+	stopMargin = 400 * time.Millisecond
+	// idleCheck is how often a stopping router looks for requests in progress.
+	idleCheck = 100 * time.Millisecond
+)
+
+// Stop ends the router gracefully. It goes on serving until the platform sends
+// no more callers, then waits for the requests in progress, and ends when ctx does.
+func (f *Front) Stop(ctx context.Context) error {
+	began := time.Now()
+	f.belief.stop()
+	f.core.Stop()
+	f.events.Emit(event.FrontStopping, "running", f.core.Running())
+	end := began.Add(f.settings.Bounds.Stop - stopMargin)
+	f.waitIdle(ctx, began.Add(rotationTime), end)
+	f.events.Emit(event.FrontStopped, "running", f.core.Running(), "after_ms", time.Since(began).Milliseconds())
+	f.tomb.Kill(nil)
+	return f.tomb.Wait()
+}
+
+// waitIdle returns when nothing is in progress after least, or at end.
+func (f *Front) waitIdle(ctx context.Context, least, end time.Time) {
+	tick := time.NewTicker(idleCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.tomb.Dying():
+			return
+		case now := <-tick.C:
+			if now.After(end) || now.After(least) && f.core.Running() == 0 {
+				return
+			}
+		}
+	}
+}
--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -75,11 +76,15 @@
 	// Fresh opens a connection for every request, so that net/http never sends
 	// a request again by itself: it does so only on a reused connection.
 	Fresh bool
+	// Control sets options of a socket before it connects; nil means none.
+	Control func(network, address string, c syscall.RawConn) error
+	// KeepAlive sets the probes of idle connections; the zero value means the default.
+	KeepAlive net.KeepAliveConfig
 }
 
 // NewTransport returns a transport for use with Send. It uses no proxy.
 func NewTransport(o Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	dialer := &net.Dialer{Timeout: o.DialTimeout, Control: o.Control, KeepAliveConfig: o.KeepAlive}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -43,7 +43,7 @@
 	var buf []Prefix
 	b.ReportAllocs()
 	for i := range b.N {
-		key := mix(uint64(i%(2*DefaultPrefixChats)), 1)
+		key := Mix(uint64(i%(2*DefaultPrefixChats)), 1)
 		buf = x.Lookup(key, buf[:0])
 		x.Used(key, i%18, 1000, 100)
 	}
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -229,7 +229,7 @@
 		if e.State != Up || j.excluded(i) {
 			continue
 		}
-		h := mix(j.Key, e.Hash)
+		h := Mix(j.Key, e.Hash)
 		s := float64(h >> 11)
 		if !v.Uniform {
 			s = score(h, e.Weight)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -214,7 +214,7 @@
 	runtime.ReadMemStats(&before)
 	x := NewPrefixIndex(0)
 	for k := range uint64(DefaultPrefixChats + 1000) {
-		x.Used(mix(k, 7), int(k%18), 1000, 100)
+		x.Used(Mix(k, 7), int(k%18), 1000, 100)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
--- a/internal/placement/rendezvous.go
+++ b/internal/placement/rendezvous.go
@@ -18,16 +18,16 @@
 // ChatKey returns the key of a chat in the prefix index. Equal chat names of
 // two workspaces have different keys. The key is never 0.
 func ChatKey(workspace, chat string) uint64 {
-	k := mix(Hash(workspace), Hash(chat))
+	k := Mix(Hash(workspace), Hash(chat))
 	if k == 0 {
 		return 1
 	}
 	return k
 }
 
-// mix combines two hashes with the finalizer of splitmix64, so that the rank
+// Mix combines two hashes with the finalizer of splitmix64, so that the rank
 // of a node under one key says nothing about its rank under another key.
-func mix(a, b uint64) uint64 {
+func Mix(a, b uint64) uint64 {
 	x := a ^ (b*0x9e3779b97f4a7c15 + 0x7f4a7c159e3779b9)
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
@@ -56,7 +56,7 @@
 		if w <= 0 {
 			continue
 		}
-		s := score(mix(key, Hash(name)), w)
+		s := score(Mix(key, Hash(name)), w)
 		at := len(best)
 		for at > 0 && scores[at-1] < s {
 			at--
--- /dev/null
+++ b/internal/retrybudget/retrybudget.go
@@ -0,0 +1,97 @@
+// Package retrybudget limits how often a router sends requests to a second
+// server. The budget of a pool is shared by all routers without talking: each
+// spends a ratio of its own requests and a small part of the fixed extra. It
+// does no I/O; a Budget is safe for concurrent use.
+package retrybudget
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// extraShares divides the fixed extra: more routers than any of today's
+	// deployments run, so that the parts never exceed the whole.
+	extraShares = 24
+	// ratioMargin leaves room for windows that begin between two bursts.
+	ratioMargin = 0.75
+	slots       = 10
+)
+
+// Limits are the fleet's bounds for one pool.
+type Limits struct {
+	// Ratio of retries to requests within Window.
+	Ratio  float64
+	Window time.Duration
+	// Extra retries within Window for the whole fleet.
+	Extra float64
+}
+
+// Budget counts the requests and retries of one pool in a sliding window.
+type Budget struct {
+	limits Limits
+
+	mu       sync.Mutex
+	current  int64
+	requests [slots]int
+	retries  [slots]int
+}
+
+// New returns an empty budget.
+func New(limits Limits) *Budget {
+	return &Budget{limits: limits}
+}
+
+// Request counts a request of a caller.
+func (b *Budget) Request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.requests[b.current%slots]++
+}
+
+// Retry takes one retry from the budget, or returns false when it is spent.
+func (b *Budget) Retry(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if b.left() < 1 {
+		return false
+	}
+	b.retries[b.current%slots]++
+	return true
+}
+
+// Left returns the retries that the budget still allows.
+func (b *Budget) Left(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.left()
+}
+
+func (b *Budget) left() float64 {
+	requests, retries := 0, 0
+	for i := range slots {
+		requests += b.requests[i]
+		retries += b.retries[i]
+	}
+	return ratioMargin*b.limits.Ratio*float64(requests) + b.limits.Extra/extraShares - float64(retries)
+}
+
+// advance clears the slots of the window that have passed.
+func (b *Budget) advance(now time.Time) {
+	span := b.limits.Window / slots
+	if span <= 0 {
+		span = time.Second
+	}
+	at := now.UnixNano() / int64(span)
+	if at <= b.current {
+		return
+	}
+	for i := max(b.current+1, at-slots+1); i <= at; i++ {
+		b.requests[i%slots] = 0
+		b.retries[i%slots] = 0
+	}
+	b.current = at
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,99 @@
+// Package routing holds the routing configuration in force as one immutable
+// table: which route a request takes, which pools serve the route, and which
+// workspace an API key belongs to. It does no I/O. A Table is safe for
+// concurrent use.
+package routing
+
+import "time"
+
+// Kind tells how often a request may run.
+type Kind uint8
+
+// Kinds of requests.
+const (
+	// Unsafe requests run at most once.
+	Unsafe Kind = iota
+	// Safe requests may run again after any failure.
+	Safe
+	// Stream requests are answered by a series of events. They run at most
+	// once, unless the route is resumable.
+	Stream
+)
+
+var kindNames = [...]string{"unsafe", "safe", "stream"}
+
+// String returns the name used in logs and metrics.
+func (k Kind) String() string { return kindNames[k] }
+
+// Target is a pool that serves a share of a route.
+type Target struct {
+	Pool   string
+	Weight int
+}
+
+// Route maps a host and a path prefix to pools.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting; 0 means none.
+	Timeout time.Duration
+	// Objective is the latency objective: the time to the whole answer, or to
+	// the first event of a stream.
+	Objective time.Duration
+	// GapObjective is the longest pause between two events of a stream that is on time.
+	GapObjective time.Duration
+	// MaxAttempts bounds the servers that one request may be sent to.
+	MaxAttempts int
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int
+	// Public routes need no API key.
+	Public bool
+	// Resumable streams may go on at another engine after the last event.
+	Resumable bool
+	Targets   []Target
+}
+
+// MayRepeat reports whether a request of the route may run more than once.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Safe || r.Kind == Stream && r.Resumable
+}
+
+// Pool is a group of servers of one service.
+type Pool struct {
+	Name string
+	// MaxConnections bounds the connections that one server accepts from all routers.
+	MaxConnections int
+}
+
+// Workspace is the owner of API keys.
+type Workspace struct {
+	Name string
+	// Priority takes the place of the route's when HasPriority is set.
+	Priority    int
+	HasPriority bool
+}
+
+// Limits bound what a caller may send and how long it may stay idle.
+type Limits struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version    int64
+	Routes     []Route
+	Pools      []Pool
+	Workspaces []Keyring
+	Limits     Limits
+}
+
+// Keyring is a workspace with its API keys.
+type Keyring struct {
+	Workspace Workspace
+	Keys      []string
+}
--- /dev/null
+++ b/internal/settings/front.go
@@ -0,0 +1,138 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/findings"
+)
+
+// Front are the settings of a router that serves callers on the platform's VMs.
+type Front struct {
+	VM         string
+	DataCentre string
+	Region     string
+
+	ListenCallers   netip.AddrPort
+	ListenReadiness netip.AddrPort
+	ListenMetrics   netip.AddrPort
+	// ListenPeers is where other routers send their digests; invalid means none.
+	ListenPeers netip.AddrPort
+	// Seeds are addresses of routers that may be stale or down.
+	Seeds []netip.AddrPort
+	// StoreAddress is the address of the platform's store.
+	StoreAddress netip.AddrPort
+
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int
+	// Cores is the number of processors that the process sees.
+	Cores int
+
+	Bounds  FrontBounds
+	Logging Logging
+}
+
+// FrontBounds are the fleet's bounds that a router keeps.
+type FrontBounds struct {
+	// Stop is the time between the signal to stop and the end of the process.
+	Stop time.Duration
+	// LoadMultiple bounds a server's load as a multiple of its pool's mean.
+	LoadMultiple float64
+	// RetryRatio is the fleet's share of retries in a window, RetryExtra the
+	// number allowed beyond it.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetryExtra  float64
+}
+
+const (
+	maxSeeds    = 16
+	minMemoryMB = 32
+	maxMemoryMB = 1 << 20
+)
+
+// LoadFront reads and checks the settings file of a front. The error is a
+// *findings.Error with all problems.
+func LoadFront(path string) (*Front, error) {
+	list := findings.NewList(path)
+	data, err := readFile(path)
+	if err != nil {
+		list.Add("$", findings.CodeInvalid, "cannot read the file: %v", err)
+		return nil, list.Err()
+	}
+	return ParseFront(path, data)
+}
+
+// ParseFront decodes and checks the text of a front's settings file. The name
+// is used in findings only. The error is a *findings.Error.
+func ParseFront(file string, data []byte) (*Front, error) {
+	list := findings.NewList(file)
+	if !checkSyntax(list, data) {
+		return nil, list.Err()
+	}
+	root := newObject(list, "$", data)
+	f := &Front{
+		VM:         parseName(root, "vm"),
+		DataCentre: parseName(root, "data_centre"),
+		Region:     parseName(root, "region"),
+	}
+	parseFrontAddresses(root, f)
+	limits := root.requiredChild("limits")
+	f.MemoryMB = limits.integer("memory_mb", minMemoryMB, minMemoryMB, maxMemoryMB)
+	f.Cores = limits.integer("cores", 1, 1, 1024)
+	limits.end()
+	f.Bounds = parseFrontBounds(root.requiredChild("bounds"))
+	f.Logging = parseLogging(root.child("logging"))
+	root.end()
+	if err := list.Err(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func parseFrontAddresses(root *object, f *Front) {
+	listen := root.requiredChild("listen")
+	f.ListenCallers = parseAddrPort(listen, "callers")
+	f.ListenReadiness = parseAddrPort(listen, "readiness")
+	f.ListenMetrics = parseAddrPort(listen, "metrics")
+	if listen.has("peers") {
+		f.ListenPeers = parseAddrPort(listen, "peers")
+	}
+	listen.end()
+	store := root.requiredChild("store")
+	f.StoreAddress = parseAddrPort(store, "address")
+	store.end()
+	f.Seeds = parseSeeds(root)
+}
+
+// parseSeeds skips seeds that are no addresses: they are hints that may be stale.
+func parseSeeds(root *object) []netip.AddrPort {
+	var texts []string
+	if !root.has("seeds") || !root.read("seeds", "a list of addresses", &texts) {
+		return nil
+	}
+	if len(texts) > maxSeeds {
+		root.add("seeds", findings.CodeRange, "must have at most %d entries", maxSeeds)
+		return nil
+	}
+	var seeds []netip.AddrPort
+	for _, text := range texts {
+		if addr, err := netip.ParseAddrPort(text); err == nil {
+			seeds = append(seeds, addr)
+		}
+	}
+	return seeds
+}
+
+func parseFrontBounds(o *object) FrontBounds {
+	const day = 24 * time.Hour
+	b := FrontBounds{
+		Stop:         o.duration("stop", 8*time.Second, time.Second, day),
+		LoadMultiple: o.number("load_multiple", 2, 1, 100),
+		RetryRatio:   o.number("retry_ratio", 0.1, 0, 10),
+		RetryWindow:  o.duration("retry_window", 10*time.Second, time.Second, day),
+		RetryExtra:   o.number("retry_extra", 10, 0, 1e6),
+	}
+	o.end()
+	return b
+}
