--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,7 +4,6 @@
 package edge
 
 import (
-	"context"
 	"errors"
 	"log"
 	"net"
@@ -94,10 +93,17 @@
 	}
 }
 
-// Shutdown stops accepting, closes waiting connections and waits for requests
-// in progress until ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error {
-	return eris.Wrap(s.http.Shutdown(ctx), "cannot shut the server for callers down")
+// CloseWaiting closes the connections that were used before and wait for their
+// next request, so that their callers turn to another router.
+func (s *Server) CloseWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.waiting {
+		if c.used.Load() {
+			// The caller may have closed it first.
+			_ = c.Conn.Close()
+		}
+	}
 }
 
 // Close ends all connections.
@@ -118,6 +124,7 @@
 		s.stopWaiting(c)
 	}
 	if state == http.StateActive {
+		c.used.Store(true)
 		// net/http sets no deadline for the request; the last idle one must not stay.
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
@@ -144,6 +151,8 @@
 	net.Conn
 	server  *Server
 	waiting atomic.Bool
+	// used is set once the connection has carried a request.
+	used atomic.Bool
 }
 
 // SetReadDeadline replaces "no deadline" by the idle limit while the connection
--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -24,7 +24,7 @@
 	events   *event.Logger
 	metrics  *Metrics
 	bodies   bodyMemory
-	stopping atomic.Bool
+	stopping atomic.Pointer[stopping]
 	running  atomic.Int64
 }
 
@@ -39,8 +39,9 @@
 	}
 }
 
-// Stop makes every further answer ask the caller to close its connection.
-func (c *Core) Stop() { c.stopping.Store(true) }
+// Stop makes every further answer ask the caller to close its connection, and
+// refuses requests that would not end before the process does.
+func (c *Core) Stop(now, end time.Time) { c.stopping.Store(&stopping{began: now, end: end}) }
 
 // Running returns the number of requests in progress.
 func (c *Core) Running() int64 { return c.running.Load() }
@@ -77,7 +78,7 @@
 	defer c.running.Add(-1)
 	k := &call{core: c, w: w, r: r, arrived: time.Now(), head: c.codec.Head(r.Header)}
 	defer k.finish()
-	if c.stopping.Load() || len(r.TransferEncoding) > 0 {
+	if c.stopping.Load() != nil || len(r.TransferEncoding) > 0 {
 		// A chunked request may have carried a length as well, which net/http
 		// drops; what follows it on the connection is not trusted.
 		w.Header().Set("Connection", "close")
@@ -110,6 +111,10 @@
 		return false
 	}
 	k.until = k.arrived.Add(k.patience())
+	if s := k.core.stopping.Load(); s != nil && !s.takes(k.arrived, k.route) {
+		k.refuse(CauseStopping)
+		return false
+	}
 	return true
 }
 
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -22,8 +22,12 @@
 // place within about one objective; a caller that waits longer misses it anyway.
 func retryAfter(cause Cause, objective time.Duration, random float64) time.Duration {
 	wait := min(max(objective/2, retryLeast), retryMost)
-	if cause == CauseNoConfig {
+	switch cause {
+	case CauseNoConfig:
 		wait = startWait
+	case CauseStopping:
+		// Any other router takes the request at once.
+		wait = retryLeast
 	}
 	return wait + time.Duration(retryJitter*random*float64(wait))
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -102,6 +102,7 @@
 const (
 	CauseNone         Cause = ""
 	CauseNoConfig     Cause = "no_configuration"
+	CauseStopping     Cause = "router_stops"
 	CauseNoRoute      Cause = "no_route"
 	CauseBadKey       Cause = "unknown_key"
 	CauseTooLarge     Cause = "body_too_large"
--- /dev/null
+++ b/internal/forward/stopping_test.go
@@ -0,0 +1,34 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/routing"
+)
+
+// Guards against a stopping router that takes a long stream shortly before its
+// process ends and then cuts the answer.
+func TestStoppingRouterTakesOnlyWhatEndsInTime(t *testing.T) {
+	began := time.Unix(1000, 0)
+	s := &stopping{began: began, end: began.Add(8 * time.Second)}
+	stream := &routing.Route{Kind: routing.Stream, Objective: 400 * time.Millisecond}
+	plain := &routing.Route{Kind: routing.Safe, Objective: 300 * time.Millisecond}
+	unbounded := &routing.Route{Kind: routing.Unsafe}
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		route *routing.Route
+		want  bool
+	}{
+		{"stream while callers still arrive", 2 * time.Second, stream, true},
+		{"stream after the rotation", 3 * time.Second, stream, false},
+		{"plain request with time left", 5 * time.Second, plain, true},
+		{"plain request at the end", 7 * time.Second, plain, false},
+		{"plain request without an objective", 3 * time.Second, unbounded, false},
+	} {
+		if got := s.takes(began.Add(c.after), c.route); got != c.want {
+			t.Errorf("%s: takes = %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -22,9 +22,11 @@
 func (f *Front) Stop(ctx context.Context) error {
 	began := time.Now()
 	f.belief.stop()
-	f.core.Stop()
-	f.events.Emit(event.FrontStopping, "running", f.core.Running())
 	end := began.Add(f.settings.Bounds.Stop - stopMargin)
+	f.core.Stop(began, end)
+	f.events.Emit(event.FrontStopping, "running", f.core.Running())
+	rotation := time.AfterFunc(rotationTime, f.edge.CloseWaiting)
+	defer rotation.Stop()
 	f.waitIdle(ctx, began.Add(rotationTime), end)
 	f.events.Emit(event.FrontStopped, "running", f.core.Running(), "after_ms", time.Since(began).Milliseconds())
 	f.tomb.Kill(nil)
