digest: routers tell each other loads, holdings and store progress

Change: datagrams of 1 to 4 a second and router; placements are told at once; three routers read the store at the full pace and name the offset of news.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -21,10 +21,16 @@
 	// lateAfter is the age difference to the oldest server from which a server
 	// takes no homes from others: moving a home means reading its tokens again.
 	lateAfter = 8 * time.Second
-	// subjectMemory bounds the subjects whose last server is remembered.
-	subjectMemory = 4096
+	// subjectMemory bounds the subjects whose servers are remembered.
+	subjectMemory = 8192
+	// subjectServers bounds the servers that are remembered for a subject: the
+	// homes of a subject that gets much of the traffic.
+	subjectServers = 4
 	// reuseSpan is how long a subject is expected to stay in a server's cache.
-	reuseSpan = 30 * time.Second
+	reuseSpan = 5 * time.Minute
+	// reportFresh is the age up to which the load that a server reports goes
+	// before the sum of what the other routers report.
+	reportFresh = 300 * time.Millisecond
 )
 
 // Limits are the settings of a pool's balance.
@@ -76,28 +82,64 @@
 // member is a server and the router's belief about it.
 type member struct {
 	server *registry.Server
-	hash   uint64
-	late   bool
-	own    int
-	// others is the load of other routers in the last report.
-	others     int
+	// rank is the hash of the ID, which a restarted server keeps.
+	rank uint64
+	// hash identifies the incarnation.
+	hash uint64
+	late bool
+	own  int
+	// reported is the load of other routers in the last report of the server.
+	reported   int
 	reportedAt time.Time
-	health     health
+	// peers is the load that the other routers have reported.
+	peers   int
+	peersAt time.Time
+	health  health
 }
 
-func (m *member) load() float64 { return float64(m.own + m.others) }
+// others returns the requests of other routers: the newer of what the server
+// and the routers themselves report.
+func (m *member) others(now time.Time) int {
+	if m.peersAt.IsZero() || now.Sub(m.reportedAt) < reportFresh {
+		return m.reported
+	}
+	return m.peers
+}
 
+func (m *member) load(now time.Time) float64 { return float64(m.own + m.others(now)) }
+
+// holding lists the incarnations that hold a subject, the last used first.
 type holding struct {
-	server registry.Key
-	at     time.Time
+	servers [subjectServers]uint64
+	at      time.Time
+}
+
+// put moves a server to the front and reports whether it is new.
+func (h *holding) put(server uint64) bool {
+	at := slices.Index(h.servers[:], server)
+	isNew := at < 0
+	if isNew {
+		at = subjectServers - 1
+	}
+	copy(h.servers[1:at+1], h.servers[:at])
+	h.servers[0] = server
+	return isNew
 }
 
 // Pool is the belief about the servers of one pool.
 type Pool struct {
 	limits  Limits
 	members []*member
-	held    map[uint64]holding
-	ranked  []rankedMember
+	held    map[uint64]*holding
+	// placed lists what other routers have not been told.
+	placed []Placed
+	ranked []rankedMember
+}
+
+// Placed tells that a server has got a subject.
+type Placed struct {
+	Subject uint64
+	Server  uint64
 }
 
 type rankedMember struct {
@@ -107,7 +149,7 @@
 
 // NewPool returns a pool without servers.
 func NewPool(limits Limits) *Pool {
-	return &Pool{limits: limits, held: make(map[uint64]holding)}
+	return &Pool{limits: limits, held: make(map[uint64]*holding)}
 }
 
 // SetServers replaces the list of servers. The belief about an incarnation
@@ -121,7 +163,7 @@
 	for _, s := range list {
 		m := known[s.Key()]
 		if m == nil {
-			m = &member{hash: placement.Hash(s.ID)}
+			m = &member{rank: placement.Hash(s.ID), hash: s.Key().Hash()}
 		}
 		m.server = s
 		p.members = append(p.members, m)
@@ -185,7 +227,7 @@
 	open := make([]*member, 0, len(p.members))
 	ejected := make([]*member, 0, len(p.members))
 	for _, m := range p.members {
-		total += m.load()
+		total += m.load(now)
 		if m.server.Leaving {
 			continue
 		}
@@ -206,32 +248,43 @@
 	return open, mean
 }
 
-// pickHome follows the order: the server that this router knows to hold the
-// subject, the home, the spill servers; the first below its bound wins.
+// pickHome follows the order: the servers that are known to hold the subject,
+// the home, the spill servers; the first below its bound wins.
 func (p *Pool) pickHome(now time.Time, usable []*member, mean float64, job Job) Choice {
 	bound := p.bound(mean, job.SharedTokens)
-	order := p.order(usable, job.Subject)
-	source := p.source(now, job.Subject)
-	if source != nil && slices.Contains(usable, source) && source.load() < bound {
-		return p.choose(now, source, nil, mean, ReasonHeld)
+	holders := p.holders(now, job.Subject)
+	if m := lightest(now, holders, usable); m != nil && m.load(now) < bound {
+		return p.choose(now, m, nil, mean, ReasonHeld)
 	}
+	order := p.order(usable, job.Subject)
 	for i, m := range order {
-		if m.load() >= bound {
+		if m.load(now) >= bound {
 			continue
 		}
 		reason := ReasonSpill
 		if i == 0 {
 			reason = ReasonHome
 		}
-		return p.choose(now, m.member, p.fetchFrom(now, source, order[0].member, m.member), mean, reason)
+		return p.choose(now, m.member, source(now, holders, order[0].member, m.member), mean, reason)
 	}
 	c := p.leastLoaded(now, usable, mean, job, ReasonLeast)
-	if source != nil && source.server != c.Server {
-		c.Source = source.server
+	if s := source(now, holders, order[0].member, p.find(c.Server.Key())); s != nil {
+		c.Source = s.server
 	}
 	return c
 }
 
+// lightest returns the holder with the lowest load that may take a request.
+func lightest(now time.Time, holders, usable []*member) *member {
+	var best *member
+	for _, m := range holders {
+		if slices.Contains(usable, m) && (best == nil || m.load(now) < best.load(now)) {
+			best = m
+		}
+	}
+	return best
+}
+
 // bound is the load below which a server takes the request. Small prompts
 // move first, because reading them again costs little: they level the load
 // that the homes of large prompts make uneven.
@@ -254,7 +307,7 @@
 func (p *Pool) order(usable []*member, subject uint64) []rankedMember {
 	p.ranked = p.ranked[:0]
 	for _, m := range usable {
-		p.ranked = append(p.ranked, rankedMember{member: m, rank: placement.Mix(subject, m.hash)})
+		p.ranked = append(p.ranked, rankedMember{member: m, rank: placement.Mix(subject, m.rank)})
 	}
 	slices.SortFunc(p.ranked, func(a, b rankedMember) int { return cmp.Compare(b.rank, a.rank) })
 	home := slices.IndexFunc(p.ranked, func(m rankedMember) bool { return !m.late })
@@ -277,26 +330,33 @@
 	return 1
 }
 
-// source returns the member that this router knows to hold the subject.
-func (p *Pool) source(now time.Time, subject uint64) *member {
-	h, ok := p.held[subject]
-	if !ok || now.Sub(h.at) > reuseSpan {
+// holders returns the members that are known to hold the subject.
+func (p *Pool) holders(now time.Time, subject uint64) []*member {
+	h := p.held[subject]
+	if h == nil || now.Sub(h.at) > reuseSpan {
 		return nil
 	}
-	return p.find(h.server)
+	var holders []*member
+	for _, server := range h.servers {
+		if m := p.byHash(server); m != nil {
+			holders = append(holders, m)
+		}
+	}
+	return holders
 }
 
-// fetchFrom names the server to copy the subject from when it is not the
-// chosen one: the known holder, else the home that other routers use.
-func (p *Pool) fetchFrom(now time.Time, source, home, chosen *member) *member {
-	from := source
-	if from == nil {
-		from = home
-	}
-	if from == chosen || from.health.silent(now, from.own) {
-		return nil
+// source names the server to copy the subject from: a known holder that
+// answers, else the home, which other routers may have used.
+func source(now time.Time, holders []*member, home, chosen *member) *member {
+	for _, m := range append(holders, home) {
+		if m != chosen && !m.health.closed(now, m.own) {
+			return m
+		}
+		if m == chosen {
+			return nil
+		}
 	}
-	return from
+	return nil
 }
 
 func (p *Pool) leastLoaded(now time.Time, usable []*member, mean float64, job Job, reason Reason) Choice {
@@ -304,7 +364,7 @@
 	best := usable[start]
 	for i := 1; i < len(usable); i++ {
 		m := usable[(start+i)%len(usable)]
-		if lighter(m, best, job.DataCentre) {
+		if lighter(now, m, best, job.DataCentre) {
 			best = m
 		}
 	}
@@ -312,9 +372,9 @@
 }
 
 // lighter compares by load per slot, then by data centre.
-func lighter(a, b *member, dataCentre string) bool {
-	x := a.load() / float64(max(a.server.Slots, 1))
-	y := b.load() / float64(max(b.server.Slots, 1))
+func lighter(now time.Time, a, b *member, dataCentre string) bool {
+	x := a.load(now) / float64(max(a.server.Slots, 1))
+	y := b.load(now) / float64(max(b.server.Slots, 1))
 	if x != y {
 		return x < y
 	}
@@ -322,7 +382,7 @@
 }
 
 func (p *Pool) choose(now time.Time, m, source *member, mean float64, reason Reason) Choice {
-	c := Choice{Server: m.server, Reason: reason, Load: m.load(), Mean: mean, ReportAge: -1}
+	c := Choice{Server: m.server, Reason: reason, Load: m.load(now), Mean: mean, ReportAge: -1}
 	if source != nil {
 		c.Source = source.server
 	}
@@ -332,6 +392,15 @@
 	return c
 }
 
+func (p *Pool) byHash(hash uint64) *member {
+	for _, m := range p.members {
+		if m.hash == hash {
+			return m
+		}
+	}
+	return nil
+}
+
 func (p *Pool) find(key registry.Key) *member {
 	for _, m := range p.members {
 		if m.server.Key() == key {
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -54,8 +54,13 @@
 
 func (h *health) failing(now time.Time) bool { return now.Before(h.failingUntil) }
 
+// closed reports whether the server refuses connections or requests, or is silent.
+func (h *health) closed(now time.Time, own int) bool {
+	return now.Before(h.closedUntil) || h.silent(now, own)
+}
+
 func (h *health) ejected(now time.Time, own int) bool {
-	return h.failing(now) || now.Before(h.closedUntil) || h.silent(now, own)
+	return h.failing(now) || h.closed(now, own)
 }
 
 // end takes an outcome and reports whether it ejected the server.
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -35,21 +35,34 @@
 	Slots   int
 }
 
-// Begin counts a request in flight at a server and remembers its subject.
-func (p *Pool) Begin(now time.Time, key registry.Key, subject uint64) {
+// Begin counts a request in flight at a server and remembers its subject. It
+// reports whether the server was not known to hold the subject.
+func (p *Pool) Begin(now time.Time, key registry.Key, subject uint64) (isNews bool) {
 	m := p.find(key)
 	if m == nil {
-		return
+		return false
 	}
 	m.own++
 	m.health.begin(now, m.own)
-	if subject == 0 {
-		return
+	if subject == 0 || !p.hold(now, subject, m.hash) {
+		return false
 	}
-	if len(p.held) >= subjectMemory {
-		p.forgetOld(now)
+	p.placed = append(p.placed, Placed{Subject: subject, Server: m.hash})
+	return true
+}
+
+// hold notes that a server has a subject, and reports whether that is new.
+func (p *Pool) hold(now time.Time, subject, server uint64) bool {
+	h := p.held[subject]
+	if h == nil {
+		if len(p.held) >= subjectMemory {
+			p.forgetOld(now)
+		}
+		h = &holding{}
+		p.held[subject] = h
 	}
-	p.held[subject] = holding{server: key, at: now}
+	h.at = now
+	return h.put(server)
 }
 
 // forgetOld drops the subjects that no cache is expected to hold, or all when
@@ -65,13 +78,62 @@
 	}
 }
 
+// TakePlaced returns the placements since the last call that gave a server a
+// subject that it was not known to hold.
+func (p *Pool) TakePlaced() []Placed {
+	placed := p.placed
+	p.placed = nil
+	return placed
+}
+
+// Learn notes a placement of another router. Servers of other pools are ignored.
+func (p *Pool) Learn(now time.Time, placed Placed) {
+	if p.byHash(placed.Server) != nil {
+		p.hold(now, placed.Subject, placed.Server)
+	}
+}
+
+// Held returns all known holdings, for a router that has just started.
+func (p *Pool) Held() []Placed {
+	var list []Placed
+	for subject, h := range p.held {
+		for _, server := range h.servers {
+			if server != 0 && p.byHash(server) != nil {
+				list = append(list, Placed{Subject: subject, Server: server})
+			}
+		}
+	}
+	return list
+}
+
+// InFlight calls f for each server with requests of this router in flight.
+func (p *Pool) InFlight(f func(server uint64, n int)) {
+	for _, m := range p.members {
+		if m.own > 0 {
+			f(m.hash, m.own)
+		}
+	}
+}
+
+// SetPeers takes what the other routers together have in flight, by server. A
+// nil map means that no other router is heard.
+func (p *Pool) SetPeers(now time.Time, loads map[uint64]int) {
+	for _, m := range p.members {
+		m.peers = loads[m.hash]
+		m.peersAt = now
+		if loads == nil {
+			m.peersAt = time.Time{}
+		}
+	}
+}
+
 // Report takes the load of an answer.
 func (p *Pool) Report(now time.Time, key registry.Key, load Load) {
 	m := p.find(key)
 	if m == nil {
 		return
 	}
-	m.others = max(load.Running+load.Waiting-m.own, 0)
+	m.reported = max(load.Running+load.Waiting-m.own, 0)
 	m.reportedAt = now
 }
 
@@ -120,7 +182,7 @@
 		list = append(list, Status{
 			Server:  m.server,
 			Own:     m.own,
-			Others:  m.others,
+			Others:  m.others(now),
 			Ejected: m.health.ejected(now, m.own),
 		})
 	}
--- /dev/null
+++ b/internal/digest/exchange.go
@@ -0,0 +1,272 @@
+package digest
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+)
+
+const (
+	// periodLeast and periodPerPeer set the pace of a router's digests, so that
+	// what it sends grows less than the fleet.
+	periodLeast   = 250 * time.Millisecond
+	periodPerPeer = 35 * time.Millisecond
+	// readerPeriod is the longest period of a router that reads the store for
+	// others, which must notice soon when it fails.
+	readerPeriod = 400 * time.Millisecond
+	// promptDelay gathers the placements that are told at once.
+	promptDelay = 10 * time.Millisecond
+	// namedPeers is the number of other routers that a digest names.
+	namedPeers = 16
+	// pairsPerDatagram bounds the loads or holdings of one datagram.
+	pairsPerDatagram = 56
+)
+
+// State is what a router tells and learns. Its methods are called from the
+// goroutines of an Exchange and must be safe for concurrent use.
+type State interface {
+	// Loads returns the requests in flight at each server.
+	Loads() []Load
+	// Placed returns the placements since the last call.
+	Placed() []Holding
+	// Held returns all known placements.
+	Held() []Holding
+	// Progress returns how far the topics have been read, and whether the
+	// store answers.
+	Progress() (list []Progress, reading bool)
+	// SetPeerLoads takes the sum of the other routers' loads; nil when none is heard.
+	SetPeerLoads(loads map[uint64]int)
+	// Learn takes placements of another router.
+	Learn(list []Holding)
+}
+
+// Exchange sends and receives digests. Its methods are safe for concurrent use.
+type Exchange struct {
+	conn   *net.UDPConn
+	port   uint16
+	sender uint64
+	state  State
+	events *event.Logger
+	prompt chan struct{}
+
+	mu    sync.Mutex
+	peers *Peers
+	named int
+	// recent holds placements that are told again.
+	recent []Holding
+	asked  bool
+}
+
+// Listen opens the address for digests. All routers use the same port; the
+// seeds are routers that may be stale or down.
+func Listen(addr netip.AddrPort, seeds []netip.Addr, state State, events *event.Logger) (*Exchange, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot listen for digests")
+	}
+	return &Exchange{
+		conn:   conn,
+		port:   uint16(conn.LocalAddr().(*net.UDPAddr).Port),
+		sender: rand.Uint64(),
+		state:  state,
+		events: events,
+		prompt: make(chan struct{}, 1),
+		peers:  NewPeers(addr.Addr(), seeds),
+	}, nil
+}
+
+// Prompt makes the exchange tell new placements and progress soon.
+func (e *Exchange) Prompt() {
+	select {
+	case e.prompt <- struct{}{}:
+	default:
+	}
+}
+
+// Reader reports whether this router reads the store at the full pace.
+func (e *Exchange) Reader() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.Reader(time.Now())
+}
+
+// News returns the newest offset at which another router has found news.
+func (e *Exchange) News(topic int) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.News(time.Now(), topic)
+}
+
+// Receive takes digests until Close.
+func (e *Exchange) Receive() error {
+	buffer := make([]byte, 2*maxDatagram)
+	for {
+		n, from, err := e.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// An unreachable peer shows as an error of a later read.
+			continue
+		}
+		m, err := Decode(buffer[:n])
+		if err != nil {
+			e.events.Emit(event.DigestUnusable, "from", from.String(), "bytes", n)
+			continue
+		}
+		e.take(from.Addr().Unmap(), m)
+	}
+}
+
+func (e *Exchange) take(from netip.Addr, m *Message) {
+	now := time.Now()
+	e.mu.Lock()
+	isNew := e.peers.Hear(now, from, m)
+	loads := e.loads(now)
+	e.mu.Unlock()
+	if isNew {
+		e.events.Emit(event.PeerHeard, "peer", from.String(), "stopping", m.Stopping)
+	}
+	if m.Whole {
+		e.state.SetPeerLoads(loads)
+	}
+	if len(m.Holdings) > 0 {
+		e.state.Learn(m.Holdings)
+	}
+	if m.WantAll {
+		e.sendHoldings([]netip.Addr{from}, e.state.Held())
+	}
+}
+
+// loads returns nil while no other router is heard, since a router that hears
+// nobody does not know that the others do nothing.
+func (e *Exchange) loads(now time.Time) map[uint64]int {
+	if len(e.peers.Live(now)) == 0 {
+		return nil
+	}
+	return e.peers.Loads(now)
+}
+
+// Send tells the others what this router does until ctx ends.
+func (e *Exchange) Send(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			e.sendTo(e.targets(), &Message{Sender: e.sender, Stopping: true})
+			return nil
+		case <-e.prompt:
+			time.Sleep(promptDelay)
+			e.tell(false)
+		case <-timer.C:
+			timer.Reset(e.tell(true))
+		}
+	}
+}
+
+func (e *Exchange) targets() []netip.Addr {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.Targets(time.Now())
+}
+
+// tell sends a digest to all known routers and returns the time until the next.
+// A regular digest holds the loads; a prompt one only what is new.
+func (e *Exchange) tell(regular bool) time.Duration {
+	now := time.Now()
+	e.mu.Lock()
+	if regular {
+		e.peers.Expire(now)
+	}
+	targets := e.peers.Targets(now)
+	m := &Message{Sender: e.sender, WantAll: e.wantAll(now)}
+	if regular {
+		m.Peers = e.names(targets)
+	}
+	if regular {
+		e.state.SetPeerLoads(e.loads(now))
+	}
+	e.mu.Unlock()
+	m.Progress, m.Reading = e.state.Progress()
+	if regular {
+		m.Loads = e.state.Loads()
+		m.Whole = len(m.Loads) <= pairsPerDatagram
+	}
+	if !m.Whole {
+		m.Loads = nil
+	}
+	e.sendTo(targets, m)
+	e.tellPlaced(targets, regular)
+	return e.period(len(targets))
+}
+
+// period returns the time between two regular digests to n routers.
+func (e *Exchange) period(n int) time.Duration {
+	p := max(periodLeast, periodPerPeer*time.Duration(n))
+	if e.Reader() {
+		p = min(p, readerPeriod)
+	}
+	return p
+}
+
+// wantAll is set until another router has been heard and asked.
+func (e *Exchange) wantAll(now time.Time) bool {
+	if e.asked {
+		return false
+	}
+	e.asked = len(e.peers.Live(now)) > 0
+	return true
+}
+
+// names returns some of the known routers, others each time.
+func (e *Exchange) names(targets []netip.Addr) []netip.Addr {
+	n := min(namedPeers, len(targets))
+	names := make([]netip.Addr, 0, n)
+	for range n {
+		names = append(names, targets[e.named%len(targets)])
+		e.named++
+	}
+	return names
+}
+
+// tellPlaced sends new placements, and those of the last time once more.
+func (e *Exchange) tellPlaced(targets []netip.Addr, regular bool) {
+	placed := e.state.Placed()
+	list := placed
+	if regular {
+		list = append(placed, e.recent...)
+		e.recent = nil
+	}
+	e.sendHoldings(targets, list)
+	e.recent = append(e.recent, placed...)
+}
+
+func (e *Exchange) sendHoldings(targets []netip.Addr, list []Holding) {
+	for len(list) > 0 {
+		n := min(pairsPerDatagram, len(list))
+		e.sendTo(targets, &Message{Sender: e.sender, Holdings: list[:n]})
+		list = list[n:]
+	}
+}
+
+func (e *Exchange) sendTo(targets []netip.Addr, m *Message) {
+	b := Encode(m)
+	for _, t := range targets {
+		// A lost digest is made up for by the next.
+		_, _ = e.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(t, e.port))
+	}
+}
+
+// Close ends Receive.
+func (e *Exchange) Close() error {
+	return eris.Wrap(e.conn.Close(), "cannot close the digests' address")
+}
--- /dev/null
+++ b/internal/digest/message.go
@@ -0,0 +1,244 @@
+// Package digest lets routers tell each other what each has done: the requests
+// in flight at each server, the servers that hold the shared parts of prompts,
+// and how far the topics of the store have been read. Messages are datagrams,
+// each of which stands alone: a lost one is made up for by the next.
+//
+// A decision never waits for a digest. What a router hears only improves its
+// own belief, and is dropped when it is old.
+package digest
+
+import (
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+const (
+	// maxDatagram fits an Ethernet frame, so that no datagram is fragmented.
+	maxDatagram = 1400
+	// Bounds of what one message may hold, against broken senders.
+	maxPeers    = 512
+	maxLoads    = 512
+	maxHoldings = 256
+	maxTopics   = 8
+)
+
+// Load is the number of a router's requests in flight at a server.
+type Load struct {
+	// Server is the hash of the incarnation.
+	Server   uint64
+	InFlight int
+}
+
+// Holding tells that a server has read the shared parts of a prompt.
+type Holding struct {
+	Subject uint64
+	Server  uint64
+}
+
+// Progress is how far a router has read a topic of the store.
+type Progress struct {
+	Topic int
+	// News is the offset of the last record that changed what the router believes.
+	News int64
+}
+
+// Message is one datagram.
+type Message struct {
+	// Sender tells the processes at one address apart.
+	Sender uint64
+	// Stopping is set by a router that ends.
+	Stopping bool
+	// WantAll asks for all holdings; a starting router sets it.
+	WantAll bool
+	// Whole is set when Loads name every server with requests in flight.
+	Whole bool
+	// Reading is set while the sender reads the store and gets answers.
+	Reading  bool
+	Peers    []netip.Addr
+	Loads    []Load
+	Holdings []Holding
+	Progress []Progress
+}
+
+// Field numbers of the protobuf messages.
+const (
+	fieldSender   = 1
+	fieldStopping = 2
+	fieldWantAll  = 3
+	fieldWhole    = 4
+	fieldReading  = 5
+	fieldPeer     = 6
+	fieldLoad     = 7
+	fieldHolding  = 8
+	fieldProgress = 9
+
+	fieldFirst  = 1
+	fieldSecond = 2
+)
+
+// Encode returns the protobuf form of m.
+func Encode(m *Message) []byte {
+	b := make([]byte, 0, maxDatagram)
+	b = appendFixed(b, fieldSender, m.Sender)
+	b = appendBool(b, fieldStopping, m.Stopping)
+	b = appendBool(b, fieldWantAll, m.WantAll)
+	b = appendBool(b, fieldWhole, m.Whole)
+	b = appendBool(b, fieldReading, m.Reading)
+	for _, p := range m.Peers {
+		b = protowire.AppendTag(b, fieldPeer, protowire.BytesType)
+		b = protowire.AppendBytes(b, p.AsSlice())
+	}
+	for _, l := range m.Loads {
+		b = appendPair(b, fieldLoad, l.Server, uint64(l.InFlight))
+	}
+	for _, h := range m.Holdings {
+		b = appendPair(b, fieldHolding, h.Subject, h.Server)
+	}
+	for _, p := range m.Progress {
+		b = appendPair(b, fieldProgress, uint64(p.Topic), uint64(p.News))
+	}
+	return b
+}
+
+func appendFixed(b []byte, field protowire.Number, v uint64) []byte {
+	b = protowire.AppendTag(b, field, protowire.Fixed64Type)
+	return protowire.AppendFixed64(b, v)
+}
+
+func appendBool(b []byte, field protowire.Number, v bool) []byte {
+	if !v {
+		return b
+	}
+	b = protowire.AppendTag(b, field, protowire.VarintType)
+	return protowire.AppendVarint(b, 1)
+}
+
+func appendPair(b []byte, field protowire.Number, first, second uint64) []byte {
+	var pair [2 * 9]byte
+	inner := appendFixed(pair[:0], fieldFirst, first)
+	inner = appendFixed(inner, fieldSecond, second)
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	return protowire.AppendBytes(b, inner)
+}
+
+var errMalformed = eris.New("malformed digest")
+
+// Decode decodes a datagram. Unknown fields are skipped, so that routers of two
+// versions understand each other.
+func Decode(b []byte) (*Message, error) {
+	m := &Message{}
+	for len(b) > 0 {
+		field, kind, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return nil, errMalformed
+		}
+		b = b[n:]
+		var err error
+		switch kind {
+		case protowire.Fixed64Type:
+			b, err = m.takeFixed(field, b)
+		case protowire.VarintType:
+			b, err = m.takeVarint(field, b)
+		case protowire.BytesType:
+			b, err = m.takeBytes(field, b)
+		default:
+			b, err = skip(field, kind, b)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func skip(field protowire.Number, kind protowire.Type, b []byte) ([]byte, error) {
+	n := protowire.ConsumeFieldValue(field, kind, b)
+	if n < 0 {
+		return nil, errMalformed
+	}
+	return b[n:], nil
+}
+
+func (m *Message) takeFixed(field protowire.Number, b []byte) ([]byte, error) {
+	v, n := protowire.ConsumeFixed64(b)
+	if n < 0 {
+		return nil, errMalformed
+	}
+	if field == fieldSender {
+		m.Sender = v
+	}
+	return b[n:], nil
+}
+
+func (m *Message) takeVarint(field protowire.Number, b []byte) ([]byte, error) {
+	v, n := protowire.ConsumeVarint(b)
+	if n < 0 {
+		return nil, errMalformed
+	}
+	switch field {
+	case fieldStopping:
+		m.Stopping = v != 0
+	case fieldWantAll:
+		m.WantAll = v != 0
+	case fieldWhole:
+		m.Whole = v != 0
+	case fieldReading:
+		m.Reading = v != 0
+	}
+	return b[n:], nil
+}
+
+func (m *Message) takeBytes(field protowire.Number, b []byte) ([]byte, error) {
+	v, n := protowire.ConsumeBytes(b)
+	if n < 0 {
+		return nil, errMalformed
+	}
+	if field == fieldPeer {
+		addr, ok := netip.AddrFromSlice(v)
+		if !ok || len(m.Peers) >= maxPeers {
+			return nil, errMalformed
+		}
+		m.Peers = append(m.Peers, addr)
+		return b[n:], nil
+	}
+	return b[n:], m.takePair(field, v)
+}
+
+func (m *Message) takePair(field protowire.Number, b []byte) error {
+	if field != fieldLoad && field != fieldHolding && field != fieldProgress {
+		return nil
+	}
+	var pair [2]uint64
+	for len(b) > 0 {
+		inner, kind, n := protowire.ConsumeTag(b)
+		if n < 0 || kind != protowire.Fixed64Type {
+			return errMalformed
+		}
+		v, used := protowire.ConsumeFixed64(b[n:])
+		if used < 0 {
+			return errMalformed
+		}
+		if inner == fieldFirst || inner == fieldSecond {
+			pair[inner-fieldFirst] = v
+		}
+		b = b[n+used:]
+	}
+	return m.addPair(field, pair[0], pair[1])
+}
+
+func (m *Message) addPair(field protowire.Number, first, second uint64) error {
+	const mostInFlight = 1 << 20
+	switch {
+	case field == fieldLoad && len(m.Loads) < maxLoads && second <= mostInFlight:
+		m.Loads = append(m.Loads, Load{Server: first, InFlight: int(second)})
+	case field == fieldHolding && len(m.Holdings) < maxHoldings:
+		m.Holdings = append(m.Holdings, Holding{Subject: first, Server: second})
+	case field == fieldProgress && len(m.Progress) < maxTopics && first < maxTopics:
+		m.Progress = append(m.Progress, Progress{Topic: int(first), News: int64(second)})
+	default:
+		return errMalformed
+	}
+	return nil
+}
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -24,4 +24,7 @@
 	SettingsReloaded   = register(1016, hclog.Info, "settings file read again")
 	LogLinesDropped    = register(1017, hclog.Warn, "log lines were dropped because the output was slow")
 	CallerServerFailed = register(1018, hclog.Error, "server for callers ended")
+	DigestUnusable     = register(1019, hclog.Warn, "digest of another router cannot be decoded")
+	PeerHeard          = register(1020, hclog.Info, "another router is heard")
+	ReaderChanged      = register(1021, hclog.Info, "router changed its pace of reading the store")
 )
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -48,16 +48,25 @@
 
 // Options set the pace of a follower.
 type Options struct {
-	// Wait is how long a read waits at the store for a record.
-	Wait time.Duration
-	// Pause is the time between two reads.
-	Pause time.Duration
+	// Pace is asked before each call; it may change at any time.
+	Pace func() Pace
+	// News returns the newest offset at which another router has found news, or
+	// a negative number. A follower that has not read so far reads at once.
+	News func() int64
 	// CallTimeout bounds a call beyond its wait.
 	CallTimeout time.Duration
 	// Grace is how long after an outage a batch is marked as read in its wake.
 	Grace time.Duration
 }
 
+// Pace is how often a topic is read.
+type Pace struct {
+	// Wait is how long a read waits at the store for a record.
+	Wait time.Duration
+	// Pause is the time between two reads.
+	Pause time.Duration
+}
+
 // Batch is news of a topic.
 type Batch struct {
 	Records []Record
@@ -109,17 +118,49 @@
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := f.Step(ctx)
+		f.rest(ctx, f.Step(ctx))
+	}
+}
+
+const (
+	// slice is how often a resting follower looks at its pace and for news.
+	slice = 200 * time.Millisecond
+	// restLeast bounds the reads for news that the store does not show yet.
+	restLeast = 50 * time.Millisecond
+)
+
+// rest waits for the pause, or less when the pace or the news want that. A
+// negative pause means the one of the pace.
+func (f *Follower) rest(ctx context.Context, pause time.Duration) {
+	began := f.now()
+	next := jitter(restLeast)
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+			return
+		case <-time.After(next):
+		}
+		rested := f.now().Sub(began)
+		left := pause - rested
+		if pause < 0 {
+			left = f.options.Pace().Pause - rested
+			if f.position.whole && f.options.News() >= f.position.next {
+				return
+			}
 		}
+		if left <= 0 {
+			return
+		}
+		next = jitter(min(left, slice))
 	}
 }
 
+// paced makes rest follow the pace.
+const paced = -1
+
 // Step makes one call to the store and returns the pause until the next.
 func (f *Follower) Step(ctx context.Context) time.Duration {
-	wait := f.options.Wait
+	wait := f.options.Pace().Wait
 	if !f.position.whole {
 		wait = 0
 	}
@@ -180,7 +221,7 @@
 	if full || len(page.Records) > 0 {
 		f.observer.Batch(Batch{Records: page.Records, Full: full, GraceUntil: f.graceUntil})
 	}
-	return jitter(f.options.Pause)
+	return paced
 }
 
 func jitter(d time.Duration) time.Duration {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,6 +33,7 @@
 	// ran counts the servers that may have run the request.
 	ran    int
 	tried  []registry.Key
+	job    balance.Job
 	choice balance.Choice
 	last   balance.Outcome
 }
@@ -45,6 +47,9 @@
 		"server", c.Server.ID, "pool", c.Server.Pool, "reason", c.Reason, "load", c.Load, "mean", c.Mean,
 		"report_age_ms", c.ReportAge.Milliseconds(), "offered", a.offered, "last", a.last.String(),
 	}
+	if a.job.Subject != 0 {
+		kv = append(kv, "subject", strconv.FormatUint(a.job.Subject, 16), "shared_tokens", a.job.SharedTokens)
+	}
 	if c.Source != nil {
 		kv = append(kv, "fetch_from", c.Source.ID)
 	}
@@ -54,12 +59,17 @@
 // step makes one attempt. It returns true when another one must follow.
 func (k *call) step(ctx context.Context) bool {
 	now := time.Now()
-	choice, ok := k.pool.pick(now, k.job())
+	job := k.job()
+	choice, ok, isNews := k.pool.pick(now, job)
+	if isNews {
+		k.core.world.placed()
+	}
 	if !ok {
 		k.giveUp(CauseNoServer)
 		return false
 	}
 	k.attempts.choice = choice
+	k.attempts.job = job
 	k.attempts.offered++
 	res := k.attempt(ctx, choice)
 	k.attempts.last = res.outcome
--- /dev/null
+++ b/internal/forward/share.go
@@ -0,0 +1,67 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/balance"
+	"github.com/bluebellwell/bluebellwell/internal/digest"
+)
+
+// each calls f with every pool, whose lock is held.
+func (w *World) each(f func(p *pool)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.pools {
+		p.mu.Lock()
+		f(p)
+		p.mu.Unlock()
+	}
+}
+
+// Loads returns the requests in flight at each server.
+func (w *World) Loads() []digest.Load {
+	var list []digest.Load
+	w.each(func(p *pool) {
+		p.balance.InFlight(func(server uint64, n int) {
+			list = append(list, digest.Load{Server: server, InFlight: n})
+		})
+	})
+	return list
+}
+
+// Placed returns the placements since the last call that are news to others.
+func (w *World) Placed() []digest.Holding {
+	var list []digest.Holding
+	w.each(func(p *pool) { list = appendHoldings(list, p.balance.TakePlaced()) })
+	return list
+}
+
+// Held returns all known placements of subjects.
+func (w *World) Held() []digest.Holding {
+	var list []digest.Holding
+	w.each(func(p *pool) { list = appendHoldings(list, p.balance.Held()) })
+	return list
+}
+
+func appendHoldings(list []digest.Holding, placed []balance.Placed) []digest.Holding {
+	for _, h := range placed {
+		list = append(list, digest.Holding(h))
+	}
+	return list
+}
+
+// SetPeerLoads takes the sum of the other routers' loads.
+func (w *World) SetPeerLoads(loads map[uint64]int) {
+	now := time.Now()
+	w.each(func(p *pool) { p.balance.SetPeers(now, loads) })
+}
+
+// Learn takes placements of another router.
+func (w *World) Learn(list []digest.Holding) {
+	now := time.Now()
+	w.each(func(p *pool) {
+		for _, h := range list {
+			p.balance.Learn(now, balance.Placed(h))
+		}
+	})
+}
--- a/internal/forward/world.go
+++ b/internal/forward/world.go
@@ -46,6 +46,8 @@
 type World struct {
 	limits Limits
 	table  atomic.Pointer[routing.Table]
+	// placed is called after a placement that other routers should know of.
+	placed func()
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -65,9 +67,13 @@
 
 // NewWorld returns a world without configuration and servers.
 func NewWorld(limits Limits) *World {
-	return &World{limits: limits, pools: make(map[string]*pool)}
+	return &World{limits: limits, pools: make(map[string]*pool), placed: func() {}}
 }
 
+// OnPlaced sets the function that is called after a placement which other
+// routers should know of. Call it before requests are served.
+func (w *World) OnPlaced(f func()) { w.placed = f }
+
 // SetTable puts a configuration in force.
 func (w *World) SetTable(t *routing.Table) { w.table.Store(t) }
 
@@ -146,15 +152,17 @@
 	}
 }
 
-func (p *pool) pick(now time.Time, job balance.Job) (balance.Choice, bool) {
+// pick chooses a server and counts the request there. isNews is set when other
+// routers should know of the placement.
+func (p *pool) pick(now time.Time, job balance.Job) (c balance.Choice, ok, isNews bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	job.Random = rand.Uint64()
-	c, ok := p.balance.Pick(now, job)
+	c, ok = p.balance.Pick(now, job)
 	if ok {
-		p.balance.Begin(now, c.Server.Key(), job.Subject)
+		isNews = p.balance.Begin(now, c.Server.Key(), job.Subject)
 	}
-	return c, ok
+	return c, ok, isNews
 }
 
 func (p *pool) report(now time.Time, key registry.Key, load balance.Load) {
--- a/internal/front/belief.go
+++ b/internal/front/belief.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/edge"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/feed"
@@ -24,6 +25,9 @@
 	// server writes a heartbeat more often than that, so waiting at the store
 	// would return at once.
 	serversPause = 900 * time.Millisecond
+	// relayedPause is the time between two reads of a router that others tell of
+	// news, in case all of them miss some.
+	relayedPause = 6 * time.Second
 	// callTimeout bounds a call to the store beyond its wait.
 	callTimeout = time.Second
 	// expireInterval is how often the grace of removed servers is checked.
@@ -43,6 +47,8 @@
 	haveConfig  bool
 	unusable    map[string]bool
 	inbox       chan func()
+	exchange    *digest.Exchange
+	progress    progress
 
 	isReady  atomic.Bool
 	stopping atomic.Bool
@@ -69,11 +75,16 @@
 // run follows the store until ctx ends.
 func (b *belief) run(ctx context.Context) error {
 	config := feed.New(b.platform.Config, feed.Options{
-		Wait: configWait, Pause: configPause, CallTimeout: callTimeout,
-	}, b.observe(ctx, "configuration", b.takeConfig))
+		Pace:        b.pace(feed.Pace{Wait: configWait, Pause: configPause}),
+		News:        func() int64 { return b.exchange.News(topicConfig) },
+		CallTimeout: callTimeout,
+	}, b.observe(ctx, topicConfig, b.takeConfig))
 	servers := feed.New(b.platform.Servers, feed.Options{
-		Pause: serversPause, CallTimeout: callTimeout, Grace: registry.ReturnGrace,
-	}, b.observe(ctx, "servers", b.takeServers))
+		Pace:        b.pace(feed.Pace{Pause: serversPause}),
+		News:        func() int64 { return b.exchange.News(topicServers) },
+		CallTimeout: callTimeout,
+		Grace:       registry.ReturnGrace,
+	}, b.observe(ctx, topicServers, b.takeServers))
 	go config.Run(ctx)
 	go servers.Run(ctx)
 	tick := time.NewTicker(expireInterval)
@@ -90,6 +101,17 @@
 	}
 }
 
+// pace returns the full pace for a router that reads the store for all, and a
+// slow one for the others, which hear of news.
+func (b *belief) pace(full feed.Pace) func() feed.Pace {
+	return func() feed.Pace {
+		if !b.ready() || b.exchange.Reader() {
+			return full
+		}
+		return feed.Pace{Pause: relayedPause}
+	}
+}
+
 // takeConfig puts a newer configuration in force. An older one, or one that
 // cannot be decoded, changes nothing.
 func (b *belief) takeConfig(batch feed.Batch) {
@@ -115,6 +137,8 @@
 	b.world.SetTable(table)
 	b.edge.SetIdleLimit(table.Limits().IdleTimeout)
 	b.haveConfig = true
+	b.progress.news(topicConfig, offset)
+	b.exchange.Prompt()
 	b.events.Emit(event.ConfigInForce, "version", config.Version, "offset", offset, "routes", len(config.Routes))
 	b.checkReady()
 }
@@ -123,7 +147,7 @@
 func (b *belief) takeServers(batch feed.Batch) {
 	entries := make([]registry.Entry, 0, len(batch.Records))
 	for _, r := range batch.Records {
-		entries = append(entries, registry.Entry{ID: r.Key, Server: b.decodeServer(r)})
+		entries = append(entries, registry.Entry{ID: r.Key, Server: b.decodeServer(r), Offset: r.Offset})
 	}
 	now := time.Now()
 	if batch.Full {
@@ -161,8 +185,10 @@
 	}
 	b.world.SetServers(b.servers.Servers())
 	for _, c := range changes {
+		b.progress.news(topicServers, c.Offset)
 		b.logChange(c)
 	}
+	b.exchange.Prompt()
 }
 
 func (b *belief) logChange(c registry.Change) {
@@ -187,14 +213,14 @@
 }
 
 // observe returns an observer that carries news into the belief's goroutine.
-func (b *belief) observe(ctx context.Context, topic string, take func(feed.Batch)) feed.Observer {
+func (b *belief) observe(ctx context.Context, topic int, take func(feed.Batch)) feed.Observer {
 	return &observer{ctx: ctx, belief: b, topic: topic, take: take}
 }
 
 type observer struct {
 	ctx    context.Context
 	belief *belief
-	topic  string
+	topic  int
 	take   func(feed.Batch)
 }
 
@@ -208,20 +234,22 @@
 
 // Lost logs that the store does not answer.
 func (o *observer) Lost(err error) {
-	o.belief.events.Emit(event.StoreLost, "topic", o.topic, "error", err.Error())
+	o.belief.progress.lost(o.topic, true)
+	o.belief.events.Emit(event.StoreLost, "topic", topicNames[o.topic], "error", err.Error())
 }
 
 // Regained logs that the store answers again.
 func (o *observer) Regained(after time.Duration) {
-	o.belief.events.Emit(event.StoreRegained, "topic", o.topic, "after_ms", after.Milliseconds())
+	o.belief.progress.lost(o.topic, false)
+	o.belief.events.Emit(event.StoreRegained, "topic", topicNames[o.topic], "after_ms", after.Milliseconds())
 }
 
 // Expired logs that history was lost.
 func (o *observer) Expired(from int64) {
-	o.belief.events.Emit(event.HistoryLost, "topic", o.topic, "from", from)
+	o.belief.events.Emit(event.HistoryLost, "topic", topicNames[o.topic], "from", from)
 }
 
 // Behind logs a stale list.
 func (o *observer) Behind(next, known int64) {
-	o.belief.events.Emit(event.ListBehind, "topic", o.topic, "next", next, "known", known)
+	o.belief.events.Emit(event.ListBehind, "topic", topicNames[o.topic], "next", next, "known", known)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -19,6 +20,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
+	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/edge"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/feed"
@@ -66,6 +68,7 @@
 	world    *forward.World
 	core     *forward.Core
 	belief   *belief
+	exchange *digest.Exchange
 	edge     *edge.Server
 	ready    *http.Server
 	admin    *http.Server
@@ -91,11 +94,35 @@
 		return nil, err
 	}
 	f.belief = newBelief(p, world, f.edge, events)
+	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), &shared{World: world, progress: &f.belief.progress}, events)
+	if err != nil {
+		return nil, err
+	}
+	f.belief.exchange = f.exchange
+	world.OnPlaced(f.exchange.Prompt)
 	f.ready = newServer(f.readyRouter())
 	f.admin = newServer(f.adminRouter())
 	return f, nil
 }
 
+// shared is what a router tells the others.
+type shared struct {
+	*forward.World
+	progress *progress
+}
+
+// Progress returns how far this router has read the store.
+func (s *shared) Progress() (list []digest.Progress, reading bool) { return s.progress.state() }
+
+// seedAddrs returns the seeds' hosts: all routers take digests at the same port.
+func seedAddrs(s *settings.Front) []netip.Addr {
+	var addrs []netip.Addr
+	for _, seed := range s.Seeds {
+		addrs = append(addrs, seed.Addr())
+	}
+	return addrs
+}
+
 func limits(s *settings.Front) forward.Limits {
 	const capExtra = 3
 	return forward.Limits{
@@ -130,11 +157,13 @@
 	ctx := f.tomb.Context(context.Background())
 	f.tomb.Go(func() error {
 		f.tomb.Go(func() error { return f.belief.run(ctx) })
+		f.tomb.Go(f.exchange.Receive)
+		f.tomb.Go(func() error { return f.exchange.Send(ctx) })
 		f.tomb.Go(f.edge.Serve)
 		f.tomb.Go(func() error { return serve(f.ready, ready) })
 		f.tomb.Go(func() error { return serve(f.admin, admin) })
 		<-f.tomb.Dying()
-		return errors.Join(f.ready.Close(), f.admin.Close(), f.edge.Close(), f.metrics.Close())
+		return errors.Join(f.ready.Close(), f.admin.Close(), f.edge.Close(), f.exchange.Close(), f.metrics.Close())
 	})
 	f.events.Emit(event.FrontStarted, "vm", f.settings.VM, "data_centre", f.settings.DataCentre,
 		"callers", f.settings.ListenCallers.String(), "store", f.settings.StoreAddress.String())
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -5,8 +5,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ReturnGrace is how long after the end of an outage of the store a removed
@@ -40,17 +43,29 @@
 // Key returns the identity of the incarnation.
 func (s *Server) Key() Key { return Key{ID: s.ID, Addr: s.Addr, Born: s.Born} }
 
+// Hash returns a number that all routers compute alike for an incarnation.
+func (k Key) Hash() uint64 {
+	d := xxhash.New()
+	// Writing to a hash cannot fail.
+	_, _ = fmt.Fprintf(d, "%s|%s|%d", k.ID, k.Addr, k.Born)
+	return d.Sum64()
+}
+
 // Entry is the newest record about one server.
 type Entry struct {
 	ID string
 	// Server is nil when the entry is dropped, or names no usable server.
 	Server *Server
+	// Offset is the place of the record in the store's topic.
+	Offset int64
 }
 
 // Change describes how an update changed the belief about one server.
 type Change struct {
 	Old *Server
 	New *Server
+	// Offset is that of the record which caused the change; negative when time did.
+	Offset int64
 }
 
 // Registry is the belief of one router. It is not safe for concurrent use.
@@ -71,10 +86,10 @@
 	var changes []Change
 	for _, e := range entries {
 		if e.Server == nil {
-			changes = r.remove(changes, now, e.ID, graceUntil)
+			changes = r.remove(changes, now, e, graceUntil)
 			continue
 		}
-		changes = r.set(changes, e.Server)
+		changes = r.set(changes, e)
 	}
 	return changes
 }
@@ -88,7 +103,7 @@
 	changes := r.Apply(now, entries, graceUntil)
 	for _, s := range r.Servers() {
 		if !listed[s.ID] {
-			changes = r.remove(changes, now, s.ID, graceUntil)
+			changes = r.remove(changes, now, Entry{ID: s.ID, Offset: noOffset}, graceUntil)
 		}
 	}
 	return changes
@@ -99,34 +114,37 @@
 	var changes []Change
 	for id, until := range r.missing {
 		if !now.Before(until) {
-			changes = r.remove(changes, now, id, time.Time{})
+			changes = r.remove(changes, now, Entry{ID: id, Offset: noOffset}, time.Time{})
 		}
 	}
 	return changes
 }
 
-func (r *Registry) set(changes []Change, s *Server) []Change {
-	delete(r.missing, s.ID)
-	old := r.servers[s.ID]
-	if old != nil && *old == *s {
+// noOffset marks changes that no single record caused.
+const noOffset = -1
+
+func (r *Registry) set(changes []Change, e Entry) []Change {
+	delete(r.missing, e.ID)
+	old := r.servers[e.ID]
+	if old != nil && *old == *e.Server {
 		return changes
 	}
-	r.servers[s.ID] = s
-	return append(changes, Change{Old: old, New: s})
+	r.servers[e.ID] = e.Server
+	return append(changes, Change{Old: old, New: e.Server, Offset: e.Offset})
 }
 
-func (r *Registry) remove(changes []Change, now time.Time, id string, graceUntil time.Time) []Change {
-	old := r.servers[id]
+func (r *Registry) remove(changes []Change, now time.Time, e Entry, graceUntil time.Time) []Change {
+	old := r.servers[e.ID]
 	if old == nil {
 		return changes
 	}
 	if now.Before(graceUntil) {
-		r.missing[id] = graceUntil
+		r.missing[e.ID] = graceUntil
 		return changes
 	}
-	delete(r.missing, id)
-	delete(r.servers, id)
-	return append(changes, Change{Old: old})
+	delete(r.missing, e.ID)
+	delete(r.servers, e.ID)
+	return append(changes, Change{Old: old, Offset: e.Offset})
 }
 
 // Servers returns all known servers, ordered by ID.
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -16,7 +16,8 @@
 	ListenCallers   netip.AddrPort
 	ListenReadiness netip.AddrPort
 	ListenMetrics   netip.AddrPort
-	// ListenPeers is where other routers send their digests; invalid means none.
+	// ListenPeers is where other routers send their digests. All routers use the
+	// same port.
 	ListenPeers netip.AddrPort
 	// Seeds are addresses of routers that may be stale or down.
 	Seeds []netip.AddrPort
@@ -95,9 +96,7 @@
 	f.ListenCallers = parseAddrPort(listen, "callers")
 	f.ListenReadiness = parseAddrPort(listen, "readiness")
 	f.ListenMetrics = parseAddrPort(listen, "metrics")
-	if listen.has("peers") {
-		f.ListenPeers = parseAddrPort(listen, "peers")
-	}
+	f.ListenPeers = parseAddrPort(listen, "peers")
 	listen.end()
 	store := root.requiredChild("store")
 	f.StoreAddress = parseAddrPort(store, "address")
