front: ask the engines what they hold after a restart of all routers

Cause: after the final fault all routers forget where subjects are, and the engines read them again elsewhere. Change: one router lists what each engine keeps and tells the others. A 500 of a request that may be repeated counts against a server only when another server answers the request: some requests fail everywhere, and their servers were ejected.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -22,7 +22,7 @@
 	// takes no homes from others: moving a home means reading its tokens again.
 	lateAfter = 8 * time.Second
 	// subjectMemory bounds the subjects whose servers are remembered.
-	subjectMemory = 8192
+	subjectMemory = 16384
 	// subjectServers bounds the servers that are remembered for a subject: the
 	// homes of a subject that gets much of the traffic.
 	subjectServers = 4
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -82,7 +82,7 @@
 			h.outcomes, h.count = 0, 0
 			return true
 		}
-	case Cancelled:
+	case Cancelled, Disputed:
 	}
 	return false
 }
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -21,9 +21,12 @@
 	Unreachable
 	// Cancelled: the caller left; this says nothing about the server.
 	Cancelled
+	// Disputed: a failure that another server's answer may explain. Blame
+	// follows when the other server answered well.
+	Disputed
 )
 
-var outcomeNames = [...]string{"served", "refused", "failed", "unreachable", "cancelled"}
+var outcomeNames = [...]string{"served", "refused", "failed", "unreachable", "cancelled", "disputed"}
 
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -155,6 +158,16 @@
 	return m.health.end(now, o, p.mayEject(now))
 }
 
+// Blame counts a disputed failure against the server, because another server
+// has answered the same request. It reports whether the server was ejected.
+func (p *Pool) Blame(now time.Time, key registry.Key) bool {
+	m := p.find(key)
+	if m == nil {
+		return false
+	}
+	return m.health.end(now, Failed, p.mayEject(now))
+}
+
 // mayEject reports whether one more server may be ejected for its failures: at
 // most a third of the pool, so that failures of all servers eject none.
 func (p *Pool) mayEject(now time.Time) bool {
--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -88,6 +88,7 @@
 		ConfigKey:    platform.ConfigKey,
 		DecodeConfig: platform.DecodeConfig,
 		DecodeServer: platform.DecodeServer,
+		Inventory:    platform.NewEngines().Inventory,
 		ReadyPath:    platform.ReadyPath,
 	}
 }
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -62,12 +62,14 @@
 	named int
 	// recent holds placements that are told again.
 	recent []Holding
-	asked  bool
+	// informed is set once this router knows which servers hold the subjects.
+	informed bool
 }
 
 // Listen opens the address for digests. All routers use the same port; the
-// seeds are routers that may be stale or down.
-func Listen(addr netip.AddrPort, seeds []netip.Addr, state State, events *event.Logger) (*Exchange, error) {
+// seeds are routers that may be stale or down. On the first start of the whole
+// system no server holds anything, and the router counts as informed.
+func Listen(addr netip.AddrPort, seeds []netip.Addr, firstStart bool, state State, events *event.Logger) (*Exchange, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for digests")
@@ -80,6 +82,8 @@
 		events: events,
 		prompt: make(chan struct{}, 1),
 		peers:  NewPeers(addr.Addr(), seeds),
+
+		informed: firstStart,
 	}, nil
 }
 
@@ -131,6 +135,8 @@
 	e.mu.Lock()
 	isNew := e.peers.Hear(now, from, m)
 	loads := e.loads(now)
+	// The answer to WantAll has arrived or is on its way.
+	e.informed = e.informed || m.Informed && len(m.Holdings) > 0
 	e.mu.Unlock()
 	if isNew {
 		e.events.Emit(event.PeerHeard, "peer", from.String(), "stopping", m.Stopping)
@@ -188,7 +194,7 @@
 		e.peers.Expire(now)
 	}
 	targets := e.peers.Targets(now)
-	m := &Message{Sender: e.sender, WantAll: e.wantAll(now)}
+	m := &Message{Sender: e.sender, WantAll: !e.informed, Informed: e.informed}
 	if regular {
 		m.Peers = e.names(targets)
 	}
@@ -218,13 +224,29 @@
 	return p
 }
 
-// wantAll is set until another router has been heard and asked.
-func (e *Exchange) wantAll(now time.Time) bool {
-	if e.asked {
-		return false
-	}
-	e.asked = len(e.peers.Live(now)) > 0
-	return true
+// MustList reports whether this router should ask the servers what they hold:
+// no other router can tell, and it is the first of those that wonder.
+func (e *Exchange) MustList() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.informed && e.peers.First(time.Now())
+}
+
+// Informed reports whether this router knows which servers hold the subjects.
+func (e *Exchange) Informed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.informed
+}
+
+// Listed tells the others what the servers hold. A router that could ask none
+// of them calls it as well, since asking again would not help.
+func (e *Exchange) Listed(list []Holding) {
+	e.mu.Lock()
+	e.informed = true
+	targets := e.peers.Targets(time.Now())
+	e.mu.Unlock()
+	e.sendHoldings(targets, list)
 }
 
 // names returns some of the known routers, others each time.
@@ -253,7 +275,7 @@
 func (e *Exchange) sendHoldings(targets []netip.Addr, list []Holding) {
 	for len(list) > 0 {
 		n := min(pairsPerDatagram, len(list))
-		e.sendTo(targets, &Message{Sender: e.sender, Holdings: list[:n]})
+		e.sendTo(targets, &Message{Sender: e.sender, Informed: e.Informed(), Holdings: list[:n]})
 		list = list[n:]
 	}
 }
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -55,7 +55,9 @@
 	// Whole is set when Loads name every server with requests in flight.
 	Whole bool
 	// Reading is set while the sender reads the store and gets answers.
-	Reading  bool
+	Reading bool
+	// Informed is set by a router that knows which servers hold the subjects.
+	Informed bool
 	Peers    []netip.Addr
 	Loads    []Load
 	Holdings []Holding
@@ -73,6 +75,7 @@
 	fieldLoad     = 7
 	fieldHolding  = 8
 	fieldProgress = 9
+	fieldInformed = 10
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -86,6 +89,7 @@
 	b = appendBool(b, fieldWantAll, m.WantAll)
 	b = appendBool(b, fieldWhole, m.Whole)
 	b = appendBool(b, fieldReading, m.Reading)
+	b = appendBool(b, fieldInformed, m.Informed)
 	for _, p := range m.Peers {
 		b = protowire.AppendTag(b, fieldPeer, protowire.BytesType)
 		b = protowire.AppendBytes(b, p.AsSlice())
@@ -186,6 +190,8 @@
 		m.Whole = v != 0
 	case fieldReading:
 		m.Reading = v != 0
+	case fieldInformed:
+		m.Informed = v != 0
 	}
 	return b[n:], nil
 }
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -163,6 +163,16 @@
 	return newest
 }
 
+// First reports whether no live peer has a lower address.
+func (p *Peers) First(now time.Time) bool {
+	for _, peer := range p.Live(now) {
+		if peer.Addr.Less(p.self) {
+			return false
+		}
+	}
+	return true
+}
+
 // readers is the number of routers that read the store at the full pace. Two
 // may fail at once.
 const readers = 3
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -27,4 +27,6 @@
 	DigestUnusable     = register(1019, hclog.Warn, "digest of another router cannot be decoded")
 	PeerHeard          = register(1020, hclog.Info, "another router is heard")
 	ReaderChanged      = register(1021, hclog.Info, "router changed its pace of reading the store")
+	InventoryTaken     = register(1022, hclog.Info, "engines were asked what they hold")
+	InventoryFailed    = register(1023, hclog.Warn, "engine did not tell what it holds")
 )
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -36,6 +36,8 @@
 	job    balance.Job
 	choice balance.Choice
 	last   balance.Outcome
+	// disputed lists the servers whose failure may be the request's own.
+	disputed []*registry.Server
 }
 
 func (a *attempts) fields() []any {
@@ -74,15 +76,35 @@
 	res := k.attempt(ctx, choice)
 	k.attempts.last = res.outcome
 	if k.pool.end(time.Now(), choice.Server.Key(), res.outcome) {
-		k.core.events.Emit(event.ServerEjected, "server", choice.Server.ID, "pool", choice.Server.Pool,
-			"request", k.head.ID, "outcome", res.outcome.String(), "cause", res.cause)
+		k.logEjected(choice.Server, res.cause)
+	}
+	if res.outcome == balance.Disputed {
+		k.attempts.disputed = append(k.attempts.disputed, choice.Server)
 	}
 	if res.done {
+		k.settleDispute()
 		return false
 	}
 	return k.again(ctx, choice, res)
 }
 
+// settleDispute blames the servers that failed a request which another one has
+// served. A request that fails everywhere is itself at fault.
+func (k *call) settleDispute() {
+	if k.outcome != OutcomeServed {
+		return
+	}
+	for _, s := range k.attempts.disputed {
+		if k.pool.blame(time.Now(), s.Key()) {
+			k.logEjected(s, CauseServerFailed)
+		}
+	}
+}
+
+func (k *call) logEjected(s *registry.Server, cause Cause) {
+	k.core.events.Emit(event.ServerEjected, "server", s.ID, "pool", s.Pool, "request", k.head.ID, "cause", cause)
+}
+
 func (k *call) job() balance.Job {
 	job := balance.Job{Exclude: k.attempts.tried, DataCentre: k.core.world.limits.DataCentre}
 	job.Subject, job.SharedTokens = subject(k.head)
@@ -240,6 +262,9 @@
 // that would promise the opposite is not kept.
 func (k *call) takeFailure(resp *http.Response) result {
 	res := result{outcome: balance.Failed, cause: CauseServerFailed, ran: true}
+	if k.route.MayRepeat() {
+		res.outcome = balance.Disputed
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable || promises(resp.StatusCode) {
 		return res
 	}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -60,10 +60,14 @@
 	if shared < 1 {
 		return 0, 0
 	}
-	hash = placement.Hash(head.Model)
 	for _, p := range head.Prompt[:shared] {
-		hash = placement.Mix(hash, p.ID)
 		tokens += p.Tokens
 	}
-	return hash, tokens
+	return subjectHash(head.Model, head.Prompt[shared-1].ID), tokens
+}
+
+// subjectHash names a subject by its last shared part, whose ID stands for all
+// parts before it as well.
+func subjectHash(model string, part uint64) uint64 {
+	return placement.Mix(placement.Hash(model), part)
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -19,6 +19,12 @@
 	Tokens int
 }
 
+// KeptPart is a part that an engine keeps for a model.
+type KeptPart struct {
+	Model string
+	Part  Part
+}
+
 // Head is what a caller states in the headers of a request.
 type Head struct {
 	ID string
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/digest"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
 
 // each calls f with every pool, whose lock is held.
@@ -65,3 +68,20 @@
 		}
 	})
 }
+
+// keptParts bounds the parts of one engine that are noted: the large ones,
+// which are the shared ones and cost most to read again.
+const keptParts = 48
+
+// LearnKept notes the largest parts that an engine keeps and returns them as holdings.
+func (w *World) LearnKept(s *registry.Server, parts []KeptPart) []digest.Holding {
+	slices.SortFunc(parts, func(a, b KeptPart) int { return cmp.Compare(b.Part.Tokens, a.Part.Tokens) })
+	parts = parts[:min(keptParts, len(parts))]
+	server := s.Key().Hash()
+	list := make([]digest.Holding, 0, len(parts))
+	for _, p := range parts {
+		list = append(list, digest.Holding{Subject: subjectHash(p.Model, p.Part.ID), Server: server})
+	}
+	w.Learn(list)
+	return list
+}
--- a/internal/forward/world.go
+++ b/internal/forward/world.go
@@ -114,6 +114,20 @@
 	return w.pools[name]
 }
 
+// Engines returns the model engines that take requests.
+func (w *World) Engines() []*registry.Server {
+	var list []*registry.Server
+	now := time.Now()
+	w.each(func(p *pool) {
+		for _, s := range p.balance.Status(now) {
+			if s.Server.Engine && !s.Server.Leaving && !s.Ejected {
+				list = append(list, s.Server)
+			}
+		}
+	})
+	return list
+}
+
 // PoolStatus is the belief about one pool.
 type PoolStatus struct {
 	Name        string
@@ -123,14 +137,10 @@
 
 // Status returns the belief about all pools.
 func (w *World) Status(now time.Time) []PoolStatus {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	var list []PoolStatus
-	for _, p := range w.pools {
-		p.mu.Lock()
+	w.each(func(p *pool) {
 		list = append(list, PoolStatus{Name: p.name, RetriesLeft: p.budget.Left(now), Servers: p.balance.Status(now)})
-		p.mu.Unlock()
-	}
+	})
 	return list
 }
 
@@ -183,6 +193,12 @@
 	return p.balance.End(now, key, o)
 }
 
+func (p *pool) blame(now time.Time, key registry.Key) (ejected bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balance.Blame(now, key)
+}
+
 // transport returns the connections to one incarnation of a server, so that no
 // connection outlives the server that it was opened to.
 func (p *pool) transport(key registry.Key) *http.Transport {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -55,6 +55,8 @@
 	ConfigKey    string
 	DecodeConfig func(value []byte) (routing.Config, error)
 	DecodeServer func(id string, value []byte) (*registry.Server, error)
+	// Inventory returns the parts that the engine at addr keeps.
+	Inventory func(ctx context.Context, addr string) ([]forward.KeptPart, error)
 	// ReadyPath is where the platform asks whether the router takes callers.
 	ReadyPath string
 }
@@ -94,7 +96,7 @@
 		return nil, err
 	}
 	f.belief = newBelief(p, world, f.edge, events)
-	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), &shared{World: world, progress: &f.belief.progress}, events)
+	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), s.FirstStart, &shared{World: world, progress: &f.belief.progress}, events)
 	if err != nil {
 		return nil, err
 	}
@@ -159,6 +161,7 @@
 		f.tomb.Go(func() error { return f.belief.run(ctx) })
 		f.tomb.Go(f.exchange.Receive)
 		f.tomb.Go(func() error { return f.exchange.Send(ctx) })
+		f.tomb.Go(func() error { return f.takeInventory(ctx) })
 		f.tomb.Go(f.edge.Serve)
 		f.tomb.Go(func() error { return serve(f.ready, ready) })
 		f.tomb.Go(func() error { return serve(f.admin, admin) })
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -29,8 +29,8 @@
 	Born int64
 	// Leaving servers take no new request.
 	Leaving bool
-	// CacheTokens is the size of the prompt cache; 0 for plain servers.
-	CacheTokens int
+	// Engine is set for model engines, which keep the parts of prompts.
+	Engine bool
 }
 
 // Key identifies an incarnation.
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -24,6 +24,9 @@
 	// StoreAddress is the address of the platform's store.
 	StoreAddress netip.AddrPort
 
+	// FirstStart is set when the whole system starts for the first time.
+	FirstStart bool
+
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int
 	// Cores is the number of processors that the process sees.
@@ -77,6 +80,7 @@
 		DataCentre: parseName(root, "data_centre"),
 		Region:     parseName(root, "region"),
 	}
+	f.FirstStart = root.boolean("first_start", false)
 	parseFrontAddresses(root, f)
 	limits := root.requiredChild("limits")
 	f.MemoryMB = limits.integer("memory_mb", minMemoryMB, minMemoryMB, maxMemoryMB)
