registry: the grace after an outage ends before removals bind again

Cause: a router that was cut off noticed the store's return up to 0.9 s late and then used removed servers for 2.5 s more, past the 3 s after which it counts as in touch. Change: pauses between failed calls end at 0.35 s, the grace at 2 s. Tests for the core, the adapter and the whole router against stand-ins of the store and the engines; a router is ready only once it knows a server.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,335 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellwell/bluebellwell/internal/placement"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+	_ "github.com/bluebellwell/bluebellwell/internal/testseed"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	limits = Limits{CapFactor: 2, CapExtra: 3}
+)
+
+func servers(n int) []*registry.Server {
+	var list []*registry.Server
+	for i := range n {
+		list = append(list, &registry.Server{
+			ID: fmt.Sprintf("i-%d", i), Pool: "p", Addr: fmt.Sprintf("10.0.0.%d:1", i), Slots: 64, Engine: true,
+			DataCentre: fmt.Sprintf("hall-%d", i%3),
+		})
+	}
+	return list
+}
+
+func pool(n int) *Pool {
+	p := NewPool(limits)
+	p.SetServers(servers(n))
+	return p
+}
+
+func subject(i int) uint64 { return placement.Mix(77, uint64(i)) }
+
+func large(i int) Job { return Job{Subject: subject(i), SharedTokens: 10000} }
+
+func pick(t testing.TB, p *Pool, now time.Time, job Job) Choice {
+	t.Helper()
+	c, ok := p.Pick(now, job)
+	if !ok {
+		t.Fatal("no server was chosen")
+	}
+	return c
+}
+
+// Guards against routers that send one subject to different servers, which
+// makes each of them read its tokens.
+func TestRoutersAgreeOnHomes(t *testing.T) {
+	a, b := pool(18), pool(18)
+	for i := range 200 {
+		if x, y := pick(t, a, start, large(i)), pick(t, b, start, large(i)); x.Server.ID != y.Server.ID {
+			t.Fatalf("subject %d goes to %s and %s", i, x.Server.ID, y.Server.ID)
+		}
+	}
+}
+
+// Guards against a subject that moves when a server is added, although its
+// tokens are kept where it was.
+func TestSubjectStaysWhenServersAreAdded(t *testing.T) {
+	p := pool(9)
+	homes := map[int]string{}
+	for i := range 100 {
+		c := pick(t, p, start, large(i))
+		p.Begin(start, c.Server.Key(), subject(i))
+		p.End(start, c.Server.Key(), Served)
+		homes[i] = c.Server.ID
+	}
+	p.SetServers(servers(12))
+	for i := range 100 {
+		if c := pick(t, p, start, large(i)); c.Server.ID != homes[i] || c.Reason != ReasonHeld {
+			t.Errorf("subject %d moved from %s to %s (%s)", i, homes[i], c.Server.ID, c.Reason)
+		}
+	}
+}
+
+// Guards against tokens that are read again although a server that is leaving
+// still keeps them.
+func TestLeavingServerIsCopiedFrom(t *testing.T) {
+	p := pool(9)
+	c := pick(t, p, start, large(1))
+	p.Begin(start, c.Server.Key(), subject(1))
+	p.End(start, c.Server.Key(), Served)
+	list := servers(9)
+	for _, s := range list {
+		s.Leaving = s.ID == c.Server.ID
+	}
+	p.SetServers(list)
+	next := pick(t, p, start, large(1))
+	if next.Server.ID == c.Server.ID {
+		t.Error("a leaving server was chosen")
+	}
+	if next.Source == nil || next.Source.ID != c.Server.ID {
+		t.Errorf("copied from %v, want %s", next.Source, c.Server.ID)
+	}
+}
+
+// Replays a burst for one subject on top of an even load: the subject gets
+// several homes, no server goes over the bound, and other subjects stay.
+func TestHotSubjectSpillsBelowTheBound(t *testing.T) {
+	const engines, rounds, hotShare = 18, 4000, 4
+	p := pool(engines)
+	random := rand.New(rand.NewPCG(1, 2))
+	inFlight := map[string]int{}
+	var running []Choice
+	over, hotHomes := 0, map[string]bool{}
+	for i := range rounds {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		job := large(1 + random.IntN(145))
+		if i%hotShare == 0 {
+			job = large(0)
+		}
+		c := pick(t, p, now, job)
+		mean := float64(len(running)) / engines
+		if float64(inFlight[c.Server.ID]) > limits.CapFactor*mean+limits.CapExtra {
+			over++
+		}
+		if job.Subject == subject(0) {
+			hotHomes[c.Server.ID] = true
+		}
+		p.Begin(now, c.Server.Key(), job.Subject)
+		inFlight[c.Server.ID]++
+		running = append(running, c)
+		if len(running) > 400 {
+			done := running[0]
+			running = running[1:]
+			inFlight[done.Server.ID]--
+			p.Progress(now, done.Server.Key())
+			p.End(now, done.Server.Key(), Served)
+		}
+	}
+	if over > 0 {
+		t.Errorf("%d of %d requests went to servers over the bound", over, rounds)
+	}
+	if len(hotHomes) < 2 || len(hotHomes) > engines/2 {
+		t.Errorf("the hot subject has %d homes", len(hotHomes))
+	}
+}
+
+// Guards against seven routers that each see a seventh of the load and together
+// exceed the bound at one server. Each hears the others' loads late.
+func TestRoutersTogetherKeepTheBound(t *testing.T) {
+	const engines, routers, rounds = 18, 7, 6000
+	const period = 250 * time.Millisecond
+	pools := make([]*Pool, routers)
+	for i := range pools {
+		pools[i] = pool(engines)
+	}
+	type run struct {
+		router int
+		server *registry.Server
+	}
+	random := rand.New(rand.NewPCG(3, 4))
+	inFlight := map[string]int{}
+	var running []run
+	over := 0
+	told := start
+	for i := range rounds {
+		now := start.Add(time.Duration(i) * 5 * time.Millisecond)
+		if now.Sub(told) >= period {
+			told = now
+			shareLoads(pools, now)
+		}
+		r := random.IntN(routers)
+		job := large(random.IntN(60))
+		c := pick(t, pools[r], now, job)
+		mean := float64(len(running)) / engines
+		if float64(inFlight[c.Server.ID]) > limits.CapFactor*mean+limits.CapExtra {
+			over++
+		}
+		pools[r].Begin(now, c.Server.Key(), job.Subject)
+		inFlight[c.Server.ID]++
+		running = append(running, run{r, c.Server})
+		if len(running) > 300 {
+			done := running[0]
+			running = running[1:]
+			inFlight[done.server.ID]--
+			pools[done.router].Progress(now, done.server.Key())
+			pools[done.router].End(now, done.server.Key(), Served)
+		}
+	}
+	if 100*over > 3*rounds {
+		t.Errorf("%d of %d requests went to servers over the bound", over, rounds)
+	}
+}
+
+// shareLoads gives each router the sum of the others' requests in flight.
+func shareLoads(pools []*Pool, now time.Time) {
+	for i, p := range pools {
+		sum := map[uint64]int{}
+		for j, other := range pools {
+			if i != j {
+				other.InFlight(func(server uint64, n int) { sum[server] += n })
+			}
+		}
+		p.SetPeers(now, sum)
+	}
+}
+
+// Guards against servers that are chosen although they do not answer, and
+// against a pool that refuses everything because all servers are ejected.
+func TestHealth(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// fail makes the first server look bad.
+		fail  func(p *Pool, key registry.Key)
+		after time.Duration
+		avoid bool
+	}{
+		{"refused connection", func(p *Pool, k registry.Key) { p.End(start, k, Unreachable) }, 0, true},
+		{"refused connection, later", func(p *Pool, k registry.Key) { p.End(start, k, Unreachable) }, unreachableFirst, false},
+		{"refused request", func(p *Pool, k registry.Key) { p.End(start, k, Refused) }, 0, true},
+		{"one failure", func(p *Pool, k registry.Key) { p.End(start, k, Failed) }, 0, false},
+		{"failures", fails(failureCount), 0, true},
+		{"failures, later", fails(failureCount), failureEjection, false},
+		{"disputed failures", func(p *Pool, k registry.Key) {
+			for range 10 {
+				p.End(start, k, Disputed)
+			}
+		}, 0, false},
+		{"callers that leave", func(p *Pool, k registry.Key) {
+			for range 10 {
+				p.End(start, k, Cancelled)
+			}
+		}, 0, false},
+		{"silence with a request in flight", func(p *Pool, k registry.Key) { p.Begin(start, k, 0) }, silenceLimit + 1, true},
+		{"silence without one", func(p *Pool, k registry.Key) {
+			p.Begin(start, k, 0)
+			p.End(start, k, Served)
+		}, silenceLimit + 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := pool(6)
+			bad := p.members[0].server
+			c.fail(p, bad.Key())
+			chosen := false
+			for i := range 100 {
+				got := pick(t, p, start.Add(c.after), large(i))
+				chosen = chosen || got.Server.ID == bad.ID
+			}
+			if chosen == c.avoid {
+				t.Errorf("chosen: %v, want %v", chosen, !c.avoid)
+			}
+		})
+	}
+}
+
+func fails(n int) func(p *Pool, k registry.Key) {
+	return func(p *Pool, k registry.Key) {
+		for range n {
+			p.End(start, k, Failed)
+		}
+	}
+}
+
+// Guards against a fault of all servers, or of the requests, that ejects most
+// of a pool.
+func TestAtMostAThirdIsEjectedForFailures(t *testing.T) {
+	p := pool(9)
+	for _, m := range p.members {
+		fails(20)(p, m.server.Key())
+	}
+	ejected := 0
+	for _, s := range p.Status(start) {
+		if s.Ejected {
+			ejected++
+		}
+	}
+	if ejected != 3 {
+		t.Errorf("%d of 9 servers are ejected, want 3", ejected)
+	}
+}
+
+// Guards against a request that is sent again to a server that it was sent to.
+func TestExcludedServersAreNotChosen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := pool(4)
+		job := Job{Random: rapid.Uint64().Draw(t, "random")}
+		if rapid.Bool().Draw(t, "subject") {
+			job.Subject = rapid.Uint64Min(1).Draw(t, "key")
+		}
+		for n := range 4 {
+			c, ok := p.Pick(start, job)
+			if !ok {
+				t.Fatalf("no server after %d", n)
+			}
+			for _, k := range job.Exclude {
+				if k == c.Server.Key() {
+					t.Fatalf("server %s was chosen again", c.Server.ID)
+				}
+			}
+			job.Exclude = append(job.Exclude, c.Server.Key())
+		}
+		if c, ok := p.Pick(start, job); ok {
+			t.Fatalf("server %s was chosen a second time", c.Server.ID)
+		}
+	})
+}
+
+// Guards against plain servers that get more than their part: without subjects
+// the least loaded one is chosen.
+func TestPlainRequestsAreLevelled(t *testing.T) {
+	p := pool(4)
+	for i := range 100 {
+		c := pick(t, p, start, Job{Random: uint64(i)})
+		p.Begin(start, c.Server.Key(), 0)
+	}
+	for _, s := range p.Status(start) {
+		if s.Own != 25 {
+			t.Errorf("server %s has %d requests, want 25", s.Server.ID, s.Own)
+		}
+	}
+}
+
+// Guards against a new incarnation that inherits what was believed of the old.
+func TestRestartForgets(t *testing.T) {
+	p := pool(3)
+	key := p.members[0].server.Key()
+	p.Begin(start, key, subject(1))
+	list := servers(3)
+	list[0].Born = 9
+	p.SetServers(list)
+	for _, s := range p.Status(start) {
+		if s.Own != 0 {
+			t.Errorf("server %s has %d requests", s.Server.ID, s.Own)
+		}
+	}
+	if len(p.Held()) != 0 {
+		t.Errorf("holdings %v", p.Held())
+	}
+}
--- /dev/null
+++ b/internal/digest/digest_test.go
@@ -0,0 +1,222 @@
+package digest
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	_ "github.com/bluebellwell/bluebellwell/internal/testseed"
+)
+
+func drawMessage(t *rapid.T) *Message {
+	m := &Message{
+		Sender:   rapid.Uint64().Draw(t, "sender"),
+		Stopping: rapid.Bool().Draw(t, "stopping"),
+		WantAll:  rapid.Bool().Draw(t, "want"),
+		Whole:    rapid.Bool().Draw(t, "whole"),
+		Reading:  rapid.Bool().Draw(t, "reading"),
+		Informed: rapid.Bool().Draw(t, "informed"),
+	}
+	for range rapid.IntRange(0, 5).Draw(t, "n") {
+		m.Peers = append(m.Peers, addr(rapid.IntRange(0, 255).Draw(t, "peer")))
+		m.Loads = append(m.Loads, Load{rapid.Uint64().Draw(t, "server"), rapid.IntRange(0, 1000).Draw(t, "load")})
+		m.Holdings = append(m.Holdings, Holding{rapid.Uint64().Draw(t, "subject"), rapid.Uint64().Draw(t, "holder")})
+		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), rapid.Int64().Draw(t, "news")})
+	}
+	return m
+}
+
+func addr(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
+
+// Guards against a message that its receiver reads differently.
+func TestEncodeDecode(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMessage(t)
+		got, err := Decode(Encode(m))
+		if err != nil || !reflect.DeepEqual(got, m) {
+			t.Fatalf("got %+v, %v; want %+v", got, err, m)
+		}
+	})
+}
+
+// Guards against datagrams of strangers that stop the receiver.
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(&Message{Sender: 1, Loads: []Load{{2, 3}}, Peers: []netip.Addr{addr(1)}}))
+	f.Add([]byte{0x32, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if again, err := Decode(Encode(m)); err != nil || !bytes.Equal(Encode(again), Encode(m)) {
+			t.Errorf("%+v does not survive: %v", m, err)
+		}
+	})
+}
+
+var start = time.Unix(1000, 0)
+
+// Guards against loads of a router that is gone, and against loads that are
+// counted although the message did not name all of them.
+func TestLoadsOfLivePeers(t *testing.T) {
+	p := NewPeers(addr(1), nil)
+	p.Hear(start, addr(2), &Message{Sender: 2, Whole: true, Loads: []Load{{7, 3}, {8, 1}}})
+	p.Hear(start.Add(time.Second), addr(3), &Message{Sender: 3, Whole: true, Loads: []Load{{7, 2}}})
+	p.Hear(start.Add(time.Second), addr(3), &Message{Sender: 3, Holdings: []Holding{{1, 1}}})
+	if got := p.Loads(start.Add(time.Second)); got[7] != 5 || got[8] != 1 {
+		t.Errorf("loads %v", got)
+	}
+	if got := p.Loads(start.Add(liveFor)); got[7] != 2 || got[8] != 0 {
+		t.Errorf("loads after a router fell silent: %v", got)
+	}
+	p.Hear(start.Add(liveFor), addr(3), &Message{Sender: 3, Stopping: true})
+	if got := p.Loads(start.Add(liveFor)); len(got) != 0 {
+		t.Errorf("loads after the other router stopped: %v", got)
+	}
+}
+
+// Guards against a store that nobody reads: whichever routers fail or lose the
+// store, some live one must read, and after a second no failed one counts.
+func TestSomeRouterReads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const routers = 9
+		reads := make([]bool, routers)
+		alive := make([]bool, routers)
+		for i := range routers {
+			reads[i] = rapid.Bool().Draw(t, "reads")
+			alive[i] = rapid.Bool().Draw(t, "alive")
+		}
+		later := start.Add(readerLiveFor)
+		found, healthy := false, false
+		for i := range routers {
+			p := NewPeers(addr(i), nil)
+			for j := range routers {
+				at := start
+				if alive[j] {
+					at = later
+				}
+				p.Hear(at, addr(j), &Message{Sender: uint64(j), Reading: reads[j], Progress: []Progress{{0, 1}}})
+			}
+			works := alive[i] && reads[i]
+			healthy = healthy || works
+			found = found || works && p.Reader(later)
+		}
+		if healthy && !found {
+			t.Fatalf("alive %v, reading %v: nobody reads", alive, reads)
+		}
+	})
+}
+
+// Guards against a router that never finds the others: seeds are asked while no
+// router is live, and routers that others name are asked as well.
+func TestTargets(t *testing.T) {
+	p := NewPeers(addr(1), []netip.Addr{addr(1), addr(2)})
+	if got := p.Targets(start); len(got) != 1 || got[0] != addr(2) {
+		t.Errorf("targets of a new router: %v", got)
+	}
+	p.Hear(start, addr(2), &Message{Sender: 2, Peers: []netip.Addr{addr(1), addr(3)}})
+	if got := p.Targets(start); len(got) != 2 || got[1] != addr(3) {
+		t.Errorf("targets after a digest: %v", got)
+	}
+	p.Expire(start.Add(knownFor + 1))
+	if got := p.Targets(start.Add(knownFor + 1)); len(got) != 1 || got[0] != addr(2) {
+		t.Errorf("targets after all fell silent: %v", got)
+	}
+}
+
+// state is a router's side of an exchange in tests.
+type state struct {
+	mu     sync.Mutex
+	held   []Holding
+	placed []Holding
+	learnt map[Holding]bool
+	loads  map[uint64]int
+}
+
+func (s *state) Loads() []Load { return []Load{{Server: 7, InFlight: 2}} }
+
+func (s *state) Placed() []Holding {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.placed
+	s.placed = nil
+	return p
+}
+
+func (s *state) Held() []Holding { return s.held }
+
+func (s *state) Progress() ([]Progress, bool) { return []Progress{{Topic: 0, News: 11}}, true }
+
+func (s *state) SetPeerLoads(loads map[uint64]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads = loads
+}
+
+func (s *state) Learn(list []Holding) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range list {
+		s.learnt[h] = true
+	}
+}
+
+func (s *state) knows(h Holding) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.learnt[h] && s.loads[7] == 2
+}
+
+// Guards against routers that do not hear each other over real sockets: a
+// starting one must get all holdings, a running one each new placement.
+func TestExchangeOverLoopback(t *testing.T) {
+	old := &state{held: []Holding{{1, 7}}, learnt: map[Holding]bool{}}
+	fresh := &state{learnt: map[Holding]bool{}}
+	first, err := Listen(netip.MustParseAddrPort("127.0.8.1:0"), nil, true, old, event.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := netip.AddrPortFrom(netip.MustParseAddr("127.0.8.2"), first.port)
+	second, err := Listen(port, []netip.Addr{netip.MustParseAddr("127.0.8.1")}, false, fresh, event.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for _, e := range []*Exchange{first, second} {
+		wg.Go(func() { _ = e.Receive() })
+		wg.Go(func() { _ = e.Send(ctx) })
+	}
+	defer func() {
+		cancel()
+		_ = first.Close()
+		_ = second.Close()
+		wg.Wait()
+	}()
+	until(t, "the new router knows the holdings", func() bool { return fresh.knows(Holding{1, 7}) })
+	until(t, "the new router is informed", second.Informed)
+	until(t, "the news are known", func() bool { return second.News(0) == 11 })
+	fresh.mu.Lock()
+	fresh.placed = []Holding{{2, 7}}
+	fresh.mu.Unlock()
+	second.Prompt()
+	until(t, "the old router knows the placement", func() bool { return old.knows(Holding{2, 7}) })
+}
+
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !f() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,116 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+func serve(t *testing.T) *Server {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	}), hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	t.Cleanup(func() {
+		if err := s.Close(); err != nil {
+			t.Errorf("close: %v", err)
+		}
+		if err := <-done; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	return s
+}
+
+func ask(t *testing.T, s *Server, c net.Conn) {
+	t.Helper()
+	if _, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 4096)
+	if _, err := c.Read(buffer); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	for s.waitingConnections() == 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("the connection does not wait for its next request")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (s *Server) waitingConnections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiting)
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// Guards against connections that are closed before the idle limit, or kept
+// for good.
+func TestIdleLimit(t *testing.T) {
+	s := serve(t)
+	s.SetIdleLimit(100 * time.Millisecond)
+	c := dial(t, s)
+	ask(t, s, c)
+	began := time.Now()
+	_ = c.SetReadDeadline(began.Add(20 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("the connection was not closed: %v", err)
+	}
+	if waited := time.Since(began); waited < 100*time.Millisecond {
+		t.Errorf("closed after %s", waited)
+	}
+}
+
+// Guards against a longer limit that waiting connections do not get.
+func TestLongerLimitHoldsForWaitingConnections(t *testing.T) {
+	s := serve(t)
+	s.SetIdleLimit(time.Millisecond)
+	c := dial(t, s)
+	ask(t, s, c)
+	s.SetIdleLimit(time.Hour)
+	_ = c.SetReadDeadline(time.Now().Add(2*idleMargin + 100*time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
+		t.Errorf("the connection was closed: %v", err)
+	}
+}
+
+// Guards against a stop that closes connections before their first request.
+func TestCloseWaitingSparesNewConnections(t *testing.T) {
+	s := serve(t)
+	used, fresh := dial(t, s), dial(t, s)
+	ask(t, s, used)
+	s.CloseWaiting()
+	_ = used.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := used.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the used connection is open: %v", err)
+	}
+	if _, err := fmt.Fprint(fresh, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fresh.Read(make([]byte, 4096)); err != nil {
+		t.Errorf("the new connection was closed: %v", err)
+	}
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -17,8 +17,12 @@
 
 const (
 	// Waits between failed calls; they double.
-	failureFirst = 150 * time.Millisecond
-	failureMost  = time.Second
+	failureFirst = 100 * time.Millisecond
+	// failureMost is short: how late the return of the store is noticed adds to
+	// the grace in which removed servers are still used.
+	failureMost = 350 * time.Millisecond
+	// behindPause is the wait after a stale list.
+	behindPause = time.Second
 	// pauseJitter spreads the calls of routers that started together.
 	pauseJitter = 0.2
 )
@@ -215,7 +219,7 @@
 	full := !f.position.whole
 	if full && page.Next < f.position.next {
 		f.observer.Behind(page.Next, f.position.next)
-		return jitter(failureMost)
+		return jitter(behindPause)
 	}
 	f.position = position{next: page.Next, whole: true}
 	if full || len(page.Records) > 0 {
--- a/internal/front/belief.go
+++ b/internal/front/belief.go
@@ -31,7 +31,7 @@
 	// callTimeout bounds a call to the store beyond its wait.
 	callTimeout = time.Second
 	// expireInterval is how often the grace of removed servers is checked.
-	expireInterval = 250 * time.Millisecond
+	expireInterval = 100 * time.Millisecond
 )
 
 // belief is what the router knows of configuration and servers. Its goroutine
@@ -42,13 +42,12 @@
 	edge     *edge.Server
 	events   *event.Logger
 
-	servers     *registry.Registry
-	haveServers bool
-	haveConfig  bool
-	unusable    map[string]bool
-	inbox       chan func()
-	exchange    *digest.Exchange
-	progress    progress
+	servers    *registry.Registry
+	haveConfig bool
+	unusable   map[string]bool
+	inbox      chan func()
+	exchange   *digest.Exchange
+	progress   progress
 
 	isReady  atomic.Bool
 	stopping atomic.Bool
@@ -155,7 +154,6 @@
 	} else {
 		b.changed(b.servers.Apply(now, entries, batch.GraceUntil))
 	}
-	b.haveServers = true
 	b.checkReady()
 }
 
@@ -203,9 +201,10 @@
 		"state", state, "born", s.Born, "new", c.Old == nil, "servers", b.servers.Len())
 }
 
-// checkReady makes the router ready once it knows configuration and servers.
+// checkReady makes the router ready once it knows a configuration and a server.
+// It stays ready when the servers leave, since other routers know no more.
 func (b *belief) checkReady() {
-	if !b.haveConfig || !b.haveServers || b.isReady.Load() {
+	if !b.haveConfig || b.servers.Len() == 0 || b.isReady.Load() {
 		return
 	}
 	b.isReady.Store(true)
--- /dev/null
+++ b/internal/logwriter/logwriter_test.go
@@ -0,0 +1,41 @@
+package logwriter
+
+import (
+	"bytes"
+	"testing"
+)
+
+// blocked is an output that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	got     bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return b.got.Write(p)
+}
+
+// Guards against an output that stops the goroutines that log, and against
+// lines that are lost without being counted.
+func TestSlowOutputNeverBlocks(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	w := New(out)
+	const lines = 3 * queueLines
+	for range lines {
+		if _, err := w.Write([]byte("x\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if w.Dropped() == 0 {
+		t.Error("no line counts as dropped")
+	}
+	close(out.release)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	written := int64(bytes.Count(out.got.Bytes(), []byte("\n")))
+	if written+w.Dropped() != lines {
+		t.Errorf("%d written and %d dropped of %d", written, w.Dropped(), lines)
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -14,8 +14,10 @@
 
 // ReturnGrace is how long after the end of an outage of the store a removed
 // server is still used. The platform has the entries of live servers back
-// within about two seconds of the store's return.
-const ReturnGrace = 2500 * time.Millisecond
+// within about two seconds of the store's return. Together with the time in
+// which the return is noticed it stays below the three seconds after which the
+// router must again honour removals at once.
+const ReturnGrace = 2000 * time.Millisecond
 
 // Server is one incarnation of a server.
 type Server struct {
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,110 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/bluebellwell/bluebellwell/internal/testseed"
+)
+
+var start = time.Unix(1000, 0)
+
+func up(id string, born int64) Entry {
+	return Entry{ID: id, Server: &Server{ID: id, Pool: "p", Addr: "10.0.0.1:1", Born: born}}
+}
+
+// Guards against a removed server that is used after its removal, and against
+// one that is dropped because its entry lapsed during an outage.
+func TestRemovalAndGrace(t *testing.T) {
+	end := start.Add(ReturnGrace)
+	for _, c := range []struct {
+		name  string
+		grace time.Time
+		back  bool
+		at    time.Duration
+		want  int
+	}{
+		{"removal at once", time.Time{}, false, 0, 0},
+		{"removal in the grace", end, false, ReturnGrace - 1, 1},
+		{"removal after the grace", end, false, ReturnGrace, 0},
+		{"server that is back", end, true, ReturnGrace, 1},
+	} {
+		for _, whole := range []bool{false, true} {
+			r := New()
+			r.Apply(start, []Entry{up("a", 1)}, time.Time{})
+			if whole {
+				r.Replace(start, nil, c.grace)
+			} else {
+				r.Apply(start, []Entry{{ID: "a"}}, c.grace)
+			}
+			if c.back {
+				r.Apply(start, []Entry{up("a", 1)}, c.grace)
+			}
+			r.Expire(start.Add(c.at))
+			if r.Len() != c.want {
+				t.Errorf("%s, whole list %v: %d servers, want %d", c.name, whole, r.Len(), c.want)
+			}
+		}
+	}
+}
+
+// Guards against a removal that stays unnoticed until the router counts as in
+// touch again, three seconds after an outage.
+func TestGraceEndsBeforeRemovalsBind(t *testing.T) {
+	const noticed = 700 * time.Millisecond
+	if ReturnGrace+noticed >= 3*time.Second {
+		t.Errorf("grace of %s is too long", ReturnGrace)
+	}
+}
+
+// Guards against a restarted server that is taken for the one before.
+func TestRestartIsAChange(t *testing.T) {
+	r := New()
+	r.Apply(start, []Entry{up("a", 1)}, time.Time{})
+	if changes := r.Apply(start, []Entry{up("a", 1)}, time.Time{}); len(changes) != 0 {
+		t.Errorf("a heartbeat caused %d changes", len(changes))
+	}
+	changes := r.Apply(start, []Entry{up("a", 2)}, time.Time{})
+	if len(changes) != 1 || changes[0].Old.Key() == changes[0].New.Key() {
+		t.Errorf("changes %v", changes)
+	}
+	if changes[0].Old.Key().Hash() == changes[0].New.Key().Hash() {
+		t.Error("both incarnations have the same hash")
+	}
+}
+
+// Guards against a belief that depends on how records were batched: single
+// records and the full list must give the same servers.
+func TestListAndRecordsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		single, newest := New(), map[string]Entry{}
+		for range rapid.IntRange(0, 30).Draw(t, "records") {
+			e := up(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"), rapid.Int64Range(1, 3).Draw(t, "born"))
+			if rapid.Bool().Draw(t, "removed") {
+				e.Server = nil
+			}
+			single.Apply(start, []Entry{e}, time.Time{})
+			newest[e.ID] = e
+		}
+		var list []Entry
+		for _, e := range newest {
+			if e.Server != nil {
+				list = append(list, e)
+			}
+		}
+		whole := New()
+		whole.Apply(start, []Entry{up("old", 1)}, time.Time{})
+		whole.Replace(start, list, time.Time{})
+		a, b := single.Servers(), whole.Servers()
+		if len(a) != len(b) {
+			t.Fatalf("%d servers by records, %d by list", len(a), len(b))
+		}
+		for i := range a {
+			if *a[i] != *b[i] {
+				t.Fatalf("server %v by records, %v by list", a[i], b[i])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/retrybudget/retrybudget_test.go
@@ -0,0 +1,71 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/bluebellwell/bluebellwell/internal/testseed"
+)
+
+var limits = Limits{Ratio: 0.2, Window: 10 * time.Second, Extra: 54}
+
+// Guards against routers that together send more repeats than the fleet may, in
+// any window, also when some of them start again with an empty memory.
+func TestFleetKeepsTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const routers = 10
+		budgets := make([]*Budget, routers)
+		for i := range budgets {
+			budgets[i] = New(limits)
+		}
+		type sent struct {
+			at    time.Duration
+			retry bool
+		}
+		var all []sent
+		now := time.Unix(1000, 0)
+		for at := time.Duration(0); at < 30*time.Second; at += 50 * time.Millisecond {
+			for range rapid.IntRange(0, 3).Draw(t, "requests") {
+				b := budgets[rapid.IntRange(0, routers-1).Draw(t, "router")]
+				b.Request(now.Add(at))
+				all = append(all, sent{at, false})
+				if rapid.IntRange(0, 3).Draw(t, "fails") > 0 && b.Retry(now.Add(at)) {
+					all = append(all, sent{at, true})
+				}
+			}
+		}
+		for end := limits.Window; end <= 30*time.Second; end += time.Second {
+			requests, retries := 0, 0
+			for _, s := range all {
+				if s.at <= end-limits.Window || s.at > end {
+					continue
+				}
+				if s.retry {
+					retries++
+				} else {
+					requests++
+				}
+			}
+			if most := limits.Ratio*float64(requests) + limits.Extra; float64(retries) > most {
+				t.Fatalf("%d retries for %d requests, most %.1f", retries, requests, most)
+			}
+		}
+	})
+}
+
+// Guards against a budget that is never given back.
+func TestBudgetReturnsAfterTheWindow(t *testing.T) {
+	b := New(limits)
+	now := time.Unix(1000, 0)
+	for b.Retry(now) {
+		continue
+	}
+	if b.Retry(now.Add(limits.Window / 2)) {
+		t.Error("a spent budget allowed a retry within the window")
+	}
+	if !b.Retry(now.Add(limits.Window + time.Second)) {
+		t.Error("no retry after the window")
+	}
+}
