edge: a stop does not close connections whose next request is being read

Change: the wait is ended by its deadline, which a request that has been read clears. The new test fails with the close and passes with the deadline.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,6 +44,10 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for callers")
 	}
+	return newServer(listener, handler, logger), nil
+}
+
+func newServer(listener net.Listener, handler http.Handler, logger hclog.Logger) *Server {
 	s := &Server{waiting: make(map[*conn]time.Time)}
 	s.idle.Store(int64(defaultIdle))
 	s.listener = &acceptor{Listener: listener, server: s}
@@ -53,7 +57,7 @@
 		ConnState:      s.stateChanged,
 		ErrorLog:       standardLog(logger),
 	}
-	return s, nil
+	return s
 }
 
 // standardLog shows what net/http reports about single connections at debug
@@ -93,16 +97,20 @@
 	}
 }
 
-// CloseWaiting closes the connections that were used before and wait for their
-// next request, so that their callers turn to another router.
+// CloseWaiting ends the connections that were used before and wait for their
+// next request, so that their callers turn to another router. A connection
+// whose next request is being read is not closed under it: its wait is over,
+// and the request clears the deadline.
 func (s *Server) CloseWaiting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.waiting {
-		if c.used.Load() {
-			// The caller may have closed it first.
-			_ = c.Conn.Close()
+		if !c.used.Load() {
+			continue
 		}
+		c.retired.Store(true)
+		// The caller may have closed it first.
+		_ = c.Conn.SetReadDeadline(past)
 	}
 }
 
@@ -111,6 +119,9 @@
 	return eris.Wrap(s.http.Close(), "cannot close the server for callers")
 }
 
+// past is a deadline that ends a wait at once.
+var past = time.Unix(1, 0)
+
 // stateChanged tracks which connections wait for a request.
 func (s *Server) stateChanged(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*conn)
@@ -153,6 +164,8 @@
 	waiting atomic.Bool
 	// used is set once the connection has carried a request.
 	used atomic.Bool
+	// retired connections take no further request.
+	retired atomic.Bool
 }
 
 // SetReadDeadline replaces "no deadline" by the idle limit while the connection
@@ -160,6 +173,9 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	if t.IsZero() && c.waiting.Load() {
 		t = time.Now().Add(time.Duration(c.server.idle.Load()) + idleMargin)
+		if c.retired.Load() {
+			t = past
+		}
 	}
 	return c.Conn.SetReadDeadline(t)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -114,3 +114,51 @@
 		t.Errorf("the new connection was closed: %v", err)
 	}
 }
+
+// interposed calls a function after each read that brought bytes.
+type interposed struct {
+	net.Listener
+	read func()
+}
+
+type interposedConn struct {
+	net.Conn
+	read func()
+}
+
+func (l *interposed) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &interposedConn{Conn: c, read: l.read}, err
+}
+
+func (c *interposedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.read()
+	}
+	return n, err
+}
+
+// Guards against a stop that closes a connection whose next request has been
+// read but not yet begun: the request was passed on and its answer lost.
+func TestCloseWaitingSparesRequestsBeingRead(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s *Server
+	s = newServer(&interposed{Listener: listener, read: func() { s.CloseWaiting() }},
+		http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "ok") }), hclog.NewNullLogger())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	c := dial(t, s)
+	for range 3 {
+		ask(t, s, c)
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
