digest: relay changes of servers; level plain requests by fresh reports only

Change: readers send the changed servers themselves; reports older than 0.4 s do not level plain requests.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,6 +28,10 @@
 	subjectServers = 4
 	// reuseSpan is how long a subject is expected to stay in a server's cache.
 	reuseSpan = 5 * time.Minute
+	// levelFresh is the age of the other routers' reports up to which plain
+	// requests are levelled by them. Older ones would send all routers to the
+	// server that was the least loaded a while ago.
+	levelFresh = 400 * time.Millisecond
 	// reportFresh is the age up to which the load that a server reports goes
 	// before the sum of what the other routers report.
 	reportFresh = 300 * time.Millisecond
@@ -91,9 +95,11 @@
 	// reported is the load of other routers in the last report of the server.
 	reported   int
 	reportedAt time.Time
-	// peers is the load that the other routers have reported.
-	peers   int
-	peersAt time.Time
+	// peers is the load that the other routers have reported, peersAge how old
+	// the reports were on average at peersAt.
+	peers    int
+	peersAge time.Duration
+	peersAt  time.Time
 	health  health
 }
 
@@ -108,6 +114,15 @@
 
 func (m *member) load(now time.Time) float64 { return float64(m.own + m.others(now)) }
 
+// level is the load by which requests without a subject are spread. Engines
+// tell their load in answers; of plain servers only fresh reports count.
+func (m *member) level(now time.Time) float64 {
+	if !m.server.Engine && m.peersAge > levelFresh {
+		return float64(m.own)
+	}
+	return m.load(now)
+}
+
 // holding lists the incarnations that hold a subject, the last used first.
 type holding struct {
 	servers [subjectServers]uint64
@@ -373,8 +388,8 @@
 
 // lighter compares by load per slot, then by data centre.
 func lighter(now time.Time, a, b *member, dataCentre string) bool {
-	x := a.load(now) / float64(max(a.server.Slots, 1))
-	y := b.load(now) / float64(max(b.server.Slots, 1))
+	x := a.level(now) / float64(max(a.server.Slots, 1))
+	y := b.level(now) / float64(max(b.server.Slots, 1))
 	if x != y {
 		return x < y
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -197,7 +197,7 @@
 				other.InFlight(func(server uint64, n int) { sum[server] += n })
 			}
 		}
-		p.SetPeers(now, sum)
+		p.SetPeers(now, sum, 100*time.Millisecond)
 	}
 }
 
@@ -333,3 +333,22 @@
 		t.Errorf("holdings %v", p.Held())
 	}
 }
+
+// Guards against many routers that all send their plain requests to the server
+// that was the least loaded when the others last reported.
+func TestOldReportsDoNotHerdPlainRequests(t *testing.T) {
+	chosen := map[string]int{}
+	for i := range 100 {
+		p := pool(5)
+		loads := map[uint64]int{}
+		for j, m := range p.members {
+			m.server.Engine = false
+			loads[m.hash] = j
+		}
+		p.SetPeers(start, loads, time.Second)
+		chosen[pick(t, p, start, Job{Random: uint64(i), DataCentre: "elsewhere"}).Server.ID]++
+	}
+	if len(chosen) != 5 {
+		t.Errorf("requests by server: %v", chosen)
+	}
+}
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
 	_ "github.com/bluebellwell/bluebellwell/internal/testseed"
 )
 
@@ -29,10 +30,24 @@
 		m.Loads = append(m.Loads, Load{rapid.Uint64().Draw(t, "server"), rapid.IntRange(0, 1000).Draw(t, "load")})
 		m.Holdings = append(m.Holdings, Holding{rapid.Uint64().Draw(t, "subject"), rapid.Uint64().Draw(t, "holder")})
 		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), rapid.Int64().Draw(t, "news")})
+		m.Servers = append(m.Servers, drawServer(t))
 	}
 	return m
 }
 
+func drawServer(t *rapid.T) ServerNews {
+	n := ServerNews{ID: "i-1", Offset: rapid.Int64Min(0).Draw(t, "offset")}
+	if rapid.Bool().Draw(t, "gone") {
+		return n
+	}
+	n.Server = &registry.Server{
+		ID: n.ID, Pool: "p", Addr: "10.0.0.1:80", DataCentre: rapid.SampledFrom([]string{"", "hall"}).Draw(t, "place"),
+		Slots: rapid.IntRange(0, 500).Draw(t, "slots"), Born: rapid.Int64Min(0).Draw(t, "born"),
+		Leaving: rapid.Bool().Draw(t, "leaving"), Engine: rapid.Bool().Draw(t, "engine"),
+	}
+	return n
+}
+
 func addr(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
 
 // Guards against a message that its receiver reads differently.
@@ -133,11 +148,12 @@
 
 // state is a router's side of an exchange in tests.
 type state struct {
-	mu     sync.Mutex
-	held   []Holding
-	placed []Holding
-	learnt map[Holding]bool
-	loads  map[uint64]int
+	mu      sync.Mutex
+	held    []Holding
+	placed  []Holding
+	learnt  map[Holding]bool
+	loads   map[uint64]int
+	servers []ServerNews
 }
 
 func (s *state) Loads() []Load { return []Load{{Server: 7, InFlight: 2}} }
@@ -154,7 +170,7 @@
 
 func (s *state) Progress() ([]Progress, bool) { return []Progress{{Topic: 0, News: 11}}, true }
 
-func (s *state) SetPeerLoads(loads map[uint64]int) {
+func (s *state) SetPeerLoads(loads map[uint64]int, _ time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loads = loads
@@ -168,6 +184,20 @@
 	}
 }
 
+func (s *state) ServerNews() []ServerNews { return []ServerNews{{ID: "i-1", Offset: 11}} }
+
+func (s *state) LearnServers(list []ServerNews) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = append(s.servers, list...)
+}
+
+func (s *state) heardServers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.servers) > 0 && s.servers[0] == ServerNews{ID: "i-1", Offset: 11}
+}
+
 func (s *state) knows(h Holding) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -202,6 +232,7 @@
 	}()
 	until(t, "the new router knows the holdings", func() bool { return fresh.knows(Holding{1, 7}) })
 	until(t, "the new router is informed", second.Informed)
+	until(t, "changes of servers are known", fresh.heardServers)
 	until(t, "the news are known", func() bool { return second.News(0) == 11 })
 	fresh.mu.Lock()
 	fresh.placed = []Holding{{2, 7}}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -28,6 +28,8 @@
 	namedPeers = 16
 	// pairsPerDatagram bounds the loads or holdings of one datagram.
 	pairsPerDatagram = 56
+	// serversPerDatagram bounds the changes of servers of one datagram.
+	serversPerDatagram = 8
 )
 
 // State is what a router tells and learns. Its methods are called from the
@@ -42,10 +44,15 @@
 	// Progress returns how far the topics have been read, and whether the
 	// store answers.
 	Progress() (list []Progress, reading bool)
-	// SetPeerLoads takes the sum of the other routers' loads; nil when none is heard.
-	SetPeerLoads(loads map[uint64]int)
+	// SetPeerLoads takes the sum of the other routers' loads and the average age
+	// of their reports; nil when none is heard.
+	SetPeerLoads(loads map[uint64]int, age time.Duration)
 	// Learn takes placements of another router.
 	Learn(list []Holding)
+	// ServerNews returns the changes of servers that were read in the store lately.
+	ServerNews() []ServerNews
+	// LearnServers takes changes of servers that another router has read.
+	LearnServers(list []ServerNews)
 }
 
 // Exchange sends and receives digests. Its methods are safe for concurrent use.
@@ -134,7 +141,7 @@
 	now := time.Now()
 	e.mu.Lock()
 	isNew := e.peers.Hear(now, from, m)
-	loads := e.loads(now)
+	loads, age := e.loads(now)
 	// The answer to WantAll has arrived or is on its way.
 	e.informed = e.informed || m.Informed && len(m.Holdings) > 0
 	e.mu.Unlock()
@@ -142,11 +149,14 @@
 		e.events.Emit(event.PeerHeard, "peer", from.String(), "stopping", m.Stopping)
 	}
 	if m.Whole {
-		e.state.SetPeerLoads(loads)
+		e.state.SetPeerLoads(loads, age)
 	}
 	if len(m.Holdings) > 0 {
 		e.state.Learn(m.Holdings)
 	}
+	if len(m.Servers) > 0 {
+		e.state.LearnServers(m.Servers)
+	}
 	if m.WantAll {
 		e.sendHoldings([]netip.Addr{from}, e.state.Held())
 	}
@@ -154,11 +164,12 @@
 
 // loads returns nil while no other router is heard, since a router that hears
 // nobody does not know that the others do nothing.
-func (e *Exchange) loads(now time.Time) map[uint64]int {
-	if len(e.peers.Live(now)) == 0 {
-		return nil
+func (e *Exchange) loads(now time.Time) (loads map[uint64]int, age time.Duration) {
+	n := len(e.peers.Live(now))
+	if n == 0 {
+		return nil, 0
 	}
-	return e.peers.Loads(now)
+	return e.peers.Loads(now), periodFor(n) / 2
 }
 
 // Send tells the others what this router does until ctx ends.
@@ -210,6 +221,7 @@
 	if !m.Whole {
 		m.Loads = nil
 	}
+	e.tellServers(targets)
 	e.sendTo(targets, m)
 	e.tellPlaced(targets, regular)
 	return e.period(len(targets))
@@ -217,13 +229,18 @@
 
 // period returns the time between two regular digests to n routers.
 func (e *Exchange) period(n int) time.Duration {
-	p := max(periodLeast, periodPerPeer*time.Duration(n))
+	p := periodFor(n)
 	if e.Reader() {
 		p = min(p, readerPeriod)
 	}
 	return p
 }
 
+// periodFor is the usual period of a router that knows n others.
+func periodFor(n int) time.Duration {
+	return max(periodLeast, periodPerPeer*time.Duration(n))
+}
+
 // MustList reports whether this router should ask the servers what they hold:
 // no other router can tell, and it is the first of those that wonder.
 func (e *Exchange) MustList() bool {
@@ -260,6 +277,17 @@
 	return names
 }
 
+// tellServers sends the changes of servers before the digest that names their
+// offsets, so that the others need not read them in the store.
+func (e *Exchange) tellServers(targets []netip.Addr) {
+	list := e.state.ServerNews()
+	for len(list) > 0 {
+		n := min(serversPerDatagram, len(list))
+		e.sendTo(targets, &Message{Sender: e.sender, Servers: list[:n]})
+		list = list[n:]
+	}
+}
+
 // tellPlaced sends new placements, and those of the last time once more.
 func (e *Exchange) tellPlaced(targets []netip.Addr, regular bool) {
 	placed := e.state.Placed()
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -12,6 +12,8 @@
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
 
 const (
@@ -22,6 +24,7 @@
 	maxLoads    = 512
 	maxHoldings = 256
 	maxTopics   = 8
+	maxServers  = 64
 )
 
 // Load is the number of a router's requests in flight at a server.
@@ -44,6 +47,14 @@
 	News int64
 }
 
+// ServerNews is a change of a server that a router has read in the store.
+type ServerNews struct {
+	ID     string
+	Offset int64
+	// Server is nil when the server is gone.
+	Server *registry.Server
+}
+
 // Message is one datagram.
 type Message struct {
 	// Sender tells the processes at one address apart.
@@ -62,6 +73,7 @@
 	Loads    []Load
 	Holdings []Holding
 	Progress []Progress
+	Servers  []ServerNews
 }
 
 // Field numbers of the protobuf messages.
@@ -76,6 +88,7 @@
 	fieldHolding  = 8
 	fieldProgress = 9
 	fieldInformed = 10
+	fieldServer   = 11
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -103,6 +116,10 @@
 	for _, p := range m.Progress {
 		b = appendPair(b, fieldProgress, uint64(p.Topic), uint64(p.News))
 	}
+	for i := range m.Servers {
+		b = protowire.AppendTag(b, fieldServer, protowire.BytesType)
+		b = protowire.AppendBytes(b, encodeServer(&m.Servers[i]))
+	}
 	return b
 }
 
@@ -201,6 +218,9 @@
 	if n < 0 {
 		return nil, errMalformed
 	}
+	if field == fieldServer {
+		return b[n:], m.takeServer(v)
+	}
 	if field == fieldPeer {
 		addr, ok := netip.AddrFromSlice(v)
 		if !ok || len(m.Peers) >= maxPeers {
--- /dev/null
+++ b/internal/digest/server.go
@@ -0,0 +1,118 @@
+package digest
+
+import (
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+)
+
+// Field numbers of ServerNews.
+const (
+	serverID         = 1
+	serverOffset     = 2
+	serverPool       = 3
+	serverAddr       = 4
+	serverDataCentre = 5
+	serverSlots      = 6
+	serverBorn       = 7
+	serverLeaving    = 8
+	serverEngine     = 9
+)
+
+func encodeServer(n *ServerNews) []byte {
+	var b []byte
+	b = appendText(b, serverID, n.ID)
+	b = appendVarint(b, serverOffset, uint64(n.Offset))
+	s := n.Server
+	if s == nil {
+		return b
+	}
+	b = appendText(b, serverPool, s.Pool)
+	b = appendText(b, serverAddr, s.Addr)
+	b = appendText(b, serverDataCentre, s.DataCentre)
+	b = appendVarint(b, serverSlots, uint64(s.Slots))
+	b = appendVarint(b, serverBorn, uint64(s.Born))
+	b = appendBool(b, serverLeaving, s.Leaving)
+	return appendBool(b, serverEngine, s.Engine)
+}
+
+func appendText(b []byte, field protowire.Number, text string) []byte {
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	return protowire.AppendString(b, text)
+}
+
+func appendVarint(b []byte, field protowire.Number, v uint64) []byte {
+	b = protowire.AppendTag(b, field, protowire.VarintType)
+	return protowire.AppendVarint(b, v)
+}
+
+// takeServer decodes news of a server. News without a pool say that it is gone.
+func (m *Message) takeServer(b []byte) error {
+	if len(m.Servers) >= maxServers {
+		return errMalformed
+	}
+	news := ServerNews{}
+	s := &registry.Server{}
+	for len(b) > 0 {
+		field, kind, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return errMalformed
+		}
+		b = b[n:]
+		switch kind {
+		case protowire.BytesType:
+			v, used := protowire.ConsumeString(b)
+			if used < 0 {
+				return errMalformed
+			}
+			news.setText(s, field, v)
+			b = b[used:]
+		case protowire.VarintType:
+			v, used := protowire.ConsumeVarint(b)
+			if used < 0 {
+				return errMalformed
+			}
+			news.setNumber(s, field, v)
+			b = b[used:]
+		default:
+			return errMalformed
+		}
+	}
+	if news.ID == "" {
+		return errMalformed
+	}
+	if s.Pool != "" {
+		s.ID = news.ID
+		news.Server = s
+	}
+	m.Servers = append(m.Servers, news)
+	return nil
+}
+
+func (n *ServerNews) setText(s *registry.Server, field protowire.Number, v string) {
+	switch field {
+	case serverID:
+		n.ID = v
+	case serverPool:
+		s.Pool = v
+	case serverAddr:
+		s.Addr = v
+	case serverDataCentre:
+		s.DataCentre = v
+	}
+}
+
+func (n *ServerNews) setNumber(s *registry.Server, field protowire.Number, v uint64) {
+	switch field {
+	case serverOffset:
+		n.Offset = int64(v)
+	case serverSlots:
+		s.Slots = int(v)
+	case serverBorn:
+		s.Born = int64(v)
+	case serverLeaving:
+		s.Leaving = v != 0
+	case serverEngine:
+		s.Engine = v != 0
+	}
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -76,6 +76,8 @@
 	Records []Record
 	// Full batches name every key; keys that they leave out are dropped.
 	Full bool
+	// Next is the offset after the batch.
+	Next int64
 	// GraceUntil is the end of the grace after an outage; zero when there was none.
 	GraceUntil time.Time
 }
@@ -223,7 +225,7 @@
 	}
 	f.position = position{next: page.Next, whole: true}
 	if full || len(page.Records) > 0 {
-		f.observer.Batch(Batch{Records: page.Records, Full: full, GraceUntil: f.graceUntil})
+		f.observer.Batch(Batch{Records: page.Records, Full: full, Next: page.Next, GraceUntil: f.graceUntil})
 	}
 	return paced
 }
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -54,9 +54,9 @@
 }
 
 // SetPeerLoads takes the sum of the other routers' loads.
-func (w *World) SetPeerLoads(loads map[uint64]int) {
+func (w *World) SetPeerLoads(loads map[uint64]int, age time.Duration) {
 	now := time.Now()
-	w.each(func(p *pool) { p.balance.SetPeers(now, loads) })
+	w.each(func(p *pool) { p.balance.SetPeers(now, loads, age) })
 }
 
 // Learn takes placements of another router.
--- a/internal/front/belief.go
+++ b/internal/front/belief.go
@@ -27,7 +27,7 @@
 	serversPause = 900 * time.Millisecond
 	// relayedPause is the time between two reads of a router that others tell of
 	// news, in case all of them miss some.
-	relayedPause = 6 * time.Second
+	relayedPause = 10 * time.Second
 	// callTimeout bounds a call to the store beyond its wait.
 	callTimeout = time.Second
 	// expireInterval is how often the grace of removed servers is checked.
@@ -46,8 +46,10 @@
 	haveConfig bool
 	unusable   map[string]bool
 	inbox      chan func()
-	exchange   *digest.Exchange
-	progress   progress
+	// ended is closed when the goroutine has ended.
+	ended    chan struct{}
+	exchange *digest.Exchange
+	progress progress
 
 	isReady  atomic.Bool
 	stopping atomic.Bool
@@ -62,6 +64,7 @@
 		servers:  registry.New(),
 		unusable: make(map[string]bool),
 		inbox:    make(chan func()),
+		ended:    make(chan struct{}),
 	}
 }
 
@@ -73,14 +76,15 @@
 
 // run follows the store until ctx ends.
 func (b *belief) run(ctx context.Context) error {
+	defer close(b.ended)
 	config := feed.New(b.platform.Config, feed.Options{
 		Pace:        b.pace(feed.Pace{Wait: configWait, Pause: configPause}),
-		News:        func() int64 { return b.exchange.News(topicConfig) },
+		News:        b.news(topicConfig),
 		CallTimeout: callTimeout,
 	}, b.observe(ctx, topicConfig, b.takeConfig))
 	servers := feed.New(b.platform.Servers, feed.Options{
 		Pace:        b.pace(feed.Pace{Pause: serversPause}),
-		News:        func() int64 { return b.exchange.News(topicServers) },
+		News:        b.news(topicServers),
 		CallTimeout: callTimeout,
 		Grace:       registry.ReturnGrace,
 	}, b.observe(ctx, topicServers, b.takeServers))
@@ -95,7 +99,7 @@
 		case task := <-b.inbox:
 			task()
 		case now := <-tick.C:
-			b.changed(b.servers.Expire(now))
+			b.changed(b.servers.Expire(now), true)
 		}
 	}
 }
@@ -111,6 +115,44 @@
 	}
 }
 
+// news returns the offset of news that another router has found and that is
+// not known here, or a negative number.
+func (b *belief) news(topic int) func() int64 {
+	return func() int64 {
+		offset := b.exchange.News(topic)
+		if b.progress.applied(topic, offset) {
+			return -1
+		}
+		return offset
+	}
+}
+
+// LearnServers takes changes of servers that another router has read. It is
+// called from the goroutine that receives digests.
+func (b *belief) LearnServers(list []digest.ServerNews) {
+	entries := make([]registry.Entry, 0, len(list))
+	for _, n := range list {
+		if !b.progress.applied(topicServers, n.Offset) {
+			entries = append(entries, registry.Entry{ID: n.ID, Offset: n.Offset, Server: n.Server})
+		}
+	}
+	if len(entries) == 0 {
+		return
+	}
+	select {
+	case b.inbox <- func() { b.learnServers(entries) }:
+	case <-b.ended:
+	}
+}
+
+// learnServers applies relayed changes. A router that has read no list yet
+// waits for that, because a few changes are not all servers.
+func (b *belief) learnServers(entries []registry.Entry) {
+	if b.servers.Len() > 0 {
+		b.changed(b.servers.Apply(time.Now(), entries, time.Time{}), false)
+	}
+}
+
 // takeConfig puts a newer configuration in force. An older one, or one that
 // cannot be decoded, changes nothing.
 func (b *belief) takeConfig(batch feed.Batch) {
@@ -150,9 +192,9 @@
 	}
 	now := time.Now()
 	if batch.Full {
-		b.changed(b.servers.Replace(now, entries, batch.GraceUntil))
+		b.changed(b.servers.Replace(now, entries, batch.Next, batch.GraceUntil), true)
 	} else {
-		b.changed(b.servers.Apply(now, entries, batch.GraceUntil))
+		b.changed(b.servers.Apply(now, entries, batch.GraceUntil), true)
 	}
 	b.checkReady()
 }
@@ -176,20 +218,24 @@
 	return nil
 }
 
-// changed publishes and logs changes of the servers.
-func (b *belief) changed(changes []registry.Change) {
+// changed publishes and logs changes of the servers. Those that this router has
+// read itself are told to the others.
+func (b *belief) changed(changes []registry.Change, read bool) {
 	if len(changes) == 0 {
 		return
 	}
 	b.world.SetServers(b.servers.Servers())
 	for _, c := range changes {
 		b.progress.news(topicServers, c.Offset)
-		b.logChange(c)
+		b.logChange(c, read)
+	}
+	if read {
+		b.progress.read(time.Now(), changes)
+		b.exchange.Prompt()
 	}
-	b.exchange.Prompt()
 }
 
-func (b *belief) logChange(c registry.Change) {
+func (b *belief) logChange(c registry.Change, read bool) {
 	s, state := c.New, "ready"
 	switch {
 	case s == nil:
@@ -198,7 +244,7 @@
 		state = "leaving"
 	}
 	b.events.Emit(event.ServerChanged, "server", s.ID, "pool", s.Pool, "address", s.Addr,
-		"state", state, "born", s.Born, "new", c.Old == nil, "servers", b.servers.Len())
+		"state", state, "born", s.Born, "new", c.Old == nil, "offset", c.Offset, "read", read, "servers", b.servers.Len())
 }
 
 // checkReady makes the router ready once it knows a configuration and a server.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	f.belief = newBelief(p, world, f.edge, events)
-	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), s.FirstStart, &shared{World: world, progress: &f.belief.progress}, events)
+	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), s.FirstStart, &shared{World: world, belief: f.belief, progress: &f.belief.progress}, events)
 	if err != nil {
 		return nil, err
 	}
@@ -110,7 +110,8 @@
 // shared is what a router tells the others.
 type shared struct {
 	*forward.World
-	progress *progress
+	*belief
+	*progress
 }
 
 // Progress returns how far this router has read the store.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -73,13 +73,21 @@
 // Registry is the belief of one router. It is not safe for concurrent use.
 type Registry struct {
 	servers map[string]*Server
+	// offsets has the newest applied record of each server, removed ones
+	// included, so that news which another router has told are not undone by an
+	// older record.
+	offsets map[string]int64
 	// missing holds the removed servers that are still in their grace, and its end.
 	missing map[string]time.Time
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: map[string]*Server{}, missing: map[string]time.Time{}}
+	return &Registry{
+		servers: map[string]*Server{},
+		offsets: map[string]int64{},
+		missing: map[string]time.Time{},
+	}
 }
 
 // Apply applies single records in order and returns what changed. Removals
@@ -87,6 +95,10 @@
 func (r *Registry) Apply(now time.Time, entries []Entry, graceUntil time.Time) []Change {
 	var changes []Change
 	for _, e := range entries {
+		if e.Offset < r.offsets[e.ID] {
+			continue
+		}
+		r.offsets[e.ID] = e.Offset
 		if e.Server == nil {
 			changes = r.remove(changes, now, e, graceUntil)
 			continue
@@ -96,15 +108,16 @@
 	return changes
 }
 
-// Replace applies a full list. Servers that it does not name are removed.
-func (r *Registry) Replace(now time.Time, entries []Entry, graceUntil time.Time) []Change {
+// Replace applies a full list that ends before the offset next. Servers that it
+// does not name are removed, unless a later record has named them.
+func (r *Registry) Replace(now time.Time, entries []Entry, next int64, graceUntil time.Time) []Change {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
 	}
 	changes := r.Apply(now, entries, graceUntil)
 	for _, s := range r.Servers() {
-		if !listed[s.ID] {
+		if !listed[s.ID] && r.offsets[s.ID] < next {
 			changes = r.remove(changes, now, Entry{ID: s.ID, Offset: noOffset}, graceUntil)
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -35,7 +35,7 @@
 			r := New()
 			r.Apply(start, []Entry{up("a", 1)}, time.Time{})
 			if whole {
-				r.Replace(start, nil, c.grace)
+				r.Replace(start, nil, 1, c.grace)
 			} else {
 				r.Apply(start, []Entry{{ID: "a"}}, c.grace)
 			}
@@ -96,7 +96,7 @@
 		}
 		whole := New()
 		whole.Apply(start, []Entry{up("old", 1)}, time.Time{})
-		whole.Replace(start, list, time.Time{})
+		whole.Replace(start, list, 1, time.Time{})
 		a, b := single.Servers(), whole.Servers()
 		if len(a) != len(b) {
 			t.Fatalf("%d servers by records, %d by list", len(a), len(b))
@@ -108,3 +108,24 @@
 		}
 	})
 }
+
+// Guards against news of another router that a later read of older records, or
+// an older list, undoes.
+func TestOlderRecordsChangeNothing(t *testing.T) {
+	r := New()
+	leaving := up("a", 1)
+	leaving.Server.Leaving = true
+	leaving.Offset = 9
+	r.Apply(start, []Entry{leaving}, time.Time{})
+	older := up("a", 1)
+	older.Offset = 5
+	if changes := r.Apply(start, []Entry{older, {ID: "a", Offset: 6}}, time.Time{}); len(changes) != 0 {
+		t.Errorf("older records caused %v", changes)
+	}
+	if changes := r.Replace(start, nil, 8, time.Time{}); len(changes) != 0 {
+		t.Errorf("an older list caused %v", changes)
+	}
+	if changes := r.Replace(start, nil, 10, time.Time{}); len(changes) != 1 {
+		t.Errorf("a newer list caused %v", changes)
+	}
+}
