--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -100,7 +100,7 @@
 	peers    int
 	peersAge time.Duration
 	peersAt  time.Time
-	health  health
+	health   health
 }
 
 // others returns the requests of other routers: the newer of what the server
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -72,7 +72,13 @@
 		return Peer{}, err
 	}
 	mine.Proof = proof(h.key, "dialler", theirs.GetNonce(), mine)
-	return peerOf(theirs, version), h.send(c, mine)
+	err = h.send(c, mine)
+	if mine.GetProbe() {
+		// The other router has proved itself. It ends a probe as soon as it has
+		// the last hello, which may look like a failed send on this side.
+		err = nil
+	}
+	return peerOf(theirs, version), err
 }
 
 // accept runs the accepting side.
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -383,6 +383,13 @@
 	if err != nil {
 		return &DialError{Addr: addr, Err: err}
 	}
+	// The other router closes first: a close from this side could overtake the
+	// last hello, which it would then miss.
+	select {
+	case <-c.mux.CloseChan():
+	case <-t.ctx.Done():
+	case <-time.After(t.cfg.HelloTimeout):
+	}
 	return c.mux.Close()
 }
 
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -324,6 +324,10 @@
 	if early := a.idle(later.Add(-1)); len(early) != 0 {
 		t.Fatal("connection in use counted as idle")
 	}
+	// A side ends a served stream after the other has its reply.
+	for end := time.Now().Add(10 * time.Second); len(a.idle(later)) == 0 && time.Now().Before(end); {
+		runtime.Gosched()
+	}
 	if got := a.idle(later); len(got) != 1 {
 		t.Fatalf("%d idle connections", len(got))
 	}
