forward: servers that can't be reached do not use up a request's tries

Change: up to eight connections may fail; nothing has arrived anywhere, so the retry budget is not touched.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -22,14 +22,22 @@
 // errSilent ends an attempt at a server that has gone silent.
 var errSilent = errors.New("server is silent")
 
-// refusalTries bounds the servers that a request is offered to when each
-// states that it did not run it.
-const refusalTries = 3
+const (
+	// refusalTries bounds the servers that a request is offered to when each
+	// states that it did not run it.
+	refusalTries = 3
+	// unreachableTries bounds the servers that can't be reached. Such a try costs
+	// a few milliseconds and reaches nobody; after a failure of many servers the
+	// first choices may all be down.
+	unreachableTries = 8
+)
 
 // attempts counts what was done with a request.
 type attempts struct {
-	// offered counts the sends, refused ones included.
-	offered int
+	// offered counts the sends, refused ones included; unreached those of them
+	// that found no server.
+	offered   int
+	unreached int
 	// ran counts the servers that may have run the request.
 	ran    int
 	tried  []registry.Key
@@ -47,7 +55,10 @@
 	c := a.choice
 	kv := []any{
 		"server", c.Server.ID, "pool", c.Server.Pool, "reason", c.Reason, "load", c.Load, "mean", c.Mean,
-		"report_age_ms", c.ReportAge.Milliseconds(), "offered", a.offered, "last", a.last.String(),
+		"offered", a.offered, "last", a.last.String(),
+	}
+	if c.ReportAge >= 0 {
+		kv = append(kv, "report_age_ms", c.ReportAge.Milliseconds())
 	}
 	if a.job.Subject != 0 {
 		kv = append(kv, "subject", strconv.FormatUint(a.job.Subject, 16), "shared_tokens", a.job.SharedTokens)
@@ -140,6 +151,9 @@
 	if res.ran {
 		k.attempts.ran++
 	}
+	if res.outcome == balance.Unreachable {
+		k.attempts.unreached++
+	}
 	k.attempts.tried = append(k.attempts.tried, choice.Server.Key())
 	if k.mayRepeat(ctx, res) {
 		k.core.events.Emit(event.RequestRetried, "request", k.head.ID, "server", choice.Server.ID,
@@ -158,10 +172,11 @@
 // mayRepeat applies the route's bound, the deadline and the retry budget. A
 // connection that was never opened costs no budget, since nothing arrived.
 func (k *call) mayRepeat(ctx context.Context, res result) bool {
-	if ctx.Err() != nil || k.attempts.offered >= max(refusalTries, k.route.MaxAttempts) {
+	a := &k.attempts
+	if ctx.Err() != nil || a.unreached >= unreachableTries || a.offered-a.unreached >= max(refusalTries, k.route.MaxAttempts) {
 		return false
 	}
-	if k.attempts.ran > 0 && (!k.route.MayRepeat() || k.attempts.ran >= k.route.MaxAttempts) {
+	if a.ran > 0 && (!k.route.MayRepeat() || a.ran >= k.route.MaxAttempts) {
 		return false
 	}
 	if res.outcome == balance.Unreachable {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -40,11 +40,13 @@
 // at the same port.
 var hosts atomic.Int32
 
-func newBed(t *testing.T) *bed {
+func newBed(t *testing.T) *bed { return newBedOf(t, 2) }
+
+func newBedOf(t *testing.T, engines int) *bed {
 	t.Helper()
 	b := &bed{t: t, store: platformtest.NewStore()}
 	t.Cleanup(b.store.Close)
-	for i := range 2 {
+	for i := range engines {
 		e := platformtest.NewEngine(fmt.Sprintf("i-%d", i))
 		t.Cleanup(e.Close)
 		b.engines = append(b.engines, e)
@@ -453,6 +455,20 @@
 	})
 }
 
+// Guards against a refusal after the first few choices are all down, although
+// another server is well.
+func TestDeadServersArePassedOver(t *testing.T) {
+	b := newBedOf(t, 7).run()
+	for _, e := range b.engines[1:] {
+		e.Close()
+	}
+	for _, path := range []string{"/unsafe/x", "/safe/x"} {
+		if got := b.do(b.request(http.MethodPost, path, "body")); got.status != 200 {
+			t.Errorf("%s: status %d: %s", path, got.status, got.body)
+		}
+	}
+}
+
 // Guards against an engine that goes on working after its caller has left.
 func TestCallerThatLeavesEndsTheRun(t *testing.T) {
 	b := newBed(t).run()
