balance: leaving servers do not raise the bound; old reports narrow it

Change: the mean counts them on both sides, whichever way is lower; the factor shrinks by 0.15 for each second of age.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -95,12 +95,10 @@
 	// reported is the load of other routers in the last report of the server.
 	reported   int
 	reportedAt time.Time
-	// peers is the load that the other routers have reported, peersAge how old
-	// the reports were on average at peersAt.
-	peers    int
-	peersAge time.Duration
-	peersAt  time.Time
-	health   health
+	// peers is the load that the other routers have reported.
+	peers   int
+	peersAt time.Time
+	health  health
 }
 
 // others returns the requests of other routers: the newer of what the server
@@ -114,13 +112,14 @@
 
 func (m *member) load(now time.Time) float64 { return float64(m.own + m.others(now)) }
 
-// level is the load by which requests without a subject are spread. Engines
-// tell their load in answers; of plain servers only fresh reports count.
-func (m *member) level(now time.Time) float64 {
-	if !m.server.Engine && m.peersAge > levelFresh {
-		return float64(m.own)
+// level is the load per slot by which requests without a subject are spread.
+// Engines tell their load in answers; of plain servers only fresh reports count.
+func (p *Pool) level(now time.Time, m *member) float64 {
+	load := m.load(now)
+	if !m.server.Engine && p.peersAge > levelFresh {
+		load = float64(m.own)
 	}
-	return m.load(now)
+	return load / float64(max(m.server.Slots, 1))
 }
 
 // holding lists the incarnations that hold a subject, the last used first.
@@ -146,6 +145,8 @@
 	limits  Limits
 	members []*member
 	held    map[uint64]*holding
+	// peersAge is how old the other routers' reports are on average.
+	peersAge time.Duration
 	// placed lists what other routers have not been told.
 	placed []Placed
 	ranked []rankedMember
@@ -237,17 +238,10 @@
 // pool. When all are ejected the ejections are ignored: trying one is better
 // than refusing everything.
 func (p *Pool) usable(now time.Time, exclude []registry.Key) ([]*member, float64) {
-	var total float64
-	live := 0
 	open := make([]*member, 0, len(p.members))
 	ejected := make([]*member, 0, len(p.members))
 	for _, m := range p.members {
-		total += m.load(now)
-		if m.server.Leaving {
-			continue
-		}
-		live++
-		if slices.Contains(exclude, m.server.Key()) {
+		if m.server.Leaving || slices.Contains(exclude, m.server.Key()) {
 			continue
 		}
 		if m.health.ejected(now, m.own) {
@@ -256,11 +250,27 @@
 		}
 		open = append(open, m)
 	}
-	mean := total / float64(max(live, 1))
 	if len(open) == 0 {
-		return ejected, mean
+		return ejected, p.mean(now)
+	}
+	return open, p.mean(now)
+}
+
+// mean returns the mean load, with or without the servers that are leaving,
+// whichever is lower: they finish their work and would raise the bound of the
+// others, or, when they have little left, hide how uneven the load is.
+func (p *Pool) mean(now time.Time) float64 {
+	var all, staying float64
+	n := 0
+	for _, m := range p.members {
+		load := m.load(now)
+		all += load
+		if !m.server.Leaving {
+			staying += load
+			n++
+		}
 	}
-	return open, mean
+	return min(all/float64(max(len(p.members), 1)), staying/float64(max(n, 1)))
 }
 
 // pickHome follows the order: the servers that are known to hold the subject,
@@ -309,10 +319,13 @@
 		smallFactor = 1.25
 		// largeTokens is the size from which prompts get the whole factor.
 		largeTokens = 4000
-		// factorMargin keeps stale beliefs from exceeding the factor.
+		// factorMargin, and agedMargin for each second that the other routers'
+		// reports are old, keep stale beliefs from exceeding the factor.
 		factorMargin = 0.1
+		agedMargin   = 0.15
 	)
-	most := max(p.limits.CapFactor-factorMargin, smallFactor)
+	margin := factorMargin + agedMargin*p.peersAge.Seconds()
+	most := max(p.limits.CapFactor-margin, smallFactor)
 	share := min(float64(sharedTokens)/largeTokens, 1)
 	return (smallFactor+(most-smallFactor)*share)*mean + p.limits.CapExtra
 }
@@ -379,7 +392,7 @@
 	best := usable[start]
 	for i := 1; i < len(usable); i++ {
 		m := usable[(start+i)%len(usable)]
-		if lighter(now, m, best, job.DataCentre) {
+		if p.lighter(now, m, best, job.DataCentre) {
 			best = m
 		}
 	}
@@ -387,9 +400,8 @@
 }
 
 // lighter compares by load per slot, then by data centre.
-func lighter(now time.Time, a, b *member, dataCentre string) bool {
-	x := a.level(now) / float64(max(a.server.Slots, 1))
-	y := b.level(now) / float64(max(b.server.Slots, 1))
+func (p *Pool) lighter(now time.Time, a, b *member, dataCentre string) bool {
+	x, y := p.level(now, a), p.level(now, b)
 	if x != y {
 		return x < y
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -352,3 +352,30 @@
 		t.Errorf("requests by server: %v", chosen)
 	}
 }
+
+// Guards against a bound that servers which are leaving raise: their load counted
+// although they did not count as servers, and 122 of 2,259 requests went over the
+// bound while 42 engines were replaced.
+func TestLeavingServersDoNotRaiseTheMean(t *testing.T) {
+	p := pool(10)
+	list := servers(10)
+	loads := map[uint64]int{}
+	for i, s := range list {
+		s.Leaving = i < 5
+		loads[s.Key().Hash()] = 10
+	}
+	p.SetServers(list)
+	p.SetPeers(start, loads, 0)
+	if got := p.mean(start); got != 10 {
+		t.Errorf("mean %v, want 10", got)
+	}
+	for i, s := range list {
+		if i < 5 {
+			loads[s.Key().Hash()] = 0
+		}
+	}
+	p.SetPeers(start, loads, 0)
+	if got := p.mean(start); got != 5 {
+		t.Errorf("mean %v with idle leaving servers, want 5", got)
+	}
+}
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -121,9 +121,9 @@
 // SetPeers takes what the other routers together have in flight, by server, and
 // how old their reports are on average. A nil map means that none is heard.
 func (p *Pool) SetPeers(now time.Time, loads map[uint64]int, age time.Duration) {
+	p.peersAge = age
 	for _, m := range p.members {
 		m.peers = loads[m.hash]
-		m.peersAge = age
 		m.peersAt = now
 		if loads == nil {
 			m.peersAt = time.Time{}
--- a/internal/forward/world.go
+++ b/internal/forward/world.go
@@ -22,7 +22,7 @@
 	// sendTimeout ends a connection whose peer does not acknowledge data.
 	sendTimeout = 1500 * time.Millisecond
 	// idlePerServer bounds the idle connections kept to one server.
-	idlePerServer = 24
+	idlePerServer = 8
 	// idleTimeout retires idle connections before servers usually close them.
 	idleTimeout = 3 * time.Second
 	// headerBytes bounds the headers of an answer.
--- a/internal/front/belief.go
+++ b/internal/front/belief.go
@@ -27,7 +27,7 @@
 	serversPause = 900 * time.Millisecond
 	// relayedPause is the time between two reads of a router that others tell of
 	// news, in case all of them miss some.
-	relayedPause = 10 * time.Second
+	relayedPause = 15 * time.Second
 	// callTimeout bounds a call to the store beyond its wait.
 	callTimeout = time.Second
 	// expireInterval is how often the grace of removed servers is checked.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,7 +40,7 @@
 	bodyShare = 0.15
 	// collectAt starts a collection when the heap has grown by this percentage.
 	// Memory is dearer than processor time on the users' VMs.
-	collectAt = 40
+	collectAt = 15
 	// metricsInterval is how often counters reach the metrics page.
 	metricsInterval = 2 * time.Second
 	megabyte        = 1 << 20
