digest: a starting router asks one informed router for all holdings

Change: it asks one that says it is informed, and the answer is marked; news are gathered for 2 ms for each router known; the loads of the others are summed ten times a second at most; a peer counts as live for three of its periods.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -24,6 +24,7 @@
 		Whole:    rapid.Bool().Draw(t, "whole"),
 		Reading:  rapid.Bool().Draw(t, "reading"),
 		Informed: rapid.Bool().Draw(t, "informed"),
+		All:      rapid.Bool().Draw(t, "all"),
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "n") {
 		m.Peers = append(m.Peers, addr(rapid.IntRange(0, 255).Draw(t, "peer")))
@@ -251,3 +252,20 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// Guards against a starting router that asks everybody for all holdings: in a
+// fleet of 60 the answers took seconds of a small link.
+func TestOnlyInformedPeersAreAsked(t *testing.T) {
+	p := NewPeers(addr(1), nil)
+	for i := 2; i < 9; i++ {
+		p.Hear(start, addr(i), &Message{Sender: uint64(i), Informed: i == 5, Progress: []Progress{{0, 1}}})
+	}
+	for range 20 {
+		if got, ok := p.InformedPeer(start); !ok || got != addr(5) {
+			t.Fatalf("asks %v", got)
+		}
+	}
+	if _, ok := p.InformedPeer(start.Add(liveFor)); ok {
+		t.Error("asks a router that has fallen silent")
+	}
+}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -22,8 +22,13 @@
 	// readerPeriod is the longest period of a router that reads the store for
 	// others, which must notice soon when it fails.
 	readerPeriod = 400 * time.Millisecond
-	// promptDelay gathers the placements that are told at once.
-	promptDelay = 10 * time.Millisecond
+	// promptDelay and promptPerPeer gather the news that are told at once.
+	promptDelay   = 10 * time.Millisecond
+	promptPerPeer = 2 * time.Millisecond
+	// askPause is the time between two questions for all holdings.
+	askPause = 500 * time.Millisecond
+	// sumPause bounds how often the loads of the others are summed.
+	sumPause = 100 * time.Millisecond
 	// namedPeers is the number of other routers that a digest names.
 	namedPeers = 16
 	// pairsPerDatagram bounds the loads or holdings of one datagram.
@@ -71,6 +76,8 @@
 	recent []Holding
 	// informed is set once this router knows which servers hold the subjects.
 	informed bool
+	askedAt  time.Time
+	summedAt time.Time
 }
 
 // Listen opens the address for digests. All routers use the same port; the
@@ -141,15 +148,14 @@
 	now := time.Now()
 	e.mu.Lock()
 	isNew := e.peers.Hear(now, from, m)
-	loads, age := e.loads(now)
-	// The answer to WantAll has arrived or is on its way.
-	e.informed = e.informed || m.Informed && len(m.Holdings) > 0
+	e.informed = e.informed || m.All
+	sum := m.Whole && now.Sub(e.summedAt) >= sumPause
 	e.mu.Unlock()
 	if isNew {
 		e.events.Emit(event.PeerHeard, "peer", from.String(), "stopping", m.Stopping)
 	}
-	if m.Whole {
-		e.state.SetPeerLoads(loads, age)
+	if sum {
+		e.sumLoads(now)
 	}
 	if len(m.Holdings) > 0 {
 		e.state.Learn(m.Holdings)
@@ -158,10 +164,19 @@
 		e.state.LearnServers(m.Servers)
 	}
 	if m.WantAll {
-		e.sendHoldings([]netip.Addr{from}, e.state.Held())
+		e.sendHoldings([]netip.Addr{from}, e.state.Held(), true)
 	}
 }
 
+// sumLoads tells the state what the others have in flight.
+func (e *Exchange) sumLoads(now time.Time) {
+	e.mu.Lock()
+	e.summedAt = now
+	loads, age := e.loads(now)
+	e.mu.Unlock()
+	e.state.SetPeerLoads(loads, age)
+}
+
 // loads returns nil while no other router is heard, since a router that hears
 // nobody does not know that the others do nothing.
 func (e *Exchange) loads(now time.Time) (loads map[uint64]int, age time.Duration) {
@@ -182,7 +197,7 @@
 			e.sendTo(e.targets(), &Message{Sender: e.sender, Stopping: true})
 			return nil
 		case <-e.prompt:
-			time.Sleep(promptDelay)
+			time.Sleep(e.promptPause())
 			e.tell(false)
 		case <-timer.C:
 			timer.Reset(e.tell(true))
@@ -190,6 +205,10 @@
 	}
 }
 
+func (e *Exchange) promptPause() time.Duration {
+	return max(promptDelay, promptPerPeer*time.Duration(len(e.targets())))
+}
+
 func (e *Exchange) targets() []netip.Addr {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -201,20 +220,17 @@
 func (e *Exchange) tell(regular bool) time.Duration {
 	now := time.Now()
 	e.mu.Lock()
-	if regular {
-		e.peers.Expire(now)
-	}
 	targets := e.peers.Targets(now)
-	m := &Message{Sender: e.sender, WantAll: !e.informed, Informed: e.informed}
+	m := &Message{Sender: e.sender, Informed: e.informed}
 	if regular {
+		e.peers.Expire(now)
 		m.Peers = e.names(targets)
 	}
-	if regular {
-		e.state.SetPeerLoads(e.loads(now))
-	}
 	e.mu.Unlock()
 	m.Progress, m.Reading = e.state.Progress()
 	if regular {
+		e.sumLoads(now)
+		e.askAll(now)
 		m.Loads = e.state.Loads()
 		m.Whole = len(m.Loads) <= pairsPerDatagram
 	}
@@ -227,6 +243,21 @@
 	return e.period(len(targets))
 }
 
+// askAll asks one router that knows the holdings for all of them, until they
+// have come. One answer may be many datagrams.
+func (e *Exchange) askAll(now time.Time) {
+	e.mu.Lock()
+	peer, found := e.peers.InformedPeer(now)
+	ask := found && !e.informed && now.Sub(e.askedAt) >= askPause
+	if ask {
+		e.askedAt = now
+	}
+	e.mu.Unlock()
+	if ask {
+		e.sendTo([]netip.Addr{peer}, &Message{Sender: e.sender, WantAll: true})
+	}
+}
+
 // period returns the time between two regular digests to n routers.
 func (e *Exchange) period(n int) time.Duration {
 	p := periodFor(n)
@@ -244,9 +275,11 @@
 // MustList reports whether this router should ask the servers what they hold:
 // no other router can tell, and it is the first of those that wonder.
 func (e *Exchange) MustList() bool {
+	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.informed && e.peers.First(time.Now())
+	_, found := e.peers.InformedPeer(now)
+	return !e.informed && !found && e.peers.First(now)
 }
 
 // Informed reports whether this router knows which servers hold the subjects.
@@ -256,14 +289,13 @@
 	return e.informed
 }
 
-// Listed tells the others what the servers hold. A router that could ask none
-// of them calls it as well, since asking again would not help.
-func (e *Exchange) Listed(list []Holding) {
+// Listed notes that this router has asked the servers. The others ask it, and
+// each other. A router that got no answer calls it as well, since asking again
+// would not help.
+func (e *Exchange) Listed() {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.informed = true
-	targets := e.peers.Targets(time.Now())
-	e.mu.Unlock()
-	e.sendHoldings(targets, list)
 }
 
 // names returns some of the known routers, others each time.
@@ -296,14 +328,14 @@
 		list = append(placed, e.recent...)
 		e.recent = nil
 	}
-	e.sendHoldings(targets, list)
+	e.sendHoldings(targets, list, false)
 	e.recent = append(e.recent, placed...)
 }
 
-func (e *Exchange) sendHoldings(targets []netip.Addr, list []Holding) {
+func (e *Exchange) sendHoldings(targets []netip.Addr, list []Holding, all bool) {
 	for len(list) > 0 {
 		n := min(pairsPerDatagram, len(list))
-		e.sendTo(targets, &Message{Sender: e.sender, Informed: e.Informed(), Holdings: list[:n]})
+		e.sendTo(targets, &Message{Sender: e.sender, All: all, Holdings: list[:n]})
 		list = list[n:]
 	}
 }
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -63,6 +63,8 @@
 	Stopping bool
 	// WantAll asks for all holdings; a starting router sets it.
 	WantAll bool
+	// All marks the holdings that answer WantAll.
+	All bool
 	// Whole is set when Loads name every server with requests in flight.
 	Whole bool
 	// Reading is set while the sender reads the store and gets answers.
@@ -89,6 +91,7 @@
 	fieldProgress = 9
 	fieldInformed = 10
 	fieldServer   = 11
+	fieldAll      = 12
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -100,6 +103,7 @@
 	b = appendFixed(b, fieldSender, m.Sender)
 	b = appendBool(b, fieldStopping, m.Stopping)
 	b = appendBool(b, fieldWantAll, m.WantAll)
+	b = appendBool(b, fieldAll, m.All)
 	b = appendBool(b, fieldWhole, m.Whole)
 	b = appendBool(b, fieldReading, m.Reading)
 	b = appendBool(b, fieldInformed, m.Informed)
@@ -203,6 +207,8 @@
 		m.Stopping = v != 0
 	case fieldWantAll:
 		m.WantAll = v != 0
+	case fieldAll:
+		m.All = v != 0
 	case fieldWhole:
 		m.Whole = v != 0
 	case fieldReading:
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -1,7 +1,6 @@
 package digest
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -12,8 +11,10 @@
 	// datagram. Another one must take over well within the time in which a
 	// leaving server must be noticed.
 	readerLiveFor = 1200 * time.Millisecond
-	// liveFor is how long a peer counts as live after its last datagram.
-	liveFor = 2500 * time.Millisecond
+	// liveFor is how long a peer counts as live after its last datagram, at
+	// least; in a large fleet it is livePeriods of its usual period.
+	liveFor     = 2500 * time.Millisecond
+	livePeriods = 3
 	// knownFor is how long a silent peer is still sent to, in case it returns.
 	knownFor = 20 * time.Second
 	// maxKnown bounds the peers that are remembered.
@@ -26,8 +27,10 @@
 	Sender  uint64
 	Heard   time.Time
 	Reading bool
-	loads   map[uint64]int
-	news    map[int]int64
+	// Informed is set while the peer knows which servers hold the subjects.
+	Informed bool
+	loads    map[uint64]int
+	news     map[int]int64
 	// told is when another router named the peer.
 	told time.Time
 }
@@ -66,6 +69,7 @@
 	peer.Heard = now
 	if len(m.Progress) > 0 {
 		peer.Reading = m.Reading
+		peer.Informed = m.Informed
 	}
 	if m.Whole {
 		peer.loads = make(map[uint64]int, len(m.Loads))
@@ -110,7 +114,7 @@
 	live := 0
 	for a, peer := range p.known {
 		targets = append(targets, a)
-		if peer.live(now) {
+		if p.live(peer, now) {
 			live++
 		}
 	}
@@ -125,20 +129,33 @@
 	return targets
 }
 
-// Live returns the peers heard lately, by address.
+// Live returns the peers heard lately, in no order.
 func (p *Peers) Live(now time.Time) []*Peer {
-	var live []*Peer
+	live := make([]*Peer, 0, len(p.known))
 	for _, peer := range p.known {
-		if peer.live(now) {
+		if p.live(peer, now) {
 			live = append(live, peer)
 		}
 	}
-	slices.SortFunc(live, func(a, b *Peer) int { return cmp.Compare(a.Addr.String(), b.Addr.String()) })
 	return live
 }
 
-func (p *Peer) live(now time.Time) bool {
-	return !p.Heard.IsZero() && now.Sub(p.Heard) < liveFor
+// InformedPeer returns a live peer that knows which servers hold the subjects.
+// The choice is left to chance, so that many starting routers ask different
+// ones.
+func (p *Peers) InformedPeer(now time.Time) (netip.Addr, bool) {
+	// The order of a map's elements is random.
+	for _, peer := range p.known {
+		if p.live(peer, now) && peer.Informed {
+			return peer.Addr, true
+		}
+	}
+	return netip.Addr{}, false
+}
+
+func (p *Peers) live(peer *Peer, now time.Time) bool {
+	span := max(liveFor, livePeriods*periodFor(len(p.known)))
+	return !peer.Heard.IsZero() && now.Sub(peer.Heard) < span
 }
 
 // Loads sums what live peers have in flight at each server.
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -73,8 +73,8 @@
 // which are the shared ones and cost most to read again.
 const keptParts = 48
 
-// LearnKept notes the largest parts that an engine keeps and returns them as holdings.
-func (w *World) LearnKept(s *registry.Server, parts []KeptPart) []digest.Holding {
+// LearnKept notes the largest parts that an engine keeps and returns their number.
+func (w *World) LearnKept(s *registry.Server, parts []KeptPart) int {
 	slices.SortFunc(parts, func(a, b KeptPart) int { return cmp.Compare(b.Part.Tokens, a.Part.Tokens) })
 	parts = parts[:min(keptParts, len(parts))]
 	server := s.Key().Hash()
@@ -83,5 +83,5 @@
 		list = append(list, digest.Holding{Subject: subjectHash(p.Model, p.Part.ID), Server: server})
 	}
 	w.Learn(list)
-	return list
+	return len(list)
 }
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
@@ -21,7 +21,7 @@
 )
 
 // takeInventory asks the engines what they hold when all routers have started
-// anew and none can tell. One router does so and tells the others.
+// anew and none can tell. One router does so; the others ask it.
 func (f *Front) takeInventory(ctx context.Context) error {
 	tick := time.NewTicker(inventoryWait)
 	defer tick.Stop()
@@ -32,40 +32,37 @@
 		case <-tick.C:
 		}
 		if f.belief.ready() && f.exchange.MustList() {
-			f.exchange.Listed(f.askEngines(ctx))
+			f.askEngines(ctx)
+			f.exchange.Listed()
 		}
 	}
 	return nil
 }
 
-func (f *Front) askEngines(ctx context.Context) []digest.Holding {
-	var mu sync.Mutex
+func (f *Front) askEngines(ctx context.Context) {
 	var wg sync.WaitGroup
-	var all []digest.Holding
+	var holdings atomic.Int64
 	gate := make(chan struct{}, inventoryCalls)
 	engines := f.world.Engines()
 	for _, s := range engines {
 		wg.Go(func() {
 			gate <- struct{}{}
 			defer func() { <-gate }()
-			list := f.askEngine(ctx, s)
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, list...)
+			holdings.Add(int64(f.askEngine(ctx, s)))
 		})
 	}
 	wg.Wait()
-	f.events.Emit(event.InventoryTaken, "engines", len(engines), "holdings", len(all))
-	return all
+	f.events.Emit(event.InventoryTaken, "engines", len(engines), "holdings", holdings.Load())
 }
 
-func (f *Front) askEngine(ctx context.Context, s *registry.Server) []digest.Holding {
+// askEngine notes what one engine holds and returns the number of holdings.
+func (f *Front) askEngine(ctx context.Context, s *registry.Server) int {
 	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
 	defer cancel()
 	parts, err := f.platform.Inventory(ctx, s.Addr)
 	if err != nil {
 		f.events.Emit(event.InventoryFailed, "server", s.ID, "error", err.Error())
-		return nil
+		return 0
 	}
 	return f.world.LearnKept(s, parts)
 }
