digest: in a large fleet the readers of the store sum up the loads

Change: each router tells its loads to the three readers every 0.25 s, and they tell the sums to all; loads take 6 B each instead of 20.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -31,7 +31,7 @@
 	// levelFresh is the age of the other routers' reports up to which plain
 	// requests are levelled by them. Older ones would send all routers to the
 	// server that was the least loaded a while ago.
-	levelFresh = 400 * time.Millisecond
+	levelFresh = 200 * time.Millisecond
 	// reportFresh is the age up to which the load that a server reports goes
 	// before the sum of what the other routers report.
 	reportFresh = 300 * time.Millisecond
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -188,6 +188,10 @@
 	}
 }
 
+func lookup(loads map[uint64]int) func(uint64) int {
+	return func(server uint64) int { return loads[server] }
+}
+
 // shareLoads gives each router the sum of the others' requests in flight.
 func shareLoads(pools []*Pool, now time.Time) {
 	for i, p := range pools {
@@ -197,7 +201,7 @@
 				other.InFlight(func(server uint64, n int) { sum[server] += n })
 			}
 		}
-		p.SetPeers(now, sum, 100*time.Millisecond)
+		p.SetPeers(now, lookup(sum), true, 100*time.Millisecond)
 	}
 }
 
@@ -345,7 +349,7 @@
 			m.server.Engine = false
 			loads[m.hash] = j
 		}
-		p.SetPeers(start, loads, time.Second)
+		p.SetPeers(start, lookup(loads), true, time.Second)
 		chosen[pick(t, p, start, Job{Random: uint64(i), DataCentre: "elsewhere"}).Server.ID]++
 	}
 	if len(chosen) != 5 {
@@ -365,7 +369,7 @@
 		loads[s.Key().Hash()] = 10
 	}
 	p.SetServers(list)
-	p.SetPeers(start, loads, 0)
+	p.SetPeers(start, lookup(loads), true, 0)
 	if got := p.mean(start); got != 10 {
 		t.Errorf("mean %v, want 10", got)
 	}
@@ -374,7 +378,7 @@
 			loads[s.Key().Hash()] = 0
 		}
 	}
-	p.SetPeers(start, loads, 0)
+	p.SetPeers(start, lookup(loads), true, 0)
 	if got := p.mean(start); got != 5 {
 		t.Errorf("mean %v with idle leaving servers, want 5", got)
 	}
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -118,15 +118,15 @@
 	}
 }
 
-// SetPeers takes what the other routers together have in flight, by server, and
-// how old their reports are on average. A nil map means that none is heard.
-func (p *Pool) SetPeers(now time.Time, loads map[uint64]int, age time.Duration) {
+// SetPeers takes what the other routers together have in flight at a server,
+// and how old their reports are on average. Unless they are heard, the loads
+// that the servers report count.
+func (p *Pool) SetPeers(now time.Time, inFlight func(server uint64) int, heard bool, age time.Duration) {
 	p.peersAge = age
 	for _, m := range p.members {
-		m.peers = loads[m.hash]
-		m.peersAt = now
-		if loads == nil {
-			m.peersAt = time.Time{}
+		m.peers, m.peersAt = 0, time.Time{}
+		if heard {
+			m.peers, m.peersAt = inFlight(m.hash), now
 		}
 	}
 }
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -28,7 +28,8 @@
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "n") {
 		m.Peers = append(m.Peers, addr(rapid.IntRange(0, 255).Draw(t, "peer")))
-		m.Loads = append(m.Loads, Load{rapid.Uint64().Draw(t, "server"), rapid.IntRange(0, 1000).Draw(t, "load")})
+		m.Loads = append(m.Loads, Load{rapid.Uint32().Draw(t, "server"), rapid.IntRange(0, 1000).Draw(t, "load")})
+		m.Sums = append(m.Sums, Load{rapid.Uint32().Draw(t, "summed"), rapid.IntRange(0, 1000).Draw(t, "sum")})
 		m.Holdings = append(m.Holdings, Holding{rapid.Uint64().Draw(t, "subject"), rapid.Uint64().Draw(t, "holder")})
 		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), rapid.Int64().Draw(t, "news")})
 		m.Servers = append(m.Servers, drawServer(t))
@@ -89,11 +90,11 @@
 	if got := p.Loads(start.Add(time.Second)); got[7] != 5 || got[8] != 1 {
 		t.Errorf("loads %v", got)
 	}
-	if got := p.Loads(start.Add(liveFor)); got[7] != 2 || got[8] != 0 {
+	if got := p.Loads(start.Add(loadsFor)); got[7] != 2 || got[8] != 0 {
 		t.Errorf("loads after a router fell silent: %v", got)
 	}
-	p.Hear(start.Add(liveFor), addr(3), &Message{Sender: 3, Stopping: true})
-	if got := p.Loads(start.Add(liveFor)); len(got) != 0 {
+	p.Hear(start.Add(loadsFor), addr(3), &Message{Sender: 3, Stopping: true})
+	if got := p.Loads(start.Add(loadsFor)); len(got) != 0 {
 		t.Errorf("loads after the other router stopped: %v", got)
 	}
 }
@@ -153,7 +154,7 @@
 	held    []Holding
 	placed  []Holding
 	learnt  map[Holding]bool
-	loads   map[uint64]int
+	loads   map[uint32]int
 	servers []ServerNews
 }
 
@@ -171,7 +172,7 @@
 
 func (s *state) Progress() ([]Progress, bool) { return []Progress{{Topic: 0, News: 11}}, true }
 
-func (s *state) SetPeerLoads(loads map[uint64]int, _ time.Duration) {
+func (s *state) SetPeerLoads(loads map[uint32]int, _ time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loads = loads
@@ -265,7 +266,7 @@
 			t.Fatalf("asks %v", got)
 		}
 	}
-	if _, ok := p.InformedPeer(start.Add(liveFor)); ok {
+	if _, ok := p.InformedPeer(start.Add(livePeriods * periodLeast)); ok {
 		t.Error("asks a router that has fallen silent")
 	}
 }
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,13 +16,16 @@
 )
 
 const (
-	// periodLeast and periodPerPeer set the pace of a router's digests, so that
-	// what it sends grows less than the fleet.
-	periodLeast   = 250 * time.Millisecond
+	// tick is how often a router tells its loads.
+	tick = 250 * time.Millisecond
+	// smallFleet is the number of other routers up to which each tells its loads
+	// to all. In a larger one it tells the readers of the store, which sum them
+	// up and tell the sums to all.
+	smallFleet = 12
+	// periodLeast and periodPerPeer set the pace of a router's digests to all, so
+	// that what it sends grows less than the fleet.
+	periodLeast   = time.Second
 	periodPerPeer = 35 * time.Millisecond
-	// readerPeriod is the longest period of a router that reads the store for
-	// others, which must notice soon when it fails.
-	readerPeriod = 400 * time.Millisecond
 	// promptDelay and promptPerPeer gather the news that are told at once.
 	promptDelay   = 10 * time.Millisecond
 	promptPerPeer = 2 * time.Millisecond
@@ -31,10 +35,15 @@
 	sumPause = 100 * time.Millisecond
 	// namedPeers is the number of other routers that a digest names.
 	namedPeers = 16
-	// pairsPerDatagram bounds the loads or holdings of one datagram.
+	// pairsPerDatagram bounds the holdings of one datagram, loadsPerDatagram its
+	// loads.
 	pairsPerDatagram = 56
+	loadsPerDatagram = 200
 	// serversPerDatagram bounds the changes of servers of one datagram.
 	serversPerDatagram = 8
+	// Average ages of the others' loads: told by themselves, or as sums.
+	directAge = tick / 2
+	summedAge = tick
 )
 
 // State is what a router tells and learns. Its methods are called from the
@@ -51,7 +60,7 @@
 	Progress() (list []Progress, reading bool)
 	// SetPeerLoads takes the sum of the other routers' loads and the average age
 	// of their reports; nil when none is heard.
-	SetPeerLoads(loads map[uint64]int, age time.Duration)
+	SetPeerLoads(loads map[uint32]int, age time.Duration)
 	// Learn takes placements of another router.
 	Learn(list []Holding)
 	// ServerNews returns the changes of servers that were read in the store lately.
@@ -78,6 +87,11 @@
 	informed bool
 	askedAt  time.Time
 	summedAt time.Time
+	regular  time.Time
+	// told are the own loads that the others know; sumsAt is when another router
+	// last told sums.
+	told   map[uint32]int
+	sumsAt time.Time
 }
 
 // Listen opens the address for digests. All routers use the same port; the
@@ -149,7 +163,8 @@
 	e.mu.Lock()
 	isNew := e.peers.Hear(now, from, m)
 	e.informed = e.informed || m.All
-	sum := m.Whole && now.Sub(e.summedAt) >= sumPause
+	small := e.small()
+	sum := m.Whole && small && now.Sub(e.summedAt) >= sumPause
 	e.mu.Unlock()
 	if isNew {
 		e.events.Emit(event.PeerHeard, "peer", from.String(), "stopping", m.Stopping)
@@ -157,6 +172,9 @@
 	if sum {
 		e.sumLoads(now)
 	}
+	if len(m.Sums) > 0 && !small {
+		e.takeSums(now, m.Sums)
+	}
 	if len(m.Holdings) > 0 {
 		e.state.Learn(m.Holdings)
 	}
@@ -168,29 +186,39 @@
 	}
 }
 
-// sumLoads tells the state what the others have in flight.
+// small reports whether routers tell their loads to all. The caller holds e.mu.
+func (e *Exchange) small() bool { return len(e.peers.known) <= smallFleet }
+
+// sumLoads tells the state what the others have told of their loads. A router
+// that hears nobody does not know that the others do nothing.
 func (e *Exchange) sumLoads(now time.Time) {
 	e.mu.Lock()
 	e.summedAt = now
-	loads, age := e.loads(now)
+	var loads map[uint32]int
+	if len(e.peers.Live(now)) > 0 {
+		loads = e.peers.Loads(now)
+	}
 	e.mu.Unlock()
-	e.state.SetPeerLoads(loads, age)
+	e.state.SetPeerLoads(loads, directAge)
 }
 
-// loads returns nil while no other router is heard, since a router that hears
-// nobody does not know that the others do nothing.
-func (e *Exchange) loads(now time.Time) (loads map[uint64]int, age time.Duration) {
-	n := len(e.peers.Live(now))
-	if n == 0 {
-		return nil, 0
+// takeSums takes the loads of all routers and leaves this router's own out.
+func (e *Exchange) takeSums(now time.Time, sums []Load) {
+	e.mu.Lock()
+	e.sumsAt = now
+	loads := make(map[uint32]int, len(sums))
+	for _, l := range sums {
+		loads[l.Server] = max(l.InFlight-e.told[l.Server], 0)
 	}
-	return e.peers.Loads(now), periodFor(n) / 2
+	e.mu.Unlock()
+	e.state.SetPeerLoads(loads, summedAge)
 }
 
 // Send tells the others what this router does until ctx ends.
 func (e *Exchange) Send(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	e.tell(true)
 	for {
 		select {
 		case <-ctx.Done():
@@ -199,8 +227,11 @@
 		case <-e.prompt:
 			time.Sleep(e.promptPause())
 			e.tell(false)
-		case <-timer.C:
-			timer.Reset(e.tell(true))
+		case now := <-ticker.C:
+			if now.Sub(e.regular) >= periodFor(len(e.targets())) {
+				e.tell(true)
+			}
+			e.tellLoads(now)
 		}
 	}
 }
@@ -215,32 +246,90 @@
 	return e.peers.Targets(time.Now())
 }
 
-// tell sends a digest to all known routers and returns the time until the next.
-// A regular digest holds the loads; a prompt one only what is new.
-func (e *Exchange) tell(regular bool) time.Duration {
+// message returns a message with what every digest holds.
+func (e *Exchange) message() *Message {
+	m := &Message{Sender: e.sender, Informed: e.Informed()}
+	m.Progress, m.Reading = e.state.Progress()
+	return m
+}
+
+// tell sends a digest to all known routers. A regular one names other routers,
+// a prompt one only what is new.
+func (e *Exchange) tell(regular bool) {
 	now := time.Now()
+	m := e.message()
 	e.mu.Lock()
 	targets := e.peers.Targets(now)
-	m := &Message{Sender: e.sender, Informed: e.informed}
 	if regular {
+		e.regular = now
 		e.peers.Expire(now)
 		m.Peers = e.names(targets)
 	}
 	e.mu.Unlock()
-	m.Progress, m.Reading = e.state.Progress()
+	e.tellServers(targets)
+	e.sendTo(targets, m)
+	e.tellPlaced(targets, regular)
 	if regular {
-		e.sumLoads(now)
 		e.askAll(now)
-		m.Loads = e.state.Loads()
-		m.Whole = len(m.Loads) <= pairsPerDatagram
 	}
+}
+
+// tellLoads sends the own loads to all routers, or in a large fleet to the
+// readers of the store. A reader sends the sums to all.
+func (e *Exchange) tellLoads(now time.Time) {
+	own := e.state.Loads()
+	m := e.message()
+	m.Loads = own
+	m.Whole = len(own) <= loadsPerDatagram
 	if !m.Whole {
 		m.Loads = nil
 	}
-	e.tellServers(targets)
+	e.mu.Lock()
+	targets := e.peers.Targets(now)
+	small := e.small()
+	readers := e.peers.Readers(now)
+	e.told = make(map[uint32]int, len(own))
+	for _, l := range own {
+		e.told[l.Server] = l.InFlight
+	}
+	stale := now.Sub(e.sumsAt) >= loadsFor
+	e.mu.Unlock()
+	reader := slices.Contains(readers, e.peers.self)
+	switch {
+	case small:
+		e.sendTo(targets, m)
+		e.sumLoads(now)
+	case reader:
+		e.sendTo(without(readers, e.peers.self), m)
+		e.sumLoads(now)
+		e.tellSums(now, targets)
+	default:
+		e.sendTo(readers, m)
+		if stale {
+			e.state.SetPeerLoads(nil, 0)
+		}
+	}
+}
+
+// tellSums sends the loads of all routers to all.
+func (e *Exchange) tellSums(now time.Time, targets []netip.Addr) {
+	e.mu.Lock()
+	sums := e.peers.Loads(now)
+	for server, n := range e.told {
+		sums[server] += n
+	}
+	e.mu.Unlock()
+	m := e.message()
+	for server, n := range sums {
+		if len(m.Sums) < loadsPerDatagram {
+			m.Sums = append(m.Sums, Load{Server: server, InFlight: n})
+		}
+	}
 	e.sendTo(targets, m)
-	e.tellPlaced(targets, regular)
-	return e.period(len(targets))
+}
+
+func without(list []netip.Addr, self netip.Addr) []netip.Addr {
+	return slices.DeleteFunc(slices.Clone(list), func(a netip.Addr) bool { return a == self })
 }
 
 // askAll asks one router that knows the holdings for all of them, until they
@@ -258,15 +347,6 @@
 	}
 }
 
-// period returns the time between two regular digests to n routers.
-func (e *Exchange) period(n int) time.Duration {
-	p := periodFor(n)
-	if e.Reader() {
-		p = min(p, readerPeriod)
-	}
-	return p
-}
-
 // periodFor is the usual period of a router that knows n others.
 func periodFor(n int) time.Duration {
 	return max(periodLeast, periodPerPeer*time.Duration(n))
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -21,19 +21,23 @@
 	maxDatagram = 1400
 	// Bounds of what one message may hold, against broken senders.
 	maxPeers    = 512
-	maxLoads    = 512
+	maxLoads    = 2048
 	maxHoldings = 256
 	maxTopics   = 8
 	maxServers  = 64
 )
 
-// Load is the number of a router's requests in flight at a server.
+// Load is the number of requests in flight at a server.
 type Load struct {
-	// Server is the hash of the incarnation.
-	Server   uint64
+	// Server is the short hash of the incarnation, see Short.
+	Server   uint32
 	InFlight int
 }
 
+// Short returns the part of an incarnation's hash that loads name it by. A
+// collision would mix up the loads of two servers.
+func Short(hash uint64) uint32 { return uint32(hash >> 32) }
+
 // Holding tells that a server has read the shared parts of a prompt.
 type Holding struct {
 	Subject uint64
@@ -72,7 +76,11 @@
 	// Informed is set by a router that knows which servers hold the subjects.
 	Informed bool
 	Peers    []netip.Addr
-	Loads    []Load
+	// Loads are the sender's own requests in flight.
+	Loads []Load
+	// Sums are those of all routers together, the sender's and the receiver's
+	// included.
+	Sums     []Load
 	Holdings []Holding
 	Progress []Progress
 	Servers  []ServerNews
@@ -92,6 +100,7 @@
 	fieldInformed = 10
 	fieldServer   = 11
 	fieldAll      = 12
+	fieldSums     = 13
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -111,9 +120,8 @@
 		b = protowire.AppendTag(b, fieldPeer, protowire.BytesType)
 		b = protowire.AppendBytes(b, p.AsSlice())
 	}
-	for _, l := range m.Loads {
-		b = appendPair(b, fieldLoad, l.Server, uint64(l.InFlight))
-	}
+	b = appendLoads(b, fieldLoad, m.Loads)
+	b = appendLoads(b, fieldSums, m.Sums)
 	for _, h := range m.Holdings {
 		b = appendPair(b, fieldHolding, h.Subject, h.Server)
 	}
@@ -140,6 +148,38 @@
 	return protowire.AppendVarint(b, 1)
 }
 
+// appendLoads packs loads as a fixed32 and a varint each.
+func appendLoads(b []byte, field protowire.Number, loads []Load) []byte {
+	if len(loads) == 0 {
+		return b
+	}
+	packed := make([]byte, 0, 6*len(loads))
+	for _, l := range loads {
+		packed = protowire.AppendFixed32(packed, l.Server)
+		packed = protowire.AppendVarint(packed, uint64(l.InFlight))
+	}
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	return protowire.AppendBytes(b, packed)
+}
+
+func takeLoads(b []byte) ([]Load, error) {
+	const mostInFlight = 1 << 20
+	var loads []Load
+	for len(b) > 0 {
+		server, n := protowire.ConsumeFixed32(b)
+		if n < 0 {
+			return nil, errMalformed
+		}
+		count, used := protowire.ConsumeVarint(b[n:])
+		if used < 0 || count > mostInFlight || len(loads) >= maxLoads {
+			return nil, errMalformed
+		}
+		loads = append(loads, Load{Server: server, InFlight: int(count)})
+		b = b[n+used:]
+	}
+	return loads, nil
+}
+
 func appendPair(b []byte, field protowire.Number, first, second uint64) []byte {
 	var pair [2 * 9]byte
 	inner := appendFixed(pair[:0], fieldFirst, first)
@@ -224,24 +264,32 @@
 	if n < 0 {
 		return nil, errMalformed
 	}
-	if field == fieldServer {
-		return b[n:], m.takeServer(v)
+	var err error
+	switch field {
+	case fieldServer:
+		err = m.takeServer(v)
+	case fieldLoad:
+		m.Loads, err = takeLoads(v)
+	case fieldSums:
+		m.Sums, err = takeLoads(v)
+	case fieldPeer:
+		err = m.takePeer(v)
+	case fieldHolding, fieldProgress:
+		err = m.takePair(field, v)
 	}
-	if field == fieldPeer {
-		addr, ok := netip.AddrFromSlice(v)
-		if !ok || len(m.Peers) >= maxPeers {
-			return nil, errMalformed
-		}
-		m.Peers = append(m.Peers, addr)
-		return b[n:], nil
+	return b[n:], err
+}
+
+func (m *Message) takePeer(b []byte) error {
+	addr, ok := netip.AddrFromSlice(b)
+	if !ok || len(m.Peers) >= maxPeers {
+		return errMalformed
 	}
-	return b[n:], m.takePair(field, v)
+	m.Peers = append(m.Peers, addr)
+	return nil
 }
 
 func (m *Message) takePair(field protowire.Number, b []byte) error {
-	if field != fieldLoad && field != fieldHolding && field != fieldProgress {
-		return nil
-	}
 	var pair [2]uint64
 	for len(b) > 0 {
 		inner, kind, n := protowire.ConsumeTag(b)
@@ -261,10 +309,7 @@
 }
 
 func (m *Message) addPair(field protowire.Number, first, second uint64) error {
-	const mostInFlight = 1 << 20
 	switch {
-	case field == fieldLoad && len(m.Loads) < maxLoads && second <= mostInFlight:
-		m.Loads = append(m.Loads, Load{Server: first, InFlight: int(second)})
 	case field == fieldHolding && len(m.Holdings) < maxHoldings:
 		m.Holdings = append(m.Holdings, Holding{Subject: first, Server: second})
 	case field == fieldProgress && len(m.Progress) < maxTopics && first < maxTopics:
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -15,6 +15,8 @@
 	// least; in a large fleet it is livePeriods of its usual period.
 	liveFor     = 2500 * time.Millisecond
 	livePeriods = 3
+	// loadsFor is how long the loads of a router count after it has told them.
+	loadsFor = 1500 * time.Millisecond
 	// knownFor is how long a silent peer is still sent to, in case it returns.
 	knownFor = 20 * time.Second
 	// maxKnown bounds the peers that are remembered.
@@ -29,7 +31,8 @@
 	Reading bool
 	// Informed is set while the peer knows which servers hold the subjects.
 	Informed bool
-	loads    map[uint64]int
+	loads    map[uint32]int
+	loadsAt  time.Time
 	news     map[int]int64
 	// told is when another router named the peer.
 	told time.Time
@@ -72,7 +75,8 @@
 		peer.Informed = m.Informed
 	}
 	if m.Whole {
-		peer.loads = make(map[uint64]int, len(m.Loads))
+		peer.loadsAt = now
+		peer.loads = make(map[uint32]int, len(m.Loads))
 		for _, l := range m.Loads {
 			peer.loads[l.Server] = l.InFlight
 		}
@@ -158,10 +162,13 @@
 	return !peer.Heard.IsZero() && now.Sub(peer.Heard) < span
 }
 
-// Loads sums what live peers have in flight at each server.
-func (p *Peers) Loads(now time.Time) map[uint64]int {
-	sum := make(map[uint64]int)
-	for _, peer := range p.Live(now) {
+// Loads sums what the other routers have told lately of their requests in flight.
+func (p *Peers) Loads(now time.Time) map[uint32]int {
+	sum := make(map[uint32]int)
+	for _, peer := range p.known {
+		if now.Sub(peer.loadsAt) >= loadsFor {
+			continue
+		}
 		for server, n := range peer.loads {
 			sum[server] += n
 		}
@@ -197,11 +204,18 @@
 // Reader reports whether this router is one of those that read the store for
 // all: the first by address among the live ones that get answers.
 func (p *Peers) Reader(now time.Time) bool {
-	before := 0
-	for _, peer := range p.Live(now) {
-		if peer.Reading && now.Sub(peer.Heard) < readerLiveFor && peer.Addr.Less(p.self) {
-			before++
+	return slices.Contains(p.Readers(now), p.self)
+}
+
+// Readers returns the addresses of the readers. This router counts as live and
+// as getting answers.
+func (p *Peers) Readers(now time.Time) []netip.Addr {
+	list := []netip.Addr{p.self}
+	for _, peer := range p.known {
+		if peer.Reading && now.Sub(peer.Heard) < readerLiveFor {
+			list = append(list, peer.Addr)
 		}
 	}
-	return before < readers
+	slices.SortFunc(list, netip.Addr.Compare)
+	return list[:min(readers, len(list))]
 }
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -26,7 +26,7 @@
 	var list []digest.Load
 	w.each(func(p *pool) {
 		p.balance.InFlight(func(server uint64, n int) {
-			list = append(list, digest.Load{Server: server, InFlight: n})
+			list = append(list, digest.Load{Server: digest.Short(server), InFlight: n})
 		})
 	})
 	return list
@@ -54,9 +54,11 @@
 }
 
 // SetPeerLoads takes the sum of the other routers' loads.
-func (w *World) SetPeerLoads(loads map[uint64]int, age time.Duration) {
+func (w *World) SetPeerLoads(loads map[uint32]int, age time.Duration) {
 	now := time.Now()
-	w.each(func(p *pool) { p.balance.SetPeers(now, loads, age) })
+	w.each(func(p *pool) {
+		p.balance.SetPeers(now, func(server uint64) int { return loads[digest.Short(server)] }, loads != nil, age)
+	})
 }
 
 // Learn takes placements of another router.
