soak: a randomized fault test of the real binary

Routers as processes, stand-ins of store and engines behind proxies, callers on kept connections, faults drawn from a seed. It checks runs, refusals, answers, leaving servers, planned stops and recovery, and writes a page on demand.

--- /dev/null
+++ b/internal/soak/fleet_test.go
@@ -0,0 +1,258 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/platform"
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
+)
+
+// router is one process of the fleet.
+type router struct {
+	name  string
+	host  string
+	ports [4]int
+	store *proxy
+	file  string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+}
+
+func (r *router) base() string { return fmt.Sprintf("http://%s:%d", r.host, r.ports[0]) }
+func (r *router) ready() string {
+	return fmt.Sprintf("http://%s:%d%s", r.host, r.ports[1], platform.ReadyPath)
+}
+
+// server is an engine or a plain server behind its proxy.
+type server struct {
+	*platformtest.Engine
+	proxy *proxy
+	pool  string
+}
+
+// fleet is everything that runs in a soak.
+type fleet struct {
+	t       *testing.T
+	dir     string
+	binary  string
+	store   *platformtest.Store
+	servers []*server
+	routers []*router
+
+	mu      sync.Mutex
+	version int
+	key     string
+	spans   []span
+}
+
+// span is the time of a fault that was played.
+type span struct {
+	kind string
+	// what is the name of the router or the server that was hit; empty for all.
+	what     string
+	from, to time.Time
+}
+
+func (f *fleet) note(s span) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.spans = append(f.spans, s)
+}
+
+// hostBase keeps the addresses of a soak apart from those of other tests.
+const hostBase = "127.0.77."
+
+func startFleet(t *testing.T, routers int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), store: platformtest.NewStore(), key: "k1"}
+	t.Cleanup(f.store.Close)
+	f.binary = filepath.Join(f.dir, "bluebellwell")
+	build := exec.Command("go", "build", "-o", f.binary, "../../cmd/bluebellwell")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for i := range 9 {
+		f.addServer(i)
+	}
+	f.publish()
+	for i := range routers {
+		f.addRouter(i)
+	}
+	for _, r := range f.routers {
+		f.launch(r)
+	}
+	for _, r := range f.routers {
+		f.awaitReady(r)
+	}
+	return f
+}
+
+// plainServers of the servers are plain, the others are engines.
+const plainServers = 3
+
+func (f *fleet) addServer(i int) {
+	e := platformtest.NewEngine(fmt.Sprintf("i-%d", i))
+	e.Pace(8 * time.Millisecond)
+	p, err := newProxy(e.Addr())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s := &server{Engine: e, proxy: p, pool: "engines"}
+	if i < plainServers {
+		s.pool = "plain"
+	}
+	f.servers = append(f.servers, s)
+	f.t.Cleanup(e.Close)
+	f.t.Cleanup(p.close)
+	f.register(s, "ready")
+}
+
+func (f *fleet) register(s *server, state string) {
+	f.store.Put(platform.TopicServers, s.ID, s.EntryAt(s.pool, state, s.proxy.addr()))
+}
+
+func (f *fleet) addRouter(i int) {
+	p, err := newProxy(f.store.Addr())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(p.close)
+	r := &router{name: fmt.Sprintf("front-%d", i+1), host: fmt.Sprintf("%s%d", hostBase, i+1), store: p}
+	for j := range r.ports {
+		r.ports[j] = freePort(f.t, r.host)
+	}
+	if i > 0 {
+		// All routers take digests at the same port.
+		r.ports[3] = f.routers[0].ports[3]
+	}
+	f.routers = append(f.routers, r)
+	r.file = filepath.Join(f.dir, r.name+".json")
+	f.writeSettings(r)
+}
+
+func freePort(t *testing.T, host string) int {
+	t.Helper()
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (f *fleet) writeSettings(r *router) {
+	at := func(i int) string { return fmt.Sprintf("%s:%d", r.host, r.ports[i]) }
+	data, err := json.Marshal(map[string]any{
+		"vm": r.name, "data_centre": "hall-a", "region": "south",
+		"listen": map[string]string{"callers": at(0), "readiness": at(1), "metrics": at(2), "peers": at(3)},
+		"seeds":  []string{hostBase + "1:1", hostBase + "2:1"},
+		"store":  map[string]string{"address": r.store.addr()},
+		"limits": map[string]int{"memory_mb": 200, "cores": 1},
+		"bounds": map[string]any{"stop": "6s", "load_multiple": 2, "retry_ratio": 0.2, "retry_extra": 240},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(r.file, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// launch starts the process of a router. It is killed by its id when the test ends.
+func (f *fleet) launch(r *router) {
+	out, err := os.OpenFile(filepath.Join(f.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	cmd := exec.Command(f.binary, "front", "-settings", r.file)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		f.t.Error(err)
+		return
+	}
+	exited := make(chan struct{})
+	go func() {
+		// The status of a killed process says nothing.
+		_ = cmd.Wait()
+		_ = out.Close()
+		close(exited)
+	}()
+	r.mu.Lock()
+	r.process, r.exited = cmd, exited
+	r.mu.Unlock()
+	f.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		<-exited
+	})
+}
+
+func (r *router) signal(s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// The process may have ended.
+	_ = r.process.Process.Signal(s)
+}
+
+func (r *router) wait() {
+	r.mu.Lock()
+	exited := r.exited
+	r.mu.Unlock()
+	<-exited
+}
+
+func (f *fleet) awaitReady(r *router) bool {
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		resp, err := http.Get(r.ready())
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Errorf("%s is not ready", r.name)
+	return false
+}
+
+// publish writes the next version of the configuration.
+func (f *fleet) publish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	route := func(name, kind, pool string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "kind": kind, "upstream": pool,
+			"timeoutMs": 4000, "latencyTargetMs": 300, "gapTargetMs": 300, "maxAttempts": attempts, "resumable": resumable,
+		}
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": f.version,
+		"routes": []any{
+			route("safe", "safe", "plain", 2, false), route("unsafe", "unsafe", "plain", 1, false),
+			route("stream", "stream", "engines", 1, false), route("resume", "stream", "engines", 2, true),
+		},
+		"upstreams": []any{map[string]any{"name": "plain", "maxConns": 100}, map[string]any{"name": "engines", "maxConns": 100}},
+		"limits":    map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
+		"tenants":   []any{map[string]any{"name": "w1", "apiKeys": []string{f.key, "steady"}}},
+	})
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	f.store.Put(platform.TopicConfig, platform.ConfigKey, value)
+}
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,151 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is how a proxy treats its connections.
+type mode int
+
+const (
+	// pass forwards.
+	pass mode = iota
+	// slow delays each piece.
+	slow
+	// silent holds everything back and resets nothing.
+	silent
+	// reset breaks connections, new ones included.
+	reset
+)
+
+// slowDelay is the delay of each piece in the mode slow.
+const slowDelay = 40 * time.Millisecond
+
+// proxy is a TCP proxy on loopback whose faults can be switched.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  mode
+	wake  chan struct{}
+	conns map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, wake: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go p.run()
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.listener.Addr().String() }
+
+// set switches the mode; reset breaks what is open.
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	close(p.wake)
+	p.wake = make(chan struct{})
+	if m == reset {
+		for c := range p.conns {
+			breakOff(c)
+		}
+	}
+}
+
+func breakOff(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *proxy) state() (mode, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode, p.wake
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.set(reset)
+}
+
+func (p *proxy) run() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	if m, _ := p.state(); m == reset {
+		breakOff(c)
+		return
+	}
+	out, err := net.Dial("tcp", p.target)
+	if err != nil {
+		breakOff(c)
+		return
+	}
+	p.mu.Lock()
+	p.conns[c], p.conns[out] = true, true
+	p.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { p.copy(out, c) })
+	wg.Go(func() { p.copy(c, out) })
+	wg.Wait()
+	p.mu.Lock()
+	delete(p.conns, c)
+	delete(p.conns, out)
+	p.mu.Unlock()
+}
+
+// copy forwards one direction until it ends, then ends the other side.
+func (p *proxy) copy(to, from net.Conn) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if !p.hold() {
+			breakOff(to)
+			return
+		}
+		if n > 0 {
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				breakOff(from)
+				return
+			}
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// hold waits as the mode demands; false means that the connection is broken.
+func (p *proxy) hold() bool {
+	for {
+		m, wake := p.state()
+		switch m {
+		case pass:
+			return true
+		case slow:
+			time.Sleep(slowDelay)
+			return true
+		case reset:
+			return false
+		}
+		<-wake
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,310 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"html"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
+)
+
+var (
+	seedFlag    = flag.Uint64("soak.seed", 20261203, "seed of the faults and the callers")
+	secondsFlag = flag.Int("soak.seconds", 8, "length of the faults")
+	routersFlag = flag.Int("soak.routers", 3, "number of routers")
+	reportFlag  = flag.String("soak.report", "", "write a page with plots to this file")
+)
+
+// answer is what a caller saw of one request.
+type answer struct {
+	id     string
+	kind   string
+	router *router
+	sent   time.Time
+	ended  time.Time
+	status int
+	err    error
+	body   string
+	// begun is set when the answer's headers arrived.
+	begun bool
+}
+
+// Guards against any broken promise under faults that overlap: a second run of
+// what may not be repeated, a refusal of what ran, an answer that is another's,
+// not whole or joined wrongly, a leaving server that gets work, a planned stop
+// that cuts a request, and a fleet that does not recover.
+func TestSoak(t *testing.T) {
+	length := time.Duration(*secondsFlag) * time.Second
+	schedule := draw(*seedFlag, length)
+	f := startFleet(t, *routersFlag)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var mu sync.Mutex
+	var answers []answer
+	var callers, faults sync.WaitGroup
+	for i := range 12 {
+		callers.Go(func() {
+			f.call(ctx, rand.New(rand.NewPCG(*seedFlag, uint64(i)+2)), i, func(a answer) {
+				mu.Lock()
+				defer mu.Unlock()
+				answers = append(answers, a)
+			})
+		})
+	}
+	began := time.Now()
+	locks := make([]sync.Mutex, len(f.routers)+len(f.servers))
+	for _, x := range schedule {
+		faults.Go(func() {
+			time.Sleep(time.Until(began.Add(x.at)))
+			// Faults of one router or server follow one another.
+			lock := &locks[x.lock(f)]
+			lock.Lock()
+			defer lock.Unlock()
+			x.play(f)
+		})
+	}
+	faults.Wait()
+	calm := time.Now().Add(touchTime)
+	time.Sleep(2 * touchTime)
+	cancel()
+	callers.Wait()
+	problems := f.judge(answers, calm)
+	for _, p := range problems {
+		t.Error(p)
+	}
+	if *reportFlag != "" {
+		if err := os.WriteFile(*reportFlag, []byte(page(schedule, answers, problems, began)), 0o600); err != nil {
+			t.Error(err)
+		}
+	}
+	if t.Failed() {
+		t.Logf("seed %d, %d requests; faults:", *seedFlag, len(answers))
+		for _, x := range schedule {
+			t.Log(x)
+		}
+		f.keepLogs()
+	}
+}
+
+// lock returns the index of the lock of what a fault hits.
+func (x fault) lock(f *fleet) int {
+	if strings.HasPrefix(x.kind, "server") {
+		return len(f.routers) + x.which%len(f.servers)
+	}
+	return x.which % len(f.routers)
+}
+
+// keepLogs copies the routers' logs out of the directory that the test removes.
+func (f *fleet) keepLogs() {
+	dir, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		f.t.Log(err)
+		return
+	}
+	for _, r := range f.routers {
+		data, err := os.ReadFile(filepath.Join(f.dir, r.name+".log"))
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, r.name+".log"), data, 0o600)
+		}
+		if err != nil {
+			f.t.Log(err)
+		}
+	}
+	f.t.Logf("logs of the routers: %s", dir)
+}
+
+// call sends requests one after another, on kept connections, until ctx ends.
+func (f *fleet) call(ctx context.Context, random *rand.Rand, caller int, note func(answer)) {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
+	for n := 0; ctx.Err() == nil; n++ {
+		kind := []string{"safe", "unsafe", "stream", "resume"}[random.IntN(4)]
+		r := f.routers[random.IntN(len(f.routers))]
+		a := answer{id: fmt.Sprintf("c%dn%d", caller, n), kind: kind, router: r, sent: time.Now()}
+		send(client, &a, random)
+		a.ended = time.Now()
+		note(a)
+		if a.status != http.StatusOK {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func send(client *http.Client, a *answer, random *rand.Rand) {
+	req, err := http.NewRequest(http.MethodPost, a.router.base()+"/"+a.kind+"/x", strings.NewReader("body of "+a.id))
+	if err != nil {
+		a.err = err
+		return
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", a.id)
+	req.Header.Set("X-Deadline-Ms", "3000")
+	req.Header.Set("Authorization", "Token steady")
+	if a.kind == "stream" || a.kind == "resume" {
+		req.Header.Set("X-Model", "m")
+		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("aa:500,%x:2000,ff%x:10", 16+random.IntN(20), random.Uint32()))
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		a.err = err
+		return
+	}
+	defer resp.Body.Close()
+	a.begun, a.status = true, resp.StatusCode
+	body, err := io.ReadAll(resp.Body)
+	a.body, a.err = string(body), err
+}
+
+// wholeStream is the complete answer to a stream.
+func wholeStream() string {
+	var b strings.Builder
+	for i := 1; i <= platformtest.Events; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: word%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// judge returns the promises that were broken.
+func (f *fleet) judge(answers []answer, calm time.Time) []string {
+	var problems []string
+	complain := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
+	runs, ranAt := map[string]int{}, map[string][]string{}
+	sender := map[string]*router{}
+	for _, a := range answers {
+		sender[a.id] = a.router
+	}
+	for _, s := range f.servers {
+		for _, seen := range s.Seen() {
+			if !seen.Refused {
+				runs[seen.ID]++
+				ranAt[seen.ID] = append(ranAt[seen.ID], s.ID)
+			}
+			if r := sender[seen.ID]; r != nil && f.mustAvoid(r, s, seen.At) {
+				complain("request %s reached %s from %s after it had left", seen.ID, s.ID, r.name)
+			}
+		}
+	}
+	whole := wholeStream()
+	served, late := 0, 0
+	for _, a := range answers {
+		once := a.kind == "unsafe" || a.kind == "stream"
+		if once && runs[a.id] > 1 {
+			complain("%s request %s ran %d times", a.kind, a.id, runs[a.id])
+		}
+		if once && (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests) && runs[a.id] > 0 {
+			complain("%s request %s was refused with %d and ran", a.kind, a.id, a.status)
+		}
+		if a.status == http.StatusUnauthorized || a.status == http.StatusNotFound {
+			complain("request %s was denied with %d", a.id, a.status)
+		}
+		if a.status == http.StatusOK && a.err == nil {
+			checkBody(complain, a, whole)
+		}
+		if a.err != nil && runs[a.id] > 0 && !f.excused(a, ranAt[a.id]) {
+			complain("%s request %s at %s ran and broke off without a fault: %v", a.kind, a.id, a.router.name, a.err)
+		}
+		if a.sent.After(calm) {
+			late++
+			if a.status == http.StatusOK && a.err == nil {
+				served++
+			}
+		}
+	}
+	if 10*served < 9*late || late == 0 {
+		complain("%d of %d requests after the faults were served", served, late)
+	}
+	return problems
+}
+
+func checkBody(complain func(string, ...any), a answer, whole string) {
+	stream := a.kind == "stream" || a.kind == "resume"
+	if stream && a.body != whole {
+		complain("%s request %s got events %q", a.kind, a.id, a.body)
+	}
+	if !stream && !strings.HasPrefix(a.body, "answer to "+a.id+" of i-") {
+		complain("%s request %s got %q", a.kind, a.id, a.body)
+	}
+}
+
+// slack allows for what is under way when a fault begins or ends.
+const slack = 300 * time.Millisecond
+
+// excused reports whether a fault of the router or of a server that ran the
+// request explains that its answer broke off. Planned work explains nothing.
+func (f *fleet) excused(a answer, servers []string) bool {
+	for _, s := range f.spans {
+		if s.kind == kindLeaves || s.kind == kindStopped {
+			continue
+		}
+		hit := s.what == a.router.name || slices.Contains(servers, s.what)
+		if hit && s.from.Add(-slack).Before(a.ended) && s.to.Add(slack).After(a.sent) {
+			return true
+		}
+	}
+	return false
+}
+
+// mustAvoid reports whether a server had left for longer than drainTime, while
+// nothing had kept the router from knowing.
+func (f *fleet) mustAvoid(r *router, s *server, at time.Time) bool {
+	left := false
+	for _, x := range f.spans {
+		if x.kind == kindLeaves {
+			left = left || x.what == s.ID && at.After(x.from.Add(drainTime+slack)) && at.Before(x.to)
+			continue
+		}
+		disturbed := x.what == "" || x.what == r.name
+		if disturbed && x.from.Before(at) && x.to.Add(touchTime).After(at.Add(-touchTime)) {
+			return false
+		}
+	}
+	return left
+}
+
+// page shows latency and outcomes over time, with the faults marked.
+func page(schedule []fault, answers []answer, problems []string, began time.Time) string {
+	const width, height, perSecond = 1000, 200, 20
+	var b strings.Builder
+	fmt.Fprintf(&b, "<!doctype html><meta charset=utf-8><title>soak %d</title><h1>Soak, seed %d</h1>", *seedFlag, *seedFlag)
+	fmt.Fprintf(&b, "<p>%d requests, %d problems</p><svg width=%d height=%d style='border:1px solid'>", len(answers), len(problems), width, height)
+	for _, x := range schedule {
+		fmt.Fprintf(&b, "<rect x=%.0f y=0 width=%.0f height=%d fill='rgba(200,0,0,.08)'><title>%s</title></rect>",
+			x.at.Seconds()*perSecond, max(x.span.Seconds()*perSecond, 2), height, html.EscapeString(x.String()))
+	}
+	for _, a := range answers {
+		color := "green"
+		switch {
+		case a.status == http.StatusServiceUnavailable:
+			color = "orange"
+		case a.status != http.StatusOK || a.err != nil:
+			color = "red"
+		}
+		y := float64(height) - min(a.ended.Sub(a.sent).Seconds()*50, height)
+		fmt.Fprintf(&b, "<circle cx=%.1f cy=%.1f r=1.5 fill=%s />", a.sent.Sub(began).Seconds()*perSecond, y, color)
+	}
+	b.WriteString("</svg><p>Time to the right, 20 px a second; latency upwards, 50 px a second. Green: served; orange: refused; red: failed. " +
+		"Faults are shaded.</p><ul>")
+	for _, p := range problems {
+		fmt.Fprintf(&b, "<li>%s</li>", html.EscapeString(p))
+	}
+	b.WriteString("</ul><pre>")
+	sorted := slices.Clone(schedule)
+	slices.SortFunc(sorted, func(x, y fault) int { return int(x.at - y.at) })
+	for _, x := range sorted {
+		b.WriteString(html.EscapeString(x.String()) + "\n")
+	}
+	b.WriteString("</pre>")
+	return b.String()
+}
