--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -38,7 +38,7 @@
 }
 
 func drawServer(t *rapid.T) ServerNews {
-	n := ServerNews{ID: "i-1", Offset: rapid.Int64Min(0).Draw(t, "offset")}
+	n := ServerNews{ID: "i-1", Offset: rapid.Int64Min(0).Draw(t, "offset"), Prev: rapid.Int64Min(0).Draw(t, "prev")}
 	if rapid.Bool().Draw(t, "gone") {
 		return n
 	}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -63,7 +63,8 @@
 	SetPeerLoads(loads map[uint32]int, age time.Duration)
 	// Learn takes placements of another router.
 	Learn(list []Holding)
-	// ServerNews returns the changes of servers that were read in the store lately.
+	// ServerNews returns the changes of servers that are to be told now: new ones,
+	// and earlier ones once more.
 	ServerNews() []ServerNews
 	// LearnServers takes changes of servers that another router has read.
 	LearnServers(list []ServerNews)
@@ -92,6 +93,8 @@
 	// last told sums.
 	told   map[uint32]int
 	sumsAt time.Time
+	// toldProgress is what the others know of this router's reads.
+	toldProgress []Progress
 }
 
 // Listen opens the address for digests. All routers use the same port; the
@@ -232,6 +235,7 @@
 				e.tell(true)
 			}
 			e.tellLoads(now)
+			e.tellServers(e.targets())
 		}
 	}
 }
@@ -253,8 +257,9 @@
 	return m
 }
 
-// tell sends a digest to all known routers. A regular one names other routers,
-// a prompt one only what is new.
+// tell sends what is new to all known routers: changes of servers, placements
+// and, when it has changed or in a regular digest, how far the store was read. A
+// regular digest names other routers as well.
 func (e *Exchange) tell(regular bool) {
 	now := time.Now()
 	m := e.message()
@@ -267,7 +272,10 @@
 	}
 	e.mu.Unlock()
 	e.tellServers(targets)
-	e.sendTo(targets, m)
+	if regular || !slices.Equal(m.Progress, e.toldProgress) {
+		e.sendTo(targets, m)
+		e.toldProgress = m.Progress
+	}
 	e.tellPlaced(targets, regular)
 	if regular {
 		e.askAll(now)
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -55,6 +55,8 @@
 type ServerNews struct {
 	ID     string
 	Offset int64
+	// Prev is the offset of the change before, so that a lost one is noticed.
+	Prev int64
 	// Server is nil when the server is gone.
 	Server *registry.Server
 }
--- a/internal/digest/server.go
+++ b/internal/digest/server.go
@@ -17,12 +17,14 @@
 	serverBorn       = 7
 	serverLeaving    = 8
 	serverEngine     = 9
+	serverPrev       = 10
 )
 
 func encodeServer(n *ServerNews) []byte {
 	var b []byte
 	b = appendText(b, serverID, n.ID)
 	b = appendVarint(b, serverOffset, uint64(n.Offset))
+	b = appendVarint(b, serverPrev, uint64(n.Prev))
 	s := n.Server
 	if s == nil {
 		return b
@@ -106,6 +108,8 @@
 	switch field {
 	case serverOffset:
 		n.Offset = int64(v)
+	case serverPrev:
+		n.Prev = int64(v)
 	case serverSlots:
 		s.Slots = int(v)
 	case serverBorn:
--- a/internal/front/belief.go
+++ b/internal/front/belief.go
@@ -119,6 +119,9 @@
 // not known here, or a negative number.
 func (b *belief) news(topic int) func() int64 {
 	return func() int64 {
+		if gap := b.progress.missing(); topic == topicServers && gap > 0 {
+			return gap
+		}
 		offset := b.exchange.News(topic)
 		if b.progress.applied(topic, offset) {
 			return -1
@@ -130,11 +133,9 @@
 // LearnServers takes changes of servers that another router has read. It is
 // called from the goroutine that receives digests.
 func (b *belief) LearnServers(list []digest.ServerNews) {
-	entries := make([]registry.Entry, 0, len(list))
-	for _, n := range list {
-		if !b.progress.applied(topicServers, n.Offset) {
-			entries = append(entries, registry.Entry{ID: n.ID, Offset: n.Offset, Server: n.Server})
-		}
+	var entries []registry.Entry
+	for _, n := range b.progress.hear(list) {
+		entries = append(entries, registry.Entry{ID: n.ID, Offset: n.Offset, Server: n.Server})
 	}
 	if len(entries) == 0 {
 		return
@@ -186,6 +187,7 @@
 
 // takeServers applies entries of servers.
 func (b *belief) takeServers(batch feed.Batch) {
+	b.progress.readTo(batch.Next)
 	entries := make([]registry.Entry, 0, len(batch.Records))
 	for _, r := range batch.Records {
 		entries = append(entries, registry.Entry{ID: r.Key, Server: b.decodeServer(r), Offset: r.Offset})
@@ -230,7 +232,7 @@
 		b.logChange(c, read)
 	}
 	if read {
-		b.progress.read(time.Now(), changes)
+		b.progress.read(changes)
 		b.exchange.Prompt()
 	}
 }
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -24,20 +24,30 @@
 	mu      sync.Mutex
 	newest  [topics]int64
 	failing [topics]bool
-	// changes are the servers' changes that this router has read lately.
+	// changes are the servers' changes that this router has read lately, chain
+	// the offset of the newest.
 	changes []serverChange
+	chain   int64
+	// gap is the offset of a change told by another router before which one is
+	// missing here; 0 when there is none.
+	gap int64
 }
 
 type serverChange struct {
 	digest.ServerNews
-	at time.Time
+	told   int
+	toldAt time.Time
 }
 
-// toldFor is how long a change is told to others, against lost datagrams.
-const toldFor = 1500 * time.Millisecond
+const (
+	// tellTimes is how often a change is told, against lost datagrams.
+	tellTimes = 3
+	// tellPause is the time between.
+	tellPause = 400 * time.Millisecond
+)
 
 // read notes changes that this router has read in the store.
-func (p *progress) read(now time.Time, changes []registry.Change) {
+func (p *progress) read(changes []registry.Change) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range changes {
@@ -48,23 +58,68 @@
 		if s == nil {
 			s = c.Old
 		}
-		p.changes = append(p.changes, serverChange{digest.ServerNews{ID: s.ID, Offset: c.Offset, Server: c.New}, now})
+		news := digest.ServerNews{ID: s.ID, Offset: c.Offset, Prev: p.chain, Server: c.New}
+		p.changes = append(p.changes, serverChange{ServerNews: news})
+		p.chain = max(p.chain, c.Offset)
 	}
 }
 
-// ServerNews returns the changes that are told to others.
+// ServerNews returns the changes that are to be told now.
 func (p *progress) ServerNews() []digest.ServerNews {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	oldest := time.Now().Add(-toldFor)
-	p.changes = slices.DeleteFunc(p.changes, func(c serverChange) bool { return c.at.Before(oldest) })
+	now := time.Now()
 	var list []digest.ServerNews
-	for _, c := range p.changes {
+	for i := range p.changes {
+		c := &p.changes[i]
+		if c.told > 0 && now.Sub(c.toldAt) < tellPause {
+			continue
+		}
+		c.told++
+		c.toldAt = now
 		list = append(list, c.ServerNews)
 	}
+	p.changes = slices.DeleteFunc(p.changes, func(c serverChange) bool { return c.told >= tellTimes })
 	return list
 }
 
+// hear takes changes that another router tells, in order, and returns those
+// that are new here. It notes when one before them is missing.
+func (p *progress) hear(list []digest.ServerNews) []digest.ServerNews {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newest := p.newest[topicServers]
+	var fresh []digest.ServerNews
+	for _, n := range list {
+		if n.Offset <= newest {
+			continue
+		}
+		if n.Prev > newest {
+			p.gap = max(p.gap, n.Offset)
+		}
+		newest = n.Offset
+		fresh = append(fresh, n)
+	}
+	return fresh
+}
+
+// readTo notes that this router has read the servers' topic up to next.
+func (p *progress) readTo(next int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if next > p.gap {
+		p.gap = 0
+	}
+}
+
+// missing returns the offset up to which the servers' topic must be read
+// because a change was not heard, or 0.
+func (p *progress) missing() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gap
+}
+
 // applied reports whether the news of a topic up to an offset are known here.
 func (p *progress) applied(topic int, offset int64) bool {
 	p.mu.Lock()
