--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -68,7 +68,7 @@
 	out := logwriter.New(env.Stdout)
 	defer out.Close()
 	logger := newLog(s.Logging, s.VM, out)
-	f, err := front.New(s, connect(s), logger)
+	f, err := front.New(s, platform.Connect(s.StoreAddress.String()), logger)
 	if err != nil {
 		return err
 	}
@@ -78,21 +78,6 @@
 	return superviseFront(ctx, f, file, signals, out, logger)
 }
 
-// connect returns the platform of the settings.
-func connect(s *settings.Front) front.Platform {
-	store := platform.NewStore(s.StoreAddress.String())
-	return front.Platform{
-		Codec:        platform.Codec{},
-		Config:       store.Topic(platform.TopicConfig),
-		Servers:      store.Topic(platform.TopicServers),
-		ConfigKey:    platform.ConfigKey,
-		DecodeConfig: platform.DecodeConfig,
-		DecodeServer: platform.DecodeServer,
-		Inventory:    platform.NewEngines().Inventory,
-		ReadyPath:    platform.ReadyPath,
-	}
-}
-
 // superviseFront waits for the end of a router and handles signals meanwhile.
 func superviseFront(ctx context.Context, f *front.Front, file string, signals <-chan os.Signal,
 	out *logwriter.Writer, logger hclog.Logger) error {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -35,8 +35,6 @@
 	Model    string
 	// Prompt lists the parts of the prompt in order; the last is the request's own.
 	Prompt []Part
-	// LastEvent is the ID of the last event that the caller has, if it resumes a stream.
-	LastEvent string
 }
 
 // Order is what the router tells a server about an attempt.
@@ -64,8 +62,6 @@
 	Load   balance.Load
 	// HasLoad is set when the answer states the server's load.
 	HasLoad bool
-	// KeepAlive is how long the server keeps an idle connection; 0 when unknown.
-	KeepAlive time.Duration
 }
 
 // Codec translates between headers and typed values. Its methods are pure and
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -10,14 +10,15 @@
 )
 
 const (
-	// silenceFactor is the silence, in objectives, after which a request that
+	// silenceFactor is the silence, in objectives, or in gap objectives of a
+	// stream, after which a request that
 	// may be repeated is taken to another server.
 	silenceFactor = 3
 	// silenceLeast keeps short objectives from repeating ordinary answers.
 	silenceLeast = 250 * time.Millisecond
-	// streamSilence bounds the wait for the next event; callers abandon a
-	// stream after a gap of two seconds or more.
-	streamSilence = 1200 * time.Millisecond
+	// streamLeast is the least silence of a stream; callers abandon one after a
+	// gap of two seconds or more.
+	streamLeast = time.Second
 )
 
 // watch observes the progress of one attempt. When a request that may be
@@ -43,7 +44,7 @@
 // silenceLimit is how long an attempt on a route may make no progress.
 func silenceLimit(r *routing.Route) time.Duration {
 	if r.Kind == routing.Stream {
-		return streamSilence
+		return max(silenceFactor*r.GapObjective, streamLeast)
 	}
 	return max(silenceFactor*r.Objective, silenceLeast)
 }
--- a/internal/forward/world.go
+++ b/internal/forward/world.go
@@ -61,8 +61,6 @@
 	mu         sync.Mutex
 	balance    *balance.Pool
 	transports map[registry.Key]*http.Transport
-	// known counts the servers that the store names, leaving ones included.
-	known int
 }
 
 // NewWorld returns a world without configuration and servers.
@@ -147,7 +145,6 @@
 func (p *pool) setServers(list []*registry.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.known = len(list)
 	p.balance.SetServers(list)
 	current := make(map[registry.Key]bool, len(list))
 	for _, s := range list {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -78,17 +78,7 @@
 			Stop: 8 * time.Second, LoadMultiple: 2, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 480,
 		},
 	}
-	store := platform.NewStore(b.store.Addr())
-	f, err := front.New(s, front.Platform{
-		Codec:        platform.Codec{},
-		Config:       store.Topic(platform.TopicConfig),
-		Servers:      store.Topic(platform.TopicServers),
-		ConfigKey:    platform.ConfigKey,
-		DecodeConfig: platform.DecodeConfig,
-		DecodeServer: platform.DecodeServer,
-		Inventory:    platform.NewEngines().Inventory,
-		ReadyPath:    platform.ReadyPath,
-	}, hclog.NewNullLogger())
+	f, err := front.New(s, platform.Connect(b.store.Addr()), hclog.NewNullLogger())
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -60,13 +60,6 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
-// Pool is a group of servers of one service.
-type Pool struct {
-	Name string
-	// MaxConnections bounds the connections that one server accepts from all routers.
-	MaxConnections int
-}
-
 // Workspace is the owner of API keys.
 type Workspace struct {
 	Name string
@@ -77,17 +70,16 @@
 
 // Limits bound what a caller may send and how long it may stay idle.
 type Limits struct {
-	HeaderBytes   int64
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes is the size of the longest body; 0 means the product's own limit.
+	BodyBytes int64
+	// IdleTimeout is how long a connection may wait for its next request.
+	IdleTimeout time.Duration
 }
 
 // Config is one version of the configuration.
 type Config struct {
 	Version    int64
 	Routes     []Route
-	Pools      []Pool
 	Workspaces []Keyring
 	Limits     Limits
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -10,7 +10,6 @@
 	version int64
 	limits  Limits
 	hosts   map[string][]*Route
-	pools   map[string]Pool
 	keys    map[string]Workspace
 	// authenticate is set when the configuration names workspaces.
 	authenticate bool
@@ -22,7 +21,6 @@
 		version:      c.Version,
 		limits:       c.Limits,
 		hosts:        make(map[string][]*Route),
-		pools:        make(map[string]Pool, len(c.Pools)),
 		keys:         make(map[string]Workspace),
 		authenticate: len(c.Workspaces) > 0,
 	}
@@ -33,9 +31,6 @@
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, longestPrefixFirst)
 	}
-	for _, p := range c.Pools {
-		t.pools[p.Name] = p
-	}
 	for _, w := range c.Workspaces {
 		for _, key := range w.Keys {
 			t.keys[key] = w.Workspace
@@ -52,15 +47,6 @@
 // Limits returns the limits for callers.
 func (t *Table) Limits() Limits { return t.limits }
 
-// Routes returns the number of routes.
-func (t *Table) Routes() int {
-	n := 0
-	for _, routes := range t.hosts {
-		n += len(routes)
-	}
-	return n
-}
-
 // Match returns the route with the longest prefix of path on host, or nil.
 // The path is compared as the caller sent it.
 func (t *Table) Match(host, path string) *Route {
@@ -79,15 +65,6 @@
 	return w, known || r.Public || !t.authenticate
 }
 
-// Pool returns the pool called name. Unknown pools have no limits.
-func (t *Table) Pool(name string) Pool {
-	p, ok := t.pools[name]
-	if !ok {
-		return Pool{Name: name}
-	}
-	return p
-}
-
 // PickTarget returns the pool of a route for a request whose hash is h. Equal
 // hashes take the same pool on every router.
 func (r *Route) PickTarget(h uint64) string {
