feed: a single failed call is no outage

A router that reads slowly gets up to 15 s of heartbeats in one call; when that took over a second the call failed, the next answer began a grace, and a server that had left was used on. Change: grace only after 2 s without the store, 4 s for slow reads, and of a batch only the newest record of each key is decoded.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -57,10 +57,10 @@
 	// News returns the newest offset at which another router has found news, or
 	// a negative number. A follower that has not read so far reads at once.
 	News func() int64
-	// CallTimeout bounds a call beyond its wait.
-	CallTimeout time.Duration
-	// Grace is how long after an outage a batch is marked as read in its wake.
-	Grace time.Duration
+	// Grace is how long after an outage of GraceAfter or more a batch is marked as
+	// read in its wake.
+	Grace      time.Duration
+	GraceAfter time.Duration
 }
 
 // Pace is how often a topic is read.
@@ -69,6 +69,8 @@
 	Wait time.Duration
 	// Pause is the time between two reads.
 	Pause time.Duration
+	// Timeout bounds a call beyond its wait.
+	Timeout time.Duration
 }
 
 // Batch is news of a topic.
@@ -166,11 +168,13 @@
 
 // Step makes one call to the store and returns the pause until the next.
 func (f *Follower) Step(ctx context.Context) time.Duration {
-	wait := f.options.Pace().Wait
+	began := f.now()
+	pace := f.options.Pace()
+	wait := pace.Wait
 	if !f.position.whole {
 		wait = 0
 	}
-	call, cancel := context.WithTimeout(ctx, wait+f.options.CallTimeout)
+	call, cancel := context.WithTimeout(ctx, wait+pace.Timeout)
 	defer cancel()
 	var page Page
 	var err error
@@ -185,19 +189,18 @@
 	case errors.Is(err, ErrExpired):
 		f.observer.Expired(f.position.next)
 		f.position.whole = false
-		f.graceUntil = f.now().Add(f.options.Grace)
 		return 0
 	case err != nil:
-		return f.failed(err)
+		return f.failed(began, err)
 	}
 	f.answered()
 	return f.take(page)
 }
 
 // failed counts a failure and returns the wait before the next call.
-func (f *Follower) failed(err error) time.Duration {
+func (f *Follower) failed(began time.Time, err error) time.Duration {
 	if f.failures == 0 {
-		f.lostAt = f.now()
+		f.lostAt = began
 		f.observer.Lost(err)
 	}
 	wait := min(failureFirst<<min(f.failures, 8), failureMost)
@@ -211,8 +214,11 @@
 		return
 	}
 	f.failures = 0
-	f.graceUntil = f.now().Add(f.options.Grace)
-	f.observer.Regained(f.now().Sub(f.lostAt))
+	outage := f.now().Sub(f.lostAt)
+	if outage >= f.options.GraceAfter {
+		f.graceUntil = f.now().Add(f.options.Grace)
+	}
+	f.observer.Regained(outage)
 }
 
 // take passes a page on. A full list that ends before what is already known is
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -51,10 +51,10 @@
 
 func follower(s *script, l *log) *Follower {
 	return New(s, Options{
-		Pace:        func() Pace { return Pace{Pause: time.Second} },
-		News:        func() int64 { return -1 },
-		CallTimeout: time.Second,
-		Grace:       2 * time.Second,
+		Pace:       func() Pace { return Pace{Pause: time.Second, Timeout: time.Second} },
+		News:       func() int64 { return -1 },
+		Grace:      2 * time.Second,
+		GraceAfter: time.Second,
 	}, l)
 }
 
@@ -105,21 +105,26 @@
 }
 
 // Guards against servers that are dropped because their entries lapsed during
-// an outage: the first batches after it must say so.
+// an outage: the first batches after it must say so. A single failed call is no
+// outage: the grace it gave let a router use a server that had left.
 func TestBatchAfterOutageHasGrace(t *testing.T) {
-	s, l := &script{answers: []answer{page(5, "a"), {err: errDown}, page(6, "a"), page(7, "a")}}, &log{}
-	f := follower(s, l)
-	now := time.Unix(1000, 0)
-	f.now = func() time.Time { return now }
-	for range 4 {
+	for outage, want := range map[time.Duration]time.Duration{100 * time.Millisecond: 0, 3 * time.Second: 2 * time.Second} {
+		s, l := &script{answers: []answer{page(5, "a"), {err: errDown}, page(6, "a"), page(7, "a")}}, &log{}
+		f := follower(s, l)
+		now := time.Unix(1000, 0)
+		f.now = func() time.Time { return now }
 		f.Step(t.Context())
-	}
-	if !l.batches[0].GraceUntil.IsZero() {
-		t.Error("grace before any outage")
-	}
-	for _, b := range l.batches[1:] {
-		if got := b.GraceUntil.Sub(now); got != 2*time.Second {
-			t.Errorf("grace of %s, want 2s", got)
+		f.Step(t.Context())
+		now = now.Add(outage)
+		f.Step(t.Context())
+		f.Step(t.Context())
+		if !l.batches[0].GraceUntil.IsZero() {
+			t.Error("grace before any outage")
+		}
+		for _, b := range l.batches[1:] {
+			if got := max(b.GraceUntil.Sub(now), 0); got != want {
+				t.Errorf("outage of %s: grace of %s, want %s", outage, got, want)
+			}
 		}
 	}
 }
--- a/internal/front/belief.go
+++ b/internal/front/belief.go
@@ -28,8 +28,13 @@
 	// relayedPause is the time between two reads of a router that others tell of
 	// news, in case all of them miss some.
 	relayedPause = 15 * time.Second
-	// callTimeout bounds a call to the store beyond its wait.
-	callTimeout = time.Second
+	// callTimeout bounds a call to the store beyond its wait, relayedTimeout one
+	// that brings many records and is not urgent.
+	callTimeout    = time.Second
+	relayedTimeout = 4 * time.Second
+	// graceAfter is the outage from which entries of live servers may lapse:
+	// below three of their heartbeats, which come every 1.2 s.
+	graceAfter = 2 * time.Second
 	// expireInterval is how often the grace of removed servers is checked.
 	expireInterval = 100 * time.Millisecond
 )
@@ -78,15 +83,14 @@
 func (b *belief) run(ctx context.Context) error {
 	defer close(b.ended)
 	config := feed.New(b.platform.Config, feed.Options{
-		Pace:        b.pace(feed.Pace{Wait: configWait, Pause: configPause}),
-		News:        b.news(topicConfig),
-		CallTimeout: callTimeout,
+		Pace: b.pace(feed.Pace{Wait: configWait, Pause: configPause, Timeout: callTimeout}),
+		News: b.news(topicConfig),
 	}, b.observe(ctx, topicConfig, b.takeConfig))
 	servers := feed.New(b.platform.Servers, feed.Options{
-		Pace:        b.pace(feed.Pace{Pause: serversPause}),
-		News:        b.news(topicServers),
-		CallTimeout: callTimeout,
-		Grace:       registry.ReturnGrace,
+		Pace:       b.pace(feed.Pace{Pause: serversPause, Timeout: callTimeout}),
+		News:       b.news(topicServers),
+		Grace:      registry.ReturnGrace,
+		GraceAfter: graceAfter,
 	}, b.observe(ctx, topicServers, b.takeServers))
 	go config.Run(ctx)
 	go servers.Run(ctx)
@@ -111,7 +115,7 @@
 		if !b.ready() || b.exchange.Reader() {
 			return full
 		}
-		return feed.Pace{Pause: relayedPause}
+		return feed.Pace{Pause: relayedPause, Timeout: relayedTimeout}
 	}
 }
 
@@ -188,8 +192,9 @@
 // takeServers applies entries of servers.
 func (b *belief) takeServers(batch feed.Batch) {
 	b.progress.readTo(batch.Next)
-	entries := make([]registry.Entry, 0, len(batch.Records))
-	for _, r := range batch.Records {
+	records := newestOfEach(batch.Records)
+	entries := make([]registry.Entry, 0, len(records))
+	for _, r := range records {
 		entries = append(entries, registry.Entry{ID: r.Key, Server: b.decodeServer(r), Offset: r.Offset})
 	}
 	now := time.Now()
@@ -201,6 +206,22 @@
 	b.checkReady()
 }
 
+// newestOfEach leaves out the records that a later one of the same key replaces:
+// most are heartbeats.
+func newestOfEach(records []feed.Record) []feed.Record {
+	last := make(map[string]int, len(records))
+	for i, r := range records {
+		last[r.Key] = i
+	}
+	newest := make([]feed.Record, 0, len(last))
+	for i, r := range records {
+		if last[r.Key] == i {
+			newest = append(newest, r)
+		}
+	}
+	return newest
+}
+
 // decodeServer returns nil for an entry that names no usable server. An
 // unusable entry is logged once until its key has a usable one.
 func (b *belief) decodeServer(r feed.Record) *registry.Server {
