front: a change that was read without an effect leaves no gap; wait at the store for servers

Change: what was read counts as known, and a gap hides no news. Heartbeats are no records on these deployments, so readers wait at the store for changes of servers.

--- a/internal/front/belief.go
+++ b/internal/front/belief.go
@@ -21,9 +21,8 @@
 	configWait = 1800 * time.Millisecond
 	// configPause bounds the reads while one configuration follows another.
 	configPause = 250 * time.Millisecond
-	// serversPause is the time between two reads of the servers' entries. Each
-	// server writes a heartbeat more often than that, so waiting at the store
-	// would return at once.
+	// serversPause is the time between two reads of the servers' entries where
+	// heartbeats are records: waiting at the store would return at once.
 	serversPause = 900 * time.Millisecond
 	// relayedPause is the time between two reads of a router that others tell of
 	// news, in case all of them miss some.
@@ -56,7 +55,9 @@
 	exchange *digest.Exchange
 	progress progress
 
-	isReady  atomic.Bool
+	isReady atomic.Bool
+	// beats is set while records without an effect arrive in the servers' topic.
+	beats    atomic.Bool
 	stopping atomic.Bool
 }
 
@@ -87,7 +88,7 @@
 		News: b.news(topicConfig),
 	}, b.observe(ctx, topicConfig, b.takeConfig))
 	servers := feed.New(b.platform.Servers, feed.Options{
-		Pace:       b.pace(feed.Pace{Pause: serversPause, Timeout: callTimeout}),
+		Pace:       b.serversPace(),
 		News:       b.news(topicServers),
 		Grace:      registry.ReturnGrace,
 		GraceAfter: graceAfter,
@@ -119,16 +120,29 @@
 	}
 }
 
+// serversPace waits at the store for changes of servers, unless heartbeats are
+// records of their own and end every wait.
+func (b *belief) serversPace() func() feed.Pace {
+	waiting := b.pace(feed.Pace{Wait: configWait, Pause: configPause, Timeout: callTimeout})
+	polling := b.pace(feed.Pace{Pause: serversPause, Timeout: callTimeout})
+	return func() feed.Pace {
+		if b.beats.Load() {
+			return polling()
+		}
+		return waiting()
+	}
+}
+
 // news returns the offset of news that another router has found and that is
 // not known here, or a negative number.
 func (b *belief) news(topic int) func() int64 {
 	return func() int64 {
-		if gap := b.progress.missing(); topic == topicServers && gap > 0 {
-			return gap
-		}
 		offset := b.exchange.News(topic)
 		if b.progress.applied(topic, offset) {
-			return -1
+			offset = -1
+		}
+		if gap := b.progress.missing(); topic == topicServers && gap > 0 {
+			offset = max(offset, gap)
 		}
 		return offset
 	}
@@ -201,7 +215,9 @@
 	if batch.Full {
 		b.changed(b.servers.Replace(now, entries, batch.Next, batch.GraceUntil), true)
 	} else {
-		b.changed(b.servers.Apply(now, entries, batch.GraceUntil), true)
+		changes := b.servers.Apply(now, entries, batch.GraceUntil)
+		b.beats.Store(len(changes) == 0 && now.After(batch.GraceUntil))
+		b.changed(changes, true)
 	}
 	b.checkReady()
 }
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -21,8 +21,11 @@
 // progress is how far this router has read the topics of the store. It is safe
 // for concurrent use.
 type progress struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// newest is the last record that changed the belief, and what others are
+	// told. known is the last record whose effect is known here.
 	newest  [topics]int64
+	known   [topics]int64
 	failing [topics]bool
 	// changes are the servers' changes that this router has read lately, chain
 	// the offset of the newest.
@@ -88,25 +91,27 @@
 func (p *progress) hear(list []digest.ServerNews) []digest.ServerNews {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	newest := p.newest[topicServers]
+	known := p.known[topicServers]
 	var fresh []digest.ServerNews
 	for _, n := range list {
-		if n.Offset <= newest {
+		if n.Offset <= known {
 			continue
 		}
-		if n.Prev > newest {
+		if n.Prev > known {
 			p.gap = max(p.gap, n.Offset)
 		}
-		newest = n.Offset
+		known = n.Offset
 		fresh = append(fresh, n)
 	}
 	return fresh
 }
 
-// readTo notes that this router has read the servers' topic up to next.
+// readTo notes that this router has read the servers' topic up to next. All
+// changes before are known then, also those that changed nothing here.
 func (p *progress) readTo(next int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.known[topicServers] = max(p.known[topicServers], next-1)
 	if next > p.gap {
 		p.gap = 0
 	}
@@ -124,7 +129,7 @@
 func (p *progress) applied(topic int, offset int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return offset <= p.newest[topic]
+	return offset <= p.known[topic]
 }
 
 // news notes the offset of a record that changed the belief.
@@ -132,6 +137,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.newest[topic] = max(p.newest[topic], offset)
+	p.known[topic] = max(p.known[topic], offset)
 }
 
 // lost notes whether the reads of a topic fail.
--- a/internal/front/progress_test.go
+++ b/internal/front/progress_test.go
@@ -60,3 +60,29 @@
 		t.Errorf("told %d times, want %d", told, tellTimes)
 	}
 }
+
+// Guards against a change that was read without an effect and is then heard as
+// if one before it were missing: the gap that it left was never closed, and news
+// of later changes were not looked at (DRAIN on tkd trouble-2, seed 368284738128).
+func TestChangeThatWasReadLeavesNoGap(t *testing.T) {
+	var p progress
+	p.news(topicServers, 10)
+	p.readTo(17)
+	if fresh := p.hear([]digest.ServerNews{{ID: "a", Offset: 16, Prev: 15}}); len(fresh) != 0 || p.missing() != 0 {
+		t.Errorf("fresh %v, missing %d", fresh, p.missing())
+	}
+}
+
+// Guards against records without an effect, such as heartbeats, that are told as
+// news and make every other router read the store.
+func TestHeartbeatsAreNoNews(t *testing.T) {
+	var p progress
+	p.news(topicServers, 10)
+	p.readTo(500)
+	if list, _ := p.state(); list[topicServers].News != 10 {
+		t.Errorf("news %d, want 10", list[topicServers].News)
+	}
+	if !p.applied(topicServers, 499) {
+		t.Error("a record that was read does not count as known")
+	}
+}
