--- a/internal/front/belief.go
+++ b/internal/front/belief.go
@@ -264,12 +264,14 @@
 		return
 	}
 	b.world.SetServers(b.servers.Servers())
+	if read {
+		b.progress.read(changes)
+	}
 	for _, c := range changes {
 		b.progress.news(topicServers, c.Offset)
 		b.logChange(c, read)
 	}
 	if read {
-		b.progress.read(changes)
 		b.exchange.Prompt()
 	}
 }
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -27,10 +27,8 @@
 	newest  [topics]int64
 	known   [topics]int64
 	failing [topics]bool
-	// changes are the servers' changes that this router has read lately, chain
-	// the offset of the newest.
+	// changes are the servers' changes that this router has read lately.
 	changes []serverChange
-	chain   int64
 	// gap is the offset of a change told by another router before which one is
 	// missing here; 0 when there is none.
 	gap int64
@@ -49,7 +47,8 @@
 	tellPause = 400 * time.Millisecond
 )
 
-// read notes changes that this router has read in the store.
+// read notes changes that this router has read in the store. Each names the
+// change before it that is known here, whoever read that one.
 func (p *progress) read(changes []registry.Change) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -61,9 +60,9 @@
 		if s == nil {
 			s = c.Old
 		}
-		news := digest.ServerNews{ID: s.ID, Offset: c.Offset, Prev: p.chain, Server: c.New}
+		news := digest.ServerNews{ID: s.ID, Offset: c.Offset, Prev: p.newest[topicServers], Server: c.New}
 		p.changes = append(p.changes, serverChange{ServerNews: news})
-		p.chain = max(p.chain, c.Offset)
+		p.newest[topicServers] = max(p.newest[topicServers], c.Offset)
 	}
 }
 
--- a/internal/front/progress_test.go
+++ b/internal/front/progress_test.go
@@ -86,3 +86,16 @@
 		t.Error("a record that was read does not count as known")
 	}
 }
+
+// Guards against a router that has just begun to read for others and names no
+// change before its first: one that was lost before stayed unnoticed (DRAIN on
+// grown tkd trouble-2, while all routers were stopped in turn).
+func TestNewReaderNamesTheChangeBefore(t *testing.T) {
+	var reader, other progress
+	reader.news(topicServers, 100)
+	reader.read([]registry.Change{change("b", 101)})
+	other.news(topicServers, 99)
+	if other.hear(reader.ServerNews()); other.missing() != 101 {
+		t.Errorf("missing %d, want 101", other.missing())
+	}
+}
