--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,8 @@
 	http     *http.Server
 	listener net.Listener
 	idle     atomic.Int64
+	open     atomic.Int64
+	draining atomic.Bool
 
 	mu      sync.Mutex
 	waiting map[*conn]time.Time
@@ -69,10 +71,10 @@
 // Addr returns the address that callers connect to.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Serve accepts connections until Close. It returns nil after Close.
+// Serve accepts connections until Drain or Close. It returns nil after either.
 func (s *Server) Serve() error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
 		return nil
 	}
 	return eris.Wrap(err, "server for callers ended")
@@ -102,10 +104,14 @@
 // whose next request is being read is not closed under it: its wait is over,
 // and the request clears the deadline.
 func (s *Server) CloseWaiting() {
+	s.retire(func(c *conn) bool { return c.used.Load() })
+}
+
+func (s *Server) retire(which func(*conn) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.waiting {
-		if !c.used.Load() {
+		if !which(c) {
 			continue
 		}
 		c.retired.Store(true)
@@ -114,6 +120,21 @@
 	}
 }
 
+// Drain accepts no more connections and ends those that wait for a request.
+// Requests in progress go on; Open tells when the last connection has ended.
+func (s *Server) Drain() error {
+	s.draining.Store(true)
+	err := s.listener.Close()
+	s.retire(func(*conn) bool { return true })
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "cannot stop accepting callers")
+}
+
+// Open returns the number of open connections.
+func (s *Server) Open() int64 { return s.open.Load() }
+
 // Close ends all connections.
 func (s *Server) Close() error {
 	return eris.Wrap(s.http.Close(), "cannot close the server for callers")
@@ -129,8 +150,14 @@
 		return
 	}
 	switch state {
-	case http.StateNew, http.StateIdle:
+	case http.StateNew:
+		s.open.Add(1)
+		s.wait(c)
+	case http.StateIdle:
 		s.wait(c)
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+		s.stopWaiting(c)
 	default:
 		s.stopWaiting(c)
 	}
@@ -146,6 +173,9 @@
 	s.waiting[c] = time.Now()
 	s.mu.Unlock()
 	c.waiting.Store(true)
+	if s.draining.Load() {
+		c.retired.Store(true)
+	}
 	// The connection may have ended; its reader then sees that.
 	_ = c.SetReadDeadline(time.Time{})
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -166,3 +166,44 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a stop that cuts a request in progress, or goes on accepting.
+func TestDrain(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	s, err := Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-release
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "ok")
+	}), hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	busy, fresh := dial(t, s), dial(t, s)
+	if _, err := fmt.Fprint(busy, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	if err := s.Drain(); err != nil {
+		t.Error(err)
+	}
+	if err := <-done; err != nil {
+		t.Errorf("serve: %v", err)
+	}
+	_ = fresh.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := fresh.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection without a request got an answer")
+	}
+	close(release)
+	if answer, err := io.ReadAll(busy); err != nil || len(answer) == 0 {
+		t.Errorf("the request in progress got %q, %v", answer, err)
+	}
+	for deadline := time.Now().Add(20 * time.Second); s.Open() != 0; {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d connections are open", s.Open())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -532,3 +533,43 @@
 		t.Errorf("stop: %v", err)
 	}
 }
+
+// Guards against a request that is accepted in the last moment of a stop, reaches
+// a server, and is cut: its caller can't know what became of it (seen by the
+// soak, seed 20261203).
+func TestStopUnderLoadCutsNothing(t *testing.T) {
+	b := newBed(t).run()
+	var mu sync.Mutex
+	lost := map[string]error{}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				r := b.request(http.MethodPost, "/unsafe/x", "body")
+				if got := b.do(r); got.err != nil {
+					mu.Lock()
+					lost[r.Header.Get("X-Request-Id")] = got.err
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	if err := b.front.Stop(context.Background()); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	close(stop)
+	callers.Wait()
+	for _, e := range b.engines {
+		for _, seen := range e.Seen() {
+			if err := lost[seen.ID]; err != nil {
+				t.Errorf("request %s ran and was cut: %v", seen.ID, err)
+			}
+		}
+	}
+}
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
@@ -13,8 +14,8 @@
 	rotationTime = 2500 * time.Millisecond
 	// stopMargin ends the process before the platform kills it.
 	stopMargin = 400 * time.Millisecond
-	// idleCheck is how often a stopping router looks for requests in progress.
-	idleCheck = 100 * time.Millisecond
+	// idleCheck is how often a stopping router looks for what is in progress.
+	idleCheck = 50 * time.Millisecond
 )
 
 // Stop ends the router gracefully. It goes on serving until the platform sends
@@ -27,14 +28,17 @@
 	f.events.Emit(event.FrontStopping, "running", f.core.Running())
 	rotation := time.AfterFunc(rotationTime, f.edge.CloseWaiting)
 	defer rotation.Stop()
-	f.waitIdle(ctx, began.Add(rotationTime), end)
+	f.wait(ctx, end, func(now time.Time) bool { return now.After(began.Add(rotationTime)) && f.core.Running() == 0 })
+	// A request may arrive at any moment until nothing is accepted any more.
+	drained := f.edge.Drain()
+	f.wait(ctx, end, func(time.Time) bool { return f.edge.Open() == 0 })
 	f.events.Emit(event.FrontStopped, "running", f.core.Running(), "after_ms", time.Since(began).Milliseconds())
 	f.tomb.Kill(nil)
-	return f.tomb.Wait()
+	return errors.Join(drained, f.tomb.Wait())
 }
 
-// waitIdle returns when nothing is in progress after least, or at end.
-func (f *Front) waitIdle(ctx context.Context, least, end time.Time) {
+// wait returns when done says so, at end, or when ctx ends.
+func (f *Front) wait(ctx context.Context, end time.Time, done func(now time.Time) bool) {
 	tick := time.NewTicker(idleCheck)
 	defer tick.Stop()
 	for {
@@ -44,7 +48,7 @@
 		case <-f.tomb.Dying():
 			return
 		case now := <-tick.C:
-			if now.After(end) || now.After(least) && f.core.Running() == 0 {
+			if now.After(end) || done(now) {
 				return
 			}
 		}
