front: removals told after later changes count; a router in its grace does not read for others

Change: heard changes go to the registry, which orders them by server; a router in its grace does not count as a reader; it tells a late removal as well.

--- a/internal/front/belief.go
+++ b/internal/front/belief.go
@@ -151,13 +151,11 @@
 // LearnServers takes changes of servers that another router has read. It is
 // called from the goroutine that receives digests.
 func (b *belief) LearnServers(list []digest.ServerNews) {
-	var entries []registry.Entry
-	for _, n := range b.progress.hear(list) {
+	b.progress.hear(list)
+	entries := make([]registry.Entry, 0, len(list))
+	for _, n := range list {
 		entries = append(entries, registry.Entry{ID: n.ID, Offset: n.Offset, Server: n.Server})
 	}
-	if len(entries) == 0 {
-		return
-	}
 	select {
 	case b.inbox <- func() { b.learnServers(entries) }:
 	case <-b.ended:
@@ -327,6 +325,9 @@
 // Regained logs that the store answers again.
 func (o *observer) Regained(after time.Duration) {
 	o.belief.progress.lost(o.topic, false)
+	if o.topic == topicServers && after >= graceAfter {
+		o.belief.progress.holdBack(time.Now().Add(registry.ReturnGrace))
+	}
 	o.belief.events.Emit(event.StoreRegained, "topic", topicNames[o.topic], "after_ms", after.Milliseconds())
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -115,7 +115,9 @@
 }
 
 // Progress returns how far this router has read the store.
-func (s *shared) Progress() (list []digest.Progress, reading bool) { return s.progress.state() }
+func (s *shared) Progress() (list []digest.Progress, reading bool) {
+	return s.progress.state(time.Now())
+}
 
 // seedAddrs returns the seeds' hosts: all routers take digests at the same port.
 func seedAddrs(s *settings.Front) []netip.Addr {
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -27,6 +27,9 @@
 	newest  [topics]int64
 	known   [topics]int64
 	failing [topics]bool
+	// holdsBack is until when this router uses removed servers on, after an
+	// outage. Others must not rely on it meanwhile.
+	holdsBack time.Time
 	// changes are the servers' changes that this router has read lately.
 	changes []serverChange
 	// gap is the offset of a change told by another router before which one is
@@ -85,24 +88,19 @@
 	return list
 }
 
-// hear takes changes that another router tells, in order, and returns those
-// that are new here. It notes when one before them is missing.
-func (p *progress) hear(list []digest.ServerNews) []digest.ServerNews {
+// hear takes changes that another router tells, in order, and notes when one
+// before them is missing. Changes of different routers arrive in any order, so
+// an older one may still be new; the registry knows by server.
+func (p *progress) hear(list []digest.ServerNews) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.known[topicServers]
-	var fresh []digest.ServerNews
 	for _, n := range list {
-		if n.Offset <= known {
-			continue
-		}
-		if n.Prev > known {
+		if n.Offset > known && n.Prev > known {
 			p.gap = max(p.gap, n.Offset)
 		}
-		known = n.Offset
-		fresh = append(fresh, n)
+		known = max(known, n.Offset)
 	}
-	return fresh
 }
 
 // readTo notes that this router has read the servers' topic up to next. All
@@ -146,11 +144,19 @@
 	p.failing[topic] = failing
 }
 
-// state returns what other routers are told.
-func (p *progress) state() (list []digest.Progress, reading bool) {
+// holdBack notes that removals take effect late until then.
+func (p *progress) holdBack(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holdsBack = until
+}
+
+// state returns what other routers are told: how far this one has read, and
+// whether they can rely on it.
+func (p *progress) state(now time.Time) (list []digest.Progress, reading bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reading = true
+	reading = now.After(p.holdsBack)
 	for topic := range topics {
 		list = append(list, digest.Progress{Topic: topic, News: p.newest[topic]})
 		reading = reading && !p.failing[topic]
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -77,8 +77,14 @@
 	// included, so that news which another router has told are not undone by an
 	// older record.
 	offsets map[string]int64
-	// missing holds the removed servers that are still in their grace, and its end.
-	missing map[string]time.Time
+	// missing holds the removals that are still in their grace.
+	missing map[string]removal
+}
+
+// removal is a removal that takes effect later.
+type removal struct {
+	entry Entry
+	until time.Time
 }
 
 // New returns an empty registry.
@@ -86,7 +92,7 @@
 	return &Registry{
 		servers: map[string]*Server{},
 		offsets: map[string]int64{},
-		missing: map[string]time.Time{},
+		missing: map[string]removal{},
 	}
 }
 
@@ -127,9 +133,9 @@
 // Expire drops the servers whose grace has ended.
 func (r *Registry) Expire(now time.Time) []Change {
 	var changes []Change
-	for id, until := range r.missing {
-		if !now.Before(until) {
-			changes = r.remove(changes, now, Entry{ID: id, Offset: noOffset}, time.Time{})
+	for _, m := range r.missing {
+		if !now.Before(m.until) {
+			changes = r.remove(changes, now, m.entry, time.Time{})
 		}
 	}
 	return changes
@@ -154,7 +160,7 @@
 		return changes
 	}
 	if now.Before(graceUntil) {
-		r.missing[e.ID] = graceUntil
+		r.missing[e.ID] = removal{entry: e, until: graceUntil}
 		return changes
 	}
 	delete(r.missing, e.ID)
