--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -137,7 +137,12 @@
 
 // Close ends all connections.
 func (s *Server) Close() error {
-	return eris.Wrap(s.http.Close(), "cannot close the server for callers")
+	err := s.http.Close()
+	if errors.Is(err, net.ErrClosed) {
+		// Drain has closed the listener, and Serve has not noticed yet.
+		return nil
+	}
+	return eris.Wrap(err, "cannot close the server for callers")
 }
 
 // past is a deadline that ends a wait at once.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -32,7 +32,9 @@
 	return s
 }
 
-func ask(t *testing.T, s *Server, c net.Conn) {
+// ask sends a request and waits until its connection, and all others, wait for
+// their next request.
+func ask(t *testing.T, s *Server, c net.Conn, connections int) {
 	t.Helper()
 	if _, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 		t.Fatal(err)
@@ -42,9 +44,9 @@
 		t.Fatal(err)
 	}
 	deadline := time.Now().Add(20 * time.Second)
-	for s.waitingConnections() == 0 {
+	for s.waitingConnections() != connections {
 		if time.Now().After(deadline) {
-			t.Fatal("the connection does not wait for its next request")
+			t.Fatalf("%d connections wait for a request, want %d", s.waitingConnections(), connections)
 		}
 		time.Sleep(time.Millisecond)
 	}
@@ -72,7 +74,7 @@
 	s := serve(t)
 	s.SetIdleLimit(100 * time.Millisecond)
 	c := dial(t, s)
-	ask(t, s, c)
+	ask(t, s, c, 1)
 	began := time.Now()
 	_ = c.SetReadDeadline(began.Add(20 * time.Second))
 	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
@@ -88,7 +90,7 @@
 	s := serve(t)
 	s.SetIdleLimit(time.Millisecond)
 	c := dial(t, s)
-	ask(t, s, c)
+	ask(t, s, c, 1)
 	s.SetIdleLimit(time.Hour)
 	_ = c.SetReadDeadline(time.Now().Add(2*idleMargin + 100*time.Millisecond))
 	_, err := c.Read(make([]byte, 1))
@@ -101,7 +103,7 @@
 func TestCloseWaitingSparesNewConnections(t *testing.T) {
 	s := serve(t)
 	used, fresh := dial(t, s), dial(t, s)
-	ask(t, s, used)
+	ask(t, s, used, 2)
 	s.CloseWaiting()
 	_ = used.SetReadDeadline(time.Now().Add(20 * time.Second))
 	if _, err := used.Read(make([]byte, 1)); err != io.EOF {
@@ -152,7 +154,7 @@
 	done := make(chan error, 1)
 	go func() { done <- s.Serve() }()
 	c := dial(t, s)
-	ask(t, s, c)
+	ask(t, s, c, 1)
 	if _, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
@@ -207,3 +209,29 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a stop that reports an error because the listener was closed
+// before.
+func TestCloseAfterDrain(t *testing.T) {
+	for range 50 {
+		s, err := Listen("127.0.0.1:0", http.NotFoundHandler(), hclog.NewNullLogger())
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan error, 1)
+		go func() { done <- s.Serve() }()
+		dial(t, s)
+		for s.Open() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if err := s.Drain(); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
