digest, front: get the placements as soon as the servers are known

Cause: a router that restarted asked for the placements with its regular digests only, each second, and counted as synced with the first reply, even when it knew no servers yet and dropped all of them.

Change: a starting router asks once it knows the servers and hears of a synced one; a router answers the first message of a process at once, so that it hears of one within a round trip. After a restart of all, the engines are queried 100 ms after a router is ready instead of 600 ms, and the result is announced. A large fleet keeps asking with the regular digests.

TestPlacementsAreRequestedOnceServersAreKnown fails without the check.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,6 +166,8 @@
 	loads         map[uint32]int
 	serverChanges []ServerChange
 	outcomes      []Outcomes
+	// serversUnknown is set while the router has not read the list of servers.
+	serversUnknown atomic.Bool
 }
 
 func (s *fakeState) Loads() []Load { return []Load{{Server: 7, InFlight: 2}} }
@@ -179,6 +182,8 @@
 
 func (s *fakeState) AllPlacements() []Placement { return s.allPlacements }
 
+func (s *fakeState) ServersKnown() bool { return !s.serversUnknown.Load() }
+
 func (s *fakeState) Progress() ([]Progress, bool) {
 	return []Progress{{Topic: 0, LastChange: 11}}, true
 }
@@ -232,32 +237,41 @@
 	return s.received[placement] && s.loads[7] == 2
 }
 
-// Guards against routers whose digests do not arrive over real sockets: a
-// starting one must get all placements, a running one each new placement.
-func TestExchangeOverLoopback(t *testing.T) {
-	old := &fakeState{allPlacements: []Placement{{1, 7}}, received: map[Placement]bool{}}
-	fresh := &fakeState{received: map[Placement]bool{}}
-	first, err := Listen(netip.MustParseAddrPort("127.0.8.1:0"), nil, true, old, event.Nop())
+// startPair starts the exchanges of a synced router and of one that has started after
+// it, until the test ends.
+func startPair(t *testing.T, old, fresh State) (first, second *Exchange) {
+	t.Helper()
+	var err error
+	first, err = Listen(netip.MustParseAddrPort("127.0.8.1:0"), nil, true, old, event.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	port := netip.AddrPortFrom(netip.MustParseAddr("127.0.8.2"), first.port)
-	second, err := Listen(port, []netip.Addr{netip.MustParseAddr("127.0.8.1")}, false, fresh, event.Nop())
+	second, err = Listen(port, []netip.Addr{netip.MustParseAddr("127.0.8.1")}, false, fresh, event.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for _, e := range []*Exchange{first, second} {
 		wg.Go(func() { _ = e.Receive() })
 		wg.Go(func() { _ = e.Send(ctx) })
 	}
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		_ = first.Close()
 		_ = second.Close()
 		wg.Wait()
-	}()
+	})
+	return first, second
+}
+
+// Guards against routers whose digests do not arrive over real sockets: a
+// starting one must get all placements, a running one each new placement.
+func TestExchangeOverLoopback(t *testing.T) {
+	old := &fakeState{allPlacements: []Placement{{1, 7}}, received: map[Placement]bool{}}
+	fresh := &fakeState{received: map[Placement]bool{}}
+	_, second := startPair(t, old, fresh)
 	waitFor(t, "the new router has the placements", func() bool { return fresh.hasPlacementAndLoad(Placement{1, 7}) })
 	waitFor(t, "each router has the outcomes of both", func() bool { return old.hasFleetOutcomes() && fresh.hasFleetOutcomes() })
 	waitFor(t, "the new router is synced", second.Synced)
@@ -270,6 +284,29 @@
 	waitFor(t, "the running router has the new placement", func() bool { return old.hasPlacementAndLoad(Placement{2, 7}) })
 }
 
+// Guards against placements that arrive before the list of servers: a router that
+// started while the store was down dropped them all, counted as synced, and sent
+// requests to engines that had to read their prompts again for the rest of the day.
+func TestPlacementsAreRequestedOnceServersAreKnown(t *testing.T) {
+	old := &fakeState{allPlacements: []Placement{{1, 7}}, received: map[Placement]bool{}}
+	fresh := &fakeState{received: map[Placement]bool{}}
+	fresh.serversUnknown.Store(true)
+	first, second := startPair(t, old, fresh)
+	waitFor(t, "the new router knows the other one", func() bool { return second.LivePeerCount() == 1 && second.NewestChange(0) == 11 })
+	second.requestPlacements(time.Now())
+	second.RequestPlacements()
+	waitFor(t, "the running router has the loads of the new one", func() bool { return old.hasFleetOutcomes() })
+	if second.Synced() {
+		t.Fatal("the router is synced before it knows the servers")
+	}
+	fresh.serversUnknown.Store(false)
+	second.RequestPlacements()
+	waitFor(t, "the new router has the placements", func() bool { return fresh.hasPlacementAndLoad(Placement{1, 7}) })
+	if !first.Synced() || !second.Synced() {
+		t.Error("a router is not synced, want both")
+	}
+}
+
 func waitFor(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(20 * time.Second)
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -30,8 +30,6 @@
 	// before they are sent together.
 	minBatchDelay     = 10 * time.Millisecond
 	batchDelayPerPeer = 2 * time.Millisecond
-	// requestInterval is the time between two requests for all placements.
-	requestInterval = 500 * time.Millisecond
 	// sumInterval is the minimum time between two sums of the others' loads.
 	sumInterval = 100 * time.Millisecond
 	// peersPerDigest is the number of other routers that a regular digest names.
@@ -56,6 +54,9 @@
 	TakeNewPlacements() []Placement
 	// AllPlacements returns all placements that this router has recorded.
 	AllPlacements() []Placement
+	// ServersKnown reports whether this router knows the servers. It cannot record
+	// placements at servers that it does not know.
+	ServersKnown() bool
 	// Progress returns how far the topics have been read, and whether the
 	// store answers.
 	Progress() (list []Progress, reading bool)
@@ -184,10 +185,16 @@
 	isNew := e.peers.RecordMessage(now, from, m)
 	e.synced = e.synced || m.PlacementsReply
 	smallFleet := e.smallFleet()
+	requestNow := smallFleet && m.Synced && !e.synced
 	sum := m.LoadsComplete && smallFleet && now.Sub(e.summedAt) >= sumInterval
 	e.mu.Unlock()
 	if isNew {
 		e.events.Emit(event.PeerDiscovered, "peer", from.String(), "stopping", m.Stopping)
+		// A router that has just started learns at once who has the placements.
+		e.sendTo([]netip.Addr{from}, e.newMessage())
+	}
+	if requestNow {
+		e.requestPlacements(now)
 	}
 	if sum {
 		e.sumLoads(now)
@@ -264,53 +271,11 @@
 	}
 }
 
-// requestPlacements asks one synced router for all placements while they are
-// missing here. The reply may span many datagrams.
-func (e *Exchange) requestPlacements(now time.Time) {
-	e.mu.Lock()
-	peer, found := e.peers.SyncedPeer(now)
-	due := found && !e.synced && now.Sub(e.requestedAt) >= requestInterval
-	if due {
-		e.requestedAt = now
-	}
-	e.mu.Unlock()
-	if due {
-		e.sendTo([]netip.Addr{peer}, &Message{Sender: e.sender, RequestPlacements: true})
-	}
-}
-
 // periodFor returns the interval between regular digests for n other routers.
 func periodFor(n int) time.Duration {
 	return max(minPeriod, periodPerPeer*time.Duration(n))
 }
 
-// ShouldQueryServers reports whether this router should ask the servers what they
-// have cached: no live router is synced, and of the live ones this router has
-// the lowest address.
-func (e *Exchange) ShouldQueryServers() bool {
-	now := time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	_, found := e.peers.SyncedPeer(now)
-	return !e.synced && !found && e.peers.HasLowestAddr(now)
-}
-
-// Synced reports whether this router has the placements of the fleet.
-func (e *Exchange) Synced() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.synced
-}
-
-// MarkSynced records that this router has queried the servers. From then on the
-// other routers get the placements from it and from each other. It is also called
-// when no server has answered, since a second query would not help.
-func (e *Exchange) MarkSynced() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.synced = true
-}
-
 // Close ends Receive.
 func (e *Exchange) Close() error {
 	return eris.Wrap(e.conn.Close(), "cannot close the digest socket")
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// inventoryWait is how long a router waits for the placements of another router
-	// before it asks the engines.
-	inventoryWait = 600 * time.Millisecond
+	// inventoryWait is how long a ready router waits for the digest of another one
+	// that has the placements before it asks the engines. Routers that start together
+	// hear of each other in that time.
+	inventoryWait = 100 * time.Millisecond
+	// inventoryCheck is the time between two checks whether to ask the engines.
+	inventoryCheck = 50 * time.Millisecond
 	// inventoryTimeout bounds the call to one engine.
 	inventoryTimeout = time.Second
 	// inventoryCalls bounds the number of concurrent calls to engines.
@@ -24,15 +27,23 @@
 // routers have restarted and none has this information. One router does so, and
 // the others get the result from it.
 func (f *Front) collectInventory(ctx context.Context) error {
-	tick := time.NewTicker(inventoryWait)
+	tick := time.NewTicker(inventoryCheck)
 	defer tick.Stop()
+	var readyAt time.Time
 	for !f.exchange.Synced() {
+		var now time.Time
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick.C:
+		case now = <-tick.C:
 		}
-		if f.tracker.ready() && f.exchange.ShouldQueryServers() {
+		if !f.tracker.ready() {
+			continue
+		}
+		if readyAt.IsZero() {
+			readyAt = now
+		}
+		if now.Sub(readyAt) >= inventoryWait && f.exchange.ShouldQueryServers() {
 			f.queryEngines(ctx)
 			f.exchange.MarkSynced()
 		}
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -84,6 +84,9 @@
 // ready reports whether the router accepts callers.
 func (t *tracker) ready() bool { return t.isReady.Load() && !t.stopping.Load() }
 
+// ServersKnown reports whether the list of servers has been read.
+func (t *tracker) ServersKnown() bool { return t.isReady.Load() }
+
 // stop makes the router not ready permanently.
 func (t *tracker) stop() { t.stopping.Store(true) }
 
@@ -307,6 +310,7 @@
 		return
 	}
 	t.isReady.Store(true)
+	t.exchange.RequestPlacements()
 	t.events.Emit(event.FrontReady, "version", t.state.Table().Version(), "servers", t.servers.Len())
 }
 
