balance, forward, digest: place prompts by what engines read and have cached

Cause: placement counted requests only. A server that reads a long prompt for 0.7 s counted as silent.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -37,7 +37,12 @@
 
 func prefix(i int) uint64 { return placement.Mix(77, uint64(i)) }
 
-func large(i int) Job { return Job{PrefixHash: prefix(i), SharedTokens: 10000} }
+func large(i int) Job {
+	return Job{Prefixes: []Prefix{{Hash: prefix(i), Tokens: 10000}}, PromptTokens: 10500}
+}
+
+// at returns the choice of a server without its data.
+func at(m *member) Choice { return Choice{Server: m.server} }
 
 func pick(t testing.TB, p *Pool, now time.Time, job Job) Choice {
 	t.Helper()
@@ -66,7 +71,7 @@
 	homes := map[int]string{}
 	for i := range 100 {
 		c := pick(t, p, start, large(i))
-		p.Begin(start, c.Server.Key(), prefix(i))
+		p.Begin(start, c, large(i))
 		p.End(start, c.Server.Key(), Served)
 		homes[i] = c.Server.ID
 	}
@@ -83,7 +88,8 @@
 func TestPrefixIsCopiedFromLeavingServer(t *testing.T) {
 	p := pool(9)
 	c := pick(t, p, start, large(1))
-	p.Begin(start, c.Server.Key(), prefix(1))
+	p.Begin(start, c, large(1))
+	p.RecordFirstByte(start, c, large(1), 0)
 	p.End(start, c.Server.Key(), Served)
 	list := servers(9)
 	for _, s := range list {
@@ -120,10 +126,10 @@
 		if float64(inFlight[c.Server.ID]) > limits.CapFactor*mean+limits.CapExtra {
 			over++
 		}
-		if job.PrefixHash == prefix(0) {
+		if job.longest().Hash == prefix(0) {
 			hotHomes[c.Server.ID] = true
 		}
-		p.Begin(now, c.Server.Key(), job.PrefixHash)
+		p.Begin(now, c, job)
 		inFlight[c.Server.ID]++
 		running = append(running, c)
 		if len(running) > 400 {
@@ -174,7 +180,7 @@
 		if float64(inFlight[c.Server.ID]) > limits.CapFactor*mean+limits.CapExtra {
 			over++
 		}
-		pools[r].Begin(now, c.Server.Key(), job.PrefixHash)
+		pools[r].Begin(now, c, job)
 		inFlight[c.Server.ID]++
 		running = append(running, run{r, c.Server})
 		if len(running) > 300 {
@@ -233,9 +239,9 @@
 				p.End(start, k, Cancelled)
 			}
 		}, 0, false},
-		{"silence with a request in flight", func(p *Pool, k registry.Key) { p.Begin(start, k, 0) }, silenceLimit + 1, true},
+		{"silence with a request in flight", func(p *Pool, k registry.Key) { p.Begin(start, at(p.byKey[k]), Job{}) }, silenceLimit + 1, true},
 		{"silence without one", func(p *Pool, k registry.Key) {
-			p.Begin(start, k, 0)
+			p.Begin(start, at(p.byKey[k]), Job{})
 			p.End(start, k, Served)
 		}, silenceLimit + 1, false},
 	} {
@@ -287,7 +293,7 @@
 		p := pool(4)
 		job := Job{Random: rapid.Uint64().Draw(t, "random")}
 		if rapid.Bool().Draw(t, "has prefix") {
-			job.PrefixHash = rapid.Uint64Min(1).Draw(t, "prefix")
+			job.Prefixes = []Prefix{{Hash: rapid.Uint64Min(1).Draw(t, "prefix")}}
 		}
 		for n := range 4 {
 			c, ok := p.Pick(start, job)
@@ -313,7 +319,7 @@
 	p := pool(4)
 	for i := range 100 {
 		c := pick(t, p, start, Job{Random: uint64(i)})
-		p.Begin(start, c.Server.Key(), 0)
+		p.Begin(start, c, Job{})
 	}
 	for _, s := range p.Status(start) {
 		if s.Own != 25 {
@@ -325,8 +331,7 @@
 // Guards against a new incarnation that inherits the state of the old one.
 func TestRestartDiscardsState(t *testing.T) {
 	p := pool(3)
-	key := p.members[0].server.Key()
-	p.Begin(start, key, prefix(1))
+	p.Begin(start, at(p.members[0]), large(1))
 	list := servers(3)
 	list[0].Born = 9
 	p.SetServers(list)
--- /dev/null
+++ b/internal/balance/candidates.go
@@ -0,0 +1,106 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/overload"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+)
+
+// usable returns the members that can take a request, and the mean load of the
+// pool. When all members are ejected the ejections are ignored: trying one is
+// better than refusing every request.
+func (p *Pool) usable(now time.Time, exclude []registry.Key) ([]*member, float64) {
+	available := make([]*member, 0, len(p.members))
+	ejected := make([]*member, 0, len(p.members))
+	for _, m := range p.members {
+		if m.server.Leaving || slices.Contains(exclude, m.server.Key()) {
+			continue
+		}
+		if m.health.ejected(now, m.own) {
+			ejected = append(ejected, m)
+			continue
+		}
+		available = append(available, m)
+	}
+	if len(available) == 0 {
+		return ejected, p.mean(now)
+	}
+	return available, p.mean(now)
+}
+
+// Load returns the load of the servers that take new requests. Its Slots are 0
+// when one of these servers does not report its own.
+func (p *Pool) Load(now time.Time) overload.Load {
+	var load overload.Load
+	for _, m := range p.members {
+		if m.server.Leaving || m.health.ejected(now, m.own) {
+			continue
+		}
+		if m.server.Slots <= 0 {
+			return overload.Load{}
+		}
+		others, ownAtReport := m.latestReport(now)
+		load.Own += m.own
+		load.Others += float64(others)
+		load.OwnAtReport += ownAtReport
+		load.Slots += m.server.Slots
+	}
+	return load
+}
+
+// mean returns the lower of the mean loads with and without the servers that are
+// leaving. They still finish their requests and would raise the bound of the
+// others or, when few remain, hide how uneven the load is.
+func (p *Pool) mean(now time.Time) float64 {
+	var all, staying float64
+	n := 0
+	for _, m := range p.members {
+		load := m.load(now)
+		all += load
+		if !m.server.Leaving {
+			staying += load
+			n++
+		}
+	}
+	return min(all/float64(max(len(p.members), 1)), staying/float64(max(n, 1)))
+}
+
+// leastLoaded returns the least loaded member; ties are broken by the job's random
+// number.
+func (p *Pool) leastLoaded(now time.Time, usable []*member, job *Job) *member {
+	start := int(job.Random % uint64(len(usable)))
+	best := usable[start]
+	for i := 1; i < len(usable); i++ {
+		m := usable[(start+i)%len(usable)]
+		if p.lessLoaded(now, m, best, job.DataCentre) {
+			best = m
+		}
+	}
+	return best
+}
+
+// lessLoaded compares by load per slot, then prefers the data centre.
+func (p *Pool) lessLoaded(now time.Time, a, b *member, dataCentre string) bool {
+	x, y := p.loadPerSlot(now, a), p.loadPerSlot(now, b)
+	if x != y {
+		return x < y
+	}
+	return a.server.DataCentre == dataCentre && b.server.DataCentre != dataCentre
+}
+
+// choose returns the choice of a member that has to read a number of tokens.
+func (p *Pool) choose(now time.Time, m, source *member, mean float64, reason Reason, read int) Choice {
+	c := Choice{
+		Server: m.server, Reason: reason, Load: m.load(now), Mean: mean, ReportAge: -1,
+		ReadTokens: read, Wait: m.wait(now),
+	}
+	if source != nil {
+		c.Source = source.server
+	}
+	if !m.serverReportAt.IsZero() {
+		c.ReportAge = now.Sub(m.serverReportAt)
+	}
+	return c
+}
--- a/internal/balance/failures_test.go
+++ b/internal/balance/failures_test.go
@@ -20,7 +20,7 @@
 		now := start.Add(time.Duration(step) * time.Second / 120)
 		p := pools[rng.IntN(routers)]
 		c, _ := p.Pick(now, Job{Random: rng.Uint64()})
-		p.Begin(now, c.Server.Key(), 0)
+		p.Begin(now, c, Job{})
 		o := Served
 		if c.Server.ID == "i-3" && rng.Float64() < 0.4 {
 			o = Failed
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -6,6 +6,10 @@
 	// silenceLimit is how long a server with requests in flight may send nothing
 	// before it gets no new ones. Streams send several events in this time.
 	silenceLimit = 700 * time.Millisecond
+	// minLongReading is the reading time from which a prompt may keep a server silent.
+	// Shorter ones don't extend silenceLimit: new requests would extend it again and
+	// again at a server that has stopped to answer.
+	minLongReading = 400 * time.Millisecond
 	// outcomeHistory is the number of latest outcomes in the failure rate.
 	outcomeHistory = 16
 	// A server is ejected when at least minFailures of its outcomes, and at least
@@ -29,6 +33,9 @@
 	// lastActivity is when the server last sent data or, if later, when it was sent
 	// a request with no other in flight.
 	lastActivity time.Time
+	// readingUntil is when it is expected to have read the prompts that it was sent
+	// by this router. It may send nothing before.
+	readingUntil time.Time
 	// outcomes has a bit per outcome, set for a failure; the newest is bit 0.
 	outcomes uint32
 	count    int
@@ -43,10 +50,13 @@
 	unreachablePause time.Duration
 }
 
-func (h *health) begin(now time.Time, own int) {
+func (h *health) begin(now time.Time, own int, readingUntil time.Time) {
 	if own <= 1 {
 		h.lastActivity = now
 	}
+	if readingUntil.Sub(now) >= minLongReading && readingUntil.After(h.readingUntil) {
+		h.readingUntil = readingUntil
+	}
 }
 
 func (h *health) recordProgress(now time.Time) {
@@ -55,9 +65,9 @@
 }
 
 // silent reports whether the server has requests in flight and has sent nothing
-// for longer than silenceLimit.
+// for longer than silenceLimit, long prompts read meanwhile not counted.
 func (h *health) silent(now time.Time, own int) bool {
-	return own > 0 && now.Sub(h.lastActivity) > silenceLimit
+	return own > 0 && now.Sub(h.lastActivity) > silenceLimit && now.Sub(h.readingUntil) > silenceLimit
 }
 
 // failing reports whether the server is ejected for its failures.
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -12,9 +12,11 @@
 	// idHash is the hash of the ID, which a server keeps when it restarts.
 	idHash uint64
 	// hash identifies the incarnation.
-	hash  uint64
-	newer bool
-	own   int
+	hash uint64
+	own  int
+	// readUntil is when the server is expected to have read all prompts that it has
+	// received.
+	readUntil time.Time
 	// serverReported is the load of other routers in the server's last report, and
 	// ownAtServerReport the number of this router's requests there at that time.
 	serverReported    int
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -39,76 +39,51 @@
 	Slots   int
 }
 
-// Begin counts a request in flight at a server and records the server as holder
-// of its prefix. It reports whether that placement is new.
-func (p *Pool) Begin(now time.Time, key registry.Key, prefixHash uint64) (isNew bool) {
-	m := p.byKey[key]
+// Begin counts a request in flight at the server of a choice and records the server
+// as holder of its prefixes. It reports whether the other routers have to know of
+// it.
+func (p *Pool) Begin(now time.Time, choice Choice, job Job) (announced bool) {
+	m := p.byKey[choice.Server.Key()]
 	if m == nil {
 		return false
 	}
 	m.own++
-	m.health.begin(now, m.own)
-	if prefixHash == 0 || !p.recordHolder(now, prefixHash, m.hash) {
-		return false
-	}
-	p.newPlacements = append(p.newPlacements, Placement{PrefixHash: prefixHash, Server: m.hash})
-	return true
-}
-
-// recordHolder records that a server has a prefix in its cache, and reports whether
-// that is new.
-func (p *Pool) recordHolder(now time.Time, prefixHash, server uint64) bool {
-	h := p.prefixes[prefixHash]
-	if h == nil {
-		if len(p.prefixes) >= maxPrefixes {
-			p.evictPrefixes(now)
-		}
-		h = &prefixHolders{}
-		p.prefixes[prefixHash] = h
-	}
-	h.lastUsed = now
-	return h.moveToFront(server)
-}
-
-// evictPrefixes removes the prefixes that are no longer expected in any cache, or
-// all if there are none of these.
-func (p *Pool) evictPrefixes(now time.Time) {
-	for prefixHash, h := range p.prefixes {
-		if now.Sub(h.lastUsed) > cacheRetention {
-			delete(p.prefixes, prefixHash)
+	reading := p.speed.duration(choice.ReadTokens)
+	readAt := m.addReading(now, reading)
+	m.health.begin(now, m.own, readAt)
+	for _, prefix := range job.Prefixes {
+		if p.recordHolder(now, prefix, m, readAt.Add(p.speed.firstByte())) {
+			p.announce(Placement{PrefixHash: prefix.Hash, Server: m.hash, Tokens: prefix.Tokens})
+			announced = true
 		}
 	}
-	if len(p.prefixes) >= maxPrefixes {
-		clear(p.prefixes)
+	if reading >= minAnnouncedReading {
+		longest := job.longest()
+		p.announce(Placement{PrefixHash: longest.Hash, Server: m.hash, Tokens: longest.Tokens, ReadTokens: choice.ReadTokens})
+		announced = true
 	}
+	return announced
 }
 
-// TakeNewPlacements returns the new placements since the last call.
-func (p *Pool) TakeNewPlacements() []Placement {
-	newPlacements := p.newPlacements
-	p.newPlacements = nil
-	return newPlacements
-}
-
-// RecordPlacement records a placement of another router. Servers of other pools
-// are ignored.
-func (p *Pool) RecordPlacement(now time.Time, placement Placement) {
-	if p.byHash[placement.Server] != nil {
-		p.recordHolder(now, placement.PrefixHash, placement.Server)
+// announce adds a placement to those that are to be sent. It replaces the one before
+// it of the same prefix and server.
+func (p *Pool) announce(placement Placement) {
+	if n := len(p.newPlacements); n > 0 && p.newPlacements[n-1].PrefixHash == placement.PrefixHash && p.newPlacements[n-1].Server == placement.Server {
+		placement.ReadTokens += p.newPlacements[n-1].ReadTokens
+		p.newPlacements = p.newPlacements[:n-1]
 	}
+	p.newPlacements = append(p.newPlacements, placement)
 }
 
-// AllPlacements returns all recorded placements, for a router that has just started.
-func (p *Pool) AllPlacements() []Placement {
-	var list []Placement
-	for prefixHash, h := range p.prefixes {
-		for _, server := range h.servers {
-			if server != 0 && p.byHash[server] != nil {
-				list = append(list, Placement{PrefixHash: prefixHash, Server: server})
-			}
-		}
+// RecordFirstByte records that a server has read the prompt of a request, after a
+// time since the request was sent.
+func (p *Pool) RecordFirstByte(now time.Time, choice Choice, job Job, firstByte time.Duration) {
+	if choice.Wait == 0 && choice.Source == nil {
+		p.speed.observe(choice.ReadTokens, firstByte)
+	}
+	for _, prefix := range job.Prefixes {
+		p.cached.markRead(now, prefix.Hash, choice.Server.Key().Hash())
 	}
-	return list
 }
 
 // InFlight calls f for each server with requests of this router in flight.
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -33,7 +33,10 @@
 		m.TotalLoads = append(m.TotalLoads, Load{rapid.Uint32().Draw(t, "total server"), rapid.IntRange(0, 1000).Draw(t, "total")})
 		m.Outcomes = append(m.Outcomes, drawOutcomes(t))
 		m.TotalFailures = append(m.TotalFailures, drawOutcomes(t))
-		m.Placements = append(m.Placements, Placement{rapid.Uint64().Draw(t, "prefix hash"), rapid.Uint64().Draw(t, "caching server")})
+		m.Placements = append(m.Placements, Placement{
+			PrefixHash: rapid.Uint64().Draw(t, "prefix hash"), Server: rapid.Uint64().Draw(t, "caching server"),
+			Tokens: rapid.IntRange(0, maxPromptTokens).Draw(t, "prefix tokens"), ReadTokens: rapid.IntRange(0, maxPromptTokens).Draw(t, "read tokens"),
+		})
 		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), rapid.Int64().Draw(t, "last change")})
 		m.Servers = append(m.Servers, drawServerChange(t))
 	}
@@ -95,7 +98,7 @@
 	p := NewPeers(addr(1), nil)
 	p.RecordMessage(start, addr(2), &Message{Sender: 2, LoadsComplete: true, Loads: []Load{{7, 3}, {8, 1}}})
 	p.RecordMessage(start.Add(time.Second), addr(3), &Message{Sender: 3, LoadsComplete: true, Loads: []Load{{7, 2}}})
-	p.RecordMessage(start.Add(time.Second), addr(3), &Message{Sender: 3, Placements: []Placement{{1, 1}}})
+	p.RecordMessage(start.Add(time.Second), addr(3), &Message{Sender: 3, Placements: []Placement{{PrefixHash: 1, Server: 1}}})
 	if got := p.Loads(start.Add(time.Second)); got[7] != 5 || got[8] != 1 {
 		t.Errorf("loads %v, want 5 for server 7 and 1 for server 8", got)
 	}
@@ -209,6 +212,8 @@
 	return len(s.outcomes) == 1 && s.outcomes[0] == Outcomes{Server: 7, Failed: 4, Ended: 10}
 }
 
+func (s *fakeState) RecordCached(list []Placement) { s.RecordPlacements(list) }
+
 func (s *fakeState) RecordPlacements(list []Placement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -269,26 +274,26 @@
 // Guards against routers whose digests do not arrive over real sockets: a
 // starting one must get all placements, a running one each new placement.
 func TestExchangeOverLoopback(t *testing.T) {
-	old := &fakeState{allPlacements: []Placement{{1, 7}}, received: map[Placement]bool{}}
+	old := &fakeState{allPlacements: []Placement{{PrefixHash: 1, Server: 7}}, received: map[Placement]bool{}}
 	fresh := &fakeState{received: map[Placement]bool{}}
 	_, second := startPair(t, old, fresh)
-	waitFor(t, "the new router has the placements", func() bool { return fresh.hasPlacementAndLoad(Placement{1, 7}) })
+	waitFor(t, "the new router has the placements", func() bool { return fresh.hasPlacementAndLoad(Placement{PrefixHash: 1, Server: 7}) })
 	waitFor(t, "each router has the outcomes of both", func() bool { return old.hasFleetOutcomes() && fresh.hasFleetOutcomes() })
 	waitFor(t, "the new router is synced", second.Synced)
 	waitFor(t, "the new router has the server change", fresh.hasServerChange)
 	waitFor(t, "the new router has the offset of the last change", func() bool { return second.NewestChange(0) == 11 })
 	fresh.mu.Lock()
-	fresh.newPlacements = []Placement{{2, 7}}
+	fresh.newPlacements = []Placement{{PrefixHash: 2, Server: 7}}
 	fresh.mu.Unlock()
 	second.SendSoon()
-	waitFor(t, "the running router has the new placement", func() bool { return old.hasPlacementAndLoad(Placement{2, 7}) })
+	waitFor(t, "the running router has the new placement", func() bool { return old.hasPlacementAndLoad(Placement{PrefixHash: 2, Server: 7}) })
 }
 
 // Guards against placements that arrive before the list of servers: a router that
 // started while the store was down dropped them all, counted as synced, and sent
 // requests to engines that had to read their prompts again for the rest of the day.
 func TestPlacementsAreRequestedOnceServersAreKnown(t *testing.T) {
-	old := &fakeState{allPlacements: []Placement{{1, 7}}, received: map[Placement]bool{}}
+	old := &fakeState{allPlacements: []Placement{{PrefixHash: 1, Server: 7}}, received: map[Placement]bool{}}
 	fresh := &fakeState{received: map[Placement]bool{}}
 	fresh.serversUnknown.Store(true)
 	first, second := startPair(t, old, fresh)
@@ -301,7 +306,7 @@
 	}
 	fresh.serversUnknown.Store(false)
 	second.RequestPlacements()
-	waitFor(t, "the new router has the placements", func() bool { return fresh.hasPlacementAndLoad(Placement{1, 7}) })
+	waitFor(t, "the new router has the placements", func() bool { return fresh.hasPlacementAndLoad(Placement{PrefixHash: 1, Server: 7}) })
 	if !first.Synced() || !second.Synced() {
 		t.Error("a router is not synced, want both")
 	}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -36,7 +36,7 @@
 	peersPerDigest = 16
 	// placementsPerDatagram bounds the placements of one datagram, loadsPerDatagram
 	// its loads, which share the datagram with outcomes.
-	placementsPerDatagram = 56
+	placementsPerDatagram = 34
 	loadsPerDatagram      = 150
 	// serverChangesPerDatagram bounds the server changes of one datagram.
 	serverChangesPerDatagram = 8
@@ -68,8 +68,12 @@
 	// SetOutcomes sets the recent outcomes of all routers for the servers that
 	// failed requests.
 	SetOutcomes(list []Outcomes)
-	// RecordPlacements records placements that another router has sent.
+	// RecordPlacements records new placements of another router, whose servers read
+	// the prompts.
 	RecordPlacements(list []Placement)
+	// RecordCached records placements that another router has made or received
+	// before.
+	RecordCached(list []Placement)
 	// ServerChanges returns the server changes to send now: new ones, and earlier
 	// ones that are sent again.
 	ServerChanges() []ServerChange
@@ -205,9 +209,7 @@
 	if len(m.TotalFailures) > 0 && !smallFleet {
 		e.state.SetOutcomes(m.TotalFailures)
 	}
-	if len(m.Placements) > 0 {
-		e.state.RecordPlacements(m.Placements)
-	}
+	e.recordPlacements(m)
 	if len(m.Servers) > 0 {
 		e.state.ApplyServerChanges(m.Servers)
 	}
@@ -216,6 +218,16 @@
 	}
 }
 
+func (e *Exchange) recordPlacements(m *Message) {
+	switch {
+	case len(m.Placements) == 0:
+	case m.PlacementsReply:
+		e.state.RecordCached(m.Placements)
+	default:
+		e.state.RecordPlacements(m.Placements)
+	}
+}
+
 // smallFleet reports whether routers send their loads to all. The caller holds e.mu.
 func (e *Exchange) smallFleet() bool { return len(e.peers.tracked) <= smallFleetPeers }
 
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -52,6 +52,10 @@
 type Placement struct {
 	PrefixHash uint64
 	Server     uint64
+	// Tokens is the size of the prefix.
+	Tokens int
+	// ReadTokens is the number of prompt tokens that the server has to read.
+	ReadTokens int
 }
 
 // Progress states what a router has read of a topic of the store.
@@ -105,7 +109,7 @@
 	Servers       []ServerChange
 }
 
-// Field numbers of the protobuf messages. fieldFirst and fieldSecond are those of
+// Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
 // placements and progress.
 const (
 	fieldSender            = 1
@@ -126,6 +130,8 @@
 
 	fieldFirst  = 1
 	fieldSecond = 2
+	fieldThird  = 3
+	fieldFourth = 4
 )
 
 // Encode returns the protobuf form of m.
@@ -147,10 +153,10 @@
 	b = appendOutcomes(b, fieldOutcomes, m.Outcomes)
 	b = appendOutcomes(b, fieldTotalFailures, m.TotalFailures)
 	for _, placement := range m.Placements {
-		b = appendPair(b, fieldPlacement, placement.PrefixHash, placement.Server)
+		b = appendNumbers(b, fieldPlacement, placement.PrefixHash, placement.Server, uint64(placement.Tokens), uint64(placement.ReadTokens))
 	}
 	for _, p := range m.Progress {
-		b = appendPair(b, fieldProgress, uint64(p.Topic), uint64(p.LastChange))
+		b = appendNumbers(b, fieldProgress, uint64(p.Topic), uint64(p.LastChange))
 	}
 	for i := range m.Servers {
 		b = protowire.AppendTag(b, fieldServer, protowire.BytesType)
@@ -204,10 +210,13 @@
 	return loads, nil
 }
 
-func appendPair(b []byte, field protowire.Number, first, second uint64) []byte {
-	var pair [2 * 9]byte
-	inner := appendFixed(pair[:0], fieldFirst, first)
-	inner = appendFixed(inner, fieldSecond, second)
+// appendNumbers encodes a message of fixed64 fields, numbered from fieldFirst.
+func appendNumbers(b []byte, field protowire.Number, values ...uint64) []byte {
+	var buffer [fieldFourth * 9]byte
+	inner := buffer[:0]
+	for i, v := range values {
+		inner = appendFixed(inner, fieldFirst+protowire.Number(i), v)
+	}
 	b = protowire.AppendTag(b, field, protowire.BytesType)
 	return protowire.AppendBytes(b, inner)
 }
@@ -303,7 +312,7 @@
 	case fieldPeer:
 		err = m.decodePeer(v)
 	case fieldPlacement, fieldProgress:
-		err = m.decodePair(field, v)
+		err = m.decodeNumbers(field, v)
 	}
 	return b[n:], err
 }
@@ -317,8 +326,8 @@
 	return nil
 }
 
-func (m *Message) decodePair(field protowire.Number, b []byte) error {
-	var pair [2]uint64
+func (m *Message) decodeNumbers(field protowire.Number, b []byte) error {
+	var values [fieldFourth]uint64
 	for len(b) > 0 {
 		inner, kind, n := protowire.ConsumeTag(b)
 		if n < 0 || kind != protowire.Fixed64Type {
@@ -328,20 +337,23 @@
 		if used < 0 {
 			return errMalformed
 		}
-		if inner == fieldFirst || inner == fieldSecond {
-			pair[inner-fieldFirst] = v
+		if inner >= fieldFirst && inner <= fieldFourth {
+			values[inner-fieldFirst] = v
 		}
 		b = b[n+used:]
 	}
-	return m.addPair(field, pair[0], pair[1])
+	return m.addNumbers(field, values)
 }
 
-func (m *Message) addPair(field protowire.Number, first, second uint64) error {
+// maxPromptTokens bounds the size of a prompt, against faulty senders.
+const maxPromptTokens = 1 << 24
+
+func (m *Message) addNumbers(field protowire.Number, v [fieldFourth]uint64) error {
 	switch {
-	case field == fieldPlacement && len(m.Placements) < maxPlacements:
-		m.Placements = append(m.Placements, Placement{PrefixHash: first, Server: second})
-	case field == fieldProgress && len(m.Progress) < maxTopics && first < maxTopics:
-		m.Progress = append(m.Progress, Progress{Topic: int(first), LastChange: int64(second)})
+	case field == fieldPlacement && len(m.Placements) < maxPlacements && max(v[2], v[3]) <= maxPromptTokens:
+		m.Placements = append(m.Placements, Placement{PrefixHash: v[0], Server: v[1], Tokens: int(v[2]), ReadTokens: int(v[3])})
+	case field == fieldProgress && len(m.Progress) < maxTopics && v[0] < maxTopics:
+		m.Progress = append(m.Progress, Progress{Topic: int(v[0]), LastChange: int64(v[1])})
 	default:
 		return errMalformed
 	}
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -138,7 +138,18 @@
 		e.resend = nil
 	}
 	e.sendPlacements(targets, list, false)
-	e.resend = append(e.resend, newPlacements...)
+	e.repeatLater(newPlacements)
+}
+
+// repeatLater keeps placements for the next regular digest, when the servers have
+// read the prompts.
+func (e *Exchange) repeatLater(placements []Placement) {
+	for _, p := range placements {
+		if p.PrefixHash != 0 {
+			p.ReadTokens = 0
+			e.resend = append(e.resend, p)
+		}
+	}
 }
 
 func (e *Exchange) sendPlacements(targets []netip.Addr, list []Placement, reply bool) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -36,8 +36,10 @@
 	sent        int
 	unreachable int
 	// ran counts the servers that may have run the request.
-	ran         int
-	tried       []registry.Key
+	ran   int
+	tried []registry.Key
+	// held is how long the request waited for its prefix to be read.
+	held        time.Duration
 	job         balance.Job
 	choice      balance.Choice
 	lastOutcome balance.Outcome
@@ -56,11 +58,17 @@
 		"server", c.Server.ID, "pool", c.Server.Pool, "reason", c.Reason, "load", c.Load, "mean", c.Mean,
 		"offered", a.sent, "last", a.lastOutcome.String(),
 	}
+	if c.ReadTokens > 0 {
+		kv = append(kv, "read_tokens", c.ReadTokens, "wait_ms", c.Wait.Milliseconds())
+	}
 	if c.ReportAge >= 0 {
 		kv = append(kv, "report_age_ms", c.ReportAge.Milliseconds())
 	}
-	if a.job.PrefixHash != 0 {
-		kv = append(kv, "subject", strconv.FormatUint(a.job.PrefixHash, 16), "shared_tokens", a.job.SharedTokens)
+	if n := len(a.job.Prefixes); n > 0 {
+		kv = append(kv, "subject", strconv.FormatUint(a.job.Prefixes[n-1].Hash, 16), "shared_tokens", a.job.Prefixes[n-1].Tokens)
+	}
+	if a.held > 0 {
+		kv = append(kv, "held_ms", a.held.Milliseconds())
 	}
 	if c.Source != nil {
 		kv = append(kv, "fetch_from", c.Source.ID)
@@ -70,13 +78,19 @@
 
 // tryServer makes one attempt and reports whether another one must follow.
 func (c *call) tryServer(ctx context.Context) bool {
-	now := time.Now()
 	job := c.job()
-	choice, ok, newPlacement := c.pool.pick(now, job)
+	choice, ok, newPlacement := c.pick(ctx, job)
 	if newPlacement {
 		c.handler.state.onNewPlacement()
 	}
-	if !ok {
+	switch {
+	case c.r.Context().Err() != nil:
+		c.recordCallerLeft()
+		return false
+	case ctx.Err() != nil:
+		c.endUnserved(CauseDeadline)
+		return false
+	case !ok:
 		c.endUnserved(CauseNoServer)
 		return false
 	}
@@ -98,6 +112,48 @@
 	return c.retryOrEnd(ctx, choice, res)
 }
 
+const (
+	// maxHeldShare is the share of its objective for which a request is held until
+	// its prefix has been read, or until a starting router knows who has it. Sent
+	// earlier, it would make an engine read the prefix once more.
+	maxHeldShare = 0.5
+	// holdCheck is the time between two checks whether to hold a request longer.
+	holdCheck = 25 * time.Millisecond
+)
+
+// pick chooses a server and counts the request there. It holds the request for a
+// short time while the server reads its prefix for another request.
+func (c *call) pick(ctx context.Context, job balance.Job) (choice balance.Choice, ok, newPlacement bool) {
+	limit := time.Duration(maxHeldShare * float64(c.route.Objective))
+	for len(job.Prefixes) > 0 && c.attempts.held < limit {
+		left := limit - c.attempts.held
+		if c.handler.state.placementsKnown() {
+			choice, ok, newPlacement = c.pool.pick(time.Now(), job, true)
+			if !ok || choice.ReadyIn == 0 {
+				return choice, ok, newPlacement
+			}
+			left = min(left, choice.ReadyIn)
+		}
+		if !c.hold(ctx, min(left, holdCheck)) {
+			return choice, false, false
+		}
+	}
+	return c.pool.pick(time.Now(), job, false)
+}
+
+// hold waits for a time and reports whether the request is still to be sent.
+func (c *call) hold(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		c.attempts.held += d
+		return true
+	}
+}
+
 // confirmDisputedFailures counts a failure against each server that failed a
 // request which another server has served. A request that fails at every server
 // is assumed to cause the failure itself.
@@ -117,8 +173,8 @@
 }
 
 func (c *call) job() balance.Job {
-	job := balance.Job{Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre}
-	job.PrefixHash, job.SharedTokens = sharedPrefix(c.headers)
+	job := balance.Job{Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre, Objective: c.route.Objective}
+	job.Prefixes, job.PromptTokens = sharedPrefixes(c.headers)
 	return job
 }
 
@@ -208,12 +264,14 @@
 	key := choice.Server.Key()
 	watch := c.watch(cancel, key)
 	defer watch.stop()
+	sentAt := time.Now()
 	resp, exchange, err := httpsend.Send(c.pool.transport(key), c.outgoingRequest(ctx, choice))
 	if err != nil {
 		return c.classifySendError(ctx, err, exchange.NotSent)
 	}
 	defer resp.Body.Close()
 	watch.recordProgress()
+	c.pool.recordFirstByte(choice, c.attempts.job, time.Since(sentAt))
 	return c.handleAnswer(ctx, choice, resp, watch)
 }
 
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 )
 
@@ -55,18 +56,17 @@
 	c.w.WriteHeader(status)
 }
 
-// sharedPrefix returns the hash and the size in tokens of the prefix that the prompt
-// may share with other requests: all parts but the last, which belongs to this
-// request only.
-func sharedPrefix(headers RequestHeaders) (hash uint64, tokens int) {
-	shared := len(headers.Prompt) - 1
-	if shared < 1 {
-		return 0, 0
-	}
-	for _, p := range headers.Prompt[:shared] {
-		tokens += p.Tokens
+// sharedPrefixes returns the prefixes that the prompt may share with other requests,
+// the shortest first, and the size of the whole prompt in tokens. The last part
+// of a prompt belongs to its request only.
+func sharedPrefixes(headers RequestHeaders) (prefixes []balance.Prefix, promptTokens int) {
+	for i, p := range headers.Prompt {
+		promptTokens += p.Tokens
+		if i < len(headers.Prompt)-1 {
+			prefixes = append(prefixes, balance.Prefix{Hash: prefixHash(headers.Model, p.ID), Tokens: promptTokens})
+		}
 	}
-	return prefixHash(headers.Model, headers.Prompt[shared-1].ID), tokens
+	return prefixes, promptTokens
 }
 
 // prefixHash identifies a shared prefix by the model and its last part, whose ID
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -103,7 +103,7 @@
 	return ejections
 }
 
-// RecordPlacements records placements that another router has reported.
+// RecordPlacements records new placements of another router.
 func (st *State) RecordPlacements(list []digest.Placement) {
 	now := time.Now()
 	st.eachPool(func(p *pool) {
@@ -113,6 +113,16 @@
 	})
 }
 
+// RecordCached records prefixes that servers have in their caches.
+func (st *State) RecordCached(list []digest.Placement) {
+	now := time.Now()
+	st.eachPool(func(p *pool) {
+		for _, placement := range list {
+			p.balance.RecordCached(now, balance.Placement(placement))
+		}
+	})
+}
+
 // maxCachedParts bounds the recorded parts of one engine. The largest are kept:
 // these are shared by requests and take longest to compute again.
 const maxCachedParts = 48
@@ -125,8 +135,8 @@
 	server := s.Key().Hash()
 	list := make([]digest.Placement, 0, len(parts))
 	for _, p := range parts {
-		list = append(list, digest.Placement{PrefixHash: prefixHash(p.Model, p.Part.ID), Server: server})
+		list = append(list, digest.Placement{PrefixHash: prefixHash(p.Model, p.Part.ID), Server: server, Tokens: p.Part.Tokens})
 	}
-	st.RecordPlacements(list)
+	st.RecordCached(list)
 	return len(list)
 }
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -50,6 +50,8 @@
 	// onNewPlacement is called after a placement that must be sent to the other
 	// routers.
 	onNewPlacement func()
+	// placementsKnown reports whether this router has the placements of the fleet.
+	placementsKnown func() bool
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -69,13 +71,17 @@
 
 // NewState returns a state without a configuration and servers.
 func NewState(limits Limits) *State {
-	return &State{limits: limits, pools: make(map[string]*pool), onNewPlacement: func() {}}
+	return &State{limits: limits, pools: make(map[string]*pool), onNewPlacement: func() {}, placementsKnown: func() bool { return true }}
 }
 
 // OnNewPlacement sets the function that is called after a placement that must be
 // sent to the other routers. Call it before requests are served.
 func (st *State) OnNewPlacement(f func()) { st.onNewPlacement = f }
 
+// SetPlacementsKnown sets the function that reports whether this router has the
+// placements of the fleet. Call it before requests are served.
+func (st *State) SetPlacementsKnown(f func() bool) { st.placementsKnown = f }
+
 // SetTable puts a configuration in force.
 func (st *State) SetTable(t *routing.Table) { st.table.Store(t) }
 
@@ -178,19 +184,27 @@
 	p.controller.RecordAnswer(firstByte, total)
 }
 
-// pick chooses a server and counts the request there. newPlacement is set when the
-// placement must be sent to the other routers.
-func (p *pool) pick(now time.Time, job balance.Job) (c balance.Choice, ok, newPlacement bool) {
+// pick chooses a server and counts the request there, unless the request may be held
+// and the server is still reading its prefix. newPlacement is set when the placement
+// must be sent to the other routers.
+func (p *pool) pick(now time.Time, job balance.Job, mayHold bool) (c balance.Choice, ok, newPlacement bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	job.Random = rand.Uint64()
 	c, ok = p.balance.Pick(now, job)
-	if ok {
-		newPlacement = p.balance.Begin(now, c.Server.Key(), job.PrefixHash)
+	if ok && !(mayHold && c.ReadyIn > 0) {
+		newPlacement = p.balance.Begin(now, c, job)
 	}
 	return c, ok, newPlacement
 }
 
+// recordFirstByte records the time to the first byte of an attempt.
+func (p *pool) recordFirstByte(c balance.Choice, job balance.Job, firstByte time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balance.RecordFirstByte(time.Now(), c, job, firstByte)
+}
+
 func (p *pool) recordLoad(now time.Time, key registry.Key, load balance.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -108,6 +108,7 @@
 	}
 	f.tracker.exchange = f.exchange
 	state.OnNewPlacement(f.exchange.SendSoon)
+	state.SetPlacementsKnown(f.placementsKnown)
 	f.ready = newServer(f.readyRouter())
 	f.admin = newServer(f.adminRouter())
 	return f, nil
@@ -229,6 +230,16 @@
 	return eris.Wrap(err, "server for readiness checks or metrics ended")
 }
 
+// placementsWait bounds how long a router that has become ready counts on the
+// placements of the fleet.
+const placementsWait = time.Second
+
+// placementsKnown reports whether this router has the placements of the fleet, or
+// can't count on them any more.
+func (f *Front) placementsKnown() bool {
+	return f.exchange.Synced() || f.tracker.readyFor(time.Now()) > placementsWait
+}
+
 // Dead is closed when the router has ended.
 func (f *Front) Dead() <-chan struct{} { return f.tomb.Dead() }
 
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,11 +13,13 @@
 
 const (
 	// inventoryWait is how long a ready router waits for the digest of another one
-	// that has the placements before it asks the engines. Routers that start together
-	// hear of each other in that time.
-	inventoryWait = 100 * time.Millisecond
+	// that has the placements before it asks the engines. It waits up to
+	// inventoryJitter longer, so that of several routers that start together and have
+	// not heard of each other one is the first.
+	inventoryWait   = 100 * time.Millisecond
+	inventoryJitter = 150 * time.Millisecond
 	// inventoryCheck is the time between two checks whether to ask the engines.
-	inventoryCheck = 50 * time.Millisecond
+	inventoryCheck = 10 * time.Millisecond
 	// inventoryTimeout bounds the call to one engine.
 	inventoryTimeout = time.Second
 	// inventoryCalls bounds the number of concurrent calls to engines.
@@ -29,21 +32,17 @@
 func (f *Front) collectInventory(ctx context.Context) error {
 	tick := time.NewTicker(inventoryCheck)
 	defer tick.Stop()
-	var readyAt time.Time
+	wait := inventoryWait + rand.N(inventoryJitter)
 	for !f.exchange.Synced() {
-		var now time.Time
 		select {
 		case <-ctx.Done():
 			return nil
-		case now = <-tick.C:
+		case now := <-tick.C:
+			if f.tracker.readyFor(now) < wait {
+				continue
+			}
 		}
-		if !f.tracker.ready() {
-			continue
-		}
-		if readyAt.IsZero() {
-			readyAt = now
-		}
-		if now.Sub(readyAt) >= inventoryWait && f.exchange.ShouldQueryServers() {
+		if f.exchange.ShouldQueryServers() {
 			f.queryEngines(ctx)
 			f.exchange.MarkSynced()
 		}
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -62,6 +62,8 @@
 	progress progress
 
 	isReady atomic.Bool
+	// readyAt is set before isReady.
+	readyAt time.Time
 	// heartbeatRecords is set while the servers' topic receives records without an
 	// effect, which are heartbeats.
 	heartbeatRecords atomic.Bool
@@ -87,6 +89,14 @@
 // ServersKnown reports whether the list of servers has been read.
 func (t *tracker) ServersKnown() bool { return t.isReady.Load() }
 
+// readyFor returns how long ago the router has become ready; 0 when it hasn't.
+func (t *tracker) readyFor(now time.Time) time.Duration {
+	if !t.isReady.Load() {
+		return 0
+	}
+	return now.Sub(t.readyAt)
+}
+
 // stop makes the router not ready permanently.
 func (t *tracker) stop() { t.stopping.Store(true) }
 
@@ -309,6 +319,7 @@
 	if !t.haveConfig || t.servers.Len() == 0 || t.isReady.Load() {
 		return
 	}
+	t.readyAt = time.Now()
 	t.isReady.Store(true)
 	t.exchange.RequestPlacements()
 	t.events.Emit(event.FrontReady, "version", t.state.Table().Version(), "servers", t.servers.Len())
