digest, balance: welcome a new process with names, announce placements sooner

A router that has started knows only the seeds and hears of the others with the regular digests, in a large fleet each 2 s: after a restart of all three routers queried the engines, and placements came 1 s late.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -29,7 +29,7 @@
 	// minBatchDelay and batchDelayPerPeer set how long changes are collected
 	// before they are sent together.
 	minBatchDelay     = 10 * time.Millisecond
-	batchDelayPerPeer = 2 * time.Millisecond
+	batchDelayPerPeer = 300 * time.Microsecond
 	// sumInterval is the minimum time between two sums of the others' loads.
 	sumInterval = 100 * time.Millisecond
 	// peersPerDigest is the number of other routers that a regular digest names.
@@ -199,8 +199,7 @@
 	e.mu.Unlock()
 	if isNew {
 		e.events.Emit(event.PeerDiscovered, "peer", from.String(), "stopping", m.Stopping)
-		// A router that has just started learns at once who has the placements.
-		e.sendTo([]netip.Addr{from}, e.newMessage())
+		e.sendWelcome(now, from)
 	}
 	if requestNow {
 		e.requestPlacements(now)
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -23,6 +23,16 @@
 	return m
 }
 
+// sendWelcome answers the first message of a process. A router that has just started
+// learns at once who else runs, and who has the placements.
+func (e *Exchange) sendWelcome(now time.Time, to netip.Addr) {
+	m := e.newMessage()
+	e.mu.Lock()
+	m.Peers = e.nextPeers(e.peers.Targets(now))
+	e.mu.Unlock()
+	e.sendTo([]netip.Addr{to}, m)
+}
+
 // sendDigest sends new server changes and placements to all tracked routers, and
 // the read progress when it has changed or the digest is regular. A regular digest
 // also names other routers.
