--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -269,6 +269,20 @@
 	}
 }
 
+// Guards against a pool whose servers are all ejected and that refuses every request,
+// although one of them may serve it.
+func TestEjectionsAreIgnoredWhenAllAreEjected(t *testing.T) {
+	p := pool(3)
+	for _, m := range p.members {
+		p.End(start, m.server.Key(), Unreachable)
+	}
+	for _, job := range []Job{{}, large(1)} {
+		if _, ok := p.Pick(start, job); !ok {
+			t.Errorf("no server was chosen for %+v, want one", job)
+		}
+	}
+}
+
 // Guards against the ejection of most of a pool by a fault of all servers or of
 // the requests.
 func TestAtMostAThirdIsEjectedForFailures(t *testing.T) {
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -165,6 +165,25 @@
 	}
 }
 
+// Guards against sums that leave out the servers with the most failures when more fail
+// than fit into a datagram.
+func TestMostFailedServersAreSummed(t *testing.T) {
+	p := NewPeers(addr(1), nil)
+	var own []Outcomes
+	for i := range 2 * outcomesPerDatagram {
+		own = append(own, Outcomes{Server: uint32(i), Failed: i, Ended: 1000})
+	}
+	got := p.Outcomes(start, own)
+	if len(got) != outcomesPerDatagram {
+		t.Fatalf("%d servers, want %d", len(got), outcomesPerDatagram)
+	}
+	for _, o := range got {
+		if o.Failed < outcomesPerDatagram {
+			t.Errorf("server with %d failures was chosen, want those with %d and more", o.Failed, outcomesPerDatagram)
+		}
+	}
+}
+
 // Guards against datagrams of placements that are fragmented, and one lost fragment
 // loses them all.
 func TestPlacementsFitIntoADatagram(t *testing.T) {
--- a/internal/digest/outcomes.go
+++ b/internal/digest/outcomes.go
@@ -65,11 +65,11 @@
 	}
 	var failed []Outcomes
 	for _, o := range sum {
-		if o.Failed > 0 && len(failed) < outcomesPerDatagram {
+		if o.Failed > 0 {
 			failed = append(failed, o)
 		}
 	}
-	return failed
+	return mostFailed(failed)
 }
 
 // mostFailed drops the servers with the fewest failures when not all fit into a
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -137,14 +137,16 @@
 // OpenConnections returns the number of open connections.
 func (s *Server) OpenConnections() int64 { return s.openConnections.Load() }
 
-// Close closes all connections.
+// Close closes the address and all connections.
 func (s *Server) Close() error {
-	err := s.http.Close()
-	if errors.Is(err, net.ErrClosed) {
-		// Drain has closed the listener, but Serve has not returned yet.
-		return nil
+	s.draining.Store(true)
+	// Drain may have closed the address, and net/http closes it only while Serve runs.
+	for _, err := range []error{s.listener.Close(), s.http.Close()} {
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			return eris.Wrap(err, "cannot close the server for callers")
+		}
 	}
-	return eris.Wrap(err, "cannot close the server for callers")
+	return nil
 }
 
 // pastDeadline is a read deadline that makes a pending read return at once.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -99,12 +99,12 @@
 	var err error
 	f.edge, err = edge.Listen(s.ListenCallers.String(), f.handler, logger)
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, metrics.Close())
 	}
 	f.tracker = newTracker(p, state, f.edge, events)
 	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), s.FirstStart, &digestState{State: state, tracker: f.tracker, progress: &f.tracker.progress}, events)
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, f.edge.Close(), metrics.Close())
 	}
 	f.tracker.exchange = f.exchange
 	state.OnNewPlacement(f.exchange.SendSoon)
@@ -175,15 +175,15 @@
 	debug.SetGCPercent(gcPercent)
 }
 
-// Start starts serving.
+// Start starts serving. When it returns an error the router has been closed.
 func (f *Front) Start() error {
 	ready, err := listen(f.settings.ListenReadiness.String(), "readiness checks")
 	if err != nil {
-		return err
+		return errors.Join(err, f.closeListeners())
 	}
 	admin, err := listen(f.settings.ListenMetrics.String(), "metrics")
 	if err != nil {
-		return err
+		return errors.Join(err, ready.Close(), f.closeListeners())
 	}
 	ctx := f.tomb.Context(context.Background())
 	f.tomb.Go(func() error {
@@ -198,13 +198,18 @@
 		f.tomb.Go(func() error { return serve(f.ready, ready) })
 		f.tomb.Go(func() error { return serve(f.admin, admin) })
 		<-f.tomb.Dying()
-		return errors.Join(f.ready.Close(), f.admin.Close(), f.edge.Close(), f.exchange.Close(), f.metrics.Close())
+		return errors.Join(f.ready.Close(), f.admin.Close(), f.closeListeners())
 	})
 	f.events.Emit(event.FrontStarted, "vm", f.settings.VM, "data_centre", f.settings.DataCentre,
 		"callers", f.settings.ListenCallers.String(), "store", f.settings.StoreAddress.String())
 	return nil
 }
 
+// closeListeners closes what New has opened.
+func (f *Front) closeListeners() error {
+	return errors.Join(f.edge.Close(), f.exchange.Close(), f.metrics.Close())
+}
+
 func listen(addr, purpose string) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr)
 	return l, eris.Wrapf(err, "cannot listen for %s", purpose)
