retrybudget: divide the fixed extra by the number of live routers

Each router took a twenty-fourth of the extra retries, which was more than the whole in a fleet of 59 to 66: up to 2.7 times the bound when all requests fail and none is counted yet. The share is now the extra by the live routers and a quarter more, and by 24 at least. TestLargeFleetSharesTheExtra failed before.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -273,6 +273,8 @@
 
 func (s *fakeState) AllPlacements() []Placement { return s.allPlacements }
 
+func (s *fakeState) SetRouterCount(int) {}
+
 func (s *fakeState) ServersKnown() bool { return !s.serversUnknown.Load() }
 
 func (s *fakeState) Progress() ([]Progress, bool) {
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -65,6 +65,8 @@
 	// SetPeerLoads sets the sum of the other routers' loads and the average age
 	// of their reports; loads is nil when none has been received lately.
 	SetPeerLoads(loads map[uint32]int, age time.Duration)
+	// SetRouterCount sets the number of live routers, this one included.
+	SetRouterCount(n int)
 	// Outcomes returns the recent outcomes of this router's requests per server.
 	Outcomes() []Outcomes
 	// SetOutcomes sets the recent outcomes of all routers for the servers that
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -76,7 +76,9 @@
 	}
 	e.sentOutcomes = m.Outcomes
 	stale := now.Sub(e.totalsReceivedAt) >= loadsMaxAge
+	routers := len(e.peers.Live(now)) + 1
 	e.mu.Unlock()
+	e.state.SetRouterCount(routers)
 	reader := slices.Contains(readers, e.peers.self)
 	switch {
 	case smallFleet:
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -63,6 +63,11 @@
 	})
 }
 
+// SetRouterCount sets the number of routers that share the retry budgets.
+func (st *State) SetRouterCount(n int) {
+	st.eachPool(func(p *pool) { p.budget.SetRouters(n) })
+}
+
 // Outcomes returns the counts of recent failed and ended requests at each server.
 func (st *State) Outcomes() []digest.Outcomes {
 	var list []digest.Outcomes
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -10,9 +10,13 @@
 )
 
 const (
-	// maxRouters divides the fixed extra. It is more routers than any current
-	// deployment runs, so that the shares never exceed the whole.
-	maxRouters = 24
+	// minRouters is the least number of routers that the fixed extra is divided by, so
+	// that a router that knows few others, after its start or cut off, takes no more
+	// than its share.
+	minRouters = 24
+	// spareRouters is the share of further routers that the division allows for: they
+	// may be added, or not be known yet.
+	spareRouters = 0.25
 	// ratioMargin lowers the ratio, because the limit also holds for windows that
 	// begin between two bursts.
 	ratioMargin   = 0.75
@@ -32,7 +36,9 @@
 type Budget struct {
 	limits Limits
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// routers is the number of routers that share the budget.
+	routers       int
 	currentBucket int64
 	requests      [windowBuckets]int
 	retries       [windowBuckets]int
@@ -54,6 +60,18 @@
 	b.limits = l
 }
 
+// SetRouters sets the number of routers that share the budget.
+func (b *Budget) SetRouters(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.routers = n
+}
+
+// extra returns this router's share of the fixed extra.
+func (b *Budget) extra() float64 {
+	return b.limits.Extra / max(minRouters, (1+spareRouters)*float64(b.routers))
+}
+
 // RecordRequest counts a request of a caller.
 func (b *Budget) RecordRequest(now time.Time) {
 	b.mu.Lock()
@@ -88,7 +106,7 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	return ratioMargin*b.limits.Ratio*float64(requests) + b.limits.Extra/maxRouters - float64(retries)
+	return ratioMargin*b.limits.Ratio*float64(requests) + b.extra() - float64(retries)
 }
 
 // advance clears the buckets that are no longer in the window.
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -55,6 +55,24 @@
 	})
 }
 
+// Guards against a large fleet whose routers together exceed the fixed extra: each of
+// 66 routers took a twenty-fourth of it, also those that had just restarted.
+func TestLargeFleetSharesTheExtra(t *testing.T) {
+	for _, routers := range []int{1, 24, 60, 340} {
+		retries := 0
+		for range routers {
+			b := New(Limits{Ratio: 0.2, Window: 10 * time.Second, Extra: 400})
+			b.SetRouters(routers)
+			for b.AllowRetry(time.Unix(1000, 0)) {
+				retries++
+			}
+		}
+		if retries > 400 {
+			t.Errorf("%d routers allowed %d retries without a request, want at most 400", routers, retries)
+		}
+	}
+}
+
 // Guards against a budget that stays exhausted.
 func TestBudgetRefillsAfterTheWindow(t *testing.T) {
 	b := New(limits)
