--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -20,6 +20,14 @@
 	for _, e := range b.engines {
 		e.SetDelay(delay)
 	}
+	b.publishSlow()
+	return b
+}
+
+// publishSlow publishes a configuration with long objectives and all servers, starts
+// a router and waits until it is ready.
+func (b *testBed) publishSlow() {
+	b.t.Helper()
 	c := config(1)
 	for _, r := range c["routes"].([]any) {
 		route := r.(map[string]any)
@@ -29,7 +37,6 @@
 	b.register("ready", b.engines...)
 	b.start()
 	b.waitFor("router is ready", b.isReady)
-	return b
 }
 
 func (b *testBed) promptRequest() *http.Request {
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -30,6 +30,8 @@
 	store   *platformtest.Store
 	engines []*platformtest.Engine
 	front   *front.Front
+	// restarted is set for a router that is not started with the whole fleet.
+	restarted bool
 	// settings are the settings that the router was started with.
 	settings *settings.Front
 	baseURL  string
@@ -59,7 +61,7 @@
 	host := fmt.Sprintf("127.0.9.%d", hosts.Add(1))
 	ports := testport.FreeAddrs(b.t, host, 4)
 	s := &settings.Front{
-		VM: "front-1", DataCentre: "hall-a", Region: "south", FirstStart: true,
+		VM: "front-1", DataCentre: "hall-a", Region: "south", FirstStart: !b.restarted,
 		ListenCallers: ports[0], ListenReadiness: ports[1], ListenMetrics: ports[2], ListenPeers: ports[3],
 		StoreAddress: netip.MustParseAddrPort(b.store.Addr()),
 		MemoryMB:     200, Cores: 1,
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -129,3 +129,13 @@
 		t.Errorf("a newer list caused %v, want one removal", changes)
 	}
 }
+
+// Guards against servers that are dropped before the platform has restored their
+// entries, within two seconds of the end of an outage, and against removals that
+// still don't apply three seconds after it.
+func TestRemovalGraceCoversTheRestoringOfEntries(t *testing.T) {
+	const restored, mustApply, detection = 2 * time.Second, 3 * time.Second, 500 * time.Millisecond
+	if RemovalGrace < restored || RemovalGrace+detection > mustApply {
+		t.Errorf("removal grace of %s, want at least %s and at most %s with %s to detect the end", RemovalGrace, restored, mustApply, detection)
+	}
+}
