digest, front: reply at once in small fleets, keep more of the engines' lists

Replies are spaced in large fleets only, and reads are announced from 50 ms again. A router that has asked the engines keeps 4,096 parts in all, not 48 of each: own parts of requests had displaced small shared ones.

--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -14,7 +14,7 @@
 	maxWaitShare = 0.25
 	// minAnnouncedReading is the reading time from which a request is announced to
 	// the other routers, so that they don't send others to wait behind it.
-	minAnnouncedReading = 100 * time.Millisecond
+	minAnnouncedReading = 50 * time.Millisecond
 )
 
 // holder is a member that has a prefix in its cache, or is reading it.
--- a/internal/digest/sync.go
+++ b/internal/digest/sync.go
@@ -10,15 +10,16 @@
 // A router that starts without the placements of the fleet gets them from one that
 // has them. Until then it sends requests to the homes of their prefixes, and engines
 // read again what another one has cached. It asks as soon as it knows the servers and
-// hears of a router that has the placements. After a restart of a whole fleet few
-// have them at first: each replies to one router after the other, and those that
+// hears of a router that has the placements. After a restart of a whole large fleet
+// few have them at first: each replies to one router after the other, and those that
 // have received them reply as well.
 
 const (
 	// requestInterval is the time between two requests for all placements.
 	requestInterval = 250 * time.Millisecond
-	// replyInterval is the time between two replies, in which the first has left over
-	// a slow link. Requests meanwhile are ignored and will be repeated.
+	// replyInterval is the time between two replies in a large fleet, in which the
+	// first has left over a slow link. Requests meanwhile are ignored and will be
+	// repeated.
 	replyInterval = 25 * time.Millisecond
 )
 
@@ -29,7 +30,7 @@
 // replyWithPlacements sends all placements to a router that has asked for them.
 func (e *Exchange) replyWithPlacements(now time.Time, to netip.Addr) {
 	e.mu.Lock()
-	due := now.Sub(e.repliedAt) >= replyInterval
+	due := e.smallFleet() || now.Sub(e.repliedAt) >= replyInterval
 	if due {
 		e.repliedAt = now
 	}
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -128,15 +128,16 @@
 	})
 }
 
-// maxCachedParts bounds the recorded parts of one engine. The largest are kept:
-// these are shared by requests and take longest to compute again.
-const maxCachedParts = 48
-
-// RecordCachedParts records the largest parts that an engine has cached and
-// returns their number.
-func (st *State) RecordCachedParts(s *registry.Server, parts []CachedPart) int {
+// MaxCachedParts bounds the cached parts that a router records after it has asked all
+// engines; they are sent to the others.
+const MaxCachedParts = 4096
+
+// RecordCachedParts records the largest parts that an engine has cached, at most
+// limit, and returns their number. Large parts take longest to compute again; small
+// ones more often belong to one request.
+func (st *State) RecordCachedParts(s *registry.Server, parts []CachedPart, limit int) int {
 	slices.SortFunc(parts, func(a, b CachedPart) int { return cmp.Compare(b.Part.Tokens, a.Part.Tokens) })
-	parts = parts[:min(maxCachedParts, len(parts))]
+	parts = parts[:min(limit, len(parts))]
 	server := s.Key().Hash()
 	list := make([]digest.Placement, 0, len(parts))
 	for _, p := range parts {
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/forward"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
 
@@ -55,20 +56,21 @@
 	var cachedParts atomic.Int64
 	limiter := make(chan struct{}, inventoryCalls)
 	engines := f.state.Engines()
+	limit := forward.MaxCachedParts / max(len(engines), 1)
 	for _, s := range engines {
 		wg.Go(func() {
 			limiter <- struct{}{}
 			defer func() { <-limiter }()
-			cachedParts.Add(int64(f.queryEngine(ctx, s)))
+			cachedParts.Add(int64(f.queryEngine(ctx, s, limit)))
 		})
 	}
 	wg.Wait()
 	f.events.Emit(event.InventoryCollected, "engines", len(engines), "holdings", cachedParts.Load())
 }
 
-// queryEngine records the prompt parts that one engine has cached and returns
-// their number.
-func (f *Front) queryEngine(ctx context.Context, s *registry.Server) int {
+// queryEngine records the largest prompt parts that one engine has cached, at most
+// limit, and returns their number.
+func (f *Front) queryEngine(ctx context.Context, s *registry.Server, limit int) int {
 	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
 	defer cancel()
 	parts, err := f.platform.Inventory(ctx, s.Addr)
@@ -76,5 +78,5 @@
 		f.events.Emit(event.InventoryFailed, "server", s.ID, "error", err.Error())
 		return 0
 	}
-	return f.state.RecordCachedParts(s, parts)
+	return f.state.RecordCachedParts(s, parts, limit)
 }
