--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -36,8 +36,8 @@
 func (p *Pool) pickForPrefix(now time.Time, usable []*member, mean float64, job *Job) Choice {
 	prefix := job.longest()
 	holders := p.holders(now, prefix.Hash)
-	bound := p.bound(mean, prefix.Tokens)
-	if h := p.bestHolder(now, usable, holders, mean, bound, job); h != nil {
+	bound := p.bound(mean)
+	if h := p.bestHolder(now, usable, holders, bound, job); h != nil {
 		c := p.choose(now, h.member, nil, mean, ReasonCached, job.PromptTokens-prefix.Tokens)
 		c.ReadyIn = h.readyIn
 		return c
@@ -69,19 +69,13 @@
 	return nil, job.PromptTokens
 }
 
-// bestHolder returns the least loaded holder that can take the request, or nil
-// when there is none or when the request would be late there but not elsewhere. A
-// prefix that is still being read cannot be copied: another server would have to
-// read it as well, so that its holder takes requests up to the highest bound.
-func (p *Pool) bestHolder(now time.Time, usable []*member, holders []holder, mean, bound float64, job *Job) *holder {
+// bestHolder returns the best holder that can take the request, or nil when there is
+// none or when the request would be late there but not elsewhere.
+func (p *Pool) bestHolder(now time.Time, usable []*member, holders []holder, bound float64, job *Job) *holder {
 	var best *holder
 	for i := range holders {
 		h := &holders[i]
-		limit := bound
-		if h.reading() {
-			limit = p.highestBound(mean)
-		}
-		if !slices.Contains(usable, h.member) || h.load(now) >= limit {
+		if !slices.Contains(usable, h.member) || h.load(now) >= bound {
 			continue
 		}
 		if best == nil || p.preferred(now, h, best) {
