feed, front: bound the calls for the configuration; follow peers after failures

The store is silent from 18 to 26 s; a configuration is confirmed at 26.64 s, and two routers put it in force at 29.6 s. Cause: a router that does not read for others gives each call 4 s; one that began at 25.25 s hung until 29.25 s. The bound was meant for lists of servers on slow links.

Change: calls for the configuration take 1 s at most for every router, and the pause after a failure ends when another router reports a change that the last call did not follow.

TestPeerOffsetEndsThePauseAfterAFailure and TestConfigurationIsReadInTime fail without it.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -119,7 +119,9 @@
 	observer Observer
 	now      func() time.Time
 
-	position    position
+	position position
+	// askedFor is the offset that another router had reported at the last call.
+	askedFor    int64
 	failures    int
 	outageStart time.Time
 	graceUntil  time.Time
@@ -156,7 +158,8 @@
 )
 
 // waitForNextCall waits for the pause. A negative pause means the one of Timing,
-// which ends early when another router reports a newer record.
+// which ends early when another router reports a newer record. The pause after a
+// failure ends early once for each such report: the store answers again.
 func (f *Follower) waitForNextCall(ctx context.Context, pause time.Duration) {
 	start := f.now()
 	var reported time.Time
@@ -169,6 +172,9 @@
 		}
 		elapsed := f.now().Sub(start)
 		remaining := pause - elapsed
+		if pause >= 0 && f.options.PeerOffset() > f.askedFor {
+			return
+		}
 		if pause < 0 {
 			timing := f.options.Timing()
 			remaining = timing.Pause - elapsed
@@ -198,6 +204,7 @@
 	if list {
 		wait = 0
 	}
+	f.askedFor = f.options.PeerOffset()
 	callCtx, cancel := context.WithTimeout(ctx, wait+timing.Timeout)
 	defer cancel()
 	var page Page
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -209,6 +209,33 @@
 	}
 }
 
+// Guards against a router that waits out its pause after a failure although another
+// one has read a change since: a configuration was in force 2.5 s late after an
+// outage. A report that the last call already followed does not end the pause.
+func TestPeerOffsetEndsThePauseAfterAFailure(t *testing.T) {
+	s := &scriptedSource{answers: []answer{page(5, "a"), {err: errDown}, {err: errDown}}}
+	peerOffset := int64(7)
+	f := New(s, Options{
+		Timing:     func() Timing { return Timing{Timeout: time.Second} },
+		PeerOffset: func() int64 { return peerOffset },
+	}, &recorder{})
+	f.Step(t.Context())
+	f.Step(t.Context())
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	f.waitForNextCall(ctx, time.Hour)
+	if ctx.Err() == nil {
+		t.Error("a report that the last call had followed ended the pause")
+	}
+	peerOffset = 8
+	ctx, cancel = context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	f.waitForNextCall(ctx, time.Hour)
+	if ctx.Err() != nil {
+		t.Error("a new report did not end the pause")
+	}
+}
+
 // Guards against a router that continues to wait although another one has reported
 // a newer record.
 func TestPeerOffsetEndsThePause(t *testing.T) {
--- /dev/null
+++ b/internal/front/timing_test.go
@@ -0,0 +1,49 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/digest"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/feed"
+	"github.com/bluebellwell/bluebellwell/internal/forward"
+	"github.com/bluebellwell/bluebellwell/internal/testport"
+)
+
+// Guards against a configuration that is late because a call for it hung when the
+// store became silent: routers that do not read for others waited 4 s for its answer.
+// A change must be in force two seconds after the operator has written it; the
+// calls, the pause after a failure and the wait for further changes must fit into
+// that time for every router.
+func TestConfigurationIsReadInTime(t *testing.T) {
+	const mustApply = 2 * time.Second
+	st := forward.NewState(forward.Limits{})
+	tr := newTracker(Platform{}, st, nil, event.Nop())
+	addr := testport.FreeAddrs(t, "127.0.7.2", 1)[0]
+	exchange, err := digest.Listen(addr, nil, true, &digestState{State: st, tracker: tr, progress: &tr.progress}, event.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer exchange.Close()
+	tr.exchange = exchange
+	check := func(name string, timing feed.Timing) {
+		t.Helper()
+		if got := timing.Timeout + timing.Settle; got >= mustApply {
+			t.Errorf("%s: a call and the wait before it take up to %s, want less than %s", name, got, mustApply)
+		}
+		if timing.MaxBackoff+timing.Settle >= mustApply {
+			t.Errorf("%s: the longest pause is %s, want less than %s", name, timing.MaxBackoff, mustApply)
+		}
+	}
+	check("starting router", tr.configTiming()())
+	tr.isReady.Store(true)
+	check("reader", tr.configTiming()())
+	tr.progress.setFailing(topicConfig, true)
+	check("router whose reads fail", tr.configTiming()())
+	nonReader := forConfig(nonReaderTiming)
+	check("router that does not read for others", nonReader)
+	if nonReader.Settle == 0 {
+		t.Error("a router that does not read for others reads each of several changes")
+	}
+}
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -148,20 +148,28 @@
 		if !t.ready() || t.exchange.IsReader() {
 			return full
 		}
-		return feed.Timing{Pause: nonReaderPause, Timeout: nonReaderTimeout, MaxBackoff: nonReaderBackoff}
+		return nonReaderTiming
 	}
 }
 
+// nonReaderTiming is the timing of a router that receives changes from the readers.
+var nonReaderTiming = feed.Timing{Pause: nonReaderPause, Timeout: nonReaderTimeout, MaxBackoff: nonReaderBackoff}
+
 // configTiming returns the timing for the configuration.
 func (t *tracker) configTiming() func() feed.Timing {
 	timing := t.timing(feed.Timing{Wait: configWait, Pause: configPause, Timeout: callTimeout})
-	return func() feed.Timing {
-		now := timing()
-		if now.Wait == 0 {
-			now.Settle = configSettle
-		}
-		return now
+	return func() feed.Timing { return forConfig(timing()) }
+}
+
+// forConfig adapts a timing to the configuration. Its calls return little and are
+// short for all routers: one that hangs while the store is silent delays the
+// configuration when the outage has ended.
+func forConfig(timing feed.Timing) feed.Timing {
+	timing.Timeout = callTimeout
+	if timing.Wait == 0 {
+		timing.Settle = configSettle
 	}
+	return timing
 }
 
 // serversTiming returns a timing that waits at the store for changes of servers, or
