forward, balance: undo what a refused prompt has recorded; end held requests well

Found in the read of the change, not by a run: - A request whose caller left between its choice and the check kept its place in the server's load for good. - A refusal or a failure counted as the first byte of a prompt: the prefix counted as read, and the observed speed of reading rose. - A refused or unreachable server counted as reading the prefix for as long as that would take, and the next request was held for it.

--- a/internal/balance/cacheindex.go
+++ b/internal/balance/cacheindex.go
@@ -132,6 +132,20 @@
 	}
 }
 
+// forgetUnread removes the copy of a prefix at a server that has not read it yet.
+func (x *cacheIndex) forgetUnread(now time.Time, hash, server uint64) {
+	e := x.byHash[hash]
+	if e == nil {
+		return
+	}
+	p := e.Value.(*cachedPrefix)
+	i := slices.IndexFunc(p.copies, func(c cachedCopy) bool { return c.server == server && c.readAt.After(now) })
+	if i >= 0 {
+		p.copies = slices.Delete(p.copies, i, i+1)
+		x.release(server, p.Tokens)
+	}
+}
+
 // each calls f for every recorded copy.
 func (x *cacheIndex) each(f func(p *cachedPrefix, c cachedCopy)) {
 	for e := x.byUse.Front(); e != nil; e = e.Next() {
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -75,6 +75,19 @@
 	p.newPlacements = append(p.newPlacements, placement)
 }
 
+// CancelReading undoes what Begin has recorded of a prompt that its server does not
+// read, because it refused the request or could not be reached.
+func (p *Pool) CancelReading(now time.Time, choice Choice, job Job) {
+	m := p.byKey[choice.Server.Key()]
+	if m == nil {
+		return
+	}
+	m.readUntil = m.readUntil.Add(-p.speed.duration(choice.ReadTokens))
+	for _, prefix := range job.Prefixes {
+		p.cached.forgetUnread(now, prefix.Hash, m.hash)
+	}
+}
+
 // RecordFirstByte records that a server has read the prompt of a request, after a
 // time since the request was sent.
 func (p *Pool) RecordFirstByte(now time.Time, choice Choice, job Job, firstByte time.Duration) {
--- a/internal/balance/prefix_test.go
+++ b/internal/balance/prefix_test.go
@@ -57,6 +57,26 @@
 	}
 }
 
+// Guards against requests that are held for a prefix which its server does not read,
+// because it refused the request that was to bring it.
+func TestRefusedPromptIsNotRead(t *testing.T) {
+	p := pool(3)
+	c := pick(t, p, start, large(1))
+	p.Begin(start, c, large(1))
+	if got := pick(t, p, start, large(1)); got.ReadyIn == 0 {
+		t.Fatal("the prefix counts as read as soon as it is sent")
+	}
+	p.CancelReading(start, c, large(1))
+	p.End(start, c.Server.Key(), Cancelled)
+	got := pick(t, p, start, large(1))
+	if got.ReadyIn != 0 || got.Wait != 0 || got.ReadTokens != large(1).PromptTokens {
+		t.Errorf("ready in %s, wait %s, %d tokens to read; want 0, 0 and the whole prompt", got.ReadyIn, got.Wait, got.ReadTokens)
+	}
+	if len(p.AllPlacements()) != 0 || len(p.cached.tokens) != 0 {
+		t.Errorf("placements %v, want none", p.AllPlacements())
+	}
+}
+
 // Guards against an engine that is ejected as silent while it reads a long prompt:
 // all prompts that it has cached were read again elsewhere.
 func TestServerThatReadsALongPromptIsNotSilent(t *testing.T) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,7 +39,9 @@
 	ran   int
 	tried []registry.Key
 	// held is how long the request waited for its prefix to be read.
-	held        time.Duration
+	held time.Duration
+	// sentAt is when the current attempt was sent.
+	sentAt      time.Time
 	job         balance.Job
 	choice      balance.Choice
 	lastOutcome balance.Outcome
@@ -83,15 +85,8 @@
 	if newPlacement {
 		c.handler.state.onNewPlacement()
 	}
-	switch {
-	case c.r.Context().Err() != nil:
-		c.recordCallerLeft()
-		return false
-	case ctx.Err() != nil:
-		c.endUnserved(CauseDeadline)
-		return false
-	case !ok:
-		c.endUnserved(CauseNoServer)
+	if !ok {
+		c.endWithoutServer(ctx)
 		return false
 	}
 	c.attempts.choice = choice
@@ -99,7 +94,7 @@
 	c.attempts.sent++
 	res := c.attempt(ctx, choice)
 	c.attempts.lastOutcome = res.outcome
-	if c.pool.end(time.Now(), choice.Server.Key(), res.outcome) {
+	if c.pool.end(time.Now(), choice, job, res.outcome) {
 		c.logEjected(choice.Server, res.cause)
 	}
 	if res.outcome == balance.Disputed {
@@ -112,6 +107,19 @@
 	return c.retryOrEnd(ctx, choice, res)
 }
 
+// endWithoutServer ends a request for which no server was chosen: there is none, or
+// its time ended while it was held.
+func (c *call) endWithoutServer(ctx context.Context) {
+	switch {
+	case c.r.Context().Err() != nil:
+		c.recordCallerLeft()
+	case ctx.Err() != nil:
+		c.endUnserved(CauseDeadline)
+	default:
+		c.endUnserved(CauseNoServer)
+	}
+}
+
 const (
 	// maxHeldShare is the share of its objective for which a request is held until
 	// its prefix has been read, or until a starting router knows who has it. Sent
@@ -264,14 +272,13 @@
 	key := choice.Server.Key()
 	watch := c.watch(cancel, key)
 	defer watch.stop()
-	sentAt := time.Now()
+	c.attempts.sentAt = time.Now()
 	resp, exchange, err := httpsend.Send(c.pool.transport(key), c.outgoingRequest(ctx, choice))
 	if err != nil {
 		return c.classifySendError(ctx, err, exchange.NotSent)
 	}
 	defer resp.Body.Close()
 	watch.recordProgress()
-	c.pool.recordFirstByte(choice, c.attempts.job, time.Since(sentAt))
 	return c.handleAnswer(ctx, choice, resp, watch)
 }
 
@@ -315,6 +322,9 @@
 	if success && (!answer.Signed || resp.Header.Get("Content-Encoding") != "") {
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
 	}
+	if success {
+		c.pool.recordFirstByte(choice, c.attempts.job, time.Since(c.attempts.sentAt))
+	}
 	if c.route.Kind == routing.Stream {
 		return c.relayStream(ctx, resp, watch)
 	}
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -217,10 +217,14 @@
 	p.balance.RecordProgress(now, key)
 }
 
-func (p *pool) end(now time.Time, key registry.Key, o balance.Outcome) (ejected bool) {
+// end records the outcome of an attempt and reports whether the server was ejected.
+func (p *pool) end(now time.Time, c balance.Choice, job balance.Job, o balance.Outcome) (ejected bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.balance.End(now, key, o)
+	if o == balance.Refused || o == balance.Unreachable {
+		p.balance.CancelReading(now, c, job)
+	}
+	return p.balance.End(now, c.Server.Key(), o)
 }
 
 func (p *pool) confirmFailure(now time.Time, key registry.Key) (ejected bool) {
--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -100,3 +100,43 @@
 		t.Errorf("engines received %d requests, want 1", n)
 	}
 }
+
+// Guards against requests whose callers have left and that count as in flight at a
+// server for good.
+func TestCallersThatLeaveTakeTheirLoadAlong(t *testing.T) {
+	t.Parallel()
+	b := newTestBed(t).run()
+	for _, e := range b.engines {
+		e.SetDelay(20 * time.Millisecond)
+	}
+	for i := range 30 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%4)*7*time.Millisecond)
+		b.do(b.promptRequest().WithContext(ctx))
+		cancel()
+	}
+	b.waitFor("no request is in flight", func() bool {
+		own := 0
+		for _, s := range b.front.Status().Pools[0].Servers {
+			own += s.Own
+		}
+		return own == 0
+	})
+}
+
+// Guards against a refused request that counts as reading its prefix: the next one was
+// held for a prefix that no engine read.
+func TestRequestIsNotHeldAfterARefusal(t *testing.T) {
+	t.Parallel()
+	b := newTestBedWith(t, 1)
+	b.publishSlow()
+	b.engines[0].SetDefaultFault(platformtest.Refuse)
+	if got := b.do(b.promptRequest()); got.status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d, want 503", got.status)
+	}
+	b.engines[0].SetDefaultFault(platformtest.None)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if got := b.do(b.promptRequest().WithContext(ctx)); got.status != http.StatusOK {
+		t.Errorf("status %d, error %v; want 200 before the longest hold has passed", got.status, got.err)
+	}
+}
