--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -108,6 +108,7 @@
 	for _, m := range usable {
 		shortest = min(shortest, m.wait(now))
 	}
+	// Twice the prefix: what it displaces there has to be read again as well.
 	return shortest+2*p.speed.duration(job.longest().Tokens) < wait
 }
 
