--- /dev/null
+++ b/internal/eventstream/eventstream.go
@@ -0,0 +1,115 @@
+// Package eventstream finds the ends of events in a text/event-stream
+// (https://html.spec.whatwg.org/multipage/server-sent-events.html). It scans
+// bytes as they arrive and does no I/O.
+package eventstream
+
+import "bytes"
+
+// maxFieldBytes bounds the start of a line that is kept to read an event ID.
+const maxFieldBytes = 1 << 10
+
+// Scanner tracks the events of one stream. The zero value is ready for the start of
+// a stream. It is not safe for concurrent use.
+type Scanner struct {
+	// lastEventID is the ID of the last complete event that has one.
+	lastEventID string
+	// eventID and hasEventID hold the ID of the event that has not ended.
+	eventID    string
+	hasEventID bool
+	// hasFields is set when the event that has not ended has a field.
+	hasFields bool
+	// line is the start of the line that has not ended.
+	line []byte
+	// afterCR is set when the last byte was a carriage return, which ends a line by
+	// itself or together with a line feed.
+	afterCR bool
+	// open is the number of bytes after the last complete event.
+	open int
+}
+
+// Scan reads the next bytes of the stream and returns how many of them belong to
+// events that are now complete. A comment outside an event counts as complete.
+func (s *Scanner) Scan(data []byte) (complete int) {
+	for read := 0; read < len(data); {
+		rest := data[read:]
+		n := bytes.IndexAny(rest, "\r\n")
+		if n != 0 {
+			if n < 0 {
+				n = len(rest)
+			}
+			s.readText(rest[:n])
+			read += n
+			continue
+		}
+		read++
+		s.open++
+		if s.readLineEnd(rest[0]) {
+			complete = read
+			s.open = 0
+		}
+	}
+	return complete
+}
+
+// readText reads a part of a line.
+func (s *Scanner) readText(text []byte) {
+	s.afterCR = false
+	s.open += len(text)
+	room := maxFieldBytes - len(s.line)
+	s.line = append(s.line, text[:min(room, len(text))]...)
+}
+
+// readLineEnd reads a carriage return or a line feed and reports whether the stream
+// is now between two events.
+func (s *Scanner) readLineEnd(b byte) bool {
+	afterCR := s.afterCR
+	s.afterCR = b == '\r'
+	if b == '\n' && afterCR {
+		// The line has ended with the carriage return.
+		return !s.hasFields
+	}
+	return s.endLine()
+}
+
+// endLine reads a whole line and reports whether the stream is now between two
+// events.
+func (s *Scanner) endLine() bool {
+	line := s.line
+	s.line = s.line[:0]
+	switch {
+	case len(line) == 0:
+		s.endEvent()
+	case line[0] != ':':
+		s.hasFields = true
+		s.readField(line)
+	}
+	return !s.hasFields
+}
+
+func (s *Scanner) endEvent() {
+	if s.hasEventID {
+		s.lastEventID = s.eventID
+	}
+	s.eventID, s.hasEventID, s.hasFields = "", false, false
+}
+
+// readField keeps the value of an ID field. An ID with a NUL character is ignored.
+func (s *Scanner) readField(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if string(name) != "id" || bytes.IndexByte(value, 0) >= 0 {
+		return
+	}
+	s.eventID, s.hasEventID = string(bytes.TrimPrefix(value, []byte(" "))), true
+}
+
+// LastEventID returns the ID of the last complete event that has one; empty when
+// there is none.
+func (s *Scanner) LastEventID() string { return s.lastEventID }
+
+// Open returns the number of bytes after the last complete event. A stream that ends
+// with open bytes has been broken off.
+func (s *Scanner) Open() int { return s.open }
+
+// Restart forgets the bytes after the last complete event, before another server
+// continues the stream.
+func (s *Scanner) Restart() { *s = Scanner{lastEventID: s.lastEventID, line: s.line[:0]} }
--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,89 @@
+package eventstream
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against an event that is taken to be complete before its blank line, or
+// open after it, for each line end that the format allows.
+func TestEventsEndWithABlankLine(t *testing.T) {
+	for _, c := range []struct {
+		name, stream string
+		complete     int
+		id           string
+	}{
+		{"line feeds", "id: 1\ndata: x\n\nid: 2\nda", len("id: 1\ndata: x\n\n"), "1"},
+		{"carriage returns and line feeds", "id: 1\r\ndata: x\r\n\r\nid: 2\r\n", len("id: 1\r\ndata: x\r\n\r\n"), "1"},
+		{"carriage returns", "id: 1\rdata: x\r\rid: 2\r", len("id: 1\rdata: x\r\r"), "1"},
+		{"mixed line ends", "id:1\r\ndata: x\n\rdata", len("id:1\r\ndata: x\n\r"), "1"},
+		{"one line end only", "id: 1\ndata: x\n", 0, ""},
+		{"carriage return and line feed are one line end", "data: x\r\n", 0, ""},
+		{"comment between events", "data: x\n\n: ping\n", len("data: x\n\n: ping\n"), ""},
+		{"comment inside an event", "data: x\n: ping\n", 0, ""},
+		{"unfinished comment", "data: x\n\n: pi", len("data: x\n\n"), ""},
+		{"event without an ID keeps the last one", "id: 1\n\ndata: x\n\n", len("id: 1\n\ndata: x\n\n"), "1"},
+		{"ID without a value", "id: 1\n\nid\n\n", len("id: 1\n\nid\n\n"), ""},
+		{"ID with a NUL character", "id: 1\n\nid: \x00\n\n", len("id: 1\n\nid: \x00\n\n"), "1"},
+		{"field whose name begins like ID", "id: 1\n\nidx: 2\n\n", len("id: 1\n\nidx: 2\n\n"), "1"},
+		{"only blank lines", "\n\r\n\n", len("\n\r\n\n"), ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s Scanner
+			if got := s.Scan([]byte(c.stream)); got != c.complete {
+				t.Errorf("%d bytes are complete, want %d", got, c.complete)
+			}
+			if s.Open() != len(c.stream)-c.complete || s.LastEventID() != c.id {
+				t.Errorf("%d bytes are open and the last ID is %q; want %d and %q", s.Open(), s.LastEventID(), len(c.stream)-c.complete, c.id)
+			}
+		})
+	}
+}
+
+// Guards against a line that is read into memory whole.
+func TestLongLineIsNotKept(t *testing.T) {
+	var s Scanner
+	s.Scan([]byte(strings.Repeat("x", 1<<20)))
+	if cap(s.line) > 2*maxFieldBytes {
+		t.Errorf("%d bytes are kept of a line, want at most %d", cap(s.line), 2*maxFieldBytes)
+	}
+}
+
+// Guards against an unfinished event whose start is joined with the first event of
+// the server that continues the stream.
+func TestRestartForgetsTheOpenEvent(t *testing.T) {
+	var s Scanner
+	s.Scan([]byte("id: 1\n\nid: 2\ndata: x\r"))
+	s.Restart()
+	if s.Open() != 0 || s.LastEventID() != "1" {
+		t.Fatalf("%d bytes are open and the last ID is %q; want 0 and 1", s.Open(), s.LastEventID())
+	}
+	if got := s.Scan([]byte("\nid: 2\n\n")); got != len("\nid: 2\n\n") || s.LastEventID() != "2" {
+		t.Errorf("%d bytes are complete and the last ID is %q; want all and 2", got, s.LastEventID())
+	}
+}
+
+// Guards against a result that depends on how the stream is split into reads.
+func FuzzScanInPieces(f *testing.F) {
+	f.Add([]byte("id: 1\r\ndata: x\r\n\r\n: c\nid: 2\rdata\r\rda"), uint8(3))
+	f.Add([]byte("\n\r\n\rid\n\n:"), uint8(1))
+	f.Fuzz(func(t *testing.T, stream []byte, size uint8) {
+		var whole, pieces Scanner
+		whole.Scan(stream)
+		step := int(size)%7 + 1
+		for rest := stream; len(rest) > 0; {
+			n := min(step, len(rest))
+			complete := pieces.Scan(rest[:n])
+			if complete < 0 || complete > n {
+				t.Fatalf("%d of %d bytes are complete", complete, n)
+			}
+			rest = rest[n:]
+		}
+		if whole.Open() != pieces.Open() || whole.LastEventID() != pieces.LastEventID() {
+			t.Fatalf("whole: %d open, ID %q; in pieces of %d: %d open, ID %q", whole.Open(), whole.LastEventID(), step, pieces.Open(), pieces.LastEventID())
+		}
+		if whole.Open() > len(stream) {
+			t.Fatalf("%d bytes are open in a stream of %d", whole.Open(), len(stream))
+		}
+	})
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -45,6 +45,10 @@
 	job         balance.Job
 	choice      balance.Choice
 	lastOutcome balance.Outcome
+	// framing and bodyBytes describe the last answer: how its end is marked, and how
+	// much of it has been received.
+	framing   Framing
+	bodyBytes int64
 	// disputed lists the servers whose failure the request itself may have caused.
 	disputed []*registry.Server
 	// failure is the last complete answer that reported a failure.
@@ -75,6 +79,9 @@
 	if c.Source != nil {
 		kv = append(kv, "fetch_from", c.Source.ID)
 	}
+	if a.framing != FramingUnknown {
+		kv = append(kv, "framing", a.framing, "body_bytes", a.bodyBytes)
+	}
 	return kv
 }
 
@@ -273,11 +280,13 @@
 	watch := c.watch(cancel, key)
 	defer watch.stop()
 	c.attempts.sentAt = time.Now()
+	c.attempts.framing, c.attempts.bodyBytes = FramingUnknown, 0
 	resp, exchange, err := httpsend.Send(c.pool.transport(key), c.outgoingRequest(ctx, choice))
 	if err != nil {
 		return c.classifySendError(ctx, err, exchange.NotSent)
 	}
 	defer resp.Body.Close()
+	c.attempts.framing = framingOf(resp)
 	watch.recordProgress()
 	return c.handleAnswer(ctx, choice, resp, watch)
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -269,6 +269,9 @@
 		kv = append(kv, "route", c.route.Name, "workspace", c.workspace.Name)
 	}
 	kv = append(kv, c.attempts.logFields()...)
+	if n := c.stream.events.Open(); n > 0 {
+		kv = append(kv, "open_bytes", n)
+	}
 	if c.cause == CausePoolFull {
 		kv = append(kv, "load", c.load.InFlight(), "own", c.load.Own, "slots", c.load.Slots, "expected_ms", c.admission.Expected.Milliseconds(),
 			"bound_ms", c.admission.Bound.Milliseconds(), "surging", c.admission.Surging, "returning", c.admission.Retrying,
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -29,6 +29,7 @@
 	}
 	m.scope.Tagged(map[string]string{
 		"kind": kind, "outcome": string(c.outcome), "cause": string(c.cause), "status": statusLabel(c.status),
+		"framing": string(c.attempts.framing),
 	}).Counter("requests").Inc(1)
 	scope := m.scope.Tagged(map[string]string{"kind": kind})
 	scope.Histogram("latency", latencyBuckets).RecordDuration(duration)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
+	"github.com/bluebellwell/bluebellwell/internal/eventstream"
 )
 
 const (
@@ -28,6 +29,7 @@
 // relayPlain relays an answer that is not a stream.
 func (c *call) relayPlain(ctx context.Context, resp *http.Response, watch *watch) result {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferedAnswerBytes+1))
+	c.attempts.bodyBytes = int64(len(body))
 	if err != nil {
 		return c.classifyBroken(ctx, false)
 	}
@@ -48,7 +50,9 @@
 	if _, err := c.w.Write(body); err != nil {
 		return c.callerLeftResult()
 	}
-	if _, err := io.Copy(c.w, resp.Body); err != nil {
+	n, err := io.Copy(c.w, resp.Body)
+	c.attempts.bodyBytes += n
+	if err != nil {
 		return c.classifyBroken(ctx, true)
 	}
 	return c.servedResult()
@@ -60,6 +64,8 @@
 	lastEventID string
 	// pending is the start of an event whose end has not arrived.
 	pending []byte
+	// events tracks the events that the servers have sent.
+	events eventstream.Scanner
 }
 
 // relayStream relays events as they arrive. On a resumable route it relays only
@@ -69,10 +75,13 @@
 	defer readBuffers.Put(buffer)
 	flush := http.NewResponseController(c.w)
 	c.stream.pending = c.stream.pending[:0]
+	c.stream.events.Restart()
 	for {
 		n, err := resp.Body.Read(buffer[:])
 		if n > 0 {
 			watch.recordProgress()
+			c.attempts.bodyBytes += int64(n)
+			c.stream.events.Scan(buffer[:n])
 			if !c.writeStreamData(resp, buffer[:n]) {
 				return c.callerLeftResult()
 			}
