--- /dev/null
+++ b/internal/front/framing_test.go
@@ -0,0 +1,113 @@
+package front_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
+)
+
+// wholeStream returns the complete answer to a stream request.
+func wholeStream() string { return streamUpTo(platformtest.EventsPerStream) }
+
+// streamUpTo returns the first n events of a stream.
+func streamUpTo(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: word%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// Guards against an answer that ends with its connection, possibly before its end,
+// and reaches the caller framed as complete.
+func TestAnswerWithoutFramingIsNotFramedAsComplete(t *testing.T) {
+	const large = 300 << 10
+	for _, c := range []struct {
+		name        string
+		path        string
+		stream      bool
+		fault       platformtest.Fault
+		answerBytes int
+		body        string
+		// broken is set when the router knows that the answer is incomplete.
+		broken bool
+	}{
+		{name: "stream cut inside an event", path: "/stream/x", stream: true, fault: platformtest.Cut, body: streamUpTo(2) + "id: 3\nda", broken: true},
+		{name: "stream cut between events", path: "/stream/x", stream: true, fault: platformtest.CutBetween, body: streamUpTo(2)},
+		{name: "whole stream", path: "/stream/x", stream: true, body: wholeStream()},
+		{name: "whole stream on a resumable route", path: "/resume/x", stream: true, body: wholeStream()},
+		{name: "plain answer", path: "/unsafe/x"},
+		{name: "large plain answer", path: "/unsafe/x", answerBytes: large},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestBed(t).run()
+			for _, e := range b.engines {
+				e.SetFraming(platformtest.Unframed)
+				e.SetDefaultFault(c.fault)
+				e.SetAnswerBytes(c.answerBytes)
+			}
+			var headers []string
+			if c.stream {
+				headers = []string{"X-Prompt-Prefix", prompt}
+			}
+			got := b.do(b.request(http.MethodPost, c.path, "body", headers...))
+			if got.claimsComplete() {
+				t.Error("the answer is framed as complete")
+			}
+			if got.status != http.StatusOK || (got.err != nil) != c.broken {
+				t.Errorf("status %d, error %v; want 200, broken %v", got.status, got.err, c.broken)
+			}
+			if c.stream && got.body != c.body || !c.stream && !strings.HasPrefix(got.body, "answer to ") || len(got.body) < c.answerBytes {
+				t.Errorf("%d bytes %.200q, want the server's bytes %q", len(got.body), got.body, c.body)
+			}
+		})
+	}
+}
+
+// Guards against a stream whose framing ends properly inside an event and reaches
+// the caller as complete.
+func TestStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	b := newTestBed(t).run()
+	for _, e := range b.engines {
+		e.SetDefaultFault(platformtest.EndInEvent)
+	}
+	got := b.do(b.request(http.MethodPost, "/stream/x", "body", "X-Prompt-Prefix", prompt))
+	if got.status != http.StatusOK || got.err == nil {
+		t.Errorf("status %d, error %v, body %q; want a broken answer", got.status, got.err, got.body)
+	}
+}
+
+// Guards against a broken answer that ends for a caller like a complete one: an
+// answer to an HTTP/1.0 request is framed by the end of its connection only.
+func TestBrokenAnswerToHTTP10CallerIsReset(t *testing.T) {
+	b := newTestBed(t).run()
+	for _, e := range b.engines {
+		e.SetDefaultFault(platformtest.CutBetween)
+	}
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.baseURL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /stream/x HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: r10\r\nX-Deadline-Ms: 5000\r\n"+
+		"Authorization: Token k1\r\nX-Prompt-Prefix: %s\r\nContent-Length: 0\r\n\r\n", prompt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(bufio.NewReader(conn))
+	if !strings.HasSuffix(string(answer), streamUpTo(2)) {
+		t.Errorf("answer %q, want two events", answer)
+	}
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with error %v, want a reset", err)
+	}
+}
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -169,8 +170,13 @@
 	body   string
 	// err is set when there was no complete answer.
 	err error
+	// framed is set when a length or chunks mark the end of the body.
+	framed bool
 }
 
+// claimsComplete reports whether the caller must take the answer to be complete.
+func (r reply) claimsComplete() bool { return r.err == nil && r.framed }
+
 var requests atomic.Int64
 
 func (b *testBed) request(method, target, body string, headers ...string) *http.Request {
@@ -198,7 +204,8 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+	framed := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err, framed: framed}
 }
 
 func (b *testBed) requestCount() int {
