forward: claim no end of an answer that the server has not marked

Cause: an answer with neither length nor chunks ends with its connection, and net/http reports that as an ordinary end. The router ended its own chunks properly, or gave a buffered answer a length, and so claimed an end that nobody had stated. The rest of an event was looked for on resumable routes only. A broken answer to an HTTP/1.0 caller ended like a complete one.

Now the answer's framing decides: where the server marked the end, the caller gets a marked end; where the connection was the only mark, it is so for the caller too. A stream that ends inside an event is broken off on every route. Breaking off resets a connection whose end is the only mark. A stream that began in chunks and was continued by an answer that ends with its connection is broken off as well. Streams with a length are sent in chunks, so that they can be left unfinished.

Events end at a blank line of any of the three line ends; before, a resumable stream with carriage returns was held back to its end and failed. An event above 256 kB is relayed in parts instead of held without bound. Failures of servers on stream routes are relayed as plain answers.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -220,6 +220,16 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetLinger sets what Close does with data that has not been sent, as on a
+// net.TCPConn; 0 makes it reset the connection.
+func (c *conn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(seconds)
+}
+
 // acceptor wraps accepted connections.
 type acceptor struct {
 	net.Listener
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -13,6 +13,8 @@
 type Scanner struct {
 	// lastEventID is the ID of the last complete event that has one.
 	lastEventID string
+	// endedWithoutID is set when an event without an ID has ended since.
+	endedWithoutID bool
 	// eventID and hasEventID hold the ID of the event that has not ended.
 	eventID    string
 	hasEventID bool
@@ -90,6 +92,9 @@
 	if s.hasEventID {
 		s.lastEventID = s.eventID
 	}
+	if s.hasFields {
+		s.endedWithoutID = !s.hasEventID
+	}
 	s.eventID, s.hasEventID, s.hasFields = "", false, false
 }
 
@@ -106,10 +111,16 @@
 // there is none.
 func (s *Scanner) LastEventID() string { return s.lastEventID }
 
+// Resumable reports whether a stream that continues after the last event ID repeats
+// and omits no complete event.
+func (s *Scanner) Resumable() bool { return s.lastEventID != "" && !s.endedWithoutID }
+
 // Open returns the number of bytes after the last complete event. A stream that ends
 // with open bytes has been broken off.
 func (s *Scanner) Open() int { return s.open }
 
 // Restart forgets the bytes after the last complete event, before another server
 // continues the stream.
-func (s *Scanner) Restart() { *s = Scanner{lastEventID: s.lastEventID, line: s.line[:0]} }
+func (s *Scanner) Restart() {
+	*s = Scanner{lastEventID: s.lastEventID, endedWithoutID: s.endedWithoutID, line: s.line[:0]}
+}
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -63,6 +63,30 @@
 	}
 }
 
+// Guards against a stream that is continued where an event would come twice or be
+// left out.
+func TestResumableOnlyAfterAnEventWithID(t *testing.T) {
+	for stream, want := range map[string]bool{
+		"":                            false,
+		"id: 1\n":                     false,
+		"data: x\n\n":                 false,
+		"id: 1\n\n":                   true,
+		"id: 1\n\ndata: x\n":          true,
+		"id: 1\n\ndata: x\n\n":        false,
+		"id: 1\n\n: c\n\n":            true,
+		"data: x\n\nid: 2\n\ndata: y": true,
+	} {
+		var s Scanner
+		s.Scan([]byte(stream))
+		if got := s.Resumable(); got != want {
+			t.Errorf("%q is resumable: %v, want %v", stream, got, want)
+		}
+		if s.Restart(); s.Resumable() != want {
+			t.Errorf("%q after a restart is resumable: %v, want %v", stream, s.Resumable(), want)
+		}
+	}
+}
+
 // Guards against a result that depends on how the stream is split into reads.
 func FuzzScanInPieces(f *testing.F) {
 	f.Add([]byte("id: 1\r\ndata: x\r\n\r\n: c\nid: 2\rdata\r\rda"), uint8(3))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -210,6 +210,7 @@
 	status int
 	header http.Header
 	body   []byte
+	end    bodyEnd
 }
 
 // retryOrEnd decides after a failed attempt whether the request goes to another
@@ -286,7 +287,7 @@
 		return c.classifySendError(ctx, err, exchange.NotSent)
 	}
 	defer resp.Body.Close()
-	c.attempts.framing = framingOf(resp)
+	c.attempts.framing = endOf(resp).framing
 	watch.recordProgress()
 	return c.handleAnswer(ctx, choice, resp, watch)
 }
@@ -334,7 +335,7 @@
 	if success {
 		c.pool.recordFirstByte(choice, c.attempts.job, time.Since(c.attempts.sentAt))
 	}
-	if c.route.Kind == routing.Stream {
+	if c.route.Kind == routing.Stream && success {
 		return c.relayStream(ctx, resp, watch)
 	}
 	return c.relayPlain(ctx, resp, watch)
@@ -367,14 +368,14 @@
 	if err != nil || len(body) > maxFailureBytes {
 		return res
 	}
-	res.failure = &failure{status: resp.StatusCode, header: resp.Header, body: body}
+	res.failure = &failure{status: resp.StatusCode, header: resp.Header, body: body, end: endOf(resp).ofBuffered(body)}
 	return res
 }
 
 // deliverFailure sends the server's failure answer to the caller unchanged.
 func (c *call) deliverFailure(f *failure) {
 	c.outcome, c.cause = OutcomeUnknown, CauseServerFailed
-	c.sendHeaders(f.status, f.header, int64(len(f.body)))
+	c.sendHeaders(f.status, f.header, f.end)
 	// A write error means that the caller has disconnected.
 	_, _ = c.w.Write(f.body)
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -72,10 +72,12 @@
 	attempts   attempts
 	stream     streamState
 	headerSent bool
-	status     int
-	firstByte  time.Duration
-	outcome    Outcome
-	cause      Cause
+	// sentFraming is how the end of the answer to the caller is marked.
+	sentFraming Framing
+	status      int
+	firstByte   time.Duration
+	outcome     Outcome
+	cause       Cause
 }
 
 // ServeHTTP serves one request.
@@ -239,14 +241,13 @@
 	return c.admission.Admitted
 }
 
-// finish records how the request ended. After a cut answer it panics, which
-// makes net/http close the caller's connection.
+// finish records how the request ended and breaks a cut answer off.
 func (c *call) finish() {
 	c.handler.bodies.add(-c.reserved)
 	c.handler.metrics.recordEnd(c, time.Since(c.arrivedAt))
 	c.log()
 	if c.outcome == OutcomeCut {
-		panic(http.ErrAbortHandler)
+		c.abort()
 	}
 }
 
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
@@ -30,9 +29,8 @@
 	return out
 }
 
-// sendHeaders sends the status and headers of an answer. A negative length means
-// that the length is unknown.
-func (c *call) sendHeaders(status int, header http.Header, length int64) {
+// sendHeaders sends the status and headers of an answer whose body ends as end states.
+func (c *call) sendHeaders(status int, header http.Header, end bodyEnd) {
 	h := c.w.Header()
 	connection := h.Get("Connection")
 	forwarded := forwardableHeaders(header)
@@ -44,10 +42,8 @@
 		// A nil entry keeps net/http from detecting a type.
 		h["Content-Type"] = nil
 	}
-	h.Del("Content-Length")
-	if length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(length, 10))
-	}
+	end.set(h)
+	c.sentFraming = end.sentTo(c.r)
 	if connection != "" {
 		h.Set("Connection", connection)
 	}
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -22,7 +22,7 @@
 		Workspace:   c.workspace.Name,
 		Remaining:   time.Until(c.deadline),
 		Priority:    c.priority(),
-		LastEventID: c.stream.lastEventID,
+		LastEventID: c.stream.events.LastEventID(),
 	}
 	if choice.Source != nil {
 		attempt.FetchFrom = choice.Source.Addr
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -121,6 +121,9 @@
 	CauseDeadline     Cause = "deadline"
 	CauseUnreachable  Cause = "server_unreachable"
 	CauseAnswerBroken Cause = "answer_broken"
+	// CauseEndUnknown: the last part of a stream ended with its connection, and the
+	// answer to the caller had begun in chunks.
+	CauseEndUnknown   Cause = "answer_end_unknown"
 	CauseWrongAnswer  Cause = "answer_of_another_request"
 	CauseServerFailed Cause = "server_failed"
 	CauseServerSilent Cause = "server_silent"
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/eventstream"
+)
+
+const (
+	// streamReadBytes is the size of one read of a stream.
+	streamReadBytes = 4 << 10
+	// maxHeldBytes bounds the start of an event that is held back until its end
+	// arrives.
+	maxHeldBytes = 256 << 10
+)
+
+var readBuffers = sync.Pool{New: func() any { return new([streamReadBytes]byte) }}
+
+// streamState is how far a stream has been relayed.
+type streamState struct {
+	// events tracks the events that the servers have sent.
+	events eventstream.Scanner
+	// held is the start of an event of a resumable stream that is held back until its
+	// end arrives.
+	held []byte
+	// joined is the buffer in which held bytes and the rest of their event are joined.
+	joined []byte
+	// relayedPart is set when a part of an event has been relayed, because the event
+	// was too large to be held back.
+	relayedPart bool
+}
+
+// relayStream relays events as they arrive. On a resumable route it relays only
+// complete events, so that another engine can continue after the last one.
+func (c *call) relayStream(ctx context.Context, resp *http.Response, watch *watch) result {
+	buffer := readBuffers.Get().(*[streamReadBytes]byte)
+	defer readBuffers.Put(buffer)
+	flush := http.NewResponseController(c.w)
+	c.stream.held = c.stream.held[:0]
+	c.stream.events.Restart()
+	for {
+		n, err := resp.Body.Read(buffer[:])
+		if n > 0 {
+			watch.recordProgress()
+			c.attempts.bodyBytes += int64(n)
+			if !c.writeStreamData(resp, buffer[:n]) {
+				return c.callerLeftResult()
+			}
+			if flushErr := flush.Flush(); flushErr != nil {
+				return c.callerLeftResult()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return c.endStream(ctx, resp)
+		}
+		if err != nil {
+			return c.classifyBroken(ctx, CauseAnswerBroken)
+		}
+	}
+}
+
+// writeStreamData writes new bytes of a stream to the caller, and reports whether
+// the caller is still connected.
+func (c *call) writeStreamData(resp *http.Response, data []byte) bool {
+	complete := c.stream.events.Scan(data)
+	if c.route.Resumable && !c.stream.relayedPart {
+		data = c.stream.hold(data, complete)
+	}
+	if len(data) == 0 {
+		return true
+	}
+	if !c.headerSent {
+		c.firstByte = time.Since(c.arrivedAt)
+		c.sendHeaders(resp.StatusCode, resp.Header, endOf(resp).ofStream())
+	}
+	_, err := c.w.Write(data)
+	return err == nil
+}
+
+// hold returns the events that the first complete bytes of data end, and holds the
+// rest of data back. The result is valid until the next call.
+func (s *streamState) hold(data []byte, complete int) []byte {
+	if complete == 0 && len(s.held)+len(data) > maxHeldBytes {
+		complete = len(data)
+		s.relayedPart = true
+	}
+	if complete == 0 {
+		s.held = append(s.held, data...)
+		return nil
+	}
+	ready := data[:complete]
+	if len(s.held) > 0 {
+		s.joined = append(s.joined[:0], s.held...)
+		s.joined = append(s.joined, ready...)
+		ready = s.joined
+	}
+	s.held = append(s.held[:0], data[complete:]...)
+	return ready
+}
+
+// endStream handles a stream that the engine has closed without an error.
+func (c *call) endStream(ctx context.Context, resp *http.Response) result {
+	end := endOf(resp)
+	if c.stream.events.Open() > 0 || end.framing == FramingClose && c.attempts.bodyBytes == 0 {
+		return c.classifyBroken(ctx, CauseAnswerBroken)
+	}
+	if !c.headerSent {
+		c.sendHeaders(resp.StatusCode, resp.Header, end.ofStream())
+	}
+	if end.framing == FramingClose && c.sentFraming != FramingClose {
+		// Another engine began this answer in chunks. Their end would claim that the
+		// stream is complete.
+		return c.classifyBroken(ctx, CauseEndUnknown)
+	}
+	return c.servedResult()
+}
+
+// canResume reports whether another engine can continue the stream.
+func (c *call) canResume() bool {
+	return c.route.Resumable && !c.stream.relayedPart && c.stream.events.Resumable()
+}
