backend, framing: an answer that ends with its connection has an unknown outcome

The same cause as in forward, found by looking for it elsewhere: the client of plain servers of the second daemon took an answer with neither length nor chunks to be complete, recorded it for its key and replayed it. A caller could have got half of a booking's answer for good. Such an answer is now an error that matches ErrMaybeRun, and the log line names the reason.

The case 'answer that ends with its connection' of TestBookingFaults failed before ('got <nil>, want server violated the protocol'). Other clients decode JSON, which a missing end makes unreadable. The type Framing moves to its own package.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/bluebellwell/bluebellwell/internal/framing"
 	"github.com/bluebellwell/bluebellwell/internal/httpsend"
 )
 
@@ -185,6 +186,9 @@
 	if len(body) > c.opts.MaxAnswerBytes {
 		return nil, eris.Wrapf(ErrTooLarge, "answer exceeds %d bytes", c.opts.MaxAnswerBytes)
 	}
+	if framing.Of(resp) == framing.Close {
+		return nil, eris.Wrap(ErrProtocol, "the answer has no length and may be incomplete")
+	}
 	return &Answer{Status: resp.StatusCode, Header: endToEndHeaders(resp.Header), Body: body}, nil
 }
 
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -50,6 +50,7 @@
 		{name: "cancelled before the dial", ctx: cancelled, notSent: true, cause: context.Canceled},
 		{name: "request too large", opts: Options{MaxRequestBytes: 3}, notSent: true, cause: ErrTooLarge},
 		{name: "answer dropped after the run", faults: backendsim.Faults{DropAnswer: true}, runs: 1},
+		{name: "answer that ends with its connection", faults: backendsim.Faults{NoLength: true}, runs: 1, cause: ErrProtocol},
 		{name: "answer too large", opts: Options{MaxAnswerBytes: 100}, faults: backendsim.Faults{AnswerBytes: 200}, runs: 1, cause: ErrTooLarge},
 		{
 			name: "cancelled during the run", faults: backendsim.Faults{HangBeforeAnswer: true}, runs: 1, cause: context.Canceled,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/framing"
 	"github.com/bluebellwell/bluebellwell/internal/httpsend"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
@@ -47,7 +48,7 @@
 	lastOutcome balance.Outcome
 	// framing and bodyBytes describe the last answer: how its end is marked, and how
 	// much of it has been received.
-	framing   Framing
+	framing   framing.Framing
 	bodyBytes int64
 	// disputed lists the servers whose failure the request itself may have caused.
 	disputed []*registry.Server
@@ -79,7 +80,7 @@
 	if c.Source != nil {
 		kv = append(kv, "fetch_from", c.Source.ID)
 	}
-	if a.framing != FramingUnknown {
+	if a.framing != framing.Unknown {
 		kv = append(kv, "framing", a.framing, "body_bytes", a.bodyBytes)
 	}
 	return kv
@@ -281,7 +282,7 @@
 	watch := c.watch(cancel, key)
 	defer watch.stop()
 	c.attempts.sentAt = time.Now()
-	c.attempts.framing, c.attempts.bodyBytes = FramingUnknown, 0
+	c.attempts.framing, c.attempts.bodyBytes = framing.Unknown, 0
 	resp, exchange, err := httpsend.Send(c.pool.transport(key), c.outgoingRequest(ctx, choice))
 	if err != nil {
 		return c.classifySendError(ctx, err, exchange.NotSent)
--- a/internal/forward/framing.go
+++ b/internal/forward/framing.go
@@ -2,48 +2,28 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
-)
-
-// Framing is how the end of an answer's body is marked (RFC 9112, section 6.3).
-type Framing string
 
-// Framings of a body.
-const (
-	// FramingUnknown: there is no answer.
-	FramingUnknown Framing = ""
-	FramingLength  Framing = "length"
-	FramingChunked Framing = "chunked"
-	// FramingClose: the body ends with its connection. A complete body and one whose
-	// sender has failed look the same.
-	FramingClose Framing = "close"
+	"github.com/bluebellwell/bluebellwell/internal/framing"
 )
 
 // bodyEnd is how an answer marks the end of its body.
 type bodyEnd struct {
-	framing Framing
-	// length is the size of the body in bytes, or -1 when it is unknown.
+	framing framing.Framing
+	// length is the size of the body in bytes, or -1 when it is not stated.
 	length int64
 }
 
 // endOf returns how a server's answer marks the end of its body.
 func endOf(resp *http.Response) bodyEnd {
-	switch {
-	case resp.ContentLength >= 0 || resp.Request.Method == http.MethodHead:
-		// An answer to HEAD has no body, whatever its headers state.
-		return bodyEnd{framing: FramingLength, length: resp.ContentLength}
-	case slices.Contains(resp.TransferEncoding, "chunked"):
-		return bodyEnd{framing: FramingChunked, length: -1}
-	}
-	return bodyEnd{framing: FramingClose, length: -1}
+	return bodyEnd{framing: framing.Of(resp), length: resp.ContentLength}
 }
 
 // ofBuffered returns how an answer whose body has been received is framed for the
 // caller. A body that ended with its connection may be incomplete and gets no length.
 func (e bodyEnd) ofBuffered(body []byte) bodyEnd {
-	if e.framing == FramingChunked {
-		return bodyEnd{framing: FramingLength, length: int64(len(body))}
+	if e.framing == framing.Chunked {
+		return bodyEnd{framing: framing.Length, length: int64(len(body))}
 	}
 	return e
 }
@@ -51,28 +31,29 @@
 // ofStream returns how a stream is framed for the caller. Chunks replace a length,
 // so that a stream that turns out to be broken off can be left unfinished.
 func (e bodyEnd) ofStream() bodyEnd {
-	if e.framing == FramingLength {
-		return bodyEnd{framing: FramingChunked, length: -1}
+	if e.framing == framing.Length {
+		return bodyEnd{framing: framing.Chunked, length: -1}
 	}
 	return e
 }
 
-// set sets the headers that make net/http frame the answer to r in this way.
+// set sets the headers that make net/http frame the answer in this way. The encoding
+// "identity" makes it send neither a length nor chunks and close the connection.
 func (e bodyEnd) set(h http.Header) {
 	h.Del("Content-Length")
 	switch {
 	case e.length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(e.length, 10))
-	case e.framing == FramingClose:
+	case e.framing == framing.Close:
 		h.Set("Transfer-Encoding", "identity")
 	}
 }
 
 // sentTo returns the framing that the caller of r sees. There are no chunks before
 // HTTP/1.1.
-func (e bodyEnd) sentTo(r *http.Request) Framing {
-	if e.framing == FramingChunked && !r.ProtoAtLeast(1, 1) {
-		return FramingClose
+func (e bodyEnd) sentTo(r *http.Request) framing.Framing {
+	if e.framing == framing.Chunked && !r.ProtoAtLeast(1, 1) {
+		return framing.Close
 	}
 	return e.framing
 }
@@ -85,7 +66,7 @@
 // abort breaks the caller's answer off. Without its last chunk, or short of its length,
 // an answer is visibly incomplete; one that ends with its connection needs a reset.
 func (c *call) abort() {
-	if c.sentFraming == FramingClose {
+	if c.sentFraming == framing.Close {
 		c.resetConnection()
 	}
 	// Makes net/http close the connection without finishing the answer.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/framing"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
@@ -73,7 +74,7 @@
 	stream     streamState
 	headerSent bool
 	// sentFraming is how the end of the answer to the caller is marked.
-	sentFraming Framing
+	sentFraming framing.Framing
 	status      int
 	firstByte   time.Duration
 	outcome     Outcome
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/eventstream"
+	"github.com/bluebellwell/bluebellwell/internal/framing"
 )
 
 const (
@@ -106,13 +107,13 @@
 // endStream handles a stream that the engine has closed without an error.
 func (c *call) endStream(ctx context.Context, resp *http.Response) result {
 	end := endOf(resp)
-	if c.stream.events.Open() > 0 || end.framing == FramingClose && c.attempts.bodyBytes == 0 {
+	if c.stream.events.Open() > 0 || end.framing == framing.Close && c.attempts.bodyBytes == 0 {
 		return c.classifyBroken(ctx, CauseAnswerBroken)
 	}
 	if !c.headerSent {
 		c.sendHeaders(resp.StatusCode, resp.Header, end.ofStream())
 	}
-	if end.framing == FramingClose && c.sentFraming != FramingClose {
+	if end.framing == framing.Close && c.sentFraming != framing.Close {
 		// Another engine began this answer in chunks. Their end would claim that the
 		// stream is complete.
 		return c.classifyBroken(ctx, CauseEndUnknown)
--- a/internal/poolowner/plain.go
+++ b/internal/poolowner/plain.go
@@ -71,7 +71,8 @@
 		e.end(peerpb.Outcome_OUTCOME_NOT_RUN, dispatch.CodeEngineFailed, "no backend server took the request")
 		return
 	}
-	e.pool.deps.Events.Emit(event.BackendOutcomeUnknown, "pool", e.req.Pool, "server", e.engine, "attempt", e.req.AttemptId)
+	e.pool.deps.Events.Emit(event.BackendOutcomeUnknown, "pool", e.req.Pool, "server", e.engine, "attempt", e.req.AttemptId,
+		"error", err.Error())
 	e.end(peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeEngineFailed, "the backend server did not answer")
 }
 
--- a/internal/standin/backendsim/backendsim.go
+++ b/internal/standin/backendsim/backendsim.go
@@ -50,6 +50,8 @@
 	RefuseRun bool
 	// ExtraDelay is added to the delay.
 	ExtraDelay time.Duration
+	// NoLength sends answers that end with their connection.
+	NoLength bool
 	// AnswerBytes pads answers to this size.
 	AnswerBytes int
 }
@@ -214,6 +216,10 @@
 	if f, _, _ = s.state(); f.DropAnswer {
 		panic(http.ErrAbortHandler)
 	}
+	if f.NoLength {
+		// net/http then sends neither a length nor chunks.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	status, answer := reply(r, body, n)
 	if f.AnswerBytes > 0 {
 		answer["padding"] = string(make([]byte, f.AnswerBytes))
