--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -14,10 +14,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	_ "github.com/bluebellwell/bluebellwell/internal/testseed"
 )
 
+// pos returns a position in the first era.
+func pos(offset int64) logpos.Position { return logpos.Position{Offset: offset} }
+
 func drawMessage(t *rapid.T) *Message {
 	m := &Message{
 		Sender:            rapid.Uint64().Draw(t, "sender"),
@@ -25,6 +29,8 @@
 		RequestPlacements: rapid.Bool().Draw(t, "request placements"),
 		LoadsComplete:     rapid.Bool().Draw(t, "loads complete"),
 		Reading:           rapid.Bool().Draw(t, "reading"),
+		StoreEra:          rapid.Int64Min(0).Draw(t, "store era"),
+		ConfigVersion:     rapid.Int64Min(0).Draw(t, "configuration"),
 		Synced:            rapid.Bool().Draw(t, "synced"),
 		PlacementsReply:   rapid.Bool().Draw(t, "placements reply"),
 	}
@@ -42,7 +48,7 @@
 			PrefixHash: rapid.Uint64().Draw(t, "cached prefix"), Server: rapid.SampledFrom([]uint64{3, 4}).Draw(t, "server of it"),
 			Tokens: rapid.IntRange(0, maxPromptTokens).Draw(t, "cached tokens"),
 		})
-		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), rapid.Int64().Draw(t, "last change")})
+		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), drawPosition(t)})
 		m.Servers = append(m.Servers, drawServerChange(t))
 	}
 	return m
@@ -54,8 +60,12 @@
 	}
 }
 
+func drawPosition(t *rapid.T) logpos.Position {
+	return logpos.Position{Era: rapid.Int64Min(0).Draw(t, "era"), Offset: rapid.Int64Min(-1).Draw(t, "offset")}
+}
+
 func drawServerChange(t *rapid.T) ServerChange {
-	c := ServerChange{ID: "i-1", Offset: rapid.Int64Min(0).Draw(t, "offset"), PrevOffset: rapid.Int64Min(0).Draw(t, "prev")}
+	c := ServerChange{ID: "i-1", Position: drawPosition(t), Prev: drawPosition(t)}
 	if rapid.Bool().Draw(t, "removed") {
 		return c
 	}
@@ -136,11 +146,11 @@
 				if alive[j] {
 					at = later
 				}
-				p.RecordMessage(at, addr(j), &Message{Sender: uint64(j), Reading: reads[j], Progress: []Progress{{0, 1}}})
+				p.RecordMessage(at, addr(j), &Message{Sender: uint64(j), Reading: reads[j], Progress: []Progress{{0, pos(1)}}})
 			}
 			isReader := alive[i] && reads[i]
 			healthy = healthy || isReader
-			found = found || isReader && p.IsReader(later, true)
+			found = found || isReader && p.IsReader(later, OwnReads{Succeed: true})
 		}
 		if healthy && !found {
 			t.Fatalf("alive %v, reading %v: no live router reads the store", alive, reads)
@@ -209,25 +219,25 @@
 func TestReadersWhileReadsFail(t *testing.T) {
 	p := NewPeers(addr(1), nil)
 	reads := func(i int, reading bool) {
-		p.RecordMessage(start, addr(i), &Message{Sender: uint64(i), Reading: reading, Progress: []Progress{{0, 1}}})
+		p.RecordMessage(start, addr(i), &Message{Sender: uint64(i), Reading: reading, Progress: []Progress{{0, pos(1)}}})
 	}
 	for i := 2; i <= 6; i++ {
 		reads(i, true)
 	}
-	if p.IsReader(start, false) {
+	if p.IsReader(start, OwnReads{}) {
 		t.Error("a router whose reads fail is a reader although others read")
 	}
 	for i := 2; i <= 6; i++ {
 		reads(i, false)
 	}
-	if got := p.Readers(start, false); len(got) != maxReaders || got[0] != addr(1) || got[2] != addr(3) {
+	if got := p.Readers(start, OwnReads{}); len(got) != maxReaders || got[0] != addr(1) || got[2] != addr(3) {
 		t.Errorf("readers %v while no reads succeed, want the first three", got)
 	}
 	last := NewPeers(addr(9), nil)
 	for i := 2; i <= 6; i++ {
-		last.RecordMessage(start, addr(i), &Message{Sender: uint64(i), Progress: []Progress{{0, 1}}})
+		last.RecordMessage(start, addr(i), &Message{Sender: uint64(i), Progress: []Progress{{0, pos(1)}}})
 	}
-	if last.IsReader(start, false) {
+	if last.IsReader(start, OwnReads{}) {
 		t.Error("the last of six routers polls the store while no reads succeed")
 	}
 }
@@ -277,8 +287,8 @@
 
 func (s *fakeState) ServersKnown() bool { return !s.serversUnknown.Load() }
 
-func (s *fakeState) Progress() ([]Progress, bool) {
-	return []Progress{{Topic: 0, LastChange: 11}}, true
+func (s *fakeState) Progress() StoreProgress {
+	return StoreProgress{Topics: []Progress{{Topic: 0, LastChange: pos(11)}}, OwnReads: OwnReads{Succeed: true}}
 }
 
 func (s *fakeState) SetPeerLoads(loads map[uint32]int, _ time.Duration) {
@@ -312,7 +322,9 @@
 	}
 }
 
-func (s *fakeState) ServerChanges() []ServerChange { return []ServerChange{{ID: "i-1", Offset: 11}} }
+func (s *fakeState) ServerChanges() []ServerChange {
+	return []ServerChange{{ID: "i-1", Position: pos(11)}}
+}
 
 func (s *fakeState) ApplyServerChanges(list []ServerChange) {
 	s.mu.Lock()
@@ -323,7 +335,7 @@
 func (s *fakeState) hasServerChange() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.serverChanges) > 0 && s.serverChanges[0] == ServerChange{ID: "i-1", Offset: 11}
+	return len(s.serverChanges) > 0 && s.serverChanges[0] == ServerChange{ID: "i-1", Position: pos(11)}
 }
 
 func (s *fakeState) hasPlacementAndLoad(placement Placement) bool {
@@ -371,7 +383,7 @@
 	waitFor(t, "each router has the outcomes of both", func() bool { return old.hasFleetOutcomes() && fresh.hasFleetOutcomes() })
 	waitFor(t, "the new router is synced", second.Synced)
 	waitFor(t, "the new router has the server change", fresh.hasServerChange)
-	waitFor(t, "the new router has the offset of the last change", func() bool { return second.NewestChange(0) == 11 })
+	waitFor(t, "the new router has the offset of the last change", func() bool { return second.NewestChange(0) == pos(11) })
 	fresh.mu.Lock()
 	fresh.newPlacements = []Placement{{PrefixHash: 2, Server: 7}}
 	fresh.mu.Unlock()
@@ -387,7 +399,7 @@
 	fresh := &fakeState{received: map[Placement]bool{}}
 	fresh.serversUnknown.Store(true)
 	first, second := startPair(t, old, fresh)
-	waitFor(t, "the new router knows the other one", func() bool { return second.LivePeerCount() == 1 && second.NewestChange(0) == 11 })
+	waitFor(t, "the new router knows the other one", func() bool { return second.LivePeerCount() == 1 && second.NewestChange(0) == pos(11) })
 	second.requestPlacements(time.Now())
 	second.RequestPlacements()
 	waitFor(t, "the running router has the loads of the new one", func() bool { return old.hasFleetOutcomes() })
@@ -418,7 +430,7 @@
 func TestSyncedPeerReturnsOnlySyncedPeers(t *testing.T) {
 	p := NewPeers(addr(1), nil)
 	for i := 2; i < 9; i++ {
-		p.RecordMessage(start, addr(i), &Message{Sender: uint64(i), Synced: i == 5, Progress: []Progress{{0, 1}}})
+		p.RecordMessage(start, addr(i), &Message{Sender: uint64(i), Synced: i == 5, Progress: []Progress{{0, pos(1)}}})
 	}
 	for range 20 {
 		if got, ok := p.SyncedPeer(start); !ok || got != addr(5) {
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 )
 
 const (
@@ -59,9 +60,8 @@
 	// ServersKnown reports whether this router knows the servers. It cannot record
 	// placements at servers that it does not know.
 	ServersKnown() bool
-	// Progress returns how far the topics have been read, and whether the
-	// store answers.
-	Progress() (list []Progress, reading bool)
+	// Progress returns what this router has read of the store.
+	Progress() StoreProgress
 	// SetPeerLoads sets the sum of the other routers' loads and the average age
 	// of their reports; loads is nil when none has been received lately.
 	SetPeerLoads(loads map[uint32]int, age time.Duration)
@@ -85,6 +85,15 @@
 	ApplyServerChanges(list []ServerChange)
 }
 
+// StoreProgress is what a router has read of the store.
+type StoreProgress struct {
+	// Topics has the progress in each topic.
+	Topics   []Progress
+	OwnReads OwnReads
+	// ConfigVersion is the version of the configuration in force; 0 for none.
+	ConfigVersion int64
+}
+
 // Exchange sends and receives digests. Its methods are safe for concurrent use.
 type Exchange struct {
 	conn   *net.UDPConn
@@ -111,8 +120,9 @@
 	sentOutcomes []Outcomes
 	// totalsReceivedAt is when another router's totals last arrived.
 	totalsReceivedAt time.Time
-	// sentProgress is the read progress that was last sent.
+	// sentProgress and sentEra are the read progress and the store's era as last sent.
 	sentProgress []Progress
+	sentEra      int64
 }
 
 // Listen opens the address for digests. All routers use the same port. The
@@ -155,15 +165,23 @@
 
 // IsReader reports whether this router reads the store at the full rate.
 func (e *Exchange) IsReader() bool {
-	_, reading := e.state.Progress()
+	own := e.state.Progress().OwnReads
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.IsReader(time.Now(), own)
+}
+
+// NewestConfig returns the highest version of the configuration that a live peer has
+// in force, or 0.
+func (e *Exchange) NewestConfig() int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.peers.IsReader(time.Now(), reading)
+	return e.peers.NewestConfig(time.Now())
 }
 
-// NewestChange returns the highest offset of a topic at which a live peer has
-// read a change, or -1 when there is none.
-func (e *Exchange) NewestChange(topic int) int64 {
+// NewestChange returns the latest position of a topic at which a live peer has read a
+// change, or logpos.None.
+func (e *Exchange) NewestChange(topic int) logpos.Position {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.peers.NewestChange(time.Now(), topic)
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -8,11 +8,13 @@
 package digest
 
 import (
+	"math"
 	"net/netip"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
 
@@ -61,18 +63,18 @@
 // Progress states what a router has read of a topic of the store.
 type Progress struct {
 	Topic int
-	// LastChange is the offset of the last record that changed the router's view.
-	LastChange int64
+	// LastChange is the position of the last record that changed the router's view.
+	LastChange logpos.Position
 }
 
 // ServerChange is a change of a server that a router has read from the store.
 type ServerChange struct {
 	ID string
-	// Offset is the offset of the change's record in the store's topic.
-	Offset int64
-	// PrevOffset is the offset of the previous change, so that the receiver notices a
-	// lost one.
-	PrevOffset int64
+	// Position is that of the change's record in the store's topic.
+	Position logpos.Position
+	// Prev is the position of the previous change, so that the receiver notices a lost
+	// one.
+	Prev logpos.Position
 	// Server is nil when the server was removed.
 	Server *registry.Server
 }
@@ -95,7 +97,12 @@
 	Reading bool
 	// Synced is set by a router that has the placements of the fleet.
 	Synced bool
-	Peers  []netip.Addr
+	// StoreEra is the era of the store as the sender knows it.
+	StoreEra int64
+	// ConfigVersion is the version of the configuration that the sender has in force; 0
+	// for none.
+	ConfigVersion int64
+	Peers         []netip.Addr
 	// Loads are the sender's own requests in flight.
 	Loads []Load
 	// TotalLoads are the requests in flight of all routers together, the sender's
@@ -132,6 +139,8 @@
 	fieldOutcomes          = 14
 	fieldTotalFailures     = 15
 	fieldCached            = 16
+	fieldStoreEra          = 17
+	fieldConfigVersion     = 18
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -149,6 +158,8 @@
 	b = appendBool(b, fieldLoadsComplete, m.LoadsComplete)
 	b = appendBool(b, fieldReading, m.Reading)
 	b = appendBool(b, fieldSynced, m.Synced)
+	b = appendPositive(b, fieldStoreEra, m.StoreEra)
+	b = appendPositive(b, fieldConfigVersion, m.ConfigVersion)
 	for _, p := range m.Peers {
 		b = protowire.AppendTag(b, fieldPeer, protowire.BytesType)
 		b = protowire.AppendBytes(b, p.AsSlice())
@@ -162,7 +173,11 @@
 	}
 	b = appendCached(b, m.Cached)
 	for _, p := range m.Progress {
-		b = appendNumbers(b, fieldProgress, uint64(p.Topic), uint64(p.LastChange))
+		values := []uint64{uint64(p.Topic), uint64(p.LastChange.Offset)}
+		if p.LastChange.Era > 0 {
+			values = append(values, uint64(p.LastChange.Era))
+		}
+		b = appendNumbers(b, fieldProgress, values...)
 	}
 	for i := range m.Servers {
 		b = protowire.AppendTag(b, fieldServer, protowire.BytesType)
@@ -184,6 +199,14 @@
 	return protowire.AppendVarint(b, 1)
 }
 
+// appendPositive encodes a number that is left out when it is 0.
+func appendPositive(b []byte, field protowire.Number, v int64) []byte {
+	if v <= 0 {
+		return b
+	}
+	return appendVarint(b, field, uint64(v))
+}
+
 // appendLoads encodes each load as a fixed32 and a varint.
 func appendLoads(b []byte, field protowire.Number, loads []Load) []byte {
 	if len(loads) == 0 {
@@ -281,6 +304,7 @@
 	if n < 0 {
 		return nil, errMalformed
 	}
+	var err error
 	switch field {
 	case fieldStopping:
 		m.Stopping = v != 0
@@ -294,8 +318,19 @@
 		m.Reading = v != 0
 	case fieldSynced:
 		m.Synced = v != 0
+	case fieldStoreEra:
+		m.StoreEra, err = nonNegative(v)
+	case fieldConfigVersion:
+		m.ConfigVersion, err = nonNegative(v)
 	}
-	return b[n:], nil
+	return b[n:], err
+}
+
+func nonNegative(v uint64) (int64, error) {
+	if v > math.MaxInt64 {
+		return 0, errMalformed
+	}
+	return int64(v), nil
 }
 
 func (m *Message) decodeBytes(field protowire.Number, b []byte) ([]byte, error) {
@@ -361,7 +396,9 @@
 	case field == fieldPlacement && len(m.Placements) < maxPlacements && max(v[2], v[3]) <= maxPromptTokens:
 		m.Placements = append(m.Placements, Placement{PrefixHash: v[0], Server: v[1], Tokens: int(v[2]), ReadTokens: int(v[3])})
 	case field == fieldProgress && len(m.Progress) < maxTopics && v[0] < maxTopics:
-		m.Progress = append(m.Progress, Progress{Topic: int(v[0]), LastChange: int64(v[1])})
+		m.Progress = append(m.Progress, Progress{
+			Topic: int(v[0]), LastChange: logpos.Position{Era: int64(v[2]), Offset: int64(v[1])},
+		})
 	default:
 		return errMalformed
 	}
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 )
 
 const (
@@ -41,7 +43,10 @@
 	outcomes []Outcomes
 	// loadsAt is when the peer's loads and outcomes last arrived.
 	loadsAt    time.Time
-	lastChange map[int]int64
+	lastChange map[int]logpos.Position
+	// storeEra and configVersion are those that the peer has reported last.
+	storeEra      int64
+	configVersion int64
 	// namedAt is when another router last named the peer.
 	namedAt time.Time
 }
@@ -75,13 +80,15 @@
 	}
 	isNew := peer == nil || peer.LastReceived.IsZero() || peer.Sender != m.Sender
 	if isNew {
-		peer = &Peer{Addr: from, Sender: m.Sender, lastChange: make(map[int]int64)}
+		peer = &Peer{Addr: from, Sender: m.Sender, lastChange: make(map[int]logpos.Position)}
 		p.tracked[from] = peer
 	}
 	peer.LastReceived = now
 	if len(m.Progress) > 0 {
 		peer.Reading = m.Reading
 		peer.Synced = m.Synced
+		peer.storeEra = m.StoreEra
+		peer.configVersion = m.ConfigVersion
 	}
 	if m.LoadsComplete {
 		peer.loadsAt = now
@@ -92,7 +99,7 @@
 		}
 	}
 	for _, t := range m.Progress {
-		peer.lastChange[t.Topic] = max(peer.lastChange[t.Topic], t.LastChange)
+		peer.lastChange[t.Topic] = logpos.Max(peer.lastChange[t.Topic], t.LastChange)
 	}
 	p.addNamed(now, m.Peers)
 	return isNew
@@ -108,7 +115,7 @@
 			peer.namedAt = now
 			continue
 		}
-		p.tracked[a] = &Peer{Addr: a, namedAt: now, lastChange: make(map[int]int64)}
+		p.tracked[a] = &Peer{Addr: a, namedAt: now, lastChange: make(map[int]logpos.Position)}
 	}
 }
 
@@ -186,18 +193,28 @@
 	return sum
 }
 
-// NewestChange returns the highest offset of a topic at which a live peer has
-// read a change, or -1 when there is none.
-func (p *Peers) NewestChange(now time.Time, topic int) int64 {
-	newest := int64(-1)
+// NewestChange returns the latest position of a topic at which a live peer has read a
+// change, or logpos.None.
+func (p *Peers) NewestChange(now time.Time, topic int) logpos.Position {
+	newest := logpos.None
 	for _, peer := range p.Live(now) {
-		if n, ok := peer.lastChange[topic]; ok {
-			newest = max(newest, n)
+		if position, ok := peer.lastChange[topic]; ok {
+			newest = logpos.Max(newest, position)
 		}
 	}
 	return newest
 }
 
+// NewestConfig returns the highest version of the configuration that a live peer has
+// in force, or 0.
+func (p *Peers) NewestConfig(now time.Time) int64 {
+	newest := int64(0)
+	for _, peer := range p.Live(now) {
+		newest = max(newest, peer.configVersion)
+	}
+	return newest
+}
+
 // HasLowestAddr reports whether no live peer has a lower address.
 func (p *Peers) HasLowestAddr(now time.Time) bool {
 	for _, peer := range p.Live(now) {
@@ -212,22 +229,30 @@
 // may fail at once.
 const maxReaders = 3
 
-// IsReader reports whether this router is a reader of the store; reading states
-// whether its own reads succeed.
-func (p *Peers) IsReader(now time.Time, reading bool) bool {
-	return slices.Contains(p.Readers(now, reading), p.self)
+// OwnReads is how this router's own reads of the store go.
+type OwnReads struct {
+	// Succeed is set while they succeed and other routers can rely on them.
+	Succeed bool
+	// Era is the era of the store as this router knows it.
+	Era int64
+}
+
+// IsReader reports whether this router is a reader of the store.
+func (p *Peers) IsReader(now time.Time, own OwnReads) bool {
+	return slices.Contains(p.Readers(now, own), p.self)
 }
 
 // Readers returns the addresses of the routers that read the store for all: the
 // first by address among those whose reads succeed, or among all live ones when no
-// reads do. reading states whether this router's reads succeed.
-func (p *Peers) Readers(now time.Time, reading bool) []netip.Addr {
+// reads do. A router that knows only an earlier era than this one does not count: its
+// changes have no meaning here.
+func (p *Peers) Readers(now time.Time, own OwnReads) []netip.Addr {
 	var list []netip.Addr
-	if reading {
+	if own.Succeed {
 		list = append(list, p.self)
 	}
 	for _, peer := range p.tracked {
-		if peer.Reading && now.Sub(peer.LastReceived) < readerTimeout {
+		if peer.Reading && peer.storeEra >= own.Era && now.Sub(peer.LastReceived) < readerTimeout {
 			list = append(list, peer.Addr)
 		}
 	}
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -18,9 +18,11 @@
 
 // newMessage returns a message with the fields that every digest has.
 func (e *Exchange) newMessage() *Message {
-	m := &Message{Sender: e.sender, Synced: e.Synced()}
-	m.Progress, m.Reading = e.state.Progress()
-	return m
+	progress := e.state.Progress()
+	return &Message{
+		Sender: e.sender, Synced: e.Synced(), Progress: progress.Topics,
+		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
+	}
 }
 
 // sendWelcome answers the first message of a process. A router that has just started
@@ -48,9 +50,9 @@
 	}
 	e.mu.Unlock()
 	e.sendServerChanges(targets)
-	if regular || !slices.Equal(m.Progress, e.sentProgress) {
+	if regular || m.StoreEra != e.sentEra || !slices.Equal(m.Progress, e.sentProgress) {
 		e.sendTo(targets, m)
-		e.sentProgress = m.Progress
+		e.sentProgress, e.sentEra = m.Progress, m.StoreEra
 	}
 	e.sendNewPlacements(targets, regular)
 }
@@ -69,7 +71,7 @@
 	e.mu.Lock()
 	targets := e.peers.Targets(now)
 	smallFleet := e.smallFleet()
-	readers := e.peers.Readers(now, m.Reading)
+	readers := e.peers.Readers(now, OwnReads{Succeed: m.Reading, Era: m.StoreEra})
 	e.sentLoads = make(map[uint32]int, len(own))
 	for _, l := range own {
 		e.sentLoads[l.Server] = l.InFlight
--- a/internal/digest/server.go
+++ b/internal/digest/server.go
@@ -18,13 +18,17 @@
 	serverLeaving    = 8
 	serverEngine     = 9
 	serverPrevOffset = 10
+	serverEra        = 11
+	serverPrevEra    = 12
 )
 
 func encodeServerChange(c *ServerChange) []byte {
 	var b []byte
 	b = appendText(b, serverID, c.ID)
-	b = appendVarint(b, serverOffset, uint64(c.Offset))
-	b = appendVarint(b, serverPrevOffset, uint64(c.PrevOffset))
+	b = appendVarint(b, serverOffset, uint64(c.Position.Offset))
+	b = appendVarint(b, serverPrevOffset, uint64(c.Prev.Offset))
+	b = appendPositive(b, serverEra, c.Position.Era)
+	b = appendPositive(b, serverPrevEra, c.Prev.Era)
 	s := c.Server
 	if s == nil {
 		return b
@@ -108,9 +112,13 @@
 func (c *ServerChange) setNumber(s *registry.Server, field protowire.Number, v uint64) {
 	switch field {
 	case serverOffset:
-		c.Offset = int64(v)
+		c.Position.Offset = int64(v)
 	case serverPrevOffset:
-		c.PrevOffset = int64(v)
+		c.Prev.Offset = int64(v)
+	case serverEra:
+		c.Position.Era = int64(v)
+	case serverPrevEra:
+		c.Prev.Era = int64(v)
 	case serverSlots:
 		s.Slots = int(v)
 	case serverBorn:
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -10,11 +10,19 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 )
 
-// ErrExpired is returned by Source.Read when the store no longer has the requested
-// records.
-var ErrExpired = errors.New("records have expired")
+// Errors of a Source.
+var (
+	// ErrExpired is returned by Read when the store does not have the requested
+	// records.
+	ErrExpired = errors.New("records have expired")
+	// ErrMixedEras is returned by Newest when the store began a new era in the middle
+	// of the list.
+	ErrMixedEras = errors.New("list is from two eras of the store")
+)
 
 const (
 	// minBackoff is the wait after the first failed call; it doubles with each
@@ -38,15 +46,20 @@
 	Offset int64
 }
 
+// NoEra is the era of a call that the store did not answer.
+const NoEra = -1
+
 // Page is the result of one call to the store.
 type Page struct {
+	// Era is the era in which the store answered, also when the call failed, or NoEra.
+	Era     int64
 	Records []Record
 	// Next is the offset of the next read.
 	Next int64
 }
 
 // Source reads one topic of the store. Calls return at the latest when their
-// context ends.
+// context ends. With an error, only the era of the page is valid.
 type Source interface {
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context) (Page, error)
@@ -58,9 +71,11 @@
 type Options struct {
 	// Timing is called before each call to the store and may return changed values.
 	Timing func() Timing
-	// PeerOffset returns the offset of the newest record that another router has
-	// reported, or a negative number. A follower that has not read it reads at once.
-	PeerOffset func() int64
+	// PeerPosition returns the position of the newest record that another router has
+	// reported, or logpos.None. A follower that has not read it reads at once.
+	PeerPosition func() logpos.Position
+	// Eras is shared by the followers of a store.
+	Eras *Eras
 	// NewestOnly is set for a topic whose newest records say everything. Records that
 	// several newer ones have replaced are then not read.
 	NewestOnly bool
@@ -90,8 +105,8 @@
 	Records []Record
 	// Full is set when the batch has every key; other keys are deleted.
 	Full bool
-	// Next is the offset after the batch.
-	Next int64
+	// Next is the position after the batch; its era is that of all records.
+	Next logpos.Position
 	// GraceUntil is the end of the grace period after an outage; zero when there was
 	// none.
 	GraceUntil time.Time
@@ -106,10 +121,13 @@
 	// OutageEnded is called at the first success after a series of failures.
 	OutageEnded(duration time.Duration)
 	// HistoryExpired is called when the store has deleted records that were not read.
-	HistoryExpired(from int64)
+	HistoryExpired(from logpos.Position)
 	// StaleList is called when a full list is older than the records already read.
-	// next is the offset after the list, current the one after those records.
-	StaleList(next, current int64)
+	// next is the position after the list, current the one after those records.
+	StaleList(next, current logpos.Position)
+	// EraStarted is called for the first answer of a new era that any follower of the
+	// store gets. next is the position up to which this one had read.
+	EraStarted(era int64, next logpos.Position)
 }
 
 // Follower follows one topic.
@@ -120,8 +138,8 @@
 	now      func() time.Time
 
 	position position
-	// askedFor is the offset that another router had reported at the last call.
-	askedFor    int64
+	// askedFor is the position that another router had reported at the last call.
+	askedFor    logpos.Position
 	failures    int
 	outageStart time.Time
 	graceUntil  time.Time
@@ -129,8 +147,8 @@
 
 // position is how far the topic has been read.
 type position struct {
-	// next is the offset after the last record that was read.
-	next int64
+	// next is the position after the last record that was read.
+	next logpos.Position
 	// complete is set while every record before next is accounted for.
 	complete bool
 }
@@ -150,7 +168,7 @@
 }
 
 const (
-	// recheckInterval is how often a waiting follower checks Timing and PeerOffset.
+	// recheckInterval is how often a waiting follower checks Timing and PeerPosition.
 	recheckInterval = 200 * time.Millisecond
 	// minPause bounds the rate of reads for a record that another router has
 	// reported and the store does not return yet.
@@ -172,13 +190,13 @@
 		}
 		elapsed := f.now().Sub(start)
 		remaining := pause - elapsed
-		if pause >= 0 && f.options.PeerOffset() > f.askedFor {
+		if pause >= 0 && f.askedFor.Before(f.options.PeerPosition()) {
 			return
 		}
 		if pause < 0 {
 			timing := f.options.Timing()
 			remaining = timing.Pause - elapsed
-			if f.position.complete && f.options.PeerOffset() >= f.position.next {
+			if f.position.complete && !f.options.PeerPosition().Before(f.position.next) {
 				if reported.IsZero() {
 					reported = f.now()
 				}
@@ -200,11 +218,11 @@
 	start := f.now()
 	timing := f.options.Timing()
 	wait := timing.Wait
-	list := !f.position.complete || f.skipRecords()
+	list := !f.position.complete || f.skipRecords() || f.inEarlierEra()
 	if list {
 		wait = 0
 	}
-	f.askedFor = f.options.PeerOffset()
+	f.askedFor = f.options.PeerPosition()
 	callCtx, cancel := context.WithTimeout(ctx, wait+timing.Timeout)
 	defer cancel()
 	var page Page
@@ -212,11 +230,18 @@
 	if list {
 		page, err = f.source.Newest(callCtx)
 	} else {
-		page, err = f.source.Read(callCtx, f.position.next, wait)
+		page, err = f.source.Read(callCtx, f.position.next.Offset, wait)
 	}
-	switch {
-	case ctx.Err() != nil:
+	if ctx.Err() != nil {
+		return 0
+	}
+	if eraErr := f.checkEra(page.Era); eraErr != nil {
+		err = eraErr
+	} else if !list && f.position.next.Era < page.Era {
+		// What was answered, an error too, concerns an offset of an earlier era.
 		return 0
+	}
+	switch {
 	case errors.Is(err, ErrExpired):
 		f.observer.HistoryExpired(f.position.next)
 		f.position.complete = false
@@ -228,10 +253,26 @@
 	return f.applyPage(page, list)
 }
 
+// inEarlierEra reports whether the store has begun a new era since the last read.
+func (f *Follower) inEarlierEra() bool { return f.position.next.Era < f.options.Eras.Current() }
+
+// checkEra records the era of an answer. The error reports an answer that is not to
+// be believed.
+func (f *Follower) checkEra(era int64) error {
+	if era == NoEra {
+		return nil
+	}
+	started, err := f.options.Eras.record(era)
+	if started {
+		f.observer.EraStarted(era, f.position.next)
+	}
+	return err
+}
+
 // skipRecords reports whether the newest records are to be read instead of all that
 // another router has reported.
 func (f *Follower) skipRecords() bool {
-	return f.options.NewestOnly && f.options.PeerOffset() > f.position.next
+	return f.options.NewestOnly && f.position.next.Before(f.options.PeerPosition())
 }
 
 // recordFailure counts a failed call and returns the wait before the next one.
@@ -263,15 +304,20 @@
 }
 
 // applyPage passes a page to the observer. A full list that ends before the records
-// already read is stale and ignored.
+// already read is stale and ignored. What a new era lacks may only have to be written
+// again, as after an outage.
 func (f *Follower) applyPage(page Page, full bool) time.Duration {
-	if full && page.Next < f.position.next {
-		f.observer.StaleList(page.Next, f.position.next)
+	next := logpos.Position{Era: page.Era, Offset: page.Next}
+	if full && next.Before(f.position.next) {
+		f.observer.StaleList(next, f.position.next)
 		return withJitter(staleListPause)
 	}
-	f.position = position{next: page.Next, complete: true}
+	if f.position.next.Era < next.Era && f.position.next != (logpos.Position{}) {
+		f.graceUntil = f.now().Add(f.options.Grace)
+	}
+	f.position = position{next: next, complete: true}
 	if full || len(page.Records) > 0 {
-		f.observer.Batch(Batch{Records: page.Records, Full: full, Next: page.Next, GraceUntil: f.graceUntil})
+		f.observer.Batch(Batch{Records: page.Records, Full: full, Next: next, GraceUntil: f.graceUntil})
 	}
 	return pauseFromTiming
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 )
 
 // scriptedSource is a source that returns the given answers in turn.
@@ -42,10 +45,15 @@
 	r.events = append(r.events, "batch")
 }
 
-func (r *recorder) OutageStarted(error)       { r.events = append(r.events, "outage started") }
-func (r *recorder) OutageEnded(time.Duration) { r.events = append(r.events, "outage ended") }
-func (r *recorder) HistoryExpired(int64)      { r.events = append(r.events, "history expired") }
-func (r *recorder) StaleList(int64, int64)    { r.events = append(r.events, "stale list") }
+func (r *recorder) OutageStarted(error)            { r.events = append(r.events, "outage started") }
+func (r *recorder) OutageEnded(time.Duration)      { r.events = append(r.events, "outage ended") }
+func (r *recorder) HistoryExpired(logpos.Position) { r.events = append(r.events, "history expired") }
+func (r *recorder) StaleList(logpos.Position, logpos.Position) {
+	r.events = append(r.events, "stale list")
+}
+func (r *recorder) EraStarted(era int64, _ logpos.Position) {
+	r.events = append(r.events, fmt.Sprintf("era %d", era))
+}
 
 func page(next int64, keys ...string) answer {
 	p := Page{Next: next}
@@ -57,10 +65,11 @@
 
 func follower(s *scriptedSource, r *recorder) *Follower {
 	return New(s, Options{
-		Timing:     func() Timing { return Timing{Pause: time.Second, Timeout: time.Second} },
-		PeerOffset: func() int64 { return -1 },
-		Grace:      2 * time.Second,
-		MinOutage:  time.Second,
+		Timing:       func() Timing { return Timing{Pause: time.Second, Timeout: time.Second} },
+		PeerPosition: func() logpos.Position { return logpos.None },
+		Eras:         &Eras{},
+		Grace:        2 * time.Second,
+		MinOutage:    time.Second,
 	}, r)
 }
 
@@ -161,8 +170,8 @@
 	now := time.Unix(1000, 0)
 	peerOffset := int64(-1)
 	f := New(s, Options{
-		Timing:     func() Timing { return Timing{Pause: time.Hour, Timeout: time.Second, Settle: 40 * time.Millisecond} },
-		PeerOffset: func() int64 { return peerOffset },
+		Timing:       func() Timing { return Timing{Pause: time.Hour, Timeout: time.Second, Settle: 40 * time.Millisecond} },
+		PeerPosition: func() logpos.Position { return logpos.Position{Offset: peerOffset} }, Eras: &Eras{},
 		NewestOnly: true,
 	}, r)
 	f.now = func() time.Time { return now }
@@ -183,8 +192,8 @@
 	f.Step(t.Context())
 	requireEqual(t, "calls", s.calls, []string{"newest", "newest", "newest", "newest"})
 	requireEqual(t, "events", r.events, []string{"batch", "batch", "stale list", "batch"})
-	if f.position.next != 9 {
-		t.Errorf("next offset %d, want 9", f.position.next)
+	if f.position.next.Offset != 9 {
+		t.Errorf("next offset %d, want 9", f.position.next.Offset)
 	}
 }
 
@@ -197,8 +206,9 @@
 		s.answers = append(s.answers, answer{err: errDown})
 	}
 	f := New(s, Options{
-		Timing:     func() Timing { return Timing{Timeout: time.Second, MaxBackoff: 4 * time.Second} },
-		PeerOffset: func() int64 { return -1 },
+		Timing:       func() Timing { return Timing{Timeout: time.Second, MaxBackoff: 4 * time.Second} },
+		PeerPosition: func() logpos.Position { return logpos.None },
+		Eras:         &Eras{},
 	}, r)
 	var pause time.Duration
 	for range 20 {
@@ -212,12 +222,12 @@
 // Guards against a router that waits out its pause after a failure although another
 // one has read a change since: a configuration was in force 2.5 s late after an
 // outage. A report that the last call already followed does not end the pause.
-func TestPeerOffsetEndsThePauseAfterAFailure(t *testing.T) {
+func TestPeerPositionEndsThePauseAfterAFailure(t *testing.T) {
 	s := &scriptedSource{answers: []answer{page(5, "a"), {err: errDown}, {err: errDown}}}
 	peerOffset := int64(7)
 	f := New(s, Options{
-		Timing:     func() Timing { return Timing{Timeout: time.Second} },
-		PeerOffset: func() int64 { return peerOffset },
+		Timing:       func() Timing { return Timing{Timeout: time.Second} },
+		PeerPosition: func() logpos.Position { return logpos.Position{Offset: peerOffset} }, Eras: &Eras{},
 	}, &recorder{})
 	f.Step(t.Context())
 	f.Step(t.Context())
@@ -238,12 +248,12 @@
 
 // Guards against a router that continues to wait although another one has reported
 // a newer record.
-func TestPeerOffsetEndsThePause(t *testing.T) {
+func TestPeerPositionEndsThePause(t *testing.T) {
 	s, r := &scriptedSource{answers: []answer{page(5, "a")}}, &recorder{}
 	peerOffset := int64(-1)
 	f := New(s, Options{
-		Timing:     func() Timing { return Timing{Pause: time.Hour} },
-		PeerOffset: func() int64 { return peerOffset },
+		Timing:       func() Timing { return Timing{Pause: time.Hour} },
+		PeerPosition: func() logpos.Position { return logpos.Position{Offset: peerOffset} }, Eras: &Eras{},
 	}, r)
 	f.Step(t.Context())
 	peerOffset = 5
--- /dev/null
+++ b/internal/front/fleet_test.go
@@ -0,0 +1,136 @@
+package front_test
+
+import (
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/testport"
+	"github.com/bluebellwell/bluebellwell/platform"
+)
+
+// fleetBed is a fleet of routers with one store. Each router is reached through a
+// test bed of its own, which shares store and servers with the others.
+type fleetBed struct {
+	*testBed
+	routers []*testBed
+}
+
+// newFleet starts n routers of a fleet that has run before, with the first three as
+// seeds, and waits until all are ready.
+func newFleet(t *testing.T, n, engines int) *fleetBed {
+	t.Helper()
+	f := &fleetBed{testBed: newTestBedWith(t, engines)}
+	f.publish(config(1))
+	f.register("ready", f.engines...)
+	f.store.SetEra("4")
+	for range n {
+		f.addRouter()
+	}
+	for _, r := range f.routers {
+		r.start()
+	}
+	f.waitFor("all routers are ready and know each other", func() bool {
+		for _, r := range f.routers {
+			if !r.isReady() || r.front.Status().Routers != n-1 {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+// addRouter adds a router that is not started yet.
+func (f *fleetBed) addRouter() *testBed {
+	r := &testBed{t: f.t, store: f.store, engines: f.engines, restarted: true, host: nextHost()}
+	f.routers = append(f.routers, r)
+	// All routers receive digests on the same port.
+	r.peersPort = f.routers[0].peersPort
+	if r.peersPort == 0 {
+		r.peersPort = testport.FreeAddrs(f.t, r.host, 1)[0].Port()
+	}
+	for _, seed := range f.routers[:min(3, len(f.routers))] {
+		r.seeds = append(r.seeds, netip.AddrPortFrom(netip.MustParseAddr(seed.host), 1))
+	}
+	return r
+}
+
+// Guards against a router that starts while the store has an older configuration and
+// puts it in force although a live router has a newer one.
+func TestStartingRouterPutsNoOlderConfigurationInForce(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	old := f.store.Copy()
+	f.publish(configWithRoute(2, "new"))
+	f.waitFor("version 2 is in force", func() bool {
+		return f.routers[0].statusOf("/new/x") == http.StatusOK && f.routers[1].statusOf("/new/x") == http.StatusOK
+	})
+	f.store.Restore(old, 5)
+	late := f.addRouter()
+	late.start()
+	f.waitFor("the late router knows the others", func() bool { return late.front.Status().Routers == 2 })
+	calls := f.store.Calls()
+	f.waitFor("the store has been called", func() bool { return f.store.Calls() > calls+10 })
+	if got := late.front.Status().ConfigVersion; got != 0 || late.isReady() {
+		t.Fatalf("version %d is in force, ready: %v; want none while the others have version 2", got, late.isReady())
+	}
+	if got := late.statusOf("/new/x"); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d before any configuration, want 503", got)
+	}
+	f.publish(configWithRoute(2, "new"))
+	f.waitFor("the configuration that was written again is in force", func() bool { return late.statusOf("/new/x") == http.StatusOK })
+}
+
+// Guards against a router that waits for good for a configuration that no live router
+// has any more.
+func TestHeldConfigurationIsReleasedWithItsHolders(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	old := f.store.Copy()
+	f.publish(configWithRoute(2, "new"))
+	f.waitFor("version 2 is in force", func() bool { return f.routers[0].statusOf("/new/x") == http.StatusOK })
+	f.store.Restore(old, 5)
+	late := f.addRouter()
+	late.start()
+	f.waitFor("the late router knows the other one", func() bool { return late.front.Status().Routers == 1 })
+	if late.isReady() {
+		t.Error("ready with an older configuration than that of a live router")
+	}
+	f.routers[0].stop()
+	f.waitFor("the store's configuration is in force", func() bool { return late.front.Status().ConfigVersion == 1 })
+}
+
+// Guards against a fleet in which every router calls the store when it comes back from
+// an older copy, against routers that are not told what has changed, and against
+// removals that only the readers learn of.
+func TestNewEraCostsFewCallsAndReachesAllRouters(t *testing.T) {
+	const routers = 20
+	f := newFleet(t, routers, 3)
+	gone, leaving := f.engines[0], f.engines[1]
+	f.store.Put(platform.TopicServers, gone.ID, nil)
+	old := f.store.Copy()
+	f.register("ready", f.engines...)
+	f.waitFor("all routers know all servers", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 3 }) })
+	before := f.store.Calls()
+	f.store.Restore(old, 5)
+	started := time.Now()
+	f.register("draining", leaving)
+	f.waitFor("all routers know that a server leaves", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("leaving") == 1 }) })
+	f.waitFor("all routers know that a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 1 }) })
+	seconds := time.Since(started).Seconds()
+	calls := f.store.Calls() - before
+	t.Logf("%d routers: %d calls in %.1f s after the era began", routers, calls, seconds)
+	// Three readers with two topics call about 4 times a second each, and lists have two pages here.
+	if limit := int(60 + 24*seconds); calls > limit {
+		t.Errorf("%d calls in %.1f s, want at most %d", calls, seconds, limit)
+	}
+}
+
+func (f *fleetBed) all(check func(r *testBed) bool) bool {
+	for _, r := range f.routers {
+		if !check(r) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -101,7 +101,8 @@
 	if err != nil {
 		return nil, errors.Join(err, metrics.Close())
 	}
-	f.tracker = newTracker(p, state, f.edge, events)
+	f.tracker = newTracker(p, state, f.edge, events, metrics.Scope())
+	f.tracker.firstStart = s.FirstStart
 	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), s.FirstStart, &digestState{State: state, tracker: f.tracker, progress: &f.tracker.progress}, events)
 	if err != nil {
 		return nil, errors.Join(err, f.edge.Close(), metrics.Close())
@@ -122,10 +123,9 @@
 	*progress
 }
 
-// Progress returns how far this router has read the store, and whether others
-// may rely on its reads.
-func (s *digestState) Progress() (list []digest.Progress, reading bool) {
-	return s.progress.report(time.Now())
+// Progress returns what this router has read of the store.
+func (s *digestState) Progress() digest.StoreProgress {
+	return s.progress.report(time.Now(), s.tracker.eras.Current())
 }
 
 // SetOutcomes ejects the servers that fail many of all routers' requests.
--- a/internal/front/outcomes_test.go
+++ b/internal/front/outcomes_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/event"
@@ -19,7 +21,7 @@
 		list = append(list, &registry.Server{ID: id, Pool: "p", Addr: id + ":1", Slots: 8})
 	}
 	st.SetServers(list)
-	s := &digestState{State: st, tracker: newTracker(Platform{}, st, nil, event.Nop())}
+	s := &digestState{State: st, tracker: newTracker(Platform{}, st, nil, event.Nop(), tally.NoopScope)}
 	s.SetOutcomes([]digest.Outcomes{{Server: digest.ShortHash(list[1].Key().Hash()), Failed: 5, Ended: 6}})
 	for _, server := range st.Status(time.Now())[0].Servers {
 		if want := server.ID == "b"; (server.State == "ejected") != want {
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/digest"
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
 
@@ -22,23 +23,27 @@
 // safe for concurrent use.
 type progress struct {
 	mu sync.Mutex
-	// lastChange is the offset of the last record that changed the state of this
-	// router; it is sent to the others. applied is the offset of the last record
-	// that is reflected in the state, which may be one without an effect.
-	lastChange [topicCount]int64
-	applied    [topicCount]int64
-	failing    [topicCount]bool
+	// lastChange is the position of the last record that changed the state of this
+	// router; it is sent to the others. applied is that of the last record that is
+	// reflected in the state, which may be one without an effect.
+	lastChange [topicCount]logpos.Position
+	applied    [topicCount]logpos.Position
+	// configVersion is the version of the configuration in force.
+	configVersion int64
+	failing       [topicCount]bool
 	// removalsDelayedUntil is the time until which this router still uses removed
 	// servers, after an outage of the store. Until then other routers must not rely
 	// on its reads.
 	removalsDelayedUntil time.Time
 	// changes holds the changes of servers that are still to be sent.
 	changes []serverChange
-	// gap is the offset of a change received from another router whose preceding
-	// change has not arrived; 0 when there is none.
-	gap int64
+	// gap is the position of a change received from another router whose preceding
+	// change has not arrived; logpos.None when there is none.
+	gap logpos.Position
 }
 
+func newProgress() progress { return progress{gap: logpos.None} }
+
 // serverChange is a change of a server that this router has read, and how often
 // and when it was sent to the others.
 type serverChange struct {
@@ -61,16 +66,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range changes {
-		if c.Offset < 0 {
-			continue
-		}
 		s := c.New
 		if s == nil {
 			s = c.Old
 		}
-		change := digest.ServerChange{ID: s.ID, Offset: c.Offset, PrevOffset: p.lastChange[topicServers], Server: c.New}
+		change := digest.ServerChange{ID: s.ID, Position: c.Position, Prev: p.lastChange[topicServers], Server: c.New}
 		p.changes = append(p.changes, serverChange{ServerChange: change})
-		p.advance(topicServers, c.Offset)
+		p.advance(topicServers, c.Position)
 	}
 }
 
@@ -79,10 +81,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range changes {
-		p.advance(topicServers, c.Offset)
+		p.advance(topicServers, c.Position)
 	}
 }
 
+// recordApplied records that an entry of a server which another router has sent is
+// reflected in the state, also when it had no effect here.
+func (p *progress) recordApplied(position logpos.Position) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.applied[topicServers] = logpos.Max(p.applied[topicServers], position)
+}
+
 // ServerChanges returns the changes that are due to be sent.
 func (p *progress) ServerChanges() []digest.ServerChange {
 	p.mu.Lock()
@@ -104,57 +114,66 @@
 
 // detectGap checks changes that another router has sent, in order, and records a
 // gap when the change before one of them is missing. Changes of different routers
-// arrive in any order, so one with a lower offset may still be new; the registry
+// arrive in any order, so one with an earlier position may still be new; the registry
 // decides that for each server.
 func (p *progress) detectGap(list []digest.ServerChange) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	applied := p.applied[topicServers]
 	for _, c := range list {
-		if c.Offset > applied && c.PrevOffset > applied {
-			p.gap = max(p.gap, c.Offset)
+		if applied.Before(c.Position) && applied.Before(c.Prev) {
+			p.gap = logpos.Max(p.gap, c.Position)
 		}
-		applied = max(applied, c.Offset)
+		applied = logpos.Max(applied, c.Position)
 	}
 }
 
 // recordReadTo records that this router has read the servers' topic up to the
-// offset next. All records before it count as applied, even those without an
+// position next. All records before it count as applied, even those without an
 // effect here.
-func (p *progress) recordReadTo(next int64) {
+func (p *progress) recordReadTo(next logpos.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.applied[topicServers] = max(p.applied[topicServers], next-1)
-	if next > p.gap {
-		p.gap = 0
+	p.applied[topicServers] = logpos.Max(p.applied[topicServers], next.Prev())
+	if p.gap.Before(next) {
+		p.gap = logpos.None
 	}
 }
 
-// gapOffset returns the offset up to which the servers' topic must be read
-// because a change was not received, or 0.
-func (p *progress) gapOffset() int64 {
+// gapPosition returns the position up to which the servers' topic must be read
+// because a change was not received, or logpos.None.
+func (p *progress) gapPosition() logpos.Position {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.gap
 }
 
-// isApplied reports whether the changes of a topic up to an offset are applied here.
-func (p *progress) isApplied(topic int, offset int64) bool {
+// isApplied reports whether the changes of a topic up to a position are applied here.
+func (p *progress) isApplied(topic int, position logpos.Position) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.applied[topic].Before(position)
+}
+
+// recordChange records the position of a record that changed the router's state.
+func (p *progress) recordChange(topic int, position logpos.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return offset <= p.applied[topic]
+	p.advance(topic, position)
 }
 
-// recordChange records the offset of a record that changed the router's state.
-func (p *progress) recordChange(topic int, offset int64) {
+// recordConfig records the version and the position of a configuration that was put in
+// force.
+func (p *progress) recordConfig(version int64, position logpos.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.advance(topic, offset)
+	p.configVersion = version
+	p.advance(topicConfig, position)
 }
 
-func (p *progress) advance(topic int, offset int64) {
-	p.lastChange[topic] = max(p.lastChange[topic], offset)
-	p.applied[topic] = max(p.applied[topic], offset)
+func (p *progress) advance(topic int, position logpos.Position) {
+	p.lastChange[topic] = logpos.Max(p.lastChange[topic], position)
+	p.applied[topic] = logpos.Max(p.applied[topic], position)
 }
 
 // setFailing records whether the reads of a topic fail.
@@ -184,15 +203,17 @@
 	p.removalsDelayedUntil = end
 }
 
-// report returns what is sent to other routers: the last change that this one has
-// applied in each topic, and whether they can rely on its reads.
-func (p *progress) report(now time.Time) (list []digest.Progress, reading bool) {
+// report returns what is sent to other routers about the reads of the store in an era.
+func (p *progress) report(now time.Time, era int64) digest.StoreProgress {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reading = now.After(p.removalsDelayedUntil)
+	list := make([]digest.Progress, 0, topicCount)
+	reading := now.After(p.removalsDelayedUntil)
 	for topic := range topicCount {
 		list = append(list, digest.Progress{Topic: topic, LastChange: p.lastChange[topic]})
 		reading = reading && !p.failing[topic]
 	}
-	return list, reading
+	return digest.StoreProgress{
+		Topics: list, OwnReads: digest.OwnReads{Succeed: reading, Era: era}, ConfigVersion: p.configVersion,
+	}
 }
--- a/internal/front/progress_test.go
+++ b/internal/front/progress_test.go
@@ -4,40 +4,46 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/feed"
 	"github.com/bluebellwell/bluebellwell/internal/forward"
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
 
+// at returns a position in the first era.
+func at(offset int64) logpos.Position { return logpos.Position{Offset: offset} }
+
 func change(id string, offset int64) registry.Change {
-	return registry.Change{New: &registry.Server{ID: id, Pool: "p"}, Offset: offset}
+	return registry.Change{New: &registry.Server{ID: id, Pool: "p"}, Position: at(offset)}
 }
 
 // Guards against a lost datagram with a change of a server while a later change
 // arrives: the router must then read the store, or it keeps using a server that
 // has left.
 func TestLostChangeIsDetected(t *testing.T) {
-	var reader, other progress
+	reader, other := newProgress(), newProgress()
 	reader.recordRead([]registry.Change{change("a", 5), change("b", 7), change("c", 9)})
 	sent := reader.ServerChanges()
 	if len(sent) != 3 {
 		t.Fatalf("%d changes are sent, want 3", len(sent))
 	}
-	if other.detectGap([]digest.ServerChange{sent[0]}); other.gapOffset() != 0 {
-		t.Errorf("first change: gap at %d, want none", other.gapOffset())
+	if other.detectGap([]digest.ServerChange{sent[0]}); other.gapPosition() != logpos.None {
+		t.Errorf("first change: gap at %s, want none", other.gapPosition())
 	}
-	other.recordChange(topicServers, 5)
-	if other.detectGap([]digest.ServerChange{sent[2]}); other.gapOffset() != 9 {
-		t.Errorf("a change after a lost one: gap at %d, want 9", other.gapOffset())
+	other.recordChange(topicServers, at(5))
+	if other.detectGap([]digest.ServerChange{sent[2]}); other.gapPosition() != at(9) {
+		t.Errorf("a change after a lost one: gap at %s, want 9", other.gapPosition())
 	}
-	other.recordReadTo(9)
-	if other.gapOffset() != 9 {
+	other.recordReadTo(at(9))
+	if other.gapPosition() != at(9) {
 		t.Error("a read that ends before the change has closed the gap")
 	}
-	other.recordReadTo(10)
-	if other.gapOffset() != 0 {
+	other.recordReadTo(at(10))
+	if other.gapPosition() != logpos.None {
 		t.Error("a read past the change has not closed the gap")
 	}
 }
@@ -45,7 +51,7 @@
 // Guards against changes that are sent without end: in a fleet of 60 routers they
 // filled a link of 10 Mbit/s.
 func TestNumberOfSendsIsLimited(t *testing.T) {
-	var p progress
+	p := newProgress()
 	p.recordRead([]registry.Change{change("a", 5)})
 	sent := 0
 	for range 10 {
@@ -69,24 +75,24 @@
 // effect and then receives from another router. That gap was never closed, and
 // later changes were ignored.
 func TestChangeThatWasReadLeavesNoGap(t *testing.T) {
-	var p progress
-	p.recordChange(topicServers, 10)
-	p.recordReadTo(17)
-	if p.detectGap([]digest.ServerChange{{ID: "a", Offset: 16, PrevOffset: 15}}); p.gapOffset() != 0 {
-		t.Errorf("gap at %d, want none", p.gapOffset())
+	p := newProgress()
+	p.recordChange(topicServers, at(10))
+	p.recordReadTo(at(17))
+	if p.detectGap([]digest.ServerChange{{ID: "a", Position: at(16), Prev: at(15)}}); p.gapPosition() != logpos.None {
+		t.Errorf("gap at %s, want none", p.gapPosition())
 	}
 }
 
 // Guards against records without an effect, such as heartbeats, that are reported
 // as changes and make every other router read the store.
 func TestHeartbeatsAreNotReportedAsChanges(t *testing.T) {
-	var p progress
-	p.recordChange(topicServers, 10)
-	p.recordReadTo(500)
-	if list, _ := p.report(time.Now()); list[topicServers].LastChange != 10 {
-		t.Errorf("reported change %d, want 10", list[topicServers].LastChange)
+	p := newProgress()
+	p.recordChange(topicServers, at(10))
+	p.recordReadTo(at(500))
+	if list := p.report(time.Now(), 0).Topics; list[topicServers].LastChange != at(10) {
+		t.Errorf("reported change %s, want 0/10", list[topicServers].LastChange)
 	}
-	if !p.isApplied(topicServers, 499) {
+	if !p.isApplied(topicServers, at(499)) {
 		t.Error("a record that was read does not count as applied")
 	}
 }
@@ -95,37 +101,39 @@
 // the first that it reads: the loss of an earlier change was then not detected
 // while all routers were stopped in turn.
 func TestNewReaderReportsPrecedingChange(t *testing.T) {
-	var reader, other progress
-	reader.recordChange(topicServers, 100)
+	reader, other := newProgress(), newProgress()
+	reader.recordChange(topicServers, at(100))
 	reader.recordRead([]registry.Change{change("b", 101)})
-	other.recordChange(topicServers, 99)
-	if other.detectGap(reader.ServerChanges()); other.gapOffset() != 101 {
-		t.Errorf("gap at %d, want 101", other.gapOffset())
+	other.recordChange(topicServers, at(99))
+	if other.detectGap(reader.ServerChanges()); other.gapPosition() != at(101) {
+		t.Errorf("gap at %s, want 101", other.gapPosition())
 	}
 }
 
+// deliver applies changes that another router has sent.
+func deliver(tr *tracker, changes ...digest.ServerChange) {
+	done := make(chan struct{})
+	go func() {
+		(<-tr.tasks)()
+		close(done)
+	}()
+	tr.ApplyServerChanges(changes)
+	<-done
+}
+
 // Guards against a removal that is ignored because it arrives after later changes:
 // another reader, which delayed the removal after an outage, had sent these
 // without it.
 func TestRemovalReceivedAfterLaterChangesApplies(t *testing.T) {
-	tr := newTracker(Platform{}, forward.NewState(forward.Limits{}), nil, event.Nop())
+	tr := newTracker(Platform{}, forward.NewState(forward.Limits{}), nil, event.Nop(), tally.NoopScope)
 	now := time.Unix(1000, 0)
 	tr.servers.Apply(now, []registry.Entry{
-		{ID: "x", Offset: 1, Server: &registry.Server{ID: "x", Pool: "p", Addr: "10.0.0.1:1"}},
-		{ID: "y", Offset: 2, Server: &registry.Server{ID: "y", Pool: "p", Addr: "10.0.0.2:1"}},
+		{ID: "x", Position: at(1), Server: &registry.Server{ID: "x", Pool: "p", Addr: "10.0.0.1:1"}},
+		{ID: "y", Position: at(2), Server: &registry.Server{ID: "y", Pool: "p", Addr: "10.0.0.2:1"}},
 	}, time.Time{})
-	tr.progress.recordChange(topicServers, 235)
-	deliver := func(changes ...digest.ServerChange) {
-		done := make(chan struct{})
-		go func() {
-			(<-tr.tasks)()
-			close(done)
-		}()
-		tr.ApplyServerChanges(changes)
-		<-done
-	}
-	deliver(digest.ServerChange{ID: "y", Offset: 237, PrevOffset: 235, Server: &registry.Server{ID: "y", Pool: "p", Addr: "10.0.0.2:1", Leaving: true}})
-	deliver(digest.ServerChange{ID: "x", Offset: 236, PrevOffset: 235})
+	tr.progress.recordChange(topicServers, at(235))
+	deliver(tr, digest.ServerChange{ID: "y", Position: at(237), Prev: at(235), Server: &registry.Server{ID: "y", Pool: "p", Addr: "10.0.0.2:1", Leaving: true}})
+	deliver(tr, digest.ServerChange{ID: "x", Position: at(236), Prev: at(235)})
 	for _, s := range tr.servers.Servers() {
 		if s.ID == "x" {
 			t.Error("the removed server is still in the list")
@@ -136,13 +144,13 @@
 // Guards against routers that rely on the reads of one which still uses removed
 // servers, because the store has only just answered it again.
 func TestRouterThatDelaysRemovalsDoesNotReadForOthers(t *testing.T) {
-	var p progress
+	p := newProgress()
 	now := time.Unix(1000, 0)
 	p.delayRemovals(now.Add(time.Second))
-	if _, reading := p.report(now); reading {
+	if p.report(now, 0).OwnReads.Succeed {
 		t.Error("the router reads for others while it delays removals")
 	}
-	if _, reading := p.report(now.Add(2 * time.Second)); !reading {
+	if !p.report(now.Add(2*time.Second), 0).OwnReads.Succeed {
 		t.Error("the router does not read for others after the delay")
 	}
 }
@@ -153,17 +161,17 @@
 func TestFirstListIsNotSent(t *testing.T) {
 	tr := newTracker(Platform{DecodeServer: func(id string, _ []byte) (*registry.Server, error) {
 		return &registry.Server{ID: id, Pool: "p", Addr: "10.0.0.1:1"}, nil
-	}}, forward.NewState(forward.Limits{}), nil, event.Nop())
+	}}, forward.NewState(forward.Limits{}), nil, event.Nop(), tally.NoopScope)
 	tr.exchange = &digest.Exchange{}
 	record := func(id string, offset int64) feed.Record {
 		return feed.Record{Key: id, Value: []byte("{}"), Offset: offset}
 	}
-	tr.applyServers(feed.Batch{Full: true, Records: []feed.Record{record("x", 1), record("y", 2)}, Next: 3})
+	tr.applyServers(feed.Batch{Full: true, Records: []feed.Record{record("x", 1), record("y", 2)}, Next: at(3)})
 	if sent := tr.progress.ServerChanges(); len(sent) != 0 {
 		t.Errorf("%d servers of the first list are sent, want none", len(sent))
 	}
-	tr.applyServers(feed.Batch{Records: []feed.Record{record("z", 3)}, Next: 4})
-	if sent := tr.progress.ServerChanges(); len(sent) != 1 || sent[0].PrevOffset != 2 {
+	tr.applyServers(feed.Batch{Records: []feed.Record{record("z", 3)}, Next: at(4)})
+	if sent := tr.progress.ServerChanges(); len(sent) != 1 || sent[0].Prev != at(2) {
 		t.Errorf("sent %v, want only the new server, with the change before it", sent)
 	}
 }
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -21,6 +21,8 @@
 	Stopping   bool   `json:"stopping"`
 	// ConfigVersion is the version in force; 0 before the first one.
 	ConfigVersion int64 `json:"config_version"`
+	// StoreEra counts how often the store has come back from an older copy.
+	StoreEra int64 `json:"store_era"`
 	// StoreFailing lists the topics that cannot be read now.
 	StoreFailing []string `json:"store_failing"`
 	// Reader is set while this router reads the store for others.
@@ -39,6 +41,7 @@
 		DataCentre:   f.settings.DataCentre,
 		Ready:        f.tracker.ready(),
 		Stopping:     f.tracker.stopping.Load(),
+		StoreEra:     f.tracker.eras.Current(),
 		StoreFailing: f.tracker.progress.failingTopics(),
 		Reader:       f.exchange.IsReader(),
 		Routers:      f.exchange.LivePeerCount(),
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -31,6 +31,11 @@
 	store   *platformtest.Store
 	engines []*platformtest.Engine
 	front   *front.Front
+	// host is the router's address, seeds are those of others, and peersPort is the port
+	// for digests; zero values are replaced by free ones.
+	host      string
+	seeds     []netip.AddrPort
+	peersPort uint16
 	// restarted is set for a router that is not started with the whole fleet.
 	restarted bool
 	// settings are the settings that the router was started with.
@@ -43,6 +48,11 @@
 // routers receive digests at the same port.
 var hosts atomic.Int32
 
+func nextHost() string {
+	n := hosts.Add(1)
+	return fmt.Sprintf("127.0.%d.%d", 9+n/250, 1+n%250)
+}
+
 func newTestBed(t *testing.T) *testBed { return newTestBedWith(t, 2) }
 
 func newTestBedWith(t *testing.T, engines int) *testBed {
@@ -59,11 +69,16 @@
 
 func (b *testBed) start() {
 	b.t.Helper()
-	host := fmt.Sprintf("127.0.9.%d", hosts.Add(1))
-	ports := testport.FreeAddrs(b.t, host, 4)
+	if b.host == "" {
+		b.host = nextHost()
+	}
+	ports := testport.FreeAddrs(b.t, b.host, 4)
+	if b.peersPort != 0 {
+		ports[3] = netip.AddrPortFrom(ports[3].Addr(), b.peersPort)
+	}
 	s := &settings.Front{
 		VM: "front-1", DataCentre: "hall-a", Region: "south", FirstStart: !b.restarted,
-		ListenCallers: ports[0], ListenReadiness: ports[1], ListenMetrics: ports[2], ListenPeers: ports[3],
+		ListenCallers: ports[0], ListenReadiness: ports[1], ListenMetrics: ports[2], ListenPeers: ports[3], Seeds: b.seeds,
 		StoreAddress: netip.MustParseAddrPort(b.store.Addr()),
 		MemoryMB:     200, Cores: 1,
 		Bounds: settings.FrontBounds{
@@ -80,13 +95,16 @@
 	b.front, b.settings = f, s
 	b.baseURL = "http://" + s.ListenCallers.String()
 	b.readyURL = "http://" + s.ListenReadiness.String() + platform.ReadyPath
-	b.t.Cleanup(func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		if err := f.Stop(ctx); err != nil {
-			b.t.Errorf("stop: %v", err)
-		}
-	})
+	b.t.Cleanup(b.stop)
+}
+
+// stop stops the router at once. It may be called more than once.
+func (b *testBed) stop() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := b.front.Stop(ctx); err != nil {
+		b.t.Errorf("stop: %v", err)
+	}
 }
 
 // config returns the configuration of the tests, with a route of each kind.
--- a/internal/front/timing_test.go
+++ b/internal/front/timing_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/feed"
@@ -19,7 +21,7 @@
 func TestConfigurationIsReadInTime(t *testing.T) {
 	const mustApply = 2 * time.Second
 	st := forward.NewState(forward.Limits{})
-	tr := newTracker(Platform{}, st, nil, event.Nop())
+	tr := newTracker(Platform{}, st, nil, event.Nop(), tally.NoopScope)
 	addr := testport.FreeAddrs(t, "127.0.7.2", 1)[0]
 	exchange, err := digest.Listen(addr, nil, true, &digestState{State: st, tracker: tr, progress: &tr.progress}, event.Nop())
 	if err != nil {
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -5,11 +5,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/edge"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/feed"
 	"github.com/bluebellwell/bluebellwell/internal/forward"
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
@@ -49,7 +52,7 @@
 )
 
 // tracker keeps the configuration and the servers up to date with the store. The
-// goroutine of run owns servers, haveConfig, listRead and unusable; the other
+// goroutine of run owns servers, haveConfig, listRead, held and unusable; the other
 // fields are safe for concurrent use.
 type tracker struct {
 	platform Platform
@@ -67,6 +70,13 @@
 	done     chan struct{}
 	exchange *digest.Exchange
 	progress progress
+	eras     feed.Eras
+	eraCount tally.Counter
+	// held is the first configuration while it is held back.
+	held *heldConfig
+	// firstStart is set when the whole system starts for the first time.
+	firstStart bool
+	startedAt  time.Time
 
 	isReady atomic.Bool
 	// readyAt is set before isReady.
@@ -75,18 +85,22 @@
 	// effect, which are heartbeats.
 	heartbeatRecords atomic.Bool
 	stopping         atomic.Bool
+	serverCount      atomic.Int64
 }
 
-func newTracker(p Platform, st *forward.State, e *edge.Server, events *event.Logger) *tracker {
+func newTracker(p Platform, st *forward.State, e *edge.Server, events *event.Logger, scope tally.Scope) *tracker {
 	return &tracker{
-		platform: p,
-		state:    st,
-		edge:     e,
-		events:   events,
-		servers:  registry.New(),
-		unusable: make(map[string]bool),
-		tasks:    make(chan func()),
-		done:     make(chan struct{}),
+		progress:  newProgress(),
+		eraCount:  scope.Counter("store_eras"),
+		startedAt: time.Now(),
+		platform:  p,
+		state:     st,
+		edge:      e,
+		events:    events,
+		servers:   registry.New(),
+		unusable:  make(map[string]bool),
+		tasks:     make(chan func()),
+		done:      make(chan struct{}),
 	}
 }
 
@@ -111,15 +125,17 @@
 // goroutine of its own. They pass what they read to run.
 func (t *tracker) followers(ctx context.Context) []*feed.Follower {
 	config := feed.New(t.platform.Config, feed.Options{
-		Timing:     t.configTiming(),
-		PeerOffset: t.peerOffset(topicConfig),
-		NewestOnly: true,
+		Timing:       t.configTiming(),
+		PeerPosition: t.peerPosition(topicConfig),
+		Eras:         &t.eras,
+		NewestOnly:   true,
 	}, t.newObserver(ctx, topicConfig, t.applyConfig))
 	servers := feed.New(t.platform.Servers, feed.Options{
-		Timing:     t.serversTiming(),
-		PeerOffset: t.peerOffset(topicServers),
-		Grace:      registry.RemovalGrace,
-		MinOutage:  minOutage,
+		Timing:       t.serversTiming(),
+		PeerPosition: t.peerPosition(topicServers),
+		Eras:         &t.eras,
+		Grace:        registry.RemovalGrace,
+		MinOutage:    minOutage,
 	}, t.newObserver(ctx, topicServers, t.applyServers))
 	return []*feed.Follower{config, servers}
 }
@@ -137,6 +153,9 @@
 			task()
 		case now := <-tick.C:
 			t.publishChanges(t.servers.Expire(now), true)
+			t.releaseHeld()
+		case <-t.heldCheck():
+			t.releaseHeld()
 		}
 	}
 }
@@ -185,19 +204,18 @@
 	}
 }
 
-// peerOffset returns a function for the offset of the newest change that
-// another router has read and that is not applied here. The offset is negative
-// when there is none.
-func (t *tracker) peerOffset(topic int) func() int64 {
-	return func() int64 {
-		offset := t.exchange.NewestChange(topic)
-		if t.progress.isApplied(topic, offset) {
-			offset = -1
+// peerPosition returns a function for the position of the newest change that another
+// router has read and that is not applied here, or logpos.None.
+func (t *tracker) peerPosition(topic int) func() logpos.Position {
+	return func() logpos.Position {
+		position := t.exchange.NewestChange(topic)
+		if t.progress.isApplied(topic, position) {
+			position = logpos.None
 		}
-		if gap := t.progress.gapOffset(); topic == topicServers && gap > 0 {
-			offset = max(offset, gap)
+		if topic == topicServers {
+			position = logpos.Max(position, t.progress.gapPosition())
 		}
-		return offset
+		return position
 	}
 }
 
@@ -207,7 +225,7 @@
 	t.progress.detectGap(list)
 	entries := make([]registry.Entry, 0, len(list))
 	for _, c := range list {
-		entries = append(entries, registry.Entry{ID: c.ID, Offset: c.Offset, Server: c.Server})
+		entries = append(entries, registry.Entry{ID: c.ID, Position: c.Position, Server: c.Server})
 	}
 	select {
 	case t.tasks <- func() { t.applyReceived(entries) }:
@@ -219,8 +237,12 @@
 // ignores them and waits for its own list, because a few changes do not make up
 // all servers.
 func (t *tracker) applyReceived(entries []registry.Entry) {
-	if t.servers.Len() > 0 {
-		t.publishChanges(t.servers.Apply(time.Now(), entries, time.Time{}), false)
+	if t.servers.Len() == 0 {
+		return
+	}
+	t.publishChanges(t.servers.Apply(time.Now(), entries, time.Time{}), false)
+	for _, e := range entries {
+		t.progress.recordApplied(e.Position)
 	}
 }
 
@@ -236,22 +258,25 @@
 			t.events.Emit(event.ConfigUnusable, "offset", r.Offset, "error", err.Error())
 			continue
 		}
-		t.activateConfig(config, r.Offset)
+		t.activateConfig(config, logpos.Position{Era: batch.Next.Era, Offset: r.Offset})
 	}
 }
 
-func (t *tracker) activateConfig(config routing.Config, offset int64) {
+func (t *tracker) activateConfig(config routing.Config, position logpos.Position) {
 	old := t.state.Table()
 	if old != nil && config.Version <= old.Version() {
 		return
 	}
+	if old == nil && t.holdBack(config, position) {
+		return
+	}
 	table := routing.Compile(config)
 	t.state.SetTable(table)
 	t.edge.SetIdleLimit(table.Limits().IdleTimeout)
 	t.haveConfig = true
-	t.progress.recordChange(topicConfig, offset)
+	t.progress.recordConfig(table.Version(), position)
 	t.exchange.SendSoon()
-	t.events.Emit(event.ConfigInForce, "version", config.Version, "offset", offset, "routes", len(config.Routes))
+	t.events.Emit(event.ConfigInForce, "version", config.Version, "era", position.Era, "offset", position.Offset, "routes", len(config.Routes))
 	t.checkReady()
 }
 
@@ -261,11 +286,16 @@
 	records := latestPerKey(batch.Records)
 	entries := make([]registry.Entry, 0, len(records))
 	for _, r := range records {
-		entries = append(entries, registry.Entry{ID: r.Key, Server: t.decodeServer(r), Offset: r.Offset})
+		position := logpos.Position{Era: batch.Next.Era, Offset: r.Offset}
+		entries = append(entries, registry.Entry{ID: r.Key, Server: t.decodeServer(r), Position: position})
 	}
 	now := time.Now()
 	if batch.Full {
-		t.publishChanges(t.servers.Replace(now, entries, batch.Next, batch.GraceUntil), true)
+		changes, outdated := t.servers.Replace(now, entries, batch.Next, batch.GraceUntil)
+		for _, e := range outdated {
+			t.events.Emit(event.ServerEntryOutdated, "server", e.ID, "era", e.Position.Era, "offset", e.Position.Offset)
+		}
+		t.publishChanges(changes, true)
 	} else {
 		changes := t.servers.Apply(now, entries, batch.GraceUntil)
 		t.heartbeatRecords.Store(len(changes) == 0 && now.After(batch.GraceUntil))
@@ -318,6 +348,7 @@
 		return
 	}
 	t.state.SetServers(t.servers.Servers())
+	t.serverCount.Store(int64(t.servers.Len()))
 	for _, c := range changes {
 		t.logChange(c, read)
 	}
@@ -338,7 +369,7 @@
 		state = "leaving"
 	}
 	t.events.Emit(event.ServerChanged, "server", s.ID, "pool", s.Pool, "address", s.Addr,
-		"state", state, "born", s.Born, "new", c.Old == nil, "offset", c.Offset, "read", read, "servers", t.servers.Len())
+		"state", state, "born", s.Born, "new", c.Old == nil, "era", c.Position.Era, "offset", c.Position.Offset, "read", read, "servers", t.servers.Len())
 }
 
 // checkReady makes the router ready once it has a configuration and a server. The
@@ -388,12 +419,26 @@
 	o.tracker.events.Emit(event.StoreAvailable, "topic", topicNames[o.topic], "after_ms", duration.Milliseconds())
 }
 
-// HistoryExpired logs that the store no longer keeps the records from an offset on.
-func (o *observer) HistoryExpired(from int64) {
-	o.tracker.events.Emit(event.HistoryExpired, "topic", topicNames[o.topic], "from", from)
+// HistoryExpired logs that the store no longer keeps the records from a position on.
+func (o *observer) HistoryExpired(from logpos.Position) {
+	o.tracker.events.Emit(event.HistoryExpired, "topic", topicNames[o.topic], "from", from.String())
 }
 
 // StaleList logs that the store returned a list older than what was read before.
-func (o *observer) StaleList(next, current int64) {
-	o.tracker.events.Emit(event.StaleListIgnored, "topic", topicNames[o.topic], "next", next, "known", current)
+func (o *observer) StaleList(next, current logpos.Position) {
+	o.tracker.events.Emit(event.StaleListIgnored, "topic", topicNames[o.topic], "next", next.String(), "known", current.String())
+}
+
+// EraStarted counts and logs that the store has come back from an older copy, with
+// what the router keeps.
+func (o *observer) EraStarted(era int64, next logpos.Position) {
+	t := o.tracker
+	t.eraCount.Inc(1)
+	t.exchange.SendSoon()
+	version := int64(0)
+	if table := t.state.Table(); table != nil {
+		version = table.Version()
+	}
+	t.events.Emit(event.StoreEraStarted, "era", era, "topic", topicNames[o.topic], "dropped", next.String(),
+		"kept_config", version, "kept_servers", t.serverCount.Load())
 }
--- /dev/null
+++ b/internal/registry/era_test.go
@@ -0,0 +1,162 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
+)
+
+func inEra(era, offset int64, e Entry) Entry {
+	e.Position = logpos.Position{Era: era, Offset: offset}
+	return e
+}
+
+func leavingEntry(id string, born int64) Entry {
+	e := readyEntry(id, born)
+	e.Server.Leaving = true
+	return e
+}
+
+// state returns how a registry sees a server.
+func (r *Registry) state(id string) string {
+	s := r.servers[id]
+	switch {
+	case s == nil:
+		return "gone"
+	case s.Leaving:
+		return "leaving"
+	}
+	return "ready"
+}
+
+// Guards against the first list of an era, which may be of an older copy, that brings a
+// server back which is known to leave, to have left or to run as a later incarnation,
+// and against a record of the new era that is ignored.
+func TestFirstListOfAnEraMayBeOutdated(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		known, listed Entry
+		want          string
+		outdated      bool
+		// later is written after the list.
+		later     Entry
+		wantLater string
+	}{
+		{name: "ready as before", known: readyEntry("a", 1), listed: readyEntry("a", 1), want: "ready", later: leavingEntry("a", 1), wantLater: "leaving"},
+		{name: "known to leave", known: leavingEntry("a", 1), listed: readyEntry("a", 1), want: "leaving", outdated: true, later: readyEntry("a", 1), wantLater: "ready"},
+		{name: "known to leave, and listed so", known: leavingEntry("a", 1), listed: leavingEntry("a", 1), want: "leaving", later: Entry{ID: "a"}, wantLater: "gone"},
+		{name: "known as gone", known: Entry{ID: "a"}, listed: readyEntry("a", 1), want: "gone", outdated: true, later: readyEntry("a", 1), wantLater: "ready"},
+		{name: "earlier incarnation", known: readyEntry("a", 2), listed: leavingEntry("a", 1), want: "ready", outdated: true, later: readyEntry("a", 2), wantLater: "ready"},
+		{name: "later incarnation", known: leavingEntry("a", 1), listed: readyEntry("a", 2), want: "ready", later: leavingEntry("a", 2), wantLater: "leaving"},
+		{name: "begins to leave", known: readyEntry("a", 1), listed: leavingEntry("a", 1), want: "leaving", later: leavingEntry("a", 1), wantLater: "leaving"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New()
+			r.Apply(start, []Entry{inEra(4, 90, readyEntry("a", 1)), inEra(4, 100, c.known)}, time.Time{})
+			for range 2 {
+				// The list may have to be read again.
+				_, outdated := r.Replace(start, []Entry{inEra(5, 10, c.listed)}, logpos.Position{Era: 5, Offset: 20}, time.Time{})
+				if r.state("a") != c.want || (len(outdated) > 0) != c.outdated {
+					t.Errorf("after the list: %s, outdated %v; want %s, %v", r.state("a"), outdated, c.want, c.outdated)
+				}
+			}
+			// Another router may still send a record of the earlier era.
+			r.Apply(start, []Entry{inEra(4, 200, leavingEntry("a", 1))}, time.Time{})
+			if !c.outdated && r.state("a") != c.want {
+				t.Errorf("after a record of the earlier era: %s, want %s", r.state("a"), c.want)
+			}
+			r.Apply(start, []Entry{inEra(5, 20, c.later)}, time.Time{})
+			if r.state("a") != c.wantLater {
+				t.Errorf("after the record that follows the list: %s, want %s", r.state("a"), c.wantLater)
+			}
+		})
+	}
+}
+
+// Guards against a server that is lost for good because its removal, found by a list,
+// counts as later than the record that adds it again.
+func TestServerMissingInAListReturns(t *testing.T) {
+	r := New()
+	r.Apply(start, []Entry{inEra(4, 100, readyEntry("a", 1))}, time.Time{})
+	grace := start.Add(RemovalGrace)
+	r.Replace(start, nil, logpos.Position{Era: 5, Offset: 20}, grace)
+	if r.state("a") != "ready" {
+		t.Error("removed before the end of the grace period")
+	}
+	changes := r.Expire(grace)
+	if r.state("a") != "gone" || len(changes) != 1 || changes[0].Position != (logpos.Position{Era: 5, Offset: 19}) {
+		t.Fatalf("%s, changes %v; want gone at the end of the list", r.state("a"), changes)
+	}
+	r.Apply(start, []Entry{inEra(5, 20, readyEntry("a", 1))}, time.Time{})
+	if r.state("a") != "ready" {
+		t.Error("not added again")
+	}
+}
+
+// Guards against a view that does not become that of the store, and against a server
+// that gets requests although it was known to have left, over several eras.
+func TestViewFollowsTheStoreOverEras(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := []string{"a", "b", "c"}
+		r, now := New(), start
+		var log []Entry
+		era := int64(1)
+		write := func(e Entry) Entry {
+			e = inEra(era, int64(len(log)), e)
+			log = append(log, e)
+			return e
+		}
+		draw := func() Entry {
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			born := rapid.Int64Range(1, 2).Draw(t, "born")
+			return rapid.SampledFrom([]Entry{readyEntry(id, born), leavingEntry(id, born), {ID: id}}).Draw(t, "entry")
+		}
+		list := func(n int) []Entry {
+			newest := map[string]Entry{}
+			for _, e := range log[:n] {
+				newest[e.ID] = e
+			}
+			var entries []Entry
+			for _, id := range ids {
+				if e, ok := newest[id]; ok && e.Server != nil {
+					entries = append(entries, e)
+				}
+			}
+			return entries
+		}
+		for range rapid.IntRange(1, 4).Draw(t, "eras") {
+			for range rapid.IntRange(0, 6).Draw(t, "records") {
+				r.Apply(now, []Entry{write(draw())}, time.Time{})
+			}
+			left := map[string]bool{}
+			for _, id := range ids {
+				_, known := r.known[id]
+				left[id] = known && r.state(id) != "ready"
+			}
+			// The store comes back from a copy.
+			log = log[:rapid.IntRange(0, len(log)).Draw(t, "copy")]
+			era++
+			for i := range log {
+				log[i].Position.Era = era
+			}
+			r.Replace(now, list(len(log)), logpos.Position{Era: era, Offset: int64(len(log))}, now.Add(RemovalGrace))
+			for _, e := range list(len(log)) {
+				if left[e.ID] && r.state(e.ID) == "ready" && r.servers[e.ID].Born <= 1 {
+					t.Fatalf("%s was %v and is ready by the copy", e.ID, left[e.ID])
+				}
+			}
+			now = now.Add(RemovalGrace)
+			r.Expire(now)
+		}
+		// All servers write again.
+		for _, id := range ids {
+			r.Apply(now, []Entry{write(readyEntry(id, 3))}, time.Time{})
+			if r.state(id) != "ready" {
+				t.Fatalf("%s is %s after it was written again", id, r.state(id))
+			}
+		}
+	})
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 )
 
 // RemovalGrace is how long a removed server is still used after an outage of the
@@ -58,8 +60,8 @@
 	ID string
 	// Server is nil when the entry was deleted or names no usable server.
 	Server *Server
-	// Offset is the offset of the record in the store's topic.
-	Offset int64
+	// Position is that of the record in the store's topic.
+	Position logpos.Position
 }
 
 // Change describes a change of one server. Old is nil for an added server, New for
@@ -67,18 +69,21 @@
 type Change struct {
 	Old *Server
 	New *Server
-	// Offset is that of the record which caused the change; negative when no single
-	// record did.
-	Offset int64
+	// Position is that of the record which caused the change, or of the end of the
+	// list in which the server was missing.
+	Position logpos.Position
 }
 
 // Registry is one router's view of the servers. It is not safe for concurrent use.
 type Registry struct {
 	servers map[string]*Server
-	// offsets has the offset of the newest applied record of each server, removed
-	// ones included, so that an older record does not undo an update received from
-	// another router.
-	offsets map[string]int64
+	// known has the newest applied entry of each server, removed ones included, so
+	// that an older record does not undo a newer one, which may have come from another
+	// router.
+	known map[string]Entry
+	// copyEnd is the position after the first list of the store's era. Earlier records of
+	// the era may come from the older copy with which it began.
+	copyEnd logpos.Position
 	// pendingRemovals holds the removals whose grace period has not ended.
 	pendingRemovals map[string]removal
 }
@@ -93,7 +98,7 @@
 func New() *Registry {
 	return &Registry{
 		servers:         map[string]*Server{},
-		offsets:         map[string]int64{},
+		known:           map[string]Entry{},
 		pendingRemovals: map[string]removal{},
 	}
 }
@@ -103,33 +108,62 @@
 func (r *Registry) Apply(now time.Time, entries []Entry, graceUntil time.Time) []Change {
 	var changes []Change
 	for _, e := range entries {
-		if e.Offset < r.offsets[e.ID] {
-			continue
-		}
-		r.offsets[e.ID] = e.Offset
-		if e.Server == nil {
-			changes = r.remove(changes, now, e, graceUntil)
-			continue
+		if !e.Position.Before(r.known[e.ID].Position) {
+			changes = r.apply(changes, now, e, graceUntil)
 		}
-		changes = r.set(changes, e)
 	}
 	return changes
 }
 
-// Replace applies a full list that ends before the offset next. Servers that are
-// not listed are removed, unless a later record of them was applied.
-func (r *Registry) Replace(now time.Time, entries []Entry, next int64, graceUntil time.Time) []Change {
+func (r *Registry) apply(changes []Change, now time.Time, e Entry, graceUntil time.Time) []Change {
+	r.known[e.ID] = e
+	if e.Server == nil {
+		return r.remove(changes, now, e, graceUntil)
+	}
+	return r.set(changes, e)
+}
+
+// Replace applies a full list that ends before the position next. Servers that are
+// not listed are removed, unless a later record of them was applied. Entries of the
+// list that may be of an older copy and contradict what is known are not applied
+// but returned as outdated.
+func (r *Registry) Replace(now time.Time, entries []Entry, next logpos.Position, graceUntil time.Time) (changes []Change, outdated []Entry) {
+	if r.copyEnd.Era < next.Era {
+		r.copyEnd = next
+	}
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
+		switch {
+		case e.Position.Before(r.known[e.ID].Position):
+		case r.isOutdated(e):
+			outdated = append(outdated, e)
+		default:
+			changes = r.apply(changes, now, e, graceUntil)
+		}
 	}
-	changes := r.Apply(now, entries, graceUntil)
 	for _, s := range r.Servers() {
-		if !listed[s.ID] && r.offsets[s.ID] < next {
-			changes = r.remove(changes, now, Entry{ID: s.ID, Offset: noOffset}, graceUntil)
+		if !listed[s.ID] && r.known[s.ID].Position.Before(next) {
+			changes = r.remove(changes, now, Entry{ID: s.ID, Position: next.Prev()}, graceUntil)
 		}
 	}
-	return changes
+	return changes, outdated
+}
+
+// isOutdated reports whether an entry may come from the older copy with which the era
+// of the store began, and says that a server runs which is known to leave, to have
+// left or to run as a later incarnation.
+func (r *Registry) isOutdated(e Entry) bool {
+	known, ok := r.known[e.ID]
+	ofCopy := e.Position.Era == r.copyEnd.Era && e.Position.Before(r.copyEnd) && known.Position.Era < e.Position.Era
+	if !ok || !ofCopy || e.Server == nil {
+		return false
+	}
+	s := known.Server
+	if s == nil || s.Key() != e.Server.Key() {
+		return s == nil || e.Server.Born <= s.Born
+	}
+	return s.Leaving && !e.Server.Leaving
 }
 
 // Expire applies the removals whose grace period has ended.
@@ -143,9 +177,6 @@
 	return changes
 }
 
-// noOffset is the offset of changes that no single record caused.
-const noOffset = -1
-
 func (r *Registry) set(changes []Change, e Entry) []Change {
 	delete(r.pendingRemovals, e.ID)
 	old := r.servers[e.ID]
@@ -153,7 +184,7 @@
 		return changes
 	}
 	r.servers[e.ID] = e.Server
-	return append(changes, Change{Old: old, New: e.Server, Offset: e.Offset})
+	return append(changes, Change{Old: old, New: e.Server, Position: e.Position})
 }
 
 func (r *Registry) remove(changes []Change, now time.Time, e Entry, graceUntil time.Time) []Change {
@@ -167,7 +198,8 @@
 	}
 	delete(r.pendingRemovals, e.ID)
 	delete(r.servers, e.ID)
-	return append(changes, Change{Old: old, Offset: e.Offset})
+	r.known[e.ID] = Entry{ID: e.ID, Position: logpos.Max(r.known[e.ID].Position, e.Position)}
+	return append(changes, Change{Old: old, Position: e.Position})
 }
 
 // Servers returns all servers, ordered by ID.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -6,11 +6,15 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	_ "github.com/bluebellwell/bluebellwell/internal/testseed"
 )
 
 var start = time.Unix(1000, 0)
 
+// at returns a position in the first era.
+func at(offset int64) logpos.Position { return logpos.Position{Offset: offset} }
+
 func readyEntry(id string, born int64) Entry {
 	return Entry{ID: id, Server: &Server{ID: id, Pool: "p", Addr: "10.0.0.1:1", Born: born}}
 }
@@ -35,7 +39,7 @@
 			r := New()
 			r.Apply(start, []Entry{readyEntry("a", 1)}, time.Time{})
 			if fullList {
-				r.Replace(start, nil, 1, c.grace)
+				r.Replace(start, nil, at(1), c.grace)
 			} else {
 				r.Apply(start, []Entry{{ID: "a"}}, c.grace)
 			}
@@ -96,7 +100,7 @@
 		}
 		full := New()
 		full.Apply(start, []Entry{readyEntry("old", 1)}, time.Time{})
-		full.Replace(start, list, 1, time.Time{})
+		full.Replace(start, list, at(1), time.Time{})
 		a, b := single.Servers(), full.Servers()
 		if len(a) != len(b) {
 			t.Fatalf("%d servers by records, %d by list", len(a), len(b))
@@ -115,17 +119,17 @@
 	r := New()
 	leaving := readyEntry("a", 1)
 	leaving.Server.Leaving = true
-	leaving.Offset = 9
+	leaving.Position = at(9)
 	r.Apply(start, []Entry{leaving}, time.Time{})
 	older := readyEntry("a", 1)
-	older.Offset = 5
-	if changes := r.Apply(start, []Entry{older, {ID: "a", Offset: 6}}, time.Time{}); len(changes) != 0 {
+	older.Position = at(5)
+	if changes := r.Apply(start, []Entry{older, {ID: "a", Position: at(6)}}, time.Time{}); len(changes) != 0 {
 		t.Errorf("older records caused %v, want no change", changes)
 	}
-	if changes := r.Replace(start, nil, 8, time.Time{}); len(changes) != 0 {
+	if changes, _ := r.Replace(start, nil, at(8), time.Time{}); len(changes) != 0 {
 		t.Errorf("an older list caused %v, want no change", changes)
 	}
-	if changes := r.Replace(start, nil, 10, time.Time{}); len(changes) != 1 {
+	if changes, _ := r.Replace(start, nil, at(10), time.Time{}); len(changes) != 1 {
 		t.Errorf("a newer list caused %v, want one removal", changes)
 	}
 }
