eventstream: wait for the line feed of an event's last line end

A stream with CRLF line ends whose event is read up to the carriage return of its blank line was relayed up to there and continued by another engine's next event. The bytes lacked a line feed; a caller that reads only CRLF would have joined the two events. Found by cutting answers at every byte (the test follows).

An event that ends in CRLF lines is complete with the line feed, or with the byte that comes instead of it. The case 'half of the last line end' failed before.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -23,8 +23,13 @@
 	// line is the start of the line that has not ended.
 	line []byte
 	// afterCR is set when the last byte was a carriage return, which ends a line by
-	// itself or together with a line feed.
+	// itself or together with a line feed; pairs is set when the last line ended with
+	// both.
 	afterCR bool
+	pairs   bool
+	// halfEnded is set after the carriage return of an event's blank line, while the
+	// line feed is still expected because the line before ended with both.
+	halfEnded bool
 	// open is the number of bytes after the last complete event.
 	open int
 }
@@ -35,10 +40,15 @@
 	for read := 0; read < len(data); {
 		rest := data[read:]
 		n := bytes.IndexAny(rest, "\r\n")
-		if n != 0 {
-			if n < 0 {
-				n = len(rest)
-			}
+		if n < 0 {
+			n = len(rest)
+		}
+		if s.halfEnded && rest[0] != '\n' {
+			s.endEvent()
+			complete = read
+			s.open = 0
+		}
+		if n > 0 {
 			s.readText(rest[:n])
 			read += n
 			continue
@@ -64,11 +74,19 @@
 // readLineEnd reads a carriage return or a line feed and reports whether the stream
 // is now between two events.
 func (s *Scanner) readLineEnd(b byte) bool {
-	afterCR := s.afterCR
+	afterCR, pairs := s.afterCR, s.pairs
 	s.afterCR = b == '\r'
-	if b == '\n' && afterCR {
+	s.pairs = b == '\n' && afterCR
+	switch {
+	case s.halfEnded:
+		s.endEvent()
+		return true
+	case s.pairs:
 		// The line has ended with the carriage return.
 		return !s.hasFields
+	case s.afterCR && pairs && s.hasFields && len(s.line) == 0:
+		s.halfEnded = true
+		return false
 	}
 	return s.endLine()
 }
@@ -95,7 +113,7 @@
 	if s.hasFields {
 		s.endedWithoutID = !s.hasEventID
 	}
-	s.eventID, s.hasEventID, s.hasFields = "", false, false
+	s.eventID, s.hasEventID, s.hasFields, s.halfEnded = "", false, false, false
 }
 
 // readField keeps the value of an ID field. An ID with a NUL character is ignored.
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -15,6 +15,9 @@
 	}{
 		{"line feeds", "id: 1\ndata: x\n\nid: 2\nda", len("id: 1\ndata: x\n\n"), "1"},
 		{"carriage returns and line feeds", "id: 1\r\ndata: x\r\n\r\nid: 2\r\n", len("id: 1\r\ndata: x\r\n\r\n"), "1"},
+		{"half of the last line end", "id: 1\r\n\r\nid: 2\r\n\r", len("id: 1\r\n\r\n"), "1"},
+		{"line feed that does not come", "id: 1\r\n\rid: 2", len("id: 1\r\n\r"), "1"},
+		{"carriage return instead of the line feed", "id: 1\r\n\r\rid", len("id: 1\r\n\r\r"), "1"},
 		{"carriage returns", "id: 1\rdata: x\r\rid: 2\r", len("id: 1\rdata: x\r\r"), "1"},
 		{"mixed line ends", "id:1\r\ndata: x\n\rdata", len("id:1\r\ndata: x\n\r"), "1"},
 		{"one line end only", "id: 1\ndata: x\n", 0, ""},
