forward: send no headers before the first event of a resumable stream

Callers got a 200 without the server's headers and signature when the first event of a resumable stream arrived in pieces, and the stream was then lost for good if no other engine could continue it: the router flushed after each read, also when it held all bytes back, and a flush sends headers of its own. Found by cutting answers at every byte. Now it flushes only what it has written.

TestFirstEventInPiecesKeepsTheServersHeaders failed before ('status 200, framed', no signature).

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -41,7 +41,6 @@
 func (c *call) relayStream(ctx context.Context, resp *http.Response, watch *watch) result {
 	buffer := readBuffers.Get().(*[streamReadBytes]byte)
 	defer readBuffers.Put(buffer)
-	flush := http.NewResponseController(c.w)
 	c.stream.held = c.stream.held[:0]
 	c.stream.events.Restart()
 	for {
@@ -52,9 +51,6 @@
 			if !c.writeStreamData(resp, buffer[:n]) {
 				return c.callerLeftResult()
 			}
-			if flushErr := flush.Flush(); flushErr != nil {
-				return c.callerLeftResult()
-			}
 		}
 		if errors.Is(err, io.EOF) {
 			return c.endStream(ctx, resp)
@@ -65,8 +61,9 @@
 	}
 }
 
-// writeStreamData writes new bytes of a stream to the caller, and reports whether
-// the caller is still connected.
+// writeStreamData sends what new bytes of a stream allow to the caller, and reports
+// whether the caller is still connected. While nothing can be sent, nothing is
+// flushed: that would send headers other than the server's.
 func (c *call) writeStreamData(resp *http.Response, data []byte) bool {
 	complete := c.stream.events.Scan(data)
 	if c.route.Resumable && !c.stream.relayedPart {
@@ -79,8 +76,10 @@
 		c.firstByte = time.Since(c.arrivedAt)
 		c.sendHeaders(resp.StatusCode, resp.Header, endOf(resp).ofStream())
 	}
-	_, err := c.w.Write(data)
-	return err == nil
+	if _, err := c.w.Write(data); err != nil {
+		return false
+	}
+	return http.NewResponseController(c.w).Flush() == nil
 }
 
 // hold returns the events that the first complete bytes of data end, and holds the
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -111,3 +111,20 @@
 		t.Errorf("the connection ended with error %v, want a reset", err)
 	}
 }
+
+// Guards against a success without the server's headers: an engine whose first event
+// arrives in pieces on a resumable route, and which then breaks off or fails.
+func TestFirstEventInPiecesKeepsTheServersHeaders(t *testing.T) {
+	b := newAnswersBed(t, 2)
+	caller := &rawCaller{addr: strings.TrimPrefix(b.baseURL, "http://"), version: "HTTP/1.1"}
+	a := rawAnswer{version: "HTTP/1.1", status: http.StatusOK, framing: byChunks, chunk: 9, cut: -1, body: eventStream(2, "\n", "@"), ending: closes}
+	_, headBytes := a.wire("raw1", false)
+	a.split = headBytes + 20
+	for name, cut := range map[string]int{"whole": -1, "broken off in the first event": headBytes + 25} {
+		a.cut = cut
+		x := b.run(caller, exchange{method: http.MethodPost, kind: "rawresume", callerVersion: caller.version, first: a})
+		if x.got.err != nil || x.got.status != http.StatusOK || !x.signed() || x.got.body != x.first.body {
+			t.Errorf("%s: want the whole stream with the headers of a server: %s", name, x)
+		}
+	}
+}
