forward: deliver large failure answers of servers

A failure answer above 16 kB was replaced by the router's own 502, which says less than the server did. Found by random answers. It is kept up to the size of other buffered answers; a larger one is relayed when no other server may get the request.

TestLargeFailureOfAServerIsDelivered failed before for 17 kB and 300 kB.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -327,7 +327,7 @@
 		return result{outcome: balance.Refused, cause: CauseOverload}
 	}
 	if resp.StatusCode >= http.StatusInternalServerError || impliesNotRun(resp.StatusCode) {
-		return c.keepFailure(resp)
+		return c.keepFailure(ctx, resp)
 	}
 	success := resp.StatusCode < http.StatusMultipleChoices
 	if success && (!answer.Signed || resp.Header.Get("Content-Encoding") != "") {
@@ -352,12 +352,10 @@
 	return false
 }
 
-// maxFailureBytes bounds the body of a failure answer that is kept.
-const maxFailureBytes = 16 << 10
-
 // keepFailure keeps the failure answer of a server that ran the request, unless
-// its status implies that the request has not run.
-func (c *call) keepFailure(resp *http.Response) result {
+// its status implies that the request has not run. One that is too large to be kept
+// is relayed at once when no other server may get the request.
+func (c *call) keepFailure(ctx context.Context, resp *http.Response) result {
 	res := result{outcome: balance.Failed, cause: CauseServerFailed, mayHaveRun: true}
 	if c.route.MayRepeat() {
 		res.outcome = balance.Disputed
@@ -365,14 +363,32 @@
 	if resp.StatusCode == http.StatusServiceUnavailable || impliesNotRun(resp.StatusCode) {
 		return res
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxFailureBytes+1))
-	if err != nil || len(body) > maxFailureBytes {
+	body, whole, err := c.readBuffered(resp)
+	if err != nil {
+		return res
+	}
+	if !whole && c.route.MayRepeat() && c.attempts.ran+1 < c.route.MaxAttempts {
 		return res
 	}
+	if !whole {
+		return c.relayLargeFailure(ctx, resp, body, res)
+	}
 	res.failure = &failure{status: resp.StatusCode, header: resp.Header, body: body, end: endOf(resp).ofBuffered(body)}
 	return res
 }
 
+// relayLargeFailure relays a failure answer of which body is the start. The result is
+// res unless the answer breaks off.
+func (c *call) relayLargeFailure(ctx context.Context, resp *http.Response, body []byte, res result) result {
+	relayed := c.relayBody(ctx, resp, body, endOf(resp))
+	if relayed.outcome != balance.Served {
+		return relayed
+	}
+	c.outcome, c.cause = OutcomeUnknown, CauseServerFailed
+	res.done = true
+	return res
+}
+
 // deliverFailure sends the server's failure answer to the caller unchanged.
 func (c *call) deliverFailure(f *failure) {
 	c.outcome, c.cause = OutcomeUnknown, CauseServerFailed
@@ -381,7 +397,11 @@
 	_, _ = c.w.Write(f.body)
 }
 
+// maxDrainBytes bounds the rest of an answer that is read for the sake of its
+// connection.
+const maxDrainBytes = 16 << 10
+
 // drain reads the rest of a small answer, so that its connection can be reused.
 func drain(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxFailureBytes)
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -15,27 +15,35 @@
 // complete, so that another attempt can replace a broken one.
 const bufferedAnswerBytes = 128 << 10
 
+// readBuffered reads an answer up to bufferedAnswerBytes and reports whether that is
+// the whole of it.
+func (c *call) readBuffered(resp *http.Response) (body []byte, whole bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(resp.Body, bufferedAnswerBytes+1))
+	c.attempts.bodyBytes = int64(len(body))
+	return body, len(body) <= bufferedAnswerBytes, err
+}
+
 // relayPlain relays an answer that is not a stream.
 func (c *call) relayPlain(ctx context.Context, resp *http.Response, watch *watch) result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferedAnswerBytes+1))
-	c.attempts.bodyBytes = int64(len(body))
+	body, whole, err := c.readBuffered(resp)
 	if err != nil {
 		return c.classifyBroken(ctx, CauseAnswerBroken)
 	}
 	watch.recordProgress()
 	c.firstByte = time.Since(c.arrivedAt)
 	end := endOf(resp)
-	whole := len(body) <= bufferedAnswerBytes
 	if whole {
 		end = end.ofBuffered(body)
 	}
+	return c.relayBody(ctx, resp, body, end)
+}
+
+// relayBody relays an answer of which body has been received.
+func (c *call) relayBody(ctx context.Context, resp *http.Response, body []byte, end bodyEnd) result {
 	c.sendHeaders(resp.StatusCode, resp.Header, end)
 	if _, err := c.w.Write(body); err != nil {
 		return c.callerLeftResult()
 	}
-	if whole {
-		return c.servedResult()
-	}
 	n, err := io.Copy(c.w, resp.Body)
 	c.attempts.bodyBytes += n
 	if err != nil {
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -128,3 +128,17 @@
 		}
 	}
 }
+
+// Guards against a server's failure answer that is replaced by one of the router
+// because it is large.
+func TestLargeFailureOfAServerIsDelivered(t *testing.T) {
+	b := newAnswersBed(t, 2)
+	caller := &rawCaller{addr: strings.TrimPrefix(b.baseURL, "http://"), version: "HTTP/1.1"}
+	for _, size := range []int{17 << 10, 300 << 10} {
+		a := rawAnswer{version: "HTTP/1.1", status: http.StatusInternalServerError, framing: byLength, cut: -1, body: strings.Repeat("x", size), ending: closes}
+		x := b.run(caller, exchange{method: http.MethodPost, kind: "rawunsafe", callerVersion: caller.version, first: a})
+		if x.got.err != nil || x.got.status != a.status || !x.signed() || x.got.body != a.body {
+			t.Errorf("%d bytes: want the server's failure: %s", size, x)
+		}
+	}
+}
