soak: stores that come back from older copies, and answers without framing

Two faults more: the store comes back from a copy up to three seconds old, with or without an outage or its connections closed, several times in a row, and everything is written again up to 1.5 s later; servers end answers with their connection, broken off or not. Servers that fail now also break off between events and end their chunks inside one. New checks: an answer without a marked end never ends inside an event and lacks events only beside a fault of its server; at the end every router has the newest configuration, the store's era and all servers.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -120,12 +120,34 @@
 	}},
 	{"server fails", func(f *fleet, selector int, duration time.Duration) {
 		faults := []platformtest.Fault{platformtest.Fail, platformtest.Refuse, platformtest.Busy, platformtest.Reset,
-			platformtest.WrongID, platformtest.Unsigned, platformtest.Short, platformtest.Cut}
+			platformtest.WrongID, platformtest.Unsigned, platformtest.Short, platformtest.Cut, platformtest.CutBetween, platformtest.EndInEvent}
 		s := f.servers[selector%len(f.servers)]
 		s.SetDefaultFault(faults[selector%len(faults)])
 		time.Sleep(duration)
 		s.SetDefaultFault(platformtest.None)
 	}},
+	{"server ends answers with their connection", func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		faults := []platformtest.Fault{platformtest.None, platformtest.Cut, platformtest.CutBetween, platformtest.Reset}
+		s.SetFraming(platformtest.Unframed)
+		s.SetDefaultFault(faults[selector%len(faults)])
+		time.Sleep(duration)
+		s.SetDefaultFault(platformtest.None)
+		s.SetFraming(platformtest.Framed)
+	}},
+	{"store comes back from an older copy", func(f *fleet, selector int, duration time.Duration) {
+		if selector%2 == 0 {
+			f.store.SetErrorStatus(http.StatusServiceUnavailable)
+			time.Sleep(duration / 4)
+			f.store.SetErrorStatus(0)
+		}
+		f.restoreStore(selector)
+		if selector%3 == 0 {
+			f.store.CloseConnections()
+		}
+		time.Sleep(min(duration, maxUnwritten))
+		f.writeAgain()
+	}},
 	{kindServerLeaves, func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
 		f.register(s, "draining")
@@ -138,6 +160,10 @@
 	{"configuration changed", func(f *fleet, _ int, _ time.Duration) { f.publish() }},
 }
 
+// maxUnwritten is the longest time for which lost entries are not written again. Live
+// servers write theirs within about two seconds.
+const maxUnwritten = 1500 * time.Millisecond
+
 // drainGrace is the time after which a leaving server must get no more requests.
 const drainGrace = 2 * time.Second
 
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/front"
 	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
@@ -42,6 +44,8 @@
 	*platformtest.Engine
 	proxy *proxy
 	pool  string
+	// state is what the server's entry says; guarded by the fleet's mutex.
+	state string
 }
 
 // fleet holds the processes, stand-ins and proxies of a soak test.
@@ -55,8 +59,12 @@
 
 	mu      sync.Mutex
 	version int
+	config  []byte
 	key     string
 	periods []faultPeriod
+	era     int64
+	// copies are the newest copies of the store, the oldest first.
+	copies []platformtest.Copy
 }
 
 // faultPeriod is the period of an injected fault.
@@ -78,7 +86,8 @@
 
 func startFleet(t *testing.T, routers int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), store: platformtest.NewStore(), key: "k1"}
+	f := &fleet{t: t, dir: t.TempDir(), store: platformtest.NewStore(), key: "k1", era: 1}
+	f.store.SetEra("1")
 	t.Cleanup(f.store.Close)
 	f.binary = filepath.Join(f.dir, "bluebellwell")
 	build := exec.Command("go", "build", "-o", f.binary, "../../cmd/bluebellwell")
@@ -122,7 +131,57 @@
 }
 
 func (f *fleet) register(s *server, state string) {
-	f.store.Put(platform.TopicServers, s.ID, s.EntryAt(s.pool, state, s.proxy.addr()))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.state = state
+	f.writeEntry(s)
+}
+
+// writeEntry writes the entry of a server. The caller holds f.mu.
+func (f *fleet) writeEntry(s *server) {
+	f.store.Put(platform.TopicServers, s.ID, s.EntryAt(s.pool, s.state, s.proxy.addr()))
+}
+
+const (
+	// copyInterval and maxCopies set how often the store is copied, and how old the
+	// oldest copy is from which it comes back.
+	copyInterval = 250 * time.Millisecond
+	maxCopies    = 12
+)
+
+// copyStore copies the store again and again until ctx ends.
+func (f *fleet) copyStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		f.copies = append(f.copies, f.store.Copy())
+		f.copies = f.copies[max(len(f.copies)-maxCopies, 0):]
+		f.mu.Unlock()
+		time.Sleep(copyInterval)
+	}
+}
+
+// restoreStore lets the store come back from an older copy.
+func (f *fleet) restoreStore(selector int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.copies) == 0 {
+		return
+	}
+	f.era++
+	f.store.Restore(f.copies[selector%len(f.copies)], f.era)
+	// Later copies are of an era that has ended.
+	f.copies = nil
+}
+
+// writeAgain writes the entries of all servers and the configuration again, as
+// servers and operators do after the store has lost them.
+func (f *fleet) writeAgain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		f.writeEntry(s)
+	}
+	f.store.Put(platform.TopicConfig, platform.ConfigKey, f.config)
 }
 
 func (f *fleet) addRouter(i int) {
@@ -225,6 +284,43 @@
 	return false
 }
 
+// status returns what a router tells about itself.
+func (r *router) status() (front.Status, error) {
+	var status front.Status
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d%s", r.host, r.ports[2], front.StatusPath))
+	if err != nil {
+		return status, err
+	}
+	defer resp.Body.Close()
+	return status, json.NewDecoder(resp.Body).Decode(&status)
+}
+
+// findDisagreements returns how the routers' views differ from what operators and
+// servers have written.
+func (f *fleet) findDisagreements() []string {
+	var problems []string
+	for _, r := range f.routers {
+		status, err := r.status()
+		if err != nil {
+			problems = append(problems, fmt.Sprintf("%s has no status: %v", r.name, err))
+			continue
+		}
+		usable := 0
+		for _, p := range status.Pools {
+			for _, s := range p.Servers {
+				if s.State != "leaving" {
+					usable++
+				}
+			}
+		}
+		if status.ConfigVersion != int64(f.version) || status.StoreEra != f.era || usable != len(f.servers) {
+			problems = append(problems, fmt.Sprintf("%s has configuration %d, era %d and %d usable servers; want %d, %d and %d",
+				r.name, status.ConfigVersion, status.StoreEra, usable, f.version, f.era, len(f.servers)))
+		}
+	}
+	return problems
+}
+
 // publish writes the next version of the configuration.
 func (f *fleet) publish() {
 	f.mu.Lock()
@@ -250,5 +346,6 @@
 		f.t.Error(err)
 		return
 	}
+	f.config = value
 	f.store.Put(platform.TopicConfig, platform.ConfigKey, value)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -37,6 +37,8 @@
 	err             error
 	body            string
 	headersReceived bool
+	// framed is set when a length or chunks mark the end of the body.
+	framed bool
 }
 
 // Guards against broken guarantees under overlapping faults: a non-repeatable
@@ -61,6 +63,7 @@
 			})
 		})
 	}
+	go f.copyStore(ctx)
 	faultsStart := time.Now()
 	locks := make([]sync.Mutex, len(f.routers)+len(f.servers))
 	for _, x := range schedule {
@@ -78,7 +81,7 @@
 	time.Sleep(2 * recoveryTime)
 	cancel()
 	callers.Wait()
-	problems := f.findProblems(results, recovered)
+	problems := append(f.findProblems(results, recovered), f.findDisagreements()...)
 	for _, p := range problems {
 		t.Error(p)
 	}
@@ -166,6 +169,7 @@
 	res.headersReceived, res.status = true, resp.StatusCode
 	body, err := io.ReadAll(resp.Body)
 	res.body, res.err = string(body), err
+	res.framed = resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
 }
 
 // wholeStream returns the complete answer to a stream request.
@@ -210,9 +214,12 @@
 		if res.status == http.StatusUnauthorized || res.status == http.StatusNotFound {
 			addProblem("request %s was denied with %d", res.id, res.status)
 		}
-		if res.status == http.StatusOK && res.err == nil {
+		if res.status == http.StatusOK && res.err == nil && (res.framed || !f.explainedByFault(res, serversOf[res.id])) {
 			checkBody(addProblem, res, whole)
 		}
+		if res.status == http.StatusOK && res.err == nil && !res.framed {
+			checkOpenBody(addProblem, res, whole)
+		}
 		if res.err != nil && runs[res.id] > 0 && !f.explainedByFault(res, serversOf[res.id]) {
 			addProblem("%s request %s at %s ran and broke off without a fault: %v", res.kind, res.id, res.router.name, res.err)
 		}
@@ -239,6 +246,15 @@
 	}
 }
 
+// checkOpenBody checks an answer whose end nothing marks: it may lack events, but not
+// end inside one.
+func checkOpenBody(addProblem func(string, ...any), res result, whole string) {
+	stream := res.kind == "stream" || res.kind == "resume"
+	if stream && (!strings.HasPrefix(whole, res.body) || !strings.HasSuffix(res.body, "\n\n")) {
+		addProblem("%s request %s got events %q without a marked end", res.kind, res.id, res.body)
+	}
+}
+
 // faultMargin allows for requests in progress when a fault begins or ends.
 const faultMargin = 300 * time.Millisecond
 
