--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"flag"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -10,6 +11,8 @@
 	"github.com/bluebellwell/bluebellwell/platform"
 )
 
+var fleetRouters = flag.Int("front.routers", 20, "number of routers of the fleet that sees a new era")
+
 // fleetBed is a fleet of routers with one store. Each router is reached through a
 // test bed of its own, which shares store and servers with the others.
 type fleetBed struct {
@@ -104,7 +107,7 @@
 // an older copy, against routers that are not told what has changed, and against
 // removals that only the readers learn of.
 func TestNewEraCostsFewCallsAndReachesAllRouters(t *testing.T) {
-	const routers = 20
+	routers := *fleetRouters
 	f := newFleet(t, routers, 3)
 	gone, leaving := f.engines[0], f.engines[1]
 	f.store.Put(platform.TopicServers, gone.ID, nil)
