digest: reply to a request for placements also when there are none

A router that had the placements and none to send did not answer. The one that asked repeated each 0.25 s and held prompts for its first second.

--- a/internal/digest/sync.go
+++ b/internal/digest/sync.go
@@ -27,7 +27,8 @@
 // have become known.
 func (e *Exchange) RequestPlacements() { e.requestPlacements(time.Now()) }
 
-// replyWithPlacements sends all placements to a router that has asked for them.
+// replyWithPlacements sends all placements to a router that has asked for them. A
+// reply without any tells it that there are none.
 func (e *Exchange) replyWithPlacements(now time.Time, to netip.Addr) {
 	e.mu.Lock()
 	due := e.smallFleet() || now.Sub(e.repliedAt) >= replyInterval
@@ -38,8 +39,14 @@
 	if !due {
 		return
 	}
-	for part := range slices.Chunk(groupByServer(e.state.AllPlacements()), cachedPerDatagram) {
-		e.sendTo([]netip.Addr{to}, &Message{Sender: e.sender, PlacementsReply: true, Cached: part})
+	list := groupByServer(e.state.AllPlacements())
+	for {
+		n := min(cachedPerDatagram, len(list))
+		e.sendTo([]netip.Addr{to}, &Message{Sender: e.sender, PlacementsReply: true, Cached: list[:n]})
+		list = list[n:]
+		if len(list) == 0 {
+			return
+		}
 	}
 }
 
