digest: know the size of a large fleet from the first welcome

For up to 0.25 s after its start a router divided the fixed extra of the retry budget by the least number of routers, 24. It counts the routers that the first welcome names now. TestFirstWelcomeTellsTheSizeOfTheFleet failed before ('0 routers, want 42').

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -267,6 +267,7 @@
 	loads         map[uint32]int
 	serverChanges []ServerChange
 	outcomes      []Outcomes
+	routers       int
 	// serversUnknown is set while the router has not read the list of servers.
 	serversUnknown atomic.Bool
 }
@@ -283,7 +284,11 @@
 
 func (s *fakeState) AllPlacements() []Placement { return s.allPlacements }
 
-func (s *fakeState) SetRouterCount(int) {}
+func (s *fakeState) SetRouterCount(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routers = n
+}
 
 func (s *fakeState) ServersKnown() bool { return !s.serversUnknown.Load() }
 
@@ -414,6 +419,32 @@
 	}
 }
 
+// Guards against a router that asks again and again, and holds its first prompts,
+// because the one that it asks has no placements yet and does not reply.
+func TestRouterWithoutPlacementsReplies(t *testing.T) {
+	old, fresh := &fakeState{received: map[Placement]bool{}}, &fakeState{received: map[Placement]bool{}}
+	_, second := startPair(t, old, fresh)
+	waitFor(t, "the new router is synced", second.Synced)
+}
+
+// Guards against a starting router of a large fleet that takes the retry share of a
+// small one until it has heard from each router itself.
+func TestFirstWelcomeTellsTheSizeOfTheFleet(t *testing.T) {
+	state := &fakeState{received: map[Placement]bool{}}
+	e, err := Listen(netip.MustParseAddrPort("127.0.8.3:0"), nil, false, state, event.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = e.Close() }()
+	welcome := &Message{Sender: 1}
+	for i := range 40 {
+		welcome.Peers = append(welcome.Peers, addr(i+2))
+	}
+	if e.handle(addr(1), welcome); state.routers != 42 {
+		t.Errorf("%d routers, want 42: the sender, those that it names, and this one", state.routers)
+	}
+}
+
 func waitFor(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(20 * time.Second)
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -214,10 +214,13 @@
 	isNew := e.peers.RecordMessage(now, from, m)
 	e.synced = e.synced || m.PlacementsReply
 	smallFleet := e.smallFleet()
+	known := len(e.peers.tracked) + 1
 	requestNow := m.Synced && !e.synced
 	sum := m.LoadsComplete && smallFleet && now.Sub(e.summedAt) >= sumInterval
 	e.mu.Unlock()
 	if isNew {
+		// The next loads are sent with the number of routers that are live.
+		e.state.SetRouterCount(known)
 		e.events.Emit(event.PeerDiscovered, "peer", from.String(), "stopping", m.Stopping)
 		e.sendWelcome(now, from)
 	}
