--- a/internal/front/request_test.go
+++ b/internal/front/request_test.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
@@ -271,3 +273,26 @@
 		}
 	}
 }
+
+// Guards against idle connections that fill the places of a server, and against a new
+// connection for each request.
+func TestIdleConnectionsToAServerAreBounded(t *testing.T) {
+	const idlePerServer = 8
+	b := newTestBedWith(t, 1).run()
+	engine := b.engines[0]
+	var callers sync.WaitGroup
+	engine.SetDelay(200 * time.Millisecond)
+	for range 2 * idlePerServer {
+		callers.Go(func() { b.do(b.request(http.MethodPost, "/unsafe/x", "b")) })
+	}
+	b.waitFor("the requests run beside each other", func() bool { return engine.Connections() == 2*idlePerServer })
+	callers.Wait()
+	b.waitFor("the connections beyond the bound are closed", func() bool { return engine.Connections() == idlePerServer })
+	engine.SetDelay(0)
+	for range 3 {
+		b.do(b.request(http.MethodPost, "/unsafe/x", "b"))
+	}
+	if n := engine.Connections(); n != idlePerServer {
+		t.Errorf("%d connections after further requests, want the %d idle ones used again", n, idlePerServer)
+	}
+}
