platformtest: names, configurations and entries of the platform in one place

Tests of front and soak spelled the platform's headers, states and JSON fields themselves, 40 times.

--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -3,10 +3,12 @@
 import (
 	"flag"
 	"fmt"
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 	"net/http"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -27,20 +29,17 @@
 func newAnswersBed(t testing.TB, servers int) *answersBed {
 	b := newTestBedWith(t.(*testing.T), 0)
 	c := config(1)
-	routes := []any{}
 	for name, kind := range map[string]string{"rawsafe": "safe", "rawunsafe": "unsafe", "rawstream": "stream", "rawresume": "stream"} {
-		repeatable := name == "rawsafe" || name == "rawresume"
-		attempts := 1
-		if repeatable {
-			attempts = 2
+		r := platformtest.Route{
+			Name: name, Kind: kind, Pool: "raw", Attempts: 1, Timeout: 3 * time.Second, Objective: 400 * time.Millisecond, Gap: 300 * time.Millisecond,
 		}
-		routes = append(routes, map[string]any{
-			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "kind": kind, "upstream": "raw", "timeoutMs": 3000,
-			"latencyTargetMs": 400, "gapTargetMs": 300, "maxAttempts": attempts, "resumable": name == "rawresume",
-		})
+		if name == "rawsafe" || name == "rawresume" {
+			r.Attempts = 2
+		}
+		r.Resumable = name == "rawresume"
+		c.Routes = append(c.Routes, r)
 	}
-	c["routes"] = append(c["routes"].([]any), routes...)
-	c["upstreams"] = append(c["upstreams"].([]any), map[string]any{"name": "raw", "maxConns": 100})
+	c.Pools = append(c.Pools, "raw")
 	b.publish(c)
 	a := &answersBed{testBed: b, servers: startRawServers(t.(*testing.T), b, servers)}
 	b.start()
@@ -98,7 +97,7 @@
 
 // secondAnswer returns the whole answer of another server, or the rest of a stream.
 func secondAnswer(x exchange, r *http.Request) rawAnswer {
-	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	after, _ := strconv.Atoi(r.Header.Get(platformtest.HeaderLastEvent))
 	body := strings.Join(eventsOf(x.secondBody())[after:], "")
 	return rawAnswer{version: "HTTP/1.1", status: http.StatusOK, framing: byChunks, chunk: 7, cut: -1, body: body}
 }
@@ -196,7 +195,7 @@
 }
 
 // signed reports whether the answer has the headers of the server.
-func (x exchange) signed() bool { return x.got.header.Get("X-Seal") == "s" }
+func (x exchange) signed() bool { return x.got.header.Get(platformtest.HeaderSignature) == "s" }
 
 func (x exchange) wantStatus(status int) string {
 	if x.got.err != nil || x.got.status != status || !x.got.framed || x.signed() {
@@ -337,7 +336,9 @@
 	whole := a.cut < 0 && a.framing != byClose && a.version == "HTTP/1.1" && x.method != http.MethodHead
 	if whole && rapid.Bool().Draw(t, "kept") {
 		a.ending = keeps
-		a.extra = rapid.SampledFrom([]string{"", "x", "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 1\r\n\r\nx"}).Draw(t, "extra")
+		other := rawAnswer{version: "HTTP/1.1", status: http.StatusOK, body: "x"}
+		otherWire, _ := other.wire("another", false)
+		a.extra = rapid.SampledFrom([]string{"", "x", string(otherWire)}).Draw(t, "extra")
 	}
 	return x
 }
--- a/internal/front/era_test.go
+++ b/internal/front/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
@@ -14,11 +15,10 @@
 }
 
 // configWithRoute returns a configuration with one more route.
-func configWithRoute(version int, name string) map[string]any {
+func configWithRoute(version int, name string) platformtest.Config {
 	c := config(version)
-	c["routes"] = append(c["routes"].([]any), map[string]any{
-		"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "kind": "safe", "upstream": "pool",
-		"timeoutMs": 3000, "latencyTargetMs": 400, "maxAttempts": 1,
+	c.Routes = append(c.Routes, platformtest.Route{
+		Name: name, Kind: "safe", Pool: "pool", Attempts: 1, Timeout: 3 * time.Second, Objective: 400 * time.Millisecond,
 	})
 	return c
 }
@@ -26,7 +26,7 @@
 // heartbeat writes an entry again, as an engine does that lives.
 func (b *testBed) heartbeat(n int, engines ...*platformtest.Engine) {
 	for range n {
-		b.register("ready", engines...)
+		b.register(platformtest.StateReady, engines...)
 	}
 }
 
@@ -35,7 +35,7 @@
 func TestNewEraIsFollowedFromItsNewestRecords(t *testing.T) {
 	b := newTestBedWith(t, 3)
 	b.publish(config(1))
-	b.register("ready", b.engines[:2]...)
+	b.register(platformtest.StateReady, b.engines[:2]...)
 	b.store.SetEra("4")
 	old := b.store.Copy()
 	b.heartbeat(20, b.engines[:2]...)
@@ -44,7 +44,7 @@
 	b.waitFor("router is ready", b.isReady)
 	b.store.Restore(old, 5)
 	b.publish(configWithRoute(3, "new"))
-	b.register("ready", b.engines...)
+	b.register(platformtest.StateReady, b.engines...)
 	b.waitFor("the configuration of the new era is in force", func() bool { return b.statusOf("/new/x") == http.StatusOK })
 	b.waitFor("the engine of the new era is used", func() bool {
 		b.statusOf("/safe/x")
@@ -57,7 +57,7 @@
 func TestOffsetsGivenOutAgainAreRead(t *testing.T) {
 	b := newTestBedWith(t, 3)
 	b.publish(config(1))
-	b.register("ready", b.engines[:2]...)
+	b.register(platformtest.StateReady, b.engines[:2]...)
 	b.store.SetEra("4")
 	old := b.store.Copy()
 	b.heartbeat(5, b.engines[:2]...)
@@ -66,7 +66,7 @@
 	end := b.store.End(platform.TopicServers)
 	b.store.SetErrorStatus(http.StatusServiceUnavailable)
 	b.store.Restore(old, 5)
-	b.register("ready", b.engines[2])
+	b.register(platformtest.StateReady, b.engines[2])
 	for b.store.End(platform.TopicServers) < end+3 {
 		b.heartbeat(1, b.engines[:2]...)
 	}
@@ -82,16 +82,16 @@
 func TestOlderCopyBringsNoServerBack(t *testing.T) {
 	b := newTestBedWith(t, 4)
 	b.publish(config(1))
-	b.register("ready", b.engines[:3]...)
+	b.register(platformtest.StateReady, b.engines[:3]...)
 	b.store.SetEra("4")
 	b.start()
 	b.waitFor("router is ready", b.isReady)
 	old := b.store.Copy()
-	b.register("draining", b.engines[0])
+	b.register(platformtest.StateLeaving, b.engines[0])
 	b.store.Put(platform.TopicServers, b.engines[1].ID, nil)
 	b.waitFor("the servers have left", func() bool { return b.serversIn("ready") == 1 && b.serversIn("leaving") == 1 })
 	b.store.Restore(old, 5)
-	b.register("ready", b.engines[3])
+	b.register(platformtest.StateReady, b.engines[3])
 	b.waitFor("the servers of the new era are used", func() bool {
 		if got := b.statusOf("/safe/x"); got != http.StatusOK {
 			t.Fatalf("status %d, want 200", got)
@@ -111,10 +111,10 @@
 func TestServerMissingInTheCopyIsKeptForTheGrace(t *testing.T) {
 	b := newTestBedWith(t, 2)
 	b.publish(config(1))
-	b.register("ready", b.engines[0])
+	b.register(platformtest.StateReady, b.engines[0])
 	b.store.SetEra("4")
 	old := b.store.Copy()
-	b.register("ready", b.engines[1])
+	b.register(platformtest.StateReady, b.engines[1])
 	b.start()
 	b.waitFor("router is ready", b.isReady)
 	b.engines[0].SetDefaultFault(platformtest.Refuse)
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -26,7 +27,7 @@
 	t.Helper()
 	f := &fleetBed{testBed: newTestBedWith(t, engines)}
 	f.publish(config(1))
-	f.register("ready", f.engines...)
+	f.register(platformtest.StateReady, f.engines...)
 	f.store.SetEra("4")
 	for range n {
 		f.addRouter()
@@ -112,12 +113,12 @@
 	gone, leaving := f.engines[0], f.engines[1]
 	f.store.Put(platform.TopicServers, gone.ID, nil)
 	old := f.store.Copy()
-	f.register("ready", f.engines...)
+	f.register(platformtest.StateReady, f.engines...)
 	f.waitFor("all routers know all servers", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 3 }) })
 	before := f.store.Calls()
 	f.store.Restore(old, 5)
 	started := time.Now()
-	f.register("draining", leaving)
+	f.register(platformtest.StateLeaving, leaving)
 	f.waitFor("all routers know that a server leaves", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("leaving") == 1 }) })
 	f.waitFor("all routers know that a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 1 }) })
 	seconds := time.Since(started).Seconds()
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -57,7 +57,7 @@
 			}
 			var headers []string
 			if c.stream {
-				headers = []string{"X-Prompt-Prefix", prompt}
+				headers = []string{platformtest.HeaderPrompt, prompt}
 			}
 			got := b.do(b.request(http.MethodPost, c.path, "body", headers...))
 			if got.claimsComplete() {
@@ -80,7 +80,7 @@
 	for _, e := range b.engines {
 		e.SetDefaultFault(platformtest.EndInEvent)
 	}
-	got := b.do(b.request(http.MethodPost, "/stream/x", "body", "X-Prompt-Prefix", prompt))
+	got := b.do(b.request(http.MethodPost, "/stream/x", "body", platformtest.HeaderPrompt, prompt))
 	if got.status != http.StatusOK || got.err == nil {
 		t.Errorf("status %d, error %v, body %q; want a broken answer", got.status, got.err, got.body)
 	}
@@ -98,8 +98,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	_, err = fmt.Fprintf(conn, "POST /stream/x HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: r10\r\nX-Deadline-Ms: 5000\r\n"+
-		"Authorization: Token k1\r\nX-Prompt-Prefix: %s\r\nContent-Length: 0\r\n\r\n", prompt)
+	_, err = io.WriteString(conn, rawRequest(http.MethodPost, "/stream/x", "HTTP/1.0", "r10", platformtest.HeaderPrompt, prompt))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -29,18 +29,17 @@
 func (b *testBed) publishSlow() {
 	b.t.Helper()
 	c := config(1)
-	for _, r := range c["routes"].([]any) {
-		route := r.(map[string]any)
-		route["latencyTargetMs"], route["timeoutMs"] = 20_000, 30_000
+	for i := range c.Routes {
+		c.Routes[i].Objective, c.Routes[i].Timeout = 20*time.Second, 30*time.Second
 	}
 	b.publish(c)
-	b.register("ready", b.engines...)
+	b.register(platformtest.StateReady, b.engines...)
 	b.start()
 	b.waitFor("router is ready", b.isReady)
 }
 
 func (b *testBed) promptRequest() *http.Request {
-	return b.request(http.MethodPost, "/stream/x", "body", "X-Prompt-Prefix", longPrompt, "X-Model", "m", "X-Deadline-Ms", "30000")
+	return b.request(http.MethodPost, "/stream/x", "body", platformtest.HeaderPrompt, longPrompt, platformtest.HeaderModel, "m", platformtest.HeaderDeadline, "30000")
 }
 
 func (b *testBed) received() []platformtest.ReceivedRequest {
@@ -72,7 +71,7 @@
 		t.Fatalf("engines received %d requests, want 2", len(list))
 	}
 	a, c := list[0], list[1]
-	if a.ID != first.Header.Get("X-Request-Id") {
+	if a.ID != first.Header.Get(platformtest.HeaderRequestID) {
 		a, c = c, a
 	}
 	if gap := c.ReceivedAt.Sub(a.ReceivedAt); gap < delay {
--- a/internal/front/prefix_test.go
+++ b/internal/front/prefix_test.go
@@ -39,12 +39,12 @@
 	if len(holder.Requests()) == 0 {
 		holder, other = other, holder
 	}
-	b.register("draining", holder)
+	b.register(platformtest.StateLeaving, holder)
 	b.waitFor("a request reaches the other engine", func() bool {
 		b.do(b.promptRequest())
 		return len(other.Requests()) > 0
 	})
-	if got := other.Requests()[0].Header.Get("Kv-Fetch"); got != holder.Addr() {
+	if got := other.Requests()[0].Header.Get(platformtest.HeaderFetchFrom); got != holder.Addr() {
 		t.Errorf("copied from %q, want %s", got, holder.Addr())
 	}
 }
@@ -57,7 +57,7 @@
 	for target, longest := range map[string]int{"/safe/x": 3000, "/short/x": 300, "/unsafe/x": 200} {
 		r := b.request(http.MethodPost, target, "body")
 		if target == "/unsafe/x" {
-			r.Header.Set("X-Deadline-Ms", "200")
+			r.Header.Set(platformtest.HeaderDeadline, "200")
 		}
 		before := b.received()
 		b.do(r)
@@ -66,11 +66,11 @@
 			t.Fatalf("%s: servers received %d requests, want 1", target, len(list)-len(before))
 		}
 		for _, got := range list {
-			if got.ID != r.Header.Get("X-Request-Id") {
+			if got.ID != r.Header.Get(platformtest.HeaderRequestID) {
 				continue
 			}
-			if ms, err := strconv.Atoi(got.Header.Get("X-Deadline-Ms")); err != nil || ms > longest {
-				t.Errorf("%s: the server got a deadline of %q ms, want at most %d", target, got.Header.Get("X-Deadline-Ms"), longest)
+			if ms, err := strconv.Atoi(got.Header.Get(platformtest.HeaderDeadline)); err != nil || ms > longest {
+				t.Errorf("%s: the server got a deadline of %q ms, want at most %d", target, got.Header.Get(platformtest.HeaderDeadline), longest)
 			}
 		}
 	}
--- a/internal/front/rawserver_test.go
+++ b/internal/front/rawserver_test.go
@@ -3,8 +3,8 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 	"io"
 	"net"
 	"net/http"
@@ -56,7 +56,7 @@
 // head returns the status line and the headers.
 func (a rawAnswer) head(id string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %d Status\r\nX-Request-Id: %s\r\nX-Seal: s\r\n", a.version, a.status, id)
+	fmt.Fprintf(&b, "%s %d Status\r\n%s: %s\r\n%s: s\r\n", a.version, a.status, platformtest.HeaderRequestID, id, platformtest.HeaderSignature)
 	switch {
 	case a.bodyless():
 	case a.framing == byLength:
@@ -150,12 +150,7 @@
 		}
 		t.Cleanup(func() { l.Close() })
 		go s.accept(l)
-		entry, err := json.Marshal(map[string]any{
-			"upstream": "raw", "addr": l.Addr().String(), "zone": "hall-a", "slots": 64, "state": "ready", "seq": 1,
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
+		entry := platformtest.Entry{Pool: "raw", Addr: l.Addr().String(), State: platformtest.StateReady, Slots: 64}.Encode()
 		b.store.Put(platform.TopicServers, fmt.Sprintf("raw-%d", i), entry)
 	}
 	return s
@@ -197,7 +192,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		id := r.Header.Get("X-Request-Id")
+		id := r.Header.Get(platformtest.HeaderRequestID)
 		a, ok := s.next(id, r)
 		if !ok || !s.send(conn, id, r, a) {
 			return
@@ -244,6 +239,17 @@
 	reader  *bufio.Reader
 }
 
+// rawRequest returns a request without a body, byte for byte.
+func rawRequest(method, path, version, id string, headers ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s\r\nHost: h.example\r\nContent-Length: 0\r\n", method, path, version)
+	headers = append(headers, platformtest.HeaderRequestID, id, platformtest.HeaderDeadline, "5000", platformtest.HeaderAuthorization, platformtest.Key("k1"))
+	for i := 0; i+1 < len(headers); i += 2 {
+		fmt.Fprintf(&b, "%s: %s\r\n", headers[i], headers[i+1])
+	}
+	return b.String() + "\r\n"
+}
+
 // do sends a request and returns its answer. It uses the connection of the request
 // before when that is still open.
 func (c *rawCaller) do(method, path, id string) reply {
@@ -255,8 +261,7 @@
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(waitTimeout))
-	_, err := fmt.Fprintf(c.conn, "%s %s %s\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 5000\r\nAuthorization: Token k1\r\n"+
-		"Content-Length: 0\r\n\r\n", method, path, c.version, id)
+	_, err := io.WriteString(c.conn, rawRequest(method, path, c.version, id))
 	if err != nil {
 		c.close()
 		return reply{err: err}
--- a/internal/front/request_test.go
+++ b/internal/front/request_test.go
@@ -19,7 +19,7 @@
 // Guards against a wrong answer after a failed attempt: a false statement that the
 // request has not run, a second run, or an answer that is not the server's.
 func TestOutcomeOfFaults(t *testing.T) {
-	stream := []string{"X-Prompt-Prefix", prompt, "X-Model", "m"}
+	stream := []string{platformtest.HeaderPrompt, prompt, platformtest.HeaderModel, "m"}
 	whole := ""
 	for i := 1; i <= platformtest.EventsPerStream; i++ {
 		whole += fmt.Sprintf("id: %d\ndata: word%d\n\n", i, i)
@@ -70,7 +70,7 @@
 			if c.status == 503 && got.header.Get("Retry-After") == "" {
 				t.Error("refusal without Retry-After")
 			}
-			signed := got.header.Get("X-Seal") != ""
+			signed := got.header.Get(platformtest.HeaderSignature) != ""
 			if wantSigned := c.status == 200 || c.status == 500; signed != wantSigned {
 				t.Errorf("signature present: %v, want %v", signed, wantSigned)
 			}
@@ -91,8 +91,8 @@
 			// Either server may be tried first.
 			for range 6 {
 				got := b.do(b.request(http.MethodPost, "/safe/x", "body"))
-				if got.status != http.StatusInternalServerError || got.body != "failed" || got.header.Get("X-Seal") == "" {
-					t.Errorf("status %d, body %q, signature %q; want the server's failure", got.status, got.body, got.header.Get("X-Seal"))
+				if got.status != http.StatusInternalServerError || got.body != "failed" || got.header.Get(platformtest.HeaderSignature) == "" {
+					t.Errorf("status %d, body %q, signature %q; want the server's failure", got.status, got.body, got.header.Get(platformtest.HeaderSignature))
 				}
 			}
 		})
@@ -118,7 +118,7 @@
 			for _, e := range b.engines {
 				e.SetNextFaults(fault)
 			}
-			first := b.do(b.request(http.MethodPost, "/resume/x", "body", "X-Prompt-Prefix", prompt))
+			first := b.do(b.request(http.MethodPost, "/resume/x", "body", platformtest.HeaderPrompt, prompt))
 			// Each engine has the fault for its first request, so the second one fails too.
 			if first.err == nil {
 				t.Fatalf("both engines failed, but the answer looks complete: %q", first.body)
@@ -128,7 +128,7 @@
 			}
 			servingEngine := b.servingEngine()
 			servingEngine.SetNextFaults(fault)
-			got := b.do(b.request(http.MethodPost, "/resume/x", "body", "X-Prompt-Prefix", "aa:800,bb:400,cc:1"))
+			got := b.do(b.request(http.MethodPost, "/resume/x", "body", platformtest.HeaderPrompt, "aa:800,bb:400,cc:1"))
 			var want strings.Builder
 			for i := 1; i <= platformtest.EventsPerStream; i++ {
 				fmt.Fprintf(&want, "id: %d\ndata: word%d\n\n", i, i)
@@ -136,8 +136,8 @@
 			if got.err != nil || got.body != want.String() {
 				t.Errorf("got %q, error %v; want all events once", got.body, got.err)
 			}
-			if got.header.Get("X-Seal") != "seal-of-"+servingEngine.ID {
-				t.Errorf("signature %q is not the first engine's", got.header.Get("X-Seal"))
+			if got.header.Get(platformtest.HeaderSignature) != "seal-of-"+servingEngine.ID {
+				t.Errorf("signature %q is not the first engine's", got.header.Get(platformtest.HeaderSignature))
 			}
 		})
 	}
@@ -150,7 +150,7 @@
 	for i, e := range b.engines {
 		before[i] = len(e.Requests())
 	}
-	b.do(b.request(http.MethodPost, "/resume/x", "body", "X-Prompt-Prefix", "aa:800,bb:400,dd:1"))
+	b.do(b.request(http.MethodPost, "/resume/x", "body", platformtest.HeaderPrompt, "aa:800,bb:400,dd:1"))
 	for i, e := range b.engines {
 		if len(e.Requests()) > before[i] {
 			return e
@@ -166,8 +166,8 @@
 	b := newTestBed(t).run()
 	const target = "/safe/a%2Fb/../c//d?q=1%20&empty="
 	got := b.do(b.request(http.MethodPost, target, "the body",
-		"X-Tenant", "forged", "X-Hold", "h", "Kv-From", "1.2.3.4:1/x", "X-Expect-Instance", "i-9",
-		"Connection", "X-Private", "X-Private", "1", "X-Custom", "kept", "X-Request-Priority", "0"))
+		platformtest.HeaderWorkspace, "forged", platformtest.HeaderHold, "h", platformtest.HeaderContinueFrom, "1.2.3.4:1/x", platformtest.HeaderInstance, "i-9",
+		"Connection", "X-Private", "X-Private", "1", "X-Custom", "kept", platformtest.HeaderPriority, "0"))
 	if got.status != 200 {
 		t.Fatalf("status %d, want 200: %s", got.status, got.body)
 	}
@@ -180,10 +180,10 @@
 	if seen.Target != target || seen.Host != "h.example" || seen.Body != "the body" {
 		t.Errorf("the server got target %q, host %q and body %q", seen.Target, seen.Host, seen.Body)
 	}
-	if h := seen.Header; h.Get("X-Tenant") != "w1" || h.Get("X-Custom") != "kept" {
+	if h := seen.Header; h.Get(platformtest.HeaderWorkspace) != "w1" || h.Get("X-Custom") != "kept" {
 		t.Errorf("headers %v, want tenant w1 and the custom header", h)
 	}
-	for _, name := range []string{"Authorization", "X-Hold", "Kv-From", "X-Private"} {
+	for _, name := range []string{platformtest.HeaderAuthorization, platformtest.HeaderHold, platformtest.HeaderContinueFrom, "X-Private"} {
 		if seen.Header.Get(name) != "" {
 			t.Errorf("header %s was forwarded", name)
 		}
@@ -205,18 +205,18 @@
 	if b.isReady() {
 		t.Error("ready without a server")
 	}
-	b.register("ready", b.engines...)
+	b.register(platformtest.StateReady, b.engines...)
 	b.waitFor("router is ready", b.isReady)
 	for _, c := range []struct {
 		name, target, key string
 		status            int
 	}{
-		{"no route", "/nothing/x", "Token k1", 404},
-		{"unknown key", "/safe/x", "Token k2", 401},
+		{"no route", "/nothing/x", platformtest.Key("k1"), 404},
+		{"unknown key", "/safe/x", platformtest.Key("k2"), 401},
 		{"no key", "/safe/x", "", 401},
 		{"public route", "/open/x", "", 200},
 	} {
-		if got := b.do(b.request(http.MethodGet, c.target, "", "Authorization", c.key)); got.status != c.status {
+		if got := b.do(b.request(http.MethodGet, c.target, "", platformtest.HeaderAuthorization, c.key)); got.status != c.status {
 			t.Errorf("%s: status %d, want %d: %s", c.name, got.status, c.status, got.body)
 		}
 	}
@@ -254,9 +254,9 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	smuggled := "GET /open/smuggled HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: bad\r\n\r\n"
-	_, err = fmt.Fprintf(conn, "POST /open/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: good\r\n"+
-		"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", 5+len(smuggled), smuggled)
+	smuggled := "GET /open/smuggled HTTP/1.1\r\nHost: h.example\r\n" + platformtest.HeaderRequestID + ": bad\r\n\r\n"
+	_, err = fmt.Fprintf(conn, "POST /open/x HTTP/1.1\r\nHost: h.example\r\n%s: good\r\n"+
+		"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", platformtest.HeaderRequestID, 5+len(smuggled), smuggled)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 	"io"
 	"net/http"
 	"sync"
@@ -53,7 +54,7 @@
 				r := b.request(http.MethodPost, "/unsafe/x", "body")
 				if got := b.do(r); got.err != nil {
 					mu.Lock()
-					lost[r.Header.Get("X-Request-Id")] = got.err
+					lost[r.Header.Get(platformtest.HeaderRequestID)] = got.err
 					mu.Unlock()
 				}
 			}
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -1,8 +1,8 @@
 package front_test
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -108,40 +108,31 @@
 }
 
 // config returns the configuration of the tests, with a route of each kind.
-func config(version int) map[string]any {
-	route := func(name, kind string, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "kind": kind, "upstream": "pool",
-			"timeoutMs": 3000, "latencyTargetMs": 400, "gapTargetMs": 300, "maxAttempts": 1,
-		}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	return map[string]any{
-		"version": version,
-		"routes": []any{
-			route("safe", "safe", map[string]any{"maxAttempts": 2}),
-			route("unsafe", "unsafe", nil),
-			route("stream", "stream", nil),
-			route("resume", "stream", map[string]any{"resumable": true, "maxAttempts": 2}),
-			route("open", "safe", map[string]any{"public": true}),
-			route("short", "unsafe", map[string]any{"timeoutMs": 300}),
+func config(version int) platformtest.Config {
+	c := platformtest.Config{
+		Version: version, Pools: []string{"pool"}, BodyBytes: 1000,
+		Workspaces: []platformtest.Workspace{{Name: "w1", Keys: []string{"k1"}}},
+		Routes: []platformtest.Route{
+			{Name: "safe", Kind: "safe", Attempts: 2},
+			{Name: "unsafe", Kind: "unsafe"},
+			{Name: "stream", Kind: "stream"},
+			{Name: "resume", Kind: "stream", Resumable: true, Attempts: 2},
+			{Name: "open", Kind: "safe", Public: true},
+			{Name: "short", Kind: "unsafe", Timeout: 300 * time.Millisecond},
 		},
-		"upstreams": []any{map[string]any{"name": "pool", "maxConns": 100}},
-		"limits":    map[string]any{"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
-		"tenants":   []any{map[string]any{"name": "w1", "apiKeys": []string{"k1"}}},
 	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		r.Pool = "pool"
+		r.Attempts = max(r.Attempts, 1)
+		r.Timeout = cmp.Or(r.Timeout, 3*time.Second)
+		r.Objective, r.Gap = 400*time.Millisecond, 300*time.Millisecond
+	}
+	return c
 }
 
-func (b *testBed) publish(c map[string]any) {
-	b.t.Helper()
-	value, err := json.Marshal(c)
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	b.store.Put(platform.TopicConfig, platform.ConfigKey, value)
+func (b *testBed) publish(c platformtest.Config) {
+	b.store.Put(platform.TopicConfig, platform.ConfigKey, c.Encode())
 }
 
 func (b *testBed) register(state string, engines ...*platformtest.Engine) {
@@ -155,7 +146,7 @@
 func (b *testBed) run() *testBed {
 	b.t.Helper()
 	b.publish(config(1))
-	b.register("ready", b.engines...)
+	b.register(platformtest.StateReady, b.engines...)
 	b.start()
 	b.waitFor("router is ready", b.isReady)
 	return b
@@ -204,9 +195,9 @@
 		b.t.Fatal(err)
 	}
 	r.Host = "h.example"
-	r.Header.Set("X-Request-Id", fmt.Sprintf("r%d", requests.Add(1)))
-	r.Header.Set("X-Deadline-Ms", "5000")
-	r.Header.Set("Authorization", "Token k1")
+	r.Header.Set(platformtest.HeaderRequestID, fmt.Sprintf("r%d", requests.Add(1)))
+	r.Header.Set(platformtest.HeaderDeadline, "5000")
+	r.Header.Set(platformtest.HeaderAuthorization, platformtest.Key("k1"))
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
--- a/internal/front/tracker_test.go
+++ b/internal/front/tracker_test.go
@@ -14,7 +14,7 @@
 func TestConfigurationIsMonotonic(t *testing.T) {
 	b := newTestBed(t).run()
 	newer := config(7)
-	newer["tenants"] = []any{map[string]any{"name": "w1", "apiKeys": []string{"k7"}}}
+	newer.Workspaces[0].Keys = []string{"k7"}
 	b.publish(newer)
 	status := func() int { return b.do(b.request(http.MethodGet, "/safe/x", "")).status }
 	b.waitFor("the old key is refused", func() bool { return status() == 401 })
@@ -38,7 +38,7 @@
 	b := newTestBed(t).run()
 	leaving, staying := b.engines[0], b.engines[1]
 	b.store.Put(platform.TopicServers, "i-broken", []byte(`{"addr":7}`))
-	b.register("draining", leaving)
+	b.register(platformtest.StateLeaving, leaving)
 	b.waitFor("no request reaches the leaving server", func() bool {
 		before := len(leaving.Requests())
 		for range 10 {
@@ -92,7 +92,7 @@
 // or servers that leave.
 func TestStatusShowsState(t *testing.T) {
 	b := newTestBed(t).run()
-	b.register("draining", b.engines[1])
+	b.register(platformtest.StateLeaving, b.engines[1])
 	states := func() map[string]string {
 		found := make(map[string]string)
 		for _, p := range b.front.Status().Pools {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -110,7 +110,7 @@
 		time.Sleep(duration)
 		s.Restart(time.Now())
 		s.proxy.setMode(pass)
-		f.register(s, "ready")
+		f.register(s, platformtest.StateReady)
 	}},
 	{"server slow", func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
@@ -150,9 +150,9 @@
 	}},
 	{kindServerLeaves, func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
-		f.register(s, "draining")
+		f.register(s, platformtest.StateLeaving)
 		time.Sleep(duration + drainGrace)
-		f.register(s, "ready")
+		f.register(s, platformtest.StateReady)
 	}},
 	{"broken entry", func(f *fleet, selector int, _ time.Duration) {
 		f.store.Put(platform.TopicServers, fmt.Sprintf("x-%d", selector), []byte(`{"addr":7,"state":"odd"}`))
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -127,7 +127,7 @@
 	f.servers = append(f.servers, s)
 	f.t.Cleanup(e.Close)
 	f.t.Cleanup(p.close)
-	f.register(s, "ready")
+	f.register(s, platformtest.StateReady)
 }
 
 func (f *fleet) register(s *server, state string) {
@@ -326,26 +326,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
-	route := func(name, kind, pool string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "kind": kind, "upstream": pool,
-			"timeoutMs": 4000, "latencyTargetMs": 300, "gapTargetMs": 300, "maxAttempts": attempts, "resumable": resumable,
+	route := func(name, kind, pool string, attempts int) platformtest.Route {
+		return platformtest.Route{
+			Name: name, Kind: kind, Pool: pool, Attempts: attempts, Resumable: name == "resume",
+			Timeout: 4 * time.Second, Objective: 300 * time.Millisecond, Gap: 300 * time.Millisecond,
 		}
 	}
-	value, err := json.Marshal(map[string]any{
-		"version": f.version,
-		"routes": []any{
-			route("safe", "safe", "plain", 2, false), route("unsafe", "unsafe", "plain", 1, false),
-			route("stream", "stream", "engines", 1, false), route("resume", "stream", "engines", 2, true),
+	f.config = platformtest.Config{
+		Version: f.version, Pools: []string{"plain", "engines"}, BodyBytes: 1 << 20,
+		Workspaces: []platformtest.Workspace{{Name: "w1", Keys: []string{f.key, "steady"}}},
+		Routes: []platformtest.Route{
+			route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 1),
+			route("stream", "stream", "engines", 1), route("resume", "stream", "engines", 2),
 		},
-		"upstreams": []any{map[string]any{"name": "plain", "maxConns": 100}, map[string]any{"name": "engines", "maxConns": 100}},
-		"limits":    map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
-		"tenants":   []any{map[string]any{"name": "w1", "apiKeys": []string{f.key, "steady"}}},
-	})
-	if err != nil {
-		f.t.Error(err)
-		return
-	}
-	f.config = value
-	f.store.Put(platform.TopicConfig, platform.ConfigKey, value)
+	}.Encode()
+	f.store.Put(platform.TopicConfig, platform.ConfigKey, f.config)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -153,12 +153,12 @@
 		return
 	}
 	req.Host = "h.example"
-	req.Header.Set("X-Request-Id", res.id)
-	req.Header.Set("X-Deadline-Ms", "3000")
-	req.Header.Set("Authorization", "Token steady")
+	req.Header.Set(platformtest.HeaderRequestID, res.id)
+	req.Header.Set(platformtest.HeaderDeadline, "3000")
+	req.Header.Set(platformtest.HeaderAuthorization, platformtest.Key("steady"))
 	if res.kind == "stream" || res.kind == "resume" {
-		req.Header.Set("X-Model", "m")
-		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("aa:500,%x:2000,ff%x:10", 16+random.IntN(20), random.Uint32()))
+		req.Header.Set(platformtest.HeaderModel, "m")
+		req.Header.Set(platformtest.HeaderPrompt, fmt.Sprintf("aa:500,%x:2000,ff%x:10", 16+random.IntN(20), random.Uint32()))
 	}
 	resp, err := client.Do(req)
 	if err != nil {
