--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -43,13 +43,7 @@
 			[]string{"newest", "read", "read"}, []string{"batch", "outage started", "outage ended", "batch"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s, r := &scriptedSource{answers: c.answers}, &recorder{}
-			f := follower(s, r)
-			for range c.calls {
-				f.Step(t.Context())
-			}
-			requireEqual(t, "calls", s.calls, c.calls)
-			requireEqual(t, "events", r.events, c.events)
+			f := runScript(t, c.answers, c.calls, c.events)
 			last := c.answers[len(c.answers)-1].page
 			if want := (logpos.Position{Era: last.Era, Offset: last.Next}); f.position.next != want {
 				t.Errorf("next position %s, want %s", f.position.next, want)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -87,6 +87,20 @@
 
 var errDown = errors.New("down")
 
+// runScript lets a follower get the answers in turn and checks the calls that it makes
+// and what it reports.
+func runScript(t *testing.T, answers []answer, calls, events []string) *Follower {
+	t.Helper()
+	s, r := &scriptedSource{answers: answers}, &recorder{}
+	f := follower(s, r)
+	for range calls {
+		f.Step(t.Context())
+	}
+	requireEqual(t, "calls", s.calls, calls)
+	requireEqual(t, "events", r.events, events)
+	return f
+}
+
 // Guards against a follower that loses its position during an outage, accepts a
 // stale or empty list after records were deleted, or reads the full list again
 // without need.
@@ -109,13 +123,7 @@
 			[]string{"newest", "newest"}, []string{"outage started", "outage ended", "batch"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s, r := &scriptedSource{answers: c.answers}, &recorder{}
-			f := follower(s, r)
-			for range c.calls {
-				f.Step(t.Context())
-			}
-			requireEqual(t, "calls", s.calls, c.calls)
-			requireEqual(t, "events", r.events, c.events)
+			runScript(t, c.answers, c.calls, c.events)
 		})
 	}
 }
--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -42,8 +42,7 @@
 	c.Pools = append(c.Pools, "raw")
 	b.publish(c)
 	a := &answersBed{testBed: b, servers: startRawServers(t.(*testing.T), b, servers)}
-	b.start()
-	b.waitFor("router is ready", b.isReady)
+	b.startReady()
 	// Every case may be tried twice.
 	s := *b.settings
 	s.Bounds.RetryRatio, s.Bounds.RetryExtra = 10, 1_000_000
--- a/internal/front/era_test.go
+++ b/internal/front/era_test.go
@@ -23,6 +23,16 @@
 	return c
 }
 
+// newEraBed returns a store in era 4 with a configuration and two of three engines, and
+// a copy of it.
+func newEraBed(t *testing.T) (*testBed, platformtest.Copy) {
+	b := newTestBedWith(t, 3)
+	b.publish(config(1))
+	b.register(platformtest.StateReady, b.engines[:2]...)
+	b.store.SetEra("4")
+	return b, b.store.Copy()
+}
+
 // heartbeat writes an entry again, as an engine does that lives.
 func (b *testBed) heartbeat(n int, engines ...*platformtest.Engine) {
 	for range n {
@@ -33,15 +43,10 @@
 // Guards against a router that ignores what the store gives out at offsets below
 // those that it has read, after the store came back from an older copy.
 func TestNewEraIsFollowedFromItsNewestRecords(t *testing.T) {
-	b := newTestBedWith(t, 3)
-	b.publish(config(1))
-	b.register(platformtest.StateReady, b.engines[:2]...)
-	b.store.SetEra("4")
-	old := b.store.Copy()
+	b, old := newEraBed(t)
 	b.heartbeat(20, b.engines[:2]...)
 	b.publish(config(2))
-	b.start()
-	b.waitFor("router is ready", b.isReady)
+	b.startReady()
 	b.store.Restore(old, 5)
 	b.publish(configWithRoute(3, "new"))
 	b.register(platformtest.StateReady, b.engines...)
@@ -55,14 +60,9 @@
 // Guards against records that are skipped because their offsets had belonged to
 // other records in the era before, without the store refusing the read.
 func TestOffsetsGivenOutAgainAreRead(t *testing.T) {
-	b := newTestBedWith(t, 3)
-	b.publish(config(1))
-	b.register(platformtest.StateReady, b.engines[:2]...)
-	b.store.SetEra("4")
-	old := b.store.Copy()
+	b, old := newEraBed(t)
 	b.heartbeat(5, b.engines[:2]...)
-	b.start()
-	b.waitFor("router is ready", b.isReady)
+	b.startReady()
 	end := b.store.End(platform.TopicServers)
 	b.store.SetErrorStatus(http.StatusServiceUnavailable)
 	b.store.Restore(old, 5)
@@ -84,8 +84,7 @@
 	b.publish(config(1))
 	b.register(platformtest.StateReady, b.engines[:3]...)
 	b.store.SetEra("4")
-	b.start()
-	b.waitFor("router is ready", b.isReady)
+	b.startReady()
 	old := b.store.Copy()
 	b.register(platformtest.StateLeaving, b.engines[0])
 	b.store.Put(platform.TopicServers, b.engines[1].ID, nil)
@@ -115,8 +114,7 @@
 	b.store.SetEra("4")
 	old := b.store.Copy()
 	b.register(platformtest.StateReady, b.engines[1])
-	b.start()
-	b.waitFor("router is ready", b.isReady)
+	b.startReady()
 	b.engines[0].SetDefaultFault(platformtest.Refuse)
 	b.store.Restore(old, 5)
 	b.publish(configWithRoute(2, "new"))
--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -34,8 +34,7 @@
 	}
 	b.publish(c)
 	b.register(platformtest.StateReady, b.engines...)
-	b.start()
-	b.waitFor("router is ready", b.isReady)
+	b.startReady()
 }
 
 func (b *testBed) promptRequest() *http.Request {
--- /dev/null
+++ b/internal/front/observer.go
@@ -0,0 +1,70 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/feed"
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+)
+
+// newObserver returns an observer that runs apply on the tracker's goroutine.
+func (t *tracker) newObserver(ctx context.Context, topic int, apply func(feed.Batch)) feed.Observer {
+	return &observer{ctx: ctx, tracker: t, topic: topic, apply: apply}
+}
+
+type observer struct {
+	ctx     context.Context
+	tracker *tracker
+	topic   int
+	apply   func(feed.Batch)
+}
+
+// Batch passes records to the tracker's goroutine.
+func (o *observer) Batch(batch feed.Batch) {
+	select {
+	case o.tracker.tasks <- func() { o.apply(batch) }:
+	case <-o.ctx.Done():
+	}
+}
+
+// OutageStarted records and logs that the store does not answer.
+func (o *observer) OutageStarted(err error) {
+	o.tracker.progress.setFailing(o.topic, true)
+	o.tracker.events.Emit(event.StoreUnavailable, "topic", topicNames[o.topic], "error", err.Error())
+}
+
+// OutageEnded records and logs that the store answers again after an outage.
+func (o *observer) OutageEnded(duration time.Duration) {
+	o.tracker.progress.setFailing(o.topic, false)
+	if o.topic == topicServers && duration >= minOutage {
+		o.tracker.progress.delayRemovals(time.Now().Add(registry.RemovalGrace))
+	}
+	o.tracker.events.Emit(event.StoreAvailable, "topic", topicNames[o.topic], "after_ms", duration.Milliseconds())
+}
+
+// HistoryExpired logs that the store no longer keeps the records from a position on.
+func (o *observer) HistoryExpired(from logpos.Position) {
+	o.tracker.events.Emit(event.HistoryExpired, "topic", topicNames[o.topic], "from", from.String())
+}
+
+// StaleList logs that the store returned a list older than what was read before.
+func (o *observer) StaleList(next, current logpos.Position) {
+	o.tracker.events.Emit(event.StaleListIgnored, "topic", topicNames[o.topic], "next", next.String(), "known", current.String())
+}
+
+// EraStarted counts and logs that the store has come back from an older copy, with
+// what the router keeps.
+func (o *observer) EraStarted(era int64, next logpos.Position) {
+	t := o.tracker
+	t.eraCount.Inc(1)
+	t.exchange.SendSoon()
+	version := int64(0)
+	if table := t.state.Table(); table != nil {
+		version = table.Version()
+	}
+	t.events.Emit(event.StoreEraStarted, "era", era, "topic", topicNames[o.topic], "dropped", next.String(),
+		"kept_config", version, "kept_servers", t.serverCount.Load())
+}
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -147,9 +147,15 @@
 	b.t.Helper()
 	b.publish(config(1))
 	b.register(platformtest.StateReady, b.engines...)
+	b.startReady()
+	return b
+}
+
+// startReady starts a router and waits until it is ready.
+func (b *testBed) startReady() {
+	b.t.Helper()
 	b.start()
 	b.waitFor("router is ready", b.isReady)
-	return b
 }
 
 func (b *testBed) isReady() bool {
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -17,39 +17,8 @@
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
-const (
-	// configWait is how long a read waits at the store for a new configuration. It
-	// is below the time in which a change must be in force, because a dead
-	// connection is detected only when the wait is over.
-	configWait = 1800 * time.Millisecond
-	// configPause is the time between two reads. It bounds their rate while the
-	// configuration changes often.
-	configPause = 250 * time.Millisecond
-	// serversPause is the time between two reads of the servers' topic while
-	// heartbeats are records: a wait at the store would end at once.
-	serversPause = 900 * time.Millisecond
-	// nonReaderPause is the time between two reads of a router that receives
-	// changes from the readers, in case all of them miss one.
-	nonReaderPause = 30 * time.Second
-	// callTimeout bounds a call to the store beyond its wait. nonReaderTimeout does
-	// so for routers that are not readers: their calls return many records and are
-	// not urgent.
-	callTimeout      = time.Second
-	nonReaderTimeout = 4 * time.Second
-	// nonReaderBackoff is the longest wait of such a router after a failed call: the
-	// store may turn it away while it serves the readers.
-	nonReaderBackoff = time.Second
-	// configSettle is how long such a router waits for further changes of the
-	// configuration before it reads one. It is well below the time in which a change
-	// must be in force.
-	configSettle = 500 * time.Millisecond
-	// minOutage is the shortest outage of the store after which entries of live
-	// servers may have expired. It is below three of their heartbeats, which are
-	// 1.2 s apart.
-	minOutage = 2 * time.Second
-	// expireInterval is how often the grace periods of removed servers are checked.
-	expireInterval = 100 * time.Millisecond
-)
+// expireInterval is how often the grace periods of removed servers are checked.
+const expireInterval = 100 * time.Millisecond
 
 // tracker keeps the configuration and the servers up to date with the store. The
 // goroutine of run owns servers, haveConfig, listRead, held and unusable; the other
@@ -160,50 +129,6 @@
 	}
 }
 
-// timing returns full for a router that is not ready or that reads the store for
-// all, and a slow timing for the others, which receive the changes.
-func (t *tracker) timing(full feed.Timing) func() feed.Timing {
-	return func() feed.Timing {
-		if !t.ready() || t.exchange.IsReader() {
-			return full
-		}
-		return nonReaderTiming
-	}
-}
-
-// nonReaderTiming is the timing of a router that receives changes from the readers.
-var nonReaderTiming = feed.Timing{Pause: nonReaderPause, Timeout: nonReaderTimeout, MaxBackoff: nonReaderBackoff}
-
-// configTiming returns the timing for the configuration.
-func (t *tracker) configTiming() func() feed.Timing {
-	timing := t.timing(feed.Timing{Wait: configWait, Pause: configPause, Timeout: callTimeout})
-	return func() feed.Timing { return forConfig(timing()) }
-}
-
-// forConfig adapts a timing to the configuration. Its calls return little and are
-// short for all routers: one that hangs while the store is silent delays the
-// configuration when the outage has ended.
-func forConfig(timing feed.Timing) feed.Timing {
-	timing.Timeout = callTimeout
-	if timing.Wait == 0 {
-		timing.Settle = configSettle
-	}
-	return timing
-}
-
-// serversTiming returns a timing that waits at the store for changes of servers, or
-// one that polls while heartbeats are records, since these end every wait.
-func (t *tracker) serversTiming() func() feed.Timing {
-	waiting := t.timing(feed.Timing{Wait: configWait, Pause: configPause, Timeout: callTimeout})
-	polling := t.timing(feed.Timing{Pause: serversPause, Timeout: callTimeout})
-	return func() feed.Timing {
-		if t.heartbeatRecords.Load() {
-			return polling()
-		}
-		return waiting()
-	}
-}
-
 // peerPosition returns a function for the position of the newest change that another
 // router has read and that is not applied here, or logpos.None.
 func (t *tracker) peerPosition(topic int) func() logpos.Position {
@@ -383,62 +308,3 @@
 	t.exchange.RequestPlacements()
 	t.events.Emit(event.FrontReady, "version", t.state.Table().Version(), "servers", t.servers.Len())
 }
-
-// newObserver returns an observer that runs apply on the tracker's goroutine.
-func (t *tracker) newObserver(ctx context.Context, topic int, apply func(feed.Batch)) feed.Observer {
-	return &observer{ctx: ctx, tracker: t, topic: topic, apply: apply}
-}
-
-type observer struct {
-	ctx     context.Context
-	tracker *tracker
-	topic   int
-	apply   func(feed.Batch)
-}
-
-// Batch passes records to the tracker's goroutine.
-func (o *observer) Batch(batch feed.Batch) {
-	select {
-	case o.tracker.tasks <- func() { o.apply(batch) }:
-	case <-o.ctx.Done():
-	}
-}
-
-// OutageStarted records and logs that the store does not answer.
-func (o *observer) OutageStarted(err error) {
-	o.tracker.progress.setFailing(o.topic, true)
-	o.tracker.events.Emit(event.StoreUnavailable, "topic", topicNames[o.topic], "error", err.Error())
-}
-
-// OutageEnded records and logs that the store answers again after an outage.
-func (o *observer) OutageEnded(duration time.Duration) {
-	o.tracker.progress.setFailing(o.topic, false)
-	if o.topic == topicServers && duration >= minOutage {
-		o.tracker.progress.delayRemovals(time.Now().Add(registry.RemovalGrace))
-	}
-	o.tracker.events.Emit(event.StoreAvailable, "topic", topicNames[o.topic], "after_ms", duration.Milliseconds())
-}
-
-// HistoryExpired logs that the store no longer keeps the records from a position on.
-func (o *observer) HistoryExpired(from logpos.Position) {
-	o.tracker.events.Emit(event.HistoryExpired, "topic", topicNames[o.topic], "from", from.String())
-}
-
-// StaleList logs that the store returned a list older than what was read before.
-func (o *observer) StaleList(next, current logpos.Position) {
-	o.tracker.events.Emit(event.StaleListIgnored, "topic", topicNames[o.topic], "next", next.String(), "known", current.String())
-}
-
-// EraStarted counts and logs that the store has come back from an older copy, with
-// what the router keeps.
-func (o *observer) EraStarted(era int64, next logpos.Position) {
-	t := o.tracker
-	t.eraCount.Inc(1)
-	t.exchange.SendSoon()
-	version := int64(0)
-	if table := t.state.Table(); table != nil {
-		version = table.Version()
-	}
-	t.events.Emit(event.StoreEraStarted, "era", era, "topic", topicNames[o.topic], "dropped", next.String(),
-		"kept_config", version, "kept_servers", t.serverCount.Load())
-}
