front: servers of the answer tests announce that they close

The server closed a connection after a whole answer without saying so, and the router sent the next request on it before it saw the close. Whether such a request ran is unknown, so 502 is the only true answer for one that must not be repeated, and the attempt of one that may is used up.

--- a/internal/front/rawserver_test.go
+++ b/internal/front/rawserver_test.go
@@ -53,6 +53,12 @@
 	extra string
 }
 
+// withID returns the answer with the id of a request for each @ of its body.
+func (a rawAnswer) withID(id string) rawAnswer {
+	a.body = strings.ReplaceAll(a.body, "@", id)
+	return a
+}
+
 // head returns the status line and the headers.
 func (a rawAnswer) head(id string) string {
 	var b strings.Builder
@@ -64,6 +70,10 @@
 	case a.framing == byChunks:
 		b.WriteString("Transfer-Encoding: chunked\r\n")
 	}
+	if a.ending != keeps {
+		// A request that crosses an unannounced close has an unknown outcome.
+		b.WriteString("Connection: close\r\n")
+	}
 	b.WriteString("\r\n")
 	return b.String()
 }
