order: request a load only while the lease's number is known

Cause: a load's record names the number of the lease. Queued in the same append as a renewal, it followed the renewal, named the number before it and had no effect. It was requested again a second later.

No load is requested while a renewal is being recorded.

--- a/internal/order/controllerlog.go
+++ b/internal/order/controllerlog.go
@@ -158,9 +158,11 @@
 	}
 }
 
-// requestGrant requests one load grant if the engine's next order needs one.
+// requestGrant requests one load grant if the engine's next order needs one. While a
+// renewal of the lease is being recorded the number of the lease is not known, which
+// the request must name.
 func (c *controller) requestGrant(now time.Time, e *engineOrders) {
-	if e.busy || !e.stateValid || now.Before(e.retryAt) {
+	if c.leasePending || e.busy || !e.stateValid || now.Before(e.retryAt) {
 		return
 	}
 	for _, model := range slices.Sorted(maps.Keys(e.orders)) {
