forward: break off a resumed stream that repeats events

A caller would have got events twice: an engine that is to continue a stream and begins it anew, or with the event that the caller has, was believed. The first ID of a continued stream must be above the last one that was relayed; otherwise the answer is broken off with answer_of_another_request.

TestResumedStreamThatRepeatsEventsIsBrokenOff failed before ('id: 1 ... id: 2 ... id: 1', no error). The same commit has the test of a caller that does not read its answer, which the write deadline already cuts off.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -13,6 +13,9 @@
 type Scanner struct {
 	// lastEventID is the ID of the last complete event that has one.
 	lastEventID string
+	// firstEventID is the ID of the first complete event that has one since the start or
+	// the last Restart.
+	firstEventID string
 	// endedWithoutID is set when an event without an ID has ended since.
 	endedWithoutID bool
 	// eventID and hasEventID hold the ID of the event that has not ended.
@@ -109,6 +112,9 @@
 func (s *Scanner) endEvent() {
 	if s.hasEventID {
 		s.lastEventID = s.eventID
+		if s.firstEventID == "" {
+			s.firstEventID = s.eventID
+		}
 	}
 	if s.hasFields {
 		s.endedWithoutID = !s.hasEventID
@@ -129,6 +135,10 @@
 // there is none.
 func (s *Scanner) LastEventID() string { return s.lastEventID }
 
+// FirstEventID returns the ID of the first complete event that has one since the start
+// or the last Restart; empty when there is none.
+func (s *Scanner) FirstEventID() string { return s.firstEventID }
+
 // Resumable reports whether a stream that continues after the last event ID repeats
 // and omits no complete event.
 func (s *Scanner) Resumable() bool { return s.lastEventID != "" && !s.endedWithoutID }
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -61,8 +61,11 @@
 	if s.Open() != 0 || s.LastEventID() != "1" {
 		t.Fatalf("%d bytes are open and the last ID is %q; want 0 and 1", s.Open(), s.LastEventID())
 	}
-	if got := s.Scan([]byte("\nid: 2\n\n")); got != len("\nid: 2\n\n") || s.LastEventID() != "2" {
-		t.Errorf("%d bytes are complete and the last ID is %q; want all and 2", got, s.LastEventID())
+	if s.FirstEventID() != "" {
+		t.Errorf("first ID %q after a restart, want none", s.FirstEventID())
+	}
+	if got := s.Scan([]byte("\nid: 2\n\nid: 3\n\n")); got != len("\nid: 2\n\nid: 3\n\n") || s.FirstEventID() != "2" || s.LastEventID() != "3" {
+		t.Errorf("%d bytes are complete, first ID %q, last ID %q; want all, 2 and 3", got, s.FirstEventID(), s.LastEventID())
 	}
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,9 +32,12 @@
 	held []byte
 	// joined is the buffer in which held bytes and the rest of their event are joined.
 	joined []byte
-	// relayedPart is set when a part of an event has been relayed, because the event
-	// was too large to be held back.
-	relayedPart bool
+	// resumedAfter is the ID of the last event that the caller had when another engine
+	// was asked to continue the stream.
+	resumedAfter string
+	// unresumable is set when a part of an event has been relayed, because the event was
+	// too large to be held back, and when an engine did not continue where it was asked to.
+	unresumable bool
 }
 
 // relayStream relays events as they arrive. On a resumable route it relays only
@@ -42,13 +46,19 @@
 	buffer := readBuffers.Get().(*[streamReadBytes]byte)
 	defer readBuffers.Put(buffer)
 	c.stream.held = c.stream.held[:0]
+	c.stream.resumedAfter = c.stream.events.LastEventID()
 	c.stream.events.Restart()
 	for {
 		n, err := resp.Body.Read(buffer[:])
 		if n > 0 {
 			watch.recordProgress()
 			c.attempts.bodyBytes += int64(n)
-			if !c.writeStreamData(resp, buffer[:n]) {
+			complete := c.stream.events.Scan(buffer[:n])
+			if c.stream.repeats() {
+				c.stream.unresumable = true
+				return c.classifyBroken(ctx, CauseWrongAnswer)
+			}
+			if !c.writeStreamData(resp, buffer[:n], complete) {
 				return c.callerLeftResult()
 			}
 		}
@@ -61,12 +71,27 @@
 	}
 }
 
-// writeStreamData sends what new bytes of a stream allow to the caller, and reports
-// whether the caller is still connected. While nothing can be sent, nothing is
-// flushed: that would send headers other than the server's.
-func (c *call) writeStreamData(resp *http.Response, data []byte) bool {
-	complete := c.stream.events.Scan(data)
-	if c.route.Resumable && !c.stream.relayedPart {
+// repeats reports whether an engine that was to continue the stream began with an event
+// that the caller has. IDs rise within a stream.
+func (s *streamState) repeats() bool {
+	first := s.events.FirstEventID()
+	if s.resumedAfter == "" || first == "" {
+		return false
+	}
+	last, err := strconv.ParseUint(s.resumedAfter, 10, 64)
+	next, nextErr := strconv.ParseUint(first, 10, 64)
+	if err != nil || nextErr != nil {
+		return first == s.resumedAfter
+	}
+	return next <= last
+}
+
+// writeStreamData sends what new bytes of a stream allow to the caller, of which the
+// first complete ones end events, and reports whether the caller is still connected.
+// While nothing can be sent, nothing is flushed: that would send headers other than the
+// server's.
+func (c *call) writeStreamData(resp *http.Response, data []byte, complete int) bool {
+	if c.route.Resumable && !c.stream.unresumable {
 		data = c.stream.hold(data, complete)
 	}
 	if len(data) == 0 {
@@ -87,7 +112,7 @@
 func (s *streamState) hold(data []byte, complete int) []byte {
 	if complete == 0 && len(s.held)+len(data) > maxHeldBytes {
 		complete = len(data)
-		s.relayedPart = true
+		s.unresumable = true
 	}
 	if complete == 0 {
 		s.held = append(s.held, data...)
@@ -122,5 +147,5 @@
 
 // canResume reports whether another engine can continue the stream.
 func (c *call) canResume() bool {
-	return c.route.Resumable && !c.stream.relayedPart && c.stream.events.Resumable()
+	return c.route.Resumable && !c.stream.unresumable && c.stream.events.Resumable()
 }
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -141,3 +141,51 @@
 		}
 	}
 }
+
+// Guards against events that reach a caller twice because the engine that is to continue
+// a stream starts it from its first event, or from one that the caller has.
+func TestResumedStreamThatRepeatsEventsIsBrokenOff(t *testing.T) {
+	b := newAnswersBed(t, 2)
+	caller := &rawCaller{addr: strings.TrimPrefix(b.baseURL, "http://"), version: "HTTP/1.1"}
+	whole := eventStream(4, "\n", "x")
+	events := eventsOf(whole)
+	first := rawAnswer{version: "HTTP/1.1", status: http.StatusOK, framing: byChunks, chunk: 1 << 10, body: whole, ending: closes}
+	_, headBytes := first.wire("raw1", false)
+	first.cut = headBytes + 2*len(events[0]) + 10
+	for name, c := range map[string]struct {
+		body string
+		want bool
+	}{
+		"next event": {strings.Join(events[2:], ""), true}, "first event": {whole, false}, "last event again": {strings.Join(events[1:], ""), false},
+	} {
+		id := fmt.Sprintf("raw%d", requests.Add(1))
+		second := first
+		second.cut, second.body = -1, c.body
+		b.servers.prepare(id, func(*http.Request) rawAnswer { return first }, func(*http.Request) rawAnswer { return second })
+		got := caller.do(http.MethodPost, "/rawresume/x", id)
+		if c.want && (got.err != nil || got.body != whole) {
+			t.Errorf("%s: %q, error %v; want the whole stream", name, got.body, got.err)
+		}
+		if !c.want && (got.err == nil || !strings.HasPrefix(whole, got.body)) {
+			t.Errorf("%s: %q, error %v; want the start of the stream, broken off", name, got.body, got.err)
+		}
+	}
+}
+
+// Guards against a caller that does not read its answer and so holds a request, and the
+// connection to its server, without end.
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	b := newTestBedWith(t, 1).run()
+	b.engines[0].SetAnswerBytes(32 << 20)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.baseURL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, rawRequest(http.MethodPost, "/short/x", "HTTP/1.1", "slow")); err != nil {
+		t.Fatal(err)
+	}
+	b.waitFor("the server has the request", func() bool { return b.requestCount() == 1 })
+	b.waitFor("the request has ended", func() bool { return b.front.Status().Running == 0 })
+	b.waitFor("the connection to the server has ended", func() bool { return b.engines[0].Connections() == 0 })
+}
