--- a/internal/front/request_test.go
+++ b/internal/front/request_test.go
@@ -143,6 +143,23 @@
 	}
 }
 
+// Guards against a caller's own resumption that is lost on the way, also when the engine
+// that continues its stream breaks off.
+func TestCallerResumesAStream(t *testing.T) {
+	b := newTestBed(t).run()
+	whole := wholeStream()
+	for name, fault := range map[string]platformtest.Fault{"served": platformtest.None, "broken off": platformtest.Cut} {
+		for _, e := range b.engines {
+			e.SetNextFaults()
+		}
+		b.servingEngine().SetNextFaults(fault)
+		got := b.do(b.request(http.MethodPost, "/resume/x", "body", platformtest.HeaderPrompt, "aa:800,bb:400,ee:1", platformtest.HeaderLastEvent, "1"))
+		if want := strings.TrimPrefix(whole, streamUpTo(1)); got.err != nil || got.body != want {
+			t.Errorf("%s: %q, error %v; want the events after the first", name, got.body, got.err)
+		}
+	}
+}
+
 // servingEngine returns the engine that serves the prompt prefix of the resume test.
 func (b *testBed) servingEngine() *platformtest.Engine {
 	b.t.Helper()
