--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -152,7 +152,7 @@
 	if !repeatable && x.runs != 1 || x.runs > 2 {
 		return "wrong number of runs"
 	}
-	failed := server == nothing || server == broken || x.first.status >= 500
+	failed := server == noHeaders || server == broken || x.first.status >= 500
 	// The start of a large answer has reached the caller before it breaks off.
 	started := server == broken && !events && len(sent) > bufferedBytes && (x.first.status < 500 || !repeatable)
 	switch {
@@ -162,7 +162,7 @@
 		return x.wantBroken(sent)
 	case repeatable && failed:
 		return x.checkSecond()
-	case server == nothing:
+	case server == noHeaders:
 		return x.wantStatus(http.StatusBadGateway)
 	case server == broken && (!events || x.got.status == http.StatusBadGateway):
 		if events && len(sent) > 0 && x.got.status != http.StatusBadGateway {
--- a/internal/front/heldconfig_test.go
+++ b/internal/front/heldconfig_test.go
@@ -49,7 +49,7 @@
 					t.Error(err)
 				}
 			})
-			// The router never starts later than this test.
+			// A start in the future keeps the wait open for as long as the test runs.
 			tr.startedAt = time.Now().Add(time.Minute - c.age)
 			if c.age > 0 {
 				tr.startedAt = time.Now().Add(-c.age)
--- a/internal/front/rawserver_test.go
+++ b/internal/front/rawserver_test.go
@@ -99,12 +99,12 @@
 	return append(wire, "0\r\n\r\n"...), len(h)
 }
 
-// said is what a server has stated about the end of its answer.
-type said int
+// completeness is what a server has stated about the end of its answer.
+type completeness int
 
 const (
-	// nothing: the headers are incomplete.
-	nothing said = iota
+	// noHeaders: the headers are incomplete.
+	noHeaders completeness = iota
 	// broken: the body ended before its marked end.
 	broken
 	// open: the connection ended in order, and nothing else marks the end.
@@ -114,7 +114,7 @@
 
 // statement returns what the server states with the bytes that it sends for a request,
 // and the part of the body that it sends.
-func (a rawAnswer) statement(id string, head bool) (said, string) {
+func (a rawAnswer) statement(id string, head bool) (completeness, string) {
 	wire, headBytes := a.wire(id, head)
 	cut := len(wire)
 	if a.cut >= 0 {
@@ -122,7 +122,7 @@
 	}
 	switch {
 	case cut < headBytes:
-		return nothing, ""
+		return noHeaders, ""
 	case a.bodyless() || head:
 		return complete, ""
 	case a.framing == byClose && a.ending == resets:
@@ -132,7 +132,7 @@
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(wire[:cut])), nil)
 	if err != nil {
-		return nothing, ""
+		return noHeaders, ""
 	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
