--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -40,6 +40,7 @@
 		c.Routes = append(c.Routes, r)
 	}
 	c.Pools = append(c.Pools, "raw")
+	c.BodyBytes = 4 << 20
 	b.publish(c)
 	a := &answersBed{testBed: b, servers: startRawServers(t.(*testing.T), b, servers)}
 	b.startReady()
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
@@ -189,3 +190,58 @@
 	b.waitFor("the request has ended", func() bool { return b.front.Status().Running == 0 })
 	b.waitFor("the connection to the server has ended", func() bool { return b.engines[0].Connections() == 0 })
 }
+
+// Guards against a request that holds a place without end, or reaches a server in part,
+// because its caller stops in the middle of the body.
+func TestCallerThatStopsInItsBodyIsCutOff(t *testing.T) {
+	b := newTestBed(t).run()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.baseURL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(waitTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	request := rawRequest(http.MethodPost, "/short/x", "HTTP/1.1", "stops")
+	if _, err := io.WriteString(conn, strings.Replace(request, "Content-Length: 0", "Content-Length: 100", 1)+"the start"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("status %d, want 400", resp.StatusCode)
+	}
+	b.waitFor("the request has ended", func() bool { return b.front.Status().Running == 0 })
+	if n := b.requestCount(); n != 0 {
+		t.Errorf("%d servers got the request, want none", n)
+	}
+}
+
+// Guards against other bytes where the rest of a body is due: a server answers before it
+// has read the body, keeps the connection and reads on.
+func TestRestOfABodyFollowsAnEarlyAnswer(t *testing.T) {
+	b := newAnswersBed(t, 1)
+	body := strings.Repeat("0123456789", 100<<10)
+	broken := make(chan string, 100)
+	b.servers.onEarlyBody = func(rest string, err error) {
+		if err == nil && rest != body || err != nil && !strings.HasPrefix(body, rest) {
+			broken <- fmt.Sprintf("%d bytes, error %v", len(rest), err)
+		}
+	}
+	for range 20 {
+		r := b.request(http.MethodPost, "/rawunsafe/x", body)
+		id := r.Header.Get(platformtest.HeaderRequestID)
+		b.servers.prepare(id, func(*http.Request) rawAnswer {
+			return rawAnswer{version: "HTTP/1.1", status: http.StatusOK, framing: byLength, cut: -1, body: "early " + id, early: true}
+		})
+		if got := b.do(r); got.err == nil && got.status == http.StatusOK && got.body != "early "+id {
+			t.Errorf("status %d, body %q; want the answer to this request", got.status, got.body)
+		}
+	}
+	if len(broken) > 0 {
+		t.Errorf("%d bodies were followed by other bytes, the first: %s", len(broken), <-broken)
+	}
+}
--- a/internal/front/rawserver_test.go
+++ b/internal/front/rawserver_test.go
@@ -51,6 +51,8 @@
 	ending ending
 	// extra is sent after the answer and belongs to no request.
 	extra string
+	// early is set when the answer is sent before the body of the request is read.
+	early bool
 }
 
 // withID returns the answer with the id of a request for each @ of its body.
@@ -148,6 +150,8 @@
 	mu      sync.Mutex
 	answers map[string][]func(r *http.Request) rawAnswer
 	runs    map[string]int
+	// onEarlyBody is called with each body that is read after its answer.
+	onEarlyBody func(body string, err error)
 }
 
 // startRawServers starts n servers and registers them as pool "raw".
@@ -201,12 +205,21 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
 		id := r.Header.Get(platformtest.HeaderRequestID)
 		a, ok := s.next(id, r)
-		if !ok || !s.send(conn, id, r, a) {
+		if !ok {
 			return
 		}
+		if !a.early {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		if !s.send(conn, id, r, a) {
+			return
+		}
+		if a.early {
+			body, err := io.ReadAll(r.Body)
+			s.onEarlyBody(string(body), err)
+		}
 	}
 }
 
