forward: join no failure answer to a stream that the caller has the start of

The stream is broken off now, as for a small failure.

TestFailureOfAContinuedStreamIsNotJoinedToIt failed before for both ('id: 1 ... xxxxxxxxxx', no error).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -339,6 +339,10 @@
 	if c.route.Kind == routing.Stream && success {
 		return c.relayStream(ctx, resp, watch)
 	}
+	if c.headerSent {
+		// The caller has the start of a stream, to which a failure can't be added.
+		return result{outcome: balance.Failed, cause: CauseServerFailed, mayHaveRun: true}
+	}
 	return c.relayPlain(ctx, resp, watch)
 }
 
@@ -367,7 +371,7 @@
 	if err != nil {
 		return res
 	}
-	if !whole && c.route.MayRepeat() && c.attempts.ran+1 < c.route.MaxAttempts {
+	if !whole && (c.headerSent || c.route.MayRepeat() && c.attempts.ran+1 < c.route.MaxAttempts) {
 		return res
 	}
 	if !whole {
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -245,3 +245,23 @@
 		t.Errorf("%d bodies were followed by other bytes, the first: %s", len(broken), <-broken)
 	}
 }
+
+// Guards against a failure answer that is written into a stream which the caller has the
+// start of, when the engine that is to continue it refuses.
+func TestFailureOfAContinuedStreamIsNotJoinedToIt(t *testing.T) {
+	b := newAnswersBed(t, 2)
+	caller := &rawCaller{addr: strings.TrimPrefix(b.baseURL, "http://"), version: "HTTP/1.1"}
+	whole := eventStream(3, "\n", "x")
+	first := rawAnswer{version: "HTTP/1.1", status: http.StatusOK, framing: byChunks, chunk: 1 << 10, body: whole, ending: closes}
+	_, headBytes := first.wire("raw1", false)
+	first.cut = headBytes + len(eventsOf(whole)[0]) + 10
+	for status, size := range map[int]int{http.StatusNotFound: 10, http.StatusInternalServerError: 300 << 10} {
+		id := fmt.Sprintf("raw%d", requests.Add(1))
+		second := rawAnswer{version: "HTTP/1.1", status: status, framing: byLength, cut: -1, body: strings.Repeat("x", size), ending: closes}
+		b.servers.prepare(id, func(*http.Request) rawAnswer { return first }, func(*http.Request) rawAnswer { return second })
+		got := caller.do(http.MethodPost, "/rawresume/x", id)
+		if got.err == nil || got.status != http.StatusOK || !strings.HasPrefix(whole, got.body) {
+			t.Errorf("continued by status %d: status %d, error %v, %d bytes %.80q; want the start of the stream, broken off", status, got.status, got.err, len(got.body), got.body)
+		}
+	}
+}
