--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -155,13 +155,6 @@
 	return !p.applied[topic].Before(position)
 }
 
-// recordChange records the position of a record that changed the router's state.
-func (p *progress) recordChange(topic int, position logpos.Position) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.advance(topic, position)
-}
-
 // recordConfig records the version and the position of a configuration that was put in
 // force.
 func (p *progress) recordConfig(version int64, position logpos.Position) {
--- a/internal/front/progress_test.go
+++ b/internal/front/progress_test.go
@@ -34,7 +34,7 @@
 	if other.detectGap([]digest.ServerChange{sent[0]}); other.gapPosition() != logpos.None {
 		t.Errorf("first change: gap at %s, want none", other.gapPosition())
 	}
-	other.recordChange(topicServers, at(5))
+	other.recordReceived([]registry.Change{change("x", 5)})
 	if other.detectGap([]digest.ServerChange{sent[2]}); other.gapPosition() != at(9) {
 		t.Errorf("a change after a lost one: gap at %s, want 9", other.gapPosition())
 	}
@@ -76,7 +76,7 @@
 // later changes were ignored.
 func TestChangeThatWasReadLeavesNoGap(t *testing.T) {
 	p := newProgress()
-	p.recordChange(topicServers, at(10))
+	p.recordReceived([]registry.Change{change("x", 10)})
 	p.recordReadTo(at(17))
 	if p.detectGap([]digest.ServerChange{{ID: "a", Position: at(16), Prev: at(15)}}); p.gapPosition() != logpos.None {
 		t.Errorf("gap at %s, want none", p.gapPosition())
@@ -87,7 +87,7 @@
 // as changes and make every other router read the store.
 func TestHeartbeatsAreNotReportedAsChanges(t *testing.T) {
 	p := newProgress()
-	p.recordChange(topicServers, at(10))
+	p.recordReceived([]registry.Change{change("x", 10)})
 	p.recordReadTo(at(500))
 	if list := p.report(time.Now(), 0).Topics; list[topicServers].LastChange != at(10) {
 		t.Errorf("reported change %s, want 0/10", list[topicServers].LastChange)
@@ -102,9 +102,9 @@
 // while all routers were stopped in turn.
 func TestNewReaderReportsPrecedingChange(t *testing.T) {
 	reader, other := newProgress(), newProgress()
-	reader.recordChange(topicServers, at(100))
+	reader.recordReceived([]registry.Change{change("x", 100)})
 	reader.recordRead([]registry.Change{change("b", 101)})
-	other.recordChange(topicServers, at(99))
+	other.recordReceived([]registry.Change{change("x", 99)})
 	if other.detectGap(reader.ServerChanges()); other.gapPosition() != at(101) {
 		t.Errorf("gap at %s, want 101", other.gapPosition())
 	}
@@ -131,7 +131,7 @@
 		{ID: "x", Position: at(1), Server: &registry.Server{ID: "x", Pool: "p", Addr: "10.0.0.1:1"}},
 		{ID: "y", Position: at(2), Server: &registry.Server{ID: "y", Pool: "p", Addr: "10.0.0.2:1"}},
 	}, time.Time{})
-	tr.progress.recordChange(topicServers, at(235))
+	tr.progress.recordReceived([]registry.Change{change("x", 235)})
 	deliver(tr, digest.ServerChange{ID: "y", Position: at(237), Prev: at(235), Server: &registry.Server{ID: "y", Pool: "p", Addr: "10.0.0.2:1", Leaving: true}})
 	deliver(tr, digest.ServerChange{ID: "x", Position: at(236), Prev: at(235)})
 	for _, s := range tr.servers.Servers() {
