--- a/internal/forward/framing.go
+++ b/internal/forward/framing.go
@@ -74,7 +74,7 @@
 }
 
 func (c *call) resetConnection() {
-	conn, _, err := http.NewResponseController(c.w).Hijack()
+	conn, _, err := http.NewResponseController(&c.w).Hijack()
 	if err != nil {
 		// The caller has closed the connection.
 		return
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -51,7 +51,7 @@
 // call is the state of one request. One goroutine owns it.
 type call struct {
 	handler   *Handler
-	w         http.ResponseWriter
+	w         callerAnswer
 	r         *http.Request
 	arrivedAt time.Time
 
@@ -85,7 +85,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	c := &call{handler: h, w: w, r: r, arrivedAt: time.Now(), headers: h.codec.RequestHeaders(r.Header)}
+	c := &call{handler: h, w: callerAnswer{ResponseWriter: w}, r: r, arrivedAt: time.Now(), headers: h.codec.RequestHeaders(r.Header)}
 	defer c.finish()
 	if h.stopping.Load() != nil || len(r.TransferEncoding) > 0 {
 		// A chunked request may also have carried a Content-Length, which net/http
@@ -171,9 +171,9 @@
 		return false
 	}
 	// A caller whose body is incomplete at the deadline no longer waits for an answer.
-	_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline)
+	_ = http.NewResponseController(&c.w).SetReadDeadline(c.deadline)
 	body, err := readAll(c.r, limit)
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+	_ = http.NewResponseController(&c.w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -215,7 +215,7 @@
 		return
 	}
 	// The caller's connection must not block the goroutine past the deadline.
-	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(time.Second))
+	_ = http.NewResponseController(&c.w).SetWriteDeadline(c.deadline.Add(time.Second))
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	for c.tryServer(ctx) {
@@ -245,6 +245,7 @@
 // finish records how the request ended and breaks a cut answer off.
 func (c *call) finish() {
 	c.handler.bodies.add(-c.reserved)
+	c.recordImplied()
 	c.handler.metrics.recordEnd(c, time.Since(c.arrivedAt))
 	c.log()
 	if c.outcome == OutcomeCut {
@@ -252,6 +253,16 @@
 	}
 }
 
+// recordImplied records a status on the wire that the router has not decided.
+func (c *call) recordImplied() {
+	if c.outcome != OutcomeCut {
+		c.w.imply()
+	}
+	if c.w.sent != c.status {
+		c.handler.metrics.recordImplied(c.outcome)
+	}
+}
+
 func (c *call) log() {
 	e := event.RequestServed
 	if c.outcome != OutcomeServed {
@@ -264,6 +275,9 @@
 	if c.cause != CauseNone {
 		kv = append(kv, "cause", c.cause)
 	}
+	if c.w.sent != c.status {
+		kv = append(kv, "sent_status", c.w.sent)
+	}
 	if c.table != nil {
 		kv = append(kv, "config", c.table.Version())
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -22,6 +22,12 @@
 
 func (m *Metrics) recordRetry() { m.retries.Inc(1) }
 
+// recordImplied counts an answer whose status net/http chose, by the outcome that the
+// router decided.
+func (m *Metrics) recordImplied(o Outcome) {
+	m.scope.Tagged(map[string]string{"outcome": string(o)}).Counter("implied_statuses").Inc(1)
+}
+
 func (m *Metrics) recordEnd(c *call, duration time.Duration) {
 	kind := "none"
 	if c.route != nil {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -44,7 +44,7 @@
 	if _, err := c.w.Write(body); err != nil {
 		return c.callerLeftResult()
 	}
-	n, err := io.Copy(c.w, resp.Body)
+	n, err := c.w.ReadFrom(resp.Body)
 	c.attempts.bodyBytes += n
 	if err != nil {
 		return c.classifyBroken(ctx, CauseAnswerBroken)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -104,7 +104,7 @@
 	if _, err := c.w.Write(data); err != nil {
 		return false
 	}
-	return http.NewResponseController(c.w).Flush() == nil
+	return http.NewResponseController(&c.w).Flush() == nil
 }
 
 // hold returns the events that the first complete bytes of data end, and holds the
