--- /dev/null
+++ b/internal/front/unanswered_test.go
@@ -0,0 +1,40 @@
+package front_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
+)
+
+// Guards against a success that no server gave: a caller that has closed only its
+// sending side gets the empty 200 with which net/http ends a request without an answer.
+func TestCallerThatClosesItsSendingSideGetsNoMadeUpSuccess(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			b := newTestBedWith(t, 1).run()
+			b.engines[0].SetDelay(200 * time.Millisecond)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(b.baseURL, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, rawRequest(http.MethodPost, path, "HTTP/1.1", "half", platformtest.HeaderPrompt, prompt)); err != nil {
+				t.Fatal(err)
+			}
+			if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil && resp.StatusCode == http.StatusOK && resp.Header.Get(platformtest.HeaderSignature) == "" {
+				t.Errorf("status 200 without a signature, length %d", resp.ContentLength)
+			}
+		})
+	}
+}
