forward: end a request without an answer by closing its connection

Callers got a 200 that no server gave: for a caller that closes only its sending side net/http cancels the request, the router wrote nothing, and net/http ended it with an empty 200.

Cause: an answer's status was decided in two places, the router and net/http, and each path of the handler had to remember to be first. Now callerAnswer holds the one status that was sent; a write or a flush before it panics, which closes the connection, and a request that ends without one is broken off. headerSent and status of the call, which stood beside it, are gone, so the log's status is what the caller got.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -5,49 +5,49 @@
 	"net/http"
 )
 
-// impliedStatus is the status that net/http sends when a request is written to, flushed
-// or ended before it has one.
-const impliedStatus = http.StatusOK
-
-// callerAnswer is the answer to the caller. It records the status that was sent. One
-// goroutine owns it.
+// callerAnswer is the answer to the caller. net/http sends a 200 of its own when an answer
+// is written or flushed before it has a status; callerAnswer panics instead, which closes
+// the connection. One goroutine owns it.
 type callerAnswer struct {
 	http.ResponseWriter
-	// sent is the status on the wire; 0 before there is one.
-	sent int
+	// status is the status that was sent; 0 before.
+	status int
 }
 
+// started reports whether the caller has the status and the headers.
+func (a *callerAnswer) started() bool { return a.status != 0 }
+
 // WriteHeader sends the status and the headers. Only the first call has an effect.
 func (a *callerAnswer) WriteHeader(status int) {
-	if a.sent == 0 {
-		a.sent = status
+	if a.started() {
+		return
 	}
+	a.status = status
 	a.ResponseWriter.WriteHeader(status)
 }
 
 func (a *callerAnswer) Write(p []byte) (int, error) {
-	a.imply()
+	a.mustBeStarted()
 	return a.ResponseWriter.Write(p)
 }
 
 // ReadFrom writes all of r.
 func (a *callerAnswer) ReadFrom(r io.Reader) (int64, error) {
-	a.imply()
+	a.mustBeStarted()
 	return io.Copy(a.ResponseWriter, r)
 }
 
 // FlushError sends what has been written.
 func (a *callerAnswer) FlushError() error {
-	a.imply()
+	a.mustBeStarted()
 	return http.NewResponseController(a.ResponseWriter).Flush()
 }
 
 // Unwrap returns the writer of net/http, for http.ResponseController.
 func (a *callerAnswer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
 
-// imply records that net/http sends a status of its own.
-func (a *callerAnswer) imply() {
-	if a.sent == 0 {
-		a.sent = impliedStatus
+func (a *callerAnswer) mustBeStarted() {
+	if !a.started() {
+		panic("forward: an answer is written before its status")
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -261,7 +261,7 @@
 // server takes precedence over one that the router makes itself.
 func (c *call) endUnserved(cause Cause) {
 	switch {
-	case c.headerSent:
+	case c.w.started():
 		c.outcome, c.cause = OutcomeCut, cause
 	case c.attempts.failure != nil:
 		c.deliverFailure(c.attempts.failure)
@@ -339,7 +339,7 @@
 	if c.route.Kind == routing.Stream && success {
 		return c.relayStream(ctx, resp, watch)
 	}
-	if c.headerSent {
+	if c.w.started() {
 		// The caller has the start of a stream, to which a failure can't be added.
 		return result{outcome: balance.Failed, cause: CauseServerFailed, mayHaveRun: true}
 	}
@@ -371,7 +371,7 @@
 	if err != nil {
 		return res
 	}
-	if !whole && (c.headerSent || c.route.MayRepeat() && c.attempts.ran+1 < c.route.MaxAttempts) {
+	if !whole && (c.w.started() || c.route.MayRepeat() && c.attempts.ran+1 < c.route.MaxAttempts) {
 		return res
 	}
 	if !whole {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -70,12 +70,10 @@
 	load      overload.Load
 	admission overload.Decision
 
-	attempts   attempts
-	stream     streamState
-	headerSent bool
+	attempts attempts
+	stream   streamState
 	// sentFraming is how the end of the answer to the caller is marked.
 	sentFraming framing.Framing
-	status      int
 	firstByte   time.Duration
 	outcome     Outcome
 	cause       Cause
@@ -92,13 +90,13 @@
 		// drops; what follows the request on the connection is not trusted.
 		w.Header().Set("Connection", "close")
 	}
-	if !c.authorize() {
-		return
+	if c.authorize() && c.readBody() {
+		c.run()
 	}
-	if !c.readBody() {
-		return
+	if c.outcome == OutcomeCut || !c.w.started() {
+		// net/http would end the answer well, or send a 200 for a request without one.
+		c.abort()
 	}
-	c.run()
 }
 
 // authorize finds the route and the workspace, or answers the request with a
@@ -242,25 +240,11 @@
 	return c.admission.Admitted
 }
 
-// finish records how the request ended and breaks a cut answer off.
+// finish records how the request ended.
 func (c *call) finish() {
 	c.handler.bodies.add(-c.reserved)
-	c.recordImplied()
 	c.handler.metrics.recordEnd(c, time.Since(c.arrivedAt))
 	c.log()
-	if c.outcome == OutcomeCut {
-		c.abort()
-	}
-}
-
-// recordImplied records a status on the wire that the router has not decided.
-func (c *call) recordImplied() {
-	if c.outcome != OutcomeCut {
-		c.w.imply()
-	}
-	if c.w.sent != c.status {
-		c.handler.metrics.recordImplied(c.outcome)
-	}
 }
 
 func (c *call) log() {
@@ -269,15 +253,12 @@
 		e = event.RequestFailed
 	}
 	kv := []any{
-		"request", c.headers.ID, "outcome", c.outcome, "status", c.status,
+		"request", c.headers.ID, "outcome", c.outcome, "status", c.w.status,
 		"ms", time.Since(c.arrivedAt).Milliseconds(), "first_ms", c.firstByte.Milliseconds(),
 	}
 	if c.cause != CauseNone {
 		kv = append(kv, "cause", c.cause)
 	}
-	if c.w.sent != c.status {
-		kv = append(kv, "sent_status", c.w.sent)
-	}
 	if c.table != nil {
 		kv = append(kv, "config", c.table.Version())
 	}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -47,8 +47,6 @@
 	if connection != "" {
 		h.Set("Connection", connection)
 	}
-	c.headerSent = true
-	c.status = status
 	c.w.WriteHeader(status)
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -22,19 +22,13 @@
 
 func (m *Metrics) recordRetry() { m.retries.Inc(1) }
 
-// recordImplied counts an answer whose status net/http chose, by the outcome that the
-// router decided.
-func (m *Metrics) recordImplied(o Outcome) {
-	m.scope.Tagged(map[string]string{"outcome": string(o)}).Counter("implied_statuses").Inc(1)
-}
-
 func (m *Metrics) recordEnd(c *call, duration time.Duration) {
 	kind := "none"
 	if c.route != nil {
 		kind = c.route.Kind.String()
 	}
 	m.scope.Tagged(map[string]string{
-		"kind": kind, "outcome": string(c.outcome), "cause": string(c.cause), "status": statusLabel(c.status),
+		"kind": kind, "outcome": string(c.outcome), "cause": string(c.cause), "status": statusLabel(c.w.status),
 		"framing": string(c.attempts.framing),
 	}).Counter("requests").Inc(1)
 	scope := m.scope.Tagged(map[string]string{"kind": kind})
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -72,7 +72,7 @@
 }
 
 func (c *call) writeProblem(status int, o Outcome, cause Cause) {
-	c.outcome, c.cause, c.status = o, cause, status
+	c.outcome, c.cause = o, cause
 	body, err := json.Marshal(problem{Outcome: o, Code: cause})
 	if err != nil {
 		body = nil
@@ -80,7 +80,6 @@
 	h := c.w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	c.headerSent = true
 	c.w.WriteHeader(status)
 	// A write error means that the caller has disconnected.
 	_, _ = c.w.Write(body)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -67,7 +67,7 @@
 		// The deadline of the request has passed; the server may be healthy.
 		res.outcome = balance.Cancelled
 	}
-	if c.headerSent && !c.canResume() {
+	if c.w.started() && !c.canResume() {
 		c.outcome, c.cause = OutcomeCut, res.cause
 		res.done = true
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -97,7 +97,7 @@
 	if len(data) == 0 {
 		return true
 	}
-	if !c.headerSent {
+	if !c.w.started() {
 		c.firstByte = time.Since(c.arrivedAt)
 		c.sendHeaders(resp.StatusCode, resp.Header, endOf(resp).ofStream())
 	}
@@ -134,7 +134,7 @@
 	if c.stream.events.Open() > 0 || end.framing == framing.Close && c.attempts.bodyBytes == 0 {
 		return c.classifyBroken(ctx, CauseAnswerBroken)
 	}
-	if !c.headerSent {
+	if !c.w.started() {
 		c.sendHeaders(resp.StatusCode, resp.Header, end.ofStream())
 	}
 	if end.framing == framing.Close && c.sentFraming != framing.Close {
