soak: callers require a server's signature on each success

The soak passed on code that gave successes of net/http's own: its callers compared status and body only, excused bodies beside a fault of the server, and no stand-in wrote or broke off inside a first event. Now each 2xx needs the signature of a server that ran the request, whatever faults there were. New kinds of faults, drawn by the seed: a server writes in pieces, breaks off inside the first event, answers twice. Pieces are proper and explain no cut. The proxies pass a server's reset on as a reset; they made a close of it. A seed draws another schedule than before, as there are more kinds.

-soak.binary runs a given binary, to compare versions under the same seeds.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -29,10 +29,11 @@
 	return fmt.Sprintf("%6.2fs for %.2fs %s %d", x.start.Seconds(), x.duration.Seconds(), x.kind, x.selector)
 }
 
-// Planned operations, which do not explain a cut answer.
+// Planned operations and proper answers, which do not explain a cut answer.
 const (
 	kindServerLeaves  = "server leaves"
 	kindRouterStopped = "router stopped"
+	kindServerPieces  = "server writes in pieces"
 )
 
 // faultKinds are the kinds of faults. Each run returns after its duration, when the
@@ -135,6 +136,24 @@
 		s.SetDefaultFault(platformtest.None)
 		s.SetFraming(platformtest.Framed)
 	}},
+	{kindServerPieces, func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		s.SetPieces(1+selector%pieceSizes, piecePause)
+		time.Sleep(duration)
+		s.SetPieces(0, 0)
+	}},
+	{"server breaks off inside the first event", func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		s.SetDefaultFault([]platformtest.Fault{platformtest.CutFirst, platformtest.ResetFirst}[selector%2])
+		time.Sleep(duration)
+		s.SetDefaultFault(platformtest.None)
+	}},
+	{"server answers twice", func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		s.SetDefaultFault(platformtest.AnswerTwice)
+		time.Sleep(duration)
+		s.SetDefaultFault(platformtest.None)
+	}},
 	{"store comes back from an older copy", func(f *fleet, selector int, duration time.Duration) {
 		if selector%2 == 0 {
 			f.store.SetErrorStatus(http.StatusServiceUnavailable)
@@ -164,6 +183,13 @@
 // servers write theirs within about two seconds.
 const maxUnwritten = 1500 * time.Millisecond
 
+// A server writes in pieces of 1 to pieceSizes bytes, which is shorter than an event, with
+// piecePause after each. An event takes far less time than the gap that routes allow.
+const (
+	pieceSizes = 16
+	piecePause = 1 * time.Millisecond
+)
+
 // drainGrace is the time after which a leaving server must get no more requests.
 const drainGrace = 2 * time.Second
 
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -89,10 +89,9 @@
 	f := &fleet{t: t, dir: t.TempDir(), store: platformtest.NewStore(), key: "k1", era: 1}
 	f.store.SetEra("1")
 	t.Cleanup(f.store.Close)
-	f.binary = filepath.Join(f.dir, "bluebellwell")
-	build := exec.Command("go", "build", "-o", f.binary, "../../cmd/bluebellwell")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+	f.binary = *binaryFlag
+	if f.binary == "" {
+		f.build()
 	}
 	for i := range 9 {
 		f.addServer(i)
@@ -110,6 +109,16 @@
 	return f
 }
 
+// build builds the binary of the routers.
+func (f *fleet) build() {
+	f.t.Helper()
+	f.binary = filepath.Join(f.dir, "bluebellwell")
+	build := exec.Command("go", "build", "-o", f.binary, "../../cmd/bluebellwell")
+	if out, err := build.CombinedOutput(); err != nil {
+		f.t.Fatalf("build: %v\n%s", err, out)
+	}
+}
+
 // plainServers is the number of plain servers; the other servers are engines.
 const plainServers = 3
 
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -111,7 +113,7 @@
 	p.mu.Unlock()
 }
 
-// copy forwards one direction until it ends, then closes the other side.
+// copy forwards one direction until it ends, then closes or resets the other side.
 func (p *proxy) copy(to, from net.Conn) {
 	buffer := make([]byte, 16<<10)
 	for {
@@ -126,6 +128,10 @@
 				return
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			resetConn(to)
+			return
+		}
 		if err != nil {
 			_ = to.Close()
 			return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,7 @@
 	seedFlag    = flag.Uint64("soak.seed", 20261203, "seed of the faults and the callers")
 	secondsFlag = flag.Int("soak.seconds", 8, "period in which faults start, in seconds")
 	routersFlag = flag.Int("soak.routers", 3, "number of routers")
+	binaryFlag  = flag.String("soak.binary", "", "run this binary instead of building one")
 	reportFlag  = flag.String("soak.report", "", "write a page with plots to this file")
 )
 
@@ -37,13 +38,14 @@
 	err             error
 	body            string
 	headersReceived bool
+	header          http.Header
 	// framed is set when a length or chunks mark the end of the body.
 	framed bool
 }
 
 // Guards against broken guarantees under overlapping faults: a non-repeatable
 // request that runs twice, a refusal of a request that ran, an answer that belongs
-// to another request, is incomplete or joined wrongly, a leaving server that gets
+// to another request, is incomplete or joined wrongly, a success that no server gave, a leaving server that gets
 // requests, a planned stop that cuts a request, and a fleet that does not recover.
 func TestSoak(t *testing.T) {
 	length := time.Duration(*secondsFlag) * time.Second
@@ -166,7 +168,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	res.headersReceived, res.status = true, resp.StatusCode
+	res.headersReceived, res.status, res.header = true, resp.StatusCode, resp.Header
 	body, err := io.ReadAll(resp.Body)
 	res.body, res.err = string(body), err
 	res.framed = resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
@@ -211,6 +213,7 @@
 		if once && (res.status == http.StatusServiceUnavailable || res.status == http.StatusTooManyRequests) && runs[res.id] > 0 {
 			addProblem("%s request %s was refused with %d and ran", res.kind, res.id, res.status)
 		}
+		checkSignature(addProblem, res, serversOf[res.id])
 		if res.status == http.StatusUnauthorized || res.status == http.StatusNotFound {
 			addProblem("request %s was denied with %d", res.id, res.status)
 		}
@@ -236,6 +239,24 @@
 	return problems
 }
 
+// checkSignature checks that a success has the signature of a server that ran the request.
+// No fault explains another one.
+func checkSignature(addProblem func(string, ...any), res result, servers []string) {
+	if res.status < 200 || res.status > 299 {
+		return
+	}
+	signature := res.header.Get(platformtest.HeaderSignature)
+	if signature == "" {
+		addProblem("%s request %s at %s got a success without a signature: status %d, headers %v, error %v, run by %v, body %.60q",
+			res.kind, res.id, res.router.name, res.status, res.header, res.err, servers, res.body)
+		return
+	}
+	if !slices.ContainsFunc(servers, func(id string) bool { return signature == platformtest.Signature(id) }) {
+		addProblem("%s request %s at %s got a success signed %q and ran at %v: status %d, body %.60q",
+			res.kind, res.id, res.router.name, signature, servers, res.status, res.body)
+	}
+}
+
 func checkBody(addProblem func(string, ...any), res result, whole string) {
 	stream := res.kind == "stream" || res.kind == "resume"
 	if stream && res.body != whole {
@@ -262,7 +283,7 @@
 // the request explains that its answer was cut. Planned operations don't.
 func (f *fleet) explainedByFault(res result, servers []string) bool {
 	for _, p := range f.periods {
-		if p.kind == kindServerLeaves || p.kind == kindRouterStopped {
+		if p.kind == kindServerLeaves || p.kind == kindRouterStopped || p.kind == kindServerPieces {
 			continue
 		}
 		affected := p.target == res.router.name || slices.Contains(servers, p.target)
