forward: let net/http end only answers that are whole

A caller that closed only its sending side in the middle of a stream got the events so far and then the last chunk: a truncated stream that is framed as complete.

The handler now breaks off every answer that is not marked as whole, and the mark is set only where the last byte has been written. A new way out of the handler is broken off unless it says otherwise.

TestCallerThatClosesItsSendingSideGetsNoCompleteStream failed before ("the stream ended as complete after ...") on a plain and on a resumable stream route.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -12,6 +12,9 @@
 	http.ResponseWriter
 	// status is the status that was sent; 0 before.
 	status int
+	// whole is set once all of the answer has been written. net/http ends any answer whose
+	// handler returns as a complete one, so only a whole answer may be left to it.
+	whole bool
 }
 
 // started reports whether the caller has the status and the headers.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -93,7 +93,7 @@
 	if c.authorize() && c.readBody() {
 		c.run()
 	}
-	if c.outcome == OutcomeCut || !c.w.started() {
+	if !c.w.whole {
 		// net/http would end the answer well, or send a 200 for a request without one.
 		c.abort()
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -81,6 +81,7 @@
 
 func (c *call) servedResult() result {
 	c.outcome = OutcomeServed
+	c.w.whole = true
 	return result{done: true, outcome: balance.Served, mayHaveRun: true}
 }
 
--- a/internal/front/unanswered_test.go
+++ b/internal/front/unanswered_test.go
@@ -38,3 +38,37 @@
 		})
 	}
 }
+
+// Guards against a truncated stream that is framed as complete: a caller closes only its
+// sending side in the middle of a stream and reads on.
+func TestCallerThatClosesItsSendingSideGetsNoCompleteStream(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			b := newTestBedWith(t, 1).run()
+			b.engines[0].SetDefaultFault(platformtest.Stall)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(b.baseURL, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, rawRequest(http.MethodPost, path, "HTTP/1.1", "half", platformtest.HeaderPrompt, prompt)); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadFull(resp.Body, make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+			if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			rest, err := io.ReadAll(resp.Body)
+			if err == nil {
+				t.Errorf("the stream ended as complete after %q", rest)
+			}
+		})
+	}
+}
