forward: relay only final statuses of servers

Callers got a signed 101 with no body as their answer, or a status from 600 to 999, and after a status below 100 no answer at all.

net/http passes on 101, which it takes for a final answer, and every number of three digits. The router took all below 300 for a success. WriteHeader accepts no status below 100 and panics, which closed the connection, and the request stayed counted at its server for good: the pool's load was one too high until the router's end. A status that is not from 200 to 599 is no answer in the protocol, so it now counts as a broken answer: an unknown outcome, or a retry where the request may be repeated.

TestOnlyFinalStatusesAreRelayed failed before for both 101, 000, 099, 600 and 999 ("timed out waiting until no request is counted at a server any more"). Interim answers before the final one, 204, 205, 304 and redirections passed.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -315,6 +315,9 @@
 
 // handleAnswer checks the headers of an answer and relays it.
 func (c *call) handleAnswer(ctx context.Context, choice balance.Choice, resp *http.Response, watch *watch) result {
+	if !isFinal(resp.StatusCode) {
+		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
+	}
 	answer := c.handler.codec.ResponseHeaders(resp.Header)
 	if answer.RequestID != c.headers.ID && !(answer.NotRun && answer.RequestID == "") {
 		return result{outcome: balance.Failed, cause: CauseWrongAnswer, mayHaveRun: true}
@@ -346,6 +349,13 @@
 	return c.relayPlain(ctx, resp, watch)
 }
 
+// isFinal reports whether a status may be that of a final answer (RFC 9110, section 15).
+// net/http passes 101 and undefined ones on, and accepts neither for a caller's answer.
+func isFinal(status int) bool {
+	const afterLast = 600
+	return status >= http.StatusOK && status < afterLast
+}
+
 // impliesNotRun reports whether callers take a status to mean that the request
 // has not run.
 func impliesNotRun(status int) bool {
--- /dev/null
+++ b/internal/front/answerheaders_test.go
@@ -0,0 +1,100 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
+)
+
+// answerCase is a server's answer, byte for byte with @ for the id of its request, and
+// what its caller must get.
+type answerCase struct {
+	name, text string
+	// status is that of the server's answer when it must be relayed unchanged with its
+	// signature and body, or a status of the router otherwise.
+	status  int
+	relayed bool
+	body    string
+	// header must be in the answer, each value once; an empty value means absent.
+	header map[string]string
+}
+
+// lost is the status of an answer that can't be relayed: the request may have run.
+const lost = http.StatusBadGateway
+
+const (
+	ownID  = platformtest.HeaderRequestID + ": @\r\n"
+	signed = platformtest.HeaderSignature + ": s\r\n"
+	// closing announces the close, so that no request crosses it.
+	closing = "Connection: close\r\n"
+	// content is a body and an event.
+	content = "data: ok\n\n"
+	body    = "Content-Length: 10\r\n\r\n" + content
+	rest    = closing + body
+)
+
+// checkAnswers sends one request for each case on a route whose requests may not be
+// repeated, and checks the answer.
+func checkAnswers(t *testing.T, kind string, cases []answerCase) {
+	t.Helper()
+	b := newAnswersBed(t, 2)
+	for _, c := range cases {
+		id := fmt.Sprintf("raw%d", requests.Add(1))
+		answer := rawAnswer{extra: strings.ReplaceAll(c.text, "@", id), ending: closes}
+		b.servers.prepare(id, func(*http.Request) rawAnswer { return answer }, func(*http.Request) rawAnswer { return answer })
+		caller := &rawCaller{addr: strings.TrimPrefix(b.baseURL, "http://"), version: "HTTP/1.1"}
+		got := caller.do(http.MethodPost, "/"+kind+"/x", id)
+		caller.close()
+		x := exchange{got: got}
+		if got.err != nil || got.status != c.status || x.signed() != c.relayed || c.relayed && got.body != c.body {
+			t.Errorf("%s: status %d, signed %v, body %.80q, error %v; want %d, signed %v, %q", c.name, got.status, x.signed(), got.body, got.err, c.status, c.relayed, c.body)
+		}
+		if runs, _ := b.servers.runsOf(id); runs != 1 {
+			t.Errorf("%s: sent to %d servers, want 1", c.name, runs)
+		}
+		for name, value := range c.header {
+			if joined := strings.Join(got.header.Values(name), "; "); joined != value {
+				t.Errorf("%s: header %s is %q, want %q", c.name, name, joined, value)
+			}
+		}
+	}
+	b.waitFor("no request is counted at a server any more", func() bool {
+		for _, pool := range b.front.Status().Pools {
+			for _, s := range pool.Servers {
+				if s.Own > 0 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a success that is not the server's final answer: an interim or undefined
+// status that is relayed, or a status of net/http's own in its place.
+func TestOnlyFinalStatusesAreRelayed(t *testing.T) {
+	own := ownID + signed + rest
+	cases := []answerCase{
+		{name: "switched protocols", text: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n" + own, status: lost},
+		{name: "101 without a protocol", text: "HTTP/1.1 101 X\r\n" + own, status: lost},
+		{name: "interim answers before the final one", text: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n" + ownID + signed + "\r\nHTTP/1.1 200 OK\r\n" + own,
+			status: 200, relayed: true, body: content, header: map[string]string{"X-Hint": "", platformtest.HeaderSignature: "s"}},
+		{name: "only an interim answer", text: "HTTP/1.1 103 Early Hints\r\n" + ownID + signed + "\r\n", status: lost},
+		{name: "status 000", text: "HTTP/1.1 000 X\r\n" + own, status: lost},
+		{name: "status 099", text: "HTTP/1.1 099 X\r\n" + own, status: lost},
+		{name: "status 600", text: "HTTP/1.1 600 X\r\n" + own, status: lost},
+		{name: "status 999", text: "HTTP/1.1 999 X\r\n" + own, status: lost},
+		{name: "status of two digits", text: "HTTP/1.1 20 X\r\n" + own, status: lost},
+		{name: "no HTTP", text: "200 OK\r\n" + own, status: lost},
+		{name: "205 with a body", text: "HTTP/1.1 205 Reset Content\r\n" + own, status: 205, relayed: true, body: content},
+		{name: "204 with a length", text: "HTTP/1.1 204 No Content\r\n" + own, status: 204, relayed: true},
+		{name: "304 with a length", text: "HTTP/1.1 304 Not Modified\r\n" + own, status: 304, relayed: true},
+		{name: "redirection", text: "HTTP/1.1 302 Found\r\nLocation: /other\r\n" + own, status: 302, relayed: true, body: content, header: map[string]string{"Location": "/other"}},
+	}
+	for _, kind := range []string{"rawunsafe", "rawstream"} {
+		checkAnswers(t, kind, cases)
+	}
+}
