forward: take no refusal without an id for one of the current request

A caller got a 503, which promises that the request has not run, and its server ran it: a refusal without an id that was left on a reused connection arrived in the place of the answer. The router took it for a refusal of the current request and also sent the request to a second server, so one that must not be repeated ran twice.

handleAnswer required the id of the request in every answer but a refusal. A refusal without one now counts as an answer of another request: an unknown outcome. A request that has no id is still refused by such an answer.

TestAnswerMustNameItsRequest failed before ("status 503 ... want 502", "sent to 2 servers, want 1") for a refusal without an id and for a late one before the answer.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -319,7 +319,9 @@
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
 	}
 	answer := c.handler.codec.ResponseHeaders(resp.Header)
-	if answer.RequestID != c.headers.ID && !(answer.NotRun && answer.RequestID == "") {
+	if answer.RequestID != c.headers.ID {
+		// Servers name the request in each answer, also in a refusal. An answer without a
+		// name may be a late one of another request on the same connection.
 		return result{outcome: balance.Failed, cause: CauseWrongAnswer, mayHaveRun: true}
 	}
 	if answer.HasLoad {
--- a/internal/front/answerheaders_test.go
+++ b/internal/front/answerheaders_test.go
@@ -26,8 +26,10 @@
 const lost = http.StatusBadGateway
 
 const (
-	ownID  = platformtest.HeaderRequestID + ": @\r\n"
-	signed = platformtest.HeaderSignature + ": s\r\n"
+	ownID   = platformtest.HeaderRequestID + ": @\r\n"
+	otherID = platformtest.HeaderRequestID + ": other\r\n"
+	signed  = platformtest.HeaderSignature + ": s\r\n"
+	notRun  = platformtest.HeaderNotRun + ": 1\r\n"
 	// closing announces the close, so that no request crosses it.
 	closing = "Connection: close\r\n"
 	// content is a body and an event.
@@ -98,3 +100,24 @@
 		checkAnswers(t, kind, cases)
 	}
 }
+
+// Guards against an answer of another request, and against a false statement that the
+// request has not run: an answer whose request is not certain is taken for this one.
+func TestAnswerMustNameItsRequest(t *testing.T) {
+	refusal := "HTTP/1.1 503 Full\r\n" + notRun
+	misdirected := "HTTP/1.1 421 Misdirected Request\r\n"
+	success := "HTTP/1.1 200 OK\r\n" + signed
+	checkAnswers(t, "rawunsafe", []answerCase{
+		{name: "success without an id", text: success + rest, status: lost},
+		{name: "success with another id first", text: success + otherID + ownID + rest, status: lost},
+		{name: "refusal without an id", text: refusal + rest, status: lost},
+		{name: "refusal of a request without an id", text: "HTTP/1.1 400 No id\r\n" + notRun + rest, status: lost},
+		{name: "refusal with another id", text: refusal + otherID + rest, status: lost},
+		{name: "late refusal without an id before the answer", text: refusal + body + success + ownID + rest, status: lost},
+		{name: "late refusal of another request before the answer", text: refusal + otherID + body + success + ownID + rest, status: lost},
+		{name: "421 without an id", text: misdirected + rest, status: lost},
+		{name: "421 with another id", text: misdirected + otherID + rest, status: lost},
+		{name: "own answer", text: success + ownID + rest, status: 200, relayed: true, body: content},
+		{name: "a second answer after the own one", text: success + ownID + rest + success + ownID + rest, status: 200, relayed: true, body: content},
+	})
+}
