platform: let an answer with several request ids name no request

An answer with the id of its request and another one was relayed, or counted as a refusal, when the own id came first.

Codec read only the first of repeated headers. Which request such an answer belongs to is open; servers answer with one id. Repeated headers form a list in HTTP, which is the id of no request, so the answer is now lost (unknown outcome) whatever the order.

--- a/internal/front/answerheaders_test.go
+++ b/internal/front/answerheaders_test.go
@@ -109,10 +109,12 @@
 	success := "HTTP/1.1 200 OK\r\n" + signed
 	checkAnswers(t, "rawunsafe", []answerCase{
 		{name: "success without an id", text: success + rest, status: lost},
+		{name: "success with two ids", text: success + ownID + otherID + rest, status: lost},
 		{name: "success with another id first", text: success + otherID + ownID + rest, status: lost},
 		{name: "refusal without an id", text: refusal + rest, status: lost},
 		{name: "refusal of a request without an id", text: "HTTP/1.1 400 No id\r\n" + notRun + rest, status: lost},
 		{name: "refusal with another id", text: refusal + otherID + rest, status: lost},
+		{name: "refusal with two ids", text: refusal + ownID + otherID + rest, status: lost},
 		{name: "late refusal without an id before the answer", text: refusal + body + success + ownID + rest, status: lost},
 		{name: "late refusal of another request before the answer", text: refusal + otherID + body + success + ownID + rest, status: lost},
 		{name: "421 without an id", text: misdirected + rest, status: lost},
