forward: decide on an answer by the headers that its caller gets

A success whose signature is named in its Connection header reached the caller without the signature: a 200 without X-Seal.

Connection names the headers of one connection, which are not forwarded. The router looked for the signature before it removed them. It now removes them first, so what it decides by and what it sends are the same headers.

TestSignatureAndBodyAreTheServers failed before for "signature for one connection only" ("status 200, signed false"). Its other cases passed: signatures in trailers, two signatures, folded headers, headers around the limit, Content-Encoding, two lengths, a length with chunks. TestSignedFailureKeepsItsStatus passed as well.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -318,6 +318,8 @@
 	if !isFinal(resp.StatusCode) {
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
 	}
+	// Only what the caller would get counts, so the headers of the connection go first.
+	resp.Header = forwardableHeaders(resp.Header)
 	answer := c.handler.codec.ResponseHeaders(resp.Header)
 	if answer.RequestID != c.headers.ID {
 		// Servers name the request in each answer, also in a refusal. An answer without a
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -30,12 +30,12 @@
 }
 
 // sendHeaders sends the status and headers of an answer whose body ends as end states.
+// header has no hop-by-hop headers; sendHeaders changes it.
 func (c *call) sendHeaders(status int, header http.Header, end bodyEnd) {
 	h := c.w.Header()
 	connection := h.Get("Connection")
-	forwarded := forwardableHeaders(header)
-	c.handler.codec.StripResponse(forwarded)
-	for name, values := range forwarded {
+	c.handler.codec.StripResponse(header)
+	for name, values := range header {
 		h[name] = values
 	}
 	if h.Get("Content-Type") == "" {
--- a/internal/front/answerheaders_test.go
+++ b/internal/front/answerheaders_test.go
@@ -123,3 +123,43 @@
 		{name: "a second answer after the own one", text: success + ownID + rest + success + ownID + rest, status: 200, relayed: true, body: content},
 	})
 }
+
+// Guards against a success whose signature the caller does not get, or whose body is not
+// the server's.
+func TestSignatureAndBodyAreTheServers(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + ownID + closing
+	checkAnswers(t, "rawunsafe", []answerCase{
+		{name: "signature in a trailer only", text: head + "Trailer: " + platformtest.HeaderSignature + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + signed + "\r\n", status: lost},
+		{name: "signature in the headers and a trailer", text: head + signed + "Trailer: X-T, " + platformtest.HeaderSignature + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-T: 1\r\n" + platformtest.HeaderSignature + ": t\r\n\r\n",
+			status: 200, relayed: true, body: "ok", header: map[string]string{platformtest.HeaderSignature: "s", "X-T": "", "Trailer": ""}},
+		{name: "empty signature", text: head + platformtest.HeaderSignature + ":\r\n" + rest, status: lost},
+		{name: "two signatures", text: head + signed + platformtest.HeaderSignature + ": t\r\n" + rest, status: 200, relayed: true, body: content, header: map[string]string{platformtest.HeaderSignature: "s; t"}},
+		{name: "encoded body", text: head + signed + "Content-Encoding: gzip\r\n" + rest, status: lost},
+		{name: "length and chunks", text: head + signed + "Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", status: 200, relayed: true, body: "ok"},
+		{name: "two lengths", text: head + signed + "Content-Length: 1\r\n" + rest, status: lost},
+		{name: "the same length twice", text: head + signed + "Content-Length: 10\r\n" + rest, status: 200, relayed: true, body: content},
+		{name: "negative length", text: head + signed + "Content-Length: -2\r\n\r\nok", status: lost},
+		{name: "unknown transfer encoding", text: head + signed + "Transfer-Encoding: gzip\r\n\r\nok", status: lost},
+		{name: "chunks that are not", text: head + signed + "Transfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n0\r\n\r\n", status: lost},
+		{name: "folded header", text: head + platformtest.HeaderSignature + ":\r\n s\r\n" + rest, status: 200, relayed: true, body: content, header: map[string]string{platformtest.HeaderSignature: "s"}},
+		{name: "headers above the limit", text: head + signed + "X-Large: " + strings.Repeat("x", 80<<10) + "\r\n" + rest, status: lost},
+		{name: "headers below the limit", text: head + signed + "X-Large: " + strings.Repeat("x", 60<<10) + "\r\n" + rest, status: 200, relayed: true, body: content},
+		{name: "signature for one connection only", text: "HTTP/1.1 200 OK\r\n" + ownID + signed + "Connection: " + platformtest.HeaderSignature + "\r\n" + body, status: lost},
+	})
+}
+
+// Guards against a failure that has the signature of a server and a status that the server
+// did not give, and against a status by which a request that ran counts as not run.
+func TestSignedFailureKeepsItsStatus(t *testing.T) {
+	cases := []answerCase{}
+	for status, want := range map[int]int{
+		400: 400, 404: 404, 409: 409, 425: 425, 499: 499, 500: 500, 501: 501, 502: 502, 504: 504, 599: 599,
+		408: lost, 429: lost, 503: lost,
+	} {
+		text := fmt.Sprintf("HTTP/1.1 %d X\r\n", status) + ownID + signed + rest
+		cases = append(cases, answerCase{name: fmt.Sprint(status), text: text, status: want, relayed: status == want, body: content})
+	}
+	for _, kind := range []string{"rawunsafe", "rawstream"} {
+		checkAnswers(t, kind, cases)
+	}
+}
