front: a test of an answer that the router's end cuts; red

A stream without a length and chunks, which ends with its connection, reaches its caller as complete when the router ends in the middle of it: http.Server.Close, and the kernel after SIGKILL, close the connection in order. Chunks are visibly incomplete.

--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"bufio"
 	"context"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 	"io"
@@ -73,3 +74,31 @@
 		}
 	}
 }
+
+// Guards against an answer that looks complete because the router ended in the middle of
+// it: without a length and chunks, an orderly close is its end.
+func TestAnswerCutByTheEndOfTheRouterIsNotComplete(t *testing.T) {
+	for name, framing := range map[string]platformtest.Framing{"chunks": platformtest.Framed, "no framing": platformtest.Unframed} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestBedWith(t, 1).run()
+			b.engines[0].SetFraming(framing)
+			b.engines[0].SetDefaultFault(platformtest.Stall)
+			conn := b.dialCaller()
+			if _, err := io.WriteString(conn, rawRequest(http.MethodPost, "/stream/x", "HTTP/1.1", "cut", platformtest.HeaderPrompt, prompt)); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadFull(resp.Body, make([]byte, len(streamUpTo(1)))); err != nil {
+				t.Fatal(err)
+			}
+			b.stop()
+			if rest, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("the stream ended as complete after %q", rest)
+			}
+		})
+	}
+}
