forward: keep every form of request target byte for byte

The server got another path than the caller sent when the target had a scheme and an authority, or began with two slashes: %2F arrived as %252F, and a target with an authority kept it. A target with an authority, no path and a slash in its query was routed by a part of the query.

targetURL gave these targets to net/url as decoded paths, which are encoded once more. It now takes the scheme and the authority off, as a request to the server itself has neither, and hands the rest over as it is; a path that begins with two slashes goes as RawPath, because net/url would put the scheme before it.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -141,17 +141,30 @@
 
 // rawPath returns the path of a request target without its query.
 func rawPath(target string) string {
-	if !strings.HasPrefix(target, "/") {
-		if _, rest, ok := strings.Cut(target, "://"); ok {
-			if i := strings.IndexByte(rest, '/'); i >= 0 {
-				target = rest[i:]
-			}
-		}
-	}
-	path, _, _ := strings.Cut(target, "?")
+	path, _, _ := strings.Cut(originForm(target), "?")
 	return path
 }
 
+// originForm returns a request target without the scheme and the authority that it may
+// begin with (RFC 9112, section 3.2).
+func originForm(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, ok := strings.Cut(target, "://")
+	if !ok {
+		return target
+	}
+	end := strings.IndexAny(rest, "/?")
+	switch {
+	case end < 0:
+		return "/"
+	case rest[end] == '?':
+		return "/" + rest[end:]
+	}
+	return rest[end:]
+}
+
 // readBody reads the whole body, so that it can be sent again, or answers the request.
 func (c *call) readBody() bool {
 	limit := c.table.Limits().BodyBytes
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -49,15 +49,20 @@
 	return c.route.Priority
 }
 
-// targetURL returns the URL of a request target at addr. It keeps the target
+// targetURL returns the URL of a request target at addr. It keeps the path and the query
 // byte for byte.
 func targetURL(target, addr string) *url.URL {
 	u := &url.URL{Scheme: "http", Host: addr}
-	if strings.HasPrefix(target, "/") && !strings.HasPrefix(target, "//") {
+	target = originForm(target)
+	if !strings.HasPrefix(target, "//") {
 		u.Opaque = target
 		return u
 	}
-	path, query, _ := strings.Cut(target, "?")
-	u.Path, u.RawQuery = path, query
+	// net/url adds a scheme to an opaque target that begins with two slashes. In a path it
+	// encodes what may not be there, such as a vertical bar.
+	path, query, hasQuery := strings.Cut(target, "?")
+	u.RawPath, u.RawQuery, u.ForceQuery = path, query, hasQuery
+	// net/http has accepted the path, so it can be decoded.
+	u.Path, _ = url.PathUnescape(path)
 	return u
 }
