entry: replay a recorded answer whole or not at all

A retry with the key of a request whose answer was above 2 kB got a success with an empty body, and one with the key of an encoded answer got the encoded body without its Content-Encoding.

The recorder dropped a body above the limit and recorded an empty one, which looks like the answer. The guard marks bodies that it omits (body_omitted), but never saw a large one, and the replay did not look at the mark. The recorder now keeps one byte above the limit, so that the guard marks the outcome, and the replay of such an outcome is the problem answer_no_longer_stored with the outcome done, as for engines' answers. Content-Encoding is recorded with the body. Outcomes that older routers recorded without a body still replay empty: they hold no mark.

TestReplayIsTheWholeAnswerOrNone failed before ("statuses 201 and 201, want 201 and 410", "the replay has 0 bytes").

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -15,10 +15,6 @@
 // intentTimeout bounds the recording of an intent or of an outcome.
 const intentTimeout = 5 * time.Second
 
-// maxStoredBodyBytes is the size of the largest answer that is stored with the
-// outcome of a non-repeatable request.
-const maxStoredBodyBytes = 2 << 10
-
 // headerReplayed marks the answer of an earlier request with the same key.
 const headerReplayed = "X-Replayed"
 
@@ -138,6 +134,9 @@
 	if c.relay.Path == "" {
 		return c.replayChat(w, ctx, r)
 	}
+	if r.BodyOmitted {
+		return c.api.writeProblem(w, ctx, notStoredProblem("the request was run; its answer was too large to be stored"))
+	}
 	return c.replayStored(w, r)
 }
 
@@ -159,9 +158,7 @@
 	}
 	res := c.api.deps.Runner.Resume(ctx, relay, sink)
 	if res.Outcome != peerpb.Outcome_OUTCOME_DONE && !sink.started() {
-		p := newProblem("answer_no_longer_stored", "the request was run; its answer is no longer stored")
-		p.Outcome = OutcomeDone
-		return c.api.writeProblem(w, ctx, p)
+		return c.api.writeProblem(w, ctx, notStoredProblem("the request was run; its answer is no longer stored"))
 	}
 	return c.api.finish(w, ctx, sink, res, id)
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/intent"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 	"github.com/bluebellwell/bluebellwell/internal/record"
 )
@@ -45,9 +46,11 @@
 	case c.Op == peerpb.IntentOp_INTENT_OP_OUTCOME:
 		g.outcome = c
 	case g.outcome != nil:
-		return &peerpb.IntentReply{
-			State: peerpb.IntentState_INTENT_STATE_DONE, Status: g.outcome.Status, Headers: g.outcome.Headers, Body: g.outcome.Body,
-		}, nil
+		r := &peerpb.IntentReply{State: peerpb.IntentState_INTENT_STATE_DONE, Status: g.outcome.Status, Headers: g.outcome.Headers, Body: g.outcome.Body}
+		if len(r.Body) > intent.MaxBodyBytes {
+			r.Body, r.BodyOmitted = nil, true
+		}
+		return r, nil
 	}
 	return &peerpb.IntentReply{State: peerpb.IntentState_INTENT_STATE_WON}, nil
 }
@@ -126,3 +129,41 @@
 		}
 	}
 }
+
+// Guards against a success with another body than the server's: a retry with the same key
+// as a request whose answer is too large to be recorded, or is encoded.
+func TestReplayIsTheWholeAnswerOrNone(t *testing.T) {
+	nonRepeatable := map[string]string{
+		HeaderIdempotencyKey: "k", HeaderKeyIssued: "2026-12-03T08:00:00Z", HeaderRepeatable: "false",
+	}
+	part := []byte(strings.Repeat("x", intent.MaxBodyBytes/2))
+	for _, c := range []struct {
+		name   string
+		parts  [][]byte
+		status int
+	}{
+		{"empty", nil, 201},
+		{"of the largest size", [][]byte{part, part}, 201},
+		{"a byte larger", [][]byte{part, part, part[:1]}, http.StatusGone},
+		{"larger in its first part", [][]byte{append(append(part, part...), part...)}, http.StatusGone},
+		{"larger with a small last part", [][]byte{part, append(part, part...), part[:1]}, http.StatusGone},
+	} {
+		frames := []*peerpb.Frame{{Status: 201, Headers: []*peerpb.Header{{Name: "Content-Encoding", Value: "x"}}}}
+		for _, p := range c.parts {
+			frames = append(frames, &peerpb.Frame{Payload: p})
+		}
+		frames = append(frames, &peerpb.Frame{Status: 201, Terminal: true, Outcome: peerpb.Outcome_OUTCOME_DONE})
+		h := testAPI(&scriptedRunner{result: dispatch.Result{Outcome: peerpb.Outcome_OUTCOME_DONE, Status: 201}, frames: frames})
+		first := post(h, "/services/p/bookings", "{}", nonRepeatable)
+		again := post(h, "/services/p/bookings", "{}", nonRepeatable)
+		if first.Code != 201 || again.Code != c.status {
+			t.Errorf("%s: statuses %d and %d, want 201 and %d", c.name, first.Code, again.Code, c.status)
+		}
+		if again.Code == 201 && (again.Body.String() != first.Body.String() || again.Header().Get("Content-Encoding") != "x") {
+			t.Errorf("%s: the replay has %d bytes and headers %v, want %d bytes", c.name, again.Body.Len(), again.Header(), first.Body.Len())
+		}
+		if again.Code != 201 && again.Header().Get(HeaderOutcome) != OutcomeDone {
+			t.Errorf("%s: outcome %q, want done", c.name, again.Header().Get(HeaderOutcome))
+		}
+	}
+}
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -83,6 +83,12 @@
 	return Problem{Code: code, Detail: detail, Outcome: OutcomeNotRun, RetryAfterMs: withJitter(retryAfter).Milliseconds()}
 }
 
+// notStoredProblem is the problem of a request that was run and whose answer cannot be
+// repeated.
+func notStoredProblem(detail string) Problem {
+	return Problem{Code: "answer_no_longer_stored", Detail: detail, Outcome: OutcomeDone}
+}
+
 // withJitter lengthens a retry delay by up to half, so that refused callers do
 // not retry at the same time.
 func withJitter(d time.Duration) time.Duration {
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/answer"
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/intent"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
 
@@ -231,10 +232,11 @@
 // same key.
 type recordingSink struct {
 	responseSink
-	status    uint32
-	headers   []*peerpb.Header
-	body      []byte
-	truncated bool
+	status  uint32
+	headers []*peerpb.Header
+	// body is cut one byte above the size that is stored, so that the guard omits a
+	// larger one.
+	body []byte
 	// writeFailed is set once a write to the caller has failed.
 	writeFailed bool
 }
@@ -253,21 +255,19 @@
 }
 
 func (s *recordingSink) appendBody(payload []byte) {
-	if len(s.body)+len(payload) > maxStoredBodyBytes {
-		s.truncated = true
-		return
-	}
-	s.body = append(s.body, payload...)
+	room := intent.MaxBodyBytes + 1 - len(s.body)
+	s.body = append(s.body, payload[:min(room, len(payload))]...)
 }
 
-// storedHeaders are the response headers stored with an outcome.
-var storedHeaders = map[string]bool{"Content-Type": true, "Location": true}
+// storedHeaders are the response headers stored with an outcome: without the encoding,
+// an encoded body would be another one.
+var storedHeaders = map[string]bool{"Content-Type": true, "Content-Encoding": true, "Location": true}
 
 // fillOutcome copies the recorded answer into outcome. Chat answers are not
 // stored, because the engine stores them.
 func (s *recordingSink) fillOutcome(outcome *peerpb.IntentCall) {
 	outcome.Status = max(s.status, http.StatusOK)
-	if s.truncated || s.status == 0 {
+	if s.status == 0 {
 		return
 	}
 	outcome.Body = s.body
