entry: send no plain answer that has no status

When the owner's frames of a plain service held a body or an end but no status, the caller got a 200 of net/http's own, and for a request with a key a 200 with that body was recorded and replayed. An interim status did the same.

Owners send the status first; a router whose configuration gives the pool another type would send the frames of a chat. The sink now writes nothing before a final status, and a result without one is unknown (engine_failed), which is not recorded, so the key stays unknown.

TestPlainAnswerNeedsAStatus failed before for all five cases ("status 200, outcome done", "recorded for the key").

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -35,7 +35,7 @@
 	}
 	ctx, cancel := c.api.withDeadline(req.Context(), c.caller.deadline)
 	defer cancel()
-	res := c.api.deps.Runner.Run(ctx, c.relay, sink)
+	res := c.checkStatus(c.api.deps.Runner.Run(ctx, c.relay, sink), sink)
 	return c.api.finish(w, ctx, sink, res, c.relay.RequestId)
 }
 
@@ -60,11 +60,22 @@
 	c.relay.Repeatable = false
 	c.relay.Fencing = intent.Fencing
 	recorder := &recordingSink{responseSink: sink}
-	res := c.api.deps.Runner.Run(ctx, c.relay, recorder)
+	res := c.checkStatus(c.api.deps.Runner.Run(ctx, c.relay, recorder), sink)
 	c.recordOutcome(ctx, intent, res, recorder)
 	return c.api.finish(w, ctx, sink, res, c.relay.RequestId)
 }
 
+// checkStatus returns the result of a request. The answer of a plain service without a
+// status is not complete, whatever the owner states: a router whose configuration gives the
+// pool another type sends such answers.
+func (c *call) checkStatus(res dispatch.Result, sink responseSink) dispatch.Result {
+	if c.relay.Path == "" || res.Outcome != peerpb.Outcome_OUTCOME_DONE || sink.started() {
+		return res
+	}
+	res.Outcome, res.Code, res.Detail = peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeEngineFailed, errNoStatus.Error()
+	return res
+}
+
 func (c *call) recordIntent(ctx context.Context) (*peerpb.IntentReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, intentTimeout)
 	defer cancel()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -56,7 +56,9 @@
 }
 
 // testAPI serves the workspace w, the model m and the plain pool p.
-func testAPI(run *scriptedRunner) http.Handler {
+func testAPI(run *scriptedRunner) http.Handler { return testAPIWith(run, &singleKeyGuard{}) }
+
+func testAPIWith(run *scriptedRunner, guard Guard) http.Handler {
 	cfg := record.NewConfig()
 	cfg.Workspaces["w"] = &record.Workspace{Name: "w"}
 	cfg.Pools["p"] = &record.Pool{Name: "p", Type: record.PoolPlain}
@@ -64,7 +66,7 @@
 	return New(Deps{
 		Fleet:        &fixedFleet{State{Config: cfg, Ready: true, Accepting: true}},
 		Runner:       run,
-		Guard:        &singleKeyGuard{},
+		Guard:        guard,
 		RequestIDKey: make([]byte, 32),
 		Limits:       Limits{MaxBodyBytes: 1 << 10, MaxConcurrent: 1, DefaultDeadline: time.Minute},
 		Clock:        clockwork.NewFakeClock(),
@@ -167,3 +169,31 @@
 		}
 	}
 }
+
+// Guards against a success that no server gave: the owner's frames hold no final status, and
+// net/http sends a 200 with a body that has none.
+func TestPlainAnswerNeedsAStatus(t *testing.T) {
+	nonRepeatable := map[string]string{
+		HeaderIdempotencyKey: "k", HeaderKeyIssued: "2026-12-03T08:00:00Z", HeaderRepeatable: "false",
+	}
+	done := &peerpb.Frame{Terminal: true, Outcome: peerpb.Outcome_OUTCOME_DONE}
+	for name, frames := range map[string][]*peerpb.Frame{
+		"no frame":       nil,
+		"end only":       {done},
+		"body only":      {{Payload: []byte("x")}, done},
+		"interim status": {{Status: 103, Payload: []byte("x")}, done},
+		"unknown status": {{Status: 700, Payload: []byte("x")}, done},
+	} {
+		guard := &singleKeyGuard{}
+		h := testAPIWith(&scriptedRunner{result: dispatch.Result{Outcome: peerpb.Outcome_OUTCOME_DONE}, frames: frames}, guard)
+		for _, headers := range []map[string]string{nil, nonRepeatable} {
+			w := post(h, "/services/p/x", "{}", headers)
+			if w.Code != http.StatusBadGateway || w.Header().Get(HeaderOutcome) != OutcomeUnknown {
+				t.Errorf("%s: status %d, outcome %q, body %q; want 502, unknown", name, w.Code, w.Header().Get(HeaderOutcome), w.Body)
+			}
+		}
+		if guard.outcome != nil {
+			t.Errorf("%s: recorded for the key: %v", name, guard.outcome)
+		}
+	}
+}
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 
 	"github.com/bluebellwell/bluebellwell/internal/answer"
@@ -183,7 +184,17 @@
 	return nil
 }
 
-// rawSink copies the answer of a plain service.
+// errNoStatus is returned for the body of an answer that has no status.
+var errNoStatus = errors.New("answer has no status")
+
+// isFinal reports whether a status may be that of a final answer.
+func isFinal(status uint32) bool {
+	const afterLast = 600
+	return status >= http.StatusOK && status < afterLast
+}
+
+// rawSink copies the answer of a plain service. It writes nothing before the answer's
+// status, since net/http would send a 200 of its own.
 type rawSink struct {
 	w          http.ResponseWriter
 	requestID  string
@@ -191,12 +202,15 @@
 }
 
 func (s *rawSink) Frame(f *peerpb.Frame) error {
-	if f.Status != 0 && !s.headerSent {
+	if isFinal(f.Status) && !s.headerSent {
 		s.writeHeader(f)
 	}
 	if len(f.Payload) == 0 {
 		return nil
 	}
+	if !s.headerSent {
+		return errNoStatus
+	}
 	_, err := s.w.Write(f.Payload)
 	return err
 }
@@ -243,7 +257,7 @@
 
 func (s *recordingSink) Frame(f *peerpb.Frame) error {
 	// The terminal frame repeats the status without headers.
-	if f.Status != 0 && s.status == 0 {
+	if isFinal(f.Status) && s.status == 0 {
 		s.status = f.Status
 		s.headers = f.Headers
 	}
