router: let no request without a route get a success

OPTIONS * got a 200 on the callers' address: net/http answers it before the router's handler is asked. DisableGeneralOptionsHandler hands it to the handler, which has no route for it and answers 404.

TestRequestsWithoutARouteGetNoSuccess failed before for OPTIONS * only; the other requests that net/http or the router answers by itself got failures.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -288,6 +288,8 @@
 		Handler:           r.countRequests(api.Handler()),
 		ReadHeaderTimeout: r.settings.Limits.HeaderTimeout,
 		ReadTimeout:       r.settings.Limits.ReadTimeout,
+		// net/http would answer OPTIONS * with a 200 of its own.
+		DisableGeneralOptionsHandler: true,
 	}
 	return nil
 }
