forward: answer a caller that stops in its body, and end its connection

Seen: a caller that stops in the middle of its body, or sends it slowly, got no answer (400 at the deadline, 401, 404, 413, 503) and kept its connection and a request of the router without end. With chunks, or from a stopping router, it got the answer but kept the connection. A caller that sends a large body to its end before it reads had its connection reset after 0.5 s, before it had read the answer.

Cause: net/http reads up to 256 kB of the rest of the body before it writes the headers, or after the answer when that announces the end of the connection, and no read deadline was set by then. It closes a connection with unread bytes after a pause in which it does not read, and edge's connections hid CloseWrite from it, so that the caller saw no end before the reset.

Now an answer that the router makes itself waits 0.1 s at most for the rest of the body, and never past the deadline. When the body ends within that, the connection is kept as before. Otherwise the answer announces the end of the connection and is flushed, the sending direction is closed, and what the caller still sends is discarded until it closes or 1 s is over. Nothing is read when the caller waits for 100 Continue.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -230,6 +230,15 @@
 	return tcp.SetLinger(seconds)
 }
 
+// CloseWrite ends the sending direction, as on a net.TCPConn. net/http uses it, too.
+func (c *conn) CloseWrite() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.CloseWrite()
+}
+
 // acceptor wraps accepted connections.
 type acceptor struct {
 	net.Listener
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -62,6 +62,9 @@
 	pool      *pool
 	body      []byte
 	reserved  int64
+	// bodyRead is set once the whole body has been read, unread once the request has
+	// been answered without.
+	bodyRead, unread bool
 	// deadline is the earlier one of the caller's deadline and the route's timeout.
 	deadline time.Time
 
@@ -84,6 +87,7 @@
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	c := &call{handler: h, w: callerAnswer{ResponseWriter: w}, r: r, arrivedAt: time.Now(), headers: h.codec.RequestHeaders(r.Header)}
+	defer c.closeUnread()
 	defer c.finish()
 	if h.stopping.Load() != nil || len(r.TransferEncoding) > 0 {
 		// A chunked request may also have carried a Content-Length, which net/http
@@ -184,7 +188,7 @@
 	extra := int64(len(body)) - c.reserved
 	c.handler.bodies.add(extra)
 	c.reserved += extra
-	c.body = body
+	c.body, c.bodyRead = body, true
 	return true
 }
 
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -80,6 +80,10 @@
 	h := c.w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if !c.discardBody() {
+		c.unread = true
+		h.Set("Connection", "close")
+	}
 	c.w.WriteHeader(status)
 	// A write error means that the caller has disconnected.
 	_, _ = c.w.Write(body)
