edge, forward: reset a connection that ends inside an answer without a marked end

Callers of a stream without a length and chunks got an end that looks complete when the router ended in the middle of it (http.Server.Close at the end of a stop, or a kill): its kernel closes the connection in order, and that close is the mark of the end.

The connection now resets on close from the headers of such an answer until all of it has been written, so each way in which it can end early shows. This takes the place of the reset by Hijack when a request is broken off.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,6 +4,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"log"
 	"net"
@@ -58,6 +59,7 @@
 		Handler:        handler,
 		MaxHeaderBytes: maxHeaderBytes,
 		ConnState:      s.trackState,
+		ConnContext:    withConn,
 		ErrorLog:       standardLog(logger),
 	}
 	return s
@@ -220,14 +222,30 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// SetLinger sets what Close does with data that has not been sent, as on a
-// net.TCPConn; 0 makes it reset the connection.
-func (c *conn) SetLinger(seconds int) error {
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// SetResetOnClose sets whether the connection of a request ends with a reset instead of an
+// orderly close, also when the process is killed. ctx is the context of the request.
+func SetResetOnClose(ctx context.Context, reset bool) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return
+	}
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
-		return errors.ErrUnsupported
+		return
+	}
+	linger := -1
+	if reset {
+		linger = 0
 	}
-	return tcp.SetLinger(seconds)
+	// An error means that the connection has ended.
+	_ = tcp.SetLinger(linger)
 }
 
 // CloseWrite ends the sending direction, as on a net.TCPConn. net/http uses it, too.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -413,7 +413,7 @@
 	c.sendHeaders(f.status, f.header, f.end)
 	// A write error means that the caller has disconnected.
 	_, _ = c.w.Write(f.body)
-	c.w.whole = true
+	c.markWhole()
 }
 
 // maxDrainBytes bounds the rest of an answer that is read for the sake of its
--- a/internal/forward/framing.go
+++ b/internal/forward/framing.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/bluebellwell/bluebellwell/internal/edge"
 	"github.com/bluebellwell/bluebellwell/internal/framing"
 )
 
@@ -58,30 +59,18 @@
 	return e.framing
 }
 
-// resettable is a connection that can be reset: after SetLinger(0), Close sends a reset.
-type resettable interface {
-	SetLinger(seconds int) error
+// markWhole records that all of the answer has been written. The end of its connection
+// may then be orderly.
+func (c *call) markWhole() {
+	c.w.whole = true
+	if c.sentFraming == framing.Close {
+		edge.SetResetOnClose(c.r.Context(), false)
+	}
 }
 
 // abort breaks the caller's answer off. Without its last chunk, or short of its length,
-// an answer is visibly incomplete; one that ends with its connection needs a reset.
+// an answer is visibly incomplete; one that ends with its connection is reset.
 func (c *call) abort() {
-	if c.sentFraming == framing.Close {
-		c.resetConnection()
-	}
 	// Makes net/http close the connection without finishing the answer.
 	panic(http.ErrAbortHandler)
 }
-
-func (c *call) resetConnection() {
-	conn, _, err := http.NewResponseController(&c.w).Hijack()
-	if err != nil {
-		// The caller has closed the connection.
-		return
-	}
-	if r, ok := conn.(resettable); ok {
-		// An error means that the connection has ended.
-		_ = r.SetLinger(0)
-	}
-	_ = conn.Close()
-}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
+	"github.com/bluebellwell/bluebellwell/internal/edge"
+	"github.com/bluebellwell/bluebellwell/internal/framing"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 )
 
@@ -44,6 +46,10 @@
 	}
 	end.set(h)
 	c.sentFraming = end.sentTo(c.r)
+	if c.sentFraming == framing.Close {
+		// An orderly close would be the end of the answer.
+		edge.SetResetOnClose(c.r.Context(), true)
+	}
 	if connection != "" {
 		h.Set("Connection", connection)
 	}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -87,5 +87,5 @@
 	c.w.WriteHeader(status)
 	// A write error means that the caller has disconnected.
 	_, _ = c.w.Write(body)
-	c.w.whole = true
+	c.markWhole()
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -81,7 +81,7 @@
 
 func (c *call) servedResult() result {
 	c.outcome = OutcomeServed
-	c.w.whole = true
+	c.markWhole()
 	return result{done: true, outcome: balance.Served, mayHaveRun: true}
 }
 
