edge: let no request be answered by net/http

OPTIONS * got a 200 without a signature: net/http answers it before the router's handler is asked. With the general handler off the router answers it like any other target.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -61,6 +61,8 @@
 		ConnState:      s.trackState,
 		ConnContext:    withConn,
 		ErrorLog:       standardLog(logger),
+		// net/http would answer OPTIONS * itself, with a success that no server gave.
+		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
