forward: log a panic of the handler with its request

A panic closed the connection and left a line with an empty outcome; net/http's own text names no request and goes out at debug level. The line now has cause=internal_error and the stack, at most 4 kB.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -80,6 +82,8 @@
 	firstByte   time.Duration
 	outcome     Outcome
 	cause       Cause
+	// panicked is the value and the stack of a panic of the handler.
+	panicked string
 }
 
 // ServeHTTP serves one request.
@@ -89,6 +93,7 @@
 	c := &call{handler: h, w: callerAnswer{ResponseWriter: w}, r: r, arrivedAt: time.Now(), headers: h.codec.RequestHeaders(r.Header)}
 	defer c.closeUnread()
 	defer c.finish()
+	defer c.recoverPanic()
 	if h.stopping.Load() != nil || len(r.TransferEncoding) > 0 {
 		// A chunked request may also have carried a Content-Length, which net/http
 		// drops; what follows the request on the connection is not trusted.
@@ -257,6 +262,19 @@
 	return c.admission.Admitted
 }
 
+// recoverPanic turns a panic of the handler into an outcome, and closes the connection.
+func (c *call) recoverPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p != http.ErrAbortHandler {
+		c.outcome, c.cause = OutcomeUnknown, CauseInternal
+		c.panicked = fmt.Sprintf("%v\n%s", p, debug.Stack())
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // finish records how the request ended.
 func (c *call) finish() {
 	c.handler.bodies.add(-c.reserved)
@@ -283,6 +301,9 @@
 		kv = append(kv, "route", c.route.Name, "workspace", c.workspace.Name)
 	}
 	kv = append(kv, c.attempts.logFields()...)
+	if c.panicked != "" {
+		kv = append(kv, "error", c.panicked[:min(len(c.panicked), maxPanicBytes)])
+	}
 	if n := c.stream.events.Open(); n > 0 {
 		kv = append(kv, "open_bytes", n)
 	}
@@ -294,6 +315,9 @@
 	c.handler.events.Emit(e, kv...)
 }
 
+// maxPanicBytes bounds the value and the stack of a panic in a log line.
+const maxPanicBytes = 4 << 10
+
 // defaultBodyBytes bounds a body when the configuration sets no limit.
 const defaultBodyBytes = 4 << 20
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -128,4 +128,6 @@
 	CauseServerFailed Cause = "server_failed"
 	CauseServerSilent Cause = "server_silent"
 	CauseCallerLeft   Cause = "caller_left"
+	// CauseInternal: the router failed; its log line has the error.
+	CauseInternal Cause = "internal_error"
 )
