--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -15,10 +15,6 @@
 // intentTimeout bounds the recording of an intent or of an outcome.
 const intentTimeout = 5 * time.Second
 
-// maxStoredBodyBytes is the size of the largest answer that is stored with the
-// outcome of a non-repeatable request.
-const maxStoredBodyBytes = 2 << 10
-
 // headerReplayed marks the answer of an earlier request with the same key.
 const headerReplayed = "X-Replayed"
 
@@ -39,7 +35,7 @@
 	}
 	ctx, cancel := c.api.withDeadline(req.Context(), c.caller.deadline)
 	defer cancel()
-	res := c.api.deps.Runner.Run(ctx, c.relay, sink)
+	res := c.checkStatus(c.api.deps.Runner.Run(ctx, c.relay, sink), sink)
 	return c.api.finish(w, ctx, sink, res, c.relay.RequestId)
 }
 
@@ -64,11 +60,22 @@
 	c.relay.Repeatable = false
 	c.relay.Fencing = intent.Fencing
 	recorder := &recordingSink{responseSink: sink}
-	res := c.api.deps.Runner.Run(ctx, c.relay, recorder)
+	res := c.checkStatus(c.api.deps.Runner.Run(ctx, c.relay, recorder), sink)
 	c.recordOutcome(ctx, intent, res, recorder)
 	return c.api.finish(w, ctx, sink, res, c.relay.RequestId)
 }
 
+// checkStatus returns the result of a request. The answer of a plain service without a
+// status is not complete, whatever the owner states: a router whose configuration gives the
+// pool another type sends such answers.
+func (c *call) checkStatus(res dispatch.Result, sink responseSink) dispatch.Result {
+	if c.relay.Path == "" || res.Outcome != peerpb.Outcome_OUTCOME_DONE || sink.started() {
+		return res
+	}
+	res.Outcome, res.Code, res.Detail = peerpb.Outcome_OUTCOME_UNKNOWN, dispatch.CodeEngineFailed, errNoStatus.Error()
+	return res
+}
+
 func (c *call) recordIntent(ctx context.Context) (*peerpb.IntentReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, intentTimeout)
 	defer cancel()
@@ -138,6 +145,9 @@
 	if c.relay.Path == "" {
 		return c.replayChat(w, ctx, r)
 	}
+	if r.BodyOmitted {
+		return c.api.writeProblem(w, ctx, notStoredProblem("the request was run; its answer was too large to be stored"))
+	}
 	return c.replayStored(w, r)
 }
 
@@ -159,9 +169,7 @@
 	}
 	res := c.api.deps.Runner.Resume(ctx, relay, sink)
 	if res.Outcome != peerpb.Outcome_OUTCOME_DONE && !sink.started() {
-		p := newProblem("answer_no_longer_stored", "the request was run; its answer is no longer stored")
-		p.Outcome = OutcomeDone
-		return c.api.writeProblem(w, ctx, p)
+		return c.api.writeProblem(w, ctx, notStoredProblem("the request was run; its answer is no longer stored"))
 	}
 	return c.api.finish(w, ctx, sink, res, id)
 }
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 
 	"github.com/bluebellwell/bluebellwell/internal/answer"
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/intent"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
 
@@ -182,7 +184,17 @@
 	return nil
 }
 
-// rawSink copies the answer of a plain service.
+// errNoStatus is returned for the body of an answer that has no status.
+var errNoStatus = errors.New("answer has no status")
+
+// isFinal reports whether a status may be that of a final answer.
+func isFinal(status uint32) bool {
+	const afterLast = 600
+	return status >= http.StatusOK && status < afterLast
+}
+
+// rawSink copies the answer of a plain service. It writes nothing before the answer's
+// status, since net/http would send a 200 of its own.
 type rawSink struct {
 	w          http.ResponseWriter
 	requestID  string
@@ -190,12 +202,15 @@
 }
 
 func (s *rawSink) Frame(f *peerpb.Frame) error {
-	if f.Status != 0 && !s.headerSent {
+	if isFinal(f.Status) && !s.headerSent {
 		s.writeHeader(f)
 	}
 	if len(f.Payload) == 0 {
 		return nil
 	}
+	if !s.headerSent {
+		return errNoStatus
+	}
 	_, err := s.w.Write(f.Payload)
 	return err
 }
@@ -231,17 +246,18 @@
 // same key.
 type recordingSink struct {
 	responseSink
-	status    uint32
-	headers   []*peerpb.Header
-	body      []byte
-	truncated bool
+	status  uint32
+	headers []*peerpb.Header
+	// body is cut one byte above the size that is stored, so that the guard omits a
+	// larger one.
+	body []byte
 	// writeFailed is set once a write to the caller has failed.
 	writeFailed bool
 }
 
 func (s *recordingSink) Frame(f *peerpb.Frame) error {
 	// The terminal frame repeats the status without headers.
-	if f.Status != 0 && s.status == 0 {
+	if isFinal(f.Status) && s.status == 0 {
 		s.status = f.Status
 		s.headers = f.Headers
 	}
@@ -253,21 +269,19 @@
 }
 
 func (s *recordingSink) appendBody(payload []byte) {
-	if len(s.body)+len(payload) > maxStoredBodyBytes {
-		s.truncated = true
-		return
-	}
-	s.body = append(s.body, payload...)
+	room := intent.MaxBodyBytes + 1 - len(s.body)
+	s.body = append(s.body, payload[:min(room, len(payload))]...)
 }
 
-// storedHeaders are the response headers stored with an outcome.
-var storedHeaders = map[string]bool{"Content-Type": true, "Location": true}
+// storedHeaders are the response headers stored with an outcome: without the encoding,
+// an encoded body would be another one.
+var storedHeaders = map[string]bool{"Content-Type": true, "Content-Encoding": true, "Location": true}
 
 // fillOutcome copies the recorded answer into outcome. Chat answers are not
 // stored, because the engine stores them.
 func (s *recordingSink) fillOutcome(outcome *peerpb.IntentCall) {
 	outcome.Status = max(s.status, http.StatusOK)
-	if s.truncated || s.status == 0 {
+	if s.status == 0 {
 		return
 	}
 	outcome.Body = s.body
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -315,8 +315,15 @@
 
 // handleAnswer checks the headers of an answer and relays it.
 func (c *call) handleAnswer(ctx context.Context, choice balance.Choice, resp *http.Response, watch *watch) result {
+	if !isFinal(resp.StatusCode) {
+		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
+	}
+	// Only what the caller would get counts, so the headers of the connection go first.
+	resp.Header = forwardableHeaders(resp.Header)
 	answer := c.handler.codec.ResponseHeaders(resp.Header)
-	if answer.RequestID != c.headers.ID && !(answer.NotRun && answer.RequestID == "") {
+	if answer.RequestID != c.headers.ID {
+		// Servers name the request in each answer, also in a refusal. An answer without a
+		// name may be a late one of another request on the same connection.
 		return result{outcome: balance.Failed, cause: CauseWrongAnswer, mayHaveRun: true}
 	}
 	if answer.HasLoad {
@@ -346,6 +353,13 @@
 	return c.relayPlain(ctx, resp, watch)
 }
 
+// isFinal reports whether a status may be that of a final answer (RFC 9110, section 15).
+// net/http passes 101 and undefined ones on, and accepts neither for a caller's answer.
+func isFinal(status int) bool {
+	const afterLast = 600
+	return status >= http.StatusOK && status < afterLast
+}
+
 // impliesNotRun reports whether callers take a status to mean that the request
 // has not run.
 func impliesNotRun(status int) bool {
@@ -399,6 +413,7 @@
 	c.sendHeaders(f.status, f.header, f.end)
 	// A write error means that the caller has disconnected.
 	_, _ = c.w.Write(f.body)
+	c.w.whole = true
 }
 
 // maxDrainBytes bounds the rest of an answer that is read for the sake of its
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -62,6 +62,9 @@
 	pool      *pool
 	body      []byte
 	reserved  int64
+	// bodyRead is set once the whole body has been read, unread once the request has
+	// been answered without.
+	bodyRead, unread bool
 	// deadline is the earlier one of the caller's deadline and the route's timeout.
 	deadline time.Time
 
@@ -84,6 +87,7 @@
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	c := &call{handler: h, w: callerAnswer{ResponseWriter: w}, r: r, arrivedAt: time.Now(), headers: h.codec.RequestHeaders(r.Header)}
+	defer c.closeUnread()
 	defer c.finish()
 	if h.stopping.Load() != nil || len(r.TransferEncoding) > 0 {
 		// A chunked request may also have carried a Content-Length, which net/http
@@ -93,7 +97,7 @@
 	if c.authorize() && c.readBody() {
 		c.run()
 	}
-	if c.outcome == OutcomeCut || !c.w.started() {
+	if !c.w.whole {
 		// net/http would end the answer well, or send a 200 for a request without one.
 		c.abort()
 	}
@@ -141,17 +145,30 @@
 
 // rawPath returns the path of a request target without its query.
 func rawPath(target string) string {
-	if !strings.HasPrefix(target, "/") {
-		if _, rest, ok := strings.Cut(target, "://"); ok {
-			if i := strings.IndexByte(rest, '/'); i >= 0 {
-				target = rest[i:]
-			}
-		}
-	}
-	path, _, _ := strings.Cut(target, "?")
+	path, _, _ := strings.Cut(originForm(target), "?")
 	return path
 }
 
+// originForm returns a request target without the scheme and the authority that it may
+// begin with (RFC 9112, section 3.2).
+func originForm(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, ok := strings.Cut(target, "://")
+	if !ok {
+		return target
+	}
+	end := strings.IndexAny(rest, "/?")
+	switch {
+	case end < 0:
+		return "/"
+	case rest[end] == '?':
+		return "/" + rest[end:]
+	}
+	return rest[end:]
+}
+
 // readBody reads the whole body, so that it can be sent again, or answers the request.
 func (c *call) readBody() bool {
 	limit := c.table.Limits().BodyBytes
@@ -184,7 +201,7 @@
 	extra := int64(len(body)) - c.reserved
 	c.handler.bodies.add(extra)
 	c.reserved += extra
-	c.body = body
+	c.body, c.bodyRead = body, true
 	return true
 }
 
