--- a/internal/soak/judgeanswers_test.go
+++ b/internal/soak/judgeanswers_test.go
@@ -15,7 +15,7 @@
 
 // rules are all rules that the judge knows. docs/soak.md explains them.
 var rules = []rule{
-	{"signature", eachRequest(checkSignature)},
+	{"signature", eachRequest(checkSigned)},
 	{"own answer", eachRequest(checkOwnAnswer)},
 	{"status", eachRequest(checkStatus)},
 	{"whole body", eachRequest(checkWholeBody)},
@@ -54,9 +54,9 @@
 	return list
 }
 
-// checkSignature: a success has the signature of a server that answered the request,
+// checkSigned: a success has the signature of a server that answered the request,
 // and no encoding of its own. Nothing excuses it.
-func checkSignature(_ *history, r *request) []violation {
+func checkSigned(_ *history, r *request) []violation {
 	signature := r.started.event.Signature
 	switch {
 	case r.success() && signature == "":
