--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -53,7 +53,7 @@
 }
 
 // testAPI serves the workspace w, the model m and the plain pool p.
-func testAPI(run *scriptedRunner) http.Handler {
+func testAPI(run Runner) http.Handler {
 	cfg := record.NewConfig()
 	cfg.Workspaces["w"] = &record.Workspace{Name: "w"}
 	cfg.Pools["p"] = &record.Pool{Name: "p", Type: record.PoolPlain}
