forward: take a request that ends with a panic off its server's load

A panic in an attempt left the request in flight at its server until the router's end: its load was one too high, for the choice of servers and for admission. TestPanicFreesThePlaceAtTheServer failed before ('1 requests in flight').

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -100,11 +100,7 @@
 	c.attempts.choice = choice
 	c.attempts.job = job
 	c.attempts.sent++
-	res := c.attempt(ctx, choice)
-	c.attempts.lastOutcome = res.outcome
-	if c.pool.end(time.Now(), choice, job, res.outcome) {
-		c.logEjected(choice.Server, res.cause)
-	}
+	res := c.attemptAndEnd(ctx, choice, job)
 	if res.outcome == balance.Disputed {
 		c.attempts.disputed = append(c.attempts.disputed, choice.Server)
 	}
@@ -115,6 +111,20 @@
 	return c.retryOrEnd(ctx, choice, res)
 }
 
+// attemptAndEnd makes an attempt and takes the request off its server's load, also when
+// the attempt panics.
+func (c *call) attemptAndEnd(ctx context.Context, choice balance.Choice, job balance.Job) result {
+	res := result{outcome: balance.Cancelled, cause: CauseInternal}
+	defer func() {
+		c.attempts.lastOutcome = res.outcome
+		if c.pool.end(time.Now(), choice, job, res.outcome) {
+			c.logEjected(choice.Server, res.cause)
+		}
+	}()
+	res = c.attempt(ctx, choice)
+	return res
+}
+
 // endWithoutServer ends a request for which no server was chosen: there is none, or
 // its time ended while it was held.
 func (c *call) endWithoutServer(ctx context.Context) {
