entry: relay a service's path as the caller sent it

Plain services of the second daemon got another path: /a%3Fb arrived as /a?b, and %20, %23 and %25 were decoded too, since the path came from a parameter of the HTTP router, which is decoded unless the path has an escaped slash. The escaped path is relayed now; routes are matched by the decoded one, as services read it.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -27,8 +27,8 @@
 	if p != nil {
 		return a.writeProblem(w, req.Context(), *p)
 	}
-	path := "/" + req.Param("path")
-	route := matchRoute(cfg, pool.Name, req.Method, path)
+	// Services decode the path, so an escaped one has the route of what it stands for.
+	route := matchRoute(cfg, pool.Name, req.Method, servicePath(req.URL.Path))
 	nonRepeatable := applyRoute(c, route)
 	relay := &peerpb.Relay{
 		RequestId:      answer.NewRequestID(a.deps.RequestIDKey, c.workspace.Name, pool.Name),
@@ -37,7 +37,7 @@
 		Priority:       string(c.priority),
 		Repeatable:     !nonRepeatable && repeatable(route, req.Method),
 		Method:         req.Method,
-		Path:           pathWithQuery(path, req.URL.RawQuery),
+		Path:           pathWithQuery(servicePath(req.URL.EscapedPath()), req.URL.RawQuery),
 		Headers:        forwardedHeaders(req.Header),
 		Body:           body,
 		Traceparent:    telemetry.Traceparent(req.Context()),
@@ -101,6 +101,13 @@
 	return a.Name < b.Name
 }
 
+// servicePath returns the part of a path that belongs to the service: what follows
+// /services/ and the name of the pool.
+func servicePath(path string) string {
+	_, rest, _ := strings.Cut(strings.TrimPrefix(path, "/services/"), "/")
+	return "/" + rest
+}
+
 func pathWithQuery(path, query string) string {
 	if query == "" {
 		return path
