registry, front: pass on records that a new era of the store has regained

Callers of a router that started after the store had come back from an older copy were sent to servers that had said they leave, or had left, for up to 30 s, and not to servers that the copy lacks.

Cause: only the readers read the store at the full rate, and they send the others what changes for themselves. When a server writes again what the store has lost, nothing changes for a reader that knew it before, so it sent nothing. A router that knows the servers from the copy only had no other source than its own read each 30 s.

A reader now also sends the first record of a server after the list with which the era began when it says what the reader knew and the list did not. Its position goes into the chain of changes, so that a lost datagram is noticed as for any change. Entries that the copy has, and later heartbeats, are not sent: the cost is that of sending the same change for the first time.

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -138,3 +138,47 @@
 	}
 	return true
 }
+
+// readersEnterEra restores a copy of the store and waits until the readers, the first
+// three routers, have seen the new era.
+func (f *fleetBed) readersEnterEra(old platformtest.Copy, era int64) {
+	f.t.Helper()
+	f.store.Restore(old, era)
+	f.waitFor("the readers have seen the new era", func() bool {
+		for _, r := range f.routers[:3] {
+			if r.front.Status().StoreEra != era {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a router that knows the servers from the older copy only and gets
+// nothing of what servers write again, because the readers knew it before the store
+// lost it: it would use a server that leaves or has left until its next own read, 30 s
+// later.
+func TestServersWrittenAgainReachARouterThatKnowsOnlyTheCopy(t *testing.T) {
+	f := newFleet(t, 3, 4)
+	f.store.Put(platform.TopicServers, f.engines[2].ID, nil)
+	f.waitFor("a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 3 }) })
+	old := f.store.Copy()
+	f.register(platformtest.StateLeaving, f.engines[0])
+	f.store.Put(platform.TopicServers, f.engines[1].ID, nil)
+	f.register(platformtest.StateReady, f.engines[2])
+	f.waitFor("all routers know the servers", func() bool {
+		return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 && r.serversIn("leaving") == 1 })
+	})
+	f.readersEnterEra(old, 5)
+	late := f.addRouter()
+	late.start()
+	f.waitFor("a router that starts has the copy's servers", func() bool {
+		return late.isReady() && late.serversIn("ready") == 3 && !late.front.Status().Reader
+	})
+	f.register(platformtest.StateLeaving, f.engines[0])
+	f.store.Put(platform.TopicServers, f.engines[1].ID, nil)
+	f.register(platformtest.StateReady, f.engines[2])
+	f.waitFor("it knows what the servers have written again", func() bool {
+		return late.serversIn("ready") == 2 && late.serversIn("leaving") == 1
+	})
+}
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -70,12 +70,27 @@
 		if s == nil {
 			s = c.Old
 		}
-		change := digest.ServerChange{ID: s.ID, Position: c.Position, Prev: p.lastChange[topicServers], Server: c.New}
-		p.changes = append(p.changes, serverChange{ServerChange: change})
-		p.advance(topicServers, c.Position)
+		p.queue(registry.Entry{ID: s.ID, Position: c.Position, Server: c.New})
+	}
+}
+
+// recordWrittenAgain records entries that this router has read in the store and that a
+// new era has regained, to be sent to the others like changes.
+func (p *progress) recordWrittenAgain(entries []registry.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range entries {
+		p.queue(e)
 	}
 }
 
+// queue queues an entry to be sent to the others. The caller holds p.mu.
+func (p *progress) queue(e registry.Entry) {
+	change := digest.ServerChange{ID: e.ID, Position: e.Position, Prev: p.lastChange[topicServers], Server: e.Server}
+	p.changes = append(p.changes, serverChange{ServerChange: change})
+	p.advance(topicServers, e.Position)
+}
+
 // recordReceived records changes that were applied here but are not to be sent.
 func (p *progress) recordReceived(changes []registry.Change) {
 	p.mu.Lock()
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -214,6 +214,10 @@
 		position := logpos.Position{Era: batch.Next.Era, Offset: r.Offset}
 		entries = append(entries, registry.Entry{ID: r.Key, Server: t.decodeServer(r), Position: position})
 	}
+	if again := t.servers.WrittenAgain(entries); len(again) > 0 {
+		t.progress.recordWrittenAgain(again)
+		t.exchange.SendSoon()
+	}
 	now := time.Now()
 	if batch.Full {
 		changes, outdated := t.servers.Replace(now, entries, batch.Next, batch.GraceUntil)
--- a/internal/registry/era_test.go
+++ b/internal/registry/era_test.go
@@ -96,6 +96,41 @@
 	}
 }
 
+// Guards against records that a new era has regained and that are not passed on because
+// they change nothing for a router that knew them before, and against passing on the
+// entries of the copy, or every later heartbeat.
+func TestRecordsWrittenAgainAreReported(t *testing.T) {
+	leaving, ready := leavingEntry("a", 1), readyEntry("a", 1)
+	for _, c := range []struct {
+		name   string
+		known  Entry
+		listed []Entry
+		read   Entry
+		want   bool
+	}{
+		{"leaves again", leaving, []Entry{inEra(5, 10, ready)}, inEra(5, 20, leaving), true},
+		{"removed again", Entry{ID: "a"}, []Entry{inEra(5, 10, ready)}, inEra(5, 20, Entry{ID: "a"}), true},
+		{"missing in the copy", ready, nil, inEra(5, 20, ready), true},
+		{"a change", leaving, []Entry{inEra(5, 10, ready)}, inEra(5, 20, ready), false},
+		{"heartbeat of a server that the copy has", ready, []Entry{inEra(5, 10, ready)}, inEra(5, 20, ready), false},
+		{"record of the copy", leaving, []Entry{inEra(5, 10, ready)}, inEra(5, 19, leaving), false},
+		{"era that was not listed yet", leaving, nil, inEra(6, 20, leaving), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New()
+			r.Apply(start, []Entry{inEra(4, 1, ready), inEra(4, 12, c.known)}, time.Time{})
+			r.Replace(start, c.listed, logpos.Position{Era: 5, Offset: 20}, start.Add(RemovalGrace))
+			if got := len(r.WrittenAgain([]Entry{c.read})) == 1; got != c.want {
+				t.Errorf("reported: %v, want %v", got, c.want)
+			}
+			r.Apply(start, []Entry{c.read}, time.Time{})
+			if again := r.WrittenAgain([]Entry{c.read}); len(again) > 0 {
+				t.Error("reported again after it was applied")
+			}
+		})
+	}
+}
+
 // Guards against a view that does not become that of the store, and against a server
 // that gets requests although it was known to have left, over several eras.
 func TestViewFollowsTheStoreOverEras(t *testing.T) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -166,6 +166,29 @@
 	return s.Leaving && !e.Server.Leaving
 }
 
+// WrittenAgain returns those of the records that a new era of the store has regained: each
+// is the first one of its server since the list with which the era began, and says what
+// was known before. They change nothing here, but a router that knows the servers from
+// the older copy only does not know them. It is called before Apply.
+func (r *Registry) WrittenAgain(entries []Entry) []Entry {
+	var again []Entry
+	for _, e := range entries {
+		known, ok := r.known[e.ID]
+		afterCopy := e.Position.Era == r.copyEnd.Era && !e.Position.Before(r.copyEnd)
+		if ok && afterCopy && known.Position.Era < e.Position.Era && sameServer(known.Server, e.Server) {
+			again = append(again, e)
+		}
+	}
+	return again
+}
+
+func sameServer(a, b *Server) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 // Expire applies the removals whose grace period has ended.
 func (r *Registry) Expire(now time.Time) []Change {
 	var changes []Change
