front, digest: report a configuration that was written again in a new era

Callers of a router that had not read the newest configuration before the store lost it got the older one for up to 30 s after the operators had written it again: new routes were answered with 404, dropped keys were accepted.

Cause: such a router reads the older version in the new era and waits for a position after it. The readers had the version in force already, and reported for good its position of the era before, which is before all positions of the new one.

The readers now report the position at which they read the version in force again, once in each era. Cost: one digest of each reader in an era, and a call of each router that lacks the version.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -388,7 +388,7 @@
 	waitFor(t, "each router has the outcomes of both", func() bool { return old.hasFleetOutcomes() && fresh.hasFleetOutcomes() })
 	waitFor(t, "the new router is synced", second.Synced)
 	waitFor(t, "the new router has the server change", fresh.hasServerChange)
-	waitFor(t, "the new router has the offset of the last change", func() bool { return second.NewestChange(0) == pos(11) })
+	waitFor(t, "the new router has the offset of the last change", func() bool { return second.NewestChange(0, 0) == pos(11) })
 	fresh.mu.Lock()
 	fresh.newPlacements = []Placement{{PrefixHash: 2, Server: 7}}
 	fresh.mu.Unlock()
@@ -404,7 +404,7 @@
 	fresh := &fakeState{received: map[Placement]bool{}}
 	fresh.serversUnknown.Store(true)
 	first, second := startPair(t, old, fresh)
-	waitFor(t, "the new router knows the other one", func() bool { return second.LivePeerCount() == 1 && second.NewestChange(0) == pos(11) })
+	waitFor(t, "the new router knows the other one", func() bool { return second.LivePeerCount() == 1 && second.NewestChange(0, 0) == pos(11) })
 	second.requestPlacements(time.Now())
 	second.RequestPlacements()
 	waitFor(t, "the running router has the loads of the new one", func() bool { return old.hasFleetOutcomes() })
--- a/internal/digest/era_test.go
+++ b/internal/digest/era_test.go
@@ -56,11 +56,21 @@
 	}
 }
 
+// Guards against a change that is not read because the router which reports it is of an
+// earlier version of the program and reports no version of its configuration.
+func TestPeerWithoutAConfigurationVersionCounts(t *testing.T) {
+	p := NewPeers(addr(9), nil)
+	p.RecordMessage(start, addr(1), &Message{Sender: 1, Progress: []Progress{{0, pos(5)}}})
+	if got := p.NewestChange(start, 0, 3); got != pos(5) {
+		t.Errorf("change %s, want %s", got, pos(5))
+	}
+}
+
 // Guards against a newest change, or a newest configuration, that is taken from the
 // highest offset instead of the latest era, or from a router that has stopped.
 func TestNewestOfThePeers(t *testing.T) {
 	p := NewPeers(addr(9), nil)
-	if got := p.NewestChange(start, 0); got != logpos.None || p.NewestConfig(start) != 0 {
+	if got := p.NewestChange(start, 0, 0); got != logpos.None || p.NewestConfig(start) != 0 {
 		t.Errorf("without peers: change %s, configuration %d; want none", got, p.NewestConfig(start))
 	}
 	report := func(i int, position logpos.Position, version int64) {
@@ -68,9 +78,14 @@
 	}
 	report(1, logpos.Position{Era: 4, Offset: 100}, 7)
 	report(2, logpos.Position{Era: 5, Offset: 3}, 6)
-	if got := p.NewestChange(start, 0); got != (logpos.Position{Era: 5, Offset: 3}) || p.NewestConfig(start) != 7 {
+	if got := p.NewestChange(start, 0, 0); got != (logpos.Position{Era: 5, Offset: 3}) || p.NewestConfig(start) != 7 {
 		t.Errorf("change %s, configuration %d; want 5/3 and 7", got, p.NewestConfig(start))
 	}
+	for version, want := range map[int64]logpos.Position{6: {Era: 4, Offset: 100}, 7: logpos.None} {
+		if got := p.NewestChange(start, 0, version); got != want {
+			t.Errorf("change %s of peers with a configuration newer than %d, want %s", got, version, want)
+		}
+	}
 	p.RecordMessage(start, addr(1), &Message{Sender: 1, Stopping: true})
 	if got := p.NewestConfig(start); got != 6 {
 		t.Errorf("configuration %d after its router has stopped, want 6", got)
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -180,11 +180,12 @@
 }
 
 // NewestChange returns the latest position of a topic at which a live peer has read a
-// change, or logpos.None.
-func (e *Exchange) NewestChange(topic int) logpos.Position {
+// change, or logpos.None. Peers that have a configuration in force which is not newer
+// than the version do not count; a version of 0 excludes none.
+func (e *Exchange) NewestChange(topic int, version int64) logpos.Position {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.peers.NewestChange(time.Now(), topic)
+	return e.peers.NewestChange(time.Now(), topic, version)
 }
 
 // Receive processes digests until Close.
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -194,10 +194,15 @@
 }
 
 // NewestChange returns the latest position of a topic at which a live peer has read a
-// change, or logpos.None.
-func (p *Peers) NewestChange(now time.Time, topic int) logpos.Position {
+// change, or logpos.None. Peers that have a configuration in force which is not newer
+// than the version do not count; a version of 0 excludes none.
+func (p *Peers) NewestChange(now time.Time, topic int, version int64) logpos.Position {
 	newest := logpos.None
 	for _, peer := range p.Live(now) {
+		// A router of an earlier version of the program reports no version.
+		if 0 < peer.configVersion && peer.configVersion <= version {
+			continue
+		}
 		if position, ok := peer.lastChange[topic]; ok {
 			newest = logpos.Max(newest, position)
 		}
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -182,3 +182,29 @@
 		return late.serversIn("ready") == 2 && late.serversIn("leaving") == 1
 	})
 }
+
+// Guards against a router that had not read the newest configuration before the store
+// lost it and gets it only by its own read 30 s after the operators have written it
+// again, because the readers had it before and report no change.
+func TestConfigurationWrittenAgainReachesARouterThatMissedIt(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	other := f.routers[3]
+	old := f.store.Copy()
+	f.publish(config(2))
+	f.publish(configWithRoute(3, "new"))
+	f.waitFor("the readers have version 3", func() bool {
+		for _, r := range f.routers[:3] {
+			if r.front.Status().ConfigVersion != 3 {
+				return false
+			}
+		}
+		return true
+	})
+	// The fourth router leaves the change half a second to be followed by further ones.
+	// After two changes it reads the newest records at once.
+	f.readersEnterEra(old, 5)
+	f.waitFor("the fourth router has read the copy", func() bool { return other.front.Status().StoreEra == 5 })
+	t.Logf("the fourth router has version %d", other.front.Status().ConfigVersion)
+	f.publish(configWithRoute(3, "new"))
+	f.waitFor("the configuration that was written again is in force", func() bool { return other.statusOf("/new/x") == http.StatusOK })
+}
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -179,6 +179,26 @@
 	p.advance(topicConfig, position)
 }
 
+// recordConfigAgain records the position at which the version in force has been read again,
+// and reports whether it is the first one of a new era. The position of the era before
+// says nothing to a router that has read the new era without that version.
+func (p *progress) recordConfigAgain(position logpos.Position) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lastChange[topicConfig].Era >= position.Era {
+		return false
+	}
+	p.advance(topicConfig, position)
+	return true
+}
+
+// versionInForce returns the version of the configuration in force; 0 for none.
+func (p *progress) versionInForce() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.configVersion
+}
+
 func (p *progress) advance(topic int, position logpos.Position) {
 	p.lastChange[topic] = logpos.Max(p.lastChange[topic], position)
 	p.applied[topic] = logpos.Max(p.applied[topic], position)
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -130,10 +130,15 @@
 }
 
 // peerPosition returns a function for the position of the newest change that another
-// router has read and that is not applied here, or logpos.None.
+// router has read and that is not applied here, or logpos.None. A configuration that is
+// in force here already need not be read again.
 func (t *tracker) peerPosition(topic int) func() logpos.Position {
 	return func() logpos.Position {
-		position := t.exchange.NewestChange(topic)
+		version := int64(0)
+		if topic == topicConfig {
+			version = t.progress.versionInForce()
+		}
+		position := t.exchange.NewestChange(topic, version)
 		if t.progress.isApplied(topic, position) {
 			position = logpos.None
 		}
@@ -190,6 +195,9 @@
 func (t *tracker) activateConfig(config routing.Config, position logpos.Position) {
 	old := t.state.Table()
 	if old != nil && config.Version <= old.Version() {
+		if config.Version == old.Version() && t.progress.recordConfigAgain(position) {
+			t.exchange.SendSoon()
+		}
 		return
 	}
 	if old == nil && t.holdBack(config, position) {
