registry: a change that is sent again does not cancel a later removal

A server whose entry the store had lost, and that nobody wrote again, stayed in use for good on the readers of the store, and so on all routers: callers got failed attempts on it for as long as the process ran.

Cause: a change goes to the others three times within 0.8 s. When the store came back in that time from a copy without the entry, the removal waits for its grace; the known position of the server is still that of the change, so the change was applied once more and took the removal back. It is the same for a list that lacks a server after an outage.

A waiting removal now counts as read: only later records take it back.

TestChangeSentAgainDoesNotCancelARemoval failed before ("ready after the grace, want gone").

--- a/internal/registry/era_test.go
+++ b/internal/registry/era_test.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// Guards against a server that is kept for good although a list lacks it, because another
+// router sends an earlier change of it once more during the grace.
+func TestChangeSentAgainDoesNotCancelARemoval(t *testing.T) {
+	r := New()
+	added := inEra(4, 90, readyEntry("a", 1))
+	r.Apply(start, []Entry{added}, time.Time{})
+	grace := start.Add(RemovalGrace)
+	r.Replace(start, nil, logpos.Position{Era: 5, Offset: 20}, grace)
+	r.Apply(start, []Entry{added}, time.Time{})
+	if r.Expire(grace); r.state("a") != "gone" {
+		t.Errorf("%s after the grace, want gone", r.state("a"))
+	}
+}
+
 // Guards against records that a new era has regained and that are not passed on because
 // they change nothing for a router that knew them before, and against passing on the
 // entries of the copy, or every later heartbeat.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -108,13 +108,23 @@
 func (r *Registry) Apply(now time.Time, entries []Entry, graceUntil time.Time) []Change {
 	var changes []Change
 	for _, e := range entries {
-		if !e.Position.Before(r.known[e.ID].Position) {
+		if !e.Position.Before(r.decided(e.ID)) {
 			changes = r.apply(changes, now, e, graceUntil)
 		}
 	}
 	return changes
 }
 
+// decided returns the position of what was read last about a server, which may be a list
+// that lacks it.
+func (r *Registry) decided(id string) logpos.Position {
+	position := r.known[id].Position
+	if pending, ok := r.pendingRemovals[id]; ok {
+		position = logpos.Max(position, pending.entry.Position)
+	}
+	return position
+}
+
 func (r *Registry) apply(changes []Change, now time.Time, e Entry, graceUntil time.Time) []Change {
 	r.known[e.ID] = e
 	if e.Server == nil {
