feed, digest, front: the grace of an era counts from its first report

After the readers of the store had stopped or died, the routers that took over sent requests for another 2 s to servers whose entries were removed meanwhile, long after the store had come back: with the time to take over, longer than the 2 s in which a removal must apply.

Cause: the other routers call the store no sooner than usual in a new era, up to 30 s later. Each counted the 2 s in which live servers write again from its own first answer, which says nothing about when the store came back.

The grace now counts from when any router has first reported the era; digests carry the era already, so this costs no message. A grace after an outage of the router's own is not cut short.

TestLateEntryIntoAnEraHasNoGrace failed before ("the removed server was used for another 2.07 s").

--- a/internal/digest/era_test.go
+++ b/internal/digest/era_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -56,6 +57,24 @@
 	}
 }
 
+// Guards against a report of an era that is renewed by each further digest, or that an
+// earlier or a later era stands for.
+func TestFirstReportOfAnEraCounts(t *testing.T) {
+	p := NewPeers(addr(9), nil)
+	report := func(after time.Duration, era int64) {
+		p.RecordMessage(start.Add(after), addr(1), &Message{Sender: 1, StoreEra: era, Progress: []Progress{{0, pos(1)}}})
+	}
+	report(0, 4)
+	report(time.Second, 5)
+	report(2*time.Second, 4)
+	report(3*time.Second, 5)
+	for era, want := range map[int64]time.Time{4: {}, 5: start.Add(time.Second), 6: {}} {
+		if got := p.EraReported(era); !got.Equal(want) {
+			t.Errorf("era %d was reported at %s, want %s", era, got, want)
+		}
+	}
+}
+
 // Guards against a change that is not read because the router which reports it is of an
 // earlier version of the program and reports no version of its configuration.
 func TestPeerWithoutAConfigurationVersionCounts(t *testing.T) {
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -179,6 +179,14 @@
 	return e.peers.NewestConfig(time.Now())
 }
 
+// EraReported returns when a peer has first reported an era of the store, or the zero time
+// when none has or one has reported a later era.
+func (e *Exchange) EraReported(era int64) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.EraReported(era)
+}
+
 // NewestChange returns the latest position of a topic at which a live peer has read a
 // change, or logpos.None. Peers that have a configuration in force which is not newer
 // than the version do not count; a version of 0 excludes none.
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -57,6 +57,10 @@
 	self    netip.Addr
 	seeds   []netip.Addr
 	tracked map[netip.Addr]*Peer
+	// reportedEra is the highest era of the store that a peer has reported, and
+	// reportedAt when one did so first.
+	reportedEra int64
+	reportedAt  time.Time
 }
 
 // NewPeers returns a Peers that tracks no router yet. Targets returns the seeds
@@ -89,6 +93,9 @@
 		peer.Synced = m.Synced
 		peer.storeEra = m.StoreEra
 		peer.configVersion = m.ConfigVersion
+		if m.StoreEra > p.reportedEra {
+			p.reportedEra, p.reportedAt = m.StoreEra, now
+		}
 	}
 	if m.LoadsComplete {
 		peer.loadsAt = now
@@ -210,6 +217,15 @@
 	return newest
 }
 
+// EraReported returns when a peer has first reported an era of the store, or the zero time
+// when none has or one has reported a later era.
+func (p *Peers) EraReported(era int64) time.Time {
+	if era != p.reportedEra {
+		return time.Time{}
+	}
+	return p.reportedAt
+}
+
 // NewestConfig returns the highest version of the configuration that a live peer has
 // in force, or 0.
 func (p *Peers) NewestConfig(now time.Time) int64 {
--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -91,6 +91,39 @@
 	}
 }
 
+// Guards against removed servers that are used for a whole grace period by a follower
+// which sees an era long after another router, and against a grace that is cut short
+// after an outage of the follower's own.
+func TestGraceCountsFromTheFirstReportOfAnEra(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name     string
+		reported time.Time
+		outage   time.Duration
+		want     time.Duration
+	}{
+		{"not reported", time.Time{}, 0, 2 * time.Second},
+		{"reported just before", now.Add(-500 * time.Millisecond), 0, 1500 * time.Millisecond},
+		{"reported long before", now.Add(-20 * time.Second), 0, -18 * time.Second},
+		{"reported long before, with an outage", now.Add(-20 * time.Second), 5 * time.Second, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, r := &scriptedSource{answers: []answer{in(1, page(5, "a")), in(1, answer{err: errDown}), in(2, page(9)), in(2, page(3, "a"))}}, &recorder{}
+			f := follower(s, r)
+			f.options.EraReported = func(int64) time.Time { return c.reported }
+			f.now = func() time.Time { return now.Add(-c.outage) }
+			f.Step(t.Context())
+			f.Step(t.Context())
+			f.now = func() time.Time { return now }
+			f.Step(t.Context())
+			f.Step(t.Context())
+			if got := r.batches[1].GraceUntil.Sub(now); got != c.want {
+				t.Errorf("grace ends in %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against servers that are dropped because the copy from which the store came
 // back lacks their entries, and against a grace period at the start.
 func TestNewEraHasGrace(t *testing.T) {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -76,6 +76,9 @@
 	PeerPosition func() logpos.Position
 	// Eras is shared by the followers of a store.
 	Eras *Eras
+	// EraReported returns when another router has first reported an era, or the zero
+	// time.
+	EraReported func(era int64) time.Time
 	// NewestOnly is set for a topic whose newest records say everything. Records that
 	// several newer ones have replaced are then not read.
 	NewestOnly bool
@@ -298,14 +301,31 @@
 	f.failures = 0
 	outage := f.now().Sub(f.outageStart)
 	if outage >= f.options.MinOutage {
-		f.graceUntil = f.now().Add(f.options.Grace)
+		f.extendGrace(f.now())
 	}
 	f.observer.OutageEnded(outage)
 }
 
+// extendGrace makes the grace period last until Grace after start, at least.
+func (f *Follower) extendGrace(start time.Time) {
+	if end := start.Add(f.options.Grace); end.After(f.graceUntil) {
+		f.graceUntil = end
+	}
+}
+
+// eraStart returns when the store is known to have answered in an era, which this
+// follower has just seen.
+func (f *Follower) eraStart(era int64) time.Time {
+	if reported := f.options.EraReported(era); !reported.IsZero() {
+		return reported
+	}
+	return f.now()
+}
+
 // applyPage passes a page to the observer. A full list that ends before the records
 // already read is stale and ignored. What a new era lacks may only have to be written
-// again, as after an outage.
+// again, as after an outage. The grace begins when the first router has seen the era: a
+// follower that reads it late must not use removed servers longer than the others.
 func (f *Follower) applyPage(page Page, full bool) time.Duration {
 	next := logpos.Position{Era: page.Era, Offset: page.Next}
 	if full && next.Before(f.position.next) {
@@ -313,7 +333,7 @@
 		return withJitter(staleListPause)
 	}
 	if f.position.next.Era < next.Era && f.position.next != (logpos.Position{}) {
-		f.graceUntil = f.now().Add(f.options.Grace)
+		f.extendGrace(f.eraStart(next.Era))
 	}
 	f.position = position{next: next, complete: true}
 	if full || len(page.Records) > 0 {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -68,6 +68,7 @@
 		Timing:       func() Timing { return Timing{Pause: time.Second, Timeout: time.Second} },
 		PeerPosition: func() logpos.Position { return logpos.None },
 		Eras:         &Eras{},
+		EraReported:  func(int64) time.Time { return time.Time{} },
 		Grace:        2 * time.Second,
 		MinOutage:    time.Second,
 	}, r)
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
 )
@@ -208,3 +209,32 @@
 	f.publish(configWithRoute(3, "new"))
 	f.waitFor("the configuration that was written again is in force", func() bool { return other.statusOf("/new/x") == http.StatusOK })
 }
+
+// Guards against a removed server that is used for another 2 s by a router that has to
+// read the store itself long after the store came back: its first answer in the new
+// era is no sign that entries of live servers are still missing.
+func TestLateEntryIntoAnEraHasNoGrace(t *testing.T) {
+	f := newFleet(t, 4, 3)
+	other := f.routers[3]
+	f.store.Put(platform.TopicServers, f.engines[2].ID, nil)
+	f.waitFor("a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 }) })
+	old := f.store.Copy()
+	f.register(platformtest.StateReady, f.engines[2])
+	f.waitFor("the server is back", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 3 }) })
+	f.readersEnterEra(old, 5)
+	f.waitFor("the grace of the new era has ended", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 }) })
+	t.Logf("the fourth router is in era %d", other.front.Status().StoreEra)
+	f.store.SetErrorStatus(http.StatusServiceUnavailable)
+	f.store.Put(platform.TopicServers, f.engines[1].ID, nil)
+	for _, r := range f.routers[:3] {
+		r.stop()
+	}
+	f.store.SetErrorStatus(0)
+	f.waitFor("the fourth router reads the store", func() bool { return other.front.Status().StoreEra == 5 })
+	seen := time.Now()
+	f.waitFor("the removed server is gone", func() bool { return other.serversIn("ready") == 1 })
+	// A tenth of the grace for the polls of this test and of the router.
+	if used := time.Since(seen); used > registry.RemovalGrace*9/10 {
+		t.Errorf("the removed server was used for another %s", used)
+	}
+}
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -97,12 +97,14 @@
 		Timing:       t.configTiming(),
 		PeerPosition: t.peerPosition(topicConfig),
 		Eras:         &t.eras,
+		EraReported:  t.exchange.EraReported,
 		NewestOnly:   true,
 	}, t.newObserver(ctx, topicConfig, t.applyConfig))
 	servers := feed.New(t.platform.Servers, feed.Options{
 		Timing:       t.serversTiming(),
 		PeerPosition: t.peerPosition(topicServers),
 		Eras:         &t.eras,
+		EraReported:  t.exchange.EraReported,
 		Grace:        registry.RemovalGrace,
 		MinOutage:    minOutage,
 	}, t.newObserver(ctx, topicServers, t.applyServers))
