soak, front: the check of eras asks for what callers need

The routers that saw the era were the readers and those whose last call had failed while the store was away before, since their next call was answered in era 2.

Decision 0012 wants this: 340 routers that list two topics in each new era would exceed the calls that the store takes. What is left of the difference harms nobody: TestRouterThatMissedErasFollowsTheOthers shows a router that misses two eras, gets a configuration at a lower offset and becomes the only reader.

The check now wants each reader in the era of the store and every other router to have heard of it from them; status shows that as reported_era.

--- a/internal/digest/era_test.go
+++ b/internal/digest/era_test.go
@@ -73,6 +73,9 @@
 			t.Errorf("era %d was reported at %s, want %s", era, got, want)
 		}
 	}
+	if got := p.NewestEra(); got != 5 {
+		t.Errorf("newest era %d, want 5", got)
+	}
 }
 
 // Guards against a change that is not read because the router which reports it is of an
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -187,6 +187,13 @@
 	return e.peers.EraReported(era)
 }
 
+// NewestEra returns the highest era of the store that a peer has reported; 0 for none.
+func (e *Exchange) NewestEra() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.NewestEra()
+}
+
 // NewestChange returns the latest position of a topic at which a live peer has read a
 // change, or logpos.None. Peers that have a configuration in force which is not newer
 // than the version do not count; a version of 0 excludes none.
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -226,6 +226,9 @@
 	return p.reportedAt
 }
 
+// NewestEra returns the highest era of the store that a peer has reported; 0 for none.
+func (p *Peers) NewestEra() int64 { return p.reportedEra }
+
 // NewestConfig returns the highest version of the configuration that a live peer has
 // in force, or 0.
 func (p *Peers) NewestConfig(now time.Time) int64 {
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -238,3 +238,32 @@
 		t.Errorf("the removed server was used for another %s", used)
 	}
 }
+
+// Guards against a router that does not follow the others because it has seen none of the
+// answers of an era, or of two: changes of servers in a later era, a configuration at a
+// lower offset than the one in force, and the reads that it makes itself once the readers
+// have stopped.
+func TestRouterThatMissedErasFollowsTheOthers(t *testing.T) {
+	f := newFleet(t, 4, 4)
+	other := f.routers[3]
+	first, second := f.store.Copy(), f.store.Copy()
+	f.publish(config(2))
+	f.publish(config(3))
+	f.waitFor("version 3 is in force", func() bool { return f.all(func(r *testBed) bool { return r.front.Status().ConfigVersion == 3 }) })
+	for i, old := range []platformtest.Copy{first, second} {
+		era := int64(5 + i)
+		f.readersEnterEra(old, era)
+		f.register(platformtest.StateLeaving, f.engines[i])
+		f.waitFor("all routers know that a server leaves", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("leaving") == i+1 }) })
+		if s := other.front.Status(); s.StoreEra != 4 || s.ReportedEra != era {
+			t.Errorf("the fourth router is in era %d and has heard of era %d, want 4 and %d", s.StoreEra, s.ReportedEra, era)
+		}
+	}
+	f.publish(configWithRoute(4, "new"))
+	f.waitFor("the configuration at a lower offset is in force", func() bool { return other.statusOf("/new/x") == http.StatusOK })
+	for _, r := range f.routers[:3] {
+		r.stop()
+	}
+	f.register(platformtest.StateLeaving, f.engines[2])
+	f.waitFor("the last router reads the store", func() bool { return other.serversIn("leaving") == 3 && other.front.Status().StoreEra == 6 })
+}
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -23,6 +23,9 @@
 	ConfigVersion int64 `json:"config_version"`
 	// StoreEra counts how often the store has come back from an older copy.
 	StoreEra int64 `json:"store_era"`
+	// ReportedEra is the highest one that another router has reported. A router that is
+	// no reader may be in an earlier era until its next own read.
+	ReportedEra int64 `json:"reported_era"`
 	// StoreFailing lists the topics that cannot be read now.
 	StoreFailing []string `json:"store_failing"`
 	// Reader is set while this router reads the store for others.
@@ -42,6 +45,7 @@
 		Ready:        f.tracker.ready(),
 		Stopping:     f.tracker.stopping.Load(),
 		StoreEra:     f.tracker.eras.Current(),
+		ReportedEra:  f.exchange.NewestEra(),
 		StoreFailing: f.tracker.progress.failingTopics(),
 		Reader:       f.exchange.IsReader(),
 		Routers:      f.exchange.LivePeerCount(),
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -82,6 +82,7 @@
 	cancel()
 	callers.Wait()
 	problems := append(f.findProblems(results, recovered), f.findDisagreements()...)
+	problems = append(problems, f.findLateRouters()...)
 	for _, p := range problems {
 		t.Error(p)
 	}
