--- a/internal/digest/era_test.go
+++ b/internal/digest/era_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -56,11 +57,42 @@
 	}
 }
 
+// Guards against a report of an era that is renewed by each further digest, or that an
+// earlier or a later era stands for.
+func TestFirstReportOfAnEraCounts(t *testing.T) {
+	p := NewPeers(addr(9), nil)
+	report := func(after time.Duration, era int64) {
+		p.RecordMessage(start.Add(after), addr(1), &Message{Sender: 1, StoreEra: era, Progress: []Progress{{0, pos(1)}}})
+	}
+	report(0, 4)
+	report(time.Second, 5)
+	report(2*time.Second, 4)
+	report(3*time.Second, 5)
+	for era, want := range map[int64]time.Time{4: {}, 5: start.Add(time.Second), 6: {}} {
+		if got := p.EraReported(era); !got.Equal(want) {
+			t.Errorf("era %d was reported at %s, want %s", era, got, want)
+		}
+	}
+	if got := p.NewestEra(); got != 5 {
+		t.Errorf("newest era %d, want 5", got)
+	}
+}
+
+// Guards against a change that is not read because the router which reports it is of an
+// earlier version of the program and reports no version of its configuration.
+func TestPeerWithoutAConfigurationVersionCounts(t *testing.T) {
+	p := NewPeers(addr(9), nil)
+	p.RecordMessage(start, addr(1), &Message{Sender: 1, Progress: []Progress{{0, pos(5)}}})
+	if got := p.NewestChange(start, 0, 3); got != pos(5) {
+		t.Errorf("change %s, want %s", got, pos(5))
+	}
+}
+
 // Guards against a newest change, or a newest configuration, that is taken from the
 // highest offset instead of the latest era, or from a router that has stopped.
 func TestNewestOfThePeers(t *testing.T) {
 	p := NewPeers(addr(9), nil)
-	if got := p.NewestChange(start, 0); got != logpos.None || p.NewestConfig(start) != 0 {
+	if got := p.NewestChange(start, 0, 0); got != logpos.None || p.NewestConfig(start) != 0 {
 		t.Errorf("without peers: change %s, configuration %d; want none", got, p.NewestConfig(start))
 	}
 	report := func(i int, position logpos.Position, version int64) {
@@ -68,9 +100,14 @@
 	}
 	report(1, logpos.Position{Era: 4, Offset: 100}, 7)
 	report(2, logpos.Position{Era: 5, Offset: 3}, 6)
-	if got := p.NewestChange(start, 0); got != (logpos.Position{Era: 5, Offset: 3}) || p.NewestConfig(start) != 7 {
+	if got := p.NewestChange(start, 0, 0); got != (logpos.Position{Era: 5, Offset: 3}) || p.NewestConfig(start) != 7 {
 		t.Errorf("change %s, configuration %d; want 5/3 and 7", got, p.NewestConfig(start))
 	}
+	for version, want := range map[int64]logpos.Position{6: {Era: 4, Offset: 100}, 7: logpos.None} {
+		if got := p.NewestChange(start, 0, version); got != want {
+			t.Errorf("change %s of peers with a configuration newer than %d, want %s", got, version, want)
+		}
+	}
 	p.RecordMessage(start, addr(1), &Message{Sender: 1, Stopping: true})
 	if got := p.NewestConfig(start); got != 6 {
 		t.Errorf("configuration %d after its router has stopped, want 6", got)
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -179,12 +179,28 @@
 	return e.peers.NewestConfig(time.Now())
 }
 
+// EraReported returns when a peer has first reported an era of the store, or the zero time
+// when none has or one has reported a later era.
+func (e *Exchange) EraReported(era int64) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.EraReported(era)
+}
+
+// NewestEra returns the highest era of the store that a peer has reported; 0 for none.
+func (e *Exchange) NewestEra() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.NewestEra()
+}
+
 // NewestChange returns the latest position of a topic at which a live peer has read a
-// change, or logpos.None.
-func (e *Exchange) NewestChange(topic int) logpos.Position {
+// change, or logpos.None. Peers that have a configuration in force which is not newer
+// than the version do not count; a version of 0 excludes none.
+func (e *Exchange) NewestChange(topic int, version int64) logpos.Position {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.peers.NewestChange(time.Now(), topic)
+	return e.peers.NewestChange(time.Now(), topic, version)
 }
 
 // Receive processes digests until Close.
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -57,6 +57,10 @@
 	self    netip.Addr
 	seeds   []netip.Addr
 	tracked map[netip.Addr]*Peer
+	// reportedEra is the highest era of the store that a peer has reported, and
+	// reportedAt when one did so first.
+	reportedEra int64
+	reportedAt  time.Time
 }
 
 // NewPeers returns a Peers that tracks no router yet. Targets returns the seeds
@@ -89,6 +93,9 @@
 		peer.Synced = m.Synced
 		peer.storeEra = m.StoreEra
 		peer.configVersion = m.ConfigVersion
+		if m.StoreEra > p.reportedEra {
+			p.reportedEra, p.reportedAt = m.StoreEra, now
+		}
 	}
 	if m.LoadsComplete {
 		peer.loadsAt = now
@@ -194,10 +201,15 @@
 }
 
 // NewestChange returns the latest position of a topic at which a live peer has read a
-// change, or logpos.None.
-func (p *Peers) NewestChange(now time.Time, topic int) logpos.Position {
+// change, or logpos.None. Peers that have a configuration in force which is not newer
+// than the version do not count; a version of 0 excludes none.
+func (p *Peers) NewestChange(now time.Time, topic int, version int64) logpos.Position {
 	newest := logpos.None
 	for _, peer := range p.Live(now) {
+		// A router of an earlier version of the program reports no version.
+		if 0 < peer.configVersion && peer.configVersion <= version {
+			continue
+		}
 		if position, ok := peer.lastChange[topic]; ok {
 			newest = logpos.Max(newest, position)
 		}
@@ -205,6 +217,18 @@
 	return newest
 }
 
+// EraReported returns when a peer has first reported an era of the store, or the zero time
+// when none has or one has reported a later era.
+func (p *Peers) EraReported(era int64) time.Time {
+	if era != p.reportedEra {
+		return time.Time{}
+	}
+	return p.reportedAt
+}
+
+// NewestEra returns the highest era of the store that a peer has reported; 0 for none.
+func (p *Peers) NewestEra() int64 { return p.reportedEra }
+
 // NewestConfig returns the highest version of the configuration that a live peer has
 // in force, or 0.
 func (p *Peers) NewestConfig(now time.Time) int64 {
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
 )
@@ -138,3 +139,131 @@
 	}
 	return true
 }
+
+// readersEnterEra restores a copy of the store and waits until the readers, the first
+// three routers, have seen the new era.
+func (f *fleetBed) readersEnterEra(old platformtest.Copy, era int64) {
+	f.t.Helper()
+	f.store.Restore(old, era)
+	f.waitFor("the readers have seen the new era", func() bool {
+		for _, r := range f.routers[:3] {
+			if r.front.Status().StoreEra != era {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a router that knows the servers from the older copy only and gets
+// nothing of what servers write again, because the readers knew it before the store
+// lost it: it would use a server that leaves or has left until its next own read, 30 s
+// later.
+func TestServersWrittenAgainReachARouterThatKnowsOnlyTheCopy(t *testing.T) {
+	f := newFleet(t, 3, 4)
+	f.store.Put(platform.TopicServers, f.engines[2].ID, nil)
+	f.waitFor("a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 3 }) })
+	old := f.store.Copy()
+	f.register(platformtest.StateLeaving, f.engines[0])
+	f.store.Put(platform.TopicServers, f.engines[1].ID, nil)
+	f.register(platformtest.StateReady, f.engines[2])
+	f.waitFor("all routers know the servers", func() bool {
+		return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 && r.serversIn("leaving") == 1 })
+	})
+	f.readersEnterEra(old, 5)
+	late := f.addRouter()
+	late.start()
+	f.waitFor("a router that starts has the copy's servers", func() bool {
+		return late.isReady() && late.serversIn("ready") == 3 && !late.front.Status().Reader
+	})
+	f.register(platformtest.StateLeaving, f.engines[0])
+	f.store.Put(platform.TopicServers, f.engines[1].ID, nil)
+	f.register(platformtest.StateReady, f.engines[2])
+	f.waitFor("it knows what the servers have written again", func() bool {
+		return late.serversIn("ready") == 2 && late.serversIn("leaving") == 1
+	})
+}
+
+// Guards against a router that had not read the newest configuration before the store
+// lost it and gets it only by its own read 30 s after the operators have written it
+// again, because the readers had it before and report no change.
+func TestConfigurationWrittenAgainReachesARouterThatMissedIt(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	other := f.routers[3]
+	old := f.store.Copy()
+	f.publish(config(2))
+	f.publish(configWithRoute(3, "new"))
+	f.waitFor("the readers have version 3", func() bool {
+		for _, r := range f.routers[:3] {
+			if r.front.Status().ConfigVersion != 3 {
+				return false
+			}
+		}
+		return true
+	})
+	// The fourth router leaves the change half a second to be followed by further ones.
+	// After two changes it reads the newest records at once.
+	f.readersEnterEra(old, 5)
+	f.waitFor("the fourth router has read the copy", func() bool { return other.front.Status().StoreEra == 5 })
+	t.Logf("the fourth router has version %d", other.front.Status().ConfigVersion)
+	f.publish(configWithRoute(3, "new"))
+	f.waitFor("the configuration that was written again is in force", func() bool { return other.statusOf("/new/x") == http.StatusOK })
+}
+
+// Guards against a removed server that is used for another 2 s by a router that has to
+// read the store itself long after the store came back: its first answer in the new
+// era is no sign that entries of live servers are still missing.
+func TestLateEntryIntoAnEraHasNoGrace(t *testing.T) {
+	f := newFleet(t, 4, 3)
+	other := f.routers[3]
+	f.store.Put(platform.TopicServers, f.engines[2].ID, nil)
+	f.waitFor("a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 }) })
+	old := f.store.Copy()
+	f.register(platformtest.StateReady, f.engines[2])
+	f.waitFor("the server is back", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 3 }) })
+	f.readersEnterEra(old, 5)
+	f.waitFor("the grace of the new era has ended", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 }) })
+	t.Logf("the fourth router is in era %d", other.front.Status().StoreEra)
+	f.store.SetErrorStatus(http.StatusServiceUnavailable)
+	f.store.Put(platform.TopicServers, f.engines[1].ID, nil)
+	for _, r := range f.routers[:3] {
+		r.stop()
+	}
+	f.store.SetErrorStatus(0)
+	f.waitFor("the fourth router reads the store", func() bool { return other.front.Status().StoreEra == 5 })
+	seen := time.Now()
+	f.waitFor("the removed server is gone", func() bool { return other.serversIn("ready") == 1 })
+	// A tenth of the grace for the polls of this test and of the router.
+	if used := time.Since(seen); used > registry.RemovalGrace*9/10 {
+		t.Errorf("the removed server was used for another %s", used)
+	}
+}
+
+// Guards against a router that does not follow the others because it has seen none of the
+// answers of an era, or of two: changes of servers in a later era, a configuration at a
+// lower offset than the one in force, and the reads that it makes itself once the readers
+// have stopped.
+func TestRouterThatMissedErasFollowsTheOthers(t *testing.T) {
+	f := newFleet(t, 4, 4)
+	other := f.routers[3]
+	first, second := f.store.Copy(), f.store.Copy()
+	f.publish(config(2))
+	f.publish(config(3))
+	f.waitFor("version 3 is in force", func() bool { return f.all(func(r *testBed) bool { return r.front.Status().ConfigVersion == 3 }) })
+	for i, old := range []platformtest.Copy{first, second} {
+		era := int64(5 + i)
+		f.readersEnterEra(old, era)
+		f.register(platformtest.StateLeaving, f.engines[i])
+		f.waitFor("all routers know that a server leaves", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("leaving") == i+1 }) })
+		if s := other.front.Status(); s.StoreEra != 4 || s.ReportedEra != era {
+			t.Errorf("the fourth router is in era %d and has heard of era %d, want 4 and %d", s.StoreEra, s.ReportedEra, era)
+		}
+	}
+	f.publish(configWithRoute(4, "new"))
+	f.waitFor("the configuration at a lower offset is in force", func() bool { return other.statusOf("/new/x") == http.StatusOK })
+	for _, r := range f.routers[:3] {
+		r.stop()
+	}
+	f.register(platformtest.StateLeaving, f.engines[2])
+	f.waitFor("the last router reads the store", func() bool { return other.serversIn("leaving") == 3 && other.front.Status().StoreEra == 6 })
+}
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -70,12 +70,27 @@
 		if s == nil {
 			s = c.Old
 		}
-		change := digest.ServerChange{ID: s.ID, Position: c.Position, Prev: p.lastChange[topicServers], Server: c.New}
-		p.changes = append(p.changes, serverChange{ServerChange: change})
-		p.advance(topicServers, c.Position)
+		p.queue(registry.Entry{ID: s.ID, Position: c.Position, Server: c.New})
 	}
 }
 
+// recordWrittenAgain records entries that this router has read in the store and that a
+// new era has regained, to be sent to the others like changes.
+func (p *progress) recordWrittenAgain(entries []registry.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range entries {
+		p.queue(e)
+	}
+}
+
+// queue queues an entry to be sent to the others. The caller holds p.mu.
+func (p *progress) queue(e registry.Entry) {
+	change := digest.ServerChange{ID: e.ID, Position: e.Position, Prev: p.lastChange[topicServers], Server: e.Server}
+	p.changes = append(p.changes, serverChange{ServerChange: change})
+	p.advance(topicServers, e.Position)
+}
+
 // recordReceived records changes that were applied here but are not to be sent.
 func (p *progress) recordReceived(changes []registry.Change) {
 	p.mu.Lock()
@@ -164,6 +179,26 @@
 	p.advance(topicConfig, position)
 }
 
+// recordConfigAgain records the position at which the version in force has been read again,
+// and reports whether it is the first one of a new era. The position of the era before
+// says nothing to a router that has read the new era without that version.
+func (p *progress) recordConfigAgain(position logpos.Position) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lastChange[topicConfig].Era >= position.Era {
+		return false
+	}
+	p.advance(topicConfig, position)
+	return true
+}
+
+// versionInForce returns the version of the configuration in force; 0 for none.
+func (p *progress) versionInForce() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.configVersion
+}
+
 func (p *progress) advance(topic int, position logpos.Position) {
 	p.lastChange[topic] = logpos.Max(p.lastChange[topic], position)
 	p.applied[topic] = logpos.Max(p.applied[topic], position)
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -97,12 +97,14 @@
 		Timing:       t.configTiming(),
 		PeerPosition: t.peerPosition(topicConfig),
 		Eras:         &t.eras,
+		EraReported:  t.exchange.EraReported,
 		NewestOnly:   true,
 	}, t.newObserver(ctx, topicConfig, t.applyConfig))
 	servers := feed.New(t.platform.Servers, feed.Options{
 		Timing:       t.serversTiming(),
 		PeerPosition: t.peerPosition(topicServers),
 		Eras:         &t.eras,
+		EraReported:  t.exchange.EraReported,
 		Grace:        registry.RemovalGrace,
 		MinOutage:    minOutage,
 	}, t.newObserver(ctx, topicServers, t.applyServers))
@@ -130,10 +132,15 @@
 }
 
 // peerPosition returns a function for the position of the newest change that another
-// router has read and that is not applied here, or logpos.None.
+// router has read and that is not applied here, or logpos.None. A configuration that is
+// in force here already need not be read again.
 func (t *tracker) peerPosition(topic int) func() logpos.Position {
 	return func() logpos.Position {
-		position := t.exchange.NewestChange(topic)
+		version := int64(0)
+		if topic == topicConfig {
+			version = t.progress.versionInForce()
+		}
+		position := t.exchange.NewestChange(topic, version)
 		if t.progress.isApplied(topic, position) {
 			position = logpos.None
 		}
@@ -190,6 +197,9 @@
 func (t *tracker) activateConfig(config routing.Config, position logpos.Position) {
 	old := t.state.Table()
 	if old != nil && config.Version <= old.Version() {
+		if config.Version == old.Version() && t.progress.recordConfigAgain(position) {
+			t.exchange.SendSoon()
+		}
 		return
 	}
 	if old == nil && t.holdBack(config, position) {
@@ -214,6 +224,10 @@
 		position := logpos.Position{Era: batch.Next.Era, Offset: r.Offset}
 		entries = append(entries, registry.Entry{ID: r.Key, Server: t.decodeServer(r), Position: position})
 	}
+	if again := t.servers.WrittenAgain(entries); len(again) > 0 {
+		t.progress.recordWrittenAgain(again)
+		t.exchange.SendSoon()
+	}
 	now := time.Now()
 	if batch.Full {
 		changes, outdated := t.servers.Replace(now, entries, batch.Next, batch.GraceUntil)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -108,13 +108,23 @@
 func (r *Registry) Apply(now time.Time, entries []Entry, graceUntil time.Time) []Change {
 	var changes []Change
 	for _, e := range entries {
-		if !e.Position.Before(r.known[e.ID].Position) {
+		if !e.Position.Before(r.decided(e.ID)) {
 			changes = r.apply(changes, now, e, graceUntil)
 		}
 	}
 	return changes
 }
 
+// decided returns the position of what was read last about a server, which may be a list
+// that lacks it.
+func (r *Registry) decided(id string) logpos.Position {
+	position := r.known[id].Position
+	if pending, ok := r.pendingRemovals[id]; ok {
+		position = logpos.Max(position, pending.entry.Position)
+	}
+	return position
+}
+
 func (r *Registry) apply(changes []Change, now time.Time, e Entry, graceUntil time.Time) []Change {
 	r.known[e.ID] = e
 	if e.Server == nil {
@@ -166,6 +176,29 @@
 	return s.Leaving && !e.Server.Leaving
 }
 
+// WrittenAgain returns those of the records that a new era of the store has regained: each
+// is the first one of its server since the list with which the era began, and says what
+// was known before. They change nothing here, but a router that knows the servers from
+// the older copy only does not know them. It is called before Apply.
+func (r *Registry) WrittenAgain(entries []Entry) []Entry {
+	var again []Entry
+	for _, e := range entries {
+		known, ok := r.known[e.ID]
+		afterCopy := e.Position.Era == r.copyEnd.Era && !e.Position.Before(r.copyEnd)
+		if ok && afterCopy && known.Position.Era < e.Position.Era && sameServer(known.Server, e.Server) {
+			again = append(again, e)
+		}
+	}
+	return again
+}
+
+func sameServer(a, b *Server) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 // Expire applies the removals whose grace period has ended.
 func (r *Registry) Expire(now time.Time) []Change {
 	var changes []Change
