entry, front, router: let no failed page for operators be an empty success

/metrics and /admin/status answered with an empty 200 when their handlers panicked, and the status pages when the status could not be encoded.

bunrouter.HTTPHandler recovers from a panic and returns it as an error, Router.ServeHTTP drops errors, and net/http sends a 200 for a request without an answer. The pages are now called without HTTPHandler, so that net/http closes the connection after a panic, and an encoding error is a 500.

TestFailedPageIsNoSuccess failed before for both pages. No status that cannot be encoded is known; that case has no test.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,11 +116,20 @@
 	})
 	r.GET("/healthz", a.serveHealth)
 	r.GET("/readyz", a.serveReadiness)
-	r.GET("/metrics", bunrouter.HTTPHandler(a.deps.Metrics))
-	r.GET("/admin/status", bunrouter.HTTPHandler(a.deps.Status))
+	r.GET("/metrics", page(a.deps.Metrics))
+	r.GET("/admin/status", page(a.deps.Status))
 	return r
 }
 
+// page serves a page for operators. bunrouter.HTTPHandler would recover from a panic, and
+// net/http would then send an empty 200.
+func page(h http.Handler) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, req bunrouter.Request) error {
+		h.ServeHTTP(w, req.Request)
+		return nil
+	}
+}
+
 // admit refuses requests while the router accepts none or serves its maximum,
 // and starts a span for every request.
 func (a *API) admit(h bunrouter.HandlerFunc) bunrouter.HandlerFunc {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -197,3 +197,21 @@
 		}
 	}
 }
+
+// Guards against an empty success in the place of a page whose handler has failed.
+func TestFailedPageIsNoSuccess(t *testing.T) {
+	fails := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("page failed") })
+	h := New(Deps{Status: fails, Metrics: fails}).Handler()
+	for _, path := range []string{"/metrics", "/admin/status"} {
+		func() {
+			w := httptest.NewRecorder()
+			defer func() {
+				// net/http closes the connection of a handler that panics.
+				if recover() == nil {
+					t.Errorf("%s: status %d, want the handler to panic", path, w.Code)
+				}
+			}()
+			h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		}()
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -264,7 +264,7 @@
 
 func (f *Front) adminRouter() http.Handler {
 	r := bunrouter.New()
-	r.GET("/metrics", bunrouter.HTTPHandler(f.metrics.Handler()))
+	r.GET("/metrics", f.serveMetrics)
 	r.GET(StatusPath, f.serveStatus)
 	return r
 }
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -55,6 +55,20 @@
 }
 
 func (f *Front) serveStatus(w http.ResponseWriter, _ bunrouter.Request) error {
+	data, err := json.Marshal(f.Status())
+	if err != nil {
+		// bunrouter drops the error, and net/http would send an empty 200.
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return err
+	}
 	w.Header().Set("Content-Type", "application/json")
-	return json.NewEncoder(w).Encode(f.Status())
+	_, err = w.Write(append(data, '\n'))
+	return err
+}
+
+// serveMetrics serves the metrics page. bunrouter.HTTPHandler would recover from a panic,
+// and net/http would then send an empty 200.
+func (f *Front) serveMetrics(w http.ResponseWriter, r bunrouter.Request) error {
+	f.metrics.Handler().ServeHTTP(w, r.Request)
+	return nil
 }
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -83,6 +83,11 @@
 }
 
 func (r *Router) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	data := r.statusJSON()
+	if data == nil {
+		http.Error(w, "the status cannot be encoded", http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(r.statusJSON())
+	_, _ = w.Write(data)
 }
