forward: let only the same success continue a stream

A resumable stream that broke off looked complete when the engine that was to continue it answered with 202, 204, 205 or 206 and no events: its empty answer ended well, and so did the caller's.

handleAnswer refused only failures for a caller that has the start of a stream. One answer has one status, so an engine that gives another does not continue it. It now counts as a failure, and the stream is broken off or goes on at a third engine.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -340,16 +340,16 @@
 	if success && (!answer.Signed || resp.Header.Get("Content-Encoding") != "") {
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
 	}
+	if c.w.started() && resp.StatusCode != c.w.status {
+		// The caller has the start of a stream, which only the same success continues.
+		return result{outcome: balance.Failed, cause: CauseServerFailed, mayHaveRun: true}
+	}
 	if success {
 		c.pool.recordFirstByte(choice, c.attempts.job, time.Since(c.attempts.sentAt))
 	}
 	if c.route.Kind == routing.Stream && success {
 		return c.relayStream(ctx, resp, watch)
 	}
-	if c.w.started() {
-		// The caller has the start of a stream, to which a failure can't be added.
-		return result{outcome: balance.Failed, cause: CauseServerFailed, mayHaveRun: true}
-	}
 	return c.relayPlain(ctx, resp, watch)
 }
 
--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -344,7 +344,8 @@
 		a.ending = keeps
 		other := rawAnswer{version: "HTTP/1.1", status: http.StatusOK, body: "x"}
 		otherWire, _ := other.wire("another", false)
-		a.extra = rapid.SampledFrom([]string{"", "x", string(otherWire)}).Draw(t, "extra")
+		refusal := "HTTP/1.1 503 Full\r\n" + notRun + "Content-Length: 0\r\n\r\n"
+		a.extra = rapid.SampledFrom([]string{"", "x", string(otherWire), refusal}).Draw(t, "extra")
 	}
 	return x
 }
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -265,3 +265,38 @@
 		}
 	}
 }
+
+// Guards against a stream that looks complete because the engine that is to continue it
+// answers with another success.
+func TestOtherSuccessDoesNotContinueAStream(t *testing.T) {
+	b := newAnswersBed(t, 2)
+	caller := &rawCaller{addr: strings.TrimPrefix(b.baseURL, "http://"), version: "HTTP/1.1"}
+	whole := eventStream(3, "\n", "x")
+	first := rawAnswer{version: "HTTP/1.1", status: http.StatusOK, framing: byChunks, chunk: 1 << 10, body: whole, ending: closes}
+	_, headBytes := first.wire("raw1", false)
+	first.cut = headBytes + len(eventsOf(whole)[0]) + 10
+	for _, status := range []int{http.StatusAccepted, http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent} {
+		id := fmt.Sprintf("raw%d", requests.Add(1))
+		second := rawAnswer{version: "HTTP/1.1", status: status, framing: byLength, cut: -1, ending: closes}
+		b.servers.prepare(id, func(*http.Request) rawAnswer { return first }, func(*http.Request) rawAnswer { return second })
+		got := caller.do(http.MethodPost, "/rawresume/x", id)
+		if got.err == nil || got.status != http.StatusOK || !strings.HasPrefix(whole, got.body) {
+			t.Errorf("continued by status %d: status %d, error %v, %q; want the start of the stream, broken off", status, got.status, got.err, got.body)
+		}
+	}
+}
+
+// Guards against a stream that looks complete at its deadline.
+func TestStreamAtItsDeadlineIsBrokenOff(t *testing.T) {
+	b := newTestBed(t).run()
+	for _, framing := range []platformtest.Framing{platformtest.Framed, platformtest.Unframed} {
+		for _, e := range b.engines {
+			e.SetDefaultFault(platformtest.Stall)
+			e.SetFraming(framing)
+		}
+		got := b.do(b.request(http.MethodPost, "/stream/x", "body", platformtest.HeaderPrompt, prompt, platformtest.HeaderDeadline, "200"))
+		if got.status != http.StatusOK || got.err == nil {
+			t.Errorf("framing %v: status %d, error %v, body %q; want a broken answer", framing, got.status, got.err, got.body)
+		}
+	}
+}
