entry: reset the connection of a plain answer that breaks off

An HTTP/1.0 caller of a plain service took a truncated answer for a complete one when the connection between the entry router and the pool's owner was lost in the middle of it.

The sink aborted the handler, which closes the connection in order. Chunks and lengths show that the answer is incomplete; before HTTP/1.1 the close is its end.

TestBrokenPlainAnswerIsNotComplete failed before for HTTP/1.0 ("ended as complete after 65536 bytes").

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -215,3 +218,27 @@
 		}()
 	}
 }
+
+// Guards against a broken plain answer that looks complete: without chunks, an orderly
+// close of the connection is the end of the answer to an HTTP/1.0 request.
+func TestBrokenPlainAnswerIsNotComplete(t *testing.T) {
+	frames := []*peerpb.Frame{{Status: 200, Payload: make([]byte, 64<<10)}}
+	s := httptest.NewServer(testAPI(&scriptedRunner{result: dispatch.Result{Outcome: peerpb.Outcome_OUTCOME_INCOMPLETE}, frames: frames}))
+	defer s.Close()
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "GET /services/p/x "+version+"\r\nHost: h\r\n"+HeaderWorkspace+": w\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			// The reset can overtake the start of the answer.
+			continue
+		}
+		if body, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("%s: the answer ended as complete after %d bytes", version, len(body))
+		}
+	}
+}
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 
 	"github.com/bluebellwell/bluebellwell/internal/answer"
@@ -236,9 +237,18 @@
 	return nil
 }
 
-// fail aborts the connection: a plain answer cannot carry an error after its
-// status line, and a truncated answer must not look complete.
+// fail resets the connection: a plain answer cannot carry an error after its status line,
+// and a truncated answer must not look complete, as it would to an HTTP/1.0 caller after an
+// orderly close.
 func (s *rawSink) fail(Problem) error {
+	conn, _, err := http.NewResponseController(s.w).Hijack()
+	if err == nil {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			// An error means that the connection has ended.
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
 	panic(http.ErrAbortHandler)
 }
 
