edge: end a connection whose headers take longer than the limit

Seen: a caller that stops in the middle of its headers, or sends them byte by byte, held its connection for the idle limit, 60 s without a configuration, from the first bytes of a used connection on or from the opening of a new one. A change to a longer idle limit extended that. The configuration's limit for headers was not read.

The first byte of a request now starts the limit of the configuration in force (10 s when it sets none), plus 1 s as for the idle limit, so that a request sent at the limit is read. The deadline is cleared when the headers are complete, as the idle one is; a body has the deadline of its request. The connection ends without an answer, as an idle one does.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -1,6 +1,6 @@
 // Package edge accepts callers' connections and passes their requests to a
-// handler. It closes connections that are idle for longer than the limit of the
-// configuration in force, which may change while they are open.
+// handler. It closes connections that are idle, or send the headers of a request, for
+// longer than the limits of the configuration in force, which may change meanwhile.
 package edge
 
 import (
@@ -19,9 +19,11 @@
 const (
 	// defaultIdleLimit is the idle limit while the configuration sets none.
 	defaultIdleLimit = 60 * time.Second
-	// idleMargin extends the idle limit, so that a request sent at the limit is
+	// defaultHeaderLimit is the limit for headers while the configuration sets none.
+	defaultHeaderLimit = 10 * time.Second
+	// limitMargin extends both limits, so that a request sent at the limit is
 	// still read.
-	idleMargin = time.Second
+	limitMargin = time.Second
 	// maxHeaderBytes bounds the headers of a request, which are read before the
 	// limits of the configuration apply.
 	maxHeaderBytes = 256 << 10
@@ -34,6 +36,7 @@
 	http            *http.Server
 	listener        net.Listener
 	idleLimit       atomic.Int64
+	headerLimit     atomic.Int64
 	openConnections atomic.Int64
 	draining        atomic.Bool
 
@@ -53,6 +56,7 @@
 func newServer(listener net.Listener, handler http.Handler, logger hclog.Logger) *Server {
 	s := &Server{waiting: make(map[*conn]time.Time)}
 	s.idleLimit.Store(int64(defaultIdleLimit))
+	s.headerLimit.Store(int64(defaultHeaderLimit))
 	s.listener = &acceptor{Listener: listener, server: s}
 	s.http = &http.Server{
 		Handler:        handler,
@@ -95,9 +99,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, since := range s.waiting {
+		if c.inHeaders.Load() {
+			continue
+		}
 		// The connection may be closed; its reader then gets the error.
-		_ = c.Conn.SetReadDeadline(since.Add(limit + idleMargin))
+		_ = c.Conn.SetReadDeadline(since.Add(limit + limitMargin))
+	}
+}
+
+// SetHeaderLimit sets how long the headers of a request may take from their first byte.
+// It applies to headers that begin later.
+func (s *Server) SetHeaderLimit(limit time.Duration) {
+	if limit <= 0 {
+		limit = defaultHeaderLimit
 	}
+	s.headerLimit.Store(int64(limit))
 }
 
 // CloseWaiting closes the connections that have carried a request and wait for
@@ -181,6 +197,7 @@
 	s.mu.Lock()
 	s.waiting[c] = time.Now()
 	s.mu.Unlock()
+	c.inHeaders.Store(false)
 	c.waiting.Store(true)
 	if s.draining.Load() {
 		c.retired.Store(true)
@@ -196,8 +213,8 @@
 	s.mu.Unlock()
 }
 
-// conn is a caller's connection. It applies the idle limit while net/http would
-// set no read deadline.
+// conn is a caller's connection. It applies the idle limit and the limit for headers
+// while net/http would set no read deadline.
 type conn struct {
 	net.Conn
 	server  *Server
@@ -206,15 +223,36 @@
 	used atomic.Bool
 	// retired connections read no further request.
 	retired atomic.Bool
+	// inHeaders is set from the first byte of a request while the connection waits, and
+	// headerDeadline is when its headers must be complete. The goroutine that serves the
+	// connection owns headerDeadline.
+	inHeaders      atomic.Bool
+	headerDeadline time.Time
+}
+
+// Read reads from the connection. The first byte of a request starts the limit for headers.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.waiting.Load() && !c.inHeaders.Load() {
+		c.headerDeadline = time.Now().Add(time.Duration(c.server.headerLimit.Load()) + limitMargin)
+		c.inHeaders.Store(true)
+		// The connection may be closed; its reader then gets the error.
+		_ = c.SetReadDeadline(time.Time{})
+	}
+	return n, err
 }
 
-// SetReadDeadline sets the read deadline. While the connection waits for a
-// request, the idle limit replaces a zero t, which means no deadline.
+// SetReadDeadline sets the read deadline. While the connection waits for a request or
+// reads its headers, the limit for that replaces a zero t, which means no deadline.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	if t.IsZero() && c.waiting.Load() {
-		t = time.Now().Add(time.Duration(c.server.idleLimit.Load()) + idleMargin)
-		if c.retired.Load() {
+		switch {
+		case c.retired.Load():
 			t = pastDeadline
+		case c.inHeaders.Load():
+			t = c.headerDeadline
+		default:
+			t = time.Now().Add(time.Duration(c.server.idleLimit.Load()) + limitMargin)
 		}
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -92,7 +95,7 @@
 	c := dial(t, s)
 	sendRequest(t, s, c, 1)
 	s.SetIdleLimit(time.Hour)
-	_ = c.SetReadDeadline(time.Now().Add(2*idleMargin + 100*time.Millisecond))
+	_ = c.SetReadDeadline(time.Now().Add(2*limitMargin + 100*time.Millisecond))
 	_, err := c.Read(make([]byte, 1))
 	if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
 		t.Errorf("the connection was closed: %v", err)
@@ -238,3 +241,83 @@
 		}
 	}
 }
+
+// Guards against a caller that stops in the middle of its headers, or sends them slowly,
+// and so holds its connection for as long as an idle one, or without end.
+func TestHeaderLimit(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	for _, c := range []struct {
+		name        string
+		used, drips bool
+	}{{"new connection", false, false}, {"used connection", true, false}, {"new connection, slow", false, true}, {"used connection, slow", true, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := serve(t)
+			s.SetIdleLimit(time.Hour)
+			s.SetHeaderLimit(limit)
+			conn := dial(t, s)
+			if c.used {
+				sendRequest(t, s, conn, 1)
+			}
+			start := time.Now()
+			if _, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\nA: "); err != nil {
+				t.Fatal(err)
+			}
+			// A longer idle limit leaves the limit for headers in force.
+			s.SetIdleLimit(2 * time.Hour)
+			for c.drips {
+				if _, err := fmt.Fprint(conn, "x"); err != nil {
+					break
+				}
+				if time.Since(start) > 20*time.Second {
+					t.Fatal("the connection was not closed")
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+			if n, err := conn.Read(make([]byte, 1)); n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatalf("%d bytes, error %v; want the end of the connection", n, err)
+			}
+			if waited := time.Since(start); waited < limit {
+				t.Errorf("closed after %s, before the limit", waited)
+			}
+		})
+	}
+}
+
+// Guards against a limit for headers that ends a connection which waits for a request, or a
+// request whose body takes longer.
+func TestHeaderLimitAppliesToHeadersOnly(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		t.Run(fmt.Sprintf("used %v", used), func(t *testing.T) {
+			t.Parallel()
+			s := serve(t)
+			s.SetIdleLimit(time.Hour)
+			s.SetHeaderLimit(time.Millisecond)
+			conn := dial(t, s)
+			if used {
+				sendRequest(t, s, conn, 1)
+			}
+			expectSilence := func(when string) {
+				t.Helper()
+				_ = conn.SetReadDeadline(time.Now().Add(limitMargin + 100*time.Millisecond))
+				if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Fatalf("%s: %v, want an open connection", when, err)
+				}
+			}
+			expectSilence("before the request")
+			if _, err := fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			expectSilence("before the body")
+			if _, err := fmt.Fprint(conn, "x"); err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || resp.Close {
+				t.Fatalf("answer %v, error %v; want one that keeps the connection", resp, err)
+			}
+		})
+	}
+}
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -220,6 +220,33 @@
 	}
 }
 
+// Guards against a caller that stops in the middle of its headers and holds its connection
+// for longer than the configuration allows.
+func TestCallerThatStopsInItsHeadersIsCutOff(t *testing.T) {
+	b := newTestBed(t)
+	c := config(1)
+	c.HeaderTimeout = 100 * time.Millisecond
+	b.publish(c)
+	b.register(platformtest.StateReady, b.engines...)
+	b.startReady()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.baseURL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// Without the limit of the configuration, the default would end the connection after
+	// 10 s, and the idle limit after 15 s.
+	if err := conn.SetDeadline(time.Now().Add(9 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, "POST /short/x HTTP/1.1\r\nHost: h.exam"); err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := io.ReadAll(conn); err != nil || len(rest) > 0 {
+		t.Errorf("%q, error %v; want the end of the connection", rest, err)
+	}
+}
+
 // Guards against other bytes where the rest of a body is due: a server answers before it
 // has read the body, keeps the connection and reads on.
 func TestRestOfABodyFollowsAnEarlyAnswer(t *testing.T) {
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -198,6 +198,7 @@
 	table := routing.Compile(config)
 	t.state.SetTable(table)
 	t.edge.SetIdleLimit(table.Limits().IdleTimeout)
+	t.edge.SetHeaderLimit(table.Limits().HeaderTimeout)
 	t.haveConfig = true
 	t.progress.recordConfig(table.Version(), position)
 	t.exchange.SendSoon()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -74,6 +74,8 @@
 	BodyBytes int64
 	// IdleTimeout is how long a connection may stay open without a request.
 	IdleTimeout time.Duration
+	// HeaderTimeout is how long the headers of a request may take; 0 means the default.
+	HeaderTimeout time.Duration
 }
 
 // Config is one version of the configuration.
