soak: all parties write records, and the judge's rules replace findProblems

Callers use sockets of their own, so that they see the end of a connection, bytes after an answer and bytes that nobody asked for; net/http hides these and repeats requests. An observer around the handler of a server records what arrives and what is answered.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -12,7 +12,7 @@
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
 
-// recoveryTime is how long after a fault a router is exempt from deadlines.
+// recoveryTime is how long after the last fault the fleet has recovered.
 const recoveryTime = 3 * time.Second
 
 // fault is one entry of a schedule.
@@ -31,11 +31,18 @@
 
 // Planned operations and proper answers, which do not explain a cut answer.
 const (
-	kindServerLeaves  = "server leaves"
-	kindRouterStopped = "router stopped"
-	kindServerPieces  = "server writes in pieces"
+	kindServerLeaves   = "server leaves"
+	kindServerPieces   = "server writes in pieces"
+	kindRouterStopped  = "router stopped"
+	kindRouterReloaded = "router reloaded"
+	kindRouterSettings = "router settings changed"
+	kindBrokenEntry    = "broken entry"
+	kindConfigChanged  = "configuration changed"
 )
 
+// kindRouterNoStore is a fault of the store as one router sees it.
+const kindRouterNoStore = "router disconnected from the store"
+
 // faultKinds are the kinds of faults. Each run returns after its duration, when the
 // fault has been undone.
 var faultKinds = []struct {
@@ -44,7 +51,7 @@
 }{
 	{"router killed", func(f *fleet, selector int, duration time.Duration) {
 		r := f.routers[selector%len(f.routers)]
-		r.signal(syscall.SIGKILL)
+		f.signal(r, syscall.SIGKILL)
 		r.wait()
 		time.Sleep(duration)
 		f.launch(r)
@@ -52,27 +59,28 @@
 	}},
 	{kindRouterStopped, func(f *fleet, selector int, duration time.Duration) {
 		r := f.routers[selector%len(f.routers)]
-		r.signal(syscall.SIGTERM)
+		f.signal(r, syscall.SIGTERM)
 		r.wait()
 		f.launch(r)
 		f.awaitReady(r)
 	}},
 	{"router paused", func(f *fleet, selector int, duration time.Duration) {
 		r := f.routers[selector%len(f.routers)]
-		r.signal(syscall.SIGSTOP)
+		f.signal(r, syscall.SIGSTOP)
 		time.Sleep(duration)
-		r.signal(syscall.SIGCONT)
+		f.signal(r, syscall.SIGCONT)
 	}},
-	{"router reloaded", func(f *fleet, selector int, _ time.Duration) {
-		f.routers[selector%len(f.routers)].signal(syscall.SIGHUP)
+	{kindRouterReloaded, func(f *fleet, selector int, _ time.Duration) {
+		f.signal(f.routers[selector%len(f.routers)], syscall.SIGHUP)
 	}},
-	{"router settings changed", func(f *fleet, selector int, duration time.Duration) {
+	{kindRouterSettings, func(f *fleet, selector int, duration time.Duration) {
 		r := f.routers[selector%len(f.routers)]
+		f.records.add(routerChanged{Router: r.name, Change: routerSettings})
 		f.writeSettings(r, []map[string]any{{"load_multiple": 1.5}, {"retry_extra": 0}, {"no_such_bound": 1}}[selector%3])
 		time.Sleep(duration)
 		f.writeSettings(r, nil)
 	}},
-	{"router disconnected from the store", func(f *fleet, selector int, duration time.Duration) {
+	{kindRouterNoStore, func(f *fleet, selector int, duration time.Duration) {
 		r := f.routers[selector%len(f.routers)]
 		r.store.setMode([]mode{silent, reset}[selector%2])
 		time.Sleep(duration)
@@ -173,10 +181,10 @@
 		time.Sleep(duration + drainGrace)
 		f.register(s, platformtest.StateReady)
 	}},
-	{"broken entry", func(f *fleet, selector int, _ time.Duration) {
+	{kindBrokenEntry, func(f *fleet, selector int, _ time.Duration) {
 		f.store.Put(platform.TopicServers, fmt.Sprintf("x-%d", selector), []byte(`{"addr":7,"state":"odd"}`))
 	}},
-	{"configuration changed", func(f *fleet, _ int, _ time.Duration) { f.publish() }},
+	{kindConfigChanged, func(f *fleet, _ int, _ time.Duration) { f.publish() }},
 }
 
 // maxUnwritten is the longest time for which lost entries are not written again. Live
@@ -201,10 +209,28 @@
 
 // inject runs a fault and records its period.
 func (x fault) inject(f *fleet) {
-	p := faultPeriod{kind: x.kind, target: x.target(f), from: time.Now()}
+	number := int(f.faults.Add(1))
+	f.records.add(faultStarted{Number: number, Kind: x.kind, Target: x.target(f), Disrupt: x.disrupts()})
 	x.run(f, x.selector, x.duration)
-	p.to = time.Now()
-	f.recordPeriod(p)
+	f.records.add(faultEnded{Number: number})
+}
+
+// disrupts returns what a fault disrupts, so that it explains what would break a rule.
+// Planned work and what operators and servers may always write disrupt nothing.
+func (x fault) disrupts() subject {
+	switch x.kind {
+	case kindServerLeaves, kindServerPieces, kindRouterStopped, kindRouterReloaded, kindRouterSettings, kindBrokenEntry, kindConfigChanged:
+		return subjectNone
+	case kindRouterNoStore:
+		return subjectStore
+	}
+	switch {
+	case strings.HasPrefix(x.kind, "server"):
+		return subjectServer
+	case strings.HasPrefix(x.kind, "router"):
+		return subjectRouter
+	}
+	return subjectStore
 }
 
 // target returns the name of the router or the server that a fault affects; empty
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -59,34 +60,27 @@
 
 	mu      sync.Mutex
 	version int
-	config  []byte
-	key     string
-	periods []faultPeriod
+	config  platformtest.Config
 	era     int64
 	// copies are the newest copies of the store, the oldest first.
 	copies []platformtest.Copy
-}
-
-// faultPeriod is the period of an injected fault.
-type faultPeriod struct {
-	kind string
-	// target is the name of the affected router or server; empty for all routers.
-	target   string
-	from, to time.Time
-}
 
-func (f *fleet) recordPeriod(p faultPeriod) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.periods = append(f.periods, p)
+	// records is what all parties have seen, in recordsDir.
+	records    *recorder
+	recordsDir string
+	// faults is the number of faults so far.
+	faults atomic.Int64
 }
 
 // hostBase keeps the addresses of the soak test apart from those of other tests.
 const hostBase = "127.0.77."
 
-func startFleet(t *testing.T, routers int) *fleet {
+// startFleet starts a fleet that writes its records into a directory; into one that the
+// test removes if none is given.
+func startFleet(t *testing.T, routers int, recordsDir string) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), store: platformtest.NewStore(), key: "k1", era: 1}
+	f := &fleet{t: t, dir: t.TempDir(), store: platformtest.NewStore(), era: 1, recordsDir: recordsDir}
+	f.openRecords()
 	f.store.SetEra("1")
 	t.Cleanup(f.store.Close)
 	f.binary = *binaryFlag
@@ -123,16 +117,18 @@
 const plainServers = 3
 
 func (f *fleet) addServer(i int) {
-	e := platformtest.NewEngine(fmt.Sprintf("i-%d", i))
+	pool := "engines"
+	if i < plainServers {
+		pool = "plain"
+	}
+	observer := &serverObserver{records: f.records, server: fmt.Sprintf("i-%d", i), pool: pool}
+	e := platformtest.NewObservedEngine(observer.server, observer.wrap)
 	e.SetDelay(8 * time.Millisecond)
 	p, err := newProxy(e.Addr())
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	s := &server{Engine: e, proxy: p, pool: "engines"}
-	if i < plainServers {
-		s.pool = "plain"
-	}
+	s := &server{Engine: e, proxy: p, pool: pool}
 	f.servers = append(f.servers, s)
 	f.t.Cleanup(e.Close)
 	f.t.Cleanup(p.close)
@@ -149,6 +145,11 @@
 // writeEntry writes the entry of a server. The caller holds f.mu.
 func (f *fleet) writeEntry(s *server) {
 	f.store.Put(platform.TopicServers, s.ID, s.EntryAt(s.pool, s.state, s.proxy.addr()))
+	state := entryReady
+	if s.state == platformtest.StateLeaving {
+		state = entryLeaving
+	}
+	f.records.add(entryConfirmed{Server: s.ID, Pool: s.pool, State: state})
 }
 
 const (
@@ -178,6 +179,7 @@
 	}
 	f.era++
 	f.store.Restore(f.copies[selector%len(f.copies)], f.era)
+	f.records.add(storeRestored{Era: f.era})
 	// Later copies are of an era that has ended.
 	f.copies = nil
 }
@@ -190,7 +192,13 @@
 	for _, s := range f.servers {
 		f.writeEntry(s)
 	}
-	f.store.Put(platform.TopicConfig, platform.ConfigKey, f.config)
+	f.writeConfig()
+}
+
+// writeConfig writes the configuration. The caller holds f.mu.
+func (f *fleet) writeConfig() {
+	f.store.Put(platform.TopicConfig, platform.ConfigKey, f.config.Encode())
+	f.records.add(confirmedConfig(f.config))
 }
 
 func (f *fleet) addRouter(i int) {
@@ -247,10 +255,12 @@
 		f.t.Error(err)
 		return
 	}
+	f.records.add(routerChanged{Router: r.name, Change: routerStarted})
 	exited := make(chan struct{})
 	go func() {
 		// The exit status of a killed process is irrelevant.
 		_ = cmd.Wait()
+		f.records.add(routerChanged{Router: r.name, Change: routerExited})
 		_ = out.Close()
 		close(exited)
 	}()
@@ -263,7 +273,14 @@
 	})
 }
 
-func (r *router) signal(s syscall.Signal) {
+// signalChanges are the signals that operators send.
+var signalChanges = map[syscall.Signal]routerChange{
+	syscall.SIGTERM: routerStop, syscall.SIGKILL: routerKilled, syscall.SIGHUP: routerReload,
+	syscall.SIGSTOP: routerPaused, syscall.SIGCONT: routerResumed,
+}
+
+func (f *fleet) signal(r *router, s syscall.Signal) {
+	f.records.add(routerChanged{Router: r.name, Change: signalChanges[s]})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// The process may have ended.
@@ -343,11 +360,17 @@
 	}
 	f.config = platformtest.Config{
 		Version: f.version, Pools: []string{"plain", "engines"}, BodyBytes: 1 << 20,
-		Workspaces: []platformtest.Workspace{{Name: "w1", Keys: []string{f.key, "steady"}}},
+		Workspaces: []platformtest.Workspace{{Name: "w1", Keys: []string{rotatingKey(f.version), steadyKey}}},
 		Routes: []platformtest.Route{
 			route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 1),
 			route("stream", "stream", "engines", 1), route("resume", "stream", "engines", 2),
 		},
-	}.Encode()
-	f.store.Put(platform.TopicConfig, platform.ConfigKey, f.config)
+	}
+	f.writeConfig()
 }
+
+// steadyKey is in all configurations.
+const steadyKey = "steady"
+
+// rotatingKey returns the key that only one version of the configuration holds.
+func rotatingKey(version int) string { return fmt.Sprintf("k%d", version) }
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -61,13 +61,19 @@
 	Lines []int
 }
 
+// maxDescribed bounds the records that a description quotes.
+const maxDescribed = 20
+
 // describe returns the violation and the records that prove it.
 func (v violation) describe(records []record) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s: %s", v.Rule, v.Text)
-	for _, n := range v.Lines {
+	for _, n := range v.Lines[:min(len(v.Lines), maxDescribed)] {
 		fmt.Fprintf(&b, "\n    %d: %s", n, records[n-1])
 	}
+	if n := len(v.Lines) - maxDescribed; n > 0 {
+		fmt.Fprintf(&b, "\n    and %d further records", n)
+	}
 	return b.String()
 }
 
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -116,6 +116,8 @@
 type stage string
 
 const (
+	stageConnect stage = "connect"
+	stageSend    stage = "send"
 	// stageHeaders: the headers have not come; malformed ones end in stageParse.
 	stageHeaders stage = "headers"
 	stageParse   stage = "parse"
