--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -56,9 +56,9 @@
 }
 
 // testAPI serves the workspace w, the model m and the plain pool p.
-func testAPI(run *scriptedRunner) http.Handler { return testAPIWith(run, &singleKeyGuard{}) }
+func testAPI(run Runner) http.Handler { return testAPIWith(run, &singleKeyGuard{}) }
 
-func testAPIWith(run *scriptedRunner, guard Guard) http.Handler {
+func testAPIWith(run Runner, guard Guard) http.Handler {
 	cfg := record.NewConfig()
 	cfg.Workspaces["w"] = &record.Workspace{Name: "w"}
 	cfg.Pools["p"] = &record.Pool{Name: "p", Type: record.PoolPlain}
