--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -46,9 +46,9 @@
 func standardBounds() bounds {
 	return bounds{
 		Stable: 3 * time.Second, ConfigApply: 2 * time.Second, Skew: 5 * time.Second, Regress: 250 * time.Millisecond,
-		Drain: 2 * time.Second, Loss: 200 * time.Millisecond, Late: 500 * time.Millisecond, Unready: 4 * time.Second,
+		Drain: drainGrace, Loss: 200 * time.Millisecond, Late: 500 * time.Millisecond, Unready: 4 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 240, RetryWindow: 10 * time.Second, LoadMultiple: 2, Calm: 5 * time.Second,
-		Recovery: 3 * time.Second, Margin: 300 * time.Millisecond,
+		Recovery: recoveryTime, Margin: faultMargin,
 	}
 }
 
@@ -61,13 +61,19 @@
 	Lines []int
 }
 
+// maxDescribed bounds the records that a description quotes.
+const maxDescribed = 20
+
 // describe returns the violation and the records that prove it.
 func (v violation) describe(records []record) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s: %s", v.Rule, v.Text)
-	for _, n := range v.Lines {
+	for _, n := range v.Lines[:min(len(v.Lines), maxDescribed)] {
 		fmt.Fprintf(&b, "\n    %d: %s", n, records[n-1])
 	}
+	if n := len(v.Lines) - maxDescribed; n > 0 {
+		fmt.Fprintf(&b, "\n    and %d further records", n)
+	}
 	return b.String()
 }
 
