front: the test of a new era waits until the removal is known

In 1 of 6 runs with 60 routers the wait for three ready servers was met before any router had read the removal that precedes it. The routers then dropped the server in the old era and the test saw no grace at all (4 calls in 0.1 s).

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -113,6 +113,7 @@
 	f := newFleet(t, routers, 3)
 	gone, leaving := f.engines[0], f.engines[1]
 	f.store.Put(platform.TopicServers, gone.ID, nil)
+	f.waitFor("all routers know that a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 }) })
 	old := f.store.Copy()
 	f.register(platformtest.StateReady, f.engines...)
 	f.waitFor("all routers know all servers", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 3 }) })
