forward: cut off a caller that does not read its denials

Seen: a caller that sends requests on one connection and reads none of the router's own answers held that connection and a request of the router without end, as soon as the send buffer was full.

Cause: a write deadline was set only for requests that are sent to a server. Answers that the router makes itself now have one of 1 s: they are small, so that a write waits only for a caller that does not read. net/http clears the deadline after the request.

--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -84,6 +84,8 @@
 		c.unread = true
 		h.Set("Connection", "close")
 	}
+	// The answer is small: a write that waits has a caller that does not read.
+	_ = http.NewResponseController(&c.w).SetWriteDeadline(time.Now().Add(closeWait))
 	c.w.WriteHeader(status)
 	// A write error means that the caller has disconnected.
 	_, _ = c.w.Write(body)
--- a/internal/forward/unread.go
+++ b/internal/forward/unread.go
@@ -11,8 +11,9 @@
 	// keeps the connection. A body that was sent with its headers arrives within a few
 	// round trips.
 	unreadBodyWait = 100 * time.Millisecond
-	// closeWait bounds the end of a connection whose caller still sends: the caller needs a
-	// round trip to read the answer, and then closes.
+	// closeWait bounds how long an answer of the router waits for its caller to read, and
+	// the end of a connection whose caller still sends: the caller needs a round trip to
+	// read the answer, and then closes.
 	closeWait = time.Second
 )
 
@@ -50,7 +51,6 @@
 		return
 	}
 	control := http.NewResponseController(&c.w)
-	_ = control.SetWriteDeadline(time.Now().Add(closeWait))
 	// An error means that the caller has disconnected; the connection is closed all the same.
 	_ = control.Flush()
 	conn, _, err := control.Hijack()
--- a/internal/forward/unread_test.go
+++ b/internal/forward/unread_test.go
@@ -328,3 +328,28 @@
 		})
 	}
 }
+
+// Guards against a caller that sends requests, reads none of their denials, and holds its
+// connection and a request of the router without end.
+func TestCallerThatDoesNotReadItsDenialsIsCutOff(t *testing.T) {
+	for _, e := range earlyAnswers {
+		if e.length == 0 || e.stopping {
+			// The first answer ends the connection.
+			continue
+		}
+		t.Run(e.name, func(t *testing.T) {
+			t.Parallel()
+			h, s := e.serve(t)
+			c := dialUnread(t, s)
+			request := e.head() + e.body()
+			for {
+				if _, err := io.WriteString(c.conn, request); errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Fatal("the connection was not closed")
+				} else if err != nil {
+					break
+				}
+			}
+			expectNoRequest(t, h, s)
+		})
+	}
+}
