front, digest: read on to the readers' first lists of an era

A router that started while the store came back from an older copy used servers that had said they leave, or had left, for up to 30 s.

Trace (events 1024, reads with positions): the new router listed the era up to 5/5; the readers knew the era by then, but their own first lists ended at 5/8 and held what the servers had written again. A reader takes what stands in its first list and what it knew before for no change, and nothing told the new router that it lacked 5/5 to 5/7.

Each reader now reports the end of its first list in the era (one number in a digest), and a router whose own reads of that era end before it reads on.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -31,6 +31,7 @@
 		Reading:           rapid.Bool().Draw(t, "reading"),
 		StoreEra:          rapid.Int64Min(0).Draw(t, "store era"),
 		ConfigVersion:     rapid.Int64Min(0).Draw(t, "configuration"),
+		ListEnd:           rapid.Int64Min(0).Draw(t, "list end"),
 		Synced:            rapid.Bool().Draw(t, "synced"),
 		PlacementsReply:   rapid.Bool().Draw(t, "placements reply"),
 	}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -92,6 +92,8 @@
 	OwnReads OwnReads
 	// ConfigVersion is the version of the configuration in force; 0 for none.
 	ConfigVersion int64
+	// ListEnd is the offset after the first list of the servers in OwnReads.Era; 0 for none.
+	ListEnd int64
 }
 
 // Exchange sends and receives digests. Its methods are safe for concurrent use.
@@ -187,6 +189,15 @@
 	return e.peers.EraReported(era)
 }
 
+// ReadersListEnd returns the position up to which the first lists of the readers reach in
+// an era, or logpos.None.
+func (e *Exchange) ReadersListEnd(era int64) logpos.Position {
+	own := e.state.Progress().OwnReads
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.ReadersListEnd(time.Now(), own, era)
+}
+
 // NewestEra returns the highest era of the store that a peer has reported; 0 for none.
 func (e *Exchange) NewestEra() int64 {
 	e.mu.Lock()
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -102,7 +102,10 @@
 	// ConfigVersion is the version of the configuration that the sender has in force; 0
 	// for none.
 	ConfigVersion int64
-	Peers         []netip.Addr
+	// ListEnd is the offset after the sender's first list of the servers in StoreEra; 0
+	// for none.
+	ListEnd int64
+	Peers   []netip.Addr
 	// Loads are the sender's own requests in flight.
 	Loads []Load
 	// TotalLoads are the requests in flight of all routers together, the sender's
@@ -141,6 +144,7 @@
 	fieldCached            = 16
 	fieldStoreEra          = 17
 	fieldConfigVersion     = 18
+	fieldListEnd           = 19
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -160,6 +164,7 @@
 	b = appendBool(b, fieldSynced, m.Synced)
 	b = appendPositive(b, fieldStoreEra, m.StoreEra)
 	b = appendPositive(b, fieldConfigVersion, m.ConfigVersion)
+	b = appendPositive(b, fieldListEnd, m.ListEnd)
 	for _, p := range m.Peers {
 		b = protowire.AppendTag(b, fieldPeer, protowire.BytesType)
 		b = protowire.AppendBytes(b, p.AsSlice())
@@ -322,6 +327,8 @@
 		m.StoreEra, err = nonNegative(v)
 	case fieldConfigVersion:
 		m.ConfigVersion, err = nonNegative(v)
+	case fieldListEnd:
+		m.ListEnd, err = nonNegative(v)
 	}
 	return b[n:], err
 }
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -47,6 +47,8 @@
 	// storeEra and configVersion are those that the peer has reported last.
 	storeEra      int64
 	configVersion int64
+	// listEnd is the offset after the first list of the servers in storeEra; 0 for none.
+	listEnd int64
 	// namedAt is when another router last named the peer.
 	namedAt time.Time
 }
@@ -93,6 +95,7 @@
 		peer.Synced = m.Synced
 		peer.storeEra = m.StoreEra
 		peer.configVersion = m.ConfigVersion
+		peer.listEnd = m.ListEnd
 		if m.StoreEra > p.reportedEra {
 			p.reportedEra, p.reportedAt = m.StoreEra, now
 		}
@@ -217,6 +220,19 @@
 	return newest
 }
 
+// ReadersListEnd returns the position up to which the first lists of the other readers
+// reach in an era, or logpos.None. What such a list holds and its reader knew before is
+// sent to nobody, so a router that has read an earlier list of the era must read on to here.
+func (p *Peers) ReadersListEnd(now time.Time, own OwnReads, era int64) logpos.Position {
+	end := logpos.None
+	for _, addr := range p.Readers(now, own) {
+		if peer := p.tracked[addr]; peer != nil && peer.storeEra == era && peer.listEnd > 0 {
+			end = logpos.Max(end, logpos.Position{Era: era, Offset: peer.listEnd})
+		}
+	}
+	return end
+}
+
 // EraReported returns when a peer has first reported an era of the store, or the zero time
 // when none has or one has reported a later era.
 func (p *Peers) EraReported(era int64) time.Time {
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -22,6 +22,7 @@
 	return &Message{
 		Sender: e.sender, Synced: e.Synced(), Progress: progress.Topics,
 		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
+		ListEnd: progress.ListEnd,
 	}
 }
 
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -28,6 +28,10 @@
 	// reflected in the state, which may be one without an effect.
 	lastChange [topicCount]logpos.Position
 	applied    [topicCount]logpos.Position
+	// readTo is the position up to which this router has read the servers itself, and
+	// listEnd the end of its first list of them in the store's era.
+	readTo  logpos.Position
+	listEnd logpos.Position
 	// configVersion is the version of the configuration in force.
 	configVersion int64
 	failing       [topicCount]bool
@@ -144,11 +148,15 @@
 }
 
 // recordReadTo records that this router has read the servers' topic up to the
-// position next. All records before it count as applied, even those without an
-// effect here.
-func (p *progress) recordReadTo(next logpos.Position) {
+// position next, in a list or record by record. All records before it count as applied,
+// even those without an effect here.
+func (p *progress) recordReadTo(next logpos.Position, list bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.readTo = logpos.Max(p.readTo, next)
+	if list && p.listEnd.Era < next.Era {
+		p.listEnd = next
+	}
 	p.applied[topicServers] = logpos.Max(p.applied[topicServers], next.Prev())
 	if p.gap.Before(next) {
 		p.gap = logpos.None
@@ -163,6 +171,24 @@
 	return p.gap
 }
 
+// unreadOf returns the position up to which the servers' topic must be read because the
+// first lists of the readers reach further than this router has read, or logpos.None.
+func (p *progress) unreadOf(listEnd logpos.Position) logpos.Position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.readTo.Era != listEnd.Era || !p.readTo.Before(listEnd) {
+		return logpos.None
+	}
+	return listEnd.Prev()
+}
+
+// readEra returns the era in which this router has read the servers last.
+func (p *progress) readEra() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.readTo.Era
+}
+
 // isApplied reports whether the changes of a topic up to a position are applied here.
 func (p *progress) isApplied(topic int, position logpos.Position) bool {
 	p.mu.Lock()
@@ -241,7 +267,11 @@
 		list = append(list, digest.Progress{Topic: topic, LastChange: p.lastChange[topic]})
 		reading = reading && !p.failing[topic]
 	}
+	listEnd := int64(0)
+	if p.listEnd.Era == era {
+		listEnd = p.listEnd.Offset
+	}
 	return digest.StoreProgress{
-		Topics: list, OwnReads: digest.OwnReads{Succeed: reading, Era: era}, ConfigVersion: p.configVersion,
+		Topics: list, OwnReads: digest.OwnReads{Succeed: reading, Era: era}, ConfigVersion: p.configVersion, ListEnd: listEnd,
 	}
 }
--- a/internal/front/progress_test.go
+++ b/internal/front/progress_test.go
@@ -38,11 +38,11 @@
 	if other.detectGap([]digest.ServerChange{sent[2]}); other.gapPosition() != at(9) {
 		t.Errorf("a change after a lost one: gap at %s, want 9", other.gapPosition())
 	}
-	other.recordReadTo(at(9))
+	other.recordReadTo(at(9), false)
 	if other.gapPosition() != at(9) {
 		t.Error("a read that ends before the change has closed the gap")
 	}
-	other.recordReadTo(at(10))
+	other.recordReadTo(at(10), false)
 	if other.gapPosition() != logpos.None {
 		t.Error("a read past the change has not closed the gap")
 	}
@@ -77,7 +77,7 @@
 func TestChangeThatWasReadLeavesNoGap(t *testing.T) {
 	p := newProgress()
 	p.recordReceived([]registry.Change{change("x", 10)})
-	p.recordReadTo(at(17))
+	p.recordReadTo(at(17), false)
 	if p.detectGap([]digest.ServerChange{{ID: "a", Position: at(16), Prev: at(15)}}); p.gapPosition() != logpos.None {
 		t.Errorf("gap at %s, want none", p.gapPosition())
 	}
@@ -88,7 +88,7 @@
 func TestHeartbeatsAreNotReportedAsChanges(t *testing.T) {
 	p := newProgress()
 	p.recordReceived([]registry.Change{change("x", 10)})
-	p.recordReadTo(at(500))
+	p.recordReadTo(at(500), false)
 	if list := p.report(time.Now(), 0).Topics; list[topicServers].LastChange != at(10) {
 		t.Errorf("reported change %s, want 0/10", list[topicServers].LastChange)
 	}
@@ -175,3 +175,36 @@
 		t.Errorf("sent %v, want only the new server, with the change before it", sent)
 	}
 }
+
+// Guards against a router that read the list of a new era before the readers did and never
+// learns of what was written in between: a reader that knew it before sends it to nobody.
+func TestEarlierListOfAnEraIsReadOn(t *testing.T) {
+	at := func(era, offset int64) logpos.Position { return logpos.Position{Era: era, Offset: offset} }
+	reader := newProgress()
+	reader.recordReadTo(at(4, 20), true)
+	reader.recordReadTo(at(5, 8), true)
+	reader.recordReadTo(at(5, 11), false)
+	if got := reader.report(time.Now(), 5).ListEnd; got != 8 {
+		t.Errorf("the first list ends at %d, want 8", got)
+	}
+	if got := reader.report(time.Now(), 6).ListEnd; got != 0 {
+		t.Errorf("the first list of an era without one ends at %d, want 0", got)
+	}
+	for _, c := range []struct {
+		readTo, listEnd, want logpos.Position
+	}{
+		{at(5, 5), at(5, 8), at(5, 7)},
+		{at(5, 8), at(5, 8), logpos.None},
+		{at(5, 9), at(5, 8), logpos.None},
+		// The state of the era before and the changes that the readers send make up this one.
+		{at(4, 5), at(5, 8), logpos.None},
+		{at(5, 5), logpos.None, logpos.None},
+		{at(0, 0), logpos.None, logpos.None},
+	} {
+		p := newProgress()
+		p.recordReadTo(c.readTo, true)
+		if got := p.unreadOf(c.listEnd); got != c.want {
+			t.Errorf("read to %v, list to %v: unread to %v, want %v", c.readTo, c.listEnd, got, c.want)
+		}
+	}
+}
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -146,6 +146,7 @@
 		}
 		if topic == topicServers {
 			position = logpos.Max(position, t.progress.gapPosition())
+			position = logpos.Max(position, t.progress.unreadOf(t.exchange.ReadersListEnd(t.progress.readEra())))
 		}
 		return position
 	}
@@ -218,7 +219,7 @@
 
 // applyServers applies the servers' entries of a batch.
 func (t *tracker) applyServers(batch feed.Batch) {
-	t.progress.recordReadTo(batch.Next)
+	t.progress.recordReadTo(batch.Next, batch.Full)
 	records := latestPerKey(batch.Records)
 	entries := make([]registry.Entry, 0, len(records))
 	for _, r := range records {
