--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -27,7 +27,14 @@
 }
 
 func newAnswersBed(t testing.TB, servers int) *answersBed {
-	b := newTestBedWith(t.(*testing.T), 0)
+	a := &answersBed{}
+	a.testBed = newAnswersBedWith(t.(*testing.T), func(b *testBed) { a.servers = startRawServers(t.(*testing.T), b, servers) })
+	return a
+}
+
+// newAnswersBedWith starts a router before the servers that register adds as pool "raw".
+func newAnswersBedWith(t *testing.T, register func(b *testBed)) *testBed {
+	b := newTestBedWith(t, 0)
 	c := config(1)
 	for name, kind := range map[string]string{"rawsafe": "safe", "rawunsafe": "unsafe", "rawstream": "stream", "rawresume": "stream"} {
 		r := platformtest.Route{
@@ -42,13 +49,13 @@
 	c.Pools = append(c.Pools, "raw")
 	c.BodyBytes = 4 << 20
 	b.publish(c)
-	a := &answersBed{testBed: b, servers: startRawServers(t.(*testing.T), b, servers)}
+	register(b)
 	b.startReady()
 	// Every case may be tried twice.
 	s := *b.settings
 	s.Bounds.RetryRatio, s.Bounds.RetryExtra = 10, 1_000_000
 	b.front.Apply(&s)
-	return a
+	return b
 }
 
 const (
