httpsend: report bytes on idle connections, and what a server did without an answer

net/http closes an idle connection on which bytes arrive and tells only the log. The connection wrapper now reports them, whether they come after the last answer or together with it; a 408, with which a server may announce the end of an idle connection, is none. Exchange tells whether its connection was reused, and after an error whether the server closed the connection or sent bytes that are no answer.

go test -race -count=20 ./internal/httpsend passes.

--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -3,6 +3,7 @@
 package httpsend
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,10 +22,22 @@
 // conn counts bytes and can be sealed, which rejects all further writes.
 type conn struct {
 	net.Conn
+	// onUnasked is called when bytes have arrived while no exchange was in progress; nil
+	// means not. It must not use the transport, whose locks may be held.
+	onUnasked func()
+
 	mu       sync.Mutex
 	sealed   bool
 	written  int64
 	received int64
+	// exchange is the latest exchange, and returned is set when Send has returned its
+	// answer. idle is set after its end until the next write.
+	exchange *Exchange
+	returned bool
+	idle     bool
+	// reading is set while a read waits. ended is set when the peer has ended the connection.
+	reading bool
+	ended   bool
 }
 
 func (c *conn) Write(b []byte) (int, error) {
@@ -34,18 +48,101 @@
 	}
 	// Counted before the write, because a failed write may have sent a part.
 	c.written += int64(len(b))
+	c.idle = false
 	c.mu.Unlock()
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.recordError(err)
+	return n, err
 }
 
 func (c *conn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	c.reading = true
+	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
+	c.recordError(err)
 	c.mu.Lock()
+	c.reading = false
 	c.received += int64(n)
+	unasked := c.idle && n > 0
+	c.idle = c.idle && !unasked
 	c.mu.Unlock()
+	if unasked && !isRequestTimeout(b[:n]) {
+		c.reportUnasked()
+	}
 	return n, err
 }
 
+// isRequestTimeout reports whether bytes are a 408, with which a server may announce that
+// it closes an idle connection.
+func isRequestTimeout(b []byte) bool {
+	version, rest, _ := bytes.Cut(b, []byte(" "))
+	return bytes.HasPrefix(version, []byte("HTTP/1.")) && bytes.HasPrefix(rest, []byte("408 "))
+}
+
+// recordError records that the peer has ended the connection, unless err is nil or due to
+// Close.
+func (c *conn) recordError(err error) {
+	if err == nil || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+}
+
+// Close closes the connection. net/http always has a read waiting on an idle connection,
+// except when bytes that came together with the last answer are left in its buffer; then
+// it closes the connection. It also does so when a request is cancelled while its answer
+// is handed over; this is before Send has returned.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	unasked := c.idle && c.returned && !c.reading && !c.ended
+	c.idle = false
+	c.mu.Unlock()
+	if unasked {
+		c.reportUnasked()
+	}
+	return c.Conn.Close()
+}
+
+func (c *conn) reportUnasked() {
+	if c.onUnasked != nil {
+		c.onUnasked()
+	}
+}
+
+// begin makes x the exchange in progress.
+func (c *conn) begin(x *Exchange) (written, received int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exchange, c.returned = x, false
+	return c.written, c.received
+}
+
+// setIdle records the end of x, unless the next exchange has begun.
+func (c *conn) setIdle(x *Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = c.exchange == x
+}
+
+// setReturned records that Send has returned the answer of x.
+func (c *conn) setReturned(x *Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.exchange == x {
+		c.returned = true
+	}
+}
+
+// hasEnded reports whether the peer has ended the connection.
+func (c *conn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 func (c *conn) counts() (written, received int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -86,6 +183,10 @@
 	Control func(network, address string, c syscall.RawConn) error
 	// KeepAlive sets the probes of idle connections; the zero value means the default.
 	KeepAlive net.KeepAliveConfig
+	// OnUnasked is called when a server has sent bytes on a connection that was not in use;
+	// nil means not. It is called on any goroutine and must not use the transport. A call of
+	// CloseIdleConnections may report a connection whose exchange ended that moment.
+	OnUnasked func()
 }
 
 // NewTransport returns a transport for use with Send. It uses no proxy.
@@ -97,7 +198,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return &conn{Conn: c, onUnasked: o.OnUnasked}, nil
 		},
 		DisableKeepAlives:      o.NoConnReuse,
 		DisableCompression:     true,
@@ -112,6 +213,8 @@
 type Exchange struct {
 	// NotSent is set when the request failed and no byte of it was or will be written.
 	NotSent bool
+	// Reused is set when the connection was kept from an earlier exchange.
+	Reused bool
 
 	// writtenEarlier is set when net/http wrote the request to one connection and
 	// then switched to another.
@@ -131,11 +234,40 @@
 	return int(written - e.baseWritten + received - e.baseReceived)
 }
 
+// Fault is what a server did instead of giving an answer.
+type Fault int
+
+const (
+	// NoFault: the server got no request, or did not end the exchange.
+	NoFault Fault = iota
+	// ConnectionClosed: the server closed the connection without an answer.
+	ConnectionClosed
+	// NoAnswer: the server sent bytes that are no answer.
+	NoAnswer
+)
+
+// Fault returns what the server did. It is valid after Send returned an error that is not
+// due to the context.
+func (e *Exchange) Fault() Fault {
+	switch {
+	case e.conn == nil || e.NotSent:
+		return NoFault
+	case e.conn.hasEnded():
+		return ConnectionClosed
+	}
+	if _, received := e.conn.counts(); received > e.baseReceived {
+		return NoAnswer
+	}
+	return NoFault
+}
+
 // Send performs one round trip and follows no redirect. After an error,
 // Exchange.NotSent reports whether the request certainly did not leave this host;
 // the connection is then sealed, so that a delayed write cannot send it later.
 func Send(t http.RoundTripper, req *http.Request) (*http.Response, *Exchange, error) {
 	exchange := &Exchange{}
+	// net/http calls PutIdleConn on a goroutine of its own.
+	var latest atomic.Pointer[conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		c, ok := info.Conn.(*conn)
 		if !ok {
@@ -144,8 +276,13 @@
 		if exchange.conn != nil && !exchange.conn.sealUnwritten(exchange.baseWritten) {
 			exchange.writtenEarlier = true
 		}
-		exchange.conn = c
-		exchange.baseWritten, exchange.baseReceived = c.counts()
+		exchange.conn, exchange.Reused = c, info.Reused
+		exchange.baseWritten, exchange.baseReceived = c.begin(exchange)
+		latest.Store(c)
+	}, PutIdleConn: func(err error) {
+		if c := latest.Load(); err == nil && c != nil {
+			c.setIdle(exchange)
+		}
 	}}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, err := t.RoundTrip(req)
@@ -153,6 +290,9 @@
 		exchange.NotSent = exchange.notSent()
 		return nil, exchange, err
 	}
+	if exchange.conn != nil {
+		exchange.conn.setReturned(exchange)
+	}
 	return resp, exchange, nil
 }
 
