forward: use new connections to a server that loses requests on kept ones

Of 40 requests in a row to a server that answers again when the next request is in, 20 were served, and as many to one that closes kept connections then. Connections from before a period are never used after it. Events 1028 and 1029 log the start and the end, the counter reuse_stopped counts periods by cause, and the status shows the rest of one.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -29,6 +29,8 @@
 	ConfigHeldBack      = register(1025, hclog.Warn, "first configuration is older than that of a running router; held back")
 	ServerEntryOutdated = register(1026, hclog.Info, "server entry of an older copy of the store contradicts what is known; ignored until it is written again")
 	LibraryMessage      = register(1027, hclog.Warn, "HTTP library reported a problem with a connection")
+	ReuseStopped        = register(1028, hclog.Warn, "connections to a server are not reused for a while; it loses requests on kept ones")
+	ReuseResumed        = register(1029, hclog.Info, "connections to a server are reused again")
 	InventoryCollected  = register(1022, hclog.Info, "engines were queried for their cached prompt parts")
 	InventoryFailed     = register(1023, hclog.Warn, "query of an engine's cached prompt parts failed")
 )
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -202,6 +202,8 @@
 	cause   Cause
 	// mayHaveRun is set when the server may have run the request.
 	mayHaveRun bool
+	// otherAnswer is set when the answer does not belong to the request.
+	otherAnswer bool
 	// failure is a complete answer of the server that reports a failure.
 	failure *failure
 }
@@ -283,14 +285,20 @@
 	defer watch.stop()
 	c.attempts.sentAt = time.Now()
 	c.attempts.framing, c.attempts.bodyBytes = framing.Unknown, 0
-	resp, exchange, err := httpsend.Send(c.pool.transport(key), c.outgoingRequest(ctx, choice))
+	conns := c.pool.connectionsTo(choice.Server)
+	resp, exchange, err := httpsend.Send(conns.transport(c.attempts.sentAt), c.outgoingRequest(ctx, choice))
 	if err != nil {
+		if ctx.Err() == nil {
+			conns.recordNoAnswer(c.attempts.sentAt, exchange)
+		}
 		return c.classifySendError(ctx, err, exchange.NotSent)
 	}
 	defer resp.Body.Close()
 	c.attempts.framing = endOf(resp).framing
 	watch.recordProgress()
-	return c.handleAnswer(ctx, choice, resp, watch)
+	res := c.handleAnswer(ctx, choice, resp, watch)
+	conns.recordAnswer(c.attempts.sentAt, exchange, !res.otherAnswer)
+	return res
 }
 
 // classifySendError classifies an exchange that ended without an answer.
@@ -317,7 +325,7 @@
 func (c *call) handleAnswer(ctx context.Context, choice balance.Choice, resp *http.Response, watch *watch) result {
 	answer := c.handler.codec.ResponseHeaders(resp.Header)
 	if answer.RequestID != c.headers.ID && !(answer.NotRun && answer.RequestID == "") {
-		return result{outcome: balance.Failed, cause: CauseWrongAnswer, mayHaveRun: true}
+		return result{outcome: balance.Failed, cause: CauseWrongAnswer, mayHaveRun: true, otherAnswer: true}
 	}
 	if answer.HasLoad {
 		c.pool.recordLoad(time.Now(), choice.Server.Key(), answer.Load)
--- /dev/null
+++ b/internal/forward/connections.go
@@ -0,0 +1,153 @@
+package forward
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/connreuse"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/httpsend"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+)
+
+// reuseObserver is called with each change of the decision whether connections to a server
+// may be reused. It must not use the connections.
+type reuseObserver func(*registry.Server, *connreuse.Change)
+
+// connections holds the connections to one server. It is safe for concurrent use.
+type connections struct {
+	onReuse func(*connreuse.Change)
+
+	// transportMu guards the transports. kept reuses connections; single opens one for each
+	// request, while the connections must not be reused. Each is made when it is needed.
+	transportMu  sync.Mutex
+	kept, single *http.Transport
+
+	// reuseMu guards reuse and removed. The transports report unasked bytes with their locks held, so
+	// no transport is used under reuseMu.
+	reuseMu sync.Mutex
+	reuse   connreuse.State
+	// removed is set when the server no longer exists.
+	removed bool
+}
+
+// transport returns the transport for the next request. Connections that are kept when a
+// period without reuse begins are never used again.
+func (c *connections) transport(now time.Time) *http.Transport {
+	mayReuse, changed := c.mayReuse(now)
+	c.transportMu.Lock()
+	defer c.transportMu.Unlock()
+	if c.kept != nil && (!mayReuse || changed) {
+		c.kept.CloseIdleConnections()
+		c.kept = nil
+	}
+	if mayReuse {
+		if c.kept == nil {
+			c.kept = c.newTransport(true)
+		}
+		return c.kept
+	}
+	if c.single == nil {
+		c.single = c.newTransport(false)
+	}
+	return c.single
+}
+
+// remove closes the kept connections to a server that no longer exists.
+func (c *connections) remove() {
+	c.reuseMu.Lock()
+	c.removed = true
+	c.reuseMu.Unlock()
+	c.transportMu.Lock()
+	defer c.transportMu.Unlock()
+	if c.kept != nil {
+		c.kept.CloseIdleConnections()
+	}
+}
+
+func (c *connections) newTransport(reuse bool) *http.Transport {
+	t := httpsend.NewTransport(httpsend.Options{
+		DialTimeout:         dialTimeout,
+		MaxHeaderBytes:      maxHeaderBytes,
+		MaxIdleConnsPerHost: idlePerServer,
+		IdleTimeout:         idleTimeout,
+		NoConnReuse:         !reuse,
+		Control:             setSendTimeout,
+		KeepAlive:           httpsend.ShortKeepAlive(),
+		OnUnasked:           c.recordUnasked,
+	})
+	t.ReadBufferSize = connectionBuffer
+	t.WriteBufferSize = connectionBuffer
+	return t
+}
+
+// mayReuse reports whether connections may be reused, and whether that is so again.
+func (c *connections) mayReuse(now time.Time) (may, changed bool) {
+	c.record(func(s *connreuse.State) (change *connreuse.Change) {
+		may, change = s.MayReuse(now)
+		changed = change != nil
+		return change
+	})
+	return may, changed
+}
+
+// noReuseFor returns how long connections must not be reused yet.
+func (c *connections) noReuseFor(now time.Time) time.Duration {
+	c.reuseMu.Lock()
+	defer c.reuseMu.Unlock()
+	return c.reuse.Remaining(now)
+}
+
+func (c *connections) recordUnasked() {
+	now := time.Now()
+	c.record(func(s *connreuse.State) *connreuse.Change { return s.RecordUnasked(now) })
+}
+
+// recordAnswer records that an exchange that began at begun got its own answer, or that of
+// another request.
+func (c *connections) recordAnswer(begun time.Time, exchange *httpsend.Exchange, own bool) {
+	c.record(func(s *connreuse.State) *connreuse.Change {
+		switch {
+		case own:
+			s.RecordAnswered(begun)
+		case exchange.Reused:
+			return s.RecordSpoiled(time.Now(), begun, connreuse.OtherAnswer)
+		}
+		return nil
+	})
+}
+
+// recordNoAnswer records that an exchange failed for a reason that is not the caller's or
+// the router's.
+func (c *connections) recordNoAnswer(begun time.Time, exchange *httpsend.Exchange) {
+	fault := exchange.Fault()
+	c.record(func(s *connreuse.State) *connreuse.Change {
+		switch {
+		case fault == httpsend.ConnectionClosed:
+			return s.RecordUnanswered(time.Now(), begun, exchange.Reused)
+		case fault == httpsend.NoAnswer && exchange.Reused:
+			return s.RecordSpoiled(time.Now(), begun, connreuse.UnaskedBytes)
+		}
+		return nil
+	})
+}
+
+func (c *connections) record(f func(*connreuse.State) *connreuse.Change) {
+	c.reuseMu.Lock()
+	change := f(&c.reuse)
+	report := change != nil && !c.removed
+	c.reuseMu.Unlock()
+	if report {
+		c.onReuse(change)
+	}
+}
+
+// logReuse logs a change of the decision.
+func logReuse(events *event.Logger, s *registry.Server, change *connreuse.Change) {
+	e := event.ReuseStopped
+	if change.Allowed {
+		e = event.ReuseResumed
+	}
+	events.Emit(e, "server", s.ID, "pool", s.Pool, "cause", change.Cause, "period_ms", change.Period.Milliseconds())
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -9,10 +9,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/connreuse"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/framing"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
@@ -32,6 +34,10 @@
 
 // New returns a handler that routes by state.
 func New(state *State, codec Codec, events *event.Logger, metrics *Metrics) *Handler {
+	state.onReuse = func(s *registry.Server, change *connreuse.Change) {
+		logReuse(events, s, change)
+		metrics.recordReuse(change)
+	}
 	return &Handler{
 		state:   state,
 		codec:   codec,
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/bluebellwell/bluebellwell/internal/connreuse"
 )
 
 // Metrics counts how requests end. It is safe for concurrent use.
@@ -22,6 +24,13 @@
 
 func (m *Metrics) recordRetry() { m.retries.Inc(1) }
 
+// recordReuse counts the periods in which connections to a server are not reused.
+func (m *Metrics) recordReuse(change *connreuse.Change) {
+	if !change.Allowed {
+		m.scope.Tagged(map[string]string{"cause": string(change.Cause)}).Counter("reuse_stopped").Inc(1)
+	}
+}
+
 func (m *Metrics) recordEnd(c *call, duration time.Duration) {
 	kind := "none"
 	if c.route != nil {
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -2,14 +2,13 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
-	"github.com/bluebellwell/bluebellwell/internal/httpsend"
+	"github.com/bluebellwell/bluebellwell/internal/connreuse"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/retrybudget"
@@ -52,6 +51,9 @@
 	onNewPlacement func()
 	// placementsKnown reports whether this router has the placements of the fleet.
 	placementsKnown func() bool
+	// onReuse is called when connections to a server may no longer be reused, or may be
+	// again. New sets it.
+	onReuse reuseObserver
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -66,12 +68,16 @@
 	mu         sync.Mutex
 	balance    *balance.Pool
 	controller *overload.Controller
-	transports map[registry.Key]*http.Transport
+	// connections has those of each incarnation of a server, so that none is used for a
+	// later incarnation.
+	connections map[registry.Key]*connections
+	onReuse     reuseObserver
 }
 
 // NewState returns a state without a configuration and servers.
 func NewState(limits Limits) *State {
-	return &State{limits: limits, pools: make(map[string]*pool), onNewPlacement: func() {}, placementsKnown: func() bool { return true }}
+	return &State{limits: limits, pools: make(map[string]*pool), onNewPlacement: func() {}, placementsKnown: func() bool { return true },
+		onReuse: func(*registry.Server, *connreuse.Change) {}}
 }
 
 // OnNewPlacement sets the function that is called after a placement that must be
@@ -121,11 +127,12 @@
 
 func (st *State) newPool(name string) *pool {
 	return &pool{
-		name:       name,
-		budget:     retrybudget.New(st.limits.Retry),
-		balance:    balance.NewPool(st.limits.Balance),
-		controller: overload.New(),
-		transports: make(map[registry.Key]*http.Transport),
+		name:        name,
+		budget:      retrybudget.New(st.limits.Retry),
+		balance:     balance.NewPool(st.limits.Balance),
+		controller:  overload.New(),
+		connections: make(map[registry.Key]*connections),
+		onReuse:     func(s *registry.Server, c *connreuse.Change) { st.onReuse(s, c) },
 	}
 }
 
@@ -158,12 +165,12 @@
 	for _, s := range list {
 		current[s.Key()] = true
 	}
-	for key, t := range p.transports {
+	for key, c := range p.connections {
 		if current[key] {
 			continue
 		}
-		t.CloseIdleConnections()
-		delete(p.transports, key)
+		c.remove()
+		delete(p.connections, key)
 	}
 }
 
@@ -233,31 +240,16 @@
 	return p.balance.ConfirmFailure(now, key)
 }
 
-// transport returns the transport of one incarnation of a server. Each has its
-// own, so that no connection is used for a later incarnation.
-func (p *pool) transport(key registry.Key) *http.Transport {
+// connectionsTo returns the connections to one incarnation of a server.
+func (p *pool) connectionsTo(server *registry.Server) *connections {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := p.transports[key]
-	if t == nil {
-		t = newTransport()
-		p.transports[key] = t
+	c := p.connections[server.Key()]
+	if c == nil {
+		c = &connections{onReuse: func(change *connreuse.Change) { p.onReuse(server, change) }}
+		p.connections[server.Key()] = c
 	}
-	return t
-}
-
-func newTransport() *http.Transport {
-	t := httpsend.NewTransport(httpsend.Options{
-		DialTimeout:         dialTimeout,
-		MaxHeaderBytes:      maxHeaderBytes,
-		MaxIdleConnsPerHost: idlePerServer,
-		IdleTimeout:         idleTimeout,
-		Control:             setSendTimeout,
-		KeepAlive:           httpsend.ShortKeepAlive(),
-	})
-	t.ReadBufferSize = connectionBuffer
-	t.WriteBufferSize = connectionBuffer
-	return t
+	return c
 }
 
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall does not define.
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -30,6 +30,8 @@
 	// Own and Others are the requests in flight of this router and of the others.
 	Own    int `json:"own"`
 	Others int `json:"others"`
+	// NoReuseMs is how long connections are not reused yet, in milliseconds.
+	NoReuseMs int64 `json:"no_reuse_ms,omitempty"`
 }
 
 // Status returns the status of all pools, sorted by name.
@@ -59,9 +61,13 @@
 		case b.Ejected:
 			state = "ejected"
 		}
-		s.Servers = append(s.Servers, ServerStatus{
+		server := ServerStatus{
 			ID: b.Server.ID, Addr: b.Server.Addr, DataCentre: b.Server.DataCentre, State: state, Own: b.Own, Others: b.Others,
-		})
+		}
+		if c := p.connections[b.Server.Key()]; c != nil {
+			server.NoReuseMs = c.noReuseFor(now).Milliseconds()
+		}
+		s.Servers = append(s.Servers, server)
 	}
 	return s
 }
