front: play random answers also without unasked bytes

Since a router does not reuse connections to a server after unasked bytes, the series with such bytes no longer covers kept connections. They now have a series each, both of the former size.

--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -279,8 +279,14 @@
 
 // Guards against the same for random answers: sizes around each buffer of the router,
 // other methods, statuses and versions, callers of HTTP/1.0, connections that are used
-// again, and bytes that belong to no answer.
+// again, and bytes that belong to no answer. Since the router does not reuse connections
+// to a server after such bytes, they have a series of their own.
 func TestRandomAnswers(t *testing.T) {
+	t.Run("servers that send nothing else", func(t *testing.T) { checkRandomAnswers(t, false) })
+	t.Run("servers that send unasked bytes", func(t *testing.T) { checkRandomAnswers(t, true) })
+}
+
+func checkRandomAnswers(t *testing.T, extras bool) {
 	b := newAnswersBed(t, 2)
 	callers := map[string]*rawCaller{}
 	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
@@ -290,7 +296,7 @@
 	draw := func(t *rapid.T) {
 		for range 10 {
 			lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "line end")
-			x := drawExchange(t, lineEnd)
+			x := drawExchange(t, lineEnd, extras)
 			cases++
 			if x = b.run(callers[x.callerVersion], x); x.check(lineEnd) != "" {
 				t.Fatalf("%s: %s", x.check(lineEnd), x)
@@ -305,7 +311,7 @@
 	t.Logf("%d cases", cases)
 }
 
-func drawExchange(t *rapid.T, lineEnd string) exchange {
+func drawExchange(t *rapid.T, lineEnd string, extras bool) exchange {
 	x := exchange{
 		method:        rapid.SampledFrom([]string{http.MethodPost, http.MethodGet, http.MethodHead}).Draw(t, "method"),
 		kind:          rapid.SampledFrom([]string{"rawunsafe", "rawsafe", "rawstream", "rawresume"}).Draw(t, "kind"),
@@ -349,6 +355,9 @@
 	whole := a.cut < 0 && a.framing != byClose && a.version == "HTTP/1.1" && x.method != http.MethodHead
 	if whole && rapid.Bool().Draw(t, "kept") {
 		a.ending = keeps
+		if !extras {
+			return x
+		}
 		other := rawAnswer{version: "HTTP/1.1", status: http.StatusOK, body: "x"}
 		otherWire, _ := other.wire("another", false)
 		a.extra = rapid.SampledFrom([]string{"", "x", string(otherWire)}).Draw(t, "extra")
