connreuse: count closes only at a server that ends a quarter of the exchanges so

A server that loses a few answers closes kept and new connections alike. Closes now count only when they are a quarter of the exchanges on kept connections since the first of them. The new row of TestSignsThatStopTheReuse was red before.

--- a/internal/connreuse/connreuse.go
+++ b/internal/connreuse/connreuse.go
@@ -18,6 +18,9 @@
 	// seconds for each of them.
 	closeThreshold = 3
 	closeWindow    = 10 * time.Second
+	// minCloseShare is the least share of closes among the exchanges on kept connections
+	// since the first close. A server that loses a few answers does so on any connection.
+	minCloseShare = 0.25
 	// excuse is how long closes don't count after a new connection has ended in the same
 	// way, which shows that the reuse is not their cause.
 	excuse = time.Minute
@@ -57,12 +60,14 @@
 	// ended is set when the end of the latest period has been reported.
 	ended bool
 
-	// closes counts the closes since firstClose. lastClose is the latest counted one, and
+	// closes counts the closes since firstClose, and keptAnswers the answers on kept
+	// connections since then. lastClose is the latest counted one, and
 	// answered is set when an exchange that began after it had an answer.
-	closes     int
-	firstClose time.Time
-	lastClose  time.Time
-	answered   bool
+	closes      int
+	keptAnswers int
+	firstClose  time.Time
+	lastClose   time.Time
+	answered    bool
 	// excusedUntil is when closes count again.
 	excusedUntil time.Time
 }
@@ -94,8 +99,12 @@
 	return s.forbid(now, begun, cause)
 }
 
-// RecordAnswered records that an exchange that began at begun got its answer.
-func (s *State) RecordAnswered(begun time.Time) {
+// RecordAnswered records that an exchange that began at begun got its answer. reused is set
+// for a kept connection.
+func (s *State) RecordAnswered(begun time.Time, reused bool) {
+	if reused {
+		s.keptAnswers++
+	}
 	if begun.After(s.lastClose) {
 		s.answered = true
 	}
@@ -118,16 +127,20 @@
 		return nil
 	}
 	if s.closes == 0 || now.Sub(s.firstClose) > closeWindow {
-		s.closes, s.firstClose = 0, now
+		s.closes, s.keptAnswers, s.firstClose = 0, 0, now
 	}
 	s.closes++
 	s.lastClose, s.answered = now, false
-	if s.closes < closeThreshold && !s.repeats(now, Closes) {
+	if !s.closesTooOften() && !s.repeats(now, Closes) {
 		return nil
 	}
 	return s.forbid(now, begun, Closes)
 }
 
+func (s *State) closesTooOften() bool {
+	return s.closes >= closeThreshold && float64(s.closes) >= minCloseShare*float64(s.closes+s.keptAnswers)
+}
+
 // excuseCloses ends a period that began because of closes and ignores further ones for a
 // while.
 func (s *State) excuseCloses(now time.Time) *Change {
--- a/internal/connreuse/connreuse_test.go
+++ b/internal/connreuse/connreuse_test.go
@@ -23,7 +23,7 @@
 func other(s *State, now, begun time.Time) *Change {
 	return s.RecordSpoiled(now, begun, OtherAnswer)
 }
-func answered(s *State, _, begun time.Time) *Change { s.RecordAnswered(begun); return nil }
+func answered(s *State, _, begun time.Time) *Change { s.RecordAnswered(begun, true); return nil }
 func closed(s *State, now, begun time.Time) *Change { return s.RecordUnanswered(now, begun, true) }
 func closedNew(s *State, now, begun time.Time) *Change {
 	return s.RecordUnanswered(now, begun, false)
@@ -57,6 +57,13 @@
 		{"closes of kept connections to a server that answers nothing", []step{
 			{1 * ms, 0, closed, false}, {3 * ms, 2 * ms, closed, false}, {5 * ms, 4 * ms, closed, false}, {7 * ms, 6 * ms, closed, false},
 		}},
+		{"a server that loses a few answers", []step{
+			{1 * ms, 0, closed, false},
+			{3 * ms, 2 * ms, answered, false}, {3 * ms, 2 * ms, answered, false}, {3 * ms, 2 * ms, answered, false},
+			{3 * ms, 2 * ms, answered, false}, {3 * ms, 2 * ms, answered, false}, {4 * ms, 3 * ms, closed, false},
+			{6 * ms, 5 * ms, answered, false}, {6 * ms, 5 * ms, answered, false}, {6 * ms, 5 * ms, answered, false},
+			{6 * ms, 5 * ms, answered, false}, {6 * ms, 5 * ms, answered, false}, {7 * ms, 6 * ms, closed, false},
+		}},
 		{"a server that also closes new connections", []step{
 			{1 * ms, 0, closedNew, false},
 			{3 * ms, 2 * ms, answered, false}, {4 * ms, 3 * ms, closed, false},
@@ -116,7 +123,7 @@
 	var s State
 	for i := range closeThreshold {
 		at := start.Add(time.Duration(i) * time.Second)
-		s.RecordAnswered(at.Add(-2 * ms))
+		s.RecordAnswered(at.Add(-2*ms), false)
 		s.RecordUnanswered(at, at.Add(-ms), true)
 	}
 	now := start.Add(3 * time.Second)
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -110,7 +110,7 @@
 	c.record(func(s *connreuse.State) *connreuse.Change {
 		switch {
 		case own:
-			s.RecordAnswered(begun)
+			s.RecordAnswered(begun, exchange.Reused)
 		case exchange.Reused:
 			return s.RecordSpoiled(time.Now(), begun, connreuse.OtherAnswer)
 		}
