--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -51,8 +51,9 @@
 	return &caller{f: f, name: name, random: random, conns: map[*router]*callerConn{}}
 }
 
-// routesOfCallers are the routes to which callers send.
-var routesOfCallers = []string{"safe", "unsafe", "stream", "resume"}
+// routesOfCallers are the routes to which callers send. Each configuration moves the last
+// one to another pool.
+var routesOfCallers = []string{"safe", "unsafe", "stream", "resume", "moved"}
 
 // sendUntil sends requests until ctx ends.
 func (c *caller) sendUntil(ctx context.Context) {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -177,7 +177,8 @@
 	}},
 	{kindServerLeaves, func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
-		f.register(s, platformtest.StateLeaving)
+		// Some servers remove their entries without reporting first that they leave.
+		f.register(s, []string{platformtest.StateLeaving, stateGone}[selector/len(f.servers)%2])
 		time.Sleep(duration + drainGrace)
 		f.register(s, platformtest.StateReady)
 	}},
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -142,14 +142,22 @@
 	f.writeEntry(s)
 }
 
-// writeEntry writes the entry of a server. The caller holds f.mu.
+// stateGone is the state of a server without an entry.
+const stateGone = ""
+
+// entryStates are the states of entries as the records have them.
+var entryStates = map[string]entryState{
+	platformtest.StateReady: entryReady, platformtest.StateLeaving: entryLeaving, stateGone: entryGone,
+}
+
+// writeEntry writes the entry of a server, or removes it. The caller holds f.mu.
 func (f *fleet) writeEntry(s *server) {
-	f.store.Put(platform.TopicServers, s.ID, s.EntryAt(s.pool, s.state, s.proxy.addr()))
-	state := entryReady
-	if s.state == platformtest.StateLeaving {
-		state = entryLeaving
+	entry := s.EntryAt(s.pool, s.state, s.proxy.addr())
+	if s.state == stateGone {
+		entry = nil
 	}
-	f.records.add(entryConfirmed{Server: s.ID, Pool: s.pool, State: state})
+	f.store.Put(platform.TopicServers, s.ID, entry)
+	f.records.add(entryConfirmed{Server: s.ID, Pool: s.pool, State: entryStates[s.state]})
 }
 
 const (
@@ -404,6 +412,7 @@
 		Routes: []platformtest.Route{
 			route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 1),
 			route("stream", "stream", "engines", 1), route("resume", "stream", "engines", 2),
+			route("moved", "safe", []string{"plain", "engines"}[f.version%2], 2),
 		},
 	}
 	f.writeConfig()
--- a/internal/soak/judgetime_test.go
+++ b/internal/soak/judgetime_test.go
@@ -177,8 +177,8 @@
 func checkRetryBudget(h *history) []violation {
 	sent, repeats := map[string][]time.Duration{}, map[string][]logged[requestArrived]{}
 	for _, r := range h.requests {
-		if route, found := h.route(r.sent.event.Route); found {
-			sent[route.Pool] = append(sent[route.Pool], r.sent.at)
+		for _, pool := range h.poolsOf(r) {
+			sent[pool] = append(sent[pool], r.sent.at)
 		}
 		for _, a := range r.attempts[min(1, len(r.attempts)):] {
 			pool := a.arrived.event.Pool
@@ -195,6 +195,17 @@
 	return list
 }
 
+// poolsOf returns the pools to which the configurations in force send a request.
+func (h *history) poolsOf(r *request) []string {
+	var pools []string
+	for _, c := range h.inForce(r) {
+		if route, found := c.event.route(r.sent.event.Route); found && !slices.Contains(pools, route.Pool) {
+			pools = append(pools, route.Pool)
+		}
+	}
+	return pools
+}
+
 // overBudget returns the first window in which a pool has more repeats than it may have.
 func (h *history) overBudget(pool string, arrivals []logged[requestArrived], sent []time.Duration) (violation, bool) {
 	window, oldest := h.bounds.RetryWindow, 0
