soak: judge what servers do for callers that have left by what lasts

A request that would have ended soon anyway says nothing, so the rule takes the length of the attempt before it on the route. One request in four may be given up.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -74,7 +74,7 @@
 	// One request in leavingShare is given up within maxLeavingTime, one in rotatingShare
 	// has the newest key and one in rotatingShare the key before it, and one in forgingShare
 	// has headers that only the system may set.
-	leavingShare   = 8
+	leavingShare   = 4
 	maxLeavingTime = 60 * time.Millisecond
 	rotatingShare  = 16
 	forgingShare   = 8
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -121,7 +121,7 @@
 // what routes allow.
 const (
 	answerDelay = 8 * time.Millisecond
-	longDelay   = 150 * time.Millisecond
+	longDelay   = 280 * time.Millisecond
 )
 
 func (f *fleet) addServer(i int) {
--- a/internal/soak/judgecases_test.go
+++ b/internal/soak/judgecases_test.go
@@ -108,6 +108,12 @@
 		{rule: "departed callers", about: "a server that works on", common: []record{sent(0, "a", "stream"), arrived(1, "1a", "a", "engines"), run(1, "1a"), left(100, "a"), given(900, "1a", events(1, 5))},
 			breaks: []record{cancelled(700, "1a")},
 			keeps:  []record{cancelled(500, "1a")}},
+		{rule: "departed callers", about: "one of four long ones", common: joined([]record{changed(sent(-5000, "b", "stream"), steady), arrived(-4999, "1b", "b", "engines"), run(-4999, "1b"), given(-3000, "1b", events(1, 5)), headers(-4000, "b", 200, "seal-1b"), body(-3000, "b", events(1, 5))},
+			many(3, 0, 10, func(ms int, id string) []record {
+				return []record{sent(ms, id, "stream"), arrived(ms+1, "1"+id, id, "engines"), run(ms+1, "1"+id), left(ms+100, id), cancelled(ms+200, "1"+id)}
+			}), []record{sent(0, "a", "stream"), arrived(1, "1a", "a", "engines"), run(1, "1a"), left(100, "a"), cancelled(700, "1a")}),
+			breaks: []record{sent(0, "c", "stream"), arrived(1, "1c", "c", "engines"), run(1, "1c"), left(100, "c"), cancelled(700, "1c")},
+			keeps:  []record{sent(0, "c", "stream"), arrived(1, "1c", "c", "engines"), run(1, "1c"), left(100, "c"), cancelled(500, "1c")}},
 		{rule: "departed callers", about: "late arrivals",
 			breaks: many(4, 0, 10, func(ms int, id string) []record {
 				return []record{sent(ms, id, "unsafe"), left(ms+100, id), arrived(ms+700, "1"+id, id, "plain"), run(ms+700, "1"+id)}
--- a/internal/soak/judgetime_test.go
+++ b/internal/soak/judgetime_test.go
@@ -136,7 +136,7 @@
 // servers do not work on for callers that have left.
 func checkDeparted(h *history) []violation {
 	var late, working []int
-	lasting, still := 0, 0
+	lasting, still, usual := 0, 0, h.usualLengths()
 	for _, r := range h.requests {
 		if !r.left.present() || !h.inTouch(r.sent.event.Router, r.left.at) {
 			continue
@@ -153,7 +153,9 @@
 			case h.once(r) && !h.isStream(r) || ended && end <= r.left.at:
 				// An unsafe request may finish; an ended one needs no cancel.
 			case ended && end <= limit:
-				lasting += min(1, a.cancelled.line)
+				if a.cancelled.present() && a.arrived.at+usual[a] > limit {
+					lasting++
+				}
 			default:
 				lasting, still = lasting+1, still+1
 				working = append(working, r.left.line, a.arrived.line, a.answered.line, a.cancelled.line)
@@ -171,6 +173,23 @@
 	return list
 }
 
+// usualLengths returns for each attempt how long the attempt before it on its route took
+// that was not cancelled or broken off: what it would have lasted itself.
+func (h *history) usualLengths() map[*attempt]time.Duration {
+	list, newest := map[*attempt]time.Duration{}, map[string]time.Duration{}
+	for _, a := range h.attempts {
+		r := h.byID[a.arrived.event.ID]
+		if r == nil {
+			continue
+		}
+		list[a] = newest[r.sent.event.Route]
+		if a.answered.present() && !a.answered.event.Broken && !a.cancelled.present() && a.run.present() {
+			newest[r.sent.event.Route] = a.answered.at - a.arrived.at
+		}
+	}
+	return list
+}
+
 // checkRetryBudget: in no window does a pool get more arrivals beyond the first of each
 // request than its budget allows. Requests count in the window, the one before it or the
 // one half a window before it, whichever has most.
