--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -51,8 +51,9 @@
 	return &caller{f: f, name: name, random: random, conns: map[*router]*callerConn{}}
 }
 
-// routesOfCallers are the routes to which callers send.
-var routesOfCallers = []string{"safe", "unsafe", "stream", "resume"}
+// routesOfCallers are the routes to which callers send. Each configuration moves the last
+// one to another pool.
+var routesOfCallers = []string{"safe", "unsafe", "stream", "resume", "moved"}
 
 // sendUntil sends requests until ctx ends.
 func (c *caller) sendUntil(ctx context.Context) {
@@ -73,7 +74,7 @@
 	// One request in leavingShare is given up within maxLeavingTime, one in rotatingShare
 	// has the newest key and one in rotatingShare the key before it, and one in forgingShare
 	// has headers that only the system may set.
-	leavingShare   = 16
+	leavingShare   = 4
 	maxLeavingTime = 60 * time.Millisecond
 	rotatingShare  = 16
 	forgingShare   = 8
