--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -78,6 +78,20 @@
 		Deadline time.Duration `json:"deadline"`
 		Model    string        `json:"model,omitempty"`
 		Prompt   string        `json:"prompt,omitempty"`
+		// Manner is how the caller sends; empty for a request in one write.
+		Manner string `json:"manner,omitempty"`
+		// RetryOf names the attempt before, and Behind the request before on the
+		// connection if this one was sent without waiting for its answer.
+		RetryOf string `json:"retry_of,omitempty"`
+		Behind  string `json:"behind,omitempty"`
+	}
+	// requestWhole: the caller has sent the last byte of a request that took several writes.
+	requestWhole struct {
+		ID string `json:"id"`
+	}
+	// callerStopped: the caller has stopped sending before the last byte of the request.
+	callerStopped struct {
+		ID string `json:"id"`
 	}
 	// answerStarted: the caller has read the headers of an answer.
 	answerStarted struct {
@@ -87,6 +101,8 @@
 		// AnswerID is the request id that the answer names.
 		AnswerID string `json:"answer_id,omitempty"`
 		Encoding string `json:"encoding,omitempty"`
+		// Close is set when the answer announces the end of its connection.
+		Close bool `json:"close,omitempty"`
 	}
 	// answerEnded: the answer has ended, or the connection has without one.
 	answerEnded struct {
@@ -124,6 +140,8 @@
 	stageBody    stage = "body"
 	// stageTimeout: the caller has waited in vain.
 	stageTimeout stage = "timeout"
+	// stageBehind: the connection ended with the answer to the request before.
+	stageBehind stage = "behind"
 )
 
 // Events of servers. Attempt numbers the requests that a server has received.
@@ -263,6 +281,8 @@
 func (runStarted) eventName() string       { return "run started" }
 func (callersStopped) eventName() string   { return "callers stopped" }
 func (requestSent) eventName() string      { return "request sent" }
+func (requestWhole) eventName() string     { return "request whole" }
+func (callerStopped) eventName() string    { return "caller stopped sending" }
 func (answerStarted) eventName() string    { return "answer started" }
 func (answerEnded) eventName() string      { return "answer ended" }
 func (callerLeft) eventName() string       { return "caller left" }
@@ -284,6 +304,8 @@
 	runStarted{}.eventName():       decodeEvent[runStarted],
 	callersStopped{}.eventName():   decodeEvent[callersStopped],
 	requestSent{}.eventName():      decodeEvent[requestSent],
+	requestWhole{}.eventName():     decodeEvent[requestWhole],
+	callerStopped{}.eventName():    decodeEvent[callerStopped],
 	answerStarted{}.eventName():    decodeEvent[answerStarted],
 	answerEnded{}.eventName():      decodeEvent[answerEnded],
 	callerLeft{}.eventName():       decodeEvent[callerLeft],
--- a/internal/soak/recorder_test.go
+++ b/internal/soak/recorder_test.go
@@ -121,6 +121,7 @@
 		}
 		if now := misses < missesOfUnready; now != ready && (misses == 0 || !now) {
 			ready = now
+			r.ready.Store(now)
 			f.records.add(routerChanged{Router: r.name, Change: map[bool]routerChange{true: routerReady, false: routerUnready}[now]})
 		}
 		time.Sleep(readinessInterval)
