forward: do not relay an answer that is joined with the torn start of another one

A server may send the start of a second answer right before its next answer. The status, or the statement that the request has not run, was then of the torn one, and the id of the whole one: an unsafe request ran twice, a request that ran was refused, and failures had another status than their server gave. An answer with a status line inside one of its header lines is now lost, as one without the id of its request.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -325,7 +327,7 @@
 
 // handleAnswer checks the headers of an answer and relays it.
 func (c *call) handleAnswer(ctx context.Context, choice balance.Choice, resp *http.Response, watch *watch) result {
-	if !isFinal(resp.StatusCode) {
+	if !isFinal(resp.StatusCode) || isJoined(resp) {
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
 	}
 	// Only what the caller would get counts, so the headers of the connection go first.
@@ -370,6 +372,25 @@
 	return status >= http.StatusOK && status < afterLast
 }
 
+// statusLine matches the status line of an answer inside a line of another one.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
+
+// isJoined reports whether an answer begins with the torn start of another one. A faulty
+// server may send such bytes before its answer, whose status line then ends a line of the
+// torn headers. The status and a statement that the request has not run may be of the
+// torn answer, and the id of the whole one.
+func isJoined(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // impliesNotRun reports whether callers take a status to mean that the request
 // has not run.
 func impliesNotRun(status int) bool {
--- a/internal/front/answerheaders_test.go
+++ b/internal/front/answerheaders_test.go
@@ -124,6 +124,21 @@
 	})
 }
 
+// Guards against the start of a second answer that is joined with the answer after it: the
+// status of the first one and the id of the other would make a refusal of a request that ran.
+func TestTornAnswerIsNotJoinedWithTheNext(t *testing.T) {
+	success := "HTTP/1.1 200 OK\r\n" + signed + ownID + rest
+	checkAnswers(t, "rawunsafe", []answerCase{
+		{name: "refusal torn in its status line", text: "HTTP/1.1 421 Mis" + success, status: lost},
+		{name: "refusal torn in the header that states it", text: "HTTP/1.1 503 Full\r\n" + strings.TrimSuffix(notRun, "\r\n") + success, status: lost},
+		{name: "refusal torn in another header", text: "HTTP/1.1 503 Full\r\n" + notRun + "Date: " + success, status: lost},
+		{name: "failure torn in a header", text: "HTTP/1.1 500 Failed\r\nX-T: 1" + success, status: lost},
+		{name: "success torn in a header", text: "HTTP/1.1 201 Created\r\nX-T: 1" + success, status: lost},
+		{name: "denial torn in its status line", text: "HTTP/1.1 404 Not F" + success, status: lost},
+		{name: "header that names a protocol", text: "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 cache\r\n" + signed + ownID + rest, status: 200, relayed: true, body: content},
+	})
+}
+
 // Guards against a success whose signature the caller does not get, or whose body is not
 // the server's.
 func TestSignatureAndBodyAreTheServers(t *testing.T) {
