soak: second answers in all variants, habits of servers and a passed-on address

Servers send informational answers and trailers, answer before they have read the body, announce the end of connections or end idle ones, refuse connections beyond a number, send their bytes in small pieces, and lose their address to another server. The observer records a request whose answer begins before its body has been read.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -33,6 +33,13 @@
 const (
 	kindServerLeaves   = "server leaves"
 	kindServerPieces   = "server writes in pieces"
+	kindServerWire     = "server's bytes come in pieces"
+	kindServerInforms  = "server sends informational answers"
+	kindServerTrailers = "server sends trailers"
+	kindServerCloses   = "server closes connections after answers"
+	kindServerIdle     = "server announces the end of idle connections"
+	kindServerEarly    = "server answers early"
+	kindServerFull     = "server refuses connections beyond a number"
 	kindRouterStopped  = "router stopped"
 	kindRouterReloaded = "router reloaded"
 	kindRouterSettings = "router settings changed"
@@ -158,9 +165,46 @@
 	}},
 	{"server answers twice", func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
+		s.SetHabits(platformtest.Habits{Second: platformtest.VariantOfSecond(f.variant(selector))})
 		s.SetDefaultFault(platformtest.AnswerTwice)
 		time.Sleep(duration)
 		s.SetDefaultFault(platformtest.None)
+		s.SetHabits(platformtest.Habits{})
+	}},
+	{kindServerWire, func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		s.proxy.setMode(pieces)
+		time.Sleep(duration)
+		s.proxy.setMode(pass)
+	}},
+	{kindServerInforms, withHabits(platformtest.Habits{Informational: true})},
+	{kindServerTrailers, withHabits(platformtest.Habits{Trailers: true})},
+	{kindServerCloses, withHabits(platformtest.Habits{CloseEvery: 3})},
+	{kindServerIdle, withHabits(platformtest.Habits{IdleTime: time.Second, AnnounceIdle: true})},
+	{kindServerEarly, withHabits(platformtest.Habits{Early: true})},
+	{"server ends idle connections", withHabits(platformtest.Habits{IdleTime: 30 * time.Millisecond})},
+	{kindServerFull, func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		s.Limit(1 + f.variant(selector)%maxLimit)
+		time.Sleep(duration)
+		s.Limit(0)
+	}},
+	{"server's address passes to another", func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		other := f.servers[(selector+plainServers)%len(f.servers)]
+		if f.variant(selector)%2 == 0 {
+			f.remove(s)
+		}
+		s.proxy.setMode(reset)
+		time.Sleep(duration / 4)
+		s.proxy.setTarget(other.Addr())
+		s.proxy.setMode(pass)
+		time.Sleep(duration)
+		s.proxy.setMode(reset)
+		s.proxy.setTarget(s.Addr())
+		s.Restart(time.Now())
+		s.proxy.setMode(pass)
+		f.register(s, platformtest.StateReady)
 	}},
 	{"store comes back from an older copy", func(f *fleet, selector int, duration time.Duration) {
 		if selector%2 == 0 {
@@ -187,6 +231,22 @@
 	{kindConfigChanged, func(f *fleet, _ int, _ time.Duration) { f.publish() }},
 }
 
+// withHabits returns the run of a fault in which a server has habits.
+func withHabits(h platformtest.Habits) func(*fleet, int, time.Duration) {
+	return func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		s.SetHabits(h)
+		time.Sleep(duration)
+		s.SetHabits(platformtest.Habits{})
+	}
+}
+
+// variant returns the variant of a fault of a server. It does not depend on which server.
+func (f *fleet) variant(selector int) int { return selector / len(f.servers) }
+
+// maxLimit is the largest number of connections of a server that refuses others.
+const maxLimit = 4
+
 // maxUnwritten is the longest time for which lost entries are not written again. Live
 // servers write theirs within about two seconds.
 const maxUnwritten = 1500 * time.Millisecond
@@ -222,7 +282,8 @@
 // Planned work and what operators and servers may always write disrupt nothing.
 func (x fault) disrupts() subject {
 	switch x.kind {
-	case kindServerLeaves, kindServerPieces, kindRouterStopped, kindRouterReloaded, kindRouterSettings, kindBrokenEntry, kindConfigChanged:
+	case kindServerLeaves, kindServerPieces, kindServerWire, kindServerInforms, kindServerTrailers, kindServerCloses, kindServerIdle, kindServerEarly, kindServerFull,
+		kindRouterStopped, kindRouterReloaded, kindRouterSettings, kindBrokenEntry, kindConfigChanged:
 		return subjectNone
 	case kindRouterNoStore:
 		return subjectStore
@@ -248,6 +309,9 @@
 	return ""
 }
 
+// selectors is the number of selectors, which have all variants of a fault for each server.
+const selectors = 9 * platformtest.VariantsOfSecond
+
 // drawSchedule draws a schedule of overlapping faults, of which some start at the
 // same time.
 func drawSchedule(seed uint64, length time.Duration) []fault {
@@ -256,7 +320,7 @@
 	for start := 500 * time.Millisecond; start < length; {
 		k := faultKinds[random.IntN(len(faultKinds))]
 		list = append(list, fault{
-			start: start, kind: k.name, selector: random.IntN(720), run: k.run,
+			start: start, kind: k.name, selector: random.IntN(selectors), run: k.run,
 			duration: 200*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond))),
 		})
 		if random.IntN(4) > 0 {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -47,8 +47,10 @@
 	*platformtest.Engine
 	proxy *proxy
 	pool  string
-	// state is what the server's entry says; guarded by the fleet's mutex.
-	state string
+	// state is what the server's entry says, empty without one, and returned is set once it
+	// has been without one; guarded by the fleet's mutex.
+	state    string
+	returned bool
 }
 
 // fleet holds the processes, stand-ins and proxies of a soak test.
@@ -144,13 +146,44 @@
 	f.writeEntry(s)
 }
 
+// remove removes the entry of a server.
+func (f *fleet) remove(s *server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.state, s.returned = "", true
+	f.writeEntry(s)
+}
+
+// heartbeat is how often servers that have returned write their entries.
+const heartbeat = 1 * time.Second
+
+// writeHeartbeats writes the entries of returned servers until ctx ends, as the platform's
+// servers do. A router that reads the first list of an era can't tell their return from
+// what the older copy says, and waits for the next write (decision 0012). The others write
+// once, so that each of their writes must be enough.
+func (f *fleet) writeHeartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		for _, s := range f.servers {
+			if s.returned && s.state != "" {
+				f.writeEntry(s)
+			}
+		}
+		f.mu.Unlock()
+		time.Sleep(heartbeat)
+	}
+}
+
 // writeEntry writes the entry of a server. The caller holds f.mu.
 func (f *fleet) writeEntry(s *server) {
-	f.store.Put(platform.TopicServers, s.ID, s.EntryAt(s.pool, s.state, s.proxy.addr()))
-	state := entryReady
-	if s.state == platformtest.StateLeaving {
+	entry, state := s.EntryAt(s.pool, s.state, s.proxy.addr()), entryReady
+	switch s.state {
+	case platformtest.StateLeaving:
 		state = entryLeaving
+	case "":
+		entry, state = nil, entryGone
 	}
+	f.store.Put(platform.TopicServers, s.ID, entry)
 	f.records.add(entryConfirmed{Server: s.ID, Pool: s.pool, State: state})
 }
 
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -117,6 +117,7 @@
 // attempt is the arrival of a request at a server.
 type attempt struct {
 	arrived   logged[requestArrived]
+	body      logged[bodyArrived]
 	run       logged[requestRun]
 	refused   logged[requestRefused]
 	answered  logged[answerGiven]
@@ -230,6 +231,8 @@
 		if req := h.byID[e.ID]; req != nil {
 			req.attempts = append(req.attempts, a)
 		}
+	case bodyArrived:
+		of(e.Attempt).body = logged[bodyArrived]{r.At, line, e}
 	case requestRun:
 		of(e.Attempt).run = logged[requestRun]{r.At, line, e}
 	case requestRefused:
@@ -282,7 +285,7 @@
 }
 
 func (a *attempt) lines() []int {
-	return present(a.arrived.line, a.run.line, a.refused.line, a.answered.line, a.cancelled.line)
+	return present(a.arrived.line, a.body.line, a.run.line, a.refused.line, a.answered.line, a.cancelled.line)
 }
 
 // present returns the lines without those of absent records.
--- a/internal/soak/judgeruns_test.go
+++ b/internal/soak/judgeruns_test.go
@@ -32,7 +32,11 @@
 		}
 	}
 	h.eachRun(func(a *attempt, r *request) {
-		if part := changedPart(r.sent.event, a.arrived.event); part != "" {
+		part := changedPart(r.sent.event, a.arrived.event)
+		if a.arrived.event.Early && part == "" && a.body.present() && !r.sent.event.Body.same(a.body.event.Body) {
+			part = "body"
+		}
+		if part != "" {
 			list = append(list, a.breaks(r, "ran with another %s than its caller sent", part))
 		}
 	})
@@ -46,7 +50,7 @@
 		return "method"
 	case sent.Target != arrived.Target:
 		return "target"
-	case !sent.Body.same(arrived.Body):
+	case !arrived.Early && !sent.Body.same(arrived.Body):
 		return "body"
 	case sent.Model != arrived.Model:
 		return "model"
--- a/internal/soak/observer_test.go
+++ b/internal/soak/observer_test.go
@@ -30,32 +30,18 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
-		body, err := io.ReadAll(r.Body)
-		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), failingReader{err}))
-		if err != nil {
-			// The stand-in drops a request whose body is not whole.
-			handler.ServeHTTP(w, r)
-			return
-		}
-		o.serve(handler, w, r, string(body))
+		o.serve(handler, w, r)
 	})
 }
 
-// failingReader ends with an error, or with the end of the data if it is nil.
-type failingReader struct{ err error }
-
-func (f failingReader) Read([]byte) (int, error) {
-	if f.err != nil {
-		return 0, f.err
-	}
-	return 0, io.EOF
-}
-
-func (o *serverObserver) serve(handler http.Handler, w http.ResponseWriter, r *http.Request, body string) {
+// serve records an attempt from the moment at which the server has read the request, or has
+// begun to answer it before. A request whose body breaks off before is none.
+func (o *serverObserver) serve(handler http.Handler, w http.ResponseWriter, r *http.Request) {
 	attempt := fmt.Sprintf("%s#%d", o.server, o.attempts.Add(1))
-	o.records.add(o.arrival(attempt, r, body))
 	stop := context.AfterFunc(r.Context(), func() { o.records.add(attemptCancelled{Attempt: attempt}) })
 	answer := &observedAnswer{ResponseWriter: w, records: o.records, given: answerGiven{Attempt: attempt}}
+	answer.request = &observedRequest{ReadCloser: r.Body, records: o.records, arrived: o.arrival(attempt, r)}
+	r.Body = answer.request
 	completed := false
 	defer func() {
 		stop()
@@ -65,12 +51,49 @@
 	completed = true
 }
 
+// observedRequest records a request when its body has been read, or when its answer begins.
+type observedRequest struct {
+	io.ReadCloser
+	records  *recorder
+	body     bytes.Buffer
+	arrived  requestArrived
+	recorded bool
+	ended    bool
+}
+
+func (r *observedRequest) Read(data []byte) (int, error) {
+	n, err := r.ReadCloser.Read(data)
+	r.body.Write(data[:n])
+	if err != io.EOF || r.ended {
+		return n, err
+	}
+	r.ended = true
+	if r.recorded {
+		r.records.add(bodyArrived{Attempt: r.arrived.Attempt, Body: contentOf(r.body.String())})
+	}
+	r.record()
+	return n, err
+}
+
+// record records the request, without its body if that has not been read.
+func (r *observedRequest) record() {
+	if r.recorded {
+		return
+	}
+	r.recorded = true
+	r.arrived.Early = !r.ended
+	if r.ended {
+		r.arrived.Body = contentOf(r.body.String())
+	}
+	r.records.add(r.arrived)
+}
+
 // arrival returns the record of a request.
-func (o *serverObserver) arrival(attempt string, r *http.Request, body string) requestArrived {
+func (o *serverObserver) arrival(attempt string, r *http.Request) requestArrived {
 	deadline, _ := strconv.ParseInt(r.Header.Get(platformtest.HeaderDeadline), 10, 64)
 	return requestArrived{
 		Attempt: attempt, Server: o.server, Pool: o.pool, ID: r.Header.Get(platformtest.HeaderRequestID), Conn: r.RemoteAddr,
-		Method: r.Method, Target: r.RequestURI, Body: contentOf(body),
+		Method: r.Method, Target: r.RequestURI,
 		Workspace: strings.Join(r.Header.Values(platformtest.HeaderWorkspace), ","), KeySeen: r.Header.Get(platformtest.HeaderAuthorization) != "",
 		Deadline: time.Duration(deadline) * time.Millisecond, Expected: r.Header.Get(platformtest.HeaderInstance), LastEvent: r.Header.Get(platformtest.HeaderLastEvent),
 		Model: r.Header.Get(platformtest.HeaderModel), Prompt: r.Header.Get(platformtest.HeaderPrompt), Forged: forgedHeader(r.Header),
@@ -94,6 +117,7 @@
 type observedAnswer struct {
 	http.ResponseWriter
 	records *recorder
+	request *observedRequest
 	given   answerGiven
 	body    bytes.Buffer
 	// length is the length that the headers state; -1 if they state none.
@@ -116,9 +140,10 @@
 
 // begin notes the headers of the answer, and whether the server has refused the request.
 func (a *observedAnswer) begin(status int) {
-	if a.given.Status != 0 {
+	if a.given.Status != 0 || status < http.StatusOK {
 		return
 	}
+	a.request.record()
 	h := a.Header()
 	a.given.Status, a.given.Signature, a.given.AnswerID = status, h.Get(platformtest.HeaderSignature), h.Get(platformtest.HeaderRequestID)
 	a.given.Framing, a.length = framingChunks, -1
@@ -139,6 +164,8 @@
 // end of the answer; a server that did so before its headers has run the request.
 func (a *observedAnswer) end(broken bool) {
 	switch {
+	case !a.request.recorded:
+		return
 	case a.given.Status == 0 && broken:
 		a.records.add(requestRun{Attempt: a.given.Attempt})
 	case a.given.Status == 0:
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -20,17 +20,25 @@
 	silent
 	// reset resets open and new connections.
 	reset
+	// pieces forwards the bytes in pieces of pieceOfWire bytes, headers as well.
+	pieces
 )
 
-// slowDelay is the delay of each chunk in the mode slow.
-const slowDelay = 40 * time.Millisecond
+const (
+	// slowDelay is the delay of each chunk in the mode slow.
+	slowDelay = 40 * time.Millisecond
+	// pieceOfWire and pauseOfWire are the size of a piece in the mode pieces and the pause
+	// after it. The headers of an answer take about 20 ms.
+	pieceOfWire = 23
+	pauseOfWire = 1 * time.Millisecond
+)
 
 // proxy is a TCP proxy on loopback whose mode can be switched.
 type proxy struct {
 	listener net.Listener
-	target   string
 
 	mu          sync.Mutex
+	target      string
 	mode        mode
 	modeChanged chan struct{}
 	conns       map[net.Conn]bool
@@ -62,6 +70,13 @@
 	}
 }
 
+// setTarget connects new connections to another address.
+func (p *proxy) setTarget(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = addr
+}
+
 func resetConn(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
@@ -95,7 +110,10 @@
 		resetConn(c)
 		return
 	}
-	out, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	out, err := net.Dial("tcp", target)
 	if err != nil {
 		resetConn(c)
 		return
@@ -123,7 +141,7 @@
 			return
 		}
 		if n > 0 {
-			if _, werr := to.Write(buffer[:n]); werr != nil {
+			if werr := p.write(to, buffer[:n]); werr != nil {
 				resetConn(from)
 				return
 			}
@@ -139,13 +157,30 @@
 	}
 }
 
+// write forwards a chunk, in pieces if the mode has them.
+func (p *proxy) write(to net.Conn, data []byte) error {
+	for {
+		n := len(data)
+		if m, _ := p.currentMode(); m == pieces {
+			n = min(n, pieceOfWire)
+		}
+		if _, err := to.Write(data[:n]); err != nil {
+			return err
+		}
+		if data = data[n:]; len(data) == 0 {
+			return nil
+		}
+		time.Sleep(pauseOfWire)
+	}
+}
+
 // waitForMode delays a chunk as the mode requires. It reports false if the
 // connection is to be reset.
 func (p *proxy) waitForMode() bool {
 	for {
 		m, changed := p.currentMode()
 		switch m {
-		case pass:
+		case pass, pieces:
 			return true
 		case slow:
 			time.Sleep(slowDelay)
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -164,6 +164,14 @@
 		Prompt    string        `json:"prompt,omitempty"`
 		// Forged names headers of the system that a caller had set.
 		Forged string `json:"forged,omitempty"`
+		// Early is set when the server answers before it has read the body, which a
+		// bodyArrived then has.
+		Early bool `json:"early,omitempty"`
+	}
+	// bodyArrived: the server has read the body of a request that it answers early.
+	bodyArrived struct {
+		Attempt string  `json:"attempt"`
+		Body    content `json:"body"`
 	}
 	// requestRun: the server has begun to work on a request.
 	requestRun struct {
@@ -288,6 +296,7 @@
 func (callerLeft) eventName() string       { return "caller left" }
 func (strayBytes) eventName() string       { return "stray bytes" }
 func (requestArrived) eventName() string   { return "request arrived" }
+func (bodyArrived) eventName() string      { return "body arrived" }
 func (requestRun) eventName() string       { return "request run" }
 func (requestRefused) eventName() string   { return "request refused" }
 func (answerGiven) eventName() string      { return "answer given" }
@@ -311,6 +320,7 @@
 	callerLeft{}.eventName():       decodeEvent[callerLeft],
 	strayBytes{}.eventName():       decodeEvent[strayBytes],
 	requestArrived{}.eventName():   decodeEvent[requestArrived],
+	bodyArrived{}.eventName():      decodeEvent[bodyArrived],
 	requestRun{}.eventName():       decodeEvent[requestRun],
 	requestRefused{}.eventName():   decodeEvent[requestRefused],
 	answerGiven{}.eventName():      decodeEvent[answerGiven],
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -42,6 +42,7 @@
 		go f.watchReadiness(ctx, r)
 	}
 	go f.copyStore(ctx)
+	go f.writeHeartbeats(ctx)
 	f.playFaults(schedule)
 	time.Sleep(2 * recoveryTime)
 	cancel()
