soak: configurations that change routes, storms, rolling restarts, several routers at once

Versions of the configuration move a route to another pool, drop and add a route and change timeouts; callers also send to these routes and to one that never exists. Operators restart routers in turn and write configurations in a storm; several routers or all are killed or paused at once; the store goes away, returns from an older copy and tears its answers. Some faults come in series of one kind.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -60,6 +60,9 @@
 // routesOfCallers are the routes to which callers send.
 var routesOfCallers = []string{"safe", "unsafe", "stream", "resume"}
 
+// changingRoutes are routes that some configurations move or lack, and one that none has.
+var changingRoutes = []string{"moving", "extra", "never"}
+
 // sendUntil sends requests until ctx ends.
 func (c *caller) sendUntil(ctx context.Context) {
 	defer c.close()
@@ -78,10 +81,11 @@
 }
 
 const (
-	// One request in movingShare goes to another router than the one before, one in
+	// One request in changingShare is for a changing route. One request in movingShare goes to another router than the one before, one in
 	// rotatingShare has the newest key and one in rotatingShare the key before it, one in
 	// unknownShare a key that no configuration holds, and one in forgingShare has headers
 	// that only the system may set.
+	changingShare = 8
 	movingShare   = 8
 	rotatingShare = 16
 	unknownShare  = 64
@@ -121,7 +125,12 @@
 	return ready[c.random.IntN(len(ready))]
 }
 
-func (c *caller) drawRoute() string { return routesOfCallers[c.random.IntN(len(routesOfCallers))] }
+func (c *caller) drawRoute() string {
+	if c.random.IntN(changingShare) == 0 {
+		return changingRoutes[c.random.IntN(len(changingRoutes))]
+	}
+	return routesOfCallers[c.random.IntN(len(routesOfCallers))]
+}
 
 // key draws the key of a request.
 func (c *caller) key() string {
@@ -174,7 +183,7 @@
 		return false
 	case slices.Contains([]int{400, 401, 404, 413, 431}, o.status):
 		return false
-	case isPromise(o.status) || route == "safe" || route == "resume":
+	case isPromise(o.status) || route != "unsafe" && route != "stream":
 		return true
 	}
 	return o.stage == stageConnect || o.stage == stageSend
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -45,6 +46,14 @@
 	kindRouterSettings = "router settings changed"
 	kindBrokenEntry    = "broken entry"
 	kindConfigChanged  = "configuration changed"
+	kindConfigStorm    = "configurations come in a storm"
+	kindRolling        = "routers restarted in turn"
+)
+
+// Faults of several routers, which record the fault of each.
+const (
+	kindKilledTogether = "routers killed together"
+	kindPausedTogether = "routers paused together"
 )
 
 // kindRouterNoStore is a fault of the store as one router sees it.
@@ -229,6 +238,79 @@
 		f.store.Put(platform.TopicServers, fmt.Sprintf("x-%d", selector), []byte(`{"addr":7,"state":"odd"}`))
 	}},
 	{kindConfigChanged, func(f *fleet, _ int, _ time.Duration) { f.publish() }},
+	{kindConfigStorm, func(f *fleet, selector int, duration time.Duration) {
+		for range stormLength {
+			f.publish()
+			time.Sleep(duration / stormLength)
+			if selector%2 == 0 {
+				f.signal(f.routers[selector%len(f.routers)], syscall.SIGHUP)
+			}
+		}
+	}},
+	{kindRolling, func(f *fleet, selector int, _ time.Duration) {
+		for i := range min(len(f.routers), maxRolling) {
+			f.lockRouter((selector+i)%len(f.routers), func(r *router) {
+				f.signal(r, syscall.SIGTERM)
+				r.wait()
+				f.launch(r)
+				f.awaitReady(r)
+			})
+		}
+	}},
+	{kindKilledTogether, func(f *fleet, selector int, duration time.Duration) {
+		f.disturbTogether(kindKilledTogether, selector, func(r *router) {
+			f.signal(r, syscall.SIGKILL)
+			r.wait()
+			time.Sleep(duration)
+			f.launch(r)
+			f.awaitReady(r)
+		})
+	}},
+	{kindPausedTogether, func(f *fleet, selector int, duration time.Duration) {
+		f.disturbTogether(kindPausedTogether, selector, func(r *router) {
+			f.signal(r, syscall.SIGSTOP)
+			time.Sleep(duration)
+			f.signal(r, syscall.SIGCONT)
+		})
+	}},
+	{"store away, then older with torn answers", func(f *fleet, selector int, duration time.Duration) {
+		f.store.SetErrorStatus(http.StatusServiceUnavailable)
+		time.Sleep(duration / 3)
+		f.restoreStore(selector)
+		f.setStoreMode(torn)
+		f.store.SetErrorStatus(0)
+		time.Sleep(min(duration/2, maxUnwritten))
+		f.writeAgain()
+		f.setStoreMode(pass)
+	}},
+}
+
+const (
+	// stormLength is the number of configurations in a storm.
+	stormLength = 10
+	// maxRolling bounds the routers that are restarted in turn, which takes some seconds each.
+	maxRolling = 3
+)
+
+// lockRouter runs a change of a router when no fault of it runs.
+func (f *fleet) lockRouter(i int, change func(*router)) {
+	f.routerLocks[i].Lock()
+	defer f.routerLocks[i].Unlock()
+	change(f.routers[i])
+}
+
+// disturbTogether disturbs several routers at once, or all, and records the fault of each.
+func (f *fleet) disturbTogether(kind string, selector int, disturb func(*router)) {
+	var routers sync.WaitGroup
+	n := min(2+selector/len(f.routers)%len(f.routers), len(f.routers))
+	for i := range n {
+		routers.Go(func() {
+			f.lockRouter((selector+i)%len(f.routers), func(r *router) {
+				f.recordFault(faultStarted{Kind: kind, Target: r.name, Disrupt: subjectRouter}, func() { disturb(r) })
+			})
+		})
+	}
+	routers.Wait()
 }
 
 // withHabits returns the run of a fault in which a server has habits.
@@ -272,10 +354,15 @@
 
 // inject runs a fault and records its period.
 func (x fault) inject(f *fleet) {
-	number := int(f.faults.Add(1))
-	f.records.add(faultStarted{Number: number, Kind: x.kind, Target: x.target(f), Disrupt: x.disrupts()})
-	x.run(f, x.selector, x.duration)
-	f.records.add(faultEnded{Number: number})
+	f.recordFault(faultStarted{Kind: x.kind, Target: x.target(f), Disrupt: x.disrupts()}, func() { x.run(f, x.selector, x.duration) })
+}
+
+// recordFault runs a fault and records its period.
+func (f *fleet) recordFault(started faultStarted, run func()) {
+	started.Number = int(f.faults.Add(1))
+	f.records.add(started)
+	run()
+	f.records.add(faultEnded{Number: started.Number})
 }
 
 // disrupts returns what a fault disrupts, so that it explains what would break a rule.
@@ -283,7 +370,7 @@
 func (x fault) disrupts() subject {
 	switch x.kind {
 	case kindServerLeaves, kindServerPieces, kindServerWire, kindServerInforms, kindServerTrailers, kindServerCloses, kindServerIdle, kindServerEarly, kindServerFull,
-		kindRouterStopped, kindRouterReloaded, kindRouterSettings, kindBrokenEntry, kindConfigChanged:
+		kindRouterStopped, kindRouterReloaded, kindRouterSettings, kindBrokenEntry, kindConfigChanged, kindConfigStorm, kindRolling, kindKilledTogether, kindPausedTogether:
 		return subjectNone
 	case kindRouterNoStore:
 		return subjectStore
@@ -297,10 +384,17 @@
 	return subjectStore
 }
 
+// severalRouters reports whether a fault takes the locks of the routers itself.
+func (x fault) severalRouters() bool {
+	return x.kind == kindRolling || x.kind == kindKilledTogether || x.kind == kindPausedTogether
+}
+
 // target returns the name of the router or the server that a fault affects; empty
-// for all routers.
+// for several routers.
 func (x fault) target(f *fleet) string {
 	switch {
+	case x.severalRouters():
+		return ""
 	case strings.HasPrefix(x.kind, "server"):
 		return f.servers[x.selector%len(f.servers)].ID
 	case strings.HasPrefix(x.kind, "router"):
@@ -312,17 +406,33 @@
 // selectors is the number of selectors, which have all variants of a fault for each server.
 const selectors = 9 * platformtest.VariantsOfSecond
 
+// One fault in seriesShare is the first of seriesLength of its kind, seriesPause apart.
+const (
+	seriesShare  = 10
+	seriesLength = 3
+	seriesPause  = 200 * time.Millisecond
+)
+
 // drawSchedule draws a schedule of overlapping faults, of which some start at the
-// same time.
+// same time and some are series of one kind.
 func drawSchedule(seed uint64, length time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var list []fault
 	for start := 500 * time.Millisecond; start < length; {
 		k := faultKinds[random.IntN(len(faultKinds))]
-		list = append(list, fault{
-			start: start, kind: k.name, selector: random.IntN(selectors), run: k.run,
-			duration: 200*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond))),
-		})
+		series := 1
+		if random.IntN(seriesShare) == 0 {
+			series = seriesLength
+		}
+		for range series {
+			list = append(list, fault{
+				start: start, kind: k.name, selector: random.IntN(selectors), run: k.run,
+				duration: 200*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond))),
+			})
+			if series > 1 {
+				start += seriesPause
+			}
+		}
 		if random.IntN(4) > 0 {
 			start += time.Duration(random.Int64N(int64(1500 * time.Millisecond)))
 		}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -72,8 +72,10 @@
 	// records is what all parties have seen, in recordsDir.
 	records    *recorder
 	recordsDir string
-	// faults is the number of faults so far.
-	faults atomic.Int64
+	// faults is the number of faults so far. Faults of one router run one after the other,
+	// each with the router's lock.
+	faults      atomic.Int64
+	routerLocks []sync.Mutex
 }
 
 // hostBase keeps the addresses of the soak test apart from those of other tests.
@@ -98,6 +100,7 @@
 	for i := range routers {
 		f.addRouter(i)
 	}
+	f.routerLocks = make([]sync.Mutex, routers)
 	for _, r := range f.routers {
 		f.launch(r)
 	}
@@ -422,25 +425,35 @@
 	return usable
 }
 
-// publish writes the next version of the configuration.
+// publish writes the next version of the configuration. Versions differ in their keys and
+// timeouts, in the pool of the route "moving", and some lack the route "extra".
 func (f *fleet) publish() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
+	timeout := 4 * time.Second
+	if f.version%4 == 3 {
+		timeout = 2500 * time.Millisecond
+	}
 	route := func(name, kind, pool string, attempts int) platformtest.Route {
 		return platformtest.Route{
 			Name: name, Kind: kind, Pool: pool, Attempts: attempts, Resumable: name == "resume",
-			Timeout: 4 * time.Second, Objective: 300 * time.Millisecond, Gap: 300 * time.Millisecond,
+			Timeout: timeout, Objective: 300 * time.Millisecond, Gap: 300 * time.Millisecond,
 		}
 	}
+	pools := []string{"plain", "engines"}
 	f.config = platformtest.Config{
-		Version: f.version, Pools: []string{"plain", "engines"}, BodyBytes: 1 << 20,
+		Version: f.version, Pools: pools, BodyBytes: 1 << 20,
 		Workspaces: []platformtest.Workspace{{Name: "w1", Keys: []string{rotatingKey(f.version), steadyKey}}, {Name: "w2", Keys: []string{otherSteadyKey}}},
 		Routes: []platformtest.Route{
 			route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 1),
 			route("stream", "stream", "engines", 1), route("resume", "stream", "engines", 2),
+			route("moving", "safe", pools[f.version/2%2], 2),
 		},
 	}
+	if f.version%3 != 0 {
+		f.config.Routes = append(f.config.Routes, route("extra", "safe", "plain", 2))
+	}
 	f.writeConfig()
 }
 
--- a/internal/soak/judgetime_test.go
+++ b/internal/soak/judgetime_test.go
@@ -105,18 +105,29 @@
 // timeouts, as the platform has it.
 const minLate = 8
 
+// timeoutOf returns the longest timeout of a request's route in the configurations that may
+// be in force; 0 without one.
+func (h *history) timeoutOf(r *request) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range h.inForce(r) {
+		route, _ := c.event.route(r.sent.event.Route)
+		longest = max(longest, route.Timeout)
+	}
+	return longest
+}
+
 // checkTimeouts: requests that last until their route's timeout are answered soon after
 // it. Half of them may be late, and a quarter from minLate on.
 func checkTimeouts(h *history) []violation {
 	lasting, late := 0, []int{}
 	for _, r := range h.requests {
-		route, found := h.route(r.sent.event.Route)
-		if !found || r.left.present() || r.stopped.present() || !h.inTouch(r.sent.event.Router, r.sent.at+route.Timeout) {
+		timeout := h.timeoutOf(r)
+		if timeout == 0 || r.left.present() || r.stopped.present() || !h.inTouch(r.sent.event.Router, r.sent.at+timeout) {
 			continue
 		}
-		if lasted := h.endOf(r) - h.turnOf(r); lasted > route.Timeout {
+		if lasted := h.endOf(r) - h.turnOf(r); lasted > timeout {
 			lasting++
-			if lasted > route.Timeout+h.bounds.Late {
+			if lasted > timeout+h.bounds.Late {
 				late = append(late, r.sent.line, r.ended.line)
 			}
 		}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -22,6 +22,8 @@
 	reset
 	// pieces forwards the bytes in pieces of pieceOfWire bytes, headers as well.
 	pieces
+	// torn breaks answers off: half of the first chunk comes, and a reset.
+	torn
 )
 
 const (
@@ -122,8 +124,8 @@
 	p.conns[c], p.conns[out] = true, true
 	p.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.copy(out, c) })
-	wg.Go(func() { p.copy(c, out) })
+	wg.Go(func() { p.copy(out, c, false) })
+	wg.Go(func() { p.copy(c, out, true) })
 	wg.Wait()
 	p.mu.Lock()
 	delete(p.conns, c)
@@ -131,8 +133,9 @@
 	p.mu.Unlock()
 }
 
-// copy forwards one direction until it ends, then closes or resets the other side.
-func (p *proxy) copy(to, from net.Conn) {
+// copy forwards one direction, that of answers or of requests, until it ends, then closes or
+// resets the other side.
+func (p *proxy) copy(to, from net.Conn, answers bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -140,6 +143,12 @@
 			resetConn(to)
 			return
 		}
+		if m, _ := p.currentMode(); m == torn && answers && n > 0 {
+			_, _ = to.Write(buffer[:n/2])
+			resetConn(from)
+			resetConn(to)
+			return
+		}
 		if n > 0 {
 			if werr := p.write(to, buffer[:n]); werr != nil {
 				resetConn(from)
@@ -180,7 +189,7 @@
 	for {
 		m, changed := p.currentMode()
 		switch m {
-		case pass, pieces:
+		case pass, pieces, torn:
 			return true
 		case slow:
 			time.Sleep(slowDelay)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -89,29 +89,28 @@
 func (f *fleet) playFaults(schedule []fault) {
 	var faults sync.WaitGroup
 	start := time.Now()
-	locks := make([]sync.Mutex, len(f.routers)+len(f.servers))
+	serverLocks := make([]sync.Mutex, len(f.servers))
 	for _, x := range schedule {
 		faults.Go(func() {
 			time.Sleep(time.Until(start.Add(x.start)))
 			// Faults of the same router or server run one after the other.
-			lock := &locks[x.lockIndex(f)]
-			lock.Lock()
-			defer lock.Unlock()
+			switch {
+			case x.severalRouters():
+			case strings.HasPrefix(x.kind, "server"):
+				lock := &serverLocks[x.selector%len(f.servers)]
+				lock.Lock()
+				defer lock.Unlock()
+			default:
+				lock := &f.routerLocks[x.selector%len(f.routers)]
+				lock.Lock()
+				defer lock.Unlock()
+			}
 			x.inject(f)
 		})
 	}
 	faults.Wait()
 }
 
-// lockIndex returns the index of the lock for the router or server that a fault
-// affects.
-func (x fault) lockIndex(f *fleet) int {
-	if strings.HasPrefix(x.kind, "server") {
-		return len(f.routers) + x.selector%len(f.servers)
-	}
-	return x.selector % len(f.routers)
-}
-
 // saveLogs copies the routers' logs and the records out of the directory that the test
 // removes.
 func (f *fleet) saveLogs() {
