edge: close a connection that a stop cuts off inside headers without an answer

net/http takes the start of a header line for a whole line when the read ends with an error, and answers 400. Callers do not retry after that, although the request has not been read.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -232,6 +232,10 @@
 	// connection owns headerDeadline.
 	inHeaders      atomic.Bool
 	headerDeadline time.Time
+	// cutOff is set when a retired connection has ended inside headers. Nothing is written
+	// then: net/http takes the start of a line for a whole one and would answer 400, after
+	// which callers do not retry a request that has not been read.
+	cutOff atomic.Bool
 }
 
 // Read reads from the connection. The first byte of a request starts the limit for headers.
@@ -243,9 +247,20 @@
 		// The connection may be closed; its reader then gets the error.
 		_ = c.SetReadDeadline(time.Time{})
 	}
+	if err != nil && c.retired.Load() && c.waiting.Load() && c.inHeaders.Load() {
+		c.cutOff.Store(true)
+	}
 	return n, err
 }
 
+// Write writes to the connection.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.cutOff.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
 // SetReadDeadline sets the read deadline. While the connection waits for a request or
 // reads its headers, the limit for that replaces a zero t, which means no deadline.
 func (c *conn) SetReadDeadline(t time.Time) error {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -216,6 +216,43 @@
 	}
 }
 
+// Guards against an answer to headers that Drain cuts off. net/http takes the start of a
+// line for a whole one and answers 400, after which callers do not retry; a close without an
+// answer tells them that the request has not been read.
+func TestDrainClosesIncompleteHeadersWithoutAnAnswer(t *testing.T) {
+	s := serve(t)
+	for _, start := range []string{"GE", "GET / HTTP/1.1\r\nHost: h\r\nX-Par", "GET / HTTP/1.1\r\nHost: h\r\n"} {
+		c := dial(t, s)
+		if _, err := io.WriteString(c, start); err != nil {
+			t.Fatal(err)
+		}
+		for deadline := time.Now().Add(20 * time.Second); s.connectionsInHeaders() != 1; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("the start of the request has not been read")
+			}
+		}
+		// Drain retires all connections like this, and closes the address.
+		s.retire(func(*conn) bool { return true })
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if answer, err := io.ReadAll(c); err != nil || len(answer) > 0 {
+			t.Errorf("%q got %q, %v; want a close", start, answer, err)
+		}
+	}
+}
+
+// connectionsInHeaders returns the number of connections whose next headers are incomplete.
+func (s *Server) connectionsInHeaders() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.waiting {
+		if c.inHeaders.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against a Close that reports an error because Drain has closed the
 // listener.
 func TestCloseAfterDrain(t *testing.T) {
