--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -158,6 +158,9 @@
 	timeLeft time.Duration
 	// retryOf is the id of the attempt before; empty for the first.
 	retryOf string
+	// lastEvent is the last event that the caller has of a stream which it resumes; 0 for a
+	// stream from its start.
+	lastEvent int
 	// behind is the id of the request before on the connection, if its answer has not come.
 	behind string
 }
@@ -171,6 +174,8 @@
 	stage  stage
 	// retryAfter is the wait that the answer states.
 	retryAfter time.Duration
+	// events is the number of whole events of a broken answer.
+	events int
 	// ended is set when the caller itself has left or stopped.
 	ended bool
 }
@@ -189,6 +194,11 @@
 	return o.stage == stageConnect || o.stage == stageSend
 }
 
+// mayResume reports whether a stream broke off that may be resumed after its last event.
+func (o outcome) mayResume(route string, last int) bool {
+	return route == "resume" && o.status == http.StatusOK && !o.served && !o.ended && last > 0 && last < platformtest.EventsPerStream
+}
+
 // sendWithRetries sends a request, and again on new connections while it fails, within the
 // deadline of the first attempt. Each attempt has an id of its own.
 func (c *caller) sendWithRetries(ctx context.Context, r *router, a ask) {
@@ -196,9 +206,13 @@
 	for range maxTries {
 		o := c.attempt(r, a)
 		left := time.Until(deadline)
-		if !o.mayRetry(a.route) || left <= 0 || ctx.Err() != nil {
+		resume := o.mayResume(a.route, a.lastEvent+o.events)
+		if !resume && !o.mayRetry(a.route) || left <= 0 || ctx.Err() != nil {
 			return
 		}
+		if resume {
+			a.lastEvent += o.events
+		}
 		time.Sleep(min(max(o.retryAfter, retryPause), left/3))
 		r = c.drawRouter(r)
 		c.drop(r)
@@ -261,6 +275,9 @@
 	req.Header.Set(platformtest.HeaderAuthorization, platformtest.Key(a.key))
 	if a.route == "stream" || a.route == "resume" {
 		req.Header.Set(platformtest.HeaderModel, "m")
+		if a.lastEvent > 0 {
+			req.Header.Set(platformtest.HeaderLastEvent, strconv.Itoa(a.lastEvent))
+		}
 		req.Header.Set(platformtest.HeaderPrompt, fmt.Sprintf("aa:500,%x:2000,ff%x:10", 16+c.random.IntN(20), c.random.Uint32()))
 	}
 	if c.random.IntN(forgingShare) == 0 {
@@ -271,7 +288,7 @@
 	return req, requestSent{
 		ID: id, Router: r.name, Route: a.route, Method: req.Method, Target: req.URL.RequestURI(), Key: a.key, Body: contentOf(body),
 		Deadline: a.timeLeft, Model: req.Header.Get(platformtest.HeaderModel), Prompt: req.Header.Get(platformtest.HeaderPrompt),
-		Manner: a.manner.String(), RetryOf: a.retryOf, Behind: a.behind,
+		Manner: a.manner.String(), RetryOf: a.retryOf, Behind: a.behind, LastEvent: a.lastEvent,
 	}
 }
 
@@ -370,7 +387,7 @@
 	if timeout {
 		at = stageTimeout
 	}
-	o.stage = at
+	o.stage, o.events = at, len(eventsOf(body))
 	c.f.records.add(answerEnded{ID: o.id, Body: contentOf(body), Error: err.Error(), Stage: at})
 	return o
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -40,6 +40,7 @@
 	kindServerCloses   = "server closes connections after answers"
 	kindServerIdle     = "server announces the end of idle connections"
 	kindServerEarly    = "server answers early"
+	kindServerLarge    = "server sends large answers"
 	kindServerFull     = "server refuses connections beyond a number"
 	kindRouterStopped  = "router stopped"
 	kindRouterReloaded = "router reloaded"
@@ -192,6 +193,12 @@
 	{kindServerIdle, withHabits(platformtest.Habits{IdleTime: time.Second, AnnounceIdle: true})},
 	{kindServerEarly, withHabits(platformtest.Habits{Early: true})},
 	{"server ends idle connections", withHabits(platformtest.Habits{IdleTime: 30 * time.Millisecond})},
+	{kindServerLarge, func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		s.SetAnswerBytes(largeAnswer)
+		time.Sleep(duration)
+		s.SetAnswerBytes(0)
+	}},
 	{kindServerFull, func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
 		s.Limit(1 + f.variant(selector)%maxLimit)
@@ -326,8 +333,13 @@
 // variant returns the variant of a fault of a server. It does not depend on which server.
 func (f *fleet) variant(selector int) int { return selector / len(f.servers) }
 
-// maxLimit is the largest number of connections of a server that refuses others.
-const maxLimit = 4
+const (
+	// maxLimit is the largest number of connections of a server that refuses others.
+	maxLimit = 4
+	// largeAnswer is the size of an answer that does not fit the buffers of a connection, so
+	// that a caller that reads late holds it up.
+	largeAnswer = 256 << 10
+)
 
 // maxUnwritten is the longest time for which lost entries are not written again. Live
 // servers write theirs within about two seconds.
@@ -369,7 +381,7 @@
 // Planned work and what operators and servers may always write disrupt nothing.
 func (x fault) disrupts() subject {
 	switch x.kind {
-	case kindServerLeaves, kindServerPieces, kindServerWire, kindServerInforms, kindServerTrailers, kindServerCloses, kindServerIdle, kindServerEarly, kindServerFull,
+	case kindServerLeaves, kindServerPieces, kindServerWire, kindServerInforms, kindServerTrailers, kindServerCloses, kindServerIdle, kindServerEarly, kindServerFull, kindServerLarge,
 		kindRouterStopped, kindRouterReloaded, kindRouterSettings, kindBrokenEntry, kindConfigChanged, kindConfigStorm, kindRolling, kindKilledTogether, kindPausedTogether:
 		return subjectNone
 	case kindRouterNoStore:
--- a/internal/soak/judgeanswers_test.go
+++ b/internal/soak/judgeanswers_test.go
@@ -171,8 +171,8 @@
 	}
 	got := eventsOf(r.ended.event.Body.Text)
 	for i, e := range got {
-		if e.id != fmt.Sprint(i+1) {
-			return []violation{r.breaks("got event %q where event %d was due", e.id, i+1)}
+		if due := r.sent.event.LastEvent + i + 1; e.id != fmt.Sprint(due) {
+			return []violation{r.breaks("got event %q where event %d was due", e.id, due)}
 		}
 	}
 	if h.once(r) {
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -84,6 +84,8 @@
 		// connection if this one was sent without waiting for its answer.
 		RetryOf string `json:"retry_of,omitempty"`
 		Behind  string `json:"behind,omitempty"`
+		// LastEvent is the event after which the caller resumes a stream; 0 for its start.
+		LastEvent int `json:"last_event,omitempty"`
 	}
 	// requestWhole: the caller has sent the last byte of a request that took several writes.
 	requestWhole struct {
