forward: continue no stream after an event ID that a header changes

The space after the ID in "id:1 " does not survive in Last-Event-Id, so that the engine that continues gets another ID, and the check for repeated events compares with the unchanged one: a stream with event 1 went on with event 0. With a control character net/http refuses to send the request. Such a stream is now broken off.

--- a/internal/forward/relayfuzz_test.go
+++ b/internal/forward/relayfuzz_test.go
@@ -377,6 +377,9 @@
 		{"id: 1\ndata: x\r\n\rid: 2\r\nda", "id: 2\n\n", 1, whole},
 		{"data: x\n\n", "", 1 | 2<<2, 120},
 		{"", "id: 1\n\n", 1 | 2<<2 | 2<<4, whole},
+		// A header does not carry the space after the ID.
+		{"id:1 \r\r0", "id:0\r\r", 1 | 2<<2 | 2<<4, whole},
+		{"id:1\x01\r\r0", "id:2\r\r", 1 | 2<<2 | 2<<4, whole},
 	} {
 		f.Add([]byte(s.first), []byte(s.second), s.how, s.cut, []byte(nil))
 		_, headBytes := relayAnswer{body: s.first}.wire(relayID, "0")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -146,5 +147,12 @@
 
 // canResume reports whether another engine can continue the stream.
 func (c *call) canResume() bool {
-	return c.route.Resumable && !c.stream.unresumable && c.stream.events.Resumable()
+	return c.route.Resumable && !c.stream.unresumable && c.stream.events.Resumable() && fitsHeader(c.stream.events.LastEventID())
+}
+
+// fitsHeader reports whether a header carries an event ID unchanged (RFC 9110, section
+// 5.5). An engine would continue a stream after another ID, or not get the request.
+func fitsHeader(id string) bool {
+	isControl := func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+	return strings.Trim(id, " \t") == id && !strings.ContainsFunc(id, isControl)
 }
