--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -25,6 +25,12 @@
 // newFleet starts n routers of a fleet that has run before, with the first three as
 // seeds, and waits until all are ready.
 func newFleet(t *testing.T, n, engines int) *fleetBed {
+	t.Helper()
+	return newFleetWith(t, n, engines, func(*fleetBed) {})
+}
+
+// newFleetWith is newFleet with a function that is called before the routers start.
+func newFleetWith(t *testing.T, n, engines int, prepare func(f *fleetBed)) *fleetBed {
 	t.Helper()
 	f := &fleetBed{testBed: newTestBedWith(t, engines)}
 	f.publish(config(1))
@@ -33,6 +39,7 @@
 	for range n {
 		f.addRouter()
 	}
+	prepare(f)
 	for _, r := range f.routers {
 		r.start()
 	}
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -27,10 +27,12 @@
 
 // testBed is a router with a store and servers on loopback.
 type testBed struct {
-	t       *testing.T
-	store   *platformtest.Store
-	engines []*platformtest.Engine
-	front   *front.Front
+	t     *testing.T
+	store *platformtest.Store
+	// storeAddr is where the router reaches the store; empty for the store's own address.
+	storeAddr string
+	engines   []*platformtest.Engine
+	front     *front.Front
 	// host is the router's address, seeds are those of others, and peersPort is the port
 	// for digests; zero values are replaced by free ones.
 	host      string
@@ -76,16 +78,17 @@
 	if b.peersPort != 0 {
 		ports[3] = netip.AddrPortFrom(ports[3].Addr(), b.peersPort)
 	}
+	storeAddr := cmp.Or(b.storeAddr, b.store.Addr())
 	s := &settings.Front{
 		VM: "front-1", DataCentre: "hall-a", Region: "south", FirstStart: !b.restarted,
 		ListenCallers: ports[0], ListenReadiness: ports[1], ListenMetrics: ports[2], ListenPeers: ports[3], Seeds: b.seeds,
-		StoreAddress: netip.MustParseAddrPort(b.store.Addr()),
+		StoreAddress: netip.MustParseAddrPort(storeAddr),
 		MemoryMB:     200, Cores: 1,
 		Bounds: settings.FrontBounds{
 			StopTimeout: 8 * time.Second, LoadMultiple: 2, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 480,
 		},
 	}
-	f, err := front.New(s, platform.Connect(b.store.Addr()), hclog.NewNullLogger())
+	f, err := front.New(s, platform.Connect(storeAddr), hclog.NewNullLogger())
 	if err != nil {
 		b.t.Fatal(err)
 	}
