balance: bound the load that a server may claim, and forget an old claim

One idle server that stated a load of 2,000,000 made admission control refuse 1,466 of 2,000 requests in 20 s to a pool of three, and 1,909 where no other router reports: there its statement counted until its next answer, which never came. A server now counts for four requests a slot at most, and without reports of other routers a statement counts for 2 s. None is refused then (TestFalseLoadOfOneServerDoesLittleHarm).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -24,6 +24,10 @@
 	// maxServerReportAge is the age up to which the load that a server reports
 	// takes precedence over the sum of the other routers' reports.
 	maxServerReportAge = 300 * time.Millisecond
+	// maxOnlyReportAge is the age up to which the load that a server reports is used
+	// without reports of other routers. A server that seems full gets no requests, and
+	// so reports no other load.
+	maxOnlyReportAge = 2 * time.Second
 )
 
 // Limits bound the load of a pool's servers.
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -34,8 +34,12 @@
 // of the server or else from the routers' reports, and the number of this
 // router's requests at that time.
 func (m *member) latestReport(now time.Time) (others, ownAtReport int) {
-	if m.peerReportAt.IsZero() || now.Sub(m.serverReportAt) < maxServerReportAge {
+	age := now.Sub(m.serverReportAt)
+	switch {
+	case age < maxServerReportAge, m.peerReportAt.IsZero() && age < maxOnlyReportAge:
 		return m.serverReported, m.ownAtServerReport
+	case m.peerReportAt.IsZero():
+		return 0, m.own
 	}
 	return m.peersReported, m.ownAtPeerReport
 }
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -39,6 +39,16 @@
 	Slots   int
 }
 
+// maxLoadPerSlot bounds the load that a server may report. Servers queue a few requests
+// beyond their slots; a false report must not make the whole pool look full.
+const maxLoadPerSlot = 4
+
+// total returns the requests of a report by a server with a number of slots.
+func (l Load) total(slots int) int {
+	limit := maxLoadPerSlot * max(slots, 1)
+	return min(min(l.Running, limit)+min(l.Waiting, limit), limit)
+}
+
 // Begin counts a request in flight at the server of a choice and records the server
 // as holder of its prefixes. It reports whether the other routers have to know of
 // it.
@@ -161,7 +171,7 @@
 	if m == nil {
 		return
 	}
-	m.serverReported = max(load.Running+load.Waiting-m.own, 0)
+	m.serverReported = max(load.total(m.server.Slots)-m.own, 0)
 	m.ownAtServerReport = m.own
 	m.serverReportAt = now
 }
