forward: keep the idle time that a server announces

Idle connections were used for 3 s whatever the server's Keep-Alive header said. A server that announces less may close one while a request is on its way, and a request that must not be repeated then ends with 502 (TestAnnouncedIdleTimeIsKept: announced 1 s, next request after 1.05 s). Connections to such a server now end 0.25 s before its time does.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -328,6 +328,9 @@
 	if !isFinal(resp.StatusCode) {
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
 	}
+	if idle, ok := announcedIdleTime(resp.Header); ok {
+		c.pool.recordIdleTime(choice.Server.Key(), idle)
+	}
 	// Only what the caller would get counts, so the headers of the connection go first.
 	resp.Header = forwardableHeaders(resp.Header)
 	answer := c.handler.codec.ResponseHeaders(resp.Header)
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/edge"
@@ -17,6 +19,22 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
+// announcedIdleTime returns how long a server keeps an idle connection, and false when it
+// does not say so.
+func announcedIdleTime(h http.Header) (time.Duration, bool) {
+	for _, line := range h["Keep-Alive"] {
+		for parameter := range strings.SplitSeq(line, ",") {
+			name, value, _ := strings.Cut(parameter, "=")
+			if !strings.EqualFold(strings.TrimSpace(name), "timeout") {
+				continue
+			}
+			seconds, err := strconv.ParseUint(strings.TrimSpace(value), 10, 32)
+			return time.Duration(seconds) * time.Second, err == nil
+		}
+	}
+	return 0, false
+}
+
 // forwardableHeaders returns a copy of h without the hop-by-hop headers.
 func forwardableHeaders(h http.Header) http.Header {
 	out := h.Clone()
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -23,8 +23,14 @@
 	sendTimeout = 1500 * time.Millisecond
 	// idlePerServer bounds the idle connections kept to one server.
 	idlePerServer = 8
-	// idleTimeout closes idle connections before servers usually do.
+	// idleTimeout closes idle connections before servers usually do. Where a server
+	// announces a shorter time, they are closed idleMargin before its end: a request that
+	// crosses the close may have run.
 	idleTimeout = 3 * time.Second
+	idleMargin  = 250 * time.Millisecond
+	// minIdleTimeout is for a server that announces hardly any time. A transport takes 0
+	// as no limit.
+	minIdleTimeout = time.Millisecond
 	// maxHeaderBytes bounds the headers of a server's answer.
 	maxHeaderBytes = 64 << 10
 	// connectionBuffer is the size of a connection's read and write buffers, in
@@ -240,13 +246,27 @@
 	defer p.mu.Unlock()
 	t := p.transports[key]
 	if t == nil {
-		t = newTransport()
+		t = newTransport(idleTimeout)
 		p.transports[key] = t
 	}
 	return t
 }
 
-func newTransport() *http.Transport {
+// recordIdleTime records for how long a server keeps an idle connection. Connections
+// that were opened with a longer limit are not used again.
+func (p *pool) recordIdleTime(key registry.Key, announced time.Duration) {
+	limit := max(announced-idleMargin, minIdleTimeout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.transports[key]
+	if t == nil || t.IdleConnTimeout <= limit {
+		return
+	}
+	t.CloseIdleConnections()
+	p.transports[key] = newTransport(limit)
+}
+
+func newTransport(idleTimeout time.Duration) *http.Transport {
 	t := httpsend.NewTransport(httpsend.Options{
 		DialTimeout:         dialTimeout,
 		MaxHeaderBytes:      maxHeaderBytes,
