--- a/internal/front/cutoff_test.go
+++ b/internal/front/cutoff_test.go
@@ -47,16 +47,22 @@
 	}
 }
 
-// peerLink is the way between a router and the others, which can be cut. The router uses
+// peerLink is the way between one router of a fleet and the others, which can be cut. The router uses
 // another port for digests than they do. The link receives at the router's host and the
 // others' port what they send to it, and passes it on from their hosts and the router's
 // port; in the other direction likewise.
 type peerLink struct {
 	cut atomic.Bool
+	// sent and received are the bytes of the router's datagrams, with their headers.
+	sent, received atomic.Int64
 }
 
-func newPeerLink(t *testing.T, router *testBed, others []*testBed) *peerLink {
+// datagramHeaderBytes are the headers of a datagram over IPv4.
+const datagramHeaderBytes = 28
+
+func newPeerLink(t *testing.T, f *fleetBed, n int) *peerLink {
 	l := &peerLink{}
+	router, others := f.routers[n], slices.Delete(slices.Clone(f.routers), n, n+1)
 	port := testport.FreeAddrs(t, router.host, 1)[0].Port()
 	commonPort := router.peersPort
 	router.peersPort = port
@@ -73,16 +79,16 @@
 	for _, o := range others {
 		addr := netip.MustParseAddr(o.host)
 		outside[addr] = listen(o.host, port)
-		go l.relay(outside[addr], func(netip.Addr) (*net.UDPConn, netip.AddrPort) { return inside, netip.AddrPortFrom(addr, commonPort) })
+		go l.relay(outside[addr], &l.sent, func(netip.Addr) (*net.UDPConn, netip.AddrPort) { return inside, netip.AddrPortFrom(addr, commonPort) })
 	}
 	target := netip.AddrPortFrom(netip.MustParseAddr(router.host), port)
-	go l.relay(inside, func(from netip.Addr) (*net.UDPConn, netip.AddrPort) { return outside[from], target })
+	go l.relay(inside, &l.received, func(from netip.Addr) (*net.UDPConn, netip.AddrPort) { return outside[from], target })
 	return l
 }
 
 // relay passes on what a socket receives, on the socket and to the address that route
-// returns for its sender.
-func (l *peerLink) relay(in *net.UDPConn, route func(from netip.Addr) (*net.UDPConn, netip.AddrPort)) {
+// returns for its sender, and counts its bytes.
+func (l *peerLink) relay(in *net.UDPConn, bytes *atomic.Int64, route func(from netip.Addr) (*net.UDPConn, netip.AddrPort)) {
 	buffer := make([]byte, 64<<10)
 	for {
 		n, from, err := in.ReadFromUDPAddrPort(buffer)
@@ -90,6 +96,7 @@
 			return
 		}
 		if out, to := route(from.Addr().Unmap()); out != nil && !l.cut.Load() {
+			bytes.Add(int64(n) + datagramHeaderBytes)
 			_, _ = out.WriteToUDPAddrPort(buffer[:n], to)
 		}
 	}
@@ -193,8 +200,7 @@
 				r := f.routers[c.router]
 				store = newStoreLink(t, f.store.Addr())
 				r.storeAddr = strings.TrimPrefix(store.server.URL, "http://")
-				others := slices.Delete(slices.Clone(f.routers), c.router, c.router+1)
-				peers = newPeerLink(t, r, others)
+				peers = newPeerLink(t, f, c.router)
 			})
 			cutOff := f.routers[c.router]
 			first, second := f.store.Copy(), f.store.Copy()
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -120,7 +120,10 @@
 // removals that only the readers learn of.
 func TestNewEraCostsFewCallsAndReachesAllRouters(t *testing.T) {
 	routers := *fleetRouters
-	f := newFleet(t, routers, 3)
+	links := map[string]*peerLink{}
+	f := newFleetWith(t, routers, 3, func(f *fleetBed) {
+		links["a reader"], links["another router"] = newPeerLink(t, f, 0), newPeerLink(t, f, routers-1)
+	})
 	gone, leaving := f.engines[0], f.engines[1]
 	f.store.Put(platform.TopicServers, gone.ID, nil)
 	f.waitFor("all routers know that a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 }) })
@@ -128,6 +131,10 @@
 	f.register(platformtest.StateReady, f.engines...)
 	f.waitFor("all routers know all servers", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 3 }) })
 	before := f.store.Calls()
+	for _, l := range links {
+		l.sent.Store(0)
+		l.received.Store(0)
+	}
 	f.store.Restore(old, 5)
 	started := time.Now()
 	f.register(platformtest.StateLeaving, leaving)
@@ -136,6 +143,9 @@
 	seconds := time.Since(started).Seconds()
 	calls := f.store.Calls() - before
 	t.Logf("%d routers: %d calls in %.1f s after the era began", routers, calls, seconds)
+	for name, l := range links {
+		t.Logf("%s sent %d and received %d bytes of digests", name, l.sent.Load(), l.received.Load())
+	}
 	// Three readers with two topics call about 4 times a second each, and lists have two pages here.
 	if limit := int(60 + 24*seconds); calls > limit {
 		t.Errorf("%d calls in %.1f s, want at most %d", calls, seconds, limit)
