feed: vary whole pauses, not the steps of waiting for them

The jitter was applied to the steps of 0.2 s in which a pause is waited for, so that their sum hardly varied. 340 routers in one process that had read the store together read it again together: 472 calls within 1.3 s, 30 s later (trial). A pause now varies by a tenth in both directions.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -176,6 +176,10 @@
 	// minPause bounds the rate of reads for a record that another router has
 	// reported and the store does not return yet.
 	minPause = 50 * time.Millisecond
+	// spreadUnit is the resolution of the factor by which a whole pause varies. The jitter
+	// of the steps in which it is waited for hardly changes their sum: of 340 routers that
+	// had read at the same time, all read again within two seconds, 30 s later.
+	spreadUnit = 1000
 )
 
 // waitForNextCall waits for the pause. A negative pause means the one of Timing,
@@ -183,6 +187,7 @@
 // failure ends early once for each such report: the store answers again.
 func (f *Follower) waitForNextCall(ctx context.Context, pause time.Duration) {
 	start := f.now()
+	spread := withJitter(spreadUnit)
 	var reported time.Time
 	next := withJitter(minPause)
 	for {
@@ -198,7 +203,7 @@
 		}
 		if pause < 0 {
 			timing := f.options.Timing()
-			remaining = timing.Pause - elapsed
+			remaining = timing.Pause*spread/spreadUnit - elapsed
 			if f.position.complete && !f.options.PeerPosition().Before(f.position.next) {
 				if reported.IsZero() {
 					reported = f.now()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -273,3 +273,29 @@
 		t.Error("the follower did not end its pause")
 	}
 }
+
+// Guards against many routers that call the store at the same moment once in each pause,
+// because something has made all of them read at the same time before: their pauses must
+// differ by more than the steps in which they are waited for.
+func TestPausesOfFollowersDiffer(t *testing.T) {
+	const pause = 600 * time.Millisecond
+	shorter := make(chan bool)
+	for range 20 {
+		go func() {
+			f := follower(&scriptedSource{}, &recorder{})
+			f.options.Timing = func() Timing { return Timing{Pause: pause} }
+			start := time.Now()
+			f.waitForNextCall(t.Context(), pauseFromTiming)
+			shorter <- time.Since(start) < pause-pause/50
+		}()
+	}
+	n := 0
+	for range 20 {
+		if <-shorter {
+			n++
+		}
+	}
+	if n == 0 {
+		t.Error("no pause of 20 is 2 in 100 shorter than the others")
+	}
+}
