--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -23,6 +23,9 @@
 	// request, while the connections must not be reused. Each is made when it is needed.
 	transportMu  sync.Mutex
 	kept, single *http.Transport
+	// shorterIdle is how long an idle connection is kept because the server has announced a
+	// shorter time than idleTimeout; 0 when it has not.
+	shorterIdle time.Duration
 
 	// reuseMu guards reuse and removed. The transports report unasked bytes with their locks held, so
 	// no transport is used under reuseMu.
@@ -54,6 +57,30 @@
 	return c.single
 }
 
+// idleLimit returns how long a connection is kept idle. The caller holds transportMu.
+func (c *connections) idleLimit() time.Duration {
+	if c.shorterIdle == 0 {
+		return idleTimeout
+	}
+	return c.shorterIdle
+}
+
+// recordIdleTime records for how long the server keeps an idle connection. Connections
+// that were opened with a longer limit are not used again.
+func (c *connections) recordIdleTime(announced time.Duration) {
+	limit := max(announced-idleMargin, minIdleTimeout)
+	c.transportMu.Lock()
+	defer c.transportMu.Unlock()
+	if limit >= c.idleLimit() {
+		return
+	}
+	c.shorterIdle = limit
+	if c.kept != nil {
+		c.kept.CloseIdleConnections()
+		c.kept = nil
+	}
+}
+
 // remove closes the kept connections to a server that no longer exists.
 func (c *connections) remove() {
 	c.reuseMu.Lock()
@@ -71,7 +98,7 @@
 		DialTimeout:         dialTimeout,
 		MaxHeaderBytes:      maxHeaderBytes,
 		MaxIdleConnsPerHost: idlePerServer,
-		IdleTimeout:         idleTimeout,
+		IdleTimeout:         c.idleLimit(),
 		NoConnReuse:         !reuse,
 		Control:             setSendTimeout,
 		KeepAlive:           httpsend.ShortKeepAlive(),
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -22,8 +22,14 @@
 	sendTimeout = 1500 * time.Millisecond
 	// idlePerServer bounds the idle connections kept to one server.
 	idlePerServer = 8
-	// idleTimeout closes idle connections before servers usually do.
+	// idleTimeout closes idle connections before servers usually do. Where a server
+	// announces a shorter time, they are closed idleMargin before its end: a request that
+	// crosses the close may have run.
 	idleTimeout = 3 * time.Second
+	idleMargin  = 250 * time.Millisecond
+	// minIdleTimeout is for a server that announces hardly any time. A transport takes 0
+	// as no limit.
+	minIdleTimeout = time.Millisecond
 	// maxHeaderBytes bounds the headers of a server's answer.
 	maxHeaderBytes = 64 << 10
 	// connectionBuffer is the size of a connection's read and write buffers, in
