--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -335,9 +335,12 @@
 
 // handleAnswer checks the headers of an answer and relays it.
 func (c *call) handleAnswer(ctx context.Context, choice balance.Choice, resp *http.Response, watch *watch) result {
-	if !isFinal(resp.StatusCode) || isJoined(resp) {
+	if !isFinal(resp.StatusCode) {
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
 	}
+	if isJoined(resp) {
+		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true, otherAnswer: true}
+	}
 	if idle, ok := announcedIdleTime(resp.Header); ok {
 		c.pool.connectionsTo(choice.Server).recordIdleTime(idle)
 	}
