--- a/internal/soak/judgeanswers_test.go
+++ b/internal/soak/judgeanswers_test.go
@@ -30,6 +30,7 @@
 	{"route", checkRoute},
 	{"configuration", checkConfiguration},
 	{"regress", checkRegress},
+	{"later routes", checkLaterRoutes},
 	{"leaving servers", checkDrain},
 	{"cut answers", eachRequest(checkCut)},
 	{"unanswered", eachRequest(checkUnanswered)},
--- a/internal/soak/judgecases_test.go
+++ b/internal/soak/judgecases_test.go
@@ -44,6 +44,9 @@
 		{rule: "denials", about: "a key that must be in force", common: []record{config(0, 2, "k2", "plain"), body(2204, "a", ""), headers(2203, "a", 401, "")},
 			breaks: []record{changed(sent(2200, "a", "unsafe"), func(s *requestSent) { s.Key = "k2" })},
 			keeps:  []record{changed(sent(1900, "a", "unsafe"), func(s *requestSent) { s.Key = "k2" })}},
+		{rule: "denials", about: "a body that a paused router missed", common: []record{sent(0, "a", "unsafe"), at(40, requestWhole{ID: "a"}), body(2000, "a", ""), machine(30, routerPaused), machine(1990, routerResumed)},
+			breaks: []record{headers(2000, "a", 401, "")},
+			keeps:  []record{headers(2000, "a", 400, "")}},
 		{rule: "denials", about: "a request that its caller did not send whole", common: []record{sent(0, "a", "unsafe"), headers(1000, "a", 400, ""), body(1000, "a", "")},
 			breaks: []record{at(40, requestWhole{ID: "a"})},
 			keeps:  []record{at(40, callerStopped{ID: "a"})}},
@@ -64,6 +67,9 @@
 			arrived(1001, "2a", "a", "plain"), run(1001, "2a"), given(1002, "2a", "text"), headers(1003, "a", 200, "seal-2a"), body(1004, "a", "text")},
 			breaks: []record{changed(sent(1000, "a", "unsafe"), steady)},
 			keeps:  []record{changed(sent(700, "a", "unsafe"), steady)}},
+		{rule: "later routes", about: "served seldom", common: joined([]record{changed(config(0, 2, "k1", "plain"), addRoute)}, many(20, 3000, 10, func(ms int, id string) []record { return served(ms, "f"+id, "plain") })),
+			breaks: joined(many(4, 3000, 10, onLaterRoute), many(16, 4000, 10, func(ms int, id string) []record { return refusedLater(ms, "r"+id) })),
+			keeps:  joined(many(5, 3000, 10, onLaterRoute), many(15, 4000, 10, func(ms int, id string) []record { return refusedLater(ms, "r"+id) }))},
 		{rule: "leaving servers", about: "a late arrival", common: []record{entry(0, "s1", entryLeaving), sent(2000, "a", "unsafe"), run(2101, "1a"), given(2102, "1a", "text"), headers(2103, "a", 200, "seal-1a"), body(2104, "a", "text")},
 			breaks: []record{arrived(2101, "1a", "a", "plain")},
 			keeps:  []record{arrived(2000, "1a", "a", "plain")}},
@@ -76,6 +82,24 @@
 	}
 }
 
+// addRoute adds the route later.
+func addRoute(c *configConfirmed) {
+	c.Routes = append(c.Routes, routeRecord{Name: "later", Kind: "unsafe", Pool: "plain", Attempts: 1, Timeout: 4 * time.Second})
+}
+
+// onLaterRoute returns a served request on the route later.
+func onLaterRoute(ms int, id string) []record {
+	list := served(ms, id, "plain")
+	list[0] = sent(ms, id, "later")
+	list[1] = changed(list[1], func(a *requestArrived) { a.Target = "/later/x" })
+	return list
+}
+
+// refusedLater returns a refused request on the route later.
+func refusedLater(ms int, id string) []record {
+	return []record{sent(ms, id, "later"), headers(ms+1, id, 503, ""), body(ms+2, id, "")}
+}
+
 func steady(s *requestSent) { s.Key = "steady" }
 
 // toSafe makes an arrival one of the route safe.
