--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -13,7 +13,10 @@
 	"github.com/bluebellwell/bluebellwell/platform"
 )
 
-var fleetRouters = flag.Int("front.routers", 20, "number of routers of the fleet that sees a new era")
+var (
+	fleetRouters = flag.Int("front.routers", 20, "number of routers of the fleet that sees a new era")
+	fleetWait    = flag.Duration("front.wait", waitTimeout, "longest wait until the routers of a fleet know each other")
+)
 
 // fleetBed is a fleet of routers with one store. Each router is reached through a
 // test bed of its own, which shares store and servers with the others.
@@ -25,6 +28,12 @@
 // newFleet starts n routers of a fleet that has run before, with the first three as
 // seeds, and waits until all are ready.
 func newFleet(t *testing.T, n, engines int) *fleetBed {
+	t.Helper()
+	return newFleetWith(t, n, engines, func(*fleetBed) {})
+}
+
+// newFleetWith is newFleet with a function that is called before the routers start.
+func newFleetWith(t *testing.T, n, engines int, prepare func(f *fleetBed)) *fleetBed {
 	t.Helper()
 	f := &fleetBed{testBed: newTestBedWith(t, engines)}
 	f.publish(config(1))
@@ -33,10 +42,11 @@
 	for range n {
 		f.addRouter()
 	}
+	prepare(f)
 	for _, r := range f.routers {
 		r.start()
 	}
-	f.waitFor("all routers are ready and know each other", func() bool {
+	f.waitForUpTo(*fleetWait, "all routers are ready and know each other", func() bool {
 		for _, r := range f.routers {
 			if !r.isReady() || r.front.Status().Routers != n-1 {
 				return false
@@ -110,7 +120,10 @@
 // removals that only the readers learn of.
 func TestNewEraCostsFewCallsAndReachesAllRouters(t *testing.T) {
 	routers := *fleetRouters
-	f := newFleet(t, routers, 3)
+	links := map[string]*peerLink{}
+	f := newFleetWith(t, routers, 3, func(f *fleetBed) {
+		links["a reader"], links["another router"] = newPeerLink(t, f, 0), newPeerLink(t, f, routers-1)
+	})
 	gone, leaving := f.engines[0], f.engines[1]
 	f.store.Put(platform.TopicServers, gone.ID, nil)
 	f.waitFor("all routers know that a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 }) })
@@ -118,6 +131,10 @@
 	f.register(platformtest.StateReady, f.engines...)
 	f.waitFor("all routers know all servers", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 3 }) })
 	before := f.store.Calls()
+	for _, l := range links {
+		l.sent.Store(0)
+		l.received.Store(0)
+	}
 	f.store.Restore(old, 5)
 	started := time.Now()
 	f.register(platformtest.StateLeaving, leaving)
@@ -126,6 +143,9 @@
 	seconds := time.Since(started).Seconds()
 	calls := f.store.Calls() - before
 	t.Logf("%d routers: %d calls in %.1f s after the era began", routers, calls, seconds)
+	for name, l := range links {
+		t.Logf("%s sent %d and received %d bytes of digests", name, l.sent.Load(), l.received.Load())
+	}
 	// Three readers with two topics call about 4 times a second each, and lists have two pages here.
 	if limit := int(60 + 24*seconds); calls > limit {
 		t.Errorf("%d calls in %.1f s, want at most %d", calls, seconds, limit)
