--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -212,6 +214,8 @@
 	cause   Cause
 	// mayHaveRun is set when the server may have run the request.
 	mayHaveRun bool
+	// otherAnswer is set when the answer does not belong to the request.
+	otherAnswer bool
 	// failure is a complete answer of the server that reports a failure.
 	failure *failure
 }
@@ -293,14 +297,20 @@
 	defer watch.stop()
 	c.attempts.sentAt = time.Now()
 	c.attempts.framing, c.attempts.bodyBytes = framing.Unknown, 0
-	resp, exchange, err := httpsend.Send(c.pool.transport(key), c.outgoingRequest(ctx, choice))
+	conns := c.pool.connectionsTo(choice.Server)
+	resp, exchange, err := httpsend.Send(conns.transport(c.attempts.sentAt), c.outgoingRequest(ctx, choice))
 	if err != nil {
+		if ctx.Err() == nil {
+			conns.recordNoAnswer(c.attempts.sentAt, exchange)
+		}
 		return c.classifySendError(ctx, err, exchange.NotSent)
 	}
 	defer resp.Body.Close()
 	c.attempts.framing = endOf(resp).framing
 	watch.recordProgress()
-	return c.handleAnswer(ctx, choice, resp, watch)
+	res := c.handleAnswer(ctx, choice, resp, watch)
+	conns.recordAnswer(c.attempts.sentAt, exchange, !res.otherAnswer)
+	return res
 }
 
 // classifySendError classifies an exchange that ended without an answer.
@@ -325,11 +335,11 @@
 
 // handleAnswer checks the headers of an answer and relays it.
 func (c *call) handleAnswer(ctx context.Context, choice balance.Choice, resp *http.Response, watch *watch) result {
-	if !isFinal(resp.StatusCode) {
+	if !isFinal(resp.StatusCode) || isJoined(resp) {
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
 	}
 	if idle, ok := announcedIdleTime(resp.Header); ok {
-		c.pool.recordIdleTime(choice.Server.Key(), idle)
+		c.pool.connectionsTo(choice.Server).recordIdleTime(idle)
 	}
 	// Only what the caller would get counts, so the headers of the connection go first.
 	resp.Header = forwardableHeaders(resp.Header)
@@ -337,7 +347,7 @@
 	if answer.RequestID != c.headers.ID {
 		// Servers name the request in each answer, also in a refusal. An answer without a
 		// name may be a late one of another request on the same connection.
-		return result{outcome: balance.Failed, cause: CauseWrongAnswer, mayHaveRun: true}
+		return result{outcome: balance.Failed, cause: CauseWrongAnswer, mayHaveRun: true, otherAnswer: true}
 	}
 	if answer.HasLoad {
 		c.pool.recordLoad(time.Now(), choice.Server.Key(), answer.Load)
@@ -373,6 +383,25 @@
 	return status >= http.StatusOK && status < afterLast
 }
 
+// statusLine matches the status line of an answer inside a line of another one.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
+
+// isJoined reports whether an answer begins with the torn start of another one. A faulty
+// server may send such bytes before its answer, whose status line then ends a line of the
+// torn headers. The status and a statement that the request has not run may be of the
+// torn answer, and the id of the whole one.
+func isJoined(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // impliesNotRun reports whether callers take a status to mean that the request
 // has not run.
 func impliesNotRun(status int) bool {
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -78,6 +78,22 @@
 		Deadline time.Duration `json:"deadline"`
 		Model    string        `json:"model,omitempty"`
 		Prompt   string        `json:"prompt,omitempty"`
+		// Manner is how the caller sends; empty for a request in one write.
+		Manner string `json:"manner,omitempty"`
+		// RetryOf names the attempt before, and Behind the request before on the
+		// connection if this one was sent without waiting for its answer.
+		RetryOf string `json:"retry_of,omitempty"`
+		Behind  string `json:"behind,omitempty"`
+		// LastEvent is the event after which the caller resumes a stream; 0 for its start.
+		LastEvent int `json:"last_event,omitempty"`
+	}
+	// requestWhole: the caller has sent the last byte of a request that took several writes.
+	requestWhole struct {
+		ID string `json:"id"`
+	}
+	// callerStopped: the caller has stopped sending before the last byte of the request.
+	callerStopped struct {
+		ID string `json:"id"`
 	}
 	// answerStarted: the caller has read the headers of an answer.
 	answerStarted struct {
@@ -87,6 +103,8 @@
 		// AnswerID is the request id that the answer names.
 		AnswerID string `json:"answer_id,omitempty"`
 		Encoding string `json:"encoding,omitempty"`
+		// Close is set when the answer announces the end of its connection.
+		Close bool `json:"close,omitempty"`
 	}
 	// answerEnded: the answer has ended, or the connection has without one.
 	answerEnded struct {
@@ -124,6 +142,8 @@
 	stageBody    stage = "body"
 	// stageTimeout: the caller has waited in vain.
 	stageTimeout stage = "timeout"
+	// stageBehind: the connection ended with the answer to the request before.
+	stageBehind stage = "behind"
 )
 
 // Events of servers. Attempt numbers the requests that a server has received.
@@ -146,6 +166,14 @@
 		Prompt    string        `json:"prompt,omitempty"`
 		// Forged names headers of the system that a caller had set.
 		Forged string `json:"forged,omitempty"`
+		// Early is set when the server answers before it has read the body, which a
+		// bodyArrived then has.
+		Early bool `json:"early,omitempty"`
+	}
+	// bodyArrived: the server has read the body of a request that it answers early.
+	bodyArrived struct {
+		Attempt string  `json:"attempt"`
+		Body    content `json:"body"`
 	}
 	// requestRun: the server has begun to work on a request.
 	requestRun struct {
@@ -263,11 +291,14 @@
 func (runStarted) eventName() string       { return "run started" }
 func (callersStopped) eventName() string   { return "callers stopped" }
 func (requestSent) eventName() string      { return "request sent" }
+func (requestWhole) eventName() string     { return "request whole" }
+func (callerStopped) eventName() string    { return "caller stopped sending" }
 func (answerStarted) eventName() string    { return "answer started" }
 func (answerEnded) eventName() string      { return "answer ended" }
 func (callerLeft) eventName() string       { return "caller left" }
 func (strayBytes) eventName() string       { return "stray bytes" }
 func (requestArrived) eventName() string   { return "request arrived" }
+func (bodyArrived) eventName() string      { return "body arrived" }
 func (requestRun) eventName() string       { return "request run" }
 func (requestRefused) eventName() string   { return "request refused" }
 func (answerGiven) eventName() string      { return "answer given" }
@@ -284,11 +315,14 @@
 	runStarted{}.eventName():       decodeEvent[runStarted],
 	callersStopped{}.eventName():   decodeEvent[callersStopped],
 	requestSent{}.eventName():      decodeEvent[requestSent],
+	requestWhole{}.eventName():     decodeEvent[requestWhole],
+	callerStopped{}.eventName():    decodeEvent[callerStopped],
 	answerStarted{}.eventName():    decodeEvent[answerStarted],
 	answerEnded{}.eventName():      decodeEvent[answerEnded],
 	callerLeft{}.eventName():       decodeEvent[callerLeft],
 	strayBytes{}.eventName():       decodeEvent[strayBytes],
 	requestArrived{}.eventName():   decodeEvent[requestArrived],
+	bodyArrived{}.eventName():      decodeEvent[bodyArrived],
 	requestRun{}.eventName():       decodeEvent[requestRun],
 	requestRefused{}.eventName():   decodeEvent[requestRefused],
 	answerGiven{}.eventName():      decodeEvent[answerGiven],
