--- a/internal/soak/manner_test.go
+++ b/internal/soak/manner_test.go
@@ -31,7 +31,8 @@
 )
 
 // mannerNames are the names of manners in records, and their shares of all requests, in
-// thousandths. Those that keep their callers waiting are rare.
+// thousandths. Many leave, so that some do while routers are in touch; those that keep
+// their callers waiting are rare.
 var mannerNames = map[manner]struct {
 	name  string
 	share int
