forward: answer 408 to a body that is late, 400 to one that is malformed

Callers got a 400, after which they do not try again, for a body that their router had read too late: it was paused while the body came in pieces, and the read deadline had passed when it went on. A body that is incomplete at the deadline says nothing about the request, and nothing of it has gone to a server: 408 promises that, and callers may try again. 400 stays for what is malformed.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
@@ -196,7 +197,6 @@
 		c.refuse(CauseRouterMemory)
 		return false
 	}
-	// A caller whose body is incomplete at the deadline no longer waits for an answer.
 	_ = http.NewResponseController(&c.w).SetReadDeadline(c.deadline)
 	body, err := readAll(c.r, limit)
 	_ = http.NewResponseController(&c.w).SetReadDeadline(time.Time{})
@@ -205,6 +205,10 @@
 	case errors.As(err, &tooLarge):
 		c.deny(http.StatusRequestEntityTooLarge, CauseTooLarge)
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The caller has sent it slowly, or this router has read it late.
+		c.writeProblem(http.StatusRequestTimeout, OutcomeNotRun, CauseBodyLate)
+		return false
 	case err != nil:
 		c.deny(http.StatusBadRequest, CauseBadRequest)
 		return false
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -112,7 +112,9 @@
 	CauseUnknownKey Cause = "unknown_key"
 	CauseTooLarge   Cause = "body_too_large"
 	CauseBadRequest Cause = "bad_request"
-	CauseNoServer   Cause = "no_server"
+	// CauseBodyLate: the body of the request was incomplete at its deadline.
+	CauseBodyLate Cause = "body_late"
+	CauseNoServer Cause = "no_server"
 	// CauseOverload: the servers refused the request.
 	CauseOverload Cause = "overload"
 	// CausePoolFull: the request would wait too long for a server.
