soak: each schedule has a return of the store that loses many records

The copy was at most 3 s old and had lost few records; the entries that are written again passed the old offsets at once. Now everything is written 20 times before the store comes back, as heartbeats are, so that the offsets of the new era stay below the old ones to the end, and a copy from before is taken.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -40,15 +41,21 @@
 	kindConfigChanged  = "configuration changed"
 )
 
+// kindStoreReturns is a fault that each schedule has.
+const kindStoreReturns = "store comes back from an older copy"
+
 // kindRouterNoStore is a fault of the store as one router sees it.
 const kindRouterNoStore = "router disconnected from the store"
 
-// faultKinds are the kinds of faults. Each run returns after its duration, when the
-// fault has been undone.
-var faultKinds = []struct {
+// faultKind is a kind of faults.
+type faultKind struct {
 	name string
 	run  func(f *fleet, selector int, duration time.Duration)
-}{
+}
+
+// faultKinds are the kinds of faults. Each run returns after its duration, when the
+// fault has been undone.
+var faultKinds = []faultKind{
 	{"router killed", func(f *fleet, selector int, duration time.Duration) {
 		r := f.routers[selector%len(f.routers)]
 		f.signal(r, syscall.SIGKILL)
@@ -162,7 +169,11 @@
 		time.Sleep(duration)
 		s.SetDefaultFault(platformtest.None)
 	}},
-	{"store comes back from an older copy", func(f *fleet, selector int, duration time.Duration) {
+	{kindStoreReturns, func(f *fleet, selector int, duration time.Duration) {
+		for range lostWrites {
+			f.writeAgain()
+		}
+		time.Sleep(lostTime)
 		if selector%2 == 0 {
 			f.store.SetErrorStatus(http.StatusServiceUnavailable)
 			time.Sleep(duration / 4)
@@ -191,6 +202,14 @@
 // servers write theirs within about two seconds.
 const maxUnwritten = 1500 * time.Millisecond
 
+// Before the store comes back, all entries and the configuration are written lostWrites times,
+// as heartbeats are, and read within lostTime. Far fewer records follow in the new era, so
+// that a router which compares offsets of two eras misses them until the end of the run.
+const (
+	lostWrites = 20
+	lostTime   = 1200 * time.Millisecond
+)
+
 // A server writes in pieces of 1 to pieceSizes bytes, which is shorter than an event, with
 // piecePause after each. An event takes far less time than the gap that routes allow.
 const (
@@ -249,19 +268,26 @@
 }
 
 // drawSchedule draws a schedule of overlapping faults, of which some start at the
-// same time.
+// same time. One in which the store comes back is always among them: what follows differs in
+// each router's view, and few seeds would draw it early enough.
 func drawSchedule(seed uint64, length time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var list []fault
 	for start := 500 * time.Millisecond; start < length; {
 		k := faultKinds[random.IntN(len(faultKinds))]
-		list = append(list, fault{
-			start: start, kind: k.name, selector: random.IntN(720), run: k.run,
-			duration: 200*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond))),
-		})
+		list = append(list, newFault(random, k, start))
 		if random.IntN(4) > 0 {
 			start += time.Duration(random.Int64N(int64(1500 * time.Millisecond)))
 		}
 	}
-	return list
+	returns := slices.IndexFunc(faultKinds, func(k faultKind) bool { return k.name == kindStoreReturns })
+	return append(list, newFault(random, faultKinds[returns], time.Duration(random.Int64N(int64(length)))))
+}
+
+// newFault draws the variant and the duration of a fault.
+func newFault(random *rand.Rand, k faultKind, start time.Duration) fault {
+	return fault{
+		start: start, kind: k.name, selector: random.IntN(720), run: k.run,
+		duration: 200*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond))),
+	}
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -178,7 +178,8 @@
 		return
 	}
 	f.era++
-	f.store.Restore(f.copies[selector%len(f.copies)], f.era)
+	// The older half is from before the writes that are to be lost.
+	f.store.Restore(f.copies[selector%((len(f.copies)+1)/2)], f.era)
 	f.records.add(storeRestored{Era: f.era})
 	// Later copies are of an era that has ended.
 	f.copies = nil
