soak: play most kinds of faults and each way in which a server fails in a short run

A run of 15 s has about 26 faults of 22 kinds, drawn with repetition: a given kind was missing in a third of the runs, and a given one of the ten ways in which a server fails in nine of ten. A kind is now drawn again only after all others, and a server that fails plays each way once before it stays with one.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -137,18 +137,13 @@
 	{"server fails", func(f *fleet, selector int, duration time.Duration) {
 		faults := []platformtest.Fault{platformtest.Fail, platformtest.Refuse, platformtest.Busy, platformtest.Reset,
 			platformtest.WrongID, platformtest.Unsigned, platformtest.Short, platformtest.Cut, platformtest.CutBetween, platformtest.EndInEvent}
-		s := f.servers[selector%len(f.servers)]
-		s.SetDefaultFault(faults[selector%len(faults)])
-		time.Sleep(duration)
-		s.SetDefaultFault(platformtest.None)
+		f.mishandle(selector, faults, duration)
 	}},
 	{"server ends answers with their connection", func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
 		faults := []platformtest.Fault{platformtest.None, platformtest.Cut, platformtest.CutBetween, platformtest.Reset}
 		s.SetFraming(platformtest.Unframed)
-		s.SetDefaultFault(faults[selector%len(faults)])
-		time.Sleep(duration)
-		s.SetDefaultFault(platformtest.None)
+		f.mishandle(selector, faults, duration)
 		s.SetFraming(platformtest.Framed)
 	}},
 	{kindServerPieces, func(f *fleet, selector int, duration time.Duration) {
@@ -158,10 +153,7 @@
 		s.SetPieces(0, 0)
 	}},
 	{"server breaks off inside the first event", func(f *fleet, selector int, duration time.Duration) {
-		s := f.servers[selector%len(f.servers)]
-		s.SetDefaultFault([]platformtest.Fault{platformtest.CutFirst, platformtest.ResetFirst}[selector%2])
-		time.Sleep(duration)
-		s.SetDefaultFault(platformtest.None)
+		f.mishandle(selector, []platformtest.Fault{platformtest.CutFirst, platformtest.ResetFirst}, duration)
 	}},
 	{"server answers twice", func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
@@ -198,6 +190,18 @@
 	{kindConfigChanged, func(f *fleet, _ int, _ time.Duration) { f.publish() }},
 }
 
+// mishandle makes a server mishandle requests: each of the next ones in another way, and
+// the rest in the way that the selector chooses. A run has time for few faults of a server,
+// and each way must be seen.
+func (f *fleet) mishandle(selector int, faults []platformtest.Fault, duration time.Duration) {
+	s, n := f.servers[selector%len(f.servers)], selector%len(faults)
+	s.SetDefaultFault(faults[n])
+	s.SetNextFaults(slices.Concat(faults[n:], faults[:n])...)
+	time.Sleep(duration)
+	s.SetNextFaults()
+	s.SetDefaultFault(platformtest.None)
+}
+
 // maxUnwritten is the longest time for which lost entries are not written again. Live
 // servers write theirs within about two seconds.
 const maxUnwritten = 1500 * time.Millisecond
@@ -268,14 +272,18 @@
 }
 
 // drawSchedule draws a schedule of overlapping faults, of which some start at the
-// same time. One in which the store comes back is always among them: what follows differs in
-// each router's view, and few seeds would draw it early enough.
+// same time. A kind is drawn again only after all others, so that a short run has most of
+// them. A return of the store is always among them, as much of what follows depends on it.
 func drawSchedule(seed uint64, length time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var list []fault
+	var kinds []int
 	for start := 500 * time.Millisecond; start < length; {
-		k := faultKinds[random.IntN(len(faultKinds))]
-		list = append(list, newFault(random, k, start))
+		if len(kinds) == 0 {
+			kinds = random.Perm(len(faultKinds))
+		}
+		list = append(list, newFault(random, faultKinds[kinds[0]], start))
+		kinds = kinds[1:]
 		if random.IntN(4) > 0 {
 			start += time.Duration(random.Int64N(int64(1500 * time.Millisecond)))
 		}
