--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -273,7 +273,7 @@
 
 // drawSchedule draws a schedule of overlapping faults, of which some start at the
 // same time. A kind is drawn again only after all others, so that a short run has most of
-// them. A return of the store is always among them, as much of what follows depends on it.
+// them. A return of the store is always in the first half, as much of what follows depends on it.
 func drawSchedule(seed uint64, length time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var list []fault
@@ -289,7 +289,7 @@
 		}
 	}
 	returns := slices.IndexFunc(faultKinds, func(k faultKind) bool { return k.name == kindStoreReturns })
-	return append(list, newFault(random, faultKinds[returns], time.Duration(random.Int64N(int64(length)))))
+	return append(list, newFault(random, faultKinds[returns], time.Duration(random.Int64N(int64(length/2)))))
 }
 
 // newFault draws the variant and the duration of a fault.
