--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -57,15 +58,21 @@
 	kindPausedTogether = "routers paused together"
 )
 
+// kindStoreReturns is a fault that each schedule has.
+const kindStoreReturns = "store comes back from an older copy"
+
 // kindRouterNoStore is a fault of the store as one router sees it.
 const kindRouterNoStore = "router disconnected from the store"
 
-// faultKinds are the kinds of faults. Each run returns after its duration, when the
-// fault has been undone.
-var faultKinds = []struct {
+// faultKind is a kind of faults.
+type faultKind struct {
 	name string
 	run  func(f *fleet, selector int, duration time.Duration)
-}{
+}
+
+// faultKinds are the kinds of faults. Each run returns after its duration, when the
+// fault has been undone.
+var faultKinds = []faultKind{
 	{"router killed", func(f *fleet, selector int, duration time.Duration) {
 		r := f.routers[selector%len(f.routers)]
 		f.signal(r, syscall.SIGKILL)
@@ -147,18 +154,13 @@
 	{"server fails", func(f *fleet, selector int, duration time.Duration) {
 		faults := []platformtest.Fault{platformtest.Fail, platformtest.Refuse, platformtest.Busy, platformtest.Reset,
 			platformtest.WrongID, platformtest.Unsigned, platformtest.Short, platformtest.Cut, platformtest.CutBetween, platformtest.EndInEvent}
-		s := f.servers[selector%len(f.servers)]
-		s.SetDefaultFault(faults[selector%len(faults)])
-		time.Sleep(duration)
-		s.SetDefaultFault(platformtest.None)
+		f.mishandle(selector, faults, duration)
 	}},
 	{"server ends answers with their connection", func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
 		faults := []platformtest.Fault{platformtest.None, platformtest.Cut, platformtest.CutBetween, platformtest.Reset}
 		s.SetFraming(platformtest.Unframed)
-		s.SetDefaultFault(faults[selector%len(faults)])
-		time.Sleep(duration)
-		s.SetDefaultFault(platformtest.None)
+		f.mishandle(selector, faults, duration)
 		s.SetFraming(platformtest.Framed)
 	}},
 	{kindServerPieces, func(f *fleet, selector int, duration time.Duration) {
@@ -168,10 +170,7 @@
 		s.SetPieces(0, 0)
 	}},
 	{"server breaks off inside the first event", func(f *fleet, selector int, duration time.Duration) {
-		s := f.servers[selector%len(f.servers)]
-		s.SetDefaultFault([]platformtest.Fault{platformtest.CutFirst, platformtest.ResetFirst}[selector%2])
-		time.Sleep(duration)
-		s.SetDefaultFault(platformtest.None)
+		f.mishandle(selector, []platformtest.Fault{platformtest.CutFirst, platformtest.ResetFirst}, duration)
 	}},
 	{"server answers twice", func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
@@ -222,7 +221,11 @@
 		s.proxy.setMode(pass)
 		f.register(s, platformtest.StateReady)
 	}},
-	{"store comes back from an older copy", func(f *fleet, selector int, duration time.Duration) {
+	{kindStoreReturns, func(f *fleet, selector int, duration time.Duration) {
+		for range lostWrites {
+			f.writeAgain()
+		}
+		time.Sleep(lostTime)
 		if selector%2 == 0 {
 			f.store.SetErrorStatus(http.StatusServiceUnavailable)
 			time.Sleep(duration / 4)
@@ -342,10 +345,30 @@
 	largeAnswer = 256 << 10
 )
 
+// mishandle makes a server mishandle requests: each of the next ones in another way, and
+// the rest in the way that the selector chooses. A run has time for few faults of a server,
+// and each way must be seen.
+func (f *fleet) mishandle(selector int, faults []platformtest.Fault, duration time.Duration) {
+	s, n := f.servers[selector%len(f.servers)], selector%len(faults)
+	s.SetDefaultFault(faults[n])
+	s.SetNextFaults(slices.Concat(faults[n:], faults[:n])...)
+	time.Sleep(duration)
+	s.SetNextFaults()
+	s.SetDefaultFault(platformtest.None)
+}
+
 // maxUnwritten is the longest time for which lost entries are not written again. Live
 // servers write theirs within about two seconds.
 const maxUnwritten = 1500 * time.Millisecond
 
+// Before the store comes back, all entries and the configuration are written lostWrites times,
+// as heartbeats are, and read within lostTime. Far fewer records follow in the new era, so
+// that a router which compares offsets of two eras misses them until the end of the run.
+const (
+	lostWrites = 20
+	lostTime   = 1200 * time.Millisecond
+)
+
 // A server writes in pieces of 1 to pieceSizes bytes, which is shorter than an event, with
 // piecePause after each. An event takes far less time than the gap that routes allow.
 const (
@@ -428,20 +451,24 @@
 
 // drawSchedule draws a schedule of overlapping faults, of which some start at the
 // same time and some are series of one kind.
+// same time. A kind is drawn again only after all others, so that a short run has most of
+// them. A return of the store is always in the first half, as much of what follows depends on it.
 func drawSchedule(seed uint64, length time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var list []fault
+	var kinds []int
 	for start := 500 * time.Millisecond; start < length; {
-		k := faultKinds[random.IntN(len(faultKinds))]
+		if len(kinds) == 0 {
+			kinds = random.Perm(len(faultKinds))
+		}
+		k := faultKinds[kinds[0]]
+		kinds = kinds[1:]
 		series := 1
 		if random.IntN(seriesShare) == 0 {
 			series = seriesLength
 		}
 		for range series {
-			list = append(list, fault{
-				start: start, kind: k.name, selector: random.IntN(selectors), run: k.run,
-				duration: 200*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond))),
-			})
+			list = append(list, newFault(random, k, start))
 			if series > 1 {
 				start += seriesPause
 			}
@@ -450,5 +477,14 @@
 			start += time.Duration(random.Int64N(int64(1500 * time.Millisecond)))
 		}
 	}
-	return list
+	returns := slices.IndexFunc(faultKinds, func(k faultKind) bool { return k.name == kindStoreReturns })
+	return append(list, newFault(random, faultKinds[returns], time.Duration(random.Int64N(int64(length/2)))))
+}
+
+// newFault draws the variant and the duration of a fault.
+func newFault(random *rand.Rand, k faultKind, start time.Duration) fault {
+	return fault{
+		start: start, kind: k.name, selector: random.IntN(selectors), run: k.run,
+		duration: 200*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond))),
+	}
 }
