--- a/internal/soak/judgecases_test.go
+++ b/internal/soak/judgecases_test.go
@@ -27,6 +27,9 @@
 		{rule: "unchanged requests", about: "another method", common: ran, breaks: arrivalThat(func(a *requestArrived) { a.Method = "PUT" }), keeps: plain},
 		{rule: "unchanged requests", about: "another target", common: ran, breaks: arrivalThat(func(a *requestArrived) { a.Target += "?q" }), keeps: plain},
 		{rule: "unchanged requests", about: "another body", common: ran, breaks: arrivalThat(func(a *requestArrived) { a.Body = contentOf("as") }), keeps: plain},
+		{rule: "unchanged requests", about: "another body after an early answer", common: joined(ran, arrivalThat(func(a *requestArrived) { a.Early, a.Body = true, content{} })),
+			breaks: []record{at(5, bodyArrived{Attempt: "1a", Body: contentOf("asHTTP")})},
+			keeps:  []record{at(5, bodyArrived{Attempt: "1a", Body: contentOf("ask")})}},
 		{rule: "unchanged requests", about: "another prompt", common: ran, breaks: arrivalThat(func(a *requestArrived) { a.Prompt = "" }), keeps: plain},
 		{rule: "unchanged requests", about: "a header of the system", common: ran, breaks: arrivalThat(func(a *requestArrived) { a.Forged = "hold" }), keeps: plain},
 		{rule: "workspace and key", about: "another workspace", common: ran, breaks: arrivalThat(func(a *requestArrived) { a.Workspace = "w2" }), keeps: plain},
@@ -41,6 +44,12 @@
 		{rule: "denials", about: "a key that must be in force", common: []record{config(0, 2, "k2", "plain"), body(2204, "a", ""), headers(2203, "a", 401, "")},
 			breaks: []record{changed(sent(2200, "a", "unsafe"), func(s *requestSent) { s.Key = "k2" })},
 			keeps:  []record{changed(sent(1900, "a", "unsafe"), func(s *requestSent) { s.Key = "k2" })}},
+		{rule: "denials", about: "a body that a paused router missed", common: []record{sent(0, "a", "unsafe"), at(40, requestWhole{ID: "a"}), body(2000, "a", ""), machine(30, routerPaused), machine(1990, routerResumed)},
+			breaks: []record{headers(2000, "a", 401, "")},
+			keeps:  []record{headers(2000, "a", 400, "")}},
+		{rule: "denials", about: "a request that its caller did not send whole", common: []record{sent(0, "a", "unsafe"), headers(1000, "a", 400, ""), body(1000, "a", "")},
+			breaks: []record{at(40, requestWhole{ID: "a"})},
+			keeps:  []record{at(40, callerStopped{ID: "a"})}},
 		{rule: "route", about: "a pool that no configuration names", common: ran, breaks: arrivalThat(func(a *requestArrived) { a.Pool = "engines" }), keeps: plain},
 		{rule: "route", about: "a key that no configuration held", common: plain,
 			breaks: joined([]record{changed(sent(0, "a", "unsafe"), func(s *requestSent) { s.Key = "k0" })}, ran[1:]),
@@ -58,6 +67,9 @@
 			arrived(1001, "2a", "a", "plain"), run(1001, "2a"), given(1002, "2a", "text"), headers(1003, "a", 200, "seal-2a"), body(1004, "a", "text")},
 			breaks: []record{changed(sent(1000, "a", "unsafe"), steady)},
 			keeps:  []record{changed(sent(700, "a", "unsafe"), steady)}},
+		{rule: "later routes", about: "served seldom", common: joined([]record{changed(config(0, 2, "k1", "plain"), addRoute)}, many(20, 3000, 10, func(ms int, id string) []record { return served(ms, "f"+id, "plain") })),
+			breaks: joined(many(4, 3000, 10, onLaterRoute), many(16, 4000, 10, func(ms int, id string) []record { return refusedLater(ms, "r"+id) })),
+			keeps:  joined(many(5, 3000, 10, onLaterRoute), many(15, 4000, 10, func(ms int, id string) []record { return refusedLater(ms, "r"+id) }))},
 		{rule: "leaving servers", about: "a late arrival", common: []record{entry(0, "s1", entryLeaving), sent(2000, "a", "unsafe"), run(2101, "1a"), given(2102, "1a", "text"), headers(2103, "a", 200, "seal-1a"), body(2104, "a", "text")},
 			breaks: []record{arrived(2101, "1a", "a", "plain")},
 			keeps:  []record{arrived(2000, "1a", "a", "plain")}},
@@ -70,6 +82,24 @@
 	}
 }
 
+// addRoute adds the route later.
+func addRoute(c *configConfirmed) {
+	c.Routes = append(c.Routes, routeRecord{Name: "later", Kind: "unsafe", Pool: "plain", Attempts: 1, Timeout: 4 * time.Second})
+}
+
+// onLaterRoute returns a served request on the route later.
+func onLaterRoute(ms int, id string) []record {
+	list := served(ms, id, "plain")
+	list[0] = sent(ms, id, "later")
+	list[1] = changed(list[1], func(a *requestArrived) { a.Target = "/later/x" })
+	return list
+}
+
+// refusedLater returns a refused request on the route later.
+func refusedLater(ms int, id string) []record {
+	return []record{sent(ms, id, "later"), headers(ms+1, id, 503, ""), body(ms+2, id, "")}
+}
+
 func steady(s *requestSent) { s.Key = "steady" }
 
 // toSafe makes an arrival one of the route safe.
@@ -87,6 +117,15 @@
 		{rule: "unanswered", about: "a closed connection after a while", common: []record{sent(0, "a", "unsafe"), machine(50, routerStop)},
 			breaks: []record{noAnswer(250, "a")},
 			keeps:  []record{noAnswer(150, "a")}},
+		{rule: "unanswered", about: "a request that came slowly", common: []record{sent(0, "a", "unsafe"), machine(50, routerStop), noAnswer(250, "a")},
+			breaks: []record{at(40, requestWhole{ID: "a"})},
+			keeps:  []record{at(60, requestWhole{ID: "a"})}},
+		{rule: "unanswered", about: "a request that its caller did not send whole", common: []record{sent(0, "a", "unsafe"), noAnswer(250, "a")},
+			breaks: []record{at(40, requestWhole{ID: "a"})},
+			keeps:  []record{at(40, callerStopped{ID: "a"})}},
+		{rule: "unanswered", about: "a request behind another", common: joined(held(0, "a", "1", 100), []record{noAnswer(250, "b")}),
+			breaks: []record{sent(0, "b", "unsafe")},
+			keeps:  []record{changed(sent(0, "b", "unsafe"), func(s *requestSent) { s.Behind = "a" })}},
 		{rule: "stop", about: "ready after SIGTERM", common: []record{machine(0, routerStop), machine(6000, routerExited)},
 			breaks: []record{machine(4500, routerUnready)},
 			keeps:  []record{machine(2000, routerUnready)}},
@@ -130,6 +169,9 @@
 		{rule: "recovery", about: "nothing is served after the last fault", common: []record{fails(0, subjectNone, ""), works(100, 0), sent(3200, "a", "unsafe"), body(3204, "a", ""), at(4000, callersStopped{})},
 			breaks: []record{headers(3203, "a", 503, "")},
 			keeps:  []record{arrived(3201, "1a", "a", "plain"), run(3201, "1a"), given(3202, "1a", ""), headers(3203, "a", 200, "seal-1a")}},
+		{rule: "recovery", about: "what is not owed", common: []record{fails(0, subjectNone, ""), works(100, 0), headers(3203, "a", 401, ""), body(3204, "a", ""), at(4000, callersStopped{})},
+			breaks: joined([]record{sent(3200, "a", "unsafe")}, served(3300, "b", "plain")),
+			keeps:  joined([]record{changed(sent(3200, "a", "unsafe"), func(s *requestSent) { s.Key = "k0" })}, served(3300, "b", "plain"))},
 		{rule: "recovery", about: "nothing is sent after the last fault", common: joined(served(3200, "a", "plain"), []record{at(4000, callersStopped{})}),
 			breaks: []record{fails(0, subjectNone, ""), works(3900, 0)},
 			keeps:  []record{fails(0, subjectNone, ""), works(100, 0)}},
