soak: servers that left and return write heartbeats

Trace (records, events 1004, 1026): i-4 left in era 3 and was ready again at 11.000 s, 63 ms before the store came back from an older copy; it wrote its entry again at 12.334 s, before the routers' first list of era 4 (12.4 s). An entry in that list may be of the copy, so it is ignored until it is written again (decision 0012), and the stand-in never wrote again. The platform's servers write each heartbeat.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -50,7 +50,7 @@
 	proxy *proxy
 	pool  string
 	// state is what the server's entry says, empty without one, and returned is set once it
-	// has been without one; guarded by the fleet's mutex.
+	// has been without one or has left; guarded by the fleet's mutex.
 	state    string
 	returned bool
 }
@@ -155,6 +155,7 @@
 func (f *fleet) register(s *server, state string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	s.returned = s.returned || s.state == platformtest.StateLeaving && state == platformtest.StateReady
 	s.state = state
 	f.writeEntry(s)
 }
