framing, forward, digest: one rule of final statuses, one lookup of connections an answer

Found by reading the change once more; behaviour stays as it is. The check of final statuses stood in forward and in entry; it is framing.IsFinal now, and its patch of the faults follows. handleAnswer looked the server's connections up again, under the pool's lock, for each answer with an idle time; it gets them. A router whose store names no eras no longer sorts the fleet's readers at each check for a list of one.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -192,6 +192,10 @@
 // ReadersListEnd returns the position up to which the first lists of the readers reach in
 // an era, or logpos.None.
 func (e *Exchange) ReadersListEnd(era int64) logpos.Position {
+	if era == 0 {
+		// A store that names no eras has not come back from an older copy.
+		return logpos.None
+	}
 	own := e.state.Progress().OwnReads
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -8,6 +8,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/answer"
 	"github.com/bluebellwell/bluebellwell/internal/dispatch"
+	"github.com/bluebellwell/bluebellwell/internal/framing"
 	"github.com/bluebellwell/bluebellwell/internal/intent"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
@@ -188,12 +189,6 @@
 // errNoStatus is returned for the body of an answer that has no status.
 var errNoStatus = errors.New("answer has no status")
 
-// isFinal reports whether a status may be that of a final answer.
-func isFinal(status uint32) bool {
-	const afterLast = 600
-	return status >= http.StatusOK && status < afterLast
-}
-
 // rawSink copies the answer of a plain service. It writes nothing before the answer's
 // status, since net/http would send a 200 of its own.
 type rawSink struct {
@@ -203,7 +198,7 @@
 }
 
 func (s *rawSink) Frame(f *peerpb.Frame) error {
-	if isFinal(f.Status) && !s.headerSent {
+	if framing.IsFinal(int(f.Status)) && !s.headerSent {
 		s.writeHeader(f)
 	}
 	if len(f.Payload) == 0 {
@@ -267,7 +262,7 @@
 
 func (s *recordingSink) Frame(f *peerpb.Frame) error {
 	// The terminal frame repeats the status without headers.
-	if isFinal(f.Status) && s.status == 0 {
+	if framing.IsFinal(int(f.Status)) && s.status == 0 {
 		s.status = f.Status
 		s.headers = f.Headers
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -308,7 +308,7 @@
 	defer resp.Body.Close()
 	c.attempts.framing = endOf(resp).framing
 	watch.recordProgress()
-	res := c.handleAnswer(ctx, choice, resp, watch)
+	res := c.handleAnswer(ctx, choice, conns, resp, watch)
 	conns.recordAnswer(c.attempts.sentAt, exchange, !res.otherAnswer)
 	return res
 }
@@ -334,15 +334,15 @@
 }
 
 // handleAnswer checks the headers of an answer and relays it.
-func (c *call) handleAnswer(ctx context.Context, choice balance.Choice, resp *http.Response, watch *watch) result {
-	if !isFinal(resp.StatusCode) {
+func (c *call) handleAnswer(ctx context.Context, choice balance.Choice, conns *connections, resp *http.Response, watch *watch) result {
+	if !framing.IsFinal(resp.StatusCode) {
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
 	}
 	if isJoined(resp) {
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true, otherAnswer: true}
 	}
 	if idle, ok := announcedIdleTime(resp.Header); ok {
-		c.pool.connectionsTo(choice.Server).recordIdleTime(idle)
+		conns.recordIdleTime(idle)
 	}
 	// Only what the caller would get counts, so the headers of the connection go first.
 	resp.Header = forwardableHeaders(resp.Header)
@@ -379,13 +379,6 @@
 	return c.relayPlain(ctx, resp, watch)
 }
 
-// isFinal reports whether a status may be that of a final answer (RFC 9110, section 15).
-// net/http passes 101 and undefined ones on, and accepts neither for a caller's answer.
-func isFinal(status int) bool {
-	const afterLast = 600
-	return status >= http.StatusOK && status < afterLast
-}
-
 // statusLine matches the status line of an answer inside a line of another one.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
 
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,4 +1,4 @@
-// Package framing tells how the end of an HTTP body is marked.
+// Package framing tells how the end of an HTTP body is marked, and which answers are final.
 package framing
 
 import (
@@ -31,3 +31,10 @@
 	}
 	return Close
 }
+
+// IsFinal reports whether a status may be that of a final answer (RFC 9110, section 15).
+// net/http passes 101 and undefined ones on, and accepts neither for a caller's answer.
+func IsFinal(status int) bool {
+	const afterLast = 600
+	return status >= http.StatusOK && status < afterLast
+}
