wakeup: a wait notices a time that passes before its timer starts

Cause: kvmove and cachehint computed the delay of a timer from one reading of the clock and started the timer after it. The test's clock was advanced in between, since the timer of the pass before still counted as a waiter, so the new timer counted a whole further minute that never came. A clock of a running process moves on by microseconds there, so moves were not lost in production.

Both packages had the same wait; it is now one function.

--- a/internal/cachehint/reader.go
+++ b/internal/cachehint/reader.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/wakeup"
 )
 
 const (
@@ -164,7 +165,7 @@
 			r.read(ctx, engine, events)
 			continue
 		}
-		r.wait(readyAt)
+		wakeup.Wait(r.deps.Clock, readyAt, r.wake, r.tomb.Dying())
 	}
 	return nil
 }
@@ -183,22 +184,6 @@
 	return engine, events, time.Time{}
 }
 
-// wait waits until readyAt, a call of SetEngines or the stop of the reader. The
-// zero time sets no timer.
-func (r *Reader) wait(readyAt time.Time) {
-	var timerC <-chan time.Time
-	if !readyAt.IsZero() {
-		timer := r.deps.Clock.NewTimer(readyAt.Sub(r.deps.Clock.Now()))
-		defer timer.Stop()
-		timerC = timer.Chan()
-	}
-	select {
-	case <-r.tomb.Dying():
-	case <-r.wake:
-	case <-timerC:
-	}
-}
-
 // read reads one page. A failed read is charged like an empty one.
 func (r *Reader) read(ctx context.Context, engine string, events int) {
 	client := r.deps.Engine(engine)
--- a/internal/kvmove/mover.go
+++ b/internal/kvmove/mover.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/admission"
 	"github.com/bluebellwell/bluebellwell/internal/engineclient"
 	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/wakeup"
 )
 
 const (
@@ -156,30 +157,12 @@
 	for {
 		m.collectChats()
 		nextStart := m.startMoves()
-		if !m.wait(nextStart) {
+		if !wakeup.Wait(m.deps.Clock, nextStart, m.wake, m.tomb.Dying()) {
 			return nil
 		}
 	}
 }
 
-// wait waits for a signal or until nextStart; the zero time means no time limit.
-// It returns false when the mover stops.
-func (m *Mover) wait(nextStart time.Time) bool {
-	var due <-chan time.Time
-	if !nextStart.IsZero() {
-		timer := m.deps.Clock.NewTimer(nextStart.Sub(m.deps.Clock.Now()))
-		defer timer.Stop()
-		due = timer.Chan()
-	}
-	select {
-	case <-m.tomb.Dying():
-		return false
-	case <-m.wake:
-	case <-due:
-	}
-	return true
-}
-
 // collectChats offers the planner the chats of engines that newly leave.
 func (m *Mover) collectChats() {
 	for _, source := range m.claimNewSources() {
