--- a/internal/forward/unread_test.go
+++ b/internal/forward/unread_test.go
@@ -174,6 +174,18 @@
 	return err
 }
 
+// expectLastAnswer reads a whole answer that announces the end of the connection, and
+// checks that the router ends it in order.
+func (c *unreadCaller) expectLastAnswer(status int) {
+	c.t.Helper()
+	if resp := c.readAnswer(status); !resp.Close {
+		c.t.Error("the end of the connection is not announced")
+	}
+	if err := c.expectEnd(); err != nil {
+		c.t.Errorf("the connection ended with %v, want an end in order", err)
+	}
+}
+
 // expectNoRequest checks that the router's goroutines of all requests end.
 func expectNoRequest(t *testing.T, h *Handler, s *edge.Server) {
 	t.Helper()
@@ -194,12 +206,7 @@
 			h, s := e.serve(t)
 			c := dialUnread(t, s)
 			c.send(e.head() + e.start())
-			if resp := c.readAnswer(e.status); !resp.Close {
-				t.Error("the end of the connection is not announced")
-			}
-			if err := c.expectEnd(); err != nil {
-				t.Errorf("the connection ended with %v, want an end in order", err)
-			}
+			c.expectLastAnswer(e.status)
 			expectNoRequest(t, h, s)
 		})
 	}
@@ -296,12 +303,7 @@
 	h, s := e.serve(t)
 	c := dialUnread(t, s)
 	c.send(e.head("Expect: 100-continue"))
-	if resp := c.readAnswer(e.status); !resp.Close {
-		t.Error("the end of the connection is not announced")
-	}
-	if err := c.expectEnd(); err != nil {
-		t.Errorf("the connection ended with %v, want an end in order", err)
-	}
+	c.expectLastAnswer(e.status)
 	expectNoRequest(t, h, s)
 }
 
@@ -321,12 +323,7 @@
 			h, s := earlyAnswer{}.serve(t)
 			c := dialUnread(t, s)
 			c.send(x.wire)
-			if resp := c.readAnswer(x.status); !resp.Close {
-				t.Error("the end of the connection is not announced")
-			}
-			if err := c.expectEnd(); err != nil {
-				t.Errorf("the connection ended with %v, want an end in order", err)
-			}
+			c.expectLastAnswer(x.status)
 			expectNoRequest(t, h, s)
 		})
 	}
