forward, httpsend: send an empty body as the caller does, not in chunks

What servers saw: a POST, PUT, PATCH or TRACE with an empty body, and any method that net/http does not know, arrived with "Transfer-Encoding: chunked" and the bytes "0\r\n\r\n" in place of "Content-Length: 0".

Cause: the body is always wrapped, so that net/http can't send the request again by itself. For a wrapped body a ContentLength of 0 means "unknown" to net/http, which then chooses chunks, except for methods that usually lack a body; for those it reads one byte on a goroutine of its own and waits up to 200 ms, after which it also chooses chunks.

Evidence: TestEmptyBodyReachesTheServerWithoutChunks failed for POST, PUT, PATCH, TRACE and REPORT, with "Unsolicited response received on idle HTTP channel" on the first.

Why the fix works: httpsend.SetBody states http.NoBody, which net/http sends as a length of 0, unless net/http would repeat the request without a body by itself. For GET, HEAD, OPTIONS and TRACE the wrapped body stays, with the encoding "identity", which gives neither a length nor chunks. An idempotency key goes under its lower-case name, which net/http does not look for. TestRequestWithoutABodyIsSentOnce guards the trade: with http.NoBody for all requests, 7 of its 8 cases ran twice.

--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -32,13 +30,12 @@
 		h["User-Agent"] = []string{""}
 	}
 	req := &http.Request{
-		Method:        c.r.Method,
-		URL:           targetURL(c.r.RequestURI, choice.Server.Addr),
-		Host:          c.r.Host,
-		Header:        h,
-		Body:          io.NopCloser(httpsend.Body(bytes.NewReader(c.body))),
-		ContentLength: int64(len(c.body)),
+		Method: c.r.Method,
+		URL:    targetURL(c.r.RequestURI, choice.Server.Addr),
+		Host:   c.r.Host,
+		Header: h,
 	}
+	httpsend.SetBody(req, c.body)
 	return req.WithContext(ctx)
 }
 
--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -308,3 +310,37 @@
 func Body(r io.Reader) io.Reader {
 	return struct{ io.Reader }{r}
 }
+
+// SetBody sets the body of a request so that net/http never sends the request again by
+// itself. It does so on a reused connection with an empty body when the method is one of
+// repeatedMethods or the request has an idempotency key. An empty body is sent as a length of 0 where
+// the method usually has a body, and otherwise as no body; never in chunks, which a server
+// of HTTP/1.0 takes for the next request.
+func SetBody(req *http.Request, body []byte) {
+	switch {
+	case len(body) > 0:
+		req.Body, req.ContentLength = hidden(body), int64(len(body))
+	case slices.Contains(repeatedMethods, req.Method):
+		// The encoding makes net/http send neither a length nor chunks.
+		req.Body, req.TransferEncoding = hidden(nil), []string{"identity"}
+	default:
+		req.Body = http.NoBody
+		hideIdempotencyKeys(req.Header)
+	}
+}
+
+// repeatedMethods are the methods of requests that net/http repeats without a key.
+var repeatedMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace}
+
+func hidden(body []byte) io.ReadCloser { return io.NopCloser(Body(bytes.NewReader(body))) }
+
+// hideIdempotencyKeys renames the headers to lower case, which is the same to a server.
+// net/http looks for their canonical names.
+func hideIdempotencyKeys(h http.Header) {
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, ok := h[name]; ok {
+			delete(h, name)
+			h[strings.ToLower(name)] = values
+		}
+	}
+}
