entry: answer paths without a route with a problem, not with a redirect

What callers of the own interface got: POST /v1/chat/completions/ or POST //services/p/x was answered 301 with the cleaned path. Clients follow a 301 of a POST with a GET (RFC 9110, 15.4.2), so the plain service got another request than the caller had sent. Unknown paths and methods got a bare 404 or 405 without an outcome, though the design page says that every error states one.

Evidence: TestPathsWithoutARouteAreAnsweredWithAProblem failed for 8 requests: 5 got a 301 with a Location, 3 a failure without an outcome.

Why the fix works: the writer that bunrouter gets turns any answer that no handler has accepted into the problem not_found; handlers, including those for unknown paths and wrong methods, get the caller's writer back. Answers of plain services, a 301 among them, do not pass it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,7 +104,11 @@
 
 // Handler returns the HTTP handler with all routes.
 func (a *API) Handler() http.Handler {
-	r := bunrouter.New()
+	r := bunrouter.New(
+		bunrouter.Use(accept),
+		bunrouter.WithNotFoundHandler(a.refuseWith(unknownPathProblem())),
+		bunrouter.WithMethodNotAllowedHandler(a.refuseWith(wrongMethodProblem())),
+	)
 	r.POST("/v1/chat/completions", a.admit(a.serveChat))
 	r.GET("/v1/answers/:id", a.admit(a.serveAnswer))
 	r.WithGroup("/services/:pool", func(g *bunrouter.Group) {
@@ -118,7 +122,9 @@
 	r.GET("/readyz", a.serveReadiness)
 	r.GET("/metrics", page(a.deps.Metrics))
 	r.GET("/admin/status", page(a.deps.Status))
-	return r
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.ServeHTTP(&unrouted{ResponseWriter: w, api: a, req: req}, req)
+	})
 }
 
 // page serves a page for operators. bunrouter.HTTPHandler would recover from a panic, and
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -57,6 +57,7 @@
 	"unknown_workspace":       http.StatusForbidden,
 	"unauthorized":            http.StatusUnauthorized,
 	"not_found":               http.StatusNotFound,
+	"method_not_allowed":      http.StatusMethodNotAllowed,
 	"body_too_large":          http.StatusRequestEntityTooLarge,
 	"key_expired":             http.StatusConflict,
 	"key_in_progress":         http.StatusConflict,
