digest: routers say who reads the store, and take over from missing readers in turn

A router that had heard none of the readers for 1.2 s read the store itself, if fewer than three routers of a lower address had been heard in that time. In a fleet of more than 28 routers the others are heard with their regular digests only (one in 11.9 s at 340), so a tenth of the lower ones counted, and many routers stepped in at the same moment. Each of them sends totals to all, 4 times a second, which makes more routers miss the readers.

Each digest now says whether its sender reads for the others. Only the routers that would be readers in place of the missing ones step in at once, as before. A router that steps in tells all at once, so that the rest hold back. Digests name the readers first: a starting router reads itself until they know it, and at 340 it would learn their names after half a minute. Routers of earlier versions report no role and count as before.

A router also took others for readers which it heard but which read nothing, as they heard the readers that it did not hear. It learned of changes from their positions only.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -120,6 +120,11 @@
 	// sentLoads and sentOutcomes are this router's loads and outcomes as last sent.
 	sentLoads    map[uint32]int
 	sentOutcomes []Outcomes
+	// reader is set while this router reads the store for the others, and otherReaders
+	// are the other ones that do so, as last seen. loadsSentAt is when its loads last left.
+	reader       bool
+	otherReaders []netip.Addr
+	loadsSentAt  time.Time
 	// totalsReceivedAt is when another router's totals last arrived.
 	totalsReceivedAt time.Time
 	// sentProgress and sentEra are the read progress and the store's era as last sent.
@@ -145,7 +150,7 @@
 		wake:   make(chan struct{}, 1),
 		peers:  NewPeers(addr.Addr(), seeds),
 
-		synced: firstStart,
+		synced: firstStart, loadsSentAt: time.Now(),
 	}, nil
 }
 
@@ -168,9 +173,43 @@
 // IsReader reports whether this router reads the store at the full rate.
 func (e *Exchange) IsReader() bool {
 	own := e.state.Progress().OwnReads
+	_, reader := e.readers(time.Now(), own)
+	return reader
+}
+
+// Reading reports whether this router read the store for the others when it last looked.
+func (e *Exchange) Reading() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.peers.IsReader(time.Now(), own)
+	return e.reader
+}
+
+// readers returns the readers of the store and whether this router is one of them. A
+// change of the latter is logged, and a router that begins to read tells the others at
+// once, so that they do not do the same.
+func (e *Exchange) readers(now time.Time, own OwnReads) (list []netip.Addr, reader bool) {
+	e.mu.Lock()
+	list = e.peers.Readers(now, own)
+	reader = e.peers.reader
+	before := e.otherReaders
+	e.otherReaders = excludeAddr(list, e.peers.self)
+	if reader == e.reader {
+		e.mu.Unlock()
+		return list, reader
+	}
+	e.reader = reader
+	view := e.peers.readerView(now, own)
+	silent := e.peers.silence(now, before)
+	sinceLoads := now.Sub(e.loadsSentAt)
+	targets := e.peers.Targets(now)
+	e.mu.Unlock()
+	e.events.Emit(event.ReaderChanged, "reader", reader, "era", own.Era, "reads_succeed", own.Succeed, "readers_heard", len(view.readers),
+		"routers_heard", view.heard, "readers_of_earlier_era", view.entering, "routers_before", len(view.before),
+		"readers_silent_ms", silent.Milliseconds(), "own_digest_ms", sinceLoads.Milliseconds())
+	if reader {
+		e.sendTo(targets, e.newMessage())
+	}
+	return list, reader
 }
 
 // NewestConfig returns the highest version of the configuration that a live peer has
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -79,6 +79,16 @@
 	Server *registry.Server
 }
 
+// Role is whether a router reads the store for the others.
+type Role int
+
+// The roles of a router. One of an earlier version of the program reports none.
+const (
+	RoleUnknown Role = iota
+	RoleReader
+	RoleOther
+)
+
 // Message is one datagram.
 type Message struct {
 	// Sender is a random ID of the sending process. It distinguishes a restarted
@@ -95,6 +105,8 @@
 	LoadsComplete bool
 	// Reading is set while the sender's reads of the store succeed.
 	Reading bool
+	// Role is whether the sender reads the store for the others.
+	Role Role
 	// Synced is set by a router that has the placements of the fleet.
 	Synced bool
 	// StoreEra is the era of the store as the sender knows it.
@@ -145,6 +157,7 @@
 	fieldStoreEra          = 17
 	fieldConfigVersion     = 18
 	fieldListEnd           = 19
+	fieldRole              = 20
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -165,6 +178,7 @@
 	b = appendPositive(b, fieldStoreEra, m.StoreEra)
 	b = appendPositive(b, fieldConfigVersion, m.ConfigVersion)
 	b = appendPositive(b, fieldListEnd, m.ListEnd)
+	b = appendPositive(b, fieldRole, int64(m.Role))
 	for _, p := range m.Peers {
 		b = protowire.AppendTag(b, fieldPeer, protowire.BytesType)
 		b = protowire.AppendBytes(b, p.AsSlice())
@@ -327,6 +341,11 @@
 		m.StoreEra, err = nonNegative(v)
 	case fieldConfigVersion:
 		m.ConfigVersion, err = nonNegative(v)
+	case fieldRole:
+		// A role that is not known here is taken for none.
+		if v <= uint64(RoleOther) {
+			m.Role = Role(v)
+		}
 	case fieldListEnd:
 		m.ListEnd, err = nonNegative(v)
 	}
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -37,6 +37,7 @@
 	Sender       uint64
 	LastReceived time.Time
 	Reading      bool
+	role         Role
 	// Synced is set while the peer has the placements of the fleet.
 	Synced   bool
 	loads    map[uint32]int
@@ -63,6 +64,12 @@
 	// reportedAt when one did so first.
 	reportedEra int64
 	reportedAt  time.Time
+	// heardReaders are the first readers among the other routers, as last seen.
+	heardReaders []netip.Addr
+	// reader is set while this router reads the store for the others, and lackSince is
+	// since when it has heard too few readers.
+	reader    bool
+	lackSince time.Time
 }
 
 // NewPeers returns a Peers that tracks no router yet. Targets returns the seeds
@@ -92,6 +99,7 @@
 	peer.LastReceived = now
 	if len(m.Progress) > 0 {
 		peer.Reading = m.Reading
+		peer.role = m.Role
 		peer.Synced = m.Synced
 		peer.storeEra = m.StoreEra
 		peer.configVersion = m.ConfigVersion
@@ -264,44 +272,3 @@
 	}
 	return true
 }
-
-// maxReaders is the number of routers that read the store at the full rate. Two
-// may fail at once.
-const maxReaders = 3
-
-// OwnReads is how this router's own reads of the store go.
-type OwnReads struct {
-	// Succeed is set while they succeed and other routers can rely on them.
-	Succeed bool
-	// Era is the era of the store as this router knows it.
-	Era int64
-}
-
-// IsReader reports whether this router is a reader of the store.
-func (p *Peers) IsReader(now time.Time, own OwnReads) bool {
-	return slices.Contains(p.Readers(now, own), p.self)
-}
-
-// Readers returns the addresses of the routers that read the store for all: the
-// first by address among those whose reads succeed, or among all live ones when no
-// reads do. A router that knows only an earlier era than this one does not count: its
-// changes have no meaning here.
-func (p *Peers) Readers(now time.Time, own OwnReads) []netip.Addr {
-	var list []netip.Addr
-	if own.Succeed {
-		list = append(list, p.self)
-	}
-	for _, peer := range p.tracked {
-		if peer.Reading && peer.storeEra >= own.Era && now.Sub(peer.LastReceived) < readerTimeout {
-			list = append(list, peer.Addr)
-		}
-	}
-	if len(list) == 0 {
-		list = append(list, p.self)
-		for _, peer := range p.Live(now) {
-			list = append(list, peer.Addr)
-		}
-	}
-	slices.SortFunc(list, netip.Addr.Compare)
-	return list[:min(maxReaders, len(list))]
-}
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -19,13 +19,23 @@
 // newMessage returns a message with the fields that every digest has.
 func (e *Exchange) newMessage() *Message {
 	progress := e.state.Progress()
+	e.mu.Lock()
+	synced, role := e.synced, roleOf(e.reader)
+	e.mu.Unlock()
 	return &Message{
-		Sender: e.sender, Synced: e.Synced(), Progress: progress.Topics,
+		Sender: e.sender, Synced: synced, Role: role, Progress: progress.Topics,
 		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
 		ListEnd: progress.ListEnd,
 	}
 }
 
+func roleOf(reader bool) Role {
+	if reader {
+		return RoleReader
+	}
+	return RoleOther
+}
+
 // sendWelcome answers the first message of a process. A router that has just started
 // learns at once who else runs, and who has the placements.
 func (e *Exchange) sendWelcome(now time.Time, to netip.Addr) {
@@ -69,10 +79,12 @@
 	if !m.LoadsComplete {
 		m.Loads = nil
 	}
+	readers, reader := e.readers(time.Now(), OwnReads{Succeed: m.Reading, Era: m.StoreEra})
+	m.Role = roleOf(reader)
 	e.mu.Lock()
+	e.loadsSentAt = time.Now()
 	targets := e.peers.Targets(now)
 	smallFleet := e.smallFleet()
-	readers := e.peers.Readers(now, OwnReads{Succeed: m.Reading, Era: m.StoreEra})
 	e.sentLoads = make(map[uint32]int, len(own))
 	for _, l := range own {
 		e.sentLoads[l.Server] = l.InFlight
@@ -82,7 +94,6 @@
 	routers := len(e.peers.Live(now)) + 1
 	e.mu.Unlock()
 	e.state.SetRouterCount(routers)
-	reader := slices.Contains(readers, e.peers.self)
 	switch {
 	case smallFleet:
 		e.sendTo(targets, m)
@@ -118,12 +129,15 @@
 	return slices.DeleteFunc(slices.Clone(list), func(a netip.Addr) bool { return a == self })
 }
 
-// nextPeers returns a few of the targets, in turn.
+// nextPeers returns the readers that are heard and a few of the targets, in turn. A router
+// that has just started must find the readers first: it reads the store itself until
+// they know it.
 func (e *Exchange) nextPeers(targets []netip.Addr) []netip.Addr {
-	n := min(peersPerDigest, len(targets))
-	nextPeers := make([]netip.Addr, 0, n)
-	for range n {
-		nextPeers = append(nextPeers, targets[e.peerCursor%len(targets)])
+	nextPeers := slices.Clone(e.peers.heardReaders)
+	for range min(peersPerDigest, len(targets)) {
+		if next := targets[e.peerCursor%len(targets)]; !slices.Contains(nextPeers, next) {
+			nextPeers = append(nextPeers, next)
+		}
 		e.peerCursor++
 	}
 	return nextPeers
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -31,6 +31,7 @@
 	LibraryMessage      = register(1027, hclog.Warn, "HTTP library reported a problem with a connection")
 	ReuseStopped        = register(1028, hclog.Warn, "connections to a server are not reused for a while; it loses requests on kept ones")
 	ReuseResumed        = register(1029, hclog.Info, "connections to a server are reused again")
+	ReaderChanged       = register(1030, hclog.Info, "router starts or stops reading the store for the others")
 	InventoryCollected  = register(1022, hclog.Info, "engines were queried for their cached prompt parts")
 	InventoryFailed     = register(1023, hclog.Warn, "query of an engine's cached prompt parts failed")
 )
--- a/internal/front/cutoff_test.go
+++ b/internal/front/cutoff_test.go
@@ -53,6 +53,8 @@
 // port; in the other direction likewise.
 type peerLink struct {
 	cut atomic.Bool
+	// drop reports whether a datagram between two hosts is lost; nil for none.
+	drop atomic.Pointer[func(from, to netip.Addr) bool]
 	// sent and received are the bytes of the router's datagrams, with their headers.
 	sent, received atomic.Int64
 }
@@ -79,13 +81,28 @@
 	for _, o := range others {
 		addr := netip.MustParseAddr(o.host)
 		outside[addr] = listen(o.host, port)
-		go l.relay(outside[addr], &l.sent, func(netip.Addr) (*net.UDPConn, netip.AddrPort) { return inside, netip.AddrPortFrom(addr, commonPort) })
+		go l.relay(outside[addr], &l.sent, func(netip.Addr) (*net.UDPConn, netip.AddrPort) {
+			if l.drops(netip.MustParseAddr(router.host), addr) {
+				return nil, netip.AddrPort{}
+			}
+			return inside, netip.AddrPortFrom(addr, commonPort)
+		})
 	}
 	target := netip.AddrPortFrom(netip.MustParseAddr(router.host), port)
-	go l.relay(inside, &l.received, func(from netip.Addr) (*net.UDPConn, netip.AddrPort) { return outside[from], target })
+	go l.relay(inside, &l.received, func(from netip.Addr) (*net.UDPConn, netip.AddrPort) {
+		if l.drops(from, target.Addr()) {
+			return nil, target
+		}
+		return outside[from], target
+	})
 	return l
 }
 
+func (l *peerLink) drops(from, to netip.Addr) bool {
+	drop := l.drop.Load()
+	return drop != nil && (*drop)(from, to)
+}
+
 // relay passes on what a socket receives, on the socket and to the address that route
 // returns for its sender, and counts its bytes.
 func (l *peerLink) relay(in *net.UDPConn, bytes *atomic.Int64, route func(from netip.Addr) (*net.UDPConn, netip.AddrPort)) {
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -5,6 +5,7 @@
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 	"net/http"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,7 +123,12 @@
 	routers := *fleetRouters
 	begun := time.Now()
 	links := map[string]*peerLink{}
+	trace := newFleetTrace()
 	f := newFleetWith(t, routers, 3, func(f *fleetBed) {
+		for n, r := range f.routers {
+			trace.follow(r, n)
+		}
+		trace.watch(t, f.routers[1].peersPort)
 		links["a reader"], links["another router"] = newPeerLink(t, f, 0), newPeerLink(t, f, routers-1)
 	})
 	gone, leaving := f.engines[0], f.engines[1]
@@ -137,6 +143,9 @@
 			return time.Since(begun) > 36*time.Second && f.callsIn(time.Second) < 30
 		})
 	}
+	t.Logf("from the start to the era: %d calls", f.store.Calls())
+	trace.report(t)
+	trace.reset()
 	before := f.store.Calls()
 	for _, l := range links {
 		l.sent.Store(0)
@@ -156,6 +165,7 @@
 		}
 	}
 	t.Logf("%d routers: %d calls in %.1f s after the era began, which %d routers have read; the fleet is %.0f s old", routers, calls, seconds, entered, time.Since(begun).Seconds())
+	trace.report(t)
 	for name, l := range links {
 		t.Logf("%s sent %d and received %d bytes of digests", name, l.sent.Load(), l.received.Load())
 	}
@@ -165,6 +175,63 @@
 	}
 }
 
+// Guards against a fleet in which every router calls the store when all miss the digests
+// of the readers for a moment, as when bursts of datagrams overflow their sockets.
+func TestLostDigestsOfTheReadersCostFewCalls(t *testing.T) {
+	routers := *fleetRouters
+	begun := time.Now()
+	trace := newFleetTrace()
+	var links []*peerLink
+	f := newFleetWith(t, routers, 1, func(f *fleetBed) {
+		for n, r := range f.routers {
+			trace.follow(r, n)
+		}
+		for n := range 3 {
+			links = append(links, newPeerLink(t, f, n))
+		}
+		trace.watch(t, f.routers[3].peersPort)
+	})
+	if time.Since(begun) > waitTimeout {
+		f.waitForUpTo(2*waitTimeout, "no router reads the store of its own accord", func() bool {
+			return time.Since(begun) > 36*time.Second && f.callsIn(time.Second) < 30
+		})
+	}
+	trace.reset()
+	before, started := f.store.Calls(), time.Now()
+	lost := func(from, _ netip.Addr) bool {
+		return slices.ContainsFunc(f.routers[:3], func(r *testBed) bool { return r.host == from.String() })
+	}
+	for _, l := range links {
+		l.drop.Store(&lost)
+	}
+	f.waitFor("others read the store", func() bool { return f.readers(3) >= 3 })
+	// Three times as long as a router counts as a reader after its last digest.
+	time.Sleep(3 * time.Second)
+	for _, l := range links {
+		l.drop.Store(nil)
+	}
+	f.waitFor("only the first three read the store", func() bool { return f.readers(3) == 0 })
+	seconds := time.Since(started).Seconds()
+	calls := f.store.Calls() - before
+	t.Logf("%d routers: %d calls in %.1f s, in which the readers' digests were lost; the fleet is %.0f s old", routers, calls, seconds, time.Since(begun).Seconds())
+	trace.report(t)
+	// As for a new era; six routers read.
+	if limit := int(60 + 24*seconds); calls > limit {
+		t.Errorf("%d calls in %.1f s, want at most %d", calls, seconds, limit)
+	}
+}
+
+// readers returns how many routers from the n-th on are readers of the store.
+func (f *fleetBed) readers(n int) int {
+	count := 0
+	for _, r := range f.routers[n:] {
+		if r.front.Status().Reader {
+			count++
+		}
+	}
+	return count
+}
+
 // callsIn returns the calls that the store gets in a period.
 func (f *fleetBed) callsIn(period time.Duration) int {
 	before := f.store.Calls()
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -47,7 +47,7 @@
 		StoreEra:     f.tracker.eras.Current(),
 		ReportedEra:  f.exchange.NewestEra(),
 		StoreFailing: f.tracker.progress.failingTopics(),
-		Reader:       f.exchange.IsReader(),
+		Reader:       f.exchange.Reading(),
 		Routers:      f.exchange.LivePeerCount(),
 		Running:      f.handler.Running(),
 		Pools:        f.state.Status(time.Now()),
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bluebellwell/bluebellwell/internal/feed"
 	"github.com/bluebellwell/bluebellwell/internal/front"
 	"github.com/bluebellwell/bluebellwell/internal/settings"
 	"github.com/bluebellwell/bluebellwell/internal/testport"
@@ -40,6 +41,10 @@
 	peersPort uint16
 	// restarted is set for a router that is not started with the whole fleet.
 	restarted bool
+	// logger receives the router's log; nil for none.
+	logger hclog.Logger
+	// wrapSource wraps the router's way to each topic of the store; nil for none.
+	wrapSource func(feed.Source) feed.Source
 	// settings are the settings that the router was started with.
 	settings *settings.Front
 	baseURL  string
@@ -88,7 +93,15 @@
 			StopTimeout: 8 * time.Second, LoadMultiple: 2, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 480,
 		},
 	}
-	f, err := front.New(s, platform.Connect(storeAddr), hclog.NewNullLogger())
+	logger := b.logger
+	if logger == nil {
+		logger = hclog.NewNullLogger()
+	}
+	store := platform.Connect(storeAddr)
+	if b.wrapSource != nil {
+		store.Config, store.Servers = b.wrapSource(store.Config), b.wrapSource(store.Servers)
+	}
+	f, err := front.New(s, store, logger)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/front/trace_test.go
@@ -0,0 +1,205 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/feed"
+)
+
+// fleetTrace records which routers call the store, and why routers take themselves for
+// readers of it.
+type fleetTrace struct {
+	mu       sync.Mutex
+	calls    map[int]int
+	becoming []becoming
+	// latest is the longest time by which a timer of the test process was late.
+	latest time.Duration
+	// seconds are the same figures for each second since the start.
+	started time.Time
+	seconds []traceSecond
+}
+
+// traceSecond is what happened in a second.
+type traceSecond struct {
+	calls, became, dropped int
+	latest                 time.Duration
+}
+
+// second returns the figures of the present second. The caller holds f.mu.
+func (f *fleetTrace) second() *traceSecond {
+	n := int(time.Since(f.started) / time.Second)
+	for len(f.seconds) <= n {
+		f.seconds = append(f.seconds, traceSecond{})
+	}
+	return &f.seconds[n]
+}
+
+func newFleetTrace() *fleetTrace { return &fleetTrace{calls: map[int]int{}, started: time.Now()} }
+
+// becoming is a router that starts reading the store for the others, with the belief
+// that it logs.
+type becoming struct {
+	router                      int
+	heard, earlier              int
+	readersSilent, sinceDigests time.Duration
+}
+
+// follow records the calls and the changes of belief of a router from now on.
+func (f *fleetTrace) follow(r *testBed, n int) {
+	r.wrapSource = func(s feed.Source) feed.Source { return &tracedSource{Source: s, trace: f, router: n} }
+	logger := hclog.NewInterceptLogger(&hclog.LoggerOptions{Output: discard{}})
+	logger.RegisterSink(&tracedLog{trace: f, router: n})
+	r.logger = logger
+}
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// reset forgets what has been recorded.
+func (f *fleetTrace) reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls, f.becoming, f.latest = map[int]int{}, nil, 0
+}
+
+// watch measures until the test ends how late timers of this process are, and how many
+// datagrams the kernel drops at a port.
+func (f *fleetTrace) watch(t *testing.T, port uint16) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		const period = 10 * time.Millisecond
+		dropped, checked := droppedDatagrams(port), time.Now()
+		for ctx.Err() == nil {
+			drops := dropped
+			if time.Since(checked) > 250*time.Millisecond {
+				drops, checked = droppedDatagrams(port), time.Now()
+			}
+			start := time.Now()
+			time.Sleep(period)
+			late := time.Since(start) - period
+			f.mu.Lock()
+			f.latest = max(f.latest, late)
+			second := f.second()
+			second.latest = max(second.latest, late)
+			second.dropped += drops - dropped
+			dropped = drops
+			f.mu.Unlock()
+		}
+	}()
+}
+
+// report logs what has been recorded since reset.
+func (f *fleetTrace) report(t *testing.T) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	readers := map[int]bool{}
+	for _, b := range f.becoming {
+		readers[b.router] = true
+	}
+	ofReaders, ofFirst, ofOthers := 0, 0, 0
+	callers := 0
+	for n, calls := range f.calls {
+		callers++
+		switch {
+		case n < 3:
+			ofFirst += calls
+		case readers[n]:
+			ofReaders += calls
+		default:
+			ofOthers += calls
+		}
+	}
+	t.Logf("%d routers called: the first three %d times, %d that became readers %d times, others %d times; timers were up to %s late",
+		callers, ofFirst, len(readers), ofReaders, ofOthers, f.latest)
+	for n, s := range f.seconds {
+		if s.became > 0 || s.dropped > 0 || s.latest > 100*time.Millisecond || s.calls > 30 {
+			t.Logf("second %d: %d calls, %d routers became readers, %d datagrams dropped, timers %s late", n, s.calls, s.became, s.dropped, s.latest.Round(time.Millisecond))
+		}
+	}
+	const most = 6
+	for _, b := range f.becoming[:min(most, len(f.becoming))] {
+		t.Logf("router %d became a reader: heard %d others, %d of an earlier era, its readers silent for %s, its own loads sent %s before",
+			b.router, b.heard, b.earlier, b.readersSilent, b.sinceDigests)
+	}
+}
+
+type tracedSource struct {
+	feed.Source
+	trace  *fleetTrace
+	router int
+}
+
+func (s *tracedSource) count() {
+	s.trace.mu.Lock()
+	defer s.trace.mu.Unlock()
+	s.trace.calls[s.router]++
+	s.trace.second().calls++
+}
+
+func (s *tracedSource) Newest(ctx context.Context) (feed.Page, error) {
+	s.count()
+	return s.Source.Newest(ctx)
+}
+
+func (s *tracedSource) Read(ctx context.Context, from int64, wait time.Duration) (feed.Page, error) {
+	s.count()
+	return s.Source.Read(ctx, from, wait)
+}
+
+type tracedLog struct {
+	trace  *fleetTrace
+	router int
+}
+
+// Accept records the event of a router that starts reading for the others.
+func (l *tracedLog) Accept(_ string, _ hclog.Level, _ string, args ...any) {
+	fields := map[string]any{}
+	for i := 0; i+1 < len(args); i += 2 {
+		fields[fmt.Sprint(args[i])] = args[i+1]
+	}
+	if fields["event"] != event.ReaderChanged.ID || fields["reader"] != true {
+		return
+	}
+	number := func(name string) int {
+		n, _ := strconv.Atoi(fmt.Sprint(fields[name]))
+		return n
+	}
+	l.trace.mu.Lock()
+	defer l.trace.mu.Unlock()
+	l.trace.second().became++
+	l.trace.becoming = append(l.trace.becoming, becoming{
+		router: l.router, heard: number("routers_heard"), earlier: number("readers_of_earlier_era"),
+		readersSilent: time.Duration(number("readers_silent_ms")) * time.Millisecond,
+		sinceDigests:  time.Duration(number("own_digest_ms")) * time.Millisecond,
+	})
+}
+
+// droppedDatagrams returns how many datagrams the kernel has dropped at a port since the
+// sockets were opened, where it says so.
+func droppedDatagrams(port uint16) int {
+	table, err := os.ReadFile("/proc/net/udp")
+	if err != nil {
+		return 0
+	}
+	dropped := 0
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if len(fields) > 2 && strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", port)) {
+			n, _ := strconv.Atoi(fields[len(fields)-1])
+			dropped += n
+		}
+	}
+	return dropped
+}
