digest: regular digests of a large fleet are spread over time

Routers that start together sent all their regular digests at the same moment, again and again: at 340 each has 339 datagrams to receive at once, 115,000 in all, and a socket of the default size holds fewer. Each interval longer than a second now varies by a quarter to both sides; those of small fleets, whose routers are expected within 1.2 s, do not.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -361,6 +361,7 @@
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	e.sendDigest(true)
+	spread := rand.Float64()
 	for {
 		select {
 		case <-ctx.Done():
@@ -370,7 +371,8 @@
 			time.Sleep(e.batchDelay())
 			e.sendDigest(false)
 		case now := <-ticker.C:
-			if now.Sub(e.regularAt) >= periodFor(len(e.targets())) {
+			if now.Sub(e.regularAt) >= spreadPeriod(periodFor(len(e.targets())), spread) {
+				spread = rand.Float64()
 				e.sendDigest(true)
 			}
 			e.sendLoads(now)
@@ -385,6 +387,20 @@
 	return max(minPeriod, periodPerPeer*time.Duration(n))
 }
 
+// periodSpread is by how much a long interval between regular digests varies. Routers that
+// started together would send all theirs at the same moment again and again: 340
+// have 115,000 of them, and a socket holds fewer than 339.
+const periodSpread = 0.5
+
+// spreadPeriod varies a period with a random number from 0 to 1. The shortest one is kept,
+// since routers of a small fleet are expected to be heard in it.
+func spreadPeriod(period time.Duration, random float64) time.Duration {
+	if period <= minPeriod {
+		return period
+	}
+	return max(minPeriod, time.Duration(float64(period)*(1+periodSpread*(random-0.5))))
+}
+
 // Close ends Receive.
 func (e *Exchange) Close() error {
 	return eris.Wrap(e.conn.Close(), "cannot close the digest socket")
