--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -120,6 +120,11 @@
 	// sentLoads and sentOutcomes are this router's loads and outcomes as last sent.
 	sentLoads    map[uint32]int
 	sentOutcomes []Outcomes
+	// reader is set while this router reads the store for the others, and otherReaders
+	// are the other ones that do so, as last seen. loadsSentAt is when its loads last left.
+	reader       bool
+	otherReaders []netip.Addr
+	loadsSentAt  time.Time
 	// totalsReceivedAt is when another router's totals last arrived.
 	totalsReceivedAt time.Time
 	// sentProgress and sentEra are the read progress and the store's era as last sent.
@@ -145,7 +150,7 @@
 		wake:   make(chan struct{}, 1),
 		peers:  NewPeers(addr.Addr(), seeds),
 
-		synced: firstStart,
+		synced: firstStart, loadsSentAt: time.Now(),
 	}, nil
 }
 
@@ -168,9 +173,43 @@
 // IsReader reports whether this router reads the store at the full rate.
 func (e *Exchange) IsReader() bool {
 	own := e.state.Progress().OwnReads
+	_, reader := e.readers(time.Now(), own)
+	return reader
+}
+
+// Reading reports whether this router read the store for the others when it last looked.
+func (e *Exchange) Reading() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.peers.IsReader(time.Now(), own)
+	return e.reader
+}
+
+// readers returns the readers of the store and whether this router is one of them. A
+// change of the latter is logged, and a router that begins to read tells the others at
+// once, so that they do not do the same.
+func (e *Exchange) readers(now time.Time, own OwnReads) (list []netip.Addr, reader bool) {
+	e.mu.Lock()
+	list = e.peers.Readers(now, own)
+	reader = e.peers.reader
+	before := e.otherReaders
+	e.otherReaders = excludeAddr(list, e.peers.self)
+	if reader == e.reader {
+		e.mu.Unlock()
+		return list, reader
+	}
+	e.reader = reader
+	view := e.peers.readerView(now, own)
+	silent := e.peers.silence(now, before)
+	sinceLoads := now.Sub(e.loadsSentAt)
+	targets := e.peers.Targets(now)
+	e.mu.Unlock()
+	e.events.Emit(event.ReaderChanged, "reader", reader, "era", own.Era, "reads_succeed", own.Succeed, "readers_heard", len(view.readers),
+		"routers_heard", view.heard, "readers_of_earlier_era", view.entering, "routers_before", len(view.before),
+		"readers_silent_ms", silent.Milliseconds(), "own_digest_ms", sinceLoads.Milliseconds())
+	if reader {
+		e.sendTo(targets, e.newMessage())
+	}
+	return list, reader
 }
 
 // NewestConfig returns the highest version of the configuration that a live peer has
@@ -322,6 +361,7 @@
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	e.sendDigest(true)
+	spread := rand.Float64()
 	for {
 		select {
 		case <-ctx.Done():
@@ -331,7 +371,8 @@
 			time.Sleep(e.batchDelay())
 			e.sendDigest(false)
 		case now := <-ticker.C:
-			if now.Sub(e.regularAt) >= periodFor(len(e.targets())) {
+			if now.Sub(e.regularAt) >= spreadPeriod(periodFor(len(e.targets())), spread) {
+				spread = rand.Float64()
 				e.sendDigest(true)
 			}
 			e.sendLoads(now)
@@ -346,6 +387,20 @@
 	return max(minPeriod, periodPerPeer*time.Duration(n))
 }
 
+// periodSpread is by how much a long interval between regular digests varies. Routers that
+// started together would send all theirs at the same moment again and again: 340
+// have 115,000 of them, and a socket holds fewer than 339.
+const periodSpread = 0.5
+
+// spreadPeriod varies a period with a random number from 0 to 1. The shortest one is kept,
+// since routers of a small fleet are expected to be heard in it.
+func spreadPeriod(period time.Duration, random float64) time.Duration {
+	if period <= minPeriod {
+		return period
+	}
+	return max(minPeriod, time.Duration(float64(period)*(1+periodSpread*(random-0.5))))
+}
+
 // Close ends Receive.
 func (e *Exchange) Close() error {
 	return eris.Wrap(e.conn.Close(), "cannot close the digest socket")
