forward: silence ends no answer that is arriving, or that only its server can end

The watch of a safe request counted the headers of a plain answer as progress and then nothing until its end. An answer that took longer than three objectives to arrive was cancelled while its server was sending: one that the caller had the start of was broken off with the cause server_silent, although no other server could continue it, and the server counted as silent. Streams with an event without an ID were broken off in the same way.

Each read of a body now is progress, and the watch ends no attempt while the caller has the start of an answer that cannot be continued. Its deadline ends it.

TestSilenceEndsNoAnswerThatCannotBeContinued (both cases) and the plain case of TestDataOfAServerEndsItsSilence failed before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -308,6 +308,7 @@
 	defer resp.Body.Close()
 	c.attempts.framing = endOf(resp).framing
 	watch.recordProgress()
+	resp.Body = watch.body(resp.Body)
 	res := c.handleAnswer(ctx, choice, conns, resp, watch)
 	conns.recordAnswer(c.attempts.sentAt, exchange, !res.otherAnswer)
 	return res
@@ -360,7 +361,7 @@
 		return result{outcome: balance.Refused, cause: CauseOverload}
 	}
 	if resp.StatusCode >= http.StatusInternalServerError || impliesNotRun(resp.StatusCode) {
-		return c.keepFailure(ctx, resp)
+		return c.keepFailure(ctx, resp, watch)
 	}
 	success := resp.StatusCode < http.StatusMultipleChoices
 	if success && (!answer.Signed || resp.Header.Get("Content-Encoding") != "") {
@@ -411,7 +412,7 @@
 // keepFailure keeps the failure answer of a server that ran the request, unless
 // its status implies that the request has not run. One that is too large to be kept
 // is relayed at once when no other server may get the request.
-func (c *call) keepFailure(ctx context.Context, resp *http.Response) result {
+func (c *call) keepFailure(ctx context.Context, resp *http.Response, watch *watch) result {
 	res := result{outcome: balance.Failed, cause: CauseServerFailed, mayHaveRun: true}
 	if c.route.MayRepeat() {
 		res.outcome = balance.Disputed
@@ -427,7 +428,7 @@
 		return res
 	}
 	if !whole {
-		return c.relayLargeFailure(ctx, resp, body, res)
+		return c.relayLargeFailure(ctx, resp, body, res, watch)
 	}
 	res.failure = &failure{status: resp.StatusCode, header: resp.Header, body: body, end: endOf(resp).ofBuffered(body)}
 	return res
@@ -435,8 +436,8 @@
 
 // relayLargeFailure relays a failure answer of which body is the start. The result is
 // res unless the answer breaks off.
-func (c *call) relayLargeFailure(ctx context.Context, resp *http.Response, body []byte, res result) result {
-	relayed := c.relayBody(ctx, resp, body, endOf(resp))
+func (c *call) relayLargeFailure(ctx context.Context, resp *http.Response, body []byte, res result, watch *watch) result {
+	relayed := c.relayBody(ctx, resp, body, endOf(resp), watch)
 	if relayed.outcome != balance.Served {
 		return relayed
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -29,17 +29,17 @@
 	if err != nil {
 		return c.classifyBroken(ctx, CauseAnswerBroken)
 	}
-	watch.recordProgress()
 	c.firstByte = time.Since(c.arrivedAt)
 	end := endOf(resp)
 	if whole {
 		end = end.ofBuffered(body)
 	}
-	return c.relayBody(ctx, resp, body, end)
+	return c.relayBody(ctx, resp, body, end, watch)
 }
 
 // relayBody relays an answer of which body has been received.
-func (c *call) relayBody(ctx context.Context, resp *http.Response, body []byte, end bodyEnd) result {
+func (c *call) relayBody(ctx context.Context, resp *http.Response, body []byte, end bodyEnd, watch *watch) result {
+	watch.committed.Store(true)
 	c.sendHeaders(resp.StatusCode, resp.Header, end)
 	if _, err := c.w.Write(body); err != nil {
 		return c.callerLeftResult()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -52,7 +52,6 @@
 	for {
 		n, err := resp.Body.Read(buffer[:])
 		if n > 0 {
-			watch.recordProgress()
 			c.attempts.bodyBytes += int64(n)
 			c.stream.events.Scan(buffer[:n])
 			if c.stream.repeats() {
@@ -62,6 +61,7 @@
 			if !c.writeStreamData(resp, buffer[:n]) {
 				return c.callerLeftResult()
 			}
+			watch.committed.Store(c.w.started() && !c.canResume())
 		}
 		if errors.Is(err, io.EOF) {
 			return c.endStream(ctx, resp)
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,10 @@
 	cancel       context.CancelCauseFunc
 	timer        *time.Timer
 	lastProgress atomic.Int64
+	// committed is set while the caller has the start of an answer that no other server
+	// can continue.
+	committed atomic.Bool
+	stopped   atomic.Bool
 }
 
 func (c *call) watch(cancel context.CancelCauseFunc, key registry.Key) *watch {
@@ -55,9 +60,34 @@
 	w.call.pool.recordProgress(time.Now(), w.key)
 }
 
-// check runs on the timer's goroutine. It cancels a silent attempt when the retry
-// budget allows another one.
+// body records each read of an answer's body as progress.
+func (w *watch) body(body io.ReadCloser) io.ReadCloser { return &watchedBody{ReadCloser: body, watch: w} }
+
+// watchedBody is the body of an answer whose reads are progress of its server.
+type watchedBody struct {
+	io.ReadCloser
+	watch *watch
+}
+
+// Read reads from the body.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.watch.recordProgress()
+	}
+	return n, err
+}
+
+// check runs on the timer's goroutine. It cancels a silent attempt when another server
+// can replace it and the retry budget allows that.
 func (w *watch) check() {
+	if w.stopped.Load() {
+		return
+	}
+	if w.committed.Load() {
+		w.timer.Reset(w.limit)
+		return
+	}
 	idle := time.Since(w.call.arrivedAt) - time.Duration(w.lastProgress.Load())
 	if idle < w.limit {
 		w.timer.Reset(w.limit - idle)
@@ -69,6 +99,7 @@
 }
 
 func (w *watch) stop() {
+	w.stopped.Store(true)
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/internal/forward/watch_test.go
+++ b/internal/forward/watch_test.go
@@ -48,6 +48,33 @@
 	}
 }
 
+// Guards against an answer of which the caller has the start and that is broken off because
+// its server is silent: no other server can continue it.
+func TestSilenceEndsNoAnswerThatCannotBeContinued(t *testing.T) {
+	large := strings.Repeat("x", 2*bufferedAnswerBytes)
+	for name, c := range map[string]struct {
+		route routing.Route
+		start string
+	}{
+		"plain":                       {routing.Route{Kind: routing.Safe, Timeout: 3 * minSilence}, large},
+		"stream, event without an ID": {routing.Route{Kind: routing.Stream, Resumable: true, Timeout: 3 * minStreamSilence / 2}, "data: x\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.route.MaxAttempts, c.route.Objective, c.route.GapObjective = 3, time.Millisecond, time.Millisecond
+			b := newBed(t, bedOptions{servers: 3, route: c.route}, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.WriteString(w, c.start)
+				_ = http.NewResponseController(w).Flush()
+				hang(w, r)
+			})
+			if got := b.send(ask{}); got.err == nil {
+				t.Errorf("status %d, %d bytes of an answer that broke off look complete", got.status, len(got.body))
+			}
+			b.expectLog(map[string]any{"outcome": OutcomeCut, "cause": CauseDeadline, "offered": 1})
+		})
+	}
+}
+
 // Guards against servers that are called silent too soon, or too late for their callers.
 func TestSilenceIsMeasuredByTheObjective(t *testing.T) {
 	for _, c := range []struct {
@@ -94,7 +121,7 @@
 // Guards against a server that gets no requests although it sends, because its headers or
 // the pieces of its answers do not count.
 func TestDataOfAServerEndsItsSilence(t *testing.T) {
-	for name, route := range map[string]routing.Route{"stream": {Kind: routing.Stream}} {
+	for name, route := range map[string]routing.Route{"stream": {Kind: routing.Stream}, "plain": {}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			headers, data, end := make(chan struct{}), make(chan struct{}), make(chan struct{})
