--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -31,6 +31,9 @@
 // bedWait bounds each wait for what a router or a server does.
 const bedWait = 20 * time.Second
 
+// deadlineOfTests is the deadline of requests that are to reach their server before it.
+const deadlineOfTests = 500 * time.Millisecond
+
 // bedCodec has a plain header for each value.
 type bedCodec struct{}
 
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -16,6 +16,7 @@
 // Guards against an answer whose end is marked in another way than its server's: one that
 // may be incomplete looks complete, or a complete one is broken off.
 func TestEndOfAnAnswerIsTheServers(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		answer answer
 		// header is the header that marks the end for the caller, and text what the caller gets.
@@ -60,6 +61,7 @@
 // Guards against an unbounded answer that fills the router's memory before its caller gets
 // the first byte.
 func TestLargeAnswerIsRelayedWhileItArrives(t *testing.T) {
+	t.Parallel()
 	release := make(chan struct{})
 	b := newBed(t, bedOptions{}, func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, strings.Repeat("x", 2*bufferedAnswerBytes))
@@ -87,6 +89,7 @@
 
 // Guards against events that wait for those after them.
 func TestEventsAreRelayedAsTheyArrive(t *testing.T) {
+	t.Parallel()
 	for _, route := range []routing.Route{resumable, {Kind: routing.Stream}} {
 		got := make(chan struct{})
 		b := newBed(t, bedOptions{route: route}, func(w http.ResponseWriter, _ *http.Request) {
@@ -112,6 +115,7 @@
 // Guards against a stream that is continued where it may not be, or not where it may be,
 // and against a joint that loses, repeats or mixes events.
 func TestBrokenStreamGoesOnAfterItsLastEvent(t *testing.T) {
+	t.Parallel()
 	cut := func(body string) answer {
 		return raw(signedHead + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body)+100, body))
 	}
@@ -177,6 +181,7 @@
 
 // Guards against a stream whose caller gets headers other than its first server's.
 func TestStreamHasTheHeadersOfItsFirstServer(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, bedOptions{servers: 2, route: resumable}, raw(signedHead+"Transfer-Encoding: chunked\r\n\r\n3\r\nid:\r\n3\r\n 1\n\r\n1\r\n\n\r\n"), ok("id: 2\n\n"))
 	if got := b.send(ask{}); got.header.Get("Signed") != "s" || got.body != "id: 1\n\nid: 2\n\n" || got.err != nil {
 		t.Errorf("signature %q, body %q, error %v; want the first server's, and both events", got.header.Get("Signed"), got.body, got.err)
@@ -186,6 +191,7 @@
 // Guards against a stream that breaks off and looks complete, because it was given a length
 // or no chunks.
 func TestStreamIsSentInChunks(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, bedOptions{route: resumable}, ok("id: 1\n\n"))
 	if got := b.send(ask{}); got.length >= 0 {
 		t.Errorf("length %d, want chunks", got.length)
--- a/internal/forward/state_test.go
+++ b/internal/forward/state_test.go
@@ -28,6 +28,7 @@
 // Guards against loads and outcomes of other routers that have no effect, and against loads
 // that are taken for none because no other router has reported.
 func TestReportsOfOtherRoutersCount(t *testing.T) {
+	t.Parallel()
 	st, list := threeEngines()
 	now := time.Now()
 	hash := digest.ShortHash(list[1].Key().Hash())
@@ -55,6 +56,7 @@
 // Guards against engines that are asked for their caches although they get no requests, and
 // servers that have none.
 func TestOnlyUsableEnginesAreAsked(t *testing.T) {
+	t.Parallel()
 	st, list := threeEngines()
 	plain := registry.Server{ID: "plain", Pool: "p", Addr: "d:1", Slots: 8}
 	leaving := *list[0]
@@ -80,6 +82,7 @@
 
 // Guards against small parts of caches that fill the record in place of large ones.
 func TestLargestCachedPartsAreRecorded(t *testing.T) {
+	t.Parallel()
 	st, list := threeEngines()
 	parts := []CachedPart{{"m", Part{1, 10}}, {"m", Part{2, 30}}, {"m", Part{3, 20}}}
 	if n := st.RecordCachedParts(list[0], parts, 2); n != 2 {
@@ -96,6 +99,7 @@
 
 // Guards against a bound of the load that keeps its old value in a pool that exists.
 func TestChangedBoundOfTheLoadIsKept(t *testing.T) {
+	t.Parallel()
 	st, list := threeEngines()
 	p := st.pool("p")
 	now := time.Now()
@@ -115,6 +119,7 @@
 // Guards against a full pool that decides without knowing how urgent a request is, whose it
 // is, or that its caller retries.
 func TestFullPoolKnowsTheRequest(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, bedOptions{}, ok("x"))
 	p := b.state.pool("p")
 	now := time.Now()
--- a/internal/forward/watch_test.go
+++ b/internal/forward/watch_test.go
@@ -16,6 +16,7 @@
 
 // Guards against a request that waits for a silent server although another one is free.
 func TestRequestLeavesASilentServer(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, bedOptions{servers: 2, route: routing.Route{Kind: routing.Safe, MaxAttempts: 2, Objective: time.Millisecond}}, hang, ok("second"))
 	if got := b.send(ask{}); got.status != http.StatusOK || got.body != "second" {
 		t.Errorf("status %d, body %q, want the second server's answer", got.status, got.body)
@@ -29,6 +30,7 @@
 // Guards against a silent server that costs a request its answer although no other one may
 // get the request.
 func TestSilenceEndsNoRequestWithoutAnotherAttempt(t *testing.T) {
+	t.Parallel()
 	none := &retrybudget.Limits{Window: 10 * time.Second}
 	for name, o := range map[string]bedOptions{
 		"may not be repeated": {route: routing.Route{Kind: routing.Unsafe, MaxAttempts: 3}},
@@ -51,6 +53,7 @@
 // Guards against an answer of which the caller has the start and that is broken off because
 // its server is silent: no other server can continue it.
 func TestSilenceEndsNoAnswerThatCannotBeContinued(t *testing.T) {
+	t.Parallel()
 	large := strings.Repeat("x", 2*bufferedAnswerBytes)
 	for name, c := range map[string]struct {
 		route routing.Route
@@ -77,6 +80,7 @@
 
 // Guards against servers that are called silent too soon, or too late for their callers.
 func TestSilenceIsMeasuredByTheObjective(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		route routing.Route
 		want  time.Duration
@@ -95,6 +99,7 @@
 // Guards against an attempt that is ended although its server sends, and against one whose
 // server falls silent later and is waited for.
 func TestOnlySilenceSinceTheLastProgressEndsAnAttempt(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, bedOptions{}, ok("x"))
 	c := &call{pool: b.state.pool("p"), arrivedAt: time.Now().Add(-time.Hour)}
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -121,6 +126,7 @@
 // Guards against a server that gets no requests although it sends, because its headers or
 // the pieces of its answers do not count.
 func TestDataOfAServerEndsItsSilence(t *testing.T) {
+	t.Parallel()
 	for name, route := range map[string]routing.Route{"stream": {Kind: routing.Stream}, "plain": {}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -154,6 +160,7 @@
 // Guards against a request that is counted at a server that it is not sent to yet, and one
 // that is sent while its prefix is being read.
 func TestRequestIsHeldWhileItsPrefixIsRead(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, bedOptions{}, ok("x"))
 	p := b.state.pool("p")
 	job := balance.Job{Prefixes: []balance.Prefix{{Hash: prefixHash("", 1), Tokens: 8000}}, PromptTokens: 8100}
@@ -178,6 +185,7 @@
 // Guards against prompts that count as read by a server that refused them or was not
 // reached, and against those that were read and do not count.
 func TestOnlyPromptsThatArriveAreRead(t *testing.T) {
+	t.Parallel()
 	prompt := http.Header{"Prompt": {"1:800000,2:100"}}
 	b := newBed(t, bedOptions{}, notRun(), ok("x"))
 	b.send(ask{header: prompt})
@@ -201,6 +209,7 @@
 // Guards against a prefix that is computed again although it could be copied from a server
 // that leaves.
 func TestAttemptNamesTheServerToCopyFrom(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, bedOptions{servers: 2}, ok("x"))
 	b.send(ask{header: sharedPrompt})
 	holder, other := b.servers[0], b.servers[1]
