retrybudget: tests of the earned retries, unknown routers, clocks and changed limits

Seven of 14 rules survived the package's tests when they were taken out: that requests earn retries at all, that a part of a retry is none, the share for routers that are not known yet, a clock that goes back, changed limits with the same or another window, and no window. The earlier tests check the upper bound of a fleet only.

--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -87,3 +87,66 @@
 		t.Error("no retry after the window")
 	}
 }
+
+// Guards against a budget that does not grow with its requests, or allows a retry of which
+// only a part is left.
+func TestRequestsEarnWholeRetries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Limits{Ratio: 0.2, Window: 10 * time.Second})
+	for range 99 {
+		b.RecordRequest(now)
+	}
+	allowed := 0
+	for b.AllowRetry(now) {
+		allowed++
+	}
+	// Three quarters of the ratio of 99 requests are 14.85.
+	if allowed != 14 {
+		t.Errorf("%d retries for 99 requests, want 14", allowed)
+	}
+}
+
+// Guards against routers that together exceed the extra because some of them are not known
+// to the others yet.
+func TestExtraAllowsForUnknownRouters(t *testing.T) {
+	b := New(Limits{Window: 10 * time.Second, Extra: 250})
+	b.SetRouters(100)
+	if got := b.Remaining(time.Unix(1000, 0)); got != 2 {
+		t.Errorf("%v retries for one of 100 routers, want 2: a share for 125", got)
+	}
+}
+
+// Guards against a budget that is lost when the clock goes back, and against one that begins
+// anew with each change of the limits, or counts by the buckets of another window.
+func TestCountsOutliveClocksAndLimitsOfTheSameWindow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := Limits{Ratio: 1, Window: 10 * time.Second}
+	b := New(limits)
+	for range 10 {
+		b.RecordRequest(now)
+	}
+	want := b.Remaining(now)
+	b.RecordRequest(now.Add(-5 * time.Second))
+	if got := b.Remaining(now); got <= want {
+		t.Errorf("%v retries after the clock went back, want more than %v", got, want)
+	}
+	want = b.Remaining(now)
+	limits.Extra = 24
+	b.SetLimits(limits)
+	if got := b.Remaining(now); got != want+1 {
+		t.Errorf("%v retries with one more of the extra, want %v", got, want+1)
+	}
+	limits.Window = time.Hour
+	b.SetLimits(limits)
+	if got := b.Remaining(now); got != 1 {
+		t.Errorf("%v retries in a window of another length, want 1", got)
+	}
+}
+
+// Guards against a crash without a window.
+func TestBudgetWithoutAWindow(t *testing.T) {
+	b := New(Limits{Extra: 24})
+	if now := time.Unix(1000, 0); !b.AllowRetry(now) || b.AllowRetry(now) {
+		t.Error("want one retry of the extra")
+	}
+}
