forward: gofmt; the test of idle connections counts those that a second burst opens

With the bound taken out the test stayed green: idle connections end after 3 s, and it waited for fewer. A second burst now shows how many the first one left.

--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -99,9 +99,9 @@
 	answers []answer
 	// arrivals are the requests that the servers got.
 	arrivals []arrival
-	// open counts the open connections to the servers.
-	open  int
-	lines bytes.Buffer
+	// open counts the open connections to the servers, and opened all of them.
+	open, opened int
+	lines        bytes.Buffer
 }
 
 // arrival is a request at a server.
@@ -221,6 +221,7 @@
 		switch state {
 		case http.StateNew:
 			b.open++
+			b.opened++
 		case http.StateClosed, http.StateHijacked:
 			b.open--
 		}
--- a/internal/forward/reuse_test.go
+++ b/internal/forward/reuse_test.go
@@ -144,19 +144,28 @@
 // number of connections is limited.
 func TestIdleConnectionsToAServerAreFew(t *testing.T) {
 	t.Parallel()
-	var all sync.WaitGroup
-	all.Add(2 * idlePerServer)
+	const burst = 2 * idlePerServer
+	var arrived sync.WaitGroup
 	b := newBed(t, bedOptions{}, func(w http.ResponseWriter, r *http.Request) {
-		all.Done()
-		all.Wait()
+		arrived.Done()
+		arrived.Wait()
 		ok("x")(w, r)
 	})
-	var callers sync.WaitGroup
-	for range 2 * idlePerServer {
-		callers.Go(func() { b.send(ask{}) })
+	for range 2 {
+		arrived.Add(burst)
+		var callers sync.WaitGroup
+		for range burst {
+			callers.Go(func() { b.send(ask{}) })
+		}
+		callers.Wait()
+		b.logged()
+	}
+	b.mu.Lock()
+	opened := b.opened
+	b.mu.Unlock()
+	if want := 2*burst - idlePerServer; opened < want {
+		t.Errorf("%d connections for two bursts of %d, want %d or more: %d are kept", opened, burst, want, idlePerServer)
 	}
-	callers.Wait()
-	b.untilOpen(idlePerServer)
 	b.state.SetServers(nil)
 	b.untilOpen(0)
 }
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -61,7 +61,9 @@
 }
 
 // body records each read of an answer's body as progress.
-func (w *watch) body(body io.ReadCloser) io.ReadCloser { return &watchedBody{ReadCloser: body, watch: w} }
+func (w *watch) body(body io.ReadCloser) io.ReadCloser {
+	return &watchedBody{ReadCloser: body, watch: w}
+}
 
 // watchedBody is the body of an answer whose reads are progress of its server.
 type watchedBody struct {
