--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -143,3 +143,21 @@
 		t.Errorf("removal grace of %s, want at least %s and at most %s with %s to detect the end", RemovalGrace, restored, mustApply, detection)
 	}
 }
+
+// Guards against an entry of a list that undoes a newer record, which another router has
+// sent while the list was read, and against the removal of a server that is not known.
+func TestListDoesNotUndoNewerRecords(t *testing.T) {
+	r := New()
+	leaving := readyEntry("a", 1)
+	leaving.Server.Leaving = true
+	leaving.Position = at(9)
+	r.Apply(start, []Entry{leaving}, time.Time{})
+	older := readyEntry("a", 1)
+	older.Position = at(5)
+	if changes, _ := r.Replace(start, []Entry{older}, at(12), time.Time{}); len(changes) != 0 || !r.Servers()[0].Leaving {
+		t.Errorf("a list with an older entry caused %v, want no change", changes)
+	}
+	if changes := r.Apply(start, []Entry{{ID: "b", Position: at(13)}}, time.Time{}); len(changes) != 0 {
+		t.Errorf("the removal of an unknown server caused %v, want no change", changes)
+	}
+}
