registry, forward: tests of the first list of an era, of incarnations and of a stopped watch

Taken out without a failing test: that only the first list of an era may be of the older copy, that it is older only than what earlier eras said, and the address in the identity of an incarnation.

--- a/internal/forward/watch_test.go
+++ b/internal/forward/watch_test.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// Guards against a timer that is set for good by a check at the moment in which its attempt ends.
+func TestStoppedWatchSetsNoTimer(t *testing.T) {
+	t.Parallel()
+	w := &watch{call: &call{arrivedAt: time.Now()}, limit: time.Hour}
+	w.timer = time.AfterFunc(time.Hour, w.check)
+	w.committed.Store(true)
+	w.stop()
+	if w.check(); w.timer.Stop() {
+		t.Error("the timer of a watch that was stopped is set")
+	}
+}
+
 // Guards against a server that gets no requests although it sends, because its headers or
 // the pieces of its answers do not count.
 func TestDataOfAServerEndsItsSilence(t *testing.T) {
--- a/internal/registry/era_test.go
+++ b/internal/registry/era_test.go
@@ -209,3 +209,40 @@
 		}
 	})
 }
+
+// Guards against a record that a new era has regained and that is taken for one of the
+// older copy: it was written after the first list of the era, or contradicts only what was
+// read in the same era.
+func TestOnlyTheFirstListOfAnEraMayBeOutdated(t *testing.T) {
+	leaving := readyEntry("a", 1)
+	leaving.Server.Leaving = true
+	grace := start.Add(time.Hour)
+
+	r := New()
+	leaving.Position = logpos.Position{Era: 1, Offset: 9}
+	r.Apply(start, []Entry{leaving}, time.Time{})
+	r.Replace(start, nil, logpos.Position{Era: 2, Offset: 5}, grace)
+	ready := readyEntry("a", 1)
+	ready.Position = logpos.Position{Era: 2, Offset: 7}
+	if _, outdated := r.Replace(start, []Entry{ready}, logpos.Position{Era: 2, Offset: 10}, grace); len(outdated) != 0 || r.Servers()[0].Leaving {
+		t.Errorf("outdated %v, server %+v; want the entry from after the first list", outdated, r.Servers()[0])
+	}
+
+	r = New()
+	leaving.Position = logpos.Position{Era: 2, Offset: 2}
+	r.Apply(start, []Entry{leaving}, time.Time{})
+	ready.Position = logpos.Position{Era: 2, Offset: 3}
+	if _, outdated := r.Replace(start, []Entry{ready}, logpos.Position{Era: 2, Offset: 5}, grace); len(outdated) != 0 || r.Servers()[0].Leaving {
+		t.Errorf("outdated %v, server %+v; want the later entry of the same era", outdated, r.Servers()[0])
+	}
+}
+
+// Guards against two incarnations that are taken for one, because they have the same ID.
+func TestIncarnationsDiffer(t *testing.T) {
+	base := Key{ID: "a", Addr: "10.0.0.1:1", Born: 1}
+	for _, s := range []Server{{ID: "b", Addr: base.Addr, Born: base.Born}, {ID: base.ID, Addr: "10.0.0.2:1", Born: base.Born}, {ID: base.ID, Addr: base.Addr, Born: 2}} {
+		if s.Key() == base || s.Key().Hash() == base.Hash() {
+			t.Errorf("%+v has the key or the hash of %+v", s, base)
+		}
+	}
+}
