--- /dev/null
+++ b/internal/front/trackerrules_test.go
@@ -0,0 +1,311 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bluebellwell/bluebellwell/internal/digest"
+	"github.com/bluebellwell/bluebellwell/internal/edge"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/feed"
+	"github.com/bluebellwell/bluebellwell/internal/forward"
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/routing"
+)
+
+// trackerRouter is the tracker of a router that has no others, and its log.
+type trackerRouter struct {
+	*tracker
+	log *bytes.Buffer
+}
+
+// newTrackerRouter returns a tracker whose configurations are the number of their version.
+// It waits for no digest.
+func newTrackerRouter(t *testing.T) trackerRouter {
+	t.Helper()
+	callers, err := edge.Listen("127.0.0.1:0", nil, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := &bytes.Buffer{}
+	events := event.NewLogger(hclog.New(&hclog.LoggerOptions{Output: log, JSONFormat: true, Level: hclog.Trace}))
+	tr := newTracker(Platform{
+		ConfigKey: "config",
+		DecodeConfig: func(value []byte) (routing.Config, error) {
+			if value[0] == 'x' {
+				return routing.Config{Version: 99}, errors.New("unreadable")
+			}
+			return routing.Config{Version: int64(value[0] - '0')}, nil
+		},
+		DecodeServer: func(id string, value []byte) (*registry.Server, error) {
+			if value[0] == 'x' {
+				return nil, errors.New("unreadable")
+			}
+			return &registry.Server{ID: id, Pool: "p", Addr: "10.0.0.1:1", Leaving: value[0] == 'l'}, nil
+		},
+	}, forward.NewState(forward.Limits{}), callers, events, tally.NoopScope)
+	tr.firstStart = true
+	tr.exchange, err = digest.Listen(netip.MustParseAddrPort("127.0.0.1:0"), nil, true, &digestState{State: tr.state, tracker: tr, progress: &tr.progress}, event.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := errors.Join(tr.exchange.Close(), callers.Close()); err != nil {
+			t.Error(err)
+		}
+	})
+	return trackerRouter{tr, log}
+}
+
+func (tr trackerRouter) version() int64 {
+	if table := tr.state.Table(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+// config applies a record of the configuration's topic.
+func (tr trackerRouter) config(key, value string, offset int64) {
+	r := feed.Record{Key: key, Offset: offset}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	tr.applyConfig(feed.Batch{Records: []feed.Record{r}, Next: at(offset + 1)})
+}
+
+// list applies a list of servers, each with a letter for its state: r for ready, l for
+// leaving, x for an entry that cannot be read.
+func (tr trackerRouter) list(next logpos.Position, entries ...string) {
+	tr.apply(true, next, entries...)
+}
+
+func (tr trackerRouter) records(next logpos.Position, entries ...string) {
+	tr.apply(false, next, entries...)
+}
+
+func (tr trackerRouter) apply(full bool, next logpos.Position, entries ...string) {
+	b := feed.Batch{Full: full, Next: next}
+	for i, e := range entries {
+		id, state, _ := strings.Cut(e, ":")
+		b.Records = append(b.Records, feed.Record{Key: id, Value: []byte(state), Offset: next.Offset - int64(len(entries)-i)})
+	}
+	tr.applyServers(b)
+}
+
+// Guards against a configuration that goes back, is taken from another key or a broken
+// record, or ends with its deletion.
+func TestOnlyNewerReadableConfigurationsAreApplied(t *testing.T) {
+	tr := newTrackerRouter(t)
+	for i, c := range []struct {
+		key, value string
+		want       int64
+	}{{"other", "3", 0}, {"config", "x", 0}, {"config", "7", 7}, {"config", "3", 7}, {"config", "", 7}, {"other", "8", 7}, {"config", "x", 7}, {"config", "9", 9}} {
+		if tr.config(c.key, c.value, int64(i)); tr.version() != c.want {
+			t.Errorf("version %d after %s %q, want %d", tr.version(), c.key, c.value, c.want)
+		}
+	}
+}
+
+// Guards against a router that gets callers without a configuration, without servers or
+// while it stops, and against one that counts its time anew with each change.
+func TestRouterIsReadyWithConfigurationAndServers(t *testing.T) {
+	tr := newTrackerRouter(t)
+	tr.list(at(2), "a:r")
+	if tr.ready() {
+		t.Error("ready without a configuration")
+	}
+	tr = newTrackerRouter(t)
+	tr.config("config", "1", 1)
+	tr.list(at(2))
+	if tr.ready() {
+		t.Error("ready without servers")
+	}
+	tr.list(at(3), "a:r")
+	if !tr.ready() {
+		t.Fatal("not ready with a configuration and a server")
+	}
+	since := tr.readyAt
+	tr.records(at(4), "b:r")
+	if tr.readyAt != since {
+		t.Error("ready anew after a change")
+	}
+	if tr.stop(); tr.ready() {
+		t.Error("ready while it stops")
+	}
+}
+
+// Guards against a router that takes a few changes for all servers, sends on what others
+// have read, or reads what it knows.
+func TestChangesOfOtherRoutersAreApplied(t *testing.T) {
+	tr := newTrackerRouter(t)
+	change := func(id string, offset, prev int64) digest.ServerChange {
+		return digest.ServerChange{ID: id, Position: at(offset), Prev: at(prev), Server: &registry.Server{ID: id, Pool: "p", Addr: "10.0.0.1:1"}}
+	}
+	deliver(tr.tracker, change("b", 5, 4))
+	if tr.servers.Len() != 0 {
+		t.Error("a router without a list of its own uses a single server")
+	}
+	tr = newTrackerRouter(t)
+	tr.list(at(3), "a:r")
+	deliver(tr.tracker, change("b", 5, 2))
+	if tr.servers.Len() != 2 || len(tr.progress.ServerChanges()) != 0 {
+		t.Errorf("%d servers, want 2, and nothing sent on", tr.servers.Len())
+	}
+	if got := tr.peerPosition(topicServers)(); got != logpos.None {
+		t.Errorf("reads to %v although no change is lost", got)
+	}
+	// An entry that changes nothing here counts, too.
+	deliver(tr.tracker, change("b", 6, 5))
+	deliver(tr.tracker, change("c", 7, 6))
+	if got := tr.peerPosition(topicServers)(); got != logpos.None {
+		t.Errorf("reads to %v after an entry without an effect", got)
+	}
+	deliver(tr.tracker, change("d", 9, 8))
+	if got := tr.peerPosition(topicServers)(); got != at(9) {
+		t.Errorf("reads to %v after a lost change, want 9", got)
+	}
+}
+
+// Guards against changes, configurations and records of a new era that other routers do not
+// hear of.
+func TestWhatIsReadIsSent(t *testing.T) {
+	tr := newTrackerRouter(t)
+	tr.list(at(3), "a:r", "b:r")
+	if list := tr.progress.ServerChanges(); len(list) != 0 {
+		t.Errorf("the first list is sent: %v", list)
+	}
+	tr.records(at(5), "a:l", "a:r", "a:l")
+	if list := tr.progress.ServerChanges(); len(list) != 1 || !list[0].Server.Leaving {
+		t.Errorf("%v is sent, want only the last state", list)
+	}
+	tr.config("config", "4", 1)
+	if got := tr.progress.report(time.Now(), 0); got.ConfigVersion != 4 || got.Topics[topicConfig].LastChange != at(1) {
+		t.Errorf("reported %+v, want the version 4 at 1", got)
+	}
+	tr.applyConfig(feed.Batch{Records: []feed.Record{{Key: "config", Value: []byte("4"), Offset: 0}}, Next: logpos.Position{Era: 1, Offset: 1}})
+	if got := tr.progress.report(time.Now(), 1).Topics[topicConfig].LastChange; got != (logpos.Position{Era: 1}) {
+		t.Errorf("reported position %v of a version that was written again, want that of the new era", got)
+	}
+	tr = newTrackerRouter(t)
+	tr.list(at(3), "a:r")
+	tr.applyServers(feed.Batch{Full: true, Next: logpos.Position{Era: 1, Offset: 1}, GraceUntil: time.Now().Add(time.Hour)})
+	tr.records(logpos.Position{Era: 1, Offset: 3}, "a:r")
+	if list := tr.progress.ServerChanges(); len(list) != 1 || list[0].ID != "a" {
+		t.Errorf("%v is sent, want the server that was written again", list)
+	}
+}
+
+// Guards against reads that end at once with each heartbeat, and against a log that repeats
+// a broken entry.
+func TestHeartbeatsArePolled(t *testing.T) {
+	tr := newTrackerRouter(t)
+	tr.list(at(3), "a:r")
+	if tr.serversTiming()().Wait == 0 {
+		t.Error("servers are polled without heartbeats")
+	}
+	tr.records(at(4), "a:r")
+	if tr.serversTiming()().Wait != 0 {
+		t.Error("a read waits for changes while heartbeats are records")
+	}
+	tr.records(at(5), "a:l")
+	if tr.serversTiming()().Wait == 0 {
+		t.Error("servers are polled after a change")
+	}
+	tr.records(at(6), "b:x")
+	tr.records(at(7), "b:x")
+	if n := strings.Count(tr.log.String(), "unreadable"); n != 1 {
+		t.Errorf("%d log lines for one broken entry, want 1", n)
+	}
+}
+
+// Guards against removals that never apply, and a configuration that is held back for good.
+func TestDelayedChangesApplyLater(t *testing.T) {
+	tr := newTrackerRouter(t)
+	tr.list(at(3), "a:r", "b:r")
+	tr.applyServers(feed.Batch{Records: []feed.Record{{Key: "a", Offset: 3}}, Next: at(4), GraceUntil: time.Now().Add(50 * time.Millisecond)})
+	tr.held = &heldConfig{config: routing.Config{Version: 5}, position: at(1), logged: true}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- tr.run(ctx) }()
+	for deadline := time.Now().Add(20 * time.Second); tr.serverCount.Load() != 1 || tr.version() != 5; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d servers, version %d; want 1 and 5", tr.serverCount.Load(), tr.version())
+		}
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a starting router that logs each check of a configuration that it holds.
+func TestHeldConfigurationIsLoggedOnce(t *testing.T) {
+	tr := newTrackerRouter(t)
+	tr.progress.recordConfig(0, at(0))
+	tr.held = &heldConfig{logged: true}
+	tr.firstStart = false
+	tr.startedAt = time.Now().Add(time.Hour)
+	tr.holdBack(routing.Config{Version: 3}, at(1))
+	if tr.held == nil || !tr.held.logged || tr.heldCheck() != nil {
+		t.Error("a configuration that was logged as held counts as one that waits for the first digest")
+	}
+}
+
+// Guards against a gap that moves to an earlier change, or opens between changes of one
+// message.
+func TestGapReachesToTheLastChange(t *testing.T) {
+	p := newProgress()
+	p.recordReceived([]registry.Change{change("x", 5)})
+	p.detectGap([]digest.ServerChange{{Position: at(7), Prev: at(5)}, {Position: at(9), Prev: at(7)}})
+	if p.gapPosition() != logpos.None {
+		t.Errorf("gap at %v between changes of one message", p.gapPosition())
+	}
+	p.detectGap([]digest.ServerChange{{Position: at(20), Prev: at(19)}})
+	p.detectGap([]digest.ServerChange{{Position: at(15), Prev: at(14)}})
+	if p.gapPosition() != at(20) {
+		t.Errorf("gap at %v, want 20", p.gapPosition())
+	}
+}
+
+// Guards against reported positions that go back, so that others read again or miss a change.
+func TestReportedPositionsDoNotGoBack(t *testing.T) {
+	p := newProgress()
+	p.recordReceived([]registry.Change{change("x", 10)})
+	p.recordReceived([]registry.Change{change("y", 5)})
+	if got := p.report(time.Now(), 0).Topics[topicServers].LastChange; got != at(10) || !p.isApplied(topicServers, at(10)) {
+		t.Errorf("reported %v, 10 applied %v; want 10", got, p.isApplied(topicServers, at(10)))
+	}
+	p.recordConfig(1, at(4))
+	if p.recordConfigAgain(at(9)) {
+		t.Error("a version that is read again in the same era is reported")
+	}
+}
+
+// Guards against routers that rely on one whose reads fail.
+func TestRouterWhoseReadsFailDoesNotReadForOthers(t *testing.T) {
+	for topic := range topicCount {
+		p := newProgress()
+		p.setFailing(topic, true)
+		if p.report(time.Now(), 0).OwnReads.Succeed {
+			t.Errorf("the router reads for others while its reads of the %s fail", topicNames[topic])
+		}
+	}
+}
+
+// Guards against records that are taken for a list of a new era.
+func TestRecordsAreNoListOfAnEra(t *testing.T) {
+	p := newProgress()
+	p.recordReadTo(logpos.Position{Era: 2, Offset: 7}, false)
+	if got := p.report(time.Now(), 2).ListEnd; got != 0 {
+		t.Errorf("a list that ends at %d is reported, want none", got)
+	}
+}
