forward: test servers that refuse connections keep their ports

The port is bound now and nobody listens.

Also: a request that fails everywhere, the last time with a large answer, counts against no server.

--- a/internal/forward/attempt_test.go
+++ b/internal/forward/attempt_test.go
@@ -200,22 +200,10 @@
 // fullListener returns the address of a listener whose queue of connections is full.
 func fullListener(t *testing.T) string {
 	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = syscall.Close(fd) })
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
+	fd, addr := boundSocket(t)
 	if err := syscall.Listen(fd, 0); err != nil {
 		t.Fatal(err)
 	}
-	name, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
 	for range 10 {
 		conn, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
 		if err != nil {
@@ -431,6 +419,11 @@
 	if n := failed(b); n != 0 {
 		t.Errorf("%d failures of servers that all failed the request, want 0", n)
 	}
+	b = newBed(t, bedOptions{servers: 2, route: route}, boom, status(http.StatusInternalServerError, strings.Repeat("x", 2*bufferedAnswerBytes)))
+	b.send(ask{})
+	if n := failed(b); n != 0 {
+		t.Errorf("%d failures of servers of which the last failed with a large answer, want 0", n)
+	}
 	b = newBed(t, bedOptions{servers: 2, route: routing.Route{MaxAttempts: 2}}, boom)
 	b.send(ask{})
 	if n := failed(b); n != 1 {
--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -190,15 +191,30 @@
 	return routing.Config{Routes: []routing.Route{route}, Workspaces: []routing.Keyring{{Workspace: o.workspace, Keys: []string{"k1"}}}, Limits: o.config}
 }
 
-// closedAddr returns an address that refuses connections.
+// closedAddr returns an address that refuses connections. Its port stays taken, so that no
+// server of another test gets it.
 func closedAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	_, addr := boundSocket(t)
+	return addr
+}
+
+// boundSocket returns a socket with a port on which it does not listen.
+func boundSocket(t *testing.T) (fd int, addr string) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return fd, fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
 }
 
 // serve starts a server.
