edge: headers that the limit cuts off get no answer

What callers got: 400, which no caller retries, for a proper request whose headers arrived in two pieces with the router frozen in between for longer than headerTimeoutMs and 1 s. The deadline of the read has then passed, and the runtime reports that before it reads what has arrived.

Cause: the class of the incident, an answer that net/http makes. After a failed read, its parser takes the start of a line for a whole one, which is malformed. For connections that a stopping router ends this had been found before; the limit for headers ends them in the same way.

Why the fix works: nothing is written to a connection once a deadline has passed inside headers. Headers that end because the caller has closed its sending side still get the 400.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,6 +9,7 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -232,9 +233,10 @@
 	// connection owns headerDeadline.
 	inHeaders      atomic.Bool
 	headerDeadline time.Time
-	// cutOff is set when a retired connection has ended inside headers. Nothing is written
-	// then: net/http takes the start of a line for a whole one and would answer 400, after
-	// which callers do not retry a request that has not been read.
+	// cutOff is set when a retired connection has ended inside headers, or the limit for them
+	// has passed. Nothing is written then: net/http takes the start of a line for a whole
+	// one and would answer 400, after which callers do not retry a request that has not
+	// been read.
 	cutOff atomic.Bool
 }
 
@@ -247,7 +249,7 @@
 		// The connection may be closed; its reader then gets the error.
 		_ = c.SetReadDeadline(time.Time{})
 	}
-	if err != nil && c.retired.Load() && c.waiting.Load() && c.inHeaders.Load() {
+	if err != nil && (c.retired.Load() || errors.Is(err, os.ErrDeadlineExceeded)) && c.waiting.Load() && c.inHeaders.Load() {
 		c.cutOff.Store(true)
 	}
 	return n, err
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -322,6 +322,27 @@
 	}
 }
 
+// Guards against an answer to headers that the limit cuts off. A router that was frozen
+// finds the limit passed and the rest of a proper request unread, and callers do not retry
+// after a 400.
+func TestHeaderLimitClosesWithoutAnAnswer(t *testing.T) {
+	for _, start := range []string{"GE", "GET / HTTP/1.1\r\nHost: h\r\nX-Par", "GET / HTTP/1.1\r\nHost: h\r\n"} {
+		t.Run(start, func(t *testing.T) {
+			t.Parallel()
+			s := serve(t)
+			s.SetHeaderLimit(time.Millisecond)
+			c := dial(t, s)
+			if _, err := io.WriteString(c, start); err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+			if answer, err := io.ReadAll(c); err != nil || len(answer) > 0 {
+				t.Errorf("got %q, %v; want a close", answer, err)
+			}
+		})
+	}
+}
+
 // Guards against a limit for headers that ends a connection which waits for a request, or a
 // request whose body takes longer.
 func TestHeaderLimitAppliesToHeadersOnly(t *testing.T) {
