forward: answer 408 to a body whose last line is late

What callers got: 400, which no caller retries, for a body in chunks of which only the end after the last chunk was missing at the deadline, because it came late or because the router was frozen.

Cause: net/http reports a read deadline that passes behind the last chunk as "unexpected EOF reading trailer" or "suspiciously long trailer", not as the deadline.

Evidence: TestCallerWithoutACompleteBodyAtItsDeadlineIsAnswered, with the body stopped before the last line end and inside a trailer, got 400 for both.

A malformed body that arrives in time still gets 400, as the same test checks.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -205,8 +205,9 @@
 	case errors.As(err, &tooLarge):
 		c.deny(http.StatusRequestEntityTooLarge, CauseTooLarge)
 		return false
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		// The caller has sent it slowly, or this router has read it late.
+	case errors.Is(err, os.ErrDeadlineExceeded), err != nil && !time.Now().Before(c.deadline):
+		// The caller has sent it slowly, or this router has read it late. net/http reports a
+		// deadline that passes after the last chunk as a malformed trailer.
 		c.writeProblem(http.StatusRequestTimeout, OutcomeNotRun, CauseBodyLate)
 		return false
 	case err != nil:
--- a/internal/forward/unread_test.go
+++ b/internal/forward/unread_test.go
@@ -312,9 +312,12 @@
 		wire   string
 		status int
 	}{
-		"stops by length":  {earlyAnswer{path: "/stream/x", key: "k1", length: 900}.head() + "xxx", http.StatusRequestTimeout},
-		"stops in chunks":  {earlyAnswer{path: "/stream/x", key: "k1"}.head() + "4\r\nxxxx\r\n4\r\nx", http.StatusRequestTimeout},
-		"malformed chunks": {earlyAnswer{path: "/stream/x", key: "k1"}.head() + "4\r\nxxxxxxxxxxxxxx", http.StatusBadRequest},
+		"stops by length":                {earlyAnswer{path: "/stream/x", key: "k1", length: 900}.head() + "xxx", http.StatusRequestTimeout},
+		"stops in chunks":                {earlyAnswer{path: "/stream/x", key: "k1"}.head() + "4\r\nxxxx\r\n4\r\nx", http.StatusRequestTimeout},
+		"stops in the size of a chunk":   {earlyAnswer{path: "/stream/x", key: "k1"}.head() + "4\r\nxxxx\r\n4", http.StatusRequestTimeout},
+		"stops before the last line end": {earlyAnswer{path: "/stream/x", key: "k1"}.head() + "4\r\nxxxx\r\n0\r\n", http.StatusRequestTimeout},
+		"stops in a trailer":             {earlyAnswer{path: "/stream/x", key: "k1"}.head() + "4\r\nxxxx\r\n0\r\nX-A: b\r\n", http.StatusRequestTimeout},
+		"malformed chunks":               {earlyAnswer{path: "/stream/x", key: "k1"}.head() + "4\r\nxxxxxxxxxxxxxx", http.StatusBadRequest},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
