--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -83,6 +83,10 @@
 // hostBase keeps the addresses of the soak test apart from those of other tests.
 const hostBase = "127.0.77."
 
+// proxyHost is the address of the proxies. The ports of 127.0.0.1 can all be taken by
+// connections of other tests that have just ended.
+const proxyHost = hostBase + "200"
+
 // startFleet starts a fleet that writes its records into a directory; into one that the
 // test removes if none is given.
 func startFleet(t *testing.T, routers int, recordsDir string) *fleet {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -48,7 +48,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", proxyHost+":0")
 	if err != nil {
 		return nil, err
 	}
