soak: routers stop together beside long answers; a rule on announced closes

Each schedule now stops all routers, or all but one, while streams take 2.4 s, and callers go on with all of them.

The rule "closes announced" follows from the platform's answers (consumers respect Connection: close) and docs/platform.md: every answer of a stopping router has it.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -58,8 +58,11 @@
 	kindPausedTogether = "routers paused together"
 )
 
-// kindStoreReturns is a fault that each schedule has.
-const kindStoreReturns = "store comes back from an older copy"
+// kindStoreReturns and kindServerCutsFirst are faults that each schedule has.
+const (
+	kindStoreReturns    = "store comes back from an older copy"
+	kindServerCutsFirst = "server breaks off inside the first event"
+)
 
 // kindRouterNoStore is a fault of the store as one router sees it.
 const kindRouterNoStore = "router disconnected from the store"
@@ -169,7 +172,7 @@
 		time.Sleep(duration)
 		s.SetPieces(0, 0)
 	}},
-	{"server breaks off inside the first event", func(f *fleet, selector int, duration time.Duration) {
+	{kindServerCutsFirst, func(f *fleet, selector int, duration time.Duration) {
 		f.mishandle(selector, []platformtest.Fault{platformtest.CutFirst, platformtest.ResetFirst}, duration)
 	}},
 	{"server answers twice", func(f *fleet, selector int, duration time.Duration) {
@@ -268,6 +271,7 @@
 			})
 		}
 	}},
+	{kindStoppedTogether, stopTogether},
 	{kindKilledTogether, func(f *fleet, selector int, duration time.Duration) {
 		f.disturbTogether(kindKilledTogether, selector, func(r *router) {
 			f.signal(r, syscall.SIGKILL)
@@ -406,7 +410,7 @@
 func (x fault) disrupts() subject {
 	switch x.kind {
 	case kindServerLeaves, kindServerPieces, kindServerWire, kindServerInforms, kindServerTrailers, kindServerCloses, kindServerIdle, kindServerEarly, kindServerFull, kindServerLarge,
-		kindRouterStopped, kindRouterReloaded, kindRouterSettings, kindBrokenEntry, kindConfigChanged, kindConfigStorm, kindRolling, kindKilledTogether, kindPausedTogether:
+		kindRouterStopped, kindRouterReloaded, kindRouterSettings, kindBrokenEntry, kindConfigChanged, kindConfigStorm, kindRolling, kindStoppedTogether, kindKilledTogether, kindPausedTogether:
 		return subjectNone
 	case kindRouterNoStore:
 		return subjectStore
@@ -422,7 +426,7 @@
 
 // severalRouters reports whether a fault takes the locks of the routers itself.
 func (x fault) severalRouters() bool {
-	return x.kind == kindRolling || x.kind == kindKilledTogether || x.kind == kindPausedTogether
+	return x.kind == kindRolling || x.kind == kindStoppedTogether || x.kind == kindKilledTogether || x.kind == kindPausedTogether
 }
 
 // target returns the name of the router or the server that a fault affects; empty
@@ -440,7 +444,7 @@
 }
 
 // selectors is the number of selectors, which have all variants of a fault for each server.
-const selectors = 9 * platformtest.VariantsOfSecond
+const selectors = servers * platformtest.VariantsOfSecond
 
 // One fault in seriesShare is the first of seriesLength of its kind, seriesPause apart.
 const (
@@ -451,8 +455,8 @@
 
 // drawSchedule draws a schedule of overlapping faults, of which some start at the
 // same time and some are series of one kind.
-// same time. A kind is drawn again only after all others, so that a short run has most of
-// them. A return of the store is always in the first half, as much of what follows depends on it.
+// A kind is drawn again only after all others, so that a short run has most of
+// them. The kinds of alwaysDrawn are in the first half, as much of what follows depends on them.
 func drawSchedule(seed uint64, length time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var list []fault
@@ -477,10 +481,22 @@
 			start += time.Duration(random.Int64N(int64(1500 * time.Millisecond)))
 		}
 	}
-	returns := slices.IndexFunc(faultKinds, func(k faultKind) bool { return k.name == kindStoreReturns })
-	return append(list, newFault(random, faultKinds[returns], time.Duration(random.Int64N(int64(length/2)))))
+	for _, name := range alwaysDrawn {
+		k := faultKinds[slices.IndexFunc(faultKinds, func(k faultKind) bool { return k.name == name })]
+		x := newFault(random, k, time.Duration(random.Int64N(int64(length/2))))
+		if name == kindServerCutsFirst && x.selector%servers < plainServers {
+			// Only engines send events.
+			x.selector += plainServers
+		}
+		list = append(list, x)
+	}
+	return list
 }
 
+// alwaysDrawn are the kinds that each schedule has: faults of the code that show only beside
+// them would be found in few runs otherwise.
+var alwaysDrawn = []string{kindStoreReturns, kindServerCutsFirst, kindStoppedTogether}
+
 // newFault draws the variant and the duration of a fault.
 func newFault(random *rand.Rand, k faultKind, start time.Duration) fault {
 	return fault{
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -99,7 +99,7 @@
 	if f.binary == "" {
 		f.build()
 	}
-	for i := range 9 {
+	for i := range servers {
 		f.addServer(i)
 	}
 	f.publish()
@@ -127,7 +127,10 @@
 }
 
 // plainServers is the number of plain servers; the other servers are engines.
-const plainServers = 3
+const (
+	servers      = 9
+	plainServers = 3
+)
 
 // Servers wait for a delay before each answer and each event. With longDelay a stream
 // lasts longer than a server may work on for a caller that has left; its gaps stay within
--- a/internal/soak/judgeanswers_test.go
+++ b/internal/soak/judgeanswers_test.go
@@ -35,6 +35,7 @@
 	{"cut answers", eachRequest(checkCut)},
 	{"unanswered", eachRequest(checkUnanswered)},
 	{"stop", checkStop},
+	{"closes announced", eachRequest(checkCloseAnnounced)},
 	{"ended by itself", checkExits},
 	{"deadlines", checkDeadlines},
 	{"timeouts", checkTimeouts},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -125,9 +125,7 @@
 	for _, r := range f.routers {
 		f.signal(r, syscall.SIGHUP)
 	}
-	for _, s := range f.servers[plainServers:] {
-		s.SetDelay(longDelay)
-	}
+	f.setEngineDelay(longDelay)
 	time.Sleep(recoveryTime)
 	for _, s := range leaving {
 		f.register(s, platformtest.StateReady)
