soak: each run ends with a return of the store while a router starts

Most schedules restart the routers after the return, which reads the new era from its beginning; others write more than was lost. The last fault of a run is now a return, and the checks of the views follow it.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -63,6 +63,10 @@
 	store   *platformtest.Store
 	servers []*server
 	routers []*router
+	// late is one more router, which starts in the last fault, and problems what that fault
+	// has found.
+	late     *router
+	problems []string
 
 	mu      sync.Mutex
 	version int
@@ -104,8 +108,9 @@
 	}
 	f.publish()
 	for i := range routers {
-		f.addRouter(i)
+		f.routers = append(f.routers, f.newRouter(i))
 	}
+	f.late = f.newRouter(routers)
 	f.routerLocks = make([]sync.Mutex, routers)
 	for _, r := range f.routers {
 		f.launch(r)
@@ -230,9 +235,14 @@
 	if len(f.copies) == 0 {
 		return
 	}
-	f.era++
 	// The older half is from before the writes that are to be lost.
-	f.store.Restore(f.copies[selector%((len(f.copies)+1)/2)], f.era)
+	f.restoreCopy(f.copies[selector%((len(f.copies)+1)/2)])
+}
+
+// restoreCopy lets the store come back from a copy. The caller holds f.mu.
+func (f *fleet) restoreCopy(c platformtest.Copy) {
+	f.era++
+	f.store.Restore(c, f.era)
 	f.records.add(storeRestored{Era: f.era})
 	// Later copies are of an era that has ended.
 	f.copies = nil
@@ -255,7 +265,7 @@
 	f.records.add(confirmedConfig(f.config))
 }
 
-func (f *fleet) addRouter(i int) {
+func (f *fleet) newRouter(i int) *router {
 	p, err := newProxy(f.store.Addr())
 	if err != nil {
 		f.t.Fatal(err)
@@ -269,9 +279,9 @@
 		// All routers receive digests on the same port.
 		r.ports[3] = f.routers[0].ports[3]
 	}
-	f.routers = append(f.routers, r)
 	r.file = filepath.Join(f.dir, r.name+".json")
 	f.writeSettings(r, nil)
+	return r
 }
 
 // writeSettings writes the settings file of a router, with some bounds overridden.
@@ -379,7 +389,7 @@
 // servers have written.
 func (f *fleet) findDisagreements() []string {
 	var problems []string
-	for _, r := range f.routers {
+	for _, r := range f.allRouters() {
 		status, err := r.status()
 		if err != nil {
 			problems = append(problems, fmt.Sprintf("%s has no status: %v", r.name, err))
@@ -413,7 +423,7 @@
 		}
 		f.register(s, state)
 		deadline := time.Now().Add(drainGrace + faultMargin)
-		for _, r := range f.routers {
+		for _, r := range f.allRouters() {
 			status, err := r.status()
 			for (err != nil || status.ConfigVersion != int64(f.version) || usableServers(status) != usable) && time.Now().Before(deadline) {
 				time.Sleep(20 * time.Millisecond)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -47,12 +48,13 @@
 	go f.copyStore(ctx)
 	go f.writeHeartbeats(ctx)
 	f.playFaults(schedule)
+	f.playFaults(lastReturn(*seedFlag))
 	time.Sleep(recoveryTime)
 	f.playPlannedWork()
 	cancel()
 	callers.Wait()
 	f.records.add(callersStopped{})
-	problems := append(f.findDisagreements(), f.findLateRouters()...)
+	problems := slices.Concat(f.problems, f.findDisagreements(), f.findLateRouters())
 	records, violations := f.judge()
 	problems = f.countingProblems(problems, records, violations)
 	for _, p := range problems {
@@ -141,7 +143,7 @@
 		return
 	}
 	files := []string{filepath.Join(f.recordsDir, recordsFile)}
-	for _, r := range f.routers {
+	for _, r := range f.allRouters() {
 		files = append(files, filepath.Join(f.dir, r.name+".log"))
 	}
 	for _, file := range files {
