soak: an answer that is cut at its deadline is no loss

Cause: the rule "cut answers" had no end at the caller's deadline, though the platform's LOST does not count it ("the deadline or the route's timeout was reached"). Until streams took 2.4 s beside a stop, none lasted as long as its caller's deadline.

--- a/internal/soak/judgetime_test.go
+++ b/internal/soak/judgetime_test.go
@@ -8,10 +8,11 @@
 )
 
 // checkCut: a request that has run gets a complete answer unless a fault of its router
-// or its servers explains the cut. Planned work and faults of the store explain none.
+// or its servers explains the cut, or it came at the caller's deadline or the route's timeout.
+// Planned work and faults of the store explain none.
 func checkCut(h *history, r *request) []violation {
 	cut := r.ended.present() && r.ended.event.Error != "" && !r.left.present()
-	if !cut || len(r.runs()) == 0 || r.brokenOff() || h.faultBeside(r) {
+	if !cut || len(r.runs()) == 0 || r.brokenOff() || h.faultBeside(r) || r.ended.at >= r.sent.at+h.timeLeftOf(r) {
 		return nil
 	}
 	return []violation{r.breaks("at %s ran and broke off beside no fault: %s", r.sent.event.Router, r.ended.event.Error)}
@@ -116,6 +117,18 @@
 	return longest
 }
 
+// timeLeftOf returns how long a router may work on a request: until its caller's deadline,
+// which is stated in milliseconds, or the shortest timeout that may be in force.
+func (h *history) timeLeftOf(r *request) time.Duration {
+	left := r.sent.event.Deadline.Truncate(time.Millisecond)
+	for _, c := range h.inForce(r) {
+		if route, _ := c.event.route(r.sent.event.Route); route.Timeout > 0 {
+			left = min(left, route.Timeout)
+		}
+	}
+	return left
+}
+
 // checkTimeouts: requests that last until their route's timeout are answered soon after
 // it. Half of them may be late, and a quarter from minLate on.
 func checkTimeouts(h *history) []violation {
