--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -484,9 +484,13 @@
 	for _, name := range alwaysDrawn {
 		k := faultKinds[slices.IndexFunc(faultKinds, func(k faultKind) bool { return k.name == name })]
 		x := newFault(random, k, time.Duration(random.Int64N(int64(length/2))))
-		if name == kindServerCutsFirst && x.selector%servers < plainServers {
-			// Only engines send events.
-			x.selector += plainServers
+		if name == kindServerCutsFirst {
+			// At once, since routers that stop refuse streams for seconds.
+			x.start = 0
+			if x.selector%servers < plainServers {
+				// Only engines send events.
+				x.selector += plainServers
+			}
 		}
 		list = append(list, x)
 	}
