--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -74,6 +74,9 @@
 			c.pipeline(r, a)
 			continue
 		}
+		if a.manner == stoppingInBody && c.random.IntN(deniedShare) > 0 {
+			a.key = unknownKey
+		}
 		if a.manner == leaving {
 			a.patience = time.Duration(c.random.Int64N(int64(maxLeavingTime)))
 		}
@@ -91,6 +94,11 @@
 	rotatingShare = 16
 	unknownShare  = 64
 	forgingShare  = 8
+	// All but one in deniedShare of the callers that stop in their body have an unknown key:
+	// the answer then does not depend on the body.
+	deniedShare = 4
+	// One target in targetShare is one of otherTargets.
+	targetShare = 8
 	// One body in largeShare has largeBody bytes more.
 	largeShare = 32
 	largeBody  = 64 << 10
@@ -241,6 +249,9 @@
 	}
 	_ = conn.SetDeadline(time.Now().Add(a.patience))
 	sendError := c.write(conn, event.ID, req, a.manner)
+	if a.manner == closingSide {
+		c.closeSide(conn, event.ID)
+	}
 	if a.manner == readingLate {
 		time.Sleep(time.Duration(c.random.Int64N(int64(maxReadPause))))
 	}
@@ -248,7 +259,7 @@
 		_ = conn.SetDeadline(time.Now().Add(stoppedTime))
 	}
 	o, keep := c.readAnswer(conn, req, event.ID, a, sendError, true)
-	if !keep || sendError != nil || a.manner.stops() {
+	if !keep || sendError != nil || a.manner.ends() {
 		c.drop(r)
 	}
 	return o
@@ -270,6 +281,10 @@
 	if a.manner == chunked {
 		req.ContentLength = -1
 	}
+	target := req.URL.RequestURI()
+	if c.random.IntN(targetShare) == 0 {
+		target, req.URL.Opaque = c.drawTarget(a.route)
+	}
 	req.Host = "h.example"
 	req.Header.Set(platformtest.HeaderRequestID, id)
 	req.Header.Set(platformtest.HeaderDeadline, strconv.FormatInt(a.timeLeft.Milliseconds(), 10))
@@ -287,7 +302,7 @@
 		}
 	}
 	return req, requestSent{
-		ID: id, Router: r.name, Route: a.route, Method: req.Method, Target: req.URL.RequestURI(), Key: a.key, Body: contentOf(body),
+		ID: id, Router: r.name, Route: a.route, Method: req.Method, Target: target, Key: a.key, Body: contentOf(body),
 		Deadline: a.timeLeft, Model: req.Header.Get(platformtest.HeaderModel), Prompt: req.Header.Get(platformtest.HeaderPrompt),
 		Manner: a.manner.String(), RetryOf: a.retryOf, Behind: a.behind, LastEvent: a.lastEvent,
 	}
@@ -363,7 +378,7 @@
 	if idle := secondsOf(strings.TrimPrefix(h.Get("Keep-Alive"), "timeout=")); idle > 0 {
 		conn.expires = time.Now().Add(idle)
 	}
-	o.served, o.ended = resp.StatusCode == http.StatusOK, a.manner.stops()
+	o.served, o.ended = resp.StatusCode == http.StatusOK, a.manner.ends()
 	return o, !resp.Close && len(extra) == 0
 }
 
@@ -380,7 +395,7 @@
 // was to or has stopped, and has had enough.
 func (c *caller) failed(conn *callerConn, o outcome, body string, at stage, err error, a ask) outcome {
 	timeout := errors.Is(err, os.ErrDeadlineExceeded)
-	if o.ended = a.manner.stops() || timeout && a.patience < answerTimeout; o.ended && timeout {
+	if o.ended = a.manner.ends() || timeout && a.patience < answerTimeout; o.ended && timeout {
 		_ = conn.Close()
 		c.f.records.add(callerLeft{ID: o.id})
 		return o
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -478,7 +478,8 @@
 		}
 	}
 	returns := slices.IndexFunc(faultKinds, func(k faultKind) bool { return k.name == kindStoreReturns })
-	return append(list, newFault(random, faultKinds[returns], time.Duration(random.Int64N(int64(length/2)))))
+	list = append(list, newFault(random, faultKinds[returns], time.Duration(random.Int64N(int64(length/2)))))
+	return append(list, newFault(random, killedInAnswers, time.Duration(random.Int64N(int64(length)))))
 }
 
 // newFault draws the variant and the duration of a fault.
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -39,6 +39,8 @@
 	Calm         time.Duration `json:"calm"`
 	// Recovery is the time after the last fault from which requests must be served.
 	Recovery time.Duration `json:"recovery"`
+	// HeaderMargin is what a router may add to the limit for headers.
+	HeaderMargin time.Duration `json:"header_margin"`
 	// Margin allows for requests in progress when a fault begins or ends.
 	Margin time.Duration `json:"margin"`
 }
@@ -48,7 +50,7 @@
 		Stable: 3 * time.Second, ConfigApply: 2 * time.Second, Skew: 5 * time.Second, Regress: 250 * time.Millisecond,
 		Drain: drainGrace, Loss: 200 * time.Millisecond, Late: 500 * time.Millisecond, Unready: 4 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 240, RetryWindow: 10 * time.Second, LoadMultiple: 2, Calm: 5 * time.Second,
-		Recovery: recoveryTime, Margin: faultMargin,
+		Recovery: recoveryTime, HeaderMargin: time.Second, Margin: faultMargin,
 	}
 }
 
@@ -387,6 +389,12 @@
 	if h.disturbed(subjectRouter, r.sent.event.Router, from, to) {
 		return true
 	}
+	return h.serverFaultBeside(r)
+}
+
+// serverFaultBeside is faultBeside for the servers alone.
+func (h *history) serverFaultBeside(r *request) bool {
+	from, to := r.sent.at-h.bounds.Margin, h.endOf(r)+h.bounds.Margin
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool {
 		return h.disturbed(subjectServer, a.arrived.event.Server, from, to)
 	})
--- a/internal/soak/judgeanswers_test.go
+++ b/internal/soak/judgeanswers_test.go
@@ -32,6 +32,9 @@
 	{"regress", checkRegress},
 	{"later routes", checkLaterRoutes},
 	{"leaving servers", checkDrain},
+	{"failures", eachRequest(checkFailure)},
+	{"late events", checkLateEvents},
+	{"stopped callers", eachRequest(checkStopped)},
 	{"cut answers", eachRequest(checkCut)},
 	{"unanswered", eachRequest(checkUnanswered)},
 	{"stop", checkStop},
@@ -92,8 +95,9 @@
 }
 
 // checkWholeBody: a success that looks complete has the whole body of a server. Where
-// only the end of the connection marks the end, a fault of the router or the server, or
-// a server that broke off, explains missing bytes at the end, but no other bytes.
+// only the end of the connection marks the end, a fault of the server, or a server that
+// broke off, explains missing bytes at the end, but no other bytes. A router that ends
+// must reset such a connection.
 func checkWholeBody(h *history, r *request) []violation {
 	if !r.success() || !r.complete() {
 		return nil
@@ -110,7 +114,7 @@
 	if whole || h.isStream(r) && r.joinedWhole() {
 		return nil
 	}
-	if r.ended.event.Framing == framingClose && r.startOfAnswer() && (h.faultBeside(r) || r.brokenOff()) {
+	if r.ended.event.Framing == framingClose && r.startOfAnswer() && (h.serverFaultBeside(r) || r.brokenOff()) {
 		return nil
 	}
 	return []violation{r.breaks("got a body of %d bytes that looks complete and is no server's whole body", body.Bytes)}
@@ -137,11 +141,18 @@
 
 const eventEnd = "\n\n"
 
-func endsBetweenEvents(body string) bool { return body == "" || strings.HasSuffix(body, eventEnd) }
+// withLineFeeds returns a stream whose lines end with line feeds. Servers may end them with
+// CR LF; a carriage return alone ends no line for many callers.
+func withLineFeeds(body string) string { return strings.ReplaceAll(body, "\r\n", "\n") }
+
+func endsBetweenEvents(body string) bool {
+	return body == "" || strings.HasSuffix(withLineFeeds(body), eventEnd)
+}
 
 // eventsOf returns the whole events of a stream. What follows the last one is left out.
 func eventsOf(body string) []streamEvent {
 	var list []streamEvent
+	body = withLineFeeds(body)
 	for {
 		text, rest, found := strings.Cut(body, eventEnd)
 		if !found {
@@ -209,6 +220,8 @@
 	}
 	for _, r := range h.requests {
 		switch {
+		case r.status() != 0 && !isFinal(r.status()):
+			list = append(list, r.breaks("was answered with status %d, which is no final one", r.status()))
 		case r.ended.event.Extra != "":
 			list = append(list, r.breaks("was answered with further bytes: %q", r.ended.event.Extra))
 		case r.ended.event.Stage == stageParse && !r.brokenOff():
--- a/internal/soak/judgetime_test.go
+++ b/internal/soak/judgetime_test.go
@@ -80,15 +80,28 @@
 	return list
 }
 
+// maxLateDeadlines is how many requests that reach a server late may have more time than
+// their callers have left; the platform tolerates 20. A request may also be late because
+// its router has read it late.
+const maxLateDeadlines = 3
+
 // checkDeadlines: servers are told no more time than the caller has left, give or take
-// the slack, by routers in touch over sound links.
+// the slack, by routers in touch over sound links. Of the requests that reach a server
+// late, as after a silent one that has not read them, a fifth may have more.
 func checkDeadlines(h *history) []violation {
 	var list []violation
+	late, over := 0, []int{}
 	h.eachRun(func(a *attempt, r *request) {
 		given, asked := a.arrived.event.Deadline, r.sent.event.Deadline
 		if h.heldUp(a) || !h.inTouch(r.sent.event.Router, a.arrived.at) {
 			return
 		}
+		if turn := h.turnOf(r); a.arrived.at > turn+h.bounds.Late {
+			late++
+			if a.arrived.at+given > turn+asked+h.bounds.Late {
+				over = append(over, r.sent.line, a.arrived.line)
+			}
+		}
 		switch first := r.attempts[0]; {
 		case given == 0:
 			list = append(list, a.breaks(r, "was passed on without a deadline"))
@@ -98,6 +111,9 @@
 			list = append(list, a.breaks(r, "was sent once more with a later deadline"))
 		}
 	})
+	if n := len(over) / 2; n > maxLateDeadlines && 5*n > late {
+		list = append(list, violation{Text: fmt.Sprintf("%d of %d requests that came late had more time than their callers", n, late), Lines: over})
+	}
 	return list
 }
 
--- a/internal/soak/manner_test.go
+++ b/internal/soak/manner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"time"
 )
@@ -26,6 +27,8 @@
 	stoppingInBody
 	// readingLate: the caller reads only after a pause.
 	readingLate
+	// closingSide: the caller closes its sending side, and reads on.
+	closingSide
 	// pipelining: with others behind it in the same write.
 	pipelining
 )
@@ -45,6 +48,7 @@
 	stoppingInHeaders: {"stopping in headers", 4},
 	stoppingInBody:    {"stopping in body", 4},
 	readingLate:       {"reading late", 12},
+	closingSide:       {"closing its side", 20},
 	pipelining:        {"pipelining", 30},
 }
 
@@ -53,6 +57,9 @@
 // stops reports whether the request is never sent whole.
 func (m manner) stops() bool { return m == stoppingInHeaders || m == stoppingInBody }
 
+// ends reports whether the connection carries no request after it.
+func (m manner) ends() bool { return m.stops() || m == closingSide }
+
 const (
 	// maxLeavingTime is the longest time after which a caller that is to leave does.
 	maxLeavingTime = 60 * time.Millisecond
@@ -60,8 +67,11 @@
 	dripPause      = 40 * time.Millisecond
 	// maxReadPause is shorter than the deadline, so that the caller still reads an answer.
 	maxReadPause = 1500 * time.Millisecond
-	// stoppedTime is how long a caller that has stopped keeps its connection.
-	stoppedTime = 1500 * time.Millisecond
+	// headerTimeout is the limit of the configurations for headers; dripping ones take a
+	// third of a second. stoppedTime is how long a caller that has stopped keeps its
+	// connection: longer than the limit, a second that routers add, and the judge's slack.
+	headerTimeout = 500 * time.Millisecond
+	stoppedTime   = 2200 * time.Millisecond
 	// maxPipelined is the number of requests in one write.
 	maxPipelined = 4
 )
@@ -132,6 +142,27 @@
 	return nil
 }
 
+// closeSide ends the sending side of a connection soon. The caller has left for its router
+// and its servers, but reads what still comes: an answer that is not whole must not look so.
+func (c *caller) closeSide(conn *callerConn, id string) {
+	time.Sleep(time.Duration(c.random.Int64N(int64(maxLeavingTime))))
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		// An error means that the router has closed the connection.
+		_ = tcp.CloseWrite()
+	}
+	c.f.records.add(callerLeft{ID: id})
+}
+
+// otherTargets are targets that a router which decodes them would change.
+var otherTargets = []string{"/x%2Fy%20z", "/%78?q=%7C&r=a+b", "/x/../y//z?", "/x;a=1?http://h/?"}
+
+// drawTarget draws a target of a route, and the form in which it is sent: callers may name
+// the scheme and the host before it.
+func (c *caller) drawTarget(route string) (target, form string) {
+	target = "/" + route + otherTargets[c.random.IntN(len(otherTargets))]
+	return target, []string{"", "http://h.example"}[c.random.IntN(2)] + target
+}
+
 // pipeline sends several requests in one write and reads their answers in turn. It does
 // not send them again.
 func (c *caller) pipeline(r *router, a ask) {
--- a/internal/soak/observer_test.go
+++ b/internal/soak/observer_test.go
@@ -140,7 +140,7 @@
 
 // begin notes the headers of the answer, and whether the server has refused the request.
 func (a *observedAnswer) begin(status int) {
-	if a.given.Status != 0 || status < http.StatusOK {
+	if a.given.Status != 0 || status < http.StatusOK && status != http.StatusSwitchingProtocols {
 		return
 	}
 	a.request.record()
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -207,6 +207,8 @@
 		Version    int                 `json:"version"`
 		Routes     []routeRecord       `json:"routes"`
 		Workspaces []workspaceOfRecord `json:"workspaces"`
+		// HeaderTimeout is the limit for the headers of requests; 0 without one.
+		HeaderTimeout time.Duration `json:"header_timeout,omitempty"`
 	}
 	routeRecord struct {
 		Name      string        `json:"name"`
--- a/internal/soak/recorder_test.go
+++ b/internal/soak/recorder_test.go
@@ -85,7 +85,7 @@
 
 // confirmedConfig returns the record of a configuration.
 func confirmedConfig(c platformtest.Config) configConfirmed {
-	e := configConfirmed{Version: c.Version}
+	e := configConfirmed{Version: c.Version, HeaderTimeout: c.HeaderTimeout}
 	for _, r := range c.Routes {
 		e.Routes = append(e.Routes, routeRecord{
 			Name: r.Name, Kind: r.Kind, Pool: r.Pool, Attempts: r.Attempts, Resumable: r.Resumable, Public: r.Public, Timeout: r.Timeout,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,6 +48,8 @@
 	go f.writeHeartbeats(ctx)
 	f.playFaults(schedule)
 	time.Sleep(recoveryTime)
+	f.playTrials()
+	time.Sleep(recoveryTime)
 	f.playPlannedWork()
 	cancel()
 	callers.Wait()
--- /dev/null
+++ b/internal/soak/trials_test.go
@@ -0,0 +1,162 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
+)
+
+// Trials are faults of servers that each run plays while nothing else is disturbed: what
+// they show needs a router in touch, or several servers that misbehave at once, which
+// random faults seldom give.
+const (
+	kindTrialFailing = "server fails with large answers"
+	kindTrialSilent  = "server silent in calm"
+	kindTrialOdd     = "server gives odd answers"
+	kindTrialNoID    = "server sends late refusals without an id"
+)
+
+const (
+	failingTime = 300 * time.Millisecond
+	// quietTime is longer than routers wait for a server before they turn to another one,
+	// three times the objective of the routes, and than the judge's slack.
+	quietTime = 1300 * time.Millisecond
+	oddTime   = 700 * time.Millisecond
+	noIDTime  = 400 * time.Millisecond
+	// One request in faultyShare gets an answer that ejects its server, so that servers are
+	// seldom ejected before the end of the trial.
+	faultyShare = 5
+)
+
+// playTrials plays the trials one after the other.
+func (f *fleet) playTrials() {
+	plain, engines := f.servers[:plainServers], f.servers[plainServers:]
+	f.try(kindTrialFailing, subjectNone, plain, failingTime, func(s *server) { s.SetFaults(failing(inTurn())) }, withoutFaults)
+	time.Sleep(2 * faultMargin)
+	f.try(kindTrialSilent, subjectServer, plain[1:2], quietTime, func(s *server) { s.proxy.setMode(silent) }, func(s *server) {
+		s.proxy.setMode(reset)
+		s.proxy.setMode(pass)
+	})
+	odd := &oddAnswers{begun: map[string]platformtest.Fault{}, draw: inTurn()}
+	engines[0].SetFraming(platformtest.Unframed)
+	f.try(kindTrialOdd, subjectServer, f.servers, oddTime, func(s *server) { s.SetFaults(odd.choose) }, withoutFaults)
+	engines[0].SetFraming(platformtest.Framed)
+	f.try(kindTrialNoID, subjectServer, f.servers, noIDTime, func(s *server) {
+		s.SetHabits(platformtest.Habits{Second: platformtest.SecondAnswer{
+			Timing: platformtest.SecondWithNext, Status: http.StatusServiceUnavailable, NoID: true, NotRun: true,
+		}})
+		s.SetFaults(twice(inTurn()))
+	}, func(s *server) {
+		withoutFaults(s)
+		s.SetHabits(platformtest.Habits{})
+	})
+}
+
+// try lets servers misbehave at the same time and records the fault of each.
+func (f *fleet) try(kind string, disrupt subject, servers []*server, length time.Duration, begin, end func(*server)) {
+	var all sync.WaitGroup
+	for _, s := range servers {
+		all.Go(func() {
+			f.recordFault(faultStarted{Kind: kind, Target: s.ID, Disrupt: disrupt}, func() {
+				begin(s)
+				time.Sleep(length)
+				end(s)
+			})
+		})
+	}
+	all.Wait()
+}
+
+func withoutFaults(s *server) { s.SetFaults(nil) }
+
+// inTurn returns a function that returns the numbers from 0 on, one a call.
+func inTurn() func() int {
+	var mu sync.Mutex
+	n := 0
+	return func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		return n - 1
+	}
+}
+
+// failing returns the faults of a server that fails each request that may be repeated, and
+// a few of the others: their failures would eject it.
+func failing(turn func() int) func(*http.Request) platformtest.Fault {
+	return func(r *http.Request) platformtest.Fault {
+		if strings.HasPrefix(r.URL.Path, "/unsafe/") && turn()%faultyShare > 0 {
+			return platformtest.None
+		}
+		return platformtest.FailLarge
+	}
+}
+
+// twice returns the faults of a server that answers some requests twice.
+func twice(turn func() int) func(*http.Request) platformtest.Fault {
+	return func(*http.Request) platformtest.Fault {
+		if turn()%faultyShare > 0 {
+			return platformtest.None
+		}
+		return platformtest.AnswerTwice
+	}
+}
+
+// oddAnswers chooses the faults of all servers. A request that a router sends on to another
+// engine after one has broken off is continued there in an odd way; one that a caller
+// resumes has another id and is not.
+type oddAnswers struct {
+	draw func() int
+
+	mu    sync.Mutex
+	begun map[string]platformtest.Fault
+}
+
+var (
+	firstOdd = []platformtest.Fault{platformtest.Cut, platformtest.EndInEvent, platformtest.CutInLineEnd, platformtest.None,
+		platformtest.CutBetween, platformtest.UndefinedStatus, platformtest.CutInLineEnd, platformtest.Switching}
+	laterOdd = []platformtest.Fault{platformtest.StartAgain, platformtest.OtherSuccess}
+)
+
+func (o *oddAnswers) choose(r *http.Request) platformtest.Fault {
+	id, n := r.Header.Get(platformtest.HeaderRequestID), o.draw()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	first, again := o.begun[id]
+	switch {
+	case again && slices.Contains([]platformtest.Fault{platformtest.Cut, platformtest.CutBetween}, first):
+		return laterOdd[n%len(laterOdd)]
+	case again || r.Header.Get(platformtest.HeaderLastEvent) != "":
+		return platformtest.None
+	}
+	o.begun[id] = firstOdd[n%len(firstOdd)]
+	return o.begun[id]
+}
+
+// slowTime lets most callers of a router be inside a stream.
+const slowTime = 3 * longDelay
+
+// killedInAnswers is a fault that each schedule has: a router is killed while its callers
+// are inside answers that end with their connection.
+var killedInAnswers = faultKind{"router killed inside answers", func(f *fleet, selector int, duration time.Duration) {
+	r := f.routers[selector%len(f.routers)]
+	for _, s := range f.servers[plainServers:] {
+		s.SetFraming(platformtest.Unframed)
+		s.SetDelay(longDelay)
+	}
+	time.Sleep(slowTime)
+	f.signal(r, syscall.SIGKILL)
+	r.wait()
+	for _, s := range f.servers[plainServers:] {
+		s.SetFraming(platformtest.Framed)
+		s.SetDelay(answerDelay)
+	}
+	time.Sleep(duration)
+	f.launch(r)
+	f.awaitReady(r)
+}}
