--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -61,6 +61,9 @@
 // one to another pool.
 var routesOfCallers = []string{"safe", "unsafe", "stream", "resume", "moved"}
 
+// repeatableRoutes are those whose requests may be repeated.
+var repeatableRoutes = []string{"safe", "resume", "moved"}
+
 // changingRoutes are a route that some configurations lack, and one that all do.
 var changingRoutes = []string{"extra", "never"}
 
@@ -135,6 +138,9 @@
 }
 
 func (c *caller) drawRoute() string {
+	if c.f.repeatable.Load() {
+		return repeatableRoutes[c.random.IntN(len(repeatableRoutes))]
+	}
 	if c.random.IntN(changingShare) == 0 {
 		return changingRoutes[c.random.IntN(len(changingRoutes))]
 	}
