soak: callers that press in a trial, and a 503 without a statement

Eight callers that do not wait now send safe requests while all servers of a pool fail, for a second, and each trial has some 503.

--- a/internal/soak/trials_test.go
+++ b/internal/soak/trials_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -22,7 +24,10 @@
 )
 
 const (
-	failingTime = 300 * time.Millisecond
+	// Callers that press send a request as soon as the one before is answered. Within
+	// failingTime each repeat costs more of the retry budget than its request adds.
+	failingTime    = 1 * time.Second
+	pressingNumber = 8
 	// quietTime is longer than routers wait for a server before they turn to another one:
 	// three times the objective of the routes, or a second on streams.
 	quietTime = 1300 * time.Millisecond
@@ -42,7 +47,9 @@
 		f.publish()
 	}
 	f.repeatable.Store(true)
+	pressing := f.press()
 	f.try(kindTrialFailing, subjectNone, plain, failingTime, func(s *server) { s.SetFaults(failing(inTurn())) }, withoutFaults)
+	pressing.Wait()
 	time.Sleep(2 * faultMargin)
 	f.try(kindTrialSilent, subjectServer, slices.Concat(plain[1:], engines[:len(engines)/2]), quietTime, func(s *server) { s.proxy.setMode(silent) }, func(s *server) {
 		s.proxy.setMode(reset)
@@ -64,6 +71,23 @@
 	})
 }
 
+// press sends safe requests without pauses for failingTime, as callers do that do not wait
+// after a failure.
+func (f *fleet) press() *sync.WaitGroup {
+	var all sync.WaitGroup
+	end := time.Now().Add(failingTime)
+	for i := range pressingNumber {
+		c := newCaller(f, fmt.Sprintf("p%d", i), rand.New(rand.NewPCG(*seedFlag, uint64(callersOfSoak+i)+2)))
+		all.Go(func() {
+			defer c.close()
+			for time.Now().Before(end) {
+				c.send(f.routers[i%len(f.routers)], "safe", steadyKey, answerTimeout)
+			}
+		})
+	}
+	return &all
+}
+
 // try lets servers misbehave at the same time and records the fault of each.
 func (f *fleet) try(kind string, disrupt subject, servers []*server, length time.Duration, begin, end func(*server)) {
 	var all sync.WaitGroup
@@ -126,7 +150,7 @@
 
 var (
 	firstOdd = []platformtest.Fault{platformtest.Cut, platformtest.EndInEvent, platformtest.CutInLineEnd, platformtest.None,
-		platformtest.CutBetween, platformtest.UndefinedStatus, platformtest.CutInLineEnd, platformtest.Switching}
+		platformtest.CutBetween, platformtest.UndefinedStatus, platformtest.CutInLineEnd, platformtest.Switching, platformtest.Busy}
 	laterOdd = []platformtest.Fault{platformtest.StartAgain, platformtest.OtherSuccess}
 )
 
