--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -494,7 +494,7 @@
 		}
 		list = append(list, x)
 	}
-	return list
+	return append(list, newFault(random, killedInAnswers, time.Duration(random.Int64N(int64(length)))))
 }
 
 // alwaysDrawn are the kinds that each schedule has: faults of the code that show only beside
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,6 +50,8 @@
 	f.playFaults(schedule)
 	f.playFaults(lastReturn(*seedFlag))
 	time.Sleep(recoveryTime)
+	f.playTrials()
+	time.Sleep(recoveryTime)
 	f.playPlannedWork()
 	cancel()
 	callers.Wait()
