registry: a removal that only a later list of an era shows is sent to the others

The first list of an era may be of an older copy and have a server that the reader knows to have left. The reader ignores that entry. When the record of the removal is written again and the store deletes it before the reader gets there, the reader finds it only in a second list, which lacks the server. That changes nothing for the reader, so it told nobody, and a router that knows the servers from the copy only used the server until its own read, 30 s later. The registry now remembers such entries of the first list and reports their absence once, with the position of the list's end, like the records that are written again.

go test ./internal/front -run TestRemovalFoundByAListReachesARouterThatKnowsOnlyTheCopy: before: timed out after 20 s; after: passes in 4.2 s, 2 s of which it waits for a running read

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -292,6 +292,26 @@
 	})
 }
 
+// Guards against a router that knows the servers from the older copy only and keeps one that
+// has left, because the readers knew that before and find it again only in a list: the
+// store has deleted the record of it.
+func TestRemovalFoundByAListReachesARouterThatKnowsOnlyTheCopy(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	old := f.store.Copy()
+	f.store.Put(platform.TopicServers, f.engines[1].ID, nil)
+	f.waitFor("a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 }) })
+	f.readersEnterEra(old, 5)
+	late := f.addRouter()
+	late.start()
+	f.waitFor("a router that starts has the copy's servers", func() bool {
+		return late.isReady() && late.serversIn("ready") == 3 && !late.front.Status().Reader
+	})
+	// A read that waits at the store since the start ends within 1.8 s.
+	time.Sleep(2 * time.Second)
+	f.store.PutAndDropHistory(platform.TopicServers, f.engines[1].ID, nil)
+	f.waitFor("it knows that the server is gone", func() bool { return late.serversIn("ready") == 2 })
+}
+
 // Guards against a router that had not read the newest configuration before the store
 // lost it and gets it only by its own read 30 s after the operators have written it
 // again, because the readers had it before and report no change.
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -226,7 +226,11 @@
 		position := logpos.Position{Era: batch.Next.Era, Offset: r.Offset}
 		entries = append(entries, registry.Entry{ID: r.Key, Server: t.decodeServer(r), Position: position})
 	}
-	if again := t.servers.WrittenAgain(entries); len(again) > 0 {
+	again := t.servers.WrittenAgain(entries)
+	if batch.Full {
+		again = append(again, t.servers.RemovedAgain(entries, batch.Next)...)
+	}
+	if len(again) > 0 {
 		t.progress.recordWrittenAgain(again)
 		t.exchange.SendSoon()
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -84,6 +84,9 @@
 	// copyEnd is the position after the first list of the store's era. Earlier records of
 	// the era may come from the older copy with which it began.
 	copyEnd logpos.Position
+	// returned names the servers that were known to have left and that the first list of
+	// the store's era has, until something later is read about them.
+	returned map[string]bool
 	// pendingRemovals holds the removals whose grace period has not ended.
 	pendingRemovals map[string]removal
 }
@@ -99,6 +102,7 @@
 	return &Registry{
 		servers:         map[string]*Server{},
 		known:           map[string]Entry{},
+		returned:        map[string]bool{},
 		pendingRemovals: map[string]removal{},
 	}
 }
@@ -127,6 +131,7 @@
 
 func (r *Registry) apply(changes []Change, now time.Time, e Entry, graceUntil time.Time) []Change {
 	r.known[e.ID] = e
+	delete(r.returned, e.ID)
 	if e.Server == nil {
 		return r.remove(changes, now, e, graceUntil)
 	}
@@ -140,6 +145,7 @@
 func (r *Registry) Replace(now time.Time, entries []Entry, next logpos.Position, graceUntil time.Time) (changes []Change, outdated []Entry) {
 	if r.copyEnd.Era < next.Era {
 		r.copyEnd = next
+		clear(r.returned)
 	}
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -148,6 +154,9 @@
 		case e.Position.Before(r.known[e.ID].Position):
 		case r.isOutdated(e):
 			outdated = append(outdated, e)
+			if r.known[e.ID].Server == nil {
+				r.returned[e.ID] = true
+			}
 		default:
 			changes = r.apply(changes, now, e, graceUntil)
 		}
@@ -192,6 +201,29 @@
 	return again
 }
 
+// RemovedAgain returns the removals that a list shows by lacking servers which the first
+// list of the era had, and which were known to have left before. Like the records of
+// WrittenAgain they change nothing here. It is called before Replace, and returns each once.
+func (r *Registry) RemovedAgain(entries []Entry, next logpos.Position) []Entry {
+	if r.copyEnd.Era != next.Era {
+		return nil
+	}
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+	}
+	var again []Entry
+	for id := range r.returned {
+		if !listed[id] {
+			again = append(again, Entry{ID: id, Position: next.Prev()})
+			r.known[id] = Entry{ID: id, Position: next.Prev()}
+			delete(r.returned, id)
+		}
+	}
+	slices.SortFunc(again, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return again
+}
+
 func sameServer(a, b *Server) bool {
 	if a == nil || b == nil {
 		return a == b
