--- a/internal/registry/again_test.go
+++ b/internal/registry/again_test.go
@@ -7,6 +7,25 @@
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 )
 
+// Guards against a server that has left and gets requests again, because the first list of
+// an era has a later incarnation than any that was seen here: the record of its removal may
+// have hidden that incarnation, as only the newest record of a key is applied. It is
+// used when it is written again, as each live server does.
+func TestLaterIncarnationInTheFirstListOfAnEraMayHaveLeft(t *testing.T) {
+	r := New()
+	r.Apply(start, []Entry{inEra(4, 90, readyEntry("a", 5))}, time.Time{})
+	// Records 91 to 99 had the start of incarnation 7.
+	r.Apply(start, []Entry{inEra(4, 100, Entry{ID: "a"})}, time.Time{})
+	r.Replace(start, []Entry{inEra(5, 10, readyEntry("a", 7))}, logpos.Position{Era: 5, Offset: 20}, time.Time{})
+	if got := r.state("a"); got != "gone" {
+		t.Errorf("%s after the list, want gone", got)
+	}
+	r.Apply(start, []Entry{inEra(5, 20, readyEntry("a", 7))}, time.Time{})
+	if got := r.state("a"); got != "ready" {
+		t.Errorf("%s after its next record, want ready", got)
+	}
+}
+
 // Guards against a removal that only a second list of an era shows and that is not passed
 // on, because it changes nothing for a router that knew it before the era: one that has
 // the entry of the copy would keep it.
