--- a/internal/front/trace_test.go
+++ b/internal/front/trace_test.go
@@ -32,7 +32,9 @@
 // traceSecond is what happened in a second.
 type traceSecond struct {
 	calls, became, dropped int
-	latest                 time.Duration
+	// outages is how often a call to the store failed after one that did not.
+	outages int
+	latest  time.Duration
 }
 
 // second returns the figures of the present second. The caller holds f.mu.
@@ -124,8 +126,9 @@
 	t.Logf("%d routers called: the first three %d times, %d that became readers %d times, others %d times; timers were up to %s late",
 		callers, ofFirst, len(readers), ofReaders, ofOthers, f.latest)
 	for n, s := range f.seconds {
-		if s.became > 0 || s.dropped > 0 || s.latest > 100*time.Millisecond || s.calls > 30 {
-			t.Logf("second %d: %d calls, %d routers became readers, %d datagrams dropped, timers %s late", n, s.calls, s.became, s.dropped, s.latest.Round(time.Millisecond))
+		if s.became > 0 || s.outages > 0 || s.dropped > 0 || s.latest > 100*time.Millisecond || s.calls > 30 {
+			t.Logf("second %d: %d calls, %d began to fail, %d routers became readers, %d datagrams dropped, timers %s late",
+				n, s.calls, s.outages, s.became, s.dropped, s.latest.Round(time.Millisecond))
 		}
 	}
 	const most = 6
@@ -169,6 +172,11 @@
 	for i := 0; i+1 < len(args); i += 2 {
 		fields[fmt.Sprint(args[i])] = args[i+1]
 	}
+	if fields["event"] == event.StoreUnavailable.ID {
+		l.trace.mu.Lock()
+		defer l.trace.mu.Unlock()
+		l.trace.second().outages++
+	}
 	if fields["event"] != event.ReaderChanged.ID || fields["reader"] != true {
 		return
 	}
