--- a/internal/balance/loads_test.go
+++ b/internal/balance/loads_test.go
@@ -57,6 +57,12 @@
 		p.Begin(start, at(p.members[0]), Job{})
 	}
 	list := servers(4)
+	list[0].Leaving = true
+	p.SetServers(list)
+	if got := p.mean(start); got != 0 {
+		t.Errorf("mean %v of idle servers beside a leaving one, want 0", got)
+	}
+	list = servers(4)
 	for _, s := range list[1:] {
 		s.Leaving = true
 	}
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -216,3 +217,44 @@
 		t.Errorf("the send buffer has %d bytes, want %d", size, 2*sendBuffer)
 	}
 }
+
+// Guards against a stop that waits for the idle limit of a connection whose request ended
+// meanwhile.
+func TestConnectionThatBecomesIdleInADrainEnds(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	s := serveWith(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-release
+		w.Header().Set("Content-Length", "0")
+	})
+	c := dial(t, s)
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-begun
+	if err := s.Drain(); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	if answer, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200") {
+		t.Errorf("answer %q, error %v; want the answer and the end of the connection", answer, err)
+	}
+}
+
+// Guards against connections that outlive the server.
+func TestCloseEndsConnections(t *testing.T) {
+	s, err := Listen("127.0.0.1:0", http.NotFoundHandler(), hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	c := dial(t, s)
+	sendRequest(t, s, c, 1)
+	if err := errors.Join(s.Close(), <-done); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection ended with %v after Close", err)
+	}
+}
--- a/internal/forward/attempt_test.go
+++ b/internal/forward/attempt_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/retrybudget"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
@@ -431,6 +433,17 @@
 	}
 }
 
+// Guards against a server that is blamed because a kept connection was closed before the
+// request: net/http found it closed, and nothing was sent.
+func TestClosedIdleConnectionIsNoFailureOfTheServer(t *testing.T) {
+	t.Parallel()
+	c := &call{r: httptest.NewRequest(http.MethodGet, "/", nil)}
+	res := c.classifySendError(context.Background(), net.ErrClosed, true)
+	if res.outcome != balance.Cancelled || res.mayHaveRun {
+		t.Errorf("%+v, want a cancelled attempt that has not run", res)
+	}
+}
+
 // Guards against requests that cross between data centres while servers nearby are free.
 func TestNearServersArePreferred(t *testing.T) {
 	t.Parallel()
--- a/internal/overload/decide_test.go
+++ b/internal/overload/decide_test.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// Guards against requests to a pool of unknown size that spoil the times of a known one.
+func TestUnknownSizeIsNoLoad(t *testing.T) {
+	c := measured()
+	c.Decide(now, Load{Own: 5, OwnAtReport: 5}, request())
+	for range 500 {
+		c.RecordAnswer(10*time.Millisecond, time.Second)
+	}
+	if got := c.Expected(fullPool); got < 900*time.Millisecond || got > 1100*time.Millisecond {
+		t.Errorf("%v expected behind a queue of a second", got)
+	}
+}
+
 // Guards against a wait that does not grow with the queue, and against one that counts the
 // time in the slot.
 func TestExpectedTimeIsThatOfTheQueue(t *testing.T) {
@@ -73,12 +85,11 @@
 	if got := c.Expected(fullPool); got < 900*time.Millisecond || got > 1100*time.Millisecond {
 		t.Errorf("%v expected behind a queue of a second", got)
 	}
-	c.RecordAnswer(time.Millisecond, time.Millisecond)
-	if c.responseTimes.firstByte < 0 {
-		t.Errorf("%v s to the first byte after a short answer", c.responseTimes.firstByte)
-	}
 	before := c.Expected(fullPool)
 	c.RecordAnswer(0, 20*time.Second)
+	if c.responseTimes.firstByte < 0 {
+		t.Errorf("%v s to the first byte after an answer that did not wait", c.responseTimes.firstByte)
+	}
 	if after := c.Expected(fullPool); after > 2*before {
 		t.Errorf("%v expected after one slow answer, %v before", after, before)
 	}
