--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -72,6 +72,13 @@
 	expect("idle, without a limit in the configuration", time.Minute)
 	read()
 	expect("in headers, without a limit in the configuration", 10*time.Second)
+	s.trackState(c, http.StateIdle)
+	s.retire(func(*conn) bool { return true })
+	// net/http clears the deadline when it begins to wait.
+	_ = c.SetReadDeadline(time.Time{})
+	if !raw.deadline.Before(time.Now()) {
+		t.Errorf("a connection that is to end waits until %v", raw.deadline)
+	}
 	s.trackState(c, http.StateClosed)
 	if n := s.waitingConnections(); n != 0 {
 		t.Errorf("%d connections wait after the last has ended", n)
--- a/internal/forward/prompt_test.go
+++ b/internal/forward/prompt_test.go
@@ -18,6 +18,9 @@
 	if len(prefixes) != 2 || prefixes[0] != want[0] || prefixes[1] != want[1] || tokens != 1460 {
 		t.Errorf("prefixes %v of %d tokens, want %v of 1460", prefixes, tokens, want)
 	}
+	if prefixHash("m", 1) == prefixHash("other", 1) {
+		t.Error("the parts of two models count as the same")
+	}
 	headers.Prompt = headers.Prompt[:1]
 	if prefixes, tokens := sharedPrefixes(headers); len(prefixes) != 0 || tokens != 800 {
 		t.Errorf("prefixes %v of %d tokens for a single part, want none of 800", prefixes, tokens)
--- a/internal/forward/reuse_test.go
+++ b/internal/forward/reuse_test.go
@@ -166,8 +166,29 @@
 	if want := 2*burst - idlePerServer; opened < want {
 		t.Errorf("%d connections for two bursts of %d, want %d or more: %d are kept", opened, burst, want, idlePerServer)
 	}
+}
+
+// Guards against a kept connection to a server that no longer exists: another one may have
+// its address.
+func TestRemovedServerHasNoKeptConnections(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{}, ok("x"))
+	b.send(ask{})
+	b.logged()
+	kept := b.state.pool("p").connectionsTo(b.servers[0]).transport(time.Now())
 	b.state.SetServers(nil)
-	b.untilOpen(0)
+	r, err := http.NewRequest(http.MethodGet, "http://"+b.servers[0].Addr, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := kept.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if got := b.got(); got[0].r.RemoteAddr == got[1].r.RemoteAddr {
+		t.Error("a connection that was kept before the removal is used after it")
+	}
 }
 
 // Guards against a request on the connection of an earlier incarnation, which another
