balance, forward: tests of confirmed and shared failures, homes, short prefixes, a silent stream

Taken out without a failing test: that a confirmed failure counts, that the same failures eject once, that outcomes beyond the last 16 do not count, that a short prefix is announced, that homes do not depend on the order of servers, the cause of a stream that falls silent.

--- a/internal/balance/health_test.go
+++ b/internal/balance/health_test.go
@@ -74,7 +74,7 @@
 		"three failures":         {"fff", true},
 		"a quarter":              {"sssssssssfff", true},
 		"less than a quarter":    {"ssssssssssfff", false},
-		"failures of long ago":   {"ffssssssssssssssssssf", false},
+		"failures of long ago":   {"ffssssssssssssssssff", false},
 		"after an ejection":      {"fffff", false},
 		"three after an ejected": {"ffffff", true},
 	} {
@@ -120,3 +120,28 @@
 		t.Error("a long prompt does not excuse silence")
 	}
 }
+
+// Guards against a server that fails requests which others serve and is not ejected, and
+// against one that is ejected longer for the same failures.
+func TestConfirmedAndSharedFailuresEjectOnce(t *testing.T) {
+	p := pool(9)
+	bad := p.members[0]
+	ejected := false
+	for range minFailures {
+		ejected = p.ConfirmFailure(start, bad.server.Key())
+	}
+	if !ejected {
+		t.Errorf("%d confirmed failures eject no server", minFailures)
+	}
+	p = pool(9)
+	failing := func(server uint64) (failed, ended int) {
+		if server == p.members[0].hash {
+			return 5, 5
+		}
+		return 0, 5
+	}
+	first, again := p.EjectFailing(start, failing), p.EjectFailing(start, failing)
+	if len(first) != 1 || len(again) != 0 {
+		t.Errorf("ejected %d and then %d servers, want the failing one once", len(first), len(again))
+	}
+}
--- a/internal/balance/reuse_test.go
+++ b/internal/balance/reuse_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -132,6 +133,10 @@
 	if len(list) != 1 || list[0].PrefixHash != prefix(1) || list[0].ReadTokens != 10500 {
 		t.Errorf("announced %+v, want the prefix and 10500 tokens to read", list)
 	}
+	short := Job{Prefixes: []Prefix{{Hash: prefix(9), Tokens: 100}}, PromptTokens: 120}
+	if !p.Begin(start, pick(t, p, start, short), short) || len(p.TakeNewPlacements()) != 1 {
+		t.Error("a new holder of a short prefix is not announced")
+	}
 	known := large(1)
 	c = Choice{Server: c.Server, ReadTokens: 500}
 	if p.Begin(start, c, known) || len(p.TakeNewPlacements()) != 0 {
@@ -213,3 +218,17 @@
 		t.Errorf("%d prefixes and %d tokens are recorded, want %d", len(x.byHash), x.tokens[3], maxPrefixes)
 	}
 }
+
+// Guards against routers that choose different homes because they know the servers in
+// different orders.
+func TestHomesDoNotDependOnTheOrderOfServers(t *testing.T) {
+	a, b := pool(9), NewPool(limits)
+	list := servers(9)
+	slices.Reverse(list)
+	b.SetServers(list)
+	for i := range 20 {
+		if x, y := pick(t, a, start, large(i)), pick(t, b, start, large(i)); x.Server.ID != y.Server.ID {
+			t.Errorf("homes %s and %s of one prefix", x.Server.ID, y.Server.ID)
+		}
+	}
+}
--- a/internal/forward/watch_test.go
+++ b/internal/forward/watch_test.go
@@ -17,13 +17,28 @@
 // Guards against a request that waits for a silent server although another one is free.
 func TestRequestLeavesASilentServer(t *testing.T) {
 	t.Parallel()
-	b := newBed(t, bedOptions{servers: 2, route: routing.Route{Kind: routing.Safe, MaxAttempts: 2, Objective: time.Millisecond}}, hang, ok("second"))
-	if got := b.send(ask{}); got.status != http.StatusOK || got.body != "second" {
-		t.Errorf("status %d, body %q, want the second server's answer", got.status, got.body)
+	event := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "id: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		hang(w, r)
 	}
-	b.logged()
-	if lines := b.lines.String(); !strings.Contains(lines, `"cause":"server_silent"`) {
-		t.Errorf("the log does not name the silence: %s", lines)
+	for name, c := range map[string]struct {
+		kind   routing.Kind
+		silent answer
+		want   string
+	}{"before the answer": {routing.Safe, hang, "id: 2\n\n"}, "in a stream": {routing.Stream, event, "id: 1\n\nid: 2\n\n"}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			route := routing.Route{Kind: c.kind, Resumable: true, MaxAttempts: 2, Objective: time.Millisecond, GapObjective: time.Millisecond}
+			b := newBed(t, bedOptions{servers: 2, route: route}, c.silent, ok("id: 2\n\n"))
+			if got := b.send(ask{}); got.status != http.StatusOK || got.body != c.want || got.err != nil {
+				t.Errorf("status %d, body %q, error %v; want %q", got.status, got.body, got.err, c.want)
+			}
+			b.logged()
+			if lines := b.lines.String(); !strings.Contains(lines, `"cause":"server_silent"`) {
+				t.Errorf("the log does not name the silence: %s", lines)
+			}
+		})
 	}
 }
 
