--- a/internal/feed/calls_test.go
+++ b/internal/feed/calls_test.go
@@ -160,3 +160,34 @@
 	f.Step(ctx)
 	requireEqual(t, "events", r.events, nil)
 }
+
+// Guards against records that are skipped although each of them counts, because another
+// router is further.
+func TestRecordsThatAllCountAreNotSkipped(t *testing.T) {
+	s := &callSource{answers: []answer{page(5, "a"), page(7, "b")}}
+	f, _ := callFollower(s, &recorder{})
+	f.Step(t.Context())
+	f.options.PeerPosition = func() logpos.Position { return logpos.Position{Offset: 9} }
+	f.Step(t.Context())
+	requireEqual(t, "calls", s.calls, []string{"newest", "read from 5, wait 1h0m0s"})
+}
+
+// outageRecorder records the error with which an outage began.
+type outageRecorder struct {
+	recorder
+	err error
+}
+
+func (r *outageRecorder) OutageStarted(err error) { r.err = err }
+
+// Guards against an outage whose cause is lost, because a call without an answer is taken
+// for an answer of an earlier era.
+func TestCallWithoutAnAnswerKeepsItsError(t *testing.T) {
+	r := &outageRecorder{}
+	f, _ := callFollower(&callSource{answers: []answer{{page: Page{Era: NoEra}, err: errDown}}}, &r.recorder)
+	f.observer = r
+	f.Step(t.Context())
+	if r.err != errDown {
+		t.Errorf("the outage began with %v, want %v", r.err, errDown)
+	}
+}
--- a/internal/forward/reuse_test.go
+++ b/internal/forward/reuse_test.go
@@ -206,6 +206,9 @@
 	if p.connectionsTo(first) != old {
 		t.Error("the connections of one incarnation are not kept")
 	}
+	if p.connectionsTo(second) == old {
+		t.Error("two incarnations share their connections")
+	}
 	st.SetServers([]*registry.Server{second})
 	if p.connectionsTo(second) == old || p.connectionsTo(first) == old {
 		t.Error("the connections of an incarnation that is gone are used")
