--- a/internal/registry/era_test.go
+++ b/internal/registry/era_test.go
@@ -239,9 +239,9 @@
 
 // Guards against two incarnations that are taken for one, because they have the same ID.
 func TestIncarnationsDiffer(t *testing.T) {
-	base := Key{ID: "a", Addr: "10.0.0.1:1", Born: 1}
-	for _, s := range []Server{{ID: "b", Addr: base.Addr, Born: base.Born}, {ID: base.ID, Addr: "10.0.0.2:1", Born: base.Born}, {ID: base.ID, Addr: base.Addr, Born: 2}} {
-		if s.Key() == base || s.Key().Hash() == base.Hash() {
+	base := Server{ID: "a", Addr: "10.0.0.1:1", Born: 1}
+	for _, s := range []Server{{ID: "b", Addr: base.Addr, Born: 1}, {ID: "a", Addr: "10.0.0.2:1", Born: 1}, {ID: "a", Addr: base.Addr, Born: 2}} {
+		if s.Key() == base.Key() || s.Key().Hash() == base.Key().Hash() {
 			t.Errorf("%+v has the key or the hash of %+v", s, base)
 		}
 	}
