--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -91,9 +91,14 @@
 func TestEventsAreRelayedAsTheyArrive(t *testing.T) {
 	t.Parallel()
 	for _, route := range []routing.Route{resumable, {Kind: routing.Stream}} {
+		start := "id: 1\ndata: x\n\n"
+		if !route.Resumable {
+			// Nothing is held back where no other engine can continue.
+			start = "id: 1\nda"
+		}
 		got := make(chan struct{})
 		b := newBed(t, bedOptions{route: route}, func(w http.ResponseWriter, _ *http.Request) {
-			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+			_, _ = io.WriteString(w, start)
 			_ = http.NewResponseController(w).Flush()
 			select {
 			case <-got:
@@ -105,7 +110,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		_, _ = io.ReadFull(resp.Body, make([]byte, len("id: 1\ndata: x\n\n")))
+		_, _ = io.ReadFull(resp.Body, make([]byte, len(start)))
 		close(got)
 		_, _ = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
@@ -183,11 +188,25 @@
 func TestStreamHasTheHeadersOfItsFirstServer(t *testing.T) {
 	t.Parallel()
 	b := newBed(t, bedOptions{servers: 2, route: resumable}, raw(signedHead+"Transfer-Encoding: chunked\r\n\r\n3\r\nid:\r\n3\r\n 1\n\r\n1\r\n\n\r\n"), ok("id: 2\n\n"))
+	empty := newBed(t, bedOptions{route: resumable}, ok(""))
+	if got := empty.send(ask{}); got.header.Get("Signed") == "" {
+		t.Error("an empty stream has no signature")
+	}
 	if got := b.send(ask{}); got.header.Get("Signed") != "s" || got.body != "id: 1\n\nid: 2\n\n" || got.err != nil {
 		t.Errorf("signature %q, body %q, error %v; want the first server's, and both events", got.header.Get("Signed"), got.body, got.err)
 	}
 }
 
+// Guards against an ID that a header does not carry, or changes.
+func TestIDsThatAHeaderCarries(t *testing.T) {
+	t.Parallel()
+	for id, want := range map[string]bool{"1": true, "a b": true, "a\tb": true, " 1": false, "1\t": false, "a\x01b": false, "a\x7fb": false, "a\nb": false} {
+		if got := fitsHeader(id); got != want {
+			t.Errorf("%q fits %v, want %v", id, got, want)
+		}
+	}
+}
+
 // Guards against a stream that breaks off and looks complete, because it was given a length
 // or no chunks.
 func TestStreamIsSentInChunks(t *testing.T) {
