forward: an answer that ends with its connection waits for its caller, too

What callers got: the whole answer and then a reset in place of its end, when they had sent a further request before it and the server's answer had neither a length nor chunks. It looks broken off.

Cause: looked at the Connection header that the router sets; for such an answer net/http adds it after the handler.

TestAnswerBeforeAnAnnouncedEndArrivesWhole with a body that has a length failed before: 36,757 of 100,000 bytes.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -114,11 +114,17 @@
 		// net/http would end the answer well, or send a 200 for a request without one.
 		c.abort()
 	}
-	if !c.unread && w.Header().Get("Connection") == "close" {
+	if !c.unread && c.endsConnection() {
 		edge.SetDrainOnClose(r.Context())
 	}
 }
 
+// endsConnection reports whether the answer announces the end of its connection. For one that
+// ends with it, net/http adds the announcement.
+func (c *call) endsConnection() bool {
+	return c.sentFraming == framing.Close || c.w.Header().Get("Connection") == "close"
+}
+
 // authorize finds the route and the workspace, or answers the request with a
 // denial or a refusal.
 func (c *call) authorize() bool {
--- a/internal/front/announcedend_test.go
+++ b/internal/front/announcedend_test.go
@@ -15,9 +15,15 @@
 // Guards against an answer whose end is lost by a reset: the answer announces the end of the
 // connection, and the caller has sent a further request meanwhile, which is not read.
 func TestAnswerBeforeAnAnnouncedEndArrivesWhole(t *testing.T) {
-	for name, framing := range map[string]framingKind{"length": byLength, "chunks": byChunks, "connection": byClose} {
+	for name, c := range map[string]struct {
+		framing framingKind
+		chunked bool
+	}{
+		"length": {byLength, true}, "chunks": {byChunks, true}, "connection": {byClose, true}, "connection, body with a length": {byClose, false},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			framing := c.framing
 			b := newAnswersBed(t, 1)
 			body := strings.Repeat("y", 100<<10)
 			further := make(chan struct{})
@@ -34,9 +40,12 @@
 			if err := conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
 				t.Fatal(err)
 			}
-			// The end of a connection that has carried chunks is announced.
-			request := strings.Replace(rawRequest(http.MethodPost, "/rawunsafe/x", "HTTP/1.1", "first"), "Content-Length: 0", "Transfer-Encoding: chunked", 1)
-			_, _ = io.WriteString(conn, request+"2\r\nok\r\n0\r\n\r\n")
+			request := rawRequest(http.MethodPost, "/rawunsafe/x", "HTTP/1.1", "first")
+			if c.chunked {
+				// The end of a connection that has carried chunks is announced.
+				request = strings.Replace(request, "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "2\r\nok\r\n0\r\n\r\n"
+			}
+			_, _ = io.WriteString(conn, request)
 			b.waitFor("the request is being served", func() bool { return b.front.Status().Running == 1 })
 			_, _ = io.WriteString(conn, rawRequest(http.MethodPost, "/rawunsafe/x", "HTTP/1.1", "further"))
 			close(further)
