forward, front: tests of the headers of a resumed stream and of the number of sends

Survived: that nothing is flushed before an event is whole (the caller got the first server's headers before the second one's body), and that a change is sent three times, which the test took from the constant.

--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -188,6 +188,11 @@
 func TestStreamHasTheHeadersOfItsFirstServer(t *testing.T) {
 	t.Parallel()
 	b := newBed(t, bedOptions{servers: 2, route: resumable}, raw(signedHead+"Transfer-Encoding: chunked\r\n\r\n3\r\nid:\r\n3\r\n 1\n\r\n1\r\n\n\r\n"), ok("id: 2\n\n"))
+	// Of the first server nothing can be relayed yet.
+	part := newBed(t, bedOptions{servers: 2, route: resumable}, raw(signedHead+"Content-Length: 99\r\n\r\nid: 1\nda"), ok("id: 1\n\n"))
+	if got := part.send(ask{}); got.err != nil || !strings.HasPrefix(got.header.Get("Signed"), "by ") || got.body != "id: 1\n\n" {
+		t.Errorf("signature %q, body %q, error %v; want the second server's", got.header.Get("Signed"), got.body, got.err)
+	}
 	empty := newBed(t, bedOptions{route: resumable}, ok(""))
 	if got := empty.send(ask{}); got.header.Get("Signed") == "" {
 		t.Error("an empty stream has no signature")
--- a/internal/front/trackerrules_test.go
+++ b/internal/front/trackerrules_test.go
@@ -309,3 +309,19 @@
 		t.Errorf("a list that ends at %d is reported, want none", got)
 	}
 }
+
+// Guards against a change that is lost with one datagram.
+func TestChangeIsSentThreeTimes(t *testing.T) {
+	p := newProgress()
+	p.recordRead([]registry.Change{change("a", 5)})
+	sent := 0
+	for range 10 {
+		sent += len(p.ServerChanges())
+		for i := range p.changes {
+			p.changes[i].sentAt = p.changes[i].sentAt.Add(-resendInterval)
+		}
+	}
+	if sent != 3 {
+		t.Errorf("a change is sent %d times, want 3", sent)
+	}
+}
