--- a/internal/front/trackerrules_test.go
+++ b/internal/front/trackerrules_test.go
@@ -325,3 +325,20 @@
 		t.Errorf("a change is sent %d times, want 3", sent)
 	}
 }
+
+// Guards against a list end that moves with each list, so that all routers read on again, and
+// against a gap for a delayed change, whose predecessor is later than itself.
+func TestOnlyTheFirstListOfAnEraIsReported(t *testing.T) {
+	p := newProgress()
+	p.recordReadTo(logpos.Position{Era: 2, Offset: 5}, true)
+	p.recordReadTo(logpos.Position{Era: 2, Offset: 9}, true)
+	if got := p.report(time.Now(), 2).ListEnd; got != 5 {
+		t.Errorf("a list that ends at %d is reported, want the first one, to 5", got)
+	}
+	p = newProgress()
+	p.recordReceived([]registry.Change{change("x", 238)})
+	p.detectGap([]digest.ServerChange{{Position: at(236), Prev: at(240)}})
+	if p.gapPosition() != logpos.None {
+		t.Errorf("gap at %v after a change from before it, want none", p.gapPosition())
+	}
+}
