--- a/internal/soak/trials_test.go
+++ b/internal/soak/trials_test.go
@@ -57,9 +57,14 @@
 	})
 	f.repeatable.Store(false)
 	odd := &oddAnswers{begun: map[string]platformtest.Fault{}, draw: inTurn()}
-	engines[0].SetFraming(platformtest.Unframed)
+	unframed := engines[:len(engines)/2]
+	for _, s := range unframed {
+		s.SetFraming(platformtest.Unframed)
+	}
 	f.try(kindTrialOdd, subjectServer, f.servers, oddTime, func(s *server) { s.SetFaults(odd.choose) }, withoutFaults)
-	engines[0].SetFraming(platformtest.Framed)
+	for _, s := range unframed {
+		s.SetFraming(platformtest.Framed)
+	}
 	f.try(kindTrialNoID, subjectServer, f.servers, noIDTime, func(s *server) {
 		s.SetHabits(platformtest.Habits{Second: platformtest.SecondAnswer{
 			Timing: platformtest.SecondWithNext, Status: http.StatusServiceUnavailable, NoID: true, NotRun: true,
@@ -150,7 +155,7 @@
 
 var (
 	firstOdd = []platformtest.Fault{platformtest.Cut, platformtest.EndInEvent, platformtest.CutInLineEnd, platformtest.None,
-		platformtest.CutBetween, platformtest.UndefinedStatus, platformtest.CutInLineEnd, platformtest.Switching, platformtest.Busy}
+		platformtest.CutBetween, platformtest.UndefinedStatus, platformtest.CutInLineEnd, platformtest.Switching, platformtest.Busy, platformtest.CutBetween}
 	laterOdd = []platformtest.Fault{platformtest.StartAgain, platformtest.OtherSuccess}
 )
 
