soak: play the trials of servers first, so that they put off no check after the last fault

The trials stood between the last fault and the planned work, so that recovery and the views of the routers were judged 6 s later than before, which was weaker.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,10 +47,11 @@
 	}
 	go f.copyStore(ctx)
 	go f.writeHeartbeats(ctx)
-	f.playFaults(schedule)
-	f.playFaults(lastReturn(*seedFlag))
+	// Trials need routers in touch, and must not put off what is judged after the last fault.
 	time.Sleep(recoveryTime)
 	f.playTrials()
+	f.playFaults(schedule)
+	f.playFaults(lastReturn(*seedFlag))
 	time.Sleep(recoveryTime)
 	f.playPlannedWork()
 	cancel()
