--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -284,6 +284,7 @@
 			"request", c.headers.ID, "server", choice.Server.ID,
 			"cause", res.cause, "offered", c.attempts.sent, "ms", time.Since(c.arrivedAt).Milliseconds(),
 		}
+		kv = append(kv, c.fingerprintField()...)
 		kv = append(kv, c.headers.partsField()...)
 		c.handler.events.Emit(event.RequestRetried, append(kv, c.attempts.answeringField()...)...)
 		c.handler.metrics.recordRetry()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -90,6 +90,8 @@
 	// the request was refused or is a trial.
 	parts       []uint64
 	decidedPart uint64
+	// fingerprintOf is what fingerprint has computed; 0 before.
+	fingerprintOf uint64
 
 	attempts attempts
 	stream   streamState
@@ -332,6 +334,7 @@
 	if c.route != nil {
 		kv = append(kv, "route", c.route.Name, "workspace", c.workspace.Name)
 	}
+	kv = append(kv, c.fingerprintField()...)
 	kv = append(kv, c.headers.partsField()...)
 	kv = append(kv, c.attempts.logFields()...)
 	if c.decidedPart != 0 {
