--- a/internal/front/crashingpart_test.go
+++ b/internal/front/crashingpart_test.go
@@ -19,25 +19,33 @@
 	crashingPart = "bad0bad0"
 )
 
-// stableTime is stableWindowMs of the platform's bounds, and crashLimit the number of
-// crashes after which it begins. Later, at most lateLimit requests with the part may
-// reach engines.
+// stableTime is stableWindowMs of the platform's bounds. It begins after the fifth crash under
+// a part, and the third under one request. Later, at most lateLimit such requests may reach
+// engines.
 const (
-	stableTime = 3 * time.Second
-	crashLimit = 5
-	lateLimit  = 3
+	stableTime          = 3 * time.Second
+	crashLimitOfPart    = 5
+	crashLimitOfRequest = 3
+	lateLimit           = 3
 )
 
-// crashes are the engines that a part has crashed.
+// crashes are the engines that requests of one kind have crashed.
 type crashes struct {
+	// of reports whether a request crashes engines.
+	of func(*http.Request) bool
 	mu sync.Mutex
 	at []time.Time
-	// reached holds when requests with the part reached engines.
+	// reached holds when such requests reached engines.
 	reached []time.Time
 }
 
+// hasCrashingPart reports whether a request has crashingPart.
+func hasCrashingPart(r *http.Request) bool {
+	return strings.Contains(r.Header.Get(platformtest.HeaderPrompt), crashingPart)
+}
+
 // newCrashingEngine starts an engine that ends, with its listener and all its connections,
-// when it begins to answer a request with crashingPart. Other requests take a while.
+// when it begins to answer a request that crashes engines. Other requests take a while.
 func newCrashingEngine(t *testing.T, id string, c *crashes) *platformtest.Engine {
 	t.Helper()
 	var e *platformtest.Engine
@@ -45,7 +53,7 @@
 	var closing sync.WaitGroup
 	e = platformtest.NewObservedEngine(id, func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if !strings.Contains(r.Header.Get(platformtest.HeaderPrompt), crashingPart) {
+			if !c.of(r) {
 				next.ServeHTTP(w, r)
 				return
 			}
@@ -78,15 +86,15 @@
 	return len(c.at)
 }
 
-// late returns how many requests with the part reached engines after stableTime since the
-// fifth crash.
-func (c *crashes) late() int {
+// late returns how many requests that crash engines reached them after stableTime since a
+// number of crashes.
+func (c *crashes) late(limit int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.at) < crashLimit {
+	if len(c.at) < limit {
 		return 0
 	}
-	from := c.at[crashLimit-1].Add(stableTime)
+	from := c.at[limit-1].Add(stableTime)
 	n := 0
 	for _, at := range c.reached {
 		if at.After(from) {
@@ -96,10 +104,10 @@
 	return n
 }
 
-// newCrashingFleet starts routers before engines that crashingPart crashes.
-func newCrashingFleet(t *testing.T, routers, engines int) (*fleetBed, *crashes) {
+// newCrashingFleet starts routers before engines that some requests crash.
+func newCrashingFleet(t *testing.T, routers, engines int, of func(*http.Request) bool) (*fleetBed, *crashes) {
 	t.Helper()
-	c := &crashes{}
+	c := &crashes{of: of}
 	f := newFleetWith(t, routers, 0, func(f *fleetBed) {
 		for i := range engines {
 			f.engines = append(f.engines, newCrashingEngine(t, fmt.Sprintf("i-%d", i), c))
@@ -123,7 +131,7 @@
 // sends requests with it to the next one.
 func TestPartThatCrashesEnginesIsKeptFromThem(t *testing.T) {
 	t.Parallel()
-	f, c := newCrashingFleet(t, 3, 60)
+	f, c := newCrashingFleet(t, 3, 60, hasCrashingPart)
 	sound := 0
 	start := time.Now()
 	for i := 0; time.Since(start) < stableTime+3*time.Second; i++ {
@@ -135,7 +143,7 @@
 		}
 		time.Sleep(80 * time.Millisecond)
 	}
-	if n := c.late(); n > lateLimit {
+	if n := c.late(crashLimitOfPart); n > lateLimit {
 		t.Errorf("%d requests with the part reached engines later than %v after the fifth of %d crashes, want at most %d", n, stableTime, c.count(), lateLimit)
 	}
 	if c.count() == 0 || sound < 20 {
@@ -147,7 +155,7 @@
 // know to crash them, and against a caller that is not told when to come back.
 func TestRouterThatStartsKnowsThePartsThatCrashEngines(t *testing.T) {
 	t.Parallel()
-	f, c := newCrashingFleet(t, 2, 30)
+	f, c := newCrashingFleet(t, 2, 30, hasCrashingPart)
 	f.quarantine(c)
 	late := f.addRouter()
 	late.start()
@@ -204,7 +212,7 @@
 // Guards against a restart of all routers, after which the part ends as many engines again.
 func TestPartsThatCrashEnginesOutliveAllRouters(t *testing.T) {
 	t.Parallel()
-	f, c := newCrashingFleet(t, 2, 30)
+	f, c := newCrashingFleet(t, 2, 30, hasCrashingPart)
 	f.quarantine(c)
 	f.waitFor("the part is in the store", func() bool { return f.store.Appends() > 0 })
 	for _, r := range f.routers {
