front: quarantine requests that crash servers

Decision 0014 remembers the shared parts of prompts only, and four servers that end 0.1 s apart by repeats count as one rack there.

The fingerprint of a request (method, host, target, workspace, body) is now one more part: three separate crashes, never served, refused at once everywhere, kept in the store. A crash under a request also counts separately when the request was sent after the crash before. A request explains its crashes before its parts are blamed. Suspects of one crash make room after a minute.

Ruled out: the repeats alone (they explain that four servers end at once, not that the waves come back), servers that end by themselves (the request is there at each of 12 ends).

The three new rules fail a test of their package when taken out.

--- a/internal/cli/frontstatus.go
+++ b/internal/cli/frontstatus.go
@@ -63,6 +63,9 @@
 		if parts := v.Status.QuarantinedParts; len(parts) > 0 {
 			fmt.Fprintf(w, "%s refuses requests with prompt parts that crash engines: %s\n", v.Status.VM, strings.Join(parts, ", "))
 		}
+		if requests := v.Status.QuarantinedRequests; len(requests) > 0 {
+			fmt.Fprintf(w, "%s refuses requests that crash servers, with the fingerprints: %s\n", v.Status.VM, strings.Join(requests, ", "))
+		}
 		for i := range v.Status.Pools {
 			if err := writePool(w, v.Status.VM, &v.Status.Pools[i]); err != nil {
 				return err
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -56,13 +56,14 @@
 		m.Servers = append(m.Servers, drawServerChange(t))
 		m.Parts.Crashes = append(m.Parts.Crashes, quarantine.Crash{
 			Engine: rapid.Uint64().Draw(t, "engine"), Parts: rapid.SliceOfN(rapid.Uint64(), 1, partsPerDatagram).Draw(t, "parts"), Age: drawAge(t),
+			Requests: []quarantine.SentRequest{{Fingerprint: rapid.Uint64().Draw(t, "fingerprint"), Age: drawAge(t)}},
 		})
 		m.Limits = append(m.Limits, Limit{
 			Server: rapid.Uint32().Draw(t, "limited server"), PerSecond: rapid.SampledFrom([]float64{-1, 0, 1.5, 1e6}).Draw(t, "limit"), Age: drawAge(t),
 		})
 		m.Parts.Sound = append(m.Parts.Sound, rapid.Uint64().Draw(t, "sound part"))
 		m.Parts.Entries = append(m.Parts.Entries, quarantine.Entry{
-			Part: rapid.Uint64().Draw(t, "part"), Age: drawAge(t), Idle: drawAge(t), NextTrial: drawAge(t), Trials: rapid.IntRange(0, maxTrials).Draw(t, "trials"),
+			Part: rapid.Uint64().Draw(t, "part"), Request: rapid.Bool().Draw(t, "request"), Age: drawAge(t), Idle: drawAge(t), NextTrial: drawAge(t), Trials: rapid.IntRange(0, maxTrials).Draw(t, "trials"),
 		})
 	}
 	return m
--- a/internal/digest/parts.go
+++ b/internal/digest/parts.go
@@ -12,9 +12,10 @@
 
 const (
 	// partsPerDatagram bounds the parts of a crash and the sound parts in one datagram,
-	// entriesPerDatagram the quarantined ones.
-	partsPerDatagram   = 64
-	entriesPerDatagram = 24
+	// requestsPerDatagram the requests of a crash, entriesPerDatagram the quarantined parts.
+	partsPerDatagram    = 64
+	requestsPerDatagram = 48
+	entriesPerDatagram  = 24
 	// maxReportAge bounds the times in a report, against faulty senders.
 	maxReportAge = 24 * time.Hour
 	// maxTrials bounds the failed trials of a part, against faulty senders.
@@ -26,23 +27,30 @@
 	crashEngine = 1
 	crashAge    = 2
 	crashParts  = 3
+	// crashRequest may be repeated.
+	crashRequest = 4
+
+	requestFingerprint = 1
+	requestAge         = 2
 
 	entryPart      = 1
 	entryAge       = 2
 	entryIdle      = 3
 	entryNextTrial = 4
 	entryTrials    = 5
+	entryRequest   = 6
 )
 
 // sendPartReport sends what is known of parts of prompts that crash engines: all of it to
 // a router that has just started and with a regular digest, else what is new.
 func (e *Exchange) sendPartReport(targets []netip.Addr, all bool) {
 	r := e.state.TakePartReport(all)
-	for i := range r.Crashes {
-		c := r.Crashes[i]
-		for part := range slices.Chunk(r.Crashes[i].Parts, partsPerDatagram) {
-			c.Parts = part
-			e.sendTo(targets, &Message{Sender: e.sender, Parts: quarantine.Report{Crashes: []quarantine.Crash{c}}})
+	for _, c := range r.Crashes {
+		for part := range slices.Chunk(c.Parts, partsPerDatagram) {
+			e.sendCrash(targets, quarantine.Crash{Engine: c.Engine, Age: c.Age, Parts: part})
+		}
+		for requests := range slices.Chunk(c.Requests, requestsPerDatagram) {
+			e.sendCrash(targets, quarantine.Crash{Engine: c.Engine, Age: c.Age, Requests: requests})
 		}
 	}
 	for part := range slices.Chunk(r.Sound, partsPerDatagram) {
@@ -51,6 +59,10 @@
 	e.sendEntries(targets, r.Entries)
 }
 
+func (e *Exchange) sendCrash(targets []netip.Addr, c quarantine.Crash) {
+	e.sendTo(targets, &Message{Sender: e.sender, Parts: quarantine.Report{Crashes: []quarantine.Crash{c}}})
+}
+
 func (e *Exchange) sendEntries(targets []netip.Addr, entries []quarantine.Entry) {
 	for part := range slices.Chunk(entries, entriesPerDatagram) {
 		e.sendTo(targets, &Message{Sender: e.sender, Parts: quarantine.Report{Entries: part}})
@@ -61,7 +73,14 @@
 	for _, c := range r.Crashes {
 		inner := appendFixed(nil, crashEngine, c.Engine)
 		inner = appendPositive(inner, crashAge, c.Age.Milliseconds())
-		inner = appendFixedList(inner, crashParts, c.Parts)
+		if len(c.Parts) > 0 {
+			inner = appendFixedList(inner, crashParts, c.Parts)
+		}
+		for _, sent := range c.Requests {
+			request := appendFixed(nil, requestFingerprint, sent.Fingerprint)
+			request = appendPositive(request, requestAge, sent.Age.Milliseconds())
+			inner = appendInner(inner, crashRequest, request)
+		}
 		b = appendInner(b, fieldCrash, inner)
 	}
 	if len(r.Sound) > 0 {
@@ -73,6 +92,7 @@
 		inner = appendPositive(inner, entryIdle, q.Idle.Milliseconds())
 		inner = appendPositive(inner, entryNextTrial, q.NextTrial.Milliseconds())
 		inner = appendPositive(inner, entryTrials, int64(q.Trials))
+		inner = appendBool(inner, entryRequest, q.Request)
 		b = appendInner(b, fieldQuarantined, inner)
 	}
 	return b
@@ -114,6 +134,10 @@
 			c.Age = reportAge(v)
 		case crashParts:
 			c.Parts, err = decodeFixedList(inner)
+		case crashRequest:
+			var r quarantine.SentRequest
+			r, err = decodeSentRequest(inner)
+			c.Requests = append(c.Requests, r)
 		}
 		return err
 	})
@@ -121,6 +145,19 @@
 	return err
 }
 
+func decodeSentRequest(b []byte) (r quarantine.SentRequest, err error) {
+	err = eachField(b, func(field protowire.Number, v uint64, _ []byte) error {
+		switch field {
+		case requestFingerprint:
+			r.Fingerprint = v
+		case requestAge:
+			r.Age = reportAge(v)
+		}
+		return nil
+	})
+	return r, err
+}
+
 func (m *Message) decodeQuarantined(b []byte) error {
 	q := quarantine.Entry{}
 	err := eachField(b, func(field protowire.Number, v uint64, _ []byte) error {
@@ -135,6 +172,8 @@
 			q.NextTrial = reportAge(v)
 		case entryTrials:
 			q.Trials = int(min(v, maxTrials))
+		case entryRequest:
+			q.Request = v != 0
 		}
 		return nil
 	})
--- a/internal/digest/parts_test.go
+++ b/internal/digest/parts_test.go
@@ -33,10 +33,14 @@
 	}
 	r := quarantine.Report{}
 	for range entriesPerDatagram {
-		r.Entries = append(r.Entries, quarantine.Entry{Part: 1 << 63, Age: maxReportAge, Idle: maxReportAge, NextTrial: maxReportAge, Trials: maxTrials})
+		r.Entries = append(r.Entries, quarantine.Entry{Part: 1 << 63, Request: true, Age: maxReportAge, Idle: maxReportAge, NextTrial: maxReportAge, Trials: maxTrials})
 	}
 	crash := quarantine.Report{Crashes: []quarantine.Crash{{Engine: 1 << 63, Age: maxReportAge, Parts: make([]uint64, partsPerDatagram)}}}
-	for _, report := range []quarantine.Report{r, crash, {Sound: make([]uint64, partsPerDatagram)}} {
+	requests := quarantine.Crash{Engine: 1 << 63, Age: maxReportAge}
+	for range requestsPerDatagram {
+		requests.Requests = append(requests.Requests, quarantine.SentRequest{Fingerprint: 1 << 63, Age: maxReportAge})
+	}
+	for _, report := range []quarantine.Report{r, crash, {Crashes: []quarantine.Crash{requests}}, {Sound: make([]uint64, partsPerDatagram)}} {
 		if n := len(Encode(&Message{Sender: 1 << 63, Parts: report})); n > maxDatagram {
 			t.Errorf("a datagram of %d bytes, want at most %d", n, maxDatagram)
 		}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -145,7 +145,7 @@
 		if c.pool.end(time.Now(), choice, job, res.outcome) {
 			c.logEjected(choice.Server, res.cause)
 		}
-		c.recordPrompt(choice.Server, res)
+		c.recordCrashSigns(choice.Server, res)
 	}()
 	res = c.attempt(ctx, choice)
 	return res
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -49,70 +51,83 @@
 	return res.outcome == balance.Failed && c.attempts.serverEnded() && c.attempts.answeringTime() <= blamableTime
 }
 
-// showsSound reports whether the last attempt shows that the request does not crash
+// showsSound reports whether the last attempt shows that the parts of the prompt do not crash
 // engines. The end of an unmarked answer may be that of its engine.
 func (c *call) showsSound(res result) bool {
 	whole := res.outcome == balance.Served && c.w.status < http.StatusMultipleChoices && c.attempts.framing != framing.Close
 	return whole || c.attempts.answeringTime() >= soundTime
 }
 
-// recordPrompt records what an attempt shows of the parts of its prompt.
-func (c *call) recordPrompt(s *registry.Server, res result) {
-	if len(c.headers.shared()) == 0 {
-		return
-	}
+// showsRequestSound reports whether the last attempt shows that the request as a whole does
+// not crash servers. Other than for a part, it does not matter what the server answered.
+func (c *call) showsRequestSound(res result) bool {
+	return c.showsSound(res) || res.outcome == balance.Served && c.attempts.framing != framing.Close
+}
+
+// recordCrashSigns records what an attempt shows of the request and the parts of its prompt.
+func (c *call) recordCrashSigns(s *registry.Server, res result) {
 	switch {
 	case c.mayHaveCrashed(res):
-		c.handler.state.crashes.suspect(s, c.partIDs())
+		c.handler.state.crashes.suspect(s, c.partIDs(), quarantine.Sent{Fingerprint: c.fingerprint(), At: c.attempts.sentAt})
 	case c.showsSound(res):
-		c.handler.state.crashes.recordServed(c.partIDs())
+		c.handler.state.crashes.recordServed(c.heldIDs())
+	case c.showsRequestSound(res):
+		c.handler.state.crashes.recordServed([]uint64{c.fingerprint()})
 	}
 }
 
-// maySendAgain reports whether another engine may get the request without ending as well.
+// maySendAgain reports whether another server may get the request without ending as well.
 func (c *call) maySendAgain(res result) bool {
-	if len(c.headers.shared()) == 0 {
-		return true
-	}
-	return !c.handler.state.crashes.doubtful(c.partIDs(), c.mayHaveCrashed(res))
+	return !c.handler.state.crashes.doubtful(c.heldIDs(), c.mayHaveCrashed(res))
 }
 
-// partIDs returns the IDs of the shared parts of the prompt.
-func (c *call) partIDs() []uint64 {
+// heldIDs returns the IDs of the shared parts of the prompt and the fingerprint.
+func (c *call) heldIDs() []uint64 {
 	if c.parts == nil {
 		for _, p := range c.headers.shared() {
 			c.parts = append(c.parts, p.ID)
 		}
+		c.parts = append(c.parts, c.fingerprint())
 	}
 	return c.parts
 }
 
-// sendable reports whether the parts of the prompt allow to send the request, or refuses it.
+// partIDs returns the IDs of the shared parts of the prompt.
+func (c *call) partIDs() []uint64 { return c.heldIDs()[:len(c.heldIDs())-1] }
+
+// sendable reports whether what is known of crashes allows to send the request, or refuses it.
 func (c *call) sendable() bool {
-	if len(c.headers.shared()) == 0 {
-		return true
-	}
-	v := c.handler.state.crashes.check(time.Now(), c.partIDs())
-	if v.Refused {
+	v := c.handler.state.crashes.check(time.Now(), c.heldIDs())
+	if (v.Refused || v.Trial) && !v.Request {
 		c.decidedPart = v.Part
+	}
+	switch {
+	case v.Refused && v.Request:
+		c.refuseWithWait(CauseCrashingRequest, max(v.RetryAfter, maxRetryAfter))
+	case v.Refused:
 		c.refuseWithWait(CauseCrashingPart, max(v.RetryAfter, maxRetryAfter))
-		return false
+	case v.Trial:
+		c.handler.events.Emit(event.PartTried, "request", c.headers.ID, partField(v.Request), strconv.FormatUint(v.Part, 16))
 	}
-	if v.Trial {
-		c.decidedPart = v.Part
-		c.handler.events.Emit(event.PartTried, "request", c.headers.ID, "part", strconv.FormatUint(v.Part, 16))
+	return !v.Refused
+}
+
+// partField returns the name of a log field for a part of a prompt or a fingerprint.
+func partField(request bool) string {
+	if request {
+		return "fingerprint"
 	}
-	return true
+	return "part"
 }
 
-// crashes is what the router knows of engines that end under requests and of the parts
-// of their prompts. It is safe for concurrent use.
+// crashes is what the router knows of servers that end under requests, and of the requests and
+// the parts of their prompts. It is safe for concurrent use.
 type crashes struct {
 	// onNews is called when the other routers have to be told something, turn returns how many
 	// routers come before this one in sending trials, onCrash and onChange log.
 	onNews   func()
 	turn     func() int
-	onCrash  func(s *registry.Server, parts int)
+	onCrash  func(s *registry.Server, parts, requests int)
 	onChange func(quarantine.Change)
 
 	mu      sync.Mutex
@@ -121,15 +136,17 @@
 	pending map[registry.Key]*pendingCrash
 }
 
-// pendingCrash is an engine that has broken off requests with the parts.
+// pendingCrash is a server that has broken off requests with the parts.
 type pendingCrash struct {
 	at    time.Time
 	parts map[uint64]bool
+	// requests has the last time at which each was sent.
+	requests map[uint64]time.Time
 }
 
 func newCrashes(onNews func()) *crashes {
 	return &crashes{
-		onNews: onNews, turn: func() int { return 0 }, onCrash: func(*registry.Server, int) {}, onChange: func(quarantine.Change) {},
+		onNews: onNews, turn: func() int { return 0 }, onCrash: func(*registry.Server, int, int) {}, onChange: func(quarantine.Change) {},
 		tracker: quarantine.New(), pending: make(map[registry.Key]*pendingCrash),
 	}
 }
@@ -158,23 +175,26 @@
 	}
 }
 
-// suspect records that an engine has broken off a request with the parts, which may have
+// suspect records that a server has broken off a request with the parts, which may have
 // crashed it, and checks a little later whether it has ended.
-func (k *crashes) suspect(s *registry.Server, parts []uint64) {
+func (k *crashes) suspect(s *registry.Server, parts []uint64, request quarantine.Sent) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p := k.pending[s.Key()]
 	if p == nil {
-		p = &pendingCrash{at: time.Now(), parts: make(map[uint64]bool)}
+		p = &pendingCrash{at: time.Now(), parts: make(map[uint64]bool), requests: make(map[uint64]time.Time)}
 		k.pending[s.Key()] = p
 		time.AfterFunc(confirmDelay, func() { k.confirm(s) })
 	}
 	for _, part := range parts {
 		p.parts[part] = true
 	}
+	if request.At.After(p.requests[request.Fingerprint]) {
+		p.requests[request.Fingerprint] = request.At
+	}
 }
 
-// confirm records the crash of an engine that accepts no connections.
+// confirm records the crash of a server that accepts no connections.
 func (k *crashes) confirm(s *registry.Server) {
 	ended := refusesConnections(s.Addr)
 	k.mu.Lock()
@@ -184,13 +204,13 @@
 		k.mu.Unlock()
 		return
 	}
-	parts := make([]uint64, 0, len(p.parts))
-	for part := range p.parts {
-		parts = append(parts, part)
+	requests := make([]quarantine.Sent, 0, len(p.requests))
+	for fingerprint, at := range p.requests {
+		requests = append(requests, quarantine.Sent{Fingerprint: fingerprint, At: at})
 	}
-	k.tracker.RecordCrash(time.Now(), p.at, s.Key().Hash(), parts)
+	k.tracker.RecordCrash(time.Now(), p.at, s.Key().Hash(), slices.Collect(maps.Keys(p.parts)), requests)
 	k.mu.Unlock()
-	k.onCrash(s, len(parts))
+	k.onCrash(s, len(p.parts), len(requests))
 	k.onNews()
 }
 
@@ -246,8 +266,8 @@
 
 // observeCrashes logs and counts crashes and what is believed of parts.
 func observeCrashes(k *crashes, events *event.Logger, metrics *Metrics) {
-	k.onCrash = func(s *registry.Server, parts int) {
-		events.Emit(event.EngineCrashed, "server", s.ID, "pool", s.Pool, "parts", parts)
+	k.onCrash = func(s *registry.Server, parts, requests int) {
+		events.Emit(event.EngineCrashed, "server", s.ID, "pool", s.Pool, "parts", parts, "requests", requests)
 		metrics.scope.Counter("engine_crashes").Inc(1)
 	}
 	k.onChange = func(change quarantine.Change) {
@@ -255,7 +275,7 @@
 		if !change.Quarantined {
 			e = event.PartReleased
 		}
-		events.Emit(e, "part", strconv.FormatUint(change.Part, 16), "crashes", change.Crashes, "received", change.Received)
+		events.Emit(e, partField(change.Request), strconv.FormatUint(change.Part, 16), "crashes", change.Crashes, "received", change.Received)
 		metrics.scope.Gauge("quarantined_parts").Update(float64(k.count()))
 	}
 }
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -89,7 +89,7 @@
 	k.mu.Lock()
 	now := time.Now()
 	for i := range 3 {
-		k.tracker.RecordCrash(now, now.Add(time.Duration(i-9)*time.Second), uint64(100+i), []uint64{part})
+		k.tracker.RecordCrash(now, now.Add(time.Duration(i-9)*time.Second), uint64(100+i), []uint64{part}, nil)
 	}
 	k.mu.Unlock()
 	k.update()
@@ -123,7 +123,7 @@
 	k.mu.Lock()
 	past := time.Now().Add(-time.Hour)
 	for i := range 3 {
-		k.tracker.RecordCrash(past, past.Add(time.Duration(i)*time.Second), uint64(100+i), []uint64{26})
+		k.tracker.RecordCrash(past, past.Add(time.Duration(i)*time.Second), uint64(100+i), []uint64{26}, nil)
 	}
 	k.tracker.Update(past.Add(5 * time.Second))
 	k.mu.Unlock()
@@ -165,7 +165,7 @@
 	k := b.state.crashes
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.tracker.RecordCrash(time.Now(), time.Now(), 100, []uint64{part})
+	k.tracker.RecordCrash(time.Now(), time.Now(), 100, []uint64{part}, nil)
 }
 
 // Guards against a request that ends a second engine because it is sent again, and against
@@ -177,7 +177,7 @@
 		k := b.state.crashes
 		k.mu.Lock()
 		for i := range 2 {
-			k.tracker.RecordCrash(time.Now(), time.Now().Add(time.Duration(i-9)*time.Second), uint64(100+i), []uint64{26})
+			k.tracker.RecordCrash(time.Now(), time.Now().Add(time.Duration(i-9)*time.Second), uint64(100+i), []uint64{26}, nil)
 		}
 		k.mu.Unlock()
 		if got := b.send(ask{header: promptOf(strconv.Itoa(part) + ":100,3:20")}); got.status != status {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -86,8 +86,9 @@
 	load      overload.Load
 	admission overload.Decision
 
-	// parts are the shared parts of the prompt, and decidedPart is the one because of which
-	// the request was refused or is a trial.
+	// parts are the shared parts of the prompt and the fingerprint of the request, and
+	// decidedPart is the part of the prompt because of which the request was refused or is a
+	// trial.
 	parts       []uint64
 	decidedPart uint64
 	// fingerprintOf is what fingerprint has computed; 0 before.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -165,6 +165,8 @@
 	CauseCallerLeft   Cause = "caller_left"
 	// CauseCrashingPart: a part of the prompt crashes engines.
 	CauseCrashingPart Cause = "prompt_part_crashes_engines"
+	// CauseCrashingRequest: the request crashes servers.
+	CauseCrashingRequest Cause = "request_crashes_servers"
 	// CauseInternal: the router failed; its log line has the error.
 	CauseInternal Cause = "internal_error"
 )
--- a/internal/front/crashingrequest_test.go
+++ b/internal/front/crashingrequest_test.go
@@ -28,7 +28,7 @@
 			for i := 0; time.Since(start) < stableTime+3*time.Second; i++ {
 				r := f.routers[i%len(f.routers)]
 				r.do(r.request("POST", route+crashingPath, "body"))
-				if got := r.do(r.request("POST", route+"/x", "body")); got.status == http.StatusOK {
+				if got := r.prompted(route+"/x", commonPart); got.status == http.StatusOK {
 					sound++
 				}
 				time.Sleep(80 * time.Millisecond)
--- a/internal/front/keptparts.go
+++ b/internal/front/keptparts.go
@@ -46,6 +46,7 @@
 // keptPart is a quarantined part; its times were true at WrittenAt.
 type keptPart struct {
 	Part        uint64 `json:"part,string"`
+	Request     bool   `json:"request,omitempty"`
 	AgeMS       int64  `json:"age_ms"`
 	IdleMS      int64  `json:"idle_ms"`
 	NextTrialMS int64  `json:"next_trial_ms"`
@@ -151,7 +152,7 @@
 	entries := make([]quarantine.Entry, 0, len(k.Parts))
 	for _, p := range k.Parts {
 		entries = append(entries, quarantine.Entry{
-			Part: p.Part, Trials: max(p.Trials, 0),
+			Part: p.Part, Request: p.Request, Trials: max(p.Trials, 0),
 			Age: milliseconds(p.AgeMS) + elapsed, Idle: milliseconds(p.IdleMS) + elapsed, NextTrial: max(milliseconds(p.NextTrialMS)-elapsed, 0),
 		})
 	}
@@ -170,7 +171,7 @@
 	kept := keptParts{WrittenAt: time.Now().UnixMilli(), Parts: []keptPart{}}
 	for _, e := range entries {
 		kept.Parts = append(kept.Parts, keptPart{
-			Part: e.Part, Trials: e.Trials, AgeMS: e.Age.Milliseconds(), IdleMS: e.Idle.Milliseconds(), NextTrialMS: e.NextTrial.Milliseconds(),
+			Part: e.Part, Request: e.Request, Trials: e.Trials, AgeMS: e.Age.Milliseconds(), IdleMS: e.Idle.Milliseconds(), NextTrialMS: e.NextTrial.Milliseconds(),
 		})
 	}
 	value, err := json.Marshal(kept)
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -36,8 +36,10 @@
 	// Running is the number of requests in progress.
 	Running int64 `json:"running"`
 	// QuarantinedParts are the parts of prompts that crash engines; requests with them are refused.
-	QuarantinedParts []string             `json:"quarantined_parts"`
-	Pools            []forward.PoolStatus `json:"pools"`
+	QuarantinedParts []string `json:"quarantined_parts"`
+	// QuarantinedRequests are the fingerprints of requests that crash servers and are refused.
+	QuarantinedRequests []string             `json:"quarantined_requests"`
+	Pools               []forward.PoolStatus `json:"pools"`
 }
 
 // Status returns the current status of the router.
@@ -56,7 +58,11 @@
 		Pools:        f.state.Status(time.Now()),
 	}
 	for _, e := range f.state.PartEntries() {
-		s.QuarantinedParts = append(s.QuarantinedParts, strconv.FormatUint(e.Part, 16))
+		list := &s.QuarantinedParts
+		if e.Request {
+			list = &s.QuarantinedRequests
+		}
+		*list = append(*list, strconv.FormatUint(e.Part, 16))
 	}
 	if t := f.state.Table(); t != nil {
 		s.ConfigVersion = t.Version()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,11 +1,15 @@
-// Package quarantine finds parts of prompts that crash the engines which begin to answer
-// them, and keeps requests with such a part from the engines.
+// Package quarantine finds requests and parts of prompts that crash the servers which begin
+// to answer them, and keeps them from the servers.
 //
-// A crash names the parts of all requests whose answers had not begun or only just; most of
-// them were there by chance. A part is blamed when it was there in several crashes at
-// different times, and no request with it has been served in between anywhere: parts that
-// were there by chance are served by other engines. Engines that end together, such as
-// those of a rack, count as one crash. A crash that a quarantined part explains counts for no other.
+// A crash names the fingerprints and the parts of all requests whose answers had not begun or
+// only just; most of them were there by chance. One is blamed when it was there in several
+// separate crashes, and no request with it has been served in between anywhere: what was there
+// by chance is served by other servers. Servers that end together, such as those of a rack,
+// count as one crash, but for a request that was sent to a server after another one had ended
+// under it. A crash that is explained counts for nothing else, and a whole request is blamed
+// before its parts.
+//
+// Fingerprints and parts share the name "part" below where they are treated alike.
 //
 // Each router decides by itself from the same reports, which all routers exchange. A
 // Tracker does no I/O, takes the time as an argument and is not safe for concurrent use.
@@ -42,14 +46,24 @@
 	trialStep = time.Minute
 	// forgetTime is how long a part is remembered that nobody asks for.
 	forgetTime = time.Hour
-	// maxSuspects and maxEntries bound the parts that are remembered.
-	maxSuspects = 4096
+	// maxSuspects and maxEntries bound the parts that are remembered. When there are too many
+	// suspects, those of one crash are forgotten after crowdedTime.
+	maxSuspects = 8192
+	crowdedTime = time.Minute
 	maxEntries  = 256
 )
 
+// Sent is a request that a server had when it ended.
+type Sent struct {
+	Fingerprint uint64
+	At          time.Time
+}
+
 // Change is a change of what is believed of a part.
 type Change struct {
 	Part uint64
+	// Request is set when Part is the fingerprint of a request.
+	Request bool
 	// Quarantined is false when the part is sound again.
 	Quarantined bool
 	// Crashes is the number of engines that ended; 0 when another router has decided.
@@ -60,9 +74,11 @@
 
 // Verdict is the decision on a request.
 type Verdict struct {
-	// Refused is set when the request must not be sent to an engine because of Part.
+	// Refused is set when the request must not be sent to an engine because of Part, which is
+	// its fingerprint when Request is set.
 	Refused bool
 	Part    uint64
+	Request bool
 	// RetryAfter is the time until the part may be tried again.
 	RetryAfter time.Duration
 	// Trial is set when the request is the one that tries the part again.
@@ -73,10 +89,19 @@
 type crash struct {
 	engine uint64
 	at     time.Time
+	// sentAt is when the engine got the request; zero for a part of a prompt.
+	sentAt time.Time
+}
+
+// follows reports whether a crash counts separately from an earlier one.
+func (c crash) follows(earlier crash) bool {
+	return c.at.Sub(earlier.at) >= minSeparation || c.sentAt.After(earlier.at)
 }
 
 // entry is a quarantined part.
 type entry struct {
+	// request is set when the part is the fingerprint of a request.
+	request                     bool
 	since, lastAsked, nextTrial time.Time
 	// trials is the number of trials that have crashed an engine.
 	trials int
@@ -104,30 +129,56 @@
 
 // RecordCrash records that an engine has ended at a time under requests with the parts, to
 // be told to the others.
-func (t *Tracker) RecordCrash(now, at time.Time, engine uint64, parts []uint64) {
-	t.outbox.crash(engine, at, parts)
-	t.applyCrash(now, at, engine, parts)
+func (t *Tracker) RecordCrash(now, at time.Time, engine uint64, parts []uint64, requests []Sent) {
+	t.outbox.crash(crash{engine: engine, at: at}, parts, requests)
+	t.applyCrash(now, crash{engine: engine, at: at}, parts, requests)
 }
 
-func (t *Tracker) applyCrash(now, at time.Time, engine uint64, parts []uint64) {
+func (t *Tracker) applyCrash(now time.Time, c crash, parts []uint64, requests []Sent) {
 	blamed := false
 	for _, part := range parts {
-		if e := t.entries[part]; e != nil {
-			e.extend(now)
-			blamed = true
-		}
+		blamed = t.extend(now, part) || blamed
+	}
+	for _, r := range requests {
+		blamed = t.extend(now, r.Fingerprint) || blamed
 	}
 	if blamed {
-		t.explain(now, engine)
+		t.explain(now, c.engine)
 	}
-	if _, ok := t.explained[engine]; ok {
+	if _, ok := t.explained[c.engine]; ok {
 		return
 	}
+	t.makeRoom(now, len(parts)+len(requests))
 	for _, part := range parts {
-		t.suspect(part, crash{engine: engine, at: at})
+		t.suspect(part, c)
+	}
+	for _, r := range requests {
+		t.suspect(r.Fingerprint, crash{engine: c.engine, at: c.at, sentAt: r.At})
 	}
 }
 
+// makeRoom forgets suspects of one crash when there is no room for n more.
+func (t *Tracker) makeRoom(now time.Time, n int) {
+	if len(t.suspects)+n <= maxSuspects {
+		return
+	}
+	for part, list := range t.suspects {
+		if len(list) == 1 && now.Sub(list[0].at) > crowdedTime {
+			delete(t.suspects, part)
+		}
+	}
+}
+
+// extend puts the next trial of a quarantined part off after a crash, which was a trial if one
+// was due, and reports whether the part is quarantined.
+func (t *Tracker) extend(now time.Time, part uint64) bool {
+	e := t.entries[part]
+	if e != nil {
+		e.extend(now)
+	}
+	return e != nil
+}
+
 // extend puts the next trial off after a crash, which was a trial if one was due.
 func (e *entry) extend(now time.Time) {
 	if !now.Before(e.nextTrial) {
@@ -175,7 +226,7 @@
 func separate(list []crash) []crash {
 	var counted []crash
 	for _, c := range list {
-		if n := len(counted); n == 0 || c.at.Sub(counted[n-1].at) >= minSeparation {
+		if n := len(counted); n == 0 || c.follows(counted[n-1]) {
 			counted = append(counted, c)
 		}
 	}
@@ -198,12 +249,13 @@
 func (t *Tracker) clear(now time.Time, part uint64, received bool) bool {
 	_, suspected := t.suspects[part]
 	delete(t.suspects, part)
-	if t.entries[part] == nil {
+	e := t.entries[part]
+	if e == nil {
 		return suspected
 	}
 	delete(t.entries, part)
 	t.sound[part] = now
-	t.changes = append(t.changes, Change{Part: part, Received: received})
+	t.changes = append(t.changes, Change{Part: part, Request: e.request, Received: received})
 	return true
 }
 
@@ -211,29 +263,44 @@
 // changes since the last call.
 func (t *Tracker) Update(now time.Time) []Change {
 	t.forget(now)
+	// A request explains its crashes before its parts are blamed, which others may share.
+	t.blame(now, t.guilty(now, true), true)
+	t.blame(now, t.guilty(now, false), false)
+	changes := t.changes
+	t.changes = nil
+	return changes
+}
+
+// guilty returns the requests, or the parts of prompts, that are to blame.
+func (t *Tracker) guilty(now time.Time, requests bool) []uint64 {
 	var guilty []uint64
 	for part, list := range t.suspects {
+		if isRequest := !list[0].sentAt.IsZero(); isRequest != requests {
+			continue
+		}
 		counted := separate(list)
 		if len(counted) >= minCrashes && now.Sub(counted[minCrashes-1].at) >= settleTime && len(t.entries)+len(guilty) < maxEntries {
 			guilty = append(guilty, part)
 		}
 	}
 	slices.Sort(guilty)
+	return guilty
+}
+
+// blame quarantines parts, which explains the crashes under them.
+func (t *Tracker) blame(now time.Time, guilty []uint64, requests bool) {
 	var engines []crash
 	for _, part := range guilty {
 		list := t.suspects[part]
 		engines = append(engines, list...)
-		t.entries[part] = &entry{since: now, lastAsked: now, nextTrial: now.Add(firstTrial)}
-		t.changes = append(t.changes, Change{Part: part, Quarantined: true, Crashes: len(list)})
+		t.entries[part] = &entry{request: requests, since: now, lastAsked: now, nextTrial: now.Add(firstTrial)}
+		t.changes = append(t.changes, Change{Part: part, Request: requests, Quarantined: true, Crashes: len(list)})
 		delete(t.suspects, part)
 	}
 	for _, c := range engines {
 		t.explain(now, c.engine)
 	}
 	t.outbox.entriesChanged = t.outbox.entriesChanged || len(guilty) > 0
-	changes := t.changes
-	t.changes = nil
-	return changes
 }
 
 func (t *Tracker) forget(now time.Time) {
@@ -245,7 +312,7 @@
 	for part, e := range t.entries {
 		if now.Sub(e.lastAsked) > forgetTime {
 			delete(t.entries, part)
-			t.changes = append(t.changes, Change{Part: part})
+			t.changes = append(t.changes, Change{Part: part, Request: e.request})
 		}
 	}
 	for _, times := range []map[uint64]time.Time{t.explained, t.sound} {
@@ -268,11 +335,11 @@
 		}
 		e.lastAsked = now
 		if !now.Before(e.nextTrial) && !now.Before(e.nextTrial.Add(time.Duration(turn())*trialStep)) {
-			v.Trial, v.Part = true, part
+			v.Trial, v.Part, v.Request = true, part, e.request
 			continue
 		}
 		if wait := max(e.nextTrial.Sub(now), 0); !v.Refused || wait > v.RetryAfter {
-			v.Refused, v.Part, v.RetryAfter = true, part, wait
+			v.Refused, v.Part, v.Request, v.RetryAfter = true, part, e.request, wait
 		}
 	}
 	if v.Refused {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -20,7 +20,7 @@
 func crashed(parts []uint64, times ...time.Duration) *Tracker {
 	t := New()
 	for i, d := range times {
-		t.RecordCrash(at(d), at(d), uint64(100+i), parts)
+		t.RecordCrash(at(d), at(d), uint64(100+i), parts, nil)
 	}
 	return t
 }
@@ -59,7 +59,7 @@
 	tr := New()
 	for i := range 10 {
 		d := time.Duration(i) * time.Second
-		tr.RecordCrash(at(d), at(d), uint64(100+i), []uint64{1, 7})
+		tr.RecordCrash(at(d), at(d), uint64(100+i), []uint64{1, 7}, nil)
 		tr.RecordServed(at(d+50*time.Millisecond), []uint64{1, 8})
 	}
 	expectParts(t, quarantined(tr, 10*time.Second), 7)
@@ -72,7 +72,7 @@
 	tr := New()
 	for i := range 5 {
 		d := time.Duration(i) * time.Second
-		tr.RecordCrash(at(d), at(d), 100, []uint64{7})
+		tr.RecordCrash(at(d), at(d), 100, []uint64{7}, nil)
 	}
 	expectParts(t, quarantined(tr, 6*time.Second))
 }
@@ -80,13 +80,13 @@
 // Guards against rare parts that are blamed for crashes which a known part has caused.
 func TestExplainedCrashesCountForNoOtherPart(t *testing.T) {
 	tr := crashed([]uint64{7}, 0, time.Second, 2*time.Second)
-	tr.RecordCrash(at(2*time.Second), at(2*time.Second), 101, []uint64{9})
-	tr.RecordCrash(at(2*time.Second), at(2*time.Second), 102, []uint64{9})
+	tr.RecordCrash(at(2*time.Second), at(2*time.Second), 101, []uint64{9}, nil)
+	tr.RecordCrash(at(2*time.Second), at(2*time.Second), 102, []uint64{9}, nil)
 	tr.Update(at(3 * time.Second))
 	for i := range 3 {
 		d := time.Duration(4+i) * time.Second
-		tr.RecordCrash(at(d), at(d), uint64(200+i), []uint64{9, 7})
-		tr.RecordCrash(at(d), at(d), uint64(200+i), []uint64{9})
+		tr.RecordCrash(at(d), at(d), uint64(200+i), []uint64{9, 7}, nil)
+		tr.RecordCrash(at(d), at(d), uint64(200+i), []uint64{9}, nil)
 	}
 	expectParts(t, quarantined(tr, 10*time.Second), 7)
 	if tr.Doubtful([]uint64{9}) {
@@ -99,7 +99,7 @@
 	tr := crashed([]uint64{7}, 0, time.Second)
 	tr.Update(at(time.Second + suspicionTime + 1))
 	d := time.Second + suspicionTime + 2
-	tr.RecordCrash(at(d), at(d), 300, []uint64{7})
+	tr.RecordCrash(at(d), at(d), 300, []uint64{7}, nil)
 	expectParts(t, quarantined(tr, d+time.Second))
 }
 
@@ -135,7 +135,7 @@
 		t.Error("a second trial before the first has ended")
 	}
 	late := due + firstTrial
-	tr.RecordCrash(at(late), at(late), 300, []uint64{7})
+	tr.RecordCrash(at(late), at(late), 300, []uint64{7}, nil)
 	if v := tr.Check(at(late+firstTrial), []uint64{7}, first); !v.Refused {
 		t.Errorf("verdict %+v; a trial that crashes an engine must put the next one off", v)
 	}
@@ -177,7 +177,7 @@
 	routers := []*Tracker{New(), New(), New()}
 	for i, r := range routers {
 		d := time.Duration(i) * time.Second
-		r.RecordCrash(at(d), at(d), uint64(100+i), []uint64{1, 7})
+		r.RecordCrash(at(d), at(d), uint64(100+i), []uint64{1, 7}, nil)
 		for n := range 2 {
 			report := r.Take(at(d+time.Duration(n)*resendInterval), false)
 			if again := r.Take(at(d+time.Duration(n)*resendInterval+1), false); !again.Empty() {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -5,11 +5,18 @@
 	"time"
 )
 
+// SentRequest is a request that an engine had, and the time since it was sent there.
+type SentRequest struct {
+	Fingerprint uint64
+	Age         time.Duration
+}
+
 // Crash is an engine that has ended under requests with the parts. Engine is the hash of
 // its incarnation.
 type Crash struct {
-	Engine uint64
-	Parts  []uint64
+	Engine   uint64
+	Parts    []uint64
+	Requests []SentRequest
 	// Age is the time since the crash.
 	Age time.Duration
 }
@@ -17,6 +24,8 @@
 // Entry is a quarantined part.
 type Entry struct {
 	Part uint64
+	// Request is set when Part is the fingerprint of a request.
+	Request bool
 	// Age is the time since it was quarantined, and Idle since a request with it came.
 	Age  time.Duration
 	Idle time.Duration
@@ -26,6 +35,15 @@
 	Trials int
 }
 
+// sent returns the requests with the times at which they were sent.
+func (c Crash) sent(now time.Time) []Sent {
+	var list []Sent
+	for _, r := range c.Requests {
+		list = append(list, Sent{Fingerprint: r.Fingerprint, At: now.Add(-r.Age)})
+	}
+	return list
+}
+
 // Report is what a router tells the others.
 type Report struct {
 	Crashes []Crash
@@ -55,7 +73,8 @@
 type pendingCrash struct {
 	crash
 	sends
-	parts []uint64
+	parts    []uint64
+	requests []Sent
 }
 
 type pendingSound struct {
@@ -72,12 +91,21 @@
 	maxPending = 256
 )
 
-func (o *outbox) crash(engine uint64, at time.Time, parts []uint64) {
+func (o *outbox) crash(c crash, parts []uint64, requests []Sent) {
 	if len(o.crashes) < maxPending {
-		o.crashes = append(o.crashes, pendingCrash{crash: crash{engine: engine, at: at}, parts: parts})
+		o.crashes = append(o.crashes, pendingCrash{crash: c, parts: parts, requests: requests})
 	}
 }
 
+// report returns what is told of the crash now.
+func (c *pendingCrash) report(now time.Time) Crash {
+	r := Crash{Engine: c.engine, Parts: c.parts, Age: now.Sub(c.at)}
+	for _, sent := range c.requests {
+		r.Requests = append(r.Requests, SentRequest{Fingerprint: sent.Fingerprint, Age: now.Sub(sent.At)})
+	}
+	return r
+}
+
 func (o *outbox) sound(part uint64) {
 	if len(o.sounds) < maxPending {
 		o.sounds = append(o.sounds, pendingSound{part: part})
@@ -101,7 +129,7 @@
 	var r Report
 	for i := range o.crashes {
 		if c := &o.crashes[i]; c.due(now) {
-			r.Crashes = append(r.Crashes, Crash{Engine: c.engine, Parts: c.parts, Age: now.Sub(c.at)})
+			r.Crashes = append(r.Crashes, c.report(now))
 		}
 	}
 	o.crashes = slices.DeleteFunc(o.crashes, func(c pendingCrash) bool { return c.count >= maxSends })
@@ -124,7 +152,7 @@
 	for _, part := range t.Parts() {
 		e := t.entries[part]
 		list = append(list, Entry{
-			Part: part, Age: now.Sub(e.since), Idle: now.Sub(e.lastAsked), NextTrial: max(e.nextTrial.Sub(now), 0), Trials: e.trials,
+			Part: part, Request: e.request, Age: now.Sub(e.since), Idle: now.Sub(e.lastAsked), NextTrial: max(e.nextTrial.Sub(now), 0), Trials: e.trials,
 		})
 	}
 	return list
@@ -136,7 +164,7 @@
 		t.adopt(now, e)
 	}
 	for _, c := range r.Crashes {
-		t.applyCrash(now, now.Add(-c.Age), c.Engine, c.Parts)
+		t.applyCrash(now, crash{engine: c.Engine, at: now.Add(-c.Age)}, c.Parts, c.sent(now))
 	}
 	for _, part := range r.Sound {
 		t.clear(now, part, true)
@@ -159,10 +187,10 @@
 		if len(t.entries) >= maxEntries {
 			return
 		}
-		e = &entry{since: since}
+		e = &entry{since: since, request: received.Request}
 		t.entries[received.Part] = e
 		delete(t.suspects, received.Part)
-		t.changes = append(t.changes, Change{Part: received.Part, Quarantined: true, Received: true})
+		t.changes = append(t.changes, Change{Part: received.Part, Request: received.Request, Quarantined: true, Received: true})
 	}
 	e.lastAsked = latest(e.lastAsked, now.Add(-received.Idle))
 	e.nextTrial = latest(e.nextTrial, now.Add(received.NextTrial))
--- /dev/null
+++ b/internal/quarantine/request_test.go
@@ -0,0 +1,82 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+// crashUnder records that an engine ended 50 ms after it got a request.
+func crashUnder(t *Tracker, engine uint64, sent time.Duration, fingerprint uint64, parts ...uint64) {
+	end := at(sent + 50*time.Millisecond)
+	t.RecordCrash(end, end, engine, parts, []Sent{{Fingerprint: fingerprint, At: at(sent)}})
+}
+
+// Guards against a request that is repeated and ends all servers of a pool within a moment,
+// which looks like a rack that goes down.
+func TestRequestSentOnAfterEachCrashIsBlamed(t *testing.T) {
+	tr := New()
+	for i := range 3 {
+		crashUnder(tr, uint64(100+i), time.Duration(i)*60*time.Millisecond, 9)
+	}
+	expectParts(t, quarantined(tr, time.Second), 9)
+	if v := tr.Check(at(time.Second), []uint64{5, 9}, first); !v.Refused || !v.Request || v.Part != 9 {
+		t.Errorf("verdict %+v, want a refusal because of the request", v)
+	}
+}
+
+// Guards against a popular request that is blamed when a rack goes down: all servers had it
+// before the first of them ended.
+func TestRequestAtServersThatEndTogetherIsNotBlamed(t *testing.T) {
+	tr := New()
+	for i := range 5 {
+		end := at(100*time.Millisecond + time.Duration(i)*30*time.Millisecond)
+		tr.RecordCrash(end, end, uint64(100+i), nil, []Sent{{Fingerprint: 9, At: start}})
+	}
+	expectParts(t, quarantined(tr, time.Second))
+}
+
+// Guards against parts of a prompt that are refused, also for other requests, when one request
+// has crashed the engines.
+func TestRequestIsBlamedBeforeItsParts(t *testing.T) {
+	tr := New()
+	for i := range 4 {
+		crashUnder(tr, uint64(100+i), time.Duration(i)*time.Second, 9, 1, 7)
+	}
+	expectParts(t, quarantined(tr, 5*time.Second), 9)
+	different := New()
+	for i := range 4 {
+		crashUnder(different, uint64(100+i), time.Duration(i)*time.Second, uint64(20+i), 7)
+	}
+	expectParts(t, quarantined(different, 5*time.Second), 7)
+}
+
+// Guards against suspects that were there by chance and leave no room for those that come
+// again.
+func TestOldSuspectsMakeRoom(t *testing.T) {
+	tr := New()
+	for i := range uint64(maxSuspects) {
+		tr.RecordCrash(start, start, 1000+i/50, nil, []Sent{{Fingerprint: 1000 + i, At: start}})
+	}
+	later := crowdedTime + time.Second
+	for i := range 3 {
+		crashUnder(tr, uint64(100+i), later+time.Duration(i)*time.Second, 9)
+	}
+	expectParts(t, quarantined(tr, later+4*time.Second), 9)
+}
+
+// Guards against a router that learns of a quarantined request and takes it for a part, and
+// against crashes whose times are lost on the way.
+func TestRequestsAreReportedToTheOthers(t *testing.T) {
+	a, b := New(), New()
+	for i := range 3 {
+		crashUnder(a, uint64(100+i), time.Duration(i)*60*time.Millisecond, 9)
+	}
+	b.Apply(at(200*time.Millisecond), a.Take(at(200*time.Millisecond), false))
+	expectParts(t, quarantined(b, time.Second), 9)
+	expectParts(t, quarantined(a, time.Second), 9)
+	c := New()
+	c.Apply(at(time.Second), a.Take(at(time.Second), true))
+	if v := c.Check(at(time.Second), []uint64{9}, first); !v.Refused || !v.Request {
+		t.Errorf("verdict %+v of a router that was told", v)
+	}
+}
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -166,7 +166,7 @@
 	s.running[engine] = map[*run]bool{}
 	for router := range s.routers {
 		if parts := byRouter[router]; len(parts) > 0 {
-			s.trackers[router].RecordCrash(at(s.now), at(s.now), uint64(1000*s.starts[engine]+engine), parts)
+			s.trackers[router].RecordCrash(at(s.now), at(s.now), uint64(1000*s.starts[engine]+engine), parts, nil)
 			s.tell(router)
 		}
 	}
