--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -90,7 +90,7 @@
 	}
 	c.Server = &registry.Server{
 		ID: c.ID, Pool: "p", Addr: "10.0.0.1:80", DataCentre: rapid.SampledFrom([]string{"", "hall"}).Draw(t, "data centre"),
-		Slots: rapid.IntRange(0, 500).Draw(t, "slots"), Born: rapid.Int64Min(0).Draw(t, "born"),
+		Slots: rapid.IntRange(0, 500).Draw(t, "slots"), Version: rapid.SampledFrom([]string{"", "v1.1"}).Draw(t, "version"), Born: rapid.Int64Min(0).Draw(t, "born"),
 		Leaving: rapid.Bool().Draw(t, "leaving"), Engine: rapid.Bool().Draw(t, "engine"),
 	}
 	return c
--- a/internal/digest/server.go
+++ b/internal/digest/server.go
@@ -20,6 +20,7 @@
 	serverPrevOffset = 10
 	serverEra        = 11
 	serverPrevEra    = 12
+	serverVersion    = 13
 )
 
 func encodeServerChange(c *ServerChange) []byte {
@@ -38,6 +39,9 @@
 	b = appendText(b, serverDataCentre, s.DataCentre)
 	b = appendVarint(b, serverSlots, uint64(s.Slots))
 	b = appendVarint(b, serverBorn, uint64(s.Born))
+	if s.Version != "" {
+		b = appendText(b, serverVersion, s.Version)
+	}
 	b = appendBool(b, serverLeaving, s.Leaving)
 	return appendBool(b, serverEngine, s.Engine)
 }
@@ -84,6 +88,8 @@
 		s.Pool = text
 	case serverAddr:
 		s.Addr = text
+	case serverVersion:
+		s.Version = text
 	case serverDataCentre:
 		s.DataCentre = text
 	case serverOffset:
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -69,7 +69,7 @@
 	}
 	c := a.choice
 	kv := []any{
-		"server", c.Server.ID, "pool", c.Server.Pool, "reason", c.Reason, "load", c.Load, "mean", c.Mean,
+		"server", c.Server.ID, "version", c.Server.Version, "pool", c.Server.Pool, "reason", c.Reason, "load", c.Load, "mean", c.Mean,
 		"offered", a.sent, "last", a.lastOutcome.String(),
 	}
 	if c.ReadTokens > 0 {
@@ -281,7 +281,7 @@
 	c.attempts.tried = append(c.attempts.tried, choice.Server.Key())
 	if c.mayRetry(ctx, res) {
 		kv := []any{
-			"request", c.headers.ID, "server", choice.Server.ID,
+			"request", c.headers.ID, "server", choice.Server.ID, "version", choice.Server.Version,
 			"cause", res.cause, "offered", c.attempts.sent, "ms", time.Since(c.arrivedAt).Milliseconds(),
 		}
 		kv = append(kv, c.fingerprintField()...)
--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -40,7 +40,9 @@
 
 func (bedCodec) RequestHeaders(h http.Header) RequestHeaders {
 	deadline, _ := time.ParseDuration(h.Get("Deadline"))
-	headers := RequestHeaders{ID: h.Get("Id"), Key: h.Get("Key"), Deadline: deadline, Model: h.Get("Model")}
+	headers := RequestHeaders{
+		ID: h.Get("Id"), Key: h.Get("Key"), Deadline: deadline, Model: h.Get("Model"), Resumes: h.Get("Resumes"), LastEventID: h.Get("After"),
+	}
 	for part := range strings.SplitSeq(h.Get("Prompt"), ",") {
 		id, tokens, ok := strings.Cut(part, ":")
 		if !ok {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -337,6 +337,7 @@
 	}
 	kv = append(kv, c.fingerprintField()...)
 	kv = append(kv, c.headers.partsField()...)
+	kv = append(kv, c.headers.takesUpFields()...)
 	kv = append(kv, c.attempts.logFields()...)
 	if c.decidedPart != 0 {
 		kv = append(kv, "part", strconv.FormatUint(c.decidedPart, 16))
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -40,8 +40,15 @@
 	Model    string
 	// Prompt lists the parts of the prompt in order. The last belongs to this request only.
 	Prompt []Part
+	// Resumes is the ID of the request that brought the first event of the stream which the
+	// caller takes up after LastEventID; both are empty for other requests.
+	Resumes     string
+	LastEventID string
 }
 
+// takesUp reports whether the request continues a stream that the caller has the start of.
+func (h *RequestHeaders) takesUp() bool { return h.LastEventID != "" || h.Resumes != "" }
+
 // shared returns the parts that other requests may share.
 func (h *RequestHeaders) shared() []Part {
 	if len(h.Prompt) == 0 {
@@ -53,6 +60,15 @@
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
+// takesUpFields returns the stream that the request takes up for a log line, and nothing for
+// other requests.
+func (h *RequestHeaders) takesUpFields() []any {
+	if !h.takesUp() {
+		return nil
+	}
+	return []any{"resumes", h.Resumes, "after", h.LastEventID}
+}
+
 // partsField returns the first shared parts of the prompt for a log line, and nothing when
 // there are none.
 func (h *RequestHeaders) partsField() []any {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -31,6 +31,8 @@
 	Slots int
 	// Born distinguishes incarnations under one ID: the Unix millisecond of the start.
 	Born int64
+	// Version is that of the server's software. What two versions write does not fit together.
+	Version string
 	// Leaving is set when the server takes no new requests.
 	Leaving bool
 	// Engine is set for model engines, which cache prompt prefixes.
