front: failing tests of streams of two software versions

A stream that the router continues, one that its caller takes up at another router (also when the first has ended), one that nobody knows, one whose version is gone, and one that began before the second version was there.

--- /dev/null
+++ b/internal/front/versions_test.go
@@ -0,0 +1,215 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
+)
+
+// perVersion is the number of engines of each version in these tests, and versionedStreams the
+// number of streams that break off.
+const (
+	perVersion       = 4
+	versionedStreams = 40
+)
+
+// newVersionedFleet starts routers before engines of two versions, which break each stream off
+// that they begin. On the route "single" a router does not continue it. The store has the first
+// engines, which are of the first version.
+func newVersionedFleet(t *testing.T, routers, registered int) *fleetBed {
+	t.Helper()
+	return newFleetWith(t, routers, 0, func(f *fleetBed) {
+		for i := range 2 * perVersion {
+			e := platformtest.NewEngine(fmt.Sprintf("i-%d", i))
+			t.Cleanup(e.Close)
+			f.engines = append(f.engines, e)
+			e.SetVersion(fmt.Sprintf("v%d", 1+i/perVersion))
+			e.SetFaults(func(r *http.Request) platformtest.Fault {
+				if r.Header.Get(platformtest.HeaderLastEvent) != "" {
+					return platformtest.None
+				}
+				return platformtest.Cut
+			})
+		}
+		f.publish(versionedConfig())
+		f.register(platformtest.StateReady, f.engines[:registered]...)
+	})
+}
+
+func versionedConfig() platformtest.Config {
+	c := config(2)
+	single := c.Routes[3]
+	single.Name, single.Attempts = "single", 1
+	c.Routes = append(c.Routes, single)
+	return c
+}
+
+// versionedPrompt has no part that an engine could have, which would favour its version.
+func versionedPrompt(n int) string { return fmt.Sprintf("%x:20", 0x1000+n) }
+
+// begin sends a stream that breaks off, and returns its ID and the last event of the caller.
+func (b *testBed) begin(route string, n int) (id, last string, got reply) {
+	r := b.request("POST", route+"/x", fmt.Sprint(n), platformtest.HeaderPrompt, versionedPrompt(n), platformtest.HeaderModel, "m")
+	id = r.Header.Get(platformtest.HeaderRequestID)
+	got = b.do(r)
+	for line := range strings.SplitSeq(got.body, "\n") {
+		if event, ok := strings.CutPrefix(line, "id: "); ok {
+			last = event
+		}
+	}
+	return id, last, got
+}
+
+// takeUp continues a stream of another request.
+func (b *testBed) takeUp(route string, n int, resumes, last string) (id string, got reply) {
+	r := b.request("POST", route+"/x", fmt.Sprint(n), platformtest.HeaderPrompt, versionedPrompt(n),
+		platformtest.HeaderModel, "m", platformtest.HeaderResumes, resumes, platformtest.HeaderLastEvent, last)
+	return r.Header.Get(platformtest.HeaderRequestID), b.do(r)
+}
+
+// versionsOf returns the versions of the engines that got the requests.
+func (f *fleetBed) versionsOf(ids ...string) []string {
+	var versions []string
+	for i, e := range f.engines {
+		for _, got := range e.Requests() {
+			if version := fmt.Sprintf("v%d", 1+i/perVersion); slices.Contains(ids, got.ID) && !slices.Contains(versions, version) {
+				versions = append(versions, version)
+			}
+		}
+	}
+	return versions
+}
+
+// Guards against a router that continues a stream, which its engine has broken off, at an engine of
+// another software version.
+func TestStreamIsContinuedAtTheVersionThatBeganIt(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 3, 2*perVersion)
+	whole := 0
+	for n := range versionedStreams {
+		id, _, got := f.routers[n%3].begin("/resume", n)
+		if versions := f.versionsOf(id); len(versions) > 1 {
+			t.Errorf("a stream has events of %v", versions)
+		}
+		if got.err == nil && got.status == http.StatusOK {
+			whole++
+		}
+	}
+	if whole < versionedStreams*9/10 {
+		t.Errorf("%d of %d streams were continued", whole, versionedStreams)
+	}
+}
+
+// Guards against a stream that its caller takes up at another router, which sends it to an engine of
+// another software version, also when the first router has ended.
+func TestCallerTakesUpAStreamAtTheVersionThatBeganIt(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 4, 2*perVersion)
+	type stream struct {
+		id, last string
+		n        int
+	}
+	var begun []stream
+	for n := range versionedStreams {
+		id, last, _ := f.routers[n%4].begin("/single", n)
+		begun = append(begun, stream{id, last, n})
+		if n%4 != 0 {
+			f.expectVersion(f.routers[0], n, id, last)
+		}
+	}
+	f.routers[3].stop()
+	whole := 0
+	for _, s := range begun {
+		if f.expectVersion(f.routers[(s.n+1)%3], s.n, s.id, s.last) {
+			whole++
+		}
+	}
+	if whole < versionedStreams*9/10 {
+		t.Errorf("%d of %d streams went on", whole, versionedStreams)
+	}
+}
+
+// expectVersion takes a stream up at a router and reports whether it went on.
+func (f *fleetBed) expectVersion(r *testBed, n int, id, last string) bool {
+	f.t.Helper()
+	if last == "" {
+		f.t.Fatal("a stream has no event")
+	}
+	again, got := r.takeUp("/single", n, id, last)
+	if versions := f.versionsOf(id, again); len(versions) > 1 {
+		f.t.Errorf("a stream has events of %v", versions)
+	}
+	return got.err == nil && got.status == http.StatusOK
+}
+
+// Guards against a guess when nobody knows which version began a stream, and against a refusal that
+// is untrue or late.
+func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 2, 2*perVersion)
+	id, got := f.routers[0].takeUp("/single", 7, "no-such-request", "2")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || len(f.versionsOf(id)) > 0 {
+		t.Errorf("status %d, Retry-After %q, reached %v; want a refusal", got.status, got.header.Get("Retry-After"), f.versionsOf(id))
+	}
+}
+
+// Guards against a stream that goes on at the new version when a release has removed all engines of
+// the one that began it.
+func TestStreamOfAVersionThatIsGoneIsRefused(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 2, 2*perVersion)
+	id, last, _ := f.routers[0].begin("/single", 1)
+	gone := f.versionsOf(id)[0]
+	for i, e := range f.engines {
+		if fmt.Sprintf("v%d", 1+i/perVersion) == gone {
+			f.register(platformtest.StateLeaving, e)
+		}
+	}
+	for _, r := range f.routers {
+		f.waitFor("the router knows that the engines leave", func() bool { return leaving(r) == perVersion })
+	}
+	for n, r := range f.routers {
+		again, got := r.takeUp("/single", 1, id, last)
+		if got.status != http.StatusServiceUnavailable || len(f.versionsOf(again)) > 0 {
+			t.Errorf("router %d: status %d, reached %v; want a refusal", n, got.status, f.versionsOf(again))
+		}
+	}
+}
+
+// leaving returns the number of servers that a router knows to leave.
+func leaving(b *testBed) int {
+	n := 0
+	for _, p := range b.front.Status().Pools {
+		for _, s := range p.Servers {
+			if s.State == "leaving" {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against streams that began before the second version was there: nobody would know theirs.
+func TestStreamThatBeganBeforeTheSecondVersionGoesOnAtItsOwn(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 3, perVersion)
+	type stream struct{ id, last string }
+	var begun []stream
+	for n := range 8 {
+		id, last, _ := f.routers[0].begin("/single", n)
+		begun = append(begun, stream{id, last})
+	}
+	f.register(platformtest.StateReady, f.engines[perVersion:]...)
+	for _, r := range f.routers {
+		f.waitFor("both versions are there", func() bool { return len(r.front.Status().Pools[0].Servers) == 2*perVersion })
+	}
+	for n, s := range begun {
+		if !f.expectVersion(f.routers[1], n, s.id, s.last) {
+			t.Error("the stream did not go on")
+		}
+	}
+}
