front: streams go on at the software version that began them only

A router continued a stream at the next best engine, and one at which a caller took a stream up chose the engine as for a new request.

The router that relays the first event of a stream remembers its version and, while several versions serve or have just served, tells three others, chosen by the stream; a router at which the stream is taken up asks the first eight. The stream goes to that version within the bound of load; nobody knows, or no server can take it: 503 at once.

Ruled out: copies of memory as the cause of mixed events (they bring parts of prompts).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -10,11 +10,13 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 )
 
 const (
@@ -48,6 +50,8 @@
 	PromptTokens int
 	// Objective is the target time to the first byte; 0 means none.
 	Objective time.Duration
+	// Version is the software version that the server must have; 0 for any.
+	Version streamversion.Version
 	// Exclude lists the incarnations that this request was already sent to.
 	Exclude []registry.Key
 	// DataCentre is preferred among servers with equal load.
@@ -156,7 +160,7 @@
 		if m == nil {
 			m = &member{idHash: placement.Hash(s.ID), hash: s.Key().Hash()}
 		}
-		m.server = s
+		m.server, m.version = s, streamversion.VersionOf(s.Version)
 		p.members = append(p.members, m)
 		p.byKey[s.Key()] = m
 		p.byHash[m.hash] = m
@@ -165,7 +169,12 @@
 
 // Pick chooses a server, or returns false when none can take the request.
 func (p *Pool) Pick(now time.Time, job Job) (Choice, bool) {
-	usable, mean := p.usable(now, job.Exclude)
+	usable, mean := p.usable(now, &job)
+	if job.Version != 0 {
+		// Few servers may have the version: they must not get more than their share.
+		bound := p.bound(mean)
+		usable = slices.DeleteFunc(usable, func(m *member) bool { return m.load(now) >= bound })
+	}
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -5,17 +5,19 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/overload"
-	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
 
 // usable returns the members that can take a request, and the mean load of the
 // pool. When all members are ejected the ejections are ignored: trying one is
 // better than refusing every request.
-func (p *Pool) usable(now time.Time, exclude []registry.Key) ([]*member, float64) {
+func (p *Pool) usable(now time.Time, job *Job) ([]*member, float64) {
 	available := make([]*member, 0, len(p.members))
 	ejected := make([]*member, 0, len(p.members))
 	for _, m := range p.members {
-		if m.server.Leaving || slices.Contains(exclude, m.server.Key()) {
+		if m.server.Leaving || slices.Contains(job.Exclude, m.server.Key()) {
+			continue
+		}
+		if job.Version != 0 && m.version != job.Version {
 			continue
 		}
 		if p.withheld(now, m) {
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -5,6 +5,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 )
 
 // member is a server with the router's state for it.
@@ -14,7 +15,9 @@
 	idHash uint64
 	// hash identifies the incarnation.
 	hash uint64
-	own  int
+	// version is that of the server's software.
+	version streamversion.Version
+	own     int
 	// readUntil is when the server is expected to have read all prompts that it has
 	// received.
 	readUntil time.Time
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -18,6 +18,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 	_ "github.com/bluebellwell/bluebellwell/internal/testseed"
 )
 
@@ -54,6 +55,10 @@
 		})
 		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), drawPosition(t)})
 		m.Servers = append(m.Servers, drawServerChange(t))
+		m.Streams = append(m.Streams, streamversion.Record{
+			Stream: streamversion.Stream(rapid.Uint64().Draw(t, "stream")), Version: streamversion.Version(rapid.Uint64().Draw(t, "version of it")),
+		})
+		m.AskedStreams = append(m.AskedStreams, rapid.Uint64().Draw(t, "asked stream"))
 		m.Parts.Crashes = append(m.Parts.Crashes, quarantine.Crash{
 			Engine: rapid.Uint64().Draw(t, "engine"), Parts: rapid.SliceOfN(rapid.Uint64(), 1, partsPerDatagram).Draw(t, "parts"), Age: drawAge(t),
 			Requests: []quarantine.SentRequest{{Fingerprint: rapid.Uint64().Draw(t, "fingerprint"), Age: drawAge(t)}},
@@ -366,6 +371,12 @@
 	}
 }
 
+func (s *fakeState) RecordStreams([]streamversion.Record) {}
+
+func (s *fakeState) StreamRecord(streamversion.Stream) (streamversion.Record, bool) {
+	return streamversion.Record{}, false
+}
+
 func (s *fakeState) TakeLimits() []Limit { return nil }
 
 func (s *fakeState) ApplyLimits([]Limit) {}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 )
 
 const (
@@ -94,6 +95,11 @@
 	PartEntries() []quarantine.Entry
 	// ApplyPartReport applies what another router knows of such parts.
 	ApplyPartReport(r quarantine.Report)
+	// RecordStreams records which versions began streams, as another router says. A version
+	// of 0 means that it knows of one version only.
+	RecordStreams(list []streamversion.Record)
+	// StreamRecord returns what this router knows of a stream.
+	StreamRecord(s streamversion.Stream) (streamversion.Record, bool)
 	// ApplyServerChanges applies server changes that another router has read.
 	ApplyServerChanges(list []ServerChange)
 }
@@ -347,6 +353,7 @@
 	if !m.Parts.Empty() {
 		e.state.ApplyPartReport(m.Parts)
 	}
+	e.handleStreams(from, m)
 	if m.RequestPlacements {
 		e.replyWithPlacements(now, from)
 	}
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 )
 
 const (
@@ -149,6 +150,10 @@
 	Limits []Limit
 	// Parts is what the sender knows of parts of prompts that crash engines.
 	Parts quarantine.Report
+	// Streams tells which versions began streams, and AskedStreams are those that the sender
+	// asks for.
+	Streams      []streamversion.Record
+	AskedStreams []uint64
 }
 
 // Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
@@ -178,6 +183,8 @@
 	fieldSoundParts        = 22
 	fieldQuarantined       = 23
 	fieldLimit             = 24
+	fieldStream            = 25
+	fieldAskedStreams      = 26
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -225,6 +232,7 @@
 	for _, l := range m.Limits {
 		b = appendLimit(b, l)
 	}
+	b = appendStreams(b, m.Streams, m.AskedStreams)
 	return appendPartReport(b, m.Parts)
 }
 
@@ -409,6 +417,10 @@
 		err = m.decodeLimit(v)
 	case fieldCrash:
 		err = m.decodeCrash(v)
+	case fieldStream:
+		err = m.decodeStream(v)
+	case fieldAskedStreams:
+		m.AskedStreams, err = decodeFixedList(v)
 	case fieldSoundParts:
 		m.Parts.Sound, err = decodeFixedList(v)
 	case fieldQuarantined:
--- a/internal/digest/parts_test.go
+++ b/internal/digest/parts_test.go
@@ -9,6 +9,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 )
 
 // Guards against a router that has just started and sends requests to engines which the
@@ -78,3 +79,28 @@
 		t.Errorf("share %+v of the last router", share)
 	}
 }
+
+// Guards against a stream whose version is told to no router that another one asks, since they
+// disagree on who is live, and against one that is told to all.
+func TestHoldersOfAStreamAreAmongThoseThatAreAsked(t *testing.T) {
+	told, asks := &Exchange{peers: NewPeers(addr(1), nil)}, &Exchange{peers: NewPeers(addr(2), nil)}
+	for i := 3; i < 60; i++ {
+		told.peers.RecordMessage(time.Now(), addr(i), &Message{Sender: 1})
+		if i%7 > 0 {
+			asks.peers.RecordMessage(time.Now(), addr(i), &Message{Sender: 1})
+		}
+	}
+	missed := 0
+	for s := range streamversion.Stream(200) {
+		holders, asked := told.holdersOf(s, streamHolders), asks.holdersOf(s, askedHolders)
+		if len(holders) != streamHolders || len(asked) != askedHolders {
+			t.Fatalf("%d holders, %d are asked", len(holders), len(asked))
+		}
+		if !slices.ContainsFunc(holders, func(a netip.Addr) bool { return slices.Contains(asked, a) }) {
+			missed++
+		}
+	}
+	if missed > 4 {
+		t.Errorf("%d of 200 streams are held by no router that is asked", missed)
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -166,6 +166,10 @@
 
 // endWithoutCapacity ends a request that no server may get now.
 func (c *call) endWithoutCapacity() {
+	if c.requiredVersion() != 0 {
+		c.endUnserved(CauseNoServerOfVersion)
+		return
+	}
 	wait := c.pool.limitWait(time.Now())
 	if wait == 0 || c.attempts.ran > 0 {
 		c.endUnserved(CauseNoServer)
@@ -235,7 +239,7 @@
 }
 
 func (c *call) job() balance.Job {
-	job := balance.Job{Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre, Objective: c.route.Objective}
+	job := balance.Job{Version: c.requiredVersion(), Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre, Objective: c.route.Objective}
 	job.Prefixes, job.PromptTokens = sharedPrefixes(c.headers)
 	return job
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -21,6 +21,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 )
 
 // defaultDeadline bounds a request without a deadline on a route without a timeout.
@@ -94,6 +95,8 @@
 	// fingerprintOf is what fingerprint has computed; 0 before.
 	fingerprintOf uint64
 
+	// version is that of the servers which may continue the stream; 0 for any.
+	version  streamversion.Version
 	attempts attempts
 	stream   streamState
 	// sentFraming is how the end of the answer to the caller is marked.
@@ -266,6 +269,9 @@
 	if !c.sendable() {
 		return
 	}
+	if !c.findVersion() {
+		return
+	}
 	if !c.admitToPool() {
 		return
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -183,6 +183,11 @@
 	CauseCrashingPart Cause = "prompt_part_crashes_engines"
 	// CauseCrashingRequest: the request crashes servers.
 	CauseCrashingRequest Cause = "request_crashes_servers"
+	// CauseVersionUnknown: servers of several software versions could continue the stream that
+	// the caller takes up, and no router knows which one began it.
+	CauseVersionUnknown Cause = "version_of_stream_unknown"
+	// CauseNoServerOfVersion: no server of the software version that began the stream can take it.
+	CauseNoServerOfVersion Cause = "no_server_of_version"
 	// CauseInternal: the router failed; its log line has the error.
 	CauseInternal Cause = "internal_error"
 )
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -61,6 +61,7 @@
 	// again. New sets it.
 	onReuse reuseObserver
 	crashes *crashes
+	streams *streamVersions
 	// limitShare returns this router's share in the requests to a server that names a limit, and
 	// onLimit is called when such a limit changes. New sets it.
 	limitShare func(server uint64) namedlimit.Share
@@ -83,6 +84,7 @@
 	// later incarnation.
 	connections map[registry.Key]*connections
 	onReuse     reuseObserver
+	versions    versionChange
 }
 
 // NewState returns a state without a configuration and servers.
@@ -94,6 +96,7 @@
 		onLimit:    func(*registry.Server, namedlimit.Statement, bool) {},
 	}
 	st.crashes = newCrashes(func() { st.onNews() })
+	st.streams = newStreamVersions()
 	return st
 }
 
@@ -117,6 +120,13 @@
 	for _, s := range list {
 		byPool[s.Pool] = append(byPool[s.Pool], s)
 	}
+	if st.setPools(byPool) {
+		st.streams.tellOwn()
+	}
+}
+
+// setPools replaces the servers of all pools and reports whether a second version has come to one.
+func (st *State) setPools(byPool map[string][]*registry.Server) (secondVersion bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	for name := range byPool {
@@ -125,8 +135,9 @@
 		}
 	}
 	for name, p := range st.pools {
-		p.setServers(byPool[name])
+		secondVersion = p.setServers(byPool[name]) || secondVersion
 	}
+	return secondVersion
 }
 
 // SetBounds changes the bounds of all pools.
@@ -176,7 +187,8 @@
 	return list
 }
 
-func (p *pool) setServers(list []*registry.Server) {
+// setServers replaces the list of servers and reports whether a second version has come.
+func (p *pool) setServers(list []*registry.Server) (secondVersion bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.balance.SetServers(list)
@@ -191,6 +203,7 @@
 		c.remove()
 		delete(p.connections, key)
 	}
+	return p.versions.update(time.Now(), list)
 }
 
 // admit decides whether the pool accepts a request at its estimated load, and
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -99,6 +99,7 @@
 	}
 	if !c.w.started() {
 		c.firstByte = time.Since(c.arrivedAt)
+		c.recordVersion()
 		c.sendHeaders(resp.StatusCode, resp.Header, endOf(resp).ofStream())
 	}
 	if _, err := c.w.Write(data); err != nil {
--- /dev/null
+++ b/internal/forward/streamversions.go
@@ -0,0 +1,240 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
+)
+
+const (
+	// askInterval is the time between two questions for the version of a stream, since
+	// datagrams are lost, and maxAsked the number of questions. Routers answer within a few
+	// milliseconds.
+	askInterval = 40 * time.Millisecond
+	maxAsked    = 3
+)
+
+// FleetStreams is how a router learns from the others which version began a stream. Its methods
+// are safe for concurrent use and do not wait for an answer.
+type FleetStreams interface {
+	TellStreams(list []streamversion.Record)
+	AskForStream(s streamversion.Stream)
+}
+
+// noFleet is a router without others.
+type noFleet struct{}
+
+func (noFleet) TellStreams([]streamversion.Record)  {}
+func (noFleet) AskForStream(s streamversion.Stream) {}
+
+// streamVersions is what a router knows of the versions that began streams. It is safe for
+// concurrent use.
+type streamVersions struct {
+	fleet   FleetStreams
+	started time.Time
+
+	mu    sync.Mutex
+	table *streamversion.Table
+	// answered is closed and replaced when another router has told of streams.
+	answered chan struct{}
+	// unmixed holds the streams that began while their router had known servers of one version
+	// only, as another router has said.
+	unmixed map[streamversion.Stream]bool
+}
+
+func newStreamVersions() *streamVersions {
+	return &streamVersions{
+		fleet: noFleet{}, started: time.Now(), table: streamversion.NewTable(), answered: make(chan struct{}),
+		unmixed: make(map[streamversion.Stream]bool),
+	}
+}
+
+// SetFleetStreams sets how the router learns of streams from the others. Call it before requests
+// are served.
+func (st *State) SetFleetStreams(f FleetStreams) { st.streams.fleet = f }
+
+// RecordStreams records what another router says of streams.
+func (st *State) RecordStreams(list []streamversion.Record) {
+	v := st.streams
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range list {
+		if r.Version == 0 {
+			v.unmixed[r.Stream] = true
+			continue
+		}
+		v.table.Record(time.Now(), r, false)
+	}
+	close(v.answered)
+	v.answered = make(chan struct{})
+}
+
+// StreamRecord returns what this router knows of a stream. The version is zero when none is known
+// and this router has known servers of one version only for as long as streams are kept.
+func (st *State) StreamRecord(s streamversion.Stream) (streamversion.Record, bool) {
+	now := time.Now()
+	if version, ok := st.streams.find(now, s); ok {
+		return streamversion.Record{Stream: s, Version: version}, true
+	}
+	return streamversion.Record{Stream: s}, st.streams.settled(now) && !st.severalVersions(now)
+}
+
+// settled reports whether the router has run for as long as streams are kept.
+func (v *streamVersions) settled(now time.Time) bool {
+	return now.Sub(v.started) > streamversion.KeepTime
+}
+
+func (st *State) severalVersions(now time.Time) bool {
+	several := false
+	st.eachPool(func(p *pool) { several = several || p.severalVersions(now) })
+	return several
+}
+
+func (v *streamVersions) find(now time.Time, s streamversion.Stream) (streamversion.Version, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Find(now, s)
+}
+
+// record remembers that this router relays a stream, and tells the others when tell is set.
+func (v *streamVersions) record(now time.Time, r streamversion.Record, tell bool) {
+	v.mu.Lock()
+	v.table.Record(now, r, true)
+	v.mu.Unlock()
+	if tell {
+		v.fleet.TellStreams([]streamversion.Record{r})
+	}
+}
+
+// tellOwn tells the others of the streams that this router relays: a second version is there.
+func (v *streamVersions) tellOwn() {
+	v.mu.Lock()
+	list := v.table.Own(time.Now())
+	v.mu.Unlock()
+	v.fleet.TellStreams(list)
+}
+
+// ask returns the version that began a stream, which another router may know. It waits for an
+// answer for a short time, but when it knows of one version only not longer than until another
+// router says the same.
+func (v *streamVersions) ask(ctx context.Context, s streamversion.Stream, several bool) (version streamversion.Version, known bool) {
+	for range maxAsked {
+		var ended bool
+		if version, known, ended = v.askOnce(ctx, s, several); ended {
+			break
+		}
+	}
+	v.mu.Lock()
+	delete(v.unmixed, s)
+	v.mu.Unlock()
+	return version, known
+}
+
+// askOnce asks once; ended is set when it is no use to ask again.
+func (v *streamVersions) askOnce(ctx context.Context, s streamversion.Stream, several bool) (version streamversion.Version, known, ended bool) {
+	v.fleet.AskForStream(s)
+	timer := time.NewTimer(askInterval)
+	defer timer.Stop()
+	for {
+		v.mu.Lock()
+		version, known = v.table.Find(time.Now(), s)
+		ended = known || !several && v.unmixed[s]
+		answered := v.answered
+		v.mu.Unlock()
+		if ended {
+			return version, known, true
+		}
+		select {
+		case <-answered:
+		case <-timer.C:
+			return 0, false, false
+		case <-ctx.Done():
+			return 0, false, true
+		}
+	}
+}
+
+// findVersion finds the version that began the stream which the caller takes up, or refuses the
+// request when servers of several versions could continue it and nobody knows.
+func (c *call) findVersion() bool {
+	if !c.headers.takesUp() || !c.mayBeTakenUp() {
+		return true
+	}
+	streams, now := c.handler.state.streams, time.Now()
+	several := c.pool.severalVersions(now)
+	version, known := streams.find(now, c.streamID())
+	if !known && (several || !streams.settled(now)) {
+		version, known = streams.ask(c.r.Context(), c.streamID(), several)
+	}
+	if !known && several {
+		c.refuse(CauseVersionUnknown)
+		return false
+	}
+	c.version = version
+	return true
+}
+
+// mayBeTakenUp reports whether callers may continue the streams of the route.
+func (c *call) mayBeTakenUp() bool { return c.route.Kind == routing.Stream && c.route.Resumable }
+
+// streamID returns the stream that the request begins or takes up.
+func (c *call) streamID() streamversion.Stream {
+	if c.headers.Resumes != "" {
+		return streamversion.StreamOf(c.headers.Resumes)
+	}
+	return streamversion.StreamOf(c.headers.ID)
+}
+
+// recordVersion remembers which version has written the first event that the caller gets. Only
+// that version may go on.
+func (c *call) recordVersion() {
+	if !c.mayBeTakenUp() {
+		return
+	}
+	c.version = streamversion.VersionOf(c.attempts.choice.Server.Version)
+	now := time.Now()
+	record := streamversion.Record{Stream: c.streamID(), Version: c.version}
+	c.handler.state.streams.record(now, record, c.pool.severalVersions(now))
+}
+
+// requiredVersion returns the version that the next server must have; 0 for any. Without servers
+// of several versions it does not matter.
+func (c *call) requiredVersion() streamversion.Version {
+	if c.version == 0 || !c.pool.severalVersions(time.Now()) {
+		return 0
+	}
+	return c.version
+}
+
+// versionChange is what the lists of servers tell of the versions of a pool.
+type versionChange struct {
+	// several is set while there are servers of several versions. Until is the time until which
+	// streams may go on that a version has begun which has gone.
+	several bool
+	until   time.Time
+}
+
+// severalVersions reports whether servers of several versions may have begun streams that go on.
+func (p *pool) severalVersions(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.versions.several || now.Before(p.versions.until)
+}
+
+// update takes a new list of servers over and reports whether a second version has come.
+func (v *versionChange) update(now time.Time, list []*registry.Server) (begun bool) {
+	several := false
+	for _, s := range list {
+		several = several || s.Version != list[0].Version
+	}
+	if v.several && !several {
+		v.until = now.Add(streamversion.KeepTime)
+	}
+	begun = several && !v.several
+	v.several = several
+	return begun
+}
--- /dev/null
+++ b/internal/forward/streamversions_test.go
@@ -0,0 +1,138 @@
+package forward
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
+)
+
+// fleetStreams stands for the other routers. They know some streams and keep what they are told.
+type fleetStreams struct {
+	state *State
+	known map[streamversion.Stream]streamversion.Version
+
+	mu    sync.Mutex
+	told  []streamversion.Record
+	asked int
+}
+
+func (f *fleetStreams) TellStreams(list []streamversion.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told = append(f.told, list...)
+}
+
+func (f *fleetStreams) AskForStream(s streamversion.Stream) {
+	f.mu.Lock()
+	f.asked++
+	f.mu.Unlock()
+	if version, ok := f.known[s]; ok {
+		f.state.RecordStreams([]streamversion.Record{{Stream: s, Version: version}})
+	}
+}
+
+// versioned sets the versions of the servers of a bed, in order.
+func (b *bed) versioned(versions ...string) *fleetStreams {
+	for i, version := range versions {
+		b.servers[i].Version = version
+	}
+	f := &fleetStreams{state: b.state, known: map[streamversion.Stream]streamversion.Version{}}
+	b.state.SetFleetStreams(f)
+	b.state.SetServers(append([]*registry.Server(nil), b.servers[:len(versions)]...))
+	return f
+}
+
+var resumableRoute = routing.Route{Kind: routing.Stream, Resumable: true, MaxAttempts: 2}
+
+func takeUp(stream string) ask {
+	return ask{header: http.Header{"Resumes": {stream}, "After": {"1"}, "Id": {"again"}}}
+}
+
+// Guards against a stream that its caller takes up at a version which did not begin it, and against a
+// guess when nobody knows.
+func TestStreamThatIsTakenUpGoesToItsVersion(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 4, route: resumableRoute}, ok(wholeEvent))
+	f := b.versioned("v1", "v2", "v2", "v2")
+	f.known[streamversion.StreamOf("first")] = streamversion.VersionOf("v1")
+	for range 10 {
+		if got := b.send(takeUp("first")); got.status != http.StatusOK {
+			t.Errorf("status %d, want 200", got.status)
+		}
+	}
+	for _, a := range b.got() {
+		if a.server != "s0" {
+			t.Errorf("sent to %s, want the server of the version that began it", a.server)
+		}
+	}
+	asked := f.asked
+	if got := b.send(takeUp("unknown")); got.status != http.StatusServiceUnavailable || f.asked-asked != maxAsked {
+		t.Errorf("status %d after %d questions for a stream that nobody knows, want a refusal after %d", got.status, f.asked-asked, maxAsked)
+	}
+	b.expectLog(map[string]any{"cause": CauseVersionUnknown, "outcome": OutcomeNotRun, "resumes": "unknown"})
+}
+
+// Guards against a stream that goes on at the new version because the one that began it has gone.
+func TestVersionThatHasGoneIsRemembered(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+	f := b.versioned("v1", "v2")
+	f.known[streamversion.StreamOf("first")] = streamversion.VersionOf("v1")
+	b.state.SetServers(b.servers[1:2])
+	for stream, cause := range map[string]Cause{"first": CauseNoServerOfVersion, "unknown": CauseVersionUnknown} {
+		if got := b.send(takeUp(stream)); got.status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want 503", got.status)
+		}
+		b.expectLog(map[string]any{"cause": cause})
+	}
+}
+
+// Guards against streams whose version only the router knows that relays them, also those that began
+// before there was a second version; and against messages without need.
+func TestOthersAreToldOfStreamsOfSeveralVersions(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+	f := b.versioned("v1", "v1")
+	b.send(ask{header: http.Header{"Id": {"first"}}})
+	if len(f.told) > 0 {
+		t.Errorf("told %v although there is one version", f.told)
+	}
+	second := *b.servers[1]
+	second.Version = "v2"
+	b.state.SetServers([]*registry.Server{b.servers[0], &second})
+	want := streamversion.Record{Stream: streamversion.StreamOf("first"), Version: streamversion.VersionOf("v1")}
+	if len(f.told) != 1 || f.told[0] != want {
+		t.Errorf("told %v when the second version came, want %v", f.told, want)
+	}
+	b.send(ask{header: http.Header{"Id": {"second"}}})
+	if len(f.told) != 2 || f.told[1].Stream != streamversion.StreamOf("second") {
+		t.Errorf("told %v, want the second stream too", f.told)
+	}
+}
+
+// Guards against a router that has just started and makes callers wait although another one knows
+// that there is one version, and against refusals while there was never a second one.
+func TestStreamOfTheOnlyVersionGoesOn(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+	f := b.versioned("v1", "v1")
+	f.known[streamversion.StreamOf("first")] = 0
+	for _, stream := range []string{"first", "unknown"} {
+		if got := b.send(takeUp(stream)); got.status != http.StatusOK {
+			t.Errorf("status %d for %s, want 200", got.status, stream)
+		}
+	}
+	if f.asked != 1+maxAsked {
+		t.Errorf("asked %d times, want once and %d times", f.asked, maxAsked)
+	}
+	b.state.streams.started = time.Now().Add(-time.Hour)
+	b.send(takeUp("third"))
+	if f.asked != 1+maxAsked {
+		t.Error("a router that has run for long asks others")
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -114,6 +114,7 @@
 	state.SetPlacementsKnown(f.placementsKnown)
 	state.SetLimitShare(f.exchange.LimitShare)
 	state.SetTrialTurn(f.exchange.RoutersBefore)
+	state.SetFleetStreams(f.exchange)
 	f.ready = newServer(f.readyRouter())
 	f.admin = newServer(f.adminRouter())
 	return f, nil
