balance: a server that says in an answer that it leaves gets no requests

The belief is of one router and one incarnation, and stands in the place that the entry's state has: a member whose server has said so counts as leaving whatever its entry says, for choice, mean, admission and copies alike. It ends with the incarnation.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -161,6 +161,7 @@
 			m = &member{idHash: placement.Hash(s.ID), hash: s.Key().Hash()}
 		}
 		m.server, m.version = s, streamversion.VersionOf(s.Version)
+		m.keepLeaving()
 		p.members = append(p.members, m)
 		p.byKey[s.Key()] = m
 		p.byHash[m.hash] = m
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -17,7 +17,10 @@
 	hash uint64
 	// version is that of the server's software.
 	version streamversion.Version
-	own     int
+	// saidLeaving is set when the server has said in an answer that it leaves, which an incarnation
+	// does not take back.
+	saidLeaving bool
+	own         int
 	// readUntil is when the server is expected to have read all prompts that it has
 	// received.
 	readUntil time.Time
@@ -67,3 +70,24 @@
 	}
 	return load / float64(max(m.server.Slots, 1))
 }
+
+// keepLeaving marks a server as leaving that has said so, whatever its entry says.
+func (m *member) keepLeaving() {
+	if m.saidLeaving && !m.server.Leaving {
+		leaving := *m.server
+		leaving.Leaving = true
+		m.server = &leaving
+	}
+}
+
+// RecordLeaving records that a server has said in an answer that it leaves. It reports whether that
+// is new.
+func (p *Pool) RecordLeaving(key registry.Key) (changed bool) {
+	m := p.byKey[key]
+	if m == nil || m.saidLeaving {
+		return false
+	}
+	m.saidLeaving = true
+	m.keepLeaving()
+	return true
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -406,6 +406,7 @@
 		c.pool.recordLoad(time.Now(), choice.Server.Key(), answer.Load)
 	}
 	c.recordLimit(choice.Server, answer, resp.StatusCode < http.StatusMultipleChoices)
+	c.recordWishes(choice.Server, answer)
 	if answer.NotRun || resp.StatusCode == http.StatusMisdirectedRequest {
 		drain(resp, watch)
 		return result{outcome: balance.Refused, cause: CauseOverload}
--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -73,6 +73,7 @@
 	a.HasLoad = err == nil
 	_, err = fmt.Sscan(h.Get("Limit"), &a.Limit)
 	a.HasLimit = err == nil
+	a.Leaving = h.Get("Leaving") != ""
 	return a
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -112,6 +112,8 @@
 	Limit float64
 	// HasLimit is set when the answer names a limit.
 	HasLimit bool
+	// Leaving is set when the server says that it leaves.
+	Leaving bool
 }
 
 // Codec translates between headers and typed values. Its methods are pure and
--- /dev/null
+++ b/internal/forward/wishes.go
@@ -0,0 +1,20 @@
+package forward
+
+import (
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+)
+
+// recordWishes records what a server says in an answer of the requests that it wants from now on,
+// but for a limit of their rate. Each router keeps to what it has itself been told.
+func (c *call) recordWishes(s *registry.Server, answer ResponseHeaders) {
+	if answer.Leaving && c.pool.recordLeaving(s.Key()) {
+		c.handler.events.Emit(event.ServerSaysLeaving, "server", s.ID, "pool", s.Pool, "request", c.headers.ID)
+	}
+}
+
+func (p *pool) recordLeaving(key registry.Key) (changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balance.RecordLeaving(key)
+}
