balance: a server that refuses a request and names a time gets none meanwhile

The belief is of one router and one incarnation; the place that asks whether a named limit allows a request now asks this as well, so choice, admission and the wait of refused callers follow. A later statement that ends earlier does not shorten it.

--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -12,9 +12,10 @@
 // that names a limit. It is called while the pool is used.
 func (p *Pool) SetLimitShare(f func(server uint64) namedlimit.Share) { p.limitShare = f }
 
-// withheld reports whether a member's limit keeps this router from sending it a request.
+// withheld reports whether what a member has said keeps this router from sending it a request: it
+// wants none for a while, or its limit is used up.
 func (p *Pool) withheld(now time.Time, m *member) bool {
-	return m.limit.Active() && !m.limit.Allows(now, p.limitShare(m.hash))
+	return m.wantsNone(now) || m.limit.Active() && !m.limit.Allows(now, p.limitShare(m.hash))
 }
 
 // pressedShare is the share of their slots from which servers without a limit need relief. Engines
@@ -81,15 +82,19 @@
 	}
 }
 
-// LimitWait returns how long it takes until a server may get a request again when all that could take
-// one name limits, and 0 when there is no such server.
-func (p *Pool) LimitWait(now time.Time) time.Duration {
+// WithheldWait returns how long it takes until a server may get a request again when all that could
+// take one want none or name limits, and 0 when there is no such server.
+func (p *Pool) WithheldWait(now time.Time) time.Duration {
 	shortest := time.Duration(0)
 	for _, m := range p.members {
 		if m.server.Leaving || !p.withheld(now, m) {
 			continue
 		}
-		if wait := m.limit.Wait(now, p.limitShare(m.hash)); shortest == 0 || wait < shortest {
+		wait := m.wantsNoneUntil.Sub(now)
+		if !m.wantsNone(now) {
+			wait = m.limit.Wait(now, p.limitShare(m.hash))
+		}
+		if shortest == 0 || wait < shortest {
 			shortest = wait
 		}
 	}
--- a/internal/balance/limits_test.go
+++ b/internal/balance/limits_test.go
@@ -35,7 +35,7 @@
 		for d := time.Duration(0); d <= 2*time.Second; d += 10 * time.Millisecond {
 			choice, ok := p.Pick(now.Add(d), Job{})
 			if !ok {
-				if p.LimitWait(now.Add(d)) <= 0 {
+				if p.WithheldWait(now.Add(d)) <= 0 {
 					t.Fatalf("%+v: no wait until the next request", c.share)
 				}
 				continue
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -20,7 +20,9 @@
 	// saidLeaving is set when the server has said in an answer that it leaves, which an incarnation
 	// does not take back.
 	saidLeaving bool
-	own         int
+	// wantsNoneUntil is the end of the time in which it wants no requests of this router.
+	wantsNoneUntil time.Time
+	own            int
 	// readUntil is when the server is expected to have read all prompts that it has
 	// received.
 	readUntil time.Time
@@ -91,3 +93,20 @@
 	m.keepLeaving()
 	return true
 }
+
+// wantsNone reports whether the server has refused a request and wants none yet.
+func (m *member) wantsNone(now time.Time) bool { return now.Before(m.wantsNoneUntil) }
+
+// RecordRetryAfter records that a server has refused a request and wants none for a time. An earlier
+// statement that ends later stays. It reports whether the server wanted requests before.
+func (p *Pool) RecordRetryAfter(now time.Time, key registry.Key, d time.Duration) (begun bool) {
+	m := p.byKey[key]
+	if m == nil {
+		return false
+	}
+	begun = !m.wantsNone(now)
+	if until := now.Add(d); until.After(m.wantsNoneUntil) {
+		m.wantsNoneUntil = until
+	}
+	return begun
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -170,7 +170,7 @@
 		c.endUnserved(CauseNoServerOfVersion)
 		return
 	}
-	wait := c.pool.limitWait(time.Now())
+	wait := c.pool.withheldWait(time.Now())
 	if wait == 0 || c.attempts.ran > 0 {
 		c.endUnserved(CauseNoServer)
 		return
@@ -406,7 +406,7 @@
 		c.pool.recordLoad(time.Now(), choice.Server.Key(), answer.Load)
 	}
 	c.recordLimit(choice.Server, answer, resp.StatusCode < http.StatusMultipleChoices)
-	c.recordWishes(choice.Server, answer)
+	c.recordWishes(choice.Server, resp.StatusCode, answer)
 	if answer.NotRun || resp.StatusCode == http.StatusMisdirectedRequest {
 		drain(resp, watch)
 		return result{outcome: balance.Refused, cause: CauseOverload}
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -33,12 +33,12 @@
 	return p.balance.RecordLimit(key, said, sentAt)
 }
 
-// limitWait returns how long it takes until a server of the pool may get a request again when
-// limits keep this one from all, else 0.
-func (p *pool) limitWait(now time.Time) time.Duration {
+// withheldWait returns how long it takes until a server of the pool may get a request again when
+// what the servers say keeps this one from all, else 0.
+func (p *pool) withheldWait(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.balance.LimitWait(now)
+	return p.balance.WithheldWait(now)
 }
 
 // TakeLimits returns what the other routers have to be told of servers' limits.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -114,6 +114,9 @@
 	HasLimit bool
 	// Leaving is set when the server says that it leaves.
 	Leaving bool
+	// RetryAfter is how long the server wants no request when it refuses one; 0 when it does
+	// not say.
+	RetryAfter time.Duration
 }
 
 // Codec translates between headers and typed values. Its methods are pure and
@@ -168,7 +171,8 @@
 	CauseOverload Cause = "overload"
 	// CausePoolFull: the request would wait too long for a server.
 	CausePoolFull Cause = "pool_full"
-	// CauseServerLimits: all servers that could take the request name limits that are used up.
+	// CauseServerLimits: all servers that could take the request name limits that are used up, or
+	// want none for a while.
 	CauseServerLimits Cause = "server_limits"
 	CauseRouterMemory Cause = "router_memory"
 	CauseDeadline     Cause = "deadline"
