--- a/internal/front/crashingrequest_test.go
+++ b/internal/front/crashingrequest_test.go
@@ -1,10 +1,13 @@
 package front_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
 
 // crashingPath ends the paths of requests that crash servers.
@@ -13,6 +16,64 @@
 // hasCrashingPath reports whether a request has crashingPath.
 func hasCrashingPath(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, crashingPath) }
 
+// newRestartingEngine starts an engine that ends all its connections when it begins to run a request
+// that crashes engines, and goes on at once: whatever stands in front of it accepts connections all the
+// time, and its entry stays.
+func newRestartingEngine(t *testing.T, id string, c *crashes) *platformtest.Engine {
+	t.Helper()
+	var e *platformtest.Engine
+	e = platformtest.NewObservedEngine(id, func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !c.of(r) {
+				next.ServeHTTP(w, r)
+				return
+			}
+			c.record(&c.reached)
+			c.record(&c.at)
+			go e.CloseConnections()
+			panic(http.ErrAbortHandler)
+		})
+	})
+	t.Cleanup(e.Close)
+	return e
+}
+
+// Guards against a request that crashes servers whose addresses go on accepting connections, so that
+// nothing else shows that they have ended.
+func TestRequestThatCrashesServersBehindOpenListenersIsKeptFromThem(t *testing.T) {
+	t.Parallel()
+	for _, route := range []string{"/safe", "/unsafe", "/open", "/stream", "/resume"} {
+		t.Run(route[1:], func(t *testing.T) {
+			t.Parallel()
+			c := &crashes{of: hasCrashingPath}
+			f := newFleetWith(t, 3, 0, func(f *fleetBed) {
+				for i := range 6 {
+					f.engines = append(f.engines, newRestartingEngine(t, fmt.Sprintf("i-%d", i), c))
+				}
+				f.register(platformtest.StateReady, f.engines...)
+			})
+			sound := 0
+			start := time.Now()
+			for i := 0; time.Since(start) < stableTime+5*time.Second; i++ {
+				r := f.routers[i%len(f.routers)]
+				if i%5 == 0 {
+					r.do(r.request("POST", route+crashingPath, "body"))
+				}
+				if got := r.prompted(route+"/x", commonPart); got.status == http.StatusOK {
+					sound++
+				}
+				time.Sleep(80 * time.Millisecond)
+			}
+			if n := c.late(crashLimitOfRequest); n > lateLimit {
+				t.Errorf("the request was sent to servers %d times more later than %v after the third of %d crashes, want at most %d", n, stableTime, c.count(), lateLimit)
+			}
+			if c.count() == 0 || sound < 50 {
+				t.Errorf("%d crashes, %d sound requests served", c.count(), sound)
+			}
+		})
+	}
+}
+
 // Guards against one request that crashes server after server, because it comes again at any
 // router and each sends it to the next server, and once more when it may be repeated. Sound
 // requests of the same caller and route must be served meanwhile.
