quarantine: blame requests that servers break off again and again

Cause: a refused connection was the only sign of a server's end. Where something in front of the server goes on accepting, or it is back at once, nothing was found. Attempts of an unserved request that servers broke off are told to the others as well: five of them, each sent after the one before, at two servers at least, with no answer in between, blame the request; after three it goes to no further server. They blame no parts and explain no crash.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -61,6 +61,7 @@
 		m.AskedStreams = append(m.AskedStreams, rapid.Uint64().Draw(t, "asked stream"))
 		m.Parts.Crashes = append(m.Parts.Crashes, quarantine.Crash{
 			Engine: rapid.Uint64().Draw(t, "engine"), Parts: rapid.SliceOfN(rapid.Uint64(), 1, partsPerDatagram).Draw(t, "parts"), Age: drawAge(t),
+			Broken:   rapid.Bool().Draw(t, "broken"),
 			Requests: []quarantine.SentRequest{{Fingerprint: rapid.Uint64().Draw(t, "fingerprint"), Age: drawAge(t)}},
 		})
 		m.Limits = append(m.Limits, Limit{
--- a/internal/digest/parts.go
+++ b/internal/digest/parts.go
@@ -29,6 +29,7 @@
 	crashParts  = 3
 	// crashRequest may be repeated.
 	crashRequest = 4
+	crashBroken  = 5
 
 	requestFingerprint = 1
 	requestAge         = 2
@@ -50,7 +51,7 @@
 			e.sendCrash(targets, quarantine.Crash{Engine: c.Engine, Age: c.Age, Parts: part})
 		}
 		for requests := range slices.Chunk(c.Requests, requestsPerDatagram) {
-			e.sendCrash(targets, quarantine.Crash{Engine: c.Engine, Age: c.Age, Requests: requests})
+			e.sendCrash(targets, quarantine.Crash{Engine: c.Engine, Age: c.Age, Broken: c.Broken, Requests: requests})
 		}
 	}
 	for part := range slices.Chunk(r.Sound, partsPerDatagram) {
@@ -73,6 +74,7 @@
 	for _, c := range r.Crashes {
 		inner := appendFixed(nil, crashEngine, c.Engine)
 		inner = appendPositive(inner, crashAge, c.Age.Milliseconds())
+		inner = appendBool(inner, crashBroken, c.Broken)
 		if len(c.Parts) > 0 {
 			inner = appendFixedList(inner, crashParts, c.Parts)
 		}
@@ -134,6 +136,8 @@
 			c.Age = reportAge(v)
 		case crashParts:
 			c.Parts, err = decodeFixedList(inner)
+		case crashBroken:
+			c.Broken = v != 0
 		case crashRequest:
 			var r quarantine.SentRequest
 			r, err = decodeSentRequest(inner)
--- a/internal/digest/parts_test.go
+++ b/internal/digest/parts_test.go
@@ -37,7 +37,7 @@
 		r.Entries = append(r.Entries, quarantine.Entry{Part: 1 << 63, Request: true, Age: maxReportAge, Idle: maxReportAge, NextTrial: maxReportAge, Trials: maxTrials})
 	}
 	crash := quarantine.Report{Crashes: []quarantine.Crash{{Engine: 1 << 63, Age: maxReportAge, Parts: make([]uint64, partsPerDatagram)}}}
-	requests := quarantine.Crash{Engine: 1 << 63, Age: maxReportAge}
+	requests := quarantine.Crash{Engine: 1 << 63, Age: maxReportAge, Broken: true}
 	for range requestsPerDatagram {
 		requests.Requests = append(requests.Requests, quarantine.SentRequest{Fingerprint: 1 << 63, Age: maxReportAge})
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -57,6 +57,8 @@
 	bodyBytes int64
 	// readError is the error that ended the reading of the answer; io.EOF at its end.
 	readError error
+	// broken lists the attempts that may have crashed their servers.
+	broken []brokenAttempt
 	// disputed lists the servers whose failure the request itself may have caused.
 	disputed []*registry.Server
 	// failure is the last complete answer that reported a failure.
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -68,6 +68,7 @@
 func (c *call) recordCrashSigns(s *registry.Server, res result) {
 	switch {
 	case c.mayHaveCrashed(res):
+		c.attempts.broken = append(c.attempts.broken, brokenAttempt{server: s.Key(), sentAt: c.attempts.sentAt, endedAt: time.Now()})
 		c.handler.state.crashes.suspect(s, c.partIDs(), quarantine.Sent{Fingerprint: c.fingerprint(), At: c.attempts.sentAt})
 	case c.showsSound(res):
 		c.handler.state.crashes.recordServed(c.heldIDs())
@@ -76,6 +77,20 @@
 	}
 }
 
+// brokenAttempt is an attempt that its server broke off before the answer or soon after its start.
+type brokenAttempt struct {
+	server          registry.Key
+	sentAt, endedAt time.Time
+}
+
+// recordBroken records the attempts that servers have broken off when no server has served the
+// request. Where it comes again, that may be the only sign that it crashes them.
+func (c *call) recordBroken() {
+	if len(c.attempts.broken) > 0 && c.outcome != OutcomeServed {
+		c.handler.state.crashes.recordBroken(c.fingerprint(), c.attempts.broken)
+	}
+}
+
 // maySendAgain reports whether another server may get the request without ending as well.
 func (c *call) maySendAgain(res result) bool {
 	return !c.handler.state.crashes.doubtful(c.heldIDs(), c.mayHaveCrashed(res))
@@ -194,6 +209,17 @@
 	}
 }
 
+// recordBroken records that servers have broken a request off, and may not have ended.
+func (k *crashes) recordBroken(fingerprint uint64, list []brokenAttempt) {
+	k.mu.Lock()
+	now := time.Now()
+	for _, b := range list {
+		k.tracker.RecordBroken(now, b.endedAt, b.server.Hash(), quarantine.Sent{Fingerprint: fingerprint, At: b.sentAt})
+	}
+	k.mu.Unlock()
+	k.onNews()
+}
+
 // confirm records the crash of a server that accepts no connections.
 func (k *crashes) confirm(s *registry.Server) {
 	ended := refusesConnections(s.Addr)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -319,6 +319,7 @@
 // finish records how the request ended.
 func (c *call) finish() {
 	c.handler.bodies.add(-c.reserved)
+	c.recordBroken()
 	c.handler.metrics.recordEnd(c, time.Since(c.arrivedAt))
 	c.log()
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,7 +6,8 @@
 // separate crashes, and no request with it has been served in between anywhere: what was there
 // by chance is served by other servers. Servers that end together, such as those of a rack,
 // count as one crash, but for a request that was sent to a server after another one had ended
-// under it. A crash that is explained counts for nothing else, and a whole request is blamed
+// under it. A request that servers only broke off, while nothing shows that they have ended, is
+// blamed after more of these. A crash that is explained counts for nothing else, and a whole request is blamed
 // before its parts.
 //
 // Fingerprints and parts share the name "part" below where they are treated alike.
@@ -31,6 +32,13 @@
 	// settleTime is how long after the last of these crashes a report that the part is
 	// sound may still arrive.
 	settleTime = 300 * time.Millisecond
+	// minBroken is the number of times that servers must have broken a request off, or ended under
+	// it, when not all of these ends are known; and minBrokenServers the number of such
+	// servers. The platform bounds what happens after the third crash to three requests.
+	minBroken        = 5
+	minBrokenServers = 2
+	// doubtBroken is the number of such times from which a request is not sent to another server.
+	doubtBroken = 3
 	// doubtCrashes is the number of crashes from which a broken request with the part is
 	// not sent to another engine.
 	doubtCrashes = 2
@@ -91,6 +99,8 @@
 	at     time.Time
 	// sentAt is when the engine got the request; zero for a part of a prompt.
 	sentAt time.Time
+	// broken is set when the engine broke the request off and may not have ended.
+	broken bool
 }
 
 // follows reports whether a crash counts separately from an earlier one.
@@ -98,6 +108,12 @@
 	return c.at.Sub(earlier.at) >= minSeparation || c.sentAt.After(earlier.at)
 }
 
+// isKnown reports whether a known crash is the same. An engine ends once, but may break the same
+// request off more often.
+func (c crash) isKnown(known crash) bool {
+	return known.engine == c.engine && (!known.broken || c.broken && !c.sentAt.After(known.at))
+}
+
 // entry is a quarantined part.
 type entry struct {
 	// request is set when the part is the fingerprint of a request.
@@ -142,7 +158,7 @@
 	for _, r := range requests {
 		blamed = t.extend(now, r.Fingerprint) || blamed
 	}
-	if blamed {
+	if blamed && !c.broken {
 		t.explain(now, c.engine)
 	}
 	if _, ok := t.explained[c.engine]; ok {
@@ -153,10 +169,18 @@
 		t.suspect(part, c)
 	}
 	for _, r := range requests {
-		t.suspect(r.Fingerprint, crash{engine: c.engine, at: c.at, sentAt: r.At})
+		t.suspect(r.Fingerprint, crash{engine: c.engine, at: c.at, sentAt: r.At, broken: c.broken})
 	}
 }
 
+// RecordBroken records that an engine has broken a request off at a time before it answered, though
+// it may not have ended, to be told to the others.
+func (t *Tracker) RecordBroken(now, at time.Time, engine uint64, r Sent) {
+	c := crash{engine: engine, at: at, broken: true}
+	t.outbox.crash(c, nil, []Sent{r})
+	t.applyCrash(now, c, nil, []Sent{r})
+}
+
 // makeRoom forgets suspects of one crash when there is no room for n more.
 func (t *Tracker) makeRoom(now time.Time, n int) {
 	if len(t.suspects)+n <= maxSuspects {
@@ -214,18 +238,26 @@
 	if list == nil && len(t.suspects) >= maxSuspects {
 		return
 	}
-	if slices.ContainsFunc(list, func(known crash) bool { return known.engine == c.engine }) {
+	if slices.ContainsFunc(list, c.isKnown) {
 		return
 	}
+	if !c.broken {
+		// These were the same end.
+		list = slices.DeleteFunc(list, func(known crash) bool { return known.engine == c.engine })
+	}
 	list = append(list, c)
 	slices.SortFunc(list, func(a, b crash) int { return a.at.Compare(b.at) })
 	t.suspects[part] = list
 }
 
-// separate returns the crashes that count, each a while after the one before.
-func separate(list []crash) []crash {
+// separate returns the crashes that count, each a while after the one before; with broken also
+// those of which nothing shows that the engine has ended.
+func separate(list []crash, broken bool) []crash {
 	var counted []crash
 	for _, c := range list {
+		if c.broken && !broken {
+			continue
+		}
 		if n := len(counted); n == 0 || c.follows(counted[n-1]) {
 			counted = append(counted, c)
 		}
@@ -278,8 +310,8 @@
 		if isRequest := !list[0].sentAt.IsZero(); isRequest != requests {
 			continue
 		}
-		counted := separate(list)
-		if len(counted) >= minCrashes && now.Sub(counted[minCrashes-1].at) >= settleTime && len(t.entries)+len(guilty) < maxEntries {
+		at, ok := provenAt(list)
+		if ok && now.Sub(at) >= settleTime && len(t.entries)+len(guilty) < maxEntries {
 			guilty = append(guilty, part)
 		}
 	}
@@ -287,6 +319,22 @@
 	return guilty
 }
 
+// provenAt returns the time of the crash that proves a part guilty.
+func provenAt(list []crash) (time.Time, bool) {
+	if counted := separate(list, false); len(counted) >= minCrashes {
+		return counted[minCrashes-1].at, true
+	}
+	counted := separate(list, true)
+	servers := make(map[uint64]bool)
+	for _, c := range counted {
+		servers[c.engine] = true
+	}
+	if len(counted) < minBroken || len(servers) < minBrokenServers {
+		return time.Time{}, false
+	}
+	return counted[len(counted)-1].at, true
+}
+
 // blame quarantines parts, which explains the crashes under them.
 func (t *Tracker) blame(now time.Time, guilty []uint64, requests bool) {
 	var engines []crash
@@ -298,7 +346,9 @@
 		delete(t.suspects, part)
 	}
 	for _, c := range engines {
-		t.explain(now, c.engine)
+		if !c.broken {
+			t.explain(now, c.engine)
+		}
 	}
 	t.outbox.entriesChanged = t.outbox.entriesChanged || len(guilty) > 0
 }
@@ -365,7 +415,8 @@
 // have ended under, should not be sent to another one.
 func (t *Tracker) Doubtful(parts []uint64) bool {
 	return slices.ContainsFunc(parts, func(part uint64) bool {
-		return len(separate(t.suspects[part])) >= doubtCrashes
+		list := t.suspects[part]
+		return len(separate(list, false)) >= doubtCrashes || len(separate(list, true)) >= doubtBroken
 	})
 }
 
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -17,6 +17,8 @@
 	Engine   uint64
 	Parts    []uint64
 	Requests []SentRequest
+	// Broken is set when the engine broke the requests off and may not have ended.
+	Broken bool
 	// Age is the time since the crash.
 	Age time.Duration
 }
@@ -99,7 +101,7 @@
 
 // report returns what is told of the crash now.
 func (c *pendingCrash) report(now time.Time) Crash {
-	r := Crash{Engine: c.engine, Parts: c.parts, Age: now.Sub(c.at)}
+	r := Crash{Engine: c.engine, Parts: c.parts, Broken: c.broken, Age: now.Sub(c.at)}
 	for _, sent := range c.requests {
 		r.Requests = append(r.Requests, SentRequest{Fingerprint: sent.Fingerprint, Age: now.Sub(sent.At)})
 	}
@@ -164,7 +166,7 @@
 		t.adopt(now, e)
 	}
 	for _, c := range r.Crashes {
-		t.applyCrash(now, crash{engine: c.Engine, at: now.Add(-c.Age)}, c.Parts, c.sent(now))
+		t.applyCrash(now, crash{engine: c.Engine, at: now.Add(-c.Age), broken: c.Broken}, c.Parts, c.sent(now))
 	}
 	for _, part := range r.Sound {
 		t.clear(now, part, true)
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -80,3 +80,71 @@
 		t.Errorf("verdict %+v of a router that was told", v)
 	}
 }
+
+// brokenOff records that servers broke a request off, one a second in turn.
+func brokenOff(t *Tracker, n, servers int, fingerprint uint64) {
+	for i := range n {
+		d := time.Duration(i) * time.Second
+		t.RecordBroken(at(d), at(d), uint64(100+i%servers), Sent{Fingerprint: fingerprint, At: at(d - 50*time.Millisecond)})
+	}
+}
+
+// Guards against a request that crashes servers which seem to go on, and against one that is blamed
+// for a single server that breaks off, or too soon.
+func TestRequestThatServersBreakOffIsBlamedLater(t *testing.T) {
+	for _, c := range []struct {
+		times, servers int
+		blamed         bool
+	}{{minBroken, 4, true}, {minBroken, minBrokenServers, true}, {minBroken - 1, 4, false}, {20, 1, false}} {
+		tr := New()
+		brokenOff(tr, c.times, c.servers, 9)
+		var want []uint64
+		if c.blamed {
+			want = []uint64{9}
+		}
+		expectParts(t, quarantined(tr, time.Minute), want...)
+	}
+}
+
+// Guards against a sound request that some servers break off and others answer.
+func TestRequestThatIsAnsweredInBetweenIsNotBlamed(t *testing.T) {
+	tr := New()
+	brokenOff(tr, minBroken-1, 4, 9)
+	tr.RecordServed(at(10*time.Second), []uint64{9})
+	brokenOff(tr, minBroken-1, 4, 9)
+	expectParts(t, quarantined(tr, time.Minute))
+}
+
+// Guards against a request that goes on to a further server within its attempt, and against an end
+// that counts twice because it is confirmed after it was reported.
+func TestRequestThatWasBrokenOffOftenIsDoubtful(t *testing.T) {
+	tr := New()
+	brokenOff(tr, doubtBroken-1, 4, 9)
+	if tr.Doubtful([]uint64{9}) {
+		t.Error("doubtful too soon")
+	}
+	tr.RecordCrash(at(time.Second), at(time.Second), 101, nil, []Sent{{Fingerprint: 9, At: at(950 * time.Millisecond)}})
+	if n := len(tr.suspects[9]); n != doubtBroken-1 || tr.Doubtful([]uint64{9}) {
+		t.Errorf("%d crashes count after one of them was confirmed", n)
+	}
+	tr.RecordBroken(at(time.Second), at(time.Second), 101, Sent{Fingerprint: 9, At: at(950 * time.Millisecond)})
+	if n := len(tr.suspects[9]); n != doubtBroken-1 {
+		t.Errorf("%d crashes count after a confirmed one was told as broken", n)
+	}
+	brokenOff(tr, doubtBroken, 4, 9)
+	if !tr.Doubtful([]uint64{9}) {
+		t.Error("not doubtful")
+	}
+}
+
+// Guards against a server that goes on and whose later crash under another request counts for none.
+func TestBrokenRequestExplainsNoCrash(t *testing.T) {
+	tr := New()
+	brokenOff(tr, minBroken, 2, 9)
+	expectParts(t, quarantined(tr, time.Minute), 9)
+	for i := range 3 {
+		d := time.Minute + time.Duration(i)*time.Second
+		tr.RecordCrash(at(d), at(d), uint64(100+i), []uint64{7}, nil)
+	}
+	expectParts(t, quarantined(tr, 2*time.Minute), 7, 9)
+}
