forward: a request that a server has answered with a failure crashes no servers

Attempts that are broken off now count only when no server has answered the request, not even with a failure.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -83,10 +83,11 @@
 	sentAt, endedAt time.Time
 }
 
-// recordBroken records the attempts that servers have broken off when no server has served the
-// request. Where it comes again, that may be the only sign that it crashes them.
+// recordBroken records the attempts that servers have broken off when none has answered the
+// request, not even with a failure. Where it comes again, that may be the only sign that it
+// crashes them.
 func (c *call) recordBroken() {
-	if len(c.attempts.broken) > 0 && c.outcome != OutcomeServed {
+	if len(c.attempts.broken) > 0 && c.outcome != OutcomeServed && c.attempts.failure == nil {
 		c.handler.state.crashes.recordBroken(c.fingerprint(), c.attempts.broken)
 	}
 }
