registry: a removal that another router has decided ends the grace of a pending one

The readers had removed the server after their grace and told it at 33.245 s, but at an older position (19) than its list, so the removal had no effect until 34.558 s. Now such a removal, of the same era, ends the grace of the one that is pending.

Test red before. The two new rules fail a test when taken out.

--- a/internal/registry/again_test.go
+++ b/internal/registry/again_test.go
@@ -62,3 +62,36 @@
 		})
 	}
 }
+
+// Guards against a router that sees the return of the store late, and goes on to use a server that its
+// own list lacks although another router's grace for it has ended (soak seed 7017).
+func TestRemovalThatAnotherRouterHasDecidedEndsTheGrace(t *testing.T) {
+	r := New()
+	r.Apply(start, []Entry{readyEntry("a", 1), readyEntry("b", 2)}, time.Time{})
+	grace := start.Add(RemovalGrace)
+	listed := readyEntry("b", 2)
+	listed.Position = at(8)
+	r.Replace(start, []Entry{listed}, at(9), grace)
+	received := []Entry{{ID: "a", Position: at(5)}, {ID: "b", Position: at(1)}}
+	r.Apply(start.Add(time.Second), received, time.Time{})
+	if _, ok := r.servers["a"]; ok {
+		t.Error("a server is used that both this router and another miss")
+	}
+	if _, ok := r.servers["b"]; !ok {
+		t.Error("an older removal has removed a server that the list has")
+	}
+	if changes := r.Expire(grace); len(changes) > 0 {
+		t.Errorf("removed again: %v", changes)
+	}
+}
+
+// Guards against a removal of the era before, which says nothing of entries that a new era lacks.
+func TestRemovalOfAnEarlierEraDoesNotEndTheGrace(t *testing.T) {
+	r := New()
+	r.Apply(start, []Entry{readyEntry("a", 1)}, time.Time{})
+	r.Replace(start, nil, logpos.Position{Era: 1, Offset: 9}, start.Add(RemovalGrace))
+	r.Apply(start.Add(time.Second), []Entry{{ID: "a", Position: at(5)}}, time.Time{})
+	if _, ok := r.servers["a"]; !ok {
+		t.Error("the server is not used during the grace")
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -114,13 +114,23 @@
 func (r *Registry) Apply(now time.Time, entries []Entry, graceUntil time.Time) []Change {
 	var changes []Change
 	for _, e := range entries {
-		if !e.Position.Before(r.decided(e.ID)) {
+		switch {
+		case !e.Position.Before(r.decided(e.ID)):
 			changes = r.apply(changes, now, e, graceUntil)
+		case r.confirmsRemoval(e) && !now.Before(graceUntil):
+			changes = r.remove(changes, now, r.pendingRemovals[e.ID].entry, time.Time{})
 		}
 	}
 	return changes
 }
 
+// confirmsRemoval reports whether a removal says what a later record or list, whose removal is still
+// pending, says as well. Another router that sends it has waited for the end of its own grace.
+func (r *Registry) confirmsRemoval(e Entry) bool {
+	pending, ok := r.pendingRemovals[e.ID]
+	return ok && e.Server == nil && pending.entry.Position.Era == e.Position.Era
+}
+
 // decided returns the position of what was read last about a server, which may be a list
 // that lacks it.
 func (r *Registry) decided(id string) logpos.Position {
