--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -43,7 +43,7 @@
 		if m.server.Leaving || m.health.ejected(now, m.own) {
 			continue
 		}
-		if m.limit.Active() || m.wantsNone(now) {
+		if m.limit.Active() || m.refuses(now) {
 			// It takes less than its slots suggest.
 			continue
 		}
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -15,7 +15,7 @@
 // withheld reports whether what a member has said keeps this router from sending it a request: it
 // wants none for a while, or its limit is used up.
 func (p *Pool) withheld(now time.Time, m *member) bool {
-	return m.wantsNone(now) || m.limit.Active() && !m.limit.Allows(now, p.limitShare(m.hash))
+	return m.refuses(now) || m.limit.Active() && !m.limit.Allows(now, p.limitShare(m.hash))
 }
 
 // pressedShare is the share of their slots from which servers without a limit need relief. Engines
@@ -90,8 +90,8 @@
 		if m.server.Leaving || !p.withheld(now, m) {
 			continue
 		}
-		wait := m.wantsNoneUntil.Sub(now)
-		if !m.wantsNone(now) {
+		wait := m.refusesUntil.Sub(now)
+		if !m.refuses(now) {
 			wait = m.limit.Wait(now, p.limitShare(m.hash))
 		}
 		if shortest == 0 || wait < shortest {
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -20,9 +20,9 @@
 	// saidLeaving is set when the server has said in an answer that it leaves, which an incarnation
 	// does not take back.
 	saidLeaving bool
-	// wantsNoneUntil is the end of the time in which it wants no requests of this router.
-	wantsNoneUntil time.Time
-	own            int
+	// refusesUntil is the end of the time in which it wants no requests of this router.
+	refusesUntil time.Time
+	own          int
 	// readUntil is when the server is expected to have read all prompts that it has
 	// received.
 	readUntil time.Time
@@ -94,8 +94,8 @@
 	return true
 }
 
-// wantsNone reports whether the server has refused a request and wants none yet.
-func (m *member) wantsNone(now time.Time) bool { return now.Before(m.wantsNoneUntil) }
+// refuses reports whether the server has refused a request and wants none yet.
+func (m *member) refuses(now time.Time) bool { return now.Before(m.refusesUntil) }
 
 // RecordRetryAfter records that a server has refused a request and wants none for a time. An earlier
 // statement that ends later stays. It reports whether the server wanted requests before.
@@ -104,9 +104,9 @@
 	if m == nil {
 		return false
 	}
-	begun = !m.wantsNone(now)
-	if until := now.Add(d); until.After(m.wantsNoneUntil) {
-		m.wantsNoneUntil = until
+	begun = !m.refuses(now)
+	if until := now.Add(d); until.After(m.refusesUntil) {
+		m.refusesUntil = until
 	}
 	return begun
 }
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -42,7 +42,7 @@
 	LimitNamed          = register(1038, hclog.Warn, "server names a limit of requests a second for all routers together")
 	LimitEnded          = register(1039, hclog.Info, "server no longer names a limit")
 	ServerSaysLeaving   = register(1040, hclog.Info, "server says in an answer that it leaves; it gets no new requests")
-	ServerWantsNone     = register(1041, hclog.Info, "server refuses a request and wants none for a time")
+	ServerRefuses       = register(1041, hclog.Info, "server refuses requests for a time")
 	InventoryCollected  = register(1022, hclog.Info, "engines were queried for their cached prompt parts")
 	InventoryFailed     = register(1023, hclog.Warn, "query of an engine's cached prompt parts failed")
 )
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -408,7 +408,7 @@
 		c.pool.recordLoad(time.Now(), choice.Server.Key(), answer.Load)
 	}
 	c.recordLimit(choice.Server, answer, resp.StatusCode < http.StatusMultipleChoices)
-	c.recordWishes(choice.Server, resp.StatusCode, answer)
+	c.recordStatements(choice.Server, resp.StatusCode, answer)
 	if answer.NotRun || resp.StatusCode == http.StatusMisdirectedRequest {
 		drain(resp, watch)
 		return result{outcome: balance.Refused, cause: CauseOverload}
--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -74,7 +74,7 @@
 	_, err = fmt.Sscan(h.Get("Limit"), &a.Limit)
 	a.HasLimit = err == nil
 	a.Leaving = h.Get("Leaving") != ""
-	a.RetryAfter, _ = time.ParseDuration(h.Get("Wants-None"))
+	a.RetryAfter, _ = time.ParseDuration(h.Get("Retry-After"))
 	return a
 }
 
--- a/internal/forward/wishes.go
+++ b/internal/forward/statements.go
@@ -8,9 +8,9 @@
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
 
-// recordWishes records what a server says in an answer of the requests that it wants from now on,
+// recordStatements records what a server says in an answer of the requests that it takes from now on,
 // but for a limit of their rate. Each router keeps to what it has itself been told.
-func (c *call) recordWishes(s *registry.Server, status int, answer ResponseHeaders) {
+func (c *call) recordStatements(s *registry.Server, status int, answer ResponseHeaders) {
 	if answer.Leaving && c.pool.recordLeaving(s.Key()) {
 		c.handler.events.Emit(event.ServerSaysLeaving, "server", s.ID, "pool", s.Pool, "request", c.headers.ID)
 	}
@@ -18,7 +18,7 @@
 		return
 	}
 	if c.pool.recordRetryAfter(time.Now(), s.Key(), answer.RetryAfter) {
-		c.handler.events.Emit(event.ServerWantsNone, "server", s.ID, "pool", s.Pool, "request", c.headers.ID, "for_ms", answer.RetryAfter.Milliseconds())
+		c.handler.events.Emit(event.ServerRefuses, "server", s.ID, "pool", s.Pool, "request", c.headers.ID, "for_ms", answer.RetryAfter.Milliseconds())
 	}
 }
 
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -28,8 +28,8 @@
 // noFleet is a router without others.
 type noFleet struct{}
 
-func (noFleet) TellStreams([]streamversion.Record)  {}
-func (noFleet) AskForStream(s streamversion.Stream) {}
+func (noFleet) TellStreams([]streamversion.Record) {}
+func (noFleet) AskForStream(streamversion.Stream)  {}
 
 // streamVersions is what a router knows of the versions that began streams. It is safe for
 // concurrent use.
