forward: a router does not lock itself out when it is asked for an unknown stream

Found by reading the change: StreamRecord asked each pool under its lock for several versions, which takes the lock again.

--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -97,7 +97,7 @@
 
 func (st *State) severalVersions(now time.Time) bool {
 	several := false
-	st.eachPool(func(p *pool) { several = several || p.severalVersions(now) })
+	st.eachPool(func(p *pool) { several = several || p.versions.mixed(now) })
 	return several
 }
 
@@ -232,9 +232,12 @@
 func (p *pool) severalVersions(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.versions.several || now.Before(p.versions.until)
+	return p.versions.mixed(now)
 }
 
+// mixed reports whether servers of several versions may have begun streams that go on.
+func (v *versionChange) mixed(now time.Time) bool { return v.several || now.Before(v.until) }
+
 // update takes a new list of servers over and reports whether a second version has come.
 func (v *versionChange) update(now time.Time, list []*registry.Server) (begun bool) {
 	several := false
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -141,3 +141,25 @@
 		t.Error("a router that has run for long asks others")
 	}
 }
+
+// Guards against a router that locks itself out when another one asks for a stream that it does not
+// know.
+func TestSettledRouterAnswersThatItKnowsOneVersion(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+	b.versioned("v1", "v1")
+	b.state.streams.started = time.Now().Add(-time.Hour)
+	answered := make(chan bool, 1)
+	go func() {
+		r, known := b.state.StreamRecord(streamversion.StreamOf("unknown"))
+		answered <- known && r.Version == 0
+	}()
+	select {
+	case unmixed := <-answered:
+		if !unmixed {
+			t.Error("the router does not say that it knows of one version only")
+		}
+	case <-time.After(bedWait):
+		t.Fatal("no answer")
+	}
+}
