balance: a request that meets unreachable servers goes to the one last heard

Cause: the pauses of servers that went down together end together, and a server without cached prompts looks as good as any. So one request walks over up to eight of them and is refused with 503, although others answer. Since the entries of ended servers last a few seconds, callers saw this for that time after the loss of most of a pool.

Change: after two servers that could not be reached, the request goes to the member below the bound that sent data last and has not been unreachable since (reason last_heard in the request's line). Placement by prefix, limits and the budget stay as they are.

Each rule taken out is found by a test.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -54,6 +54,8 @@
 	Version streamversion.Version
 	// Exclude lists the incarnations that this request was already sent to.
 	Exclude []registry.Key
+	// Unreachable is the number of servers that this request could not reach.
+	Unreachable int
 	// DataCentre is preferred among servers with equal load.
 	DataCentre string
 	// Random breaks ties.
@@ -83,6 +85,8 @@
 	ReasonHome        Reason = "home"
 	ReasonSpill       Reason = "spill"
 	ReasonLeastLoaded Reason = "least_loaded"
+	// ReasonLastHeard: the request could not reach several servers, and this one was the last to send data.
+	ReasonLastHeard Reason = "last_heard"
 	// ReasonLimited: the server names a limit and was not asked for a while.
 	ReasonLimited Reason = "limited"
 )
@@ -179,6 +183,10 @@
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
+	if m := p.lastHeard(now, usable, mean, &job); m != nil {
+		source, read := p.reuse(now, m, &job)
+		return p.choose(now, m, source, mean, ReasonLastHeard, read), true
+	}
 	if len(job.Prefixes) == 0 {
 		return p.choose(now, p.leastLoaded(now, usable, &job), nil, mean, ReasonLeastLoaded, job.PromptTokens), true
 	}
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -35,6 +35,30 @@
 	return available, p.mean(now)
 }
 
+// manyUnreachable is the number of servers that a request may fail to reach before it goes to one that
+// is known to answer. After the end of a rack most first choices may be down while their entries
+// last, and the pauses of all end together.
+const manyUnreachable = 2
+
+// lastHeard returns the member below the bound that sent data last, for a request that could not
+// reach several servers; nil for other requests, or when none has been heard.
+func (p *Pool) lastHeard(now time.Time, usable []*member, mean float64, job *Job) *member {
+	if job.Unreachable < manyUnreachable {
+		return nil
+	}
+	bound := p.bound(mean)
+	var last *member
+	for _, m := range usable {
+		if m.health.heardAt.IsZero() || m.load(now) >= bound {
+			continue
+		}
+		if last == nil || m.health.heardAt.After(last.health.heardAt) {
+			last = m
+		}
+	}
+	return last
+}
+
 // Load returns the load of the servers that take new requests. Its Slots are 0
 // when one of these servers does not report its own.
 func (p *Pool) Load(now time.Time) overload.Load {
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -48,6 +48,8 @@
 	// pausedUntil is the end of a pause after a refused connection or request.
 	pausedUntil      time.Time
 	unreachablePause time.Duration
+	// heardAt is when the server last sent data; zero when it could not be reached since.
+	heardAt time.Time
 }
 
 func (h *health) begin(now time.Time, own int, readingUntil time.Time) {
@@ -62,6 +64,7 @@
 func (h *health) recordProgress(now time.Time) {
 	h.lastActivity = now
 	h.unreachablePause = 0
+	h.heardAt = now
 }
 
 // silent reports whether the server has requests in flight and has sent nothing
@@ -94,6 +97,7 @@
 	case Unreachable:
 		h.unreachablePause = min(max(2*h.unreachablePause, minUnreachablePause), maxUnreachablePause)
 		h.pausedUntil = now.Add(h.unreachablePause)
+		h.heardAt = time.Time{}
 		return true
 	case Failed:
 		h.record(now, true)
--- a/internal/balance/health_test.go
+++ b/internal/balance/health_test.go
@@ -145,3 +145,33 @@
 		t.Errorf("ejected %d and then %d servers, want the failing one once", len(first), len(again))
 	}
 }
+
+// Guards against a request that goes from one unreachable server to the next, although others
+// answer.
+func TestRequestThatMeetsUnreachableServersGoesToTheOneLastHeard(t *testing.T) {
+	p := pool(12)
+	for i, m := range p.members[:3] {
+		p.RecordProgress(start.Add(time.Duration(i)*time.Second), m.server.Key())
+	}
+	now := start.Add(time.Minute)
+	job := large(1)
+	if got := pick(t, p, now, job); got.Reason == ReasonLastHeard {
+		t.Error("a request that has met no unreachable server goes to the one last heard")
+	}
+	job.Unreachable = manyUnreachable
+	if got := pick(t, p, now, job); got.Server != p.members[2].server || got.Reason != ReasonLastHeard {
+		t.Errorf("server %s, reason %s; want the one last heard, %s", got.Server.ID, got.Reason, p.members[2].server.ID)
+	}
+	p.End(now, p.members[2].server.Key(), Unreachable)
+	later := now.Add(maxUnreachablePause)
+	if got := pick(t, p, later, job); got.Server != p.members[1].server {
+		t.Errorf("server %s, want %s: the one last heard could not be reached since", got.Server.ID, p.members[1].server.ID)
+	}
+	for range 40 {
+		p.Begin(later, at(p.members[1]), Job{})
+		p.RecordProgress(later, p.members[1].server.Key())
+	}
+	if got := pick(t, p, later, job); got.Server != p.members[0].server {
+		t.Errorf("server %s, want %s: the one last heard is at the bound of its load", got.Server.ID, p.members[0].server.ID)
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -243,6 +243,7 @@
 func (c *call) job() balance.Job {
 	job := balance.Job{Version: c.requiredVersion(), Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre, Objective: c.route.Objective}
 	job.Prefixes, job.PromptTokens = sharedPrefixes(c.headers)
+	job.Unreachable = c.attempts.unreachable
 	return job
 }
 
--- a/internal/forward/attempt_test.go
+++ b/internal/forward/attempt_test.go
@@ -188,6 +188,23 @@
 	b.expectLog(map[string]any{"offered": 8})
 }
 
+// Guards against a request that goes on from one server that is down to the next, although
+// another one has just answered.
+func TestRequestThatMeetsServersThatAreDownGoesToOneThatAnswers(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{down: 7, dataCentre: "near"}, ok("served"))
+	for _, s := range b.servers[1:] {
+		s.DataCentre = "near"
+	}
+	b.state.SetServers(b.servers[:1])
+	b.send(ask{})
+	b.state.SetServers(b.servers)
+	if got := b.send(ask{}); got.status != http.StatusOK {
+		t.Errorf("status %d, want the answer of the server that runs", got.status)
+	}
+	b.expectLog(map[string]any{"offered": 3, "reason": "last_heard"})
+}
+
 // Guards against a server that accepts no connection and holds requests until their deadline.
 func TestServerThatAcceptsNoConnectionIsPassedOver(t *testing.T) {
 	t.Parallel()
--- a/internal/front/unreachable_test.go
+++ b/internal/front/unreachable_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"testing"
 	"time"
-
 )
 
 // Guards against a request that is refused although a server answers, because it meets one
@@ -33,4 +32,3 @@
 		})
 	}
 }
-
