front: failing test of simultaneous requests that crash servers

Five routers, each with one such request every 3.2 s: 5 to 10 of them reach servers later than 3 s after the third crash, on all five routes (the users allow 3).

--- a/internal/front/crashingrequest_test.go
+++ b/internal/front/crashingrequest_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,6 +33,17 @@
 	return sound
 }
 
+// repeatSound sends sound requests of a route to the routers in turn.
+func (f *fleetBed) repeatSound(route string, d time.Duration) {
+	f.t.Helper()
+	for i, start := 0, time.Now(); time.Since(start) < d; i++ {
+		if got := f.routers[i%len(f.routers)].prompted(route+"/x", commonPart); got.status != http.StatusOK {
+			f.t.Errorf("status %d for a sound request", got.status)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // expectKept checks the platform's rule on a request that crashes servers.
 func (c *crashes) expectKept(t *testing.T) {
 	t.Helper()
@@ -103,3 +115,35 @@
 		})
 	}
 }
+
+// Guards against a request that many callers send at the same moment, again and again: the servers
+// that end under it together look like a rack, and each time as many end.
+func TestSimultaneousRequestsThatCrashServersAreKeptFromThem(t *testing.T) {
+	t.Parallel()
+	for _, route := range []string{"/safe", "/unsafe", "/open", "/stream", "/resume"} {
+		t.Run(route[1:], func(t *testing.T) {
+			t.Parallel()
+			const routers = 5
+			f, c := newCrashingFleet(t, routers, 60, func(r *http.Request) bool {
+				if !hasCrashingPath(r) {
+					return false
+				}
+				// All servers have the request before the first of them ends.
+				time.Sleep(60 * time.Millisecond)
+				return true
+			})
+			for range 4 {
+				var callers sync.WaitGroup
+				for _, r := range f.routers {
+					callers.Go(func() { r.do(r.request("POST", route+crashingPath, "body")) })
+				}
+				callers.Wait()
+				f.repeatSound(route, stableTime+200*time.Millisecond)
+			}
+			c.expectKept(t)
+			if n := c.count(); n == 0 {
+				t.Error("no server ended")
+			}
+		})
+	}
+}
