quarantine: one router sends a request under which several servers ended

Cause: servers that end together count as one crash, so that a rack which goes down blames nothing. Under a request that many callers send at the same moment they end together as well, and each of the next two such moments ended as many servers again before three crashes counted.

Change: after the end of three servers a request is suspected. The live router with the lowest address sends it, one a second at most; the others answer 503 with a Retry-After of a second. The first answer frees it everywhere; further ends make it a quarantined one. The next router takes over after 10 s. Parts of prompts, which many requests share, are not treated so. Events 1042 and 1034, cause request_may_crash_servers.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -43,6 +43,7 @@
 	LimitEnded          = register(1039, hclog.Info, "server no longer names a limit")
 	ServerSaysLeaving   = register(1040, hclog.Info, "server says in an answer that it leaves; it gets no new requests")
 	ServerRefuses       = register(1041, hclog.Info, "server refuses requests for a time")
+	RequestSuspected    = register(1042, hclog.Warn, "several servers ended under a request; one router sends it, one at a time")
 	InventoryCollected  = register(1022, hclog.Info, "engines were queried for their cached prompt parts")
 	InventoryFailed     = register(1023, hclog.Warn, "query of an engine's cached prompt parts failed")
 )
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -118,6 +118,8 @@
 		c.decidedPart = v.Part
 	}
 	switch {
+	case v.Refused && v.Suspected:
+		c.refuseWithWait(CauseSuspectedRequest, v.RetryAfter)
 	case v.Refused && v.Request:
 		c.refuseWithWait(CauseCrashingRequest, max(v.RetryAfter, maxRetryAfter))
 	case v.Refused:
@@ -298,9 +300,12 @@
 		metrics.scope.Counter("engine_crashes").Inc(1)
 	}
 	k.onChange = func(change quarantine.Change) {
-		e := event.PartQuarantined
-		if !change.Quarantined {
-			e = event.PartReleased
+		e := event.PartReleased
+		switch {
+		case change.Quarantined:
+			e = event.PartQuarantined
+		case change.Suspected:
+			e = event.RequestSuspected
 		}
 		events.Emit(e, partField(change.Request), strconv.FormatUint(change.Part, 16), "crashes", change.Crashes, "received", change.Received)
 		metrics.scope.Gauge("quarantined_parts").Update(float64(k.count()))
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -189,6 +189,8 @@
 	CauseCrashingPart Cause = "prompt_part_crashes_engines"
 	// CauseCrashingRequest: the request crashes servers.
 	CauseCrashingRequest Cause = "request_crashes_servers"
+	// CauseSuspectedRequest: several servers ended under the request, and another one of it is being tried.
+	CauseSuspectedRequest Cause = "request_may_crash_servers"
 	// CauseVersionUnknown: servers of several software versions could continue the stream that
 	// the caller takes up, and no router knows which one began it.
 	CauseVersionUnknown Cause = "version_of_stream_unknown"
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -7,7 +7,8 @@
 // by chance is served by other servers. Servers that end together, such as those of a rack,
 // count as one crash, but for a request that was sent to a server after another one had ended
 // under it. A request that servers only broke off, while nothing shows that they have ended, is
-// blamed after more of these. A crash that is explained counts for nothing else, and a whole request is blamed
+// blamed after more of these. A request under which several servers have ended, but which is not proven
+// to crash them, is sent by one router, one at a time. A crash that is explained counts for nothing else, and a whole request is blamed
 // before its parts.
 //
 // Fingerprints and parts share the name "part" below where they are treated alike.
@@ -52,6 +53,16 @@
 	// trialStep is the time by which a router's turn to try comes after that of the router
 	// before it, which may get no request with the part.
 	trialStep = time.Minute
+	// suspectServers is the number of servers after whose end a request is sent by one router, one at a
+	// time, until one is served or it is proven to crash servers. When they end together, their
+	// ends count once, but more callers may send the same request at the same moment.
+	suspectServers = 3
+	// SuspectTrialTime is the least time between two such attempts. The answer to one, or the report of a
+	// crash, comes sooner as a rule.
+	SuspectTrialTime = time.Second
+	// takeoverTime is the time after which the next router sends suspected requests, since the one
+	// before may get none.
+	takeoverTime = 10 * time.Second
 	// forgetTime is how long a part is remembered that nobody asks for.
 	forgetTime = time.Hour
 	// maxSuspects and maxEntries bound the parts that are remembered. When there are too many
@@ -74,6 +85,8 @@
 	Request bool
 	// Quarantined is false when the part is sound again.
 	Quarantined bool
+	// Suspected is set when Part is a request that one router may send at a time.
+	Suspected bool
 	// Crashes is the number of engines that ended; 0 when another router has decided.
 	Crashes int
 	// Received is set when another router has decided.
@@ -87,6 +100,8 @@
 	Refused bool
 	Part    uint64
 	Request bool
+	// Suspected is set when the request may crash servers, which is not proven.
+	Suspected bool
 	// RetryAfter is the time until the part may be tried again.
 	RetryAfter time.Duration
 	// Trial is set when the request is the one that tries the part again.
@@ -131,15 +146,17 @@
 	// that are no longer quarantined, with the times.
 	explained map[uint64]time.Time
 	sound     map[uint64]time.Time
-	changes   []Change
-	outbox    outbox
+	// suspectTrials holds when a suspected request was last sent.
+	suspectTrials map[uint64]time.Time
+	changes       []Change
+	outbox        outbox
 }
 
 // New returns a tracker that knows nothing.
 func New() *Tracker {
 	return &Tracker{
 		suspects: make(map[uint64][]crash), entries: make(map[uint64]*entry),
-		explained: make(map[uint64]time.Time), sound: make(map[uint64]time.Time),
+		explained: make(map[uint64]time.Time), sound: make(map[uint64]time.Time), suspectTrials: make(map[uint64]time.Time),
 	}
 }
 
@@ -245,9 +262,28 @@
 		// These were the same end.
 		list = slices.DeleteFunc(list, func(known crash) bool { return known.engine == c.engine })
 	}
+	before := isSuspected(list)
 	list = append(list, c)
 	slices.SortFunc(list, func(a, b crash) int { return a.at.Compare(b.at) })
 	t.suspects[part] = list
+	if !before && isSuspected(list) {
+		t.changes = append(t.changes, Change{Part: part, Request: true, Suspected: true, Crashes: len(list)})
+	}
+}
+
+// isSuspected reports whether the crashes are those of a request that may end more servers at
+// once before it is proven to crash them.
+func isSuspected(list []crash) bool {
+	return len(list) >= suspectServers && !list[0].sentAt.IsZero() && servers(list) >= suspectServers
+}
+
+// servers returns the number of servers that ended.
+func servers(list []crash) int {
+	distinct := make(map[uint64]bool, len(list))
+	for _, c := range list {
+		distinct[c.engine] = true
+	}
+	return len(distinct)
 }
 
 // separate returns the crashes that count, each a while after the one before; with broken also
@@ -279,10 +315,13 @@
 
 // clear forgets the crashes under a part, and reports whether there were any.
 func (t *Tracker) clear(now time.Time, part uint64, received bool) bool {
-	_, suspected := t.suspects[part]
+	list, suspected := t.suspects[part]
 	delete(t.suspects, part)
 	e := t.entries[part]
 	if e == nil {
+		if isSuspected(list) {
+			t.changes = append(t.changes, Change{Part: part, Request: true, Received: received})
+		}
 		return suspected
 	}
 	delete(t.entries, part)
@@ -325,11 +364,7 @@
 		return counted[minCrashes-1].at, true
 	}
 	counted := separate(list, true)
-	servers := make(map[uint64]bool)
-	for _, c := range counted {
-		servers[c.engine] = true
-	}
-	if len(counted) < minBroken || len(servers) < minBrokenServers {
+	if len(counted) < minBroken || servers(counted) < minBrokenServers {
 		return time.Time{}, false
 	}
 	return counted[len(counted)-1].at, true
@@ -365,7 +400,7 @@
 			t.changes = append(t.changes, Change{Part: part, Request: e.request})
 		}
 	}
-	for _, times := range []map[uint64]time.Time{t.explained, t.sound} {
+	for _, times := range []map[uint64]time.Time{t.explained, t.sound, t.suspectTrials} {
 		for key, at := range times {
 			if now.Sub(at) > suspicionTime {
 				delete(times, key)
@@ -379,34 +414,46 @@
 func (t *Tracker) Check(now time.Time, parts []uint64, turn func() int) Verdict {
 	v := Verdict{}
 	for _, part := range parts {
-		e := t.entries[part]
-		if e == nil {
-			continue
-		}
-		e.lastAsked = now
-		if !now.Before(e.nextTrial) && !now.Before(e.nextTrial.Add(time.Duration(turn())*trialStep)) {
-			v.Trial, v.Part, v.Request = true, part, e.request
-			continue
-		}
-		if wait := max(e.nextTrial.Sub(now), 0); !v.Refused || wait > v.RetryAfter {
-			v.Refused, v.Part, v.Request, v.RetryAfter = true, part, e.request, wait
+		if e := t.entries[part]; e != nil {
+			e.lastAsked = now
+			tried := !now.Before(e.nextTrial) && !now.Before(e.nextTrial.Add(time.Duration(turn())*trialStep))
+			v.add(Verdict{Trial: tried, Refused: !tried, Part: part, Request: e.request, RetryAfter: max(e.nextTrial.Sub(now), 0)})
+		} else if list := t.suspects[part]; isSuspected(list) {
+			tried := t.suspectDue(now, part, list, turn)
+			v.add(Verdict{Trial: tried, Refused: !tried, Part: part, Request: true, Suspected: true, RetryAfter: SuspectTrialTime})
 		}
 	}
-	if v.Refused {
-		v.Trial = false
-		return v
-	}
 	if v.Trial {
 		t.beginTrial(now, parts)
 	}
 	return v
 }
 
+// add takes the verdict on one more part into account: one refusal is enough, and the
+// longest wait counts.
+func (v *Verdict) add(part Verdict) {
+	if v.Refused && (!part.Refused || part.RetryAfter <= v.RetryAfter) {
+		return
+	}
+	*v = part
+}
+
+// suspectDue reports whether this router may send a suspected request now.
+func (t *Tracker) suspectDue(now time.Time, part uint64, list []crash, turn func() int) bool {
+	if now.Sub(t.suspectTrials[part]) < SuspectTrialTime {
+		return false
+	}
+	last := list[len(list)-1].at
+	return !now.Before(last.Add(time.Duration(turn()) * takeoverTime))
+}
+
 // beginTrial puts off the next trial of the parts, whatever becomes of this one.
 func (t *Tracker) beginTrial(now time.Time, parts []uint64) {
 	for _, part := range parts {
 		if e := t.entries[part]; e != nil {
 			e.nextTrial = now.Add(e.interval())
+		} else if isSuspected(t.suspects[part]) {
+			t.suspectTrials[part] = now
 		}
 	}
 }
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -35,6 +35,69 @@
 	expectParts(t, quarantined(tr, time.Second))
 }
 
+// endTogether records that servers ended at the same moment under a request.
+func endTogether(t *Tracker, servers int, sent time.Duration, fingerprint uint64) {
+	for i := range uint64(servers) {
+		end := at(sent + 60*time.Millisecond)
+		t.RecordCrash(end, end, uint64(sent)+i, []uint64{7}, []Sent{{Fingerprint: fingerprint, At: at(sent)}})
+	}
+}
+
+// Guards against a request that many callers send at once and that ends as many servers again
+// each time, and against a router that never takes over from one that gets no such request.
+func TestRequestThatEndsServersTogetherIsSentOneAtATime(t *testing.T) {
+	tr := New()
+	endTogether(tr, suspectServers, 0, 9)
+	second := func() int { return 1 }
+	if v := tr.Check(at(time.Second), []uint64{9}, second); !v.Refused || !v.Suspected || v.RetryAfter != SuspectTrialTime {
+		t.Errorf("verdict %+v of the second router, want a refusal for %v", v, SuspectTrialTime)
+	}
+	if v := tr.Check(at(time.Second), []uint64{9}, first); !v.Trial || v.Refused {
+		t.Errorf("verdict %+v of the first router, want a trial", v)
+	}
+	if v := tr.Check(at(time.Second+SuspectTrialTime/2), []uint64{9}, first); !v.Refused {
+		t.Errorf("verdict %+v beside a trial, want a refusal", v)
+	}
+	if v := tr.Check(at(time.Second+SuspectTrialTime), []uint64{9}, first); !v.Trial {
+		t.Errorf("verdict %+v after a trial, want the next one", v)
+	}
+	if v := tr.Check(at(60*time.Millisecond+takeoverTime), []uint64{9}, second); !v.Trial {
+		t.Errorf("verdict %+v of the second router after %v, want a trial", v, takeoverTime)
+	}
+	endTogether(tr, 1, 20*time.Second, 9)
+	endTogether(tr, 1, 22*time.Second, 9)
+	expectParts(t, quarantined(tr, 23*time.Second), 9)
+}
+
+// Guards against a popular request, or a part of a prompt, that is refused after a rack has gone down.
+func TestSuspectedRequestIsFreeWhenItIsServed(t *testing.T) {
+	tr := New()
+	second := func() int { return 1 }
+	endTogether(tr, 2, 0, 9)
+	if v := tr.Check(at(time.Second), []uint64{7, 9}, second); v != (Verdict{}) {
+		t.Errorf("verdict %+v after the end of two servers, want none", v)
+	}
+	endTogether(tr, suspectServers, time.Second, 9)
+	if v := tr.Check(at(2*time.Second), []uint64{7}, second); v != (Verdict{}) {
+		t.Errorf("verdict %+v on a part of a prompt, want none", v)
+	}
+	other := New()
+	other.Apply(at(2*time.Second), tr.Take(at(2*time.Second), false))
+	if got := other.Update(at(2 * time.Second)); len(got) != 1 || !got[0].Suspected {
+		t.Errorf("changes %+v at another router, want a suspected request", got)
+	}
+	tr.RecordServed(at(2*time.Second), []uint64{9})
+	other.Apply(at(2*time.Second), tr.Take(at(2*time.Second), false))
+	for _, router := range []*Tracker{tr, other} {
+		if v := router.Check(at(2*time.Second), []uint64{9}, second); v != (Verdict{}) {
+			t.Errorf("verdict %+v after the request was served, want none", v)
+		}
+	}
+	if got := other.Update(at(2 * time.Second)); len(got) != 1 || got[0].Suspected || got[0].Quarantined {
+		t.Errorf("changes %+v at another router, want the end of the suspicion", got)
+	}
+}
+
 // Guards against parts of a prompt that are refused, also for other requests, when one request
 // has crashed the engines.
 func TestRequestIsBlamedBeforeItsParts(t *testing.T) {
