balance: admission and placement agree on the servers that take requests

Cause: when all servers that could take a request are ejected, placement uses the ejected ones, but the load for admission counted none and took the pool for one of unknown size.

Change: one function, takers, for both; the load is that of the ejected servers when no other takes requests.

TestLoadIsThatOfEjected- ServersWhenNoOtherTakesRequests was red before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -174,7 +174,7 @@
 
 // Pick chooses a server, or returns false when none can take the request.
 func (p *Pool) Pick(now time.Time, job Job) (Choice, bool) {
-	usable, mean := p.usable(now, &job)
+	usable, mean := p.usable(now, &job), p.mean(now)
 	if job.Version != 0 {
 		// Few servers may have the version: they must not get more than their share.
 		bound := p.bound(mean)
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -7,20 +7,14 @@
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 )
 
-// usable returns the members that can take a request, and the mean load of the
-// pool. When all members are ejected the ejections are ignored: trying one is
-// better than refusing every request.
-func (p *Pool) usable(now time.Time, job *Job) ([]*member, float64) {
+// takers returns the admitted members that are not ejected or, when all of them are, the ejected
+// ones: trying one is better than refusing every request. Placement and admission agree
+// on them, so that no request waits without a bound at servers which count as unknown.
+func (p *Pool) takers(now time.Time, admits func(*member) bool) []*member {
 	available := make([]*member, 0, len(p.members))
-	ejected := make([]*member, 0, len(p.members))
+	var ejected []*member
 	for _, m := range p.members {
-		if m.server.Leaving || slices.Contains(job.Exclude, m.server.Key()) {
-			continue
-		}
-		if job.Version != 0 && m.version != job.Version {
-			continue
-		}
-		if p.withheld(now, m) {
+		if m.server.Leaving || !admits(m) {
 			continue
 		}
 		if m.health.ejected(now, m.own) {
@@ -30,9 +24,19 @@
 		available = append(available, m)
 	}
 	if len(available) == 0 {
-		return ejected, p.mean(now)
+		return ejected
 	}
-	return available, p.mean(now)
+	return available
+}
+
+// usable returns the members that can take a request.
+func (p *Pool) usable(now time.Time, job *Job) []*member {
+	return p.takers(now, func(m *member) bool {
+		if slices.Contains(job.Exclude, m.server.Key()) {
+			return false
+		}
+		return (job.Version == 0 || m.version == job.Version) && !p.withheld(now, m)
+	})
 }
 
 // manyUnreachable is the number of servers that a request may fail to reach before it goes to one that
@@ -63,14 +67,9 @@
 // when one of these servers does not report its own.
 func (p *Pool) Load(now time.Time) overload.Load {
 	var load overload.Load
-	for _, m := range p.members {
-		if m.server.Leaving || m.health.ejected(now, m.own) {
-			continue
-		}
-		if m.limit.Active() || m.refuses(now) {
-			// It takes less than its slots suggest.
-			continue
-		}
+	// A server that names a limit or refuses requests takes less than its slots suggest.
+	takers := p.takers(now, func(m *member) bool { return !m.limit.Active() && !m.refuses(now) })
+	for _, m := range takers {
 		if m.server.Slots <= 0 {
 			return overload.Load{}
 		}
--- a/internal/balance/loads_test.go
+++ b/internal/balance/loads_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
 
@@ -50,6 +51,24 @@
 	}
 }
 
+// Guards against callers that wait without a bound at the only server that takes requests, because it is
+// ejected and the pool's size then counts as unknown.
+func TestLoadIsThatOfEjectedServersWhenNoOtherTakesRequests(t *testing.T) {
+	p := plainPool(8, 8)
+	p.RecordLimit(p.members[1].server.Key(), namedlimit.Statement{PerSecond: 2, At: start}, start)
+	p.SetLimitShare(func(uint64) namedlimit.Share { return namedlimit.Share{Routers: 3} })
+	for range 9 {
+		p.Begin(start, at(p.members[0]), Job{})
+	}
+	silent := start.Add(silenceLimit + time.Millisecond)
+	if got := pick(t, p, silent, Job{}); got.Server != p.members[0].server {
+		t.Fatalf("server %s, want the silent one: the other names a limit", got.Server.ID)
+	}
+	if load := p.Load(silent); load.Own != 9 || load.Slots != 8 {
+		t.Errorf("load %+v, want 9 requests on the 8 slots of the silent server", load)
+	}
+}
+
 // Guards against a bound that rises when the remaining servers hold most of the load.
 func TestFewRemainingServersDoNotRaiseTheMean(t *testing.T) {
 	p := pool(4)
--- a/internal/balance/replay_test.go
+++ b/internal/balance/replay_test.go
@@ -148,7 +148,7 @@
 			return
 		}
 		if r.hashed && c.Reason != ReasonCached {
-			usable, _ := p.usable(now, &Job{})
+			usable := p.usable(now, &Job{})
 			c.Server = p.order(usable, q.job.longest().Hash)[0].server
 		}
 		p.Begin(now, c, q.job)
