--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -87,18 +87,22 @@
 // others or, when few remain, hide how uneven the load is. Servers that name a limit do not
 // count while others don't: the others take their requests.
 func (p *Pool) mean(now time.Time) float64 {
-	members := p.unlimited()
+	withoutLimited := p.hasUnlimited()
 	var all, staying float64
-	n := 0
-	for _, m := range members {
+	n, nStaying := 0, 0
+	for _, m := range p.members {
+		if withoutLimited && m.limit.Active() {
+			continue
+		}
 		load := m.load(now)
 		all += load
+		n++
 		if !m.server.Leaving {
 			staying += load
-			n++
+			nStaying++
 		}
 	}
-	return min(all/float64(max(len(members), 1)), staying/float64(max(n, 1)))
+	return min(all/float64(max(n, 1)), staying/float64(max(nStaying, 1)))
 }
 
 // leastLoaded returns the least loaded member; ties are broken by the job's random
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -40,16 +40,9 @@
 	return nil
 }
 
-// unlimited returns the members that name no limit, or all when each that stays names one.
-func (p *Pool) unlimited() []*member {
-	if !slices.ContainsFunc(p.members, func(m *member) bool { return m.limit.Active() }) {
-		return p.members
-	}
-	list := slices.DeleteFunc(slices.Clone(p.members), func(m *member) bool { return m.limit.Active() })
-	if slices.ContainsFunc(list, func(m *member) bool { return !m.server.Leaving }) {
-		return list
-	}
-	return p.members
+// hasUnlimited reports whether a member that stays names no limit.
+func (p *Pool) hasUnlimited() bool {
+	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.server.Leaving && !m.limit.Active() })
 }
 
 // RecordLimit records what a server said of its limit in the answer to a request that was sent at a
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -232,13 +232,6 @@
 	return list, reader
 }
 
-// HasLowestAddr reports whether no live router has a lower address than this one.
-func (e *Exchange) HasLowestAddr() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.peers.HasLowestAddr(time.Now())
-}
-
 // RoutersBefore returns the number of live routers with a lower address than this one.
 func (e *Exchange) RoutersBefore() int {
 	e.mu.Lock()
@@ -415,15 +408,16 @@
 			time.Sleep(e.batchDelay())
 			e.sendDigest(false)
 		case now := <-ticker.C:
-			if now.Sub(e.regularAt) >= spreadPeriod(periodFor(len(e.targets())), spread) {
+			targets := e.targets()
+			if now.Sub(e.regularAt) >= spreadPeriod(periodFor(len(targets)), spread) {
 				spread = rand.Float64()
 				e.sendDigest(true)
 			}
-			e.sendLoads(now)
+			e.sendLoads(now, targets)
 			e.requestPlacements(now)
-			e.sendServerChanges(e.targets())
-			e.sendPartReport(e.targets(), false)
-			e.sendLimits(e.targets())
+			e.sendServerChanges(targets)
+			e.sendPartReport(targets, false)
+			e.sendLimits(targets)
 		}
 	}
 }
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -280,9 +280,6 @@
 	return newest
 }
 
-// HasLowestAddr reports whether no live peer has a lower address.
-func (p *Peers) HasLowestAddr(now time.Time) bool { return p.before(now) == 0 }
-
 // before returns the number of live peers with a lower address.
 func (p *Peers) before(now time.Time) int {
 	n := 0
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -75,7 +75,7 @@
 
 // sendLoads sends this router's loads and outcomes to all routers, or in a large
 // fleet to the readers of the store. There a reader also sends the totals to all.
-func (e *Exchange) sendLoads(now time.Time) {
+func (e *Exchange) sendLoads(now time.Time, targets []netip.Addr) {
 	own := e.state.Loads()
 	m := e.newMessage()
 	m.Loads = own
@@ -89,7 +89,6 @@
 	e.mu.Lock()
 	e.loadsSentAt = time.Now()
 	clear(e.shares)
-	targets := e.peers.Targets(now)
 	smallFleet := e.smallFleet()
 	e.sentLoads = make(map[uint32]int, len(own))
 	for _, l := range own {
--- a/internal/digest/sync.go
+++ b/internal/digest/sync.go
@@ -82,7 +82,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_, found := e.peers.SyncedPeer(now)
-	return !e.synced && !found && e.peers.HasLowestAddr(now)
+	return !e.synced && !found && e.peers.before(now) == 0
 }
 
 // Synced reports whether this router has the placements of the fleet.
--- a/internal/front/keptparts.go
+++ b/internal/front/keptparts.go
@@ -111,7 +111,7 @@
 	entries := k.state.PartEntries()
 	changed := k.partsIdentity(entries) != k.stored
 	old := len(entries) > 0 && time.Since(k.writtenAt) >= partsRefresh
-	return (changed || old) && k.exchange.HasLowestAddr()
+	return (changed || old) && k.exchange.RoutersBefore() == 0
 }
 
 // partsIdentity identifies parts by what a change of must be written. In a new era the store may
