front: failing test of a request that a stopping router leaves without an answer

Its timeout ends after the process. At the end of the stop the router leaves, and the caller sees the end of the connection.

--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
-	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 	"io"
 	"net/http"
 	"sync"
 	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
 
 // Guards against a stop that refuses requests arriving soon after its start, or
@@ -102,3 +104,27 @@
 		})
 	}
 }
+
+// Guards against a request that a stopping router has accepted and that gets no answer, because its
+// server says nothing until the process ends.
+func TestRequestAtASilentServerIsAnsweredBeforeTheRouterEnds(t *testing.T) {
+	t.Parallel()
+	b := newTestBedWith(t, 1).run()
+	b.engines[0].SetDelay(20 * time.Second)
+	stopped := make(chan error, 1)
+	start := time.Now()
+	go func() { stopped <- b.front.Stop(context.Background()) }()
+	send := func(after time.Duration) reply {
+		time.Sleep(time.Until(start.Add(after)))
+		return b.do(b.request(http.MethodPost, "/unsafe/x", "body"))
+	}
+	// The router ends early unless a request is in progress.
+	go send(2400 * time.Millisecond)
+	// The route's timeout of 3 s would end this one after the process.
+	if got := send(5 * time.Second); got.err != nil || got.status != http.StatusBadGateway {
+		t.Errorf("status %d, error %v; want an answer that says that the outcome is unknown", got.status, got.err)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
