forward: requests without an answer get one before a stopping router ends

Cause: a stopping router accepts a plain request while four objectives fit before its end.

Change: 100 ms before the end, requests whose answers have not begun are ended: 502 when a server may have run them, else 503, cause router_stops; the server is not blamed. Answers that have begun go on.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 )
 
 // callerAnswer is the answer to the caller. net/http sends a 200 of its own when an answer
@@ -12,6 +13,8 @@
 	http.ResponseWriter
 	// status is the status that was sent; 0 before.
 	status int
+	// begun is set before the status is sent. Other goroutines may read it.
+	begun atomic.Bool
 	// whole is set once all of the answer has been written. net/http ends any answer whose
 	// handler returns as a complete one, so only a whole answer may be left to it.
 	whole bool
@@ -26,6 +29,7 @@
 	if a.started() {
 		panic("forward: an answer has a second status")
 	}
+	a.begun.Store(true)
 	a.ResponseWriter.WriteHeader(status)
 	a.status = status
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -160,7 +160,7 @@
 	case c.r.Context().Err() != nil:
 		c.recordCallerLeft()
 	case ctx.Err() != nil:
-		c.endUnserved(CauseDeadline)
+		c.endUnserved(endCause(ctx))
 	default:
 		c.endWithoutCapacity()
 	}
@@ -375,6 +375,8 @@
 		res.outcome, res.cause = balance.Cancelled, CauseCallerLeft
 	case errors.Is(context.Cause(ctx), errSilent):
 		res.cause = CauseServerSilent
+	case errors.Is(context.Cause(ctx), errRouterEnds):
+		res.outcome, res.cause = balance.Cancelled, CauseStopping
 	case ctx.Err() != nil:
 		res.cause = CauseDeadline
 	case notSent && errors.As(err, &op) && op.Op == "dial":
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -36,6 +36,9 @@
 	bodies   bodyMemory
 	stopping atomic.Pointer[stopping]
 	running  atomic.Int64
+	// ending is done shortly before a stopping process ends, by endRequests.
+	ending      context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a handler that routes by state.
@@ -46,18 +49,24 @@
 	}
 	observeLimits(state, events, metrics)
 	observeCrashes(state.crashes, events, metrics)
-	return &Handler{
+	h := &Handler{
 		state:   state,
 		codec:   codec,
 		events:  events,
 		metrics: metrics,
 		bodies:  bodyMemory{limit: state.limits.BodyMemory},
 	}
+	h.ending, h.endRequests = context.WithCancel(context.Background())
+	return h
 }
 
 // Stop makes every further answer ask the caller to close its connection, and
-// refuses requests that may not finish before the process ends at end.
-func (h *Handler) Stop(now, end time.Time) { h.stopping.Store(&stopping{start: now, end: end}) }
+// refuses requests that may not finish before the process ends at end. Those whose answers
+// have not begun shortly before are answered by the router.
+func (h *Handler) Stop(now, end time.Time) {
+	h.stopping.Store(&stopping{start: now, end: end})
+	time.AfterFunc(end.Add(-lastAnswerTime).Sub(now), h.endRequests)
+}
 
 // Running returns the number of requests in progress.
 func (h *Handler) Running() int64 { return h.running.Load() }
@@ -279,6 +288,13 @@
 	_ = http.NewResponseController(&c.w).SetWriteDeadline(c.deadline.Add(time.Second))
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(c.handler.ending, func() {
+		if !c.w.begun.Load() {
+			end(errRouterEnds)
+		}
+	})()
 	for c.tryServer(ctx) {
 	}
 	if c.outcome == OutcomeServed && c.attempts.sent == 1 {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -63,8 +63,8 @@
 	case errors.Is(context.Cause(ctx), errSilent):
 		res.cause = CauseServerSilent
 	case ctx.Err() != nil:
-		res.cause = CauseDeadline
-		// The deadline of the request has passed; the server may be healthy.
+		res.cause = endCause(ctx)
+		// The time of the request has ended; the server may be healthy.
 		res.outcome = balance.Cancelled
 	}
 	if c.w.started() && !c.canResume() {
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/routing"
@@ -13,8 +15,22 @@
 	// plainTimeFactor is the longest duration of a request that is not a stream, in
 	// multiples of its latency objective.
 	plainTimeFactor = 4
+	// lastAnswerTime is how long before the end of the process the requests without an answer get
+	// one. Without it their callers would only see the connection end.
+	lastAnswerTime = 100 * time.Millisecond
 )
 
+// errRouterEnds ends a request whose answer has not begun when the router ends.
+var errRouterEnds = errors.New("router ends")
+
+// endCause returns why the time of a request has ended: its deadline, or the end of the router.
+func endCause(ctx context.Context) Cause {
+	if errors.Is(context.Cause(ctx), errRouterEnds) {
+		return CauseStopping
+	}
+	return CauseDeadline
+}
+
 // stopping is a graceful stop in progress.
 type stopping struct {
 	start time.Time
--- a/internal/forward/stopping_test.go
+++ b/internal/forward/stopping_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -32,3 +34,43 @@
 		}
 	}
 }
+
+// Guards against a request that gets no answer when a stopping router ends, and against a server that is
+// blamed for it.
+func TestRequestIsAnsweredBeforeTheRouterEnds(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{route: routing.Route{Kind: routing.Unsafe}}, hang)
+	go func() {
+		b.until("the server has the request", func() bool { return len(b.got()) == 1 })
+		now := time.Now()
+		b.handler.Stop(now, now.Add(2*lastAnswerTime))
+	}()
+	if got := b.send(ask{}); got.err != nil || got.status != http.StatusBadGateway {
+		t.Errorf("status %d, error %v; want an unknown outcome", got.status, got.err)
+	}
+	b.expectLog(map[string]any{"outcome": OutcomeUnknown, "cause": CauseStopping, "last": "cancelled"})
+}
+
+// Guards against an answer that is cut although it would end before the process does.
+func TestAnswerThatHasBegunGoesOnUntilTheRouterEnds(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{route: routing.Route{Kind: routing.Stream}}, nil)
+	b.answers[0] = func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-b.handler.ending.Done()
+		time.Sleep(lastAnswerTime / 2)
+		_, _ = io.WriteString(w, "id: 2\ndata: y\n\n")
+	}
+	resp, err := b.begin(ask{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	now := time.Now()
+	b.handler.Stop(now, now.Add(2*lastAnswerTime))
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || string(body) != "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" {
+		t.Errorf("got %q, error %v; want both events", body, err)
+	}
+}
