soak: servers say that they leave, or refuse and name a time

Two kinds of faults, and two rules of the judge with cases that break and keep each: a request sent 2 s after a router has passed on Server-Leaving, and more than two requests from 0.5 s after a 503 with Retry-After.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -34,6 +34,7 @@
 // Planned operations and proper answers, which do not explain a cut answer.
 const (
 	kindServerLeaves   = "server leaves"
+	kindServerSays     = "server says in its answers that it leaves"
 	kindServerPieces   = "server writes in pieces"
 	kindServerWire     = "server's bytes come in pieces"
 	kindServerInforms  = "server sends informational answers"
@@ -77,25 +78,13 @@
 // fault has been undone.
 var faultKinds = []faultKind{
 	{"router killed", func(f *fleet, selector int, duration time.Duration) {
-		r := f.routers[selector%len(f.routers)]
-		f.signal(r, syscall.SIGKILL)
-		r.wait()
-		time.Sleep(duration)
-		f.launch(r)
-		f.awaitReady(r)
+		f.restart(f.routers[selector%len(f.routers)], syscall.SIGKILL, duration)
 	}},
-	{kindRouterStopped, func(f *fleet, selector int, duration time.Duration) {
-		r := f.routers[selector%len(f.routers)]
-		f.signal(r, syscall.SIGTERM)
-		r.wait()
-		f.launch(r)
-		f.awaitReady(r)
+	{kindRouterStopped, func(f *fleet, selector int, _ time.Duration) {
+		f.restart(f.routers[selector%len(f.routers)], syscall.SIGTERM, 0)
 	}},
 	{"router paused", func(f *fleet, selector int, duration time.Duration) {
-		r := f.routers[selector%len(f.routers)]
-		f.signal(r, syscall.SIGSTOP)
-		time.Sleep(duration)
-		f.signal(r, syscall.SIGCONT)
+		f.pause(f.routers[selector%len(f.routers)], duration)
 	}},
 	{kindRouterReloaded, func(f *fleet, selector int, _ time.Duration) {
 		f.signal(f.routers[selector%len(f.routers)], syscall.SIGHUP)
@@ -134,12 +123,7 @@
 		s.proxy.setMode(reset)
 		s.proxy.setMode(pass)
 	}},
-	{"server crashed", func(f *fleet, selector int, duration time.Duration) {
-		s := f.servers[selector%len(f.servers)]
-		s.proxy.setMode(reset)
-		time.Sleep(duration)
-		s.proxy.setMode(pass)
-	}},
+	{"server crashed", withMode(reset)},
 	{"server restarted", func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
 		s.proxy.setMode(reset)
@@ -148,12 +132,7 @@
 		s.proxy.setMode(pass)
 		f.register(s, platformtest.StateReady)
 	}},
-	{"server slow", func(f *fleet, selector int, duration time.Duration) {
-		s := f.servers[selector%len(f.servers)]
-		s.proxy.setMode(slow)
-		time.Sleep(duration)
-		s.proxy.setMode(pass)
-	}},
+	{"server slow", withMode(slow)},
 	{"server fails", func(f *fleet, selector int, duration time.Duration) {
 		faults := []platformtest.Fault{platformtest.Fail, platformtest.Refuse, platformtest.Busy, platformtest.Reset,
 			platformtest.WrongID, platformtest.Unsigned, platformtest.Short, platformtest.Cut, platformtest.CutBetween, platformtest.EndInEvent}
@@ -175,38 +154,22 @@
 	{kindServerCutsFirst, func(f *fleet, selector int, duration time.Duration) {
 		f.mishandle(selector, []platformtest.Fault{platformtest.CutFirst, platformtest.ResetFirst}, duration)
 	}},
-	{"server answers twice", func(f *fleet, selector int, duration time.Duration) {
-		s := f.servers[selector%len(f.servers)]
-		s.SetHabits(platformtest.Habits{Second: platformtest.VariantOfSecond(f.variant(selector))})
+	{"server answers twice", changing(func(s *server, variant int) {
+		s.SetHabits(platformtest.Habits{Second: platformtest.VariantOfSecond(variant)})
 		s.SetDefaultFault(platformtest.AnswerTwice)
-		time.Sleep(duration)
+	}, func(s *server) {
 		s.SetDefaultFault(platformtest.None)
 		s.SetHabits(platformtest.Habits{})
-	}},
-	{kindServerWire, func(f *fleet, selector int, duration time.Duration) {
-		s := f.servers[selector%len(f.servers)]
-		s.proxy.setMode(pieces)
-		time.Sleep(duration)
-		s.proxy.setMode(pass)
-	}},
+	})},
+	{kindServerWire, withMode(pieces)},
 	{kindServerInforms, withHabits(platformtest.Habits{Informational: true})},
 	{kindServerTrailers, withHabits(platformtest.Habits{Trailers: true})},
 	{kindServerCloses, withHabits(platformtest.Habits{CloseEvery: 3})},
 	{kindServerIdle, withHabits(platformtest.Habits{IdleTime: time.Second, AnnounceIdle: true})},
 	{kindServerEarly, withHabits(platformtest.Habits{Early: true})},
 	{"server ends idle connections", withHabits(platformtest.Habits{IdleTime: 30 * time.Millisecond})},
-	{kindServerLarge, func(f *fleet, selector int, duration time.Duration) {
-		s := f.servers[selector%len(f.servers)]
-		s.SetAnswerBytes(largeAnswer)
-		time.Sleep(duration)
-		s.SetAnswerBytes(0)
-	}},
-	{kindServerFull, func(f *fleet, selector int, duration time.Duration) {
-		s := f.servers[selector%len(f.servers)]
-		s.Limit(1 + f.variant(selector)%maxLimit)
-		time.Sleep(duration)
-		s.Limit(0)
-	}},
+	{kindServerLarge, changing(func(s *server, _ int) { s.SetAnswerBytes(largeAnswer) }, func(s *server) { s.SetAnswerBytes(0) })},
+	{kindServerFull, changing(func(s *server, variant int) { s.Limit(1 + variant%maxLimit) }, func(s *server) { s.Limit(0) })},
 	{"server's address passes to another", func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
 		other := f.servers[(selector+plainServers)%len(f.servers)]
@@ -248,6 +211,20 @@
 		time.Sleep(duration + drainGrace)
 		f.register(s, platformtest.StateReady)
 	}},
+	{kindServerSays, func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		s.SetAnswerHeader(platformtest.HeaderLeaving, "1")
+		time.Sleep(duration + drainGrace)
+		s.SetAnswerHeader(platformtest.HeaderLeaving, "")
+		s.Restart(time.Now())
+		f.register(s, platformtest.StateReady)
+	}},
+	{"server refuses and names a time", func(f *fleet, selector int, duration time.Duration) {
+		s := f.servers[selector%len(f.servers)]
+		s.SetAnswerHeader("Retry-After", refusedFor)
+		f.mishandle(selector, []platformtest.Fault{platformtest.Refuse}, duration)
+		s.SetAnswerHeader("Retry-After", "")
+	}},
 	{kindBrokenEntry, func(f *fleet, selector int, _ time.Duration) {
 		f.store.Put(platform.TopicServers, fmt.Sprintf("x-%d", selector), []byte(`{"addr":7,"state":"odd"}`))
 	}},
@@ -263,30 +240,15 @@
 	}},
 	{kindRolling, func(f *fleet, selector int, _ time.Duration) {
 		for i := range min(len(f.routers), maxRolling) {
-			f.lockRouter((selector+i)%len(f.routers), func(r *router) {
-				f.signal(r, syscall.SIGTERM)
-				r.wait()
-				f.launch(r)
-				f.awaitReady(r)
-			})
+			f.lockRouter((selector+i)%len(f.routers), func(r *router) { f.restart(r, syscall.SIGTERM, 0) })
 		}
 	}},
 	{kindStoppedTogether, stopTogether},
 	{kindKilledTogether, func(f *fleet, selector int, duration time.Duration) {
-		f.disturbTogether(kindKilledTogether, selector, func(r *router) {
-			f.signal(r, syscall.SIGKILL)
-			r.wait()
-			time.Sleep(duration)
-			f.launch(r)
-			f.awaitReady(r)
-		})
+		f.disturbTogether(kindKilledTogether, selector, func(r *router) { f.restart(r, syscall.SIGKILL, duration) })
 	}},
 	{kindPausedTogether, func(f *fleet, selector int, duration time.Duration) {
-		f.disturbTogether(kindPausedTogether, selector, func(r *router) {
-			f.signal(r, syscall.SIGSTOP)
-			time.Sleep(duration)
-			f.signal(r, syscall.SIGCONT)
-		})
+		f.disturbTogether(kindPausedTogether, selector, func(r *router) { f.pause(r, duration) })
 	}},
 	{"store away, then older with torn answers", func(f *fleet, selector int, duration time.Duration) {
 		f.store.SetErrorStatus(http.StatusServiceUnavailable)
@@ -307,6 +269,22 @@
 	maxRolling = 3
 )
 
+// restart ends a router by a signal and starts it again after a while.
+func (f *fleet) restart(r *router, signal syscall.Signal, down time.Duration) {
+	f.signal(r, signal)
+	r.wait()
+	time.Sleep(down)
+	f.launch(r)
+	f.awaitReady(r)
+}
+
+// pause stops the process of a router for a while.
+func (f *fleet) pause(r *router, d time.Duration) {
+	f.signal(r, syscall.SIGSTOP)
+	time.Sleep(d)
+	f.signal(r, syscall.SIGCONT)
+}
+
 // lockRouter runs a change of a router when no fault of it runs.
 func (f *fleet) lockRouter(i int, change func(*router)) {
 	f.routerLocks[i].Lock()
@@ -328,16 +306,27 @@
 	routers.Wait()
 }
 
-// withHabits returns the run of a fault in which a server has habits.
-func withHabits(h platformtest.Habits) func(*fleet, int, time.Duration) {
+// changing returns the run of a fault that changes a server for a while. The variant does not depend on
+// which server.
+func changing(begin func(s *server, variant int), end func(*server)) func(*fleet, int, time.Duration) {
 	return func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
-		s.SetHabits(h)
+		begin(s, f.variant(selector))
 		time.Sleep(duration)
-		s.SetHabits(platformtest.Habits{})
+		end(s)
 	}
 }
 
+// withHabits returns the run of a fault in which a server has habits.
+func withHabits(h platformtest.Habits) func(*fleet, int, time.Duration) {
+	return changing(func(s *server, _ int) { s.SetHabits(h) }, func(s *server) { s.SetHabits(platformtest.Habits{}) })
+}
+
+// withMode returns the run of a fault in which the proxy of a server has a mode.
+func withMode(m mode) func(*fleet, int, time.Duration) {
+	return changing(func(s *server, _ int) { s.proxy.setMode(m) }, func(s *server) { s.proxy.setMode(pass) })
+}
+
 // variant returns the variant of a fault of a server. It does not depend on which server.
 func (f *fleet) variant(selector int) int { return selector / len(f.servers) }
 
@@ -380,6 +369,9 @@
 	piecePause = 1 * time.Millisecond
 )
 
+// refusedFor is for how many seconds a server that refuses requests wants none.
+const refusedFor = "1.2"
+
 // drainGrace is the time after which a leaving server must get no more requests.
 const drainGrace = 2 * time.Second
 
@@ -409,7 +401,7 @@
 // Planned work and what operators and servers may always write disrupt nothing.
 func (x fault) disrupts() subject {
 	switch x.kind {
-	case kindServerLeaves, kindServerPieces, kindServerWire, kindServerInforms, kindServerTrailers, kindServerCloses, kindServerIdle, kindServerEarly, kindServerFull, kindServerLarge,
+	case kindServerLeaves, kindServerSays, kindServerPieces, kindServerWire, kindServerInforms, kindServerTrailers, kindServerCloses, kindServerIdle, kindServerEarly, kindServerFull, kindServerLarge,
 		kindRouterStopped, kindRouterReloaded, kindRouterSettings, kindBrokenEntry, kindConfigChanged, kindConfigStorm, kindRolling, kindStoppedTogether, kindKilledTogether, kindPausedTogether:
 		return subjectNone
 	case kindRouterNoStore:
--- a/internal/soak/judgecases_test.go
+++ b/internal/soak/judgecases_test.go
@@ -11,6 +11,8 @@
 	arrivalThat := func(change func(*requestArrived)) []record { return []record{changed(arrival, change)} }
 	plain := []record{arrival}
 	late := joined([]record{config(0, 2, "k2", "other")}, []record{given(3000, "1a", "text"), run(2900, "1a"), headers(3001, "a", 200, "seal-1a"), body(3002, "a", "text")})
+	saidLeaving := []record{sent(0, "a", "unsafe"), arrival, run(1, "1a"), changed(given(2, "1a", "text"), func(a *answerGiven) { a.Leaving = true }), headers(3, "a", 200, "seal-1a"), body(4, "a", "text")}
+	refusedForASecond := []record{sent(0, "a", "unsafe"), arrival, refused(1, "1a"), changed(given(2, "1a", ""), func(a *answerGiven) { a.Status, a.RetryAfter = 503, time.Second }), headers(3, "a", 503, ""), body(4, "a", "")}
 	return []judgeCase{
 		{rule: "once", about: "two runs", common: []record{sent(0, "a", "unsafe"), arrival, arrived(3, "2a", "a", "plain"), run(3, "2a"), given(4, "2a", "text"), headers(5, "a", 200, "seal-2a"), body(6, "a", "text")},
 			breaks: []record{run(1, "1a")},
@@ -79,9 +81,24 @@
 		{rule: "leaving servers", about: "a link that held it up", common: joined(served(2100, "a", "plain"), []record{entry(0, "s1", entryLeaving)}),
 			breaks: []record{fails(-2000, subjectServer, "s1"), works(-1500, -2000)},
 			keeps:  []record{fails(-2000, subjectServer, "s1"), works(-500, -2000)}},
+		{rule: "servers that say they leave", about: "a late request", common: saidLeaving,
+			breaks: served(2010, "b", "plain"),
+			keeps:  served(1990, "b", "plain")},
+		{rule: "servers that say they leave", about: "another incarnation", common: joined(saidLeaving, served(2010, "b", "plain")),
+			breaks: []record{entry(1000, "s2", entryReady)},
+			keeps:  []record{entry(1000, "s1", entryReady)}},
+		{rule: "servers that want no requests", about: "three more", common: refusedForASecond,
+			breaks: many(3, 600, 100, toPlain),
+			keeps:  many(2, 600, 100, toPlain)},
+		{rule: "servers that want no requests", about: "a router that was paused", common: joined(refusedForASecond, many(3, 600, 100, toPlain)),
+			breaks: []record{machine(1200, routerPaused)},
+			keeps:  []record{machine(500, routerPaused), machine(550, routerResumed)}},
 	}
 }
 
+// toPlain returns a served request on the pool plain.
+func toPlain(ms int, id string) []record { return served(ms, id, "plain") }
+
 // addRoute adds the route later.
 func addRoute(c *configConfirmed) {
 	c.Routes = append(c.Routes, routeRecord{Name: "later", Kind: "unsafe", Pool: "plain", Attempts: 1, Timeout: 4 * time.Second})
--- a/internal/soak/judgeruns_test.go
+++ b/internal/soak/judgeruns_test.go
@@ -13,6 +13,14 @@
 	return violation{Request: a.arrived.event.ID, Text: text, Lines: append(a.lines(), r.sent.line)}
 }
 
+// eachAttempt returns a check of each attempt that ran, and of its request.
+func eachAttempt(check func(*history, *attempt, *request) []violation) func(*history) []violation {
+	return func(h *history) (list []violation) {
+		h.eachRun(func(a *attempt, r *request) { list = append(list, check(h, a, r)...) })
+		return list
+	}
+}
+
 // eachRun calls check with each attempt that ran and its request.
 func (h *history) eachRun(check func(a *attempt, r *request)) {
 	for _, r := range h.requests {
@@ -95,21 +103,17 @@
 }
 
 // checkWorkspace: a server gets the workspace of the key, and never the key.
-func checkWorkspace(h *history) []violation {
-	var list []violation
-	h.eachRun(func(a *attempt, r *request) {
-		if a.arrived.event.KeySeen {
-			list = append(list, a.breaks(r, "got the caller's key"))
-		}
-		holds := slices.ContainsFunc(h.configs, func(c logged[configConfirmed]) bool {
-			name, _ := c.event.workspaceOf(r.sent.event.Key)
-			return name == a.arrived.event.Workspace
-		})
-		if !holds {
-			list = append(list, a.breaks(r, "ran for the workspace %q, which does not hold its key", a.arrived.event.Workspace))
-		}
-	})
-	return list
+func checkWorkspace(h *history, a *attempt, r *request) []violation {
+	if a.arrived.event.KeySeen {
+		return []violation{a.breaks(r, "got the caller's key")}
+	}
+	if slices.ContainsFunc(h.configs, func(c logged[configConfirmed]) bool {
+		name, _ := c.event.workspaceOf(r.sent.event.Key)
+		return name == a.arrived.event.Workspace
+	}) {
+		return nil
+	}
+	return []violation{a.breaks(r, "ran for the workspace %q, which does not hold its key", a.arrived.event.Workspace)}
 }
 
 // checkAttempts: a request runs on no more servers than its route allows. Servers that
@@ -192,34 +196,29 @@
 
 // checkRoute: a request runs only where some configuration allows it to go, with a key
 // that some configuration held. Nothing excuses it.
-func checkRoute(h *history) []violation {
-	var list []violation
-	h.eachRun(func(a *attempt, r *request) {
-		if !slices.ContainsFunc(h.configs, func(c logged[configConfirmed]) bool { return c.event.allowsRun(r, a) }) {
-			list = append(list, a.breaks(r, "ran in the pool %s, which no configuration allows", a.arrived.event.Pool))
-		}
-	})
-	return list
+func checkRoute(h *history, a *attempt, r *request) []violation {
+	if allowRun(h.configs, r, a) {
+		return nil
+	}
+	return []violation{a.breaks(r, "ran in the pool %s, which no configuration allows", a.arrived.event.Pool)}
+}
+
+// allowRun reports whether one of the configurations allows a request to run where it did.
+func allowRun(configs []logged[configConfirmed], r *request, a *attempt) bool {
+	return slices.ContainsFunc(configs, func(c logged[configConfirmed]) bool { return c.event.allowsRun(r, a) })
 }
 
 // checkConfiguration: a request that is sent after a configuration must be in force is
 // not run as only an older one allows, by routers in touch. Denials have a rule of their own.
-func checkConfiguration(h *history) []violation {
-	var list []violation
-	h.eachRun(func(a *attempt, r *request) {
-		if !h.undisturbed(r.sent.event.Router, r.sent.at) {
-			return
-		}
-		configs := h.inForce(r)
-		allowed := slices.ContainsFunc(configs, func(c logged[configConfirmed]) bool { return c.event.allowsRun(r, a) })
-		older := slices.ContainsFunc(h.configs, func(c logged[configConfirmed]) bool { return c.event.allowsRun(r, a) })
-		if older && !allowed && !h.storeDisturbed(r.sent.event.Router, r.sent.at-h.bounds.Stable, r.sent.at) {
-			v := a.breaks(r, "ran as only a configuration allows that is no longer in force")
-			v.Lines = append(v.Lines, linesOf(configs)...)
-			list = append(list, v)
-		}
-	})
-	return list
+func checkConfiguration(h *history, a *attempt, r *request) []violation {
+	router, configs := r.sent.event.Router, h.inForce(r)
+	older := allowRun(h.configs, r, a) && !allowRun(configs, r, a)
+	if !older || !h.undisturbed(router, r.sent.at) || h.storeDisturbed(router, r.sent.at-h.bounds.Stable, r.sent.at) {
+		return nil
+	}
+	v := a.breaks(r, "ran as only a configuration allows that is no longer in force")
+	v.Lines = append(v.Lines, linesOf(configs)...)
+	return []violation{v}
 }
 
 // minLaterRequests is the number of requests on later routes from which these are judged,
@@ -339,6 +338,80 @@
 	return list
 }
 
+// ends returns when what a server has said to a router no longer binds it: the router starts or is
+// paused, or the server writes its entry again, as it does after a restart.
+func (h *history) ends(router, server string, said time.Duration) time.Duration {
+	end := h.end
+	for _, m := range h.machines {
+		if m.event.Router == router && m.at > said && (m.event.Change == routerStarted || m.event.Change == routerPaused) {
+			end = min(end, m.at)
+		}
+	}
+	for _, e := range h.entries {
+		if e.event.Server == server && e.at > said && e.event.State == entryReady {
+			end = min(end, e.at)
+		}
+	}
+	return end
+}
+
+// arrivalsAfter returns the arrivals from a router at the server to which one of its requests went, until
+// what the server has said then no longer binds it.
+func (h *history) arrivalsAfter(a *attempt, r *request, said time.Duration, counts func(*attempt, *request) bool) []*attempt {
+	server, router := a.arrived.event.Server, r.sent.event.Router
+	end := h.ends(router, server, said)
+	return slices.DeleteFunc(slices.Clone(h.attempts), func(a *attempt) bool {
+		r := h.byID[a.arrived.event.ID]
+		return r == nil || a.arrived.event.Server != server || r.sent.event.Router != router || a.arrived.at >= end || !counts(a, r)
+	})
+}
+
+// checkSaidLeaving: a request that is sent some time after a router has passed on an answer whose
+// server says that it leaves does not reach that server from that router.
+func checkSaidLeaving(h *history, r *request) []violation {
+	if len(r.attempts) == 0 || !r.started.present() {
+		return nil
+	}
+	a := r.attempts[len(r.attempts)-1]
+	if !a.answered.event.Leaving {
+		return nil
+	}
+	var list []violation
+	for _, late := range h.arrivalsAfter(a, r, r.started.at, func(_ *attempt, later *request) bool { return later.sent.at > r.started.at+h.bounds.Drain }) {
+		v := late.breaks(h.byID[late.arrived.event.ID], "arrived although the server had said %v before that it leaves", late.arrived.at-r.started.at)
+		v.Lines = append(v.Lines, a.answered.line)
+		list = append(list, v)
+	}
+	return list
+}
+
+// maxUnwanted is how many requests may reach a server that has refused one for a time.
+const maxUnwanted = 2
+
+// checkUnwanted: a server that has refused a request and named a time gets few requests from that
+// router until then.
+func checkUnwanted(h *history, r *request) []violation {
+	var list []violation
+	for _, a := range r.attempts {
+		said, wait := a.answered.at, a.answered.event.RetryAfter
+		if !a.refused.present() || wait == 0 {
+			continue
+		}
+		unwanted := h.arrivalsAfter(a, r, said, func(a *attempt, _ *request) bool {
+			return a.arrived.at > said+h.bounds.Late && a.arrived.at < said+wait && !h.heldUp(a)
+		})
+		if len(unwanted) <= maxUnwanted {
+			continue
+		}
+		v := a.breaks(r, "was refused for %v, and %d more reached the server meanwhile", wait, len(unwanted))
+		for _, u := range unwanted {
+			v.Lines = append(v.Lines, u.arrived.line)
+		}
+		list = append(list, v)
+	}
+	return list
+}
+
 // heldUp reports whether a fault of the link to the server may have delayed an attempt.
 func (h *history) heldUp(a *attempt) bool {
 	return h.disturbed(subjectServer, a.arrived.event.Server, a.arrived.at-h.bounds.Stable, a.arrived.at)
--- a/internal/soak/observer_test.go
+++ b/internal/soak/observer_test.go
@@ -146,6 +146,8 @@
 	a.request.record()
 	h := a.Header()
 	a.given.Status, a.given.Signature, a.given.AnswerID = status, h.Get(platformtest.HeaderSignature), h.Get(platformtest.HeaderRequestID)
+	a.given.Leaving = h.Get(platformtest.HeaderLeaving) != ""
+	a.given.RetryAfter = secondsOf(h.Get("Retry-After"))
 	a.given.Framing, a.length = framingChunks, -1
 	if n, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64); err == nil {
 		a.given.Framing, a.length = framingLength, n
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"reflect"
 	"time"
 )
 
@@ -18,7 +19,7 @@
 }
 
 // event is what a caller, a server, the store or the operator saw or did.
-type event interface{ eventName() string }
+type event any
 
 // content is the body of a request or an answer.
 type content struct {
@@ -192,6 +193,10 @@
 		AnswerID  string  `json:"answer_id,omitempty"`
 		Body      content `json:"body"`
 		Framing   framing `json:"framing,omitempty"`
+		// Leaving is set when the server says that it leaves; RetryAfter is how long it wants no
+		// requests.
+		Leaving    bool          `json:"leaving,omitempty"`
+		RetryAfter time.Duration `json:"retry_after,omitempty"`
 		// Broken is set when the server itself broke the answer off.
 		Broken bool `json:"broken,omitempty"`
 	}
@@ -290,57 +295,39 @@
 	subjectNone subject = "none"
 )
 
-func (runStarted) eventName() string       { return "run started" }
-func (callersStopped) eventName() string   { return "callers stopped" }
-func (requestSent) eventName() string      { return "request sent" }
-func (requestWhole) eventName() string     { return "request whole" }
-func (callerStopped) eventName() string    { return "caller stopped sending" }
-func (answerStarted) eventName() string    { return "answer started" }
-func (answerEnded) eventName() string      { return "answer ended" }
-func (callerLeft) eventName() string       { return "caller left" }
-func (strayBytes) eventName() string       { return "stray bytes" }
-func (requestArrived) eventName() string   { return "request arrived" }
-func (bodyArrived) eventName() string      { return "body arrived" }
-func (requestRun) eventName() string       { return "request run" }
-func (requestRefused) eventName() string   { return "request refused" }
-func (answerGiven) eventName() string      { return "answer given" }
-func (attemptCancelled) eventName() string { return "attempt cancelled" }
-func (configConfirmed) eventName() string  { return "configuration confirmed" }
-func (entryConfirmed) eventName() string   { return "entry confirmed" }
-func (storeRestored) eventName() string    { return "store restored" }
-func (routerChanged) eventName() string    { return "router changed" }
-func (faultStarted) eventName() string     { return "fault started" }
-func (faultEnded) eventName() string       { return "fault ended" }
-
-// eventDecoders decode an event by its name.
-var eventDecoders = map[string]func([]byte) (event, error){
-	runStarted{}.eventName():       decodeEvent[runStarted],
-	callersStopped{}.eventName():   decodeEvent[callersStopped],
-	requestSent{}.eventName():      decodeEvent[requestSent],
-	requestWhole{}.eventName():     decodeEvent[requestWhole],
-	callerStopped{}.eventName():    decodeEvent[callerStopped],
-	answerStarted{}.eventName():    decodeEvent[answerStarted],
-	answerEnded{}.eventName():      decodeEvent[answerEnded],
-	callerLeft{}.eventName():       decodeEvent[callerLeft],
-	strayBytes{}.eventName():       decodeEvent[strayBytes],
-	requestArrived{}.eventName():   decodeEvent[requestArrived],
-	bodyArrived{}.eventName():      decodeEvent[bodyArrived],
-	requestRun{}.eventName():       decodeEvent[requestRun],
-	requestRefused{}.eventName():   decodeEvent[requestRefused],
-	answerGiven{}.eventName():      decodeEvent[answerGiven],
-	attemptCancelled{}.eventName(): decodeEvent[attemptCancelled],
-	configConfirmed{}.eventName():  decodeEvent[configConfirmed],
-	entryConfirmed{}.eventName():   decodeEvent[entryConfirmed],
-	storeRestored{}.eventName():    decodeEvent[storeRestored],
-	routerChanged{}.eventName():    decodeEvent[routerChanged],
-	faultStarted{}.eventName():     decodeEvent[faultStarted],
-	faultEnded{}.eventName():       decodeEvent[faultEnded],
+// eventTypes are the types of events by the names that they have in a file.
+var eventTypes = map[string]reflect.Type{
+	"run started":             reflect.TypeFor[runStarted](),
+	"callers stopped":         reflect.TypeFor[callersStopped](),
+	"request sent":            reflect.TypeFor[requestSent](),
+	"request whole":           reflect.TypeFor[requestWhole](),
+	"caller stopped sending":  reflect.TypeFor[callerStopped](),
+	"answer started":          reflect.TypeFor[answerStarted](),
+	"answer ended":            reflect.TypeFor[answerEnded](),
+	"caller left":             reflect.TypeFor[callerLeft](),
+	"stray bytes":             reflect.TypeFor[strayBytes](),
+	"request arrived":         reflect.TypeFor[requestArrived](),
+	"body arrived":            reflect.TypeFor[bodyArrived](),
+	"request run":             reflect.TypeFor[requestRun](),
+	"request refused":         reflect.TypeFor[requestRefused](),
+	"answer given":            reflect.TypeFor[answerGiven](),
+	"attempt cancelled":       reflect.TypeFor[attemptCancelled](),
+	"configuration confirmed": reflect.TypeFor[configConfirmed](),
+	"entry confirmed":         reflect.TypeFor[entryConfirmed](),
+	"store restored":          reflect.TypeFor[storeRestored](),
+	"router changed":          reflect.TypeFor[routerChanged](),
+	"fault started":           reflect.TypeFor[faultStarted](),
+	"fault ended":             reflect.TypeFor[faultEnded](),
 }
 
-func decodeEvent[T event](data []byte) (event, error) {
-	var e T
-	err := json.Unmarshal(data, &e)
-	return e, err
+// nameOf returns the name of an event in a file; empty for an unknown one.
+func nameOf(e event) string {
+	for name, t := range eventTypes {
+		if t == reflect.TypeOf(e) {
+			return name
+		}
+	}
+	return ""
 }
 
 // recordLine is the form of a record in a file.
@@ -355,7 +342,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(recordLine{Microseconds: r.At.Microseconds(), Name: r.Event.eventName(), Data: data})
+	return json.Marshal(recordLine{Microseconds: r.At.Microseconds(), Name: nameOf(r.Event), Data: data})
 }
 
 func decodeRecord(line []byte) (record, error) {
@@ -363,12 +350,13 @@
 	if err := json.Unmarshal(line, &l); err != nil {
 		return record{}, err
 	}
-	decode := eventDecoders[l.Name]
-	if decode == nil {
+	t, ok := eventTypes[l.Name]
+	if !ok {
 		return record{}, fmt.Errorf("unknown event %q", l.Name)
 	}
-	e, err := decode(l.Data)
-	return record{At: time.Duration(l.Microseconds) * time.Microsecond, Event: e}, err
+	e := reflect.New(t)
+	err := json.Unmarshal(l.Data, e.Interface())
+	return record{At: time.Duration(l.Microseconds) * time.Microsecond, Event: e.Elem().Interface()}, err
 }
 
 // String returns the line of a record as it stands in the file.
--- a/internal/soak/second_test.go
+++ b/internal/soak/second_test.go
@@ -34,9 +34,6 @@
 	callers.Wait()
 	f.records.add(callersStopped{})
 	f.checkRecords()
-	if t.Failed() {
-		f.saveLogs()
-	}
 }
 
 // secondPeriod is long enough for some requests on each connection.
--- a/internal/soak/signature_test.go
+++ b/internal/soak/signature_test.go
@@ -33,9 +33,6 @@
 				t.Errorf("%d requests were served", served)
 			}
 			f.checkRecords()
-			if t.Failed() {
-				f.saveLogs()
-			}
 		})
 	}
 }
@@ -58,7 +55,8 @@
 	return served
 }
 
-// checkRecords fails the test for each rule that is broken, and if no request ran.
+// checkRecords fails the test for each rule that is broken, and if no request ran. It keeps the logs
+// of a test that fails.
 func (f *fleet) checkRecords() {
 	f.t.Helper()
 	records, violations := f.judge()
@@ -68,4 +66,7 @@
 	if len(newHistory(records).attempts) == 0 {
 		f.t.Error("no request ran")
 	}
+	if f.t.Failed() {
+		f.saveLogs()
+	}
 }
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -34,12 +34,7 @@
 		if selector%allButOneShare == 0 && i == selector/allButOneShare%len(f.routers) {
 			continue
 		}
-		stops.Go(func() {
-			f.signal(r, syscall.SIGTERM)
-			r.wait()
-			f.launch(r)
-			f.awaitReady(r)
-		})
+		stops.Go(func() { f.restart(r, syscall.SIGTERM, 0) })
 	}
 	stops.Wait()
 }
--- a/internal/soak/trials_test.go
+++ b/internal/soak/trials_test.go
@@ -58,13 +58,9 @@
 	f.repeatable.Store(false)
 	odd := &oddAnswers{begun: map[string]platformtest.Fault{}, draw: inTurn()}
 	unframed := engines[:len(engines)/2]
-	for _, s := range unframed {
-		s.SetFraming(platformtest.Unframed)
-	}
+	setFraming(unframed, platformtest.Unframed)
 	f.try(kindTrialOdd, subjectServer, f.servers, oddTime, func(s *server) { s.SetFaults(odd.choose) }, withoutFaults)
-	for _, s := range unframed {
-		s.SetFraming(platformtest.Framed)
-	}
+	setFraming(unframed, platformtest.Framed)
 	f.try(kindTrialNoID, subjectServer, f.servers, noIDTime, func(s *server) {
 		s.SetHabits(platformtest.Habits{Second: platformtest.SecondAnswer{
 			Timing: platformtest.SecondWithNext, Status: http.StatusServiceUnavailable, NoID: true, NotRun: true,
@@ -110,6 +106,13 @@
 
 func withoutFaults(s *server) { s.SetFaults(nil) }
 
+// setFraming sets how servers mark the ends of their answers.
+func setFraming(servers []*server, framing platformtest.Framing) {
+	for _, s := range servers {
+		s.SetFraming(framing)
+	}
+}
+
 // inTurn returns a function that returns the numbers from 0 on, one a call.
 func inTurn() func() int {
 	var mu sync.Mutex
@@ -181,17 +184,13 @@
 // are inside answers that end with their connection.
 var killedInAnswers = faultKind{"router killed inside answers", func(f *fleet, selector int, duration time.Duration) {
 	r := f.routers[selector%len(f.routers)]
-	for _, s := range f.servers[plainServers:] {
-		s.SetFraming(platformtest.Unframed)
-		s.SetDelay(longDelay)
-	}
+	f.setEngineDelay(longDelay)
+	setFraming(f.servers[plainServers:], platformtest.Unframed)
 	time.Sleep(slowTime)
 	f.signal(r, syscall.SIGKILL)
 	r.wait()
-	for _, s := range f.servers[plainServers:] {
-		s.SetFraming(platformtest.Framed)
-		s.SetDelay(answerDelay)
-	}
+	setFraming(f.servers[plainServers:], platformtest.Framed)
+	f.setEngineDelay(answerDelay)
 	time.Sleep(duration)
 	f.launch(r)
 	f.awaitReady(r)
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -94,6 +95,15 @@
 	return routers
 }
 
+// nameIn returns the name that a field of an event has; empty without the field.
+func nameIn(e event, field string) string {
+	v := reflect.ValueOf(e).FieldByName(field)
+	if !v.IsValid() {
+		return ""
+	}
+	return v.String()
+}
+
 // withoutRouters returns the records without those of some routers: their processes, and
 // the requests that were sent to them with all that followed.
 func withoutRouters(records []record, excluded map[string]bool) []record {
@@ -104,31 +114,10 @@
 		}
 	}
 	drop := func(r record) bool {
-		switch e := r.Event.(type) {
-		case requestSent:
-			return excluded[e.Router]
-		case strayBytes:
-			return excluded[e.Router]
-		case routerChanged:
-			return excluded[e.Router]
-		case answerStarted:
-			return excluded[routers[e.ID]]
-		case answerEnded:
-			return excluded[routers[e.ID]]
-		case callerLeft:
-			return excluded[routers[e.ID]]
-		case requestArrived:
-			return attempts[e.Attempt]
-		case requestRun:
-			return attempts[e.Attempt]
-		case requestRefused:
-			return attempts[e.Attempt]
-		case answerGiven:
-			return attempts[e.Attempt]
-		case attemptCancelled:
-			return attempts[e.Attempt]
+		if router := nameIn(r.Event, "Router"); router != "" {
+			return excluded[router]
 		}
-		return false
+		return attempts[nameIn(r.Event, "Attempt")] || excluded[routers[nameIn(r.Event, "ID")]]
 	}
 	return slices.DeleteFunc(slices.Clone(records), drop)
 }
