--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -35,6 +35,7 @@
 const (
 	kindServerLeaves   = "server leaves"
 	kindServerSays     = "server says in its answers that it leaves"
+	kindServerRefuses  = "server refuses and names a time"
 	kindServerPieces   = "server writes in pieces"
 	kindServerWire     = "server's bytes come in pieces"
 	kindServerInforms  = "server sends informational answers"
@@ -219,7 +220,7 @@
 		s.Restart(time.Now())
 		f.register(s, platformtest.StateReady)
 	}},
-	{"server refuses and names a time", func(f *fleet, selector int, duration time.Duration) {
+	{kindServerRefuses, func(f *fleet, selector int, duration time.Duration) {
 		s := f.servers[selector%len(f.servers)]
 		s.SetAnswerHeader("Retry-After", refusedFor)
 		f.mishandle(selector, []platformtest.Fault{platformtest.Refuse}, duration)
@@ -491,7 +492,7 @@
 
 // alwaysDrawn are the kinds that each schedule has: faults of the code that show only beside
 // them would be found in few runs otherwise.
-var alwaysDrawn = []string{kindStoreReturns, kindServerCutsFirst, kindStoppedTogether}
+var alwaysDrawn = []string{kindStoreReturns, kindServerCutsFirst, kindStoppedTogether, kindServerSays, kindServerRefuses}
 
 // newFault draws the variant and the duration of a fault.
 func newFault(random *rand.Rand, k faultKind, start time.Duration) fault {
