quarantine: the next router sends a suspected request after a minute

Found by reading: with 10 s, four routers could each send such a request at the same moment when it comes again 30 s later, and the users allow three. Trials of quarantined parts pass on after a minute, so both have one constant.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -8,8 +8,8 @@
 // count as one crash, but for a request that was sent to a server after another one had ended
 // under it. A request that servers only broke off, while nothing shows that they have ended, is
 // blamed after more of these. A request under which several servers have ended, but which is not proven
-// to crash them, is sent by one router, one at a time. A crash that is explained counts for nothing else, and a whole request is blamed
-// before its parts.
+// to crash them, is sent by one router, one at a time. A crash that is explained counts for nothing
+// else, and a whole request is blamed before its parts.
 //
 // Fingerprints and parts share the name "part" below where they are treated alike.
 //
@@ -50,8 +50,8 @@
 	// with each trial that crashes an engine, and ends the answers in progress there.
 	firstTrial = 5 * time.Minute
 	maxTrial   = time.Hour
-	// trialStep is the time by which a router's turn to try comes after that of the router
-	// before it, which may get no request with the part.
+	// trialStep is the time by which a router's turn to try, also a suspected request, comes after that
+	// of the router before it, which may get none with the part.
 	trialStep = time.Minute
 	// suspectServers is the number of servers after whose end a request is sent by one router, one at a
 	// time, until one is served or it is proven to crash servers. When they end together, their
@@ -60,9 +60,6 @@
 	// SuspectTrialTime is the least time between two such attempts. The answer to one, or the report of a
 	// crash, comes sooner as a rule.
 	SuspectTrialTime = time.Second
-	// takeoverTime is the time after which the next router sends suspected requests, since the one
-	// before may get none.
-	takeoverTime = 10 * time.Second
 	// forgetTime is how long a part is remembered that nobody asks for.
 	forgetTime = time.Hour
 	// maxSuspects and maxEntries bound the parts that are remembered. When there are too many
@@ -444,7 +441,7 @@
 		return false
 	}
 	last := list[len(list)-1].at
-	return !now.Before(last.Add(time.Duration(turn()) * takeoverTime))
+	return !now.Before(last.Add(time.Duration(turn()) * trialStep))
 }
 
 // beginTrial puts off the next trial of the parts, whatever becomes of this one.
