--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -129,7 +129,7 @@
 		s := f.servers[selector%len(f.servers)]
 		s.proxy.setMode(reset)
 		time.Sleep(duration)
-		s.Restart(time.Now())
+		s.restart()
 		s.proxy.setMode(pass)
 		f.register(s, platformtest.StateReady)
 	}},
@@ -184,7 +184,7 @@
 		time.Sleep(duration)
 		s.proxy.setMode(reset)
 		s.proxy.setTarget(s.Addr())
-		s.Restart(time.Now())
+		s.restart()
 		s.proxy.setMode(pass)
 		f.register(s, platformtest.StateReady)
 	}},
@@ -217,7 +217,7 @@
 		s.SetAnswerHeader(platformtest.HeaderLeaving, "1")
 		time.Sleep(duration + drainGrace)
 		s.SetAnswerHeader(platformtest.HeaderLeaving, "")
-		s.Restart(time.Now())
+		s.restart()
 		f.register(s, platformtest.StateReady)
 	}},
 	{kindServerRefuses, func(f *fleet, selector int, duration time.Duration) {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -53,6 +53,14 @@
 	// has been without one or has left; guarded by the fleet's mutex.
 	state    string
 	returned bool
+	// starts counts its incarnations after the first.
+	starts atomic.Int64
+}
+
+// restart turns a server into a new incarnation, which its next entry shows.
+func (s *server) restart() {
+	s.Restart(time.Now())
+	s.starts.Add(1)
 }
 
 // fleet holds the processes, stand-ins and proxies of a soak test.
@@ -210,7 +218,7 @@
 		entry, s.returned = nil, true
 	}
 	f.store.Put(platform.TopicServers, s.ID, entry)
-	f.records.add(entryConfirmed{Server: s.ID, Pool: s.pool, State: entryStates[s.state]})
+	f.records.add(entryConfirmed{Server: s.ID, Pool: s.pool, State: entryStates[s.state], Start: s.starts.Load()})
 }
 
 const (
--- a/internal/soak/judgeruns_test.go
+++ b/internal/soak/judgeruns_test.go
@@ -339,7 +339,7 @@
 }
 
 // ends returns when what a server has said to a router no longer binds it: the router starts or is
-// paused, or the server writes its entry again, as it does after a restart.
+// paused, or the server has another incarnation.
 func (h *history) ends(router, server string, said time.Duration) time.Duration {
 	end := h.end
 	for _, m := range h.machines {
@@ -347,8 +347,13 @@
 			end = min(end, m.at)
 		}
 	}
+	start := int64(0)
 	for _, e := range h.entries {
-		if e.event.Server == server && e.at > said && e.event.State == entryReady {
+		switch {
+		case e.event.Server != server || e.event.Start == start:
+		case e.at <= said:
+			start = e.event.Start
+		default:
 			end = min(end, e.at)
 		}
 	}
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -233,6 +233,8 @@
 		Server string     `json:"server"`
 		Pool   string     `json:"pool"`
 		State  entryState `json:"state"`
+		// Start tells incarnations apart.
+		Start int64 `json:"start,omitempty"`
 	}
 	// storeRestored: the store has come back from an older copy.
 	storeRestored struct {
