--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -403,7 +403,7 @@
 // Planned work and what operators and servers may always write disrupt nothing.
 func (x fault) disrupts() subject {
 	switch x.kind {
-	case kindServerLeaves, kindServerSays, kindServerPieces, kindServerWire, kindServerInforms, kindServerTrailers, kindServerCloses, kindServerIdle, kindServerEarly, kindServerFull, kindServerLarge,
+	case kindServerLeaves, kindServerSays, kindServerRefuses, kindServerPieces, kindServerWire, kindServerInforms, kindServerTrailers, kindServerCloses, kindServerIdle, kindServerEarly, kindServerFull, kindServerLarge,
 		kindRouterStopped, kindRouterReloaded, kindRouterSettings, kindBrokenEntry, kindConfigChanged, kindConfigStorm, kindRolling, kindStoppedTogether, kindKilledTogether, kindPausedTogether:
 		return subjectNone
 	case kindRouterNoStore:
