forward, telemetry: retries by pool, what is left of the budget, counters before histograms

The page now begins with counters and gauges; retries have the pool and whether the budget allowed them, attempts that cost nothing are counted beside them, and the lines 1001 and 1002 have retries_left.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -290,11 +290,11 @@
 		kv := []any{
 			"request", c.headers.ID, "server", choice.Server.ID, "version", choice.Server.Version,
 			"cause", res.cause, "offered", c.attempts.sent, "ms", time.Since(c.arrivedAt).Milliseconds(),
+			"retries_left", c.pool.retriesLeft(time.Now()),
 		}
 		kv = append(kv, c.fingerprintField()...)
 		kv = append(kv, c.headers.partsField()...)
 		c.handler.events.Emit(event.RequestRetried, append(kv, c.attempts.answeringField()...)...)
-		c.handler.metrics.recordRetry()
 		return true
 	}
 	c.endUnserved(res.cause)
@@ -315,9 +315,12 @@
 		return false
 	}
 	if res.outcome == balance.Unreachable {
+		c.handler.metrics.recordUnreachable(c.pool.name)
 		return true
 	}
-	return c.pool.budget.AllowRetry(time.Now())
+	allowed := c.pool.budget.AllowRetry(time.Now())
+	c.handler.metrics.recordRetry(c.pool.name, allowed)
+	return allowed
 }
 
 // endUnserved ends a request that no server has served. A failure answer of a
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -371,6 +371,9 @@
 	if n := c.stream.events.Open(); n > 0 {
 		kv = append(kv, "open_bytes", n)
 	}
+	if c.pool != nil && e == event.RequestFailed {
+		kv = append(kv, "retries_left", c.pool.retriesLeft(time.Now()))
+	}
 	if c.cause == CausePoolFull {
 		kv = append(kv, "load", c.load.InFlight(), "own", c.load.Own, "slots", c.load.Slots, "expected_ms", c.admission.Expected.Milliseconds(),
 			"bound_ms", c.admission.Bound.Milliseconds(), "surging", c.admission.Surging, "returning", c.admission.Retrying,
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -10,8 +11,7 @@
 
 // Metrics counts how requests end. It is safe for concurrent use.
 type Metrics struct {
-	scope   tally.Scope
-	retries tally.Counter
+	scope tally.Scope
 }
 
 // latencyBuckets ranges from cached lookups to long streams.
@@ -19,10 +19,18 @@
 
 // NewMetrics returns metrics in scope.
 func NewMetrics(scope tally.Scope) *Metrics {
-	return &Metrics{scope: scope, retries: scope.Counter("retries")}
+	return &Metrics{scope: scope}
 }
 
-func (m *Metrics) recordRetry() { m.retries.Inc(1) }
+// recordRetry counts a retry that the pool's budget was asked for.
+func (m *Metrics) recordRetry(pool string, allowed bool) {
+	m.scope.Tagged(map[string]string{"pool": pool, "allowed": strconv.FormatBool(allowed)}).Counter("retries").Inc(1)
+}
+
+// recordUnreachable counts an attempt that could not connect and costs nothing of the budget.
+func (m *Metrics) recordUnreachable(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("unreachable").Inc(1)
+}
 
 // recordReuse counts the periods in which connections to a server are not reused.
 func (m *Metrics) recordReuse(change *connreuse.Change) {
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -44,6 +45,9 @@
 	return list
 }
 
+// retriesLeft returns what is left of the retry budget, rounded for people.
+func (p *pool) retriesLeft(now time.Time) float64 { return math.Round(10*p.budget.Remaining(now)) / 10 }
+
 // status returns the status of the pool. The caller holds the pool's lock.
 func (p *pool) status(now time.Time) PoolStatus {
 	load := p.balance.Load(now)
@@ -52,7 +56,7 @@
 		InFlight:    load.InFlight(),
 		Slots:       load.Slots,
 		ExpectedMs:  p.controller.Expected(load).Milliseconds(),
-		RetriesLeft: p.budget.Remaining(now),
+		RetriesLeft: p.retriesLeft(now),
 		Servers:     []ServerStatus{},
 	}
 	for _, b := range p.balance.Status(now) {
--- a/internal/telemetry/page.go
+++ b/internal/telemetry/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -24,6 +25,14 @@
 	kindHistogram kind = "histogram"
 )
 
+// order returns the place of the kind on the page.
+func (k kind) order() int {
+	if k == kindHistogram {
+		return 1
+	}
+	return 0
+}
+
 // timerBounds are the upper bounds of timer buckets in seconds. They range from
 // a hop between routers to a long review.
 var timerBounds = []float64{
@@ -111,12 +120,16 @@
 	return getOrCreate(p, name, kindHistogram, tags, newHistogram)
 }
 
-// render returns the page, sorted by name and labels.
+// render returns the page, sorted by name and labels. Histograms come last: they are long, and
+// some monitoring keeps only the start of a page.
 func (p *page) render() []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var b bytes.Buffer
-	for _, name := range slices.Sorted(maps.Keys(p.families)) {
+	names := slices.SortedFunc(maps.Keys(p.families), func(x, y string) int {
+		return cmp.Or(p.families[x].kind.order()-p.families[y].kind.order(), strings.Compare(x, y))
+	})
+	for _, name := range names {
 		f := p.families[name]
 		fmt.Fprintf(&b, "# TYPE %s %s\n", name, f.kind)
 		for _, labels := range slices.Sorted(maps.Keys(f.series)) {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -184,6 +184,24 @@
 	}
 }
 
+// Guards against counters that come after long histograms, where monitoring that keeps the start of
+// a page misses them.
+func TestHistogramsComeLastOnThePage(t *testing.T) {
+	m := NewMetrics(nil, 0)
+	m.Scope().Histogram("first", tally.ValueBuckets{1, 10}).RecordValue(5)
+	m.Scope().Counter("last").Inc(1)
+	if err := m.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var page strings.Builder
+	if _, err := m.WriteTo(&page); err != nil {
+		t.Fatal(err)
+	}
+	if counter, histogram := strings.Index(page.String(), "_last_total"), strings.Index(page.String(), "_first_bucket"); counter > histogram {
+		t.Errorf("counter at byte %d, histogram at %d:\n%s", counter, histogram, page.String())
+	}
+}
+
 // Guards against updates that are lost while the page is rendered. Run with the
 // race detector.
 func TestPageUnderConcurrentUse(t *testing.T) {
