retrybudget: a retry counts until a whole window has passed

Cause: retries were counted in buckets of a second of which the ten newest were kept, 9 to 10 s. A fleet whose servers refuse everything spends its budget within a moment, and could spend what fell into the rest of that second once more before 10 s had passed, all routers at the same boundary of the clock.

Retries now count in 41 buckets of a quarter of a second, requests in the 40 newest. TestRetriesCountForAWholeWindow holds the rule by itself.

--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -19,8 +19,11 @@
 	spareRouters = 0.25
 	// ratioMargin lowers the ratio, because the limit also holds for windows that
 	// begin between two bursts.
-	ratioMargin   = 0.75
-	windowBuckets = 10
+	ratioMargin = 0.75
+	// windowBuckets is the number of buckets in a window. One more is kept: retries count until
+	// they have certainly left the window, requests only while they are certainly in it.
+	windowBuckets = 40
+	keptBuckets   = windowBuckets + 1
 )
 
 // Limits are the retry limits of the whole fleet for one pool.
@@ -40,8 +43,8 @@
 	// routers is the number of routers that share the budget.
 	routers       int
 	currentBucket int64
-	requests      [windowBuckets]int
-	retries       [windowBuckets]int
+	requests      [keptBuckets]int
+	retries       [keptBuckets]int
 }
 
 // New returns an empty budget.
@@ -55,7 +58,7 @@
 	defer b.mu.Unlock()
 	if l.Window != b.limits.Window {
 		b.currentBucket = 0
-		b.requests, b.retries = [windowBuckets]int{}, [windowBuckets]int{}
+		b.requests, b.retries = [keptBuckets]int{}, [keptBuckets]int{}
 	}
 	b.limits = l
 }
@@ -77,7 +80,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	b.requests[b.currentBucket%windowBuckets]++
+	b.requests[b.currentBucket%keptBuckets]++
 }
 
 // AllowRetry takes one retry from the budget, or returns false when it is exhausted.
@@ -88,7 +91,7 @@
 	if b.remaining() < 1 {
 		return false
 	}
-	b.retries[b.currentBucket%windowBuckets]++
+	b.retries[b.currentBucket%keptBuckets]++
 	return true
 }
 
@@ -102,10 +105,11 @@
 
 func (b *Budget) remaining() float64 {
 	requests, retries := 0, 0
-	for i := range windowBuckets {
+	for i := range keptBuckets {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
+	requests -= b.requests[(b.currentBucket+1)%keptBuckets]
 	return ratioMargin*b.limits.Ratio*float64(requests) + b.extra() - float64(retries)
 }
 
@@ -119,9 +123,9 @@
 	if bucket <= b.currentBucket {
 		return
 	}
-	for i := max(b.currentBucket+1, bucket-windowBuckets+1); i <= bucket; i++ {
-		b.requests[i%windowBuckets] = 0
-		b.retries[i%windowBuckets] = 0
+	for i := max(b.currentBucket+1, bucket-windowBuckets); i <= bucket; i++ {
+		b.requests[i%keptBuckets] = 0
+		b.retries[i%keptBuckets] = 0
 	}
 	b.currentBucket = bucket
 }
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// Guards against a retry that is forgotten before a whole window has passed since.
+func TestRetriesCountForAWholeWindow(t *testing.T) {
+	for phase := time.Duration(0); phase < time.Second; phase += 10 * time.Millisecond {
+		b := New(limits)
+		spent := time.Unix(1000, 0).Add(phase)
+		for b.AllowRetry(spent) {
+			continue
+		}
+		if b.AllowRetry(spent.Add(limits.Window - time.Millisecond)) {
+			t.Fatalf("a retry %v into a second is forgotten within the window", phase)
+		}
+	}
+}
+
 // Guards against a budget that does not grow with its requests, or allows a retry of which
 // only a part is left.
 func TestRequestsEarnWholeRetries(t *testing.T) {
