retrybudget: routers that are not heard any more keep their share of the extra

Cause: each router divided the fixed extra by the routers that it heard now, or by 24. Routers that are cut off from each other still reach the servers, so 60 of them took 6.7 retries each where 2.1 were meant, 400 of 160 together. The largest number of routers of the last ten minutes counts now, in one place for all pools; a pool that comes later knows it at once.

--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -64,9 +64,7 @@
 }
 
 // SetRouterCount sets the number of routers that share the retry budgets.
-func (st *State) SetRouterCount(n int) {
-	st.eachPool(func(p *pool) { p.budget.SetRouters(n) })
-}
+func (st *State) SetRouterCount(n int) { st.fleet.SetRouters(time.Now(), n) }
 
 // Outcomes returns the counts of recent failed and ended requests at each server.
 func (st *State) Outcomes() []digest.Outcomes {
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -62,6 +62,8 @@
 	onReuse reuseObserver
 	crashes *crashes
 	streams *streamVersions
+	// fleet is shared by the retry budgets of all pools.
+	fleet *retrybudget.Fleet
 	// limitShare returns this router's share in the requests to a server that names a limit, and
 	// onLimit is called when such a limit changes. New sets it.
 	limitShare func(server uint64) namedlimit.Share
@@ -97,6 +99,7 @@
 	}
 	st.crashes = newCrashes(func() { st.onNews() })
 	st.streams = newStreamVersions()
+	st.fleet = retrybudget.NewFleet()
 	return st
 }
 
@@ -158,7 +161,7 @@
 	b.SetLimitShare(func(server uint64) namedlimit.Share { return st.limitShare(server) })
 	return &pool{
 		name:        name,
-		budget:      retrybudget.New(st.limits.Retry),
+		budget:      retrybudget.New(st.limits.Retry, st.fleet),
 		balance:     b,
 		controller:  overload.New(),
 		connections: make(map[registry.Key]*connections),
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -10,27 +10,36 @@
 // step is the resolution of the simulated time.
 const step = 50 * time.Millisecond
 
+var simulationStart = time.Unix(1000, 0)
+
 // simulation is a fleet before servers that refuse every request, so that each request asks
 // for two retries. It counts in steps what the platform counts.
 type simulation struct {
 	t       *rapid.T
 	limits  Limits
 	start   time.Time
+	fleets  []*Fleet
 	budgets []*Budget
 	// requests and retries are those of the whole fleet in each step.
 	requests, retries []int
 }
 
 func newSimulation(t *rapid.T, routers int, limits Limits) *simulation {
-	s := &simulation{t: t, limits: limits, start: time.Unix(1000, 0).Add(step * time.Duration(rapid.IntRange(0, 19).Draw(t, "phase")))}
+	s := &simulation{t: t, limits: limits, start: simulationStart.Add(step * time.Duration(rapid.IntRange(0, 19).Draw(t, "phase")))}
 	for range routers {
-		b := New(limits)
-		b.SetRouters(routers)
-		s.budgets = append(s.budgets, b)
+		fleet := fleetOf(routers)
+		s.fleets, s.budgets = append(s.fleets, fleet), append(s.budgets, New(limits, fleet))
 	}
 	return s
 }
 
+// fleetOf returns a fleet of a number of routers.
+func fleetOf(routers int) *Fleet {
+	f := NewFleet()
+	f.SetRouters(simulationStart, routers)
+	return f
+}
+
 // now returns the time of the step that is played next.
 func (s *simulation) now() time.Time { return s.start.Add(step * time.Duration(len(s.requests))) }
 
@@ -98,15 +107,15 @@
 // routers that they know at first.
 func (s *simulation) restart(share float64, known int) {
 	for i := range int(share * float64(len(s.budgets))) {
-		s.budgets[i] = New(s.limits)
-		s.budgets[i].SetRouters(known)
+		s.fleets[i] = fleetOf(known)
+		s.budgets[i] = New(s.limits, s.fleets[i])
 	}
 }
 
 // setKnown sets the number of routers that all know.
 func (s *simulation) setKnown(n int) {
-	for _, b := range s.budgets {
-		b.SetRouters(n)
+	for _, f := range s.fleets {
+		f.SetRouters(s.now(), n)
 	}
 }
 
@@ -138,3 +147,16 @@
 		s.check()
 	})
 }
+
+// Guards against a fleet that shares the extra with routers for good that are gone.
+func TestRoutersThatAreGoneAreForgotten(t *testing.T) {
+	f := fleetOf(100)
+	f.SetRouters(simulationStart.Add(routersMemory), 40)
+	if got := f.share(250); got != 2 {
+		t.Errorf("share %v while 100 routers are remembered, want 2", got)
+	}
+	f.SetRouters(simulationStart.Add(routersMemory+time.Second), 40)
+	if got := f.share(250); got != 5 {
+		t.Errorf("share %v of 40 routers, want 5", got)
+	}
+}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -38,18 +38,17 @@
 // Budget counts the requests and retries of one pool in a sliding window.
 type Budget struct {
 	limits Limits
+	fleet  *Fleet
 
-	mu sync.Mutex
-	// routers is the number of routers that share the budget.
-	routers       int
+	mu            sync.Mutex
 	currentBucket int64
 	requests      [keptBuckets]int
 	retries       [keptBuckets]int
 }
 
-// New returns an empty budget.
-func New(limits Limits) *Budget {
-	return &Budget{limits: limits}
+// New returns an empty budget of a router in fleet.
+func New(limits Limits, fleet *Fleet) *Budget {
+	return &Budget{limits: limits, fleet: fleet}
 }
 
 // SetLimits replaces the limits. A change of the window's length clears the counts.
@@ -63,18 +62,6 @@
 	b.limits = l
 }
 
-// SetRouters sets the number of routers that share the budget.
-func (b *Budget) SetRouters(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.routers = n
-}
-
-// extra returns this router's share of the fixed extra.
-func (b *Budget) extra() float64 {
-	return b.limits.Extra / max(minRouters, (1+spareRouters)*float64(b.routers))
-}
-
 // RecordRequest counts a request of a caller.
 func (b *Budget) RecordRequest(now time.Time) {
 	b.mu.Lock()
@@ -110,7 +97,7 @@
 		retries += b.retries[i]
 	}
 	requests -= b.requests[(b.currentBucket+1)%keptBuckets]
-	return ratioMargin*b.limits.Ratio*float64(requests) + b.extra() - float64(retries)
+	return ratioMargin*b.limits.Ratio*float64(requests) + b.fleet.share(b.limits.Extra) - float64(retries)
 }
 
 // advance clears the buckets that are no longer in the window.
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -18,7 +18,7 @@
 		const routers = 10
 		budgets := make([]*Budget, routers)
 		for i := range budgets {
-			budgets[i] = New(limits)
+			budgets[i] = New(limits, NewFleet())
 		}
 		type sent struct {
 			at    time.Duration
@@ -61,8 +61,7 @@
 	for _, routers := range []int{1, 24, 60, 340} {
 		retries := 0
 		for range routers {
-			b := New(Limits{Ratio: 0.2, Window: 10 * time.Second, Extra: 400})
-			b.SetRouters(routers)
+			b := New(Limits{Ratio: 0.2, Window: 10 * time.Second, Extra: 400}, fleetOf(routers))
 			for b.AllowRetry(time.Unix(1000, 0)) {
 				retries++
 			}
@@ -75,7 +74,7 @@
 
 // Guards against a budget that stays exhausted.
 func TestBudgetRefillsAfterTheWindow(t *testing.T) {
-	b := New(limits)
+	b := New(limits, NewFleet())
 	now := time.Unix(1000, 0)
 	for b.AllowRetry(now) {
 		continue
@@ -91,7 +90,7 @@
 // Guards against a retry that is forgotten before a whole window has passed since.
 func TestRetriesCountForAWholeWindow(t *testing.T) {
 	for phase := time.Duration(0); phase < time.Second; phase += 10 * time.Millisecond {
-		b := New(limits)
+		b := New(limits, NewFleet())
 		spent := time.Unix(1000, 0).Add(phase)
 		for b.AllowRetry(spent) {
 			continue
@@ -106,7 +105,7 @@
 // only a part is left.
 func TestRequestsEarnWholeRetries(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := New(Limits{Ratio: 0.2, Window: 10 * time.Second})
+	b := New(Limits{Ratio: 0.2, Window: 10 * time.Second}, NewFleet())
 	for range 99 {
 		b.RecordRequest(now)
 	}
@@ -123,8 +122,7 @@
 // Guards against routers that together exceed the extra because some of them are not known
 // to the others yet.
 func TestExtraAllowsForUnknownRouters(t *testing.T) {
-	b := New(Limits{Window: 10 * time.Second, Extra: 250})
-	b.SetRouters(100)
+	b := New(Limits{Window: 10 * time.Second, Extra: 250}, fleetOf(100))
 	if got := b.Remaining(time.Unix(1000, 0)); got != 2 {
 		t.Errorf("%v retries for one of 100 routers, want 2: a share for 125", got)
 	}
@@ -135,7 +133,7 @@
 func TestCountsOutliveClocksAndLimitsOfTheSameWindow(t *testing.T) {
 	now := time.Unix(1000, 0)
 	limits := Limits{Ratio: 1, Window: 10 * time.Second}
-	b := New(limits)
+	b := New(limits, NewFleet())
 	for range 10 {
 		b.RecordRequest(now)
 	}
@@ -159,7 +157,7 @@
 
 // Guards against a crash without a window.
 func TestBudgetWithoutAWindow(t *testing.T) {
-	b := New(Limits{Extra: 24})
+	b := New(Limits{Extra: 24}, NewFleet())
 	if now := time.Unix(1000, 0); !b.AllowRetry(now) || b.AllowRetry(now) {
 		t.Error("want one retry of the extra")
 	}
