retrybudget: a router that may have run before does not spend its budget again

Cause: a restarted process has an empty budget, so it has its share of the extra once more, and its requests earn the full ratio although the process before may have spent as much. For one window after such a start a router now has the quarter of the ratio that the margin leaves, and none of the extra. That costs callers some retries in these 10 s.

The fleet of TestStreamIsContinuedAtTheVersionThatBeganIt, which starts as after a restart and breaks off every stream, gets bounds that do not bind, as the one of the answers tests has; its assertions stay.

--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -66,6 +66,9 @@
 // SetRouterCount sets the number of routers that share the retry budgets.
 func (st *State) SetRouterCount(n int) { st.fleet.SetRouters(time.Now(), n) }
 
+// SetRestarted records that this router may have run before. Call it before requests are served.
+func (st *State) SetRestarted() { st.fleet.SetRestarted(time.Now()) }
+
 // Outcomes returns the counts of recent failed and ended requests at each server.
 func (st *State) Outcomes() []digest.Outcomes {
 	var list []digest.Outcomes
--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -51,10 +51,7 @@
 	b.publish(c)
 	register(b)
 	b.startReady()
-	// Every case may be tried twice.
-	s := *b.settings
-	s.Bounds.RetryRatio, s.Bounds.RetryExtra = 10, 1_000_000
-	b.front.Apply(&s)
+	b.allowRetries()
 	return b
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -98,6 +98,9 @@
 		handler:  forward.New(state, p.Codec, events, forward.NewMetrics(metrics.Scope())),
 	}
 	f.bounds.Store(&s.Bounds)
+	if !s.FirstStart {
+		state.SetRestarted()
+	}
 	var err error
 	f.edge, err = edge.Listen(s.ListenCallers.String(), f.handler, logger)
 	if err != nil {
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -114,6 +114,13 @@
 	b.t.Cleanup(b.stop)
 }
 
+// allowRetries lets every request be tried again.
+func (b *testBed) allowRetries() {
+	s := *b.settings
+	s.Bounds.RetryRatio, s.Bounds.RetryExtra = 10, 1_000_000
+	b.front.Apply(&s)
+}
+
 // stop stops the router at once. It may be called more than once.
 func (b *testBed) stop() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -75,7 +75,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if b.remaining() < 1 {
+	if b.remaining(now) < 1 {
 		return false
 	}
 	b.retries[b.currentBucket%keptBuckets]++
@@ -87,17 +87,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	return b.remaining()
+	return b.remaining(now)
 }
 
-func (b *Budget) remaining() float64 {
+func (b *Budget) remaining(now time.Time) float64 {
 	requests, retries := 0, 0
 	for i := range keptBuckets {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
 	requests -= b.requests[(b.currentBucket+1)%keptBuckets]
-	return ratioMargin*b.limits.Ratio*float64(requests) + b.fleet.share(b.limits.Extra) - float64(retries)
+	ratio, extra := b.fleet.shares(now, b.limits)
+	return ratio*float64(requests) + extra - float64(retries)
 }
 
 // advance clears the buckets that are no longer in the window.
