retrybudget: count by the monotonic clock

Cause: buckets were numbered by the time of day. A jump forward emptied a router's counts, so that it could spend its budget again; a jump back kept all requests and retries in one bucket, so that more than a window of requests earned retries. Buckets are now numbered from the first use.

--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -25,11 +25,12 @@
 }
 
 func newSimulation(t *rapid.T, routers int, limits Limits) *simulation {
-	s := &simulation{t: t, limits: limits, start: simulationStart.Add(step * time.Duration(rapid.IntRange(0, 19).Draw(t, "phase")))}
+	s := &simulation{t: t, limits: limits, start: simulationStart}
 	for range routers {
 		fleet := fleetOf(routers)
 		s.fleets, s.budgets = append(s.fleets, fleet), append(s.budgets, New(limits, fleet))
 	}
+	s.run(15*time.Second+step*time.Duration(rapid.IntRange(0, 19).Draw(t, "phase")), grownRequests, false)
 	return s
 }
 
@@ -97,7 +98,6 @@
 func TestFleetKeepsTheBudgetInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, grownRouters, grownLimits)
-		s.run(15*time.Second, grownRequests, false)
 		s.run(25*time.Second, grownRequests, true)
 		s.check()
 	})
@@ -125,7 +125,6 @@
 func TestFleetKeepsTheBudgetThroughRestarts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, grownRouters, grownLimits)
-		s.run(15*time.Second, grownRequests, false)
 		for range rapid.IntRange(1, 3).Draw(t, "restarts") {
 			s.run(step*time.Duration(rapid.IntRange(1, 100).Draw(t, "steps before")), grownRequests, true)
 			s.restart(rapid.Float64Range(0.3, 1).Draw(t, "share"), 1)
@@ -159,7 +158,6 @@
 func TestFleetKeepsTheBudgetThroughPartitions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, grownRouters, Limits{Ratio: 0.2, Window: 10 * time.Second, Extra: 1600})
-		s.run(15*time.Second, grownRequests, false)
 		s.setKnown(rapid.IntRange(1, 20).Draw(t, "known"))
 		s.run(15*time.Second, grownRequests, true)
 		s.check()
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -40,7 +40,10 @@
 	limits Limits
 	fleet  *Fleet
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// begun is when the first bucket began. Buckets are numbered from there by the monotonic
+	// clock, since the time of day may jump.
+	begun         time.Time
 	currentBucket int64
 	requests      [keptBuckets]int
 	retries       [keptBuckets]int
@@ -107,7 +110,10 @@
 	if bucketLength <= 0 {
 		bucketLength = time.Second
 	}
-	bucket := now.UnixNano() / int64(bucketLength)
+	if b.begun.IsZero() {
+		b.begun = now
+	}
+	bucket := int64(now.Sub(b.begun) / bucketLength)
 	if bucket <= b.currentBucket {
 		return
 	}
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"pgregory.net/rapid"
 
@@ -91,7 +92,9 @@
 func TestRetriesCountForAWholeWindow(t *testing.T) {
 	for phase := time.Duration(0); phase < time.Second; phase += 10 * time.Millisecond {
 		b := New(limits, NewFleet())
-		spent := time.Unix(1000, 0).Add(phase)
+		begun := time.Unix(1000, 0)
+		b.RecordRequest(begun)
+		spent := begun.Add(phase)
 		for b.AllowRetry(spent) {
 			continue
 		}
@@ -155,6 +158,33 @@
 	}
 }
 
+// stepped returns t as it is read after a jump of the time of day: the monotonic clock goes on.
+func stepped(t *testing.T, at time.Time, jump time.Duration) time.Time {
+	t.Helper()
+	got := at
+	// A time with a monotonic reading has its seconds above 30 bits of nanoseconds.
+	*(*uint64)(unsafe.Pointer(&got)) += uint64(jump/time.Second) << 30
+	if got.Sub(at) != 0 || got.Round(0).Sub(at.Round(0)) != jump {
+		t.Fatalf("%v is not %v after a jump of %v", got, at, jump)
+	}
+	return got
+}
+
+// Guards against a budget that is allowed again when the time of day jumps forward.
+func TestBudgetIgnoresTheTimeOfDay(t *testing.T) {
+	b := New(limits, NewFleet())
+	now := time.Now()
+	for b.AllowRetry(now) {
+		continue
+	}
+	if b.AllowRetry(stepped(t, now, 2*limits.Window)) {
+		t.Error("an exhausted budget allowed a retry after a jump of the clock")
+	}
+	if !b.AllowRetry(stepped(t, now.Add(limits.Window+time.Second), -2*limits.Window)) {
+		t.Error("no retry a window later, the clock having jumped back")
+	}
+}
+
 // Guards against a crash without a window.
 func TestBudgetWithoutAWindow(t *testing.T) {
 	b := New(Limits{Extra: 24}, NewFleet())
