--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -18,6 +18,8 @@
 // connections holds the connections to one server. It is safe for concurrent use.
 type connections struct {
 	onReuse func(*connreuse.Change)
+	// dial opens connections.
+	dial dialFunc
 
 	// transportMu guards the transports. kept reuses connections; single opens one for each
 	// request, while the connections must not be reused. Each is made when it is needed.
@@ -95,13 +97,11 @@
 
 func (c *connections) newTransport(reuse bool) *http.Transport {
 	t := httpsend.NewTransport(httpsend.Options{
-		DialTimeout:         dialTimeout,
 		MaxHeaderBytes:      maxHeaderBytes,
 		MaxIdleConnsPerHost: idlePerServer,
 		IdleTimeout:         c.idleLimit(),
 		NoConnReuse:         !reuse,
-		Control:             setSendTimeout,
-		KeepAlive:           httpsend.ShortKeepAlive(),
+		Dial:                c.dial,
 		OnUnasked:           c.recordUnasked,
 	})
 	t.ReadBufferSize = connectionBuffer
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -9,6 +11,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
+	"github.com/bluebellwell/bluebellwell/internal/httpsend"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -64,6 +67,8 @@
 	streams *streamVersions
 	// fleet is shared by the retry budgets of all pools.
 	fleet *retrybudget.Fleet
+	// dial opens connections to servers.
+	dial dialFunc
 	// limitShare returns this router's share in the requests to a server that names a limit, and
 	// onLimit is called when such a limit changes. New sets it.
 	limitShare func(server uint64) namedlimit.Share
@@ -86,6 +91,7 @@
 	// later incarnation.
 	connections map[registry.Key]*connections
 	onReuse     reuseObserver
+	dial        dialFunc
 	versions    versionChange
 }
 
@@ -100,9 +106,20 @@
 	st.crashes = newCrashes(func() { st.onNews() })
 	st.streams = newStreamVersions()
 	st.fleet = retrybudget.NewFleet()
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: setSendTimeout, KeepAliveConfig: httpsend.ShortKeepAlive()}
+	st.dial = dialer.DialContext
 	return st
 }
 
+// dialFunc opens a connection to an address. It must be safe for concurrent use.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// SetDial replaces the function that opens connections to servers. Call it before the first
+// servers are set.
+func (st *State) SetDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) {
+	st.dial = dial
+}
+
 // OnNews sets the function that is called when the other routers have to be told something
 // soon. Call it before requests are served.
 func (st *State) OnNews(f func()) { st.onNews = f }
@@ -166,6 +183,7 @@
 		controller:  overload.New(),
 		connections: make(map[registry.Key]*connections),
 		onReuse:     func(s *registry.Server, c *connreuse.Change) { st.onReuse(s, c) },
+		dial:        st.dial,
 	}
 }
 
@@ -281,7 +299,7 @@
 	defer p.mu.Unlock()
 	c := p.connections[server.Key()]
 	if c == nil {
-		c = &connections{onReuse: func(change *connreuse.Change) { p.onReuse(server, change) }}
+		c = &connections{onReuse: func(change *connreuse.Change) { p.onReuse(server, change) }, dial: p.dial}
 		p.connections[server.Key()] = c
 	}
 	return c
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -63,6 +63,8 @@
 	Inventory func(ctx context.Context, addr string) ([]forward.CachedPart, error)
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
+	// Dial opens connections to servers; nil for the usual dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Front is a running router. Its methods are safe for concurrent use.
@@ -101,6 +103,9 @@
 	if !s.FirstStart {
 		state.SetRestarted()
 	}
+	if p.Dial != nil {
+		state.SetDial(p.Dial)
+	}
 	var err error
 	f.edge, err = edge.Listen(s.ListenCallers.String(), f.handler, logger)
 	if err != nil {
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -45,6 +45,8 @@
 	logger hclog.Logger
 	// wrapSource wraps the router's way to each topic of the store; nil for none.
 	wrapSource func(feed.Source) feed.Source
+	// link is the router's way to the servers; nil for one that is never cut.
+	link *serverLink
 	// settings are the settings that the router was started with.
 	settings *settings.Front
 	baseURL  string
@@ -101,6 +103,9 @@
 	if b.wrapSource != nil {
 		store.Config, store.Servers = b.wrapSource(store.Config), b.wrapSource(store.Servers)
 	}
+	if b.link != nil {
+		store.Dial = b.link.dial
+	}
 	f, err := front.New(s, store, logger)
 	if err != nil {
 		b.t.Fatal(err)
--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -185,6 +185,8 @@
 	Control func(network, address string, c syscall.RawConn) error
 	// KeepAlive sets the probes of idle connections; the zero value means the default.
 	KeepAlive net.KeepAliveConfig
+	// Dial opens the connections instead of a dialer with the options above; nil means not.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// OnUnasked is called when a server has sent bytes on a connection that was not in use;
 	// nil means not. It is called on any goroutine and must not use the transport. A call of
 	// CloseIdleConnections may report a connection whose exchange ended that moment.
@@ -193,10 +195,13 @@
 
 // NewTransport returns a transport for use with Send. It uses no proxy.
 func NewTransport(o Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout, Control: o.Control, KeepAliveConfig: o.KeepAlive}
+	dial := o.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: o.DialTimeout, Control: o.Control, KeepAliveConfig: o.KeepAlive}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, addr)
+			c, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/yamux"
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/peermux"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
 
@@ -54,7 +55,7 @@
 }
 
 func (t *Transport) acceptConn(raw net.Conn) error {
-	mux, err := yamux.Server(&coalescingConn{Conn: raw}, muxConfig(t.cfg.Events))
+	mux, err := yamux.Server(&peermux.CoalescingConn{Conn: raw}, peermux.Config(t.cfg.Events))
 	if err != nil {
 		_ = raw.Close()
 		return err
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -16,6 +16,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/peermux"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
 
@@ -406,7 +407,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Client(&coalescingConn{Conn: raw}, muxConfig(t.cfg.Events))
+	mux, err := yamux.Client(&peermux.CoalescingConn{Conn: raw}, peermux.Config(t.cfg.Events))
 	if err != nil {
 		_ = raw.Close()
 		return nil, err
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/meter"
+	"github.com/bluebellwell/bluebellwell/internal/peermux"
 	"github.com/bluebellwell/bluebellwell/internal/peerpb"
 )
 
@@ -69,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	mux, err := yamux.Client(raw, muxConfig(event.Nop()))
+	mux, err := yamux.Client(raw, peermux.Config(event.Nop()))
 	if err != nil {
 		t.Fatal(err)
 	}
