forward, tunnel: a server that only other routers reach is reached through one of them

Cause: a router had one way to a server, its own. It tried eight servers of 0.4 s each and then refused, while its neighbours reached them all. Class: a failure of one router's view is taken for the state of the world.

A server that another router reaches no longer counts as crashed when it breaks a request off and refuses this router.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -185,6 +185,17 @@
 	}
 }
 
+// LiveRouters returns the addresses of the other routers that are live, in no order.
+func (e *Exchange) LiveRouters() []netip.Addr {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []netip.Addr
+	for _, peer := range e.peers.Live(time.Now()) {
+		list = append(list, peer.Addr)
+	}
+	return list
+}
+
 // LivePeerCount returns the number of other routers that are live.
 func (e *Exchange) LivePeerCount() int {
 	e.mu.Lock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -55,6 +55,8 @@
 	// much of it has been received.
 	framing   framing.Framing
 	bodyBytes int64
+	// via is the router through which the last connection was opened; empty for none.
+	via string
 	// readError is the error that ended the reading of the answer; io.EOF at its end.
 	readError error
 	// broken lists the attempts that may have crashed their servers.
@@ -90,6 +92,9 @@
 	if c.Source != nil {
 		kv = append(kv, "fetch_from", c.Source.ID)
 	}
+	if a.via != "" {
+		kv = append(kv, "via", a.via)
+	}
 	if a.framing != framing.Unknown {
 		kv = append(kv, "framing", a.framing, "body_bytes", a.bodyBytes)
 	}
@@ -352,6 +357,7 @@
 	c.attempts.readError = nil
 	conns := c.pool.connectionsTo(choice.Server)
 	resp, exchange, err := httpsend.Send(conns.transport(c.attempts.sentAt), c.outgoingRequest(ctx, choice))
+	c.attempts.via = exchange.Via
 	if err != nil {
 		if ctx.Err() == nil {
 			conns.recordNoAnswer(c.attempts.sentAt, exchange)
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -83,11 +83,8 @@
 	}
 }
 
-// remove closes the kept connections to a server that no longer exists.
-func (c *connections) remove() {
-	c.reuseMu.Lock()
-	c.removed = true
-	c.reuseMu.Unlock()
+// closeIdle closes the kept connections that are not in use.
+func (c *connections) closeIdle() {
 	c.transportMu.Lock()
 	defer c.transportMu.Unlock()
 	if c.kept != nil {
@@ -95,6 +92,14 @@
 	}
 }
 
+// remove closes the kept connections to a server that no longer exists.
+func (c *connections) remove() {
+	c.reuseMu.Lock()
+	c.removed = true
+	c.reuseMu.Unlock()
+	c.closeIdle()
+}
+
 func (c *connections) newTransport(reuse bool) *http.Transport {
 	t := httpsend.NewTransport(httpsend.Options{
 		MaxHeaderBytes:      maxHeaderBytes,
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -1,11 +1,9 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -143,8 +141,10 @@
 type crashes struct {
 	// onNews is called when the other routers have to be told something, turn returns how many
 	// routers come before this one in sending trials, onCrash and onChange log.
-	onNews   func()
-	turn     func() int
+	onNews func()
+	turn   func() int
+	// ended reports whether nothing listens at the address of a server.
+	ended    func(addr string) bool
 	onCrash  func(s *registry.Server, parts, requests int)
 	onChange func(quarantine.Change)
 
@@ -225,7 +225,7 @@
 
 // confirm records the crash of a server that accepts no connections.
 func (k *crashes) confirm(s *registry.Server) {
-	ended := refusesConnections(s.Addr)
+	ended := k.ended(s.Addr)
 	k.mu.Lock()
 	p := k.pending[s.Key()]
 	delete(k.pending, s.Key())
@@ -243,19 +243,6 @@
 	k.onNews()
 }
 
-// refusesConnections reports whether nothing listens at an address.
-func refusesConnections(addr string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	// The connection carried nothing.
-	_ = conn.Close()
-	return false
-}
-
 // update logs the changes of what is believed of parts.
 func (k *crashes) update() {
 	k.mu.Lock()
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -195,14 +195,14 @@
 // Guards against an engine that is taken for ended because it does not answer in time.
 func TestUnreachableAddressIsNoCrash(t *testing.T) {
 	t.Parallel()
-	if refusesConnections("") {
+	if newPaths().refuses("") {
 		t.Error("an address that can't be dialled counts as one that refuses connections")
 	}
-	if !refusesConnections(closedAddr(t)) {
+	if !newPaths().refuses(closedAddr(t)) {
 		t.Error("a closed port does not count")
 	}
 	s := registry.Server{Addr: newBed(t, bedOptions{}, ok("x")).servers[0].Addr}
-	if refusesConnections(s.Addr) {
+	if newPaths().refuses(s.Addr) {
 		t.Error("a living server counts as ended")
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -49,6 +49,7 @@
 	}
 	observeLimits(state, events, metrics)
 	observeCrashes(state.crashes, events, metrics)
+	state.paths.events = events
 	h := &Handler{
 		state:   state,
 		codec:   codec,
--- a/internal/forward/reuse_test.go
+++ b/internal/forward/reuse_test.go
@@ -99,7 +99,7 @@
 // Guards against a request on a kept connection that its server closes at that moment.
 func TestAnnouncedIdleTimeEndsConnectionsBefore(t *testing.T) {
 	t.Parallel()
-	c := &connections{}
+	c := &connections{dial: newPaths().dial}
 	old := c.transport(time.Now())
 	for _, step := range []struct{ announced, want time.Duration }{
 		{10 * time.Second, idleTimeout},
@@ -250,7 +250,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	c := &connections{}
+	c := &connections{dial: newPaths().dial}
 	conn, err := c.transport(time.Now()).DialContext(context.Background(), "tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -11,7 +11,6 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
-	"github.com/bluebellwell/bluebellwell/internal/httpsend"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -67,8 +66,8 @@
 	streams *streamVersions
 	// fleet is shared by the retry budgets of all pools.
 	fleet *retrybudget.Fleet
-	// dial opens connections to servers.
-	dial dialFunc
+	// paths opens the connections to servers.
+	paths *paths
 	// limitShare returns this router's share in the requests to a server that names a limit, and
 	// onLimit is called when such a limit changes. New sets it.
 	limitShare func(server uint64) namedlimit.Share
@@ -76,6 +75,8 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+	// addrs are the addresses of all servers.
+	addrs map[string]bool
 }
 
 // pool balances the load over the servers of one pool and holds the connections
@@ -92,7 +93,9 @@
 	connections map[registry.Key]*connections
 	onReuse     reuseObserver
 	dial        dialFunc
-	versions    versionChange
+	// indirect reports whether the server at an address is reached through another router.
+	indirect func(now time.Time, addr string) bool
+	versions versionChange
 }
 
 // NewState returns a state without a configuration and servers.
@@ -106,18 +109,43 @@
 	st.crashes = newCrashes(func() { st.onNews() })
 	st.streams = newStreamVersions()
 	st.fleet = retrybudget.NewFleet()
-	dialer := &net.Dialer{Timeout: dialTimeout, Control: setSendTimeout, KeepAliveConfig: httpsend.ShortKeepAlive()}
-	st.dial = dialer.DialContext
+	st.paths = newPaths()
+	st.paths.onIndirect = st.closeIdle
+	st.crashes.ended = st.paths.refuses
 	return st
 }
 
-// dialFunc opens a connection to an address. It must be safe for concurrent use.
-type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
-// SetDial replaces the function that opens connections to servers. Call it before the first
-// servers are set.
+// SetDial replaces the function by which this router itself opens connections to servers. Call it
+// before requests are served.
 func (st *State) SetDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) {
-	st.dial = dial
+	st.paths.direct = dial
+}
+
+// SetTunnel sets the way through other routers, for servers that this one does not reach. Call it
+// before requests are served.
+func (st *State) SetTunnel(t Tunnel) { st.paths.tunnel = t }
+
+// DialDirect opens a connection to a server for another router, which does not reach it.
+func (st *State) DialDirect(ctx context.Context, network, addr string) (net.Conn, error) {
+	return st.paths.dialDirect(ctx, network, addr)
+}
+
+// KnowsServer reports whether a server has an address.
+func (st *State) KnowsServer(addr string) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.addrs[addr]
+}
+
+// closeIdle closes the idle connections to the servers at an address.
+func (st *State) closeIdle(addr string) {
+	st.eachPool(func(p *pool) {
+		for key, c := range p.connections {
+			if key.Addr == addr {
+				c.closeIdle()
+			}
+		}
+	})
 }
 
 // OnNews sets the function that is called when the other routers have to be told something
@@ -136,19 +164,22 @@
 
 // SetServers replaces the list of servers of all pools.
 func (st *State) SetServers(list []*registry.Server) {
-	byPool := make(map[string][]*registry.Server)
+	byPool, addrs := make(map[string][]*registry.Server), make(map[string]bool, len(list))
 	for _, s := range list {
 		byPool[s.Pool] = append(byPool[s.Pool], s)
+		addrs[s.Addr] = true
 	}
-	if st.setPools(byPool) {
+	st.paths.forget(func(addr string) bool { return !addrs[addr] })
+	if st.setPools(byPool, addrs) {
 		st.streams.tellOwn()
 	}
 }
 
 // setPools replaces the servers of all pools and reports whether a second version has come to one.
-func (st *State) setPools(byPool map[string][]*registry.Server) (secondVersion bool) {
+func (st *State) setPools(byPool map[string][]*registry.Server, addrs map[string]bool) (secondVersion bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.addrs = addrs
 	for name := range byPool {
 		if st.pools[name] == nil {
 			st.pools[name] = st.newPool(name)
@@ -183,7 +214,8 @@
 		controller:  overload.New(),
 		connections: make(map[registry.Key]*connections),
 		onReuse:     func(s *registry.Server, c *connreuse.Change) { st.onReuse(s, c) },
-		dial:        st.dial,
+		dial:        st.paths.dial,
+		indirect:    st.paths.indirect,
 	}
 }
 
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -26,7 +26,7 @@
 	ID         string `json:"id"`
 	Addr       string `json:"addr"`
 	DataCentre string `json:"data_centre"`
-	// State is ready, leaving or ejected.
+	// State is ready, indirect (reached through another router), leaving or ejected.
 	State string `json:"state"`
 	// Own and Others are the requests in flight of this router and of the others.
 	Own    int `json:"own"`
@@ -66,6 +66,8 @@
 			state = "leaving"
 		case b.Ejected:
 			state = "ejected"
+		case p.indirect(now, b.Server.Addr):
+			state = "indirect"
 		}
 		server := ServerStatus{
 			ID: b.Server.ID, Addr: b.Server.Addr, DataCentre: b.Server.DataCentre, State: state, Own: b.Own, Others: b.Others,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 	"github.com/bluebellwell/bluebellwell/internal/settings"
 	"github.com/bluebellwell/bluebellwell/internal/telemetry"
+	"github.com/bluebellwell/bluebellwell/internal/tunnel"
 )
 
 const (
@@ -79,10 +80,13 @@
 	handler  *forward.Handler
 	tracker  *tracker
 	exchange *digest.Exchange
-	edge     *edge.Server
-	ready    *http.Server
-	admin    *http.Server
-	tomb     tomb.Tomb
+	// carrier opens connections for other routers, tunnel opens them through others.
+	carrier *tunnel.Server
+	tunnel  *tunnel.Client
+	edge    *edge.Server
+	ready   *http.Server
+	admin   *http.Server
+	tomb    tomb.Tomb
 }
 
 // New returns a router. It opens the addresses for callers and for other
@@ -118,6 +122,12 @@
 		return nil, errors.Join(err, f.edge.Close(), metrics.Close())
 	}
 	f.tracker.exchange = f.exchange
+	f.carrier, err = tunnel.Listen(s.ListenPeers, state.KnowsServer, state.DialDirect, events)
+	if err != nil {
+		return nil, errors.Join(err, f.edge.Close(), f.exchange.Close(), metrics.Close())
+	}
+	f.tunnel = tunnel.NewClient(s.ListenPeers.Port(), f.exchange.LiveRouters, events)
+	state.SetTunnel(f.tunnel)
 	state.OnNews(f.exchange.SendSoon)
 	state.SetPlacementsKnown(f.placementsKnown)
 	state.SetLimitShare(f.exchange.LimitShare)
@@ -205,6 +215,7 @@
 			f.tomb.Go(func() error { return follower.Run(ctx) })
 		}
 		f.tomb.Go(f.exchange.Receive)
+		f.tomb.Go(f.carrier.Serve)
 		f.tomb.Go(func() error { return f.exchange.Send(ctx) })
 		f.tomb.Go(func() error { return f.collectInventory(ctx) })
 		f.tomb.Go(func() error { return f.keepParts(ctx) })
@@ -221,7 +232,7 @@
 
 // closeListeners closes what New has opened.
 func (f *Front) closeListeners() error {
-	return errors.Join(f.edge.Close(), f.exchange.Close(), f.metrics.Close())
+	return errors.Join(f.edge.Close(), f.exchange.Close(), f.carrier.Close(), f.tunnel.Close(), f.metrics.Close())
 }
 
 func listen(addr, purpose string) (net.Listener, error) {
--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -222,6 +222,8 @@
 	NotSent bool
 	// Reused is set when the connection was kept from an earlier exchange.
 	Reused bool
+	// Via is the router through which the connection was opened; empty for none.
+	Via string
 
 	// writtenEarlier is set when net/http wrote the request to one connection and
 	// then switched to another.
@@ -283,7 +285,7 @@
 		if exchange.conn != nil && !exchange.conn.sealUnwritten(exchange.baseWritten) {
 			exchange.writtenEarlier = true
 		}
-		exchange.conn, exchange.Reused = c, info.Reused
+		exchange.conn, exchange.Reused, exchange.Via = c, info.Reused, viaOf(c.Conn)
 		exchange.baseWritten, exchange.baseReceived = c.begin(exchange)
 		latest.Store(c)
 	}, PutIdleConn: func(err error) {
@@ -303,6 +305,14 @@
 	return resp, exchange, nil
 }
 
+// viaOf returns the router through which a connection was opened, and nothing when it was not.
+func viaOf(c net.Conn) string {
+	if carried, ok := c.(interface{ Via() string }); ok {
+		return carried.Via()
+	}
+	return ""
+}
+
 func (e *Exchange) notSent() bool {
 	if e.conn == nil {
 		return true
