forward: connections through another router are given up when the own way is back

When a server begins or ceases to be reached through another router the next requests use new connections. TestOwnWayIsTakenAgain holds it.

--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -43,9 +43,8 @@
 	mayReuse, changed := c.mayReuse(now)
 	c.transportMu.Lock()
 	defer c.transportMu.Unlock()
-	if c.kept != nil && (!mayReuse || changed) {
-		c.kept.CloseIdleConnections()
-		c.kept = nil
+	if !mayReuse || changed {
+		c.dropKept()
 	}
 	if mayReuse {
 		if c.kept == nil {
@@ -77,18 +76,21 @@
 		return
 	}
 	c.shorterIdle = limit
-	if c.kept != nil {
-		c.kept.CloseIdleConnections()
-		c.kept = nil
-	}
+	c.dropKept()
 }
 
-// closeIdle closes the kept connections that are not in use.
-func (c *connections) closeIdle() {
+// renew makes the next requests use new connections. Those in use are closed after their requests.
+func (c *connections) renew() {
 	c.transportMu.Lock()
 	defer c.transportMu.Unlock()
+	c.dropKept()
+}
+
+// dropKept closes the idle connections and never uses the others again. The caller holds transportMu.
+func (c *connections) dropKept() {
 	if c.kept != nil {
 		c.kept.CloseIdleConnections()
+		c.kept = nil
 	}
 }
 
@@ -97,7 +99,7 @@
 	c.reuseMu.Lock()
 	c.removed = true
 	c.reuseMu.Unlock()
-	c.closeIdle()
+	c.renew()
 }
 
 func (c *connections) newTransport(reuse bool) *http.Transport {
--- a/internal/forward/paths.go
+++ b/internal/forward/paths.go
@@ -41,8 +41,8 @@
 	// tunnel is nil while there is no other router to ask.
 	tunnel Tunnel
 	events *event.Logger
-	// onIndirect is called when a server begins to be reached through another router.
-	onIndirect func(addr string)
+	// onChange is called when a server begins or ceases to be reached through another router.
+	onChange func(addr string)
 
 	mu     sync.Mutex
 	byAddr map[string]*path
@@ -59,7 +59,7 @@
 
 func newPaths() *paths {
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: setSendTimeout, KeepAliveConfig: httpsend.ShortKeepAlive()}
-	return &paths{direct: dialer.DialContext, events: event.Nop(), onIndirect: func(string) {}, byAddr: make(map[string]*path)}
+	return &paths{direct: dialer.DialContext, events: event.Nop(), onChange: func(string) {}, byAddr: make(map[string]*path)}
 }
 
 // dialed is the result of opening a connection.
@@ -200,7 +200,7 @@
 	p.mu.Unlock()
 	if begins {
 		p.events.Emit(event.ServerIndirect, "addr", addr)
-		p.onIndirect(addr)
+		p.onChange(addr)
 	}
 }
 
@@ -233,6 +233,7 @@
 	known.indirectUntil = time.Time{}
 	p.mu.Unlock()
 	p.events.Emit(event.ServerDirect, "addr", addr)
+	p.onChange(addr)
 	// The connection carried nothing.
 	_ = conn.Close()
 }
--- a/internal/forward/paths_test.go
+++ b/internal/forward/paths_test.go
@@ -105,8 +105,8 @@
 		t.Run(name, func(t *testing.T) {
 			testPaths(t, func(t *testing.T, p *paths, own, _ *fakeWay) {
 				own.set(c.err, c.wait)
-				closed := 0
-				p.onIndirect = func(string) { closed++ }
+				renewed := 0
+				p.onChange = func(string) { renewed++ }
 				if took, err := p.open(); err != nil || took != c.within {
 					t.Errorf("error %v after %v, want a connection after %v", err, took, c.within)
 				}
@@ -119,8 +119,8 @@
 				if n := own.taken(); n != 1 {
 					t.Errorf("own way tried %d times, want once, in the background", n)
 				}
-				if closed != 1 {
-					t.Errorf("idle connections closed %d times, want once", closed)
+				if renewed != 1 {
+					t.Errorf("connections renewed %d times, want once", renewed)
 				}
 			})
 		})
@@ -147,10 +147,15 @@
 		}
 		own.set(nil, 0)
 		time.Sleep(probeInterval)
+		renewed := 0
+		p.onChange = func(string) { renewed++ }
 		if _, err := p.open(); err != nil {
 			t.Fatal(err)
 		}
 		synctest.Wait()
+		if renewed != 1 {
+			t.Errorf("connections renewed %d times when the own way was back, want once", renewed)
+		}
 		tunnel.taken()
 		if _, err := p.open(); err != nil || tunnel.taken() != 0 {
 			t.Errorf("error %v, or another router was asked, want the own way", err)
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -110,7 +110,7 @@
 	st.streams = newStreamVersions()
 	st.fleet = retrybudget.NewFleet()
 	st.paths = newPaths()
-	st.paths.onIndirect = st.closeIdle
+	st.paths.onChange = st.renewConnections
 	st.crashes.ended = st.paths.refuses
 	return st
 }
@@ -137,12 +137,12 @@
 	return st.addrs[addr]
 }
 
-// closeIdle closes the idle connections to the servers at an address.
-func (st *State) closeIdle(addr string) {
+// renewConnections makes the next requests to the servers at an address use new connections.
+func (st *State) renewConnections(addr string) {
 	st.eachPool(func(p *pool) {
 		for key, c := range p.connections {
 			if key.Addr == addr {
-				c.closeIdle()
+				c.renew()
 			}
 		}
 	})
