--- a/internal/front/versions_test.go
+++ b/internal/front/versions_test.go
@@ -6,7 +6,9 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
 
@@ -217,3 +219,111 @@
 		}
 	}
 }
+
+// restartAll ends all routers at once and starts them again.
+func (f *fleetBed) restartAll() {
+	f.t.Helper()
+	for _, r := range f.routers {
+		r.stop()
+	}
+	for _, r := range f.routers {
+		r.start()
+	}
+	f.waitFor("all routers are ready and know each other", func() bool {
+		return f.all(func(r *testBed) bool { return r.isReady() && r.front.Status().Routers == len(f.routers)-1 })
+	})
+	for _, r := range f.routers {
+		r.allowRetries()
+	}
+}
+
+// versionedStream is a stream that broke off.
+type versionedStream struct {
+	id, last, version string
+	n                 int
+}
+
+// beginAll begins streams at all routers. The engine that began one has its prompt cached.
+func (f *fleetBed) beginAll() []versionedStream {
+	f.t.Helper()
+	var begun []versionedStream
+	for n := range versionedStreams {
+		id, last, _ := f.routers[n%len(f.routers)].begin("/single", n)
+		versions := f.versionsOf(id)
+		if len(versions) != 1 {
+			f.t.Fatalf("a stream was begun by %v", versions)
+		}
+		for _, e := range f.engines {
+			if slices.ContainsFunc(e.Requests(), func(r platformtest.ReceivedRequest) bool { return r.ID == id }) {
+				part, _, _ := strings.Cut(versionedPrompt(n), ":")
+				e.AddCachedPart(part, 20, "m")
+			}
+		}
+		begun = append(begun, versionedStream{id: id, last: last, version: versions[0], n: n})
+	}
+	return begun
+}
+
+// takeUpAgain takes a stream up at a router and, as callers do, tries again twice when it is refused. It
+// returns the version that went on, or nothing.
+func (f *fleetBed) takeUpAgain(s versionedStream) string {
+	f.t.Helper()
+	for try := range 3 {
+		id, got := f.routers[(s.n+try)%len(f.routers)].takeUp("/single", s.n, s.id, s.last)
+		if got.err == nil && got.status == http.StatusOK {
+			return strings.Join(f.versionsOf(id), " and ")
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return ""
+}
+
+// Guards against streams that end for good, or go on at another version, because all routers that knew
+// which version began them have ended.
+func TestStreamsGoOnAtTheirVersionAfterAllRoutersHaveEnded(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 3, 2*perVersion)
+	begun := f.beginAll()
+	f.restartAll()
+	whole := 0
+	for _, s := range begun {
+		switch version := f.takeUpAgain(s); version {
+		case s.version:
+			whole++
+		case "":
+		default:
+			t.Errorf("a stream of %s went on at %s", s.version, version)
+		}
+	}
+	if whole < versionedStreams*9/10 {
+		t.Errorf("%d of %d streams went on", whole, versionedStreams)
+	}
+}
+
+// Guards against streams of a version that is gone, which go on at the only one that is left when all
+// routers that knew the other one have ended.
+func TestStreamsOfAVersionThatIsGoneAreRefusedAfterAllRoutersHaveEnded(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 3, 2*perVersion)
+	begun := f.beginAll()
+	for _, e := range f.engines[:perVersion] {
+		f.store.Put(platform.TopicServers, e.ID, nil)
+	}
+	f.restartAll()
+	whole, left := 0, 0
+	for _, s := range begun {
+		if s.version == "v2" {
+			left++
+		}
+		switch version := f.takeUpAgain(s); version {
+		case s.version:
+			whole++
+		case "":
+		default:
+			t.Errorf("a stream of %s went on at %s", s.version, version)
+		}
+	}
+	if whole < left*9/10 {
+		t.Errorf("%d of the %d streams of the version that is left went on", whole, left)
+	}
+}
