forward, front: engines' caches tell which version began a stream after all routers have ended

What callers saw (users' report, reproduced): after all routers were killed, streams that were taken up were joined from two versions, or none of them went on. Cause: only routers knew which version had begun a stream; a router that has just started went on at the only version that it saw, and refused when it saw several. Class: what outlives the routers was not asked.

The last part of a prompt belongs to one request or session, and an engine that began a stream has it cached. The router that asks all engines for their caches after such an end tells the holders of streams which version has it; a take-up asks for both.

TestStreamOfTheOnlyVersionGoesOn expected the guess of a router that has just started; it now expects the refusal, and that one answer of another router ends it.

--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,8 +36,9 @@
 // streamVersions is what a router knows of the versions that began streams. It is safe for
 // concurrent use.
 type streamVersions struct {
-	fleet   FleetStreams
-	started time.Time
+	fleet FleetStreams
+	// knownSince is since when this router has known all versions; zero for ever.
+	knownSince time.Time
 
 	mu    sync.Mutex
 	table *streamversion.Table
@@ -48,7 +51,7 @@
 
 func newStreamVersions() *streamVersions {
 	return &streamVersions{
-		fleet: noFleet{}, started: time.Now(), table: streamversion.NewTable(), answered: make(chan struct{}),
+		fleet: noFleet{}, knownSince: time.Now(), table: streamversion.NewTable(), answered: make(chan struct{}),
 		unmixed: make(map[streamversion.Stream]bool),
 	}
 }
@@ -73,8 +76,11 @@
 	v.answered = make(chan struct{})
 }
 
-// recordUnmixed records an answer to a question that still waits for one. The caller holds v.mu.
+// recordUnmixed records that another router has known one version only, and the answer to a question
+// that still waits for one. What has come since its start this router has seen itself. The caller
+// holds v.mu.
 func (v *streamVersions) recordUnmixed(s streamversion.Stream) {
+	v.knownSince = time.Time{}
 	if _, asked := v.unmixed[s]; asked {
 		v.unmixed[s] = true
 	}
@@ -90,9 +96,30 @@
 	return streamversion.Record{Stream: s}, st.streams.settled(now) && !st.severalVersions(now)
 }
 
-// settled reports whether the router has run for as long as streams are kept.
+// settled reports whether the router has known all versions for as long as streams are kept: because
+// it has run for so long, or has learned from one that has.
 func (v *streamVersions) settled(now time.Time) bool {
-	return now.Sub(v.started) > streamversion.KeepTime
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.knownSince) > streamversion.KeepTime
+}
+
+// SetFirstStart records that no router has run before this one. Call it before requests are served.
+func (st *State) SetFirstStart() { st.streams.knownSince = time.Time{} }
+
+// settleStream is asked for by a router that has just started. It is no stream; one that has known
+// servers of one version only says so.
+const settleStream streamversion.Stream = 0
+
+// Settle asks the other routers whether they have known one version only, unless this router knows that
+// itself. Call it again until it returns true: the first that says so ends the time in which streams
+// may have been begun by a version that is gone.
+func (st *State) Settle() (settled bool) {
+	if st.streams.settled(time.Now()) {
+		return true
+	}
+	st.streams.fleet.AskForStream(settleStream)
+	return false
 }
 
 func (st *State) severalVersions(now time.Time) bool {
@@ -125,16 +152,16 @@
 	v.fleet.TellStreams(list)
 }
 
-// ask returns the version that began a stream, which another router may know. It waits for an
-// answer for a short time, but when it knows of one version only not longer than until another
-// router says the same.
-func (v *streamVersions) ask(ctx context.Context, s streamversion.Stream, several bool) (version streamversion.Version, known bool) {
+// ask returns the version that began a stream, which another router may know, or that of the engines
+// which have its prompt cached. It waits for an answer for a short time, but when it knows of one version
+// only not longer than until another router says the same.
+func (v *streamVersions) ask(ctx context.Context, s, prompt streamversion.Stream, several bool) (version streamversion.Version, known bool) {
 	v.mu.Lock()
 	v.unmixed[s] = false
 	v.mu.Unlock()
 	for range maxAsked {
 		var ended bool
-		if version, known, ended = v.askOnce(ctx, s, several); ended {
+		if version, known, ended = v.askOnce(ctx, s, prompt, several); ended {
 			break
 		}
 	}
@@ -144,14 +171,26 @@
 	return version, known
 }
 
+// findEither returns the version of a stream, else that of the engines that have its prompt cached. The
+// caller holds v.mu.
+func (v *streamVersions) findEither(now time.Time, s, prompt streamversion.Stream) (streamversion.Version, bool) {
+	if version, known := v.table.Find(now, s); known || prompt == 0 {
+		return version, known
+	}
+	return v.table.Find(now, prompt)
+}
+
 // askOnce asks once; ended is set when it is no use to ask again.
-func (v *streamVersions) askOnce(ctx context.Context, s streamversion.Stream, several bool) (version streamversion.Version, known, ended bool) {
+func (v *streamVersions) askOnce(ctx context.Context, s, prompt streamversion.Stream, several bool) (version streamversion.Version, known, ended bool) {
 	v.fleet.AskForStream(s)
+	if prompt != 0 {
+		v.fleet.AskForStream(prompt)
+	}
 	timer := time.NewTimer(askInterval)
 	defer timer.Stop()
 	for {
 		v.mu.Lock()
-		version, known = v.table.Find(time.Now(), s)
+		version, known = v.findEither(time.Now(), s, prompt)
 		ended = known || !several && v.unmixed[s]
 		answered := v.answered
 		v.mu.Unlock()
@@ -178,9 +217,10 @@
 	several := c.pool.severalVersions(now)
 	version, known := streams.find(now, c.streamID())
 	if !known && (several || !streams.settled(now)) {
-		version, known = streams.ask(c.r.Context(), c.streamID(), several)
+		version, known = streams.ask(c.r.Context(), c.streamID(), c.promptStream(), several)
 	}
-	if !known && several {
+	if !known && (several || !streams.settled(now)) {
+		// Without servers of another version now there may have been some a moment ago.
 		c.refuse(CauseVersionUnknown)
 		return false
 	}
@@ -199,6 +239,58 @@
 	return streamversion.StreamOf(c.headers.ID)
 }
 
+// promptStream returns what stands for the stream by the last part of its prompt; 0 without a prompt.
+func (c *call) promptStream() streamversion.Stream {
+	n := len(c.headers.Prompt)
+	if n == 0 {
+		return 0
+	}
+	return streamversion.StreamOfPart(prefixHash(c.headers.Model, c.headers.Prompt[n-1].ID))
+}
+
+// maxPromptsTold bounds the prompts that a router tells the others of, after it has asked the engines.
+const maxPromptsTold = 8192
+
+// PromptVersions collects which version's engines have each part of a prompt cached. It is not safe for
+// concurrent use.
+type PromptVersions struct {
+	versions map[streamversion.Stream]streamversion.Version
+}
+
+// Add records the parts that an engine has cached. The smallest come first: the last part of a prompt,
+// which tells who began a stream, is small.
+func (p *PromptVersions) Add(s *registry.Server, parts []CachedPart) {
+	if p.versions == nil {
+		p.versions = make(map[streamversion.Stream]streamversion.Version)
+	}
+	parts = slices.Clone(parts)
+	slices.SortFunc(parts, func(a, b CachedPart) int { return cmp.Compare(a.Part.Tokens, b.Part.Tokens) })
+	version := streamversion.VersionOf(s.Version)
+	for _, part := range parts {
+		stream := streamversion.StreamOfPart(prefixHash(part.Model, part.Part.ID))
+		known, ok := p.versions[stream]
+		switch {
+		case !ok && len(p.versions) < maxPromptsTold:
+			p.versions[stream] = version
+		case ok && known != version:
+			// Engines of several versions have it, so it tells nothing.
+			p.versions[stream] = 0
+		}
+	}
+}
+
+// TellPromptVersions tells the routers that hold the streams which version's engines have their prompts
+// cached: after the end of all routers nobody else knows which version began a stream.
+func (st *State) TellPromptVersions(p *PromptVersions) {
+	var list []streamversion.Record
+	for stream, version := range p.versions {
+		if version != 0 {
+			list = append(list, streamversion.Record{Stream: stream, Version: version})
+		}
+	}
+	st.streams.fleet.TellStreams(list)
+}
+
 // recordVersion remembers which version has written the first event that the caller gets. Only
 // that version may go on.
 func (c *call) recordVersion() {
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -122,20 +123,23 @@
 	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
 	f := b.versioned("v1", "v1")
 	f.known[streamversion.StreamOf("first")] = 0
+	if got := b.send(takeUp("unknown")); got.status != http.StatusServiceUnavailable || len(b.got()) > 0 {
+		t.Errorf("status %d while another version may just have gone, or a server was reached, want 503", got.status)
+	}
 	for _, stream := range []string{"first", "unknown"} {
 		if got := b.send(takeUp(stream)); got.status != http.StatusOK {
 			t.Errorf("status %d for %s, want 200", got.status, stream)
 		}
 	}
 	if f.asked != 1+maxAsked {
-		t.Errorf("asked %d times, want once and %d times", f.asked, maxAsked)
+		t.Errorf("asked %d times, want %d times and once: the answer holds for further streams", f.asked, maxAsked)
 	}
 	// Further answers come when the question has ended.
 	b.state.RecordStreams([]streamversion.Record{{Stream: streamversion.StreamOf("first")}})
 	if n := len(b.state.streams.unmixed); n > 0 {
 		t.Errorf("%d late answers are kept", n)
 	}
-	b.state.streams.started = time.Now().Add(-time.Hour)
+	b.state.streams.knownSince = time.Now().Add(-time.Hour)
 	b.send(takeUp("third"))
 	if f.asked != 1+maxAsked {
 		t.Error("a router that has run for long asks others")
@@ -148,7 +152,7 @@
 	t.Parallel()
 	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
 	b.versioned("v1", "v1")
-	b.state.streams.started = time.Now().Add(-time.Hour)
+	b.state.streams.knownSince = time.Now().Add(-time.Hour)
 	answered := make(chan bool, 1)
 	go func() {
 		r, known := b.state.StreamRecord(streamversion.StreamOf("unknown"))
@@ -163,3 +167,92 @@
 		t.Fatal("no answer")
 	}
 }
+
+// Guards against a router that restarts next to others, and refuses streams for minutes because it does not
+// know that there was one version only.
+func TestRestartedRouterLearnsThatThereWasOneVersion(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+	f := b.versioned("v1", "v1")
+	if b.state.Settle() || f.asked != 1 {
+		t.Errorf("settled without an answer, or asked %d times, want once", f.asked)
+	}
+	f.known[settleStream] = 0
+	b.state.Settle()
+	if !b.state.Settle() || f.asked != 2 {
+		t.Errorf("not settled by an answer, or asked %d times, want twice", f.asked)
+	}
+	if got := b.send(takeUp("unknown")); got.status != http.StatusOK || f.asked != 2 {
+		t.Errorf("status %d, asked %d times; want 200 without a question", got.status, f.asked)
+	}
+}
+
+// Guards against a first start that refuses streams.
+func TestFirstStartKnowsAllVersions(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 1, route: resumableRoute}, ok(wholeEvent))
+	f := b.versioned("v1")
+	b.state.SetFirstStart()
+	if got := b.send(takeUp("unknown")); got.status != http.StatusOK || f.asked != 0 {
+		t.Errorf("status %d, asked %d times; want 200 without a question", got.status, f.asked)
+	}
+}
+
+// lastPart is a take-up with a prompt whose last part is that of a request.
+func lastPart(part uint64) http.Header {
+	return http.Header{
+		"Resumes": {fmt.Sprint("first ", part)}, "After": {"1"}, "Id": {"again"}, "Model": {"m"}, "Prompt": {fmt.Sprintf("7:100,%d:20", part)},
+	}
+}
+
+// Guards against a stream that ends for good although an engine has its prompt cached, and one that goes on
+// where engines of several versions have it.
+func TestCachedPromptTellsTheVersionOfAStream(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+	f := b.versioned("v1", "v2")
+	cached := func(parts ...uint64) []CachedPart {
+		list := []CachedPart{{Model: "m", Part: Part{ID: 7, Tokens: 100}}}
+		for _, id := range parts {
+			list = append(list, CachedPart{Model: "m", Part: Part{ID: id, Tokens: 20}})
+		}
+		return list
+	}
+	var prompts PromptVersions
+	prompts.Add(b.servers[0], cached(1, 2))
+	prompts.Add(b.servers[1], cached(2, 3))
+	b.state.TellPromptVersions(&prompts)
+	if len(f.told) != 2 {
+		t.Fatalf("told of %v, want the two prompts that engines of one version have", f.told)
+	}
+	for _, r := range f.told {
+		f.known[r.Stream] = r.Version
+	}
+	for part, want := range map[uint64]string{1: "s0", 2: "", 3: "s1", 4: ""} {
+		before := len(b.got())
+		got := b.send(ask{header: lastPart(part)})
+		arrivals := b.got()[before:]
+		switch {
+		case want == "" && (got.status != http.StatusServiceUnavailable || len(arrivals) > 0):
+			t.Errorf("part %d: status %d, %d arrivals, want a refusal", part, got.status, len(arrivals))
+		case want != "" && (got.status != http.StatusOK || len(arrivals) != 1 || arrivals[0].server != want):
+			t.Errorf("part %d: status %d, want %s to go on", part, got.status, want)
+		}
+	}
+}
+
+// Guards against caches whose many parts fill the routers' memory, or leave no room for the last parts of
+// prompts, which are small.
+func TestPromptsToldAreBounded(t *testing.T) {
+	t.Parallel()
+	parts := make([]CachedPart, 2*maxPromptsTold)
+	for i := range parts {
+		parts[i] = CachedPart{Part: Part{ID: uint64(i), Tokens: len(parts) - i}}
+	}
+	var prompts PromptVersions
+	prompts.Add(&registry.Server{Version: "v1"}, parts)
+	_, smallest := prompts.versions[streamversion.StreamOfPart(prefixHash("", uint64(len(parts)-1)))]
+	if n := len(prompts.versions); n != maxPromptsTold || !smallest {
+		t.Errorf("%d prompts, the smallest among them: %v; want %d with it", n, smallest, maxPromptsTold)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -104,7 +104,9 @@
 		handler:  forward.New(state, p.Codec, events, forward.NewMetrics(metrics.Scope())),
 	}
 	f.bounds.Store(&s.Bounds)
-	if !s.FirstStart {
+	if s.FirstStart {
+		state.SetFirstStart()
+	} else {
 		state.SetRestarted()
 	}
 	if p.Dial != nil {
@@ -218,6 +220,7 @@
 		f.tomb.Go(f.carrier.Serve)
 		f.tomb.Go(func() error { return f.exchange.Send(ctx) })
 		f.tomb.Go(func() error { return f.collectInventory(ctx) })
+		f.tomb.Go(func() error { return f.settleVersions(ctx) })
 		f.tomb.Go(func() error { return f.keepParts(ctx) })
 		f.tomb.Go(f.edge.Serve)
 		f.tomb.Go(func() error { return serve(f.ready, ready) })
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -27,6 +27,24 @@
 	inventoryCalls = 4
 )
 
+// settleInterval is the time between two questions whether other routers have known one version only.
+const settleInterval = 500 * time.Millisecond
+
+// settleVersions asks the other routers whether they have known one version only, until one has or this
+// router has run for long enough.
+func (f *Front) settleVersions(ctx context.Context) error {
+	tick := time.NewTicker(settleInterval)
+	defer tick.Stop()
+	for !f.state.Settle() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
 // collectInventory asks the engines which prompt parts they have cached, when all
 // routers have restarted and none has this information. One router does so, and
 // the others get the result from it.
@@ -54,6 +72,8 @@
 func (f *Front) queryEngines(ctx context.Context) {
 	var wg sync.WaitGroup
 	var cachedParts atomic.Int64
+	var mu sync.Mutex
+	var prompts forward.PromptVersions
 	limiter := make(chan struct{}, inventoryCalls)
 	engines := f.state.Engines()
 	limit := forward.MaxCachedParts / max(len(engines), 1)
@@ -61,22 +81,25 @@
 		wg.Go(func() {
 			limiter <- struct{}{}
 			defer func() { <-limiter }()
-			cachedParts.Add(int64(f.queryEngine(ctx, s, limit)))
+			parts := f.queryEngine(ctx, s)
+			mu.Lock()
+			prompts.Add(s, parts)
+			mu.Unlock()
+			cachedParts.Add(int64(f.state.RecordCachedParts(s, parts, limit)))
 		})
 	}
 	wg.Wait()
+	f.state.TellPromptVersions(&prompts)
 	f.events.Emit(event.InventoryCollected, "engines", len(engines), "holdings", cachedParts.Load())
 }
 
-// queryEngine records the largest prompt parts that one engine has cached, at most
-// limit, and returns their number.
-func (f *Front) queryEngine(ctx context.Context, s *registry.Server, limit int) int {
+// queryEngine returns the prompt parts that one engine has cached.
+func (f *Front) queryEngine(ctx context.Context, s *registry.Server) []forward.CachedPart {
 	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
 	defer cancel()
 	parts, err := f.platform.Inventory(ctx, s.Addr)
 	if err != nil {
 		f.events.Emit(event.InventoryFailed, "server", s.ID, "error", err.Error())
-		return 0
 	}
-	return f.state.RecordCachedParts(s, parts, limit)
+	return parts
 }
--- a/internal/streamversion/table.go
+++ b/internal/streamversion/table.go
@@ -28,6 +28,10 @@
 // StreamOf returns the stream of a request's ID.
 func StreamOf(requestID string) Stream { return Stream(placement.Hash(requestID)) }
 
+// StreamOfPart returns what stands for the streams whose prompt ends with a part, which belongs to one
+// request or session only.
+func StreamOfPart(partHash uint64) Stream { return Stream(placement.Mix(partHash, 1)) }
+
 // Version is the hash of the version of a server's software. Zero is no version.
 type Version uint64
 
