--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/forward"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
@@ -395,3 +397,27 @@
 	f.register(platformtest.StateLeaving, f.engines[2])
 	f.waitFor("the last router reads the store", func() bool { return other.serversIn("leaving") == 3 && other.front.Status().StoreEra == 6 })
 }
+
+// Guards against an entry of another writer, with a value that is too long for a datagram, which keeps
+// the changes beside it from the routers that do not read the store.
+func TestLongEntryDoesNotHoldUpOtherChanges(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6, 3)
+	for i, field := range []string{"upstream", "version", "zone"} {
+		gone := f.engines[i]
+		gone.SetVersion("v1")
+		odd := strings.Replace(string(gone.Entry("pool", platformtest.StateReady)), `"`+field+`":"`, `"`+field+`":"`+strings.Repeat("x", 100_000), 1)
+		f.store.Put(platform.TopicServers, "odd-"+field, []byte(odd))
+		f.store.Put(platform.TopicServers, gone.ID, nil)
+		f.waitForUpTo(5*time.Second, "all routers know that a server is gone, beside an odd "+field, func() bool {
+			return f.all(func(r *testBed) bool { return !r.lists(gone.ID) })
+		})
+	}
+}
+
+// lists reports whether the router has a server in its list.
+func (b *testBed) lists(id string) bool {
+	return slices.ContainsFunc(b.front.Status().Pools, func(p forward.PoolStatus) bool {
+		return slices.ContainsFunc(p.Servers, func(s forward.ServerStatus) bool { return s.ID == id })
+	})
+}
