balance, forward: routers share the slots of servers that break under rejections

What callers would see: at 0.9 of what brittle servers can, hardly any request is served. Cause: routers fill what room a server has left and learn by its rejections, all in step; a server that comes back gets the load of all; and the falls were blamed on the requests.

The slots of brittle servers are dealt to the live routers; a request waits at the router for one of its own.

Tests: the digests' port carries TCP as well now, so test beds no longer get it for their other addresses (seen once: address already in use in TestPartThatCrashesEnginesIsKeptFromThem).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -170,6 +170,7 @@
 		p.byKey[s.Key()] = m
 		p.byHash[m.hash] = m
 	}
+	p.dealSlots()
 }
 
 // Pick chooses a server, or returns false when none can take the request.
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -39,6 +39,9 @@
 	})
 }
 
+// HasUsable reports whether a member can take a request.
+func (p *Pool) HasUsable(now time.Time, job Job) bool { return len(p.usable(now, &job)) > 0 }
+
 // manyUnreachable is the number of servers that a request may fail to reach before it goes to one that
 // is known to answer. After the end of a rack most first choices may be down while their entries
 // last, and the pauses of all end together.
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -12,10 +12,13 @@
 // that names a limit. It is called while the pool is used.
 func (p *Pool) SetLimitShare(f func(server uint64) namedlimit.Share) { p.limitShare = f }
 
+// minWithheld is the least time until a server that is kept from requests gets one again.
+const minWithheld = time.Millisecond
+
 // withheld reports whether what a member has said keeps this router from sending it a request: it
 // wants none for a while, or its limit is used up.
 func (p *Pool) withheld(now time.Time, m *member) bool {
-	return m.refuses(now) || m.limit.Active() && !m.limit.Allows(now, p.limitShare(m.hash))
+	return m.refuses(now) || p.overBrittle(now, m) || m.limit.Active() && !m.limit.Allows(now, p.limitShare(m.hash))
 }
 
 // pressedShare is the share of their slots from which servers without a limit need relief. Engines
@@ -83,9 +86,9 @@
 		if m.server.Leaving || !p.withheld(now, m) {
 			continue
 		}
-		wait := m.refusesUntil.Sub(now)
-		if !m.refuses(now) {
-			wait = m.limit.Wait(now, p.limitShare(m.hash))
+		wait := max(m.refusesUntil.Sub(now), m.brittle.pausedUntil.Sub(now), minWithheld)
+		if m.limit.Active() && !m.refuses(now) {
+			wait = max(wait, m.limit.Wait(now, p.limitShare(m.hash)))
 		}
 		if shortest == 0 || wait < shortest {
 			shortest = wait
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -38,7 +38,10 @@
 	peerReportAt    time.Time
 	health          health
 	// limit is the one that the server names.
-	limit namedlimit.Limit
+	limit   namedlimit.Limit
+	brittle brittleness
+	// firstSlot is the number of slots of the servers before this one, see dealSlots.
+	firstSlot int
 }
 
 // latestReport returns the number of other routers' requests, from a recent report
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -192,6 +192,9 @@
 		return false
 	}
 	m.own = max(m.own-1, 0)
+	if o == Refused {
+		p.recordRejected(now, m)
+	}
 	return m.health.end(now, o, p.mayEject(now))
 }
 
--- a/internal/digest/limits.go
+++ b/internal/digest/limits.go
@@ -78,7 +78,7 @@
 	live := e.peers.Live(time.Now())
 	own := placement.Mix(server, addrHash(e.peers.self))
 	first := !slices.ContainsFunc(live, func(p *Peer) bool { return placement.Mix(server, p.hash) > own })
-	share := namedlimit.Share{Sender: first, Routers: len(live) + 1}
+	share := namedlimit.Share{Sender: first, Routers: len(live) + 1, Before: e.peers.before(time.Now())}
 	e.shares[server] = share
 	return share
 }
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -48,6 +48,8 @@
 	ServerDirect        = register(1044, hclog.Info, "server can be reached again")
 	ConnectionCarried   = register(1045, hclog.Info, "another router has asked for a connection to a server")
 	TunnelAcceptFailed  = register(1046, hclog.Warn, "connection of another router could not be accepted")
+	ServerBrittle       = register(1047, hclog.Warn, "server says that it falls over when it has to reject too many requests")
+	ServerNotBrittle    = register(1048, hclog.Info, "server no longer says that it is brittle")
 	InventoryCollected  = register(1022, hclog.Info, "engines were queried for their cached prompt parts")
 	InventoryFailed     = register(1023, hclog.Warn, "query of an engine's cached prompt parts failed")
 )
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -198,6 +198,9 @@
 // short time while the server reads its prefix for another request.
 func (c *call) pick(ctx context.Context, job balance.Job) (choice balance.Choice, ok, newPlacement bool) {
 	limit := time.Duration(maxHeldShare * float64(c.route.Objective))
+	if !c.awaitBrittle(ctx, job, limit) {
+		return choice, false, false
+	}
 	for len(job.Prefixes) > 0 && c.attempts.held < limit {
 		left := limit - c.attempts.held
 		if c.handler.state.placementsKnown() {
@@ -319,6 +322,10 @@
 	if !c.maySendAgain(res) {
 		return false
 	}
+	if res.outcome == balance.Refused && c.pool.brittle(c.attempts.choice.Server.Key()) {
+		// Another one would be pressed in the same way; the caller comes again later.
+		return false
+	}
 	if res.outcome == balance.Unreachable {
 		c.handler.metrics.recordUnreachable(c.pool.name)
 		return true
@@ -421,6 +428,7 @@
 	}
 	c.recordLimit(choice.Server, answer, resp.StatusCode < http.StatusMultipleChoices)
 	c.recordStatements(choice.Server, resp.StatusCode, answer)
+	c.recordBrittle(choice.Server, answer.Brittle)
 	if answer.NotRun || resp.StatusCode == http.StatusMisdirectedRequest {
 		drain(resp, watch)
 		return result{outcome: balance.Refused, cause: CauseOverload}
--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -74,6 +74,7 @@
 	_, err = fmt.Sscan(h.Get("Limit"), &a.Limit)
 	a.HasLimit = err == nil
 	a.Leaving = h.Get("Leaving") != ""
+	a.Brittle, _ = strconv.ParseFloat(h.Get("Brittle"), 64)
 	a.RetryAfter, _ = time.ParseDuration(h.Get("Retry-After"))
 	return a
 }
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -65,6 +65,8 @@
 // recordCrashSigns records what an attempt shows of the request and the parts of its prompt.
 func (c *call) recordCrashSigns(s *registry.Server, res result) {
 	switch {
+	case c.mayHaveCrashed(res) && c.pool.brittle(s.Key()):
+		// It falls over because of what it had to reject.
 	case c.mayHaveCrashed(res):
 		c.attempts.broken = append(c.attempts.broken, brokenAttempt{server: s.Key(), sentAt: c.attempts.sentAt, endedAt: time.Now()})
 		c.handler.state.crashes.suspect(s, c.partIDs(), quarantine.Sent{Fingerprint: c.fingerprint(), At: c.attempts.sentAt})
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -114,6 +114,8 @@
 	HasLimit bool
 	// Leaving is set when the server says that it leaves.
 	Leaving bool
+	// Brittle is the number of rejections in a second that the server bears; 0 when it does not say.
+	Brittle float64
 	// RetryAfter is how long the server wants no request when it refuses one; 0 when it does
 	// not say.
 	RetryAfter time.Duration
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -81,10 +81,7 @@
 	if b.host == "" {
 		b.host = nextHost()
 	}
-	ports := testport.FreeAddrs(b.t, b.host, 4)
-	if b.peersPort != 0 {
-		ports[3] = netip.AddrPortFrom(ports[3].Addr(), b.peersPort)
-	}
+	ports := testport.FreeAddrsWith(b.t, b.host, 4, b.peersPort)
 	storeAddr := cmp.Or(b.storeAddr, b.store.Addr())
 	s := &settings.Front{
 		VM: "front-1", DataCentre: "hall-a", Region: "south", FirstStart: !b.restarted,
--- a/internal/namedlimit/namedlimit.go
+++ b/internal/namedlimit/namedlimit.go
@@ -46,8 +46,8 @@
 type Share struct {
 	// Sender is set at the router that may use the whole rate.
 	Sender bool
-	// Routers is the number of routers.
-	Routers int
+	// Routers is the number of routers, and Before the number of those that come before this one.
+	Routers, Before int
 }
 
 // Limit is what a router knows of one server's limit. The zero value is no limit.
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -283,12 +283,13 @@
 	}
 	f.t.Cleanup(p.close)
 	r := &router{name: fmt.Sprintf("front-%d", i+1), host: fmt.Sprintf("%s%d", hostBase, i+1), store: p, older: runsOlder(i)}
-	for j, addr := range testport.FreeAddrs(f.t, r.host, len(r.ports)) {
-		r.ports[j] = int(addr.Port())
-	}
+	peers := uint16(0)
 	if i > 0 {
 		// All routers receive digests on the same port.
-		r.ports[3] = f.routers[0].ports[3]
+		peers = uint16(f.routers[0].ports[3])
+	}
+	for j, addr := range testport.FreeAddrsWith(f.t, r.host, len(r.ports), peers) {
+		r.ports[j] = int(addr.Port())
 	}
 	r.file = filepath.Join(f.dir, r.name+".json")
 	f.writeSettings(r, nil)
