forward: one place that says whether a router knows all versions

The answers of other routers that have known one version only were kept for each question, in a map that two requests which asked for the same stream shared: the first to end deleted the entry of the other. Such an answer now settles the router for all streams, so the map and its late answers are gone.

--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -44,15 +44,11 @@
 	table *streamversion.Table
 	// answered is closed and replaced when another router has told of streams.
 	answered chan struct{}
-	// unmixed has the streams that the others are asked for; the value is set once one of them has
-	// said that it has known servers of one version only.
-	unmixed map[streamversion.Stream]bool
 }
 
 func newStreamVersions() *streamVersions {
 	return &streamVersions{
 		fleet: noFleet{}, knownSince: time.Now(), table: streamversion.NewTable(), answered: make(chan struct{}),
-		unmixed: make(map[streamversion.Stream]bool),
 	}
 }
 
@@ -67,7 +63,9 @@
 	defer v.mu.Unlock()
 	for _, r := range list {
 		if r.Version == 0 {
-			v.recordUnmixed(r.Stream)
+			// The other router has known one version only, and what has come since its own start
+			// this one has seen itself.
+			v.knownSince = time.Time{}
 			continue
 		}
 		v.table.Record(time.Now(), r, false)
@@ -76,16 +74,6 @@
 	v.answered = make(chan struct{})
 }
 
-// recordUnmixed records that another router has known one version only, and the answer to a question
-// that still waits for one. What has come since its start this router has seen itself. The caller
-// holds v.mu.
-func (v *streamVersions) recordUnmixed(s streamversion.Stream) {
-	v.knownSince = time.Time{}
-	if _, asked := v.unmixed[s]; asked {
-		v.unmixed[s] = true
-	}
-}
-
 // StreamRecord returns what this router knows of a stream. The version is zero when none is known
 // and this router has known servers of one version only for as long as streams are kept.
 func (st *State) StreamRecord(s streamversion.Stream) (streamversion.Record, bool) {
@@ -101,6 +89,11 @@
 func (v *streamVersions) settled(now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.knowsAll(now)
+}
+
+// knowsAll is settled for a caller that holds mu.
+func (v *streamVersions) knowsAll(now time.Time) bool {
 	return now.Sub(v.knownSince) > streamversion.KeepTime
 }
 
@@ -156,18 +149,12 @@
 // which have its prompt cached. It waits for an answer for a short time, but when it knows of one version
 // only not longer than until another router says the same.
 func (v *streamVersions) ask(ctx context.Context, s, prompt streamversion.Stream, several bool) (version streamversion.Version, known bool) {
-	v.mu.Lock()
-	v.unmixed[s] = false
-	v.mu.Unlock()
 	for range maxAsked {
 		var ended bool
 		if version, known, ended = v.askOnce(ctx, s, prompt, several); ended {
 			break
 		}
 	}
-	v.mu.Lock()
-	delete(v.unmixed, s)
-	v.mu.Unlock()
 	return version, known
 }
 
@@ -190,8 +177,9 @@
 	defer timer.Stop()
 	for {
 		v.mu.Lock()
-		version, known = v.findEither(time.Now(), s, prompt)
-		ended = known || !several && v.unmixed[s]
+		now := time.Now()
+		version, known = v.findEither(now, s, prompt)
+		ended = known || !several && v.knowsAll(now)
 		answered := v.answered
 		v.mu.Unlock()
 		if ended {
