forward, front: a server that ends behind another router is asked for rarely; fewer questions after a restart

Found by reading the change: a server that ended while it was reached through another router stayed indirect as long as requests came, since each failed try of the own way prolonged that, and each request asked other routers first (TestServerThatEndsBehindAnotherRouterIsAskedForRarely, red without the change). After a restart of all routers each asked eight others twice a second for two minutes whether they knew all versions; the interval now doubles up to 10 s.

--- a/internal/forward/paths.go
+++ b/internal/forward/paths.go
@@ -78,6 +78,7 @@
 		if conn, err := p.dialTunnel(ctx, addr); err == nil {
 			return conn, nil
 		}
+		p.setUnreachable(time.Now(), addr)
 		return p.direct(ctx, network, addr)
 	}
 	direct := make(chan dialed, 1)
@@ -184,11 +185,12 @@
 	return p.byAddr[addr] == nil || !now.Before(p.byAddr[addr].noTunnelUntil)
 }
 
-// setUnreachable records that no other router reaches a server either.
+// setUnreachable records that no other router reaches a server, at least not any more.
 func (p *paths) setUnreachable(now time.Time, addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.of(addr).noTunnelUntil = now.Add(tunnelPause)
+	known := p.of(addr)
+	known.noTunnelUntil, known.indirectUntil = now.Add(tunnelPause), time.Time{}
 }
 
 // setIndirect records that another router reaches a server which this one does not.
@@ -226,7 +228,9 @@
 	p.mu.Lock()
 	known := p.of(addr)
 	if err != nil {
-		known.indirectUntil = now.Add(indirectTime)
+		if now.Before(known.indirectUntil) {
+			known.indirectUntil = now.Add(indirectTime)
+		}
 		p.mu.Unlock()
 		return
 	}
--- a/internal/forward/paths_test.go
+++ b/internal/forward/paths_test.go
@@ -184,6 +184,28 @@
 	})
 }
 
+// Guards against a server that ends while it is reached through another router, and is asked for there with
+// each request from then on.
+func TestServerThatEndsBehindAnotherRouterIsAskedForRarely(t *testing.T) {
+	testPaths(t, func(t *testing.T, p *paths, own, tunnel *fakeWay) {
+		own.set(syscall.ECONNREFUSED, 0)
+		if _, err := p.open(); err != nil {
+			t.Fatal(err)
+		}
+		tunnel.taken()
+		tunnel.set(errors.New("refused there as well"), 0)
+		for range 5 {
+			if _, err := p.open(); !errors.Is(err, syscall.ECONNREFUSED) {
+				t.Errorf("error %v, want that of the own way", err)
+			}
+			synctest.Wait()
+		}
+		if n := tunnel.taken(); n != 1 {
+			t.Errorf("another router was asked %d times, want once", n)
+		}
+	})
+}
+
 // Guards against an own way that is not waited for when no other router helps, and against a wait
 // without end.
 func TestOwnWayIsWaitedForWhenNobodyHelps(t *testing.T) {
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -27,19 +27,23 @@
 	inventoryCalls = 4
 )
 
-// settleInterval is the time between two questions whether other routers have known one version only.
-const settleInterval = 500 * time.Millisecond
+// settleInterval is the first time between two questions whether other routers have known one version only. It
+// doubles up to maxSettleInterval: a router that knows answers the first ones, and after a restart of all none does.
+const (
+	settleInterval    = 500 * time.Millisecond
+	maxSettleInterval = 10 * time.Second
+)
 
 // settleVersions asks the other routers whether they have known one version only, until one has or this
 // router has run for long enough.
 func (f *Front) settleVersions(ctx context.Context) error {
-	tick := time.NewTicker(settleInterval)
-	defer tick.Stop()
-	for !f.state.Settle() {
+	for wait := settleInterval; !f.state.Settle(); wait = min(2*wait, maxSettleInterval) {
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return nil
-		case <-tick.C:
+		case <-timer.C:
 		}
 	}
 	return nil
