forward: a stream goes on at its version also where this router sees one version only

Cause: the version that a router had learned from another one was dropped when this router saw servers of one version only, although that was another one: "without servers of several versions it does not matter". Now it does not matter only where all servers have the version of the stream.

--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -291,10 +291,10 @@
 	c.handler.state.streams.record(now, record, c.pool.severalVersions(now))
 }
 
-// requiredVersion returns the version that the next server must have; 0 for any. Without servers
-// of several versions it does not matter.
+// requiredVersion returns the version that the next server must have; 0 for any. It does not matter where
+// all servers have it.
 func (c *call) requiredVersion() streamversion.Version {
-	if c.version == 0 || !c.pool.severalVersions(time.Now()) {
+	if c.version == 0 || c.pool.hasOnly(time.Now(), c.version) {
 		return 0
 	}
 	return c.version
@@ -306,6 +306,8 @@
 	// streams may go on that a version has begun which has gone.
 	several bool
 	until   time.Time
+	// only is the version of all servers while there is one.
+	only streamversion.Version
 }
 
 // severalVersions reports whether servers of several versions may have begun streams that go on.
@@ -315,6 +317,13 @@
 	return p.versions.mixed(now)
 }
 
+// hasOnly reports whether all servers have a version, and others have not just gone.
+func (p *pool) hasOnly(now time.Time, version streamversion.Version) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.versions.mixed(now) && p.versions.only == version
+}
+
 // mixed reports whether servers of several versions may have begun streams that go on.
 func (v *versionChange) mixed(now time.Time) bool { return v.several || now.Before(v.until) }
 
@@ -329,5 +338,8 @@
 	}
 	begun = several && !v.several
 	v.several = several
+	if len(list) > 0 {
+		v.only = streamversion.VersionOf(list[0].Version)
+	}
 	return begun
 }
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -252,3 +252,20 @@
 		t.Errorf("%d prompts, the smallest among them: %v; want %d with it", n, smallest, maxPromptsTold)
 	}
 }
+
+// Guards against a stream that goes on at the only version that is there, although another router has said
+// that one which has gone began it.
+func TestStreamOfAGoneVersionIsRefusedByARouterThatNeverSawIt(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+	f := b.versioned("v2", "v2")
+	f.known[streamversion.StreamOf("old")] = streamversion.VersionOf("v1")
+	f.known[streamversion.StreamOf("new")] = streamversion.VersionOf("v2")
+	if got := b.send(takeUp("old")); got.status != http.StatusServiceUnavailable || len(b.got()) > 0 {
+		t.Errorf("status %d, %d requests reached servers of another version, want a refusal", got.status, len(b.got()))
+	}
+	b.expectLog(map[string]any{"outcome": OutcomeNotRun, "cause": CauseNoServerOfVersion})
+	if got := b.send(takeUp("new")); got.status != http.StatusOK {
+		t.Errorf("status %d for a stream of the version that is there, want 200", got.status)
+	}
+}
