forward, front: the router that has asked the engines keeps what they tell of streams

Cause: the first router that is ready asks the engines and told the others, of whom it knew none yet, and kept nothing itself. It keeps it now, and tells again after a second. TestCachedPromptTellsTheVersionOfAStream, red before.

--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -267,8 +267,9 @@
 	}
 }
 
-// TellPromptVersions tells the routers that hold the streams which version's engines have their prompts
-// cached: after the end of all routers nobody else knows which version began a stream.
+// TellPromptVersions remembers which version's engines have prompts cached, and tells the routers that hold
+// the streams: after the end of all routers nobody else knows which version began a stream. Call it again
+// when more routers are known.
 func (st *State) TellPromptVersions(p *PromptVersions) {
 	var list []streamversion.Record
 	for stream, version := range p.versions {
@@ -276,9 +277,19 @@
 			list = append(list, streamversion.Record{Stream: stream, Version: version})
 		}
 	}
+	st.streams.recordAll(list)
 	st.streams.fleet.TellStreams(list)
 }
 
+// recordAll remembers what this router has learned of streams that it does not relay.
+func (v *streamVersions) recordAll(list []streamversion.Record) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range list {
+		v.table.Record(time.Now(), r, false)
+	}
+}
+
 // recordVersion remembers which version has written the first event that the caller gets. Only
 // that version may go on.
 func (c *call) recordVersion() {
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -221,6 +221,12 @@
 	if len(f.told) != 2 {
 		t.Fatalf("told of %v, want the two prompts that engines of one version have", f.told)
 	}
+	alone := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+	alone.versioned("v1", "v2")
+	alone.state.TellPromptVersions(&prompts)
+	if got := alone.send(ask{header: lastPart(1)}); got.status != http.StatusOK || alone.got()[0].server != "s0" {
+		t.Errorf("status %d at the router that has asked the engines and knows no other one, want s0 to go on", got.status)
+	}
 	for _, r := range f.told {
 		f.known[r.Stream] = r.Version
 	}
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -66,14 +66,30 @@
 			}
 		}
 		if f.exchange.ShouldQueryServers() {
-			f.queryEngines(ctx)
+			prompts := f.queryEngines(ctx)
 			f.exchange.MarkSynced()
+			f.retellPrompts(ctx, prompts)
 		}
 	}
 	return nil
 }
 
-func (f *Front) queryEngines(ctx context.Context) {
+// retellDelay is the time after which the others are told again which engines have prompts cached. The first
+// router that is ready may know no other one yet.
+const retellDelay = time.Second
+
+func (f *Front) retellPrompts(ctx context.Context, prompts *forward.PromptVersions) {
+	timer := time.NewTimer(retellDelay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+		f.state.TellPromptVersions(prompts)
+	}
+}
+
+// queryEngines asks all engines, records what they have cached and returns which versions have each prompt.
+func (f *Front) queryEngines(ctx context.Context) *forward.PromptVersions {
 	var wg sync.WaitGroup
 	var cachedParts atomic.Int64
 	var mu sync.Mutex
@@ -95,6 +111,7 @@
 	wg.Wait()
 	f.state.TellPromptVersions(&prompts)
 	f.events.Emit(event.InventoryCollected, "engines", len(engines), "holdings", cachedParts.Load())
+	return &prompts
 }
 
 // queryEngine returns the prompt parts that one engine has cached.
