front: random answers have as long as a test waits

Traced by timing the exchanges: 24 processes at a load of 26 show the same exchange up to 3.017 s, and the route's timeout was 3 s. Routes and callers of these tests have the time that the tests wait for anything, 20 s.

--- a/internal/front/answers_test.go
+++ b/internal/front/answers_test.go
@@ -38,7 +38,7 @@
 	c := config(1)
 	for name, kind := range map[string]string{"rawsafe": "safe", "rawunsafe": "unsafe", "rawstream": "stream", "rawresume": "stream"} {
 		r := platformtest.Route{
-			Name: name, Kind: kind, Pool: "raw", Attempts: 1, Timeout: 3 * time.Second, Objective: 400 * time.Millisecond, Gap: 300 * time.Millisecond,
+			Name: name, Kind: kind, Pool: "raw", Attempts: 1, Timeout: waitTimeout, Objective: 400 * time.Millisecond, Gap: 300 * time.Millisecond,
 		}
 		if name == "rawsafe" || name == "rawresume" {
 			r.Attempts = 2
--- a/internal/front/rawserver_test.go
+++ b/internal/front/rawserver_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -289,7 +290,7 @@
 func rawRequest(method, path, version, id string, headers ...string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s %s\r\nHost: h.example\r\nContent-Length: 0\r\n", method, path, version)
-	headers = append(headers, platformtest.HeaderRequestID, id, platformtest.HeaderDeadline, "5000", platformtest.HeaderAuthorization, platformtest.Key("k1"))
+	headers = append(headers, platformtest.HeaderRequestID, id, platformtest.HeaderDeadline, strconv.FormatInt(waitTimeout.Milliseconds(), 10), platformtest.HeaderAuthorization, platformtest.Key("k1"))
 	for i := 0; i+1 < len(headers); i += 2 {
 		fmt.Fprintf(&b, "%s: %s\r\n", headers[i], headers[i+1])
 	}
