edge: a longer idle limit never replaces the limit of headers that begin

Cause: a change of the idle limit checks whether headers have begun and then sets the longer deadline; headers that begin in between lose theirs, and the connection stays open for as long as an idle one. TestHeaderLimitHoldsWhileTheIdleLimitGrows: 2 of 300 connections before, none after. Both now happen under one lock of the connection.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -105,11 +105,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, since := range s.waiting {
-		if c.inHeaders.Load() {
-			continue
-		}
-		// The connection may be closed; its reader then gets the error.
-		_ = c.Conn.SetReadDeadline(since.Add(limit + limitMargin))
+		c.extend(since.Add(limit + limitMargin))
 	}
 }
 
@@ -232,7 +228,9 @@
 	// inHeaders is set from the first byte of a request while the connection waits, and
 	// headerDeadline is when its headers must be complete. The goroutine that serves the
 	// connection owns headerDeadline.
-	inHeaders      atomic.Bool
+	inHeaders atomic.Bool
+	// deadlineMu keeps a longer idle limit from replacing the limit of headers that begin.
+	deadlineMu     sync.Mutex
 	headerDeadline time.Time
 	// drains is set when the next Close must wait for the caller.
 	drains atomic.Bool
@@ -247,10 +245,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.waiting.Load() && !c.inHeaders.Load() {
-		c.headerDeadline = time.Now().Add(time.Duration(c.server.headerLimit.Load()) + limitMargin)
-		c.inHeaders.Store(true)
-		// The connection may be closed; its reader then gets the error.
-		_ = c.SetReadDeadline(time.Time{})
+		c.beginHeaders()
 	}
 	if err != nil && (c.retired.Load() || errors.Is(err, os.ErrDeadlineExceeded)) && c.waiting.Load() && c.inHeaders.Load() {
 		c.cutOff.Store(true)
@@ -266,6 +261,27 @@
 	return c.Conn.Write(b)
 }
 
+// beginHeaders starts the limit for headers.
+func (c *conn) beginHeaders() {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.headerDeadline = time.Now().Add(time.Duration(c.server.headerLimit.Load()) + limitMargin)
+	c.inHeaders.Store(true)
+	// The connection may be closed; its reader then gets the error.
+	_ = c.SetReadDeadline(time.Time{})
+}
+
+// extend lets a connection that is idle wait until a later time.
+func (c *conn) extend(until time.Time) {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if c.inHeaders.Load() {
+		return
+	}
+	// The connection may be closed; its reader then gets the error.
+	_ = c.Conn.SetReadDeadline(until)
+}
+
 // SetReadDeadline sets the read deadline. While the connection waits for a request or
 // reads its headers, the limit for that replaces a zero t, which means no deadline.
 func (c *conn) SetReadDeadline(t time.Time) error {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -379,3 +380,40 @@
 		})
 	}
 }
+
+// Guards against a limit for headers that is lost when the idle limit grows just as they begin: a caller that
+// sends them slowly would hold its connection for as long as an idle one.
+func TestHeaderLimitHoldsWhileTheIdleLimitGrows(t *testing.T) {
+	t.Parallel()
+	const connections = 300
+	s := serve(t)
+	s.SetHeaderLimit(100 * time.Millisecond)
+	stop := make(chan struct{})
+	var growing, callers sync.WaitGroup
+	growing.Go(func() {
+		for limit := time.Hour; ; limit += time.Second {
+			select {
+			case <-stop:
+				return
+			default:
+				s.SetIdleLimit(limit)
+			}
+		}
+	})
+	for range connections {
+		callers.Go(func() {
+			conn := dial(t, s)
+			if _, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\n"); err != nil {
+				t.Error(err)
+				return
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+			if _, err := conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("a connection with slow headers was not closed")
+			}
+		})
+	}
+	callers.Wait()
+	close(stop)
+	growing.Wait()
+}
