front: the router that asks the engines after a restart of all claims that in the store

Ruled out: lost datagrams (all arrived within 80 ms once the seeds ran). Change: a conditional write to the routers' topic decides who asks; two claims for a restart at most, the second one 1.5 s after the first. Routers that have heard nobody wait 0.1 to 1 s, spread so that few of many are early. The router that asked tells routers that it discovers within 3 s, instead of once after 1 s, and finds the holders of a stream without sorting all routers for each. Conclusion: what only one router may do must not rest on knowing the fleet.

--- a/internal/digest/streams.go
+++ b/internal/digest/streams.go
@@ -30,10 +30,11 @@
 
 // TellStreams tells the routers that hold each stream which version began it.
 func (e *Exchange) TellStreams(list []streamversion.Record) {
+	live := e.livePeers()
 	byHolder := make(map[netip.Addr][]streamversion.Record)
 	for _, r := range list {
-		for _, addr := range e.holdersOf(r.Stream, streamHolders) {
-			byHolder[addr] = append(byHolder[addr], r)
+		for _, holder := range holdersOf(live, r.Stream, streamHolders) {
+			byHolder[holder.addr] = append(byHolder[holder.addr], r)
 		}
 	}
 	for addr, records := range byHolder {
@@ -46,22 +47,46 @@
 // AskForStream asks the routers that may hold a stream which version began it. Their answers
 // go to the state.
 func (e *Exchange) AskForStream(s streamversion.Stream) {
-	e.sendTo(e.holdersOf(s, askedHolders), &Message{Sender: e.sender, AskedStreams: []uint64{uint64(s)}})
+	var addrs []netip.Addr
+	for _, holder := range holdersOf(e.livePeers(), s, askedHolders) {
+		addrs = append(addrs, holder.addr)
+	}
+	e.sendTo(addrs, &Message{Sender: e.sender, AskedStreams: []uint64{uint64(s)}})
+}
+
+// rankedPeer is a router with its place in the order of rendezvous hashing, highest rank first.
+type rankedPeer struct {
+	addr netip.Addr
+	hash uint64
+	rank uint64
 }
 
-// holdersOf returns the first n of the other live routers in an order by rendezvous hashing.
-func (e *Exchange) holdersOf(s streamversion.Stream, n int) []netip.Addr {
+// livePeers returns the other live routers, without ranks.
+func (e *Exchange) livePeers() []rankedPeer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	live := e.peers.Live(time.Now())
-	slices.SortFunc(live, func(a, b *Peer) int {
-		return cmp.Compare(placement.Mix(uint64(s), b.hash), placement.Mix(uint64(s), a.hash))
-	})
-	addrs := make([]netip.Addr, 0, n)
-	for _, p := range live[:min(n, len(live))] {
-		addrs = append(addrs, p.Addr)
+	list := make([]rankedPeer, len(live))
+	for i, p := range live {
+		list[i] = rankedPeer{addr: p.Addr, hash: p.hash}
+	}
+	return list
+}
+
+// holdersOf returns the first n of some routers in an order by rendezvous hashing. After a restart of all one router
+// tells the others of thousands of streams, so it does not sort all of them for each.
+func holdersOf(live []rankedPeer, s streamversion.Stream, n int) []rankedPeer {
+	first := make([]rankedPeer, 0, n+1)
+	for _, p := range live {
+		p.rank = placement.Mix(uint64(s), p.hash)
+		if len(first) == n && p.rank <= first[n-1].rank {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(first, p, func(a, b rankedPeer) int { return cmp.Compare(b.rank, a.rank) })
+		first = slices.Insert(first, i, p)
+		first = first[:min(n, len(first))]
 	}
-	return addrs
+	return first
 }
 
 // handleStreams records what another router says of streams, and answers what it asks.
--- a/internal/digest/sync.go
+++ b/internal/digest/sync.go
@@ -74,15 +74,13 @@
 	}
 }
 
-// ShouldQueryServers reports whether this router should ask the servers what they
-// have cached: no live router is synced, and of the live ones this router has
-// the lowest address.
-func (e *Exchange) ShouldQueryServers() bool {
-	now := time.Now()
+// PlacementsLost reports whether neither this router nor a live one that it knows has the placements of the fleet, so
+// that a router has to ask the servers what they have cached.
+func (e *Exchange) PlacementsLost() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, found := e.peers.SyncedPeer(now)
-	return !e.synced && !found && e.peers.before(now) == 0
+	_, found := e.peers.SyncedPeer(time.Now())
+	return !e.synced && !found
 }
 
 // Synced reports whether this router has the placements of the fleet.
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -50,6 +50,7 @@
 	TunnelAcceptFailed  = register(1046, hclog.Warn, "connection of another router could not be accepted")
 	ServerBrittle       = register(1047, hclog.Warn, "server says that it falls over when it has to reject too many requests")
 	ServerNotBrittle    = register(1048, hclog.Info, "server no longer says that it is brittle")
+	InventoryNotClaimed = register(1049, hclog.Warn, "platform store does not say whether another router asks the engines for their cached prompt parts")
 	InventoryCollected  = register(1022, hclog.Info, "engines were queried for their cached prompt parts")
 	InventoryFailed     = register(1023, hclog.Warn, "query of an engine's cached prompt parts failed")
 )
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -13,12 +13,6 @@
 )
 
 const (
-	// inventoryWait is how long a ready router waits for the digest of another one
-	// that has the placements before it asks the engines. It waits up to
-	// inventoryJitter longer, so that of several routers that start together and have
-	// not heard of each other one is the first.
-	inventoryWait   = 100 * time.Millisecond
-	inventoryJitter = 150 * time.Millisecond
 	// inventoryCheck is the time between two checks whether to ask the engines.
 	inventoryCheck = 10 * time.Millisecond
 	// inventoryTimeout bounds the call to one engine.
@@ -50,41 +44,62 @@
 }
 
 // collectInventory asks the engines which prompt parts they have cached, when all
-// routers have restarted and none has this information. One router does so, and
+// routers have restarted and none has this information. The router that claims it does so, and
 // the others get the result from it.
 func (f *Front) collectInventory(ctx context.Context) error {
 	tick := time.NewTicker(inventoryCheck)
 	defer tick.Stop()
-	wait := inventoryWait + rand.N(inventoryJitter)
+	claimer := newInventoryClaimer(f.platform.Memory, f.events)
+	random := rand.Float64()
 	for !f.exchange.Synced() {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-tick.C:
-			if f.tracker.readyFor(now) < wait {
+			ready := f.tracker.readyFor(now)
+			if ready > inventoryGiveUp {
+				return nil
+			}
+			if ready == 0 || ready < inventoryDelay(f.exchange.LivePeerCount(), f.exchange.RoutersBefore(), random) {
 				continue
 			}
 		}
-		if f.exchange.ShouldQueryServers() {
+		if f.exchange.PlacementsLost() && claimer.claim(ctx, time.Now()) {
 			prompts := f.queryEngines(ctx)
 			f.exchange.MarkSynced()
-			f.retellPrompts(ctx, prompts)
+			f.tellPrompts(ctx, prompts)
 		}
 	}
 	return nil
 }
 
-// retellDelay is the time after which the others are told again which engines have prompts cached. The first
-// router that is ready may know no other one yet.
-const retellDelay = time.Second
+const (
+	// tellFor is how long a router that has asked the engines tells routers that it discovers meanwhile which
+	// versions have prompts cached. It may have known nobody when it asked.
+	tellFor = 3 * time.Second
+	// tellInterval is the time between two checks for new routers. They are told when no further one has come in it.
+	tellInterval = 100 * time.Millisecond
+)
 
-func (f *Front) retellPrompts(ctx context.Context, prompts *forward.PromptVersions) {
-	timer := time.NewTimer(retellDelay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-		f.state.TellPromptVersions(prompts)
+// tellPrompts tells the others which versions have prompts cached, again when more routers are known.
+func (f *Front) tellPrompts(ctx context.Context, prompts *forward.PromptVersions) {
+	told := f.exchange.LivePeerCount()
+	f.state.TellPromptVersions(prompts)
+	tick := time.NewTicker(tellInterval)
+	defer tick.Stop()
+	known := told
+	for range tellFor / tellInterval {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		before := known
+		known = f.exchange.LivePeerCount()
+		if known == before && known != told {
+			told = known
+			f.state.TellPromptVersions(prompts)
+		}
 	}
 }
 
@@ -109,7 +124,6 @@
 		})
 	}
 	wg.Wait()
-	f.state.TellPromptVersions(&prompts)
 	f.events.Emit(event.InventoryCollected, "engines", len(engines), "holdings", cachedParts.Load())
 	return &prompts
 }
--- a/internal/front/keptparts.go
+++ b/internal/front/keptparts.go
@@ -13,15 +13,6 @@
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
 )
 
-// Memory is the store's place for what must outlive all routers. Its methods are safe for
-// concurrent use.
-type Memory interface {
-	// Read returns the newest value of a key, nil when there is none.
-	Read(ctx context.Context, key string) ([]byte, error)
-	// Write replaces the value of a key. After an error it may still happen, also later.
-	Write(ctx context.Context, key string, value []byte) error
-}
-
 const (
 	// partsKey is the key of the quarantined parts.
 	partsKey = "quarantined-parts"
@@ -129,7 +120,7 @@
 }
 
 func (k *partKeeper) read(ctx context.Context) error {
-	value, err := k.platform.Memory.Read(ctx, partsKey)
+	value, _, err := k.platform.Memory.Read(ctx, partsKey)
 	if err != nil || value == nil {
 		return err
 	}
--- a/internal/front/versions_test.go
+++ b/internal/front/versions_test.go
@@ -327,3 +327,43 @@
 		t.Errorf("%d of the %d streams of the version that is left went on", whole, left)
 	}
 }
+
+// Guards against streams that nobody takes up after a restart of all, because the router that asked the engines
+// discovered the others only after it had told them which versions began streams.
+func TestStreamsGoOnWhenRoutersDiscoverEachOtherLate(t *testing.T) {
+	t.Parallel()
+	// More routers than are asked for a stream, so that most streams are not asked for at the one that has asked the engines.
+	f := newVersionedFleet(t, 16, 2*perVersion)
+	begun := f.beginAll()
+	for _, r := range f.routers {
+		r.stop()
+	}
+	seeds, others := f.routers[:3], f.routers[3:]
+	for _, r := range others {
+		r.start()
+	}
+	f.waitFor("the engines are asked", func() bool { return f.askedLeast() > 0 })
+	time.Sleep(lateSeeds)
+	for _, r := range seeds {
+		r.start()
+	}
+	f.waitFor("all routers are ready and know each other", func() bool {
+		return f.all(func(r *testBed) bool { return r.isReady() && r.front.Status().Routers == len(f.routers)-1 })
+	})
+	whole := 0
+	for _, s := range begun {
+		switch version := f.takeUpAgain(s); version {
+		case s.version:
+			whole++
+		case "":
+		default:
+			t.Errorf("a stream of %s went on at %s", s.version, version)
+		}
+	}
+	if whole < versionedStreams*9/10 {
+		t.Errorf("%d of %d streams went on", whole, versionedStreams)
+	}
+}
+
+// lateSeeds is how much later than the first router asks the engines the seeds start; a second one would ask 1.5 s later.
+const lateSeeds = 1200 * time.Millisecond
