digest: new placements of a large fleet are relayed by the readers of the store

Cause: in a fleet of n routers each new placement cost a datagram to each of the n-1 others, and so did each change that a router had learned of. A router that is no reader reports its progress with its loads. Only while all live routers have reported the new level of the protocol; else as before.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -38,6 +38,8 @@
 		Role:              Role(rapid.IntRange(int(RoleUnknown), int(RoleOther)).Draw(t, "role")),
 		Synced:            rapid.Bool().Draw(t, "synced"),
 		PlacementsReply:   rapid.Bool().Draw(t, "placements reply"),
+		Relay:             rapid.Bool().Draw(t, "relay"),
+		Level:             rapid.Int64Min(0).Draw(t, "level"),
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "n") {
 		m.Peers = append(m.Peers, addr(rapid.IntRange(0, 255).Draw(t, "peer")))
@@ -55,6 +57,7 @@
 		})
 		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), drawPosition(t)})
 		m.Servers = append(m.Servers, drawServerChange(t))
+		m.Relayed = append(m.Relayed, RelayedPlacements{Origin: rapid.Uint64().Draw(t, "origin"), Placements: slices.Clone(m.Placements)})
 		m.Streams = append(m.Streams, streamversion.Record{
 			Stream: streamversion.Stream(rapid.Uint64().Draw(t, "stream")), Version: streamversion.Version(rapid.Uint64().Draw(t, "version of it")),
 		})
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -149,6 +150,13 @@
 	// shares are this router's shares of limited servers, computed anew in each loadInterval and when a
 	// router stops or starts, since each choice of a server asks for them.
 	shares map[uint64]namedlimit.Share
+	// toRelay has the placements that this router is to pass on, by the Sender that made them, and collected is their
+	// number. relayWake is signalled when there are some.
+	toRelay   map[uint64][]Placement
+	collected int
+	relayWake chan struct{}
+	// sent counts the datagrams.
+	sent atomic.Int64
 	// sentProgress and sentEra are the read progress and the store's era as last sent.
 	sentProgress []Progress
 	sentEra      int64
@@ -173,6 +181,7 @@
 		peers:  NewPeers(addr.Addr(), seeds),
 
 		synced: firstStart, loadsSentAt: time.Now(), shares: make(map[uint64]namedlimit.Share),
+		toRelay: make(map[uint64][]Placement), relayWake: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -348,6 +357,7 @@
 		e.state.SetOutcomes(m.TotalFailures)
 	}
 	e.recordPlacements(m)
+	e.handleRelayed(m)
 	if len(m.Servers) > 0 {
 		e.state.ApplyServerChanges(m.Servers)
 	}
@@ -410,14 +420,21 @@
 	defer ticker.Stop()
 	e.sendDigest(true)
 	spread := rand.Float64()
+	relayTimer := time.NewTimer(0)
+	defer relayTimer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			e.sendRelayed(e.targets())
 			e.sendTo(e.targets(), &Message{Sender: e.sender, Stopping: true})
 			return nil
 		case <-e.wake:
 			time.Sleep(e.batchDelay())
 			e.sendDigest(false)
+		case <-e.relayWake:
+			relayTimer.Reset(e.batchDelayToAll())
+		case <-relayTimer.C:
+			e.sendRelayed(e.targets())
 		case now := <-ticker.C:
 			targets := e.targets()
 			if now.Sub(e.regularAt) >= spreadPeriod(periodFor(len(targets)), spread) {
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -141,6 +141,11 @@
 	Outcomes      []Outcomes
 	TotalFailures []Outcomes
 	Placements    []Placement
+	// Relay asks the receiver to pass Placements on to all, and Relayed are those that the sender passes on.
+	Relay   bool
+	Relayed []RelayedPlacements
+	// Level is the level of the protocol that the sender has; 0 for one before there were levels.
+	Level int64
 	// Cached are placements without the tokens that are still to be read. They are
 	// encoded in fewer bytes when those of a server follow each other.
 	Cached   []Placement
@@ -185,6 +190,9 @@
 	fieldLimit             = 24
 	fieldStream            = 25
 	fieldAskedStreams      = 26
+	fieldRelay             = 27
+	fieldRelayed           = 28
+	fieldLevel             = 29
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -206,6 +214,8 @@
 	b = appendPositive(b, fieldConfigVersion, m.ConfigVersion)
 	b = appendPositive(b, fieldListEnd, m.ListEnd)
 	b = appendPositive(b, fieldRole, int64(m.Role))
+	b = appendBool(b, fieldRelay, m.Relay)
+	b = appendPositive(b, fieldLevel, m.Level)
 	for _, p := range m.Peers {
 		b = protowire.AppendTag(b, fieldPeer, protowire.BytesType)
 		b = protowire.AppendBytes(b, p.AsSlice())
@@ -217,6 +227,7 @@
 	for _, placement := range m.Placements {
 		b = appendNumbers(b, fieldPlacement, placement.PrefixHash, placement.Server, uint64(placement.Tokens), uint64(placement.ReadTokens))
 	}
+	b = appendRelayed(b, m.Relayed)
 	b = appendCached(b, m.Cached)
 	for _, p := range m.Progress {
 		values := []uint64{uint64(p.Topic), uint64(p.LastChange.Offset)}
@@ -379,6 +390,10 @@
 		}
 	case fieldListEnd:
 		m.ListEnd, err = nonNegative(v)
+	case fieldRelay:
+		m.Relay = v != 0
+	case fieldLevel:
+		m.Level, err = nonNegative(v)
 	}
 	return b[n:], err
 }
@@ -409,6 +424,8 @@
 		m.TotalFailures, err = decodeOutcomes(v)
 	case fieldCached:
 		err = m.decodeCached(v)
+	case fieldRelayed:
+		err = m.decodeRelayed(v)
 	case fieldPeer:
 		err = m.decodePeer(v)
 	case fieldPlacement, fieldProgress:
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -51,6 +51,8 @@
 	configVersion int64
 	// listEnd is the offset after the first list of the servers in storeEra; 0 for none.
 	listEnd int64
+	// level is the level of the protocol that the peer has reported.
+	level int64
 	// namedAt is when another router last named the peer.
 	namedAt time.Time
 }
@@ -105,6 +107,7 @@
 		peer.storeEra = m.StoreEra
 		peer.configVersion = m.ConfigVersion
 		peer.listEnd = m.ListEnd
+		peer.level = m.Level
 		if m.StoreEra > p.reportedEra {
 			p.reportedEra, p.reportedAt = m.StoreEra, now
 		}
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -8,8 +8,19 @@
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 )
 
+// batchDelay returns how long changes are collected. A relay collects those of several routers itself.
 func (e *Exchange) batchDelay() time.Duration {
-	return max(minBatchDelay, batchDelayPerPeer*time.Duration(len(e.targets())))
+	if _, found := e.relay(time.Now()); found {
+		return minBatchDelay
+	}
+	return e.batchDelayToAll()
+}
+
+// batchDelayToAll returns how long what is sent to all is collected.
+func (e *Exchange) batchDelayToAll() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(minBatchDelay, batchDelayPerPeer*time.Duration(len(e.peers.tracked)))
 }
 
 func (e *Exchange) targets() []netip.Addr {
@@ -27,7 +38,7 @@
 	return &Message{
 		Sender: e.sender, Synced: synced, Role: role, Progress: progress.Topics,
 		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
-		ListEnd: progress.ListEnd,
+		ListEnd: progress.ListEnd, Level: ownLevel,
 	}
 }
 
@@ -49,9 +60,10 @@
 	e.sendEntries([]netip.Addr{to}, e.state.PartEntries())
 }
 
-// sendDigest sends new server changes and placements to all tracked routers, and
+// sendDigest sends new server changes and placements to all tracked routers or to a relay, and
 // the read progress when it has changed or the digest is regular. A regular digest
-// also names other routers.
+// also names other routers. Where placements are relayed, a router that is no reader reports a
+// change with its loads only, to the readers, which send changes again to those that lack them.
 func (e *Exchange) sendDigest(regular bool) {
 	now := time.Now()
 	m := e.newMessage()
@@ -62,9 +74,11 @@
 		e.peers.Expire(now)
 		m.Peers = e.nextPeers(targets)
 	}
+	withLoads := e.relays(now) && !e.reader
 	e.mu.Unlock()
 	e.sendServerChanges(targets)
-	if regular || m.StoreEra != e.sentEra || !slices.Equal(m.Progress, e.sentProgress) {
+	changed := m.StoreEra != e.sentEra || !slices.Equal(m.Progress, e.sentProgress)
+	if regular || changed && !withLoads {
 		e.sendTo(targets, m)
 		e.sentProgress, e.sentEra = m.Progress, m.StoreEra
 	}
@@ -178,12 +192,16 @@
 // since the previous regular one, against lost datagrams.
 func (e *Exchange) sendNewPlacements(targets []netip.Addr, regular bool) {
 	newPlacements := e.state.TakeNewPlacements()
-	list := newPlacements
-	if regular {
-		list = append(newPlacements, e.resend...)
+	relay, found := e.relay(time.Now())
+	switch {
+	case regular:
+		e.sendPlacements(targets, append(slices.Clone(newPlacements), e.resend...))
 		e.resend = nil
+	case found:
+		e.relayPlacements(relay, newPlacements)
+	default:
+		e.sendPlacements(targets, newPlacements)
 	}
-	e.sendPlacements(targets, list)
 	e.repeatLater(newPlacements)
 }
 
@@ -206,6 +224,7 @@
 
 func (e *Exchange) sendTo(targets []netip.Addr, m *Message) {
 	b := Encode(m)
+	e.sent.Add(int64(len(targets)))
 	for _, t := range targets {
 		// The next digest makes up for a lost one.
 		_, _ = e.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(t, e.port))
