front, digest: routers that start together leave the store to the readers

Change: a router that has heard nobody leaves the store alone for 0.6 s after its first reads; at the first start those that are no readers get the servers from the readers. Found on the way: position 0 counted as read before anything was, and two datagrams of one change (more than 8 servers at once) looked like a lost one, since the gap was looked for before the first one was applied: each router then read the store. Three unit tests set a tracker up with servers but without having read a list; they say now that it has (listRead), or that it isn't at the first start. Their expectations are unchanged.

--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -69,6 +69,8 @@
 	reportedAt  time.Time
 	// heardReaders are the first readers among the other routers, as last seen.
 	heardReaders []netip.Addr
+	// startedAt is when this router first looked for the readers.
+	startedAt time.Time
 	// reader is set while this router reads the store for the others, and lackSince is
 	// since when it has heard too few readers.
 	reader    bool
@@ -121,7 +123,10 @@
 		}
 	}
 	for _, t := range m.Progress {
-		peer.lastChange[t.Topic] = logpos.Max(peer.lastChange[t.Topic], t.LastChange)
+		last, known := peer.lastChange[t.Topic]
+		if !known || last.Before(t.LastChange) {
+			peer.lastChange[t.Topic] = t.LastChange
+		}
 	}
 	p.addNamed(now, m.Peers)
 	return isNew
--- a/internal/digest/readers.go
+++ b/internal/digest/readers.go
@@ -22,6 +22,10 @@
 	// before it. It is longer than the time until a router that begins to read is
 	// heard, and 340 routers wait 1.4 s at most.
 	takeoverStep = 200 * time.Millisecond
+	// startWait is how long a router that has just started and has heard no other one leaves it to others to read. It
+	// has read the store itself at its start. After a restart of all the routers by which they discover each other may
+	// be later than the rest.
+	startWait = 600 * time.Millisecond
 	// eraEntryWait is how long a router that sees a new era of the store first waits for
 	// the readers to see it. They wait at the store for 1.8 s at most while nothing
 	// is written.
@@ -87,6 +91,9 @@
 }
 
 func (p *Peers) updateRole(now time.Time, own OwnReads, v readerView) {
+	if p.startedAt.IsZero() {
+		p.startedAt = now
+	}
 	p.heardReaders = v.readers[:min(maxReaders, len(v.readers))]
 	lack := p.lackSince
 	p.lackSince = time.Time{}
@@ -105,6 +112,7 @@
 	case lower >= maxReaders:
 		p.reader = false
 	case p.reader:
+	case len(p.tracked) == 0 && now.Sub(p.startedAt) < startWait:
 	case v.entering == 0 && lower+len(v.before) < maxReaders:
 		p.reader = true
 	case missing > 0:
--- a/internal/front/heldconfig_test.go
+++ b/internal/front/heldconfig_test.go
@@ -71,6 +71,7 @@
 // one read the store.
 func TestReceivedEntryWithoutEffectLeavesNoGap(t *testing.T) {
 	tr := newTracker(Platform{}, forward.NewState(forward.Limits{}), nil, event.Nop(), tally.NoopScope)
+	tr.listRead = true
 	tr.publishChanges(tr.servers.Apply(time.Now(), []registry.Entry{{ID: "a", Position: at(1), Server: change("a", 1).New}}, time.Time{}), false)
 	deliver(tr, digest.ServerChange{ID: "unknown", Position: at(5), Prev: at(1)})
 	deliver(tr, digest.ServerChange{ID: "b", Position: at(7), Prev: at(5), Server: change("b", 7).New})
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -18,7 +18,7 @@
 	mu sync.Mutex
 	// lastChange is the position of the last record that changed the state of this
 	// router; it is sent to the others. applied is that of the last record that is
-	// reflected in the state, which may be one without an effect.
+	// reflected in the state, which may be one without an effect. Both are logpos.None before the first one.
 	lastChange [digest.TopicCount]logpos.Position
 	applied    [digest.TopicCount]logpos.Position
 	// readTo is the position up to which this router has read the servers itself, and
@@ -39,7 +39,17 @@
 	gap logpos.Position
 }
 
-func newProgress() progress { return progress{gap: logpos.None} }
+func newProgress() progress {
+	return progress{gap: logpos.None, lastChange: nothingRead(), applied: nothingRead()}
+}
+
+// nothingRead returns the positions before the first record of each topic.
+func nothingRead() (positions [digest.TopicCount]logpos.Position) {
+	for topic := range positions {
+		positions[topic] = logpos.None
+	}
+	return positions
+}
 
 // serverChange is a change of a server that this router has read, and how often
 // and when it was sent to the others.
--- a/internal/front/progress_test.go
+++ b/internal/front/progress_test.go
@@ -148,6 +148,7 @@
 // without it.
 func TestRemovalReceivedAfterLaterChangesApplies(t *testing.T) {
 	tr := newTracker(Platform{}, forward.NewState(forward.Limits{}), nil, event.Nop(), tally.NoopScope)
+	tr.listRead = true
 	now := time.Unix(1000, 0)
 	tr.servers.Apply(now, []registry.Entry{
 		{ID: "x", Position: at(1), Server: &registry.Server{ID: "x", Pool: "p", Addr: "10.0.0.1:1"}},
--- a/internal/front/timing.go
+++ b/internal/front/timing.go
@@ -39,10 +39,11 @@
 )
 
 // timing returns full for a router that is not ready or that reads the store for
-// all, and a slow timing for the others, which receive the changes.
+// all, and a slow timing for the others, which receive the changes. When the whole system starts for
+// the first time all wait for the same records, and those that are not readers receive them too.
 func (t *tracker) timing(full feed.Timing) func() feed.Timing {
 	return func() feed.Timing {
-		if !t.ready() || t.exchange.IsReader() {
+		if t.exchange.IsReader() || !t.ready() && !t.firstStart {
 			return full
 		}
 		return nonReaderTiming
--- a/internal/front/trace_test.go
+++ b/internal/front/trace_test.go
@@ -75,6 +75,19 @@
 	f.calls, f.becoming, f.latest = map[int]int{}, nil, 0
 }
 
+// callsFrom returns the calls of the routers from the n-th on.
+func (f *fleetTrace) callsFrom(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	calls := 0
+	for router, c := range f.calls {
+		if router >= n {
+			calls += c
+		}
+	}
+	return calls
+}
+
 // watch measures until the test ends how late timers of this process are, and how many
 // datagrams the kernel drops at a port.
 func (f *fleetTrace) watch(t *testing.T, port uint16) {
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -155,28 +155,32 @@
 // ApplyServerChanges applies changes of servers that another router has read. It is
 // called on the goroutine that receives digests.
 func (t *tracker) ApplyServerChanges(list []digest.ServerChange) {
-	t.progress.detectGap(list)
 	entries := make([]registry.Entry, 0, len(list))
 	for _, c := range list {
 		entries = append(entries, registry.Entry{ID: c.ID, Position: c.Position, Server: c.Server})
 	}
 	select {
-	case t.tasks <- func() { t.applyReceived(entries) }:
+	case t.tasks <- func() {
+		// In order with the changes before, which another datagram may have brought just now.
+		t.progress.detectGap(list)
+		t.applyReceived(entries)
+	}:
 	case <-t.done:
 	}
 }
 
-// applyReceived applies changes from another router. A router without servers
-// ignores them and waits for its own list, because a few changes do not make up
+// applyReceived applies changes from another router. A router that has not read the list of
+// servers ignores them and waits for it, because a few changes do not make up
 // all servers.
 func (t *tracker) applyReceived(entries []registry.Entry) {
-	if t.servers.Len() == 0 {
+	if !t.listRead {
 		return
 	}
 	t.publishChanges(t.servers.Apply(time.Now(), entries, time.Time{}), false)
 	for _, e := range entries {
 		t.progress.recordApplied(e.Position)
 	}
+	t.checkReady()
 }
 
 // applyConfig activates a newer configuration. An older one, or one that cannot
--- a/internal/front/trackerrules_test.go
+++ b/internal/front/trackerrules_test.go
@@ -208,6 +208,8 @@
 // a broken entry.
 func TestHeartbeatsArePolled(t *testing.T) {
 	tr := newTrackerRouter(t)
+	// A router that starts later than the first time reads at the full rate until it is ready.
+	tr.firstStart = false
 	tr.list(at(3), "a:r")
 	if tr.serversTiming()().Wait == 0 {
 		t.Error("servers are polled without heartbeats")
