feed: a first call that a silent store does not answer is made again

Cause, from the logs: their first calls hang in the silent store, which never answers them, and end with their timeout of 1 s, 0.6 to 0.8 s after the store's return. Ruled out: backoff (the second call came 0.07 s after the first), start-up. Change: until it has read something, a follower makes its call again after 0.25 to 0.5 s, then twice as long, and at once when another router reports that it has read something; the first router to know of something tells all.

--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -288,6 +288,19 @@
 	return newest
 }
 
+// lacks reports whether a message tells of something in the store that no live peer has reported.
+func (p *Peers) lacks(now time.Time, m *Message) bool {
+	if m.StoreEra > p.reportedEra || m.ConfigVersion > p.NewestConfig(now) {
+		return true
+	}
+	for _, t := range m.Progress {
+		if p.NewestChange(now, t.Topic, 0).Before(t.LastChange) {
+			return true
+		}
+	}
+	return false
+}
+
 // before returns the number of live peers with a lower address.
 func (p *Peers) before(now time.Time) int {
 	n := 0
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -63,7 +63,8 @@
 // sendDigest sends new server changes and placements to all tracked routers or to a relay, and
 // the read progress when it has changed or the digest is regular. A regular digest
 // also names other routers. Where placements are relayed, a router that is no reader reports a
-// change with its loads only, to the readers, which send changes again to those that lack them.
+// change with its loads only, to the readers, which send changes again to those that lack them; unless it is the first
+// one to know of a configuration or a server, as after a restart of all.
 func (e *Exchange) sendDigest(regular bool) {
 	now := time.Now()
 	m := e.newMessage()
@@ -74,7 +75,7 @@
 		e.peers.Expire(now)
 		m.Peers = e.nextPeers(targets)
 	}
-	withLoads := e.relays(now) && !e.reader
+	withLoads := e.relays(now) && !e.reader && !e.peers.lacks(now, m)
 	e.mu.Unlock()
 	e.sendServerChanges(targets)
 	changed := m.StoreEra != e.sentEra || !slices.Equal(m.Progress, e.sentProgress)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -9,6 +9,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
@@ -142,8 +144,10 @@
 
 	position position
 	// askedFor is the position that another router had reported at the last call.
-	askedFor    logpos.Position
-	failures    int
+	askedFor logpos.Position
+	failures int
+	// repeated counts the first calls that were made again without an answer.
+	repeated    int
 	outageStart time.Time
 	graceUntil  time.Time
 }
@@ -176,6 +180,11 @@
 	// minPause bounds the rate of reads for a record that another router has
 	// reported and the store does not return yet.
 	minPause = 50 * time.Millisecond
+	// firstPatience is how long the first call of a follower, which knows nothing yet, may take before it is made again,
+	// up to twice as long at random. It doubles with each further one, since the store may only be slow. A store that was
+	// silent never answers the calls that it got meanwhile, and those of many routers that started together would all
+	// end long after its return.
+	firstPatience = 250 * time.Millisecond
 	// spreadUnit is the resolution of the factor by which a whole pause varies. The jitter
 	// of the steps in which it is waited for hardly changes their sum: of 340 routers that
 	// had read at the same time, all read again within two seconds, 30 s later.
@@ -233,6 +242,10 @@
 	f.askedFor = f.options.PeerPosition()
 	callCtx, cancel := context.WithTimeout(ctx, wait+timing.Timeout)
 	defer cancel()
+	var impatient func() bool
+	if f.position == (position{}) {
+		impatient = f.watchFirstCall(callCtx, cancel)
+	}
 	var page Page
 	var err error
 	if list {
@@ -243,6 +256,10 @@
 	if ctx.Err() != nil {
 		return 0
 	}
+	if impatient != nil && impatient() && err != nil && page.Era == NoEra {
+		f.repeated++
+		return 0
+	}
 	if eraErr := f.checkEra(page.Era); eraErr != nil {
 		err = eraErr
 	} else if !list && f.position.next.Era < page.Era {
@@ -261,6 +278,41 @@
 	return f.applyPage(page, list)
 }
 
+// watchFirstCall cancels a call to the store without an answer, to be made again, when the follower has read nothing yet
+// and another router has read something meanwhile, or after some time. The returned function ends the watch and reports
+// whether it has cancelled the call.
+func (f *Follower) watchFirstCall(ctx context.Context, cancel context.CancelFunc) (cancelled func() bool) {
+	patience := firstPatience << min(f.repeated, 8)
+	patience += rand.N(patience)
+	start := f.now()
+	var repeat atomic.Bool
+	done := make(chan struct{})
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		tick := time.NewTicker(minPause)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-done:
+				return
+			case <-tick.C:
+			}
+			if f.now().Sub(start) >= patience || f.askedFor.Before(f.options.PeerPosition()) {
+				repeat.Store(true)
+				cancel()
+				return
+			}
+		}
+	})
+	return func() bool {
+		close(done)
+		watch.Wait()
+		return repeat.Load()
+	}
+}
+
 // inEarlierEra reports whether the store has begun a new era since the last read.
 func (f *Follower) inEarlierEra() bool { return f.position.next.Era < f.options.Eras.Current() }
 
