--- a/internal/feed/firstcall_test.go
+++ b/internal/feed/firstcall_test.go
@@ -74,13 +74,17 @@
 		most     int32
 	}{
 		"nobody has read it":          {most: 4},
-		"another router has read now": {reported: true, most: 3},
+		"another router has read now": {reported: true, most: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, reported := &silentSource{}, &atomic.Bool{}
 			s.silent.Store(true)
 			f, r := firstCallFollower(s, reported)
+			if c.reported {
+				// After so many calls only the report ends the next one in time.
+				f.repeated = 8
+			}
 			time.AfterFunc(150*time.Millisecond, func() {
 				s.silent.Store(false)
 				reported.Store(c.reported)
