--- a/internal/front/crashingpart_test.go
+++ b/internal/front/crashingpart_test.go
@@ -209,12 +209,15 @@
 	f.waitFor("the part is quarantined", func() bool { return len(f.routers[0].front.Status().QuarantinedParts) == 1 })
 }
 
+// partsKey is the key under which routers keep the quarantined parts and requests.
+const partsKey = "quarantined-parts"
+
 // Guards against a restart of all routers, after which the part ends as many engines again.
 func TestPartsThatCrashEnginesOutliveAllRouters(t *testing.T) {
 	t.Parallel()
 	f, c := newCrashingFleet(t, 2, 30, hasCrashingPart)
 	f.quarantine(c)
-	f.waitFor("the part is in the store", func() bool { return f.store.Appends() > 0 })
+	f.waitFor("the part is in the store", func() bool { return f.store.Appends(partsKey) > 0 })
 	for _, r := range f.routers {
 		r.stop()
 	}
@@ -226,7 +229,7 @@
 	if got := late.prompted("/resume/x", commonPart, crashingPart); got.status != http.StatusServiceUnavailable || c.count() != crashed {
 		t.Errorf("status %d, %d further crashes; want a refusal", got.status, c.count()-crashed)
 	}
-	if n := f.store.Appends(); n > 3 {
+	if n := f.store.Appends(partsKey); n > 3 {
 		t.Errorf("%d records for one part", n)
 	}
 }
