digest, front: one chunking loop and one check of streams that go on, instead of copies

relayPlacements used a loop of its own where sendPlacements has slices.Chunk; two tests had the same loop over streams that are taken up. Behaviour and expectations are unchanged.

--- a/internal/digest/relay.go
+++ b/internal/digest/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -74,10 +75,8 @@
 		e.collect(e.sender, list)
 		return
 	}
-	for len(list) > 0 {
-		n := min(placementsPerDatagram, len(list))
-		e.sendTo([]netip.Addr{relay}, &Message{Sender: e.sender, Relay: true, Placements: list[:n]})
-		list = list[n:]
+	for part := range slices.Chunk(list, placementsPerDatagram) {
+		e.sendTo([]netip.Addr{relay}, &Message{Sender: e.sender, Relay: true, Placements: part})
 	}
 }
 
--- a/internal/front/versions_test.go
+++ b/internal/front/versions_test.go
@@ -278,13 +278,9 @@
 	return ""
 }
 
-// Guards against streams that end for good, or go on at another version, because all routers that knew
-// which version began them have ended.
-func TestStreamsGoOnAtTheirVersionAfterAllRoutersHaveEnded(t *testing.T) {
-	t.Parallel()
-	f := newVersionedFleet(t, 3, 2*perVersion)
-	begun := f.beginAll()
-	f.restartAll()
+// checkStreamsGoOn takes all streams up and checks that nearly all go on, each at the version that began it.
+func (f *fleetBed) checkStreamsGoOn(begun []versionedStream) {
+	f.t.Helper()
 	whole := 0
 	for _, s := range begun {
 		switch version := f.takeUpAgain(s); version {
@@ -292,14 +288,24 @@
 			whole++
 		case "":
 		default:
-			t.Errorf("a stream of %s went on at %s", s.version, version)
+			f.t.Errorf("a stream of %s went on at %s", s.version, version)
 		}
 	}
 	if whole < versionedStreams*9/10 {
-		t.Errorf("%d of %d streams went on", whole, versionedStreams)
+		f.t.Errorf("%d of %d streams went on", whole, versionedStreams)
 	}
 }
 
+// Guards against streams that end for good, or go on at another version, because all routers that knew
+// which version began them have ended.
+func TestStreamsGoOnAtTheirVersionAfterAllRoutersHaveEnded(t *testing.T) {
+	t.Parallel()
+	f := newVersionedFleet(t, 3, 2*perVersion)
+	begun := f.beginAll()
+	f.restartAll()
+	f.checkStreamsGoOn(begun)
+}
+
 // Guards against streams of a version that is gone, which go on at the only one that is left when all
 // routers that knew the other one have ended.
 func TestStreamsOfAVersionThatIsGoneAreRefusedAfterAllRoutersHaveEnded(t *testing.T) {
@@ -350,19 +356,7 @@
 	f.waitFor("all routers are ready and know each other", func() bool {
 		return f.all(func(r *testBed) bool { return r.isReady() && r.front.Status().Routers == len(f.routers)-1 })
 	})
-	whole := 0
-	for _, s := range begun {
-		switch version := f.takeUpAgain(s); version {
-		case s.version:
-			whole++
-		case "":
-		default:
-			t.Errorf("a stream of %s went on at %s", s.version, version)
-		}
-	}
-	if whole < versionedStreams*9/10 {
-		t.Errorf("%d of %d streams went on", whole, versionedStreams)
-	}
+	f.checkStreamsGoOn(begun)
 }
 
 // lateSeeds is how much later than the first router asks the engines the seeds start; a second one would ask 1.5 s later.
