forward: a server that ends while its request is still written has ended under it

What callers saw: requests with a part of a prompt that ends engine after engine went on to further engines.

Cause, from logs of 100 runs of that test, 20 at a time: the server closes the connection, net/http's reader sees that first and closes the connection on its side, and the writer of the request fails with "use of closed network connection". That error was not taken for the end of the server, so the router did not look whether the server had ended, and told nobody.

Ruled out: a socket that listens for longer than the 20 ms after which it is looked at.

Change: the connection itself says whether its peer ended it before an answer (Exchange.Fault, which the choice of connections uses already).

The new test is red without the change each time.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -59,6 +59,10 @@
 	via string
 	// readError is the error that ended the reading of the answer; io.EOF at its end.
 	readError error
+	// closedBeforeAnswer is set when the server ended the connection before its answer. readError may
+	// not show that: net/http closes the connection then, which ends a write of the request that is
+	// still in progress with net.ErrClosed.
+	closedBeforeAnswer bool
 	// broken lists the attempts that may have crashed their servers.
 	broken []brokenAttempt
 	// disputed lists the servers whose failure the request itself may have caused.
@@ -361,13 +365,14 @@
 	defer watch.stop()
 	c.attempts.sentAt, c.attempts.answeredAt = time.Now(), time.Time{}
 	c.attempts.framing, c.attempts.bodyBytes = framing.Unknown, 0
-	c.attempts.readError = nil
+	c.attempts.readError, c.attempts.closedBeforeAnswer = nil, false
 	conns := c.pool.connectionsTo(choice.Server)
 	resp, exchange, err := httpsend.Send(conns.transport(c.attempts.sentAt), c.outgoingRequest(ctx, choice))
 	c.attempts.via = exchange.Via
 	if err != nil {
 		if ctx.Err() == nil {
 			conns.recordNoAnswer(c.attempts.sentAt, exchange)
+			c.attempts.closedBeforeAnswer = exchange.Fault() == httpsend.ConnectionClosed
 		}
 		c.attempts.readError = err
 		return c.classifySendError(ctx, err, exchange.NotSent)
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -32,6 +32,9 @@
 // serverEnded reports whether the server ended the connection before the last answer was
 // whole. A timeout or bytes that are no answer show nothing of the kind.
 func (a *attempts) serverEnded() bool {
+	if a.closedBeforeAnswer {
+		return true
+	}
 	if errors.Is(a.readError, io.EOF) {
 		return a.framing == framing.Unknown || a.framing == framing.Close
 	}
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,6 +62,35 @@
 	}
 }
 
+// Guards against a crash that nobody is told of because the engine ended while its request was
+// still written: net/http closes the connection then and reports its own closing as the error.
+func TestEngineThatEndsWhileItsRequestIsWrittenIsReported(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	b := newBed(t, bedOptions{
+		route: routing.Route{Kind: routing.Stream}, config: routing.Limits{BodyBytes: 32 << 20}, bodyMemory: 64 << 20,
+	}, ok("x"))
+	b.state.SetServers([]*registry.Server{{ID: "ends", Pool: "p", Addr: l.Addr().String(), Slots: 64}})
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_ = l.Close()
+		_, _ = io.ReadFull(conn, make([]byte, 1024))
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}()
+	b.send(ask{header: promptOf("26:100,10:50,3:20"), body: strings.Repeat("x", 16<<20)})
+	if engines, parts := b.reportedCrashes(); len(engines) != 1 || !slices.Equal(parts, []uint64{10, 26}) {
+		t.Errorf("engines %v ended under parts %v, want one under 10 and 26", engines, parts)
+	}
+}
+
 // Guards against parts that are blamed for connections that end while their engine lives, as
 // when it closes an idle one, spoils answers or limits its connections.
 func TestBrokenConnectionOfALivingEngineIsNoCrash(t *testing.T) {
