front, digest, forward: after a kill of most routers a survivor asks which versions began streams

What callers saw: with several software versions serving and most routers killed at once, callers who took their streams up again were refused (503, version_of_stream_unknown).

Cause, from the log of ldss: 8 of 9 routers end at each of three kills and are back 5 s later, callers come 0.9 s after that. Which version began a stream is known by the router that relayed it and by three others; all four were killed for most streams. The routers that are back get the placements from the survivor, so none of them asks the engines (no event 1022), and 141 requests were refused.

Change: a router that sees more than half of the others, and at least four, come back within 10 s under new process IDs, without having said that they stop, asks each engine once which prompts it has, ejected ones too, if several versions may have begun streams. A claim in the store lets one survivor do it. Silence does not count, and what callers send triggers nothing.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -542,3 +542,50 @@
 		t.Error("returned a router that is no longer live")
 	}
 }
+
+// Guards against engines that are asked because one router is cut off or restarts are spread over a release, and against
+// a kill of most routers that goes unnoticed.
+func TestMostRestartedCountsRoutersThatCameBackTogether(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		// restarts are the times between the restarts of the first routers; stops lets them say that they stop.
+		restarts []time.Duration
+		stops    bool
+		want     bool
+	}{
+		"none, all silent":       {want: false},
+		"half":                   {restarts: make([]time.Duration, 4), want: false},
+		"most":                   {restarts: make([]time.Duration, 5), want: true},
+		"all":                    {restarts: make([]time.Duration, 8), want: true},
+		"one after the other":    {restarts: slices.Repeat([]time.Duration{restartWindow / 4}, 8), want: false},
+		"most of them announced": {restarts: make([]time.Duration, 5), stops: true, want: false},
+	} {
+		p := NewPeers(addr(1), nil)
+		for n := range 8 {
+			p.RecordMessage(now, addr(n+2), &Message{Sender: uint64(n + 2)})
+		}
+		at := now.Add(time.Second)
+		for n, wait := range c.restarts {
+			at = at.Add(wait)
+			if c.stops {
+				p.RecordMessage(at, addr(n+2), &Message{Sender: uint64(n + 2), Stopping: true})
+			}
+			p.RecordMessage(at, addr(n+2), &Message{Sender: uint64(n + 102)})
+		}
+		if got := p.MostRestarted(at); got != c.want {
+			t.Errorf("%s: most restarted %v, want %v", name, got, c.want)
+		}
+		if p.MostRestarted(at.Add(restartWindow)) {
+			t.Errorf("%s: counts for longer than %v", name, restartWindow)
+		}
+	}
+	small := NewPeers(addr(1), nil)
+	for _, sender := range []uint64{1, 2} {
+		for n := range streamHolders {
+			small.RecordMessage(now, addr(n+2), &Message{Sender: sender})
+		}
+	}
+	if small.MostRestarted(now) {
+		t.Error("so few routers have restarted that each stream is still known to one")
+	}
+}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -212,6 +212,13 @@
 	return len(e.peers.Live(time.Now()))
 }
 
+// MostRestarted reports whether most other routers were killed a moment ago and are back.
+func (e *Exchange) MostRestarted() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.MostRestarted(time.Now())
+}
+
 // IsReader reports whether this router reads the store at the full rate.
 func (e *Exchange) IsReader() bool {
 	own := e.state.Progress().OwnReads
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -26,6 +26,9 @@
 	// peerRetention is how long digests are still sent to a peer from which
 	// nothing arrives, in case it returns.
 	peerRetention = 20 * time.Second
+	// restartWindow is the time in which restarts of other routers count as one. VMs that lose power together are
+	// back within a few seconds of each other.
+	restartWindow = 10 * time.Second
 	// maxTrackedPeers bounds the tracked peers.
 	maxTrackedPeers = 512
 )
@@ -55,6 +58,9 @@
 	level int64
 	// namedAt is when another router last named the peer.
 	namedAt time.Time
+	// restartedAt is when the peer was first heard after an earlier process at its address, which had not said that
+	// it stops; zero for none.
+	restartedAt time.Time
 }
 
 // Peers tracks the other routers. It does no I/O, reads no clock, and is not safe
@@ -98,7 +104,11 @@
 	}
 	isNew := peer == nil || peer.LastReceived.IsZero() || peer.Sender != m.Sender
 	if isNew {
+		earlier := peer
 		peer = &Peer{Addr: from, hash: addrHash(from), Sender: m.Sender, lastChange: make(map[int]logpos.Position)}
+		if earlier != nil && !earlier.LastReceived.IsZero() {
+			peer.restartedAt = now
+		}
 		p.tracked[from] = peer
 	}
 	peer.LastReceived = now
@@ -205,6 +215,23 @@
 	return live
 }
 
+// MostRestarted reports whether most of the routers that this one has heard were killed and are back, all within
+// restartWindow, so many that streams may have lost all routers that knew which version began them. A router that
+// is only silent does not count: this one may be cut off itself.
+func (p *Peers) MostRestarted(now time.Time) bool {
+	heard, restarted := 0, 0
+	for _, peer := range p.tracked {
+		if peer.LastReceived.IsZero() {
+			continue
+		}
+		heard++
+		if !peer.restartedAt.IsZero() && now.Sub(peer.restartedAt) < restartWindow {
+			restarted++
+		}
+	}
+	return restarted > streamHolders && 2*restarted > heard
+}
+
 // SyncedPeer returns a live peer that has the placements of the fleet. The choice
 // is random, so that many starting routers ask different ones.
 func (p *Peers) SyncedPeer(now time.Time) (netip.Addr, bool) {
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -51,6 +51,7 @@
 	ServerBrittle       = register(1047, hclog.Warn, "server says that it falls over when it has to reject too many requests")
 	ServerNotBrittle    = register(1048, hclog.Info, "server no longer says that it is brittle")
 	InventoryNotClaimed = register(1049, hclog.Warn, "platform store does not say whether another router asks the engines for their cached prompt parts")
+	VersionsCollected   = register(1050, hclog.Info, "engines were asked which versions have prompts cached, since most routers were killed")
 	InventoryCollected  = register(1022, hclog.Info, "engines were queried for their cached prompt parts")
 	InventoryFailed     = register(1023, hclog.Warn, "query of an engine's cached prompt parts failed")
 )
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -228,11 +228,20 @@
 
 // Engines returns the model engines that accept requests.
 func (st *State) Engines() []*registry.Server {
+	return st.engines(func(s balance.Status) bool { return !s.Server.Leaving && !s.Ejected })
+}
+
+// AllEngines returns the model engines, also those that get no requests at the moment.
+func (st *State) AllEngines() []*registry.Server {
+	return st.engines(func(balance.Status) bool { return true })
+}
+
+func (st *State) engines(accept func(balance.Status) bool) []*registry.Server {
 	var list []*registry.Server
 	now := time.Now()
 	st.eachPool(func(p *pool) {
 		for _, s := range p.balance.Status(now) {
-			if s.Server.Engine && !s.Server.Leaving && !s.Ejected {
+			if s.Server.Engine && accept(s) {
 				list = append(list, s.Server)
 			}
 		}
--- a/internal/forward/state_test.go
+++ b/internal/forward/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,8 +54,8 @@
 	}
 }
 
-// Guards against engines that are asked for their caches although they get no requests, and
-// servers that have none.
+// Guards against engines that are asked for their caches although they get no requests, against
+// servers that have none, and against engines whose streams are forgotten because they get no requests.
 func TestOnlyUsableEnginesAreAsked(t *testing.T) {
 	t.Parallel()
 	st, list := threeEngines()
@@ -71,6 +72,9 @@
 	if got := st.Engines(); len(got) != 1 || got[0] != list[2] {
 		t.Errorf("engines %v, want only %s", got, list[2].ID)
 	}
+	if got := st.AllEngines(); len(got) != 3 || slices.Contains(got, &plain) {
+		t.Errorf("all engines %v, want the three", got)
+	}
 	var states []string
 	for _, s := range st.Status(now)[0].Servers {
 		states = append(states, s.State)
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -115,6 +115,13 @@
 	return false
 }
 
+// VersionsUncertain reports whether, as far as this router knows, servers of several versions may have begun streams
+// that go on.
+func (st *State) VersionsUncertain() bool {
+	now := time.Now()
+	return st.severalVersions(now) || !st.streams.settled(now)
+}
+
 func (st *State) severalVersions(now time.Time) bool {
 	several := false
 	st.eachPool(func(p *pool) { several = several || p.versions.mixed(now) })
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -221,6 +221,7 @@
 		f.tomb.Go(func() error { return f.exchange.Send(ctx) })
 		f.tomb.Go(func() error { return f.collectInventory(ctx) })
 		f.tomb.Go(func() error { return f.settleVersions(ctx) })
+		f.tomb.Go(func() error { return f.watchRestarts(ctx) })
 		f.tomb.Go(func() error { return f.keepParts(ctx) })
 		f.tomb.Go(f.edge.Serve)
 		f.tomb.Go(func() error { return serve(f.ready, ready) })
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
@@ -49,7 +48,7 @@
 func (f *Front) collectInventory(ctx context.Context) error {
 	tick := time.NewTicker(inventoryCheck)
 	defer tick.Stop()
-	claimer := newInventoryClaimer(f.platform.Memory, f.events)
+	claimer := newInventoryClaimer(f.platform.Memory, inventoryKey, f.events)
 	random := rand.Float64()
 	for !f.exchange.Synced() {
 		select {
@@ -73,6 +72,42 @@
 	return nil
 }
 
+// restartCheck is the time between two checks whether most other routers have restarted. Callers take streams up
+// about a second after the routers are back.
+const restartCheck = 100 * time.Millisecond
+
+// watchRestarts asks the engines which versions have prompts cached when most of the other routers were killed while
+// several versions may serve: the others get the placements from the survivors, but which version began a stream only those
+// knew that relayed it or were told. A claim in the store lets one survivor ask.
+func (f *Front) watchRestarts(ctx context.Context) error {
+	tick := time.NewTicker(restartCheck)
+	defer tick.Stop()
+	var claimer *inventoryClaimer
+	settled := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			if !f.exchange.Synced() || !f.exchange.MostRestarted() || !f.state.VersionsUncertain() {
+				claimer, settled = nil, false
+				continue
+			}
+			if settled {
+				continue
+			}
+			if claimer == nil {
+				claimer = newInventoryClaimer(f.platform.Memory, versionsKey, f.events)
+			}
+			if claimer.claim(ctx, now) {
+				f.tellPrompts(ctx, f.queryVersions(ctx))
+				settled = true
+			}
+			settled = settled || claimer.taken(now)
+		}
+	}
+}
+
 const (
 	// tellFor is how long a router that has asked the engines tells routers that it discovers meanwhile which
 	// versions have prompts cached. It may have known nobody when it asked.
@@ -105,27 +140,44 @@
 
 // queryEngines asks all engines, records what they have cached and returns which versions have each prompt.
 func (f *Front) queryEngines(ctx context.Context) *forward.PromptVersions {
-	var wg sync.WaitGroup
-	var cachedParts atomic.Int64
-	var mu sync.Mutex
 	var prompts forward.PromptVersions
-	limiter := make(chan struct{}, inventoryCalls)
+	cachedParts := 0
 	engines := f.state.Engines()
 	limit := forward.MaxCachedParts / max(len(engines), 1)
+	f.queryAll(ctx, engines, func(s *registry.Server, parts []forward.CachedPart) {
+		prompts.Add(s, parts)
+		cachedParts += f.state.RecordCachedParts(s, parts, limit)
+	})
+	f.events.Emit(event.InventoryCollected, "engines", len(engines), "holdings", cachedParts)
+	return &prompts
+}
+
+// queryVersions asks all engines, also ejected ones, which may have begun streams all the same, and returns which versions
+// have each prompt. The placements that this router knows stay as they are.
+func (f *Front) queryVersions(ctx context.Context) *forward.PromptVersions {
+	var prompts forward.PromptVersions
+	engines := f.state.AllEngines()
+	f.queryAll(ctx, engines, prompts.Add)
+	f.events.Emit(event.VersionsCollected, "engines", len(engines))
+	return &prompts
+}
+
+// queryAll asks engines for the prompt parts that they have cached, and calls record with the parts of one after the other.
+func (f *Front) queryAll(ctx context.Context, engines []*registry.Server, record func(s *registry.Server, parts []forward.CachedPart)) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	limiter := make(chan struct{}, inventoryCalls)
 	for _, s := range engines {
 		wg.Go(func() {
 			limiter <- struct{}{}
 			defer func() { <-limiter }()
 			parts := f.queryEngine(ctx, s)
 			mu.Lock()
-			prompts.Add(s, parts)
-			mu.Unlock()
-			cachedParts.Add(int64(f.state.RecordCachedParts(s, parts, limit)))
+			defer mu.Unlock()
+			record(s, parts)
 		})
 	}
 	wg.Wait()
-	f.events.Emit(event.InventoryCollected, "engines", len(engines), "holdings", cachedParts.Load())
-	return &prompts
 }
 
 // queryEngine returns the prompt parts that one engine has cached.
--- a/internal/front/inventoryclaim.go
+++ b/internal/front/inventoryclaim.go
@@ -18,8 +18,10 @@
 // nobody else has done so.
 
 const (
-	// inventoryKey is the key of the claim in the store.
+	// inventoryKey and versionsKey are the keys of the claims in the store: of the inventory, and of the question which
+	// versions have prompts cached.
 	inventoryKey = "inventory-claim"
+	versionsKey  = "versions-claim"
 	// inventoryWait is how long a ready router waits for the digest of another one that has the placements before it
 	// claims the inventory, and inventoryJitter by how much that varies.
 	inventoryWait   = 100 * time.Millisecond
@@ -55,7 +57,7 @@
 	return inventoryWait + time.Duration(float64(inventoryJitter)*random) + time.Duration(float64(inventoryStep)*math.Log2(float64(1+before)))
 }
 
-// inventoryClaim is the value of inventoryKey.
+// inventoryClaim is the value of such a key.
 type inventoryClaim struct {
 	// WrittenAt is the time of day in Unix milliseconds.
 	WrittenAt int64 `json:"written_at_ms"`
@@ -70,9 +72,10 @@
 	return c.Number > 0 && now.Sub(time.UnixMilli(c.WrittenAt)).Abs() < claimWindow
 }
 
-// inventoryClaimer claims the inventory for one router. One goroutine owns it.
+// inventoryClaimer claims for one router what only one is to do. One goroutine owns it.
 type inventoryClaimer struct {
 	memory Memory
+	key    string
 	events *event.Logger
 	router uint64
 	// seen is the newest claim of another router, and seenAt when this one has first read it.
@@ -83,8 +86,8 @@
 	retry    time.Duration
 }
 
-func newInventoryClaimer(memory Memory, events *event.Logger) *inventoryClaimer {
-	return &inventoryClaimer{memory: memory, events: events, router: rand.Uint64(), retry: minClaimRetry}
+func newInventoryClaimer(memory Memory, key string, events *event.Logger) *inventoryClaimer {
+	return &inventoryClaimer{memory: memory, key: key, events: events, router: rand.Uint64(), retry: minClaimRetry}
 }
 
 // claim tries to claim the inventory and reports whether this router has it. It makes no call while another router has.
@@ -104,7 +107,7 @@
 }
 
 func (c *inventoryClaimer) tryClaim(ctx context.Context, now time.Time) (bool, error) {
-	value, end, err := c.memory.Read(ctx, inventoryKey)
+	value, end, err := c.memory.Read(ctx, c.key)
 	if err != nil {
 		return false, err
 	}
@@ -124,7 +127,7 @@
 	if err != nil {
 		return false, eris.Wrap(err, "cannot encode the claim")
 	}
-	written, err := c.memory.WriteAt(ctx, inventoryKey, own, end)
+	written, err := c.memory.WriteAt(ctx, c.key, own, end)
 	if err == nil && !written {
 		// Another router has been first.
 		c.nextCall = now.Add(claimHold)
@@ -145,6 +148,9 @@
 	return now.Before(c.nextCall)
 }
 
+// taken reports whether another router has made the claim a moment ago.
+func (c *inventoryClaimer) taken(now time.Time) bool { return c.seen.ofThisRestart(now) }
+
 // decodeClaim returns no claim for a value that is none.
 func decodeClaim(value []byte) (c inventoryClaim) {
 	if json.Unmarshal(value, &c) != nil {
--- a/internal/front/inventoryclaim_test.go
+++ b/internal/front/inventoryclaim_test.go
@@ -47,7 +47,7 @@
 var claimStart = time.Date(2026, 12, 5, 4, 0, 0, 0, time.UTC)
 
 func newTestClaimer(m Memory) *inventoryClaimer {
-	return newInventoryClaimer(m, event.NewLogger(hclog.NewNullLogger()))
+	return newInventoryClaimer(m, inventoryKey, event.NewLogger(hclog.NewNullLogger()))
 }
 
 // claimsWithin lets routers that never hear each other try to claim every 10 ms, and returns how many of them did.
--- a/internal/front/versions_test.go
+++ b/internal/front/versions_test.go
@@ -361,3 +361,40 @@
 
 // lateSeeds is how much later than the first router asks the engines the seeds start; a second one would ask 1.5 s later.
 const lateSeeds = 1200 * time.Millisecond
+
+// killMost ends all routers but the first few at once and starts them again.
+func (f *fleetBed) killMost(survivors int) {
+	f.t.Helper()
+	killed := f.routers[survivors:]
+	for _, r := range killed {
+		r.front.Crash()
+	}
+	for _, r := range killed {
+		r.start()
+	}
+	f.waitFor("all routers are ready and know each other", func() bool {
+		return f.all(func(r *testBed) bool { return r.isReady() && r.front.Status().Routers == len(f.routers)-1 })
+	})
+	for _, r := range killed {
+		r.allowRetries()
+	}
+}
+
+// Guards against streams that end for good because the few routers that survived the kill of most did not know them:
+// the others get the placements from these, so nobody asked the engines.
+func TestStreamsGoOnWhenMostRoutersHaveBeenKilled(t *testing.T) {
+	t.Parallel()
+	for _, survivors := range []int{1, 3} {
+		t.Run(fmt.Sprint(survivors), func(t *testing.T) {
+			t.Parallel()
+			f := newVersionedFleet(t, 9, 2*perVersion)
+			f.waitFor("the first inventory is over", func() bool { return f.askedLeast() > 0 })
+			begun, asked := f.beginAll(), f.askedMost()
+			f.killMost(survivors)
+			f.checkStreamsGoOn(begun)
+			if n := f.askedMost() - asked; n > 1 {
+				t.Errorf("an engine was asked %d times after the kill, want at most once", n)
+			}
+		})
+	}
+}
