front, digest: only the first three survivors of a kill of most routers call the store

What callers saw: nothing. In a fleet of 73 routers in which 60% are killed, each of about 30 survivors would read the claim from the store: priced calls at the moment when it has most to answer.

Change: survivors know how many others have a lower address and have not restarted; the first three try, half a second after one another, and the second finds the first one's claim.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -560,7 +560,7 @@
 		"one after the other":    {restarts: slices.Repeat([]time.Duration{restartWindow / 4}, 8), want: false},
 		"most of them announced": {restarts: make([]time.Duration, 5), stops: true, want: false},
 	} {
-		p := NewPeers(addr(1), nil)
+		p := NewPeers(addr(20), nil)
 		for n := range 8 {
 			p.RecordMessage(now, addr(n+2), &Message{Sender: uint64(n + 2)})
 		}
@@ -572,10 +572,19 @@
 			}
 			p.RecordMessage(at, addr(n+2), &Message{Sender: uint64(n + 102)})
 		}
-		if got := p.MostRestarted(at); got != c.want {
+		// One that is heard for the first time has not survived anything.
+		p.RecordMessage(at, addr(15), &Message{Sender: 15})
+		for n := len(c.restarts); n < 8; n++ {
+			p.RecordMessage(at, addr(n+2), &Message{Sender: uint64(n + 2)})
+		}
+		got, before := p.MostRestarted(at)
+		if got != c.want {
 			t.Errorf("%s: most restarted %v, want %v", name, got, c.want)
 		}
-		if p.MostRestarted(at.Add(restartWindow)) {
+		if got && before != 8-len(c.restarts) {
+			t.Errorf("%s: %d routers before this one, want %d", name, before, 8-len(c.restarts))
+		}
+		if got, _ := p.MostRestarted(at.Add(restartWindow)); got {
 			t.Errorf("%s: counts for longer than %v", name, restartWindow)
 		}
 	}
@@ -585,7 +594,7 @@
 			small.RecordMessage(now, addr(n+2), &Message{Sender: sender})
 		}
 	}
-	if small.MostRestarted(now) {
+	if got, _ := small.MostRestarted(now); got {
 		t.Error("so few routers have restarted that each stream is still known to one")
 	}
 }
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -212,8 +212,9 @@
 	return len(e.peers.Live(time.Now()))
 }
 
-// MostRestarted reports whether most other routers were killed a moment ago and are back.
-func (e *Exchange) MostRestarted() bool {
+// MostRestarted reports whether most other routers were killed a moment ago and are back, and how many of those that
+// were not have a lower address than this one.
+func (e *Exchange) MostRestarted() (most bool, before int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.peers.MostRestarted(time.Now())
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -61,6 +61,8 @@
 	// restartedAt is when the peer was first heard after an earlier process at its address, which had not said that
 	// it stops; zero for none.
 	restartedAt time.Time
+	// heardSince is when the process was first heard.
+	heardSince time.Time
 }
 
 // Peers tracks the other routers. It does no I/O, reads no clock, and is not safe
@@ -105,7 +107,7 @@
 	isNew := peer == nil || peer.LastReceived.IsZero() || peer.Sender != m.Sender
 	if isNew {
 		earlier := peer
-		peer = &Peer{Addr: from, hash: addrHash(from), Sender: m.Sender, lastChange: make(map[int]logpos.Position)}
+		peer = &Peer{Addr: from, hash: addrHash(from), Sender: m.Sender, heardSince: now, lastChange: make(map[int]logpos.Position)}
 		if earlier != nil && !earlier.LastReceived.IsZero() {
 			peer.restartedAt = now
 		}
@@ -217,9 +219,11 @@
 
 // MostRestarted reports whether most of the routers that this one has heard were killed and are back, all within
 // restartWindow, so many that streams may have lost all routers that knew which version began them. A router that
-// is only silent does not count: this one may be cut off itself.
-func (p *Peers) MostRestarted(now time.Time) bool {
+// is only silent does not count: this one may be cut off itself. before is the number of live routers with a lower
+// address than this one that were heard before and have not restarted.
+func (p *Peers) MostRestarted(now time.Time) (most bool, before int) {
 	heard, restarted := 0, 0
+	first := now
 	for _, peer := range p.tracked {
 		if peer.LastReceived.IsZero() {
 			continue
@@ -227,9 +231,22 @@
 		heard++
 		if !peer.restartedAt.IsZero() && now.Sub(peer.restartedAt) < restartWindow {
 			restarted++
+			first = earliest(first, peer.restartedAt)
 		}
 	}
-	return restarted > streamHolders && 2*restarted > heard
+	for addr, peer := range p.tracked {
+		if p.live(peer, now) && peer.heardSince.Before(first) && addr.Less(p.self) {
+			before++
+		}
+	}
+	return restarted > streamHolders && 2*restarted > heard, before
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // SyncedPeer returns a live peer that has the placements of the fleet. The choice
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -72,9 +72,15 @@
 	return nil
 }
 
-// restartCheck is the time between two checks whether most other routers have restarted. Callers take streams up
-// about a second after the routers are back.
-const restartCheck = 100 * time.Millisecond
+const (
+	// restartCheck is the time between two checks whether most other routers have restarted. Callers take streams up
+	// about a second after the routers are back.
+	restartCheck = 100 * time.Millisecond
+	// maxSurvivors is the number of survivors that may ask the engines then, and survivorStep the time by which each
+	// waits longer than the one before it. In a large fleet the others would only add calls to the store.
+	maxSurvivors = 3
+	survivorStep = 500 * time.Millisecond
+)
 
 // watchRestarts asks the engines which versions have prompts cached when most of the other routers were killed while
 // several versions may serve: the others get the placements from the survivors, but which version began a stream only those
@@ -83,21 +89,23 @@
 	tick := time.NewTicker(restartCheck)
 	defer tick.Stop()
 	var claimer *inventoryClaimer
+	var since time.Time
 	settled := false
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-tick.C:
-			if !f.exchange.Synced() || !f.exchange.MostRestarted() || !f.state.VersionsUncertain() {
+			most, before := f.exchange.MostRestarted()
+			if !most || !f.exchange.Synced() || !f.state.VersionsUncertain() {
 				claimer, settled = nil, false
 				continue
 			}
-			if settled {
-				continue
-			}
 			if claimer == nil {
-				claimer = newInventoryClaimer(f.platform.Memory, versionsKey, f.events)
+				claimer, since = newInventoryClaimer(f.platform.Memory, versionsKey, f.events), now
+			}
+			if settled || before >= maxSurvivors || now.Sub(since) < time.Duration(before)*survivorStep {
+				continue
 			}
 			if claimer.claim(ctx, now) {
 				f.tellPrompts(ctx, f.queryVersions(ctx))
