forward, digest: a router out of step sends no stream to another version

What callers would see: while one router is cut off from the others and the store, or stands still, engines of a new version join. Streams that these began through other routers break off, callers take them up at that router, and it sends them to engines of the version that it knows: a joined text (ORDER).

Shown: TestRouterOutOfStepSendsNoStreamToAnotherVersion cuts one of four routers off while a second version joins; before the change each stream of v2 that it got to take up went on at v1.

Cause: a router that has known one version for 2 minutes took that for proof and asked nobody.

Change: one that has heard others in the last 20 s asks the first eight by hash of the stream whatever it knows, and goes on when one of them answers that it has known one version only. When none answers in 120 ms, a router that reads the store itself goes on, and any other refuses with 503. The answer counts for the stream that was asked for.

Cost: eight datagrams and an answer for each stream that is taken up at another router while one version serves; nothing for others.

Tests: TestRouterThatMayBeOutdatedAsksTheOthers; three rules that, taken out, are found. TestVersionThatHasGoneIsRemembered runs at a router that has run for long now: the rule that it names was not guarded before, since a new router refuses for another reason.

--- a/internal/digest/streams.go
+++ b/internal/digest/streams.go
@@ -54,6 +54,16 @@
 	e.sendTo(addrs, &Message{Sender: e.sender, AskedStreams: []uint64{uint64(s)}})
 }
 
+// HasOthers reports whether this router has heard others lately.
+func (e *Exchange) HasOthers() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.heardAny()
+}
+
+// ReadsStore reports whether this router reads the store for the others, with success.
+func (e *Exchange) ReadsStore() bool { return e.Reading() && e.state.Progress().OwnReads.Succeed }
+
 // rankedPeer is a router with its place in the order of rendezvous hashing, highest rank first.
 type rankedPeer struct {
 	addr netip.Addr
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -25,6 +25,10 @@
 type FleetStreams interface {
 	TellStreams(list []streamversion.Record)
 	AskForStream(s streamversion.Stream)
+	// HasOthers reports whether this router has heard others lately.
+	HasOthers() bool
+	// ReadsStore reports whether this router reads the store itself, with success.
+	ReadsStore() bool
 }
 
 // noFleet is a router without others.
@@ -32,6 +36,8 @@
 
 func (noFleet) TellStreams([]streamversion.Record) {}
 func (noFleet) AskForStream(streamversion.Stream)  {}
+func (noFleet) HasOthers() bool                    { return false }
+func (noFleet) ReadsStore() bool                   { return false }
 
 // streamVersions is what a router knows of the versions that began streams. It is safe for
 // concurrent use.
@@ -44,11 +50,22 @@
 	table *streamversion.Table
 	// answered is closed and replaced when another router has told of streams.
 	answered chan struct{}
+	// questions are those that wait for an answer.
+	questions map[streamversion.Stream]*question
+}
+
+// question is a question for the version of a stream.
+type question struct {
+	// waiting is the number of requests that wait for the answer.
+	waiting int
+	// oneVersion is set when another router has answered that it has known one version only.
+	oneVersion bool
 }
 
 func newStreamVersions() *streamVersions {
 	return &streamVersions{
 		fleet: noFleet{}, knownSince: time.Now(), table: streamversion.NewTable(), answered: make(chan struct{}),
+		questions: make(map[streamversion.Stream]*question),
 	}
 }
 
@@ -66,6 +83,9 @@
 			// The other router has known one version only, and what has come since its own start
 			// this one has seen itself.
 			v.knownSince = time.Time{}
+			if q := v.questions[r.Stream]; q != nil {
+				q.oneVersion = true
+			}
 			continue
 		}
 		v.table.Record(time.Now(), r, false)
@@ -154,15 +174,41 @@
 
 // ask returns the version that began a stream, which another router may know, or that of the engines
 // which have its prompt cached. It waits for an answer for a short time, but when it knows of one version
-// only not longer than until another router says the same.
-func (v *streamVersions) ask(ctx context.Context, s, prompt streamversion.Stream, several bool) (version streamversion.Version, known bool) {
+// only not longer than until another router says the same, which oneVersion reports.
+func (v *streamVersions) ask(ctx context.Context, s, prompt streamversion.Stream, several bool) (version streamversion.Version, known, oneVersion bool) {
+	q := v.begin(s)
+	defer v.end(s, q)
 	for range maxAsked {
 		var ended bool
-		if version, known, ended = v.askOnce(ctx, s, prompt, several); ended {
+		if version, known, ended = v.askOnce(ctx, s, prompt, q, several); ended {
 			break
 		}
 	}
-	return version, known
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return version, known, q.oneVersion
+}
+
+// begin returns the question for a stream.
+func (v *streamVersions) begin(s streamversion.Stream) *question {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	q := v.questions[s]
+	if q == nil {
+		q = &question{}
+		v.questions[s] = q
+	}
+	q.waiting++
+	return q
+}
+
+// end forgets a question for which no other request waits.
+func (v *streamVersions) end(s streamversion.Stream, q *question) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if q.waiting--; q.waiting == 0 {
+		delete(v.questions, s)
+	}
 }
 
 // findEither returns the version of a stream, else that of the engines that have its prompt cached. The
@@ -175,7 +221,7 @@
 }
 
 // askOnce asks once; ended is set when it is no use to ask again.
-func (v *streamVersions) askOnce(ctx context.Context, s, prompt streamversion.Stream, several bool) (version streamversion.Version, known, ended bool) {
+func (v *streamVersions) askOnce(ctx context.Context, s, prompt streamversion.Stream, q *question, several bool) (version streamversion.Version, known, ended bool) {
 	v.fleet.AskForStream(s)
 	if prompt != 0 {
 		v.fleet.AskForStream(prompt)
@@ -186,7 +232,7 @@
 		v.mu.Lock()
 		now := time.Now()
 		version, known = v.findEither(now, s, prompt)
-		ended = known || !several && v.knowsAll(now)
+		ended = known || !several && q.oneVersion
 		answered := v.answered
 		v.mu.Unlock()
 		if ended {
@@ -208,21 +254,28 @@
 	if !c.headers.takesUp() || !c.mayBeTakenUp() {
 		return true
 	}
-	streams, now := c.handler.state.streams, time.Now()
-	several := c.pool.severalVersions(now)
-	version, known := streams.find(now, c.streamID())
-	if !known && (several || !streams.settled(now)) {
-		version, known = streams.ask(c.r.Context(), c.streamID(), c.promptStream(), several)
-	}
-	if !known && (several || !streams.settled(now)) {
-		// Without servers of another version now there may have been some a moment ago.
-		c.refuse(CauseVersionUnknown)
-		return false
+	streams := c.handler.state.streams
+	version, known := streams.find(time.Now(), c.streamID())
+	several := c.pool.severalVersions(time.Now())
+	if !known && (several || streams.mayBeOutdated()) {
+		var oneVersion bool
+		version, known, oneVersion = streams.ask(c.r.Context(), c.streamID(), c.promptStream(), several)
+		// Without servers of another version now there may have been some a moment ago, and there may be some of which
+		// this router has not heard because it was cut off or stood still. Who reads the store has heard of them.
+		several = c.pool.severalVersions(time.Now())
+		if !known && (several || !streams.settled(time.Now()) || !oneVersion && !streams.fleet.ReadsStore()) {
+			c.refuse(CauseVersionUnknown)
+			return false
+		}
 	}
 	c.version = version
 	return true
 }
 
+// mayBeOutdated reports whether only others can tell that this router knows all versions: it has not run for long, or
+// it may have missed that servers of another version came.
+func (v *streamVersions) mayBeOutdated() bool { return !v.settled(time.Now()) || v.fleet.HasOthers() }
+
 // mayBeTakenUp reports whether callers may continue the streams of the route.
 func (c *call) mayBeTakenUp() bool { return c.route.Kind == routing.Stream && c.route.Resumable }
 
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"sync"
@@ -20,8 +21,15 @@
 	mu    sync.Mutex
 	told  []streamversion.Record
 	asked int
+	// others is set when the router has heard others, and readsStore when it reads the store itself.
+	others, readsStore bool
+	// instead is the stream that answers name; 0 for the one that was asked for.
+	instead streamversion.Stream
 }
 
+func (f *fleetStreams) HasOthers() bool  { return f.others }
+func (f *fleetStreams) ReadsStore() bool { return f.readsStore }
+
 func (f *fleetStreams) TellStreams(list []streamversion.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -33,7 +41,7 @@
 	f.asked++
 	f.mu.Unlock()
 	if version, ok := f.known[s]; ok {
-		f.state.RecordStreams([]streamversion.Record{{Stream: s, Version: version}})
+		f.state.RecordStreams([]streamversion.Record{{Stream: cmp.Or(f.instead, s), Version: version}})
 	}
 }
 
@@ -83,6 +91,8 @@
 	t.Parallel()
 	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
 	f := b.versioned("v1", "v2")
+	// It has run for long, so that only the version that has gone makes it refuse.
+	b.state.streams.knownSince = time.Now().Add(-time.Hour)
 	f.known[streamversion.StreamOf("first")] = streamversion.VersionOf("v1")
 	b.state.SetServers(b.servers[1:2])
 	for stream, cause := range map[string]Cause{"first": CauseNoServerOfVersion, "unknown": CauseVersionUnknown} {
@@ -142,6 +152,46 @@
 	}
 }
 
+// Guards against a router that has run for long, was cut off or stood still while servers of another version came, and
+// sends streams which these began to the servers that it knows; and against refusals when nothing else is known.
+func TestRouterThatMayBeOutdatedAsksTheOthers(t *testing.T) {
+	t.Parallel()
+	v2 := map[streamversion.Stream]streamversion.Version{streamversion.StreamOf("first"): streamversion.VersionOf("v2")}
+	one := map[streamversion.Stream]streamversion.Version{streamversion.StreamOf("first"): 0}
+	for name, c := range map[string]struct {
+		known                        map[streamversion.Stream]streamversion.Version
+		instead                      streamversion.Stream
+		readsStore, several, started bool
+		want                         int
+	}{
+		"another version began it":                     {known: v2, readsStore: true, want: 503},
+		"others know one version":                      {known: one, want: 200},
+		"others know one version, of another stream":   {known: one, instead: streamversion.StreamOf("second"), want: 503},
+		"nobody answers":                               {want: 503},
+		"nobody answers a reader of the store":         {readsStore: true, want: 200},
+		"nobody answers a reader that has two":         {readsStore: true, several: true, want: 503},
+		"nobody answers a reader that has just begun":  {readsStore: true, started: true, want: 503},
+		"others know one version, this router has two": {known: one, several: true, want: 503},
+	} {
+		b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+		second := "v1"
+		if c.several {
+			second = "v2"
+		}
+		f := b.versioned("v1", second)
+		f.known, f.instead, f.others, f.readsStore = c.known, c.instead, true, c.readsStore
+		if !c.started {
+			b.state.streams.knownSince = time.Now().Add(-time.Hour)
+		}
+		if got := b.send(takeUp("first")); got.status != c.want || f.asked == 0 {
+			t.Errorf("%s: status %d after %d questions, want %d", name, got.status, f.asked, c.want)
+		}
+		if n := len(b.state.streams.questions); n > 0 {
+			t.Errorf("%s: %d questions are kept", name, n)
+		}
+	}
+}
+
 // Guards against a router that locks itself out when another one asks for a stream that it does not
 // know.
 func TestSettledRouterAnswersThatItKnowsOneVersion(t *testing.T) {
--- a/internal/front/versions_test.go
+++ b/internal/front/versions_test.go
@@ -1,13 +1,18 @@
 package front_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/feed"
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
@@ -22,7 +27,7 @@
 // newVersionedFleet starts routers before engines of two versions, which break each stream off
 // that they begin. On the route "single" a router does not continue it. The store has the first
 // engines, which are of the first version.
-func newVersionedFleet(t *testing.T, routers, registered int) *fleetBed {
+func newVersionedFleet(t *testing.T, routers, registered int, prepare ...func(f *fleetBed)) *fleetBed {
 	t.Helper()
 	f := newFleetWith(t, routers, 0, func(f *fleetBed) {
 		for i := range 2 * perVersion {
@@ -39,6 +44,9 @@
 		}
 		f.publish(versionedConfig())
 		f.register(platformtest.StateReady, f.engines[:registered]...)
+		for _, p := range prepare {
+			p(f)
+		}
 	})
 	for _, r := range f.routers {
 		r.allowRetries()
@@ -398,3 +406,83 @@
 		})
 	}
 }
+
+// errCut is the error of a call to the store while its router is cut off.
+var errCut = errors.New("cut off from the store")
+
+// cutSource is the way to a topic of the store, which may be cut.
+type cutSource struct {
+	feed.Source
+	cut *atomic.Bool
+}
+
+func (s *cutSource) Newest(ctx context.Context) (feed.Page, error) {
+	if s.cut.Load() {
+		return feed.Page{}, errCut
+	}
+	return s.Source.Newest(ctx)
+}
+
+func (s *cutSource) Read(ctx context.Context, from int64, wait time.Duration) (feed.Page, error) {
+	if s.cut.Load() {
+		return feed.Page{}, errCut
+	}
+	page, err := s.Source.Read(ctx, from, wait)
+	if s.cut.Load() {
+		return feed.Page{}, errCut
+	}
+	return page, err
+}
+
+// Guards against a router that is cut off while engines of a new version join, and sends streams which these began
+// to engines of the version that it knows: it takes it for the only one.
+func TestRouterOutOfStepSendsNoStreamToAnotherVersion(t *testing.T) {
+	t.Parallel()
+	const cutOff = 3
+	var link *peerLink
+	var storeCut atomic.Bool
+	f := newVersionedFleet(t, 4, perVersion, func(f *fleetBed) {
+		for _, r := range f.routers {
+			// No version is gone that any of them would not know.
+			r.restarted = false
+		}
+		link = newPeerLink(t, f, cutOff)
+		f.routers[cutOff].wrapSource = func(s feed.Source) feed.Source { return &cutSource{s, &storeCut} }
+	})
+	takeUpAll := func(begun []versionedStream) (whole int) {
+		for _, s := range begun {
+			id, got := f.routers[cutOff].takeUp("/single", s.n, s.id, s.last)
+			if got.err != nil || got.status != http.StatusOK {
+				continue
+			}
+			whole++
+			if version := strings.Join(f.versionsOf(id), " and "); version != s.version {
+				t.Errorf("a stream of %s went on at %s", s.version, version)
+			}
+		}
+		return whole
+	}
+	begin := func() []versionedStream {
+		var begun []versionedStream
+		for n := range versionedStreams {
+			id, last, _ := f.routers[n%cutOff].begin("/single", n)
+			begun = append(begun, versionedStream{id: id, last: last, version: strings.Join(f.versionsOf(id), " and "), n: n})
+		}
+		return begun
+	}
+	if whole := takeUpAll(begin()); whole < versionedStreams*9/10 {
+		t.Errorf("%d of %d streams of the only version went on", whole, versionedStreams)
+	}
+	all := func(netip.Addr, netip.Addr) bool { return true }
+	storeCut.Store(true)
+	link.drop.Store(&all)
+	f.register(platformtest.StateReady, f.engines[perVersion:]...)
+	for _, r := range f.routers[:cutOff] {
+		f.waitFor("both versions are there", func() bool { return len(r.front.Status().Pools[0].Servers) == 2*perVersion })
+	}
+	begun := begin()
+	takeUpAll(begun)
+	storeCut.Store(false)
+	link.drop.Store(nil)
+	f.waitFor("streams go on again", func() bool { return takeUpAll(begun) >= versionedStreams*9/10 })
+}
