--- /dev/null
+++ b/review/standin/turnedaway.go
@@ -0,0 +1,174 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// The bounds of the site.
+const (
+	// configApply is configApplyMs, drainTime is drainMs.
+	configApply = 2 * time.Second
+	drainTime   = 2 * time.Second
+)
+
+const (
+	// trials is how often the store turns routers away, each time for awayTime, and trialTime the
+	// time from one to the next.
+	trials    = 10
+	awayTime  = 4 * time.Second
+	trialTime = 9500 * time.Millisecond
+	// turnedAway is the number of routers that the store turns away: 3 of 9, a share of 0.33.
+	turnedAway = 3
+	// leadTime is how long the fleet runs undisturbed before.
+	leadTime = 6 * time.Second
+	// A server is replaced in each trial: the new one enters enterLead before the disruption, and
+	// the old one says leaveDelay after its begin that it leaves. At the same moment a key is
+	// taken away.
+	enterLead  = 400 * time.Millisecond
+	leaveDelay = 50 * time.Millisecond
+	// watchTime is how long requests are sent after that, and the server serves on.
+	watchTime = 3500 * time.Millisecond
+	// sendInterval is the time between two requests of a caller.
+	sendInterval = 40 * time.Millisecond
+)
+
+// trial is what one time of the disruption has shown.
+type trial struct {
+	// sent has the requests with the key that is taken away, all sent to routers that the store
+	// serves.
+	sent []request
+	// leaving is the server that leaves; leavesAt and revokedAt are the confirmations of the store.
+	leaving             *server
+	leavesAt, revokedAt time.Time
+}
+
+// judge returns the requests of a trial that break the rule.
+type judge func(b *bed, t trial) []string
+
+// turnedAwayReaders lets the store give no answer to three of nine routers, while a server of a
+// release leaves and a key is taken away. The other routers are undisturbed.
+func turnedAwayReaders(b *bed, judge judge) ([]string, error) {
+	op := &operator{rec: b.rec, store: b.store, keys: map[string]string{"kept-key": "hule930"}}
+	for i := range trials {
+		op.keys[trialKey(i)] = "xola115"
+	}
+	op.publish("first")
+	if err := b.fleet.startAll(); err != nil {
+		return nil, err
+	}
+	if err := b.fleet.awaitReady(10 * time.Second); err != nil {
+		return nil, err
+	}
+	b.rec.add("all routers are ready")
+	time.Sleep(leadTime)
+	var broken []string
+	for i := range trials {
+		begun := time.Now()
+		t, err := runTrial(b, op, i)
+		if err != nil {
+			return nil, err
+		}
+		broken = append(broken, judge(b, t)...)
+		time.Sleep(trialTime - time.Since(begun))
+	}
+	return broken, nil
+}
+
+func trialKey(i int) string { return fmt.Sprintf("key-%d", i) }
+
+// runTrial plays the disruption once.
+func runTrial(b *bed, op *operator, i int) (trial, error) {
+	t := trial{leaving: b.servers[i]}
+	if _, err := b.addServer(t.leaving.zone); err != nil {
+		return t, err
+	}
+	time.Sleep(enterLead)
+	if b.trouble {
+		turnAway(b)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	end := time.Now().Add(leaveDelay + watchTime)
+	for _, r := range b.fleet.routers[turnedAway:] {
+		wg.Go(func() {
+			list := sendUntil(newCaller(b.rec, r), trialKey(i), end)
+			mu.Lock()
+			defer mu.Unlock()
+			t.sent = append(t.sent, list...)
+		})
+	}
+	time.Sleep(leaveDelay)
+	t.leavesAt = t.leaving.drain()
+	b.rec.add("confirmed that server %s leaves", t.leaving.id)
+	delete(op.keys, trialKey(i))
+	t.revokedAt = op.publish("without " + trialKey(i))
+	wg.Wait()
+	t.leaving.leave()
+	return t, nil
+}
+
+// turnAway makes the store give no answer to the first routers by address for awayTime.
+func turnAway(b *bed) {
+	away := []int{}
+	for n := range turnedAway {
+		away = append(away, n)
+	}
+	b.store.setSilent(away, true)
+	b.rec.add("the store gives no answer to %d of %d routers", turnedAway, len(b.fleet.routers))
+	time.AfterFunc(awayTime, func() {
+		b.store.setSilent(away, false)
+		b.rec.add("the store answers all routers")
+	})
+}
+
+// sendUntil sends requests until a time, by turns with a key and with one that is kept.
+func sendUntil(c *caller, key string, end time.Time) []request {
+	var list []request
+	for i := 0; time.Now().Before(end); i++ {
+		method, path := http.MethodPost, unsafePath+"2f"
+		if i%3 == 2 {
+			method, path = http.MethodGet, safePath+"fi50/2f"
+		}
+		used := key
+		if i%2 == 1 {
+			used = "kept-key"
+		}
+		list = append(list, c.send(method, path, used))
+		time.Sleep(sendInterval)
+	}
+	return list
+}
+
+// judgeRevoked returns the requests that were sent later than configApply after the confirmation that
+// their key is gone, and ran.
+func judgeRevoked(b *bed, t trial) []string {
+	var broken []string
+	for _, q := range t.sent {
+		late := q.sentAt.Sub(t.revokedAt)
+		if runs := b.runs.of(q.id); q.key != "kept-key" && late > configApply && len(runs) > 0 {
+			broken = append(broken, fmt.Sprintf("request %s with %s, sent to %s %d ms after the confirmation that the key is gone, ran at %s and got %d",
+				q.id, q.key, q.router.name, late.Milliseconds(), runs[0].server, q.status))
+		}
+	}
+	return broken
+}
+
+// judgeLeaving returns the requests that reached the leaving server later than drainTime after the
+// confirmation that it leaves.
+func judgeLeaving(b *bed, t trial) []string {
+	var broken []string
+	for _, q := range t.sent {
+		for _, x := range b.runs.of(q.id) {
+			if late := x.at.Sub(t.leavesAt); x.server == t.leaving.id && late > drainTime {
+				broken = append(broken, fmt.Sprintf("request %s from %s reached %s %d ms after the confirmation that it leaves",
+					q.id, q.router.name, x.server, late.Milliseconds()))
+			}
+		}
+	}
+	return broken
+}
