--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -62,7 +62,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUnable
 	}
-	defer os.RemoveAll(tmp)
+	if os.Getenv("KEEP") == "" {
+		defer os.RemoveAll(tmp)
+	}
 	b, err := newBed(rec, binary, tmp)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standin/turnedaway.go
+++ b/review/standin/turnedaway.go
@@ -19,22 +19,23 @@
 const (
 	// trials is how often the store turns routers away, each time for awayTime, and trialTime the
 	// time from one to the next.
-	trials    = 10
-	awayTime  = 4 * time.Second
-	trialTime = 9500 * time.Millisecond
+	trials    = 9
+	awayTime  = 3 * time.Second
+	trialTime = 11500 * time.Millisecond
 	// turnedAway is the number of routers that the store turns away: 3 of 9, a share of 0.33.
 	turnedAway = 3
 	// leadTime is how long the fleet runs undisturbed before.
 	leadTime = 6 * time.Second
-	// A server is replaced in each trial: the new one enters enterLead before the disruption, and
-	// the old one says leaveDelay after its begin that it leaves. At the same moment a key is
-	// taken away.
+	// Work of the operators goes on: in each trial a key is added addLead before the disruption, and
+	// taken away leaveDelay after its begin. A server is replaced: the new one enters enterLead
+	// before, and the old one says that it leaves when the key is taken away.
+	addLead    = 900 * time.Millisecond
 	enterLead  = 400 * time.Millisecond
-	leaveDelay = 50 * time.Millisecond
+	leaveDelay = 10 * time.Millisecond
 	// watchTime is how long requests are sent after that, and the server serves on.
 	watchTime = 3500 * time.Millisecond
 	// sendInterval is the time between two requests of a caller.
-	sendInterval = 40 * time.Millisecond
+	sendInterval = 30 * time.Millisecond
 )
 
 // trial is what one time of the disruption has shown.
@@ -54,9 +55,6 @@
 // release leaves and a key is taken away. The other routers are undisturbed.
 func turnedAwayReaders(b *bed, judge judge) ([]string, error) {
 	op := &operator{rec: b.rec, store: b.store, keys: map[string]string{"kept-key": "hule930"}}
-	for i := range trials {
-		op.keys[trialKey(i)] = "xola115"
-	}
 	op.publish("first")
 	if err := b.fleet.startAll(); err != nil {
 		return nil, err
@@ -74,7 +72,9 @@
 			return nil, err
 		}
 		broken = append(broken, judge(b, t)...)
-		time.Sleep(trialTime - time.Since(begun))
+		if i < trials-1 {
+			time.Sleep(trialTime - time.Since(begun))
+		}
 	}
 	return broken, nil
 }
@@ -84,6 +84,9 @@
 // runTrial plays the disruption once.
 func runTrial(b *bed, op *operator, i int) (trial, error) {
 	t := trial{leaving: b.servers[i]}
+	op.keys[trialKey(i)] = "xola115"
+	op.publish("with " + trialKey(i))
+	time.Sleep(addLead - enterLead)
 	if _, err := b.addServer(t.leaving.zone); err != nil {
 		return t, err
 	}
@@ -126,7 +129,7 @@
 	})
 }
 
-// sendUntil sends requests until a time, by turns with a key and with one that is kept.
+// sendUntil sends requests with a key until a time.
 func sendUntil(c *caller, key string, end time.Time) []request {
 	var list []request
 	for i := 0; time.Now().Before(end); i++ {
@@ -134,11 +137,7 @@
 		if i%3 == 2 {
 			method, path = http.MethodGet, safePath+"fi50/2f"
 		}
-		used := key
-		if i%2 == 1 {
-			used = "kept-key"
-		}
-		list = append(list, c.send(method, path, used))
+		list = append(list, c.send(method, path, key))
 		time.Sleep(sendInterval)
 	}
 	return list
@@ -150,7 +149,7 @@
 	var broken []string
 	for _, q := range t.sent {
 		late := q.sentAt.Sub(t.revokedAt)
-		if runs := b.runs.of(q.id); q.key != "kept-key" && late > configApply && len(runs) > 0 {
+		if runs := b.runs.of(q.id); late > configApply && len(runs) > 0 {
 			broken = append(broken, fmt.Sprintf("request %s with %s, sent to %s %d ms after the confirmation that the key is gone, ran at %s and got %d",
 				q.id, q.key, q.router.name, late.Milliseconds(), runs[0].server, q.status))
 		}
