review: case 1, killed readers that are soon back (DRAIN)

Three routers read the store for the others. When they are killed at the same moment and are back within 1.2 s, what was removed from the store meanwhile is told to nobody, and routers that nothing has disturbed use an engine that has left, for up to 30 s.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -27,7 +27,9 @@
 	callers, readiness string
 	peers              netip.AddrPort
 	settings           string
-	cmd                *exec.Cmd
+	// values is what the settings file has.
+	values map[string]any
+	cmd    *exec.Cmd
 }
 
 // fleet is all routers, in the order of their addresses.
@@ -85,7 +87,7 @@
 
 // write writes the settings file, with the values of the platform's sheet in the form of the template.
 func (r *router) write(metrics int, seeds []string, store string) error {
-	text, err := json.MarshalIndent(map[string]any{
+	r.values = map[string]any{
 		"vm": r.name, "data_centre": r.zone, "region": "highlands", "first_start": true,
 		"listen": map[string]string{
 			"callers": r.callers, "readiness": r.readiness, "peers": r.peers.String(),
@@ -95,7 +97,13 @@
 		"limits":  map[string]int{"memory_mb": 284, "cores": 1},
 		"bounds":  map[string]any{"stop": "8s", "load_multiple": 2, "retry_ratio": 0.2, "retry_window": "10s", "retry_extra": 58},
 		"logging": map[string]string{"level": "info", "format": "json"},
-	}, "", "  ")
+	}
+	return r.save()
+}
+
+// save writes the settings file as values has it.
+func (r *router) save() error {
+	text, err := json.MarshalIndent(r.values, "", "  ")
 	if err != nil {
 		return err
 	}
@@ -148,6 +156,28 @@
 	return nil
 }
 
+// restart starts the process of a router that was killed. The system as a whole does not start for the
+// first time then.
+func (f *fleet) restart(r *router) error {
+	r.values["first_start"] = false
+	if err := r.save(); err != nil {
+		return err
+	}
+	return f.start(r)
+}
+
+// kill ends the process of a router with SIGKILL.
+func (f *fleet) kill(r *router) error {
+	if err := r.cmd.Process.Kill(); err != nil {
+		return err
+	}
+	f.rec.add("kill %s", r.name)
+	// The error tells of the signal.
+	_ = r.cmd.Wait()
+	r.cmd = nil
+	return nil
+}
+
 // stopAll ends the processes that were started.
 func (f *fleet) stopAll() {
 	for _, r := range f.routers {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,10 +12,20 @@
 	"os"
 )
 
-// scenario plays one case and returns the requests that break the rule.
-type scenario func(b *bed) (broken []string, err error)
+// scenario is a case.
+type scenario struct {
+	// play plays the case and returns the requests that break the rule.
+	play func(b *bed) (broken []string, err error)
+	// beatsAreRecords is set when each heartbeat of a server is a record of the store, also one
+	// that changes nothing but the entry's seq.
+	beatsAreRecords bool
+}
 
-var scenarios = map[string]scenario{"turned-away-readers": turnedAwayReaders}
+var scenarios = map[string]scenario{
+	"killed-readers":      {play: killedReaders},
+	"turned-away-drain":   {play: turnedAwayDrain},
+	"turned-away-readers": {play: turnedAwayReaders, beatsAreRecords: true},
+}
 
 // bed is the deployment that a scenario plays on.
 type bed struct {
@@ -43,8 +53,8 @@
 }
 
 func play(name, binary, dir string) int {
-	scene := scenarios[name]
-	if scene == nil {
+	scene, ok := scenarios[name]
+	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown scenario", name)
 		return exitUnable
 	}
@@ -62,13 +72,13 @@
 	if os.Getenv("KEEP") == "" {
 		defer os.RemoveAll(tmp)
 	}
-	b, err := newBed(rec, binary, tmp)
+	b, err := newBed(rec, binary, tmp, scene.beatsAreRecords)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUnable
 	}
 	defer b.fleet.stopAll()
-	broken, err := scene(b)
+	broken, err := scene.play(b)
 	if err != nil {
 		rec.add("the case could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
@@ -88,7 +98,7 @@
 }
 
 // newBed starts the store and the servers, and prepares the routers.
-func newBed(rec *record, binary, tmp string) (*bed, error) {
+func newBed(rec *record, binary, tmp string, beatsAreRecords bool) (*bed, error) {
 	routers := 0
 	for _, zone := range zones {
 		routers += zone.routers
@@ -97,6 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
+	st.beatsAreRecords = beatsAreRecords
 	b := &bed{rec: rec, store: st, runs: newRuns(), trouble: os.Getenv("TROUBLE") != "0"}
 	for _, zone := range zones {
 		if _, err := b.addServer(zone.name); err != nil {
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -37,9 +37,6 @@
 	r.out.WriteByte('\n')
 }
 
-// seconds returns a moment as seconds since the start.
-func (r *record) seconds(t time.Time) float64 { return t.Sub(r.begun).Seconds() }
-
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -32,7 +32,9 @@
 
 	mu    sync.Mutex
 	state string
-	done  chan struct{}
+	// written is the state in the newest record of the entry.
+	written string
+	done    chan struct{}
 }
 
 // run is a request that a server has begun to work on.
@@ -66,8 +68,12 @@
 
 func (s *server) write() time.Time {
 	s.mu.Lock()
-	state := s.state
+	state, same := s.state, s.state == s.written
+	s.written = state
 	s.mu.Unlock()
+	if same && !s.store.beatsAreRecords {
+		return time.Now()
+	}
 	value, _ := json.Marshal(map[string]any{
 		"upstream": s.pool, "addr": s.listener.Addr().String(), "zone": s.zone, "version": "v1", "slots": s.slots,
 		"state": state, "coldLeftMs": 0, "seq": s.seq.Add(1),
@@ -85,10 +91,16 @@
 
 // leave ends the server: its entry goes, and it takes no more connections.
 func (s *server) leave() {
+	s.unregister()
+	s.listener.Close()
+}
+
+// unregister makes the server's entry go, while it serves on, and returns when the store has
+// confirmed that.
+func (s *server) unregister() time.Time {
 	close(s.done)
 	time.Sleep(2 * appendTime)
-	s.store.put("keyed.servers", s.id, nil)
-	s.listener.Close()
+	return s.store.put("keyed.servers", s.id, nil)
 }
 
 // ServeHTTP runs a request that is meant for this server.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -30,6 +30,8 @@
 type store struct {
 	rec       *record
 	listeners []net.Listener
+	// beatsAreRecords is set when a server's heartbeat that changes only the seq of its entry is a record.
+	beatsAreRecords bool
 
 	mu       sync.Mutex
 	topics   map[string][]entry
--- a/review/standin/turnedaway.go
+++ b/review/standin/turnedaway.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -46,7 +45,50 @@
 // turnedAwayReaders lets the store give no answer to three of nine routers, while a server of a
 // release leaves and a key is taken away. The other routers are undisturbed.
 func turnedAwayReaders(b *bed) ([]string, error) {
-	op := &operator{rec: b.rec, store: b.store, keys: map[string]string{"kept-key": "hule930"}}
+	op, err := startFleet(b)
+	if err != nil {
+		return nil, err
+	}
+	return repeat(trials, trialTime, func(i int) ([]string, error) {
+		t, err := runTrial(b, op, i)
+		return judgeRevoked(b, t), err
+	})
+}
+
+// turnedAwayDrain lets the store give no answer to three of nine routers, while a server of a release
+// leaves. A key is added as the new server enters. The other routers are undisturbed.
+func turnedAwayDrain(b *bed) ([]string, error) {
+	op, err := startFleet(b)
+	if err != nil {
+		return nil, err
+	}
+	return repeat(trials, trialTime, func(i int) ([]string, error) {
+		leaving := b.servers[i]
+		op.keys[trialKey(i)] = "xola115"
+		op.publish("with " + trialKey(i))
+		if _, err := b.addServer(leaving.zone); err != nil {
+			return nil, err
+		}
+		time.Sleep(enterLead)
+		if b.trouble {
+			turnAway(b)
+		}
+		sent := sendToAll(b, b.fleet.routers[turnedAway:], keptKey, leaveDelay+watchTime)
+		time.Sleep(leaveDelay)
+		leavesAt := leaving.drain()
+		b.rec.add("confirmed that server %s leaves", leaving.id)
+		list := <-sent
+		leaving.leave()
+		return judgeDrained(b, leaving, leavesAt, list), nil
+	})
+}
+
+// keptKey is a key that holds all the time.
+const keptKey = "kept-key"
+
+// startFleet starts all routers with a first configuration, and returns the operator.
+func startFleet(b *bed) (*operator, error) {
+	op := &operator{rec: b.rec, store: b.store, keys: map[string]string{keptKey: "hule930"}}
 	op.publish("first")
 	if err := b.fleet.startAll(); err != nil {
 		return nil, err
@@ -56,21 +98,43 @@
 	}
 	b.rec.add("all routers are ready")
 	time.Sleep(leadTime)
-	var broken []string
-	for i := range trials {
+	return op, nil
+}
+
+// repeat plays a trial n times, the begins of two apart by interval, and returns the requests that
+// break the rule in any.
+func repeat(n int, interval time.Duration, play func(i int) ([]string, error)) (broken []string, err error) {
+	for i := range n {
 		begun := time.Now()
-		t, err := runTrial(b, op, i)
+		list, err := play(i)
 		if err != nil {
 			return nil, err
 		}
-		broken = append(broken, judgeRevoked(b, t)...)
-		if i < trials-1 {
-			time.Sleep(trialTime - time.Since(begun))
+		broken = append(broken, list...)
+		if i < n-1 {
+			time.Sleep(interval - time.Since(begun))
 		}
 	}
 	return broken, nil
 }
 
+// sendToAll sends requests with a key to each of some routers for a time. The channel gets all of them at the end.
+func sendToAll(b *bed, routers []*router, key string, d time.Duration) <-chan []request {
+	end, parts := time.Now().Add(d), make(chan []request)
+	for _, r := range routers {
+		go func() { parts <- sendUntil(newCaller(b.rec, r), key, end) }()
+	}
+	all := make(chan []request, 1)
+	go func() {
+		var list []request
+		for range routers {
+			list = append(list, <-parts...)
+		}
+		all <- list
+	}()
+	return all
+}
+
 func trialKey(i int) string { return fmt.Sprintf("key-%d", i) }
 
 // runTrial plays the disruption once.
@@ -86,23 +150,13 @@
 	if b.trouble {
 		turnAway(b)
 	}
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	end := time.Now().Add(leaveDelay + watchTime)
-	for _, r := range b.fleet.routers[turnedAway:] {
-		wg.Go(func() {
-			list := sendUntil(newCaller(b.rec, r), trialKey(i), end)
-			mu.Lock()
-			defer mu.Unlock()
-			t.sent = append(t.sent, list...)
-		})
-	}
+	sent := sendToAll(b, b.fleet.routers[turnedAway:], trialKey(i), leaveDelay+watchTime)
 	time.Sleep(leaveDelay)
 	leaving.drain()
 	b.rec.add("confirmed that server %s leaves", leaving.id)
 	delete(op.keys, trialKey(i))
 	t.revokedAt = op.publish("without " + trialKey(i))
-	wg.Wait()
+	t.sent = <-sent
 	leaving.leave()
 	return t, nil
 }
