digest, front: routers find a removal that the readers' restart has hidden

Cause: the three readers were killed together and were back before another router took over. Their first list lacked the removed server; a first list is sent to nobody, and the position that a router reports is that of the newest record that it has, which a removal in a list does not change. So routers compared how far they had read, not what they knew.

Each digest now has a hash of the servers that its sender knows. The hash does not depend on how a difference came about, so it also finds changes that were lost in another way.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -35,6 +35,7 @@
 		StoreEra:          rapid.Int64Min(0).Draw(t, "store era"),
 		ConfigVersion:     rapid.Int64Min(0).Draw(t, "configuration"),
 		ListEnd:           rapid.Int64Min(0).Draw(t, "list end"),
+		ServersHash:       rapid.Uint32().Draw(t, "servers hash"),
 		Role:              Role(rapid.IntRange(int(RoleUnknown), int(RoleOther)).Draw(t, "role")),
 		Synced:            rapid.Bool().Draw(t, "synced"),
 		PlacementsReply:   rapid.Bool().Draw(t, "placements reply"),
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -114,6 +114,8 @@
 	ConfigVersion int64
 	// ListEnd is the offset after the first list of the servers in OwnReads.Era; 0 for none.
 	ListEnd int64
+	// Servers says which servers this router knows.
+	Servers KnownServers
 }
 
 // Exchange sends and receives digests. Its methods are safe for concurrent use.
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -130,7 +130,9 @@
 	// ListEnd is the offset after the sender's first list of the servers in StoreEra; 0
 	// for none.
 	ListEnd int64
-	Peers   []netip.Addr
+	// ServersHash is a hash of the servers that the sender knows; 0 before it has read them.
+	ServersHash uint32
+	Peers       []netip.Addr
 	// Loads are the sender's own requests in flight.
 	Loads []Load
 	// TotalLoads are the requests in flight of all routers together, the sender's
@@ -193,6 +195,7 @@
 	fieldRelay             = 27
 	fieldRelayed           = 28
 	fieldLevel             = 29
+	fieldServersHash       = 30
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -216,6 +219,7 @@
 	b = appendPositive(b, fieldRole, int64(m.Role))
 	b = appendBool(b, fieldRelay, m.Relay)
 	b = appendPositive(b, fieldLevel, m.Level)
+	b = appendPositive(b, fieldServersHash, int64(m.ServersHash))
 	for _, p := range m.Peers {
 		b = protowire.AppendTag(b, fieldPeer, protowire.BytesType)
 		b = protowire.AppendBytes(b, p.AsSlice())
@@ -394,6 +398,8 @@
 		m.Relay = v != 0
 	case fieldLevel:
 		m.Level, err = nonNegative(v)
+	case fieldServersHash:
+		m.ServersHash = uint32(v)
 	}
 	return b[n:], err
 }
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -54,6 +54,8 @@
 	configVersion int64
 	// listEnd is the offset after the first list of the servers in storeEra; 0 for none.
 	listEnd int64
+	// serversHash is the hash of the servers that the peer knows; 0 for none.
+	serversHash uint32
 	// level is the level of the protocol that the peer has reported.
 	level int64
 	// namedAt is when another router last named the peer.
@@ -83,6 +85,8 @@
 	// since when it has heard too few readers.
 	reader    bool
 	lackSince time.Time
+	// servers compares the servers of this router with those of the readers.
+	servers serversCheck
 }
 
 // NewPeers returns a Peers that tracks no router yet. Targets returns the seeds
@@ -121,6 +125,7 @@
 		peer.storeEra = m.StoreEra
 		peer.configVersion = m.ConfigVersion
 		peer.listEnd = m.ListEnd
+		peer.serversHash = m.ServersHash
 		peer.level = m.Level
 		if m.StoreEra > p.reportedEra {
 			p.reportedEra, p.reportedAt = m.StoreEra, now
--- a/internal/digest/totals_test.go
+++ b/internal/digest/totals_test.go
@@ -1,6 +1,7 @@
 package digest
 
 import (
+	"math"
 	"slices"
 	"testing"
 
@@ -31,7 +32,7 @@
 // Guards against datagrams larger than a frame: they are fragmented, and one lost
 // fragment loses the whole datagram.
 func TestFullDatagramFits(t *testing.T) {
-	m := &Message{Sender: 1, LoadsComplete: true, Reading: true, Synced: true, Progress: []Progress{{0, logpos.Position{Era: 1 << 40, Offset: 1 << 40}}, {1, logpos.Position{Era: 1 << 40, Offset: 1 << 40}}}, StoreEra: 1 << 40, ConfigVersion: 1 << 40, ListEnd: 1 << 40}
+	m := &Message{Sender: 1, LoadsComplete: true, Reading: true, Synced: true, Progress: []Progress{{0, logpos.Position{Era: 1 << 40, Offset: 1 << 40}}, {1, logpos.Position{Era: 1 << 40, Offset: 1 << 40}}}, StoreEra: 1 << 40, ConfigVersion: 1 << 40, ListEnd: 1 << 40, ServersHash: math.MaxUint32}
 	for i := range uint32(loadsPerDatagram) {
 		m.TotalLoads = append(m.TotalLoads, Load{Server: i, InFlight: 200})
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -76,6 +76,9 @@
 	// PeerPosition returns the position of the newest record that another router has
 	// reported, or logpos.None. A follower that has not read it reads at once.
 	PeerPosition func() logpos.Position
+	// MustList reports whether all records are to be read again, because those that were read do not add up to what
+	// other routers have; nil for never.
+	MustList func() bool
 	// Eras is shared by the followers of a store.
 	Eras *Eras
 	// EraReported returns when another router has first reported an era, or the zero
@@ -213,6 +216,9 @@
 		if pause < 0 {
 			timing := f.options.Timing()
 			remaining = timing.Pause*spread/spreadUnit - elapsed
+			if f.mustList() {
+				return
+			}
 			if f.position.complete && !f.options.PeerPosition().Before(f.position.next) {
 				if reported.IsZero() {
 					reported = f.now()
@@ -236,6 +242,7 @@
 	timing := f.options.Timing()
 	wait := timing.Wait
 	list := !f.position.complete || f.skipRecords() || f.inEarlierEra()
+	list = list || f.mustList()
 	if list {
 		wait = 0
 	}
@@ -335,6 +342,9 @@
 	return f.options.NewestOnly && f.position.next.Before(f.options.PeerPosition())
 }
 
+// mustList reports whether the whole list is to be read again although all records were read.
+func (f *Follower) mustList() bool { return f.options.MustList != nil && f.options.MustList() }
+
 // recordFailure counts a failed call and returns the wait before the next one.
 func (f *Follower) recordFailure(start time.Time, err error) time.Duration {
 	if f.failures == 0 {
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -28,6 +28,11 @@
 	// configVersion is the version of the configuration in force.
 	configVersion int64
 	failing       [digest.TopicCount]bool
+	// serversHash is a hash of the servers that are known; 0 before the first list. earlierHashes are those before it.
+	serversHash   uint32
+	earlierHashes []earlierHash
+	// lists counts the whole lists of servers that were read.
+	lists int
 	// removalsDelayedUntil is the time until which this router still uses removed
 	// servers, after an outage of the store. Until then other routers must not rely
 	// on its reads.
@@ -165,6 +170,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.readTo = logpos.Max(p.readTo, next)
+	if list {
+		p.lists++
+	}
 	if list && p.listEnd.Era < next.Era {
 		p.listEnd = next
 	}
@@ -241,6 +249,42 @@
 	p.applied[topic] = logpos.Max(p.applied[topic], position)
 }
 
+// earlierHash is a hash of the servers and when it was replaced.
+type earlierHash struct {
+	hash  uint32
+	until time.Time
+}
+
+const (
+	// hashMaxAge is how long an earlier hash may still be that of a reader's last digest. Readers send four a second.
+	hashMaxAge = time.Second
+	// maxEarlierHashes bounds the earlier hashes.
+	maxEarlierHashes = 32
+)
+
+// recordServers records a hash of the servers that are known, after a list or a change.
+func (p *progress) recordServers(now time.Time, hash uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.serversHash == hash {
+		return
+	}
+	p.earlierHashes = append(p.earlierHashes, earlierHash{p.serversHash, now})
+	p.earlierHashes = p.earlierHashes[max(0, len(p.earlierHashes)-maxEarlierHashes):]
+	p.serversHash = hash
+}
+
+// knownServers returns what is compared with the servers of the readers. The caller holds p.mu.
+func (p *progress) knownServers(now time.Time) digest.KnownServers {
+	known := digest.KnownServers{Hash: p.serversHash, Lists: p.lists}
+	for _, e := range p.earlierHashes {
+		if now.Sub(e.until) < hashMaxAge {
+			known.Earlier = append(known.Earlier, e.hash)
+		}
+	}
+	return known
+}
+
 // setFailing records whether the reads of a topic fail.
 func (p *progress) setFailing(topic int, failing bool) {
 	p.mu.Lock()
@@ -284,5 +328,6 @@
 	}
 	return digest.StoreProgress{
 		Topics: list, OwnReads: digest.OwnReads{Succeed: reading, Era: era}, ConfigVersion: p.configVersion, ListEnd: listEnd,
+		Servers: p.knownServers(now),
 	}
 }
--- a/internal/front/progress_test.go
+++ b/internal/front/progress_test.go
@@ -231,3 +231,21 @@
 		}
 	}
 }
+
+// Guards against a reader's digest that is taken for a difference because it was sent before the newest change, and
+// against an old set of servers that still counts as known.
+func TestEarlierServersCountForAMoment(t *testing.T) {
+	p := newProgress()
+	now := time.Now()
+	for hash := range uint32(3 * maxEarlierHashes) {
+		p.recordServers(now, hash+1)
+		p.recordServers(now, hash+1)
+	}
+	got := p.report(now.Add(hashMaxAge/2), 0).Servers
+	if got.Hash != 3*maxEarlierHashes || len(got.Earlier) != maxEarlierHashes || got.Earlier[maxEarlierHashes-1] != 3*maxEarlierHashes-1 {
+		t.Errorf("%+v, want the last hash and those before it", got)
+	}
+	if got := p.report(now.Add(hashMaxAge), 0).Servers; len(got.Earlier) != 0 {
+		t.Errorf("%d earlier hashes after %s, want none", len(got.Earlier), hashMaxAge)
+	}
+}
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -20,6 +20,9 @@
 // expireInterval is how often the grace periods of removed servers are checked.
 const expireInterval = 100 * time.Millisecond
 
+// emptyServersHash is the hash of a list without servers: 0 means that no list has been read.
+const emptyServersHash = 1
+
 // tracker keeps the configuration and the servers up to date with the store. The
 // goroutine of run owns servers, haveConfig, listRead, held and unusable; the other
 // fields are safe for concurrent use.
@@ -103,6 +106,7 @@
 	servers := feed.New(t.platform.Servers, feed.Options{
 		Timing:       t.serversTiming(),
 		PeerPosition: t.peerPosition(digest.TopicServers),
+		MustList:     t.exchange.MustListServers,
 		Eras:         &t.eras,
 		EraReported:  t.exchange.EraReported,
 		Grace:        registry.RemovalGrace,
@@ -180,6 +184,7 @@
 	for _, e := range entries {
 		t.progress.recordApplied(e.Position)
 	}
+	t.recordServersHash()
 	t.checkReady()
 }
 
@@ -251,9 +256,17 @@
 		t.publishChanges(changes, true)
 	}
 	t.listRead = true
+	t.recordServersHash()
 	t.checkReady()
 }
 
+// recordServersHash makes the hash of the servers known to the other routers once the list has been read.
+func (t *tracker) recordServersHash() {
+	if t.listRead {
+		t.progress.recordServers(time.Now(), max(t.servers.Hash(), emptyServersHash))
+	}
+}
+
 // latestPerKey drops the records that a later one of the same key replaces, most
 // of which are heartbeats.
 func latestPerKey(records []feed.Record) []feed.Record {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -57,6 +57,15 @@
 	return d.Sum64()
 }
 
+// viewHash returns a hash of the incarnation and of whether it leaves. Fields that only some versions of the program
+// know are left out.
+func (s *Server) viewHash() uint32 {
+	d := xxhash.New()
+	// Writing to a hash cannot fail.
+	_, _ = fmt.Fprintf(d, "%d|%t", s.Key().Hash(), s.Leaving)
+	return uint32(d.Sum64())
+}
+
 // Entry is the newest record about one server.
 type Entry struct {
 	ID string
@@ -91,6 +100,9 @@
 	returned map[string]bool
 	// pendingRemovals holds the removals whose grace period has not ended.
 	pendingRemovals map[string]removal
+	// hash is the sum of hashes, which has one for each server without a pending removal.
+	hash   uint32
+	hashes map[string]uint32
 }
 
 // removal is a removal that takes effect later.
@@ -106,6 +118,7 @@
 		known:           map[string]Entry{},
 		returned:        map[string]bool{},
 		pendingRemovals: map[string]removal{},
+		hashes:          map[string]uint32{},
 	}
 }
 
@@ -255,6 +268,7 @@
 }
 
 func (r *Registry) set(changes []Change, e Entry) []Change {
+	defer r.updateHash(e.ID)
 	delete(r.pendingRemovals, e.ID)
 	old := r.servers[e.ID]
 	if old != nil && *old == *e.Server {
@@ -265,6 +279,7 @@
 }
 
 func (r *Registry) remove(changes []Change, now time.Time, e Entry, graceUntil time.Time) []Change {
+	defer r.updateHash(e.ID)
 	old := r.servers[e.ID]
 	if old == nil {
 		return changes
@@ -279,6 +294,23 @@
 	return append(changes, Change{Old: old, Position: e.Position})
 }
 
+// updateHash adds what is known of a server to the hash, in place of what was known before.
+func (r *Registry) updateHash(id string) {
+	r.hash -= r.hashes[id]
+	delete(r.hashes, id)
+	s := r.servers[id]
+	if _, pending := r.pendingRemovals[id]; s == nil || pending {
+		return
+	}
+	r.hashes[id] = s.viewHash()
+	r.hash += r.hashes[id]
+}
+
+// Hash returns a hash of the servers and of whether they leave. Two registries that hold the same
+// servers have the same hash, whatever each has read. A removal counts from when it is known, also during its grace
+// period.
+func (r *Registry) Hash() uint32 { return r.hash }
+
 // Servers returns all servers, ordered by ID.
 func (r *Registry) Servers() []*Server {
 	list := make([]*Server, 0, len(r.servers))
