feed, digest, front: a router that the store does not answer is no reader

Cause: a router said that it reads the store for the others as long as no call of its own had failed. A call that the store does not answer looks like one that waits for a record until its wait and its time-out end, 2.8 s. So three readers that the store turned away without an answer counted as readers, and a router that had just started or taken over claimed the role before its first answer.

Readers wait at the store for 0.8 s. A call without the first byte of an answer 0.25 s after its wait is overdue: the router tells the others at once and logs event 1052. A router claims the role only while the store has answered it lately for both topics. One that takes over asks without a wait, so it knows in milliseconds whether it is answered; while it is not, it holds up nobody behind it.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -142,9 +142,11 @@
 	// sentLoads and sentOutcomes are this router's loads and outcomes as last sent.
 	sentLoads    map[uint32]int
 	sentOutcomes []Outcomes
-	// reader is set while this router reads the store for the others, and otherReaders
-	// are the other ones that do so, as last seen. loadsSentAt is when its loads last left.
+	// reader is set while this router reads the store for the others, and toldReader while it has told them so: once
+	// the store has answered it. otherReaders are the other ones that do so, as last seen. loadsSentAt is when its loads
+	// last left.
 	reader       bool
+	toldReader   bool
 	otherReaders []netip.Addr
 	loadsSentAt  time.Time
 	// totalsReceivedAt is when another router's totals last arrived.
@@ -236,20 +238,29 @@
 	return e.reader
 }
 
+// UpdateRole looks at once whether this router is to read the store for the others, after a change of its own reads.
+func (e *Exchange) UpdateRole() { e.IsReader() }
+
 // readers returns the readers of the store and whether this router is one of them. A
-// change of the latter is logged and told to the others at once: they need not do the same
-// when this router begins to read, and have to when it stops.
+// change of the latter is logged. The others are told at once: they need not do the same
+// when the store answers this router, and have to when it stops to read.
 func (e *Exchange) readers(now time.Time, own OwnReads) (list []netip.Addr, reader bool) {
 	e.mu.Lock()
 	list = e.peers.Readers(now, own)
 	reader = e.peers.reader
 	before := e.otherReaders
 	e.otherReaders = excludeAddr(list, e.peers.self)
-	if reader == e.reader {
+	told := reader && own.Recent
+	changed, tell := reader != e.reader, told != e.toldReader
+	e.reader, e.toldReader = reader, told
+	if !changed {
+		targets := e.peers.Targets(now)
 		e.mu.Unlock()
+		if tell {
+			e.sendTo(targets, e.newMessage())
+		}
 		return list, reader
 	}
-	e.reader = reader
 	view := e.peers.readerView(now, own)
 	silent := e.peers.silence(now, before)
 	sinceLoads := now.Sub(e.loadsSentAt)
--- a/internal/digest/readers.go
+++ b/internal/digest/readers.go
@@ -27,8 +27,8 @@
 	// be later than the rest.
 	startWait = 600 * time.Millisecond
 	// eraEntryWait is how long a router that sees a new era of the store first waits for
-	// the readers to see it. They wait at the store for 1.8 s at most while nothing
-	// is written.
+	// the readers to see it. They wait at the store for 0.8 s at most while nothing
+	// is written, and may have to be replaced before.
 	eraEntryWait = 2200 * time.Millisecond
 )
 
@@ -36,6 +36,8 @@
 type OwnReads struct {
 	// Succeed is set while they succeed and other routers can rely on them.
 	Succeed bool
+	// Recent is set when the store has answered calls lately. Without it this router can't claim to read for the others.
+	Recent bool
 	// Era is the era of the store as this router knows it.
 	Era int64
 }
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -33,7 +33,7 @@
 func (e *Exchange) newMessage() *Message {
 	progress := e.state.Progress()
 	e.mu.Lock()
-	synced, role := e.synced, roleOf(e.reader)
+	synced, role := e.synced, roleOf(e.toldReader)
 	e.mu.Unlock()
 	return &Message{
 		Sender: e.sender, Synced: synced, Role: role, Progress: progress.Topics,
@@ -99,9 +99,9 @@
 	if !m.LoadsComplete {
 		m.Loads = nil
 	}
-	readers, reader := e.readers(time.Now(), OwnReads{Succeed: m.Reading, Era: m.StoreEra})
-	m.Role = roleOf(reader)
+	readers, reader := e.readers(time.Now(), e.state.Progress().OwnReads)
 	e.mu.Lock()
+	m.Role = roleOf(e.toldReader)
 	e.loadsSentAt = time.Now()
 	clear(e.shares)
 	smallFleet := e.smallFleet()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,10 +98,13 @@
 type Timing struct {
 	// Wait is how long the store holds a read while there is no record.
 	Wait time.Duration
-	// Pause is the time between two reads.
+	// Pause is the time between the beginnings of two reads.
 	Pause time.Duration
 	// Timeout bounds a call, in addition to its wait.
 	Timeout time.Duration
+	// Overdue is how long after its wait a call may have no answer until the observer is told; 0 for ever. A call that
+	// the store does not answer and one that waits for a record look alike until then.
+	Overdue time.Duration
 	// MaxBackoff is the longest wait after a failed call; 0 means the default.
 	MaxBackoff time.Duration
 	// Settle is how long a record that another router has reported is left to be
@@ -126,6 +130,11 @@
 	Batch(b Batch)
 	// OutageStarted is called at the first of a series of failures.
 	OutageStarted(err error)
+	// CallOverdue is called when the store has not begun to answer a call in time. The call goes on. It is made from
+	// another goroutine than the others, but never at the same time.
+	CallOverdue(waited time.Duration)
+	// CallEnded is called at the end of each call, after its other events; answered is set when it succeeded.
+	CallEnded(answered bool)
 	// OutageEnded is called at the first success after a series of failures.
 	OutageEnded(duration time.Duration)
 	// HistoryExpired is called when the store has deleted records that were not read.
@@ -149,6 +158,9 @@
 	// askedFor is the position that another router had reported at the last call.
 	askedFor logpos.Position
 	failures int
+	// calledAt is when the last call began, answeredAt when one succeeded last.
+	calledAt   time.Time
+	answeredAt time.Time
 	// repeated counts the first calls that were made again without an answer.
 	repeated    int
 	outageStart time.Time
@@ -195,8 +207,9 @@
 )
 
 // waitForNextCall waits for the pause. A negative pause means the one of Timing,
-// which ends early when another router reports a newer record. The pause after a
-// failure ends early once for each such report: the store answers again.
+// which counts from the beginning of the last call and ends early when another router
+// reports a newer record. The pause after a failure ends early once for each such report:
+// the store answers again.
 func (f *Follower) waitForNextCall(ctx context.Context, pause time.Duration) {
 	start := f.now()
 	spread := withJitter(spreadUnit)
@@ -215,7 +228,7 @@
 		}
 		if pause < 0 {
 			timing := f.options.Timing()
-			remaining = timing.Pause*spread/spreadUnit - elapsed
+			remaining = timing.Pause*spread/spreadUnit - f.now().Sub(f.calledAt)
 			if f.mustList() {
 				return
 			}
@@ -241,6 +254,11 @@
 	start := f.now()
 	timing := f.options.Timing()
 	wait := timing.Wait
+	f.calledAt = start
+	if start.Sub(f.answeredAt) > timing.Wait+timing.Pause+timing.Overdue {
+		// What the store has now tells at once whether it answers this router.
+		wait = 0
+	}
 	list := !f.position.complete || f.skipRecords() || f.inEarlierEra()
 	list = list || f.mustList()
 	if list {
@@ -249,6 +267,7 @@
 	f.askedFor = f.options.PeerPosition()
 	callCtx, cancel := context.WithTimeout(ctx, wait+timing.Timeout)
 	defer cancel()
+	callCtx, endWatch := f.watchAnswer(callCtx, wait, timing.Overdue)
 	var impatient func() bool
 	if f.position == (position{}) {
 		impatient = f.watchFirstCall(callCtx, cancel)
@@ -260,9 +279,11 @@
 	} else {
 		page, err = f.source.Read(callCtx, f.position.next.Offset, wait)
 	}
+	endWatch()
 	if ctx.Err() != nil {
 		return 0
 	}
+	defer func() { f.observer.CallEnded(err == nil) }()
 	if impatient != nil && impatient() && err != nil && page.Era == NoEra {
 		f.repeated++
 		return 0
@@ -281,10 +302,39 @@
 	case err != nil:
 		return f.recordFailure(start, err)
 	}
+	f.answeredAt = f.now()
 	f.recordSuccess()
 	return f.applyPage(page, list)
 }
 
+// watchAnswer tells the observer when the store has not begun to answer a call in time. The returned function ends the
+// watch. A source that calls over HTTP reports the first byte of the answer through the context, since the rest of a large
+// one may take longer.
+func (f *Follower) watchAnswer(ctx context.Context, wait, overdue time.Duration) (watched context.Context, end func()) {
+	if overdue == 0 {
+		return ctx, func() {}
+	}
+	var mu sync.Mutex
+	begun := false
+	begin := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		begun = true
+	}
+	timer := time.AfterFunc(wait+overdue, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !begun {
+			f.observer.CallOverdue(wait + overdue)
+		}
+	})
+	watched = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: begin})
+	return watched, func() {
+		timer.Stop()
+		begin()
+	}
+}
+
 // watchFirstCall cancels a call to the store without an answer, to be made again, when the follower has read nothing yet
 // and another router has read something meanwhile, or after some time. The returned function ends the watch and reports
 // whether it has cancelled the call.
--- a/internal/front/observer.go
+++ b/internal/front/observer.go
@@ -46,6 +46,24 @@
 	o.tracker.events.Emit(event.StoreAvailable, "topic", topicNames[o.topic], "after_ms", duration.Milliseconds())
 }
 
+// CallOverdue makes this router no reader for the others and logs why: it may wait at a store that does not answer it.
+func (o *observer) CallOverdue(waited time.Duration) {
+	t := o.tracker
+	if !t.progress.setOverdue(o.topic) {
+		return
+	}
+	t.exchange.UpdateRole()
+	t.events.Emit(event.StoreCallOverdue, "topic", topicNames[o.topic], "waited_ms", waited.Milliseconds(), "reader", t.exchange.Reading())
+}
+
+// CallEnded records that the store has answered, which may make this router a reader for the others.
+func (o *observer) CallEnded(answered bool) {
+	t := o.tracker
+	if t.progress.recordCallEnd(time.Now(), o.topic, answered) {
+		t.exchange.UpdateRole()
+	}
+}
+
 // HistoryExpired logs that the store no longer keeps the records from a position on.
 func (o *observer) HistoryExpired(from logpos.Position) {
 	o.tracker.events.Emit(event.HistoryExpired, "topic", topicNames[o.topic], "from", from.String())
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -28,6 +28,9 @@
 	// configVersion is the version of the configuration in force.
 	configVersion int64
 	failing       [digest.TopicCount]bool
+	// overdue is set while a call has no answer although its wait is over, and answeredAt is when one succeeded last.
+	overdue    [digest.TopicCount]bool
+	answeredAt [digest.TopicCount]time.Time
 	// serversHash is a hash of the servers that are known; 0 before the first list. earlierHashes are those before it.
 	serversHash   uint32
 	earlierHashes []earlierHash
@@ -292,6 +295,37 @@
 	p.failing[topic] = failing
 }
 
+// setOverdue records that a call has no answer although its wait is over. It reports whether that changes anything.
+func (p *progress) setOverdue(topic int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := !p.overdue[topic] && !p.failing[topic]
+	p.overdue[topic] = true
+	return changed
+}
+
+// recordCallEnd records the end of a call. It reports whether the router's reads have become recent or are no longer overdue.
+func (p *progress) recordCallEnd(now time.Time, topic int, answered bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.recent(now) && !p.overdue[topic]
+	p.overdue[topic] = false
+	if answered {
+		p.answeredAt[topic] = now
+	}
+	return !before && p.recent(now)
+}
+
+// recent reports whether the store has answered calls for all topics lately. The caller holds p.mu.
+func (p *progress) recent(now time.Time) bool {
+	for _, at := range p.answeredAt {
+		if at.IsZero() || now.Sub(at) > answerMaxAge {
+			return false
+		}
+	}
+	return true
+}
+
 // failingTopics returns the names of the topics whose reads fail.
 func (p *progress) failingTopics() []string {
 	p.mu.Lock()
@@ -321,13 +355,14 @@
 	for topic := range digest.TopicCount {
 		list = append(list, digest.Progress{Topic: topic, LastChange: p.lastChange[topic]})
 		reading = reading && !p.failing[topic]
+		reading = reading && !p.overdue[topic]
 	}
 	listEnd := int64(0)
 	if p.listEnd.Era == era {
 		listEnd = p.listEnd.Offset
 	}
 	return digest.StoreProgress{
-		Topics: list, OwnReads: digest.OwnReads{Succeed: reading, Era: era}, ConfigVersion: p.configVersion, ListEnd: listEnd,
+		Topics: list, OwnReads: digest.OwnReads{Succeed: reading, Recent: p.recent(now), Era: era}, ConfigVersion: p.configVersion, ListEnd: listEnd,
 		Servers: p.knownServers(now),
 	}
 }
--- a/internal/front/progress_test.go
+++ b/internal/front/progress_test.go
@@ -249,3 +249,35 @@
 		t.Errorf("%d earlier hashes after %s, want none", len(got.Earlier), hashMaxAge)
 	}
 }
+
+// Guards against a router that says of a past moment that it reads the store for the others: while a call has no answer, before
+// the first answers, and after a freeze.
+func TestReadsAreDatedByTheLastAnswers(t *testing.T) {
+	p := newProgress()
+	now := time.Now()
+	check := func(when string, succeed, recent bool) {
+		t.Helper()
+		if got := p.report(now, 0).OwnReads; got.Succeed != succeed || got.Recent != recent {
+			t.Errorf("%s: %+v, want that reads succeed: %v, are recent: %v", when, got, succeed, recent)
+		}
+	}
+	check("at the start", true, false)
+	if p.recordCallEnd(now, digest.TopicConfig, true) {
+		t.Error("one topic is enough")
+	}
+	check("after one topic", true, false)
+	if !p.recordCallEnd(now, digest.TopicServers, true) {
+		t.Error("the last topic's first answer is no news")
+	}
+	check("after both topics", true, true)
+	if !p.setOverdue(digest.TopicServers) || p.setOverdue(digest.TopicServers) {
+		t.Error("a call is overdue once")
+	}
+	check("while a call is overdue", false, true)
+	if !p.recordCallEnd(now, digest.TopicServers, true) {
+		t.Error("the answer to an overdue call is no news")
+	}
+	check("after its answer", true, true)
+	now = now.Add(answerMaxAge + time.Millisecond)
+	check("after a freeze", true, false)
+}
--- a/internal/front/timing.go
+++ b/internal/front/timing.go
@@ -7,13 +7,18 @@
 )
 
 const (
-	// configWait is how long a read waits at the store for a new configuration. It
-	// is below the time in which a change must be in force, because a dead
-	// connection is detected only when the wait is over.
-	configWait = 1800 * time.Millisecond
+	// configWait is how long a read waits at the store for a new record. A store that does not answer this router is
+	// noticed only when the wait is over. What follows then, until all routers know a change, takes 0.8 s, and a change
+	// must be in force within 2 s.
+	configWait = 800 * time.Millisecond
 	// configPause is the time between two reads. It bounds their rate while the
 	// configuration changes often.
 	configPause = 250 * time.Millisecond
+	// callOverdue is how long after its wait a call of a reader may have no answer until another router takes over.
+	callOverdue = 250 * time.Millisecond
+	// answerMaxAge is how old the last answer of the store may be when a router says that it reads for the others: a
+	// wait or a pause between polls, and the time of a call with a large answer.
+	answerMaxAge = 1500 * time.Millisecond
 	// serversPause is the time between two reads of the servers' topic while
 	// heartbeats are records: a wait at the store would end at once.
 	serversPause = 900 * time.Millisecond
@@ -55,7 +60,7 @@
 
 // configTiming returns the timing for the configuration.
 func (t *tracker) configTiming() func() feed.Timing {
-	timing := t.timing(feed.Timing{Wait: configWait, Pause: configPause, Timeout: callTimeout})
+	timing := t.timing(feed.Timing{Wait: configWait, Pause: configPause, Timeout: callTimeout, Overdue: callOverdue})
 	return func() feed.Timing { return forConfig(timing()) }
 }
 
@@ -73,8 +78,8 @@
 // serversTiming returns a timing that waits at the store for changes of servers, or
 // one that polls while heartbeats are records, since these end every wait.
 func (t *tracker) serversTiming() func() feed.Timing {
-	waiting := t.timing(feed.Timing{Wait: configWait, Pause: configPause, Timeout: callTimeout})
-	polling := t.timing(feed.Timing{Pause: serversPause, Timeout: callTimeout})
+	waiting := t.timing(feed.Timing{Wait: configWait, Pause: configPause, Timeout: callTimeout, Overdue: callOverdue})
+	polling := t.timing(feed.Timing{Pause: serversPause, Timeout: callTimeout, Overdue: callOverdue})
 	return func() feed.Timing {
 		if t.heartbeatRecords.Load() {
 			return polling()
