forward: a stream that its caller takes up does not begin again

Callers that took a stream up after an event could get the events before it once more (ORDER: a number went back).

Cause: the first event of a continuation was compared with what this router had relayed only. A caller that takes a stream up itself names the event in Last-Event-Id, mostly at a router that has relayed nothing of it, so an engine that began again at its first event was passed on.

The comparison now uses the caller's ID too, on routes whose streams may be resumed. Events that repeat are dropped; while the caller has nothing of the answer, another engine may go on, after the caller's event.

The servers of the tests of streams' versions answer with event 1 to callers that have event 1; these now take up after event 0. The stand-in codec keeps the caller's ID as the platform's does.

--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -64,7 +64,9 @@
 	h.Set("Remaining", a.Remaining.String())
 	h.Set("Priority", strconv.Itoa(a.Priority))
 	h.Set("Fetch-From", a.FetchFrom)
-	h.Set("After", a.LastEventID)
+	if a.LastEventID != "" {
+		h.Set("After", a.LastEventID)
+	}
 }
 
 func (bedCodec) ResponseHeaders(h http.Header) ResponseHeaders {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -33,8 +34,8 @@
 	held []byte
 	// joined is the buffer in which held bytes and those that follow are joined.
 	joined []byte
-	// resumedAfter is the ID of the last event that the caller had when another engine
-	// was asked to continue the stream.
+	// resumedAfter is the ID of the last event that the caller had when an engine was asked to continue the stream,
+	// from this answer or from the one before which it takes up.
 	resumedAfter string
 	// unresumable is set when a part of an event has been relayed, because the event was
 	// too large to be held back, and when an engine did not continue where it was asked to.
@@ -47,7 +48,7 @@
 	buffer := readBuffers.Get().(*[streamReadBytes]byte)
 	defer readBuffers.Put(buffer)
 	c.stream.held = c.stream.held[:0]
-	c.stream.resumedAfter = c.stream.events.LastEventID()
+	c.stream.resumedAfter = cmp.Or(c.stream.events.LastEventID(), c.takenUpAfter())
 	c.stream.events.Restart()
 	for {
 		n, err := resp.Body.Read(buffer[:])
@@ -55,7 +56,7 @@
 			c.attempts.bodyBytes += int64(n)
 			c.stream.events.Scan(buffer[:n])
 			if c.stream.repeats() {
-				c.stream.unresumable = true
+				c.dropRepeatedEvents()
 				return c.classifyBroken(ctx, CauseWrongAnswer)
 			}
 			if !c.writeStreamData(resp, buffer[:n]) {
@@ -72,6 +73,24 @@
 	}
 }
 
+// takenUpAfter returns the ID of the event after which the caller takes the stream up; empty for its start.
+func (c *call) takenUpAfter() string {
+	if !c.mayBeTakenUp() {
+		return ""
+	}
+	return c.headers.LastEventID
+}
+
+// dropRepeatedEvents forgets events of an engine that did not go on where it was asked to. Another engine may still do so when
+// the caller has nothing of this answer.
+func (c *call) dropRepeatedEvents() {
+	if c.w.started() {
+		c.stream.unresumable = true
+		return
+	}
+	c.stream.events = eventstream.Scanner{}
+}
+
 // repeats reports whether an engine that was to continue the stream began with an event
 // that the caller has. IDs rise within a stream.
 func (s *streamState) repeats() bool {
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -58,8 +58,9 @@
 
 var resumableRoute = routing.Route{Kind: routing.Stream, Resumable: true, MaxAttempts: 2}
 
+// takeUp takes a stream up before event 1, with which the servers of these tests answer.
 func takeUp(stream string) ask {
-	return ask{header: http.Header{"Resumes": {stream}, "After": {"1"}, "Id": {"again"}}}
+	return ask{header: http.Header{"Resumes": {stream}, "After": {"0"}, "Id": {"again"}}}
 }
 
 // Guards against a stream that its caller takes up at a version which did not begin it, and against a
@@ -247,7 +248,7 @@
 // lastPart is a take-up with a prompt whose last part is that of a request.
 func lastPart(part uint64) http.Header {
 	return http.Header{
-		"Resumes": {fmt.Sprint("first ", part)}, "After": {"1"}, "Id": {"again"}, "Model": {"m"}, "Prompt": {fmt.Sprintf("7:100,%d:20", part)},
+		"Resumes": {fmt.Sprint("first ", part)}, "After": {"0"}, "Id": {"again"}, "Model": {"m"}, "Prompt": {fmt.Sprintf("7:100,%d:20", part)},
 	}
 }
 
--- a/internal/soak/trials_test.go
+++ b/internal/soak/trials_test.go
@@ -147,8 +147,8 @@
 }
 
 // oddAnswers chooses the faults of all servers. A request that a router sends on to another
-// engine after one has broken off is continued there in an odd way; one that a caller
-// resumes has another id and is not.
+// engine after one has broken off is continued there in an odd way; of those that a caller takes
+// up, with another id, some begin again at their first event.
 type oddAnswers struct {
 	draw func() int
 
@@ -160,6 +160,8 @@
 	firstOdd = []platformtest.Fault{platformtest.Cut, platformtest.EndInEvent, platformtest.CutInLineEnd, platformtest.None,
 		platformtest.CutBetween, platformtest.UndefinedStatus, platformtest.CutInLineEnd, platformtest.Switching, platformtest.Busy, platformtest.CutBetween}
 	laterOdd = []platformtest.Fault{platformtest.StartAgain, platformtest.OtherSuccess}
+	// takenUpOdd are the answers to streams that a caller takes up.
+	takenUpOdd = []platformtest.Fault{platformtest.None, platformtest.StartAgain, platformtest.None}
 )
 
 func (o *oddAnswers) choose(r *http.Request) platformtest.Fault {
@@ -170,8 +172,10 @@
 	switch {
 	case again && slices.Contains([]platformtest.Fault{platformtest.Cut, platformtest.CutBetween}, first):
 		return laterOdd[n%len(laterOdd)]
-	case again || r.Header.Get(platformtest.HeaderLastEvent) != "":
+	case again:
 		return platformtest.None
+	case r.Header.Get(platformtest.HeaderLastEvent) != "":
+		return takenUpOdd[n%len(takenUpOdd)]
 	}
 	o.begun[id] = firstOdd[n%len(firstOdd)]
 	return o.begun[id]
