front, digest: the first reader writes the quarantined parts

While the store gave no answer to the live router with the lowest address, nobody wrote the parts of prompts and requests that crash servers: the others left it to that router, which went on trying. A restart of all in that time would have let each of them end as many servers again.

The first reader writes them now. A router is one only while the store answers it, and is replaced within the bounds of decision 0021.

TestQuarantineIsWrittenWhileTheFirstRouterGetsNoAnswer: red before (nothing written after 5 s), green now. The stand-in link reads the body of a call before it keeps silent; net/http notices the end of a connection only then, and a failed test hung until its time-out.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -273,6 +273,15 @@
 	return list, reader
 }
 
+// IsFirstReader reports whether this router has the lowest address of those that read the store for the others. The store
+// has answered it lately.
+func (e *Exchange) IsFirstReader() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	others := e.peers.heardReaders
+	return e.toldReader && (len(others) == 0 || e.peers.self.Less(others[0]))
+}
+
 // RoutersBefore returns the number of live routers with a lower address than this one.
 func (e *Exchange) RoutersBefore() int {
 	e.mu.Lock()
--- a/internal/front/crashingpart_test.go
+++ b/internal/front/crashingpart_test.go
@@ -105,10 +105,13 @@
 }
 
 // newCrashingFleet starts routers before engines that some requests crash.
-func newCrashingFleet(t *testing.T, routers, engines int, of func(*http.Request) bool) (*fleetBed, *crashes) {
+func newCrashingFleet(t *testing.T, routers, engines int, of func(*http.Request) bool, prepare ...func(f *fleetBed)) (*fleetBed, *crashes) {
 	t.Helper()
 	c := &crashes{of: of}
 	f := newFleetWith(t, routers, 0, func(f *fleetBed) {
+		for _, p := range prepare {
+			p(f)
+		}
 		for i := range engines {
 			f.engines = append(f.engines, newCrashingEngine(t, fmt.Sprintf("i-%d", i), c))
 		}
@@ -234,6 +237,26 @@
 	}
 }
 
+// Guards against quarantined parts that nobody writes, because the store gives no answer to the router whose turn it is: a
+// restart of all in that time would let each part end as many engines again.
+func TestQuarantineIsWrittenWhileTheFirstRouterGetsNoAnswer(t *testing.T) {
+	t.Parallel()
+	var link *storeLink
+	f, c := newCrashingFleet(t, 5, 30, hasCrashingPart, func(f *fleetBed) {
+		link = newStoreLink(t, f.store.Addr())
+		f.routers[0].storeAddr = strings.TrimPrefix(link.server.URL, "http://")
+	})
+	link.silent.Store(true)
+	f.quarantine(c)
+	f.waitForUpTo(5*time.Second, "the part is in the store", func() bool { return f.store.Appends(partsKey) > 0 })
+	link.silent.Store(false)
+	f.waitFor("the first router reads the store again", func() bool { return f.readers(0) == 3 && f.readers(3) == 0 })
+	time.Sleep(time.Second)
+	if n := f.store.Appends(partsKey); n > 3 {
+		t.Errorf("%d records for one part", n)
+	}
+}
+
 // Guards against a store that is away, or holds a damaged record, and makes a router wait.
 func TestRouterStartsWithoutTheKeptParts(t *testing.T) {
 	t.Parallel()
--- a/internal/front/cutoff_test.go
+++ b/internal/front/cutoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -44,6 +45,8 @@
 				return
 			}
 		}
+		// The end of the connection is noticed only once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	}))
 	t.Cleanup(l.server.Close)
--- a/internal/front/keptparts.go
+++ b/internal/front/keptparts.go
@@ -97,12 +97,12 @@
 	}
 }
 
-// due reports whether this router must write the parts: the one with the lowest address does.
+// due reports whether this router must write the parts: the first reader of the store does. The store answers it.
 func (k *partKeeper) due() bool {
 	entries := k.state.PartEntries()
 	changed := k.partsIdentity(entries) != k.stored
 	old := len(entries) > 0 && time.Since(k.writtenAt) >= partsRefresh
-	return (changed || old) && k.exchange.RoutersBefore() == 0
+	return (changed || old) && k.exchange.IsFirstReader()
 }
 
 // partsIdentity identifies parts by what a change of must be written. In a new era the store may
