tunnel, httpsend: no further request goes through a router that stops

Cause: a stopping carrier opened no further connections, but those that were open were used again for as long as it ran, 7.6 s, and then all cut with what was in progress.

The carrier now says on each carried connection that it stops. The exchange in progress goes on. A write that would begin a further one fails with an error which states that nothing was sent; httpsend does not count it as written, so the request is sent elsewhere.

--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -53,10 +53,22 @@
 	c.idle = false
 	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
+	if isUnsent(err) {
+		c.mu.Lock()
+		c.written -= int64(len(b))
+		c.mu.Unlock()
+	}
 	c.recordError(err)
 	return n, err
 }
 
+// isUnsent reports whether a write has failed with an error by which a connection states that none of its bytes was or will
+// be sent.
+func isUnsent(err error) bool {
+	var stated interface{ NothingSent() bool }
+	return errors.As(err, &stated) && stated.NothingSent()
+}
+
 func (c *conn) Read(b []byte) (int, error) {
 	c.mu.Lock()
 	c.reading = true
--- a/internal/httpsend/httpsend_test.go
+++ b/internal/httpsend/httpsend_test.go
@@ -70,3 +70,31 @@
 		t.Errorf("reported as not sent: %v, error %v; want sent and an error", x.NotSent, err)
 	}
 }
+
+// unsentError is the error of a connection that has sent nothing and never will.
+type unsentError struct{ nothing bool }
+
+func (unsentError) Error() string       { return "stops" }
+func (e unsentError) NothingSent() bool { return e.nothing }
+
+// refusingConn fails each write.
+type refusingConn struct {
+	net.Conn
+	err error
+}
+
+func (c refusingConn) Write([]byte) (int, error) { return 0, c.err }
+
+// Guards against an unknown outcome of a request of which its connection states that nothing was sent, and against trust in an
+// error that does not state it.
+func TestWriteThatStatesThatNothingWasSentDoesNotCount(t *testing.T) {
+	for _, nothing := range []bool{true, false} {
+		c := &conn{Conn: refusingConn{err: unsentError{nothing}}}
+		if _, err := c.Write([]byte("x")); err == nil {
+			t.Fatal("the write succeeded")
+		}
+		if got := c.sealUnwritten(0); got != nothing {
+			t.Errorf("unwritten: %v, want %v", got, nothing)
+		}
+	}
+}
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/hashicorp/yamux"
@@ -15,6 +16,15 @@
 // server's side has.
 var errCarrierEnded = errors.New("tunnel: the router that carries the connection has ended")
 
+// carrierStops is the error of a write that would begin an exchange. No byte of it is sent.
+type carrierStops struct{}
+
+// Error returns the cause.
+func (carrierStops) Error() string { return "tunnel: the router that carries the connection stops" }
+
+// NothingSent tells package httpsend that the request may be sent elsewhere.
+func (carrierStops) NothingSent() bool { return true }
+
 // Conn is a connection to a server through another router. As with net.Conn, one goroutine may
 // read while another one writes.
 type Conn struct {
@@ -28,6 +38,9 @@
 	ended   error
 	out     []byte
 	onClose func()
+	// stops is set once the carrier has said that it stops, and answered while nothing has been written since the
+	// server's last bytes.
+	stops, answered atomic.Bool
 }
 
 func newConn(stream *yamux.Stream, carrier netip.Addr, onClose func()) *Conn {
@@ -47,6 +60,7 @@
 		}
 		c.receive()
 	}
+	c.answered.Store(true)
 	n := copy(p, c.pending)
 	c.pending = c.pending[n:]
 	return n, nil
@@ -65,10 +79,18 @@
 		c.ended = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
 	}
 	c.pending = f.data
+	if f.stops {
+		c.stops.Store(true)
+	}
 }
 
-// Write sends p to the server.
+// Write sends p to the server. It sends nothing of a further request when the carrier stops: a planned stop would cut the
+// answer.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.answered.Swap(false) && c.stops.Load() {
+		c.answered.Store(true)
+		return 0, carrierStops{}
+	}
 	sent := 0
 	for sent < len(p) {
 		part := p[sent:min(len(p), sent+dataBytes)]
--- a/internal/tunnel/frame.go
+++ b/internal/tunnel/frame.go
@@ -15,6 +15,7 @@
 	fieldResult = 2
 	fieldData   = 3
 	fieldEnd    = 4
+	fieldStops  = 5
 )
 
 // result is what became of a connection that a carrier was asked to open.
@@ -47,6 +48,8 @@
 	result result
 	data   []byte
 	end    end
+	// stops is set by a carrier that stops: the connection lasts for the exchange in progress.
+	stops bool
 }
 
 const (
@@ -77,6 +80,10 @@
 		body = protowire.AppendTag(body, fieldEnd, protowire.VarintType)
 		body = protowire.AppendVarint(body, uint64(f.end))
 	}
+	if f.stops {
+		body = protowire.AppendTag(body, fieldStops, protowire.VarintType)
+		body = protowire.AppendVarint(body, 1)
+	}
 	return append(protowire.AppendVarint(b, uint64(len(body))), body...)
 }
 
@@ -132,6 +139,8 @@
 			f.result = result(v)
 		case fieldEnd:
 			f.end = end(v)
+		case fieldStops:
+			f.stops = v != 0
 		}
 	}
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -49,6 +49,8 @@
 	mu       sync.Mutex
 	closed   bool
 	sessions map[*yamux.Session]bool
+	// streams are those with an open connection to a server.
+	streams map[*yamux.Stream]bool
 }
 
 // Listen opens the address at which other routers ask for connections. dial opens those to servers;
@@ -58,7 +60,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for other routers' connections")
 	}
-	return &Server{listener: l, events: events, known: known, dial: dial, sessions: make(map[*yamux.Session]bool)}, nil
+	return &Server{listener: l, events: events, known: known, dial: dial, sessions: make(map[*yamux.Session]bool), streams: make(map[*yamux.Stream]bool)}, nil
 }
 
 // Serve accepts other routers until Close.
@@ -80,8 +82,37 @@
 // Carried returns the number of connections that are carried now.
 func (s *Server) Carried() int64 { return s.carried.Load() }
 
-// Decline makes the server open no further connections. Those that are open go on.
-func (s *Server) Decline() { s.declines.Store(true) }
+// Decline makes the server open no further connections. Those that are open go on for the exchange in progress; the
+// other routers are told to begin no further one.
+func (s *Server) Decline() {
+	s.declines.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for stream := range s.streams {
+		s.tellStop(stream)
+	}
+}
+
+// tellStop tells the router that has a stream that this one stops.
+func (s *Server) tellStop(stream *yamux.Stream) {
+	// A stream that takes no data must not hold up the stop. The end of the process ends it.
+	go func() { _, _ = stream.Write((&frame{stops: true}).append(nil)) }()
+}
+
+// track keeps a stream with an open connection, and tells it at once when the server has stopped meanwhile.
+func (s *Server) track(stream *yamux.Stream) (untrack func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams[stream] = true
+	if s.declines.Load() {
+		s.tellStop(stream)
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.streams, stream)
+	}
+}
 
 // Close closes the address and all connections.
 func (s *Server) Close() error {
@@ -152,6 +183,7 @@
 		}
 		return
 	}
+	defer s.track(stream)()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -332,3 +332,44 @@
 	f.Add([]byte("\x1a\x01x"))
 	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = decodeFrame(b) })
 }
+
+// Guards against a request that is sent through a router which stops, whose end cuts the answer, and against an exchange in
+// progress that is broken off when the stop begins.
+func TestNoFurtherRequestIsSentThroughACarrierThatStops(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, nil, echo)
+	conn := b.dial()
+	exchange := func(text string) error {
+		if _, err := io.WriteString(conn, text); err != nil {
+			return err
+		}
+		buffer := make([]byte, len(text))
+		_, err := io.ReadFull(conn, buffer)
+		if err == nil && string(buffer) != text {
+			t.Errorf("got %q, want %q", buffer, text)
+		}
+		return err
+	}
+	if err := exchange("first"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, "sec"); err != nil {
+		t.Fatal(err)
+	}
+	b.carrier.Decline()
+	// The rest of a request that has begun is sent; its echo brings the news of the stop.
+	if _, err := io.WriteString(conn, "ond"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(conn, make([]byte, len("second"))); err != nil {
+		t.Fatal(err)
+	}
+	// net/http reads while a connection is idle.
+	_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	_, _ = conn.Read(make([]byte, 1))
+	n, err := io.WriteString(conn, "third")
+	var stated interface{ NothingSent() bool }
+	if n != 0 || !errors.As(err, &stated) || !stated.NothingSent() {
+		t.Errorf("%d bytes of a further request, error %v; want none, by a statement that nothing was sent", n, err)
+	}
+}
