--- /dev/null
+++ b/internal/front/carriedheads_test.go
@@ -0,0 +1,72 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/bluebellwell/bluebellwell/platform/platformtest"
+)
+
+// Guards against a success that a caller takes for whole although its server stopped in the middle of the answer's head, when
+// the connection to the server goes through another router.
+func TestHeadCutBehindAnotherRouterIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFleetWith(t, 3, 1, func(f *fleetBed) { f.routers[0].link = &serverLink{} })
+	servers := startRawServers(t, f.testBed, 1)
+	c := config(2)
+	c.Pools = append(c.Pools, "raw")
+	for i := range c.Routes {
+		c.Routes[i].Pool = "raw"
+	}
+	f.publish(c)
+	cut := f.routers[0]
+	f.waitFor("the routers know the configuration and the server", func() bool {
+		return f.all(func(r *testBed) bool { return r.front.Status().ConfigVersion == 2 && r.lists("raw-0") })
+	})
+	cut.link.setCut(resetsAll)
+	send := func(route, id string, a rawAnswer) reply {
+		servers.prepare(id, func(*http.Request) rawAnswer { return a.withID(id) })
+		r := cut.request(http.MethodPost, route, "x", platformtest.HeaderRequestID, id)
+		return cut.do(r)
+	}
+	body := eventStream(2, "\n", "x")
+	f.waitFor("requests go through another router", func() bool {
+		return send("/unsafe/x", fmt.Sprintf("whole-%d", requests.Add(1)), rawAnswer{version: "HTTP/1.1", status: 200, body: "whole", cut: -1, ending: closes}).status == http.StatusOK
+	})
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	arrived, sent := 0, 0
+	limit := make(chan struct{}, 4)
+	for _, framing := range []framingKind{byLength, byChunks, byClose} {
+		for _, end := range []ending{closes, resets} {
+			for _, route := range []string{"/unsafe/x", "/safe/x", "/stream/x", "/resume/x"} {
+				a := rawAnswer{version: "HTTP/1.1", status: 200, framing: framing, body: body, chunk: 5, ending: end}
+				_, headBytes := a.wire("id", false)
+				for a.cut = 0; a.cut < headBytes; a.cut += 11 {
+					id := fmt.Sprintf("cut-%d-%d-%s-%d", framing, end, route[1:len(route)-2], a.cut)
+					limit <- struct{}{}
+					callers.Go(func() {
+						defer func() { <-limit }()
+						got := send(route, id, a)
+						if got.err == nil && got.status == http.StatusOK {
+							t.Errorf("%s: status 200, body %q, framed %v", id, got.body, got.framed)
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						sent++
+						if servers.runsOf(id) > 0 {
+							arrived++
+						}
+					})
+				}
+			}
+		}
+	}
+	callers.Wait()
+	t.Logf("%d of %d requests arrived at the server", arrived, sent)
+	if arrived < sent/4 {
+		t.Errorf("%d of %d requests arrived at the server, want a quarter at least", arrived, sent)
+	}
+}
