router, cli: tests free ports at hosts where nothing else listens

The closed address of the tests of cli went to a server of another package's test, which then got a call that no caller had sent (TestSuccessesAreSigned/second_answer).

--- a/internal/cli/router_test.go
+++ b/internal/cli/router_test.go
@@ -22,7 +22,8 @@
 // closedAddr returns a loopback address without a listener.
 func closedAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Nothing else listens at this host: a server of another test that got the port would be called.
+	l, err := net.Listen("tcp", "127.0.3.2:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -71,7 +71,8 @@
 		t.Fatal(err)
 	}
 	defer used.Close()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	// Nothing else listens at this host, so that nobody gets the port while it is free.
+	free, err := net.Listen("tcp", "127.0.3.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
