--- a/internal/front/cutoff_test.go
+++ b/internal/front/cutoff_test.go
@@ -28,6 +28,8 @@
 	cut    atomic.Bool
 	// silent is set while calls get no answer, those that wait at the store included.
 	silent atomic.Bool
+	// only is the topic whose calls get no answer; empty for all.
+	only string
 }
 
 func newStoreLink(t *testing.T, addr string) *storeLink {
@@ -37,10 +39,10 @@
 		if l.cut.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		if !l.silent.Load() {
+		if !l.isSilent(r) {
 			answer := httptest.NewRecorder()
 			proxy.ServeHTTP(answer, r)
-			if !l.silent.Load() {
+			if !l.isSilent(r) {
 				copyAnswer(w, answer)
 				return
 			}
@@ -53,6 +55,11 @@
 	return l
 }
 
+// isSilent reports whether a call gets no answer.
+func (l *storeLink) isSilent(r *http.Request) bool {
+	return l.silent.Load() && strings.Contains(r.URL.RawQuery, l.only)
+}
+
 func copyAnswer(w http.ResponseWriter, answer *httptest.ResponseRecorder) {
 	maps.Copy(w.Header(), answer.Header())
 	w.WriteHeader(answer.Code)
--- a/internal/front/silentstore_test.go
+++ b/internal/front/silentstore_test.go
@@ -28,10 +28,20 @@
 // readers until their calls time out; and because routers that take over get none either.
 func TestReadersThatTheStoreDoesNotAnswerAreReplaced(t *testing.T) {
 	const routers = 9
-	for _, silent := range [][]int{{0, 1, 2}, {0, 1, 2, 3}, {0, 1, 2, 3, 4}} {
-		t.Run(fmt.Sprintf("%d routers", len(silent)), func(t *testing.T) {
+	for _, c := range []struct {
+		silent []int
+		only   string
+	}{
+		{[]int{0, 1, 2}, ""}, {[]int{0, 1, 2, 3}, ""}, {[]int{0, 1, 2, 3, 4}, ""},
+		{[]int{0, 1, 2}, platform.TopicServers}, {[]int{0, 1, 2}, platform.TopicConfig},
+	} {
+		silent := c.silent
+		t.Run(fmt.Sprintf("%d routers, topic %q", len(silent), c.only), func(t *testing.T) {
 			t.Parallel()
 			f, links := newFleetWithStoreLinks(t, routers, 3, silent...)
+			for _, l := range links {
+				l.only = c.only
+			}
 			served := &fleetBed{testBed: f.testBed, routers: f.routers[len(silent):]}
 			f.publish(config(2))
 			f.register(platformtest.StateReady, f.engines[2])
