--- a/internal/front/carriedheads_test.go
+++ b/internal/front/carriedheads_test.go
@@ -42,10 +42,12 @@
 	for _, framing := range []framingKind{byLength, byChunks, byClose} {
 		for _, end := range []ending{closes, resets} {
 			for _, route := range []string{"/unsafe/x", "/safe/x", "/stream/x", "/resume/x"} {
-				a := rawAnswer{version: "HTTP/1.1", status: 200, framing: framing, body: body, chunk: 5, ending: end}
-				_, headBytes := a.wire("id", false)
-				for a.cut = 0; a.cut < headBytes; a.cut += 11 {
-					id := fmt.Sprintf("cut-%d-%d-%s-%d", framing, end, route[1:len(route)-2], a.cut)
+				whole := rawAnswer{version: "HTTP/1.1", status: 200, framing: framing, body: body, chunk: 5, cut: -1, ending: end}
+				_, headBytes := whole.wire("id", false)
+				for cutAt := 0; cutAt < headBytes; cutAt += 11 {
+					a := whole
+					a.cut = cutAt
+					id := fmt.Sprintf("cut-%d-%d-%s-%d", framing, end, route[1:len(route)-2], cutAt)
 					limit <- struct{}{}
 					callers.Go(func() {
 						defer func() { <-limit }()
