router: the test of a stop listens at a host where nothing else does

Its ports are free once the router has stopped, and any of them may get one, as in TestFailedStartClosesPeerListener. Whose listener it was is not shown.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -40,7 +40,11 @@
 // Guards against a stop that never ends, or that leaves a listener open so that
 // the next start of the router on the VM fails.
 func TestStopClosesListeners(t *testing.T) {
-	bed := startBed(t, nil)
+	// Nothing else listens at this host, so that nobody gets the ports once they are free.
+	bed := startBed(t, func(s *settings.Settings) {
+		s.ListenCallers = netip.MustParseAddrPort("127.0.3.3:0")
+		s.ListenPeers = netip.MustParseAddrPort("127.0.3.3:0")
+	})
 	r, err := bed.StartRouter()
 	if err != nil {
 		t.Fatal(err)
