digest: the differing reader is looked up once

MustListServers searched the peers twice, ten times a second for each follower; the check keeps the reader that it found. Behaviour is unchanged.

--- a/internal/digest/serverscheck.go
+++ b/internal/digest/serverscheck.go
@@ -45,8 +45,9 @@
 	// lists is KnownServers.Lists at that time, and attempts counts the lists that have not ended the difference.
 	lists    int
 	attempts int
-	// due is set while the list is to be read.
-	due bool
+	// due is set while the list is to be read, and reader is one that knows other servers.
+	due    bool
+	reader netip.Addr
 }
 
 // differingReader returns a reader of the store whose servers are not those that this router knows. Only readers that were
@@ -68,10 +69,12 @@
 // others for longer than a change is on the way.
 func (p *Peers) MustListServers(now time.Time, own OwnReads, known KnownServers) bool {
 	c := &p.servers
-	if _, differs := p.differingReader(now, own, known); !differs {
+	reader, differs := p.differingReader(now, own, known)
+	if !differs {
 		*c = serversCheck{}
 		return false
 	}
+	c.reader = reader
 	switch {
 	case c.since.IsZero():
 		c.since, c.lists = now, known.Lists
@@ -105,11 +108,10 @@
 	e.mu.Lock()
 	before := e.peers.servers.due
 	must := e.peers.MustListServers(now, progress.OwnReads, progress.Servers)
-	reader, _ := e.peers.differingReader(now, progress.OwnReads, progress.Servers)
 	check := e.peers.servers
 	e.mu.Unlock()
 	if must && !before {
-		e.events.Emit(event.ServersDiffer, "reader", reader.String(), "for_ms", now.Sub(check.since).Milliseconds(), "lists_read", check.attempts, "era", progress.OwnReads.Era)
+		e.events.Emit(event.ServersDiffer, "reader", check.reader.String(), "for_ms", now.Sub(check.since).Milliseconds(), "lists_read", check.attempts, "era", progress.OwnReads.Era)
 	}
 	return must
 }
