--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -37,6 +37,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how many times the usual time work takes at the server now; 0 when it does not say.
+	Slowdown float64
 }
 
 // maxLoadPerSlot bounds the load that a server may report. Servers queue a few requests
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -54,6 +54,7 @@
 	VersionsCollected   = register(1050, hclog.Info, "engines were asked which versions have prompts cached, since most routers were killed")
 	ServersDiffer       = register(1051, hclog.Warn, "a reader of the store knows other servers; the whole list is read again")
 	StoreCallOverdue    = register(1052, hclog.Warn, "platform store has not answered a call in time; this router does not read it for the others")
+	ConfigFieldsIgnored = register(1053, hclog.Warn, "configuration has fields with unusable values, which count as missing")
 	InventoryCollected  = register(1022, hclog.Info, "engines were queried for their cached prompt parts")
 	InventoryFailed     = register(1023, hclog.Warn, "query of an engine's cached prompt parts failed")
 )
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -40,6 +40,11 @@
 	Model    string
 	// Prompt lists the parts of the prompt in order. The last belongs to this request only.
 	Prompt []Part
+	// PromptTokens and MaxOutputTokens are the size of the prompt and the bound of the answer that the caller
+	// states, OutputHint is its estimate of the answer; each is 0 when it is not stated. The estimate is often off.
+	PromptTokens    int
+	MaxOutputTokens int
+	OutputHint      int
 	// Resumes is the ID of the request that brought the first event of the stream which the
 	// caller takes up after LastEventID; both are empty for other requests.
 	Resumes     string
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -20,6 +20,9 @@
 // expireInterval is how often the grace periods of removed servers are checked.
 const expireInterval = 100 * time.Millisecond
 
+// maxLoggedFields bounds the fields of a configuration in one log line.
+const maxLoggedFields = 16
+
 // emptyServersHash is the hash of a list without servers: 0 means that no list has been read.
 const emptyServersHash = 1
 
@@ -215,6 +218,9 @@
 	if old == nil && t.holdBack(config, position) {
 		return
 	}
+	if len(config.Ignored) > 0 {
+		t.events.Emit(event.ConfigFieldsIgnored, "version", config.Version, "fields", config.Ignored[:min(len(config.Ignored), maxLoggedFields)], "count", len(config.Ignored))
+	}
 	table := routing.Compile(config)
 	t.state.SetTable(table)
 	t.edge.SetIdleLimit(table.Limits().IdleTimeout)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -53,6 +53,8 @@
 	// Resumable streams may continue at another engine after the last event.
 	Resumable bool
 	Targets   []Target
+	// AllowedRegions are the regions whose servers may get the requests; empty for all.
+	AllowedRegions []string
 }
 
 // MayRepeat reports whether a request of the route may run more than once.
@@ -66,6 +68,8 @@
 	// Priority replaces the route's when HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions are the regions whose servers may get the requests; empty for all.
+	AllowedRegions []string
 }
 
 // Limits bound what a caller may send and how long it may stay idle.
@@ -82,8 +86,40 @@
 type Config struct {
 	Version    int64
 	Routes     []Route
+	Pools      []Pool
 	Workspaces []Keyring
 	Limits     Limits
+	// Ignored names the fields whose values are not usable and count as missing.
+	Ignored []string
+}
+
+// Pool is what the configuration says of a pool of servers.
+type Pool struct {
+	Name string
+	// MaxConnections bounds the connections to one server; 0 means unknown.
+	MaxConnections int
+	// ColdStart is how long a server is cold after its start; 0 when its servers do not get cold.
+	ColdStart time.Duration
+	// ColdPerSecond is the number of requests a second that a cold server takes from all routers together; 0 for
+	// no limit.
+	ColdPerSecond float64
+	// Engine is nil for plain servers.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a pool. A number is 0 when it is unknown.
+type Engine struct {
+	Slots int
+	// KVTokens is the number of tokens that fit the memory, KVTokenBytes the size of one.
+	KVTokens     int
+	KVTokenBytes int
+	// LinkMbps is the rate of copies of prompt memory, in megabits per second.
+	LinkMbps float64
+	// HandleTimeout is how long an engine keeps a copy that is not used.
+	HandleTimeout time.Duration
+	// Moves and Backups are set when the engines offer to move running requests, and to copy their memory as it grows.
+	Moves   bool
+	Backups bool
 }
 
 // Keyring is a workspace with its API keys.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -11,6 +11,7 @@
 	limits  Limits
 	hosts   map[string][]*Route
 	keys    map[string]Workspace
+	pools   map[string]Pool
 	// authenticate is set when the configuration names workspaces.
 	authenticate bool
 }
@@ -22,6 +23,7 @@
 		limits:       c.Limits,
 		hosts:        make(map[string][]*Route),
 		keys:         make(map[string]Workspace),
+		pools:        make(map[string]Pool, len(c.Pools)),
 		authenticate: len(c.Workspaces) > 0,
 	}
 	for i := range c.Routes {
@@ -31,6 +33,9 @@
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, longestPrefixFirst)
 	}
+	for _, p := range c.Pools {
+		t.pools[p.Name] = p
+	}
 	for _, w := range c.Workspaces {
 		for _, key := range w.Keys {
 			t.keys[key] = w.Workspace
@@ -44,6 +49,9 @@
 // Version returns the version of the configuration.
 func (t *Table) Version() int64 { return t.version }
 
+// Pool returns what the configuration says of a pool, the zero value for one that it does not name.
+func (t *Table) Pool(name string) Pool { return t.pools[name] }
+
 // Limits returns the limits for callers.
 func (t *Table) Limits() Limits { return t.limits }
 
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -13,6 +13,8 @@
 	VM         string
 	DataCentre string
 	Region     string
+	// Regions maps each data centre to its region.
+	Regions map[string]string
 
 	ListenCallers   netip.AddrPort
 	ListenReadiness netip.AddrPort
@@ -49,6 +51,12 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetryExtra  float64
+	// ColdOverage and ColdExtra bound the requests that a cold server gets in a second, beyond the rate of its
+	// pool: a factor and a number of requests.
+	ColdOverage float64
+	ColdExtra   float64
+	// Evacuate is the time in which an evacuation of a data centre takes effect.
+	Evacuate time.Duration
 }
 
 const (
@@ -82,6 +90,7 @@
 		DataCentre: parseName(root, "data_centre"),
 		Region:     parseName(root, "region"),
 	}
+	root.read("regions", "an object that maps data centres to regions", &f.Regions)
 	f.FirstStart = root.boolean("first_start", false)
 	parseFrontAddresses(root, f)
 	limits := root.requiredChild("limits")
@@ -138,6 +147,9 @@
 		RetryRatio:   o.number("retry_ratio", 0.1, 0, 10),
 		RetryWindow:  o.duration("retry_window", 10*time.Second, time.Second, day),
 		RetryExtra:   o.number("retry_extra", 10, 0, 1e6),
+		ColdOverage:  o.number("cold_overage", 1, 1, 100),
+		ColdExtra:    o.number("cold_slack", 0, 0, 1e6),
+		Evacuate:     o.duration("evacuate", 5*time.Second, 100*time.Millisecond, day),
 	}
 	o.reportUnknown()
 	return b
