forward: a reader of the store confirms that there is one version by an answer later than the request

A router whose links to the other routers and to the store are cut at the same moment counted as a reader that reads with success until its call was overdue (up to 1.05 s) or the pause between two calls was over.

Such a router now waits, for 1 s at most, until the store has answered a call for the servers that ended after the request came.

--- a/internal/digest/readers.go
+++ b/internal/digest/readers.go
@@ -40,6 +40,8 @@
 	Recent bool
 	// Era is the era of the store as this router knows it.
 	Era int64
+	// ServersReadAt is when the store has answered a call for the servers last.
+	ServersReadAt time.Time
 }
 
 // readerView is what a router knows about the readers of the store.
--- a/internal/digest/streams.go
+++ b/internal/digest/streams.go
@@ -64,6 +64,13 @@
 // ReadsStore reports whether this router reads the store for the others, with success.
 func (e *Exchange) ReadsStore() bool { return e.Reading() && e.state.Progress().OwnReads.Succeed }
 
+// HasReadSince reports whether this router reads the store for the others, and the store has answered a call for the servers
+// after a time.
+func (e *Exchange) HasReadSince(t time.Time) bool {
+	own := e.state.Progress().OwnReads
+	return e.Reading() && own.Succeed && own.ServersReadAt.After(t)
+}
+
 // rankedPeer is a router with its place in the order of rendezvous hashing, highest rank first.
 type rankedPeer struct {
 	addr netip.Addr
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -29,6 +29,8 @@
 	HasOthers() bool
 	// ReadsStore reports whether this router reads the store itself, with success.
 	ReadsStore() bool
+	// HasReadSince reports whether it reads the store, and has read the newest servers there after a time.
+	HasReadSince(t time.Time) bool
 }
 
 // noFleet is a router without others.
@@ -38,6 +40,7 @@
 func (noFleet) AskForStream(streamversion.Stream)  {}
 func (noFleet) HasOthers() bool                    { return false }
 func (noFleet) ReadsStore() bool                   { return false }
+func (noFleet) HasReadSince(time.Time) bool        { return false }
 
 // streamVersions is what a router knows of the versions that began streams. It is safe for
 // concurrent use.
@@ -263,7 +266,7 @@
 		// Without servers of another version now there may have been some a moment ago, and there may be some of which
 		// this router has not heard because it was cut off or stood still. Who reads the store has heard of them.
 		several = c.pool.severalVersions(time.Now())
-		if !known && (several || !streams.settled(time.Now()) || !oneVersion && !streams.fleet.ReadsStore()) {
+		if !known && (several || !streams.settled(time.Now()) || !oneVersion && !c.confirmedByStore()) {
 			c.refuse(CauseVersionUnknown)
 			return false
 		}
@@ -272,6 +275,37 @@
 	return true
 }
 
+const (
+	// confirmTime is how long a reader of the store waits for the next answer of the store. It covers a wait at the
+	// store, after which that answers in any case.
+	confirmTime = time.Second
+	// confirmCheck is the time between two checks.
+	confirmCheck = 25 * time.Millisecond
+)
+
+// confirmedByStore reports whether this router knows of one version only after an answer of the store that came later than
+// the request. Without it, the router may be cut off and not have noticed: a call that hangs looks like one that waits.
+func (c *call) confirmedByStore() bool {
+	fleet := c.handler.state.streams.fleet
+	timer := time.NewTimer(confirmTime)
+	defer timer.Stop()
+	tick := time.NewTicker(confirmCheck)
+	defer tick.Stop()
+	for fleet.ReadsStore() {
+		if fleet.HasReadSince(c.arrivedAt) {
+			return !c.pool.severalVersions(time.Now())
+		}
+		select {
+		case <-tick.C:
+		case <-timer.C:
+			return false
+		case <-c.r.Context().Done():
+			return false
+		}
+	}
+	return false
+}
+
 // mayBeOutdated reports whether only others can tell that this router knows all versions: it has not run for long, or
 // it may have missed that servers of another version came.
 func (v *streamVersions) mayBeOutdated() bool { return !v.settled(time.Now()) || v.fleet.HasOthers() }
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -23,6 +23,8 @@
 	asked int
 	// others is set when the router has heard others, and readsStore when it reads the store itself.
 	others, readsStore bool
+	// readsAgain is when the store answers next; zero when it has just done so.
+	readsAgain time.Time
 	// instead is the stream that answers name; 0 for the one that was asked for.
 	instead streamversion.Stream
 }
@@ -30,6 +32,10 @@
 func (f *fleetStreams) HasOthers() bool  { return f.others }
 func (f *fleetStreams) ReadsStore() bool { return f.readsStore }
 
+func (f *fleetStreams) HasReadSince(time.Time) bool {
+	return f.readsStore && !time.Now().Before(f.readsAgain)
+}
+
 func (f *fleetStreams) TellStreams(list []streamversion.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -163,6 +169,7 @@
 		known                        map[streamversion.Stream]streamversion.Version
 		instead                      streamversion.Stream
 		readsStore, several, started bool
+		readsIn                      time.Duration
 		want                         int
 	}{
 		"another version began it":                     {known: v2, readsStore: true, want: 503},
@@ -170,6 +177,8 @@
 		"others know one version, of another stream":   {known: one, instead: streamversion.StreamOf("second"), want: 503},
 		"nobody answers":                               {want: 503},
 		"nobody answers a reader of the store":         {readsStore: true, want: 200},
+		"the store answers a reader soon":              {readsStore: true, readsIn: 200 * time.Millisecond, want: 200},
+		"a call of a reader to the store hangs":        {readsStore: true, readsIn: time.Hour, want: 503},
 		"nobody answers a reader that has two":         {readsStore: true, several: true, want: 503},
 		"nobody answers a reader that has just begun":  {readsStore: true, started: true, want: 503},
 		"others know one version, this router has two": {known: one, several: true, want: 503},
@@ -181,6 +190,9 @@
 		}
 		f := b.versioned("v1", second)
 		f.known, f.instead, f.others, f.readsStore = c.known, c.instead, true, c.readsStore
+		if c.readsIn > 0 {
+			f.readsAgain = time.Now().Add(c.readsIn)
+		}
 		if !c.started {
 			b.state.streams.knownSince = time.Now().Add(-time.Hour)
 		}
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -362,7 +362,7 @@
 		listEnd = p.listEnd.Offset
 	}
 	return digest.StoreProgress{
-		Topics: list, OwnReads: digest.OwnReads{Succeed: reading, Recent: p.recent(now), Era: era}, ConfigVersion: p.configVersion, ListEnd: listEnd,
-		Servers: p.knownServers(now),
+		Topics: list, ConfigVersion: p.configVersion, ListEnd: listEnd, Servers: p.knownServers(now),
+		OwnReads: digest.OwnReads{Succeed: reading, Recent: p.recent(now), Era: era, ServersReadAt: p.answeredAt[digest.TopicServers]},
 	}
 }
--- a/internal/front/versions_test.go
+++ b/internal/front/versions_test.go
@@ -414,30 +414,50 @@
 type cutSource struct {
 	feed.Source
 	cut *atomic.Bool
+	// silent is set when calls hang while it is cut, instead of failing at once.
+	silent bool
 }
 
 func (s *cutSource) Newest(ctx context.Context) (feed.Page, error) {
 	if s.cut.Load() {
-		return feed.Page{}, errCut
+		return s.fail(ctx)
 	}
 	return s.Source.Newest(ctx)
 }
 
 func (s *cutSource) Read(ctx context.Context, from int64, wait time.Duration) (feed.Page, error) {
 	if s.cut.Load() {
-		return feed.Page{}, errCut
+		return s.fail(ctx)
 	}
 	page, err := s.Source.Read(ctx, from, wait)
 	if s.cut.Load() {
-		return feed.Page{}, errCut
+		return s.fail(ctx)
 	}
 	return page, err
 }
 
+// fail ends a call while the way is cut.
+func (s *cutSource) fail(ctx context.Context) (feed.Page, error) {
+	if s.silent {
+		<-ctx.Done()
+	}
+	return feed.Page{Era: feed.NoEra}, errCut
+}
+
 // Guards against a router that is cut off while engines of a new version join, and sends streams which these began
-// to engines of the version that it knows: it takes it for the only one.
+// to engines of the version that it knows: it takes it for the only one. While its calls to the store hang it has not
+// noticed that it is cut off.
 func TestRouterOutOfStepSendsNoStreamToAnotherVersion(t *testing.T) {
 	t.Parallel()
+	for name, silent := range map[string]bool{"calls fail": false, "calls hang": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkRouterOutOfStep(t, silent)
+		})
+	}
+}
+
+func checkRouterOutOfStep(t *testing.T, silent bool) {
 	const cutOff = 3
 	var link *peerLink
 	var storeCut atomic.Bool
@@ -447,7 +467,7 @@
 			r.restarted = false
 		}
 		link = newPeerLink(t, f, cutOff)
-		f.routers[cutOff].wrapSource = func(s feed.Source) feed.Source { return &cutSource{s, &storeCut} }
+		f.routers[cutOff].wrapSource = func(s feed.Source) feed.Source { return &cutSource{s, &storeCut, silent} }
 	})
 	takeUpAll := func(begun []versionedStream) (whole int) {
 		for _, s := range begun {
