testport: tests get loopback hosts that no other test uses

A port that a test frees may be taken by a listener or a connection of another test, in this process or in another one.

testport.Host returns a loopback address that depends on the process and a counter.

--- a/internal/cli/front_test.go
+++ b/internal/cli/front_test.go
@@ -83,7 +83,7 @@
 		_, _ = w.Write([]byte(`{"vm":"front-1","ready":true,"config_version":7}`))
 	}))
 	defer router.Close()
-	closedAddr := testport.FreeAddrs(t, "127.0.0.1", 1)[0]
+	closedAddr := testport.FreeAddrs(t, testport.Host(), 1)[0]
 	var out bytes.Buffer
 	addrs := closedAddr.String() + ", " + router.Listener.Addr().String()
 	if err := runFrontStatus(t.Context(), addrs, false, Env{Stdout: &out}); err != nil {
--- a/internal/cli/router_test.go
+++ b/internal/cli/router_test.go
@@ -17,13 +17,14 @@
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/router"
 	"github.com/bluebellwell/bluebellwell/internal/settings"
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 )
 
 // closedAddr returns a loopback address without a listener.
 func closedAddr(t *testing.T) string {
 	t.Helper()
 	// Nothing else listens at this host: a server of another test that got the port would be called.
-	l, err := net.Listen("tcp", "127.0.3.2:0")
+	l, err := net.Listen("tcp", testport.Host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -62,7 +62,7 @@
 
 // addRouter adds a router that is not started yet.
 func (f *fleetBed) addRouter() *testBed {
-	r := &testBed{t: f.t, store: f.store, engines: f.engines, restarted: true, host: nextHost()}
+	r := &testBed{t: f.t, store: f.store, engines: f.engines, restarted: true, host: testport.Host()}
 	f.routers = append(f.routers, r)
 	// All routers receive digests on the same port.
 	r.peersPort = f.routers[0].peersPort
--- a/internal/front/start_test.go
+++ b/internal/front/start_test.go
@@ -17,7 +17,7 @@
 // Guards against a router that cannot start and keeps the addresses that it has
 // opened, so that the next attempt in the process fails as well.
 func TestFailedStartReleasesAddresses(t *testing.T) {
-	ports := testport.FreeAddrs(t, "127.0.7.1", 4)
+	ports := testport.FreeAddrs(t, testport.Host(), 4)
 	for _, c := range []struct {
 		name string
 		// busy is the index of the address that another listener has.
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -53,15 +53,6 @@
 	readyURL string
 }
 
-// hosts counts the addresses in use: every test bed has its own, since all
-// routers receive digests at the same port.
-var hosts atomic.Int32
-
-func nextHost() string {
-	n := hosts.Add(1)
-	return fmt.Sprintf("127.0.%d.%d", 9+n/250, 1+n%250)
-}
-
 func newTestBed(t *testing.T) *testBed { return newTestBedWith(t, 2) }
 
 func newTestBedWith(t *testing.T, engines int) *testBed {
@@ -79,7 +70,7 @@
 func (b *testBed) start() {
 	b.t.Helper()
 	if b.host == "" {
-		b.host = nextHost()
+		b.host = testport.Host()
 	}
 	ports := testport.FreeAddrsWith(b.t, b.host, 4, b.peersPort)
 	storeAddr := cmp.Or(b.storeAddr, b.store.Addr())
--- a/internal/front/timing_test.go
+++ b/internal/front/timing_test.go
@@ -22,7 +22,7 @@
 	const mustApply = 2 * time.Second
 	st := forward.NewState(forward.Limits{})
 	tr := newTracker(Platform{}, st, nil, event.Nop(), tally.NoopScope)
-	addr := testport.FreeAddrs(t, "127.0.7.2", 1)[0]
+	addr := testport.FreeAddrs(t, testport.Host(), 1)[0]
 	exchange, err := digest.Listen(addr, nil, true, &digestState{State: st, tracker: tr, progress: &tr.progress}, event.Nop())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/settings"
 	"github.com/bluebellwell/bluebellwell/internal/testbed"
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 )
 
 // waitLimit bounds waits for events that must happen.
@@ -42,8 +43,8 @@
 func TestStopClosesListeners(t *testing.T) {
 	// Nothing else listens at this host, so that nobody gets the ports once they are free.
 	bed := startBed(t, func(s *settings.Settings) {
-		s.ListenCallers = netip.MustParseAddrPort("127.0.3.3:0")
-		s.ListenPeers = netip.MustParseAddrPort("127.0.3.3:0")
+		s.ListenCallers = netip.MustParseAddrPort(testport.Host() + ":0")
+		s.ListenPeers = netip.MustParseAddrPort(testport.Host() + ":0")
 	})
 	r, err := bed.StartRouter()
 	if err != nil {
@@ -76,7 +77,7 @@
 	}
 	defer used.Close()
 	// Nothing else listens at this host, so that nobody gets the port while it is free.
-	free, err := net.Listen("tcp", "127.0.3.1:0")
+	free, err := net.Listen("tcp", testport.Host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/testport/testport.go
+++ b/internal/testport/testport.go
@@ -2,11 +2,36 @@
 package testport
 
 import (
+	"encoding/binary"
 	"net"
 	"net/netip"
+	"os"
+	"sync/atomic"
 	"testing"
 )
 
+const (
+	// hostsPerProcess is the number of hosts that a process has for itself.
+	hostsPerProcess = 1000
+	// firstProcess keeps the hosts away from 127.0.0.0/16, from whose addresses connections are opened.
+	firstProcess = 66
+	// processes is the number of processes that have hosts of their own; all fit 127.0.0.0/8.
+	processes = 16000
+)
+
+var hosts atomic.Uint32
+
+// Host returns a loopback address that no other test uses, in this process or in another one that runs now. A port
+// that is free there is not taken by a listener or a connection of another test. Later calls return higher addresses.
+func Host() string {
+	n := hosts.Add(1)
+	process := firstProcess + uint32(os.Getpid())%processes
+	var addr [4]byte
+	binary.BigEndian.PutUint32(addr[:], process*hostsPerProcess+n%hostsPerProcess)
+	addr[0] = 127
+	return netip.AddrFrom4(addr).String()
+}
+
 // FreeAddrsWith returns n free addresses of a host, the last with the given port, which others of a fleet use on
 // their hosts as well; 0 for any.
 func FreeAddrsWith(t testing.TB, host string, n int, last uint16) []netip.AddrPort {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -62,7 +62,7 @@
 		b.mu.Unlock()
 		return dial(ctx, network, addr)
 	}
-	host := netip.MustParseAddr("127.0.0.1")
+	host := netip.MustParseAddr(testport.Host())
 	addr := testport.FreeAddrs(t, host.String(), 1)[0]
 	b.carrier, err = Listen(addr, func(addr string) bool { return addr != "127.0.0.1:1" }, counted, event.Nop())
 	if err != nil {
