balance: requests that may run only once avoid servers that have failed lately

A server that goes down and up by turns was used by all routers again two seconds after each ejection, and each of its ends cost the streams that may not be resumed. For 8 s after an ejection only requests that may be repeated go there, which show whether it works; all do when fewer than two thirds of the servers would be left.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -52,6 +52,8 @@
 	Objective time.Duration
 	// Version is the software version that the server must have; 0 for any.
 	Version streamversion.Version
+	// RunsOnce is set for a request that may not run again when its server fails.
+	RunsOnce bool
 	// Exclude lists the incarnations that this request was already sent to.
 	Exclude []registry.Key
 	// Unreachable is the number of servers that this request could not reach.
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -31,12 +31,33 @@
 
 // usable returns the members that can take a request.
 func (p *Pool) usable(now time.Time, job *Job) []*member {
-	return p.takers(now, func(m *member) bool {
+	list := p.takers(now, func(m *member) bool {
 		if slices.Contains(job.Exclude, m.server.Key()) {
 			return false
 		}
 		return (job.Version == 0 || m.version == job.Version) && !p.withheld(now, m)
 	})
+	if job.RunsOnce {
+		list = withoutProbation(now, list)
+	}
+	return list
+}
+
+// withoutProbation drops the members that have failed lately, unless that would leave less than two thirds of them:
+// a request that may run only once is lost with its server, others go on at another one. The requests that may be
+// repeated show whether the server works again.
+func withoutProbation(now time.Time, list []*member) []*member {
+	onProbation := func(m *member) bool { return m.health.onProbation(now) }
+	n := 0
+	for _, m := range list {
+		if onProbation(m) {
+			n++
+		}
+	}
+	if n == 0 || 3*n > len(list) {
+		return list
+	}
+	return slices.DeleteFunc(list, onProbation)
 }
 
 // HasUsable reports whether a member can take a request.
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -20,6 +20,9 @@
 	// to maxFailureEjection, when the server fails again soon after the ejection.
 	failureEjection    = 2 * time.Second
 	maxFailureEjection = 8 * time.Second
+	// probation is how long after an ejection a server gets only requests that may run again, while others can
+	// take the rest. Servers that fail once often fail again within seconds.
+	probation = 8 * time.Second
 	// Unreachable servers are retried after a pause that doubles between these
 	// bounds.
 	minUnreachablePause = 250 * time.Millisecond
@@ -76,6 +79,11 @@
 // failing reports whether the server is ejected for its failures.
 func (h *health) failing(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
+// onProbation reports whether the server was ejected for its failures not long ago.
+func (h *health) onProbation(now time.Time) bool {
+	return !h.ejectedUntil.IsZero() && now.Before(h.ejectedUntil.Add(probation))
+}
+
 // unavailable reports whether the server recently refused a connection or request,
 // or is silent.
 func (h *health) unavailable(now time.Time, own int) bool {
--- /dev/null
+++ b/internal/balance/probation_test.go
@@ -0,0 +1,101 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/registry"
+)
+
+const (
+	// flapPeriod is the time in which a flapping server goes down and up, half of it each.
+	flapPeriod = 1400 * time.Millisecond
+	// answerTime is how long its requests take; those that are there when it goes down are lost.
+	answerTime = 300 * time.Millisecond
+)
+
+// down reports whether the flapping server is down at a time.
+func down(at time.Time) bool { return at.Sub(start)%flapPeriod < flapPeriod/2 }
+
+// replayFlappingServer simulates 30 routers that together send 20 requests a second to each of 12 servers, one of
+// which flaps, and returns how many requests that may run only once it loses after the first flaps, and how many others
+// it serves then.
+func replayFlappingServer() (lost, served int) {
+	const routers, rate = 30, 240
+	rng := rand.New(rand.NewPCG(7, 11))
+	pools := make([]*Pool, routers)
+	for i := range pools {
+		pools[i] = pool(12)
+	}
+	type running struct {
+		pool   *Pool
+		key    registry.Key
+		sentAt time.Time
+		job    Job
+	}
+	var inFlight []running
+	for step := range 12 * rate {
+		now := start.Add(time.Duration(step) * time.Second / rate)
+		for len(inFlight) > 0 && now.Sub(inFlight[0].sentAt) >= answerTime {
+			r := inFlight[0]
+			inFlight = inFlight[1:]
+			o, settled := Served, r.sentAt.Sub(start) > 3*time.Second
+			flaps := r.key.ID == "i-3"
+			switch {
+			case flaps && (down(r.sentAt) || down(now)):
+				o = Failed
+				if settled && r.job.RunsOnce {
+					lost++
+				}
+			case flaps && settled:
+				served++
+			}
+			r.pool.End(now, r.key, o)
+		}
+		p := pools[rng.IntN(routers)]
+		job := Job{Random: rng.Uint64(), RunsOnce: step%2 == 0}
+		c, _ := p.Pick(now, job)
+		p.Begin(now, c, job)
+		inFlight = append(inFlight, running{p, c.Server.Key(), now, job})
+		if step%(rate/4) == 0 {
+			shareOutcomes(now, pools)
+		}
+	}
+	return lost, served
+}
+
+// Guards against requests that may run only once and are lost at a server that goes down and up by turns: it was used
+// by all again two seconds after each of its failures.
+func TestRequestsThatRunOnceAvoidAFlappingServer(t *testing.T) {
+	lost, served := replayFlappingServer()
+	t.Logf("after the first flaps: %d requests that may run only once lost, %d others served", lost, served)
+	if lost > 0 {
+		t.Errorf("%d requests that may run only once were lost, want none", lost)
+	}
+	if served == 0 {
+		t.Error("no other request was served, want some that show whether the server works")
+	}
+}
+
+// Guards against a pool that is squeezed into few servers because many have failed lately.
+func TestManyServersOnProbationAreUsed(t *testing.T) {
+	p := pool(6)
+	for _, m := range p.members[:3] {
+		m.health.eject(start)
+	}
+	now := start.Add(failureEjection + time.Second)
+	if got := len(p.usable(now, &Job{RunsOnce: true})); got != 6 {
+		t.Errorf("%d servers with half on probation, want all 6", got)
+	}
+	p.members[0].health.ejectedUntil, p.members[1].health.ejectedUntil = time.Time{}, time.Time{}
+	if got := len(p.usable(now, &Job{RunsOnce: true})); got != 5 {
+		t.Errorf("%d servers with one on probation, want the 5 others", got)
+	}
+	if got := len(p.usable(now, &Job{})); got != 6 {
+		t.Errorf("%d servers for a request that may be repeated, want all 6", got)
+	}
+	if got := len(p.usable(now.Add(probation), &Job{RunsOnce: true})); got != 6 {
+		t.Errorf("%d servers after the probation, want all 6", got)
+	}
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -13,11 +13,13 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 )
 
 func serve(t *testing.T) *Server {
 	t.Helper()
-	s, err := Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s, err := Listen(testport.Host()+":0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, "ok")
 	}), hclog.NewNullLogger())
 	if err != nil {
@@ -150,7 +152,7 @@
 // read while the connection still counts as idle: the request was forwarded and
 // its answer lost.
 func TestCloseWaitingKeepsRequestsBeingRead(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", testport.Host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -179,7 +181,7 @@
 // connections.
 func TestDrain(t *testing.T) {
 	started, release := make(chan struct{}), make(chan struct{})
-	s, err := Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s, err := Listen(testport.Host()+":0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		close(started)
 		<-release
 		w.Header().Set("Connection", "close")
@@ -258,7 +260,7 @@
 // listener.
 func TestCloseAfterDrain(t *testing.T) {
 	for range 50 {
-		s, err := Listen("127.0.0.1:0", http.NotFoundHandler(), hclog.NewNullLogger())
+		s, err := Listen(testport.Host()+":0", http.NotFoundHandler(), hclog.NewNullLogger())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 )
 
 // timedConn is a connection that records its read deadline and reads a byte at a time.
@@ -125,7 +127,7 @@
 // serveWith serves with a handler.
 func serveWith(t *testing.T, handler http.HandlerFunc) *Server {
 	t.Helper()
-	s, err := Listen("127.0.0.1:0", handler, hclog.NewNullLogger())
+	s, err := Listen(testport.Host()+":0", handler, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -192,7 +194,7 @@
 // Guards against callers that read nothing and fill the kernel's memory with answers.
 func TestKernelHoldsLittleOfAnAnswer(t *testing.T) {
 	accepted := make(chan net.Conn, 1)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.Host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -249,7 +251,7 @@
 
 // Guards against connections that outlive the server.
 func TestCloseEndsConnections(t *testing.T) {
-	s, err := Listen("127.0.0.1:0", http.NotFoundHandler(), hclog.NewNullLogger())
+	s, err := Listen(testport.Host()+":0", http.NotFoundHandler(), hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -256,6 +256,7 @@
 	job := balance.Job{Version: c.requiredVersion(), Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre, Objective: c.route.Objective}
 	job.Prefixes, job.PromptTokens = sharedPrefixes(c.headers)
 	job.Unreachable = c.attempts.unreachable
+	job.RunsOnce = !c.route.MayRepeat()
 	return job
 }
 
--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -27,6 +27,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/retrybudget"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 )
 
 // bedWait bounds each wait for what a router or a server does.
@@ -167,7 +168,7 @@
 	b.state.SetTable(routing.Compile(bedConfig(o)))
 	events := event.NewLogger(hclog.New(&hclog.LoggerOptions{Output: bedLog{b}, JSONFormat: true, Level: hclog.Trace}))
 	b.handler = New(b.state, bedCodec{}, events, NewMetrics(tally.NoopScope))
-	s, err := edge.Listen("127.0.0.1:0", b.handler, hclog.NewNullLogger())
+	s, err := edge.Listen(testport.Host()+":0", b.handler, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 )
 
 // wholeEvent is a stream that ends between two events.
@@ -66,7 +67,7 @@
 // still written: net/http closes the connection then and reports its own closing as the error.
 func TestEngineThatEndsWhileItsRequestIsWrittenIsReported(t *testing.T) {
 	t.Parallel()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.Host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/relayfuzz_test.go
+++ b/internal/forward/relayfuzz_test.go
@@ -26,6 +26,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/retrybudget"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
@@ -144,7 +145,7 @@
 	})
 	var servers []*registry.Server
 	for i := range 2 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", testport.Host()+":0")
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -164,7 +165,7 @@
 		Workspaces: []routing.Keyring{{Workspace: routing.Workspace{Name: "w"}, Keys: []string{"k1"}}},
 	}))
 	h := forward.New(state, platform.Codec{}, event.NewLogger(hclog.NewNullLogger()), forward.NewMetrics(tally.NoopScope))
-	s, err := edge.Listen("127.0.0.1:0", h, hclog.NewNullLogger())
+	s, err := edge.Listen(testport.Host()+":0", h, hclog.NewNullLogger())
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/forward/reuse_test.go
+++ b/internal/forward/reuse_test.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 )
 
 // noReuse returns how long connections to the first server are not reused.
@@ -245,7 +246,7 @@
 // reused, without end.
 func TestVanishedPeersAreNoticedByTheKernel(t *testing.T) {
 	t.Parallel()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.Host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/unread_test.go
+++ b/internal/forward/unread_test.go
@@ -18,6 +18,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/edge"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 )
 
 const (
@@ -77,7 +78,7 @@
 		now := time.Now()
 		h.Stop(now.Add(-acceptAllPeriod), now.Add(time.Hour))
 	}
-	s, err := edge.Listen("127.0.0.1:0", h, hclog.NewNullLogger())
+	s, err := edge.Listen(testport.Host()+":0", h, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
