balance, digest, forward: cold servers get the rate that they tolerate, from one router

A server that has just started, or says that it is cold, gets requests from one router only, at a rate of which two routers together stay within the bound. A router sends only while most of the routers say in their digests that they hear it, and none that any of them hears comes before it. Routers learn of cold servers by new incarnations, entries, answers and digests (fields 45 to 48).

The share of a router in limited servers is now computed from one view of the others for all servers, instead of two lists of them for each.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -89,6 +89,8 @@
 	ReasonLastHeard Reason = "last_heard"
 	// ReasonLimited: the server names a limit and was not asked for a while.
 	ReasonLimited Reason = "limited"
+	// ReasonCold: the server is cold and may get another request.
+	ReasonCold Reason = "cold"
 )
 
 // Choice is the server of a request and the data behind the choice.
@@ -111,6 +113,8 @@
 	// ReadyIn is how long the server is expected to read the prefix for an earlier
 	// request; 0 when it has read it or reads it for this one.
 	ReadyIn time.Duration
+	// Cold is set when the server is cold, and so slower than the others.
+	Cold bool
 }
 
 // Pool is the state of the load balancer for one pool of servers.
@@ -130,6 +134,9 @@
 	ranked        []rankedMember
 	// limitShare returns this router's share in the requests to a limited server.
 	limitShare func(server uint64) namedlimit.Share
+	cold       ColdLimits
+	// startsUnknownUntil is until when servers that may have started just before this router count as cold.
+	startsUnknownUntil time.Time
 }
 
 // Placement states that a server has a prefix in its cache, or is reading it. Server
@@ -146,7 +153,7 @@
 
 // NewPool returns a pool without servers.
 func NewPool(limits Limits) *Pool {
-	return &Pool{limits: limits, cached: newCacheIndex(), limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true} }}
+	return &Pool{limits: limits, cached: newCacheIndex(), limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Sole: true} }}
 }
 
 // SetLimits replaces the limits.
@@ -162,7 +169,8 @@
 	for _, s := range list {
 		m := old[s.Key()]
 		if m == nil {
-			m = &member{idHash: placement.Hash(s.ID), hash: s.Key().Hash()}
+			m = &member{idHash: placement.Hash(s.ID), hash: s.Key().Hash(), cold: newColdness(s)}
+			p.updateColdEnd(m)
 		}
 		m.server, m.version = s, streamversion.VersionOf(s.Version)
 		m.keepLeaving()
@@ -189,6 +197,9 @@
 		return p.choose(now, m, source, mean, ReasonLastHeard, read), true
 	}
 	if len(job.Prefixes) == 0 {
+		if m := p.unasked(now, usable); m != nil && p.isCold(now, m) {
+			return p.choose(now, m, nil, mean, ReasonCold, job.PromptTokens), true
+		}
 		return p.choose(now, p.leastLoaded(now, usable, &job), nil, mean, ReasonLeastLoaded, job.PromptTokens), true
 	}
 	return p.pickForPrefix(now, usable, mean, &job), true
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -70,8 +70,8 @@
 // when one of these servers does not report its own.
 func (p *Pool) Load(now time.Time) overload.Load {
 	var load overload.Load
-	// A server that names a limit or refuses requests takes less than its slots suggest.
-	takers := p.takers(now, func(m *member) bool { return !m.limit.Active() && !m.refuses(now) })
+	// A server that names a limit, is cold or refuses requests takes less than its slots suggest.
+	takers := p.takers(now, func(m *member) bool { return !p.restricted(now, m) && !m.refuses(now) })
 	for _, m := range takers {
 		if m.server.Slots <= 0 {
 			return overload.Load{}
@@ -87,14 +87,14 @@
 
 // mean returns the lower of the mean loads with and without the servers that are
 // leaving. They still finish their requests and would raise the bound of the
-// others or, when few remain, hide how uneven the load is. Servers that name a limit do not
-// count while others don't: the others take their requests.
+// others or, when few remain, hide how uneven the load is. Servers that name a limit or are cold do not
+// count while others don't and aren't: the others take their requests.
 func (p *Pool) mean(now time.Time) float64 {
-	withoutLimited := p.hasUnlimited()
+	withoutLimited := p.hasUnlimited(now)
 	var all, staying float64
 	n, nStaying := 0, 0
 	for _, m := range p.members {
-		if withoutLimited && m.limit.Active() {
+		if withoutLimited && p.restricted(now, m) {
 			continue
 		}
 		load := m.load(now)
@@ -135,7 +135,7 @@
 func (p *Pool) choose(now time.Time, m, source *member, mean float64, reason Reason, read int) Choice {
 	c := Choice{
 		Server: m.server, Reason: reason, Load: m.load(now), Mean: mean, ReportAge: -1,
-		ReadTokens: read, Wait: m.wait(now),
+		ReadTokens: read, Wait: m.wait(now), Cold: p.isCold(now, m),
 	}
 	if source != nil {
 		c.Source = source.server
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -16,36 +16,37 @@
 const minWithheld = time.Millisecond
 
 // withheld reports whether what a member has said keeps this router from sending it a request: it
-// wants none for a while, or its limit is used up.
+// wants none for a while, its limit is used up, or it is cold and tolerates no more.
 func (p *Pool) withheld(now time.Time, m *member) bool {
-	return m.refuses(now) || p.overBrittle(now, m) || m.limit.Active() && !m.limit.Allows(now, p.limitShare(m.hash))
+	return m.refuses(now) || p.overBrittle(now, m) || p.overCold(now, m) || m.limit.Active() && !m.limit.Allows(now, p.limitShare(m.hash))
 }
 
 // pressedShare is the share of their slots from which servers without a limit need relief. Engines
 // run short of memory well before all slots are taken.
 const pressedShare = 0.3
 
-// unasked returns a usable member that names a limit and should get the next request, whoever has its
+// unasked returns a usable member that names a limit or is cold and should get the next request, whoever has its
 // prefix: one that got none from this router for a while, or any when the others need relief. Else the others,
 // which have the prefixes, would get all requests.
 func (p *Pool) unasked(now time.Time, usable []*member) *member {
-	limited := func(m *member) bool { return m.limit.Active() && !m.health.ejected(now, m.own) }
+	limited := func(m *member) bool { return p.restricted(now, m) && !m.health.ejected(now, m.own) }
 	if !slices.ContainsFunc(usable, limited) {
 		return nil
 	}
-	load := p.Load(now)
-	pressed := load.Slots > 0 && load.InFlight() >= pressedShare*float64(load.Slots)
 	for _, m := range usable {
-		if limited(m) && (pressed || m.limit.Unasked(now)) {
+		if limited(m) && (m.limit.Unasked(now) || p.isCold(now, m) && m.cold.rate.Unasked(now)) {
 			return m
 		}
 	}
+	if load := p.Load(now); load.Slots > 0 && load.InFlight() >= pressedShare*float64(load.Slots) {
+		return usable[slices.IndexFunc(usable, limited)]
+	}
 	return nil
 }
 
-// hasUnlimited reports whether a member that stays names no limit.
-func (p *Pool) hasUnlimited() bool {
-	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.server.Leaving && !m.limit.Active() })
+// hasUnlimited reports whether a member that stays names no limit and is not cold.
+func (p *Pool) hasUnlimited(now time.Time) bool {
+	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.server.Leaving && !p.restricted(now, m) })
 }
 
 // RecordLimit records what a server said of its limit in the answer to a request that was sent at a
@@ -90,6 +91,9 @@
 		if m.limit.Active() && !m.refuses(now) {
 			wait = max(wait, m.limit.Wait(now, p.limitShare(m.hash)))
 		}
+		if p.isCold(now, m) && !m.refuses(now) {
+			wait = max(wait, p.coldWait(now, m))
+		}
 		if shortest == 0 || wait < shortest {
 			shortest = wait
 		}
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -40,6 +40,7 @@
 	// limit is the one that the server names.
 	limit   namedlimit.Limit
 	brittle brittleness
+	cold    coldness
 	// firstSlot is the number of slots of the servers before this one, see dealSlots.
 	firstSlot int
 }
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -61,6 +61,7 @@
 	}
 	m.own++
 	m.limit.Take(now)
+	m.cold.rate.Take(now)
 	reading := p.speed.duration(choice.ReadTokens)
 	readAt := m.addReading(now, reading)
 	m.health.begin(now, m.own, readAt)
@@ -104,7 +105,7 @@
 // RecordFirstByte records that a server has read the prompt of a request, after a
 // time since the request was sent.
 func (p *Pool) RecordFirstByte(now time.Time, choice Choice, job Job, firstByte time.Duration) {
-	if choice.Wait == 0 && choice.Source == nil {
+	if choice.Wait == 0 && choice.Source == nil && !choice.Cold {
 		p.speed.observe(choice.ReadTokens, firstByte)
 	}
 	for _, prefix := range job.Prefixes {
@@ -233,6 +234,9 @@
 	Ejected bool
 	// LimitPerSecond is the limit that the server names; nil for none.
 	LimitPerSecond *float64
+	// ColdLeft is how long the server is cold yet, and ColdSender is set while this router is the one that sends to it.
+	ColdLeft   time.Duration
+	ColdSender bool
 }
 
 // Status returns the state of all servers.
@@ -249,6 +253,9 @@
 			limit := m.limit.PerSecond()
 			s.LimitPerSecond = &limit
 		}
+		if p.isCold(now, m) {
+			s.ColdLeft, s.ColdSender = m.cold.end.Sub(now), p.limitShare(m.hash).Sole
+		}
 		list = append(list, s)
 	}
 	return list
--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -40,8 +40,14 @@
 	bound := p.bound(mean)
 	if m := p.unasked(now, usable); m != nil {
 		source, read := p.reuse(now, m, job)
-		return p.choose(now, m, source, mean, ReasonLimited, read)
+		reason := ReasonLimited
+		if p.isCold(now, m) {
+			reason = ReasonCold
+		}
+		return p.choose(now, m, source, mean, reason, read)
 	}
+	// A cold server is slow, and would become the home of prefixes whose requests it cannot take.
+	usable = p.withoutCold(now, usable)
 	if h := p.bestHolder(now, usable, holders, bound, job); h != nil {
 		c := p.choose(now, h.member, nil, mean, ReasonCached, job.PromptTokens-prefix.Tokens)
 		c.ReadyIn = h.readyIn
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -41,6 +41,8 @@
 		PlacementsReply:   rapid.Bool().Draw(t, "placements reply"),
 		Relay:             rapid.Bool().Draw(t, "relay"),
 		Level:             rapid.Int64Min(0).Draw(t, "level"),
+		AllCold:           rapid.Bool().Draw(t, "all cold"),
+		Routers:           rapid.Int64Min(0).Draw(t, "routers"),
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "n") {
 		m.Peers = append(m.Peers, addr(rapid.IntRange(0, 255).Draw(t, "peer")))
@@ -58,6 +60,11 @@
 		})
 		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), drawPosition(t)})
 		m.Servers = append(m.Servers, drawServerChange(t))
+		m.Heard = append(m.Heard, rapid.Uint16().Draw(t, "heard"))
+		m.Cold = append(m.Cold, ColdServer{
+			Server: rapid.Uint32().Draw(t, "cold server"), ByEntry: rapid.Bool().Draw(t, "by entry"),
+			Left: time.Duration(rapid.Int64Range(0, maxColdTime.Milliseconds()).Draw(t, "left")) * time.Millisecond,
+		})
 		m.Relayed = append(m.Relayed, RelayedPlacements{Origin: rapid.Uint64().Draw(t, "origin"), Placements: slices.Clone(m.Placements)})
 		m.Streams = append(m.Streams, streamversion.Record{
 			Stream: streamversion.Stream(rapid.Uint64().Draw(t, "stream")), Version: streamversion.Version(rapid.Uint64().Draw(t, "version of it")),
@@ -102,6 +109,7 @@
 		ID: c.ID, Pool: "p", Addr: "10.0.0.1:80", DataCentre: rapid.SampledFrom([]string{"", "hall"}).Draw(t, "data centre"),
 		Slots: rapid.IntRange(0, 500).Draw(t, "slots"), Version: rapid.SampledFrom([]string{"", "v1.1"}).Draw(t, "version"), Born: rapid.Int64Min(0).Draw(t, "born"),
 		Leaving: rapid.Bool().Draw(t, "leaving"), Engine: rapid.Bool().Draw(t, "engine"),
+		ColdLeft: rapid.SampledFrom([]time.Duration{0, registry.NotCold, time.Millisecond, 20 * time.Second}).Draw(t, "cold"),
 	}
 	return c
 }
@@ -384,7 +392,10 @@
 	return streamversion.Record{}, false
 }
 
-func (s *fakeState) TakeLimits() []Limit { return nil }
+func (s *fakeState) TakeLimits() []Limit               { return nil }
+func (s *fakeState) TakeCold() []ColdServer            { return nil }
+func (s *fakeState) ColdServers() ([]ColdServer, bool) { return nil, false }
+func (s *fakeState) ApplyCold([]ColdServer, bool)      {}
 
 func (s *fakeState) ApplyLimits([]Limit) {}
 
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -89,6 +89,12 @@
 	TakeLimits() []Limit
 	// ApplyLimits applies what another router has heard of servers' limits.
 	ApplyLimits(list []Limit)
+	// TakeCold returns what the others have to be told now of cold servers, and ColdServers what a router
+	// that has just started has to know. complete is set when this router knows of all.
+	TakeCold() []ColdServer
+	ColdServers() (list []ColdServer, complete bool)
+	// ApplyCold applies what another router knows of cold servers. With complete set it knows of no others.
+	ApplyCold(list []ColdServer, complete bool)
 	// TakePartReport returns what is new of parts of prompts that crash engines, and with
 	// all what is known of them.
 	TakePartReport(all bool) quarantine.Report
@@ -154,6 +160,8 @@
 	// shares are this router's shares of limited servers, computed anew in each loadInterval and when a
 	// router stops or starts, since each choice of a server asks for them.
 	shares map[uint64]namedlimit.Share
+	// maySend is set while this router may be the only one that sends to a cold server, as last computed.
+	maySend bool
 	// toRelay has the placements that this router is to pass on, by the Sender that made them, and collected is their
 	// number. relayWake is signalled when there are some.
 	toRelay   map[uint64][]Placement
@@ -175,6 +183,8 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for digests")
 	}
+	peers := NewPeers(addr.Addr(), seeds)
+	peers.since = time.Now()
 	return &Exchange{
 		conn:   conn,
 		port:   uint16(conn.LocalAddr().(*net.UDPAddr).Port),
@@ -182,7 +192,7 @@
 		state:  state,
 		events: events,
 		wake:   make(chan struct{}, 1),
-		peers:  NewPeers(addr.Addr(), seeds),
+		peers:  peers,
 
 		synced: firstStart, loadsSentAt: time.Now(), shares: make(map[uint64]namedlimit.Share),
 		toRelay: make(map[uint64][]Placement), relayWake: make(chan struct{}, 1),
@@ -360,7 +370,7 @@
 	e.mu.Lock()
 	isNew := e.peers.RecordMessage(now, from, m)
 	if isNew || m.Stopping {
-		clear(e.shares)
+		e.clearShares()
 	}
 	e.synced = e.synced || m.PlacementsReply
 	smallFleet := e.smallFleet()
@@ -394,6 +404,9 @@
 	if len(m.Limits) > 0 {
 		e.state.ApplyLimits(m.Limits)
 	}
+	if len(m.Cold) > 0 || m.AllCold {
+		e.state.ApplyCold(m.Cold, m.AllCold)
+	}
 	if !m.Parts.Empty() {
 		e.state.ApplyPartReport(m.Parts)
 	}
@@ -476,6 +489,7 @@
 			e.sendServerChanges(targets)
 			e.sendPartReport(targets, false)
 			e.sendLimits(targets)
+			e.sendCold(targets)
 		}
 	}
 }
--- a/internal/digest/limits.go
+++ b/internal/digest/limits.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 )
@@ -71,16 +72,39 @@
 // that hear the same others.
 func (e *Exchange) LimitShare(server uint64) namedlimit.Share {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if share, ok := e.shares[server]; ok {
+	share, ok := e.shares[server]
+	if ok {
+		e.mu.Unlock()
 		return share
 	}
-	live := e.peers.Live(time.Now())
-	own := placement.Mix(server, addrHash(e.peers.self))
-	first := !slices.ContainsFunc(live, func(p *Peer) bool { return placement.Mix(server, p.hash) > own })
-	share := namedlimit.Share{Sender: first, Routers: len(live) + 1, Before: e.peers.before(time.Now())}
+	now := time.Now()
+	share = e.peers.Share(now, server)
 	e.shares[server] = share
+	view, changed := *e.peers.senders, e.peers.senders.allowed != e.maySend
+	e.maySend = view.allowed
+	e.mu.Unlock()
+	if changed {
+		e.events.Emit(event.ColdSenderChanged, "allowed", view.allowed, "live", view.live, "hearing", view.hearing, "routers", view.most)
+	}
 	return share
 }
 
+// clearShares makes the shares be computed anew. The caller holds e.mu.
+func (e *Exchange) clearShares() {
+	clear(e.shares)
+	e.peers.senders = nil
+}
+
+// Share returns this router's share in the requests to a server that names a limit or is cold. What it knows of the
+// others counts as of the first call after a change.
+func (p *Peers) Share(now time.Time, server uint64) namedlimit.Share {
+	if p.senders == nil {
+		p.senders = p.viewSenders(now)
+	}
+	v := p.senders
+	own := placement.Mix(server, addrHash(p.self))
+	first := !slices.ContainsFunc(v.hashes, func(hash uint64) bool { return placement.Mix(server, hash) > own })
+	return namedlimit.Share{Sender: first, Sole: v.isSole(server), Routers: v.live, Before: v.before}
+}
+
 func addrHash(addr netip.Addr) uint64 { return placement.Hash(addr.String()) }
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -161,6 +161,13 @@
 	// asks for.
 	Streams      []streamversion.Record
 	AskedStreams []uint64
+	// Cold are servers that are cold, or no longer, and AllCold is set when the sender knows of no others.
+	Cold    []ColdServer
+	AllCold bool
+	// Heard are the short hashes of the routers that the sender hears; nil when it does not say. Routers is the largest
+	// number of routers that it has known lately.
+	Heard   []uint16
+	Routers int64
 }
 
 // Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
@@ -196,6 +203,10 @@
 	fieldRelayed           = 28
 	fieldLevel             = 29
 	fieldServersHash       = 30
+	fieldCold              = 45
+	fieldAllCold           = 46
+	fieldHeard             = 47
+	fieldRouters           = 48
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -248,6 +259,10 @@
 		b = appendLimit(b, l)
 	}
 	b = appendStreams(b, m.Streams, m.AskedStreams)
+	b = appendColdServers(b, m.Cold)
+	b = appendBool(b, fieldAllCold, m.AllCold)
+	b = appendHeard(b, m.Heard)
+	b = appendPositive(b, fieldRouters, m.Routers)
 	return appendPartReport(b, m.Parts)
 }
 
@@ -400,6 +415,10 @@
 		m.Level, err = nonNegative(v)
 	case fieldServersHash:
 		m.ServersHash = uint32(v)
+	case fieldAllCold:
+		m.AllCold = v != 0
+	case fieldRouters:
+		m.Routers, err = nonNegative(v)
 	}
 	return b[n:], err
 }
@@ -438,6 +457,10 @@
 		err = m.decodeNumbers(field, v)
 	case fieldLimit:
 		err = m.decodeLimit(v)
+	case fieldCold:
+		err = m.decodeColdServer(v)
+	case fieldHeard:
+		m.Heard, err = decodeHeard(v)
 	case fieldCrash:
 		err = m.decodeCrash(v)
 	case fieldStream:
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -65,6 +65,11 @@
 	restartedAt time.Time
 	// heardSince is when the process was first heard.
 	heardSince time.Time
+	// heard are the short hashes of the routers that it hears, hearsSelf is set when this one is among them, and
+	// routers is the largest number of routers that it has known lately.
+	heard     []uint16
+	hearsSelf bool
+	routers   int
 }
 
 // Peers tracks the other routers. It does no I/O, reads no clock, and is not safe
@@ -87,6 +92,13 @@
 	lackSince time.Time
 	// servers compares the servers of this router with those of the readers.
 	servers serversCheck
+	// since is when this router started, as far as the choice of senders goes.
+	since time.Time
+	// most is the largest number of routers that were heard lately, this one included, and mostAt when that was so last.
+	most   int
+	mostAt time.Time
+	// senders is what the choice of senders depends on; nil when it is to be found out again.
+	senders *senderView
 }
 
 // NewPeers returns a Peers that tracks no router yet. Targets returns the seeds
@@ -100,7 +112,11 @@
 	if from == p.self {
 		return false
 	}
+	if p.since.IsZero() {
+		p.since = now
+	}
 	if m.Stopping {
+		p.recordStopped(from)
 		delete(p.tracked, from)
 		return false
 	}
@@ -114,10 +130,12 @@
 		peer = &Peer{Addr: from, hash: addrHash(from), Sender: m.Sender, heardSince: now, lastChange: make(map[int]logpos.Position)}
 		if earlier != nil && !earlier.LastReceived.IsZero() {
 			peer.restartedAt = now
+			peer.heard, peer.hearsSelf, peer.routers = earlier.heard, earlier.hearsSelf, earlier.routers
 		}
 		p.tracked[from] = peer
 	}
 	peer.LastReceived = now
+	p.recordHeard(peer, m)
 	if len(m.Progress) > 0 {
 		peer.Reading = m.Reading
 		peer.role = m.Role
@@ -277,8 +295,11 @@
 }
 
 func (p *Peers) live(peer *Peer, now time.Time) bool {
-	timeout := max(minLiveTimeout, liveTimeoutPeriods*periodFor(len(p.tracked)))
-	return !peer.LastReceived.IsZero() && now.Sub(peer.LastReceived) < timeout
+	return !peer.LastReceived.IsZero() && now.Sub(peer.LastReceived) < p.liveTimeout()
+}
+
+func (p *Peers) liveTimeout() time.Duration {
+	return max(minLiveTimeout, liveTimeoutPeriods*periodFor(len(p.tracked)))
 }
 
 // Loads adds up the recently received loads of the other routers per server.
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -63,6 +63,7 @@
 	e.mu.Unlock()
 	e.sendTo([]netip.Addr{to}, m)
 	e.sendEntries([]netip.Addr{to}, e.state.PartEntries())
+	e.sendAllCold(to)
 }
 
 // sendDigest sends new server changes and placements to all tracked routers or to a relay, and
@@ -79,6 +80,7 @@
 		e.regularAt = now
 		e.peers.Expire(now)
 		m.Peers = e.nextPeers(targets)
+		m.Heard, m.Routers = e.peers.hearing(now)
 	}
 	withLoads := e.relays(now) && !e.reader && !e.peers.lacks(now, m)
 	e.mu.Unlock()
@@ -91,6 +93,7 @@
 	e.sendNewPlacements(targets, regular)
 	e.sendPartReport(targets, regular)
 	e.sendLimits(targets)
+	e.sendCold(targets)
 }
 
 // sendLoads sends this router's loads and outcomes to all routers, or in a large
@@ -108,7 +111,7 @@
 	e.mu.Lock()
 	m.Role = roleOf(e.toldReader)
 	e.loadsSentAt = time.Now()
-	clear(e.shares)
+	e.clearShares()
 	smallFleet := e.smallFleet()
 	e.sentLoads = make(map[uint32]int, len(own))
 	for _, l := range own {
--- a/internal/digest/server.go
+++ b/internal/digest/server.go
@@ -21,6 +21,8 @@
 	serverEra        = 11
 	serverPrevEra    = 12
 	serverVersion    = 13
+	// serverCold is the time for which the server is cold yet in milliseconds; 0 when it says that it is not.
+	serverCold = 45
 )
 
 func encodeServerChange(c *ServerChange) []byte {
@@ -43,6 +45,9 @@
 		b = appendText(b, serverVersion, s.Version)
 	}
 	b = appendBool(b, serverLeaving, s.Leaving)
+	if s.ColdLeft != 0 {
+		b = appendVarint(b, serverCold, uint64(max(s.ColdLeft, 0).Milliseconds()))
+	}
 	return appendBool(b, serverEngine, s.Engine)
 }
 
@@ -100,6 +105,11 @@
 		c.Position.Era = int64(v)
 	case serverPrevEra:
 		c.Prev.Era = int64(v)
+	case serverCold:
+		s.ColdLeft = registry.NotCold
+		if v > 0 {
+			s.ColdLeft = coldTime(v)
+		}
 	case serverSlots:
 		s.Slots = int(v)
 	case serverBorn:
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -136,6 +136,9 @@
 	c.attempts.choice = choice
 	c.attempts.job = job
 	c.attempts.sent++
+	if choice.Cold {
+		c.handler.metrics.recordCold(c.pool.name)
+	}
 	res := c.attemptAndEnd(ctx, choice, job)
 	if res.outcome == balance.Disputed {
 		c.attempts.disputed = append(c.attempts.disputed, choice.Server)
@@ -181,11 +184,15 @@
 		c.endUnserved(CauseNoServerOfVersion)
 		return
 	}
-	wait := c.pool.withheldWait(time.Now())
+	wait, cold := c.pool.withheldWait(time.Now())
 	if wait == 0 || c.attempts.ran > 0 {
 		c.endUnserved(CauseNoServer)
 		return
 	}
+	if cold {
+		c.refuseWithWait(CauseServersCold, coldRetryAfter())
+		return
+	}
 	c.refuseWithWait(CauseServerLimits, min(max(wait, minRetryAfter), maxRetryAfter))
 }
 
@@ -434,6 +441,7 @@
 	c.recordLimit(choice.Server, answer, resp.StatusCode < http.StatusMultipleChoices)
 	c.recordStatements(choice.Server, resp.StatusCode, answer)
 	c.recordBrittle(choice.Server, answer.Brittle)
+	c.recordCold(choice.Server, answer.ColdLeft)
 	if answer.NotRun || resp.StatusCode == http.StatusMisdirectedRequest {
 		drain(resp, watch)
 		return result{outcome: balance.Refused, cause: CauseOverload}
--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -78,6 +78,7 @@
 	a.Leaving = h.Get("Leaving") != ""
 	a.Brittle, _ = strconv.ParseFloat(h.Get("Brittle"), 64)
 	a.RetryAfter, _ = time.ParseDuration(h.Get("Retry-After"))
+	a.ColdLeft, _ = time.ParseDuration(h.Get("Cold"))
 	return a
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -48,6 +48,7 @@
 		metrics.recordReuse(change)
 	}
 	observeLimits(state, events, metrics)
+	observeCold(state, events, metrics)
 	observeCrashes(state.crashes, events, metrics)
 	state.paths.events = events
 	h := &Handler{
@@ -298,7 +299,7 @@
 	})()
 	for c.tryServer(ctx) {
 	}
-	if c.outcome == OutcomeServed && c.attempts.sent == 1 {
+	if c.outcome == OutcomeServed && c.attempts.sent == 1 && !c.attempts.choice.Cold {
 		c.pool.recordAnswerTimes(c.firstByte, time.Since(c.arrivedAt))
 	}
 }
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -34,11 +34,11 @@
 }
 
 // withheldWait returns how long it takes until a server of the pool may get a request again when
-// what the servers say keeps this one from all, else 0.
-func (p *pool) withheldWait(now time.Time) time.Duration {
+// what the servers say keeps this one from all, else 0, and whether some of them are cold.
+func (p *pool) withheldWait(now time.Time) (wait time.Duration, cold bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.balance.WithheldWait(now)
+	return p.balance.WithheldWait(now), p.balance.HasCold(now)
 }
 
 // TakeLimits returns what the other routers have to be told of servers' limits.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -32,6 +32,11 @@
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter("unreachable").Inc(1)
 }
 
+// recordCold counts a request that is sent to a cold server.
+func (m *Metrics) recordCold(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("cold_requests").Inc(1)
+}
+
 // recordReuse counts the periods in which connections to a server are not reused.
 func (m *Metrics) recordReuse(change *connreuse.Change) {
 	if !change.Allowed {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -121,6 +121,8 @@
 	Leaving bool
 	// Brittle is the number of rejections in a second that the server bears; 0 when it does not say.
 	Brittle float64
+	// ColdLeft is how long the server is cold yet; 0 when it does not say that it is.
+	ColdLeft time.Duration
 	// RetryAfter is how long the server wants no request when it refuses one; 0 when it does
 	// not say.
 	RetryAfter time.Duration
@@ -181,6 +183,8 @@
 	// CauseServerLimits: all servers that could take the request name limits that are used up, or
 	// want none for a while.
 	CauseServerLimits Cause = "server_limits"
+	// CauseServersCold: the servers that could take the request are cold and tolerate no more, or none of this router.
+	CauseServersCold  Cause = "servers_cold"
 	CauseRouterMemory Cause = "router_memory"
 	CauseDeadline     Cause = "deadline"
 	CauseUnreachable  Cause = "server_unreachable"
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -67,7 +67,11 @@
 func (st *State) SetRouterCount(n int) { st.fleet.SetRouters(time.Now(), n) }
 
 // SetRestarted records that this router may have run before. Call it before requests are served.
-func (st *State) SetRestarted() { st.fleet.SetRestarted(time.Now()) }
+func (st *State) SetRestarted() {
+	now := time.Now()
+	st.fleet.SetRestarted(now)
+	st.setStartsUnknown(now.Add(startsWait))
+}
 
 // Outcomes returns the counts of recent failed and ended requests at each server.
 func (st *State) Outcomes() []digest.Outcomes {
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -47,12 +47,16 @@
 	// BodyMemory bounds the request bodies in memory at the same time, in bytes.
 	BodyMemory int64
 	DataCentre string
+	// ColdOverage and ColdExtra bound the requests that a cold server gets in a second beyond the rate of its pool: a
+	// factor and a number of requests.
+	ColdOverage float64
+	ColdExtra   float64
 }
 
 // State holds the configuration in force, and the load balancing and connections
 // of all pools. It is safe for concurrent use.
 type State struct {
-	// limits do not change, except Balance and Retry, which mu guards.
+	// limits do not change, except Balance, Retry and the bounds of cold servers, which mu guards.
 	limits Limits
 	table  atomic.Pointer[routing.Table]
 	// onNews is called when the other routers have to be told something soon.
@@ -72,11 +76,14 @@
 	// onLimit is called when such a limit changes. New sets it.
 	limitShare func(server uint64) namedlimit.Share
 	onLimit    func(s *registry.Server, said namedlimit.Statement, received bool)
+	// onCold is called when a server becomes cold, or no longer is. New sets it.
+	onCold func(s *registry.Server, left time.Duration, cause ColdCause)
 
 	mu    sync.Mutex
 	pools map[string]*pool
 	// addrs are the addresses of all servers.
 	addrs map[string]bool
+	cold  coldKnowledge
 }
 
 // pool balances the load over the servers of one pool and holds the connections
@@ -103,8 +110,10 @@
 	st := &State{
 		limits: limits, pools: make(map[string]*pool), onNews: func() {}, placementsKnown: func() bool { return true },
 		onReuse:    func(*registry.Server, *connreuse.Change) {},
-		limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Routers: 1} },
+		limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Sole: true, Routers: 1} },
 		onLimit:    func(*registry.Server, namedlimit.Statement, bool) {},
+		onCold:     func(*registry.Server, time.Duration, ColdCause) {},
+		cold:       coldKnowledge{pending: make(map[uint32]pendingCold)},
 	}
 	st.crashes = newCrashes(func() { st.onNews() })
 	st.streams = newStreamVersions()
@@ -157,7 +166,10 @@
 func (st *State) SetPlacementsKnown(f func() bool) { st.placementsKnown = f }
 
 // SetTable puts a configuration in force.
-func (st *State) SetTable(t *routing.Table) { st.table.Store(t) }
+func (st *State) SetTable(t *routing.Table) {
+	st.table.Store(t)
+	st.setColdLimits()
+}
 
 // Table returns the configuration in force, or nil before the first one.
 func (st *State) Table() *routing.Table { return st.table.Load() }
@@ -188,6 +200,7 @@
 	for name, p := range st.pools {
 		secondVersion = p.setServers(byPool[name]) || secondVersion
 	}
+	st.applyPendingCold(time.Now())
 	return secondVersion
 }
 
@@ -207,6 +220,8 @@
 func (st *State) newPool(name string) *pool {
 	b := balance.NewPool(st.limits.Balance)
 	b.SetLimitShare(func(server uint64) namedlimit.Share { return st.limitShare(server) })
+	b.SetColdLimits(st.coldLimits(name))
+	b.SetStartsUnknown(st.cold.startsUnknownUntil)
 	return &pool{
 		name:        name,
 		budget:      retrybudget.New(st.limits.Retry, st.fleet),
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -26,13 +26,17 @@
 	ID         string `json:"id"`
 	Addr       string `json:"addr"`
 	DataCentre string `json:"data_centre"`
-	// State is ready, indirect (reached through another router), leaving or ejected.
+	// State is ready, indirect (reached through another router), leaving, ejected or cold.
 	State string `json:"state"`
 	// Own and Others are the requests in flight of this router and of the others.
 	Own    int `json:"own"`
 	Others int `json:"others"`
 	// LimitPerSecond is the limit that the server names; absent for none.
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
+	// ColdMs is how long the server is cold yet, in milliseconds, and ColdSender is set while this router is the one
+	// that sends to it.
+	ColdMs     int64 `json:"cold_ms,omitempty"`
+	ColdSender bool  `json:"cold_sender,omitempty"`
 	// NoReuseMs is how long connections are not reused yet, in milliseconds.
 	NoReuseMs int64 `json:"no_reuse_ms,omitempty"`
 }
@@ -66,12 +70,14 @@
 			state = "leaving"
 		case b.Ejected:
 			state = "ejected"
+		case b.ColdLeft > 0:
+			state = "cold"
 		case p.indirect(now, b.Server.Addr):
 			state = "indirect"
 		}
 		server := ServerStatus{
 			ID: b.Server.ID, Addr: b.Server.Addr, DataCentre: b.Server.DataCentre, State: state, Own: b.Own, Others: b.Others,
-			LimitPerSecond: b.LimitPerSecond,
+			LimitPerSecond: b.LimitPerSecond, ColdMs: b.ColdLeft.Milliseconds(), ColdSender: b.ColdSender,
 		}
 		if c := p.connections[b.Server.Key()]; c != nil {
 			server.NoReuseMs = c.noReuseFor(now).Milliseconds()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -119,6 +119,9 @@
 	}
 	f.tracker = newTracker(p, state, f.edge, events, metrics.Scope())
 	f.tracker.firstStart = s.FirstStart
+	if !s.FirstStart {
+		f.tracker.servers.SetRestarted()
+	}
 	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), s.FirstStart, &digestState{State: state, tracker: f.tracker, progress: &f.tracker.progress}, events)
 	if err != nil {
 		return nil, errors.Join(err, f.edge.Close(), metrics.Close())
@@ -153,6 +156,12 @@
 	return s.progress.report(time.Now(), s.tracker.eras.Current())
 }
 
+// ColdServers returns the cold servers, and whether this router knows of all.
+func (s *digestState) ColdServers() (list []digest.ColdServer, complete bool) {
+	list, settled := s.State.ColdServers()
+	return list, settled && s.tracker.ServersKnown()
+}
+
 // SetOutcomes ejects the servers that fail many of all routers' requests.
 func (s *digestState) SetOutcomes(list []digest.Outcomes) {
 	for _, e := range s.State.EjectFailing(list) {
@@ -182,6 +191,8 @@
 		},
 		BodyMemory: int64(bodyShare * float64(s.MemoryMB) * megabyte),
 		DataCentre: s.DataCentre,
+
+		ColdOverage: s.Bounds.ColdOverage, ColdExtra: s.Bounds.ColdExtra,
 	}
 }
 
@@ -191,6 +202,7 @@
 	f.bounds.Store(&s.Bounds)
 	l := forwardLimits(s)
 	f.state.SetBounds(l.Balance, l.Retry)
+	f.state.SetColdBounds(l.ColdOverage, l.ColdExtra)
 }
 
 // ConfigureRuntime adapts the Go runtime to the cores and memory of the VM.
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -183,7 +183,9 @@
 	if !t.listRead {
 		return
 	}
-	t.publishChanges(t.servers.Apply(time.Now(), entries, time.Time{}), false)
+	changes := t.servers.Apply(time.Now(), entries, time.Time{})
+	t.publishChanges(changes, false)
+	t.recordCold(entries, changes, false)
 	for _, e := range entries {
 		t.progress.recordApplied(e.Position)
 	}
@@ -250,17 +252,19 @@
 		t.exchange.SendSoon()
 	}
 	now := time.Now()
+	var changes []registry.Change
 	if batch.Full {
-		changes, outdated := t.servers.Replace(now, entries, batch.Next, batch.GraceUntil)
+		var outdated []registry.Entry
+		changes, outdated = t.servers.Replace(now, entries, batch.Next, batch.GraceUntil)
 		for _, e := range outdated {
 			t.events.Emit(event.ServerEntryOutdated, "server", e.ID, "era", e.Position.Era, "offset", e.Position.Offset)
 		}
-		t.publishChanges(changes, true)
 	} else {
-		changes := t.servers.Apply(now, entries, batch.GraceUntil)
+		changes = t.servers.Apply(now, entries, batch.GraceUntil)
 		t.heartbeatRecords.Store(len(changes) == 0 && now.After(batch.GraceUntil))
-		t.publishChanges(changes, true)
 	}
+	t.publishChanges(changes, true)
+	t.recordCold(entries, changes, true)
 	t.listRead = true
 	t.recordServersHash()
 	t.checkReady()
--- a/internal/namedlimit/namedlimit.go
+++ b/internal/namedlimit/namedlimit.go
@@ -46,17 +46,17 @@
 type Share struct {
 	// Sender is set at the router that may use the whole rate.
 	Sender bool
+	// Sole is set at a router that is the sender as far as it and a majority of the routers know, and that may so
+	// send to a server which must not get the rate twice.
+	Sole bool
 	// Routers is the number of routers, and Before the number of those that come before this one.
 	Routers, Before int
 }
 
 // Limit is what a router knows of one server's limit. The zero value is no limit.
 type Limit struct {
-	last Statement
-	// tokens are the requests that may be sent, as of filledAt at a rate.
-	tokens   float64
-	rate     float64
-	filledAt time.Time
+	last   Statement
+	bucket Bucket
 	// sentAt is when this router sent a request last.
 	sentAt time.Time
 	// untold is set when the others have to be told, and toldAt is when that was done last.
@@ -107,7 +107,7 @@
 		return true
 	}
 	l.fill(now, share)
-	return l.tokens >= 1
+	return l.bucket.tokens >= 1
 }
 
 // Wait returns how long it takes until a request may be sent, as far as is known.
@@ -115,26 +115,16 @@
 	if l.Allows(now, share) {
 		return 0
 	}
-	if l.rate == 0 {
+	if l.bucket.rate == 0 {
 		return silence
 	}
-	return time.Duration((1 - l.tokens) / l.rate * float64(time.Second))
+	return l.bucket.wait()
 }
 
-// fill adds the requests that have become allowed. A router whose share grows starts with
-// none: another one may just have used it.
+// fill adds the requests that have become allowed.
 func (l *Limit) fill(now time.Time, share Share) {
 	rate := l.shareOf(now, share)
-	if rate > l.rate || l.filledAt.IsZero() {
-		l.tokens, l.filledAt = 0, now
-	}
-	l.rate = rate
-	most := max(1, rate*burst.Seconds())
-	l.tokens = min(l.tokens+rate*now.Sub(l.filledAt).Seconds(), most)
-	l.filledAt = now
-	if rate == 0 {
-		l.tokens = 0
-	}
+	l.bucket.fill(now, rate, max(1, rate*burst.Seconds()))
 }
 
 // shareOf returns the requests a second that this router may send.
@@ -151,7 +141,7 @@
 
 // Take counts a request that is sent.
 func (l *Limit) Take(now time.Time) {
-	l.tokens = max(l.tokens-1, 0)
+	l.bucket.take()
 	l.sentAt = now
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -37,6 +37,11 @@
 	Leaving bool
 	// Engine is set for model engines, which cache prompt prefixes.
 	Engine bool
+	// ColdLeft is how long the server is cold yet by its entry, as of when that was read: NotCold when it says that
+	// it is not, 0 when it says nothing. It and Start change with time and are no change of the server.
+	ColdLeft time.Duration
+	// Start is what is known of when the incarnation started.
+	Start Start
 }
 
 // Key identifies an incarnation.
@@ -103,6 +108,7 @@
 	// hash is the sum of hashes, which has one for each server without a pending removal.
 	hash   uint32
 	hashes map[string]uint32
+	starts starts
 }
 
 // removal is a removal that takes effect later.
@@ -160,7 +166,7 @@
 	if e.Server == nil {
 		return r.remove(changes, now, e, graceUntil)
 	}
-	return r.set(changes, e)
+	return r.set(changes, now, e)
 }
 
 // Replace applies a full list that ends before the position next. Servers that are
@@ -191,6 +197,7 @@
 			changes = r.remove(changes, now, Entry{ID: s.ID, Position: next.Prev()}, graceUntil)
 		}
 	}
+	r.starts.listed = true
 	return changes, outdated
 }
 
@@ -253,7 +260,7 @@
 	if a == nil || b == nil {
 		return a == b
 	}
-	return *a == *b
+	return a.withoutTimes() == b.withoutTimes()
 }
 
 // Expire applies the removals whose grace period has ended.
@@ -267,15 +274,17 @@
 	return changes
 }
 
-func (r *Registry) set(changes []Change, e Entry) []Change {
+func (r *Registry) set(changes []Change, now time.Time, e Entry) []Change {
 	defer r.updateHash(e.ID)
 	delete(r.pendingRemovals, e.ID)
 	old := r.servers[e.ID]
-	if old != nil && *old == *e.Server {
+	if sameServer(old, e.Server) {
 		return changes
 	}
-	r.servers[e.ID] = e.Server
-	return append(changes, Change{Old: old, New: e.Server, Position: e.Position})
+	s := *e.Server
+	s.Start = r.starts.of(now, &s)
+	r.servers[e.ID] = &s
+	return append(changes, Change{Old: old, New: &s, Position: e.Position})
 }
 
 func (r *Registry) remove(changes []Change, now time.Time, e Entry, graceUntil time.Time) []Change {
