evacuation: servers of evacuated data centres get nothing

The keys of the operators' topic that evacuate a data centre become a pure set with the position up to which it is known. Readers of the store apply it, every digest carries it (fields 40 to 42), and balance leaves the servers out.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -128,6 +128,7 @@
 	// newPlacements lists the placements not yet sent to the other routers.
 	newPlacements []Placement
 	ranked        []rankedMember
+	evacuations   evacuations
 	// limitShare returns this router's share in the requests to a limited server.
 	limitShare func(server uint64) namedlimit.Share
 }
@@ -166,6 +167,7 @@
 		}
 		m.server, m.version = s, streamversion.VersionOf(s.Version)
 		m.keepLeaving()
+		p.setMemberEvacuated(m)
 		p.members = append(p.members, m)
 		p.byKey[s.Key()] = m
 		p.byHash[m.hash] = m
--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -131,7 +131,7 @@
 func (p *Pool) BrittleFull(now time.Time) bool {
 	full := false
 	for _, m := range p.members {
-		if m.server.Leaving {
+		if m.out() {
 			continue
 		}
 		if !m.brittle.active() {
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -14,7 +14,7 @@
 	available := make([]*member, 0, len(p.members))
 	var ejected []*member
 	for _, m := range p.members {
-		if m.server.Leaving || !admits(m) {
+		if m.out() || !admits(m) {
 			continue
 		}
 		if m.health.ejected(now, m.own) {
@@ -88,13 +88,14 @@
 // mean returns the lower of the mean loads with and without the servers that are
 // leaving. They still finish their requests and would raise the bound of the
 // others or, when few remain, hide how uneven the load is. Servers that name a limit do not
-// count while others don't: the others take their requests.
+// count while others don't: the others take their requests. Those of evacuated data centres, which may be many, do not
+// count at all.
 func (p *Pool) mean(now time.Time) float64 {
 	withoutLimited := p.hasUnlimited()
 	var all, staying float64
 	n, nStaying := 0, 0
 	for _, m := range p.members {
-		if withoutLimited && m.limit.Active() {
+		if m.evacuated || withoutLimited && m.limit.Active() {
 			continue
 		}
 		load := m.load(now)
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -45,7 +45,7 @@
 
 // hasUnlimited reports whether a member that stays names no limit.
 func (p *Pool) hasUnlimited() bool {
-	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.server.Leaving && !m.limit.Active() })
+	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.out() && !m.limit.Active() })
 }
 
 // RecordLimit records what a server said of its limit in the answer to a request that was sent at a
@@ -83,7 +83,7 @@
 func (p *Pool) WithheldWait(now time.Time) time.Duration {
 	shortest := time.Duration(0)
 	for _, m := range p.members {
-		if m.server.Leaving || !p.withheld(now, m) {
+		if m.out() || !p.withheld(now, m) {
 			continue
 		}
 		wait := max(m.refusesUntil.Sub(now), m.brittle.pausedUntil.Sub(now), minWithheld)
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -137,11 +137,11 @@
 func (p *Pool) EjectFailing(now time.Time, outcomes func(server uint64) (failed, ended int)) []*registry.Server {
 	var failing []*member
 	for _, m := range p.members {
-		if tooManyFailures(outcomes(m.hash)) {
+		if !m.evacuated && tooManyFailures(outcomes(m.hash)) {
 			failing = append(failing, m)
 		}
 	}
-	if 2*len(failing) > len(p.members) {
+	if 2*len(failing) > p.inService() {
 		return nil
 	}
 	var ejected []*registry.Server
@@ -216,11 +216,11 @@
 func (p *Pool) mayEject(now time.Time) bool {
 	ejected := 0
 	for _, m := range p.members {
-		if m.health.failing(now) {
+		if !m.evacuated && m.health.failing(now) {
 			ejected++
 		}
 	}
-	return 3*(ejected+1) <= len(p.members)
+	return 3*(ejected+1) <= p.inService()
 }
 
 // Status is the state of one server, for logs and status pages.
@@ -231,6 +231,8 @@
 	Others int
 	// Ejected is set while the server gets no requests.
 	Ejected bool
+	// Evacuated is set while the server's data centre is evacuated.
+	Evacuated bool
 	// LimitPerSecond is the limit that the server names; nil for none.
 	LimitPerSecond *float64
 }
@@ -243,7 +245,7 @@
 			Server:  m.server,
 			Own:     m.own,
 			Others:  m.others(now),
-			Ejected: m.health.ejected(now, m.own),
+			Ejected: m.health.ejected(now, m.own), Evacuated: m.evacuated,
 		}
 		if m.limit.Active() {
 			limit := m.limit.PerSecond()
--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -176,14 +176,19 @@
 }
 
 // copySource returns an available holder that has read the prefix, or nil. What another software
-// version has in its memory does not fit.
+// version has in its memory does not fit. One in an evacuated data centre, which may end at any moment, is the last choice.
 func copySource(now time.Time, holders []holder, version streamversion.Version) *member {
+	var evacuated *member
 	for _, h := range holders {
-		if h.version == version && !h.reading() && !h.health.unavailable(now, h.own) {
+		switch {
+		case h.version != version || h.reading() || h.health.unavailable(now, h.own):
+		case !h.evacuated:
 			return h.member
+		case evacuated == nil:
+			evacuated = h.member
 		}
 	}
-	return nil
+	return evacuated
 }
 
 // recordHolder records that a server has a prefix in its cache once it has read it,
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -14,6 +14,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
@@ -56,6 +57,12 @@
 			PrefixHash: rapid.Uint64().Draw(t, "cached prefix"), Server: rapid.SampledFrom([]uint64{3, 4}).Draw(t, "server of it"),
 			Tokens: rapid.IntRange(0, maxPromptTokens).Draw(t, "cached tokens"),
 		})
+		m.Evacuations.Entries = append(m.Evacuations.Entries, evacuation.Entry{
+			DataCentre: rapid.StringN(1, 20, 250).Draw(t, "data centre"), Position: drawEvacuationPosition(t), Lifted: rapid.Bool().Draw(t, "lifted"),
+			HoldFor: time.Duration(rapid.IntRange(0, int(evacuation.HoldTime.Milliseconds())).Draw(t, "hold")) * time.Millisecond,
+		})
+		m.Evacuations.Known, m.Evacuations.AsOf = true, drawEvacuationPosition(t)
+		m.Evacuations.Partial = rapid.Bool().Draw(t, "partial")
 		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), drawPosition(t)})
 		m.Servers = append(m.Servers, drawServerChange(t))
 		m.Relayed = append(m.Relayed, RelayedPlacements{Origin: rapid.Uint64().Draw(t, "origin"), Placements: slices.Clone(m.Placements)})
@@ -93,6 +100,10 @@
 	return logpos.Position{Era: rapid.Int64Min(0).Draw(t, "era"), Offset: rapid.Int64Min(-1).Draw(t, "offset")}
 }
 
+func drawEvacuationPosition(t *rapid.T) logpos.Position {
+	return logpos.Position{Era: rapid.Int64Min(0).Draw(t, "era"), Offset: rapid.Int64Min(0).Draw(t, "offset")}
+}
+
 func drawServerChange(t *rapid.T) ServerChange {
 	c := ServerChange{ID: "i-1", Position: drawPosition(t), Prev: drawPosition(t)}
 	if rapid.Bool().Draw(t, "removed") {
@@ -317,6 +328,8 @@
 	outcomes      []Outcomes
 	routers       int
 	parts         []quarantine.Entry
+	// evacuations are those that the router knows, receivedEvacuations those that another one has sent.
+	evacuations, receivedEvacuations evacuation.View
 	// serversUnknown is set while the router has not read the list of servers.
 	serversUnknown atomic.Bool
 	// answersOld is set while the store has not answered the router lately.
@@ -344,7 +357,9 @@
 func (s *fakeState) ServersKnown() bool { return !s.serversUnknown.Load() }
 
 func (s *fakeState) Progress() StoreProgress {
-	return StoreProgress{Topics: []Progress{{Topic: 0, LastChange: pos(11)}}, OwnReads: OwnReads{Succeed: true, Recent: !s.answersOld.Load()}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreProgress{Evacuations: s.evacuations, Topics: []Progress{{Topic: 0, LastChange: pos(11)}}, OwnReads: OwnReads{Succeed: true, Recent: !s.answersOld.Load()}}
 }
 
 func (s *fakeState) SetPeerLoads(loads map[uint32]int, _ time.Duration) {
@@ -410,6 +425,12 @@
 	s.serverChanges = append(s.serverChanges, list...)
 }
 
+func (s *fakeState) ApplyEvacuations(v evacuation.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.receivedEvacuations = v
+}
+
 func (s *fakeState) hasServerChange() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
@@ -103,6 +104,8 @@
 	StreamRecord(s streamversion.Stream) (streamversion.Record, bool)
 	// ApplyServerChanges applies server changes that another router has read.
 	ApplyServerChanges(list []ServerChange)
+	// ApplyEvacuations applies what another router knows of evacuated data centres.
+	ApplyEvacuations(v evacuation.View)
 }
 
 // StoreProgress is what a router has read of the store.
@@ -116,6 +119,8 @@
 	ListEnd int64
 	// Servers says which servers this router knows.
 	Servers KnownServers
+	// Evacuations are the evacuated data centres.
+	Evacuations evacuation.View
 }
 
 // Exchange sends and receives digests. Its methods are safe for concurrent use.
@@ -159,11 +164,15 @@
 	toRelay   map[uint64][]Placement
 	collected int
 	relayWake chan struct{}
+	// evacuationCursor is the first evacuated data centre of the next digest when not all fit.
+	evacuationCursor atomic.Int64
 	// sent counts the datagrams.
 	sent atomic.Int64
-	// sentProgress and sentEra are the read progress and the store's era as last sent.
-	sentProgress []Progress
-	sentEra      int64
+	// sentProgress, sentEra and sentEvacuations are the read progress, the store's era and the position of the known
+	// evacuations as last sent.
+	sentProgress    []Progress
+	sentEra         int64
+	sentEvacuations logpos.Position
 }
 
 // Listen opens the address for digests. All routers use the same port. The
@@ -184,6 +193,8 @@
 		wake:   make(chan struct{}, 1),
 		peers:  NewPeers(addr.Addr(), seeds),
 
+		sentEvacuations: logpos.None,
+
 		synced: firstStart, loadsSentAt: time.Now(), shares: make(map[uint64]namedlimit.Share),
 		toRelay: make(map[uint64][]Placement), relayWake: make(chan struct{}, 1),
 	}, nil
@@ -368,6 +379,9 @@
 	requestNow := m.Synced && !e.synced
 	sum := m.LoadsComplete && smallFleet && now.Sub(e.summedAt) >= sumInterval
 	e.mu.Unlock()
+	if m.Evacuations.Known {
+		e.state.ApplyEvacuations(m.Evacuations)
+	}
 	if isNew {
 		// The next loads are sent with the number of routers that are live.
 		e.state.SetRouterCount(known)
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -161,6 +162,8 @@
 	// asks for.
 	Streams      []streamversion.Record
 	AskedStreams []uint64
+	// Evacuations are the data centres that the sender knows as evacuated.
+	Evacuations evacuation.View
 }
 
 // Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
@@ -196,6 +199,9 @@
 	fieldRelayed           = 28
 	fieldLevel             = 29
 	fieldServersHash       = 30
+	fieldEvacuationsAsOf   = 40
+	fieldEvacuation        = 41
+	fieldEvacuationsPart   = 42
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -248,6 +254,7 @@
 		b = appendLimit(b, l)
 	}
 	b = appendStreams(b, m.Streams, m.AskedStreams)
+	b = appendEvacuations(b, m.Evacuations)
 	return appendPartReport(b, m.Parts)
 }
 
@@ -400,6 +407,8 @@
 		m.Level, err = nonNegative(v)
 	case fieldServersHash:
 		m.ServersHash = uint32(v)
+	case fieldEvacuationsPart:
+		m.Evacuations.Partial = v != 0
 	}
 	return b[n:], err
 }
@@ -436,6 +445,10 @@
 		err = m.decodePeer(v)
 	case fieldPlacement, fieldProgress:
 		err = m.decodeNumbers(field, v)
+	case fieldEvacuationsAsOf:
+		err = m.decodeEvacuationsAsOf(v)
+	case fieldEvacuation:
+		err = m.decodeEvacuation(v)
 	case fieldLimit:
 		err = m.decodeLimit(v)
 	case fieldCrash:
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -44,6 +44,7 @@
 		Sender: e.sender, Synced: synced, Role: role, Progress: progress.Topics,
 		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
 		ListEnd: progress.ListEnd, ServersHash: progress.Servers.Hash, Level: ownLevel,
+		Evacuations: e.partOf(progress.Evacuations),
 	}
 }
 
@@ -83,10 +84,10 @@
 	withLoads := e.relays(now) && !e.reader && !e.peers.lacks(now, m)
 	e.mu.Unlock()
 	e.sendServerChanges(targets)
-	changed := m.StoreEra != e.sentEra || !slices.Equal(m.Progress, e.sentProgress)
+	changed := m.StoreEra != e.sentEra || !slices.Equal(m.Progress, e.sentProgress) || m.Evacuations.AsOf != e.sentEvacuations
 	if regular || changed && !withLoads {
 		e.sendTo(targets, m)
-		e.sentProgress, e.sentEra = m.Progress, m.StoreEra
+		e.sentProgress, e.sentEra, e.sentEvacuations = m.Progress, m.StoreEra, m.Evacuations.AsOf
 	}
 	e.sendNewPlacements(targets, regular)
 	e.sendPartReport(targets, regular)
--- /dev/null
+++ b/internal/event/evacuation.go
@@ -0,0 +1,12 @@
+package event
+
+import "github.com/hashicorp/go-hclog"
+
+// Events 1300 to 1319: evacuated data centres.
+var (
+	EvacuationBegun   = register(1300, hclog.Warn, "data centre is evacuated; its servers get no requests")
+	EvacuationLifted  = register(1301, hclog.Info, "evacuation of a data centre has ended")
+	EvacuationIgnored = register(1302, hclog.Error, "more data centres are evacuated than a router can keep; an evacuation is ignored")
+	SendsPaused       = register(1303, hclog.Warn, "router has not run for a while; it sends no requests until it knows again which data centres are evacuated")
+	SendsResumed      = register(1304, hclog.Info, "router knows again which data centres are evacuated")
+)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -177,6 +177,9 @@
 
 // endWithoutCapacity ends a request that no server may get now.
 func (c *call) endWithoutCapacity() {
+	if c.refuseEvacuated() {
+		return
+	}
 	if c.requiredVersion() != 0 {
 		c.endUnserved(CauseNoServerOfVersion)
 		return
--- /dev/null
+++ b/internal/forward/evacuated.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/balance"
+)
+
+// evacuatedRetryAfter is the wait that a caller is asked for when all servers of a pool are evacuated. That lasts for minutes,
+// but a caller that waits for long misses the servers that are started elsewhere meanwhile.
+const evacuatedRetryAfter = 2 * time.Second
+
+// SetEvacuated replaces the evacuated data centres. Their servers get nothing that begins afterwards.
+func (st *State) SetEvacuated(now time.Time, evacuated map[string]bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.evacuated = evacuated
+	for _, p := range st.pools {
+		p.mu.Lock()
+		p.balance.SetEvacuated(now, evacuated)
+		p.mu.Unlock()
+	}
+}
+
+// evacuatedAddr reports whether the server at an address is in an evacuated data centre.
+func (st *State) evacuatedAddr(addr string) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.isEvacuated(addr)
+}
+
+// isEvacuated is evacuatedAddr for a caller that holds mu.
+func (st *State) isEvacuated(addr string) bool {
+	for _, dataCentre := range st.addrs[addr] {
+		if st.evacuated[dataCentre] {
+			return true
+		}
+	}
+	return false
+}
+
+// errEvacuated is returned for a server whose data centre has been evacuated.
+var errEvacuated = errors.New("data centre of the server is evacuated")
+
+// dialEvacuated is the error of a connection to such a server, which was not opened.
+func dialEvacuated(network string) error {
+	return &net.OpError{Op: "dial", Net: network, Err: errEvacuated}
+}
+
+// refuseEvacuated refuses a request all of whose servers are evacuated. It reports whether that is so.
+func (c *call) refuseEvacuated() bool {
+	if !c.pool.onlyEvacuated(balance.Job{Version: c.requiredVersion()}) {
+		return false
+	}
+	c.endUnserved(CauseEvacuated)
+	return true
+}
+
+// onlyEvacuated reports whether only evacuated servers could take a request.
+func (p *pool) onlyEvacuated(job balance.Job) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balance.OnlyEvacuated(job)
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -282,6 +282,9 @@
 	if !c.findVersion() {
 		return
 	}
+	if c.refuseEvacuated() {
+		return
+	}
 	if !c.admitToPool() {
 		return
 	}
--- a/internal/forward/paths.go
+++ b/internal/forward/paths.go
@@ -43,6 +43,8 @@
 	events *event.Logger
 	// onChange is called when a server begins or ceases to be reached through another router.
 	onChange func(addr string)
+	// evacuated reports whether no connection may be opened to an address any more.
+	evacuated func(addr string) bool
 
 	mu     sync.Mutex
 	byAddr map[string]*path
@@ -59,7 +61,7 @@
 
 func newPaths() *paths {
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: setSendTimeout, KeepAliveConfig: httpsend.ShortKeepAlive()}
-	return &paths{direct: dialer.DialContext, events: event.Nop(), onChange: func(string) {}, byAddr: make(map[string]*path)}
+	return &paths{direct: dialer.DialContext, events: event.Nop(), onChange: func(string) {}, evacuated: func(string) bool { return false }, byAddr: make(map[string]*path)}
 }
 
 // dialed is the result of opening a connection.
@@ -70,6 +72,9 @@
 
 // dial opens a connection to a server. Its error is that of the own way.
 func (p *paths) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if p.evacuated(addr) {
+		return nil, dialEvacuated(network)
+	}
 	if p.tunnel == nil {
 		return p.direct(ctx, network, addr)
 	}
@@ -127,6 +132,9 @@
 // dialDirect opens a connection for another router. It fails at once where this router uses
 // another one itself.
 func (p *paths) dialDirect(ctx context.Context, network, addr string) (net.Conn, error) {
+	if p.evacuated(addr) {
+		return nil, dialEvacuated(network)
+	}
 	if p.indirect(time.Now(), addr) {
 		return nil, errIndirect
 	}
@@ -137,8 +145,11 @@
 var errIndirect = errors.New("server is reached through another router only")
 
 // refuses reports whether nothing listens at an address, by this router and by another one that
-// is asked when this one is refused.
+// is asked when this one is refused. A server of an evacuated data centre is not asked.
 func (p *paths) refuses(addr string) bool {
+	if p.evacuated(addr) {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := p.direct(ctx, "tcp", addr)
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -30,6 +30,8 @@
 	case CauseStopping:
 		// Any other router can accept the request at once.
 		wait = minRetryAfter
+	case CauseEvacuated:
+		wait = evacuatedRetryAfter
 	}
 	return wait
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -203,6 +203,8 @@
 	CauseVersionUnknown Cause = "version_of_stream_unknown"
 	// CauseNoServerOfVersion: no server of the software version that began the stream can take it.
 	CauseNoServerOfVersion Cause = "no_server_of_version"
+	// CauseEvacuated: the data centres of all servers that could take the request are evacuated.
+	CauseEvacuated Cause = "data_centre_evacuated"
 	// CauseInternal: the router failed; its log line has the error.
 	CauseInternal Cause = "internal_error"
 )
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -75,8 +75,9 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
-	// addrs are the addresses of all servers.
-	addrs map[string]bool
+	// addrs has the data centres of the servers at each address, and evacuated those that are evacuated.
+	addrs     map[string][]string
+	evacuated map[string]bool
 }
 
 // pool balances the load over the servers of one pool and holds the connections
@@ -111,6 +112,7 @@
 	st.fleet = retrybudget.NewFleet()
 	st.paths = newPaths()
 	st.paths.onChange = st.renewConnections
+	st.paths.evacuated = st.evacuatedAddr
 	st.crashes.ended = st.paths.refuses
 	return st
 }
@@ -130,11 +132,11 @@
 	return st.paths.dialDirect(ctx, network, addr)
 }
 
-// KnowsServer reports whether a server has an address.
+// KnowsServer reports whether a server has an address and is in service.
 func (st *State) KnowsServer(addr string) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.addrs[addr]
+	return len(st.addrs[addr]) > 0 && !st.isEvacuated(addr)
 }
 
 // renewConnections makes the next requests to the servers at an address use new connections.
@@ -164,19 +166,19 @@
 
 // SetServers replaces the list of servers of all pools.
 func (st *State) SetServers(list []*registry.Server) {
-	byPool, addrs := make(map[string][]*registry.Server), make(map[string]bool, len(list))
+	byPool, addrs := make(map[string][]*registry.Server), make(map[string][]string, len(list))
 	for _, s := range list {
 		byPool[s.Pool] = append(byPool[s.Pool], s)
-		addrs[s.Addr] = true
+		addrs[s.Addr] = append(addrs[s.Addr], s.DataCentre)
 	}
-	st.paths.forget(func(addr string) bool { return !addrs[addr] })
+	st.paths.forget(func(addr string) bool { return len(addrs[addr]) == 0 })
 	if st.setPools(byPool, addrs) {
 		st.streams.tellOwn()
 	}
 }
 
 // setPools replaces the servers of all pools and reports whether a second version has come to one.
-func (st *State) setPools(byPool map[string][]*registry.Server, addrs map[string]bool) (secondVersion bool) {
+func (st *State) setPools(byPool map[string][]*registry.Server, addrs map[string][]string) (secondVersion bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.addrs = addrs
@@ -206,6 +208,7 @@
 
 func (st *State) newPool(name string) *pool {
 	b := balance.NewPool(st.limits.Balance)
+	b.SetEvacuated(time.Now(), st.evacuated)
 	b.SetLimitShare(func(server uint64) namedlimit.Share { return st.limitShare(server) })
 	return &pool{
 		name:        name,
@@ -231,7 +234,7 @@
 	return st.engines(func(s balance.Status) bool { return !s.Server.Leaving && !s.Ejected })
 }
 
-// AllEngines returns the model engines, also those that get no requests at the moment.
+// AllEngines returns the model engines in service, also those that get no requests at the moment.
 func (st *State) AllEngines() []*registry.Server {
 	return st.engines(func(balance.Status) bool { return true })
 }
@@ -241,7 +244,7 @@
 	now := time.Now()
 	st.eachPool(func(p *pool) {
 		for _, s := range p.balance.Status(now) {
-			if s.Server.Engine && accept(s) {
+			if s.Server.Engine && !s.Evacuated && accept(s) {
 				list = append(list, s.Server)
 			}
 		}
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -26,7 +26,7 @@
 	ID         string `json:"id"`
 	Addr       string `json:"addr"`
 	DataCentre string `json:"data_centre"`
-	// State is ready, indirect (reached through another router), leaving or ejected.
+	// State is ready, indirect (reached through another router), evacuated (as its data centre), leaving or ejected.
 	State string `json:"state"`
 	// Own and Others are the requests in flight of this router and of the others.
 	Own    int `json:"own"`
@@ -62,6 +62,8 @@
 	for _, b := range p.balance.Status(now) {
 		state := "ready"
 		switch {
+		case b.Evacuated:
+			state = "evacuated"
 		case b.Server.Leaving:
 			state = "leaving"
 		case b.Ejected:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,6 +60,8 @@
 	ConfigKey    string
 	DecodeConfig func(value []byte) (routing.Config, error)
 	DecodeServer func(id string, value []byte) (*registry.Server, error)
+	// EvacuatedDataCentre returns the data centre that a key in Config evacuates; nil for a platform that evacuates none.
+	EvacuatedDataCentre func(key string) (dataCentre string, ok bool)
 	// Inventory returns the prompt parts that the engine at addr has cached.
 	Inventory func(ctx context.Context, addr string) ([]forward.CachedPart, error)
 	// ReadyPath is the path of the platform's readiness check.
@@ -150,7 +152,10 @@
 
 // Progress returns what this router has read of the store.
 func (s *digestState) Progress() digest.StoreProgress {
-	return s.progress.report(time.Now(), s.tracker.eras.Current())
+	now := time.Now()
+	progress := s.progress.report(now, s.tracker.eras.Current())
+	progress.Evacuations = s.tracker.evacuations.view(now)
+	return progress
 }
 
 // SetOutcomes ejects the servers that fail many of all routers' requests.
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -190,6 +190,10 @@
 
 // queryEngine returns the prompt parts that one engine has cached.
 func (f *Front) queryEngine(ctx context.Context, s *registry.Server) []forward.CachedPart {
+	if !f.state.KnowsServer(s.Addr) {
+		// Its data centre was evacuated while other engines were asked.
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
 	defer cancel()
 	parts, err := f.platform.Inventory(ctx, s.Addr)
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/uptrace/bunrouter"
 
+	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/forward"
 )
 
@@ -35,6 +36,10 @@
 	Routers int `json:"routers"`
 	// Running is the number of requests in progress.
 	Running int64 `json:"running"`
+	// Evacuations are the evacuated data centres, and EvacuationsAsOf the position in the store, as era/offset, up to which they
+	// are known.
+	Evacuations     []EvacuationStatus `json:"evacuations"`
+	EvacuationsAsOf string             `json:"evacuations_as_of"`
 	// QuarantinedParts are the parts of prompts that crash engines; requests with them are refused.
 	QuarantinedParts []string `json:"quarantined_parts"`
 	// QuarantinedRequests are the fingerprints of requests that crash servers and are refused.
@@ -42,6 +47,19 @@
 	Pools               []forward.PoolStatus `json:"pools"`
 }
 
+// EvacuationStatus is an evacuated data centre, for operators.
+type EvacuationStatus struct {
+	DataCentre string `json:"data_centre"`
+	// AgeMs is how long this router has known of it, and Source from where: store or router.
+	AgeMs  int64             `json:"age_ms"`
+	Source evacuation.Source `json:"source"`
+	// Position is that of the record in the store, as era/offset.
+	Position string `json:"position"`
+	// LostForMs is how long the evacuation stays in force although the store has come back from a copy without it; absent for one
+	// that the store has.
+	LostForMs int64 `json:"lost_for_ms,omitempty"`
+}
+
 // Status returns the current status of the router.
 func (f *Front) Status() Status {
 	s := Status{
@@ -57,6 +75,7 @@
 		Running:      f.handler.Running(),
 		Pools:        f.state.Status(time.Now()),
 	}
+	s.Evacuations, s.EvacuationsAsOf = f.tracker.evacuations.status(time.Now())
 	for _, e := range f.state.PartEntries() {
 		list := &s.QuarantinedParts
 		if e.Request {
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -49,6 +49,8 @@
 	eraCount tally.Counter
 	// held is the first configuration while it is held back.
 	held *heldConfig
+	// evacuations are the evacuated data centres.
+	evacuations evacuations
 	// firstStart is set when the whole system starts for the first time.
 	firstStart bool
 	startedAt  time.Time
@@ -65,8 +67,11 @@
 
 func newTracker(p Platform, st *forward.State, e *edge.Server, events *event.Logger, scope tally.Scope) *tracker {
 	return &tracker{
-		progress:  newProgress(),
-		eraCount:  scope.Counter("store_eras"),
+		progress: newProgress(),
+		eraCount: scope.Counter("store_eras"),
+
+		evacuations: newEvacuations(st, events, scope),
+
 		startedAt: time.Now(),
 		platform:  p,
 		state:     st,
@@ -131,6 +136,7 @@
 			task()
 		case now := <-tick.C:
 			t.publishChanges(t.servers.Expire(now), true)
+			t.evacuations.expire(now)
 			t.releaseHeld()
 		case <-t.heldCheck():
 			t.releaseHeld()
@@ -194,6 +200,7 @@
 // applyConfig activates a newer configuration. An older one, or one that cannot
 // be decoded, has no effect.
 func (t *tracker) applyConfig(batch feed.Batch) {
+	t.applyEvacuations(batch)
 	for _, r := range batch.Records {
 		if r.Key != t.platform.ConfigKey || r.Value == nil {
 			continue
@@ -340,10 +347,10 @@
 		"state", state, "born", s.Born, "new", c.Old == nil, "era", c.Position.Era, "offset", c.Position.Offset, "read", read, "servers", t.servers.Len())
 }
 
-// checkReady makes the router ready once it has a configuration and a server. The
-// router stays ready when all servers leave, since other routers have none either.
+// checkReady makes the router ready once it has a configuration and a server and knows which data centres are
+// evacuated. The router stays ready when all servers leave, since other routers have none either.
 func (t *tracker) checkReady() {
-	if !t.haveConfig || t.servers.Len() == 0 || t.isReady.Load() {
+	if !t.haveConfig || t.servers.Len() == 0 || !t.evacuations.known() || t.isReady.Load() {
 		return
 	}
 	t.readyAt = time.Now()
--- a/internal/front/trackerrules_test.go
+++ b/internal/front/trackerrules_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,6 +15,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/edge"
+	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/feed"
 	"github.com/bluebellwell/bluebellwell/internal/forward"
@@ -344,3 +346,113 @@
 		t.Errorf("gap at %v after a change from before it, want none", p.gapPosition())
 	}
 }
+
+// operators applies records of the operators' topic, or with full a list of it, which ends before a position. A record such as
+// "+a" evacuates the data centre a, "-a" lifts that, and a digit is a configuration.
+func (tr trackerRouter) operators(full bool, next logpos.Position, records ...string) {
+	batch := feed.Batch{Full: full, Next: next}
+	for i, r := range records {
+		record := feed.Record{Key: "config", Value: []byte(r), Offset: next.Offset - int64(len(records)-i)}
+		if name := r[1:]; name != "" {
+			record.Key, record.Value = "out "+name, nil
+			if r[0] == '+' {
+				record.Value = []byte("no JSON")
+			}
+		}
+		batch.Records = append(batch.Records, record)
+	}
+	tr.applyConfig(batch)
+}
+
+func (tr trackerRouter) evacuated() string {
+	var names []string
+	list, _ := tr.evacuations.status(time.Now())
+	for _, e := range list {
+		names = append(names, e.DataCentre)
+	}
+	return strings.Join(names, " ")
+}
+
+// Guards against records of evacuations that are not applied, have no effect on the servers, or are reported as configurations,
+// which every router would read at the store.
+func TestEvacuationsAreAppliedAndNoConfigurations(t *testing.T) {
+	tr := newTrackerRouter(t)
+	tr.platform.EvacuatedDataCentre = func(key string) (string, bool) { return strings.CutPrefix(key, "out ") }
+	tr.platform.DecodeServer = func(id string, _ []byte) (*registry.Server, error) {
+		return &registry.Server{ID: id, Pool: "p", Addr: "10.0.0.1:1", DataCentre: "a", Engine: true}, nil
+	}
+	tr.list(at(2), "x:r")
+	tr.operators(true, at(3), "1", "+b")
+	before := tr.progress.report(time.Now(), 0).Topics[digest.TopicConfig].LastChange
+	for i, c := range []struct{ record, want string }{{"+a", "a b"}, {"-b", "a"}, {"+b", "a b"}} {
+		if tr.operators(false, at(int64(4+i)), c.record); tr.evacuated() != c.want {
+			t.Errorf("%s: %q evacuated, want %q", c.record, tr.evacuated(), c.want)
+		}
+	}
+	if tr.state.KnowsServer("10.0.0.1:1") || len(tr.state.Engines()) != 0 {
+		t.Error("the server of the evacuated data centre is used")
+	}
+	if after := tr.progress.report(time.Now(), 0).Topics[digest.TopicConfig].LastChange; after != before || tr.version() != 1 {
+		t.Errorf("the last change of the configuration went from %v to %v", before, after)
+	}
+	tr.operators(true, at(9), "2", "+a")
+	if tr.evacuated() != "a" || tr.version() != 2 {
+		t.Errorf("%q evacuated and version %d after a list, want a and 2", tr.evacuated(), tr.version())
+	}
+	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(10)})
+	if tr.evacuated() != "" || !tr.state.KnowsServer("10.0.0.1:1") {
+		t.Error("the evacuation that another router knows as lifted stays")
+	}
+	for _, number := range []string{`"event":1300`, `"event":1301`} {
+		if !strings.Contains(tr.log.String(), number) {
+			t.Errorf("the log has no %s", number)
+		}
+	}
+}
+
+// Guards against a router that is ready before it knows which data centres are evacuated, or because it knows that.
+func TestRouterIsReadyWithEvacuations(t *testing.T) {
+	tr := newTrackerRouter(t)
+	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(4)})
+	tr.list(at(2), "x:r")
+	if tr.ready() {
+		t.Error("ready without a configuration")
+	}
+	tr = newTrackerRouter(t)
+	tr.platform.EvacuatedDataCentre = func(key string) (string, bool) { return strings.CutPrefix(key, "out ") }
+	tr.list(at(2), "x:r")
+	// A configuration from elsewhere than a list of the operators' topic.
+	tr.operators(false, at(3), "1")
+	if tr.ready() {
+		t.Error("ready without the list of evacuations")
+	}
+	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(4)})
+	tr.list(at(3), "x:r")
+	if !tr.ready() {
+		t.Error("not ready although another router has told the evacuations")
+	}
+}
+
+// Guards against an evacuation that never ends after the store has come back without it.
+func TestLostEvacuationExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := forward.NewState(forward.Limits{})
+		tr := newTracker(Platform{EvacuatedDataCentre: func(key string) (string, bool) { return key, true }}, state, nil, event.Nop(), tally.NoopScope)
+		tr.exchange = &digest.Exchange{}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = tr.run(ctx) }()
+		tr.evacuations.update(func(now time.Time, s *evacuation.Set) []evacuation.Change {
+			s.Replace(now, []evacuation.Record{{DataCentre: "a", Evacuated: true, Position: at(1)}}, at(2))
+			return s.Replace(now, nil, logpos.Position{Era: 1, Offset: 1})
+		})
+		time.Sleep(evacuation.HoldTime - time.Second)
+		if got := (trackerRouter{tracker: tr}).evacuated(); got != "a" {
+			t.Errorf("%q evacuated while the operators have time to write it again, want a", got)
+		}
+		time.Sleep(2 * time.Second)
+		if got := (trackerRouter{tracker: tr}).evacuated(); got != "" {
+			t.Errorf("%q evacuated long after the store has lost it, want none", got)
+		}
+		cancel()
+	})
+}
