--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -168,6 +169,8 @@
 	// number of routers that it has known lately.
 	Heard   []uint16
 	Routers int64
+	// Evacuations are the data centres that the sender knows as evacuated.
+	Evacuations evacuation.View
 }
 
 // Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
@@ -207,6 +210,9 @@
 	fieldAllCold           = 46
 	fieldHeard             = 47
 	fieldRouters           = 48
+	fieldEvacuationsAsOf   = 40
+	fieldEvacuation        = 41
+	fieldEvacuationsPart   = 42
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -263,6 +269,7 @@
 	b = appendBool(b, fieldAllCold, m.AllCold)
 	b = appendHeard(b, m.Heard)
 	b = appendPositive(b, fieldRouters, m.Routers)
+	b = appendEvacuations(b, m.Evacuations)
 	return appendPartReport(b, m.Parts)
 }
 
@@ -419,6 +426,8 @@
 		m.AllCold = v != 0
 	case fieldRouters:
 		m.Routers, err = nonNegative(v)
+	case fieldEvacuationsPart:
+		m.Evacuations.Partial = v != 0
 	}
 	return b[n:], err
 }
@@ -455,6 +464,10 @@
 		err = m.decodePeer(v)
 	case fieldPlacement, fieldProgress:
 		err = m.decodeNumbers(field, v)
+	case fieldEvacuationsAsOf:
+		err = m.decodeEvacuationsAsOf(v)
+	case fieldEvacuation:
+		err = m.decodeEvacuation(v)
 	case fieldLimit:
 		err = m.decodeLimit(v)
 	case fieldCold:
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -283,6 +283,9 @@
 	if !c.findVersion() {
 		return
 	}
+	if c.refuseEvacuated() {
+		return
+	}
 	if !c.admitToPool() {
 		return
 	}
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -26,7 +26,7 @@
 	ID         string `json:"id"`
 	Addr       string `json:"addr"`
 	DataCentre string `json:"data_centre"`
-	// State is ready, indirect (reached through another router), leaving, ejected or cold.
+	// State is ready, indirect (reached through another router), evacuated (as its data centre), leaving, ejected or cold.
 	State string `json:"state"`
 	// Own and Others are the requests in flight of this router and of the others.
 	Own    int `json:"own"`
@@ -66,6 +66,8 @@
 	for _, b := range p.balance.Status(now) {
 		state := "ready"
 		switch {
+		case b.Evacuated:
+			state = "evacuated"
 		case b.Server.Leaving:
 			state = "leaving"
 		case b.Ejected:
