slotgrant, forward, digest: one router grants the slots of a pool that has few of them

With 70 routers and one server of 6 slots the routers together sent it five times its slots, and a queue that had formed there did not drain. The first router by rendezvous hashing of the pool now grants the slots one by one: by share of the workspace, priority and slack. What would be late is rejected at once. Routers without an answer send a bounded number of requests without a grant, and the next router takes over.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -52,6 +52,8 @@
 	Objective time.Duration
 	// Version is the software version that the server must have; 0 for any.
 	Version streamversion.Version
+	// Granted is the hash of the only incarnation that the request may go to; 0 for any.
+	Granted uint64
 	// Exclude lists the incarnations that this request was already sent to.
 	Exclude []registry.Key
 	// Unreachable is the number of servers that this request could not reach.
@@ -87,6 +89,8 @@
 	ReasonLeastLoaded Reason = "least_loaded"
 	// ReasonLastHeard: the request could not reach several servers, and this one was the last to send data.
 	ReasonLastHeard Reason = "last_heard"
+	// ReasonGranted: the router that grants the slots of the pool has granted one of this server.
+	ReasonGranted Reason = "granted"
 	// ReasonLimited: the server names a limit and was not asked for a while.
 	ReasonLimited Reason = "limited"
 )
@@ -188,6 +192,9 @@
 		source, read := p.reuse(now, m, &job)
 		return p.choose(now, m, source, mean, ReasonLastHeard, read), true
 	}
+	if job.Granted != 0 {
+		return p.choose(now, usable[0], nil, mean, ReasonGranted, job.PromptTokens), true
+	}
 	if len(job.Prefixes) == 0 {
 		return p.choose(now, p.leastLoaded(now, usable, &job), nil, mean, ReasonLeastLoaded, job.PromptTokens), true
 	}
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -35,6 +35,9 @@
 		if slices.Contains(job.Exclude, m.server.Key()) {
 			return false
 		}
+		if job.Granted != 0 && m.hash != job.Granted {
+			return false
+		}
 		return (job.Version == 0 || m.version == job.Version) && !p.withheld(now, m)
 	})
 }
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -41,6 +41,7 @@
 		PlacementsReply:   rapid.Bool().Draw(t, "placements reply"),
 		Relay:             rapid.Bool().Draw(t, "relay"),
 		Level:             rapid.Int64Min(0).Draw(t, "level"),
+		NotGranting:       rapid.Bool().Draw(t, "not granting"),
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "n") {
 		m.Peers = append(m.Peers, addr(rapid.IntRange(0, 255).Draw(t, "peer")))
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
+	"github.com/bluebellwell/bluebellwell/internal/slotgrant"
 	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 )
 
@@ -154,6 +155,13 @@
 	// shares are this router's shares of limited servers, computed anew in each loadInterval and when a
 	// router stops or starts, since each choice of a server asks for them.
 	shares map[uint64]namedlimit.Share
+	// grantOrder are the routers that may grant the slots of each pool, and liveRouters is the number of live ones, as of
+	// then. notGranting is set once this router stops to grant.
+	grantOrder  map[uint64]candidates
+	liveRouters int
+	notGranting bool
+	// onGrants handles messages about the slots of pools.
+	onGrants GrantHandler
 	// toRelay has the placements that this router is to pass on, by the Sender that made them, and collected is their
 	// number. relayWake is signalled when there are some.
 	toRelay   map[uint64][]Placement
@@ -185,6 +193,7 @@
 		peers:  NewPeers(addr.Addr(), seeds),
 
 		synced: firstStart, loadsSentAt: time.Now(), shares: make(map[uint64]namedlimit.Share),
+		grantOrder: make(map[uint64]candidates), onGrants: func(netip.Addr, *slotgrant.Message) {},
 		toRelay: make(map[uint64][]Placement), relayWake: make(chan struct{}, 1),
 	}, nil
 }
@@ -346,6 +355,10 @@
 			// A datagram to an unreachable peer can make a later read fail.
 			continue
 		}
+		if m, ok := decodeGrantsDatagram(buffer[:n]); ok {
+			e.onGrants(from.Addr().Unmap(), m)
+			continue
+		}
 		m, err := Decode(buffer[:n])
 		if err != nil {
 			e.events.Emit(event.DigestUnusable, "from", from.String(), "bytes", n)
@@ -359,8 +372,9 @@
 	now := time.Now()
 	e.mu.Lock()
 	isNew := e.peers.RecordMessage(now, from, m)
-	if isNew || m.Stopping {
+	if isNew || m.Stopping || m.NotGranting {
 		clear(e.shares)
+		clear(e.grantOrder)
 	}
 	e.synced = e.synced || m.PlacementsReply
 	smallFleet := e.smallFleet()
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -148,6 +148,8 @@
 	Relayed []RelayedPlacements
 	// Level is the level of the protocol that the sender has; 0 for one before there were levels.
 	Level int64
+	// NotGranting is set by a router that grants no slots of scarce pools, since it stops.
+	NotGranting bool
 	// Cached are placements without the tokens that are still to be read. They are
 	// encoded in fewer bytes when those of a server follow each other.
 	Cached   []Placement
@@ -196,6 +198,9 @@
 	fieldRelayed           = 28
 	fieldLevel             = 29
 	fieldServersHash       = 30
+	// fieldGrants comes in datagrams of its own, see decodeGrantsDatagram.
+	fieldGrants      = 55
+	fieldNotGranting = 56
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -220,6 +225,7 @@
 	b = appendBool(b, fieldRelay, m.Relay)
 	b = appendPositive(b, fieldLevel, m.Level)
 	b = appendPositive(b, fieldServersHash, int64(m.ServersHash))
+	b = appendBool(b, fieldNotGranting, m.NotGranting)
 	for _, p := range m.Peers {
 		b = protowire.AppendTag(b, fieldPeer, protowire.BytesType)
 		b = protowire.AppendBytes(b, p.AsSlice())
@@ -398,6 +404,8 @@
 		m.Relay = v != 0
 	case fieldLevel:
 		m.Level, err = nonNegative(v)
+	case fieldNotGranting:
+		m.NotGranting = v != 0
 	case fieldServersHash:
 		m.ServersHash = uint32(v)
 	}
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -58,6 +58,8 @@
 	serversHash uint32
 	// level is the level of the protocol that the peer has reported.
 	level int64
+	// notGranting is set while the peer grants no slots of scarce pools.
+	notGranting bool
 	// namedAt is when another router last named the peer.
 	namedAt time.Time
 	// restartedAt is when the peer was first heard after an earlier process at its address, which had not said that
@@ -127,6 +129,7 @@
 		peer.listEnd = m.ListEnd
 		peer.serversHash = m.ServersHash
 		peer.level = m.Level
+		peer.notGranting = m.NotGranting
 		if m.StoreEra > p.reportedEra {
 			p.reportedEra, p.reportedAt = m.StoreEra, now
 		}
--- a/internal/digest/relay.go
+++ b/internal/digest/relay.go
@@ -27,8 +27,11 @@
 // reports none, and as long as one is live placements are sent to all.
 const levelRelay = 1
 
+// levelGrants is the level of the protocol from which on a router grants the slots of scarce pools.
+const levelGrants = 2
+
 // ownLevel is the level of the protocol of this build.
-const ownLevel = levelRelay
+const ownLevel = levelGrants
 
 // RelayedPlacements are new placements of another router than the sender. Its own come back to it and are ignored.
 type RelayedPlacements struct {
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -38,12 +38,12 @@
 func (e *Exchange) newMessage() *Message {
 	progress := e.state.Progress()
 	e.mu.Lock()
-	synced, role := e.synced, roleOf(e.toldReader)
+	synced, role, notGranting := e.synced, roleOf(e.toldReader), e.notGranting
 	e.mu.Unlock()
 	return &Message{
 		Sender: e.sender, Synced: synced, Role: role, Progress: progress.Topics,
 		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
-		ListEnd: progress.ListEnd, ServersHash: progress.Servers.Hash, Level: ownLevel,
+		ListEnd: progress.ListEnd, ServersHash: progress.Servers.Hash, Level: ownLevel, NotGranting: notGranting,
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -125,14 +125,22 @@
 // tryServer makes one attempt and reports whether another one must follow.
 func (c *call) tryServer(ctx context.Context) bool {
 	job := c.job()
+	if !c.awaitGrant(ctx, &job) {
+		return false
+	}
+	defer c.endGrant()
 	choice, ok, newPlacement := c.pick(ctx, job)
 	if newPlacement {
 		c.handler.state.onNews()
 	}
+	if !ok && c.grantedInVain(ctx) {
+		return true
+	}
 	if !ok {
 		c.endWithoutServer(ctx)
 		return false
 	}
+	c.grant.sent = true
 	c.attempts.choice = choice
 	c.attempts.job = job
 	c.attempts.sent++
@@ -154,6 +162,7 @@
 	defer func() {
 		c.attempts.lastOutcome, c.attempts.endedAt = res.outcome, time.Now()
 		if c.pool.end(time.Now(), choice, job, res.outcome) {
+			c.grant.ejected = true
 			c.logEjected(choice.Server, res.cause)
 		}
 		c.recordCrashSigns(choice.Server, res)
@@ -429,6 +438,7 @@
 		return result{outcome: balance.Failed, cause: CauseWrongAnswer, mayHaveRun: true, otherAnswer: true}
 	}
 	if answer.HasLoad {
+		c.grant.load = answer.Load.Running + answer.Load.Waiting
 		c.pool.recordLoad(time.Now(), choice.Server.Key(), answer.Load)
 	}
 	c.recordLimit(choice.Server, answer, resp.StatusCode < http.StatusMultipleChoices)
--- /dev/null
+++ b/internal/forward/grantstatus.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/slotgrant"
+)
+
+// GrantStatus is the state of the grants of a scarce pool, for operators.
+type GrantStatus struct {
+	// Slots and Routers are the numbers that make the pool scarce.
+	Slots   int `json:"slots"`
+	Routers int `json:"routers"`
+	// Router is the one that grants, as this one sees it; empty for none. Granting is set at that router.
+	Router   string `json:"router"`
+	Granting bool   `json:"granting"`
+	// Leases and Waiting are the grants in use and the waiting questions of the router that grants.
+	Leases  int `json:"leases"`
+	Waiting int `json:"waiting"`
+	// SlotMs is the usual time from a grant to its report, in milliseconds, as the router that grants has learned it.
+	SlotMs float64 `json:"slot_ms"`
+	Term   uint64  `json:"term"`
+	// Silent is a router that should grant and does not answer.
+	Silent string `json:"silent,omitempty"`
+}
+
+// status returns the state of the grants, or nil while the pool is not scarce.
+func (d *grantDesk) status(now time.Time) *GrantStatus {
+	if !d.isScarce(now) {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := &GrantStatus{Slots: d.slots, Routers: d.routers}
+	list, _ := d.shared.link.GrantCandidates(now, d.hash)
+	for _, addr := range list {
+		if d.desk == nil || !d.desk.Asker.Silent(addr) {
+			s.Router = addr.String()
+			break
+		}
+	}
+	if d.desk == nil {
+		return s
+	}
+	g := d.desk.Granter
+	s.Granting, s.Leases, s.Waiting, s.Term = g.Active(), g.Leases(), g.Waiting(), d.desk.Asker.Term()
+	s.SlotMs = float64(g.SlotTime().Microseconds()) / 1000
+	if d.silent.IsValid() {
+		s.Silent = d.silent.String()
+	}
+	return s
+}
+
+// observe logs and counts what has changed. The caller holds d.mu.
+func (d *grantDesk) observe() {
+	g := d.desk.Granter
+	if active := g.Active(); active != d.granting {
+		d.granting = active
+		e := event.GrantingEnded
+		if active {
+			e = event.GrantingBegun
+		}
+		d.shared.events.Emit(e, "pool", d.pool.name, "term", d.desk.Asker.Term(), "slots", d.slots, "routers", d.routers)
+	}
+	if silent := d.desk.Asker.FirstSilent(); silent != d.silent {
+		d.silent = silent
+		if silent.IsValid() {
+			d.shared.events.Emit(event.GranterSilent, "pool", d.pool.name, "router", silent.String())
+		}
+	}
+	if counts := g.Counts(); counts != d.counts {
+		d.shared.metrics.recordGranting(d.pool.name, d.counts, counts)
+		d.counts = counts
+	}
+}
+
+// recordGranting counts what the granting side has done since the counts before.
+func (m *Metrics) recordGranting(pool string, before, now slotgrant.Counts) {
+	if m == nil {
+		return
+	}
+	scope := m.scope.Tagged(map[string]string{"pool": pool})
+	for _, c := range []struct {
+		name        string
+		before, now int64
+	}{
+		{"slots_granted", before.Granted, now.Granted}, {"slot_questions_queued", before.Queued, now.Queued},
+		{"slot_leases_expired", before.Expired, now.Expired}, {"slot_probes", before.Probed, now.Probed},
+	} {
+		if n := c.now - c.before; n > 0 {
+			scope.Counter(c.name).Inc(n)
+		}
+	}
+	for reason, n := range now.Rejected {
+		if n -= before.Rejected[reason]; n > 0 {
+			m.scope.Tagged(map[string]string{"pool": pool, "reason": slotgrant.Reason(reason).String()}).Counter("slot_questions_rejected").Inc(n)
+		}
+	}
+}
+
+// recordGrantWait records how long a request waited for the decision about its slot.
+func (m *Metrics) recordGrantWait(pool, result string, wait time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"pool": pool, "result": result})
+	scope.Counter("grant_decisions").Inc(1)
+	scope.Histogram("grant_wait", grantBuckets).RecordDuration(wait)
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -50,6 +50,7 @@
 	observeLimits(state, events, metrics)
 	observeCrashes(state.crashes, events, metrics)
 	state.paths.events = events
+	state.grantsShared.events, state.grantsShared.metrics = events, metrics
 	h := &Handler{
 		state:   state,
 		codec:   codec,
@@ -108,6 +109,7 @@
 	// version is that of the servers which may continue the stream; 0 for any.
 	version  streamversion.Version
 	attempts attempts
+	grant    grantUse
 	stream   streamState
 	// sentFraming is how the end of the answer to the caller is marked.
 	sentFraming framing.Framing
@@ -303,9 +305,13 @@
 	}
 }
 
-// admitToPool refuses a request that would wait too long in a full pool.
+// admitToPool refuses a request that would wait too long in a full pool. In a scarce one that is decided by the router that
+// grants its slots.
 func (c *call) admitToPool() bool {
 	now := time.Now()
+	if !c.grant.fallback && c.needsGrant(now) {
+		return true
+	}
 	c.load, c.admission = c.pool.admit(now, overload.Request{
 		Workspace:     c.workspace.Name,
 		Route:         c.route.Name,
@@ -363,6 +369,7 @@
 	kv = append(kv, c.headers.partsField()...)
 	kv = append(kv, c.headers.takesUpFields()...)
 	kv = append(kv, c.attempts.logFields()...)
+	kv = append(kv, c.grant.logFields()...)
 	if c.decidedPart != 0 {
 		kv = append(kv, "part", strconv.FormatUint(c.decidedPart, 16))
 	}
@@ -375,7 +382,7 @@
 	if c.pool != nil && e == event.RequestFailed {
 		kv = append(kv, "retries_left", c.pool.retriesLeft(time.Now()))
 	}
-	if c.cause == CausePoolFull {
+	if c.cause == CausePoolFull && !c.grant.asked {
 		kv = append(kv, "load", c.load.InFlight(), "own", c.load.Own, "slots", c.load.Slots, "expected_ms", c.admission.Expected.Milliseconds(),
 			"bound_ms", c.admission.Bound.Milliseconds(), "surging", c.admission.Surging, "returning", c.admission.Retrying,
 			"retry_after_ms", c.admission.RetryAfter.Milliseconds())
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -68,6 +69,8 @@
 	fleet *retrybudget.Fleet
 	// paths opens the connections to servers.
 	paths *paths
+	// grantsShared is shared by the grant desks of all pools.
+	grantsShared *grantsShared
 	// limitShare returns this router's share in the requests to a server that names a limit, and
 	// onLimit is called when such a limit changes. New sets it.
 	limitShare func(server uint64) namedlimit.Share
@@ -96,6 +99,7 @@
 	// indirect reports whether the server at an address is reached through another router.
 	indirect func(now time.Time, addr string) bool
 	versions versionChange
+	grants   *grantDesk
 }
 
 // NewState returns a state without a configuration and servers.
@@ -110,6 +114,7 @@
 	st.streams = newStreamVersions()
 	st.fleet = retrybudget.NewFleet()
 	st.paths = newPaths()
+	st.grantsShared = &grantsShared{events: event.Nop()}
 	st.paths.onChange = st.renewConnections
 	st.crashes.ended = st.paths.refuses
 	return st
@@ -207,7 +212,7 @@
 func (st *State) newPool(name string) *pool {
 	b := balance.NewPool(st.limits.Balance)
 	b.SetLimitShare(func(server uint64) namedlimit.Share { return st.limitShare(server) })
-	return &pool{
+	p := &pool{
 		name:        name,
 		budget:      retrybudget.New(st.limits.Retry, st.fleet),
 		balance:     b,
@@ -217,6 +222,8 @@
 		dial:        st.paths.dial,
 		indirect:    st.paths.indirect,
 	}
+	p.grants = newGrantDesk(p, st.grantsShared)
+	return p
 }
 
 // pool returns the pool named name, or nil.
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -19,6 +19,8 @@
 	// RetriesLeft is the number of retries that the retry budget allows now.
 	RetriesLeft float64        `json:"retries_left"`
 	Servers     []ServerStatus `json:"servers"`
+	// Grants is the state of the grants of a scarce pool; absent for other pools.
+	Grants *GrantStatus `json:"grants,omitempty"`
 }
 
 // ServerStatus is this router's view of one server, for operators.
@@ -40,7 +42,15 @@
 // Status returns the status of all pools, sorted by name.
 func (st *State) Status(now time.Time) []PoolStatus {
 	var list []PoolStatus
-	st.eachPool(func(p *pool) { list = append(list, p.status(now)) })
+	desks := make(map[string]*grantDesk)
+	st.eachPool(func(p *pool) {
+		list = append(list, p.status(now))
+		desks[p.name] = p.grants
+	})
+	for i := range list {
+		// A desk uses its pool, so it is asked without the pool's lock.
+		list[i].Grants = desks[list[i].Name].status(now)
+	}
 	slices.SortFunc(list, func(a, b PoolStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -133,6 +133,8 @@
 	state.OnNews(f.exchange.SendSoon)
 	state.SetPlacementsKnown(f.placementsKnown)
 	state.SetLimitShare(f.exchange.LimitShare)
+	state.SetGrantLink(f.exchange)
+	f.exchange.OnGrants(state.ReceiveGrants)
 	state.SetTrialTurn(f.exchange.RoutersBefore)
 	state.SetFleetStreams(f.exchange)
 	f.ready = newServer(f.readyRouter())
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -28,6 +28,8 @@
 	end := start.Add(f.bounds.Load().StopTimeout - stopMargin)
 	f.handler.Stop(start, end)
 	f.carrier.Decline()
+	f.exchange.StopGranting()
+	f.state.HandOverGrants()
 	f.events.Emit(event.FrontStopping, "running", f.handler.Running())
 	rotation := time.AfterFunc(rotationTime, f.edge.CloseWaiting)
 	defer rotation.Stop()
--- /dev/null
+++ b/internal/slotgrant/asker.go
@@ -0,0 +1,364 @@
+package slotgrant
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// answerTimeout is how long a question may have no answer, of any kind, before its request goes on without a grant, as
+	// a share of what is left of its objective and within bounds. A VM of 0.192 cores may stop for 80 ms at a time. The question
+	// is sent again after resendShare of it.
+	answerShare      = 0.3
+	minAnswerTimeout = 25 * time.Millisecond
+	maxAnswerTimeout = 90 * time.Millisecond
+	resendShare      = 0.4
+	// queuedResend is the time after which a queued question is sent again, to notice that the granting router has ended
+	// and to get a grant that was lost.
+	queuedResend = 80 * time.Millisecond
+	// pingInterval is the time between two pings of a router that did not answer.
+	pingInterval = 500 * time.Millisecond
+	// recentlyHeard is how long a router counts as granting after its last message.
+	recentlyHeard = 150 * time.Millisecond
+	// redirectTime is how long a router asks the one that another router has named.
+	redirectTime = time.Second
+	// silentTrust is the age from which another router's word that a silent router grants counts.
+	silentTrust = 200 * time.Millisecond
+)
+
+// Decision is what becomes of a request that has asked for a slot.
+type Decision struct {
+	Number uint64
+	// Kind is Granted, Rejected, or Elsewhere when no router grants.
+	Kind   Kind
+	Server uint64
+	Wait   time.Duration
+	Reason Reason
+}
+
+// pending is a question without a decision.
+type pending struct {
+	question Question
+	to       netip.Addr
+	// dueIn and deadline are the ends of the objective and of the deadline.
+	due, deadline time.Time
+	// sentAt is when the question was last sent, and waitsSince when the one was sent that has no answer yet; zero when it was
+	// answered.
+	sentAt, waitsSince time.Time
+	timeout            time.Duration
+	redirected         bool
+}
+
+// contact is what is known of a router that grants or may do so.
+type contact struct {
+	heardAt time.Time
+	// pingedAt is when it was last pinged, and pingWaits is set until it answers.
+	pingedAt  time.Time
+	pingWaits bool
+	// silent is set when it has not answered in time, at silentAt.
+	silent   bool
+	silentAt time.Time
+}
+
+func (c *contact) setSilent(now time.Time) {
+	if !c.silent {
+		c.silentAt = now
+	}
+	c.silent = true
+}
+
+// Asker asks for the slots of a pool.
+type Asker struct {
+	self    netip.Addr
+	term    uint64
+	next    uint64
+	pending map[uint64]*pending
+	// running maps the granted requests to the routers that granted them.
+	running  map[uint64]netip.Addr
+	contacts map[netip.Addr]*contact
+	// first is the router that another one has named, until redirectedUntil.
+	first           netip.Addr
+	redirectedUntil time.Time
+	// serverTime is the usual time of a request at a server.
+	serverTime average
+	decisions  []Decision
+}
+
+// NewAsker returns an Asker of the router at an address. The number is a random one, so that questions of
+// an earlier process at the address are not taken for its own.
+func NewAsker(self netip.Addr, number uint64) *Asker {
+	return &Asker{
+		self: self, next: number, pending: make(map[uint64]*pending), running: make(map[uint64]netip.Addr),
+		contacts: make(map[netip.Addr]*contact),
+	}
+}
+
+// Term returns the highest term that this router knows.
+func (a *Asker) Term() uint64 { return a.term }
+
+// Busy reports whether Tick has to be called within tickInterval.
+func (a *Asker) Busy() bool {
+	if len(a.pending) > 0 {
+		return true
+	}
+	for _, c := range a.contacts {
+		if c.pingWaits && !c.silent {
+			return true
+		}
+	}
+	return false
+}
+
+// SlotTime returns the usual time of a request at a server.
+func (a *Asker) SlotTime() time.Duration {
+	return a.serverTime.or(defaultSlotTime)
+}
+
+// Choose returns the first of some routers that is not known to be silent. It pings silent ones that come before, so that they are
+// asked again when they are back. The zero address means none.
+func (a *Asker) Choose(now time.Time, candidates []netip.Addr, out *Outbox) netip.Addr {
+	for addr := range a.contacts {
+		if !slices.Contains(candidates, addr) && addr != a.first {
+			delete(a.contacts, addr)
+		}
+	}
+	for _, addr := range candidates {
+		if addr == a.self || !a.contact(addr).silent {
+			return addr
+		}
+		a.ping(now, addr, out)
+	}
+	return netip.Addr{}
+}
+
+// Silent reports whether a router has not answered.
+func (a *Asker) Silent(addr netip.Addr) bool {
+	c := a.contacts[addr]
+	return c != nil && c.silent
+}
+
+// Check pings a router that should grant, unless it was heard lately. Another router has asked this one instead.
+func (a *Asker) Check(now time.Time, addr netip.Addr, out *Outbox) {
+	if addr != a.self && addr.IsValid() && now.Sub(a.contact(addr).heardAt) >= recentlyHeard {
+		a.ping(now, addr, out)
+	}
+}
+
+func (a *Asker) ping(now time.Time, addr netip.Addr, out *Outbox) {
+	c := a.contact(addr)
+	if c.pingWaits && !c.silent || now.Sub(c.pingedAt) < pingInterval && c.silent {
+		return
+	}
+	c.pingedAt, c.pingWaits = now, true
+	out.to(addr, a.term).Ping = true
+}
+
+func (a *Asker) contact(addr netip.Addr) *contact {
+	c := a.contacts[addr]
+	if c == nil {
+		c = &contact{}
+		a.contacts[addr] = c
+	}
+	return c
+}
+
+// Ask asks the first of the candidates that is not silent. When there is none, it returns false: no router grants.
+func (a *Asker) Ask(now time.Time, candidates []netip.Addr, q Question, out *Outbox) (number uint64, asked bool) {
+	to := a.Choose(now, candidates, out)
+	if now.Before(a.redirectedUntil) && !a.Silent(a.first) {
+		to = a.first
+	}
+	if !to.IsValid() {
+		return 0, false
+	}
+	a.next++
+	q.Number = a.next
+	p := &pending{question: q, to: to, due: now.Add(q.Objective), deadline: now.Add(q.Deadline), waitsSince: now}
+	p.timeout = min(max(time.Duration(answerShare*float64(q.Objective)), minAnswerTimeout), maxAnswerTimeout)
+	a.pending[q.Number] = p
+	a.send(now, p, out)
+	return q.Number, true
+}
+
+func (a *Asker) send(now time.Time, p *pending, out *Outbox) {
+	p.sentAt = now
+	q := p.question
+	q.Objective, q.Deadline = max(p.due.Sub(now), 0), max(p.deadline.Sub(now), 0)
+	m := out.to(p.to, a.term)
+	m.Questions = append(m.Questions, q)
+}
+
+// Cancel withdraws a question whose request has ended.
+func (a *Asker) Cancel(number uint64, out *Outbox) {
+	p := a.pending[number]
+	if p == nil {
+		return
+	}
+	delete(a.pending, number)
+	a.report(p.to, Report{Number: number, End: Unused}, out)
+}
+
+// End reports the end of a granted request.
+func (a *Asker) End(r Report, out *Outbox) {
+	to, ok := a.running[r.Number]
+	if !ok {
+		return
+	}
+	delete(a.running, r.Number)
+	a.RecordTime(r)
+	a.report(to, r, out)
+}
+
+// RecordTime records how long a request was at a server, also one without a grant.
+func (a *Asker) RecordTime(r Report) {
+	if r.End == Served && r.Took > 0 {
+		a.serverTime.add(r.Took)
+	}
+}
+
+func (a *Asker) report(to netip.Addr, r Report, out *Outbox) {
+	m := out.to(to, a.term)
+	m.Reports = append(m.Reports, r)
+}
+
+// Receive handles the answers and probes of a router.
+func (a *Asker) Receive(now time.Time, from netip.Addr, m *Message, out *Outbox) {
+	if len(m.Answers) > 0 || len(m.Probes) > 0 || m.Pong {
+		c := a.contact(from)
+		c.heardAt, c.silent, c.pingWaits = now, false, false
+	}
+	stale := m.Term < a.term
+	a.term = max(a.term, m.Term)
+	for _, ans := range m.Answers {
+		if stale && ans.Kind != Elsewhere {
+			// Another router has granted since. The question is sent again with the newest term.
+			a.returnGrant(from, ans, out)
+			continue
+		}
+		a.answered(now, from, m, ans, out)
+	}
+	for _, number := range m.Probes {
+		a.probed(now, from, number, out)
+	}
+}
+
+// returnGrant gives back a grant that is not used.
+func (a *Asker) returnGrant(from netip.Addr, ans Answer, out *Outbox) {
+	if ans.Kind == Granted && a.running[ans.Number] != from {
+		a.report(from, Report{Number: ans.Number, End: Unused}, out)
+	}
+}
+
+func (a *Asker) answered(now time.Time, from netip.Addr, m *Message, ans Answer, out *Outbox) {
+	p := a.pending[ans.Number]
+	if p == nil || p.to != from {
+		a.returnGrant(from, ans, out)
+		return
+	}
+	p.waitsSince = time.Time{}
+	switch ans.Kind {
+	case Granted:
+		a.running[ans.Number] = from
+		a.decide(Decision{Number: ans.Number, Kind: Granted, Server: ans.Server})
+	case Rejected:
+		a.decide(Decision{Number: ans.Number, Kind: Rejected, Wait: ans.Wait, Reason: ans.Reason})
+	case Elsewhere:
+		a.redirect(now, from, m.First, p, out)
+	case Queued:
+	default:
+		// A kind that a later build has.
+		a.decide(Decision{Number: ans.Number, Kind: Elsewhere})
+	}
+}
+
+// redirect asks the router that another one has named, once.
+func (a *Asker) redirect(now time.Time, from, first netip.Addr, p *pending, out *Outbox) {
+	if p.redirected || !first.IsValid() || first == from || a.Silent(first) && now.Sub(a.contact(first).silentAt) < silentTrust {
+		a.decide(Decision{Number: p.question.Number, Kind: Elsewhere})
+		return
+	}
+	a.first, a.redirectedUntil = first, now.Add(redirectTime)
+	p.redirected, p.to, p.waitsSince = true, first, now
+	a.send(now, p, out)
+}
+
+// Follow asks a router that says that it grants, and takes those before it for silent. Questions that wait for those go to it.
+func (a *Asker) Follow(now time.Time, candidates []netip.Addr, granting netip.Addr, out *Outbox) {
+	n := slices.Index(candidates, granting)
+	for _, addr := range candidates[:max(n, 0)] {
+		if addr == a.self {
+			continue
+		}
+		a.contact(addr).setSilent(now)
+		a.contact(addr).pingedAt = now
+		for _, p := range a.pending {
+			if p.to == addr {
+				p.to, p.waitsSince = granting, now
+				a.send(now, p, out)
+			}
+		}
+	}
+}
+
+func (a *Asker) decide(d Decision) {
+	delete(a.pending, d.Number)
+	a.decisions = append(a.decisions, d)
+}
+
+// probed answers whether a request still runs.
+func (a *Asker) probed(now time.Time, from netip.Addr, number uint64, out *Outbox) {
+	switch p := a.pending[number]; {
+	case a.running[number] == from:
+		a.report(from, Report{Number: number, End: Running}, out)
+	case p != nil && p.to == from:
+		// The grant was lost.
+		a.send(now, p, out)
+	default:
+		// The report was lost, or the request has gone on without the grant.
+		a.report(from, Report{Number: number, End: Unused}, out)
+	}
+}
+
+// Tick sends questions again that have no answer, and gives up those that had none for too long.
+func (a *Asker) Tick(now time.Time, out *Outbox) {
+	for addr, c := range a.contacts {
+		if c.pingWaits && now.Sub(c.pingedAt) >= maxAnswerTimeout && addr != a.self {
+			c.setSilent(now)
+		}
+	}
+	for number, p := range a.pending {
+		switch {
+		case p.waitsSince.IsZero() && now.Sub(p.sentAt) >= queuedResend:
+			p.waitsSince = now
+			a.send(now, p, out)
+		case p.waitsSince.IsZero():
+		case now.Sub(p.waitsSince) >= p.timeout:
+			if p.to != a.self {
+				a.contact(p.to).setSilent(now)
+			}
+			a.decide(Decision{Number: number, Kind: Elsewhere})
+			a.report(p.to, Report{Number: number, End: Unused}, out)
+		case now.Sub(p.sentAt) >= time.Duration(resendShare*float64(p.timeout)):
+			a.send(now, p, out)
+		}
+	}
+}
+
+// TakeDecisions returns what was decided since the last call.
+func (a *Asker) TakeDecisions() []Decision {
+	list := a.decisions
+	a.decisions = nil
+	return list
+}
+
+// FirstSilent returns the silent router with the lowest address; the zero address when there is none.
+func (a *Asker) FirstSilent() netip.Addr {
+	var first netip.Addr
+	for addr, c := range a.contacts {
+		if c.silent && (!first.IsValid() || addr.Less(first)) {
+			first = addr
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/internal/slotgrant/bounds_test.go
@@ -0,0 +1,115 @@
+package slotgrant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// mid is when something happens in the middle of a simulation.
+const mid = 8 * time.Second
+
+// forLoads runs a test for loads of 0.85 and 1.75 of a server that gets slower with more requests than slots.
+func forLoads(t *testing.T, f func(t *testing.T, load float64)) {
+	for _, load := range []float64{0.85, 1.75} {
+		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) { f(t, load) })
+	}
+}
+
+func (s *sim) check() {
+	s.t.Helper()
+	s.log()
+	if s.load < 1 {
+		s.checkUnderload()
+	} else {
+		s.checkOverload()
+	}
+}
+
+// Guards against routers that together send a server more than its slots, and so let a queue form there that does not drain,
+// and against slots that stay empty while requests wait.
+func TestFewSlotsAreUsedUnderLoad(t *testing.T) {
+	forLoads(t, func(t *testing.T, load float64) {
+		for _, slower := range []bool{true, false} {
+			for _, lost := range []float64{0, 0.01} {
+				t.Run(fmt.Sprintf("slower %v, lost %.2f", slower, lost), func(t *testing.T) {
+					s := newSim(t, simCase{load: load, slower: slower, lost: lost})
+					s.run()
+					s.check()
+					most := simSlots
+					if lost > 0 {
+						// A grant that is lost may be taken for one that ends.
+						most++
+					}
+					if s.result.mostInside > most {
+						t.Errorf("%d requests at a server of %d slots", s.result.mostInside, simSlots)
+					}
+				})
+			}
+		}
+	})
+}
+
+// Guards against a model in which nothing goes wrong: without grants it shows what was measured with real routers.
+func TestFewSlotsWithoutGrants(t *testing.T) {
+	for _, slower := range []bool{true, false} {
+		s := newSim(t, simCase{load: 1.75, slower: slower, without: true})
+		s.run()
+		s.log()
+		if s.result.mostInside < simSlots+simRoom {
+			t.Errorf("at most %d requests at the server, want it full", s.result.mostInside)
+		}
+	}
+}
+
+// Guards against a granting router that takes long to learn what it needs after a restart of all routers, and one that overfills
+// the server with what it does not know of.
+func TestFewSlotsAfterARestartOfAll(t *testing.T) {
+	forLoads(t, func(t *testing.T, load float64) {
+		s := newSim(t, simCase{load: load, slower: true, lost: 0.01})
+		s.disturbed = true
+		s.countFrom = mid
+		s.at(mid, func() {
+			for _, r := range s.routers {
+				r.start(false)
+			}
+		})
+		s.run()
+		s.check()
+	})
+}
+
+// Guards against a kill of the granting router after which the others flood the server, or nobody grants.
+func TestFewSlotsWhenTheGrantingRouterIsKilled(t *testing.T) {
+	forLoads(t, func(t *testing.T, load float64) {
+		s := newSim(t, simCase{load: load, slower: true, lost: 0.01})
+		s.disturbed = true
+		s.countFrom = mid - time.Second
+		s.at(mid, func() { s.routers[0].dead = true })
+		s.run()
+		s.check()
+		if !s.routers[1].desk.Granter.Active() {
+			t.Error("the next router does not grant")
+		}
+	})
+}
+
+// Guards against a granting router that was frozen, and grants on what it knew before beside the one that has taken its place.
+func TestFewSlotsWhenTheGrantingRouterIsFrozen(t *testing.T) {
+	const freeze = 2 * time.Second
+	forLoads(t, func(t *testing.T, load float64) {
+		s := newSim(t, simCase{load: load, slower: true, lost: 0.01})
+		s.disturbed = true
+		s.countFrom = mid - time.Second
+		s.at(mid, func() { s.routers[0].freeze(freeze) })
+		s.at(mid+freeze-time.Millisecond, func() { s.result.mostInside = 0 })
+		s.run()
+		s.check()
+		if most := s.result.mostInside; most > 2*simSlots {
+			t.Errorf("%d requests at the server after the freeze, want at most the slots of two routers that grant", most)
+		}
+		if !s.routers[0].desk.Granter.Active() || s.routers[1].desk.Granter.Active() {
+			t.Error("the first router does not grant again")
+		}
+	})
+}
--- /dev/null
+++ b/internal/slotgrant/server.go
@@ -0,0 +1,115 @@
+package slotgrant
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// refusedPause is how long a server that refused a request gets no grants. Failures and refused connections double the
+	// pause from minFailedPause to maxFailedPause until a request is served.
+	refusedPause   = 100 * time.Millisecond
+	minFailedPause = 250 * time.Millisecond
+	maxFailedPause = 2 * time.Second
+	// failuresBeforePause is the number of failures in a row that pause a server: a single one may be due to its request.
+	failuresBeforePause = 3
+)
+
+// Server is a server of the pool as the granting router sees it.
+type Server struct {
+	// Hash identifies the incarnation.
+	Hash  uint64
+	Slots int
+	// Usable is set while the server may get requests.
+	Usable bool
+	// Load is the number of requests of all routers there, by their digests.
+	Load int
+}
+
+// server is a server with its grants.
+type server struct {
+	Server
+	// leases are the grants in use, the oldest first.
+	leases []*lease
+	// foreign are requests that this router has not granted, each until it should have ended.
+	foreign []time.Time
+	// pausedUntil is until when it gets no grants; failures and pause are those since it last served.
+	pausedUntil time.Time
+	failures    int
+	pause       time.Duration
+}
+
+// available reports whether the server may get a grant if it has a free slot.
+func (s *server) available(now time.Time) bool { return s.Usable && !now.Before(s.pausedUntil) }
+
+// free returns the number of free slots; it may be negative.
+func (s *server) free(now time.Time) int {
+	n := 0
+	for _, until := range s.foreign {
+		if now.Before(until) {
+			s.foreign[n] = until
+			n++
+		}
+	}
+	s.foreign = s.foreign[:n]
+	return s.Slots - len(s.leases) - n
+}
+
+// ending returns how many of the grants in use have an age from one on, at most limit, and the first younger one. Those of half as much again
+// don't count: their grants may have been lost, and their requests begin yet.
+func (s *server) ending(now time.Time, age time.Duration, limit int) (n int, next *lease) {
+	for _, l := range s.leases {
+		switch got := now.Sub(l.grantedAt); {
+		case got < age:
+			return min(n, limit), l
+		case got < endingWindow(age):
+			n++
+		}
+	}
+	return min(n, limit), nil
+}
+
+func endingWindow(age time.Duration) time.Duration { return age + age/2 }
+
+func (s *server) remove(l *lease) {
+	if i := slices.Index(s.leases, l); i >= 0 {
+		s.leases = slices.Delete(s.leases, i, i+1)
+	}
+}
+
+// moveLast makes a grant the newest one.
+func (s *server) moveLast(l *lease) {
+	s.remove(l)
+	s.leases = append(s.leases, l)
+}
+
+// setForeign records n requests that were not granted here and that end one after the other, within a time.
+func (s *server) setForeign(now time.Time, n int, within time.Duration) {
+	n = min(max(n, 0), s.Slots)
+	s.foreign = s.foreign[:0]
+	for i := range n {
+		s.foreign = append(s.foreign, now.Add(within*time.Duration(i+1)/time.Duration(n)))
+	}
+}
+
+// recordEnd records how a request at the server ended.
+func (s *server) recordEnd(now time.Time, end End) {
+	switch end {
+	case Served:
+		s.failures, s.pause = 0, 0
+	case Refused:
+		s.pausedUntil = now.Add(refusedPause)
+	case Failed:
+		s.failures++
+		if s.failures >= failuresBeforePause {
+			s.lengthenPause(now)
+		}
+	case Unreachable:
+		s.lengthenPause(now)
+	}
+}
+
+func (s *server) lengthenPause(now time.Time) {
+	s.pause = min(max(2*s.pause, minFailedPause), maxFailedPause)
+	s.pausedUntil = now.Add(s.pause)
+}
--- /dev/null
+++ b/internal/slotgrant/shares.go
@@ -0,0 +1,112 @@
+package slotgrant
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// recentHalfLife and usualHalfLife are the half-lives of a workspace's recent and usual numbers of questions, as in package
+	// overload.
+	recentHalfLife = 2 * time.Second
+	usualHalfLife  = 30 * time.Second
+	// A workspace's share of what the slots take is shareFactor times its usual share of the questions, plus shareExtra recent
+	// ones. The shares of all are a little more than the slots take, so that a workspace may vary. The extra keeps a few requests of
+	// a small workspace from counting.
+	shareFactor = 1.2
+	shareExtra  = 3
+	// excessLevels is the number of levels of questions: those within the share, then one more share, two more, and so
+	// on. So workspaces that are all beyond what is usual are still compared.
+	excessLevels = 6
+	// fullWeight is the weight in the usual number of a question while there are more than the slots take, so that a
+	// surge does not become usual within seconds.
+	fullWeight = 0.02
+	// maxWorkspaces bounds the workspaces with numbers of their own, and minUsual is the number below which one may be
+	// forgotten.
+	maxWorkspaces = 4096
+	minUsual      = 0.05
+)
+
+// decaying is a number that decays exponentially.
+type decaying struct {
+	value float64
+	at    time.Time
+}
+
+func (d *decaying) add(now time.Time, halfLife time.Duration, n float64) float64 {
+	if elapsed := now.Sub(d.at); !d.at.IsZero() && elapsed > 0 {
+		d.value *= math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
+	}
+	d.at = now
+	d.value += n
+	return d.value
+}
+
+// traffic counts the questions of a workspace: the recent ones of each level, and the usual ones.
+type traffic struct {
+	recent [excessLevels]decaying
+	usual  decaying
+}
+
+// shares tells how far beyond the share of their workspace questions are.
+type shares struct {
+	// all is the usual number of the questions of all workspaces.
+	all        decaying
+	workspaces map[uint32]*traffic
+}
+
+// record counts a question and returns its level, 0 for one within the share of its workspace. capacity is the number of
+// requests a second that the slots take; full is set while there are more questions than
+// they take.
+func (s *shares) record(now time.Time, workspace uint32, capacity float64, full bool) (level int) {
+	w := s.workspace(now, workspace)
+	usual := w.usual.add(now, usualHalfLife, 0) / max(s.all.add(now, usualHalfLife, 0), 1)
+	recent := capacity * recentHalfLife.Seconds() / math.Ln2
+	level = w.level(now, shareFactor*usual*recent+shareExtra)
+	w.recent[level].add(now, recentHalfLife, 1)
+	weight := 1.0
+	if full {
+		weight = fullWeight
+	}
+	w.usual.add(now, usualHalfLife, weight)
+	s.all.add(now, usualHalfLife, weight)
+	return level
+}
+
+// level returns the first level that has room for a question. Each has twice the room of the one before.
+func (w *traffic) level(now time.Time, share float64) int {
+	for i := range w.recent[:excessLevels-1] {
+		if w.recent[i].add(now, recentHalfLife, 0) < share {
+			return i
+		}
+		share *= 2
+	}
+	return excessLevels - 1
+}
+
+func (s *shares) workspace(now time.Time, hash uint32) *traffic {
+	if w := s.workspaces[hash]; w != nil {
+		return w
+	}
+	if s.workspaces == nil {
+		s.workspaces = make(map[uint32]*traffic)
+	}
+	if len(s.workspaces) >= maxWorkspaces {
+		s.forgetIdle(now)
+	}
+	w := &traffic{}
+	s.workspaces[hash] = w
+	return w
+}
+
+// forgetIdle forgets the workspaces that send nothing any more, or all when there are none.
+func (s *shares) forgetIdle(now time.Time) {
+	for hash, w := range s.workspaces {
+		if w.usual.add(now, usualHalfLife, 0) < minUsual {
+			delete(s.workspaces, hash)
+		}
+	}
+	if len(s.workspaces) >= maxWorkspaces {
+		clear(s.workspaces)
+	}
+}
