--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
+	"github.com/bluebellwell/bluebellwell/internal/slotgrant"
 	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 )
 
@@ -167,6 +168,13 @@
 	shares map[uint64]namedlimit.Share
 	// maySend is set while this router may be the only one that sends to a cold server, as last computed.
 	maySend bool
+	// grantOrder are the routers that may grant the slots of each pool, and liveRouters is the number of live ones, as of
+	// then. notGranting is set once this router stops to grant.
+	grantOrder  map[uint64]candidates
+	liveRouters int
+	notGranting bool
+	// onGrants handles messages about the slots of pools.
+	onGrants GrantHandler
 	// toRelay has the placements that this router is to pass on, by the Sender that made them, and collected is their
 	// number. relayWake is signalled when there are some.
 	toRelay   map[uint64][]Placement
@@ -206,6 +214,7 @@
 		sentEvacuations: logpos.None,
 
 		synced: firstStart, loadsSentAt: time.Now(), shares: make(map[uint64]namedlimit.Share),
+		grantOrder: make(map[uint64]candidates), onGrants: func(netip.Addr, *slotgrant.Message) {},
 		toRelay: make(map[uint64][]Placement), relayWake: make(chan struct{}, 1),
 	}, nil
 }
@@ -367,6 +376,10 @@
 			// A datagram to an unreachable peer can make a later read fail.
 			continue
 		}
+		if m, ok := decodeGrantsDatagram(buffer[:n]); ok {
+			e.onGrants(from.Addr().Unmap(), m)
+			continue
+		}
 		m, err := Decode(buffer[:n])
 		if err != nil {
 			e.events.Emit(event.DigestUnusable, "from", from.String(), "bytes", n)
@@ -380,8 +393,9 @@
 	now := time.Now()
 	e.mu.Lock()
 	isNew := e.peers.RecordMessage(now, from, m)
-	if isNew || m.Stopping {
+	if isNew || m.Stopping || m.NotGranting {
 		e.clearShares()
+		clear(e.grantOrder)
 	}
 	e.synced = e.synced || m.PlacementsReply
 	smallFleet := e.smallFleet()
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -72,6 +73,8 @@
 	fleet *retrybudget.Fleet
 	// paths opens the connections to servers.
 	paths *paths
+	// grantsShared is shared by the grant desks of all pools.
+	grantsShared *grantsShared
 	// limitShare returns this router's share in the requests to a server that names a limit, and
 	// onLimit is called when such a limit changes. New sets it.
 	limitShare func(server uint64) namedlimit.Share
@@ -104,6 +107,7 @@
 	// indirect reports whether the server at an address is reached through another router.
 	indirect func(now time.Time, addr string) bool
 	versions versionChange
+	grants   *grantDesk
 }
 
 // NewState returns a state without a configuration and servers.
@@ -120,6 +124,7 @@
 	st.streams = newStreamVersions()
 	st.fleet = retrybudget.NewFleet()
 	st.paths = newPaths()
+	st.grantsShared = &grantsShared{events: event.Nop()}
 	st.paths.onChange = st.renewConnections
 	st.paths.evacuated = st.evacuatedAddr
 	st.crashes.ended = st.paths.refuses
@@ -225,7 +230,7 @@
 	b.SetLimitShare(func(server uint64) namedlimit.Share { return st.limitShare(server) })
 	b.SetColdLimits(st.coldLimits(name))
 	b.SetStartsUnknown(st.cold.startsUnknownUntil)
-	return &pool{
+	p := &pool{
 		name:        name,
 		budget:      retrybudget.New(st.limits.Retry, st.fleet),
 		balance:     b,
@@ -235,6 +240,8 @@
 		dial:        st.paths.dial,
 		indirect:    st.paths.indirect,
 	}
+	p.grants = newGrantDesk(p, st.grantsShared)
+	return p
 }
 
 // pool returns the pool named name, or nil.
