balance: place plain requests by expected times where servers say how long work takes

The fourth number of a load (how many times the usual time work takes at a server) was decoded and not used. A pool now keeps for each server its last figure, which decays to its usual one in 0.6 s, the length of a slow phase, and what own requests there still take. Requests without a prefix go to the server that is expected to answer first, below the bound of load. Pools whose servers give no figure are placed by counts as before.

forward predicts the cost of each request, learns from whole answers, and compares both in histograms, in the status and in log lines.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/cost"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -60,6 +61,10 @@
 	DataCentre string
 	// Random breaks ties.
 	Random uint64
+	// Cost is what the request is expected to cost. Run identifies this attempt among those in flight; 0 for one
+	// that is counted only.
+	Cost cost.Prediction
+	Run  uint64
 }
 
 // Prefix is the start of a prompt.
@@ -111,6 +116,10 @@
 	// ReadyIn is how long the server is expected to read the prefix for an earlier
 	// request; 0 when it has read it or reads it for this one.
 	ReadyIn time.Duration
+	// Expected is how long the first byte is expected to take; 0 in a pool whose servers do not say how long work
+	// takes. Slowdown is how many times the usual time it takes there.
+	Expected time.Duration
+	Slowdown float64
 }
 
 // Pool is the state of the load balancer for one pool of servers.
@@ -128,6 +137,13 @@
 	// newPlacements lists the placements not yet sent to the other routers.
 	newPlacements []Placement
 	ranked        []rankedMember
+	// totals are the expected times of the members of a choice.
+	totals []time.Duration
+	// figure is the mean of what servers say of how long work takes, figureAt the time of the last report.
+	figure   float64
+	figureAt time.Time
+	// means are the mean costs of requests.
+	means means
 	// limitShare returns this router's share in the requests to a limited server.
 	limitShare func(server uint64) namedlimit.Share
 }
@@ -186,10 +202,10 @@
 	}
 	if m := p.lastHeard(now, usable, mean, &job); m != nil {
 		source, read := p.reuse(now, m, &job)
-		return p.choose(now, m, source, mean, ReasonLastHeard, read), true
+		return p.choose(now, m, source, mean, ReasonLastHeard, read, &job), true
 	}
 	if len(job.Prefixes) == 0 {
-		return p.choose(now, p.leastLoaded(now, usable, &job), nil, mean, ReasonLeastLoaded, job.PromptTokens), true
+		return p.choose(now, p.leastLoaded(now, usable, mean, &job), nil, mean, ReasonLeastLoaded, job.PromptTokens, &job), true
 	}
 	return p.pickForPrefix(now, usable, mean, &job), true
 }
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -32,7 +32,7 @@
 // usable returns the members that can take a request.
 func (p *Pool) usable(now time.Time, job *Job) []*member {
 	return p.takers(now, func(m *member) bool {
-		if slices.Contains(job.Exclude, m.server.Key()) {
+		if len(job.Exclude) > 0 && slices.Contains(job.Exclude, m.server.Key()) {
 			return false
 		}
 		return (job.Version == 0 || m.version == job.Version) && !p.withheld(now, m)
@@ -110,7 +110,10 @@
 
 // leastLoaded returns the least loaded member; ties are broken by the job's random
 // number.
-func (p *Pool) leastLoaded(now time.Time, usable []*member, job *Job) *member {
+func (p *Pool) leastLoaded(now time.Time, usable []*member, mean float64, job *Job) *member {
+	if p.timed(now) {
+		return p.soonest(now, usable, mean, job, job.PromptTokens)
+	}
 	start := int(job.Random % uint64(len(usable)))
 	best := usable[start]
 	for i := 1; i < len(usable); i++ {
@@ -132,7 +135,7 @@
 }
 
 // choose returns the choice of a member that has to read a number of tokens.
-func (p *Pool) choose(now time.Time, m, source *member, mean float64, reason Reason, read int) Choice {
+func (p *Pool) choose(now time.Time, m, source *member, mean float64, reason Reason, read int, job *Job) Choice {
 	c := Choice{
 		Server: m.server, Reason: reason, Load: m.load(now), Mean: mean, ReportAge: -1,
 		ReadTokens: read, Wait: m.wait(now),
@@ -140,6 +143,10 @@
 	if source != nil {
 		c.Source = source.server
 	}
+	if p.timed(now) {
+		c.Expected = p.expectationAt(now, m, job, read).firstByte
+		c.Slowdown = p.slowdown(now, m)
+	}
 	if !m.serverReportAt.IsZero() {
 		c.ReportAge = now.Sub(m.serverReportAt)
 	}
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -40,6 +40,9 @@
 	// limit is the one that the server names.
 	limit   namedlimit.Limit
 	brittle brittleness
+	// work is what the server still has to do of this router's requests, slowness how long that takes there.
+	work     work
+	slowness slowness
 	// firstSlot is the number of slots of the servers before this one, see dealSlots.
 	firstSlot int
 }
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -61,6 +61,8 @@
 	}
 	m.own++
 	m.limit.Take(now)
+	m.work.begin(now, &job, p.slowdown(now, m))
+	p.means.record(job.Cost, job.longest().Tokens)
 	reading := p.speed.duration(choice.ReadTokens)
 	readAt := m.addReading(now, reading)
 	m.health.begin(now, m.own, readAt)
@@ -105,7 +107,7 @@
 // time since the request was sent.
 func (p *Pool) RecordFirstByte(now time.Time, choice Choice, job Job, firstByte time.Duration) {
 	if choice.Wait == 0 && choice.Source == nil {
-		p.speed.observe(choice.ReadTokens, firstByte)
+		p.speed.observe(choice.ReadTokens, atUsualSpeed(firstByte, choice.Slowdown))
 	}
 	for _, prefix := range job.Prefixes {
 		p.cached.markRead(now, prefix.Hash, choice.Server.Key().Hash())
@@ -177,6 +179,7 @@
 	m.serverReported = max(load.total(m.server.Slots)-m.own, 0)
 	m.ownAtServerReport = m.own
 	m.serverReportAt = now
+	p.recordFigure(now, m, load.Slowdown)
 }
 
 // RecordProgress records that a server has sent data.
@@ -233,6 +236,10 @@
 	Ejected bool
 	// LimitPerSecond is the limit that the server names; nil for none.
 	LimitPerSecond *float64
+	// Slowdown is how many times the usual time work is expected to take; 0 for a pool that does not say.
+	Slowdown float64
+	// Left is the time in slots that this router's requests still take.
+	Left time.Duration
 }
 
 // Status returns the state of all servers.
@@ -244,6 +251,10 @@
 			Own:     m.own,
 			Others:  m.others(now),
 			Ejected: m.health.ejected(now, m.own),
+			Left:    m.work.left(now),
+		}
+		if p.timed(now) {
+			s.Slowdown = p.slowdown(now, m)
 		}
 		if m.limit.Active() {
 			limit := m.limit.PerSecond()
--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -40,10 +40,10 @@
 	bound := p.bound(mean)
 	if m := p.unasked(now, usable); m != nil {
 		source, read := p.reuse(now, m, job)
-		return p.choose(now, m, source, mean, ReasonLimited, read)
+		return p.choose(now, m, source, mean, ReasonLimited, read, job)
 	}
 	if h := p.bestHolder(now, usable, holders, bound, job); h != nil {
-		c := p.choose(now, h.member, nil, mean, ReasonCached, job.PromptTokens-prefix.Tokens)
+		c := p.choose(now, h.member, nil, mean, ReasonCached, job.PromptTokens-prefix.Tokens, job)
 		c.ReadyIn = h.readyIn
 		return c
 	}
@@ -53,10 +53,10 @@
 		reason = ReasonSpill
 	}
 	if m == nil {
-		m, reason = p.leastLoaded(now, usable, job), ReasonLeastLoaded
+		m, reason = p.leastLoaded(now, usable, mean, job), ReasonLeastLoaded
 	}
 	source, read := p.reuse(now, m, job)
-	return p.choose(now, m, source, mean, reason, read)
+	return p.choose(now, m, source, mean, reason, read, job)
 }
 
 // reuse returns the server from which a member copies the longest prefix that it
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -36,6 +36,8 @@
 	halfEnded bool
 	// open is the number of bytes after the last complete event.
 	open int
+	// events is the number of complete events since the start or the last Restart.
+	events int
 }
 
 // Scan reads the next bytes of the stream. The bytes up to the last Open ones then belong
@@ -118,6 +120,7 @@
 	}
 	if s.hasFields {
 		s.endedWithoutID = !s.hasEventID
+		s.events++
 	}
 	s.eventID, s.hasEventID, s.hasFields, s.halfEnded = "", false, false, false
 }
@@ -148,6 +151,9 @@
 // with open bytes has been broken off.
 func (s *Scanner) Open() int { return s.open }
 
+// Events returns the number of complete events since the start or the last Restart.
+func (s *Scanner) Events() int { return s.events }
+
 // Restart forgets the bytes after the last complete event, before another server
 // continues the stream.
 func (s *Scanner) Restart() {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -55,6 +55,8 @@
 	// much of it has been received.
 	framing   framing.Framing
 	bodyBytes int64
+	// slowdown is how many times the usual time work took at the server, as it said in the answer; 0 when it does not.
+	slowdown float64
 	// via is the router through which the last connection was opened; empty for none.
 	via string
 	// readError is the error that ended the reading of the answer; io.EOF at its end.
@@ -256,6 +258,7 @@
 	job := balance.Job{Version: c.requiredVersion(), Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre, Objective: c.route.Objective}
 	job.Prefixes, job.PromptTokens = sharedPrefixes(c.headers)
 	job.Unreachable = c.attempts.unreachable
+	job.Cost, job.Run = c.predicted, attemptID()
 	return job
 }
 
@@ -364,7 +367,7 @@
 	watch := c.watch(cancel, key)
 	defer watch.stop()
 	c.attempts.sentAt, c.attempts.answeredAt = time.Now(), time.Time{}
-	c.attempts.framing, c.attempts.bodyBytes = framing.Unknown, 0
+	c.attempts.framing, c.attempts.bodyBytes, c.attempts.slowdown = framing.Unknown, 0, 0
 	c.attempts.readError, c.attempts.closedBeforeAnswer = nil, false
 	conns := c.pool.connectionsTo(choice.Server)
 	resp, exchange, err := httpsend.Send(conns.transport(c.attempts.sentAt), c.outgoingRequest(ctx, choice))
@@ -430,6 +433,7 @@
 	}
 	if answer.HasLoad {
 		c.pool.recordLoad(time.Now(), choice.Server.Key(), answer.Load)
+		c.attempts.slowdown = answer.Load.Slowdown
 	}
 	c.recordLimit(choice.Server, answer, resp.StatusCode < http.StatusMultipleChoices)
 	c.recordStatements(choice.Server, resp.StatusCode, answer)
--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -43,6 +43,7 @@
 	headers := RequestHeaders{
 		ID: h.Get("Id"), Key: h.Get("Key"), Deadline: deadline, Model: h.Get("Model"), Resumes: h.Get("Resumes"), LastEventID: h.Get("After"),
 	}
+	headers.OutputHint, _ = strconv.Atoi(h.Get("Hint"))
 	for part := range strings.SplitSeq(h.Get("Prompt"), ",") {
 		id, tokens, ok := strings.Cut(part, ":")
 		if !ok {
@@ -73,6 +74,7 @@
 	a := ResponseHeaders{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != ""}
 	_, err := fmt.Sscanf(h.Get("Load"), "%d,%d,%d", &a.Load.Running, &a.Load.Waiting, &a.Load.Slots)
 	a.HasLoad = err == nil
+	a.Load.Slowdown, _ = strconv.ParseFloat(h.Get("Slowdown"), 64)
 	_, err = fmt.Sscan(h.Get("Limit"), &a.Limit)
 	a.HasLimit = err == nil
 	a.Leaving = h.Get("Leaving") != ""
@@ -81,7 +83,7 @@
 	return a
 }
 
-func (bedCodec) StripResponse(h http.Header) { h.Del("Load"); h.Del("Limit") }
+func (bedCodec) StripResponse(h http.Header) { h.Del("Load"); h.Del("Limit"); h.Del("Slowdown") }
 
 // bedOptions describes a bed. The zero value of a field means an ordinary one.
 type bedOptions struct {
@@ -95,6 +97,7 @@
 	retry      *retrybudget.Limits
 	dataCentre string
 	bodyMemory int64
+	pools      []routing.Pool
 }
 
 // bed is a router before servers that give prepared answers.
@@ -206,7 +209,7 @@
 	if o.workspace.Name == "" {
 		o.workspace.Name = "w"
 	}
-	return routing.Config{Routes: []routing.Route{route}, Workspaces: []routing.Keyring{{Workspace: o.workspace, Keys: []string{"k1"}}}, Limits: o.config}
+	return routing.Config{Routes: []routing.Route{route}, Workspaces: []routing.Keyring{{Workspace: o.workspace, Keys: []string{"k1"}}}, Limits: o.config, Pools: o.pools}
 }
 
 // closedAddr returns an address that refuses connections. Its port stays taken, so that no
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
+	"github.com/bluebellwell/bluebellwell/internal/cost"
 	"github.com/bluebellwell/bluebellwell/internal/edge"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/framing"
@@ -96,6 +97,8 @@
 	// that followed from it.
 	load      overload.Load
 	admission overload.Decision
+	// predicted is what the request is expected to cost.
+	predicted cost.Prediction
 
 	// parts are the shared parts of the prompt and the fingerprint of the request, and
 	// decidedPart is the part of the prompt because of which the request was refused or is a
@@ -282,6 +285,7 @@
 	if !c.findVersion() {
 		return
 	}
+	c.predicted = c.pool.predict(c.costRequest())
 	if !c.admitToPool() {
 		return
 	}
@@ -301,6 +305,7 @@
 	if c.outcome == OutcomeServed && c.attempts.sent == 1 {
 		c.pool.recordAnswerTimes(c.firstByte, time.Since(c.arrivedAt))
 	}
+	c.observeCost()
 }
 
 // admitToPool refuses a request that would wait too long in a full pool.
@@ -363,6 +368,7 @@
 	kv = append(kv, c.headers.partsField()...)
 	kv = append(kv, c.headers.takesUpFields()...)
 	kv = append(kv, c.attempts.logFields()...)
+	kv = append(kv, c.costFields()...)
 	if c.decidedPart != 0 {
 		kv = append(kv, "part", strconv.FormatUint(c.decidedPart, 16))
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -7,19 +7,29 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
+	"github.com/bluebellwell/bluebellwell/internal/cost"
 )
 
 // Metrics counts how requests end. It is safe for concurrent use.
 type Metrics struct {
 	scope tally.Scope
+	// costRatios compare what was predicted with what was seen: 1 is right.
+	outputRatio, slotRatio, firstByteRatio tally.Histogram
 }
 
+// ratioBuckets double from a sixteenth to sixteen times.
+var ratioBuckets = tally.MustMakeExponentialValueBuckets(1.0/16, 2, 9)
+
 // latencyBuckets ranges from cached lookups to long streams.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
 
 // NewMetrics returns metrics in scope.
 func NewMetrics(scope tally.Scope) *Metrics {
-	return &Metrics{scope: scope}
+	return &Metrics{
+		scope: scope, outputRatio: scope.Histogram("predicted_output_ratio", ratioBuckets),
+		slotRatio:      scope.Histogram("predicted_slot_time_ratio", ratioBuckets),
+		firstByteRatio: scope.Histogram("predicted_first_byte_ratio", ratioBuckets),
+	}
 }
 
 // recordRetry counts a retry that the pool's budget was asked for.
@@ -54,3 +64,17 @@
 		scope.Histogram("first_byte", latencyBuckets).RecordDuration(c.firstByte)
 	}
 }
+
+// recordCost compares the predictions for a request with its answer.
+func (m *Metrics) recordCost(c *call, seen cost.Answer) {
+	if c.predicted.Output > 0 && seen.Output > 0 {
+		m.outputRatio.RecordValue(c.predicted.Output / float64(seen.Output))
+	}
+	if c.predicted.Slot > 0 && seen.Slot > 0 {
+		m.slotRatio.RecordValue(float64(c.predicted.Slot) / float64(seen.Slot))
+	}
+	firstByte := c.firstByte - c.attempts.sentAt.Sub(c.arrivedAt)
+	if expected := c.attempts.choice.Expected; expected > 0 && firstByte > 0 {
+		m.firstByteRatio.RecordValue(float64(expected) / float64(firstByte))
+	}
+}
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
+	"github.com/bluebellwell/bluebellwell/internal/cost"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -88,6 +89,7 @@
 	mu         sync.Mutex
 	balance    *balance.Pool
 	controller *overload.Controller
+	costs      *cost.Model
 	// connections has those of each incarnation of a server, so that none is used for a
 	// later incarnation.
 	connections map[registry.Key]*connections
@@ -212,6 +214,7 @@
 		budget:      retrybudget.New(st.limits.Retry, st.fleet),
 		balance:     b,
 		controller:  overload.New(),
+		costs:       cost.New(),
 		connections: make(map[registry.Key]*connections),
 		onReuse:     func(s *registry.Server, c *connreuse.Change) { st.onReuse(s, c) },
 		dial:        st.paths.dial,
@@ -325,6 +328,7 @@
 	if o == balance.Refused || o == balance.Unreachable {
 		p.balance.CancelReading(now, c, job)
 	}
+	p.balance.EndRun(c.Server.Key(), job.Run)
 	return p.balance.End(now, c.Server.Key(), o)
 }
 
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/cost"
 )
 
 // PoolStatus is this router's view of one pool, for operators.
@@ -18,6 +20,7 @@
 	ExpectedMs int64 `json:"expected_ms"`
 	// RetriesLeft is the number of retries that the retry budget allows now.
 	RetriesLeft float64        `json:"retries_left"`
+	Cost        CostStatus     `json:"cost"`
 	Servers     []ServerStatus `json:"servers"`
 }
 
@@ -35,6 +38,17 @@
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
 	// NoReuseMs is how long connections are not reused yet, in milliseconds.
 	NoReuseMs int64 `json:"no_reuse_ms,omitempty"`
+	// Slowdown is how many times the usual time work is expected to take; absent when the pool's servers do not say.
+	// LeftMs is the time in slots that this router's requests still take.
+	Slowdown float64 `json:"slowdown,omitempty"`
+	LeftMs   int64   `json:"left_ms,omitempty"`
+}
+
+// CostStatus counts predictions of request costs by the ratio of the predicted value to the one that was seen, from a
+// sixteenth to sixteen times: the middle bucket is about right.
+type CostStatus struct {
+	Output cost.Histogram `json:"output"`
+	Slot   cost.Histogram `json:"slot_time"`
 }
 
 // Status returns the status of all pools, sorted by name.
@@ -57,6 +71,7 @@
 		Slots:       load.Slots,
 		ExpectedMs:  p.controller.Expected(load).Milliseconds(),
 		RetriesLeft: p.retriesLeft(now),
+		Cost:        CostStatus(p.costs.Accuracy()),
 		Servers:     []ServerStatus{},
 	}
 	for _, b := range p.balance.Status(now) {
@@ -71,7 +86,7 @@
 		}
 		server := ServerStatus{
 			ID: b.Server.ID, Addr: b.Server.Addr, DataCentre: b.Server.DataCentre, State: state, Own: b.Own, Others: b.Others,
-			LimitPerSecond: b.LimitPerSecond,
+			LimitPerSecond: b.LimitPerSecond, Slowdown: math.Round(100*b.Slowdown) / 100, LeftMs: b.Left.Milliseconds(),
 		}
 		if c := p.connections[b.Server.Key()]; c != nil {
 			server.NoReuseMs = c.noReuseFor(now).Milliseconds()
