balance: engines whose memory would run out are passed over, and count as full

kvCapacity of the configuration is compared with the predicted memory of the requests at an engine: own ones with their shared parts counted once, those of other routers at the mean. An engine in whose nine tenths a request does not fit is left out while another has room. The slots of a pool count as no more than fit the memory, so that admission refuses what would make engines preempt and read prompts again.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -142,8 +142,9 @@
 	// figure is the mean of what servers say of how long work takes, figureAt the time of the last report.
 	figure   float64
 	figureAt time.Time
-	// means are the mean costs of requests.
-	means means
+	// means are the mean costs of requests, memory the number of tokens that fit an engine; 0 for unknown.
+	means  means
+	memory float64
 	// limitShare returns this router's share in the requests to a limited server.
 	limitShare func(server uint64) namedlimit.Share
 }
@@ -205,7 +206,7 @@
 		return p.choose(now, m, source, mean, ReasonLastHeard, read, &job), true
 	}
 	if len(job.Prefixes) == 0 {
-		return p.choose(now, p.leastLoaded(now, usable, mean, &job), nil, mean, ReasonLeastLoaded, job.PromptTokens, &job), true
+		return p.choose(now, p.leastLoaded(now, p.withMemory(now, usable, &job), mean, &job), nil, mean, ReasonLeastLoaded, job.PromptTokens, &job), true
 	}
 	return p.pickForPrefix(now, usable, mean, &job), true
 }
--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -15,6 +15,9 @@
 	}
 	p, start := NewPool(limits), time.Now()
 	p.SetServers(list)
+	if figures {
+		p.SetMemory(483_671)
+	}
 	for i, m := range p.members {
 		for n := range 5 {
 			p.Begin(start, at(m), Job{Run: uint64(i*5 + n + 1), Cost: cost.Prediction{Slot: time.Second, Memory: 3000}})
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -80,7 +80,7 @@
 		load.Own += m.own
 		load.Others += float64(others)
 		load.OwnAtReport += ownAtReport
-		load.Slots += m.server.Slots
+		load.Slots += p.slotsByMemory(now, m)
 	}
 	return load
 }
--- a/internal/balance/expected.go
+++ b/internal/balance/expected.go
@@ -132,6 +132,11 @@
 	return float64(sum) / float64(max(len(members), 1))
 }
 
+// withinNearEqual returns the longest time that counts as equal to the shortest one.
+func withinNearEqual(best time.Duration) time.Duration {
+	return best + time.Duration(nearEqual*float64(best))
+}
+
 // maxExpected stands for a server that has its full share of the pool's load.
 const maxExpected = time.Hour
 
@@ -144,13 +149,13 @@
 	bound := p.bound(mean)
 	for _, m := range usable {
 		total := x.of(m, read).total()
-		if m.load(now) >= bound {
+		if total <= withinNearEqual(best) && m.load(now) >= bound {
 			total = maxExpected
 		}
 		p.totals = append(p.totals, total)
 		best = min(best, total)
 	}
-	limit := best + time.Duration(nearEqual*float64(best))
+	limit := withinNearEqual(best)
 	var chosen *member
 	start := int(job.Random % uint64(len(usable)))
 	for i := range usable {
--- a/internal/balance/expectedprefix.go
+++ b/internal/balance/expectedprefix.go
@@ -36,12 +36,28 @@
 		return func(*member) bool { return false }
 	}
 	x := p.expectations(now, usable, job)
+	margin := time.Duration(maxWaitShare * float64(job.Objective))
+	// An idle server takes at least this long. Most members are within the margin of it, which spares the comparison with
+	// all others.
+	idle := time.Duration(min(p.figure, 1) * float64(p.speed.duration(job.PromptTokens)+p.speed.firstByte()))
 	shortest := time.Duration(-1)
-	for _, m := range usable {
-		if d := x.of(m, job.PromptTokens).firstByte; shortest < 0 || d < shortest {
-			shortest = d
+	return func(m *member) bool {
+		d := x.of(m, job.PromptTokens).firstByte
+		if d <= idle+margin {
+			return false
+		}
+		if shortest < 0 {
+			shortest = x.shortest(usable, job.PromptTokens)
 		}
+		return d > shortest+margin
+	}
+}
+
+// shortest returns the shortest time to the first byte at members that have a number of tokens to read.
+func (x *expectations) shortest(members []*member, read int) time.Duration {
+	shortest := maxExpected
+	for _, m := range members {
+		shortest = min(shortest, x.of(m, read).firstByte)
 	}
-	limit := shortest + time.Duration(maxWaitShare*float64(job.Objective))
-	return func(m *member) bool { return x.of(m, job.PromptTokens).firstByte > limit }
+	return shortest
 }
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -240,6 +240,8 @@
 	Slowdown float64
 	// Left is the time in slots that this router's requests still take.
 	Left time.Duration
+	// MemoryTokens is the predicted memory of the requests; 0 for a pool whose memory is unknown.
+	MemoryTokens int
 }
 
 // Status returns the state of all servers.
@@ -256,6 +258,9 @@
 		if p.timed(now) {
 			s.Slowdown = p.slowdown(now, m)
 		}
+		if p.memory > 0 {
+			s.MemoryTokens = int(p.memoryUsed(now, m))
+		}
 		if m.limit.Active() {
 			limit := m.limit.PerSecond()
 			s.LimitPerSecond = &limit
--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -42,6 +42,7 @@
 		source, read := p.reuse(now, m, job)
 		return p.choose(now, m, source, mean, ReasonLimited, read, job)
 	}
+	usable = p.withMemory(now, usable, job)
 	if h := p.bestHolder(now, usable, holders, bound, job); h != nil {
 		c := p.choose(now, h.member, nil, mean, ReasonCached, job.PromptTokens-prefix.Tokens, job)
 		c.ReadyIn = h.readyIn
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -87,6 +87,9 @@
 // tokens returns the memory that the requests hold at their ends, with their shared parts counted once.
 func (w *work) tokens() float64 { return w.memory + float64(w.sharedSum) }
 
+// has reports whether a request that runs at the server shares a prefix.
+func (w *work) has(prefix uint64) bool { return w.shared[prefix] > 0 }
+
 // means are the mean costs of the pool's requests, which stand for those of other routers.
 type means struct {
 	// slot is the time in a slot at the usual speed, memory the number of tokens that belong to a request alone.
--- a/internal/forward/cost_test.go
+++ b/internal/forward/cost_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
 // costStatus returns the status of the only pool.
@@ -55,15 +57,15 @@
 	}
 }
 
-// Guards against figures of servers that do not reach the balancer.
-func TestFiguresReachTheBalancer(t *testing.T) {
+// Guards against figures of servers, and sizes of engines' memories, that do not reach the balancer.
+func TestFiguresAndMemoryReachTheBalancer(t *testing.T) {
 	t.Parallel()
 	slow := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Load", "1,0,64")
 		w.Header().Set("Slowdown", "2.5")
 		ok("x")(w, r)
 	}
-	b := newBed(t, bedOptions{}, slow, ok("x"))
+	b := newBed(t, bedOptions{pools: []routing.Pool{{Name: "p", Engine: &routing.Engine{KVTokens: 1000}}}}, slow, ok("x"))
 	if got := b.costStatus().Servers[0]; got.Slowdown != 0 {
 		t.Errorf("slowdown %v before the server has said so", got.Slowdown)
 	}
@@ -71,4 +73,10 @@
 	if got := b.costStatus().Servers[0]; got.Slowdown < 1.5 || got.Slowdown > 2.5 {
 		t.Errorf("slowdown %v after the server has said 2.5", got.Slowdown)
 	}
+	if got := engineMemory(b.state.Table(), "p"); got != 1000 {
+		t.Errorf("memory of %d tokens, want the 1000 of the configuration", got)
+	}
+	if got := engineMemory(b.state.Table(), "q") + engineMemory(nil, "p"); got != 0 {
+		t.Errorf("memory of %d tokens for pools of which nothing is known", got)
+	}
 }
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -159,7 +159,21 @@
 func (st *State) SetPlacementsKnown(f func() bool) { st.placementsKnown = f }
 
 // SetTable puts a configuration in force.
-func (st *State) SetTable(t *routing.Table) { st.table.Store(t) }
+func (st *State) SetTable(t *routing.Table) {
+	st.table.Store(t)
+	st.eachPool(func(p *pool) { p.balance.SetMemory(engineMemory(t, p.name)) })
+}
+
+// engineMemory returns the number of tokens that fit the memory of a pool's engines; 0 for unknown.
+func engineMemory(t *routing.Table, pool string) int {
+	if t == nil {
+		return 0
+	}
+	if e := t.Pool(pool).Engine; e != nil {
+		return e.KVTokens
+	}
+	return 0
+}
 
 // Table returns the configuration in force, or nil before the first one.
 func (st *State) Table() *routing.Table { return st.table.Load() }
@@ -209,6 +223,7 @@
 func (st *State) newPool(name string) *pool {
 	b := balance.NewPool(st.limits.Balance)
 	b.SetLimitShare(func(server uint64) namedlimit.Share { return st.limitShare(server) })
+	b.SetMemory(engineMemory(st.Table(), name))
 	return &pool{
 		name:        name,
 		budget:      retrybudget.New(st.limits.Retry, st.fleet),
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -39,9 +39,11 @@
 	// NoReuseMs is how long connections are not reused yet, in milliseconds.
 	NoReuseMs int64 `json:"no_reuse_ms,omitempty"`
 	// Slowdown is how many times the usual time work is expected to take; absent when the pool's servers do not say.
-	// LeftMs is the time in slots that this router's requests still take.
-	Slowdown float64 `json:"slowdown,omitempty"`
-	LeftMs   int64   `json:"left_ms,omitempty"`
+	// LeftMs is the time in slots that this router's requests still take, MemoryTokens the predicted memory of all
+	// requests there.
+	Slowdown     float64 `json:"slowdown,omitempty"`
+	LeftMs       int64   `json:"left_ms,omitempty"`
+	MemoryTokens int     `json:"memory_tokens,omitempty"`
 }
 
 // CostStatus counts predictions of request costs by the ratio of the predicted value to the one that was seen, from a
@@ -86,7 +88,7 @@
 		}
 		server := ServerStatus{
 			ID: b.Server.ID, Addr: b.Server.Addr, DataCentre: b.Server.DataCentre, State: state, Own: b.Own, Others: b.Others,
-			LimitPerSecond: b.LimitPerSecond, Slowdown: math.Round(100*b.Slowdown) / 100, LeftMs: b.Left.Milliseconds(),
+			LimitPerSecond: b.LimitPerSecond, Slowdown: math.Round(100*b.Slowdown) / 100, LeftMs: b.Left.Milliseconds(), MemoryTokens: b.MemoryTokens,
 		}
 		if c := p.connections[b.Server.Key()]; c != nil {
 			server.NoReuseMs = c.noReuseFor(now).Milliseconds()
