--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -62,6 +62,8 @@
 	m.own++
 	m.limit.Take(now)
 	m.cold.rate.Take(now)
+	m.work.begin(now, &job, p.slowdown(now, m))
+	p.means.record(job.Cost, job.longest().Tokens)
 	reading := p.speed.duration(choice.ReadTokens)
 	readAt := m.addReading(now, reading)
 	m.health.begin(now, m.own, readAt)
@@ -106,7 +108,7 @@
 // time since the request was sent.
 func (p *Pool) RecordFirstByte(now time.Time, choice Choice, job Job, firstByte time.Duration) {
 	if choice.Wait == 0 && choice.Source == nil && !choice.Cold {
-		p.speed.observe(choice.ReadTokens, firstByte)
+		p.speed.observe(choice.ReadTokens, atUsualSpeed(firstByte, choice.Slowdown))
 	}
 	for _, prefix := range job.Prefixes {
 		p.cached.markRead(now, prefix.Hash, choice.Server.Key().Hash())
@@ -178,6 +180,7 @@
 	m.serverReported = max(load.total(m.server.Slots)-m.own, 0)
 	m.ownAtServerReport = m.own
 	m.serverReportAt = now
+	p.recordFigure(now, m, load.Slowdown)
 }
 
 // RecordProgress records that a server has sent data.
@@ -239,6 +242,12 @@
 	// ColdLeft is how long the server is cold yet, and ColdSender is set while this router is the one that sends to it.
 	ColdLeft   time.Duration
 	ColdSender bool
+	// Slowdown is how many times the usual time work is expected to take; 0 for a pool that does not say.
+	Slowdown float64
+	// Left is the time in slots that this router's requests still take.
+	Left time.Duration
+	// MemoryTokens is the predicted memory of the requests; 0 for a pool whose memory is unknown.
+	MemoryTokens int
 }
 
 // Status returns the state of all servers.
@@ -250,6 +259,13 @@
 			Own:     m.own,
 			Others:  m.others(now),
 			Ejected: m.health.ejected(now, m.own), Evacuated: m.evacuated,
+			Left: m.work.left(now),
+		}
+		if p.timed(now) {
+			s.Slowdown = p.slowdown(now, m)
+		}
+		if p.memory > 0 {
+			s.MemoryTokens = int(p.memoryUsed(now, m))
 		}
 		if m.limit.Active() {
 			limit := m.limit.PerSecond()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
+	"github.com/bluebellwell/bluebellwell/internal/cost"
 	"github.com/bluebellwell/bluebellwell/internal/edge"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/framing"
@@ -98,6 +99,8 @@
 	// that followed from it.
 	load      overload.Load
 	admission overload.Decision
+	// predicted is what the request is expected to cost.
+	predicted cost.Prediction
 
 	// parts are the shared parts of the prompt and the fingerprint of the request, and
 	// decidedPart is the part of the prompt because of which the request was refused or is a
@@ -288,6 +291,7 @@
 	if c.refuseEvacuated() {
 		return
 	}
+	c.predicted = c.pool.predict(c.costRequest())
 	if !c.admitToPool() {
 		return
 	}
@@ -307,6 +311,7 @@
 	if c.outcome == OutcomeServed && c.attempts.sent == 1 && !c.attempts.choice.Cold {
 		c.pool.recordAnswerTimes(c.firstByte, time.Since(c.arrivedAt))
 	}
+	c.observeCost()
 }
 
 // admitToPool refuses a request that would wait too long in a full pool. In a scarce one that is decided by the router that
@@ -374,6 +379,7 @@
 	kv = append(kv, c.headers.takesUpFields()...)
 	kv = append(kv, c.attempts.logFields()...)
 	kv = append(kv, c.grant.logFields()...)
+	kv = append(kv, c.costFields()...)
 	if c.decidedPart != 0 {
 		kv = append(kv, "part", strconv.FormatUint(c.decidedPart, 16))
 	}
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
+	"github.com/bluebellwell/bluebellwell/internal/cost"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
@@ -99,6 +100,7 @@
 	mu         sync.Mutex
 	balance    *balance.Pool
 	controller *overload.Controller
+	costs      *cost.Model
 	// connections has those of each incarnation of a server, so that none is used for a
 	// later incarnation.
 	connections map[registry.Key]*connections
@@ -176,6 +178,18 @@
 func (st *State) SetTable(t *routing.Table) {
 	st.table.Store(t)
 	st.setColdLimits()
+	st.eachPool(func(p *pool) { p.balance.SetMemory(engineMemory(t, p.name)) })
+}
+
+// engineMemory returns the number of tokens that fit the memory of a pool's engines; 0 for unknown.
+func engineMemory(t *routing.Table, pool string) int {
+	if t == nil {
+		return 0
+	}
+	if e := t.Pool(pool).Engine; e != nil {
+		return e.KVTokens
+	}
+	return 0
 }
 
 // Table returns the configuration in force, or nil before the first one.
@@ -228,6 +242,7 @@
 	b := balance.NewPool(st.limits.Balance)
 	b.SetEvacuated(time.Now(), st.evacuated)
 	b.SetLimitShare(func(server uint64) namedlimit.Share { return st.limitShare(server) })
+	b.SetMemory(engineMemory(st.Table(), name))
 	b.SetColdLimits(st.coldLimits(name))
 	b.SetStartsUnknown(st.cold.startsUnknownUntil)
 	p := &pool{
@@ -235,6 +250,7 @@
 		budget:      retrybudget.New(st.limits.Retry, st.fleet),
 		balance:     b,
 		controller:  overload.New(),
+		costs:       cost.New(),
 		connections: make(map[registry.Key]*connections),
 		onReuse:     func(s *registry.Server, c *connreuse.Change) { st.onReuse(s, c) },
 		dial:        st.paths.dial,
@@ -350,6 +366,7 @@
 	if o == balance.Refused || o == balance.Unreachable {
 		p.balance.CancelReading(now, c, job)
 	}
+	p.balance.EndRun(c.Server.Key(), job.Run)
 	return p.balance.End(now, c.Server.Key(), o)
 }
 
