slotgrant, digest: grants on their way count as free slots, and routers with much processor time grant first

A grant holds a slot from its decision until its report arrives, although its request is at the server for a part of that time only. The time on the way was made up for only while times in a slot hardly vary, which is not so there. Now as many grants as are on the way count as free in any case, and what the slots take follows from the time at the server.

Routers tell their processor time, and those with half of the largest one or more come first. The bounds of the in-memory test hold as before.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -45,6 +45,7 @@
 		AllCold:           rapid.Bool().Draw(t, "all cold"),
 		Routers:           rapid.Int64Min(0).Draw(t, "routers"),
 		NotGranting:       rapid.Bool().Draw(t, "not granting"),
+		Processor:         rapid.Int64Range(0, 64000).Draw(t, "processor"),
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "n") {
 		m.Peers = append(m.Peers, addr(rapid.IntRange(0, 255).Draw(t, "peer")))
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -173,6 +173,8 @@
 	grantOrder  map[uint64]candidates
 	liveRouters int
 	notGranting bool
+	// processor is the processor time that this router may use, in thousandths of a core.
+	processor atomic.Int64
 	// onGrants handles messages about the slots of pools.
 	onGrants GrantHandler
 	// toRelay has the placements that this router is to pass on, by the Sender that made them, and collected is their
--- a/internal/digest/grants.go
+++ b/internal/digest/grants.go
@@ -98,19 +98,17 @@
 		return c.list, e.liveRouters
 	}
 	live := e.peers.Live(now)
-	ranked := make([]rankedPeer, 0, len(live)+1)
+	ranked := make([]grantPeer, 0, len(live)+1)
 	for _, p := range live {
 		if p.level >= levelGrants && !p.notGranting {
-			ranked = append(ranked, rankedPeer{addr: p.Addr, hash: p.hash})
+			ranked = append(ranked, grantPeer{rankedPeer: rankedPeer{addr: p.Addr, hash: p.hash}, processor: p.processor})
 		}
 	}
 	if !e.notGranting || len(ranked) == 0 {
-		ranked = append(ranked, rankedPeer{addr: e.peers.self, hash: addrHash(e.peers.self)})
+		own := rankedPeer{addr: e.peers.self, hash: addrHash(e.peers.self)}
+		ranked = append(ranked, grantPeer{rankedPeer: own, processor: e.processor.Load()})
 	}
-	for i := range ranked {
-		ranked[i].rank = placement.Mix(pool, ranked[i].hash)
-	}
-	slices.SortFunc(ranked, func(a, b rankedPeer) int { return compareRanks(a, b) })
+	rankGranters(ranked, pool)
 	for _, p := range ranked[:min(grantCandidates, len(ranked))] {
 		list = append(list, p.addr)
 	}
@@ -118,6 +116,48 @@
 	return list, e.liveRouters
 }
 
+// grantPeer is a router that may grant, with the processor time that it may use.
+type grantPeer struct {
+	rankedPeer
+	processor int64
+	strong    bool
+}
+
+// strongShare is the share of the largest processor time from which a router is among the first that grant: a router with
+// little of it answers some hundred questions a second late.
+const strongShare = 0.5
+
+// rankGranters orders the routers that may grant the slots of a pool: those with much processor time first, and among these by
+// rendezvous hashing.
+func rankGranters(list []grantPeer, pool uint64) {
+	most := int64(0)
+	for _, p := range list {
+		most = max(most, p.processor)
+	}
+	for i := range list {
+		p := &list[i]
+		p.rank = placement.Mix(pool, p.hash)
+		p.strong = float64(p.processor) >= strongShare*float64(most)
+	}
+	slices.SortFunc(list, func(a, b grantPeer) int {
+		if a.strong != b.strong {
+			return compareStrong(a)
+		}
+		return compareRanks(a.rankedPeer, b.rankedPeer)
+	})
+}
+
+// compareStrong orders a router before or after one of which the opposite holds.
+func compareStrong(a grantPeer) int {
+	if a.strong {
+		return -1
+	}
+	return 1
+}
+
+// SetProcessor sets the processor time that this router may use, in thousandths of a core.
+func (e *Exchange) SetProcessor(thousandths int64) { e.processor.Store(thousandths) }
+
 // compareRanks orders the highest rank first.
 func compareRanks(a, b rankedPeer) int {
 	switch {
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -171,6 +171,8 @@
 	// number of routers that it has known lately.
 	Heard   []uint16
 	Routers int64
+	// Processor is the processor time that the sender may use, in thousandths of a core; 0 when it does not say.
+	Processor int64
 	// Evacuations are the data centres that the sender knows as evacuated.
 	Evacuations evacuation.View
 }
@@ -218,6 +220,7 @@
 	// fieldGrants comes in datagrams of its own, see decodeGrantsDatagram.
 	fieldGrants      = 55
 	fieldNotGranting = 56
+	fieldProcessor   = 57
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -271,6 +274,7 @@
 		b = appendLimit(b, l)
 	}
 	b = appendStreams(b, m.Streams, m.AskedStreams)
+	b = appendPositive(b, fieldProcessor, m.Processor)
 	b = appendColdServers(b, m.Cold)
 	b = appendBool(b, fieldAllCold, m.AllCold)
 	b = appendHeard(b, m.Heard)
@@ -430,6 +434,8 @@
 		m.NotGranting = v != 0
 	case fieldServersHash:
 		m.ServersHash = uint32(v)
+	case fieldProcessor:
+		m.Processor, err = nonNegative(v)
 	case fieldAllCold:
 		m.AllCold = v != 0
 	case fieldRouters:
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -60,6 +60,8 @@
 	level int64
 	// notGranting is set while the peer grants no slots of scarce pools.
 	notGranting bool
+	// processor is the processor time that the peer may use, in thousandths of a core; 0 when it does not say.
+	processor int64
 	// namedAt is when another router last named the peer.
 	namedAt time.Time
 	// restartedAt is when the peer was first heard after an earlier process at its address, which had not said that
@@ -148,6 +150,7 @@
 		peer.serversHash = m.ServersHash
 		peer.level = m.Level
 		peer.notGranting = m.NotGranting
+		peer.processor = m.Processor
 		if m.StoreEra > p.reportedEra {
 			p.reportedEra, p.reportedAt = m.StoreEra, now
 		}
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -43,7 +43,7 @@
 	return &Message{
 		Sender: e.sender, Synced: synced, Role: role, Progress: progress.Topics,
 		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
-		ListEnd: progress.ListEnd, ServersHash: progress.Servers.Hash, Level: ownLevel, NotGranting: notGranting,
+		ListEnd: progress.ListEnd, ServersHash: progress.Servers.Hash, Level: ownLevel, NotGranting: notGranting, Processor: e.processor.Load(),
 		Evacuations: e.partOf(progress.Evacuations),
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -47,6 +47,8 @@
 	// metricsInterval is how often the metrics page is updated.
 	metricsInterval = 2 * time.Second
 	megabyte        = 1 << 20
+	// thousandths is the number of units of processor time in a core, as told to other routers.
+	thousandths = 1000
 )
 
 // Platform is the daemon's interface to the platform, in typed values.
@@ -139,6 +141,7 @@
 	state.SetPlacementsKnown(f.placementsKnown)
 	state.SetLimitShare(f.exchange.LimitShare)
 	state.SetGrantLink(f.exchange)
+	f.exchange.SetProcessor(int64(thousandths * s.CPUShare * float64(s.Cores)))
 	f.exchange.OnGrants(state.ReceiveGrants)
 	state.SetTrialTurn(f.exchange.RoutersBefore)
 	state.SetFleetStreams(f.exchange)
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -34,6 +34,8 @@
 	MemoryMB int
 	// Cores is the number of processors available to the process.
 	Cores int
+	// CPUShare is the share of each that it may use.
+	CPUShare float64
 
 	Bounds  FrontBounds
 	Logging Logging
@@ -96,6 +98,7 @@
 	limits := root.requiredChild("limits")
 	f.MemoryMB = limits.integer("memory_mb", minMemoryMB, minMemoryMB, maxMemoryMB)
 	f.Cores = limits.integer("cores", 1, 1, 1024)
+	f.CPUShare = limits.number("cpu_share", 1, 0.001, 1)
 	limits.reportUnknown()
 	f.Bounds = parseFrontBounds(root.requiredChild("bounds"))
 	f.Logging = parseLogging(root.child("logging"))
--- a/internal/slotgrant/granter.go
+++ b/internal/slotgrant/granter.go
@@ -228,12 +228,13 @@
 	return n
 }
 
-// free returns the free slots of a server; it may be negative. Grants whose requests should have been answered by now count as
-// free, as many as reports and grants are on the way on average: their slots would else be empty for the time of both.
+// free returns the free slots of a server; it may be negative. As many grants as reports and grants are on the way on average
+// count as free: their slots would else be empty for the time of both. Where times in a slot hardly vary these are the ones whose
+// requests should have been answered by now.
 func (g *Granter) free(now time.Time, s *server) int {
 	free, overlap := s.free(now), g.overlap(s)
-	if overlap == 0 {
-		return free
+	if overlap == 0 || !g.steady() {
+		return free + overlap
 	}
 	ending, _ := s.ending(now, g.endingAge(), overlap)
 	return free + ending
@@ -244,14 +245,22 @@
 	return g.answerTime() + time.Duration(endingDeviations*float64(g.deviation.or(0)))
 }
 
-// overlap returns how many grants of a server may count as ending. Where times in a slot vary, none does: a request that
-// takes longer would have another one beside it.
+// steady reports whether times in a slot vary so little that the age of a grant tells whether its request has ended.
+func (g *Granter) steady() bool {
+	return float64(g.deviation.or(0)) <= maxDeviation*float64(g.answerTime())
+}
+
+// overlap returns how many grants of a server are on the way to it or back, and not in a slot.
 func (g *Granter) overlap(s *server) int {
 	onTheWay := float64(g.SlotTime() - g.answerTime())
-	if g.slotTime.n < maxSamples || onTheWay < minOnTheWay*float64(g.SlotTime()) || float64(g.deviation.or(0)) > maxDeviation*float64(g.answerTime()) {
+	if g.slotTime.n < maxSamples || onTheWay < minOnTheWay*float64(g.SlotTime()) {
 		return 0
 	}
-	return int(math.Ceil(onTheWay / float64(g.SlotTime()) * float64(s.Slots)))
+	share := onTheWay / float64(g.SlotTime())
+	if g.steady() {
+		return int(math.Ceil(share * float64(s.Slots)))
+	}
+	return int(math.Round(share * float64(s.Slots)))
 }
 
 // nextTick returns when Tick has to be called.
@@ -261,6 +270,9 @@
 		return next
 	}
 	age := g.endingAge()
+	if !g.steady() {
+		return next
+	}
 	for _, s := range g.servers {
 		overlap := g.overlap(s)
 		if n, l := s.ending(now, age, overlap); n < overlap && l != nil {
@@ -270,9 +282,9 @@
 	return max(next, minTick)
 }
 
-// capacity returns the number of requests a second that the slots take.
+// capacity returns the number of requests a second that the slots take. A grant on the way to its slot or back takes none.
 func (g *Granter) capacity(now time.Time) float64 {
-	return float64(g.slots(now)) / g.SlotTime().Seconds()
+	return float64(g.slots(now)) / g.answerTime().Seconds()
 }
 
 // hasCapacity reports whether the slots take all questions, so that one slot for a late request costs no other its
@@ -388,7 +400,7 @@
 	if slots <= 0 {
 		return g.pauseLeft(now)
 	}
-	return g.SlotTime() * time.Duration(position+1) / time.Duration(slots)
+	return g.answerTime() * time.Duration(position+1) / time.Duration(slots)
 }
 
 // pauseLeft returns the time until the first server that is paused gets grants again.
