--- a/internal/slotgrant/asker.go
+++ b/internal/slotgrant/asker.go
@@ -23,7 +23,7 @@
 	// recentlyHeard is how long a router counts as granting after its last message, and aliveAfter how long one that may have to
 	// take its place counts as alive.
 	recentlyHeard = 150 * time.Millisecond
-	aliveAfter    = 2 * time.Second
+	aliveAfter    = 10 * time.Second
 	// redirectTime is how long a router asks the one that another router has named.
 	redirectTime = time.Second
 	// silentTrust is the age from which another router's word that a silent router grants counts.
--- a/internal/slotgrant/granter.go
+++ b/internal/slotgrant/granter.go
@@ -21,11 +21,14 @@
 	// tickInterval is the time between two calls of Tick while there is anything to wait for.
 	tickInterval = 10 * time.Millisecond
 	minTick      = time.Millisecond
-	// A grant counts as ending endingDeviations after its usual time, where the usual difference is at most maxDeviation of
-	// it, and where reports and grants are on the way for at least minOnTheWay of the whole time.
-	endingDeviations = 3.0
-	maxDeviation     = 0.15
-	minOnTheWay      = 0.03
+	// A grant counts as ending some usual differences after its usual time, where these are at most maxDeviation of it, and
+	// where reports and grants are on the way for at least minOnTheWay of the whole time. With three no server has more requests than
+	// slots. From longOnTheWay on one is enough: with three a fifth of the capacity would be lost at delays of 4 ms.
+	endingDeviations      = 3
+	endingDeviationsAtFar = 1
+	longOnTheWay          = 0.08
+	maxDeviation          = 0.15
+	minOnTheWay           = 0.03
 	// marginShare is the share of the time in a slot by which an answer is expected before it is due: the expected wait is
 	// not exact.
 	marginShare = 0.5
@@ -250,17 +253,24 @@
 
 // endingAge is the age from which a grant counts as ending.
 func (g *Granter) endingAge() time.Duration {
-	return g.answerTime() + time.Duration(endingDeviations*float64(g.deviation.or(0)))
+	if g.onTheWay() >= longOnTheWay {
+		return g.answerTime() + endingDeviationsAtFar*g.deviation.or(0)
+	}
+	return g.answerTime() + endingDeviations*g.deviation.or(0)
+}
+
+// onTheWay returns the share of the time of a grant in which it and its report are on the way.
+func (g *Granter) onTheWay() float64 {
+	return float64(g.SlotTime()-g.answerTime()) / float64(max(g.SlotTime(), 1))
 }
 
 // overlap returns how many grants of a server may count as ending. Where times in a slot vary, none does: a request that
 // takes longer would have another one beside it.
 func (g *Granter) overlap(s *server) int {
-	onTheWay := float64(g.SlotTime() - g.answerTime())
-	if g.slotTime.n < maxSamples || onTheWay < minOnTheWay*float64(g.SlotTime()) || float64(g.deviation.or(0)) > maxDeviation*float64(g.answerTime()) {
+	if g.slotTime.n < maxSamples || g.onTheWay() < minOnTheWay || float64(g.deviation.or(0)) > maxDeviation*float64(g.answerTime()) {
 		return 0
 	}
-	return int(math.Ceil(onTheWay / float64(g.SlotTime()) * float64(s.Slots)))
+	return int(math.Ceil(g.onTheWay() * float64(s.Slots)))
 }
 
 // nextTick returns when Tick has to be called.
