--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -166,6 +166,7 @@
 	res := result{outcome: balance.Cancelled, cause: CauseInternal}
 	defer func() {
 		c.attempts.lastOutcome, c.attempts.endedAt = res.outcome, time.Now()
+		c.grant.answered = res.failure != nil
 		if c.pool.end(time.Now(), choice, job, res.outcome) {
 			c.grant.ejected = true
 			c.logEjected(choice.Server, res.cause)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -309,7 +309,7 @@
 	for c.tryServer(ctx) {
 	}
 	if c.outcome == OutcomeServed && c.attempts.sent == 1 && !c.attempts.choice.Cold {
-		c.pool.recordAnswerTimes(c.firstByte, time.Since(c.arrivedAt))
+		c.recordAnswerTimes()
 	}
 	c.observeCost()
 }
