balance, forward, tunnel, digest: requests keep to the regions of their route and workspace

Servers, sources of copies and routers that carry connections are only those in an allowed region; nothing in common, or no server there, is refused at once with no_allowed_region. Connections are pooled for each set of regions, so that one through another region carries no bound request. Digests tell the region of their sender (field 49).

A router that has started takes servers with an unknown start for cold for 1 s instead of 2.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -52,6 +52,8 @@
 	Objective time.Duration
 	// Version is the software version that the server must have; 0 for any.
 	Version streamversion.Version
+	// AllowedRegions are the regions to which the request must keep; empty for all.
+	AllowedRegions []string
 	// Exclude lists the incarnations that this request was already sent to.
 	Exclude []registry.Key
 	// Unreachable is the number of servers that this request could not reach.
@@ -135,6 +137,8 @@
 	// limitShare returns this router's share in the requests to a limited server.
 	limitShare func(server uint64) namedlimit.Share
 	cold       ColdLimits
+	// regions maps data centres to their regions.
+	regions map[string]string
 	// startsUnknownUntil is until when servers that may have started just before this router count as cold.
 	startsUnknownUntil time.Time
 }
@@ -172,7 +176,7 @@
 			m = &member{idHash: placement.Hash(s.ID), hash: s.Key().Hash(), cold: newColdness(s)}
 			p.updateColdEnd(m)
 		}
-		m.server, m.version = s, streamversion.VersionOf(s.Version)
+		m.server, m.version, m.region = s, streamversion.VersionOf(s.Version), p.regions[s.DataCentre]
 		m.keepLeaving()
 		p.members = append(p.members, m)
 		p.byKey[s.Key()] = m
@@ -184,8 +188,8 @@
 // Pick chooses a server, or returns false when none can take the request.
 func (p *Pool) Pick(now time.Time, job Job) (Choice, bool) {
 	usable, mean := p.usable(now, &job), p.mean(now)
-	if job.Version != 0 {
-		// Few servers may have the version: they must not get more than their share.
+	if job.Version != 0 || len(job.AllowedRegions) > 0 {
+		// Few servers may have the version or be in the regions: they must not get more than their share.
 		bound := p.bound(mean)
 		usable = slices.DeleteFunc(usable, func(m *member) bool { return m.load(now) >= bound })
 	}
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -35,7 +35,7 @@
 		if slices.Contains(job.Exclude, m.server.Key()) {
 			return false
 		}
-		return (job.Version == 0 || m.version == job.Version) && !p.withheld(now, m)
+		return (job.Version == 0 || m.version == job.Version) && m.isIn(job.AllowedRegions) && !p.withheld(now, m)
 	})
 }
 
@@ -66,12 +66,12 @@
 	return last
 }
 
-// Load returns the load of the servers that take new requests. Its Slots are 0
-// when one of these servers does not report its own.
-func (p *Pool) Load(now time.Time) overload.Load {
+// Load returns the load of the servers that take new requests, only of those in the regions when there are any. Its
+// Slots are 0 when one of these servers does not report its own.
+func (p *Pool) Load(now time.Time, regions ...string) overload.Load {
 	var load overload.Load
 	// A server that names a limit, is cold or refuses requests takes less than its slots suggest.
-	takers := p.takers(now, func(m *member) bool { return !p.restricted(now, m) && !m.refuses(now) })
+	takers := p.takers(now, func(m *member) bool { return m.isIn(regions) && !p.restricted(now, m) && !m.refuses(now) })
 	for _, m := range takers {
 		if m.server.Slots <= 0 {
 			return overload.Load{}
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -236,9 +236,9 @@
 	return warm
 }
 
-// HasCold reports whether a server that stays is cold.
-func (p *Pool) HasCold(now time.Time) bool {
-	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.server.Leaving && p.isCold(now, m) })
+// HasCold reports whether a server that stays is cold, one of those in the regions when there are any.
+func (p *Pool) HasCold(now time.Time, regions ...string) bool {
+	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.server.Leaving && m.isIn(regions) && p.isCold(now, m) })
 }
 
 // coldWait returns how long it takes until this router may send a cold server a request. A router that may send none
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -79,12 +79,12 @@
 	}
 }
 
-// WithheldWait returns how long it takes until a server may get a request again when all that could
-// take one want none or name limits, and 0 when there is no such server.
-func (p *Pool) WithheldWait(now time.Time) time.Duration {
+// WithheldWait returns how long it takes until a server, one of those in the regions when there are any, may get a request
+// again when all that could take one want none or name limits, and 0 when there is no such server.
+func (p *Pool) WithheldWait(now time.Time, regions ...string) time.Duration {
 	shortest := time.Duration(0)
 	for _, m := range p.members {
-		if m.server.Leaving || !p.withheld(now, m) {
+		if m.server.Leaving || !m.isIn(regions) || !p.withheld(now, m) {
 			continue
 		}
 		wait := max(m.refusesUntil.Sub(now), m.brittle.pausedUntil.Sub(now), minWithheld)
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -17,6 +17,8 @@
 	hash uint64
 	// version is that of the server's software.
 	version streamversion.Version
+	// region is that of its data centre; empty when it is not known.
+	region string
 	// saidLeaving is set when the server has said in an answer that it leaves, which an incarnation
 	// does not take back.
 	saidLeaving bool
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -227,6 +227,8 @@
 // Status is the state of one server, for logs and status pages.
 type Status struct {
 	Server *registry.Server
+	// Region is that of the server's data centre; empty when it is not known.
+	Region string
 	// Own and Others are the numbers of requests of this and of the other routers.
 	Own    int
 	Others int
@@ -245,6 +247,7 @@
 	for _, m := range p.members {
 		s := Status{
 			Server:  m.server,
+			Region:  m.region,
 			Own:     m.own,
 			Others:  m.others(now),
 			Ejected: m.health.ejected(now, m.own),
--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -73,7 +73,7 @@
 		if slices.ContainsFunc(holders, func(h holder) bool { return h.member == m }) {
 			return nil, job.PromptTokens - prefix.Tokens
 		}
-		if source := copySource(now, holders, m.version); source != nil {
+		if source := copySource(now, holders, m.version, job.AllowedRegions); source != nil {
 			return source, job.PromptTokens - prefix.Tokens
 		}
 	}
@@ -181,11 +181,11 @@
 	return holders
 }
 
-// copySource returns an available holder that has read the prefix, or nil. What another software
+// copySource returns an available holder in the regions that has read the prefix, or nil. What another software
 // version has in its memory does not fit.
-func copySource(now time.Time, holders []holder, version streamversion.Version) *member {
+func copySource(now time.Time, holders []holder, version streamversion.Version, regions []string) *member {
 	for _, h := range holders {
-		if h.version == version && !h.reading() && !h.health.unavailable(now, h.own) {
+		if h.version == version && h.isIn(regions) && !h.reading() && !h.health.unavailable(now, h.own) {
 			return h.member
 		}
 	}
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -43,6 +43,7 @@
 		Level:             rapid.Int64Min(0).Draw(t, "level"),
 		AllCold:           rapid.Bool().Draw(t, "all cold"),
 		Routers:           rapid.Int64Min(0).Draw(t, "routers"),
+		Region:            rapid.SampledFrom([]string{"", "north"}).Draw(t, "region"),
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "n") {
 		m.Peers = append(m.Peers, addr(rapid.IntRange(0, 255).Draw(t, "peer")))
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -132,6 +132,8 @@
 	state  State
 	events *event.Logger
 	wake   chan struct{}
+	// region is that of this router; empty when it is not known.
+	region string
 
 	mu         sync.Mutex
 	peers      *Peers
@@ -219,6 +221,19 @@
 	return list
 }
 
+// SetRegion sets the region of this router, which digests tell the others. Call it before Send.
+func (e *Exchange) SetRegion(region string) { e.region = region }
+
+// RegionOf returns the region of another router, empty when that has not said it.
+func (e *Exchange) RegionOf(router netip.Addr) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if peer := e.peers.tracked[router]; peer != nil {
+		return peer.region
+	}
+	return ""
+}
+
 // LivePeerCount returns the number of other routers that are live.
 func (e *Exchange) LivePeerCount() int {
 	e.mu.Lock()
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -168,6 +168,8 @@
 	// number of routers that it has known lately.
 	Heard   []uint16
 	Routers int64
+	// Region is the region of the sender; empty when it does not say.
+	Region string
 }
 
 // Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
@@ -207,6 +209,7 @@
 	fieldAllCold           = 46
 	fieldHeard             = 47
 	fieldRouters           = 48
+	fieldRegion            = 49
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -263,6 +266,9 @@
 	b = appendBool(b, fieldAllCold, m.AllCold)
 	b = appendHeard(b, m.Heard)
 	b = appendPositive(b, fieldRouters, m.Routers)
+	if m.Region != "" {
+		b = appendText(b, fieldRegion, m.Region)
+	}
 	return appendPartReport(b, m.Parts)
 }
 
@@ -459,6 +465,8 @@
 		err = m.decodeLimit(v)
 	case fieldCold:
 		err = m.decodeColdServer(v)
+	case fieldRegion:
+		m.Region = string(v)
 	case fieldHeard:
 		m.Heard, err = decodeHeard(v)
 	case fieldCrash:
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -58,6 +58,8 @@
 	serversHash uint32
 	// level is the level of the protocol that the peer has reported.
 	level int64
+	// region is that of the peer; empty when it has not said.
+	region string
 	// namedAt is when another router last named the peer.
 	namedAt time.Time
 	// restartedAt is when the peer was first heard after an earlier process at its address, which had not said that
@@ -145,6 +147,7 @@
 		peer.listEnd = m.ListEnd
 		peer.serversHash = m.ServersHash
 		peer.level = m.Level
+		peer.region = m.Region
 		if m.StoreEra > p.reportedEra {
 			p.reportedEra, p.reportedAt = m.StoreEra, now
 		}
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -44,6 +44,7 @@
 		Sender: e.sender, Synced: synced, Role: role, Progress: progress.Topics,
 		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
 		ListEnd: progress.ListEnd, ServersHash: progress.Servers.Hash, Level: ownLevel,
+		Region: e.region,
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -184,7 +184,7 @@
 		c.endUnserved(CauseNoServerOfVersion)
 		return
 	}
-	wait, cold := c.pool.withheldWait(time.Now())
+	wait, cold := c.pool.withheldWait(time.Now(), c.regions)
 	if wait == 0 || c.attempts.ran > 0 {
 		c.endUnserved(CauseNoServer)
 		return
@@ -263,6 +263,7 @@
 	job := balance.Job{Version: c.requiredVersion(), Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre, Objective: c.route.Objective}
 	job.Prefixes, job.PromptTokens = sharedPrefixes(c.headers)
 	job.Unreachable = c.attempts.unreachable
+	job.AllowedRegions = c.regions
 	return job
 }
 
@@ -374,7 +375,7 @@
 	c.attempts.framing, c.attempts.bodyBytes = framing.Unknown, 0
 	c.attempts.readError, c.attempts.closedBeforeAnswer = nil, false
 	conns := c.pool.connectionsTo(choice.Server)
-	resp, exchange, err := httpsend.Send(conns.transport(c.attempts.sentAt), c.outgoingRequest(ctx, choice))
+	resp, exchange, err := httpsend.Send(conns.transport(c.attempts.sentAt, c.regions...), c.outgoingRequest(ctx, choice))
 	c.attempts.via = exchange.Via
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -14,7 +14,7 @@
 const (
 	// startsWait is how long a router that has started while the fleet served takes servers for cold that may
 	// have started just before. Other routers tell it which ones are as soon as they hear it.
-	startsWait = 2 * time.Second
+	startsWait = time.Second
 	// maxPendingCold bounds what is kept of servers that are not known yet.
 	maxPendingCold = 2048
 	// minColdRetry and maxColdRetry bound the wait after a refusal for want of servers that are not cold. The rate of a cold
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,12 +22,12 @@
 type connections struct {
 	onReuse func(*connreuse.Change)
 	// dial opens connections.
-	dial dialFunc
+	dial serverDialFunc
 
-	// transportMu guards the transports. kept reuses connections; single opens one for each
-	// request, while the connections must not be reused. Each is made when it is needed.
-	transportMu  sync.Mutex
-	kept, single *http.Transport
+	// transportMu guards the transports, which are kept by the regions to which requests must keep. So a connection
+	// through a router in another region carries no request that must not pass there.
+	transportMu sync.Mutex
+	transports  map[string]*transports
 	// shorterIdle is how long an idle connection is kept because the server has announced a
 	// shorter time than idleTimeout; 0 when it has not.
 	shorterIdle time.Duration
@@ -37,25 +40,44 @@
 	removed bool
 }
 
-// transport returns the transport for the next request. Connections that are kept when a
-// period without reuse begins are never used again.
-func (c *connections) transport(now time.Time) *http.Transport {
+// transports are those of the requests that keep to the same regions. kept reuses connections; single opens one for each
+// request, while the connections must not be reused. Each is made when it is needed.
+type transports struct {
+	kept, single *http.Transport
+}
+
+// maxTransports bounds the regions for which connections are kept, which only a change of the configuration replaces.
+const maxTransports = 16
+
+// transport returns the transport for the next request, which must keep to the regions when there are any.
+// Connections that are kept when a period without reuse begins are never used again.
+func (c *connections) transport(now time.Time, regions ...string) *http.Transport {
 	mayReuse, changed := c.mayReuse(now)
 	c.transportMu.Lock()
 	defer c.transportMu.Unlock()
 	if !mayReuse || changed {
 		c.dropKept()
 	}
+	key := strings.Join(regions, "\n")
+	t := c.transports[key]
+	if t == nil {
+		if len(c.transports) >= maxTransports || c.transports == nil {
+			c.dropKept()
+			c.transports = make(map[string]*transports)
+		}
+		t = &transports{}
+		c.transports[key] = t
+	}
 	if mayReuse {
-		if c.kept == nil {
-			c.kept = c.newTransport(true)
+		if t.kept == nil {
+			t.kept = c.newTransport(true, regions)
 		}
-		return c.kept
+		return t.kept
 	}
-	if c.single == nil {
-		c.single = c.newTransport(false)
+	if t.single == nil {
+		t.single = c.newTransport(false, regions)
 	}
-	return c.single
+	return t.single
 }
 
 // idleLimit returns how long a connection is kept idle. The caller holds transportMu.
@@ -88,9 +110,11 @@
 
 // dropKept closes the idle connections and never uses the others again. The caller holds transportMu.
 func (c *connections) dropKept() {
-	if c.kept != nil {
-		c.kept.CloseIdleConnections()
-		c.kept = nil
+	for _, t := range c.transports {
+		if t.kept != nil {
+			t.kept.CloseIdleConnections()
+			t.kept = nil
+		}
 	}
 }
 
@@ -102,14 +126,16 @@
 	c.renew()
 }
 
-func (c *connections) newTransport(reuse bool) *http.Transport {
+func (c *connections) newTransport(reuse bool, regions []string) *http.Transport {
 	t := httpsend.NewTransport(httpsend.Options{
 		MaxHeaderBytes:      maxHeaderBytes,
 		MaxIdleConnsPerHost: idlePerServer,
 		IdleTimeout:         c.idleLimit(),
 		NoConnReuse:         !reuse,
-		Dial:                c.dial,
-		OnUnasked:           c.recordUnasked,
+		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return c.dial(ctx, network, addr, regions...)
+		},
+		OnUnasked: c.recordUnasked,
 	})
 	t.ReadBufferSize = connectionBuffer
 	t.WriteBufferSize = connectionBuffer
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -84,9 +84,11 @@
 	table     *routing.Table
 	route     *routing.Route
 	workspace routing.Workspace
-	pool      *pool
-	body      []byte
-	reserved  int64
+	// regions are the regions to whose servers the request must keep; nil for all.
+	regions  []string
+	pool     *pool
+	body     []byte
+	reserved int64
 	// bodyRead is set once the whole body has been read, unread once the request has
 	// been answered without.
 	bodyRead, unread bool
@@ -169,6 +171,10 @@
 		c.deny(http.StatusUnauthorized, CauseUnknownKey)
 		return false
 	}
+	if c.regions, ok = allowedRegions(c.route, &c.workspace); !ok {
+		c.refuse(CauseNoAllowedRegion)
+		return false
+	}
 	c.deadline = c.arrivedAt.Add(c.timeLimit())
 	if s := c.handler.stopping.Load(); s != nil && !s.accepts(c.arrivedAt, c.route) {
 		c.refuse(CauseStopping)
@@ -276,6 +282,10 @@
 		c.refuse(CauseNoServer)
 		return
 	}
+	if len(c.regions) > 0 && !c.pool.reaches(c.regions) {
+		c.refuse(CauseNoAllowedRegion)
+		return
+	}
 	c.pool.budget.RecordRequest(time.Now())
 	if !c.sendable() {
 		return
@@ -314,7 +324,7 @@
 		Objective:     c.route.Objective,
 		CallerTimeout: c.headers.Deadline,
 		Remaining:     c.deadline.Sub(now),
-	})
+	}, c.regions)
 	if !c.admission.Admitted {
 		c.refuseWithWait(CausePoolFull, c.admission.RetryAfter)
 	}
@@ -360,6 +370,9 @@
 	if c.route != nil {
 		kv = append(kv, "route", c.route.Name, "workspace", c.workspace.Name)
 	}
+	if len(c.regions) > 0 {
+		kv = append(kv, "regions", c.regions)
+	}
 	kv = append(kv, c.fingerprintField()...)
 	kv = append(kv, c.headers.partsField()...)
 	kv = append(kv, c.headers.takesUpFields()...)
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -33,12 +33,12 @@
 	return p.balance.RecordLimit(key, said, sentAt)
 }
 
-// withheldWait returns how long it takes until a server of the pool may get a request again when
+// withheldWait returns how long it takes until a server of the pool in the regions may get a request again when
 // what the servers say keeps this one from all, else 0, and whether some of them are cold.
-func (p *pool) withheldWait(now time.Time) (wait time.Duration, cold bool) {
+func (p *pool) withheldWait(now time.Time, regions []string) (wait time.Duration, cold bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.balance.WithheldWait(now), p.balance.HasCold(now)
+	return p.balance.WithheldWait(now, regions...), p.balance.HasCold(now, regions...)
 }
 
 // TakeLimits returns what the other routers have to be told of servers' limits.
--- a/internal/forward/paths.go
+++ b/internal/forward/paths.go
@@ -28,9 +28,13 @@
 
 // Tunnel opens connections to servers through other routers. It must be safe for concurrent use.
 type Tunnel interface {
-	Dial(ctx context.Context, addr string) (net.Conn, error)
+	// Dial asks only routers in one of the regions when there are any.
+	Dial(ctx context.Context, addr string, regions ...string) (net.Conn, error)
 }
 
+// serverDialFunc opens a connection to a server, through a router in one of the regions at most when there are any.
+type serverDialFunc func(ctx context.Context, network, addr string, regions ...string) (net.Conn, error)
+
 // dialFunc opens a connection to an address. It must be safe for concurrent use.
 type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
@@ -68,17 +72,18 @@
 	err  error
 }
 
-// dial opens a connection to a server. Its error is that of the own way.
-func (p *paths) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+// dial opens a connection to a server, through a router in one of the regions at most when there are any. Its error is
+// that of the own way.
+func (p *paths) dial(ctx context.Context, network, addr string, regions ...string) (net.Conn, error) {
 	if p.tunnel == nil {
 		return p.direct(ctx, network, addr)
 	}
 	if p.indirect(time.Now(), addr) {
 		p.probe(network, addr)
-		if conn, err := p.dialTunnel(ctx, addr); err == nil {
+		if conn, err := p.dialTunnel(ctx, addr, regions); err == nil {
 			return conn, nil
 		}
-		p.setUnreachable(time.Now(), addr)
+		p.setUnreachable(time.Now(), addr, regions)
 		return p.direct(ctx, network, addr)
 	}
 	direct := make(chan dialed, 1)
@@ -100,9 +105,9 @@
 			return d.conn, d.err
 		}
 	}
-	conn, err := p.dialTunnel(ctx, addr)
+	conn, err := p.dialTunnel(ctx, addr, regions)
 	if err != nil {
-		p.setUnreachable(time.Now(), addr)
+		p.setUnreachable(time.Now(), addr, regions)
 		d := <-direct
 		return d.conn, d.err
 	}
@@ -118,10 +123,10 @@
 	}
 }
 
-func (p *paths) dialTunnel(ctx context.Context, addr string) (net.Conn, error) {
+func (p *paths) dialTunnel(ctx context.Context, addr string, regions []string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return p.tunnel.Dial(ctx, addr)
+	return p.tunnel.Dial(ctx, addr, regions...)
 }
 
 // dialDirect opens a connection for another router. It fails at once where this router uses
@@ -185,8 +190,12 @@
 	return p.byAddr[addr] == nil || !now.Before(p.byAddr[addr].noTunnelUntil)
 }
 
-// setUnreachable records that no other router reaches a server, at least not any more.
-func (p *paths) setUnreachable(now time.Time, addr string) {
+// setUnreachable records that no other router reaches a server, at least not any more. That none of some regions does says
+// nothing of the others.
+func (p *paths) setUnreachable(now time.Time, addr string, regions []string) {
+	if len(regions) > 0 {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.of(addr)
--- a/internal/forward/paths_test.go
+++ b/internal/forward/paths_test.go
@@ -56,7 +56,9 @@
 
 func (w *fakeWay) dial(ctx context.Context, _, _ string) (net.Conn, error) { return w.open(ctx) }
 
-func (w *fakeWay) Dial(ctx context.Context, _ string) (net.Conn, error) { return w.open(ctx) }
+func (w *fakeWay) Dial(ctx context.Context, _ string, _ ...string) (net.Conn, error) {
+	return w.open(ctx)
+}
 
 // testPaths plays f with the ways of a router to one server, on a clock of its own.
 func testPaths(t *testing.T, f func(t *testing.T, p *paths, own, tunnel *fakeWay)) {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -184,11 +184,14 @@
 	// want none for a while.
 	CauseServerLimits Cause = "server_limits"
 	// CauseServersCold: the servers that could take the request are cold and tolerate no more, or none of this router.
-	CauseServersCold  Cause = "servers_cold"
-	CauseRouterMemory Cause = "router_memory"
-	CauseDeadline     Cause = "deadline"
-	CauseUnreachable  Cause = "server_unreachable"
-	CauseAnswerBroken Cause = "answer_broken"
+	CauseServersCold Cause = "servers_cold"
+	// CauseNoAllowedRegion: the route and the workspace allow no region in common, or the pool has no server in one that they
+	// allow.
+	CauseNoAllowedRegion Cause = "no_allowed_region"
+	CauseRouterMemory    Cause = "router_memory"
+	CauseDeadline        Cause = "deadline"
+	CauseUnreachable     Cause = "server_unreachable"
+	CauseAnswerBroken    Cause = "answer_broken"
 	// CauseEndUnknown: the last part of a stream ended with its connection, and the
 	// answer to the caller had begun in chunks.
 	CauseEndUnknown   Cause = "answer_end_unknown"
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -47,6 +47,8 @@
 	// BodyMemory bounds the request bodies in memory at the same time, in bytes.
 	BodyMemory int64
 	DataCentre string
+	// Regions maps data centres to their regions. Those that are missing are in no region.
+	Regions map[string]string
 	// ColdOverage and ColdExtra bound the requests that a cold server gets in a second beyond the rate of its pool: a
 	// factor and a number of requests.
 	ColdOverage float64
@@ -99,7 +101,7 @@
 	// later incarnation.
 	connections map[registry.Key]*connections
 	onReuse     reuseObserver
-	dial        dialFunc
+	dial        serverDialFunc
 	// indirect reports whether the server at an address is reached through another router.
 	indirect func(now time.Time, addr string) bool
 	versions versionChange
@@ -220,6 +222,7 @@
 func (st *State) newPool(name string) *pool {
 	b := balance.NewPool(st.limits.Balance)
 	b.SetLimitShare(func(server uint64) namedlimit.Share { return st.limitShare(server) })
+	b.SetRegions(st.limits.Regions)
 	b.SetColdLimits(st.coldLimits(name))
 	b.SetStartsUnknown(st.cold.startsUnknownUntil)
 	return &pool{
@@ -283,12 +286,12 @@
 	return p.versions.update(time.Now(), list)
 }
 
-// admit decides whether the pool accepts a request at its estimated load, and
-// returns that load.
-func (p *pool) admit(now time.Time, req overload.Request) (overload.Load, overload.Decision) {
+// admit decides whether the pool accepts a request at the estimated load of its servers in the regions, or of
+// all when there are none, and returns that load.
+func (p *pool) admit(now time.Time, req overload.Request, regions []string) (overload.Load, overload.Decision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	load := p.balance.Load(now)
+	load := p.balance.Load(now, regions...)
 	return load, p.controller.Decide(now, load, req)
 }
 
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -26,6 +26,8 @@
 	ID         string `json:"id"`
 	Addr       string `json:"addr"`
 	DataCentre string `json:"data_centre"`
+	// Region is that of the data centre; empty when it is not known, so that no request that is bound to regions goes there.
+	Region string `json:"region,omitempty"`
 	// State is ready, indirect (reached through another router), leaving, ejected or cold.
 	State string `json:"state"`
 	// Own and Others are the requests in flight of this router and of the others.
@@ -77,7 +79,7 @@
 		}
 		server := ServerStatus{
 			ID: b.Server.ID, Addr: b.Server.Addr, DataCentre: b.Server.DataCentre, State: state, Own: b.Own, Others: b.Others,
-			LimitPerSecond: b.LimitPerSecond, ColdMs: b.ColdLeft.Milliseconds(), ColdSender: b.ColdSender,
+			Region: b.Region, LimitPerSecond: b.LimitPerSecond, ColdMs: b.ColdLeft.Milliseconds(), ColdSender: b.ColdSender,
 		}
 		if c := p.connections[b.Server.Key()]; c != nil {
 			server.NoReuseMs = c.noReuseFor(now).Milliseconds()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -132,6 +133,8 @@
 		return nil, errors.Join(err, f.edge.Close(), f.exchange.Close(), metrics.Close())
 	}
 	f.tunnel = tunnel.NewClient(s.ListenPeers.Port(), f.exchange.LiveRouters, events)
+	f.tunnel.SetRegionOf(f.exchange.RegionOf)
+	f.exchange.SetRegion(s.Region)
 	state.SetTunnel(f.tunnel)
 	state.OnNews(f.exchange.SendSoon)
 	state.SetPlacementsKnown(f.placementsKnown)
@@ -191,11 +194,24 @@
 		},
 		BodyMemory: int64(bodyShare * float64(s.MemoryMB) * megabyte),
 		DataCentre: s.DataCentre,
+		Regions:    regions(s),
 
 		ColdOverage: s.Bounds.ColdOverage, ColdExtra: s.Bounds.ColdExtra,
 	}
 }
 
+// regions returns the regions of the data centres. That of this router is known also when it is not listed.
+func regions(s *settings.Front) map[string]string {
+	list := maps.Clone(s.Regions)
+	if list == nil {
+		list = make(map[string]string)
+	}
+	if _, ok := list[s.DataCentre]; !ok && s.Region != "" {
+		list[s.DataCentre] = s.Region
+	}
+	return list
+}
+
 // Apply puts the bounds of changed settings in force. Changes of addresses and
 // sizes take effect only at the next start.
 func (f *Front) Apply(s *settings.Front) {
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -41,6 +41,9 @@
 	peersPort uint16
 	// restarted is set for a router that is not started with the whole fleet.
 	restarted bool
+	// region is that of the router, and regions has those of the data centres; the zero values are the usual ones.
+	region  string
+	regions map[string]string
 	// logger receives the router's log; nil for none.
 	logger hclog.Logger
 	// wrapSource wraps the router's way to each topic of the store; nil for none.
@@ -84,7 +87,7 @@
 	ports := testport.FreeAddrsWith(b.t, b.host, 4, b.peersPort)
 	storeAddr := cmp.Or(b.storeAddr, b.store.Addr())
 	s := &settings.Front{
-		VM: "front-1", DataCentre: "hall-a", Region: "south", FirstStart: !b.restarted,
+		VM: "front-1", DataCentre: "hall-a", Region: cmp.Or(b.region, "south"), Regions: b.regions, FirstStart: !b.restarted,
 		ListenCallers: ports[0], ListenReadiness: ports[1], ListenMetrics: ports[2], ListenPeers: ports[3], Seeds: b.seeds,
 		StoreAddress: netip.MustParseAddrPort(storeAddr),
 		MemoryMB:     200, Cores: 1,
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +47,8 @@
 	events *event.Logger
 	// routers returns the addresses of the routers that may carry connections.
 	routers func() []netip.Addr
+	// regionOf returns the region of a router; empty when it is not known.
+	regionOf func(netip.Addr) string
 
 	mu       sync.Mutex
 	sessions map[netip.Addr]*session
@@ -61,13 +64,17 @@
 
 // NewClient returns a client. All routers listen at the same port.
 func NewClient(port uint16, routers func() []netip.Addr, events *event.Logger) *Client {
-	return &Client{port: port, events: events, routers: routers, sessions: make(map[netip.Addr]*session), avoid: make(map[netip.Addr]time.Time)}
+	regionOf := func(netip.Addr) string { return "" }
+	return &Client{port: port, events: events, routers: routers, regionOf: regionOf, sessions: make(map[netip.Addr]*session), avoid: make(map[netip.Addr]time.Time)}
 }
 
-// Dial opens a connection to a server through another router. Its error is ErrRefused, ErrNoCarrier or that
-// of ctx.
-func (c *Client) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	for _, router := range c.candidates(time.Now()) {
+// SetRegionOf sets the function that returns the region of a router, empty for one that is not known. Call it before Dial.
+func (c *Client) SetRegionOf(f func(netip.Addr) string) { c.regionOf = f }
+
+// Dial opens a connection to a server through another router, in one of the regions when there are any. Its error is
+// ErrRefused, ErrNoCarrier or that of ctx.
+func (c *Client) Dial(ctx context.Context, addr string, regions ...string) (net.Conn, error) {
+	for _, router := range c.candidates(time.Now(), regions...) {
 		conn, err := c.dialThrough(ctx, router, addr)
 		switch {
 		case err == nil:
@@ -83,9 +90,15 @@
 }
 
 // candidates returns the routers to ask, in a random order, so that those which carry share the load,
-// and the ones that could not help lately last.
-func (c *Client) candidates(now time.Time) []netip.Addr {
+// and the ones that could not help lately last. Only those in one of the regions count when there are any.
+func (c *Client) candidates(now time.Time, regions ...string) []netip.Addr {
 	list := c.routers()
+	if len(regions) > 0 {
+		list = slices.DeleteFunc(list, func(router netip.Addr) bool {
+			region := c.regionOf(router)
+			return region == "" || !slices.Contains(regions, region)
+		})
+	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -273,6 +274,36 @@
 	}
 }
 
+// Guards against bytes of a request that pass a router outside of its regions, or one whose region is not known.
+func TestOnlyRoutersInTheRegionsAreAsked(t *testing.T) {
+	t.Parallel()
+	var routers []netip.Addr
+	regions := map[netip.Addr]string{}
+	for i, region := range []string{"north", "south", "", "north", "west"} {
+		routers = append(routers, netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}))
+		regions[routers[i]] = region
+	}
+	c := NewClient(1, func() []netip.Addr { return append([]netip.Addr(nil), routers...) }, event.Nop())
+	if list := c.candidates(time.Unix(1000, 0), "north", ""); len(list) != 0 {
+		t.Errorf("asks %v while no region is known", list)
+	}
+	c.SetRegionOf(func(router netip.Addr) string { return regions[router] })
+	for _, want := range []struct {
+		regions []string
+		n       int
+	}{{nil, maxAsked}, {[]string{"north"}, 2}, {[]string{"north", "west", ""}, 3}, {[]string{"east"}, 0}} {
+		list := c.candidates(time.Unix(1000, 0), want.regions...)
+		if len(list) != want.n {
+			t.Errorf("asks %d routers for the regions %v, want %d", len(list), want.regions, want.n)
+		}
+		for _, router := range list {
+			if len(want.regions) > 0 && !slices.Contains(want.regions, regions[router]) {
+				t.Errorf("asks a router in region %q for the regions %v", regions[router], want.regions)
+			}
+		}
+	}
+}
+
 // Guards against a router that waits long for another one that does not answer.
 func TestRouterThatDoesNotAnswerIsNotWaitedFor(t *testing.T) {
 	t.Parallel()
