--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -49,6 +49,8 @@
 	*platformtest.Engine
 	proxy *proxy
 	pool  string
+	// region is that of its data centre.
+	region string
 	// state is what the server's entry says, empty without one, and returned is set once it
 	// has been without one or has left; guarded by the fleet's mutex.
 	state    string
@@ -156,19 +158,41 @@
 	longDelay   = 280 * time.Millisecond
 )
 
+// Every northernServers-th server of a pool is in otherRegion, the others and the routers are in ownRegion, to which
+// the workspace w2 keeps.
+const (
+	northernServers = 3
+	ownRegion       = "south"
+	otherRegion     = "north"
+)
+
+// A server is cold for coldStart after each of its starts. It then tolerates coldRate requests a second, of which coldOverage
+// times as many and coldSlack more may arrive in a second.
+const (
+	coldStart   = 5 * time.Second
+	coldRate    = 4.0
+	coldOverage = 1.5
+	coldSlack   = 5.0
+)
+
 func (f *fleet) addServer(i int) {
 	pool := "engines"
 	if i < plainServers {
 		pool = "plain"
 	}
+	dataCentre, region := "hall-a", ownRegion
+	if i%northernServers == northernServers-1 {
+		dataCentre, region = "hall-b", otherRegion
+	}
 	observer := &serverObserver{records: f.records, server: fmt.Sprintf("i-%d", i), pool: pool}
 	e := platformtest.NewObservedEngine(observer.server, observer.wrap)
 	e.SetDelay(answerDelay)
+	e.SetDataCentre(dataCentre)
 	p, err := newProxy(e.Addr())
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	s := &server{Engine: e, proxy: p, pool: pool}
+	s := &server{Engine: e, proxy: p, pool: pool, region: region}
 	f.servers = append(f.servers, s)
 	f.t.Cleanup(e.Close)
 	f.t.Cleanup(p.close)
@@ -218,7 +242,7 @@
 		entry, s.returned = nil, true
 	}
 	f.store.Put(platform.TopicServers, s.ID, entry)
-	f.records.add(entryConfirmed{Server: s.ID, Pool: s.pool, State: entryStates[s.state], Start: s.starts.Load()})
+	f.records.add(entryConfirmed{Server: s.ID, Pool: s.pool, State: entryStates[s.state], Start: s.starts.Load(), Region: s.region})
 }
 
 const (
@@ -298,11 +322,11 @@
 
 // writeSettings writes the settings file of a router, with some bounds overridden.
 func (f *fleet) writeSettings(r *router, overrides map[string]any) {
-	bounds := map[string]any{"stop": "6s", "load_multiple": 2, "retry_ratio": 0.2, "retry_extra": 240}
+	bounds := map[string]any{"stop": "6s", "load_multiple": 2, "retry_ratio": 0.2, "retry_extra": 240, "cold_overage": coldOverage, "cold_slack": coldSlack}
 	maps.Copy(bounds, overrides)
 	at := func(i int) string { return fmt.Sprintf("%s:%d", r.host, r.ports[i]) }
 	data, err := json.Marshal(map[string]any{
-		"vm": r.name, "data_centre": "hall-a", "region": "south",
+		"vm": r.name, "data_centre": "hall-a", "region": ownRegion, "regions": map[string]string{"hall-a": ownRegion, "hall-b": otherRegion},
 		"listen": map[string]string{"callers": at(0), "readiness": at(1), "metrics": at(2), "peers": at(3)},
 		"seeds":  []string{hostBase + "1:1", hostBase + "2:1"},
 		"store":  map[string]string{"address": r.store.addr()},
@@ -484,7 +508,8 @@
 	}
 	f.config = platformtest.Config{
 		Version: f.version, Pools: []string{"plain", "engines"}, BodyBytes: 1 << 20, HeaderTimeout: headerTimeout,
-		Workspaces: []platformtest.Workspace{{Name: "w1", Keys: []string{rotatingKey(f.version), steadyKey}}, {Name: "w2", Keys: []string{otherSteadyKey}}},
+		Workspaces: []platformtest.Workspace{{Name: "w1", Keys: []string{rotatingKey(f.version), steadyKey}}, {Name: "w2", Keys: []string{otherSteadyKey}, Regions: []string{ownRegion}}},
+		ColdStart:  coldStart, ColdPerSecond: coldRate,
 		Routes: []platformtest.Route{
 			route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 1),
 			route("stream", "stream", "engines", 1), route("resume", "stream", "engines", 2),
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -37,6 +37,11 @@
 	// pool, and 3. Calm is how long no server was disturbed before it holds.
 	LoadMultiple float64       `json:"load_multiple"`
 	Calm         time.Duration `json:"calm"`
+	// ColdMost bounds the requests that arrive in a second at a server that is cold, from ColdKnown after the
+	// confirmation of its new incarnation until ColdStart after it.
+	ColdMost  int           `json:"cold_most"`
+	ColdKnown time.Duration `json:"cold_known"`
+	ColdStart time.Duration `json:"cold_start"`
 	// Recovery is the time after the last fault from which requests must be served.
 	Recovery time.Duration `json:"recovery"`
 	// HeaderMargin is what a router may add to the limit for headers.
@@ -50,6 +55,7 @@
 		Stable: 3 * time.Second, ConfigApply: 2 * time.Second, Skew: 5 * time.Second, Regress: 250 * time.Millisecond,
 		Drain: drainGrace, Loss: 200 * time.Millisecond, Late: 500 * time.Millisecond, Unready: 4 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 240, RetryWindow: 10 * time.Second, LoadMultiple: 2, Calm: 5 * time.Second,
+		ColdMost: int(coldRate*coldOverage + coldSlack), ColdKnown: drainGrace, ColdStart: coldStart,
 		Recovery: recoveryTime, HeaderMargin: time.Second, Margin: faultMargin,
 	}
 }
--- a/internal/soak/judgeanswers_test.go
+++ b/internal/soak/judgeanswers_test.go
@@ -32,6 +32,8 @@
 	{"regress", checkRegress},
 	{"later routes", checkLaterRoutes},
 	{"leaving servers", checkDrain},
+	{"regions", eachAttempt(checkRegions)},
+	{"cold servers", checkCold},
 	{"servers that say they leave", eachRequest(checkSaidLeaving)},
 	{"servers that want no requests", eachRequest(checkUnwanted)},
 	{"failures", eachRequest(checkFailure)},
--- a/internal/soak/judgecases_test.go
+++ b/internal/soak/judgecases_test.go
@@ -81,6 +81,15 @@
 		{rule: "leaving servers", about: "a link that held it up", common: joined(served(2100, "a", "plain"), []record{entry(0, "s1", entryLeaving)}),
 			breaks: []record{fails(-2000, subjectServer, "s1"), works(-1500, -2000)},
 			keeps:  []record{fails(-2000, subjectServer, "s1"), works(-500, -2000)}},
+		{rule: "regions", about: "a server elsewhere", common: joined(servedBound(100, "a"), []record{changed(config(-9000, 2, "k1", "plain"), addBound)}),
+			breaks: []record{changed(entry(-9500, "s1", entryReady), func(e *entryConfirmed) { e.Region = "south" })},
+			keeps:  []record{changed(entry(-9500, "s1", entryReady), func(e *entryConfirmed) { e.Region = "north" })}},
+		{rule: "cold servers", about: "one more in a second", common: []record{entry(-5000, "s1", entryReady), changed(entry(0, "s1", entryReady), func(e *entryConfirmed) { e.Start = 1 })},
+			breaks: many(12, 2500, 80, toPlain),
+			keeps:  many(11, 2500, 80, toPlain)},
+		{rule: "cold servers", about: "an entry that is written again", common: joined([]record{entry(-5000, "s1", entryReady)}, many(12, 2500, 80, toPlain)),
+			breaks: []record{changed(entry(0, "s1", entryReady), func(e *entryConfirmed) { e.Start = 1 })},
+			keeps:  []record{entry(0, "s1", entryReady)}},
 		{rule: "servers that say they leave", about: "a late request", common: saidLeaving,
 			breaks: served(2010, "b", "plain"),
 			keeps:  served(1990, "b", "plain")},
@@ -99,6 +108,19 @@
 // toPlain returns a served request on the pool plain.
 func toPlain(ms int, id string) []record { return served(ms, id, "plain") }
 
+// addBound adds a workspace that keeps to a region.
+func addBound(c *configConfirmed) {
+	c.Workspaces = append(c.Workspaces, workspaceOfRecord{Name: "w2", Keys: []string{"k2"}, Regions: []string{"north"}})
+}
+
+// servedBound returns a served request of that workspace.
+func servedBound(ms int, id string) []record {
+	list := served(ms, id, "plain")
+	list[0] = changed(list[0], func(s *requestSent) { s.Key = "k2" })
+	list[1] = changed(list[1], func(a *requestArrived) { a.Workspace = "w2" })
+	return list
+}
+
 // addRoute adds the route later.
 func addRoute(c *configConfirmed) {
 	c.Routes = append(c.Routes, routeRecord{Name: "later", Kind: "unsafe", Pool: "plain", Attempts: 1, Timeout: 4 * time.Second})
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -227,6 +227,8 @@
 	workspaceOfRecord struct {
 		Name string   `json:"name"`
 		Keys []string `json:"keys"`
+		// Regions are those to whose servers its requests must keep; empty for all.
+		Regions []string `json:"regions,omitempty"`
 	}
 	// entryConfirmed: the store has taken the entry of a server.
 	entryConfirmed struct {
@@ -235,6 +237,8 @@
 		State  entryState `json:"state"`
 		// Start tells incarnations apart.
 		Start int64 `json:"start,omitempty"`
+		// Region is that of the server's data centre.
+		Region string `json:"region,omitempty"`
 	}
 	// storeRestored: the store has come back from an older copy.
 	storeRestored struct {
--- a/internal/soak/recorder_test.go
+++ b/internal/soak/recorder_test.go
@@ -92,7 +92,7 @@
 		})
 	}
 	for _, w := range c.Workspaces {
-		e.Workspaces = append(e.Workspaces, workspaceOfRecord{Name: w.Name, Keys: w.Keys})
+		e.Workspaces = append(e.Workspaces, workspaceOfRecord{Name: w.Name, Keys: w.Keys, Regions: w.Regions})
 	}
 	return e
 }
