--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -250,3 +250,9 @@
 	}
 	return left
 }
+
+// ColdReady reports whether a cold server may get the request now. Within its rate it has room also while the others are
+// full.
+func (p *Pool) ColdReady(now time.Time, job Job) bool {
+	return slices.ContainsFunc(p.usable(now, &job), func(m *member) bool { return p.isCold(now, m) && !m.health.ejected(now, m.own) })
+}
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -102,6 +102,33 @@
 	}
 }
 
+// Guards against a cold server whose room is not used while the others are full, or is used beyond its rate.
+func TestColdServerHasRoomWithinItsRate(t *testing.T) {
+	p, list := coldPool(soleSender)
+	now := coldStart
+	p.ColdReady(now, Job{})
+	if p.ColdReady(now, Job{}) {
+		t.Error("room before the first request is allowed")
+	}
+	now = now.Add(time.Second)
+	if !p.ColdReady(now, Job{}) {
+		t.Error("no room although a request is allowed")
+	}
+	if p.ColdReady(now, Job{AllowedRegions: []string{"north"}}) {
+		t.Error("room for a request that the server must not get")
+	}
+	for range 2 {
+		p.Begin(now, Choice{Server: list[0]}, Job{})
+	}
+	if p.ColdReady(now, Job{}) {
+		t.Error("room although the rate is used up")
+	}
+	p, _ = coldPool(namedlimit.Share{Sender: true})
+	if p.ColdReady(now, Job{}) {
+		t.Error("room at a router that is not the sole sender")
+	}
+}
+
 // Guards against a cold server that becomes the home of prefixes whose requests it cannot take, and against one that is not
 // used while the others have all prefixes.
 func TestColdServerIsNoNewHome(t *testing.T) {
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
+	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
@@ -132,4 +134,30 @@
 	}
 }
 
+// Guards against a request that is refused for want of room while a cold server has some.
+func TestColdServerTakesRequestsOfAFullPool(t *testing.T) {
+	t.Parallel()
+	b := coldBed(t, namedlimit.Share{Sender: true, Sole: true}, ok("x"))
+	warm := &registry.Server{ID: "warm", Pool: "p", Addr: closedAddr(t), Slots: 1}
+	b.state.SetServers(append(b.servers, warm))
+	p := b.pool()
+	req := overload.Request{Route: "r", Objective: 100 * time.Millisecond, Remaining: time.Second}
+	now := time.Now()
+	p.mu.Lock()
+	p.controller.Decide(now, overload.Load{Own: 1, Slots: 1}, req)
+	p.controller.RecordAnswer(time.Second, time.Second)
+	for range 40 {
+		p.balance.Begin(now, balance.Choice{Server: warm}, balance.Job{})
+	}
+	p.balance.SetCold(now, func(s *registry.Server) bool { return s.ID != "warm" }, now.Add(time.Minute))
+	p.mu.Unlock()
+	if _, d := p.admit(now, req, balance.Job{}); d.Admitted {
+		t.Fatal("accepted although the pool is full and the cold server has no room yet")
+	}
+	b.until("the cold server has room", func() bool {
+		_, d := p.admit(time.Now(), req, balance.Job{})
+		return d.Admitted
+	})
+}
+
 func (b *bed) pool() *pool { return b.state.pool("p") }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
 	"github.com/bluebellwell/bluebellwell/internal/edge"
 	"github.com/bluebellwell/bluebellwell/internal/event"
@@ -324,7 +325,7 @@
 		Objective:     c.route.Objective,
 		CallerTimeout: c.headers.Deadline,
 		Remaining:     c.deadline.Sub(now),
-	}, c.regions)
+	}, balance.Job{Version: c.requiredVersion(), AllowedRegions: c.regions})
 	if !c.admission.Admitted {
 		c.refuseWithWait(CausePoolFull, c.admission.RetryAfter)
 	}
--- a/internal/forward/regions_test.go
+++ b/internal/forward/regions_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -116,8 +117,8 @@
 	if got := b.logged()["regions"]; got == nil {
 		t.Error("the log does not have the regions")
 	}
-	all, _ := b.pool().admit(time.Now(), overload.Request{Remaining: time.Second}, nil)
-	north, _ := b.pool().admit(time.Now(), overload.Request{Remaining: time.Second}, []string{"north"})
+	all, _ := b.pool().admit(time.Now(), overload.Request{Remaining: time.Second}, balance.Job{})
+	north, _ := b.pool().admit(time.Now(), overload.Request{Remaining: time.Second}, balance.Job{AllowedRegions: []string{"north"}})
 	if all.Slots != 128 || north.Slots != 64 {
 		t.Errorf("%d slots of all servers and %d of those in the north, want 128 and 64", all.Slots, north.Slots)
 	}
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -286,13 +286,17 @@
 	return p.versions.update(time.Now(), list)
 }
 
-// admit decides whether the pool accepts a request at the estimated load of its servers in the regions, or of
-// all when there are none, and returns that load.
-func (p *pool) admit(now time.Time, req overload.Request, regions []string) (overload.Load, overload.Decision) {
+// admit decides whether the pool accepts a request at the estimated load of the servers that it may get, and returns
+// that load. A request for which a cold server has room is accepted.
+func (p *pool) admit(now time.Time, req overload.Request, job balance.Job) (overload.Load, overload.Decision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	load := p.balance.Load(now, regions...)
-	return load, p.controller.Decide(now, load, req)
+	load := p.balance.Load(now, job.AllowedRegions...)
+	decision := p.controller.Decide(now, load, req)
+	if !decision.Admitted && p.balance.ColdReady(now, job) {
+		decision.Admitted = true
+	}
+	return load, decision
 }
 
 // recordAnswerTimes records the times to the first byte and to the end of a
