--- a/internal/digest/coldfleet_test.go
+++ b/internal/digest/coldfleet_test.go
@@ -1,6 +1,8 @@
 package digest
 
 import (
+	"cmp"
+	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -15,7 +17,6 @@
 )
 
 const (
-	fleetRouters  = 70
 	fleetServers  = 60
 	fleetCold     = 30
 	coldPerSecond = 9.2
@@ -29,12 +30,13 @@
 	fleetStep      = 10 * time.Millisecond
 )
 
+var coldSeed = flag.Uint64("cold.seed", 5, "seed of the fleets with cold servers")
+
 var fleetStart = time.Unix(1_000_000, 0)
 
 // coldFleet replays routers that exchange digests, and callers that send requests by them. All is in memory, with a simulated
 // clock.
 type coldFleet struct {
-	t       *testing.T
 	rng     *rand.Rand
 	now     time.Duration
 	routers []*fleetRouter
@@ -43,13 +45,17 @@
 	lost func(from, to int) bool
 	// delay is the longest time from a router to a server.
 	delay time.Duration
-	// arrivals has the times at which requests have arrived at each cold server, refused counts the requests of which no
-	// server was found.
-	arrivals map[string][]time.Duration
-	refused  int
+	// arrivals has the requests that have arrived at each cold server.
+	arrivals map[string][]coldArrival
 	ending   []fleetRequest
 }
 
+// coldArrival is a request at a cold server.
+type coldArrival struct {
+	at   time.Duration
+	from *fleetRouter
+}
+
 type fleetRequest struct {
 	at     time.Duration
 	router *fleetRouter
@@ -78,9 +84,9 @@
 
 func (f *coldFleet) clock(r *fleetRouter) time.Time { return fleetStart.Add(f.now - r.behind) }
 
-func newColdFleet(t *testing.T) *coldFleet {
+func newColdFleet(routers int, seed uint64) *coldFleet {
 	f := &coldFleet{
-		t: t, rng: rand.New(rand.NewPCG(3, 5)), lost: func(int, int) bool { return false }, arrivals: map[string][]time.Duration{},
+		rng: rand.New(rand.NewPCG(3, seed)), lost: func(int, int) bool { return false }, arrivals: map[string][]coldArrival{},
 	}
 	for i := range fleetServers {
 		s := &registry.Server{ID: fmt.Sprintf("s%d", i), Pool: "p", Addr: fmt.Sprintf("10.1.0.%d:80", i), Slots: 8, DataCentre: "warm"}
@@ -89,8 +95,8 @@
 		}
 		f.servers = append(f.servers, s)
 	}
-	for i := range fleetRouters {
-		r := &fleetRouter{addr: netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)})}
+	for i := range routers {
+		r := &fleetRouter{addr: netip.AddrFrom4([4]byte{10, 0, byte(i / 200), byte(i%200 + 1)})}
 		f.start(r, f.servers[fleetCold:])
 		f.routers = append(f.routers, r)
 	}
@@ -163,13 +169,12 @@
 		now := f.clock(r)
 		choice, ok := r.pool.Pick(now, balance.Job{Random: f.rng.Uint64()})
 		if !ok {
-			f.refused++
 			continue
 		}
 		r.pool.Begin(now, choice, balance.Job{})
 		arrival := f.now + time.Duration(f.rng.Float64()*float64(f.delay))
 		if choice.Server.DataCentre == "cold" {
-			f.arrivals[choice.Server.ID] = append(f.arrivals[choice.Server.ID], arrival)
+			f.arrivals[choice.Server.ID] = append(f.arrivals[choice.Server.ID], coldArrival{arrival, r})
 		}
 		f.ending = append(f.ending, fleetRequest{at: arrival + 60*time.Millisecond, router: r, pool: r.pool, key: choice.Server.Key()})
 	}
@@ -235,32 +240,39 @@
 	}
 }
 
-// most returns the largest number of requests that arrived at a cold server within a second, and the mean number a second and
-// cold server.
-func (f *coldFleet) most() (most int, mean float64) {
+// most returns the largest number of requests that arrived at a cold server within a second, the mean number a second and
+// cold server, and how many servers got requests of two routers within a second.
+func (f *coldFleet) most() (most int, mean float64, two int) {
 	total := 0
-	for _, times := range f.arrivals {
-		slices.Sort(times)
-		first := 0
-		for i := range times {
-			for times[i]-times[first] > time.Second {
+	for _, list := range f.arrivals {
+		slices.SortFunc(list, func(a, b coldArrival) int { return int(a.at - b.at) })
+		first, several := 0, false
+		for i, a := range list {
+			for a.at-list[first].at > time.Second {
 				first++
 			}
 			most = max(most, i-first+1)
+			several = several || a.from != list[first].from
+		}
+		total += len(list)
+		if several {
+			two++
 		}
-		total += len(times)
 	}
-	return most, float64(total) / fleetCold / coldFor.Seconds()
+	return most, float64(total) / fleetCold / coldFor.Seconds(), two
 }
 
-// restart returns what kills the first routers at a time and restarts them later.
-func restart(n int, at, back time.Duration) func(*coldFleet) {
+// part returns a share of the routers, the first ones.
+func (f *coldFleet) part(share float64) int { return int(share * float64(len(f.routers))) }
+
+// restart returns what kills a share of the routers at a time and restarts them later.
+func restart(share float64, at, back time.Duration) func(*coldFleet) {
 	return func(f *coldFleet) {
-		for i, r := range f.routers[:n] {
+		for i, r := range f.routers[:f.part(share)] {
 			switch f.now {
 			case at:
 				r.down = true
-			case back + time.Duration(i)*20*time.Millisecond:
+			case back + time.Duration(i%50)*20*time.Millisecond:
 				f.start(r, f.servers[fleetCold:])
 				f.appear(r, fleetStart.Add(coldFrom))
 			}
@@ -268,10 +280,10 @@
 	}
 }
 
-// freeze returns what freezes some routers for a time.
-func freeze(n int, from, until time.Duration) func(*coldFleet) {
+// freeze returns what freezes a share of the routers for a time.
+func freeze(share float64, from, until time.Duration) func(*coldFleet) {
 	return func(f *coldFleet) {
-		for _, r := range f.routers[:n] {
+		for _, r := range f.routers[:f.part(share)] {
 			r.frozen = f.now >= from && f.now < until
 		}
 	}
@@ -279,8 +291,9 @@
 
 // cut returns what loses the datagrams of a part of the fleet to the others between two times, and in the other direction
 // as well when both is set.
-func cut(n int, from, until time.Duration, both bool) func(*coldFleet) {
+func cut(share float64, from, until time.Duration, both bool) func(*coldFleet) {
 	return func(f *coldFleet) {
+		n := f.part(share)
 		f.lost = func(a, b int) bool {
 			between := a < n && b >= n || both && a >= n && b < n
 			return between && f.now >= from && f.now < until
@@ -288,6 +301,20 @@
 	}
 }
 
+// loseDatagrams loses a tenth of all datagrams.
+func loseDatagrams(f *coldFleet) {
+	f.lost = func(int, int) bool { return f.rng.IntN(10) == 0 }
+}
+
+// all returns what several faults do.
+func all(faults ...func(*coldFleet)) func(*coldFleet) {
+	return func(f *coldFleet) {
+		for _, fault := range faults {
+			fault(f)
+		}
+	}
+}
+
 // Guards against cold servers that crash because all routers together send them more than they tolerate, also while routers
 // are killed and restarted, frozen, or cut off from others in one direction or both; and against ones that get nothing. The
 // servers of a data centre are cold at once, and callers send a burst.
@@ -296,32 +323,37 @@
 	const event = coldFrom + 2*time.Second
 	for _, c := range []struct {
 		name string
+		// routers is the size of the fleet; 0 for 70.
+		routers int
 		// least is the least mean rate of a cold server.
 		least   float64
 		delay   time.Duration
 		happens func(*coldFleet)
 	}{
-		{"undisturbed", 5, 0, func(*coldFleet) {}},
-		{"delayed on the way", 5, 500 * time.Millisecond, func(*coldFleet) {}},
-		{"0.6 of the routers killed and restarted", 3, 0, restart(fleetRouters*6/10, event, event+1500*time.Millisecond)},
-		{"0.6 of the routers restarted as the servers start", 2.5, 0, restart(fleetRouters*6/10, coldFrom-time.Second, coldFrom+time.Second)},
-		{"a tenth killed for good", 4, 0, restart(fleetRouters/10, event, fleetEnd)},
-		{"a tenth frozen for 3 s", 4, 0, freeze(fleetRouters/10, event, event+3*time.Second)},
-		{"a tenth frozen for 10 s", 3, 0, freeze(fleetRouters/10, event, event+10*time.Second)},
-		{"a tenth frozen for 14 s", 3, 0, freeze(fleetRouters/10, event, event+14*time.Second)},
-		{"half cut off in both directions", 0, 0, cut(fleetRouters/2, event, fleetEnd, true)},
-		{"a tenth not heard by the others", 3, 0, cut(fleetRouters/10, event, fleetEnd, false)},
-		{"0.4 not heard by the others", 1, 0, cut(fleetRouters*4/10, event, fleetEnd, false)},
-		{"nine tenths not heard by the others", 0, 0, cut(fleetRouters*9/10, event, fleetEnd, false)},
-		{"0.4 not heard for 10 s", 2, 0, cut(fleetRouters*4/10, event, event+10*time.Second, false)},
+		{"undisturbed", 0, 5, 0, func(*coldFleet) {}},
+		{"delayed on the way", 0, 5, 500 * time.Millisecond, func(*coldFleet) {}},
+		{"0.6 of the routers killed and restarted", 0, 3, 0, restart(0.6, event, event+1500*time.Millisecond)},
+		{"0.6 of the routers restarted as the servers start", 0, 2.5, 0, restart(0.6, coldFrom-time.Second, coldFrom+time.Second)},
+		{"a tenth killed for good", 0, 4, 0, restart(0.1, event, fleetEnd)},
+		{"a tenth frozen for 3 s", 0, 4, 0, freeze(0.1, event, event+3*time.Second)},
+		{"a tenth frozen for 10 s", 0, 3, 0, freeze(0.1, event, event+10*time.Second)},
+		{"a tenth frozen for 14 s", 0, 3, 0, freeze(0.1, event, event+14*time.Second)},
+		{"half cut off in both directions", 0, 0, 0, cut(0.5, event, fleetEnd, true)},
+		{"a tenth not heard by the others", 0, 3, 0, cut(0.1, event, fleetEnd, false)},
+		{"0.4 not heard by the others", 0, 1, 0, cut(0.4, event, fleetEnd, false)},
+		{"nine tenths not heard by the others", 0, 0, 0, cut(0.9, event, fleetEnd, false)},
+		{"0.4 not heard for 10 s", 0, 2, 0, cut(0.4, event, event+10*time.Second, false)},
+		{"0.6 killed and restarted while a tenth of the datagrams is lost", 0, 3, 0, all(loseDatagrams, restart(0.6, event, event+1500*time.Millisecond))},
+		{"a tenth frozen, 0.4 killed, 0.3 not heard", 0, 1, 200 * time.Millisecond, all(cut(0.3, event, fleetEnd, false), restart(0.4, event+time.Second, event+4*time.Second), freeze(0.1, event+5*time.Second, event+11*time.Second))},
+		{"seven routers, four killed and restarted", 7, 2, 0, restart(0.6, event, event+1500*time.Millisecond)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := newColdFleet(t)
+			f := newColdFleet(cmp.Or(c.routers, 70), *coldSeed)
 			f.delay = c.delay
 			f.run(c.happens)
-			most, mean := f.most()
-			t.Logf("%s: at most %d requests a second, %.1f on average, %d refused", c.name, most, mean, f.refused)
+			most, mean, two := f.most()
+			t.Logf("%s: at most %d requests a second, %.1f on average, %d servers with two senders in a second", c.name, most, mean, two)
 			if most > coldBound {
 				t.Errorf("%d requests within a second at a cold server, want at most %d", most, coldBound)
 			}
