--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -172,7 +172,7 @@
 		c.deny(http.StatusUnauthorized, CauseUnknownKey)
 		return false
 	}
-	if c.regions, ok = allowedRegions(c.route, &c.workspace); !ok {
+	if c.regions, ok = regionsOf(c.route, &c.workspace); !ok {
 		c.refuse(CauseNoAllowedRegion)
 		return false
 	}
--- a/internal/forward/regions.go
+++ b/internal/forward/regions.go
@@ -6,9 +6,9 @@
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
-// allowedRegions returns the regions to which a request must keep, in order; nil for all. It returns false when the route
+// regionsOf returns the regions to which a request must keep, in order; nil for all. It returns false when the route
 // and the workspace name regions and have none in common.
-func allowedRegions(route *routing.Route, workspace *routing.Workspace) (regions []string, ok bool) {
+func regionsOf(route *routing.Route, workspace *routing.Workspace) (regions []string, ok bool) {
 	switch {
 	case len(route.AllowedRegions) == 0 && len(workspace.AllowedRegions) == 0:
 		return nil, true
--- a/internal/forward/regions_test.go
+++ b/internal/forward/regions_test.go
@@ -27,7 +27,7 @@
 		{"", "", "", true}, {"b a", "", "a b", true}, {"", "b", "b", true}, {"a b", "b c", "b", true}, {"b a b", "a b c", "a b", true},
 		{"a", "b", "", false}, {"a b", "c", "", false},
 	} {
-		got, ok := allowedRegions(&routing.Route{AllowedRegions: strings.Fields(c.route)}, &routing.Workspace{AllowedRegions: strings.Fields(c.workspace)})
+		got, ok := regionsOf(&routing.Route{AllowedRegions: strings.Fields(c.route)}, &routing.Workspace{AllowedRegions: strings.Fields(c.workspace)})
 		if ok != c.ok || !slices.Equal(got, strings.Fields(c.want)) {
 			t.Errorf("route %q and workspace %q: %q, %v; want %q, %v", c.route, c.workspace, got, ok, c.want, c.ok)
 		}
