--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -118,7 +118,7 @@
 	faults.Wait()
 }
 
-// playPlannedWork changes the configuration, lets two servers leave, reloads the routers
+// playPlannedWork changes the configuration, lets two servers leave and another one start again, reloads the routers
 // and has engines answer slowly while nothing is disturbed. Among faults, routers are
 // seldom in touch for long enough to be judged by the rules with a time bound.
 func (f *fleet) playPlannedWork() {
@@ -127,6 +127,10 @@
 	for _, s := range leaving {
 		f.register(s, platformtest.StateLeaving)
 	}
+	// A plain server gets enough requests for the rule of cold servers.
+	started := f.servers[plainServers-1]
+	started.restart()
+	f.register(started, platformtest.StateReady)
 	for _, r := range f.routers {
 		f.signal(r, syscall.SIGHUP)
 	}
