--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -175,6 +175,8 @@
 	Processor int64
 	// Evacuations are the data centres that the sender knows as evacuated.
 	Evacuations evacuation.View
+	// Region is the region of the sender; empty when it does not say.
+	Region string
 }
 
 // Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
@@ -221,6 +223,7 @@
 	fieldGrants      = 55
 	fieldNotGranting = 56
 	fieldProcessor   = 57
+	fieldRegion      = 49
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -280,6 +283,9 @@
 	b = appendHeard(b, m.Heard)
 	b = appendPositive(b, fieldRouters, m.Routers)
 	b = appendEvacuations(b, m.Evacuations)
+	if m.Region != "" {
+		b = appendText(b, fieldRegion, m.Region)
+	}
 	return appendPartReport(b, m.Parts)
 }
 
@@ -486,6 +492,8 @@
 		err = m.decodeLimit(v)
 	case fieldCold:
 		err = m.decodeColdServer(v)
+	case fieldRegion:
+		m.Region = string(v)
 	case fieldHeard:
 		m.Heard, err = decodeHeard(v)
 	case fieldCrash:
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -45,6 +45,7 @@
 		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
 		ListEnd: progress.ListEnd, ServersHash: progress.Servers.Hash, Level: ownLevel, NotGranting: notGranting, Processor: e.processor.Load(),
 		Evacuations: e.partOf(progress.Evacuations),
+		Region:      e.region,
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -199,7 +199,7 @@
 		c.endUnserved(CauseNoServerOfVersion)
 		return
 	}
-	wait, cold := c.pool.withheldWait(time.Now())
+	wait, cold := c.pool.withheldWait(time.Now(), c.regions)
 	if wait == 0 || c.attempts.ran > 0 {
 		c.endUnserved(CauseNoServer)
 		return
@@ -280,6 +280,7 @@
 	job.Unreachable = c.attempts.unreachable
 	job.RunsOnce = !c.route.MayRepeat()
 	job.Cost, job.Run = c.predicted, attemptID()
+	job.AllowedRegions = c.regions
 	return job
 }
 
@@ -391,7 +392,7 @@
 	c.attempts.framing, c.attempts.bodyBytes, c.attempts.slowdown = framing.Unknown, 0, 0
 	c.attempts.readError, c.attempts.closedBeforeAnswer = nil, false
 	conns := c.pool.connectionsTo(choice.Server)
-	resp, exchange, err := httpsend.Send(conns.transport(c.attempts.sentAt), c.outgoingRequest(ctx, choice))
+	resp, exchange, err := httpsend.Send(conns.transport(c.attempts.sentAt, c.regions...), c.outgoingRequest(ctx, choice))
 	c.attempts.via = exchange.Via
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -33,8 +33,8 @@
 	// sent is set once the request has been sent, ejected when that made the server unusable, and answered when the server has
 	// answered with a failure. load is what the server said in its answer.
 	sent, ejected, answered bool
-	load          int
-	inVain        int
+	load                    int
+	inVain                  int
 }
 
 func (g *grantUse) logFields() []any {
--- a/internal/forward/grant_test.go
+++ b/internal/forward/grant_test.go
@@ -535,7 +535,7 @@
 	t.Parallel()
 	b, _ := newScarceBed(t, bedOptions{route: routing.Route{Kind: routing.Unsafe, Objective: 100 * time.Millisecond}}, ok("x"))
 	p := b.state.pool("p")
-	p.admit(time.Now(), overload.Request{})
+	p.admit(time.Now(), overload.Request{}, balance.Job{})
 	for range 40 {
 		p.recordAnswerTimes(90*time.Millisecond, 90*time.Millisecond)
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
 	"github.com/bluebellwell/bluebellwell/internal/cost"
 	"github.com/bluebellwell/bluebellwell/internal/edge"
@@ -86,9 +87,11 @@
 	table     *routing.Table
 	route     *routing.Route
 	workspace routing.Workspace
-	pool      *pool
-	body      []byte
-	reserved  int64
+	// regions are the regions to whose servers the request must keep; nil for all.
+	regions  []string
+	pool     *pool
+	body     []byte
+	reserved int64
 	// bodyRead is set once the whole body has been read, unread once the request has
 	// been answered without.
 	bodyRead, unread bool
@@ -174,6 +177,10 @@
 		c.deny(http.StatusUnauthorized, CauseUnknownKey)
 		return false
 	}
+	if c.regions, ok = regionsOf(c.route, &c.workspace); !ok {
+		c.refuse(CauseNoAllowedRegion)
+		return false
+	}
 	c.deadline = c.arrivedAt.Add(c.timeLimit())
 	if s := c.handler.stopping.Load(); s != nil && !s.accepts(c.arrivedAt, c.route) {
 		c.refuse(CauseStopping)
@@ -281,6 +288,10 @@
 		c.refuse(CauseNoServer)
 		return
 	}
+	if len(c.regions) > 0 && !c.pool.reaches(c.regions) {
+		c.refuse(CauseNoAllowedRegion)
+		return
+	}
 	c.pool.budget.RecordRequest(time.Now())
 	if !c.sendable() {
 		return
@@ -328,7 +339,7 @@
 		Objective:     c.route.Objective,
 		CallerTimeout: c.headers.Deadline,
 		Remaining:     c.deadline.Sub(now),
-	})
+	}, balance.Job{Version: c.requiredVersion(), AllowedRegions: c.regions})
 	if !c.admission.Admitted {
 		c.refuseWithWait(CausePoolFull, c.admission.RetryAfter)
 	}
@@ -374,6 +385,9 @@
 	if c.route != nil {
 		kv = append(kv, "route", c.route.Name, "workspace", c.workspace.Name)
 	}
+	if len(c.regions) > 0 {
+		kv = append(kv, "regions", c.regions)
+	}
 	kv = append(kv, c.fingerprintField()...)
 	kv = append(kv, c.headers.partsField()...)
 	kv = append(kv, c.headers.takesUpFields()...)
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -49,6 +49,8 @@
 	// BodyMemory bounds the request bodies in memory at the same time, in bytes.
 	BodyMemory int64
 	DataCentre string
+	// Regions maps data centres to their regions. Those that are missing are in no region.
+	Regions map[string]string
 	// ColdOverage and ColdExtra bound the requests that a cold server gets in a second beyond the rate of its pool: a
 	// factor and a number of requests.
 	ColdOverage float64
@@ -105,7 +107,7 @@
 	// later incarnation.
 	connections map[registry.Key]*connections
 	onReuse     reuseObserver
-	dial        dialFunc
+	dial        serverDialFunc
 	// indirect reports whether the server at an address is reached through another router.
 	indirect func(now time.Time, addr string) bool
 	versions versionChange
@@ -243,6 +245,7 @@
 	b.SetEvacuated(time.Now(), st.evacuated)
 	b.SetLimitShare(func(server uint64) namedlimit.Share { return st.limitShare(server) })
 	b.SetMemory(engineMemory(st.Table(), name))
+	b.SetRegions(st.limits.Regions)
 	b.SetColdLimits(st.coldLimits(name))
 	b.SetStartsUnknown(st.cold.startsUnknownUntil)
 	p := &pool{
@@ -309,13 +312,17 @@
 	return p.versions.update(time.Now(), list)
 }
 
-// admit decides whether the pool accepts a request at its estimated load, and
-// returns that load.
-func (p *pool) admit(now time.Time, req overload.Request) (overload.Load, overload.Decision) {
+// admit decides whether the pool accepts a request at the estimated load of the servers that it may get, and returns
+// that load. A request for which a cold server has room is accepted.
+func (p *pool) admit(now time.Time, req overload.Request, job balance.Job) (overload.Load, overload.Decision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	load := p.balance.Load(now)
-	return load, p.controller.Decide(now, load, req)
+	load := p.balance.Load(now, job.AllowedRegions...)
+	decision := p.controller.Decide(now, load, req)
+	if !decision.Admitted && p.balance.ColdReady(now, job) {
+		decision.Admitted = true
+	}
+	return load, decision
 }
 
 // recordAnswerTimes records the times to the first byte and to the end of a
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -31,6 +31,8 @@
 	ID         string `json:"id"`
 	Addr       string `json:"addr"`
 	DataCentre string `json:"data_centre"`
+	// Region is that of the data centre; empty when it is not known, so that no request that is bound to regions goes there.
+	Region string `json:"region,omitempty"`
 	// State is ready, indirect (reached through another router), evacuated (as its data centre), leaving, ejected or cold.
 	State string `json:"state"`
 	// Own and Others are the requests in flight of this router and of the others.
@@ -106,7 +108,7 @@
 		}
 		server := ServerStatus{
 			ID: b.Server.ID, Addr: b.Server.Addr, DataCentre: b.Server.DataCentre, State: state, Own: b.Own, Others: b.Others,
-			LimitPerSecond: b.LimitPerSecond, ColdMs: b.ColdLeft.Milliseconds(), ColdSender: b.ColdSender,
+			Region: b.Region, LimitPerSecond: b.LimitPerSecond, ColdMs: b.ColdLeft.Milliseconds(), ColdSender: b.ColdSender,
 			Slowdown: math.Round(100*b.Slowdown) / 100, LeftMs: b.Left.Milliseconds(), MemoryTokens: b.MemoryTokens,
 		}
 		if c := p.connections[b.Server.Key()]; c != nil {
