--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -330,6 +330,8 @@
 	parts         []quarantine.Entry
 	// evacuations are those that the router knows, receivedEvacuations those that another one has sent.
 	evacuations, receivedEvacuations evacuation.View
+	// heardReader is set once they came from a reader of the store.
+	heardReader bool
 	// serversUnknown is set while the router has not read the list of servers.
 	serversUnknown atomic.Bool
 	// answersOld is set while the store has not answered the router lately.
@@ -425,10 +427,11 @@
 	s.serverChanges = append(s.serverChanges, list...)
 }
 
-func (s *fakeState) ApplyEvacuations(v evacuation.View) {
+func (s *fakeState) ApplyEvacuations(v evacuation.View, reader bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.receivedEvacuations = v
+	s.heardReader = s.heardReader || reader
 }
 
 func (s *fakeState) hasServerChange() bool {
--- a/internal/digest/evacuations_test.go
+++ b/internal/digest/evacuations_test.go
@@ -65,6 +65,11 @@
 	fresh.receivedEvacuations = evacuation.View{}
 	fresh.mu.Unlock()
 	waitFor(t, "they have arrived again", func() bool { return fresh.hears(3) })
+	waitFor(t, "they have arrived from a reader", func() bool {
+		fresh.mu.Lock()
+		defer fresh.mu.Unlock()
+		return fresh.heardReader
+	})
 }
 
 // Guards against digests that a router which knows nothing of evacuations sends as if none was.
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -104,8 +104,9 @@
 	StreamRecord(s streamversion.Stream) (streamversion.Record, bool)
 	// ApplyServerChanges applies server changes that another router has read.
 	ApplyServerChanges(list []ServerChange)
-	// ApplyEvacuations applies what another router knows of evacuated data centres.
-	ApplyEvacuations(v evacuation.View)
+	// ApplyEvacuations applies what another router knows of evacuated data centres. reader is set for one that reads the store
+	// for the others.
+	ApplyEvacuations(v evacuation.View, reader bool)
 }
 
 // StoreProgress is what a router has read of the store.
@@ -380,7 +381,7 @@
 	sum := m.LoadsComplete && smallFleet && now.Sub(e.summedAt) >= sumInterval
 	e.mu.Unlock()
 	if m.Evacuations.Known {
-		e.state.ApplyEvacuations(m.Evacuations)
+		e.state.ApplyEvacuations(m.Evacuations, m.Reading && m.Role == RoleReader)
 	}
 	if isNew {
 		// The next loads are sent with the number of routers that are live.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -133,8 +133,9 @@
 	// CallOverdue is called when the store has not begun to answer a call in time. The call goes on. It is made from
 	// another goroutine than the others, but never at the same time.
 	CallOverdue(waited time.Duration)
-	// CallEnded is called at the end of each call, after its other events; answered is set when it succeeded.
-	CallEnded(answered bool)
+	// CallEnded is called at the end of each call, after its other events, with the time at which it began; answered is set when it
+	// succeeded.
+	CallEnded(begun time.Time, answered bool)
 	// OutageEnded is called at the first success after a series of failures.
 	OutageEnded(duration time.Duration)
 	// HistoryExpired is called when the store has deleted records that were not read.
@@ -291,7 +292,7 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	defer func() { f.observer.CallEnded(err == nil) }()
+	defer func() { f.observer.CallEnded(start, err == nil) }()
 	if impatient != nil && impatient() && err != nil && page.Era == NoEra {
 		f.repeated++
 		return 0
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -47,7 +47,7 @@
 
 func (r *recorder) OutageStarted(error)            { r.events = append(r.events, "outage started") }
 func (r *recorder) CallOverdue(time.Duration)      { r.events = append(r.events, "call overdue") }
-func (r *recorder) CallEnded(bool)                 {}
+func (r *recorder) CallEnded(time.Time, bool)      {}
 func (r *recorder) OutageEnded(time.Duration)      { r.events = append(r.events, "outage ended") }
 func (r *recorder) HistoryExpired(logpos.Position) { r.events = append(r.events, "history expired") }
 func (r *recorder) StaleList(logpos.Position, logpos.Position) {
--- a/internal/feed/overdue_test.go
+++ b/internal/feed/overdue_test.go
@@ -42,7 +42,7 @@
 	ends []bool
 }
 
-func (r *endRecorder) CallEnded(answered bool) { r.ends = append(r.ends, answered) }
+func (r *endRecorder) CallEnded(_ time.Time, answered bool) { r.ends = append(r.ends, answered) }
 
 func overdueFollower(s Source, r Observer, timing Timing) *Follower {
 	return New(s, Options{
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -124,6 +124,9 @@
 
 // tryServer makes one attempt and reports whether another one must follow.
 func (c *call) tryServer(ctx context.Context) bool {
+	if !c.awaitMaySend(ctx) {
+		return false
+	}
 	job := c.job()
 	choice, ok, newPlacement := c.pick(ctx, job)
 	if newPlacement {
--- a/internal/forward/evacuated.go
+++ b/internal/forward/evacuated.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"net"
 	"time"
@@ -24,8 +25,15 @@
 	}
 }
 
-// evacuatedAddr reports whether the server at an address is in an evacuated data centre.
+// SetMaySend sets the function that reports whether this router knows which data centres are evacuated. Call it before requests are
+// served.
+func (st *State) SetMaySend(f func() bool) { st.maySend = f }
+
+// evacuatedAddr reports whether the server at an address is, as far as this router knows, in an evacuated data centre.
 func (st *State) evacuatedAddr(addr string) bool {
+	if !st.maySend() {
+		return true
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	return st.isEvacuated(addr)
@@ -49,6 +57,23 @@
 	return &net.OpError{Op: "dial", Net: network, Err: errEvacuated}
 }
 
+// awaitMaySend holds a request while this router does not know which data centres are evacuated, for half of its objective at most. It
+// reports whether the request may be sent, and ends it otherwise.
+func (c *call) awaitMaySend(ctx context.Context) bool {
+	limit := time.Duration(maxHeldShare * float64(c.route.Objective))
+	for !c.handler.state.maySend() {
+		if c.attempts.held >= limit {
+			c.endUnserved(CauseEvacuationsUnknown)
+			return false
+		}
+		if !c.hold(ctx, holdCheck) {
+			c.endWithoutServer(ctx)
+			return false
+		}
+	}
+	return true
+}
+
 // refuseEvacuated refuses a request all of whose servers are evacuated. It reports whether that is so.
 func (c *call) refuseEvacuated() bool {
 	if !c.pool.onlyEvacuated(balance.Job{Version: c.requiredVersion()}) {
--- a/internal/forward/evacuated_test.go
+++ b/internal/forward/evacuated_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -171,3 +172,30 @@
 		t.Error("the server does not return after the evacuation")
 	}
 }
+
+// Guards against requests, connections for other routers and questions of a router that may have missed an evacuation, and
+// against a caller that waits long for it.
+func TestRouterThatMayHaveMissedAnEvacuationSendsNothing(t *testing.T) {
+	t.Parallel()
+	var known atomic.Bool
+	b := newBed(t, bedOptions{route: routing.Route{Objective: time.Second}}, ok("done"))
+	b.inDataCentres("a")
+	b.state.SetMaySend(known.Load)
+	begun := time.Now()
+	got := b.send(ask{})
+	if took := time.Since(begun); got.status != http.StatusServiceUnavailable || len(b.got()) != 0 || took > 2*time.Second {
+		t.Errorf("status %d after %v, %d requests, want a rejection within half of the objective", got.status, took, len(b.got()))
+	}
+	b.expectLog(map[string]any{"outcome": OutcomeNotRun, "cause": CauseEvacuationsUnknown})
+	if wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); err != nil || wait > 0.15 {
+		t.Errorf("Retry-After %q, want at most 0.15 s: another router may send the request", got.header.Get("Retry-After"))
+	}
+	addr := b.servers[0].Addr
+	if b.state.KnowsServer(addr) || !b.state.paths.evacuated(addr) {
+		t.Error("connections are opened")
+	}
+	time.AfterFunc(30*time.Millisecond, func() { known.Store(true) })
+	if got := b.send(ask{}); got.status != http.StatusOK {
+		t.Errorf("status %d although the router knows the evacuations within half of the objective, want 200", got.status)
+	}
+}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -27,7 +27,7 @@
 	switch cause {
 	case CauseNoConfig:
 		wait = startingRetryAfter
-	case CauseStopping:
+	case CauseStopping, CauseEvacuationsUnknown:
 		// Any other router can accept the request at once.
 		wait = minRetryAfter
 	case CauseEvacuated:
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -205,6 +205,8 @@
 	CauseNoServerOfVersion Cause = "no_server_of_version"
 	// CauseEvacuated: the data centres of all servers that could take the request are evacuated.
 	CauseEvacuated Cause = "data_centre_evacuated"
+	// CauseEvacuationsUnknown: the router was frozen or hears nobody, and may have missed an evacuation.
+	CauseEvacuationsUnknown Cause = "evacuations_unknown"
 	// CauseInternal: the router failed; its log line has the error.
 	CauseInternal Cause = "internal_error"
 )
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -78,6 +78,8 @@
 	// addrs has the data centres of the servers at each address, and evacuated those that are evacuated.
 	addrs     map[string][]string
 	evacuated map[string]bool
+	// maySend reports whether this router knows which data centres are evacuated.
+	maySend func() bool
 }
 
 // pool balances the load over the servers of one pool and holds the connections
@@ -103,6 +105,7 @@
 func NewState(limits Limits) *State {
 	st := &State{
 		limits: limits, pools: make(map[string]*pool), onNews: func() {}, placementsKnown: func() bool { return true },
+		maySend:    func() bool { return true },
 		onReuse:    func(*registry.Server, *connreuse.Change) {},
 		limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Routers: 1} },
 		onLimit:    func(*registry.Server, namedlimit.Statement, bool) {},
@@ -134,6 +137,9 @@
 
 // KnowsServer reports whether a server has an address and is in service.
 func (st *State) KnowsServer(addr string) bool {
+	if !st.maySend() {
+		return false
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	return len(st.addrs[addr]) > 0 && !st.isEvacuated(addr)
--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -25,6 +25,12 @@
 	set *evacuation.Set
 	// logged is the number of ignored evacuations that were logged.
 	logged int
+
+	// freshMu guards fresh, which says whether set may still be relied on, and pause, which was logged last.
+	freshMu sync.Mutex
+	fresh   evacuation.Freshness
+	pause   evacuation.Pause
+	pauseAt time.Time
 }
 
 func newEvacuations(st *forward.State, events *event.Logger, scope tally.Scope) evacuations {
@@ -59,8 +65,9 @@
 
 // ApplyEvacuations applies what another router knows. It is called on the goroutine that receives digests, and does not wait
 // for the one of run.
-func (t *tracker) ApplyEvacuations(v evacuation.View) {
+func (t *tracker) ApplyEvacuations(v evacuation.View, reader bool) {
 	t.evacuations.update(func(now time.Time, s *evacuation.Set) []evacuation.Change { return s.Merge(now, v) })
+	t.evacuations.recordView(reader)
 }
 
 // update changes the set by f. It reports whether an evacuation has begun or ended.
@@ -100,6 +107,45 @@
 	}
 }
 
+// MaySend reports whether this router may send requests as far as it knows which data centres are evacuated.
+func (e *evacuations) MaySend() bool { return e.current() == evacuation.PauseNone }
+
+// current returns why this router must not send requests now.
+func (e *evacuations) current() evacuation.Pause {
+	return e.record(func(now, wall time.Time) {})
+}
+
+func (e *evacuations) recordCall(begun time.Time) {
+	e.record(func(now, wall time.Time) { e.fresh.RecordCall(now, wall, begun) })
+}
+
+func (e *evacuations) recordView(reader bool) {
+	e.record(func(now, wall time.Time) { e.fresh.RecordView(now, wall, reader) })
+}
+
+// record changes fresh by f and logs and counts the begin and the end of a pause.
+func (e *evacuations) record(f func(now, wall time.Time)) evacuation.Pause {
+	now := time.Now()
+	// Without its reading of the monotonic clock, which may stand still while the process is frozen.
+	wall := now.Round(0)
+	e.freshMu.Lock()
+	defer e.freshMu.Unlock()
+	f(now, wall)
+	pause, before := e.fresh.Check(now, wall), e.pause
+	if pause == before {
+		return pause
+	}
+	e.pause = pause
+	if pause == evacuation.PauseNone {
+		e.events.Emit(event.SendsResumed, "cause", before, "after_ms", now.Sub(e.pauseAt).Milliseconds())
+		return pause
+	}
+	e.pauseAt = now
+	e.scope.Tagged(map[string]string{"cause": string(pause)}).Counter("sends_paused").Inc(1)
+	e.events.Emit(event.SendsPaused, "cause", pause)
+	return pause
+}
+
 // expire ends the evacuations that the store has lost for long enough.
 func (e *evacuations) expire(now time.Time) {
 	e.update(func(_ time.Time, s *evacuation.Set) []evacuation.Change { return s.Expire(now) })
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -135,6 +135,7 @@
 	state.OnNews(f.exchange.SendSoon)
 	state.SetPlacementsKnown(f.placementsKnown)
 	state.SetLimitShare(f.exchange.LimitShare)
+	state.SetMaySend(f.tracker.evacuations.MaySend)
 	state.SetTrialTurn(f.exchange.RoutersBefore)
 	state.SetFleetStreams(f.exchange)
 	f.ready = newServer(f.readyRouter())
--- a/internal/front/observer.go
+++ b/internal/front/observer.go
@@ -25,8 +25,13 @@
 
 // Batch passes records to the tracker's goroutine.
 func (o *observer) Batch(batch feed.Batch) {
+	o.run(func() { o.apply(batch) })
+}
+
+// run runs a task on the tracker's goroutine.
+func (o *observer) run(task func()) {
 	select {
-	case o.tracker.tasks <- func() { o.apply(batch) }:
+	case o.tracker.tasks <- task:
 	case <-o.ctx.Done():
 	}
 }
@@ -57,7 +62,11 @@
 }
 
 // CallEnded records that the store has answered, which may make this router a reader for the others.
-func (o *observer) CallEnded(answered bool) {
+func (o *observer) CallEnded(begun time.Time, answered bool) {
+	if answered && o.topic == digest.TopicConfig {
+		// After the records of the call, which were passed to the same goroutine.
+		o.run(func() { o.tracker.evacuations.recordCall(begun) })
+	}
 	t := o.tracker
 	if t.progress.recordCallEnd(time.Now(), o.topic, answered) {
 		t.exchange.UpdateRole()
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -40,6 +40,8 @@
 	// are known.
 	Evacuations     []EvacuationStatus `json:"evacuations"`
 	EvacuationsAsOf string             `json:"evacuations_as_of"`
+	// SendsPaused is why the router sends no requests until it knows the evacuations again: frozen or isolated; absent otherwise.
+	SendsPaused evacuation.Pause `json:"sends_paused,omitempty"`
 	// QuarantinedParts are the parts of prompts that crash engines; requests with them are refused.
 	QuarantinedParts []string `json:"quarantined_parts"`
 	// QuarantinedRequests are the fingerprints of requests that crash servers and are refused.
@@ -74,6 +76,7 @@
 		Routers:      f.exchange.LivePeerCount(),
 		Running:      f.handler.Running(),
 		Pools:        f.state.Status(time.Now()),
+		SendsPaused:  f.tracker.evacuations.current(),
 	}
 	s.Evacuations, s.EvacuationsAsOf = f.tracker.evacuations.status(time.Now())
 	for _, e := range f.state.PartEntries() {
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -84,8 +84,10 @@
 	}
 }
 
-// ready reports whether the router accepts callers.
-func (t *tracker) ready() bool { return t.isReady.Load() && !t.stopping.Load() }
+// ready reports whether the router accepts callers. One that may have missed an evacuation does not, and reads the store at the full rate.
+func (t *tracker) ready() bool {
+	return t.isReady.Load() && !t.stopping.Load() && t.evacuations.MaySend()
+}
 
 // ServersKnown reports whether the list of servers has been read.
 func (t *tracker) ServersKnown() bool { return t.isReady.Load() }
@@ -137,6 +139,7 @@
 		case now := <-tick.C:
 			t.publishChanges(t.servers.Expire(now), true)
 			t.evacuations.expire(now)
+			t.evacuations.current()
 			t.releaseHeld()
 		case <-t.heldCheck():
 			t.releaseHeld()
--- a/internal/front/trackerrules_test.go
+++ b/internal/front/trackerrules_test.go
@@ -399,7 +399,7 @@
 	if tr.evacuated() != "a" || tr.version() != 2 {
 		t.Errorf("%q evacuated and version %d after a list, want a and 2", tr.evacuated(), tr.version())
 	}
-	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(10)})
+	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(10)}, false)
 	if tr.evacuated() != "" || !tr.state.KnowsServer("10.0.0.1:1") {
 		t.Error("the evacuation that another router knows as lifted stays")
 	}
@@ -413,7 +413,7 @@
 // Guards against a router that is ready before it knows which data centres are evacuated, or because it knows that.
 func TestRouterIsReadyWithEvacuations(t *testing.T) {
 	tr := newTrackerRouter(t)
-	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(4)})
+	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(4)}, false)
 	tr.list(at(2), "x:r")
 	if tr.ready() {
 		t.Error("ready without a configuration")
@@ -426,7 +426,7 @@
 	if tr.ready() {
 		t.Error("ready without the list of evacuations")
 	}
-	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(4)})
+	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(4)}, false)
 	tr.list(at(3), "x:r")
 	if !tr.ready() {
 		t.Error("not ready although another router has told the evacuations")
@@ -456,3 +456,55 @@
 		cancel()
 	})
 }
+
+// Guards against a router that was frozen and accepts callers before it knows which data centres are evacuated, and against
+// one that does not accept any afterwards.
+func TestFrozenRouterIsNotReady(t *testing.T) {
+	tr := newTrackerRouter(t)
+	tr.operators(true, at(3), "1")
+	tr.list(at(3), "x:r")
+	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(3)}, true)
+	if !tr.ready() {
+		t.Fatal("not ready")
+	}
+	past := time.Now().Add(-10 * time.Second)
+	tr.evacuations.fresh = evacuation.Freshness{}
+	tr.evacuations.fresh.Check(past, past.Round(0))
+	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(3)}, true)
+	if tr.ready() || tr.evacuations.MaySend() {
+		t.Error("ready after a freeze")
+	}
+	o := &observer{ctx: t.Context(), tracker: tr.tracker, topic: digest.TopicConfig}
+	ended := make(chan struct{})
+	call := func(topic int, begun time.Time) {
+		o.topic = topic
+		go func() { o.CallEnded(begun, true); ended <- struct{}{} }()
+		if topic == digest.TopicConfig {
+			(<-tr.tasks)()
+		}
+		<-ended
+	}
+	call(digest.TopicServers, time.Now())
+	call(digest.TopicConfig, past)
+	if tr.ready() {
+		t.Error("ready after a call that says nothing of evacuations")
+	}
+	call(digest.TopicConfig, time.Now())
+	if !tr.ready() {
+		t.Error("not ready after the operators' topic was read")
+	}
+	tr.evacuations.fresh = evacuation.Freshness{}
+	tr.evacuations.fresh.Check(past, past.Round(0))
+	if tr.ready() {
+		t.Error("ready after another freeze")
+	}
+	time.Sleep(400 * time.Millisecond)
+	if tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(3)}, true); !tr.ready() {
+		t.Error("not ready although a reader has told the evacuations")
+	}
+	for _, number := range []string{`"event":1303`, `"event":1304`} {
+		if !strings.Contains(tr.log.String(), number) {
+			t.Errorf("the log has no %s", number)
+		}
+	}
+}
