--- a/internal/cli/front_test.go
+++ b/internal/cli/front_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/forward"
 	"github.com/bluebellwell/bluebellwell/internal/front"
@@ -55,6 +56,8 @@
 		{Addr: "10.0.0.1:9464", Error: "router did not answer"},
 		{Addr: "10.0.0.2:9464", Status: &front.Status{
 			VM: "front-2", DataCentre: "hall-a", Ready: true, ConfigVersion: 7, StoreFailing: []string{"servers"}, Reader: true,
+			Evacuations: []front.EvacuationStatus{{DataCentre: "hall-b", AgeMs: 61000, Source: evacuation.SourceStore, Position: "4/17"}},
+			SendsPaused: evacuation.PauseIsolated,
 			Pools: []forward.PoolStatus{{Name: "p", InFlight: 9, Slots: 6, ExpectedMs: 120, RetriesLeft: 2,
 				Servers: []forward.ServerStatus{{ID: "i-1", Addr: "10.0.1.1:1", State: "ejected", Own: 2, Others: 7}}}},
 		}},
@@ -65,6 +68,7 @@
 	}
 	for _, want := range []string{
 		"router did not answer", "ready", "fails for servers, read for others",
+		"front-2 takes data centre hall-b for evacuated, for 1m1s, by the record 4/17 of the store, from store", "front-2 sends no requests: isolated",
 		"pool p as seen by front-2: 9 in flight on 6 slots, first byte expected in 120 ms, 2 retries left", "ejected",
 	} {
 		if !strings.Contains(out.String(), want) {
--- a/internal/cli/frontstatus.go
+++ b/internal/cli/frontstatus.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -60,6 +61,13 @@
 		if v.Status == nil {
 			continue
 		}
+		for _, e := range v.Status.Evacuations {
+			fmt.Fprintf(w, "%s takes data centre %s for evacuated, for %s, by the record %s of the store, from %s\n", v.Status.VM, e.DataCentre,
+				time.Duration(e.AgeMs)*time.Millisecond, e.Position, e.Source)
+		}
+		if v.Status.SendsPaused != "" {
+			fmt.Fprintf(w, "%s sends no requests: %s\n", v.Status.VM, v.Status.SendsPaused)
+		}
 		if parts := v.Status.QuarantinedParts; len(parts) > 0 {
 			fmt.Fprintf(w, "%s refuses requests with prompt parts that crash engines: %s\n", v.Status.VM, strings.Join(parts, ", "))
 		}
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -20,6 +20,8 @@
 	onReuse func(*connreuse.Change)
 	// dial opens connections.
 	dial dialFunc
+	// beforeRequest prevents requests by its error; nil means not.
+	beforeRequest func() error
 
 	// transportMu guards the transports. kept reuses connections; single opens one for each
 	// request, while the connections must not be reused. Each is made when it is needed.
@@ -110,6 +112,7 @@
 		NoConnReuse:         !reuse,
 		Dial:                c.dial,
 		OnUnasked:           c.recordUnasked,
+		BeforeRequest:       c.beforeRequest,
 	})
 	t.ReadBufferSize = connectionBuffer
 	t.WriteBufferSize = connectionBuffer
--- a/internal/forward/evacuated.go
+++ b/internal/forward/evacuated.go
@@ -52,6 +52,17 @@
 // errEvacuated is returned for a server whose data centre has been evacuated.
 var errEvacuated = errors.New("data centre of the server is evacuated")
 
+// unlessEvacuated returns a function whose error prevents that a request is written to a server that has been evacuated since it
+// was chosen. The process may have been frozen in between.
+func (p *pool) unlessEvacuated(addr string) func() error {
+	return func() error {
+		if p.evacuated(addr) {
+			return errEvacuated
+		}
+		return nil
+	}
+}
+
 // dialEvacuated is the error of a connection to such a server, which was not opened.
 func dialEvacuated(network string) error {
 	return &net.OpError{Op: "dial", Net: network, Err: errEvacuated}
--- a/internal/forward/evacuated_test.go
+++ b/internal/forward/evacuated_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -199,3 +200,21 @@
 		t.Errorf("status %d although the router knows the evacuations within half of the objective, want 200", got.status)
 	}
 }
+
+// Guards against a request that was given to a server before its data centre was evacuated and is written afterwards, because the
+// process stood still in between; and against a failure that counts against the server then.
+func TestEvacuationIsCheckedWhenARequestIsWritten(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 1, route: routing.Route{Kind: routing.Unsafe, MaxAttempts: 1}}, ok("done"))
+	b.inDataCentres("a")
+	b.state.SetDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		b.evacuate("a")
+		return conn, err
+	})
+	got := b.send(ask{body: "x"})
+	if got.status != http.StatusServiceUnavailable || len(b.got()) != 0 {
+		t.Errorf("status %d, %d requests at the server, want a rejection", got.status, len(b.got()))
+	}
+	b.expectLog(map[string]any{"outcome": OutcomeNotRun, "cause": CauseEvacuated, "last": "cancelled"})
+}
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -96,6 +96,8 @@
 	connections map[registry.Key]*connections
 	onReuse     reuseObserver
 	dial        dialFunc
+	// evacuated reports whether nothing may be sent to the server at an address.
+	evacuated func(addr string) bool
 	// indirect reports whether the server at an address is reached through another router.
 	indirect func(now time.Time, addr string) bool
 	versions versionChange
@@ -224,6 +226,7 @@
 		connections: make(map[registry.Key]*connections),
 		onReuse:     func(s *registry.Server, c *connreuse.Change) { st.onReuse(s, c) },
 		dial:        st.paths.dial,
+		evacuated:   st.evacuatedAddr,
 		indirect:    st.paths.indirect,
 	}
 }
@@ -349,7 +352,7 @@
 	defer p.mu.Unlock()
 	c := p.connections[server.Key()]
 	if c == nil {
-		c = &connections{onReuse: func(change *connreuse.Change) { p.onReuse(server, change) }, dial: p.dial}
+		c = &connections{onReuse: func(change *connreuse.Change) { p.onReuse(server, change) }, dial: p.dial, beforeRequest: p.unlessEvacuated(server.Addr)}
 		p.connections[server.Key()] = c
 	}
 	return c
--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -27,14 +27,17 @@
 	// onUnasked is called when bytes have arrived while no exchange was in progress; nil
 	// means not. It must not use the transport, whose locks may be held.
 	onUnasked func()
+	// beforeRequest is called before the first write of each exchange, which its error prevents; nil means not.
+	beforeRequest func() error
 
 	mu       sync.Mutex
 	sealed   bool
 	written  int64
 	received int64
 	// exchange is the latest exchange, and returned is set when Send has returned its
-	// answer. idle is set after its end until the next write.
+	// answer. idle is set after its end until the next write. begun is set until its first write.
 	exchange *Exchange
+	begun    bool
 	returned bool
 	idle     bool
 	// reading is set while a read waits. ended is set when the peer has ended the connection.
@@ -43,6 +46,16 @@
 }
 
 func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	begun := c.begun
+	c.begun = false
+	c.mu.Unlock()
+	if begun && c.beforeRequest != nil {
+		if err := c.beforeRequest(); err != nil {
+			c.seal()
+			return 0, err
+		}
+	}
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
@@ -130,7 +143,7 @@
 func (c *conn) begin(x *Exchange) (written, received int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange, c.returned = x, false
+	c.exchange, c.returned, c.begun = x, false, true
 	return c.written, c.received
 }
 
@@ -163,6 +176,12 @@
 	return c.written, c.received
 }
 
+func (c *conn) seal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+}
+
 // sealUnwritten seals the connection if nothing was written since base, and
 // reports whether it did.
 func (c *conn) sealUnwritten(base int64) bool {
@@ -203,6 +222,9 @@
 	// nil means not. It is called on any goroutine and must not use the transport. A call of
 	// CloseIdleConnections may report a connection whose exchange ended that moment.
 	OnUnasked func()
+	// BeforeRequest is called when the first byte of a request is about to be written. Its error is that of the request, which
+	// is not sent; nil means not. It is called on any goroutine and must not use the transport.
+	BeforeRequest func() error
 }
 
 // NewTransport returns a transport for use with Send. It uses no proxy.
@@ -217,7 +239,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c, onUnasked: o.OnUnasked}, nil
+			return &conn{Conn: c, onUnasked: o.OnUnasked, beforeRequest: o.BeforeRequest}, nil
 		},
 		DisableKeepAlives:      o.NoConnReuse,
 		DisableCompression:     true,
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -155,10 +155,12 @@
 	configs  []logged[configConfirmed]
 	entries  []logged[entryConfirmed]
 	eras     []logged[storeRestored]
-	machines []logged[routerChanged]
-	faults   []span
-	stopped  logged[callersStopped]
-	end      time.Duration
+	// evacuations are the records of evacuated data centres and of the ends of evacuations.
+	evacuations []logged[evacuationConfirmed]
+	machines    []logged[routerChanged]
+	faults      []span
+	stopped     logged[callersStopped]
+	end         time.Duration
 }
 
 func newHistory(records []record) *history {
@@ -201,6 +203,8 @@
 		h.configs = append(h.configs, logged[configConfirmed]{r.At, line, e})
 	case entryConfirmed:
 		h.entries = append(h.entries, logged[entryConfirmed]{r.At, line, e})
+	case evacuationConfirmed:
+		h.evacuations = append(h.evacuations, logged[evacuationConfirmed]{r.At, line, e})
 	case storeRestored:
 		h.eras = append(h.eras, logged[storeRestored]{r.At, line, e})
 	case routerChanged:
--- a/internal/soak/judgeanswers_test.go
+++ b/internal/soak/judgeanswers_test.go
@@ -32,6 +32,7 @@
 	{"regress", checkRegress},
 	{"later routes", checkLaterRoutes},
 	{"leaving servers", checkDrain},
+	{"evacuated data centres", checkEvacuated},
 	{"servers that say they leave", eachRequest(checkSaidLeaving)},
 	{"servers that want no requests", eachRequest(checkUnwanted)},
 	{"failures", eachRequest(checkFailure)},
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -233,9 +233,16 @@
 		Server string     `json:"server"`
 		Pool   string     `json:"pool"`
 		State  entryState `json:"state"`
+		// DataCentre is that of the server.
+		DataCentre string `json:"data_centre,omitempty"`
 		// Start tells incarnations apart.
 		Start int64 `json:"start,omitempty"`
 	}
+	// evacuationConfirmed: the store has taken that a data centre is evacuated, or that it no longer is.
+	evacuationConfirmed struct {
+		DataCentre string `json:"data_centre"`
+		Evacuated  bool   `json:"evacuated"`
+	}
 	// storeRestored: the store has come back from an older copy.
 	storeRestored struct {
 		Era int64 `json:"era"`
@@ -316,6 +323,7 @@
 	"attempt cancelled":       reflect.TypeFor[attemptCancelled](),
 	"configuration confirmed": reflect.TypeFor[configConfirmed](),
 	"entry confirmed":         reflect.TypeFor[entryConfirmed](),
+	"evacuation confirmed":    reflect.TypeFor[evacuationConfirmed](),
 	"store restored":          reflect.TypeFor[storeRestored](),
 	"router changed":          reflect.TypeFor[routerChanged](),
 	"fault started":           reflect.TypeFor[faultStarted](),
