--- a/internal/evacuation/freshness.go
+++ b/internal/evacuation/freshness.go
@@ -1,14 +1,21 @@
 package evacuation
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
-	// gapLimit is the time in which a router must run at least once. One that was frozen for longer may have missed an
-	// evacuation for longer than the time in which it has to take effect, 5 s: it learns of one within 1.5 s usually.
-	gapLimit = 2 * time.Second
-	// silenceLimit is how long a router that has heard others relies on what it knows without hearing anybody, neither the store nor
-	// a router.
-	silenceLimit = 3500 * time.Millisecond
+	// defaultBound is the time in which an evacuation has to take effect where the settings name none.
+	defaultBound = 5 * time.Second
+	// gapShare is the share of the bound in which a router must run at least once. One that was frozen for longer may have missed an
+	// evacuation for longer than the bound: it learns of one within 1.5 s usually, and within 2.5 s when readers are lost.
+	gapShare = 0.4
+	minGap   = time.Second
+	// silenceShare is the share of the bound for which a router that has heard others relies on what it knows without hearing
+	// anybody, neither the store nor a router.
+	silenceShare = 0.7
+	minSilence   = 2500 * time.Millisecond
 	// drainTime is how long the datagrams that have arrived while a router was frozen may take to be read. They are as old as the
 	// freeze.
 	drainTime = 300 * time.Millisecond
@@ -35,6 +42,8 @@
 // Each call has the time by the monotonic clock, which may stand still while the process is frozen, and by the wall clock, which may be
 // set; a gap by either counts. Any call shows that the process runs.
 type Freshness struct {
+	// bound is the time in which an evacuation has to take effect; 0 for defaultBound.
+	bound            time.Duration
 	ranAt, ranAtWall time.Time
 	// heardAt is when the store or another router was heard last, and heardOthers is set once a router was.
 	heardAt     time.Time
@@ -43,9 +52,18 @@
 	pausedAt    time.Time
 }
 
+// SetBound sets the time in which an evacuation has to take effect; 0 means the usual one.
+func (f *Freshness) SetBound(d time.Duration) { f.bound = d }
+
+// limit returns a share of the bound.
+func (f *Freshness) limit(share float64, least time.Duration) time.Duration {
+	return max(time.Duration(share*float64(cmp.Or(f.bound, defaultBound))), least)
+}
+
 // Check returns why the router must not send requests now. Call it several times a second, and before each request.
 func (f *Freshness) Check(now, wall time.Time) Pause {
-	frozen := !f.ranAt.IsZero() && (now.Sub(f.ranAt) > gapLimit || wall.Sub(f.ranAtWall) > gapLimit)
+	gap := f.limit(gapShare, minGap)
+	frozen := !f.ranAt.IsZero() && (now.Sub(f.ranAt) > gap || wall.Sub(f.ranAtWall) > gap)
 	if f.heardAt.IsZero() {
 		f.heardAt = now
 	}
@@ -55,7 +73,7 @@
 	case f.pause == PauseFrozen && !f.heardOthers && now.Sub(f.pausedAt) >= readersTime:
 		// A router without others has nobody to ask while the store is down.
 		f.resume(now)
-	case f.pause == PauseNone && f.heardOthers && now.Sub(f.heardAt) > silenceLimit:
+	case f.pause == PauseNone && f.heardOthers && now.Sub(f.heardAt) > f.limit(silenceShare, minSilence):
 		f.pause, f.pausedAt = PauseIsolated, now
 	}
 	f.ranAt, f.ranAtWall = now, wall
--- a/internal/evacuation/freshness_test.go
+++ b/internal/evacuation/freshness_test.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+// gap and silence are the limits with the usual bound.
+const (
+	gap     = 2 * time.Second
+	silence = 3500 * time.Millisecond
+)
+
 // clock is the time of a router by both clocks, which also keeps it running.
 type clock struct {
 	now, wall time.Time
@@ -99,11 +105,11 @@
 		c.f.RecordCall(c.now, c.wall, c.now.Add(-time.Second))
 		c.expect(t, "hears the store", PauseNone)
 	}
-	c.run(silenceLimit + 200*time.Millisecond)
+	c.run(silence + 200*time.Millisecond)
 	c.expect(t, "hears nobody", PauseIsolated)
 	c.view(true)
 	c.expect(t, "hears a reader", PauseNone)
-	c.run(silenceLimit + 200*time.Millisecond)
+	c.run(silence + 200*time.Millisecond)
 	c.expect(t, "hears nobody again", PauseIsolated)
 	c.f.RecordCall(c.now, c.wall, c.now.Add(-time.Minute))
 	c.expect(t, "an answer to a call from before", PauseIsolated)
@@ -117,8 +123,31 @@
 	c := newClock()
 	c.view(true)
 	for range 20 {
-		c.now, c.wall = c.now.Add(gapLimit-1), c.wall.Add(gapLimit-1)
+		c.now, c.wall = c.now.Add(gap-1), c.wall.Add(gap-1)
 		c.view(true)
 		c.expect(t, "after a late tick", PauseNone)
 	}
 }
+
+// Guards against limits that do not follow the fleet's bound, or follow it below what a router needs to hear another one.
+func TestLimitsFollowTheBound(t *testing.T) {
+	for bound, want := range map[time.Duration]time.Duration{0: silence, 5 * time.Second: silence, 10 * time.Second: 7 * time.Second, time.Second: minSilence} {
+		c := newClock()
+		c.f.SetBound(bound)
+		c.view(true)
+		c.run(want)
+		c.expect(t, "within the limit", PauseNone)
+		c.run(200 * time.Millisecond)
+		c.expect(t, "beyond the limit", PauseIsolated)
+	}
+	c := newClock()
+	c.f.SetBound(10 * time.Second)
+	c.view(true)
+	c.wall = c.wall.Add(4 * time.Second)
+	c.expect(t, "a gap within the limit", PauseNone)
+	c.f.SetBound(time.Second)
+	c.wall = c.wall.Add(minGap)
+	c.expect(t, "the least gap", PauseNone)
+	c.wall = c.wall.Add(minGap + 1)
+	c.expect(t, "more than the least gap", PauseFrozen)
+}
--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -158,8 +158,19 @@
 	return e.set.Known()
 }
 
-// view returns what other routers are told.
+// setBound sets the time in which an evacuation has to take effect.
+func (e *evacuations) setBound(d time.Duration) {
+	e.freshMu.Lock()
+	defer e.freshMu.Unlock()
+	e.fresh.SetBound(d)
+}
+
+// view returns what other routers are told. A router that may have missed an evacuation tells nothing: another one that was frozen
+// with it would rely on that.
 func (e *evacuations) view(now time.Time) evacuation.View {
+	if !e.MaySend() {
+		return evacuation.View{}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.set.View(now)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -121,6 +121,7 @@
 	}
 	f.tracker = newTracker(p, state, f.edge, events, metrics.Scope())
 	f.tracker.firstStart = s.FirstStart
+	f.tracker.evacuations.setBound(s.Bounds.Evacuate)
 	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), s.FirstStart, &digestState{State: state, tracker: f.tracker, progress: &f.tracker.progress}, events)
 	if err != nil {
 		return nil, errors.Join(err, f.edge.Close(), metrics.Close())
@@ -195,6 +196,7 @@
 // sizes take effect only at the next start.
 func (f *Front) Apply(s *settings.Front) {
 	f.bounds.Store(&s.Bounds)
+	f.tracker.evacuations.setBound(s.Bounds.Evacuate)
 	l := forwardLimits(s)
 	f.state.SetBounds(l.Balance, l.Retry)
 }
--- a/internal/front/trackerrules_test.go
+++ b/internal/front/trackerrules_test.go
@@ -474,6 +474,9 @@
 	if tr.ready() || tr.evacuations.MaySend() {
 		t.Error("ready after a freeze")
 	}
+	if view := tr.evacuations.view(time.Now()); view.Known {
+		t.Error("tells others what it may have missed changes of")
+	}
 	o := &observer{ctx: t.Context(), tracker: tr.tracker, topic: digest.TopicConfig}
 	ended := make(chan struct{})
 	call := func(topic int, begun time.Time) {
@@ -493,6 +496,9 @@
 	if !tr.ready() {
 		t.Error("not ready after the operators' topic was read")
 	}
+	if view := tr.evacuations.view(time.Now()); !view.Known {
+		t.Error("tells others nothing")
+	}
 	tr.evacuations.fresh = evacuation.Freshness{}
 	tr.evacuations.fresh.Check(past, past.Round(0))
 	if tr.ready() {
