--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -23,6 +23,8 @@
 	onReuse func(*connreuse.Change)
 	// dial opens connections.
 	dial serverDialFunc
+	// beforeRequest prevents requests by its error; nil means not.
+	beforeRequest func() error
 
 	// transportMu guards the transports, which are kept by the regions to which requests must keep. So a connection
 	// through a router in another region carries no request that must not pass there.
@@ -135,7 +137,8 @@
 		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			return c.dial(ctx, network, addr, regions...)
 		},
-		OnUnasked: c.recordUnasked,
+		OnUnasked:     c.recordUnasked,
+		BeforeRequest: c.beforeRequest,
 	})
 	t.ReadBufferSize = connectionBuffer
 	t.WriteBufferSize = connectionBuffer
--- a/internal/forward/evacuated_test.go
+++ b/internal/forward/evacuated_test.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -187,3 +189,48 @@
 		t.Errorf("status %d after %d requests at the server, want a refusal of a router that is not its sender", got.status, len(b.got()))
 	}
 }
+
+// Guards against requests, connections for other routers and questions of a router that may have missed an evacuation, and
+// against a caller that waits long for it.
+func TestRouterThatMayHaveMissedAnEvacuationSendsNothing(t *testing.T) {
+	t.Parallel()
+	var known atomic.Bool
+	b := newBed(t, bedOptions{route: routing.Route{Objective: time.Second}}, ok("done"))
+	b.inDataCentres("a")
+	b.state.SetMaySend(known.Load)
+	begun := time.Now()
+	got := b.send(ask{})
+	if took := time.Since(begun); got.status != http.StatusServiceUnavailable || len(b.got()) != 0 || took > 2*time.Second {
+		t.Errorf("status %d after %v, %d requests, want a rejection within half of the objective", got.status, took, len(b.got()))
+	}
+	b.expectLog(map[string]any{"outcome": OutcomeNotRun, "cause": CauseEvacuationsUnknown})
+	if wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); err != nil || wait > 0.15 {
+		t.Errorf("Retry-After %q, want at most 0.15 s: another router may send the request", got.header.Get("Retry-After"))
+	}
+	addr := b.servers[0].Addr
+	if b.state.KnowsServer(addr) || !b.state.paths.evacuated(addr) {
+		t.Error("connections are opened")
+	}
+	time.AfterFunc(30*time.Millisecond, func() { known.Store(true) })
+	if got := b.send(ask{}); got.status != http.StatusOK {
+		t.Errorf("status %d although the router knows the evacuations within half of the objective, want 200", got.status)
+	}
+}
+
+// Guards against a request that was given to a server before its data centre was evacuated and is written afterwards, because the
+// process stood still in between; and against a failure that counts against the server then.
+func TestEvacuationIsCheckedWhenARequestIsWritten(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 1, route: routing.Route{Kind: routing.Unsafe, MaxAttempts: 1}}, ok("done"))
+	b.inDataCentres("a")
+	b.state.SetDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		b.evacuate("a")
+		return conn, err
+	})
+	got := b.send(ask{body: "x"})
+	if got.status != http.StatusServiceUnavailable || len(b.got()) != 0 {
+		t.Errorf("status %d, %d requests at the server, want a rejection", got.status, len(b.got()))
+	}
+	b.expectLog(map[string]any{"outcome": OutcomeNotRun, "cause": CauseEvacuated, "last": "cancelled"})
+}
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -91,6 +91,8 @@
 	addrs     map[string][]string
 	evacuated map[string]bool
 	cold      coldKnowledge
+	// maySend reports whether this router knows which data centres are evacuated.
+	maySend func() bool
 }
 
 // pool balances the load over the servers of one pool and holds the connections
@@ -108,6 +110,8 @@
 	connections map[registry.Key]*connections
 	onReuse     reuseObserver
 	dial        serverDialFunc
+	// evacuated reports whether nothing may be sent to the server at an address.
+	evacuated func(addr string) bool
 	// indirect reports whether the server at an address is reached through another router.
 	indirect func(now time.Time, addr string) bool
 	versions versionChange
@@ -118,6 +122,7 @@
 func NewState(limits Limits) *State {
 	st := &State{
 		limits: limits, pools: make(map[string]*pool), onNews: func() {}, placementsKnown: func() bool { return true },
+		maySend:    func() bool { return true },
 		onReuse:    func(*registry.Server, *connreuse.Change) {},
 		limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Sole: true, Routers: 1} },
 		onLimit:    func(*registry.Server, namedlimit.Statement, bool) {},
@@ -152,6 +157,9 @@
 
 // KnowsServer reports whether a server has an address and is in service.
 func (st *State) KnowsServer(addr string) bool {
+	if !st.maySend() {
+		return false
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	return len(st.addrs[addr]) > 0 && !st.isEvacuated(addr)
@@ -257,6 +265,7 @@
 		connections: make(map[registry.Key]*connections),
 		onReuse:     func(s *registry.Server, c *connreuse.Change) { st.onReuse(s, c) },
 		dial:        st.paths.dial,
+		evacuated:   st.evacuatedAddr,
 		indirect:    st.paths.indirect,
 	}
 	p.grants = newGrantPool(p, st.grantsShared)
@@ -389,7 +398,7 @@
 	defer p.mu.Unlock()
 	c := p.connections[server.Key()]
 	if c == nil {
-		c = &connections{onReuse: func(change *connreuse.Change) { p.onReuse(server, change) }, dial: p.dial}
+		c = &connections{onReuse: func(change *connreuse.Change) { p.onReuse(server, change) }, dial: p.dial, beforeRequest: p.unlessEvacuated(server.Addr)}
 		p.connections[server.Key()] = c
 	}
 	return c
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -127,6 +127,7 @@
 	if !s.FirstStart {
 		f.tracker.servers.SetRestarted()
 	}
+	f.tracker.evacuations.setBound(s.Bounds.Evacuate)
 	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), s.FirstStart, &digestState{State: state, tracker: f.tracker, progress: &f.tracker.progress}, events)
 	if err != nil {
 		return nil, errors.Join(err, f.edge.Close(), metrics.Close())
@@ -146,6 +147,7 @@
 	state.SetGrantLink(f.exchange)
 	f.exchange.SetProcessor(int64(thousandths * s.CPUShare * float64(s.Cores)))
 	f.exchange.OnGrants(state.ReceiveGrants)
+	state.SetMaySend(f.tracker.evacuations.MaySend)
 	state.SetTrialTurn(f.exchange.RoutersBefore)
 	state.SetFleetStreams(f.exchange)
 	f.ready = newServer(f.readyRouter())
@@ -226,6 +228,7 @@
 // sizes take effect only at the next start.
 func (f *Front) Apply(s *settings.Front) {
 	f.bounds.Store(&s.Bounds)
+	f.tracker.evacuations.setBound(s.Bounds.Evacuate)
 	l := forwardLimits(s)
 	f.state.SetBounds(l.Balance, l.Retry)
 	f.state.SetColdBounds(l.ColdOverage, l.ColdExtra)
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -49,8 +49,8 @@
 	*platformtest.Engine
 	proxy *proxy
 	pool  string
-	// region is that of its data centre.
-	region string
+	// dataCentre is the one of the server, and region that of the data centre.
+	dataCentre, region string
 	// state is what the server's entry says, empty without one, and returned is set once it
 	// has been without one or has left; guarded by the fleet's mutex.
 	state    string
@@ -82,6 +82,8 @@
 	version int
 	config  platformtest.Config
 	era     int64
+	// evacuations counts the evacuations of each data centre; 0 for one that was lifted.
+	evacuations map[string]int
 	// copies are the newest copies of the store, the oldest first.
 	copies []platformtest.Copy
 
@@ -108,7 +110,7 @@
 // test removes if none is given.
 func startFleet(t *testing.T, routers int, recordsDir string) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), store: platformtest.NewStore(), era: 1, recordsDir: recordsDir}
+	f := &fleet{t: t, dir: t.TempDir(), store: platformtest.NewStore(), era: 1, recordsDir: recordsDir, evacuations: make(map[string]int)}
 	f.openRecords()
 	f.store.SetEra("1")
 	t.Cleanup(f.store.Close)
@@ -158,14 +160,24 @@
 	longDelay   = 280 * time.Millisecond
 )
 
-// Every northernServers-th server of a pool is in otherRegion, the others and the routers are in ownRegion, to which
-// the workspace w2 keeps.
+// The last data centre is in otherRegion, the others and the routers are in ownRegion, to which the workspace w2 keeps.
 const (
-	northernServers = 3
-	ownRegion       = "south"
-	otherRegion     = "north"
+	ownRegion   = "south"
+	otherRegion = "north"
 )
 
+// regions returns the region of each data centre.
+func regions() map[string]string {
+	list := make(map[string]string, dataCentres)
+	for i := range dataCentres {
+		list[dataCentreOf(i)] = ownRegion
+	}
+	list[dataCentreOf(dataCentres-1)] = otherRegion
+	return list
+}
+
+func regionOf(dataCentre string) string { return regions()[dataCentre] }
+
 // A server is cold for coldStart after each of its starts. It then tolerates coldRate requests a second, of which coldOverage
 // times as many and coldSlack more may arrive in a second.
 const (
@@ -180,22 +192,18 @@
 	if i < plainServers {
 		pool = "plain"
 	}
-	dataCentre, region := "hall-a", ownRegion
-	if i%northernServers == northernServers-1 {
-		dataCentre, region = "hall-b", otherRegion
-	}
 	observer := &serverObserver{records: f.records, server: fmt.Sprintf("i-%d", i), pool: pool}
 	e := platformtest.NewObservedEngine(observer.server, observer.wrap)
 	e.SetDelay(answerDelay)
 	if i < plainServers {
 		e.SetPlain(*plainFlag)
 	}
-	e.SetDataCentre(dataCentre)
+	e.SetDataCentre(dataCentreOf(i))
 	p, err := newProxy(e.Addr())
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	s := &server{Engine: e, proxy: p, pool: pool, region: region}
+	s := &server{Engine: e, proxy: p, pool: pool, dataCentre: dataCentreOf(i), region: regionOf(dataCentreOf(i))}
 	f.servers = append(f.servers, s)
 	f.t.Cleanup(e.Close)
 	f.t.Cleanup(p.close)
@@ -245,7 +253,9 @@
 		entry, s.returned = nil, true
 	}
 	f.store.Put(platform.TopicServers, s.ID, entry)
-	f.records.add(entryConfirmed{Server: s.ID, Pool: s.pool, State: entryStates[s.state], Start: s.starts.Load(), Region: s.region})
+	f.records.add(entryConfirmed{
+		Server: s.ID, Pool: s.pool, State: entryStates[s.state], Start: s.starts.Load(), Region: s.region, DataCentre: s.dataCentre,
+	})
 }
 
 const (
@@ -295,6 +305,7 @@
 		f.writeEntry(s)
 	}
 	f.writeConfig()
+	f.writeEvacuations()
 }
 
 // writeConfig writes the configuration. The caller holds f.mu.
@@ -329,7 +340,7 @@
 	maps.Copy(bounds, overrides)
 	at := func(i int) string { return fmt.Sprintf("%s:%d", r.host, r.ports[i]) }
 	data, err := json.Marshal(map[string]any{
-		"vm": r.name, "data_centre": "hall-a", "region": ownRegion, "regions": map[string]string{"hall-a": ownRegion, "hall-b": otherRegion},
+		"vm": r.name, "data_centre": dataCentreOf(0), "region": ownRegion, "regions": regions(),
 		"listen": map[string]string{"callers": at(0), "readiness": at(1), "metrics": at(2), "peers": at(3)},
 		"seeds":  []string{hostBase + "1:1", hostBase + "2:1"},
 		"store":  map[string]string{"address": r.store.addr()},
@@ -482,7 +493,7 @@
 	usable := 0
 	for _, p := range status.Pools {
 		for _, s := range p.Servers {
-			if s.State != "leaving" {
+			if s.State != "leaving" && s.State != "evacuated" {
 				usable++
 			}
 		}
--- a/internal/soak/judgeanswers_test.go
+++ b/internal/soak/judgeanswers_test.go
@@ -34,6 +34,7 @@
 	{"leaving servers", checkDrain},
 	{"regions", eachAttempt(checkRegions)},
 	{"cold servers", checkCold},
+	{"evacuated data centres", checkEvacuated},
 	{"servers that say they leave", eachRequest(checkSaidLeaving)},
 	{"servers that want no requests", eachRequest(checkUnwanted)},
 	{"failures", eachRequest(checkFailure)},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,7 +59,7 @@
 	callers.Wait()
 	f.records.add(callersStopped{})
 	f.checkGrants()
-	problems := slices.Concat(f.problems, f.findDisagreements(), f.findLateRouters())
+	problems := slices.Concat(f.problems, f.findDisagreements(), f.evacuatedStill(), f.findLateRouters())
 	records, violations := f.judge()
 	problems = f.countingProblems(problems, records, violations)
 	for _, p := range problems {
