overload: admit by what is left of the objective, by route, and leave room for requests that accept less

The time to the first byte is learned by route.

TestBoundDependsOnWhoAsks asked for the factor; it now asks for the bounds by the time that was spent.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -303,7 +303,7 @@
 	for c.tryServer(ctx) {
 	}
 	if c.outcome == OutcomeServed && c.attempts.sent == 1 {
-		c.pool.recordAnswerTimes(c.firstByte, time.Since(c.arrivedAt))
+		c.pool.recordAnswerTimes(c.route.Name, c.firstByte, time.Since(c.arrivedAt))
 	}
 	c.observeCost()
 }
@@ -318,6 +318,7 @@
 		Objective:     c.route.Objective,
 		CallerTimeout: c.headers.Deadline,
 		Remaining:     c.deadline.Sub(now),
+		Spent:         now.Sub(c.arrivedAt),
 	})
 	if !c.admission.Admitted {
 		c.refuseWithWait(CausePoolFull, c.admission.RetryAfter)
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -244,7 +244,7 @@
 	now := time.Now()
 	for range 64 {
 		p.controller.Decide(now, overload.Load{Own: 1, Slots: 1}, overload.Request{Route: "r", Objective: time.Minute})
-		p.recordAnswerTimes(time.Second, time.Second)
+		p.recordAnswerTimes("r", time.Second, time.Second)
 	}
 	for range 10 {
 		c, _, _ := p.pick(now, balance.Job{}, false)
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -297,10 +297,10 @@
 
 // recordAnswerTimes records the times to the first byte and to the end of a
 // request that was served at the first attempt.
-func (p *pool) recordAnswerTimes(firstByte, total time.Duration) {
+func (p *pool) recordAnswerTimes(route string, firstByte, total time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.controller.RecordAnswer(firstByte, total)
+	p.controller.RecordRouteAnswer(route, firstByte, total)
 }
 
 // pick chooses a server and counts the request there, unless the request may be held
--- a/internal/forward/state_test.go
+++ b/internal/forward/state_test.go
@@ -137,7 +137,7 @@
 		return c.admission
 	}
 	for range 200 {
-		p.recordAnswerTimes(10*time.Millisecond, time.Second)
+		p.recordAnswerTimes("r", 10*time.Millisecond, time.Second)
 		if d := decide("w", 0, time.Hour); !d.Admitted {
 			t.Fatalf("%+v of an idle pool", d)
 		}
--- a/internal/overload/decide_test.go
+++ b/internal/overload/decide_test.go
@@ -130,10 +130,20 @@
 			t.Errorf("%+v for the priority %d", d, priority)
 		}
 	}
-	retry := request()
-	retry.CallerTimeout = 9 * time.Second
-	if d := measured().Decide(now, fullPool, retry); !d.Retrying || d.Bound != 600*time.Millisecond {
-		t.Errorf("%+v for a caller that retries, want 600 ms", d)
+	for _, spent := range []struct{ callers, own, want time.Duration }{
+		{0, 150 * time.Millisecond, 650 * time.Millisecond},
+		{200 * time.Millisecond, 0, 600 * time.Millisecond},
+		{200 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond},
+		// The objective is over: only a short wait of a fifth of it is accepted.
+		{time.Second, 0, 210 * time.Millisecond},
+	} {
+		retry := request()
+		retry.CallerTimeout -= spent.callers
+		retry.Spent = spent.own
+		d := measured().Decide(now, fullPool, retry)
+		if d.Retrying != (spent.callers > 0) || d.Bound < spent.want-4*time.Millisecond || d.Bound > spent.want+4*time.Millisecond {
+			t.Errorf("%+v for a caller that has spent %+v, want a bound of %v", d, spent, spent.want)
+		}
 	}
 	c = measured()
 	var d Decision
@@ -221,9 +231,62 @@
 	}
 	timeouts := callerTimeouts{}
 	for i := range 3 * maxRoutes {
-		timeouts.retrying(fmt.Sprint(i), time.Second)
+		timeouts.spent(fmt.Sprint(i), time.Second)
 	}
 	if len(timeouts) > maxRoutes {
 		t.Errorf("%d routes, want %d at most", len(timeouts), maxRoutes)
 	}
 }
+
+// Guards against counts of admitted requests and times that grow with each route that callers name.
+func TestTimesOfRoutesAreBounded(t *testing.T) {
+	c := New()
+	for i := range 3 * maxRoutes {
+		req := request()
+		req.Route = fmt.Sprint(i)
+		c.Decide(now, Load{Own: 1, Slots: 10}, req)
+		c.RecordRouteAnswer(req.Route, time.Second, time.Second)
+	}
+	if a, b := len(c.waitingClasses.routes), len(c.routeTimes); a > maxRoutes || b > maxRoutes {
+		t.Errorf("counts of %d routes and times of %d, want %d at most", a, b, maxRoutes)
+	}
+}
+
+// Guards against a route whose requests take far longer than those of another one and make these seem late.
+func TestTimeToTheFirstByteIsThatOfTheRoute(t *testing.T) {
+	c := New()
+	for range 100 {
+		c.Decide(now, Load{Slots: 10}, request())
+		c.RecordRouteAnswer("short", 20*time.Millisecond, 20*time.Millisecond)
+		c.RecordRouteAnswer("long", 2*time.Second, 2*time.Second)
+	}
+	req := request()
+	req.Route = "short"
+	if got := c.Decide(now, Load{Slots: 10}, req).Expected; got > 40*time.Millisecond {
+		t.Errorf("%v expected on a route that takes 20 ms", got)
+	}
+	req.Route = "new"
+	if got := c.Decide(now, Load{Slots: 10}, req).Expected; got < 500*time.Millisecond {
+		t.Errorf("%v expected on a new route, want the mean of the pool", got)
+	}
+}
+
+// Guards against a wait that is shortened by a priority that is no longer in use, and against less urgent requests that take all
+// of the wait which more urgent ones accept.
+func TestWaitIsShortenedByPrioritiesInUse(t *testing.T) {
+	c := measured()
+	urgent, patient := request(), request()
+	urgent.Objective, patient.Objective, patient.Priority, patient.Route = 500*time.Millisecond, 10*time.Second, 1, "patient"
+	for range 1000 {
+		c.waitingClasses.admit(now, "patient")
+	}
+	c.Decide(now, fullPool, urgent)
+	// Three quarters of 0.4 s, less and plus 10 ms for the first byte.
+	if got := c.Decide(now, fullPool, patient).Bound; got < 290*time.Millisecond || got > 310*time.Millisecond {
+		t.Errorf("bound %v beside urgent requests that accept 0.4 s, want 0.3 s", got)
+	}
+	later := now.Add(2 * priorityWindow)
+	if got := c.Decide(later, fullPool, patient).Bound; got < 7*time.Second {
+		t.Errorf("bound %v when there are no urgent requests, want 8 s", got)
+	}
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -9,7 +9,8 @@
 // late, and then refuse the latest requests, whoever sent them. A Controller
 // keeps the queue short enough for admitted requests to meet their latency
 // objective and refuses at once those that would miss it. Less urgent requests,
-// workspaces above their usual share and retrying callers are refused first.
+// workspaces above their usual share and callers with little of their objective left
+// are refused first.
 package overload
 
 import (
@@ -25,10 +26,6 @@
 	priorityFactor = 0.75
 	// surgingFactor shortens the accepted wait of a workspace that is surging.
 	surgingFactor = 0.6
-	// retryingFactor shortens the accepted wait of a caller that retries after a
-	// refusal: it is unlikely to meet its objective, and would delay callers that
-	// still can.
-	retryingFactor = 0.75
 	// minWaitShare is the share of its objective that any request may wait for a
 	// slot, however long its first byte takes after that. No kind of request and
 	// no workspace is therefore refused permanently.
@@ -99,6 +96,8 @@
 	CallerTimeout time.Duration
 	// Remaining is the time until the request's deadline.
 	Remaining time.Duration
+	// Spent is the time since the request arrived.
+	Spent time.Duration
 }
 
 // Decision states whether a request is admitted and why.
@@ -124,45 +123,50 @@
 	shares           shares
 	recentPriorities recentPriorities
 	callerTimeouts   callerTimeouts
+	waitingClasses   waitingClasses
+	routeTimes       routeTimes
 }
 
 // New returns a controller without any measurements.
-func New() *Controller { return &Controller{shares: newShares(), callerTimeouts: make(callerTimeouts)} }
+func New() *Controller {
+	return &Controller{shares: newShares(), callerTimeouts: make(callerTimeouts), routeTimes: make(routeTimes), waitingClasses: newWaitingClasses()}
+}
 
 // Decide admits or refuses a request at the estimated load.
 func (c *Controller) Decide(now time.Time, load Load, req Request) Decision {
 	surging := c.shares.recordRequest(now, req.Workspace, load.full())
 	moreUrgent := c.recentPriorities.moreUrgent(now, req.Priority)
 	c.responseTimes.recordLoad(load)
-	d := Decision{Expected: c.responseTimes.expected(load), Surging: surging, Retrying: c.callerTimeouts.retrying(req.Route, req.CallerTimeout)}
-	if !load.full() || load.Own < minOwnRequests || req.Objective <= 0 || !c.responseTimes.hasSamples() {
-		d.Admitted = true
-		return d
+	spent := c.callerTimeouts.spent(req.Route, req.CallerTimeout)
+	own := c.routeTimes.firstByte(req.Route, c.responseTimes.firstByteWithoutWait())
+	d := Decision{Expected: c.responseTimes.wait(load) + own, Surging: surging, Retrying: spent > 0, Admitted: true}
+	if load.full() && load.Own >= minOwnRequests && req.Objective > 0 && c.responseTimes.hasSamples() {
+		req.Spent += spent
+		d.Bound = own + c.allowedWait(now, &req, own, moreUrgent, surging)
+		d.Admitted = d.Expected <= d.Bound
 	}
-	d.Bound = c.bound(req.Objective, moreUrgent, d)
-	d.Admitted = d.Expected <= d.Bound
-	if !d.Admitted {
-		d.RetryAfter = retryAfter(d, req.Remaining)
+	if d.Admitted {
+		c.waitingClasses.admit(now, req.Route)
+		return d
 	}
+	d.RetryAfter = retryAfter(d, req.Remaining)
 	return d
 }
 
-// bound returns the longest expected time at which a request is admitted: a
-// share of its objective that depends on its priority, workspace and caller, but
-// at least the time to the first byte without queueing plus a short wait.
-func (c *Controller) bound(objective time.Duration, moreUrgent int, d Decision) time.Duration {
+// allowedWait returns the longest wait for a slot that a request accepts: what its first byte and the time that it has
+// spent leave of a share of the objective, which depends on its priority and workspace, but at least a short wait.
+func (c *Controller) allowedWait(now time.Time, req *Request, own time.Duration, moreUrgent int, surging bool) time.Duration {
 	share := admitShare
 	for range moreUrgent {
 		share *= priorityFactor
 	}
-	if d.Surging {
+	atLeast := time.Duration(minWaitShare * float64(req.Objective))
+	c.waitingClasses.record(now, req.Priority, max(time.Duration(share*float64(req.Objective))-own, atLeast))
+	if surging {
 		share *= surgingFactor
 	}
-	if d.Retrying {
-		share *= retryingFactor
-	}
-	atLeast := c.responseTimes.firstByteWithoutWait() + time.Duration(minWaitShare*float64(objective))
-	return max(time.Duration(share*float64(objective)), atLeast)
+	allowed := time.Duration(share*float64(req.Objective)) - own - req.Spent
+	return c.waitingClasses.limit(now, req, max(allowed, atLeast))
 }
 
 // retryAfter returns the time until the queue is short enough to admit the
@@ -170,18 +174,30 @@
 // retry sooner.
 func retryAfter(d Decision, remaining time.Duration) time.Duration {
 	wait := max(d.Expected-d.Bound, minRetryAfter)
-	if longest := time.Duration(maxRetryShare * float64(remaining)); remaining > 0 {
+	if longest := longestWait(remaining); longest > 0 {
 		wait = min(wait, longest)
 	}
 	return wait
 }
 
+// longestWait returns the longest wait that a refused caller is asked for, 0 when its remaining time is unknown.
+func longestWait(remaining time.Duration) time.Duration {
+	return time.Duration(maxRetryShare * float64(max(remaining, 0)))
+}
+
 // Expected estimates the time to the first byte of a request that arrives at a
 // load.
-func (c *Controller) Expected(load Load) time.Duration { return c.responseTimes.expected(load) }
+func (c *Controller) Expected(load Load) time.Duration {
+	return c.responseTimes.wait(load) + c.responseTimes.firstByteWithoutWait()
+}
 
 // RecordAnswer records the time to the first and to the last byte of an admitted
-// request.
+// request of an unknown route.
 func (c *Controller) RecordAnswer(firstByte, total time.Duration) {
 	c.responseTimes.recordAnswer(firstByte, total)
 }
+
+// RecordRouteAnswer records the same for a request of a route.
+func (c *Controller) RecordRouteAnswer(route string, firstByte, total time.Duration) {
+	c.routeTimes.record(route, c.responseTimes.recordAnswer(firstByte, total))
+}
--- a/internal/overload/simulation_test.go
+++ b/internal/overload/simulation_test.go
@@ -19,6 +19,8 @@
 	events  events
 	now     time.Duration
 	counts  map[string]*requestCounts
+	// queue is the number of requests that wait at a server at most.
+	queue int
 }
 
 // router is one of the routers; controller is nil where only the servers' own
@@ -47,7 +49,7 @@
 )
 
 // requestCounts counts how the requests of a group ended.
-type requestCounts struct{ sent, inTime, late, refused int }
+type requestCounts struct{ sent, inTime, late, refused, refusals int }
 
 func (c *requestCounts) inTimeShare() float64 { return float64(c.inTime) / float64(max(c.sent, 1)) }
 
@@ -64,6 +66,10 @@
 	group     string
 	workspace string
 	priority  int
+	route     string
+	// objective and work are the target time and the mean time in a slot.
+	objective time.Duration
+	work      time.Duration
 	firstSent time.Duration
 	retries   int
 	// router and sentAt are the router and the time of the last attempt.
@@ -92,7 +98,7 @@
 // newSim returns a simulation. If controlled is false, only the servers' own
 // queues limit the load.
 func newSim(servers int, controlled bool) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(7, 11)), counts: make(map[string]*requestCounts)}
+	s := &sim{rng: rand.New(rand.NewPCG(7, 11)), counts: make(map[string]*requestCounts), queue: simQueue}
 	for range simRouters {
 		r := &router{}
 		if controlled {
@@ -132,11 +138,18 @@
 
 // send adds requests at an average rate between two times.
 func (s *sim) send(from, to time.Duration, perSecond float64, group, workspace string, priority int) {
+	s.sendLike(from, to, perSecond, request{group: group, workspace: workspace, priority: priority, route: "r", objective: simObjective, work: simWork})
+}
+
+// sendLike adds requests like a given one.
+func (s *sim) sendLike(from, to time.Duration, perSecond float64, like request) {
+	group := like.group
 	if s.counts[group] == nil {
 		s.counts[group] = &requestCounts{}
 	}
 	for at := from; at < to; at += time.Duration(s.rng.ExpFloat64() / perSecond * float64(time.Second)) {
-		r := &request{group: group, workspace: workspace, priority: priority}
+		copied := like
+		r := &copied
 		heap.Push(&s.events, simEvent{at, func() {
 			r.firstSent = s.now
 			s.counts[r.group].sent++
@@ -168,7 +181,7 @@
 	remaining := simDeadline - (s.now - r.firstSent)
 	if r.router.controller != nil {
 		d := r.router.controller.Decide(s.clock(), r.router.load, overload.Request{
-			Workspace: r.workspace, Priority: r.priority, Objective: simObjective, Remaining: remaining, Route: "r", CallerTimeout: remaining,
+			Workspace: r.workspace, Priority: r.priority, Objective: r.objective, Remaining: remaining, Route: r.route, CallerTimeout: remaining,
 		})
 		if !d.Admitted {
 			s.refuse(r, d.RetryAfter)
@@ -176,7 +189,7 @@
 		}
 	}
 	v := s.leastLoaded()
-	if v == nil || v.load() >= simSlots+simQueue {
+	if v == nil || v.load() >= simSlots+s.queue {
 		s.refuse(r, uncontrolledRetry)
 		return
 	}
@@ -200,7 +213,7 @@
 
 func (s *sim) process(v *server, r *request) {
 	v.busy++
-	s.scheduleAfter(time.Duration((0.5+0.5*s.rng.ExpFloat64())*float64(simWork)), func() {
+	s.scheduleAfter(time.Duration((0.5+0.5*s.rng.ExpFloat64())*float64(r.work)), func() {
 		v.busy--
 		s.finish(r)
 		if len(v.waiting) > 0 {
@@ -214,10 +227,10 @@
 func (s *sim) finish(r *request) {
 	total := s.now - r.sentAt
 	if r.router.controller != nil {
-		r.router.controller.RecordAnswer(total, total)
+		r.router.controller.RecordRouteAnswer(r.route, total, total)
 	}
 	r.router.load.Own--
-	if s.now-r.firstSent <= simObjective {
+	if s.now-r.firstSent <= r.objective {
 		s.counts[r.group].inTime++
 	} else {
 		s.counts[r.group].late++
@@ -227,6 +240,7 @@
 // refuse makes the caller retry after a wait, or counts the request as refused
 // when no retries remain.
 func (s *sim) refuse(r *request, wait time.Duration) {
+	s.counts[r.group].refusals++
 	if r.retries++; r.retries > simRetries {
 		s.counts[r.group].refused++
 		return
@@ -243,7 +257,7 @@
 		load(s)
 		s.run(30 * time.Second)
 		for group, c := range s.counts {
-			t.Logf("controller %v, %s: sent %d, in time %d, late %d, refused %d", withController, group, c.sent, c.inTime, c.late, c.refused)
+			t.Logf("controller %v, %s: sent %d, in time %d, late %d, refused %d (%d refusals)", withController, group, c.sent, c.inTime, c.late, c.refused, c.refusals)
 		}
 		results = append(results, s.counts)
 	}
--- a/internal/overload/timeouts.go
+++ b/internal/overload/timeouts.go
@@ -18,11 +18,11 @@
 // retry, a caller states the remaining part of its timeout.
 type callerTimeouts map[string]time.Duration
 
-// retrying records the timeout that a caller states, and reports whether it is so
-// short that the caller must be retrying.
-func (t callerTimeouts) retrying(route string, timeout time.Duration) bool {
+// spent records the timeout that a caller states, and returns how much of its timeout the caller has spent on
+// earlier attempts: 0 for a first attempt, and for a caller that states none.
+func (t callerTimeouts) spent(route string, timeout time.Duration) time.Duration {
 	if timeout <= 0 {
-		return false
+		return 0
 	}
 	longest, ok := t[route]
 	if !ok && len(t) >= maxRoutes {
@@ -30,5 +30,8 @@
 	}
 	decayed := longest - time.Duration(timeoutDecay*float64(longest))
 	t[route] = max(decayed, timeout)
-	return longest-timeout >= minRetryGap
+	if longest-timeout < minRetryGap {
+		return 0
+	}
+	return longest - timeout
 }
--- a/internal/overload/timeouts_test.go
+++ b/internal/overload/timeouts_test.go
@@ -19,14 +19,14 @@
 		{"a", 4 * time.Second, false}, {"a", 4 * time.Second, false}, {"a", 3850 * time.Millisecond, true},
 		{"a", 0, false}, {"b", time.Second, false}, {"b", 990 * time.Millisecond, false},
 	} {
-		if got := timeouts.retrying(c.route, c.timeout); got != c.retrying {
+		if got := timeouts.spent(c.route, c.timeout) > 0; got != c.retrying {
 			t.Errorf("route %s, timeout %s: retrying %v, want %v", c.route, c.timeout, got, c.retrying)
 		}
 	}
 	for range 10000 {
-		timeouts.retrying("a", 2*time.Second)
+		timeouts.spent("a", 2*time.Second)
 	}
-	if timeouts.retrying("a", 2*time.Second) {
+	if timeouts.spent("a", 2*time.Second) > 0 {
 		t.Error("callers that state a shorter timeout than earlier ones count as retrying permanently")
 	}
 }
--- a/internal/overload/times.go
+++ b/internal/overload/times.go
@@ -35,22 +35,22 @@
 	t.loadPerSlot += answerWeight * (load.perSlot() - t.loadPerSlot)
 }
 
-// expected estimates the time to the first byte of a request that arrives at a
-// load: the wait for a slot plus the time to the first byte without a wait.
-func (t *responseTimes) expected(load Load) time.Duration {
+// wait estimates how long a request that arrives at a load waits for a slot.
+func (t *responseTimes) wait(load Load) time.Duration {
 	wait := (load.perSlot() - 1) * t.slotTime
-	return time.Duration((wait + t.firstByte) * float64(time.Second))
+	return time.Duration(wait * float64(time.Second))
 }
 
-// recordAnswer records the times of an answer. At a load of r per slot, a request
-// spends 1/r of its total time in a slot and waits for the rest.
-func (t *responseTimes) recordAnswer(firstByte, total time.Duration) {
+// recordAnswer records the times of an answer, and returns its time to the first byte without the wait, in
+// seconds. At a load of r per slot, a request spends 1/r of its total time in a slot and waits for the rest.
+func (t *responseTimes) recordAnswer(firstByte, total time.Duration) float64 {
 	inSlot := total.Seconds() / t.loadPerSlot
 	withoutWait := max(firstByte.Seconds()-(t.loadPerSlot-1)*inSlot, 0)
 	if !t.hasSamples() {
 		t.firstByte, t.slotTime = withoutWait, inSlot
-		return
+		return withoutWait
 	}
 	t.firstByte += answerWeight * (withoutWait - t.firstByte)
 	t.slotTime += answerWeight * (inSlot - t.slotTime)
+	return withoutWait
 }
