--- a/internal/overload/classes_test.go
+++ b/internal/overload/classes_test.go
@@ -118,6 +118,24 @@
 	}
 }
 
+// Guards against callers that are refused in a burst, return together, and are refused again although the burst is over.
+func TestReturningCallersAreServedAfterABurst(t *testing.T) {
+	without, with := compare(t, 3, func(s *sim) {
+		s.send(0, 4*time.Second, 150, "calm", "a", 2)
+		for i := range 5 {
+			from := time.Duration(4+2*i) * time.Second
+			s.send(from, from+700*time.Millisecond, 700, "burst", "a", 2)
+		}
+	})
+	got := with["burst"]
+	if 5*got.refused > got.sent || got.refused > without["burst"].refused {
+		t.Errorf("%d of %d refused in the end, want at most a fifth, and the %d of the servers' queues alone", got.refused, got.sent, without["burst"].refused)
+	}
+	if got.inTimeShare() < 0.5 {
+		t.Errorf("%.2f in time, want at least 0.5", got.inTimeShare())
+	}
+}
+
 // Guards against callers that return late, are admitted as if they came for the first time, and delay those that can still
 // be in time.
 func TestReturningCallersDoNotDelayOthers(t *testing.T) {
--- a/internal/overload/decide_test.go
+++ b/internal/overload/decide_test.go
@@ -290,3 +290,19 @@
 		t.Errorf("bound %v when there are no urgent requests, want 8 s", got)
 	}
 }
+
+// Guards against refused callers that all return at the same time, or after the time that they accept.
+func TestReturnsAreSpread(t *testing.T) {
+	var r returns
+	last := time.Duration(0)
+	for i := range 10 {
+		got := r.wait(now, 100*time.Millisecond, 500*time.Millisecond, 50*time.Millisecond)
+		if got <= last && last < 500*time.Millisecond || got > 500*time.Millisecond || got < 100*time.Millisecond {
+			t.Errorf("return %d after %v, the one before after %v", i, got, last)
+		}
+		last = got
+	}
+	if got := r.wait(now.Add(time.Minute), 100*time.Millisecond, 0, 50*time.Millisecond); got > 150*time.Millisecond {
+		t.Errorf("return after %v a minute later", got)
+	}
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -124,6 +124,7 @@
 	recentPriorities recentPriorities
 	callerTimeouts   callerTimeouts
 	waitingClasses   waitingClasses
+	returns          returns
 	routeTimes       routeTimes
 }
 
@@ -149,7 +150,7 @@
 		c.waitingClasses.admit(now, req.Route)
 		return d
 	}
-	d.RetryAfter = retryAfter(d, req.Remaining)
+	d.RetryAfter = c.returns.wait(now, retryAfter(d, req.Remaining), longestWait(req.Remaining), c.responseTimes.returnGap(load))
 	return d
 }
 
