forward: a stream that is taken up right after a restart of all routers waits for the engines' answers

It was refused as version_of_stream_unknown after three questions in 120 ms, although one router asks the engines 0.1 to 1 s after the restart and tells which version has the prompt. While the router does not know the placements, the request now waits for them, 1 s and half of its time at most, and is looked up once more. In a test a stream whose engine answers after 0.3 s goes on; one of a version that has gone, and one that no engine knows, are refused.

The refusal itself stays: nothing that a restarted router can read excludes that another version ended within two minutes (decision 0017).

--- a/internal/forward/cost_test.go
+++ b/internal/forward/cost_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/balance"
+	"github.com/bluebellwell/bluebellwell/internal/cost"
+	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
@@ -80,3 +83,20 @@
 		t.Errorf("memory of %d tokens for pools of which nothing is known", got)
 	}
 }
+
+// Guards against requests that have ended and still count as work of their server.
+func TestEndedRequestIsNoWork(t *testing.T) {
+	st := NewState(Limits{Balance: balance.Limits{CapFactor: 2, CapExtra: 3}})
+	st.SetServers([]*registry.Server{{ID: "a", Pool: "p", Addr: "127.0.0.1:1", Slots: 4}})
+	p, now := st.pool("p"), time.Now()
+	job := balance.Job{Cost: cost.Prediction{Slot: time.Minute}, Run: attemptID()}
+	left := func() int64 { return st.Status(now)[0].Servers[0].LeftMs }
+	choice, ok, _ := p.pick(now, job, false)
+	if !ok || left() == 0 {
+		t.Fatalf("%d ms left of a request of a minute", left())
+	}
+	p.end(now, choice, job, balance.Served)
+	if left() != 0 {
+		t.Errorf("%d ms left after its end", left())
+	}
+}
--- /dev/null
+++ b/internal/forward/findversion.go
@@ -0,0 +1,62 @@
+package forward
+
+import "time"
+
+// maxVersionWait bounds the time for which a stream that is taken up waits for what the engines have cached, after a
+// restart of all routers. A starting router counts its placements as known after as long.
+const maxVersionWait = time.Second
+
+// findVersion finds the version that began the stream which the caller takes up, or refuses the
+// request when servers of several versions could continue it and nobody knows.
+func (c *call) findVersion() bool {
+	if !c.headers.takesUp() || !c.mayBeTakenUp() {
+		return true
+	}
+	starting := !c.handler.state.placementsKnown()
+	found := c.askForVersion()
+	if !found && starting {
+		// No router knows what the ones before it have sent. One of them asks the engines, and tells the others which
+		// version has the prompt.
+		if !c.awaitInventory() {
+			c.recordCallerLeft()
+			return false
+		}
+		found = c.askForVersion()
+	}
+	if !found {
+		c.refuse(CauseVersionUnknown)
+	}
+	return found
+}
+
+// askForVersion looks the stream up and asks the other routers. It reports whether the request may be sent: the version is
+// known, or no other one can have begun the stream.
+func (c *call) askForVersion() bool {
+	streams := c.handler.state.streams
+	version, known := streams.find(time.Now(), c.streamID())
+	several := c.pool.severalVersions(time.Now())
+	if !known && (several || streams.mayBeOutdated()) {
+		var oneVersion bool
+		version, known, oneVersion = streams.ask(c.r.Context(), c.streamID(), c.promptStream(), several)
+		// Without servers of another version now there may have been some a moment ago, and there may be some of which
+		// this router has not heard because it was cut off or stood still. Who reads the store has heard of them.
+		several = c.pool.severalVersions(time.Now())
+		if !known && (several || !streams.settled(time.Now()) || !oneVersion && !streams.fleet.ReadsStore()) {
+			return false
+		}
+	}
+	c.version = version
+	return true
+}
+
+// awaitInventory waits until this router has the placements of the fleet, for a limited time. It reports whether
+// the caller still waits.
+func (c *call) awaitInventory() bool {
+	limit := min(maxVersionWait, time.Until(c.deadline)/2)
+	for waited := time.Duration(0); waited < limit && !c.handler.state.placementsKnown(); waited += holdCheck {
+		if !c.hold(c.r.Context(), holdCheck) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/forward/findversion_test.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
+)
+
+// Guards against streams that are refused in the first second after a restart of all routers, although an engine has
+// their prompt cached and says so a moment later: 120 of 231 refusals of a day.
+func TestStreamWaitsForTheInventoryAfterARestart(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		version string
+		want    int
+	}{
+		"an engine has its prompt":                          {"v1", http.StatusOK},
+		"an engine of another version, which has gone, has": {"v0", http.StatusServiceUnavailable},
+		"no engine has it":                                  {"", http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+			b.versioned("v1", "v1")
+			var known atomic.Bool
+			b.state.SetPlacementsKnown(known.Load)
+			time.AfterFunc(300*time.Millisecond, func() {
+				if c.version != "" {
+					stream := streamversion.StreamOfPart(prefixHash("m", 1))
+					b.state.RecordStreams([]streamversion.Record{{Stream: stream, Version: streamversion.VersionOf(c.version)}})
+				}
+				known.Store(true)
+			})
+			if got := b.send(ask{header: lastPart(1)}); got.status != c.want {
+				t.Errorf("status %d, want %d", got.status, c.want)
+			}
+		})
+	}
+}
+
+// Guards against callers that wait for an inventory which does not come, or which nothing can add to.
+func TestStreamWaitsForTheInventoryForASecondAtMost(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		placementsKnown bool
+		deadline        string
+		atLeast, atMost time.Duration
+	}{
+		"placements known":    {true, "", 0, 400 * time.Millisecond},
+		"no inventory":        {false, "", maxVersionWait, maxVersionWait + 800*time.Millisecond},
+		"the caller is short": {false, "600ms", 100 * time.Millisecond, 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+			b.versioned("v1", "v1")
+			b.state.SetPlacementsKnown(func() bool { return c.placementsKnown })
+			header := lastPart(1)
+			if c.deadline != "" {
+				header.Set("Deadline", c.deadline)
+			}
+			begun := time.Now()
+			got := b.send(ask{header: header})
+			if took := time.Since(begun); got.status != http.StatusServiceUnavailable || took < c.atLeast || took > c.atMost {
+				t.Errorf("status %d after %v, want a refusal after %v to %v", got.status, took, c.atLeast, c.atMost)
+			}
+			b.expectLog(map[string]any{"cause": CauseVersionUnknown})
+		})
+	}
+}
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -248,30 +248,6 @@
 	}
 }
 
-// findVersion finds the version that began the stream which the caller takes up, or refuses the
-// request when servers of several versions could continue it and nobody knows.
-func (c *call) findVersion() bool {
-	if !c.headers.takesUp() || !c.mayBeTakenUp() {
-		return true
-	}
-	streams := c.handler.state.streams
-	version, known := streams.find(time.Now(), c.streamID())
-	several := c.pool.severalVersions(time.Now())
-	if !known && (several || streams.mayBeOutdated()) {
-		var oneVersion bool
-		version, known, oneVersion = streams.ask(c.r.Context(), c.streamID(), c.promptStream(), several)
-		// Without servers of another version now there may have been some a moment ago, and there may be some of which
-		// this router has not heard because it was cut off or stood still. Who reads the store has heard of them.
-		several = c.pool.severalVersions(time.Now())
-		if !known && (several || !streams.settled(time.Now()) || !oneVersion && !streams.fleet.ReadsStore()) {
-			c.refuse(CauseVersionUnknown)
-			return false
-		}
-	}
-	c.version = version
-	return true
-}
-
 // mayBeOutdated reports whether only others can tell that this router knows all versions: it has not run for long, or
 // it may have missed that servers of another version came.
 func (v *streamVersions) mayBeOutdated() bool { return !v.settled(time.Now()) || v.fleet.HasOthers() }
