--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -164,6 +164,10 @@
 	observer := &serverObserver{records: f.records, server: fmt.Sprintf("i-%d", i), pool: pool}
 	e := platformtest.NewObservedEngine(observer.server, observer.wrap)
 	e.SetDelay(answerDelay)
+	if i%2 == 1 {
+		// Half of the servers say how long work takes there, so that routers place requests by expected times.
+		e.SetAnswerHeader(platformtest.HeaderLoad, fmt.Sprintf("1,0,8,%d", []int{100, 250, 130}[i/2%3]))
+	}
 	p, err := newProxy(e.Addr())
 	if err != nil {
 		f.t.Fatal(err)
