--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -88,7 +88,7 @@
 // wait was before the server, and the load that the admission compares with is not recorded.
 func (c *call) recordAnswerTimes() {
 	if !c.grant.asked {
-		c.pool.recordAnswerTimes(c.firstByte, time.Since(c.arrivedAt))
+		c.pool.recordAnswerTimes(c.route.Name, c.firstByte, time.Since(c.arrivedAt))
 	}
 }
 
--- a/internal/forward/grant_test.go
+++ b/internal/forward/grant_test.go
@@ -537,7 +537,7 @@
 	p := b.state.pool("p")
 	p.admit(time.Now(), overload.Request{}, balance.Job{})
 	for range 40 {
-		p.recordAnswerTimes(90*time.Millisecond, 90*time.Millisecond)
+		p.recordAnswerTimes("r", 90*time.Millisecond, 90*time.Millisecond)
 	}
 	p.mu.Lock()
 	for range 6 {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -339,6 +339,7 @@
 		Objective:     c.route.Objective,
 		CallerTimeout: c.headers.Deadline,
 		Remaining:     c.deadline.Sub(now),
+		Spent:         now.Sub(c.arrivedAt),
 	}, balance.Job{Version: c.requiredVersion(), AllowedRegions: c.regions})
 	if !c.admission.Admitted {
 		c.refuseWithWait(CausePoolFull, c.admission.RetryAfter)
