forward, balance, streambackup: streams go on at a second engine that has a copy of their memory

While engines of a pool end, a stream whose expected loss exceeds the cost of the copy names a second engine (X-Kv-Backup). When its run is known to be over, the same request goes to that engine with Kv-From and Last-Event-Id, in the same answer. Package streambackup decides, balance picks the target, forward takes over. A 503 of the target falls back to a cut or an ordinary resume.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -152,6 +152,17 @@
 // SetLimits replaces the limits.
 func (p *Pool) SetLimits(l Limits) { p.limits = l }
 
+// Vanished returns the engines that are not among the current servers although they have not said that they leave.
+func (p *Pool) Vanished(current map[registry.Key]bool) []*registry.Server {
+	var gone []*registry.Server
+	for _, m := range p.members {
+		if m.server.Engine && !m.server.Leaving && !current[m.server.Key()] {
+			gone = append(gone, m.server)
+		}
+	}
+	return gone
+}
+
 // SetServers replaces the list of servers. The state of an incarnation that
 // remains in the list is kept.
 func (p *Pool) SetServers(list []*registry.Server) {
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -31,12 +31,15 @@
 
 // usable returns the members that can take a request.
 func (p *Pool) usable(now time.Time, job *Job) []*member {
-	return p.takers(now, func(m *member) bool {
-		if slices.Contains(job.Exclude, m.server.Key()) {
-			return false
-		}
-		return (job.Version == 0 || m.version == job.Version) && !p.withheld(now, m)
-	})
+	return p.takers(now, func(m *member) bool { return p.admits(now, m, job) })
+}
+
+// admits reports whether a job may go to a member that takes requests.
+func (p *Pool) admits(now time.Time, m *member, job *Job) bool {
+	if slices.Contains(job.Exclude, m.server.Key()) {
+		return false
+	}
+	return (job.Version == 0 || m.version == job.Version) && !p.withheld(now, m)
 }
 
 // HasUsable reports whether a member can take a request.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -136,7 +136,9 @@
 	c.attempts.choice = choice
 	c.attempts.job = job
 	c.attempts.sent++
+	c.backup, c.takeover.from = c.nameBackup(choice, job), MemoryRef{}
 	res := c.attemptAndEnd(ctx, choice, job)
+	choice, res = c.takeOver(ctx, choice, res)
 	if res.outcome == balance.Disputed {
 		c.attempts.disputed = append(c.attempts.disputed, choice.Server)
 	}
@@ -157,6 +159,8 @@
 			c.logEjected(choice.Server, res.cause)
 		}
 		c.recordCrashSigns(choice.Server, res)
+		c.recordEndSigns(choice.Server, res)
+		c.pool.releaseBackup(c.backup)
 	}()
 	res = c.attempt(ctx, choice)
 	return res
@@ -269,6 +273,8 @@
 	mayHaveRun bool
 	// otherAnswer is set when the answer does not belong to the request.
 	otherAnswer bool
+	// over is set when the run is known to be over although its answer is not whole.
+	over bool
 	// failure is a complete answer of the server that reports a failure.
 	failure *failure
 }
@@ -363,6 +369,9 @@
 	key := choice.Server.Key()
 	watch := c.watch(cancel, key)
 	defer watch.stop()
+	if c.backup != nil {
+		defer c.pool.watchBackedUp(key, watch)()
+	}
 	c.attempts.sentAt, c.attempts.answeredAt = time.Now(), time.Time{}
 	c.attempts.framing, c.attempts.bodyBytes = framing.Unknown, 0
 	c.attempts.readError, c.attempts.closedBeforeAnswer = nil, false
@@ -389,13 +398,15 @@
 
 // classifySendError classifies an exchange that ended without an answer.
 func (c *call) classifySendError(ctx context.Context, err error, notSent bool) result {
-	res := result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: !notSent}
+	res := result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: !notSent, over: !notSent && c.runOver(ctx)}
 	var op *net.OpError
 	switch {
 	case c.r.Context().Err() != nil:
 		res.outcome, res.cause = balance.Cancelled, CauseCallerLeft
 	case errors.Is(context.Cause(ctx), errSilent):
 		res.cause = CauseServerSilent
+	case errors.Is(context.Cause(ctx), errEngineGone):
+		res.cause = CauseServerGone
 	case errors.Is(context.Cause(ctx), errRouterEnds):
 		res.outcome, res.cause = balance.Cancelled, CauseStopping
 	case ctx.Err() != nil:
@@ -434,6 +445,10 @@
 	c.recordLimit(choice.Server, answer, resp.StatusCode < http.StatusMultipleChoices)
 	c.recordStatements(choice.Server, resp.StatusCode, answer)
 	c.recordBrittle(choice.Server, answer.Brittle)
+	if c.takeover.active() && resp.StatusCode == http.StatusServiceUnavailable {
+		drain(resp, watch)
+		return result{outcome: balance.Cancelled, cause: CauseNoCopy}
+	}
 	if answer.NotRun || resp.StatusCode == http.StatusMisdirectedRequest {
 		drain(resp, watch)
 		return result{outcome: balance.Refused, cause: CauseOverload}
@@ -449,7 +464,7 @@
 		// The caller has the start of a stream, which only the same success continues.
 		return result{outcome: balance.Failed, cause: CauseServerFailed, mayHaveRun: true}
 	}
-	if success {
+	if success && !c.takeover.active() {
 		c.pool.recordFirstByte(choice, c.attempts.job, time.Since(c.attempts.sentAt))
 	}
 	if c.route.Kind == routing.Stream && success {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -109,6 +109,9 @@
 	version  streamversion.Version
 	attempts attempts
 	stream   streamState
+	// backup is the engine that is to have a copy of the memory of the current attempt's run; nil for none.
+	backup   *backup
+	takeover takeoverState
 	// sentFraming is how the end of the answer to the caller is marked.
 	sentFraming framing.Framing
 	firstByte   time.Duration
@@ -298,7 +301,7 @@
 	})()
 	for c.tryServer(ctx) {
 	}
-	if c.outcome == OutcomeServed && c.attempts.sent == 1 {
+	if c.outcome == OutcomeServed && c.attempts.sent == 1 && c.takeover.count == 0 {
 		c.pool.recordAnswerTimes(c.firstByte, time.Since(c.arrivedAt))
 	}
 }
@@ -363,6 +366,7 @@
 	kv = append(kv, c.headers.partsField()...)
 	kv = append(kv, c.headers.takesUpFields()...)
 	kv = append(kv, c.attempts.logFields()...)
+	kv = append(kv, c.takeover.logFields()...)
 	if c.decidedPart != 0 {
 		kv = append(kv, "part", strconv.FormatUint(c.decidedPart, 16))
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -39,6 +39,21 @@
 	}
 }
 
+// recordBackup counts a run whose memory is copied.
+func (m *Metrics) recordBackup(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("backups").Inc(1)
+}
+
+// recordTakeover counts the runs whose engine ended while they had a backup.
+func (m *Metrics) recordTakeover(pool, outcome string) {
+	m.scope.Tagged(map[string]string{"pool": pool, "outcome": outcome}).Counter("takeovers").Inc(1)
+}
+
+// recordTakeoverPause records the time without an event that a takeover caused.
+func (m *Metrics) recordTakeoverPause(d time.Duration) {
+	m.scope.Histogram("takeover_pause", latencyBuckets).RecordDuration(d)
+}
+
 func (m *Metrics) recordEnd(c *call, duration time.Duration) {
 	kind := "none"
 	if c.route != nil {
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -25,6 +25,10 @@
 	if choice.Source != nil {
 		attempt.FetchFrom = choice.Source.Addr
 	}
+	if c.backup != nil {
+		attempt.Backup = c.backup.server.Addr
+	}
+	attempt.ResumeFrom = c.takeover.from
 	c.handler.codec.SetAttemptHeaders(h, attempt)
 	if h.Get("User-Agent") == "" {
 		h["User-Agent"] = []string{""}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -56,12 +56,14 @@
 // the caller has the start of it and no engine can continue, the outcome is
 // OutcomeCut, which breaks the caller's answer off so that it does not look complete.
 func (c *call) classifyBroken(ctx context.Context, cause Cause) result {
-	res := result{outcome: balance.Failed, cause: cause, mayHaveRun: true}
+	res := result{outcome: balance.Failed, cause: cause, mayHaveRun: true, over: cause == CauseAnswerBroken && c.runOver(ctx)}
 	switch {
 	case c.r.Context().Err() != nil:
 		return c.callerLeftResult()
 	case errors.Is(context.Cause(ctx), errSilent):
 		res.cause = CauseServerSilent
+	case errors.Is(context.Cause(ctx), errEngineGone):
+		res.cause = CauseServerGone
 	case ctx.Err() != nil:
 		res.cause = endCause(ctx)
 		// The time of the request has ended; the server may be healthy.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -101,6 +101,18 @@
 	FetchFrom string
 	// LastEventID is the event after which a stream resumes; empty for its start.
 	LastEventID string
+	// Backup is the address of the engine to which the run's memory is copied as it grows; empty for none.
+	Backup string
+	// ResumeFrom is where the memory of the run is that the attempt continues; zero for none.
+	ResumeFrom MemoryRef
+}
+
+// MemoryRef names the memory of a run.
+type MemoryRef struct {
+	// Addr is the address of the engine that has it.
+	Addr string
+	// ID is the ID of the run's request, or of a handle.
+	ID string
 }
 
 // ResponseHeaders holds the decoded headers of a server's answer.
@@ -191,7 +203,13 @@
 	CauseWrongAnswer  Cause = "answer_of_another_request"
 	CauseServerFailed Cause = "server_failed"
 	CauseServerSilent Cause = "server_silent"
-	CauseCallerLeft   Cause = "caller_left"
+	// CauseServerGone: the server's entry has gone, or nothing listens at its address, and it sends nothing.
+	CauseServerGone Cause = "server_gone"
+	// CauseNoCopy: the engine that was to hold a copy of the run's memory has none.
+	CauseNoCopy Cause = "no_copy"
+	// CauseNoRetries: the retry budget is used up.
+	CauseNoRetries  Cause = "no_retries_left"
+	CauseCallerLeft Cause = "caller_left"
 	// CauseCrashingPart: a part of the prompt crashes engines.
 	CauseCrashingPart Cause = "prompt_part_crashes_engines"
 	// CauseCrashingRequest: the request crashes servers.
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -97,11 +97,16 @@
 	}
 	var ejections []Ejection
 	now := time.Now()
+	outcomes := func(server uint64) (failed, ended int) {
+		o := byServer[digest.ShortHash(server)]
+		return o.Failed, o.Ended
+	}
+	table := st.Table()
 	st.eachPool(func(p *pool) {
-		ejected := p.balance.EjectFailing(now, func(server uint64) (failed, ended int) {
-			o := byServer[digest.ShortHash(server)]
-			return o.Failed, o.Ended
-		})
+		if backedUpEngines(table, p.name) != nil {
+			p.recordReported(now, outcomes)
+		}
+		ejected := p.balance.EjectFailing(now, outcomes)
 		for _, s := range ejected {
 			ejections = append(ejections, Ejection{Server: s, Outcomes: byServer[digest.ShortHash(s.Key().Hash())]})
 		}
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/retrybudget"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/streambackup"
 )
 
 const (
@@ -96,6 +97,9 @@
 	// indirect reports whether the server at an address is reached through another router.
 	indirect func(now time.Time, addr string) bool
 	versions versionChange
+	// backups decides on copies of the memory of runs, and backedUp has the attempts that have one.
+	backups  streambackup.Policy
+	backedUp map[registry.Key]map[*watch]bool
 }
 
 // NewState returns a state without a configuration and servers.
@@ -253,11 +257,12 @@
 func (p *pool) setServers(list []*registry.Server) (secondVersion bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.balance.SetServers(list)
 	current := make(map[registry.Key]bool, len(list))
 	for _, s := range list {
 		current[s.Key()] = true
 	}
+	p.recordVanished(current)
+	p.balance.SetServers(list)
 	for key, c := range p.connections {
 		if current[key] {
 			continue
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -17,8 +17,19 @@
 	// ExpectedMs is the expected time to the first byte of a new request, in milliseconds.
 	ExpectedMs int64 `json:"expected_ms"`
 	// RetriesLeft is the number of retries that the retry budget allows now.
-	RetriesLeft float64        `json:"retries_left"`
-	Servers     []ServerStatus `json:"servers"`
+	RetriesLeft float64 `json:"retries_left"`
+	// Backups is the state of the copies of running requests' memory; absent while no engine ends and there are none.
+	Backups *BackupStatus  `json:"backups,omitempty"`
+	Servers []ServerStatus `json:"servers"`
+}
+
+// BackupStatus is the state of the copies of running requests' memory in one pool.
+type BackupStatus struct {
+	// EngineEnds is the number of engines that have ended lately, with weights that decay.
+	EngineEnds float64 `json:"engine_ends"`
+	// Running and Tokens are the copies in progress of this router's runs and their expected size.
+	Running int `json:"running"`
+	Tokens  int `json:"tokens"`
 }
 
 // ServerStatus is this router's view of one server, for operators.
@@ -57,6 +68,7 @@
 		Slots:       load.Slots,
 		ExpectedMs:  p.controller.Expected(load).Milliseconds(),
 		RetriesLeft: p.retriesLeft(now),
+		Backups:     p.backupStatus(now),
 		Servers:     []ServerStatus{},
 	}
 	for _, b := range p.balance.Status(now) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -42,8 +42,9 @@
 	unresumable bool
 }
 
-// relayStream relays events as they arrive. On a resumable route it relays only
-// complete events, so that another engine can continue after the last one.
+// relayStream relays events as they arrive. On a resumable route, and while there is a
+// backup of the run, it relays only complete events, so that another engine can continue
+// after the last one.
 func (c *call) relayStream(ctx context.Context, resp *http.Response, watch *watch) result {
 	buffer := readBuffers.Get().(*[streamReadBytes]byte)
 	defer readBuffers.Put(buffer)
@@ -110,7 +111,7 @@
 // whether the caller is still connected. While nothing can be sent, nothing is flushed:
 // that would send headers other than the server's.
 func (c *call) writeStreamData(resp *http.Response, data []byte) bool {
-	if c.route.Resumable && !c.stream.unresumable {
+	if c.holdsEvents() && !c.stream.unresumable {
 		data = c.stream.hold(data)
 	}
 	if len(data) == 0 {
@@ -124,6 +125,7 @@
 	if _, err := c.w.Write(data); err != nil {
 		return false
 	}
+	c.recordTakeoverPause()
 	return http.NewResponseController(&c.w).Flush() == nil
 }
 
@@ -162,6 +164,9 @@
 		// stream is complete.
 		return c.classifyBroken(ctx, CauseEndUnknown)
 	}
+	if end.framing == framing.Close && c.endedInRun() {
+		return c.brokenUnlessWhole(ctx)
+	}
 	return c.servedResult()
 }
 
