--- a/internal/balance/backup_test.go
+++ b/internal/balance/backup_test.go
@@ -60,7 +60,12 @@
 			p.End(now, key(m), Unreachable)
 		}, want: "b"},
 		{name: "wants no requests", spoil: func(p *Pool, m *member) { p.RecordRetryAfter(now, key(m), time.Second) }, want: "b"},
-		{name: "limited", spoil: func(p *Pool, m *member) { p.RecordLimit(key(m), namedlimit.Statement{PerSecond: 100, At: now}, now) }, want: "b"},
+		{name: "limited", spoil: func(p *Pool, m *member) {
+			p.SetLimitShare(func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Routers: 1} })
+			p.RecordLimit(key(m), namedlimit.Statement{PerSecond: 100, At: now.Add(-time.Second)}, now.Add(-time.Second))
+			// Its share is filled from the first question on.
+			p.HasUsable(now.Add(-time.Second), Job{})
+		}, want: "b"},
 		{name: "brittle", spoil: func(p *Pool, m *member) { p.RecordBrittle(now, key(m), 5) }, want: "b"},
 		{name: "has the prompt", job: Job{Prefixes: []Prefix{{Hash: 7, Tokens: 1000}}}, spoil: func(p *Pool, m *member) {
 			load(1)(p, m)
@@ -104,6 +109,12 @@
 			}
 			return anyFits
 		},
+		"all ejected": func(p *Pool, list []*registry.Server) func(Backup, uint64) bool {
+			for _, m := range p.members {
+				m.health.eject(backupStart)
+			}
+			return anyFits
+		},
 		"does not fit": func(*Pool, []*registry.Server) func(Backup, uint64) bool {
 			return func(Backup, uint64) bool { return false }
 		},
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -136,7 +136,7 @@
 	c.attempts.choice = choice
 	c.attempts.job = job
 	c.attempts.sent++
-	c.backup, c.takeover.from = c.nameBackup(choice, job), MemoryRef{}
+	c.backup = c.nameBackup(choice, job)
 	res := c.attemptAndEnd(ctx, choice, job)
 	choice, res = c.takeOver(ctx, choice, res)
 	if res.outcome == balance.Disputed {
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -59,6 +59,21 @@
 	return b
 }
 
+// recordRun records how many events a whole stream had and how long it took, where the memory of runs may be copied.
+func (c *call) recordRun() {
+	if c.route.Kind != routing.Stream || backedUpEngines(c.table, c.pool.name) == nil {
+		return
+	}
+	first, err := strconv.ParseInt(c.stream.events.FirstEventID(), 10, 32)
+	last, lastErr := strconv.ParseInt(c.stream.events.LastEventID(), 10, 32)
+	if err != nil || lastErr != nil {
+		return
+	}
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.backups.RecordAnswer(int(last-first)+1, time.Since(c.arrivedAt)-c.firstByte)
+}
+
 // backupRun describes the run that is about to be sent.
 func (c *call) backupRun() streambackup.Run {
 	prompt := c.headers.PromptTokens
--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -67,6 +67,10 @@
 	if a.LastEventID != "" {
 		h.Set("After", a.LastEventID)
 	}
+	h.Set("Backup", a.Backup)
+	if a.ResumeFrom != (MemoryRef{}) {
+		h.Set("Continue-From", a.ResumeFrom.Addr+" "+a.ResumeFrom.ID)
+	}
 }
 
 func (bedCodec) ResponseHeaders(h http.Header) ResponseHeaders {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -303,6 +303,7 @@
 	}
 	if c.outcome == OutcomeServed && c.attempts.sent == 1 && c.takeover.count == 0 {
 		c.pool.recordAnswerTimes(c.firstByte, time.Since(c.arrivedAt))
+		c.recordRun()
 	}
 }
 
--- a/internal/streambackup/policy_test.go
+++ b/internal/streambackup/policy_test.go
@@ -32,7 +32,7 @@
 		{name: "one end in the pool", want: true},
 		{name: "one end that others report", ends: func(h *Hazard) { h.Record(start, 100, 100, Reported) }, want: true},
 		{name: "one end, a while ago", after: 20 * time.Second, want: false},
-		{name: "one reset", ends: func(h *Hazard) { h.Record(start, 100, 100, Broken) }, engine: func(e *Engine) { e.Engines = 40 }, want: false},
+		{name: "one reset", ends: func(h *Hazard) { h.Record(start, 100, 100, Broken) }, want: false},
 		{name: "resets of several requests", ends: func(h *Hazard) {
 			h.Record(start, 100, 100, Broken)
 			h.Record(start, 100, 100, Broken)
