soak, platformtest: engines copy the memory of their runs, lose copies, and one server at a time works on a run

The judge's rules 'once', 'attempts' and 'stream order' take a run that goes on at another server with a copy of its memory for one run; the new rule 'one server at a time' checks it.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -484,6 +484,7 @@
 	}
 	f.config = platformtest.Config{
 		Version: f.version, Pools: []string{"plain", "engines"}, BodyBytes: 1 << 20, HeaderTimeout: headerTimeout,
+		Engines:    &platformtest.EngineOffer{Slots: 8, KVTokens: 480_000, KVTokenBytes: 18_432, LinkMbps: 280_000, HandleS: 5, Backups: true},
 		Workspaces: []platformtest.Workspace{{Name: "w1", Keys: []string{rotatingKey(f.version), steadyKey}}, {Name: "w2", Keys: []string{otherSteadyKey}}},
 		Routes: []platformtest.Route{
 			route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 1),
--- a/internal/soak/judgecases_test.go
+++ b/internal/soak/judgecases_test.go
@@ -17,6 +17,15 @@
 		{rule: "once", about: "two runs", common: []record{sent(0, "a", "unsafe"), arrival, arrived(3, "2a", "a", "plain"), run(3, "2a"), given(4, "2a", "text"), headers(5, "a", 200, "seal-2a"), body(6, "a", "text")},
 			breaks: []record{run(1, "1a")},
 			keeps:  []record{refused(1, "1a")}},
+		{rule: "once", about: "a run that goes on at another server", common: []record{sent(0, "a", "unsafe"), arrival, run(1, "1a"), given(2, "1a", ""), run(3, "2a"), given(4, "2a", "text"), headers(5, "a", 200, "seal-2a"), body(6, "a", "text")},
+			breaks: []record{arrived(3, "2a", "a", "plain")},
+			keeps:  []record{continues(arrived(3, "2a", "a", "plain"))}},
+		{rule: "one server at a time", about: "the server before works on", common: []record{sent(0, "a", "unsafe"), arrival, run(1, "1a"), continues(arrived(3, "2a", "a", "plain")), run(3, "2a"), given(4, "2a", "text"), headers(5, "a", 200, "seal-2a"), body(6, "a", "text")},
+			breaks: []record{given(450, "1a", "")},
+			keeps:  []record{given(350, "1a", "")}},
+		{rule: "one server at a time", about: "no server before", common: []record{sent(0, "a", "unsafe"), given(2, "1a", "text"), run(1, "1a"), headers(5, "a", 200, "seal-1a"), body(6, "a", "text")},
+			breaks: []record{continues(arrival)},
+			keeps:  plain},
 		{rule: "true refusals", about: "a refusal after a run", common: []record{sent(0, "a", "unsafe"), arrival, headers(3, "a", 503, ""), body(4, "a", "")},
 			breaks: []record{run(1, "1a")},
 			keeps:  []record{refused(1, "1a")}},
@@ -213,3 +222,8 @@
 	return []record{sent(ms, id, "unsafe"), arrived(ms, attempt, id, "plain"), run(ms, attempt), given(ms+length, attempt, "text"),
 		headers(ms+length, id, 200, "seal-"+attempt), body(ms+length, id, "text")}
 }
+
+// continues returns an arrival that continues the run of another server.
+func continues(r record) record {
+	return changed(r, func(a *requestArrived) { a.Continues = true })
+}
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -167,6 +167,8 @@
 		Prompt    string        `json:"prompt,omitempty"`
 		// Forged names headers of the system that a caller had set.
 		Forged string `json:"forged,omitempty"`
+		// Continues is set when the request continues the run of another server with a copy of its memory.
+		Continues bool `json:"continues,omitempty"`
 		// Early is set when the server answers before it has read the body, which a
 		// bodyArrived then has.
 		Early bool `json:"early,omitempty"`
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,6 +60,8 @@
 	problems := slices.Concat(f.problems, f.findDisagreements(), f.findLateRouters())
 	records, violations := f.judge()
 	problems = f.countingProblems(problems, records, violations)
+	continued, refused := countContinued(records)
+	t.Logf("%d runs went on at a server with a copy of their memory, %d were refused", continued, refused)
 	for _, p := range problems {
 		t.Error(p)
 	}
@@ -77,6 +79,21 @@
 	}
 }
 
+// countContinued returns the runs that servers continued with a copy of their memory, and the requests to do so that they
+// refused.
+func countContinued(records []record) (continued, refused int) {
+	for _, a := range newHistory(records).attempts {
+		switch {
+		case !a.arrived.event.Continues:
+		case a.refused.present():
+			refused++
+		case a.run.present():
+			continued++
+		}
+	}
+	return continued, refused
+}
+
 // Judges the records that a run has kept. Guards against a judge that needs more than
 // the records.
 func TestJudgeRecords(t *testing.T) {
