--- a/internal/balance/backup.go
+++ b/internal/balance/backup.go
@@ -51,7 +51,7 @@
 	job.Version = from.version
 	bound, cached := p.bound(p.mean(now)), p.cachedTokens(now, &job)
 	for _, m := range p.usable(now, &job) {
-		if m == from || m.version != from.version || !m.hasRoom(now, bound) {
+		if m == from || m.version != from.version || !p.hasRoom(now, m, bound) {
 			continue
 		}
 		b := Backup{
@@ -66,10 +66,10 @@
 }
 
 // hasRoom reports whether a member may hold a copy: an engine that is not ejected, has a free slot below the bound,
-// and has not said that it is short of anything.
-func (m *member) hasRoom(now time.Time, bound float64) bool {
+// is not cold and has not said that it is short of anything.
+func (p *Pool) hasRoom(now time.Time, m *member, bound float64) bool {
 	load := m.load(now)
-	return m.server.Engine && !m.health.ejected(now, m.own) && !m.limit.Active() && !m.brittle.active() &&
+	return m.server.Engine && !m.health.ejected(now, m.own) && !p.restricted(now, m) && !m.brittle.active() &&
 		load < bound && load < float64(max(m.server.Slots, 1))
 }
 
@@ -102,7 +102,7 @@
 // its copy.
 func (p *Pool) PickNamed(now time.Time, job Job, key registry.Key) (Choice, bool) {
 	m, mean := p.byKey[key], p.mean(now)
-	if m == nil || m.server.Leaving || !p.admits(now, m, &job) || m.health.failing(now) || m.load(now) >= p.bound(mean) {
+	if m == nil || m.out() || !p.admits(now, m, &job) || m.health.failing(now) || m.load(now) >= p.bound(mean) {
 		return Choice{}, false
 	}
 	return p.choose(now, m, nil, mean, ReasonBackup, 0), true
--- a/internal/balance/backup_test.go
+++ b/internal/balance/backup_test.go
@@ -109,6 +109,10 @@
 			}
 			return anyFits
 		},
+		"evacuated": func(p *Pool, _ []*registry.Server) func(Backup, uint64) bool {
+			p.SetEvacuated(backupStart, map[string]bool{"x": true})
+			return anyFits
+		},
 		"all ejected": func(p *Pool, list []*registry.Server) func(Backup, uint64) bool {
 			for _, m := range p.members {
 				m.health.eject(backupStart)
@@ -150,6 +154,9 @@
 		{name: "other version", change: func(s *registry.Server) { s.Version = "v2" }, job: Job{Version: streamversion.VersionOf("v1")}},
 		{name: "leaving", change: func(s *registry.Server) { s.Leaving = true }},
 		{name: "failing", spoil: func(_ *Pool, m *member) { m.health.eject(now) }},
+		{name: "evacuated", change: func(s *registry.Server) { s.DataCentre = "y" }, spoil: func(p *Pool, _ *member) {
+			p.SetEvacuated(now, map[string]bool{"y": true})
+		}},
 		{name: "wants no requests", spoil: func(p *Pool, m *member) { p.RecordRetryAfter(now, m.server.Key(), time.Second) }},
 		{name: "tried before", job: Job{Exclude: []registry.Key{{ID: "a"}}}},
 		{name: "gone", spoil: func(p *Pool, m *member) { p.SetServers(nil) }},
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -52,6 +52,10 @@
 	Objective time.Duration
 	// Version is the software version that the server must have; 0 for any.
 	Version streamversion.Version
+	// RunsOnce is set for a request that may not run again when its server fails.
+	RunsOnce bool
+	// Granted is the hash of the only incarnation that the request may go to; 0 for any.
+	Granted uint64
 	// Exclude lists the incarnations that this request was already sent to.
 	Exclude []registry.Key
 	// Unreachable is the number of servers that this request could not reach.
@@ -87,8 +91,12 @@
 	ReasonLeastLoaded Reason = "least_loaded"
 	// ReasonLastHeard: the request could not reach several servers, and this one was the last to send data.
 	ReasonLastHeard Reason = "last_heard"
+	// ReasonGranted: the router that grants the slots of the pool has granted one of this server.
+	ReasonGranted Reason = "granted"
 	// ReasonLimited: the server names a limit and was not asked for a while.
 	ReasonLimited Reason = "limited"
+	// ReasonCold: the server is cold and may get another request.
+	ReasonCold Reason = "cold"
 )
 
 // Choice is the server of a request and the data behind the choice.
@@ -111,6 +119,8 @@
 	// ReadyIn is how long the server is expected to read the prefix for an earlier
 	// request; 0 when it has read it or reads it for this one.
 	ReadyIn time.Duration
+	// Cold is set when the server is cold, and so slower than the others.
+	Cold bool
 }
 
 // Pool is the state of the load balancer for one pool of servers.
@@ -128,8 +138,12 @@
 	// newPlacements lists the placements not yet sent to the other routers.
 	newPlacements []Placement
 	ranked        []rankedMember
+	evacuations   evacuations
 	// limitShare returns this router's share in the requests to a limited server.
 	limitShare func(server uint64) namedlimit.Share
+	cold       ColdLimits
+	// startsUnknownUntil is until when servers that may have started just before this router count as cold.
+	startsUnknownUntil time.Time
 }
 
 // Placement states that a server has a prefix in its cache, or is reading it. Server
@@ -146,7 +160,7 @@
 
 // NewPool returns a pool without servers.
 func NewPool(limits Limits) *Pool {
-	return &Pool{limits: limits, cached: newCacheIndex(), limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true} }}
+	return &Pool{limits: limits, cached: newCacheIndex(), limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Sole: true} }}
 }
 
 // SetLimits replaces the limits.
@@ -173,10 +187,12 @@
 	for _, s := range list {
 		m := old[s.Key()]
 		if m == nil {
-			m = &member{idHash: placement.Hash(s.ID), hash: s.Key().Hash()}
+			m = &member{idHash: placement.Hash(s.ID), hash: s.Key().Hash(), cold: newColdness(s)}
+			p.updateColdEnd(m)
 		}
 		m.server, m.version = s, streamversion.VersionOf(s.Version)
 		m.keepLeaving()
+		p.setMemberEvacuated(m)
 		p.members = append(p.members, m)
 		p.byKey[s.Key()] = m
 		p.byHash[m.hash] = m
@@ -199,7 +215,13 @@
 		source, read := p.reuse(now, m, &job)
 		return p.choose(now, m, source, mean, ReasonLastHeard, read), true
 	}
+	if job.Granted != 0 {
+		return p.choose(now, usable[0], nil, mean, ReasonGranted, job.PromptTokens), true
+	}
 	if len(job.Prefixes) == 0 {
+		if m := p.unasked(now, usable); m != nil && p.isCold(now, m) {
+			return p.choose(now, m, nil, mean, ReasonCold, job.PromptTokens), true
+		}
 		return p.choose(now, p.leastLoaded(now, usable, &job), nil, mean, ReasonLeastLoaded, job.PromptTokens), true
 	}
 	return p.pickForPrefix(now, usable, mean, &job), true
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -14,7 +14,7 @@
 	available := make([]*member, 0, len(p.members))
 	var ejected []*member
 	for _, m := range p.members {
-		if m.server.Leaving || !admits(m) {
+		if m.out() || !admits(m) {
 			continue
 		}
 		if m.health.ejected(now, m.own) {
@@ -31,7 +31,11 @@
 
 // usable returns the members that can take a request.
 func (p *Pool) usable(now time.Time, job *Job) []*member {
-	return p.takers(now, func(m *member) bool { return p.admits(now, m, job) })
+	list := p.takers(now, func(m *member) bool { return p.admits(now, m, job) })
+	if job.RunsOnce {
+		list = withoutProbation(now, list)
+	}
+	return list
 }
 
 // admits reports whether a job may go to a member that takes requests.
@@ -39,9 +43,29 @@
 	if slices.Contains(job.Exclude, m.server.Key()) {
 		return false
 	}
+	if job.Granted != 0 && m.hash != job.Granted {
+		return false
+	}
 	return (job.Version == 0 || m.version == job.Version) && !p.withheld(now, m)
 }
 
+// withoutProbation drops the members that have failed lately, unless that would leave less than two thirds of them:
+// a request that may run only once is lost with its server, others go on at another one. The requests that may be
+// repeated show whether the server works again.
+func withoutProbation(now time.Time, list []*member) []*member {
+	onProbation := func(m *member) bool { return m.health.onProbation(now) }
+	n := 0
+	for _, m := range list {
+		if onProbation(m) {
+			n++
+		}
+	}
+	if n == 0 || 3*n > len(list) {
+		return list
+	}
+	return slices.DeleteFunc(list, onProbation)
+}
+
 // HasUsable reports whether a member can take a request.
 func (p *Pool) HasUsable(now time.Time, job Job) bool { return len(p.usable(now, &job)) > 0 }
 
@@ -73,8 +97,8 @@
 // when one of these servers does not report its own.
 func (p *Pool) Load(now time.Time) overload.Load {
 	var load overload.Load
-	// A server that names a limit or refuses requests takes less than its slots suggest.
-	takers := p.takers(now, func(m *member) bool { return !m.limit.Active() && !m.refuses(now) })
+	// A server that names a limit, is cold or refuses requests takes less than its slots suggest.
+	takers := p.takers(now, func(m *member) bool { return !p.restricted(now, m) && !m.refuses(now) })
 	for _, m := range takers {
 		if m.server.Slots <= 0 {
 			return overload.Load{}
@@ -90,14 +114,15 @@
 
 // mean returns the lower of the mean loads with and without the servers that are
 // leaving. They still finish their requests and would raise the bound of the
-// others or, when few remain, hide how uneven the load is. Servers that name a limit do not
-// count while others don't: the others take their requests.
+// others or, when few remain, hide how uneven the load is. Servers that name a limit or are cold do not
+// count while others don't and aren't: the others take their requests. Those of evacuated data centres, which may be many, do
+// not count at all.
 func (p *Pool) mean(now time.Time) float64 {
-	withoutLimited := p.hasUnlimited()
+	withoutLimited := p.hasUnlimited(now)
 	var all, staying float64
 	n, nStaying := 0, 0
 	for _, m := range p.members {
-		if withoutLimited && m.limit.Active() {
+		if m.evacuated || withoutLimited && p.restricted(now, m) {
 			continue
 		}
 		load := m.load(now)
@@ -138,7 +163,7 @@
 func (p *Pool) choose(now time.Time, m, source *member, mean float64, reason Reason, read int) Choice {
 	c := Choice{
 		Server: m.server, Reason: reason, Load: m.load(now), Mean: mean, ReportAge: -1,
-		ReadTokens: read, Wait: m.wait(now),
+		ReadTokens: read, Wait: m.wait(now), Cold: p.isCold(now, m),
 	}
 	if source != nil {
 		c.Source = source.server
--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -40,8 +40,14 @@
 	bound := p.bound(mean)
 	if m := p.unasked(now, usable); m != nil {
 		source, read := p.reuse(now, m, job)
-		return p.choose(now, m, source, mean, ReasonLimited, read)
+		reason := ReasonLimited
+		if p.isCold(now, m) {
+			reason = ReasonCold
+		}
+		return p.choose(now, m, source, mean, reason, read)
 	}
+	// A cold server is slow, and would become the home of prefixes whose requests it cannot take.
+	usable = p.withoutCold(now, usable)
 	if h := p.bestHolder(now, usable, holders, bound, job); h != nil {
 		c := p.choose(now, h.member, nil, mean, ReasonCached, job.PromptTokens-prefix.Tokens)
 		c.ReadyIn = h.readyIn
@@ -176,14 +182,19 @@
 }
 
 // copySource returns an available holder that has read the prefix, or nil. What another software
-// version has in its memory does not fit.
+// version has in its memory does not fit. One in an evacuated data centre, which may end at any moment, is the last choice.
 func copySource(now time.Time, holders []holder, version streamversion.Version) *member {
+	var evacuated *member
 	for _, h := range holders {
-		if h.version == version && !h.reading() && !h.health.unavailable(now, h.own) {
+		switch {
+		case h.version != version || h.reading() || h.health.unavailable(now, h.own):
+		case !h.evacuated:
 			return h.member
+		case evacuated == nil:
+			evacuated = h.member
 		}
 	}
-	return nil
+	return evacuated
 }
 
 // recordHolder records that a server has a prefix in its cache once it has read it,
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -14,6 +14,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
@@ -41,6 +42,9 @@
 		PlacementsReply:   rapid.Bool().Draw(t, "placements reply"),
 		Relay:             rapid.Bool().Draw(t, "relay"),
 		Level:             rapid.Int64Min(0).Draw(t, "level"),
+		AllCold:           rapid.Bool().Draw(t, "all cold"),
+		Routers:           rapid.Int64Min(0).Draw(t, "routers"),
+		NotGranting:       rapid.Bool().Draw(t, "not granting"),
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "n") {
 		m.Peers = append(m.Peers, addr(rapid.IntRange(0, 255).Draw(t, "peer")))
@@ -56,8 +60,19 @@
 			PrefixHash: rapid.Uint64().Draw(t, "cached prefix"), Server: rapid.SampledFrom([]uint64{3, 4}).Draw(t, "server of it"),
 			Tokens: rapid.IntRange(0, maxPromptTokens).Draw(t, "cached tokens"),
 		})
+		m.Evacuations.Entries = append(m.Evacuations.Entries, evacuation.Entry{
+			DataCentre: rapid.StringN(1, 20, 250).Draw(t, "data centre"), Position: drawEvacuationPosition(t), Lifted: rapid.Bool().Draw(t, "lifted"),
+			HoldFor: time.Duration(rapid.IntRange(0, int(evacuation.HoldTime.Milliseconds())).Draw(t, "hold")) * time.Millisecond,
+		})
+		m.Evacuations.Known, m.Evacuations.AsOf = true, drawEvacuationPosition(t)
+		m.Evacuations.Partial = rapid.Bool().Draw(t, "partial")
 		m.Progress = append(m.Progress, Progress{rapid.IntRange(0, 7).Draw(t, "topic"), drawPosition(t)})
 		m.Servers = append(m.Servers, drawServerChange(t))
+		m.Heard = append(m.Heard, rapid.Uint16().Draw(t, "heard"))
+		m.Cold = append(m.Cold, ColdServer{
+			Server: rapid.Uint32().Draw(t, "cold server"), ByEntry: rapid.Bool().Draw(t, "by entry"),
+			Left: time.Duration(rapid.Int64Range(0, maxColdTime.Milliseconds()).Draw(t, "left")) * time.Millisecond,
+		})
 		m.Relayed = append(m.Relayed, RelayedPlacements{Origin: rapid.Uint64().Draw(t, "origin"), Placements: slices.Clone(m.Placements)})
 		m.Streams = append(m.Streams, streamversion.Record{
 			Stream: streamversion.Stream(rapid.Uint64().Draw(t, "stream")), Version: streamversion.Version(rapid.Uint64().Draw(t, "version of it")),
@@ -93,6 +108,10 @@
 	return logpos.Position{Era: rapid.Int64Min(0).Draw(t, "era"), Offset: rapid.Int64Min(-1).Draw(t, "offset")}
 }
 
+func drawEvacuationPosition(t *rapid.T) logpos.Position {
+	return logpos.Position{Era: rapid.Int64Min(0).Draw(t, "era"), Offset: rapid.Int64Min(0).Draw(t, "offset")}
+}
+
 func drawServerChange(t *rapid.T) ServerChange {
 	c := ServerChange{ID: "i-1", Position: drawPosition(t), Prev: drawPosition(t)}
 	if rapid.Bool().Draw(t, "removed") {
@@ -102,6 +121,7 @@
 		ID: c.ID, Pool: "p", Addr: "10.0.0.1:80", DataCentre: rapid.SampledFrom([]string{"", "hall"}).Draw(t, "data centre"),
 		Slots: rapid.IntRange(0, 500).Draw(t, "slots"), Version: rapid.SampledFrom([]string{"", "v1.1"}).Draw(t, "version"), Born: rapid.Int64Min(0).Draw(t, "born"),
 		Leaving: rapid.Bool().Draw(t, "leaving"), Engine: rapid.Bool().Draw(t, "engine"),
+		ColdLeft: rapid.SampledFrom([]time.Duration{0, registry.NotCold, time.Millisecond, 20 * time.Second}).Draw(t, "cold"),
 	}
 	return c
 }
@@ -317,6 +337,8 @@
 	outcomes      []Outcomes
 	routers       int
 	parts         []quarantine.Entry
+	// evacuations are those that the router knows, receivedEvacuations those that another one has sent.
+	evacuations, receivedEvacuations evacuation.View
 	// serversUnknown is set while the router has not read the list of servers.
 	serversUnknown atomic.Bool
 	// answersOld is set while the store has not answered the router lately.
@@ -344,7 +366,9 @@
 func (s *fakeState) ServersKnown() bool { return !s.serversUnknown.Load() }
 
 func (s *fakeState) Progress() StoreProgress {
-	return StoreProgress{Topics: []Progress{{Topic: 0, LastChange: pos(11)}}, OwnReads: OwnReads{Succeed: true, Recent: !s.answersOld.Load()}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreProgress{Evacuations: s.evacuations, Topics: []Progress{{Topic: 0, LastChange: pos(11)}}, OwnReads: OwnReads{Succeed: true, Recent: !s.answersOld.Load()}}
 }
 
 func (s *fakeState) SetPeerLoads(loads map[uint32]int, _ time.Duration) {
@@ -384,7 +408,10 @@
 	return streamversion.Record{}, false
 }
 
-func (s *fakeState) TakeLimits() []Limit { return nil }
+func (s *fakeState) TakeLimits() []Limit               { return nil }
+func (s *fakeState) TakeCold() []ColdServer            { return nil }
+func (s *fakeState) ColdServers() ([]ColdServer, bool) { return nil, false }
+func (s *fakeState) ApplyCold([]ColdServer, bool)      {}
 
 func (s *fakeState) ApplyLimits([]Limit) {}
 
@@ -410,6 +437,12 @@
 	s.serverChanges = append(s.serverChanges, list...)
 }
 
+func (s *fakeState) ApplyEvacuations(v evacuation.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.receivedEvacuations = v
+}
+
 func (s *fakeState) hasServerChange() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -12,10 +12,12 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
+	"github.com/bluebellwell/bluebellwell/internal/slotgrant"
 	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 )
 
@@ -89,6 +91,12 @@
 	TakeLimits() []Limit
 	// ApplyLimits applies what another router has heard of servers' limits.
 	ApplyLimits(list []Limit)
+	// TakeCold returns what the others have to be told now of cold servers, and ColdServers what a router
+	// that has just started has to know. complete is set when this router knows of all.
+	TakeCold() []ColdServer
+	ColdServers() (list []ColdServer, complete bool)
+	// ApplyCold applies what another router knows of cold servers. With complete set it knows of no others.
+	ApplyCold(list []ColdServer, complete bool)
 	// TakePartReport returns what is new of parts of prompts that crash engines, and with
 	// all what is known of them.
 	TakePartReport(all bool) quarantine.Report
@@ -103,6 +111,8 @@
 	StreamRecord(s streamversion.Stream) (streamversion.Record, bool)
 	// ApplyServerChanges applies server changes that another router has read.
 	ApplyServerChanges(list []ServerChange)
+	// ApplyEvacuations applies what another router knows of evacuated data centres.
+	ApplyEvacuations(v evacuation.View)
 }
 
 // StoreProgress is what a router has read of the store.
@@ -116,6 +126,8 @@
 	ListEnd int64
 	// Servers says which servers this router knows.
 	Servers KnownServers
+	// Evacuations are the evacuated data centres.
+	Evacuations evacuation.View
 }
 
 // Exchange sends and receives digests. Its methods are safe for concurrent use.
@@ -154,16 +166,29 @@
 	// shares are this router's shares of limited servers, computed anew in each loadInterval and when a
 	// router stops or starts, since each choice of a server asks for them.
 	shares map[uint64]namedlimit.Share
+	// maySend is set while this router may be the only one that sends to a cold server, as last computed.
+	maySend bool
+	// grantOrder are the routers that may grant the slots of each pool, and liveRouters is the number of live ones, as of
+	// then. notGranting is set once this router stops to grant.
+	grantOrder  map[uint64]candidates
+	liveRouters int
+	notGranting bool
+	// onGrants handles messages about the slots of pools.
+	onGrants GrantHandler
 	// toRelay has the placements that this router is to pass on, by the Sender that made them, and collected is their
 	// number. relayWake is signalled when there are some.
 	toRelay   map[uint64][]Placement
 	collected int
 	relayWake chan struct{}
+	// evacuationCursor is the first evacuated data centre of the next digest when not all fit.
+	evacuationCursor atomic.Int64
 	// sent counts the datagrams.
 	sent atomic.Int64
-	// sentProgress and sentEra are the read progress and the store's era as last sent.
-	sentProgress []Progress
-	sentEra      int64
+	// sentProgress, sentEra and sentEvacuations are the read progress, the store's era and the position of the known
+	// evacuations as last sent.
+	sentProgress    []Progress
+	sentEra         int64
+	sentEvacuations logpos.Position
 }
 
 // Listen opens the address for digests. All routers use the same port. The
@@ -175,6 +200,8 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for digests")
 	}
+	peers := NewPeers(addr.Addr(), seeds)
+	peers.since = time.Now()
 	return &Exchange{
 		conn:   conn,
 		port:   uint16(conn.LocalAddr().(*net.UDPAddr).Port),
@@ -182,9 +209,12 @@
 		state:  state,
 		events: events,
 		wake:   make(chan struct{}, 1),
-		peers:  NewPeers(addr.Addr(), seeds),
+		peers:  peers,
+
+		sentEvacuations: logpos.None,
 
 		synced: firstStart, loadsSentAt: time.Now(), shares: make(map[uint64]namedlimit.Share),
+		grantOrder: make(map[uint64]candidates), onGrants: func(netip.Addr, *slotgrant.Message) {},
 		toRelay: make(map[uint64][]Placement), relayWake: make(chan struct{}, 1),
 	}, nil
 }
@@ -346,6 +376,10 @@
 			// A datagram to an unreachable peer can make a later read fail.
 			continue
 		}
+		if m, ok := decodeGrantsDatagram(buffer[:n]); ok {
+			e.onGrants(from.Addr().Unmap(), m)
+			continue
+		}
 		m, err := Decode(buffer[:n])
 		if err != nil {
 			e.events.Emit(event.DigestUnusable, "from", from.String(), "bytes", n)
@@ -359,8 +393,9 @@
 	now := time.Now()
 	e.mu.Lock()
 	isNew := e.peers.RecordMessage(now, from, m)
-	if isNew || m.Stopping {
-		clear(e.shares)
+	if isNew || m.Stopping || m.NotGranting {
+		e.clearShares()
+		clear(e.grantOrder)
 	}
 	e.synced = e.synced || m.PlacementsReply
 	smallFleet := e.smallFleet()
@@ -368,6 +403,9 @@
 	requestNow := m.Synced && !e.synced
 	sum := m.LoadsComplete && smallFleet && now.Sub(e.summedAt) >= sumInterval
 	e.mu.Unlock()
+	if m.Evacuations.Known {
+		e.state.ApplyEvacuations(m.Evacuations)
+	}
 	if isNew {
 		// The next loads are sent with the number of routers that are live.
 		e.state.SetRouterCount(known)
@@ -394,6 +432,9 @@
 	if len(m.Limits) > 0 {
 		e.state.ApplyLimits(m.Limits)
 	}
+	if len(m.Cold) > 0 || m.AllCold {
+		e.state.ApplyCold(m.Cold, m.AllCold)
+	}
 	if !m.Parts.Empty() {
 		e.state.ApplyPartReport(m.Parts)
 	}
@@ -476,6 +517,7 @@
 			e.sendServerChanges(targets)
 			e.sendPartReport(targets, false)
 			e.sendLimits(targets)
+			e.sendCold(targets)
 		}
 	}
 }
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -148,6 +149,8 @@
 	Relayed []RelayedPlacements
 	// Level is the level of the protocol that the sender has; 0 for one before there were levels.
 	Level int64
+	// NotGranting is set by a router that grants no slots of scarce pools, since it stops.
+	NotGranting bool
 	// Cached are placements without the tokens that are still to be read. They are
 	// encoded in fewer bytes when those of a server follow each other.
 	Cached   []Placement
@@ -161,6 +164,15 @@
 	// asks for.
 	Streams      []streamversion.Record
 	AskedStreams []uint64
+	// Cold are servers that are cold, or no longer, and AllCold is set when the sender knows of no others.
+	Cold    []ColdServer
+	AllCold bool
+	// Heard are the short hashes of the routers that the sender hears; nil when it does not say. Routers is the largest
+	// number of routers that it has known lately.
+	Heard   []uint16
+	Routers int64
+	// Evacuations are the data centres that the sender knows as evacuated.
+	Evacuations evacuation.View
 }
 
 // Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
@@ -196,6 +208,16 @@
 	fieldRelayed           = 28
 	fieldLevel             = 29
 	fieldServersHash       = 30
+	fieldCold              = 45
+	fieldAllCold           = 46
+	fieldHeard             = 47
+	fieldRouters           = 48
+	fieldEvacuationsAsOf   = 40
+	fieldEvacuation        = 41
+	fieldEvacuationsPart   = 42
+	// fieldGrants comes in datagrams of its own, see decodeGrantsDatagram.
+	fieldGrants      = 55
+	fieldNotGranting = 56
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -220,6 +242,7 @@
 	b = appendBool(b, fieldRelay, m.Relay)
 	b = appendPositive(b, fieldLevel, m.Level)
 	b = appendPositive(b, fieldServersHash, int64(m.ServersHash))
+	b = appendBool(b, fieldNotGranting, m.NotGranting)
 	for _, p := range m.Peers {
 		b = protowire.AppendTag(b, fieldPeer, protowire.BytesType)
 		b = protowire.AppendBytes(b, p.AsSlice())
@@ -248,6 +271,11 @@
 		b = appendLimit(b, l)
 	}
 	b = appendStreams(b, m.Streams, m.AskedStreams)
+	b = appendColdServers(b, m.Cold)
+	b = appendBool(b, fieldAllCold, m.AllCold)
+	b = appendHeard(b, m.Heard)
+	b = appendPositive(b, fieldRouters, m.Routers)
+	b = appendEvacuations(b, m.Evacuations)
 	return appendPartReport(b, m.Parts)
 }
 
@@ -398,8 +426,16 @@
 		m.Relay = v != 0
 	case fieldLevel:
 		m.Level, err = nonNegative(v)
+	case fieldNotGranting:
+		m.NotGranting = v != 0
 	case fieldServersHash:
 		m.ServersHash = uint32(v)
+	case fieldAllCold:
+		m.AllCold = v != 0
+	case fieldRouters:
+		m.Routers, err = nonNegative(v)
+	case fieldEvacuationsPart:
+		m.Evacuations.Partial = v != 0
 	}
 	return b[n:], err
 }
@@ -436,8 +472,16 @@
 		err = m.decodePeer(v)
 	case fieldPlacement, fieldProgress:
 		err = m.decodeNumbers(field, v)
+	case fieldEvacuationsAsOf:
+		err = m.decodeEvacuationsAsOf(v)
+	case fieldEvacuation:
+		err = m.decodeEvacuation(v)
 	case fieldLimit:
 		err = m.decodeLimit(v)
+	case fieldCold:
+		err = m.decodeColdServer(v)
+	case fieldHeard:
+		m.Heard, err = decodeHeard(v)
 	case fieldCrash:
 		err = m.decodeCrash(v)
 	case fieldStream:
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -38,12 +38,13 @@
 func (e *Exchange) newMessage() *Message {
 	progress := e.state.Progress()
 	e.mu.Lock()
-	synced, role := e.synced, roleOf(e.toldReader)
+	synced, role, notGranting := e.synced, roleOf(e.toldReader), e.notGranting
 	e.mu.Unlock()
 	return &Message{
 		Sender: e.sender, Synced: synced, Role: role, Progress: progress.Topics,
 		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
-		ListEnd: progress.ListEnd, ServersHash: progress.Servers.Hash, Level: ownLevel,
+		ListEnd: progress.ListEnd, ServersHash: progress.Servers.Hash, Level: ownLevel, NotGranting: notGranting,
+		Evacuations: e.partOf(progress.Evacuations),
 	}
 }
 
@@ -63,6 +64,7 @@
 	e.mu.Unlock()
 	e.sendTo([]netip.Addr{to}, m)
 	e.sendEntries([]netip.Addr{to}, e.state.PartEntries())
+	e.sendAllCold(to)
 }
 
 // sendDigest sends new server changes and placements to all tracked routers or to a relay, and
@@ -79,18 +81,20 @@
 		e.regularAt = now
 		e.peers.Expire(now)
 		m.Peers = e.nextPeers(targets)
+		m.Heard, m.Routers = e.peers.hearing(now)
 	}
 	withLoads := e.relays(now) && !e.reader && !e.peers.lacks(now, m)
 	e.mu.Unlock()
 	e.sendServerChanges(targets)
-	changed := m.StoreEra != e.sentEra || !slices.Equal(m.Progress, e.sentProgress)
+	changed := m.StoreEra != e.sentEra || !slices.Equal(m.Progress, e.sentProgress) || m.Evacuations.AsOf != e.sentEvacuations
 	if regular || changed && !withLoads {
 		e.sendTo(targets, m)
-		e.sentProgress, e.sentEra = m.Progress, m.StoreEra
+		e.sentProgress, e.sentEra, e.sentEvacuations = m.Progress, m.StoreEra, m.Evacuations.AsOf
 	}
 	e.sendNewPlacements(targets, regular)
 	e.sendPartReport(targets, regular)
 	e.sendLimits(targets)
+	e.sendCold(targets)
 }
 
 // sendLoads sends this router's loads and outcomes to all routers, or in a large
@@ -108,7 +112,7 @@
 	e.mu.Lock()
 	m.Role = roleOf(e.toldReader)
 	e.loadsSentAt = time.Now()
-	clear(e.shares)
+	e.clearShares()
 	smallFleet := e.smallFleet()
 	e.sentLoads = make(map[uint32]int, len(own))
 	for _, l := range own {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -125,18 +125,29 @@
 // tryServer makes one attempt and reports whether another one must follow.
 func (c *call) tryServer(ctx context.Context) bool {
 	job := c.job()
+	if !c.awaitGrant(ctx, &job) {
+		return false
+	}
+	defer c.endGrant()
 	choice, ok, newPlacement := c.pick(ctx, job)
 	if newPlacement {
 		c.handler.state.onNews()
 	}
+	if !ok && c.grantedInVain(ctx) {
+		return true
+	}
 	if !ok {
 		c.endWithoutServer(ctx)
 		return false
 	}
+	c.grant.sent = true
 	c.attempts.choice = choice
 	c.attempts.job = job
 	c.attempts.sent++
 	c.backup = c.nameBackup(choice, job)
+	if choice.Cold {
+		c.handler.metrics.recordCold(c.pool.name)
+	}
 	res := c.attemptAndEnd(ctx, choice, job)
 	choice, res = c.takeOver(ctx, choice, res)
 	if res.outcome == balance.Disputed {
@@ -156,6 +167,7 @@
 	defer func() {
 		c.attempts.lastOutcome, c.attempts.endedAt = res.outcome, time.Now()
 		if c.pool.end(time.Now(), choice, job, res.outcome) {
+			c.grant.ejected = true
 			c.logEjected(choice.Server, res.cause)
 		}
 		c.recordCrashSigns(choice.Server, res)
@@ -181,15 +193,22 @@
 
 // endWithoutCapacity ends a request that no server may get now.
 func (c *call) endWithoutCapacity() {
+	if c.refuseEvacuated() {
+		return
+	}
 	if c.requiredVersion() != 0 {
 		c.endUnserved(CauseNoServerOfVersion)
 		return
 	}
-	wait := c.pool.withheldWait(time.Now())
+	wait, cold := c.pool.withheldWait(time.Now())
 	if wait == 0 || c.attempts.ran > 0 {
 		c.endUnserved(CauseNoServer)
 		return
 	}
+	if cold {
+		c.refuseWithWait(CauseServersCold, coldRetryAfter())
+		return
+	}
 	c.refuseWithWait(CauseServerLimits, min(max(wait, minRetryAfter), maxRetryAfter))
 }
 
@@ -260,6 +279,7 @@
 	job := balance.Job{Version: c.requiredVersion(), Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre, Objective: c.route.Objective}
 	job.Prefixes, job.PromptTokens = sharedPrefixes(c.headers)
 	job.Unreachable = c.attempts.unreachable
+	job.RunsOnce = !c.route.MayRepeat()
 	return job
 }
 
@@ -440,6 +460,7 @@
 		return result{outcome: balance.Failed, cause: CauseWrongAnswer, mayHaveRun: true, otherAnswer: true}
 	}
 	if answer.HasLoad {
+		c.grant.load = answer.Load.Running + answer.Load.Waiting
 		c.pool.recordLoad(time.Now(), choice.Server.Key(), answer.Load)
 	}
 	c.recordLimit(choice.Server, answer, resp.StatusCode < http.StatusMultipleChoices)
@@ -449,6 +470,7 @@
 		drain(resp, watch)
 		return result{outcome: balance.Cancelled, cause: CauseNoCopy}
 	}
+	c.recordCold(choice.Server, answer.ColdLeft)
 	if answer.NotRun || resp.StatusCode == http.StatusMisdirectedRequest {
 		drain(resp, watch)
 		return result{outcome: balance.Refused, cause: CauseOverload}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -48,8 +48,10 @@
 		metrics.recordReuse(change)
 	}
 	observeLimits(state, events, metrics)
+	observeCold(state, events, metrics)
 	observeCrashes(state.crashes, events, metrics)
 	state.paths.events = events
+	state.grantsShared.events, state.grantsShared.metrics = events, metrics
 	h := &Handler{
 		state:   state,
 		codec:   codec,
@@ -108,6 +110,7 @@
 	// version is that of the servers which may continue the stream; 0 for any.
 	version  streamversion.Version
 	attempts attempts
+	grant    grantUse
 	stream   streamState
 	// backup is the engine that is to have a copy of the memory of the current attempt's run; nil for none.
 	backup   *backup
@@ -285,6 +288,9 @@
 	if !c.findVersion() {
 		return
 	}
+	if c.refuseEvacuated() {
+		return
+	}
 	if !c.admitToPool() {
 		return
 	}
@@ -301,15 +307,19 @@
 	})()
 	for c.tryServer(ctx) {
 	}
-	if c.outcome == OutcomeServed && c.attempts.sent == 1 && c.takeover.count == 0 {
+	if c.outcome == OutcomeServed && c.attempts.sent == 1 && c.takeover.count == 0 && !c.attempts.choice.Cold {
 		c.pool.recordAnswerTimes(c.firstByte, time.Since(c.arrivedAt))
 		c.recordRun()
 	}
 }
 
-// admitToPool refuses a request that would wait too long in a full pool.
+// admitToPool refuses a request that would wait too long in a full pool. In a scarce one that is decided by the router that
+// grants its slots.
 func (c *call) admitToPool() bool {
 	now := time.Now()
+	if !c.grant.fallback && c.needsGrant(now) {
+		return true
+	}
 	c.load, c.admission = c.pool.admit(now, overload.Request{
 		Workspace:     c.workspace.Name,
 		Route:         c.route.Name,
@@ -368,6 +378,7 @@
 	kv = append(kv, c.headers.takesUpFields()...)
 	kv = append(kv, c.attempts.logFields()...)
 	kv = append(kv, c.takeover.logFields()...)
+	kv = append(kv, c.grant.logFields()...)
 	if c.decidedPart != 0 {
 		kv = append(kv, "part", strconv.FormatUint(c.decidedPart, 16))
 	}
@@ -380,7 +391,7 @@
 	if c.pool != nil && e == event.RequestFailed {
 		kv = append(kv, "retries_left", c.pool.retriesLeft(time.Now()))
 	}
-	if c.cause == CausePoolFull {
+	if c.cause == CausePoolFull && !c.grant.asked {
 		kv = append(kv, "load", c.load.InFlight(), "own", c.load.Own, "slots", c.load.Slots, "expected_ms", c.admission.Expected.Milliseconds(),
 			"bound_ms", c.admission.Bound.Milliseconds(), "surging", c.admission.Surging, "returning", c.admission.Retrying,
 			"retry_after_ms", c.admission.RetryAfter.Milliseconds())
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -133,6 +133,8 @@
 	Leaving bool
 	// Brittle is the number of rejections in a second that the server bears; 0 when it does not say.
 	Brittle float64
+	// ColdLeft is how long the server is cold yet; 0 when it does not say that it is.
+	ColdLeft time.Duration
 	// RetryAfter is how long the server wants no request when it refuses one; 0 when it does
 	// not say.
 	RetryAfter time.Duration
@@ -193,6 +195,8 @@
 	// CauseServerLimits: all servers that could take the request name limits that are used up, or
 	// want none for a while.
 	CauseServerLimits Cause = "server_limits"
+	// CauseServersCold: the servers that could take the request are cold and tolerate no more, or none of this router.
+	CauseServersCold  Cause = "servers_cold"
 	CauseRouterMemory Cause = "router_memory"
 	CauseDeadline     Cause = "deadline"
 	CauseUnreachable  Cause = "server_unreachable"
@@ -221,6 +225,8 @@
 	CauseVersionUnknown Cause = "version_of_stream_unknown"
 	// CauseNoServerOfVersion: no server of the software version that began the stream can take it.
 	CauseNoServerOfVersion Cause = "no_server_of_version"
+	// CauseEvacuated: the data centres of all servers that could take the request are evacuated.
+	CauseEvacuated Cause = "data_centre_evacuated"
 	// CauseInternal: the router failed; its log line has the error.
 	CauseInternal Cause = "internal_error"
 )
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/connreuse"
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/overload"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
@@ -48,12 +49,16 @@
 	// BodyMemory bounds the request bodies in memory at the same time, in bytes.
 	BodyMemory int64
 	DataCentre string
+	// ColdOverage and ColdExtra bound the requests that a cold server gets in a second beyond the rate of its pool: a
+	// factor and a number of requests.
+	ColdOverage float64
+	ColdExtra   float64
 }
 
 // State holds the configuration in force, and the load balancing and connections
 // of all pools. It is safe for concurrent use.
 type State struct {
-	// limits do not change, except Balance and Retry, which mu guards.
+	// limits do not change, except Balance, Retry and the bounds of cold servers, which mu guards.
 	limits Limits
 	table  atomic.Pointer[routing.Table]
 	// onNews is called when the other routers have to be told something soon.
@@ -69,15 +74,21 @@
 	fleet *retrybudget.Fleet
 	// paths opens the connections to servers.
 	paths *paths
+	// grantsShared is shared by the grant desks of all pools.
+	grantsShared *grantsShared
 	// limitShare returns this router's share in the requests to a server that names a limit, and
 	// onLimit is called when such a limit changes. New sets it.
 	limitShare func(server uint64) namedlimit.Share
 	onLimit    func(s *registry.Server, said namedlimit.Statement, received bool)
+	// onCold is called when a server becomes cold, or no longer is. New sets it.
+	onCold func(s *registry.Server, left time.Duration, cause ColdCause)
 
 	mu    sync.Mutex
 	pools map[string]*pool
-	// addrs are the addresses of all servers.
-	addrs map[string]bool
+	// addrs has the data centres of the servers at each address, and evacuated those that are evacuated.
+	addrs     map[string][]string
+	evacuated map[string]bool
+	cold      coldKnowledge
 }
 
 // pool balances the load over the servers of one pool and holds the connections
@@ -100,6 +111,7 @@
 	// backups decides on copies of the memory of runs, and backedUp has the attempts that have one.
 	backups  streambackup.Policy
 	backedUp map[registry.Key]map[*watch]bool
+	grants   *grantDesk
 }
 
 // NewState returns a state without a configuration and servers.
@@ -107,14 +119,18 @@
 	st := &State{
 		limits: limits, pools: make(map[string]*pool), onNews: func() {}, placementsKnown: func() bool { return true },
 		onReuse:    func(*registry.Server, *connreuse.Change) {},
-		limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Routers: 1} },
+		limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Sole: true, Routers: 1} },
 		onLimit:    func(*registry.Server, namedlimit.Statement, bool) {},
+		onCold:     func(*registry.Server, time.Duration, ColdCause) {},
+		cold:       coldKnowledge{pending: make(map[uint32]pendingCold)},
 	}
 	st.crashes = newCrashes(func() { st.onNews() })
 	st.streams = newStreamVersions()
 	st.fleet = retrybudget.NewFleet()
 	st.paths = newPaths()
+	st.grantsShared = &grantsShared{events: event.Nop()}
 	st.paths.onChange = st.renewConnections
+	st.paths.evacuated = st.evacuatedAddr
 	st.crashes.ended = st.paths.refuses
 	return st
 }
@@ -134,11 +150,11 @@
 	return st.paths.dialDirect(ctx, network, addr)
 }
 
-// KnowsServer reports whether a server has an address.
+// KnowsServer reports whether a server has an address and is in service.
 func (st *State) KnowsServer(addr string) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.addrs[addr]
+	return len(st.addrs[addr]) > 0 && !st.isEvacuated(addr)
 }
 
 // renewConnections makes the next requests to the servers at an address use new connections.
@@ -161,26 +177,29 @@
 func (st *State) SetPlacementsKnown(f func() bool) { st.placementsKnown = f }
 
 // SetTable puts a configuration in force.
-func (st *State) SetTable(t *routing.Table) { st.table.Store(t) }
+func (st *State) SetTable(t *routing.Table) {
+	st.table.Store(t)
+	st.setColdLimits()
+}
 
 // Table returns the configuration in force, or nil before the first one.
 func (st *State) Table() *routing.Table { return st.table.Load() }
 
 // SetServers replaces the list of servers of all pools.
 func (st *State) SetServers(list []*registry.Server) {
-	byPool, addrs := make(map[string][]*registry.Server), make(map[string]bool, len(list))
+	byPool, addrs := make(map[string][]*registry.Server), make(map[string][]string, len(list))
 	for _, s := range list {
 		byPool[s.Pool] = append(byPool[s.Pool], s)
-		addrs[s.Addr] = true
+		addrs[s.Addr] = append(addrs[s.Addr], s.DataCentre)
 	}
-	st.paths.forget(func(addr string) bool { return !addrs[addr] })
+	st.paths.forget(func(addr string) bool { return len(addrs[addr]) == 0 })
 	if st.setPools(byPool, addrs) {
 		st.streams.tellOwn()
 	}
 }
 
 // setPools replaces the servers of all pools and reports whether a second version has come to one.
-func (st *State) setPools(byPool map[string][]*registry.Server, addrs map[string]bool) (secondVersion bool) {
+func (st *State) setPools(byPool map[string][]*registry.Server, addrs map[string][]string) (secondVersion bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.addrs = addrs
@@ -192,6 +211,7 @@
 	for name, p := range st.pools {
 		secondVersion = p.setServers(byPool[name]) || secondVersion
 	}
+	st.applyPendingCold(time.Now())
 	return secondVersion
 }
 
@@ -210,8 +230,11 @@
 
 func (st *State) newPool(name string) *pool {
 	b := balance.NewPool(st.limits.Balance)
+	b.SetEvacuated(time.Now(), st.evacuated)
 	b.SetLimitShare(func(server uint64) namedlimit.Share { return st.limitShare(server) })
-	return &pool{
+	b.SetColdLimits(st.coldLimits(name))
+	b.SetStartsUnknown(st.cold.startsUnknownUntil)
+	p := &pool{
 		name:        name,
 		budget:      retrybudget.New(st.limits.Retry, st.fleet),
 		balance:     b,
@@ -221,6 +244,8 @@
 		dial:        st.paths.dial,
 		indirect:    st.paths.indirect,
 	}
+	p.grants = newGrantDesk(p, st.grantsShared)
+	return p
 }
 
 // pool returns the pool named name, or nil.
@@ -235,7 +260,7 @@
 	return st.engines(func(s balance.Status) bool { return !s.Server.Leaving && !s.Ejected })
 }
 
-// AllEngines returns the model engines, also those that get no requests at the moment.
+// AllEngines returns the model engines in service, also those that get no requests at the moment.
 func (st *State) AllEngines() []*registry.Server {
 	return st.engines(func(balance.Status) bool { return true })
 }
@@ -245,7 +270,7 @@
 	now := time.Now()
 	st.eachPool(func(p *pool) {
 		for _, s := range p.balance.Status(now) {
-			if s.Server.Engine && accept(s) {
+			if s.Server.Engine && !s.Evacuated && accept(s) {
 				list = append(list, s.Server)
 			}
 		}
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -17,10 +17,12 @@
 	// ExpectedMs is the expected time to the first byte of a new request, in milliseconds.
 	ExpectedMs int64 `json:"expected_ms"`
 	// RetriesLeft is the number of retries that the retry budget allows now.
-	RetriesLeft float64 `json:"retries_left"`
+	RetriesLeft float64        `json:"retries_left"`
+	Servers     []ServerStatus `json:"servers"`
+	// Grants is the state of the grants of a scarce pool; absent for other pools.
+	Grants *GrantStatus `json:"grants,omitempty"`
 	// Backups is the state of the copies of running requests' memory; absent while no engine ends and there are none.
-	Backups *BackupStatus  `json:"backups,omitempty"`
-	Servers []ServerStatus `json:"servers"`
+	Backups *BackupStatus `json:"backups,omitempty"`
 }
 
 // BackupStatus is the state of the copies of running requests' memory in one pool.
@@ -37,13 +39,17 @@
 	ID         string `json:"id"`
 	Addr       string `json:"addr"`
 	DataCentre string `json:"data_centre"`
-	// State is ready, indirect (reached through another router), leaving or ejected.
+	// State is ready, indirect (reached through another router), evacuated (as its data centre), leaving, ejected or cold.
 	State string `json:"state"`
 	// Own and Others are the requests in flight of this router and of the others.
 	Own    int `json:"own"`
 	Others int `json:"others"`
 	// LimitPerSecond is the limit that the server names; absent for none.
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
+	// ColdMs is how long the server is cold yet, in milliseconds, and ColdSender is set while this router is the one
+	// that sends to it.
+	ColdMs     int64 `json:"cold_ms,omitempty"`
+	ColdSender bool  `json:"cold_sender,omitempty"`
 	// NoReuseMs is how long connections are not reused yet, in milliseconds.
 	NoReuseMs int64 `json:"no_reuse_ms,omitempty"`
 }
@@ -51,7 +57,15 @@
 // Status returns the status of all pools, sorted by name.
 func (st *State) Status(now time.Time) []PoolStatus {
 	var list []PoolStatus
-	st.eachPool(func(p *pool) { list = append(list, p.status(now)) })
+	desks := make(map[string]*grantDesk)
+	st.eachPool(func(p *pool) {
+		list = append(list, p.status(now))
+		desks[p.name] = p.grants
+	})
+	for i := range list {
+		// A desk uses its pool, so it is asked without the pool's lock.
+		list[i].Grants = desks[list[i].Name].status(now)
+	}
 	slices.SortFunc(list, func(a, b PoolStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
@@ -74,16 +88,20 @@
 	for _, b := range p.balance.Status(now) {
 		state := "ready"
 		switch {
+		case b.Evacuated:
+			state = "evacuated"
 		case b.Server.Leaving:
 			state = "leaving"
 		case b.Ejected:
 			state = "ejected"
+		case b.ColdLeft > 0:
+			state = "cold"
 		case p.indirect(now, b.Server.Addr):
 			state = "indirect"
 		}
 		server := ServerStatus{
 			ID: b.Server.ID, Addr: b.Server.Addr, DataCentre: b.Server.DataCentre, State: state, Own: b.Own, Others: b.Others,
-			LimitPerSecond: b.LimitPerSecond,
+			LimitPerSecond: b.LimitPerSecond, ColdMs: b.ColdLeft.Milliseconds(), ColdSender: b.ColdSender,
 		}
 		if c := p.connections[b.Server.Key()]; c != nil {
 			server.NoReuseMs = c.noReuseFor(now).Milliseconds()
--- a/internal/forward/takeover.go
+++ b/internal/forward/takeover.go
@@ -84,6 +84,9 @@
 	primary := c.attempts.choice
 	c.attempts.choice, c.attempts.job = next, job
 	c.backup = c.nameBackup(next, c.job())
+	if next.Cold {
+		c.handler.metrics.recordCold(c.pool.name)
+	}
 	res = c.attemptAndEnd(ctx, next, job)
 	c.takeover.from = MemoryRef{}
 	c.logTakeover(choice, target.ID, broken, res.outcome == balance.Served || c.takeover.brokenAt.IsZero(), res.cause)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,6 +60,8 @@
 	ConfigKey    string
 	DecodeConfig func(value []byte) (routing.Config, error)
 	DecodeServer func(id string, value []byte) (*registry.Server, error)
+	// EvacuatedDataCentre returns the data centre that a key in Config evacuates; nil for a platform that evacuates none.
+	EvacuatedDataCentre func(key string) (dataCentre string, ok bool)
 	// Inventory returns the prompt parts that the engine at addr has cached.
 	Inventory func(ctx context.Context, addr string) ([]forward.CachedPart, error)
 	// ReadyPath is the path of the platform's readiness check.
@@ -119,6 +121,9 @@
 	}
 	f.tracker = newTracker(p, state, f.edge, events, metrics.Scope())
 	f.tracker.firstStart = s.FirstStart
+	if !s.FirstStart {
+		f.tracker.servers.SetRestarted()
+	}
 	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), s.FirstStart, &digestState{State: state, tracker: f.tracker, progress: &f.tracker.progress}, events)
 	if err != nil {
 		return nil, errors.Join(err, f.edge.Close(), metrics.Close())
@@ -133,6 +138,8 @@
 	state.OnNews(f.exchange.SendSoon)
 	state.SetPlacementsKnown(f.placementsKnown)
 	state.SetLimitShare(f.exchange.LimitShare)
+	state.SetGrantLink(f.exchange)
+	f.exchange.OnGrants(state.ReceiveGrants)
 	state.SetTrialTurn(f.exchange.RoutersBefore)
 	state.SetFleetStreams(f.exchange)
 	f.ready = newServer(f.readyRouter())
@@ -150,7 +157,16 @@
 
 // Progress returns what this router has read of the store.
 func (s *digestState) Progress() digest.StoreProgress {
-	return s.progress.report(time.Now(), s.tracker.eras.Current())
+	now := time.Now()
+	progress := s.progress.report(now, s.tracker.eras.Current())
+	progress.Evacuations = s.tracker.evacuations.view(now)
+	return progress
+}
+
+// ColdServers returns the cold servers, and whether this router knows of all.
+func (s *digestState) ColdServers() (list []digest.ColdServer, complete bool) {
+	list, settled := s.State.ColdServers()
+	return list, settled && s.tracker.ServersKnown()
 }
 
 // SetOutcomes ejects the servers that fail many of all routers' requests.
@@ -182,6 +198,8 @@
 		},
 		BodyMemory: int64(bodyShare * float64(s.MemoryMB) * megabyte),
 		DataCentre: s.DataCentre,
+
+		ColdOverage: s.Bounds.ColdOverage, ColdExtra: s.Bounds.ColdExtra,
 	}
 }
 
@@ -191,6 +209,7 @@
 	f.bounds.Store(&s.Bounds)
 	l := forwardLimits(s)
 	f.state.SetBounds(l.Balance, l.Retry)
+	f.state.SetColdBounds(l.ColdOverage, l.ColdExtra)
 }
 
 // ConfigureRuntime adapts the Go runtime to the cores and memory of the VM.
