forward: a takeover needs the end of the run itself, and goes on exactly after the last event

A connection that lost its way, or whose carrier ended, leaves an engine that does not see that it is to stop: no takeover. Events left out after a takeover are noticed where IDs are successive numbers. The end of an engine that leaves is no sign.

--- a/internal/balance/backup.go
+++ b/internal/balance/backup.go
@@ -97,6 +97,12 @@
 	return cached
 }
 
+// Leaving reports whether a server of the pool leaves.
+func (p *Pool) Leaving(key registry.Key) bool {
+	m := p.byKey[key]
+	return m != nil && m.server.Leaving
+}
+
 // PickNamed returns the choice of the one server that has a copy of a run, or false when the job may not go there
 // now. A pause after a refusal, which spreads new requests, does not keep a run from the only server that has
 // its copy.
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -16,6 +16,8 @@
 	// firstEventID is the ID of the first complete event that has one since the start or
 	// the last Restart.
 	firstEventID string
+	// eventsWithID is the number of complete events that have one since then.
+	eventsWithID int
 	// endedWithoutID is set when an event without an ID has ended since.
 	endedWithoutID bool
 	// eventID and hasEventID hold the ID of the event that has not ended.
@@ -111,6 +113,7 @@
 
 func (s *Scanner) endEvent() {
 	if s.hasEventID {
+		s.eventsWithID++
 		s.lastEventID = s.eventID
 		if s.firstEventID == "" {
 			s.firstEventID = s.eventID
@@ -140,6 +143,9 @@
 // or the last Restart; empty when there is none.
 func (s *Scanner) FirstEventID() string { return s.firstEventID }
 
+// EventsWithID returns the number of complete events that have an ID since the start or the last Restart.
+func (s *Scanner) EventsWithID() int { return s.eventsWithID }
+
 // Resumable reports whether a stream that continues after the last event ID repeats
 // and omits no complete event.
 func (s *Scanner) Resumable() bool { return s.lastEventID != "" && !s.endedWithoutID }
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math"
 	"strconv"
 	"syscall"
@@ -10,6 +11,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
 	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/namedlimit"
 	"github.com/bluebellwell/bluebellwell/internal/placement"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
@@ -47,10 +49,9 @@
 	if engine == nil {
 		return nil
 	}
-	routers := c.handler.state.limitShare(choice.Server.Key().Hash()).Routers
 	b := c.pool.nameBackup(time.Now(), choice, job, c.backupRun(), streambackup.Bounds{Pool: streambackup.Pool{
 		KVTokens: engine.KVTokens, KVTokenBytes: engine.KVTokenBytes, LinkMbps: engine.LinkMbps, Slots: engine.Slots,
-	}, Routers: routers})
+	}}, c.handler.state.limitShare)
 	if b != nil {
 		c.handler.metrics.recordBackup(c.pool.name)
 		c.handler.events.Emit(event.BackupNamed, "request", c.headers.ID, "server", choice.Server.ID, "backup", b.server.ID,
@@ -64,14 +65,9 @@
 	if c.route.Kind != routing.Stream || backedUpEngines(c.table, c.pool.name) == nil {
 		return
 	}
-	first, err := strconv.ParseInt(c.stream.events.FirstEventID(), 10, 32)
-	last, lastErr := strconv.ParseInt(c.stream.events.LastEventID(), 10, 32)
-	if err != nil || lastErr != nil {
-		return
-	}
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	c.pool.backups.RecordAnswer(int(last-first)+1, time.Since(c.arrivedAt)-c.firstByte)
+	c.pool.backups.RecordAnswer(c.stream.events.EventsWithID(), time.Since(c.arrivedAt)-c.firstByte)
 }
 
 // backupRun describes the run that is about to be sent.
@@ -90,7 +86,8 @@
 }
 
 // nameBackup decides whether a run is backed up and where, and counts the copy.
-func (p *pool) nameBackup(now time.Time, choice balance.Choice, job balance.Job, run streambackup.Run, in streambackup.Bounds) *backup {
+func (p *pool) nameBackup(now time.Time, choice balance.Choice, job balance.Job, run streambackup.Run, in streambackup.Bounds,
+	share func(server uint64) namedlimit.Share) *backup {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	policy := &p.backups
@@ -98,7 +95,7 @@
 		return nil
 	}
 	primary := p.balance.Primary(choice, job)
-	run.ReadTime, in.Engines = primary.ReadTime, primary.Engines
+	run.ReadTime, in.Engines, in.Routers = primary.ReadTime, primary.Engines, share(choice.Server.Key().Hash()).Routers
 	risk := policy.Risk(now, p.engineOf(now, primary), run)
 	if risk == 0 {
 		return nil
@@ -184,7 +181,10 @@
 func (p *pool) recordEnd(s *registry.Server, sign streambackup.Sign) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.recordEndSign(time.Now(), s, sign)
+	if !p.balance.Leaving(s.Key()) {
+		// The end of one that leaves says nothing of others.
+		p.recordEndSign(time.Now(), s, sign)
+	}
 	if sign == streambackup.Refused {
 		p.endSilentRuns(s.Key())
 	}
@@ -259,17 +259,24 @@
 	})
 }
 
-// runOver reports whether the run of the current attempt is over, or its connection broken, although its answer is not
-// whole. Silence shows nothing, nor does a connection that timed out: its engine may go on with the run.
+// runOver reports whether the run of the current attempt is over, although its answer is not whole: the engine ended the
+// answer, or sent what is none, so that the connection was closed and the engine drops the run. Silence shows nothing,
+// nor does a connection that timed out or lost its way: its engine does not see that it is closed.
 func (c *call) runOver(ctx context.Context) bool {
 	if cause := context.Cause(ctx); cause != nil {
 		return errors.Is(cause, errEngineGone)
 	}
-	if errors.Is(c.attempts.readError, errTooLong) {
+	err := c.attempts.readError
+	var network syscall.Errno
+	var timeout interface{ Timeout() bool }
+	switch {
+	case c.attempts.serverEnded(), errors.Is(err, io.EOF):
+		return true
+	case errors.Is(err, errTooLong), errors.As(err, &network), errors.As(err, &timeout) && timeout.Timeout():
 		return false
 	}
-	var timeout interface{ Timeout() bool }
-	return !errors.As(c.attempts.readError, &timeout) || !timeout.Timeout()
+	// The router that carries a connection, or the way to it, may have ended without its other side.
+	return c.attempts.via == ""
 }
 
 // holdsEvents reports whether the caller gets whole events only, so that another engine can go on after the last one.
--- a/internal/forward/backup_test.go
+++ b/internal/forward/backup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net"
@@ -34,12 +35,13 @@
 		then func(b *bed)
 		want float64
 	}{
-		"served":                   {answer: ok(runEvents(1, 5))},
-		"failed":                   {answer: status(500, "")},
-		"broken off":               {answer: broken(runEvents(1, 2)), want: 0.5},
-		"broken off twice":         {answer: raw(""), then: func(b *bed) { b.send(ask{}) }, want: 1},
-		"broken off by plain ones": {answer: broken(runEvents(1, 2)), plain: true},
-		"vanished":                 {answer: ok(runEvents(1, 5)), then: func(b *bed) { b.withoutServer(b.servers[0]) }, want: 1},
+		"served":                        {answer: ok(runEvents(1, 5))},
+		"failed":                        {answer: status(500, "")},
+		"broken off":                    {answer: broken(runEvents(1, 2)), want: 0.5},
+		"broken off twice":              {answer: raw(""), then: func(b *bed) { b.send(ask{}) }, want: 1},
+		"broken off by plain ones":      {answer: broken(runEvents(1, 2)), plain: true},
+		"vanished":                      {answer: ok(runEvents(1, 5)), then: func(b *bed) { b.withoutServer(b.servers[0]) }, want: 1},
+		"broken off by one that leaves": {answer: raw("HTTP/1.1 200 OK\r\nId: %ID%\r\nSigned: by first\r\nLeaving: 1\r\nContent-Length: 99\r\n\r\n" + runEvents(1, 2))},
 		"left": {answer: ok(runEvents(1, 5)), then: func(b *bed) {
 			b.state.pool("p").recordLeaving(b.servers[0].Key())
 			b.withoutServer(b.servers[0])
@@ -184,24 +186,30 @@
 	t.Parallel()
 	for _, c := range []struct {
 		cause, read error
+		via         string
 		want        bool
 	}{
-		{nil, io.ErrUnexpectedEOF, true},
-		{nil, &net.OpError{Op: "read", Err: syscall.ECONNRESET}, true},
-		{nil, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}, false},
-		{nil, os.ErrDeadlineExceeded, false},
-		{nil, errTooLong, false},
-		{errSilent, context.Canceled, false},
-		{errRouterEnds, context.Canceled, false},
-		{errEngineGone, context.Canceled, true},
+		{read: io.ErrUnexpectedEOF, want: true},
+		{read: io.ErrUnexpectedEOF, via: "10.0.0.1", want: true},
+		{read: io.EOF, via: "10.0.0.1", want: true},
+		{read: &net.OpError{Op: "read", Err: syscall.ECONNRESET}, want: true},
+		{read: errors.New("malformed chunk"), want: true},
+		{read: errors.New("the carrier has ended"), via: "10.0.0.1"},
+		{read: &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}},
+		{read: &net.OpError{Op: "read", Err: syscall.EHOSTUNREACH}},
+		{read: os.ErrDeadlineExceeded},
+		{read: errTooLong},
+		{cause: errSilent, read: context.Canceled},
+		{cause: errRouterEnds, read: context.Canceled},
+		{cause: errEngineGone, read: context.Canceled, want: true},
 	} {
 		ctx, cancel := context.WithCancelCause(context.Background())
 		if c.cause != nil {
 			cancel(c.cause)
 		}
-		call := &call{attempts: attempts{readError: c.read}}
+		call := &call{attempts: attempts{readError: c.read, via: c.via}}
 		if got := call.runOver(ctx); got != c.want {
-			t.Errorf("cancelled by %v, read error %v: over %v, want %v", c.cause, c.read, got, c.want)
+			t.Errorf("cancelled by %v, read error %v, via %q: over %v, want %v", c.cause, c.read, c.via, got, c.want)
 		}
 		cancel(nil)
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -37,6 +37,8 @@
 	// resumedAfter is the ID of the last event that the caller had when an engine was asked to continue the stream,
 	// from this answer or from the one before which it takes up.
 	resumedAfter string
+	// counted is set when the IDs of the events before the last attempt were successive numbers.
+	counted bool
 	// unresumable is set when a part of an event has been relayed, because the event was
 	// too large to be held back, and when an engine did not continue where it was asked to.
 	unresumable bool
@@ -50,13 +52,14 @@
 	defer readBuffers.Put(buffer)
 	c.stream.held = c.stream.held[:0]
 	c.stream.resumedAfter = cmp.Or(c.stream.events.LastEventID(), c.takenUpAfter())
+	c.stream.noteCounting()
 	c.stream.events.Restart()
 	for {
 		n, err := resp.Body.Read(buffer[:])
 		if n > 0 {
 			c.attempts.bodyBytes += int64(n)
 			c.stream.events.Scan(buffer[:n])
-			if c.stream.repeats() {
+			if c.stream.repeats() || c.takeover.active() && c.stream.skips() {
 				c.dropRepeatedEvents()
 				return c.classifyBroken(ctx, CauseWrongAnswer)
 			}
@@ -107,6 +110,25 @@
 	return next <= last
 }
 
+// noteCounting notes whether the IDs of the last attempt's events were successive numbers. A single event does not show it.
+func (s *streamState) noteCounting() {
+	n := s.events.EventsWithID()
+	if n == 0 {
+		return
+	}
+	first, err := strconv.ParseUint(s.events.FirstEventID(), 10, 32)
+	last, lastErr := strconv.ParseUint(s.events.LastEventID(), 10, 32)
+	s.counted = n > 1 && err == nil && lastErr == nil && last-first+1 == uint64(n)
+}
+
+// skips reports whether an engine that was to continue a run began after the event that is due, in a stream whose
+// events are numbered one by one.
+func (s *streamState) skips() bool {
+	last, err := strconv.ParseUint(s.resumedAfter, 10, 32)
+	first, firstErr := strconv.ParseUint(s.events.FirstEventID(), 10, 32)
+	return s.counted && err == nil && firstErr == nil && first > last+1
+}
+
 // writeStreamData sends what new bytes of a stream allow to the caller, and reports
 // whether the caller is still connected. While nothing can be sent, nothing is flushed:
 // that would send headers other than the server's.
--- a/internal/forward/takeover_test.go
+++ b/internal/forward/takeover_test.go
@@ -152,6 +152,7 @@
 		"events without IDs":      {first: "data: x\n\n", body: "data: x\n\n"},
 		"crashes engines":         {before: func(b *bed) { b.blame(26) }},
 		"events that it has":      {second: ok(runEvents(2, 5)), continued: 1},
+		"event left out":          {second: ok(runEvents(4, 5)), continued: 1},
 		"answer of other status":  {second: status(http.StatusAccepted, runEvents(3, 5)), continued: 1},
 		"engine that breaks":      {second: broken(""), continued: 3, options: bedOptions{servers: 8}},
 	} {
@@ -415,3 +416,13 @@
 func primaryAt(s *registry.Server, engines int) balance.Primary {
 	return balance.Primary{Server: s, Engines: engines}
 }
+
+// Guards against a run that is cut where the IDs of its events are no successive numbers.
+func TestTakeoverTakesIDsThatAreNotCounted(t *testing.T) {
+	t.Parallel()
+	const start, rest = "id: 10\ndata: a\n\nid: 20\ndata: b\n\n", "id: 40\ndata: c\n\n"
+	b := newBackupBed(t, bedOptions{route: oneRun}, broken(start), ok(rest))
+	if got := b.send(ask{}); got.body != start+rest || got.err != nil {
+		t.Errorf("body %q, error %v; want both parts", got.body, got.err)
+	}
+}
