--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -31,21 +31,24 @@
 
 // usable returns the members that can take a request.
 func (p *Pool) usable(now time.Time, job *Job) []*member {
-	list := p.takers(now, func(m *member) bool {
-		if len(job.Exclude) > 0 && slices.Contains(job.Exclude, m.server.Key()) {
-			return false
-		}
-		if job.Granted != 0 && m.hash != job.Granted {
-			return false
-		}
-		return (job.Version == 0 || m.version == job.Version) && m.isIn(job.AllowedRegions) && !p.withheld(now, m)
-	})
+	list := p.takers(now, func(m *member) bool { return p.admits(now, m, job) })
 	if job.RunsOnce {
 		list = withoutProbation(now, list)
 	}
 	return list
 }
 
+// admits reports whether a job may go to a member that takes requests.
+func (p *Pool) admits(now time.Time, m *member, job *Job) bool {
+	if len(job.Exclude) > 0 && slices.Contains(job.Exclude, m.server.Key()) {
+		return false
+	}
+	if job.Granted != 0 && m.hash != job.Granted {
+		return false
+	}
+	return (job.Version == 0 || m.version == job.Version) && m.isIn(job.AllowedRegions) && !p.withheld(now, m)
+}
+
 // withoutProbation drops the members that have failed lately, unless that would leave less than two thirds of them:
 // a request that may run only once is lost with its server, others go on at another one. The requests that may be
 // repeated show whether the server works again.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -118,6 +118,9 @@
 	attempts attempts
 	grant    grantUse
 	stream   streamState
+	// backup is the engine that is to have a copy of the memory of the current attempt's run; nil for none.
+	backup   *backup
+	takeover takeoverState
 	// sentFraming is how the end of the answer to the caller is marked.
 	sentFraming framing.Framing
 	firstByte   time.Duration
@@ -319,8 +322,9 @@
 	})()
 	for c.tryServer(ctx) {
 	}
-	if c.outcome == OutcomeServed && c.attempts.sent == 1 && !c.attempts.choice.Cold {
+	if c.outcome == OutcomeServed && c.attempts.sent == 1 && c.takeover.count == 0 && !c.attempts.choice.Cold {
 		c.recordAnswerTimes()
+		c.recordRun()
 	}
 	c.observeCost()
 }
@@ -393,6 +397,7 @@
 	kv = append(kv, c.headers.partsField()...)
 	kv = append(kv, c.headers.takesUpFields()...)
 	kv = append(kv, c.attempts.logFields()...)
+	kv = append(kv, c.takeover.logFields()...)
 	kv = append(kv, c.grant.logFields()...)
 	kv = append(kv, c.costFields()...)
 	if c.decidedPart != 0 {
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -18,6 +18,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/retrybudget"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/streambackup"
 )
 
 const (
@@ -46,6 +47,8 @@
 type Limits struct {
 	Balance balance.Limits
 	Retry   retrybudget.Limits
+	// BackupRisk is the probability that a stream loses its engine from which it may have a copy elsewhere.
+	BackupRisk float64
 	// BodyMemory bounds the request bodies in memory at the same time, in bytes.
 	BodyMemory int64
 	DataCentre string
@@ -116,6 +119,9 @@
 	indirect func(now time.Time, addr string) bool
 	versions versionChange
 	grants   *grantPool
+	// backups decides on copies of the memory of runs, and backedUp has the attempts that have one.
+	backups  streambackup.Policy
+	backedUp map[registry.Key]map[*watch]bool
 }
 
 // NewState returns a state without a configuration and servers.
@@ -268,6 +274,7 @@
 		evacuated:   st.evacuatedAddr,
 		indirect:    st.paths.indirect,
 	}
+	p.backups.MinRisk = st.limits.BackupRisk
 	p.grants = newGrantPool(p, st.grantsShared)
 	return p
 }
@@ -306,11 +313,12 @@
 func (p *pool) setServers(list []*registry.Server) (secondVersion bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.balance.SetServers(list)
 	current := make(map[registry.Key]bool, len(list))
 	for _, s := range list {
 		current[s.Key()] = true
 	}
+	p.recordVanished(current)
+	p.balance.SetServers(list)
 	for key, c := range p.connections {
 		if current[key] {
 			continue
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -24,6 +24,17 @@
 	Servers     []ServerStatus `json:"servers"`
 	// Grants is the state of the grants of a scarce pool; absent for other pools.
 	Grants *GrantStatus `json:"grants,omitempty"`
+	// Backups is the state of the copies of running requests' memory; absent while no engine ends and there are none.
+	Backups *BackupStatus `json:"backups,omitempty"`
+}
+
+// BackupStatus is the state of the copies of running requests' memory in one pool.
+type BackupStatus struct {
+	// EngineEnds is the number of engines that have ended lately, with weights that decay.
+	EngineEnds float64 `json:"engine_ends"`
+	// Running and Tokens are the copies in progress of this router's runs and their expected size.
+	Running int `json:"running"`
+	Tokens  int `json:"tokens"`
 }
 
 // ServerStatus is this router's view of one server, for operators.
@@ -90,6 +101,7 @@
 		ExpectedMs:  p.controller.Expected(load).Milliseconds(),
 		RetriesLeft: p.retriesLeft(now),
 		Cost:        CostStatus(p.costs.Accuracy()),
+		Backups:     p.backupStatus(now),
 		Servers:     []ServerStatus{},
 	}
 	for _, b := range p.balance.Status(now) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -37,25 +37,29 @@
 	// resumedAfter is the ID of the last event that the caller had when an engine was asked to continue the stream,
 	// from this answer or from the one before which it takes up.
 	resumedAfter string
+	// counted is set when the IDs of the events before the last attempt were successive numbers.
+	counted bool
 	// unresumable is set when a part of an event has been relayed, because the event was
 	// too large to be held back, and when an engine did not continue where it was asked to.
 	unresumable bool
 }
 
-// relayStream relays events as they arrive. On a resumable route it relays only
-// complete events, so that another engine can continue after the last one.
+// relayStream relays events as they arrive. On a resumable route, and while there is a
+// backup of the run, it relays only complete events, so that another engine can continue
+// after the last one.
 func (c *call) relayStream(ctx context.Context, resp *http.Response, watch *watch) result {
 	buffer := readBuffers.Get().(*[streamReadBytes]byte)
 	defer readBuffers.Put(buffer)
 	c.stream.held = c.stream.held[:0]
 	c.stream.resumedAfter = cmp.Or(c.stream.events.LastEventID(), c.takenUpAfter())
+	c.stream.noteCounting()
 	c.stream.events.Restart()
 	for {
 		n, err := resp.Body.Read(buffer[:])
 		if n > 0 {
 			c.attempts.bodyBytes += int64(n)
 			c.stream.events.Scan(buffer[:n])
-			if c.stream.repeats() {
+			if c.stream.repeats() || c.takeover.active() && c.stream.skips() {
 				c.dropRepeatedEvents()
 				return c.classifyBroken(ctx, CauseWrongAnswer)
 			}
@@ -106,11 +110,30 @@
 	return next <= last
 }
 
+// noteCounting notes whether the IDs of the last attempt's events were successive numbers. A single event does not show it.
+func (s *streamState) noteCounting() {
+	n := s.events.EventsWithID()
+	if n == 0 {
+		return
+	}
+	first, err := strconv.ParseUint(s.events.FirstEventID(), 10, 32)
+	last, lastErr := strconv.ParseUint(s.events.LastEventID(), 10, 32)
+	s.counted = n > 1 && err == nil && lastErr == nil && last-first+1 == uint64(n)
+}
+
+// skips reports whether an engine that was to continue a run began after the event that is due, in a stream whose
+// events are numbered one by one.
+func (s *streamState) skips() bool {
+	last, err := strconv.ParseUint(s.resumedAfter, 10, 32)
+	first, firstErr := strconv.ParseUint(s.events.FirstEventID(), 10, 32)
+	return s.counted && err == nil && firstErr == nil && first > last+1
+}
+
 // writeStreamData sends what new bytes of a stream allow to the caller, and reports
 // whether the caller is still connected. While nothing can be sent, nothing is flushed:
 // that would send headers other than the server's.
 func (c *call) writeStreamData(resp *http.Response, data []byte) bool {
-	if c.route.Resumable && !c.stream.unresumable {
+	if c.holdsEvents() && !c.stream.unresumable {
 		data = c.stream.hold(data)
 	}
 	if len(data) == 0 {
@@ -124,6 +147,7 @@
 	if _, err := c.w.Write(data); err != nil {
 		return false
 	}
+	c.recordTakeoverPause()
 	return http.NewResponseController(&c.w).Flush() == nil
 }
 
@@ -162,6 +186,9 @@
 		// stream is complete.
 		return c.classifyBroken(ctx, CauseEndUnknown)
 	}
+	if end.framing == framing.Close && c.endedInRun() {
+		return c.brokenUnlessWhole(ctx)
+	}
 	return c.servedResult()
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -205,6 +205,7 @@
 			Extra:  s.Bounds.RetryExtra,
 		},
 		BodyMemory: int64(bodyShare * float64(s.MemoryMB) * megabyte),
+		BackupRisk: s.Bounds.BackupRisk,
 		DataCentre: s.DataCentre,
 		Regions:    regions(s),
 
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -57,6 +57,8 @@
 	// pool: a factor and a number of requests.
 	ColdOverage float64
 	ColdExtra   float64
+	// BackupRisk is the probability that a running stream loses its engine from which its memory is copied to a second one.
+	BackupRisk float64
 	// Evacuate is the time in which an evacuation of a data centre takes effect.
 	Evacuate time.Duration
 }
@@ -152,6 +154,7 @@
 		RetryExtra:   o.number("retry_extra", 10, 0, 1e6),
 		ColdOverage:  o.number("cold_overage", 1, 1, 100),
 		ColdExtra:    o.number("cold_slack", 0, 0, 1e6),
+		BackupRisk:   o.number("backup_risk", 0.25, 0, 1),
 		Evacuate:     o.duration("evacuate", 5*time.Second, 100*time.Millisecond, day),
 	}
 	o.reportUnknown()
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -528,6 +528,7 @@
 		Version: f.version, Pools: []string{"plain", "engines"}, BodyBytes: 1 << 20, HeaderTimeout: headerTimeout,
 		Workspaces: []platformtest.Workspace{{Name: "w1", Keys: []string{rotatingKey(f.version), steadyKey}}, {Name: "w2", Keys: []string{otherSteadyKey}, Regions: []string{ownRegion}}},
 		ColdStart:  coldStart, ColdPerSecond: coldRate,
+		Engines: &platformtest.EngineOffer{Slots: 8, KVTokens: 480_000, KVTokenBytes: 18_432, LinkMbps: 280_000, HandleS: 5, Backups: true},
 		Routes: []platformtest.Route{
 			route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 1),
 			route("stream", "stream", "engines", 1), route("resume", "stream", "engines", 2),
