forward, settings: no takeover before the first event; copies of runs and granted slots need a setting

Such a run is over as before now.

backup_risk is 1 (never) and grant_slots is off unless the settings say otherwise.

--- a/internal/digest/grants.go
+++ b/internal/digest/grants.go
@@ -169,6 +169,13 @@
 	return a.addr.Compare(b.addr)
 }
 
+// DisableGranting keeps this router from being one that grants. Call it before Send.
+func (e *Exchange) DisableGranting() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.notGranting = true
+}
+
 // StopGranting tells the others that this router grants no more: it stops.
 func (e *Exchange) StopGranting() {
 	e.mu.Lock()
--- a/internal/forward/takeover.go
+++ b/internal/forward/takeover.go
@@ -57,13 +57,11 @@
 	return c.backup != nil && res.over && ctx.Err() == nil && c.takeover.count < maxTakeovers && c.canTakeOver() && c.maySendAgain(res)
 }
 
-// canTakeOver reports whether another engine with the memory of the run can continue exactly where the caller is: after
-// its last event, or from the start when it has nothing.
+// canTakeOver reports whether another engine with the memory of the run can continue exactly where the caller is, after
+// its last event. Before the first one there may be no copy yet, and an engine that then begins anew runs a request twice that
+// may run only once.
 func (c *call) canTakeOver() bool {
-	if c.stream.unresumable {
-		return false
-	}
-	return !c.w.started() || c.stream.events.Resumable() && fitsHeader(c.stream.events.LastEventID())
+	return c.w.started() && !c.stream.unresumable && c.stream.events.Resumable() && fitsHeader(c.stream.events.LastEventID())
 }
 
 // continueRun sends the request to the engine that has a copy of the run's memory. continued is false when that engine
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -144,9 +144,13 @@
 	state.OnNews(f.exchange.SendSoon)
 	state.SetPlacementsKnown(f.placementsKnown)
 	state.SetLimitShare(f.exchange.LimitShare)
-	state.SetGrantLink(f.exchange)
 	f.exchange.SetProcessor(int64(thousandths * s.CPUShare * float64(s.Cores)))
-	f.exchange.OnGrants(state.ReceiveGrants)
+	if s.Bounds.GrantSlots {
+		state.SetGrantLink(f.exchange)
+		f.exchange.OnGrants(state.ReceiveGrants)
+	} else {
+		f.exchange.DisableGranting()
+	}
 	state.SetMaySend(f.tracker.evacuations.MaySend)
 	state.SetTrialTurn(f.exchange.RoutersBefore)
 	state.SetFleetStreams(f.exchange)
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -84,6 +84,7 @@
 		MemoryMB:     200, Cores: 1,
 		Bounds: settings.FrontBounds{
 			StopTimeout: 8 * time.Second, LoadMultiple: 2, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 480,
+			GrantSlots: true,
 		},
 	}
 	logger := b.logger
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -57,8 +57,11 @@
 	// pool: a factor and a number of requests.
 	ColdOverage float64
 	ColdExtra   float64
-	// BackupRisk is the probability that a running stream loses its engine from which its memory is copied to a second one.
+	// BackupRisk is the probability that a running stream loses its engine from which its memory is copied to a second one; 1
+	// for never.
 	BackupRisk float64
+	// GrantSlots is set when one router grants the slots of plain pools that have few of them for the routers.
+	GrantSlots bool
 	// Evacuate is the time in which an evacuation of a data centre takes effect.
 	Evacuate time.Duration
 }
@@ -154,7 +157,8 @@
 		RetryExtra:   o.number("retry_extra", 10, 0, 1e6),
 		ColdOverage:  o.number("cold_overage", 1, 1, 100),
 		ColdExtra:    o.number("cold_slack", 0, 0, 1e6),
-		BackupRisk:   o.number("backup_risk", 0.25, 0, 1),
+		GrantSlots:   o.boolean("grant_slots", false),
+		BackupRisk:   o.number("backup_risk", 1, 0, 1),
 		Evacuate:     o.duration("evacuate", 5*time.Second, 100*time.Millisecond, day),
 	}
 	o.reportUnknown()
