--- a/internal/balance/backup.go
+++ b/internal/balance/backup.go
@@ -51,7 +51,7 @@
 	job.Version = from.version
 	bound, cached := p.bound(p.mean(now)), p.cachedTokens(now, &job)
 	for _, m := range p.usable(now, &job) {
-		if m == from || m.version != from.version || !p.hasRoom(now, m, bound) {
+		if m == from || m.version != from.version || !p.hasRoom(now, m, bound) || !p.fitsMemory(now, m, &job) {
 			continue
 		}
 		b := Backup{
