--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -167,12 +167,15 @@
 )
 
 // A server is cold for coldStart after each of its starts. It then tolerates coldRate requests a second, of which coldOverage
-// times as many and coldSlack more may arrive in a second.
+// times as many and coldSlack more may arrive in a second. Few callers reach each server, so the numbers are small. Routers that
+// are in touch know of a start within coldKnown.
 const (
+	coldKnown   = time.Second
 	coldStart   = 5 * time.Second
-	coldRate    = 4.0
+	coldRate    = 1.0
 	coldOverage = 1.5
-	coldSlack   = 5.0
+	coldSlack   = 1.0
+	coldBound   = coldRate*coldOverage + coldSlack
 )
 
 func (f *fleet) addServer(i int) {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -55,7 +56,7 @@
 		Stable: 3 * time.Second, ConfigApply: 2 * time.Second, Skew: 5 * time.Second, Regress: 250 * time.Millisecond,
 		Drain: drainGrace, Loss: 200 * time.Millisecond, Late: 500 * time.Millisecond, Unready: 4 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 240, RetryWindow: 10 * time.Second, LoadMultiple: 2, Calm: 5 * time.Second,
-		ColdMost: int(coldRate*coldOverage + coldSlack), ColdKnown: drainGrace, ColdStart: coldStart,
+		ColdMost: int(math.Floor(coldBound)), ColdKnown: coldKnown, ColdStart: coldStart,
 		Recovery: recoveryTime, HeaderMargin: time.Second, Margin: faultMargin,
 	}
 }
