--- a/internal/slotgrant/asker.go
+++ b/internal/slotgrant/asker.go
@@ -18,6 +18,9 @@
 	// queuedResend is the time after which a queued question is sent again, to notice that the granting router has ended
 	// and to get a grant that was lost.
 	queuedResend = 80 * time.Millisecond
+	// pingRepeat is the time after which a ping without an answer is sent again. With a single one a lost datagram would
+	// make a second router grant.
+	pingRepeat = 25 * time.Millisecond
 	// pingInterval is the time between two pings of a router that did not answer.
 	pingInterval = 500 * time.Millisecond
 	// recentlyHeard is how long a router counts as granting after its last message, and aliveAfter how long one that may have to
@@ -56,19 +59,19 @@
 // contact is what is known of a router that grants or may do so.
 type contact struct {
 	heardAt time.Time
-	// pingedAt is when it was last pinged, and pingWaits is set until it answers.
-	pingedAt  time.Time
-	pingWaits bool
-	// silent is set when it has not answered in time, at silentAt.
-	silent   bool
-	silentAt time.Time
+	// pingedAt is when it was pinged, repeatedAt when that ping was last sent, and pingWaits is set until it answers.
+	pingedAt, repeatedAt time.Time
+	pingWaits            bool
+	// silent is set when it has not answered in time, at silentAt; told when another router has said so.
+	silent, told bool
+	silentAt     time.Time
 }
 
 func (c *contact) setSilent(now time.Time) {
 	if !c.silent {
 		c.silentAt = now
 	}
-	c.silent = true
+	c.silent, c.told = true, false
 }
 
 // Asker asks for the slots of a pool.
@@ -162,10 +165,22 @@
 	if c.pingWaits && !c.silent || now.Sub(c.pingedAt) < pingInterval && c.silent {
 		return
 	}
-	c.pingedAt, c.pingWaits = now, true
+	c.pingedAt, c.repeatedAt, c.pingWaits = now, now, true
 	out.to(addr, a.term).Ping = true
 }
 
+// awaitPing repeats the ping of a router that does not answer, since datagrams are lost, and takes it for silent in the end.
+func (a *Asker) awaitPing(now time.Time, addr netip.Addr, c *contact, out *Outbox) {
+	switch {
+	case !c.pingWaits || c.silent:
+	case now.Sub(c.pingedAt) >= maxAnswerTimeout:
+		c.setSilent(now)
+	case now.Sub(c.repeatedAt) >= pingRepeat:
+		c.repeatedAt = now
+		out.to(addr, a.term).Ping = true
+	}
+}
+
 func (a *Asker) contact(addr netip.Addr) *contact {
 	c := a.contacts[addr]
 	if c == nil {
@@ -286,7 +301,10 @@
 
 // redirect asks the router that another one has named, once.
 func (a *Asker) redirect(now time.Time, from, first netip.Addr, p *pending, out *Outbox) {
-	if p.redirected || !first.IsValid() || first == from || a.Silent(first) && now.Sub(a.contact(first).silentAt) < silentTrust {
+	if from == a.first {
+		a.redirectedUntil = time.Time{}
+	}
+	if p.redirected || !first.IsValid() || first == from || a.foundSilent(now, first) {
 		a.decide(Decision{Number: p.question.Number, Kind: Elsewhere})
 		return
 	}
@@ -302,8 +320,9 @@
 		if addr == a.self {
 			continue
 		}
-		a.contact(addr).setSilent(now)
-		a.contact(addr).pingedAt = now
+		c := a.contact(addr)
+		c.setSilent(now)
+		c.told, c.pingedAt = true, now
 		for _, number := range a.numbers() {
 			p := a.pending[number]
 			if p.to == addr {
@@ -314,6 +333,12 @@
 	}
 }
 
+// foundSilent reports whether this router has just found out itself that another one is silent.
+func (a *Asker) foundSilent(now time.Time, addr netip.Addr) bool {
+	c := a.contact(addr)
+	return c.silent && !c.told && now.Sub(c.silentAt) < silentTrust
+}
+
 func (a *Asker) decide(d Decision) {
 	delete(a.pending, d.Number)
 	a.decisions = append(a.decisions, d)
@@ -335,10 +360,8 @@
 
 // Tick sends questions again that have no answer, and gives up those that had none for too long.
 func (a *Asker) Tick(now time.Time, out *Outbox) {
-	for addr, c := range a.contacts {
-		if c.pingWaits && now.Sub(c.pingedAt) >= maxAnswerTimeout && addr != a.self {
-			c.setSilent(now)
-		}
+	for _, addr := range slices.SortedFunc(maps.Keys(a.contacts), netip.Addr.Compare) {
+		a.awaitPing(now, addr, a.contacts[addr], out)
 	}
 	for _, number := range a.numbers() {
 		p := a.pending[number]
--- a/internal/slotgrant/asker_test.go
+++ b/internal/slotgrant/asker_test.go
@@ -209,3 +209,49 @@
 	b.answer(routerC, Answer{Number: number, Kind: Granted, Server: 9})
 	b.wantDecision()
 }
+
+// Guards against a second router that grants because one datagram was lost.
+func TestPingIsRepeated(t *testing.T) {
+	b := newAskerBed(t)
+	b.a.Check(b.now, routerA, recentlyHeard, b.out)
+	b.out.Take()
+	for range 2 {
+		if sent := b.pass(30 * time.Millisecond); len(sent) != 1 || !sent[0].Message.Ping {
+			t.Errorf("sent %+v, want another ping", sent)
+		}
+	}
+	if b.a.Silent(routerA) {
+		t.Error("a router is silent after 60 ms, want time for an answer")
+	}
+	b.a.Receive(b.now, routerA, &Message{Term: 1, Pong: true}, b.out)
+	if b.pass(100 * time.Millisecond); b.a.Silent(routerA) {
+		t.Error("a router that has answered is taken for silent")
+	}
+}
+
+// Guards against requests that go without a grant since another router had called the granting one silent, and now names it.
+func TestRouterThatWasCalledSilentIsAskedWhenItIsNamed(t *testing.T) {
+	b := newAskerBed(t)
+	b.a.Follow(b.now, []netip.Addr{routerA, routerC}, routerC, b.out)
+	number := b.ask()
+	if q := questions(b.out.Take(), routerC); len(q) != 1 {
+		t.Fatalf("the router that grants gets %d questions", len(q))
+	}
+	b.a.Receive(b.now, routerC, &Message{Term: 1, First: routerA, Answers: []Answer{{Number: number, Kind: Elsewhere}}}, b.out)
+	if q := questions(b.out.Take(), routerA); len(q) != 1 {
+		t.Error("the router that is named is not asked")
+	}
+}
+
+// Guards against a router that has stopped to grant and is asked for a second since another one had named it.
+func TestNamedRouterThatGrantsNoMoreIsNotAsked(t *testing.T) {
+	b := newAskerBed(t)
+	number := b.ask()
+	b.a.Receive(b.now, routerA, &Message{Term: 1, First: routerC, Answers: []Answer{{Number: number, Kind: Elsewhere}}}, b.out)
+	b.a.Receive(b.now, routerC, &Message{Term: 1, First: routerA, Answers: []Answer{{Number: number, Kind: Elsewhere}}}, b.out)
+	b.out.Take()
+	b.ask()
+	if q := questions(b.out.Take(), routerA); len(q) != 1 {
+		t.Error("the first router is not asked")
+	}
+}
