--- a/internal/digest/grants.go
+++ b/internal/digest/grants.go
@@ -25,9 +25,11 @@
 	// faulty senders.
 	maxGrantItems = 64
 	maxExcluded   = 16
-	// maxGrantTime bounds the times in such a datagram, and maxGrantLoad the load.
+	// maxGrantTime bounds the times in such a datagram, maxGrantLoad the load, and maxTerm the term, which grows by one each time
+	// that a router begins to grant.
 	maxGrantTime = time.Hour
 	maxGrantLoad = 1 << 20
+	maxTerm      = 1 << 48
 )
 
 // Field numbers of a message about grants.
@@ -167,6 +169,9 @@
 	if max(len(m.Questions), len(m.Answers), len(m.Reports), len(m.Probes)) >= maxGrantItems {
 		return errMalformed
 	}
+	if field == grantTerm && v > maxTerm {
+		return errMalformed
+	}
 	switch field {
 	case grantPool:
 		m.Pool = v
--- /dev/null
+++ b/internal/slotgrant/decide.go
@@ -0,0 +1,208 @@
+package slotgrant
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// ask decides about a question: it is granted, rejected or queued at once.
+func (g *Granter) ask(now time.Time, from netip.Addr, q *Question, out *Outbox) {
+	key := leaseKey{from, q.Number}
+	if l := g.leases[key]; l != nil {
+		// The grant was lost or is late, and the request begins only now.
+		l.grantedAt, l.heardAt = now, now
+		l.server.moveLast(l)
+		g.answer(key, Answer{Kind: Granted, Server: l.server.Hash}, out)
+		return
+	}
+	if g.queue.byKey[key] != nil {
+		g.answer(key, Answer{Kind: Queued}, out)
+		return
+	}
+	w := g.newWaiting(now, key, q)
+	position := g.queue.insert(w)
+	g.dispatch(now, out)
+	g.settle(now, min(position, len(g.queue.list)), w, out)
+	if g.queue.byKey[key] != nil {
+		g.counts.Queued++
+		g.answer(key, Answer{Kind: Queued}, out)
+	}
+}
+
+func (g *Granter) newWaiting(now time.Time, key leaseKey, q *Question) *waiting {
+	g.count++
+	w := &waiting{
+		key: key, priority: min(max(q.Priority, 0), maxPriority), excess: g.shares.record(now, q.Workspace, g.capacity(now), !g.hasCapacity(now)),
+		due: now.Add(min(q.Objective, q.Deadline)), deadline: now.Add(q.Deadline), number: g.count, exclude: q.Exclude,
+	}
+	g.demand.add(now, w.excess, w.priority)
+	if now.Add(g.answerTime()).After(w.due) && !g.idle() {
+		w.setLate(now)
+	}
+	return w
+}
+
+// idle reports whether no grant is in use. Then the next question is granted whatever is expected: what was learned of the time
+// in a slot may be outdated, and is learned anew.
+func (g *Granter) idle() bool { return len(g.leases) == 0 }
+
+// slots returns the slots of the servers that may get grants.
+func (g *Granter) slots(now time.Time) int {
+	n := 0
+	for _, s := range g.servers {
+		if s.available(now) {
+			n += s.Slots
+		}
+	}
+	return n
+}
+
+func (g *Granter) freeSlots(now time.Time) int {
+	n := 0
+	for _, s := range g.servers {
+		if s.available(now) {
+			n += max(g.free(now, s), 0)
+		}
+	}
+	return n
+}
+
+// capacity returns the number of requests a second that the slots take.
+func (g *Granter) capacity(now time.Time) float64 {
+	return float64(g.slots(now)) / g.SlotTime().Seconds()
+}
+
+// hasCapacity reports whether the slots take all questions, so that one slot for a late request costs no other its
+// objective.
+func (g *Granter) hasCapacity(now time.Time) bool {
+	return g.demand.perSecond(now) < capacityLimit*g.capacity(now)
+}
+
+// dispatch grants free slots in the order of the queue.
+func (g *Granter) dispatch(now time.Time, out *Outbox) {
+	free := g.freeSlots(now)
+	for i := 0; i < len(g.queue.list) && free > 0; {
+		w := g.queue.list[i]
+		s := g.choose(now, w)
+		if s == nil {
+			i++
+			continue
+		}
+		g.queue.removeAt(i)
+		if now.Add(g.answerTime()).After(w.due) && !g.idle() && !g.stillUseful(now, w) {
+			g.reject(now, w, ReasonOvertaken, out)
+			continue
+		}
+		g.grant(now, w, s, out)
+		free--
+	}
+}
+
+// stillUseful reports whether a request that misses its objective is to be served within its deadline.
+func (g *Granter) stillUseful(now time.Time, w *waiting) bool {
+	return !now.Add(g.answerTime()).After(w.deadline) && g.hasCapacity(now)
+}
+
+// choose returns the available server with the largest share of free slots, or nil.
+func (g *Granter) choose(now time.Time, w *waiting) *server {
+	var best *server
+	bestShare := 0.0
+	for _, s := range g.servers {
+		if !s.available(now) || slices.Contains(w.exclude, s.Hash) {
+			continue
+		}
+		if share := float64(g.free(now, s)) / float64(max(s.Slots, 1)); share > bestShare {
+			best, bestShare = s, share
+		}
+	}
+	return best
+}
+
+func (g *Granter) grant(now time.Time, w *waiting, s *server, out *Outbox) {
+	l := &lease{key: w.key, server: s, grantedAt: now, heardAt: now, probedAt: now}
+	s.leases = append(s.leases, l)
+	g.leases[w.key] = l
+	g.counts.Granted++
+	g.answer(w.key, Answer{Kind: Granted, Server: s.Hash}, out)
+}
+
+// settle rejects the questions from a position on that the questions before them make late. The newest is new.
+func (g *Granter) settle(now time.Time, from int, newest *waiting, out *Outbox) {
+	slots := g.slots(now)
+	for i := len(g.queue.list) - 1; i >= from; i-- {
+		w := g.queue.list[i]
+		expected := g.expectedWait(now, i, slots)
+		finish := now.Add(expected + g.answerTime())
+		if w == newest {
+			finish = finish.Add(g.margin() + g.overtakingWait(now, w, expected))
+		}
+		reason := g.reasonToReject(now, w, finish)
+		if reason == ReasonNone {
+			continue
+		}
+		if reason == ReasonLate && !w.late && !finish.After(w.lateDue(now)) && g.hasCapacity(now) {
+			g.queue.removeAt(i)
+			w.setLate(now)
+			g.queue.insert(w)
+			continue
+		}
+		if reason == ReasonLate && w != newest {
+			reason = ReasonOvertaken
+		}
+		g.reject(now, g.queue.removeAt(i), reason, out)
+	}
+}
+
+func (g *Granter) reasonToReject(now time.Time, w *waiting, finish time.Time) Reason {
+	switch {
+	case !slices.ContainsFunc(g.servers, func(s *server) bool { return s.Usable && !slices.Contains(w.exclude, s.Hash) }):
+		return ReasonNoServer
+	case len(g.queue.list) > maxQueue && w == g.queue.list[len(g.queue.list)-1]:
+		return ReasonQueueFull
+	case w.late && !g.hasCapacity(now):
+		return ReasonLate
+	case finish.After(w.due) && w.excess > 0:
+		return ReasonShare
+	case finish.After(w.due):
+		return ReasonLate
+	}
+	return ReasonNone
+}
+
+// overtakingWait returns by how much longer a new question waits because of those that arrive later and come before it: they
+// leave it only a part of the slots.
+func (g *Granter) overtakingWait(now time.Time, w *waiting, expected time.Duration) time.Duration {
+	taken := min(g.demand.ahead(now, w.excess, w.priority)/max(g.capacity(now), 1), maxAhead)
+	return time.Duration(taken / (1 - taken) * float64(expected))
+}
+
+// margin is the time by which the answer to a new question is expected before it is due. One that was queued with it is
+// kept when it turns out a little later, since a rejection would no longer come at once.
+func (g *Granter) margin() time.Duration { return time.Duration(marginShare * float64(g.answerTime())) }
+
+// expectedWait returns the expected time until the question at a position gets a slot.
+func (g *Granter) expectedWait(now time.Time, position, slots int) time.Duration {
+	if slots <= 0 {
+		return g.pauseLeft(now)
+	}
+	return g.SlotTime() * time.Duration(position+1) / time.Duration(slots)
+}
+
+// pauseLeft returns the time until the first server that is paused gets grants again.
+func (g *Granter) pauseLeft(now time.Time) time.Duration {
+	left := maxFailedPause
+	for _, s := range g.servers {
+		if s.Usable {
+			left = min(left, max(s.pausedUntil.Sub(now), 0))
+		}
+	}
+	return left
+}
+
+func (g *Granter) reject(now time.Time, w *waiting, reason Reason, out *Outbox) {
+	g.counts.Rejected[reason]++
+	wait := g.expectedWait(now, len(g.queue.list), g.slots(now))
+	longest := time.Duration(maxRetryShare * float64(w.deadline.Sub(now)))
+	g.answer(w.key, Answer{Kind: Rejected, Reason: reason, Wait: min(max(wait, minRetryAfter), max(longest, minRetryAfter))}, out)
+}
