--- a/internal/forward/grantdesk.go
+++ b/internal/forward/grantdesk.go
@@ -45,16 +45,30 @@
 
 func (d *grantDesk) view(now time.Time) slotgrant.View { return d.pool.view(now, d.group) }
 
-// update changes the desk, then sends what is to be sent and passes on what was decided.
+// update changes the desk, passes on what was decided, and sends what is to be sent.
 func (d *grantDesk) update(change func(now time.Time)) {
+	out, announcement := d.change(change)
+	for _, o := range out {
+		d.shared.link.SendGrants(o.To, o.Message)
+	}
+	if announcement == nil {
+		return
+	}
+	for _, addr := range d.shared.link.LiveRouters() {
+		d.shared.link.SendGrants(addr, announcement)
+	}
+}
+
+// change changes the desk, and returns what is to be sent to single routers and to all.
+func (d *grantDesk) change(change func(now time.Time)) ([]slotgrant.Outgoing, *slotgrant.Message) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := time.Now()
 	if d.pauses.Look(now.Sub(processStart), time.Duration(now.UnixNano()), d.ticking) && d.desk.Granter.Active() {
 		d.desk.Paused()
 		d.shared.events.Emit(event.GrantsForgotten, "pool", d.pool.pool.name)
 	}
 	change(now)
-	out, announcement := d.desk.Take(), d.desk.TakeAnnouncement()
 	for _, decision := range d.desk.Asker.TakeDecisions() {
 		if ch := d.waiting[decision.Number]; ch != nil {
 			delete(d.waiting, decision.Number)
@@ -63,16 +77,7 @@
 	}
 	d.tickLater(now)
 	d.observe()
-	d.mu.Unlock()
-	for _, o := range out {
-		d.shared.link.SendGrants(o.To, o.Message)
-	}
-	if announcement == nil {
-		return
-	}
-	for _, addr := range d.shared.link.LiveRouters() {
-		d.shared.link.SendGrants(addr, announcement)
-	}
+	return d.desk.Take(), d.desk.TakeAnnouncement()
 }
 
 // tickLater sees to it that the desk is updated while it waits for something. The caller holds d.mu.
--- a/internal/slotgrant/granter.go
+++ b/internal/slotgrant/granter.go
@@ -15,6 +15,9 @@
 	probeInterval = 60 * time.Millisecond
 	// defaultSlotTime is the time in a slot before any is known.
 	defaultSlotTime = 40 * time.Millisecond
+	// maxLoadPerSlot bounds the load that a server may report: with 6 slots one was seen with 30 requests. A false report must
+	// not keep its slots empty.
+	maxLoadPerSlot = 8
 	// maxSlotTime bounds a time in a slot that a router reports.
 	maxSlotTime = 30 * time.Second
 	// tickInterval is the time between two calls of Tick while there is anything to wait for.
--- a/internal/slotgrant/granter_test.go
+++ b/internal/slotgrant/granter_test.go
@@ -409,6 +409,16 @@
 	b.want(1, Granted)
 }
 
+// Guards against a server that states an impossible load and gets no grants.
+func TestFalseLoadIsIgnored(t *testing.T) {
+	b := newGranterBed(t, 3)
+	b.learn()
+	b.fill(2)
+	b.report(Report{Number: 101, End: Served, Took: 30 * time.Millisecond, Load: 1 << 20})
+	b.ask(question(1))
+	b.want(1, Granted)
+}
+
 // Guards against an estimate that nothing corrects: after slow answers all requests would be rejected for good.
 func TestIdlePoolGrantsWhateverIsExpected(t *testing.T) {
 	b := newGranterBed(t, 2)
--- a/internal/slotgrant/lease.go
+++ b/internal/slotgrant/lease.go
@@ -101,7 +101,7 @@
 		g.serverTime.add(r.Took)
 		g.slotTime.add(now.Sub(l.grantedAt))
 	}
-	if r.Load > 0 {
+	if r.Load > 0 && r.Load <= maxLoadPerSlot*l.server.Slots {
 		// The server counted the request of the report as well, whose grant has ended now.
 		l.server.setForeign(now, r.Load-1-len(l.server.leases), g.answerTime())
 	}
