--- a/internal/forward/grant_test.go
+++ b/internal/forward/grant_test.go
@@ -38,6 +38,8 @@
 	// questions and reports are those that the other router got, but for repeated questions.
 	questions []slotgrant.Question
 	reports   []slotgrant.Report
+	// answers are those that the other router got.
+	answers []slotgrant.Answer
 	// announced are the messages in which this router says that it grants.
 	announced []*slotgrant.Message
 }
@@ -67,6 +69,7 @@
 		}
 	}
 	l.reports = append(l.reports, m.Reports...)
+	l.answers = append(l.answers, m.Answers...)
 	if m.First == ownAddr && m.Pong {
 		l.announced = append(l.announced, m)
 	}
@@ -554,3 +557,26 @@
 		t.Errorf("expected time %v, want %v: the wait for a grant is none at the server", got, expected)
 	}
 }
+
+// Guards against a granting router that rejects the others' requests because a server wants none of its own.
+func TestServerThatRefusesTheGrantingRouterIsGranted(t *testing.T) {
+	t.Parallel()
+	b, l := newScarceBed(t, plainRoute(), ok("x"))
+	l.candidates = []netip.Addr{ownAddr}
+	b.send(ask{})
+	p := b.state.pool("p")
+	p.recordRetryAfter(time.Now(), b.servers[0].Key(), time.Minute)
+	time.Sleep(2 * viewInterval)
+	d := p.grants.allDesks()[0]
+	b.state.ReceiveGrants(otherAddr, &slotgrant.Message{Pool: d.group, Questions: []slotgrant.Question{
+		{Number: 1, Objective: time.Second, Deadline: time.Second},
+	}})
+	b.until("the other router is granted a slot", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.answers) == 1 && l.answers[0].Kind == slotgrant.Granted
+	})
+	if got := b.send(ask{}); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want the router's own request refused", got.status)
+	}
+}
--- a/internal/forward/grantpool.go
+++ b/internal/forward/grantpool.go
@@ -199,6 +199,8 @@
 	var servers []slotgrant.Server
 	for _, s := range g.servers {
 		if i >= 0 && groupOf(s.Hash, len(g.groups)) == i {
+			// What keeps this router alone from a server says nothing of the others; their reports do.
+			s.Usable = true
 			servers = append(servers, s)
 		}
 	}
--- a/internal/slotgrant/desk.go
+++ b/internal/slotgrant/desk.go
@@ -133,6 +133,10 @@
 // since. It returns the first router; the zero address when there is none.
 func (d *Desk) updateRole(now time.Time, v View, heard uint64) (first netip.Addr) {
 	first = d.Asker.Choose(now, v.Candidates, d.out)
+	if first == d.self && len(v.Servers) == 0 {
+		// Other rules bound the load of the servers now, which the others may not know yet.
+		first = netip.Addr{}
+	}
 	if !d.Granter.Active() {
 		return first
 	}
--- a/internal/slotgrant/desk_test.go
+++ b/internal/slotgrant/desk_test.go
@@ -285,6 +285,21 @@
 	}
 }
 
+// Guards against a granting router that rejects all requests since it alone has heard that other rules bound the load of the servers.
+func TestRouterWithoutServersSendsElsewhere(t *testing.T) {
+	b := newDeskBed(t, 1, routerA, routerB)
+	b.ask(routerB)
+	waiting, _ := b.ask(routerB)
+	b.view.Servers = nil
+	if _, d := b.ask(routerB); d.Kind != Elsewhere {
+		t.Errorf("decision %+v, want to go without a grant", d)
+	}
+	if d := b.decided(routerB, waiting); d.Kind != Elsewhere {
+		t.Errorf("decision %+v of a waiting request, want to go without a grant", d)
+	}
+	b.wantGranting()
+}
+
 // Guards against a router that was frozen, has noticed it, and grants on its old state.
 func TestPausedRouterForgetsItsGrants(t *testing.T) {
 	b := newDeskBed(t, 6, routerA, routerB)
--- a/internal/slotgrant/server.go
+++ b/internal/slotgrant/server.go
@@ -11,6 +11,8 @@
 	refusedPause   = 100 * time.Millisecond
 	minFailedPause = 250 * time.Millisecond
 	maxFailedPause = 2 * time.Second
+	// recentlyServed is how long a server that has answered another router is not paused for one that does not reach it.
+	recentlyServed = 200 * time.Millisecond
 	// failuresBeforePause is the number of failures in a row that pause a server: a single one may be due to its request.
 	failuresBeforePause = 3
 )
@@ -37,6 +39,8 @@
 	pausedUntil time.Time
 	failures    int
 	pause       time.Duration
+	// servedAt is when it last answered.
+	servedAt time.Time
 }
 
 // available reports whether the server may get a grant if it has a free slot.
@@ -96,7 +100,7 @@
 func (s *server) recordEnd(now time.Time, end End) {
 	switch end {
 	case Served:
-		s.failures, s.pause = 0, 0
+		s.failures, s.pause, s.servedAt = 0, 0, now
 	case Refused:
 		s.pausedUntil = now.Add(refusedPause)
 	case Failed:
@@ -105,7 +109,9 @@
 			s.lengthenPause(now)
 		}
 	case Unreachable:
-		s.lengthenPause(now)
+		if now.Sub(s.servedAt) >= recentlyServed {
+			s.lengthenPause(now)
+		}
 	}
 }
 
