--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -137,7 +137,7 @@
 	faults.Wait()
 }
 
-// playPlannedWork changes the configuration, lets two servers leave and another one start again, reloads the routers
+// playPlannedWork changes the configuration, lets two servers leave and another one start again, evacuates a data centre, reloads the routers
 // and has engines answer slowly while nothing is disturbed. Among faults, routers are
 // seldom in touch for long enough to be judged by the rules with a time bound.
 func (f *fleet) playPlannedWork() {
@@ -150,11 +150,13 @@
 	started := f.servers[plainServers-1]
 	started.restart()
 	f.register(started, platformtest.StateReady)
+	f.setEvacuated(plannedEvacuation, 1)
 	for _, r := range f.routers {
 		f.signal(r, syscall.SIGHUP)
 	}
 	f.setEngineDelay(longDelay)
 	time.Sleep(recoveryTime)
+	f.setEvacuated(plannedEvacuation, -1)
 	for _, s := range leaving {
 		f.register(s, platformtest.StateReady)
 	}
