--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -12,7 +12,8 @@
 	// coldTolerance is by how much two statements of the end of a cold period may differ and count as the same.
 	// Entries are read some tenths of a second after they were written.
 	coldTolerance = time.Second
-	// coldTells is how often news of a cold server is told, since datagrams are lost, and coldRetell the time between.
+	// coldTells is the number of digests that carry a change of a cold server, because datagrams are lost; coldRetell is the
+	// time between them.
 	coldTells  = 3
 	coldRetell = 400 * time.Millisecond
 	// entryDelay is the age that an entry may have when it is read. One that says that the server is not cold counts
--- a/internal/balance/slowdown.go
+++ b/internal/balance/slowdown.go
@@ -78,7 +78,7 @@
 }
 
 // atUsualSpeed returns the time that something took at a server where work takes slowdown times the usual time;
-// 0 for unknown.
+// slowdown is 0 when it is unknown; d is then returned unchanged.
 func atUsualSpeed(d time.Duration, slowdown float64) time.Duration {
 	if slowdown <= 0 {
 		return d
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -197,7 +197,8 @@
 }
 
 // addLost adds the evacuations of a router that does not know the store's era yet. They may be missing in the older copy
-// with which the era began. A view that this router has outgrown in the earlier era does not count.
+// with which the era began. A view older than the position that this router had reached in the earlier
+// era is ignored.
 func (s *Set) addLost(now time.Time, v View, source Source) []Change {
 	left := HoldTime - now.Sub(s.eraSince)
 	if left <= 0 || v.AsOf.Before(s.earlier) {
@@ -272,7 +273,7 @@
 		switch {
 		case e.Position.Before(known.Position):
 		case e.Position == known.Position:
-			// An end that has been told on does not become later.
+			// A record that was received again does not extend HeldUntil.
 		default:
 			known.Position, known.HeldUntil = e.Position, e.HeldUntil
 		}
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -72,15 +72,9 @@
 
 // backupRun describes the run that is about to be sent.
 func (c *call) backupRun() streambackup.Run {
-	prompt := c.headers.PromptTokens
-	if prompt == 0 {
-		for _, part := range c.headers.Prompt {
-			prompt += part.Tokens
-		}
-	}
 	done, _ := strconv.ParseUint(c.stream.events.LastEventID(), 10, 31)
 	return streambackup.Run{
-		PromptTokens: prompt, OutputHint: c.headers.OutputHint, MaxOutput: c.headers.MaxOutputTokens, Done: int(done),
+		PromptTokens: c.headers.promptTokens(), OutputHint: c.headers.OutputHint, MaxOutput: c.headers.MaxOutputTokens, Done: int(done),
 		Resumable: c.route.Resumable, Remaining: time.Until(c.deadline),
 	}
 }
--- a/internal/forward/cost.go
+++ b/internal/forward/cost.go
@@ -10,17 +10,10 @@
 
 // costRequest returns what is known of the request's cost before it runs.
 func (c *call) costRequest() cost.Request {
-	r := cost.Request{
-		Route: c.route.Name, Workspace: c.workspace.Name, PromptTokens: c.headers.PromptTokens, MaxOutput: c.headers.MaxOutputTokens,
+	return cost.Request{
+		Route: c.route.Name, Workspace: c.workspace.Name, PromptTokens: c.headers.promptTokens(), MaxOutput: c.headers.MaxOutputTokens,
 		Hint: c.headers.OutputHint, Stream: c.route.Kind == routing.Stream,
 	}
-	if len(c.headers.Prompt) > 0 {
-		r.PromptTokens = 0
-		for _, part := range c.headers.Prompt {
-			r.PromptTokens += part.Tokens
-		}
-	}
-	return r
 }
 
 // attemptID identifies an attempt among those in flight; it is not 0.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -51,6 +51,18 @@
 	LastEventID string
 }
 
+// promptTokens returns the size of the prompt: the stated one, and that of its parts when none is stated.
+func (h *RequestHeaders) promptTokens() int {
+	if h.PromptTokens > 0 {
+		return h.PromptTokens
+	}
+	tokens := 0
+	for _, part := range h.Prompt {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // takesUp reports whether the request continues a stream that the caller has the start of.
 func (h *RequestHeaders) takesUp() bool { return h.LastEventID != "" || h.Resumes != "" }
 
--- a/internal/slotgrant/server.go
+++ b/internal/slotgrant/server.go
@@ -59,8 +59,8 @@
 	return s.Slots - len(s.leases) - n
 }
 
-// ending returns how many of the grants in use have an age from one on, at most limit, and the first younger one. Those of half as much again
-// don't count: their grants may have been lost, and their requests begin yet.
+// ending returns the number of leases, at most limit, that are at least age but less than 1.5 times as old, and the first younger
+// lease. Older ones are not counted: their grants may have been lost and their requests not begun.
 func (s *server) ending(now time.Time, age time.Duration, limit int) (n int, next *lease) {
 	for _, l := range s.leases {
 		switch got := now.Sub(l.grantedAt); {
