balance: the bound follows the mean load of all servers, evacuated and cold ones included

The mean is the lowest one of all servers, those that stay, and those that also are in service, so that neither idle nor busy evacuated servers raise the bound.

--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -112,30 +112,42 @@
 	return load
 }
 
-// mean returns the lower of the mean loads with and without the servers that are
-// leaving. They still finish their requests and would raise the bound of the
-// others or, when few remain, hide how uneven the load is. Servers that name a limit or are cold do not
-// count while others don't and aren't: the others take their requests. Those of evacuated data centres, which may be many, do
-// not count at all.
+// mean returns the lowest of the mean loads of all servers, of those that stay, and of those that stay and are not evacuated.
+// Servers that leave or are evacuated still finish their requests and would raise the bound of the others or, when few remain,
+// hide how uneven the load is; once they have none, the bound follows the mean of all. Servers that name a limit do not
+// count while others don't: the others take their requests.
 func (p *Pool) mean(now time.Time) float64 {
 	withoutLimited := p.hasUnlimited(now)
-	var all, staying float64
-	n, nStaying := 0, 0
+	var all, staying, inService loadMean
 	for _, m := range p.members {
-		if m.evacuated || withoutLimited && p.restricted(now, m) {
+		if withoutLimited && m.limit.Active() {
 			continue
 		}
 		load := m.load(now)
-		all += load
-		n++
+		all.add(load)
 		if !m.server.Leaving {
-			staying += load
-			nStaying++
+			staying.add(load)
+		}
+		if !m.out() {
+			inService.add(load)
 		}
 	}
-	return min(all/float64(max(n, 1)), staying/float64(max(nStaying, 1)))
+	return min(all.value(), staying.value(), inService.value())
+}
+
+// loadMean adds up the loads of servers.
+type loadMean struct {
+	sum float64
+	n   int
 }
 
+func (l *loadMean) add(load float64) {
+	l.sum += load
+	l.n++
+}
+
+func (l *loadMean) value() float64 { return l.sum / float64(max(l.n, 1)) }
+
 // leastLoaded returns the least loaded member; ties are broken by the job's random
 // number.
 func (p *Pool) leastLoaded(now time.Time, usable []*member, mean float64, job *Job) *member {
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// Guards against a pool that looks half empty because of cold servers, and against a mean that they lower.
+// Guards against a pool that looks half empty because of cold servers, and against a bound that follows the mean of the others: it
+// holds for the mean of all.
 func TestColdServerIsNoCapacity(t *testing.T) {
 	p, list := coldPool(soleSender)
 	for range 6 {
@@ -97,8 +98,8 @@
 	if load := p.Load(coldStart); load.Slots != 16 || load.Own != 12 {
 		t.Errorf("load %+v, want that of the two other servers", load)
 	}
-	if mean := p.mean(coldStart); mean != 6 {
-		t.Errorf("mean %v, want that of the two other servers", mean)
+	if mean := p.mean(coldStart); mean != 4 {
+		t.Errorf("mean %v, want that of all three servers", mean)
 	}
 }
 
--- a/internal/balance/evacuated_test.go
+++ b/internal/balance/evacuated_test.go
@@ -94,6 +94,13 @@
 	if mean := p.mean(start); mean != 0.5 {
 		t.Errorf("mean load %v, want that of the others, 0.5", mean)
 	}
+	for range 30 {
+		p.End(start, p.members[0].server.Key(), Served)
+	}
+	// The bound holds for the mean of all servers: with a third of them evacuated and idle, others got more than twice that.
+	if mean := p.mean(start); mean != 1.0/3 {
+		t.Errorf("mean load %v once the evacuated server is idle, want that of all, 1/3", mean)
+	}
 	if load := p.Load(start); load.Own != 1 || load.Slots != 128 {
 		t.Errorf("load %+v, want one request in 128 slots", load)
 	}
