--- a/internal/front/cutoff_test.go
+++ b/internal/front/cutoff_test.go
@@ -89,10 +89,32 @@
 // datagramHeaderBytes are the headers of a datagram over IPv4.
 const datagramHeaderBytes = 28
 
+// freeUDPPort returns a port that is free at a host and at the hosts of routers.
+func freeUDPPort(t *testing.T, host string, others []*testBed) uint16 {
+	t.Helper()
+	for range 100 {
+		port := testport.FreeAddrs(t, host, 1)[0].Port()
+		if !slices.ContainsFunc(others, func(o *testBed) bool { return !isFreeUDP(o.host, port) }) && isFreeUDP(host, port) {
+			return port
+		}
+	}
+	t.Fatal("no port is free at all hosts")
+	return 0
+}
+
+func isFreeUDP(host string, port uint16) bool {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(host), port)))
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 func newPeerLink(t *testing.T, f *fleetBed, n int) *peerLink {
 	l := &peerLink{}
 	router, others := f.routers[n], slices.Delete(slices.Clone(f.routers), n, n+1)
-	port := testport.FreeAddrs(t, router.host, 1)[0].Port()
+	port := freeUDPPort(t, router.host, others)
 	commonPort := router.peersPort
 	router.peersPort = port
 	listen := func(host string, port uint16) *net.UDPConn {
