--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -358,6 +358,9 @@
 		"limits": map[string]int{"memory_mb": 200, "cores": 1},
 		"bounds": bounds,
 	})
+	if r.older && err == nil {
+		data, err = withoutLaterSettings(data)
+	}
 	if err != nil {
 		f.t.Error(err)
 		return
@@ -558,3 +561,18 @@
 
 // rotatingKey returns the key that only one version of the configuration holds.
 func rotatingKey(version int) string { return fmt.Sprintf("k%d", version) }
+
+// withoutLaterSettings removes the settings that an earlier build rejects as unknown.
+func withoutLaterSettings(data []byte) ([]byte, error) {
+	var all map[string]any
+	if err := json.Unmarshal(data, &all); err != nil {
+		return nil, err
+	}
+	delete(all, "regions")
+	if bounds, ok := all["bounds"].(map[string]any); ok {
+		for _, name := range []string{"cold_overage", "cold_slack", "backup_risk", "grant_slots"} {
+			delete(bounds, name)
+		}
+	}
+	return json.Marshal(all)
+}
