internal/decay: one decaying count for admission and slot grants

internal/slotgrant had copied the count of internal/overload, which decays with a half-life. Both use internal/decay now.

Tests of decay, overload, slotgrant, evacuation and rules pass; five rules next to the change were taken out again, each was found.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -9,7 +9,6 @@
 package evacuation
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -310,10 +309,7 @@
 
 // names returns the evacuated data centres in order.
 func (s *Set) names() []string {
-	names := make([]string, 0, len(s.active))
-	for name := range s.active {
-		names = append(names, name)
-	}
+	names := slices.AppendSeq(make([]string, 0, len(s.active)), maps.Keys(s.active))
 	slices.Sort(names)
 	return names
 }
@@ -321,10 +317,9 @@
 // List returns the evacuations, ordered by data centre.
 func (s *Set) List() []Evacuation {
 	list := make([]Evacuation, 0, len(s.active))
-	for _, e := range s.active {
-		list = append(list, *e)
+	for _, name := range s.names() {
+		list = append(list, *s.active[name])
 	}
-	slices.SortFunc(list, func(a, b Evacuation) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
 	return list
 }
 
--- a/internal/overload/classes.go
+++ b/internal/overload/classes.go
@@ -1,6 +1,10 @@
 package overload
 
-import "time"
+import (
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/decay"
+)
 
 // guaranteedShare is the share of the admitted requests up to which a route keeps its own bound, so that none is
 // refused for good by a route that accepts less wait.
@@ -17,12 +21,12 @@
 type waitingClasses struct {
 	classes [maxPriority + 1]waitingClass
 	// admitted counts the admitted requests of all routes and of each.
-	admitted decayingCount
-	routes   map[string]*decayingCount
+	admitted decay.Count
+	routes   map[string]*decay.Count
 }
 
 func newWaitingClasses() waitingClasses {
-	return waitingClasses{routes: make(map[string]*decayingCount)}
+	return waitingClasses{routes: make(map[string]*decay.Count)}
 }
 
 // record records the wait that requests of a priority accept.
@@ -57,7 +61,7 @@
 // within reports whether a route has less than its guaranteed share of the admitted requests.
 func (c *waitingClasses) within(now time.Time, route string) bool {
 	r := c.routes[route]
-	return r == nil || r.decayTo(now, recentHalfLife) < guaranteedShare*c.admitted.decayTo(now, recentHalfLife)
+	return r == nil || r.At(now, recentHalfLife) < guaranteedShare*c.admitted.At(now, recentHalfLife)
 }
 
 // admit counts an admitted request.
@@ -67,9 +71,9 @@
 		if len(c.routes) >= maxRoutes {
 			clear(c.routes)
 		}
-		r = &decayingCount{}
+		r = &decay.Count{}
 		c.routes[route] = r
 	}
-	r.add(now, recentHalfLife, 1)
-	c.admitted.add(now, recentHalfLife, 1)
+	r.Add(now, recentHalfLife, 1)
+	c.admitted.Add(now, recentHalfLife, 1)
 }
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -1,8 +1,9 @@
 package overload
 
 import (
-	"math"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/decay"
 )
 
 const (
@@ -26,29 +27,10 @@
 	minBaseline = 0.05
 )
 
-// decayingCount is a count that decays exponentially.
-type decayingCount struct {
-	value float64
-	at    time.Time
-}
-
-func (d *decayingCount) decayTo(now time.Time, halfLife time.Duration) float64 {
-	if !d.at.IsZero() && now.After(d.at) {
-		d.value *= math.Exp2(-now.Sub(d.at).Seconds() / halfLife.Seconds())
-	}
-	d.at = now
-	return d.value
-}
-
-func (d *decayingCount) add(now time.Time, halfLife time.Duration, weight float64) {
-	d.decayTo(now, halfLife)
-	d.value += weight
-}
-
 // traffic counts requests with the recent and with the baseline half-life.
 type traffic struct {
-	recent   decayingCount
-	baseline decayingCount
+	recent   decay.Count
+	baseline decay.Count
 }
 
 func (t *traffic) add(now time.Time, full bool) {
@@ -56,8 +38,8 @@
 	if full {
 		weight = fullPoolWeight
 	}
-	t.recent.add(now, recentHalfLife, 1)
-	t.baseline.add(now, baselineHalfLife, weight)
+	t.recent.Add(now, recentHalfLife, 1)
+	t.baseline.Add(now, baselineHalfLife, weight)
 }
 
 // shares counts the requests of workspaces. It distinguishes a surge of one
@@ -74,8 +56,8 @@
 	w := s.workspace(now, workspace)
 	s.all.add(now, full)
 	w.add(now, full)
-	baselineShare := w.baseline.value / s.all.baseline.value
-	return w.recent.value > surgeThresholdFactor*baselineShare*s.all.recent.value+surgeThresholdExtra
+	baselineShare := w.baseline.Value() / s.all.baseline.Value()
+	return w.recent.Value() > surgeThresholdFactor*baselineShare*s.all.recent.Value()+surgeThresholdExtra
 }
 
 func (s *shares) workspace(now time.Time, name string) *traffic {
@@ -95,7 +77,7 @@
 // can be evicted.
 func (s *shares) evictIdle(now time.Time) {
 	for name, w := range s.workspaces {
-		if w.baseline.decayTo(now, baselineHalfLife) < minBaseline {
+		if w.baseline.At(now, baselineHalfLife) < minBaseline {
 			delete(s.workspaces, name)
 		}
 	}
--- a/internal/slotgrant/shares.go
+++ b/internal/slotgrant/shares.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/decay"
 )
 
 const (
@@ -27,31 +29,16 @@
 	minUsual      = 0.05
 )
 
-// decaying is a number that decays exponentially.
-type decaying struct {
-	value float64
-	at    time.Time
-}
-
-func (d *decaying) add(now time.Time, halfLife time.Duration, n float64) float64 {
-	if elapsed := now.Sub(d.at); !d.at.IsZero() && elapsed > 0 {
-		d.value *= math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
-	}
-	d.at = now
-	d.value += n
-	return d.value
-}
-
 // traffic counts the questions of a workspace: the recent ones of each level, and the usual ones.
 type traffic struct {
-	recent [excessLevels]decaying
-	usual  decaying
+	recent [excessLevels]decay.Count
+	usual  decay.Count
 }
 
 // shares tells how far beyond the share of their workspace questions are.
 type shares struct {
 	// all is the usual number of the questions of all workspaces.
-	all        decaying
+	all        decay.Count
 	workspaces map[uint32]*traffic
 }
 
@@ -60,23 +47,23 @@
 // they take.
 func (s *shares) record(now time.Time, workspace uint32, capacity float64, full bool) (level int) {
 	w := s.workspace(now, workspace)
-	usual := w.usual.add(now, usualHalfLife, 0) / max(s.all.add(now, usualHalfLife, 0), 1)
+	usual := w.usual.At(now, usualHalfLife) / max(s.all.At(now, usualHalfLife), 1)
 	recent := capacity * recentHalfLife.Seconds() / math.Ln2
 	level = w.level(now, shareFactor*usual*recent+shareExtra)
-	w.recent[level].add(now, recentHalfLife, 1)
+	w.recent[level].Add(now, recentHalfLife, 1)
 	weight := 1.0
 	if full {
 		weight = fullWeight
 	}
-	w.usual.add(now, usualHalfLife, weight)
-	s.all.add(now, usualHalfLife, weight)
+	w.usual.Add(now, usualHalfLife, weight)
+	s.all.Add(now, usualHalfLife, weight)
 	return level
 }
 
 // level returns the first level that has room for a question. Each has twice the room of the one before.
 func (w *traffic) level(now time.Time, share float64) int {
 	for i := range w.recent[:excessLevels-1] {
-		if w.recent[i].add(now, recentHalfLife, 0) < share {
+		if w.recent[i].At(now, recentHalfLife) < share {
 			return i
 		}
 		share *= 2
@@ -102,7 +89,7 @@
 // forgetIdle forgets the workspaces that send nothing any more, or all when there are none.
 func (s *shares) forgetIdle(now time.Time) {
 	for hash, w := range s.workspaces {
-		if w.usual.add(now, usualHalfLife, 0) < minUsual {
+		if w.usual.At(now, usualHalfLife) < minUsual {
 			delete(s.workspaces, hash)
 		}
 	}
