forward: what an attempt does with its grant is a value of its own

Six fields of grantUse were reset one by one before each attempt, so that a new field could be forgotten. Tests of forward and rules pass; no behaviour changes.

--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -26,15 +26,21 @@
 	asked  bool
 	result string
 	wait   time.Duration
-	// desk is the one that was asked, and number that of the grant in use; 0 for none. fallback is set while the request is sent without one.
-	desk     *grantDesk
+	// desk is the one that was asked.
+	desk   *grantDesk
+	inVain int
+	grantAttempt
+}
+
+// grantAttempt is what one attempt of the request does with a grant.
+type grantAttempt struct {
+	// number is that of the grant in use; 0 for none. fallback is set while the request is sent without one.
 	number   uint64
 	fallback bool
 	// sent is set once the request has been sent, ejected when that made the server unusable, and answered when the server has
 	// answered with a failure. load is what the server said in its answer.
 	sent, ejected, answered bool
 	load                    int
-	inVain                  int
 }
 
 func (g *grantUse) logFields() []any {
@@ -54,7 +60,7 @@
 // request is still to be sent, and ends it otherwise.
 func (c *call) awaitGrant(ctx context.Context, job *balance.Job) bool {
 	now := time.Now()
-	c.grant.number, c.grant.fallback, c.grant.sent, c.grant.ejected, c.grant.answered, c.grant.load = 0, false, false, false, false, 0
+	c.grant.grantAttempt = grantAttempt{}
 	if !c.needsGrant(now) || !c.pool.hasUsable(now, *job) {
 		return true
 	}
