--- a/internal/digest/grants.go
+++ b/internal/digest/grants.go
@@ -1,6 +1,7 @@
 package digest
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -142,30 +143,19 @@
 		p.strong = float64(p.processor) >= strongShare*float64(most)
 	}
 	slices.SortFunc(list, func(a, b grantPeer) int {
-		if a.strong != b.strong && a.strong {
+		switch {
+		case a.strong == b.strong:
+			return cmp.Or(cmp.Compare(b.rank, a.rank), a.addr.Compare(b.addr))
+		case a.strong:
 			return -1
 		}
-		if a.strong != b.strong {
-			return 1
-		}
-		return compareRanks(a.rankedPeer, b.rankedPeer)
+		return 1
 	})
 }
 
 // SetProcessor sets the processor time that this router may use, in thousandths of a core.
 func (e *Exchange) SetProcessor(thousandths int64) { e.processor.Store(thousandths) }
 
-// compareRanks orders the highest rank first.
-func compareRanks(a, b rankedPeer) int {
-	switch {
-	case a.rank > b.rank:
-		return -1
-	case a.rank < b.rank:
-		return 1
-	}
-	return a.addr.Compare(b.addr)
-}
-
 // DisableGranting keeps this router from being one that grants. Call it before Send.
 func (e *Exchange) DisableGranting() {
 	e.mu.Lock()
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -347,20 +347,24 @@
 
 // writeSettings writes the settings file of a router, with some bounds overridden.
 func (f *fleet) writeSettings(r *router, overrides map[string]any) {
-	bounds := map[string]any{"stop": "6s", "load_multiple": 2, "retry_ratio": 0.2, "retry_extra": 240, "cold_overage": coldOverage, "cold_slack": coldSlack, "backup_risk": 0, "grant_slots": true}
-	maps.Copy(bounds, overrides)
+	bounds := map[string]any{"stop": "6s", "load_multiple": 2, "retry_ratio": 0.2, "retry_extra": 240}
 	at := func(i int) string { return fmt.Sprintf("%s:%d", r.host, r.ports[i]) }
-	data, err := json.Marshal(map[string]any{
-		"vm": r.name, "data_centre": dataCentreOf(dataCentres - 1), "region": ownRegion, "regions": regions(),
+	settings := map[string]any{
+		"vm": r.name, "data_centre": dataCentreOf(dataCentres - 1), "region": ownRegion,
 		"listen": map[string]string{"callers": at(0), "readiness": at(1), "metrics": at(2), "peers": at(3)},
 		"seeds":  []string{hostBase + "1:1", hostBase + "2:1"},
 		"store":  map[string]string{"address": r.store.addr()},
 		"limits": map[string]int{"memory_mb": 200, "cores": 1},
 		"bounds": bounds,
-	})
-	if r.older && err == nil {
-		data, err = withoutLaterSettings(data)
 	}
+	if !r.older {
+		// The earlier build rejects settings that it does not know.
+		settings["regions"] = regions()
+		bounds["cold_overage"], bounds["cold_slack"] = coldOverage, coldSlack
+		bounds["backup_risk"], bounds["grant_slots"] = 0, true
+	}
+	maps.Copy(bounds, overrides)
+	data, err := json.Marshal(settings)
 	if err != nil {
 		f.t.Error(err)
 		return
@@ -561,18 +565,3 @@
 
 // rotatingKey returns the key that only one version of the configuration holds.
 func rotatingKey(version int) string { return fmt.Sprintf("k%d", version) }
-
-// withoutLaterSettings removes the settings that an earlier build rejects as unknown.
-func withoutLaterSettings(data []byte) ([]byte, error) {
-	var all map[string]any
-	if err := json.Unmarshal(data, &all); err != nil {
-		return nil, err
-	}
-	delete(all, "regions")
-	if bounds, ok := all["bounds"].(map[string]any); ok {
-		for _, name := range []string{"cold_overage", "cold_slack", "backup_risk", "grant_slots"} {
-			delete(bounds, name)
-		}
-	}
-	return json.Marshal(all)
-}
