feed: a call to the store whose answer arrives is not ended

Sources report what arrives (feed.Arriving). calls_test reads the bound of a call from its watch, since the context has no deadline any more; the values are the same.

TestFirstCallWhoseAnswerArrivesGoesOn is red when an answer that has begun is cancelled.

--- a/internal/feed/calls_test.go
+++ b/internal/feed/calls_test.go
@@ -19,8 +19,7 @@
 
 func (s *callSource) next(ctx context.Context, call string) (Page, error) {
 	s.calls = append(s.calls, call)
-	deadline, _ := ctx.Deadline()
-	s.left = append(s.left, time.Until(deadline))
+	s.left = append(s.left, time.Until(ctx.Value(answerKey{}).(*answerWatch).due))
 	a := s.answers[min(len(s.calls), len(s.answers))-1]
 	return a.page, a.err
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -9,7 +9,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,7 +61,8 @@
 }
 
 // Source reads one topic of the store. Calls return at the latest when their
-// context ends. With an error, only the era of the page is valid.
+// context ends, and pass it to Arriving while an answer arrives. With an error, only
+// the era of the page is valid.
 type Source interface {
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context) (Page, error)
@@ -100,7 +100,8 @@
 	Wait time.Duration
 	// Pause is the time between the beginnings of two reads.
 	Pause time.Duration
-	// Timeout bounds a call, in addition to its wait.
+	// Timeout bounds the time, in addition to the wait, until the answer to a call begins, and the time without any of it
+	// after that.
 	Timeout time.Duration
 	// Overdue is how long after its wait a call may have no answer until the observer is told; 0 for ever. A call that
 	// the store does not answer and one that waits for a record look alike until then.
@@ -274,12 +275,11 @@
 		wait = 0
 	}
 	f.askedFor = f.options.PeerPosition()
-	callCtx, cancel := context.WithTimeout(ctx, wait+timing.Timeout)
-	defer cancel()
-	callCtx, endWatch := f.watchAnswer(callCtx, wait, timing.Overdue)
+	callCtx, answer := f.beginCall(ctx, wait, timing)
+	defer answer.end()
 	var impatient func() bool
 	if f.position == (position{}) {
-		impatient = f.watchFirstCall(callCtx, cancel)
+		impatient = f.watchFirstCall(callCtx, answer)
 	}
 	var page Page
 	var err error
@@ -288,7 +288,7 @@
 	} else {
 		page, err = f.source.Read(callCtx, f.position.next.Offset, wait)
 	}
-	endWatch()
+	answer.end()
 	if ctx.Err() != nil {
 		return 0
 	}
@@ -316,38 +316,11 @@
 	return f.applyPage(page, list)
 }
 
-// watchAnswer tells the observer when the store has not begun to answer a call in time. The returned function ends the
-// watch. A source that calls over HTTP reports the first byte of the answer through the context, since the rest of a large
-// one may take longer.
-func (f *Follower) watchAnswer(ctx context.Context, wait, overdue time.Duration) (watched context.Context, end func()) {
-	if overdue == 0 {
-		return ctx, func() {}
-	}
-	var mu sync.Mutex
-	begun := false
-	begin := func() {
-		mu.Lock()
-		defer mu.Unlock()
-		begun = true
-	}
-	timer := time.AfterFunc(wait+overdue, func() {
-		mu.Lock()
-		defer mu.Unlock()
-		if !begun {
-			f.observer.CallOverdue(wait + overdue)
-		}
-	})
-	watched = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: begin})
-	return watched, func() {
-		timer.Stop()
-		begin()
-	}
-}
-
-// watchFirstCall cancels a call to the store without an answer, to be made again, when the follower has read nothing yet
-// and another router has read something meanwhile, or after some time. The returned function ends the watch and reports
-// whether it has cancelled the call.
-func (f *Follower) watchFirstCall(ctx context.Context, cancel context.CancelFunc) (cancelled func() bool) {
+// watchFirstCall cancels a call to the store, to be made again, when the follower has read nothing yet and another router
+// has read something meanwhile, or after some time. A call whose answer has begun goes on: a large list takes longer than
+// that over a slow link, and a second call would wait behind what is left of the first. The returned function ends the
+// watch and reports whether it has cancelled the call.
+func (f *Follower) watchFirstCall(ctx context.Context, answer *answerWatch) (cancelled func() bool) {
 	patience := firstPatience << min(f.repeated, 8)
 	patience += rand.N(patience)
 	start := f.now()
@@ -366,8 +339,7 @@
 			case <-tick.C:
 			}
 			if f.now().Sub(start) >= patience || f.askedFor.Before(f.options.PeerPosition()) {
-				repeat.Store(true)
-				cancel()
+				repeat.Store(answer.cancelUnlessBegun())
 				return
 			}
 		}
