forward, front: requests wait for the first configuration in the first second after a start

Cause: after a restart of all routers each one refused its callers with no_configuration until it had read the configuration, 0.1 to 0.75 s; no other router could serve them either, and most callers retry once.

The first start of the system is as before.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -164,9 +164,7 @@
 // authorize finds the route and the workspace, or answers the request with a
 // denial or a refusal.
 func (c *call) authorize() bool {
-	c.table = c.handler.state.Table()
-	if c.table == nil {
-		c.refuse(CauseNoConfig)
+	if !c.awaitTable() {
 		return false
 	}
 	c.route = c.table.Match(c.r.Host, rawPath(c.r.RequestURI))
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -66,6 +66,7 @@
 	// limits do not change, except Balance, Retry and the bounds of cold servers, which mu guards.
 	limits Limits
 	table  atomic.Pointer[routing.Table]
+	start  start
 	// onNews is called when the other routers have to be told something soon.
 	onNews func()
 	// placementsKnown reports whether this router has the placements of the fleet.
@@ -134,6 +135,7 @@
 		onLimit:    func(*registry.Server, namedlimit.Statement, bool) {},
 		onCold:     func(*registry.Server, time.Duration, ColdCause) {},
 		cold:       coldKnowledge{pending: make(map[uint32]pendingCold)},
+		start:      start{ready: make(chan struct{})},
 	}
 	st.crashes = newCrashes(func() { st.onNews() })
 	st.streams = newStreamVersions()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,6 +48,9 @@
 	// metricsInterval is how often the metrics page is updated.
 	metricsInterval = 2 * time.Second
 	megabyte        = 1 << 20
+	// startWait is how long after its start a router lets requests wait for its first configuration. A large one takes most
+	// of that over a link of 10 Mbit/s; while the store is away callers should not wait at all.
+	startWait = time.Second
 	// thousandths is the number of units of processor time in a core, as told to other routers.
 	thousandths = 1000
 )
@@ -100,6 +103,9 @@
 	events := event.NewLogger(logger)
 	metrics := telemetry.NewMetrics(map[string]string{"vm": s.VM}, metricsInterval)
 	state := forward.NewState(forwardLimits(s))
+	if !s.FirstStart {
+		state.WaitUntilReady(time.Now().Add(startWait))
+	}
 	f := &Front{
 		settings: s,
 		platform: p,
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -362,6 +362,7 @@
 	}
 	t.readyAt = time.Now()
 	t.isReady.Store(true)
+	t.state.SetReady()
 	t.exchange.RequestPlacements()
 	t.events.Emit(event.FrontReady, "version", t.state.Table().Version(), "servers", t.servers.Len())
 }
