balance: requests that may run only once avoid a broken server of a pool of two

None of two is ejected, so that each payment that went there while it was down was lost: 315 answers 502 while the other server had room.

Change: a server of which three quarters of all routers' recent outcomes (three at least) are failures gets no request that may run only once for as long as an ejection lasts, while another server has room; others show whether it works. `status` shows it as broken.

--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -48,6 +48,10 @@
 	// length.
 	ejectedUntil     time.Time
 	ejectionDuration time.Duration
+	// brokenUntil is the end of the time in which the server counts as one that fails nearly everything, brokenDuration its
+	// length.
+	brokenUntil    time.Time
+	brokenDuration time.Duration
 	// pausedUntil is the end of a pause after a refused connection or request.
 	pausedUntil      time.Time
 	unreachablePause time.Duration
@@ -121,15 +125,20 @@
 // eject stops requests to a failing server and clears its recorded outcomes, which
 // say nothing about its state after the ejection.
 func (h *health) eject(now time.Time) {
-	if now.Sub(h.ejectedUntil) < h.ejectionDuration {
-		h.ejectionDuration = min(2*h.ejectionDuration, maxFailureEjection)
-	} else {
-		h.ejectionDuration = failureEjection
-	}
+	h.ejectionDuration = longerPause(h.ejectionDuration, now.Sub(h.ejectedUntil))
 	h.ejectedUntil = now.Add(h.ejectionDuration)
 	h.outcomes, h.count = 0, 0
 }
 
+// longerPause returns how long a server that failed again is kept from requests: twice the last time when that ended not long
+// ago.
+func longerPause(last, sinceEnd time.Duration) time.Duration {
+	if sinceEnd >= last {
+		return failureEjection
+	}
+	return min(2*last, maxFailureEjection)
+}
+
 func (h *health) record(now time.Time, failed bool) {
 	h.recent.add(now, failed)
 	bit := uint32(0)
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -140,8 +140,13 @@
 func (p *Pool) EjectFailing(now time.Time, outcomes func(server uint64) (failed, ended int)) []*registry.Server {
 	var failing []*member
 	for _, m := range p.members {
-		if !m.evacuated && tooManyFailures(outcomes(m.hash)) {
-			failing = append(failing, m)
+		failed, ended := outcomes(m.hash)
+		if m.evacuated || !tooManyFailures(failed, ended) {
+			continue
+		}
+		failing = append(failing, m)
+		if isBroken(failed, ended) {
+			m.health.recordBroken(now)
 		}
 	}
 	if 2*len(failing) > p.inService() {
@@ -237,6 +242,8 @@
 	Others int
 	// Ejected is set while the server gets no requests.
 	Ejected bool
+	// Broken is set while the server gets no requests that may run only once, unless no other one has room.
+	Broken bool
 	// Evacuated is set while the server's data centre is evacuated.
 	Evacuated bool
 	// LimitPerSecond is the limit that the server names; nil for none.
@@ -261,6 +268,7 @@
 			Region:  m.region,
 			Own:     m.own,
 			Others:  m.others(now),
+			Broken:  m.health.broken(now),
 			Ejected: m.health.ejected(now, m.own), Evacuated: m.evacuated,
 			Left: m.work.left(now),
 		}
--- a/internal/balance/probation_test.go
+++ b/internal/balance/probation_test.go
@@ -18,16 +18,18 @@
 // down reports whether the flapping server is down at a time.
 func down(at time.Time) bool { return at.Sub(start)%flapPeriod < flapPeriod/2 }
 
-// replayFlappingServer simulates 30 routers that together send 20 requests a second to each of 12 servers, one of
+// replayFlappingServer simulates 30 routers that together send 20 requests a second to each of some servers, one of
 // which flaps, and returns how many requests that may run only once it loses after the first flaps, and how many others
 // it serves then.
-func replayFlappingServer() (lost, served int) {
-	const routers, rate = 30, 240
+func replayFlappingServer(servers int) (lost, served int) {
+	const routers = 30
+	rate := 20 * servers
 	rng := rand.New(rand.NewPCG(7, 11))
 	pools := make([]*Pool, routers)
 	for i := range pools {
-		pools[i] = pool(12)
+		pools[i] = pool(servers)
 	}
+	flapping := pools[0].members[servers/4].server.ID
 	type running struct {
 		pool   *Pool
 		key    registry.Key
@@ -36,12 +38,12 @@
 	}
 	var inFlight []running
 	for step := range 12 * rate {
-		now := start.Add(time.Duration(step) * time.Second / rate)
+		now := start.Add(time.Duration(step) * time.Second / time.Duration(rate))
 		for len(inFlight) > 0 && now.Sub(inFlight[0].sentAt) >= answerTime {
 			r := inFlight[0]
 			inFlight = inFlight[1:]
 			o, settled := Served, r.sentAt.Sub(start) > 3*time.Second
-			flaps := r.key.ID == "i-3"
+			flaps := r.key.ID == flapping
 			switch {
 			case flaps && (down(r.sentAt) || down(now)):
 				o = Failed
@@ -68,7 +70,7 @@
 // Guards against requests that may run only once and are lost at a server that goes down and up by turns: it was used
 // by all again two seconds after each of its failures.
 func TestRequestsThatRunOnceAvoidAFlappingServer(t *testing.T) {
-	lost, served := replayFlappingServer()
+	lost, served := replayFlappingServer(12)
 	t.Logf("after the first flaps: %d requests that may run only once lost, %d others served", lost, served)
 	if lost > 0 {
 		t.Errorf("%d requests that may run only once were lost, want none", lost)
@@ -78,6 +80,56 @@
 	}
 }
 
+// Guards against requests that may run only once and are lost one after the other at the server of a pool of two that goes
+// down and up by turns, since none of two is ejected: 315 of a day of 5,079 payments, while the other server had room.
+func TestRequestsThatRunOnceAvoidAFlappingServerOfTwo(t *testing.T) {
+	lost, served := replayFlappingServer(2)
+	t.Logf("after the first flaps: %d requests that may run only once lost, %d others served", lost, served)
+	// It is down for half of the time, so that 45 of the 90 that it would get in 9 s would be lost.
+	if lost > 15 {
+		t.Errorf("%d requests that may run only once were lost, want 15 at most", lost)
+	}
+	if served == 0 {
+		t.Error("no other request was served, want some that show whether the server works")
+	}
+}
+
+// Guards against a server that is avoided although no other has room, or none works.
+func TestBrokenServerIsUsedWhenNoOtherHasRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		failed [2]int
+		load   int
+		want   int
+	}{
+		"the other one has room":       {[2]int{9, 0}, 3, 1},
+		"the other one is full":        {[2]int{9, 0}, 40, 2},
+		"both fail":                    {[2]int{9, 9}, 3, 2},
+		"it fails a part":              {[2]int{6, 0}, 3, 2},
+		"it failed too few to be sure": {[2]int{2, 0}, 3, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := pool(2)
+			for _, m := range p.members {
+				m.server.Slots = 6
+				m.health.lastActivity = start
+			}
+			p.members[1].own = c.load
+			p.EjectFailing(start, func(server uint64) (int, int) {
+				if server == p.members[0].hash {
+					return c.failed[0], min(c.failed[0]+4, 10)
+				}
+				return c.failed[1], 10
+			})
+			if got := len(p.usable(start, &Job{RunsOnce: true})); got != c.want {
+				t.Errorf("%d servers for a request that may run only once, want %d", got, c.want)
+			}
+			if got := len(p.usable(start, &Job{})); got != 2 {
+				t.Errorf("%d servers for a request that may be repeated, want both", got)
+			}
+		})
+	}
+}
+
 // Guards against a pool that is squeezed into few servers because many have failed lately.
 func TestManyServersOnProbationAreUsed(t *testing.T) {
 	p := pool(6)
--- a/internal/feed/answer.go
+++ b/internal/feed/answer.go
@@ -45,7 +45,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.due = time.Now().Add(wait + timing.Timeout)
-	w.stalled = time.AfterFunc(wait+timing.Timeout, cancel)
+	w.stalled = time.AfterFunc(time.Until(w.due), cancel)
 	if timing.Overdue > 0 {
 		w.overdue = time.AfterFunc(wait+timing.Overdue, func() { w.reportOverdue(f.observer, wait+timing.Overdue) })
 	}
--- a/internal/forward/starting_test.go
+++ b/internal/forward/starting_test.go
@@ -59,7 +59,9 @@
 	t.Parallel()
 	b, _ := startingBed(t, bedWait)
 	b.state.start.waiting.Store(maxWaitingAtStart)
-	if got := b.send(ask{}); got.status != http.StatusServiceUnavailable {
-		t.Errorf("status %d, want %d", got.status, http.StatusServiceUnavailable)
+	begun := time.Now()
+	got := b.send(ask{})
+	if took := time.Since(begun); got.status != http.StatusServiceUnavailable || took > bedWait/4 {
+		t.Errorf("status %d after %v, want %d at once", got.status, took, http.StatusServiceUnavailable)
 	}
 }
