balance: a broken server is avoided under a new incarnation as well

Change: the time in which a server is avoided is kept by its ID, and begins with the share of failures that ejects a server of a larger pool.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -142,6 +142,7 @@
 	// stream.
 	byKey  map[registry.Key]*member
 	byHash map[uint64]*member
+	broken brokenServers
 	cached *cacheIndex
 	speed  readingSpeed
 	// peersAge is the average age of the other routers' reports.
@@ -182,7 +183,7 @@
 
 // NewPool returns a pool without servers.
 func NewPool(limits Limits) *Pool {
-	return &Pool{limits: limits, cached: newCacheIndex(), limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Sole: true} }}
+	return &Pool{limits: limits, broken: brokenServers{}, cached: newCacheIndex(), limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Sole: true} }}
 }
 
 // SetLimits replaces the limits.
--- a/internal/balance/broken.go
+++ b/internal/balance/broken.go
@@ -5,35 +5,42 @@
 	"time"
 )
 
-// brokenShare is the share of failures among the recent outcomes from which a server is taken for one that fails nearly
-// everything. It is far above that of servers which fail some requests by themselves.
-const brokenShare = 0.75
-
 // roomSlots is the load of a server, in times of its slots, from which it counts as full: a request waits there for the time of a
 // whole one.
 const roomSlots = 2
 
-// broken reports whether the server failed nearly everything lately, and could not be ejected.
-func (h *health) broken(now time.Time) bool { return now.Before(h.brokenUntil) }
+// brokenServers has the servers that failed many requests lately, by ID: a server that goes down and up by turns may have a new
+// incarnation each time. In a pool of two no server is ejected, since a false judgement would leave a single one, and one that
+// goes down then lost each request that it got.
+type brokenServers map[string]brokenTime
+
+// brokenTime is the time in which a server is avoided by requests that may run only once.
+type brokenTime struct {
+	until  time.Time
+	length time.Duration
+}
 
-// recordBroken keeps requests that may run only once from a server for as long as an ejection lasts. In a pool of two no server is
-// ejected, since a false judgement would leave a single one; one that goes down and up by turns then lost each request that it got.
-func (h *health) recordBroken(now time.Time) {
-	if h.broken(now) || h.failing(now) {
+// record lets a server be avoided for as long as an ejection lasts, and forgets those that failed long ago.
+func (b brokenServers) record(now time.Time, id string) {
+	last := b[id]
+	if now.Before(last.until) {
 		return
 	}
-	h.brokenDuration = longerPause(h.brokenDuration, now.Sub(h.brokenUntil))
-	h.brokenUntil = now.Add(h.brokenDuration)
+	for id, t := range b {
+		if now.Sub(t.until) > maxFailureEjection {
+			delete(b, id)
+		}
+	}
+	length := longerPause(last.length, now.Sub(last.until))
+	b[id] = brokenTime{until: now.Add(length), length: length}
 }
 
-// isBroken reports whether recent outcomes are those of a server that fails nearly everything.
-func isBroken(failed, ended int) bool {
-	return failed >= minFailures && float64(failed) >= brokenShare*float64(ended)
-}
+// has reports whether a server is avoided.
+func (b brokenServers) has(now time.Time, m *member) bool { return now.Before(b[m.server.ID].until) }
 
-// withoutBroken drops the members that fail nearly everything, for a request that may run only once, while another one has room.
-func withoutBroken(now time.Time, list []*member) []*member {
-	broken := func(m *member) bool { return m.health.broken(now) }
+// withoutBroken drops the members that fail many requests, for a request that may run only once, while another one has room.
+func (p *Pool) withoutBroken(now time.Time, list []*member) []*member {
+	broken := func(m *member) bool { return p.broken.has(now, m) }
 	hasRoom := func(m *member) bool { return !broken(m) && m.load(now) < roomSlots*float64(m.server.Slots) }
 	if !slices.ContainsFunc(list, broken) || !slices.ContainsFunc(list, hasRoom) {
 		return list
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -48,10 +48,6 @@
 	// length.
 	ejectedUntil     time.Time
 	ejectionDuration time.Duration
-	// brokenUntil is the end of the time in which the server counts as one that fails nearly everything, brokenDuration its
-	// length.
-	brokenUntil    time.Time
-	brokenDuration time.Duration
 	// pausedUntil is the end of a pause after a refused connection or request.
 	pausedUntil      time.Time
 	unreachablePause time.Duration
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -140,13 +140,9 @@
 func (p *Pool) EjectFailing(now time.Time, outcomes func(server uint64) (failed, ended int)) []*registry.Server {
 	var failing []*member
 	for _, m := range p.members {
-		failed, ended := outcomes(m.hash)
-		if m.evacuated || !tooManyFailures(failed, ended) {
-			continue
-		}
-		failing = append(failing, m)
-		if isBroken(failed, ended) {
-			m.health.recordBroken(now)
+		if !m.evacuated && tooManyFailures(outcomes(m.hash)) {
+			failing = append(failing, m)
+			p.broken.record(now, m.server.ID)
 		}
 	}
 	if 2*len(failing) > p.inService() {
@@ -268,7 +264,7 @@
 			Region:  m.region,
 			Own:     m.own,
 			Others:  m.others(now),
-			Broken:  m.health.broken(now),
+			Broken:  p.broken.has(now, m),
 			Ejected: m.health.ejected(now, m.own), Evacuated: m.evacuated,
 			Left: m.work.left(now),
 		}
