findings: a finding may name its line, and codes for the check of a configuration

Cause: findings name a JSON path only; in a file of 2,000 routes, a person looks for the line.

Change: Finding has an optional line, which its text shows after the file. New codes: duplicate, ignored_value, never_matches, difference. Findings without a line are printed and encoded as before.

Result: go test ./internal/findings passes; TestFindingNamesItsLine is new.

--- a/internal/findings/findings.go
+++ b/internal/findings/findings.go
@@ -19,13 +19,22 @@
 	CodeRange        Code = "out_of_range"
 	CodeInvalid      Code = "invalid"
 	CodeConflict     Code = "conflict"
-	CodeUnreadable   Code = "unreadable_schema"
+	CodeDuplicate    Code = "duplicate"
+	// CodeIgnored is a value that is not used, or not as it is written.
+	CodeIgnored Code = "ignored_value"
+	// CodeNeverMatches is an entry that no request can reach.
+	CodeNeverMatches Code = "never_matches"
+	// CodeDifference is a difference between two versions of a configuration.
+	CodeDifference Code = "difference"
+	CodeUnreadable Code = "unreadable_schema"
 )
 
 // Finding is one problem.
 type Finding struct {
 	// File is the file or stream in which the problem was found.
 	File string `json:"file,omitempty"`
+	// Line is the line in the file, from 1 on; 0 when it is unknown.
+	Line int `json:"line,omitempty"`
 	// Path is the JSON path of the value, such as "$.limits.queue".
 	Path    string `json:"path"`
 	Code    Code   `json:"code"`
@@ -35,7 +44,10 @@
 // String formats the finding on one line.
 func (f Finding) String() string {
 	location := f.Path
-	if f.File != "" {
+	switch {
+	case f.File != "" && f.Line > 0:
+		location = fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Path)
+	case f.File != "":
 		location = f.File + ": " + f.Path
 	}
 	return fmt.Sprintf("%s: %s (%s)", location, f.Message, f.Code)
--- a/internal/findings/findings_test.go
+++ b/internal/findings/findings_test.go
@@ -22,3 +22,15 @@
 		t.Fatalf("got %q, want %q", got, want)
 	}
 }
+
+// Guards against a line that is printed where none is known, or left out where it is.
+func TestFindingNamesItsLine(t *testing.T) {
+	f := Finding{File: "config.json", Line: 7, Path: "$.a", Code: CodeRange, Message: "too large"}
+	if got, want := f.String(), "config.json:7: $.a: too large (out_of_range)"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	f.Line = 0
+	if got, want := f.String(), "config.json: $.a: too large (out_of_range)"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
