configcheck, platform: a configuration is checked with the routers' decoder and rules

Package configcheck, which does no I/O, checks the decoded configuration and compares it with the version in force; it gets regionsOf, silenceLimit and the bounds of the routers as functions and values (forward.ConfigRules), and finds routes with routing.Index.

--- /dev/null
+++ b/internal/forward/configrules.go
@@ -0,0 +1,17 @@
+package forward
+
+import (
+	"github.com/bluebellwell/bluebellwell/internal/configcheck"
+	"github.com/bluebellwell/bluebellwell/internal/overload"
+)
+
+// ConfigRules returns the rules by which routers apply a configuration, for its check before it is sent.
+func ConfigRules() configcheck.Rules {
+	return configcheck.Rules{
+		Regions:       regionsOf,
+		SilenceLimit:  silenceLimit,
+		Deadline:      defaultDeadline,
+		BodyBytes:     defaultBodyBytes,
+		LeastPriority: overload.MaxPriority,
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -199,6 +199,9 @@
 	return addrs
 }
 
+// BodyMemory returns how many bytes of request bodies a router with these settings holds at the same time.
+func BodyMemory(s *settings.Front) int64 { return int64(bodyShare * float64(s.MemoryMB) * megabyte) }
+
 func forwardLimits(s *settings.Front) forward.Limits {
 	const capExtra = 3
 	return forward.Limits{
@@ -208,7 +211,7 @@
 			Window: s.Bounds.RetryWindow,
 			Extra:  s.Bounds.RetryExtra,
 		},
-		BodyMemory: int64(bodyShare * float64(s.MemoryMB) * megabyte),
+		BodyMemory: BodyMemory(s),
 		BackupRisk: s.Bounds.BackupRisk,
 		DataCentre: s.DataCentre,
 		Regions:    regions(s),
--- a/internal/overload/priorities.go
+++ b/internal/overload/priorities.go
@@ -9,6 +9,9 @@
 	priorityWindow = 10 * time.Second
 )
 
+// MaxPriority is the least urgent priority.
+const MaxPriority = maxPriority
+
 // recentPriorities records which priorities a pool receives, so that only these
 // count as more urgent than others.
 type recentPriorities struct {
