cli: check prints what is wrong with a configuration and what it changes

Change: bluebellwell check reads a file or standard input and prints findings with line and path, as text or JSON. -settings reads the version in force from the store and the memory of a router, -in-force a file instead. Exit codes are those of the other commands: 0, 3 with findings, 1 when something cannot be read. Differences are no findings, except for a version that is not higher. docs/check.md has examples, which TestExamplesOfThePage runs.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -18,6 +18,7 @@
 		frontCommand(),
 		routerCommand(runDaemon),
 		validateCommand(),
+		checkCommand(),
 		publishCommand(),
 		getCommand(),
 		statusCommand(),
