--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -264,6 +264,12 @@
 	entryGone    entryState = "gone"
 )
 
+// routerPredates: a router runs a binary of an earlier build, which predates some rules.
+type routerPredates struct {
+	Router string   `json:"router"`
+	Rules  []string `json:"rules"`
+}
+
 // routerChanged is what the operator did to the process of a router, or saw of it.
 type routerChanged struct {
 	Router string       `json:"router"`
@@ -331,6 +337,7 @@
 	"entry confirmed":         reflect.TypeFor[entryConfirmed](),
 	"evacuation confirmed":    reflect.TypeFor[evacuationConfirmed](),
 	"store restored":          reflect.TypeFor[storeRestored](),
+	"router predates":         reflect.TypeFor[routerPredates](),
 	"router changed":          reflect.TypeFor[routerChanged](),
 	"fault started":           reflect.TypeFor[faultStarted](),
 	"fault ended":             reflect.TypeFor[faultEnded](),
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,6 +61,7 @@
 	f.checkGrants()
 	problems := slices.Concat(f.problems, f.findDisagreements(), f.evacuatedStill(), f.findLateRouters())
 	records, violations := f.judge()
+	f.logPredated(records, violations)
 	problems = f.countingProblems(problems, records, violations)
 	continued, refused := countContinued(records)
 	t.Logf("%d runs went on at a server with a copy of their memory, %d were refused", continued, refused)
