evacuation: an evacuation that was lifted before the first list of an era ends

When the store comes back from an older copy, an evacuation that the copy lacks stays in force for 30 s unless a record of the new era lifts it. A reader learns such a record only by a read of records. When the record is written before the reader's first call to the operators' topic in the new era, the reader lists, and a list has no record of a deleted key: the end looks like the loss. The test saw the era by the servers' topic, while the reads of the operators' topic still waited at the store, so all three readers missed the record now and then.

A record counts only if it is certainly of the new era: the store has another record at the offset of a lost evacuation, or none lay there in the era before. A record that may come from the copy lifts nothing, so nothing is sent to an evacuated data centre earlier.

TestEarlierEndsDoNotLiftALostEvacuation and TestHistoryLiftsLostEvacuations guard against an end by a record of the copy.

--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -312,3 +312,85 @@
 		}
 	})
 }
+
+// Guards against an evacuation that the store has lost and that stays in force for HoldTime although a record before the list of
+// the era lifts it, and against one that a record of the copy, which is from before the evacuation, ends.
+func TestHistoryLiftsLostEvacuations(t *testing.T) {
+	for name, c := range map[string]struct {
+		// before are the records of the era before, up to the offset 9, and records those of the history from its start on.
+		before, history string
+		era             int64
+		want            string
+	}{
+		"lifted at its offset":                          {"+a@5", "-a@5", 2, ""},
+		"lifted later":                                  {"+a@5", "+b@5 -a@6", 2, "b"},
+		"another record at its offset":                  {"+a@5", "-a@7", 2, ""},
+		"evacuated in the copy, lifted later":           {"+a@5", "+a@5 -a@6", 2, ""},
+		"evacuated in the copy, lifted after its end":   {"+a@5", "+a@5 -a@9", 2, "a"},
+		"lifted and evacuated again":                    {"+a@5", "-a@5 +a@6", 2, "a"},
+		"lifted before, in the copy":                    {"+a@5 -a@6 +a@7", "+a@5 -a@6", 2, "a"},
+		"lifted before, another one lost at its offset": {"+b@4 +a@5", "-a@4", 2, "b"},
+		"lifted before, another one in the copy":        {"+b@4 +a@6", "+b@4 -a@5", 2, "a b"},
+		"an era that was missed":                        {"+a@5", "-a@5", 3, "a"},
+		"nothing about it":                              {"+a@5", "-c@5", 2, "a"},
+	} {
+		s := New()
+		s.Replace(start, nil, at(1, 4))
+		s.Apply(start, records(1, strings.Fields(c.before)...), at(1, 9))
+		var list []Record
+		for _, r := range records(c.era, strings.Fields(c.history)...) {
+			list = slices.DeleteFunc(list, func(o Record) bool { return o.DataCentre == r.DataCentre })
+			if r.Evacuated {
+				list = append(list, r)
+			}
+		}
+		end := at(c.era, 10)
+		s.Replace(start, list, end)
+		from, ok := s.HistoryFrom(end)
+		if ok {
+			s.ApplyHistory(start, slices.DeleteFunc(records(c.era, strings.Fields(c.history)...), func(r Record) bool { return r.Position.Offset < from }), from, end)
+		}
+		expect(t, name, s, c.want)
+	}
+}
+
+// Guards against an end of an evacuation that only the router knows which has read the history, against one that returns with the
+// views of others, and against a history that is long, of another era, or older than a record that was read since.
+func TestHistoryIsToldAndBounded(t *testing.T) {
+	lost := func() *Set {
+		s := New()
+		s.Replace(start, records(1, "+a@5"), at(1, 6))
+		s.Replace(start, nil, at(2, 7))
+		return s
+	}
+	reader, other, behind := lost(), lost(), New()
+	behind.Replace(start, records(1, "+a@5"), at(1, 6))
+	reader.ApplyHistory(start, records(2, "-a@5"), 5, at(2, 7))
+	reader.Merge(start, behind.View(start))
+	reader.Merge(start, other.View(start))
+	expect(t, "after the views of others", reader, "")
+	other.Merge(start, reader.View(start))
+	behind.Merge(start, reader.View(start))
+	expect(t, "told", other, "")
+	expect(t, "told a router that has not read the era", behind, "")
+
+	s := lost()
+	s.ApplyHistory(start, records(3, "-a@5"), 5, at(3, 7))
+	expect(t, "history of another era", s, "a")
+	s.Apply(start, records(2, "+a@7"), at(2, 8))
+	s.ApplyHistory(start, records(2, "-a@5"), 5, at(2, 7))
+	expect(t, "evacuated again since", s, "a")
+
+	s = New()
+	s.Replace(start, records(1, "+a@5"), at(1, 6))
+	s.Replace(start, nil, at(2, 5+MaxHistory+1))
+	if _, ok := s.HistoryFrom(at(2, 5+MaxHistory+1)); ok {
+		t.Errorf("more than %d records are read", MaxHistory)
+	}
+	if from, ok := s.HistoryFrom(at(2, 5+MaxHistory)); !ok || from != 5 {
+		t.Errorf("history from %d, %t, want 5", from, ok)
+	}
+	if _, ok := s.HistoryFrom(at(2, 5)); ok {
+		t.Error("a history that ends before the evacuation is read")
+	}
+}
--- a/internal/front/evacuation_test.go
+++ b/internal/front/evacuation_test.go
@@ -223,3 +223,35 @@
 	// Nothing asks for an early end of an evacuation: until then the servers get nothing.
 	f.expectEvacuated(statedBound, "lifted in the new era", "", f.routers[:3]...)
 }
+
+// Guards against an evacuation that stays in force for 30 s although the operators have lifted it, because the store lost it and
+// got the record that lifts it before the readers read the new era: their list then has neither. The record may also be written
+// between two of their calls.
+func TestEvacuationLiftedBeforeTheReadersReadTheNewEra(t *testing.T) {
+	f := newFleet(t, 5, 2)
+	old := f.store.Copy()
+	f.evacuate("hall-b", "{}")
+	f.expectEvacuated(usualBound, "evacuated", "hall-b", f.routers...)
+	f.store.RestoreAndPut(old, 5, platform.TopicConfig, platformtest.EvacuationKey("hall-b"), nil)
+	f.expectEvacuated(statedBound, "lifted before the new era was read", "", f.routers...)
+}
+
+// Guards against the end of an evacuation that the store has lost, by a record from the time before the evacuation that the older
+// copy has.
+func TestEarlierEndsDoNotLiftALostEvacuation(t *testing.T) {
+	f := newFleet(t, 5, 2)
+	f.evacuate("hall-b", "{}")
+	f.evacuate("hall-b", "")
+	f.evacuate("hall-c", "{}")
+	f.expectEvacuated(usualBound, "evacuated before", "hall-c", f.routers...)
+	old := f.store.Copy()
+	f.evacuate("hall-b", "{}")
+	f.evacuate("hall-c", "")
+	f.expectEvacuated(usualBound, "evacuated", "hall-b", f.routers...)
+	f.store.RestoreAndPut(old, 5, platform.TopicConfig, platformtest.EvacuationKey("hall-d"), []byte("{}"))
+	f.expectEvacuated(usualBound, "in the new era", "hall-b hall-c hall-d", f.routers...)
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		f.expectEvacuated(0, "later in the new era", "hall-b hall-c hall-d", f.routers...)
+	}
+}
--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -23,6 +25,8 @@
 	mu sync.Mutex
 	// set is changed with state in one step, so that the last change is also the last one that state gets.
 	set *evacuation.Set
+	// history has the newest history that is to be read for the ends of lost evacuations.
+	history chan historyRange
 	// logged is the number of ignored evacuations that were logged.
 	logged int
 
@@ -34,7 +38,7 @@
 }
 
 func newEvacuations(st *forward.State, events *event.Logger, scope tally.Scope) evacuations {
-	return evacuations{state: st, events: events, scope: scope, set: evacuation.New()}
+	return evacuations{state: st, events: events, scope: scope, set: evacuation.New(), history: make(chan historyRange, 1)}
 }
 
 // applyEvacuations applies the evacuations of a batch of the operators' topic, and tells the other routers when they do not know
@@ -45,22 +49,104 @@
 		t.evacuations.update(func(now time.Time, s *evacuation.Set) []evacuation.Change { return s.Replace(now, nil, batch.Next) })
 		return
 	}
+	records := t.evacuationRecords(batch.Records, batch.Next.Era)
+	changed := t.evacuations.update(func(now time.Time, s *evacuation.Set) []evacuation.Change {
+		if batch.Full {
+			return s.Replace(now, records, batch.Next)
+		}
+		return s.Apply(now, records, batch.Next)
+	})
+	if changed {
+		t.exchange.SendSoon()
+	}
+	if batch.Full && t.exchange.IsReader() {
+		t.evacuations.askHistory(batch.Next)
+	}
+}
+
+// evacuationRecords returns the records about data centres among those of the operators' topic.
+func (t *tracker) evacuationRecords(list []feed.Record, era int64) []evacuation.Record {
 	var records []evacuation.Record
-	for _, r := range batch.Records {
+	for _, r := range list {
 		if dataCentre, ok := t.platform.EvacuatedDataCentre(r.Key); ok {
-			position := logpos.Position{Era: batch.Next.Era, Offset: r.Offset}
+			position := logpos.Position{Era: era, Offset: r.Offset}
 			records = append(records, evacuation.Record{DataCentre: dataCentre, Evacuated: len(r.Value) > 0, Position: position})
 		}
 	}
-	changed := t.evacuations.update(func(now time.Time, s *evacuation.Set) []evacuation.Change {
-		if batch.Full {
-			return s.Replace(now, records, batch.Next)
+	return records
+}
+
+// historyRange is a part of the operators' topic: from an offset up to a position.
+type historyRange struct {
+	from int64
+	end  logpos.Position
+}
+
+// askHistory makes followHistory read what came before a list if that may say that a lost evacuation was lifted.
+func (e *evacuations) askHistory(end logpos.Position) {
+	e.mu.Lock()
+	from, ok := e.set.HistoryFrom(end)
+	e.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case <-e.history:
+	default:
+	}
+	e.history <- historyRange{from: from, end: end}
+}
+
+const (
+	// historyAttempts bounds the calls for one history, and historyPause is the time between two of them.
+	historyAttempts = 3
+	historyPause    = 500 * time.Millisecond
+)
+
+// followHistory reads the history before lists until ctx ends. It runs beside the follower of the topic, whose next read must not
+// wait for it: that one may bring the next evacuation.
+func (t *tracker) followHistory(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case h := <-t.evacuations.history:
+			for range historyAttempts {
+				if t.readHistory(ctx, h) {
+					break
+				}
+				select {
+				case <-ctx.Done():
+					return nil
+				case <-time.After(historyPause):
+				}
+			}
 		}
-		return s.Apply(now, records, batch.Next)
+	}
+}
+
+// readHistory reads a history and ends the evacuations that it lifts, and tells the other routers. It reports false when the
+// store has not answered and may answer a further call.
+func (t *tracker) readHistory(ctx context.Context, h historyRange) (done bool) {
+	ctx, cancel := context.WithTimeout(ctx, nonReaderTimeout)
+	defer cancel()
+	page, err := t.platform.Config.Read(ctx, h.from, 0)
+	if err != nil {
+		return errors.Is(err, feed.ErrExpired)
+	}
+	if page.Era != h.end.Era {
+		// The list of the next era asks again.
+		return true
+	}
+	records := t.evacuationRecords(page.Records, page.Era)
+	end := logpos.Position{Era: page.Era, Offset: page.Next}
+	changed := t.evacuations.update(func(now time.Time, s *evacuation.Set) []evacuation.Change {
+		return s.ApplyHistory(now, records, h.from, end)
 	})
 	if changed {
 		t.exchange.SendSoon()
 	}
+	return true
 }
 
 // ApplyEvacuations applies what another router knows. It is called on the goroutine that receives digests, and does not wait
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -262,6 +262,7 @@
 		for _, follower := range f.tracker.followers(ctx) {
 			f.tomb.Go(func() error { return follower.Run(ctx) })
 		}
+		f.tomb.Go(func() error { return f.tracker.followHistory(ctx) })
 		f.tomb.Go(f.exchange.Receive)
 		f.tomb.Go(f.carrier.Serve)
 		f.tomb.Go(func() error { return f.exchange.Send(ctx) })
