--- a/internal/feed/answer_test.go
+++ b/internal/feed/answer_test.go
@@ -50,6 +50,33 @@
 	}
 }
 
+// waitingSource answers reads at the end of their wait, as a store without a new record does.
+type waitingSource struct{ arrivingSource }
+
+func (s *waitingSource) Read(ctx context.Context, from int64, wait time.Duration) (Page, error) {
+	select {
+	case <-time.After(wait):
+		return page(from).page, nil
+	case <-ctx.Done():
+		return Page{}, ctx.Err()
+	}
+}
+
+// Guards against a call that ends while the store holds it, as long as its wait lasts.
+func TestCallMayLastAsLongAsItsWait(t *testing.T) {
+	t.Parallel()
+	f, _ := firstCallFollower(&waitingSource{}, &atomic.Bool{})
+	f.options.Timing = func() Timing {
+		return Timing{Wait: 1500 * time.Millisecond, Pause: time.Hour, Timeout: time.Second}
+	}
+	for range 2 {
+		f.Step(t.Context())
+	}
+	if f.failures != 0 {
+		t.Errorf("%d failures, want none", f.failures)
+	}
+}
+
 // Guards against a call that hangs because its answer stands still.
 func TestAnswerThatStandsStillEndsTheCall(t *testing.T) {
 	t.Parallel()
--- a/internal/feed/calls_test.go
+++ b/internal/feed/calls_test.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// Guards against a list for which a store that does not answer has the time of a wait: nothing holds a list back, so that an
+// outage would be noticed late.
+func TestListAfterAnExpiredHistoryHasNoWait(t *testing.T) {
+	s := &callSource{answers: []answer{page(5, "a"), {err: ErrExpired}, page(7, "b")}}
+	f, _ := callFollower(s, &recorder{})
+	for range 3 {
+		f.Step(t.Context())
+	}
+	requireEqual(t, "calls", s.calls, []string{"newest", "read from 5, wait 1h0m0s", "newest"})
+	if got := s.left[2]; got > time.Minute {
+		t.Errorf("the list had %v, want a minute", got)
+	}
+}
+
 // Guards against routers that call a store which is away ever faster, all at once, or hardly
 // any more, and against a pause that goes on growing after a success.
 func TestPauseAfterFailuresGrowsToABound(t *testing.T) {
