--- a/internal/balance/failures_test.go
+++ b/internal/balance/failures_test.go
@@ -45,7 +45,9 @@
 		})
 	}
 	for _, p := range pools {
-		p.EjectFailing(now, func(server uint64) (int, int) { return sum[server].failed, sum[server].ended })
+		outcomes := func(server uint64) (int, int) { return sum[server].failed, sum[server].ended }
+		p.EjectFailing(now, outcomes)
+		p.AvoidFailing(now, outcomes)
 	}
 }
 
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -142,7 +142,6 @@
 	for _, m := range p.members {
 		if !m.evacuated && tooManyFailures(outcomes(m.hash)) {
 			failing = append(failing, m)
-			p.broken.record(now, m.server.ID)
 		}
 	}
 	if 2*len(failing) > p.inService() {
--- a/internal/balance/probation_test.go
+++ b/internal/balance/probation_test.go
@@ -99,7 +99,7 @@
 func TestBrokenServerIsAvoidedAfterItsRestart(t *testing.T) {
 	p := pool(2)
 	servers := []*registry.Server{p.members[0].server, p.members[1].server}
-	p.EjectFailing(start, func(server uint64) (int, int) {
+	p.AvoidFailing(start, func(server uint64) (int, int) {
 		if server == p.members[0].hash {
 			return 9, 10
 		}
@@ -137,7 +137,7 @@
 				m.health.lastActivity = start
 			}
 			p.members[1].own = c.load
-			p.EjectFailing(start, func(server uint64) (int, int) {
+			p.AvoidFailing(start, func(server uint64) (int, int) {
 				if server == p.members[0].hash {
 					return c.failed[0], 10
 				}
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -55,6 +55,7 @@
 	ServersDiffer       = register(1051, hclog.Warn, "a reader of the store knows other servers; the whole list is read again")
 	StoreCallOverdue    = register(1052, hclog.Warn, "platform store has not answered a call in time; this router does not read it for the others")
 	ConfigFieldsIgnored = register(1053, hclog.Warn, "configuration has fields with unusable values, which count as missing")
+	ServerAvoided       = register(1054, hclog.Warn, "server fails many requests and cannot be ejected; it gets none that may run only once while another has room")
 	BackupNamed         = register(1380, hclog.Debug, "memory of a run is copied to a second engine")
 	StreamTakenOver     = register(1381, hclog.Info, "stream went on at the engine that had a copy of its memory")
 	TakeoverFailed      = register(1382, hclog.Warn, "stream did not go on at the engine that was to have a copy of its memory")
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -90,9 +90,12 @@
 type Ejection struct {
 	Server   *registry.Server
 	Outcomes digest.Outcomes
+	// Avoided is set for a server that is not ejected, as too few others would be left, and gets no requests that may run
+	// only once while another one has room.
+	Avoided bool
 }
 
-// EjectFailing ejects the servers that failed too many of all routers' recent
+// EjectFailing ejects or avoids the servers that failed too many of all routers' recent
 // requests.
 func (st *State) EjectFailing(list []digest.Outcomes) []Ejection {
 	byServer := make(map[uint32]digest.Outcomes, len(list))
@@ -110,10 +113,12 @@
 		if backedUpEngines(table, p.name) != nil {
 			p.recordReported(now, outcomes)
 		}
-		ejected := p.balance.EjectFailing(now, outcomes)
-		for _, s := range ejected {
+		for _, s := range p.balance.EjectFailing(now, outcomes) {
 			ejections = append(ejections, Ejection{Server: s, Outcomes: byServer[digest.ShortHash(s.Key().Hash())]})
 		}
+		for _, s := range p.balance.AvoidFailing(now, outcomes) {
+			ejections = append(ejections, Ejection{Server: s, Outcomes: byServer[digest.ShortHash(s.Key().Hash())], Avoided: true})
+		}
 	})
 	return ejections
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -190,7 +190,11 @@
 // SetOutcomes ejects the servers that fail many of all routers' requests.
 func (s *digestState) SetOutcomes(list []digest.Outcomes) {
 	for _, e := range s.State.EjectFailing(list) {
-		s.tracker.events.Emit(event.ServerEjected, "server", e.Server.ID, "pool", e.Server.Pool, "cause", "failures_of_all_routers",
+		kind := event.ServerEjected
+		if e.Avoided {
+			kind = event.ServerAvoided
+		}
+		s.tracker.events.Emit(kind, "server", e.Server.ID, "pool", e.Server.Pool, "cause", "failures_of_all_routers",
 			"failed", e.Outcomes.Failed, "ended", e.Outcomes.Ended)
 	}
 }
