configdiff: create and apply differences between texts of the configuration

Cause: each router reads each version of the configuration from the store, a priced call and the whole text (0.5 MB with 1,850 routes) each time, although two versions usually differ in a few hundred bytes.

--- /dev/null
+++ b/internal/configdiff/configdiff.go
@@ -0,0 +1,104 @@
+// Package configdiff creates and applies differences between two texts of the configuration, so that a router that has the
+// earlier text gets the later one in a few datagrams instead of reading it from the platform's store. A difference is the later
+// text, compressed with zstd with the earlier text as raw dictionary. Both texts are named by their hashes, so that a
+// difference is never applied to another text or with another result than meant.
+//
+// The package does no I/O and reads no clock.
+package configdiff
+
+import (
+	"crypto/sha256"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
+)
+
+const (
+	// MaxTextBytes bounds the texts of which differences are made and that are kept for them: a router has 184 MB at least, and
+	// keeps MaxTexts of them.
+	MaxTextBytes = 2 << 20
+	// MaxPayloadBytes bounds the compressed form of a difference. A larger one costs more to send to all routers over a link of
+	// 10 Mbit/s than it saves.
+	MaxPayloadBytes = MaxParts * MaxPartBytes
+	// MaxParts is the number of datagrams of a difference at most.
+	MaxParts = 8
+	// MaxPartBytes is the part of a payload that fits a datagram of 1,400 bytes beside the fields of the difference.
+	MaxPartBytes = 1200
+	// dictionaryID names the raw dictionary within a frame. There is only one.
+	dictionaryID = 1
+	// windowBytes lets matches reach back to the beginning of the dictionary.
+	windowBytes = 2 * MaxTextBytes
+)
+
+// Errors of Make and Apply.
+var (
+	// ErrTooLarge is returned by Make for a text or a difference that is too large to be sent.
+	ErrTooLarge = eris.New("configuration or difference is too large to be sent")
+	// ErrWrongBase is returned by Apply for another text than the one that the difference starts from.
+	ErrWrongBase = eris.New("difference starts from another configuration")
+	// ErrWrongText is returned by Apply when the result is not the text that the difference names.
+	ErrWrongText = eris.New("difference leads to another configuration than it names")
+)
+
+// Hash identifies a text.
+type Hash [16]byte
+
+// HashOf returns the hash of a text, the first half of its SHA-256.
+func HashOf(text []byte) Hash {
+	sum := sha256.Sum256(text)
+	return Hash(sum[:len(Hash{})])
+}
+
+// Difference leads from one text of the configuration to a later one.
+type Difference struct {
+	// Position is that of the record with the later text in the store's topic.
+	Position logpos.Position
+	// Next is the position up to which the sender had read the topic: no later record before it has a newer configuration. Its
+	// era is that of Position.
+	Next logpos.Position
+	// Base and Text are the hashes of the earlier and of the later text.
+	Base, Text Hash
+	// Payload is the later text, compressed with the earlier one as dictionary.
+	Payload []byte
+}
+
+// Make returns the difference from base to text, without positions.
+func Make(base, text []byte) (Difference, error) {
+	if max(len(base), len(text)) > MaxTextBytes || min(len(base), len(text)) == 0 {
+		return Difference{}, ErrTooLarge
+	}
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderDictRaw(dictionaryID, base), zstd.WithEncoderConcurrency(1),
+		zstd.WithWindowSize(windowBytes), zstd.WithLowerEncoderMem(true), zstd.WithEncoderCRC(false))
+	if err != nil {
+		return Difference{}, eris.Wrap(err, "cannot compress a configuration")
+	}
+	payload := encoder.EncodeAll(text, nil)
+	if len(payload) > MaxPayloadBytes {
+		return Difference{}, ErrTooLarge
+	}
+	return Difference{Base: HashOf(base), Text: HashOf(text), Payload: payload}, nil
+}
+
+// Apply returns the later text. It fails on a wrong base, on a payload that does not decode or decodes to more than
+// MaxTextBytes, and on a result other than the one that the difference names.
+func (d Difference) Apply(base []byte) ([]byte, error) {
+	if HashOf(base) != d.Base {
+		return nil, ErrWrongBase
+	}
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderDictRaw(dictionaryID, base), zstd.WithDecoderConcurrency(1),
+		zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(MaxTextBytes), zstd.WithDecoderMaxWindow(windowBytes))
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot decompress a configuration")
+	}
+	defer decoder.Close()
+	text, err := decoder.DecodeAll(d.Payload, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot decompress a configuration")
+	}
+	if HashOf(text) != d.Text {
+		return nil, ErrWrongText
+	}
+	return text, nil
+}
