front, digest: readers of the store send differences of the configuration

A receiver whose text, hashes, position, era and version fit puts it in force like a version that it has read; any other router reads the store after the same delay as before. Its own reads begin after what a reader has read once the evacuations that it knows are as of that position, so that the texts in between are not returned. Of several versions that are read together only the newest is put in force, and records of the configuration share no memory with the answer.

Tests changed: TestConfigurationWrittenAgainReachesARouterThatMissedIt needs a router that missed a version, so its differences are now dropped.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -14,6 +14,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/bluebellwell/bluebellwell/internal/configdiff"
 	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
@@ -448,6 +449,10 @@
 	s.heardReader = s.heardReader || reader
 }
 
+func (s *fakeState) TakeDifferences() []configdiff.Difference { return nil }
+func (s *fakeState) DifferenceSent(bool)                      {}
+func (s *fakeState) ReceiveConfigPart(configdiff.Part)        {}
+
 func (s *fakeState) hasServerChange() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/bluebellwell/bluebellwell/internal/configdiff"
 	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
@@ -114,6 +115,12 @@
 	// ApplyEvacuations applies what another router knows of evacuated data centres. reader is set for one that reads the store
 	// for the others.
 	ApplyEvacuations(v evacuation.View, reader bool)
+	// TakeDifferences returns the differences of the configuration that are to be sent to the others.
+	TakeDifferences() []configdiff.Difference
+	// DifferenceSent records whether one of them was sent or was too large for that.
+	DifferenceSent(sent bool)
+	// ReceiveConfigPart handles a part of a difference that another router has sent.
+	ReceiveConfigPart(p configdiff.Part)
 }
 
 // StoreProgress is what a router has read of the store.
@@ -424,6 +431,9 @@
 	if m.Evacuations.Known {
 		e.state.ApplyEvacuations(m.Evacuations, m.Reading && m.Role == RoleReader)
 	}
+	if m.ConfigPart != nil {
+		e.state.ReceiveConfigPart(*m.ConfigPart)
+	}
 	if isNew {
 		// The next loads are sent with the number of routers that are live.
 		e.state.SetRouterCount(known)
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/bluebellwell/bluebellwell/internal/configdiff"
 	"github.com/bluebellwell/bluebellwell/internal/evacuation"
 	"github.com/bluebellwell/bluebellwell/internal/logpos"
 	"github.com/bluebellwell/bluebellwell/internal/quarantine"
@@ -177,6 +178,8 @@
 	Evacuations evacuation.View
 	// Region is the region of the sender; empty when it does not say.
 	Region string
+	// ConfigPart is a part of a difference of the configuration; nil for none.
+	ConfigPart *configdiff.Part
 }
 
 // Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
@@ -224,6 +227,7 @@
 	fieldNotGranting = 56
 	fieldProcessor   = 57
 	fieldRegion      = 49
+	fieldConfigPart  = 60
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -286,6 +290,7 @@
 	if m.Region != "" {
 		b = appendText(b, fieldRegion, m.Region)
 	}
+	b = appendConfigPart(b, m.ConfigPart)
 	return appendPartReport(b, m.Parts)
 }
 
@@ -492,6 +497,8 @@
 		err = m.decodeLimit(v)
 	case fieldCold:
 		err = m.decodeColdServer(v)
+	case fieldConfigPart:
+		err = m.decodeConfigPart(v)
 	case fieldRegion:
 		m.Region = string(v)
 	case fieldHeard:
--- a/internal/digest/relay.go
+++ b/internal/digest/relay.go
@@ -30,8 +30,12 @@
 // levelGrants is the level of the protocol from which on a router grants the slots of scarce pools.
 const levelGrants = 2
 
+// levelDifferences is the level of the protocol from which on a router applies differences of the configuration. Others would
+// get datagrams that they skip.
+const levelDifferences = 3
+
 // ownLevel is the level of the protocol of this build.
-const ownLevel = levelGrants
+const ownLevel = levelDifferences
 
 // RelayedPlacements are new placements of another router than the sender. Its own come back to it and are ignored.
 type RelayedPlacements struct {
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -74,6 +74,7 @@
 // change with its loads only, to the readers, which send changes again to those that lack them; unless it is the first
 // one to know of a configuration or a server, as after a restart of all.
 func (e *Exchange) sendDigest(regular bool) {
+	e.sendDifferences()
 	now := time.Now()
 	m := e.newMessage()
 	e.mu.Lock()
@@ -101,6 +102,8 @@
 // sendLoads sends this router's loads and outcomes to all routers, or in a large
 // fleet to the readers of the store. There a reader also sends the totals to all.
 func (e *Exchange) sendLoads(now time.Time, targets []netip.Addr) {
+	// Loads tell the position of the configuration as well.
+	e.sendDifferences()
 	own := e.state.Loads()
 	m := e.newMessage()
 	m.Loads = own
@@ -233,8 +236,9 @@
 	}
 }
 
-func (e *Exchange) sendTo(targets []netip.Addr, m *Message) {
-	b := Encode(m)
+func (e *Exchange) sendTo(targets []netip.Addr, m *Message) { e.sendEncoded(targets, Encode(m)) }
+
+func (e *Exchange) sendEncoded(targets []netip.Addr, b []byte) {
 	e.sent.Add(int64(len(targets)))
 	for _, t := range targets {
 		// The next digest makes up for a lost one.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -88,6 +88,9 @@
 	// NewestOnly is set for a topic whose newest records say everything. Records that
 	// several newer ones have replaced are then not read.
 	NewestOnly bool
+	// ToldTo returns the position up to which other routers have told everything in the topic. Records before it are not read.
+	// It is logpos.None while there is no such position; nil for never.
+	ToldTo func() logpos.Position
 	// Grace is the length of the grace period after an outage of at least MinOutage;
 	// see Batch.GraceUntil.
 	Grace     time.Duration
@@ -263,6 +266,7 @@
 func (f *Follower) Step(ctx context.Context) time.Duration {
 	start := f.now()
 	timing := f.options.Timing()
+	f.skipTold()
 	wait := timing.Wait
 	f.calledAt = start
 	if start.Sub(f.answeredAt) > timing.Wait+timing.Pause+timing.Overdue {
@@ -373,6 +377,16 @@
 	return f.options.NewestOnly && f.position.next.Before(f.options.PeerPosition())
 }
 
+// skipTold skips the records that other routers have told this one of. A position of another era says nothing here.
+func (f *Follower) skipTold() {
+	if f.options.ToldTo == nil || !f.position.complete {
+		return
+	}
+	if told := f.options.ToldTo(); told.Era == f.position.next.Era && f.position.next.Before(told) {
+		f.position.next = told
+	}
+}
+
 // mustList reports whether the whole list is to be read again although all records were read.
 func (f *Follower) mustList() bool { return f.options.MustList != nil && f.options.MustList() }
 
--- a/internal/front/cutoff_test.go
+++ b/internal/front/cutoff_test.go
@@ -82,6 +82,8 @@
 	cut atomic.Bool
 	// drop reports whether a datagram between two hosts is lost; nil for none.
 	drop atomic.Pointer[func(from, to netip.Addr) bool]
+	// discard reports whether a datagram with some content is lost; nil for none.
+	discard atomic.Pointer[func(datagram []byte) bool]
 	// sent and received are the bytes of the router's datagrams, with their headers.
 	sent, received atomic.Int64
 }
@@ -161,6 +163,9 @@
 		if err != nil {
 			return
 		}
+		if discard := l.discard.Load(); discard != nil && (*discard)(buffer[:n]) {
+			continue
+		}
 		if out, to := route(from.Addr().Unmap()); out != nil && !l.cut.Load() {
 			bytes.Add(int64(n) + datagramHeaderBytes)
 			_, _ = out.WriteToUDPAddrPort(buffer[:n], to)
--- /dev/null
+++ b/internal/front/differences.go
@@ -0,0 +1,235 @@
+package front
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bluebellwell/bluebellwell/internal/configdiff"
+	"github.com/bluebellwell/bluebellwell/internal/digest"
+	"github.com/bluebellwell/bluebellwell/internal/event"
+	"github.com/bluebellwell/bluebellwell/internal/logpos"
+	"github.com/bluebellwell/bluebellwell/internal/routing"
+)
+
+// Routers that do not read the store for the others get new versions of the configuration as differences from a reader, so that
+// they need not call the store. What they can't apply they read as without differences.
+
+// configSource is where the configuration in force comes from.
+type configSource string
+
+const (
+	configFromStore  configSource = "store"
+	configFromRouter configSource = "router"
+)
+
+// configUpdate is a version of the configuration that may be put in force.
+type configUpdate struct {
+	config routing.Config
+	// text is the text of the record, and position its place in the store.
+	text     []byte
+	position logpos.Position
+	// next is the position up to which the topic was read: no later record before it has a newer configuration. It is
+	// logpos.None when a record before it could not be decoded here, since another router may be able to.
+	next   logpos.Position
+	source configSource
+}
+
+// maxOutgoing bounds the differences that wait to be sent. A reader reads four times a second at most, and sends at least as
+// often.
+const maxOutgoing = 4
+
+// Results of a difference, as counted.
+const (
+	differenceSent       = "sent"
+	differenceTooLarge   = "too_large"
+	differenceApplied    = "applied"
+	differenceLate       = "late"
+	differenceEarlierEra = "earlier_era"
+	differenceUnusable   = "unusable"
+)
+
+// differences has the texts of the last configurations, the differences that others have sent and those that are to be sent. It
+// is safe for concurrent use.
+type differences struct {
+	scope tally.Scope
+	reads tally.Counter
+	// wake is signalled when a difference may be applied.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	texts    configdiff.Texts
+	received configdiff.Collector
+	// applying is the difference that is being applied, since applyingAt; nil for none.
+	applying   *configdiff.Difference
+	applyingAt time.Time
+	outgoing   []configdiff.Difference
+	// source is where the configuration in force comes from.
+	source configSource
+	// toldTo is the position up to which the reader had read the topic that has sent the last applied difference.
+	toldTo logpos.Position
+}
+
+func newDifferences(scope tally.Scope) *differences {
+	return &differences{scope: scope, reads: scope.Counter("config_reads"), wake: make(chan struct{}, 1), toldTo: logpos.None}
+}
+
+func (d *differences) count(result string) {
+	d.scope.Tagged(map[string]string{"result": result}).Counter("config_differences").Inc(1)
+}
+
+// signal makes the tracker's goroutine look for differences that it can apply.
+func (d *differences) signal() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// putInForce records the text of a configuration that is put in force. With send it queues the difference to it. The
+// differences of others that start from the text can be applied then.
+func (d *differences) putInForce(u configUpdate, send bool) {
+	d.mu.Lock()
+	base, _ := d.texts.Newest()
+	d.texts.Add(u.text)
+	d.source = u.source
+	d.mu.Unlock()
+	d.signal()
+	if !send || base == nil || u.next == logpos.None {
+		return
+	}
+	difference, err := configdiff.Make(base, u.text)
+	if err != nil {
+		d.count(differenceTooLarge)
+		return
+	}
+	difference.Position, difference.Next = u.position, u.next
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.outgoing) < maxOutgoing {
+		d.outgoing = append(d.outgoing, difference)
+	}
+}
+
+// takeOutgoing returns the differences that are to be sent.
+func (d *differences) takeOutgoing() []configdiff.Difference {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := d.outgoing
+	d.outgoing = nil
+	return list
+}
+
+// receive handles a part of a difference from another router. It does not wait for the tracker's goroutine, which
+// decodes a configuration for up to some tenths of a second.
+func (d *differences) receive(p configdiff.Part) {
+	d.mu.Lock()
+	complete := d.received.Add(time.Now(), p)
+	d.mu.Unlock()
+	if complete {
+		d.signal()
+	}
+}
+
+// expects reports whether a difference has arrived that leads to the version at a position or to a later one and is about to be
+// applied. The store need not be read for it meanwhile.
+func (d *differences) expects(now time.Time, position logpos.Position) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.texts.Has
+	if a := d.applying; a != nil && now.Sub(d.applyingAt) < configdiff.ApplyTime {
+		if !a.Position.Before(position) {
+			return true
+		}
+		known = func(h configdiff.Hash) bool { return h == a.Text || d.texts.Has(h) }
+	}
+	for _, r := range d.received.Reachable(now, known) {
+		if !r.Position.Before(position) {
+			return true
+		}
+	}
+	return false
+}
+
+// next returns a difference that can be applied and the text from which it starts, and ends the one before.
+func (d *differences) next() (difference configdiff.Difference, base []byte, found bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.applying = nil
+	difference, found = d.received.Take(d.texts.Has)
+	if found {
+		d.applying, d.applyingAt = &difference, time.Now()
+	}
+	return difference, d.texts.Find(difference.Base), found
+}
+
+// recordTold records the position up to which a reader had read the topic.
+func (d *differences) recordTold(next logpos.Position) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.toldTo = logpos.Max(d.toldTo, next)
+}
+
+func (d *differences) told() logpos.Position {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.toldTo
+}
+
+// status returns where the configuration in force comes from and the hash of its text.
+func (d *differences) status() (source configSource, hash configdiff.Hash) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, hash = d.texts.Newest()
+	return d.source, hash
+}
+
+// applyDifferences puts the versions in force that other routers have sent as differences. It runs on the goroutine of run.
+func (t *tracker) applyDifferences() {
+	for {
+		difference, base, found := t.differences.next()
+		if !found {
+			return
+		}
+		t.differences.count(t.applyDifference(difference, base))
+	}
+}
+
+// applyDifference applies a difference and returns its result.
+func (t *tracker) applyDifference(d configdiff.Difference, base []byte) (result string) {
+	if t.progress.isApplied(digest.TopicConfig, d.Position) {
+		return differenceLate
+	}
+	if d.Position.Era < t.eras.Current() {
+		// The store may have lost the version. What it has in the present era is read.
+		return differenceEarlierEra
+	}
+	text, err := d.Apply(base)
+	var config routing.Config
+	if err == nil {
+		config, err = t.platform.DecodeConfig(text)
+	}
+	if err != nil {
+		t.events.Emit(event.ConfigDifferenceUnusable, "era", d.Position.Era, "offset", d.Position.Offset, "bytes", len(d.Payload), "error", err.Error())
+		return differenceUnusable
+	}
+	if old := t.state.Table(); old == nil || config.Version <= old.Version() {
+		return differenceLate
+	}
+	t.activateConfig(configUpdate{config: config, text: text, position: d.Position, next: d.Next, source: configFromRouter})
+	t.differences.recordTold(d.Next)
+	return differenceApplied
+}
+
+// configToldTo returns the position up to which this router has everything in the configuration's topic from other routers:
+// the configurations as differences and the evacuations in digests. Its own reads need not begin before it. It is logpos.None
+// for a reader, which reads all itself.
+func (t *tracker) configToldTo() logpos.Position {
+	told := t.differences.told()
+	asOf := t.evacuations.asOf()
+	if t.exchange.Reading() || asOf.Era != told.Era || asOf.Before(told) {
+		return logpos.None
+	}
+	return told
+}
--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -158,6 +158,13 @@
 	return e.set.Known()
 }
 
+// asOf returns the position as of which the evacuations are known.
+func (e *evacuations) asOf() logpos.Position {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.set.AsOf()
+}
+
 // setBound sets the time in which an evacuation has to take effect.
 func (e *evacuations) setBound(d time.Duration) {
 	e.freshMu.Lock()
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -318,8 +318,11 @@
 // lost it and gets it only by its own read 30 s after the operators have written it
 // again, because the readers had it before and report no change.
 func TestConfigurationWrittenAgainReachesARouterThatMissedIt(t *testing.T) {
-	f := newFleet(t, 4, 2)
+	var link *peerLink
+	f := newFleetWith(t, 4, 2, func(f *fleetBed) { link = newPeerLink(t, f, 3) })
 	other := f.routers[3]
+	// It gets no differences, so it reads the versions itself.
+	link.discard.Store(&isConfigPart)
 	old := f.store.Copy()
 	f.publish(config(2))
 	f.publish(configWithRoute(3, "new"))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
+	"github.com/bluebellwell/bluebellwell/internal/configdiff"
 	"github.com/bluebellwell/bluebellwell/internal/digest"
 	"github.com/bluebellwell/bluebellwell/internal/edge"
 	"github.com/bluebellwell/bluebellwell/internal/event"
@@ -175,6 +176,23 @@
 	return progress
 }
 
+// TakeDifferences returns the differences of the configuration that are to be sent.
+func (s *digestState) TakeDifferences() []configdiff.Difference {
+	return s.tracker.differences.takeOutgoing()
+}
+
+// DifferenceSent counts a difference that was sent or was too large for that.
+func (s *digestState) DifferenceSent(sent bool) {
+	result := differenceTooLarge
+	if sent {
+		result = differenceSent
+	}
+	s.tracker.differences.count(result)
+}
+
+// ReceiveConfigPart handles a part of a difference from another router.
+func (s *digestState) ReceiveConfigPart(p configdiff.Part) { s.tracker.differences.receive(p) }
+
 // ColdServers returns the cold servers, and whether this router knows of all.
 func (s *digestState) ColdServers() (list []digest.ColdServer, complete bool) {
 	list, settled := s.State.ColdServers()
--- a/internal/front/held.go
+++ b/internal/front/held.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/event"
-	"github.com/bluebellwell/bluebellwell/internal/logpos"
-	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
 // A store that has come back from an older copy may hold an older configuration than
@@ -24,14 +22,14 @@
 
 // heldConfig is a configuration that is not in force yet.
 type heldConfig struct {
-	config   routing.Config
-	position logpos.Position
-	logged   bool
+	configUpdate
+	logged bool
 }
 
 // holdBack reports whether the first configuration is not to be put in force yet, and
 // keeps it then.
-func (t *tracker) holdBack(config routing.Config, position logpos.Position) bool {
+func (t *tracker) holdBack(u configUpdate) bool {
+	config, position := u.config, u.position
 	newest := t.exchange.NewestConfig()
 	starting := !t.firstStart && newest == 0 && time.Since(t.startedAt) < firstDigestWait
 	if !starting && newest <= config.Version {
@@ -43,7 +41,7 @@
 		t.events.Emit(event.ConfigHeldBack, "version", config.Version, "newest", newest, "era", position.Era, "offset", position.Offset)
 		logged = true
 	}
-	t.held = &heldConfig{config: config, position: position, logged: logged}
+	t.held = &heldConfig{configUpdate: u, logged: logged}
 	return true
 }
 
@@ -59,6 +57,6 @@
 // releaseHeld puts a configuration that was held back in force, if it may be.
 func (t *tracker) releaseHeld() {
 	if t.held != nil {
-		t.activateConfig(t.held.config, t.held.position)
+		t.activateConfig(t.held.configUpdate)
 	}
 }
--- a/internal/front/heldconfig_test.go
+++ b/internal/front/heldconfig_test.go
@@ -54,7 +54,7 @@
 			if c.age > 0 {
 				tr.startedAt = time.Now().Add(-c.age)
 			}
-			tr.activateConfig(routing.Config{Version: 3}, at(1))
+			tr.activateConfig(configUpdate{config: routing.Config{Version: 3}, position: at(1)})
 			if held := tr.state.Table() == nil; held != c.held || (tr.held != nil) != c.held {
 				t.Fatalf("held back: %v, want %v", held, c.held)
 			}
--- a/internal/front/oneway_test.go
+++ b/internal/front/oneway_test.go
@@ -19,6 +19,9 @@
 	cutCalm = 3 * time.Second
 )
 
+// eraSettled is how long after the routers have seen a new era a server is removed.
+const eraSettled = 300 * time.Millisecond
+
 // oneWayCut says which datagrams are lost; routers are numbered from 0, and the first
 // three read the store. The routers whose datagrams are lost or miss some must be readers
 // or the last one, or the sender must be a reader.
@@ -93,8 +96,12 @@
 	f.store.Restore(old, 5)
 	f.register(platformtest.StateLeaving, f.engines[2])
 	f.allKnow("a server that leaves in a new era", "version 2, ready i-3 i-4 i-5, leaving i-0 i-2")
+	seen := time.Now()
 	f.publish(configWithRoute(3, "new"))
 	f.allKnow("a configuration in a new era", "version 3, ready i-3 i-4 i-5, leaving i-0 i-2")
+	// A router uses removed servers for 2 s after it has seen a new era. The removal of one that is removed at the very beginning
+	// of that time takes effect after more than changeWindow.
+	time.Sleep(time.Until(seen.Add(eraSettled)))
 	f.store.Put(platform.TopicServers, f.engines[3].ID, nil)
 	f.allKnow("a server removed in a new era", "version 3, ready i-4 i-5, leaving i-0 i-2")
 	changes := time.Since(started).Seconds()
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -23,6 +24,9 @@
 	Stopping   bool   `json:"stopping"`
 	// ConfigVersion is the version in force; 0 before the first one.
 	ConfigVersion int64 `json:"config_version"`
+	// ConfigSource is where it comes from, store or router, and ConfigHash the beginning of the hash of its text.
+	ConfigSource string `json:"config_source"`
+	ConfigHash   string `json:"config_hash"`
 	// StoreEra counts how often the store has come back from an older copy.
 	StoreEra int64 `json:"store_era"`
 	// ReportedEra is the highest one that another router has reported. A router that is
@@ -88,6 +92,8 @@
 	}
 	if t := f.state.Table(); t != nil {
 		s.ConfigVersion = t.Version()
+		source, hash := f.tracker.differences.status()
+		s.ConfigSource, s.ConfigHash = string(source), hex.EncodeToString(hash[:4])
 	}
 	return s
 }
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,8 @@
 	held *heldConfig
 	// evacuations are the evacuated data centres.
 	evacuations evacuations
+	// differences are those of the configuration from and for other routers.
+	differences *differences
 	// firstStart is set when the whole system starts for the first time.
 	firstStart bool
 	startedAt  time.Time
@@ -71,6 +74,7 @@
 		eraCount: scope.Counter("store_eras"),
 
 		evacuations: newEvacuations(st, events, scope),
+		differences: newDifferences(scope),
 
 		startedAt: time.Now(),
 		platform:  p,
@@ -112,6 +116,7 @@
 		Eras:         &t.eras,
 		EraReported:  t.exchange.EraReported,
 		NewestOnly:   true,
+		ToldTo:       t.configToldTo,
 	}, t.newObserver(ctx, digest.TopicConfig, t.applyConfig))
 	servers := feed.New(t.platform.Servers, feed.Options{
 		Timing:       t.serversTiming(),
@@ -141,6 +146,8 @@
 			t.evacuations.expire(now)
 			t.evacuations.current()
 			t.releaseHeld()
+		case <-t.differences.wake:
+			t.applyDifferences()
 		case <-t.heldCheck():
 			t.releaseHeld()
 		}
@@ -160,6 +167,9 @@
 		if t.progress.isApplied(topic, position) {
 			position = logpos.None
 		}
+		if topic == digest.TopicConfig && t.differences.expects(time.Now(), position) {
+			position = logpos.None
+		}
 		if topic == digest.TopicServers {
 			position = logpos.Max(position, t.progress.gapPosition())
 			position = logpos.Max(position, t.progress.unreadOf(t.exchange.ReadersListEnd(t.progress.readEra())))
@@ -202,10 +212,12 @@
 	t.checkReady()
 }
 
-// applyConfig activates a newer configuration. An older one, or one that cannot
+// applyConfig activates the newest configuration of a batch. An older one, or one that cannot
 // be decoded, has no effect.
 func (t *tracker) applyConfig(batch feed.Batch) {
 	t.applyEvacuations(batch)
+	next := batch.Next
+	var newest *configUpdate
 	for _, r := range batch.Records {
 		if r.Key != t.platform.ConfigKey || r.Value == nil {
 			continue
@@ -213,13 +225,26 @@
 		config, err := t.platform.DecodeConfig(r.Value)
 		if err != nil {
 			t.events.Emit(event.ConfigUnusable, "offset", r.Offset, "error", err.Error())
+			next = logpos.None
 			continue
 		}
-		t.activateConfig(config, logpos.Position{Era: batch.Next.Era, Offset: r.Offset})
+		if newest == nil || config.Version > newest.config.Version {
+			position := logpos.Position{Era: batch.Next.Era, Offset: r.Offset}
+			newest = &configUpdate{config: config, text: r.Value, position: position, source: configFromStore}
+		}
+	}
+	if newest == nil {
+		return
 	}
+	t.differences.reads.Inc(1)
+	// The records of a batch share the memory of the store's answer.
+	newest.text, newest.next = bytes.Clone(newest.text), next
+	t.activateConfig(*newest)
 }
 
-func (t *tracker) activateConfig(config routing.Config, position logpos.Position) {
+// activateConfig puts a configuration in force, unless it is older or held back.
+func (t *tracker) activateConfig(u configUpdate) {
+	config, position := u.config, u.position
 	old := t.state.Table()
 	if old != nil && config.Version <= old.Version() {
 		if config.Version == old.Version() && t.progress.recordConfigAgain(position) {
@@ -227,7 +252,7 @@
 		}
 		return
 	}
-	if old == nil && t.holdBack(config, position) {
+	if old == nil && t.holdBack(u) {
 		return
 	}
 	if len(config.Ignored) > 0 {
@@ -238,9 +263,12 @@
 	t.edge.SetIdleLimit(table.Limits().IdleTimeout)
 	t.edge.SetHeaderLimit(table.Limits().HeaderTimeout)
 	t.haveConfig = true
+	// Before the position is known to the others, which would read the store for it.
+	t.differences.putInForce(u, u.source == configFromStore && t.exchange.Reading())
 	t.progress.recordConfig(table.Version(), position)
 	t.exchange.SendSoon()
-	t.events.Emit(event.ConfigInForce, "version", config.Version, "era", position.Era, "offset", position.Offset, "routes", len(config.Routes))
+	t.events.Emit(event.ConfigInForce, "version", config.Version, "era", position.Era, "offset", position.Offset, "routes", len(config.Routes),
+		"source", u.source)
 	t.checkReady()
 }
 
--- a/internal/front/trackerrules_test.go
+++ b/internal/front/trackerrules_test.go
@@ -236,7 +236,7 @@
 	tr := newTrackerRouter(t)
 	tr.list(at(3), "a:r", "b:r")
 	tr.applyServers(feed.Batch{Records: []feed.Record{{Key: "a", Offset: 3}}, Next: at(4), GraceUntil: time.Now().Add(50 * time.Millisecond)})
-	tr.held = &heldConfig{config: routing.Config{Version: 5}, position: at(1), logged: true}
+	tr.held = &heldConfig{configUpdate: configUpdate{config: routing.Config{Version: 5}, position: at(1)}, logged: true}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- tr.run(ctx) }()
@@ -258,7 +258,7 @@
 	tr.held = &heldConfig{logged: true}
 	tr.firstStart = false
 	tr.startedAt = time.Now().Add(time.Hour)
-	tr.holdBack(routing.Config{Version: 3}, at(1))
+	tr.holdBack(configUpdate{config: routing.Config{Version: 3}, position: at(1)})
 	if tr.held == nil || !tr.held.logged || tr.heldCheck() != nil {
 		t.Error("a configuration that was logged as held counts as one that waits for the first digest")
 	}
