front: the test of differences in a new era needs one of them to be applied

Cause: it passed as well when a router in an earlier era ignored all differences and read the store instead.

Change: a router that is no reader must have the first version of the era from another router. Red with differences of later eras ignored.

--- a/internal/front/differences_test.go
+++ b/internal/front/differences_test.go
@@ -163,9 +163,18 @@
 	f.publish(config(3))
 	f.versionInForce(3)
 	f.readersEnterEra(old, 5)
+	fromRouters := 0
 	for version := 3; version <= 5; version++ {
 		f.publish(configWithRoute(version, fmt.Sprintf("new%d", version)))
 		f.versionInForce(int64(version))
+		for _, r := range f.routers[3:] {
+			if version == 4 && r.front.Status().ConfigSource == "router" {
+				fromRouters++
+			}
+		}
+	}
+	if fromRouters == 0 {
+		t.Error("no router has the first version of the new era from another one")
 	}
 	for _, r := range f.routers {
 		if got := r.statusOf("/new5/x"); got != http.StatusOK {
