tests: stand-ins and raw servers have hosts of their own

Engines, stores and other servers of the tests listened on 127.0.0.1. The port of one that ended could go to a server of another test or process, which then got its requests and answered them: 502 or 503 for sound requests, and a request in the soak's records that no caller had sent. With 40,000 to 70,000 connections in TIME_WAIT no port of 127.0.0.1 could be bound at all.

A process has 2,000 hosts in place of 1,000. The port of a peerLink is never the one that the routers have in common.

TestEndOfTheServerIsToldFromThatOfTheCarrier failed once: its server dropped its connection, which the garbage collector then closed.

--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -234,19 +235,20 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = syscall.Close(fd) })
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+	host := netip.MustParseAddr(testport.ServerHost())
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: host.As4()}); err != nil {
 		t.Fatal(err)
 	}
 	name, err := syscall.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return fd, fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	return fd, fmt.Sprintf("%s:%d", host, name.(*syscall.SockaddrInet4).Port)
 }
 
 // serve starts a server.
 func (b *bed) serve(id string) *registry.Server {
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := testport.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		b.mu.Lock()
 		n := min(len(b.arrivals), len(b.answers)-1)
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -67,7 +67,7 @@
 // still written: net/http closes the connection then and reports its own closing as the error.
 func TestEngineThatEndsWhileItsRequestIsWrittenIsReported(t *testing.T) {
 	t.Parallel()
-	l, err := net.Listen("tcp", testport.Host()+":0")
+	l, err := net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/relayfuzz_test.go
+++ b/internal/forward/relayfuzz_test.go
@@ -145,7 +145,7 @@
 	})
 	var servers []*registry.Server
 	for i := range 2 {
-		l, err := net.Listen("tcp", testport.Host()+":0")
+		l, err := net.Listen("tcp", testport.ServerHost()+":0")
 		if err != nil {
 			f.Fatal(err)
 		}
--- a/internal/forward/reuse_test.go
+++ b/internal/forward/reuse_test.go
@@ -246,7 +246,7 @@
 // reused, without end.
 func TestVanishedPeersAreNoticedByTheKernel(t *testing.T) {
 	t.Parallel()
-	l, err := net.Listen("tcp", testport.Host()+":0")
+	l, err := net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/brittle_test.go
+++ b/internal/front/brittle_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
@@ -53,7 +54,7 @@
 func newBrittleServer(t *testing.T, id string, rejections int, work time.Duration) *brittleServer {
 	t.Helper()
 	s := &brittleServer{id: id, rejections: rejections, work: work, room: brittleRoom, slots: make(chan struct{}, brittleSlots)}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/cutoff_test.go
+++ b/internal/front/cutoff_test.go
@@ -35,7 +35,7 @@
 func newStoreLink(t *testing.T, addr string) *storeLink {
 	l := &storeLink{}
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: addr})
-	l.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	l.server = testport.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if l.cut.Load() {
 			panic(http.ErrAbortHandler)
 		}
@@ -89,12 +89,12 @@
 // datagramHeaderBytes are the headers of a datagram over IPv4.
 const datagramHeaderBytes = 28
 
-// freeUDPPort returns a port that is free at a host and at the hosts of routers.
-func freeUDPPort(t *testing.T, host string, others []*testBed) uint16 {
+// freeUDPPort returns a port that is free at a host and at the hosts of routers, and is not the one that routers have in common.
+func freeUDPPort(t *testing.T, host string, common uint16, others []*testBed) uint16 {
 	t.Helper()
 	for range 100 {
 		port := testport.FreeAddrs(t, host, 1)[0].Port()
-		if !slices.ContainsFunc(others, func(o *testBed) bool { return !isFreeUDP(o.host, port) }) && isFreeUDP(host, port) {
+		if port != common && !slices.ContainsFunc(others, func(o *testBed) bool { return !isFreeUDP(o.host, port) }) && isFreeUDP(host, port) {
 			return port
 		}
 	}
@@ -114,8 +114,8 @@
 func newPeerLink(t *testing.T, f *fleetBed, n int) *peerLink {
 	l := &peerLink{}
 	router, others := f.routers[n], slices.Delete(slices.Clone(f.routers), n, n+1)
-	port := freeUDPPort(t, router.host, others)
 	commonPort := router.peersPort
+	port := freeUDPPort(t, router.host, commonPort, others)
 	router.peersPort = port
 	listen := func(host string, port uint16) *net.UDPConn {
 		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(host), port)))
--- a/internal/front/emptybody_test.go
+++ b/internal/front/emptybody_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"testing"
 
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
@@ -60,7 +61,7 @@
 }
 
 func newHeadRecorderBed(t *testing.T, s *headRecorder) *testBed {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/endlesshead_test.go
+++ b/internal/front/endlesshead_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
@@ -20,7 +21,7 @@
 // serveEndless starts a server, in pool "raw", that answers each request with a start and then the same bytes without end. It
 // returns a channel with the number of bytes of each answer, sent when the connection has ended.
 func (f *fleetBed) serveEndless(id, start, endless string) <-chan int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/front/idletime_test.go
+++ b/internal/front/idletime_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
@@ -24,7 +25,7 @@
 
 func startIdleServer(t *testing.T, b *testBed, announced time.Duration) *idleServer {
 	s := &idleServer{announced: announced}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/rawserver_test.go
+++ b/internal/front/rawserver_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 	"io"
 	"net"
@@ -161,7 +162,7 @@
 func startRawServers(t *testing.T, b *testBed, n int) *rawServers {
 	s := &rawServers{t: t, answers: map[string][]func(*http.Request) rawAnswer{}, runs: map[string]int{}}
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", testport.ServerHost()+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/front/reuse_test.go
+++ b/internal/front/reuse_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
@@ -31,7 +32,7 @@
 // well and treats the others as next says. It registers the server as pool "raw", and
 // returns the counts of connections and of requests.
 func startReusedConnServer(t *testing.T, b *testBed, next nextRequest) (conns, runs *atomic.Int64) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/scarce_test.go
+++ b/internal/front/scarce_test.go
@@ -35,7 +35,7 @@
 func newScarceServer(t *testing.T) *scarceServer {
 	t.Helper()
 	// The ports of 127.0.0.1 run out beside other tests.
-	l, err := net.Listen("tcp", testport.Host()+":0")
+	l, err := net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/testport/testport.go
+++ b/internal/testport/testport.go
@@ -3,7 +3,10 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"sync/atomic"
@@ -12,22 +15,51 @@
 
 const (
 	// hostsPerProcess is the number of hosts that a process has for itself.
-	hostsPerProcess = 1000
+	hostsPerProcess = 2000
+	// routerHosts is the number of those that Host returns. ServerHost has the others, so that hosts of Host are in order in a
+	// fleet whose test starts servers in between.
+	routerHosts = 1000
 	// firstProcess keeps the hosts away from 127.0.0.0/16, from whose addresses connections are opened.
-	firstProcess = 66
+	firstProcess = 33
 	// processes is the number of processes that have hosts of their own; all fit 127.0.0.0/8.
-	processes = 16000
+	processes = 8000
 )
 
-var hosts atomic.Uint32
+var hosts, serverHosts atomic.Uint32
 
 // Host returns a loopback address that no other test uses, in this process or in another one that runs now. A port
 // that is free there is not taken by a listener or a connection of another test. Later calls return higher addresses.
 func Host() string {
-	n := hosts.Add(1)
+	return host(hosts.Add(1) % routerHosts)
+}
+
+// ServerHost returns a loopback address for a single server. A port of 127.0.0.1 that a server frees may be given to one of
+// another test, which then gets its requests, and all ports there can be taken by connections that have just ended.
+func ServerHost() string {
+	return host(routerHosts + serverHosts.Add(1)%(hostsPerProcess-routerHosts))
+}
+
+// NewUnstartedServer is httptest.NewUnstartedServer with a host of its own.
+func NewUnstartedServer(h http.Handler) *httptest.Server {
+	l, err := net.Listen("tcp", ServerHost()+":0")
+	if err != nil {
+		panic(fmt.Sprintf("testport: %v", err))
+	}
+	return &httptest.Server{Listener: l, Config: &http.Server{Handler: h}}
+}
+
+// NewServer is httptest.NewServer with a host of its own.
+func NewServer(h http.Handler) *httptest.Server {
+	s := NewUnstartedServer(h)
+	s.Start()
+	return s
+}
+
+// host returns the n-th address of this process.
+func host(n uint32) string {
 	process := firstProcess + uint32(os.Getpid())%processes
 	var addr [4]byte
-	binary.BigEndian.PutUint32(addr[:], process*hostsPerProcess+n%hostsPerProcess)
+	binary.BigEndian.PutUint32(addr[:], process*hostsPerProcess+n)
 	addr[0] = 127
 	return netip.AddrFrom4(addr).String()
 }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -34,6 +34,8 @@
 
 	mu    sync.Mutex
 	dials int
+	// accepted keeps the server's connections from being closed as garbage when serve returns, which looks like an end by the server.
+	accepted []net.Conn
 }
 
 // newBed starts a carrier whose connections to the server are handled by serve.
@@ -41,7 +43,7 @@
 	t.Helper()
 	b := &bed{t: t}
 	var err error
-	b.server, err = net.Listen("tcp", "127.0.0.1:0")
+	b.server, err = net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,6 +53,9 @@
 			if err != nil {
 				return
 			}
+			b.mu.Lock()
+			b.accepted = append(b.accepted, conn)
+			b.mu.Unlock()
 			go serve(conn)
 		}
 	}()
@@ -307,7 +312,7 @@
 // Guards against a router that waits long for another one that does not answer.
 func TestRouterThatDoesNotAnswerIsNotWaitedFor(t *testing.T) {
 	t.Parallel()
-	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	silent, err := net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
