balance: a server that fails a part of its requests is avoided only while another one has a free slot

Change: the load up to which the other server is preferred is one time its slots, and four times only beside a server that failed three quarters of its recent requests.

--- a/internal/balance/broken.go
+++ b/internal/balance/broken.go
@@ -7,9 +7,15 @@
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 )
 
-// roomSlots is the load of a server, in times of its slots, from which it counts as full. A late answer is better than a lost one,
-// and plain servers queue about three requests for each slot before they reject any.
-const roomSlots = 4
+const (
+	// brokenShare is the share of failures among recent outcomes from which a server counts as one that fails nearly everything.
+	brokenShare = 0.75
+	// freeSlots and queueSlots are the loads of a server, in times of its slots, up to which it takes the requests that avoid
+	// another one. Beside a server that fails a part, an answer in time is not worth the delay of all others. Beside one that
+	// fails nearly everything, a late answer is better than none, and plain servers queue about three requests for each slot.
+	freeSlots  = 1
+	queueSlots = 4
+)
 
 // brokenServers has the servers that failed many requests lately, by ID: a server that goes down and up by turns may have a new
 // incarnation each time. In a pool of two no server is ejected, since a false judgement would leave a single one, and one that
@@ -20,13 +26,21 @@
 type brokenTime struct {
 	until  time.Time
 	length time.Duration
+	// room is the load of another server, in times of its slots, up to which it is preferred.
+	room float64
 }
 
 // record lets a server be avoided for as long as an ejection lasts, and forgets those that failed long ago. It reports whether
 // the server was not avoided before.
-func (b brokenServers) record(now time.Time, id string) bool {
+func (b brokenServers) record(now time.Time, id string, failed, ended int) bool {
+	room := float64(freeSlots)
+	if float64(failed) >= brokenShare*float64(ended) {
+		room = queueSlots
+	}
 	last := b[id]
 	if now.Before(last.until) {
+		last.room = max(last.room, room)
+		b[id] = last
 		return false
 	}
 	for id, t := range b {
@@ -35,7 +49,7 @@
 		}
 	}
 	length := longerPause(last.length, now.Sub(last.until))
-	b[id] = brokenTime{until: now.Add(length), length: length}
+	b[id] = brokenTime{until: now.Add(length), length: length, room: room}
 	return true
 }
 
@@ -47,10 +61,11 @@
 func (p *Pool) AvoidFailing(now time.Time, outcomes func(server uint64) (failed, ended int)) []*registry.Server {
 	var avoided []*registry.Server
 	for _, m := range p.members {
-		if m.evacuated || m.health.failing(now) || !tooManyFailures(outcomes(m.hash)) {
+		failed, ended := outcomes(m.hash)
+		if m.evacuated || m.health.failing(now) || !tooManyFailures(failed, ended) {
 			continue
 		}
-		if p.broken.record(now, m.server.ID) {
+		if p.broken.record(now, m.server.ID, failed, ended) {
 			avoided = append(avoided, m.server)
 		}
 	}
@@ -60,8 +75,14 @@
 // withoutBroken drops the members that fail many requests, for a request that may run only once, while another one has room.
 func (p *Pool) withoutBroken(now time.Time, list []*member) []*member {
 	broken := func(m *member) bool { return p.broken.has(now, m) }
-	hasRoom := func(m *member) bool { return !broken(m) && m.load(now) < roomSlots*float64(m.server.Slots) }
-	if !slices.ContainsFunc(list, broken) || !slices.ContainsFunc(list, hasRoom) {
+	room := 0.0
+	for _, m := range list {
+		if broken(m) {
+			room = max(room, p.broken[m.server.ID].room)
+		}
+	}
+	hasRoom := func(m *member) bool { return !broken(m) && m.load(now) < room*float64(m.server.Slots) }
+	if !slices.ContainsFunc(list, hasRoom) {
 		return list
 	}
 	return slices.DeleteFunc(list, broken)
--- a/internal/balance/probation_test.go
+++ b/internal/balance/probation_test.go
@@ -125,7 +125,10 @@
 		want   int
 	}{
 		"the other one has room":       {[2]int{9, 0}, 3, 1},
+		"the other one queues":         {[2]int{9, 0}, 20, 1},
 		"the other one is full":        {[2]int{9, 0}, 40, 2},
+		"it fails half, other free":    {[2]int{5, 0}, 3, 1},
+		"it fails half, other queues":  {[2]int{5, 0}, 8, 2},
 		"both fail":                    {[2]int{9, 9}, 3, 2},
 		"it fails a part":              {[2]int{1, 0}, 3, 2},
 		"it failed too few to be sure": {[2]int{2, 0}, 3, 2},
