front, digest: a starting router gets the configuration from another one

Cause: after a loss of power of all routers those behind 10 Mbit/s links had no configuration for 1 to 4 s, since each reads the whole text from the store; 2,093 requests were rejected with no_configuration.

Change: a router without a configuration asks a live router that reports the newest version for it (digest field 61), every 0.25 s, while its own read is under way. The reply is the text in force, compressed, in at most 64 datagrams of the kind that differences use; whichever arrives first is put in force by the same path, so the first configuration is still held back while a live router has a newer one. A router replies once in 100 ms, and only while it or a reader heard in the last 1.2 s has the version from a store that answers. A version of an era that is over is neither given nor taken.

Tests changed: two tests of the first configuration after a restored store wait until the running routers have seen the new era; before that they give a starting router their newer configuration. The soak checks that all routers have the same text of the configuration.

The time until a router behind 10 Mbit/s is ready was not measured.

--- a/internal/configdiff/configdiff.go
+++ b/internal/configdiff/configdiff.go
@@ -26,6 +26,9 @@
 	MaxParts = 8
 	// MaxPartBytes is the part of a payload that fits a datagram of 1,400 bytes beside the fields of the difference.
 	MaxPartBytes = 1200
+	// MaxWholeParts is the number of datagrams of a whole text at most. 0.5 MB compress to a tenth of that; a larger text is read
+	// from the store.
+	MaxWholeParts = 64
 	// dictionaryID names the raw dictionary within a frame. There is only one.
 	dictionaryID = 1
 	// windowBytes lets matches reach back to the beginning of the dictionary.
@@ -45,6 +48,9 @@
 // Hash identifies a text.
 type Hash [16]byte
 
+// NoBase is the Base of a difference that has a whole text.
+var NoBase Hash
+
 // HashOf returns the hash of a text, the first half of its SHA-256.
 func HashOf(text []byte) Hash {
 	sum := sha256.Sum256(text)
@@ -69,26 +75,54 @@
 	if max(len(base), len(text)) > MaxTextBytes || min(len(base), len(text)) == 0 {
 		return Difference{}, ErrTooLarge
 	}
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderDictRaw(dictionaryID, base), zstd.WithEncoderConcurrency(1),
-		zstd.WithWindowSize(windowBytes), zstd.WithLowerEncoderMem(true), zstd.WithEncoderCRC(false))
+	payload, err := compress(text, zstd.WithEncoderDictRaw(dictionaryID, base))
 	if err != nil {
-		return Difference{}, eris.Wrap(err, "cannot compress a configuration")
+		return Difference{}, err
 	}
-	payload := encoder.EncodeAll(text, nil)
 	if len(payload) > MaxPayloadBytes {
 		return Difference{}, ErrTooLarge
 	}
 	return Difference{Base: HashOf(base), Text: HashOf(text), Payload: payload}, nil
 }
 
-// Apply returns the later text. It fails on a wrong base, on a payload that does not decode or decodes to more than
+// MakeWhole returns a difference that has a whole text, without positions. Its Base is NoBase.
+func MakeWhole(text []byte) (Difference, error) {
+	if len(text) > MaxTextBytes || len(text) == 0 {
+		return Difference{}, ErrTooLarge
+	}
+	payload, err := compress(text)
+	if err != nil {
+		return Difference{}, err
+	}
+	if len(payload) > MaxWholeParts*MaxPartBytes {
+		return Difference{}, ErrTooLarge
+	}
+	return Difference{Text: HashOf(text), Payload: payload}, nil
+}
+
+func compress(text []byte, more ...zstd.EOption) ([]byte, error) {
+	options := append(more, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(windowBytes), zstd.WithLowerEncoderMem(true), zstd.WithEncoderCRC(false))
+	encoder, err := zstd.NewWriter(nil, options...)
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot compress a configuration")
+	}
+	return encoder.EncodeAll(text, nil), nil
+}
+
+// Apply returns the later text; the base of a whole text does not count. It fails on a wrong base, on a payload that does not decode or decodes to more than
 // MaxTextBytes, and on a result other than the one that the difference names.
 func (d Difference) Apply(base []byte) ([]byte, error) {
-	if HashOf(base) != d.Base {
-		return nil, ErrWrongBase
+	options := []zstd.DOption{
+		zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
+		zstd.WithDecoderMaxMemory(MaxTextBytes), zstd.WithDecoderMaxWindow(windowBytes),
+	}
+	if d.Base != NoBase {
+		if HashOf(base) != d.Base {
+			return nil, ErrWrongBase
+		}
+		options = append(options, zstd.WithDecoderDictRaw(dictionaryID, base))
 	}
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderDictRaw(dictionaryID, base), zstd.WithDecoderConcurrency(1),
-		zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(MaxTextBytes), zstd.WithDecoderMaxWindow(windowBytes))
+	decoder, err := zstd.NewReader(nil, options...)
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot decompress a configuration")
 	}
--- a/internal/configdiff/configdiff_test.go
+++ b/internal/configdiff/configdiff_test.go
@@ -241,3 +241,41 @@
 		t.Error("a text is kept after one that is too large")
 	}
 }
+
+// Guards against a whole text that takes more datagrams than a starting router collects, that leads to another text, or that
+// counts as a difference with a base.
+func TestWholeTexts(t *testing.T) {
+	text := largeConfig(1, 0)
+	d, err := MakeWhole(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parts := d.Split()
+	if len(parts) <= MaxParts || len(parts) > MaxWholeParts {
+		t.Errorf("%d datagrams, want more than %d and at most %d", len(parts), MaxParts, MaxWholeParts)
+	}
+	c := Collector{Max: 2}
+	for i, p := range parts {
+		if c.Add(start, p) != (i == len(parts)-1) {
+			t.Fatalf("part %d of %d completes the text or the last one does not", i, len(parts))
+		}
+	}
+	got, found := c.Take(func(h Hash) bool { return h == NoBase })
+	if !found {
+		t.Fatal("the text was not put together")
+	}
+	if result, err := got.Apply(nil); err != nil || !bytes.Equal(result, text) {
+		t.Errorf("the result is another text: %v", err)
+	}
+	got.Text[0]++
+	if _, err := got.Apply(nil); !errors.Is(err, ErrWrongText) {
+		t.Errorf("error %v with another hash, want %v", err, ErrWrongText)
+	}
+	random := make([]byte, MaxWholeParts*MaxPartBytes+1)
+	for i := range random {
+		random[i] = byte(rand.IntN(256))
+	}
+	if _, err := MakeWhole(random); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("error %v for a large text, want %v", err, ErrTooLarge)
+	}
+}
--- a/internal/configdiff/parts.go
+++ b/internal/configdiff/parts.go
@@ -1,6 +1,7 @@
 package configdiff
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -33,7 +34,11 @@
 
 // Valid reports whether the numbers and the size of a part are possible.
 func (p *Part) Valid() bool {
-	return 0 < p.Count && p.Count <= MaxParts && 0 <= p.Index && p.Index < p.Count && 0 < len(p.Data) && len(p.Data) <= MaxPartBytes &&
+	most := MaxParts
+	if p.Base == NoBase {
+		most = MaxWholeParts
+	}
+	return 0 < p.Count && p.Count <= most && 0 <= p.Index && p.Index < p.Count && 0 < len(p.Data) && len(p.Data) <= MaxPartBytes &&
 		p.Position.Offset >= 0 && p.Position.Era == p.Next.Era
 }
 
@@ -46,6 +51,8 @@
 // Collector puts the parts of differences together, and keeps those whose earlier text is not known yet. Its memory is bounded:
 // the oldest difference is dropped for a new one. It is not safe for concurrent use.
 type Collector struct {
+	// Max bounds the differences that are kept; 0 means maxCollected.
+	Max int
 	// list has the differences in the order of their first parts.
 	list []*collected
 }
@@ -69,7 +76,7 @@
 		return d.check == p.Check && d.Base == p.Base && d.Text == p.Text && d.Position == p.Position && d.Next == p.Next && len(d.parts) == p.Count
 	})
 	if at < 0 {
-		if len(c.list) >= maxCollected {
+		if len(c.list) >= cmp.Or(c.Max, maxCollected) {
 			c.list = slices.Delete(c.list, 0, 1)
 		}
 		c.list = append(c.list, &collected{Difference: p.Difference, check: p.Check, parts: make([][]byte, p.Count), missing: p.Count})
--- a/internal/digest/configs.go
+++ b/internal/digest/configs.go
@@ -104,9 +104,9 @@
 		case configPartCheck:
 			p.Check = v
 		case configPartIndex:
-			p.Index = int(min(v, configdiff.MaxParts))
+			p.Index = int(min(v, configdiff.MaxWholeParts))
 		case configPartCount:
-			p.Count = int(min(v, configdiff.MaxParts+1))
+			p.Count = int(min(v, configdiff.MaxWholeParts+1))
 		case configPartData:
 			// The datagram's buffer is used again.
 			p.Data = append([]byte(nil), inner...)
--- a/internal/digest/configs_test.go
+++ b/internal/digest/configs_test.go
@@ -157,3 +157,112 @@
 		t.Errorf("%d datagrams of a difference of 2 datagrams for %d routers, results %v; want two for each", n, targets, state.results)
 	}
 }
+
+// wholeState is the State of a router that has a configuration in force.
+type wholeState struct {
+	fakeState
+	version int64
+	whole   configdiff.Difference
+}
+
+func (s *wholeState) Progress() StoreProgress {
+	p := s.fakeState.Progress()
+	p.ConfigVersion = s.version
+	return p
+}
+
+func (s *wholeState) WholeConfig() (configdiff.Difference, bool) { return s.whole, true }
+func (s *wholeState) ConfigMissing() bool                        { return s.version == 0 }
+
+// Guards against a router that is out of touch and gives a starting one a configuration that was replaced, and against one
+// whose link is full of replies to many starting routers.
+func TestWholeConfigurationsAreSentWhileTheyAreCurrent(t *testing.T) {
+	state := &wholeState{fakeState: fakeState{received: map[Placement]bool{}}, version: 7, whole: differenceOf(20 * configdiff.MaxPartBytes)}
+	state.whole.Base = configdiff.NoBase
+	e, err := Listen(netip.MustParseAddrPort("127.0.8.32:0"), nil, true, state, event.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	now := time.Now()
+	asker, reader := netip.MustParseAddr("127.0.8.121"), netip.MustParseAddr("127.0.8.122")
+	ask := func(now time.Time) int64 {
+		sent := e.sent.Load()
+		e.recordConfigRequest(asker)
+		e.replyWithConfig(now)
+		return e.sent.Load() - sent
+	}
+	hear := func(version int64, role Role, at time.Time) {
+		e.peers.RecordMessage(at, reader, &Message{Sender: 1, Role: role, Level: levelDifferences, ConfigVersion: version, Progress: []Progress{{Topic: TopicConfig}}})
+	}
+	for _, c := range []struct {
+		name  string
+		hear  func()
+		after time.Duration
+		want  int64
+	}{
+		{"no reader", func() {}, time.Second, 0},
+		{"a router that is no reader", func() { hear(7, RoleOther, now) }, time.Second, 0},
+		{"a reader with the version", func() { hear(7, RoleReader, now.Add(2*time.Second)) }, 2 * time.Second, 20},
+		{"too soon", func() {}, 2*time.Second + configReplyInterval/2, 0},
+		{"later", func() {}, 2*time.Second + configReplyInterval, 20},
+		{"a reader that is silent", func() {}, 2*time.Second + readerTimeout, 0},
+		{"a reader with an earlier version", func() { hear(6, RoleReader, now.Add(4*time.Second)) }, 4 * time.Second, 0},
+		{"a reader with a newer version", func() { hear(8, RoleReader, now.Add(5*time.Second)) }, 5 * time.Second, 0},
+	} {
+		if c.hear(); ask(now.Add(c.after)) != c.want {
+			t.Errorf("%s: not %d datagrams", c.name, c.want)
+		}
+	}
+	e.toldReader = true
+	if got := ask(now.Add(6 * time.Second)); got != 0 {
+		t.Errorf("%d datagrams of a reader that knows of a newer version", got)
+	}
+	hear(7, RoleOther, now.Add(7*time.Second))
+	if got := ask(now.Add(7 * time.Second)); got != 20 {
+		t.Errorf("%d datagrams of a reader, want 20", got)
+	}
+}
+
+// Guards against a starting router that asks for an older configuration than the newest, asks an earlier build, or asks all the time.
+func TestStartingRouterAsksForTheNewestConfiguration(t *testing.T) {
+	state := &wholeState{fakeState: fakeState{received: map[Placement]bool{}}}
+	e, err := Listen(netip.MustParseAddrPort("127.0.8.33:0"), nil, true, state, event.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	now := time.Now()
+	tell := func(last byte, level, version int64) netip.Addr {
+		addr := netip.AddrFrom4([4]byte{127, 0, 8, last})
+		e.peers.RecordMessage(now, addr, &Message{Sender: uint64(last), Level: level, ConfigVersion: version, Progress: []Progress{{Topic: TopicConfig}}})
+		return addr
+	}
+	sent := func(now time.Time) int64 {
+		before := e.sent.Load()
+		e.requestConfig(now)
+		return e.sent.Load() - before
+	}
+	tell(101, levelDifferences, 0)
+	tell(102, levelDifferences, 6)
+	tell(103, levelDifferences-1, 7)
+	if _, found := e.peers.configPeer(now); found || sent(now) != 0 {
+		t.Error("a router is asked that has no or an older configuration, or does not know the request")
+	}
+	newest := tell(104, levelDifferences, 7)
+	for range 10 {
+		if got, found := e.peers.configPeer(now); !found || got != newest {
+			t.Fatalf("%v is asked, want %v", got, newest)
+		}
+	}
+	if n := sent(now) + sent(now.Add(configRequestInterval/2)); n != 1 {
+		t.Errorf("%d requests at once, want 1", n)
+	}
+	if sent(now.Add(configRequestInterval)) != 1 {
+		t.Error("the request is not repeated")
+	}
+	state.version = 7
+	if sent(now.Add(time.Second)) != 0 {
+		t.Error("a router with a configuration asks for it")
+	}
+}
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -452,6 +452,10 @@
 func (s *fakeState) TakeDifferences() []configdiff.Difference { return nil }
 func (s *fakeState) DifferenceSent(bool)                      {}
 func (s *fakeState) ReceiveConfigPart(configdiff.Part)        {}
+func (s *fakeState) ConfigMissing() bool                      { return false }
+func (s *fakeState) WholeConfig() (configdiff.Difference, bool) {
+	return configdiff.Difference{}, false
+}
 
 func (s *fakeState) hasServerChange() bool {
 	s.mu.Lock()
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -121,6 +121,10 @@
 	DifferenceSent(sent bool)
 	// ReceiveConfigPart handles a part of a difference that another router has sent.
 	ReceiveConfigPart(p configdiff.Part)
+	// ConfigMissing reports whether this router is starting and has no configuration.
+	ConfigMissing() bool
+	// WholeConfig returns the configuration in force as a difference without a base, for a router that is starting.
+	WholeConfig() (d configdiff.Difference, found bool)
 }
 
 // StoreProgress is what a router has read of the store.
@@ -157,6 +161,10 @@
 	// synced is set once this router has the placements of the fleet.
 	synced      bool
 	requestedAt time.Time
+	// configRequestedAt is when this router last asked for the configuration, configAsker the router that is to get it from
+	// this one, and configSentAt when this one last sent it.
+	configRequestedAt, configSentAt time.Time
+	configAsker                     netip.Addr
 	// repliedAt is when this router last sent all placements.
 	repliedAt time.Time
 	summedAt  time.Time
@@ -431,6 +439,12 @@
 	if m.Evacuations.Known {
 		e.state.ApplyEvacuations(m.Evacuations, m.Reading && m.Role == RoleReader)
 	}
+	if m.RequestConfig {
+		e.recordConfigRequest(from)
+	}
+	if m.ConfigVersion > 0 {
+		e.requestConfig(now)
+	}
 	if m.ConfigPart != nil {
 		e.state.ReceiveConfigPart(*m.ConfigPart)
 	}
@@ -542,6 +556,7 @@
 			}
 			e.sendLoads(now, targets)
 			e.requestPlacements(now)
+			e.requestConfig(now)
 			e.sendServerChanges(targets)
 			e.sendPartReport(targets, false)
 			e.sendLimits(targets)
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -180,6 +180,8 @@
 	Region string
 	// ConfigPart is a part of a difference of the configuration; nil for none.
 	ConfigPart *configdiff.Part
+	// RequestConfig asks for the whole configuration; a starting router sets it.
+	RequestConfig bool
 }
 
 // Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
@@ -228,6 +230,7 @@
 	fieldProcessor   = 57
 	fieldRegion      = 49
 	fieldConfigPart  = 60
+	fieldRequestConf = 61
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -291,6 +294,7 @@
 		b = appendText(b, fieldRegion, m.Region)
 	}
 	b = appendConfigPart(b, m.ConfigPart)
+	b = appendBool(b, fieldRequestConf, m.RequestConfig)
 	return appendPartReport(b, m.Parts)
 }
 
@@ -447,6 +451,8 @@
 		m.ServersHash = uint32(v)
 	case fieldProcessor:
 		m.Processor, err = nonNegative(v)
+	case fieldRequestConf:
+		m.RequestConfig = v != 0
 	case fieldAllCold:
 		m.AllCold = v != 0
 	case fieldRouters:
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -75,6 +75,7 @@
 // one to know of a configuration or a server, as after a restart of all.
 func (e *Exchange) sendDigest(regular bool) {
 	e.sendDifferences()
+	e.replyWithConfig(time.Now())
 	now := time.Now()
 	m := e.newMessage()
 	e.mu.Lock()
--- a/internal/front/differences.go
+++ b/internal/front/differences.go
@@ -40,6 +40,9 @@
 // often.
 const maxOutgoing = 4
 
+// maxWholes bounds the whole texts of which a starting router keeps parts.
+const maxWholes = 2
+
 // Results of a difference, as counted.
 const (
 	differenceSent       = "sent"
@@ -48,6 +51,9 @@
 	differenceLate       = "late"
 	differenceEarlierEra = "earlier_era"
 	differenceUnusable   = "unusable"
+	differenceWholeSent  = "whole_sent"
+	differenceWhole      = "whole_applied"
+	differenceHeldBack   = "whole_held_back"
 )
 
 // differences has the texts of the last configurations, the differences that others have sent and those that are to be sent. It
@@ -65,6 +71,11 @@
 	applying   *configdiff.Difference
 	applyingAt time.Time
 	outgoing   []configdiff.Difference
+	// wholes are whole texts that a starting router gets.
+	wholes configdiff.Collector
+	// position is that of the text in force, and wholeText is that text compressed; empty until it is asked for.
+	position  logpos.Position
+	wholeText configdiff.Difference
 	// source is where the configuration in force comes from.
 	source configSource
 	// toldTo is the position up to which the reader had read the topic that has sent the last applied difference.
@@ -72,7 +83,7 @@
 }
 
 func newDifferences(scope tally.Scope) *differences {
-	return &differences{scope: scope, reads: scope.Counter("config_reads"), wake: make(chan struct{}, 1), toldTo: logpos.None}
+	return &differences{scope: scope, reads: scope.Counter("config_reads"), wake: make(chan struct{}, 1), toldTo: logpos.None, wholes: configdiff.Collector{Max: maxWholes}}
 }
 
 func (d *differences) count(result string) {
@@ -93,7 +104,8 @@
 	d.mu.Lock()
 	base, _ := d.texts.Newest()
 	d.texts.Add(u.text)
-	d.source = u.source
+	d.source, d.position, d.wholeText = u.source, u.position, configdiff.Difference{}
+	d.wholes = configdiff.Collector{Max: maxWholes}
 	d.mu.Unlock()
 	d.signal()
 	if !send || base == nil || u.next == logpos.None {
@@ -125,7 +137,12 @@
 // decodes a configuration for up to some tenths of a second.
 func (d *differences) receive(p configdiff.Part) {
 	d.mu.Lock()
-	complete := d.received.Add(time.Now(), p)
+	collector := &d.received
+	if p.Base == configdiff.NoBase {
+		collector = &d.wholes
+	}
+	text, _ := d.texts.Newest()
+	complete := (text == nil || collector == &d.received) && collector.Add(time.Now(), p)
 	d.mu.Unlock()
 	if complete {
 		d.signal()
@@ -164,6 +181,34 @@
 	return difference, d.texts.Find(difference.Base), found
 }
 
+// nextWhole returns a whole text that another router has sent.
+func (d *differences) nextWhole() (configdiff.Difference, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.wholes.Take(func(base configdiff.Hash) bool { return base == configdiff.NoBase })
+}
+
+// whole returns the text in force as a difference without a base. None is returned for one that the store may have lost, since
+// its era is over.
+func (d *differences) whole(era int64) (whole configdiff.Difference, found bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	text, _ := d.texts.Newest()
+	if text == nil || d.position.Era < era {
+		return configdiff.Difference{}, false
+	}
+	if d.wholeText.Payload == nil {
+		var err error
+		if d.wholeText, err = configdiff.MakeWhole(text); err != nil {
+			d.count(differenceTooLarge)
+			return configdiff.Difference{}, false
+		}
+		d.wholeText.Position, d.wholeText.Next = d.position, logpos.Position{Era: d.position.Era, Offset: d.position.Offset + 1}
+	}
+	d.count(differenceWholeSent)
+	return d.wholeText, true
+}
+
 // recordTold records the position up to which a reader had read the topic.
 func (d *differences) recordTold(next logpos.Position) {
 	d.mu.Lock()
@@ -187,6 +232,9 @@
 
 // applyDifferences puts the versions in force that other routers have sent as differences. It runs on the goroutine of run.
 func (t *tracker) applyDifferences() {
+	if whole, found := t.differences.nextWhole(); found {
+		t.differences.count(t.applyWhole(whole))
+	}
 	for {
 		difference, base, found := t.differences.next()
 		if !found {
@@ -205,21 +253,51 @@
 		// The store may have lost the version. What it has in the present era is read.
 		return differenceEarlierEra
 	}
-	text, err := d.Apply(base)
-	var config routing.Config
+	text, config, err := t.decodeDifference(d, base)
+	if err != nil {
+		return differenceUnusable
+	}
+	if old := t.state.Table(); old == nil || config.Version <= old.Version() {
+		return differenceLate
+	}
+	t.activateConfig(configUpdate{config: config, text: text, position: d.Position, next: d.Next, source: configFromRouter})
+	t.differences.recordTold(d.Next)
+	return differenceApplied
+}
+
+// decodeDifference returns the text to which a difference leads, and its configuration. It logs an error.
+func (t *tracker) decodeDifference(d configdiff.Difference, base []byte) (text []byte, config routing.Config, err error) {
+	text, err = d.Apply(base)
 	if err == nil {
 		config, err = t.platform.DecodeConfig(text)
 	}
 	if err != nil {
 		t.events.Emit(event.ConfigDifferenceUnusable, "era", d.Position.Era, "offset", d.Position.Offset, "bytes", len(d.Payload), "error", err.Error())
+	}
+	return text, config, err
+}
+
+// applyWhole puts the configuration in force that another router has sent to this one, which is starting, unless the own read
+// was faster or has brought a newer one that is held back. It may be held back as one that was read.
+func (t *tracker) applyWhole(d configdiff.Difference) (result string) {
+	if t.state.Table() != nil {
+		return differenceLate
+	}
+	if d.Position.Era < t.eras.Current() {
+		return differenceEarlierEra
+	}
+	text, config, err := t.decodeDifference(d, nil)
+	if err != nil {
 		return differenceUnusable
 	}
-	if old := t.state.Table(); old == nil || config.Version <= old.Version() {
+	if t.held != nil && t.held.config.Version >= config.Version {
 		return differenceLate
 	}
 	t.activateConfig(configUpdate{config: config, text: text, position: d.Position, next: d.Next, source: configFromRouter})
-	t.differences.recordTold(d.Next)
-	return differenceApplied
+	if t.state.Table() == nil {
+		return differenceHeldBack
+	}
+	return differenceWhole
 }
 
 // configToldTo returns the position up to which this router has everything in the configuration's topic from other routers:
--- a/internal/front/differences_test.go
+++ b/internal/front/differences_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/bluebellwell/bluebellwell/internal/configdiff"
 	"github.com/bluebellwell/bluebellwell/internal/digest"
+	"github.com/bluebellwell/bluebellwell/internal/feed"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
 
@@ -182,3 +184,46 @@
 		}
 	}
 }
+
+// silentSource is a topic whose calls get no answer.
+type silentSource struct{ feed.Source }
+
+func (s silentSource) Newest(ctx context.Context) (feed.Page, error) {
+	<-ctx.Done()
+	return feed.Page{Era: feed.NoEra}, ctx.Err()
+}
+
+func (s silentSource) Read(ctx context.Context, _ int64, _ time.Duration) (feed.Page, error) {
+	return s.Newest(ctx)
+}
+
+// Guards against routers that start and have no configuration for as long as the store does not give it to them, although others
+// have it; and against one that gets an older one.
+func TestStartingRoutersGetTheConfigurationFromOthers(t *testing.T) {
+	t.Parallel()
+	f, _ := followedFleet(t, 4, func(*fleetBed) {})
+	f.publish(largeConfig(2, 100))
+	f.versionInForce(2)
+	var late []*testBed
+	for range 6 {
+		r := f.addRouter()
+		topics := 0
+		// The first topic is that of the configuration.
+		r.wrapSource = func(s feed.Source) feed.Source {
+			if topics++; topics == 1 {
+				return silentSource{s}
+			}
+			return s
+		}
+		late = append(late, r)
+		r.start()
+	}
+	for _, r := range late {
+		f.waitFor("a router is ready that the store gives no configuration", r.isReady)
+		if s := r.front.Status(); s.ConfigVersion != 2 || s.ConfigSource != "router" || s.ConfigHash != f.routers[0].front.Status().ConfigHash {
+			t.Errorf("version %d from the %s with hash %s, want version 2 of the others", s.ConfigVersion, s.ConfigSource, s.ConfigHash)
+		}
+	}
+	f.publish(largeConfig(3, 0))
+	f.versionInForce(3)
+}
--- a/internal/front/differencestracker_test.go
+++ b/internal/front/differencestracker_test.go
@@ -226,3 +226,68 @@
 func (s eraSource) Read(context.Context, int64, time.Duration) (feed.Page, error) {
 	return feed.Page{Era: int64(s)}, nil
 }
+
+// Guards against a starting router that takes a whole configuration which is older than what it has read or holds back, that the
+// store may have lost, or that is wrong; and against a held configuration that is replaced by an older one.
+func TestStartingRouterTakesAWholeConfiguration(t *testing.T) {
+	whole := func(text string, position logpos.Position) configdiff.Difference {
+		d, err := configdiff.MakeWhole([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Position, d.Next = position, logpos.Position{Era: position.Era, Offset: position.Offset + 1}
+		return d
+	}
+	wrong := whole("4", at(9))
+	wrong.Text[0]++
+	for _, c := range []struct {
+		name    string
+		prepare func(tr trackerRouter)
+		d       configdiff.Difference
+		want    int64
+	}{
+		{"nothing read", func(trackerRouter) {}, whole("4", at(9)), 4},
+		{"read already", func(tr trackerRouter) { tr.config("config", "3", 5) }, whole("4", at(9)), 3},
+		{"earlier era", func(tr trackerRouter) { enterEra(t, tr, 1) }, whole("4", at(9)), 0},
+		{"wrong hash", func(trackerRouter) {}, wrong, 0},
+		{"unreadable", func(trackerRouter) {}, whole("x", at(9)), 0},
+	} {
+		tr := newTrackerRouter(t)
+		c.prepare(tr)
+		tr.receive(c.d)
+		if tr.applyDifferences(); tr.version() != c.want {
+			t.Errorf("%s: version %d is in force, want %d", c.name, tr.version(), c.want)
+		}
+	}
+	tr := newTrackerRouter(t)
+	tr.firstStart = false
+	tr.startedAt = time.Now().Add(time.Hour)
+	for _, c := range []struct {
+		text string
+		want int64
+	}{{"4", 4}, {"3", 4}, {"5", 5}} {
+		tr.receive(whole(c.text, at(9)))
+		if tr.applyDifferences(); tr.version() != 0 || tr.held == nil || tr.held.config.Version != c.want {
+			t.Errorf("held back: %+v after %s, want version %d", tr.held, c.text, c.want)
+		}
+	}
+}
+
+// Guards against a router that gives a starting one a version that the store may have lost, and against one that gives another
+// text than that in force.
+func TestWholeConfigurationIsThatInForce(t *testing.T) {
+	tr := newTrackerRouter(t)
+	if _, found := tr.differences.whole(0); found {
+		t.Error("a configuration before the first one")
+	}
+	for offset, text := range map[int64]string{5: "3", 6: "4"} {
+		tr.differences.putInForce(configUpdate{text: []byte(text), position: at(offset), next: at(offset + 1)}, false)
+		d, found := tr.differences.whole(0)
+		if got, err := d.Apply(nil); !found || err != nil || string(got) != text || d.Position != at(offset) {
+			t.Errorf("configuration %q at %s, error %v; want %s at %d", got, d.Position, err, text, offset)
+		}
+	}
+	if _, found := tr.differences.whole(1); found {
+		t.Error("a configuration of an era that is over")
+	}
+}
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -85,6 +85,8 @@
 		return f.routers[0].statusOf("/new/x") == http.StatusOK && f.routers[1].statusOf("/new/x") == http.StatusOK
 	})
 	f.store.Restore(old, 5)
+	// Before that the others give it their configuration.
+	f.waitFor("the others have seen the new era", func() bool { return f.all(func(r *testBed) bool { return r.front.Status().StoreEra == 5 }) })
 	late := f.addRouter()
 	late.start()
 	f.waitFor("the late router knows the others", func() bool { return late.front.Status().Routers == 2 })
@@ -108,6 +110,8 @@
 	f.publish(configWithRoute(2, "new"))
 	f.waitFor("version 2 is in force", func() bool { return f.routers[0].statusOf("/new/x") == http.StatusOK })
 	f.store.Restore(old, 5)
+	// Before that the others give it their configuration.
+	f.waitFor("the others have seen the new era", func() bool { return f.all(func(r *testBed) bool { return r.front.Status().StoreEra == 5 }) })
 	late := f.addRouter()
 	late.start()
 	f.waitFor("the late router knows the other one", func() bool { return late.front.Status().Routers == 1 })
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -193,6 +193,17 @@
 // ReceiveConfigPart handles a part of a difference from another router.
 func (s *digestState) ReceiveConfigPart(p configdiff.Part) { s.tracker.differences.receive(p) }
 
+// ConfigMissing reports whether this router is starting and has no configuration. At the first start of the whole system no
+// router has one.
+func (s *digestState) ConfigMissing() bool {
+	return s.State.Table() == nil && !s.tracker.firstStart && !s.tracker.stopping.Load()
+}
+
+// WholeConfig returns the configuration in force for a router that is starting.
+func (s *digestState) WholeConfig() (d configdiff.Difference, found bool) {
+	return s.tracker.differences.whole(s.tracker.eras.Current())
+}
+
 // ColdServers returns the cold servers, and whether this router knows of all.
 func (s *digestState) ColdServers() (list []digest.ColdServer, complete bool) {
 	list, settled := s.State.ColdServers()
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -457,6 +458,8 @@
 // servers have written.
 func (f *fleet) findDisagreements() []string {
 	var problems []string
+	// text is the hash of the configuration's text at the first router that says it. One of an earlier build does not.
+	text := ""
 	for _, r := range f.allRouters() {
 		status, err := r.status()
 		if err != nil {
@@ -474,6 +477,10 @@
 			problems = append(problems, fmt.Sprintf("%s has configuration %d, era %d and %d usable servers; want %d, %d and %d",
 				r.name, status.ConfigVersion, era, usable, f.version, f.era, len(f.servers)))
 		}
+		if text = cmp.Or(text, status.ConfigHash); status.ConfigHash != "" && status.ConfigHash != text {
+			problems = append(problems, fmt.Sprintf("%s has configuration %d with the text %s from the %s, another router %s",
+				r.name, status.ConfigVersion, status.ConfigHash, status.ConfigSource, text))
+		}
 	}
 	return problems
 }
