--- a/internal/balance/broken.go
+++ b/internal/balance/broken.go
@@ -57,16 +57,27 @@
 func (b brokenServers) has(now time.Time, m *member) bool { return now.Before(b[m.server.ID].until) }
 
 // AvoidFailing keeps requests that may run only once from servers that fail many of all routers' requests and can't be ejected, and
-// returns those from which it did not before. Call it after EjectFailing.
+// returns those from which it did not before. When most servers fail, none is avoided, as none is ejected: the others would get
+// all, and engines prompts that they have not read. Call it after EjectFailing.
 func (p *Pool) AvoidFailing(now time.Time, outcomes func(server uint64) (failed, ended int)) []*registry.Server {
-	var avoided []*registry.Server
+	type failing struct {
+		m             *member
+		failed, ended int
+	}
+	var list []failing
 	for _, m := range p.members {
 		failed, ended := outcomes(m.hash)
-		if m.evacuated || m.health.failing(now) || !tooManyFailures(failed, ended) {
-			continue
+		if !m.evacuated && tooManyFailures(failed, ended) {
+			list = append(list, failing{m, failed, ended})
 		}
-		if p.broken.record(now, m.server.ID, failed, ended) {
-			avoided = append(avoided, m.server)
+	}
+	if 2*len(list) > p.inService() {
+		return nil
+	}
+	var avoided []*registry.Server
+	for _, f := range list {
+		if !f.m.health.failing(now) && p.broken.record(now, f.m.server.ID, f.failed, f.ended) {
+			avoided = append(avoided, f.m.server)
 		}
 	}
 	return avoided
--- a/internal/balance/probation_test.go
+++ b/internal/balance/probation_test.go
@@ -156,6 +156,24 @@
 	}
 }
 
+// Guards against engines that read prompts again which others have in their caches, because these fail a part of the requests, as
+// all do: 1.2 million tokens of a day in which all engines failed 45 in 100 for 4 s.
+func TestNoServerIsAvoidedWhenMostFail(t *testing.T) {
+	for failing, want := range map[int]int{4: 4, 5: 0, 9: 0} {
+		p := pool(9)
+		seen := 0
+		avoided := p.AvoidFailing(start, func(uint64) (int, int) {
+			if seen++; seen <= failing {
+				return 5, 10
+			}
+			return 0, 10
+		})
+		if len(avoided) != want {
+			t.Errorf("%d of 9 servers are avoided when %d fail, want %d", len(avoided), failing, want)
+		}
+	}
+}
+
 // Guards against a pool that is squeezed into few servers because many have failed lately.
 func TestManyServersOnProbationAreUsed(t *testing.T) {
 	p := pool(6)
