router: a router that closes reports ends whose message may not be written yet

Ends of attempts are sent to the new owner of a pool in batches, 100 ms after the first one, as one-way messages. A router that closes reports what it has not sent yet and waits until that is written, but the transport discards the messages in its queue. Ends of the last batch were lost: the new owner counted the attempts for 10 s more, then queried the engines. Traced in TestHandoverLeavesNoStaleLoad with records of each report: the router that was stopped had reported four ends in its last 100 ms, and the new owner got none of them.

A router that closes now also reports the batches of the last 2 s. An owner ignores an end that it knows.

TestEndsWhoseMessageMayNotBeWrittenAreReportedAtTheClose fails without this.

--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -132,18 +132,31 @@
 	}
 }
 
-// endedBatchDelay is how long ended attempts are collected into one message.
-const endedBatchDelay = 100 * time.Millisecond
+const (
+	// endedBatchDelay is how long ended attempts are collected into one message.
+	endedBatchDelay = 100 * time.Millisecond
+	// endedResendTime is how long before the close of a router a message may have been queued that the transport has not written
+	// yet: it discards its queue when it closes. A router with little processor time takes some 100 ms.
+	endedResendTime = 2 * time.Second
+)
 
 // endedAttempts collects ended attempts by pool and passes them to flush in
 // batches.
 type endedAttempts struct {
 	mu    sync.Mutex
 	ids   map[string][][]byte
+	sent  []sentBatch
 	flush func(pool string, ids [][]byte)
 	clock clockwork.Clock
 }
 
+// sentBatch is a message that was passed to flush.
+type sentBatch struct {
+	at   time.Time
+	pool string
+	ids  [][]byte
+}
+
 func (e *endedAttempts) add(pool string, id []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -155,18 +168,31 @@
 
 func (e *endedAttempts) send(pool string) {
 	e.mu.Lock()
-	ids := e.ids[pool]
+	ids, now := e.ids[pool], e.clock.Now()
 	delete(e.ids, pool)
+	e.forgetSent(now)
+	e.sent = append(e.sent, sentBatch{at: now, pool: pool, ids: ids})
 	e.mu.Unlock()
 	e.flush(pool, ids)
 }
 
-// takeAll removes and returns all attempts that wait for their message.
+// forgetSent removes the batches that have been written by now. The caller holds the lock.
+func (e *endedAttempts) forgetSent(now time.Time) {
+	e.sent = slices.DeleteFunc(e.sent, func(b sentBatch) bool { return now.Sub(b.at) > endedResendTime })
+}
+
+// takeAll removes and returns all attempts that wait for their message, and those whose message may not be written yet. An
+// owner ignores an end that it knows.
 func (e *endedAttempts) takeAll() map[string][][]byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	all := e.ids
 	e.ids = map[string][][]byte{}
+	e.forgetSent(e.clock.Now())
+	for _, b := range e.sent {
+		all[b.pool] = append(all[b.pool], b.ids...)
+	}
+	e.sent = nil
 	return all
 }
 
