slotgrant: grants beyond the slots by the time on the way

Where request times vary, the granting router held as many grants as slots, or one or two more, while a third of them were on the way to the server or back.

A server now gets as many grants beyond its slots as Little's law gives for the time on the way, measured as what a grant lasts longer than its request, plus half of its slots so that a request waits for each slot that ends. Where the server states its load, the margin is lowered while requests wait there. Capacity and expected waits are derived from the grants and how long they last.

--- a/internal/slotgrant/bounds_test.go
+++ b/internal/slotgrant/bounds_test.go
@@ -143,3 +143,30 @@
 		}
 	})
 }
+
+// Guards against slots that wait for their next request where datagrams take up to 8 ms and request times vary, so that the server
+// answers less than it would if every router sent its requests at once.
+func TestFewSlotsWithSlowDatagramsAndVaryingTimes(t *testing.T) {
+	forLoads(t, func(t *testing.T, load float64) {
+		for _, unstated := range []bool{false, true} {
+			t.Run(fmt.Sprintf("load unstated %v", unstated), func(t *testing.T) {
+				c := simCase{load: load, varying: true, uniform: true, delay: 8 * time.Millisecond, unstated: unstated}
+				s := newSim(t, c)
+				s.run()
+				s.log()
+				c.without = true
+				before := newSim(t, c)
+				before.run()
+				before.log()
+				if load < 1 {
+					s.checkUnderload()
+					return
+				}
+				s.checkUse()
+				if s.result.value() <= before.result.value() {
+					t.Errorf("value %.3f, want more than %.3f without grants", s.result.value(), before.result.value())
+				}
+			})
+		}
+	})
+}
--- a/internal/slotgrant/decide.go
+++ b/internal/slotgrant/decide.go
@@ -68,11 +68,28 @@
 	return n
 }
 
-// capacity returns the number of requests a second that the slots take. A grant on the way to its slot or back takes none.
+// capacity returns the number of requests a second that the slots take. A grant on the way to its slot or back takes none. Where
+// grants exceed the slots, it is the rate at which so many of them end while questions wait.
 func (g *Granter) capacity(now time.Time) float64 {
+	if limit, held, ok := g.beyond(now); ok {
+		return float64(limit) / held.Seconds()
+	}
 	return float64(g.slots(now)) / g.answerTime().Seconds()
 }
 
+// beyond returns how many grants the servers may have and how long each usually lasts, where they exceed the slots.
+func (g *Granter) beyond(now time.Time) (limit int, held time.Duration, ok bool) {
+	if g.steady() || g.held.n < maxSamples {
+		return 0, 0, false
+	}
+	for _, s := range g.servers {
+		if s.available(now) {
+			limit += g.limit(s)
+		}
+	}
+	return limit, g.held.or(0), limit > 0
+}
+
 // hasCapacity reports whether the slots take all questions, so that one slot for a late request costs no other its
 // objective.
 func (g *Granter) hasCapacity(now time.Time) bool {
@@ -186,7 +203,7 @@
 	if slots <= 0 {
 		return g.pauseLeft(now)
 	}
-	return g.answerTime() * time.Duration(position+1) / time.Duration(slots)
+	return time.Duration(float64(position+1) / g.capacity(now) * float64(time.Second))
 }
 
 // pauseLeft returns the time until the first server that is paused gets grants again.
--- a/internal/slotgrant/granter.go
+++ b/internal/slotgrant/granter.go
@@ -31,6 +31,20 @@
 	longOnTheWay          = 0.08
 	maxDeviation          = 0.15
 	minOnTheWay           = 0.03
+	// serverWayShare is the time of the way to the server and back, as a share of that of a grant and its report: the routers'
+	// time slices delay the reading of an answer as they delay that of a grant, while requests are sent at once.
+	serverWayShare = 0.5
+	// queuedShare is how many requests are to wait at a server, as a share of its slots, so that no slot is empty when several
+	// requests end together. With 0.25 ...
+	queuedShare = 0.5
+	// A report of a server that states its load changes the margin by marginStep grants when requests wait there, and
+	// waitsPerEmpty times as much the other way when none does.
+	marginStep    = 0.1
+	waitsPerEmpty = 4
+	// maxBeyondShare bounds the grants beyond the slots, as a share of these.
+	maxBeyondShare = 2
+	// maxHeldPerSlotTime bounds by how much longer a grant is taken to last than its request is in its slot.
+	maxHeldPerSlotTime = 4
 	// marginShare is the share of the time in a slot by which an answer is expected before it is due: the expected wait is
 	// not exact.
 	marginShare = 0.5
@@ -57,9 +71,12 @@
 	slotTime, serverTime average
 	// deviation is the usual difference from slotTime.
 	deviation average
-	demand    demand
-	count     uint64
-	counts    Counts
+	// held and took are the usual times from a grant to its report and of the request as its router sees it, those of servers with
+	// more requests than slots included.
+	held, took average
+	demand     demand
+	count      uint64
+	counts     Counts
 }
 
 // Counts are numbers of events since the start, for metrics.
--- a/internal/slotgrant/lease.go
+++ b/internal/slotgrant/lease.go
@@ -15,18 +15,41 @@
 	heardAt, probedAt time.Time
 }
 
-// free returns the free slots of a server; it may be negative. As many grants as reports and grants are on the way on average
-// count as free: their slots would else be empty for the time of both. Where times in a slot hardly vary these are the ones whose
-// requests should have been answered by now.
+// free returns the number of requests that a server may be granted now; it may be negative. As many grants as reports and grants
+// are on the way on average are granted beyond the slots, which would else be empty for the time of both. Where times in a slot
+// hardly vary these are the ones whose requests should have been answered by now, so that none waits at the server.
 func (g *Granter) free(now time.Time, s *server) int {
-	free, overlap := s.free(now), g.overlap(s)
-	if overlap == 0 || !g.steady() {
-		return free + overlap
+	free := s.free(now)
+	if !g.steady() {
+		return free + g.beyondSlots(s)
 	}
-	ending, _ := s.ending(now, g.endingAge(), overlap)
+	ending, _ := s.ending(now, g.endingAge(), g.overlap(s))
 	return free + ending
 }
 
+// beyondSlots returns how many grants a server may have beyond its slots where times in a slot vary. By Little's law requests on
+// their way number the rate of the slots times the time on the way. That time is what a grant lasts longer than its request, and half as much again
+// for the way to the server and back, which the time of the request contains. A queue at the server lengthens that
+// time and so lowers the number.
+func (g *Granter) beyondSlots(s *server) int {
+	if g.held.n < maxSamples {
+		return 0
+	}
+	took, held := float64(g.took.or(0)), float64(g.held.or(0))
+	way := max(held-took, 0) * (1 + serverWayShare)
+	inSlot := max(took-serverWayShare*(held-took), held/maxHeldPerSlotTime)
+	slots := float64(s.Slots)
+	return int(min(max(slots*way/inSlot+s.margin(), 0), maxBeyondShare*slots))
+}
+
+// limit returns how many grants a server may have in use.
+func (g *Granter) limit(s *server) int {
+	if g.steady() {
+		return s.Slots
+	}
+	return s.Slots + g.beyondSlots(s)
+}
+
 // endingAge is the age from which a grant counts as ending.
 func (g *Granter) endingAge() time.Duration {
 	if g.onTheWay() >= longOnTheWay {
@@ -50,10 +73,7 @@
 	if g.slotTime.n < maxSamples || g.onTheWay() < minOnTheWay {
 		return 0
 	}
-	if g.steady() {
-		return int(math.Ceil(g.onTheWay() * float64(s.Slots)))
-	}
-	return int(math.Round(g.onTheWay() * float64(s.Slots)))
+	return int(math.Ceil(g.onTheWay() * float64(s.Slots)))
 }
 
 // nextTick returns when Tick has to be called.
@@ -112,7 +132,16 @@
 		g.serverTime.add(r.Took)
 		g.slotTime.add(now.Sub(l.grantedAt))
 	}
+	if r.End == Served && r.Took > 0 && r.Took <= maxSlotTime {
+		if r.Load > l.server.Slots && !g.steady() && g.held.n > 0 {
+			// Requests that wait at the server because grants exceed its slots must not keep the times from being found steady.
+			g.deviation.add((now.Sub(l.grantedAt) - g.held.or(0)).Abs())
+		}
+		g.took.add(r.Took)
+		g.held.add(now.Sub(l.grantedAt))
+	}
 	if r.Load > 0 && r.Load <= maxLoadPerSlot*l.server.Slots {
+		l.server.adjustMargin(r.Load > l.server.Slots)
 		// The server counted the request of the report as well, whose grant has ended now.
 		l.server.setForeign(now, r.Load-1-len(l.server.leases), g.answerTime())
 	}
--- a/internal/slotgrant/server.go
+++ b/internal/slotgrant/server.go
@@ -39,6 +39,8 @@
 	pausedUntil time.Time
 	failures    int
 	pause       time.Duration
+	// lowered is by how much the margin is below the usual one, because the server says that requests wait there.
+	lowered float64
 	// servedAt is when it last answered.
 	servedAt time.Time
 }
@@ -73,6 +75,20 @@
 	return min(n, limit), nil
 }
 
+// margin returns how many grants the server gets beyond those in slots and on the way, so that a request waits for each slot
+// that ends.
+func (s *server) margin() float64 { return queuedShare*float64(s.Slots) - s.lowered }
+
+// adjustMargin lowers the margin while the server says that requests wait there, and raises it when an end has left a slot empty.
+func (s *server) adjustMargin(waits bool) {
+	if waits {
+		s.lowered += marginStep
+	} else {
+		s.lowered -= marginStep * waitsPerEmpty
+	}
+	s.lowered = min(max(s.lowered, 0), 2*queuedShare*float64(s.Slots))
+}
+
 func endingWindow(age time.Duration) time.Duration { return age + age/2 }
 
 func (s *server) remove(l *lease) {
