slotgrant: late requests get what the others leave of the slots, and no slot waits for the next question

Grants and answers that wait for the time slices of routers left slots empty as well.

Questions are now kept while fewer than half as many wait as there are slots, whether they can be in time or not; what can't be comes last and is granted what the others leave, until its deadline. The grants on the way include two usual differences of the time on the way. A router that begins to grant learns the times anew before it grants beyond the slots: it had up to 15 requests at the server after a freeze.

--- a/internal/slotgrant/bounds_test.go
+++ b/internal/slotgrant/bounds_test.go
@@ -173,3 +173,26 @@
 		}
 	})
 }
+
+// Guards against slots that are empty while callers are rejected: routers with little processor time read some datagrams and answers
+// up to 80 ms late, few of the 40 workspaces keep within their usual share, and callers come back.
+func TestFewSlotsWithStalledRoutersAndReturningCallers(t *testing.T) {
+	for _, load := range []float64{1, 1.75} {
+		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) {
+			c := simCase{load: load, varying: true, stalls: true, mixed: true, returns: true, unstated: true}
+			s := newSim(t, c)
+			s.run()
+			s.log()
+			c.without = true
+			before := newSim(t, c)
+			before.run()
+			before.log()
+			if s.result.value() <= before.result.value() {
+				t.Errorf("value %.3f, want more than %.3f without grants", s.result.value(), before.result.value())
+			}
+			if load > 1 && s.busyShare() < 0.95 {
+				t.Errorf("the slots are in use for %.3f of the time, want 0.95", s.busyShare())
+			}
+		})
+	}
+}
--- a/internal/slotgrant/decide.go
+++ b/internal/slotgrant/decide.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		g.queue.removeAt(i)
-		if now.Add(g.answerTime()).After(w.due) && !g.idle() && !g.stillUseful(now, w) {
+		if now.Add(g.answerTime()).After(w.deadline) && !g.idle() {
 			g.reject(now, w, ReasonOvertaken, out)
 			continue
 		}
@@ -121,11 +121,6 @@
 	}
 }
 
-// stillUseful reports whether a request that misses its objective is to be served within its deadline.
-func (g *Granter) stillUseful(now time.Time, w *waiting) bool {
-	return !now.Add(g.answerTime()).After(w.deadline) && g.hasCapacity(now)
-}
-
 // choose returns the available server with the largest share of free slots, or nil.
 func (g *Granter) choose(now time.Time, w *waiting) *server {
 	var best *server
@@ -166,10 +161,12 @@
 		if reason == ReasonNone {
 			continue
 		}
-		if (reason == ReasonLate || reason == ReasonShare) && !w.late && !finish.After(w.lateDue(now)) && g.hasCapacity(now) {
-			g.queue.removeAt(i)
-			w.setLate(now)
-			g.queue.insert(w)
+		if (reason == ReasonLate || reason == ReasonShare) && g.keepsLate(now, w, finish, i < slots/neededPerSlots) {
+			if !w.late && now.Add(expected+g.answerTime()).After(w.due) {
+				g.queue.removeAt(i)
+				w.setLate(now)
+				g.queue.insert(w)
+			}
 			continue
 		}
 		if reason == ReasonLate && w != newest {
@@ -195,6 +192,15 @@
 	return ReasonNone
 }
 
+// keepsLate reports whether a question that misses its objective is kept, to be served late with what the others leave of the slots. needed is
+// set when so few questions come before it that slots would be left empty before another one arrives.
+func (g *Granter) keepsLate(now time.Time, w *waiting, finish time.Time, needed bool) bool {
+	if needed {
+		return !now.Add(g.answerTime()).After(w.deadline)
+	}
+	return !w.late && !finish.After(w.lateDue(now)) && g.hasCapacity(now)
+}
+
 // overtakingWait returns by how much longer a new question waits because of those that arrive later and come before it: they
 // leave it only a part of the slots.
 func (g *Granter) overtakingWait(now time.Time, w *waiting, expected time.Duration) time.Duration {
--- a/internal/slotgrant/granter.go
+++ b/internal/slotgrant/granter.go
@@ -34,6 +34,7 @@
 	// serverWayShare is the time of the way to the server and back, as a share of that of a grant and its report: an answer waits for
 	// the time slice of its router as a grant does, and a request is sent at once.
 	serverWayShare = 0.5
+	wayDeviations  = 2
 	// queuedShare is how many requests are to wait at a server, as a share of its slots: requests that end together would else leave
 	// slots empty.
 	queuedShare = 0.5
@@ -43,7 +44,7 @@
 	waitsPerEmpty = 4
 	// maxBeyondShare bounds the grants beyond the slots, as a share of these, and maxHeldPerSlotTime by how much longer a grant is taken
 	// to last than its request is in its slot.
-	maxBeyondShare     = 2
+	maxBeyondShare     = 3
 	maxHeldPerSlotTime = 4
 	// marginShare is the share of the time in a slot by which an answer is expected before it is due: the expected wait is
 	// not exact. At a load of more than 1 it is larger by marginPerLoad for each unit of load, up to maxMarginShare.
@@ -53,6 +54,9 @@
 	// capacityLimit is the load, as a share of what the slots take, below which a request that misses its objective may
 	// still be served within its deadline. The load is that of the last second, and varies by a tenth.
 	capacityLimit = 1.05
+	// Of neededPerSlots slots one needs a question that waits, whether it can be in time or not: its slot would else be empty until another
+	// one arrives.
+	neededPerSlots = 2
 	// lateShare is the share of its deadline for which such a request may wait. It is rejected at once when it would have to
 	// wait longer.
 	lateShare = 0.2
@@ -75,10 +79,11 @@
 	deviation average
 	// held and took are the usual times from a grant to its report and of the request as its router sees it, those of servers with
 	// more requests than slots included.
-	held, took average
-	demand     demand
-	count      uint64
-	counts     Counts
+	// wayDeviation is the usual difference from what held exceeds took.
+	held, took, wayDeviation average
+	demand                   demand
+	count                    uint64
+	counts                   Counts
 }
 
 // Counts are numbers of events since the start, for metrics.
@@ -140,6 +145,8 @@
 func (g *Granter) Begin(now time.Time, above uint64, loadsKnown bool) {
 	g.End()
 	g.term, g.active = max(g.term, above)+1, true
+	// Another router may still grant: no grants beyond the slots until the times have been learned anew.
+	g.held, g.took, g.wayDeviation = average{}, average{}, average{}
 	for _, s := range g.servers {
 		load := s.Slots
 		if loadsKnown {
--- a/internal/slotgrant/granter_test.go
+++ b/internal/slotgrant/granter_test.go
@@ -581,6 +581,26 @@
 	}
 }
 
+// Guards against slots that are empty while some grants and reports wait for the time slices of their routers.
+func TestGrantsOnTheWayForVaryingTimesTakeNoSlots(t *testing.T) {
+	b := newGranterBed(t, 6)
+	for i := range uint64(100) {
+		b.ask(question(1000 + i))
+		took, way := 20*time.Millisecond+time.Duration(i%3)*20*time.Millisecond, time.Duration(i/3%2)*40*time.Millisecond
+		b.now = b.now.Add(took + way)
+		b.report(Report{Number: 1000 + i, End: Served, Took: took})
+	}
+	b.now = b.now.Add(10 * time.Second)
+	before := b.g.Counts().Granted
+	for number := uint64(1); number <= 40; number++ {
+		b.ask(question(number))
+	}
+	// With steady times on the way it would be 9 beyond the slots.
+	if got := int(b.g.Counts().Granted-before) - 6; got < 15 || got > 18 {
+		t.Errorf("%d grants beyond the slots, want 15 to 18", got)
+	}
+}
+
 // Guards against a server that is slower with more requests than slots and says that many wait there, and still gets more.
 func TestServerThatStatesAQueueGetsFewerGrants(t *testing.T) {
 	for _, c := range []struct{ load, granted int }{{load: 0, granted: 9}, {load: 10, granted: 3}, {load: 5, granted: 9}} {
@@ -645,3 +665,27 @@
 		t.Errorf("%d wait, want about 15", waiting)
 	}
 }
+
+// Guards against slots that are left empty in overload because the few questions that arrive in a moment can't be in time.
+func TestFewQuestionsWaitThoughTheyMissTheirObjective(t *testing.T) {
+	b := newGranterBed(t, 6)
+	b.learn()
+	b.fill(6)
+	for range 1000 {
+		b.g.demand.add(b.now, 0, 1)
+	}
+	for number := uint64(1); number <= 6; number++ {
+		q := question(number)
+		q.Objective = 10 * time.Millisecond
+		b.ask(q)
+	}
+	for number := uint64(1); number <= 3; number++ {
+		b.want(number, Queued)
+	}
+	b.want(6, Rejected)
+	for number := uint64(101); number <= 103; number++ {
+		b.now = b.now.Add(10 * time.Millisecond)
+		b.end(number)
+	}
+	b.want(1, Granted)
+}
--- a/internal/slotgrant/lease.go
+++ b/internal/slotgrant/lease.go
@@ -27,18 +27,17 @@
 	return free + ending
 }
 
-// beyondSlots returns how many grants a server may have beyond its slots where times in a slot vary. By Little's law requests on
-// their way number the rate of the slots times the time on the way. That time is what a grant lasts longer than its request, and half as much again
-// for the way to the server and back, which the time of the request contains. A queue at the server lengthens that
-// time and so lowers the number.
+// beyondSlots returns how many grants a server may have beyond its slots where times in a slot vary. By Little's law the number of
+// requests on their way is the rate of the slots times the time on the way. That time is what a grant lasts longer than its request, and half as
+// much again for the way to the server and back, which the time of the request contains; and wayDeviations usual differences from it,
+// since grants that are on the way for long leave slots empty. A queue at the server lengthens the time of requests and so lowers the number.
 func (g *Granter) beyondSlots(s *server) int {
 	if g.held.n < maxSamples {
 		return 0
 	}
-	took, held := float64(g.took.or(0)), float64(g.held.or(0))
-	way := max(held-took, 0) * (1 + serverWayShare)
+	took, held, slots := float64(g.took.or(0)), float64(g.held.or(0)), float64(s.Slots)
+	way := max(held-took, 0)*(1+serverWayShare) + wayDeviations*float64(g.wayDeviation.or(0))
 	inSlot := max(took-serverWayShare*(held-took), held/maxHeldPerSlotTime)
-	slots := float64(s.Slots)
 	return int(min(max(slots*way/inSlot+s.margin(), 0), maxBeyondShare*slots))
 }
 
@@ -138,6 +137,8 @@
 			// varying nor keep them from being found steady.
 			g.deviation.add((now.Sub(l.grantedAt) - g.held.or(0)).Abs())
 		}
+		way := now.Sub(l.grantedAt) - r.Took
+		g.wayDeviation.add((way - g.held.or(way) + g.took.or(0)).Abs())
 		g.took.add(r.Took)
 		g.held.add(now.Sub(l.grantedAt))
 	}
--- a/internal/slotgrant/simulation_test.go
+++ b/internal/slotgrant/simulation_test.go
@@ -25,6 +25,9 @@
 	workSpread     = 0.5
 	longWork       = 0.01
 	longWorkFactor = 5
+	// shortWork is the share of short requests where there are any, each shortFactor times as short.
+	shortWork   = 0.08
+	shortFactor = 10
 	// simDiscovery is the longest time until a router that has started knows another one.
 	simDiscovery = 400 * time.Millisecond
 )
@@ -72,6 +75,14 @@
 	varying bool
 	// unstated is set for a server that does not state its load.
 	unstated bool
+	// stalls is set when one datagram in 8 waits up to 80 ms for a time slice of its router, as an answer of the server does, and the
+	// others take up to 2 ms.
+	stalls bool
+	// mixed is set for 40 workspaces of which the first sends 40 times as much as the last, with three priorities, and for some short
+	// requests that are the most urgent ones.
+	mixed bool
+	// returns is set when callers that are rejected come back once.
+	returns bool
 	// skewed is set when a third of the requests are of one workspace, which sends few before mid.
 	skewed   bool
 	duration time.Duration
@@ -124,6 +135,8 @@
 	granted   bool
 	workspace uint32
 	sentAt    time.Duration
+	short     bool
+	returned  bool
 }
 
 type sim struct {
@@ -137,7 +150,9 @@
 	inside  int
 	running int
 	queue   []func()
-	result  simResult
+	// busy is the time that all slots have been in use.
+	busy   time.Duration
+	result simResult
 	// disturbed is set when routers end or freeze.
 	disturbed bool
 	// countFrom is when the counting of arrivals begins.
@@ -157,6 +172,9 @@
 	s := &sim{simCase: c, t: t, rng: rand.New(rand.NewPCG(7+*seed, 11))}
 	s.result.perWorkspace = map[uint32]int{}
 	s.workspace = func() uint32 {
+		if s.mixed {
+			return uint32(40 * math.Pow(41, s.rng.Float64()-1))
+		}
 		if s.skewed && s.now >= mid && s.rng.Float64() < 0.35 {
 			return 0
 		}
@@ -220,9 +238,16 @@
 		r = s.routers[s.rng.IntN(len(s.routers))]
 	}
 	q := &simRequest{router: r, arrivedAt: s.now, workspace: s.workspace()}
+	q.short = s.mixed && s.rng.Float64() < shortWork
 	if s.now >= s.countFrom {
 		s.result.arrivals++
 	}
+	s.offer(q)
+}
+
+// offer lets a router handle a request.
+func (s *sim) offer(q *simRequest) {
+	r := q.router
 	switch {
 	case s.without || s.admits != nil && s.admits(r):
 		s.send(q)
@@ -261,9 +286,13 @@
 func (s *sim) work(q *simRequest) {
 	s.running++
 	took := s.workTime()
+	if q.short {
+		took = took / shortFactor
+	}
 	if s.slower {
 		took += took / 10 * time.Duration(max(s.inside-simSlots, 0))
 	}
+	s.busy += took
 	s.after(took, func() {
 		s.inside--
 		s.running--
@@ -275,7 +304,11 @@
 			s.queue = s.queue[1:]
 			next()
 		}
-		s.after(s.delayOf()/2, func() { s.end(q, Served) })
+		way := s.delayOf() / 2
+		if s.stalls {
+			way *= 2
+		}
+		s.after(way, func() { s.end(q, Served) })
 	})
 }
 
@@ -320,6 +353,7 @@
 		return
 	}
 	switch {
+	case end == Refused && s.returnLater(q):
 	case end == Refused:
 		s.result.refusedByServer++
 	case s.now-q.arrivedAt <= simObjective:
@@ -331,14 +365,43 @@
 }
 
 func (s *sim) reject(q *simRequest) {
+	if s.returnLater(q) {
+		return
+	}
 	if s.counted(q) {
 		s.result.rejected++
 		s.result.rejectedAfter = append(s.result.rejectedAfter, s.now-q.arrivedAt)
 	}
 }
 
+// returnLater lets a caller that was rejected come back, once and to any router. Its time counts from then on.
+func (s *sim) returnLater(q *simRequest) bool {
+	if !s.returns || q.returned {
+		return false
+	}
+	counted := s.counted(q)
+	s.after(time.Duration((0.2+0.2*s.rng.Float64())*float64(time.Second)), func() {
+		r := s.routers[s.rng.IntN(len(s.routers))]
+		if r.dead || r.frozen {
+			return
+		}
+		again := &simRequest{router: r, arrivedAt: s.now, workspace: q.workspace, short: q.short, returned: true}
+		if !counted {
+			again.arrivedAt = 0
+		}
+		s.offer(again)
+	})
+	return true
+}
+
 // delayOf draws the time of a datagram.
 func (s *sim) delayOf() time.Duration {
+	if s.stalls {
+		if s.rng.Float64() < 0.12 {
+			return time.Duration(s.rng.Float64() * float64(80*time.Millisecond))
+		}
+		return time.Duration(s.rng.Float64() * float64(2*time.Millisecond))
+	}
 	if s.uniform {
 		return time.Duration(s.rng.Float64() * float64(s.delay))
 	}
@@ -381,7 +444,7 @@
 
 func (r *simRouter) ask(q *simRequest) {
 	number, asked := r.desk.Ask(r.now(), r.view(), Question{
-		Objective: simObjective, Deadline: simDeadline, Workspace: q.workspace, Priority: 1,
+		Objective: simObjective, Deadline: simDeadline, Workspace: q.workspace, Priority: q.priority(),
 	})
 	if !asked {
 		r.fallBack(q)
@@ -392,6 +455,17 @@
 	r.flush()
 }
 
+// priority returns the rank of a request.
+func (q *simRequest) priority() int {
+	switch {
+	case q.short:
+		return 0
+	case q.router.sim.mixed:
+		return 1 + int(q.workspace)%3
+	}
+	return 1
+}
+
 func (r *simRouter) fallBack(q *simRequest) {
 	if !r.fallback.Take(r.now(), simSlots, simRouters, r.desk.Asker.SlotTime()) {
 		r.sim.reject(q)
@@ -497,12 +571,15 @@
 	return float64(s.result.runs) / ((s.duration - s.countFrom).Seconds() * simSlots / simWork.Seconds())
 }
 
+// busyShare returns the share of the time in which the slots were in use.
+func (s *sim) busyShare() float64 { return s.busy.Seconds() / (s.duration.Seconds() * simSlots) }
+
 func (s *sim) log() {
 	r := &s.result
 	s.t.Logf("value %.3f, %d arrivals, in time %.3f, late %.3f, rejected %.3f (nine tenths within %v), refused by the server %.3f, lost %d, "+
-		"used %.3f of the capacity, most at the server %d, fallbacks %d, datagrams a second %.0f",
+		"used %.3f of the capacity, slots in use %.3f, most at the server %d, fallbacks %d, datagrams a second %.0f",
 		r.value(), r.arrivals, r.share(r.inTime), r.share(r.late), r.share(r.rejected), r.rejectedWithin(0.9), r.share(r.refusedByServer), r.lost,
-		s.used(), r.mostInside, r.fallbacks, float64(r.datagrams)/s.duration.Seconds())
+		s.used(), s.busyShare(), r.mostInside, r.fallbacks, float64(r.datagrams)/s.duration.Seconds())
 }
 
 // rejectedWithin returns the time in which a share of the rejections came.
