--- a/internal/slotgrant/simulation_test.go
+++ b/internal/slotgrant/simulation_test.go
@@ -150,6 +150,8 @@
 	inside  int
 	running int
 	queue   []func()
+	// onServed is told how long each request was at the server, as its router sees it.
+	onServed func(time.Duration)
 	// busy is the time that all slots have been in use.
 	busy   time.Duration
 	result simResult
@@ -339,6 +341,9 @@
 		return
 	}
 	r.own--
+	if s.onServed != nil && end == Served {
+		s.onServed(s.now - q.sentAt)
+	}
 	report := Report{Number: q.number, End: end, Took: s.now - q.sentAt, Load: s.inside + 1}
 	if s.unstated {
 		report.Load = 0
--- a/internal/slotgrant/ways_test.go
+++ b/internal/slotgrant/ways_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 )
 
 // Guards against a note that compares with what does not hold: the ways that were not taken miss the bounds. Its table has the
@@ -49,3 +50,69 @@
 	}
 	s.at(0, adapt)
 }
+
+const (
+	// delayTarget is the time at the server that the routers of a trial aim at, and delayGain the part of the difference by which they change what they
+	// send, each simReport.
+	delayTarget = 90 * time.Millisecond
+	delayGain   = 0.1
+)
+
+// boundByDelays lets each router bound the share of its requests that it sends by the times that all have seen at the server, those of
+// the report before the last.
+func (s *sim) boundByDelays() {
+	var sum, n, reported float64
+	s.onServed = func(took time.Duration) {
+		sum += took.Seconds()
+		n++
+	}
+	var adapt func()
+	adapt = func() {
+		for _, r := range s.routers {
+			switch {
+			case r.share == 0:
+				r.share = 1
+			case reported > 0:
+				r.share *= 1 + delayGain*max(1-reported/delayTarget.Seconds(), -1)
+				r.share = min(max(r.share, 0.05), 1)
+			}
+		}
+		reported = 0
+		if n > 0 {
+			reported = sum / n
+		}
+		sum, n = 0, 0
+		s.after(simReport, adapt)
+	}
+	s.at(0, adapt)
+}
+
+// Guards against a note that compares with what does not hold: a bound by delays, which needs no datagrams, is better than none and worse than
+// grants where requests arrive faster than the slots take them, but for servers that get slower with more requests.
+func TestBoundByDelays(t *testing.T) {
+	for _, c := range []simCase{
+		{load: 1}, {load: 1.75}, {load: 1, stalls: true}, {load: 1.75, stalls: true}, {load: 0.85, slower: true}, {load: 1.75, slower: true},
+	} {
+		c.varying, c.mixed, c.returns, c.unstated = true, true, true, true
+		c.uniform, c.delay = true, 8*time.Millisecond
+		values := map[string]float64{}
+		for _, way := range []string{"as before", "bound by delays", "granted"} {
+			c := c
+			c.without = way == "as before"
+			if way == "bound by delays" {
+				c.admits = func(r *simRouter) bool { return r.sim.rng.Float64() < r.share }
+			}
+			s := newSim(t, c)
+			if c.admits != nil {
+				s.boundByDelays()
+			}
+			s.run()
+			t.Logf("%s, load %.2f, stalls %v, slower %v", way, c.load, c.stalls, c.slower)
+			s.log()
+			values[way] = s.result.value()
+		}
+		if c.load > 1 && (values["bound by delays"] <= values["as before"] || values["granted"] <= values["bound by delays"]) {
+			t.Errorf("load %.2f, stalls %v, slower %v: values %v", c.load, c.stalls, c.slower, values)
+		}
+	}
+}
