--- a/internal/slotgrant/granter_test.go
+++ b/internal/slotgrant/granter_test.go
@@ -601,6 +601,22 @@
 	}
 }
 
+// Guards against a router that was frozen, and fills a server beyond its slots by what it learned before while another one may still
+// grant.
+func TestRouterThatBeginsLearnsTheTimesFirst(t *testing.T) {
+	b := newGranterBed(t, 6)
+	for i := range uint64(100) {
+		b.ask(question(1000 + i))
+		took := 20*time.Millisecond + time.Duration(i%3)*20*time.Millisecond
+		b.now = b.now.Add(took + 20*time.Millisecond)
+		b.report(Report{Number: 1000 + i, End: Served, Took: took})
+	}
+	b.g.Begin(b.now, 0, true)
+	b.fill(6)
+	b.ask(question(1))
+	b.want(1, Queued)
+}
+
 // Guards against a server that is slower with more requests than slots and says that many wait there, and still gets more.
 func TestServerThatStatesAQueueGetsFewerGrants(t *testing.T) {
 	for _, c := range []struct{ load, granted int }{{load: 0, granted: 9}, {load: 10, granted: 3}, {load: 5, granted: 9}} {
