--- a/internal/slotgrant/bounds_test.go
+++ b/internal/slotgrant/bounds_test.go
@@ -143,3 +143,61 @@
 		}
 	})
 }
+
+// Guards against slots that wait for their next request where datagrams take up to 8 ms and request times vary, so that the server
+// answers less than it would if every router sent its requests at once.
+func TestFewSlotsWithSlowDatagramsAndVaryingTimes(t *testing.T) {
+	forLoads(t, func(t *testing.T, load float64) {
+		for _, unstated := range []bool{false, true} {
+			t.Run(fmt.Sprintf("load unstated %v", unstated), func(t *testing.T) {
+				c := simCase{load: load, varying: true, uniform: true, delay: 8 * time.Millisecond, unstated: unstated}
+				s := newSim(t, c)
+				s.run()
+				s.log()
+				c.without = true
+				before := newSim(t, c)
+				before.run()
+				before.log()
+				if load < 1 {
+					s.checkUnderload()
+					return
+				}
+				s.checkUse()
+				if within := s.result.rejectedWithin(0.85); within > 2*c.delay {
+					t.Errorf("0.85 of the rejections came within %v, want them after a question and its answer", within)
+				}
+				if s.result.value() <= before.result.value() {
+					t.Errorf("value %.3f, want more than %.3f without grants", s.result.value(), before.result.value())
+				}
+			})
+		}
+	})
+}
+
+// Guards against slots that are empty while callers are rejected: routers with little processor time read some datagrams and answers
+// up to 80 ms late, few of the 40 workspaces keep within their usual share, and callers come back.
+func TestFewSlotsWithStalledRoutersAndReturningCallers(t *testing.T) {
+	for _, load := range []float64{1, 1.75} {
+		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) {
+			c := simCase{load: load, varying: true, stalls: true, mixed: true, returns: true, unstated: true}
+			s := newSim(t, c)
+			s.run()
+			s.log()
+			c.without = true
+			before := newSim(t, c)
+			before.run()
+			before.log()
+			// At a load of 1 the server's own queue is as good, and the way of grants costs a little.
+			want := 0.97 * before.result.value()
+			if load > 1 {
+				want = 1.1 * before.result.value()
+			}
+			if s.result.value() <= want {
+				t.Errorf("value %.3f, want more than %.3f, with %.3f without grants", s.result.value(), want, before.result.value())
+			}
+			if load > 1 && s.busyShare() < 0.95 {
+				t.Errorf("the slots are in use for %.3f of the time, want 0.95", s.busyShare())
+			}
+		})
+	}
+}
--- a/internal/slotgrant/decide.go
+++ b/internal/slotgrant/decide.go
@@ -68,15 +68,37 @@
 	return n
 }
 
-// capacity returns the number of requests a second that the slots take. A grant on the way to its slot or back takes none.
+// capacity returns the number of requests a second that the slots take. A grant on the way to its slot or back takes none. Where
+// grants exceed the slots, it is the rate at which so many of them end while questions wait.
 func (g *Granter) capacity(now time.Time) float64 {
+	if limit, held, ok := g.beyond(now); ok {
+		return float64(limit) / held.Seconds()
+	}
 	return float64(g.slots(now)) / g.answerTime().Seconds()
 }
 
+// beyond returns how many grants the servers may have and how long each usually lasts, where they exceed the slots.
+func (g *Granter) beyond(now time.Time) (limit int, held time.Duration, ok bool) {
+	if g.steady() || g.held.n < maxSamples {
+		return 0, 0, false
+	}
+	for _, s := range g.servers {
+		if s.available(now) {
+			limit += g.limit(s)
+		}
+	}
+	return limit, g.held.or(0), limit > 0
+}
+
 // hasCapacity reports whether the slots take all questions, so that one slot for a late request costs no other its
 // objective.
 func (g *Granter) hasCapacity(now time.Time) bool {
-	return g.demand.perSecond(now) < capacityLimit*g.capacity(now)
+	return g.load(now) < capacityLimit
+}
+
+// load returns the rate of the questions as a share of what the slots take.
+func (g *Granter) load(now time.Time) float64 {
+	return g.demand.perSecond(now) / max(g.capacity(now), 1)
 }
 
 // dispatch grants free slots in the order of the queue.
@@ -90,7 +112,7 @@
 			continue
 		}
 		g.queue.removeAt(i)
-		if now.Add(g.answerTime()).After(w.due) && !g.idle() && !g.stillUseful(now, w) {
+		if now.Add(g.answerTime()).After(w.deadline) && !g.idle() {
 			g.reject(now, w, ReasonOvertaken, out)
 			continue
 		}
@@ -99,11 +121,6 @@
 	}
 }
 
-// stillUseful reports whether a request that misses its objective is to be served within its deadline.
-func (g *Granter) stillUseful(now time.Time, w *waiting) bool {
-	return !now.Add(g.answerTime()).After(w.deadline) && g.hasCapacity(now)
-}
-
 // choose returns the available server with the largest share of free slots, or nil.
 func (g *Granter) choose(now time.Time, w *waiting) *server {
 	var best *server
@@ -135,16 +152,21 @@
 		expected := g.expectedWait(now, i, slots)
 		finish := now.Add(expected + g.answerTime())
 		if w == newest {
-			finish = finish.Add(g.margin() + g.overtakingWait(now, w, expected))
+			finish = finish.Add(g.margin(now, w))
+			if !g.hasCapacity(now) {
+				finish = finish.Add(g.overtakingWait(now, w, expected))
+			}
 		}
 		reason := g.reasonToReject(now, w, finish)
 		if reason == ReasonNone {
 			continue
 		}
-		if reason == ReasonLate && !w.late && !finish.After(w.lateDue(now)) && g.hasCapacity(now) {
-			g.queue.removeAt(i)
-			w.setLate(now)
-			g.queue.insert(w)
+		if (reason == ReasonLate || reason == ReasonShare) && g.keepsLate(now, w, finish, i < slots/neededPerSlots) {
+			if !w.late && now.Add(expected+g.answerTime()).After(w.due) {
+				g.queue.removeAt(i)
+				w.setLate(now)
+				g.queue.insert(w)
+			}
 			continue
 		}
 		if reason == ReasonLate && w != newest {
@@ -170,6 +192,15 @@
 	return ReasonNone
 }
 
+// keepsLate reports whether a question that misses its objective is kept, to be served late with what the others leave of the slots. needed is
+// set when so few questions come before it that slots would be left empty before another one arrives.
+func (g *Granter) keepsLate(now time.Time, w *waiting, finish time.Time, needed bool) bool {
+	if needed {
+		return !now.Add(g.answerTime()).After(w.deadline)
+	}
+	return !w.late && !finish.After(w.lateDue(now)) && g.hasCapacity(now)
+}
+
 // overtakingWait returns by how much longer a new question waits because of those that arrive later and come before it: they
 // leave it only a part of the slots.
 func (g *Granter) overtakingWait(now time.Time, w *waiting, expected time.Duration) time.Duration {
@@ -179,14 +210,21 @@
 
 // margin is the time by which the answer to a new question is expected before it is due. One that was queued with it is
 // kept when it turns out a little later, since a rejection would no longer come at once.
-func (g *Granter) margin() time.Duration { return time.Duration(marginShare * float64(g.answerTime())) }
+//
+// The margin is larger where questions of the same or an earlier place fill the slots anyway: a shorter queue keeps them busy then, and
+// more of what is granted is in time.
+func (g *Granter) margin(now time.Time, w *waiting) time.Duration {
+	load := g.demand.ahead(now, w.excess, w.priority+1) / max(g.capacity(now), 1)
+	share := marginShare + (load-1)*marginPerLoad
+	return time.Duration(min(max(share, marginShare), maxMarginShare) * float64(g.answerTime()))
+}
 
 // expectedWait returns the expected time until the question at a position gets a slot.
 func (g *Granter) expectedWait(now time.Time, position, slots int) time.Duration {
 	if slots <= 0 {
 		return g.pauseLeft(now)
 	}
-	return g.answerTime() * time.Duration(position+1) / time.Duration(slots)
+	return time.Duration(float64(position+1) / g.capacity(now) * float64(time.Second))
 }
 
 // pauseLeft returns the time until the first server that is paused gets grants again.
--- a/internal/slotgrant/simulation_test.go
+++ b/internal/slotgrant/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"flag"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -19,6 +20,14 @@
 	simDeadline  = 1500 * time.Millisecond
 	// simReport is the interval of the digests that name the loads.
 	simReport = 250 * time.Millisecond
+	// workSpread is the spread of the logarithm of varying times, and longWork the share of those that are longWorkFactor times
+	// as long.
+	workSpread     = 0.5
+	longWork       = 0.01
+	longWorkFactor = 5
+	// shortWork is the share of short requests where there are any, each shortFactor times as short.
+	shortWork   = 0.08
+	shortFactor = 10
 	// simDiscovery is the longest time until a router that has started knows another one.
 	simDiscovery = 400 * time.Millisecond
 )
@@ -59,8 +68,23 @@
 	restarted bool
 	// lost is the share of the datagrams that are lost.
 	lost float64
-	// delay is the longest time of a datagram.
-	delay    time.Duration
+	// delay is the longest time of a datagram. uniform is set when its times reach down to 0.
+	delay   time.Duration
+	uniform bool
+	// varying is set when the times of requests vary, see workTime.
+	varying bool
+	// unstated is set for a server that does not state its load.
+	unstated bool
+	// stalls is set when one datagram in 8 waits up to 80 ms for a time slice of its router, as an answer of the server does, and the
+	// others take up to 2 ms.
+	stalls bool
+	// mixed is set for 40 workspaces of which the first sends 40 times as much as the last, with three priorities, and for some short
+	// requests that are the most urgent ones.
+	mixed bool
+	// returns is set when callers that are rejected come back once.
+	returns bool
+	// skewed is set when a third of the requests are of one workspace, which sends few before mid.
+	skewed   bool
 	duration time.Duration
 }
 
@@ -75,6 +99,11 @@
 	perWorkspace  map[uint32]int
 }
 
+// value returns the value of the answers per arrival: 1 for one in time and 0.5 for a late one.
+func (r *simResult) value() float64 {
+	return (float64(r.inTime) + 0.5*float64(r.late)) / float64(r.arrivals)
+}
+
 func (r *simResult) share(n int) float64 { return float64(n) / float64(r.arrivals) }
 
 type simRouter struct {
@@ -106,6 +135,8 @@
 	granted   bool
 	workspace uint32
 	sentAt    time.Duration
+	short     bool
+	returned  bool
 }
 
 type sim struct {
@@ -119,7 +150,11 @@
 	inside  int
 	running int
 	queue   []func()
-	result  simResult
+	// onServed is told how long each request was at the server, as its router sees it.
+	onServed func(time.Duration)
+	// busy is the time that all slots have been in use.
+	busy   time.Duration
+	result simResult
 	// disturbed is set when routers end or freeze.
 	disturbed bool
 	// countFrom is when the counting of arrivals begins.
@@ -138,7 +173,15 @@
 	}
 	s := &sim{simCase: c, t: t, rng: rand.New(rand.NewPCG(7+*seed, 11))}
 	s.result.perWorkspace = map[uint32]int{}
-	s.workspace = func() uint32 { return uint32(s.rng.IntN(8)) }
+	s.workspace = func() uint32 {
+		if s.mixed {
+			return uint32(40 * math.Pow(41, s.rng.Float64()-1))
+		}
+		if s.skewed && s.now >= mid && s.rng.Float64() < 0.35 {
+			return 0
+		}
+		return uint32(s.rng.IntN(8))
+	}
 	for i := range simRouters {
 		addr := netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)})
 		s.routers = append(s.routers, &simRouter{sim: s, addr: addr})
@@ -197,9 +240,16 @@
 		r = s.routers[s.rng.IntN(len(s.routers))]
 	}
 	q := &simRequest{router: r, arrivedAt: s.now, workspace: s.workspace()}
+	q.short = s.mixed && s.rng.Float64() < shortWork
 	if s.now >= s.countFrom {
 		s.result.arrivals++
 	}
+	s.offer(q)
+}
+
+// offer lets a router handle a request.
+func (s *sim) offer(q *simRequest) {
+	r := q.router
 	switch {
 	case s.without || s.admits != nil && s.admits(r):
 		s.send(q)
@@ -237,10 +287,14 @@
 
 func (s *sim) work(q *simRequest) {
 	s.running++
-	took := simWork
+	took := s.workTime()
+	if q.short {
+		took = took / shortFactor
+	}
 	if s.slower {
-		took += simWork / 10 * time.Duration(max(s.inside-simSlots, 0))
+		took += took / 10 * time.Duration(max(s.inside-simSlots, 0))
 	}
+	s.busy += took
 	s.after(took, func() {
 		s.inside--
 		s.running--
@@ -252,10 +306,27 @@
 			s.queue = s.queue[1:]
 			next()
 		}
-		s.after(s.delayOf()/2, func() { s.end(q, Served) })
+		way := s.delayOf() / 2
+		if s.stalls {
+			way *= 2
+		}
+		s.after(way, func() { s.end(q, Served) })
 	})
 }
 
+// workTime draws the time of a request in a slot, simWork on average. Varying times are log-normal with a spread of
+// workSpread, and one in 100 is five times as long.
+func (s *sim) workTime() time.Duration {
+	if !s.varying {
+		return simWork
+	}
+	factor := math.Exp(s.rng.NormFloat64()*workSpread - workSpread*workSpread/2)
+	if s.rng.Float64() < longWork {
+		factor *= longWorkFactor
+	}
+	return time.Duration(factor / (1 + longWork*(longWorkFactor-1)) * float64(simWork))
+}
+
 // end ends a request at its router.
 func (s *sim) end(q *simRequest, end End) {
 	r := q.router
@@ -270,7 +341,13 @@
 		return
 	}
 	r.own--
+	if s.onServed != nil && end == Served {
+		s.onServed(s.now - q.sentAt)
+	}
 	report := Report{Number: q.number, End: end, Took: s.now - q.sentAt, Load: s.inside + 1}
+	if s.unstated {
+		report.Load = 0
+	}
 	if q.granted {
 		r.desk.End(r.now(), r.view(), report)
 		r.flush()
@@ -281,6 +358,7 @@
 		return
 	}
 	switch {
+	case end == Refused && s.returnLater(q):
 	case end == Refused:
 		s.result.refusedByServer++
 	case s.now-q.arrivedAt <= simObjective:
@@ -292,14 +370,46 @@
 }
 
 func (s *sim) reject(q *simRequest) {
+	if s.returnLater(q) {
+		return
+	}
 	if s.counted(q) {
 		s.result.rejected++
 		s.result.rejectedAfter = append(s.result.rejectedAfter, s.now-q.arrivedAt)
 	}
 }
 
+// returnLater lets a caller that was rejected come back, once and to any router. Its time counts from then on.
+func (s *sim) returnLater(q *simRequest) bool {
+	if !s.returns || q.returned {
+		return false
+	}
+	counted := s.counted(q)
+	s.after(time.Duration((0.2+0.2*s.rng.Float64())*float64(time.Second)), func() {
+		r := s.routers[s.rng.IntN(len(s.routers))]
+		if r.dead || r.frozen {
+			return
+		}
+		again := &simRequest{router: r, arrivedAt: s.now, workspace: q.workspace, short: q.short, returned: true}
+		if !counted {
+			again.arrivedAt = 0
+		}
+		s.offer(again)
+	})
+	return true
+}
+
 // delayOf draws the time of a datagram.
 func (s *sim) delayOf() time.Duration {
+	if s.stalls {
+		if s.rng.Float64() < 0.12 {
+			return time.Duration(s.rng.Float64() * float64(80*time.Millisecond))
+		}
+		return time.Duration(s.rng.Float64() * float64(2*time.Millisecond))
+	}
+	if s.uniform {
+		return time.Duration(s.rng.Float64() * float64(s.delay))
+	}
 	return s.delay/4 + time.Duration(s.rng.Float64()*0.75*float64(s.delay))
 }
 
@@ -339,7 +449,7 @@
 
 func (r *simRouter) ask(q *simRequest) {
 	number, asked := r.desk.Ask(r.now(), r.view(), Question{
-		Objective: simObjective, Deadline: simDeadline, Workspace: q.workspace, Priority: 1,
+		Objective: simObjective, Deadline: simDeadline, Workspace: q.workspace, Priority: q.priority(),
 	})
 	if !asked {
 		r.fallBack(q)
@@ -350,6 +460,17 @@
 	r.flush()
 }
 
+// priority returns the rank of a request.
+func (q *simRequest) priority() int {
+	switch {
+	case q.short:
+		return 0
+	case q.router.sim.mixed:
+		return 1 + int(q.workspace)%3
+	}
+	return 1
+}
+
 func (r *simRouter) fallBack(q *simRequest) {
 	if !r.fallback.Take(r.now(), simSlots, simRouters, r.desk.Asker.SlotTime()) {
 		r.sim.reject(q)
@@ -455,12 +576,15 @@
 	return float64(s.result.runs) / ((s.duration - s.countFrom).Seconds() * simSlots / simWork.Seconds())
 }
 
+// busyShare returns the share of the time in which the slots were in use.
+func (s *sim) busyShare() float64 { return s.busy.Seconds() / (s.duration.Seconds() * simSlots) }
+
 func (s *sim) log() {
 	r := &s.result
-	s.t.Logf("%d arrivals, in time %.3f, late %.3f, rejected %.3f (nine tenths within %v), refused by the server %.3f, lost %d, "+
-		"used %.3f of the capacity, most at the server %d, fallbacks %d, datagrams a second %.0f",
-		r.arrivals, r.share(r.inTime), r.share(r.late), r.share(r.rejected), r.rejectedWithin(0.9), r.share(r.refusedByServer), r.lost,
-		s.used(), r.mostInside, r.fallbacks, float64(r.datagrams)/s.duration.Seconds())
+	s.t.Logf("value %.3f, %d arrivals, in time %.3f, late %.3f, rejected %.3f (nine tenths within %v), refused by the server %.3f, lost %d, "+
+		"used %.3f of the capacity, slots in use %.3f, most at the server %d, fallbacks %d, datagrams a second %.0f",
+		r.value(), r.arrivals, r.share(r.inTime), r.share(r.late), r.share(r.rejected), r.rejectedWithin(0.9), r.share(r.refusedByServer), r.lost,
+		s.used(), s.busyShare(), r.mostInside, r.fallbacks, float64(r.datagrams)/s.duration.Seconds())
 }
 
 // rejectedWithin returns the time in which a share of the rejections came.
@@ -486,13 +610,8 @@
 // checkOverload checks the bounds for a load of 1.75.
 func (s *sim) checkOverload() {
 	s.t.Helper()
+	s.checkUse()
 	r := &s.result
-	if s.used() < 0.9 {
-		s.t.Errorf("%.3f of the capacity is used, want 0.9", s.used())
-	}
-	if inTime := float64(r.inTime) / float64(r.inTime+r.late); inTime < 0.9 {
-		s.t.Errorf("%.3f of what is run is in time, want 0.9", inTime)
-	}
 	share := 0.9
 	if s.disturbed {
 		// While no router grants a request is rejected only after the time in which one has to answer.
@@ -502,3 +621,15 @@
 		s.t.Errorf("%.2f of the rejections came within %v, want them at once", share, within)
 	}
 }
+
+// checkUse checks how much of the capacity is used at a load of 1.75, and for what.
+func (s *sim) checkUse() {
+	s.t.Helper()
+	r := &s.result
+	if s.used() < 0.9 {
+		s.t.Errorf("%.3f of the capacity is used, want 0.9", s.used())
+	}
+	if inTime := float64(r.inTime) / float64(r.inTime+r.late); inTime < 0.9 {
+		s.t.Errorf("%.3f of what is run is in time, want 0.9", inTime)
+	}
+}
