--- a/internal/balance/broken.go
+++ b/internal/balance/broken.go
@@ -85,16 +85,25 @@
 
 // withoutBroken drops the members that fail many requests, for a request that may run only once, while another one has room.
 func (p *Pool) withoutBroken(now time.Time, list []*member) []*member {
-	broken := func(m *member) bool { return p.broken.has(now, m) }
-	room := 0.0
-	for _, m := range list {
-		if broken(m) {
-			room = max(room, p.broken[m.server.ID].room)
-		}
+	room := p.broken.room(now)
+	if room == 0 {
+		return list
 	}
+	broken := func(m *member) bool { return p.broken.has(now, m) }
 	hasRoom := func(m *member) bool { return !broken(m) && m.load(now) < room*float64(m.server.Slots) }
 	if !slices.ContainsFunc(list, hasRoom) {
 		return list
 	}
 	return slices.DeleteFunc(list, broken)
 }
+
+// room returns the load of a server, in times of its slots, up to which it is preferred to those that are avoided; 0 when none is.
+func (b brokenServers) room(now time.Time) float64 {
+	room := 0.0
+	for _, t := range b {
+		if now.Before(t.until) {
+			room = max(room, t.room)
+		}
+	}
+	return room
+}
