digest, front, balance: findings of the reading of the diff

A digest could report a position before the difference to it was sent, since the message was made after the queue had been emptied; the difference is sent in between now. A starting router that got two whole texts applied one of them only. The text in force is compressed outside the lock on which parts of differences wait, and once also when it is too large. Servers that requests avoid are called avoided everywhere.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -140,11 +140,11 @@
 	members []*member
 	// byKey and byHash index the members, which are looked up for each chunk of a
 	// stream.
-	byKey  map[registry.Key]*member
-	byHash map[uint64]*member
-	broken brokenServers
-	cached *cacheIndex
-	speed  readingSpeed
+	byKey   map[registry.Key]*member
+	byHash  map[uint64]*member
+	avoided avoidedServers
+	cached  *cacheIndex
+	speed   readingSpeed
 	// peersAge is the average age of the other routers' reports.
 	peersAge time.Duration
 	// newPlacements lists the placements not yet sent to the other routers.
@@ -183,7 +183,7 @@
 
 // NewPool returns a pool without servers.
 func NewPool(limits Limits) *Pool {
-	return &Pool{limits: limits, broken: brokenServers{}, cached: newCacheIndex(), limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Sole: true} }}
+	return &Pool{limits: limits, avoided: avoidedServers{}, cached: newCacheIndex(), limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Sole: true} }}
 }
 
 // SetLimits replaces the limits.
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -33,7 +33,7 @@
 func (p *Pool) usable(now time.Time, job *Job) []*member {
 	list := p.takers(now, func(m *member) bool { return p.admits(now, m, job) })
 	if job.RunsOnce {
-		list = p.withoutBroken(now, withoutProbation(now, list))
+		list = p.withoutAvoided(now, withoutProbation(now, list))
 	}
 	return list
 }
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -237,8 +237,8 @@
 	Others int
 	// Ejected is set while the server gets no requests.
 	Ejected bool
-	// Broken is set while the server gets no requests that may run only once, unless no other one has room.
-	Broken bool
+	// Avoided is set while the server gets no requests that may run only once, unless no other one has room.
+	Avoided bool
 	// Evacuated is set while the server's data centre is evacuated.
 	Evacuated bool
 	// LimitPerSecond is the limit that the server names; nil for none.
@@ -263,7 +263,7 @@
 			Region:  m.region,
 			Own:     m.own,
 			Others:  m.others(now),
-			Broken:  p.broken.has(now, m),
+			Avoided: p.avoided.has(now, m),
 			Ejected: m.health.ejected(now, m.own), Evacuated: m.evacuated,
 			Left: m.work.left(now),
 		}
--- a/internal/balance/probation_test.go
+++ b/internal/balance/probation_test.go
@@ -96,7 +96,7 @@
 
 // Guards against a server that goes down and up by turns, has a new incarnation each time, and loses the requests of all routers
 // again before they find out.
-func TestBrokenServerIsAvoidedAfterItsRestart(t *testing.T) {
+func TestAvoidedServerIsAvoidedAfterItsRestart(t *testing.T) {
 	p := pool(2)
 	servers := []*registry.Server{p.members[0].server, p.members[1].server}
 	p.AvoidFailing(start, func(server uint64) (int, int) {
@@ -118,7 +118,7 @@
 }
 
 // Guards against a server that is avoided although no other has room, or none works.
-func TestBrokenServerIsUsedWhenNoOtherHasRoom(t *testing.T) {
+func TestAvoidedServerIsUsedWhenNoOtherHasRoom(t *testing.T) {
 	for name, c := range map[string]struct {
 		failed [2]int
 		load   int
--- a/internal/digest/configs.go
+++ b/internal/digest/configs.go
@@ -36,7 +36,7 @@
 func (e *Exchange) sendDifferences() {
 	for _, d := range e.state.TakeDifferences() {
 		e.mu.Lock()
-		targets := e.peers.takeDifferences(time.Now(), d.Position)
+		targets := e.peers.differenceTargets(time.Now(), d.Position)
 		e.mu.Unlock()
 		var datagrams [][]byte
 		size := 0
@@ -57,9 +57,9 @@
 	}
 }
 
-// takeDifferences returns the live routers that know differences of the configuration and have not reported the version at a
+// differenceTargets returns the live routers that know differences of the configuration and have not reported the version at a
 // position or a later one.
-func (p *Peers) takeDifferences(now time.Time, position logpos.Position) []netip.Addr {
+func (p *Peers) differenceTargets(now time.Time, position logpos.Position) []netip.Addr {
 	var targets []netip.Addr
 	for _, a := range p.WithoutChange(p.Targets(now), TopicConfig, position) {
 		if peer := p.tracked[a]; peer != nil && p.live(peer, now) && peer.level >= levelDifferences {
--- a/internal/digest/configs_test.go
+++ b/internal/digest/configs_test.go
@@ -105,7 +105,7 @@
 	tell(132, levelDifferences-1, now, logpos.Position{Era: 1, Offset: 8})
 	tell(133, levelDifferences, now, position)
 	tell(134, levelDifferences, now.Add(-liveTimeoutPeriods*minPeriod), logpos.Position{Era: 1, Offset: 8})
-	if got := e.peers.takeDifferences(now, position); len(got) != 1 || got[0] != needs {
+	if got := e.peers.differenceTargets(now, position); len(got) != 1 || got[0] != needs {
 		t.Fatalf("differences are sent to %v, want %v", got, needs)
 	}
 	receiver, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(needs, e.port)))
@@ -145,7 +145,7 @@
 	}
 	sent := e.sent.Load()
 	d := differenceOf(4 * configdiff.MaxPartBytes)
-	targets := len(e.peers.takeDifferences(now, d.Position))
+	targets := len(e.peers.differenceTargets(now, d.Position))
 	state.outgoing, state.results = []configdiff.Difference{d}, nil
 	e.sendDifferences()
 	if e.sent.Load() != sent || len(state.results) != 1 || state.results[0] {
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -74,10 +74,11 @@
 // change with its loads only, to the readers, which send changes again to those that lack them; unless it is the first
 // one to know of a configuration or a server, as after a restart of all.
 func (e *Exchange) sendDigest(regular bool) {
-	e.sendDifferences()
 	e.replyWithConfig(time.Now())
 	now := time.Now()
 	m := e.newMessage()
+	// A difference is queued before its position is recorded, so those of all positions in the message precede it.
+	e.sendDifferences()
 	e.mu.Lock()
 	targets := e.peers.Targets(now)
 	if regular {
@@ -103,10 +104,10 @@
 // sendLoads sends this router's loads and outcomes to all routers, or in a large
 // fleet to the readers of the store. There a reader also sends the totals to all.
 func (e *Exchange) sendLoads(now time.Time, targets []netip.Addr) {
-	// Loads tell the position of the configuration as well.
-	e.sendDifferences()
 	own := e.state.Loads()
 	m := e.newMessage()
+	// Loads tell the position of the configuration as well.
+	e.sendDifferences()
 	m.Loads = own
 	m.LoadsComplete = len(own) <= loadsPerDatagram
 	m.Outcomes = mostFailed(e.state.Outcomes())
--- a/internal/feed/answer.go
+++ b/internal/feed/answer.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// maxAnswerTime bounds the time in which an answer arrives, so that one of which a byte comes now and then ends as well. A
-// configuration of a few megabytes takes that long over a link of 10 Mbit/s.
+// maxAnswerTime bounds the time in which an answer arrives, so that one of which a byte comes now and then ends as well. 10 MB
+// take that long over a link of 10 Mbit/s.
 const maxAnswerTime = 8 * time.Second
 
 // answerWatch ends a call whose answer does not begin, stands still, or takes too long. It is safe for concurrent use.
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -113,8 +113,8 @@
 			state = "leaving"
 		case b.Ejected:
 			state = "ejected"
-		case b.Broken:
-			state = "broken"
+		case b.Avoided:
+			state = "avoided"
 		case b.ColdLeft > 0:
 			state = "cold"
 		case p.indirect(now, b.Server.Addr):
--- a/internal/front/differences.go
+++ b/internal/front/differences.go
@@ -40,8 +40,8 @@
 // often.
 const maxOutgoing = 4
 
-// maxWholes bounds the whole texts of which a starting router keeps parts.
-const maxWholes = 2
+// maxWholeConfigs bounds the whole texts of which a starting router keeps parts.
+const maxWholeConfigs = 2
 
 // Results of a difference, as counted.
 const (
@@ -73,9 +73,10 @@
 	outgoing   []configdiff.Difference
 	// wholes are whole texts that a starting router gets.
 	wholes configdiff.Collector
-	// position is that of the text in force, and wholeText is that text compressed; empty until it is asked for.
-	position  logpos.Position
-	wholeText configdiff.Difference
+	// position is that of the text in force, and wholeText is that text compressed once wholeTried is set.
+	position   logpos.Position
+	wholeText  configdiff.Difference
+	wholeTried bool
 	// source is where the configuration in force comes from.
 	source configSource
 	// toldTo is the position up to which the reader had read the topic that has sent the last applied difference.
@@ -83,7 +84,7 @@
 }
 
 func newDifferences(scope tally.Scope) *differences {
-	return &differences{scope: scope, reads: scope.Counter("config_reads"), wake: make(chan struct{}, 1), toldTo: logpos.None, wholes: configdiff.Collector{Max: maxWholes}}
+	return &differences{scope: scope, reads: scope.Counter("config_reads"), wake: make(chan struct{}, 1), toldTo: logpos.None, wholes: configdiff.Collector{Max: maxWholeConfigs}}
 }
 
 func (d *differences) count(result string) {
@@ -104,8 +105,8 @@
 	d.mu.Lock()
 	base, _ := d.texts.Newest()
 	d.texts.Add(u.text)
-	d.source, d.position, d.wholeText = u.source, u.position, configdiff.Difference{}
-	d.wholes = configdiff.Collector{Max: maxWholes}
+	d.source, d.position, d.wholeText, d.wholeTried = u.source, u.position, configdiff.Difference{}, false
+	d.wholes = configdiff.Collector{Max: maxWholeConfigs}
 	d.mu.Unlock()
 	d.signal()
 	if !send || base == nil || u.next == logpos.None {
@@ -189,24 +190,44 @@
 }
 
 // whole returns the text in force as a difference without a base. None is returned for one that the store may have lost, since
-// its era is over.
+// its era is over, and for one that is too large. The text is compressed once for each version, and not under the lock: parts of
+// differences arrive meanwhile.
 func (d *differences) whole(era int64) (whole configdiff.Difference, found bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	text, _ := d.texts.Newest()
-	if text == nil || d.position.Era < era {
+	text, position, whole, tried := d.wholeInForce()
+	if text == nil || position.Era < era {
 		return configdiff.Difference{}, false
 	}
-	if d.wholeText.Payload == nil {
+	if !tried {
 		var err error
-		if d.wholeText, err = configdiff.MakeWhole(text); err != nil {
+		if whole, err = configdiff.MakeWhole(text); err != nil {
 			d.count(differenceTooLarge)
-			return configdiff.Difference{}, false
+			whole = configdiff.Difference{}
 		}
-		d.wholeText.Position, d.wholeText.Next = d.position, logpos.Position{Era: d.position.Era, Offset: d.position.Offset + 1}
+		whole.Position, whole.Next = position, logpos.Position{Era: position.Era, Offset: position.Offset + 1}
+		d.keepWhole(text, whole)
+	}
+	if whole.Payload == nil {
+		return configdiff.Difference{}, false
 	}
 	d.count(differenceWholeSent)
-	return d.wholeText, true
+	return whole, true
+}
+
+// wholeInForce returns the text in force with its position, and its compressed form if that was tried.
+func (d *differences) wholeInForce() (text []byte, position logpos.Position, whole configdiff.Difference, tried bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	text, _ = d.texts.Newest()
+	return text, d.position, d.wholeText, d.wholeTried
+}
+
+// keepWhole keeps the compressed form of a text, which has no payload when it is too large, while the text is in force.
+func (d *differences) keepWhole(text []byte, whole configdiff.Difference) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if newest, _ := d.texts.Newest(); len(newest) > 0 && &newest[0] == &text[0] {
+		d.wholeText, d.wholeTried = whole, true
+	}
 }
 
 // recordTold records the position up to which a reader had read the topic.
@@ -232,7 +253,11 @@
 
 // applyDifferences puts the versions in force that other routers have sent as differences. It runs on the goroutine of run.
 func (t *tracker) applyDifferences() {
-	if whole, found := t.differences.nextWhole(); found {
+	for {
+		whole, found := t.differences.nextWhole()
+		if !found {
+			break
+		}
 		t.differences.count(t.applyWhole(whole))
 	}
 	for {
--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -132,6 +132,7 @@
 	defer cancel()
 	page, err := t.platform.Config.Read(ctx, h.from, 0)
 	if err != nil {
+		t.events.Emit(event.HistoryUnread, "from", h.from, "to", h.end.Offset, "era", h.end.Era, "error", err.Error())
 		return errors.Is(err, feed.ErrExpired)
 	}
 	if page.Era != h.end.Era {
