--- a/internal/testport/testport.go
+++ b/internal/testport/testport.go
@@ -27,14 +27,16 @@
 
 var hosts, serverHosts atomic.Uint32
 
-// Host returns a loopback address that no other test uses, in this process or in another one that runs now. A port
-// that is free there is not taken by a listener or a connection of another test. Later calls return higher addresses.
+// Host returns a loopback address that no other test uses, in this process or in another one that runs now, unless their IDs
+// differ by a multiple of 8,000. A port that is free there is not taken by a listener or a connection of another test. Later calls
+// return higher addresses; after 1,000 calls they begin again.
 func Host() string {
 	return host(hosts.Add(1) % routerHosts)
 }
 
 // ServerHost returns a loopback address for a single server. A port of 127.0.0.1 that a server frees may be given to one of
-// another test, which then gets its requests, and all ports there can be taken by connections that have just ended.
+// another test, which then gets its requests, and all ports there can be taken by connections that have just ended. Addresses
+// repeat as those of Host do.
 func ServerHost() string {
 	return host(routerHosts + serverHosts.Add(1)%(hostsPerProcess-routerHosts))
 }
