--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -110,10 +110,7 @@
 		data, err = readRecordFile(file)
 		return file, data, eris.Wrap(err, "cannot read the configuration")
 	}
-	data, err = io.ReadAll(io.LimitReader(stdin, maxRecordFileBytes+1))
-	if err == nil && len(data) > maxRecordFileBytes {
-		err = fmt.Errorf("it is larger than %d bytes", maxRecordFileBytes)
-	}
+	data, err = readLimited(stdin)
 	return "stdin", data, eris.Wrap(err, "cannot read the configuration")
 }
 
--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -118,7 +118,12 @@
 		return nil, err
 	}
 	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, maxRecordFileBytes+1))
+	return readLimited(f)
+}
+
+// readLimited reads all of a file, which must not be larger than maxRecordFileBytes.
+func readLimited(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxRecordFileBytes+1))
 	if err == nil && len(data) > maxRecordFileBytes {
 		err = fmt.Errorf("it is larger than %d bytes", maxRecordFileBytes)
 	}
