balance: ejecting and avoiding share the search for failing servers

No change of behaviour: the tests of ejections and of avoided servers and the table of rules are green, each rule still applies.

--- a/internal/balance/avoided.go
+++ b/internal/balance/avoided.go
@@ -60,24 +60,10 @@
 // returns those from which it did not before. When most servers fail, none is avoided, as none is ejected: the other servers
 // would get all requests, and engines would have to read prompts that they do not have cached. Call it after EjectFailing.
 func (p *Pool) AvoidFailing(now time.Time, outcomes func(server uint64) (failed, ended int)) []*registry.Server {
-	type failing struct {
-		m             *member
-		failed, ended int
-	}
-	var list []failing
-	for _, m := range p.members {
-		failed, ended := outcomes(m.hash)
-		if !m.evacuated && tooManyFailures(failed, ended) {
-			list = append(list, failing{m, failed, ended})
-		}
-	}
-	if 2*len(list) > p.inService() {
-		return nil
-	}
 	var avoided []*registry.Server
-	for _, f := range list {
-		if !f.m.health.failing(now) && p.avoided.record(now, f.m.server.ID, f.failed, f.ended) {
-			avoided = append(avoided, f.m.server)
+	for _, f := range p.failingMembers(outcomes) {
+		if !f.health.failing(now) && p.avoided.record(now, f.server.ID, f.failed, f.ended) {
+			avoided = append(avoided, f.server)
 		}
 	}
 	return avoided
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -138,24 +138,36 @@
 // router alone detects that it fails. When most servers fail, another one would
 // be no better, and none is ejected.
 func (p *Pool) EjectFailing(now time.Time, outcomes func(server uint64) (failed, ended int)) []*registry.Server {
-	var failing []*member
+	var ejected []*registry.Server
+	for _, f := range p.failingMembers(outcomes) {
+		if f.health.failing(now) || !p.mayEject(now) {
+			continue
+		}
+		f.health.eject(now)
+		ejected = append(ejected, f.server)
+	}
+	return ejected
+}
+
+// failingMember is a member that failed too many of some outcomes.
+type failingMember struct {
+	*member
+	failed, ended int
+}
+
+// failingMembers returns the members that failed too many requests; none when most did.
+func (p *Pool) failingMembers(outcomes func(server uint64) (failed, ended int)) []failingMember {
+	var failing []failingMember
 	for _, m := range p.members {
-		if !m.evacuated && tooManyFailures(outcomes(m.hash)) {
-			failing = append(failing, m)
+		failed, ended := outcomes(m.hash)
+		if !m.evacuated && tooManyFailures(failed, ended) {
+			failing = append(failing, failingMember{m, failed, ended})
 		}
 	}
 	if 2*len(failing) > p.inService() {
 		return nil
 	}
-	var ejected []*registry.Server
-	for _, m := range failing {
-		if m.health.failing(now) || !p.mayEject(now) {
-			continue
-		}
-		m.health.eject(now)
-		ejected = append(ejected, m.server)
-	}
-	return ejected
+	return failing
 }
 
 // SetPeerInFlight sets the number of the other routers' requests in flight at each
