forward: waits of a held request count the time that has passed

On a busy VM timers are late, and the waits for an inventory and for a prefix added up the times that they had asked for. A caller that was to be refused before its deadline was refused after it: 607 ms and 753 ms for 600 ms in TestStreamWaitsForTheInventoryForASecondAtMost, which refused the last landing. TestWaitForTheInventoryCountsTimeInSlowChecks is red without the change (1.35 s for a deadline of 0.6 s; its deadline is 2 s since, so that a loaded machine has room).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -250,15 +250,17 @@
 	return c.pool.pick(time.Now(), job, false)
 }
 
-// hold waits for a time and reports whether the request is still to be sent.
+// hold waits for a time and reports whether the request is still to be sent. It counts the time that has passed: on a busy VM
+// timers are late, and counting the time that was asked for would exceed the limits on holding.
 func (c *call) hold(ctx context.Context, d time.Duration) bool {
+	begun := time.Now()
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
 	case <-timer.C:
-		c.attempts.held += d
+		c.attempts.held += time.Since(begun)
 		return true
 	}
 }
--- a/internal/forward/findversion.go
+++ b/internal/forward/findversion.go
@@ -52,9 +52,13 @@
 // awaitInventory waits until this router has the placements of the fleet, for a limited time. It reports whether
 // the caller still waits.
 func (c *call) awaitInventory() bool {
-	limit := min(maxVersionWait, time.Until(c.deadline)/2)
-	for waited := time.Duration(0); waited < limit && !c.handler.state.placementsKnown(); waited += holdCheck {
-		if !c.hold(c.r.Context(), holdCheck) {
+	until := time.Now().Add(min(maxVersionWait, time.Until(c.deadline)/2))
+	for !c.handler.state.placementsKnown() {
+		left := time.Until(until)
+		if left <= 0 {
+			return true
+		}
+		if !c.hold(c.r.Context(), min(left, holdCheck)) {
 			return false
 		}
 	}
--- a/internal/forward/findversion_test.go
+++ b/internal/forward/findversion_test.go
@@ -71,3 +71,22 @@
 		})
 	}
 }
+
+// Guards against callers that wait past their deadline on a busy VM, because the wait counts its checks instead of the time.
+func TestWaitForTheInventoryCountsTimeInSlowChecks(t *testing.T) {
+	t.Parallel()
+	const checkTime, deadline = 50 * time.Millisecond, 2 * time.Second
+	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+	b.versioned("v1", "v1")
+	b.state.SetPlacementsKnown(func() bool {
+		time.Sleep(checkTime)
+		return false
+	})
+	header := lastPart(1)
+	header.Set("Deadline", deadline.String())
+	begun := time.Now()
+	got := b.send(ask{header: header})
+	if took := time.Since(begun); got.status != http.StatusServiceUnavailable || took > deadline {
+		t.Errorf("status %d after %v, want a refusal before %v", got.status, took, deadline)
+	}
+}
