front: a router with an older configuration reads the store after its first digest in its tests

A router that starts waits 25 ms for the first digest before it puts the store's configuration in force; on a loaded machine the digest arrives later, and the router is right to go on without it. TestStartingRouterPutsNoOlderConfigurationInForce depends on the same time. In both, the router's link to the store is now cut until it has heard the era and the version of the others. The tests then wait for the event that the configuration is held back, before they check what they checked.

--- a/internal/front/era_test.go
+++ b/internal/front/era_test.go
@@ -11,7 +11,12 @@
 
 // statusOf returns the status of a request on a path.
 func (b *testBed) statusOf(path string) int {
-	return b.do(b.request(http.MethodPost, path, "body")).status
+	b.t.Helper()
+	got := b.do(b.request(http.MethodPost, path, "body"))
+	if got.err != nil {
+		b.t.Logf("%s: %v", path, got.err)
+	}
+	return got.status
 }
 
 // configWithRoute returns a configuration with one more route.
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/forward"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/testport"
@@ -75,6 +76,27 @@
 	return r
 }
 
+// startBehindLink adds and starts a router whose first reads of the store are answered only once it has heard the version in
+// force of another router. A router that starts waits 25 ms for that, which is too short when the machine is slow. It returns
+// when the router has held the store's configuration back.
+func (f *fleetBed) startBehindLink() *testBed {
+	f.t.Helper()
+	late := f.addRouter()
+	store := newStoreLink(f.t, f.store.Addr())
+	late.storeAddr = strings.TrimPrefix(store.server.URL, "http://")
+	heldBack := countEvents(late, event.ConfigHeldBack)
+	store.setCut(true)
+	late.start()
+	// What names the era names the version in force too.
+	f.waitFor("the late router knows the others", func() bool {
+		status := late.front.Status()
+		return status.Routers == len(f.routers)-1 && status.ReportedEra == 5
+	})
+	store.setCut(false)
+	f.waitFor("the late router holds the store's configuration back", func() bool { return heldBack.Load() > 0 })
+	return late
+}
+
 // Guards against a router that starts while the store has an older configuration and
 // puts it in force although a live router has a newer one.
 func TestStartingRouterPutsNoOlderConfigurationInForce(t *testing.T) {
@@ -87,9 +109,7 @@
 	f.store.Restore(old, 5)
 	// Before that the others give it their configuration.
 	f.waitFor("the others have seen the new era", func() bool { return f.all(func(r *testBed) bool { return r.front.Status().StoreEra == 5 }) })
-	late := f.addRouter()
-	late.start()
-	f.waitFor("the late router knows the others", func() bool { return late.front.Status().Routers == 2 })
+	late := f.startBehindLink()
 	calls := f.store.Calls()
 	f.waitFor("the store has been called", func() bool { return f.store.Calls() > calls+10 })
 	if got := late.front.Status().ConfigVersion; got != 0 || late.isReady() {
@@ -112,9 +132,7 @@
 	f.store.Restore(old, 5)
 	// Before that the others give it their configuration.
 	f.waitFor("the others have seen the new era", func() bool { return f.all(func(r *testBed) bool { return r.front.Status().StoreEra == 5 }) })
-	late := f.addRouter()
-	late.start()
-	f.waitFor("the late router knows the other one", func() bool { return late.front.Status().Routers == 1 })
+	late := f.startBehindLink()
 	if late.isReady() {
 		t.Error("ready with an older configuration than that of a live router")
 	}
--- a/internal/front/trace_test.go
+++ b/internal/front/trace_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -207,6 +208,31 @@
 	})
 }
 
+// countEvents returns the number of events of a kind that a router logs from its start on. Call it before the start; it replaces
+// the router's log.
+func countEvents(r *testBed, e event.Event) *atomic.Int64 {
+	c := &eventCount{id: e.ID}
+	logger := hclog.NewInterceptLogger(&hclog.LoggerOptions{Output: discard{}})
+	logger.RegisterSink(c)
+	r.logger = logger
+	return &c.n
+}
+
+// eventCount counts the events with a number in a log.
+type eventCount struct {
+	id int
+	n  atomic.Int64
+}
+
+// Accept counts the event.
+func (c *eventCount) Accept(_ string, _ hclog.Level, _ string, args ...any) {
+	for i := 0; i+1 < len(args); i += 2 {
+		if args[i] == "event" && args[i+1] == c.id {
+			c.n.Add(1)
+		}
+	}
+}
+
 // droppedDatagrams returns how many datagrams the kernel has dropped at a port since the
 // sockets were opened, where it says so.
 func droppedDatagrams(port uint16) int {
