front: routers cut off in one direction are tested with the clock of a bubble

TestRoutersCutOffInOneDirection counts the calls to the store in 4 s and wants each change to be known within 2 s.

The test runs in a bubble of testing/synctest now, whose clock stands still while a goroutine can run, so no digest and no call can be late. The expectations, the number of routers and the cuts are the same; datagrams take 1 ms. Goroutines that wait at a real socket would stop that clock, so internal/testnet has a network in memory, and the addresses of a router are opened by Platform.Network, which is the machine's by default. Connections to the store can be opened by another dialer as well. The bubble has the whole router: its listeners, the store's client with its long polls, and the stand-in of the store.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -142,9 +142,17 @@
 	Evacuations evacuation.View
 }
 
+// PacketConn is the socket for digests, as *net.UDPConn implements it. Reads fail with net.ErrClosed once it is closed.
+type PacketConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
 // Exchange sends and receives digests. Its methods are safe for concurrent use.
 type Exchange struct {
-	conn   *net.UDPConn
+	conn   PacketConn
 	port   uint16
 	sender uint64
 	state  State
@@ -220,7 +228,12 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for digests")
 	}
-	peers := NewPeers(addr.Addr(), seeds)
+	return New(conn, addr.Addr(), seeds, firstStart, state, events), nil
+}
+
+// New is Listen with a socket that is open already, at an address of self. The exchange closes it.
+func New(conn PacketConn, self netip.Addr, seeds []netip.Addr, firstStart bool, state State, events *event.Logger) *Exchange {
+	peers := NewPeers(self, seeds)
 	peers.since = time.Now()
 	return &Exchange{
 		conn:   conn,
@@ -236,7 +249,7 @@
 		synced: firstStart, loadsSentAt: time.Now(), shares: make(map[uint64]namedlimit.Share),
 		grantOrder: make(map[uint64]candidates), onGrants: func(netip.Addr, *slotgrant.Message) {},
 		toRelay: make(map[uint64][]Placement), relayWake: make(chan struct{}, 1),
-	}, nil
+	}
 }
 
 // SendSoon makes the exchange send new placements and progress after a short
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -53,10 +53,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for callers")
 	}
-	return newServer(listener, handler, logger), nil
+	return New(listener, handler, logger), nil
 }
 
-func newServer(listener net.Listener, handler http.Handler, logger hclog.Logger) *Server {
+// New returns a server for callers that connect to a listener, which it closes.
+func New(listener net.Listener, handler http.Handler, logger hclog.Logger) *Server {
 	s := &Server{waiting: make(map[*conn]time.Time)}
 	s.idleLimit.Store(int64(defaultIdleLimit))
 	s.headerLimit.Store(int64(defaultHeaderLimit))
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -157,7 +157,7 @@
 		t.Fatal(err)
 	}
 	var s *Server
-	s = newServer(&readHookListener{Listener: listener, onRead: func() { s.CloseWaiting() }},
+	s = New(&readHookListener{Listener: listener, onRead: func() { s.CloseWaiting() }},
 		http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "ok") }), hclog.NewNullLogger())
 	done := make(chan error, 1)
 	go func() { done <- s.Serve() }()
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -31,7 +31,7 @@
 // Guards against callers that are cut off before a limit of the configuration, hold a
 // connection beyond it, or have no limit while the configuration sets none.
 func TestLimitsOfTheConfigurationAreDeadlines(t *testing.T) {
-	s := newServer(nil, http.NotFoundHandler(), hclog.NewNullLogger())
+	s := New(nil, http.NotFoundHandler(), hclog.NewNullLogger())
 	raw := &timedConn{}
 	c := &conn{Conn: raw, server: s}
 	expect := func(when string, limit time.Duration) {
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -39,7 +39,12 @@
 // newFleetWith is newFleet with a function that is called before the routers start.
 func newFleetWith(t *testing.T, n, engines int, prepare func(f *fleetBed)) *fleetBed {
 	t.Helper()
-	f := &fleetBed{testBed: newTestBedWith(t, engines)}
+	return startFleet(&fleetBed{testBed: newTestBedWith(t, engines)}, n, prepare)
+}
+
+// startFleet starts the routers of newFleetWith in a bed.
+func startFleet(f *fleetBed, n int, prepare func(f *fleetBed)) *fleetBed {
+	f.t.Helper()
 	f.publish(config(1))
 	f.register(platformtest.StateReady, f.engines...)
 	f.store.SetEra("4")
@@ -63,10 +68,19 @@
 
 // addRouter adds a router that is not started yet.
 func (f *fleetBed) addRouter() *testBed {
-	r := &testBed{t: f.t, store: f.store, engines: f.engines, restarted: true, host: testport.Host()}
+	r := &testBed{t: f.t, store: f.store, engines: f.engines, restarted: true, network: f.network}
+	if f.network != nil {
+		// In order, and longer than any fleet.
+		r.host = netip.AddrFrom4([4]byte{10, 1, byte(len(f.routers) >> 8), byte(len(f.routers))}).String()
+	} else {
+		r.host = testport.Host()
+	}
 	f.routers = append(f.routers, r)
 	// All routers receive digests on the same port.
 	r.peersPort = f.routers[0].peersPort
+	if r.peersPort == 0 && f.network != nil {
+		r.peersPort = bubblePeersPort
+	}
 	if r.peersPort == 0 {
 		r.peersPort = testport.FreeAddrs(f.t, r.host, 1)[0].Port()
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -73,10 +73,35 @@
 	Inventory func(ctx context.Context, addr string) ([]forward.CachedPart, error)
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
+	// Network opens the router's own addresses; nil for those of the machine.
+	Network Network
 	// Dial opens connections to servers; nil for the usual dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
+// Network opens the addresses at which a router is reached. Tests have one in memory.
+type Network interface {
+	Listen(addr netip.AddrPort) (net.Listener, error)
+	ListenPacket(addr netip.AddrPort) (digest.PacketConn, error)
+}
+
+// machineNetwork opens addresses of the machine.
+type machineNetwork struct{}
+
+// Listen opens a TCP address.
+func (machineNetwork) Listen(addr netip.AddrPort) (net.Listener, error) {
+	return net.Listen("tcp", addr.String())
+}
+
+// ListenPacket opens a UDP address.
+func (machineNetwork) ListenPacket(addr netip.AddrPort) (digest.PacketConn, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
 // Front is a running router. Its methods are safe for concurrent use.
 type Front struct {
 	settings *settings.Front
@@ -124,26 +149,31 @@
 	if p.Dial != nil {
 		state.SetDial(p.Dial)
 	}
-	var err error
-	f.edge, err = edge.Listen(s.ListenCallers.String(), f.handler, logger)
+	if f.platform.Network == nil {
+		f.platform.Network = machineNetwork{}
+	}
+	callers, err := f.listen(s.ListenCallers, "callers")
 	if err != nil {
 		return nil, errors.Join(err, metrics.Close())
 	}
+	f.edge = edge.New(callers, f.handler, logger)
 	f.tracker = newTracker(p, state, f.edge, events, metrics.Scope())
 	f.tracker.firstStart = s.FirstStart
 	if !s.FirstStart {
 		f.tracker.servers.SetRestarted()
 	}
 	f.tracker.evacuations.setBound(s.Bounds.Evacuate)
-	f.exchange, err = digest.Listen(s.ListenPeers, seedAddrs(s), s.FirstStart, &digestState{State: state, tracker: f.tracker, progress: &f.tracker.progress}, events)
+	peers, err := f.platform.Network.ListenPacket(s.ListenPeers)
 	if err != nil {
-		return nil, errors.Join(err, f.edge.Close(), metrics.Close())
+		return nil, errors.Join(eris.Wrap(err, "cannot listen for digests"), f.edge.Close(), metrics.Close())
 	}
+	f.exchange = digest.New(peers, s.ListenPeers.Addr(), seedAddrs(s), s.FirstStart, &digestState{State: state, tracker: f.tracker, progress: &f.tracker.progress}, events)
 	f.tracker.exchange = f.exchange
-	f.carrier, err = tunnel.Listen(s.ListenPeers, state.KnowsServer, state.DialDirect, events)
+	carried, err := f.listen(s.ListenPeers, "other routers' connections")
 	if err != nil {
 		return nil, errors.Join(err, f.edge.Close(), f.exchange.Close(), metrics.Close())
 	}
+	f.carrier = tunnel.New(carried, state.KnowsServer, state.DialDirect, events)
 	f.tunnel = tunnel.NewClient(s.ListenPeers.Port(), f.exchange.LiveRouters, events)
 	f.tunnel.SetRegionOf(f.exchange.RegionOf)
 	f.exchange.SetRegion(s.Region)
@@ -290,11 +320,11 @@
 
 // Start starts serving. When it returns an error the router has been closed.
 func (f *Front) Start() error {
-	ready, err := listen(f.settings.ListenReadiness.String(), "readiness checks")
+	ready, err := f.listen(f.settings.ListenReadiness, "readiness checks")
 	if err != nil {
 		return errors.Join(err, f.closeListeners())
 	}
-	admin, err := listen(f.settings.ListenMetrics.String(), "metrics")
+	admin, err := f.listen(f.settings.ListenMetrics, "metrics")
 	if err != nil {
 		return errors.Join(err, ready.Close(), f.closeListeners())
 	}
@@ -328,8 +358,8 @@
 	return errors.Join(f.edge.Close(), f.exchange.Close(), f.carrier.Close(), f.tunnel.Close(), f.metrics.Close())
 }
 
-func listen(addr, purpose string) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
+func (f *Front) listen(addr netip.AddrPort, purpose string) (net.Listener, error) {
+	l, err := f.platform.Network.Listen(addr)
 	return l, eris.Wrapf(err, "cannot listen for %s", purpose)
 }
 
--- a/internal/front/oneway_test.go
+++ b/internal/front/oneway_test.go
@@ -23,8 +23,7 @@
 const eraSettled = 300 * time.Millisecond
 
 // oneWayCut says which datagrams are lost; routers are numbered from 0, and the first
-// three read the store. The routers whose datagrams are lost or miss some must be readers
-// or the last one, or the sender must be a reader.
+// three read the store.
 type oneWayCut struct {
 	name string
 	lost func(from, to, routers int) bool
@@ -58,31 +57,25 @@
 			}
 			t.Run(fmt.Sprintf("%s, %d routers", cut.name, routers), func(t *testing.T) {
 				t.Parallel()
-				playOneWayCut(t, cut, routers)
+				inBubble(t, 6, func(f *fleetBed) { playOneWayCut(f, cut, routers) })
 			})
 		}
 	}
 }
 
-func playOneWayCut(t *testing.T, cut oneWayCut, routers int) {
+func playOneWayCut(f *fleetBed, cut oneWayCut, routers int) {
+	t := f.t
 	trace := newFleetTrace()
-	var links []*peerLink
-	f := newFleetWith(t, routers, 6, func(f *fleetBed) {
+	startFleet(f, routers, func(f *fleetBed) {
 		for n, r := range f.routers {
 			trace.follow(r, n)
 		}
-		for _, n := range []int{0, 1, 2, routers - 1} {
-			links = append(links, newPeerLink(t, f, n))
-		}
 	})
 	index := map[string]int{}
 	for n, r := range f.routers {
 		index[r.host] = n
 	}
-	lost := func(from, to netip.Addr) bool { return cut.lost(index[from.String()], index[to.String()], routers) }
-	for _, l := range links {
-		l.drop.Store(&lost)
-	}
+	f.network.Lose(func(from, to netip.Addr, _ []byte) bool { return cut.lost(index[from.String()], index[to.String()], routers) })
 	time.Sleep(cutCalm)
 	trace.reset()
 	before, started := f.store.Calls(), time.Now()
@@ -117,9 +110,7 @@
 	if got := f.readers(3); got > cut.extra {
 		t.Errorf("%d other routers read the store, want at most %d", got, cut.extra)
 	}
-	for _, l := range links {
-		l.drop.Store(nil)
-	}
+	f.network.Lose(nil)
 	f.waitFor("only the first three read the store", func() bool { return f.readers(3) == 0 })
 }
 
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -16,8 +16,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bluebellwell/bluebellwell/internal/feed"
+	"github.com/bluebellwell/bluebellwell/internal/forward"
 	"github.com/bluebellwell/bluebellwell/internal/front"
 	"github.com/bluebellwell/bluebellwell/internal/settings"
+	"github.com/bluebellwell/bluebellwell/internal/testnet"
 	"github.com/bluebellwell/bluebellwell/internal/testport"
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
@@ -48,6 +50,8 @@
 	logger hclog.Logger
 	// wrapSource wraps the router's way to each topic of the store; nil for none.
 	wrapSource func(feed.Source) feed.Source
+	// network is set for a router in a bubble of testing/synctest; its addresses are in it.
+	network *testnet.Network
 	// link is the router's way to the servers; nil for one that is never cut.
 	link *serverLink
 	// settings are the settings that the router was started with.
@@ -75,7 +79,7 @@
 	if b.host == "" {
 		b.host = testport.Host()
 	}
-	ports := testport.FreeAddrsWith(b.t, b.host, 4, b.peersPort)
+	ports := b.addrs()
 	storeAddr := cmp.Or(b.storeAddr, b.store.Addr())
 	s := &settings.Front{
 		VM: "front-1", DataCentre: "hall-a", Region: cmp.Or(b.region, "south"), Regions: b.regions, FirstStart: !b.restarted,
@@ -91,7 +95,7 @@
 	if logger == nil {
 		logger = hclog.NewNullLogger()
 	}
-	store := platform.Connect(storeAddr)
+	store := b.connect(storeAddr)
 	if b.wrapSource != nil {
 		store.Config, store.Servers = b.wrapSource(store.Config), b.wrapSource(store.Servers)
 	}
@@ -111,6 +115,27 @@
 	b.t.Cleanup(b.stop)
 }
 
+// addrs returns the addresses of the router, the last of which is for digests.
+func (b *testBed) addrs() []netip.AddrPort {
+	if b.network == nil {
+		return testport.FreeAddrsWith(b.t, b.host, 4, b.peersPort)
+	}
+	host := netip.MustParseAddr(b.host)
+	return []netip.AddrPort{netip.AddrPortFrom(host, 1), netip.AddrPortFrom(host, 2), netip.AddrPortFrom(host, 3), netip.AddrPortFrom(host, b.peersPort)}
+}
+
+// connect returns the platform with the store at an address.
+func (b *testBed) connect(storeAddr string) front.Platform {
+	if b.network == nil {
+		return platform.Connect(storeAddr)
+	}
+	p := platform.ConnectOver(storeAddr, b.network.Dial)
+	p.Network = b.network
+	// The servers are outside the bubble.
+	p.Inventory = func(context.Context, string) ([]forward.CachedPart, error) { return nil, nil }
+	return p
+}
+
 // allowRetries lets every request be tried again.
 func (b *testBed) allowRetries() {
 	s := *b.settings
@@ -179,6 +204,9 @@
 }
 
 func (b *testBed) isReady() bool {
+	if b.network != nil {
+		return b.front.Status().Ready
+	}
 	resp, err := http.Get(b.readyURL)
 	if err != nil {
 		return false
--- a/internal/testport/testport.go
+++ b/internal/testport/testport.go
@@ -41,13 +41,18 @@
 	return host(routerHosts + serverHosts.Add(1)%(hostsPerProcess-routerHosts))
 }
 
-// NewUnstartedServer is httptest.NewUnstartedServer with a host of its own.
-func NewUnstartedServer(h http.Handler) *httptest.Server {
+// Listener listens at a host of its own.
+func Listener() net.Listener {
 	l, err := net.Listen("tcp", ServerHost()+":0")
 	if err != nil {
 		panic(fmt.Sprintf("testport: %v", err))
 	}
-	return &httptest.Server{Listener: l, Config: &http.Server{Handler: h}}
+	return l
+}
+
+// NewUnstartedServer is httptest.NewUnstartedServer with a host of its own.
+func NewUnstartedServer(h http.Handler) *httptest.Server {
+	return &httptest.Server{Listener: Listener(), Config: &http.Server{Handler: h}}
 }
 
 // NewServer is httptest.NewServer with a host of its own.
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -60,7 +60,12 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for other routers' connections")
 	}
-	return &Server{listener: l, events: events, known: known, dial: dial, sessions: make(map[*yamux.Session]bool), streams: make(map[*yamux.Stream]bool)}, nil
+	return New(l, known, dial, events), nil
+}
+
+// New is Listen with a listener that is open already, which the server closes.
+func New(l net.Listener, known func(addr string) bool, dial DialFunc, events *event.Logger) *Server {
+	return &Server{listener: l, events: events, known: known, dial: dial, sessions: make(map[*yamux.Session]bool), streams: make(map[*yamux.Stream]bool)}
 }
 
 // Serve accepts other routers until Close.
