front: calls to the store are counted with the clock of a bubble

TestFirstStartCostsFewCalls, TestRestartOfAllCostsFewCalls, TestNewEraCostsFewCallsAndReachesAllRouters and TestLostDigestsOfTheReadersCostFewCalls count calls to the store that grow when digests are late: routers then read for themselves, as they should. They play in the bubble of TestRoutersCutOffInOneDirection now, with the same numbers of routers, expectations and bounds. The last one waits until only the first three routers read before it begins to count; in the bubble its fleet is younger at that point.

internal/testnet keeps the order of datagrams, as a loopback device does.

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -158,17 +158,14 @@
 // an older copy, against routers that are not told what has changed, and against
 // removals that only the readers learn of.
 func TestNewEraCostsFewCallsAndReachesAllRouters(t *testing.T) {
-	routers := *fleetRouters
+	inBubble(t, 3, playNewEra)
+}
+
+func playNewEra(f *fleetBed) {
+	t, routers := f.t, *fleetRouters
 	begun := time.Now()
-	links := map[string]*peerLink{}
 	trace := newFleetTrace()
-	f := newFleetWith(t, routers, 3, func(f *fleetBed) {
-		for n, r := range f.routers {
-			trace.follow(r, n)
-		}
-		trace.watch(t, f.routers[1].peersPort)
-		links["a reader"], links["another router"] = newPeerLink(t, f, 0), newPeerLink(t, f, routers-1)
-	})
+	startFleet(f, routers, trace.followAll)
 	gone, leaving := f.engines[0], f.engines[1]
 	f.store.Put(platform.TopicServers, gone.ID, nil)
 	f.waitFor("all routers know that a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 }) })
@@ -185,10 +182,7 @@
 	trace.report(t)
 	trace.reset()
 	before := f.store.Calls()
-	for _, l := range links {
-		l.sent.Store(0)
-		l.received.Store(0)
-	}
+	f.network.ResetBytes()
 	f.store.Restore(old, 5)
 	started := time.Now()
 	f.register(platformtest.StateLeaving, leaving)
@@ -204,8 +198,9 @@
 	}
 	t.Logf("%d routers: %d calls in %.1f s after the era began, which %d routers have read; the fleet is %.0f s old", routers, calls, seconds, entered, time.Since(begun).Seconds())
 	trace.report(t)
-	for name, l := range links {
-		t.Logf("%s sent %d and received %d bytes of digests", name, l.sent.Load(), l.received.Load())
+	for name, r := range map[string]*testBed{"a reader": f.routers[0], "another router": f.routers[routers-1]} {
+		sent, received := f.network.Bytes(netip.MustParseAddr(r.host))
+		t.Logf("%s sent %d and received %d bytes of digests", name, sent, received)
 	}
 	// Three readers with two topics call about 4 times a second each, and lists have two pages here.
 	if limit := int(60 + 24*seconds); calls > limit {
@@ -216,38 +211,29 @@
 // Guards against a fleet in which every router calls the store when all miss the digests
 // of the readers for a moment, as when bursts of datagrams overflow their sockets.
 func TestLostDigestsOfTheReadersCostFewCalls(t *testing.T) {
-	routers := *fleetRouters
+	inBubble(t, 1, playLostDigests)
+}
+
+func playLostDigests(f *fleetBed) {
+	t, routers := f.t, *fleetRouters
 	begun := time.Now()
 	trace := newFleetTrace()
-	var links []*peerLink
-	f := newFleetWith(t, routers, 1, func(f *fleetBed) {
-		for n, r := range f.routers {
-			trace.follow(r, n)
-		}
-		for n := range 3 {
-			links = append(links, newPeerLink(t, f, n))
-		}
-		trace.watch(t, f.routers[3].peersPort)
-	})
+	startFleet(f, routers, trace.followAll)
 	if time.Since(begun) > waitTimeout {
 		f.waitForUpTo(2*waitTimeout, "no router reads the store of its own accord", func() bool {
 			return time.Since(begun) > 36*time.Second && f.callsIn(time.Second) < 30
 		})
 	}
+	f.waitFor("only the first three read the store", func() bool { return f.readers(0) == 3 && f.readers(3) == 0 })
 	trace.reset()
 	before, started := f.store.Calls(), time.Now()
-	lost := func(from, _ netip.Addr) bool {
+	f.network.Lose(func(from, _ netip.Addr, _ []byte) bool {
 		return slices.ContainsFunc(f.routers[:3], func(r *testBed) bool { return r.host == from.String() })
-	}
-	for _, l := range links {
-		l.drop.Store(&lost)
-	}
+	})
 	f.waitFor("others read the store", func() bool { return f.readers(3) >= 3 })
 	// Three times as long as a router counts as a reader after its last digest.
 	time.Sleep(3 * time.Second)
-	for _, l := range links {
-		l.drop.Store(nil)
-	}
+	f.network.Lose(nil)
 	f.waitFor("only the first three read the store", func() bool { return f.readers(3) == 0 })
 	seconds := time.Since(started).Seconds()
 	calls := f.store.Calls() - before
--- a/internal/front/inventory_test.go
+++ b/internal/front/inventory_test.go
@@ -21,6 +21,12 @@
 func restartBed(t *testing.T) *fleetBed {
 	t.Helper()
 	f := &fleetBed{testBed: newTestBedWith(t, 3)}
+	f.prepareRestart()
+	return f
+}
+
+// prepareRestart fills the store and adds the routers, which are not started yet.
+func (f *fleetBed) prepareRestart() {
 	f.publish(config(1))
 	f.register(platformtest.StateReady, f.engines...)
 	for _, e := range f.engines {
@@ -29,7 +35,6 @@
 	for range *fleetRouters {
 		f.addRouter()
 	}
-	return f
 }
 
 // askedMost and askedLeast return how often the engine that was asked most, or least, was asked for its cached parts.
--- a/internal/front/oneway_test.go
+++ b/internal/front/oneway_test.go
@@ -66,16 +66,14 @@
 func playOneWayCut(f *fleetBed, cut oneWayCut, routers int) {
 	t := f.t
 	trace := newFleetTrace()
-	startFleet(f, routers, func(f *fleetBed) {
-		for n, r := range f.routers {
-			trace.follow(r, n)
-		}
-	})
+	startFleet(f, routers, trace.followAll)
 	index := map[string]int{}
 	for n, r := range f.routers {
 		index[r.host] = n
 	}
-	f.network.Lose(func(from, to netip.Addr, _ []byte) bool { return cut.lost(index[from.String()], index[to.String()], routers) })
+	f.network.Lose(func(from, to netip.Addr, _ []byte) bool {
+		return cut.lost(index[from.String()], index[to.String()], routers)
+	})
 	time.Sleep(cutCalm)
 	trace.reset()
 	before, started := f.store.Calls(), time.Now()
--- a/internal/front/startcalls_test.go
+++ b/internal/front/startcalls_test.go
@@ -28,8 +28,14 @@
 // alone: 195 routers made 1,070 calls. Also against servers that a router misses, which register meanwhile.
 func TestFirstStartCostsFewCalls(t *testing.T) {
 	t.Parallel()
-	const servers = 12
-	f := &fleetBed{testBed: newTestBedWith(t, servers)}
+	inBubble(t, firstStartServers, playFirstStart)
+}
+
+// firstStartServers is the number of servers that register while the system starts.
+const firstStartServers = 12
+
+func playFirstStart(f *fleetBed) {
+	t := f.t
 	trace := newFleetTrace()
 	for n := range *fleetRouters {
 		r := f.addRouter()
@@ -44,7 +50,7 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	f.waitForUpTo(*fleetWait, "all routers know all servers", func() bool {
-		return f.all(func(r *testBed) bool { return r.isReady() && r.serversIn("ready") == servers })
+		return f.all(func(r *testBed) bool { return r.isReady() && r.serversIn("ready") == firstStartServers })
 	})
 	time.Sleep(longestWait)
 	others, calls := len(f.routers)-3, trace.callsFrom(3)
@@ -58,7 +64,12 @@
 // Guards against a restart of all after which each router reads the store again before it knows the readers.
 func TestRestartOfAllCostsFewCalls(t *testing.T) {
 	t.Parallel()
-	f := restartBed(t)
+	inBubble(t, 3, playRestartOfAll)
+}
+
+func playRestartOfAll(f *fleetBed) {
+	t := f.t
+	f.prepareRestart()
 	started := time.Now()
 	f.startLateSeeds()
 	f.waitForUpTo(*fleetWait, "all routers are ready and know each other", func() bool {
--- a/internal/front/trace_test.go
+++ b/internal/front/trace_test.go
@@ -65,6 +65,13 @@
 	r.logger = logger
 }
 
+// followAll is follow for all routers of a fleet.
+func (f *fleetTrace) followAll(fleet *fleetBed) {
+	for n, r := range fleet.routers {
+		f.follow(r, n)
+	}
+}
+
 type discard struct{}
 
 func (discard) Write(b []byte) (int, error) { return len(b), nil }
--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// Latency is how long a datagram is on its way.
+	// Latency is how long a datagram is on its way. All arrive in the order in which they were sent, as on a loopback device.
 	Latency = time.Millisecond
 	// queuedDatagrams is how many datagrams a socket holds. Further ones are dropped, as by a kernel.
 	queuedDatagrams = 256
@@ -62,6 +62,14 @@
 	return n.sent[host], n.received[host]
 }
 
+// ResetBytes makes Bytes count from now on.
+func (n *Network) ResetBytes() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.sent)
+	clear(n.received)
+}
+
 func addressError(op, network string, addr netip.AddrPort, text string) error {
 	return &net.OpError{Op: op, Net: network, Addr: net.TCPAddrFromAddrPort(addr), Err: &net.AddrError{Err: text, Addr: addr.String()}}
 }
@@ -156,6 +164,8 @@
 type datagram struct {
 	from netip.AddrPort
 	data []byte
+	// arrives is when it can be read.
+	arrives time.Time
 }
 
 type socket struct {
@@ -170,6 +180,7 @@
 func (s *socket) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
 	select {
 	case d := <-s.queue:
+		time.Sleep(time.Until(d.arrives))
 		return copy(b, d.data), d.from, nil
 	case <-s.closed:
 		return 0, netip.AddrPort{}, net.ErrClosed
@@ -183,12 +194,11 @@
 		return 0, net.ErrClosed
 	default:
 	}
-	d := datagram{from: s.addr, data: append([]byte(nil), b...)}
-	time.AfterFunc(Latency, func() { s.network.deliver(d, to) })
+	s.network.send(datagram{from: s.addr, data: append([]byte(nil), b...), arrives: time.Now().Add(Latency)}, to)
 	return len(b), nil
 }
 
-func (n *Network) deliver(d datagram, to netip.AddrPort) {
+func (n *Network) send(d datagram, to netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.sent[d.from.Addr()] += len(d.data)
