front: changes that must be known within 2 s are tested with the clock of a bubble

Each of these tests bounds a time by that of the platform, or calls by the number that no late digest adds to, and fails when the machine is slow:

- TestReadersThatTheStoreDoesNotAnswerAreReplaced: 2.6 s for 2 s, of which 1.05 s pass until a call is overdue; red in one run of the package without the race detector at a load of 25;
- TestVersionsReachRoutersAsDifferences and TestStartingRoutersGetTheConfigurationFromOthers: red with the race detector in two and one of two runs at a load of 25 to 53;
- TestLostDifferencesLeadToAReadOfTheStore, TestEvacuationsReachAllRoutersWithoutCalls and TestRemovalWhileTheReadersRestartReachesTheOthers: have the same checks, not seen red.

They play in a bubble now, with the same fleets, faults and bounds. A killed router's datagrams, and those with parts of a configuration, are lost in the network of the bubble in place of a link.

--- a/internal/front/cutoff_test.go
+++ b/internal/front/cutoff_test.go
@@ -33,9 +33,15 @@
 }
 
 func newStoreLink(t *testing.T, addr string) *storeLink {
+	return newStoreLinkAt(t, testport.Listener(), addr, nil)
+}
+
+// newStoreLinkAt is newStoreLink with the listener of the link and the way from there to the store; nil for the usual one.
+func newStoreLinkAt(t *testing.T, listener net.Listener, addr string, transport http.RoundTripper) *storeLink {
 	l := &storeLink{}
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: addr})
-	l.server = testport.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	proxy.Transport = transport
+	l.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if l.cut.Load() {
 			panic(http.ErrAbortHandler)
 		}
@@ -50,7 +56,8 @@
 		// The end of the connection is noticed only once the body has been read.
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
-	}))
+	})}}
+	l.server.Start()
 	t.Cleanup(l.server.Close)
 	return l
 }
--- a/internal/front/differences_test.go
+++ b/internal/front/differences_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,17 +29,12 @@
 }
 
 // followedFleet starts a fleet whose calls to the store are traced, and waits until three routers read the store.
-func followedFleet(t *testing.T, routers int, prepare func(f *fleetBed)) (*fleetBed, *fleetTrace) {
-	t.Helper()
+func followedFleet(f *fleetBed, routers int) *fleetTrace {
+	f.t.Helper()
 	trace := newFleetTrace()
-	f := newFleetWith(t, routers, 2, func(f *fleetBed) {
-		for n, r := range f.routers {
-			trace.follow(r, n)
-		}
-		prepare(f)
-	})
+	startFleet(f, routers, trace.followAll)
 	f.waitFor("the first three routers read the store", func() bool { return f.readers(0) == 3 && f.readers(3) == 0 })
-	return f, trace
+	return trace
 }
 
 // versionInForce waits until a version is in force at all routers, for as long as that may take.
@@ -58,8 +54,11 @@
 // Guards against a call to the store by each router for each version of the configuration, against versions that are put in
 // force late or not at all without it, and against evacuations that routers miss which do not read the topic.
 func TestVersionsReachRoutersAsDifferences(t *testing.T) {
-	t.Parallel()
-	f, trace := followedFleet(t, *fleetRouters, func(*fleetBed) {})
+	inBubble(t, 2, playDifferences)
+}
+
+func playDifferences(f *fleetBed) {
+	t, trace := f.t, followedFleet(f, *fleetRouters)
 	others := len(f.routers) - 3
 	f.publish(largeConfig(2, 0))
 	f.versionInForce(2)
@@ -97,68 +96,70 @@
 // Guards against a router that misses a difference or a part of it, as of a reader that is killed between two datagrams, and gets the
 // version late or never, or reads the store more than once for versions that follow each other.
 func TestLostDifferencesLeadToAReadOfTheStore(t *testing.T) {
-	t.Parallel()
 	for name, lost := range map[string]func(p *configdiff.Part) bool{
 		"all parts":   func(*configdiff.Part) bool { return true },
 		"second part": func(p *configdiff.Part) bool { return p.Index == 1 },
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			const routers = 6
-			var link *peerLink
-			f, trace := followedFleet(t, routers, func(f *fleetBed) { link = newPeerLink(t, f, routers-1) })
-			last := f.routers[routers-1]
-			stop := watchRegress(t, last)
-			defer stop()
-			var dropped atomic.Int64
-			discard := func(b []byte) bool {
-				m, err := digest.Decode(b)
-				if err != nil || m.ConfigPart == nil || !lost(m.ConfigPart) {
-					return false
-				}
-				dropped.Add(1)
-				return true
-			}
-			f.publish(largeConfig(2, 200))
-			f.versionInForce(2)
-			link.discard.Store(&discard)
-			time.Sleep(time.Second)
-			trace.reset()
-			version := 2
-			const rounds = 4
-			for range rounds {
-				for range 3 {
-					version++
-					f.publish(largeConfig(version, 200))
-					time.Sleep(25 * time.Millisecond)
-				}
-				f.versionInForce(int64(version))
-				time.Sleep(time.Second)
-			}
-			calls := trace.callsFrom(routers - 1)
-			t.Logf("%d calls of the router for %d rounds of three versions; %d datagrams were lost", calls, rounds, dropped.Load())
-			if dropped.Load() == 0 {
-				t.Error("no datagram was lost")
-			}
-			// The readers may read the first version of a round on its own.
-			if s := last.front.Status(); s.ConfigSource != "store" || calls > 2*rounds+2 {
-				t.Errorf("%d calls, the version is from the %s; want at most %d, from the store", calls, s.ConfigSource, 2*rounds+2)
-			}
-			link.discard.Store(nil)
-			f.publish(largeConfig(version+1, 0))
-			f.versionInForce(int64(version + 1))
-			if got := last.front.Status().ConfigSource; got != "router" {
-				t.Errorf("the version after the loss is from the %s, want a router", got)
-			}
+			inBubble(t, 2, func(f *fleetBed) { playLostDifferences(f, lost) })
 		})
 	}
 }
 
+// playLostDifferences loses some parts of the differences for the last router of a fleet.
+func playLostDifferences(f *fleetBed, lost func(p *configdiff.Part) bool) {
+	const routers = 6
+	t, trace := f.t, followedFleet(f, routers)
+	last := f.routers[routers-1]
+	stop := watchRegress(t, last)
+	defer stop()
+	var dropped atomic.Int64
+	f.publish(largeConfig(2, 200))
+	f.versionInForce(2)
+	f.network.Lose(func(_, to netip.Addr, b []byte) bool {
+		m, err := digest.Decode(b)
+		if to.String() != last.host || err != nil || m.ConfigPart == nil || !lost(m.ConfigPart) {
+			return false
+		}
+		dropped.Add(1)
+		return true
+	})
+	time.Sleep(time.Second)
+	trace.reset()
+	version := 2
+	const rounds = 4
+	for range rounds {
+		for range 3 {
+			version++
+			f.publish(largeConfig(version, 200))
+			time.Sleep(25 * time.Millisecond)
+		}
+		f.versionInForce(int64(version))
+		time.Sleep(time.Second)
+	}
+	calls := trace.callsFrom(routers - 1)
+	t.Logf("%d calls of the router for %d rounds of three versions; %d datagrams were lost", calls, rounds, dropped.Load())
+	if dropped.Load() == 0 {
+		t.Error("no datagram was lost")
+	}
+	// The readers may read the first version of a round on its own.
+	if s := last.front.Status(); s.ConfigSource != "store" || calls > 2*rounds+2 {
+		t.Errorf("%d calls, the version is from the %s; want at most %d, from the store", calls, s.ConfigSource, 2*rounds+2)
+	}
+	f.network.Lose(nil)
+	f.publish(largeConfig(version+1, 0))
+	f.versionInForce(int64(version + 1))
+	if got := last.front.Status().ConfigSource; got != "router" {
+		t.Errorf("the version after the loss is from the %s, want a router", got)
+	}
+}
+
 // Guards against a router that applies a difference from a reader of an earlier era to a version that the store has lost, and
 // against a router in an earlier era that gets no versions of the new one.
 func TestDifferencesOfANewEra(t *testing.T) {
 	t.Parallel()
-	f, _ := followedFleet(t, 6, func(*fleetBed) {})
+	f := &fleetBed{testBed: newTestBedWith(t, 2)}
+	followedFleet(f, 6)
 	f.publish(config(2))
 	f.versionInForce(2)
 	old := f.store.Copy()
@@ -200,8 +201,12 @@
 // Guards against routers that start and have no configuration for as long as the store does not give it to them, although others
 // have it; and against one that gets an older one.
 func TestStartingRoutersGetTheConfigurationFromOthers(t *testing.T) {
-	t.Parallel()
-	f, _ := followedFleet(t, 4, func(*fleetBed) {})
+	inBubble(t, 2, playStartWithConfigFromOthers)
+}
+
+func playStartWithConfigFromOthers(f *fleetBed) {
+	t := f.t
+	followedFleet(f, 4)
 	f.publish(largeConfig(2, 100))
 	f.versionInForce(2)
 	var late []*testBed
--- a/internal/front/evacuation_test.go
+++ b/internal/front/evacuation_test.go
@@ -61,7 +61,12 @@
 // Guards against an evacuation that reaches a router late or not at all, that is lost among configurations, and for which routers
 // that are no readers call the store.
 func TestEvacuationsReachAllRoutersWithoutCalls(t *testing.T) {
-	f := newFleet(t, 9, 2)
+	inBubble(t, 2, playEvacuations)
+}
+
+func playEvacuations(f *fleetBed) {
+	t := f.t
+	startFleet(f, 9, func(*fleetBed) {})
 	f.waitFor("three routers read the store", func() bool { return f.readers(0) == 3 })
 	time.Sleep(time.Second)
 	quiet := f.callsIn(4 * time.Second)
--- a/internal/front/restartedreaders_test.go
+++ b/internal/front/restartedreaders_test.go
@@ -1,6 +1,8 @@
 package front_test
 
 import (
+	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -8,34 +10,31 @@
 	"github.com/bluebellwell/bluebellwell/platform"
 )
 
-// kill ends a router without a word to the others, whose datagrams pass a link.
-func (b *testBed) kill(l *peerLink) {
-	l.cut.Store(true)
-	b.stop()
-}
-
 // Guards against a removed server that the others use until their next own read, up to 30 s later, because the three
 // readers were killed and came back with a first list that lacks it, before another router took over. The positions
 // that they report do not show a removal. The store names no eras.
 func TestRemovalWhileTheReadersRestartReachesTheOthers(t *testing.T) {
-	t.Parallel()
-	var links []*peerLink
-	f := newFleetWith(t, 6, 3, func(f *fleetBed) {
-		f.store.SetEra("")
-		for n := range 3 {
-			links = append(links, newPeerLink(t, f, n))
-		}
-	})
+	inBubble(t, 3, playRemovalWhileTheReadersRestart)
+}
+
+func playRemovalWhileTheReadersRestart(f *fleetBed) {
+	t := f.t
+	startFleet(f, 6, func(f *fleetBed) { f.store.SetEra("") })
 	f.waitFor("only the first three read the store", func() bool { return f.readers(0) == 3 && f.readers(3) == 0 })
+	// The others hear no word of those that are killed.
+	readers := f.routers[:3]
+	f.network.Lose(func(from, _ netip.Addr, _ []byte) bool {
+		return slices.ContainsFunc(readers, func(r *testBed) bool { return r.host == from.String() })
+	})
 	var kills sync.WaitGroup
-	for n, l := range links {
-		kills.Go(func() { f.routers[n].kill(l) })
+	for _, r := range readers {
+		kills.Go(r.stop)
 	}
 	kills.Wait()
 	f.store.Put(platform.TopicServers, f.engines[1].ID, nil)
-	for n, l := range links {
-		l.cut.Store(false)
-		f.routers[n].start()
+	f.network.Lose(nil)
+	for _, r := range readers {
+		r.start()
 	}
 	f.waitForUpTo(touchWindow, "all routers know that the server is gone", func() bool {
 		return f.all(func(r *testBed) bool { return r.isReady() && r.serversIn("ready") == 2 })
--- a/internal/front/silentstore_test.go
+++ b/internal/front/silentstore_test.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"strings"
+	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -10,18 +11,30 @@
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
 
-// newFleetWithStoreLinks starts a fleet in which each of some routers reaches the store on a link of its own.
-func newFleetWithStoreLinks(t *testing.T, n, engines int, linked ...int) (f *fleetBed, links []*storeLink) {
-	f = newFleetWith(t, n, engines, func(f *fleetBed) {
+// startWithStoreLinks starts a fleet in a bubble in which each of some routers reaches the store on a link of its own.
+func (f *fleetBed) startWithStoreLinks(n int, linked ...int) (links []*storeLink) {
+	startFleet(f, n, func(f *fleetBed) {
 		f.store.SetEra("")
 		for _, i := range linked {
-			l := newStoreLink(t, f.store.Addr())
-			f.routers[i].storeAddr = strings.TrimPrefix(l.server.URL, "http://")
-			links = append(links, l)
+			links = append(links, f.linkToStore(i))
 		}
 	})
 	f.waitFor("only the first three read the store", func() bool { return f.readers(0) == 3 && f.readers(3) == 0 })
-	return f, links
+	return links
+}
+
+// linkToStore makes a router that is not started yet reach the store of a bubble on a link.
+func (f *fleetBed) linkToStore(router int) *storeLink {
+	f.t.Helper()
+	listener, err := f.network.Listen(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(router)}), 80))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	transport := &http.Transport{DialContext: f.network.Dial}
+	l := newStoreLinkAt(f.t, listener, f.store.Addr(), transport)
+	f.t.Cleanup(transport.CloseIdleConnections)
+	f.routers[router].storeAddr = listener.Addr().String()
+	return l
 }
 
 // Guards against changes that reach the others late, because the store gives the readers no answer and they count as
@@ -37,29 +50,30 @@
 	} {
 		silent := c.silent
 		t.Run(fmt.Sprintf("%d routers, topic %q", len(silent), c.only), func(t *testing.T) {
-			t.Parallel()
-			f, links := newFleetWithStoreLinks(t, routers, 3, silent...)
-			for _, l := range links {
-				l.only = c.only
-			}
-			served := &fleetBed{testBed: f.testBed, routers: f.routers[len(silent):]}
-			f.publish(config(2))
-			f.register(platformtest.StateReady, f.engines[2])
-			f.allKnow("a configuration", "version 2, ready i-0 i-1 i-2, leaving ")
-			// The readers wait at the store again.
-			time.Sleep(400 * time.Millisecond)
-			for _, l := range links {
-				l.silent.Store(true)
-			}
-			f.register(platformtest.StateLeaving, f.engines[0])
-			f.store.Put(platform.TopicServers, f.engines[1].ID, nil)
-			f.publish(config(3))
-			served.allKnow("changes while the readers get no answer", "version 3, ready i-2, leaving i-0")
-			f.waitFor("three routers read that get answers", func() bool { return served.readers(0) == 3 })
-			for _, l := range links {
-				l.silent.Store(false)
-			}
-			f.waitFor("only the first three read the store", func() bool { return f.readers(0) == 3 && f.readers(3) == 0 })
+			inBubble(t, 3, func(f *fleetBed) {
+				links := f.startWithStoreLinks(routers, silent...)
+				for _, l := range links {
+					l.only = c.only
+				}
+				served := &fleetBed{testBed: f.testBed, routers: f.routers[len(silent):]}
+				f.publish(config(2))
+				f.register(platformtest.StateReady, f.engines[2])
+				f.allKnow("a configuration", "version 2, ready i-0 i-1 i-2, leaving ")
+				// The readers wait at the store again.
+				time.Sleep(400 * time.Millisecond)
+				for _, l := range links {
+					l.silent.Store(true)
+				}
+				f.register(platformtest.StateLeaving, f.engines[0])
+				f.store.Put(platform.TopicServers, f.engines[1].ID, nil)
+				f.publish(config(3))
+				served.allKnow("changes while the readers get no answer", "version 3, ready i-2, leaving i-0")
+				f.waitFor("three routers read that get answers", func() bool { return served.readers(0) == 3 })
+				for _, l := range links {
+					l.silent.Store(false)
+				}
+				f.waitFor("only the first three read the store", func() bool { return f.readers(0) == 3 && f.readers(3) == 0 })
+			})
 		})
 	}
 }
