front: grants of few slots are tested with the clock of a bubble

TestRoutersShareFewSlotsByGrants and TestAnotherRouterGrantsWhenTheFirstOneEnds check how many requests are at a server and how many are in time; on a slow machine both depend on how late datagrams and timers are. They and TestStoppingRouterHandsTheGrantsOver, which bounds the handover by a second, play in a bubble now, with callers, routers and the server in its network.

--- a/internal/front/scarce_test.go
+++ b/internal/front/scarce_test.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/forward"
-	"github.com/bluebellwell/bluebellwell/internal/testport"
+	"github.com/bluebellwell/bluebellwell/internal/testnet"
 	"github.com/bluebellwell/bluebellwell/platform"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
 )
@@ -32,10 +32,12 @@
 	inside, most, runs int
 }
 
-func newScarceServer(t *testing.T) *scarceServer {
+// scarceAddr is the address of the server in the network of a bubble.
+var scarceAddr = netip.MustParseAddrPort("10.3.0.1:80")
+
+func newScarceServer(t *testing.T, network *testnet.Network) *scarceServer {
 	t.Helper()
-	// The ports of 127.0.0.1 run out beside other tests.
-	l, err := net.Listen("tcp", testport.ServerHost()+":0")
+	l, err := network.Listen(scarceAddr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,10 +83,17 @@
 	server *scarceServer
 }
 
-func newScarceFleet(t *testing.T) *scarceFleet {
+// inScarceFleet plays a test of a scarce fleet in a bubble. On a slow machine datagrams and timers are late, so that slots that were
+// granted are used late, and a request is late without any fault of the routers.
+func inScarceFleet(t *testing.T, play func(f *scarceFleet)) {
 	t.Helper()
-	s := newScarceServer(t)
-	f := newFleetWith(t, scarceRouters, 0, func(f *fleetBed) {
+	inBubble(t, 0, func(f *fleetBed) { play(newScarceFleet(f)) })
+}
+
+func newScarceFleet(f *fleetBed) *scarceFleet {
+	f.t.Helper()
+	s := newScarceServer(f.t, f.network)
+	startFleet(f, scarceRouters, func(f *fleetBed) {
 		f.store.Put(platform.TopicServers, "s-0", platformtest.Entry{Pool: "pool", Addr: s.addr, State: platformtest.StateReady, Slots: scarceSlots}.Encode())
 	})
 	sf := &scarceFleet{fleetBed: f, server: s}
@@ -173,8 +182,11 @@
 
 // Guards against routers that together send a server more than it has slots, and against slots that stay unused.
 func TestRoutersShareFewSlotsByGrants(t *testing.T) {
-	t.Parallel()
-	f := newScarceFleet(t)
+	inScarceFleet(t, playGrants)
+}
+
+func playGrants(f *scarceFleet) {
+	t := f.t
 	f.server.takeMost()
 	const d = 4 * time.Second
 	res := f.load(1.75, d, f.routers)
@@ -193,8 +205,11 @@
 
 // Guards against a planned stop that the others notice only when the router is gone: requests wait for it then, or go without a grant.
 func TestStoppingRouterHandsTheGrantsOver(t *testing.T) {
-	t.Parallel()
-	f := newScarceFleet(t)
+	inScarceFleet(t, playStopOfTheGrantingRouter)
+}
+
+func playStopOfTheGrantingRouter(f *scarceFleet) {
+	t := f.t
 	first := f.granting()
 	go func() { _ = first.front.Stop(t.Context()) }()
 	for _, r := range f.routers {
@@ -216,28 +231,31 @@
 func TestAnotherRouterGrantsWhenTheFirstOneEnds(t *testing.T) {
 	for _, planned := range []bool{true, false} {
 		t.Run(fmt.Sprintf("planned %v", planned), func(t *testing.T) {
-			t.Parallel()
-			f := newScarceFleet(t)
-			first := f.granting()
-			var left []*testBed
-			for _, r := range f.routers {
-				if r != first {
-					left = append(left, r)
-				}
-			}
-			time.AfterFunc(time.Second, func() {
-				if planned {
-					_ = first.front.Stop(t.Context())
-				} else {
-					first.stop()
-				}
-			})
-			res := f.load(0.85, 4*time.Second, left)
-			most, runs := f.server.takeMost()
-			t.Logf("%v; at most %d at the server, %d runs", res, most, runs)
-			if res.rejected+res.late > res.sent/10 || len(res.other) > 0 {
-				t.Errorf("want nine tenths in time")
-			}
+			inScarceFleet(t, func(f *scarceFleet) { playEndOfTheGrantingRouter(f, planned) })
 		})
 	}
 }
+
+func playEndOfTheGrantingRouter(f *scarceFleet, planned bool) {
+	t := f.t
+	first := f.granting()
+	var left []*testBed
+	for _, r := range f.routers {
+		if r != first {
+			left = append(left, r)
+		}
+	}
+	time.AfterFunc(time.Second, func() {
+		if planned {
+			_ = first.front.Stop(t.Context())
+		} else {
+			first.stop()
+		}
+	})
+	res := f.load(0.85, 4*time.Second, left)
+	most, runs := f.server.takeMost()
+	t.Logf("%v; at most %d at the server, %d runs", res, most, runs)
+	if res.rejected+res.late > res.sent/10 || len(res.other) > 0 {
+		t.Errorf("want nine tenths in time")
+	}
+}
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -130,7 +130,7 @@
 		return platform.Connect(storeAddr)
 	}
 	p := platform.ConnectOver(storeAddr, b.network.Dial)
-	p.Network = b.network
+	p.Network, p.Dial = b.network, b.network.Dial
 	// The servers are outside the bubble.
 	p.Inventory = func(context.Context, string) ([]forward.CachedPart, error) { return nil, nil }
 	return p
@@ -265,7 +265,11 @@
 
 func (b *testBed) do(r *http.Request) reply {
 	b.t.Helper()
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	transport := &http.Transport{DisableKeepAlives: true}
+	if b.network != nil {
+		transport.DialContext = b.network.Dial
+	}
+	client := http.Client{Transport: transport}
 	resp, err := client.Do(r)
 	if err != nil {
 		return reply{err: err}
