--- a/internal/front/trace_test.go
+++ b/internal/front/trace_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,8 +21,6 @@
 	mu       sync.Mutex
 	calls    map[int]int
 	becoming []becoming
-	// latest is the longest time by which a timer of the test process was late.
-	latest time.Duration
 	// seconds are the same figures for each second since the start.
 	started time.Time
 	seconds []traceSecond
@@ -32,10 +28,9 @@
 
 // traceSecond is what happened in a second.
 type traceSecond struct {
-	calls, became, dropped int
+	calls, became int
 	// outages is how often a call to the store failed after one that did not.
 	outages int
-	latest  time.Duration
 }
 
 // second returns the figures of the present second. The caller holds f.mu.
@@ -80,7 +75,7 @@
 func (f *fleetTrace) reset() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.calls, f.becoming, f.latest = map[int]int{}, nil, 0
+	f.calls, f.becoming = map[int]int{}, nil
 }
 
 // callsFrom returns the calls of the routers from the n-th on.
@@ -96,33 +91,6 @@
 	return calls
 }
 
-// watch measures until the test ends how late timers of this process are, and how many
-// datagrams the kernel drops at a port.
-func (f *fleetTrace) watch(t *testing.T, port uint16) {
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go func() {
-		const period = 10 * time.Millisecond
-		dropped, checked := droppedDatagrams(port), time.Now()
-		for ctx.Err() == nil {
-			drops := dropped
-			if time.Since(checked) > 250*time.Millisecond {
-				drops, checked = droppedDatagrams(port), time.Now()
-			}
-			start := time.Now()
-			time.Sleep(period)
-			late := time.Since(start) - period
-			f.mu.Lock()
-			f.latest = max(f.latest, late)
-			second := f.second()
-			second.latest = max(second.latest, late)
-			second.dropped += drops - dropped
-			dropped = drops
-			f.mu.Unlock()
-		}
-	}()
-}
-
 // report logs what has been recorded since reset.
 func (f *fleetTrace) report(t *testing.T) {
 	f.mu.Lock()
@@ -144,12 +112,11 @@
 			ofOthers += calls
 		}
 	}
-	t.Logf("%d routers called: the first three %d times, %d that became readers %d times, others %d times; timers were up to %s late",
-		callers, ofFirst, len(readers), ofReaders, ofOthers, f.latest)
+	t.Logf("%d routers called: the first three %d times, %d that became readers %d times, others %d times",
+		callers, ofFirst, len(readers), ofReaders, ofOthers)
 	for n, s := range f.seconds {
-		if s.became > 0 || s.outages > 0 || s.dropped > 0 || s.latest > 100*time.Millisecond || s.calls > 30 {
-			t.Logf("second %d: %d calls, %d began to fail, %d routers became readers, %d datagrams dropped, timers %s late",
-				n, s.calls, s.outages, s.became, s.dropped, s.latest.Round(time.Millisecond))
+		if s.became > 0 || s.outages > 0 || s.calls > 30 {
+			t.Logf("second %d: %d calls, %d began to fail, %d routers became readers", n, s.calls, s.outages, s.became)
 		}
 	}
 	const most = 6
@@ -239,21 +206,3 @@
 		}
 	}
 }
-
-// droppedDatagrams returns how many datagrams the kernel has dropped at a port since the
-// sockets were opened, where it says so.
-func droppedDatagrams(port uint16) int {
-	table, err := os.ReadFile("/proc/net/udp")
-	if err != nil {
-		return 0
-	}
-	dropped := 0
-	for line := range strings.Lines(string(table)) {
-		fields := strings.Fields(line)
-		if len(fields) > 2 && strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", port)) {
-			n, _ := strconv.Atoi(fields[len(fields)-1])
-			dropped += n
-		}
-	}
-	return dropped
-}
