front: streams of two versions are tested with the clock of a bubble

On a loaded machine a request that ends a stream is cut by its deadline, a caller's attempts are over before an inventory is, and two tests were red in a run of the package without the race detector at a load of 25 ("the stream did not go on", "a stream was begun by []"). The nine tests of newVersionedFleet that have no link of their own play in a bubble, with the same fleets, streams and bounds. Its engines are reached through its network now, and so are their inventories, which the bubble had answered itself.

--- a/internal/front/bubble_test.go
+++ b/internal/front/bubble_test.go
@@ -19,19 +19,13 @@
 
 // inBubble plays a test of a fleet with the clock of a bubble of testing/synctest: it stands still while a goroutine can run. A
 // slow machine makes no digest and no call to the store late there, to which routers would react by reading the store themselves,
-// and rightly. The servers serve nothing; they only have entries in the store.
+// and rightly.
 //
 // Goroutines run on one processor meanwhile, so the test must not be a parallel one: with the race detector, the runtime of Go 1.26
 // crashes when two goroutines of a bubble receive from timers at the same moment that were due while they waited for something else
 // (both use the race context of the bubble's timers, in unlockAndRun).
 func inBubble(t *testing.T, engines int, play func(f *fleetBed)) {
 	t.Helper()
-	var list []*platformtest.Engine
-	for i := range engines {
-		e := platformtest.NewEngine(fmt.Sprintf("i-%d", i))
-		t.Cleanup(e.Close)
-		list = append(list, e)
-	}
 	processors := runtime.GOMAXPROCS(1)
 	defer runtime.GOMAXPROCS(processors)
 	synctest.Test(t, func(t *testing.T) {
@@ -40,11 +34,33 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f := &fleetBed{testBed: &testBed{t: t, store: platformtest.NewStoreAt(l), engines: list, network: network}}
+		f := &fleetBed{testBed: &testBed{t: t, store: platformtest.NewStoreAt(l), network: network}}
 		t.Cleanup(f.store.Close)
+		for range engines {
+			f.addEngine()
+		}
 		play(f)
 		if n := network.Dropped(); n > 0 {
 			t.Logf("%d datagrams were dropped at full sockets", n)
 		}
 	})
 }
+
+// addEngine adds an engine to a bed, in the network of its bubble if it has one.
+func (f *fleetBed) addEngine() *platformtest.Engine {
+	f.t.Helper()
+	id := fmt.Sprintf("i-%d", len(f.engines))
+	var e *platformtest.Engine
+	if f.network == nil {
+		e = platformtest.NewEngine(id)
+	} else {
+		l, err := f.network.Listen(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 4, 0, byte(len(f.engines))}), 80))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		e = platformtest.NewEngineAt(id, l)
+	}
+	f.t.Cleanup(e.Close)
+	f.engines = append(f.engines, e)
+	return e
+}
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -16,7 +16,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bluebellwell/bluebellwell/internal/feed"
-	"github.com/bluebellwell/bluebellwell/internal/forward"
 	"github.com/bluebellwell/bluebellwell/internal/front"
 	"github.com/bluebellwell/bluebellwell/internal/settings"
 	"github.com/bluebellwell/bluebellwell/internal/testnet"
@@ -131,8 +130,6 @@
 	}
 	p := platform.ConnectOver(storeAddr, b.network.Dial)
 	p.Network, p.Dial = b.network, b.network.Dial
-	// The servers are outside the bubble.
-	p.Inventory = func(context.Context, string) ([]forward.CachedPart, error) { return nil, nil }
 	return p
 }
 
--- a/internal/front/versions_test.go
+++ b/internal/front/versions_test.go
@@ -29,11 +29,15 @@
 // engines, which are of the first version.
 func newVersionedFleet(t *testing.T, routers, registered int, prepare ...func(f *fleetBed)) *fleetBed {
 	t.Helper()
-	f := newFleetWith(t, routers, 0, func(f *fleetBed) {
+	return startVersionedFleet(&fleetBed{testBed: newTestBedWith(t, 0)}, routers, registered, prepare...)
+}
+
+// startVersionedFleet is newVersionedFleet in a bed, which may be that of a bubble.
+func startVersionedFleet(f *fleetBed, routers, registered int, prepare ...func(f *fleetBed)) *fleetBed {
+	f.t.Helper()
+	startFleet(f, routers, func(f *fleetBed) {
 		for i := range 2 * perVersion {
-			e := platformtest.NewEngine(fmt.Sprintf("i-%d", i))
-			t.Cleanup(e.Close)
-			f.engines = append(f.engines, e)
+			e := f.addEngine()
 			e.SetVersion(fmt.Sprintf("v%d", 1+i/perVersion))
 			e.SetFaults(func(r *http.Request) platformtest.Fault {
 				if r.Header.Get(platformtest.HeaderLastEvent) != "" {
@@ -101,8 +105,12 @@
 // Guards against a router that continues a stream, which its engine has broken off, at an engine of
 // another software version.
 func TestStreamIsContinuedAtTheVersionThatBeganIt(t *testing.T) {
-	t.Parallel()
-	f := newVersionedFleet(t, 3, 2*perVersion)
+	inBubble(t, 0, playStreamIsContinuedAtTheVersionThatBeganIt)
+}
+
+func playStreamIsContinuedAtTheVersionThatBeganIt(f *fleetBed) {
+	t := f.t
+	startVersionedFleet(f, 3, 2*perVersion)
 	whole := 0
 	for n := range versionedStreams {
 		id, _, got := f.routers[n%3].begin("/resume", n)
@@ -121,8 +129,12 @@
 // Guards against a stream that its caller takes up at another router, which sends it to an engine of
 // another software version, also when the first router has ended.
 func TestCallerTakesUpAStreamAtTheVersionThatBeganIt(t *testing.T) {
-	t.Parallel()
-	f := newVersionedFleet(t, 4, 2*perVersion)
+	inBubble(t, 0, playCallerTakesUpAStreamAtTheVersionThatBeganIt)
+}
+
+func playCallerTakesUpAStreamAtTheVersionThatBeganIt(f *fleetBed) {
+	t := f.t
+	startVersionedFleet(f, 4, 2*perVersion)
 	type stream struct {
 		id, last string
 		n        int
@@ -163,8 +175,12 @@
 // Guards against a guess when nobody knows which version began a stream, and against a refusal that
 // is untrue or late.
 func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
-	t.Parallel()
-	f := newVersionedFleet(t, 2, 2*perVersion)
+	inBubble(t, 0, playStreamOfUnknownVersionIsRefused)
+}
+
+func playStreamOfUnknownVersionIsRefused(f *fleetBed) {
+	t := f.t
+	startVersionedFleet(f, 2, 2*perVersion)
 	id, got := f.routers[0].takeUp("/single", 7, "no-such-request", "2")
 	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || len(f.versionsOf(id)) > 0 {
 		t.Errorf("status %d, Retry-After %q, reached %v; want a refusal", got.status, got.header.Get("Retry-After"), f.versionsOf(id))
@@ -174,8 +190,12 @@
 // Guards against a stream that goes on at the new version when a release has removed all engines of
 // the one that began it.
 func TestStreamOfAVersionThatIsGoneIsRefused(t *testing.T) {
-	t.Parallel()
-	f := newVersionedFleet(t, 2, 2*perVersion)
+	inBubble(t, 0, playStreamOfAVersionThatIsGoneIsRefused)
+}
+
+func playStreamOfAVersionThatIsGoneIsRefused(f *fleetBed) {
+	t := f.t
+	startVersionedFleet(f, 2, 2*perVersion)
 	id, last, _ := f.routers[0].begin("/single", 1)
 	gone := f.versionsOf(id)[0]
 	for i, e := range f.engines {
@@ -209,8 +229,12 @@
 
 // Guards against streams that began before the second version was there: nobody would know theirs.
 func TestStreamThatBeganBeforeTheSecondVersionGoesOnAtItsOwn(t *testing.T) {
-	t.Parallel()
-	f := newVersionedFleet(t, 3, perVersion)
+	inBubble(t, 0, playStreamThatBeganBeforeTheSecondVersionGoesOnAtItsOwn)
+}
+
+func playStreamThatBeganBeforeTheSecondVersionGoesOnAtItsOwn(f *fleetBed) {
+	t := f.t
+	startVersionedFleet(f, 3, perVersion)
 	type stream struct{ id, last string }
 	var begun []stream
 	for n := range 8 {
@@ -307,8 +331,11 @@
 // Guards against streams that end for good, or go on at another version, because all routers that knew
 // which version began them have ended.
 func TestStreamsGoOnAtTheirVersionAfterAllRoutersHaveEnded(t *testing.T) {
-	t.Parallel()
-	f := newVersionedFleet(t, 3, 2*perVersion)
+	inBubble(t, 0, playStreamsGoOnAtTheirVersionAfterAllRoutersHaveEnded)
+}
+
+func playStreamsGoOnAtTheirVersionAfterAllRoutersHaveEnded(f *fleetBed) {
+	startVersionedFleet(f, 3, 2*perVersion)
 	begun := f.beginAll()
 	f.restartAll()
 	f.checkStreamsGoOn(begun)
@@ -317,8 +344,12 @@
 // Guards against streams of a version that is gone, which go on at the only one that is left when all
 // routers that knew the other one have ended.
 func TestStreamsOfAVersionThatIsGoneAreRefusedAfterAllRoutersHaveEnded(t *testing.T) {
-	t.Parallel()
-	f := newVersionedFleet(t, 3, 2*perVersion)
+	inBubble(t, 0, playStreamsOfAVersionThatIsGoneAreRefusedAfterAllRoutersHaveEnded)
+}
+
+func playStreamsOfAVersionThatIsGoneAreRefusedAfterAllRoutersHaveEnded(f *fleetBed) {
+	t := f.t
+	startVersionedFleet(f, 3, 2*perVersion)
 	begun := f.beginAll()
 	for _, e := range f.engines[:perVersion] {
 		f.store.Put(platform.TopicServers, e.ID, nil)
@@ -345,9 +376,12 @@
 // Guards against streams that nobody takes up after a restart of all, because the router that asked the engines
 // discovered the others only after it had told them which versions began streams.
 func TestStreamsGoOnWhenRoutersDiscoverEachOtherLate(t *testing.T) {
-	t.Parallel()
+	inBubble(t, 0, playStreamsGoOnWhenRoutersDiscoverEachOtherLate)
+}
+
+func playStreamsGoOnWhenRoutersDiscoverEachOtherLate(f *fleetBed) {
 	// More routers than are asked for a stream, so that most streams are not asked for at the one that has asked the engines.
-	f := newVersionedFleet(t, 16, 2*perVersion)
+	startVersionedFleet(f, 16, 2*perVersion)
 	begun := f.beginAll()
 	for _, r := range f.routers {
 		r.stop()
@@ -391,22 +425,24 @@
 // Guards against streams that end for good because the few routers that survived the kill of most did not know them:
 // the others get the placements from these, so nobody asked the engines.
 func TestStreamsGoOnWhenMostRoutersHaveBeenKilled(t *testing.T) {
-	t.Parallel()
 	for _, survivors := range []int{1, 3} {
 		t.Run(fmt.Sprint(survivors), func(t *testing.T) {
-			t.Parallel()
-			f := newVersionedFleet(t, 9, 2*perVersion)
-			f.waitFor("the first inventory is over", func() bool { return f.askedLeast() > 0 })
-			begun, asked := f.beginAll(), f.askedMost()
-			f.killMost(survivors)
-			f.checkStreamsGoOn(begun)
-			if n := f.askedMost() - asked; n > 1 {
-				t.Errorf("an engine was asked %d times after the kill, want at most once", n)
-			}
+			inBubble(t, 0, func(f *fleetBed) { playKillOfMost(f, survivors) })
 		})
 	}
 }
 
+func playKillOfMost(f *fleetBed, survivors int) {
+	startVersionedFleet(f, 9, 2*perVersion)
+	f.waitFor("the first inventory is over", func() bool { return f.askedLeast() > 0 })
+	begun, asked := f.beginAll(), f.askedMost()
+	f.killMost(survivors)
+	f.checkStreamsGoOn(begun)
+	if n := f.askedMost() - asked; n > 1 {
+		f.t.Errorf("an engine was asked %d times after the kill, want at most once", n)
+	}
+}
+
 // errCut is the error of a call to the store while its router is cut off.
 var errCut = errors.New("cut off from the store")
 
