front: a refusal at once is tested with the clock of a bubble

TestRequestIsRefusedWhenAllServersWantNone wants refusals within a second of the caller's time; with the race detector at a load of up to 53 eight callers waited for 1.1 to 2.0 s for processors.

--- a/internal/front/refusingserver_test.go
+++ b/internal/front/refusingserver_test.go
@@ -57,8 +57,11 @@
 // Guards against callers that are held, or sent to servers that want nothing, when all have turned
 // requests away.
 func TestRequestIsRefusedWhenAllServersWantNone(t *testing.T) {
-	t.Parallel()
-	b := newTestBedWith(t, 2).run()
+	inBubble(t, 2, playRefusalWhenAllServersWantNone)
+}
+
+func playRefusalWhenAllServersWantNone(f *fleetBed) {
+	t, b := f.t, f.run()
 	for _, e := range b.engines {
 		e.SetAnswerHeader("Retry-After", "30")
 		e.SetDefaultFault(platformtest.Refuse)
