--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -26,9 +26,9 @@
 	asked  bool
 	result string
 	wait   time.Duration
-	// desk is the one that was asked.
-	desk   *grantDesk
-	inVain int
+	// endpoint is the one that was asked.
+	endpoint *grantEndpoint
+	inVain   int
 	grantAttempt
 }
 
@@ -65,8 +65,8 @@
 		return true
 	}
 	exclude := c.pool.withheldServers(now, *job)
-	c.grant.asked, c.grant.desk = true, c.pool.grants.choose(now, exclude)
-	d := c.grant.desk.ask(ctx, slotgrant.Question{
+	c.grant.asked, c.grant.endpoint = true, c.pool.grants.choose(now, exclude)
+	d := c.grant.endpoint.ask(ctx, slotgrant.Question{
 		Priority:  c.priority(),
 		Objective: c.objectiveLeft(now),
 		Deadline:  c.deadline.Sub(now),
@@ -131,7 +131,7 @@
 // goWithoutGrant lets a request go without a grant when no router grants, as long as all routers together don't
 // flood the servers. It reports whether the request is to be sent.
 func (c *call) goWithoutGrant() bool {
-	if !c.grant.desk.fallBack(time.Now()) {
+	if !c.grant.endpoint.fallBack(time.Now()) {
 		c.grant.result = slotgrant.ReasonFallback.String()
 		c.rejectUngranted(retryAfter(CausePoolFull, c.route.Objective))
 		return false
@@ -158,9 +158,9 @@
 	switch {
 	case c.grant.number != 0:
 		c.grant.number = 0
-		c.grant.desk.end(r)
+		c.grant.endpoint.end(r)
 	case c.grant.fallback:
-		c.grant.desk.recordTime(r)
+		c.grant.endpoint.recordTime(r)
 	}
 }
 
--- a/internal/forward/grant_test.go
+++ b/internal/forward/grant_test.go
@@ -399,7 +399,7 @@
 		defer func() { _ = recover() }()
 		h.ServeHTTP(httptest.NewRecorder(), r)
 	}()
-	granter := state.pool("p").grants.allDesks()[0].desk.Granter
+	granter := state.pool("p").grants.allEndpoints()[0].endpoint.Granter
 	if granter.Counts().Granted != 1 || granter.Leases() != 0 {
 		t.Errorf("the slot of a request that has panicked is not free")
 	}
@@ -487,7 +487,7 @@
 	b, l := newScarceBed(t, plainRoute(), ok("x"))
 	l.candidates = []netip.Addr{ownAddr}
 	b.send(ask{})
-	d := b.state.pool("p").grants.allDesks()[0]
+	d := b.state.pool("p").grants.allEndpoints()[0]
 	term := b.state.Status(time.Now())[0].Grants.Groups[0].Term
 	d.mu.Lock()
 	// The time of day has gone on by ten seconds, the monotonic clock has not.
@@ -567,7 +567,7 @@
 	p := b.state.pool("p")
 	p.recordRetryAfter(time.Now(), b.servers[0].Key(), time.Minute)
 	time.Sleep(2 * viewInterval)
-	d := p.grants.allDesks()[0]
+	d := p.grants.allEndpoints()[0]
 	b.state.ReceiveGrants(otherAddr, &slotgrant.Message{Pool: d.group, Questions: []slotgrant.Question{
 		{Number: 1, Objective: time.Second, Deadline: time.Second},
 	}})
--- a/internal/forward/grantpool.go
+++ b/internal/forward/grantpool.go
@@ -44,12 +44,12 @@
 	link    GrantLink
 	events  *event.Logger
 	metrics *Metrics
-	// desks has all desks by the key of their group, for the datagrams that arrive.
-	desks sync.Map
+	// endpoints has all endpoints by the key of their group, for the datagrams that arrive.
+	endpoints sync.Map
 }
 
-// grantPool decides whether a pool is scarce, and has a desk for each group of its servers. It is safe for concurrent use. Its
-// lock is taken before that of its pool, and after that of a desk.
+// grantPool decides whether a pool is scarce, and has an endpoint for each group of its servers. It is safe for concurrent use. Its
+// lock is taken before that of its pool, and after that of an endpoint.
 type grantPool struct {
 	pool   *pool
 	shared *grantsShared
@@ -64,11 +64,11 @@
 	servers   []slotgrant.Server
 	serversAt time.Time
 	groups    []uint64
-	desks     map[uint64]*grantDesk
+	endpoints map[uint64]*grantEndpoint
 }
 
 func newGrantPool(p *pool, shared *grantsShared) *grantPool {
-	return &grantPool{pool: p, shared: shared, desks: make(map[uint64]*grantDesk)}
+	return &grantPool{pool: p, shared: shared, endpoints: make(map[uint64]*grantEndpoint)}
 }
 
 // isScarce reports whether requests to the pool need a grant.
@@ -143,31 +143,31 @@
 // groupOf returns the group of a server.
 func groupOf(server uint64, groups int) int { return int(server % uint64(groups)) }
 
-// desk returns the desk of a group, or nil when the pool has no such group.
-func (g *grantPool) desk(group uint64) *grantDesk {
+// endpoint returns the endpoint of a group, or nil when the pool has no such group.
+func (g *grantPool) endpoint(group uint64) *grantEndpoint {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refresh(time.Now())
-	return g.deskOf(group)
+	return g.endpointOf(group)
 }
 
-// deskOf is desk with g.mu held.
-func (g *grantPool) deskOf(group uint64) *grantDesk {
-	if d := g.desks[group]; d != nil {
+// endpointOf is endpoint with g.mu held.
+func (g *grantPool) endpointOf(group uint64) *grantEndpoint {
+	if d := g.endpoints[group]; d != nil {
 		return d
 	}
 	if !slices.Contains(g.groups, group) {
 		return nil
 	}
-	d := newGrantDesk(g, group)
-	g.desks[group] = d
-	g.shared.desks.Store(group, d)
+	d := newGrantEndpoint(g, group)
+	g.endpoints[group] = d
+	g.shared.endpoints.Store(group, d)
 	return d
 }
 
-// choose returns the desk that a request is to ask: one of the groups at random, by their slots. Servers that the request may not go
+// choose returns the endpoint that a request is to ask: one of the groups at random, by their slots. Servers that the request may not go
 // to don't count.
-func (g *grantPool) choose(now time.Time, exclude []uint64) *grantDesk {
+func (g *grantPool) choose(now time.Time, exclude []uint64) *grantEndpoint {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refresh(now)
@@ -179,12 +179,12 @@
 		}
 	}
 	if total == 0 {
-		return g.deskOf(g.groups[0])
+		return g.endpointOf(g.groups[0])
 	}
 	at := rand.IntN(total)
 	for i, n := range slots {
 		if at -= n; at < 0 {
-			return g.deskOf(g.groups[i])
+			return g.endpointOf(g.groups[i])
 		}
 	}
 	return nil
@@ -217,12 +217,12 @@
 
 // ReceiveGrants handles what another router says about the slots of a group of servers.
 func (st *State) ReceiveGrants(from netip.Addr, m *slotgrant.Message) {
-	if d, ok := st.grantsShared.desks.Load(m.Pool); ok {
-		d.(*grantDesk).receive(from, m)
+	if d, ok := st.grantsShared.endpoints.Load(m.Pool); ok {
+		d.(*grantEndpoint).receive(from, m)
 		return
 	}
 	for _, g := range st.grantPools() {
-		if d := g.desk(m.Pool); d != nil {
+		if d := g.endpoint(m.Pool); d != nil {
 			d.receive(from, m)
 			return
 		}
@@ -232,23 +232,23 @@
 // HandOverGrants lets the next routers grant, after the others have been told that this one does not.
 func (st *State) HandOverGrants() {
 	for _, g := range st.grantPools() {
-		for _, d := range g.allDesks() {
+		for _, d := range g.allEndpoints() {
 			d.update(d.tick)
 		}
 	}
 }
 
-// allDesks returns the desks in the order of their groups, then those of earlier groups.
-func (g *grantPool) allDesks() []*grantDesk {
+// allEndpoints returns the endpoints in the order of their groups, then those of earlier groups.
+func (g *grantPool) allEndpoints() []*grantEndpoint {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var list, earlier []*grantDesk
+	var list, earlier []*grantEndpoint
 	for _, group := range g.groups {
-		if d := g.desks[group]; d != nil {
+		if d := g.endpoints[group]; d != nil {
 			list = append(list, d)
 		}
 	}
-	for group, d := range g.desks {
+	for group, d := range g.endpoints {
 		if !slices.Contains(g.groups, group) {
 			earlier = append(earlier, d)
 		}
--- a/internal/forward/grantstatus.go
+++ b/internal/forward/grantstatus.go
@@ -43,53 +43,53 @@
 	groups := slices.Clone(g.groups)
 	g.mu.Unlock()
 	for _, group := range groups {
-		if d := g.desk(group); d != nil {
+		if d := g.endpoint(group); d != nil {
 			s.Groups = append(s.Groups, d.status(now))
 		}
 	}
 	return s
 }
 
-func (d *grantDesk) status(now time.Time) GrantGroupStatus {
-	view := d.view(now)
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (e *grantEndpoint) status(now time.Time) GrantGroupStatus {
+	view := e.view(now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	s := GrantGroupStatus{Servers: len(view.Servers)}
 	for _, addr := range view.Candidates {
-		if !d.desk.Asker.Silent(addr) {
+		if !e.endpoint.Asker.Silent(addr) {
 			s.Router = addr.String()
 			break
 		}
 	}
-	granter := d.desk.Granter
-	s.Granting, s.Leases, s.Waiting, s.Term = granter.Active(), granter.Leases(), granter.Waiting(), d.desk.Asker.Term()
+	granter := e.endpoint.Granter
+	s.Granting, s.Leases, s.Waiting, s.Term = granter.Active(), granter.Leases(), granter.Waiting(), e.endpoint.Asker.Term()
 	s.SlotMs = float64(granter.SlotTime().Microseconds()) / 1000
-	if d.silent.IsValid() {
-		s.Silent = d.silent.String()
+	if e.silent.IsValid() {
+		s.Silent = e.silent.String()
 	}
 	return s
 }
 
-// observe logs and counts what has changed. The caller holds d.mu.
-func (d *grantDesk) observe() {
-	g := d.desk.Granter
-	if active := g.Active(); active != d.granting {
-		d.granting = active
-		e := event.GrantingEnded
+// observe logs and counts what has changed. The caller holds e.mu.
+func (e *grantEndpoint) observe() {
+	g := e.endpoint.Granter
+	if active := g.Active(); active != e.granting {
+		e.granting = active
+		change := event.GrantingEnded
 		if active {
-			e = event.GrantingBegun
+			change = event.GrantingBegun
 		}
-		d.shared.events.Emit(e, "pool", d.pool.pool.name, "group", strconv.FormatUint(d.group, 16), "term", d.desk.Asker.Term())
+		e.shared.events.Emit(change, "pool", e.pool.pool.name, "group", strconv.FormatUint(e.group, 16), "term", e.endpoint.Asker.Term())
 	}
-	if silent := d.desk.Asker.FirstSilent(); silent != d.silent {
-		d.silent = silent
+	if silent := e.endpoint.Asker.FirstSilent(); silent != e.silent {
+		e.silent = silent
 		if silent.IsValid() {
-			d.shared.events.Emit(event.GranterSilent, "pool", d.pool.pool.name, "group", strconv.FormatUint(d.group, 16), "router", silent.String())
+			e.shared.events.Emit(event.GranterSilent, "pool", e.pool.pool.name, "group", strconv.FormatUint(e.group, 16), "router", silent.String())
 		}
 	}
-	if counts := g.Counts(); counts != d.counts {
-		d.shared.metrics.recordGranting(d.pool.pool.name, d.counts, counts)
-		d.counts = counts
+	if counts := g.Counts(); counts != e.counts {
+		e.shared.metrics.recordGranting(e.pool.pool.name, e.counts, counts)
+		e.counts = counts
 	}
 }
 
--- a/internal/slotgrant/bounds_test.go
+++ b/internal/slotgrant/bounds_test.go
@@ -88,7 +88,7 @@
 		s.at(mid, func() { s.routers[0].dead = true })
 		s.run()
 		s.check()
-		if !s.routers[1].desk.Granter.Active() {
+		if !s.routers[1].endpoint.Granter.Active() {
 			t.Error("the next router does not grant")
 		}
 	})
@@ -108,7 +108,7 @@
 		granting := time.Duration(0)
 		var look func()
 		look = func() {
-			if s.routers[5].desk.Granter.Active() {
+			if s.routers[5].endpoint.Granter.Active() {
 				granting = s.now - mid
 				return
 			}
@@ -138,7 +138,7 @@
 		if most := s.result.mostInside; most > 2*simSlots {
 			t.Errorf("%d requests at the server after the freeze, want at most the slots of two routers that grant", most)
 		}
-		if !s.routers[0].desk.Granter.Active() || s.routers[1].desk.Granter.Active() {
+		if !s.routers[0].endpoint.Granter.Active() || s.routers[1].endpoint.Granter.Active() {
 			t.Error("the first router does not grant again")
 		}
 	})
--- a/internal/slotgrant/scarcity_test.go
+++ b/internal/slotgrant/scarcity_test.go
@@ -80,7 +80,7 @@
 
 // BenchmarkQuestion is the cost of a question, its answer and its report at the granting router, with a queue.
 func BenchmarkQuestion(b *testing.B) {
-	d := NewDesk(1, routerA, 0)
+	d := NewEndpoint(1, routerA, 0)
 	v := View{Candidates: []netip.Addr{routerA}, Servers: []Server{{Hash: 9, Slots: 6, Usable: true}}, LoadsKnown: true}
 	now := start
 	for i := range 20 {
--- a/internal/slotgrant/simulation_test.go
+++ b/internal/slotgrant/simulation_test.go
@@ -107,10 +107,10 @@
 func (r *simResult) share(n int) float64 { return float64(n) / float64(r.arrivals) }
 
 type simRouter struct {
-	sim     *sim
-	addr    netip.Addr
-	desk    *Desk
-	started time.Duration
+	sim      *sim
+	addr     netip.Addr
+	endpoint *Endpoint
+	started  time.Duration
 	// known is when it gets to know each other router.
 	known    map[netip.Addr]time.Duration
 	loads    int
@@ -349,10 +349,10 @@
 		report.Load = 0
 	}
 	if q.granted {
-		r.desk.End(r.now(), r.view(), report)
+		r.endpoint.End(r.now(), r.view(), report)
 		r.flush()
 	} else {
-		r.desk.Asker.RecordTime(report)
+		r.endpoint.Asker.RecordTime(report)
 	}
 	if !s.counted(q) {
 		return
@@ -416,7 +416,7 @@
 // start starts the router's process. One that is known to the others knows them as well.
 func (r *simRouter) start(known bool) {
 	r.dead, r.started = false, r.sim.now
-	r.desk = NewDesk(1, r.addr, r.sim.rng.Uint64())
+	r.endpoint = NewEndpoint(1, r.addr, r.sim.rng.Uint64())
 	r.waiting = make(map[uint64]*simRequest)
 	r.known = make(map[netip.Addr]time.Duration)
 	r.loads, r.own, r.ticking, r.fallback = 0, 0, false, Fallback{}
@@ -448,7 +448,7 @@
 }
 
 func (r *simRouter) ask(q *simRequest) {
-	number, asked := r.desk.Ask(r.now(), r.view(), Question{
+	number, asked := r.endpoint.Ask(r.now(), r.view(), Question{
 		Objective: simObjective, Deadline: simDeadline, Workspace: q.workspace, Priority: q.priority(),
 	})
 	if !asked {
@@ -472,7 +472,7 @@
 }
 
 func (r *simRouter) fallBack(q *simRequest) {
-	if !r.fallback.Take(r.now(), simSlots, simRouters, r.desk.Asker.SlotTime()) {
+	if !r.fallback.Take(r.now(), simSlots, simRouters, r.endpoint.Asker.SlotTime()) {
 		r.sim.reject(q)
 		return
 	}
@@ -480,16 +480,16 @@
 	r.sim.send(q)
 }
 
-// flush sends what the desk has to send, and acts on its decisions.
+// flush sends what the endpoint has to send, and acts on its decisions.
 func (r *simRouter) flush() {
-	for _, o := range r.desk.Take() {
+	for _, o := range r.endpoint.Take() {
 		r.sim.result.datagrams++
 		if r.sim.rng.Float64() < r.sim.lost {
 			continue
 		}
 		r.sim.after(r.sim.delayOf(), func() { r.sim.deliver(r.addr, o) })
 	}
-	if m := r.desk.TakeAnnouncement(); m != nil {
+	if m := r.endpoint.TakeAnnouncement(); m != nil {
 		for _, o := range r.sim.routers {
 			if o != r {
 				r.sim.result.datagrams++
@@ -497,7 +497,7 @@
 			}
 		}
 	}
-	for _, d := range r.desk.Asker.TakeDecisions() {
+	for _, d := range r.endpoint.Asker.TakeDecisions() {
 		q := r.waiting[d.Number]
 		delete(r.waiting, d.Number)
 		switch d.Kind {
@@ -514,10 +514,10 @@
 }
 
 func (r *simRouter) tickLater() {
-	if !r.desk.Busy() {
+	if !r.endpoint.Busy() {
 		return
 	}
-	at := r.sim.now + r.desk.NextTick(r.now())
+	at := r.sim.now + r.endpoint.NextTick(r.now())
 	if r.ticking && r.tickAt <= at {
 		return
 	}
@@ -531,7 +531,7 @@
 		return
 	}
 	r.ticking = false
-	r.desk.Tick(r.now(), r.view())
+	r.endpoint.Tick(r.now(), r.view())
 	r.flush()
 }
 
@@ -550,7 +550,7 @@
 	for _, r := range s.routers {
 		if r.addr == o.To {
 			r.ifAwake(func() {
-				r.desk.Receive(r.now(), r.view(), from, o.Message)
+				r.endpoint.Receive(r.now(), r.view(), from, o.Message)
 				r.flush()
 			})
 		}
