configdiff, front: a difference that fails to be made is counted by its cause

Make and MakeWhole returned ErrTooLarge for empty texts too, and the router counted every failure as too_large, also one of the compressor. Empty texts have ErrEmpty, and what is not too large is counted as not_made.

--- a/internal/configdiff/configdiff.go
+++ b/internal/configdiff/configdiff.go
@@ -37,9 +37,11 @@
 	minWindowBytes = 64 << 10
 )
 
-// Errors of Make and Apply.
+// Errors of Make, MakeWhole and Apply.
 var (
-	// ErrTooLarge is returned by Make for a text or a difference that is too large to be sent.
+	// ErrEmpty is returned by Make and MakeWhole for a text without content.
+	ErrEmpty = eris.New("configuration is empty")
+	// ErrTooLarge is returned by Make and MakeWhole for a text or a difference that is too large to be sent.
 	ErrTooLarge = eris.New("configuration or difference is too large to be sent")
 	// ErrWrongBase is returned by Apply for another text than the one that the difference starts from.
 	ErrWrongBase = eris.New("difference starts from another configuration")
@@ -72,10 +74,10 @@
 	Payload []byte
 }
 
-// Make returns the difference from base to text, without positions.
+// Make returns the difference from base to text, without positions. The error is ErrEmpty, ErrTooLarge, or one of the compressor.
 func Make(base, text []byte) (Difference, error) {
-	if max(len(base), len(text)) > MaxTextBytes || min(len(base), len(text)) == 0 {
-		return Difference{}, ErrTooLarge
+	if err := checkSize(base, text); err != nil {
+		return Difference{}, err
 	}
 	payload, err := compress(text, len(base)+len(text), zstd.WithEncoderDictRaw(dictionaryID, base))
 	if err != nil {
@@ -87,10 +89,10 @@
 	return Difference{Base: HashOf(base), Text: HashOf(text), Payload: payload}, nil
 }
 
-// MakeWhole returns a difference that has a whole text, without positions. Its Base is NoBase.
+// MakeWhole returns a difference that has a whole text, without positions. Its Base is NoBase. The errors are those of Make.
 func MakeWhole(text []byte) (Difference, error) {
-	if len(text) > MaxTextBytes || len(text) == 0 {
-		return Difference{}, ErrTooLarge
+	if err := checkSize(text); err != nil {
+		return Difference{}, err
 	}
 	payload, err := compress(text, len(text))
 	if err != nil {
@@ -102,6 +104,19 @@
 	return Difference{Text: HashOf(text), Payload: payload}, nil
 }
 
+// checkSize returns ErrEmpty or ErrTooLarge when one of the texts can't be used.
+func checkSize(texts ...[]byte) error {
+	for _, text := range texts {
+		switch {
+		case len(text) == 0:
+			return ErrEmpty
+		case len(text) > MaxTextBytes:
+			return ErrTooLarge
+		}
+	}
+	return nil
+}
+
 // compress compresses a text with matches that reach back over some bytes. The tables of the fastest level and a short window take
 // a tenth of the memory of the usual ones, which counts at a router's peak.
 func compress(text []byte, reach int, more ...zstd.EOption) ([]byte, error) {
@@ -123,8 +138,8 @@
 	return window
 }
 
-// Apply returns the later text; the base of a whole text does not count. It fails on a wrong base, on a payload that does not decode or decodes to more than
-// MaxTextBytes, and on a result other than the one that the difference names.
+// Apply returns the later text. base is ignored when the difference has a whole text. The error is ErrWrongBase, ErrWrongText, or one
+// of the decompressor for a payload that does not decode or decodes to more than MaxTextBytes.
 func (d Difference) Apply(base []byte) ([]byte, error) {
 	options := []zstd.DOption{
 		zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
--- a/internal/configdiff/configdiff_test.go
+++ b/internal/configdiff/configdiff_test.go
@@ -242,6 +242,19 @@
 	}
 }
 
+// Guards against an empty text that counts as one that is too large.
+func TestEmptyTextsHaveAnErrorOfTheirOwn(t *testing.T) {
+	text := []byte("text")
+	_, emptyText := Make(text, nil)
+	_, emptyBase := Make(nil, text)
+	_, emptyWhole := MakeWhole(nil)
+	for i, err := range []error{emptyText, emptyBase, emptyWhole} {
+		if !errors.Is(err, ErrEmpty) || errors.Is(err, ErrTooLarge) {
+			t.Errorf("error %d is %v, want %v", i, err, ErrEmpty)
+		}
+	}
+}
+
 // Guards against a whole text that takes more datagrams than a starting router collects, that leads to another text, or that
 // counts as a difference with a base.
 func TestWholeTexts(t *testing.T) {
--- a/internal/front/differences.go
+++ b/internal/front/differences.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -47,6 +48,7 @@
 const (
 	differenceSent       = "sent"
 	differenceTooLarge   = "too_large"
+	differenceNotMade    = "not_made"
 	differenceApplied    = "applied"
 	differenceLate       = "late"
 	differenceEarlierEra = "earlier_era"
@@ -114,7 +116,7 @@
 	}
 	difference, err := configdiff.Make(base, u.text)
 	if err != nil {
-		d.count(differenceTooLarge)
+		d.count(makeFailure(err))
 		return
 	}
 	difference.Position, difference.Next = u.position, u.next
@@ -125,6 +127,14 @@
 	}
 }
 
+// makeFailure returns the result that is counted for an error of configdiff.Make or configdiff.MakeWhole.
+func makeFailure(err error) (result string) {
+	if errors.Is(err, configdiff.ErrTooLarge) {
+		return differenceTooLarge
+	}
+	return differenceNotMade
+}
+
 // takeOutgoing returns the differences that are to be sent.
 func (d *differences) takeOutgoing() []configdiff.Difference {
 	d.mu.Lock()
@@ -200,7 +210,7 @@
 	if !tried {
 		var err error
 		if whole, err = configdiff.MakeWhole(text); err != nil {
-			d.count(differenceTooLarge)
+			d.count(makeFailure(err))
 			whole = configdiff.Difference{}
 		}
 		whole.Position, whole.Next = position, logpos.Position{Era: position.Era, Offset: position.Offset + 1}
--- a/internal/front/differencestracker_test.go
+++ b/internal/front/differencestracker_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -227,6 +229,23 @@
 	return feed.Page{Era: int64(s)}, nil
 }
 
+// Guards against failures of the compressor that are counted as configurations that are too large.
+func TestFailureToMakeADifferenceIsCountedByItsCause(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want string
+	}{
+		{configdiff.ErrTooLarge, differenceTooLarge},
+		{fmt.Errorf("difference: %w", configdiff.ErrTooLarge), differenceTooLarge},
+		{configdiff.ErrEmpty, differenceNotMade},
+		{errors.New("cannot compress a configuration"), differenceNotMade},
+	} {
+		if got := makeFailure(c.err); got != c.want {
+			t.Errorf("%v is counted as %q, want %q", c.err, got, c.want)
+		}
+	}
+}
+
 // Guards against a starting router that takes a whole configuration which is older than what it has read or holds back, that the
 // store may have lost, or that is wrong; and against a held configuration that is replaced by an older one.
 func TestStartingRouterTakesAWholeConfiguration(t *testing.T) {
