forward: the version of a stream is looked for in two thirds of the caller's time

A stream that is taken up asks for its version, waits for the inventory of the engines and asks again. Only the wait was bounded by the deadline: with 600 ms, 480 ms passed if no timer was late, and lateness of some 16 timers added up. The wait for an answer of the store (1 s) was bounded by nothing, so a caller with 1 s was refused after 1.12 s.

All of it now ends after two thirds of the time left, and the wait for the inventory leaves time for the second question. Callers with 1.9 s or more wait as long as before.

--- a/internal/forward/findversion.go
+++ b/internal/forward/findversion.go
@@ -1,10 +1,18 @@
 package forward
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
-// maxVersionWait bounds the time for which a stream that is taken up waits for what the engines have cached, after a
-// restart of all routers. A starting router counts its placements as known after as long.
-const maxVersionWait = time.Second
+const (
+	// maxVersionWait bounds the time for which a stream that is taken up waits for what the engines have cached, after a
+	// restart of all routers. A starting router counts its placements as known after as long.
+	maxVersionWait = time.Second
+	// maxVersionShare is the share of the time left to the caller in which a version must be found. The rest is for the
+	// stream, or for a refusal that arrives before the deadline although timers are late.
+	maxVersionShare = 2.0 / 3
+)
 
 // findVersion finds the version that began the stream which the caller takes up, or refuses the
 // request when servers of several versions could continue it and nobody knows.
@@ -13,15 +21,19 @@
 		return true
 	}
 	starting := !c.handler.state.placementsKnown()
-	found := c.askForVersion()
+	limit := time.Duration(maxVersionShare * float64(time.Until(c.deadline)))
+	ctx, cancel := context.WithTimeout(c.r.Context(), limit)
+	defer cancel()
+	found := c.askForVersion(ctx)
 	if !found && starting {
 		// No router knows what the ones before it have sent. One of them asks the engines, and tells the others which
 		// version has the prompt.
-		if !c.awaitInventory() {
+		c.awaitInventory(ctx)
+		if c.r.Context().Err() != nil {
 			c.recordCallerLeft()
 			return false
 		}
-		found = c.askForVersion()
+		found = c.askForVersion(ctx)
 	}
 	if !found {
 		c.refuse(CauseVersionUnknown)
@@ -30,18 +42,18 @@
 }
 
 // askForVersion looks the stream up and asks the other routers. It reports whether the request may be sent: the version is
-// known, or no other one can have begun the stream.
-func (c *call) askForVersion() bool {
+// known, or no other one can have begun the stream. The end of ctx bounds the wait for answers.
+func (c *call) askForVersion(ctx context.Context) bool {
 	streams := c.handler.state.streams
 	version, known := streams.find(time.Now(), c.streamID())
 	several := c.pool.severalVersions(time.Now())
 	if !known && (several || streams.mayBeOutdated()) {
 		var oneVersion bool
-		version, known, oneVersion = streams.ask(c.r.Context(), c.streamID(), c.promptStream(), several)
+		version, known, oneVersion = streams.ask(ctx, c.streamID(), c.promptStream(), several)
 		// Without servers of another version now there may have been some a moment ago, and there may be some of which
 		// this router has not heard because it was cut off or stood still. Who reads the store has heard of them.
 		several = c.pool.severalVersions(time.Now())
-		if !known && (several || !streams.settled(time.Now()) || !oneVersion && !c.confirmedByStore()) {
+		if !known && (several || !streams.settled(time.Now()) || !oneVersion && !c.confirmedByStore(ctx)) {
 			return false
 		}
 	}
@@ -49,20 +61,19 @@
 	return true
 }
 
-// awaitInventory waits until this router has the placements of the fleet, for a limited time. It reports whether
-// the caller still waits.
-func (c *call) awaitInventory() bool {
-	until := time.Now().Add(min(maxVersionWait, time.Until(c.deadline)/2))
+// awaitInventory waits until this router has the placements of the fleet, for a limited time. It leaves time before the end of
+// ctx to ask for the version once more.
+func (c *call) awaitInventory(ctx context.Context) {
+	until := time.Now().Add(maxVersionWait)
+	if end, ok := ctx.Deadline(); ok && end.Add(-maxAsked*askInterval).Before(until) {
+		until = end.Add(-maxAsked * askInterval)
+	}
 	for !c.handler.state.placementsKnown() {
 		left := time.Until(until)
-		if left <= 0 {
-			return true
-		}
-		if !c.hold(c.r.Context(), min(left, holdCheck)) {
-			return false
+		if left <= 0 || !c.hold(ctx, min(left, holdCheck)) {
+			return
 		}
 	}
-	return true
 }
 
 const (
@@ -75,7 +86,7 @@
 
 // confirmedByStore reports whether this router knows of one version only after an answer of the store that came later than
 // the request. Without it, the router may be cut off and not have noticed: a call that hangs looks like one that waits.
-func (c *call) confirmedByStore() bool {
+func (c *call) confirmedByStore(ctx context.Context) bool {
 	fleet := c.handler.state.streams.fleet
 	timer := time.NewTimer(confirmTime)
 	defer timer.Stop()
@@ -89,7 +100,7 @@
 		case <-tick.C:
 		case <-timer.C:
 			return false
-		case <-c.r.Context().Done():
+		case <-ctx.Done():
 			return false
 		}
 	}
--- a/internal/forward/findversion_test.go
+++ b/internal/forward/findversion_test.go
@@ -96,3 +96,38 @@
 		}
 	})
 }
+
+// Guards against callers that wait past their deadline for the version of their stream, because questions are slow on a busy VM or
+// the store does not answer.
+func TestVersionIsLookedForBeforeTheDeadline(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		deadline time.Duration
+		prepare  func(b *bed, f *fleetStreams)
+	}{
+		"slow questions": {2 * time.Second, func(b *bed, f *fleetStreams) {
+			f.askTime = 120 * time.Millisecond
+			b.state.SetPlacementsKnown(func() bool { return false })
+		}},
+		"the store does not answer": {time.Second, func(b *bed, f *fleetStreams) {
+			f.others, f.readsStore, f.readsAgain = true, true, time.Now().Add(time.Hour)
+			b.state.SetFirstStart()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inVirtualTime(t, func(t *testing.T) {
+				b := newBed(t, bedOptions{virtual: true, servers: 2, route: resumableRoute}, ok(wholeEvent))
+				c.prepare(b, b.versioned("v1", "v1"))
+				header := lastPart(1)
+				header.Set("Deadline", c.deadline.String())
+				begun := time.Now()
+				got := b.send(ask{header: header})
+				if took := time.Since(begun); got.status != http.StatusServiceUnavailable || took > c.deadline {
+					t.Errorf("status %d after %v, want a refusal before %v", got.status, took, c.deadline)
+				}
+				b.expectLog(map[string]any{"cause": CauseVersionUnknown})
+			})
+		})
+	}
+}
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -27,6 +27,8 @@
 	readsAgain time.Time
 	// instead is the stream that answers name; 0 for the one that was asked for.
 	instead streamversion.Stream
+	// askTime is the time that a question takes to be sent.
+	askTime time.Duration
 }
 
 func (f *fleetStreams) HasOthers() bool  { return f.others }
@@ -46,6 +48,7 @@
 	f.mu.Lock()
 	f.asked++
 	f.mu.Unlock()
+	time.Sleep(f.askTime)
 	if version, ok := f.known[s]; ok {
 		f.state.RecordStreams([]streamversion.Record{{Stream: cmp.Or(f.instead, s), Version: version}})
 	}
