--- a/internal/findings/findings.go
+++ b/internal/findings/findings.go
@@ -3,6 +3,7 @@
 package findings
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 )
@@ -93,6 +94,15 @@
 	return &Error{Findings: l.items}
 }
 
+// LineAndColumn returns the line and the column of the last of the first n bytes of a text, such as the offset of a
+// json.SyntaxError. Both begin at 1; the column counts bytes.
+func LineAndColumn(text []byte, n int64) (line, column int) {
+	head := text[:min(max(n, 0), int64(len(text)))]
+	line = 1 + bytes.Count(head, []byte("\n"))
+	column = len(head) - 1 - bytes.LastIndexByte(head, '\n')
+	return line, max(column, 1)
+}
+
 // Error is the error that carries a list of findings.
 type Error struct {
 	Findings []Finding
--- a/internal/findings/findings_test.go
+++ b/internal/findings/findings_test.go
@@ -34,3 +34,15 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// Guards against a place that is off by one line or one byte, and against an offset outside the text.
+func TestLineAndColumnOfAnOffset(t *testing.T) {
+	for _, c := range []struct {
+		n            int64
+		line, column int
+	}{{-1, 1, 1}, {0, 1, 1}, {1, 1, 1}, {3, 1, 3}, {4, 2, 1}, {5, 2, 1}, {6, 2, 2}, {99, 2, 2}} {
+		if line, column := LineAndColumn([]byte("abc\nde"), c.n); line != c.line || column != c.column {
+			t.Errorf("offset %d is at line %d, column %d, want %d, %d", c.n, line, column, c.line, c.column)
+		}
+	}
+}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"net/netip"
@@ -72,7 +71,7 @@
 	}
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
-		line, column := lineAndColumn(data, syntax.Offset)
+		line, column := findings.LineAndColumn(data, syntax.Offset)
 		list.Add("$", findings.CodeSyntax, "line %d, column %d: %v", line, column, err)
 		return false
 	}
@@ -80,15 +79,6 @@
 	return false
 }
 
-// lineAndColumn returns the line and the column, in bytes, of the last of the
-// first n bytes.
-func lineAndColumn(data []byte, n int64) (line, column int) {
-	head := data[:min(int(n), len(data))]
-	line = 1 + bytes.Count(head, []byte("\n"))
-	column = len(head) - 1 - bytes.LastIndexByte(head, '\n')
-	return line, max(column, 1)
-}
-
 func parseIdentity(o *object, s *Settings) {
 	s.VM = parseName(o, "vm")
 	s.DataCentre = parseName(o, "data_centre")
