--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -213,7 +214,7 @@
 	if added > 0 {
 		c.differ(at, "workspace %s: keys that are new: %d", w.Workspace.Name, added)
 	}
-	for _, owner := range sortedKeys(moved) {
+	for _, owner := range slices.Sorted(maps.Keys(moved)) {
 		c.differ(at, "workspace %s: keys of workspace %s that count for it now: %d", w.Workspace.Name, owner, moved[owner])
 	}
 }
--- a/internal/configcheck/names.go
+++ b/internal/configcheck/names.go
@@ -1,7 +1,6 @@
 package configcheck
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/bluebellwell/bluebellwell/internal/routing"
@@ -35,5 +34,3 @@
 func distinct(keys []string) []string {
 	return slices.Compact(slices.Sorted(slices.Values(keys)))
 }
-
-func sortedKeys(m map[string]int) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/record/parse.go
+++ b/internal/record/parse.go
@@ -355,7 +355,3 @@
 func milliseconds(n int) time.Duration {
 	return time.Duration(n) * time.Millisecond
 }
-
-func sortedKeys(m map[string]any) []string {
-	return slices.Sorted(maps.Keys(m))
-}
--- a/internal/record/tree.go
+++ b/internal/record/tree.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"unicode/utf8"
 
@@ -248,7 +250,7 @@
 
 // reportUnknown reports the fields that were not read.
 func (f *fields) reportUnknown() {
-	for _, name := range sortedKeys(f.items) {
+	for _, name := range slices.Sorted(maps.Keys(f.items)) {
 		if !f.read[name] {
 			f.list.Add(f.pathOf(name), findings.CodeUnknownField, "field is not known")
 		}
--- a/internal/statechart/chart.go
+++ b/internal/statechart/chart.go
@@ -84,7 +84,7 @@
 	// The decoder keeps only the last of several equal names, which would silently
 	// drop a state or an event.
 	checkDuplicateNames(list, "$", json.NewDecoder(bytes.NewReader(data)))
-	for _, name := range sortedKeys(spec.States) {
+	for _, name := range slices.Sorted(maps.Keys(spec.States)) {
 		if spec.States[name] == nil {
 			list.Add(statePath(name), findings.CodeInvalid, "must be an object")
 		}
@@ -128,11 +128,7 @@
 			all[e] = true
 		}
 	}
-	return sortedKeys(all)
-}
-
-func sortedKeys[K ~string, V any](m map[K]V) []K {
-	return slices.Sorted(maps.Keys(m))
+	return slices.Sorted(maps.Keys(all))
 }
 
 func statePath(s State) string {
@@ -146,7 +142,7 @@
 func (c *Chart) Initial() State { return c.initial }
 
 // States returns the states in alphabetical order.
-func (c *Chart) States() []State { return sortedKeys(c.states) }
+func (c *Chart) States() []State { return slices.Sorted(maps.Keys(c.states)) }
 
 // Events returns the events in alphabetical order.
 func (c *Chart) Events() []Event { return slices.Clone(c.events) }
--- a/internal/statechart/check.go
+++ b/internal/statechart/check.go
@@ -1,6 +1,7 @@
 package statechart
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/bluebellwell/bluebellwell/internal/findings"
@@ -23,7 +24,7 @@
 
 func (c *Chart) checkState(list *findings.List, name State, s *stateSpec) {
 	path := statePath(name)
-	for _, event := range sortedKeys(s.On) {
+	for _, event := range slices.Sorted(maps.Keys(s.On)) {
 		if c.states[s.On[event]] == nil {
 			list.Add(path+".on."+string(event), findings.CodeInvalid, "target %q is not a state", s.On[event])
 		}
