--- a/internal/forward/configrules.go
+++ b/internal/forward/configrules.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/bluebellwell/bluebellwell/internal/configcheck"
-	"github.com/bluebellwell/bluebellwell/internal/overload"
+	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
 // ConfigRules returns the rules by which routers apply a configuration, for its check before it is sent.
@@ -12,6 +12,6 @@
 		SilenceLimit:  silenceLimit,
 		Deadline:      defaultDeadline,
 		BodyBytes:     defaultBodyBytes,
-		LeastPriority: overload.MaxPriority,
+		LeastPriority: routing.MaxPriority,
 	}
 }
--- a/internal/overload/priorities.go
+++ b/internal/overload/priorities.go
@@ -1,17 +1,17 @@
 package overload
 
-import "time"
+import (
+	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/routing"
+)
 
 const (
-	// maxPriority is the least urgent priority; less urgent ones count as this one.
-	maxPriority = 9
+	maxPriority = routing.MaxPriority
 	// priorityWindow is how long a priority counts as in use after its last request.
 	priorityWindow = 10 * time.Second
 )
 
-// MaxPriority is the least urgent priority.
-const MaxPriority = maxPriority
-
 // recentPriorities records which priorities a pool receives, so that only these
 // count as more urgent than others.
 type recentPriorities struct {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -25,6 +25,9 @@
 // String returns the name used in logs and metrics.
 func (k Kind) String() string { return kindNames[k] }
 
+// MaxPriority is the rank of the least urgent requests. The most urgent ones have 0, and a rank outside counts as the nearest one.
+const MaxPriority = 9
+
 // Target is a pool that serves a share of a route's requests.
 type Target struct {
 	Pool   string
@@ -46,7 +49,7 @@
 	GapObjective time.Duration
 	// MaxAttempts bounds the servers that one request may be sent to.
 	MaxAttempts int
-	// Priority is the rank of the route; 0 is the most urgent.
+	// Priority is the rank of the route, from 0, the most urgent, to MaxPriority.
 	Priority int
 	// Public routes need no API key.
 	Public bool
--- a/internal/slotgrant/demand.go
+++ b/internal/slotgrant/demand.go
@@ -3,13 +3,14 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
 const (
 	// demandHalfLife is the half-life of the numbers of questions from which their rates are derived.
 	demandHalfLife = time.Second
-	// maxPriority is the least urgent priority; less urgent ones count as this one.
-	maxPriority = 9
+	maxPriority    = routing.MaxPriority
 	// maxAhead bounds the share of the slots that those before a question are expected to take.
 	maxAhead = 0.95
 )
