--- a/internal/slotgrant/decide.go
+++ b/internal/slotgrant/decide.go
@@ -6,6 +6,26 @@
 	"time"
 )
 
+const (
+	// marginShare is the share of the time in a slot by which an answer is expected before it is due: the expected wait is
+	// not exact. At a load of more than 1 it is larger by marginPerLoad for each unit of load, up to maxMarginShare.
+	marginShare    = 0.5
+	marginPerLoad  = 5
+	maxMarginShare = 1.5
+	// capacityLimit is the load, as a share of what the slots take, below which a request that misses its objective may
+	// still be served within its deadline. The load is that of the last second, and varies by a tenth.
+	capacityLimit = 1.05
+	// Of neededPerSlots slots one needs a question that waits, whether it can be in time or not: its slot would else be empty
+	// until another one arrives.
+	neededPerSlots = 2
+	// maxTakenShare bounds the share of the slots that questions before another one are expected to take.
+	maxTakenShare = 0.95
+	// minRetryAfter and maxRetryShare, a share of the deadline, bound the wait that a rejected caller is asked for, as in package
+	// overload.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryShare = 0.2
+)
+
 // ask decides about a question: it is granted, rejected or queued at once.
 func (g *Granter) ask(now time.Time, from netip.Addr, q *Question, out *Outbox) {
 	key := leaseKey{from, q.Number}
@@ -23,7 +43,7 @@
 	w := g.newWaiting(now, key, q)
 	position := g.queue.insert(w)
 	g.dispatch(now, out)
-	g.settle(now, min(position, len(g.queue.list)), w, out)
+	g.rejectLate(now, min(position, len(g.queue.list)), w, out)
 	if g.queue.byKey[key] != nil {
 		g.counts.Queued++
 		g.answer(key, Answer{Kind: Queued}, out)
@@ -31,10 +51,12 @@
 }
 
 func (g *Granter) newWaiting(now time.Time, key leaseKey, q *Question) *waiting {
-	g.count++
+	g.arrivals++
 	w := &waiting{
-		key: key, priority: min(max(q.Priority, 0), maxPriority), excess: g.shares.record(now, q.Workspace, g.capacity(now), !g.hasCapacity(now)),
-		due: now.Add(min(q.Objective, q.Deadline)), deadline: now.Add(q.Deadline), number: g.count, exclude: q.Exclude,
+		key: key, priority: min(max(q.Priority, 0), maxPriority),
+		excess: g.shares.record(now, q.Workspace, g.capacity(now), !g.hasCapacity(now)),
+		due:    now.Add(min(q.Objective, q.Deadline)), deadline: now.Add(q.Deadline),
+		number: g.arrivals, exclude: q.Exclude,
 	}
 	g.demand.add(now, w.excess, w.priority)
 	if now.Add(g.answerTime()).After(w.due) && !g.idle() {
@@ -68,35 +90,22 @@
 	return n
 }
 
-// capacity returns the number of requests a second that the slots take. A grant on the way to its slot or back takes none. Where
-// grants exceed the slots, it is the rate at which so many of them end while questions wait.
+// capacity returns the number of requests a second that the slots take: slots / time from a grant to the answer, since a grant in
+// transit takes no slot. Where grants exceed the slots, it is the rate at which so many of them end: limit / time of a grant.
 func (g *Granter) capacity(now time.Time) float64 {
-	if limit, held, ok := g.beyond(now); ok {
-		return float64(limit) / held.Seconds()
+	if limit, grantTime, ok := g.overcommitted(now); ok {
+		return float64(limit) / grantTime.Seconds()
 	}
 	return float64(g.slots(now)) / g.answerTime().Seconds()
 }
 
-// beyond returns how many grants the servers may have and how long each usually lasts, where they exceed the slots.
-func (g *Granter) beyond(now time.Time) (limit int, held time.Duration, ok bool) {
-	if g.steady() || g.held.n < maxSamples {
-		return 0, 0, false
-	}
-	for _, s := range g.servers {
-		if s.available(now) {
-			limit += g.limit(s)
-		}
-	}
-	return limit, g.held.or(0), limit > 0
-}
-
 // hasCapacity reports whether the slots take all questions, so that one slot for a late request costs no other its
 // objective.
 func (g *Granter) hasCapacity(now time.Time) bool {
 	return g.load(now) < capacityLimit
 }
 
-// load returns the rate of the questions as a share of what the slots take.
+// load returns the rate of the questions as a share of what the slots take; 1 is as many.
 func (g *Granter) load(now time.Time) float64 {
 	return g.demand.perSecond(now) / max(g.capacity(now), 1)
 }
@@ -144,8 +153,10 @@
 	g.answer(w.key, Answer{Kind: Granted, Server: s.Hash}, out)
 }
 
-// settle rejects the questions from a position on that the questions before them make late. The newest is new.
-func (g *Granter) settle(now time.Time, from int, newest *waiting, out *Outbox) {
+// rejectLate rejects the questions from a position on that the questions before them make late, and those that no server may take.
+// newest is the question that has just arrived, or nil. It is expected to finish later than the queue says, by its margin and by
+// overtakingWait; one that waits already is rejected only when it can't be in time at all.
+func (g *Granter) rejectLate(now time.Time, from int, newest *waiting, out *Outbox) {
 	slots := g.slots(now)
 	for i := len(g.queue.list) - 1; i >= from; i-- {
 		w := g.queue.list[i]
@@ -192,8 +203,8 @@
 	return ReasonNone
 }
 
-// keepsLate reports whether a question that misses its objective is kept, to be served late with what the others leave of the slots. needed is
-// set when so few questions come before it that slots would be left empty before another one arrives.
+// keepsLate reports whether a question that misses its objective is kept, to be served late with what the others leave of the
+// slots. needed is set when so few questions come before it that slots would be left empty before another one arrives.
 func (g *Granter) keepsLate(now time.Time, w *waiting, finish time.Time, needed bool) bool {
 	if needed {
 		return !now.Add(g.answerTime()).After(w.deadline)
@@ -201,25 +212,32 @@
 	return !w.late && !finish.After(w.lateDue(now)) && g.hasCapacity(now)
 }
 
-// overtakingWait returns by how much longer a new question waits because of those that arrive later and come before it: they
-// leave it only a part of the slots.
+// overtakingWait returns by how much longer a new question waits because of those that arrive later and come before it. They take a
+// share of the slots, so that the wait grows from expected to expected / (1 - taken). The result is
+//
+//	expected * taken / (1 - taken)
+//	taken = rate of the questions that come before it / capacity, at most maxTakenShare
 func (g *Granter) overtakingWait(now time.Time, w *waiting, expected time.Duration) time.Duration {
-	taken := min(g.demand.ahead(now, w.excess, w.priority)/max(g.capacity(now), 1), maxAhead)
+	taken := min(g.demand.ahead(now, w.excess, w.priority)/max(g.capacity(now), 1), maxTakenShare)
 	return time.Duration(taken / (1 - taken) * float64(expected))
 }
 
 // margin is the time by which the answer to a new question is expected before it is due. One that was queued with it is
 // kept when it turns out a little later, since a rejection would no longer come at once.
 //
-// The margin is larger where questions of the same or an earlier place fill the slots anyway: a shorter queue keeps them busy then, and
-// more of what is granted is in time.
+//	time from a grant to the answer * (marginShare + marginPerLoad * (load - 1))
+//	load = rate of the questions of the same or an earlier place / capacity
+//
+// The factor is marginShare to maxMarginShare. The margin is larger where such questions fill the slots anyway: a shorter queue
+// keeps them busy then, and more of what is granted is in time.
 func (g *Granter) margin(now time.Time, w *waiting) time.Duration {
 	load := g.demand.ahead(now, w.excess, w.priority+1) / max(g.capacity(now), 1)
 	share := marginShare + (load-1)*marginPerLoad
 	return time.Duration(min(max(share, marginShare), maxMarginShare) * float64(g.answerTime()))
 }
 
-// expectedWait returns the expected time until the question at a position gets a slot.
+// expectedWait returns the expected time until the question at a position gets a slot: (position + 1) / capacity, or the rest of the
+// shortest pause when no server may get grants.
 func (g *Granter) expectedWait(now time.Time, position, slots int) time.Duration {
 	if slots <= 0 {
 		return g.pauseLeft(now)
--- a/internal/slotgrant/demand.go
+++ b/internal/slotgrant/demand.go
@@ -10,12 +10,11 @@
 const (
 	// demandHalfLife is the half-life of the numbers of questions from which their rates are derived.
 	demandHalfLife = time.Second
-	maxPriority    = routing.MaxPriority
-	// maxAhead bounds the share of the slots that those before a question are expected to take.
-	maxAhead = 0.95
+	// maxPriority is the highest priority that is told apart.
+	maxPriority = routing.MaxPriority
 )
 
-// demand holds the rates of the questions of each place in the order: by level and by priority.
+// demand counts the questions of each place in the order: by level of their workspace (see excessLevels) and by priority.
 type demand struct {
 	counts [excessLevels][maxPriority + 1]float64
 	at     time.Time
@@ -40,10 +39,11 @@
 	d.counts[excess][priority]++
 }
 
-// perSecond returns the rate of all questions, and ahead that of those which come before one of a level and a priority, however
-// late they arrive.
+// perSecond returns the rate of all questions, per second.
 func (d *demand) perSecond(now time.Time) float64 { return d.ahead(now, excessLevels, 0) }
 
+// ahead returns the rate, per second, of the questions which come before one of a level and a priority, however late they arrive. At
+// a constant rate a count that decays settles at rate * demandHalfLife / ln 2.
 func (d *demand) ahead(now time.Time, excess, priority int) float64 {
 	d.decayTo(now)
 	sum := 0.0
--- a/internal/slotgrant/granter.go
+++ b/internal/slotgrant/granter.go
@@ -7,65 +7,12 @@
 )
 
 const (
-	// leaseTime is how long a grant is kept for a router that is not heard. The granting router asks the others about
-	// grants that have lasted longer than usual, so a lost report costs less than that, and a request may take longer.
-	leaseTime = 500 * time.Millisecond
-	// probeAfter is the age, in times of the usual one, from which a grant is asked about, each probeInterval.
-	probeAfter    = 2
-	probeInterval = 60 * time.Millisecond
-	// defaultSlotTime is the time in a slot before any is known.
-	defaultSlotTime = 40 * time.Millisecond
-	// maxLoadPerSlot bounds the load that a server may report: with 6 slots one was seen with 30 requests. A false report must
-	// not keep its slots empty.
-	maxLoadPerSlot = 8
-	// maxSlotTime bounds a time in a slot that a router reports.
-	maxSlotTime = 30 * time.Second
-	// tickInterval is the time between two calls of Tick while there is anything to wait for.
+	// tickInterval is the time between two calls of Tick while there is anything to wait for, and minTick the shortest one.
 	tickInterval = 10 * time.Millisecond
 	minTick      = time.Millisecond
-	// A grant counts as ending some usual differences after its usual time, where these are at most maxDeviation of it, and
-	// where reports and grants are on the way for at least minOnTheWay of the whole time. With three no server has more requests than
-	// slots. From longOnTheWay on one is enough: with three a fifth of the capacity would be lost at delays of 4 ms.
-	endingDeviations      = 3
-	endingDeviationsAtFar = 1
-	longOnTheWay          = 0.08
-	maxDeviation          = 0.15
-	minOnTheWay           = 0.03
-	// serverWayShare is the time of the way to the server and back, as a share of that of a grant and its report: an answer waits for
-	// the time slice of its router as a grant does, and a request is sent at once.
-	serverWayShare = 0.5
-	wayDeviations  = 2
-	// queuedShare is how many requests are to wait at a server, as a share of its slots: requests that end together would else leave
-	// slots empty.
-	queuedShare = 0.5
-	// A report of a server that states its load lowers the margin by marginStep grants when requests wait there, and raises it by
-	// waitsPerEmpty times as much when none does: a server may be slower with more requests than slots.
-	marginStep    = 0.1
-	waitsPerEmpty = 4
-	// maxBeyondShare bounds the grants beyond the slots, as a share of these, and maxHeldPerSlotTime by how much longer a grant is taken
-	// to last than its request is in its slot.
-	maxBeyondShare     = 3
-	maxHeldPerSlotTime = 4
-	// marginShare is the share of the time in a slot by which an answer is expected before it is due: the expected wait is
-	// not exact. At a load of more than 1 it is larger by marginPerLoad for each unit of load, up to maxMarginShare.
-	marginShare    = 0.5
-	marginPerLoad  = 5
-	maxMarginShare = 1.5
-	// capacityLimit is the load, as a share of what the slots take, below which a request that misses its objective may
-	// still be served within its deadline. The load is that of the last second, and varies by a tenth.
-	capacityLimit = 1.05
-	// Of neededPerSlots slots one needs a question that waits, whether it can be in time or not: its slot would else be empty until another
-	// one arrives.
-	neededPerSlots = 2
-	// lateShare is the share of its deadline for which such a request may wait. It is rejected at once when it would have to
-	// wait longer.
-	lateShare = 0.2
-	// minRetryAfter and maxRetryShare bound the wait that a rejected caller is asked for, as in package overload.
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryShare = 0.2
 )
 
-// Granter grants the slots of a pool.
+// Granter grants the slots of a pool. The zero value grants nothing until Begin. It is not safe for concurrent use.
 type Granter struct {
 	term    uint64
 	active  bool
@@ -73,17 +20,17 @@
 	leases  map[leaseKey]*lease
 	queue   queue
 	shares  shares
-	// slotTime is the usual time from a grant to its report, and serverTime that of the request at the server.
-	slotTime, serverTime average
-	// deviation is the usual difference from slotTime.
-	deviation average
-	// held and took are the usual times from a grant to its report and of the request as its router sees it, those of servers with
-	// more requests than slots included.
-	// wayDeviation is the usual difference from what held exceeds took.
-	held, took, wayDeviation average
-	demand                   demand
-	count                    uint64
-	counts                   Counts
+	// slotTime is the usual time from a grant to its report, and serverTime that of the request at the server, of requests that did not
+	// wait there. deviation is the mean absolute difference from slotTime.
+	slotTime, serverTime, deviation average
+	// grantTime and requestTime are the same as slotTime and serverTime, with the requests that waited at a server that had more of
+	// them than slots. transitDeviation is the mean absolute difference from what grantTime exceeds requestTime.
+	grantTime, requestTime, transitDeviation average
+
+	demand demand
+	// arrivals is the number of questions, from which each gets a number.
+	arrivals uint64
+	counts   Counts
 }
 
 // Counts are numbers of events since the start, for metrics.
@@ -101,12 +48,13 @@
 // Counts returns the numbers of events.
 func (g *Granter) Counts() Counts { return g.counts }
 
-// Leases and Waiting return the numbers of grants in use and of waiting questions.
+// Leases returns the number of grants in use.
 func (g *Granter) Leases() int { return len(g.leases) }
 
+// Waiting returns the number of waiting questions.
 func (g *Granter) Waiting() int { return len(g.queue.list) }
 
-// SlotTime returns the usual time from a grant to its report.
+// SlotTime returns the usual time from a grant to its report, without a wait at the server.
 func (g *Granter) SlotTime() time.Duration {
 	return g.slotTime.or(defaultSlotTime)
 }
@@ -146,7 +94,7 @@
 	g.End()
 	g.term, g.active = max(g.term, above)+1, true
 	// Another router may still grant: no grants beyond the slots until the times have been learned anew.
-	g.held, g.took, g.wayDeviation = average{}, average{}, average{}
+	g.grantTime, g.requestTime, g.transitDeviation = average{}, average{}, average{}
 	for _, s := range g.servers {
 		load := s.Slots
 		if loadsKnown {
@@ -198,7 +146,7 @@
 	m.Answers = append(m.Answers, a)
 }
 
-// Tick asks about old grants, ends those of routers that are not heard, and grants what has become free.
+// Tick probes old grants, ends those of routers that are not heard, and grants what has become free.
 func (g *Granter) Tick(now time.Time, out *Outbox) {
 	old := max(probeAfter*g.SlotTime(), probeInterval)
 	for _, s := range g.servers {
@@ -207,5 +155,5 @@
 		}
 	}
 	g.dispatch(now, out)
-	g.settle(now, 0, nil, out)
+	g.rejectLate(now, 0, nil, out)
 }
--- a/internal/slotgrant/queue.go
+++ b/internal/slotgrant/queue.go
@@ -6,15 +6,20 @@
 	"time"
 )
 
-// maxQueue bounds the waiting questions of a pool.
-const maxQueue = 1024
+const (
+	// maxQueue bounds the waiting questions of a pool.
+	maxQueue = 1024
+	// lateShare is the share of its deadline for which a request that misses its objective may wait. It is rejected at once when it
+	// would have to wait longer.
+	lateShare = 0.2
+)
 
 // waiting is a question that waits for a slot.
 type waiting struct {
 	key      leaseKey
 	priority int
-	// excess is how far the question is beyond the share of its workspace, and late is set for one that can't meet its
-	// objective any more.
+	// excess is the level of the question beyond the share of its workspace (see excessLevels), and late is set for one that can't meet
+	// its objective any more.
 	excess int
 	late   bool
 	// due is when its answer has to be there: the end of the objective, for a late one see lateDue.
@@ -25,7 +30,7 @@
 	exclude []uint64
 }
 
-// lateDue returns until when the answer has to be there if the objective can't be met.
+// lateDue returns until when the answer has to be there if the objective can't be met: now + lateShare * what is left of the deadline.
 func (w *waiting) lateDue(now time.Time) time.Time {
 	return now.Add(time.Duration(lateShare * float64(w.deadline.Sub(now))))
 }
@@ -54,7 +59,7 @@
 	return int(int64(a.number - b.number))
 }
 
-// sign returns -1 when the other one comes last.
+// sign returns the result of a comparison with a question that comes last (-1), or of one that comes last itself (1).
 func sign(otherLast bool) int {
 	if otherLast {
 		return -1
--- a/internal/slotgrant/server.go
+++ b/internal/slotgrant/server.go
@@ -15,12 +15,20 @@
 	recentlyServed = 200 * time.Millisecond
 	// failuresBeforePause is the number of failures in a row that pause a server: a single one may be due to its request.
 	failuresBeforePause = 3
+	// queuedShare is how many requests are to wait at a server, as a share of its slots: requests that end together would else leave
+	// slots empty.
+	queuedShare = 0.5
+	// A report of a server that states its load lowers queueTarget by queueStep when requests wait there, and raises it by
+	// waitsPerEmpty times as much when none does: a server may be slower with more requests than slots.
+	queueStep     = 0.1
+	waitsPerEmpty = 4
 )
 
 // Server is a server of the pool as the granting router sees it.
 type Server struct {
 	// Hash identifies the incarnation.
-	Hash  uint64
+	Hash uint64
+	// Slots is the number of requests that it works on at the same time.
 	Slots int
 	// Usable is set while the server may get requests.
 	Usable bool
@@ -39,8 +47,8 @@
 	pausedUntil time.Time
 	failures    int
 	pause       time.Duration
-	// lowered is by how much the margin is below the usual one, because the server says that requests wait there.
-	lowered float64
+	// queueCut is by how much queueTarget is below the usual one, because the server says that requests wait there.
+	queueCut float64
 	// servedAt is when it last answered.
 	servedAt time.Time
 }
@@ -61,8 +69,8 @@
 	return s.Slots - len(s.leases) - n
 }
 
-// ending returns the number of leases, at most limit, that are at least age but less than 1.5 times as old, and the first younger
-// lease. Older ones are not counted: their grants may have been lost and their requests not begun.
+// ending returns the number of leases, at most limit, whose age is from age to endingWindow, and the oldest lease that is younger.
+// Older ones are not counted: their grants may have been lost and their requests not begun.
 func (s *server) ending(now time.Time, age time.Duration, limit int) (n int, next *lease) {
 	for _, l := range s.leases {
 		switch got := now.Sub(l.grantedAt); {
@@ -75,20 +83,23 @@
 	return min(n, limit), nil
 }
 
-// margin returns how many grants the server gets beyond those in slots and on the way, so that a request waits for each slot
-// that ends.
-func (s *server) margin() float64 { return queuedShare*float64(s.Slots) - s.lowered }
+// queueTarget returns how many requests are to wait at the server, so that one is there for each slot that ends:
+// queuedShare * slots - queueCut, which is negative while the server is to have fewer requests than slots.
+func (s *server) queueTarget() float64 { return queuedShare*float64(s.Slots) - s.queueCut }
 
-// adjustMargin lowers the margin while the server says that requests wait there, and raises it when an end has left a slot empty.
-func (s *server) adjustMargin(waits bool) {
+// adjustQueueTarget lowers the target by queueStep after a report of requests that wait, and raises it by
+// queueStep * waitsPerEmpty after one of none, so that it settles where requests wait in 4 of 5 reports. It stays between
+// -queuedShare * slots and queuedShare * slots.
+func (s *server) adjustQueueTarget(waits bool) {
 	if waits {
-		s.lowered += marginStep
+		s.queueCut += queueStep
 	} else {
-		s.lowered -= marginStep * waitsPerEmpty
+		s.queueCut -= queueStep * waitsPerEmpty
 	}
-	s.lowered = min(max(s.lowered, 0), 2*queuedShare*float64(s.Slots))
+	s.queueCut = min(max(s.queueCut, 0), 2*queuedShare*float64(s.Slots))
 }
 
+// endingWindow returns the age from which a lease no longer counts as ending: 1.5 * age.
 func endingWindow(age time.Duration) time.Duration { return age + age/2 }
 
 func (s *server) remove(l *lease) {
@@ -103,7 +114,8 @@
 	s.leases = append(s.leases, l)
 }
 
-// setForeign records n requests that were not granted here and that end one after the other, within a time.
+// setForeign records n requests, at most one for each slot, that were not granted here. Request i of them counts until
+// now + within * i / n, since they end one after the other.
 func (s *server) setForeign(now time.Time, n int, within time.Duration) {
 	n = min(max(n, 0), s.Slots)
 	s.foreign = s.foreign[:0]
--- a/internal/slotgrant/shares.go
+++ b/internal/slotgrant/shares.go
@@ -12,13 +12,13 @@
 	// overload.
 	recentHalfLife = 2 * time.Second
 	usualHalfLife  = 30 * time.Second
-	// A workspace's share of what the slots take is shareFactor times its usual share of the questions, plus shareExtra recent
-	// ones. The shares of all are a little more than the slots take, so that a workspace may vary. The extra keeps a few requests of
-	// a small workspace from counting.
+	// A workspace's share is shareFactor times its usual share of what the slots take, plus shareExtra recent questions. The shares of
+	// all are a little more than the slots take, so that a workspace may vary. The extra keeps a few requests of a small workspace
+	// from counting.
 	shareFactor = 1.2
 	shareExtra  = 3
-	// excessLevels is the number of levels of questions: those within the share, then one more share, two more, and so
-	// on. So workspaces that are all beyond what is usual are still compared.
+	// excessLevels is the number of levels of questions. Level 0 has room for the share, each further one for twice as much as the
+	// one before, and the last one for all others. So workspaces that are all beyond what is usual are still compared.
 	excessLevels = 6
 	// fullWeight is the weight in the usual number of a question while there are more than the slots take, so that a
 	// surge does not become usual within seconds.
@@ -43,8 +43,12 @@
 }
 
 // record counts a question and returns its level, 0 for one within the share of its workspace. capacity is the number of
-// requests a second that the slots take; full is set while there are more questions than
-// they take.
+// requests a second that the slots take; full is set while there are more questions than they take.
+//
+//	share  = shareFactor * usual / usual of all * recent + shareExtra
+//	recent = capacity * recentHalfLife / ln 2
+//
+// recent is the count at which questions at the rate of the capacity settle when it decays with recentHalfLife.
 func (s *shares) record(now time.Time, workspace uint32, capacity float64, full bool) (level int) {
 	w := s.workspace(now, workspace)
 	usual := w.usual.At(now, usualHalfLife) / max(s.all.At(now, usualHalfLife), 1)
@@ -60,7 +64,7 @@
 	return level
 }
 
-// level returns the first level that has room for a question. Each has twice the room of the one before.
+// level returns the first level that has room for a question: level i for share * 2^i recent ones.
 func (w *traffic) level(now time.Time, share float64) int {
 	for i := range w.recent[:excessLevels-1] {
 		if w.recent[i].At(now, recentHalfLife) < share {
@@ -86,7 +90,7 @@
 	return w
 }
 
-// forgetIdle forgets the workspaces that send nothing any more, or all when there are none.
+// forgetIdle forgets the workspaces that send nothing any more, or all of them when each still sends.
 func (s *shares) forgetIdle(now time.Time) {
 	for hash, w := range s.workspaces {
 		if w.usual.At(now, usualHalfLife) < minUsual {
