--- a/internal/slotgrant/contact.go
+++ b/internal/slotgrant/contact.go
@@ -8,7 +8,7 @@
 
 const (
 	// pingRepeat is the time after which a ping without an answer is sent again. With a single one a lost datagram would
-	// make a second router grant.
+	// make a second router grant. A router is silent after maxAnswerTimeout without an answer.
 	pingRepeat = 25 * time.Millisecond
 	// pingInterval is the time between two pings of a router that did not answer.
 	pingInterval = 500 * time.Millisecond
@@ -16,8 +16,9 @@
 	// take its place counts as alive.
 	recentlyHeard = 150 * time.Millisecond
 	aliveAfter    = 10 * time.Second
-	// silentTrust is the age from which another router's word that a silent router grants counts.
-	silentTrust = 200 * time.Millisecond
+	// ownFindingTime is how long this router's own finding that another one is silent outweighs an answer which names that one as
+	// the granting router.
+	ownFindingTime = 200 * time.Millisecond
 )
 
 // contact is what is known of a router that grants or may do so.
@@ -26,21 +27,22 @@
 	// pingedAt is when it was pinged, repeatedAt when that ping was last sent, and pingWaits is set until it answers.
 	pingedAt, repeatedAt time.Time
 	pingWaits            bool
-	// silent is set when it has not answered in time, at silentAt; told when another router has said so.
-	silent, told bool
-	silentAt     time.Time
+	// silent is set when it has not answered in time, at silentAt; reported when this was concluded from the message of a router that
+	// grants in its place.
+	silent, reported bool
+	silentAt         time.Time
 }
 
 func (c *contact) setSilent(now time.Time) {
 	if !c.silent {
 		c.silentAt = now
 	}
-	c.silent, c.told = true, false
+	c.silent, c.reported = true, false
 }
 
-// Choose returns the first of some routers that is not known to be silent; the zero address means none. While the first one is
-// silent it is pinged, so that it is asked again when it is back, and so are the others: many routers may have ended
-// together, and each would cost a request the time in which it does not answer.
+// Choose returns the first candidate that is not known to be silent; the zero address means none. While the first candidate is
+// silent, all silent ones are pinged, so that they are asked again when they are back, and the others that were not heard for
+// aliveAfter as well: many routers may have ended together, and each would cost a request the time in which it does not answer.
 func (a *Asker) Choose(now time.Time, candidates []netip.Addr, out *Outbox) netip.Addr {
 	for addr := range a.contacts {
 		if !slices.Contains(candidates, addr) && addr != a.first {
@@ -86,7 +88,7 @@
 	out.to(addr, a.term).Ping = true
 }
 
-// awaitPing repeats the ping of a router that does not answer, since datagrams are lost, and takes it for silent in the end.
+// awaitPing repeats the ping of a router that does not answer, since datagrams are lost, and considers it silent in the end.
 func (a *Asker) awaitPing(now time.Time, addr netip.Addr, c *contact, out *Outbox) {
 	switch {
 	case !c.pingWaits || c.silent:
@@ -107,7 +109,8 @@
 	return c
 }
 
-// Follow asks a router that says that it grants, and takes those before it for silent. Questions that wait for those go to it.
+// Follow considers the candidates before the router granting, which says that it grants, silent. Questions that wait for their answers
+// are sent to granting.
 func (a *Asker) Follow(now time.Time, candidates []netip.Addr, granting netip.Addr, out *Outbox) {
 	n := slices.Index(candidates, granting)
 	for _, addr := range candidates[:max(n, 0)] {
@@ -116,7 +119,7 @@
 		}
 		c := a.contact(addr)
 		c.setSilent(now)
-		c.told, c.pingedAt = true, now
+		c.reported, c.pingedAt = true, now
 		for _, number := range a.numbers() {
 			p := a.pending[number]
 			if p.to == addr {
@@ -127,10 +130,10 @@
 	}
 }
 
-// foundSilent reports whether this router has just found out itself that another one is silent.
+// foundSilent reports whether this router has found out itself, within ownFindingTime, that another one is silent.
 func (a *Asker) foundSilent(now time.Time, addr netip.Addr) bool {
 	c := a.contact(addr)
-	return c.silent && !c.told && now.Sub(c.silentAt) < silentTrust
+	return c.silent && !c.reported && now.Sub(c.silentAt) < ownFindingTime
 }
 
 // FirstSilent returns the silent router with the lowest address; the zero address when there is none.
