--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -96,13 +96,13 @@
 	}
 	target, ok := p.balance.PickBackup(now, job, choice.Server.Key(), func(b balance.Backup, hash uint64) bool {
 		t := targetOf(b)
-		return policy.Book.Fits(hash, policy.Tokens(run, t), in) && policy.Worth(in.Pool, run, t, risk)
+		return policy.Copies.Fits(hash, policy.Tokens(run, t), in) && policy.Worth(in.Pool, run, t, risk)
 	})
 	if !ok {
 		return nil
 	}
 	b := &backup{server: target.Server, tokens: policy.Tokens(run, targetOf(target)), risk: risk}
-	policy.Book.Take(b.server.Key().Hash(), b.tokens)
+	policy.Copies.Add(b.server.Key().Hash(), b.tokens)
 	return b
 }
 
@@ -122,7 +122,7 @@
 // engineID identifies an engine across its incarnations.
 func engineID(s *registry.Server) uint64 { return placement.Hash(s.ID) }
 
-// releaseBackup takes the copy of an attempt that has ended off the count.
+// releaseBackup ends the count of the copy of an attempt that has ended.
 func (p *pool) releaseBackup(b *backup) {
 	if b == nil {
 		return
@@ -131,17 +131,17 @@
 	defer p.mu.Unlock()
 	if !b.released {
 		b.released = true
-		p.backups.Book.Release(b.server.Key().Hash(), b.tokens)
+		p.backups.Copies.Release(b.server.Key().Hash(), b.tokens)
 	}
 }
 
 // backupStatus returns the state of the copies, nil when there is nothing to say. The caller holds mu.
 func (p *pool) backupStatus(now time.Time) *BackupStatus {
-	book := &p.backups.Book
-	if p.backups.Hazard.Quiet(now) && book.Count() == 0 {
+	copies := &p.backups.Copies
+	if p.backups.Hazard.Quiet(now) && copies.Count() == 0 {
 		return nil
 	}
-	return &BackupStatus{EngineEnds: math.Round(100*p.backups.Hazard.Ends(now)) / 100, Running: book.Count(), Tokens: book.Tokens()}
+	return &BackupStatus{EngineEnds: math.Round(100*p.backups.Hazard.Ends(now)) / 100, Running: copies.Count(), Tokens: copies.Tokens()}
 }
 
 // recordEndSign records a sign that an engine has ended. The caller holds mu.
--- a/internal/forward/backup_test.go
+++ b/internal/forward/backup_test.go
@@ -153,7 +153,7 @@
 		"too dear":         {kind: routing.Stream, change: func(_ *bed, e *routing.Engine) { e.KVTokenBytes = 1 << 40 }},
 		"too many": {kind: routing.Stream, change: func(b *bed, e *routing.Engine) {
 			for target := range uint64(100) {
-				b.state.pool("p").backups.Book.Take(target, 1)
+				b.state.pool("p").backups.Copies.Add(target, 1)
 			}
 		}},
 	} {
--- a/internal/forward/takeover_test.go
+++ b/internal/forward/takeover_test.go
@@ -254,7 +254,7 @@
 		for _, l := range b.state.Loads() {
 			during += l.InFlight
 		}
-		b.state.eachPool(func(p *pool) { copies = p.backups.Book.Count() })
+		b.state.eachPool(func(p *pool) { copies = p.backups.Copies.Count() })
 		goOn(w, r)
 	})
 	b.expectEvents(b.send(ask{}), 5, true)
@@ -266,7 +266,7 @@
 		t.Errorf("loads %v after the end, want none", loads)
 	}
 	b.state.eachPool(func(p *pool) {
-		if n := p.backups.Book.Count(); n != 0 {
+		if n := p.backups.Copies.Count(); n != 0 {
 			t.Errorf("%d copies are counted after the end", n)
 		}
 	})
--- a/internal/streambackup/book_test.go
+++ b/internal/streambackup/copies_test.go
@@ -18,15 +18,15 @@
 		{"unknown capacity", Bounds{Routers: 1, Engines: 1}, 12_000, maxBackups, maxBackups},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var one, many Book
+			var one, many Copies
 			for range 2 * maxBackups {
 				if one.Fits(1, c.each, c.in) {
-					one.Take(1, c.each)
+					one.Add(1, c.each)
 				}
 			}
 			for target := range uint64(2 * maxBackups) {
 				if many.Fits(target, c.each, c.in) {
-					many.Take(target, c.each)
+					many.Add(target, c.each)
 				}
 			}
 			if one.Count() != c.want || many.Count() != min(c.all, maxBackups) {
@@ -38,9 +38,9 @@
 
 // Guards against copies that are counted after their end.
 func TestReleasedCopyMakesRoom(t *testing.T) {
-	var b Book
+	var b Copies
 	in := Bounds{Pool: Pool{KVTokens: 100, Slots: 4}, Routers: 1, Engines: 1}
-	b.Take(1, 20)
+	b.Add(1, 20)
 	if b.Fits(1, 20, in) {
 		t.Error("a second copy fits beside the first")
 	}
--- a/internal/streambackup/hazard.go
+++ b/internal/streambackup/hazard.go
@@ -33,7 +33,7 @@
 	Reported
 )
 
-// signWeights are the shares of an engine end that the signs count for.
+// signWeights has the weight of each sign; 1 is an end.
 var signWeights = [...]float64{Vanished: 1, Refused: 1, Broken: 0.5, Reported: 1}
 
 // Hazard estimates how likely the engines of a pool end, from the ends that were seen. The zero value has seen
@@ -66,7 +66,7 @@
 	s.at = now
 }
 
-// left returns the weight that is left.
+// left returns the weight that is left: weight * exp(-age / hazardTime).
 func (s *signs) left(now time.Time) float64 {
 	return s.weight * math.Exp(-max(now.Sub(s.at), 0).Seconds()/hazardTime.Seconds())
 }
@@ -80,7 +80,7 @@
 	}
 }
 
-// dropOldest forgets the engine of the oldest sign when there are too many.
+// dropOldest forgets the engine whose last sign is the oldest when there are maxEngines.
 func (h *Hazard) dropOldest() {
 	if len(h.engines) < maxEngines {
 		return
@@ -95,7 +95,7 @@
 	delete(h.engines, oldest)
 }
 
-// Quiet reports whether no end was seen lately.
+// Quiet reports whether no end was seen whose weight is not negligible yet.
 func (h *Hazard) Quiet(now time.Time) bool {
 	if len(h.engines) > 0 {
 		h.expire(now)
@@ -103,7 +103,7 @@
 	return len(h.engines) == 0
 }
 
-// Ends returns the decayed number of ends in the pool.
+// Ends returns the number of ends in the pool, each with the weight that is left of it.
 func (h *Hazard) Ends(now time.Time) float64 {
 	ends := 0.0
 	for _, s := range h.engines {
@@ -112,7 +112,7 @@
 	return ends
 }
 
-// endsOf returns the decayed number of ends of one engine, its earlier incarnations included.
+// endsOf returns the same number for one engine, its earlier incarnations included.
 func (h *Hazard) endsOf(now time.Time, id uint64) float64 {
 	ends := 0.0
 	for _, s := range h.engines {
@@ -146,7 +146,12 @@
 }
 
 // Risk returns the probability that an engine ends within a time. It is 0 while no end was seen in its pool:
-// each end is expected to be followed by another one of the pool, with a rate that decays.
+// each end is expected to be followed by another one of the pool, with a rate that decays with hazardTime.
+//
+//	1 - exp(-ends * (1 - exp(-within / hazardTime)))
+//	ends = (ends in the pool / engines + repeatShare * ends of the engine) * youngFactor * releaseFactor
+//
+// The factors are left out for an engine that is not young and outside a release.
 func (h *Hazard) Risk(now time.Time, e Engine, within time.Duration) float64 {
 	if len(h.engines) == 0 {
 		return 0
--- a/internal/streambackup/policy.go
+++ b/internal/streambackup/policy.go
@@ -3,14 +3,13 @@
 import "time"
 
 const (
-	// lostRun is what a stream is worth that ends for its caller, in seconds of an engine, beside the work that
-	// was done for it. The caller has to begin anew, and reads a
-	// part of the answer twice.
+	// lostRun is what a stream is worth that ends for its caller, in seconds of an engine, in addition to the work that
+	// was done for it. The caller has to begin anew, and reads a part of the answer twice.
 	lostRun = 3.0
 	// takeoverTokens is what an engine reads again at a takeover, since copies arrive a few times a second.
 	takeoverTokens = 10
-	// remoteFactor is how much longer a copy between data centres takes, and remotePrice what a gigabyte between
-	// them is worth, in seconds of an engine.
+	// remoteFactor is how many times longer a copy between data centres takes, and remotePrice what a gigabyte (1e9 bytes)
+	// between them costs, in seconds of an engine.
 	remoteFactor = 2.0
 	remotePrice  = 0.1
 	// defaultTokenTime is the assumed time for a token of the answer, and defaultOutput the number of tokens, until
@@ -20,13 +19,13 @@
 	smoothing        = 0.05
 	// maxOutputShare is the share of its bound that an answer is expected to reach.
 	maxOutputShare = 0.5
-	// negligibleRisk is the probability of an end below which no target is looked for.
+	// negligibleRisk is the probability of an end below which no target is searched for.
 	negligibleRisk = 1e-3
 )
 
 // Pool is what the configuration says of the engines of a pool. A number is 0 when it is unknown.
 type Pool struct {
-	// KVTokens is the number of tokens that fit the memory of an engine, KVTokenBytes the size of one.
+	// KVTokens is the number of tokens that fit the memory of an engine, and KVTokenBytes the size of one in bytes.
 	KVTokens     int
 	KVTokenBytes int
 	// LinkMbps is the rate of copies, in megabits per second.
@@ -61,10 +60,10 @@
 	Load float64
 }
 
-// Policy decides for one pool.
+// Policy decides for one pool. Losses and costs are in seconds of an engine: the time of an engine with all its slots.
 type Policy struct {
 	Hazard Hazard
-	Book   Book
+	Copies Copies
 	// MinRisk is the probability of an end from which a run may have a copy. A copy takes as much memory as the run, and its
 	// bytes are as many, whether it is used or not.
 	MinRisk float64
@@ -131,8 +130,13 @@
 	return max(r.PromptTokens-t.Cached, 0) + r.Done + int(p.outputLeft(r))
 }
 
-// Loss returns what is lost when the engine of a run ends without a copy, in seconds of an engine. A stream that
-// another engine may resume costs the reading of what was there; another one is lost.
+// Loss returns what is lost when the engine of a run ends without a copy, in seconds of an engine. An end is expected to come when
+// half of the rest has been generated.
+//
+//	resumable:     ReadTime + (Done + rest / 2 - takeoverTokens) * ReadTime / PromptTokens, at least 0
+//	not resumable: lostRun + ReadTime + duration / slots
+//
+// A stream that another engine may resume costs the reading of what was there; any other is lost.
 func (p *Policy) Loss(pool Pool, r Run) float64 {
 	done := float64(r.Done) + p.outputLeft(r)/2
 	readTime := r.ReadTime.Seconds()
@@ -146,7 +150,13 @@
 }
 
 // Cost returns what a copy costs, in seconds of an engine: the time of the link, the price of bytes between data
-// centres, and the memory that the target lacks meanwhile. Memory of an engine without work costs little.
+// centres, and the memory that the target lacks meanwhile.
+//
+//	same data centre:   bytes * 8 / link rate + memory
+//	other data centre:  remoteFactor * bytes * 8 / link rate + remotePrice * gigabytes + memory
+//	memory:             tokens / KVTokens * duration * min(load per slot, 1)^2
+//
+// The square makes memory of an engine with little work cheap. A term whose capacity is unknown is 0.
 func (p *Policy) Cost(pool Pool, r Run, t Target) float64 {
 	tokens := float64(p.Tokens(r, t))
 	bytes := tokens * float64(pool.KVTokenBytes)
