balance, forward: updates of cold servers are named as such

News are ColdUpdate, tells are sends to the other routers; out is outOfService, and inService, which counts servers that leave, is notEvacuated.

--- a/internal/balance/backup.go
+++ b/internal/balance/backup.go
@@ -33,7 +33,7 @@
 func (p *Pool) Primary(choice Choice, job Job) Primary {
 	primary := Primary{Server: choice.Server, ReadTime: p.speed.duration(job.PromptTokens)}
 	for _, m := range p.members {
-		if m.server.Engine && !m.out() {
+		if m.server.Engine && !m.outOfService() {
 			primary.Engines++
 		}
 	}
@@ -108,7 +108,7 @@
 // its copy.
 func (p *Pool) PickNamed(now time.Time, job Job, key registry.Key) (Choice, bool) {
 	m, mean := p.byKey[key], p.mean(now)
-	if m == nil || m.out() || !p.admits(now, m, &job) || m.health.failing(now) || m.load(now) >= p.bound(mean) {
+	if m == nil || m.outOfService() || !p.admits(now, m, &job) || m.health.failing(now) || m.load(now) >= p.bound(mean) {
 		return Choice{}, false
 	}
 	return p.choose(now, m, nil, mean, ReasonBackup, 0, &job), true
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -193,7 +193,7 @@
 func (p *Pool) Vanished(current map[registry.Key]bool) []*registry.Server {
 	var gone []*registry.Server
 	for _, m := range p.members {
-		if m.server.Engine && !m.out() && !current[m.server.Key()] {
+		if m.server.Engine && !m.outOfService() && !current[m.server.Key()] {
 			gone = append(gone, m.server)
 		}
 	}
--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -131,7 +131,7 @@
 func (p *Pool) BrittleFull(now time.Time) bool {
 	full := false
 	for _, m := range p.members {
-		if m.out() {
+		if m.outOfService() {
 			continue
 		}
 		if !m.brittle.active() {
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -14,7 +14,7 @@
 	available := make([]*member, 0, len(p.members))
 	var ejected []*member
 	for _, m := range p.members {
-		if m.out() || !admits(m) {
+		if m.outOfService() || !admits(m) {
 			continue
 		}
 		if m.health.ejected(now, m.own) {
@@ -128,7 +128,7 @@
 		if !m.server.Leaving {
 			staying.add(load)
 		}
-		if !m.out() {
+		if !m.outOfService() {
 			inService.add(load)
 		}
 	}
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -12,24 +12,25 @@
 	// coldTolerance is by how much two statements of the end of a cold period may differ and count as the same.
 	// Entries are read some tenths of a second after they were written.
 	coldTolerance = time.Second
-	// coldTells is the number of digests that carry a change of a cold server, because datagrams are lost; coldRetell is the
-	// time between them.
-	coldTells  = 3
-	coldRetell = 400 * time.Millisecond
+	// coldSends is the number of times that a change of a cold server is sent to the other routers, because datagrams are lost;
+	// coldResend is the time between them.
+	coldSends  = 3
+	coldResend = 400 * time.Millisecond
 	// entryDelay is the age that an entry may have when it is read. One that says that the server is not cold counts
 	// only when it was written after the server was assumed to be.
 	entryDelay = 1500 * time.Millisecond
 )
 
-// ColdLimits says what the cold servers of a pool tolerate. Without a rate they are served as any other.
+// ColdLimits says what the cold servers of a pool tolerate. Without a rate they get requests like all others.
 type ColdLimits struct {
 	// Start is how long a server is cold after its start.
 	Start  time.Duration
 	Bounds namedlimit.ColdBounds
 }
 
-// ColdNews is what another router, an entry or an answer says of a server: that it is cold for a time, or not with 0.
-type ColdNews struct {
+// ColdUpdate is what another router, an entry or an answer says of a server.
+type ColdUpdate struct {
+	// Left is how long the server is cold yet; 0 when it is not cold.
 	Left time.Duration
 	// ByEntry is set for what the server's entry says, which also shortens what was assumed.
 	ByEntry bool
@@ -43,11 +44,11 @@
 	// end is until when the server counts as cold: each choice of a server asks for it.
 	end  time.Time
 	rate namedlimit.Cold
-	// byEntry is set when until is what the entry says, tells is how often the others have still to be told, and
-	// toldAt when that was done last.
-	byEntry bool
-	tells   int
-	toldAt  time.Time
+	// byEntry is set when until is what the entry says. sendsLeft is how often the state has still to be sent to the other
+	// routers, and sentAt when that was done last.
+	byEntry   bool
+	sendsLeft int
+	sentAt    time.Time
 	// assumedAt is when something else than the entry made the server cold last.
 	assumedAt time.Time
 }
@@ -69,8 +70,8 @@
 	}
 }
 
-// SetStartsUnknown makes servers that may have started just before this router count as cold until a time, unless another
-// router has told before which ones are.
+// SetStartsUnknown makes servers that may have started just before this router count as cold until a time. A zero time ends that:
+// another router has reported all cold servers.
 func (p *Pool) SetStartsUnknown(until time.Time) {
 	p.startsUnknownUntil = until
 	for _, m := range p.members {
@@ -152,71 +153,73 @@
 	return ended
 }
 
-// applyCold applies news of a server and reports whether it changes what is known.
-func (p *Pool) applyCold(now time.Time, m *member, news ColdNews) (changed bool) {
-	if news.Left <= 0 {
+// applyCold applies what is said of a server and reports whether that changes what is known. Statements that differ by at most
+// coldTolerance are the same, and only the server's entry shortens what is known.
+func (p *Pool) applyCold(now time.Time, m *member, update ColdUpdate) (changed bool) {
+	if update.Left <= 0 {
 		return p.endCold(now, m)
 	}
-	if !news.ByEntry {
+	if !update.ByEntry {
 		m.cold.assumedAt = now
 	}
-	until := now.Add(news.Left)
+	until := now.Add(update.Left)
 	difference := until.Sub(m.cold.end)
-	if difference <= coldTolerance && (!news.ByEntry || difference >= -coldTolerance) {
+	if difference <= coldTolerance && (!update.ByEntry || difference >= -coldTolerance) {
 		return false
 	}
-	m.cold.start, m.cold.byEntry = registry.Start{}, news.ByEntry
+	m.cold.start, m.cold.byEntry = registry.Start{}, update.ByEntry
 	p.beginCold(now, m, until)
 	return true
 }
 
-// RecordCold records what a server's entry or an answer says, and reports whether that is news, which the others are then
-// told if so wanted. With first set the entry is the one by which this router has come to know the incarnation: a server that
-// has just started may not have noticed yet that it is cold.
-func (p *Pool) RecordCold(now time.Time, key registry.Key, news ColdNews, first, tell bool) (changed bool) {
+// RecordCold records what a server's entry or an answer says, and reports whether that changes what is known. With announce set a
+// change is sent to the other routers (TakeCold). With first set the entry is the one by which this router has come to know the
+// incarnation: a server that has just started may not have noticed yet that it is cold.
+func (p *Pool) RecordCold(now time.Time, key registry.Key, update ColdUpdate, first, announce bool) (changed bool) {
 	m := p.byKey[key]
 	switch {
 	case m == nil:
 		return false
-	case first && news.Left <= 0:
+	case first && update.Left <= 0:
 		m.cold.start.Unknown = false
 		p.updateColdEnd(m)
 		return false
 	case first:
-		news.ByEntry = false
-	case news.Left <= 0 && now.Sub(m.cold.assumedAt) < entryDelay:
+		update.ByEntry = false
+	case update.Left <= 0 && now.Sub(m.cold.assumedAt) < entryDelay:
 		return false
 	}
-	changed = p.applyCold(now, m, news)
-	if changed && tell {
-		m.cold.tells, m.cold.toldAt = coldTells, time.Time{}
+	changed = p.applyCold(now, m, update)
+	if changed && announce {
+		m.cold.sendsLeft, m.cold.sentAt = coldSends, time.Time{}
 	}
 	return changed
 }
 
-// ReceiveCold records what another router says of a server. It returns the server, nil when the pool has none, and
-// whether that is news.
-func (p *Pool) ReceiveCold(now time.Time, server func(hash uint64) bool, news ColdNews) (s *registry.Server, changed bool) {
+// ReceiveCold records what another router says of the server whose hash matches. It returns the server, nil when the pool has none,
+// and whether that changes what is known.
+func (p *Pool) ReceiveCold(now time.Time, matches func(hash uint64) bool, update ColdUpdate) (s *registry.Server, changed bool) {
 	for _, m := range p.members {
-		if server(m.hash) {
-			return m.server, p.applyCold(now, m, news)
+		if matches(m.hash) {
+			return m.server, p.applyCold(now, m, update)
 		}
 	}
 	return nil, false
 }
 
-// TakeCold calls f for each server of which the others have to be told now, with what is known.
-func (p *Pool) TakeCold(now time.Time, f func(server uint64, news ColdNews)) {
+// TakeCold calls f for each server of which an update is to be sent to the other routers now, with what is known. An update is sent
+// coldSends times.
+func (p *Pool) TakeCold(now time.Time, f func(server uint64, update ColdUpdate)) {
 	for _, m := range p.members {
-		if m.cold.tells > 0 && now.Sub(m.cold.toldAt) >= coldRetell {
-			m.cold.tells--
-			m.cold.toldAt = now
-			f(m.hash, ColdNews{Left: max(p.knownColdUntil(m).Sub(now), 0), ByEntry: m.cold.byEntry})
+		if m.cold.sendsLeft > 0 && now.Sub(m.cold.sentAt) >= coldResend {
+			m.cold.sendsLeft--
+			m.cold.sentAt = now
+			f(m.hash, ColdUpdate{Left: max(p.knownColdUntil(m).Sub(now), 0), ByEntry: m.cold.byEntry})
 		}
 	}
 }
 
-// ColdServers calls f for each cold server.
+// ColdServers calls f for each server that is known to be cold, with how long it is cold yet.
 func (p *Pool) ColdServers(now time.Time, f func(server uint64, left time.Duration)) {
 	for _, m := range p.members {
 		if left := p.knownColdUntil(m).Sub(now); left > 0 {
@@ -237,9 +240,9 @@
 	return warm
 }
 
-// HasCold reports whether a server that stays is cold, one of those in the regions when there are any.
+// HasCold reports whether a server that takes new requests is cold, one of those in the regions when there are any.
 func (p *Pool) HasCold(now time.Time, regions ...string) bool {
-	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.out() && m.isIn(regions) && p.isCold(now, m) })
+	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.outOfService() && m.isIn(regions) && p.isCold(now, m) })
 }
 
 // coldWait returns how long it takes until this router may send a cold server a request. A router that may send none
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -186,7 +186,7 @@
 	key := list[0].Key()
 	at := func(d time.Duration) time.Time { return coldStart.Add(d) }
 	left := func(d time.Duration) time.Duration { return p.byKey[key].cold.end.Sub(at(d)) }
-	entry := func(d time.Duration) ColdNews { return ColdNews{Left: d, ByEntry: true} }
+	entry := func(d time.Duration) ColdUpdate { return ColdUpdate{Left: d, ByEntry: true} }
 	if p.RecordCold(at(0), key, entry(0), true, true) || left(0) != 20*time.Second {
 		t.Errorf("cold for %v after the first entry says that it is not, want 20 s", left(0))
 	}
@@ -200,10 +200,10 @@
 	}
 	told := 0
 	for d := 2 * time.Second; d < 10*time.Second; d += 100 * time.Millisecond {
-		p.TakeCold(at(d), func(uint64, ColdNews) { told++ })
+		p.TakeCold(at(d), func(uint64, ColdUpdate) { told++ })
 	}
-	if told != coldTells {
-		t.Errorf("told %d times, want %d", told, coldTells)
+	if told != coldSends {
+		t.Errorf("told %d times, want %d", told, coldSends)
 	}
 	p.SetCold(at(12*time.Second), func(s *registry.Server) bool { return s.ID == "a" }, at(32*time.Second))
 	if p.RecordCold(at(13*time.Second), key, entry(0), false, true) || left(13*time.Second) != 19*time.Second {
@@ -212,7 +212,7 @@
 	if !p.RecordCold(at(14*time.Second), key, entry(0), false, true) || left(14*time.Second) > 0 {
 		t.Errorf("cold for %v after a later entry says that it is not", left(14*time.Second))
 	}
-	if !p.RecordCold(at(15*time.Second), key, ColdNews{Left: 3 * time.Second}, false, true) || left(15*time.Second) != 3*time.Second {
+	if !p.RecordCold(at(15*time.Second), key, ColdUpdate{Left: 3 * time.Second}, false, true) || left(15*time.Second) != 3*time.Second {
 		t.Errorf("cold for %v by its answer, want 3 s", left(15*time.Second))
 	}
 }
--- a/internal/balance/evacuated.go
+++ b/internal/balance/evacuated.go
@@ -11,8 +11,8 @@
 // setMemberEvacuated sets what is known of the data centre of a member.
 func (p *Pool) setMemberEvacuated(m *member) { m.evacuated = p.evacuated[m.server.DataCentre] }
 
-// out reports whether a member takes no new requests whatever they are: it leaves or its data centre is evacuated.
-func (m *member) out() bool { return m.server.Leaving || m.evacuated }
+// outOfService reports whether a member takes no new requests at all: it leaves or its data centre is evacuated.
+func (m *member) outOfService() bool { return m.server.Leaving || m.evacuated }
 
 // OnlyEvacuated reports whether the request has no server because the data centres of all that stay, or of all with the
 // version and in the regions that it needs, are evacuated.
@@ -30,8 +30,8 @@
 	return evacuated
 }
 
-// inService returns the number of members whose data centres are not evacuated.
-func (p *Pool) inService() int {
+// notEvacuated returns the number of members whose data centres are not evacuated.
+func (p *Pool) notEvacuated() int {
 	n := 0
 	for _, m := range p.members {
 		if !m.evacuated {
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -46,7 +46,7 @@
 
 // hasUnlimited reports whether a member that stays names no limit and is not cold.
 func (p *Pool) hasUnlimited(now time.Time) bool {
-	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.out() && !p.restricted(now, m) })
+	return slices.ContainsFunc(p.members, func(m *member) bool { return !m.outOfService() && !p.restricted(now, m) })
 }
 
 // RecordLimit records what a server said of its limit in the answer to a request that was sent at a
@@ -84,7 +84,7 @@
 func (p *Pool) WithheldWait(now time.Time, regions ...string) time.Duration {
 	shortest := time.Duration(0)
 	for _, m := range p.members {
-		if m.out() || !m.isIn(regions) || !p.withheld(now, m) {
+		if m.outOfService() || !m.isIn(regions) || !p.withheld(now, m) {
 			continue
 		}
 		wait := max(m.refusesUntil.Sub(now), m.brittle.pausedUntil.Sub(now), minWithheld)
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -164,7 +164,7 @@
 			failing = append(failing, failingMember{m, failed, ended})
 		}
 	}
-	if 2*len(failing) > p.inService() {
+	if 2*len(failing) > p.notEvacuated() {
 		return nil
 	}
 	return failing
@@ -236,7 +236,7 @@
 			ejected++
 		}
 	}
-	return 3*(ejected+1) <= p.inService()
+	return 3*(ejected+1) <= p.notEvacuated()
 }
 
 // Status is the state of one server, for logs and status pages.
--- a/internal/balance/scarce.go
+++ b/internal/balance/scarce.go
@@ -22,7 +22,7 @@
 		if m.server.Engine || m.server.Slots <= 0 || m.limit.Active() || m.brittle.active() {
 			return nil
 		}
-		if m.out() || p.isCold(now, m) {
+		if m.outOfService() || p.isCold(now, m) {
 			continue
 		}
 		usable := !m.health.ejected(now, m.own) && !m.refuses(now)
--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -98,30 +98,30 @@
 }
 
 // RecordColdEntry records what a server's entry says of whether it is cold, and reports whether that is new. With first
-// set the entry is the one by which this router has come to know the incarnation. What it has read itself is told to the
-// others.
+// set the entry is the one by which this router has come to know the incarnation. read is set when this router has read the entry
+// itself; a change is then sent to the others.
 func (st *State) RecordColdEntry(s *registry.Server, first, read bool) (changed bool) {
 	p := st.pool(s.Pool)
 	if p == nil {
 		return false
 	}
 	left := max(s.ColdLeft, 0)
-	changed = p.recordCold(time.Now(), s.Key(), balance.ColdNews{Left: left, ByEntry: true}, first, read)
+	changed = p.recordCold(time.Now(), s.Key(), balance.ColdUpdate{Left: left, ByEntry: true}, first, read)
 	if changed {
 		st.onCold(s, left, ColdByEntry)
 	}
 	return changed
 }
 
-func (p *pool) recordCold(now time.Time, key registry.Key, news balance.ColdNews, first, tell bool) (changed bool) {
+func (p *pool) recordCold(now time.Time, key registry.Key, update balance.ColdUpdate, first, announce bool) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.balance.RecordCold(now, key, news, first, tell)
+	return p.balance.RecordCold(now, key, update, first, announce)
 }
 
 // recordCold records what an answer says of how long its server is cold yet.
 func (c *call) recordCold(s *registry.Server, left time.Duration) {
-	if left > 0 && c.pool.recordCold(time.Now(), s.Key(), balance.ColdNews{Left: left}, false, true) {
+	if left > 0 && c.pool.recordCold(time.Now(), s.Key(), balance.ColdUpdate{Left: left}, false, true) {
 		c.handler.state.onCold(s, left, ColdByAnswer)
 		c.handler.state.onNews()
 	}
@@ -132,8 +132,8 @@
 	var list []digest.ColdServer
 	now := time.Now()
 	st.eachPool(func(p *pool) {
-		p.balance.TakeCold(now, func(server uint64, news balance.ColdNews) {
-			list = append(list, digest.ColdServer{Server: digest.ShortHash(server), Left: news.Left, ByEntry: news.ByEntry})
+		p.balance.TakeCold(now, func(server uint64, update balance.ColdUpdate) {
+			list = append(list, digest.ColdServer{Server: digest.ShortHash(server), Left: update.Left, ByEntry: update.ByEntry})
 		})
 	})
 	return list
@@ -185,7 +185,7 @@
 // applyPendingCold applies what others have said to the servers that are known by now. The caller holds mu.
 func (st *State) applyPendingCold(now time.Time) {
 	for server, said := range st.cold.pending {
-		news := balance.ColdNews{Left: max(said.until.Sub(now), 0), ByEntry: said.byEntry}
+		update := balance.ColdUpdate{Left: max(said.until.Sub(now), 0), ByEntry: said.byEntry}
 		if !said.until.After(now) {
 			delete(st.cold.pending, server)
 			if said.cold {
@@ -195,14 +195,14 @@
 		}
 		for _, p := range st.pools {
 			p.mu.Lock()
-			s, changed := p.balance.ReceiveCold(now, func(hash uint64) bool { return digest.ShortHash(hash) == server }, news)
+			s, changed := p.balance.ReceiveCold(now, func(hash uint64) bool { return digest.ShortHash(hash) == server }, update)
 			p.mu.Unlock()
 			if s == nil {
 				continue
 			}
 			delete(st.cold.pending, server)
 			if changed {
-				st.onCold(s, news.Left, ColdByRouter)
+				st.onCold(s, update.Left, ColdByRouter)
 			}
 		}
 	}
