--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -154,9 +154,9 @@
 	evacuated map[string]bool
 	// totals are the expected times of the members of a choice.
 	totals []time.Duration
-	// figure is the mean of what servers say of how long work takes, figureAt the time of the last report.
-	figure   float64
-	figureAt time.Time
+	// meanSlowdown is the moving average of the slowdowns that servers report, and slowdownAt the time of the last report.
+	meanSlowdown float64
+	slowdownAt   time.Time
 	// means are the mean costs of requests, memory the number of tokens that fit an engine; 0 for unknown.
 	means  means
 	memory float64
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -151,7 +151,7 @@
 // leastLoaded returns the least loaded member; ties are broken by the job's random
 // number.
 func (p *Pool) leastLoaded(now time.Time, usable []*member, mean float64, job *Job) *member {
-	if p.timed(now) {
+	if p.reportsSlowdown(now) {
 		return p.soonest(now, usable, mean, job, job.PromptTokens)
 	}
 	start := int(job.Random % uint64(len(usable)))
@@ -183,7 +183,7 @@
 	if source != nil {
 		c.Source = source.server
 	}
-	if p.timed(now) {
+	if p.reportsSlowdown(now) {
 		c.Expected = p.expectationAt(now, m, job, read).firstByte
 		c.Slowdown = p.slowdown(now, m)
 	}
--- a/internal/balance/expected.go
+++ b/internal/balance/expected.go
@@ -34,14 +34,14 @@
 	return e.firstByte + time.Duration(addedShare*float64(e.added))
 }
 
-// expectations answers when a request would be served by each of several members. What is the same for all of them is
-// worked out once.
+// expectations predicts when a request would be served by each of several members. What is the same for all of them is
+// computed once.
 type expectations struct {
 	pool *Pool
 	now  time.Time
 	job  *Job
-	// timed is set when the servers of the pool say how long work takes.
-	timed bool
+	// reported is set when the servers of the pool say how long work takes.
+	reported bool
 	// others is the mean number of other routers' requests, othersAge the age at which a report of them says nothing.
 	others    float64
 	othersAge time.Duration
@@ -51,16 +51,22 @@
 
 func (p *Pool) expectations(now time.Time, members []*member, job *Job) expectations {
 	return expectations{
-		pool: p, now: now, job: job, timed: p.timed(now), others: meanOthers(now, members),
+		pool: p, now: now, job: job, reported: p.reportsSlowdown(now), others: meanOthers(now, members),
 		othersAge: min(max(p.means.slot, minOthersAge), maxOnlyReportAge), own: p.slotTime(job),
 	}
 }
 
-// of answers for a member that has a number of tokens to read.
+// of returns the prediction for a member that has a number of tokens to read.
+//
+//	firstByte = wait + (1 + crowdingShare * load / slots) * slowdown * (reading + own)
+//	wait      = slotWait + slowdown * reading of earlier prompts
+//	added     = load * slowdown * reading, for engines
+//
+// own is the time in a slot, or the time to the first byte after the reading for engines.
 func (x *expectations) of(m *member, read int) expectation {
 	p, slowdown, others := x.pool, 1.0, x.othersAt(m)
-	if x.timed {
-		slowdown = m.slowness.expected(x.now, p.figure)
+	if x.reported {
+		slowdown = m.slowdowns.expected(x.now, p.meanSlowdown)
 	}
 	load := float64(m.own) + others
 	scale := func(d time.Duration) time.Duration { return time.Duration(slowdown * float64(d)) }
@@ -76,7 +82,7 @@
 	return e
 }
 
-// expectationAt answers for one member.
+// expectationAt returns the prediction for one member.
 func (p *Pool) expectationAt(now time.Time, m *member, job *Job, read int) expectation {
 	x := p.expectations(now, []*member{m}, job)
 	return x.of(m, read)
@@ -93,8 +99,12 @@
 	return unknownSlot
 }
 
-// slotWait returns how long a request waits for a slot: as many requests as exceed the slots have to end before,
-// each after the mean of what the requests there have left.
+// slotWait returns how long a request waits for a slot: as many requests as exceed the slots have to end before, each after the
+// mean of what the requests there have left.
+//
+//	(load - slots + 1) / slots * left / load
+//
+// left is the time that this router's requests still take, and the mean time in a slot for each of the others.
 func (p *Pool) slotWait(now time.Time, m *member, load, others, slowdown float64) time.Duration {
 	slots := float64(m.server.Slots)
 	if slots <= 0 || load < slots || load <= 0 {
--- a/internal/balance/expected_test.go
+++ b/internal/balance/expected_test.go
@@ -19,14 +19,14 @@
 		say(p, start, m, 2, 0)
 	}
 	job := Job{Cost: cost.Prediction{Slot: time.Second}, Run: 1}
-	if p.timed(start) {
+	if p.reportsSlowdown(start) {
 		t.Fatal("expected times are used without a figure")
 	}
 	if c := pick(t, p, start, job); c.Expected != 0 || c.Slowdown != 0 {
 		t.Errorf("choice %+v has an expected time", c)
 	}
 	say(p, start, p.members[0], 2, 1.3)
-	if !p.timed(start) || p.timed(start.Add(figuresMemory)) {
+	if !p.reportsSlowdown(start) || p.reportsSlowdown(start.Add(slowdownMemory)) {
 		t.Error("expected times are used while there are figures, and not without")
 	}
 }
--- a/internal/balance/expectedprefix.go
+++ b/internal/balance/expectedprefix.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// atHolder answers when a holder of its prefix would serve a request.
+// atHolder predicts when a holder of its prefix would serve a request.
 func (p *Pool) atHolder(now time.Time, h *holder, job *Job) expectation {
 	return p.expectationAt(now, h.member, job, job.PromptTokens-job.longest().Tokens)
 }
 
 // soonerElsewhere reports whether a request would wait too long at the holder of its prefix, and another server
 // that has to read the prefix would serve it sooner, with what that adds to the requests there. Reading shared parts
-// again is the dearest that a placement can cost, so a short wait is accepted.
+// again is the most expensive result of a placement, so a wait of maxWaitShare of the objective is accepted.
 func (p *Pool) soonerElsewhere(now time.Time, usable []*member, h *holder, job *Job) bool {
 	if job.Objective <= 0 {
 		return false
@@ -32,14 +32,14 @@
 // tooLate returns a function that reports whether a prompt would be read so much later at a member than at the best one
 // that the member is no home for it. Smaller differences do not change the order of homes, on which all routers agree.
 func (p *Pool) tooLate(now time.Time, usable []*member, job *Job) func(*member) bool {
-	if !p.timed(now) || job.Objective <= 0 {
+	if !p.reportsSlowdown(now) || job.Objective <= 0 {
 		return func(*member) bool { return false }
 	}
 	x := p.expectations(now, usable, job)
 	margin := time.Duration(maxWaitShare * float64(job.Objective))
 	// An idle server takes at least this long. Most members are within the margin of it, which spares the comparison with
 	// all others.
-	idle := time.Duration(min(p.figure, 1) * float64(p.speed.duration(job.PromptTokens)+p.speed.firstByte()))
+	idle := time.Duration(min(p.meanSlowdown, 1) * float64(p.speed.duration(job.PromptTokens)+p.speed.firstByte()))
 	shortest := time.Duration(-1)
 	return func(m *member) bool {
 		d := x.of(m, job.PromptTokens).firstByte
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -45,9 +45,9 @@
 	limit   namedlimit.Limit
 	brittle brittleness
 	cold    coldness
-	// work is what the server still has to do of this router's requests, slowness how long that takes there.
-	work     work
-	slowness slowness
+	// work is what the server still has to do of this router's requests, and slowdowns has what it reports of how long work takes.
+	work      work
+	slowdowns slowdownHistory
 	// firstSlot is the number of slots of the servers before this one, see dealSlots.
 	firstSlot int
 }
--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -192,7 +192,7 @@
 	m.serverReported = max(load.total(m.server.Slots)-m.own, 0)
 	m.ownAtServerReport = m.own
 	m.serverReportAt = now
-	p.recordFigure(now, m, load.Slowdown)
+	p.recordSlowdown(now, m, load.Slowdown)
 }
 
 // RecordProgress records that a server has sent data.
@@ -279,7 +279,7 @@
 			Ejected: m.health.ejected(now, m.own), Evacuated: m.evacuated,
 			Left: m.work.left(now),
 		}
-		if p.timed(now) {
+		if p.reportsSlowdown(now) {
 			s.Slowdown = p.slowdown(now, m)
 		}
 		if p.memory > 0 {
--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -105,7 +105,7 @@
 	if a.reading() != b.reading() {
 		return b.reading()
 	}
-	if p.timed(now) {
+	if p.reportsSlowdown(now) {
 		return p.atHolder(now, a, job).total() < p.atHolder(now, b, job).total()
 	}
 	return a.load(now) < b.load(now)
@@ -114,7 +114,7 @@
 // fasterElsewhere reports whether a request would wait too long for other prompts
 // to be read at the holder, and another server could sooner have read the prefix.
 func (p *Pool) fasterElsewhere(now time.Time, usable []*member, h *holder, job *Job) bool {
-	if p.timed(now) {
+	if p.reportsSlowdown(now) {
 		return p.soonerElsewhere(now, usable, h, job)
 	}
 	wait := h.wait(now)
--- a/internal/balance/replay_test.go
+++ b/internal/balance/replay_test.go
@@ -192,7 +192,7 @@
 		heap.Push(queue, event{first, func(now time.Time) {
 			p.RecordProgress(now, c.Server.Key())
 			if r.figures {
-				p.recordFigure(now, p.byKey[c.Server.Key()], engines[c.Server.ID].figure(now))
+				p.recordSlowdown(now, p.byKey[c.Server.Key()], engines[c.Server.ID].figure(now))
 			}
 			p.RecordFirstByte(now, c, q.job, first.Sub(q.at)-q.held)
 		}})
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// minLeft is the share of its time in a slot that a request which takes longer than predicted is expected to
-	// take still.
+	// minLeft is the share of the predicted time in a slot that requests still take at least: what takes longer than predicted
+	// does not end at once.
 	minLeft = 0.25
 	// maxRuns bounds the requests of one server that are tracked.
 	maxRuns = 4096
@@ -29,11 +29,13 @@
 // work is what a server still has to do of this router's requests. The sums are kept as requests begin and
 // end, so that a placement does not add up hundreds of them.
 type work struct {
-	epoch     time.Time
-	runs      map[uint64]run
-	ends      time.Duration
-	slots     time.Duration
-	memory    float64
+	epoch time.Time
+	// runs has the requests by Job.Run; ends, slots and memory are the sums over them.
+	runs   map[uint64]run
+	ends   time.Duration
+	slots  time.Duration
+	memory float64
+	// shared has the prefixes of the requests by hash, and sharedSum is the sum of their tokens.
 	shared    map[uint64]sharedPrefix
 	sharedSum int
 }
@@ -66,7 +68,7 @@
 	w.shared[r.prefix.Hash] = shared
 }
 
-// end takes off a request.
+// end removes a request; one that is not tracked has no effect.
 func (w *work) end(id uint64) {
 	r, ok := w.runs[id]
 	if !ok {
@@ -85,7 +87,8 @@
 	}
 }
 
-// left returns the time in slots that the requests still take.
+// left returns the time in slots that the requests still take, the sum of their expected ends less now, at least minLeft of the sum
+// of their predicted times.
 func (w *work) left(now time.Time) time.Duration {
 	n := time.Duration(len(w.runs))
 	if n == 0 {
@@ -124,7 +127,7 @@
 	m.memory += meanWeight * (memory - m.memory)
 }
 
-// EndRun takes a request off the work of its server.
+// EndRun removes a request, by its Job.Run, from the work of its server.
 func (p *Pool) EndRun(key registry.Key, run uint64) {
 	if m := p.byKey[key]; m != nil {
 		m.work.end(run)
