--- a/internal/cost/model.go
+++ b/internal/cost/model.go
@@ -12,8 +12,8 @@
 const (
 	// defaultOutput is the number of output tokens that is expected before the first answer.
 	defaultOutput = 200
-	// hintVariance is that of the logarithm of the callers' estimates before the first answer: they are right at the
-	// median and up to four times off.
+	// hintVariance is the variance of the logarithm of the ratio of answers to the callers' estimates before the first answer: the
+	// estimates are right at the median and up to four times off.
 	hintVariance = 0.5
 	// maxClasses bounds the number of pairs of a route and a workspace, and of routes.
 	maxClasses = 4096
@@ -46,7 +46,7 @@
 	Output float64
 	// Memory is the number of tokens that the request holds at its end.
 	Memory float64
-	// Slot is the time in a slot at the usual speed, without reading the prompt; 0 when it is unknown.
+	// Slot is the time in a slot at the usual speed, without reading the prompt; 0 when it is unknown, at most an hour.
 	Slot time.Duration
 }
 
@@ -80,7 +80,7 @@
 	accuracy Accuracy
 }
 
-// New returns a model without samples.
+// New returns a model without samples. It is not safe for concurrent use.
 func New() *Model { return &Model{classes: make(map[key]*class)} }
 
 // Accuracy returns how the predictions compare with the answers.
@@ -92,15 +92,16 @@
 	if req.Stream {
 		p.Output = m.output(req)
 		p.Slot = m.streamTime(p.Output)
-	} else if e := m.fold(req, func(c *class) *average { return &c.slot }, estimate{}); e.known {
+	} else if e := m.refined(req, func(c *class) *average { return &c.slot }, estimate{}); e.known {
 		p.Slot = duration(e.value())
 	}
 	p.Memory = float64(p.Read) + p.Output
 	return p
 }
 
-// fold refines the average over all requests by that of the route and that of the workspace on it.
-func (m *Model) fold(req Request, of func(*class) *average, coarse estimate) estimate {
+// refined returns the estimate of an average, refined from that over all requests to that of the route and that of the workspace on
+// it. coarse is the estimate without samples.
+func (m *Model) refined(req Request, of func(*class) *average, coarse estimate) estimate {
 	e := of(&m.all).refine(coarse)
 	if c := m.classes[key{req.Route, ""}]; c != nil {
 		e = of(c).refine(e)
@@ -111,12 +112,12 @@
 	return e
 }
 
-// output returns the expected number of output tokens: from similar requests and from the caller's estimate,
-// weighted by how well each has been right.
+// output returns the expected number of output tokens: from similar requests and from the caller's estimate, each weighted by
+// 1 / variance of how far it was off.
 func (m *Model) output(req Request) float64 {
-	e := m.fold(req, func(c *class) *average { return &c.output }, estimate{})
+	e := m.refined(req, func(c *class) *average { return &c.output }, estimate{})
 	if hint := clampTokens(req.Hint); hint > 0 {
-		hinted := m.fold(req, func(c *class) *average { return &c.hintError }, estimate{variance: hintVariance, known: true})
+		hinted := m.refined(req, func(c *class) *average { return &c.hintError }, estimate{variance: hintVariance, known: true})
 		hinted.mean += math.Log(float64(hint))
 		e = combine(e, hinted)
 	}
@@ -196,8 +197,10 @@
 	}
 }
 
+// clampTokens limits a number of tokens to 0 to maxTokens.
 func clampTokens(n int) int { return min(max(n, 0), maxTokens) }
 
+// duration converts seconds, at most maxSlotTime.
 func duration(seconds float64) time.Duration {
 	return min(time.Duration(min(seconds, maxSlotTime.Seconds())*float64(time.Second)), maxSlotTime)
 }
