--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -88,9 +88,9 @@
 	// NewestOnly is set for a topic whose newest records say everything. Records that
 	// several newer ones have replaced are then not read.
 	NewestOnly bool
-	// ToldTo returns the position up to which other routers have told everything in the topic. Records before it are not read.
+	// KnownTo returns the position up to which the topic is known from other routers. Records before it are not read.
 	// It is logpos.None while there is no such position; nil for never.
-	ToldTo func() logpos.Position
+	KnownTo func() logpos.Position
 	// Grace is the length of the grace period after an outage of at least MinOutage;
 	// see Batch.GraceUntil.
 	Grace     time.Duration
@@ -266,7 +266,7 @@
 func (f *Follower) Step(ctx context.Context) time.Duration {
 	start := f.now()
 	timing := f.options.Timing()
-	f.skipTold()
+	f.skipKnown()
 	wait := timing.Wait
 	f.calledAt = start
 	if start.Sub(f.answeredAt) > timing.Wait+timing.Pause+timing.Overdue {
@@ -377,13 +377,13 @@
 	return f.options.NewestOnly && f.position.next.Before(f.options.PeerPosition())
 }
 
-// skipTold skips the records that other routers have told this one of. A position of another era says nothing here.
-func (f *Follower) skipTold() {
-	if f.options.ToldTo == nil || !f.position.complete {
+// skipKnown skips the records that are known from other routers. A position of another era says nothing here.
+func (f *Follower) skipKnown() {
+	if f.options.KnownTo == nil || !f.position.complete {
 		return
 	}
-	if told := f.options.ToldTo(); told.Era == f.position.next.Era && f.position.next.Before(told) {
-		f.position.next = told
+	if known := f.options.KnownTo(); known.Era == f.position.next.Era && f.position.next.Before(known) {
+		f.position.next = known
 	}
 }
 
--- a/internal/feed/told_test.go
+++ b/internal/feed/known_test.go
@@ -31,7 +31,7 @@
 	told := logpos.Position{Era: 4, Offset: 20}
 	f := New(s, Options{
 		Timing: func() Timing { return Timing{Timeout: time.Second} }, PeerPosition: func() logpos.Position { return logpos.None },
-		Eras: &Eras{}, EraReported: func(int64) time.Time { return time.Time{} }, ToldTo: func() logpos.Position { return told },
+		Eras: &Eras{}, EraReported: func(int64) time.Time { return time.Time{} }, KnownTo: func() logpos.Position { return told },
 	}, &recorder{})
 	step := func(position logpos.Position) {
 		told = position
--- a/internal/front/differences.go
+++ b/internal/front/differences.go
@@ -58,8 +58,8 @@
 	differenceHeldBack   = "whole_held_back"
 )
 
-// differences has the texts of the last configurations, the differences that others have sent and those that are to be sent. It
-// is safe for concurrent use.
+// differences has the texts of the last configurations, the differences that others have sent and those that are to be sent. All
+// methods are safe for concurrent use.
 type differences struct {
 	scope tally.Scope
 	reads tally.Counter
@@ -75,18 +75,19 @@
 	outgoing   []configdiff.Difference
 	// wholes are whole texts that a starting router gets.
 	wholes configdiff.Collector
-	// position is that of the text in force, and wholeText is that text compressed once wholeTried is set.
+	// position is that of the text in force. wholeText is that text as a difference without a base once wholeTried is set, and has no
+	// payload when it could not be made.
 	position   logpos.Position
 	wholeText  configdiff.Difference
 	wholeTried bool
 	// source is where the configuration in force comes from.
 	source configSource
-	// toldTo is the position up to which the reader had read the topic that has sent the last applied difference.
-	toldTo logpos.Position
+	// knownTo is the position up to which the topic is known from others: where the sender of an applied difference had read to.
+	knownTo logpos.Position
 }
 
 func newDifferences(scope tally.Scope) *differences {
-	return &differences{scope: scope, reads: scope.Counter("config_reads"), wake: make(chan struct{}, 1), toldTo: logpos.None, wholes: configdiff.Collector{Max: maxWholeConfigs}}
+	return &differences{scope: scope, reads: scope.Counter("config_reads"), wake: make(chan struct{}, 1), knownTo: logpos.None, wholes: configdiff.Collector{Max: maxWholeConfigs}}
 }
 
 func (d *differences) count(result string) {
@@ -144,8 +145,8 @@
 	return list
 }
 
-// receive handles a part of a difference from another router. It does not wait for the tracker's goroutine, which
-// decodes a configuration for up to some tenths of a second.
+// receive handles a part of a difference from another router, or of a whole text while there is none in force. It does not wait for
+// the tracker's goroutine, which decodes a configuration for up to some tenths of a second.
 func (d *differences) receive(p configdiff.Part) {
 	d.mu.Lock()
 	collector := &d.received
@@ -199,9 +200,9 @@
 	return d.wholes.Take(func(base configdiff.Hash) bool { return base == configdiff.NoBase })
 }
 
-// whole returns the text in force as a difference without a base. None is returned for one that the store may have lost, since
-// its era is over, and for one that is too large. The text is compressed once for each version, and not under the lock: parts of
-// differences arrive meanwhile.
+// whole returns the text in force as a difference without a base. found is false for one that the store may have lost, since its
+// era is before era, and for one that could not be made, which is counted. The text is compressed once for each version, and not
+// under the lock: parts of differences arrive meanwhile.
 func (d *differences) whole(era int64) (whole configdiff.Difference, found bool) {
 	text, position, whole, tried := d.wholeInForce()
 	if text == nil || position.Era < era {
@@ -240,17 +241,18 @@
 	}
 }
 
-// recordTold records the position up to which a reader had read the topic.
-func (d *differences) recordTold(next logpos.Position) {
+// recordKnown records the position up to which the sender of an applied difference had read the topic.
+func (d *differences) recordKnown(next logpos.Position) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.toldTo = logpos.Max(d.toldTo, next)
+	d.knownTo = logpos.Max(d.knownTo, next)
 }
 
-func (d *differences) told() logpos.Position {
+// knownPosition returns knownTo; logpos.None before the first difference.
+func (d *differences) knownPosition() logpos.Position {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.toldTo
+	return d.knownTo
 }
 
 // status returns where the configuration in force comes from and the hash of its text.
@@ -296,7 +298,7 @@
 		return differenceLate
 	}
 	t.activateConfig(configUpdate{config: config, text: text, position: d.Position, next: d.Next, source: configFromRouter})
-	t.differences.recordTold(d.Next)
+	t.differences.recordKnown(d.Next)
 	return differenceApplied
 }
 
@@ -335,14 +337,14 @@
 	return differenceWhole
 }
 
-// configToldTo returns the position up to which this router has everything in the configuration's topic from other routers:
+// configKnownTo returns the position up to which this router has everything in the configuration's topic from other routers:
 // the configurations as differences and the evacuations in digests. Its own reads need not begin before it. It is logpos.None
 // for a reader, which reads all itself.
-func (t *tracker) configToldTo() logpos.Position {
-	told := t.differences.told()
+func (t *tracker) configKnownTo() logpos.Position {
+	known := t.differences.knownPosition()
 	asOf := t.evacuations.asOf()
-	if t.exchange.Reading() || asOf.Era != told.Era || asOf.Before(told) {
+	if t.exchange.Reading() || asOf.Era != known.Era || asOf.Before(known) {
 		return logpos.None
 	}
-	return told
+	return known
 }
--- a/internal/front/differencestracker_test.go
+++ b/internal/front/differencestracker_test.go
@@ -147,16 +147,16 @@
 	tr := newTrackerRouter(t)
 	tr.platform.EvacuatedDataCentre = func(string) (string, bool) { return "", false }
 	tr.applyConfig(feed.Batch{Full: true, Records: []feed.Record{{Key: "config", Value: []byte("3"), Offset: 5}}, Next: at(6)})
-	if got := tr.configToldTo(); got != logpos.None {
+	if got := tr.configKnownTo(); got != logpos.None {
 		t.Errorf("told up to %s without a difference", got)
 	}
 	tr.receive(difference(t, "3", "4", at(9)))
 	tr.applyDifferences()
-	if got := tr.configToldTo(); got != logpos.None {
+	if got := tr.configKnownTo(); got != logpos.None {
 		t.Errorf("told up to %s without the evacuations up to there", got)
 	}
 	tr.ApplyEvacuations(evacuation.View{Known: true, AsOf: at(10)}, true)
-	if got := tr.configToldTo(); got != at(10) {
+	if got := tr.configKnownTo(); got != at(10) {
 		t.Errorf("told up to %s, want 10", got)
 	}
 }
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -116,7 +116,7 @@
 		Eras:         &t.eras,
 		EraReported:  t.exchange.EraReported,
 		NewestOnly:   true,
-		ToldTo:       t.configToldTo,
+		KnownTo:      t.configKnownTo,
 	}, t.newObserver(ctx, digest.TopicConfig, t.applyConfig))
 	servers := feed.New(t.platform.Servers, feed.Options{
 		Timing:       t.serversTiming(),
