--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -24,8 +24,9 @@
 	HoldTime = 30 * time.Second
 	// MaxDataCentres bounds the evacuated data centres. Further ones are ignored.
 	MaxDataCentres = 1024
-	// liftedTime is how long after the begin of an era the others are told which evacuations a record of the era has lifted: they
-	// may hold one that the store has lost, which the absence from a list does not end.
+	// liftedTime is how long after the begin of an era views list the evacuations that a record of the era has lifted. Other routers
+	// may hold one that the store has lost, which its absence from a list does not end. They hold it for HoldTime from when they
+	// learn of the era, which this covers for those that learn of it up to HoldTime later.
 	liftedTime = 2 * HoldTime
 )
 
@@ -45,7 +46,7 @@
 	Position logpos.Position
 	// Lifted is set when the record lifts the evacuation.
 	Lifted bool
-	// HoldFor is how long an evacuation that the store has lost stays in force.
+	// HoldFor is how long an evacuation that the store has lost stays in force; 0 for one that the store has.
 	HoldFor time.Duration
 }
 
@@ -117,8 +118,9 @@
 // Ignored returns the number of evacuations that were ignored because of MaxDataCentres.
 func (s *Set) Ignored() int { return s.ignored }
 
-// Apply applies single records in order, which this router has read up to the position next. Those that
-// the set reflects already, because another router has read them, are skipped.
+// Apply applies single records in order, which this router has read up to the position next, and returns what has changed. Those that
+// the set reflects already, because another router has read them, are skipped. It has no effect on a set that is not known, and
+// for a position of another era.
 func (s *Set) Apply(now time.Time, records []Record, next logpos.Position) []Change {
 	var changes []Change
 	if s.asOf.Era != next.Era || !s.asOf.Before(next) || !s.Known() {
@@ -139,20 +141,21 @@
 	return changes
 }
 
-// decide records that a record of the era says whether a data centre is evacuated.
+// decide records that a record of the era says whether a data centre is evacuated, and at which position one lifts an evacuation.
 func (s *Set) decide(now time.Time, dataCentre string, position logpos.Position, lifted bool) {
 	if len(s.decided) < MaxDataCentres {
 		s.decided[dataCentre] = true
 	}
 	delete(s.lifted, dataCentre)
-	if lifted && s.tellsLifted(now) && len(s.lifted) < MaxDataCentres {
+	if lifted && s.reportsLifted(now) && len(s.lifted) < MaxDataCentres {
 		s.lifted[dataCentre] = position
 	}
 }
 
-func (s *Set) tellsLifted(now time.Time) bool { return now.Sub(s.eraSince) < liftedTime }
+// reportsLifted reports whether views list the lifted evacuations.
+func (s *Set) reportsLifted(now time.Time) bool { return now.Sub(s.eraSince) < liftedTime }
 
-// Replace applies a full list that this router has read, which ends before the position next.
+// Replace applies a full list that this router has read, which ends before the position next, and returns what has changed.
 func (s *Set) Replace(now time.Time, list []Record, next logpos.Position) []Change {
 	view := View{Known: true, AsOf: next, Entries: make([]Entry, 0, len(list))}
 	for _, r := range list {
@@ -163,7 +166,7 @@
 	return s.apply(now, view, SourceStore)
 }
 
-// Merge applies the view of another router.
+// Merge applies the view of another router and returns what has changed.
 func (s *Set) Merge(now time.Time, v View) []Change {
 	if !v.Known {
 		return nil
@@ -171,6 +174,8 @@
 	return s.apply(now, v, SourceRouter)
 }
 
+// apply applies a view, by how its position compares with that of this one: the same one or part of a view adds evacuations, an earlier
+// era may have some that the store has lost, and a later position replaces this view.
 func (s *Set) apply(now time.Time, v View, source Source) []Change {
 	switch {
 	case v.Partial && s.asOf.Era >= v.AsOf.Era, v.AsOf == s.asOf:
@@ -266,7 +271,7 @@
 	return known
 }
 
-// begin records an evacuation, which may be known already.
+// begin records an evacuation, which may be known already, and appends the change when it is not.
 func (s *Set) begin(changes []Change, e Evacuation) []Change {
 	if known := s.active[e.DataCentre]; known != nil {
 		switch {
@@ -286,6 +291,7 @@
 	return append(changes, Change{Evacuation: e, Begun: true})
 }
 
+// end removes an evacuation and appends the change, if there is one.
 func (s *Set) end(changes []Change, name string) []Change {
 	e := s.active[name]
 	if e == nil {
@@ -323,7 +329,7 @@
 	return list
 }
 
-// View returns what other routers are told.
+// View returns what is sent to other routers.
 func (s *Set) View(now time.Time) View {
 	v := View{Known: s.Known(), AsOf: s.asOf}
 	for _, e := range s.List() {
@@ -333,7 +339,7 @@
 		}
 		v.Entries = append(v.Entries, entry)
 	}
-	if !s.tellsLifted(now) {
+	if !s.reportsLifted(now) {
 		return v
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.lifted)) {
--- a/internal/evacuation/freshness.go
+++ b/internal/evacuation/freshness.go
@@ -19,8 +19,8 @@
 	// drainTime is how long the datagrams that have arrived while a router was frozen may take to be read. They are as old as the
 	// freeze.
 	drainTime = 300 * time.Millisecond
-	// readersTime is how long a router waits to hear the store or one of its readers before it takes any router's word: the store may
-	// be down for all, and then no evacuation can have been confirmed.
+	// readersTime is how long a router waits to hear the store or one of its readers before the view of any router ends a pause: the
+	// store may be down for all, and then no evacuation can have been confirmed.
 	readersTime = 3 * time.Second
 )
 
@@ -55,7 +55,7 @@
 // SetBound sets the time in which an evacuation has to take effect; 0 means the usual one.
 func (f *Freshness) SetBound(d time.Duration) { f.bound = d }
 
-// limit returns a share of the bound.
+// limit returns a share of the bound, but at least a time.
 func (f *Freshness) limit(share float64, least time.Duration) time.Duration {
 	return max(time.Duration(share*float64(cmp.Or(f.bound, defaultBound))), least)
 }
@@ -80,7 +80,8 @@
 	return f.pause
 }
 
-// RecordView records that another router's view has arrived and was applied. reader is set for one that reads the store.
+// RecordView records that another router's view has arrived and was applied, which may end a pause. reader is set for one that reads
+// the store.
 func (f *Freshness) RecordView(now, wall time.Time, reader bool) {
 	f.Check(now, wall)
 	f.heardOthers = true
--- a/internal/evacuation/history.go
+++ b/internal/evacuation/history.go
@@ -15,7 +15,7 @@
 // before the list was read look alike in it.
 func (s *Set) HistoryFrom(end logpos.Position) (from int64, ok bool) {
 	for _, e := range s.active {
-		if !s.lostNow(e) || e.Position.Offset >= end.Offset || end.Offset-e.Position.Offset > MaxHistory {
+		if !s.lostByThisEra(e) || e.Position.Offset >= end.Offset || end.Offset-e.Position.Offset > MaxHistory {
 			continue
 		}
 		if !ok || e.Position.Offset < from {
@@ -30,11 +30,11 @@
 	return !e.HeldUntil.IsZero() && e.Position.Era < s.asOf.Era
 }
 
-// lostNow reports whether the store has lost an evacuation of the era before this one. What this router knows of the records of
+// lostByThisEra reports whether the store has lost an evacuation of the era before this one. What this router knows of the records of
 // that era then tells those of this one apart. A router that has missed an era can't tell in which of the two a record was
 // written, and another router may know an evacuation of the missed era that followed it. Eras rise by one, and a
 // store that names none has had none.
-func (s *Set) lostNow(e *Evacuation) bool {
+func (s *Set) lostByThisEra(e *Evacuation) bool {
 	before := s.earlier.Era
 	return s.lost(e) && s.earlier != logpos.None && e.Position.Era == before && (before == 0 || before+1 == s.asOf.Era)
 }
@@ -59,7 +59,7 @@
 		}
 		// No record of the earlier era about the data centre lies between the evacuation and the position that this router had
 		// reached in it, so one that lies there now is of this era.
-		within := s.lostNow(e) && r.Position.Offset >= e.Position.Offset && r.Position.Offset < s.earlier.Offset
+		within := s.lostByThisEra(e) && r.Position.Offset >= e.Position.Offset && r.Position.Offset < s.earlier.Offset
 		if within || r.Position.Offset >= written {
 			s.decide(now, name, r.Position, true)
 			changes = s.end(changes, name)
@@ -79,7 +79,7 @@
 	}
 	written := end
 	for name, e := range s.active {
-		if offset := e.Position.Offset; s.lostNow(e) && offset >= from && offset < written && copied[offset] != name {
+		if offset := e.Position.Offset; s.lostByThisEra(e) && offset >= from && offset < written && copied[offset] != name {
 			written = offset
 		}
 	}
