--- a/internal/balance/outcome.go
+++ b/internal/balance/outcome.go
@@ -164,7 +164,7 @@
 			failing = append(failing, failingMember{m, failed, ended})
 		}
 	}
-	if 2*len(failing) > p.inService() {
+	if 2*len(failing) > p.notEvacuated() {
 		return nil
 	}
 	return failing
@@ -192,7 +192,7 @@
 	m.serverReported = max(load.total(m.server.Slots)-m.own, 0)
 	m.ownAtServerReport = m.own
 	m.serverReportAt = now
-	p.recordFigure(now, m, load.Slowdown)
+	p.recordSlowdown(now, m, load.Slowdown)
 }
 
 // RecordProgress records that a server has sent data.
@@ -236,7 +236,7 @@
 			ejected++
 		}
 	}
-	return 3*(ejected+1) <= p.inService()
+	return 3*(ejected+1) <= p.notEvacuated()
 }
 
 // Status is the state of one server, for logs and status pages.
@@ -279,7 +279,7 @@
 			Ejected: m.health.ejected(now, m.own), Evacuated: m.evacuated,
 			Left: m.work.left(now),
 		}
-		if p.timed(now) {
+		if p.reportsSlowdown(now) {
 			s.Slowdown = p.slowdown(now, m)
 		}
 		if p.memory > 0 {
