forward: an answer that meets the departure of its caller is read

When a caller left, the attempt's context ended at once and net/http closed the connection to the server, also when a 503 with Retry-After had arrived or was on its way.

An attempt whose request has been sent whole now goes on for 5 ms after its caller has left. What comes in that time counts as usual, but is not relayed; a broken or missing answer is no failure of the server, as before. When the request has not been sent whole the attempt ends at once, so that nothing is sent for a caller that has left.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"regexp"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/balance"
@@ -394,7 +396,7 @@
 
 // attempt sends the request to one server and relays the answer.
 func (c *call) attempt(ctx context.Context, choice balance.Choice) result {
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := c.outlastCaller(ctx)
 	defer cancel(nil)
 	key := choice.Server.Key()
 	watch := c.watch(cancel, key)
@@ -409,7 +411,7 @@
 	resp, exchange, err := httpsend.Send(conns.transport(c.attempts.sentAt, c.regions...), c.outgoingRequest(ctx, choice))
 	c.attempts.via = exchange.Via
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && c.r.Context().Err() == nil {
 			conns.recordNoAnswer(c.attempts.sentAt, exchange)
 			c.attempts.closedBeforeAnswer = exchange.Fault() == httpsend.ConnectionClosed
 		}
@@ -426,6 +428,33 @@
 	return res
 }
 
+// departedTime is how long an attempt goes on whose caller has left. What the server has sent by then is read, such as a refusal
+// with the time for which it wants no requests. It is far below the half second in which a server must be told.
+const departedTime = 5 * time.Millisecond
+
+// outlastCaller returns the context of an attempt. It ends with ctx, but departedTime later when the caller has left and the
+// whole request has been sent. Before, it ends at once, so that nothing is sent for a caller that has left. It has no timer of its
+// own for the deadline: that could fire before the one of ctx, and another attempt would begin.
+func (c *call) outlastCaller(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	var sent atomic.Bool
+	attempt := httptrace.WithClientTrace(context.WithoutCancel(ctx), &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		sent.Store(info.Err == nil)
+	}})
+	attempt, cancel := context.WithCancelCause(attempt)
+	stop := context.AfterFunc(ctx, func() {
+		cause := context.Cause(ctx)
+		if c.r.Context().Err() == nil || !sent.Load() {
+			cancel(cause)
+			return
+		}
+		time.AfterFunc(departedTime, func() { cancel(cause) })
+	})
+	return attempt, func(cause error) {
+		stop()
+		cancel(cause)
+	}
+}
+
 // classifySendError classifies an exchange that ended without an answer.
 func (c *call) classifySendError(ctx context.Context, err error, notSent bool) result {
 	res := result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: !notSent, over: !notSent && c.runOver(ctx)}
@@ -489,6 +518,9 @@
 	if resp.StatusCode >= http.StatusInternalServerError || impliesNotRun(resp.StatusCode) {
 		return c.keepFailure(ctx, resp, watch)
 	}
+	if c.r.Context().Err() != nil {
+		return c.callerLeftResult()
+	}
 	success := resp.StatusCode < http.StatusMultipleChoices
 	if success && (!answer.Signed || resp.Header.Get("Content-Encoding") != "") {
 		return result{outcome: balance.Failed, cause: CauseAnswerBroken, mayHaveRun: true}
