--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
+// differ adds a difference.
 func (c *check) differ(at Place, format string, args ...any) {
 	c.differences.Add(c.in.Path(at), findings.CodeDifference, format, args...)
 }
@@ -93,7 +94,7 @@
 // changes are texts of what differs.
 type changes []string
 
-// add formats a text with the old and the new value when they differ.
+// add adds a text when the old and the new value differ. The format has the old value as %[1]v and the new one as %[2]v.
 func (l *changes) add(before, after any, format string) {
 	if before != after {
 		*l = append(*l, fmt.Sprintf(format, before, after))
@@ -161,33 +162,38 @@
 	case len(old.Workspaces) > 0 && len(c.config.Workspaces) == 0:
 		c.differ(Place{Section: Workspaces, Index: -1}, "no workspace is left: requests are accepted without a key")
 	}
-	workspaceName := func(k *routing.Keyring) string { return k.Workspace.Name }
-	before, after := byName(old.Workspaces, workspaceName), byName(c.config.Workspaces, workspaceName)
-	ownersBefore, ownersAfter := keyOwners(old.Workspaces), keyOwners(c.config.Workspaces)
+	before := byName(old.Workspaces, workspaceName)
+	ownersBefore := keyOwners(old.Workspaces)
 	for i := range c.config.Workspaces {
 		w := &c.config.Workspaces[i]
 		at := Place{Section: Workspaces, Index: i}
-		j, known := before[w.Workspace.Name]
-		if !known {
-			c.differ(at, "workspace %s is new", w.Workspace.Name)
-			j = -1
-		} else {
+		if j, known := before[w.Workspace.Name]; known {
 			for _, change := range workspaceChanges(&old.Workspaces[j].Workspace, &w.Workspace) {
 				c.differ(at, "workspace %s: %s", w.Workspace.Name, change)
 			}
+		} else {
+			c.differ(at, "workspace %s is new", w.Workspace.Name)
 		}
 		c.compareKeys(i, ownersBefore)
 	}
-	for i, w := range old.Workspaces {
+	c.findRemovedWorkspaces(old.Workspaces, ownersBefore)
+}
+
+func workspaceName(k *routing.Keyring) string { return k.Workspace.Name }
+
+// findRemovedWorkspaces finds the earlier workspaces that are missing, and counts the keys that belong to no workspace any more.
+func (c *check) findRemovedWorkspaces(old []routing.Keyring, ownersBefore map[string]string) {
+	after, ownersAfter := byName(c.config.Workspaces, workspaceName), keyOwners(c.config.Workspaces)
+	for _, w := range old {
 		at := Place{Section: Workspaces, Index: -1}
-		if k, kept := after[w.Workspace.Name]; kept {
-			at.Index = k
+		if i, kept := after[w.Workspace.Name]; kept {
+			at.Index = i
 		} else {
 			c.differ(at, "workspace %s is removed", w.Workspace.Name)
 		}
 		revoked := 0
 		for _, key := range distinct(w.Keys) {
-			if _, held := ownersAfter[key]; !held && ownersBefore[key] == old.Workspaces[i].Workspace.Name {
+			if _, held := ownersAfter[key]; !held && ownersBefore[key] == w.Workspace.Name {
 				revoked++
 			}
 		}
--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -51,7 +51,7 @@
 // Place is the place of a value in a configuration.
 type Place struct {
 	Section Section
-	// Index is that of the entry in its section.
+	// Index is that of the entry in its section, -1 for an entry that the text does not have.
 	Index int
 	Field Field
 	// Item is the index in a field that is a list: Target and Key.
@@ -68,7 +68,7 @@
 	Deadline time.Duration
 	// BodyBytes bounds a body where the configuration sets no limit.
 	BodyBytes int64
-	// LeastPriority is the least urgent priority.
+	// LeastPriority is the least urgent priority, which is the highest number.
 	LeastPriority int
 }
 
@@ -123,12 +123,14 @@
 	in      Input
 	options Options
 	config  *routing.Config
-	index   *routing.Index
-	pools   map[string]int
+	// index finds the route of a request, and pools has the index of each pool by name.
+	index *routing.Index
+	pools map[string]int
 
 	problems, differences *findings.List
 }
 
+// add adds a finding.
 func (c *check) add(at Place, code findings.Code, format string, args ...any) {
 	c.problems.Add(c.in.Path(at), code, format, args...)
 }
--- a/internal/configcheck/document.go
+++ b/internal/configcheck/document.go
@@ -41,7 +41,7 @@
 	return s.document
 }
 
-// Line returns the line of the value at a path, or of the closest value around it that the text has.
+// Line returns the line, from 1 on, of the value at a path, or of the closest value around it that the text has; 0 for none.
 func (d *Document) Line(path string) int {
 	for end := len(path); end > 0; end-- {
 		if line, ok := d.lines[path[:end]]; ok {
@@ -54,7 +54,7 @@
 // Has reports whether the text has a value at a path.
 func (d *Document) Has(path string) bool { return d.lines[path] > 0 }
 
-// PathAt returns the path of the last value that begins before an offset.
+// PathAt returns the path of the last value whose first token ends at or before an offset in bytes.
 func (d *Document) PathAt(offset int64) string {
 	path := "$"
 	for _, s := range d.starts {
@@ -66,6 +66,7 @@
 	return path
 }
 
+// scanner reads a JSON text and records the places of its values.
 type scanner struct {
 	data     []byte
 	decoder  *json.Decoder
--- a/internal/configcheck/names.go
+++ b/internal/configcheck/names.go
@@ -6,7 +6,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
-// byName returns the index of the last entry of each name, which is the one that routers use of pools.
+// byName returns the index of the last entry of each name. Of pools with the same name routers use the last one.
 func byName[T any](entries []T, name func(*T) string) map[string]int {
 	index := make(map[string]int, len(entries))
 	for i := range entries {
