forward: signs of engine ends are counted in virtual time

TestSignsOfEngineEnds compares the decayed number of ends to a tenth. After half a second it has decayed by that (hazardTime is 15 s): 0.4 for 0.5 after 1.13 s, in one of 6 runs of the package at a load of 20 to 28. In virtual time no time passes between the sign and the count; the expectations are the same.

--- a/internal/forward/backup_test.go
+++ b/internal/forward/backup_test.go
@@ -56,19 +56,21 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			b := newBackupBed(t, bedOptions{route: oneRun}, c.answer)
-			// One engine gets all requests.
-			b.servers = b.servers[:1]
-			b.servers[0].Engine = !c.plain
-			b.withoutServer(nil)
-			b.state.eachPool(func(p *pool) { p.backups.Hazard = hazardOfOther() })
-			b.send(ask{})
-			if c.then != nil {
-				c.then(b)
-			}
-			if got := b.ends(); got != c.want {
-				t.Errorf("%v ends, want %v", got, c.want)
-			}
+			inVirtualTime(t, func(t *testing.T) {
+				b := newBackupBed(t, bedOptions{virtual: true, route: oneRun}, c.answer)
+				// One engine gets all requests.
+				b.servers = b.servers[:1]
+				b.servers[0].Engine = !c.plain
+				b.withoutServer(nil)
+				b.state.eachPool(func(p *pool) { p.backups.Hazard = hazardOfOther() })
+				b.send(ask{})
+				if c.then != nil {
+					c.then(b)
+				}
+				if got := b.ends(); got != c.want {
+					t.Errorf("%v ends, want %v", got, c.want)
+				}
+			})
 		})
 	}
 }
