forward: the endless server of a test is the first one by its data centre

In TestEndlessBytesDoNotHoldARequest the server of the first request to arrive was the endless one. When a busy machine let the first request arrive only after the router had given its server up as silent (600 ms), the second server was endless, and none was left: a 502 after 0.77 s, in one of 6 runs of the package at a load of 20 to 28. The endless server is now the nearer one, which gets the request first; that a second one was tried is checked by the log.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -82,7 +82,18 @@
 			if len(wire[1]) < 16 {
 				pause = drip
 			}
-			b := newBed(t, bedOptions{servers: 2, route: routing.Route{Kind: routing.Safe, MaxAttempts: 2, Objective: 200 * time.Millisecond}}, e.answer(wire[0], wire[1], pause), ok("second"))
+			endless := e.answer(wire[0], wire[1], pause)
+			b := newBed(t, bedOptions{servers: 2, route: routing.Route{Kind: routing.Safe, MaxAttempts: 2, Objective: 200 * time.Millisecond}, dataCentre: "a"}, func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Instance") == "s0" {
+					endless(w, r)
+					return
+				}
+				ok("second")(w, r)
+			})
+			// The endless server is the nearer one and gets the request first. By the order of arrivals the second one would be endless
+			// when a busy machine lets the first request arrive only after the router has given it up as silent.
+			b.servers[0].DataCentre, b.servers[1].DataCentre = "a", "b"
+			b.state.SetServers(b.servers)
 			begun := time.Now()
 			if got := b.send(ask{}); got.status != http.StatusOK || got.body != "second" {
 				t.Errorf("status %d, body %q, want the answer of the second server", got.status, got.body)
@@ -90,6 +101,7 @@
 			if took := time.Since(begun); took > endlessWait {
 				t.Errorf("the request took %v, want less than %v", took, endlessWait)
 			}
+			b.expectLog(map[string]any{"offered": 2})
 			b.until("the server's connection is closed", func() bool { return e.open.Load() == 0 })
 			if n := e.sent.Load(); n > 8<<20 {
 				t.Errorf("the server could send %d bytes", n)
