forward: an engine that sends in time is tested in virtual time

In TestSilentRunOfAnEngineThatIsGoneIsTakenOver an engine whose entry is gone sends every 25 ms, and its run is taken over after 100 ms of silence. In virtual time the engine sends when it is to; the expectations are the same.

--- a/internal/forward/takeover_test.go
+++ b/internal/forward/takeover_test.go
@@ -216,7 +216,7 @@
 			b.expectEvents(b.send(ask{header: promptOf("26:40000,3:20")}), 5, true)
 			list := b.got()
 			if len(list) != 3 || len(b.continued()) != 1 || list[2].r.Header.Get("Continue-From") != "" || list[2].r.Header.Get("After") != "2" || list[2].server == list[1].server {
-				t.Errorf("%d requests, want a third one at another engine after event 2 and without a copy", len(list))
+				t.Errorf("%d requests, want a third one at another engine after event 2 and without a copy; log %v", len(list), b.logged())
 			}
 			// Without a third engine none is left.
 			b = newBackupBed(t, bedOptions{route: route, servers: 2}, broken(runEvents(1, 2)), refuse, goOn)
@@ -368,34 +368,35 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var b *bed
-			b = newBackupBed(t, bedOptions{route: oneRun}, func(w http.ResponseWriter, r *http.Request) {
-				_, _ = io.WriteString(w, runEvents(1, 2))
-				_ = http.NewResponseController(w).Flush()
-				addr := b.serverOf(r).Listener.Addr().String()
-				c.gone(b, b.servers[slices.IndexFunc(b.servers, func(s *registry.Server) bool { return s.Addr == addr })])
-				for range c.pauses {
-					time.Sleep(goneSilence / 4)
-					_, _ = io.WriteString(w, ": alive\n")
+			inVirtualTime(t, func(t *testing.T) {
+				var b *bed
+				b = newBackupBed(t, bedOptions{virtual: true, route: oneRun}, func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.WriteString(w, runEvents(1, 2))
 					_ = http.NewResponseController(w).Flush()
-				}
-				if c.continued == 0 {
-					time.Sleep(goneSilence / 4)
-					if c.pauses == 0 {
-						time.Sleep(2 * goneSilence)
+					c.gone(b, b.servers[slices.IndexFunc(b.servers, func(s *registry.Server) bool { return s.ID == r.Header.Get("Instance") })])
+					for range c.pauses {
+						time.Sleep(goneSilence / 4)
+						_, _ = io.WriteString(w, ": alive\n")
+						_ = http.NewResponseController(w).Flush()
+					}
+					if c.continued == 0 {
+						time.Sleep(goneSilence / 4)
+						if c.pauses == 0 {
+							time.Sleep(2 * goneSilence)
+						}
+						_, _ = io.WriteString(w, runEvents(3, 5))
+						return
 					}
-					_, _ = io.WriteString(w, runEvents(3, 5))
-					return
+					<-r.Context().Done()
+				}, goOn)
+				got := b.send(ask{})
+				if strings.ReplaceAll(got.body, ": alive\n", "") != runEvents(1, 5) || got.err != nil {
+					t.Errorf("body %q, error %v; want all events", got.body, got.err)
 				}
-				<-r.Context().Done()
-			}, goOn)
-			got := b.send(ask{})
-			if strings.ReplaceAll(got.body, ": alive\n", "") != runEvents(1, 5) || got.err != nil {
-				t.Errorf("body %q, error %v; want all events", got.body, got.err)
-			}
-			if n := len(b.continued()); n != c.continued {
-				t.Errorf("%d requests continue the run, want %d", n, c.continued)
-			}
+				if n := len(b.continued()); n != c.continued {
+					t.Errorf("%d requests continue the run, want %d", n, c.continued)
+				}
+			})
 		})
 	}
 }
