--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -44,7 +44,7 @@
 	DataCentre string `json:"data_centre"`
 	// Region is that of the data centre; empty when it is not known, so that no request that is bound to regions goes there.
 	Region string `json:"region,omitempty"`
-	// State is ready, indirect (reached through another router), evacuated (as its data centre), leaving, ejected or cold.
+	// State is ready, indirect (reached through another router), evacuated (as its data centre), leaving, ejected, avoided or cold.
 	State string `json:"state"`
 	// Own and Others are the requests in flight of this router and of the others.
 	Own    int `json:"own"`
