--- a/internal/namedlimit/bucket.go
+++ b/internal/namedlimit/bucket.go
@@ -2,16 +2,17 @@
 
 import "time"
 
-// Bucket is a token bucket whose rate and size may change. The zero value is empty.
+// Bucket is a token bucket whose rate, in requests a second, and size may change. The zero value is empty. It is not safe for
+// concurrent use.
 type Bucket struct {
-	// tokens are the requests that may be sent, as of filledAt at a rate.
+	// tokens is the number of requests that may be sent, as of filledAt, and rate that of the last fill.
 	tokens   float64
 	rate     float64
 	filledAt time.Time
 }
 
-// fill adds the requests that have become allowed at a rate, at most a number of them. A router whose
-// rate grows starts with none: another one may just have used it.
+// fill adds the tokens of the time since the last fill at a rate, up to most. A router whose rate grows starts with none: another
+// one may just have used them.
 func (b *Bucket) fill(now time.Time, rate, most float64) {
 	if rate > b.rate || b.filledAt.IsZero() {
 		b.tokens, b.filledAt = 0, now
@@ -29,4 +30,5 @@
 	return time.Duration(max(1-b.tokens, 0) / b.rate * float64(time.Second))
 }
 
+// take removes the token of a request that is sent.
 func (b *Bucket) take() { b.tokens = max(b.tokens-1, 0) }
--- a/internal/namedlimit/cold.go
+++ b/internal/namedlimit/cold.go
@@ -20,20 +20,25 @@
 	minColdShare = 0.125
 )
 
-// most returns the number of requests that may arrive in a second.
+// most returns the number of requests that may arrive in a second: PerSecond * Overage + Extra.
 func (b ColdBounds) most() float64 { return b.PerSecond*max(b.Overage, 1) + b.Extra }
 
-// burst returns the number of requests that may be sent at once.
+// burst returns the number of requests that may be sent at once: Extra / 2, but 1 to maxColdBurst.
 func (b ColdBounds) burst() float64 { return min(max(b.Extra/2, 1), maxColdBurst) }
 
-// rate returns the requests a second of the sender. Two senders together stay within the bound: a router that was
-// frozen takes itself for the sender until it hears that another one has replaced it, and a link that fails in one direction
-// may hide two routers from each other for a time. One sender stays within it when its requests arrive up to a second late.
+// rate returns the requests a second of the sender:
+//
+//	min(PerSecond, most / 2 - burst), at least minColdShare * most
+//
+// Two senders together stay within the bound: a router that was frozen takes itself for the sender until it hears that another
+// one has replaced it, and a link that fails in one direction may hide two routers from each other for a time. One sender stays
+// within it when its requests arrive up to a second late.
 func (b ColdBounds) rate() float64 {
 	return max(min(b.PerSecond, b.most()/2-b.burst()), minColdShare*b.most())
 }
 
-// Cold is the part of a router in the requests to one cold server. The zero value has sent nothing.
+// Cold is the part of a router in the requests to one cold server. The zero value has sent nothing. It is not safe for concurrent
+// use.
 type Cold struct {
 	bucket Bucket
 	sentAt time.Time
@@ -58,7 +63,7 @@
 	return c.bucket.wait(), true
 }
 
-// Begin empties the bucket when the server becomes cold: what was sent before has still to arrive.
+// Begin empties the bucket when the server becomes cold: what was sent before may not have arrived yet.
 func (c *Cold) Begin() { *c = Cold{} }
 
 // Take counts a request that is sent.
