--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -47,7 +47,7 @@
 type Limits struct {
 	Balance balance.Limits
 	Retry   retrybudget.Limits
-	// BackupRisk is the probability that a stream loses its engine from which it may have a copy elsewhere.
+	// BackupRisk is the least probability that a stream loses its engine at which it may have a copy elsewhere.
 	BackupRisk float64
 	// BodyMemory bounds the request bodies in memory at the same time, in bytes.
 	BodyMemory int64
--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -176,6 +176,7 @@
 	return c.written, c.received
 }
 
+// seal keeps anything further from being written to the connection.
 func (c *conn) seal() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -113,7 +113,7 @@
 // Engine describes the model engines of a pool. A number is 0 when it is unknown.
 type Engine struct {
 	Slots int
-	// KVTokens is the number of tokens that fit the memory, KVTokenBytes the size of one.
+	// KVTokens is the number of tokens that fit the memory, and KVTokenBytes the size of one in bytes.
 	KVTokens     int
 	KVTokenBytes int
 	// LinkMbps is the rate of copies of prompt memory, in megabits per second.
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -57,7 +57,7 @@
 	// pool: a factor and a number of requests.
 	ColdOverage float64
 	ColdExtra   float64
-	// BackupRisk is the probability that a running stream loses its engine from which its memory is copied to a second one; 1
+	// BackupRisk is the least probability that a running stream loses its engine at which its memory is copied to a second one; 1
 	// for never.
 	BackupRisk float64
 	// GrantSlots is set when one router grants the slots of plain pools that have few of them for the routers.
--- a/internal/streambackup/policy.go
+++ b/internal/streambackup/policy.go
@@ -64,8 +64,8 @@
 type Policy struct {
 	Hazard Hazard
 	Copies Copies
-	// MinRisk is the probability of an end from which a run may have a copy. A copy takes as much memory as the run, and its
-	// bytes are as many, whether it is used or not.
+	// MinRisk is the least probability of an end at which a run may have a copy. A copy takes as much memory as the run, and as many
+	// bytes are sent, whether it is used or not.
 	MinRisk float64
 	// tokenTime and output are learned from answers; 0 before the first one.
 	tokenTime time.Duration
