--- a/internal/digest/grants.go
+++ b/internal/digest/grants.go
@@ -122,6 +122,7 @@
 // grantPeer is a router that may grant, with the processor time that it may use.
 type grantPeer struct {
 	rankedPeer
+	// processor is in thousandths of a core, and strong is set from strongShare of the largest one on.
 	processor int64
 	strong    bool
 }
