--- a/internal/slotgrant/decide.go
+++ b/internal/slotgrant/decide.go
@@ -90,8 +90,8 @@
 	return n
 }
 
-// capacity returns the number of requests a second that the slots take: slots / time from a grant to the answer, since a grant in
-// transit takes no slot. Where grants exceed the slots, it is the rate at which so many of them end: limit / time of a grant.
+// capacity returns the number of requests a second that the slots take: slots / answerTime, since a grant in transit takes no slot.
+// Where grants exceed the slots, it is the rate at which so many of them end: limit / grant time.
 func (g *Granter) capacity(now time.Time) float64 {
 	if limit, grantTime, ok := g.overcommitted(now); ok {
 		return float64(limit) / grantTime.Seconds()
@@ -225,7 +225,7 @@
 // margin is the time by which the answer to a new question is expected before it is due. One that was queued with it is
 // kept when it turns out a little later, since a rejection would no longer come at once.
 //
-//	time from a grant to the answer * (marginShare + marginPerLoad * (load - 1))
+//	answerTime * (marginShare + marginPerLoad * (load - 1))
 //	load = rate of the questions of the same or an earlier place / capacity
 //
 // The factor is marginShare to maxMarginShare. The margin is larger where such questions fill the slots anyway: a shorter queue
--- a/internal/slotgrant/granter.go
+++ b/internal/slotgrant/granter.go
@@ -59,7 +59,8 @@
 	return g.slotTime.or(defaultSlotTime)
 }
 
-// answerTime returns the usual time from a grant to the answer of the server.
+// answerTime returns the usual time from the sending of a request to the end of its answer, without a wait at the server. Before the
+// first one it is SlotTime.
 func (g *Granter) answerTime() time.Duration {
 	return g.serverTime.or(g.SlotTime())
 }
--- a/internal/slotgrant/overcommit.go
+++ b/internal/slotgrant/overcommit.go
@@ -52,7 +52,7 @@
 
 // endingAge is the age from which a grant counts as ending:
 //
-//	usual time from a grant to the answer + k * deviation
+//	answerTime + k * deviation
 //
 // where k is endingDeviations, or longTransitDeviations when grants and reports are in transit for long.
 func (g *Granter) endingAge() time.Duration {
