digest: survivors of a kill of most routers search for the restarted ones

A router that starts knows only the seeds, and in a large fleet the others send it nothing before their next regular digest. Survivors that do not read the store therefore heard of the restarts with that digest, up to 2.9 s later at 66 routers. They also counted killed routers that were not back yet as live survivors, so that the first one left the question for streams' versions to routers that did not exist.

A router of a large fleet that hears of two restarts without an announced stop now sends a digest to 16 others, and to the rest while more than a quarter of them have restarted: a restarted process answers the first message of another one at once. A router is probed six times at most, 64 are probed at once. Routers that stop as planned and first starts are not probed. Only survivors that were heard within a load interval before the first restart, or later, come before another one.

The runs of go test ./internal/digest and of the tests of internal/front for streams, inventories, claims and starts were green.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -279,14 +279,6 @@
 	return len(e.peers.Live(time.Now()))
 }
 
-// MostRestarted reports whether most other routers were killed a moment ago and are back, and how many of those that
-// were not have a lower address than this one.
-func (e *Exchange) MostRestarted() (most bool, before int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.peers.MostRestarted(time.Now())
-}
-
 // IsReader reports whether this router reads the store at the full rate.
 func (e *Exchange) IsReader() bool {
 	own := e.state.Progress().OwnReads
@@ -453,6 +445,7 @@
 		e.state.SetRouterCount(known)
 		e.events.Emit(event.PeerDiscovered, "peer", from.String(), "stopping", m.Stopping)
 		e.sendWelcome(now, from)
+		e.probeRestarted(now)
 	}
 	if requestNow {
 		e.requestPlacements(now)
@@ -555,6 +548,7 @@
 				e.sendDigest(true)
 			}
 			e.sendLoads(now, targets)
+			e.probeRestarted(now)
 			e.requestPlacements(now)
 			e.requestConfig(now)
 			e.sendServerChanges(targets)
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -26,9 +26,6 @@
 	// peerRetention is how long digests are still sent to a peer from which
 	// nothing arrives, in case it returns.
 	peerRetention = 20 * time.Second
-	// restartWindow is the time in which restarts of other routers count as one. VMs that lose power together are
-	// back within a few seconds of each other.
-	restartWindow = 10 * time.Second
 	// maxTrackedPeers bounds the tracked peers.
 	maxTrackedPeers = 512
 )
@@ -105,6 +102,8 @@
 	mostAt time.Time
 	// senders is what the choice of senders depends on; nil when it is to be found out again.
 	senders *senderView
+	// probe is the probe for restarted routers; nil while few have restarted.
+	probe *restartProbe
 }
 
 // NewPeers returns a Peers that tracks no router yet. Targets returns the seeds
@@ -259,38 +258,6 @@
 	return live
 }
 
-// MostRestarted reports whether most of the routers that this one has heard were killed and are back, all within
-// restartWindow, so many that streams may have lost all routers that knew which version began them. A router that
-// is only silent does not count: this one may be cut off itself. before is the number of live routers with a lower
-// address than this one that were heard before and have not restarted.
-func (p *Peers) MostRestarted(now time.Time) (most bool, before int) {
-	heard, restarted := 0, 0
-	first := now
-	for _, peer := range p.tracked {
-		if peer.LastReceived.IsZero() {
-			continue
-		}
-		heard++
-		if !peer.restartedAt.IsZero() && now.Sub(peer.restartedAt) < restartWindow {
-			restarted++
-			first = earliest(first, peer.restartedAt)
-		}
-	}
-	for addr, peer := range p.tracked {
-		if p.live(peer, now) && peer.heardSince.Before(first) && addr.Less(p.self) {
-			before++
-		}
-	}
-	return restarted > streamHolders && 2*restarted > heard, before
-}
-
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // SyncedPeer returns a live peer that has the placements of the fleet. The choice
 // is random, so that many starting routers ask different ones.
 func (p *Peers) SyncedPeer(now time.Time) (netip.Addr, bool) {
--- /dev/null
+++ b/internal/digest/restarts.go
@@ -0,0 +1,161 @@
+package digest
+
+import (
+	"net/netip"
+	"time"
+)
+
+// When most routers were killed, those that survived are to know it as soon as the others are back. A router that starts
+// knows the seeds only, which may have been killed as well, and in a large fleet the others send it nothing before their next
+// regular digest, seconds later. A survivor knows all addresses, so it sends a digest to the others once it has heard of a few
+// restarts: a process answers the first message of another one at once. A router that has just started counts no restarts, and
+// one that stops as planned is forgotten, so that neither a first start nor a planned restart is probed.
+
+const (
+	// restartWindow is the time in which restarts of other routers count as one. VMs that lose power together are
+	// back within a few seconds of each other.
+	restartWindow = 10 * time.Second
+	// survivorHeard is how long before the first restart a router must have been heard at most to count as one that has
+	// survived. Routers send their loads that often to those that read the store, and these send the totals to all. A
+	// killed router needs longer than that to be back.
+	survivorHeard = loadInterval
+	// restartsToProbe is the number of restarts that begin a probe. A single one is no sign.
+	restartsToProbe = 2
+	// firstProbes is the number of routers that are probed first. The others follow, probesAtOnce at a time, while more than one
+	// in probeShare of those probed have restarted: two crashes alone cost firstProbes datagrams a router.
+	firstProbes  = 16
+	probesAtOnce = 64
+	probeShare   = 4
+	// maxProbes bounds the probes of a router in restartWindow, probeAgain apart. It may be back a second later than the first.
+	maxProbes  = 6
+	probeAgain = 200 * time.Millisecond
+)
+
+// restartProbe is a search for restarted routers.
+type restartProbe struct {
+	startedAt time.Time
+	// sent has the probes of each router.
+	sent map[netip.Addr]sentProbes
+}
+
+// sentProbes are the probes that were sent to a router.
+type sentProbes struct {
+	count int
+	last  time.Time
+}
+
+// restarts returns how many routers were killed and are back within restartWindow, and when the first of them was heard; now
+// for none.
+func (p *Peers) restarts(now time.Time) (n int, first time.Time) {
+	first = now
+	for _, peer := range p.tracked {
+		if !peer.restartedAt.IsZero() && now.Sub(peer.restartedAt) < restartWindow {
+			n++
+			first = earliest(first, peer.restartedAt)
+		}
+	}
+	return n, first
+}
+
+// MostRestarted reports whether most of the routers that this one has heard were killed and are back, all within
+// restartWindow, so many that streams may have lost all routers that knew which version began them. A router that
+// is only silent does not count: this one may be cut off itself. before is the number of live routers with a lower
+// address than this one that were heard before and have not restarted. One that was not heard lately does not count
+// either: it may have been killed and not be back yet.
+func (p *Peers) MostRestarted(now time.Time) (most bool, before int) {
+	restarted, first := p.restarts(now)
+	heard := 0
+	for addr, peer := range p.tracked {
+		if peer.LastReceived.IsZero() {
+			continue
+		}
+		heard++
+		survived := peer.heardSince.Before(first) && !peer.LastReceived.Before(first.Add(-survivorHeard))
+		if survived && p.live(peer, now) && addr.Less(p.self) {
+			before++
+		}
+	}
+	return restarted > streamHolders && 2*restarted > heard, before
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// ProbeTargets returns the routers that are to get a digest now since they may have restarted, and counts it as sent. A
+// router that reads the store for a large fleet, and one of a small fleet, send to all every loadInterval anyway.
+func (p *Peers) ProbeTargets(now time.Time) []netip.Addr {
+	if n, _ := p.restarts(now); n < restartsToProbe || p.reader || len(p.tracked) <= smallFleetPeers {
+		p.probe = nil
+		return nil
+	}
+	if p.probe == nil || now.Sub(p.probe.startedAt) >= restartWindow {
+		p.probe = &restartProbe{startedAt: now, sent: make(map[netip.Addr]sentProbes)}
+	}
+	room := p.newProbes()
+	var targets []netip.Addr
+	// Map iteration order is random.
+	for addr, peer := range p.tracked {
+		if len(targets) >= probesAtOnce {
+			break
+		}
+		if peer.LastReceived.IsZero() || !peer.LastReceived.Before(p.probe.startedAt) {
+			continue
+		}
+		sent := p.probe.sent[addr]
+		switch {
+		case sent.count == 0 && room > 0:
+			room--
+		case sent.count == 0 || sent.count >= maxProbes || now.Sub(sent.last) < probeAgain:
+			continue
+		}
+		p.probe.sent[addr] = sentProbes{count: sent.count + 1, last: now}
+		targets = append(targets, addr)
+	}
+	return targets
+}
+
+// newProbes returns how many routers may be probed that have not been yet.
+func (p *Peers) newProbes() int {
+	if len(p.probe.sent) == 0 {
+		return firstProbes
+	}
+	restarted := 0
+	for addr := range p.probe.sent {
+		if peer := p.tracked[addr]; peer != nil && !peer.restartedAt.Before(p.probe.startedAt) {
+			restarted++
+		}
+	}
+	if probeShare*restarted <= len(p.probe.sent) {
+		return 0
+	}
+	return probesAtOnce
+}
+
+// probeRestarted sends a digest to the routers that may have restarted.
+func (e *Exchange) probeRestarted(now time.Time) {
+	e.mu.Lock()
+	targets := e.peers.ProbeTargets(now)
+	e.mu.Unlock()
+	if len(targets) > 0 {
+		e.sendTo(targets, e.newMessage())
+	}
+}
+
+// MostRestarted reports whether most other routers were killed a moment ago and are back, and how many of those that
+// were not have a lower address than this one.
+func (e *Exchange) MostRestarted() (most bool, before int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.MostRestarted(time.Now())
+}
+
+// HearsLoads reports whether all routers send their loads to this one. It then hears each of them every loadInterval.
+func (e *Exchange) HearsLoads() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reader || e.smallFleet()
+}
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -80,8 +80,20 @@
 	// waits longer than the one before it. In a large fleet the others would only add calls to the store.
 	maxSurvivors = 3
 	survivorStep = 500 * time.Millisecond
+	// survivorSettle is how much longer a survivor waits to which the others do not send their loads. It hears of those that
+	// come before it when they search for restarted routers, once in the interval between two loads.
+	survivorSettle = 250 * time.Millisecond
 )
 
+// survivorDelay returns how long a survivor waits before it claims the question, with a number of survivors before it.
+func survivorDelay(before int, hearsLoads bool) time.Duration {
+	delay := time.Duration(before) * survivorStep
+	if !hearsLoads {
+		delay += survivorSettle
+	}
+	return delay
+}
+
 // watchRestarts asks the engines which versions have prompts cached when most of the other routers were killed while
 // several versions may serve: the others get the placements from the survivors, but which version began a stream only those
 // knew that relayed it or were told. A claim in the store lets one survivor ask.
@@ -104,7 +116,7 @@
 			if claimer == nil {
 				claimer, since = newInventoryClaimer(f.platform.Memory, versionsKey, f.events), now
 			}
-			if settled || before >= maxSurvivors || now.Sub(since) < time.Duration(before)*survivorStep {
+			if settled || before >= maxSurvivors || now.Sub(since) < survivorDelay(before, f.exchange.HearsLoads()) {
 				continue
 			}
 			if claimer.claim(ctx, now) {
