--- a/internal/slotgrant/simulation_test.go
+++ b/internal/slotgrant/simulation_test.go
@@ -63,7 +63,7 @@
 	// without is set for routers that ask nobody, as before.
 	without bool
 	// admits decides about a request in place of grants; nil for grants.
-	admits func(r *simRouter) bool
+	admits func(q *simRequest) bool
 	// restarted is set when the routers start with the load, without knowing each other.
 	restarted bool
 	// lost is the share of the datagrams that are lost.
@@ -86,6 +86,10 @@
 	// skewed is set when a third of the requests are of one workspace, which sends few before mid.
 	skewed   bool
 	duration time.Duration
+	// seed is added to that of the simulations. paired is set when arrivals and their times in a slot are drawn apart from the rest,
+	// so that those of two simulations with the same seed are the same.
+	seed   uint64
+	paired bool
 }
 
 // simResult counts what became of the arrivals.
@@ -137,21 +141,25 @@
 	sentAt    time.Duration
 	short     bool
 	returned  bool
+	// work is its time in a slot where that is drawn with the arrival.
+	work time.Duration
 }
 
 type sim struct {
 	simCase
-	t       *testing.T
-	rng     *rand.Rand
-	now     time.Duration
-	n       int
-	events  simEvents
-	routers []*simRouter
-	inside  int
-	running int
-	queue   []func()
-	// onServed is told how long each request was at the server, as its router sees it.
-	onServed func(time.Duration)
+	t   *testing.T
+	rng *rand.Rand
+	// arrivals draws the arrivals; it is rng unless they are paired.
+	arrivals *rand.Rand
+	now      time.Duration
+	n        int
+	events   simEvents
+	routers  []*simRouter
+	inside   int
+	running  int
+	queue    []func()
+	// onEnd is told how each request ends at the server, as its router sees it.
+	onEnd func(q *simRequest, end End)
 	// busy is the time that all slots have been in use.
 	busy   time.Duration
 	result simResult
@@ -171,16 +179,20 @@
 	if c.delay == 0 {
 		c.delay = time.Millisecond
 	}
-	s := &sim{simCase: c, t: t, rng: rand.New(rand.NewPCG(7+*seed, 11))}
+	s := &sim{simCase: c, t: t, rng: rand.New(rand.NewPCG(7+*seed+c.seed, 11))}
+	s.arrivals = s.rng
+	if c.paired {
+		s.arrivals = rand.New(rand.NewPCG(7+*seed+c.seed, 13))
+	}
 	s.result.perWorkspace = map[uint32]int{}
 	s.workspace = func() uint32 {
 		if s.mixed {
-			return uint32(40 * math.Pow(41, s.rng.Float64()-1))
+			return uint32(40 * math.Pow(41, s.arrivals.Float64()-1))
 		}
-		if s.skewed && s.now >= mid && s.rng.Float64() < 0.35 {
+		if s.skewed && s.now >= mid && s.arrivals.Float64() < 0.35 {
 			return 0
 		}
-		return uint32(s.rng.IntN(8))
+		return uint32(s.arrivals.IntN(8))
 	}
 	for i := range simRouters {
 		addr := netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)})
@@ -204,7 +216,7 @@
 	perSecond := s.load * simSlots / simWork.Seconds()
 	var arrive func()
 	arrive = func() {
-		s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), arrive)
+		s.after(time.Duration(s.arrivals.ExpFloat64()/perSecond*float64(time.Second)), arrive)
 		s.arrive()
 	}
 	s.at(time.Millisecond, arrive)
@@ -235,12 +247,15 @@
 }
 
 func (s *sim) arrive() {
-	r := s.routers[s.rng.IntN(len(s.routers))]
+	r := s.routers[s.arrivals.IntN(len(s.routers))]
 	for r.dead || r.frozen {
-		r = s.routers[s.rng.IntN(len(s.routers))]
+		r = s.routers[s.arrivals.IntN(len(s.routers))]
 	}
 	q := &simRequest{router: r, arrivedAt: s.now, workspace: s.workspace()}
-	q.short = s.mixed && s.rng.Float64() < shortWork
+	q.short = s.mixed && s.arrivals.Float64() < shortWork
+	if s.paired {
+		q.work = s.workTime(s.arrivals)
+	}
 	if s.now >= s.countFrom {
 		s.result.arrivals++
 	}
@@ -251,7 +266,7 @@
 func (s *sim) offer(q *simRequest) {
 	r := q.router
 	switch {
-	case s.without || s.admits != nil && s.admits(r):
+	case s.without || s.admits != nil && s.admits(q):
 		s.send(q)
 		return
 	case s.admits != nil:
@@ -287,7 +302,10 @@
 
 func (s *sim) work(q *simRequest) {
 	s.running++
-	took := s.workTime()
+	took := q.work
+	if took == 0 {
+		took = s.workTime(s.rng)
+	}
 	if q.short {
 		took = took / shortFactor
 	}
@@ -316,12 +334,12 @@
 
 // workTime draws the time of a request in a slot, simWork on average. Varying times are log-normal with a spread of
 // workSpread, and one in 100 is five times as long.
-func (s *sim) workTime() time.Duration {
+func (s *sim) workTime(rng *rand.Rand) time.Duration {
 	if !s.varying {
 		return simWork
 	}
-	factor := math.Exp(s.rng.NormFloat64()*workSpread - workSpread*workSpread/2)
-	if s.rng.Float64() < longWork {
+	factor := math.Exp(rng.NormFloat64()*workSpread - workSpread*workSpread/2)
+	if rng.Float64() < longWork {
 		factor *= longWorkFactor
 	}
 	return time.Duration(factor / (1 + longWork*(longWorkFactor-1)) * float64(simWork))
@@ -341,8 +359,8 @@
 		return
 	}
 	r.own--
-	if s.onServed != nil && end == Served {
-		s.onServed(s.now - q.sentAt)
+	if s.onEnd != nil {
+		s.onEnd(q, end)
 	}
 	report := Report{Number: q.number, End: end, Took: s.now - q.sentAt, Load: s.inside + 1}
 	if s.unstated {
--- a/internal/slotgrant/ways_test.go
+++ b/internal/slotgrant/ways_test.go
@@ -9,10 +9,12 @@
 // Guards against a note that compares with what does not hold: the ways that were not taken miss the bounds. Its table has the
 // logged figures.
 func TestOtherWaysToShareFewSlotsMissTheBounds(t *testing.T) {
-	allocated := func(r *simRouter) bool { return slices.Index(r.sim.routers, r) < simSlots && r.own < 1 }
-	rate := func(r *simRouter) bool { return r.fallback.Take(r.now(), simSlots, simRouters, simWork) }
-	common := func(r *simRouter) bool { return r.sim.rng.Float64() < r.share }
-	for name, admits := range map[string]func(*simRouter) bool{"slots allocated": allocated, "a rate for each": rate, "common limit": common, "now": nil} {
+	allocated := func(q *simRequest) bool {
+		return slices.Index(q.router.sim.routers, q.router) < simSlots && q.router.own < 1
+	}
+	rate := func(q *simRequest) bool { return q.router.fallback.Take(q.router.now(), simSlots, simRouters, simWork) }
+	common := func(q *simRequest) bool { return q.router.sim.rng.Float64() < q.router.share }
+	for name, admits := range map[string]func(*simRequest) bool{"slots allocated": allocated, "a rate for each": rate, "common limit": common, "now": nil} {
 		missed := false
 		for _, load := range []float64{0.85, 1.75} {
 			for _, slower := range []bool{true, false} {
@@ -62,9 +64,11 @@
 // the report before the last.
 func (s *sim) boundByDelays() {
 	var sum, n, reported float64
-	s.onServed = func(took time.Duration) {
-		sum += took.Seconds()
-		n++
+	s.onEnd = func(q *simRequest, end End) {
+		if end == Served {
+			sum += (s.now - q.sentAt).Seconds()
+			n++
+		}
 	}
 	var adapt func()
 	adapt = func() {
@@ -100,7 +104,7 @@
 			c := c
 			c.without = way == "as before"
 			if way == "bound by delays" {
-				c.admits = func(r *simRouter) bool { return r.sim.rng.Float64() < r.share }
+				c.admits = func(q *simRequest) bool { return q.router.sim.rng.Float64() < q.router.share }
 			}
 			s := newSim(t, c)
 			if c.admits != nil {
