forward, digest: pools send a share of their requests by the times at the servers

The decision of internal/overload needs the times that all routers see, and a place where requests are rejected. Routers add up the times of their served requests at plain pools in each 0.25 s and send them with their loads (field 65); readers of the store send the sums with the total loads (66), so no datagram is added. What does not fit a frame is left out. A request beyond the share gets a 503 'not run' with the cause delay_share, before it is sent. Events 1366 and 1367, gauges and counters, and /status of the pool tell of it. It is for pools of plain servers of known size that state no load, name no limit and are not brittle, and off unless bounds.delay_share is set.

--- a/internal/balance/scarce.go
+++ b/internal/balance/scarce.go
@@ -57,3 +57,27 @@
 	}
 	return list
 }
+
+// PlainSlots returns the slots of the servers that neither leave nor are evacuated, cold or ejected, when all servers of the pool are plain ones
+// of a known size that say nothing of their load, name no limit and are not brittle. Otherwise it returns 0. A server that
+// wants no requests for a moment counts.
+func (p *Pool) PlainSlots(now time.Time) int {
+	slots, ejected := 0, 0
+	for _, m := range p.members {
+		if m.server.Engine || m.server.Slots <= 0 || m.limit.Active() || m.brittle.active() || !m.serverReportAt.IsZero() {
+			return 0
+		}
+		switch {
+		case m.out() || p.isCold(now, m):
+		case m.health.ejected(now, m.own):
+			ejected += m.server.Slots
+		default:
+			slots += m.server.Slots
+		}
+	}
+	if slots == 0 {
+		// As in takers, ejected servers are tried when there are no other ones.
+		return ejected
+	}
+	return slots
+}
--- a/internal/balance/scarce_test.go
+++ b/internal/balance/scarce_test.go
@@ -65,6 +65,41 @@
 	}
 }
 
+// Guards against a pool whose load other rules bound, or whose size is unknown, and of which only a share of the requests is sent; and
+// against a share that is dropped since the only server wants no requests for a moment.
+func TestOnlySlotsOfPlainServersThatSayNothingCount(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for name, c := range map[string]struct {
+		change func(p *Pool, list []*registry.Server)
+		want   int
+	}{
+		"plain":        {func(*Pool, []*registry.Server) {}, 18},
+		"an engine":    {func(_ *Pool, list []*registry.Server) { list[0].Engine = true }, 0},
+		"unknown size": {func(_ *Pool, list []*registry.Server) { list[0].Slots = 0 }, 0},
+		"leaving":      {func(_ *Pool, list []*registry.Server) { list[0].Leaving = true }, 12},
+		"brittle":      {func(p *Pool, list []*registry.Server) { p.RecordBrittle(now, list[0].Key(), 3) }, 0},
+		"states load":  {func(p *Pool, list []*registry.Server) { p.RecordLoad(now, list[0].Key(), Load{Running: 1, Slots: 6}) }, 0},
+		"unreachable":  {func(p *Pool, list []*registry.Server) { p.End(now, list[0].Key(), Unreachable) }, 12},
+		"refuses":      {func(p *Pool, list []*registry.Server) { p.RecordRetryAfter(now, list[0].Key(), time.Second) }, 18},
+		"limited": {func(p *Pool, list []*registry.Server) {
+			p.RecordLimit(list[0].Key(), namedlimit.Statement{PerSecond: 3, At: now}, now)
+		}, 0},
+		"all unreachable": {func(p *Pool, list []*registry.Server) {
+			for _, s := range list {
+				p.End(now, s.Key(), Unreachable)
+			}
+		}, 18},
+	} {
+		p, list := NewPool(Limits{CapFactor: 2, CapExtra: 3}), plainServers(3)
+		p.SetServers(list)
+		c.change(p, list)
+		p.SetServers(list)
+		if got := p.PlainSlots(now); got != c.want {
+			t.Errorf("%s: %d slots, want %d", name, got, c.want)
+		}
+	}
+}
+
 // Guards against grants of a server that this router has ejected, and against none at all when it has ejected all.
 func TestEjectedServerIsNotUsableWhileOthersAre(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -55,6 +55,8 @@
 		m.TotalLoads = append(m.TotalLoads, Load{rapid.Uint32().Draw(t, "total server"), rapid.IntRange(0, 1000).Draw(t, "total")})
 		m.Outcomes = append(m.Outcomes, drawOutcomes(t))
 		m.TotalFailures = append(m.TotalFailures, drawOutcomes(t))
+		m.Times = append(m.Times, drawPoolTimes(t))
+		m.TotalTimes = append(m.TotalTimes, drawPoolTimes(t))
 		m.Placements = append(m.Placements, Placement{
 			PrefixHash: rapid.Uint64().Draw(t, "prefix hash"), Server: rapid.Uint64().Draw(t, "caching server"),
 			Tokens: rapid.IntRange(0, maxPromptTokens).Draw(t, "prefix tokens"), ReadTokens: rapid.IntRange(0, maxPromptTokens).Draw(t, "read tokens"),
@@ -107,6 +109,14 @@
 	}
 }
 
+func drawPoolTimes(t *rapid.T) PoolTimes {
+	number := rapid.IntRange(0, maxPoolTime)
+	return PoolTimes{
+		Pool: rapid.Uint32().Draw(t, "pool"), Served: number.Draw(t, "served"), Objectives: number.Draw(t, "objectives"),
+		Refused: number.Draw(t, "refused"), InUse: number.Draw(t, "in use"),
+	}
+}
+
 func drawPosition(t *rapid.T) logpos.Position {
 	return logpos.Position{Era: rapid.Int64Min(0).Draw(t, "era"), Offset: rapid.Int64Min(-1).Draw(t, "offset")}
 }
@@ -338,6 +348,7 @@
 	loads         map[uint32]int
 	serverChanges []ServerChange
 	outcomes      []Outcomes
+	times         []PoolTimes
 	routers       int
 	parts         []quarantine.Entry
 	// evacuations are those that the router knows, receivedEvacuations those that another one has sent.
@@ -390,6 +401,23 @@
 	s.outcomes = list
 }
 
+func (s *fakeState) TakeTimes() []PoolTimes {
+	return []PoolTimes{{Pool: 3, Served: 2, Objectives: 1500, InUse: 700}}
+}
+
+func (s *fakeState) SetTimes(list []PoolTimes) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.times = list
+}
+
+// hasFleetTimes reports whether the summed times of two routers have arrived.
+func (s *fakeState) hasFleetTimes() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.times) == 1 && s.times[0] == PoolTimes{Pool: 3, Served: 4, Objectives: 3000, InUse: 1400}
+}
+
 // hasFleetOutcomes reports whether the summed outcomes of two routers have arrived.
 func (s *fakeState) hasFleetOutcomes() bool {
 	s.mu.Lock()
@@ -506,6 +534,7 @@
 	_, second := startPair(t, old, fresh)
 	waitFor(t, "the new router has the placements", func() bool { return fresh.hasPlacementAndLoad(Placement{PrefixHash: 1, Server: 7}) })
 	waitFor(t, "each router has the outcomes of both", func() bool { return old.hasFleetOutcomes() && fresh.hasFleetOutcomes() })
+	waitFor(t, "each router has the times of both", func() bool { return old.hasFleetTimes() && fresh.hasFleetTimes() })
 	waitFor(t, "the new router is synced", second.Synced)
 	waitFor(t, "the new router has the server change", fresh.hasServerChange)
 	waitFor(t, "the new router has the offset of the last change", func() bool { return second.NewestChange(0, 0) == pos(11) })
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -79,6 +79,11 @@
 	// SetOutcomes sets the recent outcomes of all routers for the servers that
 	// failed requests.
 	SetOutcomes(list []Outcomes)
+	// TakeTimes returns the times of this router's requests at plain pools since the last call. It is called once in each interval
+	// of the loads.
+	TakeTimes() []PoolTimes
+	// SetTimes sets those of all routers together.
+	SetTimes(list []PoolTimes)
 	// RecordPlacements records new placements of another router, whose servers read
 	// the prompts.
 	RecordPlacements(list []Placement)
@@ -172,6 +177,8 @@
 	// sentLoads and sentOutcomes are this router's loads and outcomes as last sent.
 	sentLoads    map[uint32]int
 	sentOutcomes []Outcomes
+	// sentTimes are this router's times as last sent.
+	sentTimes []PoolTimes
 	// reader is set while this router reads the store for the others, and toldReader while it has told them so: once
 	// the store has answered it. otherReaders are the other ones that do so, as last seen. loadsSentAt is when its loads
 	// last left.
@@ -466,6 +473,9 @@
 	if len(m.TotalFailures) > 0 && !smallFleet {
 		e.state.SetOutcomes(m.TotalFailures)
 	}
+	if len(m.TotalTimes) > 0 && !smallFleet {
+		e.state.SetTimes(m.TotalTimes)
+	}
 	e.recordPlacements(m)
 	e.handleRelayed(m)
 	if len(m.Servers) > 0 {
@@ -509,9 +519,11 @@
 		loads = e.peers.Loads(now)
 	}
 	failures := e.peers.Outcomes(now, e.sentOutcomes)
+	times := e.peers.Times(now, e.sentTimes)
 	e.mu.Unlock()
 	e.state.SetPeerLoads(loads, directLoadsAge)
 	e.state.SetOutcomes(failures)
+	e.state.SetTimes(times)
 }
 
 // applyTotalLoads subtracts this router's loads from the totals and passes the
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -144,7 +144,9 @@
 	// outcomes of all routers together, for the servers that failed requests.
 	Outcomes      []Outcomes
 	TotalFailures []Outcomes
-	Placements    []Placement
+	// Times are those of the sender's own requests at plain pools, and TotalTimes those of all routers together.
+	Times, TotalTimes []PoolTimes
+	Placements        []Placement
 	// Relay asks the receiver to pass Placements on to all, and Relayed are those that the sender passes on.
 	Relay   bool
 	Relayed []RelayedPlacements
@@ -231,6 +233,8 @@
 	fieldRegion      = 49
 	fieldConfigPart  = 60
 	fieldRequestConf = 61
+	fieldTimes       = 65
+	fieldTotalTimes  = 66
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -264,6 +268,8 @@
 	b = appendLoads(b, fieldTotalLoads, m.TotalLoads)
 	b = appendOutcomes(b, fieldOutcomes, m.Outcomes)
 	b = appendOutcomes(b, fieldTotalFailures, m.TotalFailures)
+	b = appendPoolTimes(b, fieldTimes, m.Times)
+	b = appendPoolTimes(b, fieldTotalTimes, m.TotalTimes)
 	for _, placement := range m.Placements {
 		b = appendNumbers(b, fieldPlacement, placement.PrefixHash, placement.Server, uint64(placement.Tokens), uint64(placement.ReadTokens))
 	}
@@ -487,6 +493,10 @@
 		m.Outcomes, err = decodeOutcomes(v)
 	case fieldTotalFailures:
 		m.TotalFailures, err = decodeOutcomes(v)
+	case fieldTimes:
+		m.Times = decodePoolTimes(v)
+	case fieldTotalTimes:
+		m.TotalTimes = decodePoolTimes(v)
 	case fieldCached:
 		err = m.decodeCached(v)
 	case fieldRelayed:
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -47,7 +47,10 @@
 	loads    map[uint32]int
 	outcomes []Outcomes
 	// loadsAt is when the peer's loads and outcomes last arrived.
-	loadsAt    time.Time
+	loadsAt time.Time
+	// times are those of the peer's requests at plain pools, as of timesAt.
+	times      []PoolTimes
+	timesAt    time.Time
 	lastChange map[int]logpos.Position
 	// storeEra and configVersion are those that the peer has reported last.
 	storeEra      int64
@@ -160,6 +163,7 @@
 	}
 	if m.LoadsComplete {
 		peer.loadsAt = now
+		peer.times, peer.timesAt = m.Times, now
 		peer.outcomes = m.Outcomes
 		peer.loads = make(map[uint32]int, len(m.Loads))
 		for _, l := range m.Loads {
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -114,6 +114,9 @@
 	if !m.LoadsComplete {
 		m.Loads = nil
 	}
+	times := e.state.TakeTimes()
+	m.Times = fitPoolTimes(times)
+	withoutTimesIfTooLarge(m)
 	readers, reader := e.readers(time.Now(), e.state.Progress().OwnReads)
 	e.mu.Lock()
 	m.Role = roleOf(e.toldReader)
@@ -124,7 +127,7 @@
 	for _, l := range own {
 		e.sentLoads[l.Server] = l.InFlight
 	}
-	e.sentOutcomes = m.Outcomes
+	e.sentOutcomes, e.sentTimes = m.Outcomes, times
 	stale := now.Sub(e.totalsReceivedAt) >= loadsMaxAge
 	routers := len(e.peers.Live(now)) + 1
 	e.mu.Unlock()
@@ -153,10 +156,13 @@
 		totals[server] += n
 	}
 	failures := e.peers.Outcomes(now, e.sentOutcomes)
+	times := e.peers.Times(now, e.sentTimes)
 	e.mu.Unlock()
 	m := e.newMessage()
+	m.TotalTimes = fitPoolTimes(times)
 	m.TotalFailures = failures
 	m.TotalLoads = mostLoaded(totals, loadsPerDatagram)
+	withoutTimesIfTooLarge(m)
 	e.sendTo(targets, m)
 }
 
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -68,6 +68,8 @@
 	GrantingEnded       = register(1363, hclog.Info, "router no longer grants the slots of a pool")
 	GranterSilent       = register(1364, hclog.Warn, "router that grants the slots of a pool does not answer")
 	GrantsForgotten     = register(1365, hclog.Warn, "router was frozen or another one has granted since; it takes all slots for taken for a moment")
+	ShareLowered        = register(1366, hclog.Info, "requests are long at the servers of a plain pool; a share of them is sent")
+	AllRequestsSent     = register(1367, hclog.Info, "all requests are sent to a plain pool again")
 	InventoryCollected  = register(1022, hclog.Info, "engines were queried for their cached prompt parts")
 	InventoryFailed     = register(1023, hclog.Warn, "query of an engine's cached prompt parts failed")
 )
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -176,6 +176,7 @@
 			c.grant.ejected = true
 			c.logEjected(choice.Server, res.cause)
 		}
+		c.recordDelay(choice, res.outcome)
 		c.recordCrashSigns(choice.Server, res)
 		c.recordEndSigns(choice.Server, res)
 		c.pool.releaseBackup(c.backup)
--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -104,6 +104,7 @@
 	retry      *retrybudget.Limits
 	dataCentre string
 	bodyMemory int64
+	delayShare bool
 	pools      []routing.Pool
 }
 
@@ -165,6 +166,7 @@
 	if o.bodyMemory > 0 {
 		limits.BodyMemory = o.bodyMemory
 	}
+	limits.DelayShare = o.delayShare
 	b.state = NewState(limits)
 	for i := range max(o.servers, 1) {
 		b.servers = append(b.servers, b.serve(fmt.Sprintf("s%d", i)))
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -102,6 +102,8 @@
 	// that followed from it.
 	load      overload.Load
 	admission overload.Decision
+	// shareStatus is what the refusal of a request that is not among the share that is sent followed from.
+	shareStatus overload.ShareStatus
 	// predicted is what the request is expected to cost.
 	predicted cost.Prediction
 
@@ -337,6 +339,7 @@
 	c.load, c.admission = c.pool.admit(now, overload.Request{
 		Workspace:     c.workspace.Name,
 		Route:         c.route.Name,
+		Size:          len(c.body),
 		Priority:      c.priority(),
 		Objective:     c.route.Objective,
 		CallerTimeout: c.headers.Deadline,
@@ -345,8 +348,14 @@
 	}, balance.Job{Version: c.requiredVersion(), AllowedRegions: c.regions})
 	if !c.admission.Admitted {
 		c.refuseWithWait(CausePoolFull, c.admission.RetryAfter)
+		return false
+	}
+	c.handler.metrics.recordShareDecision(c.pool.name, c.admission.Share)
+	if !c.admission.Share.Admitted {
+		c.shareStatus = c.pool.shareStatus(now)
+		c.refuseWithWait(CauseDelayShare, c.admission.Share.RetryAfter)
 	}
-	return c.admission.Admitted
+	return c.admission.Share.Admitted
 }
 
 // recoverPanic turns a panic of the handler into an outcome, and closes the connection.
@@ -415,6 +424,7 @@
 			"bound_ms", c.admission.Bound.Milliseconds(), "surging", c.admission.Surging, "returning", c.admission.Retrying,
 			"retry_after_ms", c.admission.RetryAfter.Milliseconds())
 	}
+	kv = append(kv, c.shareFields()...)
 	c.handler.events.Emit(e, kv...)
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -204,6 +204,8 @@
 	CauseOverload Cause = "overload"
 	// CausePoolFull: the request would wait too long for a server.
 	CausePoolFull Cause = "pool_full"
+	// CauseDelayShare: requests are long at the pool's servers, and this one is not among the share that is sent.
+	CauseDelayShare Cause = "delay_share"
 	// CauseServerLimits: all servers that could take the request name limits that are used up, or
 	// want none for a while.
 	CauseServerLimits Cause = "server_limits"
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -64,7 +64,10 @@
 }
 
 // SetRouterCount sets the number of routers that share the retry budgets.
-func (st *State) SetRouterCount(n int) { st.fleet.SetRouters(time.Now(), n) }
+func (st *State) SetRouterCount(n int) {
+	st.routers.Store(int64(n))
+	st.fleet.SetRouters(time.Now(), n)
+}
 
 // SetRestarted records that this router may have run before. Call it before requests are served.
 func (st *State) SetRestarted() {
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -49,6 +49,8 @@
 	Retry   retrybudget.Limits
 	// BackupRisk is the probability that a stream loses its engine from which it may have a copy elsewhere.
 	BackupRisk float64
+	// DelayShare is set when routers send a share of their requests to plain pools whose servers take long.
+	DelayShare bool
 	// BodyMemory bounds the request bodies in memory at the same time, in bytes.
 	BodyMemory int64
 	DataCentre string
@@ -78,6 +80,8 @@
 	streams *streamVersions
 	// fleet is shared by the retry budgets of all pools.
 	fleet *retrybudget.Fleet
+	// routers is the number of routers that are live, this one included; 0 before the first digest.
+	routers atomic.Int64
 	// paths opens the connections to servers.
 	paths *paths
 	// grantsShared is shared by the grants of all pools.
@@ -108,7 +112,10 @@
 	mu         sync.Mutex
 	balance    *balance.Pool
 	controller *overload.Controller
-	costs      *cost.Model
+	// delays decides which part of the requests is sent; nil for all. shareLowered is set while that is logged to be less than all.
+	delays       *overload.DelayShare
+	shareLowered bool
+	costs        *cost.Model
 	// connections has those of each incarnation of a server, so that none is used for a
 	// later incarnation.
 	connections map[registry.Key]*connections
@@ -277,6 +284,9 @@
 		indirect:    st.paths.indirect,
 	}
 	p.backups.MinRisk = st.limits.BackupRisk
+	if st.limits.DelayShare {
+		p.delays = overload.NewDelayShare()
+	}
 	p.grants = newGrantPool(p, st.grantsShared)
 	return p
 }
@@ -338,8 +348,9 @@
 	defer p.mu.Unlock()
 	load := p.balance.Load(now, job.AllowedRegions...)
 	decision := p.controller.Decide(now, load, req)
-	if !decision.Admitted && p.balance.ColdReady(now, job) {
-		decision.Admitted = true
+	decision.Share = p.admitShare(now, &req, decision)
+	if !(decision.Admitted && decision.Share.Admitted) && p.balance.ColdReady(now, job) {
+		decision.Admitted, decision.Share.Admitted = true, true
 	}
 	return load, decision
 }
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -24,6 +24,8 @@
 	Servers     []ServerStatus `json:"servers"`
 	// Grants is the state of the grants of a scarce pool; absent for other pools.
 	Grants *GrantStatus `json:"grants,omitempty"`
+	// DelayShare tells which part of its requests this router sends to the pool; absent for pools that are not limited by it.
+	DelayShare *DelayShareStatus `json:"delay_share,omitempty"`
 	// Backups is the state of the copies of running requests' memory; absent while no engine ends and there are none.
 	Backups *BackupStatus `json:"backups,omitempty"`
 }
@@ -102,6 +104,7 @@
 		RetriesLeft: p.retriesLeft(now),
 		Cost:        CostStatus(p.costs.Accuracy()),
 		Backups:     p.backupStatus(now),
+		DelayShare:  p.delayShareStatus(now),
 		Servers:     []ServerStatus{},
 	}
 	for _, b := range p.balance.Status(now) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -252,6 +252,7 @@
 		},
 		BodyMemory: BodyMemory(s),
 		BackupRisk: s.Bounds.BackupRisk,
+		DelayShare: s.Bounds.DelayShare,
 		DataCentre: s.DataCentre,
 		Regions:    regions(s),
 
--- a/internal/front/scarce_test.go
+++ b/internal/front/scarce_test.go
@@ -27,19 +27,21 @@
 // scarceServer is a plain server that counts the requests in it. It does not queue: what is beyond its slots is seen.
 type scarceServer struct {
 	addr string
+	// work is how long a request takes.
+	work time.Duration
 
 	mu                 sync.Mutex
 	inside, most, runs int
 }
 
-func newScarceServer(t *testing.T) *scarceServer {
+func newScarceServer(t *testing.T, work time.Duration) *scarceServer {
 	t.Helper()
 	// The ports of 127.0.0.1 run out beside other tests.
 	l, err := net.Listen("tcp", testport.ServerHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scarceServer{addr: l.Addr().String()}
+	s := &scarceServer{addr: l.Addr().String(), work: work}
 	h := &http.Server{Handler: http.HandlerFunc(s.answer)}
 	go func() { _ = h.Serve(l) }()
 	t.Cleanup(func() { _ = h.Close() })
@@ -48,7 +50,7 @@
 
 func (s *scarceServer) answer(w http.ResponseWriter, r *http.Request) {
 	s.count(1)
-	time.Sleep(scarceWork)
+	time.Sleep(s.work)
 	s.count(-1)
 	id := r.Header.Get(platformtest.HeaderRequestID)
 	w.Header().Set(platformtest.HeaderRequestID, id)
@@ -83,7 +85,7 @@
 
 func newScarceFleet(t *testing.T) *scarceFleet {
 	t.Helper()
-	s := newScarceServer(t)
+	s := newScarceServer(t, scarceWork)
 	f := newFleetWith(t, scarceRouters, 0, func(f *fleetBed) {
 		f.store.Put(platform.TopicServers, "s-0", platformtest.Entry{Pool: "pool", Addr: s.addr, State: platformtest.StateReady, Slots: scarceSlots}.Encode())
 	})
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -44,6 +44,9 @@
 	// region is that of the router, and regions has those of the data centres; the zero values are the usual ones.
 	region  string
 	regions map[string]string
+	// delayShare is set for a router that sends a share of its requests to plain pools whose servers take long, in place of asking for
+	// grants.
+	delayShare bool
 	// logger receives the router's log; nil for none.
 	logger hclog.Logger
 	// wrapSource wraps the router's way to each topic of the store; nil for none.
@@ -84,7 +87,7 @@
 		MemoryMB:     200, Cores: 1,
 		Bounds: settings.FrontBounds{
 			StopTimeout: 8 * time.Second, LoadMultiple: 2, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 480,
-			GrantSlots: true,
+			GrantSlots: !b.delayShare, DelayShare: b.delayShare,
 		},
 	}
 	logger := b.logger
--- a/internal/overload/delayshare_test.go
+++ b/internal/overload/delayshare_test.go
@@ -173,13 +173,21 @@
 	if got := b.send(50, req)[0]; got != 50 {
 		t.Errorf("%d of 50 requests without an objective are admitted", got)
 	}
+	b = overloaded(t)
 	b.share.SetFleet(0, 70)
+	unlimited := shareRequest("a", 3)
+	for range 10 {
+		if !b.share.Admit(b.now, &unlimited).Admitted {
+			t.Fatal("a request to a pool whose size is no longer known is rejected")
+		}
+	}
 	if got := b.send(50, shareRequest("a", 3))[0]; got != 50 {
 		t.Errorf("%d of 50 requests to a pool of unknown size are admitted", got)
 	}
 }
 
-// Guards against a share of admitted requests that is not the one that the times call for.
+// Guards against a share of admitted requests that is not the one that the times call for, and against requests of one rank that are
+// rejected or sent in long rows.
 func TestAdmittedRequestsMeetTheShare(t *testing.T) {
 	b := overloaded(t)
 	share := b.value()
@@ -190,6 +198,16 @@
 	if got := float64(all) / 1200; got < share-0.03 || got > share+0.03 {
 		t.Errorf("%.3f are admitted at a share of %.3f", got, share)
 	}
+	b = overloaded(t)
+	row, longest, all := 0, 0, 0
+	for range 300 {
+		n := b.send(1, shareRequest("a", 1))[0]
+		row, all = (row+1)*(1-n), all+n
+		longest = max(longest, row)
+	}
+	if got := float64(all) / 300; got < share-0.05 || got > share+0.05 || longest > 3 {
+		t.Errorf("%.3f of one rank are admitted at a share of %.3f, and %d rejected in a row", got, share, longest)
+	}
 }
 
 // Guards against an urgent request, one of a workspace within its usual share, one with its objective left, or one that was
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -88,6 +88,8 @@
 type Request struct {
 	Workspace string
 	Route     string
+	// Size is that of the body in bytes.
+	Size int
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
 	// Objective is the target time to the first byte; 0 means none.
@@ -115,6 +117,8 @@
 	Retrying bool
 	// RetryAfter is how long a refused caller should wait before a retry.
 	RetryAfter time.Duration
+	// Share is whether the request is among the share that is sent, where a DelayShare decides about it as well.
+	Share ShareDecision
 }
 
 // Controller is the admission control of one router for one pool.
--- a/internal/overload/ranks.go
+++ b/internal/overload/ranks.go
@@ -13,7 +13,8 @@
 // then requests with enough of their objective left, then callers that were refused before.
 func rankOf(req *ShareRequest) int {
 	rank := min(max(req.Priority, 0), maxPriority)
-	for _, later := range []bool{req.Surging, float64(req.Objective-req.Spent) < littleLeft*float64(req.Objective), !req.Retrying} {
+	little := float64(req.Objective-req.Spent) < littleLeft*float64(req.Objective)
+	for _, later := range []bool{req.Surging, little, !req.Retrying} {
 		rank *= 2
 		if later {
 			rank++
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -62,6 +62,8 @@
 	BackupRisk float64
 	// GrantSlots is set when one router grants the slots of plain pools that have few of them for the routers.
 	GrantSlots bool
+	// DelayShare is set when routers send a share of their requests to plain pools whose servers take long, and reject the rest.
+	DelayShare bool
 	// Evacuate is the time in which an evacuation of a data centre takes effect.
 	Evacuate time.Duration
 }
@@ -158,6 +160,7 @@
 		ColdOverage:  o.number("cold_overage", 1, 1, 100),
 		ColdExtra:    o.number("cold_slack", 0, 0, 1e6),
 		GrantSlots:   o.boolean("grant_slots", false),
+		DelayShare:   o.boolean("delay_share", false),
 		BackupRisk:   o.number("backup_risk", 1, 0, 1),
 		Evacuate:     o.duration("evacuate", 5*time.Second, 100*time.Millisecond, day),
 	}
