overload: a restarted router does not stay ahead of the share of the others

All routers change their shares by the same totals, so the ratio of two shares stays: a router that was restarted or frozen began at 1 and stayed ahead of the others, at 1 while they sent a quarter, until the pool had recovered. The totals tell of how many requests it was decided and how many were sent, and no router sends more than twice the share of all. TestNoRouterStaysAheadOfTheOthers is red without it.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -113,7 +113,7 @@
 	number := rapid.IntRange(0, maxPoolTime)
 	return PoolTimes{
 		Pool: rapid.Uint32().Draw(t, "pool"), Served: number.Draw(t, "served"), Objectives: number.Draw(t, "objectives"),
-		Refused: number.Draw(t, "refused"), InUse: number.Draw(t, "in use"),
+		Refused: number.Draw(t, "refused"), InUse: number.Draw(t, "in use"), Decided: number.Draw(t, "decided"), Sent: number.Draw(t, "sent"),
 	}
 }
 
@@ -402,7 +402,7 @@
 }
 
 func (s *fakeState) TakeTimes() []PoolTimes {
-	return []PoolTimes{{Pool: 3, Served: 2, Objectives: 1500, InUse: 700}}
+	return []PoolTimes{{Pool: 3, Served: 2, Objectives: 1500, InUse: 700, Decided: 4, Sent: 3}}
 }
 
 func (s *fakeState) SetTimes(list []PoolTimes) {
@@ -415,7 +415,7 @@
 func (s *fakeState) hasFleetTimes() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.times) == 1 && s.times[0] == PoolTimes{Pool: 3, Served: 4, Objectives: 3000, InUse: 1400}
+	return len(s.times) == 1 && s.times[0] == PoolTimes{Pool: 3, Served: 4, Objectives: 3000, InUse: 1400, Decided: 8, Sent: 6}
 }
 
 // hasFleetOutcomes reports whether the summed outcomes of two routers have arrived.
--- a/internal/digest/times.go
+++ b/internal/digest/times.go
@@ -26,6 +26,8 @@
 	Refused int
 	// InUse is the average number of served requests at the servers, in thousandths.
 	InUse int
+	// Decided counts the requests about which was decided whether they are sent, and Sent those that were.
+	Decided, Sent int
 }
 
 // empty reports whether the times tell of no request.
@@ -36,9 +38,11 @@
 	t.Objectives += o.Objectives
 	t.Refused += o.Refused
 	t.InUse += o.InUse
+	t.Decided += o.Decided
+	t.Sent += o.Sent
 }
 
-// appendPoolTimes encodes each element as a fixed32 and four varints.
+// appendPoolTimes encodes each element as a fixed32 and six varints.
 func appendPoolTimes(b []byte, field protowire.Number, list []PoolTimes) []byte {
 	if len(list) == 0 {
 		return b
@@ -46,7 +50,7 @@
 	var packed []byte
 	for _, t := range list {
 		packed = protowire.AppendFixed32(packed, t.Pool)
-		for _, v := range []int{t.Served, t.Objectives, t.Refused, t.InUse} {
+		for _, v := range []int{t.Served, t.Objectives, t.Refused, t.InUse, t.Decided, t.Sent} {
 			packed = protowire.AppendVarint(packed, uint64(v))
 		}
 	}
@@ -64,7 +68,7 @@
 			return list
 		}
 		b = b[n:]
-		var values [4]int
+		var values [6]int
 		valid := true
 		for i := range values {
 			v, n := protowire.ConsumeVarint(b)
@@ -76,7 +80,9 @@
 			values[i] = int(min(v, maxPoolTime))
 		}
 		if valid {
-			list = append(list, PoolTimes{Pool: pool, Served: values[0], Objectives: values[1], Refused: values[2], InUse: values[3]})
+			list = append(list, PoolTimes{
+				Pool: pool, Served: values[0], Objectives: values[1], Refused: values[2], InUse: values[3], Decided: values[4], Sent: values[5],
+			})
 		}
 	}
 	return list
--- a/internal/forward/delayshare.go
+++ b/internal/forward/delayshare.go
@@ -43,6 +43,7 @@
 		}
 		list = append(list, digest.PoolTimes{
 			Pool: p.shortHash(), Served: t.Served, Objectives: thousandths(t.Objectives), Refused: t.Refused, InUse: thousandths(t.InUse),
+			Decided: t.Decided, Sent: t.Sent,
 		})
 	})
 	return list
@@ -62,6 +63,7 @@
 		t := byPool[p.shortHash()]
 		p.delays.SetTotals(now, overload.Times{
 			Served: t.Served, Objectives: float64(t.Objectives) / 1000, Refused: t.Refused, InUse: float64(t.InUse) / 1000,
+			Decided: t.Decided, Sent: t.Sent,
 		})
 		st.observeShare(now, p)
 	})
--- a/internal/overload/delayshare.go
+++ b/internal/overload/delayshare.go
@@ -29,6 +29,11 @@
 	// fullUse is the number of requests at the servers per slot up to which the share rises whatever the times are: the
 	// servers have no queue that fewer requests would shorten.
 	fullUse = 1.5
+	// maxAhead is how many times the share of all routers that of one may be. All follow the same totals, so a router that was
+	// restarted or frozen would else stay ahead of the others until the pool has recovered. What all have sent is up to three
+	// intervals old, and few requests: with 1.3 the share hardly grows. minDecided is the number of requests from which it is known.
+	maxAhead   = 2
+	minDecided = 20
 	// littleLeft is the share of the objective below which a request has little of it left.
 	littleLeft = 0.5
 	// floorPeriod is the time in which all routers together admit at least one request of each workspace, route and size.
@@ -53,6 +58,8 @@
 	Refused int
 	// InUse is the average number of served requests at the servers.
 	InUse float64
+	// Decided counts the requests about which was decided, and Sent those that were admitted.
+	Decided, Sent int
 }
 
 // Add adds the times of another router.
@@ -61,6 +68,8 @@
 	t.Objectives += o.Objectives
 	t.Refused += o.Refused
 	t.InUse += o.InUse
+	t.Decided += o.Decided
+	t.Sent += o.Sent
 }
 
 // Empty reports whether no response has an objective and no request was refused.
@@ -81,6 +90,14 @@
 	return e
 }
 
+// mostShare returns the largest share of one router, 1 while too little is known.
+func (t *Times) mostShare() float64 {
+	if t.Decided < minDecided {
+		return 1
+	}
+	return min(maxAhead*float64(t.Sent)/float64(t.Decided), 1)
+}
+
 // scaled returns the times of all routers, estimated from those of one.
 func (t *Times) scaled(routers int) Times {
 	all := *t
@@ -229,7 +246,7 @@
 	}
 	d.steppedAt = now
 	change := delayGain * max(1-t.excess(d.slots), -1) * passed.Seconds() / delayInterval.Seconds()
-	d.share = min(max(d.share*(1+change), minShare), 1)
+	d.share = max(min(d.share*(1+change), t.mostShare()), minShare)
 }
 
 // Admit decides whether a request is sent.
@@ -239,6 +256,7 @@
 		return ShareDecision{Admitted: true}
 	}
 	key := floorKey{req.Workspace, req.Route, sizeClass(req.Size)}
+	d.collected.Decided++
 	selected := d.ranks.selects(now, rankOf(req), d.share-debtWeight*d.debt)
 	if d.share >= 1 {
 		d.debt = 0
@@ -262,6 +280,7 @@
 
 // admit counts an admitted request.
 func (d *DelayShare) admit(now time.Time, key floorKey, floor bool) ShareDecision {
+	d.collected.Sent++
 	d.admitted.Add(now, recentHalfLife, 1)
 	if floor {
 		d.byFloor.Add(now, recentHalfLife, 1)
--- a/internal/overload/delayshare_test.go
+++ b/internal/overload/delayshare_test.go
@@ -103,6 +103,32 @@
 	}
 }
 
+// Guards against a router that was restarted or frozen and sends all its requests while the others send few, and against
+// a share that follows the chance of few requests.
+func TestNoRouterStaysAheadOfTheOthers(t *testing.T) {
+	b := newShareBed(t)
+	t1 := timesOf(90*time.Millisecond, 18)
+	t1.Decided, t1.Sent = 80, 20
+	b.totals(1, t1)
+	if got := b.value(); got < 0.49 || got > 0.51 {
+		t.Errorf("share %.3f while all send a quarter, want twice that", got)
+	}
+	b = newShareBed(t)
+	t1.Decided, t1.Sent = 10, 1
+	b.totals(1, t1)
+	if got := b.value(); got != 1 {
+		t.Errorf("share %.3f after few requests of all, want 1", got)
+	}
+	req := shareRequest("a", 1)
+	b = overloaded(t)
+	for range 10 {
+		b.share.Admit(b.now, &req)
+	}
+	if got := b.share.Take(b.now); got.Decided != 10 || got.Sent < 3 || got.Sent > 7 {
+		t.Errorf("%+v, want about a half of 10 requests sent", got)
+	}
+}
+
 // Guards against a server that refuses requests at once and so appears to be fast.
 func TestRefusedRequestsCountAsAboveTheTarget(t *testing.T) {
 	b := newShareBed(t)
