--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -104,6 +104,7 @@
 	retry      *retrybudget.Limits
 	dataCentre string
 	bodyMemory int64
+	delayShare bool
 	pools      []routing.Pool
 	// virtual connects all parts in memory, for a test in virtual time.
 	virtual bool
@@ -171,6 +172,7 @@
 	if o.bodyMemory > 0 {
 		limits.BodyMemory = o.bodyMemory
 	}
+	limits.DelayShare = o.delayShare
 	b.state = NewState(limits)
 	serve := b.serve
 	if o.virtual {
