--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -55,6 +55,10 @@
 	wrapSource func(feed.Source) feed.Source
 	// network is set for a router in a bubble of testing/synctest; its addresses are in it.
 	network *testnet.Network
+	// wrapMemory wraps the router's way to what must outlive all routers; nil for none.
+	wrapMemory func(front.Memory) front.Memory
+	// cutInventory is set while no engine tells the router which parts it has cached; nil for never.
+	cutInventory *atomic.Bool
 	// link is the router's way to the servers; nil for one that is never cut.
 	link *serverLink
 	// settings are the settings that the router was started with.
@@ -102,6 +106,18 @@
 	if b.wrapSource != nil {
 		store.Config, store.Servers = b.wrapSource(store.Config), b.wrapSource(store.Servers)
 	}
+	if b.wrapMemory != nil {
+		store.Memory = b.wrapMemory(store.Memory)
+	}
+	if b.cutInventory != nil {
+		inventory := store.Inventory
+		store.Inventory = func(ctx context.Context, addr string) ([]forward.CachedPart, error) {
+			if b.cutInventory.Load() {
+				return nil, errCut
+			}
+			return inventory(ctx, addr)
+		}
+	}
 	if b.link != nil {
 		store.Dial = b.link.dial
 	}
