--- a/internal/configdiff/parts.go
+++ b/internal/configdiff/parts.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Part is what one datagram has of a difference. The Payload of its Difference is not set.
+// Part is the part of a difference that fits one datagram. The Payload of its Difference is not set.
 type Part struct {
 	Difference
 	// Check is a hash of the whole payload. Parts of two routers with equal Check belong to the same payload.
@@ -45,11 +45,12 @@
 // maxCollected bounds the differences of which parts are kept. Several versions may come within a second, from three readers.
 const maxCollected = 8
 
-// ApplyTime is how long a whole difference may wait to be applied while the store is not read for its version.
+// ApplyTime is how long a complete difference may wait to be applied while the store is not read for its version.
 const ApplyTime = time.Second
 
-// Collector puts the parts of differences together, and keeps those whose earlier text is not known yet. Its memory is bounded:
-// the oldest difference is dropped for a new one. It is not safe for concurrent use.
+// Collector puts the parts of differences together, and keeps the differences whose earlier text is not known yet. Its memory is
+// bounded: the difference whose first part is the oldest is dropped for a new one. The zero value is empty. It is not safe for
+// concurrent use.
 type Collector struct {
 	// Max bounds the differences that are kept; 0 means maxCollected.
 	Max int
@@ -100,7 +101,7 @@
 	return true
 }
 
-// Take removes and returns the first whole difference that starts from a known text.
+// Take removes and returns the first complete difference that starts from a known text.
 func (c *Collector) Take(known func(Hash) bool) (d Difference, found bool) {
 	for i, d := range c.list {
 		if d.missing == 0 && known(d.Base) {
@@ -111,7 +112,7 @@
 	return Difference{}, false
 }
 
-// Reachable returns the whole differences that can be applied one after the other from known texts and have not waited for
+// Reachable returns the complete differences that can be applied one after the other from known texts and have not waited for
 // longer than ApplyTime.
 func (c *Collector) Reachable(now time.Time, known func(Hash) bool) []Difference {
 	var list []Difference
--- a/internal/configdiff/texts.go
+++ b/internal/configdiff/texts.go
@@ -9,6 +9,7 @@
 	list []named
 }
 
+// named is a text with its hash.
 type named struct {
 	hash Hash
 	text []byte
