--- a/internal/slotgrant/asker.go
+++ b/internal/slotgrant/asker.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// answerTimeout is how long a question may have no answer, of any kind, before its request goes on without a grant, as
-	// a share of what is left of its objective and within bounds. A VM of 0.192 cores may stop for 80 ms at a time. The question
-	// is sent again after resendShare of it.
+	// A question may have no answer, of any kind, for answerShare of what is left of its objective, but minAnswerTimeout to
+	// maxAnswerTimeout; then its request goes on without a grant. A VM of 0.192 cores may stop for 80 ms at a time. The question
+	// is sent again after resendShare of that time.
 	answerShare      = 0.3
 	minAnswerTimeout = 25 * time.Millisecond
 	maxAnswerTimeout = 90 * time.Millisecond
@@ -24,10 +24,13 @@
 
 // Decision is what becomes of a request that has asked for a slot.
 type Decision struct {
+	// Number is that of the question.
 	Number uint64
 	// Kind is Granted, Rejected, or Elsewhere when no router grants.
-	Kind   Kind
+	Kind Kind
+	// Server is the hash of the granted incarnation; 0 for other kinds.
 	Server uint64
+	// Wait is how long the caller of a rejected request should wait, and Reason why it was rejected.
 	Wait   time.Duration
 	Reason Reason
 }
@@ -41,15 +44,19 @@
 	// sentAt is when the question was last sent, and waitsSince when the one was sent that has no answer yet; zero when it was
 	// answered.
 	sentAt, waitsSince time.Time
-	timeout            time.Duration
-	redirected         bool
+	// timeout is how long the question may wait for an answer of any kind.
+	timeout time.Duration
+	// redirected is set once it was sent to the router that another one has named.
+	redirected bool
 }
 
-// Asker asks for the slots of a pool.
+// Asker asks for the slots of a pool. It is not safe for concurrent use.
 type Asker struct {
-	self    netip.Addr
-	term    uint64
-	next    uint64
+	self netip.Addr
+	// term is the highest one that is known, and next the number of the last question.
+	term uint64
+	next uint64
+	// pending has the questions without a decision by their numbers.
 	pending map[uint64]*pending
 	// running maps the granted requests to the routers that granted them.
 	running  map[uint64]netip.Addr
@@ -59,11 +66,12 @@
 	redirectedUntil time.Time
 	// serverTime is the usual time of a request at a server.
 	serverTime average
-	decisions  []Decision
+	// decisions are those that TakeDecisions has not returned yet.
+	decisions []Decision
 }
 
-// NewAsker returns an Asker of the router at an address. The number is a random one, so that questions of
-// an earlier process at the address are not taken for its own.
+// NewAsker returns an Asker of the router at an address. Its questions have the numbers after the given one, which must be random, so
+// that those of an earlier process at the address are not taken for its own.
 func NewAsker(self netip.Addr, number uint64) *Asker {
 	return &Asker{
 		self: self, next: number, pending: make(map[uint64]*pending), running: make(map[uint64]netip.Addr),
@@ -92,7 +100,8 @@
 	return a.serverTime.or(defaultSlotTime)
 }
 
-// Ask asks the first of the candidates that is not silent. When there is none, it returns false: no router grants.
+// Ask sends a question to the first of the candidates that is not silent, or to the one that another router has named. asked is false
+// when there is none: no router grants. The decision is returned by TakeDecisions, with the number.
 func (a *Asker) Ask(now time.Time, candidates []netip.Addr, q Question, out *Outbox) (number uint64, asked bool) {
 	to := a.Choose(now, candidates, out)
 	if now.Before(a.redirectedUntil) && !a.Silent(a.first) {
@@ -128,7 +137,7 @@
 	a.report(p.to, Report{Number: number, End: Unused}, out)
 }
 
-// End reports the end of a granted request.
+// End reports the end of a granted request. It has no effect for a number that is not granted.
 func (a *Asker) End(r Report, out *Outbox) {
 	to, ok := a.running[r.Number]
 	if !ok {
--- a/internal/slotgrant/message.go
+++ b/internal/slotgrant/message.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// Question asks for a slot for one request.
+// Question asks for a slot for one request. Servers are named by the hashes of their incarnations.
 type Question struct {
 	// Number identifies the request at the asking router. A question that is sent again keeps it.
 	Number uint64
@@ -77,9 +77,9 @@
 type Answer struct {
 	Number uint64
 	Kind   Kind
-	// Server is the incarnation that is granted.
+	// Server is the hash of the incarnation that is granted; 0 for other kinds.
 	Server uint64
-	// Wait is the expected wait of a queued request, and how long the caller of a rejected one should wait.
+	// Wait is how long the caller of a rejected request should wait; 0 for other kinds.
 	Wait   time.Duration
 	Reason Reason
 }
@@ -113,7 +113,7 @@
 	End    End
 	// Took is the time from the sending of the request to the end of the answer.
 	Took time.Duration
-	// Load is the number of requests at the server as it said in its answer; 0 when it did not say.
+	// Load is the number of requests at the server as it said in its answer, this one included; 0 when it did not say.
 	Load int
 }
 
@@ -151,7 +151,7 @@
 // NewOutbox returns an empty outbox of a pool.
 func NewOutbox(pool uint64) *Outbox { return &Outbox{pool: pool} }
 
-// Take returns the messages and empties the outbox.
+// Take returns the messages in the order in which they were begun and empties the outbox.
 func (o *Outbox) Take() []Outgoing {
 	items := o.items
 	o.items = nil
