--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -12,9 +12,9 @@
 	"github.com/bluebellwell/bluebellwell/internal/slotgrant"
 )
 
-// maxGrantsInVain bounds the grants of a request that this router can't use, because the server got unusable for it
+// maxUnusableGrants bounds the grants of a request that this router can't use, because the server became unusable for it
 // meanwhile.
-const maxGrantsInVain = 2
+const maxUnusableGrants = 2
 
 // grantBuckets ranges from a grant of the router itself to a wait of some objectives.
 var grantBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 13)
@@ -28,7 +28,8 @@
 	wait   time.Duration
 	// endpoint is the one that was asked.
 	endpoint *grantEndpoint
-	inVain   int
+	// unusable is the number of grants that the request could not use.
+	unusable int
 	grantAttempt
 }
 
@@ -142,10 +143,10 @@
 
 // grantedInVain reports whether a request that could not be sent to the granted server asks again.
 func (c *call) grantedInVain(ctx context.Context) bool {
-	if c.grant.number == 0 || c.grant.inVain >= maxGrantsInVain || ctx.Err() != nil {
+	if c.grant.number == 0 || c.grant.unusable >= maxUnusableGrants || ctx.Err() != nil {
 		return false
 	}
-	c.grant.inVain++
+	c.grant.unusable++
 	return true
 }
 
