--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -142,9 +142,17 @@
 	Evacuations evacuation.View
 }
 
+// PacketConn is the socket for digests, as *net.UDPConn implements it. Reads fail with net.ErrClosed once it is closed.
+type PacketConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
 // Exchange sends and receives digests. Its methods are safe for concurrent use.
 type Exchange struct {
-	conn   *net.UDPConn
+	conn   PacketConn
 	port   uint16
 	sender uint64
 	state  State
@@ -220,7 +228,12 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "cannot listen for digests")
 	}
-	peers := NewPeers(addr.Addr(), seeds)
+	return New(conn, addr.Addr(), seeds, firstStart, state, events), nil
+}
+
+// New is Listen with a socket that is open already, at an address of self. The exchange closes it.
+func New(conn PacketConn, self netip.Addr, seeds []netip.Addr, firstStart bool, state State, events *event.Logger) *Exchange {
+	peers := NewPeers(self, seeds)
 	peers.since = time.Now()
 	return &Exchange{
 		conn:   conn,
@@ -236,7 +249,7 @@
 		synced: firstStart, loadsSentAt: time.Now(), shares: make(map[uint64]namedlimit.Share),
 		grantOrder: make(map[uint64]candidates), onGrants: func(netip.Addr, *slotgrant.Message) {},
 		toRelay: make(map[uint64][]Placement), relayWake: make(chan struct{}, 1),
-	}, nil
+	}
 }
 
 // SendSoon makes the exchange send new placements and progress after a short
@@ -279,14 +292,6 @@
 	return len(e.peers.Live(time.Now()))
 }
 
-// MostRestarted reports whether most other routers were killed a moment ago and are back, and how many of those that
-// were not have a lower address than this one.
-func (e *Exchange) MostRestarted() (most bool, before int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.peers.MostRestarted(time.Now())
-}
-
 // IsReader reports whether this router reads the store at the full rate.
 func (e *Exchange) IsReader() bool {
 	own := e.state.Progress().OwnReads
@@ -453,6 +458,7 @@
 		e.state.SetRouterCount(known)
 		e.events.Emit(event.PeerDiscovered, "peer", from.String(), "stopping", m.Stopping)
 		e.sendWelcome(now, from)
+		e.probeRestarted(now)
 	}
 	if requestNow {
 		e.requestPlacements(now)
@@ -555,6 +561,7 @@
 				e.sendDigest(true)
 			}
 			e.sendLoads(now, targets)
+			e.probeRestarted(now)
 			e.requestPlacements(now)
 			e.requestConfig(now)
 			e.sendServerChanges(targets)
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/forward"
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/testport"
@@ -38,7 +39,12 @@
 // newFleetWith is newFleet with a function that is called before the routers start.
 func newFleetWith(t *testing.T, n, engines int, prepare func(f *fleetBed)) *fleetBed {
 	t.Helper()
-	f := &fleetBed{testBed: newTestBedWith(t, engines)}
+	return startFleet(&fleetBed{testBed: newTestBedWith(t, engines)}, n, prepare)
+}
+
+// startFleet starts the routers of newFleetWith in a bed.
+func startFleet(f *fleetBed, n int, prepare func(f *fleetBed)) *fleetBed {
+	f.t.Helper()
 	f.publish(config(1))
 	f.register(platformtest.StateReady, f.engines...)
 	f.store.SetEra("4")
@@ -62,10 +68,19 @@
 
 // addRouter adds a router that is not started yet.
 func (f *fleetBed) addRouter() *testBed {
-	r := &testBed{t: f.t, store: f.store, engines: f.engines, restarted: true, host: testport.Host()}
+	r := &testBed{t: f.t, store: f.store, engines: f.engines, restarted: true, network: f.network}
+	if f.network != nil {
+		// In order, and longer than any fleet.
+		r.host = netip.AddrFrom4([4]byte{10, 1, byte(len(f.routers) >> 8), byte(len(f.routers))}).String()
+	} else {
+		r.host = testport.Host()
+	}
 	f.routers = append(f.routers, r)
 	// All routers receive digests on the same port.
 	r.peersPort = f.routers[0].peersPort
+	if r.peersPort == 0 && f.network != nil {
+		r.peersPort = bubblePeersPort
+	}
 	if r.peersPort == 0 {
 		r.peersPort = testport.FreeAddrs(f.t, r.host, 1)[0].Port()
 	}
@@ -75,6 +90,27 @@
 	return r
 }
 
+// startBehindLink adds and starts a router whose first reads of the store are answered only once it has heard the version in
+// force of another router. A router that starts waits 25 ms for that, which is too short when the machine is slow. It returns
+// when the router has held the store's configuration back.
+func (f *fleetBed) startBehindLink() *testBed {
+	f.t.Helper()
+	late := f.addRouter()
+	store := newStoreLink(f.t, f.store.Addr())
+	late.storeAddr = strings.TrimPrefix(store.server.URL, "http://")
+	heldBack := countEvents(late, event.ConfigHeldBack)
+	store.setCut(true)
+	late.start()
+	// What names the era names the version in force too.
+	f.waitFor("the late router knows the others", func() bool {
+		status := late.front.Status()
+		return status.Routers == len(f.routers)-1 && status.ReportedEra == 5
+	})
+	store.setCut(false)
+	f.waitFor("the late router holds the store's configuration back", func() bool { return heldBack.Load() > 0 })
+	return late
+}
+
 // Guards against a router that starts while the store has an older configuration and
 // puts it in force although a live router has a newer one.
 func TestStartingRouterPutsNoOlderConfigurationInForce(t *testing.T) {
@@ -87,9 +123,7 @@
 	f.store.Restore(old, 5)
 	// Before that the others give it their configuration.
 	f.waitFor("the others have seen the new era", func() bool { return f.all(func(r *testBed) bool { return r.front.Status().StoreEra == 5 }) })
-	late := f.addRouter()
-	late.start()
-	f.waitFor("the late router knows the others", func() bool { return late.front.Status().Routers == 2 })
+	late := f.startBehindLink()
 	calls := f.store.Calls()
 	f.waitFor("the store has been called", func() bool { return f.store.Calls() > calls+10 })
 	if got := late.front.Status().ConfigVersion; got != 0 || late.isReady() {
@@ -112,9 +146,7 @@
 	f.store.Restore(old, 5)
 	// Before that the others give it their configuration.
 	f.waitFor("the others have seen the new era", func() bool { return f.all(func(r *testBed) bool { return r.front.Status().StoreEra == 5 }) })
-	late := f.addRouter()
-	late.start()
-	f.waitFor("the late router knows the other one", func() bool { return late.front.Status().Routers == 1 })
+	late := f.startBehindLink()
 	if late.isReady() {
 		t.Error("ready with an older configuration than that of a live router")
 	}
@@ -126,17 +158,14 @@
 // an older copy, against routers that are not told what has changed, and against
 // removals that only the readers learn of.
 func TestNewEraCostsFewCallsAndReachesAllRouters(t *testing.T) {
-	routers := *fleetRouters
+	inBubble(t, 3, playNewEra)
+}
+
+func playNewEra(f *fleetBed) {
+	t, routers := f.t, *fleetRouters
 	begun := time.Now()
-	links := map[string]*peerLink{}
 	trace := newFleetTrace()
-	f := newFleetWith(t, routers, 3, func(f *fleetBed) {
-		for n, r := range f.routers {
-			trace.follow(r, n)
-		}
-		trace.watch(t, f.routers[1].peersPort)
-		links["a reader"], links["another router"] = newPeerLink(t, f, 0), newPeerLink(t, f, routers-1)
-	})
+	startFleet(f, routers, trace.followAll)
 	gone, leaving := f.engines[0], f.engines[1]
 	f.store.Put(platform.TopicServers, gone.ID, nil)
 	f.waitFor("all routers know that a server is gone", func() bool { return f.all(func(r *testBed) bool { return r.serversIn("ready") == 2 }) })
@@ -153,10 +182,7 @@
 	trace.report(t)
 	trace.reset()
 	before := f.store.Calls()
-	for _, l := range links {
-		l.sent.Store(0)
-		l.received.Store(0)
-	}
+	f.network.ResetBytes()
 	f.store.Restore(old, 5)
 	started := time.Now()
 	f.register(platformtest.StateLeaving, leaving)
@@ -172,8 +198,9 @@
 	}
 	t.Logf("%d routers: %d calls in %.1f s after the era began, which %d routers have read; the fleet is %.0f s old", routers, calls, seconds, entered, time.Since(begun).Seconds())
 	trace.report(t)
-	for name, l := range links {
-		t.Logf("%s sent %d and received %d bytes of digests", name, l.sent.Load(), l.received.Load())
+	for name, r := range map[string]*testBed{"a reader": f.routers[0], "another router": f.routers[routers-1]} {
+		sent, received := f.network.Bytes(netip.MustParseAddr(r.host))
+		t.Logf("%s sent %d and received %d bytes of digests", name, sent, received)
 	}
 	// Three readers with two topics call about 4 times a second each, and lists have two pages here.
 	if limit := int(60 + 24*seconds); calls > limit {
@@ -184,38 +211,29 @@
 // Guards against a fleet in which every router calls the store when all miss the digests
 // of the readers for a moment, as when bursts of datagrams overflow their sockets.
 func TestLostDigestsOfTheReadersCostFewCalls(t *testing.T) {
-	routers := *fleetRouters
+	inBubble(t, 1, playLostDigests)
+}
+
+func playLostDigests(f *fleetBed) {
+	t, routers := f.t, *fleetRouters
 	begun := time.Now()
 	trace := newFleetTrace()
-	var links []*peerLink
-	f := newFleetWith(t, routers, 1, func(f *fleetBed) {
-		for n, r := range f.routers {
-			trace.follow(r, n)
-		}
-		for n := range 3 {
-			links = append(links, newPeerLink(t, f, n))
-		}
-		trace.watch(t, f.routers[3].peersPort)
-	})
+	startFleet(f, routers, trace.followAll)
 	if time.Since(begun) > waitTimeout {
 		f.waitForUpTo(2*waitTimeout, "no router reads the store of its own accord", func() bool {
 			return time.Since(begun) > 36*time.Second && f.callsIn(time.Second) < 30
 		})
 	}
+	f.waitFor("only the first three read the store", func() bool { return f.readers(0) == 3 && f.readers(3) == 0 })
 	trace.reset()
 	before, started := f.store.Calls(), time.Now()
-	lost := func(from, _ netip.Addr) bool {
+	f.network.Lose(func(from, _ netip.Addr, _ []byte) bool {
 		return slices.ContainsFunc(f.routers[:3], func(r *testBed) bool { return r.host == from.String() })
-	}
-	for _, l := range links {
-		l.drop.Store(&lost)
-	}
+	})
 	f.waitFor("others read the store", func() bool { return f.readers(3) >= 3 })
 	// Three times as long as a router counts as a reader after its last digest.
 	time.Sleep(3 * time.Second)
-	for _, l := range links {
-		l.drop.Store(nil)
-	}
+	f.network.Lose(nil)
 	f.waitFor("only the first three read the store", func() bool { return f.readers(3) == 0 })
 	seconds := time.Since(started).Seconds()
 	calls := f.store.Calls() - before
