--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -192,8 +192,8 @@
 	// shares are this router's shares of limited servers, computed anew in each loadInterval and when a
 	// router stops or starts, since each choice of a server asks for them.
 	shares map[uint64]namedlimit.Share
-	// maySend is set while this router may be the only one that sends to a cold server, as last computed.
-	maySend bool
+	// maySendToCold is set while this router may be the only one that sends to a cold server, as last computed.
+	maySendToCold bool
 	// grantOrder are the routers that may grant the slots of each pool, and liveRouters is the number of live ones, as of
 	// then. notGranting is set once this router stops to grant.
 	grantOrder  map[uint64]candidates
--- a/internal/digest/limits.go
+++ b/internal/digest/limits.go
@@ -80,8 +80,8 @@
 	now := time.Now()
 	share = e.peers.Share(now, server)
 	e.shares[server] = share
-	view, changed := *e.peers.senders, e.peers.senders.allowed != e.maySend
-	e.maySend = view.allowed
+	view, changed := *e.peers.senders, e.peers.senders.allowed != e.maySendToCold
+	e.maySendToCold = view.allowed
 	e.mu.Unlock()
 	if changed {
 		e.events.Emit(event.ColdSenderChanged, "allowed", view.allowed, "live", view.live, "hearing", view.hearing, "routers", view.most)
