soak: routers can share a pool of plain servers by its times

The soak's plain servers state their load and their slots are granted, so no router ever sent a share only. With -soak.delayshare grants are off, the share is on and the plain servers state no load. Without the flag nothing changes.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -215,6 +215,10 @@
 		// Half of the servers say how long work takes there, so that routers place requests by expected times.
 		e.SetAnswerHeader(platformtest.HeaderLoad, fmt.Sprintf("1,0,8,%d", []int{100, 250, 130}[i/2%3]))
 	}
+	if *shareFlag && i < plainServers {
+		// A load that can't be read counts as none: a share is sent only to servers that state no load.
+		e.SetAnswerHeader(platformtest.HeaderLoad, "none")
+	}
 	p, err := newProxy(e.Addr())
 	if err != nil {
 		f.t.Fatal(err)
@@ -362,7 +366,10 @@
 		}
 	}
 	if !r.older {
-		bounds["backup_risk"], bounds["grant_slots"] = 0, true
+		bounds["backup_risk"], bounds["grant_slots"] = 0, !*shareFlag
+		if *shareFlag {
+			bounds["delay_share"] = true
+		}
 	}
 	maps.Copy(bounds, overrides)
 	if err := writeJSON(r.file, settings); err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,7 @@
 	secondsFlag = flag.Int("soak.seconds", 8, "period in which faults start, in seconds")
 	routersFlag = flag.Int("soak.routers", 3, "number of routers")
 	plainFlag   = flag.Int("soak.plainslots", 0, "slots of each plain server; with fewer than twice the routers in all their pool is scarce. 0 for servers that say they are engines")
+	shareFlag   = flag.Bool("soak.delayshare", false, "routers send a share of their requests to plain pools whose servers take long, in place of granting slots")
 	binaryFlag  = flag.String("soak.binary", "", "run this binary instead of building one")
 	reportFlag  = flag.String("soak.report", "", "write a page with plots to this file")
 	recordsFlag = flag.String("soak.records", "", "keep the records in this directory; TestJudgeRecords judges those that are there")
