--- a/internal/forward/attempt_test.go
+++ b/internal/forward/attempt_test.go
@@ -380,7 +380,6 @@
 // Guards against a request that a starting router holds for longer than half of its
 // objective, or not at all.
 func TestStartingRouterHoldsRequestsForHalfOfTheirObjective(t *testing.T) {
-	t.Parallel()
 	inVirtualTime(t, func(t *testing.T) {
 		b := newBed(t, bedOptions{virtual: true, route: routing.Route{Objective: 100 * time.Millisecond}}, ok("x"))
 		b.state.SetPlacementsKnown(func() bool { return false })
--- a/internal/forward/backup_test.go
+++ b/internal/forward/backup_test.go
@@ -26,7 +26,6 @@
 
 // Guards against ends of engines that are not noticed, and against other failures that count as one.
 func TestSignsOfEngineEnds(t *testing.T) {
-	t.Parallel()
 	for name, c := range map[string]struct {
 		plain  bool
 		down   int
@@ -55,7 +54,6 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			inVirtualTime(t, func(t *testing.T) {
 				b := newBackupBed(t, bedOptions{virtual: true, route: oneRun}, c.answer)
 				// One engine gets all requests.
--- a/internal/forward/departed_test.go
+++ b/internal/forward/departed_test.go
@@ -15,7 +15,6 @@
 // Guards against a server that refuses a request for a time and gets further ones, because the caller of the refused one leaves
 // before the router has read the answer: a soak found four of them in 3 s.
 func TestRefusalCountsWhenTheCallerLeavesBesideIt(t *testing.T) {
-	t.Parallel()
 	refuse := status(http.StatusServiceUnavailable, "busy", "Retry-After", "3s")
 	notRun := status(http.StatusServiceUnavailable, "busy", "Retry-After", "3s", "Not-Run", "yes")
 	for name, c := range map[string]struct {
@@ -25,7 +24,6 @@
 		"safe": {routing.Safe, refuse}, "unsafe": {routing.Unsafe, refuse}, "not run": {routing.Unsafe, notRun}, "stream": {routing.Stream, refuse},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			inVirtualTime(t, func(t *testing.T) {
 				ctx, leave := context.WithCancel(context.Background())
 				b := newBed(t, bedOptions{virtual: true, servers: 2, route: routing.Route{Kind: c.kind, MaxAttempts: 2}}, func(w http.ResponseWriter, r *http.Request) {
@@ -57,7 +55,6 @@
 // Guards against servers that go on with requests whose callers have left, and against a departure that counts as a failure of the
 // server, whatever that does in the time in which its answer is still read.
 func TestDepartureIsNoFailureOfTheServer(t *testing.T) {
-	t.Parallel()
 	for name, then := range map[string]answer{
 		"silent":         hang,
 		"breaks off":     raw(""),
@@ -67,7 +64,6 @@
 	} {
 		for _, kind := range []routing.Kind{routing.Safe, routing.Unsafe, routing.Stream} {
 			t.Run(name, func(t *testing.T) {
-				t.Parallel()
 				inVirtualTime(t, func(t *testing.T) {
 					ctx, leave := context.WithCancel(context.Background())
 					var left, ended time.Time
@@ -95,7 +91,6 @@
 
 // Guards against a request that is sent after its caller has left, in the time in which an answer would still be read.
 func TestNothingIsSentForADepartedCaller(t *testing.T) {
-	t.Parallel()
 	inVirtualTime(t, func(t *testing.T) {
 		b := newBed(t, bedOptions{virtual: true}, ok("x"))
 		const dialTakes = 20 * time.Millisecond
--- a/internal/forward/findversion_test.go
+++ b/internal/forward/findversion_test.go
@@ -12,7 +12,6 @@
 // Guards against streams that are refused in the first second after a restart of all routers, although an engine has
 // their prompt cached and says so a moment later: 120 of 231 refusals of a day.
 func TestStreamWaitsForTheInventoryAfterARestart(t *testing.T) {
-	t.Parallel()
 	for name, c := range map[string]struct {
 		version string
 		want    int
@@ -22,7 +21,6 @@
 		"no engine has it":                                  {"", http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			inVirtualTime(t, func(t *testing.T) {
 				b := newBed(t, bedOptions{virtual: true, servers: 2, route: resumableRoute}, ok(wholeEvent))
 				b.versioned("v1", "v1")
@@ -45,7 +43,6 @@
 
 // Guards against callers that wait for an inventory which does not come, or which nothing can add to.
 func TestStreamWaitsForTheInventoryForASecondAtMost(t *testing.T) {
-	t.Parallel()
 	for name, c := range map[string]struct {
 		placementsKnown bool
 		deadline        string
@@ -56,7 +53,6 @@
 		"the caller is short": {false, "600ms", 100 * time.Millisecond, 600 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			inVirtualTime(t, func(t *testing.T) {
 				b := newBed(t, bedOptions{virtual: true, servers: 2, route: resumableRoute}, ok(wholeEvent))
 				b.versioned("v1", "v1")
@@ -78,7 +74,6 @@
 
 // Guards against callers that wait past their deadline on a busy VM, because the wait counts its checks instead of the time.
 func TestWaitForTheInventoryCountsTimeInSlowChecks(t *testing.T) {
-	t.Parallel()
 	inVirtualTime(t, func(t *testing.T) {
 		const checkTime, deadline = 50 * time.Millisecond, 2 * time.Second
 		b := newBed(t, bedOptions{virtual: true, servers: 2, route: resumableRoute}, ok(wholeEvent))
@@ -100,7 +95,6 @@
 // Guards against callers that wait past their deadline for the version of their stream, because questions are slow on a busy VM or
 // the store does not answer.
 func TestVersionIsLookedForBeforeTheDeadline(t *testing.T) {
-	t.Parallel()
 	for name, c := range map[string]struct {
 		deadline time.Duration
 		prepare  func(b *bed, f *fleetStreams)
@@ -115,7 +109,6 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			inVirtualTime(t, func(t *testing.T) {
 				b := newBed(t, bedOptions{virtual: true, servers: 2, route: resumableRoute}, ok(wholeEvent))
 				c.prepare(b, b.versioned("v1", "v1"))
--- a/internal/forward/grant_test.go
+++ b/internal/forward/grant_test.go
@@ -325,7 +325,6 @@
 
 // Guards against a router that grants more than the slots, and one that needs others to grant itself.
 func TestRouterGrantsItsOwnRequests(t *testing.T) {
-	t.Parallel()
 	inVirtualTime(t, func(t *testing.T) {
 		var mu sync.Mutex
 		inside, most := 0, 0
--- a/internal/forward/takeover_test.go
+++ b/internal/forward/takeover_test.go
@@ -354,7 +354,6 @@
 // Guards against a run that waits for an engine that is gone, and against one that leaves an engine which sends events
 // although its entry has gone.
 func TestSilentRunOfAnEngineThatIsGoneIsTakenOver(t *testing.T) {
-	t.Parallel()
 	for name, c := range map[string]struct {
 		gone      func(b *bed, s *registry.Server)
 		pauses    int
@@ -367,7 +366,6 @@
 		"entry gone, sends":  {gone: func(b *bed, s *registry.Server) { b.withoutServer(s) }, pauses: 12},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			inVirtualTime(t, func(t *testing.T) {
 				var b *bed
 				b = newBackupBed(t, bedOptions{virtual: true, route: oneRun}, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/forward/virtual_test.go
+++ b/internal/forward/virtual_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,7 +18,14 @@
 
 // inVirtualTime runs a test with a clock that advances only while all goroutines wait. The load of the machine delays no timer
 // there, so that times can be checked exactly. Its beds need bedOptions.virtual: on sockets the clock would stand still.
-func inVirtualTime(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+//
+// Goroutines run on one processor meanwhile, so the test must not be a parallel one: with the race detector, the runtime of Go 1.26
+// crashes when two goroutines of a bubble receive at the same moment from timers that were due while they waited for something else.
+func inVirtualTime(t *testing.T, f func(t *testing.T)) {
+	processors := runtime.GOMAXPROCS(1)
+	defer runtime.GOMAXPROCS(processors)
+	synctest.Test(t, f)
+}
 
 // memoryNet connects callers, a router and servers in memory. It is safe for concurrent use.
 type memoryNet struct {
