--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -66,7 +66,7 @@
 		if f.exchange.PlacementsLost() && claimer.claim(ctx, time.Now()) {
 			prompts := f.queryEngines(ctx)
 			f.exchange.MarkSynced()
-			told := f.exchange.LivePeerCount()
+			told := f.heardRouters()
 			f.state.TellPromptVersions(prompts)
 			f.repeatPrompts(ctx, prompts, told)
 		}
@@ -142,7 +142,7 @@
 	if answered > 0 {
 		f.exchange.MarkVersionsAsked()
 	}
-	told := f.exchange.LivePeerCount()
+	told := f.heardRouters()
 	f.state.TellPromptVersions(prompts)
 	f.versionsPending.Store(false)
 	f.repeatPrompts(ctx, prompts, told)
@@ -156,9 +156,16 @@
 	tellInterval = 100 * time.Millisecond
 )
 
-// repeatPrompts tells the others once more which versions have prompts cached when more routers are known.
-// told is how many they were when they were told first.
-func (f *Front) repeatPrompts(ctx context.Context, prompts *forward.PromptVersions, told int) {
+// heardRouters are the other routers that are live and the processes that were heard.
+type heardRouters struct{ live, processes int }
+
+func (f *Front) heardRouters() heardRouters {
+	return heardRouters{f.exchange.LivePeerCount(), f.exchange.Discovered()}
+}
+
+// repeatPrompts tells the others once more which versions have prompts cached when more routers are known than told, which were
+// heard when they were told first. A killed router counts as live for a while, and has to be told when it is back.
+func (f *Front) repeatPrompts(ctx context.Context, prompts *forward.PromptVersions, told heardRouters) {
 	tick := time.NewTicker(tellInterval)
 	defer tick.Stop()
 	known := told
@@ -169,7 +176,7 @@
 		case <-tick.C:
 		}
 		before := known
-		known = f.exchange.LivePeerCount()
+		known = f.heardRouters()
 		if known == before && known != told {
 			told = known
 			f.state.TellPromptVersions(prompts)
