--- a/internal/configcheck/names.go
+++ b/internal/configcheck/names.go
@@ -1,13 +1,12 @@
 package configcheck
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
-// byName returns the index of the last entry of each name, which is the one that routers use of pools.
+// byName returns the index of the last entry of each name. Of pools with the same name routers use the last one.
 func byName[T any](entries []T, name func(*T) string) map[string]int {
 	index := make(map[string]int, len(entries))
 	for i := range entries {
@@ -35,5 +34,3 @@
 func distinct(keys []string) []string {
 	return slices.Compact(slices.Sorted(slices.Values(keys)))
 }
-
-func sortedKeys(m map[string]int) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -79,6 +79,11 @@
 	// SetOutcomes sets the recent outcomes of all routers for the servers that
 	// failed requests.
 	SetOutcomes(list []Outcomes)
+	// TakeTimes returns the times of this router's requests at plain pools since the last call. It is called once in each interval
+	// of the loads.
+	TakeTimes() []PoolTimes
+	// SetTimes sets those of all routers together.
+	SetTimes(list []PoolTimes)
 	// RecordPlacements records new placements of another router, whose servers read
 	// the prompts.
 	RecordPlacements(list []Placement)
@@ -180,6 +185,8 @@
 	// sentLoads and sentOutcomes are this router's loads and outcomes as last sent.
 	sentLoads    map[uint32]int
 	sentOutcomes []Outcomes
+	// sentTimes are this router's times as last sent.
+	sentTimes []PoolTimes
 	// reader is set while this router reads the store for the others, and toldReader while it has told them so: once
 	// the store has answered it. otherReaders are the other ones that do so, as last seen. loadsSentAt is when its loads
 	// last left.
@@ -192,13 +199,17 @@
 	// shares are this router's shares of limited servers, computed anew in each loadInterval and when a
 	// router stops or starts, since each choice of a server asks for them.
 	shares map[uint64]namedlimit.Share
-	// maySend is set while this router may be the only one that sends to a cold server, as last computed.
-	maySend bool
+	// maySendToCold is set while this router may be the only one that sends to a cold server, as last computed.
+	maySendToCold bool
 	// grantOrder are the routers that may grant the slots of each pool, and liveRouters is the number of live ones, as of
 	// then. notGranting is set once this router stops to grant.
 	grantOrder  map[uint64]candidates
 	liveRouters int
 	notGranting bool
+	// discovered counts the processes of other routers that were heard.
+	discovered int
+	// versionsAskedAt is when this router has asked the engines after a kill of most routers; zero for never.
+	versionsAskedAt time.Time
 	// processor is the processor time that this router may use, in thousandths of a core.
 	processor atomic.Int64
 	// onGrants handles messages about the slots of pools.
@@ -292,12 +303,11 @@
 	return len(e.peers.Live(time.Now()))
 }
 
-// MostRestarted reports whether most other routers were killed a moment ago and are back, and how many of those that
-// were not have a lower address than this one.
-func (e *Exchange) MostRestarted() (most bool, before int) {
+// Discovered returns how many processes of other routers were heard. It grows when a router restarts.
+func (e *Exchange) Discovered() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.peers.MostRestarted(time.Now())
+	return e.discovered
 }
 
 // IsReader reports whether this router reads the store at the full rate.
@@ -439,6 +449,9 @@
 	now := time.Now()
 	e.mu.Lock()
 	isNew := e.peers.RecordMessage(now, from, m)
+	if isNew {
+		e.discovered++
+	}
 	if isNew || m.Stopping || m.NotGranting {
 		e.clearShares()
 		clear(e.grantOrder)
@@ -466,6 +479,7 @@
 		e.state.SetRouterCount(known)
 		e.events.Emit(event.PeerDiscovered, "peer", from.String(), "stopping", m.Stopping)
 		e.sendWelcome(now, from)
+		e.probeRestarted(now)
 	}
 	if requestNow {
 		e.requestPlacements(now)
@@ -479,6 +493,9 @@
 	if len(m.TotalFailures) > 0 && !smallFleet {
 		e.state.SetOutcomes(m.TotalFailures)
 	}
+	if len(m.TotalTimes) > 0 && !smallFleet {
+		e.state.SetTimes(m.TotalTimes)
+	}
 	e.recordPlacements(m)
 	e.handleRelayed(m)
 	if len(m.Servers) > 0 {
@@ -522,9 +539,11 @@
 		loads = e.peers.Loads(now)
 	}
 	failures := e.peers.Outcomes(now, e.sentOutcomes)
+	times := e.peers.Times(now, e.sentTimes)
 	e.mu.Unlock()
 	e.state.SetPeerLoads(loads, directLoadsAge)
 	e.state.SetOutcomes(failures)
+	e.state.SetTimes(times)
 }
 
 // applyTotalLoads subtracts this router's loads from the totals and passes the
@@ -568,6 +587,7 @@
 				e.sendDigest(true)
 			}
 			e.sendLoads(now, targets)
+			e.probeRestarted(now)
 			e.requestPlacements(now)
 			e.requestConfig(now)
 			e.sendServerChanges(targets)
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -144,7 +144,9 @@
 	// outcomes of all routers together, for the servers that failed requests.
 	Outcomes      []Outcomes
 	TotalFailures []Outcomes
-	Placements    []Placement
+	// Times are those of the sender's own requests at plain pools, and TotalTimes those of all routers together.
+	Times, TotalTimes []PoolTimes
+	Placements        []Placement
 	// Relay asks the receiver to pass Placements on to all, and Relayed are those that the sender passes on.
 	Relay   bool
 	Relayed []RelayedPlacements
@@ -182,6 +184,9 @@
 	ConfigPart *configdiff.Part
 	// RequestConfig asks for the whole configuration; a starting router sets it.
 	RequestConfig bool
+	// VersionsAsked is set by a router that has asked the engines which versions have prompts cached, after a kill of most
+	// routers a moment ago.
+	VersionsAsked bool
 }
 
 // Field numbers of the protobuf messages. fieldFirst to fieldFourth are those of
@@ -231,6 +236,9 @@
 	fieldRegion      = 49
 	fieldConfigPart  = 60
 	fieldRequestConf = 61
+	fieldVersionsAsk = 62
+	fieldTimes       = 65
+	fieldTotalTimes  = 66
 
 	fieldFirst  = 1
 	fieldSecond = 2
@@ -264,6 +272,8 @@
 	b = appendLoads(b, fieldTotalLoads, m.TotalLoads)
 	b = appendOutcomes(b, fieldOutcomes, m.Outcomes)
 	b = appendOutcomes(b, fieldTotalFailures, m.TotalFailures)
+	b = appendPoolTimes(b, fieldTimes, m.Times)
+	b = appendPoolTimes(b, fieldTotalTimes, m.TotalTimes)
 	for _, placement := range m.Placements {
 		b = appendNumbers(b, fieldPlacement, placement.PrefixHash, placement.Server, uint64(placement.Tokens), uint64(placement.ReadTokens))
 	}
@@ -295,6 +305,7 @@
 	}
 	b = appendConfigPart(b, m.ConfigPart)
 	b = appendBool(b, fieldRequestConf, m.RequestConfig)
+	b = appendBool(b, fieldVersionsAsk, m.VersionsAsked)
 	return appendPartReport(b, m.Parts)
 }
 
@@ -453,6 +464,8 @@
 		m.Processor, err = nonNegative(v)
 	case fieldRequestConf:
 		m.RequestConfig = v != 0
+	case fieldVersionsAsk:
+		m.VersionsAsked = v != 0
 	case fieldAllCold:
 		m.AllCold = v != 0
 	case fieldRouters:
@@ -487,6 +500,10 @@
 		m.Outcomes, err = decodeOutcomes(v)
 	case fieldTotalFailures:
 		m.TotalFailures, err = decodeOutcomes(v)
+	case fieldTimes:
+		m.Times = decodePoolTimes(v)
+	case fieldTotalTimes:
+		m.TotalTimes = decodePoolTimes(v)
 	case fieldCached:
 		err = m.decodeCached(v)
 	case fieldRelayed:
--- a/internal/digest/send.go
+++ b/internal/digest/send.go
@@ -39,13 +39,14 @@
 	progress := e.state.Progress()
 	e.mu.Lock()
 	synced, role, notGranting := e.synced, roleOf(e.toldReader), e.notGranting
+	versionsAsked := !e.versionsAskedAt.IsZero() && time.Since(e.versionsAskedAt) < restartWindow
 	e.mu.Unlock()
 	return &Message{
 		Sender: e.sender, Synced: synced, Role: role, Progress: progress.Topics,
 		Reading: progress.OwnReads.Succeed, StoreEra: progress.OwnReads.Era, ConfigVersion: progress.ConfigVersion,
 		ListEnd: progress.ListEnd, ServersHash: progress.Servers.Hash, Level: ownLevel, NotGranting: notGranting, Processor: e.processor.Load(),
 		Evacuations: e.partOf(progress.Evacuations),
-		Region:      e.region,
+		Region:      e.region, VersionsAsked: versionsAsked,
 	}
 }
 
@@ -114,6 +115,9 @@
 	if !m.LoadsComplete {
 		m.Loads = nil
 	}
+	times := e.state.TakeTimes()
+	m.Times = fitPoolTimes(times)
+	withoutTimesIfTooLarge(m)
 	readers, reader := e.readers(time.Now(), e.state.Progress().OwnReads)
 	e.mu.Lock()
 	m.Role = roleOf(e.toldReader)
@@ -124,7 +128,7 @@
 	for _, l := range own {
 		e.sentLoads[l.Server] = l.InFlight
 	}
-	e.sentOutcomes = m.Outcomes
+	e.sentOutcomes, e.sentTimes = m.Outcomes, times
 	stale := now.Sub(e.totalsReceivedAt) >= loadsMaxAge
 	routers := len(e.peers.Live(now)) + 1
 	e.mu.Unlock()
@@ -153,10 +157,13 @@
 		totals[server] += n
 	}
 	failures := e.peers.Outcomes(now, e.sentOutcomes)
+	times := e.peers.Times(now, e.sentTimes)
 	e.mu.Unlock()
 	m := e.newMessage()
+	m.TotalTimes = fitPoolTimes(times)
 	m.TotalFailures = failures
 	m.TotalLoads = mostLoaded(totals, loadsPerDatagram)
+	withoutTimesIfTooLarge(m)
 	e.sendTo(targets, m)
 }
 
--- a/internal/forward/attempt_test.go
+++ b/internal/forward/attempt_test.go
@@ -209,7 +209,7 @@
 func TestServerThatAcceptsNoConnectionIsPassedOver(t *testing.T) {
 	t.Parallel()
 	full := &registry.Server{ID: "full", Pool: "p", Addr: fullListener(t), Slots: 64, DataCentre: "near"}
-	b := newBed(t, bedOptions{more: []*registry.Server{full}, dataCentre: "near", route: routing.Route{Timeout: 3 * dialTimeout}}, ok("served"))
+	b := newBed(t, bedOptions{more: []*registry.Server{full}, dataCentre: "near", dialTimeout: true, route: routing.Route{Timeout: 3 * dialTimeout}}, ok("served"))
 	if got := b.send(ask{}); got.status != http.StatusOK {
 		t.Errorf("status %d, want the answer of the other server", got.status)
 	}
@@ -380,15 +380,16 @@
 // Guards against a request that a starting router holds for longer than half of its
 // objective, or not at all.
 func TestStartingRouterHoldsRequestsForHalfOfTheirObjective(t *testing.T) {
-	t.Parallel()
-	b := newBed(t, bedOptions{route: routing.Route{Objective: 100 * time.Millisecond}}, ok("x"))
-	b.state.SetPlacementsKnown(func() bool { return false })
-	if got := b.send(ask{header: sharedPrompt}); got.status != http.StatusOK {
-		t.Errorf("status %d, want 200", got.status)
-	}
-	b.expectLog(map[string]any{"held_ms": 50})
-	b.send(ask{})
-	b.expectLog(map[string]any{"held_ms": nil})
+	inVirtualTime(t, func(t *testing.T) {
+		b := newBed(t, bedOptions{virtual: true, route: routing.Route{Objective: 100 * time.Millisecond}}, ok("x"))
+		b.state.SetPlacementsKnown(func() bool { return false })
+		if got := b.send(ask{header: sharedPrompt}); got.status != http.StatusOK {
+			t.Errorf("status %d, want 200", got.status)
+		}
+		b.expectLog(map[string]any{"held_ms": 50})
+		b.send(ask{})
+		b.expectLog(map[string]any{"held_ms": nil})
+	})
 }
 
 // Guards against a held request that is sent after its deadline or after its caller left.
--- a/internal/forward/backup_test.go
+++ b/internal/forward/backup_test.go
@@ -26,7 +26,6 @@
 
 // Guards against ends of engines that are not noticed, and against other failures that count as one.
 func TestSignsOfEngineEnds(t *testing.T) {
-	t.Parallel()
 	for name, c := range map[string]struct {
 		plain  bool
 		down   int
@@ -55,20 +54,21 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			b := newBackupBed(t, bedOptions{route: oneRun}, c.answer)
-			// One engine gets all requests.
-			b.servers = b.servers[:1]
-			b.servers[0].Engine = !c.plain
-			b.withoutServer(nil)
-			b.state.eachPool(func(p *pool) { p.backups.Hazard = hazardOfOther() })
-			b.send(ask{})
-			if c.then != nil {
-				c.then(b)
-			}
-			if got := b.ends(); got != c.want {
-				t.Errorf("%v ends, want %v", got, c.want)
-			}
+			inVirtualTime(t, func(t *testing.T) {
+				b := newBackupBed(t, bedOptions{virtual: true, route: oneRun}, c.answer)
+				// One engine gets all requests.
+				b.servers = b.servers[:1]
+				b.servers[0].Engine = !c.plain
+				b.withoutServer(nil)
+				b.state.eachPool(func(p *pool) { p.backups.Hazard = hazardOfOther() })
+				b.send(ask{})
+				if c.then != nil {
+					c.then(b)
+				}
+				if got := b.ends(); got != c.want {
+					t.Errorf("%v ends, want %v", got, c.want)
+				}
+			})
 		})
 	}
 }
@@ -153,7 +153,7 @@
 		"too dear":         {kind: routing.Stream, change: func(_ *bed, e *routing.Engine) { e.KVTokenBytes = 1 << 40 }},
 		"too many": {kind: routing.Stream, change: func(b *bed, e *routing.Engine) {
 			for target := range uint64(100) {
-				b.state.pool("p").backups.Book.Take(target, 1)
+				b.state.pool("p").backups.Copies.Add(target, 1)
 			}
 		}},
 	} {
--- a/internal/forward/grant.go
+++ b/internal/forward/grant.go
@@ -12,9 +12,9 @@
 	"github.com/bluebellwell/bluebellwell/internal/slotgrant"
 )
 
-// maxGrantsInVain bounds the grants of a request that this router can't use, because the server got unusable for it
+// maxUnusableGrants bounds the grants of a request that this router can't use, because the server became unusable for it
 // meanwhile.
-const maxGrantsInVain = 2
+const maxUnusableGrants = 2
 
 // grantBuckets ranges from a grant of the router itself to a wait of some objectives.
 var grantBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 13)
@@ -26,9 +26,10 @@
 	asked  bool
 	result string
 	wait   time.Duration
-	// desk is the one that was asked.
-	desk   *grantDesk
-	inVain int
+	// endpoint is the one that was asked.
+	endpoint *grantEndpoint
+	// unusable is the number of grants that the request could not use.
+	unusable int
 	grantAttempt
 }
 
@@ -65,8 +66,8 @@
 		return true
 	}
 	exclude := c.pool.withheldServers(now, *job)
-	c.grant.asked, c.grant.desk = true, c.pool.grants.choose(now, exclude)
-	d := c.grant.desk.ask(ctx, slotgrant.Question{
+	c.grant.asked, c.grant.endpoint = true, c.pool.grants.choose(now, exclude)
+	d := c.grant.endpoint.ask(ctx, slotgrant.Question{
 		Priority:  c.priority(),
 		Objective: c.objectiveLeft(now),
 		Deadline:  c.deadline.Sub(now),
@@ -131,7 +132,7 @@
 // goWithoutGrant lets a request go without a grant when no router grants, as long as all routers together don't
 // flood the servers. It reports whether the request is to be sent.
 func (c *call) goWithoutGrant() bool {
-	if !c.grant.desk.fallBack(time.Now()) {
+	if !c.grant.endpoint.fallBack(time.Now()) {
 		c.grant.result = slotgrant.ReasonFallback.String()
 		c.rejectUngranted(retryAfter(CausePoolFull, c.route.Objective))
 		return false
@@ -142,10 +143,10 @@
 
 // grantedInVain reports whether a request that could not be sent to the granted server asks again.
 func (c *call) grantedInVain(ctx context.Context) bool {
-	if c.grant.number == 0 || c.grant.inVain >= maxGrantsInVain || ctx.Err() != nil {
+	if c.grant.number == 0 || c.grant.unusable >= maxUnusableGrants || ctx.Err() != nil {
 		return false
 	}
-	c.grant.inVain++
+	c.grant.unusable++
 	return true
 }
 
@@ -158,9 +159,9 @@
 	switch {
 	case c.grant.number != 0:
 		c.grant.number = 0
-		c.grant.desk.end(r)
+		c.grant.endpoint.end(r)
 	case c.grant.fallback:
-		c.grant.desk.recordTime(r)
+		c.grant.endpoint.recordTime(r)
 	}
 }
 
--- a/internal/forward/grant_test.go
+++ b/internal/forward/grant_test.go
@@ -325,37 +325,40 @@
 
 // Guards against a router that grants more than the slots, and one that needs others to grant itself.
 func TestRouterGrantsItsOwnRequests(t *testing.T) {
-	t.Parallel()
-	var mu sync.Mutex
-	inside, most := 0, 0
-	b, l := newScarceBed(t, plainRoute(), func(w http.ResponseWriter, r *http.Request) {
-		mu.Lock()
-		inside++
-		most = max(most, inside)
-		mu.Unlock()
-		time.Sleep(20 * time.Millisecond)
-		mu.Lock()
-		inside--
-		mu.Unlock()
-		ok("x")(w, r)
-	})
-	l.candidates = []netip.Addr{ownAddr, otherAddr}
-	var callers sync.WaitGroup
-	for range 12 {
-		callers.Go(func() {
-			if got := b.send(ask{}); got.status != http.StatusOK {
-				t.Errorf("status %d", got.status)
-			}
+	inVirtualTime(t, func(t *testing.T) {
+		var mu sync.Mutex
+		inside, most := 0, 0
+		o := plainRoute()
+		o.virtual = true
+		b, l := newScarceBed(t, o, func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			inside++
+			most = max(most, inside)
+			mu.Unlock()
+			time.Sleep(20 * time.Millisecond)
+			mu.Lock()
+			inside--
+			mu.Unlock()
+			ok("x")(w, r)
 		})
-	}
-	callers.Wait()
-	if most != 2 || len(l.asked()) != 0 {
-		t.Errorf("%d requests at a server of 2 slots, %d questions to others", most, len(l.asked()))
-	}
-	g := b.state.Status(time.Now())[0].Grants
-	if g == nil || len(g.Groups) != 1 || !g.Groups[0].Granting || g.Groups[0].Leases != 0 || g.Groups[0].Router != ownAddr.String() {
-		t.Errorf("status %+v", g)
-	}
+		l.candidates = []netip.Addr{ownAddr, otherAddr}
+		var callers sync.WaitGroup
+		for range 12 {
+			callers.Go(func() {
+				if got := b.send(ask{}); got.status != http.StatusOK {
+					t.Errorf("status %d", got.status)
+				}
+			})
+		}
+		callers.Wait()
+		if most != 2 || len(l.asked()) != 0 {
+			t.Errorf("%d requests at a server of 2 slots, %d questions to others", most, len(l.asked()))
+		}
+		g := b.state.Status(time.Now())[0].Grants
+		if g == nil || len(g.Groups) != 1 || !g.Groups[0].Granting || g.Groups[0].Leases != 0 || g.Groups[0].Router != ownAddr.String() {
+			t.Errorf("status %+v", g)
+		}
+	})
 }
 
 // Guards against a request that ends when the server it was granted has become unusable for this router.
@@ -399,7 +402,7 @@
 		defer func() { _ = recover() }()
 		h.ServeHTTP(httptest.NewRecorder(), r)
 	}()
-	granter := state.pool("p").grants.allDesks()[0].desk.Granter
+	granter := state.pool("p").grants.allEndpoints()[0].endpoint.Granter
 	if granter.Counts().Granted != 1 || granter.Leases() != 0 {
 		t.Errorf("the slot of a request that has panicked is not free")
 	}
@@ -487,7 +490,7 @@
 	b, l := newScarceBed(t, plainRoute(), ok("x"))
 	l.candidates = []netip.Addr{ownAddr}
 	b.send(ask{})
-	d := b.state.pool("p").grants.allDesks()[0]
+	d := b.state.pool("p").grants.allEndpoints()[0]
 	term := b.state.Status(time.Now())[0].Grants.Groups[0].Term
 	d.mu.Lock()
 	// The time of day has gone on by ten seconds, the monotonic clock has not.
@@ -567,7 +570,7 @@
 	p := b.state.pool("p")
 	p.recordRetryAfter(time.Now(), b.servers[0].Key(), time.Minute)
 	time.Sleep(2 * viewInterval)
-	d := p.grants.allDesks()[0]
+	d := p.grants.allEndpoints()[0]
 	b.state.ReceiveGrants(otherAddr, &slotgrant.Message{Pool: d.group, Questions: []slotgrant.Question{
 		{Number: 1, Objective: time.Second, Deadline: time.Second},
 	}})
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -47,8 +47,10 @@
 type Limits struct {
 	Balance balance.Limits
 	Retry   retrybudget.Limits
-	// BackupRisk is the probability that a stream loses its engine from which it may have a copy elsewhere.
+	// BackupRisk is the least probability that a stream loses its engine at which it may have a copy elsewhere.
 	BackupRisk float64
+	// DelayShare is set when routers send a share of their requests to plain pools whose servers take long.
+	DelayShare bool
 	// BodyMemory bounds the request bodies in memory at the same time, in bytes.
 	BodyMemory int64
 	DataCentre string
@@ -71,6 +73,8 @@
 	onNews func()
 	// placementsKnown reports whether this router has the placements of the fleet.
 	placementsKnown func() bool
+	// versionsPending reports whether the engines are being asked which versions have prompts cached.
+	versionsPending func() bool
 	// onReuse is called when connections to a server may no longer be reused, or may be
 	// again. New sets it.
 	onReuse reuseObserver
@@ -78,6 +82,8 @@
 	streams *streamVersions
 	// fleet is shared by the retry budgets of all pools.
 	fleet *retrybudget.Fleet
+	// routers is the number of routers that are live, this one included; 0 before the first digest.
+	routers atomic.Int64
 	// paths opens the connections to servers.
 	paths *paths
 	// grantsShared is shared by the grants of all pools.
@@ -108,7 +114,10 @@
 	mu         sync.Mutex
 	balance    *balance.Pool
 	controller *overload.Controller
-	costs      *cost.Model
+	// delays decides which part of the requests is sent; nil for all. shareLowered is set while that is logged to be less than all.
+	delays       *overload.DelayShare
+	shareLowered bool
+	costs        *cost.Model
 	// connections has those of each incarnation of a server, so that none is used for a
 	// later incarnation.
 	connections map[registry.Key]*connections
@@ -128,7 +137,7 @@
 // NewState returns a state without a configuration and servers.
 func NewState(limits Limits) *State {
 	st := &State{
-		limits: limits, pools: make(map[string]*pool), onNews: func() {}, placementsKnown: func() bool { return true },
+		limits: limits, pools: make(map[string]*pool), onNews: func() {}, placementsKnown: func() bool { return true }, versionsPending: func() bool { return false },
 		maySend:    func() bool { return true },
 		onReuse:    func(*registry.Server, *connreuse.Change) {},
 		limitShare: func(uint64) namedlimit.Share { return namedlimit.Share{Sender: true, Sole: true, Routers: 1} },
@@ -192,6 +201,13 @@
 // placements of the fleet. Call it before requests are served.
 func (st *State) SetPlacementsKnown(f func() bool) { st.placementsKnown = f }
 
+// SetVersionsPending sets the function that reports whether the fleet is about to learn from the engines which versions
+// have prompts cached, since most routers were killed. Call it before requests are served.
+func (st *State) SetVersionsPending(f func() bool) { st.versionsPending = f }
+
+// awaitsInventory reports whether what the engines have cached may soon tell which versions began streams.
+func (st *State) awaitsInventory() bool { return !st.placementsKnown() || st.versionsPending() }
+
 // SetTable puts a configuration in force.
 func (st *State) SetTable(t *routing.Table) {
 	st.table.Store(t)
@@ -277,6 +293,9 @@
 		indirect:    st.paths.indirect,
 	}
 	p.backups.MinRisk = st.limits.BackupRisk
+	if st.limits.DelayShare {
+		p.delays = overload.NewDelayShare()
+	}
 	p.grants = newGrantPool(p, st.grantsShared)
 	return p
 }
@@ -338,8 +357,9 @@
 	defer p.mu.Unlock()
 	load := p.balance.Load(now, job.AllowedRegions...)
 	decision := p.controller.Decide(now, load, req)
-	if !decision.Admitted && p.balance.ColdReady(now, job) {
-		decision.Admitted = true
+	decision.Share = p.admitShare(now, &req, decision)
+	if !(decision.Admitted && decision.Share.Admitted) && p.balance.ColdReady(now, job) {
+		decision.Admitted, decision.Share.Admitted = true, true
 	}
 	return load, decision
 }
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -24,6 +24,8 @@
 	Servers     []ServerStatus `json:"servers"`
 	// Grants is the state of the grants of a scarce pool; absent for other pools.
 	Grants *GrantStatus `json:"grants,omitempty"`
+	// DelayShare tells which part of its requests this router sends to the pool; absent for pools that are not limited by it.
+	DelayShare *DelayShareStatus `json:"delay_share,omitempty"`
 	// Backups is the state of the copies of running requests' memory; absent while no engine ends and there are none.
 	Backups *BackupStatus `json:"backups,omitempty"`
 }
@@ -44,7 +46,7 @@
 	DataCentre string `json:"data_centre"`
 	// Region is that of the data centre; empty when it is not known, so that no request that is bound to regions goes there.
 	Region string `json:"region,omitempty"`
-	// State is ready, indirect (reached through another router), evacuated (as its data centre), leaving, ejected or cold.
+	// State is ready, indirect (reached through another router), evacuated (as its data centre), leaving, ejected, avoided or cold.
 	State string `json:"state"`
 	// Own and Others are the requests in flight of this router and of the others.
 	Own    int `json:"own"`
@@ -102,6 +104,7 @@
 		RetriesLeft: p.retriesLeft(now),
 		Cost:        CostStatus(p.costs.Accuracy()),
 		Backups:     p.backupStatus(now),
+		DelayShare:  p.delayShareStatus(now),
 		Servers:     []ServerStatus{},
 	}
 	for _, b := range p.balance.Status(now) {
--- a/internal/front/scarce_test.go
+++ b/internal/front/scarce_test.go
@@ -27,6 +27,8 @@
 // scarceServer is a plain server that counts the requests in it. It does not queue: what is beyond its slots is seen.
 type scarceServer struct {
 	addr string
+	// work is how long a request takes.
+	work time.Duration
 
 	mu                 sync.Mutex
 	inside, most, runs int
@@ -35,13 +37,13 @@
 // scarceAddr is the address of the server in the network of a bubble.
 var scarceAddr = netip.MustParseAddrPort("10.3.0.1:80")
 
-func newScarceServer(t *testing.T, network *testnet.Network) *scarceServer {
+func newScarceServer(t *testing.T, network *testnet.Network, work time.Duration) *scarceServer {
 	t.Helper()
 	l, err := network.Listen(scarceAddr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scarceServer{addr: l.Addr().String()}
+	s := &scarceServer{addr: l.Addr().String(), work: work}
 	h := &http.Server{Handler: http.HandlerFunc(s.answer)}
 	go func() { _ = h.Serve(l) }()
 	t.Cleanup(func() { _ = h.Close() })
@@ -50,7 +52,7 @@
 
 func (s *scarceServer) answer(w http.ResponseWriter, r *http.Request) {
 	s.count(1)
-	time.Sleep(scarceWork)
+	time.Sleep(s.work)
 	s.count(-1)
 	id := r.Header.Get(platformtest.HeaderRequestID)
 	w.Header().Set(platformtest.HeaderRequestID, id)
@@ -92,7 +94,7 @@
 
 func newScarceFleet(f *fleetBed) *scarceFleet {
 	f.t.Helper()
-	s := newScarceServer(f.t, f.network)
+	s := newScarceServer(f.t, f.network, scarceWork)
 	startFleet(f, scarceRouters, func(f *fleetBed) {
 		f.store.Put(platform.TopicServers, "s-0", platformtest.Entry{Pool: "pool", Addr: s.addr, State: platformtest.StateReady, Slots: scarceSlots}.Encode())
 	})
--- a/internal/front/testbed_test.go
+++ b/internal/front/testbed_test.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bluebellwell/bluebellwell/internal/feed"
+	"github.com/bluebellwell/bluebellwell/internal/forward"
 	"github.com/bluebellwell/bluebellwell/internal/front"
 	"github.com/bluebellwell/bluebellwell/internal/settings"
 	"github.com/bluebellwell/bluebellwell/internal/testnet"
@@ -45,12 +46,19 @@
 	// region is that of the router, and regions has those of the data centres; the zero values are the usual ones.
 	region  string
 	regions map[string]string
+	// delayShare is set for a router that sends a share of its requests to plain pools whose servers take long, in place of asking for
+	// grants.
+	delayShare bool
 	// logger receives the router's log; nil for none.
 	logger hclog.Logger
 	// wrapSource wraps the router's way to each topic of the store; nil for none.
 	wrapSource func(feed.Source) feed.Source
 	// network is set for a router in a bubble of testing/synctest; its addresses are in it.
 	network *testnet.Network
+	// wrapMemory wraps the router's way to what must outlive all routers; nil for none.
+	wrapMemory func(front.Memory) front.Memory
+	// cutInventory is set while no engine tells the router which parts it has cached; nil for never.
+	cutInventory *atomic.Bool
 	// link is the router's way to the servers; nil for one that is never cut.
 	link *serverLink
 	// settings are the settings that the router was started with.
@@ -87,7 +95,7 @@
 		MemoryMB:     200, Cores: 1,
 		Bounds: settings.FrontBounds{
 			StopTimeout: 8 * time.Second, LoadMultiple: 2, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 480,
-			GrantSlots: true,
+			GrantSlots: !b.delayShare, DelayShare: b.delayShare,
 		},
 	}
 	logger := b.logger
@@ -98,6 +106,18 @@
 	if b.wrapSource != nil {
 		store.Config, store.Servers = b.wrapSource(store.Config), b.wrapSource(store.Servers)
 	}
+	if b.wrapMemory != nil {
+		store.Memory = b.wrapMemory(store.Memory)
+	}
+	if b.cutInventory != nil {
+		inventory := store.Inventory
+		store.Inventory = func(ctx context.Context, addr string) ([]forward.CachedPart, error) {
+			if b.cutInventory.Load() {
+				return nil, errCut
+			}
+			return inventory(ctx, addr)
+		}
+	}
 	if b.link != nil {
 		store.Dial = b.link.dial
 	}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -42,6 +42,8 @@
 	// known reports whether an address is that of a server; no other is connected to.
 	known func(addr string) bool
 	dial  DialFunc
+	// dialTimeout bounds the opening of a connection to a server.
+	dialTimeout time.Duration
 
 	carried  atomic.Int64
 	declines atomic.Bool
@@ -65,7 +67,10 @@
 
 // New is Listen with a listener that is open already, which the server closes.
 func New(l net.Listener, known func(addr string) bool, dial DialFunc, events *event.Logger) *Server {
-	return &Server{listener: l, events: events, known: known, dial: dial, sessions: make(map[*yamux.Session]bool), streams: make(map[*yamux.Stream]bool)}
+	return &Server{
+		listener: l, events: events, known: known, dial: dial, dialTimeout: carrierDialTimeout,
+		sessions: make(map[*yamux.Session]bool), streams: make(map[*yamux.Stream]bool),
+	}
 }
 
 // Serve accepts other routers until Close.
@@ -206,7 +211,7 @@
 	if s.declines.Load() || s.carried.Load() > maxCarried || !s.known(addr) {
 		return nil, declined
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), carrierDialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.dialTimeout)
 	defer cancel()
 	server, err := s.dial(ctx, "tcp", addr)
 	switch {
