testnet: carry the tests of forward in virtual time as well

internal/forward had a second network in memory and a second copy of the note on the race detector. Its beds now use testnet.Network, and testnet.Bubble holds the setting of one processor with its reason. Dial and Listen return the error numbers that a kernel gives, because forward and tunnel tell a refused connection by ECONNREFUSED, as forward's own network did. No assertion changes.

--- a/internal/forward/bed_test.go
+++ b/internal/forward/bed_test.go
@@ -29,6 +29,7 @@
 	"github.com/bluebellwell/bluebellwell/internal/registry"
 	"github.com/bluebellwell/bluebellwell/internal/retrybudget"
 	"github.com/bluebellwell/bluebellwell/internal/routing"
+	"github.com/bluebellwell/bluebellwell/internal/testnet"
 	"github.com/bluebellwell/bluebellwell/internal/testport"
 )
 
@@ -120,10 +121,12 @@
 	handler *Handler
 	edge    *edge.Server
 	servers []*registry.Server
-	// addr is where callers reach the router, by callers. memory connects a bed in virtual time.
+	// addr is where callers reach the router, by callers.
 	addr    string
 	callers *http.Transport
-	memory  memoryNet
+	// network connects a bed in virtual time, and listeners is the number of its addresses in use.
+	network   *testnet.Network
+	listeners int
 
 	// started are the running servers.
 	started []startedServer
@@ -164,7 +167,7 @@
 
 func newBed(t *testing.T, o bedOptions, answers ...answer) *bed {
 	t.Helper()
-	b := &bed{t: t, answers: answers}
+	b := &bed{t: t, answers: answers, network: testnet.New()}
 	limits := Limits{
 		BodyMemory: 1 << 20, Balance: balance.Limits{CapFactor: 100, CapExtra: 1000}, DataCentre: o.dataCentre,
 		Retry: retrybudget.Limits{Ratio: 10, Window: 10 * time.Second, Extra: 1e9},
@@ -181,7 +184,7 @@
 	switch {
 	case o.virtual:
 		serve = b.serveVirtually
-		b.state.SetDial(b.memory.dial)
+		b.state.SetDial(b.network.Dial)
 	case !o.dialTimeout:
 		b.state.SetDial((&net.Dialer{Timeout: bedWait, Control: setSendTimeout, KeepAliveConfig: httpsend.ShortKeepAlive()}).DialContext)
 	}
--- a/internal/forward/departed_test.go
+++ b/internal/forward/departed_test.go
@@ -96,7 +96,7 @@
 		const dialTakes = 20 * time.Millisecond
 		b.state.SetDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
 			time.Sleep(dialTakes)
-			return b.memory.dial(context.WithoutCancel(ctx), network, addr)
+			return b.network.Dial(context.WithoutCancel(ctx), network, addr)
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), dialTakes-departedTime/2)
 		defer cancel()
--- a/internal/front/bubble_test.go
+++ b/internal/front/bubble_test.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
-	"runtime"
 	"testing"
-	"testing/synctest"
 
 	"github.com/bluebellwell/bluebellwell/internal/testnet"
 	"github.com/bluebellwell/bluebellwell/platform/platformtest"
@@ -20,18 +18,11 @@
 // bubbleRouter is the address of the bed's own router, for tests without a fleet.
 const bubbleRouter = "10.0.0.2"
 
-// inBubble plays a test of a fleet with the clock of a bubble of testing/synctest: it stands still while a goroutine can run. A
-// slow machine makes no digest and no call to the store late there, to which routers would react by reading the store themselves,
-// and rightly.
-//
-// Goroutines run on one processor meanwhile, so the test must not be a parallel one: with the race detector, the runtime of Go 1.26
-// crashes when two goroutines of a bubble receive from timers at the same moment that were due while they waited for something else
-// (both use the race context of the bubble's timers, in unlockAndRun).
+// inBubble runs a test of a fleet in a bubble (testnet.Bubble), whose clock stands still while a goroutine can run. On a slow
+// machine digests and calls to the store would be late, and routers react to that by reading the store themselves.
 func inBubble(t *testing.T, engines int, play func(f *fleetBed)) {
 	t.Helper()
-	processors := runtime.GOMAXPROCS(1)
-	defer runtime.GOMAXPROCS(processors)
-	synctest.Test(t, func(t *testing.T) {
+	testnet.Bubble(t, func(t *testing.T) {
 		network := testnet.New()
 		l, err := network.Listen(bubbleStore)
 		if err != nil {
--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -7,7 +7,11 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/digest"
@@ -33,6 +37,18 @@
 	received  map[netip.Addr]int
 }
 
+// Bubble runs a test in a bubble of testing/synctest.
+//
+// Goroutines run on one processor meanwhile, so the test must not be a parallel one: with the race detector, the runtime of Go 1.26
+// crashes when two goroutines of a bubble receive from timers at the same moment that were due while they waited for something else
+// (both use the race context of the bubble's timers, in unlockAndRun).
+func Bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	processors := runtime.GOMAXPROCS(1)
+	defer runtime.GOMAXPROCS(processors)
+	synctest.Test(t, f)
+}
+
 // New returns a network without hosts.
 func New() *Network {
 	return &Network{
@@ -48,7 +64,7 @@
 	n.lost = lost
 }
 
-// Dropped returns how many datagrams were dropped because a socket was full.
+// Dropped returns how many datagrams were dropped because the queue of a socket was full.
 func (n *Network) Dropped() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -70,8 +86,9 @@
 	clear(n.received)
 }
 
-func addressError(op, network string, addr netip.AddrPort, text string) error {
-	return &net.OpError{Op: op, Net: network, Addr: net.TCPAddrFromAddrPort(addr), Err: &net.AddrError{Err: text, Addr: addr.String()}}
+// addressError returns the error that a kernel would give, which callers tell by its number.
+func addressError(op, network string, addr netip.AddrPort, errno syscall.Errno) error {
+	return &net.OpError{Op: op, Net: network, Addr: net.TCPAddrFromAddrPort(addr), Err: errno}
 }
 
 // Listen opens an address for connections.
@@ -79,7 +96,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.listeners[addr] != nil {
-		return nil, addressError("listen", "tcp", addr, "address already in use")
+		return nil, addressError("listen", "tcp", addr, syscall.EADDRINUSE)
 	}
 	l := &listener{network: n, addr: addr, conns: make(chan net.Conn, queuedConns), closed: make(chan struct{})}
 	n.listeners[addr] = l
@@ -96,14 +113,14 @@
 	l := n.listeners[addr]
 	n.mu.Unlock()
 	if l == nil {
-		return nil, addressError("dial", "tcp", addr, "connection refused")
+		return nil, addressError("dial", "tcp", addr, syscall.ECONNREFUSED)
 	}
 	client, server := net.Pipe()
 	select {
 	case l.conns <- server:
 		return client, nil
 	case <-l.closed:
-		return nil, addressError("dial", "tcp", addr, "connection refused")
+		return nil, addressError("dial", "tcp", addr, syscall.ECONNREFUSED)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -154,7 +171,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.sockets[addr] != nil {
-		return nil, addressError("listen", "udp", addr, "address already in use")
+		return nil, addressError("listen", "udp", addr, syscall.EADDRINUSE)
 	}
 	s := &socket{network: n, addr: addr, queue: make(chan datagram, queuedDatagrams), closed: make(chan struct{})}
 	n.sockets[addr] = s
