digest, forward, front, overload: clearer names and comments of shares and restarts

The comments of the delay share, the ranks, the pool times and the search for restarted routers had sentences that were hard to parse, and fields and methods without a description. survivorHeard becomes survivorMaxSilence, maxAhead maxShareRatio, mostShare maxShare, maxPoolTime maxPoolTimesValue, and the method floorPeriod, which had the name of a constant, routerFloorPeriod. Behaviour does not change; the edits in internal/rules/testdata follow the names.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -111,7 +111,7 @@
 }
 
 func drawPoolTimes(t *rapid.T) PoolTimes {
-	number := rapid.IntRange(0, maxPoolTime)
+	number := rapid.IntRange(0, maxPoolTimesValue)
 	return PoolTimes{
 		Pool: rapid.Uint32().Draw(t, "pool"), Served: number.Draw(t, "served"), Objectives: number.Draw(t, "objectives"),
 		Refused: number.Draw(t, "refused"), InUse: number.Draw(t, "in use"), Decided: number.Draw(t, "decided"), Sent: number.Draw(t, "sent"),
--- a/internal/digest/restarts.go
+++ b/internal/digest/restarts.go
@@ -5,28 +5,29 @@
 	"time"
 )
 
-// When most routers were killed, those that survived are to know it as soon as the others are back. A router that starts
-// knows the seeds only, which may have been killed as well, and in a large fleet the others send it nothing before their next
-// regular digest, seconds later. A survivor knows all addresses, so it sends a digest to the others once it has heard of a few
-// restarts: a process answers the first message of another one at once. A router that has just started counts no restarts, and
-// one that stops as planned is forgotten, so that neither a first start nor a planned restart is probed.
+// When most routers were killed, the survivors must learn of it as soon as the others are back. A router that starts knows
+// only the seeds, which may have been killed as well, and in a large fleet the others send it nothing before their next
+// regular digest, seconds later. A survivor knows all addresses, so it sends the others a digest, the probe, once it has heard
+// of restartsToProbe restarts: a process answers the first message of another one at once. A router that has just started
+// counts no restarts, and one that stops as planned is forgotten, so neither a first start nor a planned restart is probed.
 
 const (
-	// restartWindow is the time in which restarts of other routers count as one. VMs that lose power together are
+	// restartWindow is the time within which restarts of other routers count as one event. VMs that lose power together are
 	// back within a few seconds of each other.
 	restartWindow = 10 * time.Second
-	// survivorHeard is how long before the first restart a router must have been heard at most to count as one that has
-	// survived. Routers send their loads that often to those that read the store, and these send the totals to all. A
-	// killed router needs longer than that to be back.
-	survivorHeard = loadInterval
-	// restartsToProbe is the number of restarts that begin a probe. A single one is no sign.
+	// survivorMaxSilence is the longest time between the last digest of a router and the first restart with which the
+	// router counts as a survivor. Routers send their loads that often to those that read the store, and these send the
+	// totals to all. A killed router needs longer than that to be back.
+	survivorMaxSilence = loadInterval
+	// restartsToProbe is the number of restarts that start the probes. A single router may have crashed for a reason of its own.
 	restartsToProbe = 2
 	// firstProbes is the number of routers that are probed first. The others follow, probesAtOnce at a time, while more than one
-	// in probeShare of those probed have restarted: two crashes alone cost firstProbes datagrams a router.
+	// in probeShare of those probed have restarted, so that two separate crashes cost each router few datagrams.
 	firstProbes  = 16
 	probesAtOnce = 64
 	probeShare   = 4
-	// maxProbes bounds the probes of a router in restartWindow, probeAgain apart. It may be back a second later than the first.
+	// maxProbes bounds the probes to one router within restartWindow, and probeAgain is the time between two of them. A killed
+	// router may be back a second later than the first one.
 	maxProbes  = 6
 	probeAgain = 200 * time.Millisecond
 )
@@ -34,7 +35,7 @@
 // restartProbe is a search for restarted routers.
 type restartProbe struct {
 	startedAt time.Time
-	// sent has the probes of each router.
+	// sent has the probes by the address of the probed router.
 	sent map[netip.Addr]sentProbes
 }
 
@@ -57,11 +58,11 @@
 	return n, first
 }
 
-// MostRestarted reports whether most of the routers that this one has heard were killed and are back, all within
-// restartWindow, so many that streams may have lost all routers that knew which version began them. A router that
-// is only silent does not count: this one may be cut off itself. before is the number of live routers with a lower
-// address than this one that were heard before and have not restarted. One that was not heard lately does not count
-// either: it may have been killed and not be back yet.
+// MostRestarted reports whether most of the routers that this one has heard were killed and are back within
+// restartWindow, and more than streamHolders were, so that all that knew which version began a stream may be among them. A
+// router that is only silent does not count: this one may be cut off itself. before is the number of live survivors with a lower
+// address than this one. A router that was not heard within survivorMaxSilence is none: it may have been killed and not be
+// back yet.
 func (p *Peers) MostRestarted(now time.Time) (most bool, before int) {
 	restarted, first := p.restarts(now)
 	heard := 0
@@ -70,7 +71,7 @@
 			continue
 		}
 		heard++
-		survived := peer.heardSince.Before(first) && !peer.LastReceived.Before(first.Add(-survivorHeard))
+		survived := peer.heardSince.Before(first) && !peer.LastReceived.Before(first.Add(-survivorMaxSilence))
 		if survived && p.live(peer, now) && addr.Less(p.self) {
 			before++
 		}
@@ -85,7 +86,7 @@
 	return b
 }
 
-// ProbeTargets returns the routers that are to get a digest now since they may have restarted, and counts it as sent. A
+// ProbeTargets returns the routers that get a probe now because they may have restarted, and counts it as sent. A
 // router that reads the store for a large fleet, and one of a small fleet, send to all every loadInterval anyway.
 func (p *Peers) ProbeTargets(now time.Time) []netip.Addr {
 	if n, _ := p.restarts(now); n < restartsToProbe || p.reader || len(p.tracked) <= smallFleetPeers {
@@ -118,7 +119,7 @@
 	return targets
 }
 
-// newProbes returns how many routers may be probed that have not been yet.
+// newProbes returns how many routers may now be probed for the first time.
 func (p *Peers) newProbes() int {
 	if len(p.probe.sent) == 0 {
 		return firstProbes
@@ -145,8 +146,7 @@
 	}
 }
 
-// MostRestarted reports whether most other routers were killed a moment ago and are back, and how many of those that
-// were not have a lower address than this one.
+// MostRestarted is Peers.MostRestarted at the present time.
 func (e *Exchange) MostRestarted() (most bool, before int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -169,7 +169,7 @@
 	e.sendTo(e.targets(), e.newMessage())
 }
 
-// VersionsAsked reports whether another live router says that it has asked the engines a moment ago.
+// VersionsAsked reports whether another live router says that it has asked the engines within restartWindow.
 func (e *Exchange) VersionsAsked() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/digest/times.go
+++ b/internal/digest/times.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// poolTimesPerDatagram bounds the pools whose times a datagram has, next to loads and outcomes.
+	// poolTimesPerDatagram bounds the pools with times in one datagram, which also holds loads and outcomes.
 	poolTimesPerDatagram = 16
-	// maxPoolTime bounds each number in the times of a pool, against faulty senders.
-	maxPoolTime = 1 << 30
+	// maxPoolTimesValue bounds each field of PoolTimes but Pool, against faulty senders.
+	maxPoolTimesValue = 1 << 30
 )
 
 // PoolTimes sums up how long the requests of one pool were at its servers in the last interval between two reports.
@@ -26,11 +26,11 @@
 	Refused int
 	// InUse is the average number of served requests at the servers, in thousandths.
 	InUse int
-	// Decided counts the requests about which was decided whether they are sent, and Sent those that were.
+	// Decided counts the requests for which a router decided whether to send them, and Sent those that it sent.
 	Decided, Sent int
 }
 
-// empty reports whether the times tell of no request.
+// empty reports whether no request with an objective was served and none was refused.
 func (t *PoolTimes) empty() bool { return t.Served+t.Refused == 0 }
 
 func (t *PoolTimes) add(o PoolTimes) {
@@ -76,8 +76,8 @@
 				return list
 			}
 			b = b[n:]
-			valid = valid && v <= maxPoolTime
-			values[i] = int(min(v, maxPoolTime))
+			valid = valid && v <= maxPoolTimesValue
+			values[i] = int(min(v, maxPoolTimesValue))
 		}
 		if valid {
 			list = append(list, PoolTimes{
@@ -88,7 +88,7 @@
 	return list
 }
 
-// fitPoolTimes drops the pools with the fewest requests when not all fit into a datagram, and those of which there is nothing to tell.
+// fitPoolTimes drops the pools with the fewest requests when not all fit into a datagram, and all empty ones.
 func fitPoolTimes(list []PoolTimes) []PoolTimes {
 	list = slices.DeleteFunc(slices.Clone(list), func(t PoolTimes) bool { return t.empty() })
 	if len(list) > poolTimesPerDatagram {
@@ -98,7 +98,7 @@
 	return list
 }
 
-// withoutTimesIfTooLarge drops the times of pools from a message that does not fit a frame with them.
+// withoutTimesIfTooLarge drops the times of pools from a message that does not fit a datagram with them.
 func withoutTimesIfTooLarge(m *Message) {
 	if len(m.Times)+len(m.TotalTimes) > 0 && len(Encode(m)) > maxDatagram {
 		m.Times, m.TotalTimes = nil, nil
--- a/internal/digest/times_test.go
+++ b/internal/digest/times_test.go
@@ -27,7 +27,7 @@
 
 // Guards against a value out of range that costs the other entries or the whole digest.
 func TestUnusableTimesAreLeftOut(t *testing.T) {
-	b := Encode(&Message{Sender: 9, Times: []PoolTimes{{Pool: 1, Served: maxPoolTime + 1}, {Pool: 2, Served: 3}}})
+	b := Encode(&Message{Sender: 9, Times: []PoolTimes{{Pool: 1, Served: maxPoolTimesValue + 1}, {Pool: 2, Served: 3}}})
 	b = protowire.AppendTag(b, fieldTotalTimes, protowire.BytesType)
 	b = protowire.AppendBytes(b, []byte{1, 2, 3, 4, 0x80})
 	m, err := Decode(b)
--- a/internal/forward/delayshare.go
+++ b/internal/forward/delayshare.go
@@ -12,8 +12,8 @@
 	"github.com/bluebellwell/bluebellwell/internal/routing"
 )
 
-// loweredShare is the share below which it is logged that only a part of the requests is sent. The mean exceeds the target now and
-// then by chance.
+// loweredShare is the share below which a log event says that only a part of the requests is sent. Shares just below 1 are not
+// logged, because the mean exceeds the target now and then by chance.
 const loweredShare = 0.9
 
 // DelayShareStatus tells which part of its requests this router sends to a plain pool, for operators.
@@ -74,7 +74,8 @@
 // shortHash identifies the pool in digests.
 func (p *pool) shortHash() uint32 { return digest.ShortHash(placement.Hash(p.name)) }
 
-// observeShare logs and counts a change of the share of a pool. The caller holds the pool's lock.
+// observeShare sets the gauges of a pool's share, and logs when it falls below loweredShare and when it is back at 1. The caller
+// holds the pool's lock.
 func (st *State) observeShare(now time.Time, p *pool) {
 	s := p.delays.Status(now)
 	st.grantsShared.metrics.recordDelayShare(p.name, s)
@@ -90,10 +91,11 @@
 	st.grantsShared.events.Emit(e, "pool", p.name, "share", rounded(s.Share), "mean", rounded(s.Mean), "target", s.Target, "own_times", s.OwnOnly)
 }
 
-// rounded rounds a share for people.
+// rounded rounds to three decimal places, for logs and the status.
 func rounded(v float64) float64 { return math.Round(1000*v) / 1000 }
 
-// delayShareStatus returns the share of the pool, nil for one whose requests are not limited by it. The caller holds the pool's lock.
+// delayShareStatus returns the share of the pool, or nil when the pool has no delay share or no plain slots. The caller holds
+// the pool's lock.
 func (p *pool) delayShareStatus(now time.Time) *DelayShareStatus {
 	if p.delays == nil || p.balance.PlainSlots(now) == 0 {
 		return nil
@@ -121,7 +123,7 @@
 }
 
 // recordDelay records how long the last attempt was at its server. The time until the answer begins does not depend on how
-// fast the caller reads. Streams may begin at once and keep their slots for long.
+// fast the caller reads. Streams do not count: they may begin at once and keep their slots for long.
 func (c *call) recordDelay(choice balance.Choice, outcome balance.Outcome) {
 	if c.route.Kind == routing.Stream || choice.Cold {
 		return
@@ -159,7 +161,7 @@
 	scope.Gauge("delay_share_mean").Update(s.Mean)
 }
 
-// recordShareDecision counts the requests that are not sent, and those that are sent because of a floor.
+// recordShareDecision counts the requests that are not sent, and those that are sent because of a floor (overload.ShareDecision).
 func (m *Metrics) recordShareDecision(pool string, d overload.ShareDecision) {
 	switch {
 	case !d.Admitted:
--- a/internal/forward/findversion.go
+++ b/internal/forward/findversion.go
@@ -7,7 +7,7 @@
 
 const (
 	// maxVersionWait bounds the time for which a stream that is taken up waits for what the engines have cached, after a
-	// restart of all routers. A starting router counts its placements as known after as long.
+	// restart of all routers. A starting router counts its placements as known after the same time.
 	maxVersionWait = time.Second
 	// maxVersionShare is the share of the time left to the caller in which a version must be found. The rest is for the
 	// stream, or for a refusal that arrives before the deadline although timers are late.
@@ -51,7 +51,7 @@
 		var oneVersion bool
 		version, known, oneVersion = streams.ask(ctx, c.streamID(), c.promptStream(), several)
 		// Without servers of another version now there may have been some a moment ago, and there may be some of which
-		// this router has not heard because it was cut off or stood still. Who reads the store has heard of them.
+		// this router has not heard because it was cut off or stood still. Routers that read the store have heard of them.
 		several = c.pool.severalVersions(time.Now())
 		if !known && (several || !streams.settled(time.Now()) || !oneVersion && !c.confirmedByStore(ctx)) {
 			return false
--- a/internal/front/inventory.go
+++ b/internal/front/inventory.go
@@ -78,17 +78,17 @@
 	// restartCheck is the time between two checks whether most other routers have restarted. Callers take streams up
 	// about a second after the routers are back.
 	restartCheck = 100 * time.Millisecond
-	// maxSurvivors is the number of survivors that may claim the question, and survivorStep the time by which each
-	// waits longer than the one before it. With 0.35 of the routers rejected by the store, all of eight are in 1 of 4,000
-	// kills. In a large fleet the others would only add calls to the store.
+	// maxSurvivors is the number of survivors that may write the claim to ask the engines, and survivorStep the time by which
+	// each waits longer than the one before it. When the store rejects 35 % of the routers, it rejects all eight in 1 of 4,000
+	// kills. In a large fleet further survivors would only add calls to the store.
 	maxSurvivors = 8
 	survivorStep = 500 * time.Millisecond
-	// survivorSettle is how much longer a survivor waits to which the others do not send their loads. It hears of those that
-	// come before it when they search for restarted routers, once in the interval between two loads.
+	// survivorSettle is how much longer a survivor waits when the others do not send it their loads. It hears of the survivors
+	// before it by their probes of restarted routers, which they send at the interval of the loads.
 	survivorSettle = 250 * time.Millisecond
 )
 
-// survivorDelay returns how long a survivor waits before it claims the question, with a number of survivors before it.
+// survivorDelay returns how long a survivor waits before it writes the claim. before is the number of survivors with a lower address.
 func survivorDelay(before int, hearsLoads bool) time.Duration {
 	delay := time.Duration(before) * survivorStep
 	if !hearsLoads {
@@ -98,9 +98,9 @@
 }
 
 // watchRestarts asks the engines which versions have prompts cached when most of the other routers were killed while
-// several versions may serve: the others get the placements from the survivors, but which version began a stream only those
-// knew that relayed it or were told. A claim in the store lets one survivor ask. Unless that one tells the others that it has
-// asked, another one claims after claimHold: it may have ended. At most maxClaims survivors ask.
+// several versions may serve. The others get the placements from the survivors, but only routers that relayed a stream or were
+// told of it knew which version began it. A claim in the store lets one survivor ask. Unless that one tells the others that it
+// has asked, another one claims after claimHold, since the first may have ended. At most maxClaims survivors ask.
 func (f *Front) watchRestarts(ctx context.Context) error {
 	tick := time.NewTicker(restartCheck)
 	defer tick.Stop()
@@ -135,8 +135,8 @@
 }
 
 // askVersions asks the engines which versions have prompts cached and tells the other routers. When no engine answers, as at a
-// router that is cut off from them, another survivor has to ask. That it has asked is said first: a second survivor should not
-// find something else for streams of which the others have been told.
+// router that is cut off from them, another survivor has to ask. The mark that it has asked goes out before the versions: a second
+// survivor that asks as well could tell the others another version of the same stream.
 func (f *Front) askVersions(ctx context.Context) {
 	prompts, answered := f.queryVersions(ctx)
 	if answered > 0 {
@@ -156,15 +156,16 @@
 	tellInterval = 100 * time.Millisecond
 )
 
-// heardRouters are the other routers that are live and the processes that were heard.
+// heardRouters has the number of other routers that are live, and of processes of other routers that were heard so far. The
+// latter grows when a router restarts.
 type heardRouters struct{ live, processes int }
 
 func (f *Front) heardRouters() heardRouters {
 	return heardRouters{f.exchange.LivePeerCount(), f.exchange.Discovered()}
 }
 
-// repeatPrompts tells the others once more which versions have prompts cached when more routers are known than told, which were
-// heard when they were told first. A killed router counts as live for a while, and has to be told when it is back.
+// repeatPrompts tells the others once more which versions have prompts cached when the heard routers differ from told, those of
+// the first time. A killed router counts as live for a while, and has to be told when it is back.
 func (f *Front) repeatPrompts(ctx context.Context, prompts *forward.PromptVersions, told heardRouters) {
 	tick := time.NewTicker(tellInterval)
 	defer tick.Stop()
@@ -208,7 +209,7 @@
 	return prompts, answered
 }
 
-// queryAll asks engines for the prompt parts that they have cached, and calls record with the parts of one after the other. It
+// queryAll asks engines for the prompt parts that they have cached, and calls record with the parts of one engine at a time. It
 // returns how many have answered.
 func (f *Front) queryAll(ctx context.Context, engines []*registry.Server, record func(s *registry.Server, parts []forward.CachedPart)) (answered int) {
 	var wg sync.WaitGroup
--- a/internal/overload/delayshare.go
+++ b/internal/overload/delayshare.go
@@ -29,21 +29,22 @@
 	// fullUse is the number of requests at the servers per slot up to which the share rises whatever the times are: the
 	// servers have no queue that fewer requests would shorten.
 	fullUse = 1.5
-	// maxAhead is how many times the share of all routers that of one may be. All follow the same totals, so a router that was
-	// restarted or frozen would else stay ahead of the others until the pool has recovered. What all have sent is up to three
-	// intervals old, and few requests: with 1.3 the share hardly grows. minDecided is the number of requests from which it is known.
-	maxAhead   = 2
-	minDecided = 20
-	// littleLeft is the share of the objective below which a request has little of it left.
+	// maxShareRatio bounds a router's share, as a multiple of the part that all routers together have sent. All follow the same
+	// totals, so without it a router that was restarted or frozen would stay ahead of the others until the pool has recovered.
+	// The part is up to three intervals old and comes from few requests: with 1.3 the share hardly grows. minDecided is the
+	// number of decisions below which the part is not used.
+	maxShareRatio = 2
+	minDecided    = 20
+	// littleLeft is the share of the objective that must be left of it; with less, a request is sent after others.
 	littleLeft = 0.5
-	// floorPeriod is the time in which all routers together admit at least one request of each workspace, route and size.
+	// floorPeriod is the time in which all routers together admit at least one request of each workspace, route and size class.
 	floorPeriod = time.Second
-	// floorShare bounds the admitted requests that are admitted for that reason.
+	// floorShare is the largest share of the admitted requests that may be admitted because of floorPeriod.
 	floorShare = 0.25
-	// maxFloors bounds the workspaces, routes and sizes that are tracked.
+	// maxFloors bounds the combinations of workspace, route and size class that are tracked.
 	maxFloors = 4096
-	// debtWeight is the part of the requests admitted above or below the share by which the next ones are corrected, and
-	// maxDebt their largest number.
+	// debtWeight is by how much the share is lowered for each request that was admitted above it, or raised for each below, and
+	// maxDebt bounds the number of these requests.
 	debtWeight = 0.1
 	maxDebt    = 3
 )
@@ -58,7 +59,7 @@
 	Refused int
 	// InUse is the average number of served requests at the servers.
 	InUse float64
-	// Decided counts the requests about which was decided, and Sent those that were admitted.
+	// Decided counts the requests about which Admit has decided, and Sent those that it has admitted.
 	Decided, Sent int
 }
 
@@ -72,7 +73,7 @@
 	t.Sent += o.Sent
 }
 
-// Empty reports whether no response has an objective and no request was refused.
+// Empty reports whether no request with an objective was served and none was refused.
 func (t *Times) Empty() bool { return t.Served+t.Refused == 0 }
 
 // mean returns the mean time as a multiple of the objective. A refused request counts as above the target.
@@ -80,8 +81,8 @@
 	return (t.Objectives + refusedTime*delayTarget*float64(t.Refused)) / float64(t.Served+t.Refused)
 }
 
-// excess returns the mean as a multiple of the target. Requests for which there are slots don't wait at the servers: if these
-// take long, it is for their work, and fewer requests would not make them faster.
+// excess returns the mean as a multiple of the target. Requests for which there are slots don't wait at the servers: when they
+// take long, it is because of the work itself, and fewer requests would not make them faster.
 func (t *Times) excess(slots int) float64 {
 	e := t.mean() / delayTarget
 	if t.Refused == 0 {
@@ -90,15 +91,16 @@
 	return e
 }
 
-// mostShare returns the largest share of one router, 1 while too little is known.
-func (t *Times) mostShare() float64 {
+// maxShare returns the largest share of one router; 1 with fewer decisions than minDecided.
+func (t *Times) maxShare() float64 {
 	if t.Decided < minDecided {
 		return 1
 	}
-	return min(maxAhead*float64(t.Sent)/float64(t.Decided), 1)
+	return min(maxShareRatio*float64(t.Sent)/float64(t.Decided), 1)
 }
 
-// scaled returns the times of all routers, estimated from those of one.
+// scaled returns the times of all routers, estimated from those of one. Only InUse is compared with the slots of the pool; the
+// other numbers are used as ratios.
 func (t *Times) scaled(routers int) Times {
 	all := *t
 	all.InUse *= float64(max(routers, 1))
@@ -111,7 +113,7 @@
 	Route     string
 	// Size is that of the body in bytes.
 	Size int
-	// Priority is the rank of the request; 0 is the most urgent.
+	// Priority is that of the request; 0 is the most urgent.
 	Priority int
 	// Objective is the target time to the first byte; a request without one is always admitted. Spent is what has
 	// passed of it since the request arrived, and Remaining the time until the deadline.
@@ -125,7 +127,8 @@
 // ShareDecision states whether a request is sent.
 type ShareDecision struct {
 	Admitted bool
-	// Floor is set for one that is admitted since no other one of its workspace, route and size was for a time.
+	// Floor is set for one that is admitted because no other one of its workspace, route and size class was for the floor period
+	// of a router.
 	Floor bool
 	// RetryAfter is how long a refused caller should wait before a retry.
 	RetryAfter time.Duration
@@ -138,7 +141,7 @@
 	OwnOnly bool
 }
 
-// floorKey identifies the requests that have a floor of their own. size is the number of bits of the body's size, by threes.
+// floorKey identifies the requests that have a floor of their own. size is the sizeClass of the body.
 type floorKey struct {
 	workspace, route string
 	size             int
@@ -151,7 +154,8 @@
 	share   float64
 	slots   int
 	routers int
-	// totalsAt is when totals of all routers last arrived, and timesAt when the share last had any times to follow; zero for none.
+	// totalsAt is when totals of all routers last arrived, timesAt when the share last had any times to follow, and steppedAt when
+	// it last changed; zero for none.
 	totalsAt, timesAt, steppedAt time.Time
 	// own are this router's times of the last interval, and collected those of the one that began at ownFrom. ownTook is
 	// the sum of the latter, also of requests without an objective.
@@ -162,11 +166,13 @@
 	mean    float64
 	ownOnly bool
 
-	ranks    rankCounts
+	ranks rankCounts
+	// admitted counts the recent admitted requests, and byFloor those of them that were admitted because of a floor.
 	admitted decay.Count
 	byFloor  decay.Count
-	// debt is the number of requests admitted above the share.
-	debt    float64
+	// debt is the number of requests admitted above the share; below 0 for those under it.
+	debt float64
+	// floors has the time of the last admitted request of each key.
 	floors  map[floorKey]time.Time
 	returns returns
 }
@@ -229,7 +235,7 @@
 	}
 }
 
-// step changes the share by times.
+// step changes the share by the mean of t. own is set when t comes from this router alone.
 func (d *DelayShare) step(now time.Time, t Times, own bool) {
 	d.expire(now)
 	d.timesAt, d.mean, d.ownOnly = now, t.mean(), own
@@ -246,7 +252,7 @@
 	}
 	d.steppedAt = now
 	change := delayGain * max(1-t.excess(d.slots), -1) * passed.Seconds() / delayInterval.Seconds()
-	d.share = max(min(d.share*(1+change), t.mostShare()), minShare)
+	d.share = max(min(d.share*(1+change), t.maxShare()), minShare)
 }
 
 // Admit decides whether a request is sent.
@@ -295,22 +301,24 @@
 	return ShareDecision{Admitted: true, Floor: floor}
 }
 
-// belowFloor reports whether no request of its kind was admitted for a time. The routers divide the floor among them.
+// belowFloor reports whether no request of key was admitted for the floor period of a router, and fewer requests than floorShare
+// allows were admitted for that reason.
 func (d *DelayShare) belowFloor(now time.Time, key floorKey) bool {
-	if last, found := d.floors[key]; found && now.Sub(last) < d.floorPeriod() {
+	if last, found := d.floors[key]; found && now.Sub(last) < d.routerFloorPeriod() {
 		return false
 	}
 	return d.byFloor.At(now, recentHalfLife) <= floorShare*d.admitted.At(now, recentHalfLife)
 }
 
-func (d *DelayShare) floorPeriod() time.Duration {
+// routerFloorPeriod is the floor period of one router: floorPeriod is that of all together.
+func (d *DelayShare) routerFloorPeriod() time.Duration {
 	return floorPeriod * time.Duration(max(d.routers, 1))
 }
 
-// evictFloors removes the kinds of which no request was admitted for their period: those that come again are due anyway.
+// evictFloors removes the keys of which no request was admitted for the floor period: their next request is due anyway.
 func (d *DelayShare) evictFloors(now time.Time) {
 	for key, at := range d.floors {
-		if now.Sub(at) >= d.floorPeriod() {
+		if now.Sub(at) >= d.routerFloorPeriod() {
 			delete(d.floors, key)
 		}
 	}
@@ -319,7 +327,7 @@
 	}
 }
 
-// returnGap returns the time between two returns of refused callers: they come back at a part of the rate that is admitted.
+// returnGap returns the time between two returns of refused callers: they come back at returnShare of the rate that is admitted.
 func (d *DelayShare) returnGap(now time.Time) time.Duration {
 	perSecond := d.admitted.At(now, recentHalfLife) * math.Ln2 / recentHalfLife.Seconds()
 	return time.Duration(min(1/max(returnShare*perSecond, 1e-3), maxReturnGap.Seconds()) * float64(time.Second))
--- a/internal/overload/ranks.go
+++ b/internal/overload/ranks.go
@@ -6,11 +6,12 @@
 	"time"
 )
 
-// rankCount is the number of ranks of requests.
+// rankCount is the number of ranks of requests: rankOf divides each priority by three yes-or-no questions.
 const rankCount = 8 * (maxPriority + 1)
 
-// rankOf returns the order in which a request is sent when only a part is: by priority, then workspaces within their usual share,
-// then requests with enough of their objective left, then callers that were refused before.
+// rankOf returns the rank of a request; low ranks are sent first when only a part is sent. Requests are ordered by priority, then
+// those of workspaces within their usual share come first, then those with enough of their objective left, then those of callers
+// that were refused before.
 func rankOf(req *ShareRequest) int {
 	rank := min(max(req.Priority, 0), maxPriority)
 	little := float64(req.Objective-req.Spent) < littleLeft*float64(req.Objective)
@@ -29,13 +30,13 @@
 // rankCounts counts the requests of each rank with recentHalfLife, and selects a share of them by rank.
 type rankCounts struct {
 	counts [rankCount]float64
-	// credit is the part of a request by which the selected ones of a rank are behind their share.
+	// credit is by how much of a request the number of selected ones of a rank is behind their share.
 	credit [rankCount]float64
 	at     time.Time
 }
 
 // selects counts a request and reports whether it is among the given share of all, in the order of the ranks. Of the rank that is
-// selected in part, requests are selected at regular distances.
+// selected in part, requests are selected at regular intervals.
 func (r *rankCounts) selects(now time.Time, rank int, share float64) bool {
 	if passed := now.Sub(r.at); passed > 0 {
 		factor := math.Exp2(-passed.Seconds() / recentHalfLife.Seconds())
