httpsend, tunnel: a reset during an upload is not the end of an answer

What callers saw (the users' machines): a server answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is still written; the caller gets that part as the whole answer.

Cause: Linux reports a reset once, to the read or the write that asks first. When the write of the request gets it, the next read returns the end of the file, as after an orderly end. In a program of 30 lines that does only this, 367 of 400 connections ended so. The router that carries a connection for another one makes the same mistake and reports an orderly end.

Change: when a read returns the end, package connend looks at the state of the socket (CLOSE_WAIT after an orderly end, CLOSE after a reset) and at the errors of writes, which are recorded before their socket is closed. httpsend and the carrier of package tunnel use it.

Red before, with the two changed files taken back: both tests of uploadreset_test.go in one of three runs each at least; TestResetThatAWriteIsToldOfIsNoEnd without the state. After: 40 of 40 runs of the two tests green.

--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/connend"
 )
 
 // errSealed is returned for writes after the request was reported as not sent.
@@ -24,6 +26,8 @@
 // conn counts bytes and can be sealed, which rejects all further writes.
 type conn struct {
 	net.Conn
+	// end tells a reset from an orderly end.
+	end connend.Detector
 	// onUnasked is called when bytes have arrived while no exchange was in progress; nil
 	// means not. It must not use the transport, whose locks may be held.
 	onUnasked func()
@@ -66,6 +70,7 @@
 	c.idle = false
 	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
+	c.end.RecordWrite(err)
 	if isUnsent(err) {
 		c.mu.Lock()
 		c.written -= int64(len(b))
@@ -87,6 +92,7 @@
 	c.reading = true
 	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
+	err = c.end.ReadError(c.Conn, err)
 	c.recordError(err)
 	c.mu.Lock()
 	c.reading = false
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 
+	"github.com/bluebellwell/bluebellwell/internal/connend"
 	"github.com/bluebellwell/bluebellwell/internal/event"
 	"github.com/bluebellwell/bluebellwell/internal/peermux"
 )
@@ -194,12 +195,13 @@
 		return
 	}
 	defer s.track(stream)()
+	end := &connend.Detector{}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		passToServer(server, r, buffer)
+		passToServer(server, r, buffer, end)
 	}()
-	passToRouter(stream, server)
+	passToRouter(stream, server, end)
 	// Ends passToServer, whose stream the other router may keep open.
 	_ = stream.Close()
 	_ = server.Close()
@@ -225,7 +227,7 @@
 
 // passToServer passes on what the other router sends, until it closes the stream or the server's
 // connection has ended. It then closes that connection, which cancels what the server runs for it.
-func passToServer(server net.Conn, r *bufio.Reader, buffer []byte) {
+func passToServer(server net.Conn, r *bufio.Reader, buffer []byte, end *connend.Detector) {
 	defer server.Close()
 	for {
 		f, err := readFrame(r, buffer)
@@ -233,16 +235,18 @@
 			return
 		}
 		if _, err := server.Write(f.data); err != nil {
+			end.RecordWrite(err)
 			return
 		}
 	}
 }
 
 // passToRouter passes on what the server sends, and how it ended.
-func passToRouter(stream *yamux.Stream, server net.Conn) {
+func passToRouter(stream *yamux.Stream, server net.Conn, end *connend.Detector) {
 	buffer, out := make([]byte, dataBytes), make([]byte, 0, maxFrameBytes)
 	for {
 		n, err := server.Read(buffer)
+		err = end.ReadError(server, err)
 		f := frame{data: buffer[:n]}
 		switch {
 		case errors.Is(err, io.EOF):
