httpsend: an answer with a malformed field name is no answer

What callers can see: a server in trouble sends a head in which the name of a field holds a blank. The line is passed on, or, where it is the length or the encoding, the body ends elsewhere than the server's.

Cause: net/http rejects control bytes in names, but keeps a name with a blank as it is, so that "Content-Length : 4" is not the length. It also joins a line that begins with a blank to the value before it; a name whose first byte is damaged is lost there.

Change: a scanner examines the bytes of each head, interim ones too, before net/http gets them. A name that is no token, or a continuation line that is itself a field, ends the exchange as bytes that are no answer. Other continuation lines are joined as before (RFC 9112, 5.2).

--- a/internal/front/answerheaders_test.go
+++ b/internal/front/answerheaders_test.go
@@ -163,6 +163,41 @@
 	})
 }
 
+// Guards against an answer whose head has a line that is no field: net/http keeps a name with a blank as it is, so that the line is
+// passed on, or a length or encoding is missed and the body ends elsewhere than the server's.
+func TestFieldNamesOfAnswersAreTokens(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + ownID + signed + closing
+	chunks := "\r\n2\r\nok\r\n0\r\n\r\n"
+	cases := []answerCase{
+		{name: "blank before the colon", text: head + "X-T : 1\r\n" + body, status: lost},
+		{name: "blank inside a name", text: head + "X T: 1\r\n" + body, status: lost},
+		{name: "blank before the colon of a length", text: head + "Content-Length : 4\r\n\r\n" + content, status: lost},
+		{name: "blank inside the name of a length", text: head + "Content- Length: 4\r\n\r\n" + content, status: lost},
+		{name: "blank before the colon of an encoding", text: head + "Transfer-Encoding : chunked\r\n" + chunks, status: lost},
+		{name: "length that begins with a blank", text: head + " ontent-Length: 4\r\n\r\n" + content, status: lost},
+		{name: "encoding that begins with a tab", text: head + "\tTransfer-Encoding: chunked\r\n" + chunks, status: lost},
+		{name: "tab before the colon", text: head + "X-T\t: 1\r\n" + body, status: lost},
+		{name: "control byte in a name", text: head + "X-\x01T: 1\r\n" + body, status: lost},
+		{name: "NUL in the name of a length", text: head + "Content\x00Length: 4\r\n\r\n" + content, status: lost},
+		{name: "delete in a name", text: head + "X-\x7fT: 1\r\n" + body, status: lost},
+		{name: "carriage return in a name", text: head + "X-\rT: 1\r\n" + body, status: lost},
+		{name: "no name", text: head + ": 1\r\n" + body, status: lost},
+		{name: "no colon", text: head + "X-T\r\n" + body, status: lost},
+		{name: "blank in a name after an interim answer", text: "HTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\n" + head + "X T: 1\r\n" + body, status: lost},
+		{name: "blank in a name of an interim answer", text: "HTTP/1.1 103 Early Hints\r\nX Hint: 1\r\n\r\n" + head + body, status: lost},
+		{name: "folded header with a colon in its value", text: head + "X-T: a\r\n b c: d\r\n" + body, status: 200, relayed: true, body: content, header: map[string]string{"X-T": "a b c: d"}},
+		{name: "every character of a token", text: head + "!#$%&'*+-.^_`|~09aZ: 1\r\n" + body, status: 200, relayed: true, body: content},
+		{name: "body like a head", text: head + "Content-Length: 12\r\n\r\nX T: 1\r\n\r\n!!", status: 200, relayed: true, body: "X T: 1\r\n\r\n!!"},
+	}
+	for _, kind := range []string{"rawunsafe", "rawstream"} {
+		if kind == "rawstream" {
+			// The last one is no stream of events.
+			cases = cases[:len(cases)-1]
+		}
+		checkAnswers(t, kind, cases)
+	}
+}
+
 // Guards against a failure that has the signature of a server and a status that the server
 // did not give, and against a status by which a request that ran counts as not run.
 func TestSignedFailureKeepsItsStatus(t *testing.T) {
--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -35,6 +35,7 @@
 	beforeRequest func() error
 
 	mu       sync.Mutex
+	head     headScanner
 	sealed   bool
 	written  int64
 	received int64
@@ -99,10 +100,14 @@
 	c.received += int64(n)
 	unasked := c.idle && n > 0
 	c.idle = c.idle && !unasked
+	malformed := c.head.scan(b[:n])
 	c.mu.Unlock()
 	if unasked && !isRequestTimeout(b[:n]) {
 		c.reportUnasked()
 	}
+	if malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
@@ -150,6 +155,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange, c.returned, c.begun = x, false, true
+	c.head.reset()
 	return c.written, c.received
 }
 
