backend: only final statuses are answers

The client of plain servers rejected statuses below 200 only; 600 and above were passed on. It uses framing.IsFinal now, as forward does. Red before for 600 and 999.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -176,7 +176,7 @@
 }
 
 func (c *Client) readAnswer(resp *http.Response) (*Answer, error) {
-	if resp.StatusCode < http.StatusOK {
+	if !framing.IsFinal(resp.StatusCode) {
 		return nil, eris.Wrapf(ErrProtocol, "status %d", resp.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.opts.MaxAnswerBytes)+1))
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -217,3 +218,32 @@
 		}
 	}
 }
+
+// Guards against an answer whose status no final answer has, which a caller can't be given.
+func TestOnlyFinalStatusesAreAnswers(t *testing.T) {
+	for status, final := range map[string]bool{"000": false, "099": false, "101": false, "200": true, "599": true, "600": false, "999": false} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\nok")
+		}()
+		c := New(Options{BaseURL: "http://" + ln.Addr().String()})
+		t.Cleanup(c.Close)
+		if a, err := c.Do(context.Background(), booking("k", 1)); (err == nil) != final {
+			t.Errorf("status %s: got %+v, %v", status, a, err)
+		}
+	}
+}
