forward: a stream that is taken up keeps to the only version there was

What callers can see (ORDER): a caller takes a stream up while servers of one version are known. The server that gets it ends before its first event, or the request is held for its prompt; meanwhile servers of a second version join. The next server may be one of these, and the stream goes on at a version that did not begin it.

Cause: a stream whose version no router had recorded was allowed any version once it was certain that there was one only. That holds at the moment of the question, not at that of the choice.

Change: the request is bound to the version that the servers have at that moment.

TestStreamIsNotTakenUpAtAVersionThatComesMeanwhile before: sent to two servers, the second of v2, status 200.

--- a/internal/forward/findversion.go
+++ b/internal/forward/findversion.go
@@ -46,17 +46,21 @@
 func (c *call) askForVersion(ctx context.Context) bool {
 	streams := c.handler.state.streams
 	version, known := streams.find(time.Now(), c.streamID())
-	several := c.pool.severalVersions(time.Now())
+	only, several := c.pool.onlyVersion(time.Now())
 	if !known && (several || streams.mayBeOutdated()) {
 		var oneVersion bool
 		version, known, oneVersion = streams.ask(ctx, c.streamID(), c.promptStream(), several)
 		// Without servers of another version now there may have been some a moment ago, and there may be some of which
 		// this router has not heard because it was cut off or stood still. Routers that read the store have heard of them.
-		several = c.pool.severalVersions(time.Now())
+		only, several = c.pool.onlyVersion(time.Now())
 		if !known && (several || !streams.settled(time.Now()) || !oneVersion && !c.confirmedByStore(ctx)) {
 			return false
 		}
 	}
+	if !known {
+		// Servers of another version may come while the request waits or is sent again.
+		version = only
+	}
 	c.version = version
 	return true
 }
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -367,6 +367,14 @@
 	return p.versions.mixed(now)
 }
 
+// onlyVersion returns the version of all servers, 0 before there were any, and whether servers of several versions may have
+// begun streams that go on.
+func (p *pool) onlyVersion(now time.Time) (only streamversion.Version, several bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.versions.only, p.versions.mixed(now)
+}
+
 // hasOnly reports whether all servers have a version, and others have not just gone.
 func (p *pool) hasOnly(now time.Time, version streamversion.Version) bool {
 	p.mu.Lock()
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -208,6 +209,32 @@
 	}
 }
 
+// Guards against a stream that goes on at another version which comes while it is taken up: the only version was there when
+// the router looked the stream up, and the server that then got it fails before its first event.
+func TestStreamIsNotTakenUpAtAVersionThatComesMeanwhile(t *testing.T) {
+	t.Parallel()
+	for name, known := range map[string]streamversion.Version{"one version is known": 0, "the version is known": streamversion.VersionOf("v1")} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var b *bed
+			secondComes := func(w http.ResponseWriter, r *http.Request) {
+				b.state.SetServers(slices.Clone(b.servers))
+				raw("")(w, r)
+			}
+			b = newBed(t, bedOptions{servers: 2, route: resumableRoute}, secondComes, ok(wholeEvent))
+			f := b.versioned("v1")
+			b.servers[1].Version = "v2"
+			f.others = true
+			f.known[streamversion.StreamOf("first")] = known
+			got := b.send(takeUp("first"))
+			if arrivals := b.got(); len(arrivals) != 1 || got.status == http.StatusOK {
+				t.Errorf("status %d, sent to %d servers, the last of which is %s; want only that of the version that began the stream",
+					got.status, len(arrivals), arrivals[len(arrivals)-1].server)
+			}
+		})
+	}
+}
+
 // Guards against a router that locks itself out when another one asks for a stream that it does not
 // know.
 func TestSettledRouterAnswersThatItKnowsOneVersion(t *testing.T) {
