forward, digest, feed: routers cut off together don't confirm each other

What callers saw (ORDER): during a release some routers are cut off from the others and from the store. Streams that the new version began at other routers break, their callers take them up at one of those that are cut off, and it sends them to a server of the old version.

Cause: a router that does not know a stream let it go on as soon as any other router said that it had known one version only. Routers that are cut off together say that of each other. The class: the word of one router, or an answer, is believed without the time of which it speaks.

Change: - More than half of the routers that would be asked in the whole fleet have to agree, while more than half of the fleet is heard; or one that reads the store says so and has read it later than the request came. Its answer carries the age of what it has read (field 63, which earlier builds skip). - A read is dated by the begin of its call, or the end of the wait when nothing came, and after its records were applied. When a cut healed, an answer that the store had given before it was taken for a new one. - Without proof the request waits 1.6 s at most, where it is to be had: a reader that was killed is replaced after 1.2 s.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -436,7 +436,7 @@
 	}
 }
 
-func (s *fakeState) RecordStreams([]streamversion.Record) {}
+func (s *fakeState) RecordStreams([]streamversion.Record, streamversion.Source) {}
 
 func (s *fakeState) StreamRecord(streamversion.Stream) (streamversion.Record, bool) {
 	return streamversion.Record{}, false
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -112,7 +112,7 @@
 	ApplyPartReport(r quarantine.Report)
 	// RecordStreams records which versions began streams, as another router says. A version
 	// of 0 means that it knows of one version only.
-	RecordStreams(list []streamversion.Record)
+	RecordStreams(list []streamversion.Record, from streamversion.Source)
 	// StreamRecord returns what this router knows of a stream.
 	StreamRecord(s streamversion.Stream) (streamversion.Record, bool)
 	// ApplyServerChanges applies server changes that another router has read.
--- a/internal/digest/message.go
+++ b/internal/digest/message.go
@@ -184,6 +184,9 @@
 	ConfigPart *configdiff.Part
 	// RequestConfig asks for the whole configuration; a starting router sets it.
 	RequestConfig bool
+	// ReadAge is the age in ms, and one more, of the servers that the sender has read from the store; 0 for a sender that does not
+	// read it. It comes with answers to questions for streams.
+	ReadAge int64
 	// VersionsAsked is set by a router that has asked the engines which versions have prompts cached, after a kill of most
 	// routers a moment ago.
 	VersionsAsked bool
@@ -237,6 +240,7 @@
 	fieldConfigPart  = 60
 	fieldRequestConf = 61
 	fieldVersionsAsk = 62
+	fieldReadAge     = 63
 	fieldTimes       = 65
 	fieldTotalTimes  = 66
 
@@ -294,6 +298,7 @@
 		b = appendLimit(b, l)
 	}
 	b = appendStreams(b, m.Streams, m.AskedStreams)
+	b = appendPositive(b, fieldReadAge, m.ReadAge)
 	b = appendPositive(b, fieldProcessor, m.Processor)
 	b = appendColdServers(b, m.Cold)
 	b = appendBool(b, fieldAllCold, m.AllCold)
@@ -452,6 +457,8 @@
 		}
 	case fieldListEnd:
 		m.ListEnd, err = nonNegative(v)
+	case fieldReadAge:
+		m.ReadAge, err = nonNegative(v)
 	case fieldRelay:
 		m.Relay = v != 0
 	case fieldLevel:
--- a/internal/digest/readers.go
+++ b/internal/digest/readers.go
@@ -40,8 +40,9 @@
 	Recent bool
 	// Era is the era of the store as this router knows it.
 	Era int64
-	// ServersReadAt is when the store has answered a call for the servers last.
-	ServersReadAt time.Time
+	// ServersAsOf is the latest time of which this router has read the servers that the store had. An answer that was on the way
+	// for long is as old as its call.
+	ServersAsOf time.Time
 }
 
 // readerView is what a router knows about the readers of the store.
--- a/internal/digest/streams.go
+++ b/internal/digest/streams.go
@@ -20,6 +20,8 @@
 	askedHolders  = 8
 	// streamsPerDatagram bounds the streams of one datagram.
 	streamsPerDatagram = 32
+	// maxReadAge is the highest age that counts, in ms. Later calls have failed by then.
+	maxReadAge = 60_000
 )
 
 // Field numbers of a stream.
@@ -44,14 +46,29 @@
 	}
 }
 
-// AskForStream asks the routers that may hold a stream which version began it. Their answers
-// go to the state.
-func (e *Exchange) AskForStream(s streamversion.Stream) {
+// AskForStream asks the routers that may hold a stream which version began it. Their answers go to the state. It returns how many
+// would be asked if all routers were heard that there have been lately, and whether more than half of these are heard.
+func (e *Exchange) AskForStream(s streamversion.Stream) (routers int, hearsMost bool) {
 	var addrs []netip.Addr
 	for _, holder := range holdersOf(e.livePeers(), s, askedHolders) {
 		addrs = append(addrs, holder.addr)
 	}
 	e.sendTo(addrs, &Message{Sender: e.sender, AskedStreams: []uint64{uint64(s)}})
+	e.mu.Lock()
+	heard, most := e.peers.heardOf(time.Now())
+	e.mu.Unlock()
+	return min(most-1, askedHolders), 2*heard > most
+}
+
+// heardOf returns the number of routers that are heard and the largest number lately. This router counts.
+func (p *Peers) heardOf(now time.Time) (heard, most int) {
+	live := p.Live(now)
+	heard = len(live) + 1
+	most = p.recordMost(now, heard)
+	for _, peer := range live {
+		most = max(most, peer.routers)
+	}
+	return heard, most
 }
 
 // HasOthers reports whether this router has heard others lately.
@@ -64,11 +81,11 @@
 // ReadsStore reports whether this router reads the store for the others, with success.
 func (e *Exchange) ReadsStore() bool { return e.Reading() && e.state.Progress().OwnReads.Succeed }
 
-// HasReadSince reports whether this router reads the store for the others, and the store has answered a call for the servers
-// after a time.
+// HasReadSince reports whether this router reads the store for the others, and has read the servers that the store had after a
+// time.
 func (e *Exchange) HasReadSince(t time.Time) bool {
 	own := e.state.Progress().OwnReads
-	return e.Reading() && own.Succeed && own.ServersReadAt.After(t)
+	return e.Reading() && own.Succeed && own.ServersAsOf.After(t)
 }
 
 // rankedPeer is a router with its place in the order of rendezvous hashing, highest rank first.
@@ -109,7 +126,7 @@
 // handleStreams records what another router says of streams, and answers what it asks.
 func (e *Exchange) handleStreams(from netip.Addr, m *Message) {
 	if len(m.Streams) > 0 {
-		e.state.RecordStreams(m.Streams)
+		e.state.RecordStreams(m.Streams, streamversion.Source{Router: from, AsOf: m.serversAsOf(time.Now())})
 	}
 	if len(m.AskedStreams) == 0 {
 		return
@@ -121,8 +138,26 @@
 		}
 	}
 	if len(known) > 0 {
-		e.sendTo([]netip.Addr{from}, &Message{Sender: e.sender, Streams: known})
+		e.sendTo([]netip.Addr{from}, &Message{Sender: e.sender, Streams: known, ReadAge: e.readAge(time.Now())})
+	}
+}
+
+// readAge returns the age of the servers that this router has read from the store, as messages state it.
+func (e *Exchange) readAge(now time.Time) int64 {
+	own := e.state.Progress().OwnReads
+	if !e.Reading() || !own.Succeed || own.ServersAsOf.IsZero() {
+		return 0
+	}
+	return now.Sub(own.ServersAsOf).Milliseconds() + 1
+}
+
+// serversAsOf returns the time of which the sender has read the servers that the store had, by a message that has just arrived;
+// the zero time when the message does not say so.
+func (m *Message) serversAsOf(now time.Time) time.Time {
+	if m.ReadAge == 0 || m.ReadAge > maxReadAge {
+		return time.Time{}
 	}
+	return now.Add(-time.Duration(m.ReadAge) * time.Millisecond)
 }
 
 func appendStreams(b []byte, list []streamversion.Record, asked []uint64) []byte {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -137,9 +137,9 @@
 	// CallOverdue is called when the store has not begun to answer a call in time. The call goes on. It is made from
 	// another goroutine than the others, but never at the same time.
 	CallOverdue(waited time.Duration)
-	// CallEnded is called at the end of each call, after its other events, with the time at which it began; answered is set when it
-	// succeeded.
-	CallEnded(begun time.Time, answered bool)
+	// CallEnded is called at the end of each call, after its other events; answered is set when it succeeded. Its records, with
+	// those before, are all that the store had at the time asOf, which is never before the begin of the call.
+	CallEnded(asOf time.Time, answered bool)
 	// OutageEnded is called at the first success after a series of failures.
 	OutageEnded(duration time.Duration)
 	// HistoryExpired is called when the store has deleted records that were not read.
@@ -296,7 +296,8 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	defer func() { f.observer.CallEnded(start, err == nil) }()
+	asOf := start
+	defer func() { f.observer.CallEnded(asOf, err == nil) }()
 	if impatient != nil && impatient() && err != nil && page.Era == NoEra {
 		f.repeated++
 		return 0
@@ -316,6 +317,10 @@
 		return f.recordFailure(start, err)
 	}
 	f.answeredAt = f.now()
+	if !list && len(page.Records) == 0 && f.answeredAt.Sub(start) >= wait {
+		// The store had nothing at the end of the wait. The answer itself may have been on the way for long.
+		asOf = start.Add(wait)
+	}
 	f.recordSuccess()
 	return f.applyPage(page, list)
 }
--- a/internal/forward/findversion.go
+++ b/internal/forward/findversion.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/bluebellwell/bluebellwell/internal/streamversion"
 )
 
 const (
@@ -48,12 +50,15 @@
 	version, known := streams.find(time.Now(), c.streamID())
 	only, several := c.pool.onlyVersion(time.Now())
 	if !known && (several || streams.mayBeOutdated()) {
-		var oneVersion bool
-		version, known, oneVersion = streams.ask(ctx, c.streamID(), c.promptStream(), several)
+		q := streams.begin(c.streamID(), c.promptStream())
+		defer streams.end(q)
+		version, known = streams.ask(ctx, q, c.arrivedAt, several)
 		// Without servers of another version now there may have been some a moment ago, and there may be some of which
 		// this router has not heard because it was cut off or stood still. Routers that read the store have heard of them.
-		only, several = c.pool.onlyVersion(time.Now())
-		if !known && (several || !streams.settled(time.Now()) || !oneVersion && !c.confirmedByStore(ctx)) {
+		if !known && streams.settled(time.Now()) {
+			version, known = c.confirmOneVersion(ctx, q)
+		}
+		if !known {
 			return false
 		}
 	}
@@ -81,32 +86,52 @@
 }
 
 const (
-	// confirmTime is how long a reader of the store waits for the next answer of the store. It covers a wait at the
-	// store, after which that answers in any case.
-	confirmTime = time.Second
-	// confirmCheck is the time between two checks.
+	// confirmTime is how long a router waits until the store has answered a reader later than the request came. A reader that
+	// was killed is replaced after 1.2 s.
+	confirmTime = 1600 * time.Millisecond
+	// confirmCheck is the time between two checks, and confirmAsk that between two questions to the others.
 	confirmCheck = 25 * time.Millisecond
+	confirmAsk   = 100 * time.Millisecond
 )
 
-// confirmedByStore reports whether this router knows of one version only after an answer of the store that came later than
-// the request. Without it, the router may be cut off and not have noticed: a call that hangs looks like one that waits.
-func (c *call) confirmedByStore(ctx context.Context) bool {
-	fleet := c.handler.state.streams.fleet
+// confirmOneVersion returns the version of a stream that no router knows: the only one, once the store or the other routers show
+// that no other one had come when the request came. Servers of another version may have gone a moment ago, and there may be some of
+// which this router has not heard because it was cut off or stood still. Without that, this router may be cut off and not have noticed: a call that
+// hangs looks like one that waits. It waits for that while this router reads the store, or another router agrees.
+func (c *call) confirmOneVersion(ctx context.Context, q *question) (version streamversion.Version, found bool) {
+	streams := c.handler.state.streams
 	timer := time.NewTimer(confirmTime)
 	defer timer.Stop()
 	tick := time.NewTicker(confirmCheck)
 	defer tick.Stop()
-	for fleet.ReadsStore() {
-		if fleet.HasReadSince(c.arrivedAt) {
-			return !c.pool.severalVersions(time.Now())
+	askedAt := time.Now()
+	for {
+		e := streams.evidenceFor(q, c.arrivedAt)
+		if e.known {
+			return e.version, true
+		}
+		confirmed := e.oneVersion || streams.fleet.HasReadSince(c.arrivedAt)
+		only, several := c.pool.onlyVersion(time.Now())
+		if several {
+			return 0, false
+		}
+		if confirmed {
+			return only, true
+		}
+		if !e.agreed && !streams.fleet.ReadsStore() {
+			return 0, false
+		}
+		if time.Since(askedAt) >= confirmAsk {
+			askedAt = time.Now()
+			streams.send(q)
 		}
 		select {
 		case <-tick.C:
+		case <-e.answered:
 		case <-timer.C:
-			return false
+			return 0, false
 		case <-ctx.Done():
-			return false
+			return 0, false
 		}
 	}
-	return false
 }
--- a/internal/forward/findversion_test.go
+++ b/internal/forward/findversion_test.go
@@ -33,7 +33,7 @@
 					time.AfterFunc(300*time.Millisecond, func() {
 						if c.version != "" {
 							stream := streamversion.StreamOfPart(prefixHash("m", 1))
-							b.state.RecordStreams([]streamversion.Record{{Stream: stream, Version: streamversion.VersionOf(c.version)}})
+							b.state.RecordStreams([]streamversion.Record{{Stream: stream, Version: streamversion.VersionOf(c.version)}}, streamversion.Source{})
 						}
 						known.Store(true)
 					})
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -24,7 +25,9 @@
 // are safe for concurrent use and do not wait for an answer.
 type FleetStreams interface {
 	TellStreams(list []streamversion.Record)
-	AskForStream(s streamversion.Stream)
+	// AskForStream asks some routers for the version of a stream. It returns how many would be asked if all routers were heard
+	// that there have been lately, and whether more than half of these are heard.
+	AskForStream(s streamversion.Stream) (routers int, hearsMost bool)
 	// HasOthers reports whether this router has heard others lately.
 	HasOthers() bool
 	// ReadsStore reports whether this router reads the store itself, with success.
@@ -36,11 +39,11 @@
 // noFleet is a router without others.
 type noFleet struct{}
 
-func (noFleet) TellStreams([]streamversion.Record) {}
-func (noFleet) AskForStream(streamversion.Stream)  {}
-func (noFleet) HasOthers() bool                    { return false }
-func (noFleet) ReadsStore() bool                   { return false }
-func (noFleet) HasReadSince(time.Time) bool        { return false }
+func (noFleet) TellStreams([]streamversion.Record)            {}
+func (noFleet) AskForStream(streamversion.Stream) (int, bool) { return 0, false }
+func (noFleet) HasOthers() bool                               { return false }
+func (noFleet) ReadsStore() bool                              { return false }
+func (noFleet) HasReadSince(time.Time) bool                   { return false }
 
 // streamVersions is what a router knows of the versions that began streams. It is safe for
 // concurrent use.
@@ -57,12 +60,38 @@
 	questions map[streamversion.Stream]*question
 }
 
-// question is a question for the version of a stream.
+// question is a question for the version of a stream. The mutex of streamVersions guards it.
 type question struct {
+	// stream is the one that is asked for, and prompt what stands for it by the last part of its prompt; 0 for none.
+	stream, prompt streamversion.Stream
 	// waiting is the number of requests that wait for the answer.
 	waiting int
-	// oneVersion is set when another router has answered that it has known one version only.
-	oneVersion bool
+	// routers and hearsMost are what AskForStream has returned last.
+	routers   int
+	hearsMost bool
+	// agreed are the routers that have answered since then that they have known one version only, and asOf is the latest
+	// time of which one of them has read the servers.
+	agreed map[netip.Addr]bool
+	asOf   time.Time
+}
+
+// recordOneVersion records that a router has known one version only.
+func (q *question) recordOneVersion(from streamversion.Source) {
+	q.agreed[from.Router] = true
+	if from.AsOf.After(q.asOf) {
+		q.asOf = from.AsOf
+	}
+}
+
+// showsOneVersion reports whether the answers show that there was one version only at a time. Routers that are cut off
+// together, or stood still, know nothing of servers that have come since, and agree on that. So one that reads the store must
+// have read it later, or most of the routers agree.
+func (q *question) showsOneVersion(since time.Time) bool {
+	if q.asOf.After(since) {
+		return true
+	}
+	const self = 1
+	return q.hearsMost && len(q.agreed) > 0 && 2*(len(q.agreed)+self) > q.routers+self
 }
 
 func newStreamVersions() *streamVersions {
@@ -77,7 +106,7 @@
 func (st *State) SetFleetStreams(f FleetStreams) { st.streams.fleet = f }
 
 // RecordStreams records what another router says of streams.
-func (st *State) RecordStreams(list []streamversion.Record) {
+func (st *State) RecordStreams(list []streamversion.Record, from streamversion.Source) {
 	v := st.streams
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -87,7 +116,7 @@
 			// this one has seen itself.
 			v.knownSince = time.Time{}
 			if q := v.questions[r.Stream]; q != nil {
-				q.oneVersion = true
+				q.recordOneVersion(from)
 			}
 			continue
 		}
@@ -175,30 +204,26 @@
 	v.fleet.TellStreams(list)
 }
 
-// ask returns the version that began a stream, which another router may know, or that of the engines
-// which have its prompt cached. It waits for an answer for a short time, but when it knows of one version
-// only not longer than until another router says the same, which oneVersion reports.
-func (v *streamVersions) ask(ctx context.Context, s, prompt streamversion.Stream, several bool) (version streamversion.Version, known, oneVersion bool) {
-	q := v.begin(s)
-	defer v.end(s, q)
+// ask asks the other routers for the version that began a stream, which one of them may know, or that of the engines which have
+// its prompt cached. It waits for an answer for a short time, but when this router knows of one version only not longer than
+// until the others show that there was no other one at a time.
+func (v *streamVersions) ask(ctx context.Context, q *question, since time.Time, several bool) (version streamversion.Version, known bool) {
 	for range maxAsked {
 		var ended bool
-		if version, known, ended = v.askOnce(ctx, s, prompt, q, several); ended {
+		if version, known, ended = v.askOnce(ctx, q, since, several); ended {
 			break
 		}
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return version, known, q.oneVersion
+	return version, known
 }
 
 // begin returns the question for a stream.
-func (v *streamVersions) begin(s streamversion.Stream) *question {
+func (v *streamVersions) begin(s, prompt streamversion.Stream) *question {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	q := v.questions[s]
 	if q == nil {
-		q = &question{}
+		q = &question{stream: s, prompt: prompt, agreed: make(map[netip.Addr]bool)}
 		v.questions[s] = q
 	}
 	q.waiting++
@@ -206,14 +231,47 @@
 }
 
 // end forgets a question for which no other request waits.
-func (v *streamVersions) end(s streamversion.Stream, q *question) {
+func (v *streamVersions) end(q *question) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if q.waiting--; q.waiting == 0 {
-		delete(v.questions, s)
+		delete(v.questions, q.stream)
 	}
 }
 
+// send sends a question to the other routers. Those that agreed before may know more by now.
+func (v *streamVersions) send(q *question) {
+	v.mu.Lock()
+	clear(q.agreed)
+	v.mu.Unlock()
+	routers, hearsMost := v.fleet.AskForStream(q.stream)
+	if q.prompt != 0 {
+		v.fleet.AskForStream(q.prompt)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	q.routers, q.hearsMost = routers, hearsMost
+}
+
+// evidence is what is known of a stream that a question asks for.
+type evidence struct {
+	version streamversion.Version
+	known   bool
+	// oneVersion is set when the answers show that there was one version only, and agreed when any says so.
+	oneVersion, agreed bool
+	// answered is closed when another router tells of streams.
+	answered <-chan struct{}
+}
+
+// evidenceFor returns what is known of a stream now. The answers count that show what was so at a time.
+func (v *streamVersions) evidenceFor(q *question, since time.Time) evidence {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e := evidence{oneVersion: q.showsOneVersion(since), agreed: len(q.agreed) > 0, answered: v.answered}
+	e.version, e.known = v.findEither(time.Now(), q.stream, q.prompt)
+	return e
+}
+
 // findEither returns the version of a stream, else that of the engines that have its prompt cached. The
 // caller holds v.mu.
 func (v *streamVersions) findEither(now time.Time, s, prompt streamversion.Stream) (streamversion.Version, bool) {
@@ -224,25 +282,17 @@
 }
 
 // askOnce asks once; ended is set when it is no use to ask again.
-func (v *streamVersions) askOnce(ctx context.Context, s, prompt streamversion.Stream, q *question, several bool) (version streamversion.Version, known, ended bool) {
-	v.fleet.AskForStream(s)
-	if prompt != 0 {
-		v.fleet.AskForStream(prompt)
-	}
+func (v *streamVersions) askOnce(ctx context.Context, q *question, since time.Time, several bool) (version streamversion.Version, known, ended bool) {
+	v.send(q)
 	timer := time.NewTimer(askInterval)
 	defer timer.Stop()
 	for {
-		v.mu.Lock()
-		now := time.Now()
-		version, known = v.findEither(now, s, prompt)
-		ended = known || !several && q.oneVersion
-		answered := v.answered
-		v.mu.Unlock()
-		if ended {
-			return version, known, true
+		e := v.evidenceFor(q, since)
+		if e.known || !several && e.oneVersion {
+			return e.version, e.known, true
 		}
 		select {
-		case <-answered:
+		case <-e.answered:
 		case <-timer.C:
 			return 0, false, false
 		case <-ctx.Done():
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -30,6 +31,26 @@
 	instead streamversion.Stream
 	// askTime is the time that a question takes to be sent.
 	askTime time.Duration
+	// isolated is set when the router hears half of the fleet at most, and silent is how many of those that are asked
+	// do not answer.
+	isolated bool
+	silent   int
+	// reader is set when the one that answers reads the store, which answers it after readerDelay.
+	reader      bool
+	readerDelay time.Duration
+	begun       time.Time
+}
+
+// source is the router that answers.
+func (f *fleetStreams) source() streamversion.Source {
+	from := streamversion.Source{Router: netip.MustParseAddr("10.0.0.1")}
+	if f.reader {
+		from.AsOf = f.begun.Add(-time.Millisecond)
+		if time.Since(f.begun) >= f.readerDelay {
+			from.AsOf = time.Now()
+		}
+	}
+	return from
 }
 
 func (f *fleetStreams) HasOthers() bool  { return f.others }
@@ -45,14 +66,16 @@
 	f.told = append(f.told, list...)
 }
 
-func (f *fleetStreams) AskForStream(s streamversion.Stream) {
+func (f *fleetStreams) AskForStream(s streamversion.Stream) (routers int, hearsMost bool) {
 	f.mu.Lock()
 	f.asked++
 	f.mu.Unlock()
 	time.Sleep(f.askTime)
 	if version, ok := f.known[s]; ok {
-		f.state.RecordStreams([]streamversion.Record{{Stream: cmp.Or(f.instead, s), Version: version}})
+		f.state.RecordStreams([]streamversion.Record{{Stream: cmp.Or(f.instead, s), Version: version}}, f.source())
+		routers = 1
 	}
+	return routers + f.silent, !f.isolated
 }
 
 // versioned sets the versions of the servers of a bed, in order.
@@ -174,7 +197,11 @@
 		instead                      streamversion.Stream
 		readsStore, several, started bool
 		readsIn                      time.Duration
-		want                         int
+		// isolated, silent, reader and readerDelay are those of fleetStreams.
+		isolated, reader bool
+		silent           int
+		readerDelay      time.Duration
+		want             int
 	}{
 		"another version began it":                     {known: v2, readsStore: true, want: 503},
 		"others know one version":                      {known: one, want: 200},
@@ -186,6 +213,13 @@
 		"nobody answers a reader that has two":         {readsStore: true, several: true, want: 503},
 		"nobody answers a reader that has just begun":  {readsStore: true, started: true, want: 503},
 		"others know one version, this router has two": {known: one, several: true, want: 503},
+		"the few that are heard know one version":      {known: one, isolated: true, want: 503},
+		"one of three that are asked knows one":        {known: one, silent: 2, want: 503},
+		"one of two that are asked knows one":          {known: one, silent: 1, want: 200},
+		"one of few reads the store":                   {known: one, isolated: true, reader: true, want: 200},
+		"one of many reads the store":                  {known: one, silent: 7, reader: true, want: 200},
+		"the store answers another reader soon":        {known: one, isolated: true, reader: true, readerDelay: 300 * time.Millisecond, want: 200},
+		"a call of another reader to the store hangs":  {known: one, isolated: true, reader: true, readerDelay: time.Hour, want: 503},
 	} {
 		b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
 		second := "v1"
@@ -194,6 +228,7 @@
 		}
 		f := b.versioned("v1", second)
 		f.known, f.instead, f.others, f.readsStore = c.known, c.instead, true, c.readsStore
+		f.isolated, f.silent, f.reader, f.readerDelay, f.begun = c.isolated, c.silent, c.reader, c.readerDelay, time.Now()
 		if c.readsIn > 0 {
 			f.readsAgain = time.Now().Add(c.readsIn)
 		}
@@ -213,7 +248,10 @@
 // the router looked the stream up, and the server that then got it fails before its first event.
 func TestStreamIsNotTakenUpAtAVersionThatComesMeanwhile(t *testing.T) {
 	t.Parallel()
-	for name, known := range map[string]streamversion.Version{"one version is known": 0, "the version is known": streamversion.VersionOf("v1")} {
+	first, v1 := streamversion.StreamOf("first"), streamversion.VersionOf("v1")
+	for name, known := range map[string]map[streamversion.Stream]streamversion.Version{
+		"others know one version": {first: 0}, "others know the version": {first: v1}, "no others": nil,
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var b *bed
@@ -224,8 +262,8 @@
 			b = newBed(t, bedOptions{servers: 2, route: resumableRoute}, secondComes, ok(wholeEvent))
 			f := b.versioned("v1")
 			b.servers[1].Version = "v2"
-			f.others = true
-			f.known[streamversion.StreamOf("first")] = known
+			f.others, f.known = known != nil, known
+			b.state.SetFirstStart()
 			got := b.send(takeUp("first"))
 			if arrivals := b.got(); len(arrivals) != 1 || got.status == http.StatusOK {
 				t.Errorf("status %d, sent to %d servers, the last of which is %s; want only that of the version that began the stream",
--- a/internal/front/observer.go
+++ b/internal/front/observer.go
@@ -62,10 +62,10 @@
 }
 
 // CallEnded records that the store has answered, which may make this router a reader for the others.
-func (o *observer) CallEnded(begun time.Time, answered bool) {
-	if answered && o.topic == digest.TopicConfig {
+func (o *observer) CallEnded(asOf time.Time, answered bool) {
+	if answered {
 		// After the records of the call, which were passed to the same goroutine.
-		o.run(func() { o.tracker.evacuations.recordCall(begun) })
+		o.run(func() { o.recordState(asOf) })
 	}
 	t := o.tracker
 	if t.progress.recordCallEnd(time.Now(), o.topic, answered) {
@@ -73,6 +73,16 @@
 	}
 }
 
+// recordState records that this router knows what the store had in the topic at a time.
+func (o *observer) recordState(asOf time.Time) {
+	switch o.topic {
+	case digest.TopicConfig:
+		o.tracker.evacuations.recordCall(asOf)
+	case digest.TopicServers:
+		o.tracker.progress.recordServersAsOf(asOf)
+	}
+}
+
 // HistoryExpired logs that the store no longer keeps the records from a position on.
 func (o *observer) HistoryExpired(from logpos.Position) {
 	o.tracker.events.Emit(event.HistoryExpired, "topic", topicNames[o.topic], "from", from.String())
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -31,6 +31,8 @@
 	// overdue is set while a call has no answer although its wait is over, and answeredAt is when one succeeded last.
 	overdue    [digest.TopicCount]bool
 	answeredAt [digest.TopicCount]time.Time
+	// serversAsOf is the latest time of which this router has read the servers that the store had.
+	serversAsOf time.Time
 	// serversHash is a hash of the servers that are known; 0 before the first list. earlierHashes are those before it.
 	serversHash   uint32
 	earlierHashes []earlierHash
@@ -316,6 +318,15 @@
 	return !before && p.recent(now)
 }
 
+// recordServersAsOf records that this router knows the servers that the store had at a time.
+func (p *progress) recordServersAsOf(asOf time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if asOf.After(p.serversAsOf) {
+		p.serversAsOf = asOf
+	}
+}
+
 // recent reports whether the store has answered calls for all topics lately. The caller holds p.mu.
 func (p *progress) recent(now time.Time) bool {
 	for _, at := range p.answeredAt {
@@ -363,6 +374,6 @@
 	}
 	return digest.StoreProgress{
 		Topics: list, ConfigVersion: p.configVersion, ListEnd: listEnd, Servers: p.knownServers(now),
-		OwnReads: digest.OwnReads{Succeed: reading, Recent: p.recent(now), Era: era, ServersReadAt: p.answeredAt[digest.TopicServers]},
+		OwnReads: digest.OwnReads{Succeed: reading, Recent: p.recent(now), Era: era, ServersAsOf: p.serversAsOf},
 	}
 }
--- a/internal/front/trackerrules_test.go
+++ b/internal/front/trackerrules_test.go
@@ -482,9 +482,7 @@
 	call := func(topic int, begun time.Time) {
 		o.topic = topic
 		go func() { o.CallEnded(begun, true); ended <- struct{}{} }()
-		if topic == digest.TopicConfig {
-			(<-tr.tasks)()
-		}
+		(<-tr.tasks)()
 		<-ended
 	}
 	call(digest.TopicServers, time.Now())
--- a/internal/front/versions_test.go
+++ b/internal/front/versions_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -494,29 +495,53 @@
 }
 
 func checkRouterOutOfStep(t *testing.T, silent bool) {
-	const cutOff = 3
-	var link *peerLink
+	checkRoutersOutOfStep(t, 4, 3, silent)
+}
+
+// Guards against two of five routers that are cut off together and confirm each other that there is one version: streams that
+// the new version began went on at the old one (ORDER).
+func TestRoutersCutOffTogetherSendNoStreamToAnotherVersion(t *testing.T) {
+	t.Parallel()
+	for name, silent := range map[string]bool{"calls fail": false, "calls hang": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkRoutersOutOfStep(t, 5, 3, silent)
+		})
+	}
+}
+
+// checkRoutersOutOfStep cuts the routers from cutOff on off from the others and the store while servers of a second version
+// come, and takes streams up at them.
+func checkRoutersOutOfStep(t *testing.T, routers, cutOff int, silent bool) {
+	var links []*peerLink
 	var storeCut atomic.Bool
-	f := newVersionedFleet(t, 4, perVersion, func(f *fleetBed) {
-		for _, r := range f.routers {
+	f := newVersionedFleet(t, routers, perVersion, func(f *fleetBed) {
+		for i, r := range f.routers {
 			// No version is gone that any of them would not know.
 			r.restarted = false
+			if i >= cutOff {
+				links = append(links, newPeerLink(t, f, i))
+				r.wrapSource = func(s feed.Source) feed.Source { return &cutSource{s, &storeCut, silent} }
+			}
 		}
-		link = newPeerLink(t, f, cutOff)
-		f.routers[cutOff].wrapSource = func(s feed.Source) feed.Source { return &cutSource{s, &storeCut, silent} }
 	})
-	takeUpAll := func(begun []versionedStream) (whole int) {
-		for _, s := range begun {
-			id, got := f.routers[cutOff].takeUp("/single", s.n, s.id, s.last)
-			if got.err != nil || got.status != http.StatusOK {
-				continue
-			}
-			whole++
-			if version := strings.Join(f.versionsOf(id), " and "); version != s.version {
-				t.Errorf("a stream of %s went on at %s", s.version, version)
-			}
+	takeUpAll := func(begun []versionedStream) int {
+		var whole atomic.Int64
+		var callers sync.WaitGroup
+		for i, s := range begun {
+			callers.Go(func() {
+				id, got := f.routers[cutOff+i%len(links)].takeUp("/single", s.n, s.id, s.last)
+				if got.err != nil || got.status != http.StatusOK {
+					return
+				}
+				whole.Add(1)
+				if version := strings.Join(f.versionsOf(id), " and "); version != s.version {
+					t.Errorf("a stream of %s went on at %s", s.version, version)
+				}
+			})
 		}
-		return whole
+		callers.Wait()
+		return int(whole.Load())
 	}
 	begin := func() []versionedStream {
 		var begun []versionedStream
@@ -529,9 +554,14 @@
 	if whole := takeUpAll(begin()); whole < versionedStreams*9/10 {
 		t.Errorf("%d of %d streams of the only version went on", whole, versionedStreams)
 	}
-	all := func(netip.Addr, netip.Addr) bool { return true }
+	isCutOff := func(addr netip.Addr) bool {
+		return slices.ContainsFunc(f.routers[cutOff:], func(r *testBed) bool { return r.host == addr.String() })
+	}
+	toOthers := func(from, to netip.Addr) bool { return !isCutOff(from) || !isCutOff(to) }
 	storeCut.Store(true)
-	link.drop.Store(&all)
+	for _, link := range links {
+		link.drop.Store(&toOthers)
+	}
 	f.register(platformtest.StateReady, f.engines[perVersion:]...)
 	for _, r := range f.routers[:cutOff] {
 		f.waitFor("both versions are there", func() bool { return len(r.front.Status().Pools[0].Servers) == 2*perVersion })
@@ -539,6 +569,8 @@
 	begun := begin()
 	takeUpAll(begun)
 	storeCut.Store(false)
-	link.drop.Store(nil)
+	for _, link := range links {
+		link.drop.Store(nil)
+	}
 	f.waitFor("streams go on again", func() bool { return takeUpAll(begun) >= versionedStreams*9/10 })
 }
--- a/internal/streamversion/table.go
+++ b/internal/streamversion/table.go
@@ -7,6 +7,7 @@
 package streamversion
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/bluebellwell/bluebellwell/internal/placement"
@@ -44,6 +45,13 @@
 	Version Version
 }
 
+// Source is the router that has sent records.
+type Source struct {
+	Router netip.Addr
+	// AsOf is the time of which the router has read the servers that the store had; zero for one that does not read the store.
+	AsOf time.Time
+}
+
 type entry struct {
 	version Version
 	at      time.Time
