digest, forward: others are told of streams also while there is one version

What callers saw (LOST): a router stands still, or is cut off, just before servers of a second version come. Callers that have waited for it take their streams up at other routers 2 to 3 s later and are refused, though servers of their version are there: of 14 streams 5 went on.

Cause: a router told the others which version began its streams when a second version came. One that stands still then tells nobody, and nobody else knows.

Change: routers tell the holders of their new streams twice a second also while there is one version, in common datagrams.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -436,6 +436,7 @@
 	}
 }
 
+func (s *fakeState) TakeNewStreams() []streamversion.Record                     { return nil }
 func (s *fakeState) RecordStreams([]streamversion.Record, streamversion.Source) {}
 
 func (s *fakeState) StreamRecord(streamversion.Stream) (streamversion.Record, bool) {
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -113,6 +113,9 @@
 	// RecordStreams records which versions began streams, as another router says. A version
 	// of 0 means that it knows of one version only.
 	RecordStreams(list []streamversion.Record, from streamversion.Source)
+	// TakeNewStreams returns the streams that this router has begun to relay since the last call, of which it has not told
+	// the others at once.
+	TakeNewStreams() []streamversion.Record
 	// StreamRecord returns what this router knows of a stream.
 	StreamRecord(s streamversion.Stream) (streamversion.Record, bool)
 	// ApplyServerChanges applies server changes that another router has read.
@@ -208,6 +211,8 @@
 	notGranting bool
 	// discovered counts the processes of other routers that were heard.
 	discovered int
+	// streamsToldAt is when the others were last told of new streams.
+	streamsToldAt time.Time
 	// versionsAskedAt is when this router has asked the engines after a kill of most routers; zero for never.
 	versionsAskedAt time.Time
 	// processor is the processor time that this router may use, in thousandths of a core.
@@ -594,6 +599,7 @@
 			e.sendPartReport(targets, false)
 			e.sendLimits(targets)
 			e.sendCold(targets)
+			e.tellNewStreams(now)
 		}
 	}
 }
--- a/internal/digest/streams.go
+++ b/internal/digest/streams.go
@@ -20,6 +20,9 @@
 	askedHolders  = 8
 	// streamsPerDatagram bounds the streams of one datagram.
 	streamsPerDatagram = 32
+	// newStreamsInterval is the time for which new streams are collected. While servers of several versions are known the others
+	// are told at once.
+	newStreamsInterval = 500 * time.Millisecond
 	// maxReadAge is the highest age that counts, in ms. Later calls have failed by then.
 	maxReadAge = 60_000
 )
@@ -46,6 +49,18 @@
 	}
 }
 
+// tellNewStreams tells the holders of new streams which version began them, also while there is one version only: this router may
+// stand still or be cut off when a second one comes, and nobody would know of them.
+func (e *Exchange) tellNewStreams(now time.Time) {
+	if now.Sub(e.streamsToldAt) < newStreamsInterval {
+		return
+	}
+	e.streamsToldAt = now
+	if list := e.state.TakeNewStreams(); len(list) > 0 {
+		e.TellStreams(list)
+	}
+}
+
 // AskForStream asks the routers that may hold a stream which version began it. Their answers go to the state. It returns how many
 // would be asked if all routers were heard that there have been lately, and whether more than half of these are heard.
 func (e *Exchange) AskForStream(s streamversion.Stream) (routers int, hearsMost bool) {
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -54,6 +54,8 @@
 
 	mu    sync.Mutex
 	table *streamversion.Table
+	// untold are the streams that this router relays and has not told the others of, maxUntold at most.
+	untold []streamversion.Record
 	// answered is closed and replaced when another router has told of streams.
 	answered chan struct{}
 	// questions are those that wait for an answer.
@@ -186,20 +188,37 @@
 	return v.table.Find(now, s)
 }
 
-// record remembers that this router relays a stream, and tells the others when tell is set.
+// maxUntold bounds the streams of which the others are told together.
+const maxUntold = 4096
+
+// record remembers that this router relays a stream, and tells the others at once when tell is set, soon otherwise.
 func (v *streamVersions) record(now time.Time, r streamversion.Record, tell bool) {
 	v.mu.Lock()
 	v.table.Record(now, r, true)
+	if !tell && len(v.untold) < maxUntold {
+		v.untold = append(v.untold, r)
+	}
 	v.mu.Unlock()
 	if tell {
 		v.fleet.TellStreams([]streamversion.Record{r})
 	}
 }
 
+// TakeNewStreams returns the streams of which the others are to be told, once.
+func (st *State) TakeNewStreams() []streamversion.Record {
+	v := st.streams
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := v.untold
+	v.untold = nil
+	return list
+}
+
 // tellOwn tells the others of the streams that this router relays: a second version is there.
 func (v *streamVersions) tellOwn() {
 	v.mu.Lock()
 	list := v.table.Own(time.Now())
+	v.untold = nil
 	v.mu.Unlock()
 	v.fleet.TellStreams(list)
 }
--- a/internal/front/versions_test.go
+++ b/internal/front/versions_test.go
@@ -510,6 +510,46 @@
 	}
 }
 
+// Guards against streams that nobody continues because only the router that relayed them knows their version: it stands still, or
+// is cut off, before servers of a second version come. Callers that had waited for it took 14 streams up, of which 5 went on (LOST).
+func TestStreamsOfARouterThatStandsStillGoOn(t *testing.T) {
+	t.Parallel()
+	const still = 3
+	var link *peerLink
+	f := newVersionedFleet(t, 4, perVersion, func(f *fleetBed) {
+		for _, r := range f.routers {
+			r.restarted = false
+		}
+		link = newPeerLink(t, f, still)
+	})
+	var begun []versionedStream
+	for n := range versionedStreams {
+		id, last, _ := f.routers[still].begin("/single", n)
+		begun = append(begun, versionedStream{id: id, last: last, version: "v1", n: n})
+	}
+	// The others are told of them twice a second.
+	time.Sleep(time.Second)
+	all := func(netip.Addr, netip.Addr) bool { return true }
+	link.drop.Store(&all)
+	f.register(platformtest.StateReady, f.engines[perVersion:]...)
+	for _, r := range f.routers[:still] {
+		f.waitFor("both versions are there", func() bool { return len(r.front.Status().Pools[0].Servers) == 2*perVersion })
+	}
+	whole := 0
+	for _, s := range begun {
+		id, got := f.routers[s.n%still].takeUp("/single", s.n, s.id, s.last)
+		if got.err == nil && got.status == http.StatusOK {
+			whole++
+		}
+		if versions := strings.Join(f.versionsOf(id), " and "); versions != "" && versions != s.version {
+			t.Errorf("a stream of %s went on at %s", s.version, versions)
+		}
+	}
+	if whole < versionedStreams*9/10 {
+		t.Errorf("%d of %d streams went on", whole, versionedStreams)
+	}
+}
+
 // checkRoutersOutOfStep cuts the routers from cutOff on off from the others and the store while servers of a second version
 // come, and takes streams up at them.
 func checkRoutersOutOfStep(t *testing.T, routers, cutOff int, silent bool) {
