digest: routers that fell silent count as others for ten minutes

What callers can see (ORDER): a router that was cut off for over 20 s forgot that there had been others, took itself for the only one and let each stream go on at the version that it knew, without asking anybody.

Cause: "others were heard lately" meant those still tracked, 20 s long.

Change: the largest number of routers lately counts, which the choice of senders keeps for 10 minutes; routers that stop as planned don't count.

--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -244,16 +244,6 @@
 	return without
 }
 
-// heardAny reports whether any router was heard within peerRetention.
-func (p *Peers) heardAny() bool {
-	for _, peer := range p.tracked {
-		if !peer.LastReceived.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // Live returns the live peers, in no order.
 func (p *Peers) Live(now time.Time) []*Peer {
 	live := make([]*Peer, 0, len(p.tracked))
--- a/internal/digest/streams.go
+++ b/internal/digest/streams.go
@@ -86,11 +86,16 @@
 	return heard, most
 }
 
-// HasOthers reports whether this router has heard others lately.
+// HasOthers reports whether this router has heard others lately that have not said that they stop.
 func (e *Exchange) HasOthers() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.peers.heardAny()
+	return e.peers.hasOthers(time.Now())
+}
+
+func (p *Peers) hasOthers(now time.Time) bool {
+	_, most := p.heardOf(now)
+	return most > 1
 }
 
 // ReadsStore reports whether this router reads the store for the others, with success.
