forward, digest: requests that wait for proof share one question

A request that waits for proof that there is one version asked eight routers for its own stream ten times a second. After a kill of most routers hundreds may wait at a survivor, which may have 0.2 core; and in a fleet of more than nine the eight seldom hold a reader of the store, whose word decides then.

The question is not about a stream, so those that wait share one: it goes out ten times a second at most, and to the readers as well. An agreement is kept for the wait, so that a lost datagram does not end it early.

--- a/internal/digest/streams.go
+++ b/internal/digest/streams.go
@@ -23,8 +23,8 @@
 	// newStreamsInterval is the time for which new streams are collected. While servers of several versions are known the others
 	// are told at once.
 	newStreamsInterval = 500 * time.Millisecond
-	// maxReadAge is the highest age that counts, in ms. Later calls have failed by then.
-	maxReadAge = 60_000
+	// maxReadAge is the highest age that counts. Later calls have failed by then.
+	maxReadAge = time.Minute
 )
 
 // Field numbers of a stream.
@@ -61,20 +61,36 @@
 	}
 }
 
-// AskForStream asks the routers that may hold a stream which version began it. Their answers go to the state. It returns how many
-// would be asked if all routers were heard that there have been lately, and whether more than half of these are heard.
+// AskForStream asks the routers that may hold a stream which version began it, and for AnyStream the readers of the store as well.
+// Their answers go to the state. It returns how many would be asked if all routers were heard that there have been lately, and
+// whether more than half of these are heard.
 func (e *Exchange) AskForStream(s streamversion.Stream) (routers int, hearsMost bool) {
-	var addrs []netip.Addr
-	for _, holder := range holdersOf(e.livePeers(), s, askedHolders) {
-		addrs = append(addrs, holder.addr)
-	}
-	e.sendTo(addrs, &Message{Sender: e.sender, AskedStreams: []uint64{uint64(s)}})
 	e.mu.Lock()
 	heard, most := e.peers.heardOf(time.Now())
+	readers := e.peers.heardReaders
 	e.mu.Unlock()
+	addrs := askedFor(e.livePeers(), readers, s)
+	e.sendTo(addrs, &Message{Sender: e.sender, AskedStreams: []uint64{uint64(s)}})
 	return min(most-1, askedHolders), 2*heard > most
 }
 
+// askedFor returns the routers that are asked for a stream.
+func askedFor(live []rankedPeer, readers []netip.Addr, s streamversion.Stream) []netip.Addr {
+	var addrs []netip.Addr
+	for _, holder := range holdersOf(live, s, askedHolders) {
+		addrs = append(addrs, holder.addr)
+	}
+	if s != streamversion.AnyStream {
+		return addrs
+	}
+	for _, reader := range readers {
+		if !slices.Contains(addrs, reader) {
+			addrs = append(addrs, reader)
+		}
+	}
+	return addrs
+}
+
 // heardOf returns the number of routers that are heard and the largest number lately. This router counts.
 func (p *Peers) heardOf(now time.Time) (heard, most int) {
 	live := p.Live(now)
@@ -174,7 +190,7 @@
 // serversAsOf returns the time of which the sender has read the servers that the store had, by a message that has just arrived;
 // the zero time when the message does not say so.
 func (m *Message) serversAsOf(now time.Time) time.Time {
-	if m.ReadAge == 0 || m.ReadAge > maxReadAge {
+	if m.ReadAge == 0 || m.ReadAge > maxReadAge.Milliseconds() {
 		return time.Time{}
 	}
 	return now.Add(-time.Duration(m.ReadAge) * time.Millisecond)
--- a/internal/forward/findversion.go
+++ b/internal/forward/findversion.go
@@ -95,39 +95,37 @@
 )
 
 // confirmOneVersion returns the version of a stream that no router knows: the only one, once the store or the other routers show
-// that no other one had come when the request came. Servers of another version may have gone a moment ago, and there may be some of
-// which this router has not heard because it was cut off or stood still. Without that, this router may be cut off and not have noticed: a call that
-// hangs looks like one that waits. It waits for that while this router reads the store, or another router agrees.
+// that there was no other one when the request came. Servers of another version may have gone a moment ago, and there may be some
+// of which this router has not heard because it was cut off or stood still; it may not have noticed, since a call to the store that
+// hangs looks like one that waits. The request waits while this router reads the store, or another one has agreed.
 func (c *call) confirmOneVersion(ctx context.Context, q *question) (version streamversion.Version, found bool) {
 	streams := c.handler.state.streams
+	// All requests that wait share one question.
+	shared := streams.begin(streamversion.AnyStream, 0)
+	defer streams.end(shared)
 	timer := time.NewTimer(confirmTime)
 	defer timer.Stop()
 	tick := time.NewTicker(confirmCheck)
 	defer tick.Stop()
-	askedAt := time.Now()
-	for {
-		e := streams.evidenceFor(q, c.arrivedAt)
-		if e.known {
-			return e.version, true
-		}
-		confirmed := e.oneVersion || streams.fleet.HasReadSince(c.arrivedAt)
+	for agreed := false; ; {
+		own, all := streams.evidenceFor(q, c.arrivedAt), streams.evidenceFor(shared, c.arrivedAt)
+		confirmed := own.oneVersion || all.oneVersion || streams.fleet.HasReadSince(c.arrivedAt)
+		agreed = agreed || own.agreed || all.agreed
 		only, several := c.pool.onlyVersion(time.Now())
-		if several {
+		switch {
+		case own.known:
+			return own.version, true
+		case several:
 			return 0, false
-		}
-		if confirmed {
+		case confirmed:
 			return only, true
-		}
-		if !e.agreed && !streams.fleet.ReadsStore() {
+		case !agreed && !streams.fleet.ReadsStore():
 			return 0, false
 		}
-		if time.Since(askedAt) >= confirmAsk {
-			askedAt = time.Now()
-			streams.send(q)
-		}
+		streams.sendAfter(shared, confirmAsk)
 		select {
 		case <-tick.C:
-		case <-e.answered:
+		case <-all.answered:
 		case <-timer.C:
 			return 0, false
 		case <-ctx.Done():
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -71,6 +71,8 @@
 	// routers and hearsMost are what AskForStream has returned last.
 	routers   int
 	hearsMost bool
+	// sentAt is when the question was last sent.
+	sentAt time.Time
 	// agreed are the routers that have answered since then that they have known one version only, and asOf is the latest
 	// time of which one of them has read the servers.
 	agreed map[netip.Addr]bool
@@ -154,10 +156,6 @@
 // SetFirstStart records that no router has run before this one. Call it before requests are served.
 func (st *State) SetFirstStart() { st.streams.knownSince = time.Time{} }
 
-// settleStream is asked for by a router that has just started. It is no stream; one that has known
-// servers of one version only says so.
-const settleStream streamversion.Stream = 0
-
 // Settle asks the other routers whether they have known one version only, unless this router knows that
 // itself. Call it again until it returns true: the first that says so ends the time in which streams
 // may have been begun by a version that is gone.
@@ -165,7 +163,7 @@
 	if st.streams.settled(time.Now()) {
 		return true
 	}
-	st.streams.fleet.AskForStream(settleStream)
+	st.streams.fleet.AskForStream(streamversion.AnyStream)
 	return false
 }
 
@@ -258,6 +256,19 @@
 	}
 }
 
+// sendAfter sends a question again unless that was done within a time.
+func (v *streamVersions) sendAfter(q *question, pause time.Duration) {
+	v.mu.Lock()
+	due := time.Since(q.sentAt) >= pause
+	if due {
+		q.sentAt = time.Now()
+	}
+	v.mu.Unlock()
+	if due {
+		v.send(q)
+	}
+}
+
 // send sends a question to the other routers. Those that agreed before may know more by now.
 func (v *streamVersions) send(q *question) {
 	v.mu.Lock()
@@ -282,7 +293,7 @@
 	answered <-chan struct{}
 }
 
-// evidenceFor returns what is known of a stream now. The answers count that show what was so at a time.
+// evidenceFor returns what is known of a stream now; since is the time at which there must have been one version only.
 func (v *streamVersions) evidenceFor(q *question, since time.Time) evidence {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -194,7 +194,7 @@
 func TestRouterThatMayBeOutdatedAsksTheOthers(t *testing.T) {
 	t.Parallel()
 	v2 := map[streamversion.Stream]streamversion.Version{streamversion.StreamOf("first"): streamversion.VersionOf("v2")}
-	one := map[streamversion.Stream]streamversion.Version{streamversion.StreamOf("first"): 0}
+	one := map[streamversion.Stream]streamversion.Version{streamversion.StreamOf("first"): 0, streamversion.AnyStream: 0}
 	for name, c := range map[string]struct {
 		known                        map[streamversion.Stream]streamversion.Version
 		instead                      streamversion.Stream
@@ -307,7 +307,7 @@
 	if b.state.Settle() || f.asked != 1 {
 		t.Errorf("settled without an answer, or asked %d times, want once", f.asked)
 	}
-	f.known[settleStream] = 0
+	f.known[streamversion.AnyStream] = 0
 	b.state.Settle()
 	if !b.state.Settle() || f.asked != 2 {
 		t.Errorf("not settled by an answer, or asked %d times, want twice", f.asked)
--- a/internal/streamversion/table.go
+++ b/internal/streamversion/table.go
@@ -26,6 +26,9 @@
 // Stream identifies a stream by the ID of the request that brought its first event.
 type Stream uint64
 
+// AnyStream is no stream. Who is asked for it says whether there has been one version only.
+const AnyStream Stream = 0
+
 // StreamOf returns the stream of a request's ID.
 func StreamOf(requestID string) Stream { return Stream(placement.Hash(requestID)) }
 
