digest: one router is told of a new stream while there is one version

Three holders for each stream at all times would cost 63 datagrams a second each way at the long target, 3.7 KB/s with headers (worked out; the budget for control is 3 KB/s), where before that was so during releases only. In that fleet common datagrams don't help, since the holders of 21 streams a second are spread over 339 routers.

One holder is enough for what it is for: a router that stands still or is cut off when a second version comes. Its three holders are told as before when it hears of the second version itself.

--- a/internal/digest/streams.go
+++ b/internal/digest/streams.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	// streamHolders is the number of other routers that are told of a stream, and
+	// streamHolders is the number of other routers that are told of a stream while there are several versions, and
 	// askedHolders the number of those that are asked: routers that disagree on who is live
 	// disagree on the first ones by a few places.
 	streamHolders = 3
-	askedHolders  = 8
+	// earlyHolders is the number of those that are told of a stream while there is one version. In a fleet of 340 each stream takes
+	// a datagram to each of them.
+	earlyHolders = 1
+	askedHolders = 8
 	// streamsPerDatagram bounds the streams of one datagram.
 	streamsPerDatagram = 32
 	// newStreamsInterval is the time for which new streams are collected. While servers of several versions are known the others
@@ -34,11 +37,14 @@
 )
 
 // TellStreams tells the routers that hold each stream which version began it.
-func (e *Exchange) TellStreams(list []streamversion.Record) {
+func (e *Exchange) TellStreams(list []streamversion.Record) { e.tellStreams(list, streamHolders) }
+
+// tellStreams tells the first holders of each stream.
+func (e *Exchange) tellStreams(list []streamversion.Record, holders int) {
 	live := e.livePeers()
 	byHolder := make(map[netip.Addr][]streamversion.Record)
 	for _, r := range list {
-		for _, holder := range holdersOf(live, r.Stream, streamHolders) {
+		for _, holder := range holdersOf(live, r.Stream, holders) {
 			byHolder[holder.addr] = append(byHolder[holder.addr], r)
 		}
 	}
@@ -49,7 +55,7 @@
 	}
 }
 
-// tellNewStreams tells the holders of new streams which version began them, also while there is one version only: this router may
+// tellNewStreams tells the first holder of each new stream which version began them, also while there is one version only: this router may
 // stand still or be cut off when a second one comes, and nobody would know of them.
 func (e *Exchange) tellNewStreams(now time.Time) {
 	if now.Sub(e.streamsToldAt) < newStreamsInterval {
@@ -57,7 +63,7 @@
 	}
 	e.streamsToldAt = now
 	if list := e.state.TakeNewStreams(); len(list) > 0 {
-		e.TellStreams(list)
+		e.tellStreams(list, earlyHolders)
 	}
 }
 
