httpsend: an answer with a malformed status line is no answer

net/http takes a status line of any protocol version and with any blanks before the status, and any three digits. A server in trouble whose head begins with "HTTP/2.0 200" was relayed as an answer, one with two blanks too; and a scanner of the fields could not tell an interim answer there. The scanner checks the status line as well, so a status of 000 is found in one place for all clients of servers.

TestOnlyFinalStatusesAreRelayed: both new cases red before, on each of two kinds of route.

--- a/internal/front/answerheaders_test.go
+++ b/internal/front/answerheaders_test.go
@@ -91,6 +91,8 @@
 		{name: "status 999", text: "HTTP/1.1 999 X\r\n" + own, status: lost},
 		{name: "status of two digits", text: "HTTP/1.1 20 X\r\n" + own, status: lost},
 		{name: "no HTTP", text: "200 OK\r\n" + own, status: lost},
+		{name: "another protocol version", text: "HTTP/2.0 200 OK\r\n" + own, status: lost},
+		{name: "two blanks before the status", text: "HTTP/1.1  200 OK\r\n" + own, status: lost},
 		{name: "205 with a body", text: "HTTP/1.1 205 Reset Content\r\n" + own, status: 205, relayed: true, body: content},
 		{name: "204 with a length", text: "HTTP/1.1 204 No Content\r\n" + own, status: 204, relayed: true},
 		{name: "304 with a length", text: "HTTP/1.1 304 Not Modified\r\n" + own, status: 304, relayed: true},
--- a/internal/httpsend/head.go
+++ b/internal/httpsend/head.go
@@ -2,13 +2,16 @@
 
 import (
 	"errors"
-	"strings"
+	"regexp"
 
 	"golang.org/x/net/http/httpguts"
 )
 
-// errMalformedHead is returned by a read of an answer whose head has a line that is not a field.
-var errMalformedHead = errors.New("httpsend: the answer has a malformed field name")
+// errMalformedHead is returned by a read of an answer whose head has a malformed status line or field name.
+var errMalformedHead = errors.New("httpsend: the answer has a malformed head")
+
+// statusLine matches the start of a status line (RFC 9112, section 4) with a status that is defined (RFC 9110, section 15).
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] [1-5][0-9][0-9]([ \r]|$)`)
 
 // headState is the part of an answer's head that the next byte belongs to.
 type headState int
@@ -25,12 +28,12 @@
 	inBody
 )
 
-// statusPrefix is the length of the part of a status line that ends with the status.
-const statusPrefix = len("HTTP/1.1 200")
+// statusPrefix is the length of the part of a status line that ends after the status.
+const statusPrefix = len("HTTP/1.1 200 ")
 
-// headScanner finds malformed field names in the heads of an answer. net/http keeps a name with a blank in it as it is, so that
-// a length, an encoding or a signature would be missed. It also joins a line that begins with a blank to the line before,
-// where a damaged name is lost.
+// headScanner finds malformed lines in the heads of an answer. net/http takes any three digits for a status. It keeps a name with a
+// blank in it as it is, so that a length, an encoding or a signature would be missed, and joins a line that begins with a blank to
+// the line before, where a damaged name is lost.
 type headScanner struct {
 	state headState
 	// status is the start of the status line, of statusLength bytes.
@@ -58,8 +61,7 @@
 
 func (s *headScanner) next(c byte) error {
 	if c == '\n' {
-		s.endLine()
-		return nil
+		return s.endLine()
 	}
 	switch s.state {
 	case inStatusLine:
@@ -75,8 +77,10 @@
 }
 
 // endLine ends a line. net/http rejects a field without a colon.
-func (s *headScanner) endLine() {
+func (s *headScanner) endLine() error {
 	switch {
+	case s.state == inStatusLine && !statusLine.Match(s.status[:s.statusLength]):
+		return errMalformedHead
 	case s.state != atLineStart:
 		s.state = atLineStart
 	case s.isInterim():
@@ -84,6 +88,7 @@
 	default:
 		s.state = inBody
 	}
+	return nil
 }
 
 func (s *headScanner) addToStatus(c byte) {
@@ -95,8 +100,8 @@
 
 // isInterim reports whether another head follows the one that has ended. None follows 101.
 func (s *headScanner) isInterim() bool {
-	status := string(s.status[min(statusPrefix-len("100"), s.statusLength):s.statusLength])
-	return strings.HasPrefix(status, "1") && status != "101"
+	status := string(s.status[len("HTTP/1.1 "):len("HTTP/1.1 200")])
+	return status[0] == '1' && status != "101"
 }
 
 func (s *headScanner) beginLine(c byte) error {
--- a/internal/httpsend/head_test.go
+++ b/internal/httpsend/head_test.go
@@ -7,9 +7,9 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against a malformed field name that is missed, and against a sound answer that is rejected, wherever the bytes of the
-// head are split.
-func TestMalformedFieldNames(t *testing.T) {
+// Guards against a malformed status line or field name that is missed, and against a sound answer that is rejected, wherever the
+// bytes of the head are split.
+func TestMalformedHeads(t *testing.T) {
 	t.Parallel()
 	cases := map[string]struct {
 		answer    string
@@ -19,7 +19,13 @@
 		"bare line feeds":              {"HTTP/1.1 200 OK\nA: 1\n\nx y: z\n", false},
 		"no fields":                    {"HTTP/1.1 200 OK\r\n\r\nx y: z\r\n", false},
 		"no reason":                    {"HTTP/1.1 200\r\nA: 1\r\n\r\nx y: z\r\n", false},
-		"short status line":            {"HTTP/1\r\nA: 1\r\n\r\nx y: z\r\n", false},
+		"short status line":            {"HTTP/1\r\nA: 1\r\n\r\n", true},
+		"no status line":               {"\r\nHTTP/1.1 200 OK\r\n\r\n", true},
+		"two blanks before the status": {"HTTP/1.1  200 OK\r\n\r\n", true},
+		"status 000":                   {"HTTP/1.1 000 OK\r\n\r\n", true},
+		"status 600":                   {"HTTP/1.1 600 OK\r\n\r\n", true},
+		"status of four digits":        {"HTTP/1.1 2000 OK\r\n\r\n", true},
+		"later minor version":          {"HTTP/1.2 200 OK\r\n\r\n", false},
 		"continuation":                 {"HTTP/1.1 200 OK\r\nA: 1,\r\n  2: 3\r\n\tx\r\n\r\n", true},
 		"continuation with blanks":     {"HTTP/1.1 200 OK\r\nA: 1,\r\n  2 3: 4\r\n \r\n\tx\r\n\r\n", false},
 		"continuation without a name":  {"HTTP/1.1 200 OK\r\nA: 1,\r\n : 4\r\n\r\n", false},
@@ -31,7 +37,7 @@
 		"after an interim answer":      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nA b: 1\r\n\r\n", true},
 		"after a switch of protocols":  {"HTTP/1.1 101 Switch\r\nA: 1\r\n\r\nx y: z\r\n", false},
 		"after a final answer":         {"HTTP/1.1 204 None\r\n\r\nHTTP/1.1 200 OK\r\nA b: 1\r\n\r\n", false},
-		"status of an unknown version": {"HTTP/9 100\r\nA: 1\r\n\r\nx y: z\r\n", false},
+		"another protocol version":     {"HTTP/2.0 200 OK\r\nA: 1\r\n\r\n", true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
