--- a/internal/front/uploadreset_test.go
+++ b/internal/front/uploadreset_test.go
@@ -56,26 +56,6 @@
 // Guards against the same behind another router, which sees the reset in place of the one that has the caller.
 func TestResetDuringAnUploadBehindAnotherRouter(t *testing.T) {
 	t.Parallel()
-	f := newFleetWith(t, 3, 1, func(f *fleetBed) { f.routers[0].link = &serverLink{} })
-	servers := startRawServers(t, f.testBed, 1)
-	c := config(2)
-	c.Pools = append(c.Pools, "raw")
-	c.BodyBytes = uploadBytes
-	for i := range c.Routes {
-		c.Routes[i].Pool = "raw"
-	}
-	f.publish(c)
-	cut := f.routers[0]
-	f.waitFor("the routers know the configuration and the server", func() bool {
-		return f.all(func(r *testBed) bool { return r.front.Status().ConfigVersion == 2 && r.lists("raw-0") })
-	})
-	cut.link.setCut(resetsAll)
-	f.waitFor("requests go through another router", func() bool {
-		id := fmt.Sprintf("whole-%d", requests.Add(1))
-		servers.prepare(id, func(*http.Request) rawAnswer {
-			return rawAnswer{version: "HTTP/1.1", status: http.StatusOK, body: "whole", cut: -1, ending: closes}
-		})
-		return cut.do(cut.request(http.MethodPost, "/unsafe/x", "x", platformtest.HeaderRequestID, id)).status == http.StatusOK
-	})
+	cut, servers := startBehindAnotherRouter(t, uploadBytes)
 	checkResetUploads(t, cut, servers, "/unsafe/x", "/stream/x")
 }
