--- a/internal/forward/findversion.go
+++ b/internal/forward/findversion.go
@@ -53,8 +53,6 @@
 		q := streams.begin(c.streamID(), c.promptStream())
 		defer streams.end(q)
 		version, known = streams.ask(ctx, q, c.arrivedAt, several)
-		// Without servers of another version now there may have been some a moment ago, and there may be some of which
-		// this router has not heard because it was cut off or stood still. Routers that read the store have heard of them.
 		if !known && streams.settled(time.Now()) {
 			version, known = c.confirmOneVersion(ctx, q)
 		}
