--- a/internal/digest/streams.go
+++ b/internal/digest/streams.go
@@ -17,10 +17,10 @@
 	// askedHolders the number of those that are asked: routers that disagree on who is live
 	// disagree on the first ones by a few places.
 	streamHolders = 3
-	// earlyHolders is the number of those that are told of a stream while there is one version. In a fleet of 340 each stream takes
-	// a datagram to each of them.
-	earlyHolders = 1
-	askedHolders = 8
+	// largeFleetPeers is the number of other routers from which on one holder is told of a stream while there is one version. In a
+	// fleet of 340 each stream takes a datagram to each holder; in a small one a few routers that stand still may be two holders.
+	largeFleetPeers = 100
+	askedHolders    = 8
 	// streamsPerDatagram bounds the streams of one datagram.
 	streamsPerDatagram = 32
 	// newStreamsInterval is the time for which new streams are collected. While servers of several versions are known the others
@@ -37,11 +37,12 @@
 )
 
 // TellStreams tells the routers that hold each stream which version began it.
-func (e *Exchange) TellStreams(list []streamversion.Record) { e.tellStreams(list, streamHolders) }
+func (e *Exchange) TellStreams(list []streamversion.Record) {
+	e.tellStreams(e.livePeers(), list, streamHolders)
+}
 
 // tellStreams tells the first holders of each stream.
-func (e *Exchange) tellStreams(list []streamversion.Record, holders int) {
-	live := e.livePeers()
+func (e *Exchange) tellStreams(live []rankedPeer, list []streamversion.Record, holders int) {
 	byHolder := make(map[netip.Addr][]streamversion.Record)
 	for _, r := range list {
 		for _, holder := range holdersOf(live, r.Stream, holders) {
@@ -55,16 +56,23 @@
 	}
 }
 
-// tellNewStreams tells the first holder of each new stream which version began them, also while there is one version only: this router may
+// tellNewStreams tells the holders of each new stream which version began them, also while there is one version only: this router may
 // stand still or be cut off when a second one comes, and nobody would know of them.
 func (e *Exchange) tellNewStreams(now time.Time) {
 	if now.Sub(e.streamsToldAt) < newStreamsInterval {
 		return
 	}
 	e.streamsToldAt = now
-	if list := e.state.TakeNewStreams(); len(list) > 0 {
-		e.tellStreams(list, earlyHolders)
+	list := e.state.TakeNewStreams()
+	if len(list) == 0 {
+		return
+	}
+	live := e.livePeers()
+	holders := streamHolders
+	if len(live) >= largeFleetPeers {
+		holders = 1
 	}
+	e.tellStreams(live, list, holders)
 }
 
 // AskForStream asks the routers that may hold a stream which version began it, and for AnyStream the readers of the store as well.
