forward, balance: a stream's version is asked for at each choice of a server

What callers can see (ORDER): a stream of v1 goes on at v2.

Cause: while all servers have the version of a stream, the request asked for any. Between that and the choice of a server it may wait, for its prompt half of its objective; a list with another version may arrive then.

Change: the version is always asked for. Pick applies the bound on load of servers that few have only when not all servers have the version, as before.

TestRequestKeepsItsVersionWhileItWaits before: status 200 at the server of v2; after: refused.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -223,10 +223,15 @@
 	p.dealSlots()
 }
 
+// allHave reports whether all servers have a version; 0 is any.
+func (p *Pool) allHave(version streamversion.Version) bool {
+	return version == 0 || !slices.ContainsFunc(p.members, func(m *member) bool { return m.version != version })
+}
+
 // Pick chooses a server, or returns false when none can take the request.
 func (p *Pool) Pick(now time.Time, job Job) (Choice, bool) {
 	usable, mean := p.usable(now, &job), p.mean(now)
-	if job.Version != 0 || len(job.AllowedRegions) > 0 {
+	if !p.allHave(job.Version) || len(job.AllowedRegions) > 0 {
 		// Few servers may have the version or be in the regions: they must not get more than their share.
 		bound := p.bound(mean)
 		usable = slices.DeleteFunc(usable, func(m *member) bool { return m.load(now) >= bound })
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -283,7 +283,8 @@
 }
 
 func (c *call) job() balance.Job {
-	job := balance.Job{Version: c.requiredVersion(), Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre, Objective: c.route.Objective}
+	// Not requiredVersion: servers of another version may come before one is chosen.
+	job := balance.Job{Version: c.version, Exclude: c.attempts.tried, DataCentre: c.handler.state.limits.DataCentre, Objective: c.route.Objective}
 	job.Prefixes, job.PromptTokens = sharedPrefixes(c.headers)
 	job.Unreachable = c.attempts.unreachable
 	job.RunsOnce = !c.route.MayRepeat()
--- a/internal/forward/streamversions_test.go
+++ b/internal/forward/streamversions_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -276,6 +277,30 @@
 	}
 }
 
+// Guards against a stream that goes on at another version which comes while the request waits for its prompt: the version was not
+// asked for as long as all servers had it.
+func TestRequestKeepsItsVersionWhileItWaits(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedOptions{servers: 2, route: resumableRoute}, ok(wholeEvent))
+	f := b.versioned("v1")
+	b.servers[1].Version = "v2"
+	f.others = true
+	f.known[streamversion.StreamOf("first")] = streamversion.VersionOf("v1")
+	var known atomic.Bool
+	b.state.SetPlacementsKnown(known.Load)
+	comes := time.AfterFunc(50*time.Millisecond, func() {
+		b.state.SetServers([]*registry.Server{b.servers[1]})
+		known.Store(true)
+	})
+	defer comes.Stop()
+	request := takeUp("first")
+	request.header.Set("Model", "m")
+	request.header.Set("Prompt", "1:100,2:10")
+	if got := b.send(request); got.status != http.StatusServiceUnavailable || len(b.got()) > 0 {
+		t.Errorf("status %d, sent to %d servers; want a refusal, since only another version is left", got.status, len(b.got()))
+	}
+}
+
 // Guards against a router that locks itself out when another one asks for a stream that it does not
 // know.
 func TestSettledRouterAnswersThatItKnowsOneVersion(t *testing.T) {
