forward: one question tells which version the servers have

The comment of requiredVersion still said that it names the version of the next server, which the request does itself since. Behaviour is unchanged; both rules that named the old lines are still held by their tests.

--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -418,13 +418,14 @@
 	c.version = streamversion.VersionOf(c.attempts.choice.Server.Version)
 	now := time.Now()
 	record := streamversion.Record{Stream: c.streamID(), Version: c.version}
-	c.handler.state.streams.record(now, record, c.pool.severalVersions(now))
+	_, several := c.pool.onlyVersion(now)
+	c.handler.state.streams.record(now, record, several)
 }
 
-// requiredVersion returns the version that the next server must have; 0 for any. It does not matter where
-// all servers have it.
+// requiredVersion returns the version of the request's stream while servers of another one may be there, and 0 when all servers
+// have it or the request may go to any.
 func (c *call) requiredVersion() streamversion.Version {
-	if c.version == 0 || c.pool.hasOnly(time.Now(), c.version) {
+	if only, several := c.pool.onlyVersion(time.Now()); !several && only == c.version {
 		return 0
 	}
 	return c.version
@@ -440,13 +441,6 @@
 	only streamversion.Version
 }
 
-// severalVersions reports whether servers of several versions may have begun streams that go on.
-func (p *pool) severalVersions(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.versions.mixed(now)
-}
-
 // onlyVersion returns the version of all servers, 0 before there were any, and whether servers of several versions may have
 // begun streams that go on.
 func (p *pool) onlyVersion(now time.Time) (only streamversion.Version, several bool) {
@@ -455,13 +449,6 @@
 	return p.versions.only, p.versions.mixed(now)
 }
 
-// hasOnly reports whether all servers have a version, and others have not just gone.
-func (p *pool) hasOnly(now time.Time, version streamversion.Version) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.versions.mixed(now) && p.versions.only == version
-}
-
 // mixed reports whether servers of several versions may have begun streams that go on.
 func (v *versionChange) mixed(now time.Time) bool { return v.several || now.Before(v.until) }
 
